--- /dev/null
+++ b/packages/dotterelspur/src/connection/index.ts
@@ -0,0 +1,2 @@
+export * from './EngineApi.js'
+export * from './MeshApi.js'
--- /dev/null
+++ b/packages/dotterelspur/src/process/ObjectStore.ts
@@ -0,0 +1,74 @@
+import type { Result } from './Result.js'
+import type { Teardown } from './Teardown.js'
+
+/**
+ * The platform's object API as the system uses it. Every call is counted by the platform, a waiting watch as
+ * one. Versions are positive integers that rise with each write to the store; a deletion counts as a write.
+ */
+export interface ObjectStore {
+  get<Body> (key: string): Promise<Result<StoredObject<Body>, StoreError>>
+  list<Body> (prefix: string): Promise<Result<ObjectListing<Body>, StoreError>>
+  /** Fails with Conflict when the key exists. */
+  create<Body> (key: string, body: Body): Promise<Result<StoredObject<Body>, StoreError>>
+  /** Fails with Conflict when the stored version differs from `expectedVersion`. */
+  update<Body> (key: string, body: Body, expectedVersion: number): Promise<Result<StoredObject<Body>, StoreError>>
+  remove (key: string, expectedVersion: number): Promise<Result<StoredObject<null>, StoreError>>
+  /**
+   * Follows a prefix until torn down, through errors and reconnections. Events may repeat, skip or go back:
+   * the receiver keeps the highest version of each key. After a gap the watcher lists again by itself.
+   */
+  watch<Body> (prefix: string, listener: (event: WatchEvent<Body>) => void): Teardown
+}
+
+/** A stored value. A deleted one has `deleted` true and a body of null. */
+export interface StoredObject<Body> {
+  readonly key: string
+  readonly version: number
+  readonly body: Body
+  readonly deleted: boolean
+}
+
+/** All objects under a prefix, and the store's version when it was read. */
+export interface ObjectListing<Body> {
+  readonly objects: ReadonlyArray<StoredObject<Body>>
+  readonly version: number
+}
+
+export enum WatchEventKind {
+  /** One object was written or deleted. */
+  Object = 'object',
+  /** The complete state of the prefix; what is absent was deleted at or before `listing.version`. */
+  Listing = 'listing',
+  /** The watch lost contact with the store. */
+  Disconnected = 'disconnected',
+  /** Contact again; a Listing follows. */
+  Connected = 'connected'
+}
+
+export type WatchEvent<Body> =
+  | { readonly kind: WatchEventKind.Object, readonly object: StoredObject<Body> }
+  | { readonly kind: WatchEventKind.Listing, readonly listing: ObjectListing<Body> }
+  | { readonly kind: WatchEventKind.Disconnected }
+  | { readonly kind: WatchEventKind.Connected }
+
+export enum StoreErrorKind {
+  NotFound = 'not-found',
+  /** The condition didn't hold: nothing was written. */
+  Conflict = 'conflict',
+  /** The store couldn't be reached, and nothing can have been written. */
+  Unavailable = 'unavailable',
+  /** The write may or may not have taken effect, and reading back did not settle it. */
+  Unknown = 'unknown',
+  /** The store refused: too many calls. Nothing was written. */
+  RateLimited = 'rate-limited',
+  /** The request or the answer was malformed. Nothing was written. */
+  Invalid = 'invalid'
+}
+
+export type StoreError =
+  | { readonly kind: StoreErrorKind.NotFound, readonly key: string }
+  | { readonly kind: StoreErrorKind.Conflict, readonly key: string, readonly currentVersion: number | null }
+  | { readonly kind: StoreErrorKind.Unavailable, readonly reason: string }
+  | { readonly kind: StoreErrorKind.Unknown, readonly key: string, readonly reason: string }
+  | { readonly kind: StoreErrorKind.RateLimited, readonly retryAfterMs: number }
+  | { readonly kind: StoreErrorKind.Invalid, readonly reason: string }
--- /dev/null
+++ b/packages/dotterelspur/src/process/Random.ts
@@ -0,0 +1,26 @@
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+
+/** A seeded source of randomness. Every decision that draws takes one as an argument, so that a run can be repeated. */
+export interface Random {
+  /** Uniform in [0, 1). */
+  next (): number
+  /** Uniform integer in [0, bound). */
+  integer (bound: number): number
+}
+
+const UINT32_RANGE = 0x1_0000_0000
+
+/** Creates a source that gives the same sequence for the same seed. */
+export function createRandom (seed: number): Random {
+  const generator = xoroshiro128plus(seed)
+  const next = (): number => (generator.next() >>> 0) / UINT32_RANGE
+  return {
+    next,
+    integer: (bound) => Math.floor(next() * bound)
+  }
+}
+
+/** One of `items`, uniformly; undefined when there are none. */
+export function pick<Item> (random: Random, items: readonly Item[]): Item | undefined {
+  return items[random.integer(items.length)]
+}
--- /dev/null
+++ b/packages/dotterelspur/src/process/VmRecord.ts
@@ -0,0 +1,45 @@
+import type { FabricDomainId, FailureDomainId, RegionId, ServiceId, VmId } from './ids.js'
+import type { Result } from './Result.js'
+import type { StoreError } from './ObjectStore.js'
+
+export enum VmRole {
+  /** Runs a model engine and can be a member of a group. */
+  Engine = 'engine',
+  /** Runs one worker of a plain service. */
+  Service = 'service'
+}
+
+export enum VmListState {
+  Live = 'live',
+  /** The platform will take the VM away soon. */
+  Leaving = 'leaving'
+}
+
+/** One line of the platform's list. The list lags: a VM on it may be dead, a live one may be missing or listed twice. */
+export interface VmRecord {
+  readonly vm: VmId
+  /** Rises each time the VM starts; what ran under a lower one is gone. */
+  readonly incarnation: number
+  readonly role: VmRole
+  readonly state: VmListState
+  /** Base URL, such as `http://10.0.0.7:8000`. */
+  readonly address: string
+  readonly region: RegionId
+  readonly failureDomain: FailureDomainId
+  /** Empty for service VMs. */
+  readonly fabricDomain: FabricDomainId
+  /** Set for service VMs. */
+  readonly service?: ServiceId
+}
+
+/** The platform's lagging list of live and leaving VMs. */
+export interface VmDirectory {
+  /** One counted call. */
+  list (): Promise<Result<VmListing, StoreError>>
+}
+
+export interface VmListing {
+  readonly vms: readonly VmRecord[]
+  /** Rises with each change of the list; an answer with a lower one is from the past. */
+  readonly version: number
+}
--- /dev/null
+++ b/packages/dotterelspur/src/process/ids.ts
@@ -0,0 +1,35 @@
+/**
+ * Identifiers. Each is a string with a compile-time flavour, so that a VM id can't be passed where a
+ * group id is expected, while literals and decoded JSON need no conversion.
+ */
+
+interface Flavor<Name extends string> {
+  readonly __flavor?: Name
+}
+
+/** A region: a set of failure domains with short distances between them. */
+export type RegionId = string & Flavor<'RegionId'>
+/** A failure domain: what may fail as a whole; one lease, one controller. */
+export type FailureDomainId = string & Flavor<'FailureDomainId'>
+/** A fabric domain: VMs joined by the fast fabric that a replica needs; inside one failure domain. */
+export type FabricDomainId = string & Flavor<'FabricDomainId'>
+/** An endpoint VM, by the name under which the platform lists it. */
+export type VmId = string & Flavor<'VmId'>
+/** A group of VMs that together hold one model replica. */
+export type GroupId = string & Flavor<'GroupId'>
+/** A node: one dotterelspur process on one entry VM. */
+export type NodeId = string & Flavor<'NodeId'>
+/** A team: the owner of one settings subtree. */
+export type TeamId = string & Flavor<'TeamId'>
+/** A model's name as callers write it. */
+export type ModelId = string & Flavor<'ModelId'>
+/** A version of a model. */
+export type ModelVersion = string & Flavor<'ModelVersion'>
+/** An adapter that is loaded beside a model. */
+export type AdapterId = string & Flavor<'AdapterId'>
+/** A plain service that the system routes to. */
+export type ServiceId = string & Flavor<'ServiceId'>
+/** A caller's request, unique over the system; see RequestIdentity for its shape. */
+export type RequestId = string & Flavor<'RequestId'>
+/** `<node>.<incarnation>`: the one process that decides on a request id and remembers its outcome. */
+export type HomeId = string & Flavor<'HomeId'>
--- /dev/null
+++ b/packages/dotterelspur/src/request/index.ts
@@ -0,0 +1,2 @@
+export * from './Outcome.js'
+export * from './RequestIdentity.js'
--- /dev/null
+++ b/packages/dotterelspur/src/version/PlatformObjects.ts
@@ -0,0 +1,145 @@
+import type { AdapterId, FabricDomainId, FailureDomainId, GroupId, ModelId, ModelVersion, NodeId, RegionId, TeamId, VmId } from '../process/ids.js'
+
+/**
+ * The bodies of the objects that the system keeps in the platform. Every write carries a `writeToken` that no
+ * other write has, so that a write whose answer was lost can be recognised when it is read back.
+ */
+export interface Written {
+  readonly writeToken: string
+}
+
+export const TEAM_PREFIX = 'teams/'
+export const LEASE_PREFIX = 'leases/'
+export const ASSIGNMENT_PREFIX = 'assignments/'
+export const NODE_PREFIX = 'nodes/'
+export const CLAIM_PREFIX = 'claims/'
+export const AUDIT_PREFIX = 'audit/'
+export const STATUS_PREFIX = 'status/'
+export const DRAIN_PREFIX = 'drains/'
+
+/** `teams/<team>`: the INI text as the operator wrote it; parsed where it is used, so that the text is never lost. */
+export interface TeamObject extends Written {
+  readonly team: TeamId
+  readonly text: string
+  /** Operator's name, for the audit trail. */
+  readonly appliedBy: string
+  readonly appliedAtWallMs: number
+}
+
+/** `leases/<failureDomain>`. */
+export interface LeaseObject extends Written {
+  readonly failureDomain: FailureDomainId
+  readonly holder: NodeId
+  readonly holderIncarnation: number
+  /** Rises at each takeover, never falls. */
+  readonly fencing: number
+  readonly ttlMs: number
+  /** Counts renewals, so that an observer sees that the holder lives. */
+  readonly renewal: number
+  /** The holder gave it up: anyone may take it at once. */
+  readonly released: boolean
+}
+
+export enum GroupState {
+  /** Members load and join. */
+  Forming = 'forming',
+  /** May serve while its presence evidence is complete and fresh. */
+  Serving = 'serving',
+  /** Finishes what it has; to be dissolved or formed again. */
+  Draining = 'draining',
+  /** Lost a member; serves nothing until repaired or dissolved. */
+  Broken = 'broken'
+}
+
+export interface AssignedMember {
+  readonly vm: VmId
+  /** A VM that restarts is another member: its old incarnation's place is empty. */
+  readonly incarnation: number
+  readonly address: string
+}
+
+export interface AssignedGroup {
+  readonly group: GroupId
+  /** Rises at each change of members, model, version or adapters. */
+  readonly formation: number
+  readonly state: GroupState
+  readonly team: TeamId
+  readonly model: ModelId
+  readonly version: ModelVersion
+  readonly adapters: readonly AdapterId[]
+  /** In rank order; rank 0 leads. */
+  readonly members: readonly AssignedMember[]
+  /** Standbys agreed in advance, in the order in which they step in. */
+  readonly standbys: readonly AssignedMember[]
+  /** Why the group is in this state, for `explain`. */
+  readonly cause: string
+  readonly sinceWallMs: number
+}
+
+/**
+ * `assignments/<fabricDomain>`: the only place that says which VM is in which group. One object per fabric
+ * domain, changed by one conditional update, so that no VM can be in two groups.
+ */
+export interface AssignmentObject extends Written {
+  readonly fabricDomain: FabricDomainId
+  readonly failureDomain: FailureDomainId
+  readonly region: RegionId
+  /** The fencing number of the lease under which it was written; never falls. */
+  readonly fencing: number
+  readonly groups: readonly AssignedGroup[]
+}
+
+/** `nodes/<node>`: written at start and at drain, no heartbeat. */
+export interface NodeObject extends Written {
+  readonly node: NodeId
+  readonly incarnation: number
+  readonly region: RegionId
+  readonly failureDomain: FailureDomainId
+  readonly meshAddress: string
+  readonly entryAddress: string
+  readonly draining: boolean
+}
+
+/** `drains/<vm>` or `drains/<group>`: an operator asks that an endpoint or a group takes no new work. */
+export interface DrainObject extends Written {
+  readonly target: string
+  readonly requestedBy: string
+  readonly requestedAtWallMs: number
+  readonly reason: string
+}
+
+export enum AuditKind {
+  SettingsApplied = 'settings-applied',
+  SettingsDeleted = 'settings-deleted',
+  LeaseTaken = 'lease-taken',
+  LeaseReleased = 'lease-released',
+  GroupFormed = 'group-formed',
+  GroupRepaired = 'group-repaired',
+  GroupBroken = 'group-broken',
+  GroupDissolved = 'group-dissolved',
+  RolloutStep = 'rollout-step',
+  RolloutHalted = 'rollout-halted',
+  DrainRequested = 'drain-requested',
+  NodeStarted = 'node-started',
+  NodeDraining = 'node-draining'
+}
+
+/** One change: who, what, before, after, why. */
+export interface AuditRecord {
+  readonly kind: AuditKind
+  readonly atWallMs: number
+  /** `operator:<name>` or `node:<node>`. */
+  readonly actor: string
+  /** The key or id that changed. */
+  readonly subject: string
+  readonly before: string | null
+  readonly after: string | null
+  readonly reason: string
+  /** For decisions: the ways that were rejected, with their scores. */
+  readonly rejected: readonly string[]
+}
+
+/** `audit/<day>/<node>.<incarnation>.<batch>`: appended in batches. */
+export interface AuditBatch extends Written {
+  readonly records: readonly AuditRecord[]
+}
--- /dev/null
+++ b/packages/dotterelspur/src/version/index.ts
@@ -0,0 +1,2 @@
+export * from './PlatformObjects.js'
+export * from './TeamSettings.js'
--- /dev/null
+++ b/scripts/test.mjs
@@ -0,0 +1,37 @@
+// Runs every compiled unit test, or those of the packages named as arguments.
+import { spawnSync } from 'node:child_process'
+import { readdirSync, statSync } from 'node:fs'
+import { dirname, join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+
+const root = join(dirname(fileURLToPath(import.meta.url)), '..')
+const named = process.argv.slice(2)
+const packages = readdirSync(join(root, 'packages')).filter((name) => named.length === 0 || named.includes(name))
+
+function collect (directory, found) {
+  for (const entry of readdirSync(directory)) {
+    const path = join(directory, entry)
+    if (statSync(path).isDirectory()) collect(path, found)
+    else if (entry.endsWith('.test.js')) found.push(path)
+  }
+  return found
+}
+
+/** A compiled test whose source is gone must not run: the build leaves its output behind. */
+function hasSource (path) {
+  return statSync(path.replace(`${'/dist/'}`, '/src/').replace(/\.js$/, '.ts'), { throwIfNoEntry: false }) !== undefined
+}
+
+const files = packages
+  .map((name) => join(root, 'packages', name, 'dist'))
+  .filter((directory) => statSync(directory, { throwIfNoEntry: false }) !== undefined)
+  .flatMap((directory) => collect(directory, []))
+  .filter(hasSource)
+  .sort()
+if (files.length === 0) {
+  console.error('no test files found')
+  process.exit(1)
+}
+const mocha = join(root, 'node_modules', 'mocha', 'bin', 'mocha.js')
+const result = spawnSync(process.execPath, [mocha, ...files], { cwd: root, stdio: ['ignore', 'inherit', 'inherit'] })
+process.exit(result.status ?? 1)
