Node objects and members name the operators' address

The command line and the demo need each node's admin listener, whose port the operating system may assign, so the node has to say it where it says the others.

--- a/packages/dotterelspur/src/connection/MeshApi.ts
+++ b/packages/dotterelspur/src/connection/MeshApi.ts
@@ -24,6 +24,8 @@
   readonly meshAddress: string
   /** Base URL for callers. */
   readonly entryAddress: string
+  /** Base URL for operators. */
+  readonly adminAddress: string
   readonly state: NodeState
 }
 
--- a/packages/dotterelspur/src/version/PlatformObjects.ts
+++ b/packages/dotterelspur/src/version/PlatformObjects.ts
@@ -97,6 +97,8 @@
   readonly failureDomain: FailureDomainId
   readonly meshAddress: string
   readonly entryAddress: string
+  /** Base URL for operators. */
+  readonly adminAddress: string
   readonly draining: boolean
 }
 
