Routing and admission: public types and a first working version

Two random choices over the targets that may take a request, and queues by class in front of a lane's concurrency, with truthful not-run outcomes. Signatures are meant to stay; the decisions behind them deepen.

--- /dev/null
+++ b/packages/dotterelspur/src/__tests__/unit/Router.test.ts
@@ -0,0 +1,86 @@
+import { expect } from 'chai'
+import { AttemptEnd, PriorityClass, RouteRefusalKind, Router, TargetKind, createRandom, createRoutingOptions, groupTargetId, type GroupQuery, type GroupTarget } from '../../index.js'
+
+function createTarget (group: string, overrides: Partial<GroupTarget> = {}): GroupTarget {
+  return {
+    kind: TargetKind.Group,
+    id: groupTargetId(group, 1),
+    group,
+    formation: 1,
+    model: 'summary',
+    version: 'v1',
+    adapters: [],
+    address: `http://10.0.0.1/${group}`,
+    region: 'perth',
+    failureDomain: 'perth-1',
+    evidenceExpiresAtMs: 2_500,
+    leaving: false,
+    load: { running: 0, waiting: 0, capacity: 10, cacheUsed: 0, ageMs: 0 },
+    loadAskedAtMs: 0,
+    ...overrides
+  }
+}
+
+function createQuery (overrides: Partial<GroupQuery> = {}): GroupQuery {
+  return {
+    kind: TargetKind.Group,
+    model: 'summary',
+    version: 'v1',
+    versionPinned: false,
+    adapter: null,
+    prefixHashes: [],
+    promptTokens: 100,
+    excluded: new Set(),
+    priority: PriorityClass.Interactive,
+    idempotent: true,
+    ...overrides
+  }
+}
+
+function createFixture (targets: readonly GroupTarget[]) {
+  const router = new Router(createRoutingOptions({ region: 'perth', failureDomain: 'perth-1' }))
+  router.replaceTargets(targets, 0)
+  return { router, random: createRandom(1) }
+}
+
+describe('Router refusals', () => {
+  const cases: ReadonlyArray<{ name: string, targets: readonly GroupTarget[], query?: Partial<GroupQuery>, nowMs?: number, kind: RouteRefusalKind }> = [
+    { name: 'no target at all', targets: [], kind: RouteRefusalKind.NoReplica },
+    { name: 'another model only', targets: [createTarget('a', { model: 'draft' })], kind: RouteRefusalKind.NoReplica },
+    { name: 'adapter not loaded', targets: [createTarget('a')], query: { adapter: 'tax' }, kind: RouteRefusalKind.NoReplica },
+    { name: 'pinned version not served', targets: [createTarget('a', { version: 'v2' })], query: { versionPinned: true }, kind: RouteRefusalKind.NoReplica },
+    { name: 'evidence expires at this very moment', targets: [createTarget('a')], nowMs: 2_500, kind: RouteRefusalKind.NoFreshEvidence },
+    { name: 'all leaving', targets: [createTarget('a', { leaving: true })], kind: RouteRefusalKind.AllLeaving },
+    { name: 'all tried', targets: [createTarget('a')], query: { excluded: new Set([groupTargetId('a', 1)]) }, kind: RouteRefusalKind.AllTried }
+  ]
+  for (const row of cases) {
+    it(row.name, () => {
+      const { router, random } = createFixture(row.targets)
+      const result = router.decide(createQuery(row.query), row.nowMs ?? 0, random)
+      expect(result.ok ? 'decided' : result.error.kind).to.equal(row.kind)
+      expect(result.ok || result.error.retryAfterMs > 0).to.equal(true)
+    })
+  }
+})
+
+describe('Router', () => {
+  it('counts its own attempts as load at once', () => {
+    const { router, random } = createFixture([createTarget('a'), createTarget('b')])
+    const busy = createTarget('a')
+    for (let index = 0; index < 20; index++) router.begin(busy, 0, 0)
+    let toBusy = 0
+    for (let index = 0; index < 100; index++) {
+      const result = router.decide(createQuery(), 0, random)
+      if (result.ok && result.value.target.id === busy.id) toBusy++
+    }
+    expect(toBusy).to.be.lessThan(40)
+  })
+
+  it('forgets an attempt when it ends', () => {
+    const { router } = createFixture([createTarget('a')])
+    const attempt = router.begin(createTarget('a'), 0, 0)
+    expect(router.inFlightAt(attempt.targetId)).to.equal(1)
+    router.end(attempt, AttemptEnd.Whole, 10)
+    expect(router.inFlightAt(attempt.targetId)).to.equal(0)
+  })
+})
--- /dev/null
+++ b/packages/dotterelspur/src/request/admission/AdmissionOptions.ts
@@ -0,0 +1,22 @@
+import { PriorityClass } from '../../connection/EngineApi.js'
+
+export interface AdmissionOptions {
+  /** Queued requests per lane and class at this node. */
+  readonly queueLimit: Readonly<Record<PriorityClass, number>>
+  /** A request that waited this long is shed even when its deadline is far. */
+  readonly maxQueueMs: Readonly<Record<PriorityClass, number>>
+  /** Share of dispatches while all classes wait. */
+  readonly classWeight: Readonly<Record<PriorityClass, number>>
+  /** Share of a lane's concurrency that a class may hold. */
+  readonly classShare: Readonly<Record<PriorityClass, number>>
+  /** Concurrency of a lane that was never configured. */
+  readonly initialConcurrency: number
+}
+
+export const DEFAULT_ADMISSION_OPTIONS: AdmissionOptions = {
+  queueLimit: { [PriorityClass.Interactive]: 64, [PriorityClass.Standard]: 64, [PriorityClass.Bulk]: 256 },
+  maxQueueMs: { [PriorityClass.Interactive]: 1_500, [PriorityClass.Standard]: 5_000, [PriorityClass.Bulk]: 30_000 },
+  classWeight: { [PriorityClass.Interactive]: 16, [PriorityClass.Standard]: 4, [PriorityClass.Bulk]: 1 },
+  classShare: { [PriorityClass.Interactive]: 1, [PriorityClass.Standard]: 0.9, [PriorityClass.Bulk]: 0.75 },
+  initialConcurrency: 64
+}
--- /dev/null
+++ b/packages/dotterelspur/src/request/routing/index.ts
@@ -0,0 +1,5 @@
+export * from './Attempt.js'
+export * from './RouteQuery.js'
+export * from './Router.js'
+export * from './RouteTarget.js'
+export * from './RoutingOptions.js'
