The platform's stand-in: objects, VM list, weight store, faults over HTTP

One table of objects with versions and a bounded history, a lagging VM list and a weight budget, without I/O; a fault table that plans each call; a thin HTTP skin; and an in-memory ObjectStore for other packages' tests.

--- a/packages/dotterelspur-testkit/src/index.ts
+++ b/packages/dotterelspur-testkit/src/index.ts
@@ -1,1 +1,2 @@
-export {}
+export * from './process/SystemClock.js'
+export * from './process/platform/index.js'
--- /dev/null
+++ b/packages/dotterelspur-testkit/src/process/platform/index.ts
@@ -0,0 +1,8 @@
+export * from './CallMeter.js'
+export * from './LaggingVmList.js'
+export * from './MemoryObjectStore.js'
+export * from './ObjectTable.js'
+export * from './PlatformFaults.js'
+export * from './PlatformServer.js'
+export * from './WeightStore.js'
+export { WatchLineKind } from './registerWatchRoute.js'
