Leases and assignments: the pure part

A lease is judged on each observer's own monotonic clock: the holder counts its TTL from when it sent a renewal, a challenger from when it first saw that version, so the holder's count ends first whatever the two clocks say. A renewal whose answer was lost is recognised by its write token. A pause suspends the term until a renewal sent afterwards got through.

--- /dev/null
+++ b/packages/dotterelspur/src/__tests__/unit/Lease.test.ts
@@ -0,0 +1,217 @@
+import { expect } from 'chai'
+import {
+  beginTerm, ChallengeKind, createRandom, decideChallenge, DEFAULT_LEASE_TIMING, failed, isExpired, LeaseEffectKind, LeaseLoss, LeaseResultKind, mayOrder,
+  NO_SIGHTING, observeAbsence, observeLease, observeOwnLease, pick, raiseFencingFloor, rankCandidates, renewLease, runProcedure, StoreErrorKind, success,
+  suspendTerm, takeLease, type LeaseEffect, type LeaseObject, type LeaseSighting, type Result, type StoredObject, type StoreError
+} from '../../index.js'
+
+const TIMING = DEFAULT_LEASE_TIMING
+const SELF = { node: 'node-a', incarnation: 1 }
+
+function makeLease (fields: Partial<LeaseObject> = {}): LeaseObject {
+  return {
+    failureDomain: 'fd-1', holder: 'node-b', holderIncarnation: 7, fencing: 4, ttlMs: TIMING.ttlMs, renewal: 0, released: false, writeToken: 'token-b', ...fields
+  }
+}
+
+function makeSighting (fields: Partial<LeaseObject> = {}, version = 10, atMs = 1_000): LeaseSighting {
+  return observeLease(NO_SIGHTING, version, makeLease(fields), atMs)
+}
+
+/** How the stand-in answers one write or read. */
+enum Fault { None, ReplyLost, Down, Stale }
+
+/** A store with one key, whose faults are used up in order. */
+function makeStore (faults: Fault[] = []) {
+  const history: Array<StoredObject<LeaseObject>> = []
+  let nowMs = 5_000
+  let tokens = 0
+  const latest = (): StoredObject<LeaseObject> | undefined => history.at(-1)
+  const put = (body: LeaseObject): StoredObject<LeaseObject> => {
+    const stored = { key: 'leases/fd-1', version: (latest()?.version ?? 0) + 1, body, deleted: false }
+    history.push(stored)
+    return stored
+  }
+  const read = (): Result<StoredObject<LeaseObject>, StoreError> => {
+    const fault = faults.shift() ?? Fault.None
+    if (fault === Fault.Down) return failed({ kind: StoreErrorKind.Unavailable, reason: 'down' })
+    const stored = fault === Fault.Stale ? history.at(-2) : latest()
+    return stored === undefined ? failed({ kind: StoreErrorKind.NotFound, key: 'leases/fd-1' }) : success(stored)
+  }
+  const write = (body: LeaseObject, expectedVersion: number): Result<StoredObject<LeaseObject>, StoreError> => {
+    const fault = faults.shift() ?? Fault.None
+    if (fault === Fault.Down) return failed({ kind: StoreErrorKind.Unavailable, reason: 'down' })
+    const currentVersion = latest()?.version ?? 0
+    if (currentVersion !== expectedVersion) return failed({ kind: StoreErrorKind.Conflict, key: 'leases/fd-1', currentVersion })
+    const stored = put(body)
+    return fault === Fault.ReplyLost ? failed({ kind: StoreErrorKind.Unknown, key: stored.key, reason: 'no reply' }) : success(stored)
+  }
+  const handlers = {
+    [LeaseEffectKind.Now]: () => nowMs,
+    [LeaseEffectKind.Token]: () => `token-a-${++tokens}`,
+    [LeaseEffectKind.Read]: read,
+    [LeaseEffectKind.Write]: (effect: Extract<LeaseEffect, { kind: LeaseEffectKind.Write }>) => write(effect.body, effect.expectedVersion)
+  }
+  return { handlers, put, latest, faults, advance: (durationMs: number) => { nowMs += durationMs }, now: () => nowMs }
+}
+
+async function makeHeld (faults: Fault[] = []) {
+  const store = makeStore()
+  const taken = await runProcedure(takeLease('fd-1', SELF, 0, 1, TIMING), store.handlers)
+  if (taken.kind !== LeaseResultKind.Held) throw new Error('not taken')
+  store.faults.push(...faults)
+  return { store, term: taken.term }
+}
+
+describe('LeaseChallenger', () => {
+  const cases = [
+    { title: 'waits a whole TTL of its own clock for a held lease', sighting: makeSighting(), rank: 0, openAtMs: 1_000 + TIMING.ttlMs },
+    { title: 'waits longer at a lower rank', sighting: makeSighting(), rank: 2, openAtMs: 1_000 + TIMING.ttlMs + 2 * TIMING.staggerMs },
+    { title: 'takes a released lease at once', sighting: makeSighting({ released: true }), rank: 0, openAtMs: 1_000 },
+    { title: 'takes a lease that never was at once', sighting: observeAbsence(NO_SIGHTING, 1_000), rank: 0, openAtMs: 1_000 },
+    { title: 'takes back what it wrote itself and thought lost', sighting: makeSighting({ holder: 'node-a', holderIncarnation: 1 }), rank: 0, openAtMs: 1_000 },
+    { title: 'does not take over from its own earlier incarnation early', sighting: makeSighting({ holder: 'node-a', holderIncarnation: 0 }), rank: 0, openAtMs: 1_000 + TIMING.ttlMs },
+    { title: 'honours a longer TTL of the holder', sighting: makeSighting({ ttlMs: 20_000 }), rank: 0, openAtMs: 21_000 }
+  ]
+  for (const { title, sighting, rank, openAtMs } of cases) {
+    it(title, () => {
+      const decide = (nowMs: number) => decideChallenge(sighting, { ...SELF, rank }, TIMING, nowMs)
+      expect(decide(openAtMs - 1)).to.deep.equal({ kind: ChallengeKind.Wait, untilMs: openAtMs })
+      expect(decide(openAtMs)).to.deep.equal({ kind: ChallengeKind.Take, expectedVersion: sighting.version, fencing: sighting.fencingFloor + 1 })
+    })
+  }
+
+  it('is not set back by an answer from the past, nor by a lease that seems gone', () => {
+    const sighting = makeSighting()
+    expect(observeLease(sighting, 9, makeLease({ fencing: 3 }), 2_000)).to.equal(sighting)
+    expect(observeLease(sighting, 10, makeLease(), 2_000)).to.equal(sighting)
+    expect(observeAbsence(sighting, 2_000)).to.equal(sighting)
+  })
+
+  it('starts its count again at each renewal, and takes no lower fencing number than any it has seen', () => {
+    const renewed = observeLease(makeSighting(), 11, makeLease({ renewal: 1 }), 3_000)
+    expect(renewed.firstSeenAtMs).to.equal(3_000)
+    const decision = decideChallenge(raiseFencingFloor(renewed, 40), { ...SELF, rank: 0 }, TIMING, 3_000 + TIMING.ttlMs)
+    expect(decision).to.include({ fencing: 41 })
+  })
+})
+
+describe('LeaseHolder', () => {
+  it('stops ordering a margin before its TTL, counted from when it sent', async () => {
+    const { term } = await makeHeld()
+    const stopMs = term.sentAtMs + TIMING.ttlMs - TIMING.marginMs
+    expect(mayOrder(term, TIMING, stopMs - 1)).to.equal(true)
+    expect(mayOrder(term, TIMING, stopMs)).to.equal(false)
+    expect(isExpired(term, TIMING, stopMs)).to.equal(false)
+    expect(isExpired(term, TIMING, term.sentAtMs + TIMING.ttlMs)).to.equal(true)
+  })
+
+  it('stops ordering before any observer can have seen the lease for a whole TTL', () => {
+    const random = createRandom(11)
+    for (let round = 0; round < 500; round++) {
+      const sentAtMs = random.integer(10_000)
+      const seenAtMs = sentAtMs + random.integer(30_000)
+      const term = beginTerm(makeLease(), 10, sentAtMs)
+      const decision = decideChallenge(makeSighting({}, 10, seenAtMs), { ...SELF, rank: 0 }, TIMING, 0)
+      const openAtMs = decision.kind === ChallengeKind.Wait ? decision.untilMs : 0
+      expect(mayOrder(term, TIMING, openAtMs - TIMING.marginMs)).to.equal(false)
+    }
+  })
+
+  // Symptom: a holder gives up a lease that it holds, and its domain has no controller for a whole TTL.
+  // Sequence: a renewal takes effect, its answer is lost; the next one is refused since the version has moved.
+  // Cause: the refusal looks like another node's write unless the write token is read back.
+  const renewalCases = [
+    { title: 'counts a renewal whose answer was lost from when it was sent', faults: [Fault.ReplyLost], held: true, renewed: true },
+    { title: 'keeps the term, unrenewed, when the read back fails too', faults: [Fault.ReplyLost, Fault.Down], held: true, renewed: false },
+    { title: 'keeps the term, unrenewed, while the store is down', faults: [Fault.Down], held: true, renewed: false },
+    { title: 'is not moved by a read back from the past', faults: [Fault.ReplyLost, Fault.Stale], held: true, renewed: false }
+  ]
+  for (const { title, faults, held, renewed } of renewalCases) {
+    it(title, async () => {
+      const { store, term } = await makeHeld(faults)
+      store.advance(TIMING.renewMs)
+      const result = await runProcedure(renewLease(term, SELF, TIMING), store.handlers)
+      expect(result.kind === LeaseResultKind.Held).to.equal(held)
+      if (result.kind !== LeaseResultKind.Held) return
+      expect(result.term.sentAtMs).to.equal(renewed ? term.sentAtMs + TIMING.renewMs : term.sentAtMs)
+      store.advance(TIMING.retryMs)
+      const next = await runProcedure(renewLease(result.term, SELF, TIMING), store.handlers)
+      expect(next).to.include({ kind: LeaseResultKind.Held })
+      expect(store.latest()!.body).to.include({ holder: 'node-a', fencing: 1 })
+    })
+  }
+
+  it('recognises its own earlier renewal behind a refused one', async () => {
+    const { store, term } = await makeHeld([Fault.ReplyLost, Fault.Down])
+    const unknown = await runProcedure(renewLease(term, SELF, TIMING), store.handlers)
+    const sentAtMs = store.now()
+    store.advance(TIMING.retryMs)
+    if (unknown.kind !== LeaseResultKind.Held) throw new Error('lost')
+    const result = await runProcedure(renewLease(unknown.term, SELF, TIMING), store.handlers)
+    expect(result).to.deep.include({ kind: LeaseResultKind.Held })
+    if (result.kind === LeaseResultKind.Held) expect(result.term).to.include({ sentAtMs, version: 2, renewal: 1 })
+  })
+
+  it('ends the term when it finds another\'s write', async () => {
+    const { store, term } = await makeHeld()
+    store.put(makeLease({ fencing: 2 }))
+    const result = await runProcedure(renewLease(term, SELF, TIMING), store.handlers)
+    expect(result).to.include({ kind: LeaseResultKind.Lost, loss: LeaseLoss.Taken })
+  })
+
+  it('sends nothing once its own TTL is over', async () => {
+    const { store, term } = await makeHeld()
+    store.advance(TIMING.ttlMs)
+    const result = await runProcedure(renewLease(term, SELF, TIMING), store.handlers)
+    expect(result).to.include({ kind: LeaseResultKind.Lost, loss: LeaseLoss.Expired })
+    expect(store.latest()!.version).to.equal(1)
+  })
+
+  // Symptom: a node that was stopped for a while orders though another node has the lease.
+  // Sequence: the holder stops for longer than the margin; wakes; its next step is an order.
+  // Cause: what it knew of its lease is as old as the stop; only a renewal that is sent afterwards proves it.
+  it('orders nothing after a pause until a renewal sent afterwards got through', async () => {
+    const { store, term } = await makeHeld()
+    store.advance(TIMING.renewMs)
+    const suspended = suspendTerm(term, store.now())
+    expect(mayOrder(suspended, TIMING, store.now())).to.equal(false)
+    const before = { writeToken: 'earlier', renewal: 1, sentAtMs: store.now() - 1 }
+    const observed = observeOwnLease({ ...suspended, pending: [before] }, 2, makeLease({ writeToken: 'earlier' }))
+    expect(typeof observed !== 'string' && mayOrder(observed, TIMING, store.now())).to.equal(false)
+    const result = await runProcedure(renewLease(suspended, SELF, TIMING), store.handlers)
+    expect(result.kind === LeaseResultKind.Held && mayOrder(result.term, TIMING, store.now())).to.equal(true)
+  })
+
+  it('gives a lease up so that the next may take it at once', async () => {
+    const { store, term } = await makeHeld([Fault.ReplyLost])
+    const result = await runProcedure(renewLease(term, SELF, TIMING, true), store.handlers)
+    expect(result).to.include({ kind: LeaseResultKind.Lost, loss: LeaseLoss.Released })
+    expect(store.latest()!.body.released).to.equal(true)
+  })
+})
+
+describe('takeLease', () => {
+  // Symptom: two nodes decide for one failure domain.
+  // Sequence: two challengers see the same version for a TTL and write at the same time.
+  // Cause: the loser's answer was lost, so it can't tell from the answer who won.
+  it('lets one of two challengers win, whichever answers are lost', async () => {
+    const random = createRandom(3)
+    for (let round = 0; round < 50; round++) {
+      const store = makeStore(Array.from({ length: 4 }, () => pick(random, [Fault.None, Fault.ReplyLost, Fault.Stale])!))
+      const first = await runProcedure(takeLease('fd-1', SELF, 0, 1, TIMING), store.handlers)
+      const second = await runProcedure(takeLease('fd-1', { node: 'node-b', incarnation: 1 }, 0, 1, TIMING), store.handlers)
+      expect([first, second].filter((result) => result.kind === LeaseResultKind.Held).length).to.be.at.most(1)
+      expect(second.kind).to.equal(LeaseResultKind.NotTaken)
+    }
+  })
+})
+
+describe('rankCandidates', () => {
+  it('puts nodes inside the failure domain first, then those of its region', () => {
+    const candidates = ['n1', 'n2', 'n3', 'n4', 'n5', 'n6'].map((node, index) => ({ node, region: index < 4 ? 'r1' : 'r2', failureDomain: index < 2 ? 'fd-1' : 'fd-2' }))
+    const ranked = rankCandidates('fd-1', 'r1', candidates)
+    expect(ranked.slice(0, 2).sort()).to.deep.equal(['n1', 'n2'])
+    expect(ranked.slice(2, 4).sort()).to.deep.equal(['n3', 'n4'])
+  })
+})
--- a/packages/dotterelspur/src/process/index.ts
+++ b/packages/dotterelspur/src/process/index.ts
@@ -1,6 +1,7 @@
 export * from './Clock.js'
 export * from './ids.js'
 export * from './invariant.js'
+export * from './lease/index.js'
 export * from './ObjectStore.js'
 export * from './Presence.js'
 export * from './Procedure.js'
--- /dev/null
+++ b/packages/dotterelspur/src/process/lease/LeaseProcedures.ts
@@ -0,0 +1,107 @@
+import { leaseKey, type LeaseObject } from '../../version/PlatformObjects.js'
+import type { FailureDomainId, NodeId } from '../ids.js'
+import { StoreErrorKind, type StoredObject, type StoreError } from '../ObjectStore.js'
+import { perform, type Effect, type Procedure } from '../Procedure.js'
+import type { Result } from '../Result.js'
+import { beginTerm, isExpired, LeaseLoss, noteNotWritten, noteSent, observeOwnLease, type LeaseTerm } from './LeaseHolder.js'
+import type { LeaseTiming } from './LeaseTiming.js'
+
+export enum LeaseEffectKind {
+  Now = 'now',
+  Token = 'token',
+  Read = 'read',
+  Write = 'write'
+}
+
+type StoredLease = Result<StoredObject<LeaseObject>, StoreError>
+
+/** The monotonic time. */
+export type NowEffect = Effect<LeaseEffectKind.Now, number>
+/** A write token that no other write has. */
+export type TokenEffect = Effect<LeaseEffectKind.Token, string>
+export interface ReadLeaseEffect extends Effect<LeaseEffectKind.Read, StoredLease> {
+  readonly key: string
+}
+/** A conditional write; `expectedVersion` 0 creates. */
+export interface WriteLeaseEffect extends Effect<LeaseEffectKind.Write, StoredLease> {
+  readonly key: string
+  readonly body: LeaseObject
+  readonly expectedVersion: number
+}
+export type LeaseEffect = NowEffect | TokenEffect | ReadLeaseEffect | WriteLeaseEffect
+
+export enum LeaseResultKind {
+  /** The term stands, renewed or not. */
+  Held = 'held',
+  Lost = 'lost',
+  /** Not taken; `observed` is what the store holds if that was learned. */
+  NotTaken = 'not-taken'
+}
+
+export type RenewResult =
+  | { readonly kind: LeaseResultKind.Held, readonly term: LeaseTerm, readonly error: StoreError | null }
+  | { readonly kind: LeaseResultKind.Lost, readonly loss: LeaseLoss, readonly observed: StoredObject<LeaseObject> | null }
+
+export type TakeResult =
+  | { readonly kind: LeaseResultKind.Held, readonly term: LeaseTerm }
+  | { readonly kind: LeaseResultKind.NotTaken, readonly observed: StoredObject<LeaseObject> | null, readonly error: StoreError }
+
+export interface LeaseIdentity {
+  readonly node: NodeId
+  readonly incarnation: number
+}
+
+/**
+ * Tries once to take a lease. A write whose answer was lost is read back: if the store holds this write's
+ * token, the term has begun, counted from when the write was sent.
+ */
+export function * takeLease (
+  failureDomain: FailureDomainId, self: LeaseIdentity, expectedVersion: number, fencing: number, timing: LeaseTiming
+): Procedure<LeaseEffect, TakeResult> {
+  const key = leaseKey(failureDomain)
+  const writeToken = yield * perform<TokenEffect>({ kind: LeaseEffectKind.Token })
+  const sentAtMs = yield * perform<NowEffect>({ kind: LeaseEffectKind.Now })
+  const body: LeaseObject = {
+    failureDomain, holder: self.node, holderIncarnation: self.incarnation, fencing, ttlMs: timing.ttlMs, renewal: 0, released: false, writeToken
+  }
+  const written = yield * perform<WriteLeaseEffect>({ kind: LeaseEffectKind.Write, key, body, expectedVersion })
+  if (written.ok) return { kind: LeaseResultKind.Held, term: beginTerm(body, written.value.version, sentAtMs) }
+  if (!needsReadBack(written.error)) return { kind: LeaseResultKind.NotTaken, observed: null, error: written.error }
+  const read = yield * perform<ReadLeaseEffect>({ kind: LeaseEffectKind.Read, key })
+  if (!read.ok) return { kind: LeaseResultKind.NotTaken, observed: null, error: written.error }
+  const nowMs = yield * perform<NowEffect>({ kind: LeaseEffectKind.Now })
+  const taken = read.value.body?.writeToken === writeToken
+  if (taken && nowMs < sentAtMs + timing.ttlMs) return { kind: LeaseResultKind.Held, term: beginTerm(body, read.value.version, sentAtMs) }
+  return { kind: LeaseResultKind.NotTaken, observed: read.value, error: written.error }
+}
+
+/** Tries once to renew; reads back when the answer was lost or the condition failed. `released` gives the lease up. */
+export function * renewLease (term: LeaseTerm, self: LeaseIdentity, timing: LeaseTiming, released = false): Procedure<LeaseEffect, RenewResult> {
+  const key = leaseKey(term.failureDomain)
+  const writeToken = yield * perform<TokenEffect>({ kind: LeaseEffectKind.Token })
+  const sentAtMs = yield * perform<NowEffect>({ kind: LeaseEffectKind.Now })
+  if (isExpired(term, timing, sentAtMs)) return { kind: LeaseResultKind.Lost, loss: LeaseLoss.Expired, observed: null }
+  const renewal = term.renewal + 1
+  const body: LeaseObject = {
+    failureDomain: term.failureDomain, holder: self.node, holderIncarnation: self.incarnation, fencing: term.fencing, ttlMs: timing.ttlMs, renewal, released, writeToken
+  }
+  const sent = noteSent(term, { writeToken, renewal, sentAtMs })
+  const written = yield * perform<WriteLeaseEffect>({ kind: LeaseEffectKind.Write, key, body, expectedVersion: term.version })
+  if (written.ok) return settle(sent, written.value, released)
+  if (!needsReadBack(written.error)) return { kind: LeaseResultKind.Held, term: noteNotWritten(sent, writeToken), error: written.error }
+  const read = yield * perform<ReadLeaseEffect>({ kind: LeaseEffectKind.Read, key })
+  if (!read.ok) return { kind: LeaseResultKind.Held, term: sent, error: read.error }
+  return settle(sent, read.value, released, written.error)
+}
+
+function settle (term: LeaseTerm, stored: StoredObject<LeaseObject>, released: boolean, error: StoreError | null = null): RenewResult {
+  const observed = stored.deleted ? LeaseLoss.Taken : observeOwnLease(term, stored.version, stored.body)
+  if (typeof observed === 'string') return { kind: LeaseResultKind.Lost, loss: observed, observed: stored }
+  if (released && stored.body.released) return { kind: LeaseResultKind.Lost, loss: LeaseLoss.Released, observed: stored }
+  return { kind: LeaseResultKind.Held, term: observed, error: observed === term ? error : null }
+}
+
+/** A refused condition may be this term's own earlier write, whose answer was lost. */
+function needsReadBack (error: StoreError): boolean {
+  return error.kind === StoreErrorKind.Unknown || error.kind === StoreErrorKind.Conflict
+}
--- /dev/null
+++ b/packages/dotterelspur/src/process/lease/index.ts
@@ -0,0 +1,5 @@
+export * from './LeaseChallenger.js'
+export * from './leaseCandidates.js'
+export * from './LeaseHolder.js'
+export * from './LeaseProcedures.js'
+export * from './LeaseTiming.js'
--- a/packages/dotterelspur/src/version/PlatformObjects.ts
+++ b/packages/dotterelspur/src/version/PlatformObjects.ts
@@ -1,4 +1,5 @@
 import type { AdapterId, FabricDomainId, FailureDomainId, GroupId, ModelId, ModelVersion, NodeId, RegionId, TeamId, VmId } from '../process/ids.js'
+import type { VmRecord } from '../process/VmRecord.js'
 
 /**
  * The bodies of the objects that the system keeps in the platform. Every write carries a `writeToken` that no
@@ -16,6 +17,30 @@
 export const AUDIT_PREFIX = 'audit/'
 export const STATUS_PREFIX = 'status/'
 export const DRAIN_PREFIX = 'drains/'
+/** Not an object of the platform: the part of the platform's VM list that a controller spreads over the mesh. */
+export const VM_LIST_PREFIX = 'vms/'
+
+export function leaseKey (failureDomain: FailureDomainId): string {
+  return `${LEASE_PREFIX}${failureDomain}`
+}
+
+export function assignmentKey (fabricDomain: FabricDomainId): string {
+  return `${ASSIGNMENT_PREFIX}${fabricDomain}`
+}
+
+export function vmListKey (failureDomain: FailureDomainId): string {
+  return `${VM_LIST_PREFIX}${failureDomain}`
+}
+
+/**
+ * `vms/<failureDomain>`, spread by the mesh only, with the listing's version: the VMs of one failure domain as
+ * its controller last read them. One node per failure domain reads the platform's list, and all others learn
+ * addresses and leaving VMs from it.
+ */
+export interface VmListDocument {
+  readonly failureDomain: FailureDomainId
+  readonly vms: readonly VmRecord[]
+}
 
 /** `teams/<team>`: the INI text as the operator wrote it; parsed where it is used, so that the text is never lost. */
 export interface TeamObject extends Written {
--- /dev/null
+++ b/packages/dotterelspur/src/version/assignment/AssignmentRules.ts
@@ -0,0 +1,64 @@
+import type { GroupId, VmId } from '../../process/ids.js'
+import { GroupState, type AssignedGroup, type AssignmentObject } from '../PlatformObjects.js'
+
+/** What may be wrong with an assignment, or with a change of one. */
+export enum AssignmentFault {
+  /** A VM stands in two places, as a member or as a standby. */
+  VmTwice = 'vm-twice',
+  GroupTwice = 'group-twice',
+  /** The fencing number is lower than the one before: the writer lost its lease. */
+  FencingFell = 'fencing-fell',
+  /** A group's formation is lower than before. */
+  FormationFell = 'formation-fell',
+  /** Members, model, version or adapters changed, and the formation did not rise. */
+  FormationUnchanged = 'formation-unchanged'
+}
+
+export interface AssignmentProblem {
+  readonly fault: AssignmentFault
+  /** The VM or the group that it is about. */
+  readonly subject: string
+}
+
+/** Checks the shape of one assignment: no VM and no group stands in it twice. */
+export function checkAssignment (assignment: Pick<AssignmentObject, 'groups'>): readonly AssignmentProblem[] {
+  const groups = new Set<GroupId>()
+  const vms = new Set<VmId>()
+  const problems: AssignmentProblem[] = []
+  for (const group of assignment.groups) {
+    if (groups.has(group.group)) problems.push({ fault: AssignmentFault.GroupTwice, subject: group.group })
+    groups.add(group.group)
+    for (const { vm } of [...group.members, ...group.standbys]) {
+      if (vms.has(vm)) problems.push({ fault: AssignmentFault.VmTwice, subject: vm })
+      vms.add(vm)
+    }
+  }
+  return problems
+}
+
+/** Checks a change before it is written, whatever planner made it. An empty answer means that it may be written. */
+export function checkAssignmentChange (before: AssignmentObject | null, after: AssignmentObject): readonly AssignmentProblem[] {
+  const problems = [...checkAssignment(after)]
+  if (before === null) return problems
+  if (after.fencing < before.fencing) problems.push({ fault: AssignmentFault.FencingFell, subject: after.fabricDomain })
+  const earlier = new Map(before.groups.map((group) => [group.group, group]))
+  for (const group of after.groups) {
+    const previous = earlier.get(group.group)
+    if (previous === undefined) continue
+    if (group.formation < previous.formation) problems.push({ fault: AssignmentFault.FormationFell, subject: group.group })
+    if (group.formation === previous.formation && formationContent(group) !== formationContent(previous)) {
+      problems.push({ fault: AssignmentFault.FormationUnchanged, subject: group.group })
+    }
+  }
+  return problems
+}
+
+/** All that a formation number stands for, as comparable text. */
+function formationContent (group: AssignedGroup): string {
+  return JSON.stringify([group.model, group.version, group.adapters, group.members.map((member) => [member.vm, member.incarnation])])
+}
+
+/** Whether a group in this state may take new work, if its evidence says that it is complete. */
+export function takesNewWork (state: GroupState): boolean {
+  return state === GroupState.Forming || state === GroupState.Serving
+}
--- /dev/null
+++ b/packages/dotterelspur/src/version/assignment/index.ts
@@ -0,0 +1,3 @@
+export * from './AssignmentRules.js'
+export * from './GroupEvidence.js'
+export * from './Orders.js'
--- a/packages/dotterelspur/src/version/index.ts
+++ b/packages/dotterelspur/src/version/index.ts
@@ -1,2 +1,3 @@
+export * from './assignment/index.js'
 export * from './PlatformObjects.js'
 export * from './TeamSettings.js'
