Planner of a fabric domain: public types and a first working version

The controller needs one pure decision: what the assignment object of a fabric domain should hold next. This version forms groups of exact size, breaks a group whose member is gone, replaces lost members in place, drains what nobody wants and checks the result before it leaves.

AssignmentObject gains highestFormation, so that group ids made from it are never used twice, and rollouts, so that a halted change is remembered.

--- a/packages/dotterelspur/src/version/PlatformObjects.ts
+++ b/packages/dotterelspur/src/version/PlatformObjects.ts
@@ -112,6 +112,37 @@
   /** The fencing number of the lease under which it was written; never falls. */
   readonly fencing: number
   readonly groups: readonly AssignedGroup[]
+  /**
+   * The highest formation number ever given in this fabric domain. Each new formation takes the next one, so that
+   * a group id made from it is never used twice and late evidence of a dissolved group fits no other.
+   */
+  readonly highestFormation?: number
+  /** What this fabric domain's controller knows of changes of version under way. */
+  readonly rollouts?: readonly RolloutRecord[]
+}
+
+export enum RolloutPhase {
+  Running = 'running',
+  /** Stopped by its health check; groups go back to the version before. */
+  Halted = 'halted'
+}
+
+/** A model version together with its adapters: what a rollout changes. */
+export interface ModelRevision {
+  readonly version: ModelVersion
+  readonly adapters: readonly AdapterId[]
+}
+
+/** One change of a model's version or adapters, kept until every group has it or its intent goes. */
+export interface RolloutRecord {
+  readonly team: TeamId
+  readonly model: ModelId
+  readonly target: ModelRevision
+  /** What ran before, to go back to; null when nothing did. */
+  readonly previous: ModelRevision | null
+  readonly phase: RolloutPhase
+  readonly cause: string
+  readonly sinceWallMs: number
 }
 
 /** `nodes/<node>`: written at start and at drain, no heartbeat. */
--- /dev/null
+++ b/packages/dotterelspur/src/version/planning/FabricDomainPlanner.ts
@@ -0,0 +1,85 @@
+import { invariant } from '../../process/invariant.js'
+import type { AssignedGroup } from '../PlatformObjects.js'
+import { GroupState } from '../PlatformObjects.js'
+import type { FabricDomainPlan } from './Decision.js'
+import { growGroups } from './GroupGrowth.js'
+import { settleGroupStates } from './GroupObservation.js'
+import { repairGroups } from './GroupRepair.js'
+import { shrinkGroups } from './GroupShrink.js'
+import { PendingPlan } from './PendingPlan.js'
+import type { FabricDomainInput } from './PlanningInput.js'
+import { observe } from './PlanningObservation.js'
+
+/**
+ * One tick of a fabric domain's controller: compares what is wanted with what is assigned and what is there,
+ * and says what the assignment object should hold next, with the reason of each change. Pure: the same input
+ * gives the same plan.
+ */
+export function planFabricDomain (input: FabricDomainInput): FabricDomainPlan {
+  const memory = observe(input)
+  const plan = new PendingPlan(input, memory)
+  settleGroupStates(plan)
+  repairGroups(plan)
+  shrinkGroups(plan)
+  growGroups(plan)
+  return commit(plan, input)
+}
+
+function commit (plan: PendingPlan, input: FabricDomainInput): FabricDomainPlan {
+  const { groups, memories } = plan.commit()
+  const before = input.assignment?.groups ?? []
+  const changed = !sameGroups(before, groups)
+  checkGroups(input, before, groups)
+  return {
+    changed,
+    groups,
+    highestFormation: plan.highestFormation,
+    rollouts: input.assignment?.rollouts ?? [],
+    decisions: plan.decisions,
+    memory: { ...plan.memory, groups: memories, loadTokens: plan.loadTokens }
+  }
+}
+
+/**
+ * What must hold of every assignment, checked before anyone can act on it: a fault of a step stops the tick
+ * instead of giving a VM to two groups.
+ */
+function checkGroups (input: FabricDomainInput, before: readonly AssignedGroup[], groups: readonly AssignedGroup[]): void {
+  const places = new Set<string>()
+  for (const group of groups) {
+    for (const { vm } of [...group.members, ...group.standbys]) {
+      invariant(!places.has(vm), `VM ${vm} has two places in ${input.fabricDomain}`)
+      places.add(vm)
+    }
+    const known = before.find((other) => other.group === group.group)
+    if (known === undefined || known.formation === group.formation) {
+      invariant(known === undefined || sameContent(known, group), `${group.group} changed within formation ${group.formation}`)
+      continue
+    }
+    invariant(group.formation > known.formation, `formation of ${group.group} fell from ${known.formation} to ${group.formation}`)
+    invariant(group.state === GroupState.Forming, `${group.group} changed its formation without forming`)
+  }
+}
+
+function sameContent (left: AssignedGroup, right: AssignedGroup): boolean {
+  return left.model === right.model &&
+    left.version === right.version &&
+    sameList(left.adapters, right.adapters) &&
+    sameList(left.members.map(memberKey), right.members.map(memberKey))
+}
+
+function sameGroups (left: readonly AssignedGroup[], right: readonly AssignedGroup[]): boolean {
+  return sameList(left.map(groupKey).sort(), right.map(groupKey).sort())
+}
+
+function groupKey (group: AssignedGroup): string {
+  return JSON.stringify([group.group, group.formation, group.state, group.standbys.map(memberKey)])
+}
+
+function memberKey (member: AssignedGroup['members'][number]): string {
+  return `${member.vm}.${member.incarnation}`
+}
+
+function sameList (left: readonly string[], right: readonly string[]): boolean {
+  return left.length === right.length && left.every((item, index) => item === right[index])
+}
--- /dev/null
+++ b/packages/dotterelspur/src/version/planning/PendingPlan.ts
@@ -0,0 +1,156 @@
+import type { GroupId, VmId } from '../../process/ids.js'
+import { invariant } from '../../process/invariant.js'
+import type { AssignedGroup, AssignedMember } from '../PlatformObjects.js'
+import { GroupState } from '../PlatformObjects.js'
+import type { Decision, DecisionKind, RejectedWay } from './Decision.js'
+import type { FabricDomainInput, PlannedIntent } from './PlanningInput.js'
+import type { GroupMemory, PlanningMemory } from './PlanningMemory.js'
+import { EMPTY_GROUP_MEMORY } from './PlanningMemory.js'
+import type { VmView } from './VmTable.js'
+import { compareText, viewVms } from './VmTable.js'
+
+/** The parts of a decision that a step states; the plan adds the rest. */
+export interface StatedDecision {
+  readonly kind: DecisionKind
+  readonly group: GroupId | null
+  readonly vms: readonly VmId[]
+  readonly reason: string
+  readonly score?: number
+  readonly rejected?: readonly RejectedWay[]
+}
+
+/**
+ * The copy of a fabric domain's assignment that one tick changes. Steps work on it in turn; `commit` checks
+ * what must hold of the result and freezes it.
+ */
+export class PendingPlan {
+  readonly views: ReadonlyMap<VmId, VmView>
+  readonly decisions: Decision[] = []
+  highestFormation: number
+  loadTokens: number
+  formationsLeft: number
+  private readonly groups = new Map<GroupId, AssignedGroup>()
+  private readonly groupMemories = new Map<GroupId, GroupMemory>()
+  private readonly places = new Map<VmId, GroupId>()
+
+  constructor (readonly input: FabricDomainInput, readonly memory: PlanningMemory) {
+    this.views = viewVms(input, memory)
+    this.loadTokens = memory.loadTokens
+    this.formationsLeft = input.settings.formationsPerTick
+    this.highestFormation = knownFormation(input)
+    for (const group of input.assignment?.groups ?? []) this.setGroup(group)
+    for (const [group, kept] of memory.groups) this.groupMemories.set(group, kept)
+  }
+
+  allGroups (): readonly AssignedGroup[] {
+    return [...this.groups.values()]
+  }
+
+  group (id: GroupId): AssignedGroup | undefined {
+    return this.groups.get(id)
+  }
+
+  groupMemory (id: GroupId): GroupMemory {
+    return this.groupMemories.get(id) ?? EMPTY_GROUP_MEMORY
+  }
+
+  remember (id: GroupId, change: Partial<GroupMemory>): void {
+    this.groupMemories.set(id, { ...this.groupMemory(id), ...change })
+  }
+
+  /** The group in which the VM has a place, as member or standby. */
+  placeOf (vm: VmId): GroupId | undefined {
+    return this.places.get(vm)
+  }
+
+  groupsOf (intent: PlannedIntent): readonly AssignedGroup[] {
+    return this.allGroups().filter((group) => group.team === intent.team && group.model === intent.model)
+  }
+
+  intentOf (group: AssignedGroup): PlannedIntent | undefined {
+    return this.input.intents.find((intent) => intent.team === group.team && intent.model === group.model)
+  }
+
+  /** Puts a group in, in place of what its id held. Every VM that it names must be without another place. */
+  setGroup (group: AssignedGroup): void {
+    this.removeGroup(group.group)
+    for (const { vm } of [...group.members, ...group.standbys]) {
+      invariant(!this.places.has(vm), `VM ${vm} would get a second place, in ${group.group}`)
+      this.places.set(vm, group.group)
+    }
+    this.groups.set(group.group, group)
+  }
+
+  removeGroup (id: GroupId): void {
+    const known = this.groups.get(id)
+    if (known === undefined) return
+    for (const { vm } of [...known.members, ...known.standbys]) this.places.delete(vm)
+    this.groups.delete(id)
+  }
+
+  /** Takes a standby out of whatever group keeps it. */
+  releaseStandby (vm: VmId): void {
+    const id = this.places.get(vm)
+    const group = id === undefined ? undefined : this.groups.get(id)
+    if (group === undefined || group.members.some((member) => member.vm === vm)) return
+    this.setGroup({ ...group, standbys: group.standbys.filter((standby) => standby.vm !== vm) })
+  }
+
+  nextFormation (): number {
+    this.highestFormation += 1
+    return this.highestFormation
+  }
+
+  /** Puts a group at a new formation with these members; it serves once they all report it. */
+  reform (group: AssignedGroup, members: readonly AssignedMember[], cause: string): void {
+    this.formationsLeft -= 1
+    this.remember(group.group, { brokenSinceMs: null, drainingSinceMs: null })
+    this.setGroup({
+      ...group,
+      members,
+      formation: this.nextFormation(),
+      state: GroupState.Forming,
+      cause,
+      sinceWallMs: this.input.wallMs
+    })
+  }
+
+  setState (group: AssignedGroup, state: GroupState, cause: string): void {
+    this.setGroup({ ...group, state, cause, sinceWallMs: this.input.wallMs })
+  }
+
+  decide (stated: StatedDecision): void {
+    this.decisions.push({
+      kind: stated.kind,
+      group: stated.group,
+      vms: stated.vms,
+      reason: stated.reason,
+      score: stated.score ?? null,
+      rejected: stated.rejected ?? [],
+      fabricDomain: this.input.fabricDomain,
+      atWallMs: this.input.wallMs
+    })
+  }
+
+  /** The groups in order of id, and the memory of those that are left. */
+  commit (): { groups: readonly AssignedGroup[], memories: ReadonlyMap<GroupId, GroupMemory> } {
+    const groups = this.allGroups().slice().sort((left, right) => compareText(left.group, right.group))
+    const memories = new Map<GroupId, GroupMemory>()
+    for (const group of groups) {
+      const kept = this.groupMemories.get(group.group)
+      if (kept !== undefined) memories.set(group.group, kept)
+    }
+    return { groups, memories }
+  }
+}
+
+/**
+ * The highest formation that the object or any engine knows. An assignment object that an operator deleted
+ * takes its count along; the engines' own word keeps formations rising all the same.
+ */
+function knownFormation (input: FabricDomainInput): number {
+  const groups = input.assignment?.groups ?? []
+  const reported = input.vms.map((health) => health.status?.formation ?? 0)
+  const assigned = groups.map((group) => group.formation)
+  return Math.max(input.assignment?.highestFormation ?? 0, 0, ...assigned, ...reported)
+}
--- /dev/null
+++ b/packages/dotterelspur/src/version/planning/index.ts
@@ -0,0 +1,6 @@
+export * from './Decision.js'
+export { planFabricDomain } from './FabricDomainPlanner.js'
+export * from './PlanningInput.js'
+export { emptyPlanningMemory } from './PlanningMemory.js'
+export type { GroupMemory, PlanningMemory, VmMemory } from './PlanningMemory.js'
+export * from './PlanningSettings.js'
