Engine and service stand-ins with faults and a ledger

Engine VMs run in one process, each behind its own loopback listener. They batch continuously, cache prefixes, obey orders with or without the fencing check, and lose or stall what runs with their group's members. A request received during a pause runs after it, as in a stopped process; the test shows this for an order whose sender gave up. The ledger has one row for each run that began.

--- a/packages/dotterelspur-testkit/src/index.ts
+++ b/packages/dotterelspur-testkit/src/index.ts
@@ -1,2 +1,3 @@
-export * from './process/SystemClock.js'
+export * from './process/index.js'
 export * from './process/platform/index.js'
+export * from './request/index.js'
--- /dev/null
+++ b/packages/dotterelspur-testkit/src/process/VmHost.ts
@@ -0,0 +1,127 @@
+import { createServer } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { AddressInfo, Socket } from 'node:net'
+import { invariant, VmListState } from 'dotterelspur'
+import type { VmId, VmRecord, VmRole, ServiceId } from 'dotterelspur'
+
+/** Where a VM stands and what it is for; never changes. */
+export interface VmPlace {
+  readonly vm: VmId
+  readonly role: VmRole
+  readonly region: string
+  readonly failureDomain: string
+  /** Empty for service VMs. */
+  readonly fabricDomain: string
+  readonly service?: ServiceId
+}
+
+export enum VmPower {
+  Up = 'up',
+  Paused = 'paused',
+  Dead = 'dead'
+}
+
+export type HostHandler = (host: VmHost, request: IncomingMessage, response: ServerResponse) => void
+
+/**
+ * The process of one stand-in VM: a listener on loopback that can die, pause and come back under a new
+ * incarnation and another port.
+ */
+export class VmHost {
+  power = VmPower.Dead
+  incarnation = 0
+  leaving = false
+  /** Time that this VM adds to each step of its group. */
+  straggleMs = 0
+  private server: Server | undefined
+  private sockets = new Set<Socket>()
+  private address = ''
+  private held: Array<() => void> = []
+
+  constructor (readonly place: VmPlace, private readonly handler: HostHandler, private readonly onChange: () => void) {}
+
+  /** Starts under the next incarnation. `onStarting` makes the process's memory before the first request can come. */
+  async start (onStarting: () => void): Promise<void> {
+    invariant(this.power === VmPower.Dead, `${this.place.vm} runs already`)
+    const server = createServer((request, response) => { this.handler(this, request, response) })
+    server.keepAliveTimeout = 60_000
+    server.on('connection', (socket) => {
+      this.sockets.add(socket)
+      socket.once('close', () => { this.sockets.delete(socket) })
+      socket.setNoDelay(true)
+    })
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject)
+      server.listen(0, '127.0.0.1', resolve)
+    })
+    this.server = server
+    this.address = `http://127.0.0.1:${(server.address() as AddressInfo).port}`
+    this.incarnation += 1
+    onStarting()
+    this.leaving = false
+    this.straggleMs = 0
+    this.power = VmPower.Up
+    this.onChange()
+  }
+
+  /** Ends the process at once: its connections are reset and what it held in memory is gone. */
+  kill (): void {
+    if (this.power === VmPower.Dead) return
+    this.power = VmPower.Dead
+    this.server?.close()
+    this.server = undefined
+    for (const socket of this.sockets) socket.resetAndDestroy()
+    this.sockets = new Set()
+    this.releaseHeld()
+    this.onChange()
+  }
+
+  /** Stops the process where it stands: connections are taken by the kernel and nothing answers. */
+  pause (): void {
+    if (this.power !== VmPower.Up) return
+    this.power = VmPower.Paused
+  }
+
+  resume (): void {
+    if (this.power !== VmPower.Paused) return
+    this.power = VmPower.Up
+    this.releaseHeld()
+  }
+
+  setLeaving (leaving: boolean): void {
+    this.leaving = leaving
+    this.onChange()
+  }
+
+  /**
+   * Waits while the VM is paused. What was received meanwhile runs afterwards, as in a stopped process whose
+   * kernel kept the bytes. False when the process that received it has died.
+   */
+  async gate (): Promise<boolean> {
+    const incarnation = this.incarnation
+    while (this.power === VmPower.Paused) await new Promise<void>((resolve) => { this.held.push(resolve) })
+    return this.power === VmPower.Up && this.incarnation === incarnation
+  }
+
+  /** Requests that wait for a paused VM to go on. */
+  get heldRequests (): number {
+    return this.held.length
+  }
+
+  /** Its line in the platform's list; undefined when it is dead. */
+  record (): VmRecord | undefined {
+    if (this.power === VmPower.Dead) return undefined
+    return {
+      ...this.place,
+      incarnation: this.incarnation,
+      state: this.leaving ? VmListState.Leaving : VmListState.Live,
+      address: this.address
+    }
+  }
+
+  private releaseHeld (): void {
+    const held = this.held
+    this.held = []
+    for (const release of held) release()
+  }
+}
--- /dev/null
+++ b/packages/dotterelspur-testkit/src/process/engine/PrefixCache.ts
@@ -0,0 +1,57 @@
+import { hashText } from 'dotterelspur'
+
+/** Characters of one block of a prompt. A prefix is named by the hash of all its characters up to a block's end. */
+export const BLOCK_CHARACTERS = 64
+
+export interface PrefixCacheChange {
+  readonly stored: readonly number[]
+  readonly evicted: readonly number[]
+}
+
+/** The hashes of all whole-block prefixes of a prompt, shortest first. */
+export function prefixHashes (prompt: string): number[] {
+  const blocks = Math.floor(prompt.length / BLOCK_CHARACTERS)
+  return Array.from({ length: blocks }, (_, index) => hashText(prompt.slice(0, (index + 1) * BLOCK_CHARACTERS)))
+}
+
+/** A prefix cache of limited size that evicts what was used least recently. */
+export class PrefixCache {
+  private readonly blocks = new Set<number>()
+
+  constructor (private readonly limit: number) {}
+
+  get usedShare (): number {
+    return this.limit === 0 ? 0 : this.blocks.size / this.limit
+  }
+
+  has (hash: number): boolean {
+    return this.blocks.has(hash)
+  }
+
+  /** Leading blocks of the prompt that are held. */
+  hitBlocks (hashes: readonly number[]): number {
+    const miss = hashes.findIndex((hash) => !this.blocks.has(hash))
+    return miss === -1 ? hashes.length : miss
+  }
+
+  store (hashes: readonly number[]): PrefixCacheChange {
+    const stored = hashes.filter((hash) => !this.blocks.has(hash))
+    for (const hash of hashes) this.touch(hash)
+    return { stored, evicted: this.evict() }
+  }
+
+  private touch (hash: number): void {
+    this.blocks.delete(hash)
+    this.blocks.add(hash)
+  }
+
+  private evict (): number[] {
+    const evicted: number[] = []
+    for (const hash of this.blocks) {
+      if (this.blocks.size <= this.limit) break
+      this.blocks.delete(hash)
+      evicted.push(hash)
+    }
+    return evicted
+  }
+}
--- /dev/null
+++ b/packages/dotterelspur-testkit/src/request/index.ts
@@ -0,0 +1,1 @@
+export * from './AnswerText.js'
