Settings of nodes and teams: strict INI reading, one schema each

parseNodeSettings and parseTeamSettings return typed settings or every problem of the file at once. The ini library takes values apart; what it passes in silence (duplicate sections and keys, nested names, arrays, __proto__, broken UTF-8, control characters) is refused first. Section headers are read here and not by the library, which would split a model name at its dots. TeamSettings gains operatorTokenHashes: tokens that reach one team's part and no other. hashToken and tokenMatches for every listener that checks bearer tokens.

--- a/packages/dotterelspur-settings/src/index.ts
+++ b/packages/dotterelspur-settings/src/index.ts
@@ -1,1 +1,7 @@
-export {}
+export * from './process/NodeSchema.js'
+export * from './process/NodeSettings.js'
+export * from './process/parseNodeSettings.js'
+export * from './process/SettingsError.js'
+export * from './process/SettingsText.js'
+export * from './process/tokens.js'
+export * from './version/parseTeamSettings.js'
--- /dev/null
+++ b/packages/dotterelspur-settings/src/process/NodeSchema.ts
@@ -0,0 +1,213 @@
+import { z } from 'zod'
+import {
+  DEFAULT_DIRECTORY_TTL_MS, DEFAULT_EVIDENCE_TTL_MS, DEFAULT_GOSSIP_INTERVAL_MS, DEFAULT_IN_FORCE_BOUND_MS,
+  DEFAULT_LEASE_MARGIN_MS, DEFAULT_LEASE_RENEW_MS, DEFAULT_LEASE_TTL_MS, DEFAULT_ORDER_TIMEOUT_MS,
+  DEFAULT_OUTCOME_MEMORY_MS, DEFAULT_PAUSE_THRESHOLD_MS, DEFAULT_PROBE_INTERVAL_MS, DEFAULT_PROBE_TIMEOUT_MS
+} from 'dotterelspur'
+import { defineSection, type SectionSpec } from './SectionSpec.js'
+import {
+  ID_ACCEPTS, choice, durationMs, filePath, hostPort, hostPortList, httpUrl, identifier, integer, ipAddress, port,
+  readIdentifier, secret, sizeBytes
+} from './values.js'
+
+/** Whether the endpoints of a failure domain refuse an order that carries an old fencing number. */
+export enum FencingMode {
+  Checked = 'checked',
+  Ignored = 'ignored'
+}
+
+/** Who may read `/metrics`. */
+export enum MetricsAccess {
+  /** Holders of the operators' token. */
+  Token = 'token',
+  /** Anyone who reaches the listener. */
+  Open = 'open'
+}
+
+const KIB = 1_024
+const MIB = 1_048_576
+
+export const nodeSection = defineSection({
+  word: 'node',
+  arguments: [],
+  required: true,
+  description: 'Who this node is and where it stands.',
+  schema: z.object({
+    id: identifier().describe('Unique among all nodes; part of request ids.'),
+    region: identifier().describe('The region of the VM.'),
+    failureDomain: identifier().describe('The failure domain of the VM.'),
+    host: ipAddress().describe('The address to which all listeners are bound, and which is told to callers and peers.')
+  }),
+  relations: []
+})
+
+export const entrySection = defineSection({
+  word: 'entry',
+  arguments: [],
+  required: false,
+  description: 'The callers\' listener.',
+  schema: z.object({
+    port: port().default(8080).describe('Port of the callers\' listener.'),
+    maxBodyBytes: sizeBytes(KIB, 64 * MIB).default(4 * MIB).describe('A larger request body is refused.'),
+    maxHeaderBytes: sizeBytes(KIB, 256 * KIB).default(16 * KIB).describe('Larger request headers are refused.'),
+    maxConnections: integer(1, 100_000).default(4_096).describe('Connections held at once; more are closed at once.'),
+    requestTimeoutMs: durationMs(100, 600_000).default(15_000).describe('A request that has not arrived whole by then is cut off.'),
+    idleTimeoutMs: durationMs(100, 600_000).default(60_000).describe('A connection without a request is closed after this.'),
+    slowClientTimeoutMs: durationMs(100, 600_000).default(15_000).describe('A client that takes nothing of its answer for this long is cut off.'),
+    maxBufferedBytes: sizeBytes(KIB, 64 * MIB).default(MIB).describe('Bytes of one answer that wait for a slow client; beyond it the endpoint is slowed.')
+  }),
+  relations: []
+})
+
+export const meshSection = defineSection({
+  word: 'mesh',
+  arguments: [],
+  required: true,
+  description: 'The listener for other nodes. Either a shared key (plain, on loopback only), or the three files for mutual TLS.',
+  schema: z.object({
+    port: port().default(8081).describe('Port of the listener for other nodes.'),
+    advertise: hostPort().optional().describe('Address told to other nodes, where it differs from the listener\'s.'),
+    seeds: hostPortList().default([]).describe('Peers to try when the platform can\'t be reached at start.'),
+    sharedKey: secret().optional().describe('Key that all nodes share.'),
+    sharedKeyFile: filePath().optional().describe('File that holds the shared key.'),
+    certificateFile: filePath().optional().describe('This node\'s certificate, PEM.'),
+    keyFile: filePath().optional().describe('The certificate\'s private key, PEM.'),
+    authorityFile: filePath().optional().describe('Authority that signed every node\'s certificate, PEM.'),
+    maxFrameBytes: sizeBytes(64 * KIB, 64 * MIB).default(2 * MIB).describe('A larger frame closes the link.'),
+    maxQueuedBytes: sizeBytes(64 * KIB, 256 * MIB).default(8 * MIB).describe('Bytes that wait for one peer; more closes the link.')
+  }),
+  relations: [{
+    key: 'shared-key',
+    broken: (mesh) => {
+      const shared = [mesh.sharedKey, mesh.sharedKeyFile].filter((value) => value !== undefined).length
+      const files = [mesh.certificateFile, mesh.keyFile, mesh.authorityFile].filter((value) => value !== undefined).length
+      const fits = (shared === 1 && files === 0) || (shared === 0 && files === 3)
+      return fits ? null : 'exactly one of shared-key and shared-key-file, or all of certificate-file, key-file and authority-file'
+    }
+  }, {
+    key: 'max-queued-bytes',
+    broken: (mesh) => mesh.maxQueuedBytes >= mesh.maxFrameBytes ? null : 'at least max-frame-bytes'
+  }]
+})
+
+export const adminSection = defineSection({
+  word: 'admin',
+  arguments: [],
+  required: true,
+  description: 'The operators\' listener.',
+  schema: z.object({
+    port: port().default(8082).describe('Port of the operators\' listener.'),
+    token: secret().optional().describe('The token of the fleet\'s operators.'),
+    tokenFile: filePath().optional().describe('File that holds the token.'),
+    metrics: choice(Object.values(MetricsAccess)).default(MetricsAccess.Token).describe('Who may read /metrics: holders of the token, or anyone who reaches the listener.'),
+    maxConnections: integer(1, 10_000).default(256).describe('Connections held at once.')
+  }),
+  relations: [{
+    key: 'token',
+    broken: (admin) => (admin.token === undefined) === (admin.tokenFile === undefined) ? 'exactly one of token and token-file' : null
+  }]
+})
+
+export const platformSection = defineSection({
+  word: 'platform',
+  arguments: [],
+  required: true,
+  description: 'The platform\'s object API and list of VMs.',
+  schema: z.object({
+    url: httpUrl().describe('Base URL.'),
+    token: secret().optional().describe('Bearer token, where the platform wants one.'),
+    tokenFile: filePath().optional().describe('File that holds the token.'),
+    timeoutMs: durationMs(50, 60_000).default(2_000).describe('A call without an answer by then is read back or repeated.'),
+    watchTimeoutMs: durationMs(1_000, 600_000).default(30_000).describe('A watch that is silent for this long is opened again.'),
+    vmListIntervalMs: durationMs(100, 60_000).default(1_000).describe('Time between two readings of the list of VMs.')
+  }),
+  relations: [{
+    key: 'token',
+    broken: (platform) => platform.token !== undefined && platform.tokenFile !== undefined ? 'at most one of token and token-file' : null
+  }]
+})
+
+const fencingDescription = 'Whether endpoints refuse orders with an old fencing number. With `ignored`, a new lease holder first waits until no old order can be under way.'
+
+export const endpointsSection = defineSection({
+  word: 'endpoints',
+  arguments: [],
+  required: false,
+  description: 'What all endpoints do, unless a section for their failure domain says otherwise.',
+  schema: z.object({
+    fencing: choice(Object.values(FencingMode)).default(FencingMode.Ignored).describe(fencingDescription)
+  }),
+  relations: []
+})
+
+export const domainEndpointsSection = defineSection({
+  word: 'endpoints',
+  arguments: [{ name: 'failure domain', accepts: ID_ACCEPTS, read: readIdentifier }],
+  required: false,
+  description: 'What the endpoints of one failure domain do.',
+  schema: z.object({
+    fencing: choice(Object.values(FencingMode)).describe(fencingDescription)
+  }),
+  relations: []
+})
+
+export const timingSection = defineSection({
+  word: 'timing',
+  arguments: [],
+  required: false,
+  description: 'Times that nodes must agree on: set them alike on every node.',
+  schema: z.object({
+    probeIntervalMs: durationMs(20, 10_000).default(DEFAULT_PROBE_INTERVAL_MS).describe('Time between two probes of one VM by one watcher.'),
+    probeTimeoutMs: durationMs(20, 10_000).default(DEFAULT_PROBE_TIMEOUT_MS).describe('A probe without an answer by then has failed.'),
+    evidenceTtlMs: durationMs(100, 60_000).default(DEFAULT_EVIDENCE_TTL_MS).describe('Presence evidence older than this serves nothing: the detection window.'),
+    gossipIntervalMs: durationMs(20, 10_000).default(DEFAULT_GOSSIP_INTERVAL_MS).describe('Time between two exchanges on one link between nodes.'),
+    leaseTtlMs: durationMs(500, 60_000).default(DEFAULT_LEASE_TTL_MS).describe('A lease that an observer has not seen renewed for this long, on its own clock, may be taken over.'),
+    leaseRenewMs: durationMs(100, 30_000).default(DEFAULT_LEASE_RENEW_MS).describe('A holder renews this often.'),
+    leaseMarginMs: durationMs(50, 30_000).default(DEFAULT_LEASE_MARGIN_MS).describe('A holder stops ordering this long before its own TTL ends.'),
+    orderTimeoutMs: durationMs(50, 30_000).default(DEFAULT_ORDER_TIMEOUT_MS).describe('The longest time that an order can be under way.'),
+    pauseThresholdMs: durationMs(100, 30_000).default(DEFAULT_PAUSE_THRESHOLD_MS).describe('A gap of this length in the node\'s own event loop counts as a pause: its leases are presumed lost.'),
+    inForceBoundMs: durationMs(1_000, 600_000).default(DEFAULT_IN_FORCE_BOUND_MS).describe('A node that can\'t know for this long that it is current takes no new work.'),
+    outcomeMemoryMs: durationMs(1_000, 86_400_000).default(DEFAULT_OUTCOME_MEMORY_MS).describe('How long the outcome of a request id is remembered.'),
+    directoryTtlMs: durationMs(100, 600_000).default(DEFAULT_DIRECTORY_TTL_MS).describe('How long a caller may keep a directory answer.')
+  }),
+  relations: [{
+    key: 'evidence-ttl-ms',
+    broken: (timing) => timing.evidenceTtlMs > timing.probeIntervalMs + timing.probeTimeoutMs ? null : 'more than probe-interval-ms and probe-timeout-ms together, or complete groups would stop between probes'
+  }, {
+    key: 'lease-margin-ms',
+    broken: (timing) => timing.leaseRenewMs + timing.leaseMarginMs < timing.leaseTtlMs ? null : 'with lease-renew-ms together less than lease-ttl-ms, or a holder would stop between renewals'
+  }, {
+    key: 'order-timeout-ms',
+    broken: (timing) => timing.orderTimeoutMs <= timing.leaseMarginMs ? null : 'at most lease-margin-ms, or an order could be under way after its lease'
+  }, {
+    key: 'pause-threshold-ms',
+    broken: (timing) => timing.pauseThresholdMs < timing.leaseTtlMs ? null : 'less than lease-ttl-ms, or a pause could outlast a lease unseen'
+  }, {
+    key: 'gossip-interval-ms',
+    broken: (timing) => timing.gossipIntervalMs < timing.evidenceTtlMs ? null : 'less than evidence-ttl-ms, or evidence would be too old on arrival'
+  }, {
+    key: 'lease-ttl-ms',
+    broken: (timing) => timing.leaseTtlMs < timing.inForceBoundMs ? null : 'less than in-force-bound-ms, or a lost holder would outlast the bound'
+  }]
+})
+
+export const nodeLimitsSection = defineSection({
+  word: 'limits',
+  arguments: [],
+  required: false,
+  description: 'Bounds on what this node holds at once, over all teams.',
+  schema: z.object({
+    outcomeMemoryEntries: integer(100, 10_000_000).default(200_000).describe('Outcomes remembered at once. When full, new requests are refused rather than old outcomes forgotten early.'),
+    concurrentRequests: integer(1, 100_000).default(2_048).describe('Requests that run at once.'),
+    queuedRequests: integer(0, 100_000).default(1_024).describe('Requests that wait at once.'),
+    requestsPerEndpoint: integer(1, 10_000).default(256).describe('Requests that this node has in flight at one group or service worker.'),
+    retryPercent: integer(0, 100).default(10).describe('Retries allowed for each 100 first attempts, over all teams.'),
+    drainTimeoutMs: durationMs(1_000, 3_600_000).default(600_000).describe('How long a draining node waits for requests in progress before it says so in its log. It never cuts one off.')
+  }),
+  relations: []
+})
+
+/** The sections of a node's settings, in the order of the reference page. */
+export const NODE_SECTIONS = [
+  nodeSection, entrySection, meshSection, adminSection, platformSection, endpointsSection, domainEndpointsSection, timingSection, nodeLimitsSection
+] as unknown as readonly SectionSpec[]
--- /dev/null
+++ b/packages/dotterelspur-settings/src/process/SettingsText.ts
@@ -0,0 +1,174 @@
+import ini from 'ini'
+import { failed, success, type Result } from 'dotterelspur'
+import { MAX_PROBLEMS, SettingsProblemKind, quoteFound, settingsError, type SettingsError, type SettingsProblem } from './SettingsError.js'
+
+/** Larger files are refused unread: a platform value holds a megabyte, and the audit trail keeps two of them in one. */
+export const MAX_SETTINGS_BYTES = 262_144
+export const MAX_SECTIONS = 1_000
+
+/** One `key = value`. */
+export interface TextEntry {
+  readonly key: string
+  readonly value: string
+  readonly line: number
+}
+
+/** One `[section]` with its entries, as written. */
+export interface TextSection {
+  /** The words between the brackets, joined by single spaces. */
+  readonly name: string
+  readonly line: number
+  readonly entries: readonly TextEntry[]
+}
+
+const SECTION_PATTERN = /^\[([^[\]]*)\]$/
+const ENTRY_PATTERN = /^([^=]*)=(.*)$/
+const KEY_PATTERN = /^[a-z][a-z0-9-]{0,63}$/
+const NAME_PATTERN = /^[a-z]+( [A-Za-z0-9][A-Za-z0-9._:/-]{0,127}){0,2}$/
+const COMMENT_PATTERN = /^[;#]/
+// eslint-disable-next-line no-control-regex
+const CONTROL_PATTERN = /[\u0000-\u0008\u000b-\u001f\u007f-\u009f\u2028\u2029]/
+const SURROGATE_PATTERN = /\p{Surrogate}/u
+
+const SECTION_GRAMMAR = 'a section as [word], [word name] or [word name name]; names of letters, digits and . _ : / -'
+const KEY_GRAMMAR = 'a key of lower-case letters, digits and hyphens, at most 64'
+const LINE_GRAMMAR = '[section], key = value, or a comment that starts with ; or #'
+
+interface OpenSection {
+  readonly name: string
+  readonly line: number
+  readonly entries: TextEntry[]
+}
+
+/**
+ * Reads the INI text of one file. The `ini` library takes values apart (quotes, escapes, comments behind a
+ * value); everything that it lets pass in silence is refused here first: duplicate sections and keys, lines
+ * that are neither, nested names, arrays, names such as `__proto__`, control characters, broken UTF-8.
+ *
+ * @param content bytes as read, or text; at most MAX_SETTINGS_BYTES.
+ * @param file the name to put in errors.
+ */
+export function readSettingsText (content: string | Uint8Array, file: string): Result<readonly TextSection[], SettingsError> {
+  const decoded = decode(content, file)
+  if (!decoded.ok) return decoded
+  const reader = new SectionReader(file)
+  const lines = decoded.value.split(/\r\n|\n/)
+  for (const [index, line] of lines.entries()) {
+    if (reader.problems.length >= MAX_PROBLEMS) break
+    reader.take(line.trim(), index + 1)
+  }
+  if (reader.problems.length > 0) return failed(settingsError(reader.problems))
+  return success(reader.sections)
+}
+
+function decode (content: string | Uint8Array, file: string): Result<string, SettingsError> {
+  const sizeBytes = typeof content === 'string' ? Buffer.byteLength(content) : content.byteLength
+  if (sizeBytes > MAX_SETTINGS_BYTES) {
+    return failed(fileProblem(file, SettingsProblemKind.TooLarge, `${sizeBytes} bytes`, `at most ${MAX_SETTINGS_BYTES} bytes`))
+  }
+  const text = typeof content === 'string' ? content.replace(/^\uFEFF/, '') : decodeBytes(content)
+  if (text === undefined || SURROGATE_PATTERN.test(text)) {
+    return failed(fileProblem(file, SettingsProblemKind.InvalidEncoding, null, 'text in UTF-8'))
+  }
+  return success(text)
+}
+
+function decodeBytes (content: Uint8Array): string | undefined {
+  try {
+    return new TextDecoder('utf-8', { fatal: true }).decode(content)
+  } catch {
+    return undefined
+  }
+}
+
+function fileProblem (file: string, kind: SettingsProblemKind, found: string | null, accepted: string): SettingsError {
+  return { problems: [{ kind, file, line: null, section: null, key: null, found, accepted }] }
+}
+
+/** Collects sections line by line, and every problem on the way. */
+class SectionReader {
+  readonly sections: OpenSection[] = []
+  readonly problems: SettingsProblem[] = []
+  private readonly names = new Set<string>()
+  private readonly keys = new Set<string>()
+  private current: OpenSection | undefined
+
+  constructor (private readonly file: string) {}
+
+  take (line: string, number: number): void {
+    if (CONTROL_PATTERN.test(line)) {
+      this.report(SettingsProblemKind.ControlCharacter, number, null, line, 'printable characters')
+      return
+    }
+    if (line === '' || COMMENT_PATTERN.test(line)) return
+    const section = SECTION_PATTERN.exec(line)
+    if (section !== null) {
+      this.openSection(section[1]!, number)
+      return
+    }
+    const entry = ENTRY_PATTERN.exec(line)
+    if (entry === null || line.startsWith('[')) this.report(SettingsProblemKind.MalformedLine, number, null, line, LINE_GRAMMAR)
+    else this.takeEntry(entry[1]!.trim(), line, number)
+  }
+
+  private openSection (written: string, line: number): void {
+    const name = written.trim().split(/[ \t]+/).join(' ')
+    this.current = { name, line, entries: [] }
+    this.keys.clear()
+    if (!NAME_PATTERN.test(name)) {
+      this.report(SettingsProblemKind.MalformedLine, line, null, `[${written}]`, SECTION_GRAMMAR)
+      return
+    }
+    if (this.names.has(name)) {
+      this.report(SettingsProblemKind.DuplicateSection, line, null, `[${name}]`, 'each section once')
+      return
+    }
+    if (this.names.size >= MAX_SECTIONS) {
+      this.report(SettingsProblemKind.TooMany, line, null, `[${name}]`, `at most ${MAX_SECTIONS} sections`)
+      return
+    }
+    this.names.add(name)
+    this.sections.push(this.current)
+  }
+
+  private takeEntry (key: string, line: string, number: number): void {
+    if (this.current === undefined) {
+      this.report(SettingsProblemKind.KeyOutsideSection, number, key, null, 'keys below a [section]')
+      return
+    }
+    if (!KEY_PATTERN.test(key)) {
+      this.report(SettingsProblemKind.MalformedLine, number, null, key, KEY_GRAMMAR)
+      return
+    }
+    if (this.keys.has(key)) {
+      this.report(SettingsProblemKind.DuplicateKey, number, key, null, 'each key once in a section')
+      return
+    }
+    this.keys.add(key)
+    const value = readValue(line, key)
+    if (CONTROL_PATTERN.test(value) || value.includes('\n')) {
+      this.report(SettingsProblemKind.ControlCharacter, number, key, null, 'printable characters')
+      return
+    }
+    this.current.entries.push({ key, value, line: number })
+  }
+
+  private report (kind: SettingsProblemKind, line: number, key: string | null, found: string | null, accepted: string): void {
+    const section = this.current === undefined || found === `[${this.current.name}]` ? null : this.current.name
+    this.problems.push({
+      kind,
+      file: this.file,
+      line,
+      section: section === null ? null : quoteFound(section),
+      key: key === null ? null : quoteFound(key),
+      found: found === null ? null : quoteFound(found),
+      accepted
+    })
+  }
+}
+
+/** The library turns bare `true`, `false` and `null` into other types; settings are read as text first. */
+function readValue (line: string, key: string): string {
+  const value: unknown = ini.parse(line)[key]
+  return String(value)
+}
--- /dev/null
+++ b/packages/dotterelspur-settings/src/process/parseNodeSettings.ts
@@ -0,0 +1,83 @@
+import { isIPv4 } from 'node:net'
+import { failed, invariant, success, type Result } from 'dotterelspur'
+import { NODE_SECTIONS, adminSection, domainEndpointsSection, endpointsSection, entrySection, meshSection, nodeLimitsSection, nodeSection, platformSection, timingSection } from './NodeSchema.js'
+import { MeshSecurityKind, SecretSourceKind, type AdminListenerSettings, type FencingSettings, type MeshListenerSettings, type MeshSecurity, type NodeSettings, type PlatformSettings, type SecretSource } from './NodeSettings.js'
+import { checkSections, type CheckedSections } from './SectionSpec.js'
+import { SettingsProblemKind, settingsError, type SettingsError, type SettingsProblem } from './SettingsError.js'
+import { readSettingsText } from './SettingsText.js'
+
+/**
+ * Reads a node's settings. All problems are reported at once, and a file with any gives no settings. Files that
+ * the settings name are not read here; see readSecret.
+ *
+ * @param content the INI text, or its bytes.
+ * @param file the name to put in errors.
+ */
+export function parseNodeSettings (content: string | Uint8Array, file: string): Result<NodeSettings, SettingsError> {
+  const text = readSettingsText(content, file)
+  if (!text.ok) return text
+  const { sections, problems } = checkSections(file, NODE_SECTIONS, text.value)
+  if (problems.length > 0) return failed(settingsError(problems))
+  const exposed = plainMeshProblem(file, sections)
+  if (exposed !== null) return failed(settingsError([exposed]))
+  const node = sections.one(nodeSection)
+  return success({
+    ...node,
+    entry: sections.one(entrySection),
+    mesh: readMesh(sections),
+    admin: readAdmin(sections),
+    platform: readPlatform(sections),
+    fencing: readFencing(sections),
+    timing: sections.one(timingSection),
+    limits: sections.one(nodeLimitsSection)
+  })
+}
+
+function secretSource (text: string | undefined, path: string | undefined): SecretSource | null {
+  if (text !== undefined) return { kind: SecretSourceKind.Text, text }
+  if (path !== undefined) return { kind: SecretSourceKind.File, path }
+  return null
+}
+
+function readMesh (sections: CheckedSections): MeshListenerSettings {
+  const { port, advertise, seeds, maxFrameBytes, maxQueuedBytes } = sections.one(meshSection)
+  return { port, advertise: advertise ?? null, seeds, security: readMeshSecurity(sections), maxFrameBytes, maxQueuedBytes }
+}
+
+function readMeshSecurity (sections: CheckedSections): MeshSecurity {
+  const { sharedKey, sharedKeyFile, certificateFile, keyFile, authorityFile } = sections.one(meshSection)
+  const key = secretSource(sharedKey, sharedKeyFile)
+  if (key !== null) return { kind: MeshSecurityKind.SharedKey, key }
+  invariant(certificateFile !== undefined && keyFile !== undefined && authorityFile !== undefined, 'mesh security was checked')
+  return { kind: MeshSecurityKind.MutualTls, certificateFile, keyFile, authorityFile }
+}
+
+function readAdmin (sections: CheckedSections): AdminListenerSettings {
+  const { port, token, tokenFile, metrics, maxConnections } = sections.one(adminSection)
+  const source = secretSource(token, tokenFile)
+  invariant(source !== null, 'the admin token was checked')
+  return { port, token: source, metrics, maxConnections }
+}
+
+function readPlatform (sections: CheckedSections): PlatformSettings {
+  const { token, tokenFile, ...rest } = sections.one(platformSection)
+  return { ...rest, token: secretSource(token, tokenFile) }
+}
+
+function readFencing (sections: CheckedSections): FencingSettings {
+  const overrides = sections.all(domainEndpointsSection).map(({ arguments: [domain], value }) => [domain!, value.fencing] as const)
+  return { standard: sections.one(endpointsSection).fencing, overrides: new Map(overrides) }
+}
+
+/** A shared key on plain connections is only as safe as the wire: anyone on the path could read or change what nodes say. */
+function plainMeshProblem (file: string, sections: CheckedSections): SettingsProblem | null {
+  const { host } = sections.one(nodeSection)
+  const { sharedKey, sharedKeyFile } = sections.one(meshSection)
+  if ((sharedKey === undefined && sharedKeyFile === undefined) || isLoopback(host)) return null
+  return { kind: SettingsProblemKind.InvalidRelation, file, line: null, section: 'mesh', key: 'shared-key', found: `host ${host}`, accepted: 'a shared key only where host is a loopback address; certificate-file, key-file and authority-file elsewhere' }
+}
+
+/** Whether an IP address never leaves the machine. */
+export function isLoopback (host: string): boolean {
+  return isIPv4(host) ? host.startsWith('127.') : host === '::1'
+}
--- /dev/null
+++ b/packages/dotterelspur-settings/src/version/parseTeamSettings.ts
@@ -0,0 +1,55 @@
+import { failed, success, type ModelIntent, type Result, type ServiceIntent, type ServiceRoute, type TeamSettings } from 'dotterelspur'
+import { checkSections, type CheckedSections } from '../process/SectionSpec.js'
+import { SettingsProblemKind, settingsError, type SettingsError, type SettingsProblem } from '../process/SettingsError.js'
+import { readSettingsText } from '../process/SettingsText.js'
+import { TEAM_SECTIONS, modelSection, routeSection, serviceSection, teamLimitsSection, teamSection, weightsSection } from './TeamSchema.js'
+
+/**
+ * Reads a team's settings. All problems are reported at once, and a file with any gives no settings.
+ *
+ * @param content the INI text, or its bytes.
+ * @param file the name to put in errors.
+ */
+export function parseTeamSettings (content: string | Uint8Array, file: string): Result<TeamSettings, SettingsError> {
+  const text = readSettingsText(content, file)
+  if (!text.ok) return text
+  const { sections, problems } = checkSections(file, TEAM_SECTIONS, text.value)
+  const all = [...problems, ...routeProblems(file, sections)]
+  if (all.length > 0) return failed(settingsError(all))
+  const team = sections.one(teamSection)
+  return success({
+    team: team.name,
+    priority: team.priority,
+    weights: sections.one(weightsSection),
+    limits: sections.one(teamLimitsSection),
+    callerTokenHashes: team.callerTokenSha256,
+    operatorTokenHashes: team.operatorTokenSha256,
+    models: readModels(sections),
+    services: readServices(sections)
+  })
+}
+
+function readModels (sections: CheckedSections): readonly ModelIntent[] {
+  return sections.all(modelSection).map(({ arguments: [model], value }) => {
+    const { maxUnavailable, healthyForMs, maxErrorPercent, ...rest } = value
+    return { model: model!, ...rest, rollout: { maxUnavailable, healthyForMs, maxErrorPercent } }
+  })
+}
+
+function readServices (sections: CheckedSections): readonly ServiceIntent[] {
+  const routes = sections.all(routeSection)
+  return sections.all(serviceSection).map(({ arguments: [service], value }) => ({
+    service: service!,
+    timeoutMs: value.timeoutMs,
+    routes: routes.filter((route) => route.arguments[0] === service).map((route): ServiceRoute => route.value)
+  }))
+}
+
+/** A route of a service that isn't there would never be used, and its retry rule would be missed in silence. */
+function routeProblems (file: string, sections: CheckedSections): SettingsProblem[] {
+  const services = sections.all(serviceSection).map((section) => section.arguments[0]!)
+  const accepted = services.length === 0 ? 'routes only beside a section [service <service>]' : `a route of ${services.join(', ')}`
+  return sections.all(routeSection)
+    .filter((route) => !services.includes(route.arguments[0]!))
+    .map((route) => ({ kind: SettingsProblemKind.InvalidRelation, file, line: route.line, section: `route ${route.arguments.join(' ')}`, key: null, found: route.arguments[0]!, accepted }))
+}
--- a/packages/dotterelspur/src/version/TeamSettings.ts
+++ b/packages/dotterelspur/src/version/TeamSettings.ts
@@ -10,6 +10,8 @@
   readonly limits: TeamLimits
   /** SHA-256 hashes, in hex, of the callers' bearer tokens. */
   readonly callerTokenHashes: readonly string[]
+  /** SHA-256 hashes, in hex, of the tokens that may see and change this team's part and no other; absent for none. */
+  readonly operatorTokenHashes?: readonly string[]
   readonly models: readonly ModelIntent[]
   readonly services: readonly ServiceIntent[]
 }
