Router: load estimate, prefix affinity, target health

Own requests are counted exactly and taken out of the late reports; what remains of the others fades to the mean of the lane. Candidates are two random ones, the prompt's place on a hash ring with bounded loads and an expected holder of its prefix; the cheapest is taken. Broken attempts eject, with a floor; returning targets ramp up. begin() loses its promptTokens argument, which nothing needed, and end() takes the tokens that arrived, so that the pace of a target can be told.

--- a/packages/dotterelspur/src/__tests__/unit/Router.test.ts
+++ b/packages/dotterelspur/src/__tests__/unit/Router.test.ts
@@ -67,7 +67,7 @@
   it('counts its own attempts as load at once', () => {
     const { router, random } = createFixture([createTarget('a'), createTarget('b')])
     const busy = createTarget('a')
-    for (let index = 0; index < 20; index++) router.begin(busy, 0, 0)
+    for (let index = 0; index < 20; index++) router.begin(busy, 0)
     let toBusy = 0
     for (let index = 0; index < 100; index++) {
       const result = router.decide(createQuery(), 0, random)
@@ -78,7 +78,7 @@
 
   it('forgets an attempt when it ends', () => {
     const { router } = createFixture([createTarget('a')])
-    const attempt = router.begin(createTarget('a'), 0, 0)
+    const attempt = router.begin(createTarget('a'), 0)
     expect(router.inFlightAt(attempt.targetId)).to.equal(1)
     router.end(attempt, AttemptEnd.Whole, 10)
     expect(router.inFlightAt(attempt.targetId)).to.equal(0)
--- a/packages/dotterelspur/src/request/routing/Attempt.ts
+++ b/packages/dotterelspur/src/request/routing/Attempt.ts
@@ -18,5 +18,7 @@
 export interface RouteAttempt {
   readonly targetId: TargetId
   readonly startedAtMs: number
-  readonly promptTokens: number
+  /** Null until the first token, or a service's response. */
+  firstTokenAtMs: number | null
+  ended: boolean
 }
--- /dev/null
+++ b/packages/dotterelspur/src/request/routing/HashRing.ts
@@ -0,0 +1,59 @@
+import { hashText } from '../../process/rendezvous.js'
+import { TargetKind, type RouteTarget } from './RouteTarget.js'
+import type { TargetRecord } from './TargetRecord.js'
+
+interface Point {
+  readonly position: number
+  readonly record: TargetRecord
+}
+
+const POINTS_PER_TARGET = 40
+
+/**
+ * A consistent hash ring over the targets of one lane. Every node that knows the same targets has the same ring,
+ * so prompts with the same prefix meet at the same group without any message between nodes; a target that goes
+ * moves only its own keys.
+ */
+export class HashRing {
+  private readonly points: readonly Point[]
+
+  constructor (records: readonly TargetRecord[]) {
+    this.points = records
+      .flatMap((record) => pointsOf(record))
+      .sort((left, right) => left.position - right.position)
+  }
+
+  /** The first target from the key's place on that `accepts` takes; undefined when none does. */
+  find (key: number, accepts: (record: TargetRecord) => boolean): TargetRecord | undefined {
+    const start = this.indexFrom(key)
+    const denied = new Set<TargetRecord>()
+    for (let step = 0; step < this.points.length; step++) {
+      const { record } = this.points[(start + step) % this.points.length]!
+      if (denied.has(record)) continue
+      if (accepts(record)) return record
+      denied.add(record)
+    }
+    return undefined
+  }
+
+  private indexFrom (key: number): number {
+    let low = 0
+    let high = this.points.length
+    while (low < high) {
+      const middle = (low + high) >>> 1
+      if (this.points[middle]!.position < key) low = middle + 1
+      else high = middle
+    }
+    return low
+  }
+}
+
+function pointsOf (record: TargetRecord): Point[] {
+  const name = stableName(record.target)
+  return Array.from({ length: POINTS_PER_TARGET }, (_, index) => ({ position: hashText(`${name}#${index}`), record }))
+}
+
+/** The name without formation or incarnation: a target that comes back takes its old place. */
+function stableName (target: RouteTarget): string {
+  return target.kind === TargetKind.Group ? target.group : target.vm
+}
--- /dev/null
+++ b/packages/dotterelspur/src/request/routing/LoadEstimator.ts
@@ -0,0 +1,74 @@
+import type { RoutingOptions } from './RoutingOptions.js'
+import type { TargetRecord } from './TargetRecord.js'
+
+const MEANS_VALID_MS = 100
+
+/** What an estimate compares a target with; computed over the lane now and then. */
+interface LaneMeans {
+  readonly atMs: number
+  /** Mean share of capacity that other nodes hold. */
+  readonly othersShare: number
+  /** Mean utilisation, this node's own requests included. */
+  readonly utilisation: number
+  /** Median of the targets' pace; null when none is known. */
+  readonly medianPaceMs: number | null
+}
+
+/**
+ * Estimates how full each target is now. Reports are late and the same for every node: taken at face value they
+ * send all nodes to the same target until the next report. So this node's own requests are counted exactly, and
+ * what is reported of the others' fades to the mean of the lane as the report ages.
+ */
+export class LoadEstimator {
+  private means: LaneMeans | null = null
+
+  constructor (private readonly records: readonly TargetRecord[], private readonly options: RoutingOptions) {}
+
+  /** Requests at the target as a share of what it can run side by side; above 1 some wait. */
+  utilisation (record: TargetRecord, nowMs: number): number {
+    return this.estimate(record, this.laneMeans(nowMs).othersShare, nowMs)
+  }
+
+  meanUtilisation (nowMs: number): number {
+    return this.laneMeans(nowMs).utilisation
+  }
+
+  /** How many times slower than the median the target is; 1 for those that are not stragglers. */
+  slowness (record: TargetRecord, nowMs: number): number {
+    const { medianPaceMs } = this.laneMeans(nowMs)
+    const paceMs = record.health.pace
+    if (medianPaceMs === null || paceMs === null || medianPaceMs <= 0) return 1
+    const ratio = paceMs / medianPaceMs
+    return ratio >= this.options.stragglerRatio ? ratio : 1
+  }
+
+  private estimate (record: TargetRecord, meanOthersShare: number, nowMs: number): number {
+    const capacity = record.capacity()
+    const ageMs = Math.max(0, nowMs - record.readAtMs())
+    const worth = 2 ** (-ageMs / this.options.loadHalfLifeMs)
+    const reportedShare = record.othersReported() / capacity
+    const othersShare = meanOthersShare + (reportedShare - meanOthersShare) * worth
+    return othersShare + record.inFlight.count / capacity
+  }
+
+  private laneMeans (nowMs: number): LaneMeans {
+    if (this.means !== null && nowMs - this.means.atMs < MEANS_VALID_MS) return this.means
+    const live = this.records.filter((record) => record.target.evidenceExpiresAtMs > nowMs)
+    const othersShare = mean(live.map((record) => record.othersReported() / record.capacity()))
+    const utilisation = mean(live.map((record) => this.estimate(record, othersShare, nowMs)))
+    const paces = live.map((record) => record.health.pace).filter((pace) => pace !== null)
+    this.means = { atMs: nowMs, othersShare, utilisation, medianPaceMs: median(paces) }
+    return this.means
+  }
+}
+
+function mean (values: readonly number[]): number {
+  if (values.length === 0) return 0
+  return values.reduce((sum, value) => sum + value, 0) / values.length
+}
+
+function median (values: readonly number[]): number | null {
+  if (values.length === 0) return null
+  const sorted = [...values].sort((left, right) => left - right)
+  return sorted[Math.floor((sorted.length - 1) / 2)]!
+}
--- a/packages/dotterelspur/src/request/routing/Router.ts
+++ b/packages/dotterelspur/src/request/routing/Router.ts
@@ -1,11 +1,18 @@
+import type { CacheEventPage } from '../../connection/EngineApi.js'
+import { invariant } from '../../process/invariant.js'
 import type { Random } from '../../process/Random.js'
 import { failed, success, type Result } from '../../process/Result.js'
 import type { AttemptEnd, RouteAttempt } from './Attempt.js'
 import { selectCandidates } from './candidates.js'
-import type { CacheEventPage } from '../../connection/EngineApi.js'
-import { RouteCause, type GroupDecision, type GroupQuery, type RouteDecision, type RouteQuery, type RouteRefusal, type ServiceDecision, type ServiceQuery } from './RouteQuery.js'
-import type { RouteTarget, TargetId } from './RouteTarget.js'
+import { chooseTarget } from './choose.js'
+import { Lane } from './Lane.js'
+import { RouteRefusalKind, type GroupDecision, type GroupQuery, type RouteDecision, type RouteQuery, type RouteRefusal, type ServiceDecision, type ServiceQuery } from './RouteQuery.js'
+import { TargetKind, type RouteTarget, type TargetId } from './RouteTarget.js'
 import type { RoutingOptions } from './RoutingOptions.js'
+import { TargetRecord } from './TargetRecord.js'
+
+/** Tokens below which a finished stream says nothing about the target's pace. */
+const PACE_TOKENS = 8
 
 /**
  * Chooses where a request runs. One per process.
@@ -15,57 +22,115 @@
  * What is handed out (targets, decisions) is never changed afterwards.
  */
 export class Router {
-  private targets: readonly RouteTarget[] = []
-  private readonly inFlight = new Map<TargetId, number>()
+  private readonly records = new Map<TargetId, TargetRecord>()
+  private readonly lanes = new Map<string, Lane>()
+  private started = false
 
   constructor (private readonly options: RoutingOptions) {}
 
   /** Replaces what is known of all targets. Call it whenever presence, assignments or drains change. */
-  replaceTargets (targets: readonly RouteTarget[], _nowMs: number): void {
-    this.targets = targets
+  replaceTargets (targets: readonly RouteTarget[], nowMs: number): void {
+    const known = new Set(targets.map((target) => target.id))
+    for (const id of this.records.keys()) {
+      if (!known.has(id)) this.records.delete(id)
+    }
+    const members = new Map<string, TargetRecord[]>()
+    for (const target of targets) {
+      const key = laneKey(target)
+      const lane = members.get(key) ?? []
+      lane.push(this.takeIn(target, nowMs))
+      members.set(key, lane)
+    }
+    this.rebuildLanes(members)
+    this.started ||= targets.length > 0
   }
 
   decide (query: GroupQuery, nowMs: number, random: Random): Result<GroupDecision, RouteRefusal>
   decide (query: ServiceQuery, nowMs: number, random: Random): Result<ServiceDecision, RouteRefusal>
   decide (query: RouteQuery, nowMs: number, random: Random): Result<RouteDecision, RouteRefusal> {
-    const selection = selectCandidates(this.targets, query, nowMs, this.options)
+    const { options } = this
+    const lane = this.lanes.get(laneKey(query))
+    if (lane === undefined) {
+      return failed({ kind: RouteRefusalKind.NoReplica, message: 'no replica that fits', retryAfterMs: options.retryAfterMs })
+    }
+    const selection = selectCandidates(lane.records, query, nowMs, options)
     if (!selection.ok) return failed(selection.error)
-    const candidates = selection.value
-    const first = candidates[random.integer(candidates.length)]!
-    const second = candidates[random.integer(candidates.length)]!
-    const target = this.loadOf(second) < this.loadOf(first) ? second : first
-    const cause = candidates.length === 1 ? RouteCause.OnlyCandidate : RouteCause.LessLoaded
-    return success({ target, cause, candidates: candidates.length })
+    const { local, remote } = selection.value
+    const { record, cause } = chooseTarget(selection.value, { lane, query, options, nowMs, random })
+    if (query.kind === TargetKind.Group) record.prefixes.noteSent(query.prefixHashes, nowMs)
+    return success({ target: record.target, cause, candidates: local.length + remote.length })
   }
 
   /** The attempt counts as load on the target until `end`; call it right before the send. */
-  begin (target: RouteTarget, promptTokens: number, nowMs: number): RouteAttempt {
-    this.inFlight.set(target.id, this.inFlightAt(target.id) + 1)
-    return { targetId: target.id, startedAtMs: nowMs, promptTokens }
+  begin (target: RouteTarget, nowMs: number): RouteAttempt {
+    this.records.get(target.id)?.inFlight.change(1, nowMs)
+    return { targetId: target.id, startedAtMs: nowMs, firstTokenAtMs: null, ended: false }
   }
 
   /** The first token, or a service's response, has arrived. */
-  firstToken (_attempt: RouteAttempt, _nowMs: number): void {
+  firstToken (attempt: RouteAttempt, nowMs: number): void {
+    attempt.firstTokenAtMs ??= nowMs
   }
 
-  /** Exactly once per attempt. */
-  end (attempt: RouteAttempt, _end: AttemptEnd, _nowMs: number): void {
-    const left = this.inFlightAt(attempt.targetId) - 1
-    if (left > 0) this.inFlight.set(attempt.targetId, left)
-    else this.inFlight.delete(attempt.targetId)
+  /** Exactly once per attempt. `tokens` is the number of tokens that arrived, 0 for services. */
+  end (attempt: RouteAttempt, end: AttemptEnd, nowMs: number, tokens = 0): void {
+    invariant(!attempt.ended, 'an attempt ends once')
+    attempt.ended = true
+    const record = this.records.get(attempt.targetId)
+    if (record === undefined) return
+    record.inFlight.change(-1, nowMs)
+    const paceMs = paceOf(attempt, record.target, nowMs, tokens)
+    if (paceMs !== null) record.health.notePace(paceMs)
+    if (record.health.noteEnd(end)) this.lanes.get(laneKey(record.target))?.ejectIfAllowed(record, nowMs)
   }
 
   /** Takes in a page of a group's cache events, which are late and may have gaps. */
-  noteCacheEvents (_targetId: TargetId, _page: CacheEventPage, _nowMs: number): void {
+  noteCacheEvents (targetId: TargetId, page: CacheEventPage, nowMs: number): void {
+    this.records.get(targetId)?.prefixes.noteEvents(page, nowMs)
   }
 
   /** Attempts of this node under way at a target. */
   inFlightAt (targetId: TargetId): number {
-    return this.inFlight.get(targetId) ?? 0
+    return this.records.get(targetId)?.inFlight.count ?? 0
   }
 
-  private loadOf (target: RouteTarget): number {
-    const { running, waiting, capacity } = target.load
-    return (running + waiting + this.inFlightAt(target.id)) / Math.max(1, capacity)
+  /** Ids of the targets that this node's own attempts have put out for a while; for the operators' view. */
+  ejectedTargets (nowMs: number): readonly TargetId[] {
+    return [...this.records.values()].filter((record) => record.health.isEjected(nowMs)).map((record) => record.target.id)
   }
+
+  private takeIn (target: RouteTarget, nowMs: number): TargetRecord {
+    const known = this.records.get(target.id)
+    if (known !== undefined) {
+      known.target = target
+      return known
+    }
+    const record = new TargetRecord(target, this.options, nowMs, this.started)
+    this.records.set(target.id, record)
+    return record
+  }
+
+  /** A lane whose targets are the same keeps its ring: refreshed load alone must not cost a rebuild. */
+  private rebuildLanes (members: ReadonlyMap<string, readonly TargetRecord[]>): void {
+    for (const key of this.lanes.keys()) {
+      if (!members.has(key)) this.lanes.delete(key)
+    }
+    for (const [key, records] of members) {
+      const lane = this.lanes.get(key)
+      const same = lane !== undefined && lane.records.length === records.length && records.every((record, index) => lane.records[index] === record)
+      if (!same) this.lanes.set(key, new Lane(records, this.options))
+    }
+  }
+}
+
+function laneKey (of: RouteTarget | RouteQuery): string {
+  return of.kind === TargetKind.Group ? `model/${of.model}` : `service/${of.service}`
+}
+
+/** Milliseconds per token after the first, or per response of a service; null when the attempt shows neither. */
+function paceOf (attempt: RouteAttempt, target: RouteTarget, nowMs: number, tokens: number): number | null {
+  if (attempt.firstTokenAtMs === null) return null
+  if (target.kind === TargetKind.Service) return attempt.firstTokenAtMs - attempt.startedAtMs
+  if (tokens < PACE_TOKENS) return null
+  return (nowMs - attempt.firstTokenAtMs) / (tokens - 1)
 }
--- /dev/null
+++ b/packages/dotterelspur/src/request/routing/TargetRecord.ts
@@ -0,0 +1,35 @@
+import { InFlightHistory } from './InFlightHistory.js'
+import { PrefixIndex } from './PrefixIndex.js'
+import type { RouteTarget } from './RouteTarget.js'
+import type { RoutingOptions } from './RoutingOptions.js'
+import { TargetHealth } from './TargetHealth.js'
+
+/** One target with what this node itself knows of it. Lives as long as the target's id is known. */
+export class TargetRecord {
+  readonly inFlight = new InFlightHistory()
+  readonly health: TargetHealth
+  readonly prefixes: PrefixIndex
+
+  constructor (public target: RouteTarget, options: RoutingOptions, nowMs: number, ramps: boolean) {
+    this.health = new TargetHealth(options, nowMs, ramps)
+    this.prefixes = new PrefixIndex(options)
+  }
+
+  /**
+   * Requests of other nodes at the target when its load was read, as far as the report tells: what it reported
+   * less what this node had there at the time.
+   */
+  othersReported (): number {
+    const { running, waiting } = this.target.load
+    return Math.max(0, running + waiting - this.inFlight.countAt(this.readAtMs()))
+  }
+
+  /** When the load was read, on this node's clock. */
+  readAtMs (): number {
+    return this.target.loadAskedAtMs - this.target.load.ageMs
+  }
+
+  capacity (): number {
+    return Math.max(1, this.target.load.capacity)
+  }
+}
--- a/packages/dotterelspur/src/request/routing/candidates.ts
+++ b/packages/dotterelspur/src/request/routing/candidates.ts
@@ -2,23 +2,35 @@
 import { RouteRefusalKind, type RouteQuery, type RouteRefusal } from './RouteQuery.js'
 import { TargetKind, type RouteTarget } from './RouteTarget.js'
 import type { RoutingOptions } from './RoutingOptions.js'
+import type { TargetRecord } from './TargetRecord.js'
 
-/** The targets that may take a request now, or the most telling reason why there is none. */
+/** The targets that may take a request now. */
+export interface Candidates {
+  /** In the own region; empty when none is left there. */
+  readonly local: readonly TargetRecord[]
+  readonly remote: readonly TargetRecord[]
+}
+
+/**
+ * Picks out the targets that may take a request now, or tells the most telling reason why there is none. Nothing
+ * after this step adds a target, so that no choice can fall on one whose evidence has expired or that leaves.
+ */
 export function selectCandidates (
-  targets: readonly RouteTarget[],
+  records: readonly TargetRecord[],
   query: RouteQuery,
   nowMs: number,
   options: RoutingOptions
-): Result<readonly RouteTarget[], RouteRefusal> {
-  const able = targets.filter((target) => canServe(target, query))
+): Result<Candidates, RouteRefusal> {
+  const able = records.filter((record) => canServe(record.target, query))
   if (able.length === 0) return refuse(RouteRefusalKind.NoReplica, 'no replica that fits', options)
-  const fresh = able.filter((target) => target.evidenceExpiresAtMs > nowMs)
+  const fresh = able.filter((record) => record.target.evidenceExpiresAtMs > nowMs)
   if (fresh.length === 0) return refuse(RouteRefusalKind.NoFreshEvidence, 'no replica is known to be complete', options)
-  const staying = fresh.filter((target) => !target.leaving)
+  const staying = fresh.filter((record) => !record.target.leaving)
   if (staying.length === 0) return refuse(RouteRefusalKind.AllLeaving, 'every replica is leaving', options)
-  const untried = staying.filter((target) => !query.excluded.has(target.id))
+  const untried = staying.filter((record) => !query.excluded.has(record.target.id))
   if (untried.length === 0) return refuse(RouteRefusalKind.AllTried, 'every replica was tried', options)
-  return success(nearest(untried, options))
+  const sound = untried.filter((record) => !record.health.isEjected(nowMs))
+  return success(byRegion(sound.length > 0 ? sound : untried, options))
 }
 
 function canServe (target: RouteTarget, query: RouteQuery): boolean {
@@ -28,10 +40,10 @@
   return query.adapter === null || target.adapters.includes(query.adapter)
 }
 
-/** Own region first: another region takes work only when none is left here. */
-function nearest (targets: readonly RouteTarget[], options: RoutingOptions): readonly RouteTarget[] {
-  const local = targets.filter((target) => target.region === options.region)
-  return local.length > 0 ? local : targets
+function byRegion (records: readonly TargetRecord[], options: RoutingOptions): Candidates {
+  const isLocal = (record: TargetRecord): boolean => record.target.region === options.region
+  if (records.every(isLocal)) return { local: records, remote: [] }
+  return { local: records.filter(isLocal), remote: records.filter((record) => !isLocal(record)) }
 }
 
 function refuse (kind: RouteRefusalKind, message: string, options: RoutingOptions): Result<never, RouteRefusal> {
--- /dev/null
+++ b/packages/dotterelspur/src/request/routing/choose.ts
@@ -0,0 +1,90 @@
+import { pick, type Random } from '../../process/Random.js'
+import type { Candidates } from './candidates.js'
+import { targetCost } from './cost.js'
+import type { Lane } from './Lane.js'
+import { RouteCause, type RouteQuery } from './RouteQuery.js'
+import { TargetKind } from './RouteTarget.js'
+import type { RoutingOptions } from './RoutingOptions.js'
+import type { TargetRecord } from './TargetRecord.js'
+
+/** All that one choice depends on. */
+export interface ChoiceContext {
+  readonly lane: Lane
+  readonly query: RouteQuery
+  readonly options: RoutingOptions
+  readonly nowMs: number
+  readonly random: Random
+}
+
+export interface Choice {
+  readonly record: TargetRecord
+  readonly cause: RouteCause
+}
+
+interface Option extends Choice {
+  readonly cost: number
+}
+
+/**
+ * Draws a few targets and takes the cheapest: two at random, the prompt's place on the hash ring, and one that
+ * is expected to hold its prefix. The least loaded of all is not taken on purpose: every node sees the same late
+ * reports, and all would take the same one until the next report.
+ */
+export function chooseTarget (candidates: Candidates, context: ChoiceContext): Choice {
+  const { options } = context
+  if (candidates.local.length === 0) return cheapest(drawOptions(candidates.remote, context))
+  const local = cheapest(drawOptions(candidates.local, context))
+  if (local.cost <= options.spillCost || candidates.remote.length === 0) return local
+  return cheapest([local, ...drawOptions(candidates.remote, context)])
+}
+
+function drawOptions (records: readonly TargetRecord[], context: ChoiceContext): Option[] {
+  if (records.length === 1) return [priced(records[0]!, RouteCause.OnlyCandidate, context)]
+  const drawn = [drawRamped(records, context), drawRamped(records, context)]
+    .map((record) => priced(record, RouteCause.LessLoaded, context))
+  const holders = prefixHolders(records, context)
+    .map((record) => priced(record, RouteCause.PrefixAffinity, context))
+  return [...holders, ...drawn]
+}
+
+/** One at random; a target that ramps up is passed over in proportion to what it may not take yet. */
+function drawRamped (records: readonly TargetRecord[], { random, nowMs }: ChoiceContext): TargetRecord {
+  const first = pick(random, records)!
+  if (random.next() < first.health.ramp(nowMs)) return first
+  return pick(random, records)!
+}
+
+function prefixHolders (records: readonly TargetRecord[], context: ChoiceContext): TargetRecord[] {
+  const { query, lane, options, nowMs, random } = context
+  if (query.kind !== TargetKind.Group || query.prefixHashes.length === 0) return []
+  const boundUtilisation = options.loadBound * lane.estimator.meanUtilisation(nowMs) + 1 / records[0]!.capacity()
+  const eligible = new Set(records)
+  const key = query.prefixHashes[Math.min(query.prefixHashes.length, options.affinityBlocks) - 1]!
+  const onRing = lane.ring.find(key, (record) => eligible.has(record) &&
+    lane.estimator.utilisation(record, nowMs) <= boundUtilisation &&
+    random.next() < record.health.ramp(nowMs))
+  const holder = bestHolder(records, query.prefixHashes, context)
+  return [onRing, holder].filter((record) => record !== undefined)
+}
+
+/** The cheapest of the targets that are expected to hold the most of the prompt. */
+function bestHolder (records: readonly TargetRecord[], prefixHashes: readonly number[], context: ChoiceContext): TargetRecord | undefined {
+  let best: TargetRecord | undefined
+  let bestCost = Infinity
+  for (const record of records) {
+    if (record.prefixes.matchedBlocks(prefixHashes, context.nowMs) === 0) continue
+    const cost = targetCost(record, context)
+    if (cost >= bestCost) continue
+    best = record
+    bestCost = cost
+  }
+  return best
+}
+
+function priced (record: TargetRecord, cause: RouteCause, context: ChoiceContext): Option {
+  return { record, cause, cost: targetCost(record, context) }
+}
+
+function cheapest (options: readonly Option[]): Option {
+  return options.reduce((best, option) => option.cost < best.cost ? option : best)
+}
