Say what an engine holds in memory, and what a group loads ahead

A standby that is loaded and one that is not are told apart only by what the engine holds beside what it serves: VmStatus.loaded, optional. A group whose version is about to change names it in AssignedGroup.preload, so that its members load while they still serve and the change costs only the time to join.

--- a/packages/dotterelspur/src/process/Presence.ts
+++ b/packages/dotterelspur/src/process/Presence.ts
@@ -24,6 +24,13 @@
   readonly ageMs: number
 }
 
+/** Weights that an engine holds in memory, ready to be joined without a load. */
+export interface LoadedModel {
+  readonly model: ModelId
+  readonly version: ModelVersion
+  readonly adapters: readonly AdapterId[]
+}
+
 /** A VM's own word, as returned by its presence probe. */
 export interface VmStatus {
   readonly vm: VmId
@@ -34,6 +41,8 @@
   readonly model: ModelId | null
   readonly version: ModelVersion | null
   readonly adapters: readonly AdapterId[]
+  /** What its memory holds, whether it serves it or not; absent where the engine doesn't say. */
+  readonly loaded?: readonly LoadedModel[]
   /** The highest fencing number that it has seen, 0 for none. */
   readonly fencing: number
   readonly load: LoadReport
--- a/packages/dotterelspur/src/version/PlatformObjects.ts
+++ b/packages/dotterelspur/src/version/PlatformObjects.ts
@@ -96,6 +96,8 @@
   readonly members: readonly AssignedMember[]
   /** Standbys agreed in advance, in the order in which they step in. */
   readonly standbys: readonly AssignedMember[]
+  /** What the members load beside what they serve, ahead of a change of version; the formation stays. */
+  readonly preload?: ModelRevision
   /** Why the group is in this state, for `explain`. */
   readonly cause: string
   readonly sinceWallMs: number
