Request lifecycle: one request from its first choice to its outcome, without I/O

A request's attempts, chunks and outcomes are decided by a procedure that yields its I/O as effects.

--- a/packages/dotterelspur/src/request/index.ts
+++ b/packages/dotterelspur/src/request/index.ts
@@ -1,4 +1,5 @@
 export * from './Outcome.js'
 export * from './RequestIdentity.js'
 export * from './admission/index.js'
+export * from './lifecycle/index.js'
 export * from './routing/index.js'
--- /dev/null
+++ b/packages/dotterelspur/src/request/lifecycle/GroupTable.ts
@@ -0,0 +1,93 @@
+import type { AdapterId, FabricDomainId, FailureDomainId, GroupId, ModelId, ModelVersion, RegionId, TeamId } from '../../process/ids.js'
+import type { GroupPresence, LoadReport } from '../../process/Presence.js'
+import { GroupState, type AssignedGroup, type AssignmentObject } from '../../version/PlatformObjects.js'
+
+/** A group as an entry sees it, with everything that a dispatch must check. */
+export interface GroupView {
+  readonly group: GroupId
+  readonly formation: number
+  readonly team: TeamId
+  readonly model: ModelId
+  readonly version: ModelVersion
+  readonly adapters: readonly AdapterId[]
+  readonly region: RegionId
+  readonly failureDomain: FailureDomainId
+  readonly fabricDomain: FabricDomainId
+  /** Base URL of the member of rank 0. */
+  readonly leaderAddress: string
+  readonly load: LoadReport
+  /** Age of the evidence when this view was made. */
+  readonly evidenceAgeMs: number
+}
+
+export enum NotDispatchable {
+  NotAssigned = 'not-assigned',
+  WrongState = 'wrong-state',
+  NoMembers = 'no-members',
+  Drained = 'drained',
+  NoEvidence = 'no-evidence',
+  OtherFormation = 'other-formation',
+  Incomplete = 'incomplete',
+  Leaving = 'leaving',
+  Expired = 'expired'
+}
+
+/** What an entry holds when it judges its groups. Ages are as of the moment of the call. */
+export interface GroupFacts {
+  readonly assignments: readonly AssignmentObject[]
+  readonly presence: readonly GroupPresence[]
+  /** Targets of `drains/`: VMs and groups that take no new work. */
+  readonly drained: ReadonlySet<string>
+  readonly evidenceTtlMs: number
+}
+
+export interface JudgedGroup {
+  readonly assigned: AssignedGroup
+  readonly view: GroupView | null
+  readonly obstacle: NotDispatchable | null
+}
+
+/** Judges every assigned group; a group with a view may be dispatched to now. */
+export function judgeGroups (facts: GroupFacts): JudgedGroup[] {
+  const presence = new Map(facts.presence.map((line) => [line.group, line]))
+  return facts.assignments.flatMap((assignment) =>
+    assignment.groups.map((assigned) => judgeGroup(assignment, assigned, presence.get(assigned.group), facts)))
+}
+
+/** The groups that may be dispatched to now. */
+export function dispatchableGroups (facts: GroupFacts): GroupView[] {
+  return judgeGroups(facts).flatMap((judged) => judged.view === null ? [] : [judged.view])
+}
+
+/** Judges one group of one assignment. */
+export function judgeGroup (assignment: AssignmentObject, assigned: AssignedGroup, presence: GroupPresence | undefined, facts: Omit<GroupFacts, 'assignments' | 'presence'>): JudgedGroup {
+  const obstacle = findObstacle(assigned, presence, facts)
+  if (obstacle !== null || presence === undefined) return { assigned, view: null, obstacle }
+  const view: GroupView = {
+    group: assigned.group,
+    formation: assigned.formation,
+    team: assigned.team,
+    model: assigned.model,
+    version: assigned.version,
+    adapters: assigned.adapters,
+    region: assignment.region,
+    failureDomain: assignment.failureDomain,
+    fabricDomain: assignment.fabricDomain,
+    leaderAddress: assigned.members[0]!.address,
+    load: presence.load,
+    evidenceAgeMs: presence.ageMs
+  }
+  return { assigned, view, obstacle: null }
+}
+
+function findObstacle (assigned: AssignedGroup, presence: GroupPresence | undefined, facts: Omit<GroupFacts, 'assignments' | 'presence'>): NotDispatchable | null {
+  if (assigned.state !== GroupState.Serving && assigned.state !== GroupState.Forming) return NotDispatchable.WrongState
+  if (assigned.members.length === 0) return NotDispatchable.NoMembers
+  if (facts.drained.has(assigned.group) || assigned.members.some((member) => facts.drained.has(member.vm))) return NotDispatchable.Drained
+  if (presence === undefined) return NotDispatchable.NoEvidence
+  if (presence.formation !== assigned.formation) return NotDispatchable.OtherFormation
+  if (!presence.complete) return NotDispatchable.Incomplete
+  if (presence.leaving) return NotDispatchable.Leaving
+  if (presence.ageMs >= facts.evidenceTtlMs) return NotDispatchable.Expired
+  return null
+}
--- /dev/null
+++ b/packages/dotterelspur/src/request/lifecycle/runServiceRequest.ts
@@ -0,0 +1,89 @@
+import { EndpointErrorKind, type EndpointError } from '../../connection/EngineApi.js'
+import { perform, type Procedure } from '../../process/Procedure.js'
+import { OutcomeReason, type Outcome } from '../Outcome.js'
+import {
+  InterruptKind, LifecycleEffectKind, RequestSafety,
+  type CallServiceEffect, type Interrupt, type SelectWorkerEffect, type ServiceEffects, type ServiceResult, type ServiceWorker, type SpendRetryEffect
+} from './LifecycleEffects.js'
+import { answered, failedByEndpoint, notRun, unknownOutcome } from './outcomes.js'
+
+export interface ServicePlan {
+  readonly safety: RequestSafety
+  readonly maxAttempts: number
+}
+
+interface ServiceRun {
+  readonly plan: ServicePlan
+  attempt: number
+  mayHaveRun: boolean
+  readonly excluded: string[]
+}
+
+/** What an error of a call proves. */
+const PROVES_NOT_RUN: { readonly [Kind in EndpointErrorKind]: boolean } = {
+  [EndpointErrorKind.NotRun]: true,
+  [EndpointErrorKind.WrongFormation]: true,
+  [EndpointErrorKind.Fenced]: true,
+  [EndpointErrorKind.Refused]: true,
+  [EndpointErrorKind.Ambiguous]: false,
+  [EndpointErrorKind.Broken]: false,
+  [EndpointErrorKind.Failed]: false,
+  [EndpointErrorKind.Malformed]: false
+}
+
+const MAX_STALE_CHOICES = 8
+
+/**
+ * One call to a plain service. What the service answers is passed on as it is, whatever its status. An
+ * idempotent call is sent elsewhere after any failure; a non-idempotent one only where the last send proves that
+ * nothing ran.
+ */
+export function * runServiceRequest (plan: ServicePlan): Procedure<ServiceEffects, ServiceResult> {
+  const run: ServiceRun = { plan, attempt: 0, mayHaveRun: false, excluded: [] }
+  for (let staleChoices = 0; staleChoices < MAX_STALE_CHOICES;) {
+    const choice = yield * perform<SelectWorkerEffect>({ kind: LifecycleEffectKind.SelectWorker, excluded: run.excluded })
+    if (!choice.ok) return finish(run, weaken(run, choice.error))
+    const reply = yield * perform<CallServiceEffect>({ kind: LifecycleEffectKind.CallService, worker: choice.value, attempt: run.attempt + 1 })
+    if (reply === null) {
+      staleChoices += 1
+      continue
+    }
+    run.attempt += 1
+    if ('ok' in reply && reply.ok) return { outcome: answered(), response: reply.value, attempts: run.attempt }
+    const ended = 'ok' in reply ? yield * afterError(run, choice.value, reply.error) : stop(run, reply)
+    if (ended !== null) return ended
+  }
+  return finish(run, weaken(run, notRun(OutcomeReason.NoReplica, 'no worker stayed present until the send')))
+}
+
+function stop (run: ServiceRun, interrupt: Interrupt): ServiceResult {
+  const reason = interrupt.kind === InterruptKind.Deadline ? OutcomeReason.DeadlineExceeded : OutcomeReason.Cancelled
+  return finish(run, unknownOutcome(reason, 'the call was given up while it was under way'))
+}
+
+function * afterError (run: ServiceRun, worker: ServiceWorker, error: EndpointError): Procedure<ServiceEffects, ServiceResult | null> {
+  const provedNotRun = PROVES_NOT_RUN[error.kind]
+  if (!provedNotRun) run.mayHaveRun = true
+  const outcome = describe(run, error)
+  if (!provedNotRun && run.plan.safety === RequestSafety.NonIdempotent) return finish(run, outcome)
+  run.excluded.push(worker.vm)
+  if (run.attempt >= run.plan.maxAttempts) return finish(run, outcome)
+  const allowed = yield * perform<SpendRetryEffect>({ kind: LifecycleEffectKind.SpendRetry })
+  return allowed ? null : finish(run, { ...outcome, reason: OutcomeReason.RetryBudgetExhausted })
+}
+
+function describe (run: ServiceRun, error: EndpointError): Outcome {
+  const message = 'reason' in error ? error.reason : 'fenced'
+  if (error.kind === EndpointErrorKind.Failed) return failedByEndpoint(OutcomeReason.EndpointFailed, message)
+  if (run.mayHaveRun) return unknownOutcome(OutcomeReason.StreamBroken, message)
+  if (error.kind === EndpointErrorKind.Refused) return notRun(OutcomeReason.Overloaded, message, error.retryAfterMs)
+  return notRun(OutcomeReason.NoReplica, message)
+}
+
+function weaken (run: ServiceRun, outcome: Outcome): Outcome {
+  return run.mayHaveRun ? unknownOutcome(outcome.reason, outcome.message, outcome.retryAfterMs) : outcome
+}
+
+function finish (run: ServiceRun, outcome: Outcome): ServiceResult {
+  return { outcome, response: null, attempts: run.attempt }
+}
