--- a/packages/dotterelspur/src/request/lifecycle/GroupTable.ts
+++ b/packages/dotterelspur/src/request/lifecycle/GroupTable.ts
@@ -41,26 +41,26 @@
   readonly evidenceTtlMs: number
 }
 
-export interface JudgedGroup {
+export interface JudgedDispatch {
   readonly assigned: AssignedGroup
   readonly view: GroupView | null
   readonly obstacle: NotDispatchable | null
 }
 
 /** Judges every assigned group; a group with a view may be dispatched to now. */
-export function judgeGroups (facts: GroupFacts): JudgedGroup[] {
+export function judgeDispatches (facts: GroupFacts): JudgedDispatch[] {
   const presence = new Map(facts.presence.map((line) => [line.group, line]))
   return facts.assignments.flatMap((assignment) =>
-    assignment.groups.map((assigned) => judgeGroup(assignment, assigned, presence.get(assigned.group), facts)))
+    assignment.groups.map((assigned) => judgeDispatch(assignment, assigned, presence.get(assigned.group), facts)))
 }
 
 /** The groups that may be dispatched to now. */
 export function dispatchableGroups (facts: GroupFacts): GroupView[] {
-  return judgeGroups(facts).flatMap((judged) => judged.view === null ? [] : [judged.view])
+  return judgeDispatches(facts).flatMap((judged) => judged.view === null ? [] : [judged.view])
 }
 
 /** Judges one group of one assignment. */
-export function judgeGroup (assignment: AssignmentObject, assigned: AssignedGroup, presence: GroupPresence | undefined, facts: Omit<GroupFacts, 'assignments' | 'presence'>): JudgedGroup {
+export function judgeDispatch (assignment: AssignmentObject, assigned: AssignedGroup, presence: GroupPresence | undefined, facts: Omit<GroupFacts, 'assignments' | 'presence'>): JudgedDispatch {
   const obstacle = findObstacle(assigned, presence, facts)
   if (obstacle !== null || presence === undefined) return { assigned, view: null, obstacle }
   const view: GroupView = {
