--- /dev/null
+++ b/packages/dotterelspur-platform/src/__tests__/unit/PlatformVmDirectory.test.ts
@@ -0,0 +1,83 @@
+import { expect } from 'chai'
+import { VmListState, VmRole, createRandom } from 'dotterelspur'
+import type { VmRecord } from 'dotterelspur'
+import { PlatformFaultKind, PlatformServer, SystemClock } from 'dotterelspur-testkit'
+import { PlatformObjectStore, PlatformVmDirectory, PlatformWeightBudget } from '../../index.js'
+
+interface Fixture {
+  readonly server: PlatformServer
+  readonly store: PlatformObjectStore
+  readonly directory: PlatformVmDirectory
+  stop (): Promise<void>
+}
+
+async function createFixture (): Promise<Fixture> {
+  const server = new PlatformServer()
+  await server.start()
+  const store = new PlatformObjectStore({ url: server.url, clock: new SystemClock(), random: createRandom(1) })
+  return {
+    server,
+    store,
+    directory: new PlatformVmDirectory(store),
+    stop: async () => {
+      await store.close()
+      await server.stop()
+    }
+  }
+}
+
+function record (vm: string, overrides: Partial<VmRecord> = {}): VmRecord {
+  return { vm, incarnation: 1, role: VmRole.Engine, state: VmListState.Live, address: 'http://127.0.0.1:9', region: 'r', failureDomain: 'f', fabricDomain: 'd', ...overrides }
+}
+
+describe('PlatformVmDirectory', () => {
+  let fixture: Fixture
+  beforeEach(async () => { fixture = await createFixture() })
+  afterEach(async () => { await fixture.stop() })
+
+  async function listed (): Promise<readonly VmRecord[]> {
+    const result = await fixture.directory.list()
+    if (!result.ok) throw new Error(result.error.kind)
+    return result.value.vms
+  }
+
+  it('gives each VM once when lines come twice', async () => {
+    fixture.server.vms.put(record('a'))
+    fixture.server.vms.put(record('b'))
+    fixture.server.vms.setFaults({ duplicateProbability: 1 })
+    expect((await listed()).map((line) => line.vm)).to.deep.equal(['a', 'b'])
+  })
+
+  it('leaves out lines that do not follow the contract and counts them', async () => {
+    fixture.server.vms.put(record('a'))
+    fixture.server.vms.put({ ...record('b'), address: 'not a URL' })
+    expect((await listed()).map((line) => line.vm)).to.deep.equal(['a'])
+    expect(fixture.directory.malformedLines).to.equal(1)
+  })
+
+  it('does not go back to a list from the past', async () => {
+    fixture.server.vms.put(record('a'))
+    fixture.server.vms.put(record('a', { state: VmListState.Leaving }))
+    expect((await listed())[0]?.state).to.equal(VmListState.Leaving)
+    fixture.server.vms.setFaults({ lagMs: 3_600_000 })
+    expect((await listed())[0]?.state).to.equal(VmListState.Leaving)
+  })
+
+  it('fails as unavailable while the platform is down', async () => {
+    fixture.server.faults.set({ kind: PlatformFaultKind.Down })
+    const result = await fixture.directory.list()
+    expect(result.ok ? 'ok' : result.error.kind).to.equal('unavailable')
+  })
+})
+
+describe('PlatformWeightBudget', () => {
+  it('reads what the grants leave of the budget', async () => {
+    const fixture = await createFixture()
+    fixture.server.weights.setBudget(1_000)
+    expect(fixture.server.weights.acquire('a', 800).ok).to.equal(true)
+    expect(fixture.server.weights.acquire('b', 900)).to.deep.include({ ok: false })
+    const budget = await new PlatformWeightBudget(fixture.store).read()
+    expect(budget).to.deep.equal({ ok: true, value: { budgetBytesPerSecond: 1_000, grantedBytesPerSecond: 800, grants: 1 } })
+    await fixture.stop()
+  })
+})
--- /dev/null
+++ b/packages/dotterelspur-platform/src/__tests__/unit/watchProcedure.test.ts
@@ -0,0 +1,64 @@
+import { expect } from 'chai'
+import { ManualClock, WatchEventKind, createRandom, failed, success, StoreErrorKind } from 'dotterelspur'
+import { WatchLineKind } from '../../connection/WatchLine.js'
+import type { WatchLine } from '../../connection/WatchLine.js'
+import { WatchEffectKind, watchProcedure } from '../../connection/watchProcedure.js'
+import { SeenVersions } from '../../process/SeenVersions.js'
+
+const CLOSED: WatchLine = { kind: WatchLineKind.Closed }
+
+function event (version: number, previousVersion?: number, key = 'a/1'): WatchLine {
+  return { kind: WatchLineKind.Event, object: { key, version, body: {}, deleted: false }, previousVersion }
+}
+
+function heartbeat (prefixVersion: number): WatchLine {
+  return { kind: WatchLineKind.Heartbeat, version: prefixVersion + 5, prefixVersion }
+}
+
+/** Runs the procedure against listings of the given versions (null: the store is down) and lines; gives what was told. */
+function follow (listings: ReadonlyArray<number | null>, lines: readonly WatchLine[]): string[] {
+  const told: string[] = []
+  const procedure = watchProcedure('a/', { clock: new ManualClock(), random: createRandom(1), seen: new SeenVersions(10), silenceMs: 100, relistIntervalMs: 10_000 })
+  const listed = [...listings]
+  const left = [...lines]
+  let reply: unknown
+  for (;;) {
+    const effect = procedure.next(reply).value
+    reply = undefined
+    if (effect.kind === WatchEffectKind.List) {
+      const version = listed.shift()
+      if (version === undefined) return told
+      reply = version === null ? failed({ kind: StoreErrorKind.Unavailable, reason: 'down' }) : success({ objects: [], version })
+    }
+    if (effect.kind === WatchEffectKind.Open) reply = true
+    if (effect.kind === WatchEffectKind.NextLine) reply = left.shift() ?? CLOSED
+    if (effect.kind === WatchEffectKind.Emit) told.push(effect.event.kind === WatchEventKind.Object ? `object ${effect.event.object.version}` : effect.event.kind)
+  }
+}
+
+interface Case {
+  readonly name: string
+  readonly listings: ReadonlyArray<number | null>
+  readonly lines: readonly WatchLine[]
+  readonly told: readonly string[]
+}
+
+const START = ['connected', 'listing'] as const
+
+const CASES: readonly Case[] = [
+  { name: 'events in order', listings: [5], lines: [event(6, 5), event(7, 6)], told: [...START, 'object 6', 'object 7', 'disconnected'] },
+  { name: 'a skip that the next event shows', listings: [5, 9], lines: [event(6, 5), event(8, 7), CLOSED], told: [...START, 'object 6', 'listing', 'disconnected'] },
+  { name: 'a skip that only a heartbeat shows', listings: [5, 9], lines: [heartbeat(5), heartbeat(7), CLOSED], told: [...START, 'listing', 'disconnected'] },
+  { name: 'a repeat is harmless, an older state is dropped', listings: [5], lines: [event(6, 5), event(7, 6), event(7, 6), event(6, 0)], told: [...START, 'object 6', 'object 7', 'object 7', 'disconnected'] },
+  { name: 'history is gone', listings: [5, 9], lines: [{ kind: WatchLineKind.Reset }, CLOSED], told: [...START, 'listing', 'disconnected'] },
+  { name: 'a line of another shape', listings: [5, 9], lines: [{ kind: WatchLineKind.Malformed }, CLOSED], told: [...START, 'listing', 'disconnected'] },
+  { name: 'silence counts as a loss', listings: [5, 9], lines: [{ kind: WatchLineKind.Silent }, CLOSED], told: [...START, 'disconnected', ...START, 'disconnected'] },
+  { name: 'a store that is down for a while', listings: [5, null, null, 9], lines: [CLOSED, CLOSED], told: [...START, 'disconnected', ...START, 'disconnected'] },
+  { name: 'a store that is down at the start', listings: [null, 9], lines: [CLOSED], told: [...START, 'disconnected'] }
+]
+
+describe('watchProcedure', () => {
+  for (const { name, listings, lines, told } of CASES) {
+    it(name, () => { expect(follow(listings, lines)).to.deep.equal(told) })
+  }
+})
--- /dev/null
+++ b/packages/dotterelspur-platform/src/connection/HttpTransport.ts
@@ -0,0 +1,127 @@
+import { Agent, request as sendRequest } from 'undici'
+import type { Dispatcher } from 'undici'
+import type { Clock } from 'dotterelspur'
+import { MAXIMUM_ANSWER_BYTES } from '../constants.js'
+import type { CallBudget } from '../process/CallBudget.js'
+import { AnswerStatus, ReplyKind, isServerError } from '../request/PlatformCall.js'
+import type { PlatformReply, PlatformRequest } from '../request/PlatformCall.js'
+import { readRetryAfterMs } from '../request/ObjectAnswer.js'
+
+export interface HttpTransportOptions {
+  /** Base URL of the platform's service. */
+  readonly url: string
+  readonly clock: Clock
+  readonly budget: CallBudget
+  readonly timeoutMs: number
+  /** The node's own IP address; connections leave from it. */
+  readonly localAddress?: string
+  /** Sent as a bearer token when set. */
+  readonly token?: string
+  readonly maximumConnections?: number
+}
+
+const DEFAULT_MAXIMUM_CONNECTIONS = 16
+const KEEP_ALIVE_MS = 10_000
+
+/** Errors that undici and the system raise before any byte of the request has left. */
+const NOT_SENT_CODES: ReadonlySet<string> = new Set([
+  'ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'ENOTFOUND', 'EAI_AGAIN', 'UND_ERR_CONNECT_TIMEOUT'
+])
+
+/** Sends calls to the platform over HTTP, each with a timeout and counted. It never repeats one. */
+export class HttpTransport {
+  private readonly agent: Agent
+  private contactListener: () => void = () => {}
+
+  constructor (private readonly options: HttpTransportOptions) {
+    this.agent = new Agent({
+      connections: options.maximumConnections ?? DEFAULT_MAXIMUM_CONNECTIONS,
+      pipelining: 1,
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      maxResponseSize: MAXIMUM_ANSWER_BYTES,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      localAddress: options.localAddress,
+      connect: { timeout: options.timeoutMs }
+    })
+  }
+
+  /** Called after each sign of life from the platform. */
+  onContact (listener: () => void): void {
+    this.contactListener = listener
+  }
+
+  noteContact (): void {
+    this.contactListener()
+  }
+
+  async send (request: PlatformRequest): Promise<PlatformReply> {
+    const { budget } = this.options
+    const retryAfterMs = budget.take(request.callKind)
+    if (retryAfterMs > 0) return { kind: ReplyKind.Withheld, retryAfterMs }
+    const reply = await this.exchange(request)
+    if (reply.kind === ReplyKind.NoAnswer) budget.noteUnanswered()
+    if (reply.kind !== ReplyKind.Answer) return reply
+    if (reply.status === AnswerStatus.TooManyCalls) budget.noteRefused(request.callKind, readRetryAfterMs(reply.body))
+    this.contactListener()
+    return reply
+  }
+
+  /** Opens a streamed answer. The caller reads it to its end or aborts. */
+  async open (path: string, signal: AbortSignal): Promise<Dispatcher.ResponseData> {
+    return await sendRequest(`${this.options.url}${path}`, { dispatcher: this.agent, signal, headers: this.headers() })
+  }
+
+  async close (): Promise<void> {
+    await this.agent.destroy()
+  }
+
+  private async exchange (request: PlatformRequest): Promise<PlatformReply> {
+    const abort = new AbortController()
+    const cancel = this.options.clock.registerTimer(this.options.timeoutMs, () => { abort.abort() })
+    try {
+      const response = await sendRequest(`${this.options.url}${request.path}`, {
+        dispatcher: this.agent,
+        method: request.method,
+        signal: abort.signal,
+        headers: { ...this.headers(), ...headersOf(request) },
+        body: request.body === undefined ? null : JSON.stringify(request.body)
+      })
+      const text = await response.body.text()
+      return parseAnswer(response.statusCode, text)
+    } catch (error) {
+      return replyOfError(error)
+    } finally {
+      cancel()
+    }
+  }
+
+  private headers (): Record<string, string> {
+    return this.options.token === undefined ? {} : { authorization: `Bearer ${this.options.token}` }
+  }
+}
+
+function headersOf (request: PlatformRequest): Record<string, string> {
+  const headers: Record<string, string> = request.body === undefined ? {} : { 'content-type': 'application/json' }
+  if (request.condition?.kind === 'absent') headers['if-none-match'] = '*'
+  if (request.condition?.kind === 'version') headers['if-match'] = `"${request.condition.version}"`
+  return headers
+}
+
+function parseAnswer (status: number, text: string): PlatformReply {
+  try {
+    return { kind: ReplyKind.Answer, status, body: text === '' ? null : JSON.parse(text) }
+  } catch {
+    // A proxy or a failing server answers in HTML: the status still says what happened.
+    if (isServerError(status)) return { kind: ReplyKind.Answer, status, body: null }
+    return { kind: ReplyKind.Malformed, reason: `status ${status} without JSON` }
+  }
+}
+
+function replyOfError (error: unknown): PlatformReply {
+  const { code, name, message } = error as { code?: string, name?: string, message?: string }
+  const reason = `${code ?? name ?? 'error'}: ${message ?? ''}`
+  if (code !== undefined && NOT_SENT_CODES.has(code)) return { kind: ReplyKind.NotSent, reason }
+  if (code === 'UND_ERR_RES_EXCEEDED_MAX_SIZE') return { kind: ReplyKind.Malformed, reason }
+  return { kind: ReplyKind.NoAnswer, reason }
+}
--- /dev/null
+++ b/packages/dotterelspur-platform/src/connection/PlatformWatch.ts
@@ -0,0 +1,107 @@
+import { runProcedure, sleep } from 'dotterelspur'
+import type { ObjectListing, Result, StoreError, Teardown, WatchEvent } from 'dotterelspur'
+import debug from 'debug'
+import { MAXIMUM_ANSWER_BYTES } from '../constants.js'
+import type { CallBudget } from '../process/CallBudget.js'
+import { AnswerStatus, CallKind } from '../request/PlatformCall.js'
+import { watchPath } from '../request/paths.js'
+import type { HttpTransport } from './HttpTransport.js'
+import { LineReader } from './LineReader.js'
+import { WatchLineKind } from './WatchLine.js'
+import type { WatchLine } from './WatchLine.js'
+import { WatchEffectKind, watchProcedure } from './watchProcedure.js'
+import type { WatchContext, WatchEffect } from './watchProcedure.js'
+
+export interface PlatformWatchOptions {
+  readonly prefix: string
+  readonly transport: HttpTransport
+  readonly budget: CallBudget
+  readonly context: WatchContext
+  readonly list: (prefix: string) => Promise<Result<ObjectListing<unknown>, StoreError>>
+  readonly listener: (event: WatchEvent<unknown>) => void
+}
+
+const log = debug('dotterelspur:platform')
+
+/** Thrown inside the procedure to end it at its next effect. */
+class WatchStopped extends Error {}
+
+/** Runs one watch until it is torn down. */
+export class PlatformWatch {
+  private stopped = false
+  private stream: AbortController | undefined
+  private reader: LineReader | undefined
+
+  constructor (private readonly options: PlatformWatchOptions) {}
+
+  start (): Teardown {
+    this.run()
+    return () => {
+      this.stopped = true
+      this.closeStream()
+    }
+  }
+
+  private async run (): Promise<void> {
+    const { options } = this
+    try {
+      await runProcedure<WatchEffect, never>(watchProcedure(options.prefix, options.context), {
+        [WatchEffectKind.List]: async ({ prefix }) => await this.unlessStopped(options.list(prefix)),
+        [WatchEffectKind.Open]: async ({ prefix, afterVersion }) => await this.unlessStopped(this.open(prefix, afterVersion)),
+        [WatchEffectKind.NextLine]: async ({ timeoutMs }) => await this.unlessStopped(this.nextLine(timeoutMs)),
+        [WatchEffectKind.Emit]: ({ event }) => {
+          log('watch %s: %s', options.prefix, event.kind)
+          options.listener(event)
+        },
+        [WatchEffectKind.Wait]: async ({ durationMs }) => {
+          this.closeStream()
+          await this.unlessStopped(sleep(options.context.clock, durationMs))
+        }
+      })
+    } catch (error) {
+      this.closeStream()
+      if (!(error instanceof WatchStopped)) throw error
+    }
+  }
+
+  private async unlessStopped<Value> (pending: Promise<Value>): Promise<Value> {
+    const value = await pending
+    if (this.stopped) throw new WatchStopped()
+    return value
+  }
+
+  private async open (prefix: string, afterVersion: number): Promise<boolean> {
+    const { transport, budget, context } = this.options
+    if (budget.take(CallKind.Watch) > 0) return false
+    const stream = new AbortController()
+    const cancel = context.clock.registerTimer(context.silenceMs, () => { stream.abort() })
+    this.stream = stream
+    budget.watchStarted()
+    try {
+      const response = await transport.open(watchPath(prefix, afterVersion), stream.signal)
+      if (response.statusCode !== AnswerStatus.Ok) throw new Error(`status ${response.statusCode}`)
+      this.reader = new LineReader(response.body, context.clock, MAXIMUM_ANSWER_BYTES)
+      return true
+    } catch {
+      this.closeStream()
+      return false
+    } finally {
+      cancel()
+    }
+  }
+
+  private async nextLine (timeoutMs: number): Promise<WatchLine> {
+    if (this.reader === undefined) return { kind: WatchLineKind.Closed }
+    const line = await this.reader.next(timeoutMs)
+    if (line.kind === WatchLineKind.Event || line.kind === WatchLineKind.Heartbeat) this.options.transport.noteContact()
+    return line
+  }
+
+  private closeStream (): void {
+    if (this.stream === undefined) return
+    this.options.budget.watchEnded()
+    this.stream.abort()
+    this.stream = undefined
+    this.reader = undefined
+  }
+}
--- a/packages/dotterelspur-platform/src/index.ts
+++ b/packages/dotterelspur-platform/src/index.ts
@@ -1,1 +1,6 @@
-export {}
+export * from './process/AuditTrail.js'
+export * from './process/CallBudget.js'
+export * from './process/PlatformObjectStore.js'
+export * from './process/PlatformVmDirectory.js'
+export * from './process/PlatformWeightBudget.js'
+export { CallKind as PlatformCallKind } from './request/PlatformCall.js'
--- /dev/null
+++ b/packages/dotterelspur-platform/src/process/PlatformVmDirectory.ts
@@ -0,0 +1,74 @@
+import { StoreErrorKind, VmListState, VmRole, failed, success } from 'dotterelspur'
+import type { Result, StoreError, VmDirectory, VmId, VmListing, VmRecord } from 'dotterelspur'
+import { z } from 'zod'
+import { AnswerStatus, CallKind, HttpMethod } from '../request/PlatformCall.js'
+import { VMS_PATH } from '../request/paths.js'
+import { readProcedure, refusalError } from '../request/readProcedure.js'
+import type { PlatformObjectStore } from './PlatformObjectStore.js'
+
+const recordSchema = z.object({
+  vm: z.string().min(1),
+  incarnation: z.number().int().nonnegative(),
+  role: z.enum(VmRole),
+  state: z.enum(VmListState),
+  address: z.url(),
+  region: z.string(),
+  failureDomain: z.string(),
+  fabricDomain: z.string(),
+  service: z.string().optional()
+})
+
+const listingSchema = z.object({ vms: z.array(z.unknown()), version: z.number().int().nonnegative() })
+
+/** The platform's list of VMs over HTTP, as docs/contracts/vm-list.md describes it. */
+export class PlatformVmDirectory implements VmDirectory {
+  private latest: VmListing | undefined
+  private malformed = 0
+
+  constructor (private readonly store: PlatformObjectStore) {}
+
+  /** Lines that didn't follow the contract and were left out. */
+  get malformedLines (): number {
+    return this.malformed
+  }
+
+  /** The list, each VM once. An answer older than one that was already seen gives the one already seen. */
+  async list (): Promise<Result<VmListing, StoreError>> {
+    const request = { callKind: CallKind.Read, method: HttpMethod.Get, path: VMS_PATH }
+    return await this.store.run(readProcedure(request, this.store.procedureContext, (reply) => {
+      if (reply.status !== AnswerStatus.Ok) return failed(refusalError(reply.status, reply.body))
+      return this.read(reply.body)
+    }))
+  }
+
+  private read (body: unknown): Result<VmListing, StoreError> {
+    const parsed = listingSchema.safeParse(body)
+    if (!parsed.success) return failed({ kind: StoreErrorKind.Invalid, reason: 'not a VM list' })
+    const { vms, version } = parsed.data
+    if (this.latest !== undefined && version < this.latest.version) return success(this.latest)
+    this.latest = { version, vms: mergeRecords(vms.flatMap((line) => this.readLine(line))) }
+    return success(this.latest)
+  }
+
+  private readLine (line: unknown): VmRecord[] {
+    const parsed = recordSchema.safeParse(line)
+    if (parsed.success) return [parsed.data]
+    this.malformed++
+    return []
+  }
+}
+
+/** Each VM once: its highest incarnation, and of lines that differ in state the one that is leaving. */
+function mergeRecords (records: readonly VmRecord[]): VmRecord[] {
+  const merged = new Map<VmId, VmRecord>()
+  for (const record of records) {
+    const other = merged.get(record.vm)
+    if (other === undefined || supersedes(record, other)) merged.set(record.vm, record)
+  }
+  return [...merged.values()]
+}
+
+function supersedes (record: VmRecord, other: VmRecord): boolean {
+  if (record.incarnation !== other.incarnation) return record.incarnation > other.incarnation
+  return record.state === VmListState.Leaving
+}
--- a/packages/dotterelspur-testkit/src/process/platform/registerWatchRoute.ts
+++ b/packages/dotterelspur-testkit/src/process/platform/registerWatchRoute.ts
@@ -60,7 +60,6 @@
     const { objects, faults, meter } = this.context
     this.reply.raw.writeHead(200, { 'content-type': 'application/x-ndjson' })
     meter.watchStarted()
-    this.prefixVersion = objects.prefixVersion(this.prefix)
     this.teardown = mergeTeardowns(
       () => { meter.watchEnded() },
       objects.registerListener((revision) => { this.changed(revision) }),
@@ -69,6 +68,7 @@
     )
     this.request.raw.socket.once('close', () => { this.teardown() })
     const missed = objects.changesAfter(this.prefix, afterVersion)
+    this.prefixVersion = missed?.[0] === undefined ? objects.prefixVersion(this.prefix) : 0
     if (missed === undefined) this.write({ kind: WatchLineKind.Reset })
     else missed.forEach((revision) => { this.changed(revision) })
     this.heartbeat()
@@ -90,19 +90,20 @@
 
   private changed (revision: Revision): void {
     if (!revision.key.startsWith(this.prefix)) return
-    this.prefixVersion = Math.max(this.prefixVersion, revision.version)
+    const previousVersion = this.prefixVersion
+    this.prefixVersion = revision.version
     const handlers: Readonly<Record<EventPlan, () => void>> = {
-      [EventPlan.Send]: () => { this.event(revision) },
+      [EventPlan.Send]: () => { this.event(revision, previousVersion) },
       [EventPlan.Skip]: () => {},
-      [EventPlan.Repeat]: () => { this.event(revision); this.event(revision) },
-      [EventPlan.GoBack]: () => { this.event(revision); this.event(this.context.objects.earlierRevision(revision.key) ?? revision) },
+      [EventPlan.Repeat]: () => { this.event(revision, previousVersion); this.event(revision, previousVersion) },
+      [EventPlan.GoBack]: () => { this.event(revision, previousVersion); this.event(this.context.objects.earlierRevision(revision.key) ?? revision, 0) },
       [EventPlan.Close]: () => { this.close() }
     }
     handlers[this.context.faults.planEvent()]()
   }
 
-  private event (object: Revision): void {
-    this.write({ kind: WatchLineKind.Event, object })
+  private event (object: Revision, previousVersion: number): void {
+    this.write({ kind: WatchLineKind.Event, object, previousVersion })
   }
 
   private write (line: object): void {
