Experiment routing: a model of engines that drives the real decisions

Engines with slots, chunked prefill, step times and prefix caches; readings of load that arrive late; pages of cache events with gaps; Poisson arrivals at nodes that each have their own router and retry budget. Baselines random, round robin, least reported load; two oracles.

--- /dev/null
+++ b/packages/dotterelspur-bench/src/experiments/routing/index.ts
@@ -0,0 +1,5 @@
+export * from './plot.js'
+export * from './Policy.js'
+export * from './report.js'
+export * from './RoutingExperiment.js'
+export * from './RoutingRun.js'
--- /dev/null
+++ b/packages/dotterelspur-bench/src/experiments/routing/statistics.ts
@@ -0,0 +1,20 @@
+const PERCENT = 100
+
+/** The value below which `percent` of the samples lie; NaN without samples. */
+export function percentile (samples: readonly number[], percent: number): number {
+  if (samples.length === 0) return NaN
+  const sorted = [...samples].sort((left, right) => left - right)
+  return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * percent / PERCENT))]!
+}
+
+export interface Spread {
+  readonly mean: number
+  readonly lowest: number
+  readonly highest: number
+}
+
+/** Mean and range over seeds. */
+export function spreadOf (values: readonly number[]): Spread {
+  const mean = values.reduce((sum, value) => sum + value, 0) / values.length
+  return { mean, lowest: Math.min(...values), highest: Math.max(...values) }
+}
