--- /dev/null
+++ b/packages/dotterelspur-bench/src/bench.ts
@@ -0,0 +1,15 @@
+#!/usr/bin/env node
+import yargs from 'yargs'
+import { hideBin } from 'yargs/helpers'
+import { toCommandModule } from './process/BenchCommand.js'
+import { experimentCommand } from './process/commands/experimentCommand.js'
+import { reportCommand } from './process/commands/reportCommand.js'
+
+await yargs(hideBin(process.argv))
+  .scriptName('npm run bench --')
+  .command(toCommandModule(experimentCommand))
+  .command(toCommandModule(reportCommand))
+  .demandCommand(1)
+  .strict()
+  .help()
+  .parseAsync()
--- a/packages/dotterelspur-bench/src/index.ts
+++ b/packages/dotterelspur-bench/src/index.ts
@@ -1,1 +1,3 @@
-export {}
+export * from './process/BenchReport.js'
+export * from './process/Experiment.js'
+export * from './process/experiments.js'
--- /dev/null
+++ b/packages/dotterelspur-bench/src/process/experiments.ts
@@ -0,0 +1,13 @@
+import type { Experiment } from './Experiment.js'
+
+/** All experiments, by name. A new one adds its folder under `src/experiments/` and one line here. */
+const EXPERIMENTS: readonly Experiment[] = [
+]
+
+export function findExperiment (name: string): Experiment | undefined {
+  return EXPERIMENTS.find((experiment) => experiment.name === name)
+}
+
+export function listExperiments (): readonly Experiment[] {
+  return EXPERIMENTS
+}
