Operators' listener: settings, groups, endpoints, nodes, drains, audit, explain, status

One table of routes names for each who may use it: anyone, an operator, the operators of the team in the path, the fleet's operators. A team can't raise its own priority, nor list a token that another team lists. A change is conditional on a version. The answer to a race holds the text that is there and the one refused. A lost answer is settled by sending the same change token again, to any node: found in the store, or behind a later change in the audit trail. The object store's own write token was ruled out for that: its client makes a new one for each write. Reading works from the nodes' copies while the store is out, and says so.

--- a/packages/dotterelspur-node/src/index.ts
+++ b/packages/dotterelspur-node/src/index.ts
@@ -1,1 +1,2 @@
 export {}
+export * from './process/admin/index.js'
--- /dev/null
+++ b/packages/dotterelspur-node/src/process/admin/AdminEffects.ts
@@ -0,0 +1,102 @@
+import { AUDIT_PREFIX, StoreErrorKind, type AuditBatch, type AuditRecord, type Effect, type EffectHandlers, type MeshDocument, type Result, type StoredObject, type StoreError } from 'dotterelspur'
+import type { AdminBackend } from './AdminBackend.js'
+
+export enum AdminEffectKind {
+  Read = 'read',
+  Write = 'write',
+  Remove = 'remove',
+  Publish = 'publish',
+  Record = 'record'
+}
+
+type Stored = Result<StoredObject<unknown>, StoreError>
+
+interface ReadEffect extends Effect<AdminEffectKind.Read, Stored> { readonly key: string }
+interface WriteEffect extends Effect<AdminEffectKind.Write, Stored> {
+  readonly key: string
+  readonly body: object
+  /** Null: the key must not exist. */
+  readonly expectedVersion: number | null
+}
+interface RemoveEffect extends Effect<AdminEffectKind.Remove, Stored> {
+  readonly key: string
+  readonly expectedVersion: number
+}
+interface PublishEffect extends Effect<AdminEffectKind.Publish, null> { readonly document: MeshDocument }
+interface RecordEffect extends Effect<AdminEffectKind.Record, null> {
+  readonly changeToken: string
+  readonly version: number
+  readonly record: AuditRecord
+}
+
+/** What the procedures of the operators' listener ask for. */
+export type AdminEffect = ReadEffect | WriteEffect | RemoveEffect | PublishEffect | RecordEffect
+
+export function read (key: string): ReadEffect {
+  return { kind: AdminEffectKind.Read, key }
+}
+
+export function write (key: string, body: object, expectedVersion: number | null): WriteEffect {
+  return { kind: AdminEffectKind.Write, key, body, expectedVersion }
+}
+
+export function remove (key: string, expectedVersion: number): RemoveEffect {
+  return { kind: AdminEffectKind.Remove, key, expectedVersion }
+}
+
+/** Lets the mesh spread a version that this node has just written. */
+export function publish (document: MeshDocument): PublishEffect {
+  return { kind: AdminEffectKind.Publish, document }
+}
+
+/** Keeps an operator's change in the audit trail, under a key that its change token gives. */
+export function record (changeToken: string, version: number, auditRecord: AuditRecord): RecordEffect {
+  return { kind: AdminEffectKind.Record, changeToken, version, record: auditRecord }
+}
+
+/** An operator's change in the audit trail: one record, with the version that it made. */
+export interface OperatorAuditBatch extends AuditBatch {
+  readonly version: number
+}
+
+const DAY_LENGTH = 10
+
+/** The day of a time, `YYYY-MM-DD` in UTC. */
+export function auditDay (wallMs: number): string {
+  return new Date(wallMs).toISOString().slice(0, DAY_LENGTH)
+}
+
+/** Where an operator's change is kept: whoever knows the change token can ask whether it took effect. */
+export function operatorAuditKey (wallMs: number, changeToken: string): string {
+  return `${AUDIT_PREFIX}${auditDay(wallMs)}/operator.${changeToken}`
+}
+
+/** Runs the effects on the node's parts. */
+export function createAdminHandlers (backend: AdminBackend): EffectHandlers<AdminEffect> {
+  return {
+    [AdminEffectKind.Read]: ({ key }) => backend.store.get<unknown>(key),
+    [AdminEffectKind.Write]: ({ key, body, expectedVersion }) => expectedVersion === null
+      ? backend.store.create<unknown>(key, body)
+      : backend.store.update<unknown>(key, body, expectedVersion),
+    [AdminEffectKind.Remove]: ({ key, expectedVersion }) => backend.store.remove(key, expectedVersion),
+    [AdminEffectKind.Publish]: ({ document }) => {
+      backend.mesh.offerDocument(document)
+      return null
+    },
+    [AdminEffectKind.Record]: async (effect) => {
+      await recordChange(backend, effect)
+      return null
+    }
+  }
+}
+
+/**
+ * The change has already taken effect. Its record is written before the operator is told, since a node that is
+ * replaced right after would lose a queued one; only when the store fails at this moment is it queued.
+ */
+async function recordChange (backend: AdminBackend, effect: RecordEffect): Promise<void> {
+  const body: OperatorAuditBatch = { writeToken: effect.changeToken, records: [effect.record], version: effect.version }
+  const written = await backend.store.create(operatorAuditKey(effect.record.atWallMs, effect.changeToken), body)
+  const kept = written.ok || written.error.kind === StoreErrorKind.Conflict
+  if (!kept) backend.audit(effect.record)
+}
--- /dev/null
+++ b/packages/dotterelspur-node/src/process/admin/AdminServer.ts
@@ -0,0 +1,119 @@
+import fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from 'fastify'
+import debug from 'debug'
+import type { Result } from 'dotterelspur'
+import { AdminErrorKind, MAX_ADMIN_BODY_BYTES, MetricsAccess, type AdminError, type AdminErrorReply } from 'dotterelspur-settings'
+import { ADMIN_STATUS } from './AdminError.js'
+import type { AdminBackend, AdminServer, AdminServerOptions } from './AdminBackend.js'
+import type { AdminContext, AdminRoute } from './AdminRoute.js'
+import { AdminAccess, AdminScopeKind, authenticate, authorize, type AdminScope } from './AdminScope.js'
+import { AUDIT_ROUTES } from './auditRoutes.js'
+import { DRAIN_ROUTES } from './drainRoutes.js'
+import { FLEET_ROUTES } from './fleetRoutes.js'
+import { SETTINGS_ROUTES } from './settingsRoutes.js'
+import { TeamDocuments } from './TeamDocuments.js'
+
+const log = debug('dotterelspur:admin')
+
+const MAX_HEADER_BYTES = 16_384
+const MAX_PARAMETER_LENGTH = 256
+const REQUEST_TIMEOUT_MS = 15_000
+const IDLE_TIMEOUT_MS = 30_000
+
+const ROUTES: readonly AdminRoute[] = [...SETTINGS_ROUTES, ...FLEET_ROUTES, ...DRAIN_ROUTES, ...AUDIT_ROUTES]
+
+/**
+ * Starts the operators' listener. Bodies, headers, connections and the time that a request may take to arrive are
+ * bounded: whoever reaches the listener without a token must not be able to hold the node's memory.
+ *
+ * @throws the listener's own error when the address can't be bound.
+ */
+export async function startAdminServer (backend: AdminBackend, options: AdminServerOptions): Promise<AdminServer> {
+  const server = createServer(options)
+  const context: AdminContext = { backend, options, teams: new TeamDocuments(backend.mesh) }
+  for (const route of ROUTES) registerRoute(server, route, context)
+  registerHealth(server, context)
+  const address = await server.listen({ host: options.host, port: options.port })
+  log('listening at %s', address)
+  return { address, close: () => server.close() }
+}
+
+function createServer (options: AdminServerOptions): FastifyInstance {
+  const server = fastify({
+    bodyLimit: MAX_ADMIN_BODY_BYTES,
+    requestTimeout: REQUEST_TIMEOUT_MS,
+    connectionTimeout: IDLE_TIMEOUT_MS,
+    keepAliveTimeout: IDLE_TIMEOUT_MS,
+    forceCloseConnections: 'idle',
+    routerOptions: { maxParamLength: MAX_PARAMETER_LENGTH },
+    http: { maxHeaderSize: MAX_HEADER_BYTES },
+    onProtoPoisoning: 'error',
+    onConstructorPoisoning: 'error'
+  })
+  server.server.maxConnections = options.maxConnections
+  server.setNotFoundHandler((_request, reply) => sendError(reply, { kind: AdminErrorKind.NotFound, message: 'no such path' }))
+  server.setErrorHandler((error: Error & { statusCode?: number }, _request, reply) => sendError(reply, fromThrown(error)))
+  return server
+}
+
+/** Errors that the HTTP library raises before a handler runs; anything else is this program's own fault. */
+function fromThrown (error: Error & { statusCode?: number }): AdminError {
+  const status = error.statusCode ?? 500
+  if (status === 413) return { kind: AdminErrorKind.TooLarge, message: `the body has more than ${MAX_ADMIN_BODY_BYTES} bytes` }
+  if (status >= 400 && status < 500) return { kind: AdminErrorKind.InvalidRequest, message: error.message }
+  log('handler failed: %O', error)
+  return { kind: AdminErrorKind.Internal, message: 'the node failed to answer; its log says more' }
+}
+
+async function sendError (reply: FastifyReply, error: AdminError): Promise<void> {
+  const body: AdminErrorReply = { error }
+  await reply.code(ADMIN_STATUS[error.kind]).send(body)
+}
+
+async function send (reply: FastifyReply, result: Result<unknown, AdminError>): Promise<void> {
+  if (result.ok) await reply.send(result.value)
+  else await sendError(reply, result.error)
+}
+
+function scopeOf (request: FastifyRequest, context: AdminContext): Result<AdminScope, AdminError> {
+  return authenticate(request.headers.authorization, context.options.tokenHash, context.teams)
+}
+
+function registerRoute (server: FastifyInstance, route: AdminRoute, context: AdminContext): void {
+  const scopes = new WeakMap<FastifyRequest, AdminScope>()
+  server.route({
+    method: route.method,
+    url: route.url,
+    // Before the body is read: a sender without a token can't make the node hold one.
+    onRequest: async (request, reply) => {
+      const scope = scopeOf(request, context)
+      if (!scope.ok) return await sendError(reply, scope.error)
+      const allowed = authorize(route.access, scope.value, paramsOf(request)['team'])
+      if (!allowed.ok) return await sendError(reply, allowed.error)
+      scopes.set(request, scope.value)
+    },
+    handler: async (request, reply) => {
+      const scope = scopes.get(request)!
+      await send(reply, await route.handler({ scope, params: paramsOf(request), query: request.query, body: request.body }, context))
+    }
+  })
+}
+
+function paramsOf (request: FastifyRequest): Readonly<Record<string, string>> {
+  return request.params as Readonly<Record<string, string>>
+}
+
+/** Health and readiness are open to whatever restarts or routes to nodes; metrics only where the settings say so. */
+function registerHealth (server: FastifyInstance, context: AdminContext): void {
+  server.get('/healthz', async (_request, reply) => { await reply.send({ healthy: true }) })
+  server.get('/readyz', async (_request, reply) => {
+    const readiness = context.backend.readiness()
+    await reply.code(readiness.ready ? 200 : 503).send(readiness)
+  })
+  server.get('/metrics', async (request, reply) => {
+    const scope = context.options.metricsAccess === MetricsAccess.Open ? null : scopeOf(request, context)
+    if (scope !== null && !scope.ok) return await sendError(reply, scope.error)
+    if (scope !== null && scope.value.kind !== AdminScopeKind.Fleet) return await send(reply, authorize(AdminAccess.Fleet, scope.value, undefined))
+    const text = await context.backend.metrics.metrics()
+    await reply.type(context.backend.metrics.contentType).send(text)
+  })
+}
--- /dev/null
+++ b/packages/dotterelspur-node/src/process/admin/TeamDocuments.ts
@@ -0,0 +1,44 @@
+import { TEAM_PREFIX, type MeshApi, type MeshDocument, type TeamId, type TeamObject, type TeamSettings } from 'dotterelspur'
+import { parseTeamSettings, readTeamObject } from 'dotterelspur-settings'
+
+/** A team as this node's copies have it. */
+export interface TeamEntry {
+  readonly team: TeamId
+  readonly version: number
+  readonly object: TeamObject
+  /** Null when the text no longer parses. */
+  readonly settings: TeamSettings | null
+}
+
+/** Reads the teams' documents of the mesh; each version is parsed once. */
+export class TeamDocuments {
+  private parsed = new Map<string, TeamEntry>()
+
+  constructor (private readonly mesh: MeshApi) {}
+
+  entries (): readonly TeamEntry[] {
+    const kept = new Map<string, TeamEntry>()
+    for (const document of this.mesh.documents(TEAM_PREFIX)) {
+      const entry = document.deleted ? undefined : this.entryOf(document)
+      if (entry !== undefined) kept.set(document.key, entry)
+    }
+    this.parsed = kept
+    return [...kept.values()]
+  }
+
+  find (team: TeamId): TeamEntry | undefined {
+    const document = this.mesh.document(`${TEAM_PREFIX}${team}`)
+    return document === undefined || document.deleted ? undefined : this.entryOf(document)
+  }
+
+  private entryOf (document: MeshDocument): TeamEntry | undefined {
+    const held = this.parsed.get(document.key)
+    if (held !== undefined && held.version === document.version) return held
+    const object = readTeamObject(document.body)
+    if (object === undefined) return undefined
+    const settings = parseTeamSettings(object.text, document.key)
+    const entry = { team: document.key.slice(TEAM_PREFIX.length), version: document.version, object, settings: settings.ok ? settings.value : null }
+    this.parsed.set(document.key, entry)
+    return entry
+  }
+}
--- /dev/null
+++ b/packages/dotterelspur-node/src/process/admin/auditRoutes.ts
@@ -0,0 +1,70 @@
+import { AUDIT_PREFIX, ExplainSubject, TEAM_PREFIX, failed, success, type AuditBatch, type AuditRecord, type Explanation, type Result } from 'dotterelspur'
+import { auditQuerySchema, explainQuerySchema, type AdminError, type AuditReply, type ExplainQuery, type ExplanationReply } from 'dotterelspur-settings'
+import { auditDay } from './AdminEffects.js'
+import { fromStoreError, notFound } from './AdminError.js'
+import { readInput, type AdminContext, type AdminRequest, type AdminRoute } from './AdminRoute.js'
+import { AdminAccess, AdminScopeKind, authorize, mayServe } from './AdminScope.js'
+import { teamOfGroup } from './fleetViews.js'
+
+/** What was changed, by whom and why; and why things are as they are. */
+export const AUDIT_ROUTES: readonly AdminRoute[] = [
+  { method: 'GET', url: '/admin/audit', access: AdminAccess.Operator, handler: readAudit },
+  { method: 'GET', url: '/admin/explain', access: AdminAccess.Operator, handler: explain }
+]
+
+async function readAudit (request: AdminRequest, context: AdminContext): Promise<Result<AuditReply, AdminError>> {
+  const query = readInput(auditQuerySchema, request.query)
+  if (!query.ok) return query
+  const { scope } = request
+  const team = scope.kind === AdminScopeKind.Team ? scope.team : query.value.team
+  if (query.value.team !== undefined && !mayServe(scope, query.value.team)) return forbidden(request)
+  const day = query.value.day ?? auditDay(context.backend.clock.wallMs())
+  const listing = await context.backend.store.list<AuditBatch>(`${AUDIT_PREFIX}${day}/`)
+  if (!listing.ok) return failed(fromStoreError(listing.error))
+  const records = listing.value.objects
+    .flatMap((object) => object.body.records)
+    .filter((record) => team === undefined || concernsTeam(record, team, context))
+    .sort((left, right) => left.atWallMs - right.atWallMs)
+  const newest = records.slice(-query.value.limit)
+  return success({ day, truncated: newest.length < records.length, records: newest.map((record) => ({ ...record, rejected: [...record.rejected] })) })
+}
+
+/** A team's own settings, and the groups that are its own now. */
+function concernsTeam (record: AuditRecord, team: string, { backend }: AdminContext): boolean {
+  if (record.subject === TEAM_PREFIX + team) return true
+  return teamOfGroup(backend.mesh, record.subject) === team
+}
+
+function forbidden (request: AdminRequest): Result<never, AdminError> {
+  const refusal = authorize(AdminAccess.Fleet, request.scope, undefined)
+  return refusal.ok ? notFound('nothing to show') : refusal
+}
+
+type Explainers = { readonly [Subject in ExplainSubject]: (query: Extract<ExplainQuery, { subject: Subject }>, request: AdminRequest, context: AdminContext) => Result<ExplanationReply, AdminError> }
+
+const EXPLAINERS: Explainers = {
+  [ExplainSubject.Group]: (query, request, { backend }) => {
+    if (!mayServe(request.scope, teamOfGroup(backend.mesh, query.name))) return forbidden(request)
+    return answer(backend.explain.explainGroup(query.name), `group ${query.name} is not known`)
+  },
+  [ExplainSubject.Vm]: (query, request, { backend }) => {
+    if (request.scope.kind !== AdminScopeKind.Fleet) return forbidden(request)
+    return answer(backend.explain.explainVm(query.name), `VM ${query.name} is not known`)
+  },
+  [ExplainSubject.Intent]: (query, request, { backend }) => {
+    if (!mayServe(request.scope, query.team)) return forbidden(request)
+    return answer(backend.explain.explainIntent(query.team, query.model), `team ${query.team} wants no model ${query.model}`)
+  }
+}
+
+function answer (explanation: Explanation | undefined, absent: string): Result<ExplanationReply, AdminError> {
+  if (explanation === undefined) return notFound(absent)
+  return success({ ...explanation, causes: explanation.causes.map((cause) => ({ ...cause, rejected: [...cause.rejected] })) })
+}
+
+function explain (request: AdminRequest, context: AdminContext): Result<ExplanationReply, AdminError> {
+  const query = readInput(explainQuerySchema, request.query)
+  if (!query.ok) return query
+  const explainer = EXPLAINERS[query.value.subject] as (query: ExplainQuery, request: AdminRequest, context: AdminContext) => Result<ExplanationReply, AdminError>
+  return explainer(query.value, request, context)
+}
--- /dev/null
+++ b/packages/dotterelspur-node/src/process/admin/changeSettings.ts
@@ -0,0 +1,173 @@
+import { AuditKind, StoreErrorKind, TEAM_PREFIX, failed, perform, success, type Procedure, type Result, type TeamId, type TeamObject, type TeamSettings } from 'dotterelspur'
+import { AdminErrorKind, parseTeamSettings, readTeamObject, type AdminError, type ApplyReply, type ApplyRequest, type DeleteRequest } from 'dotterelspur-settings'
+import { fromStoreError, invalidSettings, storeUnavailable } from './AdminError.js'
+import { operatorAuditKey, publish, read, record, remove, write, type AdminEffect, type OperatorAuditBatch } from './AdminEffects.js'
+import { AdminScopeKind, actorName, type AdminScope } from './AdminScope.js'
+import type { TeamEntry } from './TeamDocuments.js'
+
+/** What a change of settings is judged by, besides the request. */
+export interface ChangeContext {
+  readonly team: TeamId
+  readonly scope: AdminScope
+  readonly wallMs: number
+  /** This node's copies of all teams. */
+  readonly teams: readonly TeamEntry[]
+}
+
+/** What the store holds of a team. */
+interface Current {
+  readonly version: number
+  readonly object: TeamObject
+}
+
+type Change<Value> = Procedure<AdminEffect, Result<Value, AdminError>>
+
+const DAY_MS = 86_400_000
+
+/**
+ * Applies a team's settings: checked whole first, then written under the condition that nobody has changed them
+ * since the version on which the text is based.
+ *
+ * The answer of a write can be lost after it took effect, and so can this node's answer to the operator. Both are
+ * settled the same way: the same request with the same change token, to any node, finds its own token in the
+ * store or in the audit trail and reports the success that was lost.
+ */
+export function * applySettings (request: ApplyRequest, context: ChangeContext): Change<ApplyReply> {
+  const settings = checkSettings(request.text, context)
+  if (!settings.ok) return settings
+  const found = yield * readCurrent(context, request.expectedVersion)
+  if (!found.ok) return found
+  const current = found.value
+  if ((current?.version ?? null) !== request.expectedVersion) return yield * settleConflict(request, request.text, current, context)
+  const refusal = refuseAuthority(settings.value, current, context)
+  if (refusal !== null) return failed(refusal)
+  const body = createTeamObject(request, context)
+  const key = TEAM_PREFIX + context.team
+  const written = yield * perform(write(key, body, request.expectedVersion))
+  if (!written.ok) return yield * settleFailure(request, request.text, written.error.kind, fromStoreError(written.error), context)
+  const version = written.value.version
+  yield * perform(publish({ key, version, body: written.value.body, deleted: false }))
+  yield * recordChange(AuditKind.SettingsApplied, request, version, current?.object.text ?? null, request.text, context)
+  return success({ team: context.team, version, repeated: false, supersededBy: null })
+}
+
+/** Deletes a team's settings, under the same condition and with the same way to settle a lost answer. */
+export function * deleteSettings (request: DeleteRequest, context: ChangeContext): Change<ApplyReply> {
+  const found = yield * readCurrent(context, request.expectedVersion)
+  if (!found.ok) return found
+  const current = found.value
+  if (current?.version !== request.expectedVersion) return yield * settleConflict(request, null, current, context)
+  const key = TEAM_PREFIX + context.team
+  const removed = yield * perform(remove(key, request.expectedVersion))
+  if (!removed.ok) return yield * settleFailure(request, null, removed.error.kind, fromStoreError(removed.error), context)
+  const version = removed.value.version
+  yield * perform(publish({ key, version, body: null, deleted: true }))
+  yield * recordChange(AuditKind.SettingsDeleted, request, version, current.object.text, null, context)
+  return success({ team: context.team, version, repeated: false, supersededBy: null })
+}
+
+/** Reads the text as the settings of the team that the request names. */
+export function checkSettings (text: string, context: Pick<ChangeContext, 'team'>): Result<TeamSettings, AdminError> {
+  const settings = parseTeamSettings(text, `${context.team}.ini`)
+  if (!settings.ok) return invalidSettings(settings.error)
+  if (settings.value.team === context.team) return settings
+  return failed({ kind: AdminErrorKind.InvalidRequest, message: `[team] name: found "${settings.value.team}"; accepted: "${context.team}", the team under which the settings are applied` })
+}
+
+/**
+ * The store's present version. Versions only rise, so an answer below one that is known to exist is from the
+ * past: judged by it, a good change would be refused, and the audit trail would keep the wrong text.
+ */
+function * readCurrent (context: ChangeContext, expectedVersion: number | null): Change<Current | null> {
+  const known = context.teams.find((entry) => entry.team === context.team)?.version ?? 0
+  const answer = yield * perform(read(TEAM_PREFIX + context.team))
+  if (!answer.ok && answer.error.kind !== StoreErrorKind.NotFound) return failed(fromStoreError(answer.error))
+  if (!answer.ok) return success(null)
+  const object = readTeamObject(answer.value.body)
+  if (object === undefined) return failed({ kind: AdminErrorKind.Internal, message: `${TEAM_PREFIX}${context.team} is in the store, but is not a team's settings` })
+  const { version } = answer.value
+  const newest = Math.max(known, expectedVersion ?? 0)
+  if (version < newest) return failed(storeUnavailable(`it answered with version ${version}, below ${newest}: it answers from the past, or there is no version ${newest}`))
+  return success({ version, object })
+}
+
+/** What only the fleet's operators may do, and what would let one team speak for another. */
+function refuseAuthority (settings: TeamSettings, current: Current | null, context: ChangeContext): AdminError | null {
+  const taken = context.teams.some((entry) => entry.team !== context.team && sharesToken(entry, settings))
+  if (taken) return forbidden('a token hash in this text is already listed by another team')
+  if (context.scope.kind === AdminScopeKind.Fleet) return null
+  const before = current === null ? null : parseTeamSettings(current.object.text, context.team)
+  const allowed = before !== null && before.ok ? before.value.priority : 0
+  return settings.priority > allowed ? forbidden(`[team] priority: found ${settings.priority}; accepted: at most ${allowed}, since a team can't put itself before others`) : null
+}
+
+function sharesToken (entry: TeamEntry, settings: TeamSettings): boolean {
+  if (entry.settings === null) return false
+  const theirs = new Set([...entry.settings.callerTokenHashes, ...entry.settings.operatorTokenHashes ?? []])
+  return [...settings.callerTokenHashes, ...settings.operatorTokenHashes ?? []].some((hash) => theirs.has(hash))
+}
+
+function forbidden (message: string): AdminError {
+  return { kind: AdminErrorKind.Forbidden, message }
+}
+
+function createTeamObject (request: ApplyRequest, context: ChangeContext): TeamObject {
+  return {
+    writeToken: request.changeToken,
+    changeToken: request.changeToken,
+    team: context.team,
+    text: request.text,
+    appliedBy: actorName(context.scope, request.operator),
+    appliedAtWallMs: context.wallMs
+  }
+}
+
+function * recordChange (kind: AuditKind, request: ApplyRequest | DeleteRequest, version: number, before: string | null, after: string | null, context: ChangeContext): Procedure<AdminEffect, void> {
+  yield * perform(record(request.changeToken, version, {
+    kind,
+    atWallMs: context.wallMs,
+    actor: actorName(context.scope, request.operator),
+    subject: TEAM_PREFIX + context.team,
+    before,
+    after,
+    reason: request.reason,
+    rejected: []
+  }))
+}
+
+/** The store refused or lost a write: read again, so that the operator learns what is there. */
+function * settleFailure (request: ApplyRequest | DeleteRequest, refusedText: string | null, kind: StoreErrorKind, error: AdminError, context: ChangeContext): Change<ApplyReply> {
+  if (kind !== StoreErrorKind.Conflict && kind !== StoreErrorKind.NotFound) return failed(error)
+  const found = yield * readCurrent(context, request.expectedVersion)
+  return found.ok ? yield * settleConflict(request, refusedText, found.value, context) : found
+}
+
+/** Someone else was first, or this change itself was and its answer was lost. */
+function * settleConflict (request: ApplyRequest | DeleteRequest, refusedText: string | null, current: Current | null, context: ChangeContext): Change<ApplyReply> {
+  if (current !== null && current.object.changeToken === request.changeToken) {
+    return success({ team: context.team, version: current.version, repeated: true, supersededBy: null })
+  }
+  const earlier = yield * findEarlier(request.changeToken, context)
+  if (earlier !== null) return success({ team: context.team, version: earlier, repeated: true, supersededBy: current?.version ?? null })
+  return failed({
+    kind: AdminErrorKind.Conflict,
+    message: describeConflict(request.expectedVersion, current),
+    current: current === null ? null : { version: current.version, text: current.object.text, appliedBy: current.object.appliedBy, appliedAtWallMs: current.object.appliedAtWallMs },
+    refusedText
+  })
+}
+
+function describeConflict (expectedVersion: number | null, current: Current | null): string {
+  const based = expectedVersion === null ? 'no settings' : `version ${expectedVersion}`
+  const now = current === null ? 'there are none now' : `version ${current.version} is there now, applied by ${current.object.appliedBy}`
+  return `the change is based on ${based}, but ${now}; nothing was written`
+}
+
+/** The version that an earlier copy of this request made, if the audit trail of today or yesterday has it. */
+function * findEarlier (changeToken: string, context: ChangeContext): Procedure<AdminEffect, number | null> {
+  for (const wallMs of [context.wallMs, context.wallMs - DAY_MS]) {
+    const answer = yield * perform(read(operatorAuditKey(wallMs, changeToken)))
+    if (answer.ok) return (answer.value.body as OperatorAuditBatch).version
+  }
+  return null
+}
--- /dev/null
+++ b/packages/dotterelspur-node/src/process/admin/drainRoutes.ts
@@ -0,0 +1,132 @@
+import {
+  AuditKind, DRAIN_PREFIX, NODE_DRAIN_PREFIX, StoreErrorKind, failed, perform, runProcedure, success,
+  type DrainObject, type MeshApi, type Procedure, type Result
+} from 'dotterelspur'
+import { AdminErrorKind, DrainTargetKind, drainRequestSchema, type AdminError, type DrainList, type DrainReply, type DrainRequest } from 'dotterelspur-settings'
+import { createAdminHandlers, publish, read, record, remove, write, type AdminEffect } from './AdminEffects.js'
+import { fromStoreError, notFound } from './AdminError.js'
+import { fromMesh, readInput, type AdminContext, type AdminRequest, type AdminRoute } from './AdminRoute.js'
+import { AdminAccess, AdminScopeKind, actorName, mayServe, type AdminScope } from './AdminScope.js'
+import { teamOfGroup } from './fleetViews.js'
+
+/** Asking that a VM, a group or a node takes no new work, and taking it back. */
+export const DRAIN_ROUTES: readonly AdminRoute[] = [
+  { method: 'GET', url: '/admin/drains', access: AdminAccess.Operator, handler: listDrains },
+  { method: 'PUT', url: '/admin/drains/:kind/:target', access: AdminAccess.Operator, handler: putDrain },
+  { method: 'DELETE', url: '/admin/drains/:kind/:target', access: AdminAccess.Operator, handler: removeDrain }
+]
+
+const TARGET_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._:-]{0,127}$/
+
+const KEY_PREFIX: Readonly<Record<DrainTargetKind, string>> = {
+  [DrainTargetKind.Vm]: DRAIN_PREFIX,
+  [DrainTargetKind.Group]: DRAIN_PREFIX,
+  [DrainTargetKind.Node]: NODE_DRAIN_PREFIX
+}
+
+interface Target {
+  readonly kind: DrainTargetKind
+  readonly name: string
+  readonly key: string
+}
+
+type TargetCheck = (name: string, context: AdminContext) => boolean
+
+/** A drain of a name that nothing has would be accepted, wait for ever and drain whatever takes the name later. */
+const KNOWN: Readonly<Record<DrainTargetKind, TargetCheck>> = {
+  [DrainTargetKind.Group]: (name, { backend }) => teamOfGroup(backend.mesh, name) !== null,
+  [DrainTargetKind.Node]: (name, { backend }) => backend.mesh.members().some((member) => member.node === name),
+  // The platform's list lags: a VM that the operator knows of may be missing from it.
+  [DrainTargetKind.Vm]: () => true
+}
+
+function readTarget (request: AdminRequest, context: AdminContext): Result<Target, AdminError> {
+  const kind = Object.values(DrainTargetKind).find((value) => value === request.params['kind'])
+  const name = request.params['target']!
+  if (kind === undefined || !TARGET_PATTERN.test(name)) {
+    return failed({ kind: AdminErrorKind.InvalidRequest, message: `accepted: /admin/drains/<${Object.values(DrainTargetKind).join('|')}>/<name>` })
+  }
+  if (!mayDrain(request.scope, kind, name, context)) return failed({ kind: AdminErrorKind.Forbidden, message: 'this token drains groups of its own team only' })
+  return success({ kind, name, key: KEY_PREFIX[kind] + name })
+}
+
+function mayDrain (scope: AdminScope, kind: DrainTargetKind, name: string, { backend }: AdminContext): boolean {
+  if (scope.kind === AdminScopeKind.Fleet) return true
+  return kind === DrainTargetKind.Group && mayServe(scope, teamOfGroup(backend.mesh, name))
+}
+
+function listDrains (request: AdminRequest, { backend }: AdminContext): Result<DrainList, AdminError> {
+  const drains = backend.mesh.documents(DRAIN_PREFIX)
+    .filter((document) => !document.deleted)
+    .map((document) => ({ key: document.key, drain: document.body as DrainObject }))
+    .map(({ key, drain }) => ({ kind: kindOf(key, drain.target, backend.mesh), target: drain.target, requestedBy: drain.requestedBy, requestedAtWallMs: drain.requestedAtWallMs, reason: drain.reason }))
+    .filter((line) => mayServe(request.scope, line.kind === DrainTargetKind.Group ? teamOfGroup(backend.mesh, line.target) : null))
+  return success({ ...fromMesh(backend), drains })
+}
+
+function kindOf (key: string, target: string, mesh: MeshApi): DrainTargetKind {
+  if (key.startsWith(NODE_DRAIN_PREFIX)) return DrainTargetKind.Node
+  return teamOfGroup(mesh, target) === null ? DrainTargetKind.Vm : DrainTargetKind.Group
+}
+
+async function putDrain (request: AdminRequest, context: AdminContext): Promise<Result<unknown, AdminError>> {
+  const target = readTarget(request, context)
+  if (!target.ok) return target
+  const input = readInput(drainRequestSchema, request.body)
+  if (!input.ok) return input
+  if (!KNOWN[target.value.kind](target.value.name, context)) return notFound(`${target.value.kind} ${target.value.name} is not known`)
+  const { backend } = context
+  const actor = actorName(request.scope, input.value.operator)
+  const procedure = drain(target.value, input.value, actor, backend.clock.wallMs())
+  const result = await runProcedure<AdminEffect, Result<DrainReply, AdminError>>(procedure, createAdminHandlers(backend))
+  return isSelf(target.value, context) ? drainThisNode(result, input.value, actor, context) : result
+}
+
+function isSelf (target: Target, { backend }: AdminContext): boolean {
+  return target.kind === DrainTargetKind.Node && target.name === backend.mesh.self.node
+}
+
+/** A node can stop itself without the store: the drain object only tells others and the next process of this name. */
+function drainThisNode (result: Result<DrainReply, AdminError>, request: DrainRequest, actor: string, { backend }: AdminContext): Result<DrainReply, AdminError> {
+  backend.drainSelf(`${actor}: ${request.reason}`)
+  return result.ok ? result : success({ kind: DrainTargetKind.Node, target: backend.mesh.self.node, drained: true })
+}
+
+function * drain (target: Target, request: DrainRequest, actor: string, wallMs: number): Procedure<AdminEffect, Result<DrainReply, AdminError>> {
+  const reply = { kind: target.kind, target: target.name, drained: true }
+  const body: DrainObject = { writeToken: request.changeToken, target: target.name, requestedBy: actor, requestedAtWallMs: wallMs, reason: request.reason }
+  const written = yield * perform(write(target.key, body, null))
+  // Already asked for, by this request's lost copy or by another operator: what was wanted is so.
+  if (!written.ok && written.error.kind === StoreErrorKind.Conflict) return success(reply)
+  if (!written.ok) return failed(fromStoreError(written.error))
+  const { version } = written.value
+  yield * perform(publish({ key: target.key, version, body: written.value.body, deleted: false }))
+  yield * perform(record(request.changeToken, version, auditRecord(target, request, actor, wallMs, null, 'drained')))
+  return success(reply)
+}
+
+function auditRecord (target: Target, request: DrainRequest, actor: string, wallMs: number, before: string | null, after: string | null) {
+  return { kind: AuditKind.DrainRequested, atWallMs: wallMs, actor, subject: target.key, before, after, reason: request.reason, rejected: [] }
+}
+
+async function removeDrain (request: AdminRequest, context: AdminContext): Promise<Result<unknown, AdminError>> {
+  const target = readTarget(request, context)
+  if (!target.ok) return target
+  const input = readInput(drainRequestSchema, request.body)
+  if (!input.ok) return input
+  const procedure = undrain(target.value, input.value, actorName(request.scope, input.value.operator), context.backend.clock.wallMs())
+  return runProcedure<AdminEffect, Result<DrainReply, AdminError>>(procedure, createAdminHandlers(context.backend))
+}
+
+function * undrain (target: Target, request: DrainRequest, actor: string, wallMs: number): Procedure<AdminEffect, Result<DrainReply, AdminError>> {
+  const reply = { kind: target.kind, target: target.name, drained: false }
+  const current = yield * perform(read(target.key))
+  if (!current.ok && current.error.kind === StoreErrorKind.NotFound) return success(reply)
+  if (!current.ok) return failed(fromStoreError(current.error))
+  const removed = yield * perform(remove(target.key, current.value.version))
+  if (!removed.ok) return failed(fromStoreError(removed.error))
+  const { version } = removed.value
+  yield * perform(publish({ key: target.key, version, body: null, deleted: true }))
+  yield * perform(record(request.changeToken, version, auditRecord(target, request, actor, wallMs, 'drained', null)))
+  return success(reply)
+}
--- /dev/null
+++ b/packages/dotterelspur-node/src/process/admin/index.ts
@@ -0,0 +1,2 @@
+export * from './AdminBackend.js'
+export { startAdminServer } from './AdminServer.js'
--- /dev/null
+++ b/packages/dotterelspur-node/src/process/admin/settingsRoutes.ts
@@ -0,0 +1,112 @@
+import { NodeState, StoreErrorKind, TEAM_PREFIX, failed, runProcedure, success, type Result } from 'dotterelspur'
+import { applyRequestSchema, deleteRequestSchema, diffSettings, inForceQuerySchema, readTeamObject, textRequestSchema, type AdminError, type DiffReply, type InForceReply, type TeamDocument, type TeamList, type ValidateReply } from 'dotterelspur-settings'
+import { createAdminHandlers, type AdminEffect } from './AdminEffects.js'
+import { fromStoreError, invalidSettings, notFound } from './AdminError.js'
+import { fromMesh, fromStore, readInput, type AdminContext, type AdminRequest, type AdminRoute } from './AdminRoute.js'
+import { AdminAccess, mayServe } from './AdminScope.js'
+import { applySettings, checkSettings, deleteSettings, type ChangeContext } from './changeSettings.js'
+
+/** Settings of teams: read, checked, compared, applied, deleted, and where they are in force. */
+export const SETTINGS_ROUTES: readonly AdminRoute[] = [
+  { method: 'GET', url: '/admin/teams', access: AdminAccess.Operator, handler: listTeams },
+  { method: 'GET', url: '/admin/teams/:team/settings', access: AdminAccess.OwnTeam, handler: getSettings },
+  { method: 'PUT', url: '/admin/teams/:team/settings', access: AdminAccess.OwnTeam, handler: putSettings },
+  { method: 'DELETE', url: '/admin/teams/:team/settings', access: AdminAccess.OwnTeam, handler: removeSettings },
+  { method: 'POST', url: '/admin/teams/:team/settings/validate', access: AdminAccess.OwnTeam, handler: validateSettings },
+  { method: 'POST', url: '/admin/teams/:team/settings/diff', access: AdminAccess.OwnTeam, handler: compareSettings },
+  { method: 'GET', url: '/admin/teams/:team/in-force', access: AdminAccess.OwnTeam, handler: readInForce }
+]
+
+function teamOf (request: AdminRequest): string {
+  return request.params['team']!
+}
+
+function listTeams (request: AdminRequest, { backend, teams }: AdminContext): Result<TeamList, AdminError> {
+  const listed = teams.entries()
+    .filter((entry) => mayServe(request.scope, entry.team))
+    .map(({ team, version, object, settings }) => ({ team, version, appliedBy: object.appliedBy, appliedAtWallMs: object.appliedAtWallMs, valid: settings !== null }))
+  return success({ ...fromMesh(backend), teams: listed })
+}
+
+/** The store's version; while the store is out, the highest that the nodes hold. */
+async function findSettings (team: string, { backend, teams }: AdminContext): Promise<Result<TeamDocument, AdminError>> {
+  const stored = await backend.store.get<unknown>(TEAM_PREFIX + team)
+  const held = teams.find(team)
+  if (stored.ok && stored.value.version >= (held?.version ?? 0)) {
+    const object = readTeamObject(stored.value.body)
+    if (object !== undefined) return success({ ...fromStore(backend), ...describe(team, stored.value.version, object) })
+  }
+  if (!stored.ok && stored.error.kind === StoreErrorKind.NotFound) return notFound(`team ${team} has no settings`)
+  if (held !== undefined) return success({ ...fromMesh(backend), ...describe(team, held.version, held.object) })
+  return stored.ok ? notFound(`team ${team} has no settings that can be read`) : failed(fromStoreError(stored.error))
+}
+
+function describe (team: string, version: number, { text, appliedBy, appliedAtWallMs }: { text: string, appliedBy: string, appliedAtWallMs: number }) {
+  return { team, version, text, appliedBy, appliedAtWallMs }
+}
+
+function getSettings (request: AdminRequest, context: AdminContext): Promise<Result<TeamDocument, AdminError>> {
+  return findSettings(teamOf(request), context)
+}
+
+function changeContext (request: AdminRequest, { backend, teams }: AdminContext): ChangeContext {
+  return { team: teamOf(request), scope: request.scope, wallMs: backend.clock.wallMs(), teams: teams.entries() }
+}
+
+async function putSettings (request: AdminRequest, context: AdminContext): Promise<Result<unknown, AdminError>> {
+  const input = readInput(applyRequestSchema, request.body)
+  if (!input.ok) return input
+  return runProcedure<AdminEffect, Result<unknown, AdminError>>(applySettings(input.value, changeContext(request, context)), createAdminHandlers(context.backend))
+}
+
+async function removeSettings (request: AdminRequest, context: AdminContext): Promise<Result<unknown, AdminError>> {
+  const input = readInput(deleteRequestSchema, request.body)
+  if (!input.ok) return input
+  return runProcedure<AdminEffect, Result<unknown, AdminError>>(deleteSettings(input.value, changeContext(request, context)), createAdminHandlers(context.backend))
+}
+
+function validateSettings (request: AdminRequest): Result<ValidateReply, AdminError> {
+  const input = readInput(textRequestSchema, request.body)
+  if (!input.ok) return input
+  const settings = checkSettings(input.value.text, { team: teamOf(request) })
+  if (!settings.ok) return settings
+  return success({ team: settings.value.team, models: settings.value.models.length, services: settings.value.services.length })
+}
+
+async function compareSettings (request: AdminRequest, context: AdminContext): Promise<Result<DiffReply, AdminError>> {
+  const input = readInput(textRequestSchema, request.body)
+  if (!input.ok) return input
+  const team = teamOf(request)
+  const settings = checkSettings(input.value.text, { team })
+  if (!settings.ok) return settings
+  const current = await findSettings(team, context)
+  if (!current.ok && current.error.kind !== 'not-found') return current
+  const changes = diffSettings(current.ok ? current.value.text : '', input.value.text, `${team}.ini`)
+  if (!changes.ok) return invalidSettings(changes.error)
+  const source = current.ok ? { source: current.value.source, storeContactAgeMs: current.value.storeContactAgeMs } : fromStore(context.backend)
+  return success({ ...source, team, version: current.ok ? current.value.version : null, changes: [...changes.value] })
+}
+
+async function readInForce (request: AdminRequest, { backend }: AdminContext): Promise<Result<InForceReply, AdminError>> {
+  const query = readInput(inForceQuerySchema, request.query)
+  if (!query.ok) return query
+  const team = teamOf(request)
+  const key = TEAM_PREFIX + team
+  const version = query.value.version ?? backend.mesh.document(key)?.version
+  if (version === undefined) return notFound(`team ${team} has no settings`)
+  const reports = new Map((await backend.mesh.inForce(key, query.value.timeoutMs)).map((report) => [report.node, report.version]))
+  const members = backend.mesh.members()
+  const living = members.filter((member) => !isAbsent(member.state))
+  const missing = living.filter((member) => (reports.get(member.node) ?? 0) < version)
+  return success({
+    team,
+    version,
+    inForce: living.filter((member) => !missing.includes(member)).map((member) => member.node),
+    missing: missing.map((member) => ({ node: member.node, state: member.state, version: reports.get(member.node) ?? null })),
+    absent: members.filter((member) => isAbsent(member.state)).map((member) => member.node)
+  })
+}
+
+function isAbsent (state: NodeState): boolean {
+  return state === NodeState.Dead || state === NodeState.Left
+}
--- a/packages/dotterelspur/src/version/PlatformObjects.ts
+++ b/packages/dotterelspur/src/version/PlatformObjects.ts
@@ -17,6 +17,8 @@
 export const AUDIT_PREFIX = 'audit/'
 export const STATUS_PREFIX = 'status/'
 export const DRAIN_PREFIX = 'drains/'
+/** Nodes are drained apart from VMs and groups, whose names may be the same. */
+export const NODE_DRAIN_PREFIX = 'drains/node/'
 /** Not an object of the platform: the part of the platform's VM list that a controller spreads over the mesh. */
 export const VM_LIST_PREFIX = 'vms/'
 
@@ -49,6 +51,11 @@
   /** Operator's name, for the audit trail. */
   readonly appliedBy: string
   readonly appliedAtWallMs: number
+  /**
+   * Marks the operator's change, the same over all its repeats: a change whose answer was lost is recognised by
+   * it, where `writeToken` only marks one write of the store's client.
+   */
+  readonly changeToken?: string
 }
 
 /** `leases/<failureDomain>`. */
@@ -160,7 +167,10 @@
   readonly draining: boolean
 }
 
-/** `drains/<vm>` or `drains/<group>`: an operator asks that an endpoint or a group takes no new work. */
+/**
+ * `drains/<vm>`, `drains/<group>` or `drains/node/<node>`: an operator asks that an endpoint, a group or a node
+ * takes no new work and finishes what it has.
+ */
 export interface DrainObject extends Written {
   readonly target: string
   readonly requestedBy: string
