--- /dev/null
+++ b/packages/dotterelspur-fleet/src/__tests__/PausableClock.ts
@@ -0,0 +1,53 @@
+import type { Clock, ManualClock, Teardown } from 'dotterelspur'
+
+/** One process's view of a shared manual clock: while the process stands still its timers wait, and all that fell due run when it goes on. */
+export class PausableClock implements Clock {
+  private waiting: Array<() => void> = []
+  private stopped = false
+
+  constructor (private readonly base: ManualClock) {}
+
+  get paused (): boolean {
+    return this.stopped
+  }
+
+  nowMs (): number {
+    return this.base.nowMs()
+  }
+
+  wallMs (): number {
+    return this.base.wallMs()
+  }
+
+  registerTimer (delayMs: number, callback: () => void): Teardown {
+    let live = true
+    const fire = (): void => {
+      if (!live) return
+      if (this.stopped) this.waiting.push(fire)
+      else callback()
+    }
+    const cancel = this.base.registerTimer(delayMs, fire)
+    return () => {
+      live = false
+      cancel()
+    }
+  }
+
+  pause (): void {
+    this.stopped = true
+  }
+
+  resume (): void {
+    this.stopped = false
+    const due = this.waiting
+    this.waiting = []
+    for (const fire of due) fire()
+  }
+
+  /** Hands a result over only while the process runs, as the kernel keeps an answer for a stopped one. */
+  async whenRunning<Value> (result: Promise<Value>): Promise<Value> {
+    const value = await result
+    if (this.stopped) await new Promise<void>((resolve) => { this.waiting.push(resolve) })
+    return value
+  }
+}
--- a/packages/dotterelspur-fleet/src/index.ts
+++ b/packages/dotterelspur-fleet/src/index.ts
@@ -1,1 +1,5 @@
-export {}
+export { createFleet, type Fleet, type FleetCounts } from './process/Fleet.js'
+export type { FencingLookup, FleetOptions } from './process/FleetOptions.js'
+export { DEFAULT_FLEET_TIMING, type FleetTiming } from './process/FleetTiming.js'
+export type { OrderCounts } from './process/OrderSender.js'
+export type { GroupEvidence } from './process/Watcher.js'
--- /dev/null
+++ b/packages/dotterelspur-fleet/src/process/AuditRecords.ts
@@ -0,0 +1,33 @@
+import { AuditKind, DecisionKind, type AuditRecord, type Decision, type NodeId } from 'dotterelspur'
+
+/** The kinds of decision that change an assignment, as the audit trail names them. */
+const AUDIT_KIND_BY_DECISION: Readonly<Record<DecisionKind, AuditKind | null>> = {
+  [DecisionKind.Form]: AuditKind.GroupFormed,
+  [DecisionKind.Serve]: AuditKind.GroupFormed,
+  [DecisionKind.Break]: AuditKind.GroupBroken,
+  [DecisionKind.Resume]: AuditKind.GroupRepaired,
+  [DecisionKind.Wait]: null,
+  [DecisionKind.Replace]: AuditKind.GroupRepaired,
+  [DecisionKind.Merge]: AuditKind.GroupRepaired,
+  [DecisionKind.Swap]: AuditKind.GroupRepaired,
+  [DecisionKind.Drain]: AuditKind.DrainRequested,
+  [DecisionKind.Dissolve]: AuditKind.GroupDissolved,
+  [DecisionKind.Standby]: AuditKind.GroupRepaired,
+  [DecisionKind.Rollout]: AuditKind.RolloutStep
+}
+
+/** One audit record for a decision that changed something; null for one that only waits. */
+export function auditDecision (decision: Decision, node: NodeId): AuditRecord | null {
+  const kind = AUDIT_KIND_BY_DECISION[decision.kind]
+  if (kind === null) return null
+  return {
+    kind,
+    atWallMs: decision.atWallMs,
+    actor: `node:${node}`,
+    subject: decision.group ?? decision.fabricDomain,
+    before: null,
+    after: `${decision.kind} ${decision.vms.join(', ')}`.trim(),
+    reason: decision.reason,
+    rejected: decision.rejected.map(({ kind: way, score, reason }) => `${way}${score === null ? '' : ` (${score})`}: ${reason}`)
+  }
+}
--- /dev/null
+++ b/packages/dotterelspur-fleet/src/process/DomainController.ts
@@ -0,0 +1,113 @@
+import {
+  type AssignmentObject, type FabricDomainId, type FailureDomainId, type LeaseTerm, type PlannedIntent, type RegionId, type VmId
+} from 'dotterelspur'
+import { assignmentDocuments } from '../version/FleetDocuments.js'
+import { shareReplicas, type FabricPlace } from '../version/FabricIntents.js'
+import { isEngine } from './CleanListing.js'
+import { FabricController, type FabricAuthority } from './FabricController.js'
+import type { FleetContext } from './FleetContext.js'
+import type { LeaseKeeper } from './LeaseKeeper.js'
+import type { PauseDetector } from './PauseDetector.js'
+import { Ticker } from './Ticker.js'
+
+interface RunningFabric {
+  readonly controller: FabricController
+  readonly ticker: Ticker
+}
+
+/** Decides for one failure domain for one term of its lease: one loop for each fabric domain in it. */
+export class DomainController {
+  readonly failureDomain: FailureDomainId
+  private readonly fabrics = new Map<FabricDomainId, RunningFabric>()
+  private readonly authority: FabricAuthority
+  private readonly takenAtMs: number
+  private stopped = false
+
+  constructor (
+    term: LeaseTerm, private readonly keeper: LeaseKeeper, private readonly pauses: PauseDetector, private readonly context: FleetContext,
+    private readonly onError: (error: unknown) => void
+  ) {
+    this.failureDomain = term.failureDomain
+    this.takenAtMs = context.options.clock.nowMs()
+    const mayDecide = (): boolean => this.mayDecide(term)
+    this.authority = {
+      fencing: term.fencing,
+      mayDecide,
+      mayOrder: (vm) => mayDecide() && this.isWaitedOut(vm),
+      noteFencing: (fencing) => { keeper.noteFencing(fencing) }
+    }
+  }
+
+  /** The assignments of this term, for reading. */
+  assignments (): readonly AssignmentObject[] {
+    return [...this.fabrics.values()].flatMap(({ controller }) => controller.assignment ?? [])
+  }
+
+  /** Starts loops for fabric domains that the list or the mesh knows here; ends none, since the list lags. */
+  refresh (): void {
+    if (this.stopped) return
+    for (const [fabricDomain, region] of this.knownFabrics()) this.begin(fabricDomain, region)
+  }
+
+  nudge (): void {
+    for (const { ticker } of this.fabrics.values()) ticker.nudge()
+  }
+
+  stop (): void {
+    this.stopped = true
+    for (const { ticker, controller } of this.fabrics.values()) {
+      ticker.stop()
+      controller.stop()
+    }
+  }
+
+  private mayDecide (term: LeaseTerm): boolean {
+    this.pauses.sample()
+    return !this.stopped && this.keeper.term?.fencing === term.fencing && this.keeper.mayOrder()
+  }
+
+  /**
+   * An engine that doesn't check fencing numbers would obey an order of the holder before that is still under
+   * way. Such an order ends at the latest one order timeout after its sender had to stop, so this term's first
+   * order to it waits for as long.
+   */
+  private isWaitedOut (vm: VmId): boolean {
+    const { options, timing, vmList } = this.context
+    const fabricDomain = vmList.record(vm)?.fabricDomain ?? ''
+    const checks = options.checksFencing?.({ vm, fabricDomain, failureDomain: this.failureDomain }) ?? true
+    return checks || options.clock.nowMs() - this.takenAtMs >= timing.orderTimeoutMs
+  }
+
+  private begin (fabricDomain: FabricDomainId, region: RegionId): void {
+    if (this.fabrics.has(fabricDomain)) return
+    const { clock, random } = this.context.options
+    const controller = new FabricController({ region, failureDomain: this.failureDomain, fabricDomain }, this.context, this.authority)
+    const tick = async (): Promise<void> => { await controller.tick(this.intentsOf(fabricDomain)) }
+    const ticker = new Ticker(clock, random, this.context.timing.controllerIntervalMs, tick, this.onError)
+    this.fabrics.set(fabricDomain, { controller, ticker })
+    ticker.start(0)
+  }
+
+  private knownFabrics (): ReadonlyMap<FabricDomainId, RegionId> {
+    const listed = this.context.vmList.allVms()
+      .filter((record) => isEngine(record) && record.failureDomain === this.failureDomain)
+      .map((record) => [record.fabricDomain, record.region] as const)
+    const assigned = assignmentDocuments(this.context.options.mesh)
+      .filter(({ body }) => body.failureDomain === this.failureDomain)
+      .map(({ body }) => [body.fabricDomain, body.region] as const)
+    return new Map([...assigned, ...listed])
+  }
+
+  private intentsOf (fabricDomain: FabricDomainId): readonly PlannedIntent[] {
+    return shareReplicas(this.context.options.settings(), this.places()).get(fabricDomain) ?? []
+  }
+
+  private places (): readonly FabricPlace[] {
+    const places = new Map<FabricDomainId, FabricPlace>()
+    for (const { fabricDomain, failureDomain, region, role } of this.context.vmList.allVms().filter(isEngine)) {
+      const vmCount = (places.get(fabricDomain)?.vmCount ?? 0) + Number(role !== undefined)
+      places.set(fabricDomain, { fabricDomain, failureDomain, region, vmCount })
+    }
+    return [...places.values()]
+  }
+}
--- /dev/null
+++ b/packages/dotterelspur-fleet/src/process/FabricController.ts
@@ -0,0 +1,207 @@
+import {
+  assignmentKey, checkAssignmentChange, deriveOrders, emptyPlanningMemory, invariant, planFabricDomain, runProcedure, type AssignmentObject, type Decision,
+  type EffectHandlers, type FabricDomainPlan, type GroupId, type ObservedVm, type PlannedIntent, type PlanningMemory, type Result, type StoredObject, type VmHealth, type VmId,
+  VmPresence
+} from 'dotterelspur'
+import {
+  adoptAssignment, AssignmentEffectKind, writeAssignment, WriteFault, type AssignmentEffect, type AssignmentPlace, type WriteFailure
+} from '../version/AssignmentProcedures.js'
+import { placedElsewhere } from '../version/FleetDocuments.js'
+import { isWhole, viewHealth } from '../version/VmHealthView.js'
+import type { FleetContext } from './FleetContext.js'
+import type { OrderAuthority } from './OrderSender.js'
+import type { ProbeTarget } from './Prober.js'
+import { ReformWatch } from './ReformWatch.js'
+import { StrayWatch } from './StrayWatch.js'
+
+/** What the failure domain's controller gives to that of one fabric domain. */
+export interface FabricAuthority extends OrderAuthority {
+  /** Whether anything may be written or ordered at this instant. */
+  mayDecide (): boolean
+}
+
+/**
+ * Decides for one fabric domain under a held lease. Each tick compares intent, assignment, list and evidence,
+ * writes the assignment when it has to change, and sends the orders that follow from what is written.
+ */
+export class FabricController {
+  private adopted: StoredObject<AssignmentObject> | null = null
+  private memory: PlanningMemory = emptyPlanningMemory
+  private readonly reforms: ReformWatch
+  private readonly strays = new StrayWatch()
+  private lastFailure: WriteFailure | null = null
+
+  constructor (readonly place: AssignmentPlace, private readonly context: FleetContext, private readonly authority: FabricAuthority) {
+    this.reforms = new ReformWatch(context.timing.planning.drainMs)
+  }
+
+  get assignment (): AssignmentObject | null {
+    return this.adopted?.body ?? null
+  }
+
+  /** Why the last write did not get through, null when it did. */
+  get writeFailure (): WriteFailure | null {
+    return this.lastFailure
+  }
+
+  stop (): void {
+    this.context.prober.setTargets(this.asker, [])
+  }
+
+  async tick (intents: readonly PlannedIntent[]): Promise<void> {
+    if (!this.authority.mayDecide()) return
+    this.dropOutdated()
+    if (this.adopted === null && !await this.adopt()) return
+    const health = this.viewHealth()
+    this.setTargets(health)
+    await this.decide(intents, health)
+    if (this.adopted !== null) this.order(this.adopted.body, health)
+  }
+
+  private get asker (): string {
+    return `controller/${this.place.fabricDomain}`
+  }
+
+  /** The mesh knows a later version than this term's own last write: someone else has written, so it is read again. */
+  private dropOutdated (): void {
+    const document = this.context.options.mesh.document(assignmentKey(this.place.fabricDomain))
+    if (this.adopted !== null && document !== undefined && document.version > this.adopted.version) this.adopted = null
+  }
+
+  private async adopt (): Promise<boolean> {
+    const result = await runProcedure(adoptAssignment(this.place, this.authority.fencing), this.handlers())
+    this.settle(result)
+    return result.ok
+  }
+
+  private async decide (intents: readonly PlannedIntent[], vms: readonly VmHealth[]): Promise<void> {
+    const { clock } = this.context.options
+    const adopted = this.adopted!
+    const plan = planFabricDomain({
+      ...this.place,
+      nowMs: clock.nowMs(),
+      wallMs: clock.wallMs(),
+      assignment: adopted.body,
+      vms,
+      drainedGroups: adopted.body.groups.map((group) => group.group).filter((group) => this.context.drained().has(group)),
+      intents,
+      loadBudget: this.context.loadBudget(this.place.fabricDomain),
+      settings: this.context.timing.planning,
+      memory: this.memory
+    })
+    if (plan.changed) await this.write(adopted, plan)
+    else this.keep(plan.memory, plan.decisions)
+  }
+
+  private async write (before: StoredObject<AssignmentObject>, plan: FabricDomainPlan): Promise<void> {
+    const { groups, highestFormation, rollouts } = plan
+    const next: AssignmentObject = { ...before.body, groups, highestFormation, rollouts, fencing: this.authority.fencing }
+    const problems = checkAssignmentChange(before.body, next)
+    invariant(problems.length === 0, `assignment of ${this.place.fabricDomain}: ${JSON.stringify(problems)}`)
+    const result = await runProcedure(writeAssignment(next, before.version, this.authority.fencing), this.handlers())
+    this.settle(result)
+    if (!result.ok) return
+    this.reforms.noteChange(before.body, next, this.wholeGroups(before.body), this.context.options.clock.nowMs())
+    this.keep(plan.memory, plan.decisions)
+  }
+
+  private keep (memory: PlanningMemory, decisions: readonly Decision[]): void {
+    this.memory = memory
+    this.context.record(decisions)
+  }
+
+  /** After a lost or refused write nothing is built on the old reading; after one that certainly failed it stands. */
+  private settle (result: Result<StoredObject<AssignmentObject>, WriteFailure>): void {
+    this.lastFailure = result.ok ? null : result.error
+    if (result.ok) {
+      this.adopted = result.value
+      const { key, version, body } = result.value
+      this.context.options.mesh.offerDocument({ key, version, body, deleted: false })
+      this.context.options.mesh.noteStoreContact()
+      return
+    }
+    const { fault, fencing } = result.error
+    if (fault === WriteFault.Fenced) this.authority.noteFencing(fencing)
+    if (fault === WriteFault.Outdated || fault === WriteFault.Unknown || fault === WriteFault.Fenced) this.adopted = null
+  }
+
+  private order (assignment: AssignmentObject, health: readonly VmHealth[]): void {
+    const seen = this.seenVms()
+    const nowMs = this.context.options.clock.nowMs()
+    this.context.record(this.strays.check(assignment, seen, this.context.options.clock.wallMs()))
+    const reforms = this.reforms.current(nowMs, (vm, sinceMs) => this.wasSeenSince(vm, sinceMs, health))
+    const due = deriveOrders(assignment, seen, reforms)
+    const known = new Set(health.map((vm) => vm.vm))
+    for (const order of due) {
+      if (known.has(order.vm)) this.context.orders.send(order, this.authority)
+    }
+  }
+
+  /** What the VMs here said themselves, unexpired and as the VMs that they are listed as. */
+  private seenVms (): ReadonlyMap<VmId, ObservedVm> {
+    const { prober, options: { clock }, timing } = this.context
+    const seen = new Map<VmId, ObservedVm>()
+    for (const { vm, address } of prober.targetsOf(this.asker)) {
+      const observation = prober.observations.get(vm)
+      if (observation === undefined || observation.absentSinceMs !== null || observation.evidence === null) continue
+      const { status, askedAtMs } = observation.evidence
+      if (status.vm === vm && clock.nowMs() - askedAtMs < Math.max(timing.evidenceTtlMs, 2 * timing.idleProbeIntervalMs)) seen.set(vm, { address, status })
+    }
+    return seen
+  }
+
+  /** A VM that is absent can't be seen and runs nothing. */
+  private wasSeenSince (vm: VmId, sinceMs: number, health: readonly VmHealth[]): boolean {
+    const askedAtMs = this.context.prober.observations.get(vm)?.evidence?.askedAtMs
+    if (askedAtMs !== undefined && askedAtMs >= sinceMs) return true
+    const presence = health.find((known) => known.vm === vm)?.presence
+    return presence === undefined || presence === VmPresence.Absent
+  }
+
+  private viewHealth (): readonly VmHealth[] {
+    const { prober, options, timing, vmList } = this.context
+    return viewHealth({
+      nowMs: options.clock.nowMs(),
+      evidenceTtlMs: Math.max(timing.evidenceTtlMs, timing.idleProbeIntervalMs + timing.probeTimeoutMs),
+      fabricDomain: this.place.fabricDomain,
+      assignment: this.adopted!.body,
+      records: vmList.fabricDomain(this.place.fabricDomain),
+      observations: prober.observations,
+      firstAskedAtMs: (vm) => prober.firstAskedAtMs(vm),
+      presence: this.context.presence(),
+      drained: this.context.drained(),
+      straggling: (vm) => prober.isStraggling(vm),
+      placedElsewhere: placedElsewhere(options.mesh, this.place.fabricDomain)
+    })
+  }
+
+  /** Members of groups that evidence shows whole are left to their watchers, but for a slow look of its own. */
+  private setTargets (health: readonly VmHealth[]): void {
+    const { prober, timing } = this.context
+    const whole = this.wholeGroups(this.adopted!.body)
+    const quiet = new Set<VmId>()
+    const members = new Set<VmId>()
+    for (const group of this.adopted!.body.groups) {
+      for (const member of group.members) (whole.has(group.group) ? quiet : members).add(member.vm)
+    }
+    const targets = health.map(({ vm, address }): ProbeTarget => {
+      if (quiet.has(vm)) return { vm, address, intervalMs: timing.quietProbeIntervalMs }
+      return { vm, address, intervalMs: members.has(vm) ? timing.probeIntervalMs : timing.idleProbeIntervalMs }
+    })
+    prober.setTargets(this.asker, targets)
+  }
+
+  private wholeGroups (assignment: AssignmentObject): ReadonlySet<GroupId> {
+    const presence = this.context.presence()
+    return new Set(assignment.groups.filter((group) => isWhole(group, presence, this.context.timing.evidenceTtlMs)).map((group) => group.group))
+  }
+
+  private handlers (): EffectHandlers<AssignmentEffect> {
+    const { store } = this.context.options
+    return {
+      [AssignmentEffectKind.MayWrite]: () => this.authority.mayDecide(),
+      [AssignmentEffectKind.Read]: async ({ key }) => await store.get<AssignmentObject>(key),
+      [AssignmentEffectKind.Write]: async ({ key, body, expectedVersion }) => expectedVersion === 0 ? await store.create(key, body) : await store.update(key, body, expectedVersion)
+    }
+  }
+}
--- /dev/null
+++ b/packages/dotterelspur-fleet/src/process/Fleet.ts
@@ -0,0 +1,180 @@
+import debug from 'debug'
+import {
+  AuditKind, DRAIN_PREFIX, leaseKey, mergeTeardowns, type Decision, type FailureDomainId, type GroupId, type GroupPresence, type LeaseLoss, type LeaseTerm, type Teardown
+} from 'dotterelspur'
+import { drainTargets } from '../version/FleetDocuments.js'
+import { auditDecision } from './AuditRecords.js'
+import { DecisionLog } from './DecisionLog.js'
+import { DomainController } from './DomainController.js'
+import type { FleetContext } from './FleetContext.js'
+import type { FleetOptions } from './FleetOptions.js'
+import { DEFAULT_FLEET_TIMING, type FleetTiming } from './FleetTiming.js'
+import { LeaseBoard } from './LeaseBoard.js'
+import { OrderSender, type OrderCounts } from './OrderSender.js'
+import { PauseDetector } from './PauseDetector.js'
+import { Prober } from './Prober.js'
+import { VmListPoller } from './VmListPoller.js'
+import { Watcher, type GroupEvidence } from './Watcher.js'
+
+const log = debug('dotterelspur:fleet')
+
+/** Until shares of the weight store's rate are reckoned: as much as a fabric domain can ask for. */
+const DEFAULT_LOAD_BUDGET = { loadsPerMinute: 600, burst: 600 }
+
+/** What the fleet's loops have done, for metrics. */
+export interface FleetCounts {
+  readonly orders: OrderCounts
+  readonly probesSent: number
+  readonly pauses: number
+  readonly leasesTaken: number
+  readonly leasesLost: number
+}
+
+/** The watcher and the controllers of one node. */
+export class Fleet {
+  private readonly prober: Prober
+  private readonly orders: OrderSender
+  private readonly watcher: Watcher
+  private readonly pauses: PauseDetector
+  private readonly board: LeaseBoard
+  private readonly vmList: VmListPoller
+  private readonly log = new DecisionLog()
+  private readonly controllers = new Map<FailureDomainId, DomainController>()
+  private readonly context: FleetContext
+  private teardown: Teardown = () => {}
+  private leasesTaken = 0
+  private leasesLost = 0
+
+  constructor (private readonly options: FleetOptions) {
+    const { clock, random, mesh } = options
+    const timing: FleetTiming = { ...DEFAULT_FLEET_TIMING, ...options.timing }
+    const onError = (error: unknown): void => { this.fail(error) }
+    this.prober = new Prober(clock, random, options.engines, timing, (vm) => { this.watcher.noteObservation(vm) }, onError)
+    this.orders = new OrderSender(clock, options.engines, timing, (status, askedAtMs) => { this.prober.note(status, askedAtMs) })
+    this.watcher = new Watcher(options, timing, this.prober, onError)
+    this.pauses = new PauseDetector(clock, timing.pauseThresholdMs, (durationMs) => { this.notePause(durationMs) })
+    this.board = new LeaseBoard(options, timing, { taken: (term) => { this.noteTaken(term) }, lost: (failureDomain, loss) => { this.noteLost(failureDomain, loss) } }, onError)
+    this.vmList = new VmListPoller(options, timing, () => [...this.controllers.keys()], () => { this.noteListing() }, onError)
+    this.context = {
+      options,
+      timing,
+      prober: this.prober,
+      orders: this.orders,
+      vmList: this.vmList,
+      presence: () => new Map(mesh.groupPresence().map((presence): [GroupId, GroupPresence] => [presence.group, presence])),
+      drained: () => drainTargets(mesh),
+      loadBudget: () => DEFAULT_LOAD_BUDGET,
+      record: (decisions) => { this.record(decisions) }
+    }
+  }
+
+  start (): void {
+    const { mesh, failureDomains } = this.options
+    for (const failureDomain of failureDomains ?? []) this.board.addFailureDomain(failureDomain, null)
+    this.pauses.start()
+    this.watcher.start()
+    this.board.start()
+    this.vmList.start()
+    this.teardown = mergeTeardowns(mesh.registerDocumentListener(DRAIN_PREFIX, () => { this.nudge() }))
+  }
+
+  /**
+   * Ends this node's part as a controller in a planned stop: decides nothing more, lets the orders under way end,
+   * then gives its leases up so that others take them at once. The watcher goes on until `stop`.
+   */
+  async handOver (): Promise<void> {
+    for (const controller of this.controllers.values()) controller.stop()
+    await this.orders.settled()
+    await this.board.releaseAll()
+  }
+
+  stop (): void {
+    this.teardown()
+    for (const controller of this.controllers.values()) controller.stop()
+    this.controllers.clear()
+    this.board.stop()
+    this.vmList.stop()
+    this.watcher.stop()
+    this.prober.stop()
+    this.pauses.stop()
+  }
+
+  /** The leases that this node holds. */
+  leases (): readonly LeaseTerm[] {
+    return this.board.held()
+  }
+
+  /** What this node's controllers decided lately, newest last. */
+  decisions (): readonly Decision[] {
+    return this.log.all()
+  }
+
+  /** What this node, as watcher, last saw of its groups. */
+  evidence (): readonly GroupEvidence[] {
+    return this.watcher.evidence()
+  }
+
+  counts (): FleetCounts {
+    return { orders: this.orders.counts, probesSent: this.prober.probesSent, pauses: this.pauses.pauses, leasesTaken: this.leasesTaken, leasesLost: this.leasesLost }
+  }
+
+  /** Brings the controllers' next look forward, as after a change of settings. */
+  nudge (): void {
+    for (const controller of this.controllers.values()) controller.nudge()
+  }
+
+  private noteTaken (term: LeaseTerm): void {
+    this.leasesTaken += 1
+    log('lease of %s taken, fencing %d', term.failureDomain, term.fencing)
+    this.auditLease(AuditKind.LeaseTaken, term.failureDomain, `fencing ${term.fencing}`, 'the lease was free or its holder silent for its whole TTL')
+    const keeper = this.board.keeper(term.failureDomain)!
+    const controller = new DomainController(term, keeper, this.pauses, this.context, (error) => { this.fail(error) })
+    this.controllers.get(term.failureDomain)?.stop()
+    this.controllers.set(term.failureDomain, controller)
+    controller.refresh()
+    this.vmList.nudge()
+  }
+
+  private noteLost (failureDomain: FailureDomainId, loss: LeaseLoss): void {
+    this.leasesLost += 1
+    log('lease of %s ended: %s', failureDomain, loss)
+    this.auditLease(AuditKind.LeaseReleased, failureDomain, null, loss)
+    this.controllers.get(failureDomain)?.stop()
+    this.controllers.delete(failureDomain)
+  }
+
+  private noteListing (): void {
+    for (const [failureDomain, region] of this.vmList.failureDomains()) this.board.addFailureDomain(failureDomain, region)
+    for (const controller of this.controllers.values()) {
+      controller.refresh()
+      controller.nudge()
+    }
+  }
+
+  private notePause (durationMs: number): void {
+    log('did not run for %d ms; leases are presumed lost', Math.round(durationMs))
+    this.board.notePause()
+  }
+
+  private record (decisions: readonly Decision[]): void {
+    for (const decision of this.log.record(decisions)) {
+      log('%s %s: %s', decision.kind, decision.group ?? decision.fabricDomain, decision.reason)
+      const record = auditDecision(decision, this.options.mesh.self.node)
+      if (record !== null) this.options.audit(record)
+    }
+  }
+
+  private auditLease (kind: AuditKind, failureDomain: FailureDomainId, after: string | null, reason: string): void {
+    const { clock, mesh, audit } = this.options
+    audit({ kind, atWallMs: clock.wallMs(), actor: `node:${mesh.self.node}`, subject: leaseKey(failureDomain), before: null, after, reason, rejected: [] })
+  }
+
+  private fail (error: unknown): void {
+    log('a step failed: %o', error)
+  }
+}
+
+/** Makes the fleet of one node; nothing runs before `start`. */
+export function createFleet (options: FleetOptions): Fleet {
+  return new Fleet(options)
+}
--- /dev/null
+++ b/packages/dotterelspur-fleet/src/process/FleetContext.ts
@@ -0,0 +1,21 @@
+import type { Decision, FabricDomainId, GroupId, GroupPresence, LoadBudget } from 'dotterelspur'
+import type { FleetOptions } from './FleetOptions.js'
+import type { FleetTiming } from './FleetTiming.js'
+import type { OrderSender } from './OrderSender.js'
+import type { Prober } from './Prober.js'
+import type { VmListPoller } from './VmListPoller.js'
+
+/** What the controllers of one node share. */
+export interface FleetContext {
+  readonly options: FleetOptions
+  readonly timing: FleetTiming
+  readonly prober: Prober
+  readonly orders: OrderSender
+  readonly vmList: VmListPoller
+  /** Freshest evidence of each group, from the mesh. */
+  presence (): ReadonlyMap<GroupId, GroupPresence>
+  /** VMs and groups that operators drain. */
+  drained (): ReadonlySet<string>
+  loadBudget (fabricDomain: FabricDomainId): LoadBudget
+  record (decisions: readonly Decision[]): void
+}
--- /dev/null
+++ b/packages/dotterelspur-fleet/src/process/FleetOptions.ts
@@ -0,0 +1,28 @@
+import type {
+  AuditRecord, Clock, EngineApi, FabricDomainId, FailureDomainId, MeshApi, ObjectStore, Random, ServiceApi, TeamSettings, VmDirectory, VmId
+} from 'dotterelspur'
+import type { FleetTiming } from './FleetTiming.js'
+
+/** Whether a VM's engine refuses orders that carry an old fencing number. */
+export type FencingLookup = (vm: { readonly vm: VmId, readonly fabricDomain: FabricDomainId, readonly failureDomain: FailureDomainId }) => boolean
+
+/** What the fleet needs of the node that it runs in. */
+export interface FleetOptions {
+  readonly clock: Clock
+  readonly random: Random
+  readonly mesh: MeshApi
+  readonly store: ObjectStore
+  /** For leases alone: one attempt and a short timeout, since a renewal that comes late is of no use. By default `store`. */
+  readonly leaseStore?: ObjectStore
+  readonly vmDirectory: VmDirectory
+  readonly engines: EngineApi
+  readonly services: ServiceApi
+  /** All teams' settings in force on this node. */
+  readonly settings: () => readonly TeamSettings[]
+  readonly audit: (record: AuditRecord) => void
+  /** True for every VM unless the node's settings say otherwise. */
+  readonly checksFencing?: FencingLookup
+  /** Failure domains that are known by the node's settings; others are learned from the VM list and the members. */
+  readonly failureDomains?: readonly FailureDomainId[]
+  readonly timing?: Partial<FleetTiming>
+}
--- /dev/null
+++ b/packages/dotterelspur-fleet/src/process/OrderSender.ts
@@ -0,0 +1,87 @@
+import {
+  EndpointErrorKind, type DueOrder, type EndpointError, type EngineApi, type Clock, type VmId, type VmStatus
+} from 'dotterelspur'
+import type { FleetTiming } from './FleetTiming.js'
+
+/** Under which lease orders go out, asked right before each send. */
+export interface OrderAuthority {
+  readonly fencing: number
+  /** Whether an order may be sent to this VM at this instant. */
+  mayOrder (vm: VmId): boolean
+  noteFencing (fencing: number): void
+}
+
+export interface OrderCounts {
+  sent: number
+  done: number
+  failed: number
+  fenced: number
+  /** Held back since the lease didn't allow them at the instant of sending. */
+  withheld: number
+}
+
+interface SentOrder {
+  readonly text: string
+  readonly sentAtMs: number
+}
+
+/**
+ * Sends orders: one at a time to each VM, the same one not again before its effect had time to show. The
+ * authority is asked in the same step of the loop in which the connection is used, with nothing awaited between.
+ */
+export class OrderSender {
+  readonly counts: OrderCounts = { sent: 0, done: 0, failed: 0, fenced: 0, withheld: 0 }
+  private readonly underWay = new Map<VmId, Promise<void>>()
+  private readonly lastSent = new Map<VmId, SentOrder>()
+
+  constructor (
+    private readonly clock: Clock, private readonly engines: Pick<EngineApi, 'order'>, private readonly timing: FleetTiming,
+    private readonly onStatus: (status: VmStatus, askedAtMs: number) => void
+  ) {}
+
+  send (due: DueOrder, authority: OrderAuthority): void {
+    const text = JSON.stringify([authority.fencing, due.order])
+    if (this.underWay.has(due.vm) || this.wasJustSent(due.vm, text)) return
+    if (!authority.mayOrder(due.vm)) {
+      this.counts.withheld += 1
+      return
+    }
+    this.lastSent.set(due.vm, { text, sentAtMs: this.clock.nowMs() })
+    const done = this.deliver(due, authority).finally(() => { this.underWay.delete(due.vm) })
+    this.underWay.set(due.vm, done)
+  }
+
+  /** Resolves when no order is under way; each ends by its timeout. */
+  async settled (): Promise<void> {
+    while (this.underWay.size > 0) await Promise.allSettled([...this.underWay.values()])
+  }
+
+  /** Forgets VMs that are no longer in any fabric domain of this node. */
+  retain (vms: ReadonlySet<VmId>): void {
+    for (const vm of this.lastSent.keys()) {
+      if (!vms.has(vm)) this.lastSent.delete(vm)
+    }
+  }
+
+  private wasJustSent (vm: VmId, text: string): boolean {
+    const last = this.lastSent.get(vm)
+    return last !== undefined && last.text === text && this.clock.nowMs() - last.sentAtMs < this.timing.orderRepeatMs
+  }
+
+  private async deliver (due: DueOrder, authority: OrderAuthority): Promise<void> {
+    const askedAtMs = this.clock.nowMs()
+    this.counts.sent += 1
+    const result = await this.engines.order(due.address, due.order, authority.fencing, this.timing.orderTimeoutMs)
+    if (result.ok) {
+      this.counts.done += 1
+      this.onStatus(result.value, askedAtMs)
+    } else this.noteFailure(result.error, authority)
+  }
+
+  private noteFailure (error: EndpointError, authority: OrderAuthority): void {
+    this.counts.failed += 1
+    if (error.kind !== EndpointErrorKind.Fenced) return
+    this.counts.fenced += 1
+    authority.noteFencing(error.highestFencing)
+  }
+}
--- /dev/null
+++ b/packages/dotterelspur-fleet/src/process/Prober.ts
@@ -0,0 +1,182 @@
+import {
+  EndpointErrorKind, NO_OBSERVATION, type Clock, type EndpointError, type EngineApi, type Observations, type Random, type Teardown, type VmId, type VmObservation,
+  type VmStatus
+} from 'dotterelspur'
+import type { FleetTiming } from './FleetTiming.js'
+
+/** A VM to probe. */
+export interface ProbeTarget {
+  readonly vm: VmId
+  readonly address: string
+  readonly intervalMs: number
+}
+
+interface Probe {
+  target: ProbeTarget
+  cancelTimer: Teardown
+  asking: boolean
+  firstAskedAtMs: number | null
+}
+
+export type ObservationListener = (vm: VmId, observation: VmObservation) => void
+
+/** Weight of the newest reading in a VM's smoothed latency. */
+const LATENCY_SMOOTHING = 0.2
+/** A straggler's smoothed latency is at least this, and this many times the median. */
+const STRAGGLER_FLOOR_MS = 100
+const STRAGGLER_FACTOR = 4
+
+/**
+ * Probes the VMs that the watcher and the controllers of this node ask for: each VM once, at the shortest of
+ * the intervals asked for, at a phase drawn at random so that the probes spread over time.
+ *
+ * A refused connection counts at once: nothing runs there. A probe without an answer says nothing; the VM's
+ * evidence grows old and expires.
+ */
+export class Prober {
+  private readonly wanted = new Map<string, readonly ProbeTarget[]>()
+  private readonly probes = new Map<VmId, Probe>()
+  private readonly seen = new Map<VmId, VmObservation>()
+  private readonly latencies = new Map<VmId, number>()
+  private probeCount = 0
+  private stopped = false
+
+  constructor (
+    private readonly clock: Clock, private readonly random: Random, private readonly engines: Pick<EngineApi, 'probe'>,
+    private readonly timing: Pick<FleetTiming, 'probeTimeoutMs'>, private readonly onObservation: ObservationListener,
+    private readonly onError: (error: unknown) => void
+  ) {}
+
+  get observations (): Observations {
+    return this.seen
+  }
+
+  /** Probes sent since the start, for the count of what control costs. */
+  get probesSent (): number {
+    return this.probeCount
+  }
+
+  /** When the VM was first asked under the present wish to probe it; null when it isn't probed. */
+  firstAskedAtMs (vm: VmId): number | null {
+    return this.probes.get(vm)?.firstAskedAtMs ?? null
+  }
+
+  targetsOf (asker: string): readonly ProbeTarget[] {
+    return this.wanted.get(asker) ?? []
+  }
+
+  /** Whether a VM answers much later than the others that this node probes. */
+  isStraggling (vm: VmId): boolean {
+    const latencyMs = this.latencies.get(vm)
+    if (latencyMs === undefined || latencyMs < STRAGGLER_FLOOR_MS) return false
+    const sorted = [...this.latencies.values()].sort((left, right) => left - right)
+    return latencyMs >= STRAGGLER_FACTOR * sorted[Math.floor(sorted.length / 2)]!
+  }
+
+  /** Replaces what one asker wants probed. */
+  setTargets (asker: string, targets: readonly ProbeTarget[]): void {
+    if (targets.length === 0) this.wanted.delete(asker)
+    else this.wanted.set(asker, targets)
+    this.reconcile()
+  }
+
+  /** Takes in a status that came with another answer, such as that to an order asked at `askedAtMs`. */
+  note (status: VmStatus, askedAtMs: number): void {
+    if (this.probes.has(status.vm)) this.accept(status.vm, status, askedAtMs)
+  }
+
+  stop (): void {
+    this.stopped = true
+    for (const probe of this.probes.values()) probe.cancelTimer()
+    this.probes.clear()
+  }
+
+  private reconcile (): void {
+    const merged = this.mergeTargets()
+    for (const [vm, probe] of this.probes) {
+      if (!merged.has(vm)) this.forget(vm, probe)
+    }
+    for (const target of merged.values()) {
+      const probe = this.probes.get(target.vm)
+      if (probe === undefined) this.begin(target)
+      else this.retarget(probe, target)
+    }
+  }
+
+  private mergeTargets (): Map<VmId, ProbeTarget> {
+    const merged = new Map<VmId, ProbeTarget>()
+    for (const target of [...this.wanted.values()].flat()) {
+      const known = merged.get(target.vm)
+      if (known === undefined || target.intervalMs < known.intervalMs) merged.set(target.vm, target)
+    }
+    return merged
+  }
+
+  private forget (vm: VmId, probe: Probe): void {
+    probe.cancelTimer()
+    this.probes.delete(vm)
+    this.seen.delete(vm)
+    this.latencies.delete(vm)
+  }
+
+  private begin (target: ProbeTarget): void {
+    const probe: Probe = { target, cancelTimer: () => {}, asking: false, firstAskedAtMs: null }
+    this.probes.set(target.vm, probe)
+    this.schedule(probe, this.random.next() * Math.min(target.intervalMs, this.timing.probeTimeoutMs))
+  }
+
+  private retarget (probe: Probe, target: ProbeTarget): void {
+    const sooner = target.intervalMs < probe.target.intervalMs
+    const moved = target.address !== probe.target.address
+    probe.target = target
+    if ((sooner || moved) && !probe.asking) this.schedule(probe, this.random.next() * target.intervalMs / 2)
+  }
+
+  private schedule (probe: Probe, delayMs: number): void {
+    probe.cancelTimer()
+    if (this.stopped) return
+    probe.cancelTimer = this.clock.registerTimer(delayMs, () => { this.ask(probe).catch(this.onError) })
+  }
+
+  private async ask (probe: Probe): Promise<void> {
+    const { vm, address } = probe.target
+    const askedAtMs = this.clock.nowMs()
+    probe.asking = true
+    probe.firstAskedAtMs ??= askedAtMs
+    this.probeCount += 1
+    const result = await this.engines.probe(address, this.timing.probeTimeoutMs)
+    probe.asking = false
+    if (this.probes.get(vm) !== probe) return
+    if (probe.target.address === address) {
+      if (result.ok) this.accept(vm, result.value, askedAtMs)
+      else this.reject(vm, result.error, askedAtMs)
+    }
+    const elapsedMs = this.clock.nowMs() - askedAtMs
+    if (result.ok) this.noteLatency(vm, elapsedMs)
+    this.schedule(probe, Math.max(0, probe.target.intervalMs - elapsedMs))
+  }
+
+  private accept (vm: VmId, status: VmStatus, askedAtMs: number): void {
+    const before = this.seen.get(vm) ?? NO_OBSERVATION
+    if (before.evidence !== null && before.evidence.askedAtMs > askedAtMs) return
+    const refusedLater = before.absentSinceMs !== null && before.absentSinceMs > askedAtMs
+    this.commit(vm, { evidence: { status, askedAtMs }, absentSinceMs: refusedLater ? before.absentSinceMs : null })
+  }
+
+  private reject (vm: VmId, error: EndpointError, askedAtMs: number): void {
+    if (error.kind !== EndpointErrorKind.NotRun) return
+    const before = this.seen.get(vm) ?? NO_OBSERVATION
+    if (before.absentSinceMs !== null) return
+    this.commit(vm, { ...before, absentSinceMs: askedAtMs })
+  }
+
+  private noteLatency (vm: VmId, latencyMs: number): void {
+    const before = this.latencies.get(vm)
+    this.latencies.set(vm, before === undefined ? latencyMs : before + LATENCY_SMOOTHING * (latencyMs - before))
+  }
+
+  private commit (vm: VmId, observation: VmObservation): void {
+    this.seen.set(vm, observation)
+    this.onObservation(vm, observation)
+  }
+}
--- /dev/null
+++ b/packages/dotterelspur-fleet/src/process/StrayWatch.ts
@@ -0,0 +1,45 @@
+import { DecisionKind, type AssignedGroup, type AssignmentObject, type Decision, type ObservedVm, type VmId, type VmStatus } from 'dotterelspur'
+
+/**
+ * Notices a member that was at its place and is elsewhere now, under the same incarnation and without an order
+ * of this controller: an order of an earlier holder reached an engine that doesn't check fencing numbers. The
+ * group is out of service at once, since its evidence is incomplete; this says why. The order to form follows
+ * from the difference as always.
+ */
+export class StrayWatch {
+  private readonly inPlace = new Map<VmId, string>()
+
+  check (assignment: AssignmentObject, seen: ReadonlyMap<VmId, ObservedVm>, wallMs: number): readonly Decision[] {
+    const strays: Decision[] = []
+    for (const group of assignment.groups) {
+      for (const member of group.members) {
+        const status = seen.get(member.vm)?.status
+        if (status === undefined || status.incarnation !== member.incarnation) continue
+        const place = `${group.group}/${group.formation}/${member.incarnation}`
+        if (status.group === group.group && status.formation === group.formation) {
+          this.inPlace.set(member.vm, place)
+          continue
+        }
+        if (this.inPlace.get(member.vm) !== place) continue
+        this.inPlace.delete(member.vm)
+        strays.push(strayDecision(assignment, group, status, wallMs))
+      }
+    }
+    return strays
+  }
+}
+
+function strayDecision (assignment: AssignmentObject, group: AssignedGroup, status: VmStatus, wallMs: number): Decision {
+  const found = status.group === null ? 'in no group' : `at formation ${status.formation} of ${status.group}`
+  return {
+    kind: DecisionKind.Break,
+    fabricDomain: assignment.fabricDomain,
+    group: group.group,
+    vms: [status.vm],
+    reason: `${status.vm} was at formation ${group.formation} and is ${found} without an order of this controller: ` +
+      'an earlier holder\'s order reached it late; it is ordered back',
+    score: null,
+    rejected: [],
+    atWallMs: wallMs
+  }
+}
--- /dev/null
+++ b/packages/dotterelspur-fleet/src/process/Watcher.ts
@@ -0,0 +1,113 @@
+import {
+  ASSIGNMENT_PREFIX, DRAIN_PREFIX, isWorse, judgeGroup, mergeTeardowns, VM_LIST_PREFIX, type GroupId, type GroupPresence, type MemberLack, type Teardown, type VmId,
+  type VmRecord
+} from 'dotterelspur'
+import { assignmentDocuments, drainTargets, vmListDocuments } from '../version/FleetDocuments.js'
+import { leavingVms, planWatches, type WatchedGroup, type WatchPlan } from '../version/WatchPlan.js'
+import type { FleetOptions } from './FleetOptions.js'
+import type { FleetTiming } from './FleetTiming.js'
+import type { Prober, ProbeTarget } from './Prober.js'
+import { ServiceWatch } from './ServiceWatch.js'
+import { Ticker } from './Ticker.js'
+
+const ASKER = 'watcher'
+
+/** What lacks in a group that this node watches, for `explain`. */
+export interface GroupEvidence {
+  readonly presence: GroupPresence
+  readonly lack: { readonly vm: VmId, readonly lack: MemberLack } | null
+}
+
+/** Probes what rendezvous hashing gives this node and publishes the presence of each group and service worker. */
+export class Watcher {
+  private plan: WatchPlan = { groups: [], services: [] }
+  private leaving: ReadonlySet<string> = new Set()
+  private judged = new Map<GroupId, GroupEvidence>()
+  private readonly groupOfVm = new Map<VmId, WatchedGroup>()
+  private readonly services: ServiceWatch
+  private readonly ticker: Ticker
+  private planStale = true
+  private teardown: Teardown = () => {}
+
+  constructor (private readonly options: FleetOptions, private readonly timing: FleetTiming, private readonly prober: Prober, onError: (error: unknown) => void) {
+    this.services = new ServiceWatch(options, timing, () => { this.publish() }, onError)
+    this.ticker = new Ticker(options.clock, options.random, timing.publishIntervalMs, () => { this.tick() }, onError)
+  }
+
+  start (): void {
+    const { mesh } = this.options
+    const replan = (): void => {
+      this.planStale = true
+      this.ticker.nudge()
+    }
+    this.teardown = mergeTeardowns(
+      mesh.registerDocumentListener(ASSIGNMENT_PREFIX, replan),
+      mesh.registerDocumentListener(VM_LIST_PREFIX, replan),
+      mesh.registerDocumentListener(DRAIN_PREFIX, replan),
+      mesh.registerMembersListener(replan)
+    )
+    this.ticker.start(0)
+  }
+
+  stop (): void {
+    this.teardown()
+    this.ticker.stop()
+    this.services.stop()
+    this.prober.setTargets(ASKER, [])
+  }
+
+  evidence (): readonly GroupEvidence[] {
+    return [...this.judged.values()]
+  }
+
+  /** A probe of a VM came in: tells the others at once when its group now serves less. */
+  noteObservation (vm: VmId): void {
+    const watched = this.groupOfVm.get(vm)
+    if (watched === undefined) return
+    const before = this.judged.get(watched.group.group)?.presence
+    const after = this.judge(watched)
+    this.judged.set(watched.group.group, after)
+    if (isWorse(before, after.presence)) this.publish()
+  }
+
+  private tick (): void {
+    if (this.planStale) this.replan()
+    this.publish()
+  }
+
+  private replan (): void {
+    const { mesh } = this.options
+    this.planStale = false
+    const vmLists = vmListDocuments(mesh)
+    this.leaving = new Set([...leavingVms(vmLists), ...drainTargets(mesh)])
+    this.plan = planWatches({ self: mesh.self, members: mesh.members(), assignments: assignmentDocuments(mesh).map(({ body }) => body), vmLists })
+    this.groupOfVm.clear()
+    for (const watched of this.plan.groups) {
+      for (const member of watched.group.members) this.groupOfVm.set(member.vm, watched)
+    }
+    this.prober.setTargets(ASKER, this.targets(vmLists.flatMap((list) => list.vms)))
+    this.services.setWorkers(this.plan.services, this.leaving)
+  }
+
+  /** A member is asked at its listed address when the list knows the assigned incarnation or a later one, since a VM may move. */
+  private targets (records: readonly VmRecord[]): readonly ProbeTarget[] {
+    const listed = new Map(records.map((record) => [record.vm, record]))
+    return this.plan.groups.flatMap(({ group }) => group.members.map((member) => {
+      const record = listed.get(member.vm)
+      const address = record !== undefined && record.incarnation >= member.incarnation ? record.address : member.address
+      return { vm: member.vm, address, intervalMs: this.timing.probeIntervalMs }
+    }))
+  }
+
+  private judge ({ assignment, group }: WatchedGroup): GroupEvidence {
+    const judgement = judgeGroup(assignment, group, this.prober.observations, this.leaving, this.options.clock.nowMs(), this.timing.evidenceTtlMs)
+    const drained = this.leaving.has(group.group)
+    return drained ? { ...judgement, presence: { ...judgement.presence, leaving: true } } : judgement
+  }
+
+  private publish (): void {
+    this.judged = new Map(this.plan.groups.map((watched) => [watched.group.group, this.judge(watched)]))
+    const groups = [...this.judged.values()].map((evidence) => evidence.presence)
+    this.options.mesh.publishPresence(groups, this.services.presence())
+  }
+}
--- /dev/null
+++ b/packages/dotterelspur-fleet/src/version/VmHealthView.ts
@@ -0,0 +1,116 @@
+import {
+  EngineState, VmListState, VmPresence, type AssignedGroup, type AssignmentObject, type FabricDomainId, type GroupId, type GroupPresence, type Observations, type VmHealth,
+  type VmId, type VmObservation, type VmRecord, type VmStatus
+} from 'dotterelspur'
+
+/** What one controller knows when it looks at the VMs of a fabric domain. */
+export interface HealthInput {
+  readonly nowMs: number
+  readonly evidenceTtlMs: number
+  readonly fabricDomain: FabricDomainId
+  readonly assignment: AssignmentObject
+  /** The list's records of this fabric domain, each VM once. */
+  readonly records: readonly VmRecord[]
+  readonly observations: Observations
+  readonly firstAskedAtMs: (vm: VmId) => number | null
+  /** Evidence of complete groups that other nodes gathered, by group. */
+  readonly presence: ReadonlyMap<GroupId, GroupPresence>
+  readonly drained: ReadonlySet<string>
+  readonly straggling: (vm: VmId) => boolean
+  /** VMs that have a place in another fabric domain's assignment, whatever the list says. */
+  readonly placedElsewhere: ReadonlySet<VmId>
+}
+
+interface KnownVm {
+  readonly vm: VmId
+  readonly incarnation: number
+  readonly address: string
+  readonly leaving: boolean
+}
+
+/**
+ * The health of each VM that is listed or has a place here. A VM that the list lacks and that has a place stays:
+ * the list lags. One that has a place in another fabric domain is left out until that place is given up.
+ */
+export function viewHealth (input: HealthInput): readonly VmHealth[] {
+  const groupOf = new Map(input.assignment.groups.flatMap((group) => group.members.map((member) => [member.vm, group] as const)))
+  return [...knownVms(input).values()]
+    .filter((known) => !input.placedElsewhere.has(known.vm))
+    .map((known) => healthOf(known, groupOf.get(known.vm), input))
+}
+
+function knownVms (input: HealthInput): ReadonlyMap<VmId, KnownVm> {
+  const known = new Map<VmId, KnownVm>()
+  for (const group of input.assignment.groups) {
+    for (const { vm, incarnation, address } of [...group.members, ...group.standbys]) known.set(vm, { vm, incarnation, address, leaving: false })
+  }
+  for (const record of input.records) {
+    const placed = known.get(record.vm)
+    if (placed !== undefined && placed.incarnation > record.incarnation) continue
+    known.set(record.vm, { vm: record.vm, incarnation: record.incarnation, address: record.address, leaving: record.state === VmListState.Leaving })
+  }
+  return known
+}
+
+function healthOf (known: KnownVm, group: AssignedGroup | undefined, input: HealthInput): VmHealth {
+  const observation = input.observations.get(known.vm)
+  const status = freshStatus(known, observation, input) ?? statusByGroup(known, group, input)
+  const presence = presenceOf(known.vm, status, observation, input)
+  return {
+    vm: known.vm,
+    incarnation: Math.max(known.incarnation, status?.incarnation ?? 0),
+    address: known.address,
+    fabricDomain: input.fabricDomain,
+    presence,
+    absentSinceMs: presence === VmPresence.Absent ? absentSince(known.vm, observation, input) : null,
+    status,
+    leaving: known.leaving || status?.state === EngineState.Leaving,
+    drained: input.drained.has(known.vm),
+    straggling: input.straggling(known.vm)
+  }
+}
+
+/** The VM's own unexpired word. An answer by another VM at its address, or by an earlier start of it, is none. */
+function freshStatus (known: KnownVm, observation: VmObservation | undefined, input: HealthInput): VmStatus | null {
+  if (observation === undefined || observation.absentSinceMs !== null || observation.evidence === null) return null
+  const { status, askedAtMs } = observation.evidence
+  if (input.nowMs - askedAtMs >= input.evidenceTtlMs) return null
+  return status.vm === known.vm && status.incarnation >= known.incarnation ? status : null
+}
+
+/** What follows for a member from fresh evidence that its whole group is ready. */
+function statusByGroup (known: KnownVm, group: AssignedGroup | undefined, input: HealthInput): VmStatus | null {
+  if (group === undefined || input.observations.get(known.vm)?.absentSinceMs != null) return null
+  const member = group.members.find((candidate) => candidate.vm === known.vm)
+  if (member?.incarnation !== known.incarnation || !isWhole(group, input.presence, input.evidenceTtlMs)) return null
+  return {
+    vm: known.vm,
+    incarnation: known.incarnation,
+    state: EngineState.Ready,
+    group: group.group,
+    formation: group.formation,
+    model: group.model,
+    version: group.version,
+    adapters: group.adapters,
+    fencing: 0,
+    load: input.presence.get(group.group)!.load
+  }
+}
+
+/** Whether fresh evidence says that every member is ready at the group's formation. */
+export function isWhole (group: AssignedGroup, presence: ReadonlyMap<GroupId, GroupPresence>, evidenceTtlMs: number): boolean {
+  const evidence = presence.get(group.group)
+  return evidence !== undefined && evidence.complete && evidence.formation === group.formation && evidence.ageMs < evidenceTtlMs
+}
+
+function presenceOf (vm: VmId, status: VmStatus | null, observation: VmObservation | undefined, input: HealthInput): VmPresence {
+  if (status !== null) return VmPresence.Present
+  if (observation?.absentSinceMs != null) return VmPresence.Absent
+  const askedAtMs = input.firstAskedAtMs(vm)
+  const askedForLong = askedAtMs !== null && input.nowMs - askedAtMs >= input.evidenceTtlMs
+  return askedForLong ? VmPresence.Absent : VmPresence.Unknown
+}
+
+function absentSince (vm: VmId, observation: VmObservation | undefined, input: HealthInput): number {
+  return observation?.absentSinceMs ?? observation?.evidence?.askedAtMs ?? input.firstAskedAtMs(vm) ?? input.nowMs
+}
--- /dev/null
+++ b/packages/dotterelspur-fleet/src/version/WatchPlan.ts
@@ -0,0 +1,67 @@
+import {
+  NodeState, rendezvousOrder, VmListState, VmRole, type AssignedGroup, type AssignmentObject, type NodeId, type NodeMember, type RegionId, type VmId,
+  type VmListDocument, type VmRecord
+} from 'dotterelspur'
+
+/** Watchers of each group and of each service worker. One may be slow, cut off or replaced without a gap in the evidence. */
+export const WATCHERS_PER_SUBJECT = 2
+
+export interface WatchedGroup {
+  readonly assignment: AssignmentObject
+  readonly group: AssignedGroup
+}
+
+/** What one node watches. */
+export interface WatchPlan {
+  readonly groups: readonly WatchedGroup[]
+  readonly services: readonly VmRecord[]
+}
+
+export interface WatchPlanInput {
+  readonly self: NodeMember
+  readonly members: readonly NodeMember[]
+  readonly assignments: readonly AssignmentObject[]
+  readonly vmLists: readonly VmListDocument[]
+}
+
+/**
+ * Chooses what this node watches: rendezvous hashing over the living nodes of the subject's region, so that all
+ * nodes agree without talking. The VMs of one group have the same watchers, since only who sees all members can
+ * say that the group is complete.
+ */
+export function planWatches (input: WatchPlanInput): WatchPlan {
+  const watchersByRegion = new Map<RegionId, readonly NodeId[]>()
+  const isMine = (key: string, region: RegionId): boolean => {
+    const nodes = watchersByRegion.get(region) ?? watchersOf(input, region)
+    watchersByRegion.set(region, nodes)
+    return rendezvousOrder(key, nodes).slice(0, WATCHERS_PER_SUBJECT).includes(input.self.node)
+  }
+  const groups = input.assignments.flatMap((assignment) => assignment.groups
+    .filter((group) => isMine(`group/${group.group}`, assignment.region))
+    .map((group) => ({ assignment, group })))
+  const services = input.vmLists
+    .flatMap((list) => list.vms)
+    .filter((record) => record.role === VmRole.Service && isMine(`vm/${record.vm}`, record.region))
+  return { groups, services }
+}
+
+/**
+ * The nodes that may watch a region's VMs. A node that drains counts itself until it stops, while the others
+ * already leave it out: for that time there is one watcher more, never one less. A region without nodes is
+ * watched from outside.
+ */
+function watchersOf (input: WatchPlanInput, region: RegionId): readonly NodeId[] {
+  const able = input.members.filter((member) => isAble(member) || member.node === input.self.node)
+  const inside = able.filter((member) => member.region === region)
+  return (inside.length > 0 ? inside : able).map((member) => member.node)
+}
+
+function isAble (member: NodeMember): boolean {
+  return member.state === NodeState.Alive || member.state === NodeState.Suspect
+}
+
+/** The VMs that the platform's list says will be taken away. */
+export function leavingVms (vmLists: readonly VmListDocument[]): ReadonlySet<VmId> {
+  const leaving = vmLists.flatMap((list) => list.vms).filter((record) => record.state === VmListState.Leaving)
+  return new Set(leaving.map((record) => record.vm))
+}
--- a/packages/dotterelspur/src/process/lease/LeaseHolder.ts
+++ b/packages/dotterelspur/src/process/lease/LeaseHolder.ts
@@ -1,10 +1,10 @@
 import type { LeaseObject } from '../../version/PlatformObjects.js'
-import type { FailureDomainId } from '../ids.js'
+import type { FailureDomainId, NodeId } from '../ids.js'
 import type { LeaseTiming } from './LeaseTiming.js'
 
-/** A renewal that was sent and whose result is not known. */
+/** A write of the lease that was sent and whose result is not known. */
 export interface PendingRenewal {
-  readonly writeToken: string
+  /** Its `renewal`: no other write of this process has it, so that it can be told from all others when read back. */
   readonly renewal: number
   readonly sentAtMs: number
 }
@@ -12,6 +12,8 @@
 /** One holding of a lease, from a takeover until it is released or lost. */
 export interface LeaseTerm {
   readonly failureDomain: FailureDomainId
+  readonly holder: NodeId
+  readonly holderIncarnation: number
   readonly fencing: number
   /** Store version of the last write known to have taken effect. */
   readonly version: number
@@ -39,7 +41,8 @@
 
 /** Begins a term with a write that took effect, sent at `sentAtMs`. */
 export function beginTerm (lease: LeaseObject, version: number, sentAtMs: number): LeaseTerm {
-  return { failureDomain: lease.failureDomain, fencing: lease.fencing, version, renewal: lease.renewal, sentAtMs, pending: [], suspendedAtMs: null }
+  const { failureDomain, holder, holderIncarnation, fencing, renewal } = lease
+  return { failureDomain, holder, holderIncarnation, fencing, version, renewal, sentAtMs, pending: [], suspendedAtMs: null }
 }
 
 /** The time on the holder's clock from which it may order nothing. */
@@ -73,18 +76,19 @@
 }
 
 /** Forgets a renewal that certainly did not take effect. */
-export function noteNotWritten (term: LeaseTerm, writeToken: string): LeaseTerm {
-  return { ...term, pending: term.pending.filter((sent) => sent.writeToken !== writeToken) }
+export function noteNotWritten (term: LeaseTerm, renewal: number): LeaseTerm {
+  return { ...term, pending: term.pending.filter((sent) => sent.renewal !== renewal) }
 }
 
 /**
  * Takes in what the store holds now. A renewal of this term that took effect though its answer was lost is
- * recognised by its write token and counts from when it was sent. Someone else's write ends the term. An
+ * recognised by its renewal number and counts from when it was sent. Someone else's write ends the term. An
  * answer from the past (a version at or below the known one) says nothing.
  */
 export function observeOwnLease (term: LeaseTerm, version: number, lease: LeaseObject): LeaseTerm | LeaseLoss {
   if (version <= term.version) return term
-  const own = term.pending.find((sent) => sent.writeToken === lease.writeToken)
+  const isOwnProcess = lease.holder === term.holder && lease.holderIncarnation === term.holderIncarnation
+  const own = isOwnProcess ? term.pending.find((sent) => sent.renewal === lease.renewal) : undefined
   if (own === undefined) return LeaseLoss.Taken
   const resumes = term.suspendedAtMs === null || own.sentAtMs >= term.suspendedAtMs
   return {
--- a/packages/dotterelspur/src/process/lease/LeaseProcedures.ts
+++ b/packages/dotterelspur/src/process/lease/LeaseProcedures.ts
@@ -8,7 +8,7 @@
 
 export enum LeaseEffectKind {
   Now = 'now',
-  Token = 'token',
+  Renewal = 'renewal',
   Read = 'read',
   Write = 'write'
 }
@@ -17,8 +17,8 @@
 
 /** The monotonic time. */
 export type NowEffect = Effect<LeaseEffectKind.Now, number>
-/** A write token that no other write has. */
-export type TokenEffect = Effect<LeaseEffectKind.Token, string>
+/** A renewal number that no other write of this process has. */
+export type RenewalEffect = Effect<LeaseEffectKind.Renewal, number>
 export interface ReadLeaseEffect extends Effect<LeaseEffectKind.Read, StoredLease> {
   readonly key: string
 }
@@ -28,7 +28,7 @@
   readonly body: LeaseObject
   readonly expectedVersion: number
 }
-export type LeaseEffect = NowEffect | TokenEffect | ReadLeaseEffect | WriteLeaseEffect
+export type LeaseEffect = NowEffect | RenewalEffect | ReadLeaseEffect | WriteLeaseEffect
 
 export enum LeaseResultKind {
   /** The term stands, renewed or not. */
@@ -52,17 +52,17 @@
 }
 
 /**
- * Tries once to take a lease. A write whose answer was lost is read back: if the store holds this write's
- * token, the term has begun, counted from when the write was sent.
+ * Tries once to take a lease. A write whose answer was lost is read back: if the store holds this write, told by its
+ * renewal number, the term has begun, counted from when the write was sent.
  */
 export function * takeLease (
   failureDomain: FailureDomainId, self: LeaseIdentity, expectedVersion: number, fencing: number, timing: LeaseTiming
 ): Procedure<LeaseEffect, TakeResult> {
   const key = leaseKey(failureDomain)
-  const writeToken = yield * perform<TokenEffect>({ kind: LeaseEffectKind.Token })
+  const renewal = yield * perform<RenewalEffect>({ kind: LeaseEffectKind.Renewal })
   const sentAtMs = yield * perform<NowEffect>({ kind: LeaseEffectKind.Now })
   const body: LeaseObject = {
-    failureDomain, holder: self.node, holderIncarnation: self.incarnation, fencing, ttlMs: timing.ttlMs, renewal: 0, released: false, writeToken
+    failureDomain, holder: self.node, holderIncarnation: self.incarnation, fencing, ttlMs: timing.ttlMs, renewal, released: false, writeToken: ''
   }
   const written = yield * perform<WriteLeaseEffect>({ kind: LeaseEffectKind.Write, key, body, expectedVersion })
   if (written.ok) return { kind: LeaseResultKind.Held, term: beginTerm(body, written.value.version, sentAtMs) }
@@ -70,7 +70,8 @@
   const read = yield * perform<ReadLeaseEffect>({ kind: LeaseEffectKind.Read, key })
   if (!read.ok) return { kind: LeaseResultKind.NotTaken, observed: null, error: written.error }
   const nowMs = yield * perform<NowEffect>({ kind: LeaseEffectKind.Now })
-  const taken = read.value.body?.writeToken === writeToken
+  const { holder, holderIncarnation, renewal: found } = read.value.body ?? {}
+  const taken = holder === self.node && holderIncarnation === self.incarnation && found === renewal
   if (taken && nowMs < sentAtMs + timing.ttlMs) return { kind: LeaseResultKind.Held, term: beginTerm(body, read.value.version, sentAtMs) }
   return { kind: LeaseResultKind.NotTaken, observed: read.value, error: written.error }
 }
@@ -78,17 +79,16 @@
 /** Tries once to renew; reads back when the answer was lost or the condition failed. `released` gives the lease up. */
 export function * renewLease (term: LeaseTerm, self: LeaseIdentity, timing: LeaseTiming, released = false): Procedure<LeaseEffect, RenewResult> {
   const key = leaseKey(term.failureDomain)
-  const writeToken = yield * perform<TokenEffect>({ kind: LeaseEffectKind.Token })
+  const renewal = yield * perform<RenewalEffect>({ kind: LeaseEffectKind.Renewal })
   const sentAtMs = yield * perform<NowEffect>({ kind: LeaseEffectKind.Now })
   if (isExpired(term, timing, sentAtMs)) return { kind: LeaseResultKind.Lost, loss: LeaseLoss.Expired, observed: null }
-  const renewal = term.renewal + 1
   const body: LeaseObject = {
-    failureDomain: term.failureDomain, holder: self.node, holderIncarnation: self.incarnation, fencing: term.fencing, ttlMs: timing.ttlMs, renewal, released, writeToken
+    failureDomain: term.failureDomain, holder: self.node, holderIncarnation: self.incarnation, fencing: term.fencing, ttlMs: timing.ttlMs, renewal, released, writeToken: ''
   }
-  const sent = noteSent(term, { writeToken, renewal, sentAtMs })
+  const sent = noteSent(term, { renewal, sentAtMs })
   const written = yield * perform<WriteLeaseEffect>({ kind: LeaseEffectKind.Write, key, body, expectedVersion: term.version })
   if (written.ok) return settle(sent, written.value, released)
-  if (!needsReadBack(written.error)) return { kind: LeaseResultKind.Held, term: noteNotWritten(sent, writeToken), error: written.error }
+  if (!needsReadBack(written.error)) return { kind: LeaseResultKind.Held, term: noteNotWritten(sent, renewal), error: written.error }
   const read = yield * perform<ReadLeaseEffect>({ kind: LeaseEffectKind.Read, key })
   if (!read.ok) return { kind: LeaseResultKind.Held, term: sent, error: read.error }
   return settle(sent, read.value, released, written.error)
--- a/packages/dotterelspur/src/version/PlatformObjects.ts
+++ b/packages/dotterelspur/src/version/PlatformObjects.ts
@@ -66,7 +66,7 @@
   /** Rises at each takeover, never falls. */
   readonly fencing: number
   readonly ttlMs: number
-  /** Counts renewals, so that an observer sees that the holder lives. */
+  /** Rises with each write that the holder sends, so that it tells its own writes apart whose answers were lost. */
   readonly renewal: number
   /** The holder gave it up: anyone may take it at once. */
   readonly released: boolean
--- a/packages/dotterelspur/src/version/assignment/Orders.ts
+++ b/packages/dotterelspur/src/version/assignment/Orders.ts
@@ -1,5 +1,5 @@
 import { OrderKind, type EngineOrder } from '../../connection/EngineApi.js'
-import type { VmId } from '../../process/ids.js'
+import type { GroupId, VmId } from '../../process/ids.js'
 import { EngineState, type VmStatus } from '../../process/Presence.js'
 import { GroupState, type AssignedGroup, type AssignedMember, type AssignmentObject } from '../PlatformObjects.js'
 
@@ -18,7 +18,26 @@
   readonly status: VmStatus
 }
 
-type GroupOrders = (group: AssignedGroup, assignment: AssignmentObject, seen: ReadonlyMap<VmId, ObservedVm>) => DueOrder[]
+/**
+ * A planned change of a group that was whole: what its old formation runs is finished before any of its VMs is
+ * taken out of it, since a replica that loses one VM loses all that it runs.
+ */
+export interface PlannedReform {
+  /** Every VM of the old formation has been looked at since the change, so that it is known what still runs. */
+  readonly allSeen: boolean
+}
+
+export type PlannedReforms = ReadonlyMap<GroupId, PlannedReform>
+
+interface OrderContext {
+  readonly assignment: AssignmentObject
+  readonly seen: ReadonlyMap<VmId, ObservedVm>
+  readonly reforms: PlannedReforms
+  /** Formations in which some VM says that requests run. */
+  readonly busy: ReadonlySet<string>
+}
+
+type GroupOrders = (group: AssignedGroup, context: OrderContext) => DueOrder[]
 
 const ORDERS_BY_STATE: Readonly<Record<GroupState, GroupOrders>> = {
   [GroupState.Forming]: formOrders,
@@ -32,13 +51,36 @@
  * the same difference gives the same orders at each call, so a lost order is made again and a late one repeats
  * what stands. A VM that restarted is no member any more and gets no order for its old place.
  */
-export function deriveOrders (assignment: AssignmentObject, seen: ReadonlyMap<VmId, ObservedVm>): DueOrder[] {
-  const placed = assignment.groups.flatMap((group) => ORDERS_BY_STATE[group.state](group, assignment, seen))
+export function deriveOrders (assignment: AssignmentObject, seen: ReadonlyMap<VmId, ObservedVm>, reforms: PlannedReforms = new Map()): DueOrder[] {
+  const context = { assignment, seen, reforms, busy: busyFormations(seen) }
+  const placed = assignment.groups.flatMap((group) => ORDERS_BY_STATE[group.state](group, context))
   const preloads = assignment.groups.flatMap((group) => preloadOrders(group, seen))
-  return [...placed, ...preloads, ...releaseOrders(assignment, seen)]
+  return [...placed, ...preloads, ...releaseOrders(context)]
+}
+
+function busyFormations (seen: ReadonlyMap<VmId, ObservedVm>): ReadonlySet<string> {
+  const busy = [...seen.values()].filter(({ status }) => status.group !== null && status.load.running + status.load.waiting > 0)
+  return new Set(busy.map(({ status }) => formationKey(status)))
 }
 
-function formOrders (group: AssignedGroup, assignment: AssignmentObject, seen: ReadonlyMap<VmId, ObservedVm>): DueOrder[] {
+function formationKey (status: VmStatus): string {
+  return `${status.group}/${status.formation}`
+}
+
+/**
+ * The order that takes a VM out of its present formation, or the one that has to come before it: while the
+ * formation is under a planned change, the VM first drains and then waits for the last request of the formation.
+ */
+function leaveOrders (vm: VmId, current: ObservedVm, { reforms, busy }: OrderContext, next: DueOrder): DueOrder[] {
+  const { status } = current
+  const reform = status.group === null ? undefined : reforms.get(status.group)
+  if (reform === undefined) return [next]
+  if (status.state === EngineState.Ready) return [drainOrder(vm, current, status.group!)]
+  return reform.allSeen && !busy.has(formationKey(status)) ? [next] : []
+}
+
+function formOrders (group: AssignedGroup, context: OrderContext): DueOrder[] {
+  const { assignment, seen } = context
   const due: DueOrder[] = []
   for (const [rank, member] of group.members.entries()) {
     const current = sameIncarnation(member, seen)
@@ -54,7 +96,8 @@
       version: group.version,
       adapters: group.adapters
     }
-    due.push({ vm: member.vm, address: current.address, order, cause: `is not at formation ${group.formation} of ${group.group}` })
+    const form = { vm: member.vm, address: current.address, order, cause: `is not at formation ${group.formation} of ${group.group}` }
+    due.push(...leaveOrders(member.vm, current, context, form))
   }
   return due
 }
@@ -65,13 +108,17 @@
   return inPlace && working
 }
 
-function drainOrders (group: AssignedGroup, _assignment: AssignmentObject, seen: ReadonlyMap<VmId, ObservedVm>): DueOrder[] {
+function drainOrder (vm: VmId, current: ObservedVm, group: GroupId): DueOrder {
+  const order: EngineOrder = { kind: OrderKind.Drain, group, formation: current.status.formation }
+  return { vm, address: current.address, order, cause: `${group} drains` }
+}
+
+function drainOrders (group: AssignedGroup, { seen }: OrderContext): DueOrder[] {
   const due: DueOrder[] = []
   for (const member of group.members) {
     const current = sameIncarnation(member, seen)
     if (current === undefined || current.status.group !== group.group || current.status.state !== EngineState.Ready) continue
-    const order: EngineOrder = { kind: OrderKind.Drain, group: group.group, formation: current.status.formation }
-    due.push({ vm: member.vm, address: current.address, order, cause: `${group.group} drains` })
+    due.push(drainOrder(member.vm, current, group.group))
   }
   return due
 }
@@ -92,13 +139,15 @@
 }
 
 /** An engine that says it is in a group must leave it when this incarnation of its VM has no place in any. */
-function releaseOrders (assignment: AssignmentObject, seen: ReadonlyMap<VmId, ObservedVm>): DueOrder[] {
+function releaseOrders (context: OrderContext): DueOrder[] {
+  const { assignment, seen } = context
   const places = new Map(assignment.groups.flatMap((group) => group.members).map((member) => [member.vm, member.incarnation]))
   const due: DueOrder[] = []
-  for (const [vm, { address, status }] of seen) {
+  for (const [vm, current] of seen) {
+    const { address, status } = current
     if (status.group === null || places.get(vm) === status.incarnation) continue
     const order: EngineOrder = { kind: OrderKind.Release, group: status.group, formation: status.formation }
-    due.push({ vm, address, order, cause: `has no place in ${status.group}` })
+    due.push(...leaveOrders(vm, current, context, { vm, address, order, cause: `has no place in ${status.group}` }))
   }
   return due
 }
