--- /dev/null
+++ b/packages/dotterelspur-mesh/src/connection/Connection.ts
@@ -0,0 +1,155 @@
+import type { WebSocket, RawData } from 'ws'
+import { type Frame, FrameKind, type MemberRecord } from 'dotterelspur'
+import { decodeFrame, encodeFrame } from './FrameCodec.js'
+import type { MeshMetrics } from './MeshMetrics.js'
+import type { SocketMessage } from './SocketInbox.js'
+
+/** A gossip frame is dropped rather than queued above this; digests and retries make up for it. */
+const GOSSIP_QUEUE_BYTES = 1_048_576
+/** A call is refused above this, before anything of it is sent. */
+const CALL_QUEUE_BYTES = 4_194_304
+const POLICY_VIOLATION = 1008
+const NORMAL_CLOSE = 1000
+const MAX_REASON_BYTES = 100
+
+/** The largest frame that a peer takes: a document body is at most a megabyte, the rest is for what goes around it. */
+export const MAX_FRAME_BYTES = 1_310_720
+
+export enum SendResult {
+  Sent = 'sent',
+  /** The connection is not open any more; nothing was sent. */
+  Closed = 'closed',
+  /** The peer would refuse the frame; nothing was sent. */
+  TooLarge = 'too-large'
+}
+
+export enum ConnectionPurpose {
+  Gossip = 0,
+  Call = 1
+}
+
+/** An established connection to an authenticated peer process. */
+export class Connection {
+  private frameListener: ((frame: Frame) => void) | undefined
+  private closeListener: ((reason: string) => void) | undefined
+  private early: Frame[] = []
+  private closedReason: string | undefined
+
+  constructor (
+    private readonly socket: WebSocket,
+    readonly peer: MemberRecord,
+    readonly purpose: ConnectionPurpose,
+    readonly dialed: boolean,
+    private readonly metrics: MeshMetrics,
+    early: readonly SocketMessage[]
+  ) {
+    for (const message of early) this.onMessage(message.data, message.isBinary)
+    socket.on('message', (data, isBinary) => this.onMessage(data, isBinary))
+    socket.on('close', (_code, reason) => this.onClose(reason.toString()))
+    socket.on('error', (error) => this.onClose(error.message))
+    if (socket.readyState === socket.CLOSED) this.closedReason = 'connection lost'
+  }
+
+  get open (): boolean {
+    return this.closedReason === undefined && this.socket.readyState === this.socket.OPEN
+  }
+
+  /** No room for another call. */
+  get full (): boolean {
+    return this.socket.bufferedAmount > CALL_QUEUE_BYTES
+  }
+
+  get queuedBytes (): number {
+    return this.socket.bufferedAmount
+  }
+
+  /** Frames that came before a listener was set are handed to it at once. */
+  setListeners (onFrame: (frame: Frame) => void, onClose: (reason: string) => void): void {
+    this.frameListener = onFrame
+    this.closeListener = onClose
+    const early = this.early
+    this.early = []
+    for (const frame of early) onFrame(frame)
+    if (this.closedReason !== undefined) onClose(this.closedReason)
+  }
+
+  /** Sends a gossip frame, or drops and counts it when the peer takes nothing. */
+  sendGossip (frame: Frame): void {
+    if (!this.open) return
+    if (this.socket.bufferedAmount > GOSSIP_QUEUE_BYTES) this.metrics.countDropped(frame.kind)
+    else this.write(frame)
+  }
+
+  sendCall (frame: Frame): SendResult {
+    return this.open ? this.write(frame) : SendResult.Closed
+  }
+
+  ping (): void {
+    if (this.open) this.socket.ping()
+  }
+
+  /** Calls back on signs of life that are no frames, for links that carry no beats. */
+  setAliveListener (listener: () => void): void {
+    this.socket.on('pong', listener)
+    this.socket.on('ping', listener)
+  }
+
+  close (reason: string): void {
+    if (this.closedReason !== undefined) return
+    this.metrics.countClosed(reason)
+    this.socket.close(NORMAL_CLOSE, reason.slice(0, MAX_REASON_BYTES))
+  }
+
+  terminate (reason: string): void {
+    this.metrics.countClosed(reason)
+    this.socket.terminate()
+    this.onClose(reason)
+  }
+
+  private write (frame: Frame): SendResult {
+    const bytes = encodeFrame(frame)
+    if (bytes.length > MAX_FRAME_BYTES) return SendResult.TooLarge
+    this.metrics.countSent(frame.kind, bytes.length + headerBytes(bytes.length, this.dialed))
+    this.socket.send(bytes)
+    return SendResult.Sent
+  }
+
+  private onMessage (data: RawData, isBinary: boolean): void {
+    const bytes = data as Buffer
+    const decoded = isBinary ? decodeFrame(bytes) : undefined
+    if (decoded === undefined || !decoded.ok) {
+      this.metrics.countMalformed()
+      this.socket.close(POLICY_VIOLATION, (decoded === undefined ? 'text frame' : decoded.error.reason).slice(0, MAX_REASON_BYTES))
+      return
+    }
+    const frame = decoded.value
+    this.metrics.countReceived(frame.kind, bytes.length + headerBytes(bytes.length, !this.dialed))
+    if (this.purposeOf(frame) !== this.purpose) {
+      this.metrics.countMalformed()
+      this.socket.close(POLICY_VIOLATION, 'frame on the wrong kind of connection')
+      return
+    }
+    if (this.frameListener === undefined) this.early.push(frame)
+    else this.frameListener(frame)
+  }
+
+  private purposeOf (frame: Frame): ConnectionPurpose {
+    return frame.kind >= FrameKind.CallOpen ? ConnectionPurpose.Call : ConnectionPurpose.Gossip
+  }
+
+  private onClose (reason: string): void {
+    if (this.closedReason !== undefined) return
+    this.closedReason = reason === '' ? 'connection lost' : reason
+    this.closeListener?.(this.closedReason)
+  }
+}
+
+const SMALL_PAYLOAD = 125
+const MEDIUM_PAYLOAD = 65_535
+const MASK_BYTES = 4
+
+/** Size of a WebSocket frame's header; the client end masks. */
+export function headerBytes (payloadBytes: number, masked: boolean): number {
+  const lengthBytes = payloadBytes <= SMALL_PAYLOAD ? 2 : payloadBytes <= MEDIUM_PAYLOAD ? 4 : 10
+  return lengthBytes + (masked ? MASK_BYTES : 0)
+}
--- /dev/null
+++ b/packages/dotterelspur-mesh/src/connection/Handshake.ts
@@ -0,0 +1,176 @@
+import { randomBytes } from 'node:crypto'
+import type { WebSocket } from 'ws'
+import { type Clock, failed, MESH_PROTOCOL_VERSION, type MemberRecord, type NodeId, type Result, success } from 'dotterelspur'
+import { ConnectionPurpose } from './Connection.js'
+import { checkProof, makeProof, type MeshCredentials, ProofRole, type ProofSubject } from './Credentials.js'
+import type { FieldReader } from './FieldReader.js'
+import { packFields, readerOf, unpackFields } from './FrameCodec.js'
+import { readMember, writeMember } from './recordCodec.js'
+import { SocketInbox, type SocketMessage } from './SocketInbox.js'
+
+/** Why two processes do not talk; the words appear in logs, counters and the refused peer's log. */
+export enum RefusalReason {
+  WrongProtocol = 'wrong-protocol',
+  WrongKey = 'wrong-key',
+  /** The certificate does not name the node that the peer says it is. */
+  WrongName = 'wrong-name',
+  /** Another node than the one that was dialed. */
+  WrongNode = 'wrong-node',
+  WrongIncarnation = 'wrong-incarnation',
+  /** A node dialed its own address. */
+  Self = 'self',
+  Malformed = 'malformed',
+  TimedOut = 'timed-out',
+  TooManyConnections = 'too-many-connections',
+  /** The certificate is not of the authority, or out of date. */
+  CertificateRejected = 'certificate-rejected',
+  /** No connection, or it broke during the handshake. */
+  Unreachable = 'unreachable'
+}
+
+export interface Refusal {
+  readonly reason: RefusalReason
+  readonly detail: string
+}
+
+/** What a handshake settles. */
+export interface Introduction {
+  readonly peer: MemberRecord
+  readonly purpose: ConnectionPurpose
+  /** Messages that arrived right behind the handshake. */
+  readonly early: readonly SocketMessage[]
+}
+
+export interface HandshakeContext {
+  readonly self: () => MemberRecord
+  readonly credentials: MeshCredentials
+  readonly clock: Clock
+  readonly timeoutMs: number
+  /** Whether the peer's certificate, if there is one, names the node. */
+  readonly certifies: (node: NodeId) => boolean
+}
+
+/** The process that a dialer means; an incarnation of 0 stands for any. */
+export interface ExpectedPeer {
+  readonly node: NodeId | null
+  readonly incarnation: number
+}
+
+enum Step {
+  Hello = 1,
+  Welcome = 2,
+  Proof = 3,
+  Ready = 4,
+  Refused = 5
+}
+
+const NONCE_BYTES = 18
+const REFUSAL_REASONS = Object.values(RefusalReason)
+
+function processName (record: MemberRecord): string {
+  return `${record.node}.${record.incarnation}`
+}
+
+function createNonce (): string {
+  return randomBytes(NONCE_BYTES).toString('base64url')
+}
+
+/** The dialer's side: it proves itself after the acceptor has, and is done when the acceptor says so. */
+export async function introduceAsDialer (socket: WebSocket, purpose: ConnectionPurpose, expected: ExpectedPeer, context: HandshakeContext): Promise<Result<Introduction, Refusal>> {
+  const inbox = new SocketInbox(socket)
+  const cancelDeadline = inbox.registerDeadline(context.clock, context.timeoutMs)
+  const result = await dialerSteps(socket, inbox, purpose, expected, context)
+  cancelDeadline()
+  return finish(socket, inbox, result)
+}
+
+/** The acceptor's side. */
+export async function introduceAsAcceptor (socket: WebSocket, context: HandshakeContext): Promise<Result<Introduction, Refusal>> {
+  const inbox = new SocketInbox(socket)
+  const cancelDeadline = inbox.registerDeadline(context.clock, context.timeoutMs)
+  const result = await acceptorSteps(socket, inbox, context)
+  cancelDeadline()
+  return finish(socket, inbox, result)
+}
+
+type Settled = Pick<Introduction, 'peer' | 'purpose'>
+
+async function dialerSteps (socket: WebSocket, inbox: SocketInbox, purpose: ConnectionPurpose, expected: ExpectedPeer, context: HandshakeContext): Promise<Result<Settled, Refusal>> {
+  const self = context.self()
+  const dialerNonce = createNonce()
+  socket.send(packFields([Step.Hello, MESH_PROTOCOL_VERSION, purpose, writeMember(self), expected.node ?? '', expected.incarnation, dialerNonce]))
+  const welcome = await readStep(inbox, Step.Welcome, (fields) => ({ peer: fields.nestedFields('record', readMember), nonce: fields.text('nonce'), proof: fields.text('proof') }))
+  if (!welcome.ok) return welcome
+  const { peer, nonce, proof } = welcome.value
+  if (peer.node === self.node) return refuse(RefusalReason.Self, 'that is this node itself')
+  if (expected.node !== null && peer.node !== expected.node) return refuse(RefusalReason.WrongNode, `${peer.node} answers instead of ${expected.node}`)
+  if (!context.certifies(peer.node)) return refuse(RefusalReason.WrongName, `the certificate does not name ${peer.node}`)
+  const subject: ProofSubject = { dialerNonce, acceptorNonce: nonce, dialer: processName(self), acceptor: processName(peer) }
+  if (!checkProof(context.credentials, ProofRole.Acceptor, subject, proof)) return refuse(RefusalReason.WrongKey, `${peer.node} has another key`)
+  socket.send(packFields([Step.Proof, makeProof(context.credentials, ProofRole.Dialer, subject)]))
+  const ready = await readStep(inbox, Step.Ready, () => ({}))
+  return ready.ok ? success({ peer, purpose }) : ready
+}
+
+async function acceptorSteps (socket: WebSocket, inbox: SocketInbox, context: HandshakeContext): Promise<Result<Settled, Refusal>> {
+  const self = context.self()
+  const hello = await readStep(inbox, Step.Hello, readHello)
+  if (!hello.ok) return hello
+  const { protocol, purpose, peer, expectedNode, expectedIncarnation, nonce } = hello.value
+  if (protocol !== MESH_PROTOCOL_VERSION) return refuse(RefusalReason.WrongProtocol, `this node speaks ${MESH_PROTOCOL_VERSION}, the peer ${protocol}`)
+  if (peer.node === self.node) return refuse(RefusalReason.Self, 'a node of this name is here')
+  if (expectedNode !== '' && expectedNode !== self.node) return refuse(RefusalReason.WrongNode, `this is ${self.node}, not ${expectedNode}`)
+  if (expectedIncarnation !== 0 && expectedIncarnation !== self.incarnation) return refuse(RefusalReason.WrongIncarnation, `this is incarnation ${self.incarnation}, not ${expectedIncarnation}`)
+  if (!context.certifies(peer.node)) return refuse(RefusalReason.WrongName, `the certificate does not name ${peer.node}`)
+  const subject: ProofSubject = { dialerNonce: nonce, acceptorNonce: createNonce(), dialer: processName(peer), acceptor: processName(self) }
+  socket.send(packFields([Step.Welcome, writeMember(self), subject.acceptorNonce, makeProof(context.credentials, ProofRole.Acceptor, subject)]))
+  const proof = await readStep(inbox, Step.Proof, (fields) => fields.text('proof'))
+  if (!proof.ok) return proof
+  if (!checkProof(context.credentials, ProofRole.Dialer, subject, proof.value)) return refuse(RefusalReason.WrongKey, `${peer.node} has another key`)
+  socket.send(packFields([Step.Ready]))
+  return success({ peer, purpose })
+}
+
+function readHello (fields: FieldReader) {
+  return {
+    protocol: fields.integer('protocol'),
+    purpose: fields.oneOf('purpose', [ConnectionPurpose.Gossip, ConnectionPurpose.Call]),
+    peer: fields.nestedFields('record', readMember),
+    expectedNode: fields.text('expectedNode'),
+    expectedIncarnation: fields.integer('expectedIncarnation'),
+    nonce: fields.text('nonce')
+  }
+}
+
+async function readStep<Value> (inbox: SocketInbox, step: Step, read: (fields: FieldReader) => Value): Promise<Result<Value, Refusal>> {
+  const message = await inbox.next()
+  if (!message.ok) return refuse(message.error === 'handshake timed out' ? RefusalReason.TimedOut : RefusalReason.Unreachable, message.error)
+  const unpacked = unpackFields(message.value.data as Buffer)
+  if (!unpacked.ok) return refuse(RefusalReason.Malformed, unpacked.error.reason)
+  const [kind, ...rest] = unpacked.value
+  const fields = readerOf(rest)
+  if (kind === Step.Refused) return readRefusal(fields)
+  if (kind !== step) return refuse(RefusalReason.Malformed, `expected ${Step[step]}`)
+  const value = read(fields)
+  return fields.fault === undefined ? success(value) : refuse(RefusalReason.Malformed, fields.fault)
+}
+
+/** The peer's refusal, to be reported as its reason and not answered. */
+function readRefusal (fields: FieldReader): Result<never, Refusal> {
+  return refuse(fields.oneOf('reason', REFUSAL_REASONS), fields.text('detail'))
+}
+
+function refuse (reason: RefusalReason, detail: string): Result<never, Refusal> {
+  return failed({ reason, detail })
+}
+
+const NORMAL_CLOSE = 1000
+
+function finish (socket: WebSocket, inbox: SocketInbox, result: Result<Settled, Refusal>): Result<Introduction, Refusal> {
+  const early = inbox.handOver()
+  if (result.ok) return success({ ...result.value, early })
+  socket.on('error', () => {})
+  if (socket.readyState === socket.OPEN) socket.send(packFields([Step.Refused, result.error.reason, result.error.detail]))
+  socket.close(NORMAL_CLOSE, result.error.reason)
+  return result
+}
--- /dev/null
+++ b/packages/dotterelspur-mesh/src/connection/SocketInbox.ts
@@ -0,0 +1,68 @@
+import type { RawData, WebSocket } from 'ws'
+import { type Clock, failed, type Result, success, type Teardown } from 'dotterelspur'
+
+/** A message as the socket gave it. */
+export interface SocketMessage {
+  readonly data: RawData
+  readonly isBinary: boolean
+}
+
+/** Messages kept while nobody asks for them; a peer that sends more before it is known is cut off. */
+const MAX_WAITING = 64
+
+/** Lets a handshake take one message after the other, and hands over what came too early for it. */
+export class SocketInbox {
+  private waiting: SocketMessage[] = []
+  private taker: ((message: Result<SocketMessage, string>) => void) | undefined
+  private closedReason: string | undefined
+  private readonly onMessage = (data: RawData, isBinary: boolean): void => this.deliver({ data, isBinary })
+  private readonly onEnd = (reason: string): void => this.end(reason)
+  private readonly onClose = (_code: number, reason: Buffer): void => this.end(reason.toString() || 'connection closed')
+  private readonly onError = (error: Error): void => this.end(error.message)
+
+  constructor (private readonly socket: WebSocket) {
+    socket.on('message', this.onMessage)
+    socket.on('close', this.onClose)
+    socket.on('error', this.onError)
+  }
+
+  /** The next message, or why none will come. */
+  next (): Promise<Result<SocketMessage, string>> {
+    const message = this.waiting.shift()
+    if (message !== undefined) return Promise.resolve(success(message))
+    if (this.closedReason !== undefined) return Promise.resolve(failed(this.closedReason))
+    return new Promise((resolve) => { this.taker = resolve })
+  }
+
+  /** Ends the wait at a deadline. */
+  registerDeadline (clock: Clock, timeoutMs: number): Teardown {
+    return clock.registerTimer(timeoutMs, () => this.onEnd('handshake timed out'))
+  }
+
+  /** Detaches, and returns the messages that were not taken. */
+  handOver (): readonly SocketMessage[] {
+    this.socket.off('message', this.onMessage)
+    this.socket.off('close', this.onClose)
+    this.socket.off('error', this.onError)
+    return this.waiting
+  }
+
+  private deliver (message: SocketMessage): void {
+    const taker = this.taker
+    if (taker !== undefined) {
+      this.taker = undefined
+      taker(success(message))
+    } else if (this.waiting.length < MAX_WAITING) {
+      this.waiting.push(message)
+    } else {
+      this.socket.terminate()
+    }
+  }
+
+  private end (reason: string): void {
+    this.closedReason ??= reason
+    const taker = this.taker
+    this.taker = undefined
+    taker?.(failed(this.closedReason))
+  }
+}
--- /dev/null
+++ b/packages/dotterelspur-mesh/src/connection/Transport.ts
@@ -0,0 +1,181 @@
+import { createServer as createHttpServer, type IncomingMessage, type Server } from 'node:http'
+import { createServer as createHttpsServer } from 'node:https'
+import type { AddressInfo, Socket } from 'node:net'
+import type { TLSSocket } from 'node:tls'
+import { WebSocket, WebSocketServer } from 'ws'
+import { type Clock, failed, type MemberRecord, type NodeId, type Result, success } from 'dotterelspur'
+import { Connection, type ConnectionPurpose, MAX_FRAME_BYTES } from './Connection.js'
+import { certificateNames, CredentialsKind, type MeshCredentials } from './Credentials.js'
+import { type ExpectedPeer, type HandshakeContext, introduceAsAcceptor, introduceAsDialer, type Refusal, RefusalReason } from './Handshake.js'
+import type { MeshMetrics } from './MeshMetrics.js'
+
+const MESH_PATH = '/mesh'
+const FORBIDDEN = 403
+const UNAVAILABLE = 503
+
+export interface TransportOptions {
+  readonly listenHost: string
+  readonly listenPort: number
+  /** The address from which outgoing connections come; undefined leaves it to the system. */
+  readonly localAddress: string | undefined
+  readonly credentials: MeshCredentials
+  readonly clock: Clock
+  readonly handshakeTimeoutMs: number
+  readonly maxConnections: number
+  readonly self: () => MemberRecord
+  readonly metrics: MeshMetrics
+  readonly onConnection: (connection: Connection) => void
+}
+
+/** Why this node can't listen. */
+export interface ListenError {
+  readonly reason: string
+}
+
+interface OpenedSocket {
+  readonly socket: WebSocket
+  readonly tls: TLSSocket | undefined
+}
+
+/** Makes and accepts authenticated connections. */
+export class Transport {
+  private server: Server | undefined
+  private readonly sockets = new WebSocketServer({ noServer: true, maxPayload: MAX_FRAME_BYTES, perMessageDeflate: false })
+  private readonly connections = new Set<WebSocket>()
+
+  constructor (private readonly options: TransportOptions) {}
+
+  /** Returns the port on which the node listens. */
+  listen (): Promise<Result<number, ListenError>> {
+    const server = this.createServer()
+    this.server = server
+    server.on('upgrade', (request: IncomingMessage, socket: Socket, head: Buffer) => this.onUpgrade(request, socket, head))
+    server.on('tlsClientError', () => this.options.metrics.countRefused(RefusalReason.CertificateRejected))
+    return new Promise((resolve) => {
+      server.once('error', (error) => resolve(failed({ reason: error.message })))
+      server.listen(this.options.listenPort, this.options.listenHost, () => resolve(success((server.address() as AddressInfo).port)))
+    })
+  }
+
+  /** Connects to a peer. A refusal means that no frame was sent. */
+  async dial (address: string, expected: ExpectedPeer, purpose: ConnectionPurpose): Promise<Result<Connection, Refusal>> {
+    const { metrics } = this.options
+    const opened = await this.openSocket(address)
+    if (!opened.ok) {
+      metrics.countRefused(opened.error.reason)
+      return opened
+    }
+    const { socket, tls } = opened.value
+    const introduced = await introduceAsDialer(socket, purpose, expected, this.handshakeContext(tls))
+    if (!introduced.ok) {
+      metrics.countRefused(introduced.error.reason)
+      return introduced
+    }
+    metrics.countHandshake()
+    return success(new Connection(socket, introduced.value.peer, purpose, true, metrics, introduced.value.early))
+  }
+
+  async close (): Promise<void> {
+    for (const socket of this.connections) socket.terminate()
+    const server = this.server
+    if (server === undefined) return
+    server.closeAllConnections()
+    await new Promise<void>((resolve) => { server.close(() => resolve()) })
+  }
+
+  private createServer (): Server {
+    const { credentials } = this.options
+    if (credentials.kind === CredentialsKind.SharedKey) return createHttpServer()
+    // Certificates are judged at the upgrade, so that a refused peer is told why.
+    return createHttpsServer({ cert: credentials.certificate, key: credentials.privateKey, ca: credentials.authority, requestCert: true, rejectUnauthorized: false })
+  }
+
+  private onUpgrade (request: IncomingMessage, socket: Socket, head: Buffer): void {
+    socket.on('error', () => {})
+    const { credentials, maxConnections } = this.options
+    const tls = credentials.kind === CredentialsKind.MutualTls ? socket as TLSSocket : undefined
+    if (tls !== undefined && !tls.authorized) return this.reject(socket, FORBIDDEN, RefusalReason.CertificateRejected, String(tls.authorizationError))
+    if (this.connections.size >= maxConnections) return this.reject(socket, UNAVAILABLE, RefusalReason.TooManyConnections, `${maxConnections} connections are open`)
+    this.sockets.handleUpgrade(request, socket, head, (webSocket) => {
+      this.track(webSocket)
+      this.accept(webSocket, tls).catch(() => webSocket.terminate())
+    })
+  }
+
+  private reject (socket: Socket, status: number, reason: RefusalReason, detail: string): void {
+    this.options.metrics.countRefused(reason)
+    const body = `${reason}: ${detail}`
+    socket.end(`HTTP/1.1 ${status} Refused\r\nConnection: close\r\nContent-Type: text/plain\r\nContent-Length: ${Buffer.byteLength(body)}\r\n\r\n${body}`)
+  }
+
+  private async accept (socket: WebSocket, tls: TLSSocket | undefined): Promise<void> {
+    const introduced = await introduceAsAcceptor(socket, this.handshakeContext(tls))
+    if (!introduced.ok) {
+      this.options.metrics.countRefused(introduced.error.reason)
+      return
+    }
+    this.options.metrics.countHandshake()
+    const { peer, purpose, early } = introduced.value
+    this.options.onConnection(new Connection(socket, peer, purpose, false, this.options.metrics, early))
+  }
+
+  private handshakeContext (tls: TLSSocket | undefined): HandshakeContext {
+    const { self, credentials, clock, handshakeTimeoutMs } = this.options
+    const certifies = (node: NodeId): boolean => tls === undefined || certificateNames(tls.getPeerCertificate(), node)
+    return { self, credentials, clock, timeoutMs: handshakeTimeoutMs, certifies }
+  }
+
+  private openSocket (address: string): Promise<Result<OpenedSocket, Refusal>> {
+    const { credentials, localAddress, handshakeTimeoutMs } = this.options
+    const secure = credentials.kind === CredentialsKind.MutualTls
+    const identity = secure
+      // The name is checked in the handshake, against the node that the peer says it is: peers are dialed by IP number.
+      ? { cert: credentials.certificate, key: credentials.privateKey, ca: credentials.authority, checkServerIdentity: () => undefined }
+      : {}
+    const socket = new WebSocket(`${secure ? 'wss' : 'ws'}://${address}${MESH_PATH}`, {
+      ...identity, localAddress, handshakeTimeout: handshakeTimeoutMs, maxPayload: MAX_FRAME_BYTES, perMessageDeflate: false
+    })
+    this.track(socket)
+    return new Promise((resolve) => {
+      let tls: TLSSocket | undefined
+      socket.once('upgrade', (response) => { tls = secure ? response.socket as TLSSocket : undefined })
+      socket.once('open', () => resolve(success({ socket, tls })))
+      socket.once('error', (error) => resolve(failed(refusalOf(error))))
+      socket.once('unexpected-response', (_request, response) => {
+        readBody(response, (body) => {
+          resolve(failed(refusalOfBody(body)))
+          socket.terminate()
+        })
+      })
+    })
+  }
+
+  private track (socket: WebSocket): void {
+    this.connections.add(socket)
+    socket.on('error', () => {})
+    socket.on('close', () => this.connections.delete(socket))
+  }
+}
+
+const CERTIFICATE_ERRORS = /CERT|SELF_SIGNED|UNABLE_TO_VERIFY/
+
+function refusalOf (error: Error & { readonly code?: string }): Refusal {
+  const reason = CERTIFICATE_ERRORS.test(error.code ?? '') ? RefusalReason.CertificateRejected : RefusalReason.Unreachable
+  return { reason, detail: error.code ?? error.message }
+}
+
+function refusalOfBody (body: string): Refusal {
+  const [reason, detail] = body.split(': ')
+  const known = Object.values(RefusalReason).find((value) => value === reason)
+  return { reason: known ?? RefusalReason.Unreachable, detail: detail ?? body }
+}
+
+const MAX_BODY_LENGTH = 1024
+
+function readBody (response: IncomingMessage, done: (body: string) => void): void {
+  let body = ''
+  response.setEncoding('utf8')
+  response.on('data', (chunk: string) => { body = (body + chunk).slice(0, MAX_BODY_LENGTH) })
+  response.on('end', () => done(body))
+  response.on('error', () => done(body))
+}
--- a/packages/dotterelspur-mesh/src/index.ts
+++ b/packages/dotterelspur-mesh/src/index.ts
@@ -1,1 +1,5 @@
-export {}
+export * from './process/Mesh.js'
+export { CredentialsKind, type MeshCredentials } from './connection/Credentials.js'
+export type { FrameCount, MeshCounters, MeshSizes } from './connection/MeshMetrics.js'
+export type { ListenError } from './connection/Transport.js'
+export { type CallLimits, DEFAULT_CALL_LIMITS } from './request/CallLimits.js'
--- /dev/null
+++ b/packages/dotterelspur-mesh/src/process/InForce.ts
@@ -0,0 +1,75 @@
+import { type CallEvent, CallEventKind, type CallHandler, type HomeId, homeOf, type InForceReport, type MeshApi, type NodeId, type NodeMember, NodeState } from 'dotterelspur'
+
+/** Built-in call that asks for the version of one document, at the asked node and at others through it. */
+export const IN_FORCE_METHOD = 'mesh/in-force'
+
+interface InForceRequest {
+  readonly key: string
+  readonly timeoutMs: number
+  /** Processes that the asked node is to ask in turn. */
+  readonly homes: readonly HomeId[]
+}
+
+/** Nodes asked side by side, by the first node and by each that asks for it. */
+const FAN_OUT = 32
+/** Part of the time that a node leaves to those that it asks, so that its own answer is not late. */
+const SHARE_FOR_OTHERS = 0.7
+
+/** Serves the call at each node. */
+export function createInForceHandler (mesh: MeshApi): CallHandler {
+  return async function * (request) {
+    const { key, timeoutMs, homes } = request as InForceRequest
+    yield { node: mesh.self.node, version: mesh.document(key)?.version ?? 0 }
+    yield * await askAll(mesh, homes.map((home) => ({ home, request: { key, timeoutMs: timeoutMs * SHARE_FOR_OTHERS, homes: [] } })), timeoutMs)
+  }
+}
+
+/**
+ * Asks every living node which version it holds: one node in each failure domain, which asks the others there,
+ * so that no node needs a connection to each. What a failed middle node owed is asked directly, once.
+ */
+export async function collectInForce (mesh: MeshApi, key: string, timeoutMs: number): Promise<readonly InForceReport[]> {
+  const own: InForceReport = { node: mesh.self.node, version: mesh.document(key)?.version ?? 0 }
+  const others = mesh.members().filter((member) => member.node !== mesh.self.node && isUp(member))
+  const questions = [...byFailureDomain(others).values()].map(([first, ...rest]) =>
+    ({ home: homeOf(first!), request: { key, timeoutMs: timeoutMs * SHARE_FOR_OTHERS, homes: rest.map(homeOf) } }))
+  const reports = await askAll(mesh, questions, timeoutMs * SHARE_FOR_OTHERS)
+  const answered = new Set<NodeId>(reports.map((report) => report.node))
+  const missing = others.filter((member) => !answered.has(member.node))
+  const retried = await askAll(mesh, missing.map((member) => ({ home: homeOf(member), request: { key, timeoutMs, homes: [] } })), timeoutMs * (1 - SHARE_FOR_OTHERS))
+  return [own, ...reports, ...retried]
+}
+
+interface Question {
+  readonly home: HomeId
+  readonly request: InForceRequest
+}
+
+async function askAll (mesh: MeshApi, questions: readonly Question[], timeoutMs: number): Promise<InForceReport[]> {
+  const deadline = AbortSignal.timeout(Math.max(1, Math.round(timeoutMs)))
+  const reports: InForceReport[] = []
+  const waiting = [...questions]
+  const worker = async (): Promise<void> => {
+    for (let question = waiting.shift(); question !== undefined; question = waiting.shift()) {
+      for await (const event of mesh.call(question.home, IN_FORCE_METHOD, question.request, deadline)) reports.push(...reportOf(event))
+    }
+  }
+  await Promise.all(Array.from({ length: Math.min(FAN_OUT, questions.length) }, worker))
+  return reports
+}
+
+function reportOf (event: CallEvent): InForceReport[] {
+  if (event.kind !== CallEventKind.Message) return []
+  const report = event.message as Partial<InForceReport> | null
+  return typeof report?.node === 'string' && typeof report.version === 'number' ? [{ node: report.node, version: report.version }] : []
+}
+
+function isUp (member: NodeMember): boolean {
+  return member.state !== NodeState.Dead && member.state !== NodeState.Left
+}
+
+function byFailureDomain (members: readonly NodeMember[]): Map<string, NodeMember[]> {
+  const domains = new Map<string, NodeMember[]>()
+  for (const member of members) domains.set(member.failureDomain, [...domains.get(member.failureDomain) ?? [], member])
+  return domains
+}
--- /dev/null
+++ b/packages/dotterelspur-mesh/src/process/Mesh.ts
@@ -0,0 +1,272 @@
+import createDebug from 'debug'
+import {
+  type CallEvent, CallEventKind, type CallHandler, type Clock, DEFAULT_MESH_LIMITS, DEFAULT_MESH_TIMING, type GossipFrame, type GroupPresence, type HomeId, homeOf,
+  type InForceReport, type LinkId, MemberHealth, memberOf, type MeshApi, type MeshDocument, type MeshEffect, MeshEffectKind, MeshErrorKind, type MeshLimits, MeshMachine,
+  type MeshTiming, type NodeMember, type Random, type Result, type ServicePresence, success, type Teardown
+} from 'dotterelspur'
+import { type Connection, ConnectionPurpose } from '../connection/Connection.js'
+import type { MeshCredentials } from '../connection/Credentials.js'
+import { type MeshCounters, MeshMetrics, type MeshSizes } from '../connection/MeshMetrics.js'
+import { type ListenError, Transport } from '../connection/Transport.js'
+import { CallClient } from '../request/CallClient.js'
+import { type CallLimits, DEFAULT_CALL_LIMITS } from '../request/CallLimits.js'
+import { CallServer } from '../request/CallServer.js'
+import { KeepAlive } from '../request/KeepAlive.js'
+import { collectInForce, createInForceHandler, IN_FORCE_METHOD } from './InForce.js'
+import { Listeners } from './Listeners.js'
+
+const log = createDebug('dotterelspur:mesh')
+const TICK_INTERVAL_MS = 100
+const FAREWELL_MS = 100
+const MAX_CONNECTIONS = 1_024
+
+export interface MeshOptions {
+  /** What this process says of itself; the mesh address is added when it listens. */
+  readonly self: Pick<NodeMember, 'node' | 'incarnation' | 'region' | 'failureDomain' | 'entryAddress' | 'adminAddress'>
+  /** The address to listen on, the node's own IP number. */
+  readonly listenHost: string
+  /** 0 lets the system choose. */
+  readonly listenPort: number
+  /** What peers are to dial instead of the listening address; host without port. */
+  readonly advertiseHost?: string
+  /** The address from which outgoing connections come: the node's own IP number. */
+  readonly localAddress?: string
+  readonly credentials: MeshCredentials
+  readonly clock: Clock
+  readonly random: Random
+  /** `host:port` of nodes that are known from settings or from the platform; asked for again and again. */
+  readonly seeds: () => readonly string[]
+  readonly timing?: Partial<MeshTiming>
+  readonly limits?: Partial<MeshLimits>
+  readonly callLimits?: Partial<CallLimits>
+}
+
+/** The mesh of one node. */
+export interface Mesh extends MeshApi {
+  /** Listens and begins to look for peers. */
+  start (): Promise<Result<NodeMember, ListenError>>
+  /** Leaves, closes all connections and stops listening. */
+  stop (): Promise<void>
+  counters (): MeshCounters
+  sizes (): MeshSizes
+}
+
+export function createMesh (options: MeshOptions): Mesh {
+  return new MeshNode(options)
+}
+
+class MeshNode implements Mesh {
+  private readonly metrics = new MeshMetrics()
+  private readonly transport: Transport
+  private readonly machine: MeshMachine
+  private readonly server: CallServer
+  private readonly client: CallClient
+  private readonly keepAlive: KeepAlive
+  private readonly connections = new Map<LinkId, Connection>()
+  private readonly memberListeners = new Listeners<readonly NodeMember[]>()
+  private readonly documentListeners = new Listeners<MeshDocument>()
+  private readonly timing: MeshTiming
+  private readonly queue: MeshEffect[] = []
+  private draining = false
+  private lastLink = 0
+  private cancelTick: Teardown | undefined
+  private left = false
+
+  constructor (private readonly options: MeshOptions) {
+    const { clock, random, seeds, credentials } = options
+    const callLimits = { ...DEFAULT_CALL_LIMITS, ...options.callLimits }
+    const limits = { ...DEFAULT_MESH_LIMITS, ...options.limits }
+    this.timing = { ...DEFAULT_MESH_TIMING, ...options.timing }
+    this.machine = new MeshMachine({ self: { ...options.self, meshAddress: '', revision: 0, health: MemberHealth.Alive, draining: false }, timing: this.timing, limits, random, seeds }, clock.nowMs())
+    this.transport = new Transport({
+      listenHost: options.listenHost,
+      listenPort: options.listenPort,
+      localAddress: options.localAddress,
+      credentials,
+      clock,
+      handshakeTimeoutMs: this.timing.dialTimeoutMs,
+      maxConnections: MAX_CONNECTIONS,
+      self: () => this.machine.self,
+      metrics: this.metrics,
+      onConnection: (connection) => this.adopt(connection, undefined)
+    })
+    this.server = new CallServer(options.self.incarnation, callLimits)
+    this.client = new CallClient({ transport: this.transport, clock, limits: callLimits, record: (node) => this.machine.record(node) })
+    this.keepAlive = new KeepAlive(this.client, callLimits)
+    this.server.registerHandler(IN_FORCE_METHOD, createInForceHandler(this))
+  }
+
+  get self (): NodeMember {
+    return memberOf(this.machine.self)
+  }
+
+  async start (): Promise<Result<NodeMember, ListenError>> {
+    const listening = await this.transport.listen()
+    if (!listening.ok) return listening
+    const host = this.options.advertiseHost ?? this.options.listenHost
+    this.machine.setAddress(`${host}:${listening.value}`, this.options.clock.nowMs())
+    this.scheduleTick()
+    log('%s listens on %s', homeOf(this.self), this.self.meshAddress)
+    return success(this.self)
+  }
+
+  async stop (): Promise<void> {
+    await this.leave()
+    this.cancelTick?.()
+    await this.transport.close()
+  }
+
+  async leave (): Promise<void> {
+    if (this.left) return
+    this.left = true
+    this.run(this.machine.leave(this.options.clock.nowMs()))
+    await new Promise<void>((resolve) => { this.options.clock.registerTimer(FAREWELL_MS, resolve) })
+  }
+
+  announceDraining (): void {
+    this.run(this.machine.announceDraining(this.options.clock.nowMs()))
+  }
+
+  members (): readonly NodeMember[] {
+    return this.machine.members()
+  }
+
+  registerMembersListener (listener: (members: readonly NodeMember[]) => void): Teardown {
+    return this.memberListeners.register(listener)
+  }
+
+  document (key: string): MeshDocument | undefined {
+    return this.machine.documents.get(key)
+  }
+
+  documents (prefix: string): readonly MeshDocument[] {
+    return this.machine.documents.list(prefix)
+  }
+
+  offerDocument (document: MeshDocument): boolean {
+    const { taken, effects } = this.machine.offer([document])
+    this.run(effects)
+    return taken.length > 0
+  }
+
+  registerDocumentListener (prefix: string, listener: (document: MeshDocument) => void): Teardown {
+    return this.documentListeners.register((document) => { if (document.key.startsWith(prefix)) listener(document) })
+  }
+
+  publishPresence (groups: readonly GroupPresence[], services: readonly ServicePresence[]): void {
+    this.run(this.machine.publish(groups, services, this.options.clock.nowMs()))
+  }
+
+  groupPresence (): readonly GroupPresence[] {
+    return this.machine.groupPresence(this.options.clock.nowMs())
+  }
+
+  servicePresence (): readonly ServicePresence[] {
+    return this.machine.servicePresence(this.options.clock.nowMs())
+  }
+
+  storeContactAgeMs (): number {
+    return this.machine.storeContactAgeMs(this.options.clock.nowMs())
+  }
+
+  noteStoreContact (): void {
+    this.machine.noteStoreContact(this.options.clock.nowMs())
+  }
+
+  peerContactAgeMs (): number {
+    return this.machine.peerContactAgeMs(this.options.clock.nowMs())
+  }
+
+  inForce (key: string, timeoutMs: number): Promise<readonly InForceReport[]> {
+    return collectInForce(this, key, timeoutMs)
+  }
+
+  call (home: HomeId, method: string, request: unknown, signal: AbortSignal): AsyncIterable<CallEvent> {
+    return home === homeOf(this.self) ? this.callSelf(method, request, signal) : this.client.call(home, method, request, signal)
+  }
+
+  registerCallHandler (method: string, handler: CallHandler): Teardown {
+    return this.server.registerHandler(method, handler)
+  }
+
+  counters (): MeshCounters {
+    return this.metrics.snapshot()
+  }
+
+  sizes (): MeshSizes {
+    return {
+      members: this.machine.members().length,
+      documents: this.machine.documents.size,
+      evidenceLines: this.machine.lineCount,
+      gossipLinks: this.machine.linkCount,
+      callLinks: this.client.linkCount,
+      runningCalls: this.server.runningCalls
+    }
+  }
+
+  private async * callSelf (method: string, request: unknown, signal: AbortSignal): AsyncGenerator<CallEvent, void> {
+    const handler = this.server.handler(method)
+    if (handler === undefined) return yield { kind: CallEventKind.Error, error: { kind: MeshErrorKind.Rejected, reason: `no handler of ${method}` } }
+    try {
+      for await (const message of handler(request, this.self.node, signal)) yield { kind: CallEventKind.Message, message }
+    } catch (error) {
+      return yield { kind: CallEventKind.Error, error: { kind: MeshErrorKind.Rejected, reason: (error as Error).message } }
+    }
+    yield { kind: CallEventKind.End }
+  }
+
+  private scheduleTick (): void {
+    this.cancelTick = this.options.clock.registerTimer(TICK_INTERVAL_MS, () => {
+      this.scheduleTick()
+      const nowMs = this.options.clock.nowMs()
+      this.run(this.machine.tick(nowMs))
+      this.keepAlive.tick(nowMs)
+    })
+  }
+
+  private adopt (connection: Connection, dialedAddress: string | undefined): void {
+    if (connection.purpose === ConnectionPurpose.Call) return this.keepAlive.serve(this.server, connection, this.options.clock)
+    const link = ++this.lastLink
+    this.connections.set(link, connection)
+    this.run(this.machine.linkUp(link, connection.peer, dialedAddress, this.options.clock.nowMs()))
+    connection.setListeners(
+      (frame) => this.run(this.machine.receive(link, frame as GossipFrame, this.options.clock.nowMs())),
+      (reason) => {
+        log('%s: link to %s closed: %s', this.options.self.node, connection.peer.node, reason)
+        this.connections.delete(link)
+        this.run(this.machine.linkDown(link))
+      })
+  }
+
+  /** Runs effects in order; those that listeners cause are queued behind. */
+  private run (effects: readonly MeshEffect[]): void {
+    this.queue.push(...effects)
+    if (this.draining) return
+    this.draining = true
+    try {
+      for (let effect = this.queue.shift(); effect !== undefined; effect = this.queue.shift()) this.runOne(effect)
+    } finally {
+      this.draining = false
+    }
+  }
+
+  private readonly runners: { readonly [Kind in MeshEffectKind]: (effect: Extract<MeshEffect, { kind: Kind }>) => void } = {
+    [MeshEffectKind.Send]: (effect) => this.connections.get(effect.link)?.sendGossip(effect.frame),
+    [MeshEffectKind.Dial]: (effect) => { this.dial(effect.address, effect.node).catch((error) => log('dial of %s: %O', effect.address, error)) },
+    [MeshEffectKind.Close]: (effect) => this.connections.get(effect.link)?.close(effect.reason),
+    [MeshEffectKind.MembersChanged]: () => this.memberListeners.notify(this.machine.members()),
+    [MeshEffectKind.DocumentsChanged]: (effect) => effect.documents.forEach((document) => this.documentListeners.notify(document))
+  }
+
+  private runOne (effect: MeshEffect): void {
+    const runner = this.runners[effect.kind] as (effect: MeshEffect) => void
+    runner(effect)
+  }
+
+  private async dial (address: string, node: string | null): Promise<void> {
+    const dialed = await this.transport.dial(address, { node, incarnation: 0 }, ConnectionPurpose.Gossip)
+    if (dialed.ok) return this.adopt(dialed.value, address)
+    log('%s: dial of %s failed: %s (%s)', this.options.self.node, address, dialed.error.reason, dialed.error.detail)
+    this.run(this.machine.dialFailed(address, this.options.clock.nowMs()))
+  }
+}
--- /dev/null
+++ b/packages/dotterelspur-mesh/src/request/CallServer.ts
@@ -0,0 +1,62 @@
+import { type CallFrame, type CallHandler, type Frame, FrameKind, invariant, MeshErrorKind, type Teardown } from 'dotterelspur'
+import type { Connection } from '../connection/Connection.js'
+import type { CallLimits } from './CallLimits.js'
+import { ServedCall } from './ServedCall.js'
+
+type OpenFrame = Extract<CallFrame, { kind: FrameKind.CallOpen }>
+
+/** Serves the calls that other nodes make to this process. */
+export class CallServer {
+  private readonly handlers = new Map<string, CallHandler>()
+  private running = 0
+
+  constructor (private readonly incarnation: number, private readonly limits: CallLimits) {}
+
+  get runningCalls (): number {
+    return this.running
+  }
+
+  handler (method: string): CallHandler | undefined {
+    return this.handlers.get(method)
+  }
+
+  registerHandler (method: string, handler: CallHandler): Teardown {
+    invariant(!this.handlers.has(method), `a handler of ${method} is registered already`)
+    this.handlers.set(method, handler)
+    return () => { this.handlers.delete(method) }
+  }
+
+  /** Takes calls from a connection until it closes; what still runs then is cancelled. */
+  attach (connection: Connection, onAlive: () => void, onGone: () => void): void {
+    const calls = new Map<number, ServedCall>()
+    const onFrame = (frame: Frame): void => {
+      onAlive()
+      if (frame.kind === FrameKind.CallOpen) this.open(connection, calls, frame)
+      else if (frame.kind === FrameKind.CallCredit) calls.get(frame.call)?.grant(frame.credit)
+      else if (frame.kind === FrameKind.CallCancel) calls.get(frame.call)?.cancel()
+    }
+    connection.setListeners(onFrame, () => {
+      for (const call of calls.values()) call.cancel()
+      onGone()
+    })
+  }
+
+  private open (connection: Connection, calls: Map<number, ServedCall>, frame: OpenFrame): void {
+    const refuse = (error: MeshErrorKind, reason: string): void => {
+      connection.sendCall({ kind: FrameKind.CallError, call: frame.call, error, reason })
+    }
+    // A call meant for the process that had this address before must not run here: it may already have run there.
+    if (frame.incarnation !== this.incarnation) return refuse(MeshErrorKind.WrongIncarnation, `this is incarnation ${this.incarnation}`)
+    const handler = this.handlers.get(frame.method)
+    if (handler === undefined) return refuse(MeshErrorKind.Rejected, `no handler of ${frame.method}`)
+    if (this.running >= this.limits.servedCalls) return refuse(MeshErrorKind.Overloaded, `${this.running} calls run here`)
+    if (calls.has(frame.call)) return connection.close('a call number is used twice')
+    const call = new ServedCall(connection, frame.call, Math.min(frame.credit, this.limits.creditWindow))
+    calls.set(frame.call, call)
+    this.running += 1
+    call.run(handler, frame.request, connection.peer.node).finally(() => {
+      calls.delete(frame.call)
+      this.running -= 1
+    })
+  }
+}
--- a/packages/dotterelspur/src/connection/index.ts
+++ b/packages/dotterelspur/src/connection/index.ts
@@ -1,2 +1,3 @@
 export * from './EngineApi.js'
 export * from './MeshApi.js'
+export * from './mesh/index.js'
--- /dev/null
+++ b/packages/dotterelspur/src/connection/mesh/BeatExchange.ts
@@ -0,0 +1,120 @@
+import type { NodeId } from '../../process/ids.js'
+import { type BeatFrame, type EvidenceBody, EvidenceKind, FrameKind, type FullLine, type ShortLine } from './Frame.js'
+import { type GossipLink, LINE_INDEX_LIMIT } from './GossipLink.js'
+import { LinkScope } from './OverlayPlan.js'
+import { type EvidenceLine, LineSource, type LineUpdate } from './PresenceTable.js'
+
+const PERCENT = 100
+
+/** What goes into a beat besides the link's own numbers. */
+export interface BeatContent {
+  readonly membersDigest: number
+  readonly documentsDigest: number
+  /** When the store was last heard, on this node's clock; -Infinity for never. */
+  readonly storeContactMs: number
+}
+
+/** Composes the beat for a link, with those of `lines` that are fresher than what was sent on it before. */
+export function composeBeat (link: GossipLink, lines: readonly EvidenceLine[], content: BeatContent, nowMs: number): BeatFrame {
+  const full: FullLine[] = []
+  const short: ShortLine[] = []
+  for (const line of lines) {
+    const sent = link.sentLines.get(line.key)
+    if (sent !== undefined && sent.originMs >= line.originMs && sent.body === line.body) continue
+    if (sent !== undefined && differsInLoadOnly(sent.body, line.body)) {
+      short.push(shortLine(sent.index, line, nowMs))
+      link.sentLines.set(line.key, { ...sent, originMs: line.originMs })
+    } else {
+      const index = sent?.index ?? link.sentLines.size
+      if (index >= LINE_INDEX_LIMIT) continue
+      full.push({ index, watcher: line.watcher, body: withAge(line.body, Math.ceil(nowMs - line.originMs)) })
+      link.sentLines.set(line.key, { index, body: line.body, originMs: line.originMs })
+    }
+  }
+  const echo = link.echo(nowMs)
+  return {
+    kind: FrameKind.Beat,
+    sequence: link.nextSequence(nowMs),
+    echoSequence: echo.sequence,
+    echoHeldMs: echo.heldMs,
+    membersDigest: content.membersDigest,
+    documentsDigest: content.documentsDigest,
+    storeAgeMs: content.storeContactMs === -Infinity ? -1 : Math.ceil(nowMs - content.storeContactMs),
+    full,
+    short
+  }
+}
+
+/** What a beat says, with its ages placed on this node's clock. */
+export interface ReadBeat {
+  readonly updates: readonly LineUpdate[]
+  readonly storeContactMs: number
+}
+
+/** Reads a beat that arrived on `link`. Lines that can't be dated, or have no name yet, are left out: the next beat brings them. */
+export function readBeat (link: GossipLink, beat: BeatFrame, nowMs: number): ReadBeat {
+  for (const line of beat.full) link.namedLines.set(line.index, { watcher: line.watcher, body: line.body })
+  link.noteReceived(beat.sequence, nowMs)
+  const composedAfterMs = link.composedAfterMs(beat.echoSequence, beat.echoHeldMs)
+  if (composedAfterMs === undefined) return { updates: [], storeContactMs: -Infinity }
+  const updates = link.scope === LinkScope.OtherRegion ? [] : datedLines(link, beat, composedAfterMs)
+  return { updates, storeContactMs: beat.storeAgeMs < 0 ? -Infinity : composedAfterMs - beat.storeAgeMs }
+}
+
+function datedLines (link: GossipLink, beat: BeatFrame, composedAfterMs: number): LineUpdate[] {
+  const source = link.scope === LinkScope.Cell ? LineSource.Cell : LineSource.OtherCell
+  const updates: LineUpdate[] = beat.full.map((line) =>
+    ({ watcher: line.watcher, body: line.body, originMs: composedAfterMs - line.body.presence.ageMs, source }))
+  for (const line of beat.short) {
+    const named = link.namedLines.get(line.index)
+    if (named === undefined) continue
+    updates.push({ watcher: named.watcher, body: withLoad(named.body, line), originMs: composedAfterMs - line.ageMs, source })
+  }
+  return updates
+}
+
+function shortLine (index: number, line: EvidenceLine, nowMs: number): ShortLine {
+  const { load } = line.body.presence
+  return {
+    index,
+    ageMs: Math.ceil(nowMs - line.originMs),
+    running: load.running,
+    waiting: load.waiting,
+    cachePercent: Math.round(load.cacheUsed * PERCENT),
+    loadAgeMs: Math.ceil(load.ageMs)
+  }
+}
+
+function withAge (body: EvidenceBody, ageMs: number): EvidenceBody {
+  if (body.kind === EvidenceKind.Group) return { kind: body.kind, presence: { ...body.presence, ageMs } }
+  return { kind: body.kind, presence: { ...body.presence, ageMs } }
+}
+
+function withLoad (body: EvidenceBody, line: ShortLine): EvidenceBody {
+  const load = { ...body.presence.load, running: line.running, waiting: line.waiting, cacheUsed: line.cachePercent / PERCENT, ageMs: line.loadAgeMs }
+  if (body.kind === EvidenceKind.Group) return { kind: body.kind, presence: { ...body.presence, load } }
+  return { kind: body.kind, presence: { ...body.presence, load } }
+}
+
+function differsInLoadOnly (sent: EvidenceBody, now: EvidenceBody): boolean {
+  if (sent.presence.load.capacity !== now.presence.load.capacity) return false
+  if (sent.presence.leaving !== now.presence.leaving) return false
+  if (sent.kind === EvidenceKind.Group && now.kind === EvidenceKind.Group) {
+    return sent.presence.formation === now.presence.formation && sent.presence.complete === now.presence.complete
+  }
+  if (sent.kind === EvidenceKind.Service && now.kind === EvidenceKind.Service) {
+    return sent.presence.incarnation === now.presence.incarnation && sent.presence.present === now.presence.present && sent.presence.address === now.presence.address
+  }
+  return false
+}
+
+/**
+ * Whether a line goes out on a link. A watcher's own lines go to its cell and to one relay in each other
+ * cell; a relay passes what came from another cell on to its own cell; nothing goes further. So each line
+ * reaches each node of the region once, in at most two hops.
+ */
+export function travelsOn (line: EvidenceLine, link: GossipLink, relays: ReadonlySet<NodeId>): boolean {
+  if (line.source === LineSource.Cell) return false
+  if (link.scope === LinkScope.Cell) return true
+  return link.scope === LinkScope.OtherCell && line.source === LineSource.Own && relays.has(link.peer)
+}
--- /dev/null
+++ b/packages/dotterelspur/src/connection/mesh/MeshMachine.ts
@@ -0,0 +1,298 @@
+import type { NodeId } from '../../process/ids.js'
+import type { GroupPresence, ServicePresence } from '../../process/Presence.js'
+import type { Random } from '../../process/Random.js'
+import type { MeshDocument, NodeMember } from '../MeshApi.js'
+import { DialPlan, type DialTarget } from './DialPlan.js'
+import { DocumentSpread, pages } from './DocumentSpread.js'
+import { DocumentTable } from './DocumentTable.js'
+import { type Digests, EvidenceExchange } from './EvidenceExchange.js'
+import { FrameKind, type BeatFrame, type GossipFrame } from './Frame.js'
+import { GossipLink } from './GossipLink.js'
+import { admitLink } from './LinkAdmission.js'
+import { LinkTable } from './LinkTable.js'
+import { compareMemberVersions, isLiving, MemberHealth, type MemberRecord } from './MemberRecord.js'
+import { MembershipTable } from './MembershipTable.js'
+import { CloseReason, type LinkId, type MeshEffect, Outbox } from './MeshEffect.js'
+import type { MeshLimits, MeshTiming } from './MeshTiming.js'
+import { answerProbe, NeighborWatch } from './NeighborWatch.js'
+import { planOverlay, scopeOf, type OverlayPlan } from './OverlayPlan.js'
+import { rejoinTargets } from './RejoinTargets.js'
+import { SyncSchedule } from './SyncSchedule.js'
+
+type FrameHandlers = {
+  readonly [Kind in GossipFrame['kind']]: (link: GossipLink, frame: Extract<GossipFrame, { kind: Kind }>, nowMs: number) => void
+}
+
+export interface MeshMachineOptions {
+  readonly self: MemberRecord
+  readonly timing: MeshTiming
+  readonly limits: MeshLimits
+  readonly random: Random
+  /** Addresses of nodes that are known by other means. */
+  readonly seeds: () => readonly string[]
+}
+
+/**
+ * The gossip of one node, without I/O: each event returns the effects that the shell is to run. Members,
+ * documents and evidence are kept in tables of their own; this puts their exchange on the links together.
+ */
+export class MeshMachine {
+  private readonly outbox = new Outbox()
+  private readonly links = new LinkTable()
+  private readonly membership: MembershipTable
+  private readonly documentTable: DocumentTable
+  private readonly spread: DocumentSpread
+  private readonly evidence: EvidenceExchange
+  private readonly sync: SyncSchedule
+  private readonly dials: DialPlan
+  private readonly neighbors: NeighborWatch
+  private plan: OverlayPlan = { wanted: new Map(), relays: [] }
+  private peerContactMs = -Infinity
+  private lastTickMs: number
+  private stopped = false
+
+  private readonly handlers: FrameHandlers = {
+    [FrameKind.Beat]: (link, frame, nowMs) => this.onBeat(link, frame, nowMs),
+    [FrameKind.Members]: (link, frame, nowMs) => this.mergeMembers(frame.records, link.id, nowMs),
+    [FrameKind.MembersSync]: (link, frame) => this.sendMembers(link.id, this.membership.newerThan(frame.versions)),
+    [FrameKind.Announce]: (link, frame, nowMs) => this.spread.learn(link.id, frame.versions, nowMs),
+    [FrameKind.Want]: (link, frame) => this.spread.answer(link.id, frame.keys),
+    [FrameKind.Documents]: (link, frame) => { this.spread.take(frame.documents, this.links.ids, link.id) },
+    [FrameKind.DocumentsSync]: (link, frame) => this.spread.answerComparison(link.id, frame.buckets),
+    [FrameKind.DocumentVersions]: (link, frame, nowMs) => this.spread.learn(link.id, frame.versions, nowMs),
+    [FrameKind.ProbeAsk]: (link, frame, nowMs) => {
+      const target = this.membership.get(frame.target)
+      answerProbe(this.outbox, link.id, target, this.links.byPeer.get(frame.target), nowMs)
+    },
+    [FrameKind.ProbeReply]: (_link, frame, nowMs) => this.neighbors.vouch(frame.target, frame.incarnation, frame.heardAgeMs, nowMs),
+    [FrameKind.Leaving]: (link) => this.drop(link, CloseReason.Leaving)
+  }
+
+  constructor (private readonly options: MeshMachineOptions, nowMs: number) {
+    const { self, timing, limits, random } = options
+    this.membership = new MembershipTable(self, timing, limits, nowMs)
+    this.documentTable = new DocumentTable(limits.documents)
+    this.spread = new DocumentSpread(this.documentTable, this.outbox, timing, limits)
+    this.evidence = new EvidenceExchange(this.links, this.outbox, timing, limits)
+    this.sync = new SyncSchedule(this.outbox, timing, this.membership, this.documentTable, this.spread)
+    this.dials = new DialPlan(this.outbox, random, timing)
+    this.neighbors = new NeighborWatch(this.outbox, random, timing, nowMs)
+    this.lastTickMs = nowMs
+  }
+
+  get self (): MemberRecord {
+    return this.membership.self
+  }
+
+  /** Set once, when the node listens. */
+  setAddress (meshAddress: string, nowMs: number): void {
+    this.membership.announce({ meshAddress }, nowMs)
+  }
+
+  members (): readonly NodeMember[] {
+    return this.membership.list()
+  }
+
+  record (node: NodeId): MemberRecord | undefined {
+    return this.membership.get(node)
+  }
+
+  get documents (): Pick<DocumentTable, 'get' | 'list' | 'size'> {
+    return this.documentTable
+  }
+
+  get linkCount (): number {
+    return this.links.size
+  }
+
+  get lineCount (): number {
+    return this.evidence.table.size
+  }
+
+  groupPresence (nowMs: number): readonly GroupPresence[] {
+    return this.evidence.table.groups(nowMs)
+  }
+
+  servicePresence (nowMs: number): readonly ServicePresence[] {
+    return this.evidence.table.services(nowMs)
+  }
+
+  storeContactAgeMs (nowMs: number): number {
+    return nowMs - this.evidence.storeContactMs
+  }
+
+  peerContactAgeMs (nowMs: number): number {
+    const alone = this.membership.list().length === 1 && this.rejoinTargets().length === 0
+    return alone ? 0 : nowMs - this.peerContactMs
+  }
+
+  /** To be called several times in each beat interval. */
+  tick (nowMs: number): MeshEffect[] {
+    if (this.stopped) return []
+    this.noticeOwnPause(nowMs)
+    this.spreadMembers(this.membership.expire(nowMs), undefined)
+    this.evidence.table.expire(nowMs)
+    this.suspectSilent(nowMs)
+    this.tendLinks(nowMs)
+    this.dial(nowMs)
+    this.spread.retry(this.links.ids, nowMs)
+    for (const link of this.links.all()) {
+      if (nowMs >= link.nextBeatAtMs) this.evidence.sendBeat(link, this.plan, this.digests(), nowMs)
+    }
+    this.sync.tick(this.links.all(), nowMs)
+    return this.outbox.take()
+  }
+
+  /** A link to `peer` is established and authenticated; `dialedAddress` is set when this node made it. */
+  linkUp (id: LinkId, peer: MemberRecord, dialedAddress: string | undefined, nowMs: number): MeshEffect[] {
+    if (dialedAddress !== undefined) this.dials.connected(dialedAddress, nowMs)
+    const { limits, timing } = this.options
+    const link = new GossipLink(id, peer.node, peer.incarnation, dialedAddress !== undefined, nowMs)
+    const admission = admitLink(this.self.node, this.links, link, this.membership.get(peer.node), limits, timing, nowMs)
+    if (admission.dropped !== undefined) this.drop(admission.dropped.link, admission.dropped.reason)
+    if (admission.refused !== undefined) this.outbox.close(id, admission.refused)
+    else this.welcome(link, peer, nowMs)
+    return this.outbox.take()
+  }
+
+  linkDown (id: LinkId): MeshEffect[] {
+    this.links.remove(id)
+    return this.outbox.take()
+  }
+
+  dialFailed (address: string, nowMs: number): MeshEffect[] {
+    this.dials.fail(address, nowMs)
+    return this.outbox.take()
+  }
+
+  receive (id: LinkId, frame: GossipFrame, nowMs: number): MeshEffect[] {
+    const link = this.links.get(id)
+    if (link === undefined || this.stopped) return []
+    link.heardAtMs = nowMs
+    this.peerContactMs = nowMs
+    const handler = this.handlers[frame.kind] as (link: GossipLink, frame: GossipFrame, nowMs: number) => void
+    handler(link, frame, nowMs)
+    return this.outbox.take()
+  }
+
+  /** Takes documents in from outside the mesh. */
+  offer (documents: readonly MeshDocument[]): { readonly taken: readonly MeshDocument[], readonly effects: MeshEffect[] } {
+    const taken = this.spread.take(documents, this.links.ids, undefined)
+    return { taken, effects: this.outbox.take() }
+  }
+
+  publish (groups: readonly GroupPresence[], services: readonly ServicePresence[], nowMs: number): MeshEffect[] {
+    this.evidence.publish(this.self.node, groups, services, this.plan, this.digests(), nowMs)
+    return this.outbox.take()
+  }
+
+  noteStoreContact (nowMs: number): void {
+    this.evidence.noteStoreContact(nowMs)
+  }
+
+  announceDraining (nowMs: number): MeshEffect[] {
+    if (!this.self.draining) this.spreadMembers([this.membership.announce({ draining: true }, nowMs)], undefined)
+    return this.outbox.take()
+  }
+
+  /** Says farewell on every link; nothing is done after it. */
+  leave (nowMs: number): MeshEffect[] {
+    if (this.stopped) return []
+    this.spreadMembers([this.membership.announce({ health: MemberHealth.Left }, nowMs)], undefined)
+    for (const link of this.links.all()) this.outbox.send(link.id, { kind: FrameKind.Leaving })
+    this.stopped = true
+    return this.outbox.take()
+  }
+
+  private welcome (link: GossipLink, peer: MemberRecord, nowMs: number): void {
+    this.peerContactMs = nowMs
+    this.links.add(link)
+    this.mergeMembers([peer], link.id, nowMs)
+    const known = this.membership.get(peer.node)
+    // A peer that others hold dead or suspect learns it from the first node that it reaches, and refutes.
+    if (known !== undefined && compareMemberVersions(known, peer) > 0) this.sendMembers(link.id, [known])
+    this.classify(link, nowMs)
+    this.evidence.sendBeat(link, this.plan, this.digests(), nowMs)
+  }
+
+  private drop (link: GossipLink, reason: CloseReason): void {
+    this.links.remove(link.id)
+    this.outbox.close(link.id, reason)
+  }
+
+  private onBeat (link: GossipLink, beat: BeatFrame, nowMs: number): void {
+    this.evidence.receive(link, beat, this.plan, this.digests(), nowMs)
+    this.sync.note(link, beat.membersDigest, beat.documentsDigest, nowMs)
+    // The first beat of a link can't be answered by age until it is echoed: the echo need not wait for the interval.
+    if (beat.sequence === 1) this.evidence.sendBeat(link, this.plan, this.digests(), nowMs)
+  }
+
+  private digests (): Digests {
+    return { membersDigest: this.membership.digest, documentsDigest: this.documentTable.digest }
+  }
+
+  private mergeMembers (records: readonly MemberRecord[], from: LinkId | undefined, nowMs: number): void {
+    this.spreadMembers(this.membership.merge(records, nowMs), from)
+  }
+
+  /** Forwards changed records on every link but the one they came from, and plans the links anew. */
+  private spreadMembers (changed: readonly MemberRecord[], from: LinkId | undefined): void {
+    if (changed.length === 0) return
+    const refuted = changed.filter((record) => record.node === this.self.node)
+    for (const link of this.links.all()) this.sendMembers(link.id, link.id === from ? refuted : changed)
+    const living = this.membership.records().filter((record) => isLiving(record) || record.node === this.self.node)
+    this.plan = planOverlay(this.self, living, this.options.limits)
+    this.outbox.membersChanged()
+  }
+
+  private sendMembers (link: LinkId, records: readonly MemberRecord[]): void {
+    for (const page of pages(records, this.options.limits.entriesPerFrame)) this.outbox.send(link, { kind: FrameKind.Members, records: page })
+  }
+
+  private noticeOwnPause (nowMs: number): void {
+    if (nowMs - this.lastTickMs >= this.options.timing.ownPauseMs) {
+      this.neighbors.restart(nowMs)
+      this.membership.restartSuspicions(nowMs)
+      for (const link of this.links.all()) link.heardAtMs = nowMs
+    }
+    this.lastTickMs = nowMs
+  }
+
+  private suspectSilent (nowMs: number): void {
+    const wanted = [...this.plan.wanted.keys()].map((node) => this.membership.get(node)).filter((record) => record !== undefined)
+    this.mergeMembers(this.neighbors.tick(wanted, this.links.byPeer, nowMs), undefined, nowMs)
+  }
+
+  private tendLinks (nowMs: number): void {
+    const { linkTimeoutMs, unwantedLinkMs } = this.options.timing
+    for (const link of this.links.all()) {
+      this.classify(link, nowMs)
+      if (nowMs - link.heardAtMs >= linkTimeoutMs) this.drop(link, CloseReason.Silent)
+      else if (!link.wanted && link.dialedBySelf && nowMs - link.unwantedSinceMs >= unwantedLinkMs) this.drop(link, CloseReason.Unwanted)
+    }
+  }
+
+  private classify (link: GossipLink, nowMs: number): void {
+    const peer = this.membership.get(link.peer)
+    if (peer !== undefined) link.scope = scopeOf(this.plan, this.self, peer)
+    const wanted = this.plan.wanted.has(link.peer)
+    if (link.wanted && !wanted) link.unwantedSinceMs = nowMs
+    link.wanted = wanted
+  }
+
+  private dial (nowMs: number): void {
+    const targets: DialTarget[] = []
+    for (const node of this.plan.wanted.keys()) {
+      const record = this.membership.get(node)
+      if (record !== undefined && !this.links.byPeer.has(node)) targets.push({ address: record.meshAddress, node })
+    }
+    const candidates = this.rejoinTargets()
+    this.dials.retain(new Set([...targets, ...candidates].map((target) => target.address)), nowMs)
+    this.dials.dialWanted(this.self.node, targets, nowMs)
+    this.dials.rejoin(candidates, this.links.size === 0, nowMs)
+  }
+
+  private rejoinTargets (): DialTarget[] {
+    return rejoinTargets(this.self.meshAddress, this.membership.records(), this.documentTable, this.options.seeds())
+  }
+}
--- /dev/null
+++ b/packages/dotterelspur/src/connection/mesh/NeighborWatch.ts
@@ -0,0 +1,107 @@
+import type { NodeId } from '../../process/ids.js'
+import type { Random } from '../../process/Random.js'
+import { FrameKind } from './Frame.js'
+import type { GossipLink } from './GossipLink.js'
+import type { LinkId, Outbox } from './MeshEffect.js'
+import type { MeshTiming } from './MeshTiming.js'
+import { isLiving, MemberHealth, type MemberRecord } from './MemberRecord.js'
+
+const HELPERS = 3
+const ISOLATION_HOLD_MS = 30_000
+
+interface Watched {
+  readonly incarnation: number
+  /** When the neighbour was last known to live, by its frames or by another node's word. */
+  readonly aliveAtMs: number
+  readonly linkedBefore: boolean
+  readonly probingSinceMs: number | undefined
+}
+
+/**
+ * Watches the wanted neighbours. One that falls silent is asked about through others first: a broken link
+ * between two nodes must not make either of them suspect. Only when nobody hears it does it become suspect.
+ */
+export class NeighborWatch {
+  private watched = new Map<NodeId, Watched>()
+  private heardAnyAtMs: number
+
+  constructor (private readonly outbox: Outbox, private readonly random: Random, private readonly timing: MeshTiming, nowMs: number) {
+    this.heardAnyAtMs = nowMs
+  }
+
+  /** Returns the neighbours that become suspect now. */
+  tick (neighbors: readonly MemberRecord[], links: ReadonlyMap<NodeId, GossipLink>, nowMs: number): MemberRecord[] {
+    for (const link of links.values()) this.heardAnyAtMs = Math.max(this.heardAnyAtMs, link.heardAtMs)
+    const pending = new Map<NodeId, Watched>()
+    const suspects: MemberRecord[] = []
+    for (const record of neighbors) {
+      const watched = this.observe(record, links.get(record.node), nowMs)
+      const next = this.judge(record, watched, links, nowMs)
+      if (next === undefined) suspects.push({ ...record, health: MemberHealth.Suspect })
+      pending.set(record.node, next ?? { ...watched, aliveAtMs: nowMs, probingSinceMs: undefined })
+    }
+    this.watched = pending
+    return suspects
+  }
+
+  /** After a pause of this process nothing is known of the time in between: every count starts anew. */
+  restart (nowMs: number): void {
+    this.heardAnyAtMs = nowMs
+    for (const [node, watched] of this.watched) this.watched.set(node, { ...watched, aliveAtMs: nowMs, probingSinceMs: undefined })
+  }
+
+  /** Another node heard the neighbour `heardAgeMs` before it answered. */
+  vouch (node: NodeId, incarnation: number, heardAgeMs: number, nowMs: number): void {
+    const watched = this.watched.get(node)
+    if (watched === undefined || watched.incarnation !== incarnation || heardAgeMs >= this.timing.silenceMs) return
+    this.watched.set(node, { ...watched, aliveAtMs: nowMs, probingSinceMs: undefined })
+  }
+
+  private observe (record: MemberRecord, link: GossipLink | undefined, nowMs: number): Watched {
+    const known = this.watched.get(record.node)
+    const heardAtMs = link?.heardAtMs ?? -Infinity
+    if (known === undefined || known.incarnation !== record.incarnation) {
+      return { incarnation: record.incarnation, aliveAtMs: nowMs, linkedBefore: link !== undefined, probingSinceMs: undefined }
+    }
+    if (heardAtMs <= known.aliveAtMs) return { ...known, linkedBefore: known.linkedBefore || link !== undefined }
+    return { ...known, aliveAtMs: heardAtMs, linkedBefore: true, probingSinceMs: undefined }
+  }
+
+  private judge (record: MemberRecord, watched: Watched, links: ReadonlyMap<NodeId, GossipLink>, nowMs: number): Watched | undefined {
+    const allowedMs = watched.linkedBefore ? this.timing.silenceMs : this.timing.connectGraceMs
+    if (nowMs - watched.aliveAtMs < allowedMs || this.holdsBack(nowMs)) return watched
+    if (watched.probingSinceMs === undefined) {
+      this.askOthers(record, links, nowMs)
+      return { ...watched, probingSinceMs: nowMs }
+    }
+    if (nowMs - watched.probingSinceMs < this.timing.indirectProbeMs) return watched
+    return record.health === MemberHealth.Alive ? undefined : watched
+  }
+
+  /**
+   * A node that hears nobody may itself be the one that is cut off, and would call its whole fleet dead, which
+   * every node would then have to refute when it returns. It holds its judgement for a bounded time.
+   */
+  private holdsBack (nowMs: number): boolean {
+    if (this.watched.size <= HELPERS) return false
+    const silentMs = nowMs - this.heardAnyAtMs
+    return silentMs >= this.timing.silenceMs && silentMs < ISOLATION_HOLD_MS
+  }
+
+  private askOthers (record: MemberRecord, links: ReadonlyMap<NodeId, GossipLink>, nowMs: number): void {
+    const hearing = [...links.values()].filter((link) => link.peer !== record.node && nowMs - link.heardAtMs < this.timing.silenceMs)
+    const ranked = hearing
+      .map((link) => ({ link, order: this.random.next() - (link.wanted ? 1 : 0) }))
+      .sort((left, right) => left.order - right.order)
+    for (const { link } of ranked.slice(0, HELPERS)) {
+      this.outbox.send(link.id, { kind: FrameKind.ProbeAsk, target: record.node, incarnation: record.incarnation })
+    }
+  }
+}
+
+/** Answers another node's question about a neighbour, if this node has a link to it. */
+export function answerProbe (outbox: Outbox, asker: LinkId, target: MemberRecord | undefined, link: GossipLink | undefined, nowMs: number): void {
+  if (target === undefined || link === undefined || !isLiving(target) || link.incarnation !== target.incarnation) return
+  const heardAgeMs = Math.ceil(nowMs - link.heardAtMs)
+  outbox.send(asker, { kind: FrameKind.ProbeReply, target: target.node, incarnation: link.incarnation, heardAgeMs })
+}
--- /dev/null
+++ b/packages/dotterelspur/src/connection/mesh/OverlayPlan.ts
@@ -0,0 +1,103 @@
+import type { NodeId } from '../../process/ids.js'
+import { hashText, rendezvousOrder } from '../../process/rendezvous.js'
+import { MemberHealth, type MemberRecord } from './MemberRecord.js'
+import type { MeshLimits } from './MeshTiming.js'
+
+/** Where the peer of a link is, which decides what travels on it. */
+export enum LinkScope {
+  /** Same cell: a full mesh. */
+  Cell = 'cell',
+  /** Same region, another cell. */
+  OtherCell = 'other-cell',
+  OtherRegion = 'other-region'
+}
+
+/** The links that one node wants, worked out from the members alone: all nodes that know the same plan the same. */
+export interface OverlayPlan {
+  readonly wanted: ReadonlyMap<NodeId, LinkScope>
+  /** For each other cell of the region the node to which this one sends its own evidence. */
+  readonly relays: readonly CellRelay[]
+}
+
+export interface CellRelay {
+  readonly cell: readonly NodeId[]
+  readonly relay: NodeId
+}
+
+/**
+ * Plans the links of `self`: all of its cell; one relay in each other cell of the region, and those nodes
+ * whose relay it is; and the few links between regions that fall to it. So evidence reaches every node of
+ * a region in two hops, and a node's links grow with its region's cells, not with the fleet.
+ */
+export function planOverlay (self: MemberRecord, living: readonly MemberRecord[], limits: MeshLimits): OverlayPlan {
+  const wanted = new Map<NodeId, LinkScope>()
+  const regions = groupBy(living, (record) => record.region)
+  const cells = cellsOf(regions.get(self.region) ?? [], limits.cellSize)
+  const ownCell = cells.find((cell) => cell.some((record) => record.node === self.node)) ?? [self]
+  const otherCells = cells.filter((cell) => cell !== ownCell)
+
+  planRegionLinks(self, regions, limits.linksPerRegionPair, wanted)
+  for (const record of otherCells.flat()) {
+    if (relayIn(record.node, ownCell) === self.node) wanted.set(record.node, LinkScope.OtherCell)
+  }
+  const relays = otherCells.map((cell) => ({ cell: cell.map((record) => record.node), relay: relayIn(self.node, cell) }))
+  for (const { relay } of relays) wanted.set(relay, LinkScope.OtherCell)
+  for (const record of ownCell) wanted.set(record.node, LinkScope.Cell)
+  wanted.delete(self.node)
+  return { wanted, relays }
+}
+
+/** Where a node's link goes, wanted or not. */
+export function scopeOf (plan: OverlayPlan, self: MemberRecord, peer: MemberRecord): LinkScope {
+  const planned = plan.wanted.get(peer.node)
+  if (planned !== undefined) return planned
+  return peer.region === self.region ? LinkScope.OtherCell : LinkScope.OtherRegion
+}
+
+/** The failure domains of a region, those with more than `cellSize` nodes cut into cells of about equal size. */
+function cellsOf (region: readonly MemberRecord[], cellSize: number): MemberRecord[][] {
+  return [...groupBy(region, (record) => record.failureDomain).values()].flatMap((domain) => {
+    const count = Math.ceil(domain.length / cellSize)
+    if (count <= 1) return [domain]
+    const ordered = [...domain].sort((left, right) => hashText(left.node) - hashText(right.node) || (left.node < right.node ? -1 : 1))
+    const cells: MemberRecord[][] = Array.from({ length: count }, () => [])
+    ordered.forEach((record, rank) => cells[Math.floor(rank * count / ordered.length)]!.push(record))
+    return cells
+  })
+}
+
+/** The node of `cell` that takes in what `node` has to say: by rendezvous, those that are not suspect first. */
+function relayIn (node: NodeId, cell: readonly MemberRecord[]): NodeId {
+  const alive = cell.filter((record) => record.health === MemberHealth.Alive)
+  const candidates = alive.length > 0 ? alive : cell
+  return rendezvousOrder(node, candidates.map((record) => record.node))[0]!
+}
+
+function planRegionLinks (self: MemberRecord, regions: ReadonlyMap<string, readonly MemberRecord[]>, linksPerPair: number, wanted: Map<NodeId, LinkScope>): void {
+  const ownRegion = regions.get(self.region) ?? []
+  for (const [region, records] of regions) {
+    if (region === self.region) continue
+    for (const [from, to] of [...pairs(self.region, ownRegion, region, records, linksPerPair), ...pairs(region, records, self.region, ownRegion, linksPerPair)]) {
+      if (from === self.node) wanted.set(to, LinkScope.OtherRegion)
+      if (to === self.node) wanted.set(from, LinkScope.OtherRegion)
+    }
+  }
+}
+
+/** The links that one region makes to another: its first nodes by rendezvous, each to its first node there. */
+function pairs (from: string, fromNodes: readonly MemberRecord[], to: string, toNodes: readonly MemberRecord[], count: number): Array<[NodeId, NodeId]> {
+  const targets = toNodes.map((record) => record.node)
+  const initiators = rendezvousOrder(`${from}>${to}`, fromNodes.map((record) => record.node)).slice(0, count)
+  return initiators.map((initiator) => [initiator, rendezvousOrder(`${initiator}>${to}`, targets)[0]!])
+}
+
+function groupBy<Item> (items: readonly Item[], keyOf: (item: Item) => string): Map<string, Item[]> {
+  const groups = new Map<string, Item[]>()
+  for (const item of items) {
+    const key = keyOf(item)
+    const group = groups.get(key)
+    if (group === undefined) groups.set(key, [item])
+    else group.push(item)
+  }
+  return groups
+}
--- /dev/null
+++ b/packages/dotterelspur/src/connection/mesh/PresenceTable.ts
@@ -0,0 +1,161 @@
+import type { NodeId } from '../../process/ids.js'
+import type { GroupPresence, ServicePresence } from '../../process/Presence.js'
+import { EvidenceKind, type EvidenceBody } from './Frame.js'
+
+/** By which way a line came: what this node probed itself, from its own cell, or from another cell of its region. */
+export enum LineSource {
+  Own = 'own',
+  Cell = 'cell',
+  OtherCell = 'other-cell'
+}
+
+/** One watcher's word on one group or worker, with times on this node's clock. */
+export interface EvidenceLine {
+  readonly key: string
+  readonly watcher: NodeId
+  readonly body: EvidenceBody
+  readonly source: LineSource
+  /** The oldest probe was asked at or after this time. */
+  readonly originMs: number
+  /** When this node learned that the watcher's word had turned for the worse; -Infinity while it is good. */
+  readonly worseSinceMs: number
+}
+
+/** A line as it arrives. */
+export interface LineUpdate {
+  readonly watcher: NodeId
+  readonly body: EvidenceBody
+  readonly originMs: number
+  readonly source: LineSource
+}
+
+/** Key of a line: its subject and its watcher. */
+export function lineKey (watcher: NodeId, body: EvidenceBody): string {
+  return `${subjectOf(body)}\u0000${watcher}`
+}
+
+/** Key of what a line is about. */
+export function subjectOf (body: EvidenceBody): string {
+  return body.kind === EvidenceKind.Group ? `g${body.presence.group}` : `s${body.presence.vm}`
+}
+
+/** Whether work may be sent there by this evidence. */
+export function isGood (body: EvidenceBody): boolean {
+  const whole = body.kind === EvidenceKind.Group ? body.presence.complete : body.presence.present
+  return whole && !body.presence.leaving
+}
+
+function generationOf (body: EvidenceBody): number {
+  return body.kind === EvidenceKind.Group ? body.presence.formation : body.presence.incarnation
+}
+
+/** Evidence of this node's region, one line for each subject and watcher. */
+export class PresenceTable {
+  private lines: ReadonlyMap<string, EvidenceLine> = new Map()
+
+  constructor (private readonly keepMs: number, private readonly capacity: number) {}
+
+  all (): Iterable<EvidenceLine> {
+    return this.lines.values()
+  }
+
+  get size (): number {
+    return this.lines.size
+  }
+
+  get (key: string): EvidenceLine | undefined {
+    return this.lines.get(key)
+  }
+
+  /** Takes in lines that are fresher than those held; returns those that turned for the worse. */
+  merge (updates: readonly LineUpdate[], nowMs: number): EvidenceLine[] {
+    const pending = new Map(this.lines)
+    const worse: EvidenceLine[] = []
+    for (const update of updates) {
+      const line = this.accept(pending, update, nowMs)
+      if (line === undefined) continue
+      const turned = line.worseSinceMs === nowMs && pending.get(line.key)?.worseSinceMs !== nowMs
+      pending.set(line.key, line)
+      if (turned) worse.push(line)
+    }
+    this.lines = pending
+    return worse
+  }
+
+  /** Replaces this node's own lines: subjects that it watches no more are dropped. */
+  replaceOwn (watcher: NodeId, updates: readonly LineUpdate[], nowMs: number): EvidenceLine[] {
+    const kept = new Set(updates.map((update) => lineKey(watcher, update.body)))
+    const pending = new Map(this.lines)
+    for (const line of this.lines.values()) {
+      if (line.source === LineSource.Own && !kept.has(line.key)) pending.delete(line.key)
+    }
+    this.lines = pending
+    return this.merge(updates, nowMs)
+  }
+
+  expire (nowMs: number): void {
+    const pending = new Map(this.lines)
+    for (const line of this.lines.values()) {
+      if (nowMs - line.originMs > this.keepMs) pending.delete(line.key)
+    }
+    if (pending.size !== this.lines.size) this.lines = pending
+  }
+
+  groups (nowMs: number): GroupPresence[] {
+    return this.best(nowMs).flatMap((body) => body.kind === EvidenceKind.Group ? [body.presence] : [])
+  }
+
+  services (nowMs: number): ServicePresence[] {
+    return this.best(nowMs).flatMap((body) => body.kind === EvidenceKind.Service ? [body.presence] : [])
+  }
+
+  private accept (pending: ReadonlyMap<string, EvidenceLine>, update: LineUpdate, nowMs: number): EvidenceLine | undefined {
+    const key = lineKey(update.watcher, update.body)
+    const held = pending.get(key)
+    if (held === undefined && pending.size >= this.capacity) return undefined
+    if (held !== undefined && held.originMs >= update.originMs && !turnsWorse(held, update.body)) return undefined
+    return { ...update, key, worseSinceMs: worseSince(held, update.body, nowMs) }
+  }
+
+  private best (nowMs: number): EvidenceBody[] {
+    const bySubject = new Map<string, EvidenceLine[]>()
+    for (const line of this.lines.values()) {
+      const subject = subjectOf(line.body)
+      const lines = bySubject.get(subject)
+      if (lines === undefined) bySubject.set(subject, [line])
+      else lines.push(line)
+    }
+    return [...bySubject.values()].map((lines) => aged(decisiveLine(lines), nowMs))
+  }
+}
+
+function turnsWorse (held: EvidenceLine, body: EvidenceBody): boolean {
+  return isGood(held.body) && !isGood(body) && generationOf(body) >= generationOf(held.body)
+}
+
+function worseSince (held: EvidenceLine | undefined, body: EvidenceBody, nowMs: number): number {
+  if (isGood(body)) return -Infinity
+  if (held === undefined || isGood(held.body)) return nowMs
+  return generationOf(held.body) === generationOf(body) ? held.worseSinceMs : nowMs
+}
+
+/**
+ * Of several watchers' lines on one subject, the one that counts. Only the highest formation matters. Good
+ * evidence counts when all of it was asked for after the latest turn for the worse was learned: a member
+ * may have died after one watcher's probe and before the other's, and the fresher line alone would hide it.
+ */
+function decisiveLine (lines: readonly EvidenceLine[]): EvidenceLine {
+  const generation = Math.max(...lines.map((line) => generationOf(line.body)))
+  const current = lines.filter((line) => generationOf(line.body) === generation)
+  const worseSinceMs = Math.max(...current.map((line) => line.worseSinceMs))
+  const freshest = current.reduce((best, line) => line.originMs > best.originMs ? line : best)
+  const good = current.filter((line) => isGood(line.body) && line.originMs > worseSinceMs)
+  if (good.length > 0) return good.reduce((best, line) => line.originMs > best.originMs ? line : best)
+  return current.find((line) => line.worseSinceMs === worseSinceMs && !isGood(line.body)) ?? freshest
+}
+
+function aged (line: EvidenceLine, nowMs: number): EvidenceBody {
+  const ageMs = nowMs - line.originMs
+  if (line.body.kind === EvidenceKind.Group) return { kind: EvidenceKind.Group, presence: { ...line.body.presence, ageMs } }
+  return { kind: EvidenceKind.Service, presence: { ...line.body.presence, ageMs } }
+}
--- /dev/null
+++ b/packages/dotterelspur/src/connection/mesh/RejoinTargets.ts
@@ -0,0 +1,23 @@
+import { NODE_PREFIX, type NodeObject } from '../../version/PlatformObjects.js'
+import type { DialTarget } from './DialPlan.js'
+import type { DocumentTable } from './DocumentTable.js'
+import { isLiving, MemberHealth, type MemberRecord } from './MemberRecord.js'
+
+/**
+ * Addresses behind which a node may live that this one has lost or never met: dead members, seeds, and nodes
+ * that wrote their object. Without them, two halves that have declared each other dead would stay apart.
+ */
+export function rejoinTargets (ownAddress: string, records: readonly MemberRecord[], documents: DocumentTable, seeds: readonly string[]): DialTarget[] {
+  const known = new Set([ownAddress])
+  const addresses = new Set<string>()
+  for (const record of records) {
+    if (isLiving(record) || record.health === MemberHealth.Left) known.add(record.meshAddress)
+    else addresses.add(record.meshAddress)
+  }
+  for (const address of seeds) addresses.add(address)
+  for (const document of documents.list(NODE_PREFIX)) {
+    const body = document.body as Partial<NodeObject> | null
+    if (!document.deleted && body?.draining !== true && typeof body?.meshAddress === 'string') addresses.add(body.meshAddress)
+  }
+  return [...addresses].filter((address) => !known.has(address)).map((address) => ({ address, node: null }))
+}
--- /dev/null
+++ b/packages/dotterelspur/src/connection/mesh/index.ts
@@ -0,0 +1,7 @@
+export * from './DocumentTable.js'
+export * from './Frame.js'
+export * from './MemberRecord.js'
+export * from './MeshEffect.js'
+export * from './MeshMachine.js'
+export * from './MeshTiming.js'
+export * from './OverlayPlan.js'
