--- /dev/null
+++ b/packages/dotterelspur-entry/src/connection/callers.ts
@@ -0,0 +1,37 @@
+import type { FastifyReply, FastifyRequest } from 'fastify'
+import { OutcomeReason, notRun, type Outcome, type RequestId, type TeamSettings } from 'dotterelspur'
+import { readBearerToken } from 'dotterelspur-settings'
+import type { TeamTable } from '../process/TeamTable.js'
+import { HTTP_STATUS, errorBody, errorHeaders } from '../request/errorBody.js'
+
+const teamOfRequest = new WeakMap<FastifyRequest, TeamSettings>()
+
+/** Lets in callers with a team's token; all others get the same answer. */
+export function authenticate (teams: TeamTable, request: FastifyRequest, reply: FastifyReply, done: () => void): void {
+  const token = readBearerToken(request.headers.authorization)
+  const team = token === undefined ? undefined : teams.findByToken(token)
+  if (team === undefined) {
+    sendOutcome(reply, notRun(OutcomeReason.Unauthorized, 'a team\'s bearer token is needed', null), null, true)
+    return
+  }
+  teamOfRequest.set(request, team)
+  done()
+}
+
+export function teamOf (request: FastifyRequest): TeamSettings {
+  return teamOfRequest.get(request)!
+}
+
+export interface SendOptions {
+  /** Addresses to use in place of this node. */
+  readonly entries?: readonly string[]
+  readonly status?: number
+}
+
+/** Answers with an outcome that is not an answer. `repeatable`: the caller may safely send the same again. */
+export function sendOutcome (reply: FastifyReply, outcome: Outcome, requestId: RequestId | null, repeatable: boolean, options: SendOptions = {}): FastifyReply {
+  return reply
+    .code(options.status ?? HTTP_STATUS[outcome.reason])
+    .headers(errorHeaders(outcome, repeatable))
+    .send(errorBody(outcome, requestId, options.entries))
+}
--- a/packages/dotterelspur-entry/src/index.ts
+++ b/packages/dotterelspur-entry/src/index.ts
@@ -1,1 +1,7 @@
-export {}
+export * from './process/createEntry.js'
+export * from './process/EntryObserver.js'
+export * from './process/EntryOptions.js'
+export { RunKind } from './request/RunRequest.js'
+export type { DirectoryAnswer, DirectoryEntry } from './connection/registerDirectoryRoutes.js'
+export { RequestStateKind, type RequestState } from './connection/registerOutcomeRoutes.js'
+export type { ErrorBody } from './request/errorBody.js'
--- /dev/null
+++ b/packages/dotterelspur-entry/src/process/AdmissionGate.ts
@@ -0,0 +1,93 @@
+import {
+  AdmissionController, AdmissionEffectKind, failed, success,
+  type AdmissionEffect, type AdmissionRequest, type AdmissionResult, type Clock, type MeshApi, type Outcome, type RequestId, type Result, type RouteTarget, type Teardown, type TeamLimits,
+  NodeState, TargetKind
+} from 'dotterelspur'
+import type { TeamTable } from './TeamTable.js'
+
+type Settle = (result: Result<void, Outcome>) => void
+
+/** Runs the admission controller: turns its effects into the settling of waits, and its ticks into a timer. */
+export class AdmissionGate {
+  private readonly controller = new AdmissionController()
+  private readonly waiting = new Map<RequestId, Settle>()
+  private cancelTick: Teardown = () => {}
+
+  constructor (private readonly clock: Clock, private readonly mesh: MeshApi, private readonly teams: TeamTable) {
+    this.configureTeams()
+  }
+
+  start (): Teardown {
+    const unregister = this.teams.registerListener(() => { this.configureTeams() })
+    return () => {
+      unregister()
+      this.cancelTick()
+    }
+  }
+
+  /** Resolves when the request may be dispatched, or with the outcome with which it was given up. */
+  enter (request: AdmissionRequest): Promise<Result<void, Outcome>> {
+    return new Promise((resolve) => {
+      this.waiting.set(request.id, resolve)
+      this.carryOut(this.controller.offer(request, this.clock.nowMs()))
+    })
+  }
+
+  /** Once for each request that was let in. */
+  leave (id: RequestId, result: AdmissionResult): void {
+    this.carryOut(this.controller.finish(id, result, this.clock.nowMs()))
+  }
+
+  cancel (id: RequestId): void {
+    if (this.waiting.has(id)) this.carryOut(this.controller.cancel(id, this.clock.nowMs()))
+  }
+
+  /** Takes in how much the targets of each lane can run. */
+  configureLanes (targets: readonly RouteTarget[]): void {
+    const capacities = new Map<string, number>()
+    for (const target of targets) {
+      const lane = laneOf(target)
+      capacities.set(lane, (capacities.get(lane) ?? 0) + target.load.capacity)
+    }
+    const nowMs = this.clock.nowMs()
+    for (const [lane, capacity] of capacities) this.carryOut(this.controller.configureLane(lane, capacity, this.livingNodes(), nowMs))
+  }
+
+  private configureTeams (): void {
+    const limits = new Map<string, TeamLimits>(this.teams.all().map((settings) => [settings.team, settings.limits]))
+    this.controller.configureTeams(limits, this.livingNodes(), this.clock.nowMs())
+  }
+
+  private livingNodes (): number {
+    return Math.max(1, this.mesh.members().filter((member) => member.state === NodeState.Alive || member.state === NodeState.Suspect).length)
+  }
+
+  private carryOut (effects: readonly AdmissionEffect[]): void {
+    for (const effect of effects) {
+      const settle = this.waiting.get(effect.id)
+      this.waiting.delete(effect.id)
+      settle?.(effect.kind === AdmissionEffectKind.Dispatch ? success(undefined) : failed(effect.outcome))
+    }
+    this.schedule()
+  }
+
+  private schedule (): void {
+    this.cancelTick()
+    this.cancelTick = () => {}
+    const atMs = this.controller.nextTickAtMs()
+    if (atMs === null) return
+    this.cancelTick = this.clock.registerTimer(Math.max(1, atMs - this.clock.nowMs()), () => { this.carryOut(this.controller.tick(this.clock.nowMs())) })
+  }
+}
+
+export function modelLane (scopedModel: string): string {
+  return `model/${scopedModel}`
+}
+
+export function serviceLane (service: string): string {
+  return `service/${service}`
+}
+
+function laneOf (target: RouteTarget): string {
+  return target.kind === TargetKind.Group ? modelLane(target.model) : serviceLane(target.service)
+}
--- /dev/null
+++ b/packages/dotterelspur-entry/src/process/FleetView.ts
@@ -0,0 +1,127 @@
+import {
+  ASSIGNMENT_PREFIX, DRAIN_PREFIX, TargetKind, dispatchableGroups, groupTargetId, serviceTargetId,
+  type AssignmentObject, type Clock, type DrainObject, type GroupView, type MeshApi, type RouteTarget, type ServicePresence, type ServiceTarget, type Teardown, type TeamId
+} from 'dotterelspur'
+
+const REFRESH_MS = 200
+
+/**
+ * What this node may dispatch to, out of assignments, drains and presence evidence. Choices are made on a table
+ * that is refreshed a few times a second; right before a send the group is judged again on what is held then.
+ */
+export class FleetView {
+  private groups: ReadonlyMap<string, GroupView> = new Map()
+  private workers: ReadonlyMap<string, ServicePresence> = new Map()
+  private readonly listeners = new Set<(targets: readonly RouteTarget[]) => void>()
+
+  constructor (private readonly mesh: MeshApi, private readonly clock: Clock, private readonly evidenceTtlMs: number) {}
+
+  start (): Teardown {
+    let cancelTimer: Teardown = () => {}
+    const run = (): void => {
+      this.refresh()
+      cancelTimer = this.clock.registerTimer(REFRESH_MS, run)
+    }
+    const unregisters = [ASSIGNMENT_PREFIX, DRAIN_PREFIX].map((prefix) => this.mesh.registerDocumentListener(prefix, () => { this.refresh() }))
+    run()
+    return () => {
+      cancelTimer()
+      for (const unregister of unregisters) unregister()
+    }
+  }
+
+  /** Called with all targets after each refresh. */
+  registerListener (listener: (targets: readonly RouteTarget[]) => void): Teardown {
+    this.listeners.add(listener)
+    return () => { this.listeners.delete(listener) }
+  }
+
+  refresh (): void {
+    const nowMs = this.clock.nowMs()
+    const groups = this.judge()
+    this.groups = new Map(groups.map((view) => [view.group, view]))
+    const workers = this.presentWorkers()
+    this.workers = new Map(workers.map((worker) => [worker.vm, worker]))
+    const targets = [...groups.map((view) => this.toGroupTarget(view, nowMs)), ...workers.map((worker) => this.toServiceTarget(worker, nowMs))]
+    for (const listener of [...this.listeners]) listener(targets)
+  }
+
+  group (group: string): GroupView | undefined {
+    return this.groups.get(group)
+  }
+
+  /** Groups of a team that could hold a stream of its model. */
+  groupsOf (team: TeamId): readonly GroupView[] {
+    return [...this.groups.values()].filter((view) => view.team === team)
+  }
+
+  worker (vm: string): ServicePresence | undefined {
+    return this.workers.get(vm)
+  }
+
+  /** Whether the group may be dispatched to at this very moment, at the formation that was chosen. */
+  holdsNow (view: GroupView): boolean {
+    const current = this.judge().find((group) => group.group === view.group)
+    return current !== undefined && current.formation === view.formation && current.leaderAddress === view.leaderAddress
+  }
+
+  /** The same for a worker of a plain service. */
+  workerHoldsNow (vm: string, address: string): boolean {
+    return this.presentWorkers().some((worker) => worker.vm === vm && worker.address === address)
+  }
+
+  private judge (): GroupView[] {
+    const assignments = this.mesh.documents(ASSIGNMENT_PREFIX).filter((document) => !document.deleted).map((document) => document.body as AssignmentObject)
+    return dispatchableGroups({ assignments, presence: this.mesh.groupPresence(), drained: this.drained(), evidenceTtlMs: this.evidenceTtlMs })
+  }
+
+  private drained (): ReadonlySet<string> {
+    return new Set(this.mesh.documents(DRAIN_PREFIX).filter((document) => !document.deleted).map((document) => (document.body as DrainObject).target))
+  }
+
+  private presentWorkers (): ServicePresence[] {
+    const drained = this.drained()
+    return this.mesh.servicePresence().filter((worker) => worker.present && !worker.leaving && worker.ageMs < this.evidenceTtlMs && !drained.has(worker.vm))
+  }
+
+  private toGroupTarget (view: GroupView, nowMs: number): RouteTarget {
+    return {
+      kind: TargetKind.Group,
+      id: groupTargetId(view.group, view.formation),
+      address: view.leaderAddress,
+      region: view.region,
+      failureDomain: view.failureDomain,
+      evidenceExpiresAtMs: nowMs - view.evidenceAgeMs + this.evidenceTtlMs,
+      leaving: false,
+      load: view.load,
+      loadAskedAtMs: nowMs - view.evidenceAgeMs,
+      group: view.group,
+      formation: view.formation,
+      model: teamScoped(view.team, view.model),
+      version: view.version,
+      adapters: view.adapters
+    }
+  }
+
+  private toServiceTarget (worker: ServicePresence, nowMs: number): ServiceTarget {
+    return {
+      kind: TargetKind.Service,
+      id: serviceTargetId(worker.service, worker.vm, worker.incarnation),
+      address: worker.address,
+      region: this.mesh.self.region,
+      failureDomain: worker.failureDomain,
+      evidenceExpiresAtMs: nowMs - worker.ageMs + this.evidenceTtlMs,
+      leaving: false,
+      load: worker.load,
+      loadAskedAtMs: nowMs - worker.ageMs,
+      service: worker.service,
+      vm: worker.vm,
+      incarnation: worker.incarnation
+    }
+  }
+}
+
+/** Two teams may use the same model name; their groups are never mixed. */
+export function teamScoped (team: TeamId, name: string): string {
+  return `${team}/${name}`
+}
--- /dev/null
+++ b/packages/dotterelspur-entry/src/process/createEntry.ts
@@ -0,0 +1,148 @@
+import Fastify, { type FastifyError, type FastifyInstance } from 'fastify'
+import createDebug from 'debug'
+import {
+  OutcomeReason, PauseWatch, RetryBudget, Router, createRoutingOptions, mergeTeardowns, notRun, unknownOutcome,
+  type Teardown
+} from 'dotterelspur'
+import { authenticate, sendOutcome } from '../connection/callers.js'
+import { registerDirectoryRoutes } from '../connection/registerDirectoryRoutes.js'
+import { registerModelRoutes } from '../connection/registerModelRoutes.js'
+import { registerOutcomeRoutes } from '../connection/registerOutcomeRoutes.js'
+import { registerServiceRoutes } from '../connection/registerServiceRoutes.js'
+import { HeaderReader } from '../request/CallerRequest.js'
+import { HomeLink } from '../request/HomeLink.js'
+import { HomeRuns } from '../request/HomeRuns.js'
+import { Intake } from '../request/Intake.js'
+import { KeyedRuns } from '../request/KeyedRuns.js'
+import { LocalRuns } from '../request/LocalRuns.js'
+import { PREFIX_BLOCK_TOKENS } from '../request/prefixHashes.js'
+import { StreamFinder } from '../request/StreamFinder.js'
+import { AdmissionGate } from './AdmissionGate.js'
+import type { EntryContext } from './EntryContext.js'
+import { SILENT_OBSERVER } from './EntryObserver.js'
+import { DEFAULT_ENTRY_LIMITS, DEFAULT_ENTRY_TIMING, type EntryOptions } from './EntryOptions.js'
+import type { EntryServices } from './EntryServices.js'
+import { FleetView } from './FleetView.js'
+import { NodeGate } from './NodeGate.js'
+import { TeamTable } from './TeamTable.js'
+
+const debug = createDebug('dotterelspur:entry')
+const PAUSE_TICKS_PER_THRESHOLD = 4
+/** What was taken in this long after a pause may have waited through it. */
+const STALE_AFTER_PAUSE_MS = 250
+
+/** The callers' side of one node. */
+export interface Entry {
+  /** Opens the listener; resolves with its base URL. */
+  listen (): Promise<string>
+  /** Takes no new work from now on; what runs goes on. */
+  beginDrain (): void
+  /** Resolves when nothing runs any more. */
+  idle (): Promise<void>
+  /** Requests that run here now. */
+  runningCount (): number
+  /** Cuts off what still runs and closes the listener. */
+  close (): Promise<void>
+}
+
+export function createEntry (options: EntryOptions): Entry {
+  const context = createContext(options)
+  const gate = new NodeGate(context.mesh, context.timing.inForceBoundMs)
+  const runs = new LocalRuns(context)
+  const homeRuns = new HomeRuns(context, runs, gate)
+  const link = new HomeLink(context, homeRuns, new StreamFinder(context))
+  const keyed = new KeyedRuns(context, homeRuns, link, gate)
+  const intake = new Intake(context, gate, homeRuns, keyed)
+  const services: EntryServices = { context, gate, headers: new HeaderReader(context.limits), intake, keyed, homeRuns, link }
+  const app = createListener(services)
+  const teardown = startParts(context, link)
+  return {
+    listen: () => app.listen({ host: options.host, port: options.port }),
+    beginDrain: () => {
+      gate.beginDrain()
+      debug('draining, %d requests running', runs.count)
+    },
+    idle: () => runs.idle(),
+    runningCount: () => runs.count,
+    close: async () => {
+      gate.beginDrain()
+      runs.abortAll()
+      await runs.idle()
+      teardown()
+      await app.close()
+    }
+  }
+}
+
+function createContext (options: EntryOptions): EntryContext {
+  const { clock, random, mesh, store, engines, services, parseTeam, observer = SILENT_OBSERVER } = options
+  const timing = { ...DEFAULT_ENTRY_TIMING, ...options.timing }
+  const teams = new TeamTable(mesh, parseTeam)
+  const { region, failureDomain } = mesh.self
+  return {
+    clock,
+    random,
+    mesh,
+    store,
+    engines,
+    services,
+    observer,
+    timing,
+    limits: { ...DEFAULT_ENTRY_LIMITS, ...options.limits },
+    teams,
+    fleet: new FleetView(mesh, clock, timing.evidenceTtlMs),
+    gate: new AdmissionGate(clock, mesh, teams),
+    router: new Router(createRoutingOptions({ region, failureDomain }, { prefixBlockTokens: PREFIX_BLOCK_TOKENS })),
+    retries: new RetryBudget(),
+    pauses: new PauseWatch(timing.pauseThresholdMs, STALE_AFTER_PAUSE_MS, clock.nowMs())
+  }
+}
+
+function startParts (context: EntryContext, link: HomeLink): Teardown {
+  const { fleet, router, gate, teams, clock } = context
+  const unregister = fleet.registerListener((targets) => {
+    router.replaceTargets(targets, clock.nowMs())
+    gate.configureLanes(targets)
+  })
+  return mergeTeardowns(unregister, teams.start(), gate.start(), fleet.start(), link.start(), watchPauses(context))
+}
+
+function watchPauses ({ clock, pauses, timing, observer }: EntryContext): Teardown {
+  let cancel: Teardown = () => {}
+  const tick = (): void => {
+    const pauseMs = pauses.tick(clock.nowMs())
+    if (pauseMs > 0) {
+      observer.paused(pauseMs)
+      debug('this process was paused for %d ms', Math.round(pauseMs))
+    }
+    cancel = clock.registerTimer(timing.pauseThresholdMs / PAUSE_TICKS_PER_THRESHOLD, tick)
+  }
+  tick()
+  return () => { cancel() }
+}
+
+function createListener (services: EntryServices): FastifyInstance {
+  const { limits, teams } = services.context
+  const app = Fastify({
+    logger: false,
+    bodyLimit: limits.maxBodyBytes,
+    requestTimeout: limits.receiveTimeoutMs,
+    forceCloseConnections: 'idle',
+    routerOptions: { maxParamLength: 512 },
+    http: { maxHeaderSize: limits.maxHeaderBytes }
+  })
+  app.server.maxConnections = limits.maxConnections
+  app.addHook('onRequest', (request, reply, done) => { authenticate(teams, request, reply, done) })
+  app.setErrorHandler((error: FastifyError, _request, reply) => {
+    const status = error.statusCode ?? 500
+    if (status < 500) return sendOutcome(reply, notRun(OutcomeReason.InvalidRequest, error.message, null), null, true, { status })
+    debug('unexpected error: %s', error.stack)
+    return sendOutcome(reply, unknownOutcome(OutcomeReason.StreamBroken, 'internal error'), null, false, { status })
+  })
+  app.setNotFoundHandler((_request, reply) => sendOutcome(reply, notRun(OutcomeReason.InvalidRequest, 'no such path', null), null, true, { status: 404 }))
+  registerModelRoutes(app, services)
+  registerServiceRoutes(app, services)
+  registerDirectoryRoutes(app, services)
+  registerOutcomeRoutes(app, services)
+  return app
+}
--- /dev/null
+++ b/packages/dotterelspur-entry/src/request/HomeLink.ts
@@ -0,0 +1,152 @@
+import {
+  CallEventKind, MeshErrorKind, OutcomeKind, OutcomeReason, notRun, unknownOutcome,
+  type HomeId, type MeshApi, type Outcome, type RequestId, type TeamId, type Teardown
+} from 'dotterelspur'
+import type { EntryContext } from '../process/EntryContext.js'
+import type { HomeRuns } from './HomeRuns.js'
+import { RunEventKind, finishedWith, type FinishedEvent, type RunEvent, type RunEvents, type RunRequest } from './RunRequest.js'
+import type { StreamFinder } from './StreamFinder.js'
+
+const RUN_METHOD = 'request.run'
+const FOLLOW_METHOD = 'request.follow'
+const MAX_FOLLOWS = 3
+
+/** Asks a home what became of one of its ids, waiting for the end of a run. */
+interface FollowRequest {
+  readonly requestId: RequestId
+  readonly team: TeamId
+  readonly waitMs: number
+}
+
+enum CallEndKind {
+  /** A Finished event came. */
+  Finished = 'finished',
+  /** The call failed and nothing was done by it. */
+  NothingDone = 'nothing-done',
+  /** The home's process is gone for good. */
+  Gone = 'gone',
+  /** It may have been taken. */
+  Interrupted = 'interrupted'
+}
+
+const CALL_END_OF: Readonly<Record<MeshErrorKind, CallEndKind>> = {
+  [MeshErrorKind.UnknownNode]: CallEndKind.Gone,
+  [MeshErrorKind.WrongIncarnation]: CallEndKind.Gone,
+  [MeshErrorKind.Unreachable]: CallEndKind.NothingDone,
+  [MeshErrorKind.Overloaded]: CallEndKind.NothingDone,
+  [MeshErrorKind.Interrupted]: CallEndKind.Interrupted,
+  [MeshErrorKind.Rejected]: CallEndKind.Interrupted
+}
+
+/** Passes requests to the home that decides on them, and serves those that other nodes pass to this one. */
+export class HomeLink {
+  private readonly mesh: MeshApi
+
+  constructor (private readonly context: EntryContext, private readonly homeRuns: HomeRuns, private readonly finder: StreamFinder) {
+    this.mesh = context.mesh
+  }
+
+  start (): Teardown {
+    const { homeRuns } = this
+    const unregisterRun = this.mesh.registerCallHandler(RUN_METHOD, (request) => homeRuns.run(request as RunRequest))
+    const unregisterFollow = this.mesh.registerCallHandler(FOLLOW_METHOD, (request) => {
+      const { requestId, team, waitMs } = request as FollowRequest
+      return homeRuns.follow(requestId, team, waitMs)
+    })
+    return () => {
+      unregisterRun()
+      unregisterFollow()
+    }
+  }
+
+  /** Runs a request at its home. The home's text so far is never repeated to the consumer. */
+  async * run (home: HomeId, request: RunRequest): RunEvents {
+    this.context.observer.passedToHome()
+    const relay = new Relay()
+    for (let follows = 0; follows <= MAX_FOLLOWS; follows += 1) {
+      const method = follows === 0 ? RUN_METHOD : FOLLOW_METHOD
+      const body: RunRequest | FollowRequest = follows === 0 ? request : { requestId: request.requestId, team: request.team, waitMs: request.deadlineMs }
+      const end = yield * this.call(home, method, body, relay)
+      if (end === CallEndKind.Finished) return
+      if (end === CallEndKind.Gone && follows > 0) break
+      if (end === CallEndKind.Gone) return yield * this.afterHomeGone(request)
+      if (end === CallEndKind.NothingDone && follows === 0) return yield [finishedWith(unsent(request, 'its home can\'t be reached now', OutcomeReason.HomeGone))]
+    }
+    if (!relay.started) return yield * this.find(request, unknownOutcome(OutcomeReason.HomeGone, 'the link to its home broke'))
+    yield [finishedWith(unknownOutcome(OutcomeReason.HomeGone, 'the link to its home broke'))]
+  }
+
+  /** What a home on another node knows of an id; the last event says it. */
+  async * follow (home: HomeId, request: FollowRequest): RunEvents {
+    const end = yield * this.call(home, FOLLOW_METHOD, request, new Relay())
+    if (end !== CallEndKind.Finished) yield [finishedWith(unknownOutcome(OutcomeReason.HomeGone, 'the home of this id is gone or can\'t be reached'))]
+  }
+
+  private async * call (home: HomeId, method: string, request: RunRequest | FollowRequest, relay: Relay): AsyncGenerator<readonly RunEvent[], CallEndKind> {
+    const abort = new AbortController()
+    try {
+      for await (const event of this.mesh.call(home, method, request, abort.signal)) {
+        if (event.kind === CallEventKind.Error) return CALL_END_OF[event.error.kind]
+        if (event.kind === CallEventKind.End) break
+        const batch = relay.pass(event.message as readonly RunEvent[])
+        if (batch.length > 0) yield batch
+        if (relay.finished) return CallEndKind.Finished
+      }
+      return CallEndKind.Interrupted
+    } finally {
+      abort.abort()
+    }
+  }
+
+  private async * afterHomeGone (request: RunRequest): RunEvents {
+    yield * this.find(request, unsent(request, 'the home of this id is gone; it is not run again', OutcomeReason.HomeGone))
+  }
+
+  /** Looks for a stream with this id at the endpoints; it may have outlived its home. */
+  private async * find (request: RunRequest, otherwise: Outcome): RunEvents {
+    const found = await this.finder.find(request)
+    if (found !== null) return yield * found
+    if (otherwise.kind === OutcomeKind.Unknown) this.context.observer.refusedAsUnknown(otherwise.reason)
+    yield [finishedWith(otherwise)]
+  }
+}
+
+/** Not-run can be shown only where the caller says that this is its first submission: no other copy exists. */
+export function unsent (request: Pick<RunRequest, 'submission'>, message: string, reason: OutcomeReason, retryAfterMs = 1_000): Outcome {
+  return request.submission === 1 ? notRun(reason, message, retryAfterMs) : unknownOutcome(reason, message, retryAfterMs)
+}
+
+/** Passes on what the consumer doesn't have yet: after a broken link, the home gives the whole answer again. */
+class Relay {
+  private passedCharacters = 0
+  private callCharacters = 0
+  finished = false
+
+  get started (): boolean {
+    return this.passedCharacters > 0
+  }
+
+  pass (batch: readonly RunEvent[]): readonly RunEvent[] {
+    return batch.flatMap((event) => this.passOne(event))
+  }
+
+  private passOne (event: RunEvent): RunEvent[] {
+    if (event.kind === RunEventKind.Finished) {
+      this.finished = true
+      return [this.checkWhole(event)]
+    }
+    if (event.kind === RunEventKind.Restart) this.passedCharacters = this.callCharacters = 0
+    if (event.kind !== RunEventKind.Text) return [event]
+    const fresh = event.text.slice(Math.max(0, this.passedCharacters - this.callCharacters))
+    this.callCharacters += event.text.length
+    if (fresh === '') return []
+    this.passedCharacters += fresh.length
+    return [{ ...event, text: fresh }]
+  }
+
+  /** An answer that is no longer held can't complete one of which the caller has a part. */
+  private checkWhole (event: FinishedEvent): FinishedEvent {
+    if (!event.withheld || !this.started) return event
+    return finishedWith(unknownOutcome(OutcomeReason.StreamBroken, 'the rest of the answer is no longer held'))
+  }
+}
--- /dev/null
+++ b/packages/dotterelspur-entry/src/request/HomeRuns.ts
@@ -0,0 +1,183 @@
+import {
+  OpenKind, OutcomeMemory, OutcomeReason, parseRequestId, unknownOutcome,
+  type Clock, type EndedRequest, type OpenDecision, type Outcome, type RequestId, type TeamId
+} from 'dotterelspur'
+import type { EntryContext } from '../process/EntryContext.js'
+import type { NodeGate } from '../process/NodeGate.js'
+import type { LocalRuns } from './LocalRuns.js'
+import { RunEventKind, finishedWith, type FinishedEvent, type RunEvent, type RunEvents, type RunRequest } from './RunRequest.js'
+
+/** What is kept of an ended run for repeats of its id. */
+export interface KeptRun {
+  /** Null when the answer was too long to keep. */
+  readonly answer: readonly RunEvent[] | null
+  readonly finished: FinishedEvent
+}
+
+type Decision = OpenDecision<KeptRun>
+
+const REFUSAL_OF: { readonly [Kind in Exclude<OpenKind, OpenKind.Run | OpenKind.InProgress | OpenKind.Ended>]: Outcome } = {
+  [OpenKind.Forgotten]: unknownOutcome(OutcomeReason.OutcomeForgotten, 'the id is older than what its home remembers; it is not run again'),
+  [OpenKind.Mismatch]: unknownOutcome(OutcomeReason.InvalidRequest, 'the id or key stands for another request'),
+  [OpenKind.Ahead]: unknownOutcome(OutcomeReason.InvalidRequest, 'the id was issued in the future'),
+  [OpenKind.Full]: unknownOutcome(OutcomeReason.Overloaded, 'the home can\'t remember more ids now', 1_000)
+}
+
+/**
+ * The home's part of at-most-once: this process alone decides whether an id that names it may run, and
+ * remembers what became of it.
+ */
+export class HomeRuns {
+  private readonly memory: OutcomeMemory<KeptRun>
+  /** Idempotent requests, remembered only so that their outcome can be asked for. */
+  private readonly recent: OutcomeMemory<KeptRun>
+  private readonly waiters = new Map<RequestId, Set<() => void>>()
+  private readonly clock: Clock
+
+  constructor (private readonly context: EntryContext, private readonly runs: LocalRuns, private readonly gate: NodeGate) {
+    const { limits, timing } = context
+    this.clock = context.clock
+    const common = { keepMs: timing.outcomeMemoryMs, maxAheadMs: timing.maxIssuedAheadMs }
+    this.memory = new OutcomeMemory({ ...common, maxEntries: limits.maxRememberedOutcomes })
+    this.recent = new OutcomeMemory({ ...common, maxEntries: limits.maxRecentOutcomes })
+  }
+
+  /** Runs an id whose home is this process, or answers what became of it. */
+  run (request: RunRequest): RunEvents {
+    const decision = this.open(this.memory, request)
+    if (decision.kind === OpenKind.Run) return this.start(request)
+    if (decision.kind === OpenKind.InProgress || decision.kind === OpenKind.Ended) return this.follow(request.requestId, request.team, request.deadlineMs)
+    const outcome = REFUSAL_OF[decision.kind]
+    this.context.observer.refusedAsUnknown(outcome.reason)
+    return once(finishedWith(outcome))
+  }
+
+  /** Runs an idempotent request; its id is this process's own and new. */
+  runIdempotent (request: RunRequest): RunEvents {
+    const { requestId } = request
+    if (this.open(this.recent, request).kind !== OpenKind.Run) return this.runs.start(request)
+    return this.runs.start(request, (event) => {
+      if (event.kind === RunEventKind.Finished) this.recent.close(requestId, { outcome: event.outcome, answer: null }, this.clock.nowMs())
+    })
+  }
+
+  /** Waits for the end of a run and gives its answer again. */
+  async * follow (requestId: RequestId, team: TeamId, waitMs: number): RunEvents {
+    const deadlineAtMs = this.clock.nowMs() + waitMs
+    for (;;) {
+      const decision = this.lookup(requestId, team)
+      if (decision?.kind === OpenKind.Ended) {
+        yield replay(decision.ended)
+        return
+      }
+      if (decision?.kind !== OpenKind.InProgress) {
+        yield [finishedWith(decision === undefined ? notSeen() : REFUSAL_OF[OpenKind.Forgotten])]
+        return
+      }
+      const leftMs = deadlineAtMs - this.clock.nowMs()
+      if (leftMs <= 0) {
+        yield [finishedWith(unknownOutcome(OutcomeReason.DuplicateInProgress, 'the same id still runs; ask again', 1_000))]
+        return
+      }
+      await this.waitForEnd(requestId, leftMs)
+    }
+  }
+
+  /** What is known of an id whose home is this process; undefined when it was never seen by this team. */
+  lookup (requestId: RequestId, team: TeamId): Decision | undefined {
+    const identity = parseRequestId(requestId)
+    if (identity === undefined) return undefined
+    const nowMs = this.clock.nowMs()
+    const recent = this.recent.lookup(requestId, Infinity, team, nowMs)
+    return recent ?? this.memory.lookup(requestId, identity.issuedWallMs, team, nowMs)
+  }
+
+  private open (memory: OutcomeMemory<KeptRun>, request: RunRequest): Decision {
+    const identity = parseRequestId(request.requestId)!
+    const { requestId, team, fingerprint, submission, stale } = request
+    return memory.open({ requestId, issuedWallMs: identity.issuedWallMs, team, fingerprint, number: submission, stale }, this.clock.nowMs(), this.clock.wallMs())
+  }
+
+  private start (request: RunRequest): RunEvents {
+    const refusal = this.gate.refusal()
+    if (refusal !== null) {
+      this.close(request.requestId, { outcome: refusal, answer: { answer: [], finished: finishedWith(refusal) } })
+      return once(finishedWith(refusal))
+    }
+    const keeper = new AnswerKeeper(this.context.limits.maxKeptAnswerBytes)
+    return this.runs.start(request, (event) => {
+      if (event.kind !== RunEventKind.Finished) return keeper.add(event)
+      this.close(request.requestId, { outcome: event.outcome, answer: { answer: keeper.kept(), finished: event } })
+    })
+  }
+
+  private close (requestId: RequestId, ended: EndedRequest<KeptRun>): void {
+    this.memory.close(requestId, ended, this.clock.nowMs())
+    const waiting = this.waiters.get(requestId)
+    this.waiters.delete(requestId)
+    for (const wake of waiting ?? []) wake()
+  }
+
+  private waitForEnd (requestId: RequestId, waitMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      const wake = (): void => {
+        cancel()
+        resolve()
+      }
+      const cancel = this.clock.registerTimer(waitMs, wake)
+      const waiting = this.waiters.get(requestId) ?? new Set()
+      waiting.add(wake)
+      this.waiters.set(requestId, waiting)
+    })
+  }
+}
+
+/** Collects an answer up to a size. */
+class AnswerKeeper {
+  private readonly texts: string[] = []
+  private tokens = 0
+  private response: RunEvent | null = null
+  private sizeBytes = 0
+
+  constructor (private readonly maxBytes: number) {}
+
+  add (event: Exclude<RunEvent, FinishedEvent>): void {
+    if (event.kind === RunEventKind.Restart) return this.clear()
+    if (event.kind === RunEventKind.Response) {
+      this.response = event
+      this.sizeBytes += event.response.body.byteLength
+      return
+    }
+    this.sizeBytes += event.text.length
+    this.tokens += event.tokens
+    if (this.sizeBytes <= this.maxBytes) this.texts.push(event.text)
+  }
+
+  kept (): readonly RunEvent[] | null {
+    if (this.sizeBytes > this.maxBytes) return null
+    if (this.response !== null) return [this.response]
+    return this.tokens === 0 ? [] : [{ kind: RunEventKind.Text, offset: 0, tokens: this.tokens, text: this.texts.join('') }]
+  }
+
+  private clear (): void {
+    this.texts.length = 0
+    this.tokens = 0
+    this.sizeBytes = 0
+  }
+}
+
+/** The events of an ended run; partial text of one that didn't end whole is not given again. */
+function replay (ended: EndedRequest<KeptRun>): readonly RunEvent[] {
+  const kept = ended.answer
+  if (kept === null) return [{ ...finishedWith(ended.outcome), withheld: true }]
+  if (kept.answer === null) return [{ ...kept.finished, withheld: true }]
+  return [...kept.answer, kept.finished]
+}
+
+function notSeen (): Outcome {
+  return unknownOutcome(OutcomeReason.HomeGone, 'the home has not seen this id')
+}
+
+export async function * once (...events: readonly RunEvent[]): RunEvents {
+  yield events
+}
--- /dev/null
+++ b/packages/dotterelspur-entry/src/request/Intake.ts
@@ -0,0 +1,66 @@
+import type { IncomingMessage } from 'node:http'
+import { OutcomeReason, RequestSafety, failed, success, unknownOutcome, type Outcome, type RequestId, type Result } from 'dotterelspur'
+import type { EntryContext } from '../process/EntryContext.js'
+import type { NodeGate } from '../process/NodeGate.js'
+import type { CallHeaders } from './CallerRequest.js'
+import type { HomeRuns } from './HomeRuns.js'
+import { mintRequestId, type KeyedRuns } from './KeyedRuns.js'
+import type { RunEvents, RunRequest } from './RunRequest.js'
+
+export interface StartedRun {
+  readonly requestId: RequestId
+  readonly events: RunEvents
+}
+
+/** A request that was not started. */
+export interface Refusal {
+  readonly outcome: Outcome
+  readonly repeatable: boolean
+  readonly entries: readonly string[] | undefined
+}
+
+const NEW_WORK_REFUSED: ReadonlySet<OutcomeReason> = new Set([OutcomeReason.Draining, OutcomeReason.Isolated])
+
+/** The way from a checked request to its run. */
+export class Intake {
+  constructor (private readonly context: EntryContext, private readonly gate: NodeGate, private readonly homeRuns: HomeRuns, private readonly keyed: KeyedRuns) {}
+
+  mintRequestId (): RequestId {
+    return mintRequestId(this.context)
+  }
+
+  /** Whether what is being taken in may have waited through a pause of this process. */
+  isStale (): boolean {
+    return this.context.pauses.isStale(this.context.clock.nowMs())
+  }
+
+  async start (run: RunRequest, headers: CallHeaders, message: IncomingMessage): Promise<Result<StartedRun, Refusal>> {
+    if (run.stale && await callerHasGone(message)) {
+      const outcome = unknownOutcome(OutcomeReason.Cancelled, 'the caller went away while this node was paused')
+      return failed({ outcome, repeatable: true, entries: undefined })
+    }
+    if (run.safety === RequestSafety.NonIdempotent) return success(await this.keyed.run(run, headers.idempotencyKey))
+    const refusal = this.gate.refusal()
+    if (refusal !== null) return failed({ outcome: refusal, repeatable: true, entries: this.gate.otherEntries() })
+    return success({ requestId: run.requestId, events: this.homeRuns.runIdempotent(run) })
+  }
+
+  /** Where to go instead, for outcomes that say that this node takes no new work. */
+  entriesFor (outcome: Outcome): readonly string[] | undefined {
+    return NEW_WORK_REFUSED.has(outcome.reason) ? this.gate.otherEntries() : undefined
+  }
+}
+
+/**
+ * Gives the sockets two turns of the event loop to tell that the caller has gone. Requests that waited in the
+ * kernel through a pause are read before the ends of their connections.
+ */
+async function callerHasGone (message: IncomingMessage): Promise<boolean> {
+  await turn()
+  await turn()
+  return message.socket.destroyed || message.socket.readableEnded
+}
+
+function turn (): Promise<void> {
+  return new Promise((resolve) => { setImmediate(resolve) })
+}
--- /dev/null
+++ b/packages/dotterelspur-entry/src/request/KeyedRuns.ts
@@ -0,0 +1,106 @@
+import { createHash, randomBytes } from 'node:crypto'
+import {
+  CLAIM_PREFIX, ClaimEffectKind, ClaimStandKind, OutcomeKind, OutcomeReason, StoreErrorKind, formatRequestId, hashText, homeOf, parseRequestId, runProcedure, settleClaim, sleep, unknownOutcome,
+  type ClaimObject, type ClaimStand, type HomeId, type Outcome, type RequestId, type TeamId
+} from 'dotterelspur'
+import type { EntryContext } from '../process/EntryContext.js'
+import type { NodeGate } from '../process/NodeGate.js'
+import { unsent, type HomeLink } from './HomeLink.js'
+import type { HomeRuns } from './HomeRuns.js'
+import { finishedWith, type RunEvents, type RunRequest } from './RunRequest.js'
+
+const RANDOM_BYTES = 12
+const CLAIM_BUCKETS = 256
+const CLAIM_RETRY_MS = 100
+
+/** Makes a request id whose home is this process. */
+export function mintRequestId (context: EntryContext): RequestId {
+  return formatRequestId(homeOf(context.mesh.self), context.clock.wallMs(), randomBytes(RANDOM_BYTES).toString('base64url'))
+}
+
+/** Where the claim of a team's own key is kept. */
+export function claimKey (team: TeamId, key: string): string {
+  const scoped = `${team}\u0000${key}`
+  const bucket = (hashText(scoped) % CLAIM_BUCKETS).toString(16).padStart(2, '0')
+  return `${CLAIM_PREFIX}${bucket}/${createHash('sha256').update(scoped).digest('hex')}`
+}
+
+/** Runs non-idempotent requests: each at the home of its id, whichever node took it in. */
+export class KeyedRuns {
+  constructor (private readonly context: EntryContext, private readonly homeRuns: HomeRuns, private readonly link: HomeLink, private readonly gate: NodeGate) {}
+
+  /**
+   * @param key what the caller sent as its idempotency key: an id that names its home, a key of its own, or null.
+   *   `request.requestId` is a new id of this process, used where the key doesn't bring one.
+   */
+  async run (request: RunRequest, key: string | null): Promise<{ readonly requestId: RequestId, readonly events: RunEvents }> {
+    if (key === null) return this.atHome(request)
+    if (parseRequestId(key) !== undefined) return this.atHome({ ...request, requestId: key })
+    return this.runClaimed(request, key)
+  }
+
+  /** The request id for which a key stands, if that is known. */
+  async resolve (team: TeamId, key: string): Promise<RequestId | Outcome | undefined> {
+    if (parseRequestId(key) !== undefined) return key
+    this.context.observer.claimCall()
+    const claim = await this.context.store.get<ClaimObject>(claimKey(team, key))
+    if (claim.ok) return claim.value.deleted ? undefined : claim.value.body.requestId
+    if (claim.error.kind === StoreErrorKind.NotFound) return undefined
+    return unknownOutcome(OutcomeReason.StoreUnavailable, 'the platform\'s store can\'t be asked for this key now', 1_000)
+  }
+
+  isSelf (home: HomeId): boolean {
+    return home === homeOf(this.context.mesh.self)
+  }
+
+  private atHome (request: RunRequest): { readonly requestId: RequestId, readonly events: RunEvents } {
+    const { home } = parseRequestId(request.requestId)!
+    const events = this.isSelf(home) ? this.homeRuns.run(request) : this.link.run(home, request)
+    return { requestId: request.requestId, events }
+  }
+
+  private async runClaimed (request: RunRequest, key: string): Promise<{ readonly requestId: RequestId, readonly events: RunEvents }> {
+    const refusal = this.gate.refusal()
+    if (refusal !== null) return this.refuseOrPass(request, key, refusal)
+    const stand = await this.claim(request, key)
+    if (stand.kind === ClaimStandKind.Settled) return this.atHome({ ...request, requestId: stand.requestId })
+    const outcome = stand.kind === ClaimStandKind.NotWritten
+      ? unsent(request, `the key could not be claimed: ${stand.reason}`, OutcomeReason.StoreUnavailable)
+      : unknownOutcome(OutcomeReason.ClaimUnsettled, `it is not settled which request the key stands for: ${stand.reason}`, 1_000)
+    return this.refuse(request, outcome)
+  }
+
+  /** This node takes no new work, but a key that stands for an id already can still be passed to its home. */
+  private async refuseOrPass (request: RunRequest, key: string, refusal: Outcome): Promise<{ readonly requestId: RequestId, readonly events: RunEvents }> {
+    const known = this.gate.isIsolated() ? undefined : await this.resolve(request.team, key)
+    if (typeof known === 'string') return this.atHome({ ...request, requestId: known })
+    return this.refuse(request, unsent(request, refusal.message, refusal.reason, refusal.retryAfterMs ?? undefined))
+  }
+
+  private refuse (request: RunRequest, outcome: Outcome): { readonly requestId: RequestId, readonly events: RunEvents } {
+    if (outcome.kind === OutcomeKind.Unknown) this.context.observer.refusedAsUnknown(outcome.reason)
+    return { requestId: request.requestId, events: onlyFinished(outcome) }
+  }
+
+  private claim (request: RunRequest, key: string): Promise<ClaimStand> {
+    const { store, clock, observer } = this.context
+    const { team, requestId } = request
+    const path = claimKey(team, key)
+    const body: ClaimObject = { team, key, requestId, claimedAtWallMs: clock.wallMs(), writeToken: requestId }
+    return runProcedure(settleClaim(), {
+      [ClaimEffectKind.Create]: () => {
+        observer.claimCall()
+        return store.create(path, body)
+      },
+      [ClaimEffectKind.Get]: () => {
+        observer.claimCall()
+        return store.get<ClaimObject>(path)
+      },
+      [ClaimEffectKind.Wait]: () => sleep(clock, CLAIM_RETRY_MS)
+    })
+  }
+}
+
+async function * onlyFinished (outcome: Outcome): RunEvents {
+  yield [finishedWith(outcome)]
+}
--- /dev/null
+++ b/packages/dotterelspur-entry/src/request/LocalRuns.ts
@@ -0,0 +1,164 @@
+import {
+  InterruptKind, OutcomeKind, OutcomeReason, RequestSafety, notRun, unknownOutcome,
+  type Outcome
+} from 'dotterelspur'
+import { modelLane, serviceLane } from '../process/AdmissionGate.js'
+import type { EntryContext } from '../process/EntryContext.js'
+import { teamScoped } from '../process/FleetView.js'
+import { RequestInterrupt } from './AttemptStream.js'
+import { ModelRunner } from './ModelRunner.js'
+import { estimateTokens } from './prefixHashes.js'
+import { RunChannel } from './RunChannel.js'
+import { RunEventKind, RunKind, finishedWith, type FinishedEvent, type ModelRunRequest, type RunEvent, type RunEvents, type RunRequest, type ServiceRunRequest } from './RunRequest.js'
+import { ServiceRunner } from './ServiceRunner.js'
+
+interface LocalRun {
+  readonly request: RunRequest
+  readonly interrupt: RequestInterrupt
+  readonly channel: RunChannel
+  readonly startedAtMs: number
+}
+
+/** What a run did, for admission's limits. */
+interface Performed {
+  readonly finished: FinishedEvent
+  readonly firstTokenAtMs: number | null
+  readonly overloaded: boolean
+}
+
+/**
+ * Runs requests from this node: admission, then the request's procedure, then its report. A non-idempotent run
+ * goes on when its caller goes away, since its outcome is asked for later; an idempotent one is cancelled.
+ */
+export class LocalRuns {
+  private readonly active = new Set<LocalRun>()
+  private readonly idleListeners = new Set<() => void>()
+
+  constructor (private readonly context: EntryContext) {}
+
+  get count (): number {
+    return this.active.size
+  }
+
+  /** Resolves once nothing runs. */
+  idle (): Promise<void> {
+    if (this.active.size === 0) return Promise.resolve()
+    return new Promise((resolve) => { this.idleListeners.add(resolve) })
+  }
+
+  /** Starts a run at once. `onEvent` hears every event, the last one before the consumer does. */
+  start (request: RunRequest, onEvent: (event: RunEvent) => void = () => {}): RunEvents {
+    const interrupt = new RequestInterrupt()
+    const channel = new RunChannel({ onEvent, onAbandoned: () => { this.callerGone(request, interrupt) } })
+    const run: LocalRun = { request, interrupt, channel, startedAtMs: this.context.clock.nowMs() }
+    this.active.add(run)
+    this.perform(run).then((finished) => {
+      this.active.delete(run)
+      channel.push(finished)
+      channel.end()
+      this.reportIdle()
+    })
+    return channel.events()
+  }
+
+  /** Cuts off everything that still runs; only for the end of a process whose grace is over. */
+  abortAll (): void {
+    for (const run of this.active) run.interrupt.fire(InterruptKind.Deadline)
+  }
+
+  private callerGone (request: RunRequest, interrupt: RequestInterrupt): void {
+    if (request.safety === RequestSafety.NonIdempotent) return
+    this.context.gate.cancel(request.requestId)
+    interrupt.fire(InterruptKind.CallerGone)
+  }
+
+  private async perform (run: LocalRun): Promise<FinishedEvent> {
+    const cancelDeadline = this.context.clock.registerTimer(run.request.deadlineMs, () => { run.interrupt.fire(InterruptKind.Deadline) })
+    try {
+      return await this.admitAndRun(run)
+    } catch (error) {
+      return finishedWith(unknownOutcome(OutcomeReason.StreamBroken, `internal: ${String(error)}`))
+    } finally {
+      cancelDeadline()
+    }
+  }
+
+  private async admitAndRun (run: LocalRun): Promise<FinishedEvent> {
+    const { gate, clock, retries, teams } = this.context
+    const { request } = run
+    const refusal = this.refuseEarly()
+    if (refusal !== null) return this.report(run, { finished: finishedWith(refusal), firstTokenAtMs: null, overloaded: false })
+    const admitted = await gate.enter({
+      id: request.requestId,
+      team: request.team,
+      lane: request.kind === RunKind.Model ? modelLane(teamScoped(request.team, request.model)) : serviceLane(request.service),
+      priority: request.priority,
+      tokens: request.kind === RunKind.Model ? estimateTokens(request.prompt) + request.maxTokens : 0,
+      deadlineAtMs: run.startedAtMs + request.deadlineMs
+    })
+    if (!admitted.ok) return this.report(run, { finished: finishedWith(admitted.error), firstTokenAtMs: null, overloaded: false })
+    const dispatchedAtMs = clock.nowMs()
+    retries.noteFirstAttempt(request.team, teams.get(request.team)?.limits.retryPercent ?? 0)
+    let performed: Performed = { finished: finishedWith(unknownOutcome(OutcomeReason.StreamBroken, 'internal')), firstTokenAtMs: null, overloaded: false }
+    try {
+      performed = request.kind === RunKind.Model ? await this.runModel(run, request) : await this.runService(run, request)
+    } finally {
+      const { finished, firstTokenAtMs, overloaded } = performed
+      gate.leave(request.requestId, {
+        firstTokenMs: firstTokenAtMs === null ? null : firstTokenAtMs - dispatchedAtMs,
+        overloaded,
+        tokens: finished.promptTokens + finished.completionTokens
+      })
+    }
+    return this.report(run, performed)
+  }
+
+  private refuseEarly (): Outcome | null {
+    if (this.active.size > this.context.limits.maxRequests) return notRun(OutcomeReason.Overloaded, 'this node works on too many requests')
+    return null
+  }
+
+  private async runModel (run: LocalRun, request: ModelRunRequest): Promise<Performed> {
+    const runner = new ModelRunner(this.context, request, run.channel, run.interrupt)
+    const { outcome, finishReason, promptTokens, completionTokens, attempts } = await runner.run()
+    return {
+      finished: { kind: RunEventKind.Finished, outcome, finishReason, promptTokens, completionTokens, attempts, withheld: false },
+      firstTokenAtMs: runner.firstTokenAtMs,
+      overloaded: runner.overloaded
+    }
+  }
+
+  private async runService (run: LocalRun, request: ServiceRunRequest): Promise<Performed> {
+    const { outcome, response, attempts } = await new ServiceRunner(this.context, request, run.interrupt).run()
+    if (response !== null) run.channel.push({ kind: RunEventKind.Response, response })
+    return {
+      finished: { ...finishedWith(outcome), attempts },
+      firstTokenAtMs: response === null ? null : this.context.clock.nowMs(),
+      overloaded: outcome.reason === OutcomeReason.Overloaded
+    }
+  }
+
+  private report (run: LocalRun, performed: Performed): FinishedEvent {
+    const { request, startedAtMs } = run
+    const { finished, firstTokenAtMs } = performed
+    this.context.observer.requestEnded({
+      kind: request.kind,
+      team: request.team,
+      safety: request.safety,
+      outcome: finished.outcome,
+      durationMs: this.context.clock.nowMs() - startedAtMs,
+      firstTokenMs: firstTokenAtMs === null ? null : firstTokenAtMs - startedAtMs,
+      attempts: finished.attempts,
+      tokens: finished.completionTokens
+    })
+    if (finished.outcome.kind === OutcomeKind.Unknown && request.safety === RequestSafety.NonIdempotent) this.context.observer.refusedAsUnknown(finished.outcome.reason)
+    return finished
+  }
+
+  private reportIdle (): void {
+    if (this.active.size > 0) return
+    const listeners = [...this.idleListeners]
+    this.idleListeners.clear()
+    for (const listener of listeners) listener()
+  }
+}
--- /dev/null
+++ b/packages/dotterelspur-entry/src/request/ModelRunner.ts
@@ -0,0 +1,235 @@
+import {
+  AttemptEnd, EndpointErrorKind, InterruptKind, LifecycleEffectKind, OutcomeKind, OutcomeReason, RequestSafety, RouteRefusalKind, StreamEventKind, TargetKind,
+  failed, groupTargetId, notRun, runModelRequest, runProcedure, success,
+  type ChunkKind, type EffectHandlers, type GenerateRequest, type GroupTarget, type GroupView, type ModelEffects, type ModelResult, type NextEvent, type Outcome, type Result,
+  type RouteAttempt, type RouteRefusal, type SendEffect
+} from 'dotterelspur'
+import type { EntryContext } from '../process/EntryContext.js'
+import { teamScoped } from '../process/FleetView.js'
+import { AttemptStream, waitOrInterrupt, type RequestInterrupt } from './AttemptStream.js'
+import { estimateTokens, prefixHashes } from './prefixHashes.js'
+import type { RunChannel } from './RunChannel.js'
+import { RunEventKind, type ModelRunRequest } from './RunRequest.js'
+
+const STALL_CHECK_MS = 250
+
+/** Carries out the effects of one model request's procedure against the endpoints. */
+export class ModelRunner {
+  private stream: AttemptStream | null = null
+  private group: GroupView | null = null
+  private target: GroupTarget | null = null
+  private route: RouteAttempt | null = null
+  private decidedAtMs = 0
+  private attemptTokens = 0
+  private attemptEnd = AttemptEnd.Cancelled
+  private delivered = false
+  private readonly prefixes: readonly number[]
+  firstTokenAtMs: number | null = null
+  overloaded = false
+
+  constructor (
+    private readonly context: EntryContext,
+    private readonly request: ModelRunRequest,
+    private readonly channel: RunChannel,
+    private readonly interrupt: RequestInterrupt
+  ) {
+    this.prefixes = prefixHashes(request.prompt)
+  }
+
+  async run (): Promise<ModelResult> {
+    const { limits, timing } = this.context
+    const cancelStallCheck = this.watchForStalls()
+    try {
+      return await runProcedure(runModelRequest({
+        requestId: this.request.requestId,
+        safety: this.request.safety,
+        maxAttempts: limits.maxAttempts,
+        maxLookups: Math.ceil(timing.regroupWaitMs / (timing.retryPauseMs * 10)),
+        pauseMs: timing.retryPauseMs,
+        maxBarrenChoices: Math.ceil(timing.regroupWaitMs / timing.retryPauseMs)
+      }), this.handlers)
+    } finally {
+      cancelStallCheck()
+      this.endAttempt()
+    }
+  }
+
+  private readonly handlers: EffectHandlers<ModelEffects> = {
+    [LifecycleEffectKind.SelectGroup]: ({ excluded, version }) => this.select(excluded, version),
+    [LifecycleEffectKind.Send]: (effect) => this.send(effect),
+    [LifecycleEffectKind.Resume]: ({ group, attempt, offset }) => {
+      this.open((signal) => this.context.engines.resume(group.leaderAddress, this.request.requestId, attempt, offset, signal))
+    },
+    [LifecycleEffectKind.NextEvent]: () => this.next(),
+    [LifecycleEffectKind.CloseStream]: ({ cancel }) => { this.closeStream(cancel) },
+    [LifecycleEffectKind.Lookup]: ({ group }) => this.context.engines.lookup(group.leaderAddress, this.request.requestId, this.context.timing.lookupTimeoutMs),
+    [LifecycleEffectKind.SpendRetry]: () => this.spendRetry(),
+    [LifecycleEffectKind.Wait]: ({ durationMs }) => waitOrInterrupt(this.context.clock, durationMs, this.interrupt),
+    [LifecycleEffectKind.Deliver]: ({ offset, text, tokens }) => {
+      this.delivered = true
+      return this.channel.push({ kind: RunEventKind.Text, offset, tokens, text })
+    },
+    [LifecycleEffectKind.StartAgain]: () => this.startAgain()
+  }
+
+  private select (excluded: readonly string[], version: string | null): Result<GroupView, Outcome> {
+    const { clock, router, random, fleet, teams } = this.context
+    const { team, model, adapter, priority, safety, prompt } = this.request
+    const intent = teams.get(team)?.models.find((entry) => entry.model === model)
+    if (intent === undefined) return failed(notRun(OutcomeReason.ModelNotFound, `team ${team} has no model ${model}`, null))
+    this.decidedAtMs = clock.nowMs()
+    const decision = router.decide({
+      kind: TargetKind.Group,
+      model: teamScoped(team, model),
+      version: version ?? intent.version,
+      versionPinned: version !== null,
+      adapter,
+      prefixHashes: this.prefixes,
+      promptTokens: estimateTokens(prompt),
+      excluded: new Set(excluded.flatMap((group) => this.targetIdsOf(group))),
+      priority,
+      idempotent: safety === RequestSafety.Idempotent
+    }, this.decidedAtMs, random)
+    if (!decision.ok) return failed(refusalOutcome(decision.error))
+    this.target = decision.value.target
+    const view = fleet.group(decision.value.target.group)
+    return view === undefined ? failed(notRun(OutcomeReason.NoReplica, 'the group has just gone')) : success(view)
+  }
+
+  private targetIdsOf (group: string): string[] {
+    const view = this.context.fleet.group(group)
+    return view === undefined ? [] : [groupTargetId(view.group, view.formation)]
+  }
+
+  /**
+   * Judges the choice and sends in one turn of the event loop. Between a choice and its send the process may have
+   * been paused, and the group dissolved meanwhile; the engine would refuse another formation, but the group may
+   * be incomplete at the same one. One would notice it as a run with fewer members up than due.
+   */
+  private send ({ group, attempt, resumeOffset, resumeText }: SendEffect): boolean {
+    const { clock, pauses, fleet, observer, router, engines } = this.context
+    const nowMs = clock.nowMs()
+    if (pauses.isOldDecision(this.decidedAtMs, nowMs) || !fleet.holdsNow(group)) {
+      observer.staleChoice()
+      fleet.refresh()
+      return false
+    }
+    const generate: GenerateRequest = {
+      requestId: this.request.requestId,
+      attempt,
+      group: group.group,
+      formation: group.formation,
+      model: group.model,
+      version: group.version,
+      adapter: this.request.adapter,
+      prompt: this.request.prompt,
+      maxTokens: this.request.maxTokens,
+      priority: this.request.priority,
+      seed: this.request.seed,
+      resumeOffset,
+      resumeText,
+      idempotencyKey: this.request.idempotencyKey
+    }
+    this.group = group
+    this.route = router.begin(this.target!, nowMs)
+    this.attemptTokens = 0
+    this.attemptEnd = AttemptEnd.Cancelled
+    this.open((signal) => engines.generate(group.leaderAddress, generate, signal))
+    return true
+  }
+
+  private open (start: ConstructorParameters<typeof AttemptStream>[0]): void {
+    this.stream?.close()
+    this.stream = new AttemptStream(start, this.interrupt, this.context.clock)
+  }
+
+  private next (): NextEvent | Promise<NextEvent> {
+    const event = this.stream!.next()
+    if (event instanceof Promise) return event.then((arrived) => this.note(arrived))
+    return this.note(event)
+  }
+
+  private note (event: NextEvent): NextEvent {
+    if (event === null) this.attemptEnd = AttemptEnd.Broken
+    else if (!('kind' in event)) return event
+    else if (event.kind === StreamEventKind.Chunk) this.noteChunk(event.chunk)
+    else if (event.kind === StreamEventKind.Error) this.attemptEnd = END_OF_ERROR[event.error.kind]
+    else this.attemptEnd = event.kind === InterruptKind.Stalled ? AttemptEnd.Broken : AttemptEnd.Cancelled
+    if (this.attemptEnd === AttemptEnd.Refused) this.overloaded = true
+    return event
+  }
+
+  private noteChunk (chunk: { readonly kind: ChunkKind, readonly tokens?: number }): void {
+    if (chunk.tokens === undefined) {
+      this.attemptEnd = AttemptEnd.Whole
+      return
+    }
+    const nowMs = this.context.clock.nowMs()
+    if (this.route !== null) this.context.router.firstToken(this.route, nowMs)
+    this.firstTokenAtMs ??= nowMs
+    this.attemptTokens += chunk.tokens
+  }
+
+  private closeStream (cancel: boolean): void {
+    const { engines, timing } = this.context
+    const { group, stream } = this
+    const finished = this.attemptEnd === AttemptEnd.Whole
+    this.stream = null
+    stream?.close()
+    this.endAttempt()
+    if (cancel && !finished && group !== null) engines.cancel(group.leaderAddress, this.request.requestId, timing.lookupTimeoutMs)
+  }
+
+  private endAttempt (): void {
+    this.stream?.close()
+    this.stream = null
+    if (this.route === null) return
+    this.context.router.end(this.route, this.attemptEnd, this.context.clock.nowMs(), this.attemptTokens)
+    this.route = null
+  }
+
+  private spendRetry (): boolean {
+    const allowed = this.context.retries.tryRetry(this.request.team)
+    if (allowed) this.context.observer.attemptRepeated(this.request.team)
+    return allowed
+  }
+
+  private startAgain (): boolean {
+    if (this.request.streamed && this.delivered) return false
+    this.channel.push({ kind: RunEventKind.Restart })
+    this.delivered = false
+    return true
+  }
+
+  /** Ends waits for events that won't come: the group is no longer whole, or nothing came for too long. */
+  private watchForStalls (): () => void {
+    const { clock, timing, fleet } = this.context
+    let cancel = (): void => {}
+    const check = (): void => {
+      cancel = clock.registerTimer(STALL_CHECK_MS, check)
+      if (this.stream === null || !this.stream.isWaiting) return
+      const silentMs = clock.nowMs() - this.stream.lastEventAtMs
+      const lost = silentMs >= timing.lostGroupStallMs && this.group !== null && !fleet.holdsNow(this.group)
+      if (lost || silentMs >= timing.streamIdleMs) this.stream.stall()
+    }
+    check()
+    return () => { cancel() }
+  }
+}
+
+const END_OF_ERROR: Readonly<Record<EndpointErrorKind, AttemptEnd>> = {
+  [EndpointErrorKind.NotRun]: AttemptEnd.Broken,
+  [EndpointErrorKind.WrongFormation]: AttemptEnd.Refused,
+  [EndpointErrorKind.Fenced]: AttemptEnd.Refused,
+  [EndpointErrorKind.Refused]: AttemptEnd.Refused,
+  [EndpointErrorKind.Ambiguous]: AttemptEnd.Broken,
+  [EndpointErrorKind.Broken]: AttemptEnd.Broken,
+  [EndpointErrorKind.Failed]: AttemptEnd.Failed,
+  [EndpointErrorKind.Malformed]: AttemptEnd.Broken
+}
+
+/** A refusal to choose, as the outcome of a request that was never sent. */
+export function refusalOutcome (refusal: RouteRefusal): Outcome {
+  const reason = refusal.kind === RouteRefusalKind.AllTried ? OutcomeReason.Overloaded : OutcomeReason.NoReplica
+  return { kind: OutcomeKind.NotRun, reason, message: refusal.message, retryAfterMs: refusal.retryAfterMs }
+}
--- /dev/null
+++ b/packages/dotterelspur-entry/src/request/ServiceRunner.ts
@@ -0,0 +1,94 @@
+import {
+  AttemptEnd, EndpointErrorKind, LifecycleEffectKind, RequestSafety, TargetKind, failed, runProcedure, runServiceRequest, success,
+  type CallServiceEffect, type EffectHandlers, type EndpointError, type Interrupt, type Outcome, type Result, type RouteAttempt, type ServiceEffects, type ServiceResponse, type ServiceResult, type ServiceTarget, type ServiceWorker
+} from 'dotterelspur'
+import type { EntryContext } from '../process/EntryContext.js'
+import { waitOrInterrupt, type RequestInterrupt } from './AttemptStream.js'
+import { refusalOutcome } from './ModelRunner.js'
+import type { ServiceRunRequest } from './RunRequest.js'
+
+type CallResult = Result<ServiceResponse, EndpointError> | Interrupt | null
+
+/** Carries out the effects of one service call's procedure against the service's workers. */
+export class ServiceRunner {
+  private readonly tried = new Map<string, string>()
+  private target: ServiceTarget | null = null
+  private decidedAtMs = 0
+
+  constructor (private readonly context: EntryContext, private readonly request: ServiceRunRequest, private readonly interrupt: RequestInterrupt) {}
+
+  run (): Promise<ServiceResult> {
+    return runProcedure(runServiceRequest({ safety: this.request.safety, maxAttempts: this.context.limits.maxAttempts }), this.handlers)
+  }
+
+  private readonly handlers: EffectHandlers<ServiceEffects> = {
+    [LifecycleEffectKind.SelectWorker]: ({ excluded }) => this.select(excluded),
+    [LifecycleEffectKind.CallService]: (effect) => this.call(effect),
+    [LifecycleEffectKind.SpendRetry]: () => {
+      const allowed = this.context.retries.tryRetry(this.request.team)
+      if (allowed) this.context.observer.attemptRepeated(this.request.team)
+      return allowed
+    },
+    [LifecycleEffectKind.Wait]: ({ durationMs }) => waitOrInterrupt(this.context.clock, durationMs, this.interrupt)
+  }
+
+  private select (excluded: readonly string[]): Result<ServiceWorker, Outcome> {
+    const { clock, router, random } = this.context
+    const { service, priority, safety } = this.request
+    this.decidedAtMs = clock.nowMs()
+    const decision = router.decide({
+      kind: TargetKind.Service,
+      service,
+      excluded: new Set(excluded.map((vm) => this.tried.get(vm) ?? vm)),
+      priority,
+      idempotent: safety === RequestSafety.Idempotent
+    }, this.decidedAtMs, random)
+    if (!decision.ok) return failed(refusalOutcome(decision.error))
+    const { target } = decision.value
+    this.target = target
+    this.tried.set(target.vm, target.id)
+    return success({ vm: target.vm, address: target.address })
+  }
+
+  /** Null: the choice no longer holds, and nothing was sent. */
+  private async call ({ worker, attempt }: CallServiceEffect): Promise<CallResult> {
+    const { clock, pauses, fleet, observer, router } = this.context
+    const nowMs = clock.nowMs()
+    if (pauses.isOldDecision(this.decidedAtMs, nowMs) || !fleet.workerHoldsNow(worker.vm, worker.address)) {
+      observer.staleChoice()
+      fleet.refresh()
+      return null
+    }
+    const route = router.begin(this.target!, nowMs)
+    const result = await this.send(worker, attempt)
+    this.endRoute(route, result)
+    return result
+  }
+
+  private send (worker: ServiceWorker, attempt: number): Promise<Result<ServiceResponse, EndpointError> | Interrupt> {
+    const { requestId, method, path, contentType, body, idempotencyKey, timeoutMs } = this.request
+    if (this.interrupt.current !== null) return Promise.resolve(this.interrupt.current)
+    const abort = new AbortController()
+    return new Promise((resolve) => {
+      const unregister = this.interrupt.registerListener((fired) => {
+        abort.abort()
+        resolve(fired)
+      })
+      const settle = (result: Result<ServiceResponse, EndpointError>): void => {
+        unregister()
+        resolve(result)
+      }
+      const call = this.context.services.call(worker.address, { requestId, attempt, method, path, contentType, body, idempotencyKey }, timeoutMs, abort.signal)
+      call.then(settle, (error: unknown) => { settle(failed({ kind: EndpointErrorKind.Ambiguous, reason: String(error) })) })
+    })
+  }
+
+  private endRoute (route: RouteAttempt, result: Result<ServiceResponse, EndpointError> | Interrupt): void {
+    const { router, clock } = this.context
+    const nowMs = clock.nowMs()
+    if (!('ok' in result)) return router.end(route, AttemptEnd.Cancelled, nowMs)
+    if (!result.ok) return router.end(route, result.error.kind === EndpointErrorKind.Refused ? AttemptEnd.Refused : AttemptEnd.Broken, nowMs)
+    router.firstToken(route, nowMs)
+    router.end(route, AttemptEnd.Whole, nowMs)
+  }
+}
--- /dev/null
+++ b/packages/dotterelspur-entry/src/request/StreamFinder.ts
@@ -0,0 +1,50 @@
+import {
+  ChunkVerdictKind, FinishReason, OutcomeReason, StreamEventKind, StreamState, answered, judgeChunk, unknownOutcome,
+  type ChunkCursor, type GroupView
+} from 'dotterelspur'
+import type { EntryContext } from '../process/EntryContext.js'
+import { RunEventKind, RunKind, finishedWith, type RunEvents, type RunRequest } from './RunRequest.js'
+
+/**
+ * Finds the stream of an id whose home is gone. The id is never sent again: an engine that holds its stream gives
+ * the caller the whole answer; otherwise what became of it stays unknown.
+ */
+export class StreamFinder {
+  constructor (private readonly context: EntryContext) {}
+
+  async find (request: RunRequest): Promise<RunEvents | null> {
+    if (request.kind !== RunKind.Model) return null
+    const { engines, fleet, timing } = this.context
+    const groups = fleet.groupsOf(request.team).filter((group) => group.model === request.model)
+    const statuses = await Promise.all(groups.map((group) => engines.lookup(group.leaderAddress, request.requestId, timing.lookupTimeoutMs)))
+    const index = statuses.findIndex((status) => status.ok && (status.value.state === StreamState.Running || status.value.state === StreamState.Whole))
+    return index === -1 ? null : this.follow(groups[index]!, request)
+  }
+
+  private async * follow (group: GroupView, request: RunRequest): RunEvents {
+    const abort = new AbortController()
+    let cursor: ChunkCursor = { requestId: request.requestId, attempt: null, offset: 0 }
+    try {
+      for await (const event of this.context.engines.resume(group.leaderAddress, request.requestId, 0, 0, abort.signal)) {
+        if (event.kind === StreamEventKind.Error) break
+        const verdict = judgeChunk(cursor, event.chunk)
+        const { offset } = cursor
+        cursor = verdict.cursor
+        if (verdict.kind === ChunkVerdictKind.Drop) continue
+        if (verdict.kind === ChunkVerdictKind.Take) {
+          yield [{ kind: RunEventKind.Text, offset, tokens: verdict.tokens, text: verdict.text }]
+          continue
+        }
+        if (verdict.kind === ChunkVerdictKind.Whole) {
+          const { finishReason, promptTokens } = verdict
+          yield [{ ...finishedWith(answered()), finishReason: finishReason ?? FinishReason.Stop, promptTokens, completionTokens: cursor.offset }]
+          return
+        }
+        break
+      }
+      yield [finishedWith(unknownOutcome(OutcomeReason.HomeGone, 'the home of this id is gone, and its stream broke off'))]
+    } finally {
+      abort.abort()
+    }
+  }
+}
--- /dev/null
+++ b/packages/dotterelspur-entry/src/request/errorBody.ts
@@ -0,0 +1,63 @@
+import { OutcomeKind, OutcomeReason, type Outcome, type RequestId } from 'dotterelspur'
+
+/** The one shape of an error towards callers. `message` and `type` are where OpenAI clients look for them. */
+export interface ErrorBody {
+  readonly error: {
+    readonly message: string
+    readonly type: OutcomeReason
+    readonly code: OutcomeReason
+    readonly param: string | null
+    readonly outcome: OutcomeKind
+    readonly retryAfterMs: number | null
+    readonly requestId: RequestId | null
+  }
+  /** Addresses to use in place of this one; only where this node takes no new work. */
+  readonly entries?: readonly string[]
+}
+
+export function errorBody (outcome: Outcome, requestId: RequestId | null, entries?: readonly string[]): ErrorBody {
+  const { kind, reason, message, retryAfterMs } = outcome
+  const error = { message, type: reason, code: reason, param: null, outcome: kind, retryAfterMs, requestId }
+  return entries === undefined ? { error } : { error, entries }
+}
+
+/** HTTP status of each reason, where a request did not end with an answer. */
+export const HTTP_STATUS: Readonly<Record<OutcomeReason, number>> = {
+  [OutcomeReason.Completed]: 409,
+  [OutcomeReason.EndpointFailed]: 502,
+  [OutcomeReason.InvalidRequest]: 400,
+  [OutcomeReason.Unauthorized]: 401,
+  [OutcomeReason.ModelNotFound]: 404,
+  [OutcomeReason.ServiceNotFound]: 404,
+  [OutcomeReason.RateLimited]: 429,
+  [OutcomeReason.Overloaded]: 503,
+  [OutcomeReason.DeadlineExceeded]: 504,
+  [OutcomeReason.NoReplica]: 503,
+  [OutcomeReason.Draining]: 503,
+  [OutcomeReason.Isolated]: 503,
+  [OutcomeReason.RetryBudgetExhausted]: 503,
+  [OutcomeReason.HomeGone]: 409,
+  [OutcomeReason.OutcomeForgotten]: 409,
+  [OutcomeReason.DuplicateInProgress]: 409,
+  [OutcomeReason.ClaimUnsettled]: 503,
+  [OutcomeReason.StoreUnavailable]: 503,
+  [OutcomeReason.StreamBroken]: 502,
+  [OutcomeReason.Cancelled]: 499
+}
+
+const MS_PER_SECOND = 1_000
+
+/**
+ * Headers that go with a refusal. `x-should-retry` tells client libraries that retry by themselves whether that
+ * is safe: without it they would send a non-idempotent request again under another id after an unknown outcome.
+ */
+export function errorHeaders (outcome: Outcome, repeatable: boolean): Record<string, string> {
+  const headers: Record<string, string> = { 'dotterelspur-outcome': outcome.kind }
+  const safe = repeatable || outcome.kind === OutcomeKind.NotRun
+  headers['x-should-retry'] = safe && outcome.retryAfterMs !== null ? 'true' : 'false'
+  if (outcome.retryAfterMs !== null) {
+    headers['retry-after'] = String(Math.ceil(outcome.retryAfterMs / MS_PER_SECOND))
+    headers['retry-after-ms'] = String(Math.ceil(outcome.retryAfterMs))
+  }
+  return headers
+}
--- /dev/null
+++ b/packages/dotterelspur/src/request/lifecycle/settleClaim.ts
@@ -0,0 +1,81 @@
+import type { RequestId, TeamId } from '../../process/ids.js'
+import type { StoreError, StoredObject } from '../../process/ObjectStore.js'
+import { StoreErrorKind } from '../../process/ObjectStore.js'
+import { perform, type Effect, type Procedure } from '../../process/Procedure.js'
+import type { Result } from '../../process/Result.js'
+import type { Written } from '../../version/PlatformObjects.js'
+
+/** `claims/<bucket>/<hash of team and key>`: which request id, and so which home, a caller's own key stands for. */
+export interface ClaimObject extends Written {
+  readonly team: TeamId
+  readonly key: string
+  readonly requestId: RequestId
+  readonly claimedAtWallMs: number
+}
+
+export enum ClaimEffectKind {
+  Create = 'create-claim',
+  Get = 'get-claim',
+  Wait = 'wait'
+}
+
+export interface CreateClaimEffect extends Effect<ClaimEffectKind.Create, Result<StoredObject<ClaimObject>, StoreError>> {
+  readonly kind: ClaimEffectKind.Create
+}
+
+export interface GetClaimEffect extends Effect<ClaimEffectKind.Get, Result<StoredObject<ClaimObject>, StoreError>> {
+  readonly kind: ClaimEffectKind.Get
+}
+
+export interface ClaimWaitEffect extends Effect<ClaimEffectKind.Wait, void> {
+  readonly kind: ClaimEffectKind.Wait
+}
+
+export type ClaimEffects = CreateClaimEffect | GetClaimEffect | ClaimWaitEffect
+
+export enum ClaimStandKind {
+  /** The key stands for this request id. */
+  Settled = 'settled',
+  /** Nothing was written and nothing can be any more. */
+  NotWritten = 'not-written',
+  /** The claim may have been written or may yet be. */
+  Unsettled = 'unsettled'
+}
+
+export type ClaimStand =
+  | { readonly kind: ClaimStandKind.Settled, readonly requestId: RequestId }
+  | { readonly kind: ClaimStandKind.NotWritten | ClaimStandKind.Unsettled, readonly reason: string }
+
+const MAX_TRIES = 3
+
+/**
+ * Finds out which request id a caller's key stands for, claiming it when it is free.
+ *
+ * The reply of a create can be lost after the claim was written. Taking that for a failure would let the key be
+ * claimed a second time by another node's word; taking it for a success would let two ids run. The same body is
+ * created again and read back: whichever write landed first, the stored request id is the one that counts. A
+ * conflict whose claim can't be read yet, because the read came from the past, stays unsettled.
+ */
+export function * settleClaim (): Procedure<ClaimEffects, ClaimStand> {
+  let mayBeClaimed = false
+  let reason = ''
+  for (let tries = 0; tries < MAX_TRIES; tries += 1) {
+    const created = yield * perform<CreateClaimEffect>({ kind: ClaimEffectKind.Create })
+    if (created.ok) return settled(created.value)
+    if (created.error.kind === StoreErrorKind.Unknown || created.error.kind === StoreErrorKind.Conflict) mayBeClaimed = true
+    const read = yield * perform<GetClaimEffect>({ kind: ClaimEffectKind.Get })
+    if (read.ok && !read.value.deleted) return settled(read.value)
+    reason = describe(created.error)
+    if (!mayBeClaimed) break
+    yield * perform<ClaimWaitEffect>({ kind: ClaimEffectKind.Wait })
+  }
+  return { kind: mayBeClaimed ? ClaimStandKind.Unsettled : ClaimStandKind.NotWritten, reason }
+}
+
+function settled (object: StoredObject<ClaimObject>): ClaimStand {
+  return { kind: ClaimStandKind.Settled, requestId: object.body.requestId }
+}
+
+function describe (error: StoreError): string {
+  return 'reason' in error ? error.reason : error.kind
+}
