--- a/packages/dotterelspur-bench/src/bench.ts
+++ b/packages/dotterelspur-bench/src/bench.ts
@@ -3,10 +3,12 @@
 import { hideBin } from 'yargs/helpers'
 import { toCommandModule } from './process/BenchCommand.js'
 import { experimentCommand } from './process/commands/experimentCommand.js'
+import { loadCommand } from './process/commands/loadCommand.js'
 import { reportCommand } from './process/commands/reportCommand.js'
 
 await yargs(hideBin(process.argv))
   .scriptName('npm run bench --')
+  .command(toCommandModule(loadCommand))
   .command(toCommandModule(experimentCommand))
   .command(toCommandModule(reportCommand))
   .demandCommand(1)
