--- a/packages/dotterelspur/src/request/routing/LoadEstimator.ts
+++ b/packages/dotterelspur/src/request/routing/LoadEstimator.ts
@@ -2,12 +2,15 @@
 import type { TargetRecord } from './TargetRecord.js'
 
 const MEANS_VALID_MS = 100
+const LIFE_WEIGHT = 0.02
 
 /** What an estimate compares a target with; computed over the lane now and then. */
 interface LaneMeans {
   readonly atMs: number
   /** Mean share of capacity that other nodes hold. */
   readonly othersShare: number
+  /** A report of this age counts half; see trustMs below. */
+  readonly trustMs: number
   /** Mean utilisation, this node's own requests included. */
   readonly utilisation: number
   /** Median of the targets' pace; null when none is known. */
@@ -18,15 +21,30 @@
  * Estimates how full each target is now. Reports are late and the same for every node: taken at face value they
  * send all nodes to the same target until the next report. So this node's own requests are counted exactly, and
  * what is reported of the others' fades to the mean of the lane as the report ages.
+ *
+ * How fast it fades decides between order and oscillation: all nodes act on the same report until the next one,
+ * and what a node did wrong shows in its own count at once, in the others' only later. A node may therefore steer
+ * by a report only as far as its own requests can correct it: a report as old as (its share of the load) x (how
+ * long a request runs) counts half. Trusted longer, the groups fill and empty in turn, and p95 first token grows
+ * with the number of nodes.
  */
 export class LoadEstimator {
   private means: LaneMeans | null = null
+  private lifeMs: number
 
-  constructor (private readonly records: readonly TargetRecord[], private readonly options: RoutingOptions) {}
+  constructor (private readonly records: readonly TargetRecord[], private readonly options: Pick<RoutingOptions, 'requestLifeMs' | 'stragglerRatio'>) {
+    this.lifeMs = options.requestLifeMs
+  }
+
+  /** An attempt of this node ran for this long. */
+  noteLife (durationMs: number): void {
+    this.lifeMs += LIFE_WEIGHT * (durationMs - this.lifeMs)
+  }
 
   /** Requests at the target as a share of what it can run side by side; above 1 some wait. */
   utilisation (record: TargetRecord, nowMs: number): number {
-    return this.estimate(record, this.laneMeans(nowMs).othersShare, nowMs)
+    const { othersShare, trustMs } = this.laneMeans(nowMs)
+    return this.estimate(record, othersShare, trustMs, nowMs)
   }
 
   meanUtilisation (nowMs: number): number {
@@ -42,22 +60,28 @@
     return ratio >= this.options.stragglerRatio ? ratio : 1
   }
 
-  private estimate (record: TargetRecord, meanOthersShare: number, nowMs: number): number {
+  private estimate (record: TargetRecord, meanOthersShare: number, trustMs: number, nowMs: number): number {
     const capacity = record.capacity()
     const ageMs = Math.max(0, nowMs - record.readAtMs())
-    const worth = 2 ** (-ageMs / this.options.loadHalfLifeMs)
+    const worth = trustMs / (trustMs + ageMs)
     const reportedShare = record.othersReported() / capacity
     const othersShare = meanOthersShare + (reportedShare - meanOthersShare) * worth
     return othersShare + record.inFlight.count / capacity
   }
 
+  private trustMs (ownShare: number, othersShare: number): number {
+    const share = ownShare / Math.max(Number.EPSILON, ownShare + othersShare)
+    return Math.max(1, share * this.lifeMs)
+  }
+
   private laneMeans (nowMs: number): LaneMeans {
     if (this.means !== null && nowMs - this.means.atMs < MEANS_VALID_MS) return this.means
     const live = this.records.filter((record) => record.target.evidenceExpiresAtMs > nowMs)
     const othersShare = mean(live.map((record) => record.othersReported() / record.capacity()))
-    const utilisation = mean(live.map((record) => this.estimate(record, othersShare, nowMs)))
+    const ownShare = mean(live.map((record) => record.inFlight.count / record.capacity()))
+    const trustMs = this.trustMs(ownShare, othersShare)
     const paces = live.map((record) => record.health.pace).filter((pace) => pace !== null)
-    this.means = { atMs: nowMs, othersShare, utilisation, medianPaceMs: median(paces) }
+    this.means = { atMs: nowMs, othersShare, trustMs, utilisation: ownShare + othersShare, medianPaceMs: median(paces) }
     return this.means
   }
 }
--- a/packages/dotterelspur/src/request/routing/Router.ts
+++ b/packages/dotterelspur/src/request/routing/Router.ts
@@ -2,7 +2,7 @@
 import { invariant } from '../../process/invariant.js'
 import type { Random } from '../../process/Random.js'
 import { failed, success, type Result } from '../../process/Result.js'
-import type { AttemptEnd, RouteAttempt } from './Attempt.js'
+import { AttemptEnd, type RouteAttempt } from './Attempt.js'
 import { selectCandidates } from './candidates.js'
 import { chooseTarget } from './choose.js'
 import { Lane } from './Lane.js'
@@ -79,9 +79,11 @@
     const record = this.records.get(attempt.targetId)
     if (record === undefined) return
     record.inFlight.change(-1, nowMs)
+    const lane = this.lanes.get(laneKey(record.target))
+    if (end === AttemptEnd.Whole) lane?.estimator.noteLife(nowMs - attempt.startedAtMs)
     const paceMs = paceOf(attempt, record.target, nowMs, tokens)
     if (paceMs !== null) record.health.notePace(paceMs)
-    if (record.health.noteEnd(end)) this.lanes.get(laneKey(record.target))?.ejectIfAllowed(record, nowMs)
+    if (record.health.noteEnd(end)) lane?.ejectIfAllowed(record, nowMs)
   }
 
   /** Takes in a page of a group's cache events, which are late and may have gaps. */
--- a/packages/dotterelspur/src/request/routing/RoutingOptions.ts
+++ b/packages/dotterelspur/src/request/routing/RoutingOptions.ts
@@ -27,8 +27,8 @@
   readonly loadBound: number
   /** Extra cost for each share of capacity beyond what the target can run at once: such work waits. */
   readonly overflowCost: number
-  /** How fast a load report loses its worth: its difference from the mean halves in this time. */
-  readonly loadHalfLifeMs: number
+  /** How long a request is taken to run until some have. */
+  readonly requestLifeMs: number
   /** A target this many times slower than the median counts as a straggler; its capacity shrinks in proportion. */
   readonly stragglerRatio: number
   /** Broken attempts in a row that eject a target. */
@@ -62,7 +62,7 @@
   affinityBlocks: 4,
   loadBound: 1.25,
   overflowCost: 2,
-  loadHalfLifeMs: 4_000,
+  requestLifeMs: 8_000,
   stragglerRatio: 1.5,
   ejectAfterBroken: 3,
   ejectionMs: 5_000,
