--- a/packages/dotterelspur-entry/src/process/FleetView.ts
+++ b/packages/dotterelspur-entry/src/process/FleetView.ts
@@ -1,5 +1,5 @@
 import {
-  ASSIGNMENT_PREFIX, DRAIN_PREFIX, TargetKind, dispatchableGroups, groupTargetId, serviceTargetId,
+  ASSIGNMENT_PREFIX, DRAIN_PREFIX, TargetKind, dispatchableGroups, groupTargetId, judgeDispatch, serviceTargetId,
   type AssignmentObject, type Clock, type DrainObject, type GroupView, type MeshApi, type RouteTarget, type ServicePresence, type ServiceTarget, type Teardown, type TeamId
 } from 'dotterelspur'
 
@@ -10,6 +10,8 @@
  * that is refreshed a few times a second; right before a send the group is judged again on what is held then.
  */
 export class FleetView {
+  private assignments: readonly AssignmentObject[] = []
+  private drained: ReadonlySet<string> = new Set()
   private groups: ReadonlyMap<string, GroupView> = new Map()
   private workers: ReadonlyMap<string, ServicePresence> = new Map()
   private readonly listeners = new Set<(targets: readonly RouteTarget[]) => void>()
@@ -22,7 +24,11 @@
       this.refresh()
       cancelTimer = this.clock.registerTimer(REFRESH_MS, run)
     }
-    const unregisters = [ASSIGNMENT_PREFIX, DRAIN_PREFIX].map((prefix) => this.mesh.registerDocumentListener(prefix, () => { this.refresh() }))
+    const unregisters = [ASSIGNMENT_PREFIX, DRAIN_PREFIX].map((prefix) => this.mesh.registerDocumentListener(prefix, () => {
+      this.readDocuments()
+      this.refresh()
+    }))
+    this.readDocuments()
     run()
     return () => {
       cancelTimer()
@@ -38,7 +44,7 @@
 
   refresh (): void {
     const nowMs = this.clock.nowMs()
-    const groups = this.judge()
+    const groups = dispatchableGroups({ assignments: this.assignments, presence: this.mesh.groupPresence(), ...this.bounds() })
     this.groups = new Map(groups.map((view) => [view.group, view]))
     const workers = this.presentWorkers()
     this.workers = new Map(workers.map((worker) => [worker.vm, worker]))
@@ -61,8 +67,11 @@
 
   /** Whether the group may be dispatched to at this very moment, at the formation that was chosen. */
   holdsNow (view: GroupView): boolean {
-    const current = this.judge().find((group) => group.group === view.group)
-    return current !== undefined && current.formation === view.formation && current.leaderAddress === view.leaderAddress
+    const assignment = this.assignments.find((candidate) => candidate.fabricDomain === view.fabricDomain)
+    const assigned = assignment?.groups.find((candidate) => candidate.group === view.group)
+    if (assignment === undefined || assigned === undefined || assigned.formation !== view.formation) return false
+    const presence = this.mesh.groupPresence().find((line) => line.group === view.group)
+    return judgeDispatch(assignment, assigned, presence, this.bounds()).view !== null
   }
 
   /** The same for a worker of a plain service. */
@@ -70,18 +79,21 @@
     return this.presentWorkers().some((worker) => worker.vm === vm && worker.address === address)
   }
 
-  private judge (): GroupView[] {
-    const assignments = this.mesh.documents(ASSIGNMENT_PREFIX).filter((document) => !document.deleted).map((document) => document.body as AssignmentObject)
-    return dispatchableGroups({ assignments, presence: this.mesh.groupPresence(), drained: this.drained(), evidenceTtlMs: this.evidenceTtlMs })
+  private bounds (): { readonly drained: ReadonlySet<string>, readonly evidenceTtlMs: number } {
+    return { drained: this.drained, evidenceTtlMs: this.evidenceTtlMs }
+  }
+
+  private readDocuments (): void {
+    this.assignments = this.living<AssignmentObject>(ASSIGNMENT_PREFIX)
+    this.drained = new Set(this.living<DrainObject>(DRAIN_PREFIX).map((drain) => drain.target))
   }
 
-  private drained (): ReadonlySet<string> {
-    return new Set(this.mesh.documents(DRAIN_PREFIX).filter((document) => !document.deleted).map((document) => (document.body as DrainObject).target))
+  private living<Body> (prefix: string): Body[] {
+    return this.mesh.documents(prefix).filter((document) => !document.deleted).map((document) => document.body as Body)
   }
 
   private presentWorkers (): ServicePresence[] {
-    const drained = this.drained()
-    return this.mesh.servicePresence().filter((worker) => worker.present && !worker.leaving && worker.ageMs < this.evidenceTtlMs && !drained.has(worker.vm))
+    return this.mesh.servicePresence().filter((worker) => worker.present && !worker.leaving && worker.ageMs < this.evidenceTtlMs && !this.drained.has(worker.vm))
   }
 
   private toGroupTarget (view: GroupView, nowMs: number): RouteTarget {
--- a/packages/dotterelspur-entry/src/process/createEntry.ts
+++ b/packages/dotterelspur-entry/src/process/createEntry.ts
@@ -28,6 +28,8 @@
 
 const debug = createDebug('dotterelspur:entry')
 const PAUSE_TICKS_PER_THRESHOLD = 4
+/** Time that callers have to take the last bytes of their answers when the listener closes. */
+const FLUSH_MS = 500
 /** What was taken in this long after a pause may have waited through it. */
 const STALE_AFTER_PAUSE_MS = 250
 
@@ -69,7 +71,7 @@
       runs.abortAll()
       await runs.idle()
       teardown()
-      await app.close()
+      await closeListener(app, context)
     }
   }
 }
@@ -121,6 +123,13 @@
   return () => { cancel() }
 }
 
+/** Gives responses that are being flushed a moment; connections that callers only keep open are closed at once. */
+async function closeListener (app: FastifyInstance, { clock }: EntryContext): Promise<void> {
+  const cancel = clock.registerTimer(FLUSH_MS, () => { app.server.closeAllConnections() })
+  await app.close()
+  cancel()
+}
+
 function createListener (services: EntryServices): FastifyInstance {
   const { limits, teams } = services.context
   const app = Fastify({
@@ -133,6 +142,10 @@
   })
   app.server.maxConnections = limits.maxConnections
   app.addHook('onRequest', (request, reply, done) => { authenticate(teams, request, reply, done) })
+  app.addHook('onSend', (_request, reply, _payload, done) => {
+    if (services.gate.isDraining) reply.header('connection', 'close')
+    done()
+  })
   app.setErrorHandler((error: FastifyError, _request, reply) => {
     const status = error.statusCode ?? 500
     if (status < 500) return sendOutcome(reply, notRun(OutcomeReason.InvalidRequest, error.message, null), null, true, { status })
--- a/packages/dotterelspur-entry/src/request/HomeLink.ts
+++ b/packages/dotterelspur-entry/src/request/HomeLink.ts
@@ -1,5 +1,5 @@
 import {
-  CallEventKind, MeshErrorKind, OutcomeKind, OutcomeReason, notRun, unknownOutcome,
+  CallEventKind, MeshErrorKind, OutcomeKind, OutcomeReason, notRun, sleep, unknownOutcome,
   type HomeId, type MeshApi, type Outcome, type RequestId, type TeamId, type Teardown
 } from 'dotterelspur'
 import type { EntryContext } from '../process/EntryContext.js'
@@ -64,6 +64,7 @@
     this.context.observer.passedToHome()
     const relay = new Relay()
     for (let follows = 0; follows <= MAX_FOLLOWS; follows += 1) {
+      if (follows > 0) await sleep(this.context.clock, this.context.timing.retryPauseMs)
       const method = follows === 0 ? RUN_METHOD : FOLLOW_METHOD
       const body: RunRequest | FollowRequest = follows === 0 ? request : { requestId: request.requestId, team: request.team, waitMs: request.deadlineMs }
       const end = yield * this.call(home, method, body, relay)
