Mesh: the store's follower and the node's own object

In each failure domain the first two living nodes by rendezvous order watch the store's prefixes and offer what they hear to the mesh, so that the store's calls grow with failure domains.

--- a/packages/dotterelspur-mesh/src/index.ts
+++ b/packages/dotterelspur-mesh/src/index.ts
@@ -3,3 +3,4 @@
 export type { FrameCount, MeshCounters, MeshSizes } from './connection/MeshMetrics.js'
 export type { ListenError } from './connection/Transport.js'
 export { type CallLimits, DEFAULT_CALL_LIMITS } from './request/CallLimits.js'
+export { createStoreFollower, FOLLOWED_PREFIXES, type StoreFollower, type StoreFollowerOptions, WATCHERS_PER_FAILURE_DOMAIN } from './process/StoreFollower.js'
--- /dev/null
+++ b/packages/dotterelspur-mesh/src/process/StoreFollower.ts
@@ -0,0 +1,130 @@
+import createDebug from 'debug'
+import {
+  ASSIGNMENT_PREFIX, type Clock, DRAIN_PREFIX, LEASE_PREFIX, mergeTeardowns, type MeshApi, NODE_PREFIX, NodeState, type ObjectStore, type Random, rendezvousOrder,
+  TEAM_PREFIX, type Teardown, type WatchEvent, WatchEventKind
+} from 'dotterelspur'
+import { LeaseFilter } from '../version/LeaseFilter.js'
+import { deletionsOf } from '../version/deletionsOf.js'
+import { NodeRegistration } from './NodeRegistration.js'
+
+const log = createDebug('dotterelspur:store-follower')
+
+/** The prefixes that every node holds copies of. */
+export const FOLLOWED_PREFIXES: readonly string[] = [TEAM_PREFIX, ASSIGNMENT_PREFIX, NODE_PREFIX, DRAIN_PREFIX, LEASE_PREFIX]
+/** Nodes of one failure domain that watch the store. The second one covers for the first while its death is noticed. */
+export const WATCHERS_PER_FAILURE_DOMAIN = 2
+
+const CHECK_INTERVAL_MS = 500
+/** A node that has just started waits this long for peers before it counts itself alone, so that a restart of all doesn't open a watch from each. */
+const SETTLE_MS = 2_000
+/** A node that is a watcher no more keeps its watch for this long, so that a flapping member costs no new listings. */
+const LINGER_MS = 10_000
+
+export interface StoreFollowerOptions {
+  readonly mesh: MeshApi
+  readonly store: ObjectStore
+  readonly clock: Clock
+  readonly random: Random
+  /** Calls back on each answer of the store, where the client can tell. */
+  readonly registerContactListener?: (listener: () => void) => Teardown
+}
+
+/** Follows the store for the mesh, where it falls to this node, and keeps this node's own object there. */
+export interface StoreFollower {
+  start (): void
+  /** Writes that this node drains; resolves when that is written, or when `timeoutMs` is over. */
+  registerDraining (timeoutMs: number): Promise<boolean>
+  readonly watching: boolean
+  stop (): void
+}
+
+export function createStoreFollower (options: StoreFollowerOptions): StoreFollower {
+  return new Follower(options)
+}
+
+class Follower implements StoreFollower {
+  private readonly leases = new LeaseFilter()
+  private readonly registration: NodeRegistration
+  private watches: Teardown | undefined
+  private teardown: Teardown | undefined
+  private cancelCheck: Teardown | undefined
+  private startedAtMs = 0
+  private notChosenSinceMs: number | undefined
+
+  constructor (private readonly options: StoreFollowerOptions) {
+    this.registration = new NodeRegistration(options)
+  }
+
+  get watching (): boolean {
+    return this.watches !== undefined
+  }
+
+  start (): void {
+    const { mesh, clock, registerContactListener } = this.options
+    this.startedAtMs = clock.nowMs()
+    this.teardown = mergeTeardowns(registerContactListener?.(() => mesh.noteStoreContact()) ?? (() => {}))
+    this.registration.start()
+    this.check()
+  }
+
+  registerDraining (timeoutMs: number): Promise<boolean> {
+    return this.registration.registerDraining(timeoutMs)
+  }
+
+  stop (): void {
+    this.cancelCheck?.()
+    this.registration.stop()
+    this.unwatch()
+    this.teardown?.()
+  }
+
+  private check (): void {
+    const { clock, random } = this.options
+    this.cancelCheck = clock.registerTimer(CHECK_INTERVAL_MS * (0.5 + random.next()), () => this.check())
+    const nowMs = clock.nowMs()
+    if (this.isChosen(nowMs)) {
+      this.notChosenSinceMs = undefined
+      if (!this.watching) this.watch()
+      return
+    }
+    this.notChosenSinceMs ??= nowMs
+    if (this.watching && nowMs - this.notChosenSinceMs >= LINGER_MS) this.unwatch()
+  }
+
+  private isChosen (nowMs: number): boolean {
+    const { mesh } = this.options
+    const alone = mesh.members().length === 1
+    if (alone && mesh.peerContactAgeMs() > 0 && nowMs - this.startedAtMs < SETTLE_MS) return false
+    const { failureDomain, node } = mesh.self
+    const living = mesh.members().filter((member) => member.failureDomain === failureDomain && (member.state === NodeState.Alive || member.node === node))
+    return rendezvousOrder(failureDomain, living.map((member) => member.node)).slice(0, WATCHERS_PER_FAILURE_DOMAIN).includes(node)
+  }
+
+  private watch (): void {
+    log('%s watches the store for %s', this.options.mesh.self.node, this.options.mesh.self.failureDomain)
+    this.watches = mergeTeardowns(...FOLLOWED_PREFIXES.map((prefix) => this.options.store.watch(prefix, (event) => this.onEvent(prefix, event))))
+  }
+
+  private unwatch (): void {
+    if (this.watches === undefined) return
+    log('%s no longer watches the store', this.options.mesh.self.node)
+    this.watches()
+    this.watches = undefined
+  }
+
+  private onEvent (prefix: string, event: WatchEvent<unknown>): void {
+    const { mesh } = this.options
+    if (event.kind === WatchEventKind.Disconnected) return log('%s lost the store, prefix %s', mesh.self.node, prefix)
+    mesh.noteStoreContact()
+    if (event.kind === WatchEventKind.Object) this.offer(event.object)
+    if (event.kind !== WatchEventKind.Listing) return
+    for (const object of event.listing.objects) this.offer(object)
+    for (const deletion of deletionsOf(mesh.documents(prefix), event.listing)) mesh.offerDocument(deletion)
+  }
+
+  private offer (object: { readonly key: string, readonly version: number, readonly body: unknown, readonly deleted: boolean }): void {
+    const { key, version, body, deleted } = object
+    const document = { key, version, body, deleted }
+    if (this.leases.isWorthSpreading(document, this.options.mesh.document(key))) this.options.mesh.offerDocument(document)
+  }
+}
