--- a/packages/dotterelspur/src/__tests__/unit/planningFixture.ts
+++ b/packages/dotterelspur/src/__tests__/unit/planningFixture.ts
@@ -123,22 +123,23 @@
     return (this.assignment?.groups ?? []).filter((group) => group.state === GroupState.Serving).length
   }
 
-  private follow (): void {
-    for (const group of this.assignment!.groups) {
-      for (const member of [...group.members, ...group.standbys]) {
-        const vm = this.vms.get(member.vm)
-        if (vm === undefined || !vm.present || vm.incarnation !== member.incarnation) continue
-        const joined = group.members.includes(member)
-        vm.status = {
-          ...vm.status,
-          state: joined ? EngineState.Ready : EngineState.Idle,
-          group: joined ? group.group : null,
-          formation: joined ? group.formation : vm.status.formation,
-          model: group.model,
-          version: group.version,
-          adapters: group.adapters
-        }
-      }
+  /** Lets the VMs do what the assignment says, at once. */
+  follow (): void {
+    for (const vm of this.vms.values()) this.followOne(vm)
+  }
+
+  private followOne (vm: SimpleVm): void {
+    if (!vm.present) return
+    const group = this.assignment!.groups.find((one) => [...one.members, ...one.standbys].some((place) => place.vm === vm.vm && place.incarnation === vm.incarnation))
+    const joined = group?.members.some((member) => member.vm === vm.vm) === true
+    if (group !== undefined && joined && group.state !== GroupState.Forming && group.state !== GroupState.Serving) return
+    const held = group === undefined ? {} : { model: group.model, version: group.version, adapters: group.adapters }
+    vm.status = {
+      ...vm.status,
+      ...held,
+      state: joined ? EngineState.Ready : EngineState.Idle,
+      group: joined ? group!.group : null,
+      formation: joined ? group!.formation : vm.status.formation
     }
   }
 }
--- a/packages/dotterelspur/src/version/PlatformObjects.ts
+++ b/packages/dotterelspur/src/version/PlatformObjects.ts
@@ -103,6 +103,11 @@
   readonly members: readonly AssignedMember[]
   /** Standbys agreed in advance, in the order in which they step in. */
   readonly standbys: readonly AssignedMember[]
+  /**
+   * The first of the formation numbers that are set aside for standbys that step in without a new agreement;
+   * another one after each change of members or standbys. See `StepIn`.
+   */
+  readonly stepInBase?: number
   /** What the members load beside what they serve, ahead of a change of version; the formation stays. */
   readonly preload?: ModelRevision
   /** Why the group is in this state, for `explain`. */
--- a/packages/dotterelspur/src/version/planning/Decision.ts
+++ b/packages/dotterelspur/src/version/planning/Decision.ts
@@ -17,6 +17,12 @@
   Replace = 'replace',
   /** Members of another broken group take the place of lost ones. */
   Merge = 'merge',
+  /** A standby agreed in advance had taken a lost member's place without a new agreement; it is taken over as it stands. */
+  StepIn = 'step-in',
+  /** The same members at a new formation: an engine failed, and no VM is lost. */
+  Rejoin = 'rejoin',
+  /** A group gives its VMs to one of higher priority. */
+  Donate = 'donate',
   /** A present member that leaves or straggles is exchanged. */
   Swap = 'swap',
   Drain = 'drain',
--- a/packages/dotterelspur/src/version/planning/FabricDomainPlanner.ts
+++ b/packages/dotterelspur/src/version/planning/FabricDomainPlanner.ts
@@ -2,13 +2,18 @@
 import type { AssignedGroup } from '../PlatformObjects.js'
 import { GroupState } from '../PlatformObjects.js'
 import type { FabricDomainPlan } from './Decision.js'
+import { finishDrains } from './DrainedGroups.js'
 import { growGroups } from './GroupGrowth.js'
 import { settleGroupStates } from './GroupObservation.js'
 import { repairGroups } from './GroupRepair.js'
 import { shrinkGroups } from './GroupShrink.js'
+import { swapMembers } from './MemberSwap.js'
 import { PendingPlan } from './PendingPlan.js'
 import type { FabricDomainInput } from './PlanningInput.js'
-import { observe } from './PlanningObservation.js'
+import { isDarkHeld, observe } from './PlanningObservation.js'
+import { changeVersions, nextRollouts } from './RolloutStep.js'
+import { planStandbys, pruneStandbys, reserveStepIns } from './StandbyPlan.js'
+import { readStepIn } from './StepIn.js'
 
 /**
  * One tick of a fabric domain's controller: compares what is wanted with what is assigned and what is there,
@@ -19,24 +24,36 @@
   const memory = observe(input)
   const plan = new PendingPlan(input, memory)
   settleGroupStates(plan)
+  if (!isDarkHeld(memory, input)) changeGroups(plan)
+  return commit(plan, input)
+}
+
+/** The steps in order of value: what serves least well goes first for VMs and for the load budget. */
+function changeGroups (plan: PendingPlan): void {
+  pruneStandbys(plan)
+  finishDrains(plan)
   repairGroups(plan)
   shrinkGroups(plan)
+  swapMembers(plan)
+  changeVersions(plan)
   growGroups(plan)
-  return commit(plan, input)
+  planStandbys(plan)
+  reserveStepIns(plan)
 }
 
 function commit (plan: PendingPlan, input: FabricDomainInput): FabricDomainPlan {
-  const { groups, memories } = plan.commit()
+  const { groups, memory } = plan.commit()
   const before = input.assignment?.groups ?? []
-  const changed = !sameGroups(before, groups)
+  const rollouts = nextRollouts(plan)
+  const sameRollouts = JSON.stringify(rollouts) === JSON.stringify(input.assignment?.rollouts ?? [])
   checkGroups(input, before, groups)
   return {
-    changed,
+    changed: !sameRollouts || !sameGroups(before, groups),
     groups,
     highestFormation: plan.highestFormation,
-    rollouts: input.assignment?.rollouts ?? [],
+    rollouts,
     decisions: plan.decisions,
-    memory: { ...plan.memory, groups: memories, loadTokens: plan.loadTokens }
+    memory
   }
 }
 
@@ -52,12 +69,15 @@
       places.add(vm)
     }
     const known = before.find((other) => other.group === group.group)
+    const size = known?.members.length ?? input.intents.find((intent) => intent.team === group.team && intent.model === group.model)?.vmsPerReplica
+    invariant(group.members.length === size, `${group.group} has ${group.members.length} members instead of ${size}`)
     if (known === undefined || known.formation === group.formation) {
       invariant(known === undefined || sameContent(known, group), `${group.group} changed within formation ${group.formation}`)
       continue
     }
     invariant(group.formation > known.formation, `formation of ${group.group} fell from ${known.formation} to ${group.formation}`)
-    invariant(group.state === GroupState.Forming, `${group.group} changed its formation without forming`)
+    const agreed = group.state === GroupState.Serving && readStepIn(known, group.formation) !== null
+    invariant(agreed || group.state === GroupState.Forming, `${group.group} changed its formation without forming`)
   }
 }
 
@@ -73,7 +93,7 @@
 }
 
 function groupKey (group: AssignedGroup): string {
-  return JSON.stringify([group.group, group.formation, group.state, group.standbys.map(memberKey)])
+  return JSON.stringify([group.group, group.formation, group.state, group.standbys.map(memberKey), group.stepInBase, group.preload])
 }
 
 function memberKey (member: AssignedGroup['members'][number]): string {
--- a/packages/dotterelspur/src/version/planning/GroupGrowth.ts
+++ b/packages/dotterelspur/src/version/planning/GroupGrowth.ts
@@ -1,23 +1,13 @@
 import type { AssignedGroup } from '../PlatformObjects.js'
 import { GroupState } from '../PlatformObjects.js'
+import type { Candidate } from './Candidates.js'
+import { claimableVms, countLoads } from './Candidates.js'
 import { DecisionKind } from './Decision.js'
+import { startLoads } from './GroupRepair.js'
 import type { PendingPlan } from './PendingPlan.js'
 import type { PlannedIntent } from './PlanningInput.js'
-import type { VmView } from './VmTable.js'
-import { compareText, holdsRevision, memberOf } from './VmTable.js'
-
-/** Usable VMs without a place, best for the intent first: loaded, then least often absent, then by id. */
-export function freeVms (plan: PendingPlan, intent: PlannedIntent): readonly VmView[] {
-  return [...plan.views.values()]
-    .filter((view) => view.usable && plan.placeOf(view.health.vm) === undefined)
-    .sort((left, right) => compareCandidates(left, right, intent))
-}
-
-export function compareCandidates (left: VmView, right: VmView, intent: PlannedIntent): number {
-  return Number(holdsRevision(right, intent)) - Number(holdsRevision(left, intent)) ||
-    left.memory.absencesMs.length - right.memory.absencesMs.length ||
-    compareText(left.health.vm, right.health.vm)
-}
+import { canSurge, intentWeights } from './RolloutStep.js'
+import { compareText, memberOf } from './VmTable.js'
 
 /** Intents in the order in which they are served: stated priority, then name. */
 export function orderIntents (intents: readonly PlannedIntent[]): readonly PlannedIntent[] {
@@ -27,25 +17,28 @@
     compareText(left.model, right.model))
 }
 
-/** Forms the groups that are wanted and missing, as far as free VMs reach. */
+/** Forms the groups that are wanted and missing, as far as VMs and the load budget reach. */
 export function growGroups (plan: PendingPlan): void {
   for (const intent of orderIntents(plan.input.intents)) {
-    while (missingGroups(plan, intent) > 0 && plan.formationsLeft > 0) {
-      const free = freeVms(plan, intent)
-      if (free.length < intent.vmsPerReplica) break
-      formGroup(plan, intent, free.slice(0, intent.vmsPerReplica))
+    for (let missing = missingGroups(plan, intent); missing > 0 && plan.formationsLeft > 0; missing--) {
+      const candidates = claimableVms(plan, intent, intentWeights(intent)).slice(0, intent.vmsPerReplica)
+      if (candidates.length < intent.vmsPerReplica || !plan.mayLoad(countLoads(candidates))) break
+      formGroup(plan, intent, candidates)
     }
   }
 }
 
+/** Groups that drain count as there: they are formed again, or become surplus when others serve in their place. */
 function missingGroups (plan: PendingPlan, intent: PlannedIntent): number {
-  const held = plan.groupsOf(intent).filter((group) => group.state !== GroupState.Draining)
-  return intent.replicas - held.length
+  const held = plan.groupsOf(intent).length
+  const surge = held === intent.replicas && canSurge(plan, intent) ? 1 : 0
+  return intent.replicas + surge - held
 }
 
-function formGroup (plan: PendingPlan, intent: PlannedIntent, views: readonly VmView[]): void {
+function formGroup (plan: PendingPlan, intent: PlannedIntent, candidates: readonly Candidate[]): void {
   const formation = plan.nextFormation()
-  const reason = `${intent.replicas} replicas of ${intent.model} are wanted here and one is missing`
+  const vms = candidates.map((candidate) => candidate.view.health.vm)
+  const reason = `${intent.replicas} replicas of ${intent.model} are wanted here, with ${intent.revision.version}`
   const group: AssignedGroup = {
     group: `${plan.input.fabricDomain}.g${formation}`,
     formation,
@@ -54,12 +47,14 @@
     model: intent.model,
     version: intent.revision.version,
     adapters: intent.revision.adapters,
-    members: views.map(memberOf),
+    members: candidates.map((candidate) => memberOf(candidate.view)),
     standbys: [],
     cause: reason,
     sinceWallMs: plan.input.wallMs
   }
   plan.formationsLeft -= 1
+  for (const vm of vms) plan.releaseStandby(vm)
+  startLoads(plan, group, candidates)
   plan.setGroup(group)
-  plan.decide({ kind: DecisionKind.Form, group: group.group, vms: group.members.map((member) => member.vm), reason })
+  plan.decide({ kind: DecisionKind.Form, group: group.group, vms, reason })
 }
--- a/packages/dotterelspur/src/version/planning/GroupObservation.ts
+++ b/packages/dotterelspur/src/version/planning/GroupObservation.ts
@@ -1,51 +1,101 @@
+import type { VmId } from '../../process/ids.js'
 import { EngineState } from '../../process/Presence.js'
-import type { AssignedGroup } from '../PlatformObjects.js'
+import type { AssignedGroup, AssignedMember } from '../PlatformObjects.js'
 import { GroupState } from '../PlatformObjects.js'
 import { DecisionKind } from './Decision.js'
 import type { PendingPlan } from './PendingPlan.js'
+import { groupAtStepIn, readStepIn } from './StepIn.js'
 import { isMemberPresent } from './VmTable.js'
 
-/** Brings each group's recorded state in line with what its members say: broken, back again, serving. */
+/** Brings each group's recorded state in line with what its members say: stepped in, broken, back again, serving. */
 export function settleGroupStates (plan: PendingPlan): void {
   for (const group of plan.allGroups()) {
-    if (group.state === GroupState.Draining) continue
-    const lost = lostMembers(plan, group)
-    if (lost.length > 0) markBroken(plan, group, lost)
+    if (group.state === GroupState.Draining || adoptStepIn(plan, group)) continue
+    const losses = findLosses(plan, group)
+    if (losses.length > 0) markBroken(plan, group, losses)
     else if (group.state === GroupState.Broken) resumeIfWhole(plan, group)
     else if (group.state === GroupState.Forming) serveIfReady(plan, group)
   }
 }
 
-/** Members whose place is empty: another incarnation, or absent for longer than the grace. */
-export function lostMembers (plan: PendingPlan, group: AssignedGroup): readonly string[] {
+/** Members whose place is empty: another incarnation, gone from the fabric domain, or absent for longer than the grace. */
+export function lostMembers (plan: PendingPlan, group: AssignedGroup): readonly AssignedMember[] {
   return group.members.filter((member) => {
     const view = plan.views.get(member.vm)
     if (view === undefined) return true
     if (view.health.incarnation > member.incarnation) return true
-    return view.absentForMs >= plan.input.settings.absenceGraceMs && !view.present
-  }).map((member) => member.vm)
+    return !view.present && view.absentForMs >= plan.input.settings.absenceGraceMs
+  })
+}
+
+/** Members that are there and whose engine gave up at this formation, as engines do when they lose one of theirs. */
+export function failedMembers (plan: PendingPlan, group: AssignedGroup): readonly AssignedMember[] {
+  return group.members.filter((member) => {
+    if (!isMemberPresent(member, plan.views)) return false
+    const status = plan.views.get(member.vm)!.health.status
+    return status?.state === EngineState.Failed && status.group === group.group && status.formation === group.formation
+  })
+}
+
+/** While the store was out, a standby took a lost member's place as agreed in advance: it serves, so it stands. */
+function adoptStepIn (plan: PendingPlan, group: AssignedGroup): boolean {
+  for (const formation of reportedFormations(plan, group)) {
+    const derived = readStepIn(group, formation)
+    if (derived === null) continue
+    const adopted = groupAtStepIn(group, derived)
+    if (!allAtFormation(plan, adopted)) continue
+    plan.setGroup({ ...adopted, sinceWallMs: plan.input.wallMs })
+    plan.decide({ kind: DecisionKind.StepIn, group: group.group, vms: adopted.members.map((member) => member.vm), reason: adopted.cause })
+    return true
+  }
+  return false
 }
 
-function markBroken (plan: PendingPlan, group: AssignedGroup, lost: readonly string[]): void {
+function reportedFormations (plan: PendingPlan, group: AssignedGroup): readonly number[] {
+  if (group.stepInBase === undefined) return []
+  const reported = group.members.flatMap((member) => {
+    const status = plan.views.get(member.vm)?.health.status
+    return status?.group === group.group && status.formation > group.formation ? [status.formation] : []
+  })
+  return [...new Set(reported)].sort((left, right) => right - left)
+}
+
+interface Loss {
+  readonly vm: VmId
+  readonly text: string
+}
+
+function findLosses (plan: PendingPlan, group: AssignedGroup): readonly Loss[] {
+  const lost = lostMembers(plan, group).map((member) => ({ vm: member.vm, text: describeLoss(plan, group, member) }))
+  const failed = failedMembers(plan, group).map((member) => ({ vm: member.vm, text: `the engine of VM ${member.vm} failed at formation ${group.formation}` }))
+  return [...lost, ...failed]
+}
+
+function markBroken (plan: PendingPlan, group: AssignedGroup, losses: readonly Loss[]): void {
   if (group.state === GroupState.Broken) return
-  const reason = lost.map((vm) => describeLoss(plan, group, vm)).join('; ')
+  const reason = losses.map((loss) => loss.text).join('; ')
   plan.remember(group.group, { brokenSinceMs: plan.input.nowMs })
   plan.setState(group, GroupState.Broken, reason)
-  plan.decide({ kind: DecisionKind.Break, group: group.group, vms: lost, reason })
+  plan.decide({ kind: DecisionKind.Break, group: group.group, vms: losses.map((loss) => loss.vm), reason })
 }
 
-function describeLoss (plan: PendingPlan, group: AssignedGroup, vm: string): string {
-  const view = plan.views.get(vm)
-  if (view === undefined) return `VM ${vm} of formation ${group.formation} is no longer in the fabric domain`
-  if (!view.present) return `VM ${vm} of formation ${group.formation} is absent`
-  return `VM ${vm} of formation ${group.formation} restarted as incarnation ${view.health.incarnation}`
+function describeLoss (plan: PendingPlan, group: AssignedGroup, member: AssignedMember): string {
+  const view = plan.views.get(member.vm)
+  if (view === undefined) return `VM ${member.vm} of formation ${group.formation} is no longer in the fabric domain`
+  if (!view.present) return `VM ${member.vm} of formation ${group.formation} is absent`
+  return `VM ${member.vm} of formation ${group.formation} restarted as incarnation ${view.health.incarnation}`
 }
 
+/**
+ * A broken group gets no orders. One that broke before its engines had joined would wait for ever for them to
+ * report a formation that nobody tells them, with all its members there: it goes back to forming.
+ */
 function resumeIfWhole (plan: PendingPlan, group: AssignedGroup): void {
-  if (!allAtFormation(plan, group)) return
-  const reason = `all members are back at formation ${group.formation}`
+  if (!group.members.every((member) => isMemberPresent(member, plan.views))) return
+  const joined = allAtFormation(plan, group)
+  const reason = joined ? `all members are back at formation ${group.formation}` : `all members are back and join formation ${group.formation}`
   plan.remember(group.group, { brokenSinceMs: null })
-  plan.setState(group, GroupState.Serving, reason)
+  plan.setState(group, joined ? GroupState.Serving : GroupState.Forming, reason)
   plan.decide({ kind: DecisionKind.Resume, group: group.group, vms: [], reason })
 }
 
--- a/packages/dotterelspur/src/version/planning/GroupShrink.ts
+++ b/packages/dotterelspur/src/version/planning/GroupShrink.ts
@@ -1,45 +1,67 @@
+import type { GroupId } from '../../process/ids.js'
 import type { AssignedGroup } from '../PlatformObjects.js'
 import { GroupState } from '../PlatformObjects.js'
 import { DecisionKind } from './Decision.js'
 import type { PendingPlan } from './PendingPlan.js'
-import { isMemberPresent } from './VmTable.js'
+import type { PlannedIntent } from './PlanningInput.js'
+import { revisionOf, sameRevision } from './VmTable.js'
 
-/** Drains groups that nobody wants any more, and dissolves those that have finished. */
+/** Drains the groups that nobody wants here, once that has lasted, and those that an operator drains. */
 export function shrinkGroups (plan: PendingPlan): void {
-  drainUnwanted(plan)
+  const unwanted = findUnwanted(plan)
   for (const group of plan.allGroups()) {
-    if (group.state === GroupState.Draining) dissolveIfFinished(plan, group)
+    if (group.state === GroupState.Draining) continue
+    if (plan.input.drainedGroups.includes(group.group)) {
+      startDrain(plan, group, 'an operator asked for it')
+      continue
+    }
+    const reason = unwanted.get(group.group)
+    if (reason === undefined) plan.remember(group.group, { surplusSinceMs: null })
+    else drainAfterHold(plan, group, reason)
   }
 }
 
-function drainUnwanted (plan: PendingPlan): void {
+/** The groups that this fabric domain should give up, each with the reason. */
+export function findUnwanted (plan: PendingPlan): ReadonlyMap<GroupId, string> {
+  const unwanted = new Map<GroupId, string>()
   for (const group of plan.allGroups()) {
-    if (group.state === GroupState.Draining) continue
-    const reason = unwantedReason(plan, group)
-    if (reason === null) plan.remember(group.group, { surplusSinceMs: null })
-    else drainAfterHold(plan, group, reason)
+    const intent = plan.intentOf(group)
+    if (intent === undefined) unwanted.set(group.group, `no team wants ${group.model} here`)
+    else if (group.members.length !== intent.vmsPerReplica) unwanted.set(group.group, `a replica of ${group.model} now takes ${intent.vmsPerReplica} VMs`)
   }
+  for (const intent of plan.input.intents) addSurplus(plan, intent, unwanted)
+  return unwanted
 }
 
-function unwantedReason (plan: PendingPlan, group: AssignedGroup): string | null {
-  const intent = plan.intentOf(group)
-  if (intent === undefined) return `no team wants ${group.model} here`
-  if (group.members.length !== intent.vmsPerReplica) return `a replica of ${group.model} now takes ${intent.vmsPerReplica} VMs`
-  const kept = plan.groupsOf(intent).filter((other) => other.state !== GroupState.Draining)
-  const ranked = kept.slice().sort((left, right) => stateRank(left) - stateRank(right) || left.formation - right.formation)
-  if (ranked.indexOf(group) < intent.replicas) return null
-  return `${intent.replicas} replicas of ${group.model} are wanted here and there are ${kept.length}`
+function addSurplus (plan: PendingPlan, intent: PlannedIntent, unwanted: Map<GroupId, string>): void {
+  let held = plan.groupsOf(intent).filter((group) => !unwanted.has(group.group))
+  while (held.length > intent.replicas) {
+    const surplus = pickSurplus(held, intent)
+    if (surplus === undefined) return
+    unwanted.set(surplus.group, `${intent.replicas} replicas of ${intent.model} are wanted here and there are ${held.length}`)
+    held = held.filter((group) => group !== surplus)
+  }
 }
 
-const STATE_RANK: Readonly<Record<GroupState, number>> = {
-  [GroupState.Serving]: 0,
-  [GroupState.Forming]: 1,
-  [GroupState.Broken]: 2,
-  [GroupState.Draining]: 3
+/**
+ * What goes first: a group that doesn't serve anyway, then one of another version, then the youngest. A serving
+ * group goes only while more serve than are wanted, so that what is formed in its place is there before.
+ */
+function pickSurplus (held: readonly AssignedGroup[], intent: PlannedIntent): AssignedGroup | undefined {
+  const inState = (state: GroupState): readonly AssignedGroup[] => held.filter((group) => group.state === state)
+  const serving = inState(GroupState.Serving)
+  const out = [...inState(GroupState.Draining), ...inState(GroupState.Broken)]
+  if (out.length > 0) return out[0]
+  if (serving.length > intent.replicas) return youngest(serving, intent)
+  const forming = inState(GroupState.Forming)
+  const replacing = serving.some((group) => !sameRevision(revisionOf(group), intent.revision))
+  const mayDropForming = held.length > intent.replicas + 1 || !replacing
+  return mayDropForming ? youngest(forming, intent) : undefined
 }
 
-function stateRank (group: AssignedGroup): number {
-  return STATE_RANK[group.state]
+function youngest (groups: readonly AssignedGroup[], intent: PlannedIntent): AssignedGroup | undefined {
+  const other = groups.filter((group) => !sameRevision(revisionOf(group), intent.revision))
+  return (other.length > 0 ? other : groups).slice().sort((left, right) => right.formation - left.formation)[0]
 }
 
 /** Views of the wanted count may differ for a while after a change: giving up a group waits until the lower count has lasted. */
@@ -51,26 +73,9 @@
   startDrain(plan, group, reason)
 }
 
+/** From here on the group takes no new work; `finishDrains` decides what becomes of it once it has finished. */
 export function startDrain (plan: PendingPlan, group: AssignedGroup, reason: string): void {
-  plan.remember(group.group, { drainingSinceMs: plan.input.nowMs })
-  plan.setState({ ...group, standbys: [] }, GroupState.Draining, reason)
+  plan.remember(group.group, { drainingSinceMs: plan.input.nowMs, surplusSinceMs: null })
+  plan.setState(group, GroupState.Draining, reason)
   plan.decide({ kind: DecisionKind.Drain, group: group.group, vms: [], reason })
 }
-
-function dissolveIfFinished (plan: PendingPlan, group: AssignedGroup): void {
-  const { nowMs, settings } = plan.input
-  const sinceMs = plan.groupMemory(group.group).drainingSinceMs ?? nowMs
-  plan.remember(group.group, { drainingSinceMs: sinceMs })
-  const finished = group.members.every((member) => isIdle(plan, member))
-  const overdue = nowMs - sinceMs >= settings.drainMs
-  if (!finished && !overdue) return
-  const reason = finished ? `drained: ${group.cause}` : `still running after ${settings.drainMs} ms of draining: ${group.cause}`
-  plan.removeGroup(group.group)
-  plan.decide({ kind: DecisionKind.Dissolve, group: group.group, vms: group.members.map((member) => member.vm), reason })
-}
-
-function isIdle (plan: PendingPlan, member: AssignedGroup['members'][number]): boolean {
-  if (!isMemberPresent(member, plan.views)) return true
-  const load = plan.views.get(member.vm)!.health.status?.load
-  return load === undefined || load.running + load.waiting === 0
-}
--- a/packages/dotterelspur/src/version/planning/PendingPlan.ts
+++ b/packages/dotterelspur/src/version/planning/PendingPlan.ts
@@ -1,14 +1,16 @@
 import type { GroupId, VmId } from '../../process/ids.js'
 import { invariant } from '../../process/invariant.js'
-import type { AssignedGroup, AssignedMember } from '../PlatformObjects.js'
+import type { AssignedGroup, AssignedMember, ModelRevision } from '../PlatformObjects.js'
 import { GroupState } from '../PlatformObjects.js'
 import type { Decision, DecisionKind, RejectedWay } from './Decision.js'
 import type { FabricDomainInput, PlannedIntent } from './PlanningInput.js'
-import type { GroupMemory, PlanningMemory } from './PlanningMemory.js'
+import type { GroupMemory, PlanningMemory, PreloadMemory, VmMemory } from './PlanningMemory.js'
 import { EMPTY_GROUP_MEMORY } from './PlanningMemory.js'
 import type { VmView } from './VmTable.js'
 import { compareText, viewVms } from './VmTable.js'
 
+const MINUTE_MS = 60_000
+
 /** The parts of a decision that a step states; the plan adds the rest. */
 export interface StatedDecision {
   readonly kind: DecisionKind
@@ -32,6 +34,7 @@
   private readonly groups = new Map<GroupId, AssignedGroup>()
   private readonly groupMemories = new Map<GroupId, GroupMemory>()
   private readonly places = new Map<VmId, GroupId>()
+  private readonly preloads = new Map<VmId, PreloadMemory>()
 
   constructor (readonly input: FabricDomainInput, readonly memory: PlanningMemory) {
     this.views = viewVms(input, memory)
@@ -63,6 +66,11 @@
     return this.places.get(vm)
   }
 
+  groupHolding (vm: VmId): AssignedGroup | undefined {
+    const id = this.places.get(vm)
+    return id === undefined ? undefined : this.groups.get(id)
+  }
+
   groupsOf (intent: PlannedIntent): readonly AssignedGroup[] {
     return this.allGroups().filter((group) => group.team === intent.team && group.model === intent.model)
   }
@@ -88,10 +96,28 @@
     this.groups.delete(id)
   }
 
+  /** Notes that a VM is told to load, and takes it from the load budget. */
+  startLoad (vm: VmId, key: string): void {
+    this.preloads.set(vm, { key, sinceMs: this.input.nowMs })
+    this.loadTokens -= 1
+  }
+
+  /** Whether the load budget has room for `loads` more. A full budget admits any number, else a large group could never start. */
+  mayLoad (loads: number): boolean {
+    return loads === 0 || this.loadTokens >= Math.min(loads, this.input.loadBudget.burst)
+  }
+
+  /** How long until the budget has room for `loads`. */
+  loadDelayMs (loads: number): number {
+    if (this.mayLoad(loads)) return 0
+    const { loadsPerMinute, burst } = this.input.loadBudget
+    const missing = Math.min(loads, burst) - this.loadTokens
+    return loadsPerMinute > 0 ? missing * MINUTE_MS / loadsPerMinute : Infinity
+  }
+
   /** Takes a standby out of whatever group keeps it. */
   releaseStandby (vm: VmId): void {
-    const id = this.places.get(vm)
-    const group = id === undefined ? undefined : this.groups.get(id)
+    const group = this.groupHolding(vm)
     if (group === undefined || group.members.some((member) => member.vm === vm)) return
     this.setGroup({ ...group, standbys: group.standbys.filter((standby) => standby.vm !== vm) })
   }
@@ -101,13 +127,25 @@
     return this.highestFormation
   }
 
+  /** Sets formation numbers aside, and returns the first of them. */
+  reserveFormations (count: number): number {
+    const first = this.highestFormation + 1
+    this.highestFormation += count
+    return first
+  }
+
   /** Puts a group at a new formation with these members; it serves once they all report it. */
-  reform (group: AssignedGroup, members: readonly AssignedMember[], cause: string): void {
+  reform (group: AssignedGroup, members: readonly AssignedMember[], revision: ModelRevision, cause: string): void {
+    const { preload: _preload, stepInBase: _stepInBase, ...kept } = group
     this.formationsLeft -= 1
-    this.remember(group.group, { brokenSinceMs: null, drainingSinceMs: null })
+    this.remember(group.group, { ...EMPTY_GROUP_MEMORY, reformedAtMs: this.input.nowMs })
+    this.takeOver(group.group, members)
     this.setGroup({
-      ...group,
+      ...kept,
+      standbys: this.groups.get(group.group)!.standbys.filter((standby) => !members.some((member) => member.vm === standby.vm)),
       members,
+      version: revision.version,
+      adapters: revision.adapters,
       formation: this.nextFormation(),
       state: GroupState.Forming,
       cause,
@@ -115,6 +153,13 @@
     })
   }
 
+  /** Empties the places that new members have as standbys, and starts the loads that they need. */
+  private takeOver (id: GroupId, members: readonly AssignedMember[]): void {
+    for (const { vm } of members) {
+      if (this.places.get(vm) !== id) this.releaseStandby(vm)
+    }
+  }
+
   setState (group: AssignedGroup, state: GroupState, cause: string): void {
     this.setGroup({ ...group, state, cause, sinceWallMs: this.input.wallMs })
   }
@@ -132,18 +177,30 @@
     })
   }
 
-  /** The groups in order of id, and the memory of those that are left. */
-  commit (): { groups: readonly AssignedGroup[], memories: ReadonlyMap<GroupId, GroupMemory> } {
+  commit (): CommittedPlan {
     const groups = this.allGroups().slice().sort((left, right) => compareText(left.group, right.group))
     const memories = new Map<GroupId, GroupMemory>()
     for (const group of groups) {
       const kept = this.groupMemories.get(group.group)
       if (kept !== undefined) memories.set(group.group, kept)
     }
-    return { groups, memories }
+    return { groups, memory: { ...this.memory, vms: this.vmMemories(), groups: memories, loadTokens: this.loadTokens } }
+  }
+
+  private vmMemories (): ReadonlyMap<VmId, VmMemory> {
+    if (this.preloads.size === 0) return this.memory.vms
+    const vms = new Map(this.memory.vms)
+    for (const [vm, preload] of this.preloads) vms.set(vm, { ...vms.get(vm)!, preload })
+    return vms
   }
 }
 
+export interface CommittedPlan {
+  /** In order of id. */
+  readonly groups: readonly AssignedGroup[]
+  readonly memory: PlanningMemory
+}
+
 /**
  * The highest formation that the object or any engine knows. An assignment object that an operator deleted
  * takes its count along; the engines' own word keeps formations rising all the same.
--- a/packages/dotterelspur/src/version/planning/PlanningInput.ts
+++ b/packages/dotterelspur/src/version/planning/PlanningInput.ts
@@ -1,6 +1,6 @@
 import type { FabricDomainId, FailureDomainId, GroupId, ModelId, RegionId, TeamId, VmId } from '../../process/ids.js'
 import type { VmStatus } from '../../process/Presence.js'
-import type { AssignmentObject, ModelRevision } from '../PlatformObjects.js'
+import type { AssignmentObject, ModelRevision, RolloutRecord } from '../PlatformObjects.js'
 import type { CostWeights } from '../TeamSettings.js'
 import type { PlanningMemory } from './PlanningMemory.js'
 import type { PlanningSettings } from './PlanningSettings.js'
@@ -50,6 +50,10 @@
   readonly standbys: number
   /** Groups that may change to `revision` now, from `planRollout`. */
   readonly changing: readonly GroupId[]
+  /** A group may be changed only after another has been formed for it; from `planRollout`. */
+  readonly surgeOnly?: boolean
+  /** The change of version under way, from `planRollout`; kept in the assignment object. */
+  readonly rollout?: RolloutRecord | null
 }
 
 /** This fabric domain's share of the weight store's rate, from `shareLoadBudget`. */
--- a/packages/dotterelspur/src/version/planning/PlanningMemory.ts
+++ b/packages/dotterelspur/src/version/planning/PlanningMemory.ts
@@ -12,8 +12,21 @@
   /** Loads that may start now, and when that was reckoned. */
   readonly loadTokens: number
   readonly loadTokensAtMs: number | null
-  /** Measured times from absence to presence, newest last, bounded. */
-  readonly returnTimesMs: readonly number[]
+  /** Absences that have ended, newest last, bounded. */
+  readonly returns: readonly ReturnSample[]
+}
+
+/** How one absence ended. */
+export interface ReturnSample {
+  readonly awayMs: number
+  /** Back as another process, without its weights; or not back at all. */
+  readonly restarted: boolean
+}
+
+/** Weights that a VM was told to load, and when. */
+export interface PreloadMemory {
+  readonly key: string
+  readonly sinceMs: number
 }
 
 export interface VmMemory {
@@ -23,15 +36,24 @@
   readonly absentSinceMs: number | null
   /** When it went absent, newest last, within the flap window. */
   readonly absencesMs: readonly number[]
+  readonly preload: PreloadMemory | null
 }
 
 export interface GroupMemory {
   readonly brokenSinceMs: number | null
   readonly surplusSinceMs: number | null
   readonly drainingSinceMs: number | null
+  readonly preloadSinceMs: number | null
+  readonly reformedAtMs: number | null
 }
 
-export const EMPTY_GROUP_MEMORY: GroupMemory = { brokenSinceMs: null, surplusSinceMs: null, drainingSinceMs: null }
+export const EMPTY_GROUP_MEMORY: GroupMemory = {
+  brokenSinceMs: null,
+  surplusSinceMs: null,
+  drainingSinceMs: null,
+  preloadSinceMs: null,
+  reformedAtMs: null
+}
 
 export const emptyPlanningMemory: PlanningMemory = {
   vms: new Map(),
@@ -39,5 +61,5 @@
   darkSinceMs: null,
   loadTokens: 0,
   loadTokensAtMs: null,
-  returnTimesMs: []
+  returns: []
 }
--- a/packages/dotterelspur/src/version/planning/PlanningObservation.ts
+++ b/packages/dotterelspur/src/version/planning/PlanningObservation.ts
@@ -1,60 +1,81 @@
 import type { VmId } from '../../process/ids.js'
 import type { FabricDomainInput, VmHealth } from './PlanningInput.js'
 import { VmPresence } from './PlanningInput.js'
-import type { PlanningMemory, VmMemory } from './PlanningMemory.js'
+import type { PlanningMemory, ReturnSample, VmMemory } from './PlanningMemory.js'
 import { distinctVms } from './VmTable.js'
 
-const KEPT_RETURN_TIMES = 64
+const KEPT_RETURNS = 64
 const KEPT_ABSENCES = 16
 const MINUTE_MS = 60_000
 
-/** Takes a tick's readings into the memory: absences, returns and the load budget that has come free. */
+const UNSEEN: Omit<VmMemory, 'incarnation'> = { present: false, presentSinceMs: null, absentSinceMs: null, absencesMs: [], preload: null }
+
+/** Takes a tick's readings into the memory: absences, how they ended, darkness, and the load budget that has come free. */
 export function observe (input: FabricDomainInput): PlanningMemory {
   const vms = new Map<VmId, VmMemory>()
-  const returned: number[] = []
+  const ended: ReturnSample[] = []
   for (const health of distinctVms(input)) {
     const before = input.memory.vms.get(health.vm)
     const after = observeVm(health, before, input)
     vms.set(health.vm, after)
-    if (before?.absentSinceMs != null && after.present) returned.push(input.nowMs - before.absentSinceMs)
+    const sample = endedAbsence(before, after, input.nowMs)
+    if (sample !== null) ended.push(sample)
   }
   return {
     ...input.memory,
     vms,
+    darkSinceMs: observeDarkness(vms, input),
     loadTokens: refilledTokens(input),
     loadTokensAtMs: input.nowMs,
-    returnTimesMs: [...input.memory.returnTimesMs, ...returned].slice(-KEPT_RETURN_TIMES)
+    returns: [...input.memory.returns, ...ended].slice(-KEPT_RETURNS)
   }
 }
 
+type PresenceHandler = (health: VmHealth, before: VmMemory | undefined, absencesMs: readonly number[], input: FabricDomainInput) => VmMemory
+
+const BY_PRESENCE: Readonly<Record<VmPresence, PresenceHandler>> = {
+  [VmPresence.Present]: observePresent,
+  [VmPresence.Absent]: observeAbsent,
+  [VmPresence.Unknown]: observeUnknown
+}
+
 function observeVm (health: VmHealth, before: VmMemory | undefined, input: FabricDomainInput): VmMemory {
-  const absencesMs = recentAbsences(before, input)
-  if (health.presence === VmPresence.Present) return presentMemory(health, before, absencesMs, input.nowMs)
-  if (health.presence === VmPresence.Unknown && before === undefined) {
-    return { incarnation: health.incarnation, present: false, presentSinceMs: null, absentSinceMs: null, absencesMs }
+  return BY_PRESENCE[health.presence](health, before, recentAbsences(before, input), input)
+}
+
+function observePresent (health: VmHealth, before: VmMemory | undefined, absencesMs: readonly number[], input: FabricDomainInput): VmMemory {
+  const sameProcess = before !== undefined && before.incarnation === health.incarnation
+  const restartedUnseen = before !== undefined && before.present && !sameProcess
+  const stayed = sameProcess && before.present
+  return {
+    incarnation: health.incarnation,
+    present: true,
+    presentSinceMs: stayed ? before.presentSinceMs : input.nowMs,
+    absentSinceMs: null,
+    absencesMs: restartedUnseen ? [...absencesMs, input.nowMs].slice(-KEPT_ABSENCES) : absencesMs,
+    preload: sameProcess ? before.preload : null
   }
-  if (health.presence === VmPresence.Unknown) return { ...before!, absencesMs }
-  const absentSinceMs = before?.absentSinceMs ?? health.absentSinceMs ?? input.nowMs
+}
+
+function observeAbsent (health: VmHealth, before: VmMemory | undefined, absencesMs: readonly number[], input: FabricDomainInput): VmMemory {
   const wentAbsent = before?.present === true
   return {
-    incarnation: health.incarnation,
+    incarnation: before?.incarnation ?? health.incarnation,
     present: false,
     presentSinceMs: null,
-    absentSinceMs,
-    absencesMs: wentAbsent ? [...absencesMs, input.nowMs].slice(-KEPT_ABSENCES) : absencesMs
+    absentSinceMs: before?.absentSinceMs ?? health.absentSinceMs ?? input.nowMs,
+    absencesMs: wentAbsent ? [...absencesMs, input.nowMs].slice(-KEPT_ABSENCES) : absencesMs,
+    preload: before?.preload ?? null
   }
 }
 
-function presentMemory (health: VmHealth, before: VmMemory | undefined, absencesMs: readonly number[], nowMs: number): VmMemory {
-  const restartedUnseen = before !== undefined && before.present && before.incarnation < health.incarnation
-  const stayed = before !== undefined && before.present && !restartedUnseen
-  return {
-    incarnation: health.incarnation,
-    present: true,
-    presentSinceMs: stayed ? before.presentSinceMs : nowMs,
-    absentSinceMs: null,
-    absencesMs: restartedUnseen ? [...absencesMs, nowMs].slice(-KEPT_ABSENCES) : absencesMs
-  }
+function observeUnknown (health: VmHealth, before: VmMemory | undefined, absencesMs: readonly number[]): VmMemory {
+  return before === undefined ? { ...UNSEEN, incarnation: health.incarnation } : { ...before, absencesMs }
+}
+
+function endedAbsence (before: VmMemory | undefined, after: VmMemory, nowMs: number): ReturnSample | null {
+  if (before === undefined || before.absentSinceMs === null || !after.present) return null
+  return { awayMs: nowMs - before.absentSinceMs, restarted: after.incarnation !== before.incarnation }
 }
 
 function recentAbsences (before: VmMemory | undefined, input: FabricDomainInput): readonly number[] {
@@ -63,6 +84,22 @@
   return kept.length > 0 && kept[0]! < oldestMs ? kept.filter((atMs) => atMs >= oldestMs) : kept
 }
 
+/**
+ * A fabric domain of which a large share went absent together has lost its switch or its power, not its VMs.
+ * Repairing one by one while the rest is still dropping out, or coming back, would form groups that fall apart.
+ */
+function observeDarkness (vms: ReadonlyMap<VmId, VmMemory>, input: FabricDomainInput): number | null {
+  const known = [...vms.values()]
+  const absent = known.filter((vm) => vm.absentSinceMs !== null).length
+  if (absent === 0 || absent < known.length * input.settings.darkShare) return null
+  return input.memory.darkSinceMs ?? input.nowMs
+}
+
+/** Whether repair and growth wait because the fabric domain has just gone dark. */
+export function isDarkHeld (memory: PlanningMemory, input: FabricDomainInput): boolean {
+  return memory.darkSinceMs !== null && input.nowMs - memory.darkSinceMs < input.settings.darkHoldMs
+}
+
 function refilledTokens (input: FabricDomainInput): number {
   const { loadTokens, loadTokensAtMs } = input.memory
   const { burst, loadsPerMinute } = input.loadBudget
--- a/packages/dotterelspur/src/version/planning/PlanningSettings.ts
+++ b/packages/dotterelspur/src/version/planning/PlanningSettings.ts
@@ -21,6 +21,10 @@
   readonly formationsPerTick: number
   /** A draining group that still runs requests is dissolved after this long all the same. */
   readonly drainMs: number
+  /** A group drains for at least this long: entries hear of it, and the last requests sent to it arrive. */
+  readonly drainSettleMs: number
+  /** Idle VMs that stand by, loaded, beyond what the intents ask for. */
+  readonly idleStandbys: number
   /** A wanted count must be seen lower for this long before a group is given up. */
   readonly shrinkHoldMs: number
 }
@@ -38,5 +42,7 @@
   darkHoldMs: 60_000,
   formationsPerTick: 4,
   drainMs: 120_000,
+  drainSettleMs: 2_000,
+  idleStandbys: 3,
   shrinkHoldMs: 15_000
 }
--- /dev/null
+++ b/packages/dotterelspur/src/version/planning/RepairWays.ts
@@ -0,0 +1,161 @@
+import type { AssignedGroup } from '../PlatformObjects.js'
+import { GroupState } from '../PlatformObjects.js'
+import type { Candidate } from './Candidates.js'
+import { claimableVms, countLoads, joinDelayMs, toCandidate, nextWeights } from './Candidates.js'
+import { DecisionKind } from './Decision.js'
+import type { RejectedWay } from './Decision.js'
+import { failedMembers, lostMembers } from './GroupObservation.js'
+import type { PendingPlan } from './PendingPlan.js'
+import type { PlannedIntent } from './PlanningInput.js'
+import { HOUR_MS, costPerHour, forecastGroup, reserveCost } from './RepairCost.js'
+import { isMemberPresent } from './VmTable.js'
+
+/** A way to treat a broken group, with its expected weighted cost. */
+export interface RepairWay extends RejectedWay {
+  readonly score: number
+  /** VMs that take the empty places. */
+  readonly substitutes: readonly Candidate[]
+  /** The group that gives VMs or is given up. */
+  readonly other: AssignedGroup | null
+}
+
+/** A broken group with all that the ways are scored from. */
+export interface Situation {
+  readonly group: AssignedGroup
+  readonly intent: PlannedIntent
+  /** Places to fill: lost members, and present ones that are about to go. */
+  readonly places: number
+  readonly survivors: number
+  /** Best first; includes the group's own members that restarted. */
+  readonly candidates: readonly Candidate[]
+}
+
+/** Doing later what could be done now costs at least a tick. */
+const DELAY_MS = 1_000
+
+/** A loss at a lower stated priority counts this much of one at a higher. */
+const LOWER_PRIORITY_PART = 0.1
+
+export function describeSituation (plan: PendingPlan, group: AssignedGroup, intent: PlannedIntent): Situation {
+  const lost = new Set(lostMembers(plan, group).map((member) => member.vm))
+  const restarted = group.members.flatMap((member) => {
+    const view = plan.views.get(member.vm)
+    return lost.has(member.vm) && view?.usable === true ? [toCandidate(plan, view, nextWeights(plan, group))] : []
+  })
+  const claimable = claimableVms(plan, intent, nextWeights(plan, group))
+  const unfit = group.members.filter((member) => !lost.has(member.vm) && isUnfit(plan, member.vm)).length
+  const candidates = [...claimable.filter((candidate) => candidate.loaded), ...restarted, ...claimable.filter((candidate) => !candidate.loaded)]
+  const places = candidates.length >= lost.size + unfit ? lost.size + unfit : lost.size
+  return { group, intent, places, survivors: group.members.length - lost.size, candidates }
+}
+
+/** A member that is there but shouldn't be taken into a new formation if another can be had. */
+export function isUnfit (plan: PendingPlan, vm: string): boolean {
+  const view = plan.views.get(vm)
+  return view !== undefined && (view.health.leaving || view.health.drained || view.health.straggling)
+}
+
+/** All ways that are open for a broken group. Waiting is always among them. */
+export function findWays (plan: PendingPlan, situation: Situation): readonly RepairWay[] {
+  const act = actWays(plan, situation)
+  return [waitWay(plan, situation, act), ...act, ...donateWays(plan, situation), ...dissolveWays(plan, situation)]
+}
+
+function actWays (plan: PendingPlan, situation: Situation): readonly RepairWay[] {
+  return [...rejoinWays(plan, situation), ...replaceWays(plan, situation), ...mergeWays(plan, situation)]
+}
+
+/**
+ * Waiting either pays for its own sake, or it is the best way to act, taken later. In the second case it must
+ * score worse than that way, whatever else the way costs: else the group would wait for ever.
+ */
+function waitWay (plan: PendingPlan, { group, intent }: Situation, act: readonly RepairWay[]): RepairWay {
+  const quickestMs = act.reduce((least, way) => Math.min(least, joinDelayMs(plan, way.substitutes)), Infinity)
+  const forecast = forecastGroup(plan, group, quickestMs)
+  const rate = costPerHour(intent, group.members.length)
+  const bestAct = act.reduce((least, way) => Math.min(least, way.score), Infinity)
+  const own = forecast.expectedMs / HOUR_MS * rate
+  const score = forecast.pays || act.length === 0 ? own : bestAct + DELAY_MS / HOUR_MS * rate
+  const reason = `expected to be back or settled in ${Math.round(forecast.expectedMs / 1000)} s`
+  return { kind: DecisionKind.Wait, score, reason, substitutes: [], other: null }
+}
+
+function rejoinWays (plan: PendingPlan, { group, intent, places }: Situation): readonly RepairWay[] {
+  const { nowMs, settings } = plan.input
+  if (places > 0 || failedMembers(plan, group).length === 0) return []
+  const reformedAtMs = plan.groupMemory(group.group).reformedAtMs
+  if (reformedAtMs !== null && nowMs - reformedAtMs < 2 * settings.joinMs) return []
+  const score = settings.joinMs / HOUR_MS * costPerHour(intent, group.members.length)
+  return [{ kind: DecisionKind.Rejoin, score, reason: 'no VM is lost: the same members join again', substitutes: [], other: null }]
+}
+
+function replaceWays (plan: PendingPlan, situation: Situation): readonly RepairWay[] {
+  const { group, intent, places, candidates } = situation
+  if (places === 0 || candidates.length < places) return []
+  const substitutes = candidates.slice(0, places)
+  const delayMs = joinDelayMs(plan, substitutes)
+  const loadedLeft = candidates.slice(places).filter((candidate) => candidate.loaded).length
+  const score = delayMs / HOUR_MS * costPerHour(intent, group.members.length) + reserveCost(plan, intent, substitutes, loadedLeft)
+  const reason = `${places} VMs join in ${Math.round(delayMs / 1000)} s, ${countLoads(substitutes)} of them after a load`
+  return [{ kind: DecisionKind.Replace, score, reason, substitutes, other: null }]
+}
+
+/** Fills the rest of the places from another broken group, which then waits for the members that both have lost. */
+function mergeWays (plan: PendingPlan, situation: Situation): readonly RepairWay[] {
+  const { group, intent, places, candidates } = situation
+  if (places === 0) return []
+  const lacking = places - Math.min(candidates.length, places)
+  if (lacking === 0) return []
+  const ownMs = forecastGroup(plan, group, Infinity).expectedMs
+  const others = plan.allGroups().filter((other) => other !== group && other.state === GroupState.Broken)
+  return others.flatMap((other) => {
+    const owner = plan.intentOf(other)
+    const given = survivorsOf(plan, other, group)
+    if (owner === undefined || owner.priority > intent.priority || given.length < lacking) return []
+    const substitutes = [...candidates.slice(0, places), ...given.slice(0, lacking)]
+    const otherMs = forecastGroup(plan, other, Infinity).expectedMs
+    const longerMs = Math.max(0, ownMs - otherMs)
+    const delayMs = joinDelayMs(plan, substitutes)
+    const score = (delayMs * costPerHour(intent, group.members.length) + longerMs * costPerHour(owner, other.members.length)) / HOUR_MS
+    const reason = `${lacking} VMs come from ${other.group}, which is broken too`
+    return [{ kind: DecisionKind.Merge, score, reason, substitutes, other }]
+  })
+}
+
+function survivorsOf (plan: PendingPlan, from: AssignedGroup, to: AssignedGroup): readonly Candidate[] {
+  return from.members
+    .filter((member) => isMemberPresent(member, plan.views) && plan.views.get(member.vm)!.usable)
+    .map((member) => toCandidate(plan, plan.views.get(member.vm)!, nextWeights(plan, to)))
+    .sort((left, right) => Number(right.loaded) - Number(left.loaded))
+}
+
+/** A serving group of strictly lower stated priority can be drained, so that its VMs come free. */
+function donateWays (plan: PendingPlan, situation: Situation): readonly RepairWay[] {
+  const { group, intent, places, candidates } = situation
+  if (places === 0 || candidates.length >= places) return []
+  const { drainMs, loadMs, joinMs } = plan.input.settings
+  const ownMs = forecastGroup(plan, group, Infinity).expectedMs
+  return plan.allGroups().flatMap((other) => {
+    const owner = plan.intentOf(other)
+    const serves = other.state === GroupState.Serving
+    if (!serves || owner === undefined || owner.priority >= intent.priority || other.members.length < places - candidates.length) return []
+    const loads = other.model === group.model && other.version === group.version ? 0 : loadMs
+    const ownCost = (drainMs + loads + joinMs) * costPerHour(intent, group.members.length)
+    const otherCost = ownMs * costPerHour(owner, other.members.length) * LOWER_PRIORITY_PART
+    const reason = `${other.group} of ${other.team} (priority ${owner.priority}) gives its VMs to ${group.team} (priority ${intent.priority})`
+    return [{ kind: DecisionKind.Donate, score: (ownCost + otherCost) / HOUR_MS, reason, substitutes: [], other }]
+  })
+}
+
+/** After the longest wait the survivors come free, if they complete a group that another intent is missing. */
+function dissolveWays (plan: PendingPlan, { group, intent, survivors, candidates }: Situation): readonly RepairWay[] {
+  const { nowMs, settings } = plan.input
+  const brokenSinceMs = plan.groupMemory(group.group).brokenSinceMs ?? nowMs
+  if (nowMs - brokenSinceMs < settings.longestWaitMs) return []
+  const gains = plan.input.intents.filter((other) => other !== intent && other.priority >= intent.priority &&
+    plan.groupsOf(other).length < other.replicas && survivors + candidates.length >= other.vmsPerReplica)
+  if (gains.length === 0) return []
+  const score = forecastGroup(plan, group, Infinity).expectedMs / HOUR_MS * costPerHour(intent, 0)
+  const reason = `its ${survivors} VMs complete a group of ${gains[0]!.model} that is missing`
+  return [{ kind: DecisionKind.Dissolve, score, reason, substitutes: [], other: null }]
+}
--- /dev/null
+++ b/packages/dotterelspur/src/version/planning/StandbyPlan.ts
@@ -0,0 +1,98 @@
+import type { AssignedGroup, AssignedMember } from '../PlatformObjects.js'
+import { GroupState } from '../PlatformObjects.js'
+import { countStandbys } from './Candidates.js'
+import { DecisionKind } from './Decision.js'
+import { orderIntents } from './GroupGrowth.js'
+import { unfitMembers } from './MemberSwap.js'
+import type { PendingPlan } from './PendingPlan.js'
+import type { PlannedIntent } from './PlanningInput.js'
+import { countStepIns } from './StepIn.js'
+import type { VmView } from './VmTable.js'
+import { compareText, holdsWeights, memberOf, revisionOf, weightsKey } from './VmTable.js'
+
+/** Takes VMs out of the standby places that they can't fill any more. */
+export function pruneStandbys (plan: PendingPlan): void {
+  for (const group of plan.allGroups()) {
+    const kept = group.standbys.filter((standby) => isFit(plan, standby))
+    if (kept.length === group.standbys.length) continue
+    const gone = group.standbys.filter((standby) => !kept.includes(standby)).map((standby) => standby.vm)
+    plan.setGroup({ ...group, standbys: kept })
+    plan.decide({ kind: DecisionKind.Standby, group: group.group, vms: gone, reason: `${gone.join(', ')} can no longer stand by` })
+  }
+}
+
+function isFit (plan: PendingPlan, standby: AssignedMember): boolean {
+  const view = plan.views.get(standby.vm)
+  if (view === undefined || view.health.incarnation > standby.incarnation) return false
+  if (view.present) return view.usable
+  return view.absentForMs < plan.input.settings.absenceGraceMs
+}
+
+/**
+ * Gives idle VMs to groups as standbys, loaded with their weights: first those that the intents ask for and
+ * those that a swap needs, then, since an idle VM costs the same either way, a few beyond.
+ */
+export function planStandbys (plan: PendingPlan): void {
+  for (const intent of orderIntents(plan.input.intents)) {
+    const swaps = plan.groupsOf(intent).reduce((sum, group) => sum + unfitMembers(plan, group).length, 0)
+    addStandbys(plan, intent, intent.standbys + swaps)
+  }
+  for (const intent of orderIntents(plan.input.intents)) addStandbys(plan, intent, intent.standbys + plan.input.settings.idleStandbys)
+}
+
+function addStandbys (plan: PendingPlan, intent: PlannedIntent, wanted: number): void {
+  for (let count = countStandbys(plan, intent); count < wanted; count++) {
+    const group = neediestGroup(plan, intent)
+    const view = group === undefined ? undefined : bestFreeVm(plan, group)
+    if (group === undefined || view === undefined) return
+    const weights = { model: group.model, revision: revisionOf(group) }
+    const loaded = holdsWeights(view, weights, plan.input)
+    if (!loaded && !plan.mayLoad(1)) return
+    if (!loaded) plan.startLoad(view.health.vm, weightsKey(weights))
+    plan.setGroup({ ...group, standbys: [...group.standbys, memberOf(view)] })
+    plan.decide({ kind: DecisionKind.Standby, group: group.group, vms: [view.health.vm], reason: `${view.health.vm} stands by for ${group.group}` })
+  }
+}
+
+/** Groups whose members are about to go first, then those with the fewest standbys. */
+function neediestGroup (plan: PendingPlan, intent: PlannedIntent): AssignedGroup | undefined {
+  return plan.groupsOf(intent)
+    .filter((group) => group.state !== GroupState.Draining)
+    .sort((left, right) =>
+      lackOf(plan, right) - lackOf(plan, left) ||
+      left.standbys.length - right.standbys.length ||
+      left.formation - right.formation)[0]
+}
+
+function lackOf (plan: PendingPlan, group: AssignedGroup): number {
+  return Math.max(0, unfitMembers(plan, group).length - group.standbys.length)
+}
+
+function bestFreeVm (plan: PendingPlan, group: AssignedGroup): VmView | undefined {
+  const weights = { model: group.model, revision: revisionOf(group) }
+  const loaded = (view: VmView): number => Number(holdsWeights(view, weights, plan.input))
+  return [...plan.views.values()]
+    .filter((view) => view.usable && plan.placeOf(view.health.vm) === undefined)
+    .sort((left, right) =>
+      loaded(right) - loaded(left) ||
+      left.memory.absencesMs.length - right.memory.absencesMs.length ||
+      compareText(left.health.vm, right.health.vm))[0]
+}
+
+/** Sets formation numbers aside for standbys that may step in; new ones whenever members or standbys have changed. */
+export function reserveStepIns (plan: PendingPlan): void {
+  const before = new Map((plan.input.assignment?.groups ?? []).map((group) => [group.group, group]))
+  for (const group of plan.allGroups()) {
+    const numbers = countStepIns(group.members.length, group.standbys.length)
+    const known = before.get(group.group)
+    if (known !== undefined && known.formation === group.formation && sameStandbys(known, group) && (numbers === 0) === (known.stepInBase === undefined)) continue
+    const { stepInBase: _stepInBase, ...rest } = group
+    if (numbers === 0) plan.setGroup(rest)
+    else plan.setGroup({ ...rest, stepInBase: plan.reserveFormations(numbers) })
+  }
+}
+
+function sameStandbys (left: AssignedGroup, right: AssignedGroup): boolean {
+  const key = (group: AssignedGroup): string => JSON.stringify(group.standbys.map((standby) => [standby.vm, standby.incarnation]))
+  return key(left) === key(right)
+}
--- a/packages/dotterelspur/src/version/planning/VmTable.ts
+++ b/packages/dotterelspur/src/version/planning/VmTable.ts
@@ -1,7 +1,8 @@
-import type { VmId } from '../../process/ids.js'
+import type { ModelId, VmId } from '../../process/ids.js'
 import { EngineState } from '../../process/Presence.js'
-import type { AssignedMember } from '../PlatformObjects.js'
-import type { FabricDomainInput, PlannedIntent, VmHealth } from './PlanningInput.js'
+import type { LoadedModel } from '../../process/Presence.js'
+import type { AssignedGroup, AssignedMember, ModelRevision } from '../PlatformObjects.js'
+import type { FabricDomainInput, VmHealth } from './PlanningInput.js'
 import { VmPresence } from './PlanningInput.js'
 import type { PlanningMemory, VmMemory } from './PlanningMemory.js'
 import type { PlanningSettings } from './PlanningSettings.js'
@@ -18,7 +19,10 @@
   readonly absentForMs: number
 }
 
-/** The VMs of this fabric domain, each once, under its highest incarnation: the list may name a VM twice. */
+/**
+ * The VMs of this fabric domain, each once, under its highest incarnation: the list may name a VM twice. A VM
+ * that is assigned and not named at all counts as absent from now on, since the list also leaves out live ones.
+ */
 export function distinctVms (input: FabricDomainInput): readonly VmHealth[] {
   const highest = new Map<VmId, VmHealth>()
   for (const health of input.vms) {
@@ -26,9 +30,29 @@
     const known = highest.get(health.vm)
     if (known === undefined || health.incarnation > known.incarnation) highest.set(health.vm, health)
   }
+  for (const group of input.assignment?.groups ?? []) {
+    for (const member of [...group.members, ...group.standbys]) {
+      if (!highest.has(member.vm)) highest.set(member.vm, unlisted(member, input))
+    }
+  }
   return [...highest.values()].sort((left, right) => compareText(left.vm, right.vm))
 }
 
+function unlisted (member: AssignedMember, input: FabricDomainInput): VmHealth {
+  return {
+    vm: member.vm,
+    incarnation: member.incarnation,
+    address: member.address,
+    fabricDomain: input.fabricDomain,
+    presence: VmPresence.Absent,
+    absentSinceMs: null,
+    status: null,
+    leaving: false,
+    drained: false,
+    straggling: false
+  }
+}
+
 export function compareText (left: string, right: string): number {
   if (left === right) return 0
   return left < right ? -1 : 1
@@ -55,13 +79,44 @@
   return memory.presentSinceMs === null || nowMs - memory.presentSinceMs < settings.flapHoldMs
 }
 
-/** Whether the VM holds the intent's weights, so that joining a formation needs no load. */
-export function holdsRevision (view: VmView, intent: PlannedIntent): boolean {
+/** A model at a revision: what a VM must hold to join without a load. */
+export interface Weights {
+  readonly model: ModelId
+  readonly revision: ModelRevision
+}
+
+export function weightsKey ({ model, revision }: Weights): string {
+  return JSON.stringify([model, revision.version, revision.adapters])
+}
+
+export function sameRevision (left: ModelRevision, right: ModelRevision): boolean {
+  return left.version === right.version &&
+    left.adapters.length === right.adapters.length &&
+    left.adapters.every((adapter) => right.adapters.includes(adapter))
+}
+
+export function revisionOf (group: Pick<AssignedGroup, 'version' | 'adapters'>): ModelRevision {
+  return { version: group.version, adapters: group.adapters }
+}
+
+/**
+ * Whether the VM holds the weights, so that joining a formation needs no load. Where an engine doesn't say what
+ * it holds, it is taken to hold what it serves, and what it was told to load long enough ago.
+ */
+export function holdsWeights (view: VmView, weights: Weights, input: FabricDomainInput): boolean {
   const status = view.health.status
-  if (status === null || status.state === EngineState.Loading || status.state === EngineState.Failed) return false
-  return status.model === intent.model &&
-    status.version === intent.revision.version &&
-    intent.revision.adapters.every((adapter) => status.adapters.includes(adapter))
+  if (status === null || status.state === EngineState.Failed) return false
+  if (status.loaded !== undefined) return status.loaded.some((loaded) => matches(loaded, weights))
+  const serves = status.state !== EngineState.Loading && status.model !== null && status.version !== null &&
+    matches({ model: status.model, version: status.version, adapters: status.adapters }, weights)
+  const { preload } = view.memory
+  return serves || (preload !== null && preload.key === weightsKey(weights) && input.nowMs - preload.sinceMs >= input.settings.loadMs)
+}
+
+function matches (loaded: LoadedModel, { model, revision }: Weights): boolean {
+  return loaded.model === model &&
+    loaded.version === revision.version &&
+    revision.adapters.every((adapter) => loaded.adapters.includes(adapter))
 }
 
 export function memberOf (view: VmView): AssignedMember {
--- /dev/null
+++ b/packages/dotterelspur/src/version/planning/allocateReplicas.ts
@@ -0,0 +1,221 @@
+import type { FabricDomainId } from '../../process/ids.js'
+import { hashText } from '../../process/rendezvous.js'
+import type { ModelIntent } from '../TeamSettings.js'
+import type { FabricDomainCapacity, HeldGroups, RankedIntent, ReplicaAllocation, ReplicaShare, UnmetIntent } from './ReplicaAllocation.js'
+import { compareText } from './VmTable.js'
+
+const NOTHING_HELD = { serving: 0, forming: 0, lost: 0 }
+/** A move pays only when it evens out at least this difference between two failure domains. */
+const MOVE_DIFFERENCE = 2
+
+interface Slot {
+  readonly domain: FabricDomainCapacity
+  replicas: number
+}
+
+/**
+ * VMs of each fabric domain that no intent of higher rank has taken, and those that lower ranks hold of them. A
+ * VM that is away for a restart drops out of the list while its group waits for it: what is held counts as there.
+ */
+class CapacityLedger {
+  private readonly left = new Map<FabricDomainId, number>()
+  private readonly heldByLower = new Map<FabricDomainId, number>()
+
+  constructor (domains: readonly FabricDomainCapacity[], intents: readonly RankedIntent[]) {
+    const sizes = new Map(intents.map((ranked) => [intentKey(ranked.team, ranked.intent.model), ranked.intent.vmsPerReplica]))
+    for (const domain of domains) {
+      const held = domain.held.reduce((sum, groups) =>
+        sum + (groups.serving + groups.forming) * (sizes.get(intentKey(groups.team, groups.model)) ?? 0), 0)
+      this.heldByLower.set(domain.fabricDomain, held)
+      this.left.set(domain.fabricDomain, Math.max(domain.vms, held))
+    }
+  }
+
+  take (domain: FabricDomainId, vms: number): void {
+    this.left.set(domain, this.left.get(domain)! - vms)
+  }
+
+  /** The intent's own groups are no longer held by a lower rank once it is its turn. */
+  startIntent (domain: FabricDomainCapacity, vms: number): void {
+    this.heldByLower.set(domain.fabricDomain, Math.max(0, this.heldByLower.get(domain.fabricDomain)! - vms))
+  }
+
+  fits (domain: FabricDomainId, vms: number): boolean {
+    return this.left.get(domain)! >= vms
+  }
+
+  fitsWithoutDisplacing (domain: FabricDomainId, vms: number): boolean {
+    return this.left.get(domain)! - this.heldByLower.get(domain)! >= vms
+  }
+}
+
+/**
+ * Says which fabric domain holds how many replicas of each intent. A pure function of the settings, the
+ * platform's list and the assignments, which every controller reads: controllers of different failure domains
+ * come to the same answer without talking, and while their views differ they err towards one replica too many,
+ * never towards giving up one that serves.
+ *
+ * Intents go by stated priority, then by name. What is held stays where it is; new replicas go to the failure
+ * domain that has the fewest of the intent.
+ */
+export function allocateReplicas (intents: readonly RankedIntent[], domains: readonly FabricDomainCapacity[]): ReplicaAllocation {
+  const ledger = new CapacityLedger(domains, intents)
+  const shares: ReplicaShare[] = []
+  const unmet: UnmetIntent[] = []
+  const settled: RankedIntent[] = []
+  for (const ranked of rankIntents(intents)) {
+    const slots = allocateIntent(ranked, domains, ledger)
+    const allocated = slots.reduce((sum, slot) => sum + slot.replicas, 0)
+    for (const slot of slots) {
+      if (slot.replicas > 0) shares.push({ team: ranked.team, model: ranked.intent.model, fabricDomain: slot.domain.fabricDomain, replicas: slot.replicas })
+    }
+    if (allocated < ranked.intent.replicas) unmet.push(describeUnmet(ranked, allocated, slots, settled))
+    settled.push(ranked)
+  }
+  return { shares, unmet }
+}
+
+function rankIntents (intents: readonly RankedIntent[]): readonly RankedIntent[] {
+  return intents.slice().sort((left, right) =>
+    right.priority - left.priority ||
+    compareText(left.team, right.team) ||
+    compareText(left.intent.model, right.intent.model))
+}
+
+function allocateIntent (ranked: RankedIntent, domains: readonly FabricDomainCapacity[], ledger: CapacityLedger): readonly Slot[] {
+  const { intent } = ranked
+  const slots = domains
+    .filter((domain) => isEligible(intent, domain))
+    .sort((left, right) => compareText(left.fabricDomain, right.fabricDomain))
+    .map((domain): Slot => ({ domain, replicas: 0 }))
+  keepHeld(ranked, slots, ledger)
+  giveUpSurplus(ranked, slots, ledger)
+  placeMissing(ranked, slots, ledger)
+  startOneMove(ranked, slots, ledger)
+  return slots
+}
+
+function isEligible (intent: ModelIntent, domain: FabricDomainCapacity): boolean {
+  return allows(intent.regions, domain.region) && allows(intent.failureDomains, domain.failureDomain) && allows(intent.fabricDomains, domain.fabricDomain)
+}
+
+function allows (named: readonly string[], id: string): boolean {
+  return named.length === 0 || named.includes(id)
+}
+
+function heldOf (ranked: RankedIntent, domain: FabricDomainCapacity): Pick<HeldGroups, 'serving' | 'forming' | 'lost'> {
+  return domain.held.find((held) => held.team === ranked.team && held.model === ranked.intent.model) ?? NOTHING_HELD
+}
+
+function keepHeld (ranked: RankedIntent, slots: readonly Slot[], ledger: CapacityLedger): void {
+  const size = ranked.intent.vmsPerReplica
+  for (const slot of slots) {
+    const { serving, forming } = heldOf(ranked, slot.domain)
+    const held = serving + forming
+    ledger.startIntent(slot.domain, held * size)
+    while (slot.replicas < held && ledger.fits(slot.domain.fabricDomain, size)) addReplica(slot, size, ledger)
+  }
+}
+
+function addReplica (slot: Slot, size: number, ledger: CapacityLedger): void {
+  slot.replicas += 1
+  ledger.take(slot.domain.fabricDomain, size)
+}
+
+function total (slots: readonly Slot[]): number {
+  return slots.reduce((sum, slot) => sum + slot.replicas, 0)
+}
+
+/**
+ * One replica above the wanted count stays until more serve than are wanted: it may be the new end of a move,
+ * or what another controller has just formed. All above that go, from the most crowded failure domain first.
+ */
+function giveUpSurplus (ranked: RankedIntent, slots: readonly Slot[], ledger: CapacityLedger): void {
+  const wanted = ranked.intent.replicas
+  let serving = slots.reduce((sum, slot) => sum + Math.min(slot.replicas, heldOf(ranked, slot.domain).serving), 0)
+  while (total(slots) > wanted) {
+    if (total(slots) === wanted + 1 && serving <= wanted && serving > 0) return
+    const slot = mostCrowded(ranked, slots, serving > wanted || wanted === 0)
+    if (slot === undefined) return
+    if (slot.replicas <= heldOf(ranked, slot.domain).serving) serving -= 1
+    slot.replicas -= 1
+    ledger.take(slot.domain.fabricDomain, -ranked.intent.vmsPerReplica)
+  }
+}
+
+function mostCrowded (ranked: RankedIntent, slots: readonly Slot[], mayBeServing: boolean): Slot | undefined {
+  return slots
+    .filter((slot) => slot.replicas > 0 && (mayBeServing || slot.replicas > heldOf(ranked, slot.domain).serving))
+    .sort((left, right) =>
+      inFailureDomain(slots, right) - inFailureDomain(slots, left) ||
+      right.replicas - left.replicas ||
+      placeHash(ranked, left) - placeHash(ranked, right))[0]
+}
+
+function inFailureDomain (slots: readonly Slot[], slot: Slot): number {
+  return total(slots.filter((other) => other.domain.failureDomain === slot.domain.failureDomain))
+}
+
+function inRegion (slots: readonly Slot[], slot: Slot): number {
+  return total(slots.filter((other) => other.domain.region === slot.domain.region))
+}
+
+function placeHash (ranked: RankedIntent, slot: Slot): number {
+  return hashText(`${ranked.team}/${ranked.intent.model}/${slot.domain.fabricDomain}`)
+}
+
+function placeMissing (ranked: RankedIntent, slots: readonly Slot[], ledger: CapacityLedger): void {
+  while (total(slots) < ranked.intent.replicas) {
+    const slot = leastCrowded(ranked, slots, ledger)
+    if (slot === undefined) return
+    addReplica(slot, ranked.intent.vmsPerReplica, ledger)
+  }
+}
+
+/** Free VMs go before those of lower intents; then the fewest replicas in the region, failure domain and fabric domain. */
+function leastCrowded (ranked: RankedIntent, slots: readonly Slot[], ledger: CapacityLedger): Slot | undefined {
+  const size = ranked.intent.vmsPerReplica
+  const open = slots.filter((slot) => ledger.fits(slot.domain.fabricDomain, size))
+  const displaces = (slot: Slot): number => ledger.fitsWithoutDisplacing(slot.domain.fabricDomain, size) ? 0 : 1
+  const lost = (slot: Slot): number => heldOf(ranked, slot.domain).lost
+  return open.sort((left, right) =>
+    lost(left) - lost(right) ||
+    displaces(left) - displaces(right) ||
+    inRegion(slots, left) - inRegion(slots, right) ||
+    inFailureDomain(slots, left) - inFailureDomain(slots, right) ||
+    left.replicas - right.replicas ||
+    placeHash(ranked, left) - placeHash(ranked, right))[0]
+}
+
+/**
+ * After a failure domain has come back, its share of the intent sits elsewhere and the next failure takes more
+ * than its part. One replica at a time is formed in the emptier failure domain; `giveUpSurplus` lets go of one
+ * in the fuller once the new one serves.
+ */
+function startOneMove (ranked: RankedIntent, slots: readonly Slot[], ledger: CapacityLedger): void {
+  const wanted = ranked.intent.replicas
+  const serving = slots.reduce((sum, slot) => sum + heldOf(ranked, slot.domain).serving, 0)
+  if (total(slots) !== wanted || serving !== wanted) return
+  const size = ranked.intent.vmsPerReplica
+  const free = slots.filter((slot) => ledger.fitsWithoutDisplacing(slot.domain.fabricDomain, size) && heldOf(ranked, slot.domain).lost === 0)
+  const target = free.sort((left, right) => inFailureDomain(slots, left) - inFailureDomain(slots, right) || placeHash(ranked, left) - placeHash(ranked, right))[0]
+  const source = mostCrowded(ranked, slots, true)
+  if (target === undefined || source === undefined) return
+  if (inFailureDomain(slots, source) - inFailureDomain(slots, target) < MOVE_DIFFERENCE) return
+  addReplica(target, size, ledger)
+}
+
+function describeUnmet (ranked: RankedIntent, allocated: number, slots: readonly Slot[], settled: readonly RankedIntent[]): UnmetIntent {
+  const { team, intent } = ranked
+  const before = settled.filter((other) => slots.some((slot) => isEligible(other.intent, slot.domain)))
+  const names = before.map((other) => `${other.team}/${other.intent.model} (priority ${other.priority})`)
+  const cause = slots.length === 0
+    ? 'no fabric domain is allowed by its regions, failure domains and fabric domains'
+    : `no fabric domain has ${intent.vmsPerReplica} more VMs to give`
+  const lostTo = names.length === 0 ? '' : `; before it (priority ${ranked.priority}) go ${names.join(', ')}`
+  return { team, model: intent.model, wanted: intent.replicas, allocated, reason: cause + lostTo }
+}
+
+function intentKey (team: string, model: string): string {
+  return `${team}\u0000${model}`
+}
