Mesh: advertise a whole address

The settings take host:port; a node behind a relay or a mapped port has another port outside than inside, and the option carried only a host.

--- a/packages/dotterelspur-mesh/src/process/Mesh.ts
+++ b/packages/dotterelspur-mesh/src/process/Mesh.ts
@@ -27,8 +27,8 @@
   readonly listenHost: string
   /** 0 lets the system choose. */
   readonly listenPort: number
-  /** What peers are to dial instead of the listening address; host without port. */
-  readonly advertiseHost?: string
+  /** `host:port` that peers are to dial instead of the listening address. */
+  readonly advertiseAddress?: string
   /** The address from which outgoing connections come: the node's own IP number. */
   readonly localAddress?: string
   readonly credentials: MeshCredentials
@@ -103,8 +103,8 @@
   async start (): Promise<Result<NodeMember, ListenError>> {
     const listening = await this.transport.listen()
     if (!listening.ok) return listening
-    const host = this.options.advertiseHost ?? this.options.listenHost
-    this.machine.setAddress(`${host}:${listening.value}`, this.options.clock.nowMs())
+    const address = this.options.advertiseAddress ?? `${this.options.listenHost}:${listening.value}`
+    this.machine.setAddress(address, this.options.clock.nowMs())
     this.scheduleTick()
     log('%s listens on %s', homeOf(this.self), this.self.meshAddress)
     return success(this.self)
