--- a/packages/dotterelspur-bench/src/experiments/routing/RoutingExperiment.ts
+++ b/packages/dotterelspur-bench/src/experiments/routing/RoutingExperiment.ts
@@ -1,6 +1,6 @@
+import { spreadOf, type Spread } from '../../process/BenchReport.js'
 import { PolicyKind } from './Policy.js'
 import { DEFAULT_RUN, RunFault, runRouting, type RunOptions, type RunResult } from './RoutingRun.js'
-import { spreadOf, type Spread } from './statistics.js'
 
 /** One place of the fleet that is looked at: a region's nodes before its groups. */
 export interface FleetSize {
@@ -29,6 +29,8 @@
   readonly points: readonly RoutingPoint[]
   readonly policies: readonly PolicyKind[]
   readonly seeds: readonly number[]
+  readonly durationMs: number
+  progress (line: string): void
   readonly routing: RunOptions['routing']
 }
 
@@ -85,14 +87,19 @@
   return options.points.flatMap((point) => {
     const capacity = capacities.get(point.fleet) ?? capacityOf(point.fleet)
     capacities.set(point.fleet, capacity)
+    options.progress(describePoint(point))
     return options.policies.map((policy) => runPoint(point, policy, capacity * point.load, options))
   })
 }
 
-function runPoint (point: RoutingPoint, policy: PolicyKind, requestsPerSecond: number, { seeds, routing }: RoutingExperimentOptions): RoutingRow {
+export function describePoint ({ fleet, load, loadLagMs, fault }: RoutingPoint): string {
+  return `${fleet.name}, load ${load}, load readings ${loadLagMs / 1_000} s old, ${fault === RunFault.None ? 'no fault' : fault}`
+}
+
+function runPoint (point: RoutingPoint, policy: PolicyKind, requestsPerSecond: number, { seeds, routing, durationMs }: RoutingExperimentOptions): RoutingRow {
   const { nodes, groups } = point.fleet
   const { loadLagMs, fault } = point
-  const results = seeds.map((seed) => runRouting({ ...DEFAULT_RUN, policy, seed, nodes, groups, requestsPerSecond, loadLagMs, fault, routing }))
+  const results = seeds.map((seed) => runRouting({ ...DEFAULT_RUN, policy, seed, nodes, groups, requestsPerSecond, loadLagMs, fault, routing, durationMs }))
   const over = (read: (result: RunResult) => number): Spread => spreadOf(results.map(read))
   return {
     point,
--- a/packages/dotterelspur-bench/src/experiments/routing/statistics.ts
+++ b/packages/dotterelspur-bench/src/experiments/routing/statistics.ts
@@ -6,15 +6,3 @@
   const sorted = [...samples].sort((left, right) => left - right)
   return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * percent / PERCENT))]!
 }
-
-export interface Spread {
-  readonly mean: number
-  readonly lowest: number
-  readonly highest: number
-}
-
-/** Mean and range over seeds. */
-export function spreadOf (values: readonly number[]): Spread {
-  const mean = values.reduce((sum, value) => sum + value, 0) / values.length
-  return { mean, lowest: Math.min(...values), highest: Math.max(...values) }
-}
--- a/packages/dotterelspur-bench/src/process/experiments.ts
+++ b/packages/dotterelspur-bench/src/process/experiments.ts
@@ -1,7 +1,9 @@
+import { routingExperiment } from '../experiments/routing/index.js'
 import type { Experiment } from './Experiment.js'
 
 /** All experiments, by name. A new one adds its folder under `src/experiments/` and one line here. */
 const EXPERIMENTS: readonly Experiment[] = [
+  routingExperiment
 ]
 
 export function findExperiment (name: string): Experiment | undefined {
