Settings reference page, secrets from files, and no secret in errors about two keys

A rule between two keys showed the value of the key it names: with both token and token-file, the operators' token stood in the error. The test for it failed before (the text of the token was found in the problems) and passes now. Durations in fractions of a unit are rounded: 1.005 s was refused.

--- a/packages/dotterelspur-settings/src/__tests__/unit/parseNodeSettings.test.ts
+++ b/packages/dotterelspur-settings/src/__tests__/unit/parseNodeSettings.test.ts
@@ -1,6 +1,6 @@
 import { readFileSync } from 'node:fs'
 import { expect } from 'chai'
-import { FencingMode, MeshSecurityKind, SettingsProblemKind, fencingOf, formatSettingsError, parseNodeSettings, type NodeSettings, type SettingsProblem } from '../../index.js'
+import { FencingMode, SecretSourceKind, MeshSecurityKind, SettingsProblemKind, fencingOf, formatSettingsError, parseNodeSettings, readSecret, type NodeSettings, type SettingsProblem } from '../../index.js'
 
 const EXAMPLES = new URL('../../../../../examples/', import.meta.url)
 
@@ -33,8 +33,9 @@
 
 describe('parseNodeSettings', () => {
   it('fills in every default and keeps what is given', () => {
-    const settings = parse(createText({ timing: ['probe-interval-ms = 0.25 s'], 'endpoints d-2': ['fencing = checked'] }))
+    const settings = parse(createText({ timing: ['probe-interval-ms = 0.25 s', 'gossip-interval-ms = 1.005 s'], 'endpoints d-2': ['fencing = checked'] }))
     expect(settings.timing.probeIntervalMs).to.equal(250)
+    expect(settings.timing.gossipIntervalMs).to.equal(1_005)
     expect(settings.timing.leaseTtlMs).to.equal(6_000)
     expect(settings.entry.port).to.equal(8080)
     expect(settings.mesh.security.kind).to.equal(MeshSecurityKind.SharedKey)
@@ -72,6 +73,15 @@
     })
   }
 
+  it('keeps a secret out of an error about two keys', () => {
+    // Symptom: an operator's token stands in a log or a ticket.
+    // Sequence: a file gives both token and token-file; the error shows what was found.
+    // Cause: rules between keys showed the value of the key they name, secret or not.
+    const problems = problemsOf(createText({ admin: ['token = fedcba9876543210', 'token-file = /t'], mesh: ['shared-key = 0123456789abcdef', 'key-file = /k'] }))
+    expect(problems).to.have.length(2)
+    expect(JSON.stringify(problems)).to.not.include('fedcba9876543210').and.not.include('0123456789abcdef')
+  })
+
   it('reports every problem at once, in the order of the lines, and never shows a secret', () => {
     const problems = problemsOf(createText({ admin: ['token = short'], platform: ['url = ftp://x', 'timeout-ms = -1'] }))
     expect(problems.map((problem) => problem.key)).to.deep.equal(['token', 'url', 'timeout-ms'])
@@ -79,3 +89,26 @@
     expect(formatSettingsError({ problems })).to.match(/^node\.ini:\d+ \[admin\] token: invalid-value, found "\(hidden\)"; accepted: /)
   })
 })
+
+describe('readSecret', () => {
+  const place = { file: 'node.ini', section: 'admin', key: 'token' }
+  const source = { kind: SecretSourceKind.File, path: '/run/token' } as const
+
+  it('reads the file that the settings name', () => {
+    expect(readSecret(source, place, () => '0123456789abcdef\n')).to.deep.equal({ ok: true, value: '0123456789abcdef' })
+  })
+
+  const faults: ReadonlyArray<{ title: string, readFile: () => string }> = [
+    { title: 'a file that is not there', readFile: () => { throw new Error('ENOENT') } },
+    { title: 'an empty file', readFile: () => '' },
+    { title: 'a file of something else', readFile: () => 'two words that are no token' }
+  ]
+  for (const { title, readFile } of faults) {
+    it(`refuses ${title}, without showing what is in it`, () => {
+      const result = readSecret(source, place, readFile)
+      const problem = result.ok ? undefined : result.error.problems[0]
+      expect(problem).to.deep.include({ section: 'admin', key: 'token-file' })
+      expect(problem!.found).to.include('/run/token').and.not.include('two words')
+    })
+  }
+})
--- a/packages/dotterelspur-settings/src/process/NodeSchema.ts
+++ b/packages/dotterelspur-settings/src/process/NodeSchema.ts
@@ -78,15 +78,16 @@
   }),
   relations: [{
     key: 'shared-key',
-    broken: (mesh) => {
+    rule: 'exactly one of shared-key and shared-key-file, or all of certificate-file, key-file and authority-file',
+    holds: (mesh) => {
       const shared = [mesh.sharedKey, mesh.sharedKeyFile].filter((value) => value !== undefined).length
       const files = [mesh.certificateFile, mesh.keyFile, mesh.authorityFile].filter((value) => value !== undefined).length
-      const fits = (shared === 1 && files === 0) || (shared === 0 && files === 3)
-      return fits ? null : 'exactly one of shared-key and shared-key-file, or all of certificate-file, key-file and authority-file'
+      return (shared === 1 && files === 0) || (shared === 0 && files === 3)
     }
   }, {
     key: 'max-queued-bytes',
-    broken: (mesh) => mesh.maxQueuedBytes >= mesh.maxFrameBytes ? null : 'at least max-frame-bytes'
+    rule: 'at least max-frame-bytes',
+    holds: (mesh) => mesh.maxQueuedBytes >= mesh.maxFrameBytes
   }]
 })
 
@@ -104,7 +105,8 @@
   }),
   relations: [{
     key: 'token',
-    broken: (admin) => (admin.token === undefined) === (admin.tokenFile === undefined) ? 'exactly one of token and token-file' : null
+    rule: 'exactly one of token and token-file',
+    holds: (admin) => (admin.token === undefined) !== (admin.tokenFile === undefined)
   }]
 })
 
@@ -123,7 +125,8 @@
   }),
   relations: [{
     key: 'token',
-    broken: (platform) => platform.token !== undefined && platform.tokenFile !== undefined ? 'at most one of token and token-file' : null
+    rule: 'at most one of token and token-file',
+    holds: (platform) => platform.token === undefined || platform.tokenFile === undefined
   }]
 })
 
@@ -172,22 +175,28 @@
   }),
   relations: [{
     key: 'evidence-ttl-ms',
-    broken: (timing) => timing.evidenceTtlMs > timing.probeIntervalMs + timing.probeTimeoutMs ? null : 'more than probe-interval-ms and probe-timeout-ms together, or complete groups would stop between probes'
+    rule: 'more than probe-interval-ms and probe-timeout-ms together, or complete groups would stop between probes',
+    holds: (timing) => timing.evidenceTtlMs > timing.probeIntervalMs + timing.probeTimeoutMs
   }, {
     key: 'lease-margin-ms',
-    broken: (timing) => timing.leaseRenewMs + timing.leaseMarginMs < timing.leaseTtlMs ? null : 'with lease-renew-ms together less than lease-ttl-ms, or a holder would stop between renewals'
+    rule: 'with lease-renew-ms together less than lease-ttl-ms, or a holder would stop between renewals',
+    holds: (timing) => timing.leaseRenewMs + timing.leaseMarginMs < timing.leaseTtlMs
   }, {
     key: 'order-timeout-ms',
-    broken: (timing) => timing.orderTimeoutMs <= timing.leaseMarginMs ? null : 'at most lease-margin-ms, or an order could be under way after its lease'
+    rule: 'at most lease-margin-ms, or an order could be under way after its lease',
+    holds: (timing) => timing.orderTimeoutMs <= timing.leaseMarginMs
   }, {
     key: 'pause-threshold-ms',
-    broken: (timing) => timing.pauseThresholdMs < timing.leaseTtlMs ? null : 'less than lease-ttl-ms, or a pause could outlast a lease unseen'
+    rule: 'less than lease-ttl-ms, or a pause could outlast a lease unseen',
+    holds: (timing) => timing.pauseThresholdMs < timing.leaseTtlMs
   }, {
     key: 'gossip-interval-ms',
-    broken: (timing) => timing.gossipIntervalMs < timing.evidenceTtlMs ? null : 'less than evidence-ttl-ms, or evidence would be too old on arrival'
+    rule: 'less than evidence-ttl-ms, or evidence would be too old on arrival',
+    holds: (timing) => timing.gossipIntervalMs < timing.evidenceTtlMs
   }, {
     key: 'lease-ttl-ms',
-    broken: (timing) => timing.leaseTtlMs < timing.inForceBoundMs ? null : 'less than in-force-bound-ms, or a lost holder would outlast the bound'
+    rule: 'less than in-force-bound-ms, or a lost holder would outlast the bound',
+    holds: (timing) => timing.leaseTtlMs < timing.inForceBoundMs
   }]
 })
 
--- a/packages/dotterelspur-settings/src/process/SectionSpec.ts
+++ b/packages/dotterelspur-settings/src/process/SectionSpec.ts
@@ -13,11 +13,13 @@
   readonly read: (text: string) => string | undefined
 }
 
-/** A rule between several keys of one section. `broken` returns what is wrong, or null. */
+/** A rule between several keys of one section. */
 export interface SectionRelation<Value> {
   /** The key, in its INI spelling, that the error names. */
   readonly key: string
-  readonly broken: (value: Value) => string | null
+  /** What is accepted, for the error and the reference page. */
+  readonly rule: string
+  readonly holds: (value: Value) => boolean
 }
 
 /** One kind of section: its header, its keys and the rules between them. */
@@ -153,9 +155,13 @@
 
 function brokenRelations (file: string, spec: SectionSpec, section: TextSection, value: z.output<z.ZodObject<AnyShape>>): SettingsProblem[] {
   return spec.relations.flatMap((relation) => {
-    const accepted = relation.broken(value)
-    if (accepted === null) return []
+    if (relation.holds(value)) return []
     const entry = section.entries.find((candidate) => candidate.key === relation.key)
-    return [{ kind: SettingsProblemKind.InvalidRelation, file, line: entry?.line ?? section.line, section: section.name, key: relation.key, found: entry === undefined ? null : quoteFound(entry.value), accepted }]
+    return [{ kind: SettingsProblemKind.InvalidRelation, file, line: entry?.line ?? section.line, section: section.name, key: relation.key, found: entry === undefined || isSecret(spec, relation.key) ? null : quoteFound(entry.value), accepted: relation.rule }]
   })
 }
+
+function isSecret (spec: SectionSpec, key: string): boolean {
+  const field = Object.keys(spec.schema.shape).find((candidate) => toIniKey(candidate) === key)
+  return field !== undefined && metadataOf(spec.schema.shape[field]!).secret
+}
--- /dev/null
+++ b/packages/dotterelspur-settings/src/process/readSecret.ts
@@ -0,0 +1,35 @@
+import { failed, success, type Result } from 'dotterelspur'
+import { SecretSourceKind, type SecretSource } from './NodeSettings.js'
+import { SettingsProblemKind, quoteFound, type SettingsError } from './SettingsError.js'
+
+const SECRET_PATTERN = /^[\x21-\x7e]{16,512}$/
+
+/** Where a secret is used, for errors. */
+export interface SecretPlace {
+  readonly file: string
+  readonly section: string
+  /** The key without `-file`, such as `token`. */
+  readonly key: string
+}
+
+/**
+ * The text of a secret that the settings give or whose file they name. White space around a file's text is left
+ * out. The error names the file and never shows what is in it.
+ *
+ * @param readFile reads a file whole; may throw what the file system throws.
+ */
+export function readSecret (source: SecretSource, place: SecretPlace, readFile: (path: string) => string): Result<string, SettingsError> {
+  if (source.kind === SecretSourceKind.Text) return success(source.text)
+  let text: string
+  try {
+    text = readFile(source.path).trim()
+  } catch (error) {
+    return unusable(source.path, place, (error as Error).message)
+  }
+  return SECRET_PATTERN.test(text) ? success(text) : unusable(source.path, place, 'the file holds something else')
+}
+
+function unusable (path: string, { file, section, key }: SecretPlace, reason: string): Result<never, SettingsError> {
+  const accepted = 'a readable file that holds 16 to 512 printable characters without spaces'
+  return failed({ problems: [{ kind: SettingsProblemKind.InvalidValue, file, line: null, section, key: `${key}-file`, found: quoteFound(`${path}: ${reason}`), accepted }] })
+}
--- a/packages/dotterelspur-settings/src/process/values.ts
+++ b/packages/dotterelspur-settings/src/process/values.ts
@@ -27,6 +27,7 @@
 
 const DURATION_PATTERN = /^(\d{1,12}(?:\.\d{1,6})?) ?(ms|s|min|h)?$/
 const DURATION_UNITS_MS: Readonly<Record<string, number>> = { ms: 1, s: 1_000, min: 60_000, h: 3_600_000 }
+const ROUNDING_TOLERANCE_MS = 0.000_001
 const SIZE_PATTERN = /^(\d{1,15}) ?(B|KiB|MiB|GiB)?$/
 const SIZE_UNITS_BYTES: Readonly<Record<string, number>> = { B: 1, KiB: 1_024, MiB: 1_048_576, GiB: 1_073_741_824 }
 const INTEGER_PATTERN = /^\d{1,15}$/
@@ -50,8 +51,10 @@
   return textValue(`a duration of ${formatDuration(minMs)} to ${formatDuration(maxMs)}: whole milliseconds, or with a unit of ms, s, min or h`, (text) => {
     const match = DURATION_PATTERN.exec(text)
     if (match === null) return undefined
-    const value = Number(match[1]) * DURATION_UNITS_MS[match[2] ?? 'ms']!
-    return Number.isInteger(value) ? within(value, minMs, maxMs) : undefined
+    // In binary fractions 1.005 s is not quite 1,005 ms.
+    const exact = Number(match[1]) * DURATION_UNITS_MS[match[2] ?? 'ms']!
+    const value = Math.round(exact)
+    return Math.abs(exact - value) < ROUNDING_TOLERANCE_MS ? within(value, minMs, maxMs) : undefined
   })
 }
 
--- a/packages/dotterelspur-settings/src/version/TeamSchema.ts
+++ b/packages/dotterelspur-settings/src/version/TeamSchema.ts
@@ -23,7 +23,8 @@
   }),
   relations: [{
     key: 'operator-token-sha256',
-    broken: (team) => team.operatorTokenSha256.some((hash) => team.callerTokenSha256.includes(hash)) ? 'tokens that are not callers\' tokens as well' : null
+    rule: 'tokens that are not callers\' tokens as well',
+    holds: (team) => !team.operatorTokenSha256.some((hash) => team.callerTokenSha256.includes(hash))
   }]
 })
 
@@ -38,7 +39,8 @@
   }),
   relations: [{
     key: 'group-downtime',
-    broken: (weights) => weights.groupDowntime + weights.strandedAccelerators > 0 ? null : 'at least one of the two weights above 0'
+    rule: 'at least one of the two weights above 0',
+    holds: (weights) => weights.groupDowntime + weights.strandedAccelerators > 0
   }]
 })
 
--- /dev/null
+++ b/scripts/settings-page.mjs
@@ -0,0 +1,5 @@
+// Writes docs/SETTINGS.md from the schemas that check settings. Run after a build.
+import { writeFileSync } from 'node:fs'
+import { renderReferencePage } from 'dotterelspur-settings'
+
+writeFileSync(new URL('../docs/SETTINGS.md', import.meta.url), renderReferencePage())
