--- a/packages/dotterelspur/src/version/planning/Decision.ts
+++ b/packages/dotterelspur/src/version/planning/Decision.ts
@@ -60,6 +60,8 @@
   readonly highestFormation: number
   readonly rollouts: readonly RolloutRecord[]
   readonly decisions: readonly Decision[]
-  /** To be passed to the next tick; keep it only if the write succeeded or `changed` is false. */
+  /** For the next tick, if the write succeeded or `changed` is false. */
   readonly memory: PlanningMemory
+  /** For the next tick if the write failed: what was seen, without what was decided. */
+  readonly observed: PlanningMemory
 }
--- a/packages/dotterelspur/src/version/planning/FabricDomainPlanner.ts
+++ b/packages/dotterelspur/src/version/planning/FabricDomainPlanner.ts
@@ -53,7 +53,8 @@
     highestFormation: plan.highestFormation,
     rollouts,
     decisions: plan.decisions,
-    memory
+    memory,
+    observed: plan.memory
   }
 }
 
