--- a/packages/dotterelspur-bench/src/bench.ts
+++ b/packages/dotterelspur-bench/src/bench.ts
@@ -5,11 +5,13 @@
 import { experimentCommand } from './process/commands/experimentCommand.js'
 import { loadCommand } from './process/commands/loadCommand.js'
 import { reportCommand } from './process/commands/reportCommand.js'
+import { slopesCommand } from './process/commands/slopesCommand.js'
 
 await yargs(hideBin(process.argv))
   .scriptName('npm run bench --')
   .command(toCommandModule(loadCommand))
   .command(toCommandModule(experimentCommand))
+  .command(toCommandModule(slopesCommand))
   .command(toCommandModule(reportCommand))
   .demandCommand(1)
   .strict()
