At most once: a late copy never runs after another copy was answered not-run

Cause: the home took every copy that was not marked as read after a pause for one made after the refusal.

A relaying node now fetches the home's ticket while its caller waits; a copy whose ticket is older than the refusal gets the remembered not-run. Numbered submissions need no ticket. Cost: one more round trip for relayed requests without a number. Ruled out: refusing every relayed repeat, which leaves a key that was refused once stuck for callers that move between entries.

--- a/packages/dotterelspur-entry/src/__tests__/unit/KeyedRuns.test.ts
+++ b/packages/dotterelspur-entry/src/__tests__/unit/KeyedRuns.test.ts
@@ -214,6 +214,25 @@
     })
   }
 
+  // Symptom: a caller is told not-run and asks no more, and the request runs all the same.
+  // Sequence: a first copy waits in the link between node b and its home; the caller gives it up and sends another
+  // straight to the home, which refuses it; then the first copy arrives.
+  // Cause: the home can't tell a copy that was long under way from one that was made after the refusal.
+  it('does not run a copy that was under way when another was answered not-run', async () => {
+    const id = idOf(a)
+    let release = (): void => {}
+    harness.network.delays.set('request.run', new Promise((resolve) => { release = resolve }))
+    const first = chat(b, { 'idempotency-key': id })
+    while (harness.network.delayedCalls === 0) await new Promise(setImmediate)
+    harness.setPresent(false)
+    expect(await chat(a, { 'idempotency-key': id })).to.equal(`${NotRun} ${OutcomeReason.NoReplica}`)
+    harness.setPresent(true)
+    release()
+    expect(await first).to.equal(`${NotRun} ${OutcomeReason.NoReplica}`)
+    expect(harness.engines.runs).to.deep.equal([])
+    expect(await chat(a, { 'idempotency-key': id })).to.equal(WHOLE)
+  })
+
   it('never gives one team\'s answer or outcome to another', async () => {
     const id = idOf(a)
     expect(await chat(a, { 'idempotency-key': id })).to.equal(WHOLE)
--- a/packages/dotterelspur-entry/src/connection/registerModelRoutes.ts
+++ b/packages/dotterelspur-entry/src/connection/registerModelRoutes.ts
@@ -68,6 +68,7 @@
     fingerprint: headers.nonIdempotent ? fingerprintOf(call.modelName, call.prompt, String(call.maxTokens), String(call.seed)) : '',
     submission: headers.submission,
     stale: services.intake.isStale(),
+    ticket: null,
     model: call.intent.model,
     adapter: call.adapter,
     prompt: call.prompt,
--- a/packages/dotterelspur-entry/src/connection/registerServiceRoutes.ts
+++ b/packages/dotterelspur-entry/src/connection/registerServiceRoutes.ts
@@ -54,6 +54,7 @@
     fingerprint: safety === RequestSafety.NonIdempotent ? fingerprintOf(request.method, path, body) : '',
     submission: headers.submission,
     stale: services.intake.isStale(),
+    ticket: null,
     service: intent.service,
     method: request.method,
     path,
--- a/packages/dotterelspur-entry/src/request/HomeLink.ts
+++ b/packages/dotterelspur-entry/src/request/HomeLink.ts
@@ -7,6 +7,7 @@
 import { RunEventKind, finishedWith, type FinishedEvent, type RunEvent, type RunEvents, type RunRequest } from './RunRequest.js'
 import type { StreamFinder } from './StreamFinder.js'
 
+const TICKET_METHOD = 'request.ticket'
 const RUN_METHOD = 'request.run'
 const FOLLOW_METHOD = 'request.follow'
 const MAX_FOLLOWS = 3
@@ -53,7 +54,9 @@
       const { requestId, team, waitMs } = request as FollowRequest
       return homeRuns.follow(requestId, team, waitMs)
     })
+    const unregisterTicket = this.mesh.registerCallHandler(TICKET_METHOD, () => tickets(homeRuns))
     return () => {
+      unregisterTicket()
       unregisterRun()
       unregisterFollow()
     }
@@ -62,6 +65,12 @@
   /** Runs a request at its home. The home's text so far is never repeated to the consumer. */
   async * run (home: HomeId, request: RunRequest): RunEvents {
     this.context.observer.passedToHome()
+    const ticket = request.submission === null ? await this.fetchTicket(home) : 0
+    if (typeof ticket !== 'number') return yield * this.afterNoTicket(request, ticket)
+    yield * this.runWithTicket(home, { ...request, ticket })
+  }
+
+  private async * runWithTicket (home: HomeId, request: RunRequest): RunEvents {
     const relay = new Relay()
     for (let follows = 0; follows <= MAX_FOLLOWS; follows += 1) {
       if (follows > 0) await sleep(this.context.clock, this.context.timing.retryPauseMs)
@@ -99,6 +108,21 @@
     }
   }
 
+  private async fetchTicket (home: HomeId): Promise<number | CallEndKind> {
+    const abort = new AbortController()
+    const iterator = this.mesh.call(home, TICKET_METHOD, null, abort.signal)[Symbol.asyncIterator]()
+    const first = await iterator.next()
+    await iterator.return?.()
+    if (first.done === true || first.value.kind === CallEventKind.End) return CallEndKind.Interrupted
+    return first.value.kind === CallEventKind.Message ? first.value.message as number : CALL_END_OF[first.value.error.kind]
+  }
+
+  /** The request itself was not sent yet. */
+  private async * afterNoTicket (request: RunRequest, end: CallEndKind): RunEvents {
+    if (end === CallEndKind.Gone) return yield * this.afterHomeGone(request)
+    yield [finishedWith(unsent(request, 'its home can\'t be reached now', OutcomeReason.HomeGone))]
+  }
+
   private async * afterHomeGone (request: RunRequest): RunEvents {
     yield * this.find(request, unsent(request, 'the home of this id is gone; it is not run again', OutcomeReason.HomeGone))
   }
@@ -112,6 +136,10 @@
   }
 }
 
+async function * tickets (homeRuns: HomeRuns): AsyncIterable<number> {
+  yield homeRuns.ticket
+}
+
 /** Not-run can be shown only where the caller says that this is its first submission: no other copy exists. */
 export function unsent (request: Pick<RunRequest, 'submission'>, message: string, reason: OutcomeReason, retryAfterMs = 1_000): Outcome {
   return request.submission === 1 ? notRun(reason, message, retryAfterMs) : unknownOutcome(reason, message, retryAfterMs)
--- a/packages/dotterelspur-entry/src/request/HomeRuns.ts
+++ b/packages/dotterelspur-entry/src/request/HomeRuns.ts
@@ -42,6 +42,11 @@
     this.recent = new OutcomeMemory({ ...common, maxEntries: limits.maxRecentOutcomes })
   }
 
+  /** What a relaying node asks for while its caller waits; see OutcomeMemory. */
+  get ticket (): number {
+    return this.memory.ticket
+  }
+
   /** Runs an id whose home is this process, or answers what became of it. */
   run (request: RunRequest): RunEvents {
     const decision = this.open(this.memory, request)
@@ -94,8 +99,9 @@
 
   private open (memory: OutcomeMemory<KeptRun>, request: RunRequest): Decision {
     const identity = parseRequestId(request.requestId)!
-    const { requestId, team, fingerprint, submission, stale } = request
-    return memory.open({ requestId, issuedWallMs: identity.issuedWallMs, team, fingerprint, number: submission, stale }, this.clock.nowMs(), this.clock.wallMs())
+    const { requestId, team, fingerprint, submission, stale, ticket } = request
+    const opened = { requestId, issuedWallMs: identity.issuedWallMs, team, fingerprint, number: submission, stale, ticket: ticket ?? memory.ticket }
+    return memory.open(opened, this.clock.nowMs(), this.clock.wallMs())
   }
 
   private start (request: RunRequest): RunEvents {
--- a/packages/dotterelspur-entry/src/request/RunRequest.ts
+++ b/packages/dotterelspur-entry/src/request/RunRequest.ts
@@ -20,6 +20,8 @@
   readonly submission: number | null
   /** Taken in right after a pause of the node that took it in. */
   readonly stale: boolean
+  /** The home's ticket from when the caller was known to wait; null where the node that took it in is the home. */
+  readonly ticket: number | null
 }
 
 /** A model request, checked and ready to be dispatched by this node or by its home. */
--- a/packages/dotterelspur/src/request/lifecycle/OutcomeMemory.ts
+++ b/packages/dotterelspur/src/request/lifecycle/OutcomeMemory.ts
@@ -21,6 +21,8 @@
   readonly number: number | null
   /** Taken in by a node right after a pause: the caller may have given it up long ago. */
   readonly stale: boolean
+  /** The memory's `ticket` from when the submission was passed on, its caller still waiting. */
+  readonly ticket: number
 }
 
 export enum OpenKind {
@@ -53,6 +55,8 @@
   readonly submission: Submission
   ended: EndedRequest<Answer> | null
   endedAtMs: number
+  /** The ticket that was current when it ended. */
+  endedTicket: number
 }
 
 /**
@@ -68,6 +72,7 @@
   private readonly entries = new Map<RequestId, MemoryEntry<Answer>>()
   private floorWallMs = -Infinity
   private running = 0
+  private currentTicket = 0
 
   constructor (private readonly options: OutcomeMemoryOptions) {}
 
@@ -79,6 +84,14 @@
     return this.running
   }
 
+  /**
+   * Rises with each end that is remembered. A submission that carries a ticket was passed on after every end up
+   * to it, so one that was long under way can be told from one that was made after its caller had its answer.
+   */
+  get ticket (): number {
+    return this.currentTicket
+  }
+
   /** Decides whether a submission may run, and if so marks the id as running. */
   open (submission: Submission, nowMs: number, wallMs: number): OpenDecision<Answer> {
     this.expire(nowMs)
@@ -97,6 +110,8 @@
     invariant(entry !== undefined && entry.ended === null, `request ${requestId} is not running`)
     entry.ended = ended
     entry.endedAtMs = nowMs
+    this.currentTicket += 1
+    entry.endedTicket = this.currentTicket
     this.running -= 1
     this.entries.delete(requestId)
     this.entries.set(requestId, entry)
@@ -115,14 +130,14 @@
     const first = entry.submission
     if (first.team !== submission.team || first.fingerprint !== submission.fingerprint) return { kind: OpenKind.Mismatch }
     if (entry.ended === null) return { kind: OpenKind.InProgress }
-    if (entry.ended.outcome.kind !== OutcomeKind.NotRun || !isLater(submission, first)) return { kind: OpenKind.Ended, ended: entry.ended }
+    if (entry.ended.outcome.kind !== OutcomeKind.NotRun || !isLater(submission, entry)) return { kind: OpenKind.Ended, ended: entry.ended }
     this.start({ ...submission, number: submission.number ?? first.number })
     return { kind: OpenKind.Run }
   }
 
   private start (submission: Submission): void {
     this.entries.delete(submission.requestId)
-    this.entries.set(submission.requestId, { submission, ended: null, endedAtMs: 0 })
+    this.entries.set(submission.requestId, { submission, ended: null, endedAtMs: 0, endedTicket: 0 })
     this.running += 1
   }
 
@@ -151,11 +166,13 @@
 }
 
 /**
- * Whether a submission was surely sent after the earlier one was answered. A copy that a paused node took in
- * late must not run after another copy was answered not-run, for the caller has been told so. A caller that
- * numbers its submissions settles it; one that doesn't is trusted unless the node that took it in has paused.
+ * Whether a submission was surely made after an earlier one was answered. A copy that was under way for long, in
+ * a link or in a paused node, must not run after another copy was answered not-run, for the caller has been told
+ * so. A caller that numbers its submissions settles it. Of the others, a copy that waited in a link shows by its
+ * ticket, and one that waited in a node by the node's word that it was paused.
  */
-function isLater (submission: Submission, earlier: Submission): boolean {
-  if (submission.number !== null && earlier.number !== null) return submission.number > earlier.number
-  return !submission.stale
+function isLater (submission: Submission, earlier: MemoryEntry<unknown>): boolean {
+  const { number } = earlier.submission
+  if (submission.number !== null && number !== null) return submission.number > number
+  return !submission.stale && submission.ticket >= earlier.endedTicket
 }
