Mesh: a broken path makes nobody suspect

The failure tests of membership and documents, on machines joined by an in-memory network under a manual clock (delays, partitions, pauses, kills, restarts). One of them found a fault: with the path between two nodes cut, both were called suspect again and again.

Ruled out: longer silence before the question, which would also delay the real deaths.

Before: states seen in 30 s of a cut path {alive, suspect}; after: {alive}.

--- /dev/null
+++ b/packages/dotterelspur/src/__tests__/unit/MeshMachine.test.ts
@@ -0,0 +1,181 @@
+import { expect } from 'chai'
+import { FrameKind, NodeState } from '../../index.js'
+import { createWorldDocument, MeshWorld, type WorldNode } from '../MeshWorld.js'
+
+const SETTLE_MS = 20_000
+
+function createSettledWorld (options: ConstructorParameters<typeof MeshWorld>[0]): MeshWorld {
+  const world = new MeshWorld(options)
+  const settledMs = world.passUntil(() => world.nodes.every((node) => node.machine.members().length === world.nodes.length), SETTLE_MS)
+  expect(settledMs, 'all nodes know each other').to.be.lessThan(Infinity)
+  world.pass(5_000)
+  return world
+}
+
+function seenBy (nodes: readonly WorldNode[], target: WorldNode): Set<NodeState | undefined> {
+  return new Set(nodes.map((node) => node.stateOf(target.name)))
+}
+
+function others (world: MeshWorld, ...excluded: WorldNode[]): WorldNode[] {
+  return world.living().filter((node) => !excluded.includes(node))
+}
+
+describe('MeshMachine: membership', () => {
+  it('joins a fleet of several regions and links no node to all others', () => {
+    const world = createSettledWorld({ nodes: 84, failureDomains: 12, regions: 3 })
+    world.pass(20_000)
+    const degrees = world.nodes.map((node) => node.machine.linkCount)
+    expect(Math.max(...degrees)).to.be.lessThan(30)
+    expect(world.nodes.every((node) => node.machine.members().every((member) => member.state === NodeState.Alive))).to.equal(true)
+  })
+
+  it('calls a killed node dead everywhere', () => {
+    const world = createSettledWorld({ nodes: 12 })
+    world.kill(world.node(5))
+    const tookMs = world.passUntil(() => others(world).every((node) => node.stateOf('n5') === NodeState.Dead), 15_000)
+    expect(tookMs).to.be.lessThan(10_000)
+  })
+
+  /*
+   * Symptom: a node that only paused is taken out of service for good, or its return confuses its peers.
+   * Sequence: the process stops for 4 s, is suspected, and goes on as if nothing had happened.
+   * Cause: silence can't be told from death. The suspect must be able to refute, with a word that outranks the claim.
+   */
+  it('suspects a paused node, which refutes when it wakes', () => {
+    const world = createSettledWorld({ nodes: 12 })
+    const target = world.node(4)
+    world.pause(target)
+    expect(world.passUntil(() => others(world, target).every((node) => node.stateOf('n4') === NodeState.Suspect), 10_000)).to.be.lessThan(Infinity)
+    world.resume(target)
+    expect(world.passUntil(() => others(world, target).every((node) => node.stateOf('n4') === NodeState.Alive), 3_000)).to.be.lessThan(Infinity)
+    expect(target.machine.self.incarnation).to.equal(1)
+  })
+
+  it('takes back a node that woke after it had been called dead', () => {
+    const world = createSettledWorld({ nodes: 12 })
+    const target = world.node(4)
+    world.pause(target)
+    world.pass(30_000)
+    expect(seenBy(others(world, target), target)).to.deep.equal(new Set([NodeState.Dead]))
+    world.resume(target)
+    expect(world.passUntil(() => others(world, target).every((node) => node.stateOf('n4') === NodeState.Alive), SETTLE_MS)).to.be.lessThan(Infinity)
+    expect(target.machine.members().every((member) => member.state === NodeState.Alive)).to.equal(true)
+  })
+
+  /*
+   * Symptom: a healthy node flaps between alive and suspect.
+   * Sequence: the path between two nodes breaks while both reach all others.
+   * Cause: one silent link judged alone. Others that still hear the node must be asked before it is suspected.
+   */
+  it('does not suspect a node over one broken path', () => {
+    const world = createSettledWorld({ nodes: 12 })
+    const [left, right] = [world.node(0), world.node(3)]
+    world.reaches = (from, to) => !((from === left && to === right) || (from === right && to === left))
+    const states = new Set<NodeState | undefined>()
+    world.observe = (node) => { for (const member of node.machine.members()) states.add(member.state) }
+    world.pass(30_000)
+    expect(states).to.deep.equal(new Set([NodeState.Alive]))
+  })
+
+  it('knows a restart by its higher incarnation, whatever was said of the old one', () => {
+    const world = createSettledWorld({ nodes: 9 })
+    world.kill(world.node(2))
+    world.pass(10_000)
+    world.restart(world.node(2))
+    const back = (node: WorldNode): boolean => node.machine.members().some((member) => member.node === 'n2' && member.incarnation === 2 && member.state === NodeState.Alive)
+    expect(world.passUntil(() => world.nodes.every(back), SETTLE_MS)).to.be.lessThan(Infinity)
+  })
+
+  it('keeps a draining node draining through a suspicion', () => {
+    const world = createSettledWorld({ nodes: 9 })
+    const target = world.node(3)
+    world.drain(target)
+    world.pass(1_000)
+    world.pause(target)
+    world.pass(3_500)
+    expect(seenBy(others(world, target), target)).to.deep.equal(new Set([NodeState.Draining]))
+    world.resume(target)
+    world.pass(3_000)
+    expect(seenBy(others(world, target), target)).to.deep.equal(new Set([NodeState.Draining]))
+  })
+
+  it('forgets the dead after a bound', () => {
+    const world = createSettledWorld({ nodes: 6, timing: { tombstoneMs: 20_000 } })
+    world.kill(world.node(5))
+    world.pass(60_000)
+    expect(others(world).map((node) => node.machine.members().length)).to.deep.equal([5, 5, 5, 5, 5])
+  })
+
+  it('joins two halves again that had called each other dead', () => {
+    const world = createSettledWorld({ nodes: 12, failureDomains: 4, regions: 2 })
+    world.reaches = (from, to) => from.region === to.region
+    world.pass(120_000)
+    expect(world.node(0).stateOf('n1')).to.equal(NodeState.Dead)
+    world.reaches = () => true
+    const whole = (): boolean => world.nodes.every((node) => node.machine.members().every((member) => member.state === NodeState.Alive))
+    expect(world.passUntil(whole, 60_000)).to.be.lessThan(60_000)
+  })
+
+  /*
+   * Symptom: when a whole fleet restarts, its nodes dial each other so often that none comes up.
+   * Sequence: every process ends and starts again at once.
+   * Cause: dials without growing, jittered waits, and both ends of each pair dialing at the same moment.
+   */
+  it('starts no storm of dials when every node restarts', () => {
+    const world = createSettledWorld({ nodes: 60, failureDomains: 6, regions: 2 })
+    for (const node of world.nodes) node.dials = 0
+    for (const node of world.nodes) world.restart(node)
+    const whole = (): boolean => world.nodes.every((node) => node.machine.members().filter((member) => member.incarnation === 2 && member.state === NodeState.Alive).length === 60)
+    expect(world.passUntil(whole, SETTLE_MS)).to.be.lessThan(Infinity)
+    world.pass(10_000)
+    const dials = world.nodes.reduce((sum, node) => sum + node.dials, 0)
+    const links = world.nodes.reduce((sum, node) => sum + node.machine.linkCount, 0) / 2
+    expect(dials / links, 'dials for each link').to.be.lessThan(2.5)
+  })
+})
+
+describe('MeshMachine: documents', () => {
+  it('spreads a change to every node within a few hops, its body once', () => {
+    const world = createSettledWorld({ nodes: 84, failureDomains: 12, regions: 3 })
+    world.frames.clear()
+    world.offer(world.node(7), createWorldDocument('teams/tradeline', 5))
+    expect(world.passUntil(() => world.nodes.every((node) => node.versionOf('teams/tradeline') === 5), 2_000)).to.be.lessThan(2_000)
+    expect(world.frames.get(FrameKind.Documents)).to.equal(world.nodes.length - 1)
+  })
+
+  it('gives a node that starts while the store is out the highest versions that its peers hold', () => {
+    const world = createSettledWorld({ nodes: 6 })
+    world.offer(world.node(0), createWorldDocument('teams/tradeline', 3))
+    world.offer(world.node(1), createWorldDocument('teams/tradeline', 9))
+    world.offer(world.node(2), { key: 'teams/piedmont', version: 11, body: null, deleted: true })
+    world.pass(3_000)
+    for (const node of world.nodes.slice(1)) world.restart(node)
+    expect(world.passUntil(() => world.nodes.every((node) => node.versionOf('teams/tradeline') === 9 && node.machine.documents.get('teams/piedmont')?.deleted === true), SETTLE_MS)).to.be.lessThan(Infinity)
+  })
+
+  /*
+   * Symptom: settings fall back to an older version after a partition.
+   * Sequence: a node is cut off with version 4; the others go to 6; the cut ends, and its late frames arrive.
+   * Cause: what arrives last is not what is newest. Only the version decides.
+   */
+  it('keeps the newest version when a cut off node returns with an older one', () => {
+    const world = createSettledWorld({ nodes: 9 })
+    const cut = world.node(3)
+    world.reaches = (from, to) => from !== cut && to !== cut
+    world.offer(cut, createWorldDocument('teams/tradeline', 4))
+    world.offer(world.node(0), createWorldDocument('teams/tradeline', 6))
+    world.pass(10_000)
+    world.reaches = () => true
+    expect(world.passUntil(() => world.nodes.every((node) => node.versionOf('teams/tradeline') === 6), 60_000)).to.be.lessThan(Infinity)
+  })
+
+  it('says through every hop how old the last contact with the store is', () => {
+    const world = createSettledWorld({ nodes: 24, failureDomains: 6, regions: 3 })
+    world.noteStoreContact(world.node(0))
+    const contactMs = world.clock.nowMs()
+    const tookMs = world.passUntil(() => world.nodes.every((node) => node.machine.storeContactAgeMs(world.clock.nowMs()) < Infinity), 5_000)
+    expect(tookMs).to.be.lessThan(5_000)
+    const trueAgeMs = world.clock.nowMs() - contactMs
+    for (const node of world.nodes) expect(node.machine.storeContactAgeMs(world.clock.nowMs())).to.be.at.least(trueAgeMs)
+  })
+})
--- a/packages/dotterelspur/src/connection/mesh/MeshMachine.ts
+++ b/packages/dotterelspur/src/connection/mesh/MeshMachine.ts
@@ -76,7 +76,7 @@
     this.evidence = new EvidenceExchange(this.links, this.outbox, timing, limits)
     this.sync = new SyncSchedule(this.outbox, timing, this.membership, this.documentTable, this.spread)
     this.dials = new DialPlan(this.outbox, random, timing)
-    this.neighbors = new NeighborWatch(this.outbox, random, timing, nowMs)
+    this.neighbors = new NeighborWatch(this.outbox, random, timing, (node) => this.membership.get(node), nowMs)
     this.lastTickMs = nowMs
   }
 
--- a/packages/dotterelspur/src/connection/mesh/NeighborWatch.ts
+++ b/packages/dotterelspur/src/connection/mesh/NeighborWatch.ts
@@ -8,13 +8,17 @@
 
 const HELPERS = 3
 const ISOLATION_HOLD_MS = 30_000
+const MAX_PATIENCE = 8
 
 interface Watched {
   readonly incarnation: number
+  readonly revision: number
   /** When the neighbour was last known to live, by its frames or by another node's word. */
   readonly aliveAtMs: number
   readonly linkedBefore: boolean
   readonly probingSinceMs: number | undefined
+  /** Doubles with each refutation that came without a working link: then the path is broken, not the neighbour. */
+  readonly patience: number
 }
 
 /**
@@ -25,7 +29,7 @@
   private watched = new Map<NodeId, Watched>()
   private heardAnyAtMs: number
 
-  constructor (private readonly outbox: Outbox, private readonly random: Random, private readonly timing: MeshTiming, nowMs: number) {
+  constructor (private readonly outbox: Outbox, private readonly random: Random, private readonly timing: MeshTiming, private readonly recordOf: (node: NodeId) => MemberRecord | undefined, nowMs: number) {
     this.heardAnyAtMs = nowMs
   }
 
@@ -60,15 +64,17 @@
   private observe (record: MemberRecord, link: GossipLink | undefined, nowMs: number): Watched {
     const known = this.watched.get(record.node)
     const heardAtMs = link?.heardAtMs ?? -Infinity
-    if (known === undefined || known.incarnation !== record.incarnation) {
-      return { incarnation: record.incarnation, aliveAtMs: nowMs, linkedBefore: link !== undefined, probingSinceMs: undefined }
+    const { incarnation, revision } = record
+    if (known === undefined || known.incarnation !== incarnation) {
+      return { incarnation, revision, aliveAtMs: nowMs, linkedBefore: link !== undefined, probingSinceMs: undefined, patience: 1 }
     }
-    if (heardAtMs <= known.aliveAtMs) return { ...known, linkedBefore: known.linkedBefore || link !== undefined }
-    return { ...known, aliveAtMs: heardAtMs, linkedBefore: true, probingSinceMs: undefined }
+    if (heardAtMs > known.aliveAtMs) return { ...known, revision, aliveAtMs: heardAtMs, linkedBefore: true, probingSinceMs: undefined, patience: 1 }
+    if (revision > known.revision) return { ...known, revision, aliveAtMs: nowMs, probingSinceMs: undefined, patience: Math.min(MAX_PATIENCE, known.patience * 2) }
+    return { ...known, linkedBefore: known.linkedBefore || link !== undefined }
   }
 
   private judge (record: MemberRecord, watched: Watched, links: ReadonlyMap<NodeId, GossipLink>, nowMs: number): Watched | undefined {
-    const allowedMs = watched.linkedBefore ? this.timing.silenceMs : this.timing.connectGraceMs
+    const allowedMs = watched.patience * (watched.linkedBefore ? this.timing.silenceMs : this.timing.connectGraceMs)
     if (nowMs - watched.aliveAtMs < allowedMs || this.holdsBack(nowMs)) return watched
     if (watched.probingSinceMs === undefined) {
       this.askOthers(record, links, nowMs)
@@ -90,8 +96,10 @@
 
   private askOthers (record: MemberRecord, links: ReadonlyMap<NodeId, GossipLink>, nowMs: number): void {
     const hearing = [...links.values()].filter((link) => link.peer !== record.node && nowMs - link.heardAtMs < this.timing.silenceMs)
+    // Nodes of the same failure domain link to each other, so they are the ones to know.
+    const isClose = (link: GossipLink): boolean => this.recordOf(link.peer)?.failureDomain === record.failureDomain
     const ranked = hearing
-      .map((link) => ({ link, order: this.random.next() - (link.wanted ? 1 : 0) }))
+      .map((link) => ({ link, order: this.random.next() - (isClose(link) ? 1 : 0) }))
       .sort((left, right) => left.order - right.order)
     for (const { link } of ranked.slice(0, HELPERS)) {
       this.outbox.send(link.id, { kind: FrameKind.ProbeAsk, target: record.node, incarnation: record.incarnation })
