--- /dev/null
+++ b/packages/dotterelspur/src/version/explain/explainGroup.ts
@@ -0,0 +1,74 @@
+import type { GroupId } from '../../process/ids.js'
+import type { ExplainCause, Explanation } from '../ExplainPort.js'
+import { ExplainCauseKind, ExplainSubject } from '../ExplainPort.js'
+import type { AssignedGroup } from '../PlatformObjects.js'
+import { GroupState } from '../PlatformObjects.js'
+import { cause, decisionCause, memberCause, seconds, storeCauses } from './causes.js'
+import type { ExplainInput } from './ExplainInput.js'
+import { findGroup } from './ExplainInput.js'
+
+/** Says why a group doesn't serve, or that it does. Undefined when no assignment names it. */
+export function explainGroup (input: ExplainInput, id: GroupId): Explanation | undefined {
+  const placed = findGroup(input, id)
+  if (placed === undefined) return undefined
+  const { group } = placed
+  const evidence = evidenceCause(input, group)
+  const satisfied = evidence === null && takesWork(group) && !input.drained.includes(id)
+  if (satisfied) return explain(group, true, `${id} serves ${group.model} ${group.version} at formation ${group.formation}.`, [])
+  const causes = [
+    ...drainCauses(input, group),
+    ...memberCauses(input, group),
+    ...stateCauses(group),
+    ...(evidence === null ? [] : [evidence]),
+    ...present(decisionCause(input, id)),
+    ...storeCauses(input)
+  ]
+  return explain(group, false, `${id} does not serve: ${causes[0]?.message ?? 'no cause is recorded here.'}`, causes)
+}
+
+function explain (group: AssignedGroup, satisfied: boolean, summary: string, causes: readonly ExplainCause[]): Explanation {
+  return { subject: ExplainSubject.Group, name: group.group, satisfied, summary, causes }
+}
+
+function present<Item> (item: Item | null): readonly Item[] {
+  return item === null ? [] : [item]
+}
+
+function takesWork (group: AssignedGroup): boolean {
+  return group.state === GroupState.Serving || group.state === GroupState.Forming
+}
+
+function drainCauses (input: ExplainInput, group: AssignedGroup): readonly ExplainCause[] {
+  if (!input.drained.includes(group.group)) return []
+  return [cause(ExplainCauseKind.OperatorDrain, group.group, `An operator has drained ${group.group}.`)]
+}
+
+function memberCauses (input: ExplainInput, group: AssignedGroup): readonly ExplainCause[] {
+  return group.members.flatMap((member) => present(memberCause(input, group, member)))
+}
+
+const STATE_KINDS: Readonly<Record<GroupState, ExplainCauseKind | null>> = {
+  [GroupState.Forming]: ExplainCauseKind.GroupForming,
+  [GroupState.Serving]: null,
+  [GroupState.Draining]: ExplainCauseKind.GroupDraining,
+  [GroupState.Broken]: ExplainCauseKind.GroupBroken
+}
+
+function stateCauses (group: AssignedGroup): readonly ExplainCause[] {
+  const kind = STATE_KINDS[group.state]
+  if (kind === null) return []
+  return [cause(kind, null, `${group.group} is ${group.state} at formation ${group.formation}: ${group.cause}.`, group.sinceWallMs)]
+}
+
+/** Why the evidence that this node holds doesn't let it dispatch; null when it does. */
+function evidenceCause (input: ExplainInput, group: AssignedGroup): ExplainCause | null {
+  const held = input.presence.find((one) => one.group === group.group)
+  if (held === undefined) return cause(ExplainCauseKind.EvidenceMissing, group.group, 'This node holds no evidence of its presence.')
+  if (held.ageMs >= input.evidenceTtlMs) {
+    return cause(ExplainCauseKind.EvidenceExpired, group.group, `The evidence of its presence is ${seconds(held.ageMs)} old and expired after ${seconds(input.evidenceTtlMs)}.`)
+  }
+  if (held.formation !== group.formation) {
+    return cause(ExplainCauseKind.EvidenceMissing, group.group, `The evidence is of formation ${held.formation}, and ${group.formation} is assigned.`)
+  }
+  return held.complete ? null : cause(ExplainCauseKind.EvidenceMissing, group.group, `The evidence says that formation ${group.formation} is not complete.`)
+}
--- a/packages/dotterelspur/src/version/planning/ReplicaAllocation.ts
+++ b/packages/dotterelspur/src/version/planning/ReplicaAllocation.ts
@@ -39,12 +39,21 @@
   readonly replicas: number
 }
 
+export interface IntentName {
+  readonly team: TeamId
+  readonly model: ModelId
+}
+
 /** An intent that isn't met, with whom it lost to. */
 export interface UnmetIntent {
   readonly team: TeamId
   readonly model: ModelId
   readonly wanted: number
   readonly allocated: number
+  /** Intents of higher rank that hold VMs where this one may be. */
+  readonly lostTo: readonly IntentName[]
+  /** Fabric domains that its settings allow. */
+  readonly placesAllowed: number
   readonly reason: string
 }
 
--- a/packages/dotterelspur/src/version/planning/allocateReplicas.ts
+++ b/packages/dotterelspur/src/version/planning/allocateReplicas.ts
@@ -212,8 +212,16 @@
   const cause = slots.length === 0
     ? 'no fabric domain is allowed by its regions, failure domains and fabric domains'
     : `no fabric domain has ${intent.vmsPerReplica} more VMs to give`
-  const lostTo = names.length === 0 ? '' : `; before it (priority ${ranked.priority}) go ${names.join(', ')}`
-  return { team, model: intent.model, wanted: intent.replicas, allocated, reason: cause + lostTo }
+  const rivals = names.length === 0 ? '' : `; before it (priority ${ranked.priority}) go ${names.join(', ')}`
+  return {
+    team,
+    model: intent.model,
+    wanted: intent.replicas,
+    allocated,
+    lostTo: before.map((other) => ({ team: other.team, model: other.intent.model })),
+    placesAllowed: slots.length,
+    reason: cause + rivals
+  }
 }
 
 function intentKey (team: string, model: string): string {
