Engine and service clients over HTTP

An error before the library hands a request to a connection is not-run; any later one is ambiguous, unless the engine states a refusal in the contract's own words. Each chunk must carry its request, attempt and offset; the first that doesn't ends the stream as broken. Probes have their own connections, so that a full set of streams doesn't make an endpoint look dead.

--- a/packages/dotterelspur-endpoint/src/index.ts
+++ b/packages/dotterelspur-endpoint/src/index.ts
@@ -1,1 +1,6 @@
-export {}
+export * from './process/EndpointCaller.js'
+export * from './process/EndpointSettings.js'
+export * from './process/HttpEngineClient.js'
+export * from './process/HttpServiceClient.js'
+export * from './request/LineSplitter.js'
+export * from './request/StreamAssembly.js'
