Mesh: plan the links once for all changes of one tick

Cause: each changed member record planned the overlay anew, and a fleet that starts brings every node one change for each other node. Now the plan is made at the next tick.

Members' forwarding moves to a class of its own.

--- /dev/null
+++ b/packages/dotterelspur/src/connection/mesh/MemberSpread.ts
@@ -0,0 +1,47 @@
+import { pages } from './DocumentSpread.js'
+import { FrameKind } from './Frame.js'
+import type { LinkTable } from './LinkTable.js'
+import { isLiving, type MemberRecord } from './MemberRecord.js'
+import type { MembershipTable } from './MembershipTable.js'
+import type { LinkId, Outbox } from './MeshEffect.js'
+import type { MeshLimits } from './MeshTiming.js'
+import { type OverlayPlan, planOverlay } from './OverlayPlan.js'
+
+/** Passes changes of members on, and keeps the plan of links that follows from them. */
+export class MemberSpread {
+  private current: OverlayPlan = { wanted: new Map(), relays: [] }
+  private planIsStale = false
+
+  constructor (private readonly table: MembershipTable, private readonly links: LinkTable, private readonly outbox: Outbox, private readonly limits: MeshLimits) {}
+
+  get plan (): OverlayPlan {
+    return this.current
+  }
+
+  /** Takes records in and forwards what was new. */
+  merge (records: readonly MemberRecord[], from: LinkId | undefined, nowMs: number): void {
+    this.forward(this.table.merge(records, nowMs), from)
+  }
+
+  /** Forwards changed records on every link but the one they came from. */
+  forward (changed: readonly MemberRecord[], from: LinkId | undefined): void {
+    if (changed.length === 0) return
+    const refuted = changed.filter((record) => record.node === this.table.self.node)
+    for (const link of this.links.all()) this.send(link.id, link.id === from ? refuted : changed)
+    this.planIsStale = true
+    this.outbox.membersChanged()
+  }
+
+  send (link: LinkId, records: readonly MemberRecord[]): void {
+    for (const page of pages(records, this.limits.entriesPerFrame)) this.outbox.send(link, { kind: FrameKind.Members, records: page })
+  }
+
+  /** Plans once for all changes since the last time: when a fleet starts, they come by the hundred within one tick. */
+  refreshPlan (): void {
+    if (!this.planIsStale) return
+    this.planIsStale = false
+    const { self } = this.table
+    const living = this.table.records().filter((record) => isLiving(record) || record.node === self.node)
+    this.current = planOverlay(self, living, this.limits)
+  }
+}
--- a/packages/dotterelspur/src/connection/mesh/MeshMachine.ts
+++ b/packages/dotterelspur/src/connection/mesh/MeshMachine.ts
@@ -3,19 +3,20 @@
 import type { Random } from '../../process/Random.js'
 import type { MeshDocument, NodeMember } from '../MeshApi.js'
 import { DialPlan, type DialTarget } from './DialPlan.js'
-import { DocumentSpread, pages } from './DocumentSpread.js'
+import { DocumentSpread } from './DocumentSpread.js'
 import { DocumentTable } from './DocumentTable.js'
 import { type Digests, EvidenceExchange } from './EvidenceExchange.js'
 import { FrameKind, type BeatFrame, type GossipFrame } from './Frame.js'
 import { GossipLink } from './GossipLink.js'
 import { admitLink } from './LinkAdmission.js'
 import { LinkTable } from './LinkTable.js'
-import { compareMemberVersions, isLiving, MemberHealth, type MemberRecord } from './MemberRecord.js'
+import { compareMemberVersions, MemberHealth, type MemberRecord } from './MemberRecord.js'
+import { MemberSpread } from './MemberSpread.js'
 import { MembershipTable } from './MembershipTable.js'
 import { CloseReason, type LinkId, type MeshEffect, Outbox } from './MeshEffect.js'
 import type { MeshLimits, MeshTiming } from './MeshTiming.js'
 import { answerProbe, NeighborWatch } from './NeighborWatch.js'
-import { planOverlay, scopeOf, type OverlayPlan } from './OverlayPlan.js'
+import { scopeOf } from './OverlayPlan.js'
 import { rejoinTargets } from './RejoinTargets.js'
 import { SyncSchedule } from './SyncSchedule.js'
 
@@ -40,21 +41,21 @@
   private readonly outbox = new Outbox()
   private readonly links = new LinkTable()
   private readonly membership: MembershipTable
+  private readonly memberSpread: MemberSpread
   private readonly documentTable: DocumentTable
   private readonly spread: DocumentSpread
   private readonly evidence: EvidenceExchange
   private readonly sync: SyncSchedule
   private readonly dials: DialPlan
   private readonly neighbors: NeighborWatch
-  private plan: OverlayPlan = { wanted: new Map(), relays: [] }
   private peerContactMs = -Infinity
   private lastTickMs: number
   private stopped = false
 
   private readonly handlers: FrameHandlers = {
     [FrameKind.Beat]: (link, frame, nowMs) => this.onBeat(link, frame, nowMs),
-    [FrameKind.Members]: (link, frame, nowMs) => this.mergeMembers(frame.records, link.id, nowMs),
-    [FrameKind.MembersSync]: (link, frame) => this.sendMembers(link.id, this.membership.newerThan(frame.versions)),
+    [FrameKind.Members]: (link, frame, nowMs) => this.memberSpread.merge(frame.records, link.id, nowMs),
+    [FrameKind.MembersSync]: (link, frame) => this.memberSpread.send(link.id, this.membership.newerThan(frame.versions)),
     [FrameKind.Announce]: (link, frame, nowMs) => this.spread.learn(link.id, frame.versions, nowMs),
     [FrameKind.Want]: (link, frame) => this.spread.answer(link.id, frame.keys),
     [FrameKind.Documents]: (link, frame) => { this.spread.take(frame.documents, this.links.ids, link.id) },
@@ -71,6 +72,7 @@
   constructor (private readonly options: MeshMachineOptions, nowMs: number) {
     const { self, timing, limits, random } = options
     this.membership = new MembershipTable(self, timing, limits, nowMs)
+    this.memberSpread = new MemberSpread(this.membership, this.links, this.outbox, limits)
     this.documentTable = new DocumentTable(limits.documents)
     this.spread = new DocumentSpread(this.documentTable, this.outbox, timing, limits)
     this.evidence = new EvidenceExchange(this.links, this.outbox, timing, limits)
@@ -130,14 +132,15 @@
   tick (nowMs: number): MeshEffect[] {
     if (this.stopped) return []
     this.noticeOwnPause(nowMs)
-    this.spreadMembers(this.membership.expire(nowMs), undefined)
+    this.memberSpread.forward(this.membership.expire(nowMs), undefined)
     this.evidence.table.expire(nowMs)
+    this.memberSpread.refreshPlan()
     this.suspectSilent(nowMs)
     this.tendLinks(nowMs)
     this.dial(nowMs)
     this.spread.retry(this.links.ids, nowMs)
     for (const link of this.links.all()) {
-      if (nowMs >= link.nextBeatAtMs) this.evidence.sendBeat(link, this.plan, this.digests(), nowMs)
+      if (nowMs >= link.nextBeatAtMs) this.evidence.sendBeat(link, this.memberSpread.plan, this.digests(), nowMs)
     }
     this.sync.tick(this.links.all(), nowMs)
     return this.outbox.take()
@@ -182,7 +185,7 @@
   }
 
   publish (groups: readonly GroupPresence[], services: readonly ServicePresence[], nowMs: number): MeshEffect[] {
-    this.evidence.publish(this.self.node, groups, services, this.plan, this.digests(), nowMs)
+    this.evidence.publish(this.self.node, groups, services, this.memberSpread.plan, this.digests(), nowMs)
     return this.outbox.take()
   }
 
@@ -191,14 +194,14 @@
   }
 
   announceDraining (nowMs: number): MeshEffect[] {
-    if (!this.self.draining) this.spreadMembers([this.membership.announce({ draining: true }, nowMs)], undefined)
+    if (!this.self.draining) this.memberSpread.forward([this.membership.announce({ draining: true }, nowMs)], undefined)
     return this.outbox.take()
   }
 
   /** Says farewell on every link; nothing is done after it. */
   leave (nowMs: number): MeshEffect[] {
     if (this.stopped) return []
-    this.spreadMembers([this.membership.announce({ health: MemberHealth.Left }, nowMs)], undefined)
+    this.memberSpread.forward([this.membership.announce({ health: MemberHealth.Left }, nowMs)], undefined)
     for (const link of this.links.all()) this.outbox.send(link.id, { kind: FrameKind.Leaving })
     this.stopped = true
     return this.outbox.take()
@@ -207,12 +210,13 @@
   private welcome (link: GossipLink, peer: MemberRecord, nowMs: number): void {
     this.peerContactMs = nowMs
     this.links.add(link)
-    this.mergeMembers([peer], link.id, nowMs)
+    this.memberSpread.merge([peer], link.id, nowMs)
     const known = this.membership.get(peer.node)
     // A peer that others hold dead or suspect learns it from the first node that it reaches, and refutes.
-    if (known !== undefined && compareMemberVersions(known, peer) > 0) this.sendMembers(link.id, [known])
+    if (known !== undefined && compareMemberVersions(known, peer) > 0) this.memberSpread.send(link.id, [known])
+    this.memberSpread.refreshPlan()
     this.classify(link, nowMs)
-    this.evidence.sendBeat(link, this.plan, this.digests(), nowMs)
+    this.evidence.sendBeat(link, this.memberSpread.plan, this.digests(), nowMs)
   }
 
   private drop (link: GossipLink, reason: CloseReason): void {
@@ -221,34 +225,16 @@
   }
 
   private onBeat (link: GossipLink, beat: BeatFrame, nowMs: number): void {
-    this.evidence.receive(link, beat, this.plan, this.digests(), nowMs)
+    this.evidence.receive(link, beat, this.memberSpread.plan, this.digests(), nowMs)
     this.sync.note(link, beat.membersDigest, beat.documentsDigest, nowMs)
     // The first beat of a link can't be answered by age until it is echoed: the echo need not wait for the interval.
-    if (beat.sequence === 1) this.evidence.sendBeat(link, this.plan, this.digests(), nowMs)
+    if (beat.sequence === 1) this.evidence.sendBeat(link, this.memberSpread.plan, this.digests(), nowMs)
   }
 
   private digests (): Digests {
     return { membersDigest: this.membership.digest, documentsDigest: this.documentTable.digest }
   }
 
-  private mergeMembers (records: readonly MemberRecord[], from: LinkId | undefined, nowMs: number): void {
-    this.spreadMembers(this.membership.merge(records, nowMs), from)
-  }
-
-  /** Forwards changed records on every link but the one they came from, and plans the links anew. */
-  private spreadMembers (changed: readonly MemberRecord[], from: LinkId | undefined): void {
-    if (changed.length === 0) return
-    const refuted = changed.filter((record) => record.node === this.self.node)
-    for (const link of this.links.all()) this.sendMembers(link.id, link.id === from ? refuted : changed)
-    const living = this.membership.records().filter((record) => isLiving(record) || record.node === this.self.node)
-    this.plan = planOverlay(this.self, living, this.options.limits)
-    this.outbox.membersChanged()
-  }
-
-  private sendMembers (link: LinkId, records: readonly MemberRecord[]): void {
-    for (const page of pages(records, this.options.limits.entriesPerFrame)) this.outbox.send(link, { kind: FrameKind.Members, records: page })
-  }
-
   private noticeOwnPause (nowMs: number): void {
     if (nowMs - this.lastTickMs >= this.options.timing.ownPauseMs) {
       this.neighbors.restart(nowMs)
@@ -259,8 +245,8 @@
   }
 
   private suspectSilent (nowMs: number): void {
-    const wanted = [...this.plan.wanted.keys()].map((node) => this.membership.get(node)).filter((record) => record !== undefined)
-    this.mergeMembers(this.neighbors.tick(wanted, this.links.byPeer, nowMs), undefined, nowMs)
+    const wanted = [...this.memberSpread.plan.wanted.keys()].map((node) => this.membership.get(node)).filter((record) => record !== undefined)
+    this.memberSpread.merge(this.neighbors.tick(wanted, this.links.byPeer, nowMs), undefined, nowMs)
   }
 
   private tendLinks (nowMs: number): void {
@@ -274,15 +260,15 @@
 
   private classify (link: GossipLink, nowMs: number): void {
     const peer = this.membership.get(link.peer)
-    if (peer !== undefined) link.scope = scopeOf(this.plan, this.self, peer)
-    const wanted = this.plan.wanted.has(link.peer)
+    if (peer !== undefined) link.scope = scopeOf(this.memberSpread.plan, this.self, peer)
+    const wanted = this.memberSpread.plan.wanted.has(link.peer)
     if (link.wanted && !wanted) link.unwantedSinceMs = nowMs
     link.wanted = wanted
   }
 
   private dial (nowMs: number): void {
     const targets: DialTarget[] = []
-    for (const node of this.plan.wanted.keys()) {
+    for (const node of this.memberSpread.plan.wanted.keys()) {
       const record = this.membership.get(node)
       if (record !== undefined && !this.links.byPeer.has(node)) targets.push({ address: record.meshAddress, node })
     }
