--- a/packages/dotterelspur/src/version/planning/FabricDomainPlanner.ts
+++ b/packages/dotterelspur/src/version/planning/FabricDomainPlanner.ts
@@ -14,6 +14,7 @@
 import { changeVersions, nextRollouts } from './RolloutStep.js'
 import { planStandbys, pruneStandbys, reserveStepIns } from './StandbyPlan.js'
 import { readStepIn } from './StepIn.js'
+import { compareText, revisionOf, sameMembers, sameRevision } from './VmTable.js'
 
 /**
  * One tick of a fabric domain's controller: compares what is wanted with what is assigned and what is there,
@@ -43,7 +44,7 @@
 
 function commit (plan: PendingPlan, input: FabricDomainInput): FabricDomainPlan {
   const { groups, memory } = plan.commit()
-  const before = input.assignment?.groups ?? []
+  const before = (input.assignment?.groups ?? []).slice().sort((left, right) => compareText(left.group, right.group))
   const rollouts = nextRollouts(plan)
   const sameRollouts = JSON.stringify(rollouts) === JSON.stringify(input.assignment?.rollouts ?? [])
   checkGroups(input, before, groups)
@@ -83,24 +84,20 @@
 }
 
 function sameContent (left: AssignedGroup, right: AssignedGroup): boolean {
-  return left.model === right.model &&
-    left.version === right.version &&
-    sameList(left.adapters, right.adapters) &&
-    sameList(left.members.map(memberKey), right.members.map(memberKey))
+  return left.model === right.model && sameRevision(revisionOf(left), revisionOf(right)) && sameMembers(left.members, right.members)
 }
 
+/** Both lists are in order of id. */
 function sameGroups (left: readonly AssignedGroup[], right: readonly AssignedGroup[]): boolean {
-  return sameList(left.map(groupKey).sort(), right.map(groupKey).sort())
+  return left.length === right.length && left.every((group, index) => sameGroup(group, right[index]!))
 }
 
-function groupKey (group: AssignedGroup): string {
-  return JSON.stringify([group.group, group.formation, group.state, group.standbys.map(memberKey), group.stepInBase, group.preload])
-}
-
-function memberKey (member: AssignedGroup['members'][number]): string {
-  return `${member.vm}.${member.incarnation}`
-}
-
-function sameList (left: readonly string[], right: readonly string[]): boolean {
-  return left.length === right.length && left.every((item, index) => item === right[index])
+function sameGroup (left: AssignedGroup, right: AssignedGroup): boolean {
+  if (left === right) return true
+  return left.group === right.group &&
+    left.formation === right.formation &&
+    left.state === right.state &&
+    left.stepInBase === right.stepInBase &&
+    left.preload?.version === right.preload?.version &&
+    sameMembers(left.standbys, right.standbys)
 }
--- a/packages/dotterelspur/src/version/planning/StandbyPlan.ts
+++ b/packages/dotterelspur/src/version/planning/StandbyPlan.ts
@@ -8,7 +8,7 @@
 import type { PlannedIntent } from './PlanningInput.js'
 import { countStepIns } from './StepIn.js'
 import type { VmView } from './VmTable.js'
-import { compareText, holdsWeights, memberOf, revisionOf, weightsKey } from './VmTable.js'
+import { compareText, holdsWeights, memberOf, revisionOf, sameMembers, weightsKey } from './VmTable.js'
 
 /** Takes VMs out of the standby places that they can't fill any more. */
 export function pruneStandbys (plan: PendingPlan): void {
@@ -93,6 +93,5 @@
 }
 
 function sameStandbys (left: AssignedGroup, right: AssignedGroup): boolean {
-  const key = (group: AssignedGroup): string => JSON.stringify(group.standbys.map((standby) => [standby.vm, standby.incarnation]))
-  return key(left) === key(right)
+  return left.standbys === right.standbys || sameMembers(left.standbys, right.standbys)
 }
--- a/packages/dotterelspur/src/version/planning/StepIn.ts
+++ b/packages/dotterelspur/src/version/planning/StepIn.ts
@@ -30,33 +30,50 @@
 /** At most this many lost members are stepped in for without a new agreement. */
 export const MOST_STEP_INS = 2
 
-/** How many formation numbers a group with this many members and standbys has to set aside. */
+/**
+ * How many formation numbers a group with this many members and standbys has to set aside: one for each set of
+ * lost ranks. One member must stay: formations without a common VM could both be complete.
+ */
 export function countStepIns (members: number, standbys: number): number {
-  return lostRankSets(members, standbys).length
+  const most = Math.min(MOST_STEP_INS, standbys, members - 1)
+  if (most <= 0) return 0
+  return most === 1 ? members : members + members * (members - 1) / 2
 }
 
-/** All sets of ranks that standbys can step in for. One member must stay: formations without a common VM could both be complete. */
-function lostRankSets (members: number, standbys: number): ReadonlyArray<readonly number[]> {
-  const most = Math.min(MOST_STEP_INS, standbys, members - 1)
-  const ranks = Array.from({ length: members }, (_, rank) => rank)
-  const singles = ranks.map((rank) => [rank])
-  const pairs = ranks.flatMap((first) => ranks.slice(first + 1).map((second) => [first, second]))
-  return [singles, pairs].slice(0, Math.max(0, most)).flat()
+/** The place of a set of lost ranks among the numbers set aside: single ranks first, then pairs; -1 when there is none. */
+function indexOfRanks (lostRanks: readonly number[], members: number, standbys: number): number {
+  if (lostRanks.length > Math.min(MOST_STEP_INS, standbys, members - 1)) return -1
+  const [first, second] = lostRanks
+  if (first === undefined) return -1
+  if (second === undefined) return first
+  return members + first * members - first * (first + 1) / 2 + (second - first - 1)
+}
+
+/** The set of lost ranks at a place; undefined when it is beyond the numbers set aside. */
+function ranksAt (index: number, members: number, standbys: number): readonly number[] | undefined {
+  if (index < 0 || index >= countStepIns(members, standbys)) return undefined
+  if (index < members) return [index]
+  let left = index - members
+  for (let first = 0; first < members; first++) {
+    const pairs = members - first - 1
+    if (left < pairs) return [first, first + 1 + left]
+    left -= pairs
+  }
+  return undefined
 }
 
 /** The formation that follows when exactly these members are lost; null when none was agreed. */
 export function deriveStepIn (group: AssignedGroup, lost: readonly VmId[]): DerivedFormation | null {
   const lostRanks = group.members.flatMap((member, rank) => lost.includes(member.vm) ? [rank] : [])
   if (group.stepInBase === undefined || lostRanks.length === 0 || lostRanks.length !== lost.length) return null
-  const sets = lostRankSets(group.members.length, group.standbys.length)
-  const index = sets.findIndex((set) => set.length === lostRanks.length && set.every((rank, at) => rank === lostRanks[at]))
+  const index = indexOfRanks(lostRanks, group.members.length, group.standbys.length)
   return index === -1 ? null : derivedAt(group, group.stepInBase + index, lostRanks)
 }
 
 /** What a formation number that was set aside stands for; null when it isn't one of this group's. */
 export function readStepIn (group: AssignedGroup, formation: number): DerivedFormation | null {
   if (group.stepInBase === undefined) return null
-  const lostRanks = lostRankSets(group.members.length, group.standbys.length)[formation - group.stepInBase]
+  const lostRanks = ranksAt(formation - group.stepInBase, group.members.length, group.standbys.length)
   return lostRanks === undefined ? null : derivedAt(group, formation, lostRanks)
 }
 
--- a/packages/dotterelspur/src/version/planning/VmTable.ts
+++ b/packages/dotterelspur/src/version/planning/VmTable.ts
@@ -128,3 +128,8 @@
   const view = views.get(member.vm)
   return view !== undefined && view.present && view.health.incarnation === member.incarnation
 }
+
+export function sameMembers (left: readonly AssignedMember[], right: readonly AssignedMember[]): boolean {
+  return left.length === right.length &&
+    left.every((member, index) => member.vm === right[index]!.vm && member.incarnation === right[index]!.incarnation)
+}
