--- a/packages/dotterelspur-bench/src/process/runReported.ts
+++ b/packages/dotterelspur-bench/src/process/runReported.ts
@@ -21,12 +21,13 @@
 /** Runs one command of the bench, writes its report as JSON and prints it. Returns the process's exit code. */
 export async function runReported (reported: ReportedRun): Promise<number> {
   const startedAt = new Date()
+  const commit = readCommit()
   const findings = await reported.run()
   const report: BenchReport = {
     format: 1,
     name: reported.name,
     commandLine: ['npm run bench --', ...process.argv.slice(2)].join(' '),
-    commit: readCommit(),
+    commit,
     seeds: reported.seeds,
     startedAt: startedAt.toISOString(),
     durationMs: Date.now() - startedAt.getTime(),
@@ -46,7 +47,7 @@
   return path
 }
 
-/** The commit that was run, marked when the working tree differs from it. */
+/** The commit that is run, marked when the working tree differs from it. */
 function readCommit (): string {
   try {
     const commit = execFileSync('git', ['rev-parse', 'HEAD'], { encoding: 'utf8' }).trim().slice(0, COMMIT_LENGTH)
--- a/packages/dotterelspur-bench/src/process/slopes/meshWorker.ts
+++ b/packages/dotterelspur-bench/src/process/slopes/meshWorker.ts
@@ -124,3 +124,6 @@
     process.exit(1)
   })
 })
+
+// Without its parent it would run on for ever: a bench that was stopped leaves no processes behind.
+process.once('disconnect', () => { process.exit(0) })
