--- a/packages/dotterelspur-bench/src/bench.ts
+++ b/packages/dotterelspur-bench/src/bench.ts
@@ -5,6 +5,7 @@
 import { experimentCommand } from './process/commands/experimentCommand.js'
 import { loadCommand } from './process/commands/loadCommand.js'
 import { reportCommand } from './process/commands/reportCommand.js'
+import { soakCommand } from './process/commands/soakCommand.js'
 import { slopesCommand } from './process/commands/slopesCommand.js'
 
 await yargs(hideBin(process.argv))
@@ -12,6 +13,7 @@
   .command(toCommandModule(loadCommand))
   .command(toCommandModule(experimentCommand))
   .command(toCommandModule(slopesCommand))
+  .command(toCommandModule(soakCommand))
   .command(toCommandModule(reportCommand))
   .demandCommand(1)
   .strict()
--- a/packages/dotterelspur-bench/src/process/commands/loadCommand.ts
+++ b/packages/dotterelspur-bench/src/process/commands/loadCommand.ts
@@ -2,6 +2,7 @@
 import { CallOutcome } from '../../request/CallRecord.js'
 import type { BenchCommand } from '../BenchCommand.js'
 import type { BenchFindings } from '../BenchReport.js'
+import { assignServices } from '../load/assignServices.js'
 import { readTarget } from '../load/LoadTarget.js'
 import { runLoad } from '../load/runLoad.js'
 import { MIXES } from '../load/WorkloadMix.js'
@@ -49,7 +50,7 @@
     burstLengthMs: options.burstLength * SECOND_MS
   }
   const recorder = await runLoad({
-    target: readTarget(options.describe),
+    target: await assignServices(readTarget(options.describe)),
     arrivals,
     mixes,
     seed: options.seed,
--- a/packages/dotterelspur-bench/src/process/load/LoadTarget.ts
+++ b/packages/dotterelspur-bench/src/process/load/LoadTarget.ts
@@ -35,5 +35,5 @@
 }
 
 export function serviceOf (target: LoadTarget, team: string): TargetService {
-  return target.services.find((service) => service.team === team) ?? target.services[0]!
+  return target.services.find((service) => service.team === team || service.team === undefined) ?? target.services[0]!
 }
--- a/packages/dotterelspur-bench/src/process/slopes/MeshFarm.ts
+++ b/packages/dotterelspur-bench/src/process/slopes/MeshFarm.ts
@@ -1,6 +1,5 @@
 import { fork } from 'node:child_process'
 import type { ChildProcess } from 'node:child_process'
-import { once } from 'node:events'
 import { setTimeout as delay } from 'node:timers/promises'
 import { fileURLToPath } from 'node:url'
 import { FromWorkerKind, ToWorkerKind } from './MeshWorkerMessages.js'
@@ -82,9 +81,15 @@
 }
 
 async function ask (worker: ChildProcess, message: ToWorker): Promise<FromWorker> {
-  worker.send(message)
-  const [reply] = await Promise.race([once(worker, 'message'), once(worker, 'exit').then(() => { throw new Error('a worker process of the bench ended') })]) as [FromWorker]
-  return reply
+  return await new Promise((resolve, reject) => {
+    const ended = (): void => { reject(new Error('a worker process of the bench ended')) }
+    worker.once('exit', ended)
+    worker.once('message', (reply) => {
+      worker.off('exit', ended)
+      resolve(reply as FromWorker)
+    })
+    worker.send(message)
+  })
 }
 
 function costOf (before: readonly MeshSample[], after: readonly MeshSample[]): NodeCost {
