Fleet: replicas, load shares and rollouts from the planner's shared reckoning; records for explanations

Every controller reckons allocation, rollout steps and its share of the weight store's rate from the documents that all hold. For how long a group has been broken, forming or healthy is counted on this node's own clock.

Cause: the fleet's own stop-gap for changing versions, which counted groups of one fabric domain only. Replaced by the planner's rollout.

--- a/packages/dotterelspur-fleet/src/process/DomainController.ts
+++ b/packages/dotterelspur-fleet/src/process/DomainController.ts
@@ -1,5 +1,5 @@
 import {
-  type AssignmentObject, type FabricDomainId, type FailureDomainId, type LeaseTerm, type RegionId, type VmId
+  type AssignmentObject, type FabricDomainId, type FailureDomainId, type LeaseTerm, type RegionId, type VmHealth, type VmId
 } from 'dotterelspur'
 import { assignmentDocuments } from '../version/FleetDocuments.js'
 import { isEngine } from './CleanListing.js'
@@ -42,6 +42,11 @@
     return [...this.fabrics.values()].flatMap(({ controller }) => controller.assignment ?? [])
   }
 
+  /** The VMs of this term's fabric domains as last looked at. */
+  health (): readonly VmHealth[] {
+    return [...this.fabrics.values()].flatMap(({ controller }) => controller.health)
+  }
+
   /** Starts loops for fabric domains that the list or the mesh knows here; ends none, since the list lags. */
   refresh (): void {
     if (this.stopped) return
--- a/packages/dotterelspur-fleet/src/process/FabricController.ts
+++ b/packages/dotterelspur-fleet/src/process/FabricController.ts
@@ -29,6 +29,7 @@
   private readonly strays = new StrayWatch()
   private readonly leavingWords = new LeavingWords()
   private lastFailure: WriteFailure | null = null
+  private latestHealth: readonly VmHealth[] = []
 
   constructor (readonly place: AssignmentPlace, private readonly context: FleetContext, private readonly authority: FabricAuthority) {}
 
@@ -36,6 +37,11 @@
     return this.adopted?.body ?? null
   }
 
+  /** The VMs here as the last tick saw them. */
+  get health (): readonly VmHealth[] {
+    return this.latestHealth
+  }
+
   /** Why the last write did not get through, null when it did. */
   get writeFailure (): WriteFailure | null {
     return this.lastFailure
@@ -49,7 +55,7 @@
     if (!this.authority.mayDecide()) return
     this.dropOutdated()
     if (this.adopted === null && !await this.adopt()) return
-    const health = this.viewHealth()
+    const health = this.latestHealth = this.viewHealth()
     this.setTargets(health)
     await this.decide(health)
     if (this.adopted !== null) this.order(this.adopted.body, health)
--- a/packages/dotterelspur-fleet/src/process/Fleet.ts
+++ b/packages/dotterelspur-fleet/src/process/Fleet.ts
@@ -1,8 +1,8 @@
 import debug from 'debug'
 import {
-  AuditKind, DRAIN_PREFIX, leaseKey, mergeTeardowns, type Decision, type FailureDomainId, type GroupId, type GroupPresence, type LeaseLoss, type LeaseTerm, type Teardown
+  AuditKind, DRAIN_PREFIX, leaseKey, mergeTeardowns, type Decision, type ExplainInput, type FailureDomainId, type GroupId, type GroupPresence, type LeaseLoss, type LeaseTerm, type Teardown
 } from 'dotterelspur'
-import { drainTargets } from '../version/FleetDocuments.js'
+import { assignmentDocuments, drainTargets } from '../version/FleetDocuments.js'
 import { auditDecision } from './AuditRecords.js'
 import { DecisionLog } from './DecisionLog.js'
 import { DomainController } from './DomainController.js'
@@ -19,9 +19,6 @@
 
 const log = debug('dotterelspur:fleet')
 
-/** Where the node's settings don't state the weight store's rate. */
-const DEFAULT_WEIGHT_RATE = { loadsPerMinute: 60, burst: 32 }
-
 /** What the fleet's loops have done, for metrics. */
 export interface FleetCounts {
   readonly orders: OrderCounts
@@ -62,8 +59,8 @@
       prober: this.prober,
       orders: this.orders,
       vmList: this.vmList,
-      shares: new IntentShares(options, timing.controllerIntervalMs / 2, timing.planning.longestWaitMs, options.weightStoreRate ?? DEFAULT_WEIGHT_RATE, () => this.vmList.allVms()),
-      presence: () => new Map(mesh.groupPresence().map((presence): [GroupId, GroupPresence] => [presence.group, presence])),
+      shares: new IntentShares(options, timing, { records: () => this.vmList.allVms(), presence: () => this.presence() }),
+      presence: () => this.presence(),
       drained: () => drainTargets(mesh),
       record: (decisions) => { this.record(decisions) }
     }
@@ -115,6 +112,29 @@
     return this.watcher.evidence()
   }
 
+  /**
+   * What this node has recorded, for explanations. Only the controller of a failure domain knows its VMs and
+   * decisions; other nodes answer from assignments and evidence.
+   */
+  explainInput (): ExplainInput {
+    const { clock, mesh, settings } = this.options
+    return {
+      nowMs: clock.nowMs(),
+      wallMs: clock.wallMs(),
+      assignments: assignmentDocuments(mesh).map(({ body }) => body),
+      vms: [...this.controllers.values()].flatMap((controller) => controller.health()),
+      listedTwice: this.vmList.unused().map(({ record }) => record.vm),
+      presence: mesh.groupPresence(),
+      evidenceTtlMs: this.context.timing.evidenceTtlMs,
+      decisions: this.log.all(),
+      drained: [...drainTargets(mesh)],
+      wanted: settings().flatMap(({ team, models }) => models.map(({ model, replicas, vmsPerReplica }) => ({ team, model, replicas, vmsPerReplica }))),
+      unmet: this.context.shares.unmet(),
+      storeContactAgeMs: mesh.storeContactAgeMs(),
+      storeOutageMs: this.context.timing.lease.ttlMs
+    }
+  }
+
   counts (): FleetCounts {
     return { orders: this.orders.counts, probesSent: this.prober.probesSent, pauses: this.pauses.pauses, leasesTaken: this.leasesTaken, leasesLost: this.leasesLost }
   }
@@ -124,6 +144,10 @@
     for (const controller of this.controllers.values()) controller.nudge()
   }
 
+  private presence (): ReadonlyMap<GroupId, GroupPresence> {
+    return new Map(this.options.mesh.groupPresence().map((presence) => [presence.group, presence]))
+  }
+
   private noteTaken (term: LeaseTerm): void {
     this.leasesTaken += 1
     log('lease of %s taken, fencing %d', term.failureDomain, term.fencing)
--- a/packages/dotterelspur-fleet/src/process/FleetOptions.ts
+++ b/packages/dotterelspur-fleet/src/process/FleetOptions.ts
@@ -1,5 +1,5 @@
 import type {
-  AuditRecord, Clock, EngineApi, FabricDomainId, FailureDomainId, MeshApi, ObjectStore, Random, ServiceApi, TeamSettings, VmDirectory, VmId, WeightStoreRate
+  AuditRecord, Clock, EngineApi, FabricDomainId, FailureDomainId, GroupId, MeshApi, ObjectStore, Random, ServiceApi, TeamSettings, VmDirectory, VmId, WeightStoreRate
 } from 'dotterelspur'
 import type { FleetTiming } from './FleetTiming.js'
 
@@ -26,5 +26,7 @@
   readonly failureDomains?: readonly FailureDomainId[]
   /** The weight store's whole rate; each fabric domain takes its share without asking. */
   readonly weightStoreRate?: WeightStoreRate
+  /** Failed requests of 100 at a group's formation as this node's entry counts them, null when too few ran to tell. */
+  readonly errorPercent?: (group: GroupId, formation: number) => number | null
   readonly timing?: Partial<FleetTiming>
 }
--- /dev/null
+++ b/packages/dotterelspur-fleet/src/process/GroupAges.ts
@@ -0,0 +1,55 @@
+import { GroupState, type AssignedGroup, type AssignmentObject, type Clock, type GroupId, type GroupPresence } from 'dotterelspur'
+
+interface Ages {
+  readonly formation: number
+  readonly state: GroupState
+  /** When this node first saw the group in this state. */
+  readonly stateSinceMs: number
+  /** Since when its evidence has been complete at this formation without a break; null when it isn't. */
+  readonly wholeSinceMs: number | null
+}
+
+/** For how long each group has been as it is, on this node's own clock: the wall times in an assignment decide nothing. */
+export class GroupAges {
+  private ages: ReadonlyMap<GroupId, Ages> = new Map()
+
+  constructor (private readonly clock: Clock, private readonly lostAfterMs: number, private readonly evidenceTtlMs: number) {}
+
+  note (assignments: readonly AssignmentObject[], presence: ReadonlyMap<GroupId, GroupPresence>): void {
+    const next = new Map<GroupId, Ages>()
+    for (const group of assignments.flatMap((assignment) => assignment.groups)) next.set(group.group, this.age(group, presence.get(group.group)))
+    this.ages = next
+  }
+
+  /** Broken for so long that its repair is no longer likely. */
+  isLost (group: AssignedGroup): boolean {
+    return this.inStateMs(group, GroupState.Broken) >= this.lostAfterMs
+  }
+
+  formingForMs (group: AssignedGroup): number {
+    return this.inStateMs(group, GroupState.Forming)
+  }
+
+  healthyForMs (group: AssignedGroup): number {
+    const sinceMs = this.ages.get(group.group)?.wholeSinceMs ?? null
+    return sinceMs === null ? 0 : this.clock.nowMs() - sinceMs
+  }
+
+  private inStateMs (group: AssignedGroup, state: GroupState): number {
+    const ages = this.ages.get(group.group)
+    return ages === undefined || ages.state !== state ? 0 : this.clock.nowMs() - ages.stateSinceMs
+  }
+
+  private age (group: AssignedGroup, evidence: GroupPresence | undefined): Ages {
+    const nowMs = this.clock.nowMs()
+    const before = this.ages.get(group.group)
+    const sameFormation = before?.formation === group.formation
+    const whole = evidence !== undefined && evidence.complete && evidence.formation === group.formation && evidence.ageMs < this.evidenceTtlMs
+    return {
+      formation: group.formation,
+      state: group.state,
+      stateSinceMs: sameFormation && before.state === group.state ? before.stateSinceMs : nowMs,
+      wholeSinceMs: whole ? (sameFormation ? before.wholeSinceMs : null) ?? nowMs : null
+    }
+  }
+}
--- a/packages/dotterelspur-fleet/src/process/IntentShares.ts
+++ b/packages/dotterelspur-fleet/src/process/IntentShares.ts
@@ -1,47 +1,72 @@
-import { shareLoadBudget, type FabricDomainId, type LoadBudget, type PlannedIntent, type ReplicaAllocation, type VmRecord, type WeightStoreRate } from 'dotterelspur'
+import {
+  shareLoadBudget, type FabricDomainId, type GroupId, type GroupPresence, type LoadBudget, type PlannedIntent, type UnmetIntent, type VmRecord, type WeightStoreRate
+} from 'dotterelspur'
 import { assignmentDocuments } from '../version/FleetDocuments.js'
-import { allocate, loadDemands, plannedIntents, type SharedFacts } from '../version/FabricIntents.js'
-import { BrokenGroups } from './BrokenGroups.js'
+import { loadDemands, planIntents, plannedIntents, type IntentPlan, type SharedFacts } from '../version/FabricIntents.js'
 import type { FleetOptions } from './FleetOptions.js'
+import type { FleetTiming } from './FleetTiming.js'
+import { GroupAges } from './GroupAges.js'
 
 interface Computed {
   readonly atMs: number
   readonly facts: SharedFacts
-  readonly allocation: ReplicaAllocation
+  readonly plan: IntentPlan
 }
 
+export interface IntentSources {
+  readonly records: () => readonly VmRecord[]
+  readonly presence: () => ReadonlyMap<GroupId, GroupPresence>
+}
+
+/** Where the node's settings don't state the weight store's rate. */
+const DEFAULT_WEIGHT_RATE: WeightStoreRate = { loadsPerMinute: 60, burst: 32 }
+/** Loads of a new version may take a few times the expected time before they count as failed. */
+const FORM_TIMEOUT_LOADS = 4
+
 /** What follows from the facts that all controllers share: reckoned once for all fabric domains that tick together. */
 export class IntentShares {
   private computed: Computed | null = null
-  private readonly broken: BrokenGroups
+  private readonly ages: GroupAges
 
-  constructor (
-    private readonly options: FleetOptions, private readonly reuseMs: number, lostAfterMs: number, private readonly rate: WeightStoreRate,
-    private readonly records: () => readonly VmRecord[]
-  ) {
-    this.broken = new BrokenGroups(options.clock, lostAfterMs)
+  constructor (private readonly options: FleetOptions, private readonly timing: FleetTiming, private readonly sources: IntentSources) {
+    this.ages = new GroupAges(options.clock, timing.planning.longestWaitMs, timing.evidenceTtlMs)
   }
 
   intents (fabricDomain: FabricDomainId): readonly PlannedIntent[] {
-    const { facts, allocation } = this.current()
-    return plannedIntents(facts, allocation, fabricDomain)
+    const { facts, plan } = this.current()
+    return plannedIntents(facts, plan, fabricDomain)
   }
 
   loadBudget (fabricDomain: FabricDomainId): LoadBudget {
-    return shareLoadBudget(this.rate, loadDemands(this.current().facts), fabricDomain)
+    return shareLoadBudget(this.options.weightStoreRate ?? DEFAULT_WEIGHT_RATE, loadDemands(this.current().facts), fabricDomain)
   }
 
-  allocation (): ReplicaAllocation {
-    return this.current().allocation
+  /** Intents that no fabric domain has room for, with whom they lost to. */
+  unmet (): readonly UnmetIntent[] {
+    return this.computed?.plan.allocation.unmet ?? []
   }
 
   private current (): Computed {
-    const nowMs = this.options.clock.nowMs()
-    if (this.computed !== null && nowMs - this.computed.atMs < this.reuseMs) return this.computed
-    const assignments = assignmentDocuments(this.options.mesh).map(({ body }) => body)
-    this.broken.note(assignments)
-    const facts: SharedFacts = { teams: this.options.settings(), records: this.records(), assignments, isLost: (group) => this.broken.isLost(group) }
-    this.computed = { atMs: nowMs, facts, allocation: allocate(facts) }
+    const { clock, mesh, settings, errorPercent } = this.options
+    const nowMs = clock.nowMs()
+    if (this.computed !== null && nowMs - this.computed.atMs < this.timing.controllerIntervalMs / 2) return this.computed
+    const assignments = assignmentDocuments(mesh).map(({ body }) => body)
+    this.ages.note(assignments, this.sources.presence())
+    const { planning } = this.timing
+    const facts: SharedFacts = {
+      wallMs: clock.wallMs(),
+      teams: settings(),
+      records: this.sources.records(),
+      assignments,
+      readings: {
+        isLost: (group) => this.ages.isLost(group),
+        formingForMs: (group) => this.ages.formingForMs(group),
+        healthyForMs: (group) => this.ages.healthyForMs(group),
+        errorPercent: errorPercent ?? (() => null)
+      },
+      formTimeoutMs: FORM_TIMEOUT_LOADS * (planning.loadMs + planning.joinMs)
+    }
+    this.computed = { atMs: nowMs, facts, plan: planIntents(facts) }
     return this.computed
   }
 }
--- a/packages/dotterelspur-fleet/src/version/FabricIntents.ts
+++ b/packages/dotterelspur-fleet/src/version/FabricIntents.ts
@@ -1,41 +1,62 @@
 import {
-  allocateReplicas, GroupState, VmListState, VmRole, type AssignedGroup, type AssignmentObject, type FabricDomainCapacity, type FabricDomainId, type HeldGroups, type LoadDemand,
-  type PlannedIntent, type RankedIntent, type ReplicaAllocation, type TeamSettings, type VmRecord
+  allocateReplicas, GroupState, planRollout, VmListState, VmRole, type AssignedGroup, type AssignmentObject, type FabricDomainCapacity, type FabricDomainId,
+  type GroupId, type HeldGroups, type LoadDemand, type ModelIntent, type PlannedIntent, type RankedIntent, type ReplicaAllocation, type RolloutGroup, type RolloutPlan,
+  type TeamId, type TeamSettings, type VmRecord
 } from 'dotterelspur'
 
+/** What one observer's clock and counters say of a group. */
+export interface GroupReadings {
+  /** Broken for so long that its repair is no longer likely. */
+  isLost (group: AssignedGroup): boolean
+  formingForMs (group: AssignedGroup): number
+  healthyForMs (group: AssignedGroup): number
+  /** Failed requests of 100 at this formation, null when too few ran to tell. */
+  errorPercent (group: GroupId, formation: number): number | null
+}
+
 /** What every controller knows alike, so that all come to the same shares without talking. */
 export interface SharedFacts {
+  readonly wallMs: number
   readonly teams: readonly TeamSettings[]
   readonly records: readonly VmRecord[]
   readonly assignments: readonly AssignmentObject[]
-  /** Whether a group has been broken for so long, on this observer's clock, that its repair is no longer likely. */
-  readonly isLost: (group: AssignedGroup) => boolean
+  readonly readings: GroupReadings
+  /** A group that takes longer than this to become ready at a new version counts as failed. */
+  readonly formTimeoutMs: number
+}
+
+/** Everything that follows from the shared facts, for all fabric domains. */
+export interface IntentPlan {
+  readonly allocation: ReplicaAllocation
+  readonly rollouts: ReadonlyMap<string, RolloutPlan>
 }
 
-/** The shares of all fabric domains. */
-export function allocate (facts: SharedFacts): ReplicaAllocation {
-  return allocateReplicas(rankedIntents(facts.teams), capacities(facts))
+export function planIntents (facts: SharedFacts): IntentPlan {
+  const ranked = rankedIntents(facts.teams)
+  const rollouts = ranked.map(({ team, intent }) => [intentKey(team, intent), rolloutOf(facts, team, intent)] as const)
+  return { allocation: allocateReplicas(ranked, capacities(facts)), rollouts: new Map(rollouts) }
 }
 
 /** What one fabric domain should hold. */
-export function plannedIntents (facts: SharedFacts, allocation: ReplicaAllocation, fabricDomain: FabricDomainId): readonly PlannedIntent[] {
-  const held = facts.assignments.find((assignment) => assignment.fabricDomain === fabricDomain)?.groups ?? []
-  return rankedIntents(facts.teams).map(({ team, priority, intent }) => {
-    const share = allocation.shares.find((other) => other.team === team && other.model === intent.model && other.fabricDomain === fabricDomain)
-    const groups = held.filter((group) => group.team === team && group.model === intent.model)
+export function plannedIntents (facts: SharedFacts, plan: IntentPlan, fabricDomain: FabricDomainId): readonly PlannedIntent[] {
+  return facts.teams.flatMap(({ team, priority, weights, models }) => models.map((intent): PlannedIntent => {
+    const share = plan.allocation.shares.find((other) => other.team === team && other.model === intent.model && other.fabricDomain === fabricDomain)
+    const { revision, changing, surgeOnly, rollout } = plan.rollouts.get(intentKey(team, intent))!
     const replicas = share?.replicas ?? 0
     return {
       team,
       priority,
-      weights: facts.teams.find((settings) => settings.team === team)!.weights,
+      weights,
       model: intent.model,
-      revision: { version: intent.version, adapters: intent.adapters },
+      revision,
       vmsPerReplica: intent.vmsPerReplica,
       replicas,
       standbys: replicas > 0 ? intent.standbysPerFabricDomain : 0,
-      changing: changingGroups(groups, intent.version, intent.adapters, intent.rollout.maxUnavailable)
+      changing,
+      surgeOnly,
+      rollout
     }
-  })
+  }))
 }
 
 /** How much of the weight store's rate each fabric domain may need. */
@@ -47,11 +68,40 @@
   })
 }
 
+function intentKey (team: TeamId, intent: ModelIntent): string {
+  return `${team}/${intent.model}`
+}
+
 function rankedIntents (teams: readonly TeamSettings[]): readonly RankedIntent[] {
   return teams.flatMap((team) => team.models.map((intent) => ({ team: team.team, priority: team.priority, intent })))
 }
 
-function capacities ({ records, assignments, isLost }: SharedFacts): readonly FabricDomainCapacity[] {
+function rolloutOf (facts: SharedFacts, team: TeamId, intent: ModelIntent): RolloutPlan {
+  const isOwn = (other: { readonly team: TeamId, readonly model: string }): boolean => other.team === team && other.model === intent.model
+  return planRollout({
+    wallMs: facts.wallMs,
+    team,
+    model: intent.model,
+    wanted: { version: intent.version, adapters: intent.adapters },
+    settings: intent.rollout,
+    formTimeoutMs: facts.formTimeoutMs,
+    groups: facts.assignments.flatMap((assignment) => assignment.groups).filter(isOwn).map((group) => rolloutGroup(group, facts.readings)),
+    records: facts.assignments.flatMap((assignment) => assignment.rollouts ?? []).filter(isOwn)
+  })
+}
+
+function rolloutGroup (group: AssignedGroup, readings: GroupReadings): RolloutGroup {
+  return {
+    group: group.group,
+    state: group.state,
+    revision: { version: group.version, adapters: group.adapters },
+    healthyForMs: readings.healthyForMs(group),
+    formingForMs: readings.formingForMs(group),
+    errorPercent: readings.errorPercent(group.group, group.formation)
+  }
+}
+
+function capacities ({ records, assignments, readings }: SharedFacts): readonly FabricDomainCapacity[] {
   const places = new Map<FabricDomainId, Omit<FabricDomainCapacity, 'held'>>()
   for (const { region, failureDomain, fabricDomain } of assignments) places.set(fabricDomain, { region, failureDomain, fabricDomain, vms: 0 })
   for (const { region, failureDomain, fabricDomain, role, state } of records) {
@@ -60,28 +110,17 @@
     places.set(fabricDomain, { ...known, vms: known.vms + (state === VmListState.Live ? 1 : 0) })
   }
   const groupsOf = new Map(assignments.map((assignment) => [assignment.fabricDomain, assignment.groups]))
-  return [...places.values()].map((place) => ({ ...place, held: heldGroups(groupsOf.get(place.fabricDomain) ?? [], isLost) }))
+  return [...places.values()].map((place) => ({ ...place, held: heldGroups(groupsOf.get(place.fabricDomain) ?? [], readings) }))
 }
 
-function heldGroups (groups: readonly AssignedGroup[], isLost: (group: AssignedGroup) => boolean): readonly HeldGroups[] {
+function heldGroups (groups: readonly AssignedGroup[], readings: GroupReadings): readonly HeldGroups[] {
   const held = new Map<string, HeldGroups>()
   for (const group of groups) {
     if (group.state === GroupState.Draining) continue
     const key = `${group.team}/${group.model}`
     const known = held.get(key) ?? { team: group.team, model: group.model, serving: 0, forming: 0, lost: 0 }
-    const part = group.state === GroupState.Serving ? 'serving' : isLost(group) ? 'lost' : 'forming'
+    const part = group.state === GroupState.Serving ? 'serving' : readings.isLost(group) ? 'lost' : 'forming'
     held.set(key, { ...known, [part]: known[part] + 1 })
   }
   return [...held.values()]
 }
-
-/** Groups that may change their version or adapters now: as many as may be out at once, less those that are out already. */
-function changingGroups (groups: readonly AssignedGroup[], version: string, adapters: readonly string[], maxUnavailable: number): readonly string[] {
-  const isCurrent = (group: AssignedGroup): boolean => group.version === version && group.adapters.join() === adapters.join()
-  const outdated = groups.filter((group) => !isCurrent(group))
-  const out = outdated.filter((group) => group.state !== GroupState.Serving)
-  const busy = groups.filter((group) => isCurrent(group) && group.state !== GroupState.Serving).length
-  const open = Math.max(0, maxUnavailable - out.length - busy)
-  const next = outdated.filter((group) => group.state === GroupState.Serving).slice(0, open)
-  return [...out, ...next].map((group) => group.group)
-}
