Explain from the records of the node that decides

A node that doesn't hold a failure domain's lease knows no decisions of it: asked there, explain answered without a cause.

--- a/packages/dotterelspur-node/src/process/Node.ts
+++ b/packages/dotterelspur-node/src/process/Node.ts
@@ -1,4 +1,4 @@
-import { NodeState, failed, runProcedure, sleep, success, type EffectHandlers, type ExplainPort, type Result } from 'dotterelspur'
+import { NodeState, failed, runProcedure, sleep, success, type EffectHandlers, type Result } from 'dotterelspur'
 import { hashToken } from 'dotterelspur-settings'
 import { startAdminServer, type AdminServer } from './admin/index.js'
 import { DrainEffectKind, drainNode, type DrainEffect } from './DrainProcedure.js'
@@ -6,6 +6,7 @@
 import { chooseIncarnation } from './Incarnation.js'
 import type { LoadedSettings } from './loadNodeSettings.js'
 import { NodeErrorKind, type NodeError } from './NodeError.js'
+import { NodeExplain } from './NodeExplain.js'
 import { createNodeBase, createNodeParts, type NodeParts, type NodePorts } from './NodeParts.js'
 
 /** The store is told of a drain for at most this long; peers learn it from the mesh anyway. */
@@ -85,7 +86,8 @@
 
 function startAdmin (loaded: LoadedSettings, parts: NodeParts, ports: NodePorts, drainSelf: (reason: string) => void): Promise<AdminServer> {
   const { settings, adminToken } = loaded
-  const explain: ExplainPort = { explainGroup: () => undefined, explainVm: () => undefined, explainIntent: () => undefined }
+  const explain = new NodeExplain(parts)
+  explain.registerAnswers()
   return startAdminServer({
     clock: parts.clock,
     store: parts.store,
--- a/packages/dotterelspur-node/src/process/admin/auditRoutes.ts
+++ b/packages/dotterelspur-node/src/process/admin/auditRoutes.ts
@@ -40,20 +40,20 @@
   return refusal.ok ? notFound('nothing to show') : refusal
 }
 
-type Explainers = { readonly [Subject in ExplainSubject]: (query: Extract<ExplainQuery, { subject: Subject }>, request: AdminRequest, context: AdminContext) => Result<ExplanationReply, AdminError> }
+type Explainers = { readonly [Subject in ExplainSubject]: (query: Extract<ExplainQuery, { subject: Subject }>, request: AdminRequest, context: AdminContext) => Promise<Result<ExplanationReply, AdminError>> }
 
 const EXPLAINERS: Explainers = {
-  [ExplainSubject.Group]: (query, request, { backend }) => {
+  [ExplainSubject.Group]: async (query, request, { backend }) => {
     if (!mayServe(request.scope, teamOfGroup(backend.mesh, query.name))) return forbidden(request)
-    return answer(backend.explain.explainGroup(query.name), `group ${query.name} is not known`)
+    return answer(await backend.explain.explainGroup(query.name), `group ${query.name} is not known`)
   },
-  [ExplainSubject.Vm]: (query, request, { backend }) => {
+  [ExplainSubject.Vm]: async (query, request, { backend }) => {
     if (request.scope.kind !== AdminScopeKind.Fleet) return forbidden(request)
-    return answer(backend.explain.explainVm(query.name), `VM ${query.name} is not known`)
+    return answer(await backend.explain.explainVm(query.name), `VM ${query.name} is not known`)
   },
-  [ExplainSubject.Intent]: (query, request, { backend }) => {
+  [ExplainSubject.Intent]: async (query, request, { backend }) => {
     if (!mayServe(request.scope, query.team)) return forbidden(request)
-    return answer(backend.explain.explainIntent(query.team, query.model), `team ${query.team} wants no model ${query.model}`)
+    return answer(await backend.explain.explainIntent(query.team, query.model), `team ${query.team} wants no model ${query.model}`)
   }
 }
 
@@ -62,9 +62,9 @@
   return success({ ...explanation, causes: explanation.causes.map((cause) => ({ ...cause, rejected: [...cause.rejected] })) })
 }
 
-function explain (request: AdminRequest, context: AdminContext): Result<ExplanationReply, AdminError> {
+async function explain (request: AdminRequest, context: AdminContext): Promise<Result<ExplanationReply, AdminError>> {
   const query = readInput(explainQuerySchema, request.query)
   if (!query.ok) return query
-  const explainer = EXPLAINERS[query.value.subject] as (query: ExplainQuery, request: AdminRequest, context: AdminContext) => Result<ExplanationReply, AdminError>
-  return explainer(query.value, request, context)
+  const explainer = EXPLAINERS[query.value.subject] as (query: ExplainQuery, request: AdminRequest, context: AdminContext) => Promise<Result<ExplanationReply, AdminError>>
+  return await explainer(query.value, request, context)
 }
--- a/packages/dotterelspur/src/version/ExplainPort.ts
+++ b/packages/dotterelspur/src/version/ExplainPort.ts
@@ -75,12 +75,12 @@
   readonly causes: readonly ExplainCause[]
 }
 
-/** Answers from recorded causes, for the operators' listener. Undefined: nothing of this name is known. */
+/** Answers from recorded causes, for the operators' listener; the records may be another node's. Undefined: nothing of this name is known. */
 export interface ExplainPort {
   /** Why does the group not serve? */
-  explainGroup (group: GroupId): Explanation | undefined
+  explainGroup (group: GroupId): Promise<Explanation | undefined>
   /** Why is the VM idle, or where did it go? */
-  explainVm (vm: VmId): Explanation | undefined
+  explainVm (vm: VmId): Promise<Explanation | undefined>
   /** Why is the team's intent for the model not met? */
-  explainIntent (team: TeamId, model: ModelId): Explanation | undefined
+  explainIntent (team: TeamId, model: ModelId): Promise<Explanation | undefined>
 }
