--- /dev/null
+++ b/packages/dotterelspur-fleet/src/__tests__/unit/FleetMeasures.test.ts
@@ -0,0 +1,99 @@
+import { expect } from 'chai'
+import { DEFAULT_EVIDENCE_TTL_MS, GroupState, OrderKind } from 'dotterelspur'
+import { FleetWorld, type WorldOptions } from '../FleetWorld.js'
+
+const SEEDS = 40
+const THREE_NODES: WorldOptions = { nodes: ['fd-1', 'fd-1', 'fd-1'], vmsPerFabricDomain: { 'fd-1.a': 4 } }
+
+/** Prints what was measured when FLEET_MEASURE is set; the bounds are checked always. */
+function report (what: string, samplesMs: readonly number[]): void {
+  if (process.env['FLEET_MEASURE'] === undefined) return
+  const sorted = [...samplesMs].sort((left, right) => left - right)
+  const at = (share: number): number => sorted[Math.min(sorted.length - 1, Math.floor(share * sorted.length))]!
+  console.log(`${what}: n ${sorted.length}, least ${sorted[0]}, median ${at(0.5)}, 95 in 100 ${at(0.95)}, most ${sorted.at(-1)}`)
+}
+
+/** One sample for each seed, from a world in which the group serves, at a moment that differs between seeds. */
+async function sample (options: WorldOptions, measure: (world: FleetWorld) => Promise<number>): Promise<number[]> {
+  const samples: number[] = []
+  for (let seed = 1; seed <= SEEDS; seed++) {
+    const world = new FleetWorld({ ...options, seed })
+    await world.runUntil('group serves', () => world.serves(world.group()) && world.group()!.state === GroupState.Serving, 20_000)
+    await world.run(4_000 + 97 * seed)
+    samples.push(await measure(world))
+    await world.stop()
+  }
+  return samples
+}
+
+function holdsAndDecides (world: FleetWorld): boolean {
+  return world.holders('fd-1').length === 1 && world.assignment('fd-1.a')!.fencing === world.lease('fd-1')!.fencing
+}
+
+describe('Fleet, measured on virtual time', () => {
+  it('holder killed to the next one deciding: below 11 s', async () => {
+    const samples = await sample(THREE_NODES, async (world) => {
+      world.killNode(world.holder('fd-1'))
+      return await world.runUntil('next decides', () => holdsAndDecides(world), 20_000)
+    })
+    report('holder killed to next deciding, ms', samples)
+    expect(Math.max(...samples)).to.be.below(11_000)
+  })
+
+  it('member killed to no more dispatch: within one probe interval and timeout', async () => {
+    const samples = await sample(THREE_NODES, async (world) => {
+      const group = world.group()!
+      world.kill(group.members[1]!.vm)
+      return await world.runUntil('no more dispatch', () => !world.serves(group), 5_000)
+    })
+    report('member killed to no more dispatch, ms', samples)
+    expect(Math.max(...samples)).to.be.at.most(700)
+  })
+
+  it('member silent to no more dispatch: within the evidence window', async () => {
+    const samples = await sample(THREE_NODES, async (world) => {
+      const group = world.group()!
+      world.engines.get(group.members[1]!.vm).paused = true
+      return await world.runUntil('no more dispatch', () => !world.serves(group), 5_000)
+    })
+    report('member silent to no more dispatch, ms', samples)
+    expect(Math.max(...samples)).to.be.at.most(DEFAULT_EVIDENCE_TTL_MS + 40)
+  })
+
+  it('an old holder\'s order at an engine that ignores fencing: its group is out within one probe interval and timeout', async () => {
+    const back: number[] = []
+    const samples = await sample({ ...THREE_NODES, checksFencing: false }, async (world) => {
+      const group = world.group()!
+      const stray = world.engines.get(group.members[1]!.vm)
+      world.engines.obey(stray, { kind: OrderKind.Form, group: 'fd-1.a.g0', formation: 1, fabricDomain: 'fd-1.a', rank: 0, members: [], model: 'summary', version: '1', adapters: [] }, 0)
+      const stoppedMs = await world.runUntil('no more dispatch', () => !world.serves(group), 5_000)
+      back.push(stoppedMs + await world.runUntil('serves again', () => world.serves(world.group()), 10_000))
+      return stoppedMs
+    })
+    report('old order obeyed to no more dispatch, ms', samples)
+    report('old order obeyed to serving again (join 100 ms), ms', back)
+    expect(Math.max(...samples)).to.be.at.most(700)
+  })
+
+  it('store calls of holders, candidates and all other nodes grow with failure domains, not with nodes', async () => {
+    for (const [failureDomains, nodesEach] of [[1, 4], [3, 3], [3, 6], [6, 3]] as const) {
+      const domains = Array.from({ length: failureDomains }, (_, index) => `fd-${index + 1}`)
+      const world = new FleetWorld({
+        nodes: domains.flatMap((domain) => Array.from({ length: nodesEach }, () => domain)),
+        vmsPerFabricDomain: Object.fromEntries(domains.map((domain) => [`${domain}.a`, 4])),
+        intent: { replicas: failureDomains }
+      })
+      await world.run(60_000)
+      const before = world.nodes.map(({ calls }) => ({ ...calls }))
+      await world.run(60_000)
+      const perSecond = (kind: 'reads' | 'writes'): number => world.nodes.reduce((sum, node, index) => sum + node.calls[kind] - before[index]![kind], 0) / 60
+      const [reads, writes] = [perSecond('reads'), perSecond('writes')]
+      if (process.env['FLEET_MEASURE'] !== undefined) {
+        console.log(`${failureDomains} failure domains, ${failureDomains * nodesEach} nodes: ${reads.toFixed(2)} reads/s, ${writes.toFixed(2)} writes/s (VM list not counted)`)
+      }
+      expect(reads / failureDomains).to.be.at.most(2 / 1.5)
+      expect(writes / failureDomains).to.be.at.most(1 / 1.5)
+      await world.stop()
+    }
+  })
+})
