--- a/packages/dotterelspur-demo/src/index.ts
+++ b/packages/dotterelspur-demo/src/index.ts
@@ -1,1 +1,5 @@
-export {}
+export * from './process/Cluster.js'
+export * from './process/ClusterLayout.js'
+export * from './process/describe.js'
+export * from './process/NodeFaults.js'
+export * from './process/Operator.js'
--- /dev/null
+++ b/packages/dotterelspur-demo/src/process/NodeFaults.ts
@@ -0,0 +1,32 @@
+import type { ClusterNode } from './Cluster.js'
+
+export enum NodeFaultKind {
+  Kill = 'kill',
+  Pause = 'pause',
+  Resume = 'resume',
+  Restart = 'restart',
+  /** The node is told to stop gracefully, and stays away. */
+  Drain = 'drain',
+  /** Cut from the platform and its peers, not from endpoints and callers. */
+  Isolate = 'isolate',
+  None = 'none'
+}
+
+type FaultHandler = (node: ClusterNode) => void | Promise<void>
+
+/** One handler for each kind of fault. */
+export const NODE_FAULT_HANDLERS: Readonly<Record<NodeFaultKind, FaultHandler>> = {
+  [NodeFaultKind.Kill]: (node) => node.process.kill(),
+  [NodeFaultKind.Pause]: (node) => { node.process.signal('SIGSTOP') },
+  [NodeFaultKind.Resume]: (node) => { node.process.signal('SIGCONT') },
+  [NodeFaultKind.Restart]: async (node) => {
+    await node.process.kill()
+    node.process.start()
+  },
+  [NodeFaultKind.Drain]: (node) => { node.process.signal('SIGTERM') },
+  [NodeFaultKind.Isolate]: (node) => { node.setIsolated(true) },
+  [NodeFaultKind.None]: (node) => {
+    node.setIsolated(false)
+    node.process.signal('SIGCONT')
+  }
+}
--- /dev/null
+++ b/packages/dotterelspur-demo/src/request/Scenario.ts
@@ -0,0 +1,147 @@
+import { ASSIGNMENT_PREFIX, DEFAULT_EVIDENCE_TTL_MS, sleep } from 'dotterelspur'
+import type { AssignmentObject } from 'dotterelspur'
+import { RunEnd, SystemClock, VmFaultKind } from 'dotterelspur-testkit'
+import type { LedgerRow } from 'dotterelspur-testkit'
+import type { Cluster } from '../process/Cluster.js'
+import { Caller } from './Caller.js'
+import type { ServiceAnswer } from './Caller.js'
+import type { Narrator } from './Narrator.js'
+import { checkAnswers, checkComplete, checkMembership, checkOnce, checkRepair } from './promises.js'
+import type { MemberLoss, PromiseCheck, SentChat } from './promises.js'
+
+const CHATS_PER_TEAM = 12
+const MAX_TOKENS = 200
+const POLL_MS = 50
+const REPAIR_TIMEOUT_MS = 25_000
+const STREAMING_TIMEOUT_MS = 10_000
+const ONCE_SENDS = 2
+
+interface Repair {
+  readonly loss: MemberLoss
+  readonly lostVm: string
+  readonly repaired: boolean
+  readonly repairMs: number
+  readonly detail: string
+}
+
+/** What the full demo shows: answers, a lost VM, the repair, a call that runs once, and each promise checked. */
+export class Scenario {
+  private readonly clock = new SystemClock()
+
+  constructor (private readonly cluster: Cluster, private readonly narrator: Narrator) {}
+
+  async run (): Promise<readonly PromiseCheck[]> {
+    const callers = await this.callers()
+    const onceKey = `loan-${this.clock.wallMs()}`
+    const chats = callers.flatMap((caller) => this.startChats(caller))
+    const loss = await this.killUnderStreams()
+    const [answered, once] = await Promise.all([Promise.all(chats), this.callTwice(callers.at(-1)!, onceKey)])
+    this.showAnswers(answered, loss)
+    this.narrator.say(`the non-idempotent call was sent twice with one key: ${once.map((answer) => answer.status).join(', ')}`)
+    const repair = await this.watchRepair(loss)
+    await this.explain(repair)
+    return this.judge(answered, repair, onceKey)
+  }
+
+  private async callers (): Promise<Caller[]> {
+    const entry = this.cluster.nodes[0]!.entry
+    const callers = this.cluster.layout.teams.map((team) => new Caller(team, entry))
+    for (const caller of callers) {
+      const entries = await caller.askDirectory()
+      this.narrator.say(`${caller.team.team} asked the directory and was given ${entries.length} addresses`)
+    }
+    return callers
+  }
+
+  private startChats (caller: Caller): Array<Promise<SentChat>> {
+    this.narrator.say(`${caller.team.team} sends ${CHATS_PER_TEAM} chat requests for ${caller.team.models[0]}`)
+    return Array.from({ length: CHATS_PER_TEAM }, async (_, index) => {
+      const marker = `${caller.team.team}-${index}`
+      return { marker, answer: await caller.chat(`${marker}: say it in a few lines`, MAX_TOKENS) }
+    })
+  }
+
+  /** Kills a member of the group that streams the most, while it streams. */
+  private async killUnderStreams (): Promise<MemberLoss & { readonly vm: string, readonly streams: number }> {
+    const victim = await this.busiestGroup()
+    const member = this.cluster.endpoints.views().filter((view) => view.group === victim.group).at(-1)!
+    const atWallMs = this.clock.wallMs()
+    await this.cluster.endpoints.fault(member.vm, { kind: VmFaultKind.Kill })
+    const streams = this.runningOf(victim.group!).length
+    this.narrator.say(`killed ${member.vm}, a member of ${victim.group}, while ${victim.streams} answers streamed from that group`)
+    return { group: victim.group!, formation: victim.formation, atWallMs, vm: member.vm, streams }
+  }
+
+  private async busiestGroup (): Promise<{ readonly group: string, readonly formation: number, readonly streams: number }> {
+    const deadlineMs = this.clock.nowMs() + STREAMING_TIMEOUT_MS
+    const due = CHATS_PER_TEAM * this.cluster.layout.teams.length
+    while (this.cluster.endpoints.ledger.rows().length < due && this.clock.nowMs() < deadlineMs) await sleep(this.clock, POLL_MS)
+    const running = this.cluster.endpoints.ledger.rows().filter((row) => row.end === RunEnd.Running && row.group !== null)
+    const counts = new Map<string, LedgerRow[]>()
+    for (const row of running) counts.set(row.group!, [...counts.get(row.group!) ?? [], row])
+    const busiest = [...counts.values()].sort((left, right) => right.length - left.length)[0]
+    if (busiest === undefined) throw new Error('no answer streams: no group took a request')
+    return { group: busiest[0]!.group!, formation: busiest[0]!.formation, streams: busiest.length }
+  }
+
+  private runningOf (group: string): LedgerRow[] {
+    return this.cluster.endpoints.ledger.rows().filter((row) => row.group === group && row.end === RunEnd.Running)
+  }
+
+  private async callTwice (caller: Caller, key: string): Promise<ServiceAnswer[]> {
+    const service = this.cluster.layout.services.find((plan) => plan.team === caller.team.team)!
+    const answers: ServiceAnswer[] = []
+    for (let sent = 0; sent < ONCE_SENDS; sent++) answers.push(await caller.callOnce(service.oncePath, key, '{"loan":"two copies cost twice"}'))
+    return answers
+  }
+
+  private showAnswers (chats: readonly SentChat[], loss: MemberLoss): void {
+    const again = chats.filter(({ answer }) => this.runsOf(answer.requestId).length > 1)
+    const whole = chats.filter(({ answer }) => answer.whole).length
+    this.narrator.say(`${whole} of ${chats.length} answers arrived whole; ${again.length} of them went on elsewhere when ${loss.group} lost its VM`)
+    const example = again[0] ?? chats[0]!
+    this.narrator.quote(`${example.marker}, run at ${this.runsOf(example.answer.requestId).map((row) => `${row.group} (${row.end})`).join(', then ')}`, example.answer.text)
+  }
+
+  private runsOf (requestId: string): LedgerRow[] {
+    return this.cluster.endpoints.ledger.rows().filter((row) => row.requestId === requestId)
+  }
+
+  private async watchRepair (loss: MemberLoss & { readonly vm: string }): Promise<Repair> {
+    const wanted = this.cluster.layout.teams.reduce((sum, team) => sum + team.replicas, 0)
+    const deadlineMs = this.clock.nowMs() + REPAIR_TIMEOUT_MS
+    let repaired = false
+    while (!repaired && this.clock.nowMs() < deadlineMs) {
+      const serving = await Promise.all(this.cluster.nodes.map((node) => this.cluster.operator.servingGroups(node.admin)))
+      repaired = serving.every((count) => count >= wanted)
+      if (!repaired) await sleep(this.clock, POLL_MS)
+    }
+    const repairMs = this.clock.wallMs() - loss.atWallMs
+    const group = this.assignments().flatMap((assignment) => assignment.groups).find((line) => line.group === loss.group)
+    const detail = group === undefined ? `${loss.group} was dissolved` : `${loss.group} at formation ${group.formation} with ${group.members.map((member) => member.vm).join(' and ')}`
+    this.narrator.say(repaired ? `repaired: ${detail}` : `not repaired: ${detail}`)
+    return { loss, lostVm: loss.vm, repaired, repairMs, detail }
+  }
+
+  private async explain ({ loss, lostVm }: Repair): Promise<void> {
+    for (const words of [['explain', 'group', loss.group], ['explain', 'vm', lostVm]]) {
+      const report = await this.cluster.operator.run(words)
+      this.narrator.command(`dotterelctl ${words.join(' ')}`, report.output + report.errors)
+    }
+  }
+
+  private judge (chats: readonly SentChat[], repair: Repair, onceKey: string): PromiseCheck[] {
+    const { ledger, answers } = this.cluster.endpoints
+    return [
+      checkAnswers(chats, answers),
+      checkOnce(ledger.rows(), onceKey, ONCE_SENDS),
+      checkComplete(ledger.rows(), [repair.loss], DEFAULT_EVIDENCE_TTL_MS),
+      checkMembership(this.assignments()),
+      checkRepair(repair.repaired, repair.repairMs, repair.detail)
+    ]
+  }
+
+  private assignments (): AssignmentObject[] {
+    return this.cluster.platform.objects.list(ASSIGNMENT_PREFIX).objects.map((object) => object.body as AssignmentObject)
+  }
+}
--- /dev/null
+++ b/packages/dotterelspur-demo/src/request/promises.ts
@@ -0,0 +1,81 @@
+import { ASSIGNMENT_PREFIX } from 'dotterelspur'
+import type { AssignmentObject } from 'dotterelspur'
+import { RunEnd } from 'dotterelspur-testkit'
+import type { AnswerBook, LedgerRow } from 'dotterelspur-testkit'
+import type { ChatAnswer } from './Caller.js'
+
+/** One promise, held against what the stand-ins saw. */
+export interface PromiseCheck {
+  readonly promise: string
+  readonly held: boolean
+  readonly evidence: string
+}
+
+export interface SentChat {
+  readonly marker: string
+  readonly answer: ChatAnswer
+}
+
+/** A member of a group that was lost, on the wall clock of the stand-ins. */
+export interface MemberLoss {
+  readonly group: string
+  readonly formation: number
+  readonly atWallMs: number
+}
+
+function check (promise: string, held: boolean, evidence: string): PromiseCheck {
+  return { promise, held, evidence }
+}
+
+/** Each caller has the whole answer that the engines give to its own request, and no other. */
+export function checkAnswers (chats: readonly SentChat[], answers: AnswerBook): PromiseCheck {
+  const wrong = chats.filter(({ marker, answer }) => !answer.whole || answer.text !== answers.answer(answer.requestId) || !answers.prompt(answer.requestId)!.includes(marker))
+  const first = wrong[0]
+  const evidence = first === undefined
+    ? `${chats.length} of ${chats.length} answers compared token by token`
+    : `${wrong.length} of ${chats.length} wrong; ${first.answer.requestId}: status ${first.answer.status}, ${first.answer.error ?? 'the text differs'}`
+  return check('every caller has the whole answer to its own request', wrong.length === 0, evidence)
+}
+
+/** A non-idempotent call began at one endpoint, once. */
+export function checkOnce (rows: readonly LedgerRow[], idempotencyKey: string, sent: number): PromiseCheck {
+  const runs = rows.filter((row) => row.idempotencyKey === idempotencyKey)
+  const evidence = `sent ${sent} times with one key, run ${runs.length} times${runs[0] === undefined ? '' : ` (at ${runs[0].endpoint})`}`
+  return check('a non-idempotent call runs at most once', runs.length === 1 && runs[0]!.end === RunEnd.Whole, evidence)
+}
+
+/**
+ * No run began in an incomplete group, but for the stated window in which a loss can't be known yet; and no run
+ * that began so ended whole.
+ */
+export function checkComplete (rows: readonly LedgerRow[], losses: readonly MemberLoss[], windowMs: number): PromiseCheck {
+  const incomplete = rows.filter((row) => row.group !== null && row.membersUp < row.membersDue)
+  const excused = (row: LedgerRow): boolean => losses.some(({ group, formation, atWallMs }) =>
+    row.group === group && row.formation === formation && row.startedAtMs <= atWallMs + windowMs && row.end !== RunEnd.Whole)
+  const wrong = incomplete.filter((row) => !excused(row))
+  const evidence = `${rows.length} runs, ${incomplete.length} sent to a group that had just lost a VM (none answered from it), ${wrong.length} beyond the window of ${windowMs} ms`
+  return check('no group serves unless all of its VMs are present', wrong.length === 0, evidence)
+}
+
+/** Reads the platform's own objects. */
+export function checkMembership (assignments: readonly AssignmentObject[]): PromiseCheck {
+  const seen = new Map<string, string>()
+  const doubled: string[] = []
+  for (const { groups } of assignments) {
+    for (const { group, members, standbys } of groups) {
+      for (const { vm } of members) {
+        if (seen.has(vm)) doubled.push(`${vm} in ${seen.get(vm)} and ${group}`)
+        seen.set(vm, group)
+      }
+      for (const { vm } of standbys) {
+        if (seen.has(vm) && seen.get(vm) !== group) doubled.push(`${vm}, a standby of ${group}, is in ${seen.get(vm)}`)
+      }
+    }
+  }
+  return check('no VM belongs to two groups', doubled.length === 0, doubled[0] ?? `${seen.size} members of ${assignments.length} fabric domains under ${ASSIGNMENT_PREFIX}`)
+}
+
+/** The group that lost a VM serves again, complete. */
+export function checkRepair (repaired: boolean, repairMs: number, detail: string): PromiseCheck {
+  return check('the fleet repairs itself', repaired, repaired ? `complete again after ${(repairMs / 1_000).toFixed(1)} s: ${detail}` : `not within ${(repairMs / 1_000).toFixed(1)} s: ${detail}`)
+}
--- a/packages/dotterelspur-testkit/src/process/EndpointFleet.ts
+++ b/packages/dotterelspur-testkit/src/process/EndpointFleet.ts
@@ -1,5 +1,6 @@
 import { EngineState, VmRole, invariant } from 'dotterelspur'
 import type { Clock, ServiceStatus, Teardown, VmId, VmRecord, VmStatus } from 'dotterelspur'
+import { AnswerBook } from '../request/AnswerBook.js'
 import { EngineVm } from './engine/EngineVm.js'
 import type { FormOrder } from './engine/EngineVm.js'
 import { registerEngineRoutes } from './engine/EngineRoutes.js'
@@ -42,6 +43,7 @@
 /** All endpoint VMs of a stand-in deployment, in one process, each with its own listener. */
 export class EndpointFleet {
   readonly ledger: Ledger
+  readonly answers = new AnswerBook()
   private readonly clock: Clock
   private readonly settings: EngineSettings
   private readonly serviceSettings: ServiceSettings
@@ -176,6 +178,7 @@
       ledger: this.ledger,
       requestLoad: this.options.requestLoad ?? INSTANT_LOAD,
       seed: this.options.seed ?? 1,
+      answers: this.answers,
       healthOf: (form) => this.healthOf(form)
     }))
   }
--- a/packages/dotterelspur-testkit/src/process/engine/EngineVm.ts
+++ b/packages/dotterelspur-testkit/src/process/engine/EngineVm.ts
@@ -1,5 +1,6 @@
 import { createRandom, EndpointErrorKind, EngineState, failed, OrderKind, StreamState, success } from 'dotterelspur'
 import type { Clock, EngineOrder, GenerateRequest, GroupMember, RequestId, Result, StreamStatus, VmStatus } from 'dotterelspur'
+import type { AnswerBook } from '../../request/AnswerBook.js'
 import { EngineRun } from '../../request/EngineRun.js'
 import { countTokens } from '../../request/AnswerText.js'
 import type { Ledger } from '../Ledger.js'
@@ -25,6 +26,7 @@
   readonly ledger: Ledger
   readonly requestLoad: LoadRequester
   readonly seed: number
+  readonly answers: AnswerBook
   /** The state of a formation's members, as the fabric shows it to the leader. */
   healthOf (form: FormOrder): GroupHealth
 }
@@ -104,6 +106,7 @@
       membersUp,
       membersDue
     })
+    this.context.answers.note(request)
     const run = new EngineRun(request, (end) => { close(end); this.forgetLater(run) })
     this.runs.set(request.requestId, run)
     this.batch.submit(run)
--- /dev/null
+++ b/packages/dotterelspur-testkit/src/request/AnswerBook.ts
@@ -0,0 +1,26 @@
+import type { GenerateRequest, RequestId } from 'dotterelspur'
+import { expectedAnswer } from './AnswerText.js'
+
+const LIMIT_REQUESTS = 100_000
+
+/** What engines were asked, so that a checker knows the whole answer that a request id must have received. */
+export class AnswerBook {
+  private readonly requests = new Map<RequestId, GenerateRequest>()
+
+  /** Keeps the first request of each id. */
+  note (request: GenerateRequest): void {
+    if (this.requests.has(request.requestId)) return
+    this.requests.set(request.requestId, request)
+    if (this.requests.size > LIMIT_REQUESTS) this.requests.delete(this.requests.keys().next().value!)
+  }
+
+  prompt (requestId: RequestId): string | undefined {
+    return this.requests.get(requestId)?.prompt
+  }
+
+  /** The whole answer, from its first token. */
+  answer (requestId: RequestId): string | undefined {
+    const request = this.requests.get(requestId)
+    return request === undefined ? undefined : expectedAnswer(request, request.maxTokens)
+  }
+}
--- a/packages/dotterelspur-testkit/src/request/index.ts
+++ b/packages/dotterelspur-testkit/src/request/index.ts
@@ -1,1 +1,2 @@
 export * from './AnswerText.js'
+export * from './AnswerBook.js'
