--- a/packages/dotterelspur-demo/src/request/Scenario.ts
+++ b/packages/dotterelspur-demo/src/request/Scenario.ts
@@ -15,10 +15,16 @@
 const REPAIR_TIMEOUT_MS = 25_000
 const STREAMING_TIMEOUT_MS = 10_000
 const ONCE_SENDS = 2
+/** The VM is killed once this share of the answers streams, and a little later. */
+const ENOUGH_SHARE = 0.5
+const STREAM_A_WHILE_MS = 300
+
+interface LostMember extends MemberLoss {
+  readonly vm: string
+}
 
 interface Repair {
-  readonly loss: MemberLoss
-  readonly lostVm: string
+  readonly loss: LostMember
   readonly repaired: boolean
   readonly repairMs: number
   readonly detail: string
@@ -62,21 +68,21 @@
   }
 
   /** Kills a member of the group that streams the most, while it streams. */
-  private async killUnderStreams (): Promise<MemberLoss & { readonly vm: string, readonly streams: number }> {
+  private async killUnderStreams (): Promise<LostMember> {
     const victim = await this.busiestGroup()
     const member = this.cluster.endpoints.views().filter((view) => view.group === victim.group).at(-1)!
     const atWallMs = this.clock.wallMs()
     await this.cluster.endpoints.fault(member.vm, { kind: VmFaultKind.Kill })
-    const streams = this.runningOf(victim.group!).length
     this.narrator.say(`killed ${member.vm}, a member of ${victim.group}, while ${victim.streams} answers streamed from that group`)
-    return { group: victim.group!, formation: victim.formation, atWallMs, vm: member.vm, streams }
+    return { group: victim.group, formation: victim.formation, atWallMs, vm: member.vm }
   }
 
   private async busiestGroup (): Promise<{ readonly group: string, readonly formation: number, readonly streams: number }> {
     const deadlineMs = this.clock.nowMs() + STREAMING_TIMEOUT_MS
-    const due = CHATS_PER_TEAM * this.cluster.layout.teams.length
-    while (this.cluster.endpoints.ledger.rows().length < due && this.clock.nowMs() < deadlineMs) await sleep(this.clock, POLL_MS)
-    const running = this.cluster.endpoints.ledger.rows().filter((row) => row.end === RunEnd.Running && row.group !== null)
+    const enough = CHATS_PER_TEAM * this.cluster.layout.teams.length * ENOUGH_SHARE
+    while (this.runningRows().length < enough && this.clock.nowMs() < deadlineMs) await sleep(this.clock, POLL_MS)
+    await sleep(this.clock, STREAM_A_WHILE_MS)
+    const running = this.runningRows()
     const counts = new Map<string, LedgerRow[]>()
     for (const row of running) counts.set(row.group!, [...counts.get(row.group!) ?? [], row])
     const busiest = [...counts.values()].sort((left, right) => right.length - left.length)[0]
@@ -84,8 +90,8 @@
     return { group: busiest[0]!.group!, formation: busiest[0]!.formation, streams: busiest.length }
   }
 
-  private runningOf (group: string): LedgerRow[] {
-    return this.cluster.endpoints.ledger.rows().filter((row) => row.group === group && row.end === RunEnd.Running)
+  private runningRows (): LedgerRow[] {
+    return this.cluster.endpoints.ledger.rows().filter((row) => row.end === RunEnd.Running && row.group !== null)
   }
 
   private async callTwice (caller: Caller, key: string): Promise<ServiceAnswer[]> {
@@ -99,6 +105,7 @@
     const again = chats.filter(({ answer }) => this.runsOf(answer.requestId).length > 1)
     const whole = chats.filter(({ answer }) => answer.whole).length
     this.narrator.say(`${whole} of ${chats.length} answers arrived whole; ${again.length} of them went on elsewhere when ${loss.group} lost its VM`)
+    for (const { marker, answer } of chats.filter((chat) => !chat.answer.whole)) this.narrator.say(`${marker}: status ${answer.status}, ${answer.error ?? 'the stream ended early'}`)
     const example = again[0] ?? chats[0]!
     this.narrator.quote(`${example.marker}, run at ${this.runsOf(example.answer.requestId).map((row) => `${row.group} (${row.end})`).join(', then ')}`, example.answer.text)
   }
@@ -107,7 +114,7 @@
     return this.cluster.endpoints.ledger.rows().filter((row) => row.requestId === requestId)
   }
 
-  private async watchRepair (loss: MemberLoss & { readonly vm: string }): Promise<Repair> {
+  private async watchRepair (loss: LostMember): Promise<Repair> {
     const wanted = this.cluster.layout.teams.reduce((sum, team) => sum + team.replicas, 0)
     const deadlineMs = this.clock.nowMs() + REPAIR_TIMEOUT_MS
     let repaired = false
@@ -120,11 +127,11 @@
     const group = this.assignments().flatMap((assignment) => assignment.groups).find((line) => line.group === loss.group)
     const detail = group === undefined ? `${loss.group} was dissolved` : `${loss.group} at formation ${group.formation} with ${group.members.map((member) => member.vm).join(' and ')}`
     this.narrator.say(repaired ? `repaired: ${detail}` : `not repaired: ${detail}`)
-    return { loss, lostVm: loss.vm, repaired, repairMs, detail }
+    return { loss, repaired, repairMs, detail }
   }
 
-  private async explain ({ loss, lostVm }: Repair): Promise<void> {
-    for (const words of [['explain', 'group', loss.group], ['explain', 'vm', lostVm]]) {
+  private async explain ({ loss }: Repair): Promise<void> {
+    for (const words of [['explain', 'group', loss.group], ['explain', 'vm', loss.vm]]) {
       const report = await this.cluster.operator.run(words)
       this.narrator.command(`dotterelctl ${words.join(' ')}`, report.output + report.errors)
     }
