Explain a VM that has left the list, and what last happened to a group that serves

The demo asks about the VM that it killed, five seconds after the repair: the list and the assignment had both forgotten it and the answer was that no such VM is known. The controller's decisions still name it and now answer. A group that serves says which decision brought it to its formation.

--- a/packages/dotterelspur/src/version/explain/explainGroup.ts
+++ b/packages/dotterelspur/src/version/explain/explainGroup.ts
@@ -14,7 +14,7 @@
   const { group } = placed
   const evidence = evidenceCause(input, group)
   const satisfied = evidence === null && takesWork(group) && !input.drained.includes(id)
-  if (satisfied) return explain(group, true, `${id} serves ${group.model} ${group.version} at formation ${group.formation}.`, [])
+  if (satisfied) return explain(group, true, `${id} serves ${group.model} ${group.version} at formation ${group.formation}.`, present(decisionCause(input, id)))
   const causes = [
     ...drainCauses(input, group),
     ...memberCauses(input, group),
--- a/packages/dotterelspur/src/version/explain/explainVm.ts
+++ b/packages/dotterelspur/src/version/explain/explainVm.ts
@@ -7,11 +7,11 @@
 import type { ExplainInput, PlacedGroup, WantedModel } from './ExplainInput.js'
 import { findPlace, findVm } from './ExplainInput.js'
 
-/** Says where a VM has its place, or why it has none. Undefined when it is neither listed nor assigned. */
+/** Says where a VM has its place, or why it has none. Undefined when it is neither listed, nor assigned, nor named by a decision. */
 export function explainVm (input: ExplainInput, vm: VmId): Explanation | undefined {
   const health = findVm(input, vm)
   const place = findPlace(input, vm)
-  if (health === undefined && place === undefined) return undefined
+  if (health === undefined && place === undefined) return gone(input, vm)
   const hindrances = health === undefined ? [absentWithoutList(vm)] : healthCauses(input, health)
   const causes = [
     ...listCauses(input, vm),
@@ -24,6 +24,14 @@
   return { subject: ExplainSubject.Vm, name: vm, satisfied, summary: summarise(vm, place, causes), causes }
 }
 
+/** A VM that died and left the list is what an operator asks about most: the decisions still name it. */
+function gone (input: ExplainInput, vm: VmId): Explanation | undefined {
+  const moves = lastMove(input, vm)
+  if (moves.length === 0) return undefined
+  const absent = cause(ExplainCauseKind.VmAbsent, vm, `VM ${vm} is in no list and has no place any more.`)
+  return { subject: ExplainSubject.Vm, name: vm, satisfied: false, summary: absent.message, causes: [absent, ...moves, ...storeCauses(input)] }
+}
+
 function summarise (vm: VmId, place: PlacedGroup | undefined, causes: readonly ExplainCause[]): string {
   if (place !== undefined && causes[0] !== undefined) return causes[0].message
   return `${vm} is idle: ${causes[0]?.message ?? 'no cause is recorded here.'}`
