A lane's limit follows windows of first tokens, not single ones

Change: a window of a second and ten first tokens with more than 10% late ones lowers the limit by 10%; a full one without raises it by 2%, by 15% when the last congestion is 10 s past.

--- a/packages/dotterelspur-bench/src/experiments/admission/AdmissionRun.ts
+++ b/packages/dotterelspur-bench/src/experiments/admission/AdmissionRun.ts
@@ -64,7 +64,7 @@
 const INTERACTIVE_DEADLINE_MS = 10_000
 const BULK_DEADLINE_MS = 600_000
 const RANKS: Readonly<Record<PriorityClass, number>> = { [PriorityClass.Interactive]: 0, [PriorityClass.Standard]: 1, [PriorityClass.Bulk]: 2 }
-const FIXED = { congestedFirstTokenMs: Infinity, startFactor: 1 }
+const FIXED = { lateFirstTokenMs: Infinity, increaseFactor: 1, fastIncreaseFactor: 1, startFactor: 1 }
 
 interface Submission {
   readonly request: SimulatedRequest
--- a/packages/dotterelspur/src/request/admission/AdaptiveLimit.ts
+++ b/packages/dotterelspur/src/request/admission/AdaptiveLimit.ts
@@ -1,42 +1,57 @@
 export interface AdaptiveLimitOptions {
-  /** A first token later than this, and later than `congestedRatio` times the usual, means that work waits at the endpoints. */
-  readonly congestedFirstTokenMs: number
-  readonly congestedRatio: number
-  /** What remains of the limit after a sign of congestion. */
+  /** A first token later than this, and later than `lateRatio` times the usual, counts as late: work waits at the endpoints. */
+  readonly lateFirstTokenMs: number
+  readonly lateRatio: number
+  /** More late ones than this share of a window's are a sign of congestion. */
+  readonly lateShare: number
+  /** A window ends after this long, with at least so many first tokens. */
+  readonly windowMs: number
+  readonly windowSamples: number
+  /** Factor on the limit after a window with congestion. */
   readonly decreaseFactor: number
-  /** At most one decrease in this time: the signs of one congestion arrive together. */
-  readonly decreaseIntervalMs: number
+  /** Factor after a window in which the limit was in use, soon after and long after a congestion. */
+  readonly increaseFactor: number
+  readonly fastIncreaseFactor: number
+  readonly fastAfterMs: number
   /** The limit starts at this many times the node's even share of the capacity. */
   readonly startFactor: number
 }
 
 export const DEFAULT_ADAPTIVE_LIMIT_OPTIONS: AdaptiveLimitOptions = {
-  congestedFirstTokenMs: 600,
-  congestedRatio: 3,
-  decreaseFactor: 0.85,
-  decreaseIntervalMs: 1_000,
+  lateFirstTokenMs: 600,
+  lateRatio: 3,
+  lateShare: 0.1,
+  windowMs: 1_000,
+  windowSamples: 10,
+  decreaseFactor: 0.9,
+  increaseFactor: 1.02,
+  fastIncreaseFactor: 1.15,
+  fastAfterMs: 10_000,
   startFactor: 1.25
 }
 
-const USUAL_WEIGHT = 0.05
+/** The usual first token falls fast and rises slowly: followed closely, a queue that builds up slowly would become the usual. */
+const USUAL_FALL_WEIGHT = 0.1
+const USUAL_RISE_WEIGHT = 0.002
 const USED_SHARE = 0.8
 const LEAST_START = 2
 
 /**
- * How many requests this node may have under way at once in a lane: additive increase, multiplicative decrease.
+ * How many requests this node may have under way at once in a lane.
  *
  * The endpoints' capacity is shared by nodes that don't count together. A fixed share per node is too small where
  * callers come through few nodes, and a large one lets work pile up at the endpoints, where it can no longer be
- * shed truthfully. That would show as late first tokens; so a late one, or a refusal for lack of room, lowers the
- * limit, and a full limit without such signs raises it. Nodes that share an endpoint see the same signs and come
- * to even shares.
+ * shed truthfully. That shows as late first tokens. So a window with too many late ones, or a refusal for lack of
+ * room, lowers the limit, and a window in which a full limit made none late raises it. Nodes that share an
+ * endpoint see the same signs and come to even shares.
  */
 export class AdaptiveLimit {
-  private limit = 0
+  private limit: number
   private capacity = 0
   private nodes = 1
   private usualMs: number | null = null
   private lastDecreaseAtMs = -Infinity
+  private window = { sinceMs: -Infinity, samples: 0, late: 0, used: false }
 
   constructor (private readonly options: AdaptiveLimitOptions, initial: number) {
     this.limit = initial
@@ -59,17 +74,35 @@
 
   /** A first token came. `running` tells whether the limit was in use: only then may it grow. */
   noteFirstToken (firstTokenMs: number, running: number, nowMs: number): void {
-    const { congestedFirstTokenMs, congestedRatio } = this.options
+    const { lateFirstTokenMs, lateRatio, windowMs, windowSamples } = this.options
     const usualMs = this.usualMs ?? firstTokenMs
-    if (firstTokenMs > congestedFirstTokenMs && firstTokenMs > congestedRatio * usualMs) return this.noteCongestion(nowMs)
-    this.usualMs = usualMs + USUAL_WEIGHT * (firstTokenMs - usualMs)
-    if (running >= USED_SHARE * this.value) this.limit += 1 / this.limit
-    this.clamp()
+    const isLate = firstTokenMs > lateFirstTokenMs && firstTokenMs > lateRatio * usualMs
+    const weight = firstTokenMs < usualMs ? USUAL_FALL_WEIGHT : USUAL_RISE_WEIGHT
+    this.usualMs = usualMs + weight * (firstTokenMs - usualMs)
+    const { window } = this
+    window.samples++
+    window.late += isLate ? 1 : 0
+    window.used ||= running >= USED_SHARE * this.value
+    if (window.samples >= windowSamples && nowMs - window.sinceMs >= windowMs) this.closeWindow(nowMs)
   }
 
-  /** An endpoint had no room, or a first token came late. */
+  /** An endpoint had no room. Counts at once, but once per window: the signs of one congestion come together. */
   noteCongestion (nowMs: number): void {
-    if (nowMs - this.lastDecreaseAtMs < this.options.decreaseIntervalMs) return
+    if (nowMs - this.lastDecreaseAtMs < this.options.windowMs) return
+    this.decrease(nowMs)
+  }
+
+  private closeWindow (nowMs: number): void {
+    const { late, samples, used } = this.window
+    const { lateShare, increaseFactor, fastIncreaseFactor, fastAfterMs } = this.options
+    this.window = { sinceMs: nowMs, samples: 0, late: 0, used: false }
+    if (late > lateShare * samples) return this.decrease(nowMs)
+    if (!used) return
+    this.limit *= nowMs - this.lastDecreaseAtMs > fastAfterMs ? fastIncreaseFactor : increaseFactor
+    this.clamp()
+  }
+
+  private decrease (nowMs: number): void {
     this.lastDecreaseAtMs = nowMs
     this.limit *= this.options.decreaseFactor
     this.clamp()
