Lower classes leave room counted over all that runs

Cause: bulk was held to 75% of the limit by its own count; the limit adapts to congestion, and bulk with it, so no room was left at the engines: interactive p95 1072 ms beside bulk at 1.5 of capacity (alone 126 ms). Change: a class is dispatched while all that runs is under its share, or while its own count is under its floor, so that it never starves. Ruled out: late from 300 ms and 5% (161 ms, but bulk falls from 54 to 46 requests/s).

--- a/packages/dotterelspur/src/request/admission/AdmissionLane.ts
+++ b/packages/dotterelspur/src/request/admission/AdmissionLane.ts
@@ -77,9 +77,15 @@
     return this.meanRunMs / this.effectiveLimit() * weights / classWeight[priority]
   }
 
+  /**
+   * A lower class leaves room for what comes with a higher one, counted over all that runs: a share of its own
+   * would not help, since the limit adapts and the class would fill it up again. Its floor keeps it going.
+   */
   private hasRoom (priority: PriorityClass): boolean {
-    const held = Math.max(1, Math.floor(this.effectiveLimit() * this.options.classShare[priority]))
-    return this.running[priority] < held
+    const { classShare, classFloor } = this.options
+    const limit = this.effectiveLimit()
+    return this.runningCount < Math.max(1, Math.floor(limit * classShare[priority])) ||
+      this.running[priority] < Math.max(1, Math.floor(limit * classFloor[priority]))
   }
 
   private effectiveLimit (): number {
--- a/packages/dotterelspur/src/request/admission/AdmissionOptions.ts
+++ b/packages/dotterelspur/src/request/admission/AdmissionOptions.ts
@@ -8,8 +8,10 @@
   readonly maxQueueMs: Readonly<Record<PriorityClass, number>>
   /** Share of dispatches while all classes wait. */
   readonly classWeight: Readonly<Record<PriorityClass, number>>
-  /** Share of a lane's concurrency that a class may hold. */
+  /** A class is dispatched only while less than this share of the lane's concurrency is in use, by whatever class. */
   readonly classShare: Readonly<Record<PriorityClass, number>>
+  /** A class that holds less than this share of the concurrency is dispatched all the same: it is never starved. */
+  readonly classFloor: Readonly<Record<PriorityClass, number>>
   /** Concurrency of a lane that was never configured. */
   readonly initialConcurrency: number
   readonly limit: AdaptiveLimitOptions
@@ -20,6 +22,7 @@
   maxQueueMs: { [PriorityClass.Interactive]: 1_500, [PriorityClass.Standard]: 5_000, [PriorityClass.Bulk]: 30_000 },
   classWeight: { [PriorityClass.Interactive]: 16, [PriorityClass.Standard]: 4, [PriorityClass.Bulk]: 1 },
   classShare: { [PriorityClass.Interactive]: 1, [PriorityClass.Standard]: 0.9, [PriorityClass.Bulk]: 0.75 },
+  classFloor: { [PriorityClass.Interactive]: 0.2, [PriorityClass.Standard]: 0.1, [PriorityClass.Bulk]: 0.05 },
   initialConcurrency: 64,
   limit: DEFAULT_ADAPTIVE_LIMIT_OPTIONS
 }
