Team limits over many nodes: a few holders per team grant what others ask for

Change: the first eight nodes of a team by rendezvous order hold the limit in even parts and grant to nodes that ask, at most one ask per offered request. Off by default until the entry sends the asks (LimitSharing.Even).

--- a/packages/dotterelspur-bench/src/process/experiments.ts
+++ b/packages/dotterelspur-bench/src/process/experiments.ts
@@ -1,9 +1,11 @@
+import { admissionExperiment } from '../experiments/admission/index.js'
 import { repairExperiment } from '../experiments/repair/index.js'
 import { routingExperiment } from '../experiments/routing/index.js'
 import type { Experiment } from './Experiment.js'
 
 /** All experiments, by name. A new one adds its folder under `src/experiments/` and one line here. */
 const EXPERIMENTS: readonly Experiment[] = [
+  admissionExperiment,
   routingExperiment,
   repairExperiment
 ]
--- /dev/null
+++ b/packages/dotterelspur/src/__tests__/unit/TeamLimiter.test.ts
@@ -0,0 +1,75 @@
+import { expect } from 'chai'
+import fc from 'fast-check'
+import { ALLOWANCE_HOLDERS, AllowanceHolder, LimitSharing, TeamLimiter, createRandom, type AllowanceGrant, type TeamLimits } from '../../index.js'
+
+const SEED = 20_261_202
+const TEAM = 'tradeline'
+
+interface FleetOptions {
+  readonly sharing: LimitSharing
+  readonly nodes: number
+  readonly requestsPerSecond: number
+}
+
+function createFleet ({ sharing, nodes, requestsPerSecond }: FleetOptions) {
+  const limits: TeamLimits = { requestsPerSecond, tokensPerSecond: 1e9, concurrentRequests: 1e6, queuedRequests: 1e6, retryPercent: 0 }
+  const teams = new Map([[TEAM, limits]])
+  const limiters = Array.from({ length: nodes }, () => new TeamLimiter(sharing))
+  const holders = Array.from({ length: Math.min(ALLOWANCE_HOLDERS, nodes) }, () => new AllowanceHolder())
+  for (const limiter of limiters) limiter.configure(teams, nodes, 0)
+  for (const holder of holders) holder.configure(teams, nodes, 0)
+  return { limiters, holders }
+}
+
+describe('TeamLimiter over many nodes', () => {
+  for (const sharing of Object.values(LimitSharing)) {
+    it(`stays within its bound, whatever arrives where and which answers are lost or late (${sharing})`, () => {
+      const step = fc.record({ node: fc.nat(11), waitMs: fc.nat(300), lost: fc.boolean(), delayMs: fc.nat(2_000) })
+      fc.assert(fc.property(fc.array(step, { maxLength: 400 }), fc.integer({ min: 1, max: 60 }), (steps, requestsPerSecond) => {
+        const nodes = 12
+        const { limiters, holders } = createFleet({ sharing, nodes, requestsPerSecond })
+        const random = createRandom(SEED)
+        let underWay: Array<{ readonly atMs: number, readonly node: number, readonly grant: AllowanceGrant }> = []
+        let nowMs = 0
+        let admitted = 0
+        for (const { node, waitMs, lost, delayMs } of steps) {
+          nowMs += waitMs
+          for (const { node: asker, grant } of underWay.filter(({ atMs }) => atMs <= nowMs)) limiters[asker]!.noteGrant(grant)
+          underWay = underWay.filter(({ atMs }) => atMs > nowMs)
+          if (limiters[node]!.charge(TEAM, 1, nowMs) === null) admitted++
+          const ask = limiters[node]!.ask(TEAM, nowMs, random)
+          if (ask === null) continue
+          const grant = holders[ask.holderRank]!.answer(ask, nowMs)
+          if (!lost) underWay.push({ atMs: nowMs + delayMs, node, grant })
+        }
+        const bursts = sharing === LimitSharing.Even ? Math.max(nodes, 2 * requestsPerSecond) : requestsPerSecond + nodes
+        // A node whose answers are lost spends its even part, beside what the holders grant to others.
+        const sides = sharing === LimitSharing.Even ? 1 : 2
+        expect(admitted).to.be.at.most(sides * requestsPerSecond * nowMs / 1_000 + bursts + 1e-6)
+      }), { seed: SEED, numRuns: 60 })
+    })
+  }
+
+  it('lets a team use its whole limit through one node of many', () => {
+    const { limiters, holders } = createFleet({ sharing: LimitSharing.Holders, nodes: 330, requestsPerSecond: 100 })
+    const random = createRandom(SEED)
+    let admitted = 0
+    for (let nowMs = 0; nowMs < 20_000; nowMs += 10) {
+      if (limiters[7]!.charge(TEAM, 1, nowMs) === null) admitted++
+      const ask = limiters[7]!.ask(TEAM, nowMs, random)
+      if (ask !== null) limiters[7]!.noteGrant(holders[ask.holderRank]!.answer(ask, nowMs))
+    }
+    expect(admitted).to.be.greaterThan(1_700)
+  })
+
+  it('slows a team at a node that no holder answers, and does not stop it', () => {
+    const { limiters } = createFleet({ sharing: LimitSharing.Holders, nodes: 10, requestsPerSecond: 100 })
+    const random = createRandom(SEED)
+    let admitted = 0
+    for (let nowMs = 0; nowMs < 30_000; nowMs += 20) {
+      if (limiters[0]!.charge(TEAM, 1, nowMs) === null) admitted++
+      limiters[0]!.ask(TEAM, nowMs, random)
+    }
+    expect(admitted).to.be.within(200, 300)
+  })
+})
--- a/packages/dotterelspur/src/request/admission/AdmissionController.ts
+++ b/packages/dotterelspur/src/request/admission/AdmissionController.ts
@@ -1,15 +1,17 @@
 import { PriorityClass } from '../../connection/EngineApi.js'
 import type { RequestId, TeamId } from '../../process/ids.js'
 import { invariant } from '../../process/invariant.js'
+import type { Random } from '../../process/Random.js'
 import type { TeamLimits } from '../../version/TeamSettings.js'
 import { OutcomeReason } from '../Outcome.js'
 import { AdmissionLane, PRIORITY_CLASSES } from './AdmissionLane.js'
+import type { AllowanceAsk, AllowanceGrant } from './AllowanceHolder.js'
 import { DEFAULT_ADMISSION_OPTIONS, type AdmissionOptions } from './AdmissionOptions.js'
 import { AdmissionEffectKind, type AdmissionEffect, type AdmissionRequest, type AdmissionResult, type LaneId } from './AdmissionRequest.js'
 import type { Waiting } from './ClassQueue.js'
 import { queueShed } from './outcomes.js'
 import { ReturnPacer } from './ReturnPacer.js'
-import { TeamLimiter } from './TeamLimiter.js'
+import { LimitSharing, TeamLimiter } from './TeamLimiter.js'
 
 interface Running {
   readonly request: AdmissionRequest
@@ -35,11 +37,13 @@
   private readonly lanes = new Map<LaneId, AdmissionLane>()
   private readonly waiting = new Map<RequestId, Waiting>()
   private readonly running = new Map<RequestId, Running>()
-  private readonly teams = new TeamLimiter()
+  private readonly teams: TeamLimiter
   private readonly teamPacers = new Map<TeamId, ReturnPacer>()
   private readonly mayRun = (team: TeamId): boolean => this.teams.mayRun(team)
 
-  constructor (private readonly options: AdmissionOptions = DEFAULT_ADMISSION_OPTIONS) {}
+  constructor (private readonly options: AdmissionOptions = DEFAULT_ADMISSION_OPTIONS, sharing: LimitSharing = LimitSharing.Even) {
+    this.teams = new TeamLimiter(sharing)
+  }
 
   /** Replaces the limits of all teams; a team without an entry is not limited. The nodes share them. */
   configureTeams (limits: ReadonlyMap<TeamId, TeamLimits>, nodes: number, nowMs: number): void {
@@ -49,6 +53,16 @@
     }
   }
 
+  /** With LimitSharing.Holders, after each offer: what to ask a holder of the team for; see TeamLimiter. */
+  allowanceAsk (team: TeamId, nowMs: number, random: Random): AllowanceAsk | null {
+    return this.teams.ask(team, nowMs, random)
+  }
+
+  /** A holder's answer to an ask. */
+  noteGrant (grant: AllowanceGrant): void {
+    this.teams.noteGrant(grant)
+  }
+
   /** Sets how many requests the lane's endpoints can run side by side, and how many nodes share them. */
   configureLane (lane: LaneId, capacity: number, nodes: number, nowMs: number): AdmissionEffect[] {
     this.lane(lane).limit.configure(capacity, nodes)
--- a/packages/dotterelspur/src/request/admission/TokenBucket.ts
+++ b/packages/dotterelspur/src/request/admission/TokenBucket.ts
@@ -27,6 +27,14 @@
     this.content -= size
   }
 
+  /** Takes as much of this as there is. */
+  takeUpTo (size: number, nowMs: number): number {
+    this.refill(nowMs)
+    const taken = Math.max(0, Math.min(size, this.content))
+    this.content -= taken
+    return taken
+  }
+
   giveBack (size: number): void {
     this.content = Math.min(this.burst, this.content + size)
   }
