--- a/packages/dotterelspur-bench/src/experiments/routing/RoutingRun.ts
+++ b/packages/dotterelspur-bench/src/experiments/routing/RoutingRun.ts
@@ -51,7 +51,7 @@
   /** Second and later attempts per request. */
   readonly retryShare: number
   readonly failedShare: number
-  /** Engine time on work that had to be done again, as a share of all. */
+  /** Engine time on work that had to be done again, as a share of all; with a dead group, of the ten seconds after its loss. */
   readonly wastedShare: number
   /** Choices of a dead group, or of a full one while another had room. */
   readonly wrongTurnShare: number
@@ -65,6 +65,7 @@
 const BREAK_NOTICED_MS = 50
 const CONNECT_FAILED_MS = 300
 const DEAD_AT_MS = 60_000
+const LOSS_WINDOW_MS = 10_000
 const RETURN_AT_MS = 85_000
 const RETURN_WINDOW_MS = 10_000
 const TEAM = 'team'
@@ -96,6 +97,7 @@
   private readonly returnFirstTokens: number[] = []
   private readonly counts = { requests: 0, retries: 0, failed: 0, completed: 0, choices: 0, wrongTurns: 0 }
   private wastedMs = 0
+  private readonly workAtMs: number[] = []
 
   constructor (private readonly options: RunOptions) {
     const { clock } = this
@@ -115,7 +117,11 @@
     const { durationMs, fault, seed, requestsPerSecond, workload } = this.options
     this.view.start(this.policies)
     if (fault === RunFault.DeadGroup) {
-      this.clock.registerTimer(DEAD_AT_MS, () => this.engines[0]!.die())
+      this.clock.registerTimer(DEAD_AT_MS, () => {
+        this.workAtMs.push(this.workMs())
+        this.engines[0]!.die()
+      })
+      this.clock.registerTimer(DEAD_AT_MS + LOSS_WINDOW_MS, () => this.workAtMs.push(this.workMs()))
       this.clock.registerTimer(RETURN_AT_MS, () => this.view.revive(0))
     }
     this.scheduleArrivals(new Workload(workload, createRandom(seed)), createRandom(seed + 1), requestsPerSecond)
@@ -206,13 +212,17 @@
     if (this.isMeasured()) this.interToken.recordValueWithCount(Math.round(stepMs * 100), sequences)
   }
 
+  private workMs (): number {
+    return this.engines.reduce((sum, engine) => sum + engine.workMs, 0)
+  }
+
   private isMeasured (): boolean {
     return this.clock.nowMs() >= this.options.warmUpMs
   }
 
   private result (): RunResult {
     const { counts, options } = this
-    const workMs = this.engines.reduce((sum, engine) => sum + engine.workMs, 0)
+    const [beforeMs = 0, afterMs = this.workMs()] = this.workAtMs
     const hit = this.engines.reduce((sum, engine) => sum + engine.hitTokens, 0)
     const prompt = this.engines.reduce((sum, engine) => sum + engine.promptTokens, 0)
     const gap = (percent: number): number => this.interToken.getValueAtPercentile(percent) / 100
@@ -222,7 +232,7 @@
       completedPerSecond: counts.completed * 1_000 / (options.durationMs - options.warmUpMs),
       retryShare: counts.retries / counts.requests,
       failedShare: counts.failed / counts.requests,
-      wastedShare: this.wastedMs / workMs,
+      wastedShare: this.wastedMs / (afterMs - beforeMs),
       wrongTurnShare: counts.wrongTurns / counts.choices,
       hitShare: hit / prompt,
       returnP95Ms: options.fault === RunFault.DeadGroup ? percentile(this.returnFirstTokens, 95) : null
