--- a/packages/dotterelspur/src/request/admission/RetryBudget.ts
+++ b/packages/dotterelspur/src/request/admission/RetryBudget.ts
@@ -7,7 +7,7 @@
   readonly reserve: number
 }
 
-export const DEFAULT_RETRY_BUDGET_OPTIONS: RetryBudgetOptions = { nodePercent: 10, reserve: 5 }
+export const DEFAULT_RETRY_BUDGET_OPTIONS: RetryBudgetOptions = { nodePercent: 10, reserve: 20 }
 
 const PERCENT = 100
 
