--- a/packages/dotterelspur-demo/src/request/Scenario.ts
+++ b/packages/dotterelspur-demo/src/request/Scenario.ts
@@ -1,12 +1,14 @@
 import { ASSIGNMENT_PREFIX, DEFAULT_EVIDENCE_TTL_MS, sleep } from 'dotterelspur'
 import type { AssignmentObject } from 'dotterelspur'
+import { ExitCode } from 'dotterelspur-ctl'
 import { RunEnd, SystemClock, VmFaultKind } from 'dotterelspur-testkit'
 import type { LedgerRow } from 'dotterelspur-testkit'
 import type { Cluster } from '../process/Cluster.js'
+import type { CommandReport } from '../process/Operator.js'
 import { Caller } from './Caller.js'
 import type { ServiceAnswer } from './Caller.js'
 import type { Narrator } from './Narrator.js'
-import { checkAnswers, checkComplete, checkMembership, checkOnce, checkRepair } from './promises.js'
+import { checkAnswers, checkComplete, checkExplained, checkMembership, checkOnce, checkRepair } from './promises.js'
 import type { MemberLoss, PromiseCheck, SentChat } from './promises.js'
 
 const CHATS_PER_TEAM = 12
@@ -18,6 +20,7 @@
 /** The VM is killed once this share of the answers streams, and a little later. */
 const ENOUGH_SHARE = 0.5
 const STREAM_A_WHILE_MS = 300
+const NO_REPORT: CommandReport = { exitCode: ExitCode.Failed, done: false, output: '', errors: '' }
 
 interface LostMember extends MemberLoss {
   readonly vm: string
@@ -28,6 +31,8 @@
   readonly repaired: boolean
   readonly repairMs: number
   readonly detail: string
+  /** What `dotterelctl explain` said of the group before it served again. */
+  readonly explanation: CommandReport
 }
 
 /** What the full demo shows: answers, a lost VM, the repair, a call that runs once, and each promise checked. */
@@ -45,8 +50,8 @@
     this.showAnswers(answered, loss)
     this.narrator.say(`the non-idempotent call was sent twice with one key: ${once.map((answer) => answer.status).join(', ')}`)
     const repair = await this.watchRepair(loss)
-    await this.explain(repair)
-    return this.judge(answered, repair, onceKey)
+    const explained = await this.explain(repair)
+    return [...this.judge(answered, repair, onceKey), explained]
   }
 
   private async callers (): Promise<Caller[]> {
@@ -118,23 +123,34 @@
     const wanted = this.cluster.layout.teams.reduce((sum, team) => sum + team.replicas, 0)
     const deadlineMs = this.clock.nowMs() + REPAIR_TIMEOUT_MS
     let repaired = false
+    let explanation = NO_REPORT
     while (!repaired && this.clock.nowMs() < deadlineMs) {
+      if (!explanation.output.includes(loss.vm)) explanation = await this.cluster.operator.run(['explain', 'group', loss.group])
       const serving = await Promise.all(this.cluster.nodes.map((node) => this.cluster.operator.servingGroups(node.admin)))
       repaired = serving.every((count) => count >= wanted)
       if (!repaired) await sleep(this.clock, POLL_MS)
     }
     const repairMs = this.clock.wallMs() - loss.atWallMs
-    const group = this.assignments().flatMap((assignment) => assignment.groups).find((line) => line.group === loss.group)
-    const detail = group === undefined ? `${loss.group} was dissolved` : `${loss.group} at formation ${group.formation} with ${group.members.map((member) => member.vm).join(' and ')}`
+    this.narrator.command(`dotterelctl explain group ${loss.group}     (while it was out)`, explanation.output + explanation.errors)
+    const members = this.membersOf(loss.group)
+    const detail = members.length === 0 ? `${loss.group} was dissolved` : `${loss.group} is ${members.join(' and ')}`
     this.narrator.say(repaired ? `repaired: ${detail}` : `not repaired: ${detail}`)
-    return { loss, repaired, repairMs, detail }
+    return { loss, repaired, repairMs, detail, explanation }
   }
 
-  private async explain ({ loss }: Repair): Promise<void> {
-    for (const words of [['explain', 'group', loss.group], ['explain', 'vm', loss.vm]]) {
-      const report = await this.cluster.operator.run(words)
-      this.narrator.command(`dotterelctl ${words.join(' ')}`, report.output + report.errors)
-    }
+  private membersOf (group: string): string[] {
+    const found = this.assignments().flatMap((assignment) => assignment.groups).find((line) => line.group === group)
+    return found?.members.map((member) => member.vm) ?? []
+  }
+
+  /** What the system says of the VM that took the lost one's place, and of what it did. */
+  private async explain ({ loss, explanation }: Repair): Promise<PromiseCheck> {
+    const joined = this.membersOf(loss.group).at(-1) ?? loss.vm
+    const ofVm = await this.cluster.operator.run(['explain', 'vm', joined])
+    this.narrator.command(`dotterelctl explain vm ${joined}`, ofVm.output + ofVm.errors)
+    const audit = await this.cluster.operator.run(['audit'])
+    this.narrator.command('dotterelctl audit', linesAbout(audit.output, loss.group))
+    return checkExplained({ group: loss.group, lost: loss.vm, joined }, explanation, ofVm)
   }
 
   private judge (chats: readonly SentChat[], repair: Repair, onceKey: string): PromiseCheck[] {
@@ -152,3 +168,12 @@
     return this.cluster.platform.objects.list(ASSIGNMENT_PREFIX).objects.map((object) => object.body as AssignmentObject)
   }
 }
+
+/** The audit records of one subject, each with the indented lines that belong to it. */
+function linesAbout (audit: string, subject: string): string {
+  let shown = false
+  return audit.split('\n').filter((line) => {
+    if (!line.startsWith(' ')) shown = line.includes(` ${subject} `)
+    return shown
+  }).join('\n')
+}
--- a/packages/dotterelspur-demo/src/request/promises.ts
+++ b/packages/dotterelspur-demo/src/request/promises.ts
@@ -79,3 +79,23 @@
 export function checkRepair (repaired: boolean, repairMs: number, detail: string): PromiseCheck {
   return check('the fleet repairs itself', repaired, repaired ? `complete again after ${(repairMs / 1_000).toFixed(1)} s: ${detail}` : `not within ${(repairMs / 1_000).toFixed(1)} s: ${detail}`)
 }
+
+/** What a command of the operators printed. */
+export interface ExplainReport {
+  readonly done: boolean
+  readonly output: string
+}
+
+/** A group that lost one VM and took in another. */
+export interface Exchange {
+  readonly group: string
+  readonly lost: string
+  readonly joined: string
+}
+
+/** The system says by itself why the group was out, and which group the VM that came in belongs to. */
+export function checkExplained ({ group, lost, joined }: Exchange, ofGroup: ExplainReport, ofJoined: ExplainReport): PromiseCheck {
+  const names = [ofGroup.done && ofGroup.output.includes(lost), ofJoined.done && ofJoined.output.includes(group)]
+  const silent = ['why the group was out', `why ${joined} moved`].filter((_, index) => !names[index])
+  return check('the fleet explains what it did', silent.length === 0, silent.length === 0 ? `it named ${lost} while ${group} was out, and ${group} for ${joined}` : `nothing was told of ${silent.join(' and ')}`)
+}
