Take damped VMs last instead of holding them back

Cause: at groups of 2 with one spare VM the planner did worse than repair at once, because a VM that had flapped was not taken although no other was there: its group stayed broken for the whole hold. Conclusion: damping orders candidates; it takes nothing out of reach.

--- a/packages/dotterelspur/src/version/planning/Candidates.ts
+++ b/packages/dotterelspur/src/version/planning/Candidates.ts
@@ -12,7 +12,7 @@
   readonly loaded: boolean
 }
 
-/** Usable VMs without a place, and standbys that the intent may claim; the best first: loaded, least often absent, free. */
+/** Usable VMs without a place, and standbys that the intent may claim; the best first: undamped, loaded, least often absent, free. */
 export function claimableVms (plan: PendingPlan, intent: PlannedIntent, weights: Weights): readonly Candidate[] {
   return [...plan.views.values()]
     .filter((view) => view.usable && isClaimable(plan, view, intent))
@@ -26,7 +26,8 @@
 
 function compareCandidates (plan: PendingPlan, left: Candidate, right: Candidate): number {
   const placed = (candidate: Candidate): number => plan.placeOf(candidate.view.health.vm) === undefined ? 0 : 1
-  return Number(right.loaded) - Number(left.loaded) ||
+  return Number(left.view.damped) - Number(right.view.damped) ||
+    Number(right.loaded) - Number(left.loaded) ||
     left.view.memory.absencesMs.length - right.view.memory.absencesMs.length ||
     placed(left) - placed(right) ||
     compareText(left.view.health.vm, right.view.health.vm)
--- a/packages/dotterelspur/src/version/planning/PlanningSettings.ts
+++ b/packages/dotterelspur/src/version/planning/PlanningSettings.ts
@@ -10,7 +10,7 @@
   readonly joinMs: number
   /** Expected time from a VM's restart to its first answer, where nothing was measured yet. */
   readonly restartMs: number
-  /** A VM that went absent this often within `flapWindowMs` is damped: it is taken last, and only once it was present for `flapHoldMs`. */
+  /** A VM that went absent this often within `flapWindowMs` is damped until it was present for `flapHoldMs`: it is taken last. */
   readonly flapCount: number
   readonly flapWindowMs: number
   readonly flapHoldMs: number
--- a/packages/dotterelspur/src/version/planning/StandbyPlan.ts
+++ b/packages/dotterelspur/src/version/planning/StandbyPlan.ts
@@ -74,6 +74,7 @@
   return [...plan.views.values()]
     .filter((view) => view.usable && plan.placeOf(view.health.vm) === undefined)
     .sort((left, right) =>
+      Number(left.damped) - Number(right.damped) ||
       loaded(right) - loaded(left) ||
       left.memory.absencesMs.length - right.memory.absencesMs.length ||
       compareText(left.health.vm, right.health.vm))[0]
--- a/packages/dotterelspur/src/version/planning/VmTable.ts
+++ b/packages/dotterelspur/src/version/planning/VmTable.ts
@@ -12,8 +12,9 @@
   readonly health: VmHealth
   readonly memory: VmMemory
   readonly present: boolean
-  /** Present, not leaving, not drained, not damped, not straggling: it may be given a place. */
+  /** Present, not leaving, not drained, not straggling: it may be given a place. */
   readonly usable: boolean
+  /** Came and went too often lately: it is taken only where no other VM can be had. */
   readonly damped: boolean
   /** 0 when present. */
   readonly absentForMs: number
@@ -69,7 +70,7 @@
   const present = health.presence === VmPresence.Present
   const damped = isDamped(memory, input.nowMs, input.settings)
   const failed = health.status?.state === EngineState.Failed
-  const usable = present && !health.leaving && !health.drained && !health.straggling && !damped && !failed
+  const usable = present && !health.leaving && !health.drained && !health.straggling && !failed
   const absentForMs = memory.absentSinceMs === null ? 0 : Math.max(0, input.nowMs - memory.absentSinceMs)
   return { health, memory, present, usable, damped, absentForMs }
 }
