--- a/packages/dotterelspur-bench/src/experiments/repair/RepairExperiment.ts
+++ b/packages/dotterelspur-bench/src/experiments/repair/RepairExperiment.ts
@@ -16,6 +16,9 @@
   readonly stepsIn: boolean
 }
 
+/** The fleet under one policy, whatever the deployment's weights: a baseline doesn't look at them. */
+type KnownTotals = Map<string, readonly RepairTotals[]>
+
 export const PLANNER: RepairPolicy = { name: 'planner', baseline: false, plan: planFabricDomain, stepsIn: false }
 export const PLANNER_STEP_IN: RepairPolicy = { name: 'planner, step-in', baseline: false, plan: planFabricDomain, stepsIn: true }
 
@@ -61,15 +64,22 @@
 }
 
 export function runRepairExperiment (options: RepairExperimentOptions): readonly RepairRow[] {
+  const known: KnownTotals = new Map()
   return options.cases.flatMap((repairCase) => options.policies.map((policy) => {
     options.progress(`${repairCase.deployment.name}, ${repairCase.scenario.name}: ${policy.name}`)
-    return runRow(options, repairCase, policy)
+    return toRow(repairCase, policy, findTotals(options, repairCase, policy, known))
   }))
 }
 
-function runRow ({ seeds, domainDays }: RepairExperimentOptions, repairCase: RepairCase, policy: RepairPolicy): RepairRow {
-  const { scenario, deployment, rates } = repairCase
-  const totals = seeds.map((seed) => runRepair({
+function findTotals (options: RepairExperimentOptions, repairCase: RepairCase, policy: RepairPolicy, known: KnownTotals): readonly RepairTotals[] {
+  const key = JSON.stringify([policy.name, repairCase.scenario.name, repairCase.rates])
+  const totals = (policy.baseline ? known.get(key) : undefined) ?? runSeeds(options, repairCase, policy)
+  known.set(key, totals)
+  return totals
+}
+
+function runSeeds ({ seeds, domainDays }: RepairExperimentOptions, { scenario, deployment, rates }: RepairCase, policy: RepairPolicy): readonly RepairTotals[] {
+  return seeds.map((seed) => runRepair({
     scenario,
     rates,
     domainDays,
@@ -79,6 +89,10 @@
     stepsIn: policy.stepsIn,
     loadBudget: shareOf(scenario)
   }))
+}
+
+function toRow (repairCase: RepairCase, policy: RepairPolicy, totals: readonly RepairTotals[]): RepairRow {
+  const { deployment } = repairCase
   const spread = (read: (one: RepairTotals) => number): Spread => spreadOf(totals.map(read))
   return {
     repairCase,
