--- a/packages/dotterelspur/src/__tests__/unit/GroupRepair.test.ts
+++ b/packages/dotterelspur/src/__tests__/unit/GroupRepair.test.ts
@@ -85,6 +85,47 @@
   })
 })
 
+describe('weights', () => {
+  const cases = [
+    { name: 'downtime weighs more: the small group, which takes one VM', weights: { groupDowntime: 10, strandedAccelerators: 1 }, serving: ['drafting'] },
+    { name: 'stranded accelerators weigh more: the large group, which takes three', weights: { groupDowntime: 1, strandedAccelerators: 4 }, serving: ['logbook'] }
+  ]
+  for (const { name, weights, serving } of cases) {
+    it(`decide which of two broken groups gets the VMs: ${name}`, () => {
+      const large = createIntent({ vmsPerReplica: 16, standbys: 3, weights })
+      const domain = new PlannedFabricDomain(21, [large, { ...LOW, priority: large.priority, weights }])
+      domain.settle()
+      const [first, second] = domain.assignment!.groups
+      const [sixteen, two] = first!.members.length === 16 ? [first!, second!] : [second!, first!]
+      for (const member of [...sixteen.members.slice(0, 3), two.members[0]!]) domain.kill(member.vm)
+      for (let count = 0; count < 30; count++) domain.tick()
+      const served = domain.assignment!.groups.filter((group) => group.state === GroupState.Serving).map((group) => group.model)
+      expect(served).to.deep.equal(serving)
+    })
+  }
+})
+
+describe('flapping', () => {
+  // Symptom: a group is formed again and again with the same VM, which goes silent each time.
+  // Sequence: a VM comes and goes; each time that it is there it is the first by name.
+  // Cause: the VM was chosen as if nothing had happened.
+  it('puts a VM that comes and goes behind one that stays', () => {
+    const domain = new PlannedFabricDomain(4, [createIntent({ standbys: 0 })])
+    domain.settle()
+    const idle = [...domain.vms.keys()].filter((vm) => !domain.assignment!.groups[0]!.members.some((member) => member.vm === vm))
+    for (let count = 0; count < domain.settings.flapCount; count++) {
+      domain.kill(idle[0]!)
+      domain.tick()
+      domain.comeBack(idle[0]!)
+      domain.tick()
+    }
+    domain.kill(domain.assignment!.groups[0]!.members[0]!.vm)
+    domain.settle()
+    const members = domain.assignment!.groups[0]!.members.map((member) => member.vm)
+    expect(members).to.include(idle[1]).and.not.to.include(idle[0])
+  })
+})
+
 describe('a dark fabric domain', () => {
   // Symptom: when a rack comes back, groups are formed, fall apart and are formed again.
   // Sequence: all VMs go silent together and come back one by one.
--- a/packages/dotterelspur/src/__tests__/unit/PlannerSchedules.test.ts
+++ b/packages/dotterelspur/src/__tests__/unit/PlannerSchedules.test.ts
@@ -62,6 +62,8 @@
   const groups = domain.assignment!.groups
   const places = groups.flatMap((group) => [...group.members, ...group.standbys].map((place) => place.vm))
   expect(new Set(places).size, 'a VM has two places').to.equal(places.length)
+  const formed = groups.filter((group) => group.state === GroupState.Forming && before.every((other) => other.formation !== group.formation))
+  expect(formed.length, 'too many formations in one tick').to.be.at.most(domain.settings.formationsPerTick)
   for (const group of groups) {
     expect(group.members.length, 'inexact size').to.equal(group.model === 'drafting' ? 4 : 2)
     const known = before.find((other) => other.group === group.group)
--- a/packages/dotterelspur/src/version/planning/allocateReplicas.ts
+++ b/packages/dotterelspur/src/version/planning/allocateReplicas.ts
@@ -69,7 +69,7 @@
     for (const slot of slots) {
       if (slot.replicas > 0) shares.push({ team: ranked.team, model: ranked.intent.model, fabricDomain: slot.domain.fabricDomain, replicas: slot.replicas })
     }
-    if (allocated < ranked.intent.replicas) unmet.push(describeUnmet(ranked, allocated, slots, settled))
+    if (allocated < ranked.intent.replicas) unmet.push(describeUnmet(ranked, allocated, slots, settled.filter((other) => holdsAny(other, slots, shares))))
     settled.push(ranked)
   }
   return { shares, unmet }
@@ -205,22 +205,27 @@
   addReplica(target, size, ledger)
 }
 
-function describeUnmet (ranked: RankedIntent, allocated: number, slots: readonly Slot[], settled: readonly RankedIntent[]): UnmetIntent {
+/** Whether an intent of higher rank holds VMs in one of the places. */
+function holdsAny (other: RankedIntent, slots: readonly Slot[], shares: readonly ReplicaShare[]): boolean {
+  return shares.some((share) => share.team === other.team && share.model === other.intent.model &&
+    slots.some((slot) => slot.domain.fabricDomain === share.fabricDomain))
+}
+
+function describeUnmet (ranked: RankedIntent, allocated: number, slots: readonly Slot[], rivals: readonly RankedIntent[]): UnmetIntent {
   const { team, intent } = ranked
-  const before = settled.filter((other) => slots.some((slot) => isEligible(other.intent, slot.domain)))
-  const names = before.map((other) => `${other.team}/${other.intent.model} (priority ${other.priority})`)
+  const names = rivals.map((other) => `${other.team}/${other.intent.model} (priority ${other.priority})`)
   const cause = slots.length === 0
     ? 'no fabric domain is allowed by its regions, failure domains and fabric domains'
     : `no fabric domain has ${intent.vmsPerReplica} more VMs to give`
-  const rivals = names.length === 0 ? '' : `; before it (priority ${ranked.priority}) go ${names.join(', ')}`
+  const lostTo = names.length === 0 ? '' : `; before it (priority ${ranked.priority}) go ${names.join(', ')}`
   return {
     team,
     model: intent.model,
     wanted: intent.replicas,
     allocated,
-    lostTo: before.map((other) => ({ team: other.team, model: other.intent.model })),
+    lostTo: rivals.map((other) => ({ team: other.team, model: other.intent.model })),
     placesAllowed: slots.length,
-    reason: cause + rivals
+    reason: cause + lostTo
   }
 }
 
