Demo: nodes in process groups of their own

A signal from the terminal reached the nodes too: they drained while the demo still waited for them, and it failed with 'node ended' instead of ending in order. Seen with an early SIGTERM to the group.

--- a/packages/dotterelspur-demo/src/process/NodeProcess.ts
+++ b/packages/dotterelspur-demo/src/process/NodeProcess.ts
@@ -12,7 +12,10 @@
   return join(dirname(fileURLToPath(import.meta.resolve('dotterelspur-node'))), 'dotterelspur.js')
 }
 
-/** One node, as a child process that is ended with its parent. */
+/**
+ * One node, as a child process that is ended with its parent. It has a process group of its own: a signal from the
+ * terminal goes to the demo alone, which ends its nodes in order.
+ */
 export class NodeProcess {
   private child: ChildProcess | undefined
   private ending: Promise<void> = Promise.resolve()
@@ -26,7 +29,7 @@
   start (): void {
     if (this.child !== undefined) return
     const log = openSync(this.logPath, 'a')
-    const child = spawn(process.execPath, [nodeProgram(), '--settings', this.settingsPath], { stdio: ['ignore', log, log] })
+    const child = spawn(process.execPath, [nodeProgram(), '--settings', this.settingsPath], { stdio: ['ignore', log, log], detached: true })
     closeSync(log)
     this.child = child
     this.ending = new Promise((resolve) => {
