Bench: experiment mesh, the cost of the links and the spread of a change

It fails when a node spends more than 9,000 B/s, or when a change at the design size is not held by 99 in 100 within 2 s and by all within 11 s.

--- a/packages/dotterelspur-bench/src/process/experiments.ts
+++ b/packages/dotterelspur-bench/src/process/experiments.ts
@@ -1,4 +1,5 @@
 import { admissionExperiment } from '../experiments/admission/index.js'
+import { meshExperiment } from '../experiments/mesh/index.js'
 import { repairExperiment } from '../experiments/repair/index.js'
 import { routingExperiment } from '../experiments/routing/index.js'
 import type { Experiment } from './Experiment.js'
@@ -7,7 +8,8 @@
 const EXPERIMENTS: readonly Experiment[] = [
   admissionExperiment,
   routingExperiment,
-  repairExperiment
+  repairExperiment,
+  meshExperiment
 ]
 
 export function findExperiment (name: string): Experiment | undefined {
