Mesh: deletions keep no place from living documents

Now the newest 4,096 deletions are kept, two weeks at that rate; all nodes drop the lowest versions, so their digests stay equal.

Ruled out: forgetting by age, since a node that starts can't know the age, and peers would bring back what another has dropped. An older document that a long cut off node brings back is deleted again by the next listing of the store.

--- a/packages/dotterelspur/src/connection/mesh/DocumentTable.ts
+++ b/packages/dotterelspur/src/connection/mesh/DocumentTable.ts
@@ -16,11 +16,17 @@
   readonly digest: number
 }
 
-/** Documents by key. Versions only rise: what is not newer than what is held changes nothing. */
+/**
+ * Documents by key. Versions only rise: what is not newer than what is held changes nothing.
+ *
+ * Deletions are kept, or a peer that missed one would bring the document back; but only the newest
+ * `deletionCapacity`. Without that bound the deletions of months, passed on from node to node, would fill the
+ * table, and new documents would find no room. All nodes drop the lowest versions, so their digests stay equal.
+ */
 export class DocumentTable {
   private snapshot: Snapshot = { documents: new Map(), buckets: new Array<number>(DIGEST_BUCKETS).fill(0), digest: 0 }
 
-  constructor (private readonly capacity: number) {}
+  constructor (private readonly capacity: number, private readonly deletionCapacity: number) {}
 
   get digest (): number {
     return this.snapshot.digest
@@ -61,6 +67,7 @@
       pending.set(document.key, document)
       taken.push(document)
     }
+    if (taken.some((document) => document.deleted)) this.forgetOldDeletions(pending, buckets)
     if (taken.length > 0) this.commit(pending, buckets)
     return taken
   }
@@ -75,6 +82,18 @@
       .map(({ key, version }) => ({ key, version }))
   }
 
+  private forgetOldDeletions (pending: Map<string, MeshDocument>, buckets: number[]): void {
+    const deletions = [...pending.values()].filter((document) => document.deleted)
+    const excess = deletions.length - this.deletionCapacity
+    if (excess <= 0) return
+    const oldestFirst = deletions.sort((left, right) => left.version - right.version || (left.key < right.key ? -1 : 1))
+    for (const document of oldestFirst.slice(0, excess)) {
+      const bucket = bucketOf(document.key)
+      buckets[bucket] = toggle(buckets[bucket]!, document)
+      pending.delete(document.key)
+    }
+  }
+
   private commit (documents: ReadonlyMap<string, MeshDocument>, buckets: readonly number[]): void {
     const digest = buckets.reduce((sum, hash) => (sum ^ hash) >>> 0, 0)
     this.snapshot = { documents, buckets, digest }
--- a/packages/dotterelspur/src/connection/mesh/MeshMachine.ts
+++ b/packages/dotterelspur/src/connection/mesh/MeshMachine.ts
@@ -73,7 +73,7 @@
     const { self, timing, limits, random } = options
     this.membership = new MembershipTable(self, timing, limits, nowMs)
     this.memberSpread = new MemberSpread(this.membership, this.links, this.outbox, limits)
-    this.documentTable = new DocumentTable(limits.documents)
+    this.documentTable = new DocumentTable(limits.documents, limits.deletions)
     this.spread = new DocumentSpread(this.documentTable, this.outbox, timing, limits)
     this.evidence = new EvidenceExchange(this.links, this.outbox, timing, limits)
     this.sync = new SyncSchedule(this.outbox, timing, this.membership, this.documentTable, this.spread)
--- a/packages/dotterelspur/src/connection/mesh/MeshTiming.ts
+++ b/packages/dotterelspur/src/connection/mesh/MeshTiming.ts
@@ -48,6 +48,8 @@
   /** Links from each region to each other one. */
   readonly linksPerRegionPair: number
   readonly documents: number
+  /** Deleted documents remembered; the rest of `documents` is for living ones. */
+  readonly deletions: number
   readonly members: number
   /** Evidence lines held, of all watchers. */
   readonly evidenceLines: number
@@ -83,6 +85,7 @@
   links: 96,
   linksPerRegionPair: 2,
   documents: 20_000,
+  deletions: 4_096,
   members: 8_192,
   evidenceLines: 8_192,
   entriesPerFrame: 512
