Mesh: a silent relay is passed over after 1.1 s

A node's own evidence goes to another cell through one relay; a relay that is paused was passed over only after the silence at which suspicion begins, 1.5 s, and with the hops and the probe's own age that is more than the 2.5 s for which evidence serves.

--- a/packages/dotterelspur/src/connection/mesh/EvidenceExchange.ts
+++ b/packages/dotterelspur/src/connection/mesh/EvidenceExchange.ts
@@ -64,7 +64,7 @@
   private activeRelays (plan: OverlayPlan, nowMs: number): Set<NodeId> {
     const hears = (node: NodeId): boolean => {
       const link = this.links.byPeer.get(node)
-      return link !== undefined && nowMs - link.heardAtMs < this.timing.silenceMs
+      return link !== undefined && nowMs - link.heardAtMs < this.timing.relaySilenceMs
     }
     const active = plan.relays.map(({ cell, relay }) => hears(relay) ? relay : cell.find(hears))
     return new Set(active.filter((node) => node !== undefined))
--- a/packages/dotterelspur/src/connection/mesh/MeshTiming.ts
+++ b/packages/dotterelspur/src/connection/mesh/MeshTiming.ts
@@ -6,6 +6,8 @@
   readonly beatIntervalMs: number
   /** A neighbour silent for this long is asked about through others. */
   readonly silenceMs: number
+  /** A relay silent for this long is passed over: evidence may not wait until it is known to be dead. */
+  readonly relaySilenceMs: number
   /** Without word through others for this long more, the neighbour becomes suspect. */
   readonly indirectProbeMs: number
   /** A wanted neighbour to which no link could be made for this long is asked about through others. */
@@ -62,6 +64,7 @@
 export const DEFAULT_MESH_TIMING: MeshTiming = {
   beatIntervalMs: DEFAULT_GOSSIP_INTERVAL_MS,
   silenceMs: 1_500,
+  relaySilenceMs: 2.2 * DEFAULT_GOSSIP_INTERVAL_MS,
   indirectProbeMs: 1_000,
   connectGraceMs: 5_000,
   suspicionMs: 4_000,
