Mesh: a standby relay in each other cell

Cause: with one link into another cell, a node whose relay there is paused has no way for its evidence until the relay is suspected, planned around and another link is made.

Now each node keeps links to its first two nodes by rendezvous order there, and uses the second while the first is silent. The test of it fails with one relay (n6 paused for 1,500 ms: evidence 2,541 ms old, bound 2,500) and passes with two.

--- /dev/null
+++ b/packages/dotterelspur/src/__tests__/unit/EvidenceExchange.test.ts
@@ -0,0 +1,66 @@
+import { expect } from 'chai'
+import { createRandom, DEFAULT_EVIDENCE_TTL_MS, rendezvousOrder } from '../../index.js'
+import { createDatedPresence, MeshWorld, type WorldNode } from '../MeshWorld.js'
+
+const WATCHERS = 2
+const PROBE_INTERVAL_MS = 500
+const PROBE_MS = 20
+
+/** A settled region whose watchers publish each probe interval, each in its own phase. */
+function createWatchedWorld (nodes: number, groups: number): { readonly world: MeshWorld, readonly watchersOf: (group: string) => readonly string[] } {
+  const world = new MeshWorld({ nodes, failureDomains: 3, seed: 3 })
+  const names = world.nodes.map((node) => node.name)
+  const watchersOf = (group: string): readonly string[] => rendezvousOrder(group, names).slice(0, WATCHERS)
+  const all = Array.from({ length: groups }, (_, index) => `g${index}`)
+  const random = createRandom(5)
+  for (const node of world.nodes) {
+    const watched = all.filter((group) => watchersOf(group).includes(node.name))
+    const publish = (): void => {
+      const nowMs = world.clock.nowMs()
+      if (!node.paused) world.publish(node, watched.map((group) => createDatedPresence(group, nowMs - PROBE_MS, nowMs)))
+      world.clock.registerTimer(PROBE_INTERVAL_MS, publish)
+    }
+    world.clock.registerTimer(random.integer(PROBE_INTERVAL_MS), publish)
+  }
+  world.pass(20_000)
+  return { world, watchersOf }
+}
+
+function oldestEvidenceMs (world: MeshWorld, paused: WorldNode, watchersOf: (group: string) => readonly string[]): number {
+  let oldestMs = 0
+  for (const node of world.nodes.filter((other) => other !== paused)) {
+    for (const { group, ageMs } of node.machine.groupPresence(world.clock.nowMs())) {
+      if (!watchersOf(group).includes(paused.name)) oldestMs = Math.max(oldestMs, ageMs)
+    }
+  }
+  return oldestMs
+}
+
+describe('EvidenceExchange', () => {
+  it('brings every group of the region to every node, well within the time for which evidence serves', () => {
+    const { world } = createWatchedWorld(12, 12)
+    expect(world.nodes.map((node) => node.machine.groupPresence(world.clock.nowMs()).length)).to.deep.equal(new Array(12).fill(12))
+    for (const node of world.nodes) {
+      for (const { ageMs } of node.machine.groupPresence(world.clock.nowMs())) expect(ageMs).to.be.lessThan(DEFAULT_EVIDENCE_TTL_MS - PROBE_INTERVAL_MS)
+    }
+  })
+
+  /*
+   * Symptom: healthy groups are out of service at some nodes for a second or two.
+   * Sequence: a node pauses that relays the evidence of those groups' watchers to its cell.
+   * Cause: a watcher with one link into that cell finds another way only when the relay has been suspected.
+   */
+  it('keeps evidence fresh at every node while any one node is paused', function () {
+    this.timeout(60_000)
+    const { world, watchersOf } = createWatchedWorld(12, 12)
+    for (const paused of world.nodes) {
+      world.pause(paused)
+      for (let passedMs = 0; passedMs < 4_500; passedMs += 100) {
+        world.pass(100)
+        expect(oldestEvidenceMs(world, paused, watchersOf), `${paused.name} paused for ${passedMs} ms`).to.be.lessThan(DEFAULT_EVIDENCE_TTL_MS)
+      }
+      world.resume(paused)
+      world.pass(5_000)
+    }
+  })
+})
--- a/packages/dotterelspur/src/connection/mesh/EvidenceExchange.ts
+++ b/packages/dotterelspur/src/connection/mesh/EvidenceExchange.ts
@@ -60,13 +60,13 @@
     }
   }
 
-  /** The relay of each other cell; where its link is down or silent, any other node of that cell with a link. */
+  /** The relay of each other cell; where its link is down or silent, its standby, or any other node of that cell with a link. */
   private activeRelays (plan: OverlayPlan, nowMs: number): Set<NodeId> {
     const hears = (node: NodeId): boolean => {
       const link = this.links.byPeer.get(node)
       return link !== undefined && nowMs - link.heardAtMs < this.timing.relaySilenceMs
     }
-    const active = plan.relays.map(({ cell, relay }) => hears(relay) ? relay : cell.find(hears))
+    const active = plan.relays.map(({ cell, relays }) => relays.find(hears) ?? cell.find(hears))
     return new Set(active.filter((node) => node !== undefined))
   }
 }
--- a/packages/dotterelspur/src/connection/mesh/OverlayPlan.ts
+++ b/packages/dotterelspur/src/connection/mesh/OverlayPlan.ts
@@ -15,18 +15,25 @@
 /** The links that one node wants, worked out from the members alone: all nodes that know the same plan the same. */
 export interface OverlayPlan {
   readonly wanted: ReadonlyMap<NodeId, LinkScope>
-  /** For each other cell of the region the node to which this one sends its own evidence. */
+  /** For each other cell of the region the nodes to which this one sends its own evidence. */
   readonly relays: readonly CellRelay[]
 }
 
 export interface CellRelay {
   readonly cell: readonly NodeId[]
-  readonly relay: NodeId
+  /** The relay, and the one that stands in while it is silent. */
+  readonly relays: readonly NodeId[]
 }
 
 /**
- * Plans the links of `self`: all of its cell; one relay in each other cell of the region, and those nodes
- * whose relay it is; and the few links between regions that fall to it. So evidence reaches every node of
+ * Links into each other cell. With one, a paused relay would cut a node's evidence off from that cell until it
+ * is suspected, planned around and another link is made, longer than evidence serves.
+ */
+const RELAYS_PER_CELL = 2
+
+/**
+ * Plans the links of `self`: all of its cell; a relay and its standby in each other cell of the region, and
+ * those nodes whose relay or standby it is; and the few links between regions that fall to it. So evidence reaches every node of
  * a region in two hops, and a node's links grow with its region's cells, not with the fleet.
  */
 export function planOverlay (self: MemberRecord, living: readonly MemberRecord[], limits: MeshLimits): OverlayPlan {
@@ -38,10 +45,10 @@
 
   planRegionLinks(self, regions, limits.linksPerRegionPair, wanted)
   for (const record of otherCells.flat()) {
-    if (relayIn(record.node, ownCell) === self.node) wanted.set(record.node, LinkScope.OtherCell)
+    if (relaysIn(record.node, ownCell).includes(self.node)) wanted.set(record.node, LinkScope.OtherCell)
   }
-  const relays = otherCells.map((cell) => ({ cell: cell.map((record) => record.node), relay: relayIn(self.node, cell) }))
-  for (const { relay } of relays) wanted.set(relay, LinkScope.OtherCell)
+  const relays = otherCells.map((cell) => ({ cell: cell.map((record) => record.node), relays: relaysIn(self.node, cell) }))
+  for (const relay of relays.flatMap((each) => each.relays)) wanted.set(relay, LinkScope.OtherCell)
   for (const record of ownCell) wanted.set(record.node, LinkScope.Cell)
   wanted.delete(self.node)
   return { wanted, relays }
@@ -66,11 +73,11 @@
   })
 }
 
-/** The node of `cell` that takes in what `node` has to say: by rendezvous, those that are not suspect first. */
-function relayIn (node: NodeId, cell: readonly MemberRecord[]): NodeId {
+/** The nodes of `cell` that take in what `node` has to say: by rendezvous, without those that are suspect while others are there. */
+function relaysIn (node: NodeId, cell: readonly MemberRecord[]): NodeId[] {
   const alive = cell.filter((record) => record.health === MemberHealth.Alive)
   const candidates = alive.length > 0 ? alive : cell
-  return rendezvousOrder(node, candidates.map((record) => record.node))[0]!
+  return rendezvousOrder(node, candidates.map((record) => record.node)).slice(0, RELAYS_PER_CELL)
 }
 
 function planRegionLinks (self: MemberRecord, regions: ReadonlyMap<string, readonly MemberRecord[]>, linksPerPair: number, wanted: Map<NodeId, LinkScope>): void {
