Mesh: a node that found no settings says so

When every node restarts while the store is out there is nobody to take settings from. The follower now says that it holds none (a log line at each change, and withoutSettings) once neither the store nor a peer has been heard for 5 s of its life. Tests: that, and the count of versions in force when two of seven nodes are gone. Line numbers beyond the bound that senders keep are not stored, so that a peer can't grow a link's table.

--- a/packages/dotterelspur-mesh/src/__tests__/unit/Mesh.test.ts
+++ b/packages/dotterelspur-mesh/src/__tests__/unit/Mesh.test.ts
@@ -79,6 +79,15 @@
     })
   }
 
+  it('reports the nodes that answer when others are gone', async () => {
+    const { meshes } = await createConnectedFleet(7)
+    meshes[0]!.offerDocument(createDocument('teams/piedmont', 3))
+    await until(() => meshes.every((mesh) => mesh.document('teams/piedmont') !== undefined))
+    await Promise.all([meshes[1]!.stop(), meshes[2]!.stop()])
+    const reports = await meshes[0]!.inForce('teams/piedmont', 5_000)
+    expect(reports.map((report) => report.node).sort()).to.deep.equal(['node-0', 'node-3', 'node-4', 'node-5', 'node-6'])
+  })
+
   it('reports which nodes hold which version', async () => {
     const { meshes } = await createConnectedFleet(5)
     meshes[0]!.offerDocument(createDocument('teams/piedmont', 3))
--- a/packages/dotterelspur-mesh/src/__tests__/unit/StoreFollower.test.ts
+++ b/packages/dotterelspur-mesh/src/__tests__/unit/StoreFollower.test.ts
@@ -127,6 +127,25 @@
     follower.stop()
   })
 
+  /*
+   * Symptom: nodes look ready but know no team.
+   * Sequence: every node restarts while the store is out.
+   * Cause: nobody is left who holds the settings. The node must say that it has none, and stop saying so when the store is back.
+   */
+  it('says that it has no settings when neither the store nor a peer gave any', async () => {
+    const { store, mesh, follower, pass } = createFollowerFixture()
+    mesh.storeAgeMs = Infinity
+    store.setFault(MemoryFaultKind.Down)
+    follower.start()
+    expect(follower.withoutSettings).to.equal(false)
+    await pass(8_000)
+    expect(follower.withoutSettings).to.equal(true)
+    store.setFault(MemoryFaultKind.None)
+    await pass(1_000)
+    expect(follower.withoutSettings).to.equal(false)
+    follower.stop()
+  })
+
   it('does not write over the object of a later process of the same node', async () => {
     const { store, follower, pass } = createFollowerFixture()
     await store.create('nodes/node-1', { node: 'node-1', incarnation: 7, draining: false })
--- a/packages/dotterelspur-mesh/src/process/StoreFollower.ts
+++ b/packages/dotterelspur-mesh/src/process/StoreFollower.ts
@@ -17,6 +17,8 @@
 const CHECK_INTERVAL_MS = 500
 /** A node that has just started waits this long for peers before it counts itself alone, so that a restart of all doesn't open a watch from each. */
 const SETTLE_MS = 2_000
+/** Without settings or a word of the store for this long, the node says that it has none. */
+const BARE_AFTER_MS = 5_000
 /** A node that is a watcher no more keeps its watch for this long, so that a flapping member costs no new listings. */
 const LINGER_MS = 10_000
 
@@ -35,6 +37,8 @@
   /** Writes that this node drains; resolves when that is written, or when `timeoutMs` is over. */
   registerDraining (timeoutMs: number): Promise<boolean>
   readonly watching: boolean
+  /** Holds no settings and has heard of the store neither itself nor through peers. */
+  readonly withoutSettings: boolean
   stop (): void
 }
 
@@ -50,6 +54,7 @@
   private cancelCheck: Teardown | undefined
   private startedAtMs = 0
   private notChosenSinceMs: number | undefined
+  private bare = false
 
   constructor (private readonly options: StoreFollowerOptions) {
     this.registration = new NodeRegistration(options)
@@ -59,6 +64,10 @@
     return this.watches !== undefined
   }
 
+  get withoutSettings (): boolean {
+    return this.bare
+  }
+
   start (): void {
     const { mesh, clock, registerContactListener } = this.options
     this.startedAtMs = clock.nowMs()
@@ -82,6 +91,7 @@
     const { clock, random } = this.options
     this.cancelCheck = clock.registerTimer(CHECK_INTERVAL_MS * (0.5 + random.next()), () => this.check())
     const nowMs = clock.nowMs()
+    this.noteBare(nowMs)
     if (this.isChosen(nowMs)) {
       this.notChosenSinceMs = undefined
       if (!this.watching) this.watch()
@@ -91,6 +101,14 @@
     if (this.watching && nowMs - this.notChosenSinceMs >= LINGER_MS) this.unwatch()
   }
 
+  /** When all nodes restart while the store is out, nobody has settings to pass on: say so rather than look empty. */
+  private noteBare (nowMs: number): void {
+    const { mesh } = this.options
+    const bare = mesh.documents(TEAM_PREFIX).length === 0 && mesh.storeContactAgeMs() === Infinity && nowMs - this.startedAtMs >= BARE_AFTER_MS
+    if (bare !== this.bare) log(bare ? '%s holds no settings: the store has not been heard, and no peer has any' : '%s has heard the store or has settings again', mesh.self.node)
+    this.bare = bare
+  }
+
   private isChosen (nowMs: number): boolean {
     const { mesh } = this.options
     const alone = mesh.members().length === 1
--- a/packages/dotterelspur/src/connection/mesh/BeatExchange.ts
+++ b/packages/dotterelspur/src/connection/mesh/BeatExchange.ts
@@ -53,7 +53,9 @@
 
 /** Reads a beat that arrived on `link`. Lines that can't be dated, or have no name yet, are left out: the next beat brings them. */
 export function readBeat (link: GossipLink, beat: BeatFrame, nowMs: number): ReadBeat {
-  for (const line of beat.full) link.namedLines.set(line.index, { watcher: line.watcher, body: line.body })
+  for (const line of beat.full) {
+    if (line.index < LINE_INDEX_LIMIT) link.namedLines.set(line.index, { watcher: line.watcher, body: line.body })
+  }
   link.noteReceived(beat.sequence, nowMs)
   const composedAfterMs = link.composedAfterMs(beat.echoSequence, beat.echoHeldMs)
   if (composedAfterMs === undefined) return { updates: [], storeContactMs: -Infinity }
