Mesh: bounds of frames and queues can be set; silences follow the beat

maxFrameBytes and maxQueuedBytes stand in the settings and had no effect on the mesh: they are options now. Gossip is dropped at an eighth of the queue's bound, calls are refused at a half, and a frame that would pass the whole bound closes the connection. With a longer beat set, the fixed silences of 1.1 and 1.5 s would have made every neighbour suspect; unless set they are 2.2 and 3 beats. Test: a peer that asks for 54 MB and stops reading.

--- a/packages/dotterelspur-mesh/src/__tests__/unit/Handshake.test.ts
+++ b/packages/dotterelspur-mesh/src/__tests__/unit/Handshake.test.ts
@@ -1,11 +1,12 @@
 import { expect } from 'chai'
-import { createRandom, type MemberRecord, MemberHealth } from 'dotterelspur'
+import { createRandom, FrameKind, type MemberRecord, MemberHealth } from 'dotterelspur'
 import { WebSocket } from 'ws'
 import { ConnectionPurpose } from '../../connection/Connection.js'
+import { encodeFrame } from '../../connection/FrameCodec.js'
 import { introduceAsDialer, RefusalReason } from '../../connection/Handshake.js'
 import { CredentialsKind, type Mesh, type MeshCredentials } from '../../index.js'
 import { createAuthority, createCertificate } from './certificateFixture.js'
-import { createFleet, FAST_TIMING, type Fleet, realClock, until } from './meshFixture.js'
+import { createDocument, createFleet, FAST_TIMING, type Fleet, realClock, until } from './meshFixture.js'
 
 const KEY: MeshCredentials = { kind: CredentialsKind.SharedKey, key: 'test key' }
 
@@ -128,6 +129,23 @@
     await until(() => mesh!.sizes().gossipLinks === 1)
   })
 
+  /*
+   * Symptom: a node's memory grows until it is killed.
+   * Sequence: a peer asks for large documents and stops reading.
+   * Cause: frames queued for a peer without a bound.
+   */
+  it('drops and counts what a peer that takes nothing has no room for', async () => {
+    fleet = await createFleet(1, { maxQueuedBytes: 2_000_000 })
+    const [mesh] = fleet.meshes
+    mesh!.offerDocument(createDocument('teams/large', 1, 'x'.repeat(900_000)))
+    const socket = await createRawPeer(mesh!)
+    socket.pause()
+    const want = encodeFrame({ kind: FrameKind.Want, keys: ['teams/large'] })
+    for (let asked = 0; asked < 60; asked += 1) socket.send(want)
+    await until(() => (mesh!.counters().dropped[FrameKind[FrameKind.Documents]] ?? 0) > 0)
+    socket.terminate()
+  })
+
   it('closes a link on a frame larger than the bound', async () => {
     fleet = await createFleet(1)
     const socket = await createRawPeer(fleet.meshes[0]!)
--- a/packages/dotterelspur-mesh/src/connection/Connection.ts
+++ b/packages/dotterelspur-mesh/src/connection/Connection.ts
@@ -4,16 +4,22 @@
 import type { MeshMetrics } from './MeshMetrics.js'
 import type { SocketMessage } from './SocketInbox.js'
 
-/** A gossip frame is dropped rather than queued above this; digests and retries make up for it. */
-const GOSSIP_QUEUE_BYTES = 1_048_576
-/** A call is refused above this, before anything of it is sent. */
-const CALL_QUEUE_BYTES = 4_194_304
+/** Gossip frames are dropped rather than queued above this part of the bound; digests and retries make up for them. */
+const GOSSIP_SHARE = 1 / 8
+/** A call is refused above this part of the bound, before anything of it is sent. */
+const CALL_SHARE = 1 / 2
 const POLICY_VIOLATION = 1008
 const NORMAL_CLOSE = 1000
 const MAX_REASON_BYTES = 100
 
-/** The largest frame that a peer takes: a document body is at most a megabyte, the rest is for what goes around it. */
-export const MAX_FRAME_BYTES = 1_310_720
+/** Bounds of one connection; both ends of a fleet's connections should have the same. */
+export interface ConnectionBounds {
+  readonly maxFrameBytes: number
+  readonly maxQueuedBytes: number
+}
+
+/** A document body is at most a megabyte; the rest of a frame is for what goes around it. */
+export const DEFAULT_BOUNDS: ConnectionBounds = { maxFrameBytes: 1_310_720, maxQueuedBytes: 8_388_608 }
 
 export enum SendResult {
   Sent = 'sent',
@@ -41,6 +47,7 @@
     readonly purpose: ConnectionPurpose,
     readonly dialed: boolean,
     private readonly metrics: MeshMetrics,
+    private readonly bounds: ConnectionBounds,
     early: readonly SocketMessage[]
   ) {
     for (const message of early) this.onMessage(message.data, message.isBinary)
@@ -56,7 +63,7 @@
 
   /** No room for another call. */
   get full (): boolean {
-    return this.socket.bufferedAmount > CALL_QUEUE_BYTES
+    return this.socket.bufferedAmount > this.bounds.maxQueuedBytes * CALL_SHARE
   }
 
   get queuedBytes (): number {
@@ -76,7 +83,7 @@
   /** Sends a gossip frame, or drops and counts it when the peer takes nothing. */
   sendGossip (frame: Frame): void {
     if (!this.open) return
-    if (this.socket.bufferedAmount > GOSSIP_QUEUE_BYTES) this.metrics.countDropped(frame.kind)
+    if (this.socket.bufferedAmount > this.bounds.maxQueuedBytes * GOSSIP_SHARE) this.metrics.countDropped(frame.kind)
     else this.write(frame)
   }
 
@@ -108,7 +115,11 @@
 
   private write (frame: Frame): SendResult {
     const bytes = encodeFrame(frame)
-    if (bytes.length > MAX_FRAME_BYTES) return SendResult.TooLarge
+    if (bytes.length > this.bounds.maxFrameBytes) return SendResult.TooLarge
+    if (this.socket.bufferedAmount + bytes.length > this.bounds.maxQueuedBytes) {
+      this.terminate('queue-full')
+      return SendResult.Closed
+    }
     this.metrics.countSent(frame.kind, bytes.length + headerBytes(bytes.length, this.dialed))
     this.socket.send(bytes)
     return SendResult.Sent
--- a/packages/dotterelspur-mesh/src/connection/Transport.ts
+++ b/packages/dotterelspur-mesh/src/connection/Transport.ts
@@ -4,7 +4,7 @@
 import type { TLSSocket } from 'node:tls'
 import { WebSocket, WebSocketServer } from 'ws'
 import { type Clock, failed, type MemberRecord, type NodeId, type Result, success } from 'dotterelspur'
-import { Connection, type ConnectionPurpose, MAX_FRAME_BYTES } from './Connection.js'
+import { Connection, type ConnectionBounds, type ConnectionPurpose } from './Connection.js'
 import { certificateNames, CredentialsKind, type MeshCredentials } from './Credentials.js'
 import { type ExpectedPeer, type HandshakeContext, introduceAsAcceptor, introduceAsDialer, type Refusal, RefusalReason } from './Handshake.js'
 import type { MeshMetrics } from './MeshMetrics.js'
@@ -22,6 +22,7 @@
   readonly clock: Clock
   readonly handshakeTimeoutMs: number
   readonly maxConnections: number
+  readonly bounds: ConnectionBounds
   readonly self: () => MemberRecord
   readonly metrics: MeshMetrics
   readonly onConnection: (connection: Connection) => void
@@ -40,10 +41,12 @@
 /** Makes and accepts authenticated connections. */
 export class Transport {
   private server: Server | undefined
-  private readonly sockets = new WebSocketServer({ noServer: true, maxPayload: MAX_FRAME_BYTES, perMessageDeflate: false })
+  private readonly sockets: WebSocketServer
   private readonly connections = new Set<WebSocket>()
 
-  constructor (private readonly options: TransportOptions) {}
+  constructor (private readonly options: TransportOptions) {
+    this.sockets = new WebSocketServer({ noServer: true, maxPayload: options.bounds.maxFrameBytes, perMessageDeflate: false })
+  }
 
   /** Returns the port on which the node listens. */
   listen (): Promise<Result<number, ListenError>> {
@@ -72,7 +75,7 @@
       return introduced
     }
     metrics.countHandshake()
-    return success(new Connection(socket, introduced.value.peer, purpose, true, metrics, introduced.value.early))
+    return success(new Connection(socket, introduced.value.peer, purpose, true, metrics, this.options.bounds, introduced.value.early))
   }
 
   async close (): Promise<void> {
@@ -116,7 +119,7 @@
     }
     this.options.metrics.countHandshake()
     const { peer, purpose, early } = introduced.value
-    this.options.onConnection(new Connection(socket, peer, purpose, false, this.options.metrics, early))
+    this.options.onConnection(new Connection(socket, peer, purpose, false, this.options.metrics, this.options.bounds, early))
   }
 
   private handshakeContext (tls: TLSSocket | undefined): HandshakeContext {
@@ -133,7 +136,7 @@
       ? { cert: credentials.certificate, key: credentials.privateKey, ca: credentials.authority, checkServerIdentity: () => undefined }
       : {}
     const socket = new WebSocket(`${secure ? 'wss' : 'ws'}://${address}${MESH_PATH}`, {
-      ...identity, localAddress, handshakeTimeout: handshakeTimeoutMs, maxPayload: MAX_FRAME_BYTES, perMessageDeflate: false
+      ...identity, localAddress, handshakeTimeout: handshakeTimeoutMs, maxPayload: this.options.bounds.maxFrameBytes, perMessageDeflate: false
     })
     this.track(socket)
     return new Promise((resolve) => {
--- a/packages/dotterelspur-mesh/src/process/Mesh.ts
+++ b/packages/dotterelspur-mesh/src/process/Mesh.ts
@@ -1,10 +1,10 @@
 import createDebug from 'debug'
 import {
-  type CallEvent, CallEventKind, type CallHandler, type Clock, DEFAULT_MESH_LIMITS, DEFAULT_MESH_TIMING, type GossipFrame, type GroupPresence, type HomeId, homeOf,
+  type CallEvent, CallEventKind, type CallHandler, type Clock, createMeshTiming, DEFAULT_MESH_LIMITS, type GossipFrame, type GroupPresence, type HomeId, homeOf,
   type InForceReport, type LinkId, MemberHealth, memberOf, type MeshApi, type MeshDocument, type MeshEffect, MeshEffectKind, MeshErrorKind, type MeshLimits, MeshMachine,
   type MeshTiming, type NodeMember, type Random, type Result, type ServicePresence, success, type Teardown
 } from 'dotterelspur'
-import { type Connection, ConnectionPurpose } from '../connection/Connection.js'
+import { type Connection, ConnectionPurpose, DEFAULT_BOUNDS } from '../connection/Connection.js'
 import type { MeshCredentials } from '../connection/Credentials.js'
 import { type MeshCounters, MeshMetrics, type MeshSizes } from '../connection/MeshMetrics.js'
 import { type ListenError, Transport } from '../connection/Transport.js'
@@ -39,6 +39,10 @@
   readonly timing?: Partial<MeshTiming>
   readonly limits?: Partial<MeshLimits>
   readonly callLimits?: Partial<CallLimits>
+  /** A larger frame closes the connection. Default 1.25 MiB: a document body is at most a megabyte. */
+  readonly maxFrameBytes?: number
+  /** Bytes that may wait for one peer; more closes the connection, gossip is dropped at an eighth, calls are refused at a half. */
+  readonly maxQueuedBytes?: number
 }
 
 /** The mesh of one node. */
@@ -76,7 +80,7 @@
     const { clock, random, seeds, credentials } = options
     const callLimits = { ...DEFAULT_CALL_LIMITS, ...options.callLimits }
     const limits = { ...DEFAULT_MESH_LIMITS, ...options.limits }
-    this.timing = { ...DEFAULT_MESH_TIMING, ...options.timing }
+    this.timing = createMeshTiming(options.timing)
     this.machine = new MeshMachine({ self: { ...options.self, meshAddress: '', revision: 0, health: MemberHealth.Alive, draining: false }, timing: this.timing, limits, random, seeds }, clock.nowMs())
     this.transport = new Transport({
       listenHost: options.listenHost,
@@ -86,6 +90,7 @@
       clock,
       handshakeTimeoutMs: this.timing.dialTimeoutMs,
       maxConnections: MAX_CONNECTIONS,
+      bounds: { maxFrameBytes: options.maxFrameBytes ?? DEFAULT_BOUNDS.maxFrameBytes, maxQueuedBytes: options.maxQueuedBytes ?? DEFAULT_BOUNDS.maxQueuedBytes },
       self: () => this.machine.self,
       metrics: this.metrics,
       onConnection: (connection) => this.adopt(connection, undefined)
--- a/packages/dotterelspur/src/connection/mesh/MeshTiming.ts
+++ b/packages/dotterelspur/src/connection/mesh/MeshTiming.ts
@@ -83,6 +83,15 @@
   ownPauseMs: 1_000
 }
 
+const RELAY_SILENCE_BEATS = 2.2
+const SILENCE_BEATS = 3
+
+/** The times with some of them set. Silences that are not set follow the beat: they must outlast a lost one. */
+export function createMeshTiming (set: Partial<MeshTiming> = {}): MeshTiming {
+  const beatIntervalMs = set.beatIntervalMs ?? DEFAULT_MESH_TIMING.beatIntervalMs
+  return { ...DEFAULT_MESH_TIMING, relaySilenceMs: RELAY_SILENCE_BEATS * beatIntervalMs, silenceMs: SILENCE_BEATS * beatIntervalMs, ...set }
+}
+
 export const DEFAULT_MESH_LIMITS: MeshLimits = {
   cellSize: 16,
   links: 96,
