Remove node settings that nothing reads

idle-timeout-ms, max-buffered-bytes, max-frame-bytes, max-queued-bytes, requests-per-endpoint and the node's retry-percent were declared before their readers were written; the readers took fixed bounds or the team's limits instead. A key that has no effect would be believed.

--- a/packages/dotterelspur-settings/src/process/NodeSchema.ts
+++ b/packages/dotterelspur-settings/src/process/NodeSchema.ts
@@ -52,9 +52,7 @@
     maxHeaderBytes: sizeBytes(KIB, 256 * KIB).default(16 * KIB).describe('Larger request headers are refused.'),
     maxConnections: integer(1, 100_000).default(4_096).describe('Connections held at once; more are closed at once.'),
     requestTimeoutMs: durationMs(100, 600_000).default(15_000).describe('A request that has not arrived whole by then is cut off.'),
-    idleTimeoutMs: durationMs(100, 600_000).default(60_000).describe('A connection without a request is closed after this.'),
-    slowClientTimeoutMs: durationMs(100, 600_000).default(15_000).describe('A client that takes nothing of its answer for this long is cut off.'),
-    maxBufferedBytes: sizeBytes(KIB, 64 * MIB).default(MIB).describe('Bytes of one answer that wait for a slow client; beyond it the endpoint is slowed.')
+    slowClientTimeoutMs: durationMs(100, 600_000).default(15_000).describe('A client that takes nothing of its answer for this long is cut off.')
   }),
   relations: []
 })
@@ -72,9 +70,7 @@
     sharedKeyFile: filePath().optional().describe('File that holds the shared key.'),
     certificateFile: filePath().optional().describe('This node\'s certificate, PEM.'),
     keyFile: filePath().optional().describe('The certificate\'s private key, PEM.'),
-    authorityFile: filePath().optional().describe('Authority that signed every node\'s certificate, PEM.'),
-    maxFrameBytes: sizeBytes(64 * KIB, 64 * MIB).default(2 * MIB).describe('A larger frame closes the link.'),
-    maxQueuedBytes: sizeBytes(64 * KIB, 256 * MIB).default(8 * MIB).describe('Bytes that wait for one peer; more closes the link.')
+    authorityFile: filePath().optional().describe('Authority that signed every node\'s certificate, PEM.')
   }),
   relations: [{
     key: 'shared-key',
@@ -84,10 +80,6 @@
       const files = [mesh.certificateFile, mesh.keyFile, mesh.authorityFile].filter((value) => value !== undefined).length
       return (shared === 1 && files === 0) || (shared === 0 && files === 3)
     }
-  }, {
-    key: 'max-queued-bytes',
-    rule: 'at least max-frame-bytes',
-    holds: (mesh) => mesh.maxQueuedBytes >= mesh.maxFrameBytes
   }]
 })
 
@@ -209,8 +201,6 @@
     outcomeMemoryEntries: integer(100, 10_000_000).default(200_000).describe('Outcomes remembered at once. When full, new requests are refused rather than old outcomes forgotten early.'),
     concurrentRequests: integer(1, 100_000).default(2_048).describe('Requests that run at once.'),
     queuedRequests: integer(0, 100_000).default(1_024).describe('Requests that wait at once.'),
-    requestsPerEndpoint: integer(1, 10_000).default(256).describe('Requests that this node has in flight at one group or service worker.'),
-    retryPercent: integer(0, 100).default(10).describe('Retries allowed for each 100 first attempts, over all teams.'),
     drainTimeoutMs: durationMs(1_000, 3_600_000).default(600_000).describe('How long a draining node waits for requests in progress before it says so in its log. It never cuts one off.')
   }),
   relations: []
--- a/packages/dotterelspur-settings/src/process/NodeSettings.ts
+++ b/packages/dotterelspur-settings/src/process/NodeSettings.ts
@@ -34,8 +34,6 @@
   readonly advertise: string | null
   readonly seeds: readonly string[]
   readonly security: MeshSecurity
-  readonly maxFrameBytes: number
-  readonly maxQueuedBytes: number
 }
 
 export interface AdminListenerSettings {
--- a/packages/dotterelspur-settings/src/process/parseNodeSettings.ts
+++ b/packages/dotterelspur-settings/src/process/parseNodeSettings.ts
@@ -40,8 +40,8 @@
 }
 
 function readMesh (sections: CheckedSections): MeshListenerSettings {
-  const { port, advertise, seeds, maxFrameBytes, maxQueuedBytes } = sections.one(meshSection)
-  return { port, advertise: advertise ?? null, seeds, security: readMeshSecurity(sections), maxFrameBytes, maxQueuedBytes }
+  const { port, advertise, seeds } = sections.one(meshSection)
+  return { port, advertise: advertise ?? null, seeds, security: readMeshSecurity(sections) }
 }
 
 function readMeshSecurity (sections: CheckedSections): MeshSecurity {
