A team learns that another goes first, not which; operators' requests are counted

The explanation of a team's own intent named the competing team and what it holds. A team's operator now reads that another team goes first by its priority; the fleet's operators read all of it. dotterelspur_admin_requests_total counts requests by status, and each change is one log line.

--- a/packages/dotterelspur-ctl/src/request/settingsCommands.ts
+++ b/packages/dotterelspur-ctl/src/request/settingsCommands.ts
@@ -136,11 +136,16 @@
 function describeInForce ({ version, inForce, missing, absent }: InForceReply): string {
   const total = inForce.length + missing.length
   const lines = [`version ${version} is in force on ${inForce.length} of ${count(total, 'living node')}`]
-  for (const line of missing) lines.push(`missing: ${line.node} (${line.state}, ${line.version === null ? 'no answer' : `has version ${line.version}`})`)
+  for (const line of missing) lines.push(`missing: ${line.node} (${line.state}, ${describeHeld(line.version)})`)
   if (absent.length > 0) lines.push(`not counted, dead or departed: ${absent.join(', ')}`)
   return lines.join('\n')
 }
 
+function describeHeld (version: number | null): string {
+  if (version === null) return 'no answer'
+  return version === 0 ? 'has none' : `has version ${version}`
+}
+
 function * getSettings ({ team }: CommandArguments): Steps<CommandOutput> {
   const current = yield * get(settingsPath(String(team)), teamDocumentSchema)
   if (!current.ok) return current
--- a/packages/dotterelspur-node/src/__tests__/unit/AdminServer.test.ts
+++ b/packages/dotterelspur-node/src/__tests__/unit/AdminServer.test.ts
@@ -55,6 +55,20 @@
       expect(groups.body.groups.map((line: { group: string }) => line.group)).to.deep.equal(['g-1'])
     })
 
+    it('tells a team that another one goes first, but not which', async () => {
+      await fixture.seedTeam('tiles')
+      const path = '/admin/explain?subject=intent&team=tiles&model=m'
+      const own = await fixture.send('GET', path, undefined, TILES_TOKEN)
+      const fleet = await fixture.send('GET', path)
+      expect(JSON.stringify(own.body)).to.not.include('pipes')
+      expect(fleet.body.causes[0].subject).to.equal('pipes')
+    })
+
+    it('counts refused tokens', async () => {
+      await fixture.send('GET', '/admin/status', undefined, null)
+      expect((await fixture.send('GET', '/metrics')).body).to.include('dotterelspur_admin_requests_total{status="401"} 1')
+    })
+
     it('a hash that two teams list speaks for neither', async () => {
       await fixture.seedTeam('tiles')
       await fixture.seedTeam('pipes', createText('pipes').replace(/operator-token-sha256 = .*/, createText('tiles').match(/operator-token-sha256 = .*/)![0]))
--- a/packages/dotterelspur-node/src/process/admin/AdminEffects.ts
+++ b/packages/dotterelspur-node/src/process/admin/AdminEffects.ts
@@ -1,6 +1,9 @@
 import { AUDIT_PREFIX, StoreErrorKind, type AuditBatch, type AuditRecord, type Effect, type EffectHandlers, type MeshDocument, type Result, type StoredObject, type StoreError } from 'dotterelspur'
+import debug from 'debug'
 import type { AdminBackend } from './AdminBackend.js'
 
+const log = debug('dotterelspur:admin')
+
 export enum AdminEffectKind {
   Read = 'read',
   Write = 'write',
@@ -95,6 +98,8 @@
  * replaced right after would lose a queued one; only when the store fails at this moment is it queued.
  */
 async function recordChange (backend: AdminBackend, effect: RecordEffect): Promise<void> {
+  const { kind, subject, actor } = effect.record
+  log('%s: %s by %s, version %d', subject, kind, actor, effect.version)
   const body: OperatorAuditBatch = { writeToken: effect.changeToken, records: [effect.record], version: effect.version }
   const written = await backend.store.create(operatorAuditKey(effect.record.atWallMs, effect.changeToken), body)
   const kept = written.ok || written.error.kind === StoreErrorKind.Conflict
--- a/packages/dotterelspur-node/src/process/admin/AdminServer.ts
+++ b/packages/dotterelspur-node/src/process/admin/AdminServer.ts
@@ -1,5 +1,6 @@
 import fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from 'fastify'
 import debug from 'debug'
+import { Counter } from 'prom-client'
 import type { Result } from 'dotterelspur'
 import { AdminErrorKind, MAX_ADMIN_BODY_BYTES, MetricsAccess, type AdminError, type AdminErrorReply } from 'dotterelspur-settings'
 import { ADMIN_STATUS } from './AdminError.js'
@@ -30,6 +31,7 @@
 export async function startAdminServer (backend: AdminBackend, options: AdminServerOptions): Promise<AdminServer> {
   const server = createServer(options)
   const context: AdminContext = { backend, options, teams: new TeamDocuments(backend.mesh) }
+  registerCounter(server, context)
   for (const route of ROUTES) registerRoute(server, route, context)
   registerHealth(server, context)
   const address = await server.listen({ host: options.host, port: options.port })
@@ -78,6 +80,12 @@
   return authenticate(request.headers.authorization, context.options.tokenHash, context.teams)
 }
 
+/** Counts requests by what came of them, so that a stream of refused tokens is seen without a line for each. */
+function registerCounter (server: FastifyInstance, { backend }: AdminContext): void {
+  const counter = new Counter({ name: 'dotterelspur_admin_requests_total', help: 'Requests to the operators\' listener, by status.', labelNames: ['status'], registers: [backend.metrics] })
+  server.addHook('onResponse', async (_request, reply) => { counter.inc({ status: reply.statusCode }) })
+}
+
 function registerRoute (server: FastifyInstance, route: AdminRoute, context: AdminContext): void {
   const scopes = new WeakMap<FastifyRequest, AdminScope>()
   server.route({
--- a/packages/dotterelspur-node/src/process/admin/auditRoutes.ts
+++ b/packages/dotterelspur-node/src/process/admin/auditRoutes.ts
@@ -1,9 +1,9 @@
-import { AUDIT_PREFIX, ExplainSubject, TEAM_PREFIX, failed, success, type AuditBatch, type AuditRecord, type Explanation, type Result } from 'dotterelspur'
+import { AUDIT_PREFIX, ExplainCauseKind, ExplainSubject, TEAM_PREFIX, failed, success, type AuditBatch, type AuditRecord, type ExplainCause, type Explanation, type Result } from 'dotterelspur'
 import { auditQuerySchema, explainQuerySchema, type AdminError, type AuditReply, type ExplainQuery, type ExplanationReply } from 'dotterelspur-settings'
 import { auditDay } from './AdminEffects.js'
 import { fromStoreError, notFound } from './AdminError.js'
 import { readInput, type AdminContext, type AdminRequest, type AdminRoute } from './AdminRoute.js'
-import { AdminAccess, AdminScopeKind, authorize, mayServe } from './AdminScope.js'
+import { AdminAccess, AdminScopeKind, authorize, mayServe, type AdminScope } from './AdminScope.js'
 import { teamOfGroup } from './fleetViews.js'
 
 /** What was changed, by whom and why; and why things are as they are. */
@@ -45,21 +45,27 @@
 const EXPLAINERS: Explainers = {
   [ExplainSubject.Group]: async (query, request, { backend }) => {
     if (!mayServe(request.scope, teamOfGroup(backend.mesh, query.name))) return forbidden(request)
-    return answer(await backend.explain.explainGroup(query.name), `group ${query.name} is not known`)
+    return answer(request.scope, await backend.explain.explainGroup(query.name), `group ${query.name} is not known`)
   },
   [ExplainSubject.Vm]: async (query, request, { backend }) => {
     if (request.scope.kind !== AdminScopeKind.Fleet) return forbidden(request)
-    return answer(await backend.explain.explainVm(query.name), `VM ${query.name} is not known`)
+    return answer(request.scope, await backend.explain.explainVm(query.name), `VM ${query.name} is not known`)
   },
   [ExplainSubject.Intent]: async (query, request, { backend }) => {
     if (!mayServe(request.scope, query.team)) return forbidden(request)
-    return answer(await backend.explain.explainIntent(query.team, query.model), `team ${query.team} wants no model ${query.model}`)
+    return answer(request.scope, await backend.explain.explainIntent(query.team, query.model), `team ${query.team} wants no model ${query.model}`)
   }
 }
 
-function answer (explanation: Explanation | undefined, absent: string): Result<ExplanationReply, AdminError> {
+function answer (scope: AdminScope, explanation: Explanation | undefined, absent: string): Result<ExplanationReply, AdminError> {
   if (explanation === undefined) return notFound(absent)
-  return success({ ...explanation, causes: explanation.causes.map((cause) => ({ ...cause, rejected: [...cause.rejected] })) })
+  return success({ ...explanation, causes: explanation.causes.map((cause) => showCause(scope, cause)) })
+}
+
+/** A team learns that another one goes first, but not which, nor what that one has. */
+function showCause (scope: AdminScope, cause: ExplainCause): ExplanationReply['causes'][number] {
+  if (scope.kind === AdminScopeKind.Fleet || cause.kind !== ExplainCauseKind.CompetingTeam) return { ...cause, rejected: [...cause.rejected] }
+  return { ...cause, subject: null, message: 'another team goes first, by its priority', rejected: [] }
 }
 
 async function explain (request: AdminRequest, context: AdminContext): Promise<Result<ExplanationReply, AdminError>> {
