Repair at once what is known to be gone; tell the controller what changes

Before: in the demo, a VM killed under load was replaced by its loaded standby after 8.8 s. Cause: 3 s of grace for every absence, then a wait until 6 s for what may be a pause. Ruled out: the probes (the group was out after 0.4 s) and the join. A refused connection is no pause: nothing listens there, and the incarnation can't come back. Two refusals in a row, the second asked for after 100 ms, now mean gone: no grace, and of the earlier absences only restarts count in the forecast. A connection that can't be made in time still proves nothing.

A controller now ticks when an observation brings news, and a watcher publishes at once that a group is complete again.

--- a/packages/dotterelspur-fleet/src/__tests__/unit/FleetMeasures.test.ts
+++ b/packages/dotterelspur-fleet/src/__tests__/unit/FleetMeasures.test.ts
@@ -53,6 +53,17 @@
     expect(Math.max(...samples)).to.be.at.most(LOOK_AGAIN_MS)
   })
 
+  it('member killed to serving again with a loaded standby: the join and less than 3 s', async () => {
+    const joinMs = 100
+    const samples = await sample(THREE_NODES, async (world) => {
+      const group = world.group()!
+      world.kill(group.members[1]!.vm)
+      return await world.runUntil('serves again', () => world.group()!.formation > group.formation && world.serves(world.group()), 30_000) - joinMs
+    })
+    report('member killed to serving again with a loaded standby, less the join, ms', samples)
+    expect(Math.max(...samples)).to.be.below(3_000)
+  })
+
   it('member silent to no more dispatch: within the evidence window', async () => {
     const samples = await sample(THREE_NODES, async (world) => {
       const group = world.group()!
--- a/packages/dotterelspur-fleet/src/process/Fleet.ts
+++ b/packages/dotterelspur-fleet/src/process/Fleet.ts
@@ -1,6 +1,6 @@
 import debug from 'debug'
 import {
-  AuditKind, DRAIN_PREFIX, leaseKey, mergeTeardowns, type Decision, type ExplainInput, type FailureDomainId, type GroupId, type GroupPresence, type LeaseLoss, type LeaseTerm, type Teardown
+  AuditKind, DRAIN_PREFIX, leaseKey, mergeTeardowns, type Decision, type ExplainInput, type FailureDomainId, type GroupId, type GroupPresence, type LeaseLoss, type LeaseTerm, type Teardown, type VmId
 } from 'dotterelspur'
 import { assignmentDocuments, drainTargets } from '../version/FleetDocuments.js'
 import { auditDecision } from './AuditRecords.js'
@@ -47,7 +47,7 @@
     const { clock, random, mesh } = options
     const timing: FleetTiming = { ...DEFAULT_FLEET_TIMING, ...options.timing }
     const onError = (error: unknown): void => { this.fail(error) }
-    this.prober = new Prober(clock, random, options.engines, timing, (vm) => { this.watcher.noteObservation(vm) }, onError)
+    this.prober = new Prober(clock, random, options.engines, timing, (vm, isNews) => { this.noteObservation(vm, isNews) }, onError)
     this.orders = new OrderSender(clock, options.engines, timing, (status, askedAtMs) => { this.prober.note(status, askedAtMs) })
     this.watcher = new Watcher(options, timing, this.prober, onError)
     this.pauses = new PauseDetector(clock, timing.pauseThresholdMs, (durationMs) => { this.notePause(durationMs) })
@@ -145,6 +145,11 @@
     for (const controller of this.controllers.values()) controller.nudge()
   }
 
+  private noteObservation (vm: VmId, isNews: boolean): void {
+    this.watcher.noteObservation(vm)
+    if (isNews) this.nudge()
+  }
+
   private presence (): ReadonlyMap<GroupId, GroupPresence> {
     return new Map(this.options.mesh.groupPresence().map((presence) => [presence.group, presence]))
   }
--- a/packages/dotterelspur-fleet/src/process/Prober.ts
+++ b/packages/dotterelspur-fleet/src/process/Prober.ts
@@ -20,10 +20,12 @@
   firstAskedAtMs: number | null
 }
 
-export type ObservationListener = (vm: VmId, observation: VmObservation) => void
+/** Told of each observation; `isNews` when it differs from the one before in more than its time. */
+export type ObservationListener = (vm: VmId, isNews: boolean) => void
 
 /** Weight of the newest reading in a VM's smoothed latency. */
 const LATENCY_SMOOTHING = 0.2
+const ASK_AGAIN_MS = 100
 /** A straggler's smoothed latency is at least this, and this many times the median. */
 const STRAGGLER_FLOOR_MS = 100
 const STRAGGLER_FACTOR = 4
@@ -171,11 +173,25 @@
     this.commit(vm, { evidence: { status, askedAtMs }, absentSinceMs: refusedLater ? before.absentSinceMs : null })
   }
 
+  /**
+   * A connection that is refused comes back well before the timeout. One that can't be made in time proves nothing:
+   * the packets may be lost, or the VM may stand still.
+   */
   private reject (vm: VmId, error: EndpointError, askedAtMs: number): void {
-    if (error.kind !== EndpointErrorKind.NotRun) return
+    const timedOut = this.clock.nowMs() - askedAtMs >= this.timing.probeTimeoutMs
+    if (error.kind !== EndpointErrorKind.NotRun || timedOut) return
     const before = this.seen.get(vm) ?? NO_OBSERVATION
-    if (before.absentSinceMs !== null) return
-    this.commit(vm, { ...before, absentSinceMs: askedAtMs })
+    const refusals = before.absentSinceMs === null ? 1 : (before.refusals ?? 0) + 1
+    this.commit(vm, { ...before, absentSinceMs: before.absentSinceMs ?? askedAtMs, refusals })
+    if (refusals === 1) this.askAgainSoon(vm)
+  }
+
+  /** A second refusal says that the process has ended; waiting a whole beat for it would only make the repair later. */
+  private askAgainSoon (vm: VmId): void {
+    this.clock.registerTimer(ASK_AGAIN_MS, () => {
+      const probe = this.probes.get(vm)
+      if (probe !== undefined && !probe.asking) this.ask(probe).catch(this.onError)
+    })
   }
 
   private noteLatency (vm: VmId, latencyMs: number): void {
@@ -184,7 +200,13 @@
   }
 
   private commit (vm: VmId, observation: VmObservation): void {
+    const before = this.seen.get(vm)
     this.seen.set(vm, observation)
-    this.onObservation(vm, observation)
+    this.onObservation(vm, before === undefined || contentOf(before) !== contentOf(observation))
   }
 }
+
+function contentOf ({ evidence, absentSinceMs, refusals }: VmObservation): string {
+  const status = evidence?.status
+  return [absentSinceMs, refusals, status?.incarnation, status?.state, status?.group, status?.formation].join()
+}
--- a/packages/dotterelspur-fleet/src/process/Watcher.ts
+++ b/packages/dotterelspur-fleet/src/process/Watcher.ts
@@ -64,14 +64,15 @@
     return [...this.judged.values()]
   }
 
-  /** A probe of a VM came in: tells the others at once when its group now serves less. */
+  /** A probe of a VM came in: tells the others at once when its group now serves less, or is complete again. */
   noteObservation (vm: VmId): void {
     const watched = this.groupOfVm.get(vm)
     if (watched === undefined) return
     const before = this.judged.get(watched.group.group)?.presence
     const after = this.judge(watched)
     this.judged.set(watched.group.group, after)
-    if (isWorse(before, after.presence)) this.publish()
+    const isBetter = before?.complete !== true && after.presence.complete
+    if (isBetter || isWorse(before, after.presence)) this.publish()
   }
 
   private tick (): void {
--- a/packages/dotterelspur-fleet/src/version/VmHealthView.ts
+++ b/packages/dotterelspur-fleet/src/version/VmHealthView.ts
@@ -25,6 +25,9 @@
   readonly isListedElsewhere: (vm: VmId) => boolean
 }
 
+/** One refusal may fall into a restart of the listener; two in a row are a process that has ended. */
+const REFUSALS_WHEN_GONE = 2
+
 interface KnownVm {
   readonly vm: VmId
   readonly incarnation: number
@@ -69,6 +72,7 @@
     fabricDomain: input.fabricDomain,
     presence,
     absentSinceMs: presence === VmPresence.Absent ? absentSince(known.vm, observation, input) : null,
+    gone: presence === VmPresence.Absent && (observation?.refusals ?? 0) >= REFUSALS_WHEN_GONE,
     status,
     leaving: known.leaving || input.saidLeaving(known.vm, incarnation),
     drained: input.drained.has(known.vm),
--- a/packages/dotterelspur/src/version/assignment/GroupEvidence.ts
+++ b/packages/dotterelspur/src/version/assignment/GroupEvidence.ts
@@ -8,6 +8,8 @@
   readonly evidence: VmEvidence | null
   /** The VM refused the connection, or answered as another VM, after the last answer: it is absent, whatever the evidence's age. */
   readonly absentSinceMs: number | null
+  /** Refusals in a row. More than one says that the process is gone, not that it stands still. */
+  readonly refusals?: number
 }
 
 export const NO_OBSERVATION: VmObservation = { evidence: null, absentSinceMs: null }
--- a/packages/dotterelspur/src/version/planning/GroupObservation.ts
+++ b/packages/dotterelspur/src/version/planning/GroupObservation.ts
@@ -18,13 +18,13 @@
   }
 }
 
-/** Members whose place is empty: another incarnation, gone from the fabric domain, or absent for longer than the grace. */
+/** Members whose place is empty: another incarnation, gone, or absent for longer than the grace. */
 export function lostMembers (plan: PendingPlan, group: AssignedGroup): readonly AssignedMember[] {
   return group.members.filter((member) => {
     const view = plan.views.get(member.vm)
     if (view === undefined) return true
     if (view.health.incarnation > member.incarnation) return true
-    return !view.present && view.absentForMs >= plan.input.settings.absenceGraceMs
+    return !view.present && (view.health.gone === true || view.absentForMs >= plan.input.settings.absenceGraceMs)
   })
 }
 
--- a/packages/dotterelspur/src/version/planning/PlanningInput.ts
+++ b/packages/dotterelspur/src/version/planning/PlanningInput.ts
@@ -24,6 +24,8 @@
   readonly presence: VmPresence
   /** On the observer's monotonic clock; null unless absent. */
   readonly absentSinceMs: number | null
+  /** Absent, and nothing listens where it was: this incarnation won't come back, so there is no pause to wait out. */
+  readonly gone?: boolean
   /** Its last unexpired word; null unless present. */
   readonly status: VmStatus | null
   /** The platform will take it away, or it says so itself. */
--- a/packages/dotterelspur/src/version/planning/RepairCost.ts
+++ b/packages/dotterelspur/src/version/planning/RepairCost.ts
@@ -35,7 +35,7 @@
     return { expectedMs: Math.min(actMs, settings.loadMs + settings.joinMs), pays: false }
   }
   const awayMs = view === undefined ? settings.longestWaitMs : view.absentForMs
-  return forecastWait(plan.memory.returns, awayMs, actMs, settings)
+  return forecastWait(plan.memory.returns, { awayMs, gone: view?.health.gone === true }, actMs, settings)
 }
 
 /**
--- a/packages/dotterelspur/src/version/planning/ReturnTimes.ts
+++ b/packages/dotterelspur/src/version/planning/ReturnTimes.ts
@@ -13,6 +13,12 @@
   readonly pays: boolean
 }
 
+export interface Absence {
+  readonly awayMs: number
+  /** Its process has ended: it can only come back as another incarnation. */
+  readonly gone: boolean
+}
+
 /**
  * The best moment to stop waiting for a VM that has been away for `awayMs`, by how earlier absences ended. A
  * mean would not do: most absences are seconds long and a few last hours, so the mean says "hours" while the
@@ -20,8 +26,8 @@
  *
  * @param actMs time out of service if something else is done instead, from then; Infinity when nothing can be.
  */
-export function forecastWait (samples: readonly ReturnSample[], awayMs: number, actMs: number, settings: PlanningSettings): WaitForecast {
-  const likely = withPrior(samples, settings).filter((sample) => sample.awayMs > awayMs)
+export function forecastWait (samples: readonly ReturnSample[], { awayMs, gone }: Absence, actMs: number, settings: PlanningSettings): WaitForecast {
+  const likely = withPrior(samples, settings).filter((sample) => sample.awayMs > awayMs && (sample.restarted || !gone))
   if (likely.length === 0) return { expectedMs: Math.min(actMs, FAILED_VM_MS), pays: false }
   let best: WaitForecast = { expectedMs: costOfStopping(likely, awayMs, awayMs, actMs, settings), pays: false }
   for (const { awayMs: stopMs } of likely) {
