A forming group whose member says that it leaves counts as complete

Symptom: a group forms, one of its members says that it leaves before the group was recorded as serving, and nothing happens any more: no new work, no exchange. Found by the test of leaving VMs once watchers told of complete groups sooner. Cause: only ready members counted for forming to become serving, and only serving groups exchange members. A leaving member has joined and still works. After: exchanged as any other.

--- a/packages/dotterelspur/src/version/planning/GroupObservation.ts
+++ b/packages/dotterelspur/src/version/planning/GroupObservation.ts
@@ -106,10 +106,12 @@
   plan.decide({ kind: DecisionKind.Serve, group: group.group, vms: [], reason })
 }
 
+/** A member that says it leaves has joined and still works: were it not counted, a forming group with one would never serve and so never exchange it. */
 function allAtFormation (plan: PendingPlan, group: AssignedGroup): boolean {
   return group.members.every((member) => {
     if (!isMemberPresent(member, plan.views)) return false
     const status = plan.views.get(member.vm)!.health.status
-    return status !== null && status.state === EngineState.Ready && status.group === group.group && status.formation === group.formation
+    if (status === null || status.group !== group.group || status.formation !== group.formation) return false
+    return status.state === EngineState.Ready || status.state === EngineState.Leaving
   })
 }
