Entry: a drain waits for answers that other homes owe; a node without settings says so

Cause of the first: the drain waited for the requests that run at this node. A call whose id names another home runs there and is only passed on here, so the node found itself idle and closed the listener under the caller. Callers' requests are now counted from headers to the end of the answer, and the drain waits for both. Cause of the second: a node that restarts while the store is out listens before its peers have told it the settings, and took every token for a bad one. It now answers 503, not-run, with the other entries. Ruled out: the engine, and the home itself, which in both cases had done nothing wrong by the ledger.

Both tests fail without the change.

--- a/packages/dotterelspur-entry/src/process/createEntry.ts
+++ b/packages/dotterelspur-entry/src/process/createEntry.ts
@@ -24,6 +24,7 @@
 import type { EntryServices } from './EntryServices.js'
 import { FleetView } from './FleetView.js'
 import { NodeGate } from './NodeGate.js'
+import { OpenCalls } from './OpenCalls.js'
 import { TeamTable } from './TeamTable.js'
 
 const debug = createDebug('dotterelspur:entry')
@@ -39,7 +40,7 @@
   listen (): Promise<string>
   /** Takes no new work from now on; what runs goes on. */
   beginDrain (): void
-  /** Resolves when nothing runs any more. */
+  /** Resolves when nothing runs and no caller waits for an answer any more, be it one that another node's home owes. */
   idle (): Promise<void>
   /** Requests that run here now. */
   runningCount (): number
@@ -56,7 +57,8 @@
   const keyed = new KeyedRuns(context, homeRuns, link, gate)
   const intake = new Intake(context, gate, homeRuns, keyed)
   const services: EntryServices = { context, gate, headers: new HeaderReader(context.limits), intake, keyed, homeRuns, link }
-  const app = createListener(services)
+  const calls = new OpenCalls()
+  const app = createListener(services, calls)
   const teardown = startParts(context, link)
   return {
     listen: () => app.listen({ host: options.host, port: options.port }),
@@ -64,7 +66,12 @@
       gate.beginDrain()
       debug('draining, %d requests running', runs.count)
     },
-    idle: () => runs.idle(),
+    idle: async () => {
+      while (runs.count > 0 || calls.count > 0) {
+        await runs.idle()
+        await calls.idle()
+      }
+    },
     runningCount: () => runs.count,
     close: async () => {
       gate.beginDrain()
@@ -130,7 +137,7 @@
   cancel()
 }
 
-function createListener (services: EntryServices): FastifyInstance {
+function createListener (services: EntryServices, calls: OpenCalls): FastifyInstance {
   const { limits, teams } = services.context
   const app = Fastify({
     logger: false,
@@ -141,7 +148,8 @@
     http: { maxHeaderSize: limits.maxHeaderBytes }
   })
   app.server.maxConnections = limits.maxConnections
-  app.addHook('onRequest', (request, reply, done) => { authenticate(teams, request, reply, done) })
+  calls.watch(app)
+  app.addHook('onRequest', (request, reply, done) => { authenticate(teams, services.gate, request, reply, done) })
   app.addHook('onSend', (_request, reply, _payload, done) => {
     if (services.gate.isDraining) reply.header('connection', 'close')
     done()
