Mesh: no late copy of a good word hides a turn for the worse

Cause: a word is replaced by one of the same watcher that is fresher, but a bad word carries the age of the oldest probe, which may be older than that of the good word before it. A copy of that good word, come late over a standby relay, replaced the bad one, and the group looked complete until the watcher's next word, up to half a second and two hops.

Now a good word asked for before the turn was learned is not taken, as between two watchers already. Price: a group that is whole again is seen so at the first word whose probes were all asked for after the turn.

--- a/packages/dotterelspur/src/__tests__/unit/PresenceTable.test.ts
+++ b/packages/dotterelspur/src/__tests__/unit/PresenceTable.test.ts
@@ -39,6 +39,17 @@
       arrivals: [{ atMs: 130, update: createUpdate('w1', 70, BROKEN) }, { atMs: 300, update: createUpdate('w2', 200) }, { atMs: 400, update: createUpdate('w1', 390, BROKEN) }],
       expected: { complete: true, ageMs: 800 }
     },
+    {
+      // A copy of w1's good word, asked for before a member died, took the way over the standby relay and comes after the bad one.
+      name: 'takes no late copy of a good word over a turn for the worse of the same watcher',
+      arrivals: [{ atMs: 110, update: createUpdate('w1', 60, BROKEN) }, { atMs: 115, update: createUpdate('w1', 95) }],
+      expected: { complete: false, ageMs: 940 }
+    },
+    {
+      name: 'takes the good word of the same watcher again that was asked for later',
+      arrivals: [{ atMs: 110, update: createUpdate('w1', 60, BROKEN) }, { atMs: 300, update: createUpdate('w1', 250) }],
+      expected: { complete: true, ageMs: 750 }
+    },
     {
       name: 'heeds only the highest formation',
       arrivals: [{ atMs: 100, update: createUpdate('w1', 99) }, { atMs: 110, update: createUpdate('w2', 80, { formation: 2, complete: false }) }],
--- a/packages/dotterelspur/src/connection/mesh/PresenceTable.ts
+++ b/packages/dotterelspur/src/connection/mesh/PresenceTable.ts
@@ -114,6 +114,7 @@
     const held = pending.get(key)
     if (held === undefined && pending.size >= this.capacity) return undefined
     if (held !== undefined && held.originMs >= update.originMs && !turnsWorse(held, update.body)) return undefined
+    if (held !== undefined && isFromBeforeTurn(held, update)) return undefined
     return { ...update, key, worseSinceMs: worseSince(held, update.body, nowMs) }
   }
 
@@ -133,6 +134,15 @@
   return isGood(held.body) && !isGood(body) && generationOf(body) >= generationOf(held.body)
 }
 
+/**
+ * A good word asked for before the held turn for the worse was learned. A bad word carries the age of the oldest
+ * probe, often older than that of the good word before it; a copy of that good word, come late over another
+ * relay, would look fresher and hide the turn until the watcher's next word.
+ */
+function isFromBeforeTurn (held: EvidenceLine, update: LineUpdate): boolean {
+  return isGood(update.body) && generationOf(update.body) === generationOf(held.body) && update.originMs <= held.worseSinceMs
+}
+
 function worseSince (held: EvidenceLine | undefined, body: EvidenceBody, nowMs: number): number {
   if (isGood(body)) return -Infinity
   if (held === undefined || isGood(held.body)) return nowMs
