Drain a node through any node, and only the process that was meant

Asked at another node, a drain of a node was written and nobody acted on it; and the request named only the node, so that acting on it would have drained every successor. The object now names the process, <node>.<incarnation>, and each node's operators' listener follows its own. Both tests failed before: the drain was not taken, and a second request for a restarted node was taken for the first.

--- a/packages/dotterelspur-node/src/__tests__/unit/AdminServer.test.ts
+++ b/packages/dotterelspur-node/src/__tests__/unit/AdminServer.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import { MemoryFaultKind, createMember } from 'dotterelspur-testkit'
-import { AuditKind, GroupState, NodeState, TEAM_PREFIX } from 'dotterelspur'
+import { AuditKind, GroupState, NODE_DRAIN_PREFIX, NodeState, TEAM_PREFIX } from 'dotterelspur'
 import { AdminErrorKind, AnswerSource } from 'dotterelspur-settings'
 import { EVIDENCE_TTL_MS, TILES_TOKEN, createAdminFixture, createApply, createGroup, createText, type AdminFixture } from './fixtures/createAdminFixture.js'
 
@@ -218,6 +218,27 @@
       expect((await fixture.send('GET', '/admin/audit')).body.records).to.have.length(2)
     })
 
+    it('drains its process when another node was asked to, and not the process after it', () => {
+      // Symptom: a node that was drained and replaced never takes work again: each successor drains itself.
+      // Sequence: an operator drains node-1 at another node; it exits; its successor starts and finds the request.
+      // Cause: a request that names only the node fits every process that will ever have that name.
+      const body = { writeToken: '', requestedBy: 'operator:ada', requestedAtWallMs: 1, reason: 'replace' }
+      fixture.mesh.offerDocument({ key: `${NODE_DRAIN_PREFIX}node-1`, version: 5, body: { ...body, target: 'node-1.0' }, deleted: false })
+      expect(fixture.drained).to.deep.equal([])
+      fixture.mesh.offerDocument({ key: `${NODE_DRAIN_PREFIX}node-1`, version: 6, body: { ...body, target: 'node-1.1' }, deleted: false })
+      expect(fixture.drained).to.deep.equal(['operator:ada: replace'])
+    })
+
+    it('asks again for a drain of a node that has restarted since', async () => {
+      const body = { operator: 'ada', changeToken: 'change-token-000001', reason: 'replace' }
+      for (const incarnation of [1, 2, 2]) {
+        fixture.mesh.setOthers([createMember({ node: 'node-2', incarnation })])
+        await fixture.send('PUT', '/admin/drains/node/node-2', body)
+      }
+      expect(fixture.mesh.document(`${NODE_DRAIN_PREFIX}node-2`)).to.deep.include({ version: 3 })
+      expect((await fixture.send('GET', '/admin/drains')).body.drains).to.have.length(1)
+    })
+
     it('drains its own node also while the store is out, and no group that nobody knows', async () => {
       fixture.store.setFault(MemoryFaultKind.Down)
       const body = { operator: 'ada', changeToken: 'change-token-000001', reason: 'replace' }
--- a/packages/dotterelspur-node/src/process/admin/AdminServer.ts
+++ b/packages/dotterelspur-node/src/process/admin/AdminServer.ts
@@ -10,6 +10,7 @@
 import { AUDIT_ROUTES } from './auditRoutes.js'
 import { DRAIN_ROUTES } from './drainRoutes.js'
 import { FLEET_ROUTES } from './fleetRoutes.js'
+import { registerNodeDrains } from './nodeDrains.js'
 import { SETTINGS_ROUTES } from './settingsRoutes.js'
 import { TeamDocuments } from './TeamDocuments.js'
 
@@ -35,8 +36,15 @@
   for (const route of ROUTES) registerRoute(server, route, context)
   registerHealth(server, context)
   const address = await server.listen({ host: options.host, port: options.port })
+  const stopDrains = registerNodeDrains(backend)
   log('listening at %s', address)
-  return { address, close: () => server.close() }
+  return {
+    address,
+    close: async () => {
+      stopDrains()
+      await server.close()
+    }
+  }
 }
 
 function createServer (options: AdminServerOptions): FastifyInstance {
--- a/packages/dotterelspur-node/src/process/admin/drainRoutes.ts
+++ b/packages/dotterelspur-node/src/process/admin/drainRoutes.ts
@@ -1,5 +1,5 @@
 import {
-  AuditKind, DRAIN_PREFIX, NODE_DRAIN_PREFIX, StoreErrorKind, failed, perform, runProcedure, success,
+  AuditKind, DRAIN_PREFIX, NODE_DRAIN_PREFIX, StoreErrorKind, failed, homeOf, perform, runProcedure, success,
   type DrainObject, type MeshApi, type Procedure, type Result
 } from 'dotterelspur'
 import { AdminErrorKind, DrainTargetKind, drainRequestSchema, type AdminError, type DrainList, type DrainReply, type DrainRequest } from 'dotterelspur-settings'
@@ -28,6 +28,8 @@
   readonly kind: DrainTargetKind
   readonly name: string
   readonly key: string
+  /** What the object says: a node is named with its incarnation, so that its successor is not drained as well. */
+  readonly target: string
 }
 
 type TargetCheck = (name: string, context: AdminContext) => boolean
@@ -40,6 +42,17 @@
   [DrainTargetKind.Vm]: () => true
 }
 
+type TargetNamer = (name: string, context: AdminContext) => string
+
+const TARGET_NAMES: Readonly<Record<DrainTargetKind, TargetNamer>> = {
+  [DrainTargetKind.Vm]: (name) => name,
+  [DrainTargetKind.Group]: (name) => name,
+  [DrainTargetKind.Node]: (name, { backend }) => {
+    const member = backend.mesh.members().find((candidate) => candidate.node === name)
+    return member === undefined ? name : homeOf(member)
+  }
+}
+
 function readTarget (request: AdminRequest, context: AdminContext): Result<Target, AdminError> {
   const kind = Object.values(DrainTargetKind).find((value) => value === request.params['kind'])
   const name = request.params['target']!
@@ -47,7 +60,7 @@
     return failed({ kind: AdminErrorKind.InvalidRequest, message: `accepted: /admin/drains/<${Object.values(DrainTargetKind).join('|')}>/<name>` })
   }
   if (!mayDrain(request.scope, kind, name, context)) return failed({ kind: AdminErrorKind.Forbidden, message: 'this token drains groups of its own team only' })
-  return success({ kind, name, key: KEY_PREFIX[kind] + name })
+  return success({ kind, name, key: KEY_PREFIX[kind] + name, target: TARGET_NAMES[kind](name, context) })
 }
 
 function mayDrain (scope: AdminScope, kind: DrainTargetKind, name: string, { backend }: AdminContext): boolean {
@@ -59,7 +72,10 @@
   const drains = backend.mesh.documents(DRAIN_PREFIX)
     .filter((document) => !document.deleted)
     .map((document) => ({ key: document.key, drain: document.body as DrainObject }))
-    .map(({ key, drain }) => ({ kind: kindOf(key, drain.target, backend.mesh), target: drain.target, requestedBy: drain.requestedBy, requestedAtWallMs: drain.requestedAtWallMs, reason: drain.reason }))
+    .map(({ key, drain }) => {
+      const kind = kindOf(key, drain.target, backend.mesh)
+      return { kind, target: key.slice(KEY_PREFIX[kind].length), requestedBy: drain.requestedBy, requestedAtWallMs: drain.requestedAtWallMs, reason: drain.reason }
+    })
     .filter((line) => mayServe(request.scope, line.kind === DrainTargetKind.Group ? teamOfGroup(backend.mesh, line.target) : null))
   return success({ ...fromMesh(backend), drains })
 }
@@ -79,25 +95,27 @@
   const actor = actorName(request.scope, input.value.operator)
   const procedure = drain(target.value, input.value, actor, backend.clock.wallMs())
   const result = await runProcedure<AdminEffect, Result<DrainReply, AdminError>>(procedure, createAdminHandlers(backend))
-  return isSelf(target.value, context) ? drainThisNode(result, input.value, actor, context) : result
+  return !result.ok && isSelf(target.value, context) ? drainThisNode(input.value, actor, context) : result
 }
 
 function isSelf (target: Target, { backend }: AdminContext): boolean {
   return target.kind === DrainTargetKind.Node && target.name === backend.mesh.self.node
 }
 
-/** A node can stop itself without the store: the drain object only tells others and the next process of this name. */
-function drainThisNode (result: Result<DrainReply, AdminError>, request: DrainRequest, actor: string, { backend }: AdminContext): Result<DrainReply, AdminError> {
+/** A node needs no store to stop itself: the drain object only carries the request to other nodes. */
+function drainThisNode (request: DrainRequest, actor: string, { backend }: AdminContext): Result<DrainReply, AdminError> {
   backend.drainSelf(`${actor}: ${request.reason}`)
-  return result.ok ? result : success({ kind: DrainTargetKind.Node, target: backend.mesh.self.node, drained: true })
+  return success({ kind: DrainTargetKind.Node, target: backend.mesh.self.node, drained: true })
 }
 
 function * drain (target: Target, request: DrainRequest, actor: string, wallMs: number): Procedure<AdminEffect, Result<DrainReply, AdminError>> {
   const reply = { kind: target.kind, target: target.name, drained: true }
-  const body: DrainObject = { writeToken: request.changeToken, target: target.name, requestedBy: actor, requestedAtWallMs: wallMs, reason: request.reason }
-  const written = yield * perform(write(target.key, body, null))
+  const body: DrainObject = { writeToken: request.changeToken, target: target.target, requestedBy: actor, requestedAtWallMs: wallMs, reason: request.reason }
+  const current = yield * perform(read(target.key))
+  if (!current.ok && current.error.kind !== StoreErrorKind.NotFound) return failed(fromStoreError(current.error))
   // Already asked for, by this request's lost copy or by another operator: what was wanted is so.
-  if (!written.ok && written.error.kind === StoreErrorKind.Conflict) return success(reply)
+  if (current.ok && (current.value.body as DrainObject).target === target.target) return success(reply)
+  const written = yield * perform(write(target.key, body, current.ok ? current.value.version : null))
   if (!written.ok) return failed(fromStoreError(written.error))
   const { version } = written.value
   yield * perform(publish({ key: target.key, version, body: written.value.body, deleted: false }))
--- a/packages/dotterelspur/src/version/PlatformObjects.ts
+++ b/packages/dotterelspur/src/version/PlatformObjects.ts
@@ -177,6 +177,7 @@
  * takes no new work and finishes what it has.
  */
 export interface DrainObject extends Written {
+  /** The VM or the group; for a node its process, `<node>.<incarnation>`, so that the one after it isn't drained too. */
   readonly target: string
   readonly requestedBy: string
   readonly requestedAtWallMs: number
