A lasting congestion does not become the usual

Found by a unit test, shown failing first: 60 s of first tokens of 2 s after a usual 100 ms took the limit to the whole capacity (800 instead of 50), and a queue that builds up over 40 s to 371. Cause: the usual first token rose with each sample, 0.2% each; at 20 a second it passed a third of the late ones within 10 s, and late was late no more. Change: it rises with time, over 5 minutes.

--- a/packages/dotterelspur/src/request/admission/AdaptiveLimit.ts
+++ b/packages/dotterelspur/src/request/admission/AdaptiveLimit.ts
@@ -30,9 +30,12 @@
   startFactor: 1.25
 }
 
-/** The usual first token falls fast and rises slowly: followed closely, a queue that builds up slowly would become the usual. */
 const USUAL_FALL_WEIGHT = 0.1
-const USUAL_RISE_WEIGHT = 0.002
+/**
+ * The usual first token falls with the samples and rises with time, over minutes: followed closely, or by the count
+ * of samples, a queue that builds up or lasts would become the usual and the limit would grow into it.
+ */
+const USUAL_RISE_MS = 300_000
 const USED_SHARE = 0.8
 const LEAST_START = 2
 
@@ -50,6 +53,7 @@
   private capacity = 0
   private nodes = 1
   private usualMs: number | null = null
+  private lastSampleAtMs: number | null = null
   private lastDecreaseAtMs = -Infinity
   private window = { sinceMs: -Infinity, samples: 0, late: 0, used: false }
 
@@ -77,7 +81,9 @@
     const { lateFirstTokenMs, lateRatio, windowMs, windowSamples } = this.options
     const usualMs = this.usualMs ?? firstTokenMs
     const isLate = firstTokenMs > lateFirstTokenMs && firstTokenMs > lateRatio * usualMs
-    const weight = firstTokenMs < usualMs ? USUAL_FALL_WEIGHT : USUAL_RISE_WEIGHT
+    const passedMs = Math.max(0, nowMs - (this.lastSampleAtMs ?? nowMs))
+    const weight = firstTokenMs < usualMs ? USUAL_FALL_WEIGHT : 1 - Math.exp(-passedMs / USUAL_RISE_MS)
+    this.lastSampleAtMs = nowMs
     this.usualMs = usualMs + weight * (firstTokenMs - usualMs)
     const { window } = this
     window.samples++
