--- a/packages/dotterelspur/src/__tests__/unit/AdmissionController.test.ts
+++ b/packages/dotterelspur/src/__tests__/unit/AdmissionController.test.ts
@@ -220,6 +220,12 @@
     expect(budget.tryRetry('piedmont')).to.equal(false)
   })
 
+  it('gives a team none whose setting is 0', () => {
+    const budget = new RetryBudget()
+    budget.noteFirstAttempt('tradeline', 0)
+    expect(budget.tryRetry('tradeline')).to.equal(false)
+  })
+
   it('is never exceeded, whatever the order', () => {
     const step = fc.record({ retry: fc.boolean(), team: fc.constantFrom('tradeline', 'piedmont') })
     fc.assert(fc.property(fc.array(step, { maxLength: 300 }), fc.integer({ min: 0, max: 50 }), (steps, percent) => {
--- a/packages/dotterelspur/src/request/admission/RetryBudget.ts
+++ b/packages/dotterelspur/src/request/admission/RetryBudget.ts
@@ -24,11 +24,12 @@
     this.nodeTokens = options.reserve
   }
 
-  /** A request was dispatched for the first time. `teamPercent` is the team's own setting. */
+  /** A request was dispatched for the first time. `teamPercent` is the team's own setting; with 0 it has no retries at all. */
   noteFirstAttempt (team: TeamId, teamPercent: number): void {
     const { reserve, nodePercent } = this.options
     this.nodeTokens = Math.min(reserve, this.nodeTokens + nodePercent / PERCENT)
-    this.teamTokens.set(team, Math.min(reserve, this.available(team) + teamPercent / PERCENT))
+    const teamReserve = teamPercent === 0 ? 0 : reserve
+    this.teamTokens.set(team, Math.min(teamReserve, this.available(team) + teamPercent / PERCENT))
   }
 
   /** Takes one retry, or one hedge, from both budgets; false when either is spent. */
