A lane that changes its targets keeps what it learnt of requests

The mean run time of a request, on which the trust in load reports rests, started anew at 8 s whenever a group came or went, and so did the lane when targets were told in another order.

--- a/packages/dotterelspur/src/request/routing/Lane.ts
+++ b/packages/dotterelspur/src/request/routing/Lane.ts
@@ -11,8 +11,9 @@
   readonly estimator: LoadEstimator
   private cachedRing: HashRing | null = null
 
-  constructor (readonly records: readonly TargetRecord[], private readonly options: RoutingOptions) {
-    this.estimator = new LoadEstimator(records, options)
+  /** `before` is the lane that this one replaces: what was learnt of requests as such goes on. */
+  constructor (readonly records: readonly TargetRecord[], private readonly options: RoutingOptions, before?: Lane) {
+    this.estimator = new LoadEstimator(records, options, before?.estimator.meanLifeMs)
   }
 
   get ring (): HashRing {
--- a/packages/dotterelspur/src/request/routing/LoadEstimator.ts
+++ b/packages/dotterelspur/src/request/routing/LoadEstimator.ts
@@ -30,10 +30,12 @@
  */
 export class LoadEstimator {
   private means: LaneMeans | null = null
-  private lifeMs: number
 
-  constructor (private readonly records: readonly TargetRecord[], private readonly options: Pick<RoutingOptions, 'requestLifeMs' | 'stragglerRatio'>) {
-    this.lifeMs = options.requestLifeMs
+  constructor (private readonly records: readonly TargetRecord[], private readonly options: Pick<RoutingOptions, 'requestLifeMs' | 'stragglerRatio'>, private lifeMs = options.requestLifeMs) {}
+
+  /** Mean time that an attempt of this node ran. */
+  get meanLifeMs (): number {
+    return this.lifeMs
   }
 
   /** An attempt of this node ran for this long. */
--- a/packages/dotterelspur/src/request/routing/Router.ts
+++ b/packages/dotterelspur/src/request/routing/Router.ts
@@ -35,7 +35,7 @@
       if (!known.has(id)) this.records.delete(id)
     }
     const members = new Map<string, TargetRecord[]>()
-    for (const target of targets) {
+    for (const target of [...targets].sort(byId)) {
       const key = laneKey(target)
       const lane = members.get(key) ?? []
       lane.push(this.takeIn(target, nowMs))
@@ -120,11 +120,16 @@
     for (const [key, records] of members) {
       const lane = this.lanes.get(key)
       const same = lane !== undefined && lane.records.length === records.length && records.every((record, index) => lane.records[index] === record)
-      if (!same) this.lanes.set(key, new Lane(records, this.options))
+      if (!same) this.lanes.set(key, new Lane(records, this.options, lane))
     }
   }
 }
 
+/** Whatever order targets are told in, equal sets give equal lanes. */
+function byId (left: RouteTarget, right: RouteTarget): number {
+  return left.id < right.id ? -1 : 1
+}
+
 function laneKey (of: RouteTarget | RouteQuery): string {
   return of.kind === TargetKind.Group ? `model/${of.model}` : `service/${of.service}`
 }
