--- a/packages/dotterelspur-bench/src/bench.ts
+++ b/packages/dotterelspur-bench/src/bench.ts
@@ -3,6 +3,7 @@
 import { hideBin } from 'yargs/helpers'
 import { toCommandModule } from './process/BenchCommand.js'
 import { experimentCommand } from './process/commands/experimentCommand.js'
+import { latencyCommand } from './process/commands/latencyCommand.js'
 import { loadCommand } from './process/commands/loadCommand.js'
 import { reportCommand } from './process/commands/reportCommand.js'
 import { soakCommand } from './process/commands/soakCommand.js'
@@ -12,6 +13,7 @@
   .scriptName('npm run bench --')
   .command(toCommandModule(loadCommand))
   .command(toCommandModule(experimentCommand))
+  .command(toCommandModule(latencyCommand))
   .command(toCommandModule(slopesCommand))
   .command(toCommandModule(soakCommand))
   .command(toCommandModule(reportCommand))
