--- a/packages/dotterelspur-bench/src/process/slopes/callCosts.ts
+++ b/packages/dotterelspur-bench/src/process/slopes/callCosts.ts
@@ -3,7 +3,7 @@
 import { setTimeout as delay } from 'node:timers/promises'
 import { fileURLToPath } from 'node:url'
 import { createRandom } from 'dotterelspur'
-import type { LeaseObject, Teardown } from 'dotterelspur'
+import type { LeaseObject, Result, Teardown } from 'dotterelspur'
 import { HttpEngineClient } from 'dotterelspur-endpoint'
 import { PlatformObjectStore, PlatformVmDirectory } from 'dotterelspur-platform'
 import { SystemClock } from 'dotterelspur-testkit'
@@ -58,12 +58,12 @@
     version = updated.value.version
   }
   return [
-    await repeat('lease read', CALLS, meter, async () => { await store.get(LEASE_KEY) }),
+    await repeat('lease read', CALLS, meter, async () => { mustHold(await store.get(LEASE_KEY)) }),
     await repeat('lease renewal', CALLS, meter, renew),
-    await repeat('list of 40 teams of 4 kB', LIST_CALLS, meter, async () => { await store.list('teams/') }),
-    await repeat('list of 131 assignments of 16 VMs', LIST_CALLS, meter, async () => { await store.list('assignments/') }),
-    await repeat('VM list of 2,096, whole', LIST_CALLS, meter, async () => { await new PlatformVmDirectory(store).list() }),
-    await repeat('VM list of 2,096, unchanged', CALLS, meter, async () => { await directory.list() }),
+    await repeat('list of 40 teams of 4 kB', LIST_CALLS, meter, async () => { mustHold(await store.list('teams/')) }),
+    await repeat('list of 131 assignments of 16 VMs', LIST_CALLS, meter, async () => { mustHold(await store.list('assignments/')) }),
+    await repeat('VM list of 2,096, whole', LIST_CALLS, meter, async () => { mustHold(await new PlatformVmDirectory(store).list()) }),
+    await repeat('VM list of 2,096, unchanged', CALLS, meter, async () => { mustHold(await directory.list()) }),
     await measureProbes(meter),
     await measureWatch('a waiting watch, one second', store, meter, undefined),
     await measureWatch('a watch event of a lease', store, meter, renew)
@@ -103,6 +103,11 @@
   return { name, sentBytes: 0, receivedBytes: Math.max(withWatch.receivedBytes, alone.receivedBytes) - unwatched.receivedBytes, cpuMs: Math.max(0, withWatch.cpuMs - unwatched.cpuMs) }
 }
 
+/** A call that failed would be counted as a cheap one. */
+function mustHold (result: Result<unknown, unknown>): void {
+  if (!result.ok) throw new Error(`a measured call failed: ${JSON.stringify(result.error)}`)
+}
+
 /** Probes of engines, as the watchers of groups send them. */
 async function measureProbes (meter: SocketMeter): Promise<CallCost> {
   const worker = fork(ENGINE_WORKER_PATH)
@@ -110,7 +115,10 @@
     const [{ addresses }] = await once(worker, 'message') as [{ readonly addresses: readonly string[] }]
     const engines = new HttpEngineClient({ clock: new SystemClock() })
     let number = 0
-    return await repeat('probe of an engine', CALLS, meter, async () => { await engines.probe(addresses[number++ % addresses.length]!, PROBE_TIMEOUT_MS) })
+    return await repeat('probe of an engine', CALLS, meter, async () => {
+      const probed = await engines.probe(addresses[number++ % addresses.length]!, PROBE_TIMEOUT_MS)
+      if (!probed.ok) throw new Error(`a probe failed: ${JSON.stringify(probed.error)}`)
+    })
   } finally {
     worker.kill('SIGKILL')
   }
