Stand-ins: what a killed VM held is gone for good

A kept demo was found running at a full core 14 minutes after it was told to stop. The stack shows the runtime waiting, in its own clean-up, for a handle that never closes: resetting a socket whose end is pending fails inside Node 20 and leaves it so (reproduced with ten lines of net alone; destroy() in its place ends). A second cause kept programs up for a minute: runs that end by the engine's death set a timer after the engine's timers were cleared.

VM death now closes sockets, which is what a dead process's kernel does, and a closed set of timers takes none.

--- a/packages/dotterelspur-demo/src/process/Cluster.ts
+++ b/packages/dotterelspur-demo/src/process/Cluster.ts
@@ -110,7 +110,7 @@
     for (const plan of this.layout.nodes) this.nodes.push(await this.createNode(plan))
     for (const node of this.nodes) node.process.start()
     await this.waitFor('every node to be registered', async () => this.platform.objects.list('nodes/').objects.length === this.nodes.length)
-    this.progress(`${this.nodes.length} nodes are up`)
+    this.progress(`nodes up: ${this.nodes.map((node) => node.plan.id).join(', ')}`)
     await this.applyTeams()
     await this.waitFor('every group to serve at every node', () => this.allServe())
     this.progress('every group serves')
--- a/packages/dotterelspur-demo/src/process/MeshRelay.ts
+++ b/packages/dotterelspur-demo/src/process/MeshRelay.ts
@@ -53,7 +53,7 @@
   private carry (incoming: Socket, target: RelayTarget): void {
     const source = incoming.remoteAddress ?? ''
     if (this.isolated.has(source) || this.isolated.has(target.host)) {
-      incoming.resetAndDestroy()
+      incoming.destroy()
       return
     }
     const outgoing = connect(target.port, target.host)
--- a/packages/dotterelspur-testkit/src/process/EndpointFleet.ts
+++ b/packages/dotterelspur-testkit/src/process/EndpointFleet.ts
@@ -77,7 +77,7 @@
 
   stop (): void {
     this.closed = true
-    this.timers.clear()
+    this.timers.close()
     for (const vm of this.hosts.keys()) this.kill(vm)
   }
 
--- a/packages/dotterelspur-testkit/src/process/VmHost.ts
+++ b/packages/dotterelspur-testkit/src/process/VmHost.ts
@@ -70,13 +70,13 @@
     this.onChange()
   }
 
-  /** Ends the process at once: its connections are reset and what it held in memory is gone. */
+  /** Ends the process at once: its connections close and what it held in memory is gone. */
   kill (): void {
     if (this.power === VmPower.Dead) return
     this.power = VmPower.Dead
     this.server?.close()
     this.server = undefined
-    for (const socket of this.sockets) socket.resetAndDestroy()
+    for (const socket of this.sockets) socket.destroy()
     this.sockets = new Set()
     this.releaseHeld()
     this.onChange()
--- a/packages/dotterelspur-testkit/src/process/engine/EngineVm.ts
+++ b/packages/dotterelspur-testkit/src/process/engine/EngineVm.ts
@@ -137,7 +137,7 @@
 
   /** The process is gone, with all that it held. */
   die (): void {
-    this.timers.clear()
+    this.timers.close()
     this.batch.dieAll()
   }
 
