Settings page: team limits are for all nodes, and what a full outcome memory does

The page said that a team's limits hold at each node, and that a full outcome memory refuses new requests; the admission and the memory do otherwise (even parts of the fleet's limit; the oldest outcomes are forgotten early and answered as unknown). outcome-memory-entries defaults to 50,000 in place of 200,000: at 44 requests/s a node (the examples' 350 requests/s over 8 nodes) and 15 minutes, 40,000 are needed.

--- a/packages/dotterelspur-settings/src/process/NodeSchema.ts
+++ b/packages/dotterelspur-settings/src/process/NodeSchema.ts
@@ -198,7 +198,7 @@
   required: false,
   description: 'Bounds on what this node holds at once, over all teams.',
   schema: z.object({
-    outcomeMemoryEntries: integer(100, 10_000_000).default(200_000).describe('Outcomes remembered at once. When full, new requests are refused rather than old outcomes forgotten early.'),
+    outcomeMemoryEntries: integer(100, 10_000_000).default(50_000).describe('Outcomes remembered at once. When full, the oldest are forgotten early: their ids are then answered as unknown and never run again.'),
     concurrentRequests: integer(1, 100_000).default(2_048).describe('Requests that run at once.'),
     queuedRequests: integer(0, 100_000).default(1_024).describe('Requests that wait at once.'),
     drainTimeoutMs: durationMs(1_000, 3_600_000).default(600_000).describe('How long a draining node waits for requests in progress before it says so in its log. It never cuts one off.')
--- a/packages/dotterelspur-settings/src/version/TeamSchema.ts
+++ b/packages/dotterelspur-settings/src/version/TeamSchema.ts
@@ -48,10 +48,10 @@
   word: 'limits',
   arguments: [],
   required: false,
-  description: 'Bounds on the team\'s requests, at each node.',
+  description: 'Bounds on the team\'s requests over all nodes; each living node allows an even part.',
   schema: z.object({
     requestsPerSecond: integer(1, 1_000_000).default(500).describe('Requests admitted a second.'),
-    tokensPerSecond: integer(1, 100_000_000).default(200_000).describe('Tokens asked for a second (`max_tokens` of admitted requests).'),
+    tokensPerSecond: integer(1, 100_000_000).default(200_000).describe('Tokens admitted a second: each request counts its prompt, as estimated, and its `max_tokens`.'),
     concurrentRequests: integer(1, 100_000).default(512).describe('Requests that run at once.'),
     queuedRequests: integer(0, 100_000).default(256).describe('Requests that wait; more are refused at once with the time to come back.'),
     retryPercent: integer(0, 100).default(10).describe('Retries allowed for each 100 first attempts.')
