--- a/packages/dotterelspur-entry/src/process/createEntry.ts
+++ b/packages/dotterelspur-entry/src/process/createEntry.ts
@@ -18,6 +18,7 @@
 import { PREFIX_BLOCK_TOKENS } from '../request/prefixHashes.js'
 import { StreamFinder } from '../request/StreamFinder.js'
 import { AdmissionGate } from './AdmissionGate.js'
+import { ClaimSweeper } from './ClaimSweeper.js'
 import type { EntryContext } from './EntryContext.js'
 import { SILENT_OBSERVER } from './EntryObserver.js'
 import { DEFAULT_ENTRY_LIMITS, DEFAULT_ENTRY_TIMING, type EntryOptions } from './EntryOptions.js'
@@ -113,7 +114,7 @@
     router.replaceTargets(targets, clock.nowMs())
     gate.configureLanes(targets)
   })
-  return mergeTeardowns(unregister, teams.start(), gate.start(), fleet.start(), link.start(), watchPauses(context))
+  return mergeTeardowns(unregister, teams.start(), gate.start(), fleet.start(), link.start(), new ClaimSweeper(context).start(), watchPauses(context))
 }
 
 function watchPauses ({ clock, pauses, timing, observer }: EntryContext): Teardown {
--- a/packages/dotterelspur-entry/src/request/KeyedRuns.ts
+++ b/packages/dotterelspur-entry/src/request/KeyedRuns.ts
@@ -3,6 +3,7 @@
   CLAIM_PREFIX, ClaimEffectKind, ClaimStandKind, OutcomeKind, OutcomeReason, StoreErrorKind, formatRequestId, hashText, homeOf, parseRequestId, runProcedure, settleClaim, sleep, unknownOutcome,
   type ClaimObject, type ClaimStand, type HomeId, type Outcome, type RequestId, type TeamId
 } from 'dotterelspur'
+import { CLAIM_BUCKETS, claimBucket } from '../process/ClaimSweeper.js'
 import type { EntryContext } from '../process/EntryContext.js'
 import type { NodeGate } from '../process/NodeGate.js'
 import { unsent, type HomeLink } from './HomeLink.js'
@@ -10,7 +11,6 @@
 import { finishedWith, type RunEvents, type RunRequest } from './RunRequest.js'
 
 const RANDOM_BYTES = 12
-const CLAIM_BUCKETS = 256
 const CLAIM_RETRY_MS = 100
 
 /** Makes a request id whose home is this process. */
@@ -21,7 +21,7 @@
 /** Where the claim of a team's own key is kept. */
 export function claimKey (team: TeamId, key: string): string {
   const scoped = `${team}\u0000${key}`
-  const bucket = (hashText(scoped) % CLAIM_BUCKETS).toString(16).padStart(2, '0')
+  const bucket = claimBucket(hashText(scoped) % CLAIM_BUCKETS)
   return `${CLAIM_PREFIX}${bucket}/${createHash('sha256').update(scoped).digest('hex')}`
 }
 
