--- a/packages/dotterelspur-bench/src/process/experiments.ts
+++ b/packages/dotterelspur-bench/src/process/experiments.ts
@@ -1,4 +1,5 @@
 import { admissionExperiment } from '../experiments/admission/index.js'
+import { atMostOnceExperiment } from '../experiments/at-most-once/index.js'
 import { meshExperiment } from '../experiments/mesh/index.js'
 import { repairExperiment } from '../experiments/repair/index.js'
 import { routingExperiment } from '../experiments/routing/index.js'
@@ -9,6 +10,7 @@
   admissionExperiment,
   routingExperiment,
   repairExperiment,
+  atMostOnceExperiment,
   meshExperiment
 ]
 
