Mesh: changes of members go out together at each tick

Cause: each changed record was forwarded at once on every link, a frame for each; when a fleet starts or a region returns, they come by the hundred.

--- a/packages/dotterelspur/src/__tests__/MeshWorld.ts
+++ b/packages/dotterelspur/src/__tests__/MeshWorld.ts
@@ -14,6 +14,8 @@
   readonly delayMs?: (random: Random) => number
   readonly timing?: Partial<MeshTiming>
   readonly limits?: Partial<MeshLimits>
+  /** Seeds that each node draws for itself; without, all have the same three. */
+  readonly seedsPerNode?: number
 }
 
 interface Pipe {
@@ -36,6 +38,7 @@
   /** Events that wait for a paused process. */
   backlog: Array<() => void> = []
   dials = 0
+  seeds: readonly string[] = []
 
   constructor (readonly world: MeshWorld, readonly name: string, readonly region: string, readonly failureDomain: string) {
     this.machine = this.createMachine()
@@ -49,7 +52,7 @@
     const self: MemberRecord = {
       node: this.name, incarnation: this.incarnation, revision: 0, health: MemberHealth.Alive, draining: false, region: this.region, failureDomain: this.failureDomain, meshAddress: this.address, entryAddress: '', adminAddress: ''
     }
-    return new MeshMachine({ self, timing: this.world.timing, limits: this.world.limits, random: this.world.random, seeds: () => this.world.seeds }, this.world.clock.nowMs())
+    return new MeshMachine({ self, timing: this.world.timing, limits: this.world.limits, random: this.world.random, seeds: () => this.seeds }, this.world.clock.nowMs())
   }
 
   stateOf (other: string): NodeState | undefined {
@@ -88,7 +91,10 @@
       this.nodes.push(new WorldNode(this, `n${index}`, `r${domain % regions}`, `d${domain}`))
     }
     this.seeds = this.nodes.slice(0, Math.min(3, nodes)).map((node) => node.address)
-    for (const node of this.nodes) this.startTicks(node)
+    for (const node of this.nodes) {
+      node.seeds = options.seedsPerNode === undefined ? this.seeds : Array.from({ length: options.seedsPerNode }, () => this.nodes[this.random.integer(nodes)]!.address)
+      this.startTicks(node)
+    }
   }
 
   get asClock (): Clock {
--- a/packages/dotterelspur/src/connection/mesh/MemberSpread.ts
+++ b/packages/dotterelspur/src/connection/mesh/MemberSpread.ts
@@ -1,3 +1,4 @@
+import type { NodeId } from '../../process/ids.js'
 import { pages } from './DocumentSpread.js'
 import { FrameKind } from './Frame.js'
 import type { LinkTable } from './LinkTable.js'
@@ -7,10 +8,21 @@
 import type { MeshLimits } from './MeshTiming.js'
 import { type OverlayPlan, planOverlay } from './OverlayPlan.js'
 
-/** Passes changes of members on, and keeps the plan of links that follows from them. */
+interface WaitingRecord {
+  readonly record: MemberRecord
+  /** The link that it came from; undefined when this node made or raised it. */
+  readonly from: LinkId | undefined
+}
+
+/**
+ * Passes changes of members on, and keeps the plan of links that follows from them. Changes wait for the next
+ * tick and go out together: when a fleet starts or a region returns, they come by the hundred, and a frame for
+ * each on every link would cost more processor time than all else.
+ */
 export class MemberSpread {
   private current: OverlayPlan = { wanted: new Map(), relays: [] }
   private planIsStale = false
+  private waiting: ReadonlyMap<NodeId, WaitingRecord> = new Map()
 
   constructor (private readonly table: MembershipTable, private readonly links: LinkTable, private readonly outbox: Outbox, private readonly limits: MeshLimits) {}
 
@@ -23,15 +35,26 @@
     this.forward(this.table.merge(records, nowMs), from)
   }
 
-  /** Forwards changed records on every link but the one they came from. */
+  /** Has changed records forwarded on every link but the one they came from. */
   forward (changed: readonly MemberRecord[], from: LinkId | undefined): void {
     if (changed.length === 0) return
-    const refuted = changed.filter((record) => record.node === this.table.self.node)
-    for (const link of this.links.all()) this.send(link.id, link.id === from ? refuted : changed)
+    const pending = new Map(this.waiting)
+    for (const record of changed) pending.set(record.node, { record, from: record.node === this.table.self.node ? undefined : from })
+    this.waiting = pending
     this.planIsStale = true
     this.outbox.membersChanged()
   }
 
+  /** Sends what waits. */
+  flush (): void {
+    if (this.waiting.size === 0) return
+    const waiting = [...this.waiting.values()]
+    this.waiting = new Map()
+    for (const link of this.links.all()) {
+      this.send(link.id, waiting.filter(({ from }) => from !== link.id).map(({ record }) => record))
+    }
+  }
+
   send (link: LinkId, records: readonly MemberRecord[]): void {
     for (const page of pages(records, this.limits.entriesPerFrame)) this.outbox.send(link, { kind: FrameKind.Members, records: page })
   }
--- a/packages/dotterelspur/src/connection/mesh/MeshMachine.ts
+++ b/packages/dotterelspur/src/connection/mesh/MeshMachine.ts
@@ -143,6 +143,7 @@
       if (nowMs >= link.nextBeatAtMs) this.evidence.sendBeat(link, this.memberSpread.plan, this.digests(), nowMs)
     }
     this.sync.tick(this.links.all(), nowMs)
+    this.memberSpread.flush()
     return this.outbox.take()
   }
 
@@ -202,6 +203,7 @@
   leave (nowMs: number): MeshEffect[] {
     if (this.stopped) return []
     this.memberSpread.forward([this.membership.announce({ health: MemberHealth.Left }, nowMs)], undefined)
+    this.memberSpread.flush()
     for (const link of this.links.all()) this.outbox.send(link.id, { kind: FrameKind.Leaving })
     this.stopped = true
     return this.outbox.take()
