A group that was reported full attracts no prefix

Cause: their prefixes are in demand, and the load estimate, which fades to the mean, hides what lasts. Change: the ring and the expected holders pass over a group whose last report shows a queue or no free slot. The test was shown failing first.

--- a/packages/dotterelspur/src/__tests__/unit/RouterProperties.test.ts
+++ b/packages/dotterelspur/src/__tests__/unit/RouterProperties.test.ts
@@ -171,6 +171,19 @@
     expect(createFixture(full).choose(0, { prefixHashes: [11, 12, 13], promptTokens: 800 })).to.not.equal(chosen[0])
   })
 
+  it('draws no prefix to a group that was reported full, however old the report', () => {
+    // Symptom: a few groups keep a queue while the others have room; worse with more nodes.
+    // Sequence: prefixes in demand, reports too old to be trusted, every node sends them to their holder.
+    // Cause: the estimate fades to the mean and hides what lasts.
+    const targets = GROUPS.map((group) => createTarget(group))
+    const query = { prefixHashes: [31, 32], promptTokens: 512 }
+    const { router, choose, countChoices } = createFixture(targets)
+    const home = choose(0, query)
+    const reported = targets.map((target) => target.group === home ? { ...target, load: { ...target.load, running: 10, waiting: 4, ageMs: 60_000 } } : target)
+    router.replaceTargets(reported, 0)
+    expect(countChoices(200, 0, query).get(home) ?? 0).to.be.lessThan(60)
+  })
+
   it('follows cache events through gaps and repeats', () => {
     const targets = GROUPS.map((group) => createTarget(group))
     const { router, random } = createFixture(targets)
--- a/packages/dotterelspur/src/request/routing/choose.ts
+++ b/packages/dotterelspur/src/request/routing/choose.ts
@@ -58,7 +58,7 @@
   const { query, lane, options, nowMs, random } = context
   if (query.kind !== TargetKind.Group || query.prefixHashes.length === 0) return []
   const boundUtilisation = options.loadBound * lane.estimator.meanUtilisation(nowMs) + 1 / records[0]!.capacity()
-  const eligible = new Set(records)
+  const eligible = new Set(records.filter((record) => !isReportedFull(record)))
   const key = query.prefixHashes[Math.min(query.prefixHashes.length, options.affinityBlocks) - 1]!
   const onRing = lane.ring.find(key, (record) => eligible.has(record) &&
     lane.estimator.utilisation(record, nowMs) <= boundUtilisation &&
@@ -72,7 +72,7 @@
   let best: TargetRecord | undefined
   let bestCost = Infinity
   for (const record of records) {
-    if (record.prefixes.matchedBlocks(prefixHashes, context.nowMs) === 0) continue
+    if (isReportedFull(record) || record.prefixes.matchedBlocks(prefixHashes, context.nowMs) === 0) continue
     const cost = targetCost(record, context)
     if (cost >= bestCost) continue
     best = record
@@ -88,3 +88,12 @@
 function cheapest (options: readonly Option[]): Option {
   return options.reduce((best, option) => option.cost < best.cost ? option : best)
 }
+
+/**
+ * A group whose prefixes are in demand stays fuller than the mean. The estimate hides that, since it fades to the
+ * mean as reports age, and all nodes would go on sending those prefixes there: a queue that lasts at few groups while
+ * the others have room. A report of a full group, however old, takes the attraction away and leaves chance.
+ */
+function isReportedFull ({ target: { load } }: TargetRecord): boolean {
+  return load.waiting > 0 || load.running >= load.capacity
+}
