--- a/packages/dotterelspur-bench/src/__tests__/unit/badInput.test.ts
+++ b/packages/dotterelspur-bench/src/__tests__/unit/badInput.test.ts
@@ -7,7 +7,7 @@
 import { startCluster } from 'dotterelspur-demo'
 import { HttpEngineClient } from 'dotterelspur-endpoint'
 import { parseNodeSettings, parseTeamSettings } from 'dotterelspur-settings'
-import { SystemClock } from 'dotterelspur-testkit'
+import { SystemClock } from 'dotterelspur-clock'
 import { drawBadInput, sendBadInput } from '../../process/soak/badInput.js'
 
 const SEED = 20_240_501
--- a/packages/dotterelspur-bench/src/experiments/mesh/index.ts
+++ b/packages/dotterelspur-bench/src/experiments/mesh/index.ts
@@ -1,4 +1,4 @@
-import { SystemClock } from 'dotterelspur-testkit'
+import { SystemClock } from 'dotterelspur-clock'
 import { type BenchFindings, type PlotSeries, type ResultRow, type ResultTable, spreadOf } from '../../process/BenchReport.js'
 import type { Experiment, ExperimentOptions } from '../../process/Experiment.js'
 import { DESIGN_TOPOLOGY } from '../../process/slopes/DesignSize.js'
--- a/packages/dotterelspur-bench/src/process/slopes/meshWorker.ts
+++ b/packages/dotterelspur-bench/src/process/slopes/meshWorker.ts
@@ -2,7 +2,7 @@
 import { createRandom } from 'dotterelspur'
 import { CredentialsKind, createMesh } from 'dotterelspur-mesh'
 import type { Mesh } from 'dotterelspur-mesh'
-import { SystemClock } from 'dotterelspur-testkit'
+import { SystemClock } from 'dotterelspur-clock'
 import { FromWorkerKind, ToWorkerKind } from './MeshWorkerMessages.js'
 import type { FromWorker, MeshSample, ToWorker } from './MeshWorkerMessages.js'
 import { initialDocuments, nodePlaces, presenceOf, teamDocument, watchedBy } from './Topology.js'
--- a/packages/dotterelspur-client/src/process/DotterelspurClient.ts
+++ b/packages/dotterelspur-client/src/process/DotterelspurClient.ts
@@ -7,7 +7,7 @@
 import { HttpTransport, type HttpCall } from '../request/HttpTransport.js'
 import { DEFAULT_CONNECT_TIMEOUT_MS, DEFAULT_IDLE_TIMEOUT_MS, type ClientOptions } from './ClientOptions.js'
 import { DirectoryCache } from './DirectoryCache.js'
-import { SystemClock } from './SystemClock.js'
+import { SystemClock, TimerHold } from 'dotterelspur-clock'
 
 export interface ChatMessage {
   readonly role: string
@@ -50,7 +50,7 @@
   private readonly context: CallContext
 
   constructor (options: ClientOptions) {
-    const { clock = new SystemClock(), random = createRandom(randomBytes(4).readInt32LE()) } = options
+    const { clock = new SystemClock(TimerHold.LetsProcessEnd), random = createRandom(randomBytes(4).readInt32LE()) } = options
     const { connectTimeoutMs = DEFAULT_CONNECT_TIMEOUT_MS, idleTimeoutMs = DEFAULT_IDLE_TIMEOUT_MS } = options
     const transport = new HttpTransport({ token: options.token, connectTimeoutMs, idleTimeoutMs })
     const caller = options.caller ?? randomBytes(8).toString('hex')
--- /dev/null
+++ b/packages/dotterelspur-clock/src/index.ts
@@ -0,0 +1,1 @@
+export * from './SystemClock.js'
--- a/packages/dotterelspur-demo/src/demo.ts
+++ b/packages/dotterelspur-demo/src/demo.ts
@@ -1,6 +1,6 @@
 #!/usr/bin/env node
 import yargs from 'yargs'
-import { SystemClock } from 'dotterelspur-testkit'
+import { SystemClock } from 'dotterelspur-clock'
 import { DEFAULT_NODES, DEFAULT_SEED, startCluster } from './process/Cluster.js'
 import { writeDescription } from './process/describe.js'
 import { Narrator } from './request/Narrator.js'
--- a/packages/dotterelspur-demo/src/process/Operator.ts
+++ b/packages/dotterelspur-demo/src/process/Operator.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from 'node:crypto'
 import { readFile } from 'node:fs/promises'
 import { ExitCode, createHttpTransport, runCommandLine } from 'dotterelspur-ctl'
-import { SystemClock } from 'dotterelspur-testkit'
+import { SystemClock } from 'dotterelspur-clock'
 
 /** What one command printed and how it ended. */
 export interface CommandReport {
--- a/packages/dotterelspur-endpoint/src/__tests__/unit/HttpEngineClient.test.ts
+++ b/packages/dotterelspur-endpoint/src/__tests__/unit/HttpEngineClient.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import { ChunkKind, EndpointErrorKind, FinishReason, PriorityClass, StreamEventKind } from 'dotterelspur'
 import type { EndpointError, GenerateRequest, StreamEvent } from 'dotterelspur'
-import { SystemClock } from 'dotterelspur-testkit'
+import { SystemClock } from 'dotterelspur-clock'
 import { HttpEngineClient } from '../../index.js'
 import type { EndpointSettings } from '../../index.js'
 import { LAST_PART, chunkedHead, part, response, startScriptedServer } from './ScriptedServer.js'
--- a/packages/dotterelspur-endpoint/src/__tests__/unit/HttpServiceClient.test.ts
+++ b/packages/dotterelspur-endpoint/src/__tests__/unit/HttpServiceClient.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import { EndpointErrorKind } from 'dotterelspur'
 import type { EndpointError, Result, ServiceRequest, ServiceResponse } from 'dotterelspur'
-import { SystemClock } from 'dotterelspur-testkit'
+import { SystemClock } from 'dotterelspur-clock'
 import { HttpServiceClient } from '../../index.js'
 import type { EndpointSettings } from '../../index.js'
 import { LAST_PART, chunkedHead, part, response, startScriptedServer } from './ScriptedServer.js'
--- a/packages/dotterelspur-node/src/process/NodeParts.ts
+++ b/packages/dotterelspur-node/src/process/NodeParts.ts
@@ -10,7 +10,7 @@
 import type { LoadedSettings, MeshSecrets } from './loadNodeSettings.js'
 import { NodeLogs } from './NodeLog.js'
 import { NodeMetrics } from './NodeMetrics.js'
-import { SystemClock } from './SystemClock.js'
+import { SystemClock } from 'dotterelspur-clock'
 
 const MAX_SEED = 0x7fff_ffff
 /** A renewal that takes longer is of no use: the next one is due. */
--- a/packages/dotterelspur-platform/src/__tests__/unit/PlatformVmDirectory.test.ts
+++ b/packages/dotterelspur-platform/src/__tests__/unit/PlatformVmDirectory.test.ts
@@ -1,7 +1,8 @@
 import { expect } from 'chai'
 import { VmListState, VmRole, createRandom } from 'dotterelspur'
 import type { VmRecord } from 'dotterelspur'
-import { PlatformFaultKind, PlatformServer, SystemClock } from 'dotterelspur-testkit'
+import { SystemClock } from 'dotterelspur-clock'
+import { PlatformFaultKind, PlatformServer } from 'dotterelspur-testkit'
 import { PlatformObjectStore, PlatformVmDirectory, PlatformWeightBudget } from '../../index.js'
 
 interface Fixture {
--- a/packages/dotterelspur-testkit/src/process/index.ts
+++ b/packages/dotterelspur-testkit/src/process/index.ts
@@ -1,6 +1,5 @@
 export * from './EndpointFleet.js'
 export * from './Ledger.js'
-export * from './SystemClock.js'
 export * from './VmFaults.js'
 export * from './VmHost.js'
 export * from './engine/CacheEventLog.js'
