--- a/packages/dotterelspur-entry/src/__tests__/unit/standIns.test.ts
+++ b/packages/dotterelspur-entry/src/__tests__/unit/standIns.test.ts
@@ -2,7 +2,8 @@
 import OpenAI from 'openai'
 import { OrderKind, VmRole, type AssignedMember, type EngineOrder } from 'dotterelspur'
 import { HttpEngineClient } from 'dotterelspur-endpoint'
-import { EndpointFleet, RunEnd, SystemClock, VmFaultKind, expectedAnswer } from 'dotterelspur-testkit'
+import { SystemClock } from 'dotterelspur-clock'
+import { EndpointFleet, RunEnd, VmFaultKind, expectedAnswer } from 'dotterelspur-testkit'
 import { TOKENS, startHarness, type Harness } from '../fixtures/harness.js'
 
 const MODEL = { model: 'summary', version: '1' }
