Node: an empty or short file of a secret stops the start

The node read the files of secrets itself and took whatever was in them: an empty shared-key-file gave the mesh an empty key. It now reads them with the settings' own check. Three of the test's five rows fail without the change.

--- /dev/null
+++ b/packages/dotterelspur-node/src/__tests__/unit/loadNodeSettings.test.ts
@@ -0,0 +1,50 @@
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { expect } from 'chai'
+import { NodeErrorKind, loadNodeSettings } from '../../index.js'
+
+const KEY = '0123456789abcdef0123456789abcdef'
+
+interface FileFixture {
+  readonly settingsPath: string
+  remove (): void
+}
+
+/** A node's settings that name a file for the mesh's key, with that file's text; no file for null. */
+function createFileFixture (keyText: string | null): FileFixture {
+  const directory = mkdtempSync(join(tmpdir(), 'dotterelspur-settings-'))
+  const keyPath = join(directory, 'mesh.key')
+  if (keyText !== null) writeFileSync(keyPath, keyText)
+  const settingsPath = join(directory, 'node.ini')
+  writeFileSync(settingsPath, [
+    '[node]', 'id = node-1', 'region = perth', 'failure-domain = perth-a', 'host = 127.0.0.1',
+    '[mesh]', `shared-key-file = ${keyPath}`,
+    '[admin]', `token = ${KEY}`,
+    '[platform]', 'url = http://127.0.0.1:9'
+  ].join('\n'))
+  return { settingsPath, remove: () => { rmSync(directory, { recursive: true }) } }
+}
+
+describe('loadNodeSettings', () => {
+  const table = [
+    { title: 'takes the key of the file, without the line end', keyText: `${KEY}\n`, accepted: true },
+    // Symptom: a stranger's process joins the mesh and is handed every team's settings.
+    // Sequence: the file of the shared key is written empty; the node starts; the stranger proves an empty key.
+    // Cause: the file's text was taken as it was.
+    { title: 'refuses an empty key', keyText: '', accepted: false },
+    { title: 'refuses a key of blanks', keyText: '   \n', accepted: false },
+    { title: 'refuses a short key', keyText: 'secret', accepted: false },
+    { title: 'refuses a file that is not there', keyText: null, accepted: false }
+  ]
+  for (const { title, keyText, accepted } of table) {
+    it(title, () => {
+      const fixture = createFileFixture(keyText)
+      const loaded = loadNodeSettings(fixture.settingsPath)
+      fixture.remove()
+      expect(loaded.ok).to.equal(accepted)
+      if (!loaded.ok) expect(loaded.error.kind).to.equal(NodeErrorKind.InvalidSettings)
+      if (loaded.ok) expect(loaded.value.meshSecrets).to.deep.include({ key: KEY })
+    })
+  }
+})
--- a/packages/dotterelspur-node/src/process/CommandLine.ts
+++ b/packages/dotterelspur-node/src/process/CommandLine.ts
@@ -29,7 +29,7 @@
 export async function runCommandLine (commandLine: readonly string[]): Promise<ExitCode> {
   const parsed = await readArguments(commandLine)
   if (parsed === null) return ExitCode.InvalidInput
-  const loaded = await loadNodeSettings(parsed.settings)
+  const loaded = loadNodeSettings(parsed.settings)
   if (!loaded.ok) return report(loaded.error)
   if (parsed.check) {
     console.log(`${parsed.settings}: valid`)
--- a/packages/dotterelspur-node/src/process/loadNodeSettings.ts
+++ b/packages/dotterelspur-node/src/process/loadNodeSettings.ts
@@ -1,6 +1,9 @@
-import { readFile } from 'node:fs/promises'
+import { readFileSync } from 'node:fs'
 import { failed, success, type Result } from 'dotterelspur'
-import { MeshSecurityKind, SecretSourceKind, parseNodeSettings, type MeshSecurity, type NodeSettings, type SecretSource } from 'dotterelspur-settings'
+import {
+  MeshSecurityKind, parseNodeSettings, readSecret,
+  type MeshSecurity, type NodeSettings, type SecretPlace, type SecretSource
+} from 'dotterelspur-settings'
 import { NodeErrorKind, type NodeError } from './NodeError.js'
 
 /** What nodes show each other, read from where the settings say. */
@@ -16,50 +19,53 @@
   readonly platformToken: string | null
 }
 
-/** Reads and checks a node's settings file and the files of secrets that it names. */
-export async function loadNodeSettings (path: string): Promise<Result<LoadedSettings, NodeError>> {
-  const content = await readBytes(path)
+/**
+ * Reads and checks a node's settings file and the files of secrets that it names. An empty file of a secret is
+ * refused: a mesh whose key is empty would let in anyone who guesses that it is.
+ */
+export function loadNodeSettings (path: string): Result<LoadedSettings, NodeError> {
+  const content = readBytes(path)
   if (!content.ok) return content
   const parsed = parseNodeSettings(content.value, path)
   if (!parsed.ok) return failed({ kind: NodeErrorKind.InvalidSettings, error: parsed.error })
   const settings = parsed.value
-  const meshSecrets = await readMeshSecrets(settings.mesh.security)
+  const meshSecrets = readMeshSecrets(settings.mesh.security, path)
   if (!meshSecrets.ok) return meshSecrets
-  const adminToken = await readSecret(settings.admin.token)
+  const adminToken = readChecked(settings.admin.token, { file: path, section: 'admin', key: 'token' })
   if (!adminToken.ok) return adminToken
-  const platformToken = settings.platform.token === null ? success(null) : await readSecret(settings.platform.token)
+  const { token } = settings.platform
+  const platformToken = token === null ? success(null) : readChecked(token, { file: path, section: 'platform', key: 'token' })
   if (!platformToken.ok) return platformToken
   return success({ settings, meshSecrets: meshSecrets.value, adminToken: adminToken.value, platformToken: platformToken.value })
 }
 
-async function readMeshSecrets (security: MeshSecurity): Promise<Result<MeshSecrets, NodeError>> {
+function readMeshSecrets (security: MeshSecurity, file: string): Result<MeshSecrets, NodeError> {
   if (security.kind === MeshSecurityKind.SharedKey) {
-    const key = await readSecret(security.key)
+    const key = readChecked(security.key, { file, section: 'mesh', key: 'shared-key' })
     return key.ok ? success({ kind: security.kind, key: key.value }) : key
   }
-  const certificate = await readText(security.certificateFile)
+  const certificate = readText(security.certificateFile)
   if (!certificate.ok) return certificate
-  const key = await readText(security.keyFile)
+  const key = readText(security.keyFile)
   if (!key.ok) return key
-  const authority = await readText(security.authorityFile)
+  const authority = readText(security.authorityFile)
   if (!authority.ok) return authority
   return success({ kind: security.kind, certificate: certificate.value, key: key.value, authority: authority.value })
 }
 
-async function readSecret (source: SecretSource): Promise<Result<string, NodeError>> {
-  if (source.kind === SecretSourceKind.Text) return success(source.text)
-  const text = await readText(source.path)
-  return text.ok ? success(text.value.trim()) : text
+function readChecked (source: SecretSource, place: SecretPlace): Result<string, NodeError> {
+  const secret = readSecret(source, place, (path) => readFileSync(path, 'utf8'))
+  return secret.ok ? secret : failed({ kind: NodeErrorKind.InvalidSettings, error: secret.error })
 }
 
-async function readText (path: string): Promise<Result<string, NodeError>> {
-  const bytes = await readBytes(path)
+function readText (path: string): Result<string, NodeError> {
+  const bytes = readBytes(path)
   return bytes.ok ? success(bytes.value.toString('utf8')) : bytes
 }
 
-async function readBytes (path: string): Promise<Result<Buffer, NodeError>> {
+function readBytes (path: string): Result<Buffer, NodeError> {
   try {
-    return success(await readFile(path))
+    return success(readFileSync(path))
   } catch (error) {
     return failed({ kind: NodeErrorKind.UnreadableFile, path, reason: (error as Error).message })
   }
