--- a/packages/dotterelspur-testkit/src/process/engine/GroupHealth.ts
+++ b/packages/dotterelspur-testkit/src/process/engine/GroupHealth.ts
@@ -16,3 +16,30 @@
   /** Time that the slowest member adds to a step. */
   readonly straggleMs: number
 }
+
+/** How one member of a formation shows itself to the leader. */
+export enum MemberCondition {
+  Up = 'up',
+  /** It is paused. */
+  Silent = 'silent',
+  /** Dead, restarted, or elsewhere. */
+  Gone = 'gone'
+}
+
+export interface MemberHealth {
+  readonly condition: MemberCondition
+  readonly straggleMs: number
+}
+
+/** One member that is gone breaks the group; one that is silent holds it up; the slowest sets its pace. */
+export function combineMembers (members: readonly MemberHealth[]): GroupHealth {
+  const up = members.filter((member) => member.condition === MemberCondition.Up)
+  const gone = members.some((member) => member.condition === MemberCondition.Gone)
+  const incomplete = gone ? GroupCondition.Broken : GroupCondition.Stalled
+  return {
+    condition: up.length === members.length ? GroupCondition.Whole : incomplete,
+    membersUp: up.length,
+    membersDue: members.length,
+    straggleMs: Math.max(0, ...up.map((member) => member.straggleMs))
+  }
+}
