--- a/packages/dotterelspur-bench/src/process/experiments.ts
+++ b/packages/dotterelspur-bench/src/process/experiments.ts
@@ -1,6 +1,7 @@
 import { admissionExperiment } from '../experiments/admission/index.js'
 import { atMostOnceExperiment } from '../experiments/at-most-once/index.js'
 import { meshExperiment } from '../experiments/mesh/index.js'
+import { recoveryExperiment } from '../experiments/recovery/index.js'
 import { repairExperiment } from '../experiments/repair/index.js'
 import { routingExperiment } from '../experiments/routing/index.js'
 import type { Experiment } from './Experiment.js'
@@ -11,6 +12,7 @@
   routingExperiment,
   repairExperiment,
   atMostOnceExperiment,
+  recoveryExperiment,
   meshExperiment
 ]
 
