Standbys agreed in advance step in while the store is out

Before: with the store out, a group that lost a member stayed broken until it was back, with a loaded standby beside it. The assignment already sets formation numbers aside for such losses; now the node whose lease ended because the store is out sends those orders, the watchers judge those formations, and entries take them by their own copy of the assignment. Ruled out by test: a holder that alone is cut off makes no group complete twice, and engines that don't check fencing numbers are not ordered.

--- a/packages/dotterelspur-fleet/src/__tests__/FleetInvariants.ts
+++ b/packages/dotterelspur-fleet/src/__tests__/FleetInvariants.ts
@@ -1,4 +1,4 @@
-import { ASSIGNMENT_PREFIX, DEFAULT_EVIDENCE_TTL_MS, DEFAULT_LEASE_TIMING, mayOrder, type AssignedGroup, type AssignmentObject, type GroupId } from 'dotterelspur'
+import { ASSIGNMENT_PREFIX, DEFAULT_EVIDENCE_TTL_MS, DEFAULT_LEASE_TIMING, groupAtStepIn, mayOrder, readStepIn, takesNewWork, type AssignedGroup, type AssignmentObject, type GroupId } from 'dotterelspur'
 import type { FleetWorld, WorldNode } from './FleetWorld.js'
 
 /** Grace for the step of the clock and for the answer to the last good probe, which may be asked in the instant before a fault. */
@@ -92,8 +92,11 @@
 export function dispatchable (node: WorldNode): readonly AssignedGroup[] {
   const presence = new Map(node.mesh.groupPresence().map((line) => [line.group, line]))
   const assigned = node.mesh.documents(ASSIGNMENT_PREFIX).flatMap((document) => (document.body as AssignmentObject).groups)
-  return assigned.filter((group) => {
+  return assigned.flatMap((group) => {
     const line = presence.get(group.group)
-    return line !== undefined && line.complete && line.formation === group.formation && line.ageMs < DEFAULT_EVIDENCE_TTL_MS
+    if (line === undefined || !line.complete || line.ageMs >= DEFAULT_EVIDENCE_TTL_MS) return []
+    if (line.formation === group.formation) return [group]
+    const derived = takesNewWork(group.state) ? readStepIn(group, line.formation) : null
+    return derived === null ? [] : [groupAtStepIn(group, derived)]
   })
 }
--- a/packages/dotterelspur-fleet/src/process/DomainController.ts
+++ b/packages/dotterelspur-fleet/src/process/DomainController.ts
@@ -23,7 +23,7 @@
   private stopped = false
 
   constructor (
-    term: LeaseTerm, private readonly keeper: LeaseKeeper, private readonly pauses: PauseDetector, private readonly context: FleetContext,
+    readonly term: LeaseTerm, private readonly keeper: LeaseKeeper, private readonly pauses: PauseDetector, private readonly context: FleetContext,
     private readonly onError: (error: unknown) => void
   ) {
     this.failureDomain = term.failureDomain
--- a/packages/dotterelspur-fleet/src/process/Fleet.ts
+++ b/packages/dotterelspur-fleet/src/process/Fleet.ts
@@ -1,6 +1,6 @@
 import debug from 'debug'
 import {
-  AuditKind, DRAIN_PREFIX, leaseKey, mergeTeardowns, type Decision, type ExplainInput, type FailureDomainId, type GroupId, type GroupPresence, type LeaseLoss, type LeaseTerm, type Teardown, type VmId
+  AuditKind, DRAIN_PREFIX, LEASE_PREFIX, leaseKey, LeaseLoss, mergeTeardowns, type Decision, type ExplainInput, type FailureDomainId, type GroupId, type GroupPresence, type LeaseObject, type LeaseTerm, type MeshDocument, type Teardown, type VmId
 } from 'dotterelspur'
 import { assignmentDocuments, drainTargets } from '../version/FleetDocuments.js'
 import { auditDecision } from './AuditRecords.js'
@@ -14,6 +14,7 @@
 import { OrderSender, type OrderCounts } from './OrderSender.js'
 import { PauseDetector } from './PauseDetector.js'
 import { Prober } from './Prober.js'
+import { StepInKeeper } from './StepInKeeper.js'
 import { VmListPoller } from './VmListPoller.js'
 import { Watcher, type GroupEvidence } from './Watcher.js'
 
@@ -38,6 +39,7 @@
   private readonly vmList: VmListPoller
   private readonly log = new DecisionLog()
   private readonly controllers = new Map<FailureDomainId, DomainController>()
+  private readonly stepIns = new Map<FailureDomainId, StepInKeeper>()
   private readonly context: FleetContext
   private teardown: Teardown = () => {}
   private leasesTaken = 0
@@ -74,7 +76,10 @@
     this.watcher.start()
     this.board.start()
     this.vmList.start()
-    this.teardown = mergeTeardowns(mesh.registerDocumentListener(DRAIN_PREFIX, () => { this.nudge() }))
+    this.teardown = mergeTeardowns(
+      mesh.registerDocumentListener(DRAIN_PREFIX, () => { this.nudge() }),
+      mesh.registerDocumentListener(LEASE_PREFIX, (document) => { this.noteLease(document) })
+    )
   }
 
   /**
@@ -83,6 +88,7 @@
    */
   async handOver (): Promise<void> {
     for (const controller of this.controllers.values()) controller.stop()
+    for (const failureDomain of [...this.stepIns.keys()]) this.endStepIn(failureDomain)
     await this.orders.settled()
     await this.board.releaseAll()
   }
@@ -91,6 +97,7 @@
     this.teardown()
     for (const controller of this.controllers.values()) controller.stop()
     this.controllers.clear()
+    for (const failureDomain of [...this.stepIns.keys()]) this.endStepIn(failureDomain)
     this.board.stop()
     this.vmList.stop()
     this.watcher.stop()
@@ -158,6 +165,7 @@
     this.leasesTaken += 1
     log('lease of %s taken, fencing %d', term.failureDomain, term.fencing)
     this.auditLease(AuditKind.LeaseTaken, term.failureDomain, `fencing ${term.fencing}`, 'the lease was free or its holder silent for its whole TTL')
+    this.endStepIn(term.failureDomain)
     const keeper = this.board.keeper(term.failureDomain)!
     const controller = new DomainController(term, keeper, this.pauses, this.context, (error) => { this.fail(error) })
     this.controllers.get(term.failureDomain)?.stop()
@@ -170,8 +178,30 @@
     this.leasesLost += 1
     log('lease of %s ended: %s', failureDomain, loss)
     this.auditLease(AuditKind.LeaseReleased, failureDomain, null, loss)
-    this.controllers.get(failureDomain)?.stop()
+    const controller = this.controllers.get(failureDomain)
+    controller?.stop()
     this.controllers.delete(failureDomain)
+    if (controller !== undefined && loss === LeaseLoss.Expired) this.beginStepIn(controller)
+  }
+
+  private beginStepIn (controller: DomainController): void {
+    const { failureDomain, term } = controller
+    const keeper = new StepInKeeper(failureDomain, { term, assignments: controller.assignments() }, this.context, (error) => { this.fail(error) })
+    this.stepIns.set(failureDomain, keeper)
+    keeper.start()
+  }
+
+  private endStepIn (failureDomain: FailureDomainId): void {
+    this.stepIns.get(failureDomain)?.stop()
+    this.stepIns.delete(failureDomain)
+  }
+
+  /** Someone holds the lease under a higher number than the one under which this node agreed: it decides. */
+  private noteLease (document: MeshDocument): void {
+    const lease = document.body as LeaseObject | null
+    if (lease === null) return
+    const { failureDomain, fencing } = lease
+    if (fencing > (this.stepIns.get(failureDomain)?.fencing ?? Infinity)) this.endStepIn(failureDomain)
   }
 
   private noteListing (): void {
@@ -185,6 +215,7 @@
   private notePause (durationMs: number): void {
     log('did not run for %d ms; leases are presumed lost', Math.round(durationMs))
     this.board.notePause()
+    for (const failureDomain of [...this.stepIns.keys()]) this.endStepIn(failureDomain)
   }
 
   private record (decisions: readonly Decision[]): void {
--- a/packages/dotterelspur-fleet/src/process/Watcher.ts
+++ b/packages/dotterelspur-fleet/src/process/Watcher.ts
@@ -1,5 +1,5 @@
 import {
-  ASSIGNMENT_PREFIX, DRAIN_PREFIX, GroupState, isWorse, judgeGroup, mergeTeardowns, VM_LIST_PREFIX, type AssignedGroup, type GroupId, type GroupPresence, type MemberLack, type Teardown, type VmId,
+  ASSIGNMENT_PREFIX, DRAIN_PREFIX, groupAtStepIn, GroupState, isWorse, judgeGroup, mergeTeardowns, readStepIn, VM_LIST_PREFIX, type AssignedGroup, type AssignedMember, type AssignmentObject, type GroupId, type GroupPresence, type MemberLack, type Teardown, type VmId,
   type VmRecord
 } from 'dotterelspur'
 import { assignmentDocuments, drainTargets, vmListDocuments } from '../version/FleetDocuments.js'
@@ -89,7 +89,7 @@
     this.plan = planWatches({ self: mesh.self, members: mesh.members(), assignments: assignmentDocuments(mesh).map(({ body }) => body), vmLists })
     this.groupOfVm.clear()
     for (const watched of this.plan.groups) {
-      for (const member of watched.group.members) this.groupOfVm.set(member.vm, watched)
+      for (const member of [...watched.group.members, ...watched.group.standbys]) this.groupOfVm.set(member.vm, watched)
     }
     this.records = new Map(vmLists.flatMap((list) => list.vms).map((record) => [record.vm, record]))
     this.steady = UNKNOWN_STEADY
@@ -115,19 +115,39 @@
   /** A member is asked at its listed address when the list knows the assigned incarnation or a later one, since a VM may move. */
   private targetsOf (group: AssignedGroup, isSteady: boolean): readonly ProbeTarget[] {
     const intervalMs = isSteady ? this.timing.steadyProbeIntervalMs : this.timing.probeIntervalMs
-    return group.members.map((member) => {
-      const record = this.records.get(member.vm)
-      const address = record !== undefined && record.incarnation >= member.incarnation ? record.address : member.address
-      return { vm: member.vm, address, intervalMs }
-    })
+    const standbyIntervalMs = isSteady ? this.timing.idleProbeIntervalMs : this.timing.probeIntervalMs
+    return [...group.members.map((member) => this.targetOf(member, intervalMs)), ...group.standbys.map((standby) => this.targetOf(standby, standbyIntervalMs))]
   }
 
-  private judge ({ assignment, group }: WatchedGroup): GroupEvidence {
-    const judgement = judgeGroup(assignment, group, this.prober.observations, this.leaving, this.options.clock.nowMs(), this.timing.evidenceTtlMs)
+  private targetOf (member: AssignedMember, intervalMs: number): ProbeTarget {
+    const record = this.records.get(member.vm)
+    const address = record !== undefined && record.incarnation >= member.incarnation ? record.address : member.address
+    return { vm: member.vm, address, intervalMs }
+  }
+
+  private judge (watched: WatchedGroup): GroupEvidence {
+    const { group } = watched
+    const judgement = this.judgeStepIn(watched) ?? this.judgeAs(watched.assignment, group)
     const drained = this.leaving.has(group.group)
     return drained ? { ...judgement, presence: { ...judgement.presence, leaving: true } } : judgement
   }
 
+  private judgeAs (assignment: AssignmentObject, group: AssignedGroup): GroupEvidence {
+    return judgeGroup(assignment, group, this.prober.observations, this.leaving, this.options.clock.nowMs(), this.timing.evidenceTtlMs)
+  }
+
+  /** Standbys may have stepped in, as agreed in advance, at a formation that was set aside: it counts only when it is whole. */
+  private judgeStepIn ({ assignment, group }: WatchedGroup): GroupEvidence | undefined {
+    if (group.stepInBase === undefined) return undefined
+    for (const { vm } of group.standbys) {
+      const status = this.prober.observations.get(vm)?.evidence?.status
+      const derived = status?.group === group.group ? readStepIn(group, status.formation) : null
+      const judged = derived === null ? undefined : this.judgeAs(assignment, groupAtStepIn(group, derived))
+      if (judged?.presence.complete === true) return judged
+    }
+    return undefined
+  }
+
   private publish (): void {
     this.judged = new Map(this.plan.groups.map((watched) => [watched.group.group, this.judge(watched)]))
     const groups = [...this.judged.values()].map((evidence) => evidence.presence)
--- a/packages/dotterelspur/src/request/lifecycle/GroupTable.ts
+++ b/packages/dotterelspur/src/request/lifecycle/GroupTable.ts
@@ -1,5 +1,7 @@
 import type { AdapterId, FabricDomainId, FailureDomainId, GroupId, ModelId, ModelVersion, RegionId, TeamId } from '../../process/ids.js'
 import type { GroupPresence, LoadReport } from '../../process/Presence.js'
+import { takesNewWork } from '../../version/assignment/AssignmentRules.js'
+import { groupAtStepIn, readStepIn } from '../../version/planning/StepIn.js'
 import { GroupState, type AssignedGroup, type AssignmentObject } from '../../version/PlatformObjects.js'
 
 /** A group as an entry sees it, with everything that a dispatch must check. */
@@ -50,8 +52,20 @@
 /** Judges every assigned group; a group with a view may be dispatched to now. */
 export function judgeDispatches (facts: GroupFacts): JudgedDispatch[] {
   const presence = new Map(facts.presence.map((line) => [line.group, line]))
-  return facts.assignments.flatMap((assignment) =>
-    assignment.groups.map((assigned) => judgeDispatch(assignment, assigned, presence.get(assigned.group), facts)))
+  return facts.assignments.flatMap((assignment) => assignment.groups.map((assigned) => {
+    const line = presence.get(assigned.group)
+    return judgeDispatch(assignment, standingGroup(assigned, line), line, facts)
+  }))
+}
+
+/**
+ * The group as its evidence shows it: while the store is out, standbys may step in at a formation that the
+ * assignment set aside for it, and its members follow from the assignment alone.
+ */
+function standingGroup (assigned: AssignedGroup, presence: GroupPresence | undefined): AssignedGroup {
+  if (presence === undefined || presence.formation === assigned.formation || !takesNewWork(assigned.state)) return assigned
+  const derived = readStepIn(assigned, presence.formation)
+  return derived === null ? assigned : groupAtStepIn(assigned, derived)
 }
 
 /** The groups that may be dispatched to now. */
