One table of teams for a node; a token that two teams list is nobody's

The entry and the node each kept a table of the teams' settings, parsed twice, and only one of them refused to bring a deleted team back from a late copy. The entry's table now serves both and has the version guard. A token listed by two teams (two changes applied at once) belonged to whichever came last; now to none.

--- a/packages/dotterelspur-entry/src/index.ts
+++ b/packages/dotterelspur-entry/src/index.ts
@@ -1,6 +1,7 @@
 export * from './process/createEntry.js'
 export * from './process/EntryObserver.js'
 export * from './process/EntryOptions.js'
+export { TeamTable, type TeamParser } from './process/TeamTable.js'
 export { RunKind } from './request/RunRequest.js'
 export type { DirectoryAnswer, DirectoryEntry } from './connection/registerDirectoryRoutes.js'
 export { RequestStateKind, type RequestState } from './connection/registerOutcomeRoutes.js'
--- a/packages/dotterelspur-entry/src/process/EntryOptions.ts
+++ b/packages/dotterelspur-entry/src/process/EntryOptions.ts
@@ -1,8 +1,9 @@
 import {
   DEFAULT_DIRECTORY_TTL_MS, DEFAULT_EVIDENCE_TTL_MS, DEFAULT_IN_FORCE_BOUND_MS, DEFAULT_OUTCOME_MEMORY_MS, DEFAULT_PAUSE_THRESHOLD_MS,
-  type Clock, type EngineApi, type MeshApi, type ObjectStore, type Random, type Result, type ServiceApi, type TeamObject, type TeamSettings
+  type Clock, type EngineApi, type MeshApi, type ObjectStore, type Random, type ServiceApi
 } from 'dotterelspur'
 import type { EntryObserver } from './EntryObserver.js'
+import type { TeamTable } from './TeamTable.js'
 
 export interface EntryLimits {
   readonly maxBodyBytes: number
@@ -77,9 +78,6 @@
   claimRetentionMs: 24 * 60 * 60_000
 }
 
-/** Reads the team settings in a `teams/<team>` object; the failure is only logged. */
-export type TeamParser = (object: TeamObject) => Result<TeamSettings, unknown>
-
 export interface EntryOptions {
   readonly host: string
   /** 0 takes a port that the operating system assigns. */
@@ -90,7 +88,8 @@
   readonly store: ObjectStore
   readonly engines: EngineApi
   readonly services: ServiceApi
-  readonly parseTeam: TeamParser
+  /** The node's table of teams; the entry follows it and starts it. */
+  readonly teams: TeamTable
   readonly limits?: Partial<EntryLimits>
   readonly timing?: Partial<EntryTiming>
   readonly observer?: EntryObserver
--- a/packages/dotterelspur-entry/src/process/TeamTable.ts
+++ b/packages/dotterelspur-entry/src/process/TeamTable.ts
@@ -1,14 +1,23 @@
 import createDebug from 'debug'
-import { TEAM_PREFIX, type MeshApi, type MeshDocument, type TeamId, type TeamObject, type TeamSettings, type Teardown } from 'dotterelspur'
+import { TEAM_PREFIX, type MeshApi, type MeshDocument, type Result, type TeamId, type TeamObject, type TeamSettings, type Teardown } from 'dotterelspur'
 import { hashToken, tokenMatches } from 'dotterelspur-settings'
-import type { TeamParser } from './EntryOptions.js'
 
 const debug = createDebug('dotterelspur:entry')
 const MAX_KNOWN_TOKENS = 4_096
 
-/** The teams' settings that are in force at this node, parsed once per version. */
+/** Reads the team settings in a `teams/<team>` object; the failure is only logged. */
+export type TeamParser = (object: TeamObject) => Result<TeamSettings, unknown>
+
+/**
+ * The teams' settings that are in force at this node, parsed once per version; one table for all roles of a node.
+ *
+ * A version that can't be read (written past the operators' interface, or by a newer release) leaves the version
+ * before it in force: a team must not lose its replicas because of a text that nobody could read.
+ */
 export class TeamTable {
   private teams: ReadonlyMap<TeamId, TeamSettings> = new Map()
+  /** The highest version seen of each team, deleted ones included, so that an older text can't bring a deleted team back. */
+  private readonly highestVersions = new Map<TeamId, number>()
   /** Hashes of tokens that were presented lately, and their teams; cleared with every change of settings. */
   private readonly knownTokens = new Map<string, TeamId>()
   private readonly listeners = new Set<() => void>()
@@ -34,21 +43,26 @@
     return [...this.teams.values()]
   }
 
-  /** The team whose token this is. Every team's hashes are compared, in constant time each. */
+  /**
+   * The team whose token this is. Every team's hashes are compared, in constant time each.
+   *
+   * Two teams that list the same hash (two changes applied at once on different nodes) would let one team's callers
+   * in as the other's; such a token is nobody's until one of the teams gives it up.
+   */
   findByToken (token: string): TeamSettings | undefined {
     const hash = hashToken(token)
     const known = this.knownTokens.get(hash)
     if (known !== undefined) return this.teams.get(known)
-    let found: TeamSettings | undefined
-    for (const settings of this.teams.values()) {
-      if (tokenMatches(token, settings.callerTokenHashes)) found = settings
-    }
-    if (found !== undefined && this.knownTokens.size < MAX_KNOWN_TOKENS) this.knownTokens.set(hash, found.team)
-    return found
+    const owners = this.all().filter((settings) => tokenMatches(token, settings.callerTokenHashes))
+    const owner = owners.length === 1 ? owners[0] : undefined
+    if (owner !== undefined && this.knownTokens.size < MAX_KNOWN_TOKENS) this.knownTokens.set(hash, owner.team)
+    return owner
   }
 
   private takeIn (document: MeshDocument): void {
     const team = document.key.slice(TEAM_PREFIX.length)
+    if ((this.highestVersions.get(team) ?? -1) >= document.version) return
+    this.highestVersions.set(team, document.version)
     const next = new Map(this.teams)
     if (document.deleted) next.delete(team)
     else if (!this.parseInto(next, team, document)) return
@@ -57,7 +71,6 @@
     for (const listener of [...this.listeners]) listener()
   }
 
-  /** Settings that can't be read leave the version before them in force. */
   private parseInto (teams: Map<TeamId, TeamSettings>, team: TeamId, document: MeshDocument): boolean {
     const parsed = this.parseTeam(document.body as TeamObject)
     if (!parsed.ok) {
--- a/packages/dotterelspur-entry/src/process/createEntry.ts
+++ b/packages/dotterelspur-entry/src/process/createEntry.ts
@@ -26,7 +26,6 @@
 import { FleetView } from './FleetView.js'
 import { NodeGate } from './NodeGate.js'
 import { OpenCalls } from './OpenCalls.js'
-import { TeamTable } from './TeamTable.js'
 
 const debug = createDebug('dotterelspur:entry')
 const PAUSE_TICKS_PER_THRESHOLD = 4
@@ -85,9 +84,8 @@
 }
 
 function createContext (options: EntryOptions): EntryContext {
-  const { clock, random, mesh, store, engines, services, parseTeam, observer = SILENT_OBSERVER } = options
+  const { clock, random, mesh, store, engines, services, teams, observer = SILENT_OBSERVER } = options
   const timing = { ...DEFAULT_ENTRY_TIMING, ...options.timing }
-  const teams = new TeamTable(mesh, parseTeam)
   const { region, failureDomain } = mesh.self
   return {
     clock,
--- a/packages/dotterelspur-node/src/process/Node.ts
+++ b/packages/dotterelspur-node/src/process/Node.ts
@@ -59,8 +59,7 @@
 
 /** Settings come first: the fleet and the entry look at them from their first step. */
 function startRoles ({ follower, teams, fleet }: NodeParts): void {
-  teams.registerDocuments()
-  teams.registerTeamsListener(() => { fleet.nudge() })
+  teams.registerListener(() => { fleet.nudge() })
   follower.start()
   fleet.start()
 }
--- a/packages/dotterelspur-node/src/process/NodeLog.ts
+++ b/packages/dotterelspur-node/src/process/NodeLog.ts
@@ -14,11 +14,9 @@
 /** The node's own lines, each with the node and its failure domain. Lines are for changes of state; what happens often is counted. */
 export class NodeLogs {
   readonly node: LogLine
-  readonly settings: LogLine
 
   constructor (node: NodeId, failureDomain: FailureDomainId) {
     this.node = createLine('node', node, failureDomain)
-    this.settings = createLine('settings', node, failureDomain)
   }
 }
 
--- a/packages/dotterelspur-node/src/process/NodeParts.ts
+++ b/packages/dotterelspur-node/src/process/NodeParts.ts
@@ -1,12 +1,11 @@
 import { randomInt } from 'node:crypto'
 import { HttpEngineClient, HttpServiceClient } from 'dotterelspur-endpoint'
-import { createEntry, type Entry } from 'dotterelspur-entry'
+import { TeamTable, createEntry, type Entry } from 'dotterelspur-entry'
 import { createFleet, type Fleet } from 'dotterelspur-fleet'
 import { CredentialsKind, createMesh, createStoreFollower, type Mesh, type MeshCredentials, type StoreFollower } from 'dotterelspur-mesh'
 import { AuditTrail, PlatformObjectStore, PlatformVmDirectory } from 'dotterelspur-platform'
 import { FencingMode, MeshSecurityKind, fencingOf, formatSettingsError, parseTeamSettings, type NodeSettings } from 'dotterelspur-settings'
 import { DEFAULT_LEASE_TIMING, NODE_PREFIX, createRandom, failed, homeOf, type Clock, type EngineApi, type NodeObject, type Random, type Result, type ServiceApi, type TeamId, type TeamSettings } from 'dotterelspur'
-import { TeamRegistry } from '../version/TeamRegistry.js'
 import type { LoadedSettings, MeshSecrets } from './loadNodeSettings.js'
 import { NodeLogs } from './NodeLog.js'
 import { NodeMetrics } from './NodeMetrics.js'
@@ -34,7 +33,7 @@
   readonly vmDirectory: PlatformVmDirectory
   readonly mesh: Mesh
   readonly follower: StoreFollower
-  readonly teams: TeamRegistry
+  readonly teams: TeamTable
   readonly audit: AuditTrail
   readonly fleet: Fleet
   readonly entry: Entry
@@ -68,13 +67,13 @@
   const logs = new NodeLogs(settings.id, settings.failureDomain)
   const metrics = new NodeMetrics()
   const mesh = createNodeMesh(loaded, base, incarnation, ports)
-  const teams = new TeamRegistry({ mesh, parse: parseTeam, onRejected: (team, version, reason) => { logs.settings(`team=${team} version ${version} can't be read and is not in force: ${reason}`) } })
+  const teams = new TeamTable(mesh, ({ text, team }) => parseTeam(text, team))
   const audit = new AuditTrail({ store, clock, home: homeOf({ node: settings.id, incarnation }) })
   const engines = new HttpEngineClient({ clock })
   const services = new HttpServiceClient({ clock })
   const vmDirectory = new PlatformVmDirectory(store)
   const follower = createStoreFollower({ mesh, store, clock, random, registerContactListener: (listener) => store.registerContactListener(listener) })
-  const entry = createNodeEntry(settings, base, { mesh, engines, services, port: ports.entry, metrics })
+  const entry = createNodeEntry(settings, base, { mesh, engines, services, teams, port: ports.entry, metrics })
   const fleet = createFleet({
     clock,
     random,
@@ -84,7 +83,7 @@
     vmDirectory,
     engines,
     services,
-    settings: () => teams.teams(),
+    settings: () => teams.all(),
     audit: (record) => { audit.append(record) },
     checksFencing: ({ failureDomain }) => fencingOf(settings.fencing, failureDomain) === FencingMode.Checked,
     failureDomains: [settings.failureDomain],
@@ -131,11 +130,12 @@
   readonly mesh: Mesh
   readonly engines: EngineApi
   readonly services: ServiceApi
+  readonly teams: TeamTable
   readonly port: number
   readonly metrics: NodeMetrics
 }
 
-function createNodeEntry (settings: NodeSettings, { clock, random, store }: NodeBase, { mesh, engines, services, port, metrics }: EntryParts): Entry {
+function createNodeEntry (settings: NodeSettings, { clock, random, store }: NodeBase, { mesh, engines, services, teams, port, metrics }: EntryParts): Entry {
   const { entry, timing, limits } = settings
   return createEntry({
     host: settings.host,
@@ -146,7 +146,7 @@
     store,
     engines,
     services,
-    parseTeam: (object) => parseTeam(object.text, object.team),
+    teams,
     observer: metrics.entryObserver,
     limits: {
       maxBodyBytes: entry.maxBodyBytes,
