Prefix names are one function of the core, and the contract says which

Entry and engine stand-in each had a prefixHashes of their own. They agreed (64 characters, hashText), but nothing kept them so, and the contract left open the seed, what a character is and what a cut surrogate pair becomes. With other names no cache event would match a prompt, and nobody would notice.

One test of the stand-in's PrefixCache passed the function to map, whose index would now be taken for the largest number of blocks; it calls it with the prompt alone, and expects the same.

--- a/packages/dotterelspur-endpoint/src/__tests__/unit/EngineContract.test.ts
+++ b/packages/dotterelspur-endpoint/src/__tests__/unit/EngineContract.test.ts
@@ -1,10 +1,10 @@
 import { connect, createServer } from 'node:net'
 import type { AddressInfo } from 'node:net'
 import { expect } from 'chai'
-import { CacheEventKind, ChunkKind, EndpointErrorKind, EngineState, FinishReason, OrderKind, PriorityClass, StreamEventKind, StreamState, VmRole } from 'dotterelspur'
+import { CacheEventKind, ChunkKind, EndpointErrorKind, EngineState, FinishReason, OrderKind, PriorityClass, StreamEventKind, StreamState, VmRole, prefixHashes } from 'dotterelspur'
 import type { EngineOrder, GenerateRequest, StreamEvent } from 'dotterelspur'
 import { SystemClock } from 'dotterelspur-clock'
-import { EndpointFleet, RunEnd, VmFaultKind, expectedAnswer, prefixHashes } from 'dotterelspur-testkit'
+import { EndpointFleet, RunEnd, VmFaultKind, expectedAnswer } from 'dotterelspur-testkit'
 import type { EngineSettings } from 'dotterelspur-testkit'
 import { HttpEngineClient, HttpServiceClient } from '../../index.js'
 
@@ -167,6 +167,17 @@
     })
   })
 
+  it('answers cache events in the bytes that their reader counts on', async () => {
+    await withGroup({}, async ({ engines, leader, request }) => {
+      const none = await countBytes(leader, (address) => engines.cacheEvents(address, 0, TIMEOUT_MS))
+      await textOf(engines.generate(leader, request('r1', { prompt: 'x'.repeat(64 * 500) }), never()))
+      const full = await countBytes(leader, (address) => engines.cacheEvents(address, 0, TIMEOUT_MS))
+      if (process.env.ENTRY_MEASURE !== undefined) console.log('empty', none, 'full', full)
+      expect(none.sent + none.received).to.be.at.most(350)
+      expect(full.received - none.received).to.be.at.most(60 * 500)
+    })
+  })
+
   it('answers a probe in few bytes', async () => {
     await withGroup({}, async ({ fleet, engines, services, leader }) => {
       const engine = await countBytes(leader, (address) => engines.probe(address, TIMEOUT_MS))
--- a/packages/dotterelspur-entry/src/request/ModelRunner.ts
+++ b/packages/dotterelspur-entry/src/request/ModelRunner.ts
@@ -7,7 +7,7 @@
 import type { EntryContext } from '../process/EntryContext.js'
 import { teamScoped } from '../process/FleetView.js'
 import { AttemptStream, waitOrInterrupt, type RequestInterrupt } from './AttemptStream.js'
-import { estimateTokens, prefixHashes } from './prefixHashes.js'
+import { estimateTokens, routingPrefixes } from './prefixHashes.js'
 import type { RunChannel } from './RunChannel.js'
 import { RunEventKind, type ModelRunRequest } from './RunRequest.js'
 
@@ -33,7 +33,7 @@
     private readonly channel: RunChannel,
     private readonly interrupt: RequestInterrupt
   ) {
-    this.prefixes = prefixHashes(request.prompt)
+    this.prefixes = routingPrefixes(request.prompt)
   }
 
   async run (): Promise<ModelResult> {
--- a/packages/dotterelspur-testkit/src/__tests__/unit/BatchScheduler.test.ts
+++ b/packages/dotterelspur-testkit/src/__tests__/unit/BatchScheduler.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
-import { ManualClock, PriorityClass } from 'dotterelspur'
+import { ManualClock, PriorityClass, prefixHashes } from 'dotterelspur'
 import type { GenerateRequest } from 'dotterelspur'
-import { DEFAULT_ENGINE_SETTINGS, PrefixCache, RunEnd, prefixHashes } from '../../index.js'
+import { DEFAULT_ENGINE_SETTINGS, PrefixCache, RunEnd } from '../../index.js'
 import type { EngineSettings } from '../../index.js'
 import { BatchScheduler } from '../../process/engine/BatchScheduler.js'
 import { GroupCondition } from '../../process/engine/GroupHealth.js'
@@ -145,7 +145,7 @@
 describe('PrefixCache', () => {
   it('finds the leading blocks that it holds and evicts what was used least recently', () => {
     const cache = new PrefixCache(3)
-    const [a, b] = ['a'.repeat(128), 'b'.repeat(128)].map(prefixHashes) as [number[], number[]]
+    const [a, b] = ['a'.repeat(128), 'b'.repeat(128)].map((prompt) => prefixHashes(prompt)) as [number[], number[]]
     expect(cache.store(a)).to.deep.equal({ stored: a, evicted: [] })
     expect(cache.hitBlocks(prefixHashes('a'.repeat(200)))).to.equal(2)
     expect(cache.store(b).evicted).to.deep.equal([a[0]])
--- a/packages/dotterelspur-testkit/src/process/engine/EngineVm.ts
+++ b/packages/dotterelspur-testkit/src/process/engine/EngineVm.ts
@@ -1,4 +1,4 @@
-import { createRandom, EndpointErrorKind, EngineState, failed, OrderKind, StreamState, success } from 'dotterelspur'
+import { PREFIX_BLOCK_CHARACTERS, createRandom, EndpointErrorKind, EngineState, failed, OrderKind, prefixHashes, StreamState, success } from 'dotterelspur'
 import type { Clock, EngineOrder, GenerateRequest, GroupMember, RequestId, Result, StreamStatus, VmStatus } from 'dotterelspur'
 import type { AnswerBook } from '../../request/AnswerBook.js'
 import { EngineRun } from '../../request/EngineRun.js'
@@ -15,7 +15,7 @@
 import type { EngineSettings, LoadRequester } from './EngineSettings.js'
 import type { GroupHealth } from './GroupHealth.js'
 import { ModelMemory } from './ModelMemory.js'
-import { BLOCK_CHARACTERS, PrefixCache, prefixHashes } from './PrefixCache.js'
+import { PrefixCache } from './PrefixCache.js'
 
 export type FormOrder = Extract<EngineOrder, { kind: OrderKind.Form }>
 
@@ -200,7 +200,7 @@
   private readPrompt (run: EngineRun): number {
     const text = run.request.prompt + run.request.resumeText
     const hashes = prefixHashes(text)
-    const cachedCharacters = this.cache.hitBlocks(hashes) * BLOCK_CHARACTERS
+    const cachedCharacters = this.cache.hitBlocks(hashes) * PREFIX_BLOCK_CHARACTERS
     this.cacheEvents.record(this.cache.store(hashes))
     return countTokens(text.slice(cachedCharacters)) * this.context.settings.prefillMsPerToken
   }
--- a/packages/dotterelspur-testkit/src/process/engine/PrefixCache.ts
+++ b/packages/dotterelspur-testkit/src/process/engine/PrefixCache.ts
@@ -1,19 +1,8 @@
-import { hashText } from 'dotterelspur'
-
-/** Characters of one block of a prompt. A prefix is named by the hash of all its characters up to a block's end. */
-export const BLOCK_CHARACTERS = 64
-
 export interface PrefixCacheChange {
   readonly stored: readonly number[]
   readonly evicted: readonly number[]
 }
 
-/** The hashes of all whole-block prefixes of a prompt, shortest first. */
-export function prefixHashes (prompt: string): number[] {
-  const blocks = Math.floor(prompt.length / BLOCK_CHARACTERS)
-  return Array.from({ length: blocks }, (_, index) => hashText(prompt.slice(0, (index + 1) * BLOCK_CHARACTERS)))
-}
-
 /** A prefix cache of limited size that evicts what was used least recently. */
 export class PrefixCache {
   private readonly blocks = new Set<number>()
--- a/packages/dotterelspur/src/request/routing/index.ts
+++ b/packages/dotterelspur/src/request/routing/index.ts
@@ -1,4 +1,5 @@
 export * from './Attempt.js'
+export * from './prefixHashes.js'
 export * from './RouteQuery.js'
 export * from './Router.js'
 export * from './RouteTarget.js'
