Mesh: a suspicion moves no links

Found with 330 real meshes in eight processes on a busy machine (load 18 on 12 cores): after the start the fleet did not settle. Every node knew all 330, but had 6 of its 22 links, and 22 to 33 kB/s of member records went from each node, for 85 s without an end.

Cause: relays were chosen among nodes that are not suspect. Each suspicion moved links; nodes too busy to make the new ones in time became suspect in turn, and so on. Now a suspect keeps its place in the plan until it is dead; the standby covers for it meanwhile.

Also: the filter of lease renewals is a function, and comments of the test network say what they stand on.

--- a/packages/dotterelspur-mesh/src/process/StoreFollower.ts
+++ b/packages/dotterelspur-mesh/src/process/StoreFollower.ts
@@ -3,8 +3,8 @@
   ASSIGNMENT_PREFIX, type Clock, DRAIN_PREFIX, LEASE_PREFIX, mergeTeardowns, type MeshApi, NODE_PREFIX, NodeState, type ObjectStore, type Random, rendezvousOrder,
   TEAM_PREFIX, type Teardown, type WatchEvent, WatchEventKind
 } from 'dotterelspur'
-import { LeaseFilter } from '../version/LeaseFilter.js'
 import { deletionsOf } from '../version/deletionsOf.js'
+import { isWorthSpreading } from '../version/isWorthSpreading.js'
 import { NodeRegistration } from './NodeRegistration.js'
 
 const log = createDebug('dotterelspur:store-follower')
@@ -47,7 +47,6 @@
 }
 
 class Follower implements StoreFollower {
-  private readonly leases = new LeaseFilter()
   private readonly registration: NodeRegistration
   private watches: Teardown | undefined
   private teardown: Teardown | undefined
@@ -143,6 +142,6 @@
   private offer (object: { readonly key: string, readonly version: number, readonly body: unknown, readonly deleted: boolean }): void {
     const { key, version, body, deleted } = object
     const document = { key, version, body, deleted }
-    if (this.leases.isWorthSpreading(document, this.options.mesh.document(key))) this.options.mesh.offerDocument(document)
+    if (isWorthSpreading(document, this.options.mesh.document(key))) this.options.mesh.offerDocument(document)
   }
 }
--- a/packages/dotterelspur/src/__tests__/MeshWorld.ts
+++ b/packages/dotterelspur/src/__tests__/MeshWorld.ts
@@ -1,5 +1,5 @@
 import {
-  type Clock, createRandom, DEFAULT_MESH_LIMITS, DEFAULT_MESH_TIMING, type Frame, FrameKind, type GossipFrame, type GroupPresence, type LinkId, ManualClock, MemberHealth, type MemberRecord,
+  createRandom, DEFAULT_MESH_LIMITS, DEFAULT_MESH_TIMING, type Frame, FrameKind, type GossipFrame, type GroupPresence, type LinkId, ManualClock, MemberHealth, type MemberRecord,
   type MeshDocument, type MeshEffect, MeshEffectKind, type MeshLimits, MeshMachine, type MeshTiming, type NodeState, type Random
 } from '../index.js'
 
@@ -73,7 +73,7 @@
   readonly nodes: WorldNode[] = []
   readonly frames = new Map<FrameKind, number>()
   seeds: string[] = []
-  /** Whether frames and dials get from one node to another. */
+  /** Whether frames and dials get from one node to another. What a cut holds up arrives after it ends. */
   reaches: (from: WorldNode, to: WorldNode) => boolean = () => true
   /** Called after each event at a node. */
   observe: (node: WorldNode) => void = () => {}
@@ -97,10 +97,6 @@
     }
   }
 
-  get asClock (): Clock {
-    return this.clock
-  }
-
   node (index: number): WorldNode {
     return this.nodes[index]!
   }
@@ -167,7 +163,7 @@
     this.startTicks(node)
   }
 
-  /** Cuts the connections between two nodes without a word to either; what is under way arrives after the cut ends. */
+  /** Handles an event at a node now, or when its process goes on. */
   private deliver (node: WorldNode, event: () => void): void {
     if (!node.running) return
     if (node.paused) node.backlog.push(() => this.deliver(node, event))
--- a/packages/dotterelspur/src/connection/mesh/OverlayPlan.ts
+++ b/packages/dotterelspur/src/connection/mesh/OverlayPlan.ts
@@ -1,6 +1,6 @@
 import type { NodeId } from '../../process/ids.js'
 import { hashText, rendezvousOrder } from '../../process/rendezvous.js'
-import { MemberHealth, type MemberRecord } from './MemberRecord.js'
+import type { MemberRecord } from './MemberRecord.js'
 import type { MeshLimits } from './MeshTiming.js'
 
 /** Where the peer of a link is, which decides what travels on it. */
@@ -73,11 +73,13 @@
   })
 }
 
-/** The nodes of `cell` that take in what `node` has to say: by rendezvous, without those that are suspect while others are there. */
+/**
+ * The nodes of `cell` that take in what `node` has to say, by rendezvous. A suspect keeps its place: were it to
+ * lose it, each suspicion would have links made anew, and nodes that are too busy to make them in time would
+ * become suspect in turn, without end. The standby covers for a silent relay meanwhile.
+ */
 function relaysIn (node: NodeId, cell: readonly MemberRecord[]): NodeId[] {
-  const alive = cell.filter((record) => record.health === MemberHealth.Alive)
-  const candidates = alive.length > 0 ? alive : cell
-  return rendezvousOrder(node, candidates.map((record) => record.node)).slice(0, RELAYS_PER_CELL)
+  return rendezvousOrder(node, cell.map((record) => record.node)).slice(0, RELAYS_PER_CELL)
 }
 
 function planRegionLinks (self: MemberRecord, regions: ReadonlyMap<string, readonly MemberRecord[]>, linksPerPair: number, wanted: Map<NodeId, LinkScope>): void {
