Mesh: patience with links that were never made, and with one's own delays

Cause, the rest of the churn after a start on a busy machine: a wanted neighbour to which no link came within 5 s was asked about and suspected, while its dials waited for processor time; and a process whose own loop was 0.5 to 1 s late took its neighbours' silence for theirs. Now 20 s for a link that was never there (the neighbour's own cell notices its death by silence), and a gap of 0.5 s in the own ticks starts every count anew.

--- a/packages/dotterelspur/src/connection/mesh/MeshTiming.ts
+++ b/packages/dotterelspur/src/connection/mesh/MeshTiming.ts
@@ -66,7 +66,7 @@
   silenceMs: 1_500,
   relaySilenceMs: 1.5 * DEFAULT_GOSSIP_INTERVAL_MS,
   indirectProbeMs: 1_000,
-  connectGraceMs: 5_000,
+  connectGraceMs: 20_000,
   suspicionMs: 4_000,
   linkTimeoutMs: 6_000,
   tombstoneMs: 60 * MINUTE_MS,
@@ -80,7 +80,7 @@
   mismatchGraceMs: 1_200,
   syncIntervalMs: 500,
   evidenceKeepMs: 4 * DEFAULT_EVIDENCE_TTL_MS,
-  ownPauseMs: 1_000
+  ownPauseMs: 500
 }
 
 const RELAY_SILENCE_BEATS = 1.5
