Mesh: evidence waits for a beat that can date it

Cause: the first beats of a link echo nothing, so the peer can't date the lines in them and leaves them out, while the sender counted them as sent. Until the watcher's next word the group was unknown there. Seen as a test over real connections that waited without an end on a busy machine; a watcher that publishes twice a second heals it by itself after half a second.

Now lines go out from the first beat on that echoes one. Shown failing first: a word published before the links are made reached 1 of 4 nodes, now all.

--- a/packages/dotterelspur/src/__tests__/unit/EvidenceExchange.test.ts
+++ b/packages/dotterelspur/src/__tests__/unit/EvidenceExchange.test.ts
@@ -45,6 +45,18 @@
     }
   })
 
+  /*
+   * Symptom: a group is unknown at a node for as long as its watcher says nothing new.
+   * Sequence: a watcher publishes before a new link's first beats have been exchanged.
+   * Cause: lines in a beat that echoes nothing can't be dated and are left out, but counted as sent.
+   */
+  it('brings a word that was published before the links were made', () => {
+    const world = new MeshWorld({ nodes: 4, failureDomains: 1 })
+    world.publish(world.node(0), [createDatedPresence('g', world.clock.nowMs(), world.clock.nowMs())])
+    world.pass(5_000)
+    expect(world.nodes.map((node) => node.machine.groupPresence(world.clock.nowMs()).length)).to.deep.equal([1, 1, 1, 1])
+  })
+
   /*
    * Symptom: healthy groups are out of service at some nodes for a second or two.
    * Sequence: a node pauses that relays the evidence of those groups' watchers to its cell.
--- a/packages/dotterelspur/src/connection/mesh/BeatExchange.ts
+++ b/packages/dotterelspur/src/connection/mesh/BeatExchange.ts
@@ -18,7 +18,10 @@
 export function composeBeat (link: GossipLink, lines: readonly EvidenceLine[], content: BeatContent, nowMs: number): BeatFrame {
   const full: FullLine[] = []
   const short: ShortLine[] = []
-  for (const line of lines) {
+  const echo = link.echo(nowMs)
+  // Before anything can be echoed the peer could not date the lines, and would leave them out as if never sent.
+  const datable = echo.sequence > 0
+  for (const line of datable ? lines : []) {
     const sent = link.sentLines.get(line.key)
     if (sent !== undefined && sent.originMs >= line.originMs && sent.body === line.body) continue
     if (sent !== undefined && differsInLoadOnly(sent.body, line.body)) {
@@ -31,7 +34,6 @@
       link.sentLines.set(line.key, { index, body: line.body, originMs: line.originMs })
     }
   }
-  const echo = link.echo(nowMs)
   return {
     kind: FrameKind.Beat,
     sequence: link.nextSequence(nowMs),
