Store watchers leave leases alone

Cause: a node that watches the store for its failure domain followed leases/ and was sent each renewal of all 27 leases, only to leave them out of the mesh. Takeovers and releases reach the mesh from the holder itself.

--- a/packages/dotterelspur-mesh/src/process/StoreFollower.ts
+++ b/packages/dotterelspur-mesh/src/process/StoreFollower.ts
@@ -1,16 +1,18 @@
 import createDebug from 'debug'
 import {
-  ASSIGNMENT_PREFIX, type Clock, DRAIN_PREFIX, LEASE_PREFIX, mergeTeardowns, type MeshApi, NODE_PREFIX, NodeState, type ObjectStore, type Random, rendezvousOrder,
+  ASSIGNMENT_PREFIX, type Clock, DRAIN_PREFIX, mergeTeardowns, type MeshApi, NODE_PREFIX, NodeState, type ObjectStore, type Random, rendezvousOrder,
   TEAM_PREFIX, type Teardown, type WatchEvent, WatchEventKind
 } from 'dotterelspur'
 import { deletionsOf } from '../version/deletionsOf.js'
-import { isWorthSpreading } from '../version/isWorthSpreading.js'
 import { NodeRegistration } from './NodeRegistration.js'
 
 const log = createDebug('dotterelspur:store-follower')
 
-/** The prefixes that every node holds copies of. */
-export const FOLLOWED_PREFIXES: readonly string[] = [TEAM_PREFIX, ASSIGNMENT_PREFIX, NODE_PREFIX, DRAIN_PREFIX, LEASE_PREFIX]
+/**
+ * The prefixes that are watched in the store. Leases are not: their renewals would be nearly all that a watcher
+ * receives, and whoever takes or releases one tells the mesh itself.
+ */
+export const FOLLOWED_PREFIXES: readonly string[] = [TEAM_PREFIX, ASSIGNMENT_PREFIX, NODE_PREFIX, DRAIN_PREFIX]
 /** Nodes of one failure domain that watch the store. The second one covers for the first while its death is noticed. */
 export const WATCHERS_PER_FAILURE_DOMAIN = 2
 
@@ -141,7 +143,6 @@
 
   private offer (object: { readonly key: string, readonly version: number, readonly body: unknown, readonly deleted: boolean }): void {
     const { key, version, body, deleted } = object
-    const document = { key, version, body, deleted }
-    if (isWorthSpreading(document, this.options.mesh.document(key))) this.options.mesh.offerDocument(document)
+    this.options.mesh.offerDocument({ key, version, body, deleted })
   }
 }
