Test of the stand-in fleet: wait until both members have loaded

Seen under load: membersUp 1 in place of 2, and a 20 s time-out. An order is answered before the model is loaded; the load ends by a timer of its own, also when it takes no time. A request that comes between finds a member that isn't ready: vm-2 late gives membersUp 1, vm-1 late gives a refusal, and a wait for a row of the ledger never ends.

The fixture waits for the state Ready of both. The load now takes 30 ms, so that no test passes without the wait: with 30 ms and no wait the run did not end within 10 minutes (stopped by hand, its list of failures was not kept). With the wait 27 pass. No assertion changed. Ruled out: the closing of sockets at a VM's death, which does not touch loading.

--- a/packages/dotterelspur-testkit/src/__tests__/unit/EndpointFleet.test.ts
+++ b/packages/dotterelspur-testkit/src/__tests__/unit/EndpointFleet.test.ts
@@ -5,6 +5,7 @@
 import type { EngineSettings, VmPlace } from '../../index.js'
 
 const GROUP = 'g1'
+const LOAD_MS = 30
 const MODEL = { model: 'summary-8b', version: '1' }
 
 function place (vm: string): VmPlace {
@@ -43,7 +44,7 @@
 }
 
 async function withFleet (engine: Partial<EngineSettings>, run: (fixture: Fixture) => Promise<void>): Promise<void> {
-  const fleet = new EndpointFleet({ places: ['vm-1', 'vm-2', 'vm-3'].map(place), engine: { tokenMs: 1, prefillMsPerToken: 0, cacheEventLossPercent: 0, ...engine } })
+  const fleet = new EndpointFleet({ places: ['vm-1', 'vm-2', 'vm-3'].map(place), engine: { tokenMs: 1, prefillMsPerToken: 0, cacheEventLossPercent: 0, ...engine }, requestLoad: () => LOAD_MS })
   await fleet.start()
   const post: Fixture['post'] = (vm, path, body, signal) => fetch(`${fleet.address(vm)}${path}`, {
     method: 'POST', headers: { 'content-type': 'application/json' }, body: JSON.stringify(body), signal: signal ?? null
@@ -52,8 +53,12 @@
     fleet,
     post,
     status: async (vm) => await (await fetch(`${fleet.address(vm)}/v1/status`)).json() as VmStatus,
-    form: async (formation = 1, fencing = 1) => await Promise.all(['vm-1', 'vm-2'].map(async (vm, rank) =>
-      (await post(vm, '/v1/orders', { fencing, order: formOrder(fleet, rank, formation) })).status)),
+    form: async (formation = 1, fencing = 1) => {
+      const statuses = await Promise.all(['vm-1', 'vm-2'].map(async (vm, rank) =>
+        (await post(vm, '/v1/orders', { fencing, order: formOrder(fleet, rank, formation) })).status))
+      await until(() => ['vm-1', 'vm-2'].every((vm) => (fleet.status(vm) as VmStatus).state === EngineState.Ready))
+      return statuses
+    },
     generate: async (requestId, resumeOffset = 0) => {
       const response = await post('vm-1', '/v1/generate', generateBody(requestId, resumeOffset))
       const lines = (await response.text()).trim().split('\n')
