Tests that order a group wait until its members are ready

An order is answered before the model is loaded; a test that asked at once was refused or counted one member where two were due, when a load's timer came late. No assertion changed.

--- a/packages/dotterelspur-endpoint/src/__tests__/unit/EngineContract.test.ts
+++ b/packages/dotterelspur-endpoint/src/__tests__/unit/EngineContract.test.ts
@@ -25,6 +25,15 @@
   }
 }
 
+/** An order is answered before the model is loaded: the group may be asked only once its members say that they are ready. */
+async function untilReady (engines: HttpEngineClient, address: string): Promise<void> {
+  for (;;) {
+    const status = await engines.probe(address, TIMEOUT_MS)
+    if (status.ok && status.value.state === EngineState.Ready) return
+    await new Promise((resolve) => { setImmediate(resolve) })
+  }
+}
+
 async function withGroup (settings: Partial<EngineSettings>, run: (fixture: Fixture) => Promise<void>): Promise<void> {
   const common = { region: 'perth', failureDomain: 'perth-a' }
   const fleet = new EndpointFleet({
@@ -39,6 +48,7 @@
   await fleet.start()
   try {
     for (const [rank, vm] of ['vm-1', 'vm-2'].entries()) await engines.order(fleet.address(vm), formOrder(fleet, rank), 1, TIMEOUT_MS)
+    for (const vm of ['vm-1', 'vm-2']) await untilReady(engines, fleet.address(vm))
     await run({
       fleet,
       engines,
--- a/packages/dotterelspur-entry/src/__tests__/unit/standIns.test.ts
+++ b/packages/dotterelspur-entry/src/__tests__/unit/standIns.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import OpenAI from 'openai'
-import { OrderKind, VmRole, type AssignedMember, type EngineOrder } from 'dotterelspur'
+import { EngineState, OrderKind, VmRole, type AssignedMember, type EngineOrder } from 'dotterelspur'
 import { HttpEngineClient } from 'dotterelspur-endpoint'
 import { SystemClock } from 'dotterelspur-clock'
 import { EndpointFleet, RunEnd, VmFaultKind, expectedAnswer } from 'dotterelspur-testkit'
@@ -41,6 +41,16 @@
       const formed = await engines.order(member.address, order, 1, ORDER_TIMEOUT_MS)
       expect(formed.ok).to.equal(true)
     }
+    for (const member of members) await untilReady(engines, member.address)
+  }
+
+  /** An order is answered before the model is loaded: the group may be asked only once its members say that they are ready. */
+  async function untilReady (engines: HttpEngineClient, address: string): Promise<void> {
+    for (;;) {
+      const status = await engines.probe(address, ORDER_TIMEOUT_MS)
+      if (status.ok && status.value.state === EngineState.Ready) return
+      await new Promise((resolve) => { setImmediate(resolve) })
+    }
   }
 
   async function stream (headers: Record<string, string>, onText: (text: string) => void = () => {}): Promise<string> {
