--- a/packages/dotterelspur/src/__tests__/unit/Router.test.ts
+++ b/packages/dotterelspur/src/__tests__/unit/Router.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
-import { AttemptEnd, PriorityClass, RouteRefusalKind, Router, TargetKind, createRandom, createRoutingOptions, groupTargetId, type GroupQuery, type GroupTarget } from '../../index.js'
+import { AttemptEnd, RouteRefusalKind, Router, TargetKind, createRandom, createRoutingOptions, groupTargetId, type GroupQuery, type GroupTarget } from '../../index.js'
+import { createQuery } from './routingFixture.js'
 
 function createTarget (group: string, overrides: Partial<GroupTarget> = {}): GroupTarget {
   return {
@@ -21,22 +22,6 @@
   }
 }
 
-function createQuery (overrides: Partial<GroupQuery> = {}): GroupQuery {
-  return {
-    kind: TargetKind.Group,
-    model: 'summary',
-    version: 'v1',
-    versionPinned: false,
-    adapter: null,
-    prefixHashes: [],
-    promptTokens: 100,
-    excluded: new Set(),
-    priority: PriorityClass.Interactive,
-    idempotent: true,
-    ...overrides
-  }
-}
-
 function createFixture (targets: readonly GroupTarget[]) {
   const router = new Router(createRoutingOptions({ region: 'perth', failureDomain: 'perth-1' }))
   router.replaceTargets(targets, 0)
--- a/packages/dotterelspur/src/__tests__/unit/RouterProperties.test.ts
+++ b/packages/dotterelspur/src/__tests__/unit/RouterProperties.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
 import { AttemptEnd, CacheEventKind, PriorityClass, RouteCause, Router, TargetKind, createRandom, createRoutingOptions, groupTargetId, serviceTargetId, type GroupQuery, type GroupTarget, type RouteAttempt, type RoutingOptions, type ServiceTarget } from '../../index.js'
+import { createQuery } from './routingFixture.js'
 
 const SEED = 20_261_202
 const FOREVER_MS = 1e9
@@ -31,22 +32,6 @@
   return { ...place, kind: TargetKind.Service, id: serviceTargetId('desk', vm, 1), service: 'desk', vm, incarnation: 1 }
 }
 
-function createQuery (overrides: Partial<GroupQuery> = {}): GroupQuery {
-  return {
-    kind: TargetKind.Group,
-    model: 'summary',
-    version: 'v1',
-    versionPinned: false,
-    adapter: null,
-    prefixHashes: [],
-    promptTokens: 100,
-    excluded: new Set(),
-    priority: PriorityClass.Interactive,
-    idempotent: true,
-    ...overrides
-  }
-}
-
 function createFixture (targets: readonly GroupTarget[], options: Partial<RoutingOptions> = {}) {
   const router = new Router(createRoutingOptions({ region: 'perth', failureDomain: 'perth-1' }, options))
   router.replaceTargets(targets, 0)
