--- /dev/null
+++ b/packages/dotterelspur-gateway/src/connection/SmallListeners.ts
@@ -0,0 +1,40 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { ListenAddress } from '../process/GatewaySettings.js'
+
+const OK = 200
+const NOT_FOUND = 404
+
+export interface SmallAnswer {
+  readonly status: number
+  readonly contentType: string
+  readonly body: string
+}
+
+/** Answers a request by its path alone; null for a path that isn't known. */
+export type SmallHandler = (url: URL) => Promise<SmallAnswer | null> | SmallAnswer | null
+
+/**
+ * A listener for questions that have no body: the directory, readiness and metrics. Bare, because each is asked
+ * several times a second and answers in one step.
+ */
+export async function listenSmall ({ host, port }: ListenAddress, handler: SmallHandler): Promise<Server> {
+  const server = createServer((request, response) => { void answer(request, response, handler) })
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, host, resolve)
+  })
+  return server
+}
+
+export function jsonAnswer (value: unknown, status = OK): SmallAnswer {
+  return { status, contentType: 'application/json', body: JSON.stringify(value) }
+}
+
+async function answer (request: IncomingMessage, response: ServerResponse, handler: SmallHandler): Promise<void> {
+  request.resume()
+  const url = URL.canParse(request.url ?? '', 'http://node') ? new URL(request.url ?? '', 'http://node') : null
+  const found = url === null ? null : await handler(url)
+  const { status, contentType, body } = found ?? jsonAnswer({ error: { type: 'not-found' } }, NOT_FOUND)
+  response.writeHead(status, { 'content-type': contentType, 'content-length': Buffer.byteLength(body) })
+  response.end(body)
+}
--- /dev/null
+++ b/packages/dotterelspur-gateway/src/index.ts
@@ -0,0 +1,7 @@
+export * from './process/DecisionLog.js'
+export { ENDPOINT_PREFIX } from './process/EndpointKeeper.js'
+export * from './process/Gateway.js'
+export * from './process/GatewayPorts.js'
+export * from './process/GatewaySettings.js'
+export { MANIFEST_PREFIX } from './process/ManifestKeeper.js'
+export { NODE_PREFIX, type NodeRecord } from './process/NodeKeeper.js'
--- /dev/null
+++ b/packages/dotterelspur-gateway/src/process/Dispatch.ts
@@ -0,0 +1,173 @@
+import type { Dispatcher } from 'undici'
+import {
+  groupTimeMs, place, RetryWindow, takesRequests, TargetLoad,
+  type Clock, type DispatchTarget, type EndpointId, type EndpointRecord, type EngineSpec, type ExchangeEnd, type FailureDomainId, type ModelId, type PlacementRefusal, type Random, type RetryWindowOptions, type Route, type ServiceId
+} from 'dotterelspur'
+import { EndpointChannels } from '../connection/EndpointChannels.js'
+import { ExchangeWatch, type ExchangeWatchHandle } from './ExchangeWatch.js'
+import type { AnswerHead, CallerHead } from './GatewayPorts.js'
+import type { ManifestKeeper } from './ManifestKeeper.js'
+import type { EndpointKeeper } from './EndpointKeeper.js'
+
+/** What callers ask for is averaged over this time: long against a burst, short against a day. */
+const DEMAND_HALF_LIFE_MS = 10_000
+/** Requests of each model after which their mix says more than the operators' shares. */
+const DEMAND_LEAST_REQUESTS = 40
+/** Callers' output limits are far above what is written; this part of them is usual. */
+const USUAL_ANSWER_SHARE = 0.5
+
+export interface DispatchParts {
+  readonly clock: Clock
+  readonly random: Random
+  readonly failureDomain: FailureDomainId
+  readonly manifest: ManifestKeeper
+  readonly endpoints: EndpointKeeper
+  readonly retries: RetryWindowOptions
+  /** The whole system starts for the first time: no repeats of an earlier life can be in the window. */
+  readonly firstStart: boolean
+  /** Nodes that send requests, this one included. */
+  readonly nodeCount: () => number
+  /** A group seems to stand still. */
+  readonly onSuspect: (head: EndpointId) => void
+}
+
+export interface DispatchQuery {
+  readonly service: ServiceId
+  readonly route: Route
+  readonly head: CallerHead
+  readonly attempt: number
+  readonly excluded: readonly DispatchTarget[]
+  readonly leftMs: number
+}
+
+interface ModelDemand {
+  groupTimeMs: number
+  requests: number
+  updatedAtMs: number
+}
+
+/** What this node knows in order to place requests, and the channels on which it sends them. */
+export class Dispatch {
+  readonly load = new TargetLoad()
+  private readonly channels = new EndpointChannels()
+  private readonly watch: ExchangeWatch
+  private readonly repeats: RetryWindow
+  private targets: readonly DispatchTarget[] = []
+  private readonly demandByModel = new Map<ModelId, ModelDemand>()
+  private requestSeen = false
+
+  constructor (private readonly parts: DispatchParts) {
+    const { clock, retries } = parts
+    const extraFromMs = parts.firstStart ? clock.nowMs() : clock.nowMs() + retries.windowMs
+    this.repeats = new RetryWindow(retries, extraFromMs)
+    this.watch = new ExchangeWatch(clock, (target, head) => { this.noteProgress(target, head) })
+    parts.endpoints.registerListener((endpoints) => { this.noteEndpoints(endpoints) })
+  }
+
+  start (): void {
+    this.watch.start()
+  }
+
+  async close (): Promise<void> {
+    this.watch.stop()
+    await this.channels.close()
+  }
+
+  /** Whether any caller's request has come to this node. */
+  get sawRequest (): boolean {
+    return this.requestSeen
+  }
+
+  /** Group time that callers ask for, by model; empty until enough requests have been seen. */
+  demand (): Map<ModelId, number> {
+    const nowMs = this.parts.clock.nowMs()
+    const known = [...this.demandByModel].filter(([, { requests }]) => requests >= DEMAND_LEAST_REQUESTS)
+    return new Map(known.map(([model, demand]) => [model, faded(demand, nowMs)]))
+  }
+
+  /** Takes in that a request came, whatever becomes of it. */
+  noteRequest (service: ServiceId, head: CallerHead): void {
+    const nowMs = this.parts.clock.nowMs()
+    this.requestSeen = true
+    this.repeats.noteRequest(service, nowMs)
+    const engine = this.engine(service)
+    if (engine === null || head.model === null) return
+    const demand = this.demandByModel.get(head.model) ?? { groupTimeMs: 0, requests: 0, updatedAtMs: nowMs }
+    demand.groupTimeMs = faded(demand, nowMs) + groupTimeMs(engine, head.promptTokens, head.answerTokens * USUAL_ANSWER_SHARE)
+    demand.requests += 1
+    demand.updatedAtMs = nowMs
+    this.demandByModel.set(head.model, demand)
+  }
+
+  place (query: DispatchQuery): DispatchTarget | PlacementRefusal {
+    const { parts } = this
+    const engine = this.engine(query.service)
+    return place({
+      service: query.service,
+      model: engine === null ? null : query.head.model,
+      promptTokens: query.head.promptTokens,
+      patienceMs: Math.min(query.leftMs, query.route.targetLatencyMs * PATIENCE_FACTOR),
+      excluded: query.excluded
+    }, {
+      targets: this.targets,
+      engine,
+      load: this.load,
+      nodes: parts.nodeCount(),
+      ownFailureDomain: parts.failureDomain,
+      random: parts.random,
+      nowMs: parts.clock.nowMs()
+    })
+  }
+
+  channel (target: DispatchTarget): Dispatcher {
+    return this.channels.channel(target.endpoint, target.address)
+  }
+
+  exchangeBegan (target: DispatchTarget, route: Route, _head: CallerHead, _attempt: number, onSilent: () => void): ExchangeWatchHandle {
+    this.load.begin(target.endpoint)
+    return this.watch.begin(target, route, onSilent)
+  }
+
+  exchangeEnded (target: DispatchTarget, _end: ExchangeEnd): void {
+    this.load.end(target.endpoint)
+  }
+
+  /** An exchange ended in a way that speaks against the endpoint or its group. */
+  blame (target: DispatchTarget, _end: ExchangeEnd): void {
+    this.load.noteFailure(target.endpoint, this.parts.clock.nowMs())
+    this.parts.onSuspect(target.endpoint)
+  }
+
+  spendRepeat (service: ServiceId): boolean {
+    return this.repeats.trySpend(service, this.parts.nodeCount(), this.parts.clock.nowMs())
+  }
+
+  private engine (service: ServiceId): EngineSpec | null {
+    return this.parts.manifest.current?.service(service)?.engine ?? null
+  }
+
+  private noteProgress (target: DispatchTarget, head: AnswerHead | null): void {
+    const nowMs = this.parts.clock.nowMs()
+    this.load.noteProgress(target.endpoint, nowMs)
+    if (head !== null && head.load !== null) this.load.noteReading(target.endpoint, head.load, nowMs)
+  }
+
+  private noteEndpoints (endpoints: ReadonlyMap<EndpointId, EndpointRecord>): void {
+    this.targets = [...endpoints.values()].filter(takesRequests).map(targetOf)
+    const ids = new Set(endpoints.keys())
+    this.load.retain(ids)
+    this.channels.retain(ids)
+  }
+}
+
+/** Waits for the first event up to this multiple of the target: readings are late, and a late answer still counts for something. */
+const PATIENCE_FACTOR = 3
+
+function targetOf (record: EndpointRecord): DispatchTarget {
+  const { endpoint, service, address, failureDomain, slots } = record
+  return { endpoint, service, address, failureDomain, slots, model: record.fabricDomain === null ? null : record.model }
+}
+
+function faded ({ groupTimeMs: sum, updatedAtMs }: ModelDemand, nowMs: number): number {
+  return sum * 0.5 ** ((nowMs - updatedAtMs) / DEMAND_HALF_LIFE_MS)
+}
--- /dev/null
+++ b/packages/dotterelspur-gateway/src/process/FleetLease.ts
@@ -0,0 +1,138 @@
+import {
+  ChallengeKind, decideChallenge, isExpired, LeaseEffectKind, leaseKey, LeaseResultKind, mayOrder, NO_SIGHTING, observeAbsence, observeLease, raiseFencingFloor,
+  ReadFreshness, renewalDueAtMs, renewLease, runProcedure, StoreErrorKind, suspendTerm, takeLease,
+  type Clock, type EffectHandlers, type LeaseEffect, type LeaseIdentity, type LeaseObject, type LeaseSighting, type LeaseTerm, type LeaseTiming, type ObjectStore, type Random, type StoredObject
+} from 'dotterelspur'
+import { LogKind, type DecisionLog } from './DecisionLog.js'
+
+/** The one lease: its holder decides for all groups. */
+const FLEET = 'fleet'
+
+/**
+ * Shorter than a failure domain's lease of the mesh: groups lose members every few seconds, and nothing is mended
+ * while nobody holds the lease. A renewal a second is one call a second for the whole fleet.
+ */
+export const FLEET_LEASE_TIMING: LeaseTiming = { ttlMs: 3_000, renewMs: 1_000, marginMs: 500, staggerMs: 0, retryMs: 250 }
+
+/** Waiting nodes look at the lease this often, by reads that may be stale and are cheap for it. */
+const LOOK_INTERVAL_MS = 900
+
+/** How far apart nodes that find the lease open try for it, by chance. */
+const CHALLENGE_SPREAD_MS = 300
+
+/** Takes, renews, watches and gives up the fleet's lease; `step` is called several times a second. */
+export class FleetLease {
+  private sighting: LeaseSighting = NO_SIGHTING
+  private held: LeaseTerm | null = null
+  private running: Promise<void> | null = null
+  private lookAtMs = 0
+  private notBeforeMs: number
+  private renewals = 0
+  private stopped = false
+
+  constructor (
+    private readonly store: ObjectStore, private readonly self: LeaseIdentity, private readonly clock: Clock, private readonly random: Random, private readonly log: DecisionLog
+  ) {
+    this.notBeforeMs = clock.nowMs() + random.next() * CHALLENGE_SPREAD_MS
+  }
+
+  /** Asked right before each order. */
+  mayOrder (): boolean {
+    return this.held !== null && mayOrder(this.held, FLEET_LEASE_TIMING, this.clock.nowMs())
+  }
+
+  /** Rises at each takeover; null while another node holds the lease. */
+  get fencing (): number | null {
+    return this.held?.fencing ?? null
+  }
+
+  /** This process did not run for a while: someone else may hold the lease now. */
+  notePause (): void {
+    if (this.held !== null) this.held = suspendTerm(this.held, this.clock.nowMs())
+  }
+
+  async step (): Promise<void> {
+    if (this.running !== null || this.stopped) return
+    this.running = this.act()
+    try {
+      await this.running
+    } finally {
+      this.running = null
+    }
+  }
+
+  /** Gives the lease up, so that another node need not wait until it lapses. */
+  async release (): Promise<void> {
+    this.stopped = true
+    await this.running
+    if (this.held === null) return
+    await runProcedure(renewLease(this.held, this.self, FLEET_LEASE_TIMING, true), this.handlers())
+    this.lose('released')
+  }
+
+  private async act (): Promise<void> {
+    const nowMs = this.clock.nowMs()
+    if (nowMs < this.notBeforeMs) return
+    if (this.held !== null) return await this.renew(this.held, nowMs)
+    await this.challenge(nowMs)
+  }
+
+  private async renew (term: LeaseTerm, nowMs: number): Promise<void> {
+    if (isExpired(term, FLEET_LEASE_TIMING, nowMs)) return this.lose('expired')
+    if (nowMs < renewalDueAtMs(term, FLEET_LEASE_TIMING)) return
+    const result = await runProcedure(renewLease(term, this.self, FLEET_LEASE_TIMING), this.handlers())
+    if (result.kind === LeaseResultKind.Lost) {
+      if (result.observed !== null) this.observe(result.observed)
+      return this.lose(result.loss)
+    }
+    const suspendedMeanwhile = this.held?.suspendedAtMs !== term.suspendedAtMs ? this.held?.suspendedAtMs ?? null : null
+    this.held = suspendedMeanwhile === null ? result.term : suspendTerm(result.term, suspendedMeanwhile)
+    if (result.error !== null) this.notBeforeMs = this.clock.nowMs() + FLEET_LEASE_TIMING.retryMs
+  }
+
+  private async challenge (nowMs: number): Promise<void> {
+    const decision = decideChallenge(this.sighting, { ...this.self, rank: 0 }, FLEET_LEASE_TIMING, nowMs)
+    if (decision.kind === ChallengeKind.Wait) return await this.look(nowMs)
+    const result = await runProcedure(takeLease(FLEET, this.self, decision.expectedVersion, decision.fencing, FLEET_LEASE_TIMING), this.handlers())
+    if (result.kind === LeaseResultKind.Held) {
+      this.held = result.term
+      return this.log.write(LogKind.LeaseTaken, { fencing: result.term.fencing, version: result.term.version, formerHolder: this.sighting.lease?.holder ?? null })
+    }
+    if (result.observed !== null) this.observe(result.observed)
+    this.notBeforeMs = this.clock.nowMs() + FLEET_LEASE_TIMING.retryMs * (0.5 + this.random.next())
+    this.lookAtMs = 0
+  }
+
+  private async look (nowMs: number): Promise<void> {
+    if (nowMs < this.lookAtMs) return
+    this.lookAtMs = nowMs + LOOK_INTERVAL_MS
+    const freshness = this.sighting.firstSeenAtMs === null ? ReadFreshness.Newest : ReadFreshness.MayBeStale
+    const read = await this.store.get<LeaseObject>(leaseKey(FLEET), freshness)
+    if (read.ok) this.observe(read.value)
+    else if (read.error.kind === StoreErrorKind.NotFound) this.sighting = observeAbsence(this.sighting, this.clock.nowMs())
+  }
+
+  private observe (stored: StoredObject<LeaseObject>): void {
+    if (!stored.deleted) this.sighting = observeLease(this.sighting, stored.version, stored.body, this.clock.nowMs())
+  }
+
+  private lose (reason: string): void {
+    const term = this.held
+    this.held = null
+    if (term === null) return
+    this.sighting = raiseFencingFloor({ ...this.sighting, firstSeenAtMs: this.clock.nowMs() }, term.fencing)
+    this.lookAtMs = 0
+    this.log.write(LogKind.LeaseLost, { fencing: term.fencing, reason })
+  }
+
+  private handlers (): EffectHandlers<LeaseEffect> {
+    return {
+      [LeaseEffectKind.Now]: () => this.clock.nowMs(),
+      [LeaseEffectKind.Renewal]: () => ++this.renewals,
+      [LeaseEffectKind.Read]: async ({ key }) => await this.store.get<LeaseObject>(key),
+      [LeaseEffectKind.Write]: async ({ key, body, expectedVersion }) => {
+        return expectedVersion === 0 ? await this.store.create(key, body) : await this.store.update(key, body, expectedVersion)
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/dotterelspur-gateway/src/process/FormationKeeper.ts
@@ -0,0 +1,330 @@
+import {
+  FormationDecisionKind, FormationEffectKind, FormationEnd, formationKey, formGroup, MemberState, EndpointOrderKind, openHead, planFormations, runProcedure,
+  type AddressedOrder, type Clock, type EffectHandlers, type EndpointId, type EndpointRecord, type EngineSpec, type FormationDecision, type FormationEffect, type FormationPlan,
+  type FormationView, type ModelId, type ModelSpec, type OrderReply, type ServiceSpec, type Teardown
+} from 'dotterelspur'
+import type { DecisionLog } from './DecisionLog.js'
+import { LogKind } from './DecisionLog.js'
+import type { EndpointKeeper } from './EndpointKeeper.js'
+import type { FleetLease } from './FleetLease.js'
+import { ReportEndKind, type EndpointControl, type EndpointPlace } from './GatewayPorts.js'
+import { LoadMeter } from './LoadMeter.js'
+import type { ManifestKeeper } from './ManifestKeeper.js'
+import { Reachability } from './Reachability.js'
+
+/** Formation numbers of one lease holding; the next holding's are all higher. */
+const FORMATIONS_PER_TERM = 1_000_000
+
+/** Changes of the list come in bursts, as when members of a group get ready one after the other. */
+const SETTLE_MS = 20
+/** Looks at the fleet also without a change: endpoints fall silent without one. */
+const LOOK_INTERVAL_MS = 250
+/** While a join is awaited and the list says nothing, members are asked directly this often. */
+const READY_POLL_MS = 500
+const READY_REPORT_TIMEOUT_MS = 400
+/** A lost plan's members are left alone for this long, so that the same plan isn't tried without pause. */
+const FAILED_PLAN_PAUSE_MS = 300
+
+export interface FormationKeeperParts {
+  readonly clock: Clock
+  readonly log: DecisionLog
+  readonly lease: FleetLease
+  readonly manifest: ManifestKeeper
+  readonly endpoints: EndpointKeeper
+  readonly control: EndpointControl
+  /** Group time that callers ask for, by model; empty while nothing is known. */
+  readonly demand: () => ReadonlyMap<ModelId, number>
+  /** Whether callers' requests have come, after which loads take their full time. */
+  readonly trafficSeen: () => boolean
+}
+
+/** Keeps the groups of each model service: decides while it holds the lease, and carries out what was decided. */
+export class FormationKeeper {
+  readonly reachability: Reachability
+  private readonly loads = new LoadMeter()
+  private readonly engaged = new Map<EndpointId, FormationPlan | null>()
+  private readonly forming = new Map<FormationPlan, ModelId>()
+  /** Heads that left the list and may still serve those who know their address. */
+  private readonly unlistedHeads = new Map<EndpointId, EndpointRecord>()
+  private known: ReadonlyMap<EndpointId, EndpointRecord> = new Map()
+  private readonly fullSizes = new Map<string, number>()
+  private readonly awaiting = new Set<() => void>()
+  private formations = 0
+  private cancelLook: Teardown = () => {}
+  private stopped = false
+
+  constructor (private readonly parts: FormationKeeperParts) {
+    this.reachability = new Reachability(parts.control, parts.clock, parts.log, () => { this.lookSoon() })
+    parts.endpoints.registerListener((endpoints) => { this.noteEndpoints(endpoints) })
+    parts.manifest.registerListener(() => { this.lookSoon() })
+  }
+
+  start (): void {
+    this.schedule(LOOK_INTERVAL_MS)
+  }
+
+  stop (): void {
+    this.stopped = true
+    this.cancelLook()
+  }
+
+  /** A caller's exchange suggests that a group stands still: each member that can be found is asked. */
+  suspectGroup (head: EndpointId): void {
+    const record = this.known.get(head)
+    if (record === undefined || !this.parts.lease.mayOrder()) return
+    const membership = record.membership
+    const members = membership === null ? [record] : [...this.known.values()].filter((other) => sameFormation(other, record))
+    this.parts.log.write(LogKind.GroupSuspected, { head, group: membership?.group ?? null, members: members.length })
+    for (const member of members) this.reachability.suspect(member)
+  }
+
+  private noteEndpoints (endpoints: ReadonlyMap<EndpointId, EndpointRecord>): void {
+    for (const [id, record] of this.known) {
+      if (!endpoints.has(id) && isServingHead(record)) {
+        this.unlistedHeads.set(id, record)
+        if (this.parts.lease.mayOrder()) this.reachability.suspect(record)
+      }
+    }
+    for (const id of endpoints.keys()) this.unlistedHeads.delete(id)
+    this.known = endpoints
+    for (const check of [...this.awaiting]) check()
+    this.lookSoon()
+  }
+
+  private lookSoon (): void {
+    this.schedule(SETTLE_MS)
+  }
+
+  private schedule (delayMs: number): void {
+    if (this.stopped) return
+    this.cancelLook()
+    this.cancelLook = this.parts.clock.registerTimer(delayMs, () => { this.look() })
+  }
+
+  private look (): void {
+    this.schedule(LOOK_INTERVAL_MS)
+    const { lease, manifest } = this.parts
+    if (!lease.mayOrder() || manifest.current === null) return
+    this.reachability.recheck(this.known, new Set(this.unlistedHeads.keys()))
+    for (const service of manifest.current.manifest.services) {
+      if (service.engine !== null) this.decide(service, service.engine)
+    }
+  }
+
+  private decide (service: ServiceSpec, engine: EngineSpec): void {
+    const { clock } = this.parts
+    const endpoints = [...this.known.values()].filter((record) => record.service === service.service)
+    const sound = endpoints.filter(({ leaving }) => !leaving).length
+    const fullSize = Math.max(sound, this.fullSizes.get(service.service) ?? 0)
+    this.fullSizes.set(service.service, fullSize)
+    const decisions = planFormations({
+      endpoints,
+      unreachable: this.reachability.unreachable(),
+      unlistedHeads: this.reachableUnlistedHeads(),
+      engaged: this.engagedNow(),
+      forming: this.formingCounts(),
+      models: engine.models,
+      demand: this.demandOf(engine),
+      fullSize,
+      loadAllowance: this.parts.trafficSeen() ? this.loads.allowance(engine, clock.nowMs()) : endpoints.length,
+      mayLoadToForm: !this.parts.trafficSeen(),
+      nextFormation: () => this.nextFormation()
+    })
+    for (const decision of decisions) this.begin(decision, engine)
+  }
+
+  private engagedNow (): Set<EndpointId> {
+    const engaged = new Set([...this.engaged.keys(), ...this.reachability.undecided()])
+    for (const [head, record] of this.unlistedHeads) {
+      const isDecided = this.reachability.isReachable(head) || this.reachability.unreachable().has(head)
+      if (isDecided) continue
+      for (const other of this.known.values()) {
+        if (sameFormation(other, record)) engaged.add(other.endpoint)
+      }
+    }
+    return engaged
+  }
+
+  private reachableUnlistedHeads (): Map<string, EndpointId> {
+    const heads = new Map<string, EndpointId>()
+    for (const [head, { membership }] of this.unlistedHeads) {
+      if (this.reachability.isReachable(head)) heads.set(formationKey(membership!.group, membership!.formation), head)
+    }
+    return heads
+  }
+
+  private formingCounts (): Map<ModelId, number> {
+    const counts = new Map<ModelId, number>()
+    for (const model of this.forming.values()) counts.set(model, (counts.get(model) ?? 0) + 1)
+    return counts
+  }
+
+  /** Before callers have shown what they ask for, the operators' shares stand for it. */
+  private demandOf (engine: EngineSpec): Map<ModelId, number> {
+    const seen = this.parts.demand()
+    const hasSeen = engine.models.every(({ model }) => seen.has(model))
+    return new Map(engine.models.map((spec) => [spec.model, hasSeen ? seen.get(spec.model)! * spec.pace : spec.share / spec.size]))
+  }
+
+  private nextFormation (): number {
+    this.formations += 1
+    return this.parts.lease.fencing! * FORMATIONS_PER_TERM + this.formations
+  }
+
+  private begin (decision: FormationDecision, engine: EngineSpec): void {
+    switch (decision.kind) {
+      case FormationDecisionKind.Form: return this.run(this.form(decision.plan, engine))
+      case FormationDecisionKind.Open: return this.run(this.open(decision.view))
+      case FormationDecisionKind.Stage: return this.run(this.stage(decision.endpoint, decision.model, engine))
+    }
+  }
+
+  private run (work: Promise<void>): void {
+    work.catch((error: unknown) => { this.parts.log.write(LogKind.Unexpected, { where: 'formation', error: String(error) }) })
+  }
+
+  private async form (plan: FormationPlan, engine: EngineSpec): Promise<void> {
+    const { clock, log } = this.parts
+    const startedAtMs = clock.nowMs()
+    this.noteLoads(plan, engine)
+    for (const member of plan.members) this.engaged.set(member, plan)
+    this.forming.set(plan, plan.model)
+    log.write(LogKind.FormationBegun, { group: plan.group, model: plan.model, members: plan.members, former: plan.former.map(({ group, head }) => `${group}:${head ?? 'gone'}`) })
+    const end = await runProcedure(formGroup(plan), this.handlers())
+    log.write(LogKind.FormationEnded, { group: plan.group, model: plan.model, end, tookMs: Math.round(clock.nowMs() - startedAtMs) })
+    if (end !== FormationEnd.Opened) {
+      for (const member of plan.members) this.suspectMember(member)
+      await pause(clock, FAILED_PLAN_PAUSE_MS)
+    } else {
+      await this.untilListedOpen(plan)
+    }
+    this.forming.delete(plan)
+    for (const member of plan.members) this.engaged.delete(member)
+    this.lookSoon()
+  }
+
+  /** Until the list shows what was just done, a look would take the members for free ones. */
+  private async untilListedOpen (plan: FormationPlan): Promise<void> {
+    const head = plan.members[0]!
+    const isListed = (): boolean => {
+      const record = this.known.get(head)
+      return record === undefined || (record.membership?.formation === plan.formation && record.membership.state === MemberState.Open)
+    }
+    await this.until(isListed, plan.joinTimeoutMs)
+  }
+
+  private async open (view: FormationView): Promise<void> {
+    const members = view.members.map(({ endpoint }) => endpoint)
+    for (const member of members) this.engaged.set(member, null)
+    const opened = await runProcedure(openHead(members[0]!, view.group, view.formation), this.handlers())
+    this.parts.log.write(LogKind.FormationEnded, { group: view.group, model: view.model, end: opened ? FormationEnd.Opened : FormationEnd.NotOpened, adopted: true })
+    await pause(this.parts.clock, FAILED_PLAN_PAUSE_MS)
+    for (const member of members) this.engaged.delete(member)
+  }
+
+  private async stage (endpoint: EndpointId, model: ModelId, engine: EngineSpec): Promise<void> {
+    if (this.loads.isLoading(endpoint)) return
+    const spec = engine.models.find((candidate) => candidate.model === model)!
+    this.loads.begin(endpoint, this.parts.clock.nowMs(), this.loadMs(spec))
+    const [reply] = await this.sendOrders([{ endpoint, order: { kind: EndpointOrderKind.Stage, model } }])
+    this.parts.log.write(LogKind.HostStaged, { endpoint, model, reply })
+  }
+
+  private noteLoads (plan: FormationPlan, engine: EngineSpec): void {
+    const spec = engine.models.find(({ model }) => model === plan.model)!
+    for (const member of plan.members) {
+      if (this.known.get(member)?.staged.includes(plan.model) !== true) this.loads.begin(member, this.parts.clock.nowMs(), this.loadMs(spec))
+    }
+  }
+
+  private loadMs (spec: ModelSpec): number {
+    return spec.loadMs
+  }
+
+  private suspectMember (endpoint: EndpointId): void {
+    const record = this.known.get(endpoint)
+    if (record !== undefined) this.reachability.suspect(record)
+  }
+
+  private handlers (): EffectHandlers<FormationEffect> {
+    return {
+      [FormationEffectKind.SendOrders]: async ({ orders }) => await this.sendOrders(orders),
+      [FormationEffectKind.AwaitReady]: async ({ plan }) => await this.awaitReady(plan),
+      [FormationEffectKind.Wait]: async ({ durationMs }) => { await pause(this.parts.clock, durationMs) }
+    }
+  }
+
+  private async sendOrders (orders: readonly AddressedOrder[]): Promise<OrderReply[]> {
+    return await Promise.all(orders.map(async ({ endpoint, order }) => await this.parts.control.order(this.placeOf(endpoint), order)))
+  }
+
+  private placeOf (endpoint: EndpointId): EndpointPlace {
+    const record = this.known.get(endpoint) ?? this.unlistedHeads.get(endpoint)
+    return { endpoint, address: record?.address ?? '' }
+  }
+
+  /** The list tells of each member that gets ready; while it is silent, as with the store out, members are asked. */
+  private async awaitReady (plan: FormationPlan): Promise<boolean> {
+    const startedAtMs = this.parts.clock.nowMs()
+    const deadlineMs = startedAtMs + plan.joinTimeoutMs
+    const askFromMs = startedAtMs + plan.joinTimeoutMs / 2
+    const seenReady = new Set<EndpointId>()
+    const isOver = (): boolean => {
+      for (const member of plan.members) {
+        if (isReadyIn(this.known.get(member), plan)) seenReady.add(member)
+      }
+      return seenReady.size === plan.members.length || plan.members.some((member) => this.isLost(member))
+    }
+    while (!isOver() && this.parts.clock.nowMs() < deadlineMs) {
+      const changed = await this.until(isOver, READY_POLL_MS)
+      if (!changed && this.parts.clock.nowMs() >= askFromMs) await this.askMembers(plan, seenReady)
+    }
+    return seenReady.size === plan.members.length
+  }
+
+  private isLost (endpoint: EndpointId): boolean {
+    const record = this.known.get(endpoint)
+    return record === undefined || record.leaving || this.reachability.unreachable().has(endpoint)
+  }
+
+  private async askMembers (plan: FormationPlan, seenReady: Set<EndpointId>): Promise<void> {
+    const unknown = plan.members.filter((member) => !seenReady.has(member))
+    await Promise.all(unknown.map(async (member) => {
+      const end = await this.parts.control.report(this.placeOf(member), READY_REPORT_TIMEOUT_MS)
+      if (end.kind === ReportEndKind.Answered && isReadyIn(end.report, plan)) seenReady.add(member)
+      if (end.kind === ReportEndKind.Silent) this.suspectMember(member)
+    }))
+  }
+
+  /** Waits until `condition` holds, looked at on each change of the list; false when the time is over first. */
+  private async until (condition: () => boolean, timeoutMs: number): Promise<boolean> {
+    if (condition()) return true
+    return await new Promise<boolean>((resolve) => {
+      const finish = (result: boolean): void => {
+        this.awaiting.delete(check)
+        cancel()
+        resolve(result)
+      }
+      const check = (): void => { if (condition()) finish(true) }
+      const cancel = this.parts.clock.registerTimer(timeoutMs, () => { finish(condition()) })
+      this.awaiting.add(check)
+    })
+  }
+}
+
+function isReadyIn (word: Pick<EndpointRecord, 'membership'> | undefined, plan: FormationPlan): boolean {
+  const membership = word?.membership ?? null
+  return membership !== null && membership.group === plan.group && membership.formation === plan.formation && membership.state === MemberState.Ready
+}
+
+function isServingHead ({ membership }: EndpointRecord): boolean {
+  return membership !== null && membership.rank === 0 && (membership.state === MemberState.Open || membership.state === MemberState.Closing)
+}
+
+function sameFormation (left: EndpointRecord, right: EndpointRecord): boolean {
+  return left.membership !== null && right.membership !== null && left.membership.group === right.membership.group && left.membership.formation === right.membership.formation
+}
+
+async function pause (clock: Clock, durationMs: number): Promise<void> {
+  await new Promise<void>((resolve) => { clock.registerTimer(durationMs, resolve) })
+}
--- /dev/null
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -0,0 +1,196 @@
+import type { Server } from 'node:http'
+import { createRandom, type Clock, type EndpointId, type ObjectStore, type Teardown } from 'dotterelspur'
+import { CallerListener } from '../connection/CallerListener.js'
+import { PeerLinks } from '../connection/PeerLinks.js'
+import { jsonAnswer, listenSmall, type SmallHandler } from '../connection/SmallListeners.js'
+import { LogKind, type DecisionLog } from './DecisionLog.js'
+import { Dispatch } from './Dispatch.js'
+import { EndpointKeeper } from './EndpointKeeper.js'
+import { FleetLease } from './FleetLease.js'
+import { FormationKeeper } from './FormationKeeper.js'
+import { GatewayMetrics } from './GatewayMetrics.js'
+import type { EndpointControl, WireFormat } from './GatewayPorts.js'
+import type { GatewaySettings, ListenAddress } from './GatewaySettings.js'
+import { ManifestKeeper } from './ManifestKeeper.js'
+import { NodeKeeper, type NodeRecord } from './NodeKeeper.js'
+
+/** How often the lease, the log and pauses are looked at. */
+const STEP_INTERVAL_MS = 100
+/** A gap of this length between two steps means that the process stood still. */
+const PAUSE_THRESHOLD_MS = 800
+/** After a planned stop began, callers that still hold this address are served for so long. */
+const STOP_LISTENING_AFTER_MS = 3_000
+/** Left of the grace when what is still running is given up; the process then ends by itself. */
+const STOP_MARGIN_MS = 600
+const STOP_POLL_MS = 50
+
+export interface GatewayParts {
+  readonly clock: Clock
+  readonly store: ObjectStore
+  readonly control: EndpointControl
+  readonly wire: WireFormat
+  readonly log: DecisionLog
+  /** The names under which the platform asks; they belong to the adapter. */
+  readonly questions: GatewayQuestions
+}
+
+/** Paths of the small listeners. */
+export interface GatewayQuestions {
+  readonly readyPath: string
+  readonly directoryPath: string
+  readonly metricsPath: string
+  /** The directory's answer, of addresses and a time to live. */
+  readonly writeDirectory: (addresses: readonly string[], ttlMs: number) => unknown
+}
+
+/** One process of the system: takes requests, answers the directory, and decides while it holds the lease. */
+export class Gateway {
+  readonly metrics = new GatewayMetrics()
+  private readonly manifest: ManifestKeeper
+  private readonly endpoints: EndpointKeeper
+  private readonly nodes: NodeKeeper
+  private readonly lease: FleetLease
+  private readonly formations: FormationKeeper
+  private readonly dispatch: Dispatch
+  private readonly callers: CallerListener
+  private readonly peers: PeerLinks
+  private readonly servers: Server[] = []
+  private readonly teardowns: Teardown[] = []
+  private draining = false
+  private steppedAtMs: number
+
+  constructor (private readonly settings: GatewaySettings, private readonly parts: GatewayParts) {
+    const { clock, store, log } = parts
+    const incarnation = Math.round(clock.wallMs())
+    const random = createRandom(incarnation ^ hashText(settings.node))
+    this.steppedAtMs = clock.nowMs()
+    this.manifest = new ManifestKeeper(log)
+    this.endpoints = new EndpointKeeper(clock, log)
+    this.nodes = new NodeKeeper(store, nodeRecord(settings, incarnation), clock, log)
+    this.lease = new FleetLease(store, { node: settings.node, incarnation }, clock, random, log)
+    this.formations = new FormationKeeper({
+      clock, log, lease: this.lease, manifest: this.manifest, endpoints: this.endpoints, control: parts.control,
+      demand: () => this.dispatch.demand(),
+      trafficSeen: () => !settings.firstStart || this.dispatch.sawRequest
+    })
+    this.dispatch = new Dispatch({
+      clock, random, failureDomain: settings.failureDomain, manifest: this.manifest, endpoints: this.endpoints, retries: settings.retries, firstStart: settings.firstStart,
+      nodeCount: () => this.nodes.nodes().length,
+      onSuspect: (head) => { this.suspect(head) }
+    })
+    this.callers = new CallerListener({ clock, random, log, metrics: this.metrics, wire: parts.wire, manifest: this.manifest, dispatch: this.dispatch })
+    this.peers = new PeerLinks(clock, log, (head) => { this.formations.suspectGroup(head) }, (node) => { this.dropNode(node) })
+    this.registerGauges()
+  }
+
+  async start (): Promise<void> {
+    const { settings, parts } = this
+    const { questions } = parts
+    await Promise.all([
+      this.callers.listen(settings.callers),
+      this.peers.listen(settings.peers),
+      this.listen(settings.readiness, (url) => url.pathname === questions.readyPath ? this.readyAnswer() : null),
+      this.listen(settings.directory, (url) => url.pathname === questions.directoryPath ? this.directoryAnswer() : null),
+      this.listen(settings.metrics, async (url) => url.pathname === questions.metricsPath ? { status: 200, contentType: 'text/plain', body: await this.metrics.page() } : null)
+    ])
+    this.teardowns.push(this.manifest.follow(parts.store), this.endpoints.follow(parts.store), this.nodes.follow())
+    this.dispatch.start()
+    this.formations.start()
+    this.peers.keep(() => this.nodes.nodes().filter(({ node }) => node !== settings.node), () => this.lease.mayOrder())
+    this.step()
+    parts.log.write(LogKind.Start, { callers: addressOf(settings.callers), failureDomain: settings.failureDomain, firstStart: settings.firstStart })
+    await this.nodes.register()
+  }
+
+  /**
+   * Stops as planned: callers are sent elsewhere at once, what is under way is finished, and late callers are still
+   * served for a while. Resolves when nothing is left, or shortly before the process would be killed.
+   */
+  async stop (): Promise<void> {
+    const { clock, log } = this.parts
+    const startedAtMs = clock.nowMs()
+    log.write(LogKind.Stop, { running: this.callers.runningRequests })
+    this.draining = true
+    this.callers.drain()
+    this.formations.stop()
+    const handedOver = Promise.allSettled([this.lease.release(), this.nodes.leave()])
+    while (clock.nowMs() - startedAtMs < this.settings.stopGraceMs - STOP_MARGIN_MS) {
+      const passedMs = clock.nowMs() - startedAtMs
+      if (passedMs >= STOP_LISTENING_AFTER_MS) {
+        this.callers.stopListening()
+        if (this.callers.runningRequests === 0) break
+      }
+      await new Promise<void>((resolve) => { clock.registerTimer(STOP_POLL_MS, resolve) })
+    }
+    await Promise.race([handedOver, new Promise<void>((resolve) => { clock.registerTimer(STOP_POLL_MS, resolve) })])
+    await this.close()
+  }
+
+  async close (): Promise<void> {
+    for (const teardown of this.teardowns) teardown()
+    this.formations.stop()
+    this.peers.close()
+    for (const server of this.servers) server.closeAllConnections()
+    await this.callers.close()
+    await this.dispatch.close()
+    this.parts.log.flush()
+  }
+
+  private async listen (address: ListenAddress, handler: SmallHandler): Promise<void> {
+    this.servers.push(await listenSmall(address, handler))
+  }
+
+  private readyAnswer (): ReturnType<typeof jsonAnswer> {
+    const ready = !this.draining && this.manifest.current !== null && this.endpoints.isKnown
+    return jsonAnswer({ ready }, ready ? 200 : 503)
+  }
+
+  private directoryAnswer (): ReturnType<typeof jsonAnswer> {
+    const addresses = this.nodes.nodes().map(({ callers }) => callers)
+    return jsonAnswer(this.parts.questions.writeDirectory(addresses, this.settings.directoryTtlMs))
+  }
+
+  private suspect (head: EndpointId): void {
+    if (this.lease.mayOrder()) this.formations.suspectGroup(head)
+    else this.peers.tellSuspicion(head)
+  }
+
+  private dropNode (node: NodeRecord): void {
+    this.nodes.drop(node).catch((error: unknown) => { this.parts.log.write(LogKind.Unexpected, { where: 'node entry', error: String(error) }) })
+  }
+
+  private step (): void {
+    const { clock, log } = this.parts
+    const nowMs = clock.nowMs()
+    if (nowMs - this.steppedAtMs > PAUSE_THRESHOLD_MS) this.lease.notePause()
+    this.steppedAtMs = nowMs
+    this.lease.step().catch((error: unknown) => { log.write(LogKind.Unexpected, { where: 'lease', error: String(error) }) })
+    this.teardowns.push(clock.registerTimer(STEP_INTERVAL_MS, () => {
+      this.teardowns.pop()
+      this.step()
+    }))
+  }
+
+  private registerGauges (): void {
+    this.metrics.gauge('running_requests', 'Requests under way', () => this.callers.runningRequests)
+    this.metrics.gauge('manifest_version', 'Version of the manifest in force', () => this.manifest.current?.version ?? 0)
+    this.metrics.gauge('endpoints', 'Endpoints on the list', () => this.endpoints.current.size)
+    this.metrics.gauge('nodes', 'Nodes on the list', () => this.nodes.nodes().length)
+    this.metrics.gauge('decides', '1 while this node holds the lease', () => Number(this.lease.mayOrder()))
+    this.metrics.gauge('log_lines_dropped', 'Log lines dropped since the start', () => this.parts.log.dropped)
+    this.metrics.gauge('resident_bytes', 'Resident memory', () => process.memoryUsage.rss())
+  }
+}
+
+function nodeRecord (settings: GatewaySettings, incarnation: number): NodeRecord {
+  return { node: settings.node, failureDomain: settings.failureDomain, callers: addressOf(settings.callers), peers: addressOf(settings.peers), incarnation }
+}
+
+function addressOf ({ host, port }: ListenAddress): string {
+  return `${host}:${port}`
+}
+
+/** A small hash, so that nodes that start in the same millisecond draw different numbers. */
+function hashText (text: string): number {
+  return [...text].reduce((hash, char) => (Math.imul(hash, 31) + char.charCodeAt(0)) | 0, 7)
+}
--- /dev/null
+++ b/packages/dotterelspur-gateway/src/process/GatewayPorts.ts
@@ -0,0 +1,79 @@
+import type { IncomingHttpHeaders } from 'node:http'
+import type { EndpointId, EndpointOrder, LoadReading, Membership, ModelId, OrderReply, WorkspaceId } from 'dotterelspur'
+
+/** What the headers of a caller's request say. */
+export interface CallerHead {
+  /** The caller's id for this attempt; null where it sent none. */
+  readonly requestId: string | null
+  /** How long the caller will wait, from when it sent the request. */
+  readonly deadlineMs: number | null
+  readonly key: string | null
+  readonly model: ModelId | null
+  readonly promptTokens: number
+  /** The most tokens that the answer may have. */
+  readonly answerTokens: number
+  /** The last event that the caller has of an earlier attempt. */
+  readonly lastEventId: string | null
+}
+
+/** What the system itself says to an endpoint about a request. */
+export interface ForwardedHead {
+  readonly endpoint: EndpointId
+  readonly workspace: WorkspaceId | null
+  readonly deadlineMs: number | null
+  /** 0 goes first. */
+  readonly priority: number
+  readonly lastEventId: string | null
+}
+
+/** What the headers of an endpoint's answer say. */
+export interface AnswerHead {
+  readonly requestId: string | null
+  /** The endpoint declares that it did not run the request. */
+  readonly notExecuted: boolean
+  readonly load: LoadReading | null
+  /** The member of its group that keeps the endpoint from serving. */
+  readonly lostMember: EndpointId | null
+}
+
+/** Translates headers between the wire and the types above. */
+export interface WireFormat {
+  readCaller (headers: IncomingHttpHeaders): CallerHead
+  /** Takes and gives headers as a flat list of names and values; connection headers are gone already. */
+  writeForwarded (headers: readonly string[], head: ForwardedHead): string[]
+  readAnswer (headers: IncomingHttpHeaders): AnswerHead
+}
+
+/** Where an endpoint can be reached, and as which of its lives. */
+export interface EndpointPlace {
+  readonly endpoint: EndpointId
+  readonly address: string
+}
+
+/** An endpoint's own word on itself, some hundred milliseconds old. */
+export interface EndpointReport {
+  readonly membership: Membership | null
+  readonly model: ModelId | null
+  readonly staged: readonly ModelId[]
+  readonly running: number
+  readonly waiting: number
+}
+
+export enum ReportEndKind {
+  Answered = 'answered',
+  /** Nothing listens there, or another endpoint has the address. */
+  Gone = 'gone',
+  /** No answer in time. */
+  Silent = 'silent'
+}
+
+export type ReportEnd =
+  | { readonly kind: ReportEndKind.Answered, readonly report: EndpointReport }
+  | { readonly kind: ReportEndKind.Gone }
+  | { readonly kind: ReportEndKind.Silent }
+
+/** Orders and questions to endpoints. Neither call throws. */
+export interface EndpointControl {
+  order (place: EndpointPlace, order: EndpointOrder): Promise<OrderReply>
+  report (place: EndpointPlace, timeoutMs: number): Promise<ReportEnd>
+}
--- /dev/null
+++ b/packages/dotterelspur-gateway/src/process/GatewaySettings.ts
@@ -0,0 +1,29 @@
+import type { FailureDomainId, NodeId, RetryWindowOptions } from 'dotterelspur'
+
+/** Where one listener of this process is bound. */
+export interface ListenAddress {
+  readonly host: string
+  readonly port: number
+}
+
+/** What one process is told at its start. */
+export interface GatewaySettings {
+  readonly node: NodeId
+  readonly failureDomain: FailureDomainId
+  /** Callers' requests. */
+  readonly callers: ListenAddress
+  /** The platform asks here whether this node is ready. */
+  readonly readiness: ListenAddress
+  /** Callers ask here which addresses to use. */
+  readonly directory: ListenAddress
+  /** Other nodes connect here. */
+  readonly peers: ListenAddress
+  readonly metrics: ListenAddress
+  /** The whole system starts for the first time: nothing can be left over from an earlier life. */
+  readonly firstStart: boolean
+  /** From a planned stop's signal until the process is killed. */
+  readonly stopGraceMs: number
+  /** How long callers may keep an answer of the directory. */
+  readonly directoryTtlMs: number
+  readonly retries: RetryWindowOptions
+}
--- /dev/null
+++ b/packages/dotterelspur-gateway/src/process/ManifestKeeper.ts
@@ -0,0 +1,47 @@
+import { RouteTable, WatchEventKind, type Manifest, type ObjectStore, type StoredObject, type Teardown, type WatchEvent } from 'dotterelspur'
+import { LogKind, type DecisionLog } from './DecisionLog.js'
+
+/** Where the operators' document is, in the product's names. */
+export const MANIFEST_PREFIX = 'manifest/'
+
+export type ManifestListener = (table: RouteTable) => void
+
+/**
+ * Keeps the newest manifest in force. A version that was in force is never followed by a lower one in the life of
+ * this process, whatever a store that answers from the past says; while the store is out the last one stays.
+ */
+export class ManifestKeeper {
+  private table: RouteTable | null = null
+  private readonly listeners = new Set<ManifestListener>()
+
+  constructor (private readonly log: DecisionLog) {}
+
+  /** Null until the first manifest has been read. */
+  get current (): RouteTable | null {
+    return this.table
+  }
+
+  registerListener (listener: ManifestListener): Teardown {
+    this.listeners.add(listener)
+    return () => { this.listeners.delete(listener) }
+  }
+
+  follow (store: ObjectStore): Teardown {
+    return store.watch<Manifest>(MANIFEST_PREFIX, (event) => { this.take(event) })
+  }
+
+  private take (event: WatchEvent<Manifest>): void {
+    if (event.kind === WatchEventKind.Object) this.offer(event.object)
+    if (event.kind === WatchEventKind.Listing) event.listing.objects.forEach((object) => { this.offer(object) })
+  }
+
+  private offer (object: StoredObject<Manifest>): void {
+    const current = this.table
+    if (object.deleted || (current !== null && object.body.version <= current.version)) return
+    this.table = new RouteTable(object.body)
+    this.log.write(LogKind.ManifestInForce, {
+      version: object.body.version, formerVersion: current?.version ?? null, storeVersion: object.version, routes: object.body.routes.length, workspaces: object.body.workspaces.length
+    })
+    for (const listener of this.listeners) listener(this.table)
+  }
+}
--- /dev/null
+++ b/packages/dotterelspur-gateway/src/process/NodeKeeper.ts
@@ -0,0 +1,101 @@
+import { StoreErrorKind, WatchEventKind, type Clock, type FailureDomainId, type NodeId, type ObjectStore, type StoredObject, type Teardown, type WatchEvent } from 'dotterelspur'
+import { LogKind, type DecisionLog } from './DecisionLog.js'
+
+export const NODE_PREFIX = 'nodes/'
+
+/** Between two tries to write the own entry. */
+const REGISTER_RETRY_MS = 400
+
+/** How a node can be reached, as it wrote itself. */
+export interface NodeRecord {
+  readonly node: NodeId
+  readonly failureDomain: FailureDomainId
+  /** `ip:port` for callers. */
+  readonly callers: string
+  /** `ip:port` for other nodes. */
+  readonly peers: string
+  /** Tells the lives of a process apart. */
+  readonly incarnation: number
+}
+
+/** Knows the nodes of the system from the store, and writes this one there. */
+export class NodeKeeper {
+  private readonly records = new Map<NodeId, StoredObject<NodeRecord>>()
+  private leaving = false
+
+  constructor (private readonly store: ObjectStore, private readonly self: NodeRecord, private readonly clock: Clock, private readonly log: DecisionLog) {}
+
+  /** All listed nodes, this one always among them until it leaves. */
+  nodes (): NodeRecord[] {
+    const others = [...this.records.values()].map(({ body }) => body).filter(({ node }) => node !== this.self.node)
+    return this.leaving ? others : [this.self, ...others]
+  }
+
+  follow (): Teardown {
+    return this.store.watch<NodeRecord>(NODE_PREFIX, (event) => { this.take(event) })
+  }
+
+  /** Writes the own entry; goes on trying while the store is out. */
+  async register (): Promise<void> {
+    while (!this.leaving) {
+      if (await this.writeOwn()) return
+      await new Promise<void>((resolve) => { this.clock.registerTimer(REGISTER_RETRY_MS, resolve) })
+    }
+  }
+
+  /** Takes the own entry back, so that callers are not sent here any more. */
+  async leave (): Promise<void> {
+    this.leaving = true
+    const own = this.records.get(this.self.node)
+    const read = own === undefined ? await this.store.get<NodeRecord>(this.key()) : { ok: true as const, value: own }
+    if (read.ok) await this.store.remove(this.key(), read.value.version)
+  }
+
+  /** Takes another node's entry back that gives no sign of life; if it lives, it writes itself again. */
+  async drop (node: NodeRecord): Promise<void> {
+    const known = this.records.get(node.node)
+    if (known === undefined || known.body.incarnation !== node.incarnation) return
+    const removed = await this.store.remove(known.key, known.version)
+    this.log.write(LogKind.NodeUnlisted, { peer: node.node, reason: 'no sign of life', removed: removed.ok })
+  }
+
+  private key (): string {
+    return `${NODE_PREFIX}${this.self.node}`
+  }
+
+  private async writeOwn (): Promise<boolean> {
+    const created = await this.store.create(this.key(), this.self)
+    if (created.ok) return true
+    if (created.error.kind !== StoreErrorKind.Conflict) return false
+    const found = await this.store.get<NodeRecord>(this.key())
+    if (!found.ok) return false
+    if (found.value.body.incarnation === this.self.incarnation) return true
+    const updated = await this.store.update(this.key(), this.self, found.value.version)
+    return updated.ok
+  }
+
+  private take (event: WatchEvent<NodeRecord>): void {
+    if (event.kind === WatchEventKind.Object) this.offer(event.object)
+    if (event.kind !== WatchEventKind.Listing) return
+    const found = new Set(event.listing.objects.map(({ key }) => key.slice(NODE_PREFIX.length)))
+    for (const node of [...this.records.keys()].filter((known) => !found.has(known))) this.forget(node)
+    for (const object of event.listing.objects) this.offer(object)
+  }
+
+  private offer (object: StoredObject<NodeRecord>): void {
+    const node = object.key.slice(NODE_PREFIX.length)
+    const known = this.records.get(node)
+    // A deletion may carry the version of the object that was deleted.
+    if (object.deleted) return known === undefined || object.version < known.version ? undefined : this.forget(node)
+    if (known !== undefined && object.version <= known.version) return
+    this.records.set(node, object)
+    if (known === undefined) this.log.write(LogKind.NodeListed, { peer: node, callers: object.body.callers })
+  }
+
+  private forget (node: NodeId): void {
+    if (this.records.delete(node)) this.log.write(LogKind.NodeUnlisted, { peer: node })
+    if (node === this.self.node && !this.leaving) {
+      this.register().catch((error: unknown) => { this.log.write(LogKind.Unexpected, { where: 'node entry', error: String(error) }) })
+    }
+  }
+}
--- /dev/null
+++ b/packages/dotterelspur-gateway/src/process/Reachability.ts
@@ -0,0 +1,102 @@
+import type { Clock, EndpointId, EndpointRecord } from 'dotterelspur'
+import { LogKind, type DecisionLog } from './DecisionLog.js'
+import { ReportEndKind, type EndpointControl, type EndpointPlace } from './GatewayPorts.js'
+
+/** A living endpoint answers in a few milliseconds, also under load; this leaves room for a lost packet. */
+const PROBE_TIMEOUT_MS = 350
+/** Silent probes in a row after which an endpoint counts as lost. */
+const PROBE_TRIES = 2
+/** An endpoint that was lost is asked again this often: it may only have been cut off. */
+const RECHECK_INTERVAL_MS = 1_200
+/** A suspicion of an endpoint that answered lately costs no new probe. */
+const RECENT_ANSWER_MS = 300
+
+enum ProbeState {
+  Running = 'running',
+  Reachable = 'reachable',
+  Unreachable = 'unreachable'
+}
+
+interface Probed {
+  state: ProbeState
+  place: EndpointPlace
+  decidedAtMs: number
+}
+
+/**
+ * Finds out by direct questions whether suspected endpoints live. The list forgets a lost endpoint only after three
+ * heartbeats, and a group that lost a member stands still all that time; callers' streams fall silent at once.
+ */
+export class Reachability {
+  private readonly probed = new Map<EndpointId, Probed>()
+
+  constructor (
+    private readonly control: EndpointControl, private readonly clock: Clock, private readonly log: DecisionLog, private readonly onChange: () => void
+  ) {}
+
+  /** Endpoints that did not answer. */
+  unreachable (): Set<EndpointId> {
+    return this.inState(ProbeState.Unreachable)
+  }
+
+  /** Endpoints whose first probe is under way: nothing should be decided about them yet. */
+  undecided (): Set<EndpointId> {
+    return this.inState(ProbeState.Running)
+  }
+
+  isReachable (endpoint: EndpointId): boolean {
+    return this.probed.get(endpoint)?.state === ProbeState.Reachable
+  }
+
+  /** Asks the endpoint, unless it was asked just now. */
+  suspect (place: EndpointPlace): void {
+    const known = this.probed.get(place.endpoint)
+    if (known?.state === ProbeState.Running) return
+    if (known !== undefined && this.clock.nowMs() - known.decidedAtMs < RECENT_ANSWER_MS) return
+    this.check(place).catch((error: unknown) => { this.log.write(LogKind.Unexpected, { where: 'probe', error: String(error) }) })
+  }
+
+  /** Asks lost endpoints again that are still listed, and forgets those that are not. */
+  recheck (listed: ReadonlyMap<EndpointId, EndpointRecord>, unlisted: ReadonlySet<EndpointId>): void {
+    const nowMs = this.clock.nowMs()
+    for (const [endpoint, { state, place, decidedAtMs }] of this.probed) {
+      if (state === ProbeState.Running) continue
+      if (!listed.has(endpoint) && !unlisted.has(endpoint)) this.probed.delete(endpoint)
+      else if (nowMs - decidedAtMs >= RECHECK_INTERVAL_MS) this.recheckOne(endpoint, place, state, unlisted)
+    }
+  }
+
+  private recheckOne (endpoint: EndpointId, place: EndpointPlace, state: ProbeState, unlisted: ReadonlySet<EndpointId>): void {
+    if (state === ProbeState.Unreachable || unlisted.has(endpoint)) this.suspect(place)
+    else this.probed.delete(endpoint)
+  }
+
+  private inState (wanted: ProbeState): Set<EndpointId> {
+    return new Set([...this.probed].filter(([, { state }]) => state === wanted).map(([endpoint]) => endpoint))
+  }
+
+  private async check (place: EndpointPlace): Promise<void> {
+    const known = this.probed.get(place.endpoint)
+    // While a lost endpoint is asked again it stays lost.
+    const probed: Probed = known?.state === ProbeState.Unreachable ? known : { state: ProbeState.Running, place, decidedAtMs: this.clock.nowMs() }
+    probed.decidedAtMs = this.clock.nowMs()
+    this.probed.set(place.endpoint, probed)
+    const answered = await this.ask(place)
+    const former = probed.state
+    probed.state = answered ? ProbeState.Reachable : ProbeState.Unreachable
+    probed.decidedAtMs = this.clock.nowMs()
+    if (probed.state === former) return
+    if (!answered) this.log.write(LogKind.EndpointUnreachable, { endpoint: place.endpoint, address: place.address })
+    else if (former === ProbeState.Unreachable) this.log.write(LogKind.EndpointReachable, { endpoint: place.endpoint })
+    this.onChange()
+  }
+
+  private async ask (place: EndpointPlace): Promise<boolean> {
+    for (let tries = 0; tries < PROBE_TRIES; tries++) {
+      const end = await this.control.report(place, PROBE_TIMEOUT_MS)
+      if (end.kind === ReportEndKind.Answered) return true
+      if (end.kind === ReportEndKind.Gone) return false
+    }
+    return false
+  }
+}
--- /dev/null
+++ b/packages/dotterelspur-gateway/src/request/CallerAnswer.ts
@@ -0,0 +1,106 @@
+import type { IncomingMessage, OutgoingHttpHeaders, ServerResponse } from 'node:http'
+import { answerHeaders } from '../connection/headers.js'
+import type { AnswerStart, HeldAnswer } from './EndpointCall.js'
+
+/** Why a request got an answer of the system's own. */
+export enum OwnAnswerKind {
+  NoManifest = 'no-manifest',
+  NoRoute = 'no-route',
+  Unauthorized = 'unauthorized',
+  Malformed = 'malformed',
+  BodyTooLarge = 'body-too-large',
+  /** Not run, and never will be. */
+  NotRun = 'not-run',
+  /** It may have run; its endpoint was lost. */
+  EndpointLost = 'endpoint-lost',
+  /** It may have run; its time is over. */
+  TimedOut = 'timed-out'
+}
+
+/** 429, 503, 408 and 421 promise that the request has not run: only `NoManifest` and `NotRun` may use them. */
+const STATUS: Readonly<Record<OwnAnswerKind, number>> = {
+  [OwnAnswerKind.NoManifest]: 503,
+  [OwnAnswerKind.NoRoute]: 404,
+  [OwnAnswerKind.Unauthorized]: 401,
+  [OwnAnswerKind.Malformed]: 400,
+  [OwnAnswerKind.BodyTooLarge]: 413,
+  [OwnAnswerKind.NotRun]: 503,
+  [OwnAnswerKind.EndpointLost]: 502,
+  [OwnAnswerKind.TimedOut]: 504
+}
+
+const SECOND_MS = 1_000
+
+/** The caller's side of one request: at most one answer, whole or visibly cut off. */
+export class CallerAnswer {
+  private headSent = false
+
+  constructor (private readonly request: IncomingMessage, private readonly response: ServerResponse, private readonly isDraining: () => boolean) {}
+
+  /** Part of an answer is with the caller. */
+  get hasPart (): boolean {
+    return this.headSent
+  }
+
+  get isOver (): boolean {
+    return this.response.writableEnded || this.response.destroyed
+  }
+
+  /** Begins an answer whose length is not known. */
+  start ({ status, headers }: AnswerStart): void {
+    if (this.headSent || this.isOver) return
+    this.headSent = true
+    this.prepareClose()
+    this.response.writeHead(status, answerHeaders(headers))
+    // The head alone tells the caller nothing yet, but a stream's first event may be a while off.
+  }
+
+  /** Returns false while the caller is slow to take what is there. */
+  write (chunk: Buffer): boolean {
+    return this.isOver || this.response.write(chunk)
+  }
+
+  onDrain (listener: () => void): void {
+    this.response.on('drain', listener)
+  }
+
+  end (chunk: Buffer): void {
+    if (this.isOver) return
+    if (chunk.length === 0) this.response.end()
+    else this.response.end(chunk)
+  }
+
+  /** An endpoint's answer in one piece, unchanged. */
+  deliver ({ status, headers, body }: HeldAnswer): void {
+    if (this.headSent || this.isOver) return
+    this.headSent = true
+    this.prepareClose()
+    const kept = answerHeaders(headers)
+    const bodyless = this.request.method === 'HEAD' || status === 204 || status === 304
+    if (!bodyless) kept['content-length'] = body.length
+    this.response.writeHead(status, kept)
+    this.response.end(bodyless ? undefined : body)
+  }
+
+  /** An answer of the system's own. `retryAfterMs` tells when to come back; null where that can't help. */
+  refuse (kind: OwnAnswerKind, retryAfterMs: number | null): void {
+    if (this.headSent || this.isOver) return
+    this.headSent = true
+    this.prepareClose()
+    const body = Buffer.from(JSON.stringify({ error: { type: kind, retryAfterMs } }))
+    const headers: OutgoingHttpHeaders = { 'content-type': 'application/json', 'content-length': body.length }
+    if (retryAfterMs !== null) headers['retry-after'] = (retryAfterMs / SECOND_MS).toFixed(2)
+    this.response.writeHead(STATUS[kind], headers)
+    this.response.end(body)
+  }
+
+  /** Ends an answer that can't be completed in a way that can't be taken for its end. */
+  cutOff (): void {
+    this.response.destroy()
+  }
+
+  /** Before a planned stop each answer asks the caller to connect elsewhere, so that no request meets a closed channel. */
+  private prepareClose (): void {
+    if (this.isDraining()) this.response.setHeader('connection', 'close')
+  }
+}
--- /dev/null
+++ b/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
@@ -0,0 +1,238 @@
+import type { IncomingMessage } from 'node:http'
+import type { Dispatcher } from 'undici'
+import {
+  DispatchEffectKind, DispatchEndKind, EventCursor, EXCHANGE_RULES, ExchangeEnd, RequestKind, runDispatch, runProcedure,
+  type Clock, type DispatchEnd, type DispatchTarget, type ExchangeEffect, type ExchangeReport, type PlaceEffect, type PlacementRefusal, type Route, type ServiceId, type Teardown, type WorkspaceId
+} from 'dotterelspur'
+import { forwardedHeaders } from '../connection/headers.js'
+import type { Dispatch } from '../process/Dispatch.js'
+import type { CallerHead, WireFormat } from '../process/GatewayPorts.js'
+import { OwnAnswerKind, type CallerAnswer } from './CallerAnswer.js'
+import { EndpointCall, type AnswerStart, type HeldAnswer } from './EndpointCall.js'
+
+/** The endpoint itself answers at the deadline that it was told; its word says more than ours. */
+const DEADLINE_GRACE_MS = 100
+/** Below this no endpoint can do anything useful, and a send would not be an offer. */
+const LEAST_USEFUL_MS = 20
+const FIRST_REDIRECT = 300
+
+export interface GatewayRequestParts {
+  readonly clock: Clock
+  readonly wire: WireFormat
+  readonly dispatch: Dispatch
+}
+
+/** What was decided about a request before it is sent anywhere. */
+export interface AdmittedRequest {
+  readonly request: IncomingMessage
+  readonly head: CallerHead
+  readonly requestId: string
+  readonly body: Buffer
+  readonly route: Route
+  readonly service: ServiceId
+  readonly workspace: WorkspaceId | null
+  readonly priority: number
+  readonly arrivedAtMs: number
+}
+
+/** How a request ended, for the log and the counters. */
+export interface RequestReport {
+  readonly end: DispatchEnd
+  readonly answeredWith: OwnAnswerKind | null
+  readonly firstByteMs: number | null
+  readonly targets: readonly string[]
+}
+
+/** One admitted request: runs its dispatch and writes its one answer. */
+export class GatewayRequest {
+  private call: EndpointCall | null = null
+  private readonly cursor: EventCursor
+  private lastFailure: HeldAnswer | null = null
+  private firstByteAtMs: number | null = null
+  private over: ExchangeEnd | null = null
+  private readonly targets: string[] = []
+  private readonly deadlineAtMs: number
+  private paused = false
+  private streamStart: AnswerStart | null = null
+
+  constructor (private readonly parts: GatewayRequestParts, private readonly admitted: AdmittedRequest, private readonly answer: CallerAnswer) {
+    const { route, head, arrivedAtMs } = admitted
+    this.cursor = new EventCursor(head.lastEventId)
+    this.deadlineAtMs = arrivedAtMs + Math.min(route.timeoutMs, head.deadlineMs ?? Infinity)
+  }
+
+  /** The caller closed its connection: whatever is under way for it stops. */
+  callerLeft (): void {
+    this.stop(ExchangeEnd.CallerLeft)
+  }
+
+  async run (): Promise<RequestReport> {
+    const cancelDeadline = this.startDeadline()
+    this.answer.onDrain(() => { this.resume() })
+    const { route } = this.admitted
+    const end = await runProcedure(runDispatch({ repeatable: isRepeatable(route), maxAttempts: route.maxAttempts }), {
+      [DispatchEffectKind.Place]: (effect) => this.place(effect),
+      [DispatchEffectKind.Exchange]: async (effect) => await this.exchange(effect),
+      [DispatchEffectKind.SpendRepeat]: () => this.over === null && this.parts.dispatch.spendRepeat(this.admitted.service)
+    })
+    cancelDeadline()
+    const answeredWith = this.conclude(end)
+    const firstByteMs = this.firstByteAtMs === null ? null : this.firstByteAtMs - this.admitted.arrivedAtMs
+    return { end, answeredWith, firstByteMs, targets: this.targets }
+  }
+
+  private startDeadline (): Teardown {
+    const { clock } = this.parts
+    return clock.registerTimer(this.deadlineAtMs - clock.nowMs() + DEADLINE_GRACE_MS, () => { this.stop(ExchangeEnd.TimedOut) })
+  }
+
+  private stop (end: ExchangeEnd): void {
+    this.over ??= end
+    this.call?.abort(end)
+  }
+
+  private place ({ attempt, excluded }: PlaceEffect): DispatchTarget | PlacementRefusal {
+    const { head, service, route } = this.admitted
+    return this.parts.dispatch.place({ service, route, head, attempt, excluded, leftMs: this.leftMs() })
+  }
+
+  private leftMs (): number {
+    return this.deadlineAtMs - this.parts.clock.nowMs()
+  }
+
+  private async exchange ({ target, attempt }: ExchangeEffect): Promise<ExchangeReport> {
+    if (this.over !== null || this.leftMs() < LEAST_USEFUL_MS) return { end: this.over ?? ExchangeEnd.TimedOut, callerHasPart: this.answer.hasPart }
+    this.targets.push(target.endpoint)
+    this.cursor.dropRest()
+    const { dispatch } = this.parts
+    const end = await new Promise<ExchangeEnd>((resolve) => { this.send(target, attempt, resolve) })
+    this.call = null
+    dispatch.exchangeEnded(target, end)
+    if (EXCHANGE_RULES[end].blamesEndpoint) dispatch.blame(target, end)
+    return { end, callerHasPart: this.answer.hasPart }
+  }
+
+  private send (target: DispatchTarget, attempt: number, resolve: (end: ExchangeEnd) => void): void {
+    const { wire, dispatch } = this.parts
+    const streams = this.admitted.route.kind === RequestKind.Streaming
+    const watch = dispatch.exchangeBegan(target, this.admitted.route, this.admitted.head, attempt, () => { this.call?.abort(ExchangeEnd.Silent) })
+    const call = new EndpointCall({
+      requestId: this.admitted.requestId,
+      wire,
+      sink: streams ? { start: (start) => { this.streamStart = start }, data: (chunk) => this.takeData(chunk) } : null,
+      onProgress: (head) => { watch.noteProgress(head) },
+      onEnd: (end, held, head) => {
+        watch.stop()
+        if (end === ExchangeEnd.Rejected && head !== null && head.lostMember !== null) dispatch.blame(target, end)
+        const judged = this.judgeEnd(end, held)
+        this.takeEnd(judged, held)
+        resolve(judged)
+      }
+    })
+    this.call = call
+    dispatch.channel(target).dispatch(this.requestOptions(target), call)
+  }
+
+  private requestOptions (target: DispatchTarget): Dispatcher.DispatchOptions {
+    const { request, body, workspace, priority, head } = this.admitted
+    const headers = this.parts.wire.writeForwarded(forwardedHeaders(request.rawHeaders), {
+      endpoint: target.endpoint,
+      workspace,
+      deadlineMs: Math.max(1, Math.round(this.leftMs())),
+      priority,
+      lastEventId: this.cursor.lastEventId ?? head.lastEventId
+    })
+    return { path: request.url!, method: request.method as Dispatcher.HttpMethod, headers, body: body.length > 0 || hasBodyMethod(request.method) ? body : null }
+  }
+
+  private takeData (chunk: Buffer): boolean {
+    const whole = this.cursor.take(chunk)
+    if (whole === null) return true
+    this.beginStream()
+    this.paused = !this.answer.write(whole)
+    return !this.paused
+  }
+
+  /**
+   * The head goes out with the first whole event: until then another endpoint's answer, or a refusal, can take its
+   * place. A continued stream keeps the head that the caller has.
+   */
+  private beginStream (): void {
+    this.noteFirstByte()
+    if (this.streamStart !== null) this.answer.start(this.streamStart)
+  }
+
+  /** A stream that the caller has begun to get is not completed by an answer of another kind. */
+  private judgeEnd (end: ExchangeEnd, held: HeldAnswer | null): ExchangeEnd {
+    const isStream = held !== null && held.status < FIRST_REDIRECT
+    return end === ExchangeEnd.Answered && this.answer.hasPart && !isStream ? ExchangeEnd.BrokenOff : end
+  }
+
+  private takeEnd (end: ExchangeEnd, held: HeldAnswer | null): void {
+    if (held === null) return
+    if (end === ExchangeEnd.Failed) this.lastFailure = held
+    if (end !== ExchangeEnd.Answered) return
+    if (this.streamStart !== null && held.status < FIRST_REDIRECT) {
+      this.beginStream()
+      return this.answer.end(this.cursor.takeRest())
+    }
+    this.noteFirstByte()
+    this.answer.deliver(held)
+  }
+
+  private resume (): void {
+    if (!this.paused) return
+    this.paused = false
+    this.call?.resume()
+  }
+
+  private noteFirstByte (): void {
+    this.firstByteAtMs ??= this.parts.clock.nowMs()
+  }
+
+  private conclude (end: DispatchEnd): OwnAnswerKind | null {
+    return CONCLUSIONS[end.kind](end, this.answer, this.lastFailure)
+  }
+}
+
+type Conclusion = (end: DispatchEnd, answer: CallerAnswer, lastFailure: HeldAnswer | null) => OwnAnswerKind | null
+
+function refuse (answer: CallerAnswer, kind: OwnAnswerKind, retryAfterMs: number | null): OwnAnswerKind {
+  answer.refuse(kind, retryAfterMs)
+  return kind
+}
+
+/** The caller's answer for each end of a dispatch. */
+const CONCLUSIONS: Readonly<Record<DispatchEndKind, Conclusion>> = {
+  [DispatchEndKind.Delivered]: () => null,
+  [DispatchEndKind.CallerLeft]: () => null,
+  [DispatchEndKind.CutOff]: (_end, answer) => {
+    answer.cutOff()
+    return null
+  },
+  [DispatchEndKind.DeliverFailure]: (_end, answer, lastFailure) => {
+    if (lastFailure === null) return refuse(answer, OwnAnswerKind.EndpointLost, null)
+    answer.deliver(lastFailure)
+    return null
+  },
+  [DispatchEndKind.NotRun]: (end, answer) => refuse(answer, OwnAnswerKind.NotRun, end.refusal?.retryAfterMs ?? DEFAULT_RETRY_MS),
+  [DispatchEndKind.Unknown]: (end, answer, lastFailure) => {
+    if (lastFailure !== null) {
+      answer.deliver(lastFailure)
+      return null
+    }
+    const kind = end.lastExchange === ExchangeEnd.TimedOut ? OwnAnswerKind.TimedOut : OwnAnswerKind.EndpointLost
+    return refuse(answer, kind, null)
+  }
+}
+
+/** After an endpoint refused a request: a slot is free about this often. */
+const DEFAULT_RETRY_MS = 400
+
+function isRepeatable (route: Route): boolean {
+  return route.kind === RequestKind.Idempotent || (route.kind === RequestKind.Streaming && route.resumable)
+}
+
+function hasBodyMethod (method: string | undefined): boolean {
+  return method === 'POST' || method === 'PUT' || method === 'PATCH'
+}
--- a/packages/dotterelspur/src/process/ObjectStore.ts
+++ b/packages/dotterelspur/src/process/ObjectStore.ts
@@ -6,7 +6,8 @@
  * one. Versions are positive integers that rise with each write to the store; a deletion counts as a write.
  */
 export interface ObjectStore {
-  get<Body> (key: string): Promise<Result<StoredObject<Body>, StoreError>>
+  /** `freshness` is a wish: a store that has no cheaper reads answers with the newest. */
+  get<Body> (key: string, freshness?: ReadFreshness): Promise<Result<StoredObject<Body>, StoreError>>
   list<Body> (prefix: string): Promise<Result<ObjectListing<Body>, StoreError>>
   /** Fails with Conflict when the key exists. */
   create<Body> (key: string, body: Body): Promise<Result<StoredObject<Body>, StoreError>>
@@ -20,6 +21,13 @@
   watch<Body> (prefix: string, listener: (event: WatchEvent<Body>) => void): Teardown
 }
 
+export enum ReadFreshness {
+  /** The newest version. */
+  Newest = 'newest',
+  /** May be seconds old, where that makes the call cheaper. */
+  MayBeStale = 'may-be-stale'
+}
+
 /** A stored value. A deleted one has `deleted` true and a body of null. */
 export interface StoredObject<Body> {
   readonly key: string
--- a/packages/dotterelspur/src/process/ids.ts
+++ b/packages/dotterelspur/src/process/ids.ts
@@ -33,3 +33,7 @@
 export type RequestId = string & Flavor<'RequestId'>
 /** `<node>.<incarnation>`: the one process that decides on a request id and remembers its outcome. */
 export type HomeId = string & Flavor<'HomeId'>
+/** A customer: the holder of callers' keys. Not a team, which is an owner of settings. */
+export type WorkspaceId = string & Flavor<'WorkspaceId'>
+/** One life of an endpoint VM's process; a restart makes a new one, perhaps at the same address. */
+export type EndpointId = string & Flavor<'EndpointId'>
--- /dev/null
+++ b/packages/dotterelspur/src/request/dispatch/EngineTimes.ts
@@ -0,0 +1,39 @@
+import type { EngineSpec } from '../../version/manifest/Manifest.js'
+
+const SECOND_MS = 1_000
+const THOUSAND = 1_000
+const MILLION = 1_000_000
+
+/** Time of one token step in which `writers` requests write. */
+export function stepMs (engine: EngineSpec, writers: number): number {
+  const contextTokens = engine.usualPromptTokens + engine.usualAnswerTokens / 2
+  return engine.stepMs + writers * (engine.perSequenceMs + engine.perThousandContextTokensMs * contextTokens / THOUSAND)
+}
+
+/** Time to read a prompt that nothing else waits for. */
+export function readMs (engine: EngineSpec, promptTokens: number): number {
+  const pairs = promptTokens * promptTokens / 2
+  return promptTokens / engine.readTokensPerSecond * SECOND_MS + pairs / MILLION * engine.perMillionPairsMs
+}
+
+/** How long a usual request holds its slot in a group whose slots are all taken. */
+export function slotHoldMs (engine: EngineSpec): number {
+  return engine.usualAnswerTokens * stepMs(engine, engine.slots) + readMs(engine, engine.usualPromptTokens) * engine.slots
+}
+
+/** Group time that a request takes from all others: what its model is dimensioned by. */
+export function groupTimeMs (engine: EngineSpec, promptTokens: number, answerTokens: number): number {
+  return readMs(engine, promptTokens) + answerTokens * stepMs(engine, engine.slots) / engine.slots
+}
+
+/**
+ * Time until the first event of a request that joins `load` others at a group: those before it in the queue, its
+ * own prompt, and the passes that it waits for.
+ */
+export function firstEventMs (engine: EngineSpec, pace: number, load: number, promptTokens: number): number {
+  const writers = Math.min(load, engine.slots)
+  const waiting = Math.max(0, load - engine.slots + 1)
+  const queueMs = waiting * slotHoldMs(engine) / engine.slots
+  const passMs = engine.stride * stepMs(engine, writers + 1)
+  return pace * (queueMs + readMs(engine, promptTokens) + 2 * passMs)
+}
--- /dev/null
+++ b/packages/dotterelspur/src/request/dispatch/index.ts
@@ -0,0 +1,7 @@
+export * from './EngineTimes.js'
+export * from './EventCursor.js'
+export * from './ExchangeEnd.js'
+export * from './Placement.js'
+export * from './RetryWindow.js'
+export * from './runDispatch.js'
+export * from './TargetLoad.js'
--- /dev/null
+++ b/packages/dotterelspur/src/version/formation/FormationView.ts
@@ -0,0 +1,67 @@
+import type { EndpointId, GroupId, ModelId } from '../../process/ids.js'
+import type { EndpointRecord } from './Endpoint.js'
+import { MemberState } from './Endpoint.js'
+
+/** A group as its members' own words show it. */
+export interface FormationView {
+  readonly group: GroupId
+  readonly formation: number
+  readonly model: ModelId | null
+  /** By rank; those that are not listed any more are missing. */
+  readonly members: readonly EndpointRecord[]
+  readonly head: EndpointRecord | null
+}
+
+/** Whether a member can be counted on: listed, reachable as far as is known, and not leaving. */
+export type MemberCheck = (endpoint: EndpointRecord) => boolean
+
+export enum FormationCondition {
+  /** Complete, and its head takes requests. */
+  Serving = 'serving',
+  /** Complete and every member is ready: only the order to open is missing. */
+  Openable = 'openable',
+  /** Complete, with members that are still joining. */
+  Joining = 'joining',
+  /** Will not serve again in this formation. */
+  Broken = 'broken'
+}
+
+/** Arranges endpoints by the formation that they say they belong to. */
+export function readFormations (endpoints: Iterable<EndpointRecord>): FormationView[] {
+  const membersByFormation = new Map<string, EndpointRecord[]>()
+  for (const endpoint of endpoints) {
+    if (endpoint.membership === null) continue
+    const key = formationKey(endpoint.membership.group, endpoint.membership.formation)
+    const members = membersByFormation.get(key)
+    if (members === undefined) membersByFormation.set(key, [endpoint])
+    else members.push(endpoint)
+  }
+  return [...membersByFormation.values()].map(viewFormation)
+}
+
+/** Names a formation: a group's name alone may be used again under a higher number. */
+export function formationKey (group: GroupId, formation: number): string {
+  return `${group}@${formation}`
+}
+
+function viewFormation (unordered: EndpointRecord[]): FormationView {
+  const members = [...unordered].sort((left, right) => left.membership!.rank - right.membership!.rank)
+  const first = members[0]!
+  const { group, formation } = first.membership!
+  return { group, formation, model: first.model, members, head: first.membership!.rank === 0 ? first : null }
+}
+
+/** `size` is what the model needs. */
+export function judgeFormation (view: FormationView, size: number, isSound: MemberCheck): FormationCondition {
+  const complete = view.head !== null && view.members.length === size && view.members.every(isSound)
+  if (!complete) return FormationCondition.Broken
+  const states = view.members.map((member) => member.membership!.state)
+  if (states.includes(MemberState.Broken) || states[0] === MemberState.Closing) return FormationCondition.Broken
+  if (states[0] === MemberState.Open) return FormationCondition.Serving
+  return states.every((state) => state === MemberState.Ready) ? FormationCondition.Openable : FormationCondition.Joining
+}
+
+/** The ids of a group's members, head first. */
+export function memberIds (view: FormationView): EndpointId[] {
+  return view.members.map((member) => member.endpoint)
+}
--- /dev/null
+++ b/packages/dotterelspur/src/version/formation/index.ts
@@ -0,0 +1,5 @@
+export * from './Endpoint.js'
+export * from './EndpointOrder.js'
+export * from './FormationPlanner.js'
+export * from './FormationProcedures.js'
+export * from './FormationView.js'
--- /dev/null
+++ b/packages/dotterelspur/src/version/manifest/index.ts
@@ -0,0 +1,2 @@
+export * from './Manifest.js'
+export * from './RouteTable.js'
