Planner: groups with undecided members stay whole, stuck closes end, idle hosts get the neediest model

Cause: a group with one member under probe was skipped without keeping its other members, so they were taken for a new group whose first step closed a dead head forty times (16 s).

--- a/packages/dotterelspur-gateway/src/process/DecisionLog.ts
+++ b/packages/dotterelspur-gateway/src/process/DecisionLog.ts
@@ -27,6 +27,8 @@
   FormationBegun = 'formation-begun',
   FormationEnded = 'formation-ended',
   HostStaged = 'host-staged',
+  /** Now and then: what the fleet is made of, as the deciding node sees it. */
+  FleetState = 'fleet-state',
   EndpointListed = 'endpoint-listed',
   EndpointUnlisted = 'endpoint-unlisted',
   EndpointUnreachable = 'endpoint-unreachable',
--- a/packages/dotterelspur-gateway/src/process/Dispatch.ts
+++ b/packages/dotterelspur-gateway/src/process/Dispatch.ts
@@ -60,7 +60,7 @@
     const { clock, retries } = parts
     const extraFromMs = parts.firstStart ? clock.nowMs() : clock.nowMs() + retries.windowMs
     this.repeats = new RetryWindow(retries, extraFromMs)
-    this.watch = new ExchangeWatch(clock, (target, head) => { this.noteProgress(target, head) })
+    this.watch = new ExchangeWatch(clock, (target, head) => { this.noteProgress(target, head) }, ({ endpoint }) => { parts.onSuspect(endpoint) })
     parts.endpoints.registerListener((endpoints) => { this.noteEndpoints(endpoints) })
   }
 
--- a/packages/dotterelspur-gateway/src/process/EndpointKeeper.ts
+++ b/packages/dotterelspur-gateway/src/process/EndpointKeeper.ts
@@ -48,6 +48,7 @@
       case WatchEventKind.Object: return this.takeObject(event.object)
       case WatchEventKind.Listing: return this.takeListing(event.listing)
       case WatchEventKind.Disconnected:
+        if (this.wasDisconnected) return
         this.wasDisconnected = true
         return this.log.write(LogKind.DependencyLost, { dependency: 'store', endpoints: this.snapshot.size })
       case WatchEventKind.Connected:
--- a/packages/dotterelspur-gateway/src/process/ExchangeWatch.ts
+++ b/packages/dotterelspur-gateway/src/process/ExchangeWatch.ts
@@ -9,6 +9,8 @@
  * Callers give a stream up after two seconds, so there is time to go on elsewhere.
  */
 const STREAM_SILENCE_MS = 650
+/** After this the group is asked already: asking costs little, and its repair begins that much sooner. */
+const STREAM_SUSPECT_MS = 400
 /** Multiple of a stream's longest pause that is on time, where that is longer. */
 const GAP_FACTOR = 2.5
 /** Multiple of the target time that the first event may take. */
@@ -20,6 +22,9 @@
   readonly startedAtMs: number
   progressAtMs: number
   events: number
+  /** The group has been asked since the last event. */
+  suspected: boolean
+  readonly target: DispatchTarget
   readonly onSilent: () => void
 }
 
@@ -36,7 +41,9 @@
   private readonly watched = new Set<Watched>()
   private cancelTimer: Teardown = () => {}
 
-  constructor (private readonly clock: Clock, private readonly onProgress: (target: DispatchTarget, head: AnswerHead | null) => void) {}
+  constructor (
+    private readonly clock: Clock, private readonly onProgress: (target: DispatchTarget, head: AnswerHead | null) => void, private readonly onSuspect: (target: DispatchTarget) => void
+  ) {}
 
   start (): void {
     this.cancelTimer = this.clock.registerTimer(LOOK_INTERVAL_MS, () => {
@@ -51,11 +58,12 @@
 
   begin (target: DispatchTarget, route: Route, onSilent: () => void): ExchangeWatchHandle {
     const nowMs = this.clock.nowMs()
-    const watched: Watched = { route, startedAtMs: nowMs, progressAtMs: nowMs, events: 0, onSilent }
+    const watched: Watched = { route, startedAtMs: nowMs, progressAtMs: nowMs, events: 0, suspected: false, target, onSilent }
     if (route.kind === RequestKind.Streaming) this.watched.add(watched)
     return {
       noteProgress: (head) => {
         watched.progressAtMs = this.clock.nowMs()
+        watched.suspected = false
         if (head === null) watched.events += 1
         this.onProgress(target, head)
       },
@@ -66,7 +74,12 @@
   private look (): void {
     const nowMs = this.clock.nowMs()
     for (const watched of this.watched) {
-      if (nowMs - watched.progressAtMs < allowedSilenceMs(watched)) continue
+      const silentMs = nowMs - watched.progressAtMs
+      if (watched.events > 0 && silentMs >= STREAM_SUSPECT_MS && !watched.suspected) {
+        watched.suspected = true
+        this.onSuspect(watched.target)
+      }
+      if (silentMs < allowedSilenceMs(watched)) continue
       this.watched.delete(watched)
       watched.onSilent()
     }
--- a/packages/dotterelspur-gateway/src/process/FleetLease.ts
+++ b/packages/dotterelspur-gateway/src/process/FleetLease.ts
@@ -10,12 +10,12 @@
 
 /**
  * Shorter than a failure domain's lease of the mesh: groups lose members every few seconds, and nothing is mended
- * while nobody holds the lease. A renewal a second is one call a second for the whole fleet.
+ * while nobody holds the lease. Its renewals are one or two calls a second for the whole fleet.
  */
-export const FLEET_LEASE_TIMING: LeaseTiming = { ttlMs: 3_000, renewMs: 1_000, marginMs: 500, staggerMs: 0, retryMs: 250 }
+export const FLEET_LEASE_TIMING: LeaseTiming = { ttlMs: 2_000, renewMs: 700, marginMs: 350, staggerMs: 0, retryMs: 250 }
 
 /** Waiting nodes look at the lease this often, by reads that may be stale and are cheap for it. */
-const LOOK_INTERVAL_MS = 900
+const LOOK_INTERVAL_MS = 600
 
 /** How far apart nodes that find the lease open try for it, by chance. */
 const CHALLENGE_SPREAD_MS = 300
@@ -31,7 +31,9 @@
   private stopped = false
 
   constructor (
-    private readonly store: ObjectStore, private readonly self: LeaseIdentity, private readonly clock: Clock, private readonly random: Random, private readonly log: DecisionLog
+    private readonly store: ObjectStore, private readonly self: LeaseIdentity, private readonly clock: Clock, private readonly random: Random, private readonly log: DecisionLog,
+    /** The lease was taken from a holder that let it lapse: it has given no sign of life for the whole time to live. */
+    private readonly onLapsedHolder: (holder: LeaseIdentity) => void
   ) {
     this.notBeforeMs = clock.nowMs() + random.next() * CHALLENGE_SPREAD_MS
   }
@@ -96,6 +98,8 @@
     const result = await runProcedure(takeLease(FLEET, this.self, decision.expectedVersion, decision.fencing, FLEET_LEASE_TIMING), this.handlers())
     if (result.kind === LeaseResultKind.Held) {
       this.held = result.term
+      const former = this.sighting.lease
+      if (former !== null && !former.released && former.holder !== this.self.node) this.onLapsedHolder({ node: former.holder, incarnation: former.holderIncarnation })
       return this.log.write(LogKind.LeaseTaken, { fencing: result.term.fencing, version: result.term.version, formerHolder: this.sighting.lease?.holder ?? null })
     }
     if (result.observed !== null) this.observe(result.observed)
--- a/packages/dotterelspur-gateway/src/process/FormationKeeper.ts
+++ b/packages/dotterelspur-gateway/src/process/FormationKeeper.ts
@@ -1,7 +1,7 @@
 import {
   FormationDecisionKind, FormationEffectKind, FormationEnd, formationKey, formGroup, MemberState, EndpointOrderKind, openHead, planFormations, runProcedure,
   type AddressedOrder, type Clock, type EffectHandlers, type EndpointId, type EndpointRecord, type EngineSpec, type FormationDecision, type FormationEffect, type FormationPlan,
-  type FormationView, type ModelId, type ModelSpec, type OrderReply, type ServiceSpec, type Teardown
+  type FormationView, type ModelId, type OrderReply, type ServiceSpec, type Teardown
 } from 'dotterelspur'
 import type { DecisionLog } from './DecisionLog.js'
 import { LogKind } from './DecisionLog.js'
@@ -22,6 +22,8 @@
 /** While a join is awaited and the list says nothing, members are asked directly this often. */
 const READY_POLL_MS = 500
 const READY_REPORT_TIMEOUT_MS = 400
+/** How often the deciding node says what the fleet is made of. */
+const STATE_LOG_INTERVAL_MS = 2_000
 /** A lost plan's members are left alone for this long, so that the same plan isn't tried without pause. */
 const FAILED_PLAN_PAUSE_MS = 300
 
@@ -50,6 +52,7 @@
   private readonly fullSizes = new Map<string, number>()
   private readonly awaiting = new Set<() => void>()
   private formations = 0
+  private stateLoggedAtMs = -Infinity
   private cancelLook: Teardown = () => {}
   private stopped = false
 
@@ -74,8 +77,8 @@
     if (record === undefined || !this.parts.lease.mayOrder()) return
     const membership = record.membership
     const members = membership === null ? [record] : [...this.known.values()].filter((other) => sameFormation(other, record))
-    this.parts.log.write(LogKind.GroupSuspected, { head, group: membership?.group ?? null, members: members.length })
-    for (const member of members) this.reachability.suspect(member)
+    const asked = members.filter((member) => this.reachability.suspect(member))
+    if (asked.length > 0) this.parts.log.write(LogKind.GroupSuspected, { head, group: membership?.group ?? null, asked: asked.length })
   }
 
   private noteEndpoints (endpoints: ReadonlyMap<EndpointId, EndpointRecord>): void {
@@ -87,6 +90,8 @@
     }
     for (const id of endpoints.keys()) this.unlistedHeads.delete(id)
     this.known = endpoints
+    this.loads.retain(endpoints)
+    for (const record of endpoints.values()) this.loads.noteStaged(record)
     for (const check of [...this.awaiting]) check()
     this.lookSoon()
   }
@@ -126,11 +131,31 @@
       models: engine.models,
       demand: this.demandOf(engine),
       fullSize,
+      loading: this.loads.loading(clock.nowMs()),
       loadAllowance: this.parts.trafficSeen() ? this.loads.allowance(engine, clock.nowMs()) : endpoints.length,
       mayLoadToForm: !this.parts.trafficSeen(),
       nextFormation: () => this.nextFormation()
     })
     for (const decision of decisions) this.begin(decision, engine)
+    this.logState(service, engine, endpoints)
+  }
+
+  private logState (service: ServiceSpec, engine: EngineSpec, endpoints: readonly EndpointRecord[]): void {
+    const nowMs = this.parts.clock.nowMs()
+    if (nowMs - this.stateLoggedAtMs < STATE_LOG_INTERVAL_MS) return
+    this.stateLoggedAtMs = nowMs
+    const open = (model: ModelId): number => endpoints.filter((record) => record.model === model && isServingHead(record)).length
+    this.parts.log.write(LogKind.FleetState, {
+      service: service.service,
+      listed: endpoints.length,
+      leaving: endpoints.filter(({ leaving }) => leaving).length,
+      unreachable: this.reachability.unreachable().size,
+      engaged: this.engaged.size,
+      models: engine.models.map(({ model }) => ({
+        model, open: open(model), forming: this.formingCounts().get(model) ?? 0, staged: endpoints.filter(({ staged }) => staged.includes(model)).length, demand: Math.round(this.demandOf(engine).get(model)! * 100) / 100
+      })),
+      unstaged: endpoints.filter(({ staged }) => staged.length === 0).length
+    })
   }
 
   private engagedNow (): Set<EndpointId> {
@@ -223,9 +248,8 @@
   }
 
   private async stage (endpoint: EndpointId, model: ModelId, engine: EngineSpec): Promise<void> {
-    if (this.loads.isLoading(endpoint)) return
     const spec = engine.models.find((candidate) => candidate.model === model)!
-    this.loads.begin(endpoint, this.parts.clock.nowMs(), this.loadMs(spec))
+    this.loads.begin(endpoint, spec, this.parts.clock.nowMs())
     const [reply] = await this.sendOrders([{ endpoint, order: { kind: EndpointOrderKind.Stage, model } }])
     this.parts.log.write(LogKind.HostStaged, { endpoint, model, reply })
   }
@@ -233,14 +257,10 @@
   private noteLoads (plan: FormationPlan, engine: EngineSpec): void {
     const spec = engine.models.find(({ model }) => model === plan.model)!
     for (const member of plan.members) {
-      if (this.known.get(member)?.staged.includes(plan.model) !== true) this.loads.begin(member, this.parts.clock.nowMs(), this.loadMs(spec))
+      if (this.known.get(member)?.staged.includes(plan.model) !== true) this.loads.begin(member, spec, this.parts.clock.nowMs())
     }
   }
 
-  private loadMs (spec: ModelSpec): number {
-    return spec.loadMs
-  }
-
   private suspectMember (endpoint: EndpointId): void {
     const record = this.known.get(endpoint)
     if (record !== undefined) this.reachability.suspect(record)
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -1,5 +1,5 @@
 import type { Server } from 'node:http'
-import { createRandom, type Clock, type EndpointId, type ObjectStore, type Teardown } from 'dotterelspur'
+import { createRandom, type Clock, type EndpointId, type LeaseIdentity, type ObjectStore, type Teardown } from 'dotterelspur'
 import { CallerListener } from '../connection/CallerListener.js'
 import { PeerLinks } from '../connection/PeerLinks.js'
 import { jsonAnswer, listenSmall, type SmallHandler } from '../connection/SmallListeners.js'
@@ -67,7 +67,7 @@
     this.manifest = new ManifestKeeper(log)
     this.endpoints = new EndpointKeeper(clock, log)
     this.nodes = new NodeKeeper(store, nodeRecord(settings, incarnation), clock, log)
-    this.lease = new FleetLease(store, { node: settings.node, incarnation }, clock, random, log)
+    this.lease = new FleetLease(store, { node: settings.node, incarnation }, clock, random, log, (holder) => { this.dropNode(holder) })
     this.formations = new FormationKeeper({
       clock, log, lease: this.lease, manifest: this.manifest, endpoints: this.endpoints, control: parts.control,
       demand: () => this.dispatch.demand(),
@@ -155,7 +155,7 @@
     else this.peers.tellSuspicion(head)
   }
 
-  private dropNode (node: NodeRecord): void {
+  private dropNode (node: LeaseIdentity): void {
     this.nodes.drop(node).catch((error: unknown) => { this.parts.log.write(LogKind.Unexpected, { where: 'node entry', error: String(error) }) })
   }
 
--- a/packages/dotterelspur-gateway/src/process/LoadMeter.ts
+++ b/packages/dotterelspur-gateway/src/process/LoadMeter.ts
@@ -1,11 +1,16 @@
-import type { EndpointId, EngineSpec } from 'dotterelspur'
+import type { EndpointId, EndpointRecord, EngineSpec, ModelId, ModelSpec } from 'dotterelspur'
 
 const SECOND_MS = 1_000
 
 interface RunningLoad {
+  readonly model: ModelId
+  /** When it is taken for ended, if the list never says so. */
   readonly untilMs: number
 }
 
+/** A load that shares the weight store with others takes longer than alone; then its host is free for another order. */
+const LOAD_TIMEOUT_FACTOR = 2
+
 /**
  * Counts loads from the weight store that this process has begun, so that the fleet keeps to the store's rate. Only
  * the holder of the lease begins loads; two holders for a moment stay below the rate, because each keeps to the
@@ -15,27 +20,42 @@
   private readonly running = new Map<EndpointId, RunningLoad>()
   private startTimesMs: number[] = []
 
-  begin (endpoint: EndpointId, nowMs: number, loadMs: number): void {
-    this.running.set(endpoint, { untilMs: nowMs + loadMs })
+  begin (endpoint: EndpointId, { model, loadMs }: ModelSpec, nowMs: number): void {
+    this.running.set(endpoint, { model, untilMs: nowMs + loadMs * LOAD_TIMEOUT_FACTOR })
     this.startTimesMs.push(nowMs)
   }
 
-  end (endpoint: EndpointId): void {
-    this.running.delete(endpoint)
+  /** The list shows what is on a host: a load of it has ended. */
+  noteStaged ({ endpoint, staged }: EndpointRecord): void {
+    const load = this.running.get(endpoint)
+    if (load !== undefined && staged.includes(load.model)) this.running.delete(endpoint)
+  }
+
+  /** The host is gone, and its load with it. */
+  retain (endpoints: ReadonlyMap<EndpointId, EndpointRecord>): void {
+    for (const endpoint of this.running.keys()) {
+      if (!endpoints.has(endpoint)) this.running.delete(endpoint)
+    }
   }
 
-  isLoading (endpoint: EndpointId): boolean {
-    return this.running.has(endpoint)
+  /** Hosts whose load is under way. */
+  loading (nowMs: number): Set<EndpointId> {
+    this.dropEnded(nowMs)
+    return new Set(this.running.keys())
   }
 
   /** Loads that may begin now. */
   allowance (engine: Pick<EngineSpec, 'loadsPerSecond' | 'loadsAtOnce'>, nowMs: number): number {
     this.startTimesMs = this.startTimesMs.filter((startMs) => nowMs - startMs < SECOND_MS)
-    for (const [endpoint, { untilMs }] of this.running) {
-      if (nowMs >= untilMs) this.running.delete(endpoint)
-    }
+    this.dropEnded(nowMs)
     const parallel = engine.loadsAtOnce - this.running.size
     const rate = Math.floor(engine.loadsPerSecond) - this.startTimesMs.length
     return Math.max(0, Math.min(parallel, rate))
   }
+
+  private dropEnded (nowMs: number): void {
+    for (const [endpoint, { untilMs }] of this.running) {
+      if (nowMs >= untilMs) this.running.delete(endpoint)
+    }
+  }
 }
--- a/packages/dotterelspur-gateway/src/process/NodeKeeper.ts
+++ b/packages/dotterelspur-gateway/src/process/NodeKeeper.ts
@@ -1,4 +1,4 @@
-import { StoreErrorKind, WatchEventKind, type Clock, type FailureDomainId, type NodeId, type ObjectStore, type StoredObject, type Teardown, type WatchEvent } from 'dotterelspur'
+import { StoreErrorKind, WatchEventKind, type Clock, type FailureDomainId, type LeaseIdentity, type NodeId, type ObjectStore, type StoredObject, type Teardown, type WatchEvent } from 'dotterelspur'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
 
 export const NODE_PREFIX = 'nodes/'
@@ -52,7 +52,7 @@
   }
 
   /** Takes another node's entry back that gives no sign of life; if it lives, it writes itself again. */
-  async drop (node: NodeRecord): Promise<void> {
+  async drop (node: LeaseIdentity): Promise<void> {
     const known = this.records.get(node.node)
     if (known === undefined || known.body.incarnation !== node.incarnation) return
     const removed = await this.store.remove(known.key, known.version)
--- a/packages/dotterelspur-gateway/src/process/Reachability.ts
+++ b/packages/dotterelspur-gateway/src/process/Reachability.ts
@@ -3,7 +3,7 @@
 import { ReportEndKind, type EndpointControl, type EndpointPlace } from './GatewayPorts.js'
 
 /** A living endpoint answers in a few milliseconds, also under load; this leaves room for a lost packet. */
-const PROBE_TIMEOUT_MS = 350
+const PROBE_TIMEOUT_MS = 250
 /** Silent probes in a row after which an endpoint counts as lost. */
 const PROBE_TRIES = 2
 /** An endpoint that was lost is asked again this often: it may only have been cut off. */
@@ -48,12 +48,13 @@
     return this.probed.get(endpoint)?.state === ProbeState.Reachable
   }
 
-  /** Asks the endpoint, unless it was asked just now. */
-  suspect (place: EndpointPlace): void {
+  /** Asks the endpoint, unless it was asked just now; returns whether it did. */
+  suspect (place: EndpointPlace): boolean {
     const known = this.probed.get(place.endpoint)
-    if (known?.state === ProbeState.Running) return
-    if (known !== undefined && this.clock.nowMs() - known.decidedAtMs < RECENT_ANSWER_MS) return
+    if (known?.state === ProbeState.Running) return false
+    if (known !== undefined && this.clock.nowMs() - known.decidedAtMs < RECENT_ANSWER_MS) return false
     this.check(place).catch((error: unknown) => { this.log.write(LogKind.Unexpected, { where: 'probe', error: String(error) }) })
+    return true
   }
 
   /** Asks lost endpoints again that are still listed, and forgets those that are not. */
--- a/packages/dotterelspur/src/version/formation/FormationPlanner.ts
+++ b/packages/dotterelspur/src/version/formation/FormationPlanner.ts
@@ -36,6 +36,8 @@
   readonly demand: ReadonlyMap<ModelId, number>
   /** The most endpoints seen at once: what the target is made of, so that losses are made good from standbys. */
   readonly fullSize: number
+  /** Hosts whose load of a model is under way. */
+  readonly loading: ReadonlySet<EndpointId>
   /** Loads from the weight store that may begin now. */
   readonly loadAllowance: number
   /** Whether a group may be formed of endpoints that must load first, as before the first request. */
@@ -105,7 +107,12 @@
 function occupyGroup (pending: Pending, view: FormationView, occupied: Set<EndpointId>): void {
   const { input } = pending
   const spec = input.models.find(({ model }) => model === view.model)
-  if (spec === undefined || view.members.some(({ endpoint }) => input.engaged.has(endpoint))) return
+  if (view.members.some(({ endpoint }) => input.engaged.has(endpoint))) {
+    // One member is being asked, or taken for another group: what becomes of the others depends on that.
+    for (const { endpoint } of view.members) occupied.add(endpoint)
+    return
+  }
+  if (spec === undefined) return
   const condition = judgeFormation(view, spec.size, (endpoint) => isSound(input, endpoint))
   if (condition !== FormationCondition.Serving && condition !== FormationCondition.Openable) return
   for (const { endpoint } of view.members) occupied.add(endpoint)
@@ -221,33 +228,47 @@
 }
 
 /**
- * Loads a model onto hosts that stand by. First those that a group of the neediest model lacks in its domain; then,
- * for hosts without any model, the one with the fewest standbys for its groups there.
+ * Loads models onto hosts that no group can use as they are. Where a fabric domain has enough hosts for a group, the
+ * model that is furthest below its target is completed there, on the hosts that are worth least to others: members
+ * of broken groups would otherwise stand idle with a model of which the domain has too few. What is left stands by:
+ * empty hosts get the model with the fewest standbys for its groups.
  */
 function stageStandbys (pending: Pending): void {
   for (const [domain, endpoints] of pending.free) {
-    const open = endpoints.filter((endpoint) => endpoint.membership === null || endpoint.staged.length === 0)
-    for (const endpoint of open) {
-      const model = modelToStage(pending, domain, endpoints, endpoint)
-      if (model === null || pending.loadAllowance < 1) continue
-      pending.loadAllowance -= 1
-      pending.decisions.push({ kind: FormationDecisionKind.Stage, endpoint: endpoint.endpoint, model })
+    const idle = completeGroup(pending, endpoints)
+    for (const endpoint of idle.filter(({ staged }) => staged.length === 0)) {
+      stage(pending, endpoint, standbyModel(pending, domain, endpoints))
     }
   }
 }
 
-function modelToStage (pending: Pending, domain: FabricDomainId, endpoints: readonly EndpointRecord[], endpoint: EndpointRecord): ModelId | null {
-  const staged = (model: ModelId): number => endpoints.filter((other) => other.staged.includes(model)).length
-  const ordered = pending.decisions.filter((decision) => decision.kind === FormationDecisionKind.Stage)
-  const coming = (model: ModelId): number => ordered.filter((decision) => decision.model === model && endpoints.some((other) => other.endpoint === decision.endpoint)).length
-  for (const { model, size } of modelsByNeed(pending)) {
-    const have = staged(model) + coming(model)
-    if (endpoints.length >= size && have < size) return endpoint.staged.includes(model) ? null : model
+/** Stages what the neediest model lacks for one group, and returns the hosts that it doesn't need. */
+function completeGroup (pending: Pending, endpoints: readonly EndpointRecord[]): readonly EndpointRecord[] {
+  const [spec] = modelsByNeed(pending).filter(({ size }) => size <= endpoints.length)
+  if (spec === undefined) return endpoints
+  const members = [...endpoints].sort((left, right) => preference(left, spec.model) - preference(right, spec.model)).slice(0, spec.size)
+  for (const endpoint of members) {
+    if (!endpoint.staged.includes(spec.model)) stage(pending, endpoint, spec.model)
   }
-  if (endpoint.staged.length > 0) return null
-  const standbysPerGroup = ({ model }: ModelSpec): number => (staged(model) + coming(model) + 1) / (pending.groupsByDomain.get(domainKey(domain, model)) ?? 0.5)
-  const [first] = [...pending.input.models].sort((left, right) => standbysPerGroup(left) - standbysPerGroup(right))
-  return first?.model ?? null
+  return endpoints.filter((endpoint) => !members.includes(endpoint))
+}
+
+function standbyModel (pending: Pending, domain: FabricDomainId, endpoints: readonly EndpointRecord[]): ModelId {
+  const standbys = (model: ModelId): number => endpoints.filter(({ staged }) => staged.includes(model)).length + stagedNow(pending, endpoints, model)
+  const perGroup = ({ model }: ModelSpec): number => (standbys(model) + 1) / (pending.groupsByDomain.get(domainKey(domain, model)) ?? 0.5)
+  const [first] = [...pending.input.models].sort((left, right) => perGroup(left) - perGroup(right))
+  return first!.model
+}
+
+function stagedNow (pending: Pending, endpoints: readonly EndpointRecord[], model: ModelId): number {
+  const ids = new Set(endpoints.map(({ endpoint }) => endpoint))
+  return pending.decisions.filter((decision) => decision.kind === FormationDecisionKind.Stage && decision.model === model && ids.has(decision.endpoint)).length
+}
+
+function stage (pending: Pending, { endpoint }: EndpointRecord, model: ModelId): void {
+  if (pending.loadAllowance < 1 || pending.input.loading.has(endpoint)) return
+  pending.loadAllowance -= 1
+  pending.decisions.push({ kind: FormationDecisionKind.Stage, endpoint, model })
 }
 
 function noteDomainGroup (pending: Pending, domain: FabricDomainId, model: ModelId): void {
--- a/packages/dotterelspur/src/version/formation/FormationProcedures.ts
+++ b/packages/dotterelspur/src/version/formation/FormationProcedures.ts
@@ -135,10 +135,12 @@
 
 function * closeHead (head: EndpointId, { group, formation, closeMode }: FormerGroup): Procedure<FormationEffect, boolean> {
   const order: EndpointOrder = { kind: EndpointOrderKind.Close, group, formation, mode: closeMode }
-  for (let polls = 0; polls < CLOSE_POLLS; polls++) {
+  let unanswered = 0
+  for (let polls = 0; polls < CLOSE_POLLS && unanswered < ORDER_TRIES; polls++) {
     const reply = yield * sendOne({ endpoint: head, order })
     if (NOT_THERE.has(reply)) return true
     if (reply === OrderReply.Unreachable) return false
+    if (reply === OrderReply.Unanswered) unanswered += 1
     if (reply === OrderReply.Begun) yield * perform<FormationWaitEffect>({ kind: FormationEffectKind.Wait, durationMs: CLOSE_POLL_MS })
   }
   return false
