Endpoint channels: a reset is never the end of an answer

Cause: the client library completes an answer without length when its channel is reset. Ruled out: a wrong length header (answers with a length end as broken off).

--- a/packages/dotterelspur-gateway/src/connection/EndpointChannels.ts
+++ b/packages/dotterelspur-gateway/src/connection/EndpointChannels.ts
@@ -1,4 +1,4 @@
-import { Pool, type Dispatcher } from 'undici'
+import { buildConnector, Pool, type Dispatcher } from 'undici'
 import type { EndpointId } from 'dotterelspur'
 
 /** A living endpoint accepts within a few milliseconds; a dark one never answers. */
@@ -10,6 +10,26 @@
 /** A channel is not used any more this long before the end that the endpoint states: its close may be on the way. */
 const IDLE_MARGIN_MS = 1_500
 
+/** The name that a reset gets; any but the system's own, see `connectFaithfully`. */
+const RESET_CODE = 'ECHANNELRESET'
+
+const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS })
+
+/**
+ * Connects so that a reset always ends an exchange as an error. An answer without a length ends with its channel;
+ * the client library takes a reset for that end, since some systems report one after the last byte. A worker that
+ * crashes in the middle of such an answer would look as if it had completed it, and its caller would get a success
+ * with half a body. The library recognises a reset by its code, so it is given another one before it sees it.
+ */
+function connectFaithfully (options: buildConnector.Options, callback: buildConnector.Callback): void {
+  connect(options, (...result) => {
+    result[1]?.prependListener('error', (error: NodeJS.ErrnoException) => {
+      if (error.code === 'ECONNRESET') error.code = RESET_CODE
+    })
+    callback(...result)
+  })
+}
+
 /** Channels to endpoints, one pool for each life of an endpoint, one request at a time on each channel. */
 export class EndpointChannels {
   private readonly pools = new Map<EndpointId, Pool>()
@@ -21,7 +41,7 @@
       pool = new Pool(`http://${address}`, {
         connections: CONNECTIONS_PER_ENDPOINT,
         pipelining: 1,
-        connect: { timeout: CONNECT_TIMEOUT_MS },
+        connect: connectFaithfully,
         headersTimeout: 0,
         bodyTimeout: 0,
         keepAliveTimeout: IDLE_TIMEOUT_MS,
--- a/packages/dotterelspur-gateway/src/request/EndpointCall.ts
+++ b/packages/dotterelspur-gateway/src/request/EndpointCall.ts
@@ -37,8 +37,8 @@
 }
 
 /** Codes of undici's errors for bytes that are no answer in the protocol. */
-const GARBLED_CODES: ReadonlySet<string> = new Set(['UND_ERR_RES_CONTENT_LENGTH_MISMATCH', 'UND_ERR_HEADERS_OVERFLOW', 'UND_ERR_RES_EXCEEDED_MAX_SIZE'])
-const PARSER_CODE_PREFIX = 'HPE_'
+const GARBLED_CODES: ReadonlySet<string> = new Set(['UND_ERR_HEADERS_OVERFLOW', 'UND_ERR_RES_EXCEEDED_MAX_SIZE'])
+const PARSER_ERROR = 'HTTPParserError'
 
 /** One request on one channel to one endpoint. Ends exactly once. */
 export class EndpointCall implements Dispatcher.DispatchHandler {
@@ -119,6 +119,6 @@
 }
 
 function isGarbled (error: Error): boolean {
-  const { code } = error as NodeJS.ErrnoException
-  return code !== undefined && (GARBLED_CODES.has(code) || code.startsWith(PARSER_CODE_PREFIX))
+  const { code, name } = error as NodeJS.ErrnoException
+  return name === PARSER_ERROR || (code !== undefined && GARBLED_CODES.has(code))
 }
