--- a/packages/dotterelspur-gateway/src/connection/SmallListeners.ts
+++ b/packages/dotterelspur-gateway/src/connection/SmallListeners.ts
@@ -18,7 +18,9 @@
  * several times a second and answers in one step.
  */
 export async function listenSmall ({ host, port }: ListenAddress, handler: SmallHandler): Promise<Server> {
-  const server = createServer((request, response) => { void answer(request, response, handler) })
+  const server = createServer((request, response) => {
+    answer(request, response, handler).catch((error: unknown) => { response.destroy(error instanceof Error ? error : new Error(String(error))) })
+  })
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
     server.listen(port, host, resolve)
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -69,12 +69,23 @@
     this.nodes = new NodeKeeper(store, nodeRecord(settings, incarnation), clock, log)
     this.lease = new FleetLease(store, { node: settings.node, incarnation }, clock, random, log, (holder) => { this.dropNode(holder) })
     this.formations = new FormationKeeper({
-      clock, log, lease: this.lease, manifest: this.manifest, endpoints: this.endpoints, control: parts.control,
+      clock,
+      log,
+      lease: this.lease,
+      manifest: this.manifest,
+      endpoints: this.endpoints,
+      control: parts.control,
       demand: () => this.dispatch.demand(),
       trafficSeen: () => !settings.firstStart || this.dispatch.sawRequest
     })
     this.dispatch = new Dispatch({
-      clock, random, failureDomain: settings.failureDomain, manifest: this.manifest, endpoints: this.endpoints, retries: settings.retries, firstStart: settings.firstStart,
+      clock,
+      random,
+      failureDomain: settings.failureDomain,
+      manifest: this.manifest,
+      endpoints: this.endpoints,
+      retries: settings.retries,
+      firstStart: settings.firstStart,
       nodeCount: () => this.nodes.nodes().length,
       onSuspect: (head) => { this.suspect(head) }
     })
--- a/packages/dotterelspur/src/version/manifest/Manifest.ts
+++ b/packages/dotterelspur/src/version/manifest/Manifest.ts
@@ -117,4 +117,3 @@
   /** Empty where requests need no key. */
   readonly workspaces: readonly Workspace[]
 }
-
--- a/packages/dotterelspur/src/version/manifest/__tests__/unit/RouteTable.test.ts
+++ b/packages/dotterelspur/src/version/manifest/__tests__/unit/RouteTable.test.ts
@@ -4,8 +4,19 @@
 
 function createRoute (name: string, pathPrefix: string, changes: Partial<Route> = {}): Route {
   return {
-    name, pathPrefix, host: 'a.example', kind: RequestKind.Idempotent, timeoutMs: 800, targetLatencyMs: 300, targetGapMs: null, maxAttempts: 2, priority: 3, isPublic: false, resumable: false,
-    shares: [{ service: 's', weight: 1 }], ...changes
+    name,
+    pathPrefix,
+    host: 'a.example',
+    kind: RequestKind.Idempotent,
+    timeoutMs: 800,
+    targetLatencyMs: 300,
+    targetGapMs: null,
+    maxAttempts: 2,
+    priority: 3,
+    isPublic: false,
+    resumable: false,
+    shares: [{ service: 's', weight: 1 }],
+    ...changes
   }
 }
 
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -1,12 +1,13 @@
 // Runs every compiled unit test, or those of the packages named as arguments.
 import { spawnSync } from 'node:child_process'
 import { readdirSync, statSync } from 'node:fs'
-import { dirname, join } from 'node:path'
+import { basename, dirname, join } from 'node:path'
 import { fileURLToPath } from 'node:url'
 
 const root = join(dirname(fileURLToPath(import.meta.url)), '..')
 const named = process.argv.slice(2)
-const packages = readdirSync(join(root, 'packages')).filter((name) => named.length === 0 || named.includes(name))
+const folders = [...readdirSync(join(root, 'packages')).map((name) => join('packages', name)), 'platform']
+const packages = folders.filter((folder) => named.length === 0 || named.includes(basename(folder)))
 
 function collect (directory, found) {
   for (const entry of readdirSync(directory)) {
@@ -23,7 +24,7 @@
 }
 
 const files = packages
-  .map((name) => join(root, 'packages', name, 'dist'))
+  .map((folder) => join(root, folder, 'dist'))
   .filter((directory) => statSync(directory, { throwIfNoEntry: false }) !== undefined)
   .flatMap((directory) => collect(directory, []))
   .filter(hasSource)
