Endpoint channels: an answer without length is whole only behind a clean end

Ruled out: chunked answers and wrong lengths, which end as errors. Change: a write behind the end tells the two apart. Tests: EndpointCall, fail without the change.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/EndpointCall.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/EndpointCall.test.ts
@@ -34,21 +34,26 @@
   const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
   const results: CallResult[] = []
   for (let index = 0; index < calls; index++) results.push(await callOnce(channels, address))
-  await channels.close()
+  channels.close()
   await new Promise((resolve) => { server.close(resolve) })
   return results
 }
 
 async function callOnce (channels: EndpointChannels, address: string): Promise<CallResult> {
+  const channel = channels.acquire('endpoint', address)
   return await new Promise((resolve) => {
     const call = new EndpointCall({
       requestId: REQUEST_ID,
       wire: wire as WireFormat,
+      channel,
       sink: null,
       onProgress: () => {},
-      onEnd: (end, held: HeldAnswer | null) => { resolve({ end, body: held?.body.toString() ?? null }) }
+      onEnd: (end, held: HeldAnswer | null) => {
+        channels.release('endpoint', channel)
+        resolve({ end, body: held?.body.toString() ?? null })
+      }
     })
-    channels.channel('endpoint', address).dispatch({ path: '/', method: 'GET' }, call)
+    channel.dispatch({ path: '/', method: 'GET' }, call)
   })
 }
 
@@ -100,6 +105,32 @@
     expect(result?.end).to.equal(ExchangeEnd.BrokenOff)
   })
 
+  it('takes a reset that comes together with the last bytes for a break', async () => {
+    // Symptom: a caller gets a success with half a body. Sequence: as above, but the bytes and the reset are read in
+    // one step. Cause: the event loop then reports an ordinary end, and the error is never seen.
+    const [result] = await callServer((socket) => {
+      socket.write(answerText('200 OK', [OWN, 'Connection: close'], 'half'))
+      socket.resetAndDestroy()
+    })
+    expect(result?.end).to.equal(ExchangeEnd.BrokenOff)
+  })
+
+  it('takes a close before the last chunk for a break, also where the channel would not be kept', async () => {
+    // Symptom: a caller gets a success with half a body. Sequence: an endpoint that is about to close its channel
+    // crashes between two chunks. Cause: the end of such a channel is the end of the answer only without chunks.
+    const [result] = await callServer((socket) => {
+      socket.end(answerText('200 OK', [OWN, 'Connection: close', 'Transfer-Encoding: chunked'], '4\r\nhalf\r\n'))
+    })
+    expect(result?.end).to.equal(ExchangeEnd.Garbled)
+  })
+
+  it('takes chunks whole when the last one came before the close', async () => {
+    const [result] = await callServer((socket) => {
+      socket.end(answerText('200 OK', [OWN, 'Connection: close', 'Transfer-Encoding: chunked'], '4\r\nfull\r\n0\r\n\r\n'))
+    })
+    expect(result).to.deep.equal({ end: ExchangeEnd.Answered, body: 'full' })
+  })
+
   it('does not give a second answer to the next request', async () => {
     // Symptom: a caller gets another caller's answer. Sequence: an endpoint sends two answers to one request; the
     // second lies on the kept channel when the next request goes out. Cause: answers carry no place of their own.
@@ -118,7 +149,7 @@
     await new Promise((resolve) => { server.close(resolve) })
     const channels = new EndpointChannels()
     const result = await callOnce(channels, `127.0.0.1:${port}`)
-    await channels.close()
+    channels.close()
     expect(result.end).to.equal(ExchangeEnd.NotConnected)
   })
 })
--- a/packages/dotterelspur-gateway/src/process/Dispatch.ts
+++ b/packages/dotterelspur-gateway/src/process/Dispatch.ts
@@ -1,8 +1,8 @@
-import type { Dispatcher } from 'undici'
 import {
   groupTimeMs, place, RetryWindow, takesRequests, TargetLoad,
   type Clock, type DispatchTarget, type EndpointId, type EndpointRecord, type EngineSpec, type ExchangeEnd, type FailureDomainId, type ModelId, type PlacementRefusal, type Random, type RetryWindowOptions, type Route, type ServiceId
 } from 'dotterelspur'
+import type { EndpointChannel } from '../connection/EndpointChannel.js'
 import { EndpointChannels } from '../connection/EndpointChannels.js'
 import { ExchangeWatch, type ExchangeWatchHandle } from './ExchangeWatch.js'
 import type { AnswerHead, CallerHead } from './GatewayPorts.js'
@@ -68,9 +68,9 @@
     this.watch.start()
   }
 
-  async close (): Promise<void> {
+  close (): void {
     this.watch.stop()
-    await this.channels.close()
+    this.channels.close()
   }
 
   /** Whether any caller's request has come to this node. */
@@ -119,8 +119,12 @@
     })
   }
 
-  channel (target: DispatchTarget): Dispatcher {
-    return this.channels.channel(target.endpoint, target.address)
+  acquireChannel (target: DispatchTarget): EndpointChannel {
+    return this.channels.acquire(target.endpoint, target.address)
+  }
+
+  releaseChannel (target: DispatchTarget, channel: EndpointChannel): void {
+    this.channels.release(target.endpoint, channel)
   }
 
   exchangeBegan (target: DispatchTarget, route: Route, _head: CallerHead, _attempt: number, onSilent: () => void): ExchangeWatchHandle {
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -143,7 +143,7 @@
     this.peers.close()
     for (const server of this.servers) server.closeAllConnections()
     await this.callers.close()
-    await this.dispatch.close()
+    this.dispatch.close()
     this.parts.log.flush()
   }
 
--- a/packages/dotterelspur-gateway/src/request/EndpointCall.ts
+++ b/packages/dotterelspur-gateway/src/request/EndpointCall.ts
@@ -26,9 +26,16 @@
   data (chunk: Buffer): boolean
 }
 
+/** How the connection under an exchange ends. */
+export interface ChannelEnds {
+  noteUnframedAnswer (): void
+  endedCleanly (): Promise<boolean>
+}
+
 export interface EndpointCallOptions {
   readonly requestId: string
   readonly wire: WireFormat
+  readonly channel: ChannelEnds
   /** Null where the whole answer is to be held. */
   readonly sink: AnswerSink | null
   /** Bytes or a head came: the endpoint lives. */
@@ -50,6 +57,7 @@
   private head: AnswerHead | null = null
   private readonly chunks: Buffer[] = []
   private streaming = false
+  private unframed = false
 
   constructor (private readonly options: EndpointCallOptions) {}
 
@@ -78,6 +86,8 @@
     this.head = this.options.wire.readAnswer(headers)
     if (this.head.requestId !== this.options.requestId) return this.abort(ExchangeEnd.Foreign)
     this.options.onProgress(this.head)
+    this.unframed = headers['content-length'] === undefined && headers['transfer-encoding'] === undefined
+    if (this.unframed) this.options.channel.noteUnframedAnswer()
     const isSuccess = status < FIRST_REDIRECT
     this.streaming = isSuccess && !this.head.notExecuted && this.options.sink !== null
     if (this.streaming) this.options.sink!.start(this.start)
@@ -95,7 +105,13 @@
 
   onResponseEnd (): void {
     if (this.start === null || this.head === null) return this.finish(ExchangeEnd.Garbled, null)
-    this.finish(endOf(this.start.status, this.head), { ...this.start, body: Buffer.concat(this.chunks) })
+    const end = endOf(this.start.status, this.head)
+    const held: HeldAnswer = { ...this.start, body: Buffer.concat(this.chunks) }
+    if (!this.unframed) return this.finish(end, held)
+    this.options.channel.endedCleanly().then(
+      (clean) => { this.finish(clean ? end : ExchangeEnd.BrokenOff, clean ? held : null) },
+      () => { this.finish(ExchangeEnd.BrokenOff, null) }
+    )
   }
 
   onResponseError (_controller: Dispatcher.DispatchController, error: Error): void {
--- a/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
+++ b/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
@@ -116,13 +116,16 @@
     const { wire, dispatch } = this.parts
     const streams = this.admitted.route.kind === RequestKind.Streaming
     const watch = dispatch.exchangeBegan(target, this.admitted.route, this.admitted.head, attempt, () => { this.call?.abort(ExchangeEnd.Silent) })
+    const channel = dispatch.acquireChannel(target)
     const call = new EndpointCall({
       requestId: this.admitted.requestId,
       wire,
+      channel,
       sink: streams ? { start: (start) => { this.streamStart = start }, data: (chunk) => this.takeData(chunk) } : null,
       onProgress: (head) => { watch.noteProgress(head) },
       onEnd: (end, held, head) => {
         watch.stop()
+        dispatch.releaseChannel(target, channel)
         if (end === ExchangeEnd.Rejected && head !== null && head.lostMember !== null) dispatch.blame(target, end)
         const judged = this.judgeEnd(end, held)
         this.takeEnd(judged, held)
@@ -130,7 +133,7 @@
       }
     })
     this.call = call
-    dispatch.channel(target).dispatch(this.requestOptions(target), call)
+    channel.dispatch(this.requestOptions(target), call)
   }
 
   private requestOptions (target: DispatchTarget): Dispatcher.DispatchOptions {
