Planner by domain, admission by expected start, members confirmed before they are taken

Groups: a fabric domain is filled with one model; standbys keep their model, only surplus is loaded anew; loads go where they complete a group.

--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -109,10 +109,10 @@
     const access = newest.access({ host: hostOf(request), path: pathOf(request), key: head.key })
     if (access.kind !== AccessKind.Allowed) return this.deny(request, answer, access, newest)
     const service = this.pickService(access.route)
-    this.parts.dispatch.noteRequest(service, head)
     const { route, workspace, priority } = access
+    const spentBeforeMs = this.parts.dispatch.noteRequest(service, route, head)
     const requestId = head.requestId ?? randomUUID()
-    await this.dispatch(response, answer, { request, head, requestId, body: body.value, route, service, workspace, priority, arrivedAtMs })
+    await this.dispatch(response, answer, { request, head, requestId, body: body.value, route, service, workspace, priority, arrivedAtMs, spentBeforeMs })
   }
 
   private async dispatch (response: ServerResponse, answer: CallerAnswer, admitted: AdmittedRequest): Promise<void> {
--- a/packages/dotterelspur-gateway/src/process/Dispatch.ts
+++ b/packages/dotterelspur-gateway/src/process/Dispatch.ts
@@ -1,6 +1,6 @@
 import {
-  groupTimeMs, place, RetryWindow, takesRequests, TargetLoad,
-  type Clock, type DispatchTarget, type EndpointId, type EndpointRecord, type EngineSpec, type ExchangeEnd, type FailureDomainId, type ModelId, type PlacementRefusal, type Random, type RetryWindowOptions, type Route, type ServiceId
+  DeadlineHistory, eventGapMs, groupTimeMs, paceOf, place, RetryWindow, takesRequests, TargetLoad,
+  type Clock, type DispatchTarget, type EndpointId, type EndpointRecord, type EngineSpec, type FailureDomainId, type ModelId, type PlacementRefusal, type Random, type RetryWindowOptions, type Route, type ServiceId
 } from 'dotterelspur'
 import type { EndpointChannel } from '../connection/EndpointChannel.js'
 import { EndpointChannels } from '../connection/EndpointChannels.js'
@@ -35,9 +35,10 @@
   readonly service: ServiceId
   readonly route: Route
   readonly head: CallerHead
-  readonly attempt: number
   readonly excluded: readonly DispatchTarget[]
   readonly leftMs: number
+  /** What the caller has spent of its time before it came here, and here so far. */
+  readonly spentMs: number
 }
 
 interface ModelDemand {
@@ -52,6 +53,7 @@
   private readonly channels = new EndpointChannels()
   private readonly watch: ExchangeWatch
   private readonly repeats: RetryWindow
+  private readonly deadlines = new DeadlineHistory()
   private targets: readonly DispatchTarget[] = []
   private readonly demandByModel = new Map<ModelId, ModelDemand>()
   private requestSeen = false
@@ -60,8 +62,9 @@
     const { clock, retries } = parts
     const extraFromMs = parts.firstStart ? clock.nowMs() : clock.nowMs() + retries.windowMs
     this.repeats = new RetryWindow(retries, extraFromMs)
-    this.watch = new ExchangeWatch(clock, (target, head) => { this.noteProgress(target, head) }, ({ endpoint }) => { parts.onSuspect(endpoint) })
+    this.watch = new ExchangeWatch(clock, (target, head, gapMs) => { this.noteProgress(target, head, gapMs) }, ({ endpoint }) => { parts.onSuspect(endpoint) })
     parts.endpoints.registerListener((endpoints) => { this.noteEndpoints(endpoints) })
+    parts.manifest.registerListener(({ manifest }) => { this.deadlines.retain(new Set(manifest.routes.map(({ name }) => name))) })
   }
 
   start (): void {
@@ -85,9 +88,14 @@
     return new Map(known.map(([model, demand]) => [model, faded(demand, nowMs)]))
   }
 
-  /** Takes in that a request came, whatever becomes of it. */
-  noteRequest (service: ServiceId, head: CallerHead): void {
+  /** Takes in that a request came, whatever becomes of it; returns what its caller has spent of its time elsewhere. */
+  noteRequest (service: ServiceId, route: Route, head: CallerHead): number {
     const nowMs = this.parts.clock.nowMs()
+    this.noteDemand(service, head, nowMs)
+    return head.deadlineMs === null ? 0 : this.deadlines.noteSpentMs(route.name, head.deadlineMs, nowMs)
+  }
+
+  private noteDemand (service: ServiceId, head: CallerHead, nowMs: number): void {
     this.requestSeen = true
     this.repeats.noteRequest(service, nowMs)
     const engine = this.engine(service)
@@ -106,7 +114,10 @@
       service: query.service,
       model: engine === null ? null : query.head.model,
       promptTokens: query.head.promptTokens,
-      patienceMs: Math.min(query.leftMs, query.route.targetLatencyMs * PATIENCE_FACTOR),
+      targetMs: query.route.targetLatencyMs,
+      targetGapMs: query.route.targetGapMs,
+      alreadyLate: query.spentMs > query.route.targetLatencyMs / 2,
+      leftMs: query.leftMs,
       excluded: query.excluded
     }, {
       targets: this.targets,
@@ -127,17 +138,17 @@
     this.channels.release(target.endpoint, channel)
   }
 
-  exchangeBegan (target: DispatchTarget, route: Route, _head: CallerHead, _attempt: number, onSilent: () => void): ExchangeWatchHandle {
+  exchangeBegan (target: DispatchTarget, route: Route, onSilent: () => void): ExchangeWatchHandle {
     this.load.begin(target.endpoint)
     return this.watch.begin(target, route, onSilent)
   }
 
-  exchangeEnded (target: DispatchTarget, _end: ExchangeEnd): void {
+  exchangeEnded (target: DispatchTarget): void {
     this.load.end(target.endpoint)
   }
 
   /** An exchange ended in a way that speaks against the endpoint or its group. */
-  blame (target: DispatchTarget, _end: ExchangeEnd): void {
+  blame (target: DispatchTarget): void {
     this.load.noteFailure(target.endpoint, this.parts.clock.nowMs())
     this.parts.onSuspect(target.endpoint)
   }
@@ -150,10 +161,14 @@
     return this.parts.manifest.current?.service(service)?.engine ?? null
   }
 
-  private noteProgress (target: DispatchTarget, head: AnswerHead | null): void {
+  private noteProgress (target: DispatchTarget, head: AnswerHead | null, gapMs: number | null): void {
     const nowMs = this.parts.clock.nowMs()
-    this.load.noteProgress(target.endpoint, nowMs)
+    this.load.noteProgress(target.endpoint)
     if (head !== null && head.load !== null) this.load.noteReading(target.endpoint, head.load, nowMs)
+    const engine = this.engine(target.service)
+    if (gapMs === null || engine === null) return
+    const present = this.load.estimate(target.endpoint, 0, nowMs)
+    this.load.noteGap(target.endpoint, gapMs, eventGapMs(engine, paceOf(engine, target), present), nowMs)
   }
 
   private noteEndpoints (endpoints: ReadonlyMap<EndpointId, EndpointRecord>): void {
@@ -164,9 +179,6 @@
   }
 }
 
-/** Waits for the first event up to this multiple of the target: readings are late, and a late answer still counts for something. */
-const PATIENCE_FACTOR = 3
-
 function targetOf (record: EndpointRecord): DispatchTarget {
   const { endpoint, service, address, failureDomain, slots } = record
   return { endpoint, service, address, failureDomain, slots, model: record.fabricDomain === null ? null : record.model }
--- a/packages/dotterelspur-gateway/src/process/EndpointKeeper.ts
+++ b/packages/dotterelspur-gateway/src/process/EndpointKeeper.ts
@@ -39,6 +39,18 @@
     return () => { this.listeners.delete(listener) }
   }
 
+  /**
+   * Takes in an endpoint's own word, which is newer than the list when the store was out. It stands until the list has
+   * a later version of the entry.
+   */
+  noteReport (endpoint: EndpointId, { membership, model, staged }: Pick<EndpointRecord, 'membership' | 'model' | 'staged'>): void {
+    const record = this.snapshot.get(endpoint)
+    if (record === undefined) return
+    const pending = new Map(this.snapshot)
+    pending.set(endpoint, { ...record, membership, model, staged })
+    this.commit(pending)
+  }
+
   follow (store: ObjectStore): Teardown {
     return store.watch<EndpointRecord>(ENDPOINT_PREFIX, (event) => { this.take(event) })
   }
--- a/packages/dotterelspur-gateway/src/process/ExchangeWatch.ts
+++ b/packages/dotterelspur-gateway/src/process/ExchangeWatch.ts
@@ -42,7 +42,7 @@
   private cancelTimer: Teardown = () => {}
 
   constructor (
-    private readonly clock: Clock, private readonly onProgress: (target: DispatchTarget, head: AnswerHead | null) => void, private readonly onSuspect: (target: DispatchTarget) => void
+    private readonly clock: Clock, private readonly onProgress: (target: DispatchTarget, head: AnswerHead | null, gapMs: number | null) => void, private readonly onSuspect: (target: DispatchTarget) => void
   ) {}
 
   start (): void {
@@ -62,10 +62,12 @@
     if (route.kind === RequestKind.Streaming) this.watched.add(watched)
     return {
       noteProgress: (head) => {
-        watched.progressAtMs = this.clock.nowMs()
+        const nowMs = this.clock.nowMs()
+        const gapMs = watched.events > 0 ? nowMs - watched.progressAtMs : null
+        watched.progressAtMs = nowMs
         watched.suspected = false
         if (head === null) watched.events += 1
-        this.onProgress(target, head)
+        this.onProgress(target, head, gapMs)
       },
       stop: () => { this.watched.delete(watched) }
     }
--- a/packages/dotterelspur-gateway/src/process/FormationKeeper.ts
+++ b/packages/dotterelspur-gateway/src/process/FormationKeeper.ts
@@ -1,7 +1,7 @@
 import {
-  FormationDecisionKind, FormationEffectKind, FormationEnd, formationKey, formGroup, MemberState, EndpointOrderKind, planFormations, runProcedure,
-  type AddressedOrder, type Clock, type EffectHandlers, type EndpointId, type EndpointRecord, type EngineSpec, type FormationDecision, type FormationEffect, type FormationPlan,
-  type ModelId, type OrderReply, type ServiceSpec, type Teardown
+  FormationDecisionKind, FormationEffectKind, FormationEnd, formationKey, formGroup, isAsPlanned, MemberState, EndpointOrderKind, OrderReply, planFormations, runProcedure,
+  type AddressedOrder, type Clock, type EffectHandlers, type EndpointId, type EndpointRecord, type EngineSpec, type FormationDecision, type FormationEffect, type FormationPlan, type FormingGroup,
+  type Membership, type ModelId, type ServiceSpec, type Teardown
 } from 'dotterelspur'
 import type { DecisionLog } from './DecisionLog.js'
 import { LogKind } from './DecisionLog.js'
@@ -21,7 +21,11 @@
 const LOOK_INTERVAL_MS = 250
 /** While a join is awaited and the list says nothing, members are asked directly this often. */
 const READY_POLL_MS = 500
-const READY_REPORT_TIMEOUT_MS = 400
+const REPORT_TIMEOUT_MS = 400
+/** After a head opened: the list shows it within a pass or two of its watch, unless the store is out. */
+const LISTED_OPEN_TIMEOUT_MS = 1_500
+/** Before the first request: the list counts as complete when it has not grown for this long. */
+const FILL_SETTLE_MS = 700
 /** How often the deciding node says what the fleet is made of. */
 const STATE_LOG_INTERVAL_MS = 2_000
 /** A lost plan's members are left alone for this long, so that the same plan isn't tried without pause. */
@@ -45,7 +49,7 @@
   readonly reachability: Reachability
   private readonly loads = new LoadMeter()
   private readonly engaged = new Map<EndpointId, FormationPlan>()
-  private readonly forming = new Map<FormationPlan, ModelId>()
+  private readonly forming = new Set<FormationPlan>()
   /** Heads that left the list and may still serve those who know their address. */
   private readonly unlistedHeads = new Map<EndpointId, EndpointRecord>()
   private known: ReadonlyMap<EndpointId, EndpointRecord> = new Map()
@@ -53,6 +57,7 @@
   private readonly awaiting = new Set<() => void>()
   private formations = 0
   private stateLoggedAtMs = -Infinity
+  private grownAtMs = -Infinity
   private cancelLook: Teardown = () => {}
   private stopped = false
 
@@ -74,11 +79,11 @@
   /** A caller's exchange suggests that a group stands still: each member that can be found is asked. */
   suspectGroup (head: EndpointId): void {
     const record = this.known.get(head)
-    if (record === undefined || !this.parts.lease.mayOrder()) return
-    const membership = record.membership
-    const members = membership === null ? [record] : [...this.known.values()].filter((other) => sameFormation(other, record))
+    if (record === undefined || record.membership === null || !this.parts.lease.mayOrder()) return
+    const { membership } = record
+    const members = [...this.known.values()].filter((other) => sameFormation(other, record))
     const asked = members.filter((member) => this.reachability.suspect(member))
-    if (asked.length > 0) this.parts.log.write(LogKind.GroupSuspected, { head, group: membership?.group ?? null, asked: asked.length })
+    if (asked.length > 0) this.parts.log.write(LogKind.GroupSuspected, { head, group: membership.group, asked: asked.length })
   }
 
   private noteEndpoints (endpoints: ReadonlyMap<EndpointId, EndpointRecord>): void {
@@ -90,6 +95,7 @@
     }
     for (const id of endpoints.keys()) this.unlistedHeads.delete(id)
     this.known = endpoints
+    if (endpoints.size > this.known.size) this.grownAtMs = this.parts.clock.nowMs()
     this.loads.retain(endpoints)
     for (const record of endpoints.values()) this.loads.noteStaged(record)
     for (const check of [...this.awaiting]) check()
@@ -109,13 +115,21 @@
   private look (): void {
     this.schedule(LOOK_INTERVAL_MS)
     const { lease, manifest } = this.parts
-    if (!lease.mayOrder() || manifest.current === null) return
+    if (!lease.mayOrder() || manifest.current === null || this.isStillFilling()) return
+    for (const head of this.unlistedHeads.keys()) {
+      if (this.reachability.unreachable().has(head)) this.unlistedHeads.delete(head)
+    }
     this.reachability.recheck(this.known, new Set(this.unlistedHeads.keys()))
     for (const service of manifest.current.manifest.services) {
       if (service.engine !== null) this.decide(service, service.engine)
     }
   }
 
+  /** While a fleet starts, endpoints register one by one; groups that were formed at once would be scattered. */
+  private isStillFilling (): boolean {
+    return !this.parts.trafficSeen() && this.parts.clock.nowMs() - this.grownAtMs < FILL_SETTLE_MS
+  }
+
   private decide (service: ServiceSpec, engine: EngineSpec): void {
     const { clock } = this.parts
     const endpoints = [...this.known.values()].filter((record) => record.service === service.service)
@@ -127,7 +141,7 @@
       unreachable: this.reachability.unreachable(),
       unlistedHeads: this.reachableUnlistedHeads(),
       engaged: this.engagedNow(),
-      forming: this.formingCounts(),
+      forming: [...this.forming].map((plan) => this.formingGroup(plan)),
       models: engine.models,
       demand: this.demandOf(engine),
       fullSize,
@@ -152,7 +166,7 @@
       unreachable: this.reachability.unreachable().size,
       engaged: this.engaged.size,
       models: engine.models.map(({ model }) => ({
-        model, open: open(model), forming: this.formingCounts().get(model) ?? 0, staged: endpoints.filter(({ staged }) => staged.includes(model)).length, demand: Math.round(this.demandOf(engine).get(model)! * 100) / 100
+        model, open: open(model), forming: [...this.forming].filter((plan) => plan.model === model).length, staged: endpoints.filter(({ staged }) => staged.includes(model)).length, demand: Math.round(this.demandOf(engine).get(model)! * 100) / 100
       })),
       unstaged: endpoints.filter(({ staged }) => staged.length === 0).length
     })
@@ -178,10 +192,9 @@
     return heads
   }
 
-  private formingCounts (): Map<ModelId, number> {
-    const counts = new Map<ModelId, number>()
-    for (const model of this.forming.values()) counts.set(model, (counts.get(model) ?? 0) + 1)
-    return counts
+  private formingGroup ({ model, members }: FormationPlan): FormingGroup {
+    const known = members.map((member) => this.known.get(member)?.fabricDomain).find((domain) => domain !== undefined && domain !== null)
+    return { model, fabricDomain: known ?? '' }
   }
 
   /** Before callers have shown what they ask for, the operators' shares stand for it. */
@@ -212,7 +225,7 @@
     const startedAtMs = clock.nowMs()
     this.noteLoads(plan, engine)
     for (const member of plan.members) this.engaged.set(member, plan)
-    this.forming.set(plan, plan.model)
+    this.forming.add(plan)
     log.write(LogKind.FormationBegun, { group: plan.group, model: plan.model, members: plan.members, former: plan.former.map(({ group, head }) => `${group}:${head ?? 'gone'}`) })
     const end = await runProcedure(formGroup(plan), this.handlers())
     log.write(LogKind.FormationEnded, { group: plan.group, model: plan.model, end, tookMs: Math.round(clock.nowMs() - startedAtMs) })
@@ -234,7 +247,8 @@
       const record = this.known.get(head)
       return record === undefined || (record.membership?.formation === plan.formation && record.membership.state === MemberState.Open)
     }
-    await this.until(isListed, plan.joinTimeoutMs)
+    const listed = await this.until(isListed, LISTED_OPEN_TIMEOUT_MS)
+    if (!listed) await Promise.all(plan.members.map(async (member) => await this.askMember(member)))
   }
 
   private async stage (endpoint: EndpointId, model: ModelId, engine: EngineSpec): Promise<void> {
@@ -242,6 +256,7 @@
     this.loads.begin(endpoint, spec, this.parts.clock.nowMs())
     const [reply] = await this.sendOrders([{ endpoint, order: { kind: EndpointOrderKind.Stage, model } }])
     this.parts.log.write(LogKind.HostStaged, { endpoint, model, reply })
+    if (reply === OrderReply.Unfit || reply === OrderReply.Elsewhere || reply === OrderReply.Unreachable) this.loads.drop(endpoint)
   }
 
   private noteLoads (plan: FormationPlan, engine: EngineSpec): void {
@@ -258,6 +273,7 @@
 
   private handlers (): EffectHandlers<FormationEffect> {
     return {
+      [FormationEffectKind.ConfirmMembers]: async ({ plan }) => await this.confirmMembers(plan),
       [FormationEffectKind.SendOrders]: async ({ orders }) => await this.sendOrders(orders),
       [FormationEffectKind.AwaitReady]: async ({ plan }) => await this.awaitReady(plan),
       [FormationEffectKind.Wait]: async ({ durationMs }) => { await pause(this.parts.clock, durationMs) }
@@ -268,6 +284,26 @@
     return await Promise.all(orders.map(async ({ endpoint, order }) => await this.parts.control.order(this.placeOf(endpoint), order)))
   }
 
+  /** What members say themselves goes before the list until the list has something newer. */
+  private async confirmMembers (plan: FormationPlan): Promise<boolean> {
+    const confirmed = await Promise.all(plan.members.map(async (member) => {
+      const reported = await this.askMember(member)
+      return reported !== undefined && isAsPlanned(plan, member, reported)
+    }))
+    return confirmed.every(Boolean)
+  }
+
+  /** A member's place by its own word, which is kept; undefined without an answer. */
+  private async askMember (member: EndpointId): Promise<Membership | null | undefined> {
+    const end = await this.parts.control.report(this.placeOf(member), REPORT_TIMEOUT_MS)
+    if (end.kind !== ReportEndKind.Answered) {
+      this.suspectMember(member)
+      return undefined
+    }
+    this.parts.endpoints.noteReport(member, end.report)
+    return end.report.membership
+  }
+
   private placeOf (endpoint: EndpointId): EndpointPlace {
     const record = this.known.get(endpoint) ?? this.unlistedHeads.get(endpoint)
     return { endpoint, address: record?.address ?? '' }
@@ -300,9 +336,8 @@
   private async askMembers (plan: FormationPlan, seenReady: Set<EndpointId>): Promise<void> {
     const unknown = plan.members.filter((member) => !seenReady.has(member))
     await Promise.all(unknown.map(async (member) => {
-      const end = await this.parts.control.report(this.placeOf(member), READY_REPORT_TIMEOUT_MS)
-      if (end.kind === ReportEndKind.Answered && isReadyIn(end.report, plan)) seenReady.add(member)
-      if (end.kind === ReportEndKind.Silent) this.suspectMember(member)
+      const membership = await this.askMember(member)
+      if (membership !== undefined && isReadyIn({ membership }, plan)) seenReady.add(member)
     }))
   }
 
--- a/packages/dotterelspur-gateway/src/process/LoadMeter.ts
+++ b/packages/dotterelspur-gateway/src/process/LoadMeter.ts
@@ -25,6 +25,11 @@
     this.startTimesMs.push(nowMs)
   }
 
+  /** The load did not begin. */
+  drop (endpoint: EndpointId): void {
+    this.running.delete(endpoint)
+  }
+
   /** The list shows what is on a host: a load of it has ended. */
   noteStaged ({ endpoint, staged }: EndpointRecord): void {
     const load = this.running.get(endpoint)
--- a/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
+++ b/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
@@ -33,6 +33,8 @@
   readonly workspace: WorkspaceId | null
   readonly priority: number
   readonly arrivedAtMs: number
+  /** What its caller has spent of its time elsewhere, as far as its deadline shows. */
+  readonly spentBeforeMs: number
 }
 
 /** How a request ended, for the log and the counters. */
@@ -91,31 +93,32 @@
     this.call?.abort(end)
   }
 
-  private place ({ attempt, excluded }: PlaceEffect): DispatchTarget | PlacementRefusal {
-    const { head, service, route } = this.admitted
-    return this.parts.dispatch.place({ service, route, head, attempt, excluded, leftMs: this.leftMs() })
+  private place ({ excluded }: PlaceEffect): DispatchTarget | PlacementRefusal {
+    const { head, service, route, arrivedAtMs, spentBeforeMs } = this.admitted
+    const spentMs = spentBeforeMs + this.parts.clock.nowMs() - arrivedAtMs
+    return this.parts.dispatch.place({ service, route, head, excluded, leftMs: this.leftMs(), spentMs })
   }
 
   private leftMs (): number {
     return this.deadlineAtMs - this.parts.clock.nowMs()
   }
 
-  private async exchange ({ target, attempt }: ExchangeEffect): Promise<ExchangeReport> {
+  private async exchange ({ target }: ExchangeEffect): Promise<ExchangeReport> {
     if (this.over !== null || this.leftMs() < LEAST_USEFUL_MS) return { end: this.over ?? ExchangeEnd.TimedOut, callerHasPart: this.answer.hasPart }
     this.targets.push(target.endpoint)
     this.cursor.dropRest()
     const { dispatch } = this.parts
-    const end = await new Promise<ExchangeEnd>((resolve) => { this.send(target, attempt, resolve) })
+    const end = await new Promise<ExchangeEnd>((resolve) => { this.send(target, resolve) })
     this.call = null
-    dispatch.exchangeEnded(target, end)
-    if (EXCHANGE_RULES[end].blamesEndpoint) dispatch.blame(target, end)
+    dispatch.exchangeEnded(target)
+    if (EXCHANGE_RULES[end].blamesEndpoint) dispatch.blame(target)
     return { end, callerHasPart: this.answer.hasPart }
   }
 
-  private send (target: DispatchTarget, attempt: number, resolve: (end: ExchangeEnd) => void): void {
+  private send (target: DispatchTarget, resolve: (end: ExchangeEnd) => void): void {
     const { wire, dispatch } = this.parts
     const streams = this.admitted.route.kind === RequestKind.Streaming
-    const watch = dispatch.exchangeBegan(target, this.admitted.route, this.admitted.head, attempt, () => { this.call?.abort(ExchangeEnd.Silent) })
+    const watch = dispatch.exchangeBegan(target, this.admitted.route, () => { this.call?.abort(ExchangeEnd.Silent) })
     const channel = dispatch.acquireChannel(target)
     const call = new EndpointCall({
       requestId: this.admitted.requestId,
@@ -126,7 +129,7 @@
       onEnd: (end, held, head) => {
         watch.stop()
         dispatch.releaseChannel(target, channel)
-        if (end === ExchangeEnd.Rejected && head !== null && head.lostMember !== null) dispatch.blame(target, end)
+        if (end === ExchangeEnd.Rejected && head !== null && head.lostMember !== null) dispatch.blame(target)
         const judged = this.judgeEnd(end, held)
         this.takeEnd(judged, held)
         resolve(judged)
--- a/packages/dotterelspur/src/request/dispatch/EngineTimes.ts
+++ b/packages/dotterelspur/src/request/dispatch/EngineTimes.ts
@@ -21,6 +21,11 @@
   return engine.usualAnswerTokens * stepMs(engine, engine.slots) + readMs(engine, engine.usualPromptTokens) * engine.slots
 }
 
+/** Time between two events of a stream: one pass, in which prompts of others are read as well. */
+export function eventGapMs (engine: EngineSpec, pace: number, load: number): number {
+  return pace * engine.stride * stepMs(engine, Math.max(1, Math.min(load, engine.slots)))
+}
+
 /** Group time that a request takes from all others: what its model is dimensioned by. */
 export function groupTimeMs (engine: EngineSpec, promptTokens: number, answerTokens: number): number {
   return readMs(engine, promptTokens) + answerTokens * stepMs(engine, engine.slots) / engine.slots
--- a/packages/dotterelspur/src/request/dispatch/TargetLoad.ts
+++ b/packages/dotterelspur/src/request/dispatch/TargetLoad.ts
@@ -9,6 +9,14 @@
 /** A reading loses half its weight in this time: a request holds a slot for about a second. */
 const READING_HALF_LIFE_MS = 700
 
+/** Weight of one more pause between events in what is known of an endpoint's speed; about ten events are one answer's start. */
+const GAP_WEIGHT = 0.1
+/** Bounds of what one pause can say: a burst after a stall says nothing of the speed. */
+const SLOWNESS_LEAST = 0.7
+const SLOWNESS_MOST = 8
+/** What was learned of an endpoint's speed fades in this time, so that a slow one is tried again. */
+const SLOWNESS_HALF_LIFE_MS = 4_000
+
 /** A silent or broken endpoint is passed over for this long, then tried again by single requests. */
 const HOLD_OFF_MS = 1_500
 const HOLD_OFF_LIMIT_MS = 6_000
@@ -21,8 +29,9 @@
   ownAtReading: number
   holdOffUntilMs: number
   failuresInARow: number
-  /** When it last sent anything to this node. */
-  progressAtMs: number
+  /** Measured pauses between events against those that its engine should make. */
+  slowness: number
+  slownessAtMs: number
 }
 
 /**
@@ -56,10 +65,23 @@
   }
 
   /** Bytes came: it lives. */
-  noteProgress (endpoint: EndpointId, nowMs: number): void {
+  noteProgress (endpoint: EndpointId): void {
+    this.state(endpoint).failuresInARow = 0
+  }
+
+  /** A pause between two events of one stream, and the one that its engine should make at its load. */
+  noteGap (endpoint: EndpointId, gapMs: number, expectedMs: number, nowMs: number): void {
     const state = this.state(endpoint)
-    state.progressAtMs = nowMs
-    state.failuresInARow = 0
+    const sample = Math.max(SLOWNESS_LEAST, Math.min(SLOWNESS_MOST, gapMs / expectedMs))
+    state.slowness = this.slowness(endpoint, nowMs) * (1 - GAP_WEIGHT) + sample * GAP_WEIGHT
+    state.slownessAtMs = nowMs
+  }
+
+  /** 1 for an endpoint as fast as its engine should be; a group runs at the pace of its slowest member. */
+  slowness (endpoint: EndpointId, nowMs: number): number {
+    const state = this.states.get(endpoint)
+    if (state === undefined) return 1
+    return 1 + (state.slowness - 1) * 0.5 ** ((nowMs - state.slownessAtMs) / SLOWNESS_HALF_LIFE_MS)
   }
 
   /** It failed in a way that speaks against it: others go first for a while, longer each time. */
@@ -77,25 +99,24 @@
     return this.states.get(endpoint)?.own ?? 0
   }
 
-  lastProgressMs (endpoint: EndpointId): number {
-    return this.states.get(endpoint)?.progressAtMs ?? -Infinity
-  }
-
-  /** Requests there now, of all nodes: `nodes` send about as many as this one. */
-  estimate (endpoint: EndpointId, nodes: number, nowMs: number): number {
+  /**
+   * Requests there now, of all nodes. `usual` is what endpoints of its kind have on average, by this node's own part:
+   * one endpoint's own part alone is a few requests at most, and too rough to be multiplied.
+   */
+  estimate (endpoint: EndpointId, usual: number, nowMs: number): number {
     const state = this.states.get(endpoint)
-    if (state === undefined) return 0
-    const guessed = state.own * nodes
+    if (state === undefined) return usual
+    const guessed = Math.max(usual, state.own)
     if (state.reading === null) return guessed
     const weight = 0.5 ** ((nowMs - state.readingAtMs) / READING_HALF_LIFE_MS)
     const read = Math.max(state.own, state.reading.running + state.reading.waiting + state.own - state.ownAtReading)
-    return weight * read + (1 - weight) * Math.max(guessed, state.own)
+    return weight * read + (1 - weight) * guessed
   }
 
   private state (endpoint: EndpointId): TargetState {
     let state = this.states.get(endpoint)
     if (state === undefined) {
-      state = { own: 0, reading: null, readingAtMs: 0, ownAtReading: 0, holdOffUntilMs: 0, failuresInARow: 0, progressAtMs: -Infinity }
+      state = { own: 0, reading: null, readingAtMs: 0, ownAtReading: 0, holdOffUntilMs: 0, failuresInARow: 0, slowness: 1, slownessAtMs: 0 }
       this.states.set(endpoint, state)
     }
     return state
--- a/packages/dotterelspur/src/request/dispatch/index.ts
+++ b/packages/dotterelspur/src/request/dispatch/index.ts
@@ -1,3 +1,4 @@
+export * from './DeadlineHistory.js'
 export * from './EngineTimes.js'
 export * from './EventCursor.js'
 export * from './ExchangeEnd.js'
--- a/packages/dotterelspur/src/version/formation/FormationProcedures.ts
+++ b/packages/dotterelspur/src/version/formation/FormationProcedures.ts
@@ -1,5 +1,6 @@
 import type { EndpointId, GroupId, ModelId } from '../../process/ids.js'
 import { perform, type Effect, type Procedure } from '../../process/Procedure.js'
+import type { Membership } from './Endpoint.js'
 import { CloseMode, EndpointOrderKind, OrderReply, type EndpointOrder } from './EndpointOrder.js'
 
 /** A former group whose members are needed for a new one. */
@@ -25,12 +26,25 @@
   readonly joinTimeoutMs: number
 }
 
+/** Whether a member is where the plan takes it from: in the former group that names it, or in none. */
+export function isAsPlanned (plan: FormationPlan, member: EndpointId, membership: Membership | null): boolean {
+  const former = plan.former.find(({ taken }) => taken.includes(member))
+  return former?.group === membership?.group && former?.formation === membership?.formation
+}
+
 export enum FormationEffectKind {
+  ConfirmMembers = 'confirm-members',
   SendOrders = 'send-orders',
   AwaitReady = 'await-ready',
   Wait = 'wait'
 }
 
+/** Whether each member says itself that it is where the plan takes it from; see `isAsPlanned`. */
+export interface ConfirmMembersEffect extends Effect<FormationEffectKind.ConfirmMembers, boolean> {
+  readonly kind: FormationEffectKind.ConfirmMembers
+  readonly plan: FormationPlan
+}
+
 export interface AddressedOrder {
   readonly endpoint: EndpointId
   readonly order: EndpointOrder
@@ -53,10 +67,12 @@
   readonly durationMs: number
 }
 
-export type FormationEffect = SendOrdersEffect | AwaitReadyEffect | FormationWaitEffect
+export type FormationEffect = ConfirmMembersEffect | SendOrdersEffect | AwaitReadyEffect | FormationWaitEffect
 
 export enum FormationEnd {
   Opened = 'opened',
+  /** A member did not answer, or is in another group than the list says. */
+  NotAsListed = 'not-as-listed',
   /** The head of a former group could not be shown to be closed. */
   NotReleased = 'not-released',
   /** A member did not take its order to join. */
@@ -95,11 +111,15 @@
  * Forms a group: frees its members, has them join, waits until each has said that it is ready under exactly this
  * formation, and only then opens the head, because heads don't check their members.
  *
+ * The list may be old, as after the store was out: members say themselves where they are before they are taken.
+ *
  * Orders may be carried out late, also an earlier holder's. So the head of a former group leaves it before any of its
  * members joins another: afterwards a late order to open the former group finds no head, and no member can be taken
  * from under an open one.
  */
 export function * formGroup (plan: FormationPlan): Procedure<FormationEffect, FormationEnd> {
+  const asListed = yield * perform<ConfirmMembersEffect>({ kind: FormationEffectKind.ConfirmMembers, plan })
+  if (!asListed) return FormationEnd.NotAsListed
   for (const former of plan.former) {
     const released = yield * releaseMembers(former)
     if (!released) return FormationEnd.NotReleased
--- /dev/null
+++ b/packages/dotterelspur/src/version/formation/PendingFormation.ts
@@ -0,0 +1,103 @@
+import type { EndpointId, FabricDomainId, ModelId } from '../../process/ids.js'
+import type { ModelSpec } from '../manifest/Manifest.js'
+import type { EndpointRecord } from './Endpoint.js'
+import type { FormationDecision, FormationInput } from './FormationDecision.js'
+import { FormationCondition, judgeFormation, readFormations, type FormationView } from './FormationView.js'
+
+/** One look at the fleet while it is decided on: what is left free, and what has been decided so far. */
+export interface PendingFormation {
+  readonly input: FormationInput
+  readonly groups: readonly FormationView[]
+  /** Sound endpoints that no group has. */
+  readonly free: Map<FabricDomainId, EndpointRecord[]>
+  /** Groups that serve or soon will, by model. */
+  readonly counts: Map<ModelId, number>
+  readonly targets: ReadonlyMap<ModelId, number>
+  /** The same groups, by fabric domain and model. */
+  readonly groupsByDomain: Map<FabricDomainId, Map<ModelId, number>>
+  loadAllowance: number
+  readonly decisions: FormationDecision[]
+}
+
+export function surveyFleet (input: FormationInput): PendingFormation {
+  const pending: PendingFormation = {
+    input,
+    groups: readFormations(input.endpoints),
+    free: new Map(),
+    counts: new Map(),
+    targets: groupTargets(input),
+    groupsByDomain: new Map(),
+    loadAllowance: input.loadAllowance,
+    decisions: []
+  }
+  for (const { model, fabricDomain } of input.forming) countGroup(pending, fabricDomain, model)
+  const occupied = new Set<EndpointId>(input.engaged)
+  for (const view of pending.groups) occupyGroup(pending, view, occupied)
+  for (const endpoint of input.endpoints) {
+    if (endpoint.fabricDomain === null || occupied.has(endpoint.endpoint) || !isSound(input, endpoint)) continue
+    const free = pending.free.get(endpoint.fabricDomain)
+    if (free === undefined) pending.free.set(endpoint.fabricDomain, [endpoint])
+    else free.push(endpoint)
+  }
+  return pending
+}
+
+/**
+ * Groups that serve keep their members. A complete one that isn't open, as a former decider may leave it, is formed
+ * anew instead of being opened: an order to join that is carried out late would take a member from under its open
+ * head, and only a join under a higher number makes such an order void.
+ */
+function occupyGroup (pending: PendingFormation, view: FormationView, occupied: Set<EndpointId>): void {
+  const { input } = pending
+  if (view.members.some(({ endpoint }) => input.engaged.has(endpoint))) {
+    // One member is being asked, or taken for another group: what becomes of the others depends on that.
+    for (const { endpoint } of view.members) occupied.add(endpoint)
+    return
+  }
+  const spec = input.models.find(({ model }) => model === view.model)
+  if (spec === undefined) return
+  const condition = judgeFormation(view, spec.size, (endpoint) => isSound(input, endpoint))
+  if (condition !== FormationCondition.Serving) return
+  for (const { endpoint } of view.members) occupied.add(endpoint)
+  countGroup(pending, view.members[0]!.fabricDomain!, spec.model)
+}
+
+function isSound (input: FormationInput, endpoint: EndpointRecord): boolean {
+  return !endpoint.leaving && !input.unreachable.has(endpoint.endpoint)
+}
+
+/**
+ * Groups wanted of each model: as many as the fleet holds when each model has the same number of groups for its
+ * demand, and at least one of each. Losses are made good as far as the endpoints go.
+ */
+export function groupTargets ({ models, demand, fullSize }: Pick<FormationInput, 'models' | 'demand' | 'fullSize'>): Map<ModelId, number> {
+  const endpointsPerUnit = models.reduce((sum, { model, size }) => sum + size * (demand.get(model) ?? 0), 0)
+  const units = endpointsPerUnit === 0 ? 0 : fullSize / endpointsPerUnit
+  return new Map(models.map(({ model }) => [model, Math.max(1, Math.round(units * (demand.get(model) ?? 0)))]))
+}
+
+export function countGroup (pending: PendingFormation, domain: FabricDomainId, model: ModelId): void {
+  pending.counts.set(model, (pending.counts.get(model) ?? 0) + 1)
+  const inDomain = pending.groupsByDomain.get(domain) ?? new Map<ModelId, number>()
+  inDomain.set(model, (inDomain.get(model) ?? 0) + 1)
+  pending.groupsByDomain.set(domain, inDomain)
+}
+
+export function groupsIn (pending: PendingFormation, domain: FabricDomainId, model: ModelId): number {
+  return pending.groupsByDomain.get(domain)?.get(model) ?? 0
+}
+
+/** Furthest below its target first; models that have reached it are left out. */
+export function modelsByNeed (pending: PendingFormation): ModelSpec[] {
+  const specs = pending.input.models.filter((spec) => filledShare(pending, spec) < 1)
+  return specs.sort((left, right) => filledShare(pending, left) - filledShare(pending, right))
+}
+
+export function filledShare (pending: PendingFormation, { model }: ModelSpec): number {
+  return (pending.counts.get(model) ?? 0) / pending.targets.get(model)!
+}
+
+/** Hosts on which a model is staged. */
+export function holders (endpoints: readonly EndpointRecord[], model: ModelId): EndpointRecord[] {
+  return endpoints.filter(({ staged }) => staged.includes(model))
+}
--- a/packages/dotterelspur/src/version/formation/index.ts
+++ b/packages/dotterelspur/src/version/formation/index.ts
@@ -1,5 +1,7 @@
 export * from './Endpoint.js'
 export * from './EndpointOrder.js'
+export * from './FormationDecision.js'
 export * from './FormationPlanner.js'
 export * from './FormationProcedures.js'
 export * from './FormationView.js'
+export { groupTargets } from './PendingFormation.js'
