Nodes tell each other what they have in flight; admission by the average load

Cause: readings of load come with a node's own answers, about one a second, so several nodes filled the same group, and the emptiest-looking group was the one least known.

--- a/packages/dotterelspur-gateway/src/connection/PeerLinks.ts
+++ b/packages/dotterelspur-gateway/src/connection/PeerLinks.ts
@@ -9,27 +9,52 @@
 const PING_INTERVAL_MS = 700
 /** A node without a sign of life for this long is taken off the directory: callers would try its address in vain. */
 const NODE_LOST_MS = 2_800
-const MAX_FRAME_BYTES = 4_096
+/** Counts of a few hundred endpoints. */
+const MAX_FRAME_BYTES = 65_536
 const HANDSHAKE_TIMEOUT_MS = 600
+/** Between two exchanges of loads; replays show little loss up to 600 ms. */
+const LOAD_INTERVAL_MS = 300
+/** Added for each node, so that the deciding node handles at most about 250 frames a second however many there are. */
+const LOAD_INTERVAL_PER_NODE_MS = 8
 
 enum PeerFrameKind {
   /** Streams of a group have fallen silent, or its head refuses for lack of a member. */
-  GroupSuspected = 'group-suspected'
+  GroupSuspected = 'group-suspected',
+  /** What the sender has in flight; its answer tells what all others have. */
+  OwnLoad = 'own-load',
+  OthersLoad = 'others-load'
 }
 
-interface PeerFrame {
-  readonly kind: PeerFrameKind
-  readonly head: EndpointId
+type LoadCounts = Readonly<Record<EndpointId, number>>
+
+type PeerFrame =
+  | { readonly kind: PeerFrameKind.GroupSuspected, readonly head: EndpointId }
+  | { readonly kind: PeerFrameKind.OwnLoad, readonly counts: LoadCounts }
+  | { readonly kind: PeerFrameKind.OthersLoad, readonly counts: LoadCounts, readonly nodes: number }
+
+/** What the links tell and ask this node. */
+export interface PeerListener {
+  /** A node's callers suspect a group. */
+  suspected (head: EndpointId): void
+  /** A node gives no sign of life. */
+  nodeLost (node: NodeRecord): void
+  /** What this node has in flight, by endpoint. */
+  ownLoad (): ReadonlyMap<EndpointId, number>
+  /** What `nodes` other nodes had in flight a moment ago. */
+  othersLoad (counts: ReadonlyMap<EndpointId, number>, nodes: number): void
 }
 
 interface Link {
   readonly socket: WebSocket
   readonly node: NodeRecord
+  /** What the node had in flight when it last told. */
+  counts: LoadCounts | null
 }
 
 /**
  * Links between the node that decides and all others. It dials them; they tell it at once which groups their
- * callers' streams show to be silent, seconds before the list does. Its pings show which nodes live.
+ * callers' streams show to be silent, seconds before the list does. Its pings show which nodes live. Through it nodes
+ * learn what the others have in flight, without which several of them would fill the same group at once.
  */
 export class PeerLinks {
   private server: WebSocketServer | null = null
@@ -37,11 +62,9 @@
   private readonly links = new Map<NodeId, Link>()
   private readonly aliveAtMs = new Map<NodeId, number>()
   private cancelTimer: Teardown = () => {}
+  private cancelLoadTimer: Teardown = () => {}
 
-  constructor (
-    private readonly clock: Clock, private readonly log: DecisionLog,
-    private readonly onSuspected: (head: EndpointId) => void, private readonly onNodeLost: (node: NodeRecord) => void
-  ) {}
+  constructor (private readonly clock: Clock, private readonly log: DecisionLog, private readonly listener: PeerListener) {}
 
   async listen ({ host, port }: ListenAddress): Promise<void> {
     const server = new WebSocketServer({ host, port, maxPayload: MAX_FRAME_BYTES, perMessageDeflate: false })
@@ -50,6 +73,7 @@
       this.deciders.add(socket)
       socket.on('close', () => { this.deciders.delete(socket) })
       socket.on('error', () => { socket.terminate() })
+      socket.on('message', (data) => { this.takeFrame(data as Buffer, null) })
     })
     await new Promise<void>((resolve, reject) => {
       server.once('listening', resolve)
@@ -59,8 +83,7 @@
 
   /** Tells whoever decides; nobody may be connected, then the list will tell it later. */
   tellSuspicion (head: EndpointId): void {
-    const frame = pack({ kind: PeerFrameKind.GroupSuspected, head } satisfies PeerFrame)
-    for (const socket of this.deciders) socket.send(frame)
+    this.tell(this.deciders, { kind: PeerFrameKind.GroupSuspected, head })
   }
 
   /** Links to `nodes` while `decides()` holds. */
@@ -72,8 +95,19 @@
     })
   }
 
+  /** Tells what is in flight, again and again; the deciding node gathers and tells each the sum of the others. */
+  exchangeLoads (nodeCount: () => number): void {
+    const intervalMs = LOAD_INTERVAL_MS + LOAD_INTERVAL_PER_NODE_MS * nodeCount()
+    this.cancelLoadTimer = this.clock.registerTimer(intervalMs, () => {
+      this.exchangeLoads(nodeCount)
+      if (this.deciders.size > 0) this.tell(this.deciders, { kind: PeerFrameKind.OwnLoad, counts: Object.fromEntries(this.listener.ownLoad()) })
+      if (this.links.size > 0) this.tellOthers()
+    })
+  }
+
   close (): void {
     this.cancelTimer()
+    this.cancelLoadTimer()
     this.dropAll()
     for (const socket of this.deciders) socket.terminate()
     this.server?.close()
@@ -96,19 +130,20 @@
     if (nowMs - this.aliveAtMs.get(record.node)! < NODE_LOST_MS) return
     this.aliveAtMs.delete(record.node)
     this.links.get(record.node)?.socket.terminate()
-    this.onNodeLost(record)
+    this.listener.nodeLost(record)
   }
 
   private dial (record: NodeRecord, former: Link | undefined): void {
     former?.socket.terminate()
     const socket = new WebSocket(`ws://${record.peers}`, { handshakeTimeout: HANDSHAKE_TIMEOUT_MS, perMessageDeflate: false, maxPayload: MAX_FRAME_BYTES })
-    this.links.set(record.node, { socket, node: record })
+    const link: Link = { socket, node: record, counts: null }
+    this.links.set(record.node, link)
     const noteAlive = (): void => { this.aliveAtMs.set(record.node, this.clock.nowMs()) }
     socket.on('open', noteAlive)
     socket.on('pong', noteAlive)
     socket.on('message', (data) => {
       noteAlive()
-      this.takeFrame(data as Buffer)
+      this.takeFrame(data as Buffer, link)
     })
     socket.on('error', () => { socket.terminate() })
     socket.on('close', () => {
@@ -116,18 +151,46 @@
     })
   }
 
-  private takeFrame (data: Buffer): void {
+  private takeFrame (data: Buffer, link: Link | null): void {
     try {
       const frame = unpack(data) as PeerFrame
-      if (frame.kind === PeerFrameKind.GroupSuspected && typeof frame.head === 'string') this.onSuspected(frame.head)
+      if (frame.kind === PeerFrameKind.GroupSuspected) this.listener.suspected(frame.head)
+      if (frame.kind === PeerFrameKind.OwnLoad && link !== null) link.counts = frame.counts
+      if (frame.kind === PeerFrameKind.OthersLoad) this.listener.othersLoad(new Map(Object.entries(frame.counts)), frame.nodes)
     } catch (error) {
       this.log.write(LogKind.Unexpected, { where: 'peer frame', error: String(error) })
     }
   }
 
+  private tellOthers (): void {
+    const told = [...this.links.values()].filter(({ counts }) => counts !== null)
+    const own = this.listener.ownLoad()
+    const total = new Map(own)
+    for (const { counts } of told) add(total, Object.entries(counts!), 1)
+    for (const { socket, counts } of told) {
+      const others = new Map(total)
+      add(others, Object.entries(counts!), -1)
+      this.tell([socket], { kind: PeerFrameKind.OthersLoad, counts: Object.fromEntries(others), nodes: told.length })
+    }
+    add(total, own, -1)
+    this.listener.othersLoad(total, told.length)
+  }
+
+  private tell (sockets: Iterable<WebSocket>, frame: PeerFrame): void {
+    const bytes = pack(frame)
+    for (const socket of sockets) {
+      // A peer that takes nothing is not waited for: what it misses is old by the time it would read it.
+      if (socket.readyState === WebSocket.OPEN && socket.bufferedAmount < MAX_FRAME_BYTES) socket.send(bytes)
+    }
+  }
+
   private dropAll (): void {
     for (const { socket } of this.links.values()) socket.terminate()
     this.links.clear()
     this.aliveAtMs.clear()
   }
 }
+
+function add (sum: Map<EndpointId, number>, counts: Iterable<[EndpointId, number]>, sign: 1 | -1): void {
+  for (const [endpoint, count] of counts) sum.set(endpoint, (sum.get(endpoint) ?? 0) + sign * count)
+}
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -90,7 +90,12 @@
       onSuspect: (head) => { this.suspect(head) }
     })
     this.callers = new CallerListener({ clock, random, log, metrics: this.metrics, wire: parts.wire, manifest: this.manifest, dispatch: this.dispatch })
-    this.peers = new PeerLinks(clock, log, (head) => { this.formations.suspectGroup(head) }, (node) => { this.dropNode(node) })
+    this.peers = new PeerLinks(clock, log, {
+      suspected: (head) => { this.formations.suspectGroup(head) },
+      nodeLost: (node) => { this.dropNode(node) },
+      ownLoad: () => this.dispatch.load.ownCounts(),
+      othersLoad: (counts, nodes) => { this.dispatch.load.noteOthers(counts, nodes, clock.nowMs()) }
+    })
     this.registerGauges()
   }
 
@@ -108,6 +113,7 @@
     this.dispatch.start()
     this.formations.start()
     this.peers.keep(() => this.nodes.nodes().filter(({ node }) => node !== settings.node), () => this.lease.mayOrder())
+    this.peers.exchangeLoads(() => this.nodes.nodes().length)
     this.step()
     parts.log.write(LogKind.Start, { callers: addressOf(settings.callers), failureDomain: settings.failureDomain, firstStart: settings.firstStart })
     await this.nodes.register()
--- a/packages/dotterelspur/src/request/dispatch/Placement.ts
+++ b/packages/dotterelspur/src/request/dispatch/Placement.ts
@@ -64,10 +64,10 @@
 /** Cost of a stream whose every pause will be late; a full group elsewhere is better than that. */
 const SLOW_STREAM_MS = 400
 /**
- * How far beyond its target a request may be expected to start and still be sent: the expectation is rough to about a
- * fifth of a second, and one that misses it by that is still worth a quarter.
+ * How far beyond its target a request may be expected to start and still be sent. Replayed with 0.8 to 1.2, at 1.2
+ * times what the groups can serve: 1 and below serve two in a hundred more in time than 1.2, below 1 nothing is gained.
  */
-const TARGET_SLACK = 1.2
+const TARGET_SLACK = 1
 /** A prompt so long that it can't make the target is given this multiple of its time at an idle group. */
 const IDLE_FACTOR = 2
 /** A group may form, or be mended, within about this time. */
@@ -81,6 +81,8 @@
 
 interface Candidate {
   readonly target: DispatchTarget
+  /** Requests there now, as far as is known. */
+  readonly present: number
   readonly expectedMs: number
   readonly cost: number
 }
@@ -101,10 +103,22 @@
   const usualLoad = kin.reduce((sum, { endpoint }) => sum + input.load.ownInFlight(endpoint), 0) * input.nodes / kin.length
   const candidates = suitable.map((target) => judge(target, usualLoad, query, input))
   const best = candidates.reduce((left, right) => right.cost < left.cost ? right : left)
-  if (best.expectedMs <= limitMs(best.target, query, input)) return best.target
+  const expectedMs = Math.max(best.expectedMs, averageMs(best.target, candidates, query, input))
+  if (expectedMs <= limitMs(best.target, query, input)) return best.target
   return { reason: RefusalReason.Full, retryAfterMs: returnAfterMs(query, input) }
 }
 
+/**
+ * The time that the endpoint would take at the average load of all. The one that seems emptiest is most often one of
+ * which this node knows least; their sum is known better, and none can be far below it for long. Replayed at 1.2
+ * times what the groups can serve, 8 nodes, 6 seeds: 63 instead of 48 in 100 answers in time.
+ */
+function averageMs (target: DispatchTarget, candidates: readonly Candidate[], query: PlacementQuery, { engine }: PlacementInput): number {
+  if (engine === null) return 0
+  const average = candidates.reduce((sum, { present }) => sum + present, 0) / candidates.length
+  return firstEventMs(engine, paceOf(engine, target), average, query.promptTokens)
+}
+
 /** The longest expected time to the first event with which a request is still sent. */
 function limitMs (target: DispatchTarget, query: PlacementQuery, { engine }: PlacementInput): number {
   // One that was lost at another endpoint goes on wherever it can: what was spent on it would be wasted.
@@ -124,7 +138,7 @@
   const heldOffMs = load.isHeldOff(target.endpoint, nowMs) ? HELD_OFF_MS : 0
   const foreignMs = target.failureDomain === input.ownFailureDomain ? 0 : FOREIGN_DOMAIN_MS
   const slowStreamMs = isTooSlow(target, present, slowness, query, input) ? SLOW_STREAM_MS : 0
-  return { target, expectedMs, cost: expectedMs + heldOffMs + foreignMs + slowStreamMs + SPREAD_MS * input.random.next() }
+  return { target, present, expectedMs, cost: expectedMs + heldOffMs + foreignMs + slowStreamMs + SPREAD_MS * input.random.next() }
 }
 
 /** Whether the pauses between a stream's events will be longer than what is on time. */
--- a/packages/dotterelspur/src/request/dispatch/TargetLoad.ts
+++ b/packages/dotterelspur/src/request/dispatch/TargetLoad.ts
@@ -21,6 +21,9 @@
 const HOLD_OFF_MS = 1_500
 const HOLD_OFF_LIMIT_MS = 6_000
 
+/** What other nodes have in flight is exchanged several times a second; older than this it says less than readings. */
+const OTHERS_VALID_MS = 900
+
 interface TargetState {
   own: number
   reading: LoadReading | null
@@ -35,11 +38,31 @@
 }
 
 /**
- * What this node knows of the load and soundness of each endpoint: its own requests exactly, everybody's by the
- * endpoint's last word, which fades as it ages into what this node's own part suggests.
+ * What this node knows of the load and soundness of each endpoint: its own requests exactly, other nodes' as they
+ * told it a moment ago. Without their word, everybody's by the endpoint's last word, which fades as it ages into what
+ * this node's own part suggests. Replayed at 0.9 of what the groups can serve, 8 nodes: 85 in 100 answers in time by
+ * the endpoints' words alone, 93 with what nodes tell each other every 300 ms (SurgeReplay, 6 seeds).
  */
 export class TargetLoad {
   private readonly states = new Map<EndpointId, TargetState>()
+  private others: ReadonlyMap<EndpointId, number> = new Map()
+  private othersAtMs = -Infinity
+  /** This node's own part when the others told theirs, and how many times it is theirs. */
+  private ownAtOthers: ReadonlyMap<EndpointId, number> = new Map()
+  private otherNodes = 0
+
+  /** Takes in what `otherNodes` other nodes together had in flight a moment ago. */
+  noteOthers (counts: ReadonlyMap<EndpointId, number>, otherNodes: number, nowMs: number): void {
+    this.others = counts
+    this.otherNodes = otherNodes
+    this.othersAtMs = nowMs
+    this.ownAtOthers = this.ownCounts()
+  }
+
+  /** This node's own requests in flight, by endpoint. */
+  ownCounts (): Map<EndpointId, number> {
+    return new Map([...this.states].filter(([, { own }]) => own > 0).map(([endpoint, { own }]) => [endpoint, own]))
+  }
 
   /** Forgets endpoints that are gone. */
   retain (endpoints: ReadonlySet<EndpointId>): void {
@@ -100,11 +123,13 @@
   }
 
   /**
-   * Requests there now, of all nodes. `usual` is what endpoints of its kind have on average, by this node's own part:
+   * Requests there now, of all nodes: this node's own and what the others told it. Where they have not told it lately,
+   * by the endpoint's own last word. `usual` is what endpoints of its kind have on average, by this node's own part:
    * one endpoint's own part alone is a few requests at most, and too rough to be multiplied.
    */
   estimate (endpoint: EndpointId, usual: number, nowMs: number): number {
     const state = this.states.get(endpoint)
+    if (nowMs - this.othersAtMs <= OTHERS_VALID_MS) return this.estimateWithOthers(endpoint, state?.own ?? 0)
     if (state === undefined) return usual
     const guessed = Math.max(usual, state.own)
     if (state.reading === null) return guessed
@@ -113,6 +138,16 @@
     return weight * read + (1 - weight) * guessed
   }
 
+  /**
+   * All nodes were told about the same, and see the same endpoint as the emptiest: what this one has sent there since,
+   * the others will have sent as well. Without that they would all go on sending to it until they are told again.
+   */
+  private estimateWithOthers (endpoint: EndpointId, own: number): number {
+    const sinceTold = own - (this.ownAtOthers.get(endpoint) ?? 0)
+    const told = (this.others.get(endpoint) ?? 0) + sinceTold * this.otherNodes
+    return own + Math.max(0, told)
+  }
+
   private state (endpoint: EndpointId): TargetState {
     let state = this.states.get(endpoint)
     if (state === undefined) {
