--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -99,6 +99,10 @@
     this.registerGauges()
   }
 
+  get metricsAddress (): ListenAddress {
+    return this.settings.metrics
+  }
+
   async start (): Promise<void> {
     const { settings, parts } = this
     const { questions } = parts
--- a/packages/dotterelspur-gateway/src/process/GatewayMetrics.ts
+++ b/packages/dotterelspur-gateway/src/process/GatewayMetrics.ts
@@ -5,6 +5,8 @@
 import type { RequestReport } from '../request/GatewayRequest.js'
 
 const PREFIX = 'dotterelspur_gateway_'
+/** Else a gauge would go to the register that all of a process share. */
+const NO_REGISTER: Registry[] = []
 const QUANTILES: readonly number[] = [0.5, 0.95, 0.99]
 const HIGHEST_TRACKABLE_MS = 600_000
 const SIGNIFICANT_DIGITS = 2
@@ -40,7 +42,7 @@
 
   /** A value that is read when the page is. */
   gauge (name: string, help: string, read: () => number): void {
-    this.registry.registerMetric(new Gauge({ name: `${PREFIX}${name}`, help, collect () { this.set(read()) } }))
+    this.registry.registerMetric(new Gauge({ name: `${PREFIX}${name}`, help, registers: NO_REGISTER, collect () { this.set(read()) } }))
   }
 
   async page (): Promise<string> {
@@ -56,6 +58,7 @@
       name: `${PREFIX}${name}`,
       help,
       labelNames: ['kind', 'quantile'],
+      registers: NO_REGISTER,
       collect () {
         for (const [kind, histogram] of histograms) {
           for (const quantile of QUANTILES) this.set({ kind, quantile: String(quantile) }, histogram.getValueAtPercentile(quantile * 100))
