--- /dev/null
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/FormationRunner.test.ts
@@ -0,0 +1,84 @@
+import { expect } from 'chai'
+import { createRandom, EndpointOrderKind, FormationEnd, ManualClock, MemberState, OrderReply, type EndpointOrder, type FormationPlan, type Membership } from 'dotterelspur'
+import { EndpointKeeper } from '../../process/EndpointKeeper.js'
+import { FleetLease, FLEET_LEASE_TIMING } from '../../process/FleetLease.js'
+import { FormationRunner } from '../../process/FormationRunner.js'
+import { ReportEndKind, type EndpointControl } from '../../process/GatewayPorts.js'
+import { Reachability } from '../../process/Reachability.js'
+import { MemoryStore } from '../fixtures/MemoryStore.js'
+import { createEndpoint, createLog } from '../fixtures/parts.js'
+
+const PLAN: FormationPlan = { group: 'g9', formation: 9, model: 'small', members: ['w1', 'w2'], former: [], joinTimeoutMs: 4_000 }
+const OPEN: EndpointOrder = { kind: EndpointOrderKind.Open, group: 'g9', formation: 9 }
+
+/** Two endpoints that carry out every order at once and write what they are to the list. */
+class RunnerWorld {
+  readonly store = new MemoryStore()
+  readonly clock = new ManualClock()
+  readonly orders: string[] = []
+  readonly lease: FleetLease
+  readonly runner: FormationRunner
+  private readonly places = new Map<string, Membership>()
+  private readonly endpoints: EndpointKeeper
+
+  constructor () {
+    const log = createLog(this.clock)
+    this.endpoints = new EndpointKeeper(this.clock, log)
+    this.endpoints.follow(this.store)
+    this.lease = new FleetLease(this.store, { node: 'n1', incarnation: 1 }, this.clock, createRandom(1), log, () => {})
+    const control = this.createControl()
+    this.runner = new FormationRunner({
+      clock: this.clock, lease: this.lease, endpoints: this.endpoints, control, reachability: new Reachability(control, this.clock, log, () => {}), find: (endpoint) => this.endpoints.current.get(endpoint)
+    })
+    this.endpoints.registerListener(() => { this.runner.noteList() })
+    for (const id of PLAN.members) this.list(id)
+  }
+
+  async takeLease (): Promise<void> {
+    for (let step = 0; step < 8; step++) await this.step(100)
+  }
+
+  async step (durationMs: number): Promise<void> {
+    this.clock.advance(durationMs)
+    await this.lease.step()
+  }
+
+  private createControl (): EndpointControl {
+    return {
+      order: async ({ endpoint }, order) => {
+        this.orders.push(`${order.kind} ${endpoint}`)
+        if (order.kind === EndpointOrderKind.Join) this.places.set(endpoint, { group: order.group, formation: order.formation, rank: order.members.indexOf(endpoint), state: MemberState.Ready })
+        if (order.kind === EndpointOrderKind.Open) this.places.set(endpoint, { ...this.places.get(endpoint)!, state: MemberState.Open })
+        this.list(endpoint)
+        return OrderReply.Begun
+      },
+      report: async ({ endpoint }) => ({ kind: ReportEndKind.Answered, report: { membership: this.places.get(endpoint) ?? null, model: null, staged: [], running: 0, waiting: 0 } })
+    }
+  }
+
+  private list (id: string): void {
+    this.store.put(`endpoints/${id}`, createEndpoint(id, '10.0.0.1:1', { fabricDomain: 'd', membership: this.places.get(id) ?? null }))
+  }
+}
+
+describe('FormationRunner', () => {
+  it('forms a group and waits until the list shows it', async () => {
+    const world = new RunnerWorld()
+    await world.takeLease()
+    expect(await world.runner.run(PLAN)).to.equal(FormationEnd.Opened)
+    await world.runner.untilListedOpen(PLAN)
+    expect(world.orders).to.deep.equal(['join w1', 'join w2', 'open w1'])
+  })
+
+  it('sends no order once its lease has lapsed', async () => {
+    // Symptom: two nodes order the same members about. Sequence: the store goes out in the middle of a plan, the lease
+    // lapses, another node takes it, and the first goes on. Cause: the lease was looked at only when the plan began.
+    const world = new RunnerWorld()
+    await world.takeLease()
+    world.store.cut()
+    for (let passedMs = 0; passedMs < FLEET_LEASE_TIMING.ttlMs; passedMs += 100) await world.step(100)
+    expect(await world.runner.sendOrders([{ endpoint: 'w1', order: OPEN }])).to.deep.equal([OrderReply.Unreachable])
+    expect(await world.runner.run(PLAN)).to.equal(FormationEnd.NotJoined)
+    expect(world.orders).to.deep.equal([])
+  })
+})
--- a/packages/dotterelspur-gateway/src/process/FormationKeeper.ts
+++ b/packages/dotterelspur-gateway/src/process/FormationKeeper.ts
@@ -1,13 +1,13 @@
 import {
-  FormationDecisionKind, FormationEffectKind, FormationEnd, formationKey, formGroup, isAsPlanned, MemberState, EndpointOrderKind, OrderReply, planFormations, runProcedure,
-  type AddressedOrder, type Clock, type EffectHandlers, type EndpointId, type EndpointRecord, type EngineSpec, type FormationDecision, type FormationEffect, type FormationPlan, type FormingGroup,
-  type Membership, type ModelId, type ServiceSpec, type Teardown
+  FormationDecisionKind, FormationEnd, formationKey, MemberState, EndpointOrderKind, OrderReply, planFormations, sleep,
+  type Clock, type EndpointId, type EndpointRecord, type EngineSpec, type FormationDecision, type FormationPlan, type FormingGroup, type ModelId, type ServiceSpec, type Teardown
 } from 'dotterelspur'
 import type { DecisionLog } from './DecisionLog.js'
 import { LogKind } from './DecisionLog.js'
 import type { EndpointKeeper } from './EndpointKeeper.js'
 import type { FleetLease } from './FleetLease.js'
-import { ReportEndKind, type EndpointControl, type EndpointPlace } from './GatewayPorts.js'
+import { FormationRunner } from './FormationRunner.js'
+import type { EndpointControl } from './GatewayPorts.js'
 import { LoadMeter } from './LoadMeter.js'
 import type { ManifestKeeper } from './ManifestKeeper.js'
 import { Reachability } from './Reachability.js'
@@ -19,11 +19,6 @@
 const SETTLE_MS = 20
 /** Looks at the fleet also without a change: endpoints fall silent without one. */
 const LOOK_INTERVAL_MS = 250
-/** While a join is awaited and the list says nothing, members are asked directly this often. */
-const READY_POLL_MS = 500
-const REPORT_TIMEOUT_MS = 400
-/** After a head opened: the list shows it within a pass or two of its watch, unless the store is out. */
-const LISTED_OPEN_TIMEOUT_MS = 1_500
 /** Before the first request: the list counts as complete when it has not grown for this long. */
 const FILL_SETTLE_MS = 700
 /** How often the deciding node says what the fleet is made of. */
@@ -46,7 +41,8 @@
 
 /** Keeps the groups of each model service: decides while it holds the lease, and carries out what was decided. */
 export class FormationKeeper {
-  readonly reachability: Reachability
+  private readonly reachability: Reachability
+  private readonly runner: FormationRunner
   private readonly loads = new LoadMeter()
   private readonly engaged = new Map<EndpointId, FormationPlan>()
   private readonly forming = new Set<FormationPlan>()
@@ -54,7 +50,6 @@
   private readonly unlistedHeads = new Map<EndpointId, EndpointRecord>()
   private known: ReadonlyMap<EndpointId, EndpointRecord> = new Map()
   private readonly fullSizes = new Map<string, number>()
-  private readonly awaiting = new Set<() => void>()
   private formations = 0
   private stateLoggedAtMs = -Infinity
   private grownAtMs = -Infinity
@@ -63,7 +58,9 @@
 
   constructor (private readonly parts: FormationKeeperParts) {
     this.reachability = new Reachability(parts.control, parts.clock, parts.log, () => { this.lookSoon() })
-    parts.endpoints.registerListener((endpoints) => { this.noteEndpoints(endpoints) })
+    const { clock, lease, endpoints, control } = parts
+    this.runner = new FormationRunner({ clock, lease, endpoints, control, reachability: this.reachability, find: (endpoint) => this.known.get(endpoint) ?? this.unlistedHeads.get(endpoint) })
+    endpoints.registerListener((changed) => { this.noteEndpoints(changed) })
     parts.manifest.registerListener(() => { this.lookSoon() })
   }
 
@@ -98,7 +95,7 @@
     if (endpoints.size > this.known.size) this.grownAtMs = this.parts.clock.nowMs()
     this.loads.retain(endpoints)
     for (const record of endpoints.values()) this.loads.noteStaged(record)
-    for (const check of [...this.awaiting]) check()
+    this.runner.noteList()
     this.lookSoon()
   }
 
@@ -227,34 +224,19 @@
     for (const member of plan.members) this.engaged.set(member, plan)
     this.forming.add(plan)
     log.write(LogKind.FormationBegun, { group: plan.group, model: plan.model, members: plan.members, former: plan.former.map(({ group, head }) => `${group}:${head ?? 'gone'}`) })
-    const end = await runProcedure(formGroup(plan), this.handlers())
+    const end = await this.runner.run(plan)
     log.write(LogKind.FormationEnded, { group: plan.group, model: plan.model, end, tookMs: Math.round(clock.nowMs() - startedAtMs) })
-    if (end !== FormationEnd.Opened) {
-      for (const member of plan.members) this.suspectMember(member)
-      await pause(clock, FAILED_PLAN_PAUSE_MS)
-    } else {
-      await this.untilListedOpen(plan)
-    }
+    if (end === FormationEnd.Opened) await this.runner.untilListedOpen(plan)
+    else await sleep(clock, FAILED_PLAN_PAUSE_MS)
     this.forming.delete(plan)
     for (const member of plan.members) this.engaged.delete(member)
     this.lookSoon()
   }
 
-  /** Until the list shows what was just done, a look would take the members for free ones. */
-  private async untilListedOpen (plan: FormationPlan): Promise<void> {
-    const head = plan.members[0]!
-    const isListed = (): boolean => {
-      const record = this.known.get(head)
-      return record === undefined || (record.membership?.formation === plan.formation && record.membership.state === MemberState.Open)
-    }
-    const listed = await this.until(isListed, LISTED_OPEN_TIMEOUT_MS)
-    if (!listed) await Promise.all(plan.members.map(async (member) => await this.askMember(member)))
-  }
-
   private async stage (endpoint: EndpointId, model: ModelId, engine: EngineSpec): Promise<void> {
     const spec = engine.models.find((candidate) => candidate.model === model)!
     this.loads.begin(endpoint, spec, this.parts.clock.nowMs())
-    const [reply] = await this.sendOrders([{ endpoint, order: { kind: EndpointOrderKind.Stage, model } }])
+    const [reply] = await this.runner.sendOrders([{ endpoint, order: { kind: EndpointOrderKind.Stage, model } }])
     this.parts.log.write(LogKind.HostStaged, { endpoint, model, reply })
     if (reply === OrderReply.Unfit || reply === OrderReply.Elsewhere || reply === OrderReply.Unreachable) this.loads.drop(endpoint)
   }
@@ -265,101 +247,6 @@
       if (this.known.get(member)?.staged.includes(plan.model) !== true) this.loads.begin(member, spec, this.parts.clock.nowMs())
     }
   }
-
-  private suspectMember (endpoint: EndpointId): void {
-    const record = this.known.get(endpoint)
-    if (record !== undefined) this.reachability.suspect(record)
-  }
-
-  private handlers (): EffectHandlers<FormationEffect> {
-    return {
-      [FormationEffectKind.ConfirmMembers]: async ({ plan }) => await this.confirmMembers(plan),
-      [FormationEffectKind.SendOrders]: async ({ orders }) => await this.sendOrders(orders),
-      [FormationEffectKind.AwaitReady]: async ({ plan }) => await this.awaitReady(plan),
-      [FormationEffectKind.Wait]: async ({ durationMs }) => { await pause(this.parts.clock, durationMs) }
-    }
-  }
-
-  private async sendOrders (orders: readonly AddressedOrder[]): Promise<OrderReply[]> {
-    return await Promise.all(orders.map(async ({ endpoint, order }) => await this.parts.control.order(this.placeOf(endpoint), order)))
-  }
-
-  /** What members say themselves goes before the list until the list has something newer. */
-  private async confirmMembers (plan: FormationPlan): Promise<boolean> {
-    const confirmed = await Promise.all(plan.members.map(async (member) => {
-      const reported = await this.askMember(member)
-      return reported !== undefined && isAsPlanned(plan, member, reported)
-    }))
-    return confirmed.every(Boolean)
-  }
-
-  /** A member's place by its own word, which is kept; undefined without an answer. */
-  private async askMember (member: EndpointId): Promise<Membership | null | undefined> {
-    const end = await this.parts.control.report(this.placeOf(member), REPORT_TIMEOUT_MS)
-    if (end.kind !== ReportEndKind.Answered) {
-      this.suspectMember(member)
-      return undefined
-    }
-    this.parts.endpoints.noteReport(member, end.report)
-    return end.report.membership
-  }
-
-  private placeOf (endpoint: EndpointId): EndpointPlace {
-    const record = this.known.get(endpoint) ?? this.unlistedHeads.get(endpoint)
-    return { endpoint, address: record?.address ?? '' }
-  }
-
-  /** The list tells of each member that gets ready; while it is silent, as with the store out, members are asked. */
-  private async awaitReady (plan: FormationPlan): Promise<boolean> {
-    const startedAtMs = this.parts.clock.nowMs()
-    const deadlineMs = startedAtMs + plan.joinTimeoutMs
-    const askFromMs = startedAtMs + plan.joinTimeoutMs / 2
-    const seenReady = new Set<EndpointId>()
-    const isOver = (): boolean => {
-      for (const member of plan.members) {
-        if (isReadyIn(this.known.get(member), plan)) seenReady.add(member)
-      }
-      return seenReady.size === plan.members.length || plan.members.some((member) => this.isLost(member))
-    }
-    while (!isOver() && this.parts.clock.nowMs() < deadlineMs) {
-      const changed = await this.until(isOver, READY_POLL_MS)
-      if (!changed && this.parts.clock.nowMs() >= askFromMs) await this.askMembers(plan, seenReady)
-    }
-    return seenReady.size === plan.members.length
-  }
-
-  private isLost (endpoint: EndpointId): boolean {
-    const record = this.known.get(endpoint)
-    return record === undefined || record.leaving || this.reachability.unreachable().has(endpoint)
-  }
-
-  private async askMembers (plan: FormationPlan, seenReady: Set<EndpointId>): Promise<void> {
-    const unknown = plan.members.filter((member) => !seenReady.has(member))
-    await Promise.all(unknown.map(async (member) => {
-      const membership = await this.askMember(member)
-      if (membership !== undefined && isReadyIn({ membership }, plan)) seenReady.add(member)
-    }))
-  }
-
-  /** Waits until `condition` holds, looked at on each change of the list; false when the time is over first. */
-  private async until (condition: () => boolean, timeoutMs: number): Promise<boolean> {
-    if (condition()) return true
-    return await new Promise<boolean>((resolve) => {
-      const finish = (result: boolean): void => {
-        this.awaiting.delete(check)
-        cancel()
-        resolve(result)
-      }
-      const check = (): void => { if (condition()) finish(true) }
-      const cancel = this.parts.clock.registerTimer(timeoutMs, () => { finish(condition()) })
-      this.awaiting.add(check)
-    })
-  }
-}
-
-function isReadyIn (word: Pick<EndpointRecord, 'membership'> | undefined, plan: FormationPlan): boolean {
-  const membership = word?.membership ?? null
-  return membership !== null && membership.group === plan.group && membership.formation === plan.formation && membership.state === MemberState.Ready
 }
 
 function isServingHead ({ membership }: EndpointRecord): boolean {
@@ -369,7 +256,3 @@
 function sameFormation (left: EndpointRecord, right: EndpointRecord): boolean {
   return left.membership !== null && right.membership !== null && left.membership.group === right.membership.group && left.membership.formation === right.membership.formation
 }
-
-async function pause (clock: Clock, durationMs: number): Promise<void> {
-  await new Promise<void>((resolve) => { clock.registerTimer(durationMs, resolve) })
-}
--- /dev/null
+++ b/packages/dotterelspur-gateway/src/process/FormationRunner.ts
@@ -0,0 +1,153 @@
+import {
+  FormationEffectKind, FormationEnd, formGroup, isAsPlanned, MemberState, OrderReply, runProcedure, sleep,
+  type AddressedOrder, type Clock, type EffectHandlers, type EndpointId, type EndpointRecord, type FormationEffect, type FormationPlan, type Membership
+} from 'dotterelspur'
+import type { EndpointKeeper } from './EndpointKeeper.js'
+import type { FleetLease } from './FleetLease.js'
+import { ReportEndKind, type EndpointControl, type EndpointPlace } from './GatewayPorts.js'
+import type { Reachability } from './Reachability.js'
+
+/** While a join is awaited and the list says nothing, members are asked directly this often. */
+const READY_POLL_MS = 500
+const REPORT_TIMEOUT_MS = 400
+/** After a head opened: the list shows it within a pass or two of its watch, unless the store is out. */
+const LISTED_OPEN_TIMEOUT_MS = 1_500
+
+export interface FormationRunnerParts {
+  readonly clock: Clock
+  readonly lease: FleetLease
+  readonly endpoints: EndpointKeeper
+  readonly control: EndpointControl
+  readonly reachability: Reachability
+  /** Where an endpoint is or was: a head may have left the list and still serve. */
+  readonly find: (endpoint: EndpointId) => EndpointRecord | undefined
+}
+
+/** Carries out plans of groups: sends their orders, and waits for what members say of themselves. */
+export class FormationRunner {
+  private readonly awaiting = new Set<() => void>()
+
+  constructor (private readonly parts: FormationRunnerParts) {}
+
+  /** Members of a plan that did not come to its end are asked whether they live. */
+  async run (plan: FormationPlan): Promise<FormationEnd> {
+    const end = await runProcedure(formGroup(plan), this.handlers())
+    if (end !== FormationEnd.Opened) plan.members.forEach((member) => { this.suspectMember(member) })
+    return end
+  }
+
+  /** The list has changed: what waits for it looks again. */
+  noteList (): void {
+    for (const check of [...this.awaiting]) check()
+  }
+
+  /** Sends orders side by side, each only while this node holds the lease: it may have lapsed since the plan began. */
+  async sendOrders (orders: readonly AddressedOrder[]): Promise<OrderReply[]> {
+    return await Promise.all(orders.map(async ({ endpoint, order }) => {
+      if (!this.parts.lease.mayOrder()) return OrderReply.Unreachable
+      return await this.parts.control.order(this.placeOf(endpoint), order)
+    }))
+  }
+
+  /** Until the list shows what was just done, a look would take the members for free ones. */
+  async untilListedOpen (plan: FormationPlan): Promise<void> {
+    const head = plan.members[0]!
+    const isListed = (): boolean => {
+      const record = this.parts.endpoints.current.get(head)
+      return record === undefined || (record.membership?.formation === plan.formation && record.membership.state === MemberState.Open)
+    }
+    const listed = await this.until(isListed, LISTED_OPEN_TIMEOUT_MS)
+    if (!listed) await Promise.all(plan.members.map(async (member) => await this.askMember(member)))
+  }
+
+  private handlers (): EffectHandlers<FormationEffect> {
+    return {
+      [FormationEffectKind.ConfirmMembers]: async ({ plan }) => await this.confirmMembers(plan),
+      [FormationEffectKind.SendOrders]: async ({ orders }) => await this.sendOrders(orders),
+      [FormationEffectKind.AwaitReady]: async ({ plan }) => await this.awaitReady(plan),
+      [FormationEffectKind.Wait]: async ({ durationMs }) => { await sleep(this.parts.clock, durationMs) }
+    }
+  }
+
+  private suspectMember (endpoint: EndpointId): void {
+    const record = this.parts.endpoints.current.get(endpoint)
+    if (record !== undefined) this.parts.reachability.suspect(record)
+  }
+
+  /** What members say themselves goes before the list until the list has something newer. */
+  private async confirmMembers (plan: FormationPlan): Promise<boolean> {
+    const confirmed = await Promise.all(plan.members.map(async (member) => {
+      const reported = await this.askMember(member)
+      return reported !== undefined && isAsPlanned(plan, member, reported)
+    }))
+    return confirmed.every(Boolean)
+  }
+
+  /** A member's place by its own word, which is kept; undefined without an answer. */
+  private async askMember (member: EndpointId): Promise<Membership | null | undefined> {
+    const end = await this.parts.control.report(this.placeOf(member), REPORT_TIMEOUT_MS)
+    if (end.kind !== ReportEndKind.Answered) {
+      this.suspectMember(member)
+      return undefined
+    }
+    this.parts.endpoints.noteReport(member, end.report)
+    return end.report.membership
+  }
+
+  private placeOf (endpoint: EndpointId): EndpointPlace {
+    const record = this.parts.find(endpoint)
+    return { endpoint, address: record?.address ?? '' }
+  }
+
+  /** The list tells of each member that gets ready; while it is silent, as with the store out, members are asked. */
+  private async awaitReady (plan: FormationPlan): Promise<boolean> {
+    const startedAtMs = this.parts.clock.nowMs()
+    const deadlineMs = startedAtMs + plan.joinTimeoutMs
+    const askFromMs = startedAtMs + plan.joinTimeoutMs / 2
+    const seenReady = new Set<EndpointId>()
+    const isOver = (): boolean => {
+      for (const member of plan.members) {
+        if (isReadyIn(this.parts.endpoints.current.get(member), plan)) seenReady.add(member)
+      }
+      return seenReady.size === plan.members.length || plan.members.some((member) => this.isLost(member))
+    }
+    while (!isOver() && this.parts.clock.nowMs() < deadlineMs) {
+      const changed = await this.until(isOver, READY_POLL_MS)
+      if (!changed && this.parts.clock.nowMs() >= askFromMs) await this.askMembers(plan, seenReady)
+    }
+    return seenReady.size === plan.members.length
+  }
+
+  private isLost (endpoint: EndpointId): boolean {
+    const record = this.parts.endpoints.current.get(endpoint)
+    return record === undefined || record.leaving || this.parts.reachability.unreachable().has(endpoint)
+  }
+
+  private async askMembers (plan: FormationPlan, seenReady: Set<EndpointId>): Promise<void> {
+    const unknown = plan.members.filter((member) => !seenReady.has(member))
+    await Promise.all(unknown.map(async (member) => {
+      const membership = await this.askMember(member)
+      if (membership !== undefined && isReadyIn({ membership }, plan)) seenReady.add(member)
+    }))
+  }
+
+  /** Waits until `condition` holds, looked at on each change of the list; false when the time is over first. */
+  private async until (condition: () => boolean, timeoutMs: number): Promise<boolean> {
+    if (condition()) return true
+    return await new Promise<boolean>((resolve) => {
+      const finish = (result: boolean): void => {
+        this.awaiting.delete(check)
+        cancel()
+        resolve(result)
+      }
+      const check = (): void => { if (condition()) finish(true) }
+      const cancel = this.parts.clock.registerTimer(timeoutMs, () => { finish(condition()) })
+      this.awaiting.add(check)
+    })
+  }
+}
+
+function isReadyIn (word: Pick<EndpointRecord, 'membership'> | undefined, plan: FormationPlan): boolean {
+  const membership = word?.membership ?? null
+  return membership !== null && membership.group === plan.group && membership.formation === plan.formation && membership.state === MemberState.Ready
+}
