--- a/packages/dotterelspur-gateway/src/connection/EndpointChannel.ts
+++ b/packages/dotterelspur-gateway/src/connection/EndpointChannel.ts
@@ -1,4 +1,6 @@
-import { buildConnector, Client, type Dispatcher } from 'undici'
+import type { Socket } from 'node:net'
+import { Client, type Dispatcher } from 'undici'
+import { connectWithin } from './connectWithin.js'
 
 /** A living endpoint accepts within a few milliseconds; a dark one never answers. */
 const CONNECT_TIMEOUT_MS = 350
@@ -13,10 +15,6 @@
 /** An empty line, which endpoints ignore between requests. */
 const END_PROBE = '\r\n'
 
-const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS })
-
-type ConnectedSocket = NonNullable<Parameters<buildConnector.Callback>[1]>
-
 /**
  * One connection to an endpoint, with one request at a time; connects again when it was closed in between.
  *
@@ -33,7 +31,7 @@
   constructor (origin: string) {
     this.client = new Client(origin, {
       pipelining: 1,
-      connect: (options, callback) => { this.connect(options, callback) },
+      connect: connectWithin(CONNECT_TIMEOUT_MS, (socket) => { this.noteConnected(socket) }),
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: IDLE_TIMEOUT_MS,
@@ -65,20 +63,17 @@
     this.client.close().catch(() => { /* Already closed: nothing is left to do. */ })
   }
 
-  private connect (options: buildConnector.Options, callback: buildConnector.Callback): void {
-    connect(options, (...result) => {
-      this.endsAnswer = false
-      this.cleanEnd = Promise.resolve(false)
-      if (result[0] === null) this.watchEnds(result[1])
-      callback(...result)
-    })
+  private noteConnected (socket: Socket): void {
+    this.endsAnswer = false
+    this.cleanEnd = Promise.resolve(false)
+    this.watchEnds(socket)
   }
 
   /**
    * Runs before the library's own listeners. A reset is recognised there by its code, so it gets another one. Behind
    * an ordinary end a write still succeeds; on a connection that was reset it fails at once.
    */
-  private watchEnds (socket: ConnectedSocket): void {
+  private watchEnds (socket: Socket): void {
     socket.prependListener('end', () => {
       if (this.endsAnswer) this.cleanEnd = new Promise((resolve) => { socket.write(END_PROBE, (error) => { resolve(error === null || error === undefined) }) })
     })
--- a/packages/dotterelspur-gateway/src/index.ts
+++ b/packages/dotterelspur-gateway/src/index.ts
@@ -1,3 +1,4 @@
+export { connectWithin } from './connection/connectWithin.js'
 export * from './process/DecisionLog.js'
 export { ENDPOINT_PREFIX } from './process/EndpointKeeper.js'
 export * from './process/Gateway.js'
