Gateway: small listeners close with it

Symptom: the whole test run passed and did not end. Cause: the directory, readiness and metrics listeners were cut off from their channels but went on listening. In production the process exits by itself, so only tests showed it.

--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -151,7 +151,10 @@
     for (const teardown of this.teardowns) teardown()
     this.formations.stop()
     this.peers.close()
-    for (const server of this.servers) server.closeAllConnections()
+    for (const server of this.servers) {
+      server.close()
+      server.closeAllConnections()
+    }
     await this.callers.close()
     this.dispatch.close()
     this.parts.log.flush()
