--- a/packages/dotterelspur-gateway/src/process/FormationKeeper.ts
+++ b/packages/dotterelspur-gateway/src/process/FormationKeeper.ts
@@ -19,8 +19,6 @@
 const SETTLE_MS = 20
 /** Looks at the fleet also without a change: endpoints fall silent without one. */
 const LOOK_INTERVAL_MS = 250
-/** Before the first request: the list counts as complete when it has not grown for this long. */
-const FILL_SETTLE_MS = 700
 /** How often the deciding node says what the fleet is made of. */
 const STATE_LOG_INTERVAL_MS = 2_000
 /** A lost plan's members are left alone for this long, so that the same plan isn't tried without pause. */
@@ -52,7 +50,6 @@
   private readonly fullSizes = new Map<string, number>()
   private formations = 0
   private stateLoggedAtMs = -Infinity
-  private grownAtMs = -Infinity
   private cancelLook: Teardown = () => {}
   private stopped = false
 
@@ -92,7 +89,6 @@
     }
     for (const id of endpoints.keys()) this.unlistedHeads.delete(id)
     this.known = endpoints
-    if (endpoints.size > this.known.size) this.grownAtMs = this.parts.clock.nowMs()
     this.loads.retain(endpoints)
     for (const record of endpoints.values()) this.loads.noteStaged(record)
     this.runner.noteList()
@@ -112,7 +108,7 @@
   private look (): void {
     this.schedule(LOOK_INTERVAL_MS)
     const { lease, manifest } = this.parts
-    if (!lease.mayOrder() || manifest.current === null || this.isStillFilling()) return
+    if (!lease.mayOrder() || manifest.current === null) return
     for (const head of this.unlistedHeads.keys()) {
       if (this.reachability.unreachable().has(head)) this.unlistedHeads.delete(head)
     }
@@ -122,11 +118,6 @@
     }
   }
 
-  /** While a fleet starts, endpoints register one by one; groups that were formed at once would be scattered. */
-  private isStillFilling (): boolean {
-    return !this.parts.trafficSeen() && this.parts.clock.nowMs() - this.grownAtMs < FILL_SETTLE_MS
-  }
-
   private decide (service: ServiceSpec, engine: EngineSpec): void {
     const { clock } = this.parts
     const endpoints = [...this.known.values()].filter((record) => record.service === service.service)
