Formation: groups of a model that is better off lend hosts to a large group

Now the model is loaded onto such a host while it serves, and the host is taken when it holds the model, as long as the model that gives stays better off.

--- a/packages/dotterelspur-gateway/src/process/LoadMeter.ts
+++ b/packages/dotterelspur-gateway/src/process/LoadMeter.ts
@@ -43,10 +43,10 @@
     }
   }
 
-  /** Hosts whose load is under way. */
-  loading (nowMs: number): Set<EndpointId> {
+  /** Hosts whose load is under way, and the model. */
+  loading (nowMs: number): Map<EndpointId, ModelId> {
     this.dropEnded(nowMs)
-    return new Set(this.running.keys())
+    return new Map([...this.running].map(([endpoint, { model }]) => [endpoint, model]))
   }
 
   /** Loads that may begin now. */
--- a/packages/dotterelspur/src/version/formation/FormationDecision.ts
+++ b/packages/dotterelspur/src/version/formation/FormationDecision.ts
@@ -37,8 +37,8 @@
   readonly demand: ReadonlyMap<ModelId, number>
   /** The most endpoints seen at once: what the target is made of, so that losses are made good from standbys. */
   readonly fullSize: number
-  /** Hosts whose load of a model is under way. */
-  readonly loading: ReadonlySet<EndpointId>
+  /** Hosts whose load of a model is under way, and the model. */
+  readonly loading: ReadonlyMap<EndpointId, ModelId>
   /** Loads from the weight store that may begin now. */
   readonly loadAllowance: number
   /** Whether a group may be formed of endpoints that must load first, as before the first request. */
--- a/packages/dotterelspur/src/version/formation/FormationPlanner.ts
+++ b/packages/dotterelspur/src/version/formation/FormationPlanner.ts
@@ -5,7 +5,8 @@
 import { FormationDecisionKind, type FormationDecision, type FormationInput } from './FormationDecision.js'
 import type { FormationPlan, FormerGroup } from './FormationProcedures.js'
 import { formationKey, type FormationView } from './FormationView.js'
-import { countGroup, filledShare, modelsByNeed, surveyFleet, type PendingFormation } from './PendingFormation.js'
+import { giveUpGroups, lenders, lendingGroups, mayLend } from './Lending.js'
+import { countGroup, filledShare, holders, modelsByNeed, surveyFleet, type PendingFormation } from './PendingFormation.js'
 import { stageStandbys } from './StandbyStaging.js'
 
 /** Allowed beyond the time that a join should take: lost orders, and the list's own lag. */
@@ -34,7 +35,7 @@
 
 function formGroups (pending: PendingFormation): void {
   for (;;) {
-    const choice = modelsByNeed(pending).map((spec) => chooseMembers(pending, spec)).find((found) => found !== null)
+    const choice = modelsByNeed(pending).map((spec) => chooseMembers(pending, spec) ?? chooseWithLent(pending, spec)).find((found) => found !== null)
     if (choice === undefined || choice === null) return
     commitGroup(pending, choice)
   }
@@ -60,6 +61,17 @@
   return choices[0] ?? null
 }
 
+/** Hosts that hold the model, some of them in groups of models that are better off; see Lending. */
+function chooseWithLent (pending: PendingFormation, spec: ModelSpec): MemberChoice | null {
+  for (const domain of new Set([...pending.serving.values()].map((group) => group.domain))) {
+    const free = holders(pending.free.get(domain) ?? [], spec.model)
+    const lent = holders(lenders(pending, domain, spec), spec.model)
+    const members = [...free, ...lent].slice(0, spec.size)
+    if (members.length === spec.size && mayLend(pending, spec, members, new Map(), 0)) return { spec, domain, members, loads: 0, foreign: 0 }
+  }
+  return null
+}
+
 function chooseInDomain (pending: PendingFormation, spec: ModelSpec, domain: FabricDomainId, endpoints: readonly EndpointRecord[]): MemberChoice {
   const members = [...endpoints].sort((left, right) => preference(left, spec.model) - preference(right, spec.model)).slice(0, spec.size)
   const loads = members.filter(({ staged }) => !staged.includes(spec.model)).length
@@ -83,7 +95,8 @@
 
 function commitGroup (pending: PendingFormation, { spec, domain, members, loads }: MemberChoice): void {
   const taken = new Set(members)
-  pending.free.set(domain, pending.free.get(domain)!.filter((endpoint) => !taken.has(endpoint)))
+  pending.free.set(domain, (pending.free.get(domain) ?? []).filter((endpoint) => !taken.has(endpoint)))
+  giveUpGroups(pending, lendingGroups(pending, members))
   countGroup(pending, domain, spec.model)
   pending.loadAllowance -= loads
   const formation = pending.input.nextFormation()
--- a/packages/dotterelspur/src/version/formation/PendingFormation.ts
+++ b/packages/dotterelspur/src/version/formation/PendingFormation.ts
@@ -4,12 +4,21 @@
 import type { FormationDecision, FormationInput } from './FormationDecision.js'
 import { FormationCondition, judgeFormation, readFormations, type FormationView } from './FormationView.js'
 
+/** A group that serves, all of whose members are sound. */
+export interface ServingGroup {
+  readonly view: FormationView
+  readonly spec: ModelSpec
+  readonly domain: FabricDomainId
+}
+
 /** One look at the fleet while it is decided on: what is left free, and what has been decided so far. */
 export interface PendingFormation {
   readonly input: FormationInput
   readonly groups: readonly FormationView[]
   /** Sound endpoints that no group has. */
   readonly free: Map<FabricDomainId, EndpointRecord[]>
+  /** The groups that serve, by each of their members. */
+  readonly serving: Map<EndpointId, ServingGroup>
   /** Groups that serve or soon will, by model. */
   readonly counts: Map<ModelId, number>
   readonly targets: ReadonlyMap<ModelId, number>
@@ -24,6 +33,7 @@
     input,
     groups: readFormations(input.endpoints),
     free: new Map(),
+    serving: new Map(),
     counts: new Map(),
     targets: groupTargets(input),
     groupsByDomain: new Map(),
@@ -58,8 +68,12 @@
   if (spec === undefined) return
   const condition = judgeFormation(view, spec.size, (endpoint) => isSound(input, endpoint))
   if (condition !== FormationCondition.Serving) return
-  for (const { endpoint } of view.members) occupied.add(endpoint)
-  countGroup(pending, view.members[0]!.fabricDomain!, spec.model)
+  const group: ServingGroup = { view, spec, domain: view.members[0]!.fabricDomain! }
+  for (const { endpoint } of view.members) {
+    occupied.add(endpoint)
+    pending.serving.set(endpoint, group)
+  }
+  countGroup(pending, group.domain, spec.model)
 }
 
 function isSound (input: FormationInput, endpoint: EndpointRecord): boolean {
--- a/packages/dotterelspur/src/version/formation/StandbyStaging.ts
+++ b/packages/dotterelspur/src/version/formation/StandbyStaging.ts
@@ -2,6 +2,7 @@
 import type { ModelSpec } from '../manifest/Manifest.js'
 import type { EndpointRecord } from './Endpoint.js'
 import { FormationDecisionKind } from './FormationDecision.js'
+import { addToTally, lenders, lendingGroups, mayLend, type GroupTally } from './Lending.js'
 import { filledShare, groupsIn, holders, modelsByNeed, type PendingFormation } from './PendingFormation.js'
 
 /** Hosts of a model that stay ready for the next loss of its groups in a fabric domain; a second loss there is rarer than a shortage elsewhere. */
@@ -27,8 +28,11 @@
   // While a fleet starts, hosts appear one by one, and one that is free now is a member in a moment.
   if (pending.input.mayLoadToForm && modelsByNeed(pending).length === pending.input.models.length) return
   const used = new Set<EndpointRecord>()
+  const tally: GroupTally = new Map()
   for (const { spec, members } of completions(pending)) {
-    if (members.some((endpoint) => used.has(endpoint))) continue
+    if (members.some((endpoint) => used.has(endpoint)) || !mayLend(pending, spec, members, tally, 1)) continue
+    addToTally(tally, spec.model, 1)
+    for (const group of lendingGroups(pending, members)) addToTally(tally, group.spec.model, -1)
     for (const endpoint of members) {
       used.add(endpoint)
       if (!endpoint.staged.includes(spec.model)) stage(pending, endpoint, spec.model)
@@ -43,18 +47,28 @@
 
 /** The groups that loads could complete, the cheapest first. */
 function completions (pending: PendingFormation): Completion[] {
-  const found: Completion[] = []
-  for (const [domain, endpoints] of pending.free) {
-    const spare = spareHosts(pending, domain, endpoints)
-    for (const spec of modelsByNeed(pending)) {
-      const have = holders(endpoints, spec.model).slice(0, spec.size)
-      const lacking = spec.size - have.length
-      const loaded = spare.filter((endpoint) => !endpoint.staged.includes(spec.model)).slice(0, lacking)
-      if (loaded.length < lacking) continue
-      found.push({ spec, members: [...have, ...loaded], cost: lacking * spec.loadMs * Math.max(LEAST_FILLED, filledShare(pending, spec)) })
-    }
-  }
-  return found.sort((left, right) => left.cost - right.cost)
+  const domains = new Set([...pending.free.keys(), ...[...pending.serving.values()].map(({ domain }) => domain)])
+  const found = [...domains].flatMap((domain) => modelsByNeed(pending).map((spec) => completionIn(pending, domain, spec)))
+  return found.filter((completion) => completion !== null).sort((left, right) => left.cost - right.cost)
+}
+
+function completionIn (pending: PendingFormation, domain: FabricDomainId, spec: ModelSpec): Completion | null {
+  const endpoints = pending.free.get(domain) ?? []
+  const lendable = lenders(pending, domain, spec)
+  const have = [...holders(endpoints, spec.model), ...holders(lendable, spec.model)].slice(0, spec.size)
+  const lacking = spec.size - have.length
+  const candidates = [...spareHosts(pending, domain, endpoints), ...lendable].filter((endpoint) => canLoad(pending, endpoint, spec))
+  const loaded = [...candidates].sort((left, right) => Number(isLoading(pending, right)) - Number(isLoading(pending, left))).slice(0, lacking)
+  if (loaded.length < lacking) return null
+  return { spec, members: [...have, ...loaded], cost: lacking * spec.loadMs * Math.max(LEAST_FILLED, filledShare(pending, spec)) }
+}
+
+function canLoad ({ input }: PendingFormation, { endpoint, staged }: EndpointRecord, { model }: ModelSpec): boolean {
+  return !staged.includes(model) && (input.loading.get(endpoint) ?? model) === model
+}
+
+function isLoading ({ input }: PendingFormation, { endpoint }: EndpointRecord): boolean {
+  return input.loading.has(endpoint)
 }
 
 /** Hosts whose model may be replaced, empty ones first: those that their domain doesn't need as standbys. */
--- a/packages/dotterelspur/src/version/formation/__tests__/unit/FormationPlanner.test.ts
+++ b/packages/dotterelspur/src/version/formation/__tests__/unit/FormationPlanner.test.ts
@@ -123,10 +123,54 @@
     expect(staged(decisions)).to.deep.equal([['rest', 'small']])
   })
 
+  describe('when a large group lacks a member that no standby replaces', () => {
+    // Symptom: half of the hosts that hold the large model stand idle while its callers are refused. Sequence: each fabric
+    // domain loses a member or two; what is left of a group waits for a host of its domain, where all others serve the
+    // small model, of which there is enough. Cause: members were only taken from groups that are broken.
+    const survivors = [1, 2, 3].map((index) => createEndpoint(`large-${index}`, { staged: ['large'], model: 'large' }))
+    const pairs = ['p', 'q', 'r', 's'].map((name) => createGroup(name, SMALL, MemberState.Open))
+    const wanted = { fullSize: 16 }
+
+    it('loads the model onto a host of a model that is better off, which goes on serving', () => {
+      const decisions = planFormations(createInput([...survivors, ...pairs.flat()], wanted))
+      expect(staged(decisions)).to.deep.equal([['p-0', 'large']])
+      expect(plans(decisions)).to.deep.equal([])
+    })
+
+    it('asks for no second host while the first one loads', () => {
+      const decisions = planFormations(createInput([...survivors, ...pairs.flat()], { ...wanted, loading: new Map([['q-1', 'large']]) }))
+      expect(staged(decisions)).to.deep.equal([])
+    })
+
+    it('takes the host once it holds the model, and lets its group finish first', () => {
+      const [head, lent] = createGroup('p', SMALL, MemberState.Open)
+      const prepared = [head!, { ...lent!, staged: ['large'] }]
+      const [plan] = plans(planFormations(createInput([...survivors, ...prepared, ...pairs.slice(1).flat()], wanted)))
+      expect(plan?.members).to.have.members(['large-1', 'large-2', 'large-3', 'p-1'])
+      expect(plan?.former).to.deep.equal([{ group: 'p', formation: 7, head: 'p-0', taken: ['p-1'], closeMode: CloseMode.Wait }])
+    })
+
+    it('leaves a model alone that would be worse off than the one that it helps', () => {
+      expect(staged(planFormations(createInput([...survivors, ...pairs[0]!], wanted))).filter(([, model]) => model === 'large')).to.deep.equal([])
+    })
+
+    it('breaks up no more than it gains', () => {
+      expect(staged(planFormations(createInput([survivors[0]!, ...pairs.flat()], wanted)))).to.deep.equal([])
+    })
+
+    it('lends at most as many groups at a time as leave the model better off', () => {
+      const elsewhere = [...survivors, ...pairs.flat()].map((endpoint) => ({
+        ...endpoint, endpoint: `b-${endpoint.endpoint}`, fabricDomain: 'b-1', membership: endpoint.membership === null ? null : { ...endpoint.membership, group: `b-${endpoint.membership.group}` }
+      }))
+      const both = [...survivors, ...pairs.slice(0, 2).flat(), ...elsewhere.slice(0, 7)]
+      expect(staged(planFormations(createInput(both, { fullSize: 24 }))).filter(([, model]) => model === 'large')).to.have.length(1)
+    })
+  })
+
   it('begins no second load on a host, and none beyond the allowance', () => {
     const empty = [1, 2, 3, 4].map((index) => createEndpoint(`empty-${index}`))
-    expect(staged(planFormations(createInput(empty, { loading: new Set(['empty-1']), loadAllowance: 2 })))).to.have.length(2)
-    expect(staged(planFormations(createInput(empty, { loading: new Set(empty.map(({ endpoint }) => endpoint)) })))).to.deep.equal([])
+    expect(staged(planFormations(createInput(empty, { loading: new Map([['empty-1', 'small']]), loadAllowance: 2 })))).to.have.length(2)
+    expect(staged(planFormations(createInput(empty, { loading: new Map(empty.map(({ endpoint }) => [endpoint, 'small'])) })))).to.deep.equal([])
   })
 
   it('leaves leaving endpoints alone', () => {
