--- /dev/null
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/Dispatch.test.ts
@@ -0,0 +1,65 @@
+import { expect } from 'chai'
+import { createRandom, ManualClock, type EngineSpec } from 'dotterelspur'
+import { Dispatch } from '../../process/Dispatch.js'
+import { EndpointKeeper } from '../../process/EndpointKeeper.js'
+import type { CallerHead } from '../../process/GatewayPorts.js'
+import { ManifestKeeper } from '../../process/ManifestKeeper.js'
+import { MemoryStore } from '../fixtures/MemoryStore.js'
+import { createLog, createManifest, createRoute } from '../fixtures/parts.js'
+
+const ENGINE: EngineSpec = {
+  slots: 12,
+  kvCapacityTokens: 1_000_000,
+  stride: 5,
+  stepMs: 8,
+  perSequenceMs: 0.1,
+  perThousandContextTokensMs: 0,
+  readTokensPerSecond: 45_000,
+  perMillionPairsMs: 0,
+  chunkTokens: 2_048,
+  reportLagMs: 200,
+  loadsPerSecond: 5,
+  loadsAtOnce: 7,
+  stagedModels: 1,
+  openMs: 300,
+  usualPromptTokens: 800,
+  usualAnswerTokens: 100,
+  models: [{ model: 'large', size: 4, pace: 1, share: 1, loadMs: 16_000, warmMs: 1_600 }]
+}
+
+const ROUTE = createRoute('draft', { shares: [{ service: 'llm', weight: 1 }] })
+
+function createHead (deadlineMs: number): CallerHead {
+  return { requestId: 'r', deadlineMs, key: null, model: 'large', promptTokens: 800, answerTokens: 100, lastEventId: null }
+}
+
+function createDispatch (clock: ManualClock): Dispatch {
+  const store = new MemoryStore()
+  store.put('manifest/main', createManifest(1, { routes: [ROUTE], services: [{ service: 'llm', healthPath: '/health', maxConnections: 50, engine: ENGINE }] }))
+  const manifest = new ManifestKeeper(createLog(clock))
+  manifest.follow(store)
+  return new Dispatch({
+    clock,
+    random: createRandom(1),
+    failureDomain: 'a',
+    manifest,
+    endpoints: new EndpointKeeper(clock, createLog(clock)),
+    retries: { windowMs: 10_000, ratio: 0.2, extra: 100 },
+    firstStart: true,
+    nodeCount: () => 1,
+    onSuspect: () => {}
+  })
+}
+
+describe('Dispatch', () => {
+  it('does not take callers that come back for more demand', () => {
+    // Symptom: a model gets twice the groups that its callers need, and the other too few. Sequence: it lacks groups, so
+    // its callers are refused, and each comes back once. Cause: each return was counted as another request.
+    const dispatch = createDispatch(new ManualClock())
+    for (let count = 0; count < 50; count++) dispatch.noteRequest('llm', ROUTE, createHead(2_000))
+    const demand = dispatch.demand().get('large')
+    for (let count = 0; count < 50; count++) dispatch.noteRequest('llm', ROUTE, createHead(1_400))
+    expect(demand).to.be.greaterThan(0)
+    expect(dispatch.demand().get('large')).to.equal(demand)
+  })
+})
--- a/packages/dotterelspur-gateway/src/process/Dispatch.ts
+++ b/packages/dotterelspur-gateway/src/process/Dispatch.ts
@@ -91,13 +91,15 @@
   /** Takes in that a request came, whatever becomes of it; returns what its caller has spent of its time elsewhere. */
   noteRequest (service: ServiceId, route: Route, head: CallerHead): number {
     const nowMs = this.parts.clock.nowMs()
-    this.noteDemand(service, head, nowMs)
-    return head.deadlineMs === null ? 0 : this.deadlines.noteSpentMs(route.name, head.deadlineMs, nowMs)
+    const spentMs = head.deadlineMs === null ? 0 : this.deadlines.noteSpentMs(route.name, head.deadlineMs, nowMs)
+    this.requestSeen = true
+    this.repeats.noteRequest(service, nowMs)
+    if (!hasSpentMuch(spentMs, route)) this.noteDemand(service, head, nowMs)
+    return spentMs
   }
 
+  /** Who comes back isn't counted again: else the model whose callers are refused most would seem to be asked for most. */
   private noteDemand (service: ServiceId, head: CallerHead, nowMs: number): void {
-    this.requestSeen = true
-    this.repeats.noteRequest(service, nowMs)
     const engine = this.engine(service)
     if (engine === null || head.model === null) return
     const demand = this.demandByModel.get(head.model) ?? { groupTimeMs: 0, requests: 0, updatedAtMs: nowMs }
@@ -116,7 +118,7 @@
       promptTokens: query.head.promptTokens,
       targetMs: query.route.targetLatencyMs,
       targetGapMs: query.route.targetGapMs,
-      alreadyLate: query.spentMs > query.route.targetLatencyMs / 2,
+      alreadyLate: hasSpentMuch(query.spentMs, query.route),
       leftMs: query.leftMs,
       excluded: query.excluded
     }, {
@@ -179,6 +181,11 @@
   }
 }
 
+/** Whether a caller has spent so much elsewhere that its answer will hardly be on time. */
+function hasSpentMuch (spentMs: number, { targetLatencyMs }: Route): boolean {
+  return spentMs > targetLatencyMs / 2
+}
+
 function targetOf (record: EndpointRecord): DispatchTarget {
   const { endpoint, service, address, failureDomain, slots } = record
   return { endpoint, service, address, failureDomain, slots, model: record.fabricDomain === null ? null : record.model }
