Settings: limits in force without a restart; retry window forgets old requests

Cause: SIGHUP was only logged, and a change without a signal was not noticed. Found beside it: the window of a service that repeats nothing grew without end; test first (10,000 instead of 1,001 kept).

--- a/packages/dotterelspur-gateway/src/process/Dispatch.ts
+++ b/packages/dotterelspur-gateway/src/process/Dispatch.ts
@@ -71,6 +71,10 @@
     this.watch.start()
   }
 
+  configureRetries (retries: RetryWindowOptions): void {
+    this.repeats.configure(retries)
+  }
+
   close (): void {
     this.watch.stop()
     this.channels.close()
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -12,7 +12,7 @@
 import { FormationKeeper } from './FormationKeeper.js'
 import { GatewayMetrics } from './GatewayMetrics.js'
 import type { EndpointControl, WireFormat } from './GatewayPorts.js'
-import type { GatewaySettings, ListenAddress } from './GatewaySettings.js'
+import type { GatewayLimits, GatewaySettings, ListenAddress } from './GatewaySettings.js'
 import { ManifestKeeper } from './ManifestKeeper.js'
 import { NodeKeeper, type NodeRecord } from './NodeKeeper.js'
 import type { VersionedStore } from './VersionedStore.js'
@@ -60,11 +60,13 @@
   private readonly peers: PeerLinks
   private readonly servers: Server[] = []
   private readonly teardowns: Teardown[] = []
+  private limits: GatewayLimits
   private draining = false
   private steppedAtMs: number
 
   constructor (private readonly settings: GatewaySettings, private readonly parts: GatewayParts) {
     const { clock, log } = parts
+    this.limits = settings
     const incarnation = Math.round(clock.wallMs())
     const random = createRandom(incarnation ^ hashText(settings.node))
     this.steppedAtMs = clock.nowMs()
@@ -139,6 +141,12 @@
     await this.nodes.register()
   }
 
+  /** Puts changed limits in force at once, for requests under way as well. */
+  applyLimits (limits: GatewayLimits): void {
+    this.limits = limits
+    this.dispatch.configureRetries(limits.retries)
+  }
+
   /**
    * Stops as planned: callers are sent elsewhere at once, what is under way is finished, and late callers are still
    * served for a while. Resolves when nothing is left, or shortly before the process would be killed.
@@ -151,7 +159,7 @@
     this.callers.drain()
     this.formations.stop()
     const handedOver = Promise.allSettled([this.lease.release(), this.nodes.leave()])
-    while (clock.nowMs() - startedAtMs < this.settings.stopGraceMs - STOP_MARGIN_MS) {
+    while (clock.nowMs() - startedAtMs < this.limits.stopGraceMs - STOP_MARGIN_MS) {
       const passedMs = clock.nowMs() - startedAtMs
       if (passedMs >= STOP_LISTENING_AFTER_MS) {
         this.callers.stopListening()
@@ -187,7 +195,7 @@
 
   private directoryAnswer (): ReturnType<typeof jsonAnswer> {
     const addresses = this.nodes.nodes().map(({ callers }) => callers)
-    return jsonAnswer(this.parts.questions.writeDirectory(addresses, this.settings.directoryTtlMs))
+    return jsonAnswer(this.parts.questions.writeDirectory(addresses, this.limits.directoryTtlMs))
   }
 
   private ownWord (): DeciderWord | null {
--- a/packages/dotterelspur-gateway/src/process/GatewaySettings.ts
+++ b/packages/dotterelspur-gateway/src/process/GatewaySettings.ts
@@ -6,8 +6,17 @@
   readonly port: number
 }
 
+/** What can change while the process runs. */
+export interface GatewayLimits {
+  /** From a planned stop's signal until the process is killed. */
+  readonly stopGraceMs: number
+  /** How long callers may keep an answer of the directory. */
+  readonly directoryTtlMs: number
+  readonly retries: RetryWindowOptions
+}
+
 /** What one process is told at its start. */
-export interface GatewaySettings {
+export interface GatewaySettings extends GatewayLimits {
   readonly node: NodeId
   readonly failureDomain: FailureDomainId
   /** Callers' requests. */
@@ -21,9 +30,4 @@
   readonly metrics: ListenAddress
   /** The whole system starts for the first time: nothing can be left over from an earlier life. */
   readonly firstStart: boolean
-  /** From a planned stop's signal until the process is killed. */
-  readonly stopGraceMs: number
-  /** How long callers may keep an answer of the directory. */
-  readonly directoryTtlMs: number
-  readonly retries: RetryWindowOptions
 }
--- a/packages/dotterelspur/src/request/dispatch/RetryWindow.ts
+++ b/packages/dotterelspur/src/request/dispatch/RetryWindow.ts
@@ -24,10 +24,22 @@
 export class RetryWindow {
   private readonly services = new Map<ServiceId, ServiceWindow>()
 
-  constructor (private readonly options: RetryWindowOptions, private readonly extraFromMs: number) {}
+  constructor (private options: RetryWindowOptions, private readonly extraFromMs: number) {}
+
+  /** Puts other options in force; what has been spent stays spent. */
+  configure (options: RetryWindowOptions): void {
+    this.options = options
+  }
 
   noteRequest (service: ServiceId, nowMs: number): void {
-    this.window(service).requestTimesMs.push(nowMs)
+    const { requestTimesMs } = this.window(service)
+    dropBefore(requestTimesMs, nowMs - this.options.windowMs)
+    requestTimesMs.push(nowMs)
+  }
+
+  /** Requests of a service that are remembered. */
+  requestCount (service: ServiceId): number {
+    return this.window(service).requestTimesMs.length
   }
 
   /** Takes one repeat; false when this node's part is spent. `nodes` share the extra. */
--- a/packages/dotterelspur/src/request/dispatch/__tests__/unit/RetryWindow.test.ts
+++ b/packages/dotterelspur/src/request/dispatch/__tests__/unit/RetryWindow.test.ts
@@ -38,4 +38,19 @@
     expect(window.trySpend('one', NODES, 0)).to.equal(false)
     expect(window.trySpend('two', NODES, 0)).to.equal(true)
   })
+
+  it('forgets requests that are older than its window, also when nothing is repeated', () => {
+    // Symptom: a node's memory grows by a few megabytes a day until it is killed. Cause: old requests were dropped only when
+    // a repeat was asked for, which a sound service never needs.
+    const window = new RetryWindow({ windowMs: 10_000, ratio: 0.2, extra: 0 }, 0)
+    for (let nowMs = 0; nowMs < 100_000; nowMs += 10) window.noteRequest('plain', nowMs)
+    expect(window.requestCount('plain')).to.be.at.most(1_001)
+  })
+
+  it('keeps what was spent when its options change', () => {
+    const window = new RetryWindow({ windowMs: 10_000, ratio: 0, extra: 10 }, 0)
+    for (let count = 0; count < 5; count++) expect(window.trySpend('plain', 1, 0)).to.equal(true)
+    window.configure({ windowMs: 10_000, ratio: 0, extra: 5 })
+    expect(window.trySpend('plain', 1, 0)).to.equal(false)
+  })
 })
