--- a/packages/dotterelspur-gateway/src/__tests__/unit/FollowedStore.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/FollowedStore.test.ts
@@ -1,5 +1,7 @@
 import { expect } from 'chai'
+import pino from 'pino'
 import { createRandom, failed, ManualClock, StoreErrorKind, success, WatchEventKind, type Result, type StoreError } from 'dotterelspur'
+import { DecisionLog } from '../../process/DecisionLog.js'
 import { ENDPOINT_PREFIX } from '../../process/EndpointKeeper.js'
 import { FollowedStore } from '../../process/FollowedStore.js'
 import { MANIFEST_PREFIX } from '../../process/ManifestKeeper.js'
@@ -132,6 +134,23 @@
     expect(node.seen.at(-1)).to.equal('endpoints/w2 there')
   })
 
+  it('says once when the deciding node falls silent, and when it is heard again', async () => {
+    const store = new MemoryStore()
+    const clock = new ManualClock()
+    const lines: Array<Record<string, unknown>> = []
+    const log = new DecisionLog(clock, 'n1', pino({ level: 'info' }, { write: (line: string) => { lines.push(JSON.parse(line) as Record<string, unknown>) } }))
+    const followed = new FollowedStore({ store, clock, random: createRandom(1), log, decides: () => false, share: () => {} })
+    followed.takeWord({ contactAgeMs: 0, versions: {} })
+    for (let round = 0; round < 30; round++) {
+      await pass(clock, 100)
+      followed.wakeUncovered()
+    }
+    followed.takeWord({ contactAgeMs: 0, versions: {} })
+    expect(lines.map(({ event, dependency }) => [event, dependency])).to.deep.equal([
+      ['dependency-regained', 'deciding node'], ['dependency-lost', 'deciding node'], ['dependency-regained', 'deciding node']
+    ])
+  })
+
   it('does not bring back what an older answer still has', async () => {
     // Symptom: callers are sent to a node that left. Sequence: a node asks for changes; its answer, in which an entry was
     // just made, is held up; meanwhile news tell that the entry is gone. Cause: both were applied in order of arrival.
--- a/packages/dotterelspur-gateway/src/process/FollowedStore.ts
+++ b/packages/dotterelspur-gateway/src/process/FollowedStore.ts
@@ -73,6 +73,7 @@
  */
 export class FollowedStore implements ObjectStore {
   private readonly feed = new StoreFeed()
+  private feedWasFresh = false
   private readonly followers = new Map<string, Follower>()
   private contactAtMs = -Infinity
   /** Calls that failed since the last one that the store answered. */
@@ -145,11 +146,19 @@
 
   /** Called several times a second: followers whose feed has grown old go back to the store. */
   wakeUncovered (): void {
+    this.logFeed()
     for (const follower of this.followers.values()) {
       if (follower.wake !== null && !this.isCovered(follower)) follower.wake()
     }
   }
 
+  private logFeed (): void {
+    const isFresh = !this.parts.decides() && this.feed.isFresh(this.parts.clock.nowMs())
+    if (isFresh === this.feedWasFresh) return
+    this.feedWasFresh = isFresh
+    this.parts.log.write(isFresh ? LogKind.DependencyRegained : LogKind.DependencyLost, { dependency: 'deciding node', versions: this.versions })
+  }
+
   private isCovered ({ prefix, version }: Follower): boolean {
     return version !== null && !this.parts.decides() && this.feed.covers(prefix, version, this.parts.clock.nowMs())
   }
--- a/packages/dotterelspur-gateway/src/process/StoreFeed.ts
+++ b/packages/dotterelspur-gateway/src/process/StoreFeed.ts
@@ -41,9 +41,14 @@
     this.versions.set(prefix, Math.max(version, this.versions.get(prefix) ?? 0))
   }
 
+  /** Whether the deciding node's word is recent enough to be relied on. */
+  isFresh (nowMs: number): boolean {
+    return nowMs < this.validUntilMs
+  }
+
   /** Whether who has followed `prefix` up to `version` misses nothing without asking the store. */
   covers (prefix: string, version: number, nowMs: number): boolean {
     const announced = this.versions.get(prefix)
-    return nowMs < this.validUntilMs && announced !== undefined && announced <= version
+    return this.isFresh(nowMs) && announced !== undefined && announced <= version
   }
 }
--- a/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
+++ b/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage } from 'node:http'
 import type { Dispatcher } from 'undici'
 import {
-  DispatchEffectKind, DispatchEndKind, EventCursor, EXCHANGE_RULES, ExchangeEnd, RequestKind, runDispatch, runProcedure,
+  DispatchEffectKind, DispatchEndKind, EventCursor, EXCHANGE_RULES, ExchangeEnd, RequestKind, runDispatch, runProcedure, sleep,
   type Clock, type DispatchEnd, type DispatchTarget, type ExchangeEffect, type ExchangeReport, type PlaceEffect, type PlacementRefusal, type Route, type ServiceId, type Teardown, type WorkspaceId
 } from 'dotterelspur'
 import { forwardedHeaders } from '../connection/headers.js'
@@ -15,6 +15,8 @@
 /** Below this no endpoint can do anything useful, and a send would not be an offer. */
 const LEAST_USEFUL_MS = 20
 const FIRST_REDIRECT = 300
+/** Between two looks for a free slot; at a busy group one becomes free about this often. */
+const ROOM_POLL_MS = 60
 
 export interface GatewayRequestParts {
   readonly clock: Clock
@@ -74,6 +76,7 @@
     const { route } = this.admitted
     const end = await runProcedure(runDispatch({ repeatable: isRepeatable(route), maxAttempts: route.maxAttempts }), {
       [DispatchEffectKind.Place]: (effect) => this.place(effect),
+      [DispatchEffectKind.AwaitRoom]: async ({ leftMs }) => await this.awaitRoom(leftMs),
       [DispatchEffectKind.Exchange]: async (effect) => await this.exchange(effect),
       [DispatchEffectKind.SpendRepeat]: () => this.over === null && this.parts.dispatch.spendRepeat(this.admitted.service)
     })
@@ -99,6 +102,13 @@
     return this.parts.dispatch.place({ service, route, head, excluded, leftMs: this.leftMs(), spentMs })
   }
 
+  private async awaitRoom (leftMs: number): Promise<number> {
+    const { clock } = this.parts
+    const fromMs = clock.nowMs()
+    await sleep(clock, Math.min(leftMs, ROOM_POLL_MS))
+    return this.over === null ? leftMs - (clock.nowMs() - fromMs) : 0
+  }
+
   private leftMs (): number {
     return this.deadlineAtMs - this.parts.clock.nowMs()
   }
--- a/packages/dotterelspur/src/request/dispatch/runDispatch.ts
+++ b/packages/dotterelspur/src/request/dispatch/runDispatch.ts
@@ -4,6 +4,7 @@
 
 export enum DispatchEffectKind {
   Place = 'place',
+  AwaitRoom = 'await-room',
   Exchange = 'exchange',
   SpendRepeat = 'spend-repeat'
 }
@@ -15,6 +16,12 @@
   readonly excluded: readonly DispatchTarget[]
 }
 
+/** Waits for a while, after which a slot may be free; returns what is left to wait, 0 when the request is over. */
+export interface AwaitRoomEffect extends Effect<DispatchEffectKind.AwaitRoom, number> {
+  readonly kind: DispatchEffectKind.AwaitRoom
+  readonly leftMs: number
+}
+
 /** Sends the request and hands on what comes back; a stream goes on after the events that the caller has. */
 export interface ExchangeEffect extends Effect<DispatchEffectKind.Exchange, ExchangeReport> {
   readonly kind: DispatchEffectKind.Exchange
@@ -27,7 +34,7 @@
   readonly kind: DispatchEffectKind.SpendRepeat
 }
 
-export type DispatchEffects = PlaceEffect | ExchangeEffect | SpendRepeatEffect
+export type DispatchEffects = PlaceEffect | AwaitRoomEffect | ExchangeEffect | SpendRepeatEffect
 
 export interface ExchangeReport {
   readonly end: ExchangeEnd
@@ -73,7 +80,7 @@
   let mayHaveRun = false
   let last: ExchangeReport | null = null
   for (let attempt = 1; ; attempt++) {
-    const placed = yield * perform<PlaceEffect>({ kind: DispatchEffectKind.Place, attempt, excluded })
+    const placed = yield * findPlace(attempt, excluded)
     if (!('endpoint' in placed)) return conclude(last, mayHaveRun, attempt - 1, placed)
     last = yield * perform<ExchangeEffect>({ kind: DispatchEffectKind.Exchange, attempt, target: placed })
     const rule = EXCHANGE_RULES[last.end]
@@ -86,6 +93,18 @@
   }
 }
 
+/** Waits for room only before anything was sent: what was lost elsewhere is placed wherever it can be. */
+function * findPlace (attempt: number, excluded: readonly DispatchTarget[]): Procedure<DispatchEffects, DispatchTarget | PlacementRefusal> {
+  const choose: PlaceEffect = { kind: DispatchEffectKind.Place, attempt, excluded }
+  let placed = yield * perform<PlaceEffect>(choose)
+  if ('endpoint' in placed || excluded.length > 0) return placed
+  for (let leftMs = placed.waitMs; leftMs > 0 && !('endpoint' in placed);) {
+    leftMs = yield * perform<AwaitRoomEffect>({ kind: DispatchEffectKind.AwaitRoom, leftMs })
+    placed = yield * perform<PlaceEffect>(choose)
+  }
+  return placed
+}
+
 function conclude (last: ExchangeReport | null, mayHaveRun: boolean, attempts: number, refusal: PlacementRefusal | null): DispatchEnd {
   return { kind: kindOf(last, mayHaveRun), lastExchange: last?.end ?? null, refusal, attempts }
 }
