--- /dev/null
+++ b/packages/dotterelspur-ctl/src/__tests__/unit/traceStory.test.ts
@@ -0,0 +1,57 @@
+import { expect } from 'chai'
+import { ExitCode } from '../../index.js'
+import { StoryRole, traceStory } from '../../request/traceStory.js'
+import { createCommandLine } from './fixtures/createCommandLine.js'
+
+/** Lines of two nodes on a day with losses, shortened; a collector put a time and a name before the second. */
+const LINES = [
+  '{"time":"2026-06-04T01:13:00.000Z","node":"n2","atMs":1,"event":"start","callers":"10.1.0.1:1"}',
+  ' 12.1 n2 {"time":"2026-06-04T01:13:01.000Z","node":"n2","atMs":1001,"event":"manifest-in-force","version":7}',
+  '{"time":"2026-06-04T01:13:09.000Z","node":"n1","atMs":9000,"event":"fleet-state","listed":58}',
+  '{"time":"2026-06-04T01:13:11.000Z","node":"n1","atMs":11000,"event":"fleet-state","listed":56}',
+  '{"time":"2026-06-04T01:13:12.100Z","node":"n1","atMs":12100,"event":"group-suspected","head":"i-1","group":"g19","asked":4}',
+  '{"time":"2026-06-04T01:13:12.900Z","node":"n2","atMs":12900,"event":"request-ended","request":"r-1","end":"cut-off","targets":["i-1","i-2"]}',
+  '{"time":"2026-06-04T01:13:12.950Z","node":"n2","atMs":12950,"event":"request-ended","request":"r-2","end":"delivered","targets":["i-1"]}',
+  '{"time":"2026-06-04T01:13:13.500Z","node":"n1","atMs":13500,"event":"formation-begun","group":"g20","members":["i-2","i-9"],"former":["g19:i-1"]}',
+  '{"time":"2026-06-04T01:13:30.000Z","node":"n1","atMs":30000,"event":"endpoint-unreachable","endpoint":"i-1"}',
+  '{"time":"2026-06-04T01:13:12.9',
+  ''
+].join('\n')
+
+describe('traceStory', () => {
+  it('puts what a request met and what was known before around its own line', () => {
+    const { lines, unreadable } = traceStory(LINES, 'r-1')
+    expect(lines.map(({ line, role }) => `${role} ${line.event}`)).to.deep.equal([
+      `${StoryRole.Known} start`, `${StoryRole.Known} manifest-in-force`, `${StoryRole.Known} fleet-state`,
+      `${StoryRole.Met} group-suspected`, `${StoryRole.Subject} request-ended`, `${StoryRole.Met} formation-begun`
+    ])
+    expect(lines[2]!.line.fields['listed'], 'the last one before').to.equal(56)
+    expect(unreadable).to.equal(1)
+  })
+
+  it('follows a group through the names that it had', () => {
+    const events = traceStory(LINES, 'g19').lines.filter(({ role }) => role === StoryRole.Subject).map(({ line }) => line.event)
+    expect(events).to.deep.equal(['group-suspected', 'formation-begun'])
+  })
+})
+
+describe('dotterelctl trace', () => {
+  const run = createCommandLine({ addresses: [], files: { 'a.log': LINES, '-': LINES } })
+
+  it('prints the story with the times from the request\'s own line', async () => {
+    const { output, exitCode } = await run('trace', 'r-1', 'a.log')
+    expect(exitCode).to.equal(ExitCode.Done)
+    expect(output).to.match(/^\. +-1\.900 {2}n1 {2}fleet-state {2}listed=56$/m)
+    expect(output).to.match(/^> +0\.000 {2}n2 {2}request-ended {2}request=r-1 end=cut-off targets=\["i-1","i-2"\]$/m)
+  })
+
+  it('reads standard input where no file is named', async () => {
+    expect((await run('trace', 'r-2')).output).to.include('request=r-2')
+  })
+
+  it('says that nothing names what was asked for', async () => {
+    const { output, exitCode } = await run('trace', 'r-9', 'a.log')
+    expect(exitCode).to.equal(ExitCode.NotFound)
+    expect(output).to.include('no line names r-9')
+  })
+})
--- /dev/null
+++ b/packages/dotterelspur-ctl/src/request/traceStory.ts
@@ -0,0 +1,107 @@
+/** One line of a process's log: its common fields, and the others as they are. */
+export interface LogLine {
+  readonly timeMs: number
+  readonly node: string
+  readonly event: string
+  readonly fields: Readonly<Record<string, unknown>>
+}
+
+/** Why a line belongs to a story. */
+export enum StoryRole {
+  /** It names what was asked for. */
+  Subject = 'subject',
+  /** It is about an endpoint or a group that the subject met. */
+  Met = 'met',
+  /** What the deciding process knew last before, or what was in force at the subject's process. */
+  Known = 'known'
+}
+
+export interface StoryLine {
+  readonly line: LogLine
+  readonly role: StoryRole
+}
+
+export interface Story {
+  readonly lines: readonly StoryLine[]
+  /** Lines that are no log lines. */
+  readonly unreadable: number
+}
+
+/** Around the subject's own lines; a repair takes a few seconds. */
+const BEFORE_MS = 5_000
+const AFTER_MS = 3_000
+
+/** What a process knows or depends on; the last one before the subject tells how old its knowledge was. */
+const STATE_EVENTS: ReadonlySet<string> = new Set(['start', 'manifest-in-force', 'dependency-lost', 'dependency-regained'])
+/** Said by the deciding process alone, whichever that was. */
+const FLEET_EVENTS: ReadonlySet<string> = new Set(['fleet-state', 'lease-taken', 'lease-lost'])
+const COMMON_FIELDS: ReadonlySet<string> = new Set(['level', 'time', 'node', 'event', 'atMs'])
+
+/**
+ * Gathers what log lines say of a request, an endpoint or a group, in the sequence of their times: the lines that name
+ * it, those of the endpoints and groups that it met, and the last word before it on what its process knew.
+ */
+export function traceStory (text: string, subject: string): Story {
+  const { lines, unreadable } = readLines(text)
+  const own = lines.filter((line) => names(line, subject))
+  const first = own[0]
+  const last = own.at(-1)
+  if (first === undefined || last === undefined) return { lines: [], unreadable }
+  const met = metBy(own, subject)
+  const story = lines.flatMap((line): StoryLine[] => {
+    if (names(line, subject)) return [{ line, role: StoryRole.Subject }]
+    const isNear = line.timeMs >= first.timeMs - BEFORE_MS && line.timeMs <= last.timeMs + AFTER_MS
+    return isNear && line.event !== 'request-ended' && [...met].some((name) => names(line, name)) ? [{ line, role: StoryRole.Met }] : []
+  })
+  return { lines: [...story, ...knownBefore(lines, first)].sort((left, right) => left.line.timeMs - right.line.timeMs), unreadable }
+}
+
+function readLines (text: string): { lines: LogLine[], unreadable: number } {
+  const lines: LogLine[] = []
+  let unreadable = 0
+  for (const raw of text.split('\n')) {
+    if (raw.trim() === '') continue
+    const line = readLine(raw)
+    if (line === null) unreadable += 1
+    else lines.push(line)
+  }
+  return { lines: lines.sort((left, right) => left.timeMs - right.timeMs), unreadable }
+}
+
+/** Collectors put a time and a name before each line. */
+function readLine (raw: string): LogLine | null {
+  try {
+    const parsed = JSON.parse(raw.slice(raw.indexOf('{'))) as Record<string, unknown>
+    const timeMs = Date.parse(String(parsed['time']))
+    if (Number.isNaN(timeMs) || typeof parsed['event'] !== 'string') return null
+    const fields = Object.fromEntries(Object.entries(parsed).filter(([key]) => !COMMON_FIELDS.has(key)))
+    return { timeMs, node: String(parsed['node']), event: parsed['event'], fields }
+  } catch {
+    return null
+  }
+}
+
+function names ({ fields }: LogLine, name: string): boolean {
+  return Object.values(fields).some((value) => mentions(value, name))
+}
+
+function mentions (value: unknown, name: string): boolean {
+  if (Array.isArray(value)) return value.some((item) => mentions(item, name))
+  // Groups are told apart by name and head: `g12:i-3f0a`.
+  return typeof value === 'string' && (value === name || value.split(':').includes(name))
+}
+
+/** Endpoints and groups that the subject's own lines name. */
+function metBy (own: readonly LogLine[], subject: string): Set<string> {
+  const listed = own.flatMap(({ fields }) => [fields['targets'], fields['members'], fields['group'], fields['head'], fields['endpoint']].flat())
+  return new Set(listed.filter((name): name is string => typeof name === 'string' && name !== subject))
+}
+
+function knownBefore (lines: readonly LogLine[], { node, timeMs }: LogLine): StoryLine[] {
+  const latest = new Map<string, LogLine>()
+  for (const line of lines) {
+    if (line.timeMs > timeMs) break
+    if (FLEET_EVENTS.has(line.event) || (line.node === node && STATE_EVENTS.has(line.event))) latest.set(line.event, line)
+  }
+  return [...latest.values()].map((line) => ({ line, role: StoryRole.Known }))
+}
