--- a/packages/dotterelspur-gateway/src/connection/PeerLinks.ts
+++ b/packages/dotterelspur-gateway/src/connection/PeerLinks.ts
@@ -6,6 +6,7 @@
 import type { ListenAddress } from '../process/GatewaySettings.js'
 import type { NodeRecord } from '../process/NodeKeeper.js'
 import type { FeedNews } from '../process/StoreFeed.js'
+import { PeerFrameKind, type LoadCounts, type PeerFrame } from './PeerFrame.js'
 
 /** Between two pings to a node; also how often missing links are made. */
 const PING_INTERVAL_MS = 700
@@ -23,27 +24,6 @@
 /** Between two words: three of them may be late before nodes turn to the store themselves. */
 const WORD_INTERVAL_MS = 350
 
-enum PeerFrameKind {
-  /** Streams of a group have fallen silent, or its head refuses for lack of a member. */
-  GroupSuspected = 'group-suspected',
-  /** What the sender has in flight; its answer tells what all others have. */
-  OwnLoad = 'own-load',
-  OthersLoad = 'others-load',
-  /** What the deciding node knows that its successor will need. */
-  DeciderWord = 'decider-word',
-  /** What it read in the store. */
-  FeedNews = 'feed-news'
-}
-
-type LoadCounts = Readonly<Record<EndpointId, number>>
-
-type PeerFrame =
-  | { readonly kind: PeerFrameKind.GroupSuspected, readonly head: EndpointId }
-  | { readonly kind: PeerFrameKind.OwnLoad, readonly counts: LoadCounts }
-  | { readonly kind: PeerFrameKind.OthersLoad, readonly counts: LoadCounts, readonly nodes: number }
-  | { readonly kind: PeerFrameKind.DeciderWord, readonly word: DeciderWord }
-  | { readonly kind: PeerFrameKind.FeedNews, readonly news: FeedNews }
-
 type FrameHandlers = { readonly [Kind in PeerFrameKind]: (frame: Extract<PeerFrame, { kind: Kind }>, link: Link | null) => void }
 
 /** What the links tell and ask this node. */
