--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import fastify, { type FastifyInstance } from 'fastify'
 import {
-  AccessKind, DispatchEndKind, pick, type Access, type CallerLimits, type Clock, type Random, type Route, type RouteTable, type ServiceId
+  AccessKind, DispatchEndKind, pick, type Access, type CallerLimits, type Clock, type PlacementRefusal, type Random, type Route, type RouteTable, type ServiceId
 } from 'dotterelspur'
 import type { Dispatch } from '../process/Dispatch.js'
 import { LogKind, type DecisionLog } from '../process/DecisionLog.js'
@@ -154,6 +154,8 @@
       lastExchange: report.end.lastExchange ?? undefined,
       answeredWith: report.answeredWith ?? undefined,
       refusal: report.end.refusal?.reason,
+      ...roundedBasis(report.end.refusal),
+      waitedMs: report.waitedMs === 0 ? undefined : Math.round(report.waitedMs),
       targets: report.targets,
       firstByteMs: report.firstByteMs === null ? undefined : Math.round(report.firstByteMs),
       tookMs: Math.round(tookMs),
@@ -164,6 +166,13 @@
   }
 }
 
+/** What a refusal was decided by, for its log line. */
+function roundedBasis (refusal: PlacementRefusal | null): Readonly<Record<string, number | null>> {
+  if (refusal === null || refusal.basis === null) return {}
+  const { expectedMs, limitMs, loadAgeMs } = refusal.basis
+  return { expectedMs: Math.round(expectedMs), limitMs: Math.round(limitMs), loadAgeMs: loadAgeMs === null ? null : Math.round(loadAgeMs) }
+}
+
 /** Every method and path comes to the one handler, as it was sent: the library's own routing and body parsing stay out of the way. */
 function createApp (take: (request: IncomingMessage, response: ServerResponse) => void): FastifyInstance {
   const app = fastify({
--- a/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
+++ b/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
@@ -45,6 +45,8 @@
   readonly answeredWith: OwnAnswerKind | null
   readonly firstByteMs: number | null
   readonly targets: readonly string[]
+  /** How long it waited here for a free slot. */
+  readonly waitedMs: number
 }
 
 /** One admitted request: runs its dispatch and writes its one answer. */
@@ -54,6 +56,7 @@
   private lastFailure: HeldAnswer | null = null
   private firstByteAtMs: number | null = null
   private over: ExchangeEnd | null = null
+  private waitedMs = 0
   private readonly targets: string[] = []
   private readonly deadlineAtMs: number
   private paused = false
@@ -83,7 +86,7 @@
     cancelDeadline()
     const answeredWith = this.conclude(end)
     const firstByteMs = this.firstByteAtMs === null ? null : this.firstByteAtMs - this.admitted.arrivedAtMs
-    return { end, answeredWith, firstByteMs, targets: this.targets }
+    return { end, answeredWith, firstByteMs, targets: this.targets, waitedMs: this.waitedMs }
   }
 
   private startDeadline (): Teardown {
@@ -106,7 +109,9 @@
     const { clock } = this.parts
     const fromMs = clock.nowMs()
     await sleep(clock, Math.min(leftMs, ROOM_POLL_MS))
-    return this.over === null ? leftMs - (clock.nowMs() - fromMs) : 0
+    const passedMs = clock.nowMs() - fromMs
+    this.waitedMs += passedMs
+    return this.over === null ? leftMs - passedMs : 0
   }
 
   private leftMs (): number {
--- a/packages/dotterelspur/src/request/dispatch/Placement.ts
+++ b/packages/dotterelspur/src/request/dispatch/Placement.ts
@@ -28,6 +28,18 @@
   readonly retryAfterMs: number
   /** How long it is worth waiting here for a free slot first; 0 where the caller should come back instead. */
   readonly waitMs: number
+  /** What it was decided by, for the log; null where there is no endpoint. */
+  readonly basis: PlacementBasis | null
+}
+
+/** Why the best endpoint was not good enough. */
+export interface PlacementBasis {
+  /** Expected time to the first event there. */
+  readonly expectedMs: number
+  /** The longest with which it would have been sent. */
+  readonly limitMs: number
+  /** Age of what other nodes told of their requests; null where they told nothing. */
+  readonly loadAgeMs: number | null
 }
 
 export interface PlacementQuery {
@@ -113,13 +125,15 @@
   const excluded = new Set(query.excluded.map(({ endpoint }) => endpoint))
   const kin = input.targets.filter(({ service, model }) => service === query.service && model === query.model)
   const suitable = kin.filter(({ endpoint }) => !excluded.has(endpoint))
-  if (suitable.length === 0) return { reason: RefusalReason.NoEndpoint, retryAfterMs: Math.min(NO_ENDPOINT_RETRY_MS, query.leftMs * RETURN_SHARE.most), waitMs: 0 }
+  if (suitable.length === 0) return { reason: RefusalReason.NoEndpoint, retryAfterMs: Math.min(NO_ENDPOINT_RETRY_MS, query.leftMs * RETURN_SHARE.most), waitMs: 0, basis: null }
   const usualLoad = kin.reduce((sum, { endpoint }) => sum + input.load.ownInFlight(endpoint), 0) * input.nodes / kin.length
   const candidates = suitable.map((target) => judge(target, usualLoad, query, input))
   const best = candidates.reduce((left, right) => right.cost < left.cost ? right : left)
   const expectedMs = Math.max(best.expectedMs, averageMs(best.target, candidates, query, input))
-  if (expectedMs <= limitMs(best.target, query, input)) return best.target
-  return { reason: RefusalReason.Full, retryAfterMs: returnAfterMs(query, input), waitMs: waitMs(query) }
+  const longestMs = limitMs(best.target, query, input)
+  if (expectedMs <= longestMs) return best.target
+  const basis: PlacementBasis = { expectedMs, limitMs: longestMs, loadAgeMs: input.load.othersAgeMs(input.nowMs) }
+  return { reason: RefusalReason.Full, retryAfterMs: returnAfterMs(query, input), waitMs: waitMs(query), basis }
 }
 
 /**
--- a/packages/dotterelspur/src/request/dispatch/TargetLoad.ts
+++ b/packages/dotterelspur/src/request/dispatch/TargetLoad.ts
@@ -59,6 +59,11 @@
     this.ownAtOthers = this.ownCounts()
   }
 
+  /** Since other nodes last told what they have in flight; null where they never did. */
+  othersAgeMs (nowMs: number): number | null {
+    return this.othersAtMs === -Infinity ? null : nowMs - this.othersAtMs
+  }
+
   /** This node's own requests in flight, by endpoint. */
   ownCounts (): Map<EndpointId, number> {
     return new Map([...this.states].filter(([, { own }]) => own > 0).map(([endpoint, { own }]) => [endpoint, own]))
--- a/packages/dotterelspur/src/request/dispatch/__tests__/unit/Placement.test.ts
+++ b/packages/dotterelspur/src/request/dispatch/__tests__/unit/Placement.test.ts
@@ -95,6 +95,15 @@
     expect(placeOn([target], load, createQuery({ alreadyLate: true }))).to.equal(target)
   })
 
+  it('says what a refusal was decided by', () => {
+    const load = new TargetLoad()
+    load.noteOthers(new Map([['g0', 60]]), 7, 0)
+    const refusal = placeOn([createTarget('g0')], load, createQuery(), 250) as PlacementRefusal
+    expect(refusal.basis?.loadAgeMs).to.equal(250)
+    expect(refusal.basis?.limitMs).to.equal(300)
+    expect(refusal.basis?.expectedMs).to.be.greaterThan(300)
+  })
+
   it('tells callers to come back within a third of their time', () => {
     const load = new TargetLoad()
     fill(load, 'a', 12, 30)
--- a/packages/dotterelspur/src/request/dispatch/__tests__/unit/runDispatch.test.ts
+++ b/packages/dotterelspur/src/request/dispatch/__tests__/unit/runDispatch.test.ts
@@ -3,7 +3,7 @@
 import { RefusalReason, type DispatchTarget, type PlacementRefusal } from '../../Placement.js'
 import { DispatchEffectKind, DispatchEndKind, runDispatch, type DispatchEnd, type DispatchOrder, type ExchangeReport } from '../../runDispatch.js'
 
-const FULL: PlacementRefusal = { reason: RefusalReason.Full, retryAfterMs: 100, waitMs: 0 }
+const FULL: PlacementRefusal = { reason: RefusalReason.Full, retryAfterMs: 100, waitMs: 0, basis: null }
 
 /** What one wait for room takes. */
 const WAIT_STEP_MS = 60
--- a/packages/dotterelspur/src/request/dispatch/runDispatch.ts
+++ b/packages/dotterelspur/src/request/dispatch/runDispatch.ts
@@ -12,7 +12,6 @@
 /** Chooses an endpoint, or says why none is to be had. */
 export interface PlaceEffect extends Effect<DispatchEffectKind.Place, DispatchTarget | PlacementRefusal> {
   readonly kind: DispatchEffectKind.Place
-  readonly attempt: number
   readonly excluded: readonly DispatchTarget[]
 }
 
@@ -25,7 +24,6 @@
 /** Sends the request and hands on what comes back; a stream goes on after the events that the caller has. */
 export interface ExchangeEffect extends Effect<DispatchEffectKind.Exchange, ExchangeReport> {
   readonly kind: DispatchEffectKind.Exchange
-  readonly attempt: number
   readonly target: DispatchTarget
 }
 
@@ -80,9 +78,9 @@
   let mayHaveRun = false
   let last: ExchangeReport | null = null
   for (let attempt = 1; ; attempt++) {
-    const placed = yield * findPlace(attempt, excluded)
+    const placed = yield * findPlace(excluded)
     if (!('endpoint' in placed)) return conclude(last, mayHaveRun, attempt - 1, placed)
-    last = yield * perform<ExchangeEffect>({ kind: DispatchEffectKind.Exchange, attempt, target: placed })
+    last = yield * perform<ExchangeEffect>({ kind: DispatchEffectKind.Exchange, target: placed })
     const rule = EXCHANGE_RULES[last.end]
     mayHaveRun ||= !rule.provesNotRun
     excluded.push(placed)
@@ -94,8 +92,8 @@
 }
 
 /** Waits for room only before anything was sent: what was lost elsewhere is placed wherever it can be. */
-function * findPlace (attempt: number, excluded: readonly DispatchTarget[]): Procedure<DispatchEffects, DispatchTarget | PlacementRefusal> {
-  const choose: PlaceEffect = { kind: DispatchEffectKind.Place, attempt, excluded }
+function * findPlace (excluded: readonly DispatchTarget[]): Procedure<DispatchEffects, DispatchTarget | PlacementRefusal> {
+  const choose: PlaceEffect = { kind: DispatchEffectKind.Place, excluded }
   let placed = yield * perform<PlaceEffect>(choose)
   if ('endpoint' in placed || excluded.length > 0) return placed
   for (let leftMs = placed.waitMs; leftMs > 0 && !('endpoint' in placed);) {
