Lease: the next life of its holder takes it at once

Cause: after all processes were killed nobody ordered anything until the lease lapsed, 2 s after it was first seen again, although the holder itself started within half a second: a process of its name starts only when the one before it has ended. The mesh keeps the old rule. Test first (null instead of fencing 2).

--- a/packages/dotterelspur-gateway/src/__tests__/unit/Keepers.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/Keepers.test.ts
@@ -137,6 +137,21 @@
     expect(lapsed).to.deep.equal(['n1'])
   })
 
+  it('is taken at once by the next life of the node that held it', async () => {
+    // Symptom: no group is mended for more than two seconds after all processes were killed. Sequence: the holder starts
+    // again after half a second, and waits until the lease of its former life lapses. Cause: it took that life for another
+    // node, though it can only have started because that one had ended.
+    const store = new MemoryStore()
+    const clock = new ManualClock()
+    const createLease = (node: string, incarnation: number): FleetLease => new FleetLease(store, { node, incarnation }, clock, createRandom(1), createLog(clock), () => {})
+    const former = createLease('n1', 1)
+    await runSteps(clock, [former], 600)
+    const [present, other] = [createLease('n1', 2), createLease('n2', 2)]
+    await runSteps(clock, [other, present], 700)
+    expect(present.fencing).to.equal(2)
+    expect(other.mayOrder()).to.equal(false)
+  })
+
   it('is free at once after a release', async () => {
     const store = new MemoryStore()
     const clock = new ManualClock()
--- a/packages/dotterelspur-gateway/src/process/FleetLease.ts
+++ b/packages/dotterelspur-gateway/src/process/FleetLease.ts
@@ -108,7 +108,7 @@
   }
 
   private async challenge (nowMs: number): Promise<void> {
-    const decision = decideChallenge(this.sighting, { ...this.self, rank: 0 }, FLEET_LEASE_TIMING, nowMs)
+    const decision = decideChallenge(this.sighting, { ...this.self, rank: 0, hasOneLife: true }, FLEET_LEASE_TIMING, nowMs)
     if (decision.kind === ChallengeKind.Wait) return await this.look(nowMs)
     const result = await runProcedure(takeLease(FLEET, this.self, decision.expectedVersion, decision.fencing, FLEET_LEASE_TIMING), this.handlers())
     if (result.kind === LeaseResultKind.Held) {
--- a/packages/dotterelspur/src/process/lease/LeaseChallenger.ts
+++ b/packages/dotterelspur/src/process/lease/LeaseChallenger.ts
@@ -54,6 +54,8 @@
   readonly incarnation: number
   /** Place in the rendezvous order of living candidates; 0 tries first. */
   readonly rank: number
+  /** Whether a process of this name starts only when the one before it has ended: then a lease of its former life is open. */
+  readonly hasOneLife?: boolean
 }
 
 /**
@@ -70,7 +72,7 @@
 
 function openingDelayMs (lease: LeaseObject | null, challenger: Challenger, timing: LeaseTiming): number {
   if (lease === null || lease.released) return 0
-  const isOwn = lease.holder === challenger.node && lease.holderIncarnation === challenger.incarnation
+  const isOwn = lease.holder === challenger.node && (challenger.hasOneLife === true || lease.holderIncarnation === challenger.incarnation)
   if (isOwn) return 0
   return Math.max(lease.ttlMs, timing.ttlMs)
 }
