--- a/packages/dotterelspur-gateway/src/process/DecisionLog.ts
+++ b/packages/dotterelspur-gateway/src/process/DecisionLog.ts
@@ -78,6 +78,11 @@
   flush (): void {
     this.logger.flush()
   }
+
+  /** Resolves once all is written: a process that ends before loses its last lines. */
+  async flushed (): Promise<void> {
+    await new Promise<void>((resolve) => { this.logger.flush(() => { resolve() }) })
+  }
 }
 
 function createLogger (node: string): Logger {
