--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -155,7 +155,6 @@
       answeredWith: report.answeredWith ?? undefined,
       refusal: report.end.refusal?.reason,
       ...roundedBasis(report.end.refusal),
-      waitedMs: report.waitedMs === 0 ? undefined : Math.round(report.waitedMs),
       targets: report.targets,
       firstByteMs: report.firstByteMs === null ? undefined : Math.round(report.firstByteMs),
       tookMs: Math.round(tookMs),
--- a/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
+++ b/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage } from 'node:http'
 import type { Dispatcher } from 'undici'
 import {
-  DispatchEffectKind, DispatchEndKind, EventCursor, EXCHANGE_RULES, ExchangeEnd, RequestKind, runDispatch, runProcedure, sleep,
+  DispatchEffectKind, DispatchEndKind, EventCursor, EXCHANGE_RULES, ExchangeEnd, RequestKind, runDispatch, runProcedure,
   type Clock, type DispatchEnd, type DispatchTarget, type ExchangeEffect, type ExchangeReport, type PlaceEffect, type PlacementRefusal, type Route, type ServiceId, type Teardown, type WorkspaceId
 } from 'dotterelspur'
 import { forwardedHeaders } from '../connection/headers.js'
@@ -15,8 +15,6 @@
 /** Below this no endpoint can do anything useful, and a send would not be an offer. */
 const LEAST_USEFUL_MS = 20
 const FIRST_REDIRECT = 300
-/** Between two looks for a free slot; at a busy group one becomes free about this often. */
-const ROOM_POLL_MS = 60
 
 export interface GatewayRequestParts {
   readonly clock: Clock
@@ -45,8 +43,6 @@
   readonly answeredWith: OwnAnswerKind | null
   readonly firstByteMs: number | null
   readonly targets: readonly string[]
-  /** How long it waited here for a free slot. */
-  readonly waitedMs: number
 }
 
 /** One admitted request: runs its dispatch and writes its one answer. */
@@ -56,7 +52,6 @@
   private lastFailure: HeldAnswer | null = null
   private firstByteAtMs: number | null = null
   private over: ExchangeEnd | null = null
-  private waitedMs = 0
   private readonly targets: string[] = []
   private readonly deadlineAtMs: number
   private paused = false
@@ -79,14 +74,13 @@
     const { route } = this.admitted
     const end = await runProcedure(runDispatch({ repeatable: isRepeatable(route), maxAttempts: route.maxAttempts }), {
       [DispatchEffectKind.Place]: (effect) => this.place(effect),
-      [DispatchEffectKind.AwaitRoom]: async ({ leftMs }) => await this.awaitRoom(leftMs),
       [DispatchEffectKind.Exchange]: async (effect) => await this.exchange(effect),
       [DispatchEffectKind.SpendRepeat]: () => this.over === null && this.parts.dispatch.spendRepeat(this.admitted.service)
     })
     cancelDeadline()
     const answeredWith = this.conclude(end)
     const firstByteMs = this.firstByteAtMs === null ? null : this.firstByteAtMs - this.admitted.arrivedAtMs
-    return { end, answeredWith, firstByteMs, targets: this.targets, waitedMs: this.waitedMs }
+    return { end, answeredWith, firstByteMs, targets: this.targets }
   }
 
   private startDeadline (): Teardown {
@@ -105,15 +99,6 @@
     return this.parts.dispatch.place({ service, route, head, excluded, leftMs: this.leftMs(), spentMs })
   }
 
-  private async awaitRoom (leftMs: number): Promise<number> {
-    const { clock } = this.parts
-    const fromMs = clock.nowMs()
-    await sleep(clock, Math.min(leftMs, ROOM_POLL_MS))
-    const passedMs = clock.nowMs() - fromMs
-    this.waitedMs += passedMs
-    return this.over === null ? leftMs - passedMs : 0
-  }
-
   private leftMs (): number {
     return this.deadlineAtMs - this.parts.clock.nowMs()
   }
--- a/packages/dotterelspur/src/request/dispatch/Placement.ts
+++ b/packages/dotterelspur/src/request/dispatch/Placement.ts
@@ -26,8 +26,6 @@
 export interface PlacementRefusal {
   readonly reason: RefusalReason
   readonly retryAfterMs: number
-  /** How long it is worth waiting here for a free slot first; 0 where the caller should come back instead. */
-  readonly waitMs: number
   /** What it was decided by, for the log; null where there is no endpoint. */
   readonly basis: PlacementBasis | null
 }
@@ -92,18 +90,6 @@
 const PLAIN_REQUEST_MS = 60
 /** Callers come back after a refusal when this part of their time has passed, spread by chance over the rest of a third. */
 const RETURN_SHARE = { least: 0.12, most: 0.3 } as const
-/**
- * Who has come back once will hardly come again: it waits for a free slot for this part of its time, and at most so long
- * that its caller, who gives a silent stream up after two seconds, still gets the first event.
- */
-const WAIT_SHARE = 0.25
-/**
- * Who is late in any case gets a slot at a group of which at most this part is taken: the last slots are left to those who
- * can be on time. Replayed for a rush of 2.5 times what the groups can serve, 6 seeds: 15 in 100 are lost instead of 18,
- * and as many are on time; with all slots 9 are lost, and 4 fewer are on time.
- */
-const LATE_SLOT_SHARE = 0.85
-const WAIT_LIMIT_MS = 1_000
 
 interface Candidate {
   readonly target: DispatchTarget
@@ -125,7 +111,7 @@
   const excluded = new Set(query.excluded.map(({ endpoint }) => endpoint))
   const kin = input.targets.filter(({ service, model }) => service === query.service && model === query.model)
   const suitable = kin.filter(({ endpoint }) => !excluded.has(endpoint))
-  if (suitable.length === 0) return { reason: RefusalReason.NoEndpoint, retryAfterMs: Math.min(NO_ENDPOINT_RETRY_MS, query.leftMs * RETURN_SHARE.most), waitMs: 0, basis: null }
+  if (suitable.length === 0) return { reason: RefusalReason.NoEndpoint, retryAfterMs: Math.min(NO_ENDPOINT_RETRY_MS, query.leftMs * RETURN_SHARE.most), basis: null }
   const usualLoad = kin.reduce((sum, { endpoint }) => sum + input.load.ownInFlight(endpoint), 0) * input.nodes / kin.length
   const candidates = suitable.map((target) => judge(target, usualLoad, query, input))
   const best = candidates.reduce((left, right) => right.cost < left.cost ? right : left)
@@ -133,7 +119,7 @@
   const longestMs = limitMs(best.target, query, input)
   if (expectedMs <= longestMs) return best.target
   const basis: PlacementBasis = { expectedMs, limitMs: longestMs, loadAgeMs: input.load.othersAgeMs(input.nowMs) }
-  return { reason: RefusalReason.Full, retryAfterMs: returnAfterMs(query, input), waitMs: waitMs(query), basis }
+  return { reason: RefusalReason.Full, retryAfterMs: returnAfterMs(query, input), basis }
 }
 
 /**
@@ -153,7 +139,7 @@
   if (engine === null || query.excluded.length > 0) return query.leftMs
   const pace = paceOf(engine, target)
   const idleMs = firstEventMs(engine, pace, 0, query.promptTokens)
-  const freeSlotMs = firstEventMs(engine, pace, target.slots * LATE_SLOT_SHARE - 1, query.promptTokens)
+  const freeSlotMs = firstEventMs(engine, pace, target.slots - 1, query.promptTokens)
   const onTimeMs = Math.max(query.targetMs * TARGET_SLACK, idleMs * IDLE_FACTOR)
   return Math.min(query.leftMs, query.alreadyLate ? freeSlotMs : onTimeMs)
 }
@@ -191,7 +177,3 @@
 function returnAfterMs ({ leftMs }: PlacementQuery, { random }: PlacementInput): number {
   return leftMs * (RETURN_SHARE.least + (RETURN_SHARE.most - RETURN_SHARE.least) * random.next())
 }
-
-function waitMs ({ alreadyLate, leftMs }: PlacementQuery): number {
-  return alreadyLate ? Math.min(WAIT_LIMIT_MS, leftMs * WAIT_SHARE) : 0
-}
--- a/packages/dotterelspur/src/request/dispatch/runDispatch.ts
+++ b/packages/dotterelspur/src/request/dispatch/runDispatch.ts
@@ -4,7 +4,6 @@
 
 export enum DispatchEffectKind {
   Place = 'place',
-  AwaitRoom = 'await-room',
   Exchange = 'exchange',
   SpendRepeat = 'spend-repeat'
 }
@@ -15,12 +14,6 @@
   readonly excluded: readonly DispatchTarget[]
 }
 
-/** Waits for a while, after which a slot may be free; returns what is left to wait, 0 when the request is over. */
-export interface AwaitRoomEffect extends Effect<DispatchEffectKind.AwaitRoom, number> {
-  readonly kind: DispatchEffectKind.AwaitRoom
-  readonly leftMs: number
-}
-
 /** Sends the request and hands on what comes back; a stream goes on after the events that the caller has. */
 export interface ExchangeEffect extends Effect<DispatchEffectKind.Exchange, ExchangeReport> {
   readonly kind: DispatchEffectKind.Exchange
@@ -32,7 +25,7 @@
   readonly kind: DispatchEffectKind.SpendRepeat
 }
 
-export type DispatchEffects = PlaceEffect | AwaitRoomEffect | ExchangeEffect | SpendRepeatEffect
+export type DispatchEffects = PlaceEffect | ExchangeEffect | SpendRepeatEffect
 
 export interface ExchangeReport {
   readonly end: ExchangeEnd
@@ -78,7 +71,7 @@
   let mayHaveRun = false
   let last: ExchangeReport | null = null
   for (let attempt = 1; ; attempt++) {
-    const placed = yield * findPlace(excluded)
+    const placed = yield * perform<PlaceEffect>({ kind: DispatchEffectKind.Place, excluded })
     if (!('endpoint' in placed)) return conclude(last, mayHaveRun, attempt - 1, placed)
     last = yield * perform<ExchangeEffect>({ kind: DispatchEffectKind.Exchange, target: placed })
     const rule = EXCHANGE_RULES[last.end]
@@ -91,18 +84,6 @@
   }
 }
 
-/** Waits for room only before anything was sent: what was lost elsewhere is placed wherever it can be. */
-function * findPlace (excluded: readonly DispatchTarget[]): Procedure<DispatchEffects, DispatchTarget | PlacementRefusal> {
-  const choose: PlaceEffect = { kind: DispatchEffectKind.Place, excluded }
-  let placed = yield * perform<PlaceEffect>(choose)
-  if ('endpoint' in placed || excluded.length > 0) return placed
-  for (let leftMs = placed.waitMs; leftMs > 0 && !('endpoint' in placed);) {
-    leftMs = yield * perform<AwaitRoomEffect>({ kind: DispatchEffectKind.AwaitRoom, leftMs })
-    placed = yield * perform<PlaceEffect>(choose)
-  }
-  return placed
-}
-
 function conclude (last: ExchangeReport | null, mayHaveRun: boolean, attempts: number, refusal: PlacementRefusal | null): DispatchEnd {
   return { kind: kindOf(last, mayHaveRun), lastExchange: last?.end ?? null, refusal, attempts }
 }
