--- a/packages/dotterelspur-gateway/src/process/StoreFeed.ts
+++ b/packages/dotterelspur-gateway/src/process/StoreFeed.ts
@@ -22,8 +22,8 @@
 }
 
 /**
- * What a node knows of the store through the deciding node. Each node that watched the store by itself would cost a
- * call for each change: with 82 nodes some 17,000 calls in a day of 50 s, most of them for the same few changes.
+ * What a node knows of the store through the deciding node. Nodes that watch the store by themselves make a call each for
+ * every change: 63 of them 14,343 calls in 50 s of losses and repairs, and 3,930 with this feed (counted by the store).
  */
 export class StoreFeed {
   private validUntilMs = -Infinity
