Review: pieces the project already had, and work done where it need not be

The gateway waited with timers of its own where the core has sleep, and hashed node names beside the core's hashText. The lease object was written out in three places (takeLease, renewLease, the deciding node's word): composeLease. The fabric domains that can lend were derived twice: lendingDomains. A question about one endpoint built the set of all lost ones, for each member on each change of the list: isUnreachable. Idle channels were closed by three copies of one line. Gone: an answer kind that nobody gave, a comment after the last statement.

No behaviour changes, but that nodes that start in the same millisecond draw other numbers than before.

--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -55,17 +55,13 @@
   /** From now on each answer asks its caller to connect elsewhere; idle channels are closed. */
   drain (): void {
     this.draining = true
-    this.app.server.closeIdleConnections()
+    this.closeIdle()
   }
 
   /** Takes no new channels. Those that are open finish what they have. */
   stopListening (): void {
     this.app.server.close()
-    this.app.server.closeIdleConnections()
-  }
-
-  closeIdle (): void {
-    this.app.server.closeIdleConnections()
+    this.closeIdle()
   }
 
   async close (): Promise<void> {
@@ -73,6 +69,10 @@
     await this.app.close()
   }
 
+  private closeIdle (): void {
+    this.app.server.closeIdleConnections()
+  }
+
   private applyLimits (limits: CallerLimits): void {
     const server: Server = this.app.server
     server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_SLACK_MS
--- a/packages/dotterelspur-gateway/src/process/FleetLease.ts
+++ b/packages/dotterelspur-gateway/src/process/FleetLease.ts
@@ -1,5 +1,5 @@
 import {
-  ChallengeKind, decideChallenge, isExpired, LeaseEffectKind, leaseKey, LeaseResultKind, mayOrder, NO_SIGHTING, observeAbsence, observeLease, raiseFencingFloor,
+  ChallengeKind, composeLease, decideChallenge, isExpired, LeaseEffectKind, leaseKey, LeaseResultKind, mayOrder, NO_SIGHTING, observeAbsence, observeLease, raiseFencingFloor,
   ReadFreshness, renewalDueAtMs, renewLease, runProcedure, StoreErrorKind, suspendTerm, takeLease,
   type Clock, type EffectHandlers, type LeaseEffect, type LeaseIdentity, type LeaseObject, type LeaseSighting, type LeaseTerm, type LeaseTiming, type ObjectStore, type Random, type StoredObject
 } from 'dotterelspur'
@@ -51,9 +51,7 @@
   /** The lease as this node holds it; null while another one does. */
   get heldLease (): StoredObject<LeaseObject> | null {
     if (this.held === null) return null
-    const { failureDomain, holder, holderIncarnation, fencing, version, renewal } = this.held
-    const body: LeaseObject = { failureDomain, holder, holderIncarnation, fencing, ttlMs: FLEET_LEASE_TIMING.ttlMs, renewal, released: false, writeToken: '' }
-    return { key: leaseKey(FLEET), version, body, deleted: false }
+    return { key: leaseKey(FLEET), version: this.held.version, body: composeLease(this.held, FLEET_LEASE_TIMING), deleted: false }
   }
 
   /** The holder told of its lease: as good as a look at the store, and no call. */
--- a/packages/dotterelspur-gateway/src/process/FollowedStore.ts
+++ b/packages/dotterelspur-gateway/src/process/FollowedStore.ts
@@ -1,5 +1,5 @@
 import {
-  StoreErrorKind, WatchEventKind,
+  sleep, StoreErrorKind, WatchEventKind,
   type Clock, type ObjectListing, type ObjectStore, type Random, type ReadFreshness, type Result, type StoredObject, type StoreError, type Teardown, type WatchEvent
 } from 'dotterelspur'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
@@ -166,7 +166,7 @@
   private async follow (follower: Follower): Promise<void> {
     while (!follower.stopped) {
       if (this.isCovered(follower) || this.mayTry()) await this.followOnce(follower)
-      await this.rest(RETRY_MS * (1 + RETRY_JITTER * this.parts.random.next()))
+      await sleep(this.parts.clock, RETRY_MS * (1 + RETRY_JITTER * this.parts.random.next()))
     }
   }
 
@@ -221,7 +221,7 @@
     }
     take(follower, answer.value)
     if (this.parts.decides()) this.shareBatch(follower, sinceVersion, answer.value)
-    if (answer.value.objects.length > 0) await this.rest(follower.rule.restMs)
+    if (answer.value.objects.length > 0) await sleep(clock, follower.rule.restMs)
     return true
   }
 
@@ -253,10 +253,6 @@
     this.contactAtMs = Math.max(this.contactAtMs, startedAtMs)
     return result
   }
-
-  private async rest (durationMs: number): Promise<void> {
-    await new Promise<void>((resolve) => { this.parts.clock.registerTimer(durationMs, resolve) })
-  }
 }
 
 /** A batch that ends before what is known would bring back what has been deleted since. */
--- a/packages/dotterelspur-gateway/src/process/FormationKeeper.ts
+++ b/packages/dotterelspur-gateway/src/process/FormationKeeper.ts
@@ -120,7 +120,7 @@
     const { lease, manifest } = this.parts
     if (!lease.mayOrder() || manifest.current === null) return
     for (const head of this.unlistedHeads.keys()) {
-      if (this.reachability.unreachable().has(head)) this.unlistedHeads.delete(head)
+      if (this.reachability.isUnreachable(head)) this.unlistedHeads.delete(head)
     }
     this.reachability.recheck(this.known, new Set(this.unlistedHeads.keys()))
     for (const service of manifest.current.manifest.services) {
@@ -173,7 +173,7 @@
   private engagedNow (): Set<EndpointId> {
     const engaged = new Set([...this.engaged.keys(), ...this.reachability.undecided()])
     for (const [head, record] of this.unlistedHeads) {
-      const isDecided = this.reachability.isReachable(head) || this.reachability.unreachable().has(head)
+      const isDecided = this.reachability.isReachable(head) || this.reachability.isUnreachable(head)
       if (isDecided) continue
       for (const other of this.known.values()) {
         if (sameFormation(other, record)) engaged.add(other.endpoint)
--- a/packages/dotterelspur-gateway/src/process/FormationRunner.ts
+++ b/packages/dotterelspur-gateway/src/process/FormationRunner.ts
@@ -120,7 +120,7 @@
 
   private isLost (endpoint: EndpointId): boolean {
     const record = this.parts.endpoints.current.get(endpoint)
-    return record === undefined || record.leaving || this.parts.reachability.unreachable().has(endpoint)
+    return record === undefined || record.leaving || this.parts.reachability.isUnreachable(endpoint)
   }
 
   private async askMembers (plan: FormationPlan, seenReady: Set<EndpointId>): Promise<void> {
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -1,5 +1,5 @@
 import type { Server } from 'node:http'
-import { createRandom, type Clock, type EndpointId, type LeaseIdentity, type Teardown } from 'dotterelspur'
+import { createRandom, hashText, sleep, type Clock, type EndpointId, type LeaseIdentity, type Teardown } from 'dotterelspur'
 import { CallerListener } from '../connection/CallerListener.js'
 import { PeerLinks } from '../connection/PeerLinks.js'
 import { jsonAnswer, listenSmall, type SmallHandler } from '../connection/SmallListeners.js'
@@ -68,6 +68,7 @@
     const { clock, log } = parts
     this.limits = settings
     const incarnation = Math.round(clock.wallMs())
+    // Nodes that start in the same millisecond draw different numbers.
     const random = createRandom(incarnation ^ hashText(settings.node))
     this.steppedAtMs = clock.nowMs()
     this.store = new FollowedStore({
@@ -165,9 +166,9 @@
         this.callers.stopListening()
         if (this.callers.runningRequests === 0) break
       }
-      await new Promise<void>((resolve) => { clock.registerTimer(STOP_POLL_MS, resolve) })
+      await sleep(clock, STOP_POLL_MS)
     }
-    await Promise.race([handedOver, new Promise<void>((resolve) => { clock.registerTimer(STOP_POLL_MS, resolve) })])
+    await Promise.race([handedOver, sleep(clock, STOP_POLL_MS)])
     await this.close()
   }
 
@@ -245,8 +246,3 @@
 function addressOf ({ host, port }: ListenAddress): string {
   return `${host}:${port}`
 }
-
-/** A small hash, so that nodes that start in the same millisecond draw different numbers. */
-function hashText (text: string): number {
-  return [...text].reduce((hash, char) => (Math.imul(hash, 31) + char.charCodeAt(0)) | 0, 7)
-}
--- a/packages/dotterelspur-gateway/src/process/NodeKeeper.ts
+++ b/packages/dotterelspur-gateway/src/process/NodeKeeper.ts
@@ -1,4 +1,4 @@
-import { StoreErrorKind, WatchEventKind, type Clock, type FailureDomainId, type LeaseIdentity, type NodeId, type ObjectStore, type StoredObject, type Teardown, type WatchEvent } from 'dotterelspur'
+import { sleep, StoreErrorKind, WatchEventKind, type Clock, type FailureDomainId, type LeaseIdentity, type NodeId, type ObjectStore, type StoredObject, type Teardown, type WatchEvent } from 'dotterelspur'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
 
 export const NODE_PREFIX = 'nodes/'
@@ -39,7 +39,7 @@
   async register (): Promise<void> {
     while (!this.leaving) {
       if (await this.writeOwn()) return
-      await new Promise<void>((resolve) => { this.clock.registerTimer(REGISTER_RETRY_MS, resolve) })
+      await sleep(this.clock, REGISTER_RETRY_MS)
     }
   }
 
--- a/packages/dotterelspur-gateway/src/process/Reachability.ts
+++ b/packages/dotterelspur-gateway/src/process/Reachability.ts
@@ -44,6 +44,10 @@
     return this.inState(ProbeState.Running)
   }
 
+  isUnreachable (endpoint: EndpointId): boolean {
+    return this.probed.get(endpoint)?.state === ProbeState.Unreachable
+  }
+
   isReachable (endpoint: EndpointId): boolean {
     return this.probed.get(endpoint)?.state === ProbeState.Reachable
   }
@@ -79,7 +83,7 @@
   private async check (place: EndpointPlace): Promise<void> {
     const known = this.probed.get(place.endpoint)
     // While a lost endpoint is asked again it stays lost.
-    const probed: Probed = known?.state === ProbeState.Unreachable ? known : { state: ProbeState.Running, place, decidedAtMs: this.clock.nowMs() }
+    const probed: Probed = known?.state === ProbeState.Unreachable ? known : { state: ProbeState.Running, place, decidedAtMs: 0 }
     probed.decidedAtMs = this.clock.nowMs()
     this.probed.set(place.endpoint, probed)
     const answered = await this.ask(place)
--- a/packages/dotterelspur-gateway/src/request/CallerAnswer.ts
+++ b/packages/dotterelspur-gateway/src/request/CallerAnswer.ts
@@ -7,7 +7,6 @@
   NoManifest = 'no-manifest',
   NoRoute = 'no-route',
   Unauthorized = 'unauthorized',
-  Malformed = 'malformed',
   BodyTooLarge = 'body-too-large',
   /** Not run, and never will be. */
   NotRun = 'not-run',
@@ -22,7 +21,6 @@
   [OwnAnswerKind.NoManifest]: 503,
   [OwnAnswerKind.NoRoute]: 404,
   [OwnAnswerKind.Unauthorized]: 401,
-  [OwnAnswerKind.Malformed]: 400,
   [OwnAnswerKind.BodyTooLarge]: 413,
   [OwnAnswerKind.NotRun]: 503,
   [OwnAnswerKind.EndpointLost]: 502,
@@ -52,7 +50,6 @@
     this.headSent = true
     this.prepareClose()
     this.response.writeHead(status, answerHeaders(headers))
-    // The head alone tells the caller nothing yet, but a stream's first event may be a while off.
   }
 
   /** Returns false while the caller is slow to take what is there. */
--- a/packages/dotterelspur/src/process/lease/LeaseProcedures.ts
+++ b/packages/dotterelspur/src/process/lease/LeaseProcedures.ts
@@ -51,6 +51,14 @@
   readonly incarnation: number
 }
 
+/** The lease object as its holder writes it. */
+export function composeLease (
+  { failureDomain, holder, holderIncarnation, fencing, renewal }: Pick<LeaseTerm, 'failureDomain' | 'holder' | 'holderIncarnation' | 'fencing' | 'renewal'>,
+  { ttlMs }: LeaseTiming, released = false
+): LeaseObject {
+  return { failureDomain, holder, holderIncarnation, fencing, ttlMs, renewal, released, writeToken: '' }
+}
+
 /**
  * Tries once to take a lease. A write whose answer was lost is read back: if the store holds this write, told by its
  * renewal number, the term has begun, counted from when the write was sent.
@@ -61,9 +69,7 @@
   const key = leaseKey(failureDomain)
   const renewal = yield * perform<RenewalEffect>({ kind: LeaseEffectKind.Renewal })
   const sentAtMs = yield * perform<NowEffect>({ kind: LeaseEffectKind.Now })
-  const body: LeaseObject = {
-    failureDomain, holder: self.node, holderIncarnation: self.incarnation, fencing, ttlMs: timing.ttlMs, renewal, released: false, writeToken: ''
-  }
+  const body = composeLease({ failureDomain, holder: self.node, holderIncarnation: self.incarnation, fencing, renewal }, timing)
   const written = yield * perform<WriteLeaseEffect>({ kind: LeaseEffectKind.Write, key, body, expectedVersion })
   if (written.ok) return { kind: LeaseResultKind.Held, term: beginTerm(body, written.value.version, sentAtMs) }
   if (!needsReadBack(written.error)) return { kind: LeaseResultKind.NotTaken, observed: null, error: written.error }
@@ -82,9 +88,8 @@
   const renewal = yield * perform<RenewalEffect>({ kind: LeaseEffectKind.Renewal })
   const sentAtMs = yield * perform<NowEffect>({ kind: LeaseEffectKind.Now })
   if (isExpired(term, timing, sentAtMs)) return { kind: LeaseResultKind.Lost, loss: LeaseLoss.Expired, observed: null }
-  const body: LeaseObject = {
-    failureDomain: term.failureDomain, holder: self.node, holderIncarnation: self.incarnation, fencing: term.fencing, ttlMs: timing.ttlMs, renewal, released, writeToken: ''
-  }
+  const { failureDomain, fencing } = term
+  const body = composeLease({ failureDomain, holder: self.node, holderIncarnation: self.incarnation, fencing, renewal }, timing, released)
   const sent = noteSent(term, { renewal, sentAtMs })
   const written = yield * perform<WriteLeaseEffect>({ kind: LeaseEffectKind.Write, key, body, expectedVersion: term.version })
   if (written.ok) return settle(sent, written.value, released)
--- a/packages/dotterelspur/src/version/formation/FormationPlanner.ts
+++ b/packages/dotterelspur/src/version/formation/FormationPlanner.ts
@@ -5,7 +5,7 @@
 import { FormationDecisionKind, type FormationDecision, type FormationInput } from './FormationDecision.js'
 import type { FormationPlan, FormerGroup } from './FormationProcedures.js'
 import { formationKey, type FormationView } from './FormationView.js'
-import { giveUpGroups, lenders, lendingGroups, mayLend } from './Lending.js'
+import { giveUpGroups, lenders, lendingDomains, lendingGroups, mayLend } from './Lending.js'
 import { countGroup, filledShare, holders, modelsByNeed, surveyFleet, type PendingFormation } from './PendingFormation.js'
 import { stageStandbys } from './StandbyStaging.js'
 
@@ -63,7 +63,7 @@
 
 /** Hosts that hold the model, some of them in groups of models that are better off; see Lending. */
 function chooseWithLent (pending: PendingFormation, spec: ModelSpec): MemberChoice | null {
-  for (const domain of new Set([...pending.serving.values()].map((group) => group.domain))) {
+  for (const domain of lendingDomains(pending)) {
     const free = holders(pending.free.get(domain) ?? [], spec.model)
     const lent = holders(lenders(pending, domain, spec), spec.model)
     const members = [...free, ...lent].slice(0, spec.size)
--- a/packages/dotterelspur/src/version/formation/Lending.ts
+++ b/packages/dotterelspur/src/version/formation/Lending.ts
@@ -21,6 +21,11 @@
   return [...groups].flatMap(({ view }) => view.members)
 }
 
+/** Fabric domains in which groups serve. */
+export function lendingDomains ({ serving }: PendingFormation): Set<FabricDomainId> {
+  return new Set([...serving.values()].map(({ domain }) => domain))
+}
+
 /** The groups that would be given up. */
 export function lendingGroups ({ serving }: PendingFormation, members: readonly EndpointRecord[]): ServingGroup[] {
   const groups = members.map(({ endpoint }) => serving.get(endpoint)).filter((group) => group !== undefined)
--- a/packages/dotterelspur/src/version/formation/StandbyStaging.ts
+++ b/packages/dotterelspur/src/version/formation/StandbyStaging.ts
@@ -2,7 +2,7 @@
 import type { ModelSpec } from '../manifest/Manifest.js'
 import type { EndpointRecord } from './Endpoint.js'
 import { FormationDecisionKind } from './FormationDecision.js'
-import { addToTally, lenders, lendingGroups, mayLend, type GroupTally } from './Lending.js'
+import { addToTally, lenders, lendingDomains, lendingGroups, mayLend, type GroupTally } from './Lending.js'
 import { filledShare, groupsIn, holders, modelsByNeed, type PendingFormation } from './PendingFormation.js'
 
 /** Hosts of a model that stay ready for the next loss of its groups in a fabric domain; a second loss there is rarer than a shortage elsewhere. */
@@ -53,7 +53,7 @@
 
 /** The groups that loads could complete, the cheapest first. */
 function completions (pending: PendingFormation): Completion[] {
-  const domains = new Set([...pending.free.keys(), ...[...pending.serving.values()].map(({ domain }) => domain)])
+  const domains = new Set([...pending.free.keys(), ...lendingDomains(pending)])
   const found = [...domains].flatMap((domain) => modelsByNeed(pending).map((spec) => completionIn(pending, domain, spec)))
   return found.filter((completion) => completion !== null).sort((left, right) => left.cost - right.cost)
 }
