Endpoints: each life of a worker has an id of its own; entries of other writers stand for no endpoint

Loads, hold-offs, channels, formations and plans of the former life would have stood for the new one. An entry that could not be read was left out, so that the worker's former entry stood; unknown states were taken for ready or for a broken group, whose hosts count as free. The list is kept by the entries' names: another life, or an entry that isn't a worker's, ends the former at once, also in the grace after an outage. Ruled out: a birth time beside the id in every table that is kept by endpoint (loads, channels, plans, groups, peers' counts): eleven places that each can forget it.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/Keepers.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/Keepers.test.ts
@@ -64,6 +64,26 @@
     expect([...keeper.current.keys()]).to.deep.equal(['w1'])
   })
 
+  it('drops what was known under a name when a new life or somebody else writes there, also in the grace after an outage', () => {
+    // Symptom: a request waits at a worker that knows nothing of its group. Sequence: the store is out, a worker starts
+    // again under its id, the store returns. Cause: the entry of the former life was kept as one that may come back.
+    const { store, clock, keeper } = createKeeper()
+    store.put('endpoints/w1', createEndpoint('w1~1', '10.0.0.1:1'))
+    store.put('endpoints/w2', createEndpoint('w2~1', '10.0.0.2:1'))
+    store.cut()
+    store.put('endpoints/w1', createEndpoint('w1~2', '10.0.0.1:1'))
+    store.put('endpoints/w2', null)
+    store.heal()
+    expect([...keeper.current.keys()]).to.deep.equal(['w1~2'])
+    keeper.noteReport('w1~1', { model: 'small', staged: [], membership: null })
+    expect(keeper.current.get('w1~2')?.model).to.equal(null)
+    store.put('endpoints/w1', createEndpoint('w1~3', '10.0.0.1:1'))
+    clock.advance(3_000)
+    expect([...keeper.current.keys()]).to.deep.equal(['w1~3'])
+    store.drop('endpoints/w1')
+    expect(keeper.current.size).to.equal(0)
+  })
+
   it('lets an endpoint\'s own word stand until the list has a later one', () => {
     const { store, keeper } = createKeeper()
     store.put('endpoints/w1', createEndpoint('w1', '10.0.0.1:1'))
--- a/packages/dotterelspur-gateway/src/process/DecisionLog.ts
+++ b/packages/dotterelspur-gateway/src/process/DecisionLog.ts
@@ -29,6 +29,8 @@
   HostStaged = 'host-staged',
   /** Now and then: what the fleet is made of, as the deciding node sees it. */
   FleetState = 'fleet-state',
+  /** Somebody else's entry stands where an endpoint's should. */
+  EntryRejected = 'entry-rejected',
   EndpointListed = 'endpoint-listed',
   EndpointUnlisted = 'endpoint-unlisted',
   EndpointUnreachable = 'endpoint-unreachable',
--- a/packages/dotterelspur-gateway/src/process/EndpointKeeper.ts
+++ b/packages/dotterelspur-gateway/src/process/EndpointKeeper.ts
@@ -15,12 +15,15 @@
 /** Keeps the list of endpoints as an immutable snapshot; listeners run after each change. */
 export class EndpointKeeper {
   private snapshot: ReadonlyMap<EndpointId, EndpointRecord> = new Map()
-  private readonly versions = new Map<EndpointId, number>()
+  /** By the entry's name: a worker that starts again has a new id, and its former entry's name. */
+  private readonly versions = new Map<string, number>()
+  private readonly idByName = new Map<string, EndpointId>()
   private readonly listeners = new Set<EndpointListener>()
   private wasDisconnected = false
   private listed = false
   private graceUntilMs = -Infinity
-  private readonly missing = new Set<EndpointId>()
+  /** Names of entries that lapsed while the store was out. */
+  private readonly missing = new Set<string>()
   private cancelGrace: Teardown = () => {}
 
   constructor (private readonly clock: Clock, private readonly log: DecisionLog) {}
@@ -52,10 +55,10 @@
   }
 
   follow (store: ObjectStore): Teardown {
-    return store.watch<EndpointRecord>(ENDPOINT_PREFIX, (event) => { this.take(event) })
+    return store.watch<EndpointRecord | null>(ENDPOINT_PREFIX, (event) => { this.take(event) })
   }
 
-  private take (event: WatchEvent<EndpointRecord>): void {
+  private take (event: WatchEvent<EndpointRecord | null>): void {
     switch (event.kind) {
       case WatchEventKind.Object: return this.takeObject(event.object)
       case WatchEventKind.Listing: return this.takeListing(event.listing)
@@ -68,33 +71,33 @@
     }
   }
 
-  private takeObject (object: StoredObject<EndpointRecord>): void {
-    const id = idOf(object.key)
-    const knownVersion = this.versions.get(id) ?? 0
+  private takeObject (object: StoredObject<EndpointRecord | null>): void {
+    const name = nameOf(object.key)
+    const knownVersion = this.versions.get(name) ?? 0
     // A deletion may carry the version of the object that was deleted.
     if (object.deleted ? object.version < knownVersion : object.version <= knownVersion) return
-    this.versions.set(id, object.version)
+    this.versions.set(name, object.version)
     const pending = new Map(this.snapshot)
-    this.missing.delete(id)
-    if (!object.deleted) this.put(pending, object.body)
-    else if (this.clock.nowMs() < this.graceUntilMs) this.missing.add(id)
-    else this.drop(pending, id)
+    this.missing.delete(name)
+    if (!object.deleted) this.put(pending, name, object.body)
+    else if (this.clock.nowMs() < this.graceUntilMs) this.missing.add(name)
+    else this.drop(pending, name)
     this.commit(pending)
   }
 
-  private takeListing (listing: ObjectListing<EndpointRecord>): void {
+  private takeListing (listing: ObjectListing<EndpointRecord | null>): void {
     const pending = new Map(this.snapshot)
-    const found = new Set<EndpointId>()
+    const found = new Set<string>()
     for (const object of listing.objects) {
-      const id = idOf(object.key)
-      found.add(id)
-      this.missing.delete(id)
-      if (object.version <= (this.versions.get(id) ?? 0) && pending.has(id)) continue
-      this.versions.set(id, object.version)
-      this.put(pending, object.body)
+      const name = nameOf(object.key)
+      found.add(name)
+      this.missing.delete(name)
+      if (object.version <= (this.versions.get(name) ?? 0) && this.idByName.has(name)) continue
+      this.versions.set(name, object.version)
+      this.put(pending, name, object.body)
     }
-    for (const id of pending.keys()) {
-      if (!found.has(id)) this.missing.add(id)
+    for (const name of this.idByName.keys()) {
+      if (!found.has(name)) this.missing.add(name)
     }
     if (this.wasDisconnected) this.beginGrace()
     else this.dropMissing(pending)
@@ -114,11 +117,15 @@
   }
 
   private dropMissing (pending: Map<EndpointId, EndpointRecord>): void {
-    for (const id of this.missing) this.drop(pending, id)
+    for (const name of this.missing) this.drop(pending, name)
     this.missing.clear()
   }
 
-  private put (pending: Map<EndpointId, EndpointRecord>, record: EndpointRecord): void {
+  /** An entry that is not a worker's names no endpoint, and one of another life ends the former: neither waits for the grace. */
+  private put (pending: Map<EndpointId, EndpointRecord>, name: string, record: EndpointRecord | null): void {
+    if (this.idByName.get(name) !== record?.endpoint) this.drop(pending, name)
+    if (record === null) return
+    this.idByName.set(name, record.endpoint)
     const former = pending.get(record.endpoint)
     pending.set(record.endpoint, record)
     if (former === undefined || former.leaving !== record.leaving) {
@@ -126,7 +133,10 @@
     }
   }
 
-  private drop (pending: Map<EndpointId, EndpointRecord>, id: EndpointId): void {
+  private drop (pending: Map<EndpointId, EndpointRecord>, name: string): void {
+    const id = this.idByName.get(name)
+    if (id === undefined) return
+    this.idByName.delete(name)
     if (pending.delete(id)) this.log.write(LogKind.EndpointUnlisted, { endpoint: id })
   }
 
@@ -136,6 +146,6 @@
   }
 }
 
-function idOf (key: string): EndpointId {
+function nameOf (key: string): string {
   return key.slice(ENDPOINT_PREFIX.length)
 }
