Dispatch: groups that stopped are noticed by their pauses and told to all nodes; returns are told by who was sent away

And nine of ten first attempts counted as returns, since callers state 85 to 100 in 100 of their budget: no demand was learned, and they got free slots only. Change: StreamPauses learns how long streams of a model pause while their group works; when all streams of an endpoint pause longer, what waits there for its first event goes elsewhere, if an attempt and budget are left. The deciding node passes suspicions on at once, and tells the heads of groups that it knows to have lost a member. Bytes from an endpoint end the doubt. DeadlineHistory takes the lowest deadlines for returns only as far as callers were sent away. Comparing with the upper half of deadlines in place of who was sent away: takes shorter budgets of a second kind of caller for returns.

--- a/packages/dotterelspur-gateway/src/connection/PeerLinks.ts
+++ b/packages/dotterelspur-gateway/src/connection/PeerLinks.ts
@@ -30,6 +30,8 @@
 export interface PeerListener {
   /** A node's callers suspect a group. */
   suspected (head: EndpointId): void
+  /** The deciding node passes on that groups are suspected. */
+  doubted (heads: readonly EndpointId[]): void
   /** A node gives no sign of life. */
   nodeLost (node: NodeRecord): void
   /** What this node has in flight, by endpoint. */
@@ -64,6 +66,7 @@
   private cancelWordTimer: Teardown = () => {}
   private readonly handlers: FrameHandlers = {
     [PeerFrameKind.GroupSuspected]: ({ head }) => { this.listener.suspected(head) },
+    [PeerFrameKind.GroupsDoubted]: ({ heads }) => { this.listener.doubted(heads) },
     [PeerFrameKind.OwnLoad]: ({ counts }, link) => { if (link !== null) link.counts = counts },
     [PeerFrameKind.OthersLoad]: ({ counts, nodes }) => { this.listener.othersLoad(new Map(Object.entries(counts)), nodes) },
     [PeerFrameKind.DeciderWord]: ({ word }) => { this.listener.deciderWord(word) },
@@ -115,11 +118,21 @@
   tellWords (): void {
     this.cancelWordTimer = this.clock.registerTimer(WORD_INTERVAL_MS, () => {
       this.tellWords()
-      const word = this.listener.ownWord()
-      if (word !== null) this.tell(this.linkedSockets(), { kind: PeerFrameKind.DeciderWord, word })
+      this.tellWord()
     })
   }
 
+  /** Tells its word out of turn, as when a group is lost. */
+  tellWord (): void {
+    const word = this.listener.ownWord()
+    if (word !== null) this.tell(this.linkedSockets(), { kind: PeerFrameKind.DeciderWord, word })
+  }
+
+  /** All nodes send requests to a group; the first whose streams pause there spares the others the wait. */
+  tellDoubt (heads: readonly EndpointId[]): void {
+    this.tell(this.linkedSockets(), { kind: PeerFrameKind.GroupsDoubted, heads })
+  }
+
   /** A node that can't take it finds a gap and asks the store. */
   tellNews (news: FeedNews): void {
     this.tell(this.linkedSockets(), { kind: PeerFrameKind.FeedNews, news })
--- a/packages/dotterelspur-gateway/src/process/DeciderWord.ts
+++ b/packages/dotterelspur-gateway/src/process/DeciderWord.ts
@@ -1,4 +1,4 @@
-import type { LeaseObject, StoredObject } from 'dotterelspur'
+import type { EndpointId, LeaseObject, StoredObject } from 'dotterelspur'
 import type { LoadUnderWay } from './LoadMeter.js'
 import type { FeedWord } from './StoreFeed.js'
 
@@ -9,4 +9,6 @@
   readonly lease: StoredObject<LeaseObject>
   /** Loads from the weight store, which the list doesn't show before they end. */
   readonly loads: readonly LoadUnderWay[]
+  /** Heads that are listed as open and whose group has lost a member. */
+  readonly stoppedHeads: readonly EndpointId[]
 }
--- a/packages/dotterelspur-gateway/src/process/Dispatch.ts
+++ b/packages/dotterelspur-gateway/src/process/Dispatch.ts
@@ -1,10 +1,10 @@
 import {
-  DeadlineHistory, eventGapMs, groupTimeMs, paceOf, place, RetryWindow, takesRequests, TargetLoad,
+  DeadlineHistory, eventGapMs, ExchangeEnd, groupTimeMs, paceOf, place, RetryWindow, StreamPauses, takesRequests, TargetLoad,
   type Clock, type DispatchTarget, type EndpointId, type EndpointRecord, type EngineSpec, type FailureDomainId, type ModelId, type PlacementRefusal, type Random, type RetryWindowOptions, type Route, type ServiceId
 } from 'dotterelspur'
 import type { EndpointChannel } from '../connection/EndpointChannel.js'
 import { EndpointChannels } from '../connection/EndpointChannels.js'
-import { ExchangeWatch, type ExchangeWatchHandle } from './ExchangeWatch.js'
+import { ExchangeWatch, StopCertainty, type ExchangeWatchHandle } from './ExchangeWatch.js'
 import type { AnswerHead, CallerHead } from './GatewayPorts.js'
 import type { ManifestKeeper } from './ManifestKeeper.js'
 import type { EndpointKeeper } from './EndpointKeeper.js'
@@ -54,6 +54,7 @@
   private readonly watch: ExchangeWatch
   private readonly repeats: RetryWindow
   private readonly deadlines = new DeadlineHistory()
+  private readonly pauses = new StreamPauses()
   private targets: readonly DispatchTarget[] = []
   private readonly demandByModel = new Map<ModelId, ModelDemand>()
   private requestSeen = false
@@ -62,7 +63,12 @@
     const { clock, retries } = parts
     const extraFromMs = parts.firstStart ? clock.nowMs() : clock.nowMs() + retries.windowMs
     this.repeats = new RetryWindow(retries, extraFromMs)
-    this.watch = new ExchangeWatch(clock, (target, head, gapMs) => { this.noteProgress(target, head, gapMs) }, ({ endpoint }) => { parts.onSuspect(endpoint) })
+    this.watch = new ExchangeWatch(clock, {
+      progressed: (target, head, gapMs) => { this.noteProgress(target, head, gapMs) },
+      pauseLimitMs: (target) => this.pauseLimitMs(target),
+      stopped: (target) => { this.noteStopped(target) },
+      mayRepeat: (service) => this.repeats.hasLeft(service, parts.nodeCount(), clock.nowMs())
+    })
     parts.endpoints.registerListener((endpoints) => { this.noteEndpoints(endpoints) })
     parts.manifest.registerListener(({ manifest }) => { this.deadlines.retain(new Set(manifest.routes.map(({ name }) => name))) })
   }
@@ -95,13 +101,18 @@
   /** Takes in that a request came, whatever becomes of it; returns what its caller has spent of its time elsewhere. */
   noteRequest (service: ServiceId, route: Route, head: CallerHead): number {
     const nowMs = this.parts.clock.nowMs()
-    const spentMs = head.deadlineMs === null ? 0 : this.deadlines.noteSpentMs(route.name, head.deadlineMs, nowMs)
+    const spentMs = head.deadlineMs === null ? 0 : this.deadlines.noteSpentMs(route.name, head.deadlineMs)
     this.requestSeen = true
     this.repeats.noteRequest(service, nowMs)
     if (!hasSpentMuch(spentMs, route)) this.noteDemand(service, head, nowMs)
     return spentMs
   }
 
+  /** A caller was refused, and may come back. */
+  noteSentAway ({ name }: Route): void {
+    this.deadlines.noteSentAway(name)
+  }
+
   /** Who comes back isn't counted again: else the model whose callers are refused most would seem to be asked for most. */
   private noteDemand (service: ServiceId, head: CallerHead, nowMs: number): void {
     const engine = this.engine(service)
@@ -144,9 +155,9 @@
     this.channels.release(target.endpoint, channel)
   }
 
-  exchangeBegan (target: DispatchTarget, route: Route, onSilent: () => void): ExchangeWatchHandle {
+  exchangeBegan (target: DispatchTarget, route: Route, mayMove: boolean, onSilent: () => void): ExchangeWatchHandle {
     this.load.begin(target.endpoint)
-    return this.watch.begin(target, route, onSilent)
+    return this.watch.begin(target, route, mayMove, onSilent)
   }
 
   exchangeEnded (target: DispatchTarget): void {
@@ -154,9 +165,18 @@
   }
 
   /** An exchange ended in a way that speaks against the endpoint or its group. */
-  blame (target: DispatchTarget): void {
-    this.load.noteFailure(target.endpoint, this.parts.clock.nowMs())
-    this.parts.onSuspect(target.endpoint)
+  blame ({ endpoint }: DispatchTarget, end: ExchangeEnd): void {
+    const nowMs = this.parts.clock.nowMs()
+    if (end === ExchangeEnd.Silent) this.load.noteSilence(endpoint, nowMs)
+    else this.load.noteFailure(endpoint, nowMs)
+    this.parts.onSuspect(endpoint)
+  }
+
+  /** The deciding node says that groups have stopped, by their heads. */
+  noteStoppedGroups (heads: readonly EndpointId[], certainty: StopCertainty): void {
+    for (const head of heads) {
+      if (this.watch.noteStopped(head, certainty)) this.load.noteDoubt(head, this.parts.clock.nowMs())
+    }
   }
 
   spendRepeat (service: ServiceId): boolean {
@@ -167,6 +187,19 @@
     return this.parts.manifest.current?.service(service)?.engine ?? null
   }
 
+  private noteStopped ({ endpoint }: DispatchTarget): void {
+    this.load.noteDoubt(endpoint, this.parts.clock.nowMs())
+    this.parts.onSuspect(endpoint)
+  }
+
+  private pauseLimitMs (target: DispatchTarget): number {
+    const engine = this.engine(target.service)
+    if (engine === null) return Infinity
+    const nowMs = this.parts.clock.nowMs()
+    const pace = paceOf(engine, target) * Math.max(1, this.load.slowness(target.endpoint, nowMs))
+    return this.pauses.limitMs(target.model, engine, pace, this.load.estimate(target.endpoint, 0, nowMs), nowMs)
+  }
+
   private noteProgress (target: DispatchTarget, head: AnswerHead | null, gapMs: number | null): void {
     const nowMs = this.parts.clock.nowMs()
     this.load.noteProgress(target.endpoint)
@@ -174,6 +207,7 @@
     const engine = this.engine(target.service)
     if (gapMs === null || engine === null) return
     const present = this.load.estimate(target.endpoint, 0, nowMs)
+    this.pauses.noteGap(target.model, gapMs, nowMs)
     this.load.noteGap(target.endpoint, gapMs, eventGapMs(engine, paceOf(engine, target), present), nowMs)
   }
 
@@ -181,6 +215,7 @@
     this.targets = [...endpoints.values()].filter(takesRequests).map(targetOf)
     const ids = new Set(endpoints.keys())
     this.load.retain(ids)
+    this.watch.retain(ids)
     this.channels.retain(ids)
   }
 }
--- a/packages/dotterelspur-gateway/src/process/FormationKeeper.ts
+++ b/packages/dotterelspur-gateway/src/process/FormationKeeper.ts
@@ -1,5 +1,5 @@
 import {
-  FormationDecisionKind, FormationEnd, formationKey, MemberState, EndpointOrderKind, OrderReply, planFormations, sleep,
+  FormationCondition, FormationDecisionKind, FormationEnd, formationKey, judgeFormation, readFormations, MemberState, EndpointOrderKind, OrderReply, planFormations, sleep,
   type Clock, type EndpointId, type EndpointRecord, type EngineSpec, type FormationDecision, type FormationPlan, type FormingGroup, type ModelId, type ServiceSpec, type Teardown
 } from 'dotterelspur'
 import type { DecisionLog } from './DecisionLog.js'
@@ -33,6 +33,10 @@
   readonly control: EndpointControl
   /** Group time that callers ask for, by model; empty while nothing is known. */
   readonly demand: () => ReadonlyMap<ModelId, number>
+  /** A group is suspected, and its members are being asked. */
+  readonly onSuspected: (head: EndpointId) => void
+  /** Groups that have lost a member and are listed as open, by their heads; told again while it lasts. */
+  readonly onStopped: (heads: readonly EndpointId[], isNews: boolean) => void
   /** Whether callers' requests have come, after which loads take their full time. */
   readonly trafficSeen: () => boolean
 }
@@ -48,6 +52,7 @@
   private readonly unlistedHeads = new Map<EndpointId, EndpointRecord>()
   private known: ReadonlyMap<EndpointId, EndpointRecord> = new Map()
   private readonly fullSizes = new Map<string, number>()
+  private toldStopped: ReadonlySet<EndpointId> = new Set()
   private formations = 0
   private stateLoggedAtMs = -Infinity
   private cancelLook: Teardown = () => {}
@@ -87,7 +92,28 @@
     const { membership } = record
     const members = [...this.known.values()].filter((other) => sameFormation(other, record))
     const asked = members.filter((member) => this.reachability.suspect(member))
-    if (asked.length > 0) this.parts.log.write(LogKind.GroupSuspected, { head, group: membership.group, asked: asked.length })
+    if (asked.length === 0) return
+    this.parts.log.write(LogKind.GroupSuspected, { head, group: membership.group, asked: asked.length })
+    this.parts.onSuspected(head)
+  }
+
+  /**
+   * Heads that are listed as open though their group has lost a member: they take requests for seconds and answer none.
+   * Of nine streams that met one group without a standby, eight were sent there after its loss was known.
+   */
+  stoppedHeads (): EndpointId[] {
+    const sizes = new Map(this.parts.manifest.current?.manifest.services.flatMap(({ engine }) => engine?.models ?? []).map(({ model, size }) => [model, size]))
+    const isSound = ({ endpoint }: EndpointRecord): boolean => !this.reachability.isUnreachable(endpoint)
+    return readFormations(this.known.values())
+      .filter((view) => view.head?.membership?.state === MemberState.Open && judgeFormation(view, sizes.get(view.model ?? '') ?? view.members.length, isSound) === FormationCondition.Broken)
+      .map(({ head }) => head!.endpoint)
+  }
+
+  private tellStopped (): void {
+    const heads = this.stoppedHeads()
+    const isNews = heads.some((head) => !this.toldStopped.has(head))
+    this.toldStopped = new Set(heads)
+    if (heads.length > 0) this.parts.onStopped(heads, isNews)
   }
 
   private noteEndpoints (endpoints: ReadonlyMap<EndpointId, EndpointRecord>): void {
@@ -123,6 +149,7 @@
       if (this.reachability.isUnreachable(head)) this.unlistedHeads.delete(head)
     }
     this.reachability.recheck(this.known, new Set(this.unlistedHeads.keys()))
+    this.tellStopped()
     for (const service of manifest.current.manifest.services) {
       if (service.engine !== null) this.decide(service, service.engine)
     }
--- a/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
+++ b/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
@@ -6,6 +6,7 @@
 } from 'dotterelspur'
 import { forwardedHeaders } from '../connection/headers.js'
 import type { Dispatch } from '../process/Dispatch.js'
+import type { ExchangeWatchHandle } from '../process/ExchangeWatch.js'
 import type { CallerHead, WireFormat } from '../process/GatewayPorts.js'
 import { OwnAnswerKind, type CallerAnswer } from './CallerAnswer.js'
 import { EndpointCall, type AnswerStart, type HeldAnswer } from './EndpointCall.js'
@@ -55,6 +56,7 @@
   private readonly targets: string[] = []
   private readonly deadlineAtMs: number
   private paused = false
+  private watch: ExchangeWatchHandle | null = null
   private streamStart: AnswerStart | null = null
 
   constructor (private readonly parts: GatewayRequestParts, private readonly admitted: AdmittedRequest, private readonly answer: CallerAnswer) {
@@ -103,22 +105,23 @@
     return this.deadlineAtMs - this.parts.clock.nowMs()
   }
 
-  private async exchange ({ target }: ExchangeEffect): Promise<ExchangeReport> {
+  private async exchange ({ target, mayMove }: ExchangeEffect): Promise<ExchangeReport> {
     if (this.over !== null || this.leftMs() < LEAST_USEFUL_MS) return { end: this.over ?? ExchangeEnd.TimedOut, callerHasPart: this.answer.hasPart }
     this.targets.push(target.endpoint)
     this.cursor.dropRest()
     const { dispatch } = this.parts
-    const end = await new Promise<ExchangeEnd>((resolve) => { this.send(target, resolve) })
+    const end = await new Promise<ExchangeEnd>((resolve) => { this.send(target, mayMove, resolve) })
     this.call = null
     dispatch.exchangeEnded(target)
-    if (EXCHANGE_RULES[end].blamesEndpoint) dispatch.blame(target)
+    if (EXCHANGE_RULES[end].blamesEndpoint) dispatch.blame(target, end)
     return { end, callerHasPart: this.answer.hasPart }
   }
 
-  private send (target: DispatchTarget, resolve: (end: ExchangeEnd) => void): void {
+  private send (target: DispatchTarget, mayMove: boolean, resolve: (end: ExchangeEnd) => void): void {
     const { wire, dispatch } = this.parts
     const streams = this.admitted.route.kind === RequestKind.Streaming
-    const watch = dispatch.exchangeBegan(target, this.admitted.route, () => { this.call?.abort(ExchangeEnd.Silent) })
+    const watch = dispatch.exchangeBegan(target, this.admitted.route, mayMove, () => { this.call?.abort(ExchangeEnd.Silent) })
+    this.watch = watch
     const channel = dispatch.acquireChannel(target)
     const call = new EndpointCall({
       requestId: this.admitted.requestId,
@@ -129,7 +132,7 @@
       onEnd: (end, held, head) => {
         watch.stop()
         dispatch.releaseChannel(target, channel)
-        if (end === ExchangeEnd.Rejected && head !== null && head.lostMember !== null) dispatch.blame(target)
+        if (end === ExchangeEnd.Rejected && head !== null && head.lostMember !== null) dispatch.blame(target, end)
         const judged = this.judgeEnd(end, held)
         this.takeEnd(judged, held)
         resolve(judged)
@@ -156,6 +159,7 @@
     if (whole === null) return true
     this.beginStream()
     this.paused = !this.answer.write(whole)
+    if (this.paused) this.watch?.noteHeld(true)
     return !this.paused
   }
 
@@ -189,6 +193,7 @@
   private resume (): void {
     if (!this.paused) return
     this.paused = false
+    this.watch?.noteHeld(false)
     this.call?.resume()
   }
 
--- a/packages/dotterelspur/src/process/Clock.ts
+++ b/packages/dotterelspur/src/process/Clock.ts
@@ -59,6 +59,11 @@
     this.currentMs = targetMs
   }
 
+  /** Time passes while nothing runs, as in a process that stands still: timers that fall due fire late, at the next `advance`. */
+  pause (durationMs: number): void {
+    this.currentMs += durationMs
+  }
+
   private nextTimer (): ManualTimer | undefined {
     let first: ManualTimer | undefined
     for (const timer of this.timers) {
--- a/packages/dotterelspur/src/request/dispatch/EngineTimes.ts
+++ b/packages/dotterelspur/src/request/dispatch/EngineTimes.ts
@@ -26,6 +26,11 @@
   return pace * engine.stride * stepMs(engine, Math.max(1, Math.min(load, engine.slots)))
 }
 
+/** The longest time between two events of a group that works: in each step of a pass a whole piece of a prompt is read. */
+export function longestPassMs (engine: EngineSpec, pace: number): number {
+  return pace * engine.stride * (stepMs(engine, engine.slots) + readMs(engine, engine.chunkTokens))
+}
+
 /** Group time that a request takes from all others: what its model is dimensioned by. */
 export function groupTimeMs (engine: EngineSpec, promptTokens: number, answerTokens: number): number {
   return readMs(engine, promptTokens) + answerTokens * stepMs(engine, engine.slots) / engine.slots
--- a/packages/dotterelspur/src/request/dispatch/RetryWindow.ts
+++ b/packages/dotterelspur/src/request/dispatch/RetryWindow.ts
@@ -44,14 +44,18 @@
 
   /** Takes one repeat; false when this node's part is spent. `nodes` share the extra. */
   trySpend (service: ServiceId, nodes: number, nowMs: number): boolean {
+    if (!this.hasLeft(service, nodes, nowMs)) return false
+    this.window(service).retryTimesMs.push(nowMs)
+    return true
+  }
+
+  /** Whether a repeat could be taken now. */
+  hasLeft (service: ServiceId, nodes: number, nowMs: number): boolean {
     const { requestTimesMs, retryTimesMs } = this.window(service)
     dropBefore(requestTimesMs, nowMs - this.options.windowMs)
     dropBefore(retryTimesMs, nowMs - this.options.windowMs)
     const extra = nowMs < this.extraFromMs ? 0 : this.options.extra / Math.max(1, nodes)
-    const allowed = SAFETY_SHARE * (this.options.ratio * requestTimesMs.length + extra)
-    if (retryTimesMs.length + 1 > allowed) return false
-    retryTimesMs.push(nowMs)
-    return true
+    return retryTimesMs.length + 1 <= SAFETY_SHARE * (this.options.ratio * requestTimesMs.length + extra)
   }
 
   private window (service: ServiceId): ServiceWindow {
--- a/packages/dotterelspur/src/request/dispatch/TargetLoad.ts
+++ b/packages/dotterelspur/src/request/dispatch/TargetLoad.ts
@@ -20,6 +20,8 @@
 /** A silent or broken endpoint is passed over for this long, then tried again by single requests. */
 const HOLD_OFF_MS = 1_500
 const HOLD_OFF_LIMIT_MS = 6_000
+/** One that others say has stopped is passed over for this long; the word is repeated three times in it while it holds. */
+const DOUBT_MS = 1_000
 
 /** What other nodes have in flight is exchanged several times a second; older than this it says less than readings. */
 const OTHERS_VALID_MS = 900
@@ -31,6 +33,8 @@
   /** Own requests in flight when the reading came. */
   ownAtReading: number
   holdOffUntilMs: number
+  /** It is silent; bytes from it end this at once. */
+  doubtedUntilMs: number
   failuresInARow: number
   /** Measured pauses between events against those that its engine should make. */
   slowness: number
@@ -94,7 +98,9 @@
 
   /** Bytes came: it lives. */
   noteProgress (endpoint: EndpointId): void {
-    this.state(endpoint).failuresInARow = 0
+    const state = this.state(endpoint)
+    state.failuresInARow = 0
+    state.doubtedUntilMs = 0
   }
 
   /** A pause between two events of one stream, and the one that its engine should make at its load. */
@@ -119,8 +125,22 @@
     state.holdOffUntilMs = nowMs + Math.min(HOLD_OFF_LIMIT_MS, HOLD_OFF_MS * state.failuresInARow)
   }
 
+  /** An exchange was given up for its silence. */
+  noteSilence (endpoint: EndpointId, nowMs: number): void {
+    const state = this.state(endpoint)
+    state.failuresInARow += 1
+    state.doubtedUntilMs = nowMs + Math.min(HOLD_OFF_LIMIT_MS, HOLD_OFF_MS * state.failuresInARow)
+  }
+
+  /** Others say that it has stopped. */
+  noteDoubt (endpoint: EndpointId, nowMs: number): void {
+    const state = this.state(endpoint)
+    state.doubtedUntilMs = Math.max(state.doubtedUntilMs, nowMs + DOUBT_MS)
+  }
+
   isHeldOff (endpoint: EndpointId, nowMs: number): boolean {
-    return nowMs < (this.states.get(endpoint)?.holdOffUntilMs ?? 0)
+    const state = this.states.get(endpoint)
+    return state !== undefined && nowMs < Math.max(state.holdOffUntilMs, state.doubtedUntilMs)
   }
 
   ownInFlight (endpoint: EndpointId): number {
@@ -156,7 +176,7 @@
   private state (endpoint: EndpointId): TargetState {
     let state = this.states.get(endpoint)
     if (state === undefined) {
-      state = { own: 0, reading: null, readingAtMs: 0, ownAtReading: 0, holdOffUntilMs: 0, failuresInARow: 0, slowness: 1, slownessAtMs: 0 }
+      state = { own: 0, reading: null, readingAtMs: 0, ownAtReading: 0, holdOffUntilMs: 0, doubtedUntilMs: 0, failuresInARow: 0, slowness: 1, slownessAtMs: 0 }
       this.states.set(endpoint, state)
     }
     return state
--- /dev/null
+++ b/packages/dotterelspur/src/request/dispatch/__tests__/unit/StreamPauses.test.ts
@@ -0,0 +1,40 @@
+import { expect } from 'chai'
+import { eventGapMs, longestPassMs } from '../../EngineTimes.js'
+import { StreamPauses } from '../../StreamPauses.js'
+import { ENGINE } from '../fixtures/SurgeReplay.js'
+
+const PACE = 0.6
+const PRESENT = 6
+
+describe('StreamPauses', () => {
+  it('allows the longest pass that an engine makes while nothing has been seen', () => {
+    const limitMs = new StreamPauses().limitMs('small', ENGINE, PACE, PRESENT, 0)
+    expect(limitMs).to.be.within(longestPassMs(ENGINE, PACE), longestPassMs(ENGINE, PACE) * 1.2)
+  })
+
+  it('comes down to a few passes of a model whose streams hardly pause', () => {
+    const pauses = new StreamPauses()
+    const usualMs = eventGapMs(ENGINE, PACE, PRESENT)
+    for (let event = 0; event < 100; event++) pauses.noteGap('small', usualMs, event * usualMs)
+    const limitMs = pauses.limitMs('small', ENGINE, PACE, PRESENT, 100 * usualMs)
+    expect(limitMs).to.be.within(3 * usualMs, 4 * usualMs)
+  })
+
+  it('rises at once when long prompts are read between events, and never beyond the longest pass', () => {
+    const pauses = new StreamPauses()
+    const usualMs = eventGapMs(ENGINE, PACE, PRESENT)
+    pauses.noteGap('small', usualMs, 0)
+    const calmMs = pauses.limitMs('small', ENGINE, PACE, PRESENT, 0)
+    pauses.noteGap('small', 4 * usualMs, 10)
+    expect(pauses.limitMs('small', ENGINE, PACE, PRESENT, 10)).to.be.greaterThan(1.2 * calmMs)
+    pauses.noteGap('small', 5_000, 20)
+    expect(pauses.limitMs('small', ENGINE, PACE, PRESENT, 20)).to.be.at.most(longestPassMs(ENGINE, PACE) * 1.2)
+  })
+
+  it('keeps models apart: one that reads long prompts says nothing of another', () => {
+    const pauses = new StreamPauses()
+    pauses.noteGap('small', 30, 0)
+    pauses.noteGap('large', 250, 0)
+    expect(pauses.limitMs('small', ENGINE, PACE, PRESENT, 0)).to.be.below(pauses.limitMs('large', ENGINE, PACE, PRESENT, 0))
+  })
+})
--- a/packages/dotterelspur/src/request/dispatch/runDispatch.ts
+++ b/packages/dotterelspur/src/request/dispatch/runDispatch.ts
@@ -18,6 +18,8 @@
 export interface ExchangeEffect extends Effect<DispatchEffectKind.Exchange, ExchangeReport> {
   readonly kind: DispatchEffectKind.Exchange
   readonly target: DispatchTarget
+  /** Another exchange may follow if this one is given up. */
+  readonly mayMove: boolean
 }
 
 /** Takes one repeat from the budget; false when it is spent. */
@@ -73,7 +75,8 @@
   for (let attempt = 1; ; attempt++) {
     const placed = yield * perform<PlaceEffect>({ kind: DispatchEffectKind.Place, excluded })
     if (!('endpoint' in placed)) return conclude(last, mayHaveRun, attempt - 1, placed)
-    last = yield * perform<ExchangeEffect>({ kind: DispatchEffectKind.Exchange, target: placed })
+    const mayMove = order.repeatable && attempt < order.maxAttempts
+    last = yield * perform<ExchangeEffect>({ kind: DispatchEffectKind.Exchange, target: placed, mayMove })
     const rule = EXCHANGE_RULES[last.end]
     mayHaveRun ||= !rule.provesNotRun
     excluded.push(placed)
