--- a/packages/dotterelspur-bench/src/bench.ts
+++ b/packages/dotterelspur-bench/src/bench.ts
@@ -2,6 +2,7 @@
 import yargs from 'yargs'
 import { hideBin } from 'yargs/helpers'
 import { toCommandModule } from './process/BenchCommand.js'
+import { daysCommand } from './process/commands/daysCommand.js'
 import { experimentCommand } from './process/commands/experimentCommand.js'
 import { latencyCommand } from './process/commands/latencyCommand.js'
 import { loadCommand } from './process/commands/loadCommand.js'
@@ -13,6 +14,7 @@
   .scriptName('npm run bench --')
   .command(toCommandModule(loadCommand))
   .command(toCommandModule(experimentCommand))
+  .command(toCommandModule(daysCommand))
   .command(toCommandModule(latencyCommand))
   .command(toCommandModule(slopesCommand))
   .command(toCommandModule(soakCommand))
