--- a/packages/dotterelspur/src/request/dispatch/Placement.ts
+++ b/packages/dotterelspur/src/request/dispatch/Placement.ts
@@ -71,6 +71,8 @@
 const FOREIGN_DOMAIN_MS = 8
 /** All nodes see about the same readings; a little chance keeps them from choosing the same endpoint. */
 const SPREAD_MS = 12
+/** Cost of an endpoint that failed lately: it is tried when all others would be much later. */
+const HELD_OFF_MS = 2_000
 /** Cost of a stream whose every pause will be late; a full group elsewhere is better than that. */
 const SLOW_STREAM_MS = 400
 /**
@@ -93,8 +95,6 @@
   readonly target: DispatchTarget
   /** Requests there now, as far as is known. */
   readonly present: number
-  /** It failed lately, or has stopped. */
-  readonly isHeldOff: boolean
   readonly expectedMs: number
   readonly cost: number
 }
@@ -113,7 +113,7 @@
   const suitable = kin.filter(({ endpoint }) => !excluded.has(endpoint))
   if (suitable.length === 0) return { reason: RefusalReason.NoEndpoint, retryAfterMs: Math.min(NO_ENDPOINT_RETRY_MS, query.leftMs * RETURN_SHARE.most), basis: null }
   const usualLoad = kin.reduce((sum, { endpoint }) => sum + input.load.ownInFlight(endpoint), 0) * input.nodes / kin.length
-  const candidates = soundOnes(suitable.map((target) => judge(target, usualLoad, query, input)))
+  const candidates = suitable.map((target) => judge(target, usualLoad, query, input))
   const best = candidates.reduce((left, right) => right.cost < left.cost ? right : left)
   const expectedMs = Math.max(best.expectedMs, averageMs(best.target, candidates, query, input))
   const longestMs = limitMs(best.target, query, input)
@@ -122,15 +122,6 @@
   return { reason: RefusalReason.Full, retryAfterMs: returnAfterMs(query, input), basis }
 }
 
-/**
- * Leaves out those that failed lately or have stopped, unless no other takes anything: what waits there for good would count
- * as load of the others, and requests would be refused that have room.
- */
-function soundOnes (candidates: readonly Candidate[]): readonly Candidate[] {
-  const sound = candidates.filter(({ isHeldOff }) => !isHeldOff)
-  return sound.some(({ expectedMs }) => expectedMs < Infinity) ? sound : candidates
-}
-
 /**
  * The time that the endpoint would take at the average load of all. The one that seems emptiest is most often one of
  * which this node knows least; their sum is known better, and none can be far below it for long. Replayed at 1.2
@@ -158,10 +149,10 @@
   const present = load.estimate(target.endpoint, usualLoad, nowMs)
   const slowness = load.slowness(target.endpoint, nowMs)
   const expectedMs = engine === null ? plainMs(target, present) : firstEventMs(engine, paceOf(engine, target) * slowness, present, query.promptTokens)
-  const isHeldOff = load.isHeldOff(target.endpoint, nowMs)
+  const heldOffMs = load.isHeldOff(target.endpoint, nowMs) ? HELD_OFF_MS : 0
   const foreignMs = target.failureDomain === input.ownFailureDomain ? 0 : FOREIGN_DOMAIN_MS
   const slowStreamMs = isTooSlow(target, present, slowness, query, input) ? SLOW_STREAM_MS : 0
-  return { target, present, isHeldOff, expectedMs, cost: expectedMs + foreignMs + slowStreamMs + SPREAD_MS * input.random.next() }
+  return { target, present, expectedMs, cost: expectedMs + heldOffMs + foreignMs + slowStreamMs + SPREAD_MS * input.random.next() }
 }
 
 /** Whether the pauses between a stream's events will be longer than what is on time. */
