Gateway: stops of groups have a log line; requests wait for the first knowledge only right after a start

A node that starts while the store is out would have held each request for 0.4 s before its refusal: the wait is now counted from the process's start. Endpoints that are gone are forgotten by the watch as well.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/Dispatch.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/Dispatch.test.ts
@@ -40,6 +40,7 @@
   manifest.follow(store)
   return new Dispatch({
     clock,
+    log: createLog(clock),
     random: createRandom(1),
     failureDomain: 'a',
     manifest,
--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -15,8 +15,6 @@
 import { GatewayRequest, type AdmittedRequest, type RequestReport } from '../request/GatewayRequest.js'
 import { BodyErrorKind, readBody } from '../request/readBody.js'
 
-/** For manifest and endpoints after a start: they are there within a tenth of a second unless the store is out. */
-const FIRST_KNOWLEDGE_WAIT_MS = 400
 /** Until the manifest is known where it was waited for in vain. */
 const NO_MANIFEST_RETRY_MS = 500
 /** Kept beyond the operators' idle limit, so that a caller that keeps to it never meets a closing channel. */
@@ -107,7 +105,7 @@
       return
     }
     const head = this.parts.wire.readCaller(request.headers)
-    await this.parts.firstKnowledge.wait(FIRST_KNOWLEDGE_WAIT_MS)
+    await this.parts.firstKnowledge.wait()
     // The newest manifest counts, also when it came while the body was read.
     const newest = this.parts.manifest.current
     if (newest === null) return this.refuse(request, answer, OwnAnswerKind.NoManifest, NO_MANIFEST_RETRY_MS)
--- a/packages/dotterelspur-gateway/src/process/DecisionLog.ts
+++ b/packages/dotterelspur-gateway/src/process/DecisionLog.ts
@@ -36,6 +36,8 @@
   EndpointUnreachable = 'endpoint-unreachable',
   EndpointReachable = 'endpoint-reachable',
   GroupSuspected = 'group-suspected',
+  /** This node no longer sends to a group while another takes its requests. */
+  GroupStopped = 'group-stopped',
   NodeListed = 'node-listed',
   NodeUnlisted = 'node-unlisted',
   LinesDropped = 'lines-dropped',
--- a/packages/dotterelspur-gateway/src/process/Dispatch.ts
+++ b/packages/dotterelspur-gateway/src/process/Dispatch.ts
@@ -4,6 +4,7 @@
 } from 'dotterelspur'
 import type { EndpointChannel } from '../connection/EndpointChannel.js'
 import { EndpointChannels } from '../connection/EndpointChannels.js'
+import { LogKind, type DecisionLog, type LogFields } from './DecisionLog.js'
 import { ExchangeWatch, StopCertainty, type ExchangeWatchHandle } from './ExchangeWatch.js'
 import type { AnswerHead, CallerHead } from './GatewayPorts.js'
 import type { ManifestKeeper } from './ManifestKeeper.js'
@@ -18,6 +19,7 @@
 
 export interface DispatchParts {
   readonly clock: Clock
+  readonly log: DecisionLog
   readonly random: Random
   readonly failureDomain: FailureDomainId
   readonly manifest: ManifestKeeper
@@ -66,7 +68,7 @@
     this.watch = new ExchangeWatch(clock, {
       progressed: (target, head, gapMs) => { this.noteProgress(target, head, gapMs) },
       pauseLimitMs: (target) => this.pauseLimitMs(target),
-      stopped: (target) => { this.noteStopped(target) },
+      stopped: (target, silentMs, limitMs) => { this.noteStopped(target, silentMs, limitMs) },
       mayRepeat: (service) => this.repeats.hasLeft(service, parts.nodeCount(), clock.nowMs())
     })
     parts.endpoints.registerListener((endpoints) => { this.noteEndpoints(endpoints) })
@@ -175,7 +177,7 @@
   /** The deciding node says that groups have stopped, by their heads. */
   noteStoppedGroups (heads: readonly EndpointId[], certainty: StopCertainty): void {
     for (const head of heads) {
-      if (this.watch.noteStopped(head, certainty)) this.load.noteDoubt(head, this.parts.clock.nowMs())
+      if (this.watch.noteStopped(head, certainty)) this.doubt(head, { by: certainty })
     }
   }
 
@@ -187,8 +189,15 @@
     return this.parts.manifest.current?.service(service)?.engine ?? null
   }
 
-  private noteStopped ({ endpoint }: DispatchTarget): void {
-    this.load.noteDoubt(endpoint, this.parts.clock.nowMs())
+  /** The word on a group comes several times a second while it lasts: only the first is a change. */
+  private doubt (head: EndpointId, basis: LogFields): void {
+    const nowMs = this.parts.clock.nowMs()
+    if (!this.load.isHeldOff(head, nowMs)) this.parts.log.write(LogKind.GroupStopped, { head, ...basis })
+    this.load.noteDoubt(head, nowMs)
+  }
+
+  private noteStopped ({ endpoint }: DispatchTarget, silentMs: number, limitMs: number): void {
+    this.doubt(endpoint, { by: 'pause', silentMs: Math.round(silentMs), limitMs: Math.round(limitMs) })
     this.parts.onSuspect(endpoint)
   }
 
--- a/packages/dotterelspur-gateway/src/process/ExchangeWatch.ts
+++ b/packages/dotterelspur-gateway/src/process/ExchangeWatch.ts
@@ -37,8 +37,8 @@
   progressed (target: DispatchTarget, head: AnswerHead | null, gapMs: number | null): void
   /** How long all streams of an endpoint may pause at once while it works. */
   pauseLimitMs (target: DispatchTarget): number
-  /** All streams of an endpoint have paused for longer. */
-  stopped (target: DispatchTarget): void
+  /** All streams of an endpoint have paused for longer than `limitMs`. */
+  stopped (target: DispatchTarget, silentMs: number, limitMs: number): void
   /** Whether the budget of repeats lets a request of the service be sent once more. */
   mayRepeat (service: ServiceId): boolean
 }
@@ -92,6 +92,9 @@
     for (const endpoint of this.signAtMs.keys()) {
       if (!endpoints.has(endpoint)) this.signAtMs.delete(endpoint)
     }
+    for (const endpoint of this.told) {
+      if (!endpoints.has(endpoint)) this.told.delete(endpoint)
+    }
   }
 
   begin (target: DispatchTarget, route: Route, mayMove: boolean, onSilent: () => void): ExchangeWatchHandle {
@@ -151,9 +154,11 @@
 
   private judge (target: DispatchTarget, nowMs: number): void {
     const silentMs = nowMs - Math.max(this.signOf(target.endpoint), this.readingSinceMs)
-    if (this.told.has(target.endpoint) || silentMs < this.listener.pauseLimitMs(target)) return
+    if (this.told.has(target.endpoint)) return
+    const limitMs = this.listener.pauseLimitMs(target)
+    if (silentMs < limitMs) return
     this.told.add(target.endpoint)
-    this.listener.stopped(target)
+    this.listener.stopped(target, silentMs, limitMs)
     this.giveUp((watched) => this.movesFrom(watched, target.endpoint) && watched.events === 0)
   }
 
--- a/packages/dotterelspur-gateway/src/process/FirstKnowledge.ts
+++ b/packages/dotterelspur-gateway/src/process/FirstKnowledge.ts
@@ -2,6 +2,9 @@
 import type { EndpointKeeper } from './EndpointKeeper.js'
 import type { ManifestKeeper } from './ManifestKeeper.js'
 
+/** From a process's start: what it must know is there within a tenth of a second, or the store is out and nobody should wait. */
+const WAIT_LIMIT_MS = 600
+
 /**
  * What a process must have read before it can say anything about a request. Callers connect as soon as it listens, and
  * those that lost all nodes at once have one attempt left: refused for want of a manifest that comes in a tenth of a
@@ -9,8 +12,10 @@
  */
 export class FirstKnowledge {
   private readonly waiting = new Set<() => void>()
+  private readonly startedAtMs: number
 
   constructor (private readonly clock: Clock, private readonly manifest: ManifestKeeper, private readonly endpoints: EndpointKeeper) {
+    this.startedAtMs = clock.nowMs()
     manifest.registerListener(() => { this.look() })
     endpoints.registerListener(() => { this.look() })
   }
@@ -19,9 +24,10 @@
     return this.manifest.current !== null && this.endpoints.isKnown
   }
 
-  /** Resolves once all is known, or after `timeoutMs`. */
-  async wait (timeoutMs: number): Promise<void> {
-    if (this.isComplete) return
+  /** Resolves once all is known, or the process has run for so long that it should be. */
+  async wait (): Promise<void> {
+    const leftMs = this.startedAtMs + WAIT_LIMIT_MS - this.clock.nowMs()
+    if (this.isComplete || leftMs <= 0) return
     await new Promise<void>((resolve) => {
       let cancelTimer: Teardown = () => {}
       const end = (): void => {
@@ -30,7 +36,7 @@
         resolve()
       }
       this.waiting.add(end)
-      cancelTimer = this.clock.registerTimer(timeoutMs, end)
+      cancelTimer = this.clock.registerTimer(leftMs, end)
     })
   }
 
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -104,6 +104,7 @@
     })
     this.dispatch = new Dispatch({
       clock,
+      log,
       random,
       failureDomain: settings.failureDomain,
       manifest: this.manifest,
