--- a/packages/dotterelspur-demo/src/index.ts
+++ b/packages/dotterelspur-demo/src/index.ts
@@ -1,4 +1,5 @@
 export * from './process/Cluster.js'
+export * from './process/ClusterNode.js'
 export * from './process/ClusterLayout.js'
 export * from './process/describe.js'
 export * from './process/NodeFaults.js'
--- a/packages/dotterelspur-demo/src/process/Cluster.ts
+++ b/packages/dotterelspur-demo/src/process/Cluster.ts
@@ -8,6 +8,7 @@
 import type { EngineSettings } from 'dotterelspur-testkit'
 import type { ClusterLayout, NodePlan } from './ClusterLayout.js'
 import { createLayout } from './ClusterLayout.js'
+import type { ClusterNode } from './ClusterNode.js'
 import { ControlServer } from './ControlServer.js'
 import { MeshRelay } from './MeshRelay.js'
 import { NodeProcess } from './NodeProcess.js'
@@ -27,15 +28,6 @@
   readonly onProgress?: (message: string) => void
 }
 
-/** One node of the cluster and what the demo can do to it. */
-export interface ClusterNode {
-  readonly plan: NodePlan
-  readonly process: NodeProcess
-  readonly entry: string
-  readonly admin: string
-  setIsolated (isolated: boolean): void
-}
-
 export const DEFAULT_NODES = 4
 export const DEFAULT_SEED = 7
 const VM_LIST_LAG_MS = 300
--- a/packages/dotterelspur-demo/src/process/ControlServer.ts
+++ b/packages/dotterelspur-demo/src/process/ControlServer.ts
@@ -1,7 +1,7 @@
 import fastify from 'fastify'
 import type { FastifyInstance, FastifyReply } from 'fastify'
-import { PlatformFaultKind, VmFaultKind } from 'dotterelspur-testkit'
-import type { Cluster } from './Cluster.js'
+import { PlatformFaultKind, VmFaultKind, type EndpointFleet, type PlatformServer } from 'dotterelspur-testkit'
+import type { ClusterNode } from './ClusterNode.js'
 import { NODE_FAULT_HANDLERS, NodeFaultKind } from './NodeFaults.js'
 
 interface FaultBody<Kind> {
@@ -9,6 +9,13 @@
   readonly delayMs?: number
 }
 
+/** What faults are done to. */
+export interface ControlledCluster {
+  readonly platform: PlatformServer
+  readonly endpoints: EndpointFleet
+  readonly nodes: readonly ClusterNode[]
+}
+
 const HOST = '127.0.0.1'
 
 /** The control address of the stand-ins and of the demo's processes; no part of the product. */
@@ -16,7 +23,7 @@
   private readonly app: FastifyInstance = fastify({ forceCloseConnections: true })
   private address = ''
 
-  constructor (private readonly cluster: Cluster) {
+  constructor (private readonly cluster: ControlledCluster) {
     this.registerRoutes()
   }
 
--- a/packages/dotterelspur-demo/src/process/NodeFaults.ts
+++ b/packages/dotterelspur-demo/src/process/NodeFaults.ts
@@ -1,4 +1,4 @@
-import type { ClusterNode } from './Cluster.js'
+import type { ClusterNode } from './ClusterNode.js'
 
 export enum NodeFaultKind {
   Kill = 'kill',
--- a/packages/dotterelspur-node/src/process/NodeMetrics.ts
+++ b/packages/dotterelspur-node/src/process/NodeMetrics.ts
@@ -1,13 +1,25 @@
 import { build, type Histogram } from 'hdr-histogram-js'
 import { Counter, Gauge, Registry } from 'prom-client'
-import type { EntryObserver, RequestReport } from 'dotterelspur-entry'
-import type { NodeParts } from './NodeParts.js'
+import type { Entry, EntryObserver, RequestReport } from 'dotterelspur-entry'
+import type { Fleet } from 'dotterelspur-fleet'
+import type { Mesh } from 'dotterelspur-mesh'
+import type { AuditTrail, PlatformObjectStore } from 'dotterelspur-platform'
 
 const PREFIX = 'dotterelspur_'
 const QUANTILES: readonly number[] = [0.5, 0.95, 0.99]
 const HIGHEST_TRACKABLE_MS = 3_600_000
 const SIGNIFICANT_DIGITS = 2
 
+/** The parts of a node that count something themselves. */
+export interface MeasuredParts {
+  readonly store: PlatformObjectStore
+  readonly leaseStore: PlatformObjectStore
+  readonly mesh: Mesh
+  readonly fleet: Fleet
+  readonly entry: Entry
+  readonly audit: AuditTrail
+}
+
 /**
  * What the node counts, in the registry that `/metrics` prints. Latencies go into hdr histograms, which keep
  * their precision at the tail; their quantiles are printed when the page is read.
@@ -30,8 +42,7 @@
   }
 
   /** Adds what the parts count themselves, read when the page is. */
-  registerNode (parts: NodeParts): void {
-    const { store, leaseStore, mesh, fleet, entry, audit } = parts
+  registerNode ({ store, leaseStore, mesh, fleet, entry, audit }: MeasuredParts): void {
     this.snapshot('platform_calls', 'Calls to the platform since the start', 'kind', () => ({ ...store.calls }))
     this.snapshot('platform_lease_calls', 'Calls to the platform for leases since the start', 'kind', () => ({ ...leaseStore.calls }))
     this.snapshot('mesh_sent_bytes', 'Bytes sent to other nodes since the start', 'frame', () => bytesByKind(mesh.counters().sent))
--- /dev/null
+++ b/packages/dotterelspur/src/request/routing/ChoiceContext.ts
@@ -0,0 +1,13 @@
+import type { Random } from '../../process/Random.js'
+import type { Lane } from './Lane.js'
+import type { RouteQuery } from './RouteQuery.js'
+import type { RoutingOptions } from './RoutingOptions.js'
+
+/** All that one choice depends on. */
+export interface ChoiceContext {
+  readonly lane: Lane
+  readonly query: RouteQuery
+  readonly options: RoutingOptions
+  readonly nowMs: number
+  readonly random: Random
+}
--- a/packages/dotterelspur/src/request/routing/choose.ts
+++ b/packages/dotterelspur/src/request/routing/choose.ts
@@ -1,21 +1,11 @@
-import { pick, type Random } from '../../process/Random.js'
+import { pick } from '../../process/Random.js'
 import type { Candidates } from './candidates.js'
+import type { ChoiceContext } from './ChoiceContext.js'
 import { targetCost } from './cost.js'
-import type { Lane } from './Lane.js'
-import { RouteCause, type RouteQuery } from './RouteQuery.js'
+import { RouteCause } from './RouteQuery.js'
 import { TargetKind } from './RouteTarget.js'
-import type { RoutingOptions } from './RoutingOptions.js'
 import type { TargetRecord } from './TargetRecord.js'
 
-/** All that one choice depends on. */
-export interface ChoiceContext {
-  readonly lane: Lane
-  readonly query: RouteQuery
-  readonly options: RoutingOptions
-  readonly nowMs: number
-  readonly random: Random
-}
-
 export interface Choice {
   readonly record: TargetRecord
   readonly cause: RouteCause
--- a/packages/dotterelspur/src/request/routing/cost.ts
+++ b/packages/dotterelspur/src/request/routing/cost.ts
@@ -1,4 +1,4 @@
-import type { ChoiceContext } from './choose.js'
+import type { ChoiceContext } from './ChoiceContext.js'
 import { TargetKind } from './RouteTarget.js'
 import type { TargetRecord } from './TargetRecord.js'
 
