--- a/packages/dotterelspur-gateway/src/process/FormationKeeper.ts
+++ b/packages/dotterelspur-gateway/src/process/FormationKeeper.ts
@@ -1,5 +1,5 @@
 import {
-  FormationCondition, FormationDecisionKind, FormationEnd, formationKey, judgeFormation, readFormations, MemberState, EndpointOrderKind, OrderReply, planFormations, sleep,
+  FormationDecisionKind, FormationEnd, formationKey, MemberState, EndpointOrderKind, OrderReply, planFormations, sleep, stoppedHeads,
   type Clock, type EndpointId, type EndpointRecord, type EngineSpec, type FormationDecision, type FormationPlan, type FormingGroup, type ModelId, type ServiceSpec, type Teardown
 } from 'dotterelspur'
 import type { DecisionLog } from './DecisionLog.js'
@@ -97,16 +97,11 @@
     this.parts.onSuspected(head)
   }
 
-  /**
-   * Heads that are listed as open though their group has lost a member: they take requests for seconds and answer none.
-   * Of nine streams that met one group without a standby, eight were sent there after its loss was known.
-   */
+  /** Heads that take requests though their group has lost a member. */
   stoppedHeads (): EndpointId[] {
-    const sizes = new Map(this.parts.manifest.current?.manifest.services.flatMap(({ engine }) => engine?.models ?? []).map(({ model, size }) => [model, size]))
-    const isSound = ({ endpoint }: EndpointRecord): boolean => !this.reachability.isUnreachable(endpoint)
-    return readFormations(this.known.values())
-      .filter((view) => view.head?.membership?.state === MemberState.Open && judgeFormation(view, sizes.get(view.model ?? '') ?? view.members.length, isSound) === FormationCondition.Broken)
-      .map(({ head }) => head!.endpoint)
+    const models = this.parts.manifest.current?.manifest.services.flatMap(({ engine }) => engine?.models ?? []) ?? []
+    const sizes = new Map(models.map(({ model, size }) => [model, size]))
+    return stoppedHeads(this.known.values(), sizes, ({ endpoint }) => !this.reachability.isUnreachable(endpoint))
   }
 
   private tellStopped (): void {
