--- a/packages/dotterelspur/src/version/formation/__tests__/unit/formGroup.test.ts
+++ b/packages/dotterelspur/src/version/formation/__tests__/unit/formGroup.test.ts
@@ -144,6 +144,18 @@
     }), { seed: 20261202, numRuns: 400 })
   })
 
+  it('opens no head again that has left its formation, whatever is carried out late', () => {
+    // Symptom: a member joins another group while the head that it left is open again. Sequence: a head leaves its
+    // formation and has joined no other yet; a join and an open of that same formation, both held back by the head, bring
+    // it back; its former member, or the head itself, then gets its next join. Cause: only a join under a higher number
+    // voids what is held back, and between the leave and that join there is none.
+    for (const seed of [1_162, 6_341, 17_950]) {
+      const run = new FleetRun(createRandom(seed))
+      run.run()
+      expect(run.workers.breaches, `seed ${seed}`).to.deep.equal([])
+    }
+  })
+
   it('orders nothing when a member is not where the list says', () => {
     // Symptom: a head joins another group while it is open. Sequence: the store goes out, a group is formed by direct
     // orders, the store comes back with the entries of before, and the members are taken for free. Cause: an old list.
