Sight: what a plan's members are taken to be, by whose word, and what they answered to each order

Of a member in two groups no line said where its place was known from, nor what it or its former head answered. The line that begins a plan has for each member its address, its place, and by whose word of how long ago; the line that ends it each question and order with its answer. No decision changes.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/FormationRunner.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/FormationRunner.test.ts
@@ -3,6 +3,7 @@
 import { EndpointKeeper } from '../../process/EndpointKeeper.js'
 import { FleetLease, FLEET_LEASE_TIMING } from '../../process/FleetLease.js'
 import { FormationRunner } from '../../process/FormationRunner.js'
+import { FormationTrail } from '../../process/FormationTrail.js'
 import { ReportEndKind, type EndpointControl } from '../../process/GatewayPorts.js'
 import { Reachability } from '../../process/Reachability.js'
 import { MemoryStore } from '../fixtures/MemoryStore.js'
@@ -77,6 +78,16 @@
     expect(world.orders).to.deep.equal(['join w1', 'join w2', 'open w1'])
   })
 
+  it('keeps each question and order of a plan with its answer', async () => {
+    const world = new RunnerWorld()
+    await world.takeLease()
+    const trail = new FormationTrail()
+    await world.runner.run(PLAN, trail)
+    expect(trail.steps).to.deep.equal([
+      'report w1: in no group', 'report w2: in no group', 'join w1 g9: begun', 'join w2 g9: begun', 'open w1 g9: begun'
+    ])
+  })
+
   it('sends the orders of many plans a few at a time', async () => {
     // Symptom: before 195 nodes and 760 endpoints groups don't form for a minute. Sequence: 640 orders leave at once from a
     // third of a core, run into their timeout before they are sent, and are sent again. Cause: nothing bounded them.
--- a/packages/dotterelspur-gateway/src/process/EndpointKeeper.ts
+++ b/packages/dotterelspur-gateway/src/process/EndpointKeeper.ts
@@ -10,6 +10,20 @@
  */
 const RETURN_GRACE_MS = 2_500
 
+/** Where what is known of an endpoint's place comes from. */
+export enum WordSource {
+  /** Its entry in the list. */
+  List = 'list',
+  /** Its own answer to a direct question. */
+  Report = 'report'
+}
+
+/** The last word on an endpoint. */
+export interface EndpointWord {
+  readonly source: WordSource
+  readonly atMs: number
+}
+
 export type EndpointListener = (endpoints: ReadonlyMap<EndpointId, EndpointRecord>) => void
 
 /** Keeps the list of endpoints as an immutable snapshot; listeners run after each change. */
@@ -20,6 +34,7 @@
   /** By the entry's name: a worker that starts again has a new id, and its former entry's name. */
   private readonly versions = new Map<string, number>()
   private readonly idByName = new Map<string, EndpointId>()
+  private readonly words = new Map<EndpointId, EndpointWord>()
   private readonly listeners = new Set<EndpointListener>()
   private wasDisconnected = false
   private listed = false
@@ -44,6 +59,11 @@
     return () => { this.listeners.delete(listener) }
   }
 
+  /** What the record of an endpoint rests on; undefined where there is none. */
+  lastWord (endpoint: EndpointId): EndpointWord | undefined {
+    return this.words.get(endpoint)
+  }
+
   /**
    * Takes in an endpoint's own word, which is newer than the list when the store was out. It stands until the list has
    * a later version of the entry.
@@ -53,6 +73,7 @@
     if (record === undefined || saysNothingNew(record, { membership, model, staged })) return
     const pending = new Map(this.snapshot)
     pending.set(endpoint, { ...record, membership, model, staged })
+    this.words.set(endpoint, { source: WordSource.Report, atMs: this.clock.nowMs() })
     this.commit(pending)
   }
 
@@ -146,6 +167,7 @@
     this.idByName.set(name, record.endpoint)
     const former = pending.get(record.endpoint)
     pending.set(record.endpoint, record)
+    this.words.set(record.endpoint, { source: WordSource.List, atMs: this.clock.nowMs() })
     const isNews = former === undefined || former.leaving !== record.leaving
     if (isNews && this.listed) this.log.write(LogKind.EndpointListed, { endpoint: record.endpoint, service: record.service, address: record.address, leaving: record.leaving })
   }
@@ -154,6 +176,7 @@
     const id = this.idByName.get(name)
     if (id === undefined) return
     this.idByName.delete(name)
+    this.words.delete(id)
     if (pending.delete(id)) this.log.write(LogKind.EndpointUnlisted, { endpoint: id })
   }
 
--- a/packages/dotterelspur-gateway/src/process/FormationKeeper.ts
+++ b/packages/dotterelspur-gateway/src/process/FormationKeeper.ts
@@ -7,6 +7,7 @@
 import type { EndpointKeeper } from './EndpointKeeper.js'
 import type { FleetLease } from './FleetLease.js'
 import { FormationRunner } from './FormationRunner.js'
+import { describePlace, FormationTrail } from './FormationTrail.js'
 import type { EndpointControl } from './GatewayPorts.js'
 import { LoadMeter, type LoadUnderWay } from './LoadMeter.js'
 import type { ManifestKeeper } from './ManifestKeeper.js'
@@ -260,9 +261,12 @@
     this.beginLoads(plan, engine)
     for (const member of plan.members) this.engaged.set(member, plan)
     this.forming.add(plan)
-    log.write(LogKind.FormationBegun, { group: plan.group, model: plan.model, members: plan.members, former: plan.former.map(({ group, head }) => `${group}:${head ?? 'gone'}`) })
-    const end = await this.runner.run(plan)
-    log.write(LogKind.FormationEnded, { group: plan.group, model: plan.model, end, tookMs: Math.round(clock.nowMs() - startedAtMs) })
+    log.write(LogKind.FormationBegun, {
+      group: plan.group, model: plan.model, members: plan.members, places: plan.members.map((member) => this.describeMember(member)), former: plan.former.map(({ group, head }) => `${group}:${head ?? 'gone'}`)
+    })
+    const trail = new FormationTrail()
+    const end = await this.runner.run(plan, trail)
+    log.write(LogKind.FormationEnded, { group: plan.group, model: plan.model, end, tookMs: Math.round(clock.nowMs() - startedAtMs), steps: trail.steps })
     if (end === FormationEnd.Opened) await this.runner.untilListedOpen(plan)
     else await sleep(clock, FAILED_PLAN_PAUSE_MS)
     this.forming.delete(plan)
@@ -270,6 +274,14 @@
     this.lookSoon()
   }
 
+  /** Where a member is taken to be, and who said so how long ago. */
+  private describeMember (member: EndpointId): string {
+    const record = this.known.get(member)
+    const word = this.parts.endpoints.lastWord(member)
+    if (record === undefined || word === undefined) return `${member}: unknown`
+    return `${member} at ${record.address}: ${describePlace(record.membership)}, by ${word.source} ${Math.round(this.parts.clock.nowMs() - word.atMs)} ms ago`
+  }
+
   private async stage (endpoint: EndpointId, model: ModelId, engine: EngineSpec): Promise<void> {
     const spec = engine.models.find((candidate) => candidate.model === model)!
     this.loads.begin(endpoint, spec, this.parts.clock.nowMs())
--- a/packages/dotterelspur-gateway/src/process/FormationRunner.ts
+++ b/packages/dotterelspur-gateway/src/process/FormationRunner.ts
@@ -5,6 +5,7 @@
 } from 'dotterelspur'
 import type { EndpointKeeper } from './EndpointKeeper.js'
 import type { FleetLease } from './FleetLease.js'
+import { FormationTrail } from './FormationTrail.js'
 import { ReportEndKind, type EndpointControl, type EndpointPlace } from './GatewayPorts.js'
 import type { Reachability } from './Reachability.js'
 
@@ -38,8 +39,8 @@
   constructor (private readonly parts: FormationRunnerParts) {}
 
   /** Members of a plan that did not come to its end are asked whether they live. */
-  async run (plan: FormationPlan): Promise<FormationEnd> {
-    const end = await runProcedure(formGroup(plan), this.handlers())
+  async run (plan: FormationPlan, trail = new FormationTrail()): Promise<FormationEnd> {
+    const end = await runProcedure(formGroup(plan), this.handlers(trail))
     if (end !== FormationEnd.Opened) plan.members.forEach((member) => { this.suspectMember(member) })
     return end
   }
@@ -50,10 +51,11 @@
   }
 
   /** Sends orders side by side, each only while this node holds the lease: it may have lapsed since the plan began. */
-  async sendOrders (orders: readonly AddressedOrder[]): Promise<OrderReply[]> {
-    return await Promise.all(orders.map(async ({ endpoint, order }) => await this.inTurn(async () => {
-      if (!this.parts.lease.mayOrder()) return OrderReply.Unreachable
-      return await this.parts.control.order(this.placeOf(endpoint), order)
+  async sendOrders (orders: readonly AddressedOrder[], trail = new FormationTrail()): Promise<OrderReply[]> {
+    return await Promise.all(orders.map(async (addressed) => await this.inTurn(async () => {
+      const reply = await this.sendOrder(addressed)
+      trail.noteOrder(addressed, reply)
+      return reply
     })))
   }
 
@@ -68,11 +70,16 @@
     if (!listed) await Promise.all(plan.members.map(async (member) => await this.askMember(member)))
   }
 
-  private handlers (): EffectHandlers<FormationEffect> {
+  private async sendOrder ({ endpoint, order }: AddressedOrder): Promise<OrderReply> {
+    if (!this.parts.lease.mayOrder()) return OrderReply.Unreachable
+    return await this.parts.control.order(this.placeOf(endpoint), order)
+  }
+
+  private handlers (trail: FormationTrail): EffectHandlers<FormationEffect> {
     return {
-      [FormationEffectKind.ConfirmMembers]: async ({ plan }) => await this.confirmMembers(plan),
-      [FormationEffectKind.SendOrders]: async ({ orders }) => await this.sendOrders(orders),
-      [FormationEffectKind.AwaitReady]: async ({ plan }) => await this.awaitReady(plan),
+      [FormationEffectKind.ConfirmMembers]: async ({ plan }) => await this.confirmMembers(plan, trail),
+      [FormationEffectKind.SendOrders]: async ({ orders }) => await this.sendOrders(orders, trail),
+      [FormationEffectKind.AwaitReady]: async ({ plan }) => await this.awaitReady(plan, trail),
       [FormationEffectKind.Wait]: async ({ durationMs }) => { await sleep(this.parts.clock, durationMs) }
     }
   }
@@ -83,17 +90,18 @@
   }
 
   /** What members say themselves goes before the list until the list has something newer. */
-  private async confirmMembers (plan: FormationPlan): Promise<boolean> {
+  private async confirmMembers (plan: FormationPlan, trail: FormationTrail): Promise<boolean> {
     const confirmed = await Promise.all(plan.members.map(async (member) => {
-      const reported = await this.askMember(member)
+      const reported = await this.askMember(member, trail)
       return reported !== undefined && isAsPlanned(plan, member, reported)
     }))
     return confirmed.every(Boolean)
   }
 
   /** A member's place by its own word, which is kept; undefined without an answer. */
-  private async askMember (member: EndpointId): Promise<Membership | null | undefined> {
+  private async askMember (member: EndpointId, trail = new FormationTrail()): Promise<Membership | null | undefined> {
     const end = await this.inTurn(async () => await this.parts.control.report(this.placeOf(member), REPORT_TIMEOUT_MS))
+    trail.noteReport(member, end)
     if (end.kind !== ReportEndKind.Answered) {
       this.suspectMember(member)
       return undefined
@@ -108,7 +116,7 @@
   }
 
   /** The list tells of each member that gets ready; while it is silent, as with the store out, members are asked. */
-  private async awaitReady (plan: FormationPlan): Promise<boolean> {
+  private async awaitReady (plan: FormationPlan, trail: FormationTrail): Promise<boolean> {
     const startedAtMs = this.parts.clock.nowMs()
     const deadlineMs = startedAtMs + plan.joinTimeoutMs
     const askFromMs = startedAtMs + plan.joinTimeoutMs / 2
@@ -121,7 +129,7 @@
     }
     while (!isOver() && this.parts.clock.nowMs() < deadlineMs) {
       const changed = await this.until(isOver, READY_POLL_MS)
-      if (!changed && this.parts.clock.nowMs() >= askFromMs) await this.askMembers(plan, seenReady)
+      if (!changed && this.parts.clock.nowMs() >= askFromMs) await this.askMembers(plan, seenReady, trail)
     }
     return seenReady.size === plan.members.length
   }
@@ -131,10 +139,10 @@
     return record === undefined || record.leaving || this.parts.reachability.isUnreachable(endpoint)
   }
 
-  private async askMembers (plan: FormationPlan, seenReady: Set<EndpointId>): Promise<void> {
+  private async askMembers (plan: FormationPlan, seenReady: Set<EndpointId>, trail: FormationTrail): Promise<void> {
     const unknown = plan.members.filter((member) => !seenReady.has(member))
     await Promise.all(unknown.map(async (member) => {
-      const membership = await this.askMember(member)
+      const membership = await this.askMember(member, trail)
       if (membership !== undefined && isReadyIn({ membership }, plan)) seenReady.add(member)
     }))
   }
--- a/packages/dotterelspur-gateway/src/process/Reachability.ts
+++ b/packages/dotterelspur-gateway/src/process/Reachability.ts
@@ -95,7 +95,7 @@
     probed.decidedAtMs = this.clock.nowMs()
     if (probed.state === former) return
     if (!answered) this.log.write(LogKind.EndpointUnreachable, { endpoint: place.endpoint, address: place.address })
-    else if (former === ProbeState.Unreachable) this.log.write(LogKind.EndpointReachable, { endpoint: place.endpoint })
+    else if (former === ProbeState.Unreachable) this.log.write(LogKind.EndpointReachable, { endpoint: place.endpoint, address: place.address })
     this.onChange()
   }
 
