--- a/packages/dotterelspur-gateway/src/__tests__/unit/Keepers.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/Keepers.test.ts
@@ -64,6 +64,18 @@
     expect([...keeper.current.keys()]).to.deep.equal(['w1'])
   })
 
+  it('knows that an endpoint has ended when another one is listed at its address', () => {
+    // A VM that had died was listed for three more seconds, and its address had passed on. Questions to it were answered by
+    // its successor: "endpoint-reachable" i-e5932388f7, dead for a second, and "report i-b127ce5b8f: g1000129 rank 0 open", the
+    // place of another one. A sound group seemed to have a member too many, or another head, and was taken apart.
+    const { store, keeper } = createKeeper()
+    store.put('endpoints/dead', createEndpoint('dead', '10.0.0.1:1'))
+    store.put('endpoints/heir', createEndpoint('heir', '10.0.0.1:1'))
+    expect([...keeper.current.keys()]).to.deep.equal(['heir'])
+    store.put('endpoints/dead', createEndpoint('dead', '10.0.0.1:1', { model: 'small' }))
+    expect([...keeper.current.keys()]).to.deep.equal(['heir'])
+  })
+
   it('drops what was known under a name when a new life or somebody else writes there, also in the grace after an outage', () => {
     // Symptom: a request waits at a worker that knows nothing of its group. Sequence: the store is out, a worker starts
     // again under its id, the store returns. Cause: the entry of the former life was kept as one that may come back.
--- a/packages/dotterelspur/src/version/formation/__tests__/unit/FormationPlanner.test.ts
+++ b/packages/dotterelspur/src/version/formation/__tests__/unit/FormationPlanner.test.ts
@@ -6,6 +6,7 @@
 import type { FormationPlan } from '../../FormationProcedures.js'
 import { formationKey } from '../../FormationView.js'
 import { groupTargets } from '../../PendingFormation.js'
+import { stoppedHeads } from '../../StoppedGroups.js'
 import { createEndpoint, createGroup, createInput, LARGE, SMALL } from '../fixtures/endpoints.js'
 
 function plans (decisions: readonly FormationDecision[]): FormationPlan[] {
@@ -184,6 +185,17 @@
     expect(staged(planFormations(createInput(empty, { loading: new Map(empty.map(({ endpoint }) => [endpoint, 'small'])) })))).to.deep.equal([])
   })
 
+  it('builds nothing on a group in which two claim one rank', () => {
+    // A dead VM that was still listed had the word of its successor put down as its own. The group of the successor, complete
+    // and open for half a second, had two heads then, seemed broken, and was planned anew with "former":["g1000129:i-b127ce5b8f"],
+    // the dead one, as its head. Two who claim one rank show that one of the two words is wrong, and not that the group is lost.
+    const group = createGroup('g', SMALL, MemberState.Open)
+    const ghost = createEndpoint('ghost', { staged: ['small'], model: 'small', membership: group[0]!.membership })
+    const spare = createEndpoint('spare', { staged: ['small'] })
+    expect(plans(planFormations(createInput([ghost, ...group, spare])))).to.deep.equal([])
+    expect(stoppedHeads([ghost, ...group, spare], new Map([['small', 2]]), () => true)).to.deep.equal([])
+  })
+
   it('leaves leaving endpoints alone', () => {
     const leaving = [1, 2].map((index) => createEndpoint(`leaving-${index}`, { staged: ['small'], leaving: true }))
     expect(planFormations(createInput(leaving))).to.deep.equal([])
--- a/packages/dotterelspur/src/version/formation/__tests__/unit/formGroup.test.ts
+++ b/packages/dotterelspur/src/version/formation/__tests__/unit/formGroup.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
 import { createRandom, type Random } from '../../../../process/Random.js'
-import { EndpointOrderKind, OrderReply } from '../../EndpointOrder.js'
+import { CloseMode, EndpointOrderKind, OrderReply, type EndpointOrder } from '../../EndpointOrder.js'
 import { FormationDecisionKind, type FormationDecision } from '../../FormationDecision.js'
 import { planFormations } from '../../FormationPlanner.js'
 import { FormationEffectKind, FormationEnd, formGroup, isAsPlanned, type AddressedOrder, type FormationEffect, type FormationPlan } from '../../FormationProcedures.js'
@@ -200,4 +200,57 @@
     }
     expect(sent).to.deep.equal(['close h', 'leave h', 'join h+join w2', 'open h'])
   })
+
+  it('takes no member from an open group because a stranger at an address says that it is not its head', () => {
+    // A VM died, and another one came to its address and became the head of a group. The dead one, listed for three more
+    // seconds, was asked where it is; its successor answered, and so the dead one was taken for the head of that group. It was
+    // told to close: "close i-b127ce5b8f g1000129: elsewhere", and this was taken for a release. The true head, i-4583542034,
+    // at the same address 10.2.64.38, was never asked, and took its next join while it was open.
+    const workers = new WorkerModel(['dead', 'h', 'w2'])
+    workers.crash('dead')
+    formOpenGroup(workers, 'g3', 3, ['h', 'w2'])
+    const plan: FormationPlan = {
+      group: 'g9', formation: 9, model: 'small', members: ['h', 'w2'], joinTimeoutMs: 1_000, former: [{ group: 'g3', formation: 3, head: 'dead', taken: ['h', 'w2'], closeMode: CloseMode.Wait }]
+    }
+    perform(plan, workers, ({ endpoint, order }) => endpoint === 'dead' ? OrderReply.Elsewhere : workers.apply(endpoint, order))
+    expect(workers.breaches).to.deep.equal([])
+  })
+
+  it('takes no member that a late order has brought back to a group whose head is silent', () => {
+    // The head of an open group was cut off from the deciding node and answered nothing for 0.35 s. Its member was told to
+    // leave, and did; then an earlier order to join that same group, sent twice because the first one got no answer, was
+    // carried out late and brought it back, and it took its next join while its head was open: "former":["g1000029:gone"],
+    // and 2.9 s later "endpoint-reachable" of that head.
+    const workers = new WorkerModel(['h', 'w2', 'w3'])
+    formOpenGroup(workers, 'g3', 3, ['h', 'w2'])
+    const plan: FormationPlan = {
+      group: 'g9', formation: 9, model: 'small', members: ['w2', 'w3'], joinTimeoutMs: 1_000, former: [{ group: 'g3', formation: 3, head: null, taken: ['w2'], closeMode: CloseMode.BreakOff }]
+    }
+    perform(plan, workers, ({ endpoint, order }) => {
+      const reply = workers.apply(endpoint, order)
+      if (order.kind === EndpointOrderKind.Leave) workers.apply(endpoint, joinOf('g3', 3, ['h', 'w2']))
+      return reply
+    })
+    expect(workers.breaches).to.deep.equal([])
+  })
 })
+
+function joinOf (group: string, formation: number, members: readonly string[]): EndpointOrder {
+  return { kind: EndpointOrderKind.Join, group, formation, model: 'small', members }
+}
+
+function formOpenGroup (workers: WorkerModel, group: string, formation: number, members: readonly string[]): void {
+  for (const member of members) workers.apply(member, joinOf(group, formation, members))
+  workers.settle()
+  workers.apply(members[0]!, { kind: EndpointOrderKind.Open, group, formation })
+}
+
+/** Carries out a plan, every member of which is where the plan says; orders go by `send`. */
+function perform (plan: FormationPlan, workers: WorkerModel, send: (order: AddressedOrder) => OrderReply): void {
+  const steps = formGroup(plan)
+  let step = steps.next()
+  while (step.done !== true) {
+    workers.settle()
+    step = steps.next(step.value.kind === FormationEffectKind.SendOrders ? step.value.orders.map(send) : true)
+  }
+}
