Formation: a member is freed by its own leave, and joins only if nothing was ordered since

Callers may have met a group whose members had joined another one: two VMs were in two groups while their head was open. Cause: members were freed by what others said of their group. Somebody else at the former head's address answered 'elsewhere', and that counted as a release; a head that was silent for 0.35 s counted as gone, and an order to join carried out late brought its member back between its leave and its next join. Now each member confirms itself that it has left before it joins, and the join states how many orders the member had carried out by then: any order in between, whoever sent it, makes it refuse. A close only spares callers. Why it holds: the count after the member's own leave stands for 'in no group'; all earlier copies state a lower count. Ruled out: a resend under a new formation only (a group of four with half of the answers lost would hardly ever form).

--- a/packages/dotterelspur-gateway/src/__tests__/unit/FormationRunner.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/FormationRunner.test.ts
@@ -60,7 +60,7 @@
         this.list(endpoint)
         return OrderReply.Begun
       },
-      report: async ({ endpoint }) => ({ kind: ReportEndKind.Answered, report: { membership: this.places.get(endpoint) ?? null, model: null, staged: [], running: 0, waiting: 0 } })
+      report: async ({ endpoint }) => ({ kind: ReportEndKind.Answered, report: { membership: this.places.get(endpoint) ?? null, model: null, staged: [], running: 0, waiting: 0, orderCount: null } })
     }
   }
 
@@ -93,7 +93,7 @@
     // third of a core, run into their timeout before they are sent, and are sent again. Cause: nothing bounded them.
     const world = new RunnerWorld()
     await world.takeLease()
-    const orders = Array.from({ length: 200 }, () => ({ endpoint: 'w1', order: OPEN }))
+    const orders = Array.from({ length: 200 }, () => ({ endpoint: 'w1', order: OPEN, expectedOrders: null }))
     const replies = await world.runner.sendOrders(orders)
     expect(replies).to.have.length(200)
     expect(world.mostAtOnce).to.be.within(2, 20)
@@ -106,7 +106,7 @@
     await world.takeLease()
     world.store.cut()
     for (let passedMs = 0; passedMs < FLEET_LEASE_TIMING.ttlMs; passedMs += 100) await world.step(100)
-    expect(await world.runner.sendOrders([{ endpoint: 'w1', order: OPEN }])).to.deep.equal([OrderReply.Unreachable])
+    expect(await world.runner.sendOrders([{ endpoint: 'w1', order: OPEN, expectedOrders: null }])).to.deep.equal([OrderReply.Unreachable])
     expect(await world.runner.run(PLAN)).to.equal(FormationEnd.NotJoined)
     expect(world.orders).to.deep.equal([])
   })
--- a/packages/dotterelspur-gateway/src/__tests__/unit/Reachability.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/Reachability.test.ts
@@ -6,7 +6,7 @@
 import { createLog } from '../fixtures/parts.js'
 
 const PLACE: EndpointPlace = { endpoint: 'w1', address: '10.0.0.1:1' }
-const ANSWERED: ReportEnd = { kind: ReportEndKind.Answered, report: { membership: null, model: null, staged: [], running: 0, waiting: 0 } }
+const ANSWERED: ReportEnd = { kind: ReportEndKind.Answered, report: { membership: null, model: null, staged: [], running: 0, waiting: 0, orderCount: null } }
 const GONE: ReportEnd = { kind: ReportEndKind.Gone }
 
 /** An endpoint that answers its n-th probe after a while, or never. */
--- a/packages/dotterelspur-gateway/src/process/FormationKeeper.ts
+++ b/packages/dotterelspur-gateway/src/process/FormationKeeper.ts
@@ -285,7 +285,7 @@
   private async stage (endpoint: EndpointId, model: ModelId, engine: EngineSpec): Promise<void> {
     const spec = engine.models.find((candidate) => candidate.model === model)!
     this.loads.begin(endpoint, spec, this.parts.clock.nowMs())
-    const [reply] = await this.runner.sendOrders([{ endpoint, order: { kind: EndpointOrderKind.Stage, model } }])
+    const [reply] = await this.runner.sendOrders([{ endpoint, order: { kind: EndpointOrderKind.Stage, model }, expectedOrders: null }])
     this.parts.log.write(LogKind.HostStaged, { endpoint, model, reply })
     if (reply === OrderReply.Unfit || reply === OrderReply.Elsewhere || reply === OrderReply.Unreachable) this.loads.drop(endpoint)
     if (reply === OrderReply.Unanswered) this.loads.doubt(endpoint, this.parts.clock.nowMs())
--- a/packages/dotterelspur-gateway/src/process/FormationRunner.ts
+++ b/packages/dotterelspur-gateway/src/process/FormationRunner.ts
@@ -1,7 +1,7 @@
 import pLimit from 'p-limit'
 import {
   FormationEffectKind, FormationEnd, formGroup, isAsPlanned, MemberState, OrderReply, runProcedure, sleep,
-  type AddressedOrder, type Clock, type EffectHandlers, type EndpointId, type EndpointRecord, type FormationEffect, type FormationPlan, type Membership
+  type AddressedOrder, type Clock, type EffectHandlers, type EndpointId, type EndpointRecord, type FormationEffect, type FormationPlan, type MemberWord
 } from 'dotterelspur'
 import type { EndpointKeeper } from './EndpointKeeper.js'
 import type { FleetLease } from './FleetLease.js'
@@ -70,9 +70,9 @@
     if (!listed) await Promise.all(plan.members.map(async (member) => await this.askMember(member)))
   }
 
-  private async sendOrder ({ endpoint, order }: AddressedOrder): Promise<OrderReply> {
+  private async sendOrder ({ endpoint, order, expectedOrders }: AddressedOrder): Promise<OrderReply> {
     if (!this.parts.lease.mayOrder()) return OrderReply.Unreachable
-    return await this.parts.control.order(this.placeOf(endpoint), order)
+    return await this.parts.control.order(this.placeOf(endpoint), order, expectedOrders)
   }
 
   private handlers (trail: FormationTrail): EffectHandlers<FormationEffect> {
@@ -90,24 +90,25 @@
   }
 
   /** What members say themselves goes before the list until the list has something newer. */
-  private async confirmMembers (plan: FormationPlan, trail: FormationTrail): Promise<boolean> {
-    const confirmed = await Promise.all(plan.members.map(async (member) => {
-      const reported = await this.askMember(member, trail)
-      return reported !== undefined && isAsPlanned(plan, member, reported)
+  private async confirmMembers (plan: FormationPlan, trail: FormationTrail): Promise<ReadonlyMap<EndpointId, MemberWord> | null> {
+    const words = new Map<EndpointId, MemberWord>()
+    await Promise.all(plan.members.map(async (member) => {
+      const word = await this.askMember(member, trail)
+      if (word !== null && isAsPlanned(plan, member, word.membership)) words.set(member, word)
     }))
-    return confirmed.every(Boolean)
+    return words.size === plan.members.length ? words : null
   }
 
-  /** A member's place by its own word, which is kept; undefined without an answer. */
-  private async askMember (member: EndpointId, trail = new FormationTrail()): Promise<Membership | null | undefined> {
+  /** A member's own word, which is kept; null without an answer. */
+  private async askMember (member: EndpointId, trail = new FormationTrail()): Promise<MemberWord | null> {
     const end = await this.inTurn(async () => await this.parts.control.report(this.placeOf(member), REPORT_TIMEOUT_MS))
     trail.noteReport(member, end)
     if (end.kind !== ReportEndKind.Answered) {
       this.suspectMember(member)
-      return undefined
+      return null
     }
     this.parts.endpoints.noteReport(member, end.report)
-    return end.report.membership
+    return end.report
   }
 
   private placeOf (endpoint: EndpointId): EndpointPlace {
@@ -142,8 +143,8 @@
   private async askMembers (plan: FormationPlan, seenReady: Set<EndpointId>, trail: FormationTrail): Promise<void> {
     const unknown = plan.members.filter((member) => !seenReady.has(member))
     await Promise.all(unknown.map(async (member) => {
-      const membership = await this.askMember(member, trail)
-      if (membership !== undefined && isReadyIn({ membership }, plan)) seenReady.add(member)
+      const word = await this.askMember(member, trail)
+      if (word !== null && isReadyIn(word, plan)) seenReady.add(member)
     }))
   }
 
--- a/packages/dotterelspur-gateway/src/process/GatewayPorts.ts
+++ b/packages/dotterelspur-gateway/src/process/GatewayPorts.ts
@@ -57,6 +57,8 @@
   readonly staged: readonly ModelId[]
   readonly running: number
   readonly waiting: number
+  /** Orders that it has carried out in this life; null where it doesn't count them. */
+  readonly orderCount: number | null
 }
 
 export enum ReportEndKind {
@@ -74,6 +76,7 @@
 
 /** Orders and questions to endpoints. Neither call throws. */
 export interface EndpointControl {
-  order (place: EndpointPlace, order: EndpointOrder): Promise<OrderReply>
+  /** @param expectedOrders the endpoint refuses the order as unfit unless it has carried out just this many; null sets no condition. */
+  order (place: EndpointPlace, order: EndpointOrder, expectedOrders: number | null): Promise<OrderReply>
   report (place: EndpointPlace, timeoutMs: number): Promise<ReportEnd>
 }
--- a/packages/dotterelspur/src/version/formation/FormationProcedures.ts
+++ b/packages/dotterelspur/src/version/formation/FormationProcedures.ts
@@ -1,6 +1,6 @@
 import type { EndpointId, GroupId, ModelId } from '../../process/ids.js'
 import { perform, type Effect, type Procedure } from '../../process/Procedure.js'
-import type { Membership } from './Endpoint.js'
+import { MemberState, type Membership } from './Endpoint.js'
 import { CloseMode, EndpointOrderKind, OrderReply, type EndpointOrder } from './EndpointOrder.js'
 
 /** A former group whose members are needed for a new one. */
@@ -39,8 +39,15 @@
   Wait = 'wait'
 }
 
-/** Whether each member says itself that it is where the plan takes it from; see `isAsPlanned`. */
-export interface ConfirmMembersEffect extends Effect<FormationEffectKind.ConfirmMembers, boolean> {
+/** What a member said of itself when it was asked. */
+export interface MemberWord {
+  readonly membership: Membership | null
+  /** Orders that it has carried out in this life; null where it doesn't count them. */
+  readonly orderCount: number | null
+}
+
+/** What the members say themselves; null unless each is where the plan takes it from, see `isAsPlanned`. */
+export interface ConfirmMembersEffect extends Effect<FormationEffectKind.ConfirmMembers, ReadonlyMap<EndpointId, MemberWord> | null> {
   readonly kind: FormationEffectKind.ConfirmMembers
   readonly plan: FormationPlan
 }
@@ -48,6 +55,8 @@
 export interface AddressedOrder {
   readonly endpoint: EndpointId
   readonly order: EndpointOrder
+  /** The endpoint refuses the order as unfit unless it has carried out just this many; null where that doesn't matter. */
+  readonly expectedOrders: number | null
 }
 
 /** Sends orders side by side; the replies come in the same sequence. */
@@ -73,7 +82,7 @@
   Opened = 'opened',
   /** A member did not answer, or is in another group than the list says. */
   NotAsListed = 'not-as-listed',
-  /** The head of a former group could not be shown to be closed. */
+  /** The head of a former group is still closing, or a member did not confirm that it has left. */
   NotReleased = 'not-released',
   /** A member did not take its order to join. */
   NotJoined = 'not-joined',
@@ -104,8 +113,11 @@
 
 const TAKEN: ReadonlySet<OrderReply> = new Set([OrderReply.Begun, OrderReply.Done])
 
-/** Replies after which an endpoint is certainly not in the formation that the order named. */
-const NOT_THERE: ReadonlySet<OrderReply> = new Set([OrderReply.Done, OrderReply.Unfit, OrderReply.Outdated, OrderReply.Elsewhere])
+/** Replies to a close after which there is nothing to wait for: the head has closed, or whoever answers is not the head. */
+const NOTHING_TO_CLOSE: ReadonlySet<OrderReply> = new Set([OrderReply.Done, OrderReply.Unfit, OrderReply.Outdated, OrderReply.Elsewhere, OrderReply.Unreachable])
+
+/** Orders that each member has carried out, as far as this plan knows; kept up to date as it is ordered about. */
+type OrderCounts = Map<EndpointId, number | null>
 
 /**
  * Forms a group: frees its members, has them join, waits until each has said that it is ready under exactly this
@@ -113,18 +125,20 @@
  *
  * The list may be old, as after the store was out: members say themselves where they are before they are taken.
  *
- * Orders may be carried out late, also an earlier holder's. So the head of a former group leaves it before any of its
- * members joins another: afterwards a late order to open the former group finds no head, and no member can be taken
- * from under an open one.
+ * Each member confirms itself that it has left its former group before it joins another; what anybody else says, or
+ * that the former head is silent, frees nobody. Orders may be carried out late, also an earlier holder's, and could
+ * bring a member back after it has left. So a join is taken only by a member that has carried out no other order
+ * since it was in no group.
  */
 export function * formGroup (plan: FormationPlan): Procedure<FormationEffect, FormationEnd> {
-  const asListed = yield * perform<ConfirmMembersEffect>({ kind: FormationEffectKind.ConfirmMembers, plan })
-  if (!asListed) return FormationEnd.NotAsListed
+  const words = yield * perform<ConfirmMembersEffect>({ kind: FormationEffectKind.ConfirmMembers, plan })
+  if (words === null) return FormationEnd.NotAsListed
+  const counts: OrderCounts = new Map([...words].map(([member, { orderCount }]) => [member, orderCount]))
   for (const former of plan.former) {
-    const released = yield * releaseMembers(former)
+    const released = yield * releaseMembers(former, words, counts)
     if (!released) return FormationEnd.NotReleased
   }
-  const joined = yield * joinMembers(plan)
+  const joined = yield * joinMembers(plan, counts)
   if (!joined) return FormationEnd.NotJoined
   const ready = yield * perform<AwaitReadyEffect>({ kind: FormationEffectKind.AwaitReady, plan })
   if (!ready) return FormationEnd.NotReady
@@ -136,7 +150,7 @@
 function * openHead (head: EndpointId, group: GroupId, formation: number): Procedure<FormationEffect, boolean> {
   const order: EndpointOrder = { kind: EndpointOrderKind.Open, group, formation }
   for (let tries = 0; tries < OPEN_TRIES; tries++) {
-    const reply = yield * sendOne({ endpoint: head, order })
+    const reply = yield * sendOne({ endpoint: head, order, expectedOrders: null })
     if (TAKEN.has(reply)) return true
     if (reply !== OrderReply.Unfit && reply !== OrderReply.Unanswered) return false
     yield * perform<FormationWaitEffect>({ kind: FormationEffectKind.Wait, durationMs: OPEN_RETRY_MS })
@@ -145,37 +159,52 @@
 }
 
 /**
- * Closes the former head, so that its requests end, and has it leave. Only its leaving voids an order to open it that
- * was delayed: between a close and a join such an order could open it again, and it would join while it is open.
+ * Closes the former head, so that its requests end before its members go, and has each member that is taken leave. The
+ * close is for the callers' sake and frees nobody: who answers may not be the head, and a silent one may still be open.
  */
-function * releaseMembers (former: FormerGroup): Procedure<FormationEffect, boolean> {
-  if (former.head === null) return yield * leaveAll(former, former.taken)
-  const closed = yield * closeHead(former.head, former)
-  return closed && (yield * leaveAll(former, [former.head]))
+function * releaseMembers (former: FormerGroup, words: ReadonlyMap<EndpointId, MemberWord>, counts: OrderCounts): Procedure<FormationEffect, boolean> {
+  if (former.head !== null) {
+    const closed = yield * closeHead(former.head, former)
+    if (!closed) return false
+    if (words.get(former.head)?.membership?.state === MemberState.Open) countOrder(counts, former.head)
+    if (!former.taken.includes(former.head)) yield * leaveAll(former, [former.head], counts)
+  }
+  return yield * leaveAll(former, former.taken, counts)
 }
 
+/** False while the head still finishes requests, or says nothing. */
 function * closeHead (head: EndpointId, { group, formation, closeMode }: FormerGroup): Procedure<FormationEffect, boolean> {
   const order: EndpointOrder = { kind: EndpointOrderKind.Close, group, formation, mode: closeMode }
   let unanswered = 0
   for (let polls = 0; polls < CLOSE_POLLS && unanswered < ORDER_TRIES; polls++) {
-    const reply = yield * sendOne({ endpoint: head, order })
-    if (NOT_THERE.has(reply)) return true
-    if (reply === OrderReply.Unreachable) return false
+    const reply = yield * sendOne({ endpoint: head, order, expectedOrders: null })
+    if (NOTHING_TO_CLOSE.has(reply)) return true
     if (reply === OrderReply.Unanswered) unanswered += 1
     if (reply === OrderReply.Begun) yield * perform<FormationWaitEffect>({ kind: FormationEffectKind.Wait, durationMs: CLOSE_POLL_MS })
   }
   return false
 }
 
-function * leaveAll ({ group, formation }: FormerGroup, endpoints: readonly EndpointId[]): Procedure<FormationEffect, boolean> {
+/** Whether each endpoint has confirmed that it was in the group and has left it. */
+function * leaveAll ({ group, formation }: FormerGroup, endpoints: readonly EndpointId[], counts: OrderCounts): Procedure<FormationEffect, boolean> {
   const order: EndpointOrder = { kind: EndpointOrderKind.Leave, group, formation }
-  const replies = yield * sendUntilSettled(endpoints.map((endpoint) => ({ endpoint, order })))
-  return replies.every((reply) => TAKEN.has(reply) || NOT_THERE.has(reply))
+  const replies = yield * sendUntilSettled(endpoints.map((endpoint) => ({ endpoint, order, expectedOrders: null })))
+  endpoints.forEach((endpoint, index) => { if (TAKEN.has(replies[index]!)) countOrder(counts, endpoint) })
+  return replies.every((reply) => TAKEN.has(reply))
 }
 
-function * joinMembers (plan: FormationPlan): Procedure<FormationEffect, boolean> {
+function countOrder (counts: OrderCounts, endpoint: EndpointId): void {
+  const count = counts.get(endpoint) ?? null
+  if (count !== null) counts.set(endpoint, count + 1)
+}
+
+/**
+ * A join whose count has passed is refused, so of several copies of it, or of earlier ones, at most one is carried out,
+ * and none after the member has been told anything else.
+ */
+function * joinMembers (plan: FormationPlan, counts: OrderCounts): Procedure<FormationEffect, boolean> {
   const order = joinOrder(plan)
-  const replies = yield * sendUntilSettled(plan.members.map((endpoint) => ({ endpoint, order })))
+  const replies = yield * sendUntilSettled(plan.members.map((endpoint) => ({ endpoint, order, expectedOrders: counts.get(endpoint) ?? null })))
   return replies.every((reply) => TAKEN.has(reply))
 }
 
--- a/packages/dotterelspur/src/version/formation/__tests__/unit/formGroup.test.ts
+++ b/packages/dotterelspur/src/version/formation/__tests__/unit/formGroup.test.ts
@@ -1,10 +1,10 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
 import { createRandom, type Random } from '../../../../process/Random.js'
-import { CloseMode, EndpointOrderKind, OrderReply, type EndpointOrder } from '../../EndpointOrder.js'
+import { CloseMode, EndpointOrderKind, OrderReply } from '../../EndpointOrder.js'
 import { FormationDecisionKind, type FormationDecision } from '../../FormationDecision.js'
 import { planFormations } from '../../FormationPlanner.js'
-import { FormationEffectKind, FormationEnd, formGroup, isAsPlanned, type AddressedOrder, type FormationEffect, type FormationPlan } from '../../FormationProcedures.js'
+import { FormationEffectKind, FormationEnd, formGroup, isAsPlanned, type AddressedOrder, type FormationEffect, type FormationPlan, type MemberWord } from '../../FormationProcedures.js'
 import { MemberState } from '../../Endpoint.js'
 import { createInput, SMALL } from '../fixtures/endpoints.js'
 import { nameOf, WorkerModel } from '../fixtures/WorkerModel.js'
@@ -94,7 +94,7 @@
   }
 
   private perform (effect: FormationEffect): unknown {
-    if (effect.kind === FormationEffectKind.ConfirmMembers) return this.isAsListed(effect.plan)
+    if (effect.kind === FormationEffectKind.ConfirmMembers) return this.confirm(effect.plan)
     if (effect.kind === FormationEffectKind.SendOrders) return effect.orders.map((order) => this.send(order))
     if (effect.kind === FormationEffectKind.AwaitReady) return this.isReady(effect.plan)
     return undefined
@@ -110,17 +110,18 @@
     return drawn < LATE_SHARE + LOST_ANSWER_SHARE ? OrderReply.Unanswered : reply
   }
 
-  private deliver ({ endpoint, order }: AddressedOrder): OrderReply {
-    return this.workers.apply(endpoint, order)
+  private deliver (order: AddressedOrder): OrderReply {
+    return this.workers.apply(order)
   }
 
-  private isAsListed (plan: FormationPlan): boolean {
+  private confirm (plan: FormationPlan): ReadonlyMap<string, MemberWord> | null {
     const now = this.workers.list()
-    return plan.members.every((member) => {
+    const isAsListed = plan.members.every((member) => {
       // A member of a former life has no word on itself any more.
       const record = now.find(({ endpoint }) => endpoint === member)
       return record !== undefined && !this.workers.crashed.has(nameOf(member)) && isAsPlanned(plan, member, record.membership)
     })
+    return isAsListed ? wordsOf(plan, this.workers) : null
   }
 
   /** The procedure is resumed only when all are ready; the run stands still for it, which is allowed to take any time. */
@@ -162,7 +163,7 @@
     const plan: FormationPlan = { group: 'new', formation: 9, model: 'small', members: ['w1', 'w2'], joinTimeoutMs: 1_000, former: [] }
     const steps = formGroup(plan)
     expect(steps.next().value).to.deep.equal({ kind: FormationEffectKind.ConfirmMembers, plan })
-    expect(steps.next(false)).to.deep.equal({ done: true, value: FormationEnd.NotAsListed })
+    expect(steps.next(null)).to.deep.equal({ done: true, value: FormationEnd.NotAsListed })
   })
 
   it('gives a plan up when a head that must close does not answer', () => {
@@ -173,7 +174,8 @@
     }
     const steps = formGroup(plan)
     let orders = 0
-    let step = steps.next()
+    steps.next()
+    let step = steps.next(new Map())
     while (step.done !== true && orders < 100) {
       orders += 1
       step = steps.next(step.value.kind === FormationEffectKind.SendOrders ? step.value.orders.map(() => OrderReply.Unanswered) : true)
@@ -185,20 +187,21 @@
   it('has the head of a former group leave before any of its members joins another', () => {
     // Symptom: a head joins another group while it is open. Sequence: an order to open is delayed; the next decider
     // closes the head, the delayed order opens it again, the order to join arrives. Cause: only the head's own
-    // leaving voids the delayed order.
+    // leaving voids the delayed order. Its members leave as well: a late order to join is void for who has left.
     const plan: FormationPlan = {
       group: 'new', formation: 9, model: 'small', members: ['h', 'w2'], joinTimeoutMs: 1_000, former: [{ group: 'old', formation: 3, head: 'h', taken: ['h', 'w2'], closeMode: 'break-off' as never }]
     }
     const steps = formGroup(plan)
     const sent: string[] = []
-    let step = steps.next()
+    steps.next()
+    let step = steps.next(new Map())
     while (step.done !== true) {
       if (step.value.kind === FormationEffectKind.SendOrders) {
         sent.push(step.value.orders.map(({ endpoint, order }) => `${order.kind} ${endpoint}`).join('+'))
         step = steps.next(step.value.orders.map(({ order }) => order.kind === EndpointOrderKind.Close ? OrderReply.Done : OrderReply.Begun))
       } else step = steps.next(true)
     }
-    expect(sent).to.deep.equal(['close h', 'leave h', 'join h+join w2', 'open h'])
+    expect(sent).to.deep.equal(['close h', 'leave h+leave w2', 'join h+join w2', 'open h'])
   })
 
   it('takes no member from an open group because a stranger at an address says that it is not its head', () => {
@@ -212,7 +215,7 @@
     const plan: FormationPlan = {
       group: 'g9', formation: 9, model: 'small', members: ['h', 'w2'], joinTimeoutMs: 1_000, former: [{ group: 'g3', formation: 3, head: 'dead', taken: ['h', 'w2'], closeMode: CloseMode.Wait }]
     }
-    perform(plan, workers, ({ endpoint, order }) => endpoint === 'dead' ? OrderReply.Elsewhere : workers.apply(endpoint, order))
+    perform(plan, workers, (order) => order.endpoint === 'dead' ? OrderReply.Elsewhere : workers.apply(order))
     expect(workers.breaches).to.deep.equal([])
   })
 
@@ -226,29 +229,35 @@
     const plan: FormationPlan = {
       group: 'g9', formation: 9, model: 'small', members: ['w2', 'w3'], joinTimeoutMs: 1_000, former: [{ group: 'g3', formation: 3, head: null, taken: ['w2'], closeMode: CloseMode.BreakOff }]
     }
-    perform(plan, workers, ({ endpoint, order }) => {
-      const reply = workers.apply(endpoint, order)
-      if (order.kind === EndpointOrderKind.Leave) workers.apply(endpoint, joinOf('g3', 3, ['h', 'w2']))
+    perform(plan, workers, (addressed) => {
+      const reply = workers.apply(addressed)
+      if (addressed.order.kind === EndpointOrderKind.Leave) workers.apply(firstJoinOf(addressed.endpoint, 'g3', 3, ['h', 'w2']))
       return reply
     })
     expect(workers.breaches).to.deep.equal([])
   })
 })
 
-function joinOf (group: string, formation: number, members: readonly string[]): EndpointOrder {
-  return { kind: EndpointOrderKind.Join, group, formation, model: 'small', members }
+/** An order to join as it is sent to a member that has carried out no order yet. */
+function firstJoinOf (endpoint: string, group: string, formation: number, members: readonly string[]): AddressedOrder {
+  return { endpoint, order: { kind: EndpointOrderKind.Join, group, formation, model: 'small', members }, expectedOrders: 0 }
+}
+
+function wordsOf (plan: FormationPlan, workers: WorkerModel): Map<string, MemberWord> {
+  return new Map(plan.members.map((member) => [member, workers.wordOf(nameOf(member))]))
 }
 
 function formOpenGroup (workers: WorkerModel, group: string, formation: number, members: readonly string[]): void {
-  for (const member of members) workers.apply(member, joinOf(group, formation, members))
+  for (const member of members) workers.apply(firstJoinOf(member, group, formation, members))
   workers.settle()
-  workers.apply(members[0]!, { kind: EndpointOrderKind.Open, group, formation })
+  workers.apply({ endpoint: members[0]!, order: { kind: EndpointOrderKind.Open, group, formation }, expectedOrders: null })
 }
 
 /** Carries out a plan, every member of which is where the plan says; orders go by `send`. */
 function perform (plan: FormationPlan, workers: WorkerModel, send: (order: AddressedOrder) => OrderReply): void {
   const steps = formGroup(plan)
-  let step = steps.next()
+  steps.next()
+  let step = steps.next(wordsOf(plan, workers))
   while (step.done !== true) {
     workers.settle()
     step = steps.next(step.value.kind === FormationEffectKind.SendOrders ? step.value.orders.map(send) : true)
