Endpoints: the end of a head whose address has passed on is told to all nodes; silent former heads are asked

The deciding node takes such a head off its list when its successor registers, and judged by that list whether the later end of its entry concerns callers: other nodes would have kept it. A plan that waited for a silent former head left it unsuspected, so that the next plan waited for it again.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/Keepers.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/Keepers.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { createRandom, ManualClock } from 'dotterelspur'
+import { createRandom, ManualClock, MemberState } from 'dotterelspur'
 import { EndpointKeeper } from '../../process/EndpointKeeper.js'
 import { FleetLease, FLEET_LEASE_TIMING } from '../../process/FleetLease.js'
 import { ManifestKeeper } from '../../process/ManifestKeeper.js'
@@ -76,6 +76,17 @@
     expect([...keeper.current.keys()]).to.deep.equal(['heir'])
   })
 
+  it('tells of the end of a head whose address has passed on, as of any other', () => {
+    // The deciding node takes such a head off its list as soon as its successor registers, and passes on what concerns callers.
+    // The head's entry lapses later: unless that is passed on too, the other nodes would keep the head as one that takes requests.
+    const { store, keeper } = createKeeper()
+    const head = createEndpoint('dead', '10.0.0.1:1', { fabricDomain: 'd', membership: { group: 'g1', formation: 1, rank: 0, state: MemberState.Open } })
+    store.put('endpoints/dead', head)
+    store.put('endpoints/heir', createEndpoint('heir', '10.0.0.1:1', { fabricDomain: 'd' }))
+    expect(keeper.concernsCallers({ key: 'endpoints/dead', version: 9, body: null, deleted: true })).to.equal(true)
+    expect(keeper.concernsCallers({ key: 'endpoints/heir', version: 9, body: null, deleted: true })).to.equal(false)
+  })
+
   it('lets an entry of no declared service end nobody', () => {
     const store = new MemoryStore()
     const keeper = new EndpointKeeper(new ManualClock(), createLog(), (service) => service === 'plain')
--- a/packages/dotterelspur-gateway/src/process/EndpointKeeper.ts
+++ b/packages/dotterelspur-gateway/src/process/EndpointKeeper.ts
@@ -89,8 +89,9 @@
   /** Whether a change, not taken in yet, concerns those who send requests: it is, or was, about one that takes them. */
   concernsCallers ({ key, body, deleted }: StoredObject<EndpointRecord | null>): boolean {
     const entry = this.entries.get(nameOf(key))
-    const former = entry === undefined ? undefined : this.snapshot.get(entry.endpoint)
-    if (former !== undefined && takesRequests(former)) return true
+    // The entry as well as what is known: a head whose address has passed on is off this list, and still on those of others.
+    const former = entry === undefined ? [] : [entry, this.snapshot.get(entry.endpoint) ?? entry]
+    if (former.some(takesRequests)) return true
     return !deleted && body !== null && takesRequests(body)
   }
 
--- a/packages/dotterelspur-gateway/src/process/FormationRunner.ts
+++ b/packages/dotterelspur-gateway/src/process/FormationRunner.ts
@@ -40,10 +40,11 @@
 
   constructor (private readonly parts: FormationRunnerParts) {}
 
-  /** Members of a plan that did not come to its end are asked whether they live. */
+  /** Members of a plan that did not come to its end are asked whether they live, and so are the heads that it waited for. */
   async run (plan: FormationPlan, trail = new FormationTrail()): Promise<FormationEnd> {
     const end = await runProcedure(formGroup(plan), this.handlers(trail))
-    if (end !== FormationEnd.Opened) plan.members.forEach((member) => { this.suspectMember(member) })
+    const heads = plan.former.flatMap(({ head }) => head ?? [])
+    if (end !== FormationEnd.Opened) new Set([...plan.members, ...heads]).forEach((endpoint) => { this.suspectMember(endpoint) })
     return end
   }
 
