dotterelctl trace: the story of a group has whom its members were taken from

From a group's name its former groups, and whoever was taken for their heads, were left out; from an endpoint's name the plans in which it was ordered about.

--- a/packages/dotterelspur-ctl/src/__tests__/unit/traceStory.test.ts
+++ b/packages/dotterelspur-ctl/src/__tests__/unit/traceStory.test.ts
@@ -35,6 +35,30 @@
   })
 })
 
+describe('traceStory of a group', () => {
+  /** A plan whose member was taken from under its open head, shortened: the head that was asked is not the one that is open. */
+  const TAKEN = [
+    '{"time":"2026-06-04T01:13:14.700Z","node":"n1","event":"endpoint-unreachable","endpoint":"i-old","address":"10.2.64.38:1"}',
+    '{"time":"2026-06-04T01:13:16.100Z","node":"n1","event":"endpoint-reachable","endpoint":"i-old","address":"10.2.64.38:1"}',
+    '{"time":"2026-06-04T01:13:17.900Z","node":"n1","event":"formation-ended","group":"g129","end":"opened","steps":["open i-head g129: begun"]}',
+    '{"time":"2026-06-04T01:13:18.400Z","node":"n1","event":"formation-begun","group":"g173","members":["i-head","i-w2"],"places":["i-head at 10.2.64.38:1: g129 rank 0 open, by list 20 ms ago"],"former":["g129:i-old"]}',
+    '{"time":"2026-06-04T01:13:21.000Z","node":"n1","event":"formation-ended","group":"g173","end":"not-joined","steps":["close i-old g129: elsewhere","join i-w2 g173: begun"]}'
+  ].join('\n')
+
+  it('has the former group, and whoever was taken for its head', () => {
+    const events = traceStory(TAKEN, 'g173').lines.map(({ line, role }) => `${role} ${line.event} ${String(line.fields['endpoint'] ?? line.fields['group'])}`)
+    expect(events).to.deep.equal([
+      `${StoryRole.Met} endpoint-unreachable i-old`, `${StoryRole.Met} endpoint-reachable i-old`, `${StoryRole.Met} formation-ended g129`,
+      `${StoryRole.Subject} formation-begun g173`, `${StoryRole.Subject} formation-ended g173`
+    ])
+  })
+
+  it('finds the plans in which an endpoint was ordered about', () => {
+    const own = traceStory(TAKEN, 'i-old').lines.filter(({ role }) => role === StoryRole.Subject).map(({ line }) => line.event)
+    expect(own).to.deep.equal(['endpoint-unreachable', 'endpoint-reachable', 'formation-begun', 'formation-ended'])
+  })
+})
+
 describe('dotterelctl trace', () => {
   const run = createCommandLine({ addresses: [], files: { 'a.log': LINES, '-': LINES } })
 
--- a/packages/dotterelspur-ctl/src/request/traceStory.ts
+++ b/packages/dotterelspur-ctl/src/request/traceStory.ts
@@ -35,6 +35,8 @@
 const STATE_EVENTS: ReadonlySet<string> = new Set(['start', 'manifest-in-force', 'dependency-lost', 'dependency-regained'])
 /** Said by the deciding process alone, whichever that was. */
 const FLEET_EVENTS: ReadonlySet<string> = new Set(['fleet-state', 'lease-taken', 'lease-lost'])
+/** Stands for the head of a former group that can't be reached. */
+const GONE = 'gone'
 const COMMON_FIELDS: ReadonlySet<string> = new Set(['level', 'time', 'node', 'event', 'atMs'])
 
 /**
@@ -87,14 +89,19 @@
 
 function mentions (value: unknown, name: string): boolean {
   if (Array.isArray(value)) return value.some((item) => mentions(item, name))
-  // Groups are told apart by name and head: `g12:i-3f0a`.
-  return typeof value === 'string' && (value === name || value.split(':').includes(name))
+  return typeof value === 'string' && (value === name || wordsOf(value).includes(name))
 }
 
-/** Endpoints and groups that the subject's own lines name. */
+/** Former groups are written with their heads (`g12:i-3f0a`), steps of a plan with what was asked (`leave i-3f0a g12: done`). */
+function wordsOf (value: string): string[] {
+  return value.split(/[\s:,]+/)
+}
+
+/** Endpoints and groups that the subject's own lines name; former groups with their heads, from whom its members were taken. */
 function metBy (own: readonly LogLine[], subject: string): Set<string> {
   const listed = own.flatMap(({ fields }) => [fields['targets'], fields['members'], fields['group'], fields['head'], fields['endpoint']].flat())
-  return new Set(listed.filter((name): name is string => typeof name === 'string' && name !== subject))
+  const former = own.flatMap(({ fields }) => [fields['former'] ?? []].flat()).flatMap((name) => wordsOf(String(name))).filter((word) => word !== GONE)
+  return new Set([...listed, ...former].filter((name): name is string => typeof name === 'string' && name !== subject))
 }
 
 function knownBefore (lines: readonly LogLine[], { node, timeMs }: LogLine): StoryLine[] {
