--- /dev/null
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/NodeKeeper.test.ts
@@ -0,0 +1,42 @@
+import { expect } from 'chai'
+import { ManualClock } from 'dotterelspur'
+import { NodeKeeper, type NodeRecord } from '../../process/NodeKeeper.js'
+import { createLog } from '../fixtures/parts.js'
+import { MemoryStore } from '../fixtures/MemoryStore.js'
+
+describe('NodeKeeper', () => {
+  const SELF: NodeRecord = { node: 'n1', failureDomain: 'a', callers: '10.0.0.1:1', peers: '10.0.0.1:2', incarnation: 7 }
+  const OTHER: NodeRecord = { ...SELF, node: 'n2', callers: '10.0.0.2:1' }
+
+  it('writes itself again when another node has taken its entry back', async () => {
+    const store = new MemoryStore()
+    const keeper = new NodeKeeper(store, SELF, new ManualClock(), createLog())
+    keeper.follow()
+    await keeper.register()
+    store.drop('nodes/n1')
+    await new Promise((resolve) => { setImmediate(resolve) })
+    expect((await store.get('nodes/n1')).ok).to.equal(true)
+  })
+
+  it('is not named any more once it leaves, here and elsewhere', async () => {
+    const store = new MemoryStore()
+    const keeper = new NodeKeeper(store, SELF, new ManualClock(), createLog())
+    keeper.follow()
+    await keeper.register()
+    store.put('nodes/n2', OTHER)
+    await keeper.leave()
+    expect(keeper.nodes().map(({ node }) => node)).to.deep.equal(['n2'])
+    expect((await store.get('nodes/n1')).ok).to.equal(false)
+  })
+
+  it('drops only the life of a node that gave no sign', async () => {
+    const store = new MemoryStore()
+    const keeper = new NodeKeeper(store, SELF, new ManualClock(), createLog())
+    keeper.follow()
+    store.put('nodes/n2', OTHER)
+    await keeper.drop({ node: 'n2', incarnation: 6 })
+    expect(keeper.nodes()).to.have.length(2)
+    await keeper.drop({ node: 'n2', incarnation: 7 })
+    expect(keeper.nodes()).to.have.length(1)
+  })
+})
