--- a/packages/dotterelspur-gateway/src/process/AddressOwners.ts
+++ b/packages/dotterelspur-gateway/src/process/AddressOwners.ts
@@ -7,9 +7,10 @@
 
 interface Address {
   owner: EndpointRecord
-  /** Whether the owner's entry stands. */
+  /** Whether the owner's entry stands. An owner without one keeps the address until somebody else is seen there. */
   isListed: boolean
-  readonly former: EndpointId[]
+  /** Those who had it before, the last of them at the end. */
+  former: readonly EndpointId[]
   /** Another one that is listed there; it gets the address if the owner's entry goes first. */
   waiting: EndpointRecord | null
 }
@@ -44,24 +45,10 @@
   /** An endpoint is listed. */
   claim (record: EndpointRecord): AddressClaim {
     const known = this.addresses.get(record.address)
-    if (known === undefined) {
-      this.addresses.set(record.address, { owner: record, isListed: true, former: [], waiting: null })
-      this.prune()
-      return OWNED
-    }
-    if (known.owner.endpoint === record.endpoint) {
-      known.owner = record
-      known.isListed = true
-      return OWNED
-    }
-    if (known.former.includes(record.endpoint)) {
-      known.waiting = record
-      return { isOwner: false, displaced: null }
-    }
-    if (!this.isServed(record.service)) return OWNED
-    const displaced = known.owner
-    passOn(known, record, known.isListed ? displaced : known.waiting)
-    return { isOwner: true, displaced: displaced.endpoint }
+    if (known === undefined) return this.add(record)
+    if (known.owner.endpoint === record.endpoint) return renew(known, record)
+    if (known.former.includes(record.endpoint)) return refuse(known, record)
+    return this.isServed(record.service) ? displace(known, record) : OWNED
   }
 
   /** The endpoint's entry is gone; returns who has its address from now on, if somebody else is listed there. */
@@ -76,6 +63,12 @@
     return known.owner
   }
 
+  private add (record: EndpointRecord): AddressClaim {
+    this.addresses.set(record.address, { owner: record, isListed: true, former: [], waiting: null })
+    this.prune()
+    return OWNED
+  }
+
   /** Addresses come and go with the VMs; the oldest ones at which nobody is listed are forgotten. */
   private prune (): void {
     if (this.addresses.size <= MAX_ADDRESSES) return
@@ -87,10 +80,25 @@
   }
 }
 
+function renew (known: Address, record: EndpointRecord): AddressClaim {
+  known.owner = record
+  known.isListed = true
+  return OWNED
+}
+
+/** One that has ended is listed again: it waits, in case that was wrong. */
+function refuse (known: Address, record: EndpointRecord): AddressClaim {
+  known.waiting = record
+  return { isOwner: false, displaced: null }
+}
+
+function displace (known: Address, record: EndpointRecord): AddressClaim {
+  const { owner, isListed, waiting } = known
+  passOn(known, record, isListed ? owner : waiting)
+  return { isOwner: true, displaced: owner.endpoint }
+}
+
 function passOn (known: Address, owner: EndpointRecord, waiting: EndpointRecord | null): void {
   const former = [...known.former, known.owner.endpoint].filter((endpoint) => endpoint !== owner.endpoint)
-  known.former.splice(0, Infinity, ...former.slice(-MAX_FORMER))
-  known.owner = owner
-  known.isListed = true
-  known.waiting = waiting
+  Object.assign(known, { owner, isListed: true, waiting, former: former.slice(-MAX_FORMER) } satisfies Address)
 }
--- a/packages/dotterelspur-gateway/src/process/EndpointQuestions.ts
+++ b/packages/dotterelspur-gateway/src/process/EndpointQuestions.ts
@@ -1,6 +1,8 @@
 import type { EndpointId } from 'dotterelspur'
 import { ReportEndKind, type EndpointControl, type EndpointPlace, type ReportEnd } from './GatewayPorts.js'
 
+const GONE: ReportEnd = { kind: ReportEndKind.Gone }
+
 export interface EndpointQuestionsParts {
   readonly control: EndpointControl
   /** Whether another endpoint is known to have the address of this one. */
@@ -20,22 +22,13 @@
   constructor (private readonly parts: EndpointQuestionsParts) {}
 
   async report (place: EndpointPlace, timeoutMs: number): Promise<ReportEnd> {
-    const { endpoint } = place
     // Of two questions under way the later one may be answered first: only counts of before may be compared.
-    const knownCount = this.orderCounts.get(endpoint) ?? 0
-    if (this.isElsewhere(place)) return { kind: ReportEndKind.Gone }
+    const knownCount = this.orderCounts.get(place.endpoint) ?? 0
+    if (this.isElsewhere(place)) return GONE
     const end = await this.parts.control.report(place, timeoutMs)
     if (end.kind !== ReportEndKind.Answered) return end
-    if (this.isElsewhere(place)) return { kind: ReportEndKind.Gone }
-    const count = end.report.orderCount
-    if (count === null) return end
-    if (count < knownCount) {
-      // A next life under the same id is believed from the next question on.
-      this.orderCounts.delete(endpoint)
-      return { kind: ReportEndKind.Gone }
-    }
-    this.orderCounts.set(endpoint, Math.max(count, this.orderCounts.get(endpoint) ?? 0))
-    return end
+    if (this.isElsewhere(place)) return GONE
+    return this.hasRisen(place.endpoint, end.report.orderCount, knownCount) ? end : GONE
   }
 
   /** An order to the endpoint was answered by somebody else. */
@@ -50,6 +43,17 @@
     }
   }
 
+  /** Whether an answer's count can be of the same life; a next life under the same id is believed from the next question on. */
+  private hasRisen (endpoint: EndpointId, count: number | null, knownCount: number): boolean {
+    if (count === null) return true
+    if (count < knownCount) {
+      this.orderCounts.delete(endpoint)
+      return false
+    }
+    this.orderCounts.set(endpoint, Math.max(count, this.orderCounts.get(endpoint) ?? 0))
+    return true
+  }
+
   private isElsewhere (place: EndpointPlace): boolean {
     return this.parts.hasEnded(place) || this.elsewhere.get(place.endpoint) === place.address
   }
