--- a/packages/dotterelspur-gateway/src/__tests__/unit/FormationRunner.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/FormationRunner.test.ts
@@ -44,6 +44,10 @@
     for (const id of PLAN.members) this.list(id)
   }
 
+  async run (trail = new FormationTrail()): Promise<FormationEnd> {
+    return await this.runner.run(PLAN, trail)
+  }
+
   async takeLease (): Promise<void> {
     for (let step = 0; step < 8; step++) await this.step(100)
   }
@@ -80,7 +84,7 @@
   it('forms a group and waits until the list shows it', async () => {
     const world = new RunnerWorld()
     await world.takeLease()
-    expect(await world.runner.run(PLAN)).to.equal(FormationEnd.Opened)
+    expect(await world.run()).to.equal(FormationEnd.Opened)
     await world.runner.untilListedOpen(PLAN)
     expect(world.orders).to.deep.equal(['join w1', 'join w2', 'open w1'])
   })
@@ -89,7 +93,7 @@
     const world = new RunnerWorld()
     await world.takeLease()
     const trail = new FormationTrail()
-    await world.runner.run(PLAN, trail)
+    await world.run(trail)
     expect(trail.steps).to.deep.equal([
       'report w1: in no group', 'report w2: in no group', 'join w1 g9: begun', 'join w2 g9: begun', 'open w1 g9: begun'
     ])
@@ -101,9 +105,9 @@
     const world = new RunnerWorld()
     await world.takeLease()
     world.ended.add('w2')
-    expect(await world.runner.run(PLAN)).to.equal(FormationEnd.NotJoined)
+    expect(await world.run()).to.equal(FormationEnd.NotJoined)
     expect(world.reachability.isUnreachable('w2')).to.equal(true)
-    expect(await world.runner.run(PLAN)).to.equal(FormationEnd.NotAsListed)
+    expect(await world.run()).to.equal(FormationEnd.NotAsListed)
     expect(world.orders).to.deep.equal(['join w1', 'join w2'])
   })
 
@@ -126,7 +130,7 @@
     world.store.cut()
     for (let passedMs = 0; passedMs < FLEET_LEASE_TIMING.ttlMs; passedMs += 100) await world.step(100)
     expect(await world.runner.sendOrders([{ endpoint: 'w1', order: OPEN, expectedOrders: null }])).to.deep.equal([OrderReply.Unreachable])
-    expect(await world.runner.run(PLAN)).to.equal(FormationEnd.NotJoined)
+    expect(await world.run()).to.equal(FormationEnd.NotJoined)
     expect(world.orders).to.deep.equal([])
   })
 })
--- a/packages/dotterelspur-gateway/src/process/FormationRunner.ts
+++ b/packages/dotterelspur-gateway/src/process/FormationRunner.ts
@@ -6,7 +6,7 @@
 import type { EndpointKeeper } from './EndpointKeeper.js'
 import type { EndpointQuestions } from './EndpointQuestions.js'
 import type { FleetLease } from './FleetLease.js'
-import { FormationTrail } from './FormationTrail.js'
+import type { FormationTrail } from './FormationTrail.js'
 import { ReportEndKind, type EndpointControl, type EndpointPlace } from './GatewayPorts.js'
 import type { Reachability } from './Reachability.js'
 
@@ -40,8 +40,12 @@
 
   constructor (private readonly parts: FormationRunnerParts) {}
 
-  /** Members of a plan that did not come to its end are asked whether they live, and so are the heads that it waited for. */
-  async run (plan: FormationPlan, trail = new FormationTrail()): Promise<FormationEnd> {
+  /**
+   * Carries out a plan. If it doesn't come to its end, its members and the heads that it waited for are asked whether they live.
+   *
+   * @param trail takes what was asked and answered on the way.
+   */
+  async run (plan: FormationPlan, trail: FormationTrail): Promise<FormationEnd> {
     const end = await runProcedure(formGroup(plan), this.handlers(trail))
     const heads = plan.former.flatMap(({ head }) => head ?? [])
     if (end !== FormationEnd.Opened) new Set([...plan.members, ...heads]).forEach((endpoint) => { this.suspectMember(endpoint) })
@@ -54,10 +58,10 @@
   }
 
   /** Sends orders side by side, each only while this node holds the lease: it may have lapsed since the plan began. */
-  async sendOrders (orders: readonly AddressedOrder[], trail = new FormationTrail()): Promise<OrderReply[]> {
+  async sendOrders (orders: readonly AddressedOrder[], trail?: FormationTrail): Promise<OrderReply[]> {
     return await Promise.all(orders.map(async (addressed) => await this.inTurn(async () => {
       const reply = await this.sendOrder(addressed)
-      trail.noteOrder(addressed, reply)
+      trail?.noteOrder(addressed, reply)
       return reply
     })))
   }
@@ -112,9 +116,9 @@
   }
 
   /** A member's own word, which is kept; null without an answer. */
-  private async askMember (member: EndpointId, trail = new FormationTrail()): Promise<MemberWord | null> {
+  private async askMember (member: EndpointId, trail?: FormationTrail): Promise<MemberWord | null> {
     const end = await this.inTurn(async () => await this.parts.questions.report(this.placeOf(member), REPORT_TIMEOUT_MS))
-    trail.noteReport(member, end)
+    trail?.noteReport(member, end)
     if (end.kind !== ReportEndKind.Answered) {
       this.suspectMember(member)
       return null
