--- a/packages/dotterelspur-bench/src/__tests__/unit/days.test.ts
+++ b/packages/dotterelspur-bench/src/__tests__/unit/days.test.ts
@@ -76,6 +76,18 @@
       await playDays([...playsOf(plan)], { ...options, program: join(folder, 'nothing-here') }).then(() => { throw new Error('played without a bench') }, (error: Error) => { expect(error.message).to.include('ENOENT') })
     })
 
+    it('ends only when no play is under way, also when one fails', async () => {
+      // After a test that had failed plays, its folder was removed and the run ended with an uncaught error: "ENOENT, open
+      // …/reports/new/lab.trouble-1.2.log". One of two plays side by side could not be started; the other one went on after
+      // the whole had failed, and opened its log in a folder that was gone.
+      const plan: DayPlan = { ...createPlan(folder), versions: [{ label: 'old', folder: join(folder, 'nothing-here') }, { label: 'new', folder }], days: ['quiet-1'], seeds: [1] }
+      const options = createOptions()
+      writeFileSync(options.program, `#!/usr/bin/env bash\nsleep 0.2\necho '${createReport(0.5)}' > "$9"\n`)
+      const error = await playDays([...playsOf(plan)], options).then(() => null, (reason: Error) => reason)
+      expect(error?.message).to.include('ENOENT')
+      expect(readdirSync(join(options.folder, 'new')).sort()).to.deep.equal(['lab.quiet-1.1.json', 'lab.quiet-1.1.log'])
+    })
+
     it('is violated by a day on which a rule was broken', () => {
       const [play] = [...playsOf(createPlan(folder))]
       const findings = compareDays(createPlan(folder), [{ play: play!, result: readDayResult(createReport(0.5, { breaks: { TWICE: 1 } })) }])
--- a/packages/dotterelspur-bench/src/process/days/playDays.ts
+++ b/packages/dotterelspur-bench/src/process/days/playDays.ts
@@ -36,6 +36,8 @@
       played.push({ play, result })
     }
   })
+  // A play that is under way writes into the folder: whoever gets the error may remove that.
+  await Promise.allSettled(workers)
   await Promise.all(workers)
   return played
 }
@@ -53,10 +55,15 @@
   const limit = dayCapS === null ? [] : ['--day-cap', String(dayCapS)]
   const words = ['run', resolve(site), existsSync(day) ? resolve(day) : day, '--seed', String(seed), '--jobs', '1', '--report', partPath, '--why', why, ...limit]
   const output = createWriteStream(reportPath.replace(/json$/, 'log'))
+  await once(output, 'open')
   const child = spawn(resolve(program), words, { cwd: version.folder, stdio: ['ignore', 'pipe', 'pipe'] })
   child.stdout.pipe(output, { end: false })
   child.stderr.pipe(output, { end: false })
-  await once(child, 'close')
-  output.end()
+  try {
+    await once(child, 'close')
+  } finally {
+    output.end()
+    await once(output, 'close')
+  }
   if (existsSync(partPath)) renameSync(partPath, reportPath)
 }
