--- a/packages/dotterelspur/src/version/formation/__tests__/unit/formGroup.test.ts
+++ b/packages/dotterelspur/src/version/formation/__tests__/unit/formGroup.test.ts
@@ -106,10 +106,10 @@
   })
 
   it('takes no member that a late order has brought back to a group whose head is silent', () => {
-    // The head of an open group was cut off from the deciding node and answered nothing for 0.35 s. Its member was told to
-    // leave, and did; then an earlier order to join that same group, sent twice because the first one got no answer, was
-    // carried out late and brought it back, and it took its next join while its head was open: "former":["g1000029:gone"],
-    // and 2.9 s later "endpoint-reachable" of that head.
+    // The head of an open group was cut off from the deciding node, answered nothing for 0.35 s and was taken for gone:
+    // "former":["g1000029:gone"], and 2.9 s later "endpoint-reachable" of that head. Its members joined another group while it
+    // was open. They had been told to leave; but an earlier order to join that same group, sent twice because the first one
+    // got no answer, can be carried out after the leave and bring its member back before its next join.
     const workers = new WorkerModel(['h', 'w2', 'w3'])
     formOpenGroup(workers, 'g3', 3, ['h', 'w2'])
     const plan: FormationPlan = {
