--- a/packages/dotterelspur-gateway/src/__tests__/unit/EndpointKeeper.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/EndpointKeeper.test.ts
@@ -82,7 +82,7 @@
   })
 
   it('lets the entry of an endpoint that has ended displace nobody when it is written again', () => {
-    // A trial in which the entry that was written later went first opened half as many groups. VMs restarted behind a cut;
+    // Where the entry that was written later goes first, half as many groups open. VMs restarted behind a cut;
     // when it healed, a heartbeat of each dead one was carried out after its successor had registered, and the living one was dropped:
     // "endpoint-unlisted" i-8744de55e8 "addressPassedOn":true, "endpoint-listed" i-8c0d295e5c, which had been unlisted before.
     const { store, keeper } = createKeeper()
