--- a/packages/dotterelspur-gateway/src/process/EndpointKeeper.ts
+++ b/packages/dotterelspur-gateway/src/process/EndpointKeeper.ts
@@ -90,9 +90,8 @@
   concernsCallers ({ key, body, deleted }: StoredObject<EndpointRecord | null>): boolean {
     const entry = this.entries.get(nameOf(key))
     // The entry as well as what is known: a head whose address has passed on is off this list, and still on those of others.
-    const former = entry === undefined ? [] : [entry, this.snapshot.get(entry.endpoint) ?? entry]
-    if (former.some(takesRequests)) return true
-    return !deleted && body !== null && takesRequests(body)
+    const known = entry === undefined ? undefined : this.snapshot.get(entry.endpoint)
+    return [entry, known, deleted ? null : body].some((record) => record != null && takesRequests(record))
   }
 
   follow (store: ObjectStore): Teardown {
--- a/packages/dotterelspur/src/version/formation/FormationView.ts
+++ b/packages/dotterelspur/src/version/formation/FormationView.ts
@@ -29,8 +29,8 @@
   Broken = 'broken'
 }
 
-/** Arranges endpoints by the formation that they say they belong to. */
-export function readFormations (endpoints: Iterable<EndpointRecord>): FormationView[] {
+/** Arranges endpoints by the formation that they say they belong to; of two that claim one rank, those that can be counted on. */
+export function readFormations (endpoints: Iterable<EndpointRecord>, isSound: MemberCheck): FormationView[] {
   const membersByFormation = new Map<string, EndpointRecord[]>()
   for (const endpoint of endpoints) {
     if (endpoint.membership === null) continue
@@ -39,7 +39,7 @@
     if (members === undefined) membersByFormation.set(key, [endpoint])
     else members.push(endpoint)
   }
-  return [...membersByFormation.values()].map(viewFormation)
+  return [...membersByFormation.values()].map((members) => viewFormation(settleClaims(members, isSound)))
 }
 
 /** Names a formation: a group's name alone may be used again under a higher number. */
@@ -51,10 +51,9 @@
  * Leaves out members that can't be counted on whose rank another one claims: the list shows a member that has died for three
  * heartbeats, also where a later word of its place has become its successor's.
  */
-export function settleClaims (view: FormationView, isSound: MemberCheck): FormationView {
-  const claimed = new Set(view.members.filter(isSound).map(({ membership }) => membership!.rank))
-  const members = view.members.filter((member) => isSound(member) || !claimed.has(member.membership!.rank))
-  return members.length === view.members.length ? view : viewFormation(members)
+function settleClaims (members: readonly EndpointRecord[], isSound: MemberCheck): EndpointRecord[] {
+  const claimed = new Set(members.filter(isSound).map(({ membership }) => membership!.rank))
+  return members.filter((member) => isSound(member) || !claimed.has(member.membership!.rank))
 }
 
 function viewFormation (unordered: readonly EndpointRecord[]): FormationView {
--- a/packages/dotterelspur/src/version/formation/PendingFormation.ts
+++ b/packages/dotterelspur/src/version/formation/PendingFormation.ts
@@ -2,7 +2,7 @@
 import type { ModelSpec } from '../manifest/Manifest.js'
 import type { EndpointRecord } from './Endpoint.js'
 import type { FormationDecision, FormationInput } from './FormationDecision.js'
-import { FormationCondition, judgeFormation, readFormations, settleClaims, type FormationView } from './FormationView.js'
+import { FormationCondition, judgeFormation, readFormations, type FormationView } from './FormationView.js'
 
 /** A group that serves, all of whose members are sound. */
 export interface ServingGroup {
@@ -31,7 +31,7 @@
 export function surveyFleet (input: FormationInput): PendingFormation {
   const pending: PendingFormation = {
     input,
-    groups: readFormations(input.endpoints).map((view) => settleClaims(view, (endpoint) => isSound(input, endpoint))),
+    groups: readFormations(input.endpoints, (endpoint) => isSound(input, endpoint)),
     free: new Map(),
     serving: new Map(),
     counts: new Map(),
