Sight: a lost exchange says what was sent, whether its endpoint has ended, and what else was there

When endpoints ended one after the other the logs could not tell whether the requests that were under way were the same one, whether the endpoint or only its connection had ended, and how far the answer was. Each lost exchange now has a line with the request's fingerprint (content, not id; neither body nor key can be read from it). Nothing is decided by it.

--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -11,6 +11,7 @@
 import type { ListenAddress } from '../process/GatewaySettings.js'
 import type { WireFormat } from '../process/GatewayPorts.js'
 import type { ManifestKeeper } from '../process/ManifestKeeper.js'
+import type { PoisonKeeper } from '../process/PoisonKeeper.js'
 import { CallerAnswer, OwnAnswerKind } from '../request/CallerAnswer.js'
 import { GatewayRequest, type AdmittedRequest, type RequestReport } from '../request/GatewayRequest.js'
 import { BodyErrorKind, readBody } from '../request/readBody.js'
@@ -31,6 +32,7 @@
   readonly manifest: ManifestKeeper
   readonly firstKnowledge: FirstKnowledge
   readonly dispatch: Dispatch
+  readonly poison: PoisonKeeper
 }
 
 /** A port that was opened before the program had loaded. */
--- a/packages/dotterelspur-gateway/src/process/DecisionLog.ts
+++ b/packages/dotterelspur-gateway/src/process/DecisionLog.ts
@@ -21,7 +21,8 @@
   ManifestInForce = 'manifest-in-force',
   ManifestRejected = 'manifest-rejected',
   RequestEnded = 'request-ended',
-  ExchangeEnded = 'exchange-ended',
+  /** An exchange broke off: what was sent, where, and whether the endpoint has ended. */
+  ExchangeLost = 'exchange-lost',
   LeaseTaken = 'lease-taken',
   LeaseLost = 'lease-lost',
   FormationBegun = 'formation-begun',
--- a/packages/dotterelspur-gateway/src/process/Dispatch.ts
+++ b/packages/dotterelspur-gateway/src/process/Dispatch.ts
@@ -160,6 +160,11 @@
     return this.watch.begin(target, route, mayMove, onSilent)
   }
 
+  /** This node's requests under way at an endpoint. */
+  ownInFlight ({ endpoint }: DispatchTarget): number {
+    return this.knowledge.load.ownInFlight(endpoint)
+  }
+
   exchangeEnded (target: DispatchTarget): void {
     this.knowledge.load.end(poolOf(target), target.endpoint, this.parts.clock.nowMs())
   }
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -18,6 +18,7 @@
 import { addressOf, type GatewayLimits, type GatewaySettings, type ListenAddress } from './GatewaySettings.js'
 import { ManifestKeeper } from './ManifestKeeper.js'
 import { NodeKeeper, nodeRecord, type NodeRecord } from './NodeKeeper.js'
+import { PoisonKeeper } from './PoisonKeeper.js'
 import type { VersionedStore } from './VersionedStore.js'
 
 /** How often the lease, the log and pauses are looked at. */
@@ -129,7 +130,7 @@
       senders: () => this.nodes.nodes(),
       onSuspect: (head, suspicion) => { this.suspect(head, suspicion) }
     })
-    this.callers = new CallerListener({ clock, random, log, metrics: this.metrics, wire: parts.wire, manifest: this.manifest, firstKnowledge: this.firstKnowledge, dispatch: this.dispatch })
+    this.callers = new CallerListener({ clock, random, log, metrics: this.metrics, wire: parts.wire, manifest: this.manifest, firstKnowledge: this.firstKnowledge, dispatch: this.dispatch, poison: new PoisonKeeper(clock, log, this.endpoints) })
     this.peers = new PeerLinks(clock, random, log, {
       suspected: (head, suspicion, node, senders) => { this.takeSuspicion(head, suspicion, node, senders) },
       doubted: (heads) => { this.dispatch.noteStoppedGroups(heads, StopCertainty.Doubted) },
--- a/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
+++ b/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
@@ -2,12 +2,13 @@
 import type { Dispatcher } from 'undici'
 import {
   DispatchEffectKind, DispatchEndKind, EventCursor, EXCHANGE_RULES, ExchangeEnd, RequestKind, runDispatch, runProcedure,
-  type Clock, type DispatchEnd, type DispatchTarget, type ExchangeEffect, type ExchangeReport, type PlaceEffect, type PlacementRefusal, type Route, type ServiceId, type Teardown, type WorkspaceId
+  type Clock, type DispatchEnd, type DispatchTarget, type ExchangeEffect, type ExchangeReport, type PlaceEffect, type PlacementRefusal, type RequestContent, type Route, type ServiceId, type Teardown, type WorkspaceId
 } from 'dotterelspur'
 import { forwardedHeaders } from '../connection/headers.js'
 import type { Dispatch } from '../process/Dispatch.js'
 import type { ExchangeWatchHandle } from '../process/ExchangeWatch.js'
 import type { CallerHead, WireFormat } from '../process/GatewayPorts.js'
+import type { PoisonKeeper } from '../process/PoisonKeeper.js'
 import { OwnAnswerKind, type CallerAnswer } from './CallerAnswer.js'
 import { EndpointCall, type AnswerStart, type HeldAnswer } from './EndpointCall.js'
 
@@ -21,6 +22,7 @@
   readonly clock: Clock
   readonly wire: WireFormat
   readonly dispatch: Dispatch
+  readonly poison: PoisonKeeper
 }
 
 /** What was decided about a request before it is sent anywhere. */
@@ -52,6 +54,8 @@
   private readonly cursor: EventCursor
   private lastFailure: HeldAnswer | null = null
   private firstByteAtMs: number | null = null
+  /** Pieces of the answer that came from the present endpoint, of one or more whole events each. */
+  private events = 0
   private over: ExchangeEnd | null = null
   private readonly targets: string[] = []
   private readonly deadlineAtMs: number
@@ -109,14 +113,24 @@
     if (this.over !== null || this.leftMs() < LEAST_USEFUL_MS) return { end: this.over ?? ExchangeEnd.TimedOut, callerHasPart: this.answer.hasPart }
     this.targets.push(target.endpoint)
     this.cursor.dropRest()
-    const { dispatch } = this.parts
+    this.events = 0
+    const { dispatch, clock } = this.parts
+    const sentAtMs = clock.nowMs()
     const end = await new Promise<ExchangeEnd>((resolve) => { this.send(target, mayMove, resolve) })
     this.call = null
     dispatch.exchangeEnded(target)
+    if (end === ExchangeEnd.BrokenOff) this.noteLoss(target, clock.nowMs() - sentAtMs)
     if (EXCHANGE_RULES[end].blamesEndpoint) dispatch.blame(target, end)
     return { end, callerHasPart: this.answer.hasPart }
   }
 
+  private noteLoss (target: DispatchTarget, tookMs: number): void {
+    const { request, requestId, body, service, workspace, head } = this.admitted
+    const content: RequestContent = { service, method: request.method!, target: request.url!, caller: workspace, model: head.model, body }
+    const { poison, dispatch } = this.parts
+    poison.noteLoss({ requestId, content, target, events: this.events, tookMs, besides: dispatch.ownInFlight(target) }).catch(() => { /* It reports what it meets. */ })
+  }
+
   private send (target: DispatchTarget, mayMove: boolean, resolve: (end: ExchangeEnd) => void): void {
     const { wire, dispatch } = this.parts
     const streams = this.admitted.route.kind === RequestKind.Streaming
@@ -157,6 +171,7 @@
   private takeData (chunk: Buffer): boolean {
     const whole = this.cursor.take(chunk)
     if (whole === null) return true
+    this.events += 1
     this.beginStream()
     this.paused = !this.answer.write(whole)
     if (this.paused) this.watch?.noteHeld(true)
--- /dev/null
+++ b/packages/dotterelspur-poison/src/index.ts
@@ -0,0 +1,2 @@
+export * from './connection/refusesConnections.js'
+export * from './request/fingerprint.js'
--- /dev/null
+++ b/packages/dotterelspur/src/request/poison/index.ts
@@ -0,0 +1,1 @@
+export * from './RequestContent.js'
