Requests that end endpoints are known for what they are, by all nodes, and sent nowhere any more

What callers saw: one request, sent again and again, ended one group after the other; the usual callers of the model were refused, late or cut off for as long as it came. Cause: a lost exchange was held against its endpoint alone. Nothing remembered a request beyond its one dispatch, so each of its arrivals, at any node, was a first one, was sent to the best endpoint there was, and then to a second. Change: what ended under a request is evidence against it, as a state that nodes join in any order (PoisonLedger, in the core). An end counts if the endpoint refuses connections, is listed and doesn't leave; a whole answer clears the request; ends at which a worse request was explain themselves (judgePoison). After two ends it isn't sent on within its attempt and runs at one node, one at a time; after three it is refused at once, with 503, which is true, and no time to come back. What is in quarantine is written to the store once, so that it holds when all nodes are killed. Ruled out: counting ends alone (a request that is under way everywhere is at every end); the repeat inside the attempt as the whole cause (one arrival, one end, in the record); a list in one node.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/FirstKnowledge.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/FirstKnowledge.test.ts
@@ -3,22 +3,25 @@
 import { EndpointKeeper } from '../../process/EndpointKeeper.js'
 import { FirstKnowledge } from '../../process/FirstKnowledge.js'
 import { ManifestKeeper } from '../../process/ManifestKeeper.js'
+import { QuarantineKeeper } from '../../process/QuarantineKeeper.js'
 import { createLog, createManifest } from '../fixtures/parts.js'
 import { MemoryStore } from '../fixtures/MemoryStore.js'
 
 describe('FirstKnowledge', () => {
-  function createParts (): { clock: ManualClock, store: MemoryStore, manifest: ManifestKeeper, endpoints: EndpointKeeper, knowledge: FirstKnowledge } {
+  function createParts (): { clock: ManualClock, store: MemoryStore, manifest: ManifestKeeper, endpoints: EndpointKeeper, quarantine: QuarantineKeeper, knowledge: FirstKnowledge } {
     const clock = new ManualClock()
     const manifest = new ManifestKeeper(createLog(clock))
     const endpoints = new EndpointKeeper(clock, createLog(clock))
-    return { clock, store: new MemoryStore(), manifest, endpoints, knowledge: new FirstKnowledge(clock, manifest, endpoints) }
+    const store = new MemoryStore()
+    const quarantine = new QuarantineKeeper(store, 'n1', 10, clock, createLog(clock))
+    return { clock, store, manifest, endpoints, quarantine, knowledge: new FirstKnowledge(clock, manifest, endpoints, quarantine) }
   }
 
-  it('lets a request wait until manifest and endpoints have been read', async () => {
+  it('lets a request wait until manifest, endpoints and quarantine have been read', async () => {
     // Symptom: after all nodes were killed, callers that come back are refused though every group serves. Sequence: a
     // node listens; a request comes before the node has read the manifest. Cause: it was refused at once, which took the
     // caller's last attempt.
-    const { store, manifest, endpoints, knowledge } = createParts()
+    const { store, manifest, endpoints, quarantine, knowledge } = createParts()
     store.put('manifest/main', createManifest(3))
     let over = false
     const waited = knowledge.wait().then(() => { over = true })
@@ -26,6 +29,9 @@
     await Promise.resolve()
     expect(over).to.equal(false)
     endpoints.follow(store)
+    await Promise.resolve()
+    expect(over).to.equal(false)
+    quarantine.follow()
     await waited
     expect(knowledge.isComplete).to.equal(true)
     await knowledge.wait()
--- a/packages/dotterelspur-gateway/src/__tests__/unit/PeerLinks.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/PeerLinks.test.ts
@@ -26,7 +26,9 @@
     leaseSeen: () => {},
     ownWord: () => null,
     deciderWord: () => {},
-    feedNews: () => {}
+    feedNews: () => {},
+    poisonSeen: () => {},
+    poisonKnown: () => []
   }
 }
 
--- a/packages/dotterelspur-gateway/src/__tests__/unit/poisonRequests.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/poisonRequests.test.ts
@@ -18,7 +18,10 @@
 describe('Requests that end each endpoint that runs them', () => {
   // Symptom: 36 endpoints of one service had ended within seconds, and the same request was sent to the next ones. Sequence: a
   // caller sends it again and again, to any node; each node sends it to an endpoint, which ends, and then to a second one,
-  // which ends as well.
+  // which ends as well. Cause: what was lost was held against the endpoint alone. Nothing remembered a request beyond its
+  // one dispatch, neither in a node nor among them, so each arrival was a first one. The lines that settled it (shortened):
+  //   request-ended request=64bb… end=unknown lastExchange=broken-off targets=[i-f512…,i-8ffe…]   both had ended
+  //   of 265 requests that lost their endpoint 197 had gone on to a second one, and all of these had ended
   let store: MemoryStore
   let worlds: GatewayWorld[]
   let endpoints: StubEndpoint[]
--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -2,10 +2,11 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import fastify, { type FastifyInstance } from 'fastify'
 import {
-  AccessKind, DispatchEndKind, pick, type Access, type CallerLimits, type Clock, type PlacementRefusal, type Random, type Route, type RouteTable, type ServiceId
+  AccessKind, DispatchEndKind, pick, type Access, type CallerLimits, type Clock, type PlacementRefusal, type Random, type RequestContent, type Route, type RouteTable, type ServiceId
 } from 'dotterelspur'
+import { AdmissionKind, type PoisonAdmission } from 'dotterelspur-poison'
 import type { Dispatch } from '../process/Dispatch.js'
-import { LogKind, type DecisionLog } from '../process/DecisionLog.js'
+import { LogKind, type DecisionLog, type LogFields } from '../process/DecisionLog.js'
 import type { FirstKnowledge } from '../process/FirstKnowledge.js'
 import type { GatewayMetrics } from '../process/GatewayMetrics.js'
 import type { ListenAddress } from '../process/GatewaySettings.js'
@@ -18,6 +19,8 @@
 
 /** Until the manifest is known where it was waited for in vain. */
 const NO_MANIFEST_RETRY_MS = 500
+/** When a suspect may come back that runs elsewhere: by then one end more, or an answer, has shown what it is. */
+const SUSPECT_RETRY_MS = 1_500
 /** Kept beyond the operators' idle limit, so that a caller that keeps to it never meets a closing channel. */
 const IDLE_SLACK_MS = 2_000
 /** Before the first manifest there is nothing to keep to but this. */
@@ -126,9 +129,18 @@
     if (access.kind !== AccessKind.Allowed) return this.deny(request, answer, access, newest)
     const service = this.pickService(access.route)
     const { route, workspace, priority } = access
+    const content: RequestContent = { service, method: request.method!, target: request.url!, caller: workspace, model: head.model, body: body.value }
+    const admission = this.parts.poison.guard.admit(content)
+    if (admission.kind !== AdmissionKind.Admitted) return this.holdBack(request, answer, admission)
     const spentBeforeMs = this.parts.dispatch.noteRequest(service, route, head)
     const requestId = head.requestId ?? randomUUID()
-    await this.dispatch(response, answer, { request, head, requestId, body: body.value, route, service, workspace, priority, arrivedAtMs, spentBeforeMs })
+    await this.dispatch(response, answer, { request, content, head, requestId, route, service, workspace, priority, arrivedAtMs, spentBeforeMs }).finally(admission.release)
+  }
+
+  /** A request that ends endpoints gets no time to come back: it would be refused again. */
+  private holdBack (request: IncomingMessage, answer: CallerAnswer, { kind, fingerprint }: PoisonAdmission): void {
+    if (kind === AdmissionKind.Quarantined) this.refuse(request, answer, OwnAnswerKind.Quarantined, null, { fingerprint })
+    else this.refuse(request, answer, OwnAnswerKind.NotRun, SUSPECT_RETRY_MS, { fingerprint })
   }
 
   private async dispatch (response: ServerResponse, answer: CallerAnswer, admitted: AdmittedRequest): Promise<void> {
@@ -148,13 +160,13 @@
 
   private deny (request: IncomingMessage, answer: CallerAnswer, access: Access, table: RouteTable): void {
     const kind = access.kind === AccessKind.NoRoute ? OwnAnswerKind.NoRoute : OwnAnswerKind.Unauthorized
-    this.refuse(request, answer, kind, null, table.version)
+    this.refuse(request, answer, kind, null, { manifestVersion: table.version })
   }
 
-  private refuse (request: IncomingMessage, answer: CallerAnswer, kind: OwnAnswerKind, retryAfterMs: number | null, manifestVersion?: number): void {
+  private refuse (request: IncomingMessage, answer: CallerAnswer, kind: OwnAnswerKind, retryAfterMs: number | null, fields: LogFields = {}): void {
     answer.refuse(kind, retryAfterMs)
     this.parts.metrics.countOwnAnswer(kind)
-    this.parts.log.write(LogKind.RequestEnded, { request: this.parts.wire.readCaller(request.headers).requestId, answeredWith: kind, path: request.url, manifestVersion: manifestVersion ?? null })
+    this.parts.log.write(LogKind.RequestEnded, { request: this.parts.wire.readCaller(request.headers).requestId, answeredWith: kind, path: request.url, ...fields })
   }
 
   private report (admitted: AdmittedRequest, report: RequestReport): void {
--- a/packages/dotterelspur-gateway/src/connection/PeerFrame.ts
+++ b/packages/dotterelspur-gateway/src/connection/PeerFrame.ts
@@ -1,4 +1,4 @@
-import type { EndpointId, LeaseObject, StoredObject } from 'dotterelspur'
+import type { EndpointId, LeaseObject, PoisonRecord, StoredObject } from 'dotterelspur'
 import type { DeciderWord } from '../process/DeciderWord.js'
 import type { FeedNews } from '../process/StoreFeed.js'
 import type { CodedFleetObservation, CodedObservation } from './ObservationCodec.js'
@@ -17,7 +17,9 @@
   /** What the deciding node knows that its successor will need. */
   DeciderWord = 'decider-word',
   /** What it read in the store. */
-  FeedNews = 'feed-news'
+  FeedNews = 'feed-news',
+  /** What the sender knows of requests that end endpoints. */
+  PoisonSeen = 'poison-seen'
 }
 
 /** How a node came to suspect a group. */
@@ -37,3 +39,4 @@
   | { readonly kind: PeerFrameKind.LeaseSeen, readonly lease: StoredObject<LeaseObject> }
   | { readonly kind: PeerFrameKind.DeciderWord, readonly word: DeciderWord }
   | { readonly kind: PeerFrameKind.FeedNews, readonly news: FeedNews }
+  | { readonly kind: PeerFrameKind.PoisonSeen, readonly records: readonly PoisonRecord[] }
--- a/packages/dotterelspur-gateway/src/connection/PeerLinks.ts
+++ b/packages/dotterelspur-gateway/src/connection/PeerLinks.ts
@@ -1,6 +1,6 @@
 import { Packr } from 'msgpackr'
 import { WebSocket, WebSocketServer } from 'ws'
-import type { Clock, EndpointId, LeaseObject, NodeId, Random, StoredObject, Teardown } from 'dotterelspur'
+import type { Clock, EndpointId, LeaseObject, NodeId, PoisonRecord, Random, StoredObject, Teardown } from 'dotterelspur'
 import type { DeciderWord } from '../process/DeciderWord.js'
 import { LogKind, type DecisionLog } from '../process/DecisionLog.js'
 import type { ListenAddress } from '../process/GatewaySettings.js'
@@ -54,6 +54,9 @@
   ownWord (): DeciderWord | null
   deciderWord (word: DeciderWord): void
   feedNews (news: FeedNews): void
+  poisonSeen (records: readonly PoisonRecord[]): void
+  /** What a node that has just been linked is told; all that is known where it adds up. */
+  poisonKnown (all: boolean): readonly PoisonRecord[]
 }
 
 interface Link {
@@ -89,7 +92,8 @@
     },
     [PeerFrameKind.LeaseSeen]: ({ lease }) => { this.listener.leaseSeen(lease) },
     [PeerFrameKind.DeciderWord]: ({ word }) => { this.listener.deciderWord(word) },
-    [PeerFrameKind.FeedNews]: ({ news }) => { this.listener.feedNews(news) }
+    [PeerFrameKind.FeedNews]: ({ news }) => { this.listener.feedNews(news) },
+    [PeerFrameKind.PoisonSeen]: ({ records }) => { this.listener.poisonSeen(records) }
   }
 
   constructor (private readonly clock: Clock, random: Random, private readonly log: DecisionLog, private readonly listener: PeerListener) {
@@ -104,6 +108,7 @@
       socket.on('close', () => { this.deciders.delete(socket) })
       socket.on('error', () => { socket.terminate() })
       socket.on('message', (data) => { this.takeFrame(data as Buffer, { socket, node: null }) })
+      this.tellPoisonTo([socket], this.listener.poisonKnown(true))
     })
     await new Promise<void>((resolve, reject) => {
       server.once('listening', resolve)
@@ -166,6 +171,12 @@
     this.tell(this.linkedSockets(), { kind: PeerFrameKind.FeedNews, news })
   }
 
+  /** `all` goes to nodes that add up, `shared` to those for which this one does. */
+  tellPoison (all: readonly PoisonRecord[], shared: readonly PoisonRecord[]): void {
+    this.tellPoisonTo(this.deciders, all)
+    this.tellPoisonTo(this.linkedSockets(), shared)
+  }
+
   close (): void {
     this.cancelTimer()
     this.exchange.close()
@@ -228,6 +239,7 @@
     socket.on('open', () => {
       noteAlive()
       endHandshake()
+      this.tellPoisonTo([socket], this.listener.poisonKnown(false))
     })
     socket.on('pong', noteAlive)
     socket.on('message', (data) => {
@@ -266,6 +278,10 @@
     }
   }
 
+  private tellPoisonTo (sockets: Iterable<WebSocket>, records: readonly PoisonRecord[]): void {
+    if (records.length > 0) this.tell(sockets, { kind: PeerFrameKind.PoisonSeen, records })
+  }
+
   private dropAll (): void {
     this.undialled = []
     for (const { socket } of this.links.values()) socket.terminate()
--- a/packages/dotterelspur-gateway/src/process/DecisionLog.ts
+++ b/packages/dotterelspur-gateway/src/process/DecisionLog.ts
@@ -23,6 +23,8 @@
   RequestEnded = 'request-ended',
   /** An exchange broke off: what was sent, where, and whether the endpoint has ended. */
   ExchangeLost = 'exchange-lost',
+  /** What is believed of a request that lost endpoints has changed. */
+  RequestJudged = 'request-judged',
   LeaseTaken = 'lease-taken',
   LeaseLost = 'lease-lost',
   FormationBegun = 'formation-begun',
--- a/packages/dotterelspur-gateway/src/process/FirstKnowledge.ts
+++ b/packages/dotterelspur-gateway/src/process/FirstKnowledge.ts
@@ -1,6 +1,7 @@
 import type { Clock, Teardown } from 'dotterelspur'
 import type { EndpointKeeper } from './EndpointKeeper.js'
 import type { ManifestKeeper } from './ManifestKeeper.js'
+import type { QuarantineKeeper } from './QuarantineKeeper.js'
 
 /** From a process's start: what it must know is there within a tenth of a second, or the store is out and nobody should wait. */
 const WAIT_LIMIT_MS = 600
@@ -14,10 +15,11 @@
   private readonly waiting = new Set<() => void>()
   private readonly startedAtMs: number
 
-  constructor (private readonly clock: Clock, private readonly manifest: ManifestKeeper, private readonly endpoints: EndpointKeeper) {
+  constructor (private readonly clock: Clock, private readonly manifest: ManifestKeeper, private readonly endpoints: EndpointKeeper, private readonly quarantine: Pick<QuarantineKeeper, 'isKnown' | 'registerKnown'>) {
     this.startedAtMs = clock.nowMs()
     manifest.registerListener(() => { this.look() })
     endpoints.registerListener(() => { this.look() })
+    quarantine.registerKnown(() => { this.look() })
   }
 
   get isComplete (): boolean {
@@ -27,7 +29,7 @@
   /** Resolves once all is known, or the process has run for so long that it should be. */
   async wait (): Promise<void> {
     const leftMs = this.startedAtMs + WAIT_LIMIT_MS - this.clock.nowMs()
-    if (this.isComplete || leftMs <= 0) return
+    if (this.isAllRead || leftMs <= 0) return
     await new Promise<void>((resolve) => {
       let cancelTimer: Teardown = () => {}
       const end = (): void => {
@@ -40,8 +42,13 @@
     })
   }
 
+  /** Also what must not be sent: after all nodes were killed a request in quarantine comes as soon as one listens. */
+  private get isAllRead (): boolean {
+    return this.isComplete && this.quarantine.isKnown
+  }
+
   private look (): void {
-    if (!this.isComplete) return
+    if (!this.isAllRead) return
     for (const end of [...this.waiting]) end()
   }
 }
--- a/packages/dotterelspur-gateway/src/process/FollowRules.ts
+++ b/packages/dotterelspur-gateway/src/process/FollowRules.ts
@@ -1,6 +1,7 @@
 import { ENDPOINT_PREFIX } from './EndpointKeeper.js'
 import { MANIFEST_PREFIX } from './ManifestKeeper.js'
 import { NODE_PREFIX } from './NodeKeeper.js'
+import { QUARANTINE_PREFIX } from './QuarantineKeeper.js'
 
 /** How a prefix of the store is followed. */
 export interface FollowRule {
@@ -28,7 +29,8 @@
 export const FOLLOW_RULES: Readonly<Record<string, FollowRule>> = {
   [MANIFEST_PREFIX]: { waitMs: 3_000, deciderWaitMs: 1_000, restMs: 50, isPassedOn: false, isFiltered: false },
   [ENDPOINT_PREFIX]: { waitMs: 3_000, deciderWaitMs: 1_000, restMs: 250, isPassedOn: true, isFiltered: true },
-  [NODE_PREFIX]: { waitMs: 3_000, deciderWaitMs: 3_000, restMs: 500, isPassedOn: true, isFiltered: false }
+  [NODE_PREFIX]: { waitMs: 3_000, deciderWaitMs: 3_000, restMs: 500, isPassedOn: true, isFiltered: false },
+  [QUARANTINE_PREFIX]: { waitMs: 3_000, deciderWaitMs: 3_000, restMs: 500, isPassedOn: true, isFiltered: false }
 }
 
 /**
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -15,10 +15,13 @@
 import { FormationKeeper } from './FormationKeeper.js'
 import { GatewayMetrics } from './GatewayMetrics.js'
 import type { EndpointControl, WireFormat } from './GatewayPorts.js'
+import type { GatewayQuestions } from './GatewayQuestions.js'
 import { addressOf, type GatewayLimits, type GatewaySettings, type ListenAddress } from './GatewaySettings.js'
 import { ManifestKeeper } from './ManifestKeeper.js'
 import { NodeKeeper, nodeRecord, type NodeRecord } from './NodeKeeper.js'
 import { PoisonKeeper } from './PoisonKeeper.js'
+import { QuarantineKeeper } from './QuarantineKeeper.js'
+import { registerGauges } from './registerGauges.js'
 import type { VersionedStore } from './VersionedStore.js'
 
 /** How often the lease, the log and pauses are looked at. */
@@ -43,15 +46,6 @@
   readonly questions: GatewayQuestions
 }
 
-/** Paths of the small listeners. */
-export interface GatewayQuestions {
-  readonly readyPath: string
-  readonly directoryPath: string
-  readonly metricsPath: string
-  /** The directory's answer, of addresses and a time to live. */
-  readonly writeDirectory: (addresses: readonly string[], ttlMs: number) => unknown
-}
-
 /** One process of the system: takes requests, answers the directory, and decides while it holds the lease. */
 export class Gateway {
   readonly metrics = new GatewayMetrics()
@@ -63,6 +57,8 @@
   private readonly lease: FleetLease
   private readonly formations: FormationKeeper
   private readonly dispatch: Dispatch
+  private readonly quarantine: QuarantineKeeper
+  private readonly poison: PoisonKeeper
   private readonly callers: CallerListener
   private readonly peers: PeerLinks
   private readonly stopVotes = new StopVotes()
@@ -94,7 +90,8 @@
     const { store } = this
     this.manifest = new ManifestKeeper(log)
     this.endpoints = new EndpointKeeper(clock, log, (service) => this.manifest.serves(service))
-    this.firstKnowledge = new FirstKnowledge(clock, this.manifest, this.endpoints)
+    this.quarantine = new QuarantineKeeper(store, settings.node, settings.poison.mostRecords, clock, log)
+    this.firstKnowledge = new FirstKnowledge(clock, this.manifest, this.endpoints, this.quarantine)
     this.nodes = new NodeKeeper(store, nodeRecord(settings, incarnation), clock, log)
     this.lease = new FleetLease(store, { node: settings.node, incarnation }, clock, random, log, (holder) => { this.dropNode(holder) }, () => this.nodes.nodes().length)
     this.formations = new FormationKeeper({
@@ -130,7 +127,18 @@
       senders: () => this.nodes.nodes(),
       onSuspect: (head, suspicion) => { this.suspect(head, suspicion) }
     })
-    this.callers = new CallerListener({ clock, random, log, metrics: this.metrics, wire: parts.wire, manifest: this.manifest, firstKnowledge: this.firstKnowledge, dispatch: this.dispatch, poison: new PoisonKeeper(clock, log, this.endpoints) })
+    this.poison = new PoisonKeeper({
+      clock,
+      log,
+      limits: settings.poison,
+      node: settings.node,
+      nodes: () => this.nodes.nodes(),
+      endpoints: this.endpoints,
+      quarantine: this.quarantine,
+      decides: () => this.lease.mayOrder(),
+      tell: (all, shared) => { this.peers.tellPoison(all, shared) }
+    })
+    this.callers = new CallerListener({ clock, random, log, metrics: this.metrics, wire: parts.wire, manifest: this.manifest, firstKnowledge: this.firstKnowledge, dispatch: this.dispatch, poison: this.poison })
     this.peers = new PeerLinks(clock, random, log, {
       suspected: (head, suspicion, node, senders) => { this.takeSuspicion(head, suspicion, node, senders) },
       doubted: (heads) => { this.dispatch.noteStoppedGroups(heads, StopCertainty.Doubted) },
@@ -146,14 +154,17 @@
         this.formations.noteLoads(loads)
         this.dispatch.noteStoppedGroups(stoppedHeads, StopCertainty.Known)
       },
-      feedNews: (news) => { this.store.takeNews(news) }
+      feedNews: (news) => { this.store.takeNews(news) },
+      poisonSeen: (records) => { this.poison.noteTold(records) },
+      poisonKnown: (all) => this.poison.known(all)
     })
     this.endpoints.registerListener((endpoints) => {
       const listed = new Set(endpoints.keys())
       this.peers.noteEndpoints(listed)
       this.stopVotes.retain(listed)
     })
-    this.registerGauges()
+    const { callers, manifest, endpoints, nodes, lease, poison } = this
+    registerGauges(this.metrics, { callers, manifest, endpoints, nodes, lease, store, poison, log })
   }
 
   get metricsAddress (): ListenAddress {
@@ -171,8 +182,9 @@
       this.listen(settings.directory, (url) => url.pathname === questions.directoryPath ? this.directoryAnswer() : null),
       this.listen(settings.metrics, async (url) => url.pathname === questions.metricsPath ? { status: 200, contentType: 'text/plain', body: await this.metrics.page() } : null)
     ])
-    this.teardowns.push(this.manifest.follow(this.store), this.endpoints.follow(this.store), this.nodes.follow())
+    this.teardowns.push(this.manifest.follow(this.store), this.endpoints.follow(this.store), this.nodes.follow(), this.quarantine.follow())
     this.dispatch.start()
+    this.poison.start()
     this.formations.start()
     this.peers.keep(() => this.otherNodes(), () => this.lease.coordinates())
     this.peers.exchangeObservations(() => this.nodes.nodes().length, () => this.lease.coordinationFencing)
@@ -221,6 +233,7 @@
       server.closeAllConnections()
     }
     await this.callers.close()
+    this.poison.stop()
     this.dispatch.close()
     this.parts.log.flush()
   }
@@ -284,15 +297,4 @@
   private otherNodes (): NodeRecord[] {
     return this.nodes.nodes().filter(({ node }) => node !== this.settings.node)
   }
-
-  private registerGauges (): void {
-    this.metrics.gauge('running_requests', 'Requests under way', () => this.callers.runningRequests)
-    this.metrics.gauge('manifest_version', 'Version of the manifest in force', () => this.manifest.current?.version ?? 0)
-    this.metrics.gauge('endpoints', 'Endpoints on the list', () => this.endpoints.current.size)
-    this.metrics.gauge('nodes', 'Nodes on the list', () => this.nodes.nodes().length)
-    this.metrics.gauge('decides', '1 while this node holds the lease', () => Number(this.lease.mayOrder()))
-    this.metrics.gauge('told_by_decider', '1 while the deciding node tells all that the store would', () => Number(this.store.isTold))
-    this.metrics.gauge('log_lines_dropped', 'Log lines dropped since the start', () => this.parts.log.dropped)
-    this.metrics.gauge('resident_bytes', 'Resident memory', () => process.memoryUsage.rss())
-  }
 }
--- /dev/null
+++ b/packages/dotterelspur-gateway/src/process/GatewayQuestions.ts
@@ -0,0 +1,8 @@
+/** Paths of the small listeners. */
+export interface GatewayQuestions {
+  readonly readyPath: string
+  readonly directoryPath: string
+  readonly metricsPath: string
+  /** The directory's answer, of addresses and a time to live. */
+  readonly writeDirectory: (addresses: readonly string[], ttlMs: number) => unknown
+}
--- a/packages/dotterelspur-gateway/src/process/GatewaySettings.ts
+++ b/packages/dotterelspur-gateway/src/process/GatewaySettings.ts
@@ -1,4 +1,4 @@
-import type { FailureDomainId, NodeId, RetryWindowOptions } from 'dotterelspur'
+import type { FailureDomainId, NodeId, PoisonLimits, RetryWindowOptions } from 'dotterelspur'
 
 /** Where one listener of this process is bound. */
 export interface ListenAddress {
@@ -33,6 +33,7 @@
   /** Other nodes connect here. */
   readonly peers: ListenAddress
   readonly metrics: ListenAddress
+  readonly poison: PoisonLimits
   /** The whole system starts for the first time: nothing can be left over from an earlier life. */
   readonly firstStart: boolean
 }
--- a/packages/dotterelspur-gateway/src/process/PoisonKeeper.ts
+++ b/packages/dotterelspur-gateway/src/process/PoisonKeeper.ts
@@ -1,14 +1,27 @@
-import type { Clock, DispatchTarget, RequestContent } from 'dotterelspur'
-import { fingerprintOf, refusesConnections } from 'dotterelspur-poison'
+import {
+  concernsOthers, LossStage, PoisonState, rendezvousOrder,
+  type Clock, type DispatchTarget, type NodeId, type PoisonLimits, type PoisonRecord, type RequestContent, type RequestFingerprint, type Teardown
+} from 'dotterelspur'
+import { fingerprintOf, PoisonGuard, refusesConnections } from 'dotterelspur-poison'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
 import type { EndpointKeeper } from './EndpointKeeper.js'
+import type { QuarantineKeeper } from './QuarantineKeeper.js'
+
+/** How often what is believed is looked through for changes, and what is old is forgotten. */
+const LOOK_INTERVAL_MS = 200
+/** Evidence is told again after this time, in case it was lost on the way. */
+const RETELL_INTERVAL_MS = 1_000
+/** Evidence that is older has reached all that could be reached. */
+const RETELL_AGE_MS = 5_000
+/** Records in one message: what a link takes in a tenth of a second. */
+const MOST_TOLD = 256
 
 /** An exchange whose connection ended before the whole answer was there. */
 export interface LostExchange {
   readonly requestId: string
   readonly content: RequestContent
   readonly target: DispatchTarget
-  /** Whole events of the answer that had come from there. */
+  /** Pieces of the answer that had come from there. */
   readonly events: number
   /** Since it was sent. */
   readonly tookMs: number
@@ -16,25 +29,139 @@
   readonly besides: number
 }
 
-/** Notes with which requests endpoints end. */
+export interface PoisonKeeperParts {
+  readonly clock: Clock
+  readonly log: DecisionLog
+  readonly limits: PoisonLimits
+  readonly node: NodeId
+  readonly nodes: () => ReadonlyArray<{ readonly node: NodeId }>
+  readonly endpoints: EndpointKeeper
+  readonly quarantine: QuarantineKeeper
+  /** Whether this node decides: then it writes down what is in quarantine. */
+  readonly decides: () => boolean
+  /** Tells other nodes: `all` to the one that adds up, `shared` to those that this node adds up for. */
+  readonly tell: (all: readonly PoisonRecord[], shared: readonly PoisonRecord[]) => void
+}
+
+/**
+ * Notes with which requests endpoints end, learns it from the other nodes, and keeps such requests away from endpoints. What is
+ * in quarantine is written to the store, so that it holds when all nodes start anew.
+ */
 export class PoisonKeeper {
-  constructor (private readonly clock: Clock, private readonly log: DecisionLog, private readonly endpoints: EndpointKeeper) {}
+  readonly guard: PoisonGuard
+  private readonly asked = new Map<string, Promise<boolean>>()
+  private readonly states = new Map<RequestFingerprint, PoisonState>()
+  private toldAtMs = -Infinity
+  private cancelTimer: Teardown = () => {}
+
+  constructor (private readonly parts: PoisonKeeperParts) {
+    const { clock, limits, quarantine } = parts
+    this.guard = new PoisonGuard({ clock, limits, isHome: (fingerprint) => this.isHome(fingerprint), learned: (record) => { this.tell([record]) } })
+    quarantine.registerListener({
+      decided: (fingerprint, { outline }) => { this.guard.ledger.noteDecision(fingerprint, outline) },
+      paroled: (fingerprint) => { this.guard.ledger.noteParole(fingerprint, clock.nowMs()) }
+    })
+  }
+
+  start (): void {
+    this.cancelTimer = this.parts.clock.registerTimer(LOOK_INTERVAL_MS, () => {
+      this.start()
+      this.look()
+    })
+  }
+
+  stop (): void {
+    this.cancelTimer()
+  }
+
+  /** Finds out whether the endpoint has ended; if so, that counts against the request once this resolves. */
+  async noteLoss (loss: LostExchange): Promise<void> {
+    const { content, target, events } = loss
+    const record = this.parts.endpoints.current.get(target.endpoint)
+    // One that leaves, or is on no list, ends because it was told to.
+    const mayBlame = record !== undefined && !record.leaving
+    const ended = await this.hasEnded(target.address)
+    if (ended && mayBlame) this.guard.noteEnd(content, { endpoint: target.endpoint, stage: events === 0 ? LossStage.Unanswered : LossStage.Answering })
+    this.logLoss(loss, ended, mayBlame)
+  }
+
+  /** What other nodes know. */
+  noteTold (records: readonly PoisonRecord[]): void {
+    const changed = this.guard.ledger.merge(records, this.parts.clock.nowMs())
+    if (changed.length > 0) this.parts.tell([], changed.filter(concernsOthers))
+  }
+
+  /** What a node that has just been linked is told; all of it where that node adds up. */
+  known (all: boolean): PoisonRecord[] {
+    const records = this.guard.ledger.told(this.parts.clock.nowMs(), all)
+    return records.sort((left, right) => right.ends.length - left.ends.length).slice(0, MOST_TOLD)
+  }
+
+  /** All that lost the same endpoint ask once. */
+  private async hasEnded (address: string): Promise<boolean> {
+    const known = this.asked.get(address)
+    if (known !== undefined) return await known
+    const asked = refusesConnections(address)
+    this.asked.set(address, asked)
+    return await asked.finally(() => { this.asked.delete(address) })
+  }
+
+  private isHome (fingerprint: RequestFingerprint): boolean {
+    const { node, nodes } = this.parts
+    return rendezvousOrder(fingerprint, nodes().map((other) => other.node))[0] === node
+  }
+
+  private look (): void {
+    const nowMs = this.parts.clock.nowMs()
+    const { ledger } = this.guard
+    if (ledger.isEmpty && this.states.size === 0) return
+    ledger.expire(nowMs)
+    this.noteStates()
+    if (this.parts.decides()) this.parts.quarantine.keep([...ledger.quarantined].flatMap((fingerprint) => ledger.recordOf(fingerprint) ?? []))
+    if (nowMs - this.toldAtMs < RETELL_INTERVAL_MS) return
+    this.toldAtMs = nowMs
+    this.tell(ledger.told(nowMs, true).filter(({ ageMs }) => ageMs < RETELL_AGE_MS).slice(-MOST_TOLD))
+  }
+
+  /** Each change of what is believed of a request has one line. */
+  private noteStates (): void {
+    const { ledger } = this.guard
+    const states = new Map<RequestFingerprint, PoisonState>()
+    for (const fingerprint of ledger.suspected) states.set(fingerprint, PoisonState.Suspected)
+    for (const fingerprint of ledger.quarantined) states.set(fingerprint, PoisonState.Quarantined)
+    for (const fingerprint of new Set([...states.keys(), ...this.states.keys()])) {
+      const before = this.states.get(fingerprint) ?? PoisonState.Trusted
+      const now = states.get(fingerprint) ?? PoisonState.Trusted
+      if (now !== before) this.logState(fingerprint, before, now)
+    }
+    this.states.clear()
+    for (const [fingerprint, state] of states) this.states.set(fingerprint, state)
+  }
+
+  private tell (records: readonly PoisonRecord[]): void {
+    if (records.length > 0) this.parts.tell(records, records.filter(concernsOthers))
+  }
+
+  private logState (fingerprint: RequestFingerprint, before: PoisonState, state: PoisonState): void {
+    const record = this.guard.ledger.recordOf(fingerprint)
+    this.parts.log.write(LogKind.RequestJudged, {
+      fingerprint, before, state, service: record?.service, workspace: record?.caller, answers: record?.answers, ends: record?.ends.map(({ endpoint, stage }) => `${endpoint} ${stage}`)
+    })
+  }
 
-  async noteLoss ({ requestId, content, target, events, tookMs, besides }: LostExchange): Promise<void> {
-    const lostAtMs = this.clock.nowMs()
-    const ended = await refusesConnections(target.address)
-    const record = this.endpoints.current.get(target.endpoint)
-    this.log.write(LogKind.ExchangeLost, {
+  private logLoss ({ requestId, content, target, events, tookMs, besides }: LostExchange, ended: boolean, mayBlame: boolean): void {
+    const fingerprint = fingerprintOf(content)
+    this.parts.log.write(LogKind.ExchangeLost, {
       request: requestId,
-      fingerprint: fingerprintOf(content),
+      fingerprint,
       endpoint: target.endpoint,
       ended,
-      askedMs: Math.round(this.clock.nowMs() - lostAtMs),
-      listed: record !== undefined,
-      leaving: record?.leaving,
+      mayBlame,
       events,
       tookMs: Math.round(tookMs),
-      besides
+      besides,
+      state: this.guard.ledger.stateOf(fingerprint),
+      ends: this.guard.ledger.recordOf(fingerprint)?.ends.length ?? 0
     })
   }
 }
--- /dev/null
+++ b/packages/dotterelspur-gateway/src/process/registerGauges.ts
@@ -0,0 +1,34 @@
+import type { CallerListener } from '../connection/CallerListener.js'
+import type { DecisionLog } from './DecisionLog.js'
+import type { EndpointKeeper } from './EndpointKeeper.js'
+import type { FleetLease } from './FleetLease.js'
+import type { FollowedStore } from './FollowedStore.js'
+import type { GatewayMetrics } from './GatewayMetrics.js'
+import type { ManifestKeeper } from './ManifestKeeper.js'
+import type { NodeKeeper } from './NodeKeeper.js'
+import type { PoisonKeeper } from './PoisonKeeper.js'
+
+export interface GaugeSources {
+  readonly callers: CallerListener
+  readonly manifest: ManifestKeeper
+  readonly endpoints: EndpointKeeper
+  readonly nodes: NodeKeeper
+  readonly lease: FleetLease
+  readonly store: FollowedStore
+  readonly poison: PoisonKeeper
+  readonly log: DecisionLog
+}
+
+/** Values that are read whenever the metrics page is. */
+export function registerGauges (metrics: GatewayMetrics, { callers, manifest, endpoints, nodes, lease, store, poison, log }: GaugeSources): void {
+  metrics.gauge('running_requests', 'Requests under way', () => callers.runningRequests)
+  metrics.gauge('manifest_version', 'Version of the manifest in force', () => manifest.current?.version ?? 0)
+  metrics.gauge('endpoints', 'Endpoints on the list', () => endpoints.current.size)
+  metrics.gauge('nodes', 'Nodes on the list', () => nodes.nodes().length)
+  metrics.gauge('decides', '1 while this node holds the lease', () => Number(lease.mayOrder()))
+  metrics.gauge('told_by_decider', '1 while the deciding node tells all that the store would', () => Number(store.isTold))
+  metrics.gauge('quarantined_requests', 'Requests that end endpoints and are sent nowhere', () => poison.guard.ledger.quarantined.size)
+  metrics.gauge('suspected_requests', 'Requests that one more end of an endpoint would put in quarantine', () => poison.guard.ledger.suspected.length)
+  metrics.gauge('log_lines_dropped', 'Log lines dropped since the start', () => log.dropped)
+  metrics.gauge('resident_bytes', 'Resident memory', () => process.memoryUsage.rss())
+}
--- a/packages/dotterelspur-gateway/src/request/CallerAnswer.ts
+++ b/packages/dotterelspur-gateway/src/request/CallerAnswer.ts
@@ -10,19 +10,22 @@
   BodyTooLarge = 'body-too-large',
   /** Not run, and never will be. */
   NotRun = 'not-run',
+  /** Not run, and never will be: it ends the endpoints that run it. */
+  Quarantined = 'quarantined',
   /** It may have run; its endpoint was lost. */
   EndpointLost = 'endpoint-lost',
   /** It may have run; its time is over. */
   TimedOut = 'timed-out'
 }
 
-/** 429, 503, 408 and 421 promise that the request has not run: only `NoManifest` and `NotRun` may use them. */
+/** 429, 503, 408 and 421 promise that the request has not run: only `NoManifest`, `NotRun` and `Quarantined` may use them. */
 const STATUS: Readonly<Record<OwnAnswerKind, number>> = {
   [OwnAnswerKind.NoManifest]: 503,
   [OwnAnswerKind.NoRoute]: 404,
   [OwnAnswerKind.Unauthorized]: 401,
   [OwnAnswerKind.BodyTooLarge]: 413,
   [OwnAnswerKind.NotRun]: 503,
+  [OwnAnswerKind.Quarantined]: 503,
   [OwnAnswerKind.EndpointLost]: 502,
   [OwnAnswerKind.TimedOut]: 504
 }
--- a/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
+++ b/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
@@ -28,9 +28,9 @@
 /** What was decided about a request before it is sent anywhere. */
 export interface AdmittedRequest {
   readonly request: IncomingMessage
+  readonly content: RequestContent
   readonly head: CallerHead
   readonly requestId: string
-  readonly body: Buffer
   readonly route: Route
   readonly service: ServiceId
   readonly workspace: WorkspaceId | null
@@ -56,6 +56,8 @@
   private firstByteAtMs: number | null = null
   /** Pieces of the answer that came from the present endpoint, of one or more whole events each. */
   private events = 0
+  /** Resolves once it is known whether the last endpoint that was lost has ended. */
+  private lossNoted: Promise<void> = Promise.resolve()
   private over: ExchangeEnd | null = null
   private readonly targets: string[] = []
   private readonly deadlineAtMs: number
@@ -81,6 +83,7 @@
     const end = await runProcedure(runDispatch({ repeatable: isRepeatable(route), maxAttempts: route.maxAttempts }), {
       [DispatchEffectKind.Place]: (effect) => this.place(effect),
       [DispatchEffectKind.Exchange]: async (effect) => await this.exchange(effect),
+      [DispatchEffectKind.JudgeRequest]: async () => await this.mayGoOn(),
       [DispatchEffectKind.SpendRepeat]: () => this.over === null && this.parts.dispatch.spendRepeat(this.admitted.service)
     })
     cancelDeadline()
@@ -89,6 +92,11 @@
     return { end, answeredWith, firstByteMs, targets: this.targets }
   }
 
+  private async mayGoOn (): Promise<boolean> {
+    await this.lossNoted
+    return this.parts.poison.guard.maySendAgain(this.admitted.content)
+  }
+
   private startDeadline (): Teardown {
     const { clock } = this.parts
     return clock.registerTimer(this.deadlineAtMs - clock.nowMs() + DEADLINE_GRACE_MS, () => { this.stop(ExchangeEnd.TimedOut) })
@@ -119,16 +127,15 @@
     const end = await new Promise<ExchangeEnd>((resolve) => { this.send(target, mayMove, resolve) })
     this.call = null
     dispatch.exchangeEnded(target)
-    if (end === ExchangeEnd.BrokenOff) this.noteLoss(target, clock.nowMs() - sentAtMs)
+    if (EXCHANGE_RULES[end].mayEndEndpoint) this.lossNoted = this.noteLoss(target, clock.nowMs() - sentAtMs)
     if (EXCHANGE_RULES[end].blamesEndpoint) dispatch.blame(target, end)
     return { end, callerHasPart: this.answer.hasPart }
   }
 
-  private noteLoss (target: DispatchTarget, tookMs: number): void {
-    const { request, requestId, body, service, workspace, head } = this.admitted
-    const content: RequestContent = { service, method: request.method!, target: request.url!, caller: workspace, model: head.model, body }
+  private async noteLoss (target: DispatchTarget, tookMs: number): Promise<void> {
     const { poison, dispatch } = this.parts
-    poison.noteLoss({ requestId, content, target, events: this.events, tookMs, besides: dispatch.ownInFlight(target) }).catch(() => { /* It reports what it meets. */ })
+    const { requestId, content } = this.admitted
+    await poison.noteLoss({ requestId, content, target, events: this.events, tookMs, besides: dispatch.ownInFlight(target) })
   }
 
   private send (target: DispatchTarget, mayMove: boolean, resolve: (end: ExchangeEnd) => void): void {
@@ -157,7 +164,7 @@
   }
 
   private requestOptions (target: DispatchTarget): Dispatcher.DispatchOptions {
-    const { request, body, workspace, priority, head } = this.admitted
+    const { request, content: { body }, workspace, priority, head } = this.admitted
     const headers = this.parts.wire.writeForwarded(forwardedHeaders(request.rawHeaders), {
       endpoint: target.endpoint,
       workspace,
@@ -197,6 +204,7 @@
     if (held === null) return
     if (end === ExchangeEnd.Failed) this.lastFailure = held
     if (end !== ExchangeEnd.Answered) return
+    this.parts.poison.guard.noteAnswer(this.admitted.content)
     if (this.streamStart !== null && held.status < FIRST_REDIRECT) {
       this.beginStream()
       return this.answer.end(this.cursor.takeRest())
--- a/packages/dotterelspur-poison/src/__tests__/unit/fingerprint.test.ts
+++ b/packages/dotterelspur-poison/src/__tests__/unit/fingerprint.test.ts
@@ -14,7 +14,7 @@
 
 describe('fingerprintOf', () => {
   it('is the same for the same content, and short', () => {
-    expect(fingerprintOf(createContent())).to.equal(fingerprintOf(createContent())).and.to.have.lengthOf(22)
+    expect(fingerprintOf(createContent())).to.equal(fingerprintOf(createContent())).and.to.have.lengthOf(32)
   })
 
   it('differs when any part of the content does, and so does the outline', () => {
--- a/packages/dotterelspur-poison/src/request/fingerprint.ts
+++ b/packages/dotterelspur-poison/src/request/fingerprint.ts
@@ -14,5 +14,5 @@
   // As JSON, so that no field can take over a part of its neighbour's.
   hash.update(JSON.stringify([service, method, target, caller, model]))
   hash.update(body)
-  return hash.digest().subarray(0, FINGERPRINT_BYTES).toString('base64url')
+  return hash.digest().subarray(0, FINGERPRINT_BYTES).toString('hex')
 }
--- a/packages/dotterelspur/src/request/dispatch/ExchangeEnd.ts
+++ b/packages/dotterelspur/src/request/dispatch/ExchangeEnd.ts
@@ -32,6 +32,8 @@
   readonly mayTryElsewhere: boolean
   /** The endpoint is passed over for a while. */
   readonly blamesEndpoint: boolean
+  /** The endpoint may have ended, and the request may be why. */
+  readonly mayEndEndpoint: boolean
 }
 
 /**
@@ -39,15 +41,15 @@
  * did not run: one that was sent may be running behind a reset, a silence or a stranger's answer.
  */
 export const EXCHANGE_RULES: Readonly<Record<ExchangeEnd, ExchangeRule>> = {
-  [ExchangeEnd.Answered]: { provesNotRun: false, mayTryElsewhere: false, blamesEndpoint: false },
-  [ExchangeEnd.Failed]: { provesNotRun: false, mayTryElsewhere: true, blamesEndpoint: false },
-  [ExchangeEnd.Rejected]: { provesNotRun: true, mayTryElsewhere: true, blamesEndpoint: false },
-  [ExchangeEnd.Misdirected]: { provesNotRun: true, mayTryElsewhere: true, blamesEndpoint: true },
-  [ExchangeEnd.NotConnected]: { provesNotRun: true, mayTryElsewhere: true, blamesEndpoint: true },
-  [ExchangeEnd.BrokenOff]: { provesNotRun: false, mayTryElsewhere: true, blamesEndpoint: true },
-  [ExchangeEnd.Garbled]: { provesNotRun: false, mayTryElsewhere: true, blamesEndpoint: false },
-  [ExchangeEnd.Foreign]: { provesNotRun: false, mayTryElsewhere: true, blamesEndpoint: false },
-  [ExchangeEnd.Silent]: { provesNotRun: false, mayTryElsewhere: true, blamesEndpoint: true },
-  [ExchangeEnd.TimedOut]: { provesNotRun: false, mayTryElsewhere: false, blamesEndpoint: false },
-  [ExchangeEnd.CallerLeft]: { provesNotRun: false, mayTryElsewhere: false, blamesEndpoint: false }
+  [ExchangeEnd.Answered]: { provesNotRun: false, mayTryElsewhere: false, blamesEndpoint: false, mayEndEndpoint: false },
+  [ExchangeEnd.Failed]: { provesNotRun: false, mayTryElsewhere: true, blamesEndpoint: false, mayEndEndpoint: false },
+  [ExchangeEnd.Rejected]: { provesNotRun: true, mayTryElsewhere: true, blamesEndpoint: false, mayEndEndpoint: false },
+  [ExchangeEnd.Misdirected]: { provesNotRun: true, mayTryElsewhere: true, blamesEndpoint: true, mayEndEndpoint: false },
+  [ExchangeEnd.NotConnected]: { provesNotRun: true, mayTryElsewhere: true, blamesEndpoint: true, mayEndEndpoint: false },
+  [ExchangeEnd.BrokenOff]: { provesNotRun: false, mayTryElsewhere: true, blamesEndpoint: true, mayEndEndpoint: true },
+  [ExchangeEnd.Garbled]: { provesNotRun: false, mayTryElsewhere: true, blamesEndpoint: false, mayEndEndpoint: false },
+  [ExchangeEnd.Foreign]: { provesNotRun: false, mayTryElsewhere: true, blamesEndpoint: false, mayEndEndpoint: false },
+  [ExchangeEnd.Silent]: { provesNotRun: false, mayTryElsewhere: true, blamesEndpoint: true, mayEndEndpoint: false },
+  [ExchangeEnd.TimedOut]: { provesNotRun: false, mayTryElsewhere: false, blamesEndpoint: false, mayEndEndpoint: false },
+  [ExchangeEnd.CallerLeft]: { provesNotRun: false, mayTryElsewhere: false, blamesEndpoint: false, mayEndEndpoint: false }
 }
--- a/packages/dotterelspur/src/request/dispatch/__tests__/unit/runDispatch.test.ts
+++ b/packages/dotterelspur/src/request/dispatch/__tests__/unit/runDispatch.test.ts
@@ -12,21 +12,25 @@
   /** Endpoints that can be placed before the refusal comes. */
   readonly endpoints?: number
   readonly budget?: number
+  /** Losses after which the request is still trusted. */
+  readonly trustedLosses?: number
 }
 
 function createTarget (name: string): DispatchTarget {
   return { endpoint: name, service: 's', address: '10.0.0.1:1', failureDomain: 'a', model: null, slots: 6 }
 }
 
-function play ({ order, exchanges, endpoints = 9, budget = 9 }: Script): { end: DispatchEnd, sent: string[] } {
+function play ({ order, exchanges, endpoints = 9, budget = 9, trustedLosses = 9 }: Script): { end: DispatchEnd, sent: string[] } {
   const steps = runDispatch(order)
   const sent: string[] = []
   let placed = 0
   let spent = 0
+  let judged = 0
   let step = steps.next()
   while (step.done !== true) {
     if (step.value.kind === DispatchEffectKind.Place) step = steps.next(placed < endpoints ? createTarget(`e${++placed}`) : FULL)
     else if (step.value.kind === DispatchEffectKind.SpendRepeat) step = steps.next(spent++ < budget)
+    else if (step.value.kind === DispatchEffectKind.JudgeRequest) step = steps.next(judged++ < trustedLosses)
     else {
       sent.push(step.value.target.endpoint)
       step = steps.next(exchanges[sent.length - 1] ?? { end: ExchangeEnd.Answered, callerHasPart: false })
@@ -57,6 +61,11 @@
       else expect(result.kind).to.equal(DispatchEndKind.NotRun)
     })
 
+    it(`sends nothing on after ${end} that seems to be what ended its endpoint`, () => {
+      const { sent } = play({ order: REPEATABLE, exchanges: [ended(end)], trustedLosses: 0 })
+      expect(sent.length).to.equal(1)
+    })
+
     it(`cuts an answer off that ${end} leaves incomplete`, () => {
       const { end: result } = play({ order: { ...REPEATABLE, maxAttempts: 1 }, exchanges: [ended(end, true)] })
       const whole = end === ExchangeEnd.Answered ? DispatchEndKind.Delivered : DispatchEndKind.CutOff
--- a/packages/dotterelspur/src/request/dispatch/runDispatch.ts
+++ b/packages/dotterelspur/src/request/dispatch/runDispatch.ts
@@ -6,6 +6,7 @@
 export enum DispatchEffectKind {
   Place = 'place',
   Exchange = 'exchange',
+  JudgeRequest = 'judge-request',
   SpendRepeat = 'spend-repeat'
 }
 
@@ -28,7 +29,12 @@
   readonly kind: DispatchEffectKind.SpendRepeat
 }
 
-export type DispatchEffects = PlaceEffect | ExchangeEffect | SpendRepeatEffect
+/** Asks whether the request may go to another endpoint; false when it seems to be what ended the one before. */
+export interface JudgeRequestEffect extends Effect<DispatchEffectKind.JudgeRequest, boolean> {
+  readonly kind: DispatchEffectKind.JudgeRequest
+}
+
+export type DispatchEffects = PlaceEffect | ExchangeEffect | JudgeRequestEffect | SpendRepeatEffect
 
 export interface ExchangeReport {
   readonly end: ExchangeEnd
@@ -83,6 +89,8 @@
     excluded.push(placed)
     const allowed = rule.mayTryElsewhere && (order.repeatable || !mayHaveRun) && attempt < order.maxAttempts
     if (!allowed) return conclude(last, mayHaveRun, attempt, null)
+    const trusted = yield * perform<JudgeRequestEffect>({ kind: DispatchEffectKind.JudgeRequest })
+    if (!trusted) return conclude(last, mayHaveRun, attempt, null)
     const paid = yield * perform<SpendRepeatEffect>({ kind: DispatchEffectKind.SpendRepeat })
     if (!paid) return conclude(last, mayHaveRun, attempt, null)
   }
--- a/packages/dotterelspur/src/request/poison/RequestContent.ts
+++ b/packages/dotterelspur/src/request/poison/RequestContent.ts
@@ -1,7 +1,7 @@
 import type { ModelId, ServiceId, WorkspaceId } from '../../process/ids.js'
 import { hashText } from '../../process/rendezvous.js'
 
-/** Names a request by its content, as text of 22 characters. */
+/** Names a request by its content, as text of 32 characters. */
 export type RequestFingerprint = string
 
 /** What makes a request the same one when it comes again. */
