Entries: requests that end endpoints are known for what they are on the product's own path as well

What callers saw: a chat that is sent again and again ends one replica after the other, at each node anew. Cause: the same as at the gateway. A stream that broke was held against its group alone. Change: both paths use the core's ledger and dotterelspur-poison. Here all evidence on a request is told to one node, its home, by a call of the mesh; the answer says what is known. The home writes the decision to the store and offers the document to the mesh, which spreads it as it spreads settings. runModelRequest and runServiceRequest ask before they go on elsewhere. Ruled out: telling each end to all nodes (330 messages for each end); asking the home for each request.

--- a/packages/dotterelspur-entry/src/process/EntryOptions.ts
+++ b/packages/dotterelspur-entry/src/process/EntryOptions.ts
@@ -1,6 +1,6 @@
 import {
   DEFAULT_DIRECTORY_TTL_MS, DEFAULT_EVIDENCE_TTL_MS, DEFAULT_IN_FORCE_BOUND_MS, DEFAULT_OUTCOME_MEMORY_MS, DEFAULT_PAUSE_THRESHOLD_MS,
-  type Clock, type EngineApi, type MeshApi, type ObjectStore, type Random, type ServiceApi
+  type Clock, type EngineApi, type MeshApi, type ObjectStore, type PoisonLimits, type Random, type ServiceApi
 } from 'dotterelspur'
 import type { EntryObserver } from './EntryObserver.js'
 import type { TeamTable } from './TeamTable.js'
@@ -24,6 +24,8 @@
   readonly maxRecentOutcomes: number
   /** A longer answer is not kept for repeats of its id. */
   readonly maxKeptAnswerBytes: number
+  /** Requests that end endpoints. */
+  readonly poison: PoisonLimits
   /** What reading the engines' cache events may cost this node, both ways, however many groups there are. */
   readonly cacheEventBytesPerSecond: number
 }
@@ -65,6 +67,7 @@
   maxRememberedOutcomes: 20_000,
   maxRecentOutcomes: 2_000,
   maxKeptAnswerBytes: 64 * 1024,
+  poison: { quarantineEnds: 3, mostRecords: 2_000, memoryMs: 600_000 },
   cacheEventBytesPerSecond: 1_000
 }
 
@@ -99,4 +102,6 @@
   readonly limits?: Partial<EntryLimits>
   readonly timing?: Partial<EntryTiming>
   readonly observer?: EntryObserver
+  /** Whether nobody listens at an `ip:port` any more; asked where an endpoint was lost in the middle of a request. */
+  readonly hasEnded?: (address: string) => Promise<boolean>
 }
--- a/packages/dotterelspur-entry/src/process/createEntry.ts
+++ b/packages/dotterelspur-entry/src/process/createEntry.ts
@@ -27,6 +27,7 @@
 import { FleetView } from './FleetView.js'
 import { NodeGate } from './NodeGate.js'
 import { OpenCalls } from './OpenCalls.js'
+import { PoisonKeeper } from './PoisonKeeper.js'
 
 const debug = createDebug('dotterelspur:entry')
 const PAUSE_TICKS_PER_THRESHOLD = 4
@@ -85,8 +86,9 @@
 }
 
 function createContext (options: EntryOptions): EntryContext {
-  const { clock, random, mesh, store, engines, services, teams, observer = SILENT_OBSERVER } = options
+  const { clock, random, mesh, store, engines, services, teams, observer = SILENT_OBSERVER, hasEnded } = options
   const timing = { ...DEFAULT_ENTRY_TIMING, ...options.timing }
+  const limits = { ...DEFAULT_ENTRY_LIMITS, ...options.limits }
   const { region, failureDomain } = mesh.self
   return {
     clock,
@@ -97,23 +99,24 @@
     services,
     observer,
     timing,
-    limits: { ...DEFAULT_ENTRY_LIMITS, ...options.limits },
+    limits,
     teams,
     fleet: new FleetView(mesh, clock, timing.evidenceTtlMs),
     gate: new AdmissionGate(clock, mesh, teams),
     router: new Router(createRoutingOptions({ region, failureDomain }, { prefixBlockTokens: PREFIX_BLOCK_TOKENS })),
     retries: new RetryBudget(),
-    pauses: new PauseWatch(timing.pauseThresholdMs, STALE_AFTER_PAUSE_MS, clock.nowMs())
+    pauses: new PauseWatch(timing.pauseThresholdMs, STALE_AFTER_PAUSE_MS, clock.nowMs()),
+    poison: new PoisonKeeper({ clock, mesh, store, limits: limits.poison, hasEnded })
   }
 }
 
 function startParts (context: EntryContext, link: HomeLink): Teardown {
-  const { fleet, router, gate, teams, clock } = context
+  const { fleet, router, gate, teams, clock, poison } = context
   const unregister = fleet.registerListener((targets) => {
     router.replaceTargets(targets, clock.nowMs())
     gate.configureLanes(targets)
   })
-  return mergeTeardowns(unregister, teams.start(), gate.start(), new CacheEventPoller(context).start(), fleet.start(), link.start(), new ClaimSweeper(context).start(), watchPauses(context))
+  return mergeTeardowns(unregister, teams.start(), gate.start(), new CacheEventPoller(context).start(), fleet.start(), link.start(), new ClaimSweeper(context).start(), poison.start(), watchPauses(context))
 }
 
 function watchPauses ({ clock, pauses, timing, observer }: EntryContext): Teardown {
--- a/packages/dotterelspur-entry/src/request/LocalRuns.ts
+++ b/packages/dotterelspur-entry/src/request/LocalRuns.ts
@@ -2,6 +2,7 @@
   InterruptKind, OutcomeKind, OutcomeReason, RequestSafety, notRun, unknownOutcome,
   type Outcome
 } from 'dotterelspur'
+import { AdmissionKind } from 'dotterelspur-poison'
 import { modelLane, serviceLane } from '../process/AdmissionGate.js'
 import type { EntryContext } from '../process/EntryContext.js'
 import { teamScoped } from '../process/FleetView.js'
@@ -9,9 +10,19 @@
 import { ModelRunner } from './ModelRunner.js'
 import { estimateTokens } from './prefixHashes.js'
 import { RunChannel } from './RunChannel.js'
+import { contentOf } from './contentOf.js'
 import { RunEventKind, RunKind, finishedWith, type FinishedEvent, type ModelRunRequest, type RunEvent, type RunEvents, type RunRequest, type ServiceRunRequest } from './RunRequest.js'
 import { ServiceRunner } from './ServiceRunner.js'
 
+/** When a suspect may come back that runs elsewhere: by then one end more, or an answer, has shown what it is. */
+const SUSPECT_RETRY_MS = 1_500
+
+/** Outcomes of requests that seem to end the endpoints that run them, or do. */
+const HELD_BACK: Readonly<Record<AdmissionKind.Deferred | AdmissionKind.Quarantined, Outcome>> = {
+  [AdmissionKind.Deferred]: notRun(OutcomeReason.Overloaded, 'endpoints ended with this request; it is tried one at a time', SUSPECT_RETRY_MS),
+  [AdmissionKind.Quarantined]: notRun(OutcomeReason.Quarantined, 'this request ends the endpoints that run it', null)
+}
+
 interface LocalRun {
   readonly request: RunRequest
   readonly interrupt: RequestInterrupt
@@ -84,10 +95,21 @@
   }
 
   private async admitAndRun (run: LocalRun): Promise<FinishedEvent> {
-    const { gate, clock, retries, teams } = this.context
     const { request } = run
     const refusal = this.refuseEarly()
-    if (refusal !== null) return this.report(run, { finished: finishedWith(refusal), firstTokenAtMs: null, overloaded: false })
+    if (refusal !== null) return this.refuse(run, refusal)
+    const { kind, release } = this.context.poison.guard.admit(contentOf(request))
+    if (kind !== AdmissionKind.Admitted) return this.refuse(run, HELD_BACK[kind])
+    try {
+      return await this.enterAndRun(run)
+    } finally {
+      release()
+    }
+  }
+
+  private async enterAndRun (run: LocalRun): Promise<FinishedEvent> {
+    const { gate, clock, retries, teams } = this.context
+    const { request } = run
     const admitted = await gate.enter({
       id: request.requestId,
       team: request.team,
@@ -96,7 +118,7 @@
       tokens: request.kind === RunKind.Model ? estimateTokens(request.prompt) + request.maxTokens : 0,
       deadlineAtMs: run.startedAtMs + request.deadlineMs
     })
-    if (!admitted.ok) return this.report(run, { finished: finishedWith(admitted.error), firstTokenAtMs: null, overloaded: false })
+    if (!admitted.ok) return this.refuse(run, admitted.error)
     const dispatchedAtMs = clock.nowMs()
     retries.noteFirstAttempt(request.team, teams.get(request.team)?.limits.retryPercent ?? 0)
     let performed: Performed = { finished: finishedWith(unknownOutcome(OutcomeReason.StreamBroken, 'internal')), firstTokenAtMs: null, overloaded: false }
@@ -118,6 +140,10 @@
     return null
   }
 
+  private refuse (run: LocalRun, refusal: Outcome): FinishedEvent {
+    return this.report(run, { finished: finishedWith(refusal), firstTokenAtMs: null, overloaded: false })
+  }
+
   private async runModel (run: LocalRun, request: ModelRunRequest): Promise<Performed> {
     const runner = new ModelRunner(this.context, request, run.channel, run.interrupt)
     const { outcome, finishReason, promptTokens, completionTokens, attempts } = await runner.run()
--- a/packages/dotterelspur-entry/src/request/ModelRunner.ts
+++ b/packages/dotterelspur-entry/src/request/ModelRunner.ts
@@ -1,12 +1,13 @@
 import {
   AttemptEnd, EndpointErrorKind, InterruptKind, LifecycleEffectKind, OutcomeKind, OutcomeReason, RequestSafety, RouteRefusalKind, StreamEventKind, TargetKind,
   failed, groupTargetId, notRun, runModelRequest, runProcedure, success,
-  type ChunkKind, type EffectHandlers, type GenerateRequest, type GroupTarget, type GroupView, type ModelEffects, type ModelResult, type NextEvent, type Outcome, type Result,
+  type ChunkKind, type EffectHandlers, type GenerateRequest, type GroupTarget, type GroupView, type ModelEffects, type ModelResult, type NextEvent, type Outcome, type RequestContent, type Result,
   type RouteAttempt, type RouteRefusal, type SendEffect
 } from 'dotterelspur'
 import type { EntryContext } from '../process/EntryContext.js'
 import { teamScoped } from '../process/FleetView.js'
 import { AttemptStream, waitOrInterrupt, type RequestInterrupt } from './AttemptStream.js'
+import { contentOf } from './contentOf.js'
 import { estimateTokens, routingPrefixes } from './prefixHashes.js'
 import type { RunChannel } from './RunChannel.js'
 import { RunEventKind, type ModelRunRequest } from './RunRequest.js'
@@ -24,6 +25,9 @@
   private attemptEnd = AttemptEnd.Cancelled
   private delivered = false
   private readonly prefixes: readonly number[]
+  private readonly content: RequestContent
+  /** Resolves once it is known whether the last endpoint that was lost has ended. */
+  private lossNoted: Promise<void> = Promise.resolve()
   firstTokenAtMs: number | null = null
   overloaded = false
 
@@ -34,6 +38,7 @@
     private readonly interrupt: RequestInterrupt
   ) {
     this.prefixes = routingPrefixes(request.prompt)
+    this.content = contentOf(request)
   }
 
   async run (): Promise<ModelResult> {
@@ -63,6 +68,10 @@
     [LifecycleEffectKind.NextEvent]: () => this.next(),
     [LifecycleEffectKind.CloseStream]: ({ cancel }) => { this.closeStream(cancel) },
     [LifecycleEffectKind.Lookup]: ({ group }) => this.context.engines.lookup(group.leaderAddress, this.request.requestId, this.context.timing.lookupTimeoutMs),
+    [LifecycleEffectKind.JudgeRequest]: async () => {
+      await this.lossNoted
+      return this.context.poison.guard.maySendAgain(this.content)
+    },
     [LifecycleEffectKind.SpendRetry]: () => this.spendRetry(),
     [LifecycleEffectKind.Wait]: ({ durationMs }) => waitOrInterrupt(this.context.clock, durationMs, this.interrupt),
     [LifecycleEffectKind.Deliver]: ({ offset, text, tokens }) => {
@@ -156,9 +165,17 @@
     else if (event.kind === StreamEventKind.Error) this.attemptEnd = END_OF_ERROR[event.error.kind]
     else this.attemptEnd = event.kind === InterruptKind.Stalled ? AttemptEnd.Broken : AttemptEnd.Cancelled
     if (this.attemptEnd === AttemptEnd.Refused) this.overloaded = true
+    if (isLost(event)) this.noteLoss()
+    if (this.attemptEnd === AttemptEnd.Whole) this.context.poison.guard.noteAnswer(this.content)
     return event
   }
 
+  private noteLoss (): void {
+    if (this.group === null) return
+    const { group, formation, leaderAddress } = this.group
+    this.lossNoted = this.context.poison.noteLoss({ content: this.content, endpoint: groupTargetId(group, formation), url: leaderAddress, hadPart: this.attemptTokens > 0 })
+  }
+
   private noteChunk (chunk: { readonly kind: ChunkKind, readonly tokens?: number }): void {
     if (chunk.tokens === undefined) {
       this.attemptEnd = AttemptEnd.Whole
@@ -217,6 +234,13 @@
   }
 }
 
+const LOST_BY: ReadonlySet<EndpointErrorKind> = new Set([EndpointErrorKind.Ambiguous, EndpointErrorKind.Broken])
+
+/** Whether the connection ended in the middle of an answer. */
+function isLost (event: NextEvent): boolean {
+  return event === null || ('kind' in event && event.kind === StreamEventKind.Error && LOST_BY.has(event.error.kind))
+}
+
 const END_OF_ERROR: Readonly<Record<EndpointErrorKind, AttemptEnd>> = {
   [EndpointErrorKind.NotRun]: AttemptEnd.Broken,
   [EndpointErrorKind.WrongFormation]: AttemptEnd.Refused,
--- a/packages/dotterelspur-entry/src/request/ServiceRunner.ts
+++ b/packages/dotterelspur-entry/src/request/ServiceRunner.ts
@@ -1,12 +1,16 @@
 import {
   AttemptEnd, EndpointErrorKind, LifecycleEffectKind, RequestSafety, TargetKind, failed, runProcedure, runServiceRequest, success,
-  type CallServiceEffect, type EffectHandlers, type EndpointError, type Interrupt, type Outcome, type Result, type RouteAttempt, type ServiceEffects, type ServiceResponse, type ServiceResult, type ServiceTarget, type ServiceWorker
+  type CallServiceEffect, type EffectHandlers, type EndpointError, type Interrupt, type Outcome, type RequestContent, type Result, type RouteAttempt, type ServiceEffects, type ServiceResponse, type ServiceResult, type ServiceTarget, type ServiceWorker
 } from 'dotterelspur'
 import type { EntryContext } from '../process/EntryContext.js'
 import { waitOrInterrupt, type RequestInterrupt } from './AttemptStream.js'
+import { contentOf } from './contentOf.js'
 import { refusalOutcome } from './ModelRunner.js'
 import type { ServiceRunRequest } from './RunRequest.js'
 
+/** Errors after which the worker may have ended. */
+const LOST_BY: ReadonlySet<EndpointErrorKind> = new Set([EndpointErrorKind.Ambiguous, EndpointErrorKind.Broken])
+
 type CallResult = Result<ServiceResponse, EndpointError> | Interrupt | null
 
 /** Carries out the effects of one service call's procedure against the service's workers. */
@@ -14,8 +18,13 @@
   private readonly tried = new Map<string, string>()
   private target: ServiceTarget | null = null
   private decidedAtMs = 0
+  private readonly content: RequestContent
+  /** Resolves once it is known whether the last worker that was lost has ended. */
+  private lossNoted: Promise<void> = Promise.resolve()
 
-  constructor (private readonly context: EntryContext, private readonly request: ServiceRunRequest, private readonly interrupt: RequestInterrupt) {}
+  constructor (private readonly context: EntryContext, private readonly request: ServiceRunRequest, private readonly interrupt: RequestInterrupt) {
+    this.content = contentOf(request)
+  }
 
   run (): Promise<ServiceResult> {
     return runProcedure(runServiceRequest({ safety: this.request.safety, maxAttempts: this.context.limits.maxAttempts }), this.handlers)
@@ -24,6 +33,10 @@
   private readonly handlers: EffectHandlers<ServiceEffects> = {
     [LifecycleEffectKind.SelectWorker]: ({ excluded }) => this.select(excluded),
     [LifecycleEffectKind.CallService]: (effect) => this.call(effect),
+    [LifecycleEffectKind.JudgeRequest]: async () => {
+      await this.lossNoted
+      return this.context.poison.guard.maySendAgain(this.content)
+    },
     [LifecycleEffectKind.SpendRetry]: () => {
       const allowed = this.context.retries.tryRetry(this.request.team)
       if (allowed) this.context.observer.attemptRepeated(this.request.team)
@@ -62,6 +75,7 @@
     const route = router.begin(this.target!, nowMs)
     const result = await this.send(worker, attempt)
     this.endRoute(route, result)
+    this.noteEnd(worker, result)
     return result
   }
 
@@ -83,6 +97,13 @@
     })
   }
 
+  private noteEnd ({ address }: ServiceWorker, result: Result<ServiceResponse, EndpointError> | Interrupt): void {
+    const { poison } = this.context
+    if (!('ok' in result)) return
+    if (result.ok) return poison.guard.noteAnswer(this.content)
+    if (LOST_BY.has(result.error.kind)) this.lossNoted = poison.noteLoss({ content: this.content, endpoint: this.target!.id, url: address, hadPart: false })
+  }
+
   private endRoute (route: RouteAttempt, result: Result<ServiceResponse, EndpointError> | Interrupt): void {
     const { router, clock } = this.context
     const nowMs = clock.nowMs()
--- a/packages/dotterelspur-entry/src/request/errorBody.ts
+++ b/packages/dotterelspur-entry/src/request/errorBody.ts
@@ -35,6 +35,7 @@
   [OutcomeReason.NoReplica]: 503,
   [OutcomeReason.Draining]: 503,
   [OutcomeReason.Isolated]: 503,
+  [OutcomeReason.Quarantined]: 503,
   [OutcomeReason.RetryBudgetExhausted]: 503,
   [OutcomeReason.HomeGone]: 409,
   [OutcomeReason.OutcomeForgotten]: 409,
--- a/packages/dotterelspur-gateway/src/__tests__/unit/FirstKnowledge.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/FirstKnowledge.test.ts
@@ -1,9 +1,9 @@
 import { expect } from 'chai'
 import { ManualClock } from 'dotterelspur'
+import { QuarantineKeeper } from 'dotterelspur-poison'
 import { EndpointKeeper } from '../../process/EndpointKeeper.js'
 import { FirstKnowledge } from '../../process/FirstKnowledge.js'
 import { ManifestKeeper } from '../../process/ManifestKeeper.js'
-import { QuarantineKeeper } from '../../process/QuarantineKeeper.js'
 import { createLog, createManifest } from '../fixtures/parts.js'
 import { MemoryStore } from '../fixtures/MemoryStore.js'
 
@@ -13,7 +13,7 @@
     const manifest = new ManifestKeeper(createLog(clock))
     const endpoints = new EndpointKeeper(clock, createLog(clock))
     const store = new MemoryStore()
-    const quarantine = new QuarantineKeeper(store, 'n1', 10, clock, createLog(clock))
+    const quarantine = new QuarantineKeeper({ store, node: 'n1', mostEntries: 10, clock, onProblem: () => {} })
     return { clock, store, manifest, endpoints, quarantine, knowledge: new FirstKnowledge(clock, manifest, endpoints, quarantine) }
   }
 
--- a/packages/dotterelspur-gateway/src/process/FirstKnowledge.ts
+++ b/packages/dotterelspur-gateway/src/process/FirstKnowledge.ts
@@ -1,7 +1,7 @@
 import type { Clock, Teardown } from 'dotterelspur'
+import type { QuarantineKeeper } from 'dotterelspur-poison'
 import type { EndpointKeeper } from './EndpointKeeper.js'
 import type { ManifestKeeper } from './ManifestKeeper.js'
-import type { QuarantineKeeper } from './QuarantineKeeper.js'
 
 /** From a process's start: what it must know is there within a tenth of a second, or the store is out and nobody should wait. */
 const WAIT_LIMIT_MS = 600
--- a/packages/dotterelspur-gateway/src/process/FollowRules.ts
+++ b/packages/dotterelspur-gateway/src/process/FollowRules.ts
@@ -1,7 +1,7 @@
+import { QUARANTINE_PREFIX } from 'dotterelspur'
 import { ENDPOINT_PREFIX } from './EndpointKeeper.js'
 import { MANIFEST_PREFIX } from './ManifestKeeper.js'
 import { NODE_PREFIX } from './NodeKeeper.js'
-import { QUARANTINE_PREFIX } from './QuarantineKeeper.js'
 
 /** How a prefix of the store is followed. */
 export interface FollowRule {
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -1,5 +1,6 @@
 import type { Server } from 'node:http'
 import { createRandom, hashText, sleep, StopVotes, type Clock, type EndpointId, type EndpointRecord, type LeaseIdentity, type NodeId, type StoredObject, type Teardown } from 'dotterelspur'
+import { QuarantineKeeper } from 'dotterelspur-poison'
 import { CallerListener, type OpenedPort } from '../connection/CallerListener.js'
 import { Suspicion } from '../connection/PeerFrame.js'
 import { PeerLinks } from '../connection/PeerLinks.js'
@@ -20,7 +21,6 @@
 import { ManifestKeeper } from './ManifestKeeper.js'
 import { NodeKeeper, nodeRecord, type NodeRecord } from './NodeKeeper.js'
 import { PoisonKeeper } from './PoisonKeeper.js'
-import { QuarantineKeeper } from './QuarantineKeeper.js'
 import { registerGauges } from './registerGauges.js'
 import type { VersionedStore } from './VersionedStore.js'
 
@@ -90,7 +90,7 @@
     const { store } = this
     this.manifest = new ManifestKeeper(log)
     this.endpoints = new EndpointKeeper(clock, log, (service) => this.manifest.serves(service))
-    this.quarantine = new QuarantineKeeper(store, settings.node, settings.poison.mostRecords, clock, log)
+    this.quarantine = new QuarantineKeeper({ store, node: settings.node, mostEntries: settings.poison.mostRecords, clock, onProblem: (fingerprint, reason) => { log.write(LogKind.Unexpected, { where: 'quarantine', fingerprint, reason }) } })
     this.firstKnowledge = new FirstKnowledge(clock, this.manifest, this.endpoints, this.quarantine)
     this.nodes = new NodeKeeper(store, nodeRecord(settings, incarnation), clock, log)
     this.lease = new FleetLease(store, { node: settings.node, incarnation }, clock, random, log, (holder) => { this.dropNode(holder) }, () => this.nodes.nodes().length)
--- a/packages/dotterelspur-gateway/src/process/PoisonKeeper.ts
+++ b/packages/dotterelspur-gateway/src/process/PoisonKeeper.ts
@@ -2,10 +2,9 @@
   concernsOthers, LossStage, PoisonState, rendezvousOrder,
   type Clock, type DispatchTarget, type NodeId, type PoisonLimits, type PoisonRecord, type RequestContent, type RequestFingerprint, type Teardown
 } from 'dotterelspur'
-import { fingerprintOf, PoisonGuard, refusesConnections } from 'dotterelspur-poison'
+import { EndedEndpoints, fingerprintOf, PoisonGuard, type QuarantineKeeper } from 'dotterelspur-poison'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
 import type { EndpointKeeper } from './EndpointKeeper.js'
-import type { QuarantineKeeper } from './QuarantineKeeper.js'
 
 /** How often what is believed is looked through for changes, and what is old is forgotten. */
 const LOOK_INTERVAL_MS = 200
@@ -49,7 +48,7 @@
  */
 export class PoisonKeeper {
   readonly guard: PoisonGuard
-  private readonly asked = new Map<string, Promise<boolean>>()
+  private readonly ended = new EndedEndpoints()
   private readonly states = new Map<RequestFingerprint, PoisonState>()
   private toldAtMs = -Infinity
   private cancelTimer: Teardown = () => {}
@@ -80,7 +79,7 @@
     const record = this.parts.endpoints.current.get(target.endpoint)
     // One that leaves, or is on no list, ends because it was told to.
     const mayBlame = record !== undefined && !record.leaving
-    const ended = await this.hasEnded(target.address)
+    const ended = await this.ended.hasEnded(target.address)
     if (ended && mayBlame) this.guard.noteEnd(content, { endpoint: target.endpoint, stage: events === 0 ? LossStage.Unanswered : LossStage.Answering })
     this.logLoss(loss, ended, mayBlame)
   }
@@ -97,15 +96,6 @@
     return records.sort((left, right) => right.ends.length - left.ends.length).slice(0, MOST_TOLD)
   }
 
-  /** All that lost the same endpoint ask once. */
-  private async hasEnded (address: string): Promise<boolean> {
-    const known = this.asked.get(address)
-    if (known !== undefined) return await known
-    const asked = refusesConnections(address)
-    this.asked.set(address, asked)
-    return await asked.finally(() => { this.asked.delete(address) })
-  }
-
   private isHome (fingerprint: RequestFingerprint): boolean {
     const { node, nodes } = this.parts
     return rendezvousOrder(fingerprint, nodes().map((other) => other.node))[0] === node
--- a/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
+++ b/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
@@ -83,7 +83,7 @@
     const end = await runProcedure(runDispatch({ repeatable: isRepeatable(route), maxAttempts: route.maxAttempts }), {
       [DispatchEffectKind.Place]: (effect) => this.place(effect),
       [DispatchEffectKind.Exchange]: async (effect) => await this.exchange(effect),
-      [DispatchEffectKind.JudgeRequest]: async () => await this.mayGoOn(),
+      [DispatchEffectKind.JudgeLoss]: async () => await this.mayGoOn(),
       [DispatchEffectKind.SpendRepeat]: () => this.over === null && this.parts.dispatch.spendRepeat(this.admitted.service)
     })
     cancelDeadline()
--- a/packages/dotterelspur-mesh/src/process/StoreFollower.ts
+++ b/packages/dotterelspur-mesh/src/process/StoreFollower.ts
@@ -1,6 +1,6 @@
 import createDebug from 'debug'
 import {
-  ASSIGNMENT_PREFIX, type Clock, DRAIN_PREFIX, mergeTeardowns, type MeshApi, NODE_PREFIX, NodeState, type ObjectStore, type Random, rendezvousOrder,
+  ASSIGNMENT_PREFIX, type Clock, DRAIN_PREFIX, mergeTeardowns, type MeshApi, NODE_PREFIX, NodeState, type ObjectStore, QUARANTINE_PREFIX, type Random, rendezvousOrder,
   TEAM_PREFIX, type Teardown, type WatchEvent, WatchEventKind
 } from 'dotterelspur'
 import { deletionsOf } from '../version/deletionsOf.js'
@@ -12,7 +12,7 @@
  * The prefixes that are watched in the store. Leases are not: their renewals would be nearly all that a watcher
  * receives, and whoever takes or releases one tells the mesh itself.
  */
-export const FOLLOWED_PREFIXES: readonly string[] = [TEAM_PREFIX, ASSIGNMENT_PREFIX, NODE_PREFIX, DRAIN_PREFIX]
+export const FOLLOWED_PREFIXES: readonly string[] = [TEAM_PREFIX, ASSIGNMENT_PREFIX, NODE_PREFIX, DRAIN_PREFIX, QUARANTINE_PREFIX]
 /** Nodes of one failure domain that watch the store. The second one covers for the first while its death is noticed. */
 export const WATCHERS_PER_FAILURE_DOMAIN = 2
 
--- a/packages/dotterelspur-gateway/src/process/QuarantineKeeper.ts
+++ b/packages/dotterelspur-poison/src/process/QuarantineKeeper.ts
@@ -1,43 +1,40 @@
 import {
-  StoreErrorKind, WatchEventKind,
-  type Clock, type NodeId, type ObjectStore, type PoisonRecord, type RequestFingerprint, type ServiceId, type StoredObject, type Teardown, type WatchEvent, type WorkspaceId
+  QUARANTINE_PREFIX, StoreErrorKind, WatchEventKind,
+  type Clock, type NodeId, type ObjectStore, type PoisonRecord, type QuarantineObject, type RequestFingerprint, type StoredObject, type Teardown, type WatchEvent, type WorkspaceId
 } from 'dotterelspur'
-import { LogKind, type DecisionLog } from './DecisionLog.js'
-
-/** Where requests in quarantine are written down. */
-export const QUARANTINE_PREFIX = 'quarantine/'
 
 /** A decision is written once it has stood for so long: until then the other nodes' evidence may name another cause. */
 const SETTLE_MS = 400
 /** Between two tries to write a decision while the store can't be reached. */
 const RETRY_MS = 1_000
 
-/** A request in quarantine, as it is written to the store. An operator who removes it lets the request run again. */
-export interface QuarantineEntry {
-  readonly outline: number
-  readonly service: ServiceId
-  readonly caller: WorkspaceId | null
-  /** Endpoints that had ended with it when it was decided. */
-  readonly ends: number
-  readonly decidedBy: NodeId
-}
-
 export interface QuarantineListener {
-  decided (fingerprint: RequestFingerprint, entry: QuarantineEntry): void
+  decided (fingerprint: RequestFingerprint, entry: QuarantineObject): void
   /** The entry is gone: somebody lets the request run again. */
   paroled (fingerprint: RequestFingerprint): void
 }
 
+export interface QuarantineKeeperParts {
+  readonly store: ObjectStore
+  readonly node: NodeId
+  readonly mostEntries: number
+  readonly clock: Clock
+  /** This node has written a decision: those who don't follow the store are to be told. */
+  readonly onWritten?: (object: StoredObject<QuarantineObject>) => void
+  /** A decision could not be written, and is tried again. */
+  readonly onProblem: (fingerprint: RequestFingerprint, reason: string) => void
+}
+
 /** Knows which requests are in quarantine by the store, and writes them there: one call for each request. */
 export class QuarantineKeeper {
-  private readonly entries = new Map<RequestFingerprint, StoredObject<QuarantineEntry>>()
+  private readonly entries = new Map<RequestFingerprint, StoredObject<QuarantineObject>>()
   private readonly listeners = new Set<QuarantineListener>()
   private readonly decidedAtMs = new Map<RequestFingerprint, number>()
   private readonly nextTryAtMs = new Map<RequestFingerprint, number>()
   private readonly knownListeners = new Set<() => void>()
   private listed = false
 
-  constructor (private readonly store: ObjectStore, private readonly node: NodeId, private readonly mostEntries: number, private readonly clock: Clock, private readonly log: DecisionLog) {}
+  constructor (private readonly parts: QuarantineKeeperParts) {}
 
   /** Whether the list has been read at least once. */
   get isKnown (): boolean {
@@ -60,12 +57,12 @@
   }
 
   follow (): Teardown {
-    return this.store.watch<QuarantineEntry>(QUARANTINE_PREFIX, (event) => { this.take(event) })
+    return this.parts.store.watch<QuarantineObject>(QUARANTINE_PREFIX, (event) => { this.take(event) })
   }
 
   /** Writes down what is in quarantine and isn't written yet. Called several times a second by the node that decides. */
   keep (records: readonly PoisonRecord[]): void {
-    const nowMs = this.clock.nowMs()
+    const nowMs = this.parts.clock.nowMs()
     const current = new Set(records.map(({ fingerprint }) => fingerprint))
     for (const fingerprint of this.decidedAtMs.keys()) if (!current.has(fingerprint)) this.decidedAtMs.delete(fingerprint)
     for (const record of records) {
@@ -75,17 +72,21 @@
       this.decidedAtMs.set(fingerprint, decidedAtMs)
       if (nowMs - decidedAtMs < SETTLE_MS || nowMs < (this.nextTryAtMs.get(fingerprint) ?? -Infinity)) continue
       this.nextTryAtMs.set(fingerprint, nowMs + RETRY_MS)
-      this.write(record).catch((error: unknown) => { this.log.write(LogKind.Unexpected, { where: 'quarantine', error: String(error) }) })
+      this.write(record).catch((error: unknown) => { this.parts.onProblem(fingerprint, String(error)) })
     }
   }
 
   private async write ({ fingerprint, outline, service, caller, ends }: PoisonRecord): Promise<void> {
-    if (this.entries.size >= this.mostEntries) await this.makeRoom()
-    const entry: QuarantineEntry = { outline, service, caller, ends: ends.length, decidedBy: this.node }
-    const created = await this.store.create(`${QUARANTINE_PREFIX}${fingerprint}`, entry)
-    if (created.ok) this.offer(created.value)
+    if (this.entries.size >= this.parts.mostEntries) await this.makeRoom()
+    const entry: QuarantineObject = { outline, service, caller, ends: ends.length, decidedBy: this.parts.node }
+    const created = await this.parts.store.create(`${QUARANTINE_PREFIX}${fingerprint}`, entry)
+    if (created.ok) {
+      this.offer(created.value)
+      this.parts.onWritten?.(created.value)
+      return
+    }
     // Written before, with the answer lost: it will be read from the store.
-    else if (created.error.kind !== StoreErrorKind.Conflict) this.log.write(LogKind.Unexpected, { where: 'quarantine', error: created.error.kind, fingerprint })
+    if (created.error.kind !== StoreErrorKind.Conflict) this.parts.onProblem(fingerprint, created.error.kind)
   }
 
   /** Of the caller with the most entries the oldest goes: who fills the list only displaces his own. */
@@ -94,16 +95,16 @@
     const countOf = (caller: WorkspaceId | null): number => all.filter(({ body }) => body.caller === caller).length
     const most = Math.max(...all.map(({ body }) => countOf(body.caller)))
     const oldest = all.filter(({ body }) => countOf(body.caller) === most).reduce((left, right) => right.version < left.version ? right : left)
-    const removed = await this.store.remove(oldest.key, oldest.version)
+    const removed = await this.parts.store.remove(oldest.key, oldest.version)
     if (removed.ok) this.forget(oldest.key.slice(QUARANTINE_PREFIX.length))
   }
 
-  private take (event: WatchEvent<QuarantineEntry>): void {
+  private take (event: WatchEvent<QuarantineObject>): void {
     if (event.kind === WatchEventKind.Object) this.offer(event.object)
     if (event.kind === WatchEventKind.Listing) this.takeListing(event.listing.objects)
   }
 
-  private takeListing (objects: ReadonlyArray<StoredObject<QuarantineEntry>>): void {
+  private takeListing (objects: ReadonlyArray<StoredObject<QuarantineObject>>): void {
     const found = new Set(objects.map(({ key }) => key.slice(QUARANTINE_PREFIX.length)))
     for (const fingerprint of [...this.entries.keys()].filter((known) => !found.has(known))) this.forget(fingerprint)
     for (const object of objects) this.offer(object)
@@ -112,7 +113,8 @@
     for (const listener of this.knownListeners) listener()
   }
 
-  private offer (object: StoredObject<QuarantineEntry>): void {
+  /** Takes in one entry, from the store or from whoever read it there. */
+  offer (object: StoredObject<QuarantineObject>): void {
     const fingerprint = object.key.slice(QUARANTINE_PREFIX.length)
     const known = this.entries.get(fingerprint)
     if (object.deleted) return known === undefined || object.version < known.version ? undefined : this.forget(fingerprint)
--- a/packages/dotterelspur/src/request/Outcome.ts
+++ b/packages/dotterelspur/src/request/Outcome.ts
@@ -24,6 +24,8 @@
   NoReplica = 'no_replica',
   Draining = 'draining',
   Isolated = 'isolated',
+  /** It ends the endpoints that run it. */
+  Quarantined = 'quarantined',
   RetryBudgetExhausted = 'retry_budget_exhausted',
   HomeGone = 'home_gone',
   OutcomeForgotten = 'outcome_forgotten',
--- a/packages/dotterelspur/src/request/dispatch/__tests__/unit/runDispatch.test.ts
+++ b/packages/dotterelspur/src/request/dispatch/__tests__/unit/runDispatch.test.ts
@@ -30,7 +30,7 @@
   while (step.done !== true) {
     if (step.value.kind === DispatchEffectKind.Place) step = steps.next(placed < endpoints ? createTarget(`e${++placed}`) : FULL)
     else if (step.value.kind === DispatchEffectKind.SpendRepeat) step = steps.next(spent++ < budget)
-    else if (step.value.kind === DispatchEffectKind.JudgeRequest) step = steps.next(judged++ < trustedLosses)
+    else if (step.value.kind === DispatchEffectKind.JudgeLoss) step = steps.next(judged++ < trustedLosses)
     else {
       sent.push(step.value.target.endpoint)
       step = steps.next(exchanges[sent.length - 1] ?? { end: ExchangeEnd.Answered, callerHasPart: false })
--- a/packages/dotterelspur/src/request/dispatch/runDispatch.ts
+++ b/packages/dotterelspur/src/request/dispatch/runDispatch.ts
@@ -6,7 +6,7 @@
 export enum DispatchEffectKind {
   Place = 'place',
   Exchange = 'exchange',
-  JudgeRequest = 'judge-request',
+  JudgeLoss = 'judge-loss',
   SpendRepeat = 'spend-repeat'
 }
 
@@ -30,11 +30,11 @@
 }
 
 /** Asks whether the request may go to another endpoint; false when it seems to be what ended the one before. */
-export interface JudgeRequestEffect extends Effect<DispatchEffectKind.JudgeRequest, boolean> {
-  readonly kind: DispatchEffectKind.JudgeRequest
+export interface JudgeLossEffect extends Effect<DispatchEffectKind.JudgeLoss, boolean> {
+  readonly kind: DispatchEffectKind.JudgeLoss
 }
 
-export type DispatchEffects = PlaceEffect | ExchangeEffect | JudgeRequestEffect | SpendRepeatEffect
+export type DispatchEffects = PlaceEffect | ExchangeEffect | JudgeLossEffect | SpendRepeatEffect
 
 export interface ExchangeReport {
   readonly end: ExchangeEnd
@@ -89,7 +89,7 @@
     excluded.push(placed)
     const allowed = rule.mayTryElsewhere && (order.repeatable || !mayHaveRun) && attempt < order.maxAttempts
     if (!allowed) return conclude(last, mayHaveRun, attempt, null)
-    const trusted = yield * perform<JudgeRequestEffect>({ kind: DispatchEffectKind.JudgeRequest })
+    const trusted = yield * perform<JudgeLossEffect>({ kind: DispatchEffectKind.JudgeLoss })
     if (!trusted) return conclude(last, mayHaveRun, attempt, null)
     const paid = yield * perform<SpendRepeatEffect>({ kind: DispatchEffectKind.SpendRepeat })
     if (!paid) return conclude(last, mayHaveRun, attempt, null)
--- a/packages/dotterelspur/src/request/lifecycle/LifecycleEffects.ts
+++ b/packages/dotterelspur/src/request/lifecycle/LifecycleEffects.ts
@@ -41,6 +41,7 @@
   CloseStream = 'close-stream',
   Lookup = 'lookup',
   CallService = 'call-service',
+  JudgeRequest = 'judge-request',
   SpendRetry = 'spend-retry',
   Wait = 'wait',
   Deliver = 'deliver',
@@ -105,6 +106,11 @@
   readonly attempt: number
 }
 
+/** Asks whether the request may go to another endpoint; false when it seems to be what ended the one before. */
+export interface JudgeRequestEffect extends Effect<LifecycleEffectKind.JudgeRequest, boolean> {
+  readonly kind: LifecycleEffectKind.JudgeRequest
+}
+
 /** Asks the team's and the node's retry budgets for one more attempt. */
 export interface SpendRetryEffect extends Effect<LifecycleEffectKind.SpendRetry, boolean> {
   readonly kind: LifecycleEffectKind.SpendRetry
@@ -131,9 +137,9 @@
 
 export type ModelEffects =
   | SelectGroupEffect | SendEffect | ResumeEffect | NextEventEffect | CloseStreamEffect | LookupEffect
-  | SpendRetryEffect | WaitEffect | DeliverEffect | StartAgainEffect
+  | JudgeRequestEffect | SpendRetryEffect | WaitEffect | DeliverEffect | StartAgainEffect
 
-export type ServiceEffects = SelectWorkerEffect | CallServiceEffect | SpendRetryEffect | WaitEffect
+export type ServiceEffects = SelectWorkerEffect | CallServiceEffect | JudgeRequestEffect | SpendRetryEffect | WaitEffect
 
 /** How a model request ended. */
 export interface ModelResult {
--- a/packages/dotterelspur/src/request/lifecycle/__tests__/unit/runModelRequest.test.ts
+++ b/packages/dotterelspur/src/request/lifecycle/__tests__/unit/runModelRequest.test.ts
@@ -106,6 +106,7 @@
       if (state === undefined || state === null) return failed({ kind: EndpointErrorKind.NotRun, reason: 'unreachable' })
       return success({ requestId: REQUEST, state, offset: 6 })
     },
+    'judge-request': () => true,
     'spend-retry': () => {
       budget -= 1
       return budget >= 0
--- a/packages/dotterelspur/src/request/lifecycle/runModelRequest.ts
+++ b/packages/dotterelspur/src/request/lifecycle/runModelRequest.ts
@@ -7,7 +7,7 @@
 import type { GroupView } from './GroupTable.js'
 import {
   InterruptKind, LifecycleEffectKind, RequestSafety, isInterrupt,
-  type CloseStreamEffect, type DeliverEffect, type LookupEffect, type ModelEffects, type ModelResult, type NextEventEffect,
+  type CloseStreamEffect, type DeliverEffect, type JudgeRequestEffect, type LookupEffect, type ModelEffects, type ModelResult, type NextEventEffect,
   type ResumeEffect, type SelectGroupEffect, type SendEffect, type SpendRetryEffect, type StartAgainEffect, type WaitEffect
 } from './LifecycleEffects.js'
 import { answered, failedByEndpoint, notRun, unknownOutcome } from './outcomes.js'
@@ -212,6 +212,8 @@
 function * tryElsewhere (run: ModelRun, group: GroupView, otherwise: Outcome): Procedure<ModelEffects, Next> {
   run.excluded.push(group.group)
   if (run.attempt >= run.plan.maxAttempts) return finish(run, otherwise)
+  const trusted = yield * perform<JudgeRequestEffect>({ kind: LifecycleEffectKind.JudgeRequest })
+  if (!trusted) return finish(run, otherwise)
   const allowed = yield * perform<SpendRetryEffect>({ kind: LifecycleEffectKind.SpendRetry })
   if (allowed) return null
   return finish(run, { ...otherwise, reason: OutcomeReason.RetryBudgetExhausted, message: `${otherwise.message}; the retry budget is spent` })
--- a/packages/dotterelspur/src/request/lifecycle/runServiceRequest.ts
+++ b/packages/dotterelspur/src/request/lifecycle/runServiceRequest.ts
@@ -3,7 +3,7 @@
 import { OutcomeReason, type Outcome } from '../Outcome.js'
 import {
   InterruptKind, LifecycleEffectKind, RequestSafety,
-  type CallServiceEffect, type Interrupt, type SelectWorkerEffect, type ServiceEffects, type ServiceResult, type ServiceWorker, type SpendRetryEffect
+  type CallServiceEffect, type Interrupt, type JudgeRequestEffect, type SelectWorkerEffect, type ServiceEffects, type ServiceResult, type ServiceWorker, type SpendRetryEffect
 } from './LifecycleEffects.js'
 import { answered, failedByEndpoint, notRun, unknownOutcome } from './outcomes.js'
 
@@ -68,6 +68,8 @@
   if (!provedNotRun && run.plan.safety === RequestSafety.NonIdempotent) return finish(run, outcome)
   run.excluded.push(worker.vm)
   if (run.attempt >= run.plan.maxAttempts) return finish(run, outcome)
+  const trusted = yield * perform<JudgeRequestEffect>({ kind: LifecycleEffectKind.JudgeRequest })
+  if (!trusted) return finish(run, outcome)
   const allowed = yield * perform<SpendRetryEffect>({ kind: LifecycleEffectKind.SpendRetry })
   return allowed ? null : finish(run, { ...outcome, reason: OutcomeReason.RetryBudgetExhausted })
 }
--- a/packages/dotterelspur/src/version/PlatformObjects.ts
+++ b/packages/dotterelspur/src/version/PlatformObjects.ts
@@ -1,4 +1,4 @@
-import type { AdapterId, FabricDomainId, FailureDomainId, GroupId, ModelId, ModelVersion, NodeId, RegionId, TeamId, VmId } from '../process/ids.js'
+import type { AdapterId, FabricDomainId, FailureDomainId, GroupId, ModelId, ModelVersion, NodeId, RegionId, ServiceId, TeamId, VmId, WorkspaceId } from '../process/ids.js'
 import type { VmRecord } from '../process/VmRecord.js'
 
 /**
@@ -14,6 +14,7 @@
 export const ASSIGNMENT_PREFIX = 'assignments/'
 export const NODE_PREFIX = 'nodes/'
 export const CLAIM_PREFIX = 'claims/'
+export const QUARANTINE_PREFIX = 'quarantine/'
 export const AUDIT_PREFIX = 'audit/'
 export const STATUS_PREFIX = 'status/'
 export const DRAIN_PREFIX = 'drains/'
@@ -219,3 +220,14 @@
 export interface AuditBatch extends Written {
   readonly records: readonly AuditRecord[]
 }
+
+/** `quarantine/<fingerprint>`: a request that ends endpoints and is sent nowhere. An operator who removes it lets the request run again. */
+export interface QuarantineObject {
+  readonly outline: number
+  readonly service: ServiceId
+  /** Null for callers without a key. */
+  readonly caller: WorkspaceId | null
+  /** Endpoints that had ended with it when it was decided. */
+  readonly ends: number
+  readonly decidedBy: NodeId
+}
