Poison requests: harmless ones are never refused for it, also popular ones in a crash of a whole domain

A copy that has come further at a living endpoint, or an answer that comes further than at any end, speaks for a request as a whole answer does. A judgement settles for 300 ms, in which answers on the way arrive. A suspect that isn't this node's to try waits 600 ms and is then tried, instead of being refused.

--- a/packages/dotterelspur-entry/src/process/PoisonKeeper.ts
+++ b/packages/dotterelspur-entry/src/process/PoisonKeeper.ts
@@ -1,6 +1,6 @@
 import createDebug from 'debug'
 import {
-  CallEventKind, homeOf, LossStage, NodeState, QUARANTINE_PREFIX, rendezvousOrder,
+  CallEventKind, homeOf, NodeState, QUARANTINE_PREFIX, rendezvousOrder,
   type Clock, type HomeId, type MeshApi, type MeshDocument, type ObjectStore, type PoisonLimits, type PoisonRecord, type QuarantineObject, type RequestContent, type RequestFingerprint, type StoredObject, type Teardown
 } from 'dotterelspur'
 import { EndedEndpoints, PoisonGuard, QuarantineKeeper } from 'dotterelspur-poison'
@@ -27,8 +27,8 @@
   readonly endpoint: string
   /** Base URL of the endpoint. */
   readonly url: string
-  /** Part of the answer had come from there. */
-  readonly hadPart: boolean
+  /** Tokens of the answer that had come from there. */
+  readonly tokens: number
 }
 
 /**
@@ -78,11 +78,11 @@
   }
 
   /** Finds out whether the endpoint has ended; if so, that counts against the request once this resolves. */
-  async noteLoss ({ content, endpoint, url, hadPart }: LostRun): Promise<void> {
+  async noteLoss ({ content, endpoint, url, tokens }: LostRun): Promise<void> {
     const ended = await this.ended.hasEnded(addressOf(url))
     debug('%s lost in the middle of a request, %s', endpoint, ended ? 'has ended' : 'still listens or is silent')
     if (!ended) return
-    this.guard.noteEnd(content, { endpoint, stage: hadPart ? LossStage.Answering : LossStage.Unanswered })
+    this.guard.noteEnd(content, endpoint, tokens)
     await this.tellHomes()
   }
 
--- a/packages/dotterelspur-entry/src/request/LocalRuns.ts
+++ b/packages/dotterelspur-entry/src/request/LocalRuns.ts
@@ -98,7 +98,7 @@
     const { request } = run
     const refusal = this.refuseEarly()
     if (refusal !== null) return this.refuse(run, refusal)
-    const { kind, release } = this.context.poison.guard.admit(contentOf(request))
+    const { kind, release } = await this.context.poison.guard.admit(contentOf(request))
     if (kind !== AdmissionKind.Admitted) return this.refuse(run, HELD_BACK[kind])
     try {
       return await this.enterAndRun(run)
--- a/packages/dotterelspur-entry/src/request/ModelRunner.ts
+++ b/packages/dotterelspur-entry/src/request/ModelRunner.ts
@@ -4,6 +4,7 @@
   type ChunkKind, type EffectHandlers, type GenerateRequest, type GroupTarget, type GroupView, type ModelEffects, type ModelResult, type NextEvent, type Outcome, type RequestContent, type Result,
   type RouteAttempt, type RouteRefusal, type SendEffect
 } from 'dotterelspur'
+import type { ExchangeNote } from 'dotterelspur-poison'
 import type { EntryContext } from '../process/EntryContext.js'
 import { teamScoped } from '../process/FleetView.js'
 import { AttemptStream, waitOrInterrupt, type RequestInterrupt } from './AttemptStream.js'
@@ -28,6 +29,7 @@
   private readonly content: RequestContent
   /** Resolves once it is known whether the last endpoint that was lost has ended. */
   private lossNoted: Promise<void> = Promise.resolve()
+  private exchange: ExchangeNote | null = null
   firstTokenAtMs: number | null = null
   overloaded = false
 
@@ -142,6 +144,7 @@
     this.group = group
     this.route = router.begin(this.target!, nowMs)
     this.attemptTokens = 0
+    this.exchange = this.context.poison.guard.begin(this.content)
     this.attemptEnd = AttemptEnd.Cancelled
     this.open((signal) => engines.generate(group.leaderAddress, generate, signal))
     return true
@@ -173,7 +176,7 @@
   private noteLoss (): void {
     if (this.group === null) return
     const { group, formation, leaderAddress } = this.group
-    this.lossNoted = this.context.poison.noteLoss({ content: this.content, endpoint: groupTargetId(group, formation), url: leaderAddress, hadPart: this.attemptTokens > 0 })
+    this.lossNoted = this.context.poison.noteLoss({ content: this.content, endpoint: groupTargetId(group, formation), url: leaderAddress, tokens: this.attemptTokens })
   }
 
   private noteChunk (chunk: { readonly kind: ChunkKind, readonly tokens?: number }): void {
@@ -185,6 +188,7 @@
     if (this.route !== null) this.context.router.firstToken(this.route, nowMs)
     this.firstTokenAtMs ??= nowMs
     this.attemptTokens += chunk.tokens
+    this.exchange?.noteProgress()
   }
 
   private closeStream (cancel: boolean): void {
@@ -198,6 +202,7 @@
   }
 
   private endAttempt (): void {
+    this.exchange?.end()
     this.stream?.close()
     this.stream = null
     if (this.route === null) return
--- a/packages/dotterelspur-entry/src/request/ServiceRunner.ts
+++ b/packages/dotterelspur-entry/src/request/ServiceRunner.ts
@@ -101,7 +101,7 @@
     const { poison } = this.context
     if (!('ok' in result)) return
     if (result.ok) return poison.guard.noteAnswer(this.content)
-    if (LOST_BY.has(result.error.kind)) this.lossNoted = poison.noteLoss({ content: this.content, endpoint: this.target!.id, url: address, hadPart: false })
+    if (LOST_BY.has(result.error.kind)) this.lossNoted = poison.noteLoss({ content: this.content, endpoint: this.target!.id, url: address, tokens: 0 })
   }
 
   private endRoute (route: RouteAttempt, result: Result<ServiceResponse, EndpointError> | Interrupt): void {
--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -130,7 +130,8 @@
     const service = this.pickService(access.route)
     const { route, workspace, priority } = access
     const content: RequestContent = { service, method: request.method!, target: request.url!, caller: workspace, model: head.model, body: body.value }
-    const admission = this.parts.poison.guard.admit(content)
+    const admission = await this.parts.poison.guard.admit(content)
+    if (answer.isOver) return admission.release()
     if (admission.kind !== AdmissionKind.Admitted) return this.holdBack(request, answer, admission)
     const spentBeforeMs = this.parts.dispatch.noteRequest(service, route, head)
     const requestId = head.requestId ?? randomUUID()
--- a/packages/dotterelspur-gateway/src/process/PoisonKeeper.ts
+++ b/packages/dotterelspur-gateway/src/process/PoisonKeeper.ts
@@ -1,5 +1,5 @@
 import {
-  concernsOthers, LossStage, PoisonState, rendezvousOrder,
+  concernsOthers, PoisonState, rendezvousOrder,
   type Clock, type DispatchTarget, type NodeId, type PoisonLimits, type PoisonRecord, type RequestContent, type RequestFingerprint, type Teardown
 } from 'dotterelspur'
 import { EndedEndpoints, fingerprintOf, PoisonGuard, type QuarantineKeeper } from 'dotterelspur-poison'
@@ -80,7 +80,7 @@
     // One that leaves, or is on no list, ends because it was told to.
     const mayBlame = record !== undefined && !record.leaving
     const ended = await this.ended.hasEnded(target.address)
-    if (ended && mayBlame) this.guard.noteEnd(content, { endpoint: target.endpoint, stage: events === 0 ? LossStage.Unanswered : LossStage.Answering })
+    if (ended && mayBlame) this.guard.noteEnd(content, target.endpoint, events)
     this.logLoss(loss, ended, mayBlame)
   }
 
@@ -135,7 +135,7 @@
   private logState (fingerprint: RequestFingerprint, before: PoisonState, state: PoisonState): void {
     const record = this.guard.ledger.recordOf(fingerprint)
     this.parts.log.write(LogKind.RequestJudged, {
-      fingerprint, before, state, service: record?.service, workspace: record?.caller, answers: record?.answers, ends: record?.ends.map(({ endpoint, stage }) => `${endpoint} ${stage}`)
+      fingerprint, before, state, service: record?.service, workspace: record?.caller, answers: record?.answers, ends: record?.ends.map(({ endpoint, pieces }) => `${endpoint} after ${pieces}`)
     })
   }
 
@@ -150,7 +150,7 @@
       events,
       tookMs: Math.round(tookMs),
       besides,
-      state: this.guard.ledger.stateOf(fingerprint),
+      state: this.guard.ledger.stateOf(fingerprint, this.parts.clock.nowMs()),
       ends: this.guard.ledger.recordOf(fingerprint)?.ends.length ?? 0
     })
   }
--- a/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
+++ b/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
@@ -56,6 +56,7 @@
   private firstByteAtMs: number | null = null
   /** Pieces of the answer that came from the present endpoint, of one or more whole events each. */
   private events = 0
+  private noteProgress = (): void => {}
   /** Resolves once it is known whether the last endpoint that was lost has ended. */
   private lossNoted: Promise<void> = Promise.resolve()
   private over: ExchangeEnd | null = null
@@ -124,8 +125,11 @@
     this.events = 0
     const { dispatch, clock } = this.parts
     const sentAtMs = clock.nowMs()
+    const note = this.parts.poison.guard.begin(this.admitted.content)
+    this.noteProgress = note.noteProgress
     const end = await new Promise<ExchangeEnd>((resolve) => { this.send(target, mayMove, resolve) })
     this.call = null
+    note.end()
     dispatch.exchangeEnded(target)
     if (EXCHANGE_RULES[end].mayEndEndpoint) this.lossNoted = this.noteLoss(target, clock.nowMs() - sentAtMs)
     if (EXCHANGE_RULES[end].blamesEndpoint) dispatch.blame(target, end)
@@ -179,6 +183,7 @@
     const whole = this.cursor.take(chunk)
     if (whole === null) return true
     this.events += 1
+    this.noteProgress()
     this.beginStream()
     this.paused = !this.answer.write(whole)
     if (this.paused) this.watch?.noteHeld(true)
--- a/packages/dotterelspur-poison/src/process/PoisonGuard.ts
+++ b/packages/dotterelspur-poison/src/process/PoisonGuard.ts
@@ -1,13 +1,13 @@
 import {
-  outlineOf, PoisonLedger, PoisonState,
-  type Clock, type EndpointEnd, type PoisonLimits, type PoisonRecord, type RequestContent, type RequestFingerprint, type Teardown
+  furthestPieces, outlineOf, PoisonLedger, PoisonState, sleep,
+  type Clock, type EndpointId, type PoisonLimits, type PoisonRecord, type RequestContent, type RequestFingerprint, type Teardown
 } from 'dotterelspur'
 import { fingerprintOf } from '../request/fingerprint.js'
 
 /** What becomes of a request that comes in. */
 export enum AdmissionKind {
   Admitted = 'admitted',
-  /** A suspect that runs somewhere, or is another node's to send: it may come back. */
+  /** A suspect that runs here, or is another node's to send first. */
   Deferred = 'deferred',
   /** It ends endpoints: it is sent nowhere. */
   Quarantined = 'quarantined'
@@ -25,14 +25,45 @@
   readonly clock: Clock
   readonly limits: PoisonLimits
   /**
-   * Whether this node is the one that sends a suspect. With one node for each, a suspect that many nodes get at once meets one
-   * endpoint at a time in the whole fleet.
+   * Whether this node is the one that sends a suspect first. With one node for each, a suspect that many nodes get at once most
+   * often meets one endpoint at a time in the whole fleet.
    */
   readonly isHome: (fingerprint: RequestFingerprint) => boolean
   /** What this node has learned itself, to be told to the others. */
   readonly learned: (record: PoisonRecord) => void
 }
 
+/** An exchange with an endpoint that is under way. */
+export interface ExchangeNote {
+  /** A piece of the answer came. */
+  noteProgress (): void
+  end (): void
+}
+
+class Exchange {
+  pieces = 0
+  private knownOutline: number | null = null
+  private knownFingerprint: RequestFingerprint | null = null
+
+  constructor (readonly content: RequestContent) {}
+
+  get outline (): number {
+    this.knownOutline ??= outlineOf(this.content)
+    return this.knownOutline
+  }
+
+  get fingerprint (): RequestFingerprint {
+    this.knownFingerprint ??= fingerprintOf(this.content)
+    return this.knownFingerprint
+  }
+}
+
+/** A suspect waits so long for its home's try: a queue, the begin of a run, and a message to all nodes. */
+export const SUSPECT_WAIT_MS = 600
+
+/** So many pieces more than at any end show that the request was not what ended them. */
+const TELLING_PIECES = 3
+
 const NOT_KNOWN: PoisonAdmission = { kind: AdmissionKind.Admitted, fingerprint: null, release: () => {} }
 
 /**
@@ -42,28 +73,52 @@
 export class PoisonGuard {
   readonly ledger: PoisonLedger
   private readonly running = new Set<RequestFingerprint>()
+  private readonly exchanges = new Set<Exchange>()
 
   constructor (private readonly parts: PoisonGuardParts) {
     this.ledger = new PoisonLedger(parts.limits)
   }
 
-  admit (content: RequestContent): PoisonAdmission {
+  /**
+   * Says what becomes of a request. A suspect is sent by its home at once; elsewhere it waits first, so that most often it is known
+   * what it is before another node sends it, and then goes as well, since a harmless one must not be refused.
+   */
+  async admit (content: RequestContent): Promise<PoisonAdmission> {
+    const first = this.judge(content, false)
+    if (first.kind !== AdmissionKind.Deferred) return first
+    await sleep(this.parts.clock, SUSPECT_WAIT_MS)
+    return this.judge(content, true)
+  }
+
+  /** What would become of a request now; `hasWaited` where it has had its wait. */
+  judge (content: RequestContent, hasWaited: boolean): PoisonAdmission {
     const fingerprint = this.knownFingerprint(content)
     if (fingerprint === null) return NOT_KNOWN
-    return ADMISSIONS[this.ledger.stateOf(fingerprint)](fingerprint, this.parts, this.running)
+    return ADMISSIONS[this.ledger.stateOf(fingerprint, this.parts.clock.nowMs())](fingerprint, hasWaited || this.parts.isHome(fingerprint), this.running)
+  }
+
+  /** Notes an exchange that begins; what it shows tells others of the same content apart from those that end endpoints. */
+  begin (content: RequestContent): ExchangeNote {
+    const exchange = new Exchange(content)
+    this.exchanges.add(exchange)
+    return { noteProgress: () => { this.noteProgress(exchange) }, end: () => { this.exchanges.delete(exchange) } }
   }
 
   /** Whether a request that was admitted may be sent once more. */
   maySendAgain (content: RequestContent): boolean {
     const fingerprint = this.knownFingerprint(content)
-    return fingerprint === null || this.ledger.stateOf(fingerprint) === PoisonState.Trusted
+    return fingerprint === null || this.ledger.stateOf(fingerprint, this.parts.clock.nowMs()) === PoisonState.Trusted
   }
 
-  /** The endpoint ended while it had the request. */
-  noteEnd (content: RequestContent, end: EndpointEnd): void {
+  /**
+   * The endpoint ended while it had the request, of whose answer `pieces` had come. That says nothing against a request of which
+   * another copy has come further at an endpoint that lives.
+   */
+  noteEnd (content: RequestContent, endpoint: EndpointId, pieces: number): void {
+    if (this.hasComeFurther(content, pieces)) return this.noteAnswer(content)
     const { service, caller } = content
     const subject = { fingerprint: fingerprintOf(content), outline: outlineOf(content), service, caller }
-    this.tell(this.ledger.noteEnd(subject, end, this.parts.clock.nowMs()))
+    this.tell(this.ledger.noteEnd(subject, { endpoint, pieces }, this.parts.clock.nowMs()))
   }
 
   /** A whole answer to the request came. */
@@ -72,6 +127,19 @@
     if (fingerprint !== null) this.tell(this.ledger.noteAnswer(fingerprint, this.parts.clock.nowMs()))
   }
 
+  /** An answer that comes further than at any end speaks for the request as a whole one does. */
+  private noteProgress (exchange: Exchange): void {
+    exchange.pieces += 1
+    if (this.ledger.isEmpty || exchange.pieces < TELLING_PIECES || !this.ledger.mayKnow(exchange.outline)) return
+    const record = this.ledger.recordOf(exchange.fingerprint)
+    if (record !== undefined && exchange.pieces >= furthestPieces(record) + TELLING_PIECES) this.noteAnswer(exchange.content)
+  }
+
+  private hasComeFurther (content: RequestContent, pieces: number): boolean {
+    const outline = outlineOf(content)
+    return [...this.exchanges].some((other) => other.pieces > pieces && other.outline === outline && other.fingerprint === fingerprintOf(content))
+  }
+
   /** Null for a request of which nothing is known. */
   private knownFingerprint (content: RequestContent): RequestFingerprint | null {
     return this.ledger.isEmpty || !this.ledger.mayKnow(outlineOf(content)) ? null : fingerprintOf(content)
@@ -82,14 +150,15 @@
   }
 }
 
-type Admit = (fingerprint: RequestFingerprint, parts: PoisonGuardParts, running: Set<RequestFingerprint>) => PoisonAdmission
+type Admit = (fingerprint: RequestFingerprint, isTurn: boolean, running: Set<RequestFingerprint>) => PoisonAdmission
 
 const ADMISSIONS: Readonly<Record<PoisonState, Admit>> = {
   [PoisonState.Trusted]: (fingerprint) => ({ kind: AdmissionKind.Admitted, fingerprint, release: () => {} }),
-  [PoisonState.Suspected]: (fingerprint, { isHome }, running) => {
-    if (running.has(fingerprint) || !isHome(fingerprint)) return { kind: AdmissionKind.Deferred, fingerprint, release: () => {} }
+  [PoisonState.Suspected]: (fingerprint, isTurn, running) => {
+    if (running.has(fingerprint) || !isTurn) return { kind: AdmissionKind.Deferred, fingerprint, release: () => {} }
     running.add(fingerprint)
     return { kind: AdmissionKind.Admitted, fingerprint, release: () => { running.delete(fingerprint) } }
   },
+  [PoisonState.Settling]: (fingerprint) => ({ kind: AdmissionKind.Deferred, fingerprint, release: () => {} }),
   [PoisonState.Quarantined]: (fingerprint) => ({ kind: AdmissionKind.Quarantined, fingerprint, release: () => {} })
 }
--- a/packages/dotterelspur/src/request/poison/PoisonLedger.ts
+++ b/packages/dotterelspur/src/request/poison/PoisonLedger.ts
@@ -9,6 +9,8 @@
   Trusted = 'trusted',
   /** Endpoints ended under it, and there is no other explanation: one more end decides. */
   Suspected = 'suspected',
+  /** The ends say that it is the cause, and answers that are on the way may still speak for it. */
+  Settling = 'settling',
   /** It is sent nowhere any more. */
   Quarantined = 'quarantined'
 }
@@ -27,6 +29,11 @@
 
 /** A request is a suspect once this much more would put it in quarantine. */
 const SUSPECT_MARGIN = 1
+/**
+ * A request that many callers send loses several endpoints at once when a failure domain goes, and is answered elsewhere at the
+ * same time: that answer has so long to arrive before the request is refused.
+ */
+const SETTLE_MS = 300
 /** Requests with fewer ends concern nobody but the node that saw them, and whoever adds up. */
 const SHARED_ENDS = 2
 
@@ -43,6 +50,8 @@
   private readonly entries = new Map<RequestFingerprint, Entry>()
   /** Requests in quarantine by a decision that outlives the processes. */
   private readonly decided = new Map<RequestFingerprint, number>()
+  /** When each of the others was first taken for a cause. */
+  private readonly quarantinedAtMs = new Map<RequestFingerprint, number>()
   private outlines: ReadonlySet<number> | null = null
   private judgement: PoisonJudgement | null = null
 
@@ -59,9 +68,10 @@
     return this.outlines.has(outline)
   }
 
-  stateOf (fingerprint: RequestFingerprint): PoisonState {
+  stateOf (fingerprint: RequestFingerprint, nowMs: number): PoisonState {
     const { quarantined, weights } = this.judge()
-    if (quarantined.has(fingerprint)) return PoisonState.Quarantined
+    if (this.decided.has(fingerprint)) return PoisonState.Quarantined
+    if (quarantined.has(fingerprint)) return this.hasSettled(fingerprint, nowMs) ? PoisonState.Quarantined : PoisonState.Settling
     return (weights.get(fingerprint) ?? 0) >= this.suspectWeight ? PoisonState.Suspected : PoisonState.Trusted
   }
 
@@ -124,12 +134,20 @@
     }
   }
 
+  private hasSettled (fingerprint: RequestFingerprint, nowMs: number): boolean {
+    const sinceMs = this.quarantinedAtMs.get(fingerprint) ?? nowMs
+    this.quarantinedAtMs.set(fingerprint, sinceMs)
+    return nowMs - sinceMs >= SETTLE_MS
+  }
+
   private get suspectWeight (): number {
     return this.limits.quarantineEnds - SUSPECT_MARGIN
   }
 
   private judge (): PoisonJudgement {
-    this.judgement ??= judgePoison([...this.entries.values()].map(({ record }) => record), new Set(this.decided.keys()), this.limits.quarantineEnds)
+    if (this.judgement !== null) return this.judgement
+    this.judgement = judgePoison([...this.entries.values()].map(({ record }) => record), new Set(this.decided.keys()), this.limits.quarantineEnds)
+    for (const fingerprint of this.quarantinedAtMs.keys()) if (!this.judgement.quarantined.has(fingerprint)) this.quarantinedAtMs.delete(fingerprint)
     return this.judgement
   }
 
--- a/packages/dotterelspur/src/request/poison/PoisonRecord.ts
+++ b/packages/dotterelspur/src/request/poison/PoisonRecord.ts
@@ -1,18 +1,11 @@
 import type { EndpointId, ServiceId, WorkspaceId } from '../../process/ids.js'
 import type { RequestFingerprint } from './RequestContent.js'
 
-/** How far an answer was when its endpoint ended. */
-export enum LossStage {
-  /** Nothing of it had come: the endpoint ended before or just after it began to run the request. */
-  Unanswered = 'unanswered',
-  /** Part of it had come, so the endpoint had run the request for a while and ended all the same. */
-  Answering = 'answering'
-}
-
 /** An endpoint that ended while it had a request. */
 export interface EndpointEnd {
   readonly endpoint: EndpointId
-  readonly stage: LossStage
+  /** Pieces of the answer that had come from there; none where it ended before or just after it began to run the request. */
+  readonly pieces: number
 }
 
 /**
@@ -46,3 +39,8 @@
 export function saysMore (joined: PoisonRecord, known: PoisonRecord): boolean {
   return joined.answers > known.answers || joined.ends.length > known.ends.length
 }
+
+/** The most pieces that came from any endpoint before it ended. */
+export function furthestPieces ({ ends }: PoisonRecord): number {
+  return Math.max(0, ...ends.map(({ pieces }) => pieces))
+}
