--- a/packages/dotterelspur-ctl/src/__tests__/unit/traceStory.test.ts
+++ b/packages/dotterelspur-ctl/src/__tests__/unit/traceStory.test.ts
@@ -35,6 +35,26 @@
   })
 })
 
+describe('traceStory of a request that ends endpoints', () => {
+  const JUDGED = [
+    '{"time":"2026-06-04T01:12:10.000Z","node":"n1","event":"exchange-lost","request":"r-1","fingerprint":"5ac2","endpoint":"i-1","ended":true}',
+    '{"time":"2026-06-04T01:12:11.000Z","node":"n1","event":"request-judged","fingerprint":"5ac2","before":"trusted","state":"suspected","ends":["i-1 after 0","i-2 after 0"]}',
+    '{"time":"2026-06-04T01:12:12.000Z","node":"n1","event":"request-judged","fingerprint":"5ac2","before":"suspected","state":"quarantined"}',
+    '{"time":"2026-06-04T01:12:12.000Z","node":"n1","event":"request-judged","fingerprint":"77f0","before":"trusted","state":"suspected"}',
+    '{"time":"2026-06-04T01:20:00.000Z","node":"n2","event":"request-ended","request":"r-9","answeredWith":"quarantined","fingerprint":"5ac2"}'
+  ].join('\n')
+
+  it('says when and by which ends its content was judged, however long ago', () => {
+    const events = traceStory(JUDGED, 'r-9').lines.map(({ line, role }) => `${role} ${line.event} ${String(line.fields['state'] ?? '')}`)
+    expect(events).to.deep.equal([`${StoryRole.Known} request-judged suspected`, `${StoryRole.Known} request-judged quarantined`, `${StoryRole.Subject} request-ended `])
+  })
+
+  it('gathers what was seen of a fingerprint', () => {
+    const events = traceStory(JUDGED, '5ac2').lines.map(({ line }) => line.event)
+    expect(events).to.deep.equal(['exchange-lost', 'request-judged', 'request-judged', 'request-ended'])
+  })
+})
+
 describe('traceStory of a group', () => {
   /** A plan whose member was taken from under its open head, shortened: the head that was asked is not the one that is open. */
   const TAKEN = [
--- a/packages/dotterelspur-ctl/src/request/traceStory.ts
+++ b/packages/dotterelspur-ctl/src/request/traceStory.ts
@@ -35,6 +35,8 @@
 const STATE_EVENTS: ReadonlySet<string> = new Set(['start', 'manifest-in-force', 'dependency-lost', 'dependency-regained'])
 /** Said by the deciding process alone, whichever that was. */
 const FLEET_EVENTS: ReadonlySet<string> = new Set(['fleet-state', 'lease-taken', 'lease-lost'])
+/** A request is refused for what was learned of its content, which may be long before. */
+const JUDGED_EVENT = 'request-judged'
 /** Stands for the head of a former group that can't be reached. */
 const GONE = 'gone'
 const COMMON_FIELDS: ReadonlySet<string> = new Set(['level', 'time', 'node', 'event', 'atMs'])
@@ -50,8 +52,10 @@
   const last = own.at(-1)
   if (first === undefined || last === undefined) return { lines: [], unreadable }
   const met = metBy(own, subject)
+  const fingerprints = own.flatMap(({ fields }) => typeof fields['fingerprint'] === 'string' ? [fields['fingerprint']] : [])
   const story = lines.flatMap((line): StoryLine[] => {
     if (names(line, subject)) return [{ line, role: StoryRole.Subject }]
+    if (line.event === JUDGED_EVENT && fingerprints.some((fingerprint) => names(line, fingerprint))) return [{ line, role: StoryRole.Known }]
     const isNear = line.timeMs >= first.timeMs - BEFORE_MS && line.timeMs <= last.timeMs + AFTER_MS
     return isNear && line.event !== 'request-ended' && [...met].some((name) => names(line, name)) ? [{ line, role: StoryRole.Met }] : []
   })
