--- a/packages/dotterelspur/src/request/poison/RequestContent.ts
+++ b/packages/dotterelspur/src/request/poison/RequestContent.ts
@@ -18,8 +18,8 @@
 }
 
 /**
- * A cheap first comparison: requests with the same content have the same outline. Digests of all bodies would take a tenth of
- * a core in a busy node; only of a request whose outline is known is the fingerprint needed.
+ * A cheap first comparison: requests with the same content have the same outline. It leaves the body's bytes out, which take most
+ * of the time that a fingerprint takes; that is needed only of a request whose outline is known.
  */
 export function outlineOf ({ service, method, target, caller, model, body }: RequestContent): number {
   return hashText(JSON.stringify([service, method, target, caller, model, body.length]))
