--- a/packages/dotterelspur-poison/src/process/PoisonGuard.ts
+++ b/packages/dotterelspur-poison/src/process/PoisonGuard.ts
@@ -40,6 +40,7 @@
   end (): void
 }
 
+/** Its outline and fingerprint are made once, and only where they are asked for. */
 class Exchange {
   pieces = 0
   private knownOutline: number | null = null
--- a/packages/dotterelspur/src/request/poison/PoisonRecord.ts
+++ b/packages/dotterelspur/src/request/poison/PoisonRecord.ts
@@ -35,7 +35,7 @@
   return { ...left, ends: [...left.ends, ...added].slice(0, MOST_ENDS), ageMs: Math.min(left.ageMs, right.ageMs) }
 }
 
-/** Whether a joined record says more than the one that was known. */
+/** Whether a joined record says more than the one that was known; one whose ends are all known already doesn't. */
 export function saysMore (joined: PoisonRecord, known: PoisonRecord): boolean {
   return joined.answers > known.answers || joined.ends.length > known.ends.length
 }
