Review: refusals before a manifest say again that there is none; an unused getter is gone

Refusing with further fields had dropped manifestVersion: null from the line of a request that met no manifest, by which docs/OPERATIONS.md tells that story. QuarantineKeeper.size was read by nobody.

--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -167,7 +167,7 @@
   private refuse (request: IncomingMessage, answer: CallerAnswer, kind: OwnAnswerKind, retryAfterMs: number | null, fields: LogFields = {}): void {
     answer.refuse(kind, retryAfterMs)
     this.parts.metrics.countOwnAnswer(kind)
-    this.parts.log.write(LogKind.RequestEnded, { request: this.parts.wire.readCaller(request.headers).requestId, answeredWith: kind, path: request.url, ...fields })
+    this.parts.log.write(LogKind.RequestEnded, { request: this.parts.wire.readCaller(request.headers).requestId, answeredWith: kind, path: request.url, manifestVersion: null, ...fields })
   }
 
   private report (admitted: AdmittedRequest, report: RequestReport): void {
--- a/packages/dotterelspur-poison/src/process/QuarantineKeeper.ts
+++ b/packages/dotterelspur-poison/src/process/QuarantineKeeper.ts
@@ -41,10 +41,6 @@
     return this.listed
   }
 
-  get size (): number {
-    return this.entries.size
-  }
-
   registerListener (listener: QuarantineListener): Teardown {
     this.listeners.add(listener)
     return () => { this.listeners.delete(listener) }
