Callers that come back are known by what all nodes have seen, also when all nodes start anew

Cause: a node tells returns from first attempts by 16 requests of a route and by whom it sent away itself. With 80 nodes it sees 0.3 requests a second of the slower routes, and one that has just started sees none.

Change: nodes tell each other the usual deadline of their routes and the least part of it that first attempts state (DeadlinesSeen); the mean of all goes before a node's own. It stands in the lease as well, at no call more, and is read by nodes that start (FleetMemory). A process tells nothing before it has run as long as callers wait. A caller that goes on with a stream is late.

Ruled out: the longest deadline as the measure (KNOWN: nine of ten first attempts taken for returns); an object of its own in the store (80 reads at each start).

--- a/packages/dotterelspur-gateway/src/__tests__/unit/Dispatch.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/Dispatch.test.ts
@@ -50,4 +50,18 @@
     expect(demand).to.be.greaterThan(0)
     expect(dispatch.demand().get('large')).to.equal(demand)
   })
+
+  it('takes a caller that goes on with a stream for one that is late already', () => {
+    const dispatch = createDispatch(new ManualClock())
+    expect(dispatch.noteRequest('llm', ROUTE, createHead(2_000))).to.equal(0)
+    expect(dispatch.noteRequest('llm', ROUTE, { ...createHead(2_000), lastEventId: '7' })).to.be.at.least(ROUTE.targetLatencyMs)
+  })
+
+  // Guards against nodes that start after all were killed and serve those who lost them before those who can be on time.
+  it('knows callers that come back from its first request on, by what the fleet remembers', () => {
+    const dispatch = createDispatch(new ManualClock())
+    dispatch.knowledge.noteMemory({ deadlines: { usual: { draft: { usualSumMs: 4_000, nodes: 2 } }, leastShare: { sum: 1.8, nodes: 2 } }, firstEvents: {} })
+    expect(dispatch.noteRequest('llm', ROUTE, createHead(1_000))).to.equal(1_000)
+    expect(dispatch.noteRequest('llm', ROUTE, createHead(1_900))).to.equal(0)
+  })
 })
--- a/packages/dotterelspur-gateway/src/__tests__/unit/ObservationCodec.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/ObservationCodec.test.ts
@@ -10,6 +10,7 @@
   speeds: { g2: { ratioSum: 12.5, pauses: 5 } },
   pauses: { small: { longestSumMs: 80, nodes: 1 } },
   firstEvents: { small: { delaySumMs: 220, nodes: 2 } },
+  deadlines: { usual: { draft: { usualSumMs: 16_500, nodes: 3 } }, leastShare: { sum: 2.75, nodes: 3 } },
   nodes: 3,
   ageMs: 40,
   intervalMs: 150
--- a/packages/dotterelspur-gateway/src/connection/ObservationCodec.ts
+++ b/packages/dotterelspur-gateway/src/connection/ObservationCodec.ts
@@ -17,6 +17,9 @@
   readonly demand: NamedNumbers
   readonly pauses: NamedNumbers
   readonly firstEvents: NamedNumbers
+  /** Usual deadlines by route. */
+  readonly deadlines: NamedNumbers
+  readonly leastDeadlineShare: readonly number[]
 }
 
 /** The sum of all nodes' observations on a link. */
@@ -41,25 +44,31 @@
     }
   }
 
-  encode ({ inFlight, flows, demand, speeds, pauses, firstEvents }: NodeObservation): CodedObservation {
+  encode ({ inFlight, flows, demand, speeds, pauses, firstEvents, deadlines }: NodeObservation): CodedObservation {
     return {
       inFlight: Object.entries(inFlight).flatMap(([endpoint, count]) => [this.codeOf(endpoint), count]),
       speeds: Object.entries(speeds).flatMap(([endpoint, speed]) => [this.codeOf(endpoint), hundredths(speed.ratioSum), hundredths(speed.pauses)]),
       flows: Object.entries(flows).flatMap(([pool, { asked, sent, ended }]) => [pool, hundredths(asked), hundredths(sent), hundredths(ended)]),
       demand: Object.entries(demand).flatMap(([model, { groupTimeMs, requests }]) => [model, Math.round(groupTimeMs), hundredths(requests)]),
       pauses: Object.entries(pauses).flatMap(([model, { longestSumMs, nodes }]) => [model, Math.round(longestSumMs), nodes]),
-      firstEvents: Object.entries(firstEvents).flatMap(([model, { delaySumMs, nodes }]) => [model, Math.round(delaySumMs), nodes])
+      firstEvents: Object.entries(firstEvents).flatMap(([model, { delaySumMs, nodes }]) => [model, Math.round(delaySumMs), nodes]),
+      deadlines: Object.entries(deadlines.usual).flatMap(([route, { usualSumMs, nodes }]) => [route, Math.round(usualSumMs), nodes]),
+      leastDeadlineShare: [hundredths(deadlines.leastShare.sum), deadlines.leastShare.nodes]
     }
   }
 
-  decode ({ inFlight, flows, demand, speeds, pauses, firstEvents }: CodedObservation): NodeObservation {
+  decode ({ inFlight, flows, demand, speeds, pauses, firstEvents, deadlines, leastDeadlineShare }: CodedObservation): NodeObservation {
     return {
       inFlight: Object.fromEntries(this.byEndpoint(inFlight, 1).map(([endpoint, [count]]) => [endpoint, count!])),
       speeds: Object.fromEntries(this.byEndpoint(speeds, 2).map(([endpoint, [ratioSum, count]]) => [endpoint, { ratioSum: ratioSum! / HUNDREDTHS, pauses: count! / HUNDREDTHS }])),
       flows: Object.fromEntries(chunks(flows, 3).map(([pool, [asked, sent, ended]]) => [pool, { asked: asked! / HUNDREDTHS, sent: sent! / HUNDREDTHS, ended: ended! / HUNDREDTHS }])),
       demand: Object.fromEntries(chunks(demand, 2).map(([model, [groupTimeMs, requests]]) => [model, { groupTimeMs: groupTimeMs!, requests: requests! / HUNDREDTHS }])),
       pauses: Object.fromEntries(chunks(pauses, 2).map(([model, [longestSumMs, nodes]]) => [model, { longestSumMs: longestSumMs!, nodes: nodes! }])),
-      firstEvents: Object.fromEntries(chunks(firstEvents, 2).map(([model, [delaySumMs, nodes]]) => [model, { delaySumMs: delaySumMs!, nodes: nodes! }]))
+      firstEvents: Object.fromEntries(chunks(firstEvents, 2).map(([model, [delaySumMs, nodes]]) => [model, { delaySumMs: delaySumMs!, nodes: nodes! }])),
+      deadlines: {
+        usual: Object.fromEntries(chunks(deadlines, 2).map(([route, [usualSumMs, nodes]]) => [route, { usualSumMs: usualSumMs!, nodes: nodes! }])),
+        leastShare: { sum: leastDeadlineShare[0]! / HUNDREDTHS, nodes: leastDeadlineShare[1]! }
+      }
     }
   }
 
--- a/packages/dotterelspur-gateway/src/process/Dispatch.ts
+++ b/packages/dotterelspur-gateway/src/process/Dispatch.ts
@@ -1,5 +1,5 @@
 import {
-  arrangePools, DeadlineHistory, declaredFirstEventMs, EndpointHealth, eventGapMs, ExchangeEnd, groupTimeMs, paceOf, place, poolKey, poolOf, RetryWindow, senderPlace,
+  arrangePools, declaredFirstEventMs, EndpointHealth, eventGapMs, ExchangeEnd, groupTimeMs, paceOf, place, poolKey, poolOf, RetryWindow, senderPlace,
   type Clock, type DispatchTarget, type EndpointId, type EndpointRecord, type EngineSpec, type FailureDomainId, type ModelId, type NodeId, type PlacementRefusal, type PoolKey, type Random,
   type RetryWindowOptions, type Route, type Sender, type SenderPlace, type ServiceId, type TargetPool
 } from 'dotterelspur'
@@ -56,7 +56,6 @@
   private readonly channels = new EndpointChannels()
   private readonly watch: ExchangeWatch
   private readonly repeats: RetryWindow
-  private readonly deadlines = new DeadlineHistory()
   private pools: ReadonlyMap<PoolKey, TargetPool> = new Map()
   private arrangedSenders: readonly Sender[] = []
   private sender: SenderPlace = { domainFrom: 0, domainWidth: 1, start: 0 }
@@ -75,7 +74,7 @@
     })
     parts.endpoints.registerListener((endpoints) => { this.noteEndpoints(endpoints) })
     parts.manifest.registerListener(({ manifest }) => {
-      this.deadlines.retain(new Set(manifest.routes.map(({ name }) => name)))
+      this.knowledge.deadlines.retain(new Set(manifest.routes.map(({ name }) => name)))
       this.arrange(parts.endpoints.current)
     })
   }
@@ -107,7 +106,7 @@
   /** Takes in that a request came, whatever becomes of it; returns what its caller has spent of its time elsewhere. */
   noteRequest (service: ServiceId, route: Route, head: CallerHead): number {
     const nowMs = this.parts.clock.nowMs()
-    const spentMs = head.deadlineMs === null ? 0 : this.deadlines.noteSpentMs(route.name, head.deadlineMs)
+    const spentMs = this.spentMs(route, head)
     this.requestSeen = true
     this.repeats.noteRequest(service, nowMs)
     this.knowledge.load.noteAsked(poolKey(service, this.engine(service) === null ? null : head.model), nowMs)
@@ -117,7 +116,13 @@
 
   /** A caller was refused, and may come back. */
   noteSentAway ({ name }: Route): void {
-    this.deadlines.noteSentAway(name)
+    this.knowledge.deadlines.noteSentAway(name)
+  }
+
+  /** A caller that goes on with a stream has waited for more than the target before it gave up. */
+  private spentMs (route: Route, { deadlineMs, lastEventId }: CallerHead): number {
+    const statedMs = deadlineMs === null ? 0 : this.knowledge.deadlines.noteSpentMs(route.name, deadlineMs)
+    return lastEventId === null ? statedMs : Math.max(statedMs, route.targetLatencyMs)
   }
 
   /** Who comes back isn't counted again: else the model whose callers are refused most would seem to be asked for most. */
--- a/packages/dotterelspur-gateway/src/process/FleetKnowledge.ts
+++ b/packages/dotterelspur-gateway/src/process/FleetKnowledge.ts
@@ -1,20 +1,35 @@
 import {
-  DemandMeter, EndpointSpeeds, FirstEventDelays, loadPool, StreamPauses, TargetLoad,
-  type Clock, type EndpointId, type FleetObservation, type NodeObservation, type TargetPool
+  DeadlineHistory, DemandMeter, EMPTY_MEMORY, EndpointSpeeds, FirstEventDelays, loadPool, readFleetMemory, remember, StreamPauses, TargetLoad,
+  type Clock, type EndpointId, type FleetMemory, type FleetObservation, type NodeObservation, type TargetPool
 } from 'dotterelspur'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
 
-/** What a node knows of the fleet's load, speeds, pauses and demand: what it sees itself, and what all nodes are told. */
+/** What a node knows of the fleet's load, speeds, pauses, demand and callers' deadlines: what it sees itself, and what all nodes are told. */
 export class FleetKnowledge {
   readonly load = new TargetLoad()
   readonly speeds = new EndpointSpeeds()
   readonly demand = new DemandMeter()
   readonly pauses = new StreamPauses()
   readonly firstEvents = new FirstEventDelays()
+  readonly deadlines: DeadlineHistory
+  private remembered = EMPTY_MEMORY
   private pools: readonly TargetPool[] = []
   private wasTold = false
 
-  constructor (private readonly clock: Clock, private readonly log: DecisionLog) {}
+  constructor (private readonly clock: Clock, private readonly log: DecisionLog) {
+    this.deadlines = new DeadlineHistory(clock.nowMs())
+  }
+
+  /** What the fleet has learned, for nodes that start later. */
+  get memory (): FleetMemory {
+    return this.remembered
+  }
+
+  /** What the fleet had learned by the lease of its deciding node; what this node was told itself is newer. */
+  noteMemory (written: unknown): void {
+    const memory = readFleetMemory(written)
+    if (memory !== null) this.keep(remember(memory, this.remembered))
+  }
 
   /** What this node sees, to be told to the others. */
   observe (): NodeObservation {
@@ -25,7 +40,8 @@
       demand: this.demand.observed(nowMs),
       speeds: this.speeds.observed(nowMs),
       pauses: this.pauses.observed(nowMs),
-      firstEvents: this.firstEvents.observed()
+      firstEvents: this.firstEvents.observed(),
+      deadlines: this.deadlines.observed(nowMs)
     }
   }
 
@@ -35,11 +51,17 @@
     this.speeds.noteTold(fleet.speeds)
     this.demand.noteTold(fleet.demand)
     this.pauses.noteTold(fleet.pauses)
-    this.firstEvents.noteTold(fleet.firstEvents)
+    this.keep(remember(this.remembered, fleet))
     this.arrange(this.pools)
     this.check()
   }
 
+  private keep (memory: FleetMemory): void {
+    this.remembered = memory
+    this.firstEvents.noteTold(memory.firstEvents)
+    this.deadlines.noteTold(memory.deadlines)
+  }
+
   /** Forecasts the load of the pools as they are now. */
   arrange (pools: readonly TargetPool[]): void {
     this.pools = pools
--- a/packages/dotterelspur-gateway/src/process/FleetLease.ts
+++ b/packages/dotterelspur-gateway/src/process/FleetLease.ts
@@ -26,6 +26,19 @@
 const CHALLENGE_SPREAD_PER_NODE_MS = 20
 const RETRY_GROWTH = 1.5
 
+/** The lease as it stands in the store: its holder adds what the fleet should know when all nodes start anew, at no call more. */
+interface WrittenLease extends LeaseObject {
+  readonly memory?: unknown
+}
+
+/** What goes with the lease into the store, and comes out of it again. */
+export interface LeaseMemory {
+  read (): unknown
+  note (memory: unknown): void
+}
+
+const NO_MEMORY: LeaseMemory = { read: () => undefined, note: () => {} }
+
 /** Takes, renews, watches and gives up the fleet's lease; `step` is called several times a second. */
 export class FleetLease {
   private sighting: LeaseSighting = NO_SIGHTING
@@ -49,7 +62,8 @@
     private readonly store: ObjectStore, private readonly self: LeaseIdentity, private readonly clock: Clock, private readonly random: Random, private readonly log: DecisionLog,
     /** The lease was taken from a holder that let it lapse: it has given no sign of life for the whole time to live. */
     private readonly onLapsedHolder: (holder: LeaseIdentity) => void,
-    private readonly nodeCount: () => number = () => 1
+    private readonly nodeCount: () => number = () => 1,
+    private readonly memory: LeaseMemory = NO_MEMORY
   ) {
     this.challengeFromMs = clock.nowMs() + random.next() * CHALLENGE_SPREAD_MS
   }
@@ -189,6 +203,7 @@
 
   private observe (stored: StoredObject<LeaseObject>): void {
     if (!stored.deleted && stored.body.fencing >= (this.lastSeen?.body.fencing ?? 0)) this.lastSeen = stored
+    if (!stored.deleted) this.memory.note((stored.body as WrittenLease).memory)
     if (!stored.deleted) this.sighting = observeLease(this.sighting, stored.version, stored.body, this.clock.nowMs())
   }
 
@@ -208,7 +223,8 @@
       [LeaseEffectKind.Renewal]: () => ++this.renewals,
       [LeaseEffectKind.Read]: async ({ key }) => await this.store.get<LeaseObject>(key),
       [LeaseEffectKind.Write]: async ({ key, body, expectedVersion }) => {
-        return expectedVersion === 0 ? await this.store.create(key, body) : await this.store.update(key, body, expectedVersion)
+        const written: WrittenLease = { ...body, memory: this.memory.read() }
+        return expectedVersion === 0 ? await this.store.create(key, written) : await this.store.update(key, written, expectedVersion)
       }
     }
   }
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -93,7 +93,10 @@
     this.quarantine = new QuarantineKeeper({ store, node: settings.node, mostEntries: settings.poison.mostRecords, clock, onProblem: (fingerprint, reason) => { log.write(LogKind.Unexpected, { where: 'quarantine', fingerprint, reason }) } })
     this.firstKnowledge = new FirstKnowledge(clock, this.manifest, this.endpoints, this.quarantine)
     this.nodes = new NodeKeeper(store, nodeRecord(settings, incarnation), clock, log)
-    this.lease = new FleetLease(store, { node: settings.node, incarnation }, clock, random, log, (holder) => { this.dropNode(holder) }, () => this.nodes.nodes().length)
+    this.lease = new FleetLease(store, { node: settings.node, incarnation }, clock, random, log, (holder) => { this.dropNode(holder) }, () => this.nodes.nodes().length, {
+      read: () => this.dispatch.knowledge.memory,
+      note: (memory) => { this.dispatch.knowledge.noteMemory(memory) }
+    })
     this.formations = new FormationKeeper({
       clock,
       log,
--- a/packages/dotterelspur/src/request/dispatch/FleetObservation.ts
+++ b/packages/dotterelspur/src/request/dispatch/FleetObservation.ts
@@ -1,4 +1,5 @@
 import type { EndpointId, ModelId, NodeId } from '../../process/ids.js'
+import type { DeadlinesSeen } from './DeadlinesSeen.js'
 import { tellingSpeeds } from './EndpointSpeeds.js'
 
 /** Names the endpoints that can serve the same requests: those of one plain service, or the groups of one model. */
@@ -60,6 +61,7 @@
   readonly speeds: Readonly<Record<EndpointId, SpeedSample>>
   readonly pauses: Readonly<Record<ModelId, PauseSample>>
   readonly firstEvents: Readonly<Record<ModelId, FirstEventSample>>
+  readonly deadlines: DeadlinesSeen
 }
 
 /** What all nodes together have seen. Every node gets the same one, and takes its own part off by itself. */
@@ -124,7 +126,11 @@
     demand: combine(all.map(({ demand }) => demand), (left, right) => ({ groupTimeMs: left.groupTimeMs + right.groupTimeMs, requests: left.requests + right.requests })),
     speeds: combine(all.map(({ speeds }) => speeds), (left, right) => ({ ratioSum: left.ratioSum + right.ratioSum, pauses: left.pauses + right.pauses })),
     pauses: combine(all.map(({ pauses }) => pauses), (left, right) => ({ longestSumMs: left.longestSumMs + right.longestSumMs, nodes: left.nodes + right.nodes })),
-    firstEvents: combine(all.map(({ firstEvents }) => firstEvents), (left, right) => ({ delaySumMs: left.delaySumMs + right.delaySumMs, nodes: left.nodes + right.nodes }))
+    firstEvents: combine(all.map(({ firstEvents }) => firstEvents), (left, right) => ({ delaySumMs: left.delaySumMs + right.delaySumMs, nodes: left.nodes + right.nodes })),
+    deadlines: {
+      usual: combine(all.map(({ deadlines }) => deadlines.usual), (left, right) => ({ usualSumMs: left.usualSumMs + right.usualSumMs, nodes: left.nodes + right.nodes })),
+      leastShare: all.reduce((sum, { deadlines: { leastShare } }) => ({ sum: sum.sum + leastShare.sum, nodes: sum.nodes + leastShare.nodes }), { sum: 0, nodes: 0 })
+    }
   }
 }
 
--- a/packages/dotterelspur/src/request/dispatch/__tests__/unit/DeadlineHistory.test.ts
+++ b/packages/dotterelspur/src/request/dispatch/__tests__/unit/DeadlineHistory.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import { createRandom, type Random } from '../../../../process/Random.js'
 import { DeadlineHistory } from '../../DeadlineHistory.js'
+import { NOTHING_LEARNED } from '../../DeadlinesSeen.js'
 
 const BUDGET_MS = 6_000
 const REQUESTS = 400
@@ -73,4 +74,36 @@
     history.retain(new Set())
     expect(history.noteSpentMs('draft', 100)).to.equal(0)
   })
+
+  // Guards against callers that lost all nodes at once and are taken for first ones: they were served before those that could be on time.
+  it('knows callers that come back from a node\'s first request on, by what all nodes have seen', () => {
+    const history = new DeadlineHistory()
+    history.noteTold({ usual: { draft: { usualSumMs: 80 * BUDGET_MS, nodes: 80 } }, leastShare: { sum: 80 * 0.9, nodes: 80 } })
+    expect(history.noteSpentMs('draft', BUDGET_MS / 2)).to.equal(BUDGET_MS / 2)
+    expect(history.noteSpentMs('draft', BUDGET_MS * 0.95)).to.equal(0)
+    expect(history.noteSpentMs('other', 100)).to.equal(0)
+  })
+
+  it('judges a route that it has hardly seen by the least part that callers of others state', () => {
+    const seen = new DeadlineHistory()
+    const random = createRandom(1)
+    for (let request = 0; request < 200; request++) seen.noteSpentMs('draft', BUDGET_MS * (0.85 + 0.15 * random.next()))
+    for (let request = 0; request < 3; request++) seen.noteSpentMs('rare', 2_000)
+    const history = new DeadlineHistory()
+    history.noteTold(seen.observed(10 * BUDGET_MS))
+    expect(history.noteSpentMs('rare', 1_900)).to.equal(0)
+    expect(history.noteSpentMs('rare', 1_400)).to.be.greaterThan(0)
+  })
+
+  it('tells nothing while most of its callers may have lost another node', () => {
+    const history = new DeadlineHistory(0)
+    for (let request = 0; request < 50; request++) history.noteSpentMs('draft', BUDGET_MS / 2)
+    expect(history.observed(1_000)).to.deep.equal(NOTHING_LEARNED)
+  })
+
+  it('tells of a bounded number of routes', () => {
+    const history = new DeadlineHistory()
+    for (let request = 0; request < 300; request++) history.noteSpentMs(`r${request % 100}`, BUDGET_MS)
+    expect(Object.keys(history.observed(10 * BUDGET_MS).usual)).to.have.lengthOf(8)
+  })
 })
--- a/packages/dotterelspur/src/request/dispatch/__tests__/unit/FleetObservation.test.ts
+++ b/packages/dotterelspur/src/request/dispatch/__tests__/unit/FleetObservation.test.ts
@@ -1,9 +1,10 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
+import { NOTHING_LEARNED } from '../../DeadlinesSeen.js'
 import { FadedSum, ratePerMs } from '../../FadedSum.js'
 import { FleetLedger, roundMs, type NodeObservation } from '../../FleetObservation.js'
 
-const NOTHING: NodeObservation = { inFlight: {}, flows: {}, demand: {}, speeds: {}, pauses: {}, firstEvents: {} }
+const NOTHING: NodeObservation = { inFlight: {}, flows: {}, demand: {}, speeds: {}, pauses: {}, firstEvents: {}, deadlines: NOTHING_LEARNED }
 const INTERVAL_MS = 200
 
 function observe (changes: Partial<NodeObservation>): NodeObservation {
--- a/packages/dotterelspur/src/request/dispatch/__tests__/unit/Placement.test.ts
+++ b/packages/dotterelspur/src/request/dispatch/__tests__/unit/Placement.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
 import { createRandom } from '../../../../process/Random.js'
+import { NOTHING_LEARNED } from '../../DeadlinesSeen.js'
 import { firstEventMs } from '../../EngineTimes.js'
 import { EndpointHealth } from '../../EndpointHealth.js'
 import { EndpointSpeeds } from '../../EndpointSpeeds.js'
@@ -165,7 +166,7 @@
 
   it('says what a refusal was decided by', () => {
     const world = new PlacementWorld()
-    world.load.noteTold({ inFlight: { g0: 60 }, flows: {}, demand: {}, speeds: {}, pauses: {}, firstEvents: {}, nodes: 8, ageMs: 0, intervalMs: 200 }, 0)
+    world.load.noteTold({ inFlight: { g0: 60 }, flows: {}, demand: {}, speeds: {}, pauses: {}, firstEvents: {}, deadlines: NOTHING_LEARNED, nodes: 8, ageMs: 0, intervalMs: 200 }, 0)
     const refusal = world.place([createTarget('g0')], createQuery(), 250) as PlacementRefusal
     expect(refusal.basis?.loadAgeMs).to.equal(250)
     expect(refusal.basis?.limitMs).to.equal(300)
