Requests that end endpoints are counted on when all nodes are killed

Change: the lease carries the suspects (at most 8), and its holder renews it at once when there is a new one: no call more on average. Nodes that start read the lease before they serve, as manifest, endpoints and quarantine.

Ruled out: an entry in the store for each suspect, a priced write for each request that met two crashes.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/FirstKnowledge.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/FirstKnowledge.test.ts
@@ -14,7 +14,7 @@
     const endpoints = new EndpointKeeper(clock, createLog(clock))
     const store = new MemoryStore()
     const quarantine = new QuarantineKeeper({ store, node: 'n1', mostEntries: 10, clock, onProblem: () => {} })
-    return { clock, store, manifest, endpoints, quarantine, knowledge: new FirstKnowledge(clock, manifest, endpoints, quarantine) }
+    return { clock, store, manifest, endpoints, quarantine, knowledge: new FirstKnowledge(clock, manifest, endpoints, [quarantine]) }
   }
 
   it('lets a request wait until manifest, endpoints and quarantine have been read', async () => {
--- a/packages/dotterelspur-gateway/src/__tests__/unit/FleetLease.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/FleetLease.test.ts
@@ -45,6 +45,34 @@
     expect(other.mayOrder()).to.equal(false)
   })
 
+  // Guards against a fleet that forgets what it has learned when all its nodes are killed at once.
+  it('hands what its holder remembers on to nodes of the next life, and to its successor', async () => {
+    const store = new MemoryStore()
+    const clock = new ManualClock()
+    const seen = new Map<string, unknown>()
+    const createLease = (node: string, incarnation: number, learned: unknown): FleetLease => new FleetLease(store, { node, incarnation }, clock, createRandom(1), createLog(clock), () => {}, () => 1, {
+      read: () => ({ learned }),
+      note: (memory) => { if (memory.learned !== undefined) seen.set(node, memory.learned) }
+    })
+    await runSteps(clock, [createLease('n1', 1, 'much')], 600)
+    await runSteps(clock, [createLease('n2', 2, undefined), createLease('n1', 2, undefined)], 100)
+    expect(seen.get('n1')).to.equal('much')
+    expect(seen.get('n2')).to.equal('much')
+  })
+
+  it('is written without waiting for its next renewal when what is kept with it has changed', async () => {
+    const store = new MemoryStore()
+    const clock = new ManualClock()
+    let suspects: string[] = []
+    const lease = new FleetLease(store, { node: 'n1', incarnation: 1 }, clock, createRandom(1), createLog(clock), () => {}, () => 1, { read: () => ({ suspects }), note: () => {} })
+    await runSteps(clock, [lease], 600)
+    suspects = ['f1']
+    lease.renewSoon()
+    await runSteps(clock, [lease], 100)
+    const written = await store.get<{ memory: { suspects: string[] } }>('leases/fleet')
+    expect(written.ok && written.value.body.memory.suspects).to.deep.equal(['f1'])
+  })
+
   it('is free at once after a release', async () => {
     const store = new MemoryStore()
     const clock = new ManualClock()
--- a/packages/dotterelspur-gateway/src/__tests__/unit/poisonRequests.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/poisonRequests.test.ts
@@ -70,6 +70,15 @@
     }
   }
 
+  /** The lease has been written with a suspect. */
+  async function untilKept (): Promise<void> {
+    for (;;) {
+      const lease = await store.get<{ memory?: { suspects?: unknown[] } }>('leases/fleet')
+      if (lease.ok && lease.value.body.memory?.suspects?.length === 1) return
+      await new Promise((resolve) => { setTimeout(resolve, POLL_MS) })
+    }
+  }
+
   it('are sent to a few endpoints by one node, and then to none', async () => {
     const world = await startNode('n1')
     await world.declare(createManifest(1), ...endpoints)
@@ -99,4 +108,19 @@
     for (let attempt = 0; attempt < ATTEMPTS / 2; attempt++) await call(successor, `s${attempt}`, POISON)
     expect(ended.size).to.be.within(1, MOST_ENDS)
   }).timeout(20_000)
+
+  // Guards against a count that begins anew whenever all nodes are killed before the third end.
+  it('are counted on when all nodes are killed after the second end', async () => {
+    const world = await startNode('n1')
+    await world.declare(createManifest(1), ...endpoints)
+    await untilLinked()
+    for (let attempt = 0; ended.size < 2; attempt++) await call(world, `r${attempt}`, POISON)
+    await untilKept()
+    await world.gateway.close()
+    worlds = []
+    const successor = await startNode('n1')
+    await store.untilRead()
+    for (let attempt = 0; attempt < ATTEMPTS / 2; attempt++) await call(successor, `s${attempt}`, POISON)
+    expect(ended.size).to.be.within(3, 4)
+  }).timeout(20_000)
 })
--- a/packages/dotterelspur-gateway/src/process/FirstKnowledge.ts
+++ b/packages/dotterelspur-gateway/src/process/FirstKnowledge.ts
@@ -1,11 +1,16 @@
 import type { Clock, Teardown } from 'dotterelspur'
-import type { QuarantineKeeper } from 'dotterelspur-poison'
 import type { EndpointKeeper } from './EndpointKeeper.js'
 import type { ManifestKeeper } from './ManifestKeeper.js'
 
 /** From a process's start: what it must know is there within a tenth of a second, or the store is out and nobody should wait. */
 const WAIT_LIMIT_MS = 600
 
+/** Something that is read once after a process's start. */
+export interface ReadOnce {
+  readonly isKnown: boolean
+  registerKnown (listener: () => void): Teardown
+}
+
 /**
  * What a process must have read before it can say anything about a request. Callers connect as soon as it listens, and
  * those that lost all nodes at once have one attempt left: refused for want of a manifest that comes in a tenth of a
@@ -15,11 +20,11 @@
   private readonly waiting = new Set<() => void>()
   private readonly startedAtMs: number
 
-  constructor (private readonly clock: Clock, private readonly manifest: ManifestKeeper, private readonly endpoints: EndpointKeeper, private readonly quarantine: Pick<QuarantineKeeper, 'isKnown' | 'registerKnown'>) {
+  constructor (private readonly clock: Clock, private readonly manifest: ManifestKeeper, private readonly endpoints: EndpointKeeper, private readonly besides: readonly ReadOnce[]) {
     this.startedAtMs = clock.nowMs()
     manifest.registerListener(() => { this.look() })
     endpoints.registerListener(() => { this.look() })
-    quarantine.registerKnown(() => { this.look() })
+    for (const other of besides) other.registerKnown(() => { this.look() })
   }
 
   get isComplete (): boolean {
@@ -42,9 +47,9 @@
     })
   }
 
-  /** Also what must not be sent: after all nodes were killed a request in quarantine comes as soon as one listens. */
+  /** Also what must not be sent: after all nodes were killed, requests that end endpoints come as soon as one listens. */
   private get isAllRead (): boolean {
-    return this.isComplete && this.quarantine.isKnown
+    return this.isComplete && this.besides.every(({ isKnown }) => isKnown)
   }
 
   private look (): void {
--- a/packages/dotterelspur-gateway/src/process/FleetLease.ts
+++ b/packages/dotterelspur-gateway/src/process/FleetLease.ts
@@ -1,7 +1,7 @@
 import {
   ChallengeKind, composeLease, decideChallenge, isExpired, LeaseEffectKind, leaseKey, LeaseLoss, LeaseResultKind, mayOrder, NO_SIGHTING, observeAbsence, observeLease, raiseFencingFloor,
   ReadFreshness, renewalDueAtMs, renewLease, runProcedure, StoreErrorKind, suspendTerm, takeLease,
-  type Clock, type EffectHandlers, type LeaseEffect, type LeaseIdentity, type LeaseObject, type LeaseSighting, type LeaseTerm, type LeaseTiming, type ObjectStore, type Random, type StoredObject
+  type Clock, type EffectHandlers, type LeaseEffect, type LeaseIdentity, type LeaseObject, type LeaseSighting, type LeaseTerm, type LeaseTiming, type ObjectStore, type Random, type StoredObject, type Teardown
 } from 'dotterelspur'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
 
@@ -28,16 +28,24 @@
 
 /** The lease as it stands in the store: its holder adds what the fleet should know when all nodes start anew, at no call more. */
 interface WrittenLease extends LeaseObject {
-  readonly memory?: unknown
+  readonly memory?: KeptMemory | null
+}
+
+/** What is kept with the lease. Others may write there as well, so each part is checked by who takes it. */
+export interface KeptMemory {
+  /** What the fleet has learned of its callers and engines. */
+  readonly learned?: unknown
+  /** Requests that seem to end their endpoints. */
+  readonly suspects?: unknown
 }
 
 /** What goes with the lease into the store, and comes out of it again. */
 export interface LeaseMemory {
-  read (): unknown
-  note (memory: unknown): void
+  read (): KeptMemory
+  note (memory: KeptMemory): void
 }
 
-const NO_MEMORY: LeaseMemory = { read: () => undefined, note: () => {} }
+const NO_MEMORY: LeaseMemory = { read: () => ({}), note: () => {} }
 
 /** Takes, renews, watches and gives up the fleet's lease; `step` is called several times a second. */
 export class FleetLease {
@@ -57,6 +65,8 @@
   private turnAtMs: number | null = null
   private failedChallenges = 0
   private stopped = false
+  private isRenewalDue = false
+  private readonly knownListeners = new Set<() => void>()
 
   constructor (
     private readonly store: ObjectStore, private readonly self: LeaseIdentity, private readonly clock: Clock, private readonly random: Random, private readonly log: DecisionLog,
@@ -68,6 +78,22 @@
     this.challengeFromMs = clock.nowMs() + random.next() * CHALLENGE_SPREAD_MS
   }
 
+  /** Whether the store has said who holds the lease, or that nobody does. */
+  get isKnown (): boolean {
+    return this.sighting.firstSeenAtMs !== null
+  }
+
+  /** The listener runs once that is known. */
+  registerKnown (listener: () => void): Teardown {
+    this.knownListeners.add(listener)
+    return () => { this.knownListeners.delete(listener) }
+  }
+
+  /** What is kept with the lease has changed: its holder writes it without waiting for the next renewal. */
+  renewSoon (): void {
+    this.isRenewalDue = this.held !== null
+  }
+
   /** Asked right before each order. */
   mayOrder (): boolean {
     return this.held !== null && mayOrder(this.held, FLEET_LEASE_TIMING, this.clock.nowMs())
@@ -152,7 +178,8 @@
 
   private async renew (term: LeaseTerm, nowMs: number): Promise<void> {
     if (isExpired(term, FLEET_LEASE_TIMING, nowMs)) return this.lose(LeaseLoss.Expired)
-    if (nowMs < renewalDueAtMs(term, FLEET_LEASE_TIMING)) return
+    if (nowMs < renewalDueAtMs(term, FLEET_LEASE_TIMING) && !this.isRenewalDue) return
+    this.isRenewalDue = false
     const result = await runProcedure(renewLease(term, this.self, FLEET_LEASE_TIMING), this.handlers())
     if (result.kind === LeaseResultKind.Lost) {
       if (result.observed !== null) this.observe(result.observed)
@@ -198,13 +225,21 @@
     const freshness = this.sighting.firstSeenAtMs === null ? ReadFreshness.Newest : ReadFreshness.MayBeStale
     const read = await this.store.get<LeaseObject>(leaseKey(FLEET), freshness)
     if (read.ok) this.observe(read.value)
-    else if (read.error.kind === StoreErrorKind.NotFound) this.sighting = observeAbsence(this.sighting, this.clock.nowMs())
+    else if (read.error.kind === StoreErrorKind.NotFound) this.know(observeAbsence(this.sighting, this.clock.nowMs()))
   }
 
   private observe (stored: StoredObject<LeaseObject>): void {
     if (!stored.deleted && stored.body.fencing >= (this.lastSeen?.body.fencing ?? 0)) this.lastSeen = stored
-    if (!stored.deleted) this.memory.note((stored.body as WrittenLease).memory)
-    if (!stored.deleted) this.sighting = observeLease(this.sighting, stored.version, stored.body, this.clock.nowMs())
+    if (stored.deleted) return
+    this.memory.note((stored.body as WrittenLease).memory ?? {})
+    this.know(observeLease(this.sighting, stored.version, stored.body, this.clock.nowMs()))
+  }
+
+  private know (sighting: LeaseSighting): void {
+    const wasKnown = this.isKnown
+    this.sighting = sighting
+    if (wasKnown || !this.isKnown) return
+    for (const listener of this.knownListeners) listener()
   }
 
   private lose (reason: LeaseLoss): void {
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -91,12 +91,15 @@
     this.manifest = new ManifestKeeper(log)
     this.endpoints = new EndpointKeeper(clock, log, (service) => this.manifest.serves(service))
     this.quarantine = new QuarantineKeeper({ store, node: settings.node, mostEntries: settings.poison.mostRecords, clock, onProblem: (fingerprint, reason) => { log.write(LogKind.Unexpected, { where: 'quarantine', fingerprint, reason }) } })
-    this.firstKnowledge = new FirstKnowledge(clock, this.manifest, this.endpoints, this.quarantine)
     this.nodes = new NodeKeeper(store, nodeRecord(settings, incarnation), clock, log)
     this.lease = new FleetLease(store, { node: settings.node, incarnation }, clock, random, log, (holder) => { this.dropNode(holder) }, () => this.nodes.nodes().length, {
-      read: () => this.dispatch.knowledge.memory,
-      note: (memory) => { this.dispatch.knowledge.noteMemory(memory) }
+      read: () => ({ learned: this.dispatch.knowledge.memory, suspects: this.poison.suspects() }),
+      note: ({ learned, suspects }) => {
+        this.dispatch.knowledge.noteMemory(learned)
+        this.poison.noteKept(suspects)
+      }
     })
+    this.firstKnowledge = new FirstKnowledge(clock, this.manifest, this.endpoints, [this.quarantine, this.lease])
     this.formations = new FormationKeeper({
       clock,
       log,
@@ -139,7 +142,8 @@
       endpoints: this.endpoints,
       quarantine: this.quarantine,
       decides: () => this.lease.mayOrder(),
-      tell: (all, shared) => { this.peers.tellPoison(all, shared) }
+      tell: (all, shared) => { this.peers.tellPoison(all, shared) },
+      keepSoon: () => { this.lease.renewSoon() }
     })
     this.callers = new CallerListener({ clock, random, log, metrics: this.metrics, wire: parts.wire, manifest: this.manifest, firstKnowledge: this.firstKnowledge, dispatch: this.dispatch, poison: this.poison })
     this.peers = new PeerLinks(clock, random, log, {
--- a/packages/dotterelspur-gateway/src/process/PoisonKeeper.ts
+++ b/packages/dotterelspur-gateway/src/process/PoisonKeeper.ts
@@ -1,5 +1,5 @@
 import {
-  concernsOthers, PoisonState, rendezvousOrder,
+  concernsOthers, PoisonState, readPoisonRecords, rendezvousOrder,
   type Clock, type DispatchTarget, type NodeId, type PoisonLimits, type PoisonRecord, type RequestContent, type RequestFingerprint, type Teardown
 } from 'dotterelspur'
 import { EndedEndpoints, fingerprintOf, PoisonGuard, type QuarantineKeeper } from 'dotterelspur-poison'
@@ -15,6 +15,9 @@
 /** Records in one message: what a link takes in a tenth of a second. */
 const MOST_TOLD = 256
 
+/** Suspects that are kept with the lease, so that the count goes on when all nodes are killed. */
+const MOST_KEPT = 8
+
 /** An exchange whose connection ended before the whole answer was there. */
 export interface LostExchange {
   readonly requestId: string
@@ -40,6 +43,8 @@
   readonly decides: () => boolean
   /** Tells other nodes: `all` to the one that adds up, `shared` to those that this node adds up for. */
   readonly tell: (all: readonly PoisonRecord[], shared: readonly PoisonRecord[]) => void
+  /** What is kept with the lease has changed, and should be there before all nodes can be killed. */
+  readonly keepSoon: () => void
 }
 
 /**
@@ -90,6 +95,20 @@
     if (changed.length > 0) this.parts.tell([], changed.filter(concernsOthers))
   }
 
+  /** What should be known when all nodes start anew: requests of which one end more shows what they are. */
+  suspects (): PoisonRecord[] {
+    const { ledger } = this.guard
+    if (ledger.isEmpty) return []
+    const suspected = new Set([...ledger.suspected, ...ledger.quarantined])
+    return this.known(true).filter(({ fingerprint }) => suspected.has(fingerprint)).slice(0, MOST_KEPT)
+  }
+
+  /** What nodes of a former life knew. */
+  noteKept (written: unknown): void {
+    const records = readPoisonRecords(written)
+    if (records.length > 0) this.noteTold(records)
+  }
+
   /** What a node that has just been linked is told; all of it where that node adds up. */
   known (all: boolean): PoisonRecord[] {
     const records = this.guard.ledger.told(this.parts.clock.nowMs(), all)
@@ -122,7 +141,9 @@
     for (const fingerprint of new Set([...states.keys(), ...this.states.keys()])) {
       const before = this.states.get(fingerprint) ?? PoisonState.Trusted
       const now = states.get(fingerprint) ?? PoisonState.Trusted
-      if (now !== before) this.logState(fingerprint, before, now)
+      if (now === before) continue
+      this.logState(fingerprint, before, now)
+      if (now === PoisonState.Suspected) this.parts.keepSoon()
     }
     this.states.clear()
     for (const [fingerprint, state] of states) this.states.set(fingerprint, state)
--- a/packages/dotterelspur/src/request/poison/PoisonRecord.ts
+++ b/packages/dotterelspur/src/request/poison/PoisonRecord.ts
@@ -44,3 +44,21 @@
 export function furthestPieces ({ ends }: PoisonRecord): number {
   return Math.max(0, ...ends.map(({ pieces }) => pieces))
 }
+
+/** Reads records that others have written; those that are none are left out. */
+export function readPoisonRecords (written: unknown): PoisonRecord[] {
+  return Array.isArray(written) ? written.filter(isPoisonRecord) : []
+}
+
+function isPoisonRecord (value: unknown): value is PoisonRecord {
+  if (typeof value !== 'object' || value === null) return false
+  const { fingerprint, outline, service, caller, answers, ends, ageMs } = value as Partial<PoisonRecord>
+  const isNamed = typeof fingerprint === 'string' && typeof service === 'string' && (caller === null || typeof caller === 'string')
+  return isNamed && [outline, answers, ageMs].every(Number.isFinite) && Array.isArray(ends) && ends.every(isEndpointEnd)
+}
+
+function isEndpointEnd (value: unknown): value is EndpointEnd {
+  if (typeof value !== 'object' || value === null) return false
+  const { endpoint, pieces } = value as Partial<EndpointEnd>
+  return typeof endpoint === 'string' && Number.isFinite(pieces)
+}
