Calls to the store: a lost deciding node's successor is awaited where no bound depends on it, and first words with manifests too

Change: nodes and quarantine wait 4 s for a successor; endpoints and manifests as long as the operators' bounds allow (drain-ms and manifest-in-force-ms, from the platform's settings; 1.4 s as before where they are 2 s, 2.1 s where they are 3 s). A list is relied on as long as a word, by followers of manifests as well.

Ruled out: a shorter lease (more renewals, lapses in a slow store).

--- a/packages/dotterelspur-gateway/src/__tests__/unit/FollowedStore.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/FollowedStore.test.ts
@@ -1,15 +1,19 @@
 import { expect } from 'chai'
 import pino from 'pino'
-import { createRandom, failed, ManualClock, StoreErrorKind, success, WatchEventKind, type Result, type StoreError } from 'dotterelspur'
+import { createRandom, failed, ManualClock, QUARANTINE_PREFIX, StoreErrorKind, success, WatchEventKind, type Result, type StoreError } from 'dotterelspur'
 import { DecisionLog } from '../../process/DecisionLog.js'
 import { ENDPOINT_PREFIX } from '../../process/EndpointKeeper.js'
+import { FLEET_LEASE_TIMING } from '../../process/FleetLease.js'
 import { FollowedStore } from '../../process/FollowedStore.js'
 import { MANIFEST_PREFIX } from '../../process/ManifestKeeper.js'
-import { WORD_VALID_MS, type FeedNews, type FeedWord } from '../../process/StoreFeed.js'
+import { NODE_PREFIX } from '../../process/NodeKeeper.js'
+import { wordValidMs, type FeedNews, type FeedWord } from '../../process/StoreFeed.js'
 import type { ChangeBatch } from '../../process/VersionedStore.js'
 import { MemoryStore } from '../fixtures/MemoryStore.js'
 import { createLog } from '../fixtures/parts.js'
 
+const WORD_VALID_MS = wordValidMs({ drainMs: 2_000, manifestMs: 3_000 })
+
 /** Longer than any rest after an answer, shorter than the validity of a word. */
 const REST_OVER_MS = 600
 
@@ -26,7 +30,7 @@
     decides,
     seen: [],
     shared: [],
-    followed: new FollowedStore({ store, clock, random: createRandom(1), log: createLog(clock), decides: () => node.decides, nodeCount: () => 3, firstWordMs: () => firstWordMs, share: (news) => { node.shared.push(news) }, concernsCallers: ({ key }) => !key.includes('member') })
+    followed: new FollowedStore({ store, clock, random: createRandom(1), log: createLog(clock), decides: () => node.decides, nodeCount: () => 3, firstWordMs, wordValidMs: WORD_VALID_MS, share: (news) => { node.shared.push(news) }, concernsCallers: ({ key }) => !key.includes('member') })
   }
   node.followed.watch(prefix, (event) => {
     node.seen.push(event.kind === WatchEventKind.Object ? `${event.object.key} ${event.object.deleted ? 'gone' : 'there'}` : event.kind)
@@ -146,6 +150,43 @@
     expect(asked(store)).to.deep.equal([`changes ${ENDPOINT_PREFIX} 0 3000`])
   })
 
+  // Guards against two calls a node for each start of the fleet, for manifests that the deciding node would tell of at once.
+  it('waits for that word with a manifest as well', async () => {
+    const store = new MemoryStore()
+    const clock = new ManualClock()
+    const node = follow(store, clock, false, MANIFEST_PREFIX, 500)
+    await pass(clock, 400)
+    expect(asked(store)).to.deep.equal([`list ${MANIFEST_PREFIX}`])
+    const decider = follow(store, clock, true, MANIFEST_PREFIX)
+    await settle()
+    asked(store)
+    node.followed.takeWord(wordOf(decider))
+    await pass(clock, 400)
+    expect(asked(store)).to.deep.equal([])
+  })
+
+  // Guards against a call of each node for each prefix whenever the deciding node is lost, which made 560 calls in a second.
+  it('asks for the list of nodes and the quarantine only when no successor of a lost deciding node has told of them', async () => {
+    for (const prefix of [NODE_PREFIX, QUARANTINE_PREFIX]) {
+      const store = new MemoryStore()
+      const clock = new ManualClock()
+      const decider = follow(store, clock, true, prefix)
+      const node = follow(store, clock, false, prefix, 500)
+      await settle()
+      node.followed.takeWord(wordOf(decider))
+      await settle()
+      asked(store)
+      await pass(clock, FLEET_LEASE_TIMING.ttlMs + 1_000)
+      node.followed.wakeUncovered()
+      await settle()
+      expect(asked(store)).to.not.include(`changes ${prefix} 0 0`)
+      await pass(clock, FLEET_LEASE_TIMING.ttlMs)
+      node.followed.wakeUncovered()
+      await settle()
+      expect(asked(store)).to.include(`changes ${prefix} 0 0`)
+    }
+  })
+
   it('asks the store at once when a word goes further than its news', async () => {
     const store = new MemoryStore()
     const clock = new ManualClock()
@@ -189,7 +230,7 @@
     const clock = new ManualClock()
     const lines: Array<Record<string, unknown>> = []
     const log = new DecisionLog(clock, 'n1', pino({ level: 'info' }, { write: (line: string) => { lines.push(JSON.parse(line) as Record<string, unknown>) } }))
-    const followed = new FollowedStore({ store, clock, random: createRandom(1), log, decides: () => false, nodeCount: () => 3, firstWordMs: () => 0, share: () => {}, concernsCallers: () => true })
+    const followed = new FollowedStore({ store, clock, random: createRandom(1), log, decides: () => false, nodeCount: () => 3, firstWordMs: 0, wordValidMs: WORD_VALID_MS, share: () => {}, concernsCallers: () => true })
     followed.takeWord({ contactAgeMs: 0, versions: {} })
     for (let round = 0; round < 30; round++) {
       await pass(clock, 100)
--- a/packages/dotterelspur-gateway/src/process/FollowRules.ts
+++ b/packages/dotterelspur-gateway/src/process/FollowRules.ts
@@ -3,6 +3,9 @@
 import { MANIFEST_PREFIX } from './ManifestKeeper.js'
 import { NODE_PREFIX } from './NodeKeeper.js'
 
+/** A lost deciding node has a successor within this time, whose word then covers what nothing depends on sooner. */
+export const SUCCESSOR_WORD_MS = 4_000
+
 /** How a prefix of the store is followed. */
 export interface FollowRule {
   /**
@@ -23,14 +26,16 @@
    * a link of 20 Mbit/s, would take seconds: of it only the version is told, and each node reads it from the store.
    */
   readonly isPassedOn: boolean
+  /** Whether changes can wait for the word of a lost deciding node's successor: no bound of the operators depends on them. */
+  readonly awaitsSuccessor: boolean
 }
 
 /** The prefixes that are followed. */
 export const FOLLOW_RULES: Readonly<Record<string, FollowRule>> = {
-  [MANIFEST_PREFIX]: { waitMs: 3_000, deciderWaitMs: 1_000, restMs: 50, isPassedOn: false, isFiltered: false },
-  [ENDPOINT_PREFIX]: { waitMs: 3_000, deciderWaitMs: 1_000, restMs: 250, isPassedOn: true, isFiltered: true },
-  [NODE_PREFIX]: { waitMs: 3_000, deciderWaitMs: 3_000, restMs: 500, isPassedOn: true, isFiltered: false },
-  [QUARANTINE_PREFIX]: { waitMs: 3_000, deciderWaitMs: 3_000, restMs: 500, isPassedOn: true, isFiltered: false }
+  [MANIFEST_PREFIX]: { waitMs: 3_000, deciderWaitMs: 1_000, restMs: 50, isPassedOn: false, isFiltered: false, awaitsSuccessor: false },
+  [ENDPOINT_PREFIX]: { waitMs: 3_000, deciderWaitMs: 1_000, restMs: 250, isPassedOn: true, isFiltered: true, awaitsSuccessor: false },
+  [NODE_PREFIX]: { waitMs: 3_000, deciderWaitMs: 3_000, restMs: 500, isPassedOn: true, isFiltered: false, awaitsSuccessor: true },
+  [QUARANTINE_PREFIX]: { waitMs: 3_000, deciderWaitMs: 3_000, restMs: 500, isPassedOn: true, isFiltered: false, awaitsSuccessor: true }
 }
 
 /**
--- a/packages/dotterelspur-gateway/src/process/FollowedStore.ts
+++ b/packages/dotterelspur-gateway/src/process/FollowedStore.ts
@@ -3,7 +3,7 @@
   type Clock, type ObjectListing, type ObjectStore, type Random, type ReadFreshness, type Result, type StoredObject, type StoreError, type Teardown, type WatchEvent
 } from 'dotterelspur'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
-import { FOLLOW_RULES, HELD_UP_MS, restMs, RETRY_JITTER, RETRY_MS, retryPauseMs, type FollowRule } from './FollowRules.js'
+import { FOLLOW_RULES, HELD_UP_MS, restMs, RETRY_JITTER, RETRY_MS, retryPauseMs, SUCCESSOR_WORD_MS, type FollowRule } from './FollowRules.js'
 import { StoreFeed, type FeedNews, type FeedWord } from './StoreFeed.js'
 import type { ChangeBatch, VersionedStore } from './VersionedStore.js'
 
@@ -37,11 +37,10 @@
   /** Whether this node decides: then it follows the store itself, and shares what it reads. */
   readonly decides: () => boolean
   readonly nodeCount: () => number
-  /**
-   * How long a node waits after its first listing for the deciding node's word, before it asks for changes itself. Else
-   * each node of a fleet that starts asks for each of the others' entries.
-   */
-  readonly firstWordMs: () => number
+  /** How long the deciding node's word is relied on. */
+  readonly wordValidMs: number
+  /** How long it is awaited after the first list, before this node asks for changes itself. */
+  readonly firstWordMs: number
   readonly share: (news: FeedNews) => void
   /** Whether a change, not taken in yet, concerns those who send requests. */
   readonly concernsCallers: (object: StoredObject<unknown>) => boolean
@@ -52,7 +51,7 @@
  * feed while that is fresh. Changes carry versions, so one that comes both ways is taken once.
  */
 export class FollowedStore implements ObjectStore {
-  private readonly feed = new StoreFeed()
+  private readonly feed: StoreFeed
   private feedWasFresh = false
   private readonly followers = new Map<string, Follower>()
   private contactAtMs = -Infinity
@@ -61,7 +60,9 @@
   /** While the store can't be reached, one follower tries for all: a call from each would tell no more. */
   private nextTryAtMs = -Infinity
 
-  constructor (private readonly parts: FollowedStoreParts) {}
+  constructor (private readonly parts: FollowedStoreParts) {
+    this.feed = new StoreFeed(parts.wordValidMs)
+  }
 
   async get<Body> (key: string, freshness?: ReadFreshness): Promise<Result<StoredObject<Body>, StoreError>> {
     return await this.noting(this.parts.store.get<Body>(key, freshness))
@@ -149,8 +150,9 @@
     this.parts.log.write(isFresh ? LogKind.DependencyRegained : LogKind.DependencyLost, { dependency: 'deciding node', versions: this.versions })
   }
 
-  private isCovered ({ prefix, version }: Follower): boolean {
-    return version !== null && !this.parts.decides() && this.feed.covers(prefix, version, this.parts.clock.nowMs())
+  private isCovered ({ prefix, version, rule }: Follower): boolean {
+    const validMs = rule.awaitsSuccessor ? SUCCESSOR_WORD_MS : this.parts.wordValidMs
+    return version !== null && !this.parts.decides() && this.feed.covers(prefix, version, validMs, this.parts.clock.nowMs())
   }
 
   private async follow (follower: Follower): Promise<void> {
@@ -236,11 +238,12 @@
     return { prefix, sinceVersion, objects: shared, version }
   }
 
+  /** Else each node of a fleet that starts asks for each of the others' entries. */
   private async awaitFirstWord (follower: Follower): Promise<void> {
     const { clock, firstWordMs } = this.parts
     const startedAtMs = clock.nowMs()
-    const isOver = (): boolean => this.hasGuide() || clock.nowMs() - startedAtMs >= firstWordMs()
-    if (!follower.rule.isPassedOn || isOver()) return
+    const isOver = (): boolean => this.hasGuide() || clock.nowMs() - startedAtMs >= firstWordMs
+    if (isOver()) return
     await new Promise<void>((resolve) => { follower.goOn = () => { if (isOver()) resolve() } })
     follower.goOn = null
   }
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -22,14 +22,13 @@
 import { NodeKeeper, nodeRecord, type NodeRecord } from './NodeKeeper.js'
 import { PoisonKeeper } from './PoisonKeeper.js'
 import { registerGauges } from './registerGauges.js'
+import { wordValidMs } from './StoreFeed.js'
 import type { VersionedStore } from './VersionedStore.js'
 
 /** How often the lease, the log and pauses are looked at. */
 const STEP_INTERVAL_MS = 100
 /** A gap of this length between two steps means that the process stood still. */
 const PAUSE_THRESHOLD_MS = 800
-/** A fleet's first deciding node is there within a second; a small fleet's calls weigh less than what is known later. */
-const FIRST_WORD_MS = { least: 200, perNode: 15, most: 1_400 } as const
 /** After a planned stop began, callers that still hold this address are served for so long. */
 const STOP_LISTENING_AFTER_MS = 3_000
 /** Left of the grace when what is still running is given up; the process then ends by itself. */
@@ -76,6 +75,7 @@
     // Nodes that start in the same millisecond draw different numbers.
     const random = createRandom(incarnation ^ hashText(settings.node))
     this.steppedAtMs = clock.nowMs()
+    const validMs = wordValidMs(settings.changes)
     this.store = new FollowedStore({
       store: parts.store,
       clock,
@@ -83,7 +83,9 @@
       log,
       decides: () => this.lease.mayOrder(),
       nodeCount: () => this.nodes.nodes().length,
-      firstWordMs: () => Math.max(FIRST_WORD_MS.least, Math.min(FIRST_WORD_MS.most, FIRST_WORD_MS.perNode * this.nodes.nodes().length)),
+      wordValidMs: validMs,
+      // A list is as good as a word, and relied on for as long.
+      firstWordMs: validMs,
       share: (news) => { this.peers.tellNews(news) },
       concernsCallers: (object) => this.endpoints.concernsCallers(object as StoredObject<EndpointRecord | null>)
     })
--- a/packages/dotterelspur-gateway/src/process/GatewaySettings.ts
+++ b/packages/dotterelspur-gateway/src/process/GatewaySettings.ts
@@ -1,4 +1,5 @@
 import type { FailureDomainId, NodeId, PoisonLimits, RetryWindowOptions } from 'dotterelspur'
+import type { ChangeBounds } from './StoreFeed.js'
 
 /** Where one listener of this process is bound. */
 export interface ListenAddress {
@@ -34,6 +35,7 @@
   readonly peers: ListenAddress
   readonly metrics: ListenAddress
   readonly poison: PoisonLimits
+  readonly changes: ChangeBounds
   /** The whole system starts for the first time: nothing can be left over from an earlier life. */
   readonly firstStart: boolean
 }
--- a/packages/dotterelspur-gateway/src/process/StoreFeed.ts
+++ b/packages/dotterelspur-gateway/src/process/StoreFeed.ts
@@ -1,11 +1,23 @@
 import type { ChangeBatch } from './VersionedStore.js'
 
+/** The part of the operators' bounds for which a node relies on the deciding node's word; the rest is for its own question. */
+const VALID_SHARE = 0.7
+
+/** How soon changes of the store must be known to all nodes. */
+export interface ChangeBounds {
+  /** An endpoint that says it leaves serves for so long. */
+  readonly drainMs: number
+  /** A manifest that the store has acknowledged is in force after this time. */
+  readonly manifestMs: number
+}
+
 /**
- * A node relies on the deciding node's word for this long after that one last had an answer from the store. Worst
- * case: the deciding node loses the store, and an endpoint that leaves right after is learned of this much later,
- * which stays below the 2 s after which it may be gone.
+ * How long a node relies on the deciding node's word after that one last had an answer from the store. Worst case: the
+ * deciding node loses the store, and an endpoint that leaves, or a manifest, is learned of this much later.
  */
-export const WORD_VALID_MS = 1_400
+export function wordValidMs ({ drainMs, manifestMs }: ChangeBounds): number {
+  return VALID_SHARE * Math.min(drainMs, manifestMs)
+}
 
 /** The deciding node's word on the store: how far it has followed each prefix, and how fresh that is. */
 export interface FeedWord {
@@ -26,11 +38,15 @@
  * every change: 63 of them 14,343 calls in 50 s of losses and repairs, and 3,930 with this feed (counted by the store).
  */
 export class StoreFeed {
-  private validUntilMs = -Infinity
+  /** When the store last answered the deciding node, as far as this node was told. */
+  private contactAtMs = -Infinity
   private readonly versions = new Map<string, number>()
 
+  /** @param validMs how long its word is relied on. */
+  constructor (private readonly validMs: number) {}
+
   noteWord ({ contactAgeMs, versions }: FeedWord, nowMs: number): void {
-    this.validUntilMs = Math.max(this.validUntilMs, nowMs + WORD_VALID_MS - contactAgeMs)
+    this.contactAtMs = Math.max(this.contactAtMs, nowMs - contactAgeMs)
     // A prefix that is missing is one that the deciding node has lost itself.
     this.versions.clear()
     for (const [prefix, version] of Object.entries(versions)) this.versions.set(prefix, version)
@@ -43,12 +59,16 @@
 
   /** Whether the deciding node's word is recent enough to be relied on. */
   isFresh (nowMs: number): boolean {
-    return nowMs < this.validUntilMs
+    return this.contactAgeMs(nowMs) < this.validMs
   }
 
-  /** Whether who has followed `prefix` up to `version` misses nothing without asking the store. */
-  covers (prefix: string, version: number, nowMs: number): boolean {
+  /** Whether who has followed `prefix` up to `version`, and may miss the changes of `validMs`, need not ask the store. */
+  covers (prefix: string, version: number, validMs: number, nowMs: number): boolean {
     const announced = this.versions.get(prefix)
-    return this.isFresh(nowMs) && announced !== undefined && announced <= version
+    return this.contactAgeMs(nowMs) < validMs && announced !== undefined && announced <= version
+  }
+
+  private contactAgeMs (nowMs: number): number {
+    return nowMs - this.contactAtMs
   }
 }
