--- a/packages/dotterelspur-gateway/src/connection/PeerLinks.ts
+++ b/packages/dotterelspur-gateway/src/connection/PeerLinks.ts
@@ -19,9 +19,8 @@
 const BACKLOG_BYTES = 262_144
 const HANDSHAKE_TIMEOUT_MS = 600
 /**
- * Handshakes under way at once. A node that takes over dials all others: 194 at once take two seconds of a third of a core,
- * so that most ran into their timeout, were dialled again, and their nodes were taken off the directory as lost. In the
- * half minute after a takeover 0.64 to 0.87 of what callers are owed is earned, 0.2 to 0.6 without (195 nodes, one day).
+ * Handshakes under way at once. A node that takes over dials all others: on a small share of a core hundreds at once run into
+ * their timeout, are dialled again, and their nodes are taken off the directory as lost.
  */
 const HANDSHAKES_AT_ONCE = 24
 /** Between two words: three of them may be late before nodes turn to the store themselves. */
--- a/packages/dotterelspur-gateway/src/process/ExchangeWatch.ts
+++ b/packages/dotterelspur-gateway/src/process/ExchangeWatch.ts
@@ -59,9 +59,7 @@
 
 /**
  * Notices groups that have stopped. One that lost a member goes on accepting requests and sends nothing; the list tells
- * of it seconds later. Requests that wait there for their first event go elsewhere while they can still be on time:
- * of answers that were late, 99 in 112 had met such a group, with a loss every three seconds. Late answers are a
- * quarter fewer (7 to 58 in 100, twelve days played with and without).
+ * of it seconds later. Requests that wait there for their first event go elsewhere while they can still be on time.
  */
 export class ExchangeWatch {
   private readonly watched = new Set<Watched>()
--- a/packages/dotterelspur-gateway/src/process/FirstKnowledge.ts
+++ b/packages/dotterelspur-gateway/src/process/FirstKnowledge.ts
@@ -14,7 +14,7 @@
 /**
  * What a process must have read before it can say anything about a request. Callers connect as soon as it listens, and
  * those that lost all nodes at once have one attempt left: refused for want of a manifest that comes in a tenth of a
- * second, they would be lost: 22 on a day at whose end all nodes were killed.
+ * second, they would be lost.
  */
 export class FirstKnowledge {
   private readonly waiting = new Set<() => void>()
--- a/packages/dotterelspur-gateway/src/process/FleetLease.ts
+++ b/packages/dotterelspur-gateway/src/process/FleetLease.ts
@@ -21,7 +21,7 @@
 const CHALLENGE_SPREAD_MS = 300
 /**
  * When the lease lapses, nodes try to take it in turn, spread over this time for each of them: who takes it tells the others
- * within 0.2 s. 91 nodes that all try at once, and again each 0.3 s while the store is out, made most of 8,278 priced calls.
+ * within 0.2 s, and each try is a priced call.
  */
 const CHALLENGE_SPREAD_PER_NODE_MS = 20
 const RETRY_GROWTH = 1.5
@@ -102,8 +102,7 @@
   /**
    * Whether other nodes turn to this one: as the holder, or as the one whose lease lapsed while nobody is known to have
    * taken over, as with the store out for all. It orders nothing then, but what nodes tell each other through it,
-   * loads and stopped groups, needs no agreement: with the store out for 8 s in a surge, 21 and 8 requests were refused
-   * in place of 39 and 49 (two seeds).
+   * loads and stopped groups, needs no agreement.
    */
   coordinates (): boolean {
     if (this.held !== null) return true
--- a/packages/dotterelspur-gateway/src/process/FollowRules.ts
+++ b/packages/dotterelspur-gateway/src/process/FollowRules.ts
@@ -17,13 +17,13 @@
   /** Rest after each answer with changes: they come in bursts, and each answer is a call. */
   readonly restMs: number
   /**
-   * Whether the deciding node passes on only what concerns those who send requests. Of a forming group's members each
-   * changes three times: all of it, of 760 endpoints to 194 nodes, fills a link of 14 Mbit/s for a minute.
+   * Whether the deciding node passes on only what concerns those who send requests. Each member of a forming group changes
+   * three times: all of that, told to all nodes, would fill a small link.
    */
   readonly isFiltered: boolean
   /**
-   * Whether the deciding node passes the changes themselves on. A manifest of hundreds of routes, sent to 80 nodes over
-   * a link of 20 Mbit/s, would take seconds: of it only the version is told, and each node reads it from the store.
+   * Whether the deciding node passes the changes themselves on. A manifest of hundreds of routes would take seconds over a
+   * small link: of it only the version is told, and each node reads it from the store.
    */
   readonly isPassedOn: boolean
   /** Whether changes can wait for the word of a lost deciding node's successor: no bound of the operators depends on them. */
@@ -38,10 +38,7 @@
   [QUARANTINE_PREFIX]: { waitMs: 3_000, deciderWaitMs: 3_000, restMs: 500, isPassedOn: true, isFiltered: false, awaitsSuccessor: true }
 }
 
-/**
- * Rest of a node that doesn't decide, for each node of the fleet: 195 nodes that start together ask for changes 250 times
- * a second, where with the rests above they asked 800 times, and each call is priced.
- */
+/** Rest of a node that doesn't decide, for each node of the fleet: together they ask about as often as a small fleet. */
 const REST_PER_NODE_MS = 10
 /** Endpoints that leave are still known in time: they serve for two seconds after they said so. */
 const REST_MOST_MS = 800
@@ -49,7 +46,7 @@
 /** Between two tries while the store can't be reached, growing: it is out for some seconds, and each call is priced. */
 export const RETRY_MS = 250
 const RETRY_LIMIT_MS = 700
-/** Longer in a large fleet: 91 nodes whose store is out for 8 s made a thousand calls, and it serves again within 4 s of its return. */
+/** Longer in a large fleet, whose nodes all try. */
 const RETRY_LIMIT_PER_NODE_MS = 8
 const RETRY_LIMIT_MOST_MS = 1_500
 const RETRY_GROWTH = 1.4
--- a/packages/dotterelspur-gateway/src/process/StoreFeed.ts
+++ b/packages/dotterelspur-gateway/src/process/StoreFeed.ts
@@ -35,7 +35,7 @@
 
 /**
  * What a node knows of the store through the deciding node. Nodes that watch the store by themselves make a call each for
- * every change: 63 of them 14,343 calls in 50 s of losses and repairs, and 3,930 with this feed (counted by the store).
+ * every change.
  */
 export class StoreFeed {
   /** When the store last answered the deciding node, as far as this node was told. */
--- a/packages/dotterelspur/src/request/dispatch/DeadlineHistory.ts
+++ b/packages/dotterelspur/src/request/dispatch/DeadlineHistory.ts
@@ -31,8 +31,8 @@
  * Tells callers that come back from those that come first. A caller states what is left of its time, and one that was
  * sent away states less than it did first. What first ones state may differ from caller to caller, so the lowest
  * deadlines are taken for returns only as far as callers have been sent away at all, and only where they lie below
- * what the others' spread explains. On callers that state 85 to 100 in 100 of their time by chance, comparing with
- * the longest deadline took nine of ten first attempts for returns, and demand was never learned.
+ * what the others' spread explains. Compared with the longest deadline, most first attempts of callers that differ would
+ * be taken for returns.
  *
  * A node of a large fleet sees few requests of most routes, and one that has just started none. So nodes tell each other what
  * callers usually state for each route, and which part of that they state at least, which hardly differs from route to route.
--- a/packages/dotterelspur/src/request/dispatch/LoadForecast.ts
+++ b/packages/dotterelspur/src/request/dispatch/LoadForecast.ts
@@ -61,7 +61,7 @@
  * All nodes are told the same, so each knows how the others will choose: their requests go where one takes least time,
  * which raises the emptiest endpoints to the level of the next ones, and so on. From that follows what has come to an
  * endpoint since, and from how long requests stay what has left it. No node concludes anything from its own few
- * requests: own sends taken times the nodes were a fair guess with 8 nodes, and chance taken times 90 with 91.
+ * requests, which in a large fleet are mostly chance.
  */
 export class LoadForecast {
   private readonly indexes: ReadonlyMap<EndpointId, number>
--- a/packages/dotterelspur/src/request/dispatch/Placement.ts
+++ b/packages/dotterelspur/src/request/dispatch/Placement.ts
@@ -66,8 +66,7 @@
 const SPREAD_MS = 12
 /**
  * Endpoints that are drawn as all nodes spread their requests, of which the better is taken: by the failure domain, and
- * by what this node itself has sent there. With one alone, 8 nodes before 27 groups answer 91 instead of 95 in 100 in
- * time, at 0.9 of what these serve; with more, all nodes choose the same ones (SurgeReplay, 3 seeds).
+ * by what this node itself has sent there. With more, all nodes would choose the same ones.
  */
 const CHOICES = 2
 /** Draws until there are as many; where none can be used, all endpoints are looked at. */
@@ -76,10 +75,7 @@
 const HELD_OFF_MS = 2_000
 /** Cost of a stream whose every pause will be late; a full group elsewhere is better than that. */
 const SLOW_STREAM_MS = 400
-/**
- * How far beyond its target a request may be expected to start and still be sent. Replayed with 0.8 to 1.2, at 1.2
- * times what the groups can serve: 1 and below serve two in a hundred more in time than 1.2, below 1 nothing is gained.
- */
+/** How far beyond its target a request may be expected to start and still be sent. */
 const TARGET_SLACK = 1
 /** A prompt so long that it can't make the target is given this multiple of its time at an idle group. */
 const IDLE_FACTOR = 2
@@ -151,8 +147,7 @@
 
 /**
  * Whether the pool has room for one more. The endpoint that seems emptiest is most often one of which this node knows
- * least; the load of all is known better. Replayed at 1.2 times what the groups can serve, 8 nodes, 6 seeds: 63 instead
- * of 48 in 100 answers in time.
+ * least; the load of all is known better.
  */
 function hasRoom (target: DispatchTarget, longestMs: number, query: PlacementQuery, input: PlacementInput): boolean {
   const { pool: { engine, key, targets }, load, firstEventDelayMs, nodes, random, nowMs } = input
--- a/packages/dotterelspur/src/request/dispatch/StopVotes.ts
+++ b/packages/dotterelspur/src/request/dispatch/StopVotes.ts
@@ -7,9 +7,8 @@
 
 /**
  * Gathers which nodes say that their streams at a group have paused for too long. In a large fleet a node has one
- * stream there, and one stream may pause for reasons of its own: on one word each, 8 of 9 sound groups were passed over
- * again and again (722 times in two seconds), and up to half of the requests were sent twice. A group that has really
- * stopped is silent for all who have streams there.
+ * stream there, and one stream may pause for reasons of its own: on one word each, sound groups would be passed over
+ * again and again. A group that has really stopped is silent for all who have streams there.
  */
 export class StopVotes {
   private readonly votes = new Map<EndpointId, Map<NodeId, number>>()
--- a/packages/dotterelspur/src/request/dispatch/StreamPauses.ts
+++ b/packages/dotterelspur/src/request/dispatch/StreamPauses.ts
@@ -5,9 +5,9 @@
 
 /** The longest pause seen loses half of itself in this time: a burst of long prompts is over in seconds. */
 const HALF_LIFE_MS = 5_000
-/** How far beyond the longest pause seen lately a working group may go: 1 in 1,000 pauses is 1.3 times that of 1 in 100. */
+/** How far beyond the longest pause seen lately a working group may go. */
 const BEYOND_LONGEST = 1.6
-/** The least multiple of the usual pause that counts: of a group that reads no prompts 1 in 1,000 is longer than 2.6. */
+/** The least multiple of the usual pause that counts; a group that reads no prompts stays below it. */
 const BEYOND_USUAL = 3
 /** Time on the way, and of a busy process until it takes the bytes. */
 const SLACK_MS = 20
@@ -20,9 +20,7 @@
 /**
  * Learns how long streams of a model pause while their group works. Events come in passes whose length hardly varies,
  * but for the prompts of others that are read between them; so a group whose streams all pause much longer has
- * stopped, as one does that lost a member. Measured over 51,000 pauses on a day with losses: with 4 to 7 requests a
- * second at each group, 999 in 1,000 pauses are below 70 ms for a model without long prompts and 290 ms for one with
- * them, where a fixed time of 650 ms was waited before.
+ * stopped, as one does that lost a member.
  */
 export class StreamPauses {
   private readonly longest = new Map<ModelId, LongestPause>()
--- a/packages/dotterelspur/src/request/dispatch/TargetLoad.ts
+++ b/packages/dotterelspur/src/request/dispatch/TargetLoad.ts
@@ -15,8 +15,7 @@
 
 /**
  * What all nodes have under way is told again and again; when this many words are missing a node goes by endpoints' own
- * words, spread as evenly as before. Replayed with nobody telling any more, 91 nodes at 0.9 of what groups serve: 0.866 in
- * time, 0.513 with forecasts that go on for 10 s.
+ * words, spread as evenly as before: forecasts that go on without news send more and more to the wrong endpoints.
  */
 const VALID_INTERVALS = 3
 
@@ -165,8 +164,8 @@
 
   /**
    * What an endpoint of a pool has on average while nobody tells: this node's own requests there times the nodes, drawn
-   * towards a usual load by as much as a few requests can say. Taken without that, one request of a node of 91 stood for
-   * 91, and 436 of 571 callers were refused at idle groups after all nodes had started anew.
+   * towards a usual load by as much as a few requests can say: else the first request of each node of a large fleet would
+   * make its groups look full.
    */
   usual (pool: PoolKey, slots: number, endpoints: number, nodes: number): number {
     const own = this.pools.get(pool)?.own ?? 0
--- a/packages/dotterelspur/src/version/formation/StandbyStaging.ts
+++ b/packages/dotterelspur/src/version/formation/StandbyStaging.ts
@@ -60,9 +60,7 @@
 
 /**
  * Gives the spare hosts of a fabric domain the models of its groups. One that holds a model without a group there can
- * stand in for nobody: in a domain of two large groups three hosts held the small model, and the first loss ended a
- * group. Replayed with 9 domains of 19 hosts, groups of 8 and 4, a loss each 1.2 s: 0.909 of what callers ask for can be
- * served, where hosts stayed with what they once got 0.844 (LossReplay, 6 seeds).
+ * stand in for nobody: in a domain of two large groups whose spare hosts hold the small model, the first loss ends a group.
  */
 function stageSpares (pending: PendingFormation, domain: FabricDomainId, spares: readonly EndpointRecord[]): void {
   const wanted = standbysWanted(pending, domain, spares.length)
