--- a/packages/dotterelspur/src/request/dispatch/DeadlineHistory.ts
+++ b/packages/dotterelspur/src/request/dispatch/DeadlineHistory.ts
@@ -61,11 +61,11 @@
     const longestMs = Math.max(0, ...known.map(([, { deadlinesMs }]) => medianOf(deadlinesMs)))
     if (nowMs - this.sinceMs < longestMs) return NOTHING_LEARNED
     const busiest = known.sort(([, left], [, right]) => right.deadlinesMs.length - left.deadlinesMs.length).slice(0, MOST_ROUTES_TOLD)
-    const expected = busiest.map(([, history]) => expectedOf(history)).filter((found) => found !== null)
-    const [first] = expected
+    const [leading] = busiest
+    const expected = leading === undefined ? null : expectedOf(leading[1])
     return {
       usual: Object.fromEntries(busiest.map(([route, { deadlinesMs }]) => [route, { usualSumMs: medianOf(deadlinesMs), nodes: 1 }])),
-      leastShare: first === undefined ? NOTHING_LEARNED.leastShare : { sum: first.leastFirstMs / first.usualMs, nodes: 1 }
+      leastShare: expected === null ? NOTHING_LEARNED.leastShare : { sum: expected.leastFirstMs / expected.usualMs, nodes: 1 }
     }
   }
 
