--- a/packages/dotterelspur-gateway/src/process/Dispatch.ts
+++ b/packages/dotterelspur-gateway/src/process/Dispatch.ts
@@ -1,5 +1,5 @@
 import {
-  arrangePools, declaredFirstEventMs, EndpointHealth, eventGapMs, ExchangeEnd, groupTimeMs, isHardlyOnTime, paceOf, place, poolKey, poolOf, RetryWindow, senderPlace,
+  arrangePools, declaredFirstEventMs, EndpointHealth, eventGapMs, ExchangeEnd, groupTimeMs, paceOf, place, poolKey, poolOf, RetryWindow, senderPlace,
   type Clock, type DispatchTarget, type EndpointId, type EndpointRecord, type EngineSpec, type FailureDomainId, type ModelId, type NodeId, type PlacementRefusal, type PoolKey, type Random,
   type RetryWindowOptions, type Route, type Sender, type SenderPlace, type ServiceId, type TargetPool
 } from 'dotterelspur'
@@ -110,7 +110,7 @@
     this.requestSeen = true
     this.repeats.noteRequest(service, nowMs)
     this.knowledge.load.noteAsked(poolKey(service, this.engine(service) === null ? null : head.model), nowMs)
-    if (!isHardlyOnTime(spentMs, route.targetLatencyMs)) this.noteDemand(service, head, nowMs)
+    if (!hasSpentMuch(spentMs, route)) this.noteDemand(service, head, nowMs)
     return spentMs
   }
 
@@ -142,7 +142,7 @@
       promptTokens: query.head.promptTokens,
       targetMs: query.route.targetLatencyMs,
       targetGapMs: query.route.targetGapMs,
-      alreadyLate: isHardlyOnTime(query.spentMs, query.route.targetLatencyMs),
+      alreadyLate: hasSpentMuch(query.spentMs, query.route),
       leftMs: query.leftMs,
       excluded: query.excluded
     }, {
@@ -279,3 +279,8 @@
     return this.sender
   }
 }
+
+/** Whether a caller has spent so much elsewhere that its answer will hardly be on time. */
+function hasSpentMuch (spentMs: number, { targetLatencyMs }: Route): boolean {
+  return spentMs > targetLatencyMs / 2
+}
--- a/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
+++ b/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage } from 'node:http'
 import type { Dispatcher } from 'undici'
 import {
-  DispatchEffectKind, DispatchEndKind, endpointPriority, EventCursor, EXCHANGE_RULES, ExchangeEnd, isHardlyOnTime, RequestKind, runDispatch, runProcedure,
+  DispatchEffectKind, DispatchEndKind, EventCursor, EXCHANGE_RULES, ExchangeEnd, RequestKind, runDispatch, runProcedure,
   type Clock, type DispatchEnd, type DispatchTarget, type ExchangeEffect, type ExchangeReport, type PlaceEffect, type PlacementRefusal, type RequestContent, type Route, type ServiceId, type Teardown, type WorkspaceId
 } from 'dotterelspur'
 import { forwardedHeaders } from '../connection/headers.js'
@@ -108,13 +108,9 @@
   }
 
   private place ({ excluded }: PlaceEffect): DispatchTarget | PlacementRefusal {
-    const { head, service, route } = this.admitted
-    return this.parts.dispatch.place({ service, route, head, excluded, leftMs: this.leftMs(), spentMs: this.spentMs() })
-  }
-
-  private spentMs (): number {
-    const { arrivedAtMs, spentBeforeMs } = this.admitted
-    return spentBeforeMs + this.parts.clock.nowMs() - arrivedAtMs
+    const { head, service, route, arrivedAtMs, spentBeforeMs } = this.admitted
+    const spentMs = spentBeforeMs + this.parts.clock.nowMs() - arrivedAtMs
+    return this.parts.dispatch.place({ service, route, head, excluded, leftMs: this.leftMs(), spentMs })
   }
 
   private leftMs (): number {
@@ -171,12 +167,12 @@
   }
 
   private requestOptions (target: DispatchTarget): Dispatcher.DispatchOptions {
-    const { request, content: { body }, workspace, priority, head, route } = this.admitted
+    const { request, content: { body }, workspace, priority, head } = this.admitted
     const headers = this.parts.wire.writeForwarded(forwardedHeaders(request.rawHeaders), {
       endpoint: target.endpoint,
       workspace,
       deadlineMs: Math.max(1, Math.round(this.leftMs())),
-      priority: endpointPriority(priority, isHardlyOnTime(this.spentMs(), route.targetLatencyMs)),
+      priority,
       lastEventId: this.cursor.lastEventId ?? head.lastEventId
     })
     return { path: request.url!, method: request.method as Dispatcher.HttpMethod, headers, body: body.length > 0 || hasBodyMethod(request.method) ? body : null }
