Endpoints: their list is asked for as soon as before when the deciding node is lost; only manifests wait for their bound

Change: each rule says how long it goes on without a word: endpoints 1.4 s at most, manifests 0.7 of their bound, nodes and quarantine 4 s; rests of 10 ms a node are for manifests alone.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/FollowedStore.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/FollowedStore.test.ts
@@ -4,16 +4,16 @@
 import { DecisionLog } from '../../process/DecisionLog.js'
 import { ENDPOINT_PREFIX } from '../../process/EndpointKeeper.js'
 import { FLEET_LEASE_TIMING } from '../../process/FleetLease.js'
-import { FOLLOW_RULES } from '../../process/FollowRules.js'
+import { FOLLOW_RULES, type ChangeBounds } from '../../process/FollowRules.js'
 import { FollowedStore } from '../../process/FollowedStore.js'
 import { MANIFEST_PREFIX } from '../../process/ManifestKeeper.js'
 import { NODE_PREFIX } from '../../process/NodeKeeper.js'
-import { wordValidMs, type FeedNews, type FeedWord } from '../../process/StoreFeed.js'
+import { WORD_VALID_MS, type FeedNews, type FeedWord } from '../../process/StoreFeed.js'
 import type { ChangeBatch } from '../../process/VersionedStore.js'
 import { MemoryStore } from '../fixtures/MemoryStore.js'
 import { createLog } from '../fixtures/parts.js'
 
-const WORD_VALID_MS = wordValidMs({ drainMs: 2_000, manifestMs: 3_000 })
+const BOUNDS: ChangeBounds = { drainMs: 2_000, manifestMs: 3_000 }
 
 /** Longer than any rest after an answer, shorter than the validity of a word. */
 const REST_OVER_MS = 600
@@ -31,7 +31,7 @@
     decides,
     seen: [],
     shared: [],
-    followed: new FollowedStore({ store, clock, random: createRandom(1), log: createLog(clock), decides: () => node.decides, nodeCount: () => 3, firstWordMs, wordValidMs: WORD_VALID_MS, share: (news) => { node.shared.push(news) }, concernsCallers: ({ key }) => !key.includes('member') })
+    followed: new FollowedStore({ store, clock, random: createRandom(1), log: createLog(clock), decides: () => node.decides, nodeCount: () => 3, firstWordMs, changes: BOUNDS, share: (news) => { node.shared.push(news) }, concernsCallers: ({ key }) => !key.includes('member') })
   }
   node.followed.watch(prefix, (event) => {
     node.seen.push(event.kind === WatchEventKind.Object ? `${event.object.key} ${event.object.deleted ? 'gone' : 'there'}` : event.kind)
@@ -252,7 +252,7 @@
     const clock = new ManualClock()
     const lines: Array<Record<string, unknown>> = []
     const log = new DecisionLog(clock, 'n1', pino({ level: 'info' }, { write: (line: string) => { lines.push(JSON.parse(line) as Record<string, unknown>) } }))
-    const followed = new FollowedStore({ store, clock, random: createRandom(1), log, decides: () => false, nodeCount: () => 3, firstWordMs: 0, wordValidMs: WORD_VALID_MS, share: () => {}, concernsCallers: () => true })
+    const followed = new FollowedStore({ store, clock, random: createRandom(1), log, decides: () => false, nodeCount: () => 3, firstWordMs: 0, changes: BOUNDS, share: () => {}, concernsCallers: () => true })
     followed.takeWord({ contactAgeMs: 0, versions: {} })
     for (let round = 0; round < 30; round++) {
       await pass(clock, 100)
--- a/packages/dotterelspur-gateway/src/process/FollowRules.ts
+++ b/packages/dotterelspur-gateway/src/process/FollowRules.ts
@@ -2,9 +2,20 @@
 import { ENDPOINT_PREFIX } from './EndpointKeeper.js'
 import { MANIFEST_PREFIX } from './ManifestKeeper.js'
 import { NODE_PREFIX } from './NodeKeeper.js'
+import { WORD_VALID_MS } from './StoreFeed.js'
 
+/** How soon changes of the store must be known to all nodes. */
+export interface ChangeBounds {
+  /** An endpoint that says it leaves serves for so long. */
+  readonly drainMs: number
+  /** A manifest that the store has acknowledged is in force after this time. */
+  readonly manifestMs: number
+}
+
+/** The part of a bound for which a node goes on without the deciding node's word; the rest is for its own question. */
+const VALID_SHARE = 0.7
 /** A lost deciding node has a successor within this time, whose word then covers what nothing depends on sooner. */
-export const SUCCESSOR_WORD_MS = 4_000
+const SUCCESSOR_WORD_MS = 4_000
 
 /** How a prefix of the store is followed. */
 export interface FollowRule {
@@ -26,20 +37,25 @@
    * small link: of it only the version is told, and each node reads it from the store.
    */
   readonly isPassedOn: boolean
-  /** Whether changes can wait for the word of a lost deciding node's successor: no bound of the operators depends on them. */
-  readonly awaitsSuccessor: boolean
+  /** Rest of a node that doesn't decide, for each node of the fleet: together they ask about as often as a small fleet. */
+  readonly restPerNodeMs: number
+  /** How long a node goes on without the deciding node's word before it asks for changes itself. */
+  readonly wordValidMs: (bounds: ChangeBounds) => number
 }
 
 /** The prefixes that are followed. */
 export const FOLLOW_RULES: Readonly<Record<string, FollowRule>> = {
-  [MANIFEST_PREFIX]: { waitMs: 3_000, deciderWaitMs: 1_000, restMs: 50, isPassedOn: false, isFiltered: false, awaitsSuccessor: false },
-  [ENDPOINT_PREFIX]: { waitMs: 3_000, deciderWaitMs: 1_000, restMs: 250, isPassedOn: true, isFiltered: true, awaitsSuccessor: false },
-  [NODE_PREFIX]: { waitMs: 3_000, deciderWaitMs: 3_000, restMs: 500, isPassedOn: true, isFiltered: false, awaitsSuccessor: true },
-  [QUARANTINE_PREFIX]: { waitMs: 3_000, deciderWaitMs: 3_000, restMs: 500, isPassedOn: true, isFiltered: false, awaitsSuccessor: true }
+  [MANIFEST_PREFIX]: {
+    waitMs: 3_000, deciderWaitMs: 1_000, restMs: 50, restPerNodeMs: 10, isPassedOn: false, isFiltered: false, wordValidMs: ({ manifestMs }) => VALID_SHARE * manifestMs
+  },
+  // Nodes learn from the list which groups have broken up, so they don't wait for longer than a word is relied on, whatever the bound allows.
+  [ENDPOINT_PREFIX]: {
+    waitMs: 3_000, deciderWaitMs: 1_000, restMs: 250, restPerNodeMs: 4, isPassedOn: true, isFiltered: true, wordValidMs: ({ drainMs }) => Math.min(WORD_VALID_MS, VALID_SHARE * drainMs)
+  },
+  [NODE_PREFIX]: { waitMs: 3_000, deciderWaitMs: 3_000, restMs: 500, restPerNodeMs: 4, isPassedOn: true, isFiltered: false, wordValidMs: () => SUCCESSOR_WORD_MS },
+  [QUARANTINE_PREFIX]: { waitMs: 3_000, deciderWaitMs: 3_000, restMs: 500, restPerNodeMs: 4, isPassedOn: true, isFiltered: false, wordValidMs: () => SUCCESSOR_WORD_MS }
 }
 
-/** Rest of a node that doesn't decide, for each node of the fleet: together they ask about as often as a small fleet. */
-const REST_PER_NODE_MS = 10
 /** Endpoints that leave are still known in time: they serve for two seconds after they said so. */
 const REST_MOST_MS = 800
 
@@ -56,7 +72,7 @@
 
 /** Rest of a node that doesn't decide, after an answer with changes. */
 export function restMs (rule: FollowRule, nodes: number): number {
-  return Math.max(rule.restMs, Math.min(REST_MOST_MS, REST_PER_NODE_MS * nodes))
+  return Math.max(rule.restMs, Math.min(REST_MOST_MS, rule.restPerNodeMs * nodes))
 }
 
 /** Pause before the next try, after so many failed ones in a row. */
--- a/packages/dotterelspur-gateway/src/process/FollowedStore.ts
+++ b/packages/dotterelspur-gateway/src/process/FollowedStore.ts
@@ -3,7 +3,7 @@
   type Clock, type ObjectListing, type ObjectStore, type Random, type ReadFreshness, type Result, type StoredObject, type StoreError, type Teardown, type WatchEvent
 } from 'dotterelspur'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
-import { FOLLOW_RULES, HELD_UP_MS, restMs, RETRY_JITTER, RETRY_MS, retryPauseMs, SUCCESSOR_WORD_MS, type FollowRule } from './FollowRules.js'
+import { FOLLOW_RULES, HELD_UP_MS, restMs, RETRY_JITTER, RETRY_MS, retryPauseMs, type ChangeBounds, type FollowRule } from './FollowRules.js'
 import { StoreFeed, type FeedNews, type FeedWord } from './StoreFeed.js'
 import type { ChangeBatch, VersionedStore } from './VersionedStore.js'
 
@@ -39,8 +39,7 @@
   /** Whether this node decides: then it follows the store itself, and shares what it reads. */
   readonly decides: () => boolean
   readonly nodeCount: () => number
-  /** How long the deciding node's word is relied on. */
-  readonly wordValidMs: number
+  readonly changes: ChangeBounds
   /** How long it is awaited after the first list, before this node asks for changes itself. */
   readonly firstWordMs: number
   readonly share: (news: FeedNews) => void
@@ -53,7 +52,7 @@
  * feed while that is fresh. Changes carry versions, so one that comes both ways is taken once.
  */
 export class FollowedStore implements ObjectStore {
-  private readonly feed: StoreFeed
+  private readonly feed = new StoreFeed()
   private feedWasFresh = false
   private readonly followers = new Map<string, Follower>()
   private contactAtMs = -Infinity
@@ -62,9 +61,7 @@
   /** While the store can't be reached, one follower tries for all: a call from each would tell no more. */
   private nextTryAtMs = -Infinity
 
-  constructor (private readonly parts: FollowedStoreParts) {
-    this.feed = new StoreFeed(parts.wordValidMs)
-  }
+  constructor (private readonly parts: FollowedStoreParts) {}
 
   async get<Body> (key: string, freshness?: ReadFreshness): Promise<Result<StoredObject<Body>, StoreError>> {
     return await this.noting(this.parts.store.get<Body>(key, freshness))
@@ -153,8 +150,8 @@
   }
 
   private isCovered ({ prefix, version, rule }: Follower): boolean {
-    const validMs = rule.awaitsSuccessor ? SUCCESSOR_WORD_MS : this.parts.wordValidMs
-    return version !== null && !this.parts.decides() && this.feed.covers(prefix, version, validMs, this.parts.clock.nowMs())
+    const { changes, clock } = this.parts
+    return version !== null && !this.parts.decides() && this.feed.covers(prefix, version, rule.wordValidMs(changes), clock.nowMs())
   }
 
   private async follow (follower: Follower): Promise<void> {
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -22,7 +22,7 @@
 import { NodeKeeper, nodeRecord, type NodeRecord } from './NodeKeeper.js'
 import { PoisonKeeper } from './PoisonKeeper.js'
 import { registerGauges } from './registerGauges.js'
-import { wordValidMs } from './StoreFeed.js'
+import { WORD_VALID_MS } from './StoreFeed.js'
 import type { VersionedStore } from './VersionedStore.js'
 
 /** How often the lease, the log and pauses are looked at. */
@@ -75,7 +75,6 @@
     // Nodes that start in the same millisecond draw different numbers.
     const random = createRandom(incarnation ^ hashText(settings.node))
     this.steppedAtMs = clock.nowMs()
-    const validMs = wordValidMs(settings.changes)
     this.store = new FollowedStore({
       store: parts.store,
       clock,
@@ -83,9 +82,9 @@
       log,
       decides: () => this.lease.mayOrder(),
       nodeCount: () => this.nodes.nodes().length,
-      wordValidMs: validMs,
+      changes: settings.changes,
       // A list is as good as a word, and relied on for as long.
-      firstWordMs: validMs,
+      firstWordMs: WORD_VALID_MS,
       share: (news) => { this.peers.tellNews(news) },
       concernsCallers: (object) => this.endpoints.concernsCallers(object as StoredObject<EndpointRecord | null>)
     })
--- a/packages/dotterelspur-gateway/src/process/GatewaySettings.ts
+++ b/packages/dotterelspur-gateway/src/process/GatewaySettings.ts
@@ -1,5 +1,5 @@
 import type { FailureDomainId, NodeId, PoisonLimits, RetryWindowOptions } from 'dotterelspur'
-import type { ChangeBounds } from './StoreFeed.js'
+import type { ChangeBounds } from './FollowRules.js'
 
 /** Where one listener of this process is bound. */
 export interface ListenAddress {
--- a/packages/dotterelspur-gateway/src/process/StoreFeed.ts
+++ b/packages/dotterelspur-gateway/src/process/StoreFeed.ts
@@ -1,23 +1,7 @@
 import type { ChangeBatch } from './VersionedStore.js'
 
-/** The part of the operators' bounds for which a node relies on the deciding node's word; the rest is for its own question. */
-const VALID_SHARE = 0.7
-
-/** How soon changes of the store must be known to all nodes. */
-export interface ChangeBounds {
-  /** An endpoint that says it leaves serves for so long. */
-  readonly drainMs: number
-  /** A manifest that the store has acknowledged is in force after this time. */
-  readonly manifestMs: number
-}
-
-/**
- * How long a node relies on the deciding node's word after that one last had an answer from the store. Worst case: the
- * deciding node loses the store, and an endpoint that leaves, or a manifest, is learned of this much later.
- */
-export function wordValidMs ({ drainMs, manifestMs }: ChangeBounds): number {
-  return VALID_SHARE * Math.min(drainMs, manifestMs)
-}
+/** A node relies on the deciding node's word for this long after that one last had an answer from the store. */
+export const WORD_VALID_MS = 1_400
 
 /** The deciding node's word on the store: how far it has followed each prefix, and how fresh that is. */
 export interface FeedWord {
@@ -42,9 +26,6 @@
   private contactAtMs = -Infinity
   private readonly versions = new Map<string, number>()
 
-  /** @param validMs how long its word is relied on. */
-  constructor (private readonly validMs: number) {}
-
   noteWord ({ contactAgeMs, versions }: FeedWord, nowMs: number): void {
     this.contactAtMs = Math.max(this.contactAtMs, nowMs - contactAgeMs)
     // A prefix that is missing is one that the deciding node has lost itself.
@@ -59,7 +40,7 @@
 
   /** Whether the deciding node's word is recent enough to be relied on. */
   isFresh (nowMs: number): boolean {
-    return this.contactAgeMs(nowMs) < this.validMs
+    return this.contactAgeMs(nowMs) < WORD_VALID_MS
   }
 
   /** Whether who has followed `prefix` up to `version`, and may miss the changes of `validMs`, need not ask the store. */
