--- a/packages/dotterelspur-gateway/src/process/FollowedStore.ts
+++ b/packages/dotterelspur-gateway/src/process/FollowedStore.ts
@@ -39,8 +39,9 @@
   /** Whether this node decides: then it follows the store itself, and shares what it reads. */
   readonly decides: () => boolean
   readonly nodeCount: () => number
+  /** How soon the operators want changes to be known. */
   readonly changes: ChangeBounds
-  /** How long it is awaited after the first list, before this node asks for changes itself. */
+  /** How long the deciding node's word is awaited after the first list, before this node asks for changes itself. */
   readonly firstWordMs: number
   readonly share: (news: FeedNews) => void
   /** Whether a change, not taken in yet, concerns those who send requests. */
@@ -238,7 +239,7 @@
     return { prefix, sinceVersion, objects: shared, version }
   }
 
-  /** Else each node of a fleet that starts asks for each of the others' entries. */
+  /** Without this wait, each node of a fleet that starts would ask for each of the others' entries. */
   private async awaitFirstWord (follower: Follower): Promise<void> {
     const { clock, firstWordMs } = this.parts
     const startedAtMs = clock.nowMs()
--- a/packages/dotterelspur/src/request/dispatch/DeadlineHistory.ts
+++ b/packages/dotterelspur/src/request/dispatch/DeadlineHistory.ts
@@ -57,14 +57,16 @@
 
   /** What this node has seen, to be told; nothing while those who lost another node may be most of its callers. */
   observed (nowMs: number): DeadlinesSeen {
-    const known = [...this.routes].filter(([, { deadlinesMs }]) => deadlinesMs.length >= LEAST_FOR_USUAL)
-    const longestMs = Math.max(0, ...known.map(([, { deadlinesMs }]) => medianOf(deadlinesMs)))
+    const known = [...this.routes]
+      .filter(([, { deadlinesMs }]) => deadlinesMs.length >= LEAST_FOR_USUAL)
+      .map(([route, history]) => ({ route, history, usualMs: medianOf(history.deadlinesMs) }))
+    const longestMs = Math.max(0, ...known.map(({ usualMs }) => usualMs))
     if (nowMs - this.sinceMs < longestMs) return NOTHING_LEARNED
-    const busiest = known.sort(([, left], [, right]) => right.deadlinesMs.length - left.deadlinesMs.length).slice(0, MOST_ROUTES_TOLD)
+    const busiest = known.sort((left, right) => right.history.deadlinesMs.length - left.history.deadlinesMs.length).slice(0, MOST_ROUTES_TOLD)
     const [leading] = busiest
-    const expected = leading === undefined ? null : expectedOf(leading[1])
+    const expected = leading === undefined ? null : expectedOf(leading.history)
     return {
-      usual: Object.fromEntries(busiest.map(([route, { deadlinesMs }]) => [route, { usualSumMs: medianOf(deadlinesMs), nodes: 1 }])),
+      usual: Object.fromEntries(busiest.map(({ route, usualMs }) => [route, { usualSumMs: usualMs, nodes: 1 }])),
       leastShare: expected === null ? NOTHING_LEARNED.leastShare : { sum: expected.leastFirstMs / expected.usualMs, nodes: 1 }
     }
   }
@@ -104,12 +106,20 @@
 function expectedOf ({ deadlinesMs, sentAway }: RouteHistory): Expected | null {
   if (deadlinesMs.length < LEAST_KNOWN) return null
   const returnShare = Math.min(MOST_RETURNS, SENT_AWAY_MARGIN * sentAway / deadlinesMs.length)
-  const sorted = [...deadlinesMs].sort((left, right) => left - right)
+  const sorted = sortedOf(deadlinesMs)
   const aboveReturnsMs = sorted[Math.floor(returnShare * sorted.length)]!
   const spreadMs = (sorted.at(-1)! - aboveReturnsMs) * returnShare / (1 - returnShare)
-  return { usualMs: medianOf(sorted), leastFirstMs: (aboveReturnsMs - spreadMs) * (1 - TOLERANCE) }
+  return { usualMs: middleOf(sorted), leastFirstMs: (aboveReturnsMs - spreadMs) * (1 - TOLERANCE) }
 }
 
 function medianOf (values: readonly number[]): number {
-  return [...values].sort((left, right) => left - right)[Math.floor(values.length / 2)]!
+  return middleOf(sortedOf(values))
+}
+
+function sortedOf (values: readonly number[]): number[] {
+  return [...values].sort((left, right) => left - right)
+}
+
+function middleOf (sorted: readonly number[]): number {
+  return sorted[Math.floor(sorted.length / 2)]!
 }
--- a/packages/dotterelspur/src/request/dispatch/FleetObservation.ts
+++ b/packages/dotterelspur/src/request/dispatch/FleetObservation.ts
@@ -1,5 +1,5 @@
 import type { EndpointId, ModelId, NodeId } from '../../process/ids.js'
-import type { DeadlinesSeen } from './DeadlinesSeen.js'
+import { NOTHING_LEARNED, type DeadlinesSeen } from './DeadlinesSeen.js'
 import { tellingSpeeds } from './EndpointSpeeds.js'
 
 /** Names the endpoints that can serve the same requests: those of one plain service, or the groups of one model. */
@@ -74,7 +74,7 @@
   readonly intervalMs: number
 }
 
-/** Between two words to all nodes. Replayed at 0.9 of what 27 groups serve: 95 in 100 in time at 100 ms, 90 at 200, 85 at 400. */
+/** Between two words to all nodes; what nodes do in between they only forecast. */
 const ROUND_LEAST_MS = 150
 /** Longer in a large fleet, so that the node that adds up takes and sends at most 800 frames a second. */
 const ROUND_PER_NODE_MS = 1.25
@@ -129,7 +129,7 @@
     firstEvents: combine(all.map(({ firstEvents }) => firstEvents), (left, right) => ({ delaySumMs: left.delaySumMs + right.delaySumMs, nodes: left.nodes + right.nodes })),
     deadlines: {
       usual: combine(all.map(({ deadlines }) => deadlines.usual), (left, right) => ({ usualSumMs: left.usualSumMs + right.usualSumMs, nodes: left.nodes + right.nodes })),
-      leastShare: all.reduce((sum, { deadlines: { leastShare } }) => ({ sum: sum.sum + leastShare.sum, nodes: sum.nodes + leastShare.nodes }), { sum: 0, nodes: 0 })
+      leastShare: all.reduce((sum, { deadlines: { leastShare } }) => ({ sum: sum.sum + leastShare.sum, nodes: sum.nodes + leastShare.nodes }), NOTHING_LEARNED.leastShare)
     }
   }
 }
