Sight: what limits endpoints name, and what each node sends them meanwhile

A limit that an endpoint names is now decoded once, a change has a line, and so has each 4 s of sends to such an endpoint; two gauges. Nothing is decided by it. What is no decimal number is left out, and so is the word of another endpoint at the same address (421).

--- a/packages/dotterelspur-gateway/src/__tests__/unit/EndpointCall.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/EndpointCall.test.ts
@@ -9,11 +9,12 @@
 const OTHER_ID = 'request-0'
 
 const wire: Pick<WireFormat, 'readAnswer'> = {
-  readAnswer: (headers): AnswerHead => ({
+  readAnswer: (_status, headers): AnswerHead => ({
     requestId: typeof headers['x-id'] === 'string' ? headers['x-id'] : null,
     notExecuted: headers['x-not-executed'] !== undefined,
     load: null,
-    lostMember: null
+    lostMember: null,
+    need: null
   })
 }
 
--- a/packages/dotterelspur-gateway/src/process/DecisionLog.ts
+++ b/packages/dotterelspur-gateway/src/process/DecisionLog.ts
@@ -43,6 +43,10 @@
   GroupSuspected = 'group-suspected',
   /** This node no longer sends to a group while another takes its requests. */
   GroupStopped = 'group-stopped',
+  /** An endpoint has named another limit, or none any more. */
+  EndpointLimit = 'endpoint-limit',
+  /** What this node sent to an endpoint while it named a limit. */
+  SentUnderLimit = 'sent-under-limit',
   NodeListed = 'node-listed',
   NodeUnlisted = 'node-unlisted',
   LinesDropped = 'lines-dropped',
--- a/packages/dotterelspur-gateway/src/process/Dispatch.ts
+++ b/packages/dotterelspur-gateway/src/process/Dispatch.ts
@@ -10,6 +10,7 @@
 import { FleetKnowledge } from './FleetKnowledge.js'
 import type { AnswerHead, CallerHead } from './GatewayPorts.js'
 import type { ManifestKeeper } from './ManifestKeeper.js'
+import { NeedLog } from './NeedLog.js'
 import { Suspicion } from '../connection/PeerFrame.js'
 import type { EndpointKeeper } from './EndpointKeeper.js'
 
@@ -52,6 +53,7 @@
 /** What this node knows in order to place requests, and the channels on which it sends them. */
 export class Dispatch {
   readonly knowledge: FleetKnowledge
+  readonly needLog: NeedLog
   private readonly health = new EndpointHealth()
   private readonly channels = new EndpointChannels()
   private readonly watch: ExchangeWatch
@@ -64,6 +66,7 @@
   constructor (private readonly parts: DispatchParts) {
     const { clock, retries } = parts
     this.knowledge = new FleetKnowledge(clock, parts.log)
+    this.needLog = new NeedLog(clock, parts.log)
     const extraFromMs = parts.firstStart ? clock.nowMs() : clock.nowMs() + retries.windowMs
     this.repeats = new RetryWindow(retries, extraFromMs)
     this.watch = new ExchangeWatch(clock, {
@@ -171,6 +174,7 @@
     const beganAtMs = this.parts.clock.nowMs()
     const declaredMs = this.declaredFirstEventMs(target, head.promptTokens, beganAtMs)
     this.knowledge.load.begin(poolOf(target), target.endpoint, beganAtMs)
+    this.needLog.noteSent(target.endpoint)
     return {
       ...this.watch.begin(target, route, mayMove, onSilent),
       noteFirstEvent: () => {
@@ -247,6 +251,7 @@
   private noteProgress (target: DispatchTarget, head: AnswerHead | null, gapMs: number | null): void {
     const nowMs = this.parts.clock.nowMs()
     this.health.noteProgress(target.endpoint)
+    if (head !== null && head.need !== null) this.needLog.note(target.endpoint, head.need)
     if (head !== null && head.load !== null) this.knowledge.load.noteReading(target.endpoint, head.load, nowMs)
     const engine = this.engine(target.service)
     if (gapMs === null || engine === null || target.model === null) return
@@ -259,6 +264,7 @@
     const ids = new Set(endpoints.keys())
     this.knowledge.retain(ids)
     this.health.retain(ids)
+    this.needLog.retain(ids)
     this.watch.retain(ids)
     this.channels.retain(ids)
     this.arrange(endpoints)
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -171,8 +171,8 @@
       this.peers.noteEndpoints(listed)
       this.stopVotes.retain(listed)
     })
-    const { callers, manifest, endpoints, nodes, lease, poison } = this
-    registerGauges(this.metrics, { callers, manifest, endpoints, nodes, lease, store, poison, log })
+    const { callers, manifest, endpoints, nodes, lease, poison, dispatch } = this
+    registerGauges(this.metrics, { callers, manifest, endpoints, nodes, lease, store, poison, dispatch, log })
   }
 
   get metricsAddress (): ListenAddress {
--- a/packages/dotterelspur-gateway/src/process/GatewayPorts.ts
+++ b/packages/dotterelspur-gateway/src/process/GatewayPorts.ts
@@ -1,5 +1,5 @@
 import type { IncomingHttpHeaders } from 'node:http'
-import type { EndpointId, EndpointOrder, LoadReading, Membership, ModelId, OrderReply, WorkspaceId } from 'dotterelspur'
+import type { EndpointId, EndpointOrder, LoadReading, Membership, ModelId, OrderReply, StatedNeed, WorkspaceId } from 'dotterelspur'
 
 /** What the headers of a caller's request say. */
 export interface CallerHead {
@@ -34,6 +34,8 @@
   readonly load: LoadReading | null
   /** The member of its group that keeps the endpoint from serving. */
   readonly lostMember: EndpointId | null
+  /** Null where it can't be read, or is another endpoint's: what was known before stands. */
+  readonly need: StatedNeed | null
 }
 
 /** Translates headers between the wire and the types above. */
@@ -41,7 +43,7 @@
   readCaller (headers: IncomingHttpHeaders): CallerHead
   /** Takes and gives headers as a flat list of names and values; connection headers are gone already. */
   writeForwarded (headers: readonly string[], head: ForwardedHead): string[]
-  readAnswer (headers: IncomingHttpHeaders): AnswerHead
+  readAnswer (status: number, headers: IncomingHttpHeaders): AnswerHead
 }
 
 /** Where an endpoint can be reached, and as which of its lives. */
--- a/packages/dotterelspur-gateway/src/process/registerGauges.ts
+++ b/packages/dotterelspur-gateway/src/process/registerGauges.ts
@@ -1,4 +1,5 @@
 import type { CallerListener } from '../connection/CallerListener.js'
+import type { Dispatch } from './Dispatch.js'
 import type { DecisionLog } from './DecisionLog.js'
 import type { EndpointKeeper } from './EndpointKeeper.js'
 import type { FleetLease } from './FleetLease.js'
@@ -16,11 +17,12 @@
   readonly lease: FleetLease
   readonly store: FollowedStore
   readonly poison: PoisonKeeper
+  readonly dispatch: Dispatch
   readonly log: DecisionLog
 }
 
 /** Values that are read whenever the metrics page is. */
-export function registerGauges (metrics: GatewayMetrics, { callers, manifest, endpoints, nodes, lease, store, poison, log }: GaugeSources): void {
+export function registerGauges (metrics: GatewayMetrics, { callers, manifest, endpoints, nodes, lease, store, poison, dispatch, log }: GaugeSources): void {
   metrics.gauge('running_requests', 'Requests under way', () => callers.runningRequests)
   metrics.gauge('manifest_version', 'Version of the manifest in force', () => manifest.current?.version ?? 0)
   metrics.gauge('endpoints', 'Endpoints on the list', () => endpoints.current.size)
@@ -29,6 +31,8 @@
   metrics.gauge('told_by_decider', '1 while the deciding node tells all that the store would', () => Number(store.isTold))
   metrics.gauge('quarantined_requests', 'Requests that end endpoints and are sent nowhere', () => poison.guard.ledger.quarantined.size)
   metrics.gauge('suspected_requests', 'Requests that one more end of an endpoint would put in quarantine', () => poison.guard.ledger.suspected.length)
+  metrics.gauge('limited_endpoints', 'Endpoints that named a limit with their last answer to this node', () => dispatch.needLog.limitedEndpoints)
+  metrics.gauge('sent_to_limited_endpoints', 'Requests sent to endpoints that had named a limit, since the start', () => dispatch.needLog.sentToLimited)
   metrics.gauge('log_lines_dropped', 'Log lines dropped since the start', () => log.dropped)
   metrics.gauge('resident_bytes', 'Resident memory', () => process.memoryUsage.rss())
 }
--- a/packages/dotterelspur-gateway/src/request/EndpointCall.ts
+++ b/packages/dotterelspur-gateway/src/request/EndpointCall.ts
@@ -83,7 +83,7 @@
   onResponseStart (_controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
     if (this.ended || status < FIRST_SUCCESS) return
     this.start = { status, headers }
-    this.head = this.options.wire.readAnswer(headers)
+    this.head = this.options.wire.readAnswer(status, headers)
     if (this.head.requestId !== this.options.requestId) return this.abort(ExchangeEnd.Foreign)
     this.options.onProgress(this.head)
     this.unframed = headers['content-length'] === undefined && headers['transfer-encoding'] === undefined
--- /dev/null
+++ b/packages/dotterelspur/src/request/need/StatedNeed.ts
@@ -0,0 +1,7 @@
+/** What an endpoint says of its need with an answer. */
+export interface StatedNeed {
+  /** Requests a second that it takes from all nodes together, for as long as it says so; null where it names no limit. */
+  readonly requestsPerSecond: number | null
+}
+
+export const NO_NEED: StatedNeed = { requestsPerSecond: null }
--- /dev/null
+++ b/packages/dotterelspur/src/request/need/index.ts
@@ -0,0 +1,1 @@
+export * from './StatedNeed.js'
