Endpoints get no more than the limits they name, from all nodes together

What was seen: endpoints in need name how many requests a second they take from all nodes together, and went on getting as many as before: 14 and 15 requests in 4 s at a limit of 1, where 11 are allowed. Callers saw nothing; the endpoint did, which had asked for less.

Cause: no decision read the limit. Evidence: no step in what the endpoints get at the moment at which they name it; both failing tests, with nothing else in the way: 22 and 78 requests in a window. Ruled out: that each node keeps to the limit alone (no code did; the replay of that way gives 33 in a window at 8 nodes and 70 at 330), and that repeats exceed it (13 of 1,171 requests had one).

Change: EndpointLimits in the core. A limit is told to all nodes with the rounds of observations; some of them own it, by rendezvous, and have a part that is worth sending; the others leave the endpoint alone. The forecast of load counts on no more than the limit.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/ObservationCodec.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/ObservationCodec.test.ts
@@ -11,6 +11,7 @@
   pauses: { small: { longestSumMs: 80, nodes: 1 } },
   firstEvents: { small: { delaySumMs: 220, nodes: 2 } },
   deadlines: { usual: { draft: { usualSumMs: 16_500, nodes: 3 } }, leastShare: { sum: 2.75, nodes: 3 } },
+  limits: { g1: { requestsPerSecond: 0.25, ageMs: 120 }, g2: { requestsPerSecond: null, ageMs: 3 } },
   nodes: 3,
   ageMs: 40,
   intervalMs: 150
--- a/packages/dotterelspur-gateway/src/connection/ObservationCodec.ts
+++ b/packages/dotterelspur-gateway/src/connection/ObservationCodec.ts
@@ -2,6 +2,8 @@
 
 /** Rates and sums are sent as whole numbers of hundredths: two or three bytes each instead of nine. */
 const HUNDREDTHS = 100
+/** Stands for an endpoint that names no limit any more. */
+const NO_LIMIT = -1
 
 /** Names with numbers, as one flat list: a name, its numbers, the next name. */
 type NamedNumbers = ReadonlyArray<string | number>
@@ -20,6 +22,8 @@
   /** Usual deadlines by route. */
   readonly deadlines: NamedNumbers
   readonly leastDeadlineShare: readonly number[]
+  /** Absent from nodes of the former release. */
+  readonly limits?: readonly number[]
 }
 
 /** The sum of all nodes' observations on a link. */
@@ -44,7 +48,7 @@
     }
   }
 
-  encode ({ inFlight, flows, demand, speeds, pauses, firstEvents, deadlines }: NodeObservation): CodedObservation {
+  encode ({ inFlight, flows, demand, speeds, pauses, firstEvents, deadlines, limits }: NodeObservation): CodedObservation {
     return {
       inFlight: Object.entries(inFlight).flatMap(([endpoint, count]) => [this.codeOf(endpoint), count]),
       speeds: Object.entries(speeds).flatMap(([endpoint, speed]) => [this.codeOf(endpoint), hundredths(speed.ratioSum), hundredths(speed.pauses)]),
@@ -53,11 +57,12 @@
       pauses: Object.entries(pauses).flatMap(([model, { longestSumMs, nodes }]) => [model, Math.round(longestSumMs), nodes]),
       firstEvents: Object.entries(firstEvents).flatMap(([model, { delaySumMs, nodes }]) => [model, Math.round(delaySumMs), nodes]),
       deadlines: Object.entries(deadlines.usual).flatMap(([route, { usualSumMs, nodes }]) => [route, Math.round(usualSumMs), nodes]),
-      leastDeadlineShare: [hundredths(deadlines.leastShare.sum), deadlines.leastShare.nodes]
+      leastDeadlineShare: [hundredths(deadlines.leastShare.sum), deadlines.leastShare.nodes],
+      limits: Object.entries(limits).flatMap(([endpoint, { requestsPerSecond, ageMs }]) => [this.codeOf(endpoint), requestsPerSecond === null ? NO_LIMIT : hundredths(requestsPerSecond), Math.round(ageMs)])
     }
   }
 
-  decode ({ inFlight, flows, demand, speeds, pauses, firstEvents, deadlines, leastDeadlineShare }: CodedObservation): NodeObservation {
+  decode ({ inFlight, flows, demand, speeds, pauses, firstEvents, deadlines, leastDeadlineShare, limits = [] }: CodedObservation): NodeObservation {
     return {
       inFlight: Object.fromEntries(this.byEndpoint(inFlight, 1).map(([endpoint, [count]]) => [endpoint, count!])),
       speeds: Object.fromEntries(this.byEndpoint(speeds, 2).map(([endpoint, [ratioSum, count]]) => [endpoint, { ratioSum: ratioSum! / HUNDREDTHS, pauses: count! / HUNDREDTHS }])),
@@ -68,7 +73,8 @@
       deadlines: {
         usual: Object.fromEntries(chunks(deadlines, 2).map(([route, [usualSumMs, nodes]]) => [route, { usualSumMs: usualSumMs!, nodes: nodes! }])),
         leastShare: { sum: leastDeadlineShare[0]! / HUNDREDTHS, nodes: leastDeadlineShare[1]! }
-      }
+      },
+      limits: Object.fromEntries(this.byEndpoint(limits, 2).map(([endpoint, [limit, ageMs]]) => [endpoint, { requestsPerSecond: limit === NO_LIMIT ? null : limit! / HUNDREDTHS, ageMs: ageMs! }]))
     }
   }
 
--- a/packages/dotterelspur-gateway/src/process/Dispatch.ts
+++ b/packages/dotterelspur-gateway/src/process/Dispatch.ts
@@ -1,7 +1,7 @@
 import {
   arrangePools, declaredFirstEventMs, EndpointHealth, eventGapMs, ExchangeEnd, groupTimeMs, paceOf, place, poolKey, poolOf, RetryWindow, senderPlace,
   type Clock, type DispatchTarget, type EndpointId, type EndpointRecord, type EngineSpec, type FailureDomainId, type ModelId, type NodeId, type PlacementRefusal, type PoolKey, type Random,
-  type RetryWindowOptions, type Route, type Sender, type SenderPlace, type ServiceId, type TargetPool
+  type RetryWindowOptions, type Route, type Sender, type SenderPlace, type ServiceId, type StatedNeed, type TargetPool
 } from 'dotterelspur'
 import type { EndpointChannel } from '../connection/EndpointChannel.js'
 import { EndpointChannels } from '../connection/EndpointChannels.js'
@@ -65,7 +65,7 @@
 
   constructor (private readonly parts: DispatchParts) {
     const { clock, retries } = parts
-    this.knowledge = new FleetKnowledge(clock, parts.log)
+    this.knowledge = new FleetKnowledge(clock, parts.log, parts.node)
     this.needLog = new NeedLog(clock, parts.log)
     const extraFromMs = parts.firstStart ? clock.nowMs() : clock.nowMs() + retries.windowMs
     this.repeats = new RetryWindow(retries, extraFromMs)
@@ -137,11 +137,12 @@
 
   place (query: DispatchQuery): DispatchTarget | PlacementRefusal {
     const { parts, health, knowledge } = this
-    const { load, speeds } = knowledge
+    const { load, speeds, limits } = knowledge
     knowledge.check()
+    const sender = this.ownPlace()
     const engine = this.engine(query.service)
     const key = poolKey(query.service, engine === null ? null : query.head.model)
-    return place({
+    const placed = place({
       promptTokens: query.head.promptTokens,
       targetMs: query.route.targetLatencyMs,
       targetGapMs: query.route.targetGapMs,
@@ -153,13 +154,16 @@
       load,
       health,
       speeds,
+      limits,
       firstEventDelayMs: query.head.model === null ? 0 : knowledge.firstEvents.delayMs(query.head.model),
       nodes: parts.senders().length,
-      sender: this.ownPlace(),
+      sender,
       ownFailureDomain: parts.failureDomain,
       random: parts.random,
       nowMs: parts.clock.nowMs()
     })
+    if ('endpoint' in placed) limits.take(placed.endpoint)
+    return placed
   }
 
   acquireChannel (target: DispatchTarget): EndpointChannel {
@@ -251,7 +255,7 @@
   private noteProgress (target: DispatchTarget, head: AnswerHead | null, gapMs: number | null): void {
     const nowMs = this.parts.clock.nowMs()
     this.health.noteProgress(target.endpoint)
-    if (head !== null && head.need !== null) this.needLog.note(target.endpoint, head.need)
+    if (head !== null && head.need !== null) this.noteNeed(target, head.need, nowMs)
     if (head !== null && head.load !== null) this.knowledge.load.noteReading(target.endpoint, head.load, nowMs)
     const engine = this.engine(target.service)
     if (gapMs === null || engine === null || target.model === null) return
@@ -260,6 +264,11 @@
     this.knowledge.speeds.noteGap(target.endpoint, gapMs, eventGapMs(engine, paceOf(engine, target), present), nowMs)
   }
 
+  private noteNeed ({ endpoint }: DispatchTarget, need: StatedNeed, nowMs: number): void {
+    this.needLog.note(endpoint, need)
+    this.knowledge.limits.note(endpoint, need.requestsPerSecond, nowMs)
+  }
+
   private noteEndpoints (endpoints: ReadonlyMap<EndpointId, EndpointRecord>): void {
     const ids = new Set(endpoints.keys())
     this.knowledge.retain(ids)
@@ -281,6 +290,7 @@
     if (known !== this.arrangedSenders) {
       this.arrangedSenders = known
       this.sender = senderPlace(known, { node, failureDomain })
+      this.knowledge.limits.noteNodes(known.map((known) => known.node))
     }
     return this.sender
   }
--- a/packages/dotterelspur-gateway/src/process/FleetKnowledge.ts
+++ b/packages/dotterelspur-gateway/src/process/FleetKnowledge.ts
@@ -1,10 +1,10 @@
 import {
-  DeadlineHistory, DemandMeter, EMPTY_MEMORY, EndpointSpeeds, FirstEventDelays, loadPool, readFleetMemory, remember, StreamPauses, TargetLoad,
-  type Clock, type EndpointId, type FleetMemory, type FleetObservation, type NodeObservation, type TargetPool
+  DeadlineHistory, DemandMeter, EMPTY_MEMORY, EndpointLimits, EndpointSpeeds, FirstEventDelays, loadPool, readFleetMemory, remember, StreamPauses, TargetLoad,
+  type Clock, type EndpointId, type FleetMemory, type FleetObservation, type NodeId, type NodeObservation, type TargetPool
 } from 'dotterelspur'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
 
-/** What a node knows of the fleet's load, speeds, pauses, demand and callers' deadlines: what it sees itself, and what all nodes are told. */
+/** What a node knows of the fleet's load, speeds, limits, pauses, demand and callers' deadlines: what it sees itself, and what all nodes are told. */
 export class FleetKnowledge {
   readonly load = new TargetLoad()
   readonly speeds = new EndpointSpeeds()
@@ -12,11 +12,13 @@
   readonly pauses = new StreamPauses()
   readonly firstEvents = new FirstEventDelays()
   readonly deadlines: DeadlineHistory
+  readonly limits: EndpointLimits
   private remembered = EMPTY_MEMORY
   private pools: readonly TargetPool[] = []
   private wasTold = false
 
-  constructor (private readonly clock: Clock, private readonly log: DecisionLog) {
+  constructor (private readonly clock: Clock, private readonly log: DecisionLog, node: NodeId) {
+    this.limits = new EndpointLimits(node)
     this.deadlines = new DeadlineHistory(clock.nowMs())
   }
 
@@ -41,7 +43,8 @@
       speeds: this.speeds.observed(nowMs),
       pauses: this.pauses.observed(nowMs),
       firstEvents: this.firstEvents.observed(),
-      deadlines: this.deadlines.observed(nowMs)
+      deadlines: this.deadlines.observed(nowMs),
+      limits: this.limits.observed(nowMs)
     }
   }
 
@@ -51,6 +54,7 @@
     this.speeds.noteTold(fleet.speeds)
     this.demand.noteTold(fleet.demand)
     this.pauses.noteTold(fleet.pauses)
+    this.limits.noteTold(fleet.limits, this.clock.nowMs())
     this.keep(remember(this.remembered, fleet))
     this.arrange(this.pools)
     this.check()
@@ -66,13 +70,14 @@
   arrange (pools: readonly TargetPool[]): void {
     this.pools = pools
     const nowMs = this.clock.nowMs()
-    this.load.arrange(pools.map((pool) => loadPool(pool, this.speeds, nowMs)), nowMs)
+    this.load.arrange(pools.map((pool) => loadPool(pool, this.speeds, this.limits, nowMs)), nowMs)
   }
 
   /** Forgets endpoints that are gone. */
   retain (endpoints: ReadonlySet<EndpointId>): void {
     this.load.retain(endpoints)
     this.speeds.retain(endpoints)
+    this.limits.retain(endpoints)
   }
 
   /** Called before it is relied on: without fresh word of the fleet a node goes by what it sees itself. */
--- a/packages/dotterelspur/src/request/dispatch/FleetObservation.ts
+++ b/packages/dotterelspur/src/request/dispatch/FleetObservation.ts
@@ -1,4 +1,5 @@
 import type { EndpointId, ModelId, NodeId } from '../../process/ids.js'
+import { agedSample, latestSample, type LimitSample } from '../need/LimitSample.js'
 import { NOTHING_LEARNED, type DeadlinesSeen } from './DeadlinesSeen.js'
 import { tellingSpeeds } from './EndpointSpeeds.js'
 
@@ -62,6 +63,8 @@
   readonly pauses: Readonly<Record<ModelId, PauseSample>>
   readonly firstEvents: Readonly<Record<ModelId, FirstEventSample>>
   readonly deadlines: DeadlinesSeen
+  /** Limits that endpoints named, or took back, in answers to the teller. */
+  readonly limits: Readonly<Record<EndpointId, LimitSample>>
 }
 
 /** What all nodes together have seen. Every node gets the same one, and takes its own part off by itself. */
@@ -113,7 +116,7 @@
   sum (own: NodeObservation, intervalMs: number, nowMs: number): FleetObservation {
     const valid = [...this.told.values()].filter(({ atMs }) => nowMs - atMs <= VALID_ROUNDS * intervalMs)
     const ageSumMs = valid.reduce((sum, { atMs }) => sum + nowMs - atMs, 0)
-    const all = [own, ...valid.map(({ observation }) => observation)]
+    const all = [own, ...valid.map(({ observation, atMs }) => ({ ...observation, limits: agedLimits(observation.limits, nowMs - atMs) }))]
     const sum = addObservations(all)
     return { ...sum, speeds: tellingSpeeds(sum.speeds), nodes: all.length, ageMs: ageSumMs / all.length, intervalMs }
   }
@@ -130,10 +133,15 @@
     deadlines: {
       usual: combine(all.map(({ deadlines }) => deadlines.usual), (left, right) => ({ usualSumMs: left.usualSumMs + right.usualSumMs, nodes: left.nodes + right.nodes })),
       leastShare: all.reduce((sum, { deadlines: { leastShare } }) => ({ sum: sum.sum + leastShare.sum, nodes: sum.nodes + leastShare.nodes }), NOTHING_LEARNED.leastShare)
-    }
+    },
+    limits: combine(all.map(({ limits }) => limits), latestSample)
   }
 }
 
+function agedLimits (limits: Readonly<Record<EndpointId, LimitSample>>, passedMs: number): Record<EndpointId, LimitSample> {
+  return Object.fromEntries(Object.entries(limits).map(([endpoint, sample]) => [endpoint, agedSample(sample, passedMs)]))
+}
+
 function combine<Value> (records: ReadonlyArray<Readonly<Record<string, Value>>>, add: (left: Value, right: Value) => Value): Record<string, Value> {
   const sum: Record<string, Value> = {}
   for (const record of records) {
--- a/packages/dotterelspur/src/request/dispatch/LoadForecast.ts
+++ b/packages/dotterelspur/src/request/dispatch/LoadForecast.ts
@@ -13,6 +13,8 @@
   readonly own: number
   /** Times there are this multiple of those of a sound endpoint. */
   readonly slowness: number
+  /** Requests that it takes from all nodes together; infinite where it names no limit. */
+  readonly mostPerMs: number
 }
 
 /** The load at which a usual request takes a given time at a sound endpoint; rises with the time. */
@@ -94,7 +96,7 @@
   admitted (mostLoad: number): number {
     const kept = Math.exp(-(this.flow.ageMs + this.flow.intervalMs) / this.holdMs)
     const asked = this.flow.askedPerMs * this.holdMs * (1 - kept)
-    const room = this.told.reduce((sum, { present }) => sum + mostLoad - present * kept, 0)
+    const room = this.told.reduce((sum, { present, mostPerMs }) => sum + Math.min(mostLoad - present * kept, this.mostThatStay(mostPerMs, kept)), 0)
     return asked <= 0 ? 1 : Math.max(0, Math.min(1, room / asked))
   }
 
@@ -140,7 +142,15 @@
   }
 
   private rooms (levelMs: number, kept: number): number[] {
-    return this.told.map(({ present, slowness }) => Math.max(0, this.loadWithin(levelMs / slowness) - present * kept))
+    return this.told.map(({ present, slowness, mostPerMs }) => {
+      const room = Math.max(0, this.loadWithin(levelMs / slowness) - present * kept)
+      return Math.min(room, this.mostThatStay(mostPerMs, kept))
+    })
+  }
+
+  /** What is there of all that an endpoint's limit lets come since it was told. */
+  private mostThatStay (mostPerMs: number, kept: number): number {
+    return mostPerMs === Infinity ? Infinity : mostPerMs * this.holdMs * (1 - kept)
   }
 }
 
--- a/packages/dotterelspur/src/request/dispatch/Placement.ts
+++ b/packages/dotterelspur/src/request/dispatch/Placement.ts
@@ -1,5 +1,6 @@
 import type { FailureDomainId } from '../../process/ids.js'
 import type { Random } from '../../process/Random.js'
+import type { EndpointLimits } from '../need/EndpointLimits.js'
 import type { EndpointHealth } from './EndpointHealth.js'
 import type { EndpointSpeeds } from './EndpointSpeeds.js'
 import { eventGapMs, firstEventMs, loadCurve, paceOf } from './EngineTimes.js'
@@ -11,7 +12,9 @@
   /** No endpoint of the service, or no group of the model, takes requests. */
   NoEndpoint = 'no-endpoint',
   /** All of them are so full that the request would be served too late. */
-  Full = 'full'
+  Full = 'full',
+  /** All that are not so full have named limits, which are used up for the moment. */
+  Limited = 'limited'
 }
 
 /** Why a request is turned away, and when it is worth coming back. */
@@ -50,6 +53,7 @@
   readonly load: TargetLoad
   readonly health: EndpointHealth
   readonly speeds: EndpointSpeeds
+  readonly limits: EndpointLimits
   /** What a first event takes beyond the engine's declared times. */
   readonly firstEventDelayMs: number
   /** Nodes that send requests, this one included. */
@@ -103,7 +107,9 @@
 export function place (query: PlacementQuery, input: PlacementInput): DispatchTarget | PlacementRefusal {
   const targets = suitableTargets(query, input)
   if (targets.length === 0) return { reason: RefusalReason.NoEndpoint, retryAfterMs: Math.min(NO_ENDPOINT_RETRY_MS, query.leftMs * RETURN_SHARE.most), basis: null }
-  const best = bestDrawn(query, input) ?? bestOf(targets, query, input)
+  const open = targets.filter(({ endpoint }) => input.limits.mayTake(endpoint, input.nowMs))
+  if (open.length === 0) return { reason: RefusalReason.Limited, retryAfterMs: limitedReturnMs(targets, query, input), basis: null }
+  const best = bestDrawn(query, input) ?? bestOf(open, query, input)
   const longestMs = limitMs(best.target, query, input)
   if (best.expectedMs <= longestMs && hasRoom(best.target, longestMs, query, input)) return best.target
   const basis: PlacementBasis = { expectedMs: best.expectedMs, limitMs: longestMs, loadAgeMs: input.load.toldAgeMs(input.nowMs) }
@@ -127,15 +133,25 @@
 }
 
 /** The next endpoints as all nodes spread their requests; none where the next ones can't be used. */
-function drawTargets (query: PlacementQuery, { pool, load, health, sender, nowMs }: PlacementInput): DispatchTarget[] {
+function drawTargets (query: PlacementQuery, input: PlacementInput): DispatchTarget[] {
+  const { pool, load, health, limits, sender, nowMs } = input
   const drawn: DispatchTarget[] = []
   for (let draw = 0; draw < MOST_DRAWS && drawn.length < CHOICES; draw++) {
     const endpoint = load.draw(pool.key, sender, nowMs)
     const target = endpoint === null ? undefined : pool.targets.get(endpoint)
-    if (target === undefined || health.isHeldOff(target.endpoint, nowMs)) continue
+    if (target === undefined || limits.limitOf(target.endpoint) !== null || health.isHeldOff(target.endpoint, nowMs)) continue
     if (!isExcluded(query, target)) drawn.push(target)
   }
-  return drawn
+  return [...drawn, ...limitedTargets(query, input)]
+}
+
+/** Endpoints with limits are drawn by those that own parts of them, as often as others are by all nodes: even draws would leave most of a limit unused. */
+function limitedTargets (query: PlacementQuery, { pool: { targets }, health, limits, random, nowMs }: PlacementInput): DispatchTarget[] {
+  return limits.limited
+    .map((endpoint) => targets.get(endpoint))
+    .filter((target) => target !== undefined)
+    .filter(({ endpoint }) => limits.mayTake(endpoint, nowMs) && !health.isHeldOff(endpoint, nowMs) && random.next() * limits.ownersShare(endpoint) < CHOICES / targets.size)
+    .filter((target) => !isExcluded(query, target))
 }
 
 function bestOf (targets: readonly DispatchTarget[], query: PlacementQuery, input: PlacementInput): Candidate {
@@ -150,7 +166,9 @@
  * least; the load of all is known better.
  */
 function hasRoom (target: DispatchTarget, longestMs: number, query: PlacementQuery, input: PlacementInput): boolean {
-  const { pool: { engine, key, targets }, load, firstEventDelayMs, nodes, random, nowMs } = input
+  const { pool: { engine, key, targets }, load, limits, firstEventDelayMs, nodes, random, nowMs } = input
+  // Its own limit has admitted the request.
+  if (limits.limitOf(target.endpoint) !== null) return true
   if (engine === null || query.excluded.length > 0) return true
   const mostLoad = loadCurve(engine, paceOf(engine, target), query.promptTokens)(longestMs - firstEventDelayMs)
   const admitted = load.admitted(key, mostLoad, nowMs)
@@ -193,6 +211,12 @@
   return load / target.slots * PLAIN_REQUEST_MS
 }
 
+/** When the first of the limits lets a request come, and no sooner than callers are sent back for any other reason: they come one after the other. */
+function limitedReturnMs (targets: readonly DispatchTarget[], query: PlacementQuery, input: PlacementInput): number {
+  const freeMs = Math.min(...targets.map(({ endpoint }) => input.limits.waitMs(endpoint, input.nowMs)))
+  return Math.max(returnAfterMs(query, input), Math.min(freeMs, query.leftMs * RETURN_SHARE.most))
+}
+
 /**
  * Callers honour up to a third of the time that they have left. They are sent away for long, and spread: one that came
  * back into the same burst would only be refused again.
--- a/packages/dotterelspur/src/request/dispatch/TargetLoad.ts
+++ b/packages/dotterelspur/src/request/dispatch/TargetLoad.ts
@@ -43,7 +43,7 @@
 /** A pool as it is now: its endpoints, and how much each can take. */
 export interface LoadPool {
   readonly key: PoolKey
-  readonly endpoints: ReadonlyArray<Pick<ToldEndpoint, 'endpoint' | 'slowness'>>
+  readonly endpoints: ReadonlyArray<Pick<ToldEndpoint, 'endpoint' | 'slowness' | 'mostPerMs'>>
   readonly loadWithin: LoadWithin
 }
 
@@ -180,8 +180,8 @@
     const present = endpoints.reduce((sum, { endpoint }) => sum + (told?.inFlight[endpoint] ?? 0), 0)
     const endedPerMs = ratePerMs(flow.ended, FLOW_HALF_LIFE_MS)
     const sinceToldMs = told === null ? 0 : nowMs - this.toldAtMs
-    return new LoadForecast(endpoints.map(({ endpoint, slowness }) => ({
-      endpoint, slowness, present: told?.inFlight[endpoint] ?? 0, own: this.ownTold.get(endpoint) ?? 0
+    return new LoadForecast(endpoints.map(({ endpoint, slowness, mostPerMs }) => ({
+      endpoint, slowness, mostPerMs, present: told?.inFlight[endpoint] ?? 0, own: this.ownTold.get(endpoint) ?? 0
     })), loadWithin, {
       askedPerMs: ratePerMs(flow.asked, FLOW_HALF_LIFE_MS),
       arrivalsPerMs: ratePerMs(flow.sent, FLOW_HALF_LIFE_MS),
--- /dev/null
+++ b/packages/dotterelspur/src/request/need/EndpointLimits.ts
@@ -0,0 +1,166 @@
+import type { EndpointId, NodeId } from '../../process/ids.js'
+import { rendezvousOrder } from '../../process/rendezvous.js'
+import { TokenBucket } from '../admission/TokenBucket.js'
+import { isNewer, MOST_AGE_MS, type LimitSample } from './LimitSample.js'
+
+/** Owners for each request a second of a limit: a node of a large fleet gets about as few requests of a service as such an owner may send. */
+const OWNERS_PER_REQUEST = 6
+/** What an owner may save up: more than one request, or the time until it gets the next one would be lost. */
+const BURST = 1.3
+/** An endpoint that takes nothing is tried this often by the whole fleet: who gets nothing says nothing. */
+const TRIALS_PER_SECOND = 0.2
+/** While an endpoint says nothing, its owners pass it on after this time, and after this many of their usual pauses. */
+const TURN_LEAST_MS = 6_000
+const TURN_PAUSES = 6
+const SECOND_MS = 1_000
+
+interface LimitWord {
+  readonly requestsPerSecond: number | null
+  readonly statedAtMs: number
+}
+
+/**
+ * Keeps the requests of all nodes together within the limits that endpoints name.
+ *
+ * The load that this answers: an endpoint in need takes one request a second from all nodes, of which there may be hundreds. An even
+ * part for each node would let one of them all send at once, or none of them. So a limit has a few owners among the nodes by rendezvous, each
+ * with a part that is worth sending, and the others leave the endpoint to them. Who owns it follows from the nodes that all know;
+ * nothing is agreed. The limit itself is told to all, so that nodes which no answer has told keep to it as well.
+ */
+export class EndpointLimits {
+  /** What endpoints said to this node. */
+  private readonly heard = new Map<EndpointId, LimitWord>()
+  /** The newest of what they said to others. */
+  private readonly told = new Map<EndpointId, LimitWord>()
+  private readonly allowances = new Map<EndpointId, TokenBucket>()
+  private nodes: readonly NodeId[]
+  private readonly ranks = new Map<EndpointId, number>()
+
+  constructor (private readonly node: NodeId) {
+    this.nodes = [node]
+  }
+
+  /** The nodes that send requests, this one included. */
+  noteNodes (nodes: readonly NodeId[]): void {
+    this.nodes = nodes.includes(this.node) ? nodes : [...nodes, this.node]
+    this.ranks.clear()
+  }
+
+  /** What an endpoint says with an answer to this node; null where it names no limit. */
+  note (endpoint: EndpointId, requestsPerSecond: number | null, nowMs: number): void {
+    if (requestsPerSecond === null && this.limitOf(endpoint) === null) return
+    this.heard.set(endpoint, { requestsPerSecond, statedAtMs: nowMs })
+    this.fill(endpoint, nowMs)
+  }
+
+  /** Takes in what endpoints said to other nodes. */
+  noteTold (samples: Readonly<Record<EndpointId, LimitSample>>, nowMs: number): void {
+    for (const [endpoint, { requestsPerSecond, ageMs }] of Object.entries(samples)) {
+      const word = { requestsPerSecond, statedAtMs: nowMs - ageMs }
+      const known = this.told.get(endpoint)
+      if (known === undefined || isNewer(word, known)) this.told.set(endpoint, word)
+      this.fill(endpoint, nowMs)
+    }
+    this.dropOld(this.heard, nowMs)
+    this.dropOld(this.told, nowMs)
+  }
+
+  /** What this node was told by endpoints themselves. What others told isn't told on: its age would shrink on each way. */
+  observed (nowMs: number): Record<EndpointId, LimitSample> {
+    return Object.fromEntries([...this.heard].map(([endpoint, { requestsPerSecond, statedAtMs }]) => [endpoint, { requestsPerSecond, ageMs: nowMs - statedAtMs }]))
+  }
+
+  /** Forgets endpoints that are gone: their next lives say it anew. */
+  retain (endpoints: ReadonlySet<EndpointId>): void {
+    for (const map of [this.heard, this.told, this.allowances, this.ranks]) {
+      for (const endpoint of map.keys()) {
+        if (!endpoints.has(endpoint)) map.delete(endpoint)
+      }
+    }
+  }
+
+  /** Requests a second that all nodes together may send there; null where there is no limit. */
+  limitOf (endpoint: EndpointId): number | null {
+    return this.wordOf(endpoint)?.requestsPerSecond ?? null
+  }
+
+  /** Endpoints that name a limit. */
+  get limited (): EndpointId[] {
+    return [...new Set([...this.heard.keys(), ...this.told.keys()])].filter((endpoint) => this.limitOf(endpoint) !== null)
+  }
+
+  /** Whether this node may send a request there now. */
+  mayTake (endpoint: EndpointId, nowMs: number): boolean {
+    return this.waitMs(endpoint, nowMs) === 0
+  }
+
+  /** A request is sent there. */
+  take (endpoint: EndpointId): void {
+    if (this.limitOf(endpoint) !== null) this.allowances.get(endpoint)?.take(1)
+  }
+
+  /** Until this node may send a request there; where others own the endpoint, until one of them may on average. */
+  waitMs (endpoint: EndpointId, nowMs: number): number {
+    const word = this.wordOf(endpoint)
+    if (word === undefined || word.requestsPerSecond === null) return 0
+    const perSecond = Math.max(TRIALS_PER_SECOND, word.requestsPerSecond)
+    const isOwner = this.isOwner(endpoint, perSecond, nowMs - word.statedAtMs)
+    return isOwner ? this.fill(endpoint, nowMs).waitMs(1, nowMs) : SECOND_MS / perSecond
+  }
+
+  /** Part of all nodes that own a part of an endpoint's limit. */
+  ownersShare (endpoint: EndpointId): number {
+    return this.owners(Math.max(TRIALS_PER_SECOND, this.limitOf(endpoint) ?? Infinity)) / this.nodes.length
+  }
+
+  private owners (perSecond: number): number {
+    return Math.max(1, Math.min(this.nodes.length, Math.round(perSecond * OWNERS_PER_REQUEST)))
+  }
+
+  /** An owner without requests of its own would keep the endpoint from being asked at all: silence moves it on. */
+  private isOwner (endpoint: EndpointId, perSecond: number, silentMs: number): boolean {
+    const { length } = this.nodes
+    const owners = this.owners(perSecond)
+    if (owners === length) return true
+    const turnMs = Math.max(TURN_LEAST_MS, TURN_PAUSES * SECOND_MS / perSecond)
+    const from = Math.floor(Math.max(0, silentMs) / turnMs) * owners
+    return (this.rankOf(endpoint) - from % length + length) % length < owners
+  }
+
+  /** This node's part of a limit, as if it owned one; from when it knows the limit. */
+  private fill (endpoint: EndpointId, nowMs: number): TokenBucket {
+    const perSecond = Math.max(TRIALS_PER_SECOND, this.limitOf(endpoint) ?? 0)
+    const owners = this.owners(perSecond)
+    let allowance = this.allowances.get(endpoint)
+    if (allowance === undefined) {
+      allowance = new TokenBucket(perSecond / owners, BURST, nowMs)
+      allowance.take(BURST - this.rankOf(endpoint) % owners / owners)
+      this.allowances.set(endpoint, allowance)
+    }
+    allowance.configure(perSecond / owners, BURST, nowMs)
+    return allowance
+  }
+
+  /** This node's place among all in the order in which they own the endpoint. */
+  private rankOf (endpoint: EndpointId): number {
+    let rank = this.ranks.get(endpoint)
+    if (rank === undefined) {
+      rank = rendezvousOrder(endpoint, this.nodes).indexOf(this.node)
+      this.ranks.set(endpoint, rank)
+    }
+    return rank
+  }
+
+  private wordOf (endpoint: EndpointId): LimitWord | undefined {
+    const heard = this.heard.get(endpoint)
+    const told = this.told.get(endpoint)
+    if (heard === undefined || told === undefined) return heard ?? told
+    return isNewer(told, heard) ? told : heard
+  }
+
+  private dropOld (words: Map<EndpointId, LimitWord>, nowMs: number): void {
+    for (const [endpoint, { statedAtMs }] of words) {
+      if (nowMs - statedAtMs > MOST_AGE_MS) words.delete(endpoint)
+    }
+  }
+}
--- /dev/null
+++ b/packages/dotterelspur/src/request/need/__tests__/unit/EndpointLimits.test.ts
@@ -0,0 +1,112 @@
+import { expect } from 'chai'
+import fc from 'fast-check'
+import { SurgeReplay, type GroupLimit, type SurgeOptions, type SurgeOutcome } from '../../../dispatch/__tests__/fixtures/SurgeReplay.js'
+import { EndpointLimits } from '../../EndpointLimits.js'
+
+const WINDOW_MS = 4_000
+/** Operators hold nodes to a limit from so long after an endpoint first named it. */
+const SETTLED_MS = 3_000
+const LIMIT_FROM_MS = 2_000
+const GROUPS = 27
+const SURGE: SurgeOptions = {
+  seed: 1, nodes: 8, groups: GROUPS, loadSteps: [0.6, 0.6, 0.6, 0.6, 0.6, 0.6, 0.6, 0.6], stepMs: 2_000, targetMs: 300, deadlineMs: 6_000, refuses: true, tells: true
+}
+
+function replay (limit: Partial<GroupLimit>, changes: Partial<SurgeOptions> = {}): SurgeOutcome {
+  return new SurgeReplay({ ...SURGE, limit: { groups: 2, requestsPerSecond: 1, fromMs: LIMIT_FROM_MS, ...limit }, ...changes }).run()
+}
+
+/** The most requests that some limited endpoint got in a window from nodes that it had told. */
+function mostInWindow ({ limitedArrivals }: SurgeOutcome, fromMs = LIMIT_FROM_MS + SETTLED_MS): number {
+  const counted = limitedArrivals.filter(({ atMs, isTold }) => isTold && atMs >= fromMs)
+  return Math.max(0, ...counted.map((last) => counted.filter(({ endpoint, atMs }) => endpoint === last.endpoint && atMs <= last.atMs && atMs > last.atMs - WINDOW_MS).length))
+}
+
+function allowed (requestsPerSecond: number): number {
+  return 1.5 * requestsPerSecond * WINDOW_MS / 1_000 + 5
+}
+
+/** Part of its limit that an endpoint gets while callers ask for more. */
+function usedShare ({ limitedArrivals }: SurgeOutcome, requestsPerSecond: number, groups = 2): number {
+  const settled = limitedArrivals.filter(({ atMs }) => atMs >= LIMIT_FROM_MS + SETTLED_MS)
+  const lastMs = SURGE.stepMs * SURGE.loadSteps.length
+  return settled.length / (requestsPerSecond * groups * (lastMs - LIMIT_FROM_MS - SETTLED_MS) / 1_000)
+}
+
+describe('EndpointLimits', () => {
+  // Guards against a limit that each node keeps to alone, or that is shared out until no node may send.
+  for (const nodes of [1, 8, 63, 195, 330]) {
+    it(`keeps ${nodes} nodes together within limits of 0.2 to 20 requests a second`, () => {
+      for (const requestsPerSecond of [0.2, 1, 3, 20]) {
+        expect(mostInWindow(replay({ requestsPerSecond }, { nodes })), `${requestsPerSecond} a second`).to.be.at.most(allowed(requestsPerSecond))
+      }
+    }).timeout(60_000)
+  }
+
+  it('keeps many endpoints with limits within them, while a third of the words is lost', () => {
+    for (const seed of [1, 2, 3]) {
+      expect(mostInWindow(replay({ groups: GROUPS / 3 }, { seed, lostShare: 1 / 3 }))).to.be.at.most(allowed(1))
+    }
+  })
+
+  it('keeps to a limit that has fallen from one answer to the next', () => {
+    const fallenAtMs = 6_000
+    const outcome = replay({ requestsPerSecond: 50, then: { requestsPerSecond: 1, fromMs: fallenAtMs } }, { nodes: 63 })
+    expect(mostInWindow(outcome, fallenAtMs + SETTLED_MS)).to.be.at.most(allowed(1))
+  })
+
+  it('has most of a limit used where callers ask for more', () => {
+    for (const nodes of [8, 63, 330]) {
+      for (const requestsPerSecond of [1, 3]) expect(usedShare(replay({ requestsPerSecond }, { nodes }), requestsPerSecond), `${nodes} nodes, ${requestsPerSecond} a second`).to.be.at.least(0.8)
+    }
+  }).timeout(60_000)
+
+  it('has the others serve what a limit holds back', () => {
+    const without = new SurgeReplay(SURGE).run()
+    const limited = replay({ groups: 3 })
+    expect(limited.onTime / limited.asked).to.be.at.least(0.9 * without.onTime / without.asked)
+  })
+
+  it('refuses at once what no limit lets through', () => {
+    const outcome = replay({ groups: GROUPS, fromMs: 0 })
+    expect(mostInWindow(outcome)).to.be.at.most(allowed(1))
+    expect(outcome.lost).to.be.greaterThan(outcome.asked / 2)
+  })
+
+  it('goes by the latest word, whatever order words come in', () => {
+    // Guards against a limit that an overtaken word brings back or takes away.
+    const word = fc.record({ statedAtMs: fc.integer({ min: 0, max: 1_000 }), limit: fc.option(fc.integer({ min: 1, max: 9 })) })
+    fc.assert(fc.property(fc.uniqueArray(word, { selector: ({ statedAtMs }) => statedAtMs, minLength: 1, maxLength: 8 }), (words) => {
+      const limits = new EndpointLimits('n1')
+      for (const { statedAtMs, limit } of words) limits.noteTold({ e1: { requestsPerSecond: limit, ageMs: 1_000 - statedAtMs } }, 1_000)
+      const latest = words.reduce((left, right) => right.statedAtMs > left.statedAtMs ? right : left)
+      expect(limits.limitOf('e1')).to.equal(latest.limit)
+    }), { seed: 3, numRuns: 200 })
+  })
+
+  it('knows no limit of an endpoint that says none, that is gone, or that was silent for a minute', () => {
+    const limits = new EndpointLimits('n1')
+    limits.note('e1', 2, 0)
+    limits.note('e1', null, 10)
+    expect(limits.limitOf('e1')).to.equal(null)
+    limits.note('e1', 2, 20)
+    limits.retain(new Set(['e2']))
+    expect(limits.limitOf('e1')).to.equal(null)
+    limits.note('e2', 2, 30)
+    limits.noteTold({}, 60_031)
+    expect(limits.limited).to.deep.equal([])
+  })
+
+  it('moves on to other nodes when an endpoint is asked by none of its owners', () => {
+    // Guards against an endpoint that nobody asks any more, since its only owner has no requests for it.
+    const nodes = ['n1', 'n2', 'n3']
+    const all = nodes.map((node) => new EndpointLimits(node))
+    for (const limits of all) {
+      limits.noteNodes(nodes)
+      limits.noteTold({ e1: { requestsPerSecond: 1, ageMs: 0 } }, 0)
+    }
+    const owners = new Set<number>()
+    for (let nowMs = 0; nowMs < 15_000; nowMs += 100) all.forEach((limits, index) => { if (limits.mayTake('e1', nowMs)) owners.add(index) })
+    expect(owners.size).to.equal(3)
+  })
+})
