Sight: which endpoints ask for rest, and what each node sends them meanwhile

A rest has a line when it is asked for, and what was sent in it another; a gauge. Nothing is decided by it.

--- a/packages/dotterelspur-gateway/src/process/DecisionLog.ts
+++ b/packages/dotterelspur-gateway/src/process/DecisionLog.ts
@@ -47,6 +47,10 @@
   EndpointLimit = 'endpoint-limit',
   /** What this node sent to an endpoint while it named a limit. */
   SentUnderLimit = 'sent-under-limit',
+  /** An endpoint has turned a request away and asked this node for rest. */
+  EndpointRest = 'endpoint-rest',
+  /** What this node sent to an endpoint during the rest that it had asked for. */
+  SentInRest = 'sent-in-rest',
   NodeListed = 'node-listed',
   NodeUnlisted = 'node-unlisted',
   LinesDropped = 'lines-dropped',
--- a/packages/dotterelspur-gateway/src/process/Dispatch.ts
+++ b/packages/dotterelspur-gateway/src/process/Dispatch.ts
@@ -162,7 +162,10 @@
       random: parts.random,
       nowMs: parts.clock.nowMs()
     })
-    if ('endpoint' in placed) limits.take(placed.endpoint)
+    if ('endpoint' in placed) {
+      limits.take(placed.endpoint)
+      this.needLog.noteSent(placed.endpoint, query.excluded.length > 0)
+    }
     return placed
   }
 
@@ -178,7 +181,6 @@
     const beganAtMs = this.parts.clock.nowMs()
     const declaredMs = this.declaredFirstEventMs(target, head.promptTokens, beganAtMs)
     this.knowledge.load.begin(poolOf(target), target.endpoint, beganAtMs)
-    this.needLog.noteSent(target.endpoint)
     return {
       ...this.watch.begin(target, route, mayMove, onSilent),
       noteFirstEvent: () => {
--- a/packages/dotterelspur-gateway/src/process/NeedLog.ts
+++ b/packages/dotterelspur-gateway/src/process/NeedLog.ts
@@ -4,6 +4,14 @@
 /** Sends to an endpoint that names a limit are summed over this time for one line. */
 const WINDOW_MS = 4_000
 
+interface RestingEndpoint {
+  readonly untilMs: number
+  readonly restMs: number
+  /** Sent while it rests: requests that came to this node, and those that another endpoint had not served. */
+  firstAttempts: number
+  repeats: number
+}
+
 interface LimitedEndpoint {
   readonly requestsPerSecond: number
   windowFromMs: number
@@ -13,7 +21,9 @@
 /** Writes what endpoints say of their need, and what this node sends them meanwhile. Nothing is decided by it. */
 export class NeedLog {
   private readonly limited = new Map<EndpointId, LimitedEndpoint>()
+  private readonly resting = new Map<EndpointId, RestingEndpoint>()
   private sentTotal = 0
+  private sentInRestTotal = 0
 
   constructor (private readonly clock: Clock, private readonly log: DecisionLog) {}
 
@@ -27,7 +37,42 @@
     return this.sentTotal
   }
 
-  note (endpoint: EndpointId, { requestsPerSecond }: StatedNeed): void {
+  /** Requests that this node has sent to endpoints that had asked it for rest. */
+  get sentInRest (): number {
+    return this.sentInRestTotal
+  }
+
+  note (endpoint: EndpointId, { requestsPerSecond, restMs }: StatedNeed): void {
+    this.noteLimit(endpoint, requestsPerSecond)
+    if (restMs !== null) this.noteRest(endpoint, restMs)
+  }
+
+  noteSent (endpoint: EndpointId, isRepeat: boolean): void {
+    this.noteSentToLimited(endpoint)
+    const resting = this.restingNow(endpoint)
+    if (resting === null) return
+    resting[isRepeat ? 'repeats' : 'firstAttempts'] += 1
+    this.sentInRestTotal += 1
+  }
+
+  private noteRest (endpoint: EndpointId, restMs: number): void {
+    if (this.restingNow(endpoint) !== null) return
+    this.resting.set(endpoint, { untilMs: this.clock.nowMs() + restMs, restMs, firstAttempts: 0, repeats: 0 })
+    this.log.write(LogKind.EndpointRest, { endpoint, restMs: Math.round(restMs) })
+  }
+
+  /** A rest that is over has its line once somebody asks for it. */
+  private restingNow (endpoint: EndpointId): RestingEndpoint | null {
+    const resting = this.resting.get(endpoint)
+    if (resting === undefined) return null
+    if (this.clock.nowMs() < resting.untilMs) return resting
+    this.resting.delete(endpoint)
+    const { restMs, firstAttempts, repeats } = resting
+    if (firstAttempts + repeats > 0) this.log.write(LogKind.SentInRest, { endpoint, restMs: Math.round(restMs), firstAttempts, repeats })
+    return null
+  }
+
+  private noteLimit (endpoint: EndpointId, requestsPerSecond: number | null): void {
     const before = this.limited.get(endpoint)
     if ((before?.requestsPerSecond ?? null) === requestsPerSecond) return
     if (before !== undefined) this.writeWindow(endpoint, before)
@@ -36,7 +81,7 @@
     this.log.write(LogKind.EndpointLimit, { endpoint, requestsPerSecond, before: before?.requestsPerSecond ?? null })
   }
 
-  noteSent (endpoint: EndpointId): void {
+  private noteSentToLimited (endpoint: EndpointId): void {
     const limited = this.limited.get(endpoint)
     if (limited === undefined) return
     if (this.clock.nowMs() - limited.windowFromMs >= WINDOW_MS) this.writeWindow(endpoint, limited)
@@ -46,8 +91,10 @@
 
   /** Forgets endpoints that are gone. */
   retain (endpoints: ReadonlySet<EndpointId>): void {
-    for (const endpoint of this.limited.keys()) {
-      if (!endpoints.has(endpoint)) this.limited.delete(endpoint)
+    for (const map of [this.limited, this.resting]) {
+      for (const endpoint of map.keys()) {
+        if (!endpoints.has(endpoint)) map.delete(endpoint)
+      }
     }
   }
 
--- a/packages/dotterelspur-gateway/src/process/registerGauges.ts
+++ b/packages/dotterelspur-gateway/src/process/registerGauges.ts
@@ -33,6 +33,7 @@
   metrics.gauge('suspected_requests', 'Requests that one more end of an endpoint would put in quarantine', () => poison.guard.ledger.suspected.length)
   metrics.gauge('limited_endpoints', 'Endpoints that named a limit with their last answer to this node', () => dispatch.needLog.limitedEndpoints)
   metrics.gauge('sent_to_limited_endpoints', 'Requests sent to endpoints that had named a limit, since the start', () => dispatch.needLog.sentToLimited)
+  metrics.gauge('sent_to_resting_endpoints', 'Requests sent to endpoints that had asked this node for rest, since the start', () => dispatch.needLog.sentInRest)
   metrics.gauge('log_lines_dropped', 'Log lines dropped since the start', () => log.dropped)
   metrics.gauge('resident_bytes', 'Resident memory', () => process.memoryUsage.rss())
 }
--- a/packages/dotterelspur/src/request/need/StatedNeed.ts
+++ b/packages/dotterelspur/src/request/need/StatedNeed.ts
@@ -2,6 +2,8 @@
 export interface StatedNeed {
   /** Requests a second that it takes from all nodes together, for as long as it says so; null where it names no limit. */
   readonly requestsPerSecond: number | null
+  /** It turned the request away, and wants nothing from this node for so long; null where it asks for no rest. */
+  readonly restMs: number | null
 }
 
-export const NO_NEED: StatedNeed = { requestsPerSecond: null }
+export const NO_NEED: StatedNeed = { requestsPerSecond: null, restMs: null }
