Endpoints that ask for rest get nothing until it is over, and others serve instead

What callers saw: of 593 requests in seven seconds 145 were refused and 146 late, while fifteen of twenty endpoints served. Five turned all away and asked each node for 3 s of rest; a node sent up to 28 requests into one rest, where 2 are allowed.

Cause: no decision read the rest. An endpoint that refuses at once holds nothing, so by its load it was the best of its service and drew three to eight times its part; what it turned away went to the next of the five, until the budget of repeats was spent. Ruled out: requests under way when the rest was asked for (milliseconds, against seconds), and repeats as the cause (a fifth of what the five got).

Change: EndpointRests in the core, beside the limits, as EndpointNeeds. A resting endpoint is no candidate and costs neither an attempt nor a repeat; after its rest it gets one request, then the others. Other nodes are told and hold back while another can serve. Where all rest, callers are refused at once.

--- a/packages/dotterelspur-gateway/src/process/Dispatch.ts
+++ b/packages/dotterelspur-gateway/src/process/Dispatch.ts
@@ -137,8 +137,9 @@
 
   place (query: DispatchQuery): DispatchTarget | PlacementRefusal {
     const { parts, health, knowledge } = this
-    const { load, speeds, limits } = knowledge
+    const { load, speeds, needs } = knowledge
     knowledge.check()
+    const nowMs = parts.clock.nowMs()
     const sender = this.ownPlace()
     const engine = this.engine(query.service)
     const key = poolKey(query.service, engine === null ? null : query.head.model)
@@ -154,16 +155,16 @@
       load,
       health,
       speeds,
-      limits,
+      needs,
       firstEventDelayMs: query.head.model === null ? 0 : knowledge.firstEvents.delayMs(query.head.model),
       nodes: parts.senders().length,
       sender,
       ownFailureDomain: parts.failureDomain,
       random: parts.random,
-      nowMs: parts.clock.nowMs()
+      nowMs
     })
     if ('endpoint' in placed) {
-      limits.take(placed.endpoint)
+      needs.take(placed.endpoint, nowMs)
       this.needLog.noteSent(placed.endpoint, query.excluded.length > 0)
     }
     return placed
@@ -268,7 +269,7 @@
 
   private noteNeed ({ endpoint }: DispatchTarget, need: StatedNeed, nowMs: number): void {
     this.needLog.note(endpoint, need)
-    this.knowledge.limits.note(endpoint, need.requestsPerSecond, nowMs)
+    this.knowledge.needs.note(endpoint, need, nowMs)
   }
 
   private noteEndpoints (endpoints: ReadonlyMap<EndpointId, EndpointRecord>): void {
@@ -292,7 +293,7 @@
     if (known !== this.arrangedSenders) {
       this.arrangedSenders = known
       this.sender = senderPlace(known, { node, failureDomain })
-      this.knowledge.limits.noteNodes(known.map((known) => known.node))
+      this.knowledge.needs.limits.noteNodes(known.map((known) => known.node))
     }
     return this.sender
   }
--- a/packages/dotterelspur-gateway/src/process/FleetKnowledge.ts
+++ b/packages/dotterelspur-gateway/src/process/FleetKnowledge.ts
@@ -1,10 +1,10 @@
 import {
-  DeadlineHistory, DemandMeter, EMPTY_MEMORY, EndpointLimits, EndpointSpeeds, FirstEventDelays, loadPool, readFleetMemory, remember, StreamPauses, TargetLoad,
+  DeadlineHistory, DemandMeter, EMPTY_MEMORY, EndpointNeeds, EndpointSpeeds, FirstEventDelays, loadPool, readFleetMemory, remember, StreamPauses, TargetLoad,
   type Clock, type EndpointId, type FleetMemory, type FleetObservation, type NodeId, type NodeObservation, type TargetPool
 } from 'dotterelspur'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
 
-/** What a node knows of the fleet's load, speeds, limits, pauses, demand and callers' deadlines: what it sees itself, and what all nodes are told. */
+/** What a node knows of the fleet's load, speeds, needs, pauses, demand and callers' deadlines: what it sees itself, and what all nodes are told. */
 export class FleetKnowledge {
   readonly load = new TargetLoad()
   readonly speeds = new EndpointSpeeds()
@@ -12,13 +12,13 @@
   readonly pauses = new StreamPauses()
   readonly firstEvents = new FirstEventDelays()
   readonly deadlines: DeadlineHistory
-  readonly limits: EndpointLimits
+  readonly needs: EndpointNeeds
   private remembered = EMPTY_MEMORY
   private pools: readonly TargetPool[] = []
   private wasTold = false
 
   constructor (private readonly clock: Clock, private readonly log: DecisionLog, node: NodeId) {
-    this.limits = new EndpointLimits(node)
+    this.needs = new EndpointNeeds(node)
     this.deadlines = new DeadlineHistory(clock.nowMs())
   }
 
@@ -44,17 +44,20 @@
       pauses: this.pauses.observed(nowMs),
       firstEvents: this.firstEvents.observed(),
       deadlines: this.deadlines.observed(nowMs),
-      limits: this.limits.observed(nowMs)
+      limits: this.needs.limits.observed(nowMs),
+      rests: this.needs.rests.observed(nowMs)
     }
   }
 
   /** Takes in what all nodes together see. */
   noteFleet (fleet: FleetObservation): void {
-    this.load.noteTold(fleet, this.clock.nowMs())
+    const nowMs = this.clock.nowMs()
+    this.load.noteTold(fleet, nowMs)
     this.speeds.noteTold(fleet.speeds)
     this.demand.noteTold(fleet.demand)
     this.pauses.noteTold(fleet.pauses)
-    this.limits.noteTold(fleet.limits, this.clock.nowMs())
+    this.needs.limits.noteTold(fleet.limits, nowMs)
+    this.needs.rests.noteTold(fleet.rests, nowMs)
     this.keep(remember(this.remembered, fleet))
     this.arrange(this.pools)
     this.check()
@@ -70,14 +73,14 @@
   arrange (pools: readonly TargetPool[]): void {
     this.pools = pools
     const nowMs = this.clock.nowMs()
-    this.load.arrange(pools.map((pool) => loadPool(pool, this.speeds, this.limits, nowMs)), nowMs)
+    this.load.arrange(pools.map((pool) => loadPool(pool, this.speeds, this.needs, nowMs)), nowMs)
   }
 
   /** Forgets endpoints that are gone. */
   retain (endpoints: ReadonlySet<EndpointId>): void {
     this.load.retain(endpoints)
     this.speeds.retain(endpoints)
-    this.limits.retain(endpoints)
+    this.needs.retain(endpoints)
   }
 
   /** Called before it is relied on: without fresh word of the fleet a node goes by what it sees itself. */
--- a/packages/dotterelspur/src/request/dispatch/FleetObservation.ts
+++ b/packages/dotterelspur/src/request/dispatch/FleetObservation.ts
@@ -65,6 +65,8 @@
   readonly deadlines: DeadlinesSeen
   /** Limits that endpoints named, or took back, in answers to the teller. */
   readonly limits: Readonly<Record<EndpointId, LimitSample>>
+  /** For how much longer endpoints have asked for rest. */
+  readonly rests: Readonly<Record<EndpointId, number>>
 }
 
 /** What all nodes together have seen. Every node gets the same one, and takes its own part off by itself. */
@@ -116,7 +118,7 @@
   sum (own: NodeObservation, intervalMs: number, nowMs: number): FleetObservation {
     const valid = [...this.told.values()].filter(({ atMs }) => nowMs - atMs <= VALID_ROUNDS * intervalMs)
     const ageSumMs = valid.reduce((sum, { atMs }) => sum + nowMs - atMs, 0)
-    const all = [own, ...valid.map(({ observation, atMs }) => ({ ...observation, limits: agedLimits(observation.limits, nowMs - atMs) }))]
+    const all = [own, ...valid.map(({ observation, atMs }) => ({ ...observation, limits: agedLimits(observation.limits, nowMs - atMs), rests: shortenedRests(observation.rests, nowMs - atMs) }))]
     const sum = addObservations(all)
     return { ...sum, speeds: tellingSpeeds(sum.speeds), nodes: all.length, ageMs: ageSumMs / all.length, intervalMs }
   }
@@ -134,7 +136,8 @@
       usual: combine(all.map(({ deadlines }) => deadlines.usual), (left, right) => ({ usualSumMs: left.usualSumMs + right.usualSumMs, nodes: left.nodes + right.nodes })),
       leastShare: all.reduce((sum, { deadlines: { leastShare } }) => ({ sum: sum.sum + leastShare.sum, nodes: sum.nodes + leastShare.nodes }), NOTHING_LEARNED.leastShare)
     },
-    limits: combine(all.map(({ limits }) => limits), latestSample)
+    limits: combine(all.map(({ limits }) => limits), latestSample),
+    rests: combine(all.map(({ rests }) => rests), Math.max)
   }
 }
 
@@ -142,6 +145,10 @@
   return Object.fromEntries(Object.entries(limits).map(([endpoint, sample]) => [endpoint, agedSample(sample, passedMs)]))
 }
 
+function shortenedRests (rests: Readonly<Record<EndpointId, number>>, passedMs: number): Record<EndpointId, number> {
+  return Object.fromEntries(Object.entries(rests).map(([endpoint, leftMs]) => [endpoint, leftMs - passedMs]).filter(([, leftMs]) => Number(leftMs) > 0))
+}
+
 function combine<Value> (records: ReadonlyArray<Readonly<Record<string, Value>>>, add: (left: Value, right: Value) => Value): Record<string, Value> {
   const sum: Record<string, Value> = {}
   for (const record of records) {
--- a/packages/dotterelspur/src/request/dispatch/LoadForecast.ts
+++ b/packages/dotterelspur/src/request/dispatch/LoadForecast.ts
@@ -13,7 +13,7 @@
   readonly own: number
   /** Times there are this multiple of those of a sound endpoint. */
   readonly slowness: number
-  /** Requests that it takes from all nodes together; infinite where it names no limit. */
+  /** Requests that it takes from all nodes together; infinite where nothing bounds them. */
   readonly mostPerMs: number
 }
 
--- a/packages/dotterelspur/src/request/dispatch/Placement.ts
+++ b/packages/dotterelspur/src/request/dispatch/Placement.ts
@@ -1,6 +1,6 @@
 import type { FailureDomainId } from '../../process/ids.js'
 import type { Random } from '../../process/Random.js'
-import type { EndpointLimits } from '../need/EndpointLimits.js'
+import type { EndpointNeeds } from '../need/EndpointNeeds.js'
 import type { EndpointHealth } from './EndpointHealth.js'
 import type { EndpointSpeeds } from './EndpointSpeeds.js'
 import { eventGapMs, firstEventMs, loadCurve, paceOf } from './EngineTimes.js'
@@ -14,7 +14,9 @@
   /** All of them are so full that the request would be served too late. */
   Full = 'full',
   /** All that are not so full have named limits, which are used up for the moment. */
-  Limited = 'limited'
+  Limited = 'limited',
+  /** All of them have asked this node for rest. */
+  Resting = 'resting'
 }
 
 /** Why a request is turned away, and when it is worth coming back. */
@@ -53,7 +55,7 @@
   readonly load: TargetLoad
   readonly health: EndpointHealth
   readonly speeds: EndpointSpeeds
-  readonly limits: EndpointLimits
+  readonly needs: EndpointNeeds
   /** What a first event takes beyond the engine's declared times. */
   readonly firstEventDelayMs: number
   /** Nodes that send requests, this one included. */
@@ -75,7 +77,7 @@
 const CHOICES = 2
 /** Draws until there are as many; where none can be used, all endpoints are looked at. */
 const MOST_DRAWS = 6
-/** Cost of an endpoint that failed lately: it is tried when all others would be much later. */
+/** Cost of an endpoint that failed lately, or has asked other nodes for rest: it is tried when all others would be much later. */
 const HELD_OFF_MS = 2_000
 /** Cost of a stream whose every pause will be late; a full group elsewhere is better than that. */
 const SLOW_STREAM_MS = 400
@@ -107,8 +109,8 @@
 export function place (query: PlacementQuery, input: PlacementInput): DispatchTarget | PlacementRefusal {
   const targets = suitableTargets(query, input)
   if (targets.length === 0) return { reason: RefusalReason.NoEndpoint, retryAfterMs: Math.min(NO_ENDPOINT_RETRY_MS, query.leftMs * RETURN_SHARE.most), basis: null }
-  const open = targets.filter(({ endpoint }) => input.limits.mayTake(endpoint, input.nowMs))
-  if (open.length === 0) return { reason: RefusalReason.Limited, retryAfterMs: limitedReturnMs(targets, query, input), basis: null }
+  const open = targets.filter(({ endpoint }) => input.needs.mayTake(endpoint, input.nowMs))
+  if (open.length === 0) return refuseInNeed(targets, query, input)
   const best = bestDrawn(query, input) ?? bestOf(open, query, input)
   const longestMs = limitMs(best.target, query, input)
   if (best.expectedMs <= longestMs && hasRoom(best.target, longestMs, query, input)) return best.target
@@ -134,23 +136,23 @@
 
 /** The next endpoints as all nodes spread their requests; none where the next ones can't be used. */
 function drawTargets (query: PlacementQuery, input: PlacementInput): DispatchTarget[] {
-  const { pool, load, health, limits, sender, nowMs } = input
+  const { pool, load, health, needs, sender, nowMs } = input
   const drawn: DispatchTarget[] = []
   for (let draw = 0; draw < MOST_DRAWS && drawn.length < CHOICES; draw++) {
     const endpoint = load.draw(pool.key, sender, nowMs)
     const target = endpoint === null ? undefined : pool.targets.get(endpoint)
-    if (target === undefined || limits.limitOf(target.endpoint) !== null || health.isHeldOff(target.endpoint, nowMs)) continue
+    if (target === undefined || needs.mostPerMs(target.endpoint, nowMs) < Infinity || health.isHeldOff(target.endpoint, nowMs)) continue
     if (!isExcluded(query, target)) drawn.push(target)
   }
   return [...drawn, ...limitedTargets(query, input)]
 }
 
 /** Endpoints with limits are drawn by those that own parts of them, as often as others are by all nodes: even draws would leave most of a limit unused. */
-function limitedTargets (query: PlacementQuery, { pool: { targets }, health, limits, random, nowMs }: PlacementInput): DispatchTarget[] {
-  return limits.limited
+function limitedTargets (query: PlacementQuery, { pool: { targets }, health, needs, random, nowMs }: PlacementInput): DispatchTarget[] {
+  return needs.limits.limited
     .map((endpoint) => targets.get(endpoint))
     .filter((target) => target !== undefined)
-    .filter(({ endpoint }) => limits.mayTake(endpoint, nowMs) && !health.isHeldOff(endpoint, nowMs) && random.next() * limits.ownersShare(endpoint) < CHOICES / targets.size)
+    .filter(({ endpoint }) => needs.mayTake(endpoint, nowMs) && !health.isHeldOff(endpoint, nowMs) && random.next() * needs.limits.ownersShare(endpoint) < CHOICES / targets.size)
     .filter((target) => !isExcluded(query, target))
 }
 
@@ -166,9 +168,9 @@
  * least; the load of all is known better.
  */
 function hasRoom (target: DispatchTarget, longestMs: number, query: PlacementQuery, input: PlacementInput): boolean {
-  const { pool: { engine, key, targets }, load, limits, firstEventDelayMs, nodes, random, nowMs } = input
+  const { pool: { engine, key, targets }, load, needs, firstEventDelayMs, nodes, random, nowMs } = input
   // Its own limit has admitted the request.
-  if (limits.limitOf(target.endpoint) !== null) return true
+  if (needs.limits.limitOf(target.endpoint) !== null) return true
   if (engine === null || query.excluded.length > 0) return true
   const mostLoad = loadCurve(engine, paceOf(engine, target), query.promptTokens)(longestMs - firstEventDelayMs)
   const admitted = load.admitted(key, mostLoad, nowMs)
@@ -190,11 +192,11 @@
 }
 
 function judge (target: DispatchTarget, usualLoad: number, query: PlacementQuery, input: PlacementInput): Candidate {
-  const { pool: { engine }, load, health, speeds, firstEventDelayMs, nowMs } = input
+  const { pool: { engine }, load, health, needs, speeds, firstEventDelayMs, nowMs } = input
   const present = load.estimate(target.endpoint, usualLoad, nowMs)
   const slowness = speeds.slowness(target.endpoint, nowMs)
   const expectedMs = engine === null ? plainMs(target, present) : firstEventDelayMs + firstEventMs(engine, paceOf(engine, target) * slowness, present, query.promptTokens)
-  const heldOffMs = health.isHeldOff(target.endpoint, nowMs) ? HELD_OFF_MS : 0
+  const heldOffMs = health.isHeldOff(target.endpoint, nowMs) || needs.rests.isResting(target.endpoint, nowMs) ? HELD_OFF_MS : 0
   const foreignMs = target.failureDomain === input.ownFailureDomain ? 0 : FOREIGN_DOMAIN_MS
   const slowStreamMs = isTooSlow(target, present, slowness, query, input) ? SLOW_STREAM_MS : 0
   return { target, expectedMs, cost: expectedMs + heldOffMs + foreignMs + slowStreamMs + SPREAD_MS * input.random.next() }
@@ -211,10 +213,16 @@
   return load / target.slots * PLAIN_REQUEST_MS
 }
 
-/** When the first of the limits lets a request come, and no sooner than callers are sent back for any other reason: they come one after the other. */
-function limitedReturnMs (targets: readonly DispatchTarget[], query: PlacementQuery, input: PlacementInput): number {
-  const freeMs = Math.min(...targets.map(({ endpoint }) => input.limits.waitMs(endpoint, input.nowMs)))
-  return Math.max(returnAfterMs(query, input), Math.min(freeMs, query.leftMs * RETURN_SHARE.most))
+/** Callers come back when the first endpoint may be asked again, and spread as after any refusal. */
+function refuseInNeed (targets: readonly DispatchTarget[], query: PlacementQuery, input: PlacementInput): PlacementRefusal {
+  const { needs, nowMs } = input
+  const freeMs = Math.min(...targets.map(({ endpoint }) => needs.waitMs(endpoint, nowMs)))
+  const isLimited = targets.some(({ endpoint }) => needs.rests.waitMs(endpoint, nowMs) === 0)
+  return {
+    reason: isLimited ? RefusalReason.Limited : RefusalReason.Resting,
+    retryAfterMs: Math.max(returnAfterMs(query, input), Math.min(freeMs, query.leftMs * RETURN_SHARE.most)),
+    basis: null
+  }
 }
 
 /**
--- a/packages/dotterelspur/src/request/dispatch/TargetPool.ts
+++ b/packages/dotterelspur/src/request/dispatch/TargetPool.ts
@@ -1,7 +1,7 @@
 import type { EndpointId, FailureDomainId, ModelId, ServiceId } from '../../process/ids.js'
 import { takesRequests, type EndpointRecord } from '../../version/formation/Endpoint.js'
 import type { EngineSpec } from '../../version/manifest/Manifest.js'
-import type { EndpointLimits } from '../need/EndpointLimits.js'
+import type { EndpointNeeds } from '../need/EndpointNeeds.js'
 import type { EndpointSpeeds } from './EndpointSpeeds.js'
 import { loadCurve, paceOf } from './EngineTimes.js'
 import type { PoolKey } from './FleetObservation.js'
@@ -30,8 +30,6 @@
 /** Plain services say nothing of their times; this orders endpoints by load alone. */
 export const PLAIN_REQUEST_MS = 60
 
-const SECOND_MS = 1_000
-
 export function poolKey (service: ServiceId, model: ModelId | null): PoolKey {
   return model === null ? service : `${service}/${model}`
 }
@@ -58,17 +56,13 @@
 }
 
 /** How much each endpoint of a pool takes, for the forecast of its load. */
-export function loadPool ({ key, targets, engine }: TargetPool, speeds: EndpointSpeeds, limits: EndpointLimits, nowMs: number): LoadPool {
+export function loadPool ({ key, targets, engine }: TargetPool, speeds: EndpointSpeeds, needs: EndpointNeeds, nowMs: number): LoadPool {
   const [first] = targets.values()
-  const endpoints = [...targets.keys()].map((endpoint) => ({ endpoint, slowness: speeds.slowness(endpoint, nowMs), mostPerMs: mostPerMs(limits.limitOf(endpoint)) }))
+  const endpoints = [...targets.keys()].map((endpoint) => ({ endpoint, slowness: speeds.slowness(endpoint, nowMs), mostPerMs: needs.mostPerMs(endpoint, nowMs) }))
   if (engine === null || first === undefined) return { key, endpoints, loadWithin: (timeMs) => timeMs / PLAIN_REQUEST_MS * (first?.slots ?? 1) }
   return { key, endpoints, loadWithin: loadCurve(engine, paceOf(engine, first), engine.usualPromptTokens) }
 }
 
-function mostPerMs (requestsPerSecond: number | null): number {
-  return requestsPerSecond === null ? Infinity : requestsPerSecond / SECOND_MS
-}
-
 function targetOf (record: EndpointRecord): DispatchTarget {
   const { endpoint, service, address, failureDomain, slots } = record
   return { endpoint, service, address, failureDomain, slots, model: record.fabricDomain === null ? null : record.model }
--- a/packages/dotterelspur/src/request/dispatch/__tests__/unit/Placement.test.ts
+++ b/packages/dotterelspur/src/request/dispatch/__tests__/unit/Placement.test.ts
@@ -4,7 +4,7 @@
 import { firstEventMs } from '../../EngineTimes.js'
 import { EndpointHealth } from '../../EndpointHealth.js'
 import { EndpointSpeeds } from '../../EndpointSpeeds.js'
-import { EndpointLimits } from '../../../need/EndpointLimits.js'
+import { EndpointNeeds } from '../../../need/EndpointNeeds.js'
 import { place, RefusalReason, type PlacementQuery, type PlacementRefusal } from '../../Placement.js'
 import { TargetLoad } from '../../TargetLoad.js'
 import { loadPool, poolKey, type DispatchTarget, type TargetPool } from '../../TargetPool.js'
@@ -47,13 +47,13 @@
   readonly load = new TargetLoad()
   readonly health = new EndpointHealth()
   readonly speeds = new EndpointSpeeds()
-  readonly limits = new EndpointLimits('n1')
+  readonly needs = new EndpointNeeds('n1')
 
   place (targets: readonly DispatchTarget[], query = createQuery(), nowMs = 0, nodes = 1, firstEventDelayMs = 0): DispatchTarget | PlacementRefusal {
-    const { load, health, speeds, limits } = this
+    const { load, health, speeds, needs } = this
     const pool: TargetPool = { key: POOL, targets: new Map(targets.map((target) => [target.endpoint, target])), engine: ENGINE }
-    load.arrange([loadPool(pool, speeds, limits, nowMs)], nowMs)
-    return place(query, { pool, load, health, speeds, limits, firstEventDelayMs, nodes, sender: { domainFrom: 0, domainWidth: 1, start: 0 }, ownFailureDomain: 'a', random: createRandom(1), nowMs })
+    load.arrange([loadPool(pool, speeds, needs, nowMs)], nowMs)
+    return place(query, { pool, load, health, speeds, needs, firstEventDelayMs, nodes, sender: { domainFrom: 0, domainWidth: 1, start: 0 }, ownFailureDomain: 'a', random: createRandom(1), nowMs })
   }
 }
 
@@ -168,7 +168,7 @@
 
   it('says what a refusal was decided by', () => {
     const world = new PlacementWorld()
-    world.load.noteTold({ inFlight: { g0: 60 }, flows: {}, demand: {}, speeds: {}, pauses: {}, firstEvents: {}, deadlines: NOTHING_LEARNED, limits: {}, nodes: 8, ageMs: 0, intervalMs: 200 }, 0)
+    world.load.noteTold({ inFlight: { g0: 60 }, flows: {}, demand: {}, speeds: {}, pauses: {}, firstEvents: {}, deadlines: NOTHING_LEARNED, limits: {}, rests: {}, nodes: 8, ageMs: 0, intervalMs: 200 }, 0)
     const refusal = world.place([createTarget('g0')], createQuery(), 250) as PlacementRefusal
     expect(refusal.basis?.loadAgeMs).to.equal(250)
     expect(refusal.basis?.limitMs).to.equal(300)
--- /dev/null
+++ b/packages/dotterelspur/src/request/need/EndpointRests.ts
@@ -0,0 +1,71 @@
+import type { EndpointId } from '../../process/ids.js'
+
+/** A trial after a rest that has no answer by then is followed by another one. */
+const TRIAL_MS = 1_000
+
+interface Rest {
+  untilMs: number
+  /** When the first request after it was sent; null before. */
+  trialAtMs: number | null
+}
+
+/**
+ * Which endpoints have turned this node away and asked for rest.
+ *
+ * The load that this answers: an endpoint that turns all requests away at once holds nothing, so by its load it is the best
+ * of its service and draws several times its part. It gets nothing until its rest is over, then a single request, and the others
+ * once that one was taken: else all that has gone elsewhere would come back in one moment.
+ */
+export class EndpointRests {
+  private readonly rests = new Map<EndpointId, Rest>()
+  /** Until when other nodes have been asked for rest. */
+  private readonly told = new Map<EndpointId, number>()
+
+  /** What an endpoint says with an answer to this node; null where it asks for no rest. */
+  note (endpoint: EndpointId, restMs: number | null, nowMs: number): void {
+    const known = this.rests.get(endpoint)
+    if (restMs !== null) this.rests.set(endpoint, { untilMs: Math.max(known?.untilMs ?? 0, nowMs + restMs), trialAtMs: null })
+    // Before the end of a rest it is the answer to a request that was sent before it.
+    else if (known !== undefined && nowMs >= known.untilMs) this.rests.delete(endpoint)
+  }
+
+  /** Takes in for how much longer endpoints have asked other nodes for rest. */
+  noteTold (leftMs: Readonly<Record<EndpointId, number>>, nowMs: number): void {
+    this.told.clear()
+    for (const [endpoint, restLeftMs] of Object.entries(leftMs)) this.told.set(endpoint, nowMs + restLeftMs)
+  }
+
+  /** For how much longer endpoints have asked this node for rest, to be told. */
+  observed (nowMs: number): Record<EndpointId, number> {
+    const resting = [...this.rests].filter(([, { untilMs }]) => untilMs > nowMs)
+    return Object.fromEntries(resting.map(([endpoint, { untilMs }]) => [endpoint, untilMs - nowMs]))
+  }
+
+  /** A request is sent there. */
+  take (endpoint: EndpointId, nowMs: number): void {
+    const rest = this.rests.get(endpoint)
+    if (rest !== undefined) rest.trialAtMs = nowMs
+  }
+
+  /** Until this node may send a request there. */
+  waitMs (endpoint: EndpointId, nowMs: number): number {
+    const rest = this.rests.get(endpoint)
+    if (rest === undefined) return 0
+    const trialUntilMs = rest.trialAtMs === null ? -Infinity : rest.trialAtMs + TRIAL_MS
+    return Math.max(0, rest.untilMs - nowMs, trialUntilMs - nowMs)
+  }
+
+  /** Whether it has asked this node or another one for rest. One that has asked others takes requests where all else is full. */
+  isResting (endpoint: EndpointId, nowMs: number): boolean {
+    return this.waitMs(endpoint, nowMs) > 0 || nowMs < (this.told.get(endpoint) ?? -Infinity)
+  }
+
+  /** Forgets endpoints that are gone: a next life has asked for nothing. */
+  retain (endpoints: ReadonlySet<EndpointId>): void {
+    for (const map of [this.rests, this.told]) {
+      for (const endpoint of map.keys()) {
+        if (!endpoints.has(endpoint)) map.delete(endpoint)
+      }
+    }
+  }
+}
--- a/packages/dotterelspur/src/request/need/index.ts
+++ b/packages/dotterelspur/src/request/need/index.ts
@@ -1,3 +1,5 @@
 export * from './EndpointLimits.js'
+export * from './EndpointNeeds.js'
+export * from './EndpointRests.js'
 export * from './LimitSample.js'
 export * from './StatedNeed.js'
