--- a/packages/dotterelspur-gateway/src/process/DecisionLog.ts
+++ b/packages/dotterelspur-gateway/src/process/DecisionLog.ts
@@ -51,6 +51,8 @@
   EndpointRest = 'endpoint-rest',
   /** What this node sent to an endpoint during the rest that it had asked for. */
   SentInRest = 'sent-in-rest',
+  /** An endpoint has said in an answer to this node that it leaves. */
+  EndpointLeaving = 'endpoint-leaving',
   NodeListed = 'node-listed',
   NodeUnlisted = 'node-unlisted',
   LinesDropped = 'lines-dropped',
--- a/packages/dotterelspur-gateway/src/process/NeedLog.ts
+++ b/packages/dotterelspur-gateway/src/process/NeedLog.ts
@@ -22,6 +22,7 @@
 export class NeedLog {
   private readonly limited = new Map<EndpointId, LimitedEndpoint>()
   private readonly resting = new Map<EndpointId, RestingEndpoint>()
+  private readonly leaving = new Set<EndpointId>()
   private sentTotal = 0
   private sentInRestTotal = 0
 
@@ -42,7 +43,8 @@
     return this.sentInRestTotal
   }
 
-  note (endpoint: EndpointId, { requestsPerSecond, restMs }: StatedNeed): void {
+  note (endpoint: EndpointId, { requestsPerSecond, restMs, isLeaving }: StatedNeed): void {
+    if (isLeaving) this.noteLeaving(endpoint)
     this.noteLimit(endpoint, requestsPerSecond)
     if (restMs !== null) this.noteRest(endpoint, restMs)
   }
@@ -55,6 +57,12 @@
     this.sentInRestTotal += 1
   }
 
+  private noteLeaving (endpoint: EndpointId): void {
+    if (this.leaving.has(endpoint)) return
+    this.leaving.add(endpoint)
+    this.log.write(LogKind.EndpointLeaving, { endpoint })
+  }
+
   private noteRest (endpoint: EndpointId, restMs: number): void {
     if (this.restingNow(endpoint) !== null) return
     this.resting.set(endpoint, { untilMs: this.clock.nowMs() + restMs, restMs, firstAttempts: 0, repeats: 0 })
@@ -91,7 +99,7 @@
 
   /** Forgets endpoints that are gone. */
   retain (endpoints: ReadonlySet<EndpointId>): void {
-    for (const map of [this.limited, this.resting]) {
+    for (const map of [this.limited, this.resting, this.leaving]) {
       for (const endpoint of map.keys()) {
         if (!endpoints.has(endpoint)) map.delete(endpoint)
       }
--- a/packages/dotterelspur/src/request/need/StatedNeed.ts
+++ b/packages/dotterelspur/src/request/need/StatedNeed.ts
@@ -4,6 +4,8 @@
   readonly requestsPerSecond: number | null
   /** It turned the request away, and wants nothing from this node for so long; null where it asks for no rest. */
   readonly restMs: number | null
+  /** It will stop: as good as its entry in the list. */
+  readonly isLeaving: boolean
 }
 
-export const NO_NEED: StatedNeed = { requestsPerSecond: null, restMs: null }
+export const NO_NEED: StatedNeed = { requestsPerSecond: null, restMs: null, isLeaving: false }
