Endpoints that say in their answers that they leave get no new requests, from any node

What the endpoint sees: it says so in all its answers, before its entry in the list does, and 14 of 30 requests of the node that it told still came. A request that comes later than the operators' bound after that word is lost with the endpoint.

The word now goes into the list of endpoints itself, and to all nodes with the rounds, so that requests, groups and repair see the same endpoint, whatever an older entry says until its life ends.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/EndpointKeeper.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/EndpointKeeper.test.ts
@@ -136,4 +136,25 @@
     store.put('endpoints/w1', createEndpoint('w1', '10.0.0.1:1', { leaving: true }))
     expect(keeper.current.get('w1')).to.deep.include({ leaving: true, model: null })
   })
+
+  // Guards against an entry written before the endpoint's word, and read after it, that brings the endpoint back.
+  it('takes an endpoint for leaving by its own word, until its life ends', () => {
+    const { store, keeper } = createKeeper()
+    store.put('endpoints/w1', createEndpoint('w1', '10.0.0.1:1'))
+    keeper.noteLeaving(['w1', 'unknown'])
+    store.put('endpoints/w1', createEndpoint('w1', '10.0.0.1:1', { staged: ['small'] }))
+    expect(keeper.current.get('w1')).to.deep.include({ leaving: true, staged: ['small'] })
+    store.drop('endpoints/w1')
+    store.put('endpoints/w1', createEndpoint('w1', '10.0.0.1:1'))
+    expect(keeper.current.get('w1')?.leaving).to.equal(false)
+  })
+
+  it('keeps what an endpoint\'s place is known by when it says that it leaves', () => {
+    const { store, clock, keeper } = createKeeper()
+    store.put('endpoints/w1', createEndpoint('w1', '10.0.0.1:1'))
+    const word = keeper.lastWord('w1')
+    clock.advance(1_000)
+    keeper.noteLeaving(['w1'])
+    expect(keeper.lastWord('w1')).to.deep.equal(word)
+  })
 })
--- a/packages/dotterelspur-gateway/src/__tests__/unit/ObservationCodec.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/ObservationCodec.test.ts
@@ -13,6 +13,7 @@
   deadlines: { usual: { draft: { usualSumMs: 16_500, nodes: 3 } }, leastShare: { sum: 2.75, nodes: 3 } },
   limits: { g1: { requestsPerSecond: 0.25, ageMs: 120 }, g2: { requestsPerSecond: null, ageMs: 3 } },
   rests: { g2: 1_850 },
+  leaving: ['g2'],
   nodes: 3,
   ageMs: 40,
   intervalMs: 150
--- a/packages/dotterelspur-gateway/src/__tests__/unit/PeerLinks.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/PeerLinks.test.ts
@@ -17,7 +17,7 @@
 
 function createListener (lost: string[]): PeerListener {
   return {
-    observe: () => ({ inFlight: {}, flows: {}, demand: {}, speeds: {}, pauses: {}, firstEvents: {}, deadlines: NOTHING_LEARNED, limits: {}, rests: {} }),
+    observe: () => ({ inFlight: {}, flows: {}, demand: {}, speeds: {}, pauses: {}, firstEvents: {}, deadlines: NOTHING_LEARNED, limits: {}, rests: {}, leaving: [] }),
     observed: () => {},
     suspected: () => {},
     doubted: () => {},
--- a/packages/dotterelspur-gateway/src/connection/ObservationCodec.ts
+++ b/packages/dotterelspur-gateway/src/connection/ObservationCodec.ts
@@ -25,6 +25,7 @@
   /** Absent from nodes of the former release. */
   readonly limits?: readonly number[]
   readonly rests?: readonly number[]
+  readonly leaving?: readonly number[]
 }
 
 /** The sum of all nodes' observations on a link. */
@@ -49,7 +50,7 @@
     }
   }
 
-  encode ({ inFlight, flows, demand, speeds, pauses, firstEvents, deadlines, limits, rests }: NodeObservation): CodedObservation {
+  encode ({ inFlight, flows, demand, speeds, pauses, firstEvents, deadlines, limits, rests, leaving }: NodeObservation): CodedObservation {
     return {
       inFlight: Object.entries(inFlight).flatMap(([endpoint, count]) => [this.codeOf(endpoint), count]),
       speeds: Object.entries(speeds).flatMap(([endpoint, speed]) => [this.codeOf(endpoint), hundredths(speed.ratioSum), hundredths(speed.pauses)]),
@@ -60,11 +61,12 @@
       deadlines: Object.entries(deadlines.usual).flatMap(([route, { usualSumMs, nodes }]) => [route, Math.round(usualSumMs), nodes]),
       leastDeadlineShare: [hundredths(deadlines.leastShare.sum), deadlines.leastShare.nodes],
       limits: Object.entries(limits).flatMap(([endpoint, { requestsPerSecond, ageMs }]) => [this.codeOf(endpoint), requestsPerSecond === null ? NO_LIMIT : hundredths(requestsPerSecond), Math.round(ageMs)]),
-      rests: Object.entries(rests).flatMap(([endpoint, leftMs]) => [this.codeOf(endpoint), Math.ceil(leftMs)])
+      rests: Object.entries(rests).flatMap(([endpoint, leftMs]) => [this.codeOf(endpoint), Math.ceil(leftMs)]),
+      leaving: leaving.map((endpoint) => this.codeOf(endpoint))
     }
   }
 
-  decode ({ inFlight, flows, demand, speeds, pauses, firstEvents, deadlines, leastDeadlineShare, limits = [], rests = [] }: CodedObservation): NodeObservation {
+  decode ({ inFlight, flows, demand, speeds, pauses, firstEvents, deadlines, leastDeadlineShare, limits = [], rests = [], leaving = [] }: CodedObservation): NodeObservation {
     return {
       inFlight: Object.fromEntries(this.byEndpoint(inFlight, 1).map(([endpoint, [count]]) => [endpoint, count!])),
       speeds: Object.fromEntries(this.byEndpoint(speeds, 2).map(([endpoint, [ratioSum, count]]) => [endpoint, { ratioSum: ratioSum! / HUNDREDTHS, pauses: count! / HUNDREDTHS }])),
@@ -77,7 +79,8 @@
         leastShare: { sum: leastDeadlineShare[0]! / HUNDREDTHS, nodes: leastDeadlineShare[1]! }
       },
       limits: Object.fromEntries(this.byEndpoint(limits, 2).map(([endpoint, [limit, ageMs]]) => [endpoint, { requestsPerSecond: limit === NO_LIMIT ? null : limit! / HUNDREDTHS, ageMs: ageMs! }])),
-      rests: Object.fromEntries(this.byEndpoint(rests, 1).map(([endpoint, [leftMs]]) => [endpoint, leftMs!]))
+      rests: Object.fromEntries(this.byEndpoint(rests, 1).map(([endpoint, [leftMs]]) => [endpoint, leftMs!])),
+      leaving: this.byEndpoint(leaving, 0).map(([endpoint]) => endpoint)
     }
   }
 
--- a/packages/dotterelspur-gateway/src/process/Dispatch.ts
+++ b/packages/dotterelspur-gateway/src/process/Dispatch.ts
@@ -270,6 +270,7 @@
   private noteNeed ({ endpoint }: DispatchTarget, need: StatedNeed, nowMs: number): void {
     this.needLog.note(endpoint, need)
     this.knowledge.needs.note(endpoint, need, nowMs)
+    if (need.isLeaving) this.parts.endpoints.noteLeaving([endpoint])
   }
 
   private noteEndpoints (endpoints: ReadonlyMap<EndpointId, EndpointRecord>): void {
--- a/packages/dotterelspur-gateway/src/process/EndpointKeeper.ts
+++ b/packages/dotterelspur-gateway/src/process/EndpointKeeper.ts
@@ -36,6 +36,8 @@
   private readonly versions = new Map<string, number>()
   private readonly entries = new Map<string, EndpointRecord>()
   private readonly words = new Map<EndpointId, EndpointWord>()
+  /** Endpoints that have said that they leave, whatever their entries say. */
+  private readonly leaving = new Set<EndpointId>()
   private readonly listeners = new Set<EndpointListener>()
   private wasDisconnected = false
   private listed = false
@@ -86,6 +88,20 @@
     this.commit(pending)
   }
 
+  /** Endpoints say that they leave. Their word is as good as their entries, which may come later; it holds for their life. */
+  noteLeaving (endpoints: readonly EndpointId[]): void {
+    const news = endpoints.map((endpoint) => this.snapshot.get(endpoint)).filter((record) => record !== undefined).filter(({ leaving }) => !leaving)
+    if (news.length === 0) return
+    const pending = new Map(this.snapshot)
+    for (const record of news) {
+      this.leaving.add(record.endpoint)
+      // What is known of its place rests on the same word as before.
+      pending.set(record.endpoint, { ...record, leaving: true })
+      this.logListed(pending.get(record.endpoint)!)
+    }
+    this.commit(pending)
+  }
+
   /** Whether a change, not taken in yet, concerns those who send requests: it is, or was, about one that takes them. */
   concernsCallers ({ key, body, deleted }: StoredObject<EndpointRecord | null>): boolean {
     const entry = this.entries.get(nameOf(key))
@@ -182,12 +198,17 @@
     if (isOwner) this.list(pending, record)
   }
 
-  private list (pending: Map<EndpointId, EndpointRecord>, record: EndpointRecord): void {
+  private list (pending: Map<EndpointId, EndpointRecord>, entry: EndpointRecord): void {
+    const record = this.leaving.has(entry.endpoint) ? { ...entry, leaving: true } : entry
     const former = pending.get(record.endpoint)
     pending.set(record.endpoint, record)
     this.words.set(record.endpoint, { source: WordSource.List, atMs: this.clock.nowMs() })
     const isNews = former === undefined || former.leaving !== record.leaving
-    if (isNews && this.listed) this.log.write(LogKind.EndpointListed, { endpoint: record.endpoint, service: record.service, address: record.address, leaving: record.leaving })
+    if (isNews && this.listed) this.logListed(record)
+  }
+
+  private logListed ({ endpoint, service, address, leaving }: EndpointRecord): void {
+    this.log.write(LogKind.EndpointListed, { endpoint, service, address, leaving })
   }
 
   private drop (pending: Map<EndpointId, EndpointRecord>, name: string): void {
@@ -203,6 +224,7 @@
     const record = pending.get(id)
     if (record === undefined) return
     this.words.delete(id)
+    this.leaving.delete(id)
     pending.delete(id)
     this.log.write(LogKind.EndpointUnlisted, { endpoint: id, addressPassedOn: this.hasEnded(record) })
   }
--- a/packages/dotterelspur-gateway/src/process/FleetKnowledge.ts
+++ b/packages/dotterelspur-gateway/src/process/FleetKnowledge.ts
@@ -45,7 +45,8 @@
       firstEvents: this.firstEvents.observed(),
       deadlines: this.deadlines.observed(nowMs),
       limits: this.needs.limits.observed(nowMs),
-      rests: this.needs.rests.observed(nowMs)
+      rests: this.needs.rests.observed(nowMs),
+      leaving: this.needs.leavingObserved()
     }
   }
 
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -152,7 +152,10 @@
       doubted: (heads) => { this.dispatch.noteStoppedGroups(heads, StopCertainty.Doubted) },
       nodeLost: (node) => { if (this.lease.mayOrder()) this.dropNode(node) },
       observe: () => this.dispatch.knowledge.observe(),
-      observed: (fleet) => { this.dispatch.knowledge.noteFleet(fleet) },
+      observed: (fleet) => {
+        this.endpoints.noteLeaving(fleet.leaving)
+        this.dispatch.knowledge.noteFleet(fleet)
+      },
       laterLease: (fencing) => this.lease.laterThan(fencing),
       leaseSeen: (lease) => { this.lease.noteWord(lease) },
       ownWord: () => this.ownWord(),
--- a/packages/dotterelspur/src/request/dispatch/FleetObservation.ts
+++ b/packages/dotterelspur/src/request/dispatch/FleetObservation.ts
@@ -67,6 +67,8 @@
   readonly limits: Readonly<Record<EndpointId, LimitSample>>
   /** For how much longer endpoints have asked for rest. */
   readonly rests: Readonly<Record<EndpointId, number>>
+  /** Endpoints that have said in answers to the teller that they leave. */
+  readonly leaving: readonly EndpointId[]
 }
 
 /** What all nodes together have seen. Every node gets the same one, and takes its own part off by itself. */
@@ -137,7 +139,8 @@
       leastShare: all.reduce((sum, { deadlines: { leastShare } }) => ({ sum: sum.sum + leastShare.sum, nodes: sum.nodes + leastShare.nodes }), NOTHING_LEARNED.leastShare)
     },
     limits: combine(all.map(({ limits }) => limits), latestSample),
-    rests: combine(all.map(({ rests }) => rests), Math.max)
+    rests: combine(all.map(({ rests }) => rests), Math.max),
+    leaving: [...new Set(all.flatMap(({ leaving }) => leaving))]
   }
 }
 
--- a/packages/dotterelspur/src/request/dispatch/__tests__/unit/FleetObservation.test.ts
+++ b/packages/dotterelspur/src/request/dispatch/__tests__/unit/FleetObservation.test.ts
@@ -4,7 +4,7 @@
 import { FadedSum, ratePerMs } from '../../FadedSum.js'
 import { FleetLedger, roundMs, type NodeObservation } from '../../FleetObservation.js'
 
-const NOTHING: NodeObservation = { inFlight: {}, flows: {}, demand: {}, speeds: {}, pauses: {}, firstEvents: {}, deadlines: NOTHING_LEARNED, limits: {}, rests: {} }
+const NOTHING: NodeObservation = { inFlight: {}, flows: {}, demand: {}, speeds: {}, pauses: {}, firstEvents: {}, deadlines: NOTHING_LEARNED, limits: {}, rests: {}, leaving: [] }
 const INTERVAL_MS = 200
 
 function observe (changes: Partial<NodeObservation>): NodeObservation {
--- a/packages/dotterelspur/src/request/dispatch/__tests__/unit/Placement.test.ts
+++ b/packages/dotterelspur/src/request/dispatch/__tests__/unit/Placement.test.ts
@@ -168,7 +168,7 @@
 
   it('says what a refusal was decided by', () => {
     const world = new PlacementWorld()
-    world.load.noteTold({ inFlight: { g0: 60 }, flows: {}, demand: {}, speeds: {}, pauses: {}, firstEvents: {}, deadlines: NOTHING_LEARNED, limits: {}, rests: {}, nodes: 8, ageMs: 0, intervalMs: 200 }, 0)
+    world.load.noteTold({ inFlight: { g0: 60 }, flows: {}, demand: {}, speeds: {}, pauses: {}, firstEvents: {}, deadlines: NOTHING_LEARNED, limits: {}, rests: {}, leaving: [], nodes: 8, ageMs: 0, intervalMs: 200 }, 0)
     const refusal = world.place([createTarget('g0')], createQuery(), 250) as PlacementRefusal
     expect(refusal.basis?.loadAgeMs).to.equal(250)
     expect(refusal.basis?.limitMs).to.equal(300)
--- a/packages/dotterelspur/src/request/need/EndpointNeeds.ts
+++ b/packages/dotterelspur/src/request/need/EndpointNeeds.ts
@@ -9,15 +9,18 @@
 export class EndpointNeeds {
   readonly limits: EndpointLimits
   readonly rests = new EndpointRests()
+  /** Endpoints that have told this node that they leave; no life of one takes that back. */
+  private readonly leaving = new Set<EndpointId>()
 
   constructor (node: NodeId) {
     this.limits = new EndpointLimits(node)
   }
 
   /** What an endpoint says with an answer to this node. */
-  note (endpoint: EndpointId, { requestsPerSecond, restMs }: StatedNeed, nowMs: number): void {
+  note (endpoint: EndpointId, { requestsPerSecond, restMs, isLeaving }: StatedNeed, nowMs: number): void {
     this.limits.note(endpoint, requestsPerSecond, nowMs)
     this.rests.note(endpoint, restMs, nowMs)
+    if (isLeaving) this.leaving.add(endpoint)
   }
 
   /** A request is sent there. */
@@ -41,9 +44,17 @@
     return (this.limits.limitOf(endpoint) ?? Infinity) / SECOND_MS
   }
 
+  /** Endpoints that have told this node that they leave. */
+  leavingObserved (): EndpointId[] {
+    return [...this.leaving]
+  }
+
   /** Forgets endpoints that are gone. */
   retain (endpoints: ReadonlySet<EndpointId>): void {
     this.limits.retain(endpoints)
     this.rests.retain(endpoints)
+    for (const endpoint of this.leaving) {
+      if (!endpoints.has(endpoint)) this.leaving.delete(endpoint)
+    }
   }
 }
