Callers whom resting endpoints hold back are told when the first rest ends

What callers saw: refused while all endpoints rest, they were told to come back within a third of their own time, and spent their one retry while all still rested. They are now told when the first endpoint may be asked again, spread over half a second, also where that is later than they will wait. A test of the order of return.

--- a/packages/dotterelspur/src/request/dispatch/Placement.ts
+++ b/packages/dotterelspur/src/request/dispatch/Placement.ts
@@ -91,6 +91,8 @@
 const PLAIN_QUEUE_FACTOR = 2
 /** Callers come back after a refusal when this part of their time has passed, spread by chance over the rest of a third. */
 const RETURN_SHARE = { least: 0.12, most: 0.3 } as const
+/** Callers that endpoints' needs hold back come back over this time: the first of them shows whether the need is over. */
+const RETURN_SPREAD_MS = 500
 
 interface Candidate {
   readonly target: DispatchTarget
@@ -213,14 +215,14 @@
   return load / target.slots * PLAIN_REQUEST_MS
 }
 
-/** Callers come back when the first endpoint may be asked again, and spread as after any refusal. */
+/** Callers come back once the first endpoint may be asked again, spread as after any refusal, also where that is later than they will wait: earlier nobody can serve them. */
 function refuseInNeed (targets: readonly DispatchTarget[], query: PlacementQuery, input: PlacementInput): PlacementRefusal {
-  const { needs, nowMs } = input
+  const { needs, random, nowMs } = input
   const freeMs = Math.min(...targets.map(({ endpoint }) => needs.waitMs(endpoint, nowMs)))
   const isLimited = targets.some(({ endpoint }) => needs.rests.waitMs(endpoint, nowMs) === 0)
   return {
     reason: isLimited ? RefusalReason.Limited : RefusalReason.Resting,
-    retryAfterMs: Math.max(returnAfterMs(query, input), Math.min(freeMs, query.leftMs * RETURN_SHARE.most)),
+    retryAfterMs: Math.max(returnAfterMs(query, input), freeMs + RETURN_SPREAD_MS * random.next()),
     basis: null
   }
 }
--- a/packages/dotterelspur/src/request/dispatch/__tests__/unit/Placement.test.ts
+++ b/packages/dotterelspur/src/request/dispatch/__tests__/unit/Placement.test.ts
@@ -5,6 +5,7 @@
 import { EndpointHealth } from '../../EndpointHealth.js'
 import { EndpointSpeeds } from '../../EndpointSpeeds.js'
 import { EndpointNeeds } from '../../../need/EndpointNeeds.js'
+import { NO_NEED } from '../../../need/StatedNeed.js'
 import { place, RefusalReason, type PlacementQuery, type PlacementRefusal } from '../../Placement.js'
 import { TargetLoad } from '../../TargetLoad.js'
 import { loadPool, poolKey, type DispatchTarget, type TargetPool } from '../../TargetPool.js'
@@ -74,6 +75,20 @@
     }
   })
 
+  // Guards against callers that spend their one retry while all endpoints still rest.
+  it('sends callers back no sooner than the first endpoint may be asked again', () => {
+    const world = new PlacementWorld()
+    const targets = [createTarget('g0'), createTarget('g1')]
+    world.needs.note('g0', { ...NO_NEED, restMs: 3_000 }, 0)
+    world.needs.note('g1', { ...NO_NEED, restMs: 5_000 }, 0)
+    for (let nowMs = 0; nowMs < 3_000; nowMs += 500) {
+      const refusal = world.place(targets, createQuery({ leftMs: 1_500 }), nowMs) as PlacementRefusal
+      expect(refusal.reason).to.equal(RefusalReason.Resting)
+      expect(nowMs + refusal.retryAfterMs).to.be.within(3_000, 3_500)
+    }
+    expect(world.place(targets, createQuery(), 3_000)).to.deep.include({ endpoint: 'g0' })
+  })
+
   it('serves more in time when nodes tell each other what they have in flight', () => {
     // Symptom: a sixth of the answers is late though slots are free. Sequence: several nodes see one group's low
     // reading and all choose it. Cause: readings come with each node's own answers only, about one a second.
