--- a/packages/dotterelspur-gateway/src/process/Dispatch.ts
+++ b/packages/dotterelspur-gateway/src/process/Dispatch.ts
@@ -1,12 +1,13 @@
 import {
-  arrangePools, declaredFirstEventMs, EndpointHealth, eventGapMs, ExchangeEnd, groupTimeMs, paceOf, place, poolKey, poolOf, RetryWindow, senderPlace,
-  type Clock, type DispatchTarget, type EndpointId, type EndpointRecord, type EngineSpec, type FailureDomainId, type ModelId, type NodeId, type PlacementRefusal, type PoolKey, type Random,
+  arrangePools, EndpointHealth, ExchangeEnd, groupTimeMs, place, poolKey, poolOf, RetryWindow, senderPlace,
+  type Clock, type DispatchTarget, type EndpointId, type EndpointRecord, type FailureDomainId, type ModelId, type NodeId, type PlacementRefusal, type PoolKey, type Random,
   type RetryWindowOptions, type Route, type Sender, type SenderPlace, type ServiceId, type StatedNeed, type TargetPool
 } from 'dotterelspur'
 import type { EndpointChannel } from '../connection/EndpointChannel.js'
 import { EndpointChannels } from '../connection/EndpointChannels.js'
 import { LogKind, type DecisionLog, type LogFields } from './DecisionLog.js'
 import { ExchangeWatch, StopCertainty, type ExchangeWatchHandle } from './ExchangeWatch.js'
+import { EngineExpectations } from './EngineExpectations.js'
 import { FleetKnowledge } from './FleetKnowledge.js'
 import type { AnswerHead, CallerHead } from './GatewayPorts.js'
 import type { ManifestKeeper } from './ManifestKeeper.js'
@@ -54,6 +55,7 @@
 export class Dispatch {
   readonly knowledge: FleetKnowledge
   readonly needLog: NeedLog
+  private readonly expectations: EngineExpectations
   private readonly health = new EndpointHealth()
   private readonly channels = new EndpointChannels()
   private readonly watch: ExchangeWatch
@@ -67,11 +69,12 @@
     const { clock, retries } = parts
     this.knowledge = new FleetKnowledge(clock, parts.log, parts.node)
     this.needLog = new NeedLog(clock, parts.log)
+    this.expectations = new EngineExpectations(parts.manifest, this.knowledge)
     const extraFromMs = parts.firstStart ? clock.nowMs() : clock.nowMs() + retries.windowMs
     this.repeats = new RetryWindow(retries, extraFromMs)
     this.watch = new ExchangeWatch(clock, {
       progressed: (target, head, gapMs) => { this.noteProgress(target, head, gapMs) },
-      pauseLimitMs: (target) => this.pauseLimitMs(target),
+      pauseLimitMs: (target) => this.expectations.pauseLimitMs(target, clock.nowMs()),
       stopped: (target, silentMs, limitMs) => { this.noteStopped(target, silentMs, limitMs) },
       mayRepeat: (service) => this.repeats.hasLeft(service, parts.senders().length, clock.nowMs())
     })
@@ -112,7 +115,7 @@
     const spentMs = this.spentMs(route, head)
     this.requestSeen = true
     this.repeats.noteRequest(service, nowMs)
-    this.knowledge.load.noteAsked(poolKey(service, this.engine(service) === null ? null : head.model), nowMs)
+    this.knowledge.load.noteAsked(poolKey(service, this.expectations.engine(service) === null ? null : head.model), nowMs)
     if (!hasSpentMuch(spentMs, route)) this.noteDemand(service, head, nowMs)
     return spentMs
   }
@@ -130,7 +133,7 @@
 
   /** Who comes back isn't counted again: else the model whose callers are refused most would seem to be asked for most. */
   private noteDemand (service: ServiceId, head: CallerHead, nowMs: number): void {
-    const engine = this.engine(service)
+    const engine = this.expectations.engine(service)
     if (engine === null || head.model === null) return
     this.knowledge.demand.note(head.model, groupTimeMs(engine, head.promptTokens, head.answerTokens * USUAL_ANSWER_SHARE), nowMs)
   }
@@ -141,7 +144,7 @@
     knowledge.check()
     const nowMs = parts.clock.nowMs()
     const sender = this.ownPlace()
-    const engine = this.engine(query.service)
+    const engine = this.expectations.engine(query.service)
     const key = poolKey(query.service, engine === null ? null : query.head.model)
     const placed = place({
       promptTokens: query.head.promptTokens,
@@ -180,7 +183,7 @@
 
   exchangeBegan (target: DispatchTarget, { route, head }: Pick<DispatchQuery, 'route' | 'head'>, mayMove: boolean, onSilent: () => void): DispatchExchange {
     const beganAtMs = this.parts.clock.nowMs()
-    const declaredMs = this.declaredFirstEventMs(target, head.promptTokens, beganAtMs)
+    const declaredMs = this.expectations.declaredFirstEventMs(target, head.promptTokens, beganAtMs)
     this.knowledge.load.begin(poolOf(target), target.endpoint, beganAtMs)
     return {
       ...this.watch.begin(target, route, mayMove, onSilent),
@@ -218,10 +221,6 @@
     return this.repeats.trySpend(service, this.parts.senders().length, this.parts.clock.nowMs())
   }
 
-  private engine (service: ServiceId): EngineSpec | null {
-    return this.parts.manifest.current?.service(service)?.engine ?? null
-  }
-
   /** The word on a group comes several times a second while it lasts: only the first is a change. */
   private doubt (head: EndpointId, basis: LogFields): void {
     const nowMs = this.parts.clock.nowMs()
@@ -235,36 +234,12 @@
     this.parts.onSuspect(endpoint, Suspicion.Paused)
   }
 
-  /** Null for plain services. */
-  private declaredFirstEventMs (target: DispatchTarget, promptTokens: number, nowMs: number): number | null {
-    const engine = this.engine(target.service)
-    if (engine === null || target.model === null) return null
-    return declaredFirstEventMs(engine, this.presentPace(engine, target, nowMs), this.knowledge.load.estimate(target.endpoint, 0, nowMs), promptTokens)
-  }
-
-  /** A slow endpoint's times are multiples of those that its engine declares; a fast one is taken for sound. */
-  private presentPace (engine: EngineSpec, target: DispatchTarget, nowMs: number): number {
-    return paceOf(engine, target) * Math.max(1, this.knowledge.speeds.slowness(target.endpoint, nowMs))
-  }
-
-  private pauseLimitMs (target: DispatchTarget): number {
-    const engine = this.engine(target.service)
-    if (engine === null || target.model === null) return Infinity
-    const nowMs = this.parts.clock.nowMs()
-    const pace = this.presentPace(engine, target, nowMs)
-    return this.knowledge.pauses.limitMs(target.model, engine, pace, this.knowledge.load.estimate(target.endpoint, 0, nowMs), nowMs)
-  }
-
   private noteProgress (target: DispatchTarget, head: AnswerHead | null, gapMs: number | null): void {
     const nowMs = this.parts.clock.nowMs()
     this.health.noteProgress(target.endpoint)
     if (head !== null && head.need !== null) this.noteNeed(target, head.need, nowMs)
     if (head !== null && head.load !== null) this.knowledge.load.noteReading(target.endpoint, head.load, nowMs)
-    const engine = this.engine(target.service)
-    if (gapMs === null || engine === null || target.model === null) return
-    const present = this.knowledge.load.estimate(target.endpoint, 0, nowMs)
-    this.knowledge.pauses.noteGap(target.model, gapMs, nowMs)
-    this.knowledge.speeds.noteGap(target.endpoint, gapMs, eventGapMs(engine, paceOf(engine, target), present), nowMs)
+    if (gapMs !== null) this.expectations.noteGap(target, gapMs, nowMs)
   }
 
   private noteNeed ({ endpoint }: DispatchTarget, need: StatedNeed, nowMs: number): void {
@@ -284,7 +259,7 @@
   }
 
   private arrange (endpoints: ReadonlyMap<EndpointId, EndpointRecord>): void {
-    this.pools = arrangePools(endpoints.values(), (service) => this.engine(service))
+    this.pools = arrangePools(endpoints.values(), (service) => this.expectations.engine(service))
     this.knowledge.arrange([...this.pools.values()])
   }
 
