What an endpoint says of its need outlives a gap in its entry

What the endpoint sees: it has said that it leaves, asked for rest or named a limit, its entry lapses or is written over by somebody else and is back, and all nodes send as if it had said nothing.

Cause: the word was dropped with the entry, as if a life had ended; a next life has another id. It is now kept for a minute (a rest until its end) and forgotten by age.

--- a/packages/dotterelspur-gateway/src/process/EndpointKeeper.ts
+++ b/packages/dotterelspur-gateway/src/process/EndpointKeeper.ts
@@ -11,6 +11,9 @@
  */
 const RETURN_GRACE_MS = 2_500
 
+/** What an endpoint that is gone said of its leaving is remembered for so long. */
+const LEAVING_MEMORY_MS = 60_000
+
 /** Where what is known of an endpoint's place comes from. */
 export enum WordSource {
   /** Its entry in the list. */
@@ -36,8 +39,8 @@
   private readonly versions = new Map<string, number>()
   private readonly entries = new Map<string, EndpointRecord>()
   private readonly words = new Map<EndpointId, EndpointWord>()
-  /** Endpoints that have said that they leave, whatever their entries say. */
-  private readonly leaving = new Set<EndpointId>()
+  /** When endpoints were last said to leave by their own word, whatever their entries say. */
+  private readonly leaving = new Map<EndpointId, number>()
   private readonly listeners = new Set<EndpointListener>()
   private wasDisconnected = false
   private listed = false
@@ -92,9 +95,10 @@
   noteLeaving (endpoints: readonly EndpointId[]): void {
     const news = endpoints.map((endpoint) => this.snapshot.get(endpoint)).filter((record) => record !== undefined).filter(({ leaving }) => !leaving)
     if (news.length === 0) return
+    this.forgetGone()
     const pending = new Map(this.snapshot)
     for (const record of news) {
-      this.leaving.add(record.endpoint)
+      this.leaving.set(record.endpoint, this.clock.nowMs())
       // What is known of its place rests on the same word as before.
       pending.set(record.endpoint, { ...record, leaving: true })
       this.logListed(pending.get(record.endpoint)!)
@@ -102,6 +106,13 @@
     this.commit(pending)
   }
 
+  /** An entry that lapsed may be back for the same life. */
+  private forgetGone (): void {
+    for (const [endpoint, saidAtMs] of this.leaving) {
+      if (!this.snapshot.has(endpoint) && this.clock.nowMs() - saidAtMs > LEAVING_MEMORY_MS) this.leaving.delete(endpoint)
+    }
+  }
+
   /** Whether a change, not taken in yet, concerns those who send requests: it is, or was, about one that takes them. */
   concernsCallers ({ key, body, deleted }: StoredObject<EndpointRecord | null>): boolean {
     const entry = this.entries.get(nameOf(key))
@@ -224,7 +235,6 @@
     const record = pending.get(id)
     if (record === undefined) return
     this.words.delete(id)
-    this.leaving.delete(id)
     pending.delete(id)
     this.log.write(LogKind.EndpointUnlisted, { endpoint: id, addressPassedOn: this.hasEnded(record) })
   }
--- a/packages/dotterelspur-gateway/src/process/FleetKnowledge.ts
+++ b/packages/dotterelspur-gateway/src/process/FleetKnowledge.ts
@@ -81,7 +81,7 @@
   retain (endpoints: ReadonlySet<EndpointId>): void {
     this.load.retain(endpoints)
     this.speeds.retain(endpoints)
-    this.needs.retain(endpoints)
+    this.needs.retain(endpoints, this.clock.nowMs())
   }
 
   /** Called before it is relied on: without fresh word of the fleet a node goes by what it sees itself. */
--- a/packages/dotterelspur/src/request/need/EndpointLimits.ts
+++ b/packages/dotterelspur/src/request/need/EndpointLimits.ts
@@ -70,12 +70,11 @@
     return Object.fromEntries([...this.heard].map(([endpoint, { requestsPerSecond, statedAtMs }]) => [endpoint, { requestsPerSecond, ageMs: nowMs - statedAtMs }]))
   }
 
-  /** Forgets endpoints that are gone: their next lives say it anew. */
-  retain (endpoints: ReadonlySet<EndpointId>): void {
-    for (const map of [this.heard, this.told, this.allowances, this.ranks]) {
-      for (const endpoint of map.keys()) {
-        if (!endpoints.has(endpoint)) map.delete(endpoint)
-      }
+  /** Forgets endpoints that are gone and have said nothing for long. */
+  retain (endpoints: ReadonlySet<EndpointId>, nowMs: number): void {
+    const gone = [...this.heard, ...this.told].filter(([endpoint, { statedAtMs }]) => !endpoints.has(endpoint) && nowMs - statedAtMs > MOST_AGE_MS)
+    for (const [endpoint] of gone) {
+      for (const map of [this.heard, this.told, this.allowances, this.ranks]) map.delete(endpoint)
     }
   }
 
--- a/packages/dotterelspur/src/request/need/EndpointNeeds.ts
+++ b/packages/dotterelspur/src/request/need/EndpointNeeds.ts
@@ -1,6 +1,7 @@
 import type { EndpointId, NodeId } from '../../process/ids.js'
 import { EndpointLimits } from './EndpointLimits.js'
 import { EndpointRests } from './EndpointRests.js'
+import { MOST_AGE_MS } from './LimitSample.js'
 import type { StatedNeed } from './StatedNeed.js'
 
 const SECOND_MS = 1_000
@@ -9,8 +10,8 @@
 export class EndpointNeeds {
   readonly limits: EndpointLimits
   readonly rests = new EndpointRests()
-  /** Endpoints that have told this node that they leave; no life of one takes that back. */
-  private readonly leaving = new Set<EndpointId>()
+  /** When endpoints last told this node that they leave; no life of one takes that back. */
+  private readonly leaving = new Map<EndpointId, number>()
 
   constructor (node: NodeId) {
     this.limits = new EndpointLimits(node)
@@ -20,7 +21,7 @@
   note (endpoint: EndpointId, { requestsPerSecond, restMs, isLeaving }: StatedNeed, nowMs: number): void {
     this.limits.note(endpoint, requestsPerSecond, nowMs)
     this.rests.note(endpoint, restMs, nowMs)
-    if (isLeaving) this.leaving.add(endpoint)
+    if (isLeaving) this.leaving.set(endpoint, nowMs)
   }
 
   /** A request is sent there. */
@@ -46,15 +47,15 @@
 
   /** Endpoints that have told this node that they leave. */
   leavingObserved (): EndpointId[] {
-    return [...this.leaving]
+    return [...this.leaving.keys()]
   }
 
-  /** Forgets endpoints that are gone. */
-  retain (endpoints: ReadonlySet<EndpointId>): void {
-    this.limits.retain(endpoints)
-    this.rests.retain(endpoints)
-    for (const endpoint of this.leaving) {
-      if (!endpoints.has(endpoint)) this.leaving.delete(endpoint)
+  /** Forgets endpoints that have been gone for long: an entry may lapse, and be back for the same life. */
+  retain (endpoints: ReadonlySet<EndpointId>, nowMs: number): void {
+    this.limits.retain(endpoints, nowMs)
+    this.rests.retain(endpoints, nowMs)
+    for (const [endpoint, saidAtMs] of this.leaving) {
+      if (!endpoints.has(endpoint) && nowMs - saidAtMs > MOST_AGE_MS) this.leaving.delete(endpoint)
     }
   }
 }
--- a/packages/dotterelspur/src/request/need/EndpointRests.ts
+++ b/packages/dotterelspur/src/request/need/EndpointRests.ts
@@ -60,12 +60,10 @@
     return this.waitMs(endpoint, nowMs) > 0 || nowMs < (this.told.get(endpoint) ?? -Infinity)
   }
 
-  /** Forgets endpoints that are gone: a next life has asked for nothing. */
-  retain (endpoints: ReadonlySet<EndpointId>): void {
-    for (const map of [this.rests, this.told]) {
-      for (const endpoint of map.keys()) {
-        if (!endpoints.has(endpoint)) map.delete(endpoint)
-      }
+  /** Forgets endpoints that are gone and whose rest is over. */
+  retain (endpoints: ReadonlySet<EndpointId>, nowMs: number): void {
+    for (const [endpoint, { untilMs }] of this.rests) {
+      if (!endpoints.has(endpoint) && nowMs >= untilMs) this.rests.delete(endpoint)
     }
   }
 }
