Entries send nothing to endpoints before the time that their refusals named

The router keeps it by EndpointRests, as the gateway does; where all that remain rest, callers are refused at once with the time of the first.

--- a/packages/dotterelspur-entry/src/request/ModelRunner.ts
+++ b/packages/dotterelspur-entry/src/request/ModelRunner.ts
@@ -1,7 +1,7 @@
 import {
   AttemptEnd, EndpointErrorKind, InterruptKind, LifecycleEffectKind, OutcomeKind, OutcomeReason, RequestSafety, RouteRefusalKind, StreamEventKind, TargetKind,
   failed, groupTargetId, notRun, runModelRequest, runProcedure, success,
-  type ChunkKind, type EffectHandlers, type GenerateRequest, type GroupTarget, type GroupView, type ModelEffects, type ModelResult, type NextEvent, type Outcome, type RequestContent, type Result,
+  type ChunkKind, type EffectHandlers, type EndpointError, type GenerateRequest, type GroupTarget, type GroupView, type ModelEffects, type ModelResult, type NextEvent, type Outcome, type RequestContent, type Result,
   type RouteAttempt, type RouteRefusal, type SendEffect
 } from 'dotterelspur'
 import type { ExchangeNote } from 'dotterelspur-poison'
@@ -165,7 +165,7 @@
     if (event === null) this.attemptEnd = AttemptEnd.Broken
     else if (!('kind' in event)) return event
     else if (event.kind === StreamEventKind.Chunk) this.noteChunk(event.chunk)
-    else if (event.kind === StreamEventKind.Error) this.attemptEnd = END_OF_ERROR[event.error.kind]
+    else if (event.kind === StreamEventKind.Error) this.noteError(event.error)
     else this.attemptEnd = event.kind === InterruptKind.Stalled ? AttemptEnd.Broken : AttemptEnd.Cancelled
     if (this.attemptEnd === AttemptEnd.Refused) this.overloaded = true
     if (isLost(event)) this.noteLoss()
@@ -173,6 +173,11 @@
     return event
   }
 
+  private noteError (error: EndpointError): void {
+    this.attemptEnd = END_OF_ERROR[error.kind]
+    if (error.kind === EndpointErrorKind.Refused && this.route !== null) this.context.router.noteRest(this.route, error.retryAfterMs, this.context.clock.nowMs())
+  }
+
   private noteLoss (): void {
     if (this.group === null) return
     const { group, formation, leaderAddress } = this.group
@@ -257,8 +262,10 @@
   [EndpointErrorKind.Malformed]: AttemptEnd.Broken
 }
 
+const OVERLOADED_BY: ReadonlySet<RouteRefusalKind> = new Set([RouteRefusalKind.AllTried, RouteRefusalKind.AllResting])
+
 /** A refusal to choose, as the outcome of a request that was never sent. */
 export function refusalOutcome (refusal: RouteRefusal): Outcome {
-  const reason = refusal.kind === RouteRefusalKind.AllTried ? OutcomeReason.Overloaded : OutcomeReason.NoReplica
+  const reason = OVERLOADED_BY.has(refusal.kind) ? OutcomeReason.Overloaded : OutcomeReason.NoReplica
   return { kind: OutcomeKind.NotRun, reason, message: refusal.message, retryAfterMs: refusal.retryAfterMs }
 }
--- a/packages/dotterelspur-entry/src/request/ServiceRunner.ts
+++ b/packages/dotterelspur-entry/src/request/ServiceRunner.ts
@@ -108,7 +108,10 @@
     const { router, clock } = this.context
     const nowMs = clock.nowMs()
     if (!('ok' in result)) return router.end(route, AttemptEnd.Cancelled, nowMs)
-    if (!result.ok) return router.end(route, result.error.kind === EndpointErrorKind.Refused ? AttemptEnd.Refused : AttemptEnd.Broken, nowMs)
+    if (!result.ok) {
+      if (result.error.kind === EndpointErrorKind.Refused) router.noteRest(route, result.error.retryAfterMs, nowMs)
+      return router.end(route, result.error.kind === EndpointErrorKind.Refused ? AttemptEnd.Refused : AttemptEnd.Broken, nowMs)
+    }
     router.firstToken(route, nowMs)
     router.end(route, AttemptEnd.Whole, nowMs)
   }
--- a/packages/dotterelspur/src/__tests__/unit/Router.test.ts
+++ b/packages/dotterelspur/src/__tests__/unit/Router.test.ts
@@ -61,6 +61,21 @@
     expect(toBusy).to.be.lessThan(40)
   })
 
+  it('sends nothing to a target before the time that its refusal named, and one attempt then', () => {
+    const { router, random } = createFixture([createTarget('a', { evidenceExpiresAtMs: 10_000 })])
+    const refused = router.begin(createTarget('a'), 0)
+    router.noteRest(refused, 3_000, 0)
+    router.end(refused, AttemptEnd.Refused, 0)
+    const early = router.decide(createQuery(), 1_000, random)
+    expect(early).to.deep.include({ ok: false })
+    expect(early.ok ? null : early.error).to.deep.include({ kind: RouteRefusalKind.AllResting, retryAfterMs: 2_000 })
+    expect(router.decide(createQuery(), 3_000, random).ok).to.equal(true)
+    const trial = router.begin(createTarget('a'), 3_000)
+    expect(router.decide(createQuery(), 3_001, random).ok).to.equal(false)
+    router.firstToken(trial, 3_002)
+    expect(router.decide(createQuery(), 3_002, random).ok).to.equal(true)
+  })
+
   it('forgets an attempt when it ends', () => {
     const { router } = createFixture([createTarget('a')])
     const attempt = router.begin(createTarget('a'), 0)
--- a/packages/dotterelspur/src/request/need/EndpointRests.ts
+++ b/packages/dotterelspur/src/request/need/EndpointRests.ts
@@ -1,5 +1,3 @@
-import type { EndpointId } from '../../process/ids.js'
-
 /** A trial after a rest that has no answer by then is followed by another one. */
 const TRIAL_MS = 1_000
 
@@ -10,19 +8,19 @@
 }
 
 /**
- * Which endpoints have turned this node away and asked for rest.
+ * Which endpoints have turned this node away and asked for rest, by the name that its user has for them.
  *
  * The load that this answers: an endpoint that turns all requests away at once holds nothing, so by its load it is the best
  * of its service and draws several times its part. It gets nothing until its rest is over, then a single request, and the others
  * once that one was taken: else all that has gone elsewhere would come back in one moment.
  */
 export class EndpointRests {
-  private readonly rests = new Map<EndpointId, Rest>()
+  private readonly rests = new Map<string, Rest>()
   /** Until when other nodes have been asked for rest. */
-  private readonly told = new Map<EndpointId, number>()
+  private readonly told = new Map<string, number>()
 
   /** What an endpoint says with an answer to this node; null where it asks for no rest. */
-  note (endpoint: EndpointId, restMs: number | null, nowMs: number): void {
+  note (endpoint: string, restMs: number | null, nowMs: number): void {
     const known = this.rests.get(endpoint)
     if (restMs !== null) this.rests.set(endpoint, { untilMs: Math.max(known?.untilMs ?? 0, nowMs + restMs), trialAtMs: null })
     // Before the end of a rest it is the answer to a request that was sent before it.
@@ -30,25 +28,25 @@
   }
 
   /** Takes in for how much longer endpoints have asked other nodes for rest. */
-  noteTold (leftMs: Readonly<Record<EndpointId, number>>, nowMs: number): void {
+  noteTold (leftMs: Readonly<Record<string, number>>, nowMs: number): void {
     this.told.clear()
     for (const [endpoint, restLeftMs] of Object.entries(leftMs)) this.told.set(endpoint, nowMs + restLeftMs)
   }
 
   /** For how much longer endpoints have asked this node for rest, to be told. */
-  observed (nowMs: number): Record<EndpointId, number> {
+  observed (nowMs: number): Record<string, number> {
     const resting = [...this.rests].filter(([, { untilMs }]) => untilMs > nowMs)
     return Object.fromEntries(resting.map(([endpoint, { untilMs }]) => [endpoint, untilMs - nowMs]))
   }
 
   /** A request is sent there. */
-  take (endpoint: EndpointId, nowMs: number): void {
+  take (endpoint: string, nowMs: number): void {
     const rest = this.rests.get(endpoint)
     if (rest !== undefined) rest.trialAtMs = nowMs
   }
 
   /** Until this node may send a request there. */
-  waitMs (endpoint: EndpointId, nowMs: number): number {
+  waitMs (endpoint: string, nowMs: number): number {
     const rest = this.rests.get(endpoint)
     if (rest === undefined) return 0
     const trialUntilMs = rest.trialAtMs === null ? -Infinity : rest.trialAtMs + TRIAL_MS
@@ -56,12 +54,12 @@
   }
 
   /** Whether it has asked this node or another one for rest. One that has asked others takes requests where all else is full. */
-  isResting (endpoint: EndpointId, nowMs: number): boolean {
+  isResting (endpoint: string, nowMs: number): boolean {
     return this.waitMs(endpoint, nowMs) > 0 || nowMs < (this.told.get(endpoint) ?? -Infinity)
   }
 
   /** Forgets endpoints that are gone and whose rest is over. */
-  retain (endpoints: ReadonlySet<EndpointId>, nowMs: number): void {
+  retain (endpoints: ReadonlySet<string>, nowMs: number): void {
     for (const [endpoint, { untilMs }] of this.rests) {
       if (!endpoints.has(endpoint) && nowMs >= untilMs) this.rests.delete(endpoint)
     }
--- a/packages/dotterelspur/src/request/routing/RouteQuery.ts
+++ b/packages/dotterelspur/src/request/routing/RouteQuery.ts
@@ -62,7 +62,9 @@
   /** All that remain are leaving. */
   AllLeaving = 'all-leaving',
   /** All that remain were tried by this request. */
-  AllTried = 'all-tried'
+  AllTried = 'all-tried',
+  /** All that remain have refused requests of this node and said when to come back. */
+  AllResting = 'all-resting'
 }
 
 export interface RouteRefusal {
--- a/packages/dotterelspur/src/request/routing/Router.ts
+++ b/packages/dotterelspur/src/request/routing/Router.ts
@@ -2,6 +2,7 @@
 import { invariant } from '../../process/invariant.js'
 import type { Random } from '../../process/Random.js'
 import { failed, success, type Result } from '../../process/Result.js'
+import { EndpointRests } from '../need/EndpointRests.js'
 import { AttemptEnd, type RouteAttempt } from './Attempt.js'
 import { selectCandidates } from './candidates.js'
 import { chooseTarget } from './choose.js'
@@ -24,6 +25,7 @@
 export class Router {
   private readonly records = new Map<TargetId, TargetRecord>()
   private readonly lanes = new Map<string, Lane>()
+  private readonly rests = new EndpointRests()
   private started = false
 
   constructor (private readonly options: RoutingOptions) {}
@@ -34,6 +36,7 @@
     for (const id of this.records.keys()) {
       if (!known.has(id)) this.records.delete(id)
     }
+    this.rests.retain(known, nowMs)
     const members = new Map<string, TargetRecord[]>()
     for (const target of [...targets].sort(byId)) {
       const key = laneKey(target)
@@ -53,7 +56,7 @@
     if (lane === undefined) {
       return failed({ kind: RouteRefusalKind.NoReplica, message: 'no replica that fits', retryAfterMs: options.retryAfterMs })
     }
-    const selection = selectCandidates(lane.records, query, nowMs, options)
+    const selection = selectCandidates(lane.records, query, nowMs, options, this.rests)
     if (!selection.ok) return failed(selection.error)
     const { local, remote } = selection.value
     const { record, cause } = chooseTarget(selection.value, { lane, query, options, nowMs, random })
@@ -64,12 +67,19 @@
   /** The attempt counts as load on the target until `end`; call it right before the send. */
   begin (target: RouteTarget, nowMs: number): RouteAttempt {
     this.records.get(target.id)?.inFlight.change(1, nowMs)
+    this.rests.take(target.id, nowMs)
     return { targetId: target.id, startedAtMs: nowMs, firstTokenAtMs: null, ended: false }
   }
 
   /** The first token, or a service's response, has arrived. */
   firstToken (attempt: RouteAttempt, nowMs: number): void {
     attempt.firstTokenAtMs ??= nowMs
+    this.rests.note(attempt.targetId, null, nowMs)
+  }
+
+  /** The target has refused an attempt and said after how long it is worth coming back. */
+  noteRest (attempt: RouteAttempt, restMs: number, nowMs: number): void {
+    this.rests.note(attempt.targetId, restMs, nowMs)
   }
 
   /** Exactly once per attempt. `tokens` is the number of tokens that arrived, 0 for services. */
--- a/packages/dotterelspur/src/request/routing/candidates.ts
+++ b/packages/dotterelspur/src/request/routing/candidates.ts
@@ -1,4 +1,5 @@
 import { failed, success, type Result } from '../../process/Result.js'
+import type { EndpointRests } from '../need/EndpointRests.js'
 import { RouteRefusalKind, type RouteQuery, type RouteRefusal } from './RouteQuery.js'
 import { TargetKind, type RouteTarget } from './RouteTarget.js'
 import type { RoutingOptions } from './RoutingOptions.js'
@@ -19,7 +20,8 @@
   records: readonly TargetRecord[],
   query: RouteQuery,
   nowMs: number,
-  options: RoutingOptions
+  options: RoutingOptions,
+  rests: EndpointRests
 ): Result<Candidates, RouteRefusal> {
   const able = records.filter((record) => canServe(record.target, query))
   if (able.length === 0) return refuse(RouteRefusalKind.NoReplica, 'no replica that fits', options)
@@ -29,8 +31,10 @@
   if (staying.length === 0) return refuse(RouteRefusalKind.AllLeaving, 'every replica is leaving', options)
   const untried = staying.filter((record) => !query.excluded.has(record.target.id))
   if (untried.length === 0) return refuse(RouteRefusalKind.AllTried, 'every replica was tried', options)
-  const sound = untried.filter((record) => !record.health.isEjected(nowMs))
-  return success(byRegion(sound.length > 0 ? sound : untried, options))
+  const awake = untried.filter((record) => rests.waitMs(record.target.id, nowMs) === 0)
+  if (awake.length === 0) return failed({ kind: RouteRefusalKind.AllResting, message: 'every replica has asked for rest', retryAfterMs: Math.min(...untried.map((record) => rests.waitMs(record.target.id, nowMs))) })
+  const sound = awake.filter((record) => !record.health.isEjected(nowMs))
+  return success(byRegion(sound.length > 0 ? sound : awake, options))
 }
 
 function canServe (target: RouteTarget, query: RouteQuery): boolean {
