A refusal for endpoints' needs names them, and trace tells what they had said

From the id of a refused request nobody could say which endpoint's limit or rest had decided. The refusal carries the first ones that may be asked again, the line of the request has them (inNeed), and trace puts what they had said before it, by any node, however long ago.

--- a/packages/dotterelspur-ctl/src/__tests__/unit/traceStory.test.ts
+++ b/packages/dotterelspur-ctl/src/__tests__/unit/traceStory.test.ts
@@ -19,6 +19,17 @@
 ].join('\n')
 
 describe('traceStory', () => {
+  it('says which needs of endpoints refused a request, however long ago they were said', () => {
+    const log = [
+      '{"time":"2026-06-04T01:10:00.000Z","node":"n2","event":"endpoint-limit","endpoint":"i-1","requestsPerSecond":1,"before":null}',
+      '{"time":"2026-06-04T01:10:01.000Z","node":"n1","event":"endpoint-rest","endpoint":"i-3","restMs":3000}',
+      '{"time":"2026-06-04T01:13:12.900Z","node":"n1","event":"request-ended","request":"r-1","refusal":"limited","targets":[],"inNeed":["i-1","i-2"]}',
+      '{"time":"2026-06-04T01:13:13.000Z","node":"n1","event":"endpoint-limit","endpoint":"i-1","requestsPerSecond":null,"before":1}'
+    ].join('\n')
+    const events = traceStory(log, 'r-1').lines.map(({ line, role }) => `${role} ${line.event} ${line.node}`)
+    expect(events).to.deep.equal([`${StoryRole.Known} endpoint-limit n2`, `${StoryRole.Subject} request-ended n1`])
+  })
+
   it('puts what a request met and what was known before around its own line', () => {
     const { lines, unreadable } = traceStory(LINES, 'r-1')
     expect(lines.map(({ line, role }) => `${role} ${line.event}`)).to.deep.equal([
--- a/packages/dotterelspur-ctl/src/request/traceStory.ts
+++ b/packages/dotterelspur-ctl/src/request/traceStory.ts
@@ -37,6 +37,8 @@
 const FLEET_EVENTS: ReadonlySet<string> = new Set(['fleet-state', 'lease-taken', 'lease-lost'])
 /** A request is refused for what was learned of its content, which may be long before. */
 const JUDGED_EVENT = 'request-judged'
+/** What endpoints said of their need, which holds for as long as they say nothing else. */
+const NEED_EVENTS: ReadonlySet<string> = new Set(['endpoint-limit', 'endpoint-rest', 'endpoint-leaving'])
 /** Stands for the head of a former group that can't be reached. */
 const GONE = 'gone'
 const COMMON_FIELDS: ReadonlySet<string> = new Set(['level', 'time', 'node', 'event', 'atMs'])
@@ -53,9 +55,11 @@
   if (first === undefined || last === undefined) return { lines: [], unreadable }
   const met = metBy(own, subject)
   const fingerprints = own.flatMap(({ fields }) => typeof fields['fingerprint'] === 'string' ? [fields['fingerprint']] : [])
+  const inNeed = own.flatMap(({ fields }) => [fields['inNeed'] ?? []].flat()).map(String)
   const story = lines.flatMap((line): StoryLine[] => {
     if (names(line, subject)) return [{ line, role: StoryRole.Subject }]
     if (line.event === JUDGED_EVENT && fingerprints.some((fingerprint) => names(line, fingerprint))) return [{ line, role: StoryRole.Known }]
+    if (NEED_EVENTS.has(line.event) && line.timeMs <= last.timeMs && inNeed.some((endpoint) => names(line, endpoint))) return [{ line, role: StoryRole.Known }]
     const isNear = line.timeMs >= first.timeMs - BEFORE_MS && line.timeMs <= last.timeMs + AFTER_MS
     return isNear && line.event !== 'request-ended' && [...met].some((name) => names(line, name)) ? [{ line, role: StoryRole.Met }] : []
   })
--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -185,6 +185,7 @@
       answeredWith: report.answeredWith ?? undefined,
       refusal: report.end.refusal?.reason,
       ...roundedBasis(report.end.refusal),
+      inNeed: inNeedOf(report.end.refusal),
       targets: report.targets,
       firstByteMs: report.firstByteMs === null ? undefined : Math.round(report.firstByteMs),
       tookMs: Math.round(tookMs),
@@ -195,6 +196,11 @@
   }
 }
 
+/** Endpoints whose need decided a refusal, for its log line; undefined where none did. */
+function inNeedOf (refusal: PlacementRefusal | null): readonly string[] | undefined {
+  return refusal === null || refusal.inNeed.length === 0 ? undefined : refusal.inNeed
+}
+
 /** What a refusal was decided by, for its log line. */
 function roundedBasis (refusal: PlacementRefusal | null): Readonly<Record<string, number | null>> {
   if (refusal === null || refusal.basis === null) return {}
--- a/packages/dotterelspur/src/request/dispatch/Placement.ts
+++ b/packages/dotterelspur/src/request/dispatch/Placement.ts
@@ -1,4 +1,4 @@
-import type { FailureDomainId } from '../../process/ids.js'
+import type { EndpointId, FailureDomainId } from '../../process/ids.js'
 import type { Random } from '../../process/Random.js'
 import type { EndpointNeeds } from '../need/EndpointNeeds.js'
 import type { EndpointHealth } from './EndpointHealth.js'
@@ -25,6 +25,8 @@
   readonly retryAfterMs: number
   /** What it was decided by, for the log; null where there is no endpoint. */
   readonly basis: PlacementBasis | null
+  /** Endpoints that would have taken it but for their need, the first ones that may be asked again. */
+  readonly inNeed: readonly EndpointId[]
 }
 
 /** Why the best endpoint was not good enough. */
@@ -93,6 +95,8 @@
 const RETURN_SHARE = { least: 0.12, most: 0.3 } as const
 /** Callers that endpoints' needs hold back come back over this time: the first of them shows whether the need is over. */
 const RETURN_SPREAD_MS = 500
+/** Endpoints in need that a refusal names. */
+const MOST_IN_NEED = 4
 
 interface Candidate {
   readonly target: DispatchTarget
@@ -110,14 +114,14 @@
  */
 export function place (query: PlacementQuery, input: PlacementInput): DispatchTarget | PlacementRefusal {
   const targets = suitableTargets(query, input)
-  if (targets.length === 0) return { reason: RefusalReason.NoEndpoint, retryAfterMs: Math.min(NO_ENDPOINT_RETRY_MS, query.leftMs * RETURN_SHARE.most), basis: null }
+  if (targets.length === 0) return { reason: RefusalReason.NoEndpoint, retryAfterMs: Math.min(NO_ENDPOINT_RETRY_MS, query.leftMs * RETURN_SHARE.most), basis: null, inNeed: [] }
   const open = targets.filter(({ endpoint }) => input.needs.mayTake(endpoint, input.nowMs))
   if (open.length === 0) return refuseInNeed(targets, query, input)
   const best = bestDrawn(query, input) ?? bestOf(open, query, input)
   const longestMs = limitMs(best.target, query, input)
   if (best.expectedMs <= longestMs && hasRoom(best.target, longestMs, query, input)) return best.target
   const basis: PlacementBasis = { expectedMs: best.expectedMs, limitMs: longestMs, loadAgeMs: input.load.toldAgeMs(input.nowMs) }
-  return { reason: RefusalReason.Full, retryAfterMs: returnAfterMs(query, input), basis }
+  return { reason: RefusalReason.Full, retryAfterMs: returnAfterMs(query, input), basis, inNeed: [] }
 }
 
 function suitableTargets (query: PlacementQuery, { pool }: PlacementInput): readonly DispatchTarget[] {
@@ -218,12 +222,13 @@
 /** Callers come back once the first endpoint may be asked again, spread as after any refusal, also where that is later than they will wait: earlier nobody can serve them. */
 function refuseInNeed (targets: readonly DispatchTarget[], query: PlacementQuery, input: PlacementInput): PlacementRefusal {
   const { needs, random, nowMs } = input
-  const freeMs = Math.min(...targets.map(({ endpoint }) => needs.waitMs(endpoint, nowMs)))
+  const waits = targets.map(({ endpoint }) => ({ endpoint, waitMs: needs.waitMs(endpoint, nowMs) })).sort((left, right) => left.waitMs - right.waitMs)
   const isLimited = targets.some(({ endpoint }) => needs.rests.waitMs(endpoint, nowMs) === 0)
   return {
     reason: isLimited ? RefusalReason.Limited : RefusalReason.Resting,
-    retryAfterMs: Math.max(returnAfterMs(query, input), freeMs + RETURN_SPREAD_MS * random.next()),
-    basis: null
+    retryAfterMs: Math.max(returnAfterMs(query, input), waits[0]!.waitMs + RETURN_SPREAD_MS * random.next()),
+    basis: null,
+    inNeed: waits.slice(0, MOST_IN_NEED).map(({ endpoint }) => endpoint)
   }
 }
 
--- a/packages/dotterelspur/src/request/dispatch/__tests__/unit/Placement.test.ts
+++ b/packages/dotterelspur/src/request/dispatch/__tests__/unit/Placement.test.ts
@@ -83,7 +83,7 @@
     world.needs.note('g1', { ...NO_NEED, restMs: 5_000 }, 0)
     for (let nowMs = 0; nowMs < 3_000; nowMs += 500) {
       const refusal = world.place(targets, createQuery({ leftMs: 1_500 }), nowMs) as PlacementRefusal
-      expect(refusal.reason).to.equal(RefusalReason.Resting)
+      expect(refusal).to.deep.include({ reason: RefusalReason.Resting, inNeed: ['g0', 'g1'] })
       expect(nowMs + refusal.retryAfterMs).to.be.within(3_000, 3_500)
     }
     expect(world.place(targets, createQuery(), 3_000)).to.deep.include({ endpoint: 'g0' })
--- a/packages/dotterelspur/src/request/dispatch/__tests__/unit/runDispatch.test.ts
+++ b/packages/dotterelspur/src/request/dispatch/__tests__/unit/runDispatch.test.ts
@@ -4,7 +4,7 @@
 import type { DispatchTarget } from '../../TargetPool.js'
 import { DispatchEffectKind, DispatchEndKind, runDispatch, type DispatchEnd, type DispatchOrder, type ExchangeReport } from '../../runDispatch.js'
 
-const FULL: PlacementRefusal = { reason: RefusalReason.Full, retryAfterMs: 100, basis: null }
+const FULL: PlacementRefusal = { reason: RefusalReason.Full, retryAfterMs: 100, basis: null, inNeed: [] }
 
 interface Script {
   readonly order: DispatchOrder
