Limits: an endpoint's silence moves its owners on only while all nodes share what they hear

What the endpoint sees: with no node that adds up, 20 nodes sent 15 requests in 4 s at a limit of 1 a second, 63 nodes 26 at 3 a second, where 11 and 23 are allowed.

Cause: who gets no answer takes the endpoint for silent after 6 s and counts itself among the next owners; without others' words each node does so at its own time.

The test of passing on was too weak: with three nodes all own a limit of 1 from the start. It now has eight nodes, of which three own at a time, and each in turn.

--- a/packages/dotterelspur/src/request/need/EndpointLimits.ts
+++ b/packages/dotterelspur/src/request/need/EndpointLimits.ts
@@ -12,6 +12,8 @@
 /** While an endpoint says nothing, its owners pass it on after this time, and after this many of their usual pauses. */
 const TURN_LEAST_MS = 6_000
 const TURN_PAUSES = 6
+/** Without others' words for so long, that an endpoint says nothing to this node is no sign that it says nothing at all. */
+const SHARED_MS = 2_000
 const SECOND_MS = 1_000
 
 interface LimitWord {
@@ -33,6 +35,7 @@
   /** The newest of what they said to others. */
   private readonly told = new Map<EndpointId, LimitWord>()
   private readonly allowances = new Map<EndpointId, TokenBucket>()
+  private sharedAtMs = -Infinity
   private nodes: readonly NodeId[]
   private readonly ranks = new Map<EndpointId, number>()
 
@@ -55,6 +58,7 @@
 
   /** Takes in what endpoints said to other nodes. */
   noteTold (samples: Readonly<Record<EndpointId, LimitSample>>, nowMs: number): void {
+    this.sharedAtMs = nowMs
     for (const [endpoint, { requestsPerSecond, ageMs }] of Object.entries(samples)) {
       const word = { requestsPerSecond, statedAtMs: nowMs - ageMs }
       const known = this.told.get(endpoint)
@@ -103,7 +107,8 @@
     const word = this.wordOf(endpoint)
     if (word === undefined || word.requestsPerSecond === null) return 0
     const perSecond = Math.max(TRIALS_PER_SECOND, word.requestsPerSecond)
-    const isOwner = this.isOwner(endpoint, perSecond, nowMs - word.statedAtMs)
+    const silentMs = nowMs - this.sharedAtMs > SHARED_MS ? 0 : nowMs - word.statedAtMs
+    const isOwner = this.isOwner(endpoint, perSecond, silentMs)
     return isOwner ? this.fill(endpoint, nowMs).waitMs(1, nowMs) : SECOND_MS / perSecond
   }
 
--- a/packages/dotterelspur/src/request/need/__tests__/unit/EndpointLimits.test.ts
+++ b/packages/dotterelspur/src/request/need/__tests__/unit/EndpointLimits.test.ts
@@ -49,6 +49,18 @@
     }
   })
 
+  // Guards against nodes that each take an endpoint's silence towards themselves for its silence towards all.
+  for (const silence of [{ tells: false }, { silentFromMs: 0 }, { silentFromMs: 6_000 }]) {
+    it(`keeps to limits while no node adds up what all see (${JSON.stringify(silence)})`, () => {
+      const loadSteps = Array.from({ length: 15 }, () => 0.6)
+      for (const nodes of [8, 20, 63]) {
+        for (const requestsPerSecond of [1, 3]) {
+          for (const seed of [1, 2, 3, 4]) expect(mostInWindow(replay({ requestsPerSecond }, { nodes, seed, loadSteps, ...silence })), `${nodes} nodes, ${requestsPerSecond} a second`).to.be.at.most(allowed(requestsPerSecond))
+        }
+      }
+    }).timeout(60_000)
+  }
+
   it('keeps to a limit that has fallen from one answer to the next', () => {
     const fallenAtMs = 6_000
     const outcome = replay({ requestsPerSecond: 50, then: { requestsPerSecond: 1, fromMs: fallenAtMs } }, { nodes: 63 })
@@ -101,14 +113,18 @@
 
   it('moves on to other nodes when an endpoint is asked by none of its owners', () => {
     // Guards against an endpoint that nobody asks any more, since its only owner has no requests for it.
-    const nodes = ['n1', 'n2', 'n3']
+    const nodes = Array.from({ length: 8 }, (_unused, index) => `n${index}`)
     const all = nodes.map((node) => new EndpointLimits(node))
-    for (const limits of all) {
-      limits.noteNodes(nodes)
-      limits.noteTold({ e1: { requestsPerSecond: 1, ageMs: 0 } }, 0)
-    }
+    for (const limits of all) limits.noteNodes(nodes)
     const owners = new Set<number>()
-    for (let nowMs = 0; nowMs < 15_000; nowMs += 100) all.forEach((limits, index) => { if (limits.mayTake('e1', nowMs)) owners.add(index) })
-    expect(owners.size).to.equal(3)
+    let mostAtOnce = 0
+    for (let nowMs = 0; nowMs < 55_000; nowMs += 100) {
+      for (const limits of all) limits.noteTold({ e1: { requestsPerSecond: 0.5, ageMs: nowMs } }, nowMs)
+      const now = [...all.keys()].filter((index) => all[index]!.mayTake('e1', nowMs))
+      now.forEach((index) => { owners.add(index) })
+      mostAtOnce = Math.max(mostAtOnce, now.length)
+    }
+    expect(owners.size).to.equal(nodes.length)
+    expect(mostAtOnce).to.equal(3)
   })
 })
