Nodes: an entry that is no node's stands for none, instead of ending each node that reads it

What callers would see: all nodes end within a second of such an entry, and again at each start. Cause: bodies of the nodes' entries were read unchecked, in timers; endpoints' entries and manifests are checked. They are read by readNodeRecord now; one that is none is left out with a line (entry-rejected), and a node whose own entry was written over writes it again.

--- a/packages/dotterelspur-gateway/src/process/DecisionLog.ts
+++ b/packages/dotterelspur-gateway/src/process/DecisionLog.ts
@@ -32,7 +32,7 @@
   HostStaged = 'host-staged',
   /** Now and then: what the fleet is made of, as the deciding node sees it. */
   FleetState = 'fleet-state',
-  /** Somebody else's entry stands where an endpoint's should. */
+  /** Somebody else's entry stands where an endpoint's or a node's should. */
   EntryRejected = 'entry-rejected',
   /** The list as it was when the process first read it; from then on each change has its line. */
   EndpointsRead = 'endpoints-read',
--- a/packages/dotterelspur-gateway/src/process/NodeKeeper.ts
+++ b/packages/dotterelspur-gateway/src/process/NodeKeeper.ts
@@ -4,6 +4,8 @@
 
 export const NODE_PREFIX = 'nodes/'
 
+const ADDRESS = /^[\d.]+:\d{1,5}$/
+
 /** Between two tries to write the own entry. */
 const REGISTER_RETRY_MS = 400
 
@@ -19,6 +21,18 @@
   readonly incarnation: number
 }
 
+/** Reads an entry that a node wrote; null where it is none. */
+function readNodeRecord (body: unknown): NodeRecord | null {
+  if (typeof body !== 'object' || body === null) return null
+  const { node, failureDomain, callers, peers, incarnation } = body as Partial<NodeRecord>
+  const isNamed = typeof node === 'string' && typeof failureDomain === 'string' && Number.isFinite(incarnation)
+  return isNamed && [callers, peers].every(isAddress) ? body as NodeRecord : null
+}
+
+function isAddress (value: unknown): boolean {
+  return typeof value === 'string' && ADDRESS.test(value)
+}
+
 /** What a node writes of itself. */
 export function nodeRecord (settings: GatewaySettings, incarnation: number): NodeRecord {
   return { node: settings.node, failureDomain: settings.failureDomain, callers: addressOf(settings.callers), peers: addressOf(settings.peers), incarnation }
@@ -41,7 +55,7 @@
   }
 
   follow (): Teardown {
-    return this.store.watch<NodeRecord>(NODE_PREFIX, (event) => { this.take(event) })
+    return this.store.watch<unknown>(NODE_PREFIX, (event) => { this.take(event) })
   }
 
   /** Writes the own entry; goes on trying while the store is out. */
@@ -82,37 +96,45 @@
     const created = await this.store.create(this.key(), this.self)
     if (created.ok) return true
     if (created.error.kind !== StoreErrorKind.Conflict) return false
-    const found = await this.store.get<NodeRecord>(this.key())
+    const found = await this.store.get<unknown>(this.key())
     if (!found.ok) return false
-    if (found.value.body.incarnation === this.self.incarnation) return true
+    if (readNodeRecord(found.value.body)?.incarnation === this.self.incarnation) return true
     const updated = await this.store.update(this.key(), this.self, found.value.version)
     return updated.ok
   }
 
-  private take (event: WatchEvent<NodeRecord>): void {
+  private take (event: WatchEvent<unknown>): void {
     if (event.kind === WatchEventKind.Object) this.offer(event.object)
     if (event.kind === WatchEventKind.Listing) this.takeListing(event.listing.objects)
     const isWhole = event.kind === WatchEventKind.Listing || (event.kind === WatchEventKind.Object && event.hasMore !== true)
     if (isWhole && this.added.length > 0) this.log.write(LogKind.NodeListed, { peers: this.added.splice(0), nodes: this.nodes().length })
   }
 
-  private takeListing (objects: ReadonlyArray<StoredObject<NodeRecord>>): void {
+  private takeListing (objects: ReadonlyArray<StoredObject<unknown>>): void {
     const found = new Set(objects.map(({ key }) => key.slice(NODE_PREFIX.length)))
     for (const node of [...this.records.keys()].filter((known) => !found.has(known))) this.forget(node)
     for (const object of objects) this.offer(object)
   }
 
-  private offer (object: StoredObject<NodeRecord>): void {
+  private offer (object: StoredObject<unknown>): void {
     const node = object.key.slice(NODE_PREFIX.length)
     const known = this.records.get(node)
+    const body = readNodeRecord(object.body)
     // A deletion may carry the version of the object that was deleted.
     if (object.deleted) return known === undefined || object.version < known.version ? undefined : this.forget(node)
     if (known !== undefined && object.version <= known.version) return
-    this.records.set(node, object)
+    if (body === null) return this.rejectEntry(node, object.version)
+    this.records.set(node, { ...object, body })
     this.snapshot = null
     if (known === undefined) this.added.push(node)
   }
 
+  /** An entry that is no node's stands for none, and for nobody who stood there before. A node whose entry it was writes itself again. */
+  private rejectEntry (node: NodeId, version: number): void {
+    this.log.write(LogKind.EntryRejected, { where: `${NODE_PREFIX}${node}`, version, reason: 'no node\'s entry' })
+    this.forget(node)
+  }
+
   private forget (node: NodeId): void {
     this.snapshot = null
     if (this.records.delete(node)) this.log.write(LogKind.NodeUnlisted, { peer: node })
