Peers: a record of a request that is none is left out, instead of ending each node that is told it

What callers would see: a node of another version, or a spoilt frame, tells a record without ends; each node that reads it ends in the next look at what is believed, a fifth of a second later, outside of what catches what frames throw. Cause: records from the lease were checked, those from links were not. Both come through one check now.

--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -97,7 +97,7 @@
       read: () => ({ learned: this.dispatch.knowledge.memory, suspects: this.poison.suspects() }),
       note: ({ learned, suspects }) => {
         this.dispatch.knowledge.noteMemory(learned)
-        this.poison.noteKept(suspects)
+        this.poison.noteTold(suspects)
       }
     })
     this.firstKnowledge = new FirstKnowledge(clock, this.manifest, this.endpoints, [this.quarantine, this.lease])
--- a/packages/dotterelspur-gateway/src/process/PoisonKeeper.ts
+++ b/packages/dotterelspur-gateway/src/process/PoisonKeeper.ts
@@ -89,8 +89,10 @@
     this.logLoss(loss, ended, mayBlame)
   }
 
-  /** What other nodes know. */
-  noteTold (records: readonly PoisonRecord[]): void {
+  /** What other nodes know, or nodes of a former life; what is no record is left out. */
+  noteTold (told: unknown): void {
+    const records = readPoisonRecords(told)
+    if (records.length === 0) return
     const changed = this.guard.ledger.merge(records, this.parts.clock.nowMs())
     if (changed.length > 0) this.parts.tell([], changed.filter(concernsOthers))
   }
@@ -103,12 +105,6 @@
     return this.known(true).filter(({ fingerprint }) => suspected.has(fingerprint)).slice(0, MOST_KEPT)
   }
 
-  /** What nodes of a former life knew. */
-  noteKept (written: unknown): void {
-    const records = readPoisonRecords(written)
-    if (records.length > 0) this.noteTold(records)
-  }
-
   /** What a node that has just been linked is told; all of it where that node adds up. */
   known (all: boolean): PoisonRecord[] {
     const records = this.guard.ledger.told(this.parts.clock.nowMs(), all)
