Failing test: an endpoint that is new and leaves within one batch is taken for staying by all nodes but one

The logs: the deciding node lists the endpoint and, in the same millisecond, as leaving; all others list it and never hear that it leaves.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/FollowedStore.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/FollowedStore.test.ts
@@ -18,6 +18,9 @@
 /** Longer than any rest after an answer, shorter than the validity of a word. */
 const REST_OVER_MS = 600
 
+/** The body of an endpoint that takes no requests any more. */
+const LEAVING = 'leaving'
+
 /** A node that follows the endpoints: what it was told, and what it shares. */
 interface FollowingNode {
   readonly followed: FollowedStore
@@ -31,7 +34,7 @@
     decides,
     seen: [],
     shared: [],
-    followed: new FollowedStore({ store, clock, random: createRandom(1), log: createLog(clock), decides: () => node.decides, nodeCount: () => 3, firstWordMs, changes: BOUNDS, share: (news) => { node.shared.push(news) }, concernsCallers: ({ key }) => !key.includes('member') })
+    followed: new FollowedStore({ store, clock, random: createRandom(1), log: createLog(clock), decides: () => node.decides, nodeCount: () => 3, firstWordMs, changes: BOUNDS, share: (news) => { node.shared.push(news) }, concernsCallers: ({ key, body }) => !key.includes('member') && body !== LEAVING })
   }
   node.followed.watch(prefix, (event) => {
     node.seen.push(event.kind === WatchEventKind.Object ? `${event.object.key} ${event.object.deleted ? 'gone' : 'there'}` : event.kind)
@@ -101,6 +104,22 @@
     expect(asked(store).filter((call) => !call.endsWith(' 1000')), 'the decider waits 1 s a question').to.deep.equal([])
   })
 
+  // Guards against an endpoint that the deciding node alone knows to leave: each change was judged by what was known before the batch.
+  it('passes on what undoes a change of the same batch that concerned callers', async () => {
+    const store = new MemoryStore()
+    const clock = new ManualClock()
+    const decider = follow(store, clock, true)
+    await settle()
+    await pass(clock, REST_OVER_MS)
+    decider.shared.splice(0)
+    store.put('endpoints/head-1', {})
+    store.put('endpoints/head-1', LEAVING)
+    store.put('endpoints/member-1', LEAVING)
+    await pass(clock, REST_OVER_MS)
+    const shared = decider.shared.flatMap(({ objects }) => objects.map(({ key, body }) => `${key} ${body === LEAVING ? LEAVING : 'there'}`))
+    expect(shared).to.deep.equal(['endpoints/head-1 there', `endpoints/head-1 ${LEAVING}`])
+  })
+
   it('passes on only what concerns callers, and reads all of it once it decides itself', async () => {
     // Symptom: before 195 nodes no group forms for a minute. Sequence: each of 760 endpoints changes three times while its
     // group forms, and all of it goes to 194 nodes over one link. Cause: members were told of, which no caller needs.
