Feed: what takes back a change of the same batch is passed on with it

What callers saw: requests at a worker that had said 2.1 s before that it leaves, and will be gone with them. Cause: which changes go to the other nodes was judged for each by what was known before the batch; an entry that is new and leaves within one batch was passed on as new, its leaving was not.

--- a/packages/dotterelspur-gateway/src/process/FollowedStore.ts
+++ b/packages/dotterelspur-gateway/src/process/FollowedStore.ts
@@ -235,8 +235,16 @@
   /** What the others are told of a batch. Changes that aren't passed on leave a gap in the news, upon which each node asks the store. */
   private sharedPart ({ prefix, rule, changedVersion: sinceVersion }: Follower, { objects, version }: ChangeBatch): FeedNews {
     if (!rule.isPassedOn && objects.length > 0) return { prefix, sinceVersion: version, objects: [], version }
-    const shared = rule.isFiltered ? objects.filter((object) => this.parts.concernsCallers(object)) : objects
-    return { prefix, sinceVersion, objects: shared, version }
+    return { prefix, sinceVersion, objects: rule.isFiltered ? this.concerning(objects) : objects, version }
+  }
+
+  /** Changes are judged by what was known before the batch: one that takes back another of the batch goes with it. */
+  private concerning (objects: ChangeBatch['objects']): ChangeBatch['objects'] {
+    const passedOn = new Set<string>()
+    return objects.filter((object) => {
+      if (this.parts.concernsCallers(object)) passedOn.add(object.key)
+      return passedOn.has(object.key)
+    })
   }
 
   /** Without this wait, each node of a fleet that starts would ask for each of the others' entries. */
