--- a/packages/dotterelspur-gateway/src/__tests__/unit/NodeKeeper.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/NodeKeeper.test.ts
@@ -39,4 +39,15 @@
     await keeper.drop({ node: 'n2', incarnation: 7 })
     expect(keeper.nodes()).to.have.length(1)
   })
+
+  // Guards against a directory that names a lost node for as long as the store turns away who knows that it is lost.
+  it('names a node no more that gave no sign, also while the store turns this one away', async () => {
+    const store = new MemoryStore()
+    const keeper = new NodeKeeper(store, SELF, new ManualClock(), createLog())
+    keeper.follow()
+    store.put('nodes/n2', OTHER)
+    store.cut()
+    await keeper.drop({ node: 'n2', incarnation: 7 })
+    expect(keeper.nodes().map(({ node }) => node)).to.deep.equal(['n1'])
+  })
 })
