--- a/packages/dotterelspur-gateway/src/process/Dispatch.ts
+++ b/packages/dotterelspur-gateway/src/process/Dispatch.ts
@@ -269,7 +269,7 @@
     if (known !== this.arrangedSenders) {
       this.arrangedSenders = known
       this.sender = senderPlace(known, { node, failureDomain })
-      this.knowledge.needs.limits.noteNodes(known.map((known) => known.node))
+      this.knowledge.needs.limits.noteNodes(known.map((sender) => sender.node))
     }
     return this.sender
   }
--- a/packages/dotterelspur-gateway/src/process/EndpointKeeper.ts
+++ b/packages/dotterelspur-gateway/src/process/EndpointKeeper.ts
@@ -1,4 +1,4 @@
-import { takesRequests, WatchEventKind, type Clock, type EndpointId, type EndpointRecord, type ObjectListing, type ObjectStore, type ServiceId, type StoredObject, type Teardown, type WatchEvent } from 'dotterelspur'
+import { NEED_MEMORY_MS, takesRequests, WatchEventKind, type Clock, type EndpointId, type EndpointRecord, type ObjectListing, type ObjectStore, type ServiceId, type StoredObject, type Teardown, type WatchEvent } from 'dotterelspur'
 import { AddressOwners } from './AddressOwners.js'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
 
@@ -11,9 +11,6 @@
  */
 const RETURN_GRACE_MS = 2_500
 
-/** What an endpoint that is gone said of its leaving is remembered for so long. */
-const LEAVING_MEMORY_MS = 60_000
-
 /** Where what is known of an endpoint's place comes from. */
 export enum WordSource {
   /** Its entry in the list. */
@@ -109,7 +106,7 @@
   /** An entry that lapsed may be back for the same life. */
   private forgetGone (): void {
     for (const [endpoint, saidAtMs] of this.leaving) {
-      if (!this.snapshot.has(endpoint) && this.clock.nowMs() - saidAtMs > LEAVING_MEMORY_MS) this.leaving.delete(endpoint)
+      if (!this.snapshot.has(endpoint) && this.clock.nowMs() - saidAtMs > NEED_MEMORY_MS) this.leaving.delete(endpoint)
     }
   }
 
--- a/packages/dotterelspur-gateway/src/process/registerGauges.ts
+++ b/packages/dotterelspur-gateway/src/process/registerGauges.ts
@@ -1,6 +1,6 @@
 import type { CallerListener } from '../connection/CallerListener.js'
-import type { Dispatch } from './Dispatch.js'
 import type { DecisionLog } from './DecisionLog.js'
+import type { Dispatch } from './Dispatch.js'
 import type { EndpointKeeper } from './EndpointKeeper.js'
 import type { FleetLease } from './FleetLease.js'
 import type { FollowedStore } from './FollowedStore.js'
--- a/packages/dotterelspur/src/request/need/EndpointLimits.ts
+++ b/packages/dotterelspur/src/request/need/EndpointLimits.ts
@@ -1,7 +1,7 @@
 import type { EndpointId, NodeId } from '../../process/ids.js'
 import { rendezvousOrder } from '../../process/rendezvous.js'
 import { TokenBucket } from '../admission/TokenBucket.js'
-import { isNewer, MOST_AGE_MS, type LimitSample } from './LimitSample.js'
+import { isNewer, NEED_MEMORY_MS, type LimitSample } from './LimitSample.js'
 
 /** Owners for each request a second of a limit: a node of a large fleet gets about as few requests of a service as such an owner may send. */
 const OWNERS_PER_REQUEST = 6
@@ -76,7 +76,7 @@
 
   /** Forgets endpoints that are gone and have said nothing for long. */
   retain (endpoints: ReadonlySet<EndpointId>, nowMs: number): void {
-    const gone = [...this.heard, ...this.told].filter(([endpoint, { statedAtMs }]) => !endpoints.has(endpoint) && nowMs - statedAtMs > MOST_AGE_MS)
+    const gone = [...this.heard, ...this.told].filter(([endpoint, { statedAtMs }]) => !endpoints.has(endpoint) && nowMs - statedAtMs > NEED_MEMORY_MS)
     for (const [endpoint] of gone) {
       for (const map of [this.heard, this.told, this.allowances, this.ranks]) map.delete(endpoint)
     }
@@ -164,7 +164,7 @@
 
   private dropOld (words: Map<EndpointId, LimitWord>, nowMs: number): void {
     for (const [endpoint, { statedAtMs }] of words) {
-      if (nowMs - statedAtMs > MOST_AGE_MS) words.delete(endpoint)
+      if (nowMs - statedAtMs > NEED_MEMORY_MS) words.delete(endpoint)
     }
   }
 }
--- a/packages/dotterelspur/src/request/need/EndpointNeeds.ts
+++ b/packages/dotterelspur/src/request/need/EndpointNeeds.ts
@@ -1,7 +1,7 @@
 import type { EndpointId, NodeId } from '../../process/ids.js'
 import { EndpointLimits } from './EndpointLimits.js'
 import { EndpointRests } from './EndpointRests.js'
-import { MOST_AGE_MS } from './LimitSample.js'
+import { NEED_MEMORY_MS } from './LimitSample.js'
 import type { StatedNeed } from './StatedNeed.js'
 
 const SECOND_MS = 1_000
@@ -55,7 +55,7 @@
     this.limits.retain(endpoints, nowMs)
     this.rests.retain(endpoints, nowMs)
     for (const [endpoint, saidAtMs] of this.leaving) {
-      if (!endpoints.has(endpoint) && nowMs - saidAtMs > MOST_AGE_MS) this.leaving.delete(endpoint)
+      if (!endpoints.has(endpoint) && nowMs - saidAtMs > NEED_MEMORY_MS) this.leaving.delete(endpoint)
     }
   }
 }
--- a/packages/dotterelspur/src/request/need/LimitSample.ts
+++ b/packages/dotterelspur/src/request/need/LimitSample.ts
@@ -6,8 +6,8 @@
   readonly ageMs: number
 }
 
-/** An endpoint of which nobody has had an answer for so long is taken for one without a limit, and tried. */
-export const MOST_AGE_MS = 60_000
+/** What an endpoint said of its need is forgotten when nobody has had an answer from it for so long: it is tried. */
+export const NEED_MEMORY_MS = 60_000
 
 /** Which of two words an endpoint said later. */
 export function isNewer (left: { readonly statedAtMs: number }, right: { readonly statedAtMs: number }): boolean {
