Log when the store comes back from an older copy, and what was known then

The logs could not tell the hypotheses of docs/incidents/store-from-an-older-copy.md apart: nobody read Store-Era, no line said when a node listed a prefix, and the line on the regained feed named what the node knew but not what the lease holder had announced. What a node does is unchanged.

--- a/packages/dotterelspur-gateway/src/process/DecisionLog.ts
+++ b/packages/dotterelspur-gateway/src/process/DecisionLog.ts
@@ -18,6 +18,12 @@
   Reload = 'reload',
   DependencyLost = 'dependency-lost',
   DependencyRegained = 'dependency-regained',
+  /** The store states a new era: it came back from an older copy of its data. */
+  StoreEra = 'store-era',
+  /** An answer of the store states no valid era; the known one stays. */
+  StoreEraRejected = 'store-era-rejected',
+  /** This node has listed a prefix of the store. */
+  PrefixListed = 'prefix-listed',
   ManifestInForce = 'manifest-in-force',
   ManifestRejected = 'manifest-rejected',
   RequestEnded = 'request-ended',
--- a/packages/dotterelspur-gateway/src/process/FollowedStore.ts
+++ b/packages/dotterelspur-gateway/src/process/FollowedStore.ts
@@ -147,7 +147,7 @@
     const isFresh = !this.parts.isLeaseHolder() && this.feed.isFresh(this.parts.clock.nowMs())
     if (isFresh === this.feedWasFresh) return
     this.feedWasFresh = isFresh
-    this.parts.log.write(isFresh ? LogKind.DependencyRegained : LogKind.DependencyLost, { dependency: 'deciding node', versions: this.versions })
+    this.parts.log.write(isFresh ? LogKind.DependencyRegained : LogKind.DependencyLost, { dependency: 'deciding node', versions: this.versions, announced: this.feed.announced })
   }
 
   private isCovered ({ prefix, version, rule }: PrefixFollower): boolean {
@@ -197,6 +197,7 @@
       follower.listener({ kind: WatchEventKind.Disconnected })
       return false
     }
+    this.parts.log.write(LogKind.PrefixListed, { prefix: follower.prefix, version: listing.value.version, before: knownVersion })
     follower.listener({ kind: WatchEventKind.Connected })
     follower.listener({ kind: WatchEventKind.Listing, listing: listing.value })
     follower.version = listing.value.version
--- a/packages/dotterelspur-gateway/src/process/StoreFeed.ts
+++ b/packages/dotterelspur-gateway/src/process/StoreFeed.ts
@@ -38,6 +38,11 @@
     this.versions.set(prefix, Math.max(version, this.versions.get(prefix) ?? 0))
   }
 
+  /** Version up to which the lease holder has followed each prefix. */
+  get announced (): Readonly<Record<string, number>> {
+    return Object.fromEntries(this.versions)
+  }
+
   /** Whether the feed progress is recent enough to rely on. */
   isFresh (nowMs: number): boolean {
     return this.contactAgeMs(nowMs) < PROGRESS_VALID_MS
