Store versions carry the era of the store, so that a lost revision is never compared with a new one

What callers saw: after the store had come back from an older copy, some nodes went on by an older manifest for 2.6 s and more (CONFIG), and sent requests to an endpoint 3.4 s after it had said that it leaves (DRAIN). Cause: revisions go back and are given out again, and a revision of the lost history counted as newer than the new history. A node that had followed a prefix up to 878 took the lease holder's 'up to 861' for 'nothing new', did not ask the store, and dropped updates up to 878 as old. Where the lost revision had been passed before the node asked, its watch did not fail either, and the changes before it were skipped for good. The same comparison let all nodes contest the lease for seconds, since the new lease seemed older than the lost one. Change: a store version is the era and the revision in one ordered number (StoreVersion), made and taken apart in the adapter alone, so every comparison is right as it stands. The feed covers a prefix only within one era, and a later era that is announced makes a node list once. Between nodes the era travels in a field of its own beside the revision: nodes of the former release read what they read before, and what they send counts as era 0, so that new nodes ask the store themselves while an old one leads.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/FleetLease.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/FleetLease.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { createRandom, ManualClock } from 'dotterelspur'
+import { createRandom, ManualClock, storeVersion } from 'dotterelspur'
 import { FleetLease, FLEET_LEASE_TIMING } from '../../process/FleetLease.js'
 import { createLog } from '../fixtures/builders.js'
 import { MemoryStore } from '../fixtures/MemoryStore.js'
@@ -163,4 +163,38 @@
     await runSteps(clock, [lease], 200)
     expect(lease.mayOrder()).to.equal(true)
   })
+
+  // Guards against a lease that nobody reads any more: a node without eras, or one that has not heard of the return, broadcasts the lost lease.
+  it('ignores a broadcast lease of a former era, and goes on reading the store', async () => {
+    const store = new MemoryStore()
+    const clock = new ManualClock()
+    const [holder, other] = ['n1', 'n2'].map((node, index) => new FleetLease(store, { node, incarnation: 1 }, clock, createRandom(index), createLog(clock), () => {}))
+    await runSteps(clock, [holder!], 600)
+    store.comeBackFrom(store.copy())
+    await runSteps(clock, [holder!, other!], 1_000)
+    const lost = { ...holder!.heldLease!, version: storeVersion(0, 500) }
+    const callsBefore = store.calls
+    for (let round = 0; round < 10; round++) {
+      other!.noteLease(lost)
+      await runSteps(clock, [other!], 300)
+    }
+    expect(store.calls - callsBefore).to.be.greaterThan(3)
+  })
+
+  // Guards against a store that is asked for the lease by all nodes several times a second: the new lease counted as older than the lost one.
+  it('is challenged by no other node while its holder renews it after the store came back', async () => {
+    const store = new MemoryStore()
+    const clock = new ManualClock()
+    const [holder, other] = ['n1', 'n2'].map((node, index) => new FleetLease(store, { node, incarnation: 1 }, clock, createRandom(index), createLog(clock), () => {}))
+    await runSteps(clock, [holder!, other!], 600)
+    const copy = store.copy()
+    await runSteps(clock, [holder!, other!], 20_000)
+    store.comeBackFrom(copy)
+    await runSteps(clock, [holder!, other!], 3_000)
+    const callsBefore = store.calls
+    await runSteps(clock, [holder!, other!], 6_000)
+    expect([holder!, other!].filter((lease) => lease.mayOrder()).length).to.equal(1)
+    // Renewals every 0.7 s and reads every 0.6 s.
+    expect(store.calls - callsBefore).to.be.lessThan(22)
+  })
 })
--- a/packages/dotterelspur-gateway/src/connection/PeerFrame.ts
+++ b/packages/dotterelspur-gateway/src/connection/PeerFrame.ts
@@ -1,7 +1,6 @@
-import type { EndpointId, LeaseObject, PoisonRecord, StoredObject } from 'dotterelspur'
-import type { LeaseHolderState } from '../process/LeaseHolderState.js'
-import type { FeedUpdate } from '../process/StoreFeed.js'
+import type { EndpointId, PoisonRecord } from 'dotterelspur'
 import type { EncodedFleetObservation, EncodedObservation } from './ObservationCodec.js'
+import type { EncodedFeedUpdate, EncodedHolderState, EncodedLease } from './StoreVersionCodec.js'
 
 export enum PeerFrameKind {
   /** The sender suspects a group: its streams have paused, or its head refuses requests for lack of a member. */
@@ -36,7 +35,7 @@
   | { readonly kind: PeerFrameKind.SuspectedGroups, readonly heads: readonly EndpointId[] }
   | { readonly kind: PeerFrameKind.NodeObserved, readonly observation: EncodedObservation }
   | { readonly kind: PeerFrameKind.FleetObserved, readonly observation: EncodedFleetObservation, readonly fencing: number }
-  | { readonly kind: PeerFrameKind.NewerLease, readonly lease: StoredObject<LeaseObject> }
-  | { readonly kind: PeerFrameKind.LeaseHolderState, readonly word: LeaseHolderState }
-  | { readonly kind: PeerFrameKind.FeedUpdate, readonly news: FeedUpdate }
+  | { readonly kind: PeerFrameKind.NewerLease, readonly lease: EncodedLease }
+  | { readonly kind: PeerFrameKind.LeaseHolderState, readonly word: EncodedHolderState }
+  | { readonly kind: PeerFrameKind.FeedUpdate, readonly news: EncodedFeedUpdate }
   | { readonly kind: PeerFrameKind.PoisonRecords, readonly records: readonly PoisonRecord[] }
--- a/packages/dotterelspur-gateway/src/connection/PeerLinks.ts
+++ b/packages/dotterelspur-gateway/src/connection/PeerLinks.ts
@@ -8,6 +8,7 @@
 import type { FeedUpdate } from '../process/StoreFeed.js'
 import { ObservationExchange, type ObservationSource } from './ObservationExchange.js'
 import { PeerFrameKind, type PeerFrame, type Suspicion } from './PeerFrame.js'
+import { decodeFeedUpdate, decodeHolderState, decodeLease, encodeFeedUpdate, encodeHolderState, encodeLease } from './StoreVersionCodec.js'
 
 /** Interval between pings to a node, and between attempts to dial nodes without a link. */
 const PING_INTERVAL_MS = 700
@@ -86,12 +87,12 @@
     [PeerFrameKind.NodeObserved]: ({ observation }, { node }) => { if (node !== null) this.exchange.receiveNode(node, observation) },
     [PeerFrameKind.FleetObserved]: ({ observation, fencing }, { socket }) => {
       const newer = this.listener.newerLease(fencing)
-      if (newer !== null) return this.send([socket], { kind: PeerFrameKind.NewerLease, lease: newer })
+      if (newer !== null) return this.send([socket], { kind: PeerFrameKind.NewerLease, lease: encodeLease(newer) })
       this.exchange.receiveFleet(observation, (own) => { this.send([socket], { kind: PeerFrameKind.NodeObserved, observation: own }) })
     },
-    [PeerFrameKind.NewerLease]: ({ lease }) => { this.listener.onNewerLease(lease) },
-    [PeerFrameKind.LeaseHolderState]: ({ word }) => { this.listener.onLeaseHolderState(word) },
-    [PeerFrameKind.FeedUpdate]: ({ news }) => { this.listener.onFeedUpdate(news) },
+    [PeerFrameKind.NewerLease]: ({ lease }) => { this.listener.onNewerLease(decodeLease(lease)) },
+    [PeerFrameKind.LeaseHolderState]: ({ word }) => { this.listener.onLeaseHolderState(decodeHolderState(word)) },
+    [PeerFrameKind.FeedUpdate]: ({ news }) => { this.listener.onFeedUpdate(decodeFeedUpdate(news)) },
     [PeerFrameKind.PoisonRecords]: ({ records }) => { this.listener.onPoisonRecords(records) }
   }
 
@@ -157,7 +158,7 @@
   /** Broadcasts the lease holder's state immediately, for example when a group is lost. */
   broadcastState (): void {
     const state = this.listener.leaseHolderState()
-    if (state !== null) this.send(this.linkedSockets(), { kind: PeerFrameKind.LeaseHolderState, word: state })
+    if (state !== null) this.send(this.linkedSockets(), { kind: PeerFrameKind.LeaseHolderState, word: encodeHolderState(state) })
   }
 
   /** Informs all nodes of suspected groups, so that each does not have to wait until its own streams there pause. */
@@ -167,7 +168,7 @@
 
   /** A node that misses an update detects the gap in versions and reads from the store. */
   broadcastFeedUpdate (update: FeedUpdate): void {
-    this.send(this.linkedSockets(), { kind: PeerFrameKind.FeedUpdate, news: update })
+    this.send(this.linkedSockets(), { kind: PeerFrameKind.FeedUpdate, news: encodeFeedUpdate(update) })
   }
 
   /** Sends `all` records to the coordinator, and the `shared` ones to the nodes that this node coordinates. */
--- a/packages/dotterelspur-gateway/src/process/FleetLease.ts
+++ b/packages/dotterelspur-gateway/src/process/FleetLease.ts
@@ -1,5 +1,5 @@
 import {
-  ChallengeKind, composeLease, decideChallenge, isExpired, LeaseEffectKind, leaseKey, LeaseLoss, LeaseResultKind, mayOrder, NO_LEASE_OBSERVATION, observeAbsence, observeLease, raiseFencingFloor,
+  ChallengeKind, composeLease, decideChallenge, eraOf, isExpired, LeaseEffectKind, leaseKey, LeaseLoss, LeaseResultKind, mayOrder, NO_LEASE_OBSERVATION, observeAbsence, observeLease, raiseFencingFloor,
   ReadFreshness, renewalDueAtMs, renewLease, runProcedure, StoreErrorKind, suspendTerm, takeLease,
   type Clock, type EffectHandlers, type LeaseEffect, type LeaseIdentity, type LeaseObject, type LeaseObservation, type LeaseTerm, type LeaseTiming, type ObjectStore, type Random, type StoredObject, type Teardown
 } from 'dotterelspur'
@@ -134,9 +134,12 @@
     return { key: leaseKey(FLEET_LEASE_NAME), version: this.held.version, body: composeLease(this.held, FLEET_LEASE_TIMING), deleted: false }
   }
 
-  /** Handles the lease received in the holder's broadcast, which counts as much as a read from the store and saves the call. */
+  /**
+   * Handles the lease received in the holder's broadcast, which counts as much as a read from the store and saves the
+   * call, unless the store has since come back from an older copy.
+   */
   noteLease (lease: StoredObject<LeaseObject>): void {
-    if (this.held !== null) return
+    if (this.held !== null || eraOf(lease.version) < eraOf(this.leaseObservation.version)) return
     this.observe(lease)
     this.nextReadAtMs = this.clock.nowMs() + READ_INTERVAL_MS
   }
--- a/packages/dotterelspur-gateway/src/process/FollowedStore.ts
+++ b/packages/dotterelspur-gateway/src/process/FollowedStore.ts
@@ -1,5 +1,5 @@
 import {
-  sleep, StoreErrorKind, WatchEventKind,
+  eraOf, sleep, StoreErrorKind, WatchEventKind,
   type Clock, type ObjectListing, type ObjectStore, type Random, type ReadFreshness, type Result, type StoredObject, type StoreError, type Teardown, type WatchEvent
 } from 'dotterelspur'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
@@ -20,6 +20,8 @@
   version: number | null
   /** Upper bound of the version of the last change; nothing in the prefix changed between it and `version`. */
   lastChangeVersion: number
+  /** The latest announced era for which the prefix was listed without a poll before; a wrong announcement must not repeat the listing. */
+  listedForEra: number
   /** Some changes came from the lease holder, which omits those that do not affect callers. */
   isPartial: boolean
   /** The feed no longer covers the prefix: the next poll returns at once, so that an unavailable store is noticed soon. */
@@ -87,7 +89,7 @@
   watch<Body> (prefix: string, listener: (event: WatchEvent<Body>) => void): Teardown {
     const rule = FOLLOW_RULES[prefix]
     if (rule === undefined || this.followers.has(prefix)) throw new Error(`invariant: watch of ${prefix} rejected: the prefix has no follow rule or is already watched`)
-    const follower: PrefixFollower = { prefix, rule, listener: listener as Listener, version: null, lastChangeVersion: 0, isPartial: false, mustCatchUp: false, wake: null, checkInitialWait: null, stopped: false }
+    const follower: PrefixFollower = { prefix, rule, listener: listener as Listener, version: null, lastChangeVersion: 0, listedForEra: 0, isPartial: false, mustCatchUp: false, wake: null, checkInitialWait: null, stopped: false }
     this.followers.set(prefix, follower)
     this.follow(follower).catch((error: unknown) => { this.parts.log.write(LogKind.Unexpected, { where: `watch of ${prefix}`, error: String(error) }) })
     return () => {
@@ -183,7 +185,13 @@
 
   /** The lease holder needs the complete prefix, including changes that were not forwarded to it before. */
   private async pollOrList (follower: PrefixFollower): Promise<boolean> {
-    return follower.isPartial && this.parts.isLeaseHolder() ? await this.listAll(follower) : await this.poll(follower)
+    if (follower.isPartial && this.parts.isLeaseHolder()) return await this.listAll(follower)
+    const announcedEra = this.feed.announcedEra(follower.prefix)
+    if (announcedEra <= Math.max(eraOf(follower.version!), follower.listedForEra)) return await this.poll(follower)
+    follower.listedForEra = announcedEra
+    // All nodes hear of the new era at the same moment.
+    await sleep(this.parts.clock, this.parts.random.next() * pauseAfterChangesMs(follower.rule, this.parts.nodeCount()))
+    return await this.listAll(follower)
   }
 
   private async listAll (follower: PrefixFollower): Promise<boolean> {
--- a/packages/dotterelspur-gateway/src/process/StoreFeed.ts
+++ b/packages/dotterelspur-gateway/src/process/StoreFeed.ts
@@ -1,3 +1,4 @@
+import { eraOf } from 'dotterelspur'
 import type { ChangeBatch } from './VersionedStore.js'
 
 /** How long a node relies on the lease holder's feed progress after the holder's last contact with the store. */
@@ -50,11 +51,16 @@
 
   /**
    * Whether a node that has followed `prefix` up to `version`, and tolerates missing the changes of the last `validMs`,
-   * need not poll the store.
+   * need not poll the store. Versions of different eras say nothing about each other: the store has lost one of the two.
    */
   covers (prefix: string, version: number, validMs: number, nowMs: number): boolean {
     const announced = this.versions.get(prefix)
-    return this.contactAgeMs(nowMs) < validMs && announced !== undefined && announced <= version
+    return this.contactAgeMs(nowMs) < validMs && announced !== undefined && announced <= version && eraOf(announced) === eraOf(version)
+  }
+
+  /** The era in which the lease holder has followed `prefix`; 0 if it has not. */
+  announcedEra (prefix: string): number {
+    return eraOf(this.versions.get(prefix) ?? 0)
   }
 
   private contactAgeMs (nowMs: number): number {
--- a/packages/dotterelspur/src/version/index.ts
+++ b/packages/dotterelspur/src/version/index.ts
@@ -1,5 +1,6 @@
 export * from './assignment/index.js'
 export * from './PlatformObjects.js'
+export * from './StoreVersion.js'
 export * from './TeamSettings.js'
 export * from './planning/index.js'
 export * from './ExplainPort.js'
