An endpoint that leaves stays so when the store comes back from a copy in which it is not

Callers would have been sent to an endpoint that leaves: its announcement was acknowledged, applied, and lost with the store's last writes; the listing after the return showed it as ready until the endpoint had written again. Only across a return of the store: within an era its newest entry holds. The test failed before (leaving false instead of true); a new incarnation under the same name is not affected (second test).

--- a/packages/dotterelspur-gateway/src/__tests__/unit/EndpointRegistry.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/EndpointRegistry.test.ts
@@ -169,4 +169,22 @@
     registry.noteLeaving(['w1'])
     expect(registry.recordOrigin('w1')).to.deep.equal(before)
   })
+
+  // Guards against requests to an endpoint that leaves: the copy from which the store came back is older than its announcement.
+  it('keeps an endpoint leaving when the store comes back from a copy in which it is not', () => {
+    const { store, registry } = createRegistry()
+    store.put('endpoints/w1', createEndpoint('w1', '10.0.0.1:1'))
+    const copy = store.copy()
+    store.put('endpoints/w1', createEndpoint('w1', '10.0.0.1:1', { leaving: true }))
+    store.comeBackFrom(copy)
+    expect(registry.current.get('w1')?.leaving).to.equal(true)
+  })
+
+  it('takes a new incarnation under the name of a leaving endpoint as not leaving', () => {
+    const { store, registry } = createRegistry()
+    store.put('endpoints/w1', createEndpoint('w1', '10.0.0.1:1', { leaving: true }))
+    store.comeBackFrom(store.copy())
+    store.put('endpoints/w1', createEndpoint('w1@2', '10.0.0.1:1'))
+    expect(registry.current.get('w1@2')?.leaving).to.equal(false)
+  })
 })
--- a/packages/dotterelspur-gateway/src/process/EndpointRegistry.ts
+++ b/packages/dotterelspur-gateway/src/process/EndpointRegistry.ts
@@ -1,4 +1,4 @@
-import { BACKPRESSURE_TTL_MS, takesRequests, WatchEventKind, type Clock, type EndpointId, type EndpointRecord, type ObjectListing, type ObjectStore, type ServiceId, type StoredObject, type Teardown, type WatchEvent } from 'dotterelspur'
+import { BACKPRESSURE_TTL_MS, eraOf, takesRequests, WatchEventKind, type Clock, type EndpointId, type EndpointRecord, type ObjectListing, type ObjectStore, type ServiceId, type StoredObject, type Teardown, type WatchEvent } from 'dotterelspur'
 import { AddressOwners } from './AddressOwners.js'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
 
@@ -155,6 +155,7 @@
     const knownVersion = this.versions.get(name) ?? 0
     // A deletion may carry the version of the deleted object.
     if (object.deleted ? object.version < knownVersion : object.version <= knownVersion) return false
+    this.keepLeaving(name, object.version)
     this.versions.set(name, object.version)
     this.missing.delete(name)
     if (!object.deleted) this.putEntry(pending, name, object.body)
@@ -173,6 +174,7 @@
       found.add(name)
       this.missing.delete(name)
       if (object.version <= (this.versions.get(name) ?? 0) && this.entries.has(name)) continue
+      this.keepLeaving(name, object.version)
       this.versions.set(name, object.version)
       this.putEntry(pending, name, object.body)
     }
@@ -187,6 +189,17 @@
     this.commit(pending)
   }
 
+  /**
+   * A store that comes back from an older copy may have lost the announcement that an endpoint leaves. It holds for the
+   * endpoint's incarnation all the same.
+   */
+  private keepLeaving (name: string, version: number): void {
+    const former = this.entries.get(name)
+    if (former?.leaving !== true || eraOf(version) <= eraOf(this.versions.get(name) ?? 0)) return
+    this.pruneLeaving()
+    this.leaving.set(former.endpoint, this.clock.nowMs())
+  }
+
   private beginGrace (): void {
     this.graceUntilMs = this.clock.nowMs() + RETURN_GRACE_MS
     this.cancelGrace()
