Entries that are not in the copy from which the store came back are kept for the grace period

A return without lost contact (the watch fails with 410) made a node drop every endpoint at once whose entry is newer than the copy, although endpoints write theirs again within about two seconds: groups looked lost and were repaired. After an outage there was a grace period already. The test failed before (0 endpoints instead of 2).

--- a/packages/dotterelspur-gateway/src/__tests__/unit/EndpointRegistry.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/EndpointRegistry.test.ts
@@ -187,4 +187,16 @@
     store.put('endpoints/w1', createEndpoint('w1@2', '10.0.0.1:1'))
     expect(registry.current.get('w1@2')?.leaving).to.equal(false)
   })
+
+  // Guards against a fleet that shrinks for a moment: entries that are not in the copy are written again by their endpoints.
+  it('keeps entries for a grace period that are not in the copy from which the store came back', () => {
+    const { store, clock, registry } = createRegistry()
+    const copy = store.copy()
+    for (const id of ['w1', 'w2']) store.put(`endpoints/${id}`, createEndpoint(id, `10.0.0.1:${id.slice(1)}`))
+    store.comeBackFrom(copy)
+    expect(registry.current.size).to.equal(2)
+    store.put('endpoints/w1', createEndpoint('w1', '10.0.0.1:1'))
+    clock.advance(3_000)
+    expect([...registry.current.keys()]).to.deep.equal(['w1'])
+  })
 })
--- a/packages/dotterelspur-gateway/src/process/EndpointRegistry.ts
+++ b/packages/dotterelspur-gateway/src/process/EndpointRegistry.ts
@@ -7,7 +7,8 @@
 
 /**
  * After a store outage, entries of live endpoints may be missing for a moment: they expire while heartbeats cannot be
- * written, and return within about two seconds. Dropping them at once would empty the fleet.
+ * written, or are not in the older copy from which the store came back, and return within about two seconds. Dropping them
+ * at once would empty the fleet.
  */
 const RETURN_GRACE_MS = 2_500
 
@@ -47,6 +48,8 @@
   private graceUntilMs = -Infinity
   /** Names of entries that expired while the store was unavailable. */
   private readonly missing = new Set<string>()
+  /** Era of the last listing. */
+  private listedEra = 0
   private cancelGrace: Teardown = () => {}
   private readonly addresses: AddressOwners
 
@@ -181,10 +184,11 @@
     for (const name of this.entries.keys()) {
       if (!found.has(name)) this.missing.add(name)
     }
-    if (this.wasDisconnected) this.beginGrace()
+    if (this.wasDisconnected || (this.listed && eraOf(listing.version) > this.listedEra)) this.beginGrace()
     else this.dropMissing(pending)
     if (!this.listed) this.log.write(LogKind.EndpointsRead, { endpoints: pending.size, version: listing.version })
     this.wasDisconnected = false
+    this.listedEra = eraOf(listing.version)
     this.listed = true
     this.commit(pending)
   }
