A quarantine entry that the store lost is persisted again instead of counting as released

A request that ends endpoints would have run again: its entry was written in the seconds that the store lost, and a listing without it passed for an operator's release. Entries that are missing from a listing of a later era stay in force and are written again by the lease holder, also where it knows the request from the store alone. A deletion within an era is a release as before (second test).

--- /dev/null
+++ b/packages/dotterelspur-poison/src/__tests__/unit/QuarantineRegistry.test.ts
@@ -0,0 +1,60 @@
+import { expect } from 'chai'
+import { ManualClock, QUARANTINE_PREFIX, storeVersion, success, WatchEventKind, type ObjectStore, type QuarantineObject, type StoredObject, type WatchEvent } from 'dotterelspur'
+import { QuarantineRegistry } from '../../process/QuarantineRegistry.js'
+
+const FINGERPRINT = 'f1'
+const ENTRY: QuarantineObject = { outline: 1, service: 'models', caller: null, ends: 3, decidedBy: 'n1' }
+
+interface World {
+  readonly registry: QuarantineRegistry
+  readonly released: string[]
+  /** Keys of the entries that were written, in order. */
+  readonly created: string[]
+  /** Delivers a listing at the version. */
+  list (version: number, objects: ReadonlyArray<StoredObject<QuarantineObject>>): void
+}
+
+function createWorld (): World {
+  const released: string[] = []
+  const created: string[] = []
+  let listener: (event: WatchEvent<QuarantineObject>) => void = () => {}
+  const store = {
+    watch: (_prefix: string, registered: typeof listener) => {
+      listener = registered
+      return () => {}
+    },
+    create: async (key: string, body: QuarantineObject) => {
+      created.push(key)
+      return success({ key, version: storeVersion(2, 10), body, deleted: false })
+    }
+  } as unknown as ObjectStore
+  const registry = new QuarantineRegistry({ store, node: 'n1', maxEntries: 10, clock: new ManualClock(), onProblem: () => {} })
+  registry.registerListener({ onQuarantined: () => {}, onReleased: (fingerprint) => { released.push(fingerprint) } })
+  registry.follow()
+  return { registry, released, created, list: (version, objects) => { listener({ kind: WatchEventKind.Listing, listing: { objects, version } }) } }
+}
+
+function createEntry (version: number): StoredObject<QuarantineObject> {
+  return { key: `${QUARANTINE_PREFIX}${FINGERPRINT}`, version, body: ENTRY, deleted: false }
+}
+
+describe('QuarantineRegistry', () => {
+  it('releases a request whose entry an operator has deleted', () => {
+    const { released, list } = createWorld()
+    list(storeVersion(1, 5), [createEntry(storeVersion(1, 4))])
+    list(storeVersion(1, 9), [])
+    expect(released).to.deep.equal([FINGERPRINT])
+  })
+
+  // Guards against a request that ends endpoints again: its entry was lost with the store's last writes, which passed for a release.
+  it('releases no request whose entry was lost when the store came back from an older copy, and persists it again', async () => {
+    const { registry, released, created, list } = createWorld()
+    list(storeVersion(1, 5), [createEntry(storeVersion(1, 4))])
+    list(storeVersion(2, 3), [])
+    expect(released).to.deep.equal([])
+    registry.persist([])
+    await new Promise((resolve) => { setImmediate(resolve) })
+    registry.persist([])
+    expect(created).to.deep.equal([`${QUARANTINE_PREFIX}${FINGERPRINT}`])
+  })
+})
--- a/packages/dotterelspur-poison/src/process/QuarantineRegistry.ts
+++ b/packages/dotterelspur-poison/src/process/QuarantineRegistry.ts
@@ -1,6 +1,6 @@
 import {
-  QUARANTINE_PREFIX, StoreErrorKind, WatchEventKind,
-  type Clock, type NodeId, type ObjectStore, type PoisonRecord, type QuarantineObject, type RequestFingerprint, type StoredObject, type Teardown, type WatchEvent, type WorkspaceId
+  eraOf, QUARANTINE_PREFIX, StoreErrorKind, WatchEventKind,
+  type Clock, type NodeId, type ObjectListing, type ObjectStore, type PoisonRecord, type QuarantineObject, type RequestFingerprint, type StoredObject, type Teardown, type WatchEvent, type WorkspaceId
 } from 'dotterelspur'
 
 /**
@@ -32,6 +32,8 @@
 export class QuarantineRegistry {
   private readonly entries = new Map<RequestFingerprint, StoredObject<QuarantineObject>>()
   private readonly listeners = new Set<QuarantineListener>()
+  /** Entries that the store lost when it came back from an older copy, until they are persisted again. */
+  private readonly lost = new Map<RequestFingerprint, QuarantineObject>()
   private readonly decidedAtMs = new Map<RequestFingerprint, number>()
   private readonly nextAttemptAtMs = new Map<RequestFingerprint, number>()
   private readonly synchronizedListeners = new Set<() => void>()
@@ -62,22 +64,36 @@
   /** Persists quarantined requests that are not in the store yet. Called several times a second by the lease holder. */
   persist (records: readonly PoisonRecord[]): void {
     const nowMs = this.options.clock.nowMs()
+    for (const [fingerprint, entry] of this.lost) this.attempt(fingerprint, nowMs, async () => { await this.create(fingerprint, entry) })
     const current = new Set(records.map(({ fingerprint }) => fingerprint))
     for (const fingerprint of this.decidedAtMs.keys()) if (!current.has(fingerprint)) this.decidedAtMs.delete(fingerprint)
     for (const record of records) {
       const { fingerprint } = record
-      if (this.entries.has(fingerprint)) continue
+      if (this.entries.has(fingerprint) || this.lost.has(fingerprint)) continue
       const decidedAtMs = this.decidedAtMs.get(fingerprint) ?? nowMs
       this.decidedAtMs.set(fingerprint, decidedAtMs)
-      if (nowMs - decidedAtMs < SETTLE_MS || nowMs < (this.nextAttemptAtMs.get(fingerprint) ?? -Infinity)) continue
-      this.nextAttemptAtMs.set(fingerprint, nowMs + RETRY_MS)
-      this.write(record).catch((error: unknown) => { this.options.onProblem(fingerprint, String(error)) })
+      if (nowMs - decidedAtMs >= SETTLE_MS) this.attempt(fingerprint, nowMs, async () => { await this.write(record) })
     }
   }
 
+  private attempt (fingerprint: RequestFingerprint, nowMs: number, write: () => Promise<void>): void {
+    if (nowMs < (this.nextAttemptAtMs.get(fingerprint) ?? -Infinity)) return
+    this.nextAttemptAtMs.set(fingerprint, nowMs + RETRY_MS)
+    write().catch((error: unknown) => { this.options.onProblem(fingerprint, String(error)) })
+  }
+
+  /** The store lost the entry, and no operator deleted it: the request stays in quarantine. */
+  private keepLost (fingerprint: RequestFingerprint, entry: QuarantineObject): void {
+    this.entries.delete(fingerprint)
+    this.lost.set(fingerprint, entry)
+  }
+
   private async write ({ fingerprint, outline, service, caller, ends }: PoisonRecord): Promise<void> {
     if (this.entries.size >= this.options.maxEntries) await this.evictOldest()
-    const entry: QuarantineObject = { outline, service, caller, ends: ends.length, decidedBy: this.options.node }
+    await this.create(fingerprint, { outline, service, caller, ends: ends.length, decidedBy: this.options.node })
+  }
+
+  private async create (fingerprint: RequestFingerprint, entry: QuarantineObject): Promise<void> {
     const created = await this.options.store.create(`${QUARANTINE_PREFIX}${fingerprint}`, entry)
     if (created.ok) {
       this.applyObject(created.value)
@@ -103,12 +119,16 @@
 
   private applyEvent (event: WatchEvent<QuarantineObject>): void {
     if (event.kind === WatchEventKind.Object) this.applyObject(event.object)
-    if (event.kind === WatchEventKind.Listing) this.applyListing(event.listing.objects)
+    if (event.kind === WatchEventKind.Listing) this.applyListing(event.listing)
   }
 
-  private applyListing (objects: ReadonlyArray<StoredObject<QuarantineObject>>): void {
+  private applyListing ({ objects, version }: ObjectListing<QuarantineObject>): void {
     const found = new Set(objects.map(({ key }) => key.slice(QUARANTINE_PREFIX.length)))
-    for (const fingerprint of [...this.entries.keys()].filter((fingerprint) => !found.has(fingerprint))) this.removeEntry(fingerprint)
+    const missing = [...this.entries].filter(([fingerprint]) => !found.has(fingerprint))
+    for (const [fingerprint, known] of missing) {
+      if (eraOf(version) > eraOf(known.version)) this.keepLost(fingerprint, known.body)
+      else this.removeEntry(fingerprint)
+    }
     for (const object of objects) this.applyObject(object)
     if (this.listed) return
     this.listed = true
@@ -121,11 +141,13 @@
     const current = this.entries.get(fingerprint)
     if (object.deleted) return current === undefined || object.version < current.version ? undefined : this.removeEntry(fingerprint)
     if (current !== undefined && object.version <= current.version) return
+    this.lost.delete(fingerprint)
     this.entries.set(fingerprint, object)
     for (const listener of this.listeners) listener.onQuarantined(fingerprint, object.body)
   }
 
   private removeEntry (fingerprint: RequestFingerprint): void {
+    this.lost.delete(fingerprint)
     if (!this.entries.delete(fingerprint)) return
     this.decidedAtMs.delete(fingerprint)
     for (const listener of this.listeners) listener.onReleased(fingerprint)
