--- a/packages/dotterelspur-gateway/src/__tests__/unit/NodeRegistry.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/NodeRegistry.test.ts
@@ -50,4 +50,30 @@
     await registry.drop({ node: 'n2', incarnation: 7 })
     expect(registry.nodes().map(({ node }) => node)).to.deep.equal(['n1'])
   })
+
+  // Guards against a node that callers are not sent to: its entry was lost with the store's last writes.
+  it('registers again when the store came back from a copy of before its registration', async () => {
+    const store = new MemoryStore()
+    const registry = new NodeRegistry(store, SELF, new ManualClock(), createLog())
+    registry.follow()
+    const copy = store.copy()
+    await registry.register()
+    store.comeBackFrom(copy)
+    await new Promise((resolve) => { setImmediate(resolve) })
+    expect((await store.get('nodes/n1')).ok).to.equal(true)
+  })
+
+  // Guards against a node that is taken for its former incarnation, whose entry came back with the copy.
+  it('registers again when the store came back with the entry of its former incarnation', async () => {
+    const store = new MemoryStore()
+    store.put('nodes/n1', { ...SELF, incarnation: 6 })
+    const registry = new NodeRegistry(store, SELF, new ManualClock(), createLog())
+    registry.follow()
+    const copy = store.copy()
+    await registry.register()
+    store.comeBackFrom(copy)
+    await new Promise((resolve) => { setImmediate(resolve) })
+    const found = await store.get<NodeRecord>('nodes/n1')
+    expect(found.ok && found.value.body.incarnation).to.equal(7)
+  })
 })
--- a/packages/dotterelspur-gateway/src/process/NodeRegistry.ts
+++ b/packages/dotterelspur-gateway/src/process/NodeRegistry.ts
@@ -1,4 +1,4 @@
-import { sleep, StoreErrorKind, WatchEventKind, type Clock, type FailureDomainId, type LeaseIdentity, type NodeId, type ObjectStore, type StoredObject, type Teardown, type WatchEvent } from 'dotterelspur'
+import { eraOf, sleep, StoreErrorKind, WatchEventKind, type Clock, type FailureDomainId, type LeaseIdentity, type NodeId, type ObjectStore, type StoredObject, type Teardown, type WatchEvent } from 'dotterelspur'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
 import { addressOf, type GatewaySettings } from './GatewaySettings.js'
 
@@ -130,6 +130,8 @@
     this.records.set(node, { ...object, body })
     this.snapshot = null
     if (known === undefined) this.added.push(node)
+    const hasReturned = known !== undefined && eraOf(object.version) > eraOf(known.version)
+    if (hasReturned && node === this.self.node && body.incarnation !== this.self.incarnation) this.registerAgain()
   }
 
   /**
@@ -144,8 +146,10 @@
   private forget (node: NodeId): void {
     this.snapshot = null
     if (this.records.delete(node)) this.log.write(LogKind.NodeUnlisted, { peer: node })
-    if (node === this.self.node && !this.leaving) {
-      this.register().catch((error: unknown) => { this.log.write(LogKind.Unexpected, { where: 'node entry', error: String(error) }) })
-    }
+    if (node === this.self.node) this.registerAgain()
+  }
+
+  private registerAgain (): void {
+    this.register().catch((error: unknown) => { this.log.write(LogKind.Unexpected, { where: 'node entry', error: String(error) }) })
   }
 }
