The lease is created again when the store has lost it

Groups would no longer have been repaired: with its holder gone, every other node wrote the last known version of an object that no longer exists, and was turned down for good. An absent object is now told from a conflict when the lease is read back, and the next attempt creates it under the next fencing number. The product's own controller took an absent object from the conflict alone, and now takes either. The test failed before (fencing null instead of 2).

--- a/packages/dotterelspur-fleet/src/process/LeaseController.ts
+++ b/packages/dotterelspur-fleet/src/process/LeaseController.ts
@@ -129,7 +129,8 @@
     const result = await runProcedure(take, this.handlers())
     if (result.kind === LeaseResultKind.Held) return this.startTerm(result.term)
     if (result.observed !== null) this.observe(result.observed)
-    if (result.error.kind === StoreErrorKind.Conflict && result.error.currentVersion === null) this.leaseObservation = { ...this.leaseObservation, version: 0, firstObservedAtMs: nowMs }
+    const isAbsent = result.error.kind === StoreErrorKind.NotFound || (result.error.kind === StoreErrorKind.Conflict && result.error.currentVersion === null)
+    if (isAbsent) this.leaseObservation = { ...this.leaseObservation, version: 0, firstObservedAtMs: nowMs }
     this.backOff()
   }
 
--- a/packages/dotterelspur-gateway/src/__tests__/unit/FleetLease.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/FleetLease.test.ts
@@ -197,4 +197,21 @@
     // Renewals every 0.7 s and reads every 0.6 s.
     expect(store.calls - callsBefore).to.be.lessThan(22)
   })
+
+  function createLeases (store: MemoryStore, clock: ManualClock, count: number): FleetLease[] {
+    return Array.from({ length: count }, (_, index) => new FleetLease(store, { node: `n${index + 1}`, incarnation: 1 }, clock, createRandom(index), createLog(clock), () => {}))
+  }
+
+  // Guards against a fleet that no longer repairs its groups: nobody could take a lease whose object was lost.
+  it('is created again when the store came back from a copy of before the lease', async () => {
+    const store = new MemoryStore()
+    const clock = new ManualClock()
+    const copy = store.copy()
+    const [first, second] = createLeases(store, clock, 2)
+    await runSteps(clock, [first!], 600)
+    await runSteps(clock, [first!, second!], 1_000)
+    store.comeBackFrom(copy)
+    await runSteps(clock, [second!], 6_000)
+    expect(second!.fencing).to.equal(2)
+  })
 })
--- a/packages/dotterelspur-gateway/src/process/FleetLease.ts
+++ b/packages/dotterelspur-gateway/src/process/FleetLease.ts
@@ -215,11 +215,17 @@
       return this.log.write(LogKind.LeaseTaken, { fencing: result.term.fencing, version: result.term.version, formerHolder: this.leaseObservation.lease?.holder ?? null })
     }
     if (result.observed !== null) this.observe(result.observed)
+    if (result.error.kind === StoreErrorKind.NotFound) this.noteLost()
     this.failedChallenges = result.observed === null ? this.failedChallenges + 1 : 0
     this.notBeforeMs = this.clock.nowMs() + this.retryPauseMs() * (0.5 + this.random.next())
     this.nextReadAtMs = 0
   }
 
+  /** The store has lost the lease, which must be created again; the fencing number goes on rising. */
+  private noteLost (): void {
+    this.leaseObservation = { ...this.leaseObservation, version: 0, lease: null }
+  }
+
   /** Grows with each attempt that did not reach the store, up to a limit that depends on the size of the fleet. */
   private retryPauseMs (): number {
     const { retryMs } = FLEET_LEASE_TIMING
--- a/packages/dotterelspur/src/process/lease/LeaseProcedures.ts
+++ b/packages/dotterelspur/src/process/lease/LeaseProcedures.ts
@@ -74,7 +74,7 @@
   if (written.ok) return { kind: LeaseResultKind.Held, term: beginTerm(body, written.value.version, sentAtMs) }
   if (!needsReadBack(written.error)) return { kind: LeaseResultKind.NotTaken, observed: null, error: written.error }
   const read = yield * perform<ReadLeaseEffect>({ kind: LeaseEffectKind.Read, key })
-  if (!read.ok) return { kind: LeaseResultKind.NotTaken, observed: null, error: written.error }
+  if (!read.ok) return { kind: LeaseResultKind.NotTaken, observed: null, error: read.error.kind === StoreErrorKind.NotFound ? read.error : written.error }
   const nowMs = yield * perform<NowEffect>({ kind: LeaseEffectKind.Now })
   const { holder, holderIncarnation, renewal: found } = read.value.body ?? {}
   const taken = holder === self.node && holderIncarnation === self.incarnation && found === renewal
