A former holder that the store's older copy names does not take the lease back at once

Two nodes could have given orders for up to two seconds, which may bring a member into two groups: a holder takes a lease back at once that names it, as nobody can have taken it since; a copy from before the lease passed on names it too. In a later era a node that knows another holder waits for that term's time to live first. The holder of the lost term itself does not wait. The first test failed before (two holders in the same round); the second fails without the exception.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/FleetLease.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/FleetLease.test.ts
@@ -214,4 +214,36 @@
     await runSteps(clock, [second!], 6_000)
     expect(second!.fencing).to.equal(2)
   })
+
+  // Guards against two nodes that give orders: the copy names a former holder, which took the lease at once as its own.
+  it('is not taken by the holder that the copy names while the holder since then may still give orders', async () => {
+    const store = new MemoryStore()
+    const clock = new ManualClock()
+    const [first, second] = createLeases(store, clock, 2)
+    await runSteps(clock, [first!], 600)
+    const copy = store.copy()
+    await runSteps(clock, [second!], FLEET_LEASE_TIMING.ttlMs + 1_500)
+    await runSteps(clock, [first!, second!], 1_000)
+    expect([first!, second!].map((lease) => lease.mayOrder())).to.deep.equal([false, true])
+    store.comeBackFrom(copy)
+    for (let round = 0; round < 60; round++) {
+      await runSteps(clock, [first!, second!], 100)
+      expect([first!, second!].filter((lease) => lease.mayOrder()).length, `round ${round}`).to.be.lessThan(2)
+    }
+    expect([first!, second!].filter((lease) => lease.mayOrder()).map(({ fencing }) => fencing)).to.deep.equal([3])
+  })
+
+  // Guards against groups that nobody repairs for two seconds after each return.
+  it('is retaken at once by its holder when the store came back with an older version of the lease', async () => {
+    const store = new MemoryStore()
+    const clock = new ManualClock()
+    const [first, second] = createLeases(store, clock, 2)
+    await runSteps(clock, [first!], 600)
+    await runSteps(clock, [second!], FLEET_LEASE_TIMING.ttlMs + 1_500)
+    const copy = store.copy()
+    await runSteps(clock, [second!], 1_500)
+    store.comeBackFrom(copy)
+    await runSteps(clock, [second!], FLEET_LEASE_TIMING.renewMs + 400)
+    expect(second!.mayOrder()).to.equal(true)
+  })
 })
--- a/packages/dotterelspur-gateway/src/process/FleetLease.ts
+++ b/packages/dotterelspur-gateway/src/process/FleetLease.ts
@@ -246,9 +246,20 @@
     if (!stored.deleted && stored.body.fencing >= (this.latestLease?.body.fencing ?? 0)) this.latestLease = stored
     if (stored.deleted) return
     this.memory.restore((stored.body as StoredLease).memory ?? {})
+    this.waitForLostTerm(stored.version)
     this.setLeaseObservation(observeLease(this.leaseObservation, stored.version, stored.body, this.clock.nowMs()))
   }
 
+  /**
+   * When the store came back from an older copy, its lease may name a former holder, for example this node. The holder since
+   * then may still give orders for the time to live.
+   */
+  private waitForLostTerm (version: number): void {
+    const { lease, version: knownVersion } = this.leaseObservation
+    const isHeldByOther = lease !== null && !lease.released && lease.holder !== this.self.node && !this.isCoordinator()
+    if (isHeldByOther && eraOf(version) > eraOf(knownVersion)) this.notBeforeMs = Math.max(this.notBeforeMs, this.clock.nowMs() + FLEET_LEASE_TIMING.ttlMs)
+  }
+
   private setLeaseObservation (leaseObservation: LeaseObservation): void {
     const wasSynchronized = this.isSynchronized
     this.leaseObservation = leaseObservation
