A term ends when endpoints have seen orders under a higher fencing number than its own

Groups that lost their head were not formed again: the lease had passed on in the seconds that the store lost, a node that did not know took it under the number of before, and endpoints refuse a join with a lower number than they have seen. Endpoints tell the formation numbers that they have seen in their entries, so the fleet's highest fencing number is known from there also after all nodes were restarted; the product's own controller does the same with assignments. The tests failed before (the lease went on under 1).

--- a/packages/dotterelspur-gateway/src/__tests__/unit/FleetLease.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/FleetLease.test.ts
@@ -246,4 +246,17 @@
     await runSteps(clock, [second!], FLEET_LEASE_TIMING.renewMs + 400)
     expect(second!.mayOrder()).to.equal(true)
   })
+
+  // Guards against orders that endpoints refuse as outdated: the lost lease had a higher fencing number, which only endpoints remember.
+  it('is given up for a higher fencing number when endpoints have seen orders of a later term', async () => {
+    const store = new MemoryStore()
+    const clock = new ManualClock()
+    const [lease] = createLeases(store, clock, 1)
+    await runSteps(clock, [lease!], 600)
+    expect(lease!.fencing).to.equal(1)
+    lease!.observeFencing(4)
+    expect(lease!.mayOrder()).to.equal(false)
+    await runSteps(clock, [lease!], 1_500)
+    expect(lease!.fencing).to.equal(5)
+  })
 })
--- a/packages/dotterelspur-gateway/src/process/FleetLease.ts
+++ b/packages/dotterelspur-gateway/src/process/FleetLease.ts
@@ -144,6 +144,15 @@
     this.nextReadAtMs = this.clock.nowMs() + READ_INTERVAL_MS
   }
 
+  /**
+   * Takes in a fencing number that endpoints have seen orders of. A number above this term's ends the term: the store has lost
+   * the lease of a later one, and endpoints refuse orders with a lower number.
+   */
+  observeFencing (fencing: number): void {
+    this.leaseObservation = raiseFencingFloor(this.leaseObservation, fencing)
+    if (this.held !== null && fencing > this.held.fencing) this.lose(LeaseLoss.FencingTooLow)
+  }
+
   /** Suspends the term after this process was paused, since another node may hold the lease now. */
   notePause (): void {
     if (this.held !== null) this.held = suspendTerm(this.held, this.clock.nowMs())
@@ -189,6 +198,8 @@
     if (nowMs < renewalDueAtMs(term, FLEET_LEASE_TIMING) && !this.isRenewalRequested) return
     this.isRenewalRequested = false
     const result = await runProcedure(renewLease(term, this.self, FLEET_LEASE_TIMING), this.handlers())
+    // The term ended meanwhile, for a higher fencing number.
+    if (this.held === null) return
     if (result.kind === LeaseResultKind.Lost) {
       if (result.observed !== null) this.observe(result.observed)
       return this.lose(result.loss)
--- a/packages/dotterelspur-gateway/src/process/FormationController.ts
+++ b/packages/dotterelspur-gateway/src/process/FormationController.ts
@@ -10,14 +10,12 @@
 import { FleetStateLog, isServingHead } from './FleetStateLog.js'
 import { FormationRunner } from './FormationRunner.js'
 import { describeMembership, FormationHistory } from './FormationHistory.js'
+import { formationNumber } from './formationNumbers.js'
 import type { EndpointControl } from './GatewayPorts.js'
 import { WeightLoadTracker, type LoadInProgress } from './WeightLoadTracker.js'
 import type { ManifestFollower } from './ManifestFollower.js'
 import { Reachability } from './Reachability.js'
 
-/** Formation numbers available to one lease term; all numbers of the next term are higher. */
-const FORMATIONS_PER_TERM = 1_000_000
-
 /** Delay after a change of the endpoint list; changes come in bursts, as when members of a group become ready one after another. */
 const CHANGE_DEBOUNCE_MS = 20
 /** Evaluation interval without changes, needed because endpoints can fall silent without one. */
@@ -232,7 +230,7 @@
 
   private nextFormation (): number {
     this.formationCount += 1
-    return this.parts.lease.fencing! * FORMATIONS_PER_TERM + this.formationCount
+    return formationNumber(this.parts.lease.fencing!, this.formationCount)
   }
 
   private begin (decision: FormationDecision, engine: EngineSpec): void {
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -14,6 +14,7 @@
 import { FleetLease } from './FleetLease.js'
 import { FollowedStore } from './FollowedStore.js'
 import { FormationController } from './FormationController.js'
+import { highestFencing } from './formationNumbers.js'
 import { GatewayMetrics } from './GatewayMetrics.js'
 import type { EndpointControl, WireFormat } from './GatewayPorts.js'
 import type { PlatformFormat } from './PlatformFormat.js'
@@ -173,6 +174,7 @@
       const listed = new Set(endpoints.keys())
       this.peers.setEndpoints(listed)
       this.stopVotes.retain(listed)
+      this.lease.observeFencing(highestFencing(endpoints.values()))
     })
     const { callers, manifest, endpoints, nodes, lease, poison, dispatch } = this
     registerGauges(this.metrics, { callers, manifest, endpoints, nodes, lease, store, poison, dispatch, log })
