Nodes spread their listings when the store is back

With 330 nodes and the store away for 5 s, 2,081 calls came in one second, above the 2,000 that it answers: every node noticed the return at the same moment and listed four prefixes. Listings are spread by the number of nodes (not the first retry, which finds out whether the store is back), and a listing of a later era stands until the holder's progress arrives, as the first one does.

--- a/packages/dotterelspur-gateway/src/process/FollowRules.ts
+++ b/packages/dotterelspur-gateway/src/process/FollowRules.ts
@@ -37,6 +37,8 @@
   readonly isForwarded: boolean
   /** Pause of the other nodes per node of the fleet, so that a large fleet polls about as often in total as a small one. */
   readonly pausePerNodeMs: number
+  /** Time per node of the fleet over which the nodes spread their listings when the store is back, since each node lists the prefix. */
+  readonly relistPerNodeMs: number
   /** How long a node relies on the lease holder's last feed progress before it polls the store itself. */
   readonly progressValidMs: (bounds: ChangeBounds) => number
 }
@@ -44,15 +46,15 @@
 /** Rules of the followed prefixes. */
 export const FOLLOW_RULES: Readonly<Record<string, FollowRule>> = {
   [MANIFEST_PREFIX]: {
-    pollTimeoutMs: 3_000, holderPollTimeoutMs: 1_000, pauseMs: 50, pausePerNodeMs: 10, isForwarded: false, isFiltered: false, progressValidMs: ({ manifestMs }) => VALID_SHARE * manifestMs
+    pollTimeoutMs: 3_000, holderPollTimeoutMs: 1_000, pauseMs: 50, pausePerNodeMs: 10, relistPerNodeMs: 2, isForwarded: false, isFiltered: false, progressValidMs: ({ manifestMs }) => VALID_SHARE * manifestMs
   },
   // The endpoint list shows which groups have broken up, so this never exceeds the general validity of feed progress,
   // whatever the limit allows.
   [ENDPOINT_PREFIX]: {
-    pollTimeoutMs: 3_000, holderPollTimeoutMs: 1_000, pauseMs: 250, pausePerNodeMs: 4, isForwarded: true, isFiltered: true, progressValidMs: ({ drainMs }) => Math.min(PROGRESS_VALID_MS, VALID_SHARE * drainMs)
+    pollTimeoutMs: 3_000, holderPollTimeoutMs: 1_000, pauseMs: 250, pausePerNodeMs: 4, relistPerNodeMs: 2, isForwarded: true, isFiltered: true, progressValidMs: ({ drainMs }) => Math.min(PROGRESS_VALID_MS, VALID_SHARE * drainMs)
   },
-  [NODE_PREFIX]: { pollTimeoutMs: 3_000, holderPollTimeoutMs: 3_000, pauseMs: 500, pausePerNodeMs: 4, isForwarded: true, isFiltered: false, progressValidMs: () => SUCCESSOR_PROGRESS_MS },
-  [QUARANTINE_PREFIX]: { pollTimeoutMs: 3_000, holderPollTimeoutMs: 3_000, pauseMs: 500, pausePerNodeMs: 4, isForwarded: true, isFiltered: false, progressValidMs: () => SUCCESSOR_PROGRESS_MS }
+  [NODE_PREFIX]: { pollTimeoutMs: 3_000, holderPollTimeoutMs: 3_000, pauseMs: 500, pausePerNodeMs: 4, relistPerNodeMs: 5, isForwarded: true, isFiltered: false, progressValidMs: () => SUCCESSOR_PROGRESS_MS },
+  [QUARANTINE_PREFIX]: { pollTimeoutMs: 3_000, holderPollTimeoutMs: 3_000, pauseMs: 500, pausePerNodeMs: 4, relistPerNodeMs: 5, isForwarded: true, isFiltered: false, progressValidMs: () => SUCCESSOR_PROGRESS_MS }
 }
 
 /** Upper limit of the pause; leaving endpoints are still noticed in time, since they serve for two seconds after announcing it. */
@@ -74,6 +76,14 @@
   return Math.max(rule.pauseMs, Math.min(MAX_PAUSE_MS, rule.pausePerNodeMs * nodes))
 }
 
+/** Upper limit of the time over which listings are spread. */
+const MAX_RELIST_SPREAD_MS = 2_000
+
+/** Time over which the nodes spread their listings of a prefix when the store is back. */
+export function relistSpreadMs (rule: FollowRule, nodes: number): number {
+  return Math.min(MAX_RELIST_SPREAD_MS, rule.relistPerNodeMs * nodes)
+}
+
 /** Pause before the next attempt, after `failures` consecutive failures. */
 export function retryPauseMs (failures: number, nodes: number): number {
   const limitMs = Math.min(MAX_RETRY_LIMIT_MS, BASE_RETRY_LIMIT_MS + RETRY_LIMIT_PER_NODE_MS * nodes)
--- a/packages/dotterelspur-gateway/src/process/FollowedStore.ts
+++ b/packages/dotterelspur-gateway/src/process/FollowedStore.ts
@@ -3,7 +3,7 @@
   type Clock, type ObjectListing, type ObjectStore, type Random, type ReadFreshness, type Result, type StoredObject, type StoreError, type Teardown, type WatchEvent
 } from 'dotterelspur'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
-import { FOLLOW_RULES, LATE_RESPONSE_MS, pauseAfterChangesMs, RETRY_JITTER, RETRY_MS, retryPauseMs, type ChangeBounds, type FollowRule } from './FollowRules.js'
+import { FOLLOW_RULES, LATE_RESPONSE_MS, pauseAfterChangesMs, relistSpreadMs, RETRY_JITTER, RETRY_MS, retryPauseMs, type ChangeBounds, type FollowRule } from './FollowRules.js'
 import { StoreFeed, type FeedUpdate, type FeedProgress } from './StoreFeed.js'
 import type { ChangeBatch, VersionedStore } from './VersionedStore.js'
 
@@ -174,9 +174,12 @@
 
   /** Follows until contact is lost or the history is gone. Starts with a listing unless the feed supplies everything that is missing. */
   private async followOnce (follower: PrefixFollower): Promise<void> {
-    const isFirst = follower.version === null
+    const { version: formerVersion } = follower
+    const isFirst = formerVersion === null
+    // A retry during an outage is one call for all prefixes, and shows whether the store is back.
+    if (!isFirst && this.failures === 0) await this.spreadListing(follower)
     if (!this.isCovered(follower) && !await this.listAll(follower)) return
-    if (isFirst) await this.awaitInitialProgress(follower)
+    if (isFirst || eraOf(follower.version!) > eraOf(formerVersion)) await this.awaitInitialProgress(follower)
     while (!follower.stopped) {
       if (this.isCovered(follower)) await this.waitWhileCovered(follower)
       else if (!await this.pollOrList(follower)) return
@@ -189,11 +192,16 @@
     const announcedEra = this.feed.announcedEra(follower.prefix)
     if (announcedEra <= Math.max(eraOf(follower.version!), follower.listedForEra)) return await this.poll(follower)
     follower.listedForEra = announcedEra
-    // All nodes hear of the new era at the same moment.
-    await sleep(this.parts.clock, this.parts.random.next() * pauseAfterChangesMs(follower.rule, this.parts.nodeCount()))
+    await this.spreadListing(follower)
     return await this.listAll(follower)
   }
 
+  /** All nodes notice at the same moment that the store is back. */
+  private async spreadListing ({ rule }: PrefixFollower): Promise<void> {
+    const { clock, random, nodeCount } = this.parts
+    await sleep(clock, random.next() * relistSpreadMs(rule, nodeCount()))
+  }
+
   private async listAll (follower: PrefixFollower): Promise<boolean> {
     const knownVersion = follower.version
     // A feed update received during the listing could be newer than the listing, which would then undo it.
@@ -262,7 +270,7 @@
     })
   }
 
-  /** Without this wait, each node of a starting fleet would poll for each of the other nodes' entries. */
+  /** Without this wait, each node of a starting fleet, or after a return of the store, would poll for each of the other nodes' entries. */
   private async awaitInitialProgress (follower: PrefixFollower): Promise<void> {
     const { clock, initialProgressTimeoutMs } = this.parts
     const startedAtMs = clock.nowMs()
