A lost node leaves all directories at once, also while the store rejects the removal of its entry

The holder now leaves a lost node out itself, sends the lost ones with its state to all nodes, and its successor takes them over. A node is listed again when a link to it opens or it registers anew; it is still dialled meanwhile. A holder of the former release sends no list and nothing changes beside it. Ruled out: hiding by the store's answer alone (a rejected call says nothing of the node).

--- a/packages/dotterelspur-gateway/src/__tests__/unit/NodeRegistry.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/NodeRegistry.test.ts
@@ -76,4 +76,58 @@
     const found = await store.get<NodeRecord>('nodes/n1')
     expect(found.ok && found.value.body.incarnation).to.equal(7)
   })
+
+  // Guards against a node that callers are not sent to although it serves: its link was cut while the store rejected its removal.
+  it('lists an inactive node again once it is reached, or has registered anew', async () => {
+    const store = new MemoryStore()
+    const registry = new NodeRegistry(store, SELF, new ManualClock(), createLog())
+    registry.follow()
+    store.put('nodes/n2', OTHER)
+    store.disconnect()
+    await registry.drop({ node: 'n2', incarnation: 7 })
+    expect(registry.others().map(({ node }) => node)).to.deep.equal(['n2'])
+    registry.restore({ node: 'n2', incarnation: 7 })
+    expect(registry.nodes()).to.have.length(2)
+    await registry.drop({ node: 'n2', incarnation: 7 })
+    store.reconnect()
+    store.put('nodes/n2', { ...OTHER, incarnation: 8 })
+    expect(registry.nodes()).to.have.length(2)
+  })
+
+  // Guards against a lost node in the directories of nodes that only follow the store.
+  it('does not list nodes that the lease holder reports as lost, for as long as it does', () => {
+    const store = new MemoryStore()
+    const registry = new NodeRegistry(store, SELF, new ManualClock(), createLog())
+    registry.follow()
+    store.put('nodes/n2', OTHER)
+    registry.noteReportedLost([{ node: 'n2', incarnation: 7 }])
+    expect(registry.nodes()).to.have.length(1)
+    registry.noteReportedLost([{ node: 'n2', incarnation: 6 }])
+    expect(registry.nodes()).to.have.length(2)
+  })
+
+  // Guards against a lost node that comes back into directories when the lease passes on, until the successor finds it lost too.
+  it('keeps reported nodes lost when this node becomes the lease holder, until they are reached', () => {
+    const store = new MemoryStore()
+    const registry = new NodeRegistry(store, SELF, new ManualClock(), createLog())
+    registry.follow()
+    store.put('nodes/n2', OTHER)
+    registry.noteReportedLost([{ node: 'n2', incarnation: 7 }])
+    registry.adoptReportedLost()
+    expect(registry.nodes()).to.have.length(1)
+    registry.restore({ node: 'n2', incarnation: 7 })
+    expect(registry.nodes()).to.have.length(2)
+  })
+
+  // Guards against a node that a former lease holder hides for good.
+  it('gives up its own findings when another node holds the lease', async () => {
+    const store = new MemoryStore()
+    const registry = new NodeRegistry(store, SELF, new ManualClock(), createLog())
+    registry.follow()
+    store.put('nodes/n2', OTHER)
+    store.disconnect()
+    await registry.drop({ node: 'n2', incarnation: 7 })
+    registry.noteReportedLost([])
+    expect(registry.nodes()).to.have.length(2)
+  })
 })
--- a/packages/dotterelspur-gateway/src/__tests__/unit/PeerLinks.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/PeerLinks.test.ts
@@ -22,6 +22,7 @@
     onSuspicionReport: () => {},
     onSuspectedGroups: () => {},
     onNodeLost: ({ node }) => { lost.push(node) },
+    onNodeReached: () => {},
     newerLease: () => null,
     onNewerLease: () => {},
     leaseHolderState: () => null,
@@ -82,4 +83,23 @@
       await Promise.all([first.gateway.close(), second.gateway.close()])
     }
   })
+
+  it('pass on which node is lost while the store rejects the removal of its entry', async () => {
+    // Guards against callers that are sent to a node that went off: all directories name it for as long as its entry is in the store.
+    const first = await GatewayWorld.start('n1')
+    const others = await Promise.all(['n2', 'n3'].map(async (node) => await GatewayWorld.start(node, first.store)))
+    const worlds = [first, ...others]
+    try {
+      await until(async () => (await Promise.all(worlds.map(async (world) => await world.gauge('nodes')))).every((count) => count === 3))
+      await until(async () => (await Promise.all(worlds.map(async (world) => await world.gauge('decides')))).includes(1))
+      const decides = await Promise.all(worlds.map(async (world) => await world.gauge('decides')))
+      const lost = worlds[decides.lastIndexOf(0)]!
+      const remaining = worlds.filter((world) => world !== lost)
+      for (const { access } of remaining) access.refuseRemovals()
+      await lost.gateway.close()
+      await until(async () => (await Promise.all(remaining.map(async (world) => await world.gauge('nodes')))).every((count) => count === 2))
+    } finally {
+      for (const { gateway } of worlds) await gateway.close()
+    }
+  })
 })
--- a/packages/dotterelspur-gateway/src/connection/PeerLinks.ts
+++ b/packages/dotterelspur-gateway/src/connection/PeerLinks.ts
@@ -47,6 +47,8 @@
   onSuspectedGroups (heads: readonly EndpointId[]): void
   /** Nothing has been received from a node for `NODE_TIMEOUT_MS`. */
   onNodeLost (node: NodeRecord): void
+  /** A link to a node has opened. */
+  onNodeReached (node: NodeRecord): void
   /** The lease of a holder with a higher fencing number than this one; null if none has been read or received. */
   newerLease (fencing: number): StoredObject<LeaseObject> | null
   onNewerLease (lease: StoredObject<LeaseObject>): void
@@ -238,6 +240,7 @@
     const noteSeen = (): void => { this.lastSeenAtMs.set(record.node, this.clock.nowMs()) }
     socket.on('open', () => {
       noteSeen()
+      this.listener.onNodeReached(record)
       endHandshake()
       this.sendPoisonTo([socket], this.listener.poisonRecords(false))
     })
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -152,6 +152,7 @@
       onSuspicionReport: (head, suspicion, node, senders) => { this.handleSuspicion(head, suspicion, node, senders) },
       onSuspectedGroups: (heads) => { this.dispatch.noteStalledGroups(heads, StallCertainty.Suspected) },
       onNodeLost: (node) => { if (this.lease.mayOrder()) this.dropNode(node) },
+      onNodeReached: (node) => { this.nodes.restore(node) },
       observe: () => this.dispatch.fleetView.observe(),
       onFleetObservation: (fleet) => {
         this.endpoints.noteLeaving(fleet.leaving)
@@ -160,7 +161,8 @@
       newerLease: (fencing) => this.lease.leaseAfter(fencing),
       onNewerLease: (lease) => { this.lease.noteLease(lease) },
       leaseHolderState: () => this.leaseHolderState(),
-      onLeaseHolderState: ({ feed, lease, loads, stoppedHeads }) => {
+      onLeaseHolderState: ({ feed, lease, loads, stoppedHeads, lostNodes }) => {
+        this.nodes.noteReportedLost(lostNodes ?? [])
         this.lease.noteLease(lease)
         this.store.applyProgress(feed)
         this.formations.noteLoads(loads)
@@ -268,7 +270,7 @@
   private leaseHolderState (): LeaseHolderState | null {
     const lease = this.lease.mayOrder() ? this.lease.heldLease : null
     if (lease === null) return null
-    return { feed: { contactAgeMs: this.store.contactAgeMs, versions: this.store.versions }, lease, loads: this.formations.loadsInProgress(), stoppedHeads: this.formations.stalledHeads() }
+    return { feed: { contactAgeMs: this.store.contactAgeMs, versions: this.store.versions }, lease, loads: this.formations.loadsInProgress(), stoppedHeads: this.formations.stalledHeads(), lostNodes: this.nodes.lostNodes() }
   }
 
   private suspect (head: EndpointId, suspicion: Suspicion): void {
@@ -306,11 +308,14 @@
    */
   private linkOnTakeover (): void {
     const coordinates = this.lease.isCoordinator()
-    if (coordinates && !this.wasCoordinator) this.peers.link(this.otherNodes())
+    if (coordinates && !this.wasCoordinator) {
+      this.nodes.adoptReportedLost()
+      this.peers.link(this.otherNodes())
+    }
     this.wasCoordinator = coordinates
   }
 
   private otherNodes (): NodeRecord[] {
-    return this.nodes.nodes().filter(({ node }) => node !== this.settings.node)
+    return this.nodes.others()
   }
 }
--- a/packages/dotterelspur-gateway/src/process/LeaseHolderState.ts
+++ b/packages/dotterelspur-gateway/src/process/LeaseHolderState.ts
@@ -1,4 +1,4 @@
-import type { EndpointId, LeaseObject, StoredObject } from 'dotterelspur'
+import type { EndpointId, LeaseIdentity, LeaseObject, StoredObject } from 'dotterelspur'
 import type { LoadInProgress } from './WeightLoadTracker.js'
 import type { FeedProgress } from './StoreFeed.js'
 
@@ -11,4 +11,6 @@
   readonly loads: readonly LoadInProgress[]
   /** Heads that are listed as open although their group has lost a member. */
   readonly stoppedHeads: readonly EndpointId[]
+  /** Nodes that the holder has found lost and whose entries are still in the store; a holder of the former release sends none. */
+  readonly lostNodes?: readonly LeaseIdentity[]
 }
--- a/packages/dotterelspur-gateway/src/process/NodeRegistry.ts
+++ b/packages/dotterelspur-gateway/src/process/NodeRegistry.ts
@@ -33,6 +33,10 @@
   return typeof value === 'string' && ADDRESS.test(value)
 }
 
+function areSame (left: readonly LeaseIdentity[], right: readonly LeaseIdentity[]): boolean {
+  return left.length === right.length && left.every(({ node, incarnation }, index) => node === right[index]!.node && incarnation === right[index]!.incarnation)
+}
+
 /** Builds the record under which a node registers itself. */
 export function nodeRecord (settings: GatewaySettings, incarnation: number): NodeRecord {
   return { node: settings.node, failureDomain: settings.failureDomain, callers: addressOf(settings.callers), peers: addressOf(settings.peers), incarnation }
@@ -48,15 +52,50 @@
    */
   private readonly added: NodeId[] = []
   private leaving = false
+  /** Incarnations that this node has found lost, whose entries may still be in the store. */
+  private readonly lost = new Map<NodeId, number>()
+  /** The same, as the lease holder last reported them. */
+  private reportedLost: readonly LeaseIdentity[] = []
 
   constructor (private readonly store: ObjectStore, private readonly self: NodeRecord, private readonly clock: Clock, private readonly log: DecisionLog) {}
 
-  /** All listed nodes, including this one until it leaves; the same array instance until the set changes. */
+  /** All listed nodes that are not lost, including this one until it leaves; the same array instance until the set changes. */
   nodes (): readonly NodeRecord[] {
     this.snapshot ??= this.listNodes()
     return this.snapshot
   }
 
+  /** All other nodes with an entry, lost ones included: they may be reached again. */
+  others (): NodeRecord[] {
+    return [...this.records.values()].map(({ body }) => body).filter(({ node }) => node !== this.self.node)
+  }
+
+  /** Nodes that this node has found lost. */
+  lostNodes (): LeaseIdentity[] {
+    return [...this.lost].map(([node, incarnation]) => ({ node, incarnation }))
+  }
+
+  /** Takes in the nodes that the lease holder has found lost; they replace those that it reported, or this node found, before. */
+  noteReportedLost (nodes: readonly LeaseIdentity[]): void {
+    if (this.lost.size === 0 && areSame(nodes, this.reportedLost)) return
+    this.lost.clear()
+    this.reportedLost = nodes
+    this.snapshot = null
+  }
+
+  /** Takes over the reported nodes when this node becomes the lease holder; each is listed again when it is reached. */
+  adoptReportedLost (): void {
+    for (const { node, incarnation } of this.reportedLost) this.lost.set(node, incarnation)
+    this.reportedLost = []
+  }
+
+  /** Lists a node again that had been found lost and has been reached. */
+  restore ({ node, incarnation }: LeaseIdentity): void {
+    if (this.lost.get(node) !== incarnation) return
+    this.lost.delete(node)
+    this.snapshot = null
+  }
+
   follow (): Teardown {
     return this.store.watch<unknown>(NODE_PREFIX, (event) => { this.handleEvent(event) })
   }
@@ -78,19 +117,28 @@
     if (read.ok) await this.store.remove(this.key(), read.value.version)
   }
 
-  /** Removes the entry of another node that shows no activity; if that node is alive, it registers again. */
+  /**
+   * Removes the entry of another node that shows no activity; if that node is alive, it registers again. It is no longer
+   * listed even if the store rejects the call.
+   */
   async drop (node: LeaseIdentity): Promise<void> {
     const known = this.records.get(node.node)
     if (known === undefined || known.body.incarnation !== node.incarnation) return
+    this.lost.set(node.node, node.incarnation)
+    this.snapshot = null
     const removed = await this.store.remove(known.key, known.version)
     this.log.write(LogKind.NodeUnlisted, { peer: node.node, reason: 'no sign of life', removed: removed.ok })
   }
 
   private listNodes (): NodeRecord[] {
-    const others = [...this.records.values()].map(({ body }) => body).filter(({ node }) => node !== this.self.node)
+    const others = this.others().filter((record) => !this.isLost(record))
     return this.leaving ? others : [this.self, ...others]
   }
 
+  private isLost ({ node, incarnation }: NodeRecord): boolean {
+    return this.lost.get(node) === incarnation || this.reportedLost.some((lost) => lost.node === node && lost.incarnation === incarnation)
+  }
+
   private key (): string {
     return `${NODE_PREFIX}${this.self.node}`
   }
@@ -128,6 +176,7 @@
     if (known !== undefined && object.version <= known.version) return
     if (body === null) return this.rejectEntry(node, object.version)
     this.records.set(node, { ...object, body })
+    this.lost.delete(node)
     this.snapshot = null
     if (known === undefined) this.added.push(node)
     const hasReturned = known !== undefined && eraOf(object.version) > eraOf(known.version)
@@ -145,6 +194,7 @@
 
   private forget (node: NodeId): void {
     this.snapshot = null
+    this.lost.delete(node)
     if (this.records.delete(node)) this.log.write(LogKind.NodeUnlisted, { peer: node })
     if (node === this.self.node) this.registerAgain()
   }
