--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,16 +1,16 @@
-// Bundles the program that runs on the users' platform into one file, and keeps its compiled code beside it, so that a
-// start reads two files and compiles little.
+// Bundles the program that runs on the users' platform into one file, and stores its compiled code next to it, so that a
+// starting process reads two files and compiles little.
 import { build } from 'esbuild'
 import { spawnSync } from 'node:child_process'
 import { copyFileSync, readdirSync } from 'node:fs'
 import { dirname, join } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import { usedParts } from './usedParts.mjs'
+import { stripUnusedModules } from './stripUnusedModules.mjs'
 
 const root = join(dirname(fileURLToPath(import.meta.url)), '..')
 const target = join(root, 'target')
 const packages = readdirSync(join(root, 'packages'))
-/** As in deploy/system.toml: the runtime refuses cached code of a process with other flags. */
+/** The flags of deploy/system.toml: Node.js rejects cached code that was compiled under other flags. */
 const RUNTIME_FLAGS = ['--max-old-space-size=160']
 
 await build({
@@ -21,12 +21,12 @@
   platform: 'node',
   target: 'node20',
   format: 'cjs',
-  // Names stay, for stack traces.
+  // Stack traces show the names of functions.
   minifyWhitespace: true,
   minifySyntax: true,
   keepNames: true,
   alias: Object.fromEntries(packages.map((name) => [name, join(root, 'packages', name, 'src', 'index.ts')])),
-  plugins: [usedParts(root)],
+  plugins: [stripUnusedModules(root)],
   legalComments: 'none',
   logLevel: 'warning'
 })
@@ -34,6 +34,6 @@
 copyFileSync(join(root, 'scripts', 'launch.cjs'), join(target, 'dotterelspur.cjs'))
 const compiled = spawnSync(process.execPath, [...RUNTIME_FLAGS, join(target, 'dotterelspur.cjs'), '--compile'], { env: {}, encoding: 'utf8' })
 if (compiled.status !== 0) {
-  console.error(`the program's code could not be kept compiled: ${compiled.stderr}`)
+  console.error(`compiling the bundle failed with status ${compiled.status}: ${compiled.stderr}`)
   process.exit(1)
 }
--- a/scripts/journal.mjs
+++ b/scripts/journal.mjs
@@ -1,8 +1,8 @@
-// Compares two sets of runs in journal/: for each day the rules broken, worth, refused, processor, memory and store calls.
+// Summarizes one set of runs in journal/, or compares two: worth, refusals, processor time, memory and store calls for each day.
 //
 //   node scripts/journal.mjs <set> [<set>]
 //
-// A set is a regular expression that is looked for in an entry's id and its reason. Several runs of a day are averaged.
+// A set is a regular expression that is matched against the id and reason of each entry. Several runs of a day are averaged.
 // Days on which a rule was broken are listed with their seeds below the table.
 import { readdirSync, readFileSync } from 'node:fs'
 import { dirname, join } from 'node:path'
@@ -12,13 +12,13 @@
 const COLUMNS = [
   { title: 'worth', read: (day) => day.G, digits: 3 },
   { title: 'refused', read: (day) => day.refused, digits: 3 },
-  { title: 'processor s', read: (day) => priceAmount(day, /processor/), digits: 1 },
-  { title: 'memory GB s', read: (day) => priceAmount(day, /memory/), digits: 1 },
-  { title: 'store calls', read: (day) => priceAmount(day, /cloud calls/), digits: 0 }
+  { title: 'processor s', read: (day) => amountUsed(day, /processor/), digits: 1 },
+  { title: 'memory GB s', read: (day) => amountUsed(day, /memory/), digits: 1 },
+  { title: 'store calls', read: (day) => amountUsed(day, /cloud calls/), digits: 0 }
 ]
 
-/** How much of something a day used, whatever it cost. */
-function priceAmount (day, name) {
+/** The amount of a priced resource that a day used; NaN if it has no such price. */
+function amountUsed (day, name) {
   const price = day.prices.find((entry) => entry.some((field) => typeof field === 'string' && name.test(field)))
   const amounts = price?.filter((field) => typeof field === 'number') ?? []
   return amounts.length === 0 ? NaN : Math.max(...amounts)
@@ -47,7 +47,7 @@
 
 const patterns = process.argv.slice(2)
 if (patterns.length < 1 || patterns.length > 2) {
-  console.error('usage: node scripts/journal.mjs <set> [<set>]; a set is a regular expression on ids and reasons')
+  console.error('usage: node scripts/journal.mjs <set> [<set>]; a set is a regular expression that is matched against ids and reasons')
   process.exit(2)
 }
 const sets = patterns.map((pattern) => readDays(new RegExp(pattern)))
--- a/scripts/reporter.cjs
+++ b/scripts/reporter.cjs
@@ -2,7 +2,7 @@
 
 const Mocha = require('mocha')
 
-/** Mocha's spec reporter with the closing line that CI reads: `N passed, N failed`. */
+/** Mocha's spec reporter, followed by the line that CI reads: `N passed, N failed`. */
 class Reporter extends Mocha.reporters.Spec {
   constructor (runner, options) {
     super(runner, options)
--- a/scripts/settings-page.mjs
+++ b/scripts/settings-page.mjs
@@ -1,4 +1,4 @@
-// Writes docs/SETTINGS.md from the schemas that check settings. Run after a build.
+// Generates docs/SETTINGS.md from the schemas of the settings. Run after a build.
 import { writeFileSync } from 'node:fs'
 import { renderReferencePage } from 'dotterelspur-settings'
 
--- a/scripts/setup.mjs
+++ b/scripts/setup.mjs
@@ -1,4 +1,4 @@
-// Makes a fresh clone ready: installs when the lock file is newer than the last install, then builds.
+// Prepares a checkout: installs if the lock file has changed since the last install, then builds.
 import { spawnSync } from 'node:child_process'
 import { createHash } from 'node:crypto'
 import { existsSync, readFileSync, writeFileSync } from 'node:fs'
@@ -12,13 +12,13 @@
 function run (command, args) {
   const result = spawnSync(command, args, { cwd: root, stdio: ['ignore', 'inherit', 'inherit'] })
   if (result.status !== 0) {
-    console.error(`set-up failed: ${command} ${args.join(' ')}`)
+    console.error(`setup failed with status ${result.status}: ${command} ${args.join(' ')}`)
     process.exit(result.status ?? 1)
   }
 }
 
-const installed = existsSync(stampPath) && readFileSync(stampPath, 'utf8') === lockHash
-if (!installed) {
+const isInstalled = existsSync(stampPath) && readFileSync(stampPath, 'utf8') === lockHash
+if (!isInstalled) {
   run('npm', ['ci', '--no-audit', '--no-fund'])
   writeFileSync(stampPath, lockHash)
 }
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -1,13 +1,13 @@
-// Runs every compiled unit test, or those of the packages named as arguments.
+// Runs all compiled unit tests, or those of the packages given as arguments.
 import { spawnSync } from 'node:child_process'
 import { existsSync, readdirSync, readFileSync, statSync } from 'node:fs'
 import { basename, dirname, join } from 'node:path'
 import { fileURLToPath } from 'node:url'
 
 const root = join(dirname(fileURLToPath(import.meta.url)), '..')
-const named = process.argv.slice(2)
+const requested = process.argv.slice(2)
 const folders = [...readdirSync(join(root, 'packages')).map((name) => join('packages', name)), 'platform']
-const packages = folders.filter((folder) => named.length === 0 || named.includes(basename(folder)))
+const packages = folders.filter((folder) => requested.length === 0 || requested.includes(basename(folder)))
 
 function collect (directory, found) {
   for (const entry of readdirSync(directory)) {
@@ -18,9 +18,9 @@
   return found
 }
 
-/** A compiled test whose source is gone must not run: the build leaves its output behind. */
+/** Whether a compiled test still has its source: the build does not delete the output of removed files. */
 function hasSource (path) {
-  return statSync(path.replace(`${'/dist/'}`, '/src/').replace(/\.js$/, '.ts'), { throwIfNoEntry: false }) !== undefined
+  return statSync(path.replace('/dist/', '/src/').replace(/\.js$/, '.ts'), { throwIfNoEntry: false }) !== undefined
 }
 
 const files = packages
@@ -33,7 +33,7 @@
   console.error('no test files found')
   process.exit(1)
 }
-/** Full titles of tests that are known to fail, the part before the first `|` of each line; they are printed and left out. */
+/** Prints KNOWN-RED.txt, and returns the full titles of its tests: the part of each line before the first `|`. */
 function readKnownRed () {
   const path = join(root, 'KNOWN-RED.txt')
   if (!existsSync(path)) return []
@@ -44,10 +44,10 @@
 
 const knownRed = readKnownRed()
 const escaped = knownRed.map((title) => title.replace(/[.*+?^${}()|[\]\\]/g, '\\$&'))
-const leftOut = escaped.length === 0 ? [] : ['--grep', `^(${escaped.join('|')})$`, '--invert']
+const exclusion = escaped.length === 0 ? [] : ['--grep', `^(${escaped.join('|')})$`, '--invert']
 const mocha = join(root, 'node_modules', 'mocha', 'bin', 'mocha.js')
-// A test that leaves a listener or timer behind keeps mocha from ending; without this bound the run would never fail.
+// A listener or timer that a test leaves open keeps mocha running, and the run would never fail without a limit.
 const RUN_LIMIT_MS = 15 * 60_000
-const result = spawnSync(process.execPath, [mocha, ...leftOut, ...files], { cwd: root, stdio: ['ignore', 'inherit', 'inherit'], timeout: RUN_LIMIT_MS, killSignal: 'SIGKILL' })
+const result = spawnSync(process.execPath, [mocha, ...exclusion, ...files], { cwd: root, stdio: ['ignore', 'inherit', 'inherit'], timeout: RUN_LIMIT_MS, killSignal: 'SIGKILL' })
 if (result.error !== undefined) console.error(`test run stopped: ${result.error.message}`)
 process.exit(result.status ?? 1)
