Reword the demo's comments, messages and names in plain technical English

TeamSketch is TeamDefinition, lastWords describeGroups, failOnEndedNode throwIfNodeExited, linesAbout recordsOf, Exchange Replacement; titles of tests say accepts and detects. Flags, routes of the control server, fields of the description and exit codes are unchanged.

--- a/packages/dotterelspur-demo/src/__tests__/unit/ClusterLayout.test.ts
+++ b/packages/dotterelspur-demo/src/__tests__/unit/ClusterLayout.test.ts
@@ -6,7 +6,7 @@
 describe('createLayout', () => {
   const layout = createLayout(4, 7)
 
-  it('spreads the nodes over the failure domains, each with addresses of its own', () => {
+  it('spreads the nodes over the failure domains, each with its own addresses', () => {
     expect(layout.nodes.map((node) => node.failureDomain)).to.deep.equal(['perth-a', 'perth-b', 'perth-c', 'perth-a'])
     const hosts = createLayout(600, 7).nodes.flatMap((node) => [node.host, node.relayHost])
     expect(new Set(hosts).size).to.equal(hosts.length)
@@ -19,7 +19,7 @@
   })
 
   for (const plan of layout.teams) {
-    it(`writes settings of team ${plan.team} that the product accepts, and that its token fits`, () => {
+    it(`writes settings of team ${plan.team} that the product accepts, with the hash of its token`, () => {
       const parsed = parseTeamSettings(plan.settings, `${plan.team}.ini`)
       if (!parsed.ok) throw new Error(JSON.stringify(parsed.error))
       expect(parsed.value.callerTokenHashes).to.deep.equal([hashToken(plan.token)])
--- a/packages/dotterelspur-demo/src/__tests__/unit/MeshRelay.test.ts
+++ b/packages/dotterelspur-demo/src/__tests__/unit/MeshRelay.test.ts
@@ -10,9 +10,9 @@
 
 interface Fixture {
   readonly relay: MeshRelay
-  /** Connects from a host; resolves with the echo of a word, or `cut`. */
+  /** Connects from a host; resolves with the echo of a word, or with `cut`. */
   echo (sourceHost: string): Promise<string>
-  /** Connects from a host and stays; resolves once the link is cut. */
+  /** Connects from a host and keeps the connection; `cut` resolves once it is closed. */
   hold (sourceHost: string): Promise<{ readonly cut: Promise<string> }>
 }
 
@@ -64,7 +64,7 @@
     { name: 'a third node', isolated: RELAY_HOST, fromSource: 'hello', fromOther: 'hello' }
   ]
   for (const { name, isolated, fromSource, fromOther } of cases) {
-    it(`lets new links through or not while ${name} is isolated, and all of them afterwards`, async () => {
+    it(`rejects new connections from or to ${name} while it is isolated, and accepts all of them afterwards`, async () => {
       await withRelay(async ({ relay, echo }) => {
         relay.isolate(isolated)
         expect([await echo(SOURCE_HOST), await echo(OTHER_HOST)]).to.deep.equal([fromSource, fromOther])
@@ -74,7 +74,7 @@
     })
   }
 
-  it('cuts links that stand when either end is isolated', async () => {
+  it('closes open connections when either end is isolated', async () => {
     await withRelay(async ({ relay, hold }) => {
       const link = await hold(SOURCE_HOST)
       relay.isolate(SOURCE_HOST)
--- a/packages/dotterelspur-demo/src/__tests__/unit/promises.test.ts
+++ b/packages/dotterelspur-demo/src/__tests__/unit/promises.test.ts
@@ -38,7 +38,7 @@
     { name: 'the answer to another caller\'s request', answer: answer(), marker: 'other', held: false }
   ]
   for (const { name, answer: given, marker = 'mine', held } of cases) {
-    it(`${held ? 'takes' : 'finds'} ${name}`, () => {
+    it(`${held ? 'accepts' : 'detects'} ${name}`, () => {
       expect(checkAnswers([{ marker, answer: given }], book()).held).to.equal(held)
     })
   }
@@ -52,7 +52,7 @@
     { name: 'a run that died', rows: [row({ idempotencyKey: KEY, end: RunEnd.Died })], held: false }
   ]
   for (const { name, rows, held } of cases) {
-    it(`${held ? 'takes' : 'finds'} ${name}`, () => { expect(checkOnce(rows, KEY, 2).held).to.equal(held) })
+    it(`${held ? 'accepts' : 'detects'} ${name}`, () => { expect(checkOnce(rows, KEY, 2).held).to.equal(held) })
   }
 })
 
@@ -68,7 +68,7 @@
     { name: 'an answer from an incomplete group', row: row({ membersUp: 1 }), held: false }
   ]
   for (const { name, row: given, held } of cases) {
-    it(`${held ? 'takes' : 'finds'} ${name}`, () => { expect(checkComplete([given], [loss], WINDOW_MS).held).to.equal(held) })
+    it(`${held ? 'accepts' : 'detects'} ${name}`, () => { expect(checkComplete([given], [loss], WINDOW_MS).held).to.equal(held) })
   }
 })
 
@@ -85,7 +85,7 @@
     { name: 'a VM twice in one group', groups: [group('g1', ['a', 'a'])], held: false }
   ]
   for (const { name, groups, held } of cases) {
-    it(`${held ? 'takes' : 'finds'} ${name}`, () => { expect(checkMembership([assignment(...groups)]).held).to.equal(held) })
+    it(`${held ? 'accepts' : 'detects'} ${name}`, () => { expect(checkMembership([assignment(...groups)]).held).to.equal(held) })
   }
 })
 
@@ -95,11 +95,11 @@
     { name: 'causes that name the VMs and the group', ofGroup: 'group g1: vm-2 is absent', ofJoined: 'VM vm-3: member of g1', records: '', held: true },
     { name: 'a loss that only the audit trail names', ofGroup: 'group g1 serves', ofJoined: 'VM vm-3: member of g1', records: 'group-broken g1: vm-2 is absent', held: true },
     { name: 'silence', ofGroup: '', ofJoined: '', records: '', held: false },
-    { name: 'a group of which no cause is told', ofGroup: 'group g1 does not serve', ofJoined: 'VM vm-3: member of g1', records: 'group-broken g1', held: false },
-    { name: 'a VM of which no group is told', ofGroup: 'group g1: vm-2 is absent', ofJoined: 'VM vm-3 is not known', records: '', held: false }
+    { name: 'a group of which no cause is stated', ofGroup: 'group g1 does not serve', ofJoined: 'VM vm-3: member of g1', records: 'group-broken g1', held: false },
+    { name: 'a VM whose group is not stated', ofGroup: 'group g1: vm-2 is absent', ofJoined: 'VM vm-3 is not known', records: '', held: false }
   ]
   for (const { name, ofGroup, ofJoined, records, held } of cases) {
-    it(`${held ? 'takes' : 'finds'} ${name}`, () => {
+    it(`${held ? 'accepts' : 'detects'} ${name}`, () => {
       expect(checkExplained(exchange, { ofGroup, ofJoined, records }).held).to.equal(held)
     })
   }
--- a/packages/dotterelspur-demo/src/demo.ts
+++ b/packages/dotterelspur-demo/src/demo.ts
@@ -6,8 +6,8 @@
 import { Narrator } from './request/Narrator.js'
 import { Scenario } from './request/Scenario.js'
 
-/** Answers take a second or two, so that there is something to interrupt. */
-const SHOWN_TOKEN_MS = 40
+/** Slow enough for answers to take a second or two, so that a VM can be killed while they stream. */
+const DEMO_TOKEN_MS = 40
 
 enum ExitCode {
   Held = 0,
@@ -24,7 +24,7 @@
 function readArguments (): DemoArguments {
   return yargs(process.argv.slice(2))
     .scriptName('npm run demo --')
-    .usage('$0\n\nStarts the whole system on loopback, shows it losing a VM, and checks what it promises.')
+    .usage('$0\n\nStarts the whole system on loopback, kills a VM under load, and checks each promise.')
     .option('nodes', { type: 'number', default: DEFAULT_NODES, describe: 'number of nodes' })
     .option('seed', { type: 'number', default: DEFAULT_SEED, describe: 'seed of names, tokens and faults' })
     .option('keep', { type: 'boolean', default: false, describe: 'send nothing and run until SIGINT or SIGTERM' })
@@ -38,7 +38,7 @@
     .parseSync()
 }
 
-/** Resolves at the first signal to end. Registered before anything starts, so that an early one is not lost. */
+/** Resolves at the first SIGINT or SIGTERM. Called before anything starts, so that an early signal is not lost. */
 function nextSignal (): Promise<NodeJS.Signals> {
   return new Promise((resolve) => {
     for (const signal of ['SIGINT', 'SIGTERM'] as const) process.on(signal, () => { resolve(signal) })
@@ -47,11 +47,11 @@
 
 async function runDemo (given: DemoArguments, narrator: Narrator): Promise<ExitCode> {
   const signalled = nextSignal()
-  const starting = startCluster({ nodes: given.nodes, seed: given.seed, engine: given.keep ? {} : { tokenMs: SHOWN_TOKEN_MS }, onProgress: (message) => { narrator.say(message) } })
-  const early = await Promise.race([starting.then(() => undefined), signalled])
+  const starting = startCluster({ nodes: given.nodes, seed: given.seed, engine: given.keep ? {} : { tokenMs: DEMO_TOKEN_MS }, onProgress: (message) => { narrator.say(message) } })
+  const earlySignal = await Promise.race([starting.then(() => undefined), signalled])
   const cluster = await starting
   try {
-    if (early !== undefined) return ExitCode.Held
+    if (earlySignal !== undefined) return ExitCode.Held
     if (given.describe !== undefined) await writeDescription(cluster, given.describe)
     if (given.keep) {
       narrator.say(`control address ${cluster.control.url}; runs until SIGINT or SIGTERM`)
--- a/packages/dotterelspur-demo/src/process/Cluster.ts
+++ b/packages/dotterelspur-demo/src/process/Cluster.ts
@@ -16,15 +16,15 @@
 import { Operator } from './Operator.js'
 import { registerVmListFeed } from './VmListFeed.js'
 
-/** What a cluster on loopback is started with. */
+/** Options of a cluster on loopback. */
 export interface ClusterOptions {
   readonly nodes?: number
   readonly seed?: number
   readonly engine?: Partial<EngineSettings>
   readonly fencing?: FencingMode
-  /** Takes the place of the demo's own layout. */
+  /** Replaces the demo's own layout. */
   readonly layout?: ClusterLayout
-  /** Told of each step, for people. */
+  /** Receives a message for each step of the start. */
   readonly onProgress?: (message: string) => void
 }
 
@@ -36,7 +36,7 @@
 const READY_TIMEOUT_MS = 40_000
 const POLL_MS = 100
 
-/** The stand-ins and the nodes of one run, all on loopback and all ended by `stop`. */
+/** The stand-ins and node processes of one run, all on loopback; `stop` ends them all. */
 export class Cluster {
   readonly nodes: ClusterNode[] = []
   readonly operator: Operator
@@ -44,7 +44,7 @@
   private readonly clock: Clock = new SystemClock()
   private readonly relay = new MeshRelay()
   private folder = ''
-  private readonly endNodes = (): void => { for (const node of this.nodes) node.process.signal('SIGKILL') }
+  private readonly killNodes = (): void => { for (const node of this.nodes) node.process.signal('SIGKILL') }
 
   private constructor (
     readonly layout: ClusterLayout,
@@ -57,7 +57,7 @@
     this.control = new ControlServer(this)
   }
 
-  /** Starts everything and waits until every group that the teams want serves, at every node. */
+  /** Starts everything, and waits until all nodes report that all declared groups serve. */
   static async start (options: ClusterOptions = {}): Promise<Cluster> {
     const seed = options.seed ?? DEFAULT_SEED
     const layout = options.layout ?? createLayout(options.nodes ?? DEFAULT_NODES, seed)
@@ -71,7 +71,7 @@
       seed
     })
     const cluster = new Cluster(layout, platform, endpoints, fencing, options.onProgress ?? (() => {}))
-    process.once('exit', cluster.endNodes)
+    process.once('exit', cluster.killNodes)
     try {
       await cluster.startAll()
     } catch (error) {
@@ -81,10 +81,10 @@
     return cluster
   }
 
-  /** Ends every process and removes every file. */
+  /** Kills all node processes, stops the stand-ins and removes the run's files. */
   async stop (): Promise<void> {
     await Promise.all(this.nodes.map((node) => node.process.kill()))
-    process.off('exit', this.endNodes)
+    process.off('exit', this.killNodes)
     this.relay.close()
     await this.control.close()
     this.endpoints.stop()
@@ -144,12 +144,12 @@
     }
   }
 
-  /** Whether each node by itself says that all wanted groups serve. */
+  /** Whether each node reports that all declared groups serve. */
   private async allServe (): Promise<boolean> {
-    const wanted = this.layout.teams.reduce((sum, team) => sum + team.replicas, 0)
+    const declared = this.layout.teams.reduce((sum, team) => sum + team.replicas, 0)
     for (const node of this.nodes) {
       const serving = await this.operator.servingGroups(node.admin)
-      if (serving < wanted) return false
+      if (serving < declared) return false
     }
     return true
   }
@@ -157,20 +157,20 @@
   private async waitFor (what: string, condition: () => Promise<boolean>): Promise<void> {
     const deadlineMs = this.clock.nowMs() + READY_TIMEOUT_MS
     while (!await condition()) {
-      await this.failOnEndedNode()
-      if (this.clock.nowMs() > deadlineMs) throw new Error(`waited ${READY_TIMEOUT_MS} ms in vain for ${what}\n${await this.operator.lastWords()}`)
+      await this.throwIfNodeExited()
+      if (this.clock.nowMs() > deadlineMs) throw new Error(`timed out after ${READY_TIMEOUT_MS} ms waiting for ${what}\n${await this.operator.describeGroups()}`)
       await sleep(this.clock, POLL_MS)
     }
   }
 
-  private async failOnEndedNode (): Promise<void> {
+  private async throwIfNodeExited (): Promise<void> {
     for (const { process: node } of this.nodes) {
-      if (!node.running) throw new Error(`node ${node.id} ended:\n${await node.logTail()}`)
+      if (!node.running) throw new Error(`node ${node.id} exited:\n${await node.logTail()}`)
     }
   }
 }
 
-/** Starts a whole cluster on loopback: stand-ins, control address and node processes. */
+/** Starts a cluster on loopback: stand-ins, control server and node processes. */
 export function startCluster (options: ClusterOptions = {}): Promise<Cluster> {
   return Cluster.start(options)
 }
--- a/packages/dotterelspur-demo/src/process/ClusterLayout.ts
+++ b/packages/dotterelspur-demo/src/process/ClusterLayout.ts
@@ -3,13 +3,13 @@
 import type { Random } from 'dotterelspur'
 import type { VmPlace } from 'dotterelspur-testkit'
 
-/** A team of the demo: its settings as an operator would write them, and what its callers need. */
+/** A team of the demo: its settings file, as an operator would write it, and its callers' token and models. */
 export interface TeamPlan {
   readonly team: string
   /** The callers' bearer token. */
   readonly token: string
   readonly models: readonly string[]
-  /** Groups that must serve before the cluster counts as ready. */
+  /** Number of groups that must serve before the cluster is ready. */
   readonly replicas: number
   readonly settings: string
 }
@@ -24,13 +24,13 @@
 export interface NodePlan {
   readonly id: string
   readonly failureDomain: string
-  /** The node's own loopback address, so that it can be cut off by its source. */
+  /** A loopback address of this node alone, by which its connections are recognized while it is isolated. */
   readonly host: string
-  /** Where its peers reach it through the relay. */
+  /** The relay's address at which its peers reach it. */
   readonly relayHost: string
 }
 
-/** Everything that a cluster is made of, before any of it runs. */
+/** Names, addresses, settings and tokens of a cluster that is not started yet. */
 export interface ClusterLayout {
   readonly region: string
   readonly places: readonly VmPlace[]
@@ -48,7 +48,7 @@
 const VMS_PER_REPLICA = 2
 const NODES_PER_HOST_OCTET = 250
 
-interface TeamSketch {
+interface TeamDefinition {
   readonly team: string
   readonly model: string
   readonly version: string
@@ -57,20 +57,20 @@
   readonly strandedAccelerators: number
 }
 
-const TEAMS: readonly TeamSketch[] = [
+const TEAMS: readonly TeamDefinition[] = [
   { team: 'tradeline', model: 'trip-summary', version: '1', service: 'trips', groupDowntime: 8, strandedAccelerators: 1 },
   { team: 'piedmont', model: 'loan-draft', version: '1', service: 'circulation', groupDowntime: 1, strandedAccelerators: 4 }
 ]
 const REPLICAS_PER_TEAM = FAILURE_DOMAINS.length * FABRIC_DOMAINS_PER_FAILURE_DOMAIN / TEAMS.length
 
-/** The demo's cluster for a number of nodes; the same seed gives the same names and tokens. */
+/** Creates the layout of the demo's cluster; the same seed gives the same names and tokens. */
 export function createLayout (nodeCount: number, seed: number): ClusterLayout {
   const random = createRandom(seed)
   return {
     region: REGION,
     places: [...enginePlaces(), ...servicePlaces()],
     nodes: Array.from({ length: nodeCount }, (_, index) => nodePlan(index)),
-    teams: TEAMS.map((sketch) => teamPlan(sketch, random)),
+    teams: TEAMS.map((definition) => teamPlan(definition, random)),
     services: TEAMS.map(({ team, service }) => ({ service, team, safePath: `/services/${service}/records/today`, oncePath: `/services/${service}/records` })),
     adminToken: createToken('operator', random),
     meshKey: createToken('mesh', random)
@@ -107,35 +107,35 @@
   return Array.from({ length }, (_, index) => index + 1)
 }
 
-function teamPlan (sketch: TeamSketch, random: Random): TeamPlan {
-  const token = createToken(sketch.team, random)
-  return { team: sketch.team, token, models: [sketch.model], replicas: REPLICAS_PER_TEAM, settings: teamSettings(sketch, token) }
+function teamPlan (definition: TeamDefinition, random: Random): TeamPlan {
+  const token = createToken(definition.team, random)
+  return { team: definition.team, token, models: [definition.model], replicas: REPLICAS_PER_TEAM, settings: teamSettings(definition, token) }
 }
 
-function teamSettings (sketch: TeamSketch, token: string): string {
+function teamSettings (definition: TeamDefinition, token: string): string {
   return `[team]
-name = ${sketch.team}
+name = ${definition.team}
 caller-token-sha256 = ${createHash('sha256').update(token).digest('hex')}
 
 [weights]
-group-downtime = ${sketch.groupDowntime}
-stranded-accelerators = ${sketch.strandedAccelerators}
+group-downtime = ${definition.groupDowntime}
+stranded-accelerators = ${definition.strandedAccelerators}
 
-[model ${sketch.model}]
-version = ${sketch.version}
+[model ${definition.model}]
+version = ${definition.version}
 replicas = ${REPLICAS_PER_TEAM}
 vms-per-replica = ${VMS_PER_REPLICA}
 standbys-per-fabric-domain = 1
 
-[service ${sketch.service}]
+[service ${definition.service}]
 timeout-ms = 10000
 
-[route ${sketch.service} reads]
+[route ${definition.service} reads]
 path-prefix = /
 methods = GET
 retry = idempotent
 
-[route ${sketch.service} writes]
+[route ${definition.service} writes]
 path-prefix = /records
 methods = POST
 retry = once
--- a/packages/dotterelspur-demo/src/process/ClusterNode.ts
+++ b/packages/dotterelspur-demo/src/process/ClusterNode.ts
@@ -1,7 +1,7 @@
 import type { NodePlan } from './ClusterLayout.js'
 import type { NodeProcess } from './NodeProcess.js'
 
-/** One node of the cluster and what the demo can do to it. */
+/** A node of the cluster, with its process and its URLs. */
 export interface ClusterNode {
   readonly plan: NodePlan
   readonly process: NodeProcess
--- a/packages/dotterelspur-demo/src/process/ControlServer.ts
+++ b/packages/dotterelspur-demo/src/process/ControlServer.ts
@@ -9,7 +9,7 @@
   readonly delayMs?: number
 }
 
-/** What faults are done to. */
+/** The parts of a cluster into which faults are injected. */
 export interface ControlledCluster {
   readonly platform: PlatformServer
   readonly endpoints: EndpointFleet
@@ -18,7 +18,7 @@
 
 const HOST = '127.0.0.1'
 
-/** The control address of the stand-ins and of the demo's processes; no part of the product. */
+/** HTTP server that injects faults into the stand-ins and node processes. It is not part of the product. */
 export class ControlServer {
   private readonly app: FastifyInstance = fastify({ forceCloseConnections: true })
   private address = ''
@@ -73,7 +73,7 @@
   }
 }
 
-/** Refuses, with the accepted kinds, what is no fault. */
+/** Schema of a fault's body; the validation error lists the accepted kinds. */
 function faultSchema (kinds: Readonly<Record<string, string>>): object {
   return {
     body: {
--- a/packages/dotterelspur-demo/src/process/MeshRelay.ts
+++ b/packages/dotterelspur-demo/src/process/MeshRelay.ts
@@ -6,25 +6,24 @@
   readonly port: number
 }
 
-interface RelayPath {
+interface RelayedConnection {
   readonly source: string
   readonly target: string
   readonly sockets: readonly Socket[]
 }
 
 /**
- * Carries the nodes' links to each other. Each node is reached at an address of the relay, and nodes are told
- * apart by their own loopback addresses, so that one can be cut off from its peers while callers and endpoints
- * still reach it.
+ * Relays connections between nodes. Peers connect to a node at an address of the relay, which recognizes nodes by their
+ * loopback addresses, so that a node can be isolated from its peers while callers and endpoints still reach it.
  */
 export class MeshRelay {
   private readonly servers: Server[] = []
-  private readonly paths = new Set<RelayPath>()
+  private readonly connections = new Set<RelayedConnection>()
   private readonly isolated = new Set<string>()
 
-  /** Opens a listener on `listenHost` before a node; returns the address for its peers. */
+  /** Opens a listener on `listenHost` in front of a node; returns the address for its peers. */
   async open (listenHost: string, target: RelayTarget): Promise<string> {
-    const server = createServer((incoming) => { this.carry(incoming, target) })
+    const server = createServer((incoming) => { this.accept(incoming, target) })
     this.servers.push(server)
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject)
@@ -33,11 +32,11 @@
     return `${listenHost}:${(server.address() as AddressInfo).port}`
   }
 
-  /** Cuts every link from and to a node, and lets none be made. */
+  /** Closes all connections from and to a node, and rejects new ones until it is restored. */
   isolate (host: string): void {
     this.isolated.add(host)
-    for (const path of [...this.paths]) {
-      if (path.source === host || path.target === host) this.cut(path)
+    for (const connection of [...this.connections]) {
+      if (connection.source === host || connection.target === host) this.cut(connection)
     }
   }
 
@@ -47,29 +46,29 @@
 
   close (): void {
     for (const server of this.servers) server.close()
-    for (const path of [...this.paths]) this.cut(path)
+    for (const connection of [...this.connections]) this.cut(connection)
   }
 
-  private carry (incoming: Socket, target: RelayTarget): void {
+  private accept (incoming: Socket, target: RelayTarget): void {
     const source = incoming.remoteAddress ?? ''
     if (this.isolated.has(source) || this.isolated.has(target.host)) {
       incoming.destroy()
       return
     }
     const outgoing = connect(target.port, target.host)
-    const path: RelayPath = { source, target: target.host, sockets: [incoming, outgoing] }
-    this.paths.add(path)
-    for (const socket of path.sockets) {
+    const connection: RelayedConnection = { source, target: target.host, sockets: [incoming, outgoing] }
+    this.connections.add(connection)
+    for (const socket of connection.sockets) {
       socket.setNoDelay(true)
-      socket.on('error', () => { this.cut(path) })
-      socket.on('close', () => { this.cut(path) })
+      socket.on('error', () => { this.cut(connection) })
+      socket.on('close', () => { this.cut(connection) })
     }
     incoming.pipe(outgoing)
     outgoing.pipe(incoming)
   }
 
-  private cut (path: RelayPath): void {
-    if (!this.paths.delete(path)) return
-    for (const socket of path.sockets) socket.destroy()
+  private cut (connection: RelayedConnection): void {
+    if (!this.connections.delete(connection)) return
+    for (const socket of connection.sockets) socket.destroy()
   }
 }
--- a/packages/dotterelspur-demo/src/process/NodeFaults.ts
+++ b/packages/dotterelspur-demo/src/process/NodeFaults.ts
@@ -5,16 +5,16 @@
   Pause = 'pause',
   Resume = 'resume',
   Restart = 'restart',
-  /** The node is told to stop gracefully, and stays away. */
+  /** Graceful stop; the node is not started again. */
   Drain = 'drain',
-  /** Cut from the platform and its peers, not from endpoints and callers. */
+  /** The node can't reach the platform and its peers; endpoints and callers can still reach it. */
   Isolate = 'isolate',
   None = 'none'
 }
 
 type FaultHandler = (node: ClusterNode) => void | Promise<void>
 
-/** One handler for each kind of fault. */
+/** Handler of each kind of fault. */
 export const NODE_FAULT_HANDLERS: Readonly<Record<NodeFaultKind, FaultHandler>> = {
   [NodeFaultKind.Kill]: (node) => node.process.kill(),
   [NodeFaultKind.Pause]: (node) => { node.process.signal('SIGSTOP') },
--- a/packages/dotterelspur-demo/src/process/NodeProcess.ts
+++ b/packages/dotterelspur-demo/src/process/NodeProcess.ts
@@ -7,18 +7,18 @@
 
 const LOG_TAIL_LINES = 20
 
-/** The node's program, beside the package's main module. */
+/** Path of the node's program, in the directory of the package's main module. */
 export function nodeProgram (): string {
   return join(dirname(fileURLToPath(import.meta.resolve('dotterelspur-node'))), 'dotterelspur.js')
 }
 
 /**
- * One node, as a child process that is ended with its parent. It has a process group of its own: a signal from the
- * terminal goes to the demo alone, which ends its nodes in order.
+ * A node as a child process. It has its own process group, so that signals from the terminal reach only the demo, which then
+ * ends its nodes in order.
  */
 export class NodeProcess {
   private child: ChildProcess | undefined
-  private ending: Promise<void> = Promise.resolve()
+  private exited: Promise<void> = Promise.resolve()
 
   constructor (readonly id: string, private readonly settingsPath: string, private readonly logPath: string) {}
 
@@ -32,7 +32,7 @@
     const child = spawn(process.execPath, [nodeProgram(), '--settings', this.settingsPath], { stdio: ['ignore', log, log], detached: true })
     closeSync(log)
     this.child = child
-    this.ending = new Promise((resolve) => {
+    this.exited = new Promise((resolve) => {
       child.once('exit', () => {
         if (this.child === child) this.child = undefined
         resolve()
@@ -44,15 +44,15 @@
     this.child?.kill(signal)
   }
 
-  /** Ends it at once and waits until it is gone. A stopped process dies of this too. */
+  /** Sends SIGKILL, which also ends a process that is paused by SIGSTOP, and waits until it has exited. */
   async kill (): Promise<void> {
     this.signal('SIGKILL')
-    await this.ending
+    await this.exited
   }
 
-  /** Resolves when the process has ended by itself. */
+  /** Resolves when the process has exited. */
   async ended (): Promise<void> {
-    await this.ending
+    await this.exited
   }
 
   async logTail (): Promise<string> {
--- a/packages/dotterelspur-demo/src/process/Operator.ts
+++ b/packages/dotterelspur-demo/src/process/Operator.ts
@@ -3,7 +3,7 @@
 import { ExitCode, createHttpTransport, runCommandLine } from 'dotterelspur-ctl'
 import { SystemClock } from 'dotterelspur-clock'
 
-/** What one command printed and how it ended. */
+/** Output and exit code of a command. */
 export interface CommandReport {
   readonly exitCode: ExitCode
   readonly done: boolean
@@ -17,16 +17,16 @@
 
 const OPERATOR_NAME = 'demo'
 
-/** An operator at the product's own command line, `dotterelctl`. */
+/** Runs `dotterelctl` commands as an operator. */
 export class Operator {
   constructor (private readonly token: string, private readonly admins: () => readonly string[]) {}
 
-  /** Runs one command against the nodes, each tried in turn. */
-  run (words: readonly string[]): Promise<CommandReport> {
-    return this.runAt(this.admins(), words)
+  /** Runs a command; it tries the nodes in turn. */
+  run (args: readonly string[]): Promise<CommandReport> {
+    return this.runAt(this.admins(), args)
   }
 
-  /** How many groups one node says that it may dispatch to. */
+  /** Number of groups to which a node may dispatch, by its own report. */
   async servingGroups (admin: string): Promise<number> {
     const report = await this.runAt([admin], ['groups', '--json'])
     if (!report.done) return 0
@@ -34,17 +34,17 @@
     return groups.filter((group) => group.serving).length
   }
 
-  /** What the last command printed, for the message of a failure. */
-  async lastWords (): Promise<string> {
+  /** The groups as the nodes list them, for error messages. */
+  async describeGroups (): Promise<string> {
     const groups = await this.run(['groups'])
     return `${groups.output}${groups.errors}`
   }
 
-  private async runAt (admins: readonly string[], words: readonly string[]): Promise<CommandReport> {
+  private async runAt (admins: readonly string[], args: readonly string[]): Promise<CommandReport> {
     const transport = createHttpTransport()
     let output = ''
     let errors = ''
-    const exitCode = await runCommandLine(words, {
+    const exitCode = await runCommandLine(args, {
       environment: { DOTTERELCTL_ADMIN: admins.join(','), DOTTERELCTL_TOKEN: this.token, DOTTERELCTL_OPERATOR: OPERATOR_NAME },
       clock: new SystemClock(),
       transport,
--- a/packages/dotterelspur-demo/src/process/VmListFeed.ts
+++ b/packages/dotterelspur-demo/src/process/VmListFeed.ts
@@ -1,7 +1,7 @@
 import type { Teardown, VmRecord } from 'dotterelspur'
 import type { EndpointFleet, PlatformServer } from 'dotterelspur-testkit'
 
-/** Keeps the platform's list of VMs in step with the stand-in endpoints; the list itself adds the lag. */
+/** Updates the platform's list of VMs from the stand-in endpoints; the list itself adds the lag. */
 export function registerVmListFeed (fleet: EndpointFleet, platform: PlatformServer): Teardown {
   let listed = new Map<string, VmRecord>()
   const update = (): void => {
--- a/packages/dotterelspur-demo/src/process/describe.ts
+++ b/packages/dotterelspur-demo/src/process/describe.ts
@@ -1,7 +1,7 @@
 import { rename, writeFile } from 'node:fs/promises'
 import type { Cluster } from './Cluster.js'
 
-/** What an outside program needs to drive a cluster. */
+/** Addresses and tokens with which another program can drive a cluster. */
 export interface ClusterDescription {
   readonly entries: readonly string[]
   readonly admin: readonly string[]
@@ -23,7 +23,7 @@
   }
 }
 
-/** Writes the description so that a reader finds all of it or none. */
+/** Writes the description atomically: a reader never finds a part of it. */
 export async function writeDescription (cluster: Cluster, path: string): Promise<void> {
   const partial = `${path}.partial`
   await writeFile(partial, `${JSON.stringify(describeCluster(cluster), null, 2)}\n`, { mode: 0o600 })
--- a/packages/dotterelspur-demo/src/process/nodeSettings.ts
+++ b/packages/dotterelspur-demo/src/process/nodeSettings.ts
@@ -19,7 +19,7 @@
   readonly fencing: string
 }
 
-/** A node's settings file. Ports are fixed, so that a restarted node is found at its old addresses. */
+/** Text of a node's settings file. Ports are fixed, so that a restarted node keeps its addresses. */
 export function nodeSettingsText (input: NodeSettingsInput): string {
   const { plan, region, ports, meshAddress, meshKey, adminToken, platformUrl, fencing } = input
   return `[node]
@@ -49,7 +49,7 @@
 `
 }
 
-/** Three ports that the operating system says are free on a host. */
+/** Three ports that were free on the host a moment ago. */
 export async function findFreePorts (host: string): Promise<NodePorts> {
   const servers = [createServer(), createServer(), createServer()]
   const ports = await Promise.all(servers.map((server) => new Promise<number>((resolve, reject) => {
--- a/packages/dotterelspur-demo/src/request/Caller.ts
+++ b/packages/dotterelspur-demo/src/request/Caller.ts
@@ -1,13 +1,13 @@
 import type { TeamPlan } from '../process/ClusterLayout.js'
 
-/** What a caller has of one streamed answer. */
+/** A streamed answer as its caller received it. */
 export interface ChatAnswer {
   readonly requestId: string
   readonly text: string
-  /** The stream ended with a finish reason and its closing mark. */
+  /** Whether the stream ended with a finish reason and the end-of-stream marker. */
   readonly whole: boolean
   readonly status: number
-  /** Set when the system said that it could not answer. */
+  /** The system's error message; null if it sent none. */
   readonly error: string | null
 }
 
@@ -26,17 +26,17 @@
   readonly entries: ReadonlyArray<{ readonly address: string }>
 }
 
-const CLOSING_MARK = '[DONE]'
+const END_OF_STREAM = '[DONE]'
 const DATA_PREFIX = 'data: '
 
-/** A caller of one team, as any HTTP client would be: asks the directory once, then uses its addresses in turn. */
+/** A caller of one team: an ordinary HTTP client that asks the directory once and then uses the returned addresses in turn. */
 export class Caller {
   private entries: readonly string[] = []
   private turn = 0
 
   constructor (readonly team: TeamPlan, private readonly firstEntry: string) {}
 
-  /** Asks which addresses to use. */
+  /** Requests the addresses to use from the directory. */
   async askDirectory (): Promise<readonly string[]> {
     const response = await fetch(`${this.firstEntry}/v1/entries`, { headers: this.headers() })
     if (!response.ok) throw new Error(`the directory answered ${response.status}: ${await response.text()}`)
@@ -57,7 +57,7 @@
     return { requestId, status: response.status, ...readEvents(text) }
   }
 
-  /** One POST that must run at most once. */
+  /** Sends a POST that must run at most once. */
   async callOnce (path: string, idempotencyKey: string, body: string): Promise<ServiceAnswer> {
     const response = await this.send(path, { method: 'POST', headers: { 'content-type': 'application/json', 'idempotency-key': idempotencyKey }, body })
     return { requestId: response.headers.get('x-request-id') ?? '', status: response.status, body: await response.text() }
@@ -73,7 +73,7 @@
   }
 }
 
-/** Puts a server-sent stream together; whole only with a finish reason and the closing mark. */
+/** Parses a stream of server-sent events; it is whole only with a finish reason and the end-of-stream marker. */
 function readEvents (stream: string): Pick<ChatAnswer, 'text' | 'whole' | 'error'> {
   let text = ''
   let finished = false
@@ -82,7 +82,7 @@
   for (const line of stream.split('\n')) {
     if (!line.startsWith(DATA_PREFIX)) continue
     const data = line.slice(DATA_PREFIX.length)
-    if (data === CLOSING_MARK) {
+    if (data === END_OF_STREAM) {
       closed = true
       continue
     }
--- a/packages/dotterelspur-demo/src/request/Narrator.ts
+++ b/packages/dotterelspur-demo/src/request/Narrator.ts
@@ -4,7 +4,7 @@
 const WIDTH = 100
 const INDENT = '        '
 
-/** Tells a person what happens, with the seconds since the start. */
+/** Prints the progress of the demo, with the seconds since its start. */
 export class Narrator {
   private readonly startMs: number
 
@@ -28,7 +28,7 @@
 
   summary (checks: readonly PromiseCheck[]): void {
     this.write('')
-    this.write('What was promised, held against what the stand-ins saw')
+    this.write('Promises, checked against the records of the stand-ins')
     this.write('─'.repeat(WIDTH))
     for (const { promise, held, evidence } of checks) {
       this.write(`${held ? '  held  ' : '  BROKEN'}  ${promise}`)
--- a/packages/dotterelspur-demo/src/request/Scenario.ts
+++ b/packages/dotterelspur-demo/src/request/Scenario.ts
@@ -18,9 +18,9 @@
 const REPAIR_TIMEOUT_MS = 25_000
 const STREAMING_TIMEOUT_MS = 10_000
 const ONCE_SENDS = 2
-/** The VM is killed once this share of the answers streams, and a little later. */
-const ENOUGH_SHARE = 0.5
-const STREAM_A_WHILE_MS = 300
+/** Share of the answers that must be streaming before the VM is killed. */
+const STREAMING_SHARE = 0.5
+const KILL_DELAY_MS = 300
 const NO_REPORT: CommandReport = { exitCode: ExitCode.Failed, done: false, output: '', errors: '' }
 
 interface LostMember extends MemberLoss {
@@ -32,11 +32,11 @@
   readonly repaired: boolean
   readonly repairMs: number
   readonly detail: string
-  /** What `dotterelctl explain` said of the group before it served again. */
+  /** Output of `dotterelctl explain` for the group, from before it served again. */
   readonly explanation: CommandReport
 }
 
-/** What the full demo shows: answers, a lost VM, the repair, a call that runs once, and each promise checked. */
+/** The steps of the full demo: streamed answers, the loss of a VM, the repair, a non-idempotent call, and a check of each promise. */
 export class Scenario {
   private readonly clock = new SystemClock()
 
@@ -53,7 +53,7 @@
     this.narrator.say(`the non-idempotent call was sent twice with one key: ${once.map((answer) => answer.status).join(', ')}`)
     const repair = await repairing
     const explained = await this.explain(repair)
-    return [...this.judge(answered, repair, onceKey), explained]
+    return [...this.checkPromises(answered, repair, onceKey), explained]
   }
 
   private async callers (): Promise<Caller[]> {
@@ -61,7 +61,7 @@
     const callers = this.cluster.layout.teams.map((team) => new Caller(team, entry))
     for (const caller of callers) {
       const entries = await caller.askDirectory()
-      this.narrator.say(`${caller.team.team} asked the directory and was given ${entries.length} addresses`)
+      this.narrator.say(`${caller.team.team} received ${entries.length} addresses from the directory`)
     }
     return callers
   }
@@ -74,7 +74,7 @@
     })
   }
 
-  /** Kills a member of the group that streams the most, while it streams. */
+  /** Kills a member of the group with the most running streams. */
   private async killUnderStreams (): Promise<LostMember> {
     const victim = await this.busiestGroup()
     const member = this.cluster.endpoints.views().filter((view) => view.group === victim.group).at(-1)!
@@ -86,9 +86,9 @@
 
   private async busiestGroup (): Promise<{ readonly group: string, readonly formation: number, readonly streams: number }> {
     const deadlineMs = this.clock.nowMs() + STREAMING_TIMEOUT_MS
-    const enough = CHATS_PER_TEAM * this.cluster.layout.teams.length * ENOUGH_SHARE
-    while (this.runningRows().length < enough && this.clock.nowMs() < deadlineMs) await sleep(this.clock, POLL_MS)
-    await sleep(this.clock, STREAM_A_WHILE_MS)
+    const streaming = CHATS_PER_TEAM * this.cluster.layout.teams.length * STREAMING_SHARE
+    while (this.runningRows().length < streaming && this.clock.nowMs() < deadlineMs) await sleep(this.clock, POLL_MS)
+    await sleep(this.clock, KILL_DELAY_MS)
     const running = this.runningRows()
     const counts = new Map<string, LedgerRow[]>()
     for (const row of running) counts.set(row.group!, [...counts.get(row.group!) ?? [], row])
@@ -121,16 +121,16 @@
     return this.cluster.endpoints.ledger.rows().filter((row) => row.requestId === requestId)
   }
 
-  /** Follows the group from its loss until every node says that it may dispatch to all groups again. */
+  /** Polls until all nodes report that they may dispatch to all groups again. */
   private async watchRepair (loss: LostMember): Promise<Repair> {
-    const wanted = this.cluster.layout.teams.reduce((sum, team) => sum + team.replicas, 0)
+    const declared = this.cluster.layout.teams.reduce((sum, team) => sum + team.replicas, 0)
     const deadlineMs = this.clock.nowMs() + REPAIR_TIMEOUT_MS
     const explanations: CommandReport[] = []
     let repaired = false
     while (!repaired && this.clock.nowMs() < deadlineMs) {
       explanations.push(await this.cluster.operator.run(['explain', 'group', loss.group]))
       const serving = await Promise.all(this.cluster.nodes.map((node) => this.cluster.operator.servingGroups(node.admin)))
-      repaired = this.assignedGroup(loss.group)?.formation !== loss.formation && serving.every((count) => count >= wanted)
+      repaired = this.assignedGroup(loss.group)?.formation !== loss.formation && serving.every((count) => count >= declared)
       if (!repaired) await sleep(this.clock, POLL_MS)
     }
     const repairMs = this.clock.wallMs() - loss.atWallMs
@@ -148,7 +148,7 @@
     return this.assignedGroup(group)?.members.map((member) => member.vm) ?? []
   }
 
-  /** What the system says of the VM that took the lost one's place, and of what it did. */
+  /** Checks that the system explains the loss and the replacement of the VM. */
   private async explain ({ loss, explanation, repaired, repairMs, detail }: Repair): Promise<PromiseCheck> {
     this.narrator.command(`dotterelctl explain group ${loss.group}     (asked from the loss on)`, explanation.output + explanation.errors)
     this.narrator.say(`${repaired ? `repaired ${(repairMs / 1_000).toFixed(1)} s after the loss` : 'not repaired'}: ${detail}`)
@@ -156,12 +156,12 @@
     const ofVm = await this.cluster.operator.run(['explain', 'vm', joined])
     this.narrator.command(`dotterelctl explain vm ${joined}`, ofVm.output + ofVm.errors)
     const audit = await this.cluster.operator.run(['audit'])
-    const records = linesAbout(audit.output, loss.group)
+    const records = recordsOf(audit.output, loss.group)
     this.narrator.command('dotterelctl audit', records)
     return checkExplained({ group: loss.group, lost: loss.vm, joined }, { ofGroup: explanation.output, ofJoined: ofVm.output, records })
   }
 
-  private judge (chats: readonly SentChat[], repair: Repair, onceKey: string): PromiseCheck[] {
+  private checkPromises (chats: readonly SentChat[], repair: Repair, onceKey: string): PromiseCheck[] {
     const { ledger, answers } = this.cluster.endpoints
     return [
       checkAnswers(chats, answers),
@@ -177,8 +177,8 @@
   }
 }
 
-/** The audit records of one subject, each with the indented lines that belong to it. */
-function linesAbout (audit: string, subject: string): string {
+/** The audit records of a subject, each with its indented lines. */
+function recordsOf (audit: string, subject: string): string {
   let shown = false
   return audit.split('\n').filter((line) => {
     if (!line.startsWith(' ')) shown = line.includes(` ${subject} `)
--- a/packages/dotterelspur-demo/src/request/promises.ts
+++ b/packages/dotterelspur-demo/src/request/promises.ts
@@ -4,7 +4,7 @@
 import type { AnswerBook, LedgerRow } from 'dotterelspur-testkit'
 import type { ChatAnswer } from './Caller.js'
 
-/** One promise, held against what the stand-ins saw. */
+/** Result of checking a promise against the records of the stand-ins. */
 export interface PromiseCheck {
   readonly promise: string
   readonly held: boolean
@@ -16,7 +16,7 @@
   readonly answer: ChatAnswer
 }
 
-/** A member of a group that was lost, on the wall clock of the stand-ins. */
+/** The loss of a group member; its time is on the wall clock of the stand-ins. */
 export interface MemberLoss {
   readonly group: string
   readonly formation: number
@@ -27,7 +27,7 @@
   return { promise, held, evidence }
 }
 
-/** Each caller has the whole answer that the engines give to its own request, and no other. */
+/** Checks that each caller received the whole answer that the engines gave to its own request. */
 export function checkAnswers (chats: readonly SentChat[], answers: AnswerBook): PromiseCheck {
   const wrong = chats.filter(({ marker, answer }) => !answer.whole || answer.text !== answers.answer(answer.requestId) || !answers.prompt(answer.requestId)!.includes(marker))
   const first = wrong[0]
@@ -37,7 +37,7 @@
   return check('every caller has the whole answer to its own request', wrong.length === 0, evidence)
 }
 
-/** A non-idempotent call began at one endpoint, once. */
+/** Checks that a non-idempotent call ran once, at one endpoint. */
 export function checkOnce (rows: readonly LedgerRow[], idempotencyKey: string, sent: number): PromiseCheck {
   const runs = rows.filter((row) => row.idempotencyKey === idempotencyKey)
   const evidence = `sent ${sent} times with one key, run ${runs.length} times${runs[0] === undefined ? '' : ` (at ${runs[0].endpoint})`}`
@@ -45,8 +45,8 @@
 }
 
 /**
- * No run began in an incomplete group, but for the stated window in which a loss can't be known yet; and no run
- * that began so ended whole.
+ * Checks that no run began in an incomplete group, except within the window after a loss in which it can't be known yet; such
+ * a run must not have ended whole.
  */
 export function checkComplete (rows: readonly LedgerRow[], losses: readonly MemberLoss[], windowMs: number): PromiseCheck {
   const incomplete = rows.filter((row) => row.group !== null && row.membersUp < row.membersDue)
@@ -57,7 +57,7 @@
   return check('no group serves unless all of its VMs are present', wrong.length === 0, evidence)
 }
 
-/** Reads the platform's own objects. */
+/** Checks the assignments in the platform's store: no VM is a member of two groups, or a member of one and a standby of another. */
 export function checkMembership (assignments: readonly AssignmentObject[]): PromiseCheck {
   const seen = new Map<string, string>()
   const doubled: string[] = []
@@ -75,36 +75,36 @@
   return check('no VM belongs to two groups', doubled.length === 0, doubled[0] ?? `${seen.size} members of ${assignments.length} fabric domains under ${ASSIGNMENT_PREFIX}`)
 }
 
-/** The group that lost a VM serves again, complete. */
+/** Checks that the group that lost a VM serves again, complete. */
 export function checkRepair (repaired: boolean, repairMs: number, detail: string): PromiseCheck {
   return check('the fleet repairs itself', repaired, repaired ? `complete again after ${(repairMs / 1_000).toFixed(1)} s: ${detail}` : `not within ${(repairMs / 1_000).toFixed(1)} s: ${detail}`)
 }
 
-/** What the operators' commands printed. */
+/** Output of the operators' commands. */
 export interface Explanations {
-  /** `explain group`, asked while the group was out. */
+  /** Output of `explain group` while the group did not serve. */
   readonly ofGroup: string
-  /** `explain vm`, asked of the VM that came in. */
+  /** Output of `explain vm` for the VM that joined. */
   readonly ofJoined: string
   /** The audit records of the group. */
   readonly records: string
 }
 
-/** A group that lost one VM and took in another. */
-export interface Exchange {
+/** The replacement of a lost VM in a group. */
+export interface Replacement {
   readonly group: string
   readonly lost: string
   readonly joined: string
 }
 
 /**
- * The system says by itself why the group was out, and which group the VM that came in belongs to. A repair can be
- * over before anybody asks; the audit trail says it then.
+ * Checks that the system states why the group did not serve, and to which group the joined VM belongs. A repair may be over before
+ * `explain` is run; the audit trail then states the reason.
  */
-export function checkExplained ({ group, lost, joined }: Exchange, { ofGroup, ofJoined, records }: Explanations): PromiseCheck {
-  const toldLoss = ofGroup.includes(lost) || records.includes(lost)
-  const toldMove = ofJoined.includes(group)
-  const missing = [toldLoss ? [] : [`why ${group} was out`], toldMove ? [] : [`why ${joined} moved`]].flat()
+export function checkExplained ({ group, lost, joined }: Replacement, { ofGroup, ofJoined, records }: Explanations): PromiseCheck {
+  const isLossExplained = ofGroup.includes(lost) || records.includes(lost)
+  const isMoveExplained = ofJoined.includes(group)
+  const missing = [isLossExplained ? [] : [`why ${group} was out`], isMoveExplained ? [] : [`why ${joined} moved`]].flat()
   const source = ofGroup.includes(lost) ? 'explain, while it was out,' : 'the audit trail'
-  return check('the fleet explains what it did', missing.length === 0, missing.length === 0 ? `${source} names ${lost}; explain vm ${joined} names ${group}` : `nothing tells ${missing.join(' or ')}`)
+  return check('the fleet explains what it did', missing.length === 0, missing.length === 0 ? `${source} names ${lost}; explain vm ${joined} names ${group}` : `nothing explains ${missing.join(' or ')}`)
 }
