--- a/packages/dotterelspur-testkit/src/__tests__/unit/BatchScheduler.test.ts
+++ b/packages/dotterelspur-testkit/src/__tests__/unit/BatchScheduler.test.ts
@@ -50,7 +50,7 @@
 }
 
 describe('BatchScheduler', () => {
-  it('reads the prompt first and then makes a token a step', () => {
+  it('reads the prompt first, and then generates one token per step', () => {
     const { clock, submit } = createFixture()
     const run = submit()
     clock.advance(39)
@@ -72,7 +72,7 @@
     expect(rateOf(4)).to.equal(4)
   })
 
-  it('lets the waiting in by priority, then by arrival', () => {
+  it('admits waiting requests by priority, then by arrival', () => {
     const { clock, submit } = createFixture({ maxRunning: 1, maxWaiting: 10 })
     const first = submit()
     const bulk = submit(PriorityClass.Bulk)
@@ -88,7 +88,7 @@
     expect(finishes).to.deep.equal([first, interactive, standard, bulk].map((run) => run.request.requestId))
   })
 
-  it('is full only when running and waiting are', () => {
+  it('is full only when neither a running nor a waiting place is free', () => {
     const { batch, submit } = createFixture({ maxRunning: 1, maxWaiting: 1 })
     submit()
     expect(batch.full).to.equal(false)
@@ -96,7 +96,7 @@
     expect(batch.full).to.equal(true)
   })
 
-  it('reports the load as it was before the lag', () => {
+  it('reports the load with its configured lag', () => {
     const { clock, batch, submit } = createFixture({ maxRunning: 1 })
     clock.advance(1_000)
     submit()
@@ -116,7 +116,7 @@
     expect(run.offset).to.equal(3)
   })
 
-  it('stands still while a member does not answer or the VM is paused, and goes on', () => {
+  it('makes no progress while a member does not answer or the VM is paused, and continues afterwards', () => {
     const fixture = createFixture()
     const run = fixture.submit()
     fixture.clock.advance(50)
@@ -132,7 +132,7 @@
     expect(run.offset).to.equal(before + 1)
   })
 
-  it('loses everything when a member is gone', () => {
+  it('loses all runs when a member is lost', () => {
     const fixture = createFixture({ maxRunning: 1 })
     const runs = [fixture.submit(), fixture.submit()]
     fixture.condition = GroupCondition.Broken
@@ -143,7 +143,7 @@
 })
 
 describe('PrefixCache', () => {
-  it('finds the leading blocks that it holds and evicts what was used least recently', () => {
+  it('finds the leading blocks that it holds, and evicts the least recently used ones', () => {
     const cache = new PrefixCache(3)
     const [a, b] = ['a'.repeat(128), 'b'.repeat(128)].map((prompt) => prefixHashes(prompt)) as [number[], number[]]
     expect(cache.store(a)).to.deep.equal({ stored: a, evicted: [] })
--- a/packages/dotterelspur-testkit/src/__tests__/unit/EndpointFleet.test.ts
+++ b/packages/dotterelspur-testkit/src/__tests__/unit/EndpointFleet.test.ts
@@ -76,7 +76,7 @@
   return chunks.map((chunk) => 'text' in chunk ? chunk.text : '').join('')
 }
 
-/** Polls a condition that comes about by itself; fails only at mocha's own limit. */
+/** Polls until the condition holds; otherwise the test runs into mocha's timeout. */
 async function until (condition: () => boolean): Promise<void> {
   while (!condition()) await new Promise((resolve) => { setTimeout(resolve, 2) })
 }
@@ -84,7 +84,7 @@
 describe('EndpointFleet', () => {
   const answer = expectedAnswer({ ...MODEL, prompt: 'trip from Perth to Joondalup', seed: 7 }, 40)
 
-  it('streams the same answer whole and from an offset', async () => {
+  it('streams the same answer from the start and from an offset', async () => {
     await withFleet({}, async ({ fleet, form, generate }) => {
       expect(await form()).to.deep.equal([200, 200])
       expect(textOf(await generate('r1'))).to.equal(answer)
@@ -106,7 +106,7 @@
     })
   })
 
-  it('counts the members that are up and breaks what runs when one dies', async () => {
+  it('counts the members that are up, and breaks the running requests when one dies', async () => {
     await withFleet({ tokenMs: 20 }, async ({ fleet, form, generate, post, status }) => {
       await form()
       const broken = generate('r1').then(() => 'whole', () => 'broken')
@@ -119,7 +119,7 @@
     })
   })
 
-  it('shows a run that begins while a member is gone', async () => {
+  it('records a run that begins while a member is down', async () => {
     await withFleet({}, async ({ fleet, form, generate }) => {
       await form()
       await fleet.fault('vm-2', { kind: VmFaultKind.Kill })
@@ -128,7 +128,7 @@
     })
   })
 
-  it('stalls while a member is paused and goes on when it is resumed', async () => {
+  it('stalls while a member is paused, and continues when it is resumed', async () => {
     await withFleet({}, async ({ fleet, form, generate }) => {
       await form()
       await fleet.fault('vm-2', { kind: VmFaultKind.Pause })
@@ -142,10 +142,9 @@
     })
   })
 
-  it('obeys after a pause an order whose sender has given up', async () => {
-    // Symptom: an engine follows an order that its sender believes lost.
-    // Sequence: the VM pauses, the order arrives and times out at the sender, the VM goes on.
-    // Cause: the bytes waited in the kernel; giving up at the sender doesn't take them back.
+  it('executes after a pause an order whose sender has given up', async () => {
+    // Guards against a stand-in that is kinder than a real VM: the bytes of an order that has timed out at its sender wait in the
+    // kernel of the paused VM, which executes it later.
     await withFleet({}, async ({ fleet, post, status }) => {
       await fleet.fault('vm-1', { kind: VmFaultKind.Pause })
       const giveUp = new AbortController()
@@ -180,7 +179,7 @@
     { name: 'an adapter that is not loaded', change: { adapter: 'tax' }, status: 409 }
   ]
   for (const { name, change, status } of refusalCases) {
-    it(`refuses ${name} before it runs anything`, async () => {
+    it(`rejects ${name} before it runs anything`, async () => {
       await withFleet({}, async ({ fleet, form, post }) => {
         await form()
         const response = await post('vm-1', '/v1/generate', { ...generateBody('r1'), ...change })
@@ -190,7 +189,7 @@
     })
   }
 
-  it('comes back from a restart under a new incarnation, another address and in no group', async () => {
+  it('restarts as a new incarnation, at another address and without a group', async () => {
     await withFleet({ restartMs: 1 }, async ({ fleet, form, status }) => {
       await form()
       const before = fleet.records().find((record) => record.vm === 'vm-1')!
--- a/packages/dotterelspur-testkit/src/__tests__/unit/ObjectTable.test.ts
+++ b/packages/dotterelspur-testkit/src/__tests__/unit/ObjectTable.test.ts
@@ -2,7 +2,7 @@
 import { ObjectTable } from '../../index.js'
 
 describe('ObjectTable', () => {
-  it('writes only where the condition holds, and raises the version with each write', () => {
+  it('writes only if the condition holds, and increases the version with each write', () => {
     const table = new ObjectTable()
     expect(table.create('a/1', { n: 1 })).to.deep.include({ ok: true })
     expect(table.create('a/1', { n: 2 })).to.deep.equal({ ok: false, error: { currentVersion: 1 } })
@@ -16,7 +16,7 @@
     expect(table.get('a/1', 2)?.body).to.deep.equal({ n: 4 })
   })
 
-  it('lists a prefix as of a version and replays the changes after one', () => {
+  it('lists a prefix at an earlier version, and returns the changes after a version', () => {
     const table = new ObjectTable()
     table.create('a/1', 1)
     table.create('b/1', 2)
--- a/packages/dotterelspur-testkit/src/__tests__/unit/VmHost.test.ts
+++ b/packages/dotterelspur-testkit/src/__tests__/unit/VmHost.test.ts
@@ -14,10 +14,9 @@
 }
 
 describe('VmHost', () => {
-  it('closes a connection that is just ending when it dies', async () => {
-    // Symptom: a program with the stand-ins never ends, at full load, with its event loop already stopped.
-    // Sequence: a caller leaves, the server ends its side, the VM is killed before that is through.
-    // Cause: resetting such a socket fails inside the runtime, and its handle then never closes.
+  it('closes a half-closed connection when it dies', async () => {
+    // Guards against a process that never exits: a caller leaves, and the VM is killed while the server still closes its side. Resetting
+    // such a socket fails inside Node.js, and its handle never closes.
     let closed: Promise<void> | undefined
     const host = await startHost((itself, socket) => {
       closed = new Promise((resolve) => { socket.once('close', () => { resolve() }) })
@@ -35,10 +34,9 @@
 })
 
 describe('TimerSet', () => {
-  it('sets no timer for a process that has died', () => {
-    // Symptom: a program goes on for a minute after its stand-ins were stopped.
-    // Sequence: the engine dies and its timers are cleared; its runs end by that and ask to be forgotten later.
-    // Cause: the timer that is set while everything ends belongs to nobody.
+  it('sets no timers after the process has died', () => {
+    // Guards against a process that runs for a minute after its stand-ins were stopped: ended runs set a timer after the engine's
+    // timers have been cleared.
     const clock = new ManualClock()
     const timers = new TimerSet(clock)
     const fired: string[] = []
--- a/packages/dotterelspur-testkit/src/process/EndpointFleet.ts
+++ b/packages/dotterelspur-testkit/src/process/EndpointFleet.ts
@@ -28,7 +28,7 @@
   readonly seed?: number
 }
 
-/** A VM as it sees itself. */
+/** State of a VM, as the VM itself reports it. */
 export interface VmView {
   readonly vm: VmId
   readonly failureDomain: string
@@ -40,7 +40,7 @@
 
 const INSTANT_LOAD: LoadRequester = () => 0
 
-/** All endpoint VMs of a stand-in deployment, in one process, each with its own listener. */
+/** All endpoint VMs of a stand-in deployment in one process; each has its own listener. */
 export class EndpointFleet {
   readonly ledger: Ledger
   readonly answers = new AnswerBook()
@@ -81,12 +81,12 @@
     for (const vm of this.hosts.keys()) this.kill(vm)
   }
 
-  /** The lines of the platform's list, as they are now. */
+  /** The current records of the platform's VM list. */
   records (): VmRecord[] {
     return [...this.hosts.values()].flatMap((host) => host.record() ?? [])
   }
 
-  /** Calls back after each change of `records`. */
+  /** The listener runs after each change of `records`. */
   registerRecordsListener (listener: () => void): Teardown {
     this.listeners.add(listener)
     return () => { this.listeners.delete(listener) }
@@ -106,12 +106,12 @@
     return this.engines.get(vm)?.status() ?? this.services.get(vm)?.status()
   }
 
-  /** The member that a Form order names for a VM as it runs now. */
+  /** The member by which a Form order names the current incarnation of a VM. */
   member (vm: VmId): { readonly vm: VmId, readonly incarnation: number, readonly address: string } {
     return { vm, incarnation: this.host(vm).incarnation, address: this.address(vm) }
   }
 
-  /** Requests that a paused VM's kernel has taken and its process has not seen. */
+  /** Number of requests that a paused VM's kernel has received and its process has not read. */
   heldRequests (vm: VmId): number {
     return this.host(vm).heldRequests
   }
@@ -120,7 +120,7 @@
     return this.hosts.has(vm)
   }
 
-  /** VMs of a fabric domain. */
+  /** The VMs of a fabric domain. */
   fabricDomain (id: string): VmId[] {
     return [...this.hosts.values()].filter((host) => host.place.fabricDomain === id).map((host) => host.place.vm)
   }
@@ -183,7 +183,7 @@
     }))
   }
 
-  /** The fabric's view of one member of a formation: whether it answers, and how slow it is. */
+  /** Whether a member of a formation answers over the fabric, and how slow it is. */
   private memberHealth (form: FormOrder, member: GroupMember): MemberHealth {
     const host = this.hosts.get(member.vm)
     const takesPart = this.engines.get(member.vm)?.takesPart(form, member) ?? false
--- a/packages/dotterelspur-testkit/src/process/Ledger.ts
+++ b/packages/dotterelspur-testkit/src/process/Ledger.ts
@@ -1,6 +1,6 @@
 import type { Clock, GroupId, RequestId, VmId } from 'dotterelspur'
 
-/** How a run ended, as the stand-in itself saw it. */
+/** How a run ended, as observed by the stand-in. */
 export enum RunEnd {
   Running = 'running',
   Whole = 'whole',
@@ -8,7 +8,7 @@
   Died = 'died'
 }
 
-/** One run that began at an endpoint. Times are wall-clock milliseconds, to be compared with a checker's own. */
+/** A run that began at an endpoint. Times are wall-clock milliseconds, comparable with those of a checker. */
 export interface LedgerRow {
   readonly requestId: RequestId
   readonly idempotencyKey: string | null
@@ -22,13 +22,13 @@
   readonly end: RunEnd
 }
 
-/** What a stand-in says of a run that begins. */
+/** The fields that are known when a run begins. */
 export type RunStart = Omit<LedgerRow, 'startedAtMs' | 'endedAtMs' | 'end'>
 
-/** Ends a run in the ledger. Only the first end counts. */
+/** Records the end of a run; only the first call counts. */
 export type RunCloser = (end: RunEnd) => void
 
-/** Every run that began at any stand-in endpoint: what promises are checked against, without the product's word. */
+/** All runs that began at stand-in endpoints. Promises are checked against them, independently of what the product reports. */
 export class Ledger {
   private readonly entries: LedgerRow[] = []
 
--- a/packages/dotterelspur-testkit/src/process/TimerSet.ts
+++ b/packages/dotterelspur-testkit/src/process/TimerSet.ts
@@ -1,13 +1,13 @@
 import type { Clock, Teardown } from 'dotterelspur'
 
-/** Timers that end together with the process that set them. */
+/** Timers of a simulated process, which are cleared when it ends. */
 export class TimerSet {
   private readonly pending = new Set<Teardown>()
   private closed = false
 
   constructor (private readonly clock: Clock) {}
 
-  /** Nothing once the set is closed: what ends with the process may still ask. */
+  /** Does nothing once the set is closed, since code may still set timers while its process ends. */
   after (delayMs: number, callback: () => void): void {
     if (this.closed) return
     const teardown = this.clock.registerTimer(delayMs, () => {
--- a/packages/dotterelspur-testkit/src/process/VmFaults.ts
+++ b/packages/dotterelspur-testkit/src/process/VmFaults.ts
@@ -10,13 +10,13 @@
   None = 'none'
 }
 
-/** A fault of one VM. `delayMs`: how long a restart is away, what a straggler adds to each step, when a leaving VM goes. */
+/** A fault of a VM. `delayMs`: downtime of a restart, time that a straggler adds to each step, or time until a leaving VM ends. */
 export interface VmFault {
   readonly kind: VmFaultKind
   readonly delayMs?: number
 }
 
-/** What faults need of the fleet. */
+/** The operations of the fleet that faults use. */
 export interface FaultTarget {
   readonly host: VmHost
   kill (): void
@@ -27,7 +27,7 @@
 
 type FaultHandler = (target: FaultTarget, fault: VmFault) => void | Promise<void>
 
-/** One handler for each kind of fault. */
+/** Handler of each kind of fault. */
 export const VM_FAULT_HANDLERS: Readonly<Record<VmFaultKind, FaultHandler>> = {
   [VmFaultKind.Kill]: (target) => { target.kill() },
   [VmFaultKind.Pause]: (target) => { target.host.pause() },
--- a/packages/dotterelspur-testkit/src/process/VmHost.ts
+++ b/packages/dotterelspur-testkit/src/process/VmHost.ts
@@ -4,7 +4,7 @@
 import { invariant, VmListState } from 'dotterelspur'
 import type { VmId, VmRecord, VmRole, ServiceId } from 'dotterelspur'
 
-/** Where a VM stands and what it is for; never changes. */
+/** Location and role of a VM; both never change. */
 export interface VmPlace {
   readonly vm: VmId
   readonly role: VmRole
@@ -22,7 +22,7 @@
 }
 
 interface HeldRequest {
-  /** Its sender has closed the connection. */
+  /** Whether the sender has closed the connection. */
   isGone (): boolean
   release (): void
 }
@@ -30,14 +30,14 @@
 export type HostHandler = (host: VmHost, request: IncomingMessage, response: ServerResponse) => void
 
 /**
- * The process of one stand-in VM: a listener on loopback that can die, pause and come back under a new
- * incarnation and another port.
+ * Simulated process of a VM: a listener on loopback that can die, pause and restart as a new incarnation on another
+ * port.
  */
 export class VmHost {
   power = VmPower.Dead
   incarnation = 0
   leaving = false
-  /** Time that this VM adds to each step of its group. */
+  /** Time that this VM adds to each step of its group, in milliseconds. */
   straggleMs = 0
   private server: Server | undefined
   private sockets = new Set<Socket>()
@@ -46,7 +46,7 @@
 
   constructor (readonly place: VmPlace, private readonly handler: HostHandler, private readonly onChange: () => void) {}
 
-  /** Starts under the next incarnation. `onStarting` makes the process's memory before the first request can come. */
+  /** Starts the next incarnation. `onStarting` creates its in-memory state before the first request can arrive. */
   async start (onStarting: () => void): Promise<void> {
     invariant(this.power === VmPower.Dead, `${this.place.vm} runs already`)
     const server = createServer((request, response) => { this.handler(this, request, response) })
@@ -70,7 +70,7 @@
     this.onChange()
   }
 
-  /** Ends the process at once: its connections close and what it held in memory is gone. */
+  /** Ends the process at once: its connections close, and its in-memory state is lost. */
   kill (): void {
     if (this.power === VmPower.Dead) return
     this.power = VmPower.Dead
@@ -82,7 +82,7 @@
     this.onChange()
   }
 
-  /** Stops the process where it stands: connections are taken by the kernel and nothing answers. */
+  /** Pauses the process: the kernel accepts connections, but nothing responds. */
   pause (): void {
     if (this.power !== VmPower.Up) return
     this.power = VmPower.Paused
@@ -100,8 +100,8 @@
   }
 
   /**
-   * Waits while the VM is paused. What was received meanwhile runs afterwards, as in a stopped process whose
-   * kernel kept the bytes. False when the process that received it has died.
+   * Waits while the VM is paused. Requests received meanwhile run afterwards, as in a paused process whose kernel has
+   * buffered them. Resolves with false if the process that received the request has died.
    */
   async gate (isGone: () => boolean = () => false): Promise<boolean> {
     const incarnation = this.incarnation
@@ -109,12 +109,12 @@
     return this.power === VmPower.Up && this.incarnation === incarnation
   }
 
-  /** Requests that wait for a paused VM to go on and whose senders still wait too. */
+  /** Number of requests that wait until a paused VM resumes, and whose senders have not closed the connection. */
   get heldRequests (): number {
     return this.held.filter((request) => !request.isGone()).length
   }
 
-  /** Its line in the platform's list; undefined when it is dead. */
+  /** Its record in the platform's VM list; undefined while it is dead. */
   record (): VmRecord | undefined {
     if (this.power === VmPower.Dead) return undefined
     return {
--- a/packages/dotterelspur-testkit/src/process/VmHttp.ts
+++ b/packages/dotterelspur-testkit/src/process/VmHttp.ts
@@ -8,8 +8,8 @@
 const BODY_LIMIT_BYTES = 8 * 1024 * 1024
 
 /**
- * One table of routes that the listeners of all VMs of a kind share; a request finds its VM by the listener that
- * took it.
+ * A table of routes that is shared by the listeners of all VMs of a kind. The listener that accepted a request identifies
+ * its VM.
  */
 export class VmHttp {
   readonly app: FastifyInstance
--- a/packages/dotterelspur-testkit/src/process/engine/BatchScheduler.ts
+++ b/packages/dotterelspur-testkit/src/process/engine/BatchScheduler.ts
@@ -17,17 +17,17 @@
   readonly waiting: number
 }
 
-/** What the batch needs to know of its engine. */
+/** The parts of an engine on which its batch depends. */
 export interface BatchHost {
   paused (): boolean
   health (): GroupHealth
-  /** Time to read the part of the run's prompt that isn't cached. */
+  /** Time to read the uncached part of the run's prompt. */
   prefillMs (run: EngineRun): number
-  /** A member was lost under running requests. */
+  /** Called when a member is lost while requests run. */
   onBroken (): void
 }
 
-/** Continuous batching: each step gives every running request its next tokens; steps slow down above the capacity. */
+/** Continuous batching: each step generates the next tokens of all running requests; steps slow down above the capacity. */
 export class BatchScheduler {
   private running: EngineRun[] = []
   private waiting: EngineRun[] = []
@@ -48,7 +48,7 @@
     this.schedule()
   }
 
-  /** All runs are lost. */
+  /** Ends all runs as lost. */
   dieAll (): void {
     const lost = [...this.running, ...this.waiting]
     this.running = []
@@ -57,7 +57,7 @@
     this.noteLoad()
   }
 
-  /** The load as it was `loadLagMs` ago. */
+  /** The load `loadLagMs` ago. */
   load (cacheUsed: number): LoadReport {
     const nowMs = this.clock.nowMs()
     const asOfMs = nowMs - this.settings.loadLagMs
--- a/packages/dotterelspur-testkit/src/process/engine/CacheEventLog.ts
+++ b/packages/dotterelspur-testkit/src/process/engine/CacheEventLog.ts
@@ -10,7 +10,7 @@
   readonly visibleAtMs: number
 }
 
-/** Cache events as engines publish them: late, in bounded number and with gaps in their sequence. */
+/** Cache events as engines publish them: delayed, limited in number, and with gaps in their sequence. */
 export class CacheEventLog {
   private events: DatedEvent[] = []
   private sequence = 0
--- a/packages/dotterelspur-testkit/src/process/engine/EngineErrors.ts
+++ b/packages/dotterelspur-testkit/src/process/engine/EngineErrors.ts
@@ -1,7 +1,7 @@
 import { EndpointErrorKind } from 'dotterelspur'
 import type { EndpointError } from 'dotterelspur'
 
-/** The refusals and failures that an engine states in words; the others only show on the connection. */
+/** The rejections and failures that an engine states in its response; all others appear only as broken connections. */
 export type EngineFault = Extract<EndpointError, {
   kind:
   EndpointErrorKind.WrongFormation | EndpointErrorKind.Fenced | EndpointErrorKind.Refused | EndpointErrorKind.Malformed
--- a/packages/dotterelspur-testkit/src/process/engine/EngineRoutes.ts
+++ b/packages/dotterelspur-testkit/src/process/engine/EngineRoutes.ts
@@ -25,7 +25,7 @@
   return result.ok ? reply.send(result.value) : sendFault(reply, result.error)
 }
 
-/** A follower that writes NDJSON to a response and asks for more when the connection drains. */
+/** A follower that writes NDJSON to a response, and requests more when the connection drains. */
 function responseFollower (response: ServerResponse, engine: EngineVm, run: EngineRun, attempt: number, offset: number): RunFollower {
   const follower: RunFollower = {
     attempt,
@@ -52,7 +52,7 @@
   run.follow(responseFollower(response, engine, run, attempt, offset))
 }
 
-/** The engine's HTTP contract over the stand-in engines; docs/contracts/engine.md describes it. */
+/** HTTP routes of the stand-in engines, as docs/contracts/engine.md describes them. */
 export function registerEngineRoutes (http: VmHttp, engineOf: (request: FastifyRequest) => EngineVm): void {
   const { app } = http
 
--- a/packages/dotterelspur-testkit/src/process/engine/EngineSettings.ts
+++ b/packages/dotterelspur-testkit/src/process/engine/EngineSettings.ts
@@ -1,43 +1,43 @@
-/** Whether the stand-in's engines look at the fencing number of an order. */
+/** Whether the engines check the fencing number of an order. */
 export enum FencingMode {
-  /** An order with a lower number than one seen before is refused. */
+  /** An order with a lower number than a previous one is rejected. */
   Checked = 'checked',
-  /** Every order is obeyed, however old. */
+  /** Every order is executed, however old. */
   Ignored = 'ignored'
 }
 
-/** How the stand-in's engines behave. Times are real on a system clock and virtual on a manual one. */
+/** Behaviour of the stand-in engines. Times pass on the clock that they are given. */
 export interface EngineSettings {
   readonly fencing: FencingMode
-  /** Time of one step of the batch, which gives each running request one token. */
+  /** Duration of a step of the batch for one token of each running request. */
   readonly tokenMs: number
-  /** Tokens that one step gives to each request: more than one makes fewer, larger chunks. */
+  /** Tokens that a step generates for each request; more than one results in fewer, larger chunks. */
   readonly tokensPerStep: number
-  /** Time to read one prompt token that the prefix cache doesn't hold. */
+  /** Time to read a prompt token that is not in the prefix cache. */
   readonly prefillMsPerToken: number
-  /** Requests side by side before a step takes longer. */
+  /** Concurrent requests above which a step takes longer. */
   readonly capacity: number
-  /** Requests side by side at most; further ones wait. */
+  /** Maximum of concurrent requests; further ones wait. */
   readonly maxRunning: number
   readonly maxWaiting: number
-  /** How old the load is that a probe reports. */
+  /** Age of the load that a probe reports. */
   readonly loadLagMs: number
-  /** Prompt blocks that the prefix cache holds. */
+  /** Capacity of the prefix cache in prompt blocks. */
   readonly cacheBlocks: number
   readonly cacheEventDelayMs: number
   /** Share of cache events that are lost, in percent. */
   readonly cacheEventLossPercent: number
-  /** How long a run goes on after its last connection broke, so that it can be resumed. */
+  /** Time for which a run continues after its last connection broke, so that it can be resumed. */
   readonly detachGraceMs: number
-  /** How long an ended run is remembered. */
+  /** Time for which an ended run is remembered. */
   readonly rememberMs: number
-  /** Bytes of the share of a model's weights that one member holds. */
+  /** Size of a member's share of a model's weights. */
   readonly weightBytesPerVm: number
-  /** Time that a restarted VM is away, when the fault names none. */
+  /** Default downtime of a restarted VM. */
   readonly restartMs: number
-  /** Time from the notice that a VM leaves to its end, when the fault names none. */
+  /** Default time from the announcement that a VM leaves until its end. */
   readonly leaveMs: number
-  /** Time that a straggler adds to each step, when the fault names none. */
+  /** Default time that a straggler adds to each step. */
   readonly straggleMs: number
 }
 
@@ -61,5 +61,5 @@
   straggleMs: 200
 }
 
-/** Takes `sizeBytes` from the weight store's budget and says after how many milliseconds they are loaded. */
+/** Takes `sizeBytes` from the weight store's budget; returns the milliseconds until they are loaded. */
 export type LoadRequester = (sizeBytes: number) => number
--- a/packages/dotterelspur-testkit/src/process/engine/EngineVm.ts
+++ b/packages/dotterelspur-testkit/src/process/engine/EngineVm.ts
@@ -19,7 +19,7 @@
 
 export type FormOrder = Extract<EngineOrder, { kind: OrderKind.Form }>
 
-/** What all engines of a fleet share. */
+/** Parts that all engines of a fleet share. */
 export interface EngineContext {
   readonly settings: EngineSettings
   readonly clock: Clock
@@ -27,13 +27,13 @@
   readonly requestLoad: LoadRequester
   readonly seed: number
   readonly answers: AnswerBook
-  /** The state of a formation's members, as the fabric shows it to the leader. */
+  /** State of a formation's members, as its leader observes it over the fabric. */
   healthOf (form: FormOrder): GroupHealth
 }
 
 const REFUSED_RETRY_MS = 250
 
-/** The engine process on one VM, for one incarnation: its orders, its batch and what it has loaded. */
+/** The engine process of one incarnation of a VM: its orders, its batch and its loaded models. */
 export class EngineVm {
   private state = EngineState.Idle
   private form: FormOrder | undefined
@@ -76,7 +76,7 @@
     }
   }
 
-  /** Whether this VM takes part in a formation as the member that the order names. */
+  /** Whether this VM belongs to a formation as the member that the order names. */
   takesPart (form: FormOrder, member: GroupMember): boolean {
     return this.host.incarnation === member.incarnation && this.form?.group === form.group &&
       this.form.formation === form.formation && (this.state === EngineState.Ready || this.state === EngineState.Leaving)
@@ -91,7 +91,7 @@
     return success(this.status())
   }
 
-  /** Takes a request in, or says why nothing ran. The same id while it runs or is remembered attaches to its run. */
+  /** Admits a request, or returns why it does not run. A request with the id of a running or remembered one attaches to that run. */
   generate (request: GenerateRequest): Result<EngineRun, EngineFault> {
     const known = this.runs.get(request.requestId)
     if (known !== undefined && known.status().state !== StreamState.Cancelled) return success(known)
@@ -127,7 +127,7 @@
     return this.lookup(requestId)
   }
 
-  /** A run whose connections all broke goes on for the grace time, so that it can be resumed, and is then cancelled. */
+  /** A run without connections continues for the grace period, so that it can be resumed, and is then cancelled. */
   detach (run: EngineRun): void {
     if (run.finished || run.followers.size > 0) return
     this.timers.after(this.context.settings.detachGraceMs, () => {
@@ -135,7 +135,7 @@
     })
   }
 
-  /** The process is gone, with all that it held. */
+  /** Ends the process and discards its state. */
   die (): void {
     this.timers.close()
     this.batch.dieAll()
--- a/packages/dotterelspur-testkit/src/process/engine/GroupHealth.ts
+++ b/packages/dotterelspur-testkit/src/process/engine/GroupHealth.ts
@@ -1,10 +1,10 @@
-/** What a group's leader can do with its members as they are. */
+/** How the state of its members affects a group's steps. */
 export enum GroupCondition {
-  /** Every member takes part in each step. */
+  /** All members take part in each step. */
   Whole = 'whole',
-  /** A member does not answer: steps wait for it. */
+  /** A member does not answer, and steps wait for it. */
   Stalled = 'stalled',
-  /** A member is gone: what runs is lost. */
+  /** A member is lost, and all runs with it. */
   Broken = 'broken'
 }
 
@@ -17,12 +17,12 @@
   readonly straggleMs: number
 }
 
-/** How one member of a formation shows itself to the leader. */
+/** State of a member of a formation, as the leader observes it. */
 export enum MemberCondition {
   Up = 'up',
-  /** It is paused. */
+  /** The member is paused. */
   Silent = 'silent',
-  /** Dead, restarted, or elsewhere. */
+  /** The member is dead, has restarted, or belongs to another formation. */
   Gone = 'gone'
 }
 
@@ -31,7 +31,7 @@
   readonly straggleMs: number
 }
 
-/** One member that is gone breaks the group; one that is silent holds it up; the slowest sets its pace. */
+/** A lost member breaks the group, a silent one stalls it, and the slowest one determines its pace. */
 export function combineMembers (members: readonly MemberHealth[]): GroupHealth {
   const up = members.filter((member) => member.condition === MemberCondition.Up)
   const gone = members.some((member) => member.condition === MemberCondition.Gone)
--- a/packages/dotterelspur-testkit/src/process/engine/ModelMemory.ts
+++ b/packages/dotterelspur-testkit/src/process/engine/ModelMemory.ts
@@ -8,14 +8,14 @@
   return [loaded.model, loaded.version, ...loaded.adapters].join('\u0000')
 }
 
-/** The models in one VM's memory: the newest few, loaded through the weight store at its rate. */
+/** The most recent models in a VM's memory, loaded at the rate of the weight store. */
 export class ModelMemory {
   private held: LoadedModel[] = []
   private readonly loading = new Map<string, Array<() => void>>()
 
   constructor (private readonly timers: TimerSet, private readonly requestLoad: LoadRequester) {}
 
-  /** Calls back once the model is held, at once when it is already. */
+  /** Calls back once the model is loaded, or at once if it already is. */
   ensure (model: LoadedModel, sizeBytes: number, onLoaded: () => void): void {
     const key = keyOf(model)
     if (this.held.some((held) => keyOf(held) === key)) return onLoaded()
--- a/packages/dotterelspur-testkit/src/process/engine/PrefixCache.ts
+++ b/packages/dotterelspur-testkit/src/process/engine/PrefixCache.ts
@@ -3,7 +3,7 @@
   readonly evicted: readonly number[]
 }
 
-/** A prefix cache of limited size that evicts what was used least recently. */
+/** A prefix cache of limited size with least-recently-used eviction. */
 export class PrefixCache {
   private readonly blocks = new Set<number>()
 
@@ -17,7 +17,7 @@
     return this.blocks.has(hash)
   }
 
-  /** Leading blocks of the prompt that are held. */
+  /** Number of leading blocks of the prompt that are cached. */
   hitBlocks (hashes: readonly number[]): number {
     const miss = hashes.findIndex((hash) => !this.blocks.has(hash))
     return miss === -1 ? hashes.length : miss
--- a/packages/dotterelspur-testkit/src/process/mesh/MemoryMesh.ts
+++ b/packages/dotterelspur-testkit/src/process/mesh/MemoryMesh.ts
@@ -14,14 +14,14 @@
   state: NodeState.Alive
 }
 
-/** One member of a MemoryMesh, with what is given in place of the usual. */
+/** A member of a MemoryMesh; fields that are given replace the defaults. */
 export function createMember (changes: Partial<NodeMember> = {}): NodeMember {
   return { ...ALONE, ...changes }
 }
 
 /**
- * A MeshApi without I/O for other packages' tests: one node's view, whose members, evidence and ages a test sets.
- * Calls reach only the handlers registered here.
+ * A MeshApi without I/O for other packages' tests: the view of one node, whose members, evidence and ages are set by the
+ * test. Calls reach only the handlers registered here.
  */
 export class MemoryMesh implements MeshApi {
   private held = new Map<string, MeshDocument>()
@@ -30,7 +30,7 @@
   private readonly handlers = new Map<string, CallHandler>()
   private readonly documentListeners = new Set<{ prefix: string, listener: (document: MeshDocument) => void }>()
   private readonly memberListeners = new Set<(members: readonly NodeMember[]) => void>()
-  /** Versions that other nodes report by key; a node without a line answers nothing. */
+  /** Versions by key that other nodes report; a node without an entry does not answer. */
   readonly reports = new Map<string, readonly InForceReport[]>()
   storeAgeMs = 0
   peerAgeMs = 0
--- a/packages/dotterelspur-testkit/src/process/platform/CallMeter.ts
+++ b/packages/dotterelspur-testkit/src/process/platform/CallMeter.ts
@@ -16,7 +16,7 @@
 
 const SECOND_MS = 1_000
 
-/** Counts the platform's calls by kind and refuses those above its rates. An opened watch counts as a read. */
+/** Counts the platform's calls by kind, and rejects those above its rates. Opening a watch counts as a read. */
 export class CallMeter {
   private readonly counts = { reads: 0, writes: 0, watchesOpened: 0, waitingWatches: 0, refused: 0 }
   private readonly allowance: Record<'reads' | 'writes', number>
@@ -31,7 +31,7 @@
     return { ...this.counts }
   }
 
-  /** Counts one call. Returns 0 when it may go on, else the time after which to come back. */
+  /** Counts a call. Returns 0 if it is admitted, otherwise the milliseconds after which to retry. */
   admit (call: CallKind): number {
     this.refill()
     const bucket = call === CallKind.Write ? 'writes' : 'reads'
--- a/packages/dotterelspur-testkit/src/process/platform/LaggingVmList.ts
+++ b/packages/dotterelspur-testkit/src/process/platform/LaggingVmList.ts
@@ -1,12 +1,12 @@
 import type { Clock, Random, VmId, VmListing, VmRecord } from 'dotterelspur'
 
-/** How the list differs from the truth. */
+/** How the list differs from the actual state. */
 export interface VmListFaults {
-  /** The list shows the state of this long ago. */
+  /** Age of the state that the list shows. */
   readonly lagMs: number
-  /** Chance of each line to be absent from an answer. */
+  /** Probability that a record is missing from a response. */
   readonly missingProbability: number
-  /** Chance of each line to be there twice. */
+  /** Probability that a record appears twice. */
   readonly duplicateProbability: number
 }
 
@@ -18,7 +18,7 @@
 const NO_FAULTS: VmListFaults = { lagMs: 0, missingProbability: 0, duplicateProbability: 0 }
 const SNAPSHOTS_KEPT = 512
 
-/** The platform's list of VMs: the truth is set at once, answers show it late. */
+/** The platform's list of VMs: changes take effect at once, and responses show them later. */
 export class LaggingVmList {
   private readonly truth = new Map<VmId, VmRecord>()
   private snapshots: VmSnapshot[]
@@ -41,12 +41,12 @@
     if (this.truth.delete(vm)) this.commit()
   }
 
-  /** The list as it really is. */
+  /** The actual state. */
   current (): VmListing {
     return this.snapshots[this.snapshots.length - 1]!.listing
   }
 
-  /** One answer: late, perhaps with lines missing or twice. */
+  /** A response: delayed, and with records missing or repeated according to the faults. */
   answer (extraLagMs = 0): VmListing {
     const listing = this.at(this.clock.nowMs() - this.faults.lagMs - extraLagMs)
     return { version: listing.version, vms: listing.vms.flatMap((record) => this.lines(record)) }
--- a/packages/dotterelspur-testkit/src/process/platform/MemoryObjectStore.ts
+++ b/packages/dotterelspur-testkit/src/process/platform/MemoryObjectStore.ts
@@ -3,14 +3,14 @@
 import type { ConditionFailed, Revision } from './ObjectTable.js'
 import { ObjectTable } from './ObjectTable.js'
 
-/** What goes wrong with the next calls of a MemoryObjectStore. */
+/** Faults of a MemoryObjectStore's next calls. */
 export enum MemoryFaultKind {
   None = 'none',
   /** Every call fails with Unavailable and nothing is written; watches are disconnected. */
   Down = 'down',
   /** Writes take effect and fail with Unknown. */
   UnknownApplied = 'unknown-applied',
-  /** Writes don't take effect and fail with Unknown. */
+  /** Writes have no effect and fail with Unknown. */
   UnknownLost = 'unknown-lost'
 }
 
@@ -20,8 +20,8 @@
 }
 
 /**
- * An ObjectStore without I/O for other packages' tests: several of these over one table act as several nodes'
- * views of one platform. Watch events are delivered synchronously, inside the write.
+ * An ObjectStore without I/O for other packages' tests. Several of them over one table are the views that several nodes have of one
+ * platform. Watch events are delivered synchronously by the write.
  */
 export class MemoryObjectStore implements ObjectStore {
   private fault = MemoryFaultKind.None
--- a/packages/dotterelspur-testkit/src/process/platform/ObjectTable.ts
+++ b/packages/dotterelspur-testkit/src/process/platform/ObjectTable.ts
@@ -1,7 +1,7 @@
 import { failed, success } from 'dotterelspur'
 import type { Result, Teardown } from 'dotterelspur'
 
-/** One state of one key. Versions are those of the whole table: each write takes the next. */
+/** A state of a key. Versions count the writes of the whole table. */
 export interface Revision {
   readonly key: string
   readonly version: number
@@ -9,7 +9,7 @@
   readonly deleted: boolean
 }
 
-/** Why a conditional write was refused: the version that is there, null for none. */
+/** Why a conditional write was rejected: the current version, null if the key does not exist. */
 export interface ConditionFailed {
   readonly currentVersion: number | null
 }
@@ -23,22 +23,22 @@
 const HISTORY_LENGTH = 20_000
 
 /**
- * The platform's objects without any I/O: conditional writes, reads as of an earlier version, and a bounded
- * history for watches.
+ * The platform's objects, without I/O: conditional writes, reads at an earlier version, and a bounded history for
+ * watches.
  */
 export class ObjectTable {
   private readonly revisions = new Map<string, Revision[]>()
   private readonly history: Revision[] = []
   private readonly listeners = new Set<(revision: Revision) => void>()
   private currentVersion = 0
-  /** History up to and including this version is gone. */
+  /** The history up to and including this version has been discarded. */
   private compactedVersion = 0
 
   get version (): number {
     return this.currentVersion
   }
 
-  /** The live object, as of `asOfVersion` where given. */
+  /** The object, at `asOfVersion` if it is given. */
   get (key: string, asOfVersion = this.currentVersion): Revision | undefined {
     const revision = this.revisionAt(key, asOfVersion)
     return revision === undefined || revision.deleted ? undefined : revision
@@ -73,13 +73,13 @@
     return success(this.commit(key, null, true))
   }
 
-  /** Changes of a prefix after a version, in order; undefined when that part of the history is gone. */
+  /** Changes of a prefix after a version, in order; undefined if that part of the history has been discarded. */
   changesAfter (prefix: string, afterVersion: number): readonly Revision[] | undefined {
     if (afterVersion < this.compactedVersion) return undefined
     return this.history.filter((revision) => revision.version > afterVersion && revision.key.startsWith(prefix))
   }
 
-  /** The highest version of any change under the prefix that the history still holds, 0 for none. */
+  /** The highest version of a change under the prefix in the history; 0 if there is none. */
   prefixVersion (prefix: string): number {
     for (let index = this.history.length - 1; index >= 0; index--) {
       const revision = this.history[index]!
@@ -88,13 +88,13 @@
     return 0
   }
 
-  /** The state of the key before its present one; the present one when there was none. */
+  /** The previous state of the key, or the current one if there is no previous one. */
   earlierRevision (key: string): Revision | undefined {
     const all = this.revisions.get(key) ?? []
     return all[all.length - 2] ?? all[all.length - 1]
   }
 
-  /** Called after each write is committed. */
+  /** The listener runs after each committed write. */
   registerListener (listener: (revision: Revision) => void): Teardown {
     this.listeners.add(listener)
     return () => { this.listeners.delete(listener) }
--- a/packages/dotterelspur-testkit/src/process/platform/PlatformContext.ts
+++ b/packages/dotterelspur-testkit/src/process/platform/PlatformContext.ts
@@ -7,7 +7,7 @@
 import type { CallKind, PlatformFaults } from './PlatformFaults.js'
 import type { WeightStore } from './WeightStore.js'
 
-/** What the routes of the platform's stand-in share. */
+/** Parts that the routes of the stand-in platform share. */
 export interface PlatformContext {
   readonly clock: Clock
   readonly objects: ObjectTable
@@ -24,20 +24,20 @@
 }
 
 const TOO_MANY_CALLS = 429
-/** How far into the past a stale read may reach, in versions. */
+/** Maximum age of a stale read, in versions. */
 const STALE_VERSIONS = 50
-/** How far into the past a stale VM list may reach. */
+/** Maximum age of a stale VM list. */
 export const STALE_VM_LIST_MS = 30_000
 
-/** Cuts the caller's connection without an answer. */
+/** Closes the caller's connection without a response. */
 export function cutConnection (request: FastifyRequest, reply: FastifyReply): void {
   reply.hijack()
   request.raw.socket.destroy()
 }
 
 /**
- * Runs one counted call through the faults in force: it may be refused, cut before anything is done, delayed,
- * answered from the past, or done without an answer. `act` gets the version to read at.
+ * Applies the active faults to a counted call: it may be rejected, cut off before it has an effect, delayed, answered with old
+ * data, or carried out without a response. `act` receives the version to read at.
  */
 export async function serveCall (
   context: PlatformContext,
--- a/packages/dotterelspur-testkit/src/process/platform/PlatformFaults.ts
+++ b/packages/dotterelspur-testkit/src/process/platform/PlatformFaults.ts
@@ -1,25 +1,25 @@
 import type { Random } from 'dotterelspur'
 
-/** What can go wrong with the platform's service as a whole. */
+/** Faults of the platform's service as a whole. */
 export enum PlatformFaultKind {
   None = 'none',
-  /** Connections are cut without an answer, before anything is done. */
+  /** Connections are closed without a response, before a call has an effect. */
   Down = 'down',
-  /** Calls take `delayMs` longer; a write waits before or after it takes effect. */
+  /** Calls take `delayMs` longer; a write waits either before or after it takes effect. */
   Slow = 'slow',
-  /** Writes take effect, and their connections are cut instead of an answer. */
+  /** Writes take effect, and their connections are closed without a response. */
   LoseReplies = 'lose-replies',
-  /** Reads are answered from the past. */
+  /** Reads return old data. */
   StaleReads = 'stale-reads',
-  /** Watches skip, repeat, go back or end. */
+  /** Watches skip events, repeat them, send older ones, or end. */
   DropWatches = 'drop-watches'
 }
 
 export interface PlatformFault {
   readonly kind: PlatformFaultKind
-  /** For Slow: how much longer a call takes. */
+  /** For Slow: additional duration of a call. */
   readonly delayMs?: number
-  /** The share of calls that are hit, 0 to 1; all where absent, except for watches. */
+  /** Share of calls that are affected, 0 to 1; by default all, except for watches. */
   readonly probability?: number
 }
 
@@ -29,7 +29,7 @@
   Watch = 'watch'
 }
 
-/** What happens to one call. */
+/** Effect of the faults on a call. */
 export interface CallPlan {
   readonly cut: boolean
   readonly delayBeforeMs: number
@@ -38,12 +38,12 @@
   readonly stale: boolean
 }
 
-/** What happens to one event of a watch. */
+/** Effect of the faults on an event of a watch. */
 export enum EventPlan {
   Send = 'send',
   Skip = 'skip',
   Repeat = 'repeat',
-  /** An earlier revision is sent after it. */
+  /** An earlier version is sent after it. */
   GoBack = 'go-back',
   Close = 'close'
 }
@@ -70,7 +70,7 @@
   return after ? { delayAfterMs: delayMs } : { delayBeforeMs: delayMs }
 }
 
-/** The faults in force. Setting one replaces all others; `add` lets several act at once. */
+/** The active faults. `set` replaces all of them, `add` adds one. */
 export class PlatformFaults {
   private active: readonly PlatformFault[] = []
   private readonly cutOffAddresses = new Set<string>()
@@ -97,7 +97,7 @@
     return this.active.some((fault) => fault.kind === kind)
   }
 
-  /** From now on nothing passes between the platform and callers at this IP address. */
+  /** Blocks all traffic between the platform and callers at this IP address. */
   cutOff (address: string): void {
     this.cutOffAddresses.add(address)
     this.changed()
@@ -112,7 +112,7 @@
     return this.cutOffAddresses.has(address)
   }
 
-  /** Called after the faults change. */
+  /** The listener runs after each change of the faults. */
   registerListener (listener: () => void): () => void {
     this.listeners.add(listener)
     return () => { this.listeners.delete(listener) }
@@ -134,7 +134,7 @@
     return FAULTY_EVENTS[this.random.integer(FAULTY_EVENTS.length)]!
   }
 
-  /** A version from the past to answer a stale read from. */
+  /** An earlier version with which to answer a stale read. */
   pastVersion (currentVersion: number, maximumLag: number): number {
     return Math.max(0, currentVersion - this.random.integer(maximumLag + 1))
   }
--- a/packages/dotterelspur-testkit/src/process/platform/PlatformServer.ts
+++ b/packages/dotterelspur-testkit/src/process/platform/PlatformServer.ts
@@ -19,7 +19,7 @@
   readonly seed: number
   readonly clock: Clock
   readonly host: string
-  /** 0 lets the OS choose. */
+  /** 0 lets the operating system choose. */
   readonly port: number
   readonly heartbeatIntervalMs: number
   readonly rates: CallRates
@@ -28,12 +28,12 @@
 
 const MAXIMUM_BODY_BYTES = 1_048_576
 
-/** The platform's rates as the users state them. */
+/** The platform's call rates, as stated by the users. */
 export const PLATFORM_RATES: CallRates = { readsPerSecond: 2_000, writesPerSecond: 600 }
 
 /**
- * The platform's stand-in: object API, VM list and weight store over HTTP, with faults, in one process. Its
- * state is open to tests: `objects`, `vms`, `weights` and `faults` may be read and changed at any time.
+ * Stand-in of the platform in one process: object API, VM list and weight store over HTTP, with faults. Tests may read and
+ * change `objects`, `vms`, `weights` and `faults` at any time.
  */
 export class PlatformServer {
   readonly objects = new ObjectTable()
@@ -55,7 +55,7 @@
     this.server = this.createServer()
   }
 
-  /** Base URL, once started. */
+  /** Base URL; valid once started. */
   get url (): string {
     return this.address
   }
@@ -77,7 +77,7 @@
     const { clock, heartbeatIntervalMs } = this.options
     const context: PlatformContext = { clock, heartbeatIntervalMs, objects: this.objects, vms: this.vms, weights: this.weights, faults: this.faults, meter: this.meter }
     server.addHook('onRequest', async (request, reply) => {
-      // Silence, not a reset: a partition lets the caller wait until its own timeout.
+      // No response and no reset: in a partition, the caller waits until its own timeout.
       if (this.faults.isCutOff(request.ip)) reply.hijack()
     })
     registerObjectRoutes(server, context)
--- a/packages/dotterelspur-testkit/src/process/platform/WeightStore.ts
+++ b/packages/dotterelspur-testkit/src/process/platform/WeightStore.ts
@@ -1,7 +1,7 @@
 import { failed, success } from 'dotterelspur'
 import type { Clock, Result, VmId } from 'dotterelspur'
 
-/** Leave to read weights at a rate, until it is given back or expires. */
+/** Permission to read weights at a rate, until it is returned or expires. */
 export interface WeightGrant {
   readonly grant: string
   readonly vm: VmId
@@ -9,7 +9,7 @@
   readonly expiresInMs: number
 }
 
-/** The budget is used up. */
+/** The budget is exhausted. */
 export interface WeightRefusal {
   readonly retryAfterMs: number
 }
@@ -28,10 +28,10 @@
 export const DEFAULT_WEIGHT_BUDGET_BYTES_PER_SECOND = 40_000_000_000
 const GRANT_TTL_MS = 10_000
 const RETRY_AFTER_MS = 250
-/** A smaller grant than this share of what was asked isn't worth starting on. */
+/** Grants below this share of the requested rate are not made: loading so slowly would not be useful. */
 const MINIMUM_SHARE = 0.25
 
-/** The weight store's rate budget: grants never exceed it together. */
+/** The weight store's rate budget; the sum of all grants never exceeds it. */
 export class WeightStore {
   private readonly held = new Map<string, HeldGrant>()
   private sequence = 0
@@ -47,7 +47,7 @@
     return { budgetBytesPerSecond: this.budgetBytesPerSecond, grantedBytesPerSecond: this.granted(), grants: this.held.size }
   }
 
-  /** Grants what was asked, or what is left of the budget. */
+  /** Grants the requested rate, or the rest of the budget if that is less. */
   acquire (vm: VmId, wantedBytesPerSecond: number): Result<WeightGrant, WeightRefusal> {
     this.expire()
     const left = this.budgetBytesPerSecond - this.granted()
@@ -58,7 +58,7 @@
     return success(grant)
   }
 
-  /** Holds a grant for another period; false when it has lapsed. */
+  /** Renews a grant for another period; returns false if it has expired. */
   renew (grantId: string): boolean {
     this.expire()
     const held = this.held.get(grantId)
--- a/packages/dotterelspur-testkit/src/process/platform/registerObjectRoutes.ts
+++ b/packages/dotterelspur-testkit/src/process/platform/registerObjectRoutes.ts
@@ -22,7 +22,7 @@
   readonly prefix?: string
 }
 
-/** Get, list, create, update and delete, as docs/contracts/platform.md describes them. */
+/** Routes to get, list, create, update and delete objects, as docs/contracts/platform.md describes them. */
 export function registerObjectRoutes (server: FastifyInstance, context: PlatformContext): void {
   const { objects } = context
   server.get<{ Querystring: PrefixQuery }>(OBJECTS_PATH, async (request, reply) => {
--- a/packages/dotterelspur-testkit/src/process/platform/registerVmRoutes.ts
+++ b/packages/dotterelspur-testkit/src/process/platform/registerVmRoutes.ts
@@ -8,7 +8,7 @@
 const OK = 200
 const NOT_MODIFIED = 304
 
-/** The lagging list of VMs, as docs/contracts/vm-list.md describes it. */
+/** Route of the lagging VM list, as docs/contracts/vm-list.md describes it. */
 export function registerVmRoutes (server: FastifyInstance, context: PlatformContext): void {
   server.get(VMS_PATH, async (request, reply) => {
     await serveCall(context, CallKind.Read, request, reply, (asOf) => {
--- a/packages/dotterelspur-testkit/src/process/platform/registerWatchRoute.ts
+++ b/packages/dotterelspur-testkit/src/process/platform/registerWatchRoute.ts
@@ -10,12 +10,12 @@
 
 const TOO_MANY_CALLS = 429
 
-/** The lines of a watch. */
+/** Kinds of lines of a watch. */
 export enum WatchLineKind {
   Event = 'event',
-  /** Nothing new; `prefixVersion` is the highest version of any change under the prefix. */
+  /** Sent without changes; `prefixVersion` is the highest version of a change under the prefix. */
   Heartbeat = 'heartbeat',
-  /** The history after the asked version is gone: list again. */
+  /** The history after the requested version has been discarded; the client must list again. */
   Reset = 'reset'
 }
 
@@ -24,7 +24,7 @@
   readonly after?: string
 }
 
-/** A waiting watch: newline-delimited JSON until either side ends it. */
+/** Route of a watch: newline-delimited JSON until either side ends it. */
 export function registerWatchRoute (server: FastifyInstance, context: PlatformContext): void {
   server.get<{ Querystring: WatchQuery }>(WATCH_PATH, async (request, reply) => {
     const retryAfterMs = context.meter.admit(CallKind.Watch)
@@ -44,7 +44,7 @@
   stream.start(afterVersion)
 }
 
-/** One waiting watch. */
+/** An open watch. */
 class WatchStream {
   private teardown: Teardown = () => {}
   private prefixVersion = 0
--- a/packages/dotterelspur-testkit/src/process/platform/registerWeightRoutes.ts
+++ b/packages/dotterelspur-testkit/src/process/platform/registerWeightRoutes.ts
@@ -22,7 +22,7 @@
   readonly bytesPerSecond?: unknown
 }
 
-/** The weight store's budget, as docs/contracts/weight-store.md describes it. */
+/** Routes of the weight store's budget, as docs/contracts/weight-store.md describes them. */
 export function registerWeightRoutes (server: FastifyInstance, context: PlatformContext): void {
   const { weights } = context
   server.get(WEIGHTS_PATH, async (request, reply) => {
--- a/packages/dotterelspur-testkit/src/process/presence.ts
+++ b/packages/dotterelspur-testkit/src/process/presence.ts
@@ -1,7 +1,7 @@
 import type { FastifyReply } from 'fastify'
 import type { LoadReport, ServiceStatus, VmStatus } from 'dotterelspur'
 
-/** A presence answer: a JSON array in the order of the contract page. */
+/** A presence response: a JSON array in the order of the contract page. */
 export type PresenceLine = readonly unknown[]
 
 function loadFields ({ running, waiting, capacity, cacheUsed, ageMs }: LoadReport): PresenceLine {
@@ -18,7 +18,7 @@
   return [vm, incarnation, leaving, ...loadFields(load)]
 }
 
-/** Sends it with no header but its length: presence is asked twice a second of every VM. */
+/** Sends the response with only a length header, since every VM is probed twice a second. */
 export function sendPresence (reply: FastifyReply, line: PresenceLine): void {
   reply.hijack()
   const body = Buffer.from(JSON.stringify(line))
--- a/packages/dotterelspur-testkit/src/process/service/ServiceVm.ts
+++ b/packages/dotterelspur-testkit/src/process/service/ServiceVm.ts
@@ -9,14 +9,14 @@
 import type { VmHttp } from '../VmHttp.js'
 
 export interface ServiceSettings {
-  /** Time that one call takes. */
+  /** Duration of a call. */
   readonly callMs: number
   readonly capacity: number
 }
 
 export const DEFAULT_SERVICE_SETTINGS: ServiceSettings = { callMs: 5, capacity: 64 }
 
-/** One worker of a plain service: runs whatever reaches it, as often as it does. */
+/** A worker of a plain service: runs each request that reaches it, repeated ones included. */
 export class ServiceVm {
   private running = 0
   private calls = 0
@@ -32,7 +32,7 @@
     }
   }
 
-  /** Runs one call. Undefined when the process died or paused under it before it could answer. */
+  /** Runs a call. Resolves with undefined if the process died or was paused before it could respond. */
   async call (request: FastifyRequest): Promise<ServiceAnswer | undefined> {
     const close = this.ledger.begin({
       requestId: headerOf(request, 'x-request-id') ?? '',
@@ -70,7 +70,7 @@
   return typeof value === 'string' ? value : null
 }
 
-/** The service's HTTP contract; docs/contracts/service.md describes it. */
+/** HTTP routes of the service, as docs/contracts/service.md describes them. */
 export function registerServiceRoutes (http: VmHttp, serviceOf: (request: FastifyRequest) => ServiceVm): void {
   const { app } = http
   app.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => { done(null, body) })
--- a/packages/dotterelspur-testkit/src/request/AnswerBook.ts
+++ b/packages/dotterelspur-testkit/src/request/AnswerBook.ts
@@ -3,11 +3,11 @@
 
 const LIMIT_REQUESTS = 100_000
 
-/** What engines were asked, so that a checker knows the whole answer that a request id must have received. */
+/** Requests that engines received, from which a checker computes the whole answer that each request id must have received. */
 export class AnswerBook {
   private readonly requests = new Map<RequestId, GenerateRequest>()
 
-  /** Keeps the first request of each id. */
+  /** Records the first request of each id. */
   note (request: GenerateRequest): void {
     if (this.requests.has(request.requestId)) return
     this.requests.set(request.requestId, request)
@@ -18,7 +18,7 @@
     return this.requests.get(requestId)?.prompt
   }
 
-  /** The whole answer, from its first token. */
+  /** The whole answer to a request id. */
   answer (requestId: RequestId): string | undefined {
     const request = this.requests.get(requestId)
     return request === undefined ? undefined : expectedAnswer(request, request.maxTokens)
--- a/packages/dotterelspur-testkit/src/request/AnswerText.ts
+++ b/packages/dotterelspur-testkit/src/request/AnswerText.ts
@@ -10,17 +10,17 @@
 const ANSWER_SPREAD_TOKENS = 40
 const CHARACTERS_PER_TOKEN = 4
 
-/** What decides an answer: the same four give the same tokens on every engine. */
+/** Inputs of an answer: the same four result in the same tokens on every engine. */
 export type AnswerSource = Pick<GenerateRequest, 'model' | 'version' | 'prompt' | 'seed'>
 
 /** A deterministic answer, so that a resumed or repeated stream can be compared token by token. */
 export interface AnswerText {
-  /** Tokens after which the answer stops by itself. */
+  /** Number of tokens after which the answer ends by itself. */
   readonly length: number
   token (offset: number): string
 }
 
-/** The answer that every stand-in engine gives to a source. */
+/** Generates the answer of every stand-in engine to a source. */
 export function answerText (source: AnswerSource): AnswerText {
   const base = hashText([source.model, source.version, source.prompt, source.seed].join('\u0000'))
   return {
@@ -36,7 +36,7 @@
   return Array.from({ length }, (_, offset) => answer.token(offset)).join('')
 }
 
-/** Tokens of a text, counted as the stand-in's engines count them. */
+/** Number of tokens of a text, as the stand-in engines count them. */
 export function countTokens (text: string): number {
   return Math.max(1, Math.ceil(text.length / CHARACTERS_PER_TOKEN))
 }
--- a/packages/dotterelspur-testkit/src/request/EngineRun.ts
+++ b/packages/dotterelspur-testkit/src/request/EngineRun.ts
@@ -5,16 +5,16 @@
 import { RunEnd } from '../process/Ledger.js'
 import type { RunCloser } from '../process/Ledger.js'
 
-/** One connection that receives a run's chunks. */
+/** A connection that receives a run's chunks. */
 export interface RunFollower {
   readonly attempt: number
-  /** The next token that this connection has not been given. */
+  /** Index of the next token to send on this connection. */
   offset: number
-  /** False while the connection can't take more. */
+  /** False while the connection's buffer is full. */
   writable (): boolean
   write (chunk: GenerateChunk): void
   finish (): void
-  /** Resets the connection without an end mark. */
+  /** Resets the connection without an end-of-stream marker. */
   destroy (): void
 }
 
@@ -25,12 +25,12 @@
   [RunEnd.Died]: StreamState.Absent
 }
 
-/** One run of a request in an engine's batch, and the connections that follow it. */
+/** A run of a request in an engine's batch, and the connections that receive it. */
 export class EngineRun {
-  /** Tokens of the whole answer that exist so far. */
+  /** Number of tokens generated so far. */
   offset: number
   end = RunEnd.Running
-  /** When the prompt has been read; set as the run enters the batch. */
+  /** Time at which the prompt has been read; set when the run enters the batch. */
   firstTokenAtMs = 0
   readonly followers = new Set<RunFollower>()
   private readonly answer: AnswerText
@@ -57,7 +57,7 @@
     this.deliver(follower)
   }
 
-  /** Makes the next tokens and hands them to every connection. */
+  /** Generates the next tokens, and sends them on all connections. */
   step (tokens: number): void {
     this.offset = Math.min(this.length, this.offset + tokens)
     if (this.offset === this.length) this.settle(RunEnd.Whole)
@@ -70,14 +70,14 @@
     for (const follower of [...this.followers]) this.deliver(follower)
   }
 
-  /** The engine lost the run: every connection breaks without an end mark. */
+  /** Ends the run as lost: all connections break without an end-of-stream marker. */
   die (): void {
     if (!this.finished) this.settle(RunEnd.Died)
     for (const follower of this.followers) follower.destroy()
     this.followers.clear()
   }
 
-  /** Gives a connection all that it lacks, as one chunk, and the end mark once there is one. */
+  /** Sends a connection all tokens that it has not received in one chunk, and the end-of-stream marker once the run has ended. */
   deliver (follower: RunFollower): void {
     if (!this.followers.has(follower) || !follower.writable()) return
     if (follower.offset < this.offset) this.deliverTokens(follower)
