Testkit: names of the field for the stand-ins' parts

AnswerBook is ExpectedAnswers, WeightPipe WeightBandwidth, whereabouts describeMembership, takesPart belongsTo, heldRequests bufferedRequests, releaseHeld releaseBuffered, pastVersion earlierVersion; by whole words, so that every use follows. Names on the wire, of faults and of settings stay.

--- a/packages/dotterelspur-demo/src/__tests__/unit/promises.test.ts
+++ b/packages/dotterelspur-demo/src/__tests__/unit/promises.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import { GroupState, PriorityClass } from 'dotterelspur'
 import type { AssignedGroup, AssignmentObject, GenerateRequest } from 'dotterelspur'
-import { AnswerBook, RunEnd, expectedAnswer } from 'dotterelspur-testkit'
+import { ExpectedAnswers, RunEnd, expectedAnswer } from 'dotterelspur-testkit'
 import type { LedgerRow } from 'dotterelspur-testkit'
 import type { ChatAnswer } from '../../request/Caller.js'
 import { checkAnswers, checkComplete, checkExplained, checkMembership, checkOnce } from '../../request/promises.js'
@@ -22,8 +22,8 @@
   return { requestId: 'r1', text: WHOLE, whole: true, status: 200, error: null, ...change }
 }
 
-function book (): AnswerBook {
-  const answers = new AnswerBook()
+function expectedAnswers (): ExpectedAnswers {
+  const answers = new ExpectedAnswers()
   answers.note(REQUEST)
   return answers
 }
@@ -39,7 +39,7 @@
   ]
   for (const { name, answer: given, marker = 'mine', held } of cases) {
     it(`${held ? 'accepts' : 'detects'} ${name}`, () => {
-      expect(checkAnswers([{ marker, answer: given }], book()).held).to.equal(held)
+      expect(checkAnswers([{ marker, answer: given }], expectedAnswers()).held).to.equal(held)
     })
   }
 })
--- a/packages/dotterelspur-demo/src/process/Cluster.ts
+++ b/packages/dotterelspur-demo/src/process/Cluster.ts
@@ -4,7 +4,7 @@
 import { TEAM_PREFIX, sleep } from 'dotterelspur'
 import type { Clock } from 'dotterelspur'
 import { SystemClock } from 'dotterelspur-clock'
-import { EndpointFleet, FencingMode, PlatformServer, WeightPipe } from 'dotterelspur-testkit'
+import { EndpointFleet, FencingMode, PlatformServer, WeightBandwidth } from 'dotterelspur-testkit'
 import type { EngineSettings } from 'dotterelspur-testkit'
 import type { ClusterLayout, NodePlan } from './ClusterLayout.js'
 import { createLayout } from './ClusterLayout.js'
@@ -63,7 +63,7 @@
     const layout = options.layout ?? createLayout(options.nodes ?? DEFAULT_NODES, seed)
     const fencing = options.fencing ?? FencingMode.Checked
     const platform = new PlatformServer({ seed })
-    const weights = new WeightPipe(new SystemClock(), WEIGHT_BYTES_PER_SECOND)
+    const weights = new WeightBandwidth(new SystemClock(), WEIGHT_BYTES_PER_SECOND)
     const endpoints = new EndpointFleet({
       places: layout.places,
       engine: { fencing, weightBytesPerVm: WEIGHT_BYTES_PER_VM, ...options.engine },
--- a/packages/dotterelspur-demo/src/request/promises.ts
+++ b/packages/dotterelspur-demo/src/request/promises.ts
@@ -1,7 +1,7 @@
 import { ASSIGNMENT_PREFIX } from 'dotterelspur'
 import type { AssignmentObject } from 'dotterelspur'
 import { RunEnd } from 'dotterelspur-testkit'
-import type { AnswerBook, LedgerRow } from 'dotterelspur-testkit'
+import type { ExpectedAnswers, LedgerRow } from 'dotterelspur-testkit'
 import type { ChatAnswer } from './Caller.js'
 
 /** Result of checking a promise against the records of the stand-ins. */
@@ -28,7 +28,7 @@
 }
 
 /** Checks that each caller received the whole answer that the engines gave to its own request. */
-export function checkAnswers (chats: readonly SentChat[], answers: AnswerBook): PromiseCheck {
+export function checkAnswers (chats: readonly SentChat[], answers: ExpectedAnswers): PromiseCheck {
   const wrong = chats.filter(({ marker, answer }) => !answer.whole || answer.text !== answers.answer(answer.requestId) || !answers.prompt(answer.requestId)!.includes(marker))
   const first = wrong[0]
   const evidence = first === undefined
--- a/packages/dotterelspur-testkit/src/__tests__/unit/EndpointFleet.test.ts
+++ b/packages/dotterelspur-testkit/src/__tests__/unit/EndpointFleet.test.ts
@@ -149,7 +149,7 @@
       await fleet.fault('vm-1', { kind: VmFaultKind.Pause })
       const giveUp = new AbortController()
       const sent = post('vm-1', '/v1/orders', { fencing: 1, order: formOrder(fleet, 0) }, giveUp.signal).then(() => 'answered', () => 'gave up')
-      await until(() => fleet.heldRequests('vm-1') === 1)
+      await until(() => fleet.bufferedRequests('vm-1') === 1)
       giveUp.abort()
       expect(await sent).to.equal('gave up')
       await fleet.fault('vm-1', { kind: VmFaultKind.Resume })
--- a/packages/dotterelspur-testkit/src/process/EndpointFleet.ts
+++ b/packages/dotterelspur-testkit/src/process/EndpointFleet.ts
@@ -1,6 +1,6 @@
 import { EngineState, VmRole, invariant } from 'dotterelspur'
 import type { Clock, GroupMember, ServiceStatus, Teardown, VmId, VmRecord, VmStatus } from 'dotterelspur'
-import { AnswerBook } from '../request/AnswerBook.js'
+import { ExpectedAnswers } from '../request/ExpectedAnswers.js'
 import { EngineVm } from './engine/EngineVm.js'
 import type { FormOrder } from './engine/EngineVm.js'
 import { registerEngineRoutes } from './engine/EngineRoutes.js'
@@ -43,7 +43,7 @@
 /** All endpoint VMs of a stand-in deployment in one process; each has its own listener. */
 export class EndpointFleet {
   readonly ledger: Ledger
-  readonly answers = new AnswerBook()
+  readonly answers = new ExpectedAnswers()
   private readonly clock: Clock
   private readonly settings: EngineSettings
   private readonly serviceSettings: ServiceSettings
@@ -112,8 +112,8 @@
   }
 
   /** Number of requests that a paused VM's kernel has received and its process has not read. */
-  heldRequests (vm: VmId): number {
-    return this.host(vm).heldRequests
+  bufferedRequests (vm: VmId): number {
+    return this.host(vm).bufferedRequests
   }
 
   has (vm: VmId): boolean {
@@ -186,8 +186,8 @@
   /** Whether a member of a formation answers over the fabric, and how slow it is. */
   private memberHealth (form: FormOrder, member: GroupMember): MemberHealth {
     const host = this.hosts.get(member.vm)
-    const takesPart = this.engines.get(member.vm)?.takesPart(form, member) ?? false
-    if (host === undefined || !takesPart) return { condition: MemberCondition.Gone, straggleMs: 0 }
+    const belongsTo = this.engines.get(member.vm)?.belongsTo(form, member) ?? false
+    if (host === undefined || !belongsTo) return { condition: MemberCondition.Gone, straggleMs: 0 }
     const condition = host.power === VmPower.Paused ? MemberCondition.Silent : MemberCondition.Up
     return { condition, straggleMs: host.straggleMs }
   }
--- a/packages/dotterelspur-testkit/src/process/VmHost.ts
+++ b/packages/dotterelspur-testkit/src/process/VmHost.ts
@@ -78,7 +78,7 @@
     this.server = undefined
     for (const socket of this.sockets) socket.destroy()
     this.sockets = new Set()
-    this.releaseHeld()
+    this.releaseBuffered()
     this.onChange()
   }
 
@@ -91,7 +91,7 @@
   resume (): void {
     if (this.power !== VmPower.Paused) return
     this.power = VmPower.Up
-    this.releaseHeld()
+    this.releaseBuffered()
   }
 
   setLeaving (leaving: boolean): void {
@@ -110,7 +110,7 @@
   }
 
   /** Number of requests that wait until a paused VM resumes, and whose senders have not closed the connection. */
-  get heldRequests (): number {
+  get bufferedRequests (): number {
     return this.held.filter((request) => !request.isGone()).length
   }
 
@@ -125,7 +125,7 @@
     }
   }
 
-  private releaseHeld (): void {
+  private releaseBuffered (): void {
     const held = this.held
     this.held = []
     for (const { release } of held) release()
--- a/packages/dotterelspur-testkit/src/process/engine/EngineVm.ts
+++ b/packages/dotterelspur-testkit/src/process/engine/EngineVm.ts
@@ -1,6 +1,6 @@
 import { PREFIX_BLOCK_CHARACTERS, createRandom, EndpointErrorKind, EngineState, failed, OrderKind, prefixHashes, StreamState, success } from 'dotterelspur'
 import type { Clock, EngineOrder, GenerateRequest, GroupMember, RequestId, Result, StreamStatus, VmStatus } from 'dotterelspur'
-import type { AnswerBook } from '../../request/AnswerBook.js'
+import type { ExpectedAnswers } from '../../request/ExpectedAnswers.js'
 import { EngineRun } from '../../request/EngineRun.js'
 import { countTokens } from '../../request/AnswerText.js'
 import type { Ledger } from '../Ledger.js'
@@ -26,7 +26,7 @@
   readonly ledger: Ledger
   readonly requestLoad: LoadRequester
   readonly seed: number
-  readonly answers: AnswerBook
+  readonly answers: ExpectedAnswers
   /** State of a formation's members, as its leader observes it over the fabric. */
   healthOf (form: FormOrder): GroupHealth
 }
@@ -77,7 +77,7 @@
   }
 
   /** Whether this VM belongs to a formation as the member that the order names. */
-  takesPart (form: FormOrder, member: GroupMember): boolean {
+  belongsTo (form: FormOrder, member: GroupMember): boolean {
     return this.host.incarnation === member.incarnation && this.form?.group === form.group &&
       this.form.formation === form.formation && (this.state === EngineState.Ready || this.state === EngineState.Leaving)
   }
@@ -164,14 +164,14 @@
   }
 
   applyDrain (order: Extract<EngineOrder, { kind: OrderKind.Drain }>): EngineFault | undefined {
-    if (!this.isAt(order)) return wrongFormation(this.whereabouts())
+    if (!this.isAt(order)) return wrongFormation(this.describeMembership())
     if (this.state === EngineState.Ready || this.state === EngineState.Loading) this.state = EngineState.Leaving
     return undefined
   }
 
   applyRelease (order: Extract<EngineOrder, { kind: OrderKind.Release }>): EngineFault | undefined {
     if (this.form === undefined) return undefined
-    if (!this.isAt(order)) return wrongFormation(this.whereabouts())
+    if (!this.isAt(order)) return wrongFormation(this.describeMembership())
     this.batch.dieAll()
     this.form = undefined
     this.state = EngineState.Idle
@@ -182,13 +182,13 @@
     return this.form?.group === place.group && this.form.formation === place.formation
   }
 
-  private whereabouts (): string {
+  private describeMembership (): string {
     return this.form === undefined ? 'in no group' : `at formation ${this.form.formation} of ${this.form.group}`
   }
 
   private refusalOf (request: GenerateRequest): EngineFault | undefined {
     const form = this.form
-    if (form === undefined || !this.isAt(request)) return wrongFormation(this.whereabouts())
+    if (form === undefined || !this.isAt(request)) return wrongFormation(this.describeMembership())
     if (form.members[0]?.vm !== this.host.place.vm) return wrongFormation(`rank ${form.rank} leads nothing`)
     if (form.model !== request.model || form.version !== request.version) return wrongFormation(`serves ${form.model} ${form.version}`)
     if (request.adapter !== null && !form.adapters.includes(request.adapter)) return wrongFormation(`adapter ${request.adapter} is not loaded`)
--- a/packages/dotterelspur-testkit/src/process/engine/WeightPipe.ts
+++ b/packages/dotterelspur-testkit/src/process/engine/WeightBandwidth.ts
@@ -1,7 +1,7 @@
 import type { Clock } from 'dotterelspur'
 
 /** The weight store's bandwidth as engines observe it: loads are served one after the other at a fixed rate. */
-export class WeightPipe {
+export class WeightBandwidth {
   private freeAtMs = 0
 
   constructor (private readonly clock: Clock, private readonly bytesPerSecond: number) {}
--- a/packages/dotterelspur-testkit/src/process/platform/PlatformContext.ts
+++ b/packages/dotterelspur-testkit/src/process/platform/PlatformContext.ts
@@ -52,7 +52,7 @@
   if (plan.cut) return cutConnection(request, reply)
   if (plan.delayBeforeMs > 0) await sleep(context.clock, plan.delayBeforeMs)
   const currentVersion = context.objects.version
-  const asOfVersion = plan.stale ? context.faults.pastVersion(currentVersion, STALE_VERSIONS) : currentVersion
+  const asOfVersion = plan.stale ? context.faults.earlierVersion(currentVersion, STALE_VERSIONS) : currentVersion
   const answer = act(asOfVersion)
   if (plan.delayAfterMs > 0) await sleep(context.clock, plan.delayAfterMs)
   if (plan.loseReply) return cutConnection(request, reply)
--- a/packages/dotterelspur-testkit/src/process/platform/PlatformFaults.ts
+++ b/packages/dotterelspur-testkit/src/process/platform/PlatformFaults.ts
@@ -135,7 +135,7 @@
   }
 
   /** An earlier version with which to answer a stale read. */
-  pastVersion (currentVersion: number, maximumLag: number): number {
+  earlierVersion (currentVersion: number, maximumLag: number): number {
     return Math.max(0, currentVersion - this.random.integer(maximumLag + 1))
   }
 
--- a/packages/dotterelspur-testkit/src/request/AnswerBook.ts
+++ b/packages/dotterelspur-testkit/src/request/ExpectedAnswers.ts
@@ -4,7 +4,7 @@
 const LIMIT_REQUESTS = 100_000
 
 /** Requests that engines received, from which a checker computes the whole answer that each request id must have received. */
-export class AnswerBook {
+export class ExpectedAnswers {
   private readonly requests = new Map<RequestId, GenerateRequest>()
 
   /** Records the first request of each id. */
--- a/packages/dotterelspur-testkit/src/request/index.ts
+++ b/packages/dotterelspur-testkit/src/request/index.ts
@@ -1,2 +1,2 @@
 export * from './AnswerText.js'
-export * from './AnswerBook.js'
+export * from './ExpectedAnswers.js'
