--- a/packages/dotterelspur-bench/src/process/commands/daysCommand.ts
+++ b/packages/dotterelspur-bench/src/process/commands/daysCommand.ts
@@ -18,7 +18,7 @@
   readonly results: string
 }
 
-/** Half of the processors of the machines that this was measured on: with more, days are given up as too slow. */
+/** Half of the processors of an eight-core machine; with more, days are given up as too slow. */
 const DEFAULT_JOBS = 4
 
 export const daysCommand: BenchCommand<DaysArguments> = {
--- a/packages/dotterelspur-bench/src/process/days/DayPlan.ts
+++ b/packages/dotterelspur-bench/src/process/days/DayPlan.ts
@@ -1,12 +1,12 @@
 import { basename } from 'node:path'
 
-/** A folder with one version of the system, under the name that tables show. */
+/** A folder with a version of the system, and its label in tables. */
 export interface DayVersion {
   readonly label: string
   readonly folder: string
 }
 
-/** One day to be played with one version. */
+/** A day to be played with one version. */
 export interface DayPlay {
   readonly version: DayVersion
   readonly site: string
@@ -22,14 +22,14 @@
   readonly seeds: readonly number[]
 }
 
-/** Reads `label=folder`. @throws Error when it has another form. */
+/** Parses `label=folder`. @throws Error if it has another form. */
 export function readVersion (text: string): DayVersion {
   const at = text.indexOf('=')
   if (at < 1 || at === text.length - 1) throw new Error(`--version ${text}: expected LABEL=FOLDER`)
   return { label: text.slice(0, at), folder: text.slice(at + 1) }
 }
 
-/** All plays of a plan, the versions of one day and seed next to each other: what the machine does meanwhile meets them alike. */
+/** All plays of a plan. The versions of a day and seed are adjacent, so that the load of the machine affects them alike. */
 export function * playsOf ({ versions, sites, days, seeds }: DayPlan): Generator<DayPlay> {
   for (const seed of seeds) {
     for (const site of sites) {
@@ -40,12 +40,12 @@
   }
 }
 
-/** Names a play's day: `site day seed`, whatever the version. */
+/** Key of a play without its version: `site day seed`. */
 export function dayKey ({ site, day, seed }: DayPlay): string {
   return `${withoutEnding(site)} ${withoutEnding(day)} ${seed}`
 }
 
-/** The site and day of a key, over all seeds. */
+/** The site and day of a key, without the seed. */
 export function dayOfKey (key: string): string {
   return key.slice(0, key.lastIndexOf(' '))
 }
--- a/packages/dotterelspur-bench/src/process/days/DayResult.ts
+++ b/packages/dotterelspur-bench/src/process/days/DayResult.ts
@@ -1,4 +1,4 @@
-/** Requests of one kind on a day, by how they ended. */
+/** Number of requests of one kind on a day, by outcome. */
 export interface KindOutcome {
   readonly kind: string
   readonly asked: number
@@ -8,22 +8,22 @@
   readonly failed: number
 }
 
-/** What one play of a day gave. */
+/** Results of a play of a day. */
 export interface DayResult {
-  /** Part of what callers are owed that they got, less prices. */
+  /** Share of the owed benefit that callers received, less prices. */
   readonly worth: number
-  /** The parts of `worth` before prices, by name: whole day, worst windows, worst class. */
+  /** The components of `worth` before prices, by name: whole day, worst windows, worst class. */
   readonly parts: ReadonlyMap<string, number>
-  /** What each price took off. */
+  /** Deduction of each price. */
   readonly prices: ReadonlyMap<string, number>
   readonly kinds: readonly KindOutcome[]
-  /** Processor time of all nodes. */
+  /** Sum of the processor time of all nodes. */
   readonly processorS: number
-  /** Rules that were broken, and why the day counts for nothing; empty when none. */
+  /** Broken rules and other reasons for which the day does not count; empty if there are none. */
   readonly breaches: readonly string[]
 }
 
-/** The report file of the users' bench, as far as it is read here. */
+/** The fields of the users' bench report that are read. */
 interface ReportFile {
   readonly G: number
   readonly parts: ReadonlyArray<readonly [name: string, weight: number, value: number]>
@@ -35,7 +35,7 @@
 
 const PROCESSOR_PRICE = 'processor seconds'
 
-/** Reads a report's text. @throws Error when it is no report. */
+/** Parses the text of a report. @throws Error if it is not a valid report. */
 export function readDayResult (text: string): DayResult {
   const file = JSON.parse(text) as Partial<ReportFile>
   const { G: worth, parts, prices, classes, breaks, fault } = file
--- a/packages/dotterelspur-bench/src/process/days/compareDays.ts
+++ b/packages/dotterelspur-bench/src/process/days/compareDays.ts
@@ -7,10 +7,10 @@
 
 const { jStat } = jstat
 
-/** A difference whose interval at this confidence leaves zero out is beyond noise. */
+/** A difference is significant if its interval at this confidence does not contain zero. */
 const CONFIDENCE = 0.95
 
-/** The mean of paired differences, and half of its confidence interval; infinite for a single pair. */
+/** The mean of paired differences, and half the width of its confidence interval, which is infinite for a single pair. */
 export interface PairedDifference {
   readonly mean: number
   readonly halfWidth: number
@@ -27,10 +27,10 @@
 
 type Measure = (result: DayResult) => number
 
-/** Results of one version, by day and seed. */
+/** Results of a version, by day and seed. */
 type Results = ReadonlyMap<string, DayResult>
 
-/** Compares each version with the first one, day by day and over all days, and shows where the worth went. */
+/** Compares each version with the first one, for each day and over all days, with the components of `worth`. */
 export function compareDays (plan: DayPlan, played: readonly PlayedDay[]): BenchFindings {
   const [base, ...others] = plan.versions
   const resultsOf = (version: DayVersion): Results => new Map(played.flatMap(({ play, result }) => play.version === version && result !== null ? [[dayKey(play), result] as const] : []))
--- a/packages/dotterelspur-bench/src/process/days/jstat.d.ts
+++ b/packages/dotterelspur-bench/src/process/days/jstat.d.ts
@@ -1,13 +1,13 @@
-/** The part of the statistics library that is used here; it ships no types of its own. */
+/** Types of the used part of the statistics library, which ships none. */
 declare module 'jstat' {
   interface StudentT {
-    /** The value below which a part `p` of the distribution lies. */
+    /** The quantile of the distribution at probability `p`. */
     inv (p: number, degreesOfFreedom: number): number
   }
   interface Statistics {
     readonly studentt: StudentT
     mean (values: readonly number[]): number
-    /** Of a sample where `isSample` is true. */
+    /** Of a sample if `isSample` is true. */
     stdev (values: readonly number[], isSample: boolean): number
   }
   const library: { readonly jStat: Statistics }
--- a/packages/dotterelspur-bench/src/process/days/playDays.ts
+++ b/packages/dotterelspur-bench/src/process/days/playDays.ts
@@ -6,26 +6,26 @@
 import { readDayResult, type DayResult } from './DayResult.js'
 
 export interface PlayOptions {
-  /** The users' bench. */
+  /** Path of the users' bench. */
   readonly program: string
-  /** Days that are played at once. */
+  /** Number of days that are played concurrently. */
   readonly jobs: number
-  /** Where reports are kept; a play whose report is there is not played again. */
+  /** Folder of the reports; a play whose report exists is not repeated. */
   readonly folder: string
-  /** Goes with each run into its journal. */
+  /** Reason that is written into the journal entry of each run. */
   readonly why: string
-  /** Beyond it a day is given up, in seconds of processor time; null for the bench's own limit. */
+  /** Processor time in seconds after which a day is given up; null for the bench's default. */
   readonly dayCapS: number | null
   progress (line: string): void
 }
 
-/** A play and what it gave; null where it was given up or left no report. */
+/** A play and its result; null if it was given up or left no report. */
 export interface PlayedDay {
   readonly play: DayPlay
   readonly result: DayResult | null
 }
 
-/** Plays days side by side, and reads the reports of those that were played before. */
+/** Plays days concurrently, and reads the reports of days that were played before. */
 export async function playDays (plays: readonly DayPlay[], options: PlayOptions): Promise<PlayedDay[]> {
   const played: PlayedDay[] = []
   const waiting = plays.values()
@@ -36,7 +36,7 @@
       played.push({ play, result })
     }
   })
-  // A play that is under way writes into the folder: whoever gets the error may remove that.
+  // Plays in progress still write into the folder, which the caller may remove after an error.
   await Promise.allSettled(workers)
   await Promise.all(workers)
   return played
@@ -48,7 +48,7 @@
   return existsSync(reportPath) ? readDayResult(readFileSync(reportPath, 'utf8')) : null
 }
 
-/** The report appears under its name once it is whole: a play that was broken off is played again. */
+/** The report is renamed to its final name once it is complete, so that an interrupted play is repeated. */
 async function run ({ version, site, day, seed }: DayPlay, { program, folder, why, dayCapS }: PlayOptions, reportPath: string): Promise<void> {
   mkdirSync(join(resolve(folder), version.label), { recursive: true })
   const partPath = `${reportPath}.part`
--- a/packages/dotterelspur-bench/src/process/soak/AdminClient.ts
+++ b/packages/dotterelspur-bench/src/process/soak/AdminClient.ts
@@ -22,7 +22,7 @@
   readonly text: string
 }
 
-/** What one node says at one moment. */
+/** State of a node at one moment, by its own report. */
 export interface NodeSample {
   readonly groups: readonly GroupSample[]
   readonly versions: readonly VersionSample[]
@@ -32,7 +32,7 @@
 
 const TIMEOUT_MS = 1_500
 
-/** The operators' listener of one node. A node that doesn't answer gives undefined. */
+/** Client of a node's operators' listener. Calls resolve with undefined if the node does not respond. */
 export class AdminClient {
   constructor (private readonly url: string, private readonly token: string, private readonly node: number) {}
 
@@ -49,7 +49,7 @@
     }
   }
 
-  /** Applies a team's settings again with one comment more: a change of configuration that changes nothing else. */
+  /** Applies a team's settings with an additional comment: a new version without any other change. */
   async touchSettings (team: string, number: number): Promise<boolean> {
     const current = await this.call<SettingsAnswer>('GET', `/admin/teams/${team}/settings`)
     if (current?.text === undefined) return false
--- a/packages/dotterelspur-bench/src/process/soak/ControlClient.ts
+++ b/packages/dotterelspur-bench/src/process/soak/ControlClient.ts
@@ -23,7 +23,7 @@
 const ATTEMPTS = 3
 const RETRY_MS = 200
 
-/** The control address of the stand-ins and the demo's own processes. */
+/** Client of the demo's control server, which injects faults into stand-ins and node processes. */
 export class ControlClient {
   constructor (private readonly url: string) {}
 
--- a/packages/dotterelspur-bench/src/process/soak/FaultSchedule.ts
+++ b/packages/dotterelspur-bench/src/process/soak/FaultSchedule.ts
@@ -8,16 +8,16 @@
   Node = 'node'
 }
 
-/** One call of the demo's control address. */
+/** A call of the demo's control server. */
 export interface FaultOrder {
   readonly kind: string
   readonly delayMs?: number
 }
 
-/** One fault, from its start until it is taken back. */
+/** A fault, from its start until it is reverted. */
 export interface PlannedFault {
   readonly targetKind: FaultTargetKind
-  /** Name of a VM or fabric domain, index of a node; empty for the platform. */
+  /** Name of a VM or fabric domain, or index of a node; empty for the platform. */
   readonly target: string
   readonly atMs: number
   readonly clearAtMs: number
@@ -27,10 +27,10 @@
 
 export interface ScheduleSettings {
   readonly seed: number
-  /** No fault starts before or is left after these. */
+  /** Times before which no fault starts, and by which all faults have been reverted. */
   readonly firstAtMs: number
   readonly lastClearAtMs: number
-  /** Mean time between two starts; faults last longer than that, so several act at once. */
+  /** Mean time between the starts of two faults. Faults last longer, so several are active at once. */
   readonly meanIntervalMs: number
   readonly vms: readonly string[]
   readonly fabricDomains: readonly string[]
@@ -69,12 +69,12 @@
   { targetKind: FaultTargetKind.Node, share: 2, order: { kind: 'drain' }, clear: RESTART, lengthMs: [6_000, 12_000] }
 ]
 
-/** A node's faults leave at least half of the nodes whole. */
+/** Node faults leave at least half of the nodes unaffected. */
 function nodesAtOnce (nodes: number): number {
   return Math.max(1, Math.floor((nodes - 1) / 2))
 }
 
-/** Draws faults, several at once, the same for the same seed. A target has one fault at a time. */
+/** Draws overlapping faults, the same for the same seed. A target has one fault at a time. */
 export function planFaults (settings: ScheduleSettings, random: Random): PlannedFault[] {
   const planned: PlannedFault[] = []
   let atMs = settings.firstAtMs
--- a/packages/dotterelspur-bench/src/process/soak/SoakEvidence.ts
+++ b/packages/dotterelspur-bench/src/process/soak/SoakEvidence.ts
@@ -2,20 +2,20 @@
 import type { CallRecord } from '../../request/CallRecord.js'
 import type { FaultTargetKind } from './FaultSchedule.js'
 
-/** Everything that the checks look at. Times are wall-clock milliseconds of one machine. */
+/** The observations on which the checks are based. Times are wall-clock milliseconds of one machine. */
 export interface SoakEvidence {
   readonly calls: readonly CallRecord[]
   readonly ledger: readonly LedgerRow[]
   readonly events: readonly FaultEvent[]
   readonly vms: readonly VmPlacement[]
-  /** Groups as nodes gave them, sampled all the time. */
+  /** Samples of the groups that nodes reported. */
   readonly groupSamples: readonly GroupSample[]
   readonly versionSamples: readonly VersionSample[]
   /** Base URL of each node, by index. */
   readonly entries: readonly string[]
 }
 
-/** One order to the control address, as it was given. */
+/** A call to the control server, with the time at which it was made. */
 export interface FaultEvent {
   readonly atMs: number
   readonly targetKind: FaultTargetKind
@@ -31,7 +31,7 @@
 
 export interface GroupSample {
   readonly atMs: number
-  /** Index of the node that was asked. */
+  /** Index of the node that reported. */
   readonly node: number
   readonly fabricDomain: string
   readonly group: string
@@ -39,7 +39,7 @@
   readonly members: readonly string[]
 }
 
-/** The version of a team's settings that a node's process says it holds. */
+/** The version of a team's settings that a node's process reports. */
 export interface VersionSample {
   readonly atMs: number
   readonly node: number
@@ -47,7 +47,7 @@
   readonly version: number
 }
 
-/** Something promised that did not hold. */
+/** A promise that was broken. */
 export interface Violation {
   readonly promise: string
   readonly atMs: number
--- a/packages/dotterelspur-bench/src/process/soak/SoakObserver.ts
+++ b/packages/dotterelspur-bench/src/process/soak/SoakObserver.ts
@@ -6,7 +6,7 @@
 const SAMPLE_INTERVAL_MS = 300
 const CHANGE_EVERY_SAMPLES = 10
 
-/** Asks every node all the time what it holds, and changes the teams' settings now and then. */
+/** Polls the state of all nodes, and changes the teams' settings at intervals. */
 export class SoakObserver {
   readonly groupSamples: GroupSample[] = []
   readonly versionSamples: VersionSample[] = []
@@ -22,7 +22,7 @@
     this.loop = this.run()
   }
 
-  /** Groups that serve, as the node says that knows most of them. */
+  /** Number of serving groups: the highest that any node reports. */
   get servingGroups (): number {
     return this.serving
   }
--- a/packages/dotterelspur-bench/src/process/soak/badInput.ts
+++ b/packages/dotterelspur-bench/src/process/soak/badInput.ts
@@ -7,7 +7,7 @@
 const BYTE_RANGE = 256
 const WAIT_MS = 400
 
-/** Beginnings of requests that are wrong in one way each. */
+/** Malformed beginnings of requests, each with one error. */
 const SHAPES: ReadonlyArray<(random: Random) => string | Buffer> = [
   (random) => Buffer.from(Array.from({ length: NOISE_LENGTH }, () => random.integer(BYTE_RANGE))),
   () => 'GET / HTTP/9.9\r\n\r\n',
@@ -23,12 +23,12 @@
   () => 'GET / HTTP/1.1\r\nhost: a\r\nupgrade: websocket\r\nconnection: upgrade\r\nsec-websocket-version: 13\r\nsec-websocket-key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n\u0081\u007f\u00ff\u00ff\u00ff\u00ff'
 ]
 
-/** One piece of bad input, the same for the same random source. */
+/** Draws malformed input, the same for the same random source. */
 export function drawBadInput (random: Random): string | Buffer {
   return pick(random, SHAPES)!(random)
 }
 
-/** Sends bytes to a listener and waits a moment for whatever it does with them. */
+/** Sends bytes to a listener, and waits briefly for its reaction. */
 export async function sendBadInput (url: string, bytes: string | Buffer): Promise<void> {
   const { hostname, port } = new URL(url)
   await new Promise<void>((resolve) => {
--- a/packages/dotterelspur-bench/src/process/soak/checks.ts
+++ b/packages/dotterelspur-bench/src/process/soak/checks.ts
@@ -5,11 +5,11 @@
 import { FaultTargetKind } from './FaultSchedule.js'
 import type { FaultEvent, SoakEvidence, Violation } from './SoakEvidence.js'
 
-/** Time in which a dispatch may still go to a group that has lost a member: the evidence TTL and the way to the engine. */
+/** Time for which requests may still be dispatched to a group that has lost a member: the evidence TTL and the delay to the engine. */
 export const DETECTION_WINDOW_MS = DEFAULT_EVIDENCE_TTL_MS + 500
-/** Time in which an endpoint that was told to leave may still get new work. */
+/** Time for which an endpoint that was told to leave may still receive new work. */
 export const LEAVING_WINDOW_MS = 5_000
-/** How far a fault's order and its effect may lie apart on a busy machine. */
+/** Maximum delay between the call for a fault and its effect on a busy machine. */
 const SLACK_MS = 1_000
 
 const DISRUPTIVE: ReadonlySet<string> = new Set(['kill', 'pause', 'restart', 'leave'])
@@ -25,12 +25,12 @@
   return `call ${call.number} (${call.team} ${call.kind}, id ${call.requestId ?? call.idempotencyKey}, at ${call.entry}): ${call.outcome} ${call.reason}`
 }
 
-/** A caller gets the whole answer to its own request, and never another's. */
+/** Checks that each caller receives the whole answer to its own request. */
 const checkAnswers: Check = ({ calls }) => calls
   .filter((call) => call.outcome === CallOutcome.Wrong)
   .map((call) => violation('whole answer to its own request', call.endedAtMs, describe(call)))
 
-/** When a caller is told that a request was not run, it was not run. */
+/** Checks that a request did not run if its caller was told so. */
 const checkNotRun: Check = ({ calls, ledger }) => {
   const ran = new Map(ledger.flatMap((row) => [[row.requestId, row], [row.idempotencyKey ?? row.requestId, row]] as const))
   return calls
@@ -41,7 +41,7 @@
     })
 }
 
-/** A non-idempotent request runs at most once. */
+/** Checks that a non-idempotent request runs at most once. */
 const checkOnce: Check = ({ calls, ledger }) => calls
   .filter((call) => call.once)
   .flatMap((call) => {
@@ -50,7 +50,7 @@
     return [violation('at most once', rows[1]!.startedAtMs, `${describe(call)} ran ${rows.length} times: ${rows.map((row) => `${row.endpoint} at ${row.startedAtMs}`).join(', ')}`)]
   })
 
-/** An answered call ran. */
+/** Checks that an answered call has run. */
 const checkRan: Check = ({ calls, ledger }) => {
   const ran = new Set(ledger.flatMap((row) => [row.requestId, row.idempotencyKey]))
   return calls
@@ -59,7 +59,7 @@
     .map((call) => violation('an answer comes from a run', call.endedAtMs, describe(call)))
 }
 
-/** No run begins in a group that lacks a member, beyond the detection window. */
+/** Checks that no run begins in an incomplete group after the detection window. */
 const checkComplete: Check = (evidence) => evidence.ledger
   .filter((row) => row.group !== null && row.membersUp < row.membersDue)
   .filter((row) => !disruptedBefore(evidence, row))
@@ -79,7 +79,7 @@
     .map((event) => event.kind === 'leave' ? event.atMs + (event.delayMs ?? 0) : event.atMs)
 }
 
-/** An endpoint that is leaving receives no new work after a few seconds. */
+/** Checks that a leaving endpoint receives no new work after a few seconds. */
 const checkLeaving: Check = ({ ledger, events }) => events
   .filter((event) => event.targetKind === FaultTargetKind.Vm && event.kind === 'leave')
   .flatMap((event) => {
@@ -90,7 +90,7 @@
       .map((row) => violation('a leaving endpoint gets no new work', row.startedAtMs, `${row.requestId} on ${row.endpoint}, ${row.startedAtMs - event.atMs} ms after it was told to leave`))
   })
 
-/** No VM is in two groups of one answer of one node. */
+/** Checks that no VM belongs to two groups in the same report of a node. */
 const checkOneGroup: Check = ({ groupSamples }) => {
   const seen = new Map<string, string>()
   const found: Violation[] = []
@@ -105,7 +105,7 @@
   return found
 }
 
-/** A configuration that was in force never reverts. */
+/** Checks that settings in force are never replaced by an older version. */
 const checkVersions: Check = ({ versionSamples }) => {
   const highest = new Map<string, number>()
   const found: Violation[] = []
@@ -118,7 +118,7 @@
   return found
 }
 
-/** A planned stop cuts off no request in progress; neither does a node that nothing was done to. */
+/** Checks that no request in progress is cut off by a planned stop, or by a node without a fault. */
 const checkCutOff: Check = (evidence) => evidence.calls
   .filter((call) => call.outcome === CallOutcome.CutOff)
   .filter((call) => !nodeBrokenDuring(evidence, call))
@@ -130,7 +130,7 @@
     event.atMs >= call.sentAtMs - SLACK_MS && event.atMs <= call.endedAtMs + SLACK_MS)
 }
 
-/** One check for each promise. */
+/** The check of each promise. */
 const CHECKS: readonly Check[] = [checkAnswers, checkNotRun, checkOnce, checkRan, checkComplete, checkLeaving, checkOneGroup, checkVersions, checkCutOff]
 
 export function findViolations (evidence: SoakEvidence): Violation[] {
--- a/packages/dotterelspur-bench/src/process/soak/runSoak.ts
+++ b/packages/dotterelspur-bench/src/process/soak/runSoak.ts
@@ -33,12 +33,12 @@
 }
 
 const FIRST_FAULT_MS = 2_000
-/** After the last fault is taken back, time for repair under load before the run ends. */
+/** Time under load after the last fault is reverted, for repairs. */
 const CALM_MS = 8_000
 const CALL_TIMEOUT_MS = 45_000
 const BURST = { burstFactor: 2, burstEveryMs: 10_000, burstLengthMs: 2_000 }
 
-/** Runs the whole system under load and faults, then compares what callers saw with what the stand-ins' ledger says. */
+/** Runs the system under load and faults, and then checks the callers' observations against the stand-ins' ledger. */
 export async function runSoak (options: SoakOptions): Promise<SoakResult> {
   const demo = await startDemo({ nodes: options.nodes, seed: options.seed })
   let keepLog = true
@@ -84,7 +84,7 @@
   return planFaults(settings, createRandom(options.seed))
 }
 
-/** The versions of models that may answer: the soak's own changes of settings don't touch them. */
+/** Model versions that may answer. The soak's changes of settings do not affect them. */
 async function modelVersions (observer: SoakObserver): Promise<readonly string[]> {
   while (observer.modelVersions.size === 0) await delay(100)
   return [...observer.modelVersions]
@@ -102,7 +102,7 @@
   }
 }
 
-/** Gives the planned orders at their times and keeps when each was given. */
+/** Makes the planned calls at their times, and records when each was made. */
 class FaultDriver {
   readonly events: FaultEvent[] = []
 
--- a/packages/dotterelspur-bench/src/process/soak/timeLine.ts
+++ b/packages/dotterelspur-bench/src/process/soak/timeLine.ts
@@ -4,7 +4,7 @@
 const AFTER_MS = 2_000
 const SHOWN_VIOLATIONS = 20
 
-/** What happened around a violation: faults, and the runs and calls of the ids that it names. */
+/** Events around a violation: faults, and runs and calls with the ids that it names. */
 function around (evidence: SoakEvidence, violation: Violation): string[] {
   const lines = [
     ...evidence.events.map((event) => ({ atMs: event.atMs, text: `fault ${event.targetKind} ${event.target} ${event.kind} ${event.delayMs ?? ''}` })),
@@ -20,7 +20,7 @@
     .map((line) => `  ${String(line.atMs - violation.atMs).padStart(7)} ms  ${line.text}`)
 }
 
-/** Each violation with what happened around it; times count from the violation. */
+/** Describes each violation with the events around it; times are relative to the violation. */
 export function describeViolations (evidence: SoakEvidence, violations: readonly Violation[], seed: number): string[] {
   const shown = violations.slice(0, SHOWN_VIOLATIONS).map((violation) => [`seed ${seed}: ${violation.promise}: ${violation.detail}`, ...around(evidence, violation)].join('\n'))
   const left = violations.length - shown.length
