--- a/packages/dotterelspur-gateway/src/__tests__/unit/NodeRegistry.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/NodeRegistry.test.ts
@@ -8,6 +8,15 @@
   const SELF: NodeRecord = { node: 'n1', failureDomain: 'a', callers: '10.0.0.1:1', peers: '10.0.0.1:2', incarnation: 7 }
   const OTHER: NodeRecord = { ...SELF, node: 'n2', callers: '10.0.0.2:1' }
 
+  /** A registry that lists a second node. */
+  function createRegistry (): { store: MemoryStore, registry: NodeRegistry } {
+    const store = new MemoryStore()
+    const registry = new NodeRegistry(store, SELF, new ManualClock(), createLog())
+    registry.follow()
+    store.put('nodes/n2', OTHER)
+    return { store, registry }
+  }
+
   it('registers again when another node has removed its entry', async () => {
     const store = new MemoryStore()
     const registry = new NodeRegistry(store, SELF, new ManualClock(), createLog())
@@ -79,10 +88,7 @@
 
   // Guards against a node that callers are not sent to although it serves: its link was cut while the store rejected its removal.
   it('lists an inactive node again once it is reached, or has registered anew', async () => {
-    const store = new MemoryStore()
-    const registry = new NodeRegistry(store, SELF, new ManualClock(), createLog())
-    registry.follow()
-    store.put('nodes/n2', OTHER)
+    const { store, registry } = createRegistry()
     store.disconnect()
     await registry.drop({ node: 'n2', incarnation: 7 })
     expect(registry.others().map(({ node }) => node)).to.deep.equal(['n2'])
@@ -96,10 +102,7 @@
 
   // Guards against a lost node in the directories of nodes that only follow the store.
   it('does not list nodes that the lease holder reports as lost, for as long as it does', () => {
-    const store = new MemoryStore()
-    const registry = new NodeRegistry(store, SELF, new ManualClock(), createLog())
-    registry.follow()
-    store.put('nodes/n2', OTHER)
+    const { registry } = createRegistry()
     registry.noteReportedLost([{ node: 'n2', incarnation: 7 }])
     expect(registry.nodes()).to.have.length(1)
     registry.noteReportedLost([{ node: 'n2', incarnation: 6 }])
@@ -108,10 +111,7 @@
 
   // Guards against a lost node that comes back into directories when the lease passes on, until the successor finds it lost too.
   it('keeps reported nodes lost when this node becomes the lease holder, until they are reached', () => {
-    const store = new MemoryStore()
-    const registry = new NodeRegistry(store, SELF, new ManualClock(), createLog())
-    registry.follow()
-    store.put('nodes/n2', OTHER)
+    const { registry } = createRegistry()
     registry.noteReportedLost([{ node: 'n2', incarnation: 7 }])
     registry.adoptReportedLost()
     expect(registry.nodes()).to.have.length(1)
@@ -121,10 +121,7 @@
 
   // Guards against a node that a former lease holder hides for good.
   it('gives up its own findings when another node holds the lease', async () => {
-    const store = new MemoryStore()
-    const registry = new NodeRegistry(store, SELF, new ManualClock(), createLog())
-    registry.follow()
-    store.put('nodes/n2', OTHER)
+    const { store, registry } = createRegistry()
     store.disconnect()
     await registry.drop({ node: 'n2', incarnation: 7 })
     registry.noteReportedLost([])
--- a/packages/dotterelspur-gateway/src/process/FleetLease.ts
+++ b/packages/dotterelspur-gateway/src/process/FleetLease.ts
@@ -4,6 +4,7 @@
   type Clock, type EffectHandlers, type LeaseEffect, type LeaseIdentity, type LeaseObject, type LeaseObservation, type LeaseTerm, type LeaseTiming, type ObjectStore, type Random, type StoredObject, type Teardown
 } from 'dotterelspur'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
+import { NO_PAYLOAD, type LeasePayloadSource, type StoredLease } from './LeasePayload.js'
 
 /** Name of the fleet's only lease; its holder decides for all groups. */
 const FLEET_LEASE_NAME = 'fleet'
@@ -26,27 +27,6 @@
 const CHALLENGE_SPREAD_PER_NODE_MS = 20
 const RETRY_GROWTH = 1.5
 
-/** The lease as stored. Its holder adds state that the fleet needs after all nodes restart, at no extra call. */
-interface StoredLease extends LeaseObject {
-  readonly memory?: LeasePayload | null
-}
-
-/** State stored with the lease. Other writers may change it, so each reader validates its part. */
-export interface LeasePayload {
-  /** What the fleet has learned about its callers and engines. */
-  readonly learned?: unknown
-  /** Requests suspected of crashing their endpoints. */
-  readonly suspects?: unknown
-}
-
-/** Supplies the state that is stored with the lease, and receives it when the lease is read. */
-export interface LeasePayloadSource {
-  read (): LeasePayload
-  restore (memory: LeasePayload): void
-}
-
-const NO_PAYLOAD: LeasePayloadSource = { read: () => ({}), restore: () => {} }
-
 /** Acquires, renews, observes and releases the fleet's lease; `step` is called several times a second. */
 export class FleetLease {
   private leaseObservation: LeaseObservation = NO_LEASE_OBSERVATION
--- a/packages/dotterelspur-gateway/src/process/FollowedStore.ts
+++ b/packages/dotterelspur-gateway/src/process/FollowedStore.ts
@@ -3,36 +3,14 @@
   type Clock, type ObjectListing, type ObjectStore, type Random, type ReadFreshness, type Result, type StoredObject, type StoreError, type Teardown, type WatchEvent
 } from 'dotterelspur'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
-import { FOLLOW_RULES, LATE_RESPONSE_MS, pauseAfterChangesMs, relistSpreadMs, RETRY_JITTER, RETRY_MS, retryPauseMs, type ChangeBounds, type FollowRule } from './FollowRules.js'
+import { FOLLOW_RULES, LATE_RESPONSE_MS, pauseAfterChangesMs, relistSpreadMs, RETRY_JITTER, RETRY_MS, retryPauseMs, type ChangeBounds } from './FollowRules.js'
+import { applyBatch, type Listener, type PrefixFollower } from './PrefixFollower.js'
 import { StoreFeed, type FeedUpdate, type FeedProgress } from './StoreFeed.js'
 import type { ChangeBatch, VersionedStore } from './VersionedStore.js'
 
 /** Errors that do not prove contact with the store, unlike a failed precondition. */
 const NO_CONTACT_ERRORS: ReadonlySet<StoreErrorKind> = new Set([StoreErrorKind.Unavailable, StoreErrorKind.Unknown, StoreErrorKind.RateLimited])
 
-type Listener = (event: WatchEvent<unknown>) => void
-
-interface PrefixFollower {
-  readonly prefix: string
-  readonly rule: FollowRule
-  readonly listener: Listener
-  /** Version up to which the prefix has been followed; null until the first listing. */
-  version: number | null
-  /** Upper bound of the version of the last change; nothing in the prefix changed between it and `version`. */
-  lastChangeVersion: number
-  /** The latest announced era for which the prefix was listed without a poll before; a wrong announcement must not repeat the listing. */
-  listedForEra: number
-  /** Some changes came from the lease holder, which omits those that do not affect callers. */
-  isPartial: boolean
-  /** The feed no longer covers the prefix: the next poll returns at once, so that an unavailable store is noticed soon. */
-  mustCatchUp: boolean
-  /** Resumes polling when the feed no longer covers the prefix. */
-  wake: (() => void) | null
-  /** Ends the wait for the lease holder's first feed progress if it is over. */
-  checkInitialWait: (() => void) | null
-  stopped: boolean
-}
-
 export interface FollowedStoreParts {
   readonly store: VersionedStore
   readonly clock: Clock
@@ -303,11 +281,3 @@
     return result
   }
 }
-
-/** Ignores a batch older than the known version, which would restore objects deleted since. */
-function applyBatch (follower: PrefixFollower, { objects, version }: ChangeBatch): void {
-  if (version <= follower.version!) return
-  objects.forEach((object, index) => { follower.listener({ kind: WatchEventKind.Object, object, hasMore: index + 1 < objects.length }) })
-  follower.version = version
-  if (objects.length > 0) follower.lastChangeVersion = version
-}
--- /dev/null
+++ b/packages/dotterelspur-gateway/src/process/PrefixFollower.ts
@@ -0,0 +1,36 @@
+import { WatchEventKind, type WatchEvent } from 'dotterelspur'
+import type { FollowRule } from './FollowRules.js'
+import type { ChangeBatch } from './VersionedStore.js'
+
+/** Receives the events of one prefix. */
+export type Listener = (event: WatchEvent<unknown>) => void
+
+/** How far one prefix of the store has been followed, and what its follower waits for. */
+export interface PrefixFollower {
+  readonly prefix: string
+  readonly rule: FollowRule
+  readonly listener: Listener
+  /** Version up to which the prefix has been followed; null until the first listing. */
+  version: number | null
+  /** Upper bound of the version of the last change; nothing in the prefix changed between it and `version`. */
+  lastChangeVersion: number
+  /** The latest announced era for which the prefix was listed without a poll before; a wrong announcement must not repeat the listing. */
+  listedForEra: number
+  /** Some changes came from the lease holder, which omits those that do not affect callers. */
+  isPartial: boolean
+  /** The feed no longer covers the prefix: the next poll returns at once, so that an unavailable store is noticed soon. */
+  mustCatchUp: boolean
+  /** Resumes polling when the feed no longer covers the prefix. */
+  wake: (() => void) | null
+  /** Ends the wait for the lease holder's first feed progress if it is over. */
+  checkInitialWait: (() => void) | null
+  stopped: boolean
+}
+
+/** Passes a batch on to the listener. Ignores a batch older than the known version, which would restore objects deleted since. */
+export function applyBatch (follower: PrefixFollower, { objects, version }: ChangeBatch): void {
+  if (version <= follower.version!) return
+  objects.forEach((object, index) => { follower.listener({ kind: WatchEventKind.Object, object, hasMore: index + 1 < objects.length }) })
+  follower.version = version
+  if (objects.length > 0) follower.lastChangeVersion = version
+}
