--- a/packages/dotterelspur-bench/src/process/BenchCommand.ts
+++ b/packages/dotterelspur-bench/src/process/BenchCommand.ts
@@ -1,6 +1,6 @@
 import type { CommandModule } from 'yargs'
 
-/** One command of the bench. Its handler returns the exit code. */
+/** A command of the bench. Its handler returns the exit code. */
 export interface BenchCommand<Options> {
   readonly command: string
   readonly summary: string
@@ -8,7 +8,7 @@
   run (options: Options): Promise<number>
 }
 
-/** Turns a command into yargs' form. */
+/** Converts a command to a yargs module. */
 export function toCommandModule<Options> (command: BenchCommand<Options>): CommandModule<object, Options> {
   return {
     command: command.command,
--- a/packages/dotterelspur-bench/src/process/BenchReport.ts
+++ b/packages/dotterelspur-bench/src/process/BenchReport.ts
@@ -1,6 +1,6 @@
-/** What every command of the bench writes: typed tables and plots with what is needed to run it again. */
+/** The report that every command of the bench writes: typed tables and plots, and the parameters to repeat the run. */
 
-/** A figure over several repeats. `samples` are the repeats' own values, in the order of the seeds. */
+/** A figure over several repeats. `samples` are the values of the repeats, in the order of their seeds. */
 export interface Spread {
   readonly median: number
   readonly lowest: number
@@ -9,18 +9,18 @@
 }
 
 export interface ResultColumn {
-  /** With its unit: `first token p95 (ms)`. */
+  /** Title with its unit: `first token p95 (ms)`. */
   readonly name: string
   /** Digits after the decimal point when printed. */
   readonly digits: number
 }
 
 export interface ResultRow {
-  /** What was run: a policy, a size, a mix. */
+  /** The variant: a policy, a size or a mix. */
   readonly label: string
-  /** A simpler way that the others are compared with. */
+  /** Whether it is a baseline with which the others are compared. */
   readonly baseline: boolean
-  /** One for each column; null where it doesn't apply. */
+  /** One figure for each column; null if it does not apply. */
   readonly cells: ReadonlyArray<Spread | null>
 }
 
@@ -43,15 +43,15 @@
   readonly series: readonly PlotSeries[]
 }
 
-/** What a run found, without the envelope. */
+/** Results of a run, without its metadata. */
 export interface BenchFindings {
-  /** Everything that was set, so that the run can be repeated. */
+  /** All parameters, so that the run can be repeated. */
   readonly settings: Readonly<Record<string, unknown>>
   readonly tables: readonly ResultTable[]
   readonly plots: readonly ResultPlot[]
-  /** Lines to print with the tables: violations, what was left out, what a figure includes. */
+  /** Lines to print with the tables: violations, omissions, and what a figure includes. */
   readonly notes: readonly string[]
-  /** Something promised did not hold; the command exits non-zero. */
+  /** Whether a promise was broken; the command then exits with a non-zero code. */
   readonly violated: boolean
 }
 
@@ -74,7 +74,7 @@
   readonly memoryBytes: number
 }
 
-/** Sums repeats up. A single value is a spread of one. */
+/** Summarizes repeats; a single value is both ends of the range. */
 export function spreadOf (samples: readonly number[]): Spread {
   const sorted = [...samples].sort((left, right) => left - right)
   const middle = sorted.length >> 1
--- a/packages/dotterelspur-bench/src/process/DemoProcess.ts
+++ b/packages/dotterelspur-bench/src/process/DemoProcess.ts
@@ -14,11 +14,11 @@
   readonly seed: number
 }
 
-/** A demo that runs as long as the bench needs it: stand-ins and real node processes on loopback. */
+/** A running demo: stand-ins and real node processes on loopback, until the bench ends it. */
 export interface RunningDemo {
   readonly target: LoadTarget
   readonly pid: number
-  /** Its standard output and error, for a run that went wrong. */
+  /** Its standard output and error, for error messages. */
   readonly logPath: string
   stop (keepLog: boolean): Promise<void>
 }
--- a/packages/dotterelspur-bench/src/process/Experiment.ts
+++ b/packages/dotterelspur-bench/src/process/Experiment.ts
@@ -1,16 +1,16 @@
 import type { BenchFindings } from './BenchReport.js'
 
 export interface ExperimentOptions {
-  /** One repeat for each; every random draw of a repeat comes from its seed. */
+  /** Each seed is one repeat, and determines all its random draws. */
   readonly seeds: readonly number[]
-  /** A smaller run that shows that it works; its figures are not quoted. */
+  /** Whether to run a small version that only checks that the experiment works. */
   readonly quick: boolean
-  /** Shows one line of progress. */
+  /** Prints a line of progress. */
   progress (line: string): void
 }
 
 /**
- * One experiment under `npm run bench -- experiment <name>`. It compares the system's own way with baselines in
+ * An experiment under `npm run bench -- experiment <name>`. It compares the system's own method with baselines in
  * one run, over the same seeds.
  */
 export interface Experiment {
--- a/packages/dotterelspur-bench/src/process/latency.ts
+++ b/packages/dotterelspur-bench/src/process/latency.ts
@@ -33,7 +33,7 @@
 const CLOCK_TICKS_PER_SECOND = 100
 const LIBRARIES = ['fastify', 'undici', 'ws', 'msgpackr', 'zod', 'ini', 'debug', 'prom-client', 'hdr-histogram-js']
 
-/** Compares calls through one node with calls to the engine itself, in one run, and weighs what a node spends. */
+/** Compares calls through one node with direct calls to the engine in one run, and measures the node's processor time and memory. */
 export async function measureLatency (options: LatencyOptions): Promise<BenchFindings> {
   const demo = await startDemo({ nodes: 1, seed: options.seed })
   const dispatcher = new Agent({ connections: 64, pipelining: 1 })
@@ -80,14 +80,14 @@
     const until = performance.now() + durationMs
     await Promise.all(Array.from({ length: STREAMS_AT_ONCE }, async () => {
       while (performance.now() < until) {
-        // Read before the wait, the total would lose what other streams add meanwhile.
+        // Reading the total before the wait would lose what other streams add meanwhile.
         const chunks = await this.throughNode(STREAM_TOKENS, true)
         this.streamedChunks += chunks
       }
     }))
   }
 
-  /** One chat call through the node; the number of pieces that came. */
+  /** Sends a chat call through the node; returns the number of received chunks. */
   async throughNode (maxTokens: number, stream: boolean): Promise<number> {
     const team = this.target.teams.find((candidate) => candidate.models.includes(this.engine.model))!
     const reply = await request(`${this.target.entries[0]}/v1/chat/completions`, {
@@ -162,7 +162,7 @@
   return Number(/^VmRSS:\s+([0-9]+) kB$/m.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))![1]) * 1_024
 }
 
-/** Resident memory of an idle process that has loaded the libraries of a node and nothing of ours. */
+/** Resident memory of an idle process that has loaded only the libraries of a node. */
 function libraryBytes (): number {
   const script = `await Promise.all(${JSON.stringify(LIBRARIES)}.map((name) => import(name))); console.log(process.memoryUsage().rss)`
   return Number(execFileSync(process.execPath, ['--input-type=module', '-e', script], { encoding: 'utf8' }))
--- a/packages/dotterelspur-bench/src/process/load/ArrivalSchedule.ts
+++ b/packages/dotterelspur-bench/src/process/load/ArrivalSchedule.ts
@@ -1,10 +1,10 @@
 import type { Random } from 'dotterelspur'
 
-/** Open-loop arrivals: they come at their times whether or not earlier ones have been answered. */
+/** Open-loop arrivals, which do not wait for the responses to earlier ones. */
 export interface ArrivalSettings {
   readonly requestsPerSecond: number
   readonly durationMs: number
-  /** During a burst the rate is this many times as high; 1 for none. */
+  /** Factor of the rate during a burst; 1 for none. */
   readonly burstFactor: number
   readonly burstEveryMs: number
   readonly burstLengthMs: number
--- a/packages/dotterelspur-bench/src/process/load/LoadRecorder.ts
+++ b/packages/dotterelspur-bench/src/process/load/LoadRecorder.ts
@@ -5,7 +5,7 @@
 import { spreadOf } from '../BenchReport.js'
 import type { ResultColumn, ResultRow, ResultTable } from '../BenchReport.js'
 
-/** Microseconds are recorded, so that values under a millisecond keep their digits. */
+/** Values are recorded in microseconds, to keep the digits of values below a millisecond. */
 const MICROSECONDS = 1_000
 const HIGHEST_MICROSECONDS = 600_000_000
 const SIGNIFICANT_DIGITS = 3
--- a/packages/dotterelspur-bench/src/process/load/LoadTarget.ts
+++ b/packages/dotterelspur-bench/src/process/load/LoadTarget.ts
@@ -1,6 +1,6 @@
 import { readFileSync } from 'node:fs'
 
-/** Where a running system is reached; the demo's `--describe` writes it. */
+/** Addresses and tokens of a running system, as written by the demo's `--describe`. */
 export interface LoadTarget {
   readonly entries: readonly string[]
   readonly admin: readonly string[]
@@ -20,7 +20,7 @@
   readonly service: string
   readonly safePath: string
   readonly oncePath: string
-  /** The team that may call it; all where absent. */
+  /** The team that may call it; all teams if absent. */
   readonly team?: string
 }
 
--- a/packages/dotterelspur-bench/src/process/load/WorkloadMix.ts
+++ b/packages/dotterelspur-bench/src/process/load/WorkloadMix.ts
@@ -1,12 +1,12 @@
 import type { Random } from 'dotterelspur'
 
-/** What a caller asks for. */
+/** Kinds of calls. */
 export enum CallKind {
   /** A streamed chat answer. */
   ChatStream = 'chat-stream',
   /** A chat answer in one piece. */
   ChatWhole = 'chat-whole',
-  /** A streamed chat answer that must not be produced twice. */
+  /** A streamed chat answer that must not be generated twice. */
   ChatOnce = 'chat-once',
   /** A service call that may be repeated. */
   ServiceSafe = 'service-safe',
@@ -29,7 +29,7 @@
   /** Share of all calls, against the other deployments. */
   readonly share: number
   readonly shapes: readonly CallShape[]
-  /** Prompts start with one of so many common openings, which prefix caches can hold. */
+  /** Number of common beginnings of prompts, which prefix caches can hold. */
   readonly openings: number
 }
 
@@ -65,14 +65,14 @@
 
 export const MIXES: readonly WorkloadMix[] = [TRADELINE_MIX, PIEDMONT_MIX]
 
-/** One call as it was drawn. */
+/** A call drawn from the mix. */
 export interface PlannedCall {
   readonly team: string
   readonly kind: CallKind
   readonly prompt: string
   readonly maxTokens: number
   readonly seed: number
-  /** A number that no other call of the run has. */
+  /** A number that is unique within the run. */
   readonly number: number
 }
 
--- a/packages/dotterelspur-bench/src/process/load/assignServices.ts
+++ b/packages/dotterelspur-bench/src/process/load/assignServices.ts
@@ -3,7 +3,7 @@
 
 const NOT_FOUND = 404
 
-/** Finds out which team may call which service: a service that a team doesn't have is not found for it. */
+/** Determines by test calls which team may call which service: a team's call of another team's service responds with not found. */
 export async function assignServices (target: LoadTarget): Promise<LoadTarget> {
   const services: TargetService[] = []
   for (const service of target.services) {
--- a/packages/dotterelspur-bench/src/process/load/runLoad.ts
+++ b/packages/dotterelspur-bench/src/process/load/runLoad.ts
@@ -16,7 +16,7 @@
   readonly mixes: readonly WorkloadMix[]
   readonly seed: number
   readonly timeoutMs: number
-  /** Model versions that may answer; null leaves answers' texts unchecked. */
+  /** Model versions that may answer; null if the texts of answers are not checked. */
   readonly versions: readonly string[] | null
   readonly progress: (line: string) => void
 }
@@ -24,7 +24,7 @@
 const PROGRESS_INTERVAL_MS = 5_000
 const MAXIMUM_CONNECTIONS = 2_048
 
-/** Sends an open-loop load and waits for every call to end. */
+/** Sends an open-loop load, and waits until all calls have ended. */
 export async function runLoad (options: LoadOptions): Promise<LoadRecorder> {
   const recorder = new LoadRecorder()
   const dispatcher = new Agent({ connections: MAXIMUM_CONNECTIONS, pipelining: 1, headersTimeout: 0, bodyTimeout: 0, connect: { timeout: 1_000 } })
--- a/packages/dotterelspur-bench/src/process/printReport.ts
+++ b/packages/dotterelspur-bench/src/process/printReport.ts
@@ -1,7 +1,7 @@
 import Table from 'cli-table3'
 import type { BenchReport, ResultColumn, ResultTable, Spread } from './BenchReport.js'
 
-/** One cell: the median, and the range where there was more than one repeat. */
+/** Formats a cell: the median, and the range if there are several repeats. */
 export function formatSpread (spread: Spread | null, column: ResultColumn): string {
   if (spread === null) return '-'
   const median = spread.median.toFixed(column.digits)
@@ -22,7 +22,7 @@
   return `${table.title}\n${printed.toString()}`
 }
 
-/** The report as text: what was run, its tables, its notes. */
+/** Formats a report as text: the run, its tables and its notes. */
 export function formatReport (report: BenchReport): string {
   const head = `${report.name}: commit ${report.commit}, seeds ${report.seeds.join(' ')}, ${Math.round(report.durationMs / 1_000)} s`
   return [head, ...report.tables.map(formatTable), ...report.notes].join('\n\n')
--- a/packages/dotterelspur-bench/src/process/reportPage.ts
+++ b/packages/dotterelspur-bench/src/process/reportPage.ts
@@ -37,7 +37,7 @@
     `${verdict}${report.tables.map(tableHtml).join('')}${report.plots.map(plotSvg).join('')}${notes}${settings}</section>`
 }
 
-/** One self-contained HTML page of several reports, in the order given. */
+/** Renders several reports, in the given order, as one self-contained HTML page. */
 export function reportPage (reports: readonly BenchReport[]): string {
   return `<!doctype html><html lang="en"><head><meta charset="utf-8"><title>dotterelspur bench</title><style>${STYLE}</style></head>` +
     `<body><h1>dotterelspur bench</h1>${reports.map(sectionHtml).join('')}</body></html>\n`
--- a/packages/dotterelspur-bench/src/process/runReported.ts
+++ b/packages/dotterelspur-bench/src/process/runReported.ts
@@ -8,7 +8,7 @@
 export interface ReportedRun {
   readonly name: string
   readonly seeds: readonly number[]
-  /** Where the JSON file goes. */
+  /** Path of the JSON file. */
   readonly resultsDirectory: string
   run (): Promise<BenchFindings>
 }
@@ -47,7 +47,7 @@
   return path
 }
 
-/** The commit that is run, marked when the working tree differs from it. */
+/** The commit of the working tree, marked if there are uncommitted changes. */
 function readCommit (): string {
   try {
     const commit = execFileSync('git', ['rev-parse', 'HEAD'], { encoding: 'utf8' }).trim().slice(0, COMMIT_LENGTH)
--- a/packages/dotterelspur-bench/src/process/slopes/MeshFarm.ts
+++ b/packages/dotterelspur-bench/src/process/slopes/MeshFarm.ts
@@ -7,7 +7,7 @@
 import { initialDocuments } from './Topology.js'
 import type { TopologySettings } from './Topology.js'
 
-/** What control costs one node on average, over all nodes of a measured fleet. */
+/** Average cost of control for a node of a measured fleet. */
 export interface NodeCost {
   readonly sentBytesPerSecond: number
   readonly receivedBytesPerSecond: number
@@ -17,7 +17,7 @@
   readonly heapBytes: number
   readonly links: number
   readonly evidenceLines: number
-  /** What is sent, by kind of frame. */
+  /** Bytes sent, by kind of frame. */
   readonly sentBytesPerSecondByKind: Readonly<Record<string, number>>
 }
 
@@ -34,7 +34,7 @@
 const PERCENT = 100
 const WORKER_PATH = fileURLToPath(new URL('./meshWorker.js', import.meta.url))
 
-/** Starts a fleet of real meshes in a few processes, waits until all know all, and measures one stretch of time. */
+/** Starts a fleet of real meshes in a few processes, waits until all nodes know each other, and measures for a while. */
 export async function measureMeshes (settings: TopologySettings, measureMs: number): Promise<MeshMeasurement> {
   const workers = Array.from({ length: Math.ceil(settings.nodes / MESHES_PER_WORKER) }, () => fork(WORKER_PATH, [], { execArgv: ['--expose-gc'] }))
   try {
--- a/packages/dotterelspur-bench/src/process/slopes/MeshWorkerMessages.ts
+++ b/packages/dotterelspur-bench/src/process/slopes/MeshWorkerMessages.ts
@@ -2,15 +2,15 @@
 
 /** Messages between the bench and the processes that hold its measured meshes. */
 export enum ToWorkerKind {
-  /** Start the meshes of these nodes. */
+  /** Starts the meshes of the given nodes. */
   Start = 'start',
-  /** Here is whom to dial. */
+  /** Passes the addresses to dial. */
   Seeds = 'seeds',
-  /** Offer the fleet's documents. */
+  /** Offers the fleet's documents. */
   Offer = 'offer',
-  /** What is held, without the pause that a collection of garbage makes. */
+  /** Requests the counts without a garbage collection, which would pause the process. */
   Peek = 'peek',
-  /** The same after a collection of garbage, so that the heap is what is in use. */
+  /** Requests the counts after a garbage collection, so that the heap size is the memory in use. */
   Sample = 'sample',
   Stop = 'stop'
 }
@@ -37,7 +37,7 @@
   readonly sentFrames: number
   readonly sentBytesByKind: Readonly<Record<string, number>>
   readonly links: number
-  /** Of the mesh that knows least. */
+  /** The lowest number among the meshes. */
   readonly fewestMembers: number
   readonly fewestDocuments: number
   readonly evidenceLines: number
--- a/packages/dotterelspur-bench/src/process/slopes/Topology.ts
+++ b/packages/dotterelspur-bench/src/process/slopes/Topology.ts
@@ -76,7 +76,7 @@
   return watched
 }
 
-/** What a watcher says of a whole group. */
+/** The evidence that a watcher publishes for a complete group. */
 export function presenceOf (place: GroupPlace, running: number): GroupPresence {
   return {
     group: place.group,
@@ -133,7 +133,7 @@
   return { key: vmListKey(failureDomain), version, body, deleted: false }
 }
 
-/** Every document of the fleet in its first version. */
+/** The first version of all documents of the fleet. */
 export function initialDocuments (settings: TopologySettings): MeshDocument[] {
   let version = 0
   const teams = Array.from({ length: settings.teams }, (_, team) => teamDocument(settings, team, ++version))
--- a/packages/dotterelspur-bench/src/process/slopes/callCosts.ts
+++ b/packages/dotterelspur-bench/src/process/slopes/callCosts.ts
@@ -11,7 +11,7 @@
 import type { ResultTable } from '../BenchReport.js'
 import { SocketMeter } from './SocketMeter.js'
 
-/** What one call, or one unit of a waiting watch, costs the node that makes it. */
+/** Cost of a call, or of a second of an open watch, for the node that makes it. */
 export interface CallCost {
   readonly name: string
   readonly sentBytes: number
@@ -77,7 +77,7 @@
   return costPer(name, before, reading(meter), calls)
 }
 
-/** The cost of waiting for a second, or, with `change`, of one event more than that. */
+/** The cost of a second of an open watch or, with `change`, the additional cost of an event. */
 async function measureWatch (name: string, store: PlatformObjectStore, meter: SocketMeter, change: (() => Promise<void>) | undefined): Promise<CallCost> {
   const counter = { events: 0 }
   let stop: Teardown = () => {}
@@ -103,7 +103,7 @@
   return { name, sentBytes: 0, receivedBytes: Math.max(withWatch.receivedBytes, alone.receivedBytes) - unwatched.receivedBytes, cpuMs: Math.max(0, withWatch.cpuMs - unwatched.cpuMs) }
 }
 
-/** A call that failed would be counted as a cheap one. */
+/** Throws if a call failed, since it would be counted as a cheap one. */
 function mustHold (result: Result<unknown, unknown>): void {
   if (!result.ok) throw new Error(`a measured call failed: ${JSON.stringify(result.error)}`)
 }
--- a/packages/dotterelspur-bench/src/process/slopes/leastSquares.ts
+++ b/packages/dotterelspur-bench/src/process/slopes/leastSquares.ts
@@ -1,4 +1,4 @@
-/** A straight line through measured points, `y = intercept + slope · x`. */
+/** A line fitted to measured points: `y = intercept + slope · x`. */
 export interface Line {
   readonly intercept: number
   readonly slope: number
@@ -8,7 +8,7 @@
 
 export type Point = readonly [x: number, y: number]
 
-/** The line with the least sum of squared distances. Needs two different x. */
+/** Fits a line by least squares. Requires two different values of x. */
 export function leastSquares (points: readonly Point[]): Line {
   const count = points.length
   const meanX = points.reduce((sum, [x]) => sum + x, 0) / count
--- a/packages/dotterelspur-bench/src/process/slopes/meshSweeps.ts
+++ b/packages/dotterelspur-bench/src/process/slopes/meshSweeps.ts
@@ -7,7 +7,7 @@
 import type { MeshMeasurement, NodeCost } from './MeshFarm.js'
 import type { TopologySettings } from './Topology.js'
 
-/** One size that is varied while the others stay. */
+/** A size that is varied while all others are constant. */
 export interface MeshSweep {
   readonly name: string
   /** What `xOf` counts. */
@@ -18,7 +18,7 @@
 
 const SMALL: TopologySettings = { ...DESIGN_TOPOLOGY, regions: 3, failureDomains: 12, nodes: 72, groups: 60 }
 
-/** The sweeps of one `slopes` run. A quick one takes two small sizes of each. */
+/** The sweeps of a `slopes` run; a quick run measures two small sizes of each. */
 export function meshSweeps (quick: boolean): readonly MeshSweep[] {
   const some = <Item>(items: readonly Item[]): readonly Item[] => quick ? items.slice(0, 2) : items
   return [
@@ -85,7 +85,7 @@
   { name: 'evidence lines', digits: 1, of: (cost) => cost.evidenceLines }
 ]
 
-/** The measured points of a sweep, and under them the line through each column. */
+/** The measured points of a sweep, followed by the line fitted to each column. */
 export function sweepTable ({ sweep, measurements }: SweepResult): ResultTable {
   const points = measurements.map(({ settings, cost }) => ({
     label: `${sweep.xOf(settings).toFixed(1)} (${settings.nodes} nodes, ${settings.groups} groups)`,
--- a/packages/dotterelspur-bench/src/process/slopes/meshWorker.ts
+++ b/packages/dotterelspur-bench/src/process/slopes/meshWorker.ts
@@ -85,7 +85,7 @@
   holder.mesh.publishPresence(holder.watched.map((place) => presenceOf(place, random.integer(LOAD_RANGE))), [])
 }
 
-/** Changes of team settings, as the store's watchers would bring them. */
+/** Offers changes of team settings, as the store's watchers would. */
 function startChanges (): void {
   if (settings.changesPerSecond === 0 || settings.teams === 0) return
   let version = 1_000_000
@@ -128,5 +128,5 @@
   })
 })
 
-// Without its parent it would run on for ever: a bench that was stopped leaves no processes behind.
+// Ends with its parent, so that an interrupted bench leaves no processes running.
 process.once('disconnect', () => { process.exit(0) })
--- a/packages/dotterelspur-bench/src/request/AnswerCheck.ts
+++ b/packages/dotterelspur-bench/src/request/AnswerCheck.ts
@@ -1,21 +1,21 @@
 import { expectedAnswer } from 'dotterelspur-testkit'
 
-/** What decides the answer that a call must get. */
+/** The inputs that determine the answer to a call. */
 export interface ExpectedAnswer {
   readonly model: string
-  /** Versions that may answer: more than one while a rollout runs. */
+  /** Versions that may answer; several during a rollout. */
   readonly versions: readonly string[]
   readonly prompt: string
   readonly seed: number
   readonly maxTokens: number
 }
 
-/** The prompt as the engine gets it from a chat of one user message. */
+/** The prompt that the engine receives for a chat with one user message. */
 export function chatPrompt (content: string): string {
   return `user: ${content}\n`
 }
 
-/** Whether a text is the whole answer to this call and to no other. Undefined when all is well, else what is wrong. */
+/** Checks that a text is the whole answer to this call. Returns undefined if it is, otherwise a description of the difference. */
 export function findAnswerFault (text: string, expected: ExpectedAnswer): string | undefined {
   const answers = expected.versions.map((version) => expectedAnswer({ ...expected, version }, expected.maxTokens))
   if (answers.includes(text)) return undefined
--- a/packages/dotterelspur-bench/src/request/CallHttp.ts
+++ b/packages/dotterelspur-bench/src/request/CallHttp.ts
@@ -1,11 +1,11 @@
 import type { Dispatcher } from 'undici'
 
-/** How one exchange ended, before it is judged. */
+/** Outcome of an exchange before it is checked. */
 export enum ExchangeKind {
   Response = 'response',
   /** No connection was made. */
   NotSent = 'not-sent',
-  /** It was sent and the connection broke before the response's head. */
+  /** The request was sent, and the connection broke before the response headers. */
   Broken = 'broken',
   TimedOut = 'timed-out'
 }
@@ -23,7 +23,7 @@
 
 const NOT_SENT_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
 
-/** Sends one call and waits for the response's head. */
+/** Sends a call, and waits for the response headers. */
 export async function exchange (request: ExchangeRequest, dispatcher: Dispatcher, signal: AbortSignal): Promise<Exchange> {
   const { origin, pathname, search } = new URL(request.url)
   try {
