A node that leaves removes its entry also after the store came back

Callers would have been sent to a stopped node until the lease holder found it silent: the version by which it removes its entry was of a former era, so that the removal was a conflict and the entry stayed. On a conflict the entry is read, and removed if it is this incarnation's. Found by reading the change for versions that are compared or sent. The test failed before (the entry was still there).

--- a/packages/dotterelspur-gateway/src/__tests__/unit/NodeRegistry.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/NodeRegistry.test.ts
@@ -127,4 +127,16 @@
     registry.noteReportedLost([])
     expect(registry.nodes()).to.have.length(2)
   })
+
+  // Guards against a stopped node that callers are still sent to: the version of its entry was given out before the store came back.
+  it('removes its entry on leaving although the store came back with another version of it', async () => {
+    const store = new MemoryStore()
+    const registry = new NodeRegistry(store, SELF, new ManualClock(), createLog())
+    const teardown = registry.follow()
+    await registry.register()
+    teardown()
+    store.comeBackFrom(store.copy())
+    await registry.leave()
+    expect((await store.get('nodes/n1')).ok).to.equal(false)
+  })
 })
--- a/packages/dotterelspur-gateway/src/process/NodeRegistry.ts
+++ b/packages/dotterelspur-gateway/src/process/NodeRegistry.ts
@@ -113,8 +113,10 @@
     this.leaving = true
     this.snapshot = null
     const own = this.records.get(this.self.node)
-    const read = own === undefined ? await this.store.get<NodeRecord>(this.key()) : { ok: true as const, value: own }
-    if (read.ok) await this.store.remove(this.key(), read.value.version)
+    if (own !== undefined && (await this.store.remove(this.key(), own.version)).ok) return
+    // The entry is not known yet, or its version has changed, for example when the store came back from an older copy.
+    const read = await this.store.get<unknown>(this.key())
+    if (read.ok && readNodeRecord(read.value.body)?.incarnation === this.self.incarnation) await this.store.remove(this.key(), read.value.version)
   }
 
   /**
