A term ends when a peer reports a higher fencing number than its own

All nodes that know the lost lease of a later term ignore the observations of a holder with a lower number and answer with that lease; the holder, started without knowing it, ignored the answer for as long as it renewed. Load and demand were then shared by nobody, or by the last holder of the lost term. A higher number in a peer's answer, or in a coordinator's observations, now ends the term like one that endpoints have seen, and the lease is retaken above it. Found by reading the change for fencing numbers that are compared. The test failed before (the term went on under 1).

--- a/packages/dotterelspur-gateway/src/__tests__/unit/FleetLease.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/FleetLease.test.ts
@@ -259,4 +259,17 @@
     await runSteps(clock, [lease!], 1_500)
     expect(lease!.fencing).to.equal(5)
   })
+
+  // Guards against a holder whose observations all nodes ignore: they know the lost lease of a later term, and the holder started without knowing it.
+  it('is given up for a higher fencing number when a peer reports a lost lease of a later term', async () => {
+    const store = new MemoryStore()
+    const clock = new ManualClock()
+    const [lease] = createLeases(store, clock, 1)
+    await runSteps(clock, [lease!], 600)
+    const held = lease!.heldLease!
+    lease!.noteLease({ ...held, body: { ...held.body, holder: 'n2', fencing: 4 } })
+    expect(lease!.mayOrder()).to.equal(false)
+    await runSteps(clock, [lease!], 1_500)
+    expect(lease!.fencing).to.equal(5)
+  })
 })
--- a/packages/dotterelspur-gateway/src/process/FleetLease.ts
+++ b/packages/dotterelspur-gateway/src/process/FleetLease.ts
@@ -119,14 +119,15 @@
    * call, unless the store has since come back from an older copy.
    */
   noteLease (lease: StoredObject<LeaseObject>): void {
-    if (this.held !== null || eraOf(lease.version) < eraOf(this.leaseObservation.version)) return
+    if (this.held !== null) return this.observeFencing(lease.body.fencing)
+    if (eraOf(lease.version) < eraOf(this.leaseObservation.version)) return
     this.observe(lease)
     this.nextReadAtMs = this.clock.nowMs() + READ_INTERVAL_MS
   }
 
   /**
-   * Takes in a fencing number that endpoints have seen orders of. A number above this term's ends the term: the store has lost
-   * the lease of a later one, and endpoints refuse orders with a lower number.
+   * Takes in a fencing number that endpoints or peers have seen. A number above this term's ends the term: the store has lost the
+   * lease of a later one, and endpoints and peers reject what has a lower number.
    */
   observeFencing (fencing: number): void {
     this.leaseObservation = raiseFencingFloor(this.leaseObservation, fencing)
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -158,7 +158,10 @@
         this.endpoints.noteLeaving(fleet.leaving)
         this.dispatch.fleetView.applyFleetObservation(fleet)
       },
-      newerLease: (fencing) => this.lease.leaseAfter(fencing),
+      newerLease: (fencing) => {
+        this.lease.observeFencing(fencing)
+        return this.lease.leaseAfter(fencing)
+      },
       onNewerLease: (lease) => { this.lease.noteLease(lease) },
       leaseHolderState: () => this.leaseHolderState(),
       onLeaseHolderState: ({ feed, lease, loads, stoppedHeads, lostNodes }) => {
