--- a/packages/dotterelspur-gateway/src/process/DecisionLog.ts
+++ b/packages/dotterelspur-gateway/src/process/DecisionLog.ts
@@ -20,7 +20,7 @@
   DependencyRegained = 'dependency-regained',
   /** The store states a new era: it came back from an older copy of its data. */
   StoreEra = 'store-era',
-  /** An answer of the store states no valid era; the known one stays. */
+  /** A response of the store states no valid era; the known one stays in force. */
   StoreEraRejected = 'store-era-rejected',
   /** This node has listed a prefix of the store. */
   PrefixListed = 'prefix-listed',
