Admission by rank and workspace in an overloaded pool

In an overload, requests were admitted in order of arrival: ranks were only passed on to endpoints, and a large workspace took its part of the refusals from all others. Nodes now count the demand by pool, rank and workspace, share it as the optional observation field `classes`, and compute the same table of shares from each aggregate. Each class keeps half of the pool's share; what is left goes to the most urgent rank first, within a rank by max-min fairness.

Where all requests fit, every share is 1 and the draws are those of before. Where the manifest allows only one class, nothing is counted or sent.

--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import fastify, { type FastifyInstance } from 'fastify'
 import {
-  AccessKind, DispatchEndKind, pick, type Access, type CallerLimits, type Clock, type PlacementRefusal, type Random, type RequestContent, type Route, type RouteTable, type ServiceId
+  AccessKind, DispatchEndKind, pick, type Access, type CallerLimits, type ClassDecision, type Clock, type PlacementRefusal, type Random, type RequestContent, type Route, type RouteTable, type ServiceId
 } from 'dotterelspur'
 import { AdmissionKind, type PoisonAdmission } from 'dotterelspur-poison'
 import type { Dispatch } from '../process/Dispatch.js'
@@ -136,7 +136,7 @@
     const admission = await this.parts.poison.guard.admit(content)
     if (callerResponse.isClosed) return admission.release()
     if (admission.kind !== AdmissionKind.Admitted) return this.refusePoison(request, callerResponse, admission)
-    const spentBeforeMs = this.parts.dispatch.noteRequest(service, route, head)
+    const spentBeforeMs = this.parts.dispatch.noteRequest(service, route, head, { rank: priority, workspace })
     const requestId = head.requestId ?? randomUUID()
     await this.dispatch(response, callerResponse, { request, content, head, requestId, route, service, workspace, priority, arrivedAtMs, spentBeforeMs }).finally(admission.release)
   }
@@ -177,6 +177,7 @@
     const { clock, log, metrics, manifest } = this.parts
     const tookMs = clock.nowMs() - admitted.arrivedAtMs
     metrics.countRequest(admitted.route.kind, report, tookMs)
+    metrics.countRank(admitted.priority, report)
     if (report.answeredWith !== null) this.parts.dispatch.noteRejection(admitted.route)
     log.write(LogKind.RequestEnded, {
       request: admitted.requestId,
@@ -207,8 +208,19 @@
 /** The figures on which a refusal was based, for its log line. */
 function roundedBasis (refusal: PlacementRefusal | null): Readonly<Record<string, number | null>> {
   if (refusal === null || refusal.basis === null) return {}
-  const { expectedMs, limitMs, loadAgeMs } = refusal.basis
-  return { expectedMs: Math.round(expectedMs), limitMs: Math.round(limitMs), loadAgeMs: loadAgeMs === null ? null : Math.round(loadAgeMs) }
+  const { expectedMs, limitMs, loadAgeMs, classDecision } = refusal.basis
+  return { expectedMs: Math.round(expectedMs), limitMs: Math.round(limitMs), loadAgeMs: loadAgeMs === null ? null : Math.round(loadAgeMs), ...roundedDecision(classDecision) }
+}
+
+/** How a refused request's class was weighed, for its log line. */
+function roundedDecision (decision: ClassDecision | null): Readonly<Record<string, number | null>> {
+  if (decision === null) return {}
+  const { rank, share, poolShare, demandPerS } = decision
+  return { rank, share: toHundredths(share), poolShare: toHundredths(poolShare), demandPerS: toHundredths(demandPerS) }
+}
+
+function toHundredths (value: number | null): number | null {
+  return value === null ? null : Math.round(value * 100) / 100
 }
 
 /** Passes requests of every method and path unchanged to one handler, bypassing Fastify's routing and body parsing. */
--- a/packages/dotterelspur-gateway/src/connection/ObservationCodec.ts
+++ b/packages/dotterelspur-gateway/src/connection/ObservationCodec.ts
@@ -1,9 +1,11 @@
-import { hashText, type EndpointId, type FleetObservation, type NodeObservation } from 'dotterelspur'
+import { hashText, validClassSamples, type ClassSample, type ClassSamples, type EndpointId, type FleetObservation, type NodeObservation } from 'dotterelspur'
 
 /** Rates and sums are sent as integer hundredths, which take two or three bytes each instead of the nine of a double. */
 const HUNDREDTHS = 100
 /** Encodes that an endpoint has withdrawn its rate limit. */
 const NO_LIMIT = -1
+/** Encodes the remainder of a rank, in the place of a workspace's code. */
+const REMAINDER = -1
 
 /** A flat list in which each name is followed by its numbers. */
 type NamedNumbers = ReadonlyArray<string | number>
@@ -26,6 +28,8 @@
   readonly limits?: readonly number[]
   readonly rests?: readonly number[]
   readonly leaving?: readonly number[]
+  /** By pool: rank, workspace's code and hundredths of requests of each class. */
+  readonly classes?: Readonly<Record<string, readonly number[]>>
 }
 
 /** The wire form of the sum of all nodes' observations. */
@@ -50,7 +54,7 @@
     }
   }
 
-  encode ({ inFlight, flows, demand, speeds, pauses, firstEvents, deadlines, limits, rests, leaving }: NodeObservation): EncodedObservation {
+  encode ({ inFlight, flows, demand, speeds, pauses, firstEvents, deadlines, limits, rests, leaving, classes }: NodeObservation): EncodedObservation {
     return {
       inFlight: Object.entries(inFlight).flatMap(([endpoint, count]) => [this.codeOf(endpoint), count]),
       speeds: Object.entries(speeds).flatMap(([endpoint, speed]) => [this.codeOf(endpoint), hundredths(speed.ratioSum), hundredths(speed.pauses)]),
@@ -62,11 +66,12 @@
       leastDeadlineShare: [hundredths(deadlines.leastShare.sum), deadlines.leastShare.nodes],
       limits: Object.entries(limits).flatMap(([endpoint, { requestsPerSecond, ageMs }]) => [this.codeOf(endpoint), requestsPerSecond === null ? NO_LIMIT : hundredths(requestsPerSecond), Math.round(ageMs)]),
       rests: Object.entries(rests).flatMap(([endpoint, leftMs]) => [this.codeOf(endpoint), Math.ceil(leftMs)]),
-      leaving: leaving.map((endpoint) => this.codeOf(endpoint))
+      leaving: leaving.map((endpoint) => this.codeOf(endpoint)),
+      ...(classes === undefined ? {} : { classes: encodeClasses(classes) })
     }
   }
 
-  decode ({ inFlight, flows, demand, speeds, pauses, firstEvents, deadlines, leastDeadlineShare, limits = [], rests = [], leaving = [] }: EncodedObservation): NodeObservation {
+  decode ({ inFlight, flows, demand, speeds, pauses, firstEvents, deadlines, leastDeadlineShare, limits = [], rests = [], leaving = [], classes }: EncodedObservation): NodeObservation {
     return {
       inFlight: Object.fromEntries(this.decodeByEndpoint(inFlight, 1).map(([endpoint, [count]]) => [endpoint, count!])),
       speeds: Object.fromEntries(this.decodeByEndpoint(speeds, 2).map(([endpoint, [ratioSum, count]]) => [endpoint, { ratioSum: ratioSum! / HUNDREDTHS, pauses: count! / HUNDREDTHS }])),
@@ -80,7 +85,8 @@
       },
       limits: Object.fromEntries(this.decodeByEndpoint(limits, 2).map(([endpoint, [limit, ageMs]]) => [endpoint, { requestsPerSecond: limit === NO_LIMIT ? null : limit! / HUNDREDTHS, ageMs: ageMs! }])),
       rests: Object.fromEntries(this.decodeByEndpoint(rests, 1).map(([endpoint, [leftMs]]) => [endpoint, leftMs!])),
-      leaving: this.decodeByEndpoint(leaving, 0).map(([endpoint]) => endpoint)
+      leaving: this.decodeByEndpoint(leaving, 0).map(([endpoint]) => endpoint),
+      ...(isRecord(classes) ? { classes: decodeClasses(classes) } : {})
     }
   }
 
@@ -114,6 +120,24 @@
   }
 }
 
+function encodeClasses (classes: ClassSamples): Record<string, number[]> {
+  return Object.fromEntries(Object.entries(classes).map(([pool, samples]) => {
+    return [pool, samples.flatMap(({ rank, workspace, requests }) => [rank, workspace ?? REMAINDER, hundredths(requests)])]
+  }))
+}
+
+/** Drops samples that no correct node sends: a negative or infinite demand would distort the shares of all classes. */
+function decodeClasses (encoded: Readonly<Record<string, readonly number[]>>): ClassSamples {
+  return Object.fromEntries(Object.entries(encoded).filter(([, flat]) => Array.isArray(flat)).map(([pool, flat]) => {
+    const samples = chunks<number>(flat, 2).map(([rank, [workspace, requests]]): ClassSample => ({ rank, workspace: workspace === REMAINDER ? null : workspace!, requests: requests! / HUNDREDTHS }))
+    return [pool, validClassSamples(samples)]
+  }))
+}
+
+function isRecord<Value> (value: Readonly<Record<string, Value>> | undefined): value is Readonly<Record<string, Value>> {
+  return typeof value === 'object' && value !== null && !Array.isArray(value)
+}
+
 function hundredths (value: number): number {
   return Math.round(value * HUNDREDTHS)
 }
--- a/packages/dotterelspur-gateway/src/process/Dispatch.ts
+++ b/packages/dotterelspur-gateway/src/process/Dispatch.ts
@@ -1,7 +1,7 @@
 import {
   buildPools, EndpointHealth, ExchangeEnd, groupTimeMs, place, poolKey, poolKeyOf, RetryWindow, senderPosition,
   type Clock, type DispatchTarget, type EndpointId, type EndpointRecord, type FailureDomainId, type ModelId, type NodeId, type PlacementRefusal, type PoolKey, type Random,
-  type RetryWindowOptions, type Route, type Sender, type SenderPosition, type ServiceId, type ReportedBackpressure, type TargetPool
+  type RetryWindowOptions, type Route, type Sender, type SenderPosition, type ServiceId, type ReportedBackpressure, type RequestClass, type TargetPool
 } from 'dotterelspur'
 import type { EndpointChannel } from '../connection/EndpointChannel.js'
 import { EndpointChannels } from '../connection/EndpointChannels.js'
@@ -39,6 +39,7 @@
   readonly service: ServiceId
   readonly route: Route
   readonly head: CallerHeaders
+  readonly requestClass: RequestClass
   readonly excluded: readonly DispatchTarget[]
   readonly leftMs: number
   /** Time that the caller has already waited, before the request arrived at this node and since. */
@@ -80,6 +81,7 @@
     })
     parts.endpoints.registerListener((endpoints) => { this.noteEndpoints(endpoints) })
     parts.manifest.registerListener(({ manifest }) => {
+      this.fleetView.classes.configure(manifest)
       this.fleetView.deadlines.retain(new Set(manifest.routes.map(({ name }) => name)))
       this.rebuildPools(parts.endpoints.current)
     })
@@ -110,13 +112,13 @@
   }
 
   /** Records the arrival of a request, whatever its outcome; returns how long its caller has already waited elsewhere. */
-  noteRequest (service: ServiceId, route: Route, head: CallerHeaders): number {
+  noteRequest (service: ServiceId, route: Route, head: CallerHeaders, requestClass?: RequestClass): number {
     const nowMs = this.parts.clock.nowMs()
     const spentMs = this.elapsedMs(route, head)
     this.requestReceived = true
     this.retryWindow.noteRequest(service, nowMs)
     this.fleetView.load.noteArrival(poolKey(service, this.engineTiming.engine(service) === null ? null : head.model), nowMs)
-    if (!isLikelyLate(spentMs, route)) this.noteDemand(service, head, nowMs)
+    if (!isLikelyLate(spentMs, route)) this.noteDemand(service, head, requestClass, nowMs)
     return spentMs
   }
 
@@ -135,9 +137,10 @@
    * Retrying callers are not counted again; otherwise the model whose callers are rejected most would appear to have
    * the highest demand.
    */
-  private noteDemand (service: ServiceId, head: CallerHeaders, nowMs: number): void {
+  private noteDemand (service: ServiceId, head: CallerHeaders, requestClass: RequestClass | undefined, nowMs: number): void {
     const engine = this.engineTiming.engine(service)
     if (engine === null || head.model === null) return
+    if (requestClass !== undefined) this.fleetView.classes.noteArrival(poolKey(service, head.model), requestClass, nowMs)
     this.fleetView.demand.noteRequest(head.model, groupTimeMs(engine, head.promptTokens, head.maxAnswerTokens * USUAL_ANSWER_SHARE), nowMs)
   }
 
@@ -155,13 +158,15 @@
       targetGapMs: query.route.targetGapMs,
       alreadyLate: isLikelyLate(query.elapsedMs, query.route),
       leftMs: query.leftMs,
-      excluded: query.excluded
+      excluded: query.excluded,
+      ...query.requestClass
     }, {
       pool: this.pools.get(key) ?? { key, targets: new Map(), engine },
       load,
       health,
       speeds,
       backpressure,
+      classes: fleetView.classes,
       firstEventDelayMs: query.head.model === null ? 0 : fleetView.firstEvents.delayMs(query.head.model),
       nodes: parts.senders().length,
       sender,
--- a/packages/dotterelspur-gateway/src/process/FleetView.ts
+++ b/packages/dotterelspur-gateway/src/process/FleetView.ts
@@ -1,5 +1,5 @@
 import {
-  DeadlineHistory, DemandMeter, EMPTY_MEMORY, EndpointBackpressure, EndpointSpeeds, FirstEventDelays, loadPool, readFleetMemory, updateFleetMemory, StreamPauses, TargetLoad,
+  ClassAdmission, DeadlineHistory, DemandMeter, EMPTY_MEMORY, EndpointBackpressure, EndpointSpeeds, FirstEventDelays, loadPool, readFleetMemory, updateFleetMemory, StreamPauses, TargetLoad,
   type Clock, type EndpointId, type FleetMemory, type FleetObservation, type NodeId, type NodeObservation, type TargetPool
 } from 'dotterelspur'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
@@ -12,6 +12,7 @@
   readonly load = new TargetLoad()
   readonly speeds = new EndpointSpeeds()
   readonly demand = new DemandMeter()
+  readonly classes = new ClassAdmission()
   readonly pauses = new StreamPauses()
   readonly firstEvents = new FirstEventDelays()
   readonly deadlines: DeadlineHistory
@@ -39,7 +40,9 @@
   /** This node's observations, for broadcast to the other nodes. */
   observe (): NodeObservation {
     const nowMs = this.clock.nowMs()
+    const classes = this.classes.localObservation(nowMs)
     return {
+      ...(classes === undefined ? {} : { classes }),
       inFlight: this.load.reportInFlight(),
       flows: this.load.localFlows(nowMs),
       demand: this.demand.localObservation(nowMs),
@@ -59,6 +62,7 @@
     this.load.applyFleetObservation(fleet, nowMs)
     this.speeds.applyFleetObservation(fleet.speeds)
     this.demand.applyFleetObservation(fleet.demand)
+    this.classes.applyFleetObservation(fleet.classes)
     this.pauses.applyFleetObservation(fleet.pauses)
     this.backpressure.rateLimits.applyFleetObservation(fleet.limits, nowMs)
     this.backpressure.backoffs.applyFleetObservation(fleet.rests, nowMs)
--- a/packages/dotterelspur-gateway/src/process/GatewayMetrics.ts
+++ b/packages/dotterelspur-gateway/src/process/GatewayMetrics.ts
@@ -4,6 +4,9 @@
 import type { GatewayErrorKind } from '../request/CallerResponse.js'
 import type { RequestReport } from '../request/GatewayRequest.js'
 
+/** Requests of less urgent ranks are counted together, so that the label's set of values stays closed. */
+const HIGHEST_RANK_LABEL = 9
+
 const PREFIX = 'dotterelspur_gateway_'
 /** Keeps gauges out of the process-wide default registry. */
 const NO_REGISTER: Registry[] = []
@@ -17,6 +20,8 @@
   private readonly requests = this.counter<'kind' | 'end'>('requests_total', 'Admitted requests that ended here', ['kind', 'end'])
   private readonly ownAnswers = this.counter<'answer'>('own_answers_total', 'Answers of the system\'s own, by reason', ['answer'])
   private readonly refusals = this.counter<'reason'>('refusals_total', 'Requests for which no endpoint was to be had', ['reason'])
+  private readonly admittedRequests = this.counter<'rank'>('admitted_requests', 'Requests that were dispatched, by rank', ['rank'])
+  private readonly refusedRequests = this.counter<'rank'>('refused_requests', 'Requests for which no endpoint was available, by rank', ['rank'])
   private readonly attempts = this.counter('exchanges_total', 'Exchanges with endpoints, repeats included', [])
   private readonly firstByteMs = new Map<RequestKind, Histogram>()
   private readonly durationMs = new Map<RequestKind, Histogram>()
@@ -36,6 +41,13 @@
     histogramOf(this.durationMs, kind).recordValue(Math.round(tookMs))
   }
 
+  /** Counts a request as admitted where an endpoint received it, and as refused where none was available for its first attempt. */
+  countRank (rank: number, { targets, end }: RequestReport): void {
+    const label = { rank: String(Math.max(0, Math.min(HIGHEST_RANK_LABEL, Math.round(rank)))) }
+    if (targets.length > 0) this.admittedRequests.inc(label)
+    else if (end.refusal !== null) this.refusedRequests.inc(label)
+  }
+
   countOwnAnswer (answer: GatewayErrorKind): void {
     this.ownAnswers.inc({ answer })
   }
--- a/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
+++ b/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
@@ -108,9 +108,9 @@
   }
 
   private place ({ excluded }: PlaceEffect): DispatchTarget | PlacementRefusal {
-    const { head, service, route, arrivedAtMs, spentBeforeMs } = this.admitted
+    const { head, service, route, workspace, priority, arrivedAtMs, spentBeforeMs } = this.admitted
     const spentMs = spentBeforeMs + this.parts.clock.nowMs() - arrivedAtMs
-    return this.parts.dispatch.place({ service, route, head, excluded, leftMs: this.leftMs(), elapsedMs: spentMs })
+    return this.parts.dispatch.place({ service, route, head, requestClass: { rank: priority, workspace }, excluded, leftMs: this.leftMs(), elapsedMs: spentMs })
   }
 
   private leftMs (): number {
--- a/packages/dotterelspur/src/request/dispatch/FleetObservation.ts
+++ b/packages/dotterelspur/src/request/dispatch/FleetObservation.ts
@@ -1,5 +1,6 @@
 import type { EndpointId, ModelId, NodeId } from '../../process/ids.js'
 import { agedSample, latestSample, type RateLimitSample } from '../backpressure/RateLimitSample.js'
+import { addClassSamples, type ClassSamples } from './ClassDemand.js'
 import { NO_DEADLINES_OBSERVED, type DeadlineObservation } from './DeadlineObservation.js'
 import { significantSpeeds } from './EndpointSpeeds.js'
 
@@ -69,6 +70,8 @@
   readonly rests: Readonly<Record<EndpointId, number>>
   /** Endpoints that have announced in responses to this node that they are leaving. */
   readonly leaving: readonly EndpointId[]
+  /** Callers' demand by class; absent from nodes of the previous build, and where all requests are of one class. */
+  readonly classes?: ClassSamples
 }
 
 /** The aggregate of all nodes' observations. Every node receives the same one and subtracts its own part itself. */
@@ -130,7 +133,9 @@
 }
 
 function addObservations (all: readonly NodeObservation[]): NodeObservation {
+  const classes = addClassSamples(all.map((observation) => observation.classes))
   return {
+    ...(classes === undefined ? {} : { classes }),
     inFlight: mergeByKey(all.map(({ inFlight }) => inFlight), (left, right) => left + right),
     flows: mergeByKey(all.map(({ flows }) => flows), (left, right) => ({ asked: left.asked + right.asked, sent: left.sent + right.sent, ended: left.ended + right.ended })),
     demand: mergeByKey(all.map(({ demand }) => demand), (left, right) => ({ groupTimeMs: left.groupTimeMs + right.groupTimeMs, requests: left.requests + right.requests })),
--- a/packages/dotterelspur/src/request/dispatch/Placement.ts
+++ b/packages/dotterelspur/src/request/dispatch/Placement.ts
@@ -1,6 +1,8 @@
-import type { EndpointId, FailureDomainId } from '../../process/ids.js'
+import type { EndpointId, FailureDomainId, WorkspaceId } from '../../process/ids.js'
 import type { Random } from '../../process/Random.js'
 import type { EndpointBackpressure } from '../backpressure/EndpointBackpressure.js'
+import type { ClassAdmission, ClassDecision } from './ClassAdmission.js'
+import type { RequestClass } from './ClassDemand.js'
 import type { EndpointHealth } from './EndpointHealth.js'
 import type { EndpointSpeeds } from './EndpointSpeeds.js'
 import { eventGapMs, firstEventMs, loadCurve, paceOf } from './EngineTimes.js'
@@ -37,6 +39,8 @@
   readonly limitMs: number
   /** Age of the last aggregate of other nodes' requests; null where none was received. */
   readonly loadAgeMs: number | null
+  /** How the request's class was weighed; null for plain services, and for a request that has lost its endpoint. */
+  readonly classDecision: ClassDecision | null
 }
 
 export interface PlacementQuery {
@@ -50,6 +54,10 @@
   /** Time left until the caller gives up. */
   readonly leftMs: number
   readonly excluded: readonly DispatchTarget[]
+  /** 0, the most urgent, where absent. */
+  readonly rank?: number
+  /** Absent or null where the request needs no key. */
+  readonly workspace?: WorkspaceId | null
 }
 
 export interface PlacementInput {
@@ -58,6 +66,8 @@
   readonly health: EndpointHealth
   readonly speeds: EndpointSpeeds
   readonly backpressure: EndpointBackpressure
+  /** Where absent, all requests are weighed alike. */
+  readonly classes?: ClassAdmission
   /** By how much a first event exceeds the engine's declared times. */
   readonly firstEventDelayMs: number
   /** Nodes that send requests, this one included. */
@@ -126,7 +136,7 @@
   const best = bestDrawn(query, input) ?? bestOf(open, query, input)
   const longestMs = limitMs(best.target, query, input)
   if (best.expectedMs <= longestMs && hasCapacity(best.target, longestMs, query, input)) return best.target
-  const basis: PlacementBasis = { expectedMs: best.expectedMs, limitMs: longestMs, loadAgeMs: input.load.observationAgeMs(input.nowMs) }
+  const basis: PlacementBasis = { expectedMs: best.expectedMs, limitMs: longestMs, loadAgeMs: input.load.observationAgeMs(input.nowMs), classDecision: describeClass(best.target, longestMs, query, input) }
   return { reason: RefusalReason.Full, retryAfterMs: jitteredRetryAfterMs(query, input), basis, inNeed: [] }
 }
 
@@ -186,16 +196,33 @@
  * least recent load data, while the pool's total load is known better.
  */
 function hasCapacity (target: DispatchTarget, longestMs: number, query: PlacementQuery, input: PlacementInput): boolean {
-  const { pool: { engine, key, targets }, load, backpressure, firstEventDelayMs, nodes, random, nowMs } = input
+  const { pool: { key, targets }, load, backpressure, classes, nodes, random, nowMs } = input
   // The endpoint's own rate limit has already admitted the request.
   if (backpressure.rateLimits.limitOf(target.endpoint) !== null) return true
-  if (engine === null || query.excluded.length > 0) return true
-  const maxLoad = loadCurve(engine, paceOf(engine, target), query.promptTokens)(longestMs - firstEventDelayMs)
-  const admitted = load.admitted(key, maxLoad, nowMs)
-  if (admitted !== null) return random.next() < admitted
+  const maxLoad = maxLoadOf(target, longestMs, query, input)
+  if (maxLoad === null) return true
+  const poolShare = load.admitted(key, maxLoad, nowMs)
+  const requestClass = classOf(query)
+  if (poolShare !== null) return random.next() < (classes?.shareOf(key, requestClass, poolShare) ?? poolShare)
   const usual = load.usual(key, target.slots, targets.size, nodes)
   const sum = [...targets.keys()].reduce((partial, endpoint) => partial + load.estimate(endpoint, usual, nowMs), 0)
-  return sum / targets.size <= maxLoad
+  return sum / targets.size <= maxLoad * (classes?.loadFactor(key, requestClass.rank, nowMs) ?? 1)
+}
+
+/** The load of an endpoint up to which the request starts in time; null where the pool's load does not limit it. */
+function maxLoadOf (target: DispatchTarget, longestMs: number, { promptTokens, excluded }: PlacementQuery, { pool: { engine }, firstEventDelayMs }: PlacementInput): number | null {
+  if (engine === null || excluded.length > 0) return null
+  return loadCurve(engine, paceOf(engine, target), promptTokens)(longestMs - firstEventDelayMs)
+}
+
+function classOf ({ rank = 0, workspace = null }: PlacementQuery): RequestClass {
+  return { rank, workspace }
+}
+
+function describeClass (target: DispatchTarget, longestMs: number, query: PlacementQuery, input: PlacementInput): ClassDecision | null {
+  const { pool: { key }, load, classes, nowMs } = input
+  const maxLoad = maxLoadOf(target, longestMs, query, input)
+  return maxLoad === null ? null : classes?.describe(key, classOf(query), load.admitted(key, maxLoad, nowMs)) ?? null
 }
 
 /** The longest expected time to the first event with which a request is still dispatched. */
--- a/packages/dotterelspur/src/request/dispatch/index.ts
+++ b/packages/dotterelspur/src/request/dispatch/index.ts
@@ -1,3 +1,6 @@
+export * from './AdmissionShares.js'
+export * from './ClassAdmission.js'
+export * from './ClassDemand.js'
 export * from './DeadlineHistory.js'
 export * from './DeadlineObservation.js'
 export * from './DemandMeter.js'
