Schedule the retries of rejected callers by what all nodes have told

Rejected callers were told a random share of the time that they have left. After a burst or the loss of all nodes their retries arrived together, and many were rejected again. Nodes now share how many callers they have told to retry when (observation field `returns`), and place further ones where the fewest others come. Without a fresh aggregate that states returns, and so under a coordinator of the previous build, the rule is as before; frames are as before while no caller is rejected.

--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -170,7 +170,7 @@
   private sendError (request: IncomingMessage, callerResponse: CallerResponse, kind: GatewayErrorKind, retryAfterMs: number | null, fields: LogFields = {}): void {
     callerResponse.sendError(kind, retryAfterMs)
     this.parts.metrics.countOwnAnswer(kind)
-    this.parts.log.write(LogKind.RequestEnded, { request: this.parts.wire.readCallerHeaders(request.headers).requestId, answeredWith: kind, path: request.url, manifestVersion: null, ...fields })
+    this.parts.log.write(LogKind.RequestEnded, { request: this.parts.wire.readCallerHeaders(request.headers).requestId, answeredWith: kind, path: request.url, manifestVersion: null, retryAfterMs: retryAfterMs ?? undefined, ...fields })
   }
 
   private record (admitted: AdmittedRequest, report: RequestReport): void {
@@ -178,6 +178,7 @@
     const tookMs = clock.nowMs() - admitted.arrivedAtMs
     metrics.countRequest(admitted.route.kind, report, tookMs)
     if (report.answeredWith !== null) this.parts.dispatch.noteRejection(admitted.route)
+    if (report.retryAfterMs !== null) this.parts.dispatch.noteScheduledReturn(admitted, report.retryAfterMs)
     log.write(LogKind.RequestEnded, {
       request: admitted.requestId,
       route: admitted.route.name,
@@ -189,6 +190,7 @@
       refusal: report.end.refusal?.reason,
       ...roundedBasis(report.end.refusal),
       inNeed: backpressuredEndpoints(report.end.refusal),
+      retryAfterMs: report.retryAfterMs === null ? undefined : Math.round(report.retryAfterMs),
       targets: report.targets,
       firstByteMs: report.firstByteMs === null ? undefined : Math.round(report.firstByteMs),
       tookMs: Math.round(tookMs),
--- a/packages/dotterelspur-gateway/src/connection/ObservationCodec.ts
+++ b/packages/dotterelspur-gateway/src/connection/ObservationCodec.ts
@@ -1,4 +1,4 @@
-import { hashText, type EndpointId, type FleetObservation, type NodeObservation } from 'dotterelspur'
+import { hashText, RETURN_BUCKETS, type EndpointId, type FleetObservation, type NodeObservation } from 'dotterelspur'
 
 /** Rates and sums are sent as integer hundredths, which take two or three bytes each instead of the nine of a double. */
 const HUNDREDTHS = 100
@@ -26,6 +26,8 @@
   readonly limits?: readonly number[]
   readonly rests?: readonly number[]
   readonly leaving?: readonly number[]
+  /** Rejected callers that were told to retry: by pool, `RETURN_BUCKETS` numbers. Absent where no caller was. */
+  readonly returns?: NamedNumbers
 }
 
 /** The wire form of the sum of all nodes' observations. */
@@ -50,7 +52,7 @@
     }
   }
 
-  encode ({ inFlight, flows, demand, speeds, pauses, firstEvents, deadlines, limits, rests, leaving }: NodeObservation): EncodedObservation {
+  encode ({ inFlight, flows, demand, speeds, pauses, firstEvents, deadlines, limits, rests, leaving, returns }: NodeObservation): EncodedObservation {
     return {
       inFlight: Object.entries(inFlight).flatMap(([endpoint, count]) => [this.codeOf(endpoint), count]),
       speeds: Object.entries(speeds).flatMap(([endpoint, speed]) => [this.codeOf(endpoint), hundredths(speed.ratioSum), hundredths(speed.pauses)]),
@@ -62,11 +64,12 @@
       leastDeadlineShare: [hundredths(deadlines.leastShare.sum), deadlines.leastShare.nodes],
       limits: Object.entries(limits).flatMap(([endpoint, { requestsPerSecond, ageMs }]) => [this.codeOf(endpoint), requestsPerSecond === null ? NO_LIMIT : hundredths(requestsPerSecond), Math.round(ageMs)]),
       rests: Object.entries(rests).flatMap(([endpoint, leftMs]) => [this.codeOf(endpoint), Math.ceil(leftMs)]),
-      leaving: leaving.map((endpoint) => this.codeOf(endpoint))
+      leaving: leaving.map((endpoint) => this.codeOf(endpoint)),
+      ...(returns === undefined ? {} : { returns: encodeReturns(returns) })
     }
   }
 
-  decode ({ inFlight, flows, demand, speeds, pauses, firstEvents, deadlines, leastDeadlineShare, limits = [], rests = [], leaving = [] }: EncodedObservation): NodeObservation {
+  decode ({ inFlight, flows, demand, speeds, pauses, firstEvents, deadlines, leastDeadlineShare, limits = [], rests = [], leaving = [], returns }: EncodedObservation): NodeObservation {
     return {
       inFlight: Object.fromEntries(this.decodeByEndpoint(inFlight, 1).map(([endpoint, [count]]) => [endpoint, count!])),
       speeds: Object.fromEntries(this.decodeByEndpoint(speeds, 2).map(([endpoint, [ratioSum, count]]) => [endpoint, { ratioSum: ratioSum! / HUNDREDTHS, pauses: count! / HUNDREDTHS }])),
@@ -80,7 +83,8 @@
       },
       limits: Object.fromEntries(this.decodeByEndpoint(limits, 2).map(([endpoint, [limit, ageMs]]) => [endpoint, { requestsPerSecond: limit === NO_LIMIT ? null : limit! / HUNDREDTHS, ageMs: ageMs! }])),
       rests: Object.fromEntries(this.decodeByEndpoint(rests, 1).map(([endpoint, [leftMs]]) => [endpoint, leftMs!])),
-      leaving: this.decodeByEndpoint(leaving, 0).map(([endpoint]) => endpoint)
+      leaving: this.decodeByEndpoint(leaving, 0).map(([endpoint]) => endpoint),
+      ...(returns === undefined ? {} : { returns: decodeReturns(returns) })
     }
   }
 
@@ -114,6 +118,15 @@
   }
 }
 
+function encodeReturns (returns: NonNullable<NodeObservation['returns']>): NamedNumbers {
+  return Object.entries(returns).flatMap(([pool, counts]) => [pool, ...Array.from({ length: RETURN_BUCKETS }, (_unused, index) => hundredths(counts[index] ?? 0))])
+}
+
+/** A count that is no number, or negative, stands for none: it would make a bucket seem free that is not. */
+function decodeReturns (encoded: NamedNumbers): NonNullable<NodeObservation['returns']> {
+  return Object.fromEntries(chunks(encoded, RETURN_BUCKETS).map(([pool, counts]) => [pool, counts.map((count) => count > 0 && Number.isFinite(count) ? count / HUNDREDTHS : 0)]))
+}
+
 function hundredths (value: number): number {
   return Math.round(value * HUNDREDTHS)
 }
--- a/packages/dotterelspur-gateway/src/process/Dispatch.ts
+++ b/packages/dotterelspur-gateway/src/process/Dispatch.ts
@@ -1,5 +1,5 @@
 import {
-  buildPools, EndpointHealth, ExchangeEnd, groupTimeMs, place, poolKey, poolKeyOf, RetryWindow, senderPosition,
+  buildPools, EndpointHealth, ExchangeEnd, groupTimeMs, isLikelyToRetry, place, poolKey, poolKeyOf, RetryWindow, senderPosition,
   type Clock, type DispatchTarget, type EndpointId, type EndpointRecord, type FailureDomainId, type ModelId, type NodeId, type PlacementRefusal, type PoolKey, type Random,
   type RetryWindowOptions, type Route, type Sender, type SenderPosition, type ServiceId, type ReportedBackpressure, type TargetPool
 } from 'dotterelspur'
@@ -14,6 +14,7 @@
 import { BackpressureLog } from './BackpressureLog.js'
 import { Suspicion } from '../connection/PeerFrame.js'
 import type { EndpointRegistry } from './EndpointRegistry.js'
+import type { AdmittedRequest } from '../request/GatewayRequest.js'
 
 /** Callers set output limits far above what is generated; this share of the limit is typical. */
 const USUAL_ANSWER_SHARE = 0.5
@@ -115,7 +116,7 @@
     const spentMs = this.elapsedMs(route, head)
     this.requestReceived = true
     this.retryWindow.noteRequest(service, nowMs)
-    this.fleetView.load.noteArrival(poolKey(service, this.engineTiming.engine(service) === null ? null : head.model), nowMs)
+    this.fleetView.load.noteArrival(this.poolKeyFor(service, head), nowMs)
     if (!isLikelyLate(spentMs, route)) this.noteDemand(service, head, nowMs)
     return spentMs
   }
@@ -125,6 +126,18 @@
     this.fleetView.deadlines.noteRefusal(name)
   }
 
+  /** Records when a rejected caller was told to retry, if it is likely to do so. */
+  noteScheduledReturn ({ service, head, spentBeforeMs }: Pick<AdmittedRequest, 'service' | 'head' | 'spentBeforeMs'>, retryAfterMs: number): void {
+    const key = this.poolKeyFor(service, head)
+    // Callers choose the names of models: only pools that exist are counted, and shared with other nodes.
+    if (!this.pools.has(key) || !isLikelyToRetry(spentBeforeMs, head.deadlineMs ?? Infinity)) return
+    this.fleetView.returns.noteReturn(key, retryAfterMs, this.parts.clock.nowMs())
+  }
+
+  private poolKeyFor (service: ServiceId, head: CallerHeaders): PoolKey {
+    return poolKey(service, this.engineTiming.engine(service) === null ? null : head.model)
+  }
+
   /** A caller that resumes a stream has waited for longer than the target latency before it gave up. */
   private elapsedMs (route: Route, { deadlineMs, lastEventId }: CallerHeaders): number {
     const statedMs = deadlineMs === null ? 0 : this.fleetView.deadlines.noteDeadline(route.name, deadlineMs)
@@ -148,7 +161,7 @@
     const nowMs = parts.clock.nowMs()
     const sender = this.ownPosition()
     const engine = this.engineTiming.engine(query.service)
-    const key = poolKey(query.service, engine === null ? null : query.head.model)
+    const key = this.poolKeyFor(query.service, query.head)
     const placement = place({
       promptTokens: query.head.promptTokens,
       targetMs: query.route.targetLatencyMs,
@@ -165,6 +178,7 @@
       firstEventDelayMs: query.head.model === null ? 0 : fleetView.firstEvents.delayMs(query.head.model),
       nodes: parts.senders().length,
       sender,
+      returns: fleetView.returns,
       ownFailureDomain: parts.failureDomain,
       random: parts.random,
       nowMs
--- a/packages/dotterelspur-gateway/src/process/FleetView.ts
+++ b/packages/dotterelspur-gateway/src/process/FleetView.ts
@@ -1,11 +1,11 @@
 import {
-  DeadlineHistory, DemandMeter, EMPTY_MEMORY, EndpointBackpressure, EndpointSpeeds, FirstEventDelays, loadPool, readFleetMemory, updateFleetMemory, StreamPauses, TargetLoad,
+  DeadlineHistory, DemandMeter, EMPTY_MEMORY, EndpointBackpressure, EndpointSpeeds, FirstEventDelays, loadPool, readFleetMemory, ReturnSchedule, updateFleetMemory, StreamPauses, TargetLoad,
   type Clock, type EndpointId, type FleetMemory, type FleetObservation, type NodeId, type NodeObservation, type TargetPool
 } from 'dotterelspur'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
 
 /**
- * A node's view of the fleet's load, speeds, backpressure, pauses, demand and callers' deadlines, built from its own
+ * A node's view of the fleet's load, speeds, backpressure, pauses, demand, callers' deadlines and scheduled retries, built from its own
  * observations and the broadcast observations of all nodes.
  */
 export class FleetView {
@@ -14,6 +14,7 @@
   readonly demand = new DemandMeter()
   readonly pauses = new StreamPauses()
   readonly firstEvents = new FirstEventDelays()
+  readonly returns = new ReturnSchedule()
   readonly deadlines: DeadlineHistory
   readonly backpressure: EndpointBackpressure
   private fleetMemory = EMPTY_MEMORY
@@ -39,6 +40,7 @@
   /** This node's observations, for broadcast to the other nodes. */
   observe (): NodeObservation {
     const nowMs = this.clock.nowMs()
+    const returns = this.returns.localObservation(nowMs)
     return {
       inFlight: this.load.reportInFlight(),
       flows: this.load.localFlows(nowMs),
@@ -49,7 +51,8 @@
       deadlines: this.deadlines.localObservation(nowMs),
       limits: this.backpressure.rateLimits.localObservation(nowMs),
       rests: this.backpressure.backoffs.localObservation(nowMs),
-      leaving: this.backpressure.localLeaving()
+      leaving: this.backpressure.localLeaving(),
+      ...(returns === undefined ? {} : { returns })
     }
   }
 
@@ -62,6 +65,7 @@
     this.pauses.applyFleetObservation(fleet.pauses)
     this.backpressure.rateLimits.applyFleetObservation(fleet.limits, nowMs)
     this.backpressure.backoffs.applyFleetObservation(fleet.rests, nowMs)
+    this.returns.applyFleetObservation(fleet.returns, nowMs)
     this.applyMemory(updateFleetMemory(this.fleetMemory, fleet))
     this.updatePools(this.pools)
     this.checkFreshness()
--- a/packages/dotterelspur-gateway/src/process/registerGauges.ts
+++ b/packages/dotterelspur-gateway/src/process/registerGauges.ts
@@ -34,6 +34,7 @@
   metrics.gauge('limited_endpoints', 'Endpoints that named a limit with their last answer to this node', () => dispatch.backpressureLog.limitedEndpoints)
   metrics.gauge('sent_to_limited_endpoints', 'Requests sent to endpoints that had named a limit, since the start', () => dispatch.backpressureLog.sentToLimited)
   metrics.gauge('sent_to_resting_endpoints', 'Requests sent to endpoints that had asked this node for rest, since the start', () => dispatch.backpressureLog.sentDuringBackoff)
+  metrics.gauge('returns_scheduled', 'Rejected callers that this node has told when to retry, since the start', () => dispatch.fleetView.returns.scheduledCount)
   metrics.gauge('leaving_endpoints', 'Endpoints that leave, by the list or by their own word', () => [...endpoints.current.values()].filter(({ leaving }) => leaving).length)
   metrics.gauge('log_lines_dropped', 'Log lines dropped since the start', () => log.dropped)
   metrics.gauge('resident_bytes', 'Resident memory', () => process.memoryUsage.rss())
--- a/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
+++ b/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
@@ -44,6 +44,8 @@
   readonly end: DispatchEnd
   readonly answeredWith: GatewayErrorKind | null
   readonly firstByteMs: number | null
+  /** When the caller was told to retry; null where it was not. */
+  readonly retryAfterMs: number | null
   readonly targets: readonly string[]
 }
 
@@ -89,7 +91,7 @@
     cancelDeadline()
     const answeredWith = this.respond(end)
     const firstByteMs = this.firstByteAtMs === null ? null : this.firstByteAtMs - this.admitted.arrivedAtMs
-    return { end, answeredWith, firstByteMs, targets: this.targets }
+    return { end, answeredWith, firstByteMs, retryAfterMs: end.kind === DispatchEndKind.NotRun ? retryAfterMsOf(end) : null, targets: this.targets }
   }
 
   private async mayRetryAfterLoss (): Promise<boolean> {
@@ -254,7 +256,7 @@
     response.deliver(lastFailure)
     return null
   },
-  [DispatchEndKind.NotRun]: (end, response) => sendError(response, GatewayErrorKind.NotRun, end.refusal?.retryAfterMs ?? DEFAULT_RETRY_MS),
+  [DispatchEndKind.NotRun]: (end, response) => sendError(response, GatewayErrorKind.NotRun, retryAfterMsOf(end)),
   [DispatchEndKind.Unknown]: (end, response, lastFailure) => {
     if (lastFailure !== null) {
       response.deliver(lastFailure)
@@ -268,6 +270,10 @@
 /** Retry-After where an endpoint refused the request: a slot becomes free about this often. */
 const DEFAULT_RETRY_MS = 400
 
+function retryAfterMsOf ({ refusal }: DispatchEnd): number {
+  return refusal?.retryAfterMs ?? DEFAULT_RETRY_MS
+}
+
 function isRetryable (route: Route): boolean {
   return route.kind === RequestKind.Idempotent || (route.kind === RequestKind.Streaming && route.resumable)
 }
--- a/packages/dotterelspur/src/request/dispatch/FleetObservation.ts
+++ b/packages/dotterelspur/src/request/dispatch/FleetObservation.ts
@@ -2,6 +2,7 @@
 import { agedSample, latestSample, type RateLimitSample } from '../backpressure/RateLimitSample.js'
 import { NO_DEADLINES_OBSERVED, type DeadlineObservation } from './DeadlineObservation.js'
 import { significantSpeeds } from './EndpointSpeeds.js'
+import { addCounts, laterCounts } from './ReturnCounts.js'
 
 /** Identifies the endpoints that can serve the same requests: those of one plain service, or the groups of one model. */
 export type PoolKey = string
@@ -41,6 +42,9 @@
   readonly nodes: number
 }
 
+/** Callers that will retry, in consecutive buckets of `RETURN_BUCKET_MS` from now on. */
+export type ReturnCounts = readonly number[]
+
 /** Flows are averaged over this time: about the duration of an answer, and two or three rounds of a large fleet. */
 export const FLOW_HALF_LIFE_MS = 700
 
@@ -69,6 +73,8 @@
   readonly rests: Readonly<Record<EndpointId, number>>
   /** Endpoints that have announced in responses to this node that they are leaving. */
   readonly leaving: readonly EndpointId[]
+  /** Rejected callers that have been told to retry, by pool; absent while there are none, and from nodes of the previous build. */
+  readonly returns?: Readonly<Record<PoolKey, ReturnCounts>>
 }
 
 /** The aggregate of all nodes' observations. Every node receives the same one and subtracts its own part itself. */
@@ -123,7 +129,7 @@
   aggregate (own: NodeObservation, intervalMs: number, nowMs: number): FleetObservation {
     const valid = [...this.received.values()].filter(({ atMs }) => nowMs - atMs <= VALID_ROUNDS * intervalMs)
     const ageSumMs = valid.reduce((sum, { atMs }) => sum + nowMs - atMs, 0)
-    const all = [own, ...valid.map(({ observation, atMs }) => ({ ...observation, limits: agedRateLimits(observation.limits, nowMs - atMs), rests: agedBackoffs(observation.rests, nowMs - atMs) }))]
+    const all = [own, ...valid.map(({ observation, atMs }) => ({ ...observation, limits: agedRateLimits(observation.limits, nowMs - atMs), rests: agedBackoffs(observation.rests, nowMs - atMs), ...agedReturns(observation, nowMs - atMs) }))]
     const sum = addObservations(all)
     return { ...sum, speeds: significantSpeeds(sum.speeds), nodes: all.length, ageMs: ageSumMs / all.length, intervalMs }
   }
@@ -143,10 +149,21 @@
     },
     limits: mergeByKey(all.map(({ limits }) => limits), latestSample),
     rests: mergeByKey(all.map(({ rests }) => rests), Math.max),
-    leaving: [...new Set(all.flatMap(({ leaving }) => leaving))]
+    leaving: [...new Set(all.flatMap(({ leaving }) => leaving))],
+    ...addReturns(all)
   }
 }
 
+/** Absent where no node has told a caller to retry, so that the frames are those of the previous build. */
+function addReturns (all: readonly NodeObservation[]): Pick<NodeObservation, 'returns'> {
+  const present = all.map(({ returns }) => returns).filter((returns) => returns !== undefined)
+  return present.length === 0 ? {} : { returns: mergeByKey(present, addCounts) }
+}
+
+function agedReturns ({ returns }: NodeObservation, passedMs: number): Pick<NodeObservation, 'returns'> {
+  return returns === undefined ? {} : { returns: Object.fromEntries(Object.entries(returns).map(([pool, counts]) => [pool, laterCounts(counts, passedMs)])) }
+}
+
 function agedRateLimits (limits: Readonly<Record<EndpointId, RateLimitSample>>, passedMs: number): Record<EndpointId, RateLimitSample> {
   return Object.fromEntries(Object.entries(limits).map(([endpoint, sample]) => [endpoint, agedSample(sample, passedMs)]))
 }
--- a/packages/dotterelspur/src/request/dispatch/LoadForecast.ts
+++ b/packages/dotterelspur/src/request/dispatch/LoadForecast.ts
@@ -107,6 +107,14 @@
     return offered <= 0 ? 1 : Math.max(0, Math.min(1, room / offered))
   }
 
+  /**
+   * The rate at which the endpoints can take requests on with `slots` each. Where more requests are present than there are
+   * slots, they stay longer by the time that they wait, and the capacity is the rate at which they end.
+   */
+  capacityPerMs (slots: number): number {
+    return this.endpoints.reduce((sum, { present, maxPerMs }) => sum + Math.min(Math.max(slots, present) / this.holdMs, maxPerMs), 0)
+  }
+
   /**
    * The next endpoint, by the computed shares; null where the pool is empty. The draws are not random: those of one
    * node, and the first, second and later draws of all nodes, are spread evenly, so that the arrivals at an endpoint
--- a/packages/dotterelspur/src/request/dispatch/Placement.ts
+++ b/packages/dotterelspur/src/request/dispatch/Placement.ts
@@ -4,6 +4,7 @@
 import type { EndpointHealth } from './EndpointHealth.js'
 import type { EndpointSpeeds } from './EndpointSpeeds.js'
 import { eventGapMs, firstEventMs, loadCurve, paceOf } from './EngineTimes.js'
+import type { ReturnSchedule } from './ReturnSchedule.js'
 import type { SenderPosition } from './SenderPosition.js'
 import type { TargetLoad } from './TargetLoad.js'
 import { PLAIN_REQUEST_MS, type DispatchTarget, type TargetPool } from './TargetPool.js'
@@ -63,6 +64,8 @@
   /** Nodes that send requests, this one included. */
   readonly nodes: number
   readonly sender: SenderPosition
+  /** When rejected callers retry; absent where retries are not scheduled. */
+  readonly returns?: ReturnSchedule
   readonly ownFailureDomain: FailureDomainId
   readonly random: Random
   readonly nowMs: number
@@ -248,9 +251,13 @@
 }
 
 /**
- * Callers honour a delay of up to a third of their remaining time. The delay is long and jittered: a caller that
- * retried into the same burst would only be refused again.
+ * Callers honour a delay of up to a third of their remaining time. They retry when the fewest others do, as far as the
+ * schedule of all nodes is known. Otherwise the delay is long and jittered: a caller that retried into the same burst
+ * would only be refused again.
  */
-function jitteredRetryAfterMs ({ leftMs }: PlacementQuery, { random }: PlacementInput): number {
+function jitteredRetryAfterMs ({ leftMs }: PlacementQuery, { pool, load, returns, random, nowMs }: PlacementInput): number {
+  const [first] = pool.targets.values()
+  const scheduledMs = first === undefined ? null : returns?.retryAfterMs(pool.key, leftMs, load.capacityPerMs(pool.key, first.slots, nowMs), random, nowMs) ?? null
+  if (scheduledMs !== null) return scheduledMs
   return leftMs * (RETRY_AFTER_SHARE.least + (RETRY_AFTER_SHARE.most - RETRY_AFTER_SHARE.least) * random.next())
 }
--- a/packages/dotterelspur/src/request/dispatch/TargetLoad.ts
+++ b/packages/dotterelspur/src/request/dispatch/TargetLoad.ts
@@ -162,6 +162,11 @@
     return this.hasFreshObservation(nowMs) ? this.pools.get(pool)?.forecast?.admitted(maxLoad) ?? null : null
   }
 
+  /** The rate at which a pool's endpoints can take requests on with `slots` each; null without a recent aggregate. */
+  capacityPerMs (pool: PoolKey, slots: number, nowMs: number): number | null {
+    return this.hasFreshObservation(nowMs) ? this.pools.get(pool)?.forecast?.capacityPerMs(slots) ?? null : null
+  }
+
   /** The next endpoint of the pool in the distribution of all nodes' requests; evenly spread without a recent aggregate. */
   draw (pool: PoolKey, sender: SenderPosition, nowMs: number): EndpointId | null {
     return this.pools.get(pool)?.forecast?.draw(sender, nowMs) ?? null
