Evacuation of failure domains: registry, dispatch, settings and store kind

Operators evacuate a failure domain by an object of kind `evacuations` in the platform's store, named after the domain. No component read it. Where the settings have `[limits] evacuation-ms`, each node now follows the prefix `evacuations/` through the lease holder's feed, or by its own polls. Endpoints of an evacuated domain are in no pool, so capacity and admission change in one step. A pool that evacuations have emptied refuses with reason `evacuated`. Until a node has read the evacuations it is not ready and has no pools. Entries missing after a return of the store are kept for 2,500 ms.

Without the setting the prefix is not followed; a test compares placements of 40 requests with those of a node without a registry.

--- a/packages/dotterelspur-gateway/src/index.ts
+++ b/packages/dotterelspur-gateway/src/index.ts
@@ -1,6 +1,7 @@
 export { connectWithin } from './connection/connectWithin.js'
 export * from './process/DecisionLog.js'
 export { ENDPOINT_PREFIX } from './process/EndpointRegistry.js'
+export { EVACUATION_PREFIX } from './process/EvacuationRegistry.js'
 export * from './process/Gateway.js'
 export * from './process/GatewayPorts.js'
 export type { PlatformFormat } from './process/PlatformFormat.js'
--- a/packages/dotterelspur-gateway/src/process/DecisionLog.ts
+++ b/packages/dotterelspur-gateway/src/process/DecisionLog.ts
@@ -59,6 +59,11 @@
   SentInRest = 'sent-in-rest',
   /** An endpoint has stated in a response to this node that it is leaving. */
   EndpointLeaving = 'endpoint-leaving',
+  /** Operators have evacuated a failure domain: this node sends no more requests there. */
+  EvacuationBegun = 'evacuation-begun',
+  EvacuationEnded = 'evacuation-ended',
+  /** No request of this node runs in an evacuated failure domain any more. */
+  EvacuationDrained = 'evacuation-drained',
   NodeListed = 'node-listed',
   NodeUnlisted = 'node-unlisted',
   LinesDropped = 'lines-dropped',
--- a/packages/dotterelspur-gateway/src/process/Dispatch.ts
+++ b/packages/dotterelspur-gateway/src/process/Dispatch.ts
@@ -1,10 +1,11 @@
 import {
-  buildPools, EndpointHealth, ExchangeEnd, groupTimeMs, place, poolKey, poolKeyOf, RetryWindow, senderPosition,
+  EndpointHealth, ExchangeEnd, groupTimeMs, place, poolKey, poolKeyOf, RetryWindow, senderPosition,
   type Clock, type DispatchTarget, type EndpointId, type EndpointRecord, type FailureDomainId, type ModelId, type NodeId, type PlacementRefusal, type PoolKey, type Random,
   type RetryWindowOptions, type Route, type Sender, type SenderPosition, type ServiceId, type ReportedBackpressure, type TargetPool
 } from 'dotterelspur'
 import type { EndpointChannel } from '../connection/EndpointChannel.js'
 import { EndpointChannels } from '../connection/EndpointChannels.js'
+import { AvailableEndpoints } from './AvailableEndpoints.js'
 import { LogKind, type DecisionLog, type LogFields } from './DecisionLog.js'
 import { StallDetector, StallCertainty, type ExchangeHandle } from './StallDetector.js'
 import { EngineTiming } from './EngineTiming.js'
@@ -14,6 +15,7 @@
 import { BackpressureLog } from './BackpressureLog.js'
 import { Suspicion } from '../connection/PeerFrame.js'
 import type { EndpointRegistry } from './EndpointRegistry.js'
+import type { EvacuationRegistry } from './EvacuationRegistry.js'
 
 /** Callers set output limits far above what is generated; this share of the limit is typical. */
 const USUAL_ANSWER_SHARE = 0.5
@@ -26,6 +28,8 @@
   readonly failureDomain: FailureDomainId
   readonly manifest: ManifestFollower
   readonly endpoints: EndpointRegistry
+  /** Absent where no failure domain is ever evacuated. */
+  readonly evacuations?: EvacuationRegistry
   readonly retries: RetryWindowOptions
   /** The whole system starts for the first time, so no retries of an earlier process incarnation can fall into the window. */
   readonly firstStart: boolean
@@ -55,6 +59,7 @@
 export class Dispatch {
   readonly fleetView: FleetView
   readonly backpressureLog: BackpressureLog
+  readonly availableEndpoints: AvailableEndpoints
   private readonly engineTiming: EngineTiming
   private readonly health = new EndpointHealth()
   private readonly channels = new EndpointChannels()
@@ -78,6 +83,15 @@
       onStalled: (target, silentMs, limitMs) => { this.noteStalled(target, silentMs, limitMs) },
       mayRetry: (service) => this.retryWindow.hasLeft(service, parts.senders().length, clock.nowMs())
     })
+    this.availableEndpoints = new AvailableEndpoints({
+      clock,
+      log: parts.log,
+      endpoints: parts.endpoints,
+      evacuations: parts.evacuations,
+      engineOf: (service) => this.engineTiming.engine(service),
+      ownInFlight: (endpoint) => this.fleetView.load.ownInFlight(endpoint),
+      onChange: () => { this.rebuildPools(parts.endpoints.current) }
+    })
     parts.endpoints.registerListener((endpoints) => { this.noteEndpoints(endpoints) })
     parts.manifest.registerListener(({ manifest }) => {
       this.fleetView.deadlines.retain(new Set(manifest.routes.map(({ name }) => name)))
@@ -169,10 +183,9 @@
       random: parts.random,
       nowMs
     })
-    if ('endpoint' in placement) {
-      backpressure.noteSent(placement.endpoint, nowMs)
-      this.backpressureLog.noteSent(placement.endpoint, query.excluded.length > 0)
-    }
+    if (!('endpoint' in placement)) return this.availableEndpoints.explainRefusal(key, placement)
+    backpressure.noteSent(placement.endpoint, nowMs)
+    this.backpressureLog.noteSent(placement.endpoint, query.excluded.length > 0)
     return placement
   }
 
@@ -203,6 +216,7 @@
 
   endExchange (target: DispatchTarget): void {
     this.fleetView.load.end(poolKeyOf(target), target.endpoint, this.parts.clock.nowMs())
+    this.availableEndpoints.noteExchangeEnd(target.failureDomain)
   }
 
   /** Records an exchange that ended in a failure attributable to the endpoint or its group. */
@@ -262,7 +276,7 @@
   }
 
   private rebuildPools (endpoints: ReadonlyMap<EndpointId, EndpointRecord>): void {
-    this.pools = buildPools(endpoints.values(), (service) => this.engineTiming.engine(service))
+    this.pools = this.availableEndpoints.rebuildPools(endpoints)
     this.fleetView.updatePools([...this.pools.values()])
   }
 
--- a/packages/dotterelspur-gateway/src/process/EndpointRegistry.ts
+++ b/packages/dotterelspur-gateway/src/process/EndpointRegistry.ts
@@ -10,7 +10,7 @@
  * written, or are not in the older copy from which the store came back, and return within about two seconds. Dropping them
  * at once would empty the fleet.
  */
-const RETURN_GRACE_MS = 2_500
+export const RETURN_GRACE_MS = 2_500
 
 /** The source of an endpoint's record. */
 export enum RecordSource {
--- a/packages/dotterelspur-gateway/src/process/FollowRules.ts
+++ b/packages/dotterelspur-gateway/src/process/FollowRules.ts
@@ -1,5 +1,6 @@
 import { QUARANTINE_PREFIX } from 'dotterelspur'
 import { ENDPOINT_PREFIX } from './EndpointRegistry.js'
+import { EVACUATION_PREFIX } from './EvacuationRegistry.js'
 import { MANIFEST_PREFIX } from './ManifestFollower.js'
 import { NODE_PREFIX } from './NodeRegistry.js'
 import { PROGRESS_VALID_MS } from './StoreFeed.js'
@@ -10,6 +11,8 @@
   readonly drainMs: number
   /** Time after which a manifest acknowledged by the store must be in force. */
   readonly manifestMs: number
+  /** Time after which no node sends requests to an evacuated failure domain. Absent: evacuations are not followed. */
+  readonly evacuationMs?: number | undefined
 }
 
 /** Share of a limit for which a node relies on the lease holder's last feed progress; the rest is left for its own poll. */
@@ -53,6 +56,10 @@
   [ENDPOINT_PREFIX]: {
     pollTimeoutMs: 3_000, holderPollTimeoutMs: 1_000, pauseMs: 250, pausePerNodeMs: 4, relistPerNodeMs: 2, isForwarded: true, isFiltered: true, progressValidMs: ({ drainMs }) => Math.min(PROGRESS_VALID_MS, VALID_SHARE * drainMs)
   },
+  // Entries are rare and written one at a time, so a change is followed by a short pause; the next entry must not wait.
+  [EVACUATION_PREFIX]: {
+    pollTimeoutMs: 3_000, holderPollTimeoutMs: 1_000, pauseMs: 50, pausePerNodeMs: 4, relistPerNodeMs: 2, isForwarded: true, isFiltered: false, progressValidMs: ({ evacuationMs }) => Math.min(PROGRESS_VALID_MS, VALID_SHARE * (evacuationMs ?? Infinity))
+  },
   [NODE_PREFIX]: { pollTimeoutMs: 3_000, holderPollTimeoutMs: 3_000, pauseMs: 500, pausePerNodeMs: 4, relistPerNodeMs: 5, isForwarded: true, isFiltered: false, progressValidMs: () => SUCCESSOR_PROGRESS_MS },
   [QUARANTINE_PREFIX]: { pollTimeoutMs: 3_000, holderPollTimeoutMs: 3_000, pauseMs: 500, pausePerNodeMs: 4, relistPerNodeMs: 5, isForwarded: true, isFiltered: false, progressValidMs: () => SUCCESSOR_PROGRESS_MS }
 }
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -9,6 +9,7 @@
 import { LogKind, type DecisionLog } from './DecisionLog.js'
 import { Dispatch } from './Dispatch.js'
 import { ENDPOINT_PREFIX, EndpointRegistry } from './EndpointRegistry.js'
+import { EvacuationRegistry } from './EvacuationRegistry.js'
 import { StallCertainty } from './StallDetector.js'
 import { InitialSync } from './InitialSync.js'
 import { FleetLease } from './FleetLease.js'
@@ -52,6 +53,7 @@
   private readonly store: FollowedStore
   private readonly manifest: ManifestFollower
   private readonly endpoints: EndpointRegistry
+  private readonly evacuations: EvacuationRegistry
   private readonly initialSync: InitialSync
   private readonly nodes: NodeRegistry
   private readonly lease: FleetLease
@@ -92,6 +94,7 @@
     const { store } = this
     this.manifest = new ManifestFollower(log)
     this.endpoints = new EndpointRegistry(clock, log, (service) => this.manifest.serves(service))
+    this.evacuations = new EvacuationRegistry(clock, settings.changes.evacuationMs !== undefined)
     this.quarantine = new QuarantineRegistry({ store, node: settings.node, maxEntries: settings.poison.mostRecords, clock, onProblem: (fingerprint, reason) => { log.write(LogKind.Unexpected, { where: 'quarantine', fingerprint, reason }) } })
     this.nodes = new NodeRegistry(store, nodeRecord(settings, incarnation), clock, log)
     this.lease = new FleetLease(store, { node: settings.node, incarnation }, clock, random, log, (holder) => { this.dropNode(holder) }, () => this.nodes.nodes().length, {
@@ -101,7 +104,7 @@
         this.poison.mergeRecords(suspects)
       }
     })
-    this.initialSync = new InitialSync(clock, this.manifest, this.endpoints, [this.quarantine, this.lease])
+    this.initialSync = new InitialSync(clock, this.manifest, this.endpoints, [this.quarantine, this.lease], this.evacuations)
     this.formations = new FormationController({
       clock,
       log,
@@ -130,6 +133,7 @@
       failureDomain: settings.failureDomain,
       manifest: this.manifest,
       endpoints: this.endpoints,
+      evacuations: this.evacuations,
       retries: settings.retries,
       firstStart: settings.firstStart,
       senders: () => this.nodes.nodes(),
@@ -200,7 +204,7 @@
       this.listen(settings.directory, (url) => url.pathname === platformFormat.directoryPath ? this.directoryResponse() : null),
       this.listen(settings.metrics, async (url) => url.pathname === platformFormat.metricsPath ? { status: 200, contentType: 'text/plain', body: await this.metrics.page() } : null)
     ])
-    this.teardowns.push(this.manifest.follow(this.store), this.endpoints.follow(this.store), this.nodes.follow(), this.quarantine.follow())
+    this.teardowns.push(this.manifest.follow(this.store), this.endpoints.follow(this.store), this.evacuations.follow(this.store), this.nodes.follow(), this.quarantine.follow())
     this.dispatch.start()
     this.poison.start()
     this.formations.start()
--- a/packages/dotterelspur-gateway/src/process/InitialSync.ts
+++ b/packages/dotterelspur-gateway/src/process/InitialSync.ts
@@ -23,15 +23,16 @@
   private readonly waiting = new Set<() => void>()
   private readonly startedAtMs: number
 
-  constructor (private readonly clock: Clock, private readonly manifest: ManifestFollower, private readonly endpoints: EndpointRegistry, private readonly otherSources: readonly InitialSyncSource[]) {
+  constructor (private readonly clock: Clock, private readonly manifest: ManifestFollower, private readonly endpoints: EndpointRegistry, private readonly otherSources: readonly InitialSyncSource[], private readonly evacuations: InitialSyncSource | null = null) {
     this.startedAtMs = clock.nowMs()
     manifest.registerListener(() => { this.check() })
     endpoints.registerListener(() => { this.check() })
-    for (const other of otherSources) other.registerSynchronizedListener(() => { this.check() })
+    for (const other of this.allSources) other.registerSynchronizedListener(() => { this.check() })
   }
 
+  /** Includes the evacuations: a node that starts during one must send no requests into the failure domain. */
   get isComplete (): boolean {
-    return this.manifest.current !== null && this.endpoints.isSynchronized
+    return this.manifest.current !== null && this.endpoints.isSynchronized && (this.evacuations?.isSynchronized ?? true)
   }
 
   /** Resolves once all sources are read, or when the wait limit since process start has passed. */
@@ -55,6 +56,10 @@
     return this.isComplete && this.otherSources.every(({ isSynchronized }) => isSynchronized)
   }
 
+  private get allSources (): readonly InitialSyncSource[] {
+    return this.evacuations === null ? this.otherSources : [...this.otherSources, this.evacuations]
+  }
+
   private check (): void {
     if (!this.isAllRead) return
     for (const end of [...this.waiting]) end()
--- a/packages/dotterelspur-gateway/src/process/registerGauges.ts
+++ b/packages/dotterelspur-gateway/src/process/registerGauges.ts
@@ -35,6 +35,8 @@
   metrics.gauge('sent_to_limited_endpoints', 'Requests sent to endpoints that had named a limit, since the start', () => dispatch.backpressureLog.sentToLimited)
   metrics.gauge('sent_to_resting_endpoints', 'Requests sent to endpoints that had asked this node for rest, since the start', () => dispatch.backpressureLog.sentDuringBackoff)
   metrics.gauge('leaving_endpoints', 'Endpoints that leave, by the list or by their own word', () => [...endpoints.current.values()].filter(({ leaving }) => leaving).length)
+  metrics.gauge('evacuated_failure_domains', 'Failure domains that operators have evacuated', () => dispatch.availableEndpoints.evacuatedDomains)
+  metrics.gauge('requests_in_evacuated_domains', 'Requests of this node that still run in evacuated failure domains', () => dispatch.availableEndpoints.requestsInEvacuatedDomains)
   metrics.gauge('log_lines_dropped', 'Log lines dropped since the start', () => log.dropped)
   metrics.gauge('resident_bytes', 'Resident memory', () => process.memoryUsage.rss())
 }
--- a/packages/dotterelspur/src/request/dispatch/Placement.ts
+++ b/packages/dotterelspur/src/request/dispatch/Placement.ts
@@ -11,6 +11,8 @@
 export enum RefusalReason {
   /** No endpoint of the service, or no group of the model, takes requests. */
   NoEndpoint = 'no-endpoint',
+  /** All endpoints of the service, or groups of the model, are in evacuated failure domains. */
+  Evacuated = 'evacuated',
   /** All of them are so loaded that the request would be served too late. */
   Full = 'full',
   /** All that have capacity have stated rate limits, which are used up for the moment. */
--- a/packages/dotterelspur/src/request/dispatch/index.ts
+++ b/packages/dotterelspur/src/request/dispatch/index.ts
@@ -1,3 +1,4 @@
+export * from './AvailablePools.js'
 export * from './DeadlineHistory.js'
 export * from './DeadlineObservation.js'
 export * from './DemandMeter.js'
--- /dev/null
+++ b/packages/dotterelspur/src/version/evacuation/index.ts
@@ -0,0 +1,3 @@
+export * from './EvacuationTable.js'
+export * from './PeakEndpoints.js'
+export * from './plannableEndpoints.js'
