--- a/packages/dotterelspur/src/request/dispatch/index.ts
+++ b/packages/dotterelspur/src/request/dispatch/index.ts
@@ -1,6 +1,7 @@
 export * from './AdmissionShares.js'
 export * from './ClassAdmission.js'
 export * from './ClassDemand.js'
+export * from './AvailablePools.js'
 export * from './DeadlineHistory.js'
 export * from './DeadlineObservation.js'
 export * from './DemandMeter.js'
