Ranks and token shares of owners have a module of their own

EndpointRateLimits computed them itself. Cold endpoints need the same ownership with other rules on when it holds, so OwnerRanks and OwnerAllowances are shared instead of copied. Decisions on rate limits are unchanged, as are their tests.

--- a/packages/dotterelspur/src/request/backpressure/EndpointRateLimits.ts
+++ b/packages/dotterelspur/src/request/backpressure/EndpointRateLimits.ts
@@ -1,6 +1,6 @@
 import type { EndpointId, NodeId } from '../../process/ids.js'
-import { rendezvousOrder } from '../../process/rendezvous.js'
-import { TokenBucket } from '../admission/TokenBucket.js'
+import type { TokenBucket } from '../admission/TokenBucket.js'
+import { OwnerAllowances, OwnerRanks } from './OwnerRanks.js'
 import { isNewer, BACKPRESSURE_TTL_MS, type RateLimitSample } from './RateLimitSample.js'
 
 /**
@@ -44,19 +44,17 @@
   private readonly localLimits = new Map<EndpointId, ReportedRateLimit>()
   /** The latest limits that endpoints stated to other nodes. */
   private readonly fleetLimits = new Map<EndpointId, ReportedRateLimit>()
-  private readonly allowances = new Map<EndpointId, TokenBucket>()
+  private readonly allowances = new OwnerAllowances(BURST)
   private fleetObservedAtMs = -Infinity
-  private nodes: readonly NodeId[]
-  private readonly ranks = new Map<EndpointId, number>()
+  private ranks: OwnerRanks
 
   constructor (private readonly node: NodeId) {
-    this.nodes = [node]
+    this.ranks = new OwnerRanks(node, [node])
   }
 
   /** The nodes that send requests, this one included. */
   noteNodes (nodes: readonly NodeId[]): void {
-    this.nodes = nodes.includes(this.node) ? nodes : [...nodes, this.node]
-    this.ranks.clear()
+    this.ranks = new OwnerRanks(this.node, nodes)
   }
 
   /** Records the limit that an endpoint states with a response to this node; null where it states none. */
@@ -91,7 +89,7 @@
   retain (endpoints: ReadonlySet<EndpointId>, nowMs: number): void {
     const gone = [...this.localLimits, ...this.fleetLimits].filter(([endpoint, { statedAtMs }]) => !endpoints.has(endpoint) && nowMs - statedAtMs > BACKPRESSURE_TTL_MS)
     for (const [endpoint] of gone) {
-      for (const map of [this.localLimits, this.fleetLimits, this.allowances, this.ranks]) map.delete(endpoint)
+      for (const byEndpoint of [this.localLimits, this.fleetLimits, this.allowances, this.ranks]) byEndpoint.delete(endpoint)
     }
   }
 
@@ -112,7 +110,7 @@
 
   /** Records that a request is sent there. */
   noteSent (endpoint: EndpointId): void {
-    if (this.limitOf(endpoint) !== null) this.allowances.get(endpoint)?.take(1)
+    if (this.limitOf(endpoint) !== null) this.allowances.take(endpoint)
   }
 
   /** Time until this node may send a request there; where other nodes own the limit, the average time until one of them may. */
@@ -127,11 +125,11 @@
 
   /** Share of all nodes that own a part of an endpoint's limit. */
   ownersShare (endpoint: EndpointId): number {
-    return this.owners(Math.max(PROBES_PER_SECOND, this.limitOf(endpoint) ?? Infinity)) / this.nodes.length
+    return this.owners(Math.max(PROBES_PER_SECOND, this.limitOf(endpoint) ?? Infinity)) / this.ranks.nodeCount
   }
 
   private owners (perSecond: number): number {
-    return Math.max(1, Math.min(this.nodes.length, Math.round(perSecond * OWNERS_PER_REQUEST)))
+    return Math.max(1, Math.min(this.ranks.nodeCount, Math.round(perSecond * OWNERS_PER_REQUEST)))
   }
 
   /**
@@ -139,36 +137,18 @@
    * endpoint states nothing.
    */
   private isOwner (endpoint: EndpointId, perSecond: number, silentMs: number): boolean {
-    const { length } = this.nodes
+    const length = this.ranks.nodeCount
     const owners = this.owners(perSecond)
     if (owners === length) return true
     const turnMs = Math.max(MIN_TURN_MS, TURN_PAUSES * SECOND_MS / perSecond)
     const from = Math.floor(Math.max(0, silentMs) / turnMs) * owners
-    return (this.rankOf(endpoint) - from % length + length) % length < owners
+    return (this.ranks.rankOf(endpoint) - from % length + length) % length < owners
   }
 
   /** This node's share of a limit if it were an owner, starting when it learns the limit. */
   private updatedAllowance (endpoint: EndpointId, nowMs: number): TokenBucket {
     const perSecond = Math.max(PROBES_PER_SECOND, this.limitOf(endpoint) ?? 0)
-    const owners = this.owners(perSecond)
-    let allowance = this.allowances.get(endpoint)
-    if (allowance === undefined) {
-      allowance = new TokenBucket(perSecond / owners, BURST, nowMs)
-      allowance.take(BURST - this.rankOf(endpoint) % owners / owners)
-      this.allowances.set(endpoint, allowance)
-    }
-    allowance.configure(perSecond / owners, BURST, nowMs)
-    return allowance
-  }
-
-  /** This node's rank among all nodes in the rendezvous order of the endpoint's owners. */
-  private rankOf (endpoint: EndpointId): number {
-    let rank = this.ranks.get(endpoint)
-    if (rank === undefined) {
-      rank = rendezvousOrder(endpoint, this.nodes).indexOf(this.node)
-      this.ranks.set(endpoint, rank)
-    }
-    return rank
+    return this.allowances.updated(endpoint, { perSecond, owners: this.owners(perSecond), rank: this.ranks.rankOf(endpoint) }, nowMs)
   }
 
   private latestLimit (endpoint: EndpointId): ReportedRateLimit | undefined {
