Requests to cold endpoints stay within the rate that they sustain, over all nodes

An endpoint that has just started or turned cold holds no requests, so every node sent its next requests there. Its rate now has at most slack + (overage - 1) x rate owners, each with a fixed share and one saved token, so that owners + rate requests are the most in any one second. A node that is partitioned, leaving or has just started owns nothing. The remaining cold time comes from the entry, response headers, a start after the first listing, and other nodes (optional observation field). An invalid cold time no longer makes the whole entry invalid.

Where no service declares a rate for cold endpoints, decisions and messages are as before, which a test compares.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/Dispatch.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/Dispatch.test.ts
@@ -31,6 +31,7 @@
     endpoints: new EndpointRegistry(clock, createLog(clock)),
     retries: { windowMs: 10_000, ratio: 0.2, extra: 100 },
     firstStart: true,
+    hasAllNodes: () => true,
     senders: () => SENDERS,
     onSuspect: () => {}
   })
--- a/packages/dotterelspur-gateway/src/connection/ObservationCodec.ts
+++ b/packages/dotterelspur-gateway/src/connection/ObservationCodec.ts
@@ -26,6 +26,8 @@
   readonly limits?: readonly number[]
   readonly rests?: readonly number[]
   readonly leaving?: readonly number[]
+  /** Absent where no endpoint is cold. */
+  readonly cold?: readonly number[]
 }
 
 /** The wire form of the sum of all nodes' observations. */
@@ -50,7 +52,7 @@
     }
   }
 
-  encode ({ inFlight, flows, demand, speeds, pauses, firstEvents, deadlines, limits, rests, leaving }: NodeObservation): EncodedObservation {
+  encode ({ inFlight, flows, demand, speeds, pauses, firstEvents, deadlines, limits, rests, leaving, cold }: NodeObservation): EncodedObservation {
     return {
       inFlight: Object.entries(inFlight).flatMap(([endpoint, count]) => [this.codeOf(endpoint), count]),
       speeds: Object.entries(speeds).flatMap(([endpoint, speed]) => [this.codeOf(endpoint), hundredths(speed.ratioSum), hundredths(speed.pauses)]),
@@ -62,11 +64,12 @@
       leastDeadlineShare: [hundredths(deadlines.leastShare.sum), deadlines.leastShare.nodes],
       limits: Object.entries(limits).flatMap(([endpoint, { requestsPerSecond, ageMs }]) => [this.codeOf(endpoint), requestsPerSecond === null ? NO_LIMIT : hundredths(requestsPerSecond), Math.round(ageMs)]),
       rests: Object.entries(rests).flatMap(([endpoint, leftMs]) => [this.codeOf(endpoint), Math.ceil(leftMs)]),
-      leaving: leaving.map((endpoint) => this.codeOf(endpoint))
+      leaving: leaving.map((endpoint) => this.codeOf(endpoint)),
+      ...(cold === undefined ? {} : { cold: Object.entries(cold).flatMap(([endpoint, leftMs]) => [this.codeOf(endpoint), Math.ceil(leftMs)]) })
     }
   }
 
-  decode ({ inFlight, flows, demand, speeds, pauses, firstEvents, deadlines, leastDeadlineShare, limits = [], rests = [], leaving = [] }: EncodedObservation): NodeObservation {
+  decode ({ inFlight, flows, demand, speeds, pauses, firstEvents, deadlines, leastDeadlineShare, limits = [], rests = [], leaving = [], cold }: EncodedObservation): NodeObservation {
     return {
       inFlight: Object.fromEntries(this.decodeByEndpoint(inFlight, 1).map(([endpoint, [count]]) => [endpoint, count!])),
       speeds: Object.fromEntries(this.decodeByEndpoint(speeds, 2).map(([endpoint, [ratioSum, count]]) => [endpoint, { ratioSum: ratioSum! / HUNDREDTHS, pauses: count! / HUNDREDTHS }])),
@@ -80,7 +83,8 @@
       },
       limits: Object.fromEntries(this.decodeByEndpoint(limits, 2).map(([endpoint, [limit, ageMs]]) => [endpoint, { requestsPerSecond: limit === NO_LIMIT ? null : limit! / HUNDREDTHS, ageMs: ageMs! }])),
       rests: Object.fromEntries(this.decodeByEndpoint(rests, 1).map(([endpoint, [leftMs]]) => [endpoint, leftMs!])),
-      leaving: this.decodeByEndpoint(leaving, 0).map(([endpoint]) => endpoint)
+      leaving: this.decodeByEndpoint(leaving, 0).map(([endpoint]) => endpoint),
+      ...(cold === undefined ? {} : { cold: Object.fromEntries(this.decodeByEndpoint(cold, 1).map(([endpoint, [leftMs]]) => [endpoint, leftMs!])) })
     }
   }
 
--- a/packages/dotterelspur-gateway/src/process/DecisionLog.ts
+++ b/packages/dotterelspur-gateway/src/process/DecisionLog.ts
@@ -59,6 +59,12 @@
   SentInRest = 'sent-in-rest',
   /** An endpoint has stated in a response to this node that it is leaving. */
   EndpointLeaving = 'endpoint-leaving',
+  /** An endpoint is cold: it sustains only the rate that its service declares for cold endpoints. */
+  EndpointCold = 'endpoint-cold',
+  /** A cold endpoint is warm. */
+  EndpointWarm = 'endpoint-warm',
+  /** An endpoint states a remaining cold time that is no non-negative number; the known one stays in force. */
+  ColdTimeRejected = 'cold-time-rejected',
   NodeListed = 'node-listed',
   NodeUnlisted = 'node-unlisted',
   LinesDropped = 'lines-dropped',
--- a/packages/dotterelspur-gateway/src/process/Dispatch.ts
+++ b/packages/dotterelspur-gateway/src/process/Dispatch.ts
@@ -1,10 +1,11 @@
 import {
   buildPools, EndpointHealth, ExchangeEnd, groupTimeMs, place, poolKey, poolKeyOf, RetryWindow, senderPosition,
-  type Clock, type DispatchTarget, type EndpointId, type EndpointRecord, type FailureDomainId, type ModelId, type NodeId, type PlacementRefusal, type PoolKey, type Random,
+  type Clock, type ColdBounds, type DispatchTarget, type EndpointId, type EndpointRecord, type FailureDomainId, type FleetObservation, type ModelId, type NodeId, type PlacementRefusal, type PoolKey, type Random,
   type RetryWindowOptions, type Route, type Sender, type SenderPosition, type ServiceId, type ReportedBackpressure, type TargetPool
 } from 'dotterelspur'
 import type { EndpointChannel } from '../connection/EndpointChannel.js'
 import { EndpointChannels } from '../connection/EndpointChannels.js'
+import { ColdEndpointMonitor } from './ColdEndpointMonitor.js'
 import { LogKind, type DecisionLog, type LogFields } from './DecisionLog.js'
 import { StallDetector, StallCertainty, type ExchangeHandle } from './StallDetector.js'
 import { EngineTiming } from './EngineTiming.js'
@@ -31,6 +32,9 @@
   readonly firstStart: boolean
   /** Nodes that send requests, including this one; the same array instance until the set changes. */
   readonly senders: () => readonly Sender[]
+  /** Whether the list of nodes has been read. */
+  readonly hasAllNodes: () => boolean
+  readonly coldBounds?: ColdBounds
   /** Called when a group appears stalled. */
   readonly onSuspect: (head: EndpointId, suspicion: Suspicion) => void
 }
@@ -55,6 +59,7 @@
 export class Dispatch {
   readonly fleetView: FleetView
   readonly backpressureLog: BackpressureLog
+  readonly coldEndpoints: ColdEndpointMonitor
   private readonly engineTiming: EngineTiming
   private readonly health = new EndpointHealth()
   private readonly channels = new EndpointChannels()
@@ -67,7 +72,8 @@
 
   constructor (private readonly parts: DispatchParts) {
     const { clock, retries } = parts
-    this.fleetView = new FleetView(clock, parts.log, parts.node)
+    this.fleetView = new FleetView(clock, parts.log, parts.node, parts.coldBounds)
+    this.coldEndpoints = new ColdEndpointMonitor(this.fleetView.backpressure.cold, parts)
     this.backpressureLog = new BackpressureLog(clock, parts.log)
     this.engineTiming = new EngineTiming(parts.manifest, this.fleetView)
     const extraFromMs = parts.firstStart ? clock.nowMs() : clock.nowMs() + retries.windowMs
@@ -170,12 +176,20 @@
       nowMs
     })
     if ('endpoint' in placement) {
+      this.coldEndpoints.noteSent(placement.endpoint)
       backpressure.noteSent(placement.endpoint, nowMs)
       this.backpressureLog.noteSent(placement.endpoint, query.excluded.length > 0)
     }
     return placement
   }
 
+  /** Applies the aggregated observations of all nodes. */
+  applyFleetObservation (fleet: FleetObservation): void {
+    this.coldEndpoints.noteSenders()
+    this.fleetView.applyFleetObservation(fleet)
+    this.coldEndpoints.noteAggregate()
+  }
+
   acquireChannel (target: DispatchTarget): EndpointChannel {
     return this.channels.acquire(target.endpoint, target.address)
   }
@@ -241,6 +255,7 @@
     const nowMs = this.parts.clock.nowMs()
     this.health.noteProgress(target.endpoint)
     if (headers !== null && headers.backpressure !== null) this.noteBackpressure(target, headers.backpressure, nowMs)
+    if (headers !== null) this.coldEndpoints.noteResponse(target, headers.coldRemainingMs)
     if (headers !== null && headers.load !== null) this.fleetView.load.noteReading(target.endpoint, headers.load, nowMs)
     if (gapMs !== null) this.engineTiming.noteGap(target, gapMs, nowMs)
   }
@@ -262,12 +277,14 @@
   }
 
   private rebuildPools (endpoints: ReadonlyMap<EndpointId, EndpointRecord>): void {
+    this.coldEndpoints.noteEndpoints(endpoints)
     this.pools = buildPools(endpoints.values(), (service) => this.engineTiming.engine(service))
     this.fleetView.updatePools([...this.pools.values()])
   }
 
   private ownPosition (): SenderPosition {
     const { senders, node, failureDomain } = this.parts
+    this.coldEndpoints.noteSenders()
     const current = senders()
     if (current !== this.arrangedSenders) {
       this.arrangedSenders = current
--- a/packages/dotterelspur-gateway/src/process/FleetView.ts
+++ b/packages/dotterelspur-gateway/src/process/FleetView.ts
@@ -1,6 +1,6 @@
 import {
   DeadlineHistory, DemandMeter, EMPTY_MEMORY, EndpointBackpressure, EndpointSpeeds, FirstEventDelays, loadPool, readFleetMemory, updateFleetMemory, StreamPauses, TargetLoad,
-  type Clock, type EndpointId, type FleetMemory, type FleetObservation, type NodeId, type NodeObservation, type TargetPool
+  type Clock, type ColdBounds, type EndpointId, type FleetMemory, type FleetObservation, type NodeId, type NodeObservation, type TargetPool
 } from 'dotterelspur'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
 
@@ -20,8 +20,8 @@
   private pools: readonly TargetPool[] = []
   private wasFresh = false
 
-  constructor (private readonly clock: Clock, private readonly log: DecisionLog, node: NodeId) {
-    this.backpressure = new EndpointBackpressure(node)
+  constructor (private readonly clock: Clock, private readonly log: DecisionLog, node: NodeId, coldBounds?: ColdBounds) {
+    this.backpressure = new EndpointBackpressure(node, coldBounds)
     this.deadlines = new DeadlineHistory(clock.nowMs())
   }
 
@@ -39,6 +39,7 @@
   /** This node's observations, for broadcast to the other nodes. */
   observe (): NodeObservation {
     const nowMs = this.clock.nowMs()
+    const cold = this.backpressure.cold.localObservation(nowMs)
     return {
       inFlight: this.load.reportInFlight(),
       flows: this.load.localFlows(nowMs),
@@ -49,7 +50,8 @@
       deadlines: this.deadlines.localObservation(nowMs),
       limits: this.backpressure.rateLimits.localObservation(nowMs),
       rests: this.backpressure.backoffs.localObservation(nowMs),
-      leaving: this.backpressure.localLeaving()
+      leaving: this.backpressure.localLeaving(),
+      ...(Object.keys(cold).length === 0 ? {} : { cold })
     }
   }
 
@@ -62,6 +64,7 @@
     this.pauses.applyFleetObservation(fleet.pauses)
     this.backpressure.rateLimits.applyFleetObservation(fleet.limits, nowMs)
     this.backpressure.backoffs.applyFleetObservation(fleet.rests, nowMs)
+    this.backpressure.cold.applyFleetObservation(fleet.cold ?? {}, fleet.nodes, nowMs)
     this.applyMemory(updateFleetMemory(this.fleetMemory, fleet))
     this.updatePools(this.pools)
     this.checkFreshness()
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -20,7 +20,7 @@
 import type { PlatformFormat } from './PlatformFormat.js'
 import { addressOf, type GatewayLimits, type GatewaySettings, type ListenAddress } from './GatewaySettings.js'
 import { ManifestFollower } from './ManifestFollower.js'
-import { NodeRegistry, nodeRecord, type NodeRecord } from './NodeRegistry.js'
+import { NODE_PREFIX, NodeRegistry, nodeRecord, type NodeRecord } from './NodeRegistry.js'
 import { PoisonTracker } from './PoisonTracker.js'
 import { registerGauges } from './registerGauges.js'
 import { PROGRESS_VALID_MS } from './StoreFeed.js'
@@ -133,6 +133,8 @@
       retries: settings.retries,
       firstStart: settings.firstStart,
       senders: () => this.nodes.nodes(),
+      hasAllNodes: () => store.isComplete(NODE_PREFIX),
+      coldBounds: settings.coldBounds,
       onSuspect: (head, suspicion) => { this.suspect(head, suspicion) }
     })
     this.poison = new PoisonTracker({
@@ -156,7 +158,7 @@
       observe: () => this.dispatch.fleetView.observe(),
       onFleetObservation: (fleet) => {
         this.endpoints.noteLeaving(fleet.leaving)
-        this.dispatch.fleetView.applyFleetObservation(fleet)
+        this.dispatch.applyFleetObservation(fleet)
       },
       newerLease: (fencing) => {
         this.lease.observeFencing(fencing)
--- a/packages/dotterelspur-gateway/src/process/GatewayPorts.ts
+++ b/packages/dotterelspur-gateway/src/process/GatewayPorts.ts
@@ -36,6 +36,8 @@
   readonly lostMember: EndpointId | null
   /** Null if it cannot be parsed or belongs to another endpoint; the previous value then remains valid. */
   readonly backpressure: ReportedBackpressure | null
+  /** How long the endpoint stays cold; null if it cannot be parsed, absent if not stated or stated by another endpoint. */
+  readonly coldRemainingMs?: number | null
 }
 
 /** Translates headers between the wire format and the types above. */
--- a/packages/dotterelspur-gateway/src/process/GatewaySettings.ts
+++ b/packages/dotterelspur-gateway/src/process/GatewaySettings.ts
@@ -1,4 +1,4 @@
-import type { FailureDomainId, NodeId, PoisonLimits, RetryWindowOptions } from 'dotterelspur'
+import type { ColdBounds, FailureDomainId, NodeId, PoisonLimits, RetryWindowOptions } from 'dotterelspur'
 import type { ChangeBounds } from './FollowRules.js'
 
 /** Address to which a listener of this process is bound. */
@@ -36,6 +36,8 @@
   readonly metrics: ListenAddress
   readonly poison: PoisonLimits
   readonly changes: ChangeBounds
+  /** Without them, cold endpoints get no more than the rate that they sustain. */
+  readonly coldBounds?: ColdBounds
   /** The whole system starts for the first time, so no state of an earlier incarnation can be left over. */
   readonly firstStart: boolean
 }
--- /dev/null
+++ b/packages/dotterelspur/src/request/backpressure/ColdOwnership.ts
@@ -0,0 +1,70 @@
+import type { EndpointId, NodeId } from '../../process/ids.js'
+import { OwnerRanks } from './OwnerRanks.js'
+
+/** Without an aggregate for this long, a node may be partitioned and owns nothing. */
+const FLEET_OBSERVATION_TTL_MS = 2_000
+/**
+ * A node that becomes an owner by a new list of nodes sends only after this time: the former owner, which may be
+ * partitioned or not have the new list yet, has stopped by then.
+ */
+const TAKEOVER_MS = FLEET_OBSERVATION_TTL_MS + 250
+
+interface NodeList {
+  readonly ranks: OwnerRanks
+  readonly isListed: boolean
+  readonly fromMs: number
+}
+
+/**
+ * Which cold endpoints this node owns a share of. Unlike a rate limit, which an endpoint enforces itself, the rate of a cold
+ * endpoint must hold at every moment, so a node that is partitioned, leaving or has just started owns nothing.
+ */
+export class ColdOwnership {
+  /** The lists of nodes of the last `TAKEOVER_MS`, the newest last. */
+  private lists: readonly NodeList[] = []
+  private observedAtMs = -Infinity
+
+  constructor (private readonly node: NodeId) {}
+
+  /** Takes in the nodes that send requests, as read from the store. */
+  noteNodes (nodes: readonly NodeId[], nowMs: number): void {
+    this.lists = [...this.recentLists(nowMs), { ranks: new OwnerRanks(this.node, nodes), isListed: nodes.includes(this.node), fromMs: nowMs }]
+  }
+
+  /**
+   * Takes in that an aggregate of so many nodes has arrived. An aggregate of less than half of the nodes does not count: a
+   * partitioned coordinator aggregates the few nodes on its side.
+   */
+  noteAggregate (nodes: number, nowMs: number): void {
+    if (2 * nodes > this.nodeCount) this.observedAtMs = nowMs
+  }
+
+  get nodeCount (): number {
+    return this.lists.at(-1)?.ranks.nodeCount ?? 1
+  }
+
+  /** Whether this node owns one of `owners` shares of the endpoint's rate. */
+  isOwner (endpoint: EndpointId, owners: number, nowMs: number): boolean {
+    if (this.nodeCount > 1 && nowMs - this.observedAtMs > FLEET_OBSERVATION_TTL_MS) return false
+    const recent = this.recentLists(nowMs)
+    const [oldest] = recent
+    if (oldest === undefined || nowMs - oldest.fromMs < TAKEOVER_MS) return false
+    return recent.every(({ ranks, isListed }) => isListed && ranks.rankOf(endpoint) < owners)
+  }
+
+  /** This node's rank by the newest list. */
+  rankOf (endpoint: EndpointId): number {
+    return this.lists.at(-1)?.ranks.rankOf(endpoint) ?? 0
+  }
+
+  delete (endpoint: EndpointId): void {
+    for (const { ranks } of this.lists) ranks.delete(endpoint)
+  }
+
+  /** Without the lists that were replaced before `TAKEOVER_MS`. */
+  private recentLists (nowMs: number): readonly NodeList[] {
+    const { lists } = this
+    const from = lists.findLastIndex(({ fromMs }) => nowMs - fromMs >= TAKEOVER_MS)
+    return from <= 0 ? lists : lists.slice(from)
+  }
+}
--- a/packages/dotterelspur/src/request/backpressure/index.ts
+++ b/packages/dotterelspur/src/request/backpressure/index.ts
@@ -1,3 +1,6 @@
+export * from './ColdBounds.js'
+export * from './ColdEndpoints.js'
+export * from './ColdOwnership.js'
 export * from './EndpointRateLimits.js'
 export * from './EndpointBackpressure.js'
 export * from './EndpointBackoffs.js'
--- a/packages/dotterelspur/src/request/dispatch/FleetObservation.ts
+++ b/packages/dotterelspur/src/request/dispatch/FleetObservation.ts
@@ -69,6 +69,8 @@
   readonly rests: Readonly<Record<EndpointId, number>>
   /** Endpoints that have announced in responses to this node that they are leaving. */
   readonly leaving: readonly EndpointId[]
+  /** Remaining cold time that endpoints stated to this node. Absent where none is cold, and from nodes of the previous release. */
+  readonly cold?: Readonly<Record<EndpointId, number>>
 }
 
 /** The aggregate of all nodes' observations. Every node receives the same one and subtracts its own part itself. */
@@ -123,7 +125,7 @@
   aggregate (own: NodeObservation, intervalMs: number, nowMs: number): FleetObservation {
     const valid = [...this.received.values()].filter(({ atMs }) => nowMs - atMs <= VALID_ROUNDS * intervalMs)
     const ageSumMs = valid.reduce((sum, { atMs }) => sum + nowMs - atMs, 0)
-    const all = [own, ...valid.map(({ observation, atMs }) => ({ ...observation, limits: agedRateLimits(observation.limits, nowMs - atMs), rests: agedBackoffs(observation.rests, nowMs - atMs) }))]
+    const all = [own, ...valid.map(({ observation, atMs }) => ({ ...observation, limits: agedRateLimits(observation.limits, nowMs - atMs), rests: agedTimes(observation.rests, nowMs - atMs), ...coldPart([agedTimes(observation.cold ?? {}, nowMs - atMs)]) }))]
     const sum = addObservations(all)
     return { ...sum, speeds: significantSpeeds(sum.speeds), nodes: all.length, ageMs: ageSumMs / all.length, intervalMs }
   }
@@ -143,7 +145,8 @@
     },
     limits: mergeByKey(all.map(({ limits }) => limits), latestSample),
     rests: mergeByKey(all.map(({ rests }) => rests), Math.max),
-    leaving: [...new Set(all.flatMap(({ leaving }) => leaving))]
+    leaving: [...new Set(all.flatMap(({ leaving }) => leaving))],
+    ...coldPart(all.map(({ cold = {} }) => cold))
   }
 }
 
@@ -151,8 +154,14 @@
   return Object.fromEntries(Object.entries(limits).map(([endpoint, sample]) => [endpoint, agedSample(sample, passedMs)]))
 }
 
-function agedBackoffs (rests: Readonly<Record<EndpointId, number>>, passedMs: number): Record<EndpointId, number> {
-  return Object.fromEntries(Object.entries(rests).map(([endpoint, leftMs]) => [endpoint, leftMs - passedMs]).filter(([, leftMs]) => Number(leftMs) > 0))
+/** The longest remaining cold time of each endpoint; empty where no endpoint is cold, so that the message is as without cold endpoints. */
+function coldPart (all: ReadonlyArray<Readonly<Record<EndpointId, number>>>): Pick<NodeObservation, 'cold'> {
+  const cold = mergeByKey(all, Math.max)
+  return Object.keys(cold).length === 0 ? {} : { cold }
+}
+
+function agedTimes (leftMs: Readonly<Record<EndpointId, number>>, passedMs: number): Record<EndpointId, number> {
+  return Object.fromEntries(Object.entries(leftMs).map(([endpoint, leftMs]) => [endpoint, leftMs - passedMs]).filter(([, leftMs]) => Number(leftMs) > 0))
 }
 
 function mergeByKey<Value> (records: ReadonlyArray<Readonly<Record<string, Value>>>, add: (left: Value, right: Value) => Value): Record<string, Value> {
--- a/packages/dotterelspur/src/request/dispatch/Placement.ts
+++ b/packages/dotterelspur/src/request/dispatch/Placement.ts
@@ -16,7 +16,9 @@
   /** All that have capacity have stated rate limits, which are used up for the moment. */
   RateLimited = 'limited',
   /** All of them have asked this node to back off. */
-  BackingOff = 'resting'
+  BackingOff = 'resting',
+  /** All that may take requests are cold, and this node's shares of their rates are used up for the moment. */
+  Cold = 'cold'
 }
 
 /** Why a request is refused, and when a retry makes sense. */
@@ -167,10 +169,10 @@
  * by all nodes: even draws by all nodes would leave most of a limit unused.
  */
 function rateLimitedTargets (query: PlacementQuery, { pool: { targets }, health, backpressure, random, nowMs }: PlacementInput): DispatchTarget[] {
-  return backpressure.rateLimits.limited
+  return backpressure.limited(nowMs)
     .map((endpoint) => targets.get(endpoint))
     .filter((target) => target !== undefined)
-    .filter(({ endpoint }) => backpressure.maySend(endpoint, nowMs) && !health.isHeldOff(endpoint, nowMs) && random.next() * backpressure.rateLimits.ownersShare(endpoint) < CHOICES / targets.size)
+    .filter(({ endpoint }) => backpressure.maySend(endpoint, nowMs) && !health.isHeldOff(endpoint, nowMs) && random.next() * backpressure.ownersShare(endpoint, nowMs) < CHOICES / targets.size)
     .filter((target) => !isExcluded(query, target))
 }
 
@@ -187,8 +189,8 @@
  */
 function hasCapacity (target: DispatchTarget, longestMs: number, query: PlacementQuery, input: PlacementInput): boolean {
   const { pool: { engine, key, targets }, load, backpressure, firstEventDelayMs, nodes, random, nowMs } = input
-  // The endpoint's own rate limit has already admitted the request.
-  if (backpressure.rateLimits.limitOf(target.endpoint) !== null) return true
+  // The endpoint's own rate has already admitted the request.
+  if (backpressure.isLimited(target.endpoint, nowMs)) return true
   if (engine === null || query.excluded.length > 0) return true
   const maxLoad = loadCurve(engine, paceOf(engine, target), query.promptTokens)(longestMs - firstEventDelayMs)
   const admitted = load.admitted(key, maxLoad, nowMs)
@@ -238,9 +240,10 @@
 function refuseForBackpressure (targets: readonly DispatchTarget[], query: PlacementQuery, input: PlacementInput): PlacementRefusal {
   const { backpressure, random, nowMs } = input
   const waits = targets.map(({ endpoint }) => ({ endpoint, waitMs: backpressure.waitMs(endpoint, nowMs) })).sort((left, right) => left.waitMs - right.waitMs)
+  const isHeldByCold = targets.some(({ endpoint }) => backpressure.isHeldByCold(endpoint, nowMs))
   const isLimited = targets.some(({ endpoint }) => backpressure.backoffs.waitMs(endpoint, nowMs) === 0)
   return {
-    reason: isLimited ? RefusalReason.RateLimited : RefusalReason.BackingOff,
+    reason: isHeldByCold ? RefusalReason.Cold : isLimited ? RefusalReason.RateLimited : RefusalReason.BackingOff,
     retryAfterMs: Math.max(jitteredRetryAfterMs(query, input), waits[0]!.waitMs + RETRY_AFTER_JITTER_MS * random.next()),
     basis: null,
     inNeed: waits.slice(0, MAX_REPORTED_ENDPOINTS).map(({ endpoint }) => endpoint)
--- a/packages/dotterelspur/src/version/formation/Endpoint.ts
+++ b/packages/dotterelspur/src/version/formation/Endpoint.ts
@@ -40,6 +40,8 @@
   /** The model of its group. */
   readonly model: ModelId | null
   readonly membership: Membership | null
+  /** How long the endpoint stays cold from when its entry was written; null where the entry states no valid time, absent where it states 0 or nothing. */
+  readonly coldRemainingMs?: number | null
 }
 
 /** Whether callers' requests may be sent to the endpoint. */
--- a/packages/dotterelspur/src/version/manifest/Manifest.ts
+++ b/packages/dotterelspur/src/version/manifest/Manifest.ts
@@ -83,6 +83,14 @@
   readonly models: readonly ModelSpec[]
 }
 
+/** What a service's endpoints sustain while they are cold. */
+export interface ColdSpec {
+  /** Requests a second that a cold endpoint sustains, from all nodes together; positive. */
+  readonly requestsPerSecond: number
+  /** How long an endpoint is cold after it started during traffic. */
+  readonly startMs: number
+}
+
 export interface ServiceSpec {
   readonly service: ServiceId
   readonly healthPath: string
@@ -90,6 +98,8 @@
   readonly maxConnections: number
   /** Null for services that run no engine. */
   readonly engine: EngineSpec | null
+  /** Absent for services without a limit for cold endpoints. */
+  readonly cold?: ColdSpec
 }
 
 /** Limits on the size and duration of callers' requests. */
