--- a/packages/dotterelspur-gateway/src/__tests__/unit/evacuatedDispatch.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/evacuatedDispatch.test.ts
@@ -38,7 +38,7 @@
   const evacuations = isFollowed === null ? undefined : new EvacuationRegistry(clock, isFollowed)
   const initialSync = new InitialSync(clock, manifest, endpoints, [], evacuations ?? null)
   const dispatch = new Dispatch({
-    clock, log, random: createRandom(1), node: 'n1', failureDomain: 'a', manifest, endpoints, ...(evacuations === undefined ? {} : { evacuations }), retries: { windowMs: 10_000, ratio: 0.2, extra: 100 }, firstStart: true, senders: () => [{ node: 'n1', failureDomain: 'a' }], onSuspect: () => {}
+    clock, log, random: createRandom(1), node: 'n1', failureDomain: 'a', manifest, endpoints, ...(evacuations === undefined ? {} : { evacuations }), retries: { windowMs: 10_000, ratio: 0.2, extra: 100 }, firstStart: true, senders: () => [{ node: 'n1', failureDomain: 'a' }], onSuspect: () => {}, hasAllNodes: () => true
   })
   manifest.follow(store)
   endpoints.follow(store)
@@ -46,7 +46,7 @@
 }
 
 function place ({ dispatch }: World, service: string, leftMs = 2_000): DispatchTarget | PlacementRefusal {
-  const query: DispatchQuery = { service, route: ROUTE, head: { requestId: 'r', deadlineMs: 2_000, key: null, model: service === 'llm' ? MODEL : null, promptTokens: 800, maxAnswerTokens: 100, lastEventId: null }, excluded: [], leftMs, elapsedMs: 0 }
+  const query: DispatchQuery = { service, route: ROUTE, head: { requestId: 'r', deadlineMs: 2_000, key: null, model: service === 'llm' ? MODEL : null, promptTokens: 800, maxAnswerTokens: 100, lastEventId: null }, requestClass: { rank: 0, workspace: null }, excluded: [], leftMs, elapsedMs: 0 }
   return dispatch.place(query)
 }
 
--- a/packages/dotterelspur-gateway/src/connection/ObservationCodec.ts
+++ b/packages/dotterelspur-gateway/src/connection/ObservationCodec.ts
@@ -32,6 +32,8 @@
   readonly classes?: Readonly<Record<string, readonly number[]>>
   /** Rejected callers that were told to retry: by pool, `RETURN_BUCKETS` numbers. Absent where no caller was. */
   readonly returns?: NamedNumbers
+  /** Absent where no endpoint is cold. */
+  readonly cold?: readonly number[]
 }
 
 /** The wire form of the sum of all nodes' observations. */
@@ -56,7 +58,7 @@
     }
   }
 
-  encode ({ inFlight, flows, demand, speeds, pauses, firstEvents, deadlines, limits, rests, leaving, classes, returns }: NodeObservation): EncodedObservation {
+  encode ({ inFlight, flows, demand, speeds, pauses, firstEvents, deadlines, limits, rests, leaving, classes, returns, cold }: NodeObservation): EncodedObservation {
     return {
       inFlight: Object.entries(inFlight).flatMap(([endpoint, count]) => [this.codeOf(endpoint), count]),
       speeds: Object.entries(speeds).flatMap(([endpoint, speed]) => [this.codeOf(endpoint), hundredths(speed.ratioSum), hundredths(speed.pauses)]),
@@ -70,11 +72,12 @@
       rests: Object.entries(rests).flatMap(([endpoint, leftMs]) => [this.codeOf(endpoint), Math.ceil(leftMs)]),
       leaving: leaving.map((endpoint) => this.codeOf(endpoint)),
       ...(classes === undefined ? {} : { classes: encodeClasses(classes) }),
-      ...(returns === undefined ? {} : { returns: encodeReturns(returns) })
+      ...(returns === undefined ? {} : { returns: encodeReturns(returns) }),
+      ...(cold === undefined ? {} : { cold: Object.entries(cold).flatMap(([endpoint, leftMs]) => [this.codeOf(endpoint), Math.ceil(leftMs)]) })
     }
   }
 
-  decode ({ inFlight, flows, demand, speeds, pauses, firstEvents, deadlines, leastDeadlineShare, limits = [], rests = [], leaving = [], classes, returns }: EncodedObservation): NodeObservation {
+  decode ({ inFlight, flows, demand, speeds, pauses, firstEvents, deadlines, leastDeadlineShare, limits = [], rests = [], leaving = [], classes, returns, cold }: EncodedObservation): NodeObservation {
     return {
       inFlight: Object.fromEntries(this.decodeByEndpoint(inFlight, 1).map(([endpoint, [count]]) => [endpoint, count!])),
       speeds: Object.fromEntries(this.decodeByEndpoint(speeds, 2).map(([endpoint, [ratioSum, count]]) => [endpoint, { ratioSum: ratioSum! / HUNDREDTHS, pauses: count! / HUNDREDTHS }])),
@@ -90,7 +93,8 @@
       rests: Object.fromEntries(this.decodeByEndpoint(rests, 1).map(([endpoint, [leftMs]]) => [endpoint, leftMs!])),
       leaving: this.decodeByEndpoint(leaving, 0).map(([endpoint]) => endpoint),
       ...(isRecord(classes) ? { classes: decodeClasses(classes) } : {}),
-      ...(returns === undefined ? {} : { returns: decodeReturns(returns) })
+      ...(returns === undefined ? {} : { returns: decodeReturns(returns) }),
+      ...(cold === undefined ? {} : { cold: Object.fromEntries(this.decodeByEndpoint(cold, 1).map(([endpoint, [leftMs]]) => [endpoint, leftMs!])) })
     }
   }
 
--- a/packages/dotterelspur-gateway/src/process/DecisionLog.ts
+++ b/packages/dotterelspur-gateway/src/process/DecisionLog.ts
@@ -64,6 +64,12 @@
   EvacuationEnded = 'evacuation-ended',
   /** No request of this node runs in an evacuated failure domain any more. */
   EvacuationDrained = 'evacuation-drained',
+  /** An endpoint is cold: it sustains only the rate that its service declares for cold endpoints. */
+  EndpointCold = 'endpoint-cold',
+  /** A cold endpoint is warm. */
+  EndpointWarm = 'endpoint-warm',
+  /** An endpoint states a remaining cold time that is no non-negative number; the known one stays in force. */
+  ColdTimeRejected = 'cold-time-rejected',
   NodeListed = 'node-listed',
   NodeUnlisted = 'node-unlisted',
   LinesDropped = 'lines-dropped',
--- a/packages/dotterelspur-gateway/src/process/FleetView.ts
+++ b/packages/dotterelspur-gateway/src/process/FleetView.ts
@@ -1,6 +1,6 @@
 import {
   ClassAdmission, DeadlineHistory, DemandMeter, EMPTY_MEMORY, EndpointBackpressure, EndpointSpeeds, FirstEventDelays, loadPool, readFleetMemory, ReturnSchedule, updateFleetMemory, StreamPauses, TargetLoad,
-  type Clock, type EndpointId, type FleetMemory, type FleetObservation, type NodeId, type NodeObservation, type TargetPool
+  type Clock, type ColdBounds, type EndpointId, type FleetMemory, type FleetObservation, type NodeId, type NodeObservation, type TargetPool
 } from 'dotterelspur'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
 
@@ -22,8 +22,8 @@
   private pools: readonly TargetPool[] = []
   private wasFresh = false
 
-  constructor (private readonly clock: Clock, private readonly log: DecisionLog, node: NodeId) {
-    this.backpressure = new EndpointBackpressure(node)
+  constructor (private readonly clock: Clock, private readonly log: DecisionLog, node: NodeId, coldBounds?: ColdBounds) {
+    this.backpressure = new EndpointBackpressure(node, coldBounds)
     this.deadlines = new DeadlineHistory(clock.nowMs())
   }
 
@@ -43,6 +43,7 @@
     const nowMs = this.clock.nowMs()
     const classes = this.classes.localObservation(nowMs)
     const returns = this.returns.localObservation(nowMs)
+    const cold = this.backpressure.cold.localObservation(nowMs)
     return {
       ...(classes === undefined ? {} : { classes }),
       inFlight: this.load.reportInFlight(),
@@ -55,7 +56,8 @@
       limits: this.backpressure.rateLimits.localObservation(nowMs),
       rests: this.backpressure.backoffs.localObservation(nowMs),
       leaving: this.backpressure.localLeaving(),
-      ...(returns === undefined ? {} : { returns })
+      ...(returns === undefined ? {} : { returns }),
+      ...(Object.keys(cold).length === 0 ? {} : { cold })
     }
   }
 
@@ -70,6 +72,7 @@
     this.backpressure.rateLimits.applyFleetObservation(fleet.limits, nowMs)
     this.backpressure.backoffs.applyFleetObservation(fleet.rests, nowMs)
     this.returns.applyFleetObservation(fleet.returns, nowMs)
+    this.backpressure.cold.applyFleetObservation(fleet.cold ?? {}, fleet.nodes, nowMs)
     this.applyMemory(updateFleetMemory(this.fleetMemory, fleet))
     this.updatePools(this.pools)
     this.checkFreshness()
