--- a/packages/dotterelspur/src/request/dispatch/AdmissionShares.ts
+++ b/packages/dotterelspur/src/request/dispatch/AdmissionShares.ts
@@ -5,8 +5,11 @@
  * margin for the chance in the draws of a few dozen requests.
  */
 const GUARANTEED_SHARE = 0.5
-/** Halvings of the interval in which a rank's level lies: to a millionth of its largest class. */
-const LEVEL_STEPS = 20
+/**
+ * Halvings of the interval in which a rank's level lies. The remainder may stand for 25,000 workspaces, each of which
+ * adds the error of the level to the sum; after 40, that error is below a ten-millionth of the largest class.
+ */
+const LEVEL_STEPS = 40
 /** Capacity below this fraction of the demand is a rounding error. */
 const ROUNDING = 1e-9
 
@@ -44,6 +47,10 @@
     this.requests = total(this.ranks)
   }
 
+  get hasSeveralClasses (): boolean {
+    return this.samples.length > 1
+  }
+
   /**
    * The share of the requests of a class that may be dispatched where `poolShare` of all requests fits; between 0 and 1.
    * A workspace that is not listed gets the share of its rank's remainder.
--- a/packages/dotterelspur/src/request/dispatch/ClassAdmission.ts
+++ b/packages/dotterelspur/src/request/dispatch/ClassAdmission.ts
@@ -60,14 +60,14 @@
     return LOAD_FACTOR_OF_RANK ** moreUrgent.length
   }
 
-  describe (pool: PoolKey, requestClass: RequestClass, poolShare: number | null): ClassDecision {
-    const { rank, workspace } = requestClass
+  /** Whether the last aggregate stated the demand of several classes for a pool. */
+  hasSeveralClasses (pool: PoolKey): boolean {
+    return this.shares.get(pool)?.hasSeveralClasses ?? false
+  }
+
+  /** Requests per second of the class, or of its rank's remainder, in the whole fleet; null where they are not known. */
+  demandPerS (pool: PoolKey, { rank, workspace }: RequestClass): number | null {
     const requests = this.shares.get(pool)?.requestsOf(countedRank(rank), workspaceCode(workspace))
-    return {
-      rank,
-      share: poolShare === null ? null : this.shareOf(pool, requestClass, poolShare),
-      poolShare,
-      demandPerS: poolShare === null || requests === undefined ? null : ratePerMs(requests, CLASS_HALF_LIFE_MS) * SECOND_MS
-    }
+    return requests === undefined ? null : ratePerMs(requests, CLASS_HALF_LIFE_MS) * SECOND_MS
   }
 }
