--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import fastify, { type FastifyInstance } from 'fastify'
 import {
-  AccessKind, DispatchEndKind, pick, type Access, type CallerLimits, type ClassDecision, type Clock, type PlacementRefusal, type Random, type RequestContent, type Route, type RouteTable, type ServiceId
+  AccessKind, DispatchEndKind, pick, type Access, type CallerLimits, type Clock, type Random, type RequestContent, type Route, type RouteTable, type ServiceId
 } from 'dotterelspur'
 import { AdmissionKind, type PoisonAdmission } from 'dotterelspur-poison'
 import type { Dispatch } from '../process/Dispatch.js'
@@ -14,6 +14,7 @@
 import type { ManifestFollower } from '../process/ManifestFollower.js'
 import type { PoisonTracker } from '../process/PoisonTracker.js'
 import { CallerResponse, GatewayErrorKind } from '../request/CallerResponse.js'
+import { refusalFields } from '../request/refusalFields.js'
 import { GatewayRequest, type AdmittedRequest, type RequestReport } from '../request/GatewayRequest.js'
 import { BodyErrorKind, readBody } from '../request/readBody.js'
 
@@ -187,9 +188,7 @@
       end: report.end.kind,
       lastExchange: report.end.lastExchange ?? undefined,
       answeredWith: report.answeredWith ?? undefined,
-      refusal: report.end.refusal?.reason,
-      ...roundedBasis(report.end.refusal),
-      inNeed: backpressuredEndpoints(report.end.refusal),
+      ...refusalFields(report.end.refusal, admitted.priority),
       targets: report.targets,
       firstByteMs: report.firstByteMs === null ? undefined : Math.round(report.firstByteMs),
       tookMs: Math.round(tookMs),
@@ -200,29 +199,6 @@
   }
 }
 
-/** Endpoints whose backpressure caused a refusal, for its log line; undefined if there are none. */
-function backpressuredEndpoints (refusal: PlacementRefusal | null): readonly string[] | undefined {
-  return refusal === null || refusal.inNeed.length === 0 ? undefined : refusal.inNeed
-}
-
-/** The figures on which a refusal was based, for its log line. */
-function roundedBasis (refusal: PlacementRefusal | null): Readonly<Record<string, number | null>> {
-  if (refusal === null || refusal.basis === null) return {}
-  const { expectedMs, limitMs, loadAgeMs, classDecision } = refusal.basis
-  return { expectedMs: Math.round(expectedMs), limitMs: Math.round(limitMs), loadAgeMs: loadAgeMs === null ? null : Math.round(loadAgeMs), ...roundedDecision(classDecision) }
-}
-
-/** How a refused request's class was weighed, for its log line. */
-function roundedDecision (decision: ClassDecision | null): Readonly<Record<string, number | null>> {
-  if (decision === null) return {}
-  const { rank, share, poolShare, demandPerS } = decision
-  return { rank, share: toHundredths(share), poolShare: toHundredths(poolShare), demandPerS: toHundredths(demandPerS) }
-}
-
-function toHundredths (value: number | null): number | null {
-  return value === null ? null : Math.round(value * 100) / 100
-}
-
 /** Passes requests of every method and path unchanged to one handler, bypassing Fastify's routing and body parsing. */
 function createApp (accept: (request: IncomingMessage, response: ServerResponse) => void): FastifyInstance {
   const app = fastify({
--- a/packages/dotterelspur/src/request/dispatch/ClassAdmission.ts
+++ b/packages/dotterelspur/src/request/dispatch/ClassAdmission.ts
@@ -14,7 +14,6 @@
 
 /** How a request's class was weighed, for the log of a refusal. */
 export interface ClassDecision {
-  readonly rank: number
   /** The share of the class's requests that is dispatched; null without a fresh aggregate. */
   readonly share: number | null
   /** The share of all requests of the pool that fits; null without a fresh aggregate. */
--- a/packages/dotterelspur/src/request/dispatch/shareOfClass.ts
+++ b/packages/dotterelspur/src/request/dispatch/shareOfClass.ts
@@ -30,12 +30,10 @@
 export function describeClass (maxLoads: MaxLoads | null, query: PlacementQuery, input: PlacementInput): ClassDecision | null {
   const { pool: { key }, load, classes, nowMs } = input
   if (maxLoads === null || classes === undefined) return null
-  const requestClass = classOf(query)
   return {
-    rank: requestClass.rank,
     share: shareOfClass(maxLoads, query, input),
     poolShare: load.admitted(key, maxLoads.own, nowMs),
-    demandPerS: classes.demandPerS(key, requestClass)
+    demandPerS: classes.demandPerS(key, classOf(query))
   }
 }
 
