--- a/packages/dotterelspur/src/request/dispatch/ClassAdmission.ts
+++ b/packages/dotterelspur/src/request/dispatch/ClassAdmission.ts
@@ -14,7 +14,6 @@
 
 /** How a request's class was weighed, for the log of a refusal. */
 export interface ClassDecision {
-  readonly rank: number
   /** The share of the class's requests that is dispatched; null without a fresh aggregate. */
   readonly share: number | null
   /** The share of all requests of the pool that fits; null without a fresh aggregate. */
@@ -60,14 +59,14 @@
     return LOAD_FACTOR_OF_RANK ** moreUrgent.length
   }
 
-  describe (pool: PoolKey, requestClass: RequestClass, poolShare: number | null): ClassDecision {
-    const { rank, workspace } = requestClass
+  /** Whether the last aggregate stated the demand of several classes for a pool. */
+  hasSeveralClasses (pool: PoolKey): boolean {
+    return this.shares.get(pool)?.hasSeveralClasses ?? false
+  }
+
+  /** Requests per second of the class, or of its rank's remainder, in the whole fleet; null where they are not known. */
+  demandPerS (pool: PoolKey, { rank, workspace }: RequestClass): number | null {
     const requests = this.shares.get(pool)?.requestsOf(countedRank(rank), workspaceCode(workspace))
-    return {
-      rank,
-      share: poolShare === null ? null : this.shareOf(pool, requestClass, poolShare),
-      poolShare,
-      demandPerS: poolShare === null || requests === undefined ? null : ratePerMs(requests, CLASS_HALF_LIFE_MS) * SECOND_MS
-    }
+    return requests === undefined ? null : ratePerMs(requests, CLASS_HALF_LIFE_MS) * SECOND_MS
   }
 }
