Formation planning leaves evacuated failure domains alone

The planner saw the endpoints of evacuated domains as before: it repaired, moved and staged there, and counted their groups as serving. It now gets only the other domains' endpoints, less the members of groups that reach into an evacuated domain. Target numbers derive from the highest number of endpoints listed at once; while a domain is evacuated, from the sum of the other domains' highest numbers, so that earlier losses there do not lower the targets. A plan in progress sends no further order into the domain and fails as if the member were unreachable.

--- a/packages/dotterelspur-gateway/src/process/FormationController.ts
+++ b/packages/dotterelspur-gateway/src/process/FormationController.ts
@@ -5,6 +5,7 @@
 import type { DecisionLog } from './DecisionLog.js'
 import { LogKind } from './DecisionLog.js'
 import type { EndpointRegistry } from './EndpointRegistry.js'
+import type { EvacuationRegistry } from './EvacuationRegistry.js'
 import type { FleetLease } from './FleetLease.js'
 import { VerifiedReportClient } from './VerifiedReportClient.js'
 import { FleetStateLog, isServingHead } from './FleetStateLog.js'
@@ -14,6 +15,7 @@
 import type { EndpointControl } from './GatewayPorts.js'
 import { WeightLoadTracker, type LoadInProgress } from './WeightLoadTracker.js'
 import type { ManifestFollower } from './ManifestFollower.js'
+import { PlanningScope } from './PlanningScope.js'
 import { Reachability } from './Reachability.js'
 
 /** Delay after a change of the endpoint list; changes come in bursts, as when members of a group become ready one after another. */
@@ -31,6 +33,8 @@
   readonly lease: FleetLease
   readonly manifest: ManifestFollower
   readonly endpoints: EndpointRegistry
+  /** Absent where no failure domain is ever evacuated. */
+  readonly evacuations?: EvacuationRegistry
   readonly control: EndpointControl
   /** Group time that callers demand, by model; empty while there is no data. */
   readonly demand: () => ReadonlyMap<ModelId, number>
@@ -58,7 +62,7 @@
   /** Heads that left the list and may still serve callers that have their address. */
   private readonly unlistedHeads = new Map<EndpointId, EndpointRecord>()
   private records: ReadonlyMap<EndpointId, EndpointRecord> = new Map()
-  private readonly fullSizes = new Map<string, number>()
+  private readonly scope: PlanningScope
   private reportedStalled: ReadonlySet<EndpointId> = new Set()
   private formationCount = 0
   private readonly stateLog: FleetStateLog
@@ -70,8 +74,11 @@
     this.stateLog = new FleetStateLog(parts.clock, parts.log)
     this.reports = new VerifiedReportClient({ control: parts.control, isSuperseded: (location) => parts.endpoints.isSuperseded(location) })
     this.reachability = new Reachability(this.reports, parts.clock, parts.log, () => { this.evaluateSoon() })
-    const { clock, lease, endpoints, control } = parts
-    this.runner = new FormationRunner({ clock, lease, endpoints, control, reports: this.reports, reachability: this.reachability, find: (endpoint) => this.records.get(endpoint) ?? this.unlistedHeads.get(endpoint) })
+    const { clock, lease, endpoints, control, evacuations } = parts
+    const find = (endpoint: EndpointId): EndpointRecord | undefined => this.records.get(endpoint) ?? this.unlistedHeads.get(endpoint)
+    this.scope = new PlanningScope(evacuations, find)
+    this.runner = new FormationRunner({ clock, lease, endpoints, control: this.scope.guard(control), reports: this.reports, reachability: this.reachability, find })
+    evacuations?.registerListener(() => { this.evaluateSoon() })
     endpoints.registerListener((changed) => { this.noteEndpoints(changed) })
     parts.manifest.registerListener(() => { this.evaluateSoon() })
   }
@@ -171,19 +178,17 @@
 
   private decide (service: ServiceSpec, engine: EngineSpec): void {
     const { clock } = this.parts
-    const endpoints = [...this.records.values()].filter((record) => record.service === service.service)
-    const remainingCount = endpoints.filter(({ leaving }) => !leaving).length
-    const fullSize = Math.max(remainingCount, this.fullSizes.get(service.service) ?? 0)
-    this.fullSizes.set(service.service, fullSize)
+    const listed = [...this.records.values()].filter((record) => record.service === service.service)
+    const { endpoints, peakEndpoints } = this.scope.select(service.service, listed)
     const decisions = planFormations({
       endpoints,
       unreachable: this.reachability.unreachable(),
       unlistedHeads: this.reachableUnlistedHeads(),
       engaged: this.engagedEndpoints(),
-      forming: [...this.forming].map((plan) => this.formingGroup(plan)),
+      forming: [...this.forming].filter((plan) => !this.scope.isWithheld(plan)).map((plan) => this.formingGroup(plan)),
       models: engine.models,
       demand: this.demandOf(engine),
-      peakEndpoints: fullSize,
+      peakEndpoints,
       loading: this.loads.loading(clock.nowMs()),
       loadAllowance: this.parts.hasTraffic() ? this.loads.allowance(engine, clock.nowMs()) : endpoints.length,
       mayLoadToForm: !this.parts.hasTraffic(),
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -111,6 +111,7 @@
       lease: this.lease,
       manifest: this.manifest,
       endpoints: this.endpoints,
+      evacuations: this.evacuations,
       control: parts.control,
       demand: () => this.dispatch.demand(),
       onSuspected: (head) => {
@@ -122,7 +123,7 @@
         else if (isNew) this.peers.broadcastState()
         this.dispatch.noteStalledGroups(heads, StallCertainty.Confirmed)
       },
-      hasAllEndpoints: () => store.isComplete(ENDPOINT_PREFIX),
+      hasAllEndpoints: () => store.isComplete(ENDPOINT_PREFIX) && this.evacuations.isSynchronized,
       hasTraffic: () => !settings.firstStart || this.dispatch.hasReceivedRequests
     })
     this.dispatch = new Dispatch({
--- a/packages/dotterelspur/src/version/evacuation/__tests__/unit/evacuation.test.ts
+++ b/packages/dotterelspur/src/version/evacuation/__tests__/unit/evacuation.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import type { EndpointRecord } from '../../../formation/Endpoint.js'
-import { EvacuationTable } from '../../EvacuationTable.js'
+import { EvacuationTable, type Evacuations } from '../../EvacuationTable.js'
+import { plannableEndpoints } from '../../plannableEndpoints.js'
 import { PeakEndpoints } from '../../PeakEndpoints.js'
 import { replayEvacuation } from '../fixtures/EvacuationReplay.js'
 
@@ -38,6 +39,18 @@
   })
 })
 
+const evacuation = (failureDomain: string): Evacuations => new Map([[failureDomain, { failureDomain, learnedAtMs: 0, storeVersion: 1 }]])
+
+describe('plannableEndpoints', () => {
+  it('leaves out a group with a member in an evacuated domain whole', () => {
+    // Guards against a plan that takes the other members of a group which must stay formed.
+    const member = (endpoint: string, failureDomain: string, group: string | null): EndpointRecord => ({ endpoint, failureDomain, membership: group === null ? null : { group, formation: 1, rank: 0, state: 'open' } }) as EndpointRecord
+    const listed = [member('1', 'a', 'g1'), member('2', 'b', 'g1'), member('3', 'b', 'g2'), member('4', 'b', null), member('5', 'a', null)]
+    expect(plannableEndpoints(listed, evacuation('a')).map(({ endpoint }) => endpoint)).to.deep.equal(['3', '4'])
+    expect(plannableEndpoints(listed, evacuation('unknown'))).to.equal(listed)
+  })
+})
+
 describe('PeakEndpoints', () => {
   it('counts lost endpoints of the other domains, and none of an evacuated one', () => {
     // Guards against targets that shrink with a loss, or that ask the other domains for the evacuated one's groups.
@@ -45,7 +58,6 @@
     const peaks = new PeakEndpoints()
     peaks.note(listed)
     peaks.note(listed.slice(0, 4))
-    const evacuation = (failureDomain: string) => new Map([[failureDomain, { failureDomain, learnedAtMs: 0, storeVersion: 1 }]])
     expect([peaks.outside(new Map()), peaks.outside(evacuation('a')), peaks.outside(evacuation('unknown'))]).to.deep.equal([5, 3, 5])
   })
 })
