--- a/packages/dotterelspur-ctl/src/request/traceCommand.ts
+++ b/packages/dotterelspur-ctl/src/request/traceCommand.ts
@@ -1,10 +1,10 @@
 import { success } from 'dotterelspur'
 import type { Command, CommandArguments, CommandOutput } from '../process/Command.js'
-import { readFile, type Steps } from '../process/CommandEffects.js'
+import type { Steps } from '../process/CommandEffects.js'
 import { ExitCode } from '../process/ExitCode.js'
+import { readLogFiles } from './readLogFiles.js'
 import { traceStory, StoryRole, type StoryLine } from './traceStory.js'
 
-const STANDARD_INPUT = '-'
 const SECOND_MS = 1_000
 
 const MARKS: Readonly<Record<StoryRole, string>> = { [StoryRole.Subject]: '>', [StoryRole.Met]: ' ', [StoryRole.Known]: '.' }
@@ -20,14 +20,9 @@
 ]
 
 function * trace ({ id, logs }: CommandArguments): Steps<CommandOutput> {
-  const paths = [logs ?? []].flat().map(String)
-  let text = ''
-  for (const path of paths.length === 0 ? [STANDARD_INPUT] : paths) {
-    const content = yield * readFile(path)
-    if (!content.ok) return content
-    text += `${new TextDecoder().decode(content.value)}\n`
-  }
-  const story = traceStory(text, String(id))
+  const text = yield * readLogFiles(logs)
+  if (!text.ok) return text
+  const story = traceStory(text.value, String(id))
   if (story.lines.length === 0) return success({ data: story, text: `no line names ${String(id)}; ${story.unreadable} lines could not be read`, exitCode: ExitCode.NotFound })
   const baseMs = story.lines.find(({ role }) => role === StoryRole.Subject)!.line.timeMs
   const notes = story.unreadable === 0 ? [] : [`${story.unreadable} lines could not be read`]
--- a/packages/dotterelspur-ctl/src/request/traceStory.ts
+++ b/packages/dotterelspur-ctl/src/request/traceStory.ts
@@ -1,10 +1,4 @@
-/** One line of a process's log: its common fields, and the others as they are. */
-export interface LogLine {
-  readonly timeMs: number
-  readonly node: string
-  readonly event: string
-  readonly fields: Readonly<Record<string, unknown>>
-}
+import { readLogLines, type LogLine } from './readLogLines.js'
 
 /** Why a line belongs to a story. */
 export enum StoryRole {
@@ -41,14 +35,13 @@
 const NEED_EVENTS: ReadonlySet<string> = new Set(['endpoint-limit', 'endpoint-rest', 'endpoint-leaving'])
 /** Stands for the head of a former group that can't be reached. */
 const GONE = 'gone'
-const COMMON_FIELDS: ReadonlySet<string> = new Set(['level', 'time', 'node', 'event', 'atMs'])
 
 /**
  * Gathers what log lines say of a request, an endpoint or a group, in the sequence of their times: the lines that name
  * it, those of the endpoints and groups that it met, and the last word before it on what its process knew.
  */
 export function traceStory (text: string, subject: string): Story {
-  const { lines, unreadable } = readLines(text)
+  const { lines, unreadable } = readLogLines(text)
   const own = lines.filter((line) => names(line, subject))
   const first = own[0]
   const last = own.at(-1)
@@ -66,31 +59,6 @@
   return { lines: [...story, ...knownBefore(lines, first)].sort((left, right) => left.line.timeMs - right.line.timeMs), unreadable }
 }
 
-function readLines (text: string): { lines: LogLine[], unreadable: number } {
-  const lines: LogLine[] = []
-  let unreadable = 0
-  for (const raw of text.split('\n')) {
-    if (raw.trim() === '') continue
-    const line = readLine(raw)
-    if (line === null) unreadable += 1
-    else lines.push(line)
-  }
-  return { lines: lines.sort((left, right) => left.timeMs - right.timeMs), unreadable }
-}
-
-/** Collectors put a time and a name before each line. */
-function readLine (raw: string): LogLine | null {
-  try {
-    const parsed = JSON.parse(raw.slice(raw.indexOf('{'))) as Record<string, unknown>
-    const timeMs = Date.parse(String(parsed['time']))
-    if (Number.isNaN(timeMs) || typeof parsed['event'] !== 'string') return null
-    const fields = Object.fromEntries(Object.entries(parsed).filter(([key]) => !COMMON_FIELDS.has(key)))
-    return { timeMs, node: String(parsed['node']), event: parsed['event'], fields }
-  } catch {
-    return null
-  }
-}
-
 function names ({ fields }: LogLine, name: string): boolean {
   return Object.values(fields).some((value) => mentions(value, name))
 }
