--- a/packages/dotterelspur-gateway/src/__tests__/unit/EvacuationRegistry.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/EvacuationRegistry.test.ts
@@ -86,6 +86,15 @@
     expect(world.domains, 'by polls of its own').to.deep.equal(['a', 'b'])
   })
 
+  it('polls the store itself beside a lease holder of the previous build', async () => {
+    // Guards against a node that takes a fresh feed for one that covers the evacuations: such a holder does not follow them.
+    world.holder = follow(world.store, world.clock, true)
+    await world.run(4_000)
+    world.evacuate('a')
+    await world.run(500)
+    expect(world.domains).to.deep.equal(['a'])
+  })
+
   it('keeps a domain evacuated while the store is unavailable', async () => {
     // Guards against an outage that is taken for the end of an evacuation.
     world.evacuate('a')
