--- a/packages/dotterelspur/src/request/dispatch/__tests__/unit/ClassSurge.test.ts
+++ b/packages/dotterelspur/src/request/dispatch/__tests__/unit/ClassSurge.test.ts
@@ -66,6 +66,18 @@
     })
   }
 
+  it('serves no size of request less than half as often as all', () => {
+    // Guards against long prompts that are always refused, since they start in time only where the load is lower.
+    const callers: CallerClass[] = [300, 674, 2_000, 5_000, 10_000].flatMap((promptTokens) => ['a', 'b'].map((workspace) => ({ rank: 0, workspace, promptTokens, weight: 1 })))
+    for (const targetMs of [300, 500]) {
+      for (const nodes of [58, 330]) {
+        const { byClass } = new SurgeReplay({ ...SURGE, nodes, targetMs, callers }).run()
+        const served = (outcomes: readonly ClassOutcome[]): number => total(outcomes, 'onTime', 'late') / total(outcomes, 'asked')
+        for (const [index, caller] of callers.entries()) expect(served([byClass[index]!]), `${caller.promptTokens} tokens`).to.be.greaterThan(served(byClass) / 2)
+      }
+    }
+  })
+
   it('lets an urgent rank through that begins in the middle of the overload', () => {
     // Guards against a demand by class that is still that of the seconds before a burst.
     const callers: CallerClass[] = [{ rank: 1, workspace: 'a', weight: 1 }, { rank: 0, workspace: 'b', weight: 1, fromMs: 4_000 }]
