Hold requests until an endpoint's next token or the end of its back-off

Where all endpoints of a pool had stated rate limits or asked for back-offs, all requests were rejected at once, though the node knew when it could send to the next one. Without stated limits or back-offs nothing changes.

The test that own returns count once did not fail with them counted twice: it has other nodes' returns now, and does.

--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -13,6 +13,7 @@
 import type { WireFormat } from '../process/GatewayPorts.js'
 import type { ManifestFollower } from '../process/ManifestFollower.js'
 import type { PoisonTracker } from '../process/PoisonTracker.js'
+import { RequestWaits } from '../process/RequestWaits.js'
 import { CallerResponse, GatewayErrorKind } from '../request/CallerResponse.js'
 import { GatewayRequest, type AdmittedRequest, type RequestReport } from '../request/GatewayRequest.js'
 import { BodyErrorKind, readBody } from '../request/readBody.js'
@@ -50,10 +51,12 @@
 /** The HTTP server for callers: authenticates and routes each request, and runs it until exactly one response has been sent. */
 export class CallerListener {
   private readonly app: FastifyInstance
+  private readonly waits: RequestWaits
   private draining = false
   private running = 0
 
   constructor (private readonly parts: CallerListenerParts) {
+    this.waits = new RequestWaits(parts.clock)
     this.app = createApp((request, response) => { this.accept(request, response) })
     parts.manifest.registerListener((table) => { this.applyLimits(table.manifest.limits) })
     this.applyLimits(INITIAL_LIMITS)
@@ -64,6 +67,11 @@
     return this.running
   }
 
+  /** Number of requests that wait for an endpoint. */
+  get waitingRequests (): number {
+    return this.waits.size
+  }
+
   async listen ({ host, port }: ListenAddress, opened: OpenedPort | null): Promise<void> {
     if (opened === null) {
       await this.app.listen({ host, port, backlog: 1_024 })
@@ -73,9 +81,13 @@
     }
   }
 
-  /** From now on each response carries `Connection: close`, so that callers reconnect to other nodes; idle connections are closed. */
+  /**
+   * From now on each response carries `Connection: close`, so that callers reconnect to other nodes; idle connections are closed, and
+   * requests that wait are rejected.
+   */
   drain (): void {
     this.draining = true
+    this.waits.stop()
     this.closeIdle()
   }
 
@@ -86,6 +98,7 @@
   }
 
   async close (): Promise<void> {
+    this.waits.stop()
     this.app.server.closeAllConnections()
     await this.app.close()
   }
@@ -148,7 +161,7 @@
   }
 
   private async dispatch (response: ServerResponse, callerResponse: CallerResponse, admitted: AdmittedRequest): Promise<void> {
-    const run = new GatewayRequest(this.parts, admitted, callerResponse)
+    const run = new GatewayRequest({ ...this.parts, waits: this.waits }, admitted, callerResponse)
     response.on('close', () => {
       if (!response.writableFinished) run.onCallerDisconnect()
     })
@@ -192,6 +205,7 @@
       inNeed: backpressuredEndpoints(report.end.refusal),
       retryAfterMs: report.retryAfterMs === null ? undefined : Math.round(report.retryAfterMs),
       targets: report.targets,
+      waitedMs: report.waitedMs === null ? undefined : Math.round(report.waitedMs),
       firstByteMs: report.firstByteMs === null ? undefined : Math.round(report.firstByteMs),
       tookMs: Math.round(tookMs),
       deadlineMs: admitted.head.deadlineMs,
--- a/packages/dotterelspur-gateway/src/process/Dispatch.ts
+++ b/packages/dotterelspur-gateway/src/process/Dispatch.ts
@@ -134,7 +134,7 @@
     this.fleetView.returns.noteReturn(key, retryAfterMs, this.parts.clock.nowMs())
   }
 
-  private poolKeyFor (service: ServiceId, head: CallerHeaders): PoolKey {
+  poolKeyFor (service: ServiceId, head: CallerHeaders): PoolKey {
     return poolKey(service, this.engineTiming.engine(service) === null ? null : head.model)
   }
 
--- a/packages/dotterelspur-gateway/src/process/registerGauges.ts
+++ b/packages/dotterelspur-gateway/src/process/registerGauges.ts
@@ -24,6 +24,7 @@
 /** Registers the gauges that are read at each scrape. */
 export function registerGauges (metrics: GatewayMetrics, { callers, manifest, endpoints, nodes, lease, store, poison, dispatch, log }: GaugeSources): void {
   metrics.gauge('running_requests', 'Requests under way', () => callers.runningRequests)
+  metrics.gauge('waiting_requests', 'Requests that wait for an endpoint\'s next token', () => callers.waitingRequests)
   metrics.gauge('manifest_version', 'Version of the manifest in force', () => manifest.current?.version ?? 0)
   metrics.gauge('endpoints', 'Endpoints on the list', () => endpoints.current.size)
   metrics.gauge('nodes', 'Nodes on the list', () => nodes.nodes().length)
--- a/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
+++ b/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
@@ -8,8 +8,10 @@
 import type { Dispatch, DispatchExchange } from '../process/Dispatch.js'
 import type { CallerHeaders, WireFormat } from '../process/GatewayPorts.js'
 import type { PoisonTracker } from '../process/PoisonTracker.js'
+import type { RequestWaits } from '../process/RequestWaits.js'
 import { GatewayErrorKind, type CallerResponse } from './CallerResponse.js'
 import { EndpointCall, type ResponseStart, type BufferedResponse } from './EndpointCall.js'
+import { PlacementWait } from './PlacementWait.js'
 
 /** Time beyond the deadline for the endpoint's own timeout response, which says more about the request than the gateway's would. */
 const DEADLINE_GRACE_MS = 100
@@ -22,6 +24,7 @@
   readonly wire: WireFormat
   readonly dispatch: Dispatch
   readonly poison: PoisonTracker
+  readonly waits: RequestWaits
 }
 
 /** A request that has been authenticated, routed and admitted, before it is sent to an endpoint. */
@@ -46,6 +49,8 @@
   readonly firstByteMs: number | null
   /** When the caller was told to retry; null where it was not. */
   readonly retryAfterMs: number | null
+  /** How long it waited at this node; null where it did not. */
+  readonly waitedMs: number | null
   readonly targets: readonly string[]
 }
 
@@ -66,11 +71,13 @@
   private paused = false
   private currentExchange: DispatchExchange | null = null
   private streamStart: ResponseStart | null = null
+  private readonly wait: PlacementWait
 
   constructor (private readonly parts: GatewayRequestParts, private readonly admitted: AdmittedRequest, private readonly response: CallerResponse) {
     const { route, head, arrivedAtMs } = admitted
     this.cursor = new EventCursor(head.lastEventId)
     this.deadlineAtMs = arrivedAtMs + Math.min(route.timeoutMs, head.deadlineMs ?? Infinity)
+    this.wait = new PlacementWait(parts, admitted, this.deadlineAtMs)
   }
 
   /** The caller closed its connection: aborts the running exchange. */
@@ -82,16 +89,18 @@
     const cancelDeadline = this.startDeadline()
     this.response.onDrain(() => { this.resume() })
     const { route } = this.admitted
-    const end = await runProcedure(runDispatch({ retryable: isRetryable(route), maxAttempts: route.maxAttempts }), {
-      [DispatchEffectKind.Place]: (effect) => this.place(effect),
+    const dispatched = await runProcedure(runDispatch({ retryable: isRetryable(route), maxAttempts: route.maxAttempts }), {
+      [DispatchEffectKind.Place]: async (effect) => effect.excluded.length > 0 ? this.place(effect) : await this.wait.place(() => this.place(effect)),
       [DispatchEffectKind.Exchange]: async (effect) => await this.exchange(effect),
       [DispatchEffectKind.JudgeLoss]: async () => await this.mayRetryAfterLoss(),
       [DispatchEffectKind.SpendRetry]: () => this.stoppedWith === null && this.parts.dispatch.trySpendRetry(this.admitted.service)
     })
     cancelDeadline()
+    // The caller disconnected while its request waited: nobody receives the rejection.
+    const end = this.stoppedWith === ExchangeEnd.CallerLeft && dispatched.kind === DispatchEndKind.NotRun ? { ...dispatched, kind: DispatchEndKind.CallerLeft, refusal: null } : dispatched
     const answeredWith = this.respond(end)
     const firstByteMs = this.firstByteAtMs === null ? null : this.firstByteAtMs - this.admitted.arrivedAtMs
-    return { end, answeredWith, firstByteMs, retryAfterMs: end.kind === DispatchEndKind.NotRun ? retryAfterMsOf(end) : null, targets: this.targets }
+    return { end, answeredWith, firstByteMs, retryAfterMs: end.kind === DispatchEndKind.NotRun ? retryAfterMsOf(end) : null, waitedMs: this.wait.waitedMs, targets: this.targets }
   }
 
   private async mayRetryAfterLoss (): Promise<boolean> {
@@ -106,6 +115,7 @@
 
   private stop (end: ExchangeEnd): void {
     this.stoppedWith ??= end
+    this.wait.cancel()
     this.currentCall?.abort(end)
   }
 
--- a/packages/dotterelspur/src/request/backpressure/EndpointBackpressure.ts
+++ b/packages/dotterelspur/src/request/backpressure/EndpointBackpressure.ts
@@ -35,6 +35,11 @@
     return Math.max(this.rateLimits.waitMs(endpoint, nowMs), this.backoffs.waitMs(endpoint, nowMs))
   }
 
+  /** The same; infinite where other nodes own the endpoint's rate limit. */
+  ownWaitMs (endpoint: EndpointId, nowMs: number): number {
+    return this.rateLimits.isOwned(endpoint, nowMs) ? this.waitMs(endpoint, nowMs) : Infinity
+  }
+
   maySend (endpoint: EndpointId, nowMs: number): boolean {
     return this.waitMs(endpoint, nowMs) === 0
   }
--- a/packages/dotterelspur/src/request/backpressure/EndpointRateLimits.ts
+++ b/packages/dotterelspur/src/request/backpressure/EndpointRateLimits.ts
@@ -119,10 +119,15 @@
   waitMs (endpoint: EndpointId, nowMs: number): number {
     const limit = this.latestLimit(endpoint)
     if (limit === undefined || limit.requestsPerSecond === null) return 0
-    const perSecond = Math.max(PROBES_PER_SECOND, limit.requestsPerSecond)
+    return this.isOwned(endpoint, nowMs) ? this.updatedAllowance(endpoint, nowMs).waitMs(1, nowMs) : SECOND_MS / Math.max(PROBES_PER_SECOND, limit.requestsPerSecond)
+  }
+
+  /** Whether this node may send a part of an endpoint's limit; true where it has none. */
+  isOwned (endpoint: EndpointId, nowMs: number): boolean {
+    const limit = this.latestLimit(endpoint)
+    if (limit === undefined || limit.requestsPerSecond === null) return true
     const silentMs = nowMs - this.fleetObservedAtMs > FLEET_OBSERVATION_TTL_MS ? 0 : nowMs - limit.statedAtMs
-    const isOwner = this.isOwner(endpoint, perSecond, silentMs)
-    return isOwner ? this.updatedAllowance(endpoint, nowMs).waitMs(1, nowMs) : SECOND_MS / perSecond
+    return this.isOwner(endpoint, Math.max(PROBES_PER_SECOND, limit.requestsPerSecond), silentMs)
   }
 
   /** Share of all nodes that own a part of an endpoint's limit. */
--- a/packages/dotterelspur/src/request/dispatch/Placement.ts
+++ b/packages/dotterelspur/src/request/dispatch/Placement.ts
@@ -28,6 +28,8 @@
   readonly basis: PlacementBasis | null
   /** Endpoints that were ruled out by their backpressure, sorted by when they may be tried again, the earliest first. */
   readonly inNeed: readonly EndpointId[]
+  /** When this node may send to the first of them; infinite where other nodes own their rate limits. Absent where no such time is known. */
+  readonly availableInMs?: number
 }
 
 /** Why the best endpoint was not good enough. */
@@ -246,7 +248,8 @@
     reason: isLimited ? RefusalReason.RateLimited : RefusalReason.BackingOff,
     retryAfterMs: Math.max(jitteredRetryAfterMs(query, input), waits[0]!.waitMs + RETRY_AFTER_JITTER_MS * random.next()),
     basis: null,
-    inNeed: waits.slice(0, MAX_REPORTED_ENDPOINTS).map(({ endpoint }) => endpoint)
+    inNeed: waits.slice(0, MAX_REPORTED_ENDPOINTS).map(({ endpoint }) => endpoint),
+    availableInMs: Math.min(...targets.map(({ endpoint }) => backpressure.ownWaitMs(endpoint, nowMs)))
   }
 }
 
--- a/packages/dotterelspur/src/request/dispatch/__tests__/unit/ReturnSchedule.test.ts
+++ b/packages/dotterelspur/src/request/dispatch/__tests__/unit/ReturnSchedule.test.ts
@@ -3,7 +3,7 @@
 import { createRandom } from '../../../../process/Random.js'
 import { NO_DEADLINES_OBSERVED } from '../../DeadlineObservation.js'
 import { FleetAggregator, type NodeObservation } from '../../FleetObservation.js'
-import { RETURN_BUCKETS } from '../../ReturnCounts.js'
+import { addCounts, RETURN_BUCKETS } from '../../ReturnCounts.js'
 import { ReturnSchedule } from '../../ReturnSchedule.js'
 
 const POOL = 'llm/small'
@@ -37,13 +37,15 @@
   it('counts its own callers once, whether or not the aggregate includes them', () => {
     // Guards against own callers that are counted twice, with the aggregate's and with the node's own: after each round
     // the node would avoid the times that only its own callers were told.
-    const schedule = createSchedule({})
-    for (let index = 0; index < 100; index++) schedule.noteReturn(POOL, 1_600, 0)
+    const others = [0, 0, 0, 0, 80, 0, 0, 0, 0, 0, 0, 0]
+    const schedule = createSchedule({ [POOL]: others })
+    for (let index = 0; index < 40; index++) schedule.noteReturn(POOL, 1_600, 0)
     const before = shareBetween(draw(schedule), 1_500, 1_750)
-    const reported = schedule.localObservation(0)!
-    expect(reported[POOL]!.reduce((sum, count) => sum + count, 0)).to.equal(100)
-    schedule.applyFleetObservation(reported, 0)
+    const own = schedule.localObservation(0)![POOL]!
+    expect(own).to.deep.equal([0, 0, 0, 0, 0, 0, 40, 0, 0, 0, 0, 0])
+    schedule.applyFleetObservation({ [POOL]: addCounts(others, own) }, 0)
     expect(shareBetween(draw(schedule), 1_500, 1_750)).to.equal(before)
+    expect(before).to.be.greaterThan(0)
   })
 
   it('advances what all nodes have told as time passes', () => {
