--- a/packages/dotterelspur/src/request/dispatch/__tests__/unit/ReturnSchedule.test.ts
+++ b/packages/dotterelspur/src/request/dispatch/__tests__/unit/ReturnSchedule.test.ts
@@ -1,15 +1,14 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
 import { createRandom } from '../../../../process/Random.js'
-import { NO_DEADLINES_OBSERVED } from '../../DeadlineObservation.js'
-import { FleetAggregator, type NodeObservation } from '../../FleetObservation.js'
+import { FleetAggregator } from '../../FleetObservation.js'
 import { addCounts, RETURN_BUCKETS } from '../../ReturnCounts.js'
 import { ReturnSchedule } from '../../ReturnSchedule.js'
+import { EMPTY_OBSERVATION } from '../fixtures/SurgeReplay.js'
 
 const POOL = 'llm/small'
 const LEFT_MS = 6_000
 const CAPACITY_PER_MS = 0.4
-const OBSERVATION: NodeObservation = { inFlight: {}, flows: {}, demand: {}, speeds: {}, pauses: {}, firstEvents: {}, deadlines: NO_DEADLINES_OBSERVED, limits: {}, rests: {}, leaving: [] }
 
 function createSchedule (fleet: Readonly<Record<string, readonly number[]>> | undefined, nowMs = 0): ReturnSchedule {
   const schedule = new ReturnSchedule()
@@ -51,8 +50,8 @@
   it('advances what all nodes have told as time passes', () => {
     // Guards against retries that are expected as late as when they were reported, although the report has aged.
     const aggregator = new FleetAggregator()
-    aggregator.note('n2', { ...OBSERVATION, returns: { [POOL]: [0, 0, 0, 0, 0, 0, 0, 8, 0, 0, 0, 0] } }, 0)
-    const { returns } = aggregator.aggregate(OBSERVATION, 200, 250)
+    aggregator.note('n2', { ...EMPTY_OBSERVATION, returns: { [POOL]: [0, 0, 0, 0, 0, 0, 0, 8, 0, 0, 0, 0] } }, 0)
+    const { returns } = aggregator.aggregate(EMPTY_OBSERVATION, 200, 250)
     expect(returns).to.deep.equal({ [POOL]: [0, 0, 0, 0, 0, 0, 8, 0, 0, 0, 0, 0] })
     const delays = draw(createSchedule(returns, 250), 750)
     expect(shareBetween(delays, 1_000, 1_250)).to.be.below(shareBetween(delays, 1_250, 1_500))
