Reject waiting requests at once when the next token comes too late for them

They were rejected with the next attempt for their pool, up to 50 ms after it was known. `nextAtMs` now says that the wait of such a request is to be ended, and a request that may not wait itself reschedules the others.

--- a/packages/dotterelspur-gateway/src/process/RequestWaits.ts
+++ b/packages/dotterelspur-gateway/src/process/RequestWaits.ts
@@ -21,8 +21,9 @@
   async wait (request: WaitingRequest, availableAtMs: number): Promise<WaitEnd> {
     return await new Promise((resolve) => {
       const pending: PendingWait = { ...request, resolve }
-      if (!this.waiting.offer(pending, availableAtMs, this.clock.nowMs())) return resolve(WaitEnd.Reject)
-      this.pending.set(request, pending)
+      if (this.waiting.offer(pending, availableAtMs, this.clock.nowMs())) this.pending.set(request, pending)
+      else resolve(WaitEnd.Reject)
+      // The new time may also end the wait of others.
       this.schedule()
     })
   }
@@ -51,8 +52,9 @@
 
   private schedule (): void {
     this.cancelTimer()
-    const nextAtMs = this.waiting.nextAtMs()
+    const nowMs = this.clock.nowMs()
+    const nextAtMs = this.waiting.nextAtMs(nowMs)
     if (nextAtMs === null) return
-    this.cancelTimer = this.clock.registerTimer(Math.max(0, nextAtMs - this.clock.nowMs()), () => { this.end(this.waiting.advance(this.clock.nowMs())) })
+    this.cancelTimer = this.clock.registerTimer(nextAtMs - nowMs, () => { this.end(this.waiting.advance(this.clock.nowMs())) })
   }
 }
--- a/packages/dotterelspur/src/request/dispatch/WaitingRequests.ts
+++ b/packages/dotterelspur/src/request/dispatch/WaitingRequests.ts
@@ -83,10 +83,10 @@
     if (queue !== undefined && index >= 0) this.take(queue, index)
   }
 
-  /** When `advance` is to be called next; null while no request waits. */
-  nextAtMs (): number | null {
-    const times = [...this.queues.values()].flatMap(({ requests, nextAtMs }) => [nextAtMs, ...requests.map(({ untilMs }) => untilMs)])
-    return times.length === 0 ? null : Math.min(...times)
+  /** When `advance` is to be called next, which may be now; null while no request waits. */
+  nextAtMs (nowMs: number): number | null {
+    const times = [...this.queues.values()].flatMap(({ requests, nextAtMs, availableAtMs }) => [nextAtMs, ...requests.map(({ untilMs }) => untilMs < availableAtMs ? nowMs : untilMs)])
+    return times.length === 0 ? null : Math.max(nowMs, Math.min(...times))
   }
 
   /** The requests whose wait ends now: of each pool the most urgent one, if an endpoint can take it, and those for which none will in time. */
--- a/packages/dotterelspur/src/request/dispatch/__tests__/unit/WaitingRequests.test.ts
+++ b/packages/dotterelspur/src/request/dispatch/__tests__/unit/WaitingRequests.test.ts
@@ -55,6 +55,7 @@
     for (const request of [patient, hasty, woken]) waiting.offer(request, 10, 0)
     waiting.advance(10)
     expect(waiting.offer(woken, 60, 10)).to.equal(true)
+    expect(waiting.nextAtMs(10)).to.equal(10)
     expect(waiting.advance(10)).to.deep.equal([{ request: hasty, end: WaitEnd.Reject }])
   })
 
