Requests in evacuated domains are counted by failure domain

They were summed over the endpoints listed there, so a request at an endpoint that had left the list was not counted, and `evacuation-drained` could be written while it still ran.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/evacuatedDispatch.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/evacuatedDispatch.test.ts
@@ -100,7 +100,8 @@
     const target: DispatchTarget = { endpoint: 'plain-a', service: 'plain', address: '10.0.0.1:a', failureDomain: 'a', model: null, slots: 6 }
     world.dispatch.beginExchange(target, { route: ROUTE, head: { promptTokens: 0 } as DispatchQuery['head'] }, false, () => {}).stop()
     const { version } = world.store.put('evacuations/a', {})
-    expect(world.dispatch.availableEndpoints.requestsInEvacuatedDomains).to.equal(1)
+    world.store.drop('endpoints/plain-a')
+    expect(world.dispatch.availableEndpoints.requestsInEvacuatedDomains, 'also at an endpoint that is no longer listed').to.equal(1)
     world.clock.advance(700)
     world.dispatch.endExchange(target)
     world.clock.advance(300)
--- a/packages/dotterelspur-gateway/src/process/AvailableEndpoints.ts
+++ b/packages/dotterelspur-gateway/src/process/AvailableEndpoints.ts
@@ -13,8 +13,6 @@
   /** Undefined where no failure domain is ever evacuated. */
   readonly evacuations: EvacuationRegistry | undefined
   readonly engineOf: (service: ServiceId) => EngineSpec | null
-  /** Requests of this node that are in flight at an endpoint. */
-  readonly ownInFlight: (endpoint: EndpointId) => number
   /** Called after the evacuations have changed, when the pools must be built again. */
   readonly onChange: () => void
 }
@@ -25,6 +23,8 @@
  */
 export class AvailableEndpoints {
   private available: AvailablePools = { pools: new Map(), evacuated: new Set() }
+  /** Requests of this node in flight, by failure domain; those at endpoints that are no longer listed count too. */
+  private readonly running = new Map<FailureDomainId, number>()
   /** Evacuations during which requests of this node still run in the failure domain. */
   private readonly draining = new Map<FailureDomainId, Evacuation>()
 
@@ -63,11 +63,16 @@
     return [...this.parts.evacuations?.current.keys() ?? []].reduce((sum, failureDomain) => sum + this.runningIn(failureDomain), 0)
   }
 
-  /** Called after an exchange with an endpoint of the failure domain has ended. */
+  noteExchangeBegin (failureDomain: FailureDomainId): void {
+    this.running.set(failureDomain, this.runningIn(failureDomain) + 1)
+  }
+
   noteExchangeEnd (failureDomain: FailureDomainId): void {
+    const left = this.runningIn(failureDomain) - 1
+    if (left > 0) this.running.set(failureDomain, left)
+    else this.running.delete(failureDomain)
     const evacuation = this.draining.get(failureDomain)
-    if (evacuation === undefined || this.runningIn(failureDomain) > 0) return
-    this.logDrained(evacuation, this.parts.clock.nowMs() - evacuation.learnedAtMs)
+    if (evacuation !== undefined && left <= 0) this.logDrained(evacuation, this.parts.clock.nowMs() - evacuation.learnedAtMs)
   }
 
   private noteChange ({ begun, ended }: EvacuationChange): void {
@@ -77,7 +82,7 @@
       this.parts.log.write(LogKind.EvacuationEnded, { failureDomain: shownName(evacuation), forMs: Math.round(nowMs - evacuation.learnedAtMs) })
     }
     for (const evacuation of begun) {
-      const endpoints = this.endpointsIn(evacuation.failureDomain).length
+      const endpoints = [...this.parts.endpoints.current.values()].filter(({ failureDomain }) => failureDomain === evacuation.failureDomain).length
       const runningRequests = this.runningIn(evacuation.failureDomain)
       this.parts.log.write(LogKind.EvacuationBegun, { failureDomain: shownName(evacuation), endpoints, runningRequests, storeVersion: evacuation.storeVersion })
       if (runningRequests > 0) this.draining.set(evacuation.failureDomain, evacuation)
@@ -92,11 +97,7 @@
   }
 
   private runningIn (failureDomain: FailureDomainId): number {
-    return this.endpointsIn(failureDomain).reduce((sum, { endpoint }) => sum + this.parts.ownInFlight(endpoint), 0)
-  }
-
-  private endpointsIn (failureDomain: FailureDomainId): EndpointRecord[] {
-    return [...this.parts.endpoints.current.values()].filter((record) => record.failureDomain === failureDomain)
+    return this.running.get(failureDomain) ?? 0
   }
 }
 
--- a/packages/dotterelspur-gateway/src/process/Dispatch.ts
+++ b/packages/dotterelspur-gateway/src/process/Dispatch.ts
@@ -89,7 +89,6 @@
       endpoints: parts.endpoints,
       evacuations: parts.evacuations,
       engineOf: (service) => this.engineTiming.engine(service),
-      ownInFlight: (endpoint) => this.fleetView.load.ownInFlight(endpoint),
       onChange: () => { this.rebuildPools(parts.endpoints.current) }
     })
     parts.endpoints.registerListener((endpoints) => { this.noteEndpoints(endpoints) })
@@ -201,6 +200,7 @@
     const beganAtMs = this.parts.clock.nowMs()
     const declaredMs = this.engineTiming.declaredFirstEventMs(target, head.promptTokens, beganAtMs)
     this.fleetView.load.begin(poolKeyOf(target), target.endpoint, beganAtMs)
+    this.availableEndpoints.noteExchangeBegin(target.failureDomain)
     return {
       ...this.stallDetector.begin(target, route, mayRetry, onSilent),
       noteFirstEvent: () => {
