Cold times are shared only for endpoints that take requests

When a failure domain starts, most of its endpoints are members of groups and receive no requests, so their cold times would only take room in the observations.

--- a/packages/dotterelspur-gateway/src/process/ColdEndpointMonitor.ts
+++ b/packages/dotterelspur-gateway/src/process/ColdEndpointMonitor.ts
@@ -78,7 +78,7 @@
   noteResponse ({ endpoint, service }: Pick<EndpointRecord, 'endpoint' | 'service'>, coldRemainingMs: number | null | undefined): void {
     if (coldRemainingMs === undefined || this.coldSpec(service) === null) return
     this.note(endpoint, coldRemainingMs, ColdSource.Response)
-    this.update(ColdSource.Response)
+    if (coldRemainingMs !== null && coldRemainingMs > 0) this.update(ColdSource.Response)
   }
 
   /** Takes in the nodes that send requests; called before each request is placed and each aggregate is applied. */
--- a/packages/dotterelspur-gateway/src/process/FleetView.ts
+++ b/packages/dotterelspur-gateway/src/process/FleetView.ts
@@ -39,7 +39,6 @@
   /** This node's observations, for broadcast to the other nodes. */
   observe (): NodeObservation {
     const nowMs = this.clock.nowMs()
-    const cold = this.backpressure.cold.localObservation(nowMs)
     return {
       inFlight: this.load.reportInFlight(),
       flows: this.load.localFlows(nowMs),
@@ -51,10 +50,17 @@
       limits: this.backpressure.rateLimits.localObservation(nowMs),
       rests: this.backpressure.backoffs.localObservation(nowMs),
       leaving: this.backpressure.localLeaving(),
-      ...(Object.keys(cold).length === 0 ? {} : { cold })
+      ...this.observeCold(nowMs)
     }
   }
 
+  /** Only of endpoints that take requests: when a failure domain starts, most of its endpoints are members of groups. */
+  private observeCold (nowMs: number): Pick<NodeObservation, 'cold'> {
+    const times = Object.entries(this.backpressure.cold.localObservation(nowMs))
+    const ofTargets = times.filter(([endpoint]) => this.pools.some(({ targets }) => targets.has(endpoint)))
+    return ofTargets.length === 0 ? {} : { cold: Object.fromEntries(ofTargets) }
+  }
+
   /** Applies the aggregated observations of all nodes. */
   applyFleetObservation (fleet: FleetObservation): void {
     const nowMs = this.clock.nowMs()
