--- a/packages/dotterelspur-gateway/src/process/FleetView.ts
+++ b/packages/dotterelspur-gateway/src/process/FleetView.ts
@@ -43,7 +43,6 @@
     const nowMs = this.clock.nowMs()
     const classes = this.classes.localObservation(nowMs)
     const returns = this.returns.localObservation(nowMs)
-    const cold = this.backpressure.cold.localObservation(nowMs)
     return {
       ...(classes === undefined ? {} : { classes }),
       inFlight: this.load.reportInFlight(),
@@ -57,10 +56,17 @@
       rests: this.backpressure.backoffs.localObservation(nowMs),
       leaving: this.backpressure.localLeaving(),
       ...(returns === undefined ? {} : { returns }),
-      ...(Object.keys(cold).length === 0 ? {} : { cold })
+      ...this.observeCold(nowMs)
     }
   }
 
+  /** Only of endpoints that take requests: when a failure domain starts, most of its endpoints are members of groups. */
+  private observeCold (nowMs: number): Pick<NodeObservation, 'cold'> {
+    const times = Object.entries(this.backpressure.cold.localObservation(nowMs))
+    const ofTargets = times.filter(([endpoint]) => this.pools.some(({ targets }) => targets.has(endpoint)))
+    return ofTargets.length === 0 ? {} : { cold: Object.fromEntries(ofTargets) }
+  }
+
   /** Applies the aggregated observations of all nodes. */
   applyFleetObservation (fleet: FleetObservation): void {
     const nowMs = this.clock.nowMs()
