Take back the rule that late requests wait for all that can be on time

Callers who retried at the stated time were refused again while first requests of their rank were served.

--- a/packages/dotterelspur/src/request/dispatch/AdmissionShares.ts
+++ b/packages/dotterelspur/src/request/dispatch/AdmissionShares.ts
@@ -47,10 +47,6 @@
     this.requests = total(this.ranks)
   }
 
-  get hasSeveralClasses (): boolean {
-    return this.samples.length > 1
-  }
-
   /**
    * The share of the requests of a class that may be dispatched where `poolShare` of all requests fits; between 0 and 1.
    * A workspace that is not listed gets the share of its rank's remainder.
--- a/packages/dotterelspur/src/request/dispatch/ClassAdmission.ts
+++ b/packages/dotterelspur/src/request/dispatch/ClassAdmission.ts
@@ -59,11 +59,6 @@
     return LOAD_FACTOR_OF_RANK ** moreUrgent.length
   }
 
-  /** Whether the last aggregate stated the demand of several classes for a pool. */
-  hasSeveralClasses (pool: PoolKey): boolean {
-    return this.shares.get(pool)?.hasSeveralClasses ?? false
-  }
-
   /** Requests per second of the class, or of its rank's remainder, in the whole fleet; null where they are not known. */
   demandPerS (pool: PoolKey, { rank, workspace }: RequestClass): number | null {
     const requests = this.shares.get(pool)?.requestsOf(countedRank(rank), workspaceCode(workspace))
--- a/packages/dotterelspur/src/request/dispatch/Placement.ts
+++ b/packages/dotterelspur/src/request/dispatch/Placement.ts
@@ -2,7 +2,7 @@
 import type { Random } from '../../process/Random.js'
 import type { EndpointBackpressure } from '../backpressure/EndpointBackpressure.js'
 import type { ClassAdmission, ClassDecision } from './ClassAdmission.js'
-import { describeClass, loadFactorOfClass, shareOfClass, type MaxLoads } from './shareOfClass.js'
+import { describeClass, loadFactorOfClass, shareOfClass } from './shareOfClass.js'
 import type { EndpointHealth } from './EndpointHealth.js'
 import type { EndpointSpeeds } from './EndpointSpeeds.js'
 import { eventGapMs, firstEventMs, loadCurve, paceOf } from './EngineTimes.js'
@@ -145,7 +145,7 @@
   const best = bestDrawn(query, input) ?? bestOf(open, query, input)
   const longestMs = limitMs(best.target, query, input)
   if (best.expectedMs <= longestMs && hasCapacity(best.target, longestMs, query, input)) return best.target
-  const basis: PlacementBasis = { expectedMs: best.expectedMs, limitMs: longestMs, loadAgeMs: input.load.observationAgeMs(input.nowMs), classDecision: describeClass(maxLoadsOf(best.target, longestMs, query, input), query, input) }
+  const basis: PlacementBasis = { expectedMs: best.expectedMs, limitMs: longestMs, loadAgeMs: input.load.observationAgeMs(input.nowMs), classDecision: describeClass(maxLoadOf(best.target, longestMs, query, input), query, input) }
   return { reason: RefusalReason.Full, retryAfterMs: jitteredRetryAfterMs(query, input), basis, inNeed: [] }
 }
 
@@ -208,22 +208,20 @@
   const { pool: { key, targets }, load, backpressure, nodes, random, nowMs } = input
   // The endpoint's own rate has already admitted the request.
   if (backpressure.isLimited(target.endpoint, nowMs)) return true
-  const maxLoads = maxLoadsOf(target, longestMs, query, input)
-  if (maxLoads === null) return true
-  const share = shareOfClass(maxLoads, query, input)
+  const maxLoad = maxLoadOf(target, longestMs, query, input)
+  if (maxLoad === null) return true
+  const share = shareOfClass(maxLoad, query, input)
   if (share !== null) return random.next() < share
   const usual = load.usual(key, target.slots, targets.size, nodes)
   const sum = [...targets.keys()].reduce((partial, endpoint) => partial + load.estimate(endpoint, usual, nowMs), 0)
-  return sum / targets.size <= maxLoads.own * loadFactorOfClass(query, input)
+  return sum / targets.size <= maxLoad * loadFactorOfClass(query, input)
 }
 
 /** The load of an endpoint up to which the request starts in time; null where the pool's load does not limit it. */
-function maxLoadsOf (target: DispatchTarget, longestMs: number, query: PlacementQuery, input: PlacementInput): MaxLoads | null {
+function maxLoadOf (target: DispatchTarget, longestMs: number, query: PlacementQuery, input: PlacementInput): number | null {
   const { pool: { engine }, firstEventDelayMs } = input
   if (engine === null || query.excluded.length > 0) return null
-  const loadAt = loadCurve(engine, paceOf(engine, target), query.promptTokens)
-  const onTimeMs = limitMs(target, { ...query, alreadyLate: false }, input)
-  return { own: loadAt(longestMs - firstEventDelayMs), onTime: loadAt(onTimeMs - firstEventDelayMs) }
+  return loadCurve(engine, paceOf(engine, target), query.promptTokens)(longestMs - firstEventDelayMs)
 }
 
 /** The longest expected time to the first event with which a request is still dispatched. */
