--- a/packages/dotterelspur-gateway/src/process/Dispatch.ts
+++ b/packages/dotterelspur-gateway/src/process/Dispatch.ts
@@ -5,7 +5,7 @@
 } from 'dotterelspur'
 import type { EndpointChannel } from '../connection/EndpointChannel.js'
 import { EndpointChannels } from '../connection/EndpointChannels.js'
-import { ColdEndpointMonitor } from './ColdEndpointMonitor.js'
+import { ColdEndpointMonitor, type ColdEndpointMonitorParts } from './ColdEndpointMonitor.js'
 import { LogKind, type DecisionLog, type LogFields } from './DecisionLog.js'
 import { StallDetector, StallCertainty, type ExchangeHandle } from './StallDetector.js'
 import { EngineTiming } from './EngineTiming.js'
@@ -19,7 +19,7 @@
 /** Callers set output limits far above what is generated; this share of the limit is typical. */
 const USUAL_ANSWER_SHARE = 0.5
 
-export interface DispatchParts {
+export interface DispatchParts extends Pick<ColdEndpointMonitorParts, 'hasAllNodes'> {
   readonly clock: Clock
   readonly log: DecisionLog
   readonly random: Random
@@ -32,8 +32,6 @@
   readonly firstStart: boolean
   /** Nodes that send requests, including this one; the same array instance until the set changes. */
   readonly senders: () => readonly Sender[]
-  /** Whether the list of nodes has been read. */
-  readonly hasAllNodes: () => boolean
   readonly coldBounds?: ColdBounds
   /** Called when a group appears stalled. */
   readonly onSuspect: (head: EndpointId, suspicion: Suspicion) => void
