--- a/packages/dotterelspur-gateway/src/process/Dispatch.ts
+++ b/packages/dotterelspur-gateway/src/process/Dispatch.ts
@@ -1,64 +1,25 @@
 import {
   EndpointHealth, ExchangeEnd, groupTimeMs, isLikelyToRetry, place, poolKey, poolKeyOf, RetryWindow, senderPosition,
-  type Clock, type ColdBounds, type DispatchTarget, type EndpointId, type EndpointRecord, type FailureDomainId, type FleetObservation, type ModelId, type NodeId, type PlacementRefusal, type PoolKey, type Random,
-  type RetryWindowOptions, type Route, type Sender, type SenderPosition, type ServiceId, type ReportedBackpressure, type RequestClass, type TargetPool
+  type DispatchTarget, type EndpointId, type EndpointRecord, type FleetObservation, type ModelId, type PlacementRefusal, type PoolKey, type RetryWindowOptions, type Route, type Sender,
+  type SenderPosition, type ServiceId, type ReportedBackpressure, type RequestClass, type TargetPool
 } from 'dotterelspur'
 import type { EndpointChannel } from '../connection/EndpointChannel.js'
 import { EndpointChannels } from '../connection/EndpointChannels.js'
 import { AvailableEndpoints } from './AvailableEndpoints.js'
-import { ColdEndpointMonitor, type ColdEndpointMonitorParts } from './ColdEndpointMonitor.js'
-import { LogKind, type DecisionLog, type LogFields } from './DecisionLog.js'
-import { StallDetector, StallCertainty, type ExchangeHandle } from './StallDetector.js'
+import { ColdEndpointMonitor } from './ColdEndpointMonitor.js'
+import { LogKind, type LogFields } from './DecisionLog.js'
+import type { DispatchExchange, DispatchParts, DispatchQuery } from './DispatchParts.js'
+import { StallDetector, StallCertainty } from './StallDetector.js'
 import { EngineTiming } from './EngineTiming.js'
 import { FleetView } from './FleetView.js'
 import type { ResponseHeaders, CallerHeaders } from './GatewayPorts.js'
-import type { ManifestFollower } from './ManifestFollower.js'
 import { BackpressureLog } from './BackpressureLog.js'
 import { Suspicion } from '../connection/PeerFrame.js'
-import type { EndpointRegistry } from './EndpointRegistry.js'
-import type { EvacuationRegistry } from './EvacuationRegistry.js'
 import type { AdmittedRequest } from '../request/GatewayRequest.js'
 
 /** Callers set output limits far above what is generated; this share of the limit is typical. */
 const USUAL_ANSWER_SHARE = 0.5
 
-export interface DispatchParts extends Pick<ColdEndpointMonitorParts, 'hasAllNodes'> {
-  readonly clock: Clock
-  readonly log: DecisionLog
-  readonly random: Random
-  readonly node: NodeId
-  readonly failureDomain: FailureDomainId
-  readonly manifest: ManifestFollower
-  readonly endpoints: EndpointRegistry
-  /** Absent where no failure domain is ever evacuated. */
-  readonly evacuations?: EvacuationRegistry
-  readonly retries: RetryWindowOptions
-  /** The whole system starts for the first time, so no retries of an earlier process incarnation can fall into the window. */
-  readonly firstStart: boolean
-  /** Nodes that send requests, including this one; the same array instance until the set changes. */
-  readonly senders: () => readonly Sender[]
-  readonly coldBounds?: ColdBounds
-  /** Called when a group appears stalled. */
-  readonly onSuspect: (head: EndpointId, suspicion: Suspicion) => void
-}
-
-export interface DispatchQuery {
-  readonly service: ServiceId
-  readonly route: Route
-  readonly head: CallerHeaders
-  readonly requestClass: RequestClass
-  readonly excluded: readonly DispatchTarget[]
-  readonly leftMs: number
-  /** Time that the caller has already waited, before the request arrived at this node and since. */
-  readonly elapsedMs: number
-}
-
-/** An exchange in progress with an endpoint. */
-export interface DispatchExchange extends ExchangeHandle {
-  /** Records the arrival of the response's first event. */
-  noteFirstEvent (): void
-}
-
 /** Selects endpoints for requests from this node's view of the fleet, and owns the channels on which requests are sent. */
 export class Dispatch {
   readonly fleetView: FleetView
--- /dev/null
+++ b/packages/dotterelspur-gateway/src/process/DispatchParts.ts
@@ -0,0 +1,48 @@
+import type {
+  Clock, ColdBounds, DispatchTarget, EndpointId, FailureDomainId, NodeId, Random, RequestClass, RetryWindowOptions, Route, Sender, ServiceId
+} from 'dotterelspur'
+import type { Suspicion } from '../connection/PeerFrame.js'
+import type { ColdEndpointMonitorParts } from './ColdEndpointMonitor.js'
+import type { DecisionLog } from './DecisionLog.js'
+import type { EndpointRegistry } from './EndpointRegistry.js'
+import type { EvacuationRegistry } from './EvacuationRegistry.js'
+import type { CallerHeaders } from './GatewayPorts.js'
+import type { ManifestFollower } from './ManifestFollower.js'
+import type { ExchangeHandle } from './StallDetector.js'
+
+export interface DispatchParts extends Pick<ColdEndpointMonitorParts, 'hasAllNodes'> {
+  readonly clock: Clock
+  readonly log: DecisionLog
+  readonly random: Random
+  readonly node: NodeId
+  readonly failureDomain: FailureDomainId
+  readonly manifest: ManifestFollower
+  readonly endpoints: EndpointRegistry
+  /** Absent where no failure domain is ever evacuated. */
+  readonly evacuations?: EvacuationRegistry
+  readonly retries: RetryWindowOptions
+  /** The whole system starts for the first time, so no retries of an earlier process incarnation can fall into the window. */
+  readonly firstStart: boolean
+  /** Nodes that send requests, including this one; the same array instance until the set changes. */
+  readonly senders: () => readonly Sender[]
+  readonly coldBounds?: ColdBounds
+  /** Called when a group appears stalled. */
+  readonly onSuspect: (head: EndpointId, suspicion: Suspicion) => void
+}
+
+export interface DispatchQuery {
+  readonly service: ServiceId
+  readonly route: Route
+  readonly head: CallerHeaders
+  readonly requestClass: RequestClass
+  readonly excluded: readonly DispatchTarget[]
+  readonly leftMs: number
+  /** Time that the caller has already waited, before the request arrived at this node and since. */
+  readonly elapsedMs: number
+}
+
+/** An exchange in progress with an endpoint. */
+export interface DispatchExchange extends ExchangeHandle {
+  /** Records the arrival of the response's first event. */
+  noteFirstEvent (): void
+}
--- a/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
+++ b/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
@@ -5,7 +5,8 @@
   type Clock, type DispatchEnd, type DispatchTarget, type ExchangeEffect, type ExchangeReport, type PlaceEffect, type PlacementRefusal, type RequestContent, type Route, type ServiceId, type Teardown, type WorkspaceId
 } from 'dotterelspur'
 import { forwardedHeaders } from '../connection/headers.js'
-import type { Dispatch, DispatchExchange } from '../process/Dispatch.js'
+import type { Dispatch } from '../process/Dispatch.js'
+import type { DispatchExchange } from '../process/DispatchParts.js'
 import type { CallerHeaders, WireFormat } from '../process/GatewayPorts.js'
 import type { PoisonTracker } from '../process/PoisonTracker.js'
 import type { RequestWaits } from '../process/RequestWaits.js'
