Mend what the review of the parts found

- Requests do not wait for cold tokens that only other nodes get.
- Late requests get the pool's share: the demand by class does not count them, so a class share could exceed it.
- Demand by class is counted only for models that are served: callers may name any model.
- Retries with more than 9 s left are not scheduled: all of them would fall into the schedule's last bucket.
- The grace period of evacuations does not end while the store is away again.
- Shares of the last aggregate are dropped with it; malformed returns and cold times do not lose the whole observation.

--- a/packages/dotterelspur-gateway/src/connection/ObservationCodec.ts
+++ b/packages/dotterelspur-gateway/src/connection/ObservationCodec.ts
@@ -93,8 +93,8 @@
       rests: Object.fromEntries(this.decodeByEndpoint(rests, 1).map(([endpoint, [leftMs]]) => [endpoint, leftMs!])),
       leaving: this.decodeByEndpoint(leaving, 0).map(([endpoint]) => endpoint),
       ...(isRecord(classes) ? { classes: decodeClasses(classes) } : {}),
-      ...(returns === undefined ? {} : { returns: decodeReturns(returns) }),
-      ...(cold === undefined ? {} : { cold: Object.fromEntries(this.decodeByEndpoint(cold, 1).map(([endpoint, [leftMs]]) => [endpoint, leftMs!])) })
+      ...(!Array.isArray(returns) ? {} : { returns: decodeReturns(returns) }),
+      ...(!Array.isArray(cold) ? {} : { cold: Object.fromEntries(this.decodeByEndpoint(cold, 1).map(([endpoint, [leftMs]]) => [endpoint, leftMs!])) })
     }
   }
 
--- a/packages/dotterelspur-gateway/src/process/Dispatch.ts
+++ b/packages/dotterelspur-gateway/src/process/Dispatch.ts
@@ -131,7 +131,9 @@
   private noteDemand (service: ServiceId, head: CallerHeaders, requestClass: RequestClass | undefined, nowMs: number): void {
     const engine = this.engineTiming.engine(service)
     if (engine === null || head.model === null) return
-    if (requestClass !== undefined) this.fleetView.classes.noteArrival(poolKey(service, head.model), requestClass, nowMs)
+    // Callers may name any model; only those that are served are counted.
+    const key = poolKey(service, head.model)
+    if (requestClass !== undefined && this.pools.has(key)) this.fleetView.classes.noteArrival(key, requestClass, nowMs)
     this.fleetView.demand.noteRequest(head.model, groupTimeMs(engine, head.promptTokens, head.maxAnswerTokens * USUAL_ANSWER_SHARE), nowMs)
   }
 
--- a/packages/dotterelspur-gateway/src/process/EvacuationRegistry.ts
+++ b/packages/dotterelspur-gateway/src/process/EvacuationRegistry.ts
@@ -81,7 +81,10 @@
   private beginGrace (nowMs: number): void {
     this.graceUntilMs = nowMs + RETURN_GRACE_MS
     this.cancelGrace()
-    this.cancelGrace = this.clock.registerTimer(RETURN_GRACE_MS, () => { this.publish(this.table.dropMissing()) })
+    this.cancelGrace = this.clock.registerTimer(RETURN_GRACE_MS, () => {
+      // While the store is away again, operators cannot write their entries; the next listing begins a new grace period.
+      if (!this.wasDisconnected) this.publish(this.table.dropMissing())
+    })
   }
 
   private publish (change: EvacuationChange | null): void {
--- a/packages/dotterelspur-gateway/src/process/FleetView.ts
+++ b/packages/dotterelspur-gateway/src/process/FleetView.ts
@@ -113,6 +113,7 @@
     if (!isFresh) {
       this.speeds.applyFleetObservation(null)
       this.demand.applyFleetObservation(null)
+      this.classes.applyFleetObservation(undefined)
       this.pauses.applyFleetObservation({})
     }
     this.log.write(isFresh ? LogKind.DependencyRegained : LogKind.DependencyLost, { dependency: 'fleet observations', ageMs: this.load.observationAgeMs(nowMs) })
--- a/packages/dotterelspur/src/request/backpressure/ColdEndpoints.ts
+++ b/packages/dotterelspur/src/request/backpressure/ColdEndpoints.ts
@@ -126,6 +126,14 @@
     return this.allowances.updated(endpoint, share, nowMs, this.states.get(endpoint)!.coldFromMs).waitMs(1, nowMs)
   }
 
+  /** Whether this node may send requests there: it owns a share of the rate, or the endpoint is not cold. */
+  isOwned (endpoint: EndpointId, nowMs: number): boolean {
+    const spec = this.coldSpec(endpoint, nowMs)
+    if (spec === null) return true
+    const { owners, perSecond } = coldShares(spec, this.bounds)
+    return perSecond > 0 && this.ownership.isOwner(endpoint, owners, nowMs)
+  }
+
   /** Records that a request is sent there. */
   noteSent (endpoint: EndpointId, nowMs: number): void {
     if (this.isCold(endpoint, nowMs)) this.allowances.take(endpoint)
--- a/packages/dotterelspur/src/request/backpressure/ColdOwnership.ts
+++ b/packages/dotterelspur/src/request/backpressure/ColdOwnership.ts
@@ -17,12 +17,14 @@
 
 /**
  * Which cold endpoints this node owns a share of. Unlike a rate limit, which an endpoint enforces itself, the rate of a cold
- * endpoint must hold at every moment, so a node that is partitioned, leaving or has just started owns nothing.
+ * endpoint must hold at every moment, so a node that is partitioned or leaving, or that has just started or rejoined, owns nothing.
  */
 export class ColdOwnership {
   /** The lists of nodes of the last `TAKEOVER_MS`, the newest last. */
   private lists: readonly NodeList[] = []
   private observedAtMs = -Infinity
+  /** When aggregates arrived again after a gap. Other nodes may have taken over this node's shares meanwhile. */
+  private resumedAtMs = -Infinity
 
   constructor (private readonly node: NodeId) {}
 
@@ -36,7 +38,9 @@
    * partitioned coordinator aggregates the few nodes on its side.
    */
   noteAggregate (nodes: number, nowMs: number): void {
-    if (2 * nodes > this.nodeCount) this.observedAtMs = nowMs
+    if (2 * nodes <= this.nodeCount) return
+    if (this.observedAtMs > -Infinity && nowMs - this.observedAtMs > FLEET_OBSERVATION_TTL_MS) this.resumedAtMs = nowMs
+    this.observedAtMs = nowMs
   }
 
   get nodeCount (): number {
@@ -45,7 +49,7 @@
 
   /** Whether this node owns one of `owners` shares of the endpoint's rate. */
   isOwner (endpoint: EndpointId, owners: number, nowMs: number): boolean {
-    if (this.nodeCount > 1 && nowMs - this.observedAtMs > FLEET_OBSERVATION_TTL_MS) return false
+    if (this.nodeCount > 1 && (nowMs - this.observedAtMs > FLEET_OBSERVATION_TTL_MS || nowMs - this.resumedAtMs < TAKEOVER_MS)) return false
     const recent = this.recentLists(nowMs)
     const [oldest] = recent
     if (oldest === undefined || nowMs - oldest.fromMs < TAKEOVER_MS) return false
--- a/packages/dotterelspur/src/request/backpressure/EndpointBackpressure.ts
+++ b/packages/dotterelspur/src/request/backpressure/EndpointBackpressure.ts
@@ -40,9 +40,9 @@
     return Math.max(this.rateLimits.waitMs(endpoint, nowMs), this.backoffs.waitMs(endpoint, nowMs), this.cold.waitMs(endpoint, nowMs))
   }
 
-  /** The same; infinite where other nodes own the endpoint's rate limit. */
+  /** The same; infinite where other nodes own the endpoint's rate limit, or its rate while it is cold. */
   ownWaitMs (endpoint: EndpointId, nowMs: number): number {
-    return this.rateLimits.isOwned(endpoint, nowMs) ? this.waitMs(endpoint, nowMs) : Infinity
+    return this.rateLimits.isOwned(endpoint, nowMs) && this.cold.isOwned(endpoint, nowMs) ? this.waitMs(endpoint, nowMs) : Infinity
   }
 
   maySend (endpoint: EndpointId, nowMs: number): boolean {
--- a/packages/dotterelspur/src/request/dispatch/ReturnSchedule.ts
+++ b/packages/dotterelspur/src/request/dispatch/ReturnSchedule.ts
@@ -91,6 +91,8 @@
    */
   retryAfterMs (key: PoolKey, leftMs: number, capacityPerMs: number | null, random: Random, nowMs: number): number | null {
     if (this.fleetReturns === null || capacityPerMs === null) return null
+    // Beyond the schedule's end all retries would fall into its last bucket.
+    if (leftMs * RETURN_SHARE.most > RETURN_BUCKETS * RETURN_BUCKET_MS) return null
     const slices = slicesOf(this.returnsAhead(key, nowMs), leftMs)
     const mostPerMs = Math.max(...slices.map(({ loadPerMs }) => loadPerMs)) + LEVELING_SHARE * capacityPerMs
     const weights = slices.map(({ widthMs, loadPerMs }) => widthMs * (mostPerMs - loadPerMs) ** FREE_RATE_POWER)
--- a/packages/dotterelspur/src/request/dispatch/shareOfClass.ts
+++ b/packages/dotterelspur/src/request/dispatch/shareOfClass.ts
@@ -10,7 +10,8 @@
 export function shareOfClass (maxLoad: number, query: PlacementQuery, input: PlacementInput): number | null {
   const { pool: { key }, load, classes, nowMs } = input
   const poolShare = load.admitted(key, maxLoad, nowMs)
-  if (poolShare === null || classes === undefined) return poolShare
+  // The demand by class counts only requests that can be on time; late ones get free slots, whatever their class.
+  if (poolShare === null || classes === undefined || query.alreadyLate) return poolShare
   return classes.shareOf(key, classOf(query), poolShare)
 }
 
