--- a/packages/dotterelspur-gateway/src/__tests__/unit/admissionByClass.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/admissionByClass.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { createRandom, DispatchEndKind, ManualClock, RefusalReason, type ClassSamples, type FleetObservation, type Manifest, type PlacementRefusal, type RequestClass, workspaceCode } from 'dotterelspur'
+import { createRandom, DispatchEndKind, ManualClock, MemberState, RefusalReason, type ClassSamples, type FleetObservation, type Manifest, type PlacementRefusal, type RequestClass, workspaceCode } from 'dotterelspur'
 import { Dispatch } from '../../process/Dispatch.js'
 import { EndpointRegistry } from '../../process/EndpointRegistry.js'
 import { FleetView } from '../../process/FleetView.js'
@@ -8,7 +8,7 @@
 import { ManifestFollower } from '../../process/ManifestFollower.js'
 import { refusalFields } from '../../request/refusalFields.js'
 import { MemoryStore } from '../fixtures/MemoryStore.js'
-import { createEngine, createLog, createManifest, createRoute } from '../fixtures/builders.js'
+import { createEndpoint, createEngine, createLog, createManifest, createRoute } from '../fixtures/builders.js'
 
 const ROUTE = createRoute('draft', { shares: [{ service: 'llm', weight: 1 }] })
 const HEAD: CallerHeaders = { requestId: 'r', deadlineMs: 2_000, key: null, model: 'large', promptTokens: 800, maxAnswerTokens: 100, lastEventId: null }
@@ -20,7 +20,9 @@
   const clock = new ManualClock()
   const store = new MemoryStore()
   store.put('manifest/main', createManifest(1, { routes: [ROUTE], services: [{ service: 'llm', healthPath: '/health', maxConnections: 50, engine: createEngine() }], ...changes }))
+  store.put('endpoints/head', createEndpoint('head', '10.0.0.2:1', { service: 'llm', fabricDomain: 'd', staged: ['large'], model: 'large', membership: { group: 'g', formation: 1, rank: 0, state: MemberState.Open } }))
   const manifest = new ManifestFollower(createLog(clock))
+  const endpoints = new EndpointRegistry(clock, createLog(clock))
   const dispatch = new Dispatch({
     clock,
     log: createLog(clock),
@@ -28,7 +30,7 @@
     node: 'n1',
     failureDomain: 'a',
     manifest,
-    endpoints: new EndpointRegistry(clock, createLog(clock)),
+    endpoints,
     retries: { windowMs: 10_000, ratio: 0.2, extra: 100 },
     firstStart: true,
     senders: () => [{ node: 'n1', failureDomain: 'a' }],
@@ -36,6 +38,7 @@
     hasAllNodes: () => true
   })
   manifest.follow(store)
+  endpoints.follow(store)
   return dispatch
 }
 
@@ -67,6 +70,13 @@
     expect(dispatch.fleetView.observe()).not.to.have.property('classes')
   })
 
+  it('does not count models that are not served', () => {
+    // Guards against callers who name many models and so take the place of the real classes in the frames.
+    const dispatch = createDispatch({ workspaces: [{ workspace: 'a', keys: ['1'], priority: 0 }, { workspace: 'b', keys: ['2'], priority: 2 }] })
+    dispatch.noteRequest('llm', ROUTE, { ...HEAD, model: 'invented' }, URGENT)
+    expect(dispatch.fleetView.observe()).not.to.have.property('classes')
+  })
+
   it('returns to one share for all with an aggregate without classes', () => {
     // Such an aggregate comes from a coordinator of the previous build, after one that sent them.
     const clock = new ManualClock()
