--- a/packages/dotterelspur/src/request/dispatch/ClassDemand.ts
+++ b/packages/dotterelspur/src/request/dispatch/ClassDemand.ts
@@ -76,7 +76,9 @@
   if (present.length === 0) return undefined
   const byPool = new Map<PoolKey, ClassSample[]>()
   for (const [pool, samples] of present.flatMap((each) => Object.entries(each))) {
-    byPool.set(pool, [...byPool.get(pool) ?? [], ...validClassSamples(samples)])
+    const known = byPool.get(pool)
+    if (known === undefined) byPool.set(pool, validClassSamples(samples))
+    else known.push(...validClassSamples(samples))
   }
   const limit = classLimit(MAX_CLASSES.fleet, MAX_CLASSES_OF_ALL_POOLS.fleet, byPool.size)
   return Object.fromEntries([...byPool].map(([pool, samples]) => [pool, heaviestClasses(samples, limit)]))
--- a/packages/dotterelspur/src/request/dispatch/ReturnSchedule.ts
+++ b/packages/dotterelspur/src/request/dispatch/ReturnSchedule.ts
@@ -13,8 +13,8 @@
  */
 const LEVELING_SHARE = 0.1
 /**
- * The probability of a part rises with this power of its free rate. In replays, 1 left twice as many second rejections
- * as 3, and 6 a higher peak of retries, since all nodes chose the same parts until the next aggregate.
+ * The probability of a part rises with this power of its free rate. A higher power avoids crowded parts better, but sends
+ * the callers of all nodes to the same parts until the next aggregate.
  */
 const FREE_RATE_POWER = 3
 
--- a/packages/dotterelspur/src/request/dispatch/WaitingRequests.ts
+++ b/packages/dotterelspur/src/request/dispatch/WaitingRequests.ts
@@ -45,7 +45,7 @@
 }
 
 /**
- * Requests that wait at a node until an endpoint's stated rate limit, or the back-off that it asked for, allows the next one.
+ * Requests that wait at a node until an endpoint's rate limit, its rate while it is cold, or the back-off that it asked for, allows the next one.
  *
  * This handles requests that arrive a little before the next token of a limited endpoint: of several that arrive together
  * all but one would be rejected, although tokens for them follow within a part of their target. Only one request is
