--- a/packages/dotterelspur-gateway/src/__tests__/unit/EvacuationRegistry.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/EvacuationRegistry.test.ts
@@ -120,4 +120,19 @@
       expect(world.changes).to.deep.equal(isRewritten ? ['+a'] : ['+a', '-a'])
     })
   }
+
+  it('keeps entries that are missing after the store\'s return while the store is away again', async () => {
+    // Guards against a grace period that ends while operators cannot write their entries again.
+    const copy = world.store.copy()
+    world.evacuate('a')
+    await world.run(500)
+    world.store.comeBackFrom(copy)
+    await world.run(GRACE_MS - 1_000)
+    world.store.disconnect()
+    await world.run(2 * GRACE_MS)
+    expect(world.domains).to.deep.equal(['a'])
+    world.store.reconnect()
+    await world.run(2 * GRACE_MS)
+    expect(world.changes).to.deep.equal(['+a', '-a'])
+  })
 })
