--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -205,6 +205,8 @@
       ...refusalFields(report.end.refusal, admitted.priority),
       retryAfterMs: report.retryAfterMs === null ? undefined : Math.round(report.retryAfterMs),
       targets: report.targets,
+      framing: report.stream?.framing,
+      endedInsideEvent: report.stream?.endedInsideEvent === true ? true : undefined,
       waitedMs: report.waitedMs === null ? undefined : Math.round(report.waitedMs),
       firstByteMs: report.firstByteMs === null ? undefined : Math.round(report.firstByteMs),
       tookMs: Math.round(tookMs),
--- a/packages/dotterelspur-gateway/src/request/EndpointCall.ts
+++ b/packages/dotterelspur-gateway/src/request/EndpointCall.ts
@@ -8,10 +8,21 @@
 const FIRST_REDIRECT = 300
 const FIRST_SERVER_ERROR = 500
 
-/** Status and headers of an endpoint's response. */
+/** How an endpoint marks the end of its response. */
+export enum ResponseFraming {
+  /** By its stated length. */
+  Length = 'length',
+  /** By the last chunk. */
+  Chunks = 'chunks',
+  /** By closing the connection. */
+  Close = 'close'
+}
+
+/** Status, headers and framing of an endpoint's response. */
 export interface ResponseStart {
   readonly status: number
   readonly headers: IncomingHttpHeaders
+  readonly framing: ResponseFraming
 }
 
 /** A complete response, buffered to be delivered as a whole. */
@@ -57,7 +68,6 @@
   private head: ResponseHeaders | null = null
   private readonly chunks: Buffer[] = []
   private streaming = false
-  private unframed = false
 
   constructor (private readonly options: EndpointCallOptions) {}
 
@@ -82,12 +92,11 @@
 
   onResponseStart (_controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
     if (this.ended || status < FIRST_SUCCESS) return
-    this.start = { status, headers }
+    this.start = { status, headers, framing: framingOf(headers) }
     this.head = this.options.wire.readResponseHeaders(status, headers)
     if (this.head.requestId !== this.options.requestId) return this.abort(ExchangeEnd.Foreign)
     this.options.onProgress(this.head)
-    this.unframed = headers['content-length'] === undefined && headers['transfer-encoding'] === undefined
-    if (this.unframed) this.options.channel.noteUnframedResponse()
+    if (this.start.framing === ResponseFraming.Close) this.options.channel.noteUnframedResponse()
     const isSuccess = status < FIRST_REDIRECT
     this.streaming = isSuccess && !this.head.notExecuted && this.options.sink !== null
     if (this.streaming) this.options.sink!.start(this.start)
@@ -107,7 +116,7 @@
     if (this.start === null || this.head === null) return this.finish(ExchangeEnd.Garbled, null)
     const end = classifyResponse(this.start.status, this.head)
     const buffered: BufferedResponse = { ...this.start, body: Buffer.concat(this.chunks) }
-    if (!this.unframed) return this.finish(end, buffered)
+    if (this.start.framing !== ResponseFraming.Close) return this.finish(end, buffered)
     this.options.channel.closedCleanly().then(
       (clean) => { this.finish(clean ? end : ExchangeEnd.BrokenOff, clean ? buffered : null) },
       () => { this.finish(ExchangeEnd.BrokenOff, null) }
@@ -127,6 +136,11 @@
   }
 }
 
+function framingOf (headers: IncomingHttpHeaders): ResponseFraming {
+  if (headers['transfer-encoding'] !== undefined) return ResponseFraming.Chunks
+  return headers['content-length'] === undefined ? ResponseFraming.Close : ResponseFraming.Length
+}
+
 /** The outcome of an exchange that ended with a complete response. */
 function classifyResponse (status: number, head: ResponseHeaders): ExchangeEnd {
   if (status === MISDIRECTED) return ExchangeEnd.Misdirected
--- a/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
+++ b/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
@@ -10,9 +10,10 @@
 import type { CallerHeaders, WireFormat } from '../process/GatewayPorts.js'
 import type { PoisonTracker } from '../process/PoisonTracker.js'
 import type { RequestWaits } from '../process/RequestWaits.js'
-import { GatewayErrorKind, type CallerResponse } from './CallerResponse.js'
-import { EndpointCall, type ResponseStart, type BufferedResponse } from './EndpointCall.js'
+import type { CallerResponse, GatewayErrorKind } from './CallerResponse.js'
+import { EndpointCall, type ResponseFraming, type ResponseStart, type BufferedResponse } from './EndpointCall.js'
 import { PlacementWait } from './PlacementWait.js'
+import { RESPONDERS, retryAfterMsOf } from './responders.js'
 
 /** Time beyond the deadline for the endpoint's own timeout response, which says more about the request than the gateway's would. */
 const DEADLINE_GRACE_MS = 100
@@ -53,6 +54,14 @@
   /** How long it waited at this node; null where it did not. */
   readonly waitedMs: number | null
   readonly targets: readonly string[]
+  /** The last stream that an endpoint began; null where none did. */
+  readonly stream: StreamReport | null
+}
+
+export interface StreamReport {
+  readonly framing: ResponseFraming
+  /** Its last bytes were no complete event. */
+  readonly endedInsideEvent: boolean
 }
 
 /** Dispatches one admitted request and sends its response. */
@@ -72,6 +81,7 @@
   private paused = false
   private currentExchange: DispatchExchange | null = null
   private streamStart: ResponseStart | null = null
+  private endedInsideEvent = false
   private readonly wait: PlacementWait
 
   constructor (private readonly parts: GatewayRequestParts, private readonly admitted: AdmittedRequest, private readonly response: CallerResponse) {
@@ -101,7 +111,11 @@
     const end = this.stoppedWith === ExchangeEnd.CallerLeft && dispatched.kind === DispatchEndKind.NotRun ? { ...dispatched, kind: DispatchEndKind.CallerLeft, refusal: null } : dispatched
     const answeredWith = this.respond(end)
     const firstByteMs = this.firstByteAtMs === null ? null : this.firstByteAtMs - this.admitted.arrivedAtMs
-    return { end, answeredWith, firstByteMs, retryAfterMs: end.kind === DispatchEndKind.NotRun ? retryAfterMsOf(end) : null, waitedMs: this.wait.waitedMs, targets: this.targets }
+    return { end, answeredWith, firstByteMs, retryAfterMs: end.kind === DispatchEndKind.NotRun ? retryAfterMsOf(end) : null, waitedMs: this.wait.waitedMs, targets: this.targets, stream: this.describeStream() }
+  }
+
+  private describeStream (): StreamReport | null {
+    return this.streamStart === null ? null : { framing: this.streamStart.framing, endedInsideEvent: this.endedInsideEvent }
   }
 
   private async mayRetryAfterLoss (): Promise<boolean> {
@@ -170,6 +184,7 @@
         running.stop()
         dispatch.releaseChannel(target, channel)
         if (end === ExchangeEnd.Rejected && head !== null && head.lostMember !== null) dispatch.noteFailure(target, end)
+        this.endedInsideEvent = this.cursor.isInsideEvent
         const finalEnd = this.reclassifyEnd(end, buffered)
         this.handleEnd(finalEnd, buffered)
         resolve(finalEnd)
@@ -247,44 +262,6 @@
   }
 }
 
-type Responder = (end: DispatchEnd, response: CallerResponse, lastFailure: BufferedResponse | null) => GatewayErrorKind | null
-
-function sendError (response: CallerResponse, kind: GatewayErrorKind, retryAfterMs: number | null): GatewayErrorKind {
-  response.sendError(kind, retryAfterMs)
-  return kind
-}
-
-/** Sends the response for each kind of end of a dispatch. */
-const RESPONDERS: Readonly<Record<DispatchEndKind, Responder>> = {
-  [DispatchEndKind.Delivered]: () => null,
-  [DispatchEndKind.CallerLeft]: () => null,
-  [DispatchEndKind.CutOff]: (_end, response) => {
-    response.abort()
-    return null
-  },
-  [DispatchEndKind.DeliverFailure]: (_end, response, lastFailure) => {
-    if (lastFailure === null) return sendError(response, GatewayErrorKind.EndpointLost, null)
-    response.deliver(lastFailure)
-    return null
-  },
-  [DispatchEndKind.NotRun]: (end, response) => sendError(response, GatewayErrorKind.NotRun, retryAfterMsOf(end)),
-  [DispatchEndKind.Unknown]: (end, response, lastFailure) => {
-    if (lastFailure !== null) {
-      response.deliver(lastFailure)
-      return null
-    }
-    const kind = end.lastExchange === ExchangeEnd.TimedOut ? GatewayErrorKind.TimedOut : GatewayErrorKind.EndpointLost
-    return sendError(response, kind, null)
-  }
-}
-
-/** Retry-After where an endpoint refused the request: a slot becomes free about this often. */
-const DEFAULT_RETRY_MS = 400
-
-function retryAfterMsOf ({ refusal }: DispatchEnd): number {
-  return refusal?.retryAfterMs ?? DEFAULT_RETRY_MS
-}
-
 function isRetryable (route: Route): boolean {
   return route.kind === RequestKind.Idempotent || (route.kind === RequestKind.Streaming && route.resumable)
 }
--- a/packages/dotterelspur/src/request/dispatch/EventCursor.ts
+++ b/packages/dotterelspur/src/request/dispatch/EventCursor.ts
@@ -21,6 +21,11 @@
     return this.lastId
   }
 
+  /** Whether bytes have arrived that no complete event contains yet. */
+  get isInsideEvent (): boolean {
+    return this.partialEvent.length > 0
+  }
+
   /** Appends bytes and returns those that complete events, or null while there are none. */
   push (chunk: Buffer): Buffer | null {
     const bytes = this.partialEvent.length === 0 ? chunk : Buffer.concat([this.partialEvent, chunk])
