A stream that ends inside an event has been broken off, whatever its framing says

Cause: the end of a stream was judged by the framing of its response alone. A stream with neither Content-Length nor chunks ends with its connection; an orderly close inside an event counted as the end, and the part of the event was forwarded as a remainder.

Now the events decide as well: EventCursor knows whether the bytes end inside an event, and such a stream is broken off, for each framing. It is resumed where the route allows, and otherwise the caller's response is cut off or, before its first event, becomes a 502. The cursor recognises lines that end in CR and CRLF too, since a stream of those would now never be inside a complete event.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/cutStreams.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/cutStreams.test.ts
@@ -3,6 +3,7 @@
 import { RequestKind } from 'dotterelspur'
 import { GatewayWorld } from '../fixtures/GatewayWorld.js'
 import { createManifest, createRoute } from '../fixtures/builders.js'
+import { ResponseFraming } from '../../request/EndpointCall.js'
 import { event, StubEndpoint, type StubHandler } from '../fixtures/StubEndpoint.js'
 
 const ROUTES = [
@@ -11,12 +12,20 @@
 ]
 const EVENT_COUNT = 5
 
-/** Writes a stream without Content-Length and chunks, and closes its connection in order. */
-function closeDelimited (text: (from: number) => string): StubHandler {
+/** Writes a response whose end is marked in one way, and then closes the connection in order. */
+type Framing = (text: string) => { readonly header: string | null, readonly body: string }
+
+const FRAMINGS: Readonly<Record<ResponseFraming, Framing>> = {
+  [ResponseFraming.Length]: (text) => ({ header: `content-length: ${Buffer.byteLength(text)}`, body: text }),
+  [ResponseFraming.Chunks]: (text) => ({ header: 'transfer-encoding: chunked', body: `${Buffer.byteLength(text).toString(16)}\r\n${text}\r\n0\r\n\r\n` }),
+  [ResponseFraming.Close]: (text) => ({ header: null, body: text })
+}
+
+function framed (framing: ResponseFraming, text: (from: number) => string, contentType = 'text/event-stream'): StubHandler {
   return (incoming, response) => {
-    const from = Number(incoming.headers['last-event-id'] ?? 0)
-    const head = ['HTTP/1.1 200 OK', 'content-type: text/event-stream', `x-request: ${String(incoming.headers['x-request'])}`, 'x-seal: seal', '', '']
-    response.socket!.end(head.join('\r\n') + text(from))
+    const { header, body } = FRAMINGS[framing](text(Number(incoming.headers['last-event-id'] ?? 0)))
+    const head = ['HTTP/1.1 200 OK', `content-type: ${contentType}`, `x-request: ${String(incoming.headers['x-request'])}`, 'x-seal: seal', ...(header === null ? [] : [header]), '', '']
+    response.socket!.end(head.join('\r\n') + body)
   }
 }
 
@@ -24,8 +33,11 @@
   return Array.from({ length: Math.max(0, last - from) }, (_unused, index) => event(from + index + 1)).join('')
 }
 
-const cutInsideEvent = closeDelimited((from) => eventsAfter(from, 2) + 'id: 3\ndata: pie')
-const complete = closeDelimited((from) => eventsAfter(from))
+function cutInsideEvent (from: number): string {
+  return eventsAfter(from, 2) + 'id: 3\ndata: pie'
+}
+
+const complete = framed(ResponseFraming.Close, (from) => eventsAfter(from))
 
 describe('Streams that are cut', () => {
   let world: GatewayWorld
@@ -56,19 +68,36 @@
     return { status: answer.statusCode, body: await answer.body.text().catch(() => null) }
   }
 
-  it('deliver a stream that ends with its connection after a complete event', async () => {
-    answerInTurn(complete)
-    expect(await call('/stream-once/x')).to.deep.equal({ status: 200, body: eventsAfter(0) })
+  for (const framing of Object.values(ResponseFraming)) {
+    it(`deliver a stream that ends after a complete event, framed by ${framing}`, async () => {
+      answerInTurn(framed(framing, (from) => eventsAfter(from)))
+      expect(await call('/stream-once/x')).to.deep.equal({ status: 200, body: eventsAfter(0) })
+    })
+
+    // Guards against a success with a truncated stream: the endpoint fails inside an event, and its response ends as if it were complete.
+    it(`resume a stream that ended inside an event, framed by ${framing}`, async () => {
+      answerInTurn(framed(framing, cutInsideEvent), complete)
+      expect(await call('/stream/x')).to.deep.equal({ status: 200, body: eventsAfter(0) })
+    })
+
+    it(`cut off a stream that ended inside an event, framed by ${framing}, where it may not be resumed`, async () => {
+      answerInTurn(framed(framing, cutInsideEvent))
+      expect(await call('/stream-once/x')).to.deep.equal({ status: 200, body: null })
+    })
+  }
+
+  it('cut off a stream that every endpoint ended inside an event', async () => {
+    answerInTurn(framed(ResponseFraming.Close, cutInsideEvent))
+    expect(await call('/stream/x')).to.deep.equal({ status: 200, body: null })
   })
 
-  // Guards against a success with a truncated stream: the endpoint fails inside an event, and an orderly close is the only end of the response.
-  it('resume a stream whose connection was closed inside an event', async () => {
-    answerInTurn(cutInsideEvent, complete)
-    expect(await call('/stream/x')).to.deep.equal({ status: 200, body: eventsAfter(0) })
+  it('report a lost endpoint where a stream ended inside its first event', async () => {
+    answerInTurn(framed(ResponseFraming.Close, () => 'id: 1\nda'))
+    expect((await call('/stream-once/x')).status).to.equal(502)
   })
 
-  it('cut off a stream whose connection was closed inside an event, where it may not be resumed', async () => {
-    answerInTurn(cutInsideEvent)
-    expect(await call('/stream-once/x')).to.deep.equal({ status: 200, body: null })
+  it('deliver a complete response that is no stream of events', async () => {
+    answerInTurn(framed(ResponseFraming.Length, () => '{"whole":true}', 'application/json'))
+    expect(await call('/stream-once/x')).to.deep.equal({ status: 200, body: '{"whole":true}' })
   })
 })
--- a/packages/dotterelspur-gateway/src/connection/headers.ts
+++ b/packages/dotterelspur-gateway/src/connection/headers.ts
@@ -8,6 +8,8 @@
 /** Not forwarded either: it is set again for each hop, together with the body. */
 const LENGTH_HEADER = 'content-length'
 
+const EVENT_STREAM_TYPE = 'text/event-stream'
+
 /** The caller's headers that are forwarded to an endpoint, as a flat list of names and values. */
 export function forwardedHeaders (rawHeaders: readonly string[]): string[] {
   const named = connectionHeaderNames(rawHeaders)
@@ -29,6 +31,11 @@
   return kept
 }
 
+/** Whether the response to a streaming request is a stream of events. A missing content type is taken for one. */
+export function isEventStream (headers: IncomingHttpHeaders): boolean {
+  return headers['content-type']?.toLowerCase().startsWith(EVENT_STREAM_TYPE) ?? true
+}
+
 /** Names that the sender's `Connection` header lists as hop-by-hop. */
 function connectionHeaderNames (rawHeaders: readonly string[]): Set<string> {
   const named = new Set<string>()
--- a/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
+++ b/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
@@ -4,7 +4,7 @@
   DispatchEffectKind, DispatchEndKind, EventCursor, EXCHANGE_RULES, ExchangeEnd, RequestKind, runDispatch, runProcedure,
   type Clock, type DispatchEnd, type DispatchTarget, type ExchangeEffect, type ExchangeReport, type PlaceEffect, type PlacementRefusal, type RequestContent, type Route, type ServiceId, type Teardown, type WorkspaceId
 } from 'dotterelspur'
-import { forwardedHeaders } from '../connection/headers.js'
+import { forwardedHeaders, isEventStream } from '../connection/headers.js'
 import type { Dispatch } from '../process/Dispatch.js'
 import type { DispatchExchange } from '../process/DispatchParts.js'
 import type { CallerHeaders, WireFormat } from '../process/GatewayPorts.js'
@@ -227,10 +227,15 @@
     if (this.streamStart !== null) this.response.start(this.streamStart)
   }
 
-  /** A stream that the caller has partly received can't be completed by a response that isn't a stream. */
+  /**
+   * A stream that ends inside an event was broken off, whatever the framing of its response says. A stream that the caller has partly
+   * received can't be completed by a response that isn't a stream.
+   */
   private reclassifyEnd (end: ExchangeEnd, buffered: BufferedResponse | null): ExchangeEnd {
-    const isStream = buffered !== null && buffered.status < FIRST_REDIRECT
-    return end === ExchangeEnd.Answered && this.response.isStarted && !isStream ? ExchangeEnd.BrokenOff : end
+    if (end !== ExchangeEnd.Answered || buffered === null) return end
+    const isStream = this.streamStart !== null && buffered.status < FIRST_REDIRECT
+    if (isStream) return this.cursor.isInsideEvent && isEventStream(buffered.headers) ? ExchangeEnd.BrokenOff : end
+    return this.response.isStarted ? ExchangeEnd.BrokenOff : end
   }
 
   private handleEnd (end: ExchangeEnd, buffered: BufferedResponse | null): void {
--- a/packages/dotterelspur/src/request/dispatch/__tests__/unit/EventCursor.test.ts
+++ b/packages/dotterelspur/src/request/dispatch/__tests__/unit/EventCursor.test.ts
@@ -26,6 +26,30 @@
     }), { seed: 20261202, numRuns: 300 })
   })
 
+  for (const [name, lineEnd] of Object.entries({ CR: '\r', LF: '\n', CRLF: '\r\n' })) {
+    it(`recognises events whose lines end in ${name}, however they are split`, () => {
+      fc.assert(fc.property(fc.integer({ min: 1, max: 8 }), fc.integer({ min: 1, max: 9 }), (count, size) => {
+        const text = Array.from({ length: count }, (_unused, index) => event(index + 1)).join('').replaceAll('\n', lineEnd)
+        const cursor = new EventCursor(null)
+        let taken = ''
+        for (let at = 0; at < text.length; at += size) taken += cursor.push(Buffer.from(text.slice(at, at + size)))?.toString() ?? ''
+        expect(cursor.isInsideEvent).to.equal(false)
+        expect(taken + cursor.takeRemainder().toString()).to.equal(text)
+        expect(cursor.lastEventId).to.equal(String(count))
+      }), { seed: 20261203, numRuns: 200 })
+    })
+  }
+
+  it('is inside an event at each byte but those after an empty line', () => {
+    const text = event(1) + event(2)
+    const cursor = new EventCursor(null)
+    const boundaries = [...text].flatMap((character, at) => {
+      cursor.push(Buffer.from(character))
+      return cursor.isInsideEvent ? [] : [at + 1]
+    })
+    expect(boundaries).to.deep.equal([event(1).length, text.length])
+  })
+
   it('continues after the last complete event when a sender stops in the middle of one', () => {
     // Guards against a stream with a corrupt event: an endpoint dies in the middle of an event, another continues after
     // the last complete one, and the partial event was already forwarded or was kept before the continuation's bytes.
