A response that has no body needs no stated length

A 204, a 304 and the response to HEAD were taken for responses that end with their connection. The channel waits for that end, which does not come on a connection that is kept, and the exchange counted as broken off: callers got a 502, and the endpoint was avoided.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/EndpointCall.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/EndpointCall.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import type { Dispatcher } from 'undici'
 import { ExchangeEnd } from 'dotterelspur'
 import { EndpointChannels } from '../../connection/EndpointChannels.js'
 import type { ResponseHeaders, WireFormat } from '../../process/GatewayPorts.js'
@@ -24,7 +25,7 @@
 }
 
 /** Runs one call against a server that handles the raw connection. */
-async function callServer (respond: (socket: Socket, requests: number) => void, calls = 1): Promise<CallResult[]> {
+async function callServer (respond: (socket: Socket, requests: number) => void, calls = 1, method: Dispatcher.HttpMethod = 'GET'): Promise<CallResult[]> {
   let requests = 0
   const server: Server = createServer((socket) => {
     socket.on('error', () => { /* The client may reset connections. */ })
@@ -34,17 +35,18 @@
   const channels = new EndpointChannels()
   const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
   const results: CallResult[] = []
-  for (let index = 0; index < calls; index++) results.push(await callOnce(channels, address))
+  for (let index = 0; index < calls; index++) results.push(await callOnce(channels, address, method))
   channels.close()
   await new Promise((resolve) => { server.close(resolve) })
   return results
 }
 
-async function callOnce (channels: EndpointChannels, address: string): Promise<CallResult> {
+async function callOnce (channels: EndpointChannels, address: string, method: Dispatcher.HttpMethod = 'GET'): Promise<CallResult> {
   const channel = channels.acquire('endpoint', address)
   return await new Promise((resolve) => {
     const call = new EndpointCall({
       requestId: REQUEST_ID,
+      method,
       wire: wire as WireFormat,
       channel,
       sink: null,
@@ -54,7 +56,7 @@
         resolve({ end, body: held?.body.toString() ?? null })
       }
     })
-    channel.dispatch({ path: '/', method: 'GET' }, call)
+    channel.dispatch({ path: '/', method }, call)
   })
 }
 
@@ -130,6 +132,14 @@
     expect(result).to.deep.equal({ end: ExchangeEnd.Answered, body: 'full' })
   })
 
+  // Guards against a success that is taken for a broken exchange: a response that has no body needs no length, and its connection stays open.
+  for (const [method, status] of [['GET', '204 No Content'], ['GET', '304 Not Modified'], ['HEAD', '200 OK']] as const) {
+    it(`ends as answered on a ${status} to ${method} without a stated length`, async () => {
+      const [result] = await callServer((socket) => socket.write(responseText(status, [OWN], '')), 1, method)
+      expect(result).to.deep.equal({ end: ExchangeEnd.Answered, body: '' })
+    })
+  }
+
   it('does not deliver a surplus response to the next request', async () => {
     // Guards against a caller that receives another caller's response: an endpoint sends two responses to one request, and the
     // second is read from the kept-alive connection as the response to the next request.
--- a/packages/dotterelspur-gateway/src/request/EndpointCall.ts
+++ b/packages/dotterelspur-gateway/src/request/EndpointCall.ts
@@ -7,10 +7,11 @@
 const FIRST_SUCCESS = 200
 const FIRST_REDIRECT = 300
 const FIRST_SERVER_ERROR = 500
+const BODYLESS_STATUSES: ReadonlySet<number> = new Set([204, 304])
 
 /** How an endpoint marks the end of its response. */
 export enum ResponseFraming {
-  /** By its stated length. */
+  /** By its stated length, or because its method or status has no body. */
   Length = 'length',
   /** By the last chunk. */
   Chunks = 'chunks',
@@ -45,6 +46,7 @@
 
 export interface EndpointCallOptions {
   readonly requestId: string
+  readonly method: Dispatcher.HttpMethod
   readonly wire: WireFormat
   readonly channel: ChannelCloseDetector
   /** Null if the complete response is to be buffered. */
@@ -92,7 +94,7 @@
 
   onResponseStart (_controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
     if (this.ended || status < FIRST_SUCCESS) return
-    this.start = { status, headers, framing: framingOf(headers) }
+    this.start = { status, headers, framing: framingOf(this.options.method, status, headers) }
     this.head = this.options.wire.readResponseHeaders(status, headers)
     if (this.head.requestId !== this.options.requestId) return this.abort(ExchangeEnd.Foreign)
     this.options.onProgress(this.head)
@@ -136,7 +138,8 @@
   }
 }
 
-function framingOf (headers: IncomingHttpHeaders): ResponseFraming {
+function framingOf (method: Dispatcher.HttpMethod, status: number, headers: IncomingHttpHeaders): ResponseFraming {
+  if (method === 'HEAD' || BODYLESS_STATUSES.has(status)) return ResponseFraming.Length
   if (headers['transfer-encoding'] !== undefined) return ResponseFraming.Chunks
   return headers['content-length'] === undefined ? ResponseFraming.Close : ResponseFraming.Length
 }
--- a/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
+++ b/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
@@ -176,6 +176,7 @@
     const channel = dispatch.acquireChannel(target)
     const call = new EndpointCall({
       requestId: this.admitted.requestId,
+      method: this.admitted.request.method as Dispatcher.HttpMethod,
       wire,
       channel,
       sink: streams ? { start: (start) => { this.streamStart = start }, data: (chunk) => this.handleData(chunk) } : null,
