--- a/packages/dotterelspur-gateway/src/connection/EndpointChannel.ts
+++ b/packages/dotterelspur-gateway/src/connection/EndpointChannel.ts
@@ -1,9 +1,9 @@
 import type { Socket } from 'node:net'
-import { Client, type Dispatcher } from 'undici'
+import { Client, type buildConnector, type Dispatcher } from 'undici'
 import { connectWithin } from './connectWithin.js'
 
 /** A live endpoint accepts a connection within a few milliseconds; one that is down or unreachable may never respond. */
-const CONNECT_TIMEOUT_MS = 350
+export const CONNECT_TIMEOUT_MS = 350
 /** Idle connections are closed after this time, unless the endpoint's Keep-Alive header states a shorter one. */
 const IDLE_TIMEOUT_MS = 4_000
 /**
@@ -18,6 +18,11 @@
 /** An empty line, which HTTP servers ignore between requests. */
 const RESET_PROBE = '\r\n'
 
+/** Creates a channel's connector, which calls `onConnected` with each new socket before the socket is used. */
+export type ConnectorFactory = (onConnected: (socket: Socket) => void) => buildConnector.connector
+
+const connectDirectly: ConnectorFactory = (onConnected) => connectWithin(CONNECT_TIMEOUT_MS, onConnected)
+
 /**
  * One connection to an endpoint, which carries one request at a time. Reconnects if the connection was closed between requests.
  *
@@ -31,10 +36,10 @@
   private closeEndsResponse = false
   private cleanClose: Promise<boolean> = Promise.resolve(false)
 
-  constructor (origin: string) {
+  constructor (origin: string, createConnector: ConnectorFactory = connectDirectly) {
     this.client = new Client(origin, {
       pipelining: 1,
-      connect: connectWithin(CONNECT_TIMEOUT_MS, (socket) => { this.noteConnected(socket) }),
+      connect: createConnector((socket) => { this.noteConnected(socket) }),
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: IDLE_TIMEOUT_MS,
--- a/packages/dotterelspur-gateway/src/connection/EndpointChannels.ts
+++ b/packages/dotterelspur-gateway/src/connection/EndpointChannels.ts
@@ -1,5 +1,5 @@
 import type { EndpointId } from 'dotterelspur'
-import { EndpointChannel } from './EndpointChannel.js'
+import { EndpointChannel, type ConnectorFactory } from './EndpointChannel.js'
 
 interface Pool {
   readonly origin: string
@@ -14,10 +14,13 @@
 export class EndpointChannels {
   private readonly pools = new Map<EndpointId, Pool>()
 
+  /** @param connectorOf creates the connector of an endpoint's channels; undefined for direct connections. */
+  constructor (private readonly connectorOf: (endpoint: EndpointId) => ConnectorFactory | undefined = () => undefined) {}
+
   /** Takes a channel for one exchange, to be returned with `release`. */
   acquire (endpoint: EndpointId, address: string): EndpointChannel {
     const pool = this.poolOf(endpoint, address)
-    const channel = pool.idle.pop() ?? new EndpointChannel(pool.origin)
+    const channel = pool.idle.pop() ?? new EndpointChannel(pool.origin, this.connectorOf(endpoint))
     pool.busy.add(channel)
     return channel
   }
--- a/packages/dotterelspur-gateway/src/process/DecisionLog.ts
+++ b/packages/dotterelspur-gateway/src/process/DecisionLog.ts
@@ -27,6 +27,8 @@
   ManifestInForce = 'manifest-in-force',
   ManifestRejected = 'manifest-rejected',
   RequestEnded = 'request-ended',
+  /** No connection to an endpoint was established; how long ago this node last connected to any, and to how many it does not. */
+  ConnectionFailed = 'connection-failed',
   /** An exchange with an endpoint broke off: what was sent, where, and whether the endpoint has terminated. */
   ExchangeLost = 'exchange-lost',
   /** The poison state of a request that lost endpoints has changed. */
--- a/packages/dotterelspur-gateway/src/process/Dispatch.ts
+++ b/packages/dotterelspur-gateway/src/process/Dispatch.ts
@@ -5,6 +5,7 @@
 } from 'dotterelspur'
 import type { EndpointChannel } from '../connection/EndpointChannel.js'
 import { EndpointChannels } from '../connection/EndpointChannels.js'
+import { EndpointConnector } from '../connection/EndpointConnector.js'
 import { AvailableEndpoints } from './AvailableEndpoints.js'
 import { ColdEndpointMonitor } from './ColdEndpointMonitor.js'
 import { LogKind, type LogFields } from './DecisionLog.js'
@@ -28,7 +29,8 @@
   readonly coldEndpoints: ColdEndpointMonitor
   private readonly engineTiming: EngineTiming
   private readonly health = new EndpointHealth()
-  private readonly channels = new EndpointChannels()
+  readonly connector: EndpointConnector
+  private readonly channels: EndpointChannels
   private readonly stallDetector: StallDetector
   private readonly retryWindow: RetryWindow
   private pools: ReadonlyMap<PoolKey, TargetPool> = new Map()
@@ -41,6 +43,8 @@
     this.fleetView = new FleetView(clock, parts.log, parts.node, parts.coldBounds)
     this.coldEndpoints = new ColdEndpointMonitor(this.fleetView.backpressure.cold, parts)
     this.backpressureLog = new BackpressureLog(clock, parts.log)
+    this.connector = new EndpointConnector(clock, parts.log)
+    this.channels = new EndpointChannels((endpoint) => this.connector.connectorOf(endpoint))
     this.engineTiming = new EngineTiming(parts.manifest, this.fleetView)
     const extraFromMs = parts.firstStart ? clock.nowMs() : clock.nowMs() + retries.windowMs
     this.retryWindow = new RetryWindow(retries, extraFromMs)
@@ -267,6 +271,7 @@
     this.backpressureLog.retain(ids)
     this.stallDetector.retain(ids)
     this.channels.retain(ids)
+    this.connector.retain(ids)
     this.rebuildPools(endpoints)
   }
 
--- a/packages/dotterelspur-gateway/src/process/registerGauges.ts
+++ b/packages/dotterelspur-gateway/src/process/registerGauges.ts
@@ -32,6 +32,7 @@
   metrics.gauge('told_by_decider', '1 while the deciding node tells all that the store would', () => Number(store.isCoveredByFeed))
   metrics.gauge('quarantined_requests', 'Requests that end endpoints and are sent nowhere', () => poison.guard.ledger.quarantined.size)
   metrics.gauge('suspected_requests', 'Requests that one more end of an endpoint would put in quarantine', () => poison.guard.ledger.suspected.length)
+  metrics.gauge('unconnected_endpoints', 'Endpoints to which this node\'s last connection attempt failed', () => dispatch.connector.unconnectedEndpoints)
   metrics.gauge('limited_endpoints', 'Endpoints that named a limit with their last answer to this node', () => dispatch.backpressureLog.limitedEndpoints)
   metrics.gauge('sent_to_limited_endpoints', 'Requests sent to endpoints that had named a limit, since the start', () => dispatch.backpressureLog.sentToLimited)
   metrics.gauge('sent_to_resting_endpoints', 'Requests sent to endpoints that had asked this node for rest, since the start', () => dispatch.backpressureLog.sentDuringBackoff)
