--- /dev/null
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/cutOffNodes.test.ts
@@ -0,0 +1,96 @@
+import { expect } from 'chai'
+import { request } from 'undici'
+import { SystemClock } from 'dotterelspur-clock'
+import { ENDPOINT_PREFIX } from '../../process/EndpointRegistry.js'
+import { MANIFEST_PREFIX } from '../../process/ManifestFollower.js'
+import { createEndpoint, createManifest } from '../fixtures/builders.js'
+import { CutLink, OpenConnections } from '../fixtures/CutLink.js'
+import { GatewayWorld } from '../fixtures/GatewayWorld.js'
+import { MemoryStore } from '../fixtures/MemoryStore.js'
+import { StubEndpoint, type StubHandler } from '../fixtures/StubEndpoint.js'
+
+const ENDPOINTS = 6
+const NODES = ['n1', 'n2', 'n3']
+/** From this time after the cut, first tries at the node must be served. */
+const SETTLED_MS = 3_000
+const PAUSE_MS = 20
+const DEADLINE_MS = 600
+const MEASURED_TRIES = 60
+/** Of the first tries at other nodes, all are served. */
+const MIN_SERVED_SHARE = 2 / 3
+
+const ok: StubHandler = (_request, response) => { setTimeout(() => { response.writeHead(200, { 'x-seal': 'seal' }).end('whole') }, 5) }
+
+describe('A node that is cut off from all endpoints', () => {
+  let store: MemoryStore
+  let worlds: GatewayWorld[]
+  let endpoints: StubEndpoint[]
+  let links: CutLink[]
+  let calls: number
+
+  beforeEach(async () => {
+    calls = 0
+    store = new MemoryStore(new SystemClock())
+    endpoints = await Promise.all(Array.from({ length: ENDPOINTS }, async (_unused, index) => await new StubEndpoint(`w${index}`, ok).listen()))
+    links = await Promise.all(endpoints.map(async ({ address }) => await new CutLink(address).listen()))
+    const linkOf = new Map(endpoints.map(({ address }, index) => [address, links[index]!.address]))
+    store.put(`${MANIFEST_PREFIX}main`, createManifest(1))
+    for (const { name, address } of endpoints) store.put(`${ENDPOINT_PREFIX}${name}`, createEndpoint(name, address))
+    worlds = []
+    for (const node of NODES) worlds.push(await GatewayWorld.start(node, store, node === NODES[0] ? (address) => linkOf.get(address)! : undefined))
+    await store.untilRead()
+    await untilListed()
+  })
+
+  afterEach(async () => {
+    for (const { gateway } of worlds) await gateway.close()
+    for (const link of links) link.close()
+    for (const endpoint of endpoints) endpoint.close()
+  })
+
+  async function untilListed (): Promise<void> {
+    for (const world of worlds) {
+      while (await world.gauge('nodes') < NODES.length) await pause()
+    }
+  }
+
+  async function pause (): Promise<void> {
+    await new Promise((resolve) => { setTimeout(resolve, PAUSE_MS) })
+  }
+
+  /** Whether the first try of a request at the node is served. */
+  async function isServed (): Promise<boolean> {
+    const headers = { host: 'a.example', 'x-request': `r${++calls}`, 'x-key': 'key-1', 'x-deadline': String(DEADLINE_MS) }
+    const answer = await request(worlds[0]!.url('/read/x'), { headers })
+    await answer.body.dump()
+    return answer.statusCode === 200
+  }
+
+  async function callFor (durationMs: number): Promise<void> {
+    const untilMs = performance.now() + durationMs
+    while (performance.now() < untilMs) {
+      isServed().catch(() => { /* Only requests after the cut has settled are judged. */ })
+      await pause()
+    }
+  }
+
+  /** Share of requests, sent beside each other, that are served at once. */
+  async function servedShare (): Promise<number> {
+    const tries: Array<Promise<boolean>> = []
+    for (let sent = 0; sent < MEASURED_TRIES; sent++) {
+      tries.push(isServed())
+      await pause()
+    }
+    return (await Promise.all(tries)).filter(Boolean).length / MEASURED_TRIES
+  }
+
+  // Guards against callers that are refused by a node whose own links have failed, while other nodes reach the endpoints.
+  for (const open of Object.values(OpenConnections)) {
+    it(`serves first tries through other nodes where its open connections ${open}`, async () => {
+      await callFor(300)
+      for (const link of links) link.cut(open)
+      await callFor(SETTLED_MS)
+      expect(await servedShare()).to.be.at.least(MIN_SERVED_SHARE)
+    }).timeout(20_000)
+  }
+})
