Log the framing of each stream that was broken off

request-ended shows only the last stream of a request; of a stream that was cut and resumed elsewhere, exchange-lost now says how it was framed and whether it ended inside an event.

--- a/packages/dotterelspur-gateway/src/process/PoisonTracker.ts
+++ b/packages/dotterelspur-gateway/src/process/PoisonTracker.ts
@@ -3,6 +3,7 @@
   type Clock, type DispatchTarget, type NodeId, type PoisonLimits, type PoisonRecord, type RequestContent, type RequestFingerprint, type Teardown
 } from 'dotterelspur'
 import { TerminationProbe, fingerprintOf, PoisonGuard, type QuarantineRegistry } from 'dotterelspur-poison'
+import type { StreamReport } from '../request/EndpointCall.js'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
 import type { EndpointRegistry } from './EndpointRegistry.js'
 
@@ -29,6 +30,8 @@
   readonly tookMs: number
   /** This node's other requests in flight at the endpoint. */
   readonly besides: number
+  /** Null if the endpoint began no stream. */
+  readonly stream: StreamReport | null
 }
 
 export interface PoisonTrackerParts {
@@ -163,7 +166,7 @@
     })
   }
 
-  private logLoss ({ requestId, content, target, events, tookMs, besides }: LostExchange, ended: boolean, mayBlame: boolean): void {
+  private logLoss ({ requestId, content, target, events, tookMs, besides, stream }: LostExchange, ended: boolean, mayBlame: boolean): void {
     const fingerprint = fingerprintOf(content)
     this.parts.log.write(LogKind.ExchangeLost, {
       request: requestId,
@@ -172,6 +175,8 @@
       ended,
       mayBlame,
       events,
+      framing: stream?.framing,
+      endedInsideEvent: stream?.endedInsideEvent === true ? true : undefined,
       tookMs: Math.round(tookMs),
       besides,
       state: this.guard.ledger.stateOf(fingerprint, this.parts.clock.nowMs()),
--- a/packages/dotterelspur-gateway/src/request/EndpointCall.ts
+++ b/packages/dotterelspur-gateway/src/request/EndpointCall.ts
@@ -19,6 +19,13 @@
   Close = 'close'
 }
 
+/** How a stream of an endpoint ended, for the log. */
+export interface StreamReport {
+  readonly framing: ResponseFraming
+  /** Its last bytes were no complete event. */
+  readonly endedInsideEvent: boolean
+}
+
 /** Status, headers and framing of an endpoint's response. */
 export interface ResponseStart {
   readonly status: number
--- a/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
+++ b/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
@@ -11,7 +11,7 @@
 import type { PoisonTracker } from '../process/PoisonTracker.js'
 import type { RequestWaits } from '../process/RequestWaits.js'
 import type { CallerResponse, GatewayErrorKind } from './CallerResponse.js'
-import { EndpointCall, type ResponseFraming, type ResponseStart, type BufferedResponse } from './EndpointCall.js'
+import { EndpointCall, type ResponseStart, type BufferedResponse, type StreamReport } from './EndpointCall.js'
 import { PlacementWait } from './PlacementWait.js'
 import { RESPONDERS, retryAfterMsOf } from './responders.js'
 
@@ -58,12 +58,6 @@
   readonly stream: StreamReport | null
 }
 
-export interface StreamReport {
-  readonly framing: ResponseFraming
-  /** Its last bytes were no complete event. */
-  readonly endedInsideEvent: boolean
-}
-
 /** Dispatches one admitted request and sends its response. */
 export class GatewayRequest {
   private currentCall: EndpointCall | null = null
@@ -165,7 +159,7 @@
   private async noteLoss (target: DispatchTarget, tookMs: number): Promise<void> {
     const { poison, dispatch } = this.parts
     const { requestId, content } = this.admitted
-    await poison.noteLoss({ requestId, content, target, events: this.eventCount, tookMs, besides: dispatch.ownInFlight(target) })
+    await poison.noteLoss({ requestId, content, target, events: this.eventCount, tookMs, besides: dispatch.ownInFlight(target), stream: this.describeStream() })
   }
 
   private send (target: DispatchTarget, mayRetry: boolean, resolve: (end: ExchangeEnd) => void): void {
