Other nodes relay connections to endpoints that a node does not reach itself

Cause: a node decided from its own links alone that an endpoint can't be reached, and had no other way to it.

Now a node that does not connect to an endpoint uses a connection that another node relays (CONNECT on the port for nodes, listed endpoints only). All decisions about a request stay with the node that has it.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/cutOffNodes.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/cutOffNodes.test.ts
@@ -93,4 +93,30 @@
       expect(await servedShare()).to.be.at.least(MIN_SERVED_SHARE)
     }).timeout(20_000)
   }
+
+  // Guards against answers that are lost because the node that relays them stops.
+  it('serves all first tries while a node that relays stops', async () => {
+    for (const link of links) link.cut(OpenConnections.Reset)
+    await callFor(SETTLED_MS)
+    expect(await worlds[0]!.gauge('cut_off')).to.equal(1)
+    const stopped = worlds[1]!.gateway.stop()
+    expect(await servedShare()).to.equal(1)
+    await stopped
+    expect(await servedShare()).to.equal(1)
+  }).timeout(20_000)
+
+  it('connects directly again once its links are back', async () => {
+    for (const link of links) link.cut(OpenConnections.Reset)
+    while (await worlds[0]!.gauge('cut_off') === 0) await callFor(PAUSE_MS)
+    await Promise.all(links.map(async (link) => { await link.heal() }))
+    while (await worlds[0]!.gauge('cut_off') === 1) await callFor(PAUSE_MS)
+    const relayed = await relaysServed()
+    expect(await servedShare()).to.equal(1)
+    expect(await relaysServed()).to.equal(relayed)
+  }).timeout(20_000)
+
+  async function relaysServed (): Promise<number> {
+    const served = await Promise.all(worlds.map(async (world) => await world.gauge('relays_served')))
+    return served.reduce((sum, count) => sum + count, 0)
+  }
 })
--- a/packages/dotterelspur-gateway/src/connection/EndpointChannel.ts
+++ b/packages/dotterelspur-gateway/src/connection/EndpointChannel.ts
@@ -1,9 +1,10 @@
 import type { Socket } from 'node:net'
 import { Client, type buildConnector, type Dispatcher } from 'undici'
+import type { NodeId } from 'dotterelspur'
 import { connectWithin } from './connectWithin.js'
 
 /** A live endpoint accepts a connection within a few milliseconds; one that is down or unreachable may never respond. */
-export const CONNECT_TIMEOUT_MS = 350
+export const DIRECT_TIMEOUT_MS = 350
 /** Idle connections are closed after this time, unless the endpoint's Keep-Alive header states a shorter one. */
 const IDLE_TIMEOUT_MS = 4_000
 /**
@@ -18,10 +19,13 @@
 /** An empty line, which HTTP servers ignore between requests. */
 const RESET_PROBE = '\r\n'
 
-/** Creates a channel's connector, which calls `onConnected` with each new socket before the socket is used. */
-export type ConnectorFactory = (onConnected: (socket: Socket) => void) => buildConnector.connector
+/** Receives each new socket of a channel before it is used, and the node that relays it; null if it is direct. */
+export type ConnectionListener = (socket: Socket, relay: NodeId | null) => void
 
-const connectDirectly: ConnectorFactory = (onConnected) => connectWithin(CONNECT_TIMEOUT_MS, onConnected)
+/** Creates a channel's connector. */
+export type ConnectorFactory = (onConnected: ConnectionListener) => buildConnector.connector
+
+const connectDirectly: ConnectorFactory = (onConnected) => connectWithin(DIRECT_TIMEOUT_MS, (socket) => { onConnected(socket, null) })
 
 /**
  * One connection to an endpoint, which carries one request at a time. Reconnects if the connection was closed between requests.
@@ -33,13 +37,14 @@
  */
 export class EndpointChannel {
   private readonly client: Client
+  private relayNode: NodeId | null = null
   private closeEndsResponse = false
   private cleanClose: Promise<boolean> = Promise.resolve(false)
 
   constructor (origin: string, createConnector: ConnectorFactory = connectDirectly) {
     this.client = new Client(origin, {
       pipelining: 1,
-      connect: createConnector((socket) => { this.noteConnected(socket) }),
+      connect: createConnector((socket, relay) => { this.noteConnected(socket, relay) }),
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: IDLE_TIMEOUT_MS,
@@ -47,6 +52,11 @@
     })
   }
 
+  /** The node that relays the connection; null if it is direct. */
+  get relay (): NodeId | null {
+    return this.relayNode
+  }
+
   /** The current response has no stated length, so the close of the connection marks its end. */
   noteUnframedResponse (): void {
     this.closeEndsResponse = true
@@ -71,7 +81,8 @@
     this.client.close().catch(() => { /* Already closed: nothing is left to do. */ })
   }
 
-  private noteConnected (socket: Socket): void {
+  private noteConnected (socket: Socket, relay: NodeId | null): void {
+    this.relayNode = relay
     this.closeEndsResponse = false
     this.cleanClose = Promise.resolve(false)
     this.detectReset(socket)
--- a/packages/dotterelspur-gateway/src/connection/EndpointChannels.ts
+++ b/packages/dotterelspur-gateway/src/connection/EndpointChannels.ts
@@ -33,6 +33,17 @@
     else this.closeRetired(endpoint, pool, channel)
   }
 
+  /** Closes idle channels whose path is no longer usable, so that no request is sent on them. */
+  closeIdle (isUnusable: (channel: EndpointChannel, endpoint: EndpointId) => boolean): void {
+    for (const [endpoint, pool] of this.pools) {
+      const unusable = pool.idle.filter((channel) => isUnusable(channel, endpoint))
+      if (unusable.length === 0) continue
+      const kept = pool.idle.filter((channel) => !unusable.includes(channel))
+      pool.idle.splice(0, pool.idle.length, ...kept)
+      for (const channel of unusable) channel.destroy()
+    }
+  }
+
   /** Closes the channels of all endpoints that are not in `endpoints`, once their exchanges have ended. */
   retain (endpoints: ReadonlySet<EndpointId>): void {
     for (const [endpoint, pool] of this.pools) {
--- a/packages/dotterelspur-gateway/src/connection/PeerLinks.ts
+++ b/packages/dotterelspur-gateway/src/connection/PeerLinks.ts
@@ -1,5 +1,5 @@
 import { Packr } from 'msgpackr'
-import { WebSocket, WebSocketServer } from 'ws'
+import { WebSocket } from 'ws'
 import type { Clock, EndpointId, LeaseObject, NodeId, PoisonRecord, Random, StoredObject, Teardown } from 'dotterelspur'
 import type { LeaseHolderState } from '../process/LeaseHolderState.js'
 import { LogKind, type DecisionLog } from '../process/DecisionLog.js'
@@ -8,6 +8,8 @@
 import type { FeedUpdate } from '../process/StoreFeed.js'
 import { ObservationExchange, type ObservationSource } from './ObservationExchange.js'
 import { PeerFrameKind, type PeerFrame, type Suspicion } from './PeerFrame.js'
+import { PeerServer } from './PeerServer.js'
+import type { RelayServer } from './RelayServer.js'
 import { decodeFeedUpdate, decodeHolderState, decodeLease, encodeFeedUpdate, encodeHolderState, encodeLease } from './StoreVersionCodec.js'
 
 /** Interval between pings to a node, and between attempts to dial nodes without a link. */
@@ -72,7 +74,7 @@
  * of all nodes' observations, without which several nodes would fill the same group at the same time.
  */
 export class PeerLinks {
-  private server: WebSocketServer | null = null
+  private server: PeerServer | null = null
   private readonly inbound = new Set<WebSocket>()
   private readonly links = new Map<NodeId, Link>()
   private readonly lastSeenAtMs = new Map<NodeId, number>()
@@ -102,20 +104,12 @@
     this.exchange = new ObservationExchange(clock, random, listener)
   }
 
-  async listen ({ host, port }: ListenAddress): Promise<void> {
-    const server = new WebSocketServer({ host, port, maxPayload: MAX_FRAME_BYTES, perMessageDeflate: false })
-    this.server = server
-    server.on('connection', (socket) => {
-      this.inbound.add(socket)
-      socket.on('close', () => { this.inbound.delete(socket) })
-      socket.on('error', () => { socket.terminate() })
-      socket.on('message', (data) => { this.handleFrame(data as Buffer, { socket, node: null }) })
-      this.sendPoisonTo([socket], this.listener.poisonRecords(true))
-    })
-    await new Promise<void>((resolve, reject) => {
-      server.once('listening', resolve)
-      server.once('error', reject)
+  async listen (address: ListenAddress, relays: RelayServer): Promise<void> {
+    this.server = new PeerServer(MAX_FRAME_BYTES, {
+      onLink: (socket) => { this.accept(socket) },
+      onRelayRequest: (request, socket) => { relays.accept(request, socket) }
     })
+    await this.server.listen(address)
   }
 
   /** Reports a suspected group to the coordinator. If none is connected, the endpoint list will show the failure later. */
@@ -269,6 +263,14 @@
     }
   }
 
+  private accept (socket: WebSocket): void {
+    this.inbound.add(socket)
+    socket.on('close', () => { this.inbound.delete(socket) })
+    socket.on('error', () => { socket.terminate() })
+    socket.on('message', (data) => { this.handleFrame(data as Buffer, { socket, node: null }) })
+    this.sendPoisonTo([socket], this.listener.poisonRecords(true))
+  }
+
   private linkedSockets (): WebSocket[] {
     return [...this.links.values()].map(({ socket }) => socket)
   }
--- a/packages/dotterelspur-gateway/src/process/DecisionLog.ts
+++ b/packages/dotterelspur-gateway/src/process/DecisionLog.ts
@@ -29,6 +29,9 @@
   RequestEnded = 'request-ended',
   /** No connection to an endpoint was established; how long ago this node last connected to any, and to how many it does not. */
   ConnectionFailed = 'connection-failed',
+  /** This node no longer connects to endpoints that other nodes reach: new connections are relayed by other nodes. */
+  LinksLost = 'links-lost',
+  LinksRegained = 'links-regained',
   /** An exchange with an endpoint broke off: what was sent, where, and whether the endpoint has terminated. */
   ExchangeLost = 'exchange-lost',
   /** The poison state of a request that lost endpoints has changed. */
--- a/packages/dotterelspur-gateway/src/process/Dispatch.ts
+++ b/packages/dotterelspur-gateway/src/process/Dispatch.ts
@@ -3,18 +3,17 @@
   type DispatchTarget, type EndpointId, type EndpointRecord, type FleetObservation, type ModelId, type PlacementRefusal, type PoolKey, type RetryWindowOptions, type Route, type Sender,
   type SenderPosition, type ServiceId, type ReportedBackpressure, type RequestClass, type TargetPool
 } from 'dotterelspur'
-import type { EndpointChannel } from '../connection/EndpointChannel.js'
-import { EndpointChannels } from '../connection/EndpointChannels.js'
-import { EndpointConnector } from '../connection/EndpointConnector.js'
 import { AvailableEndpoints } from './AvailableEndpoints.js'
 import { ColdEndpointMonitor } from './ColdEndpointMonitor.js'
 import { LogKind, type LogFields } from './DecisionLog.js'
 import type { DispatchExchange, DispatchParts, DispatchQuery } from './DispatchParts.js'
 import { StallDetector, StallCertainty } from './StallDetector.js'
+import { EndpointLinks } from './EndpointLinks.js'
 import { EngineTiming } from './EngineTiming.js'
 import { FleetView } from './FleetView.js'
 import type { ResponseHeaders, CallerHeaders } from './GatewayPorts.js'
 import { BackpressureLog } from './BackpressureLog.js'
+import { NO_RELAYS } from '../connection/EndpointConnector.js'
 import { Suspicion } from '../connection/PeerFrame.js'
 import type { AdmittedRequest } from '../request/GatewayRequest.js'
 
@@ -29,8 +28,7 @@
   readonly coldEndpoints: ColdEndpointMonitor
   private readonly engineTiming: EngineTiming
   private readonly health = new EndpointHealth()
-  readonly connector: EndpointConnector
-  private readonly channels: EndpointChannels
+  readonly links: EndpointLinks
   private readonly stallDetector: StallDetector
   private readonly retryWindow: RetryWindow
   private pools: ReadonlyMap<PoolKey, TargetPool> = new Map()
@@ -43,8 +41,17 @@
     this.fleetView = new FleetView(clock, parts.log, parts.node, parts.coldBounds)
     this.coldEndpoints = new ColdEndpointMonitor(this.fleetView.backpressure.cold, parts)
     this.backpressureLog = new BackpressureLog(clock, parts.log)
-    this.connector = new EndpointConnector(clock, parts.log)
-    this.channels = new EndpointChannels((endpoint) => this.connector.connectorOf(endpoint))
+    this.links = new EndpointLinks({
+      ...parts,
+      relays: parts.relays ?? (() => NO_RELAYS),
+      endpointOf: (endpoint) => parts.endpoints.current.get(endpoint),
+      // The failures of the last moments were those of this node's links, and requests that wait on them can go another way.
+      onCutOff: () => {
+        this.health.clear()
+        this.stallDetector.noteLinksLost()
+      },
+      onLinked: (_endpoint, wasCutOff) => { if (wasCutOff) this.health.clear() }
+    })
     this.engineTiming = new EngineTiming(parts.manifest, this.fleetView)
     const extraFromMs = parts.firstStart ? clock.nowMs() : clock.nowMs() + retries.windowMs
     this.retryWindow = new RetryWindow(retries, extraFromMs)
@@ -80,7 +87,7 @@
 
   close (): void {
     this.stallDetector.stop()
-    this.channels.close()
+    this.links.close()
   }
 
   /** Whether this node has received any caller's request. */
@@ -186,14 +193,6 @@
     this.coldEndpoints.noteAggregate()
   }
 
-  acquireChannel (target: DispatchTarget): EndpointChannel {
-    return this.channels.acquire(target.endpoint, target.address)
-  }
-
-  releaseChannel (target: DispatchTarget, channel: EndpointChannel): void {
-    this.channels.release(target.endpoint, channel)
-  }
-
   beginExchange (target: DispatchTarget, { route, head }: Pick<DispatchQuery, 'route' | 'head'>, mayRetry: boolean, onSilent: () => void): DispatchExchange {
     const beganAtMs = this.parts.clock.nowMs()
     const declaredMs = this.engineTiming.declaredFirstEventMs(target, head.promptTokens, beganAtMs)
@@ -247,6 +246,7 @@
   private noteStalled ({ endpoint }: DispatchTarget, silentMs: number, limitMs: number): void {
     this.suspectGroup(endpoint, { by: 'pause', silentMs: Math.round(silentMs), limitMs: Math.round(limitMs) })
     this.parts.onSuspect(endpoint, Suspicion.Paused)
+    this.links.connector.noteSilent(endpoint)
   }
 
   private noteProgress (target: DispatchTarget, headers: ResponseHeaders | null, gapMs: number | null): void {
@@ -270,8 +270,7 @@
     this.health.retain(ids)
     this.backpressureLog.retain(ids)
     this.stallDetector.retain(ids)
-    this.channels.retain(ids)
-    this.connector.retain(ids)
+    this.links.retain(ids)
     this.rebuildPools(endpoints)
   }
 
--- a/packages/dotterelspur-gateway/src/process/DispatchParts.ts
+++ b/packages/dotterelspur-gateway/src/process/DispatchParts.ts
@@ -1,6 +1,7 @@
 import type {
   Clock, ColdBounds, DispatchTarget, EndpointId, FailureDomainId, NodeId, Random, RequestClass, RetryWindowOptions, Route, Sender, ServiceId
 } from 'dotterelspur'
+import type { Relay } from '../connection/EndpointConnector.js'
 import type { Suspicion } from '../connection/PeerFrame.js'
 import type { ColdEndpointMonitorParts } from './ColdEndpointMonitor.js'
 import type { DecisionLog } from './DecisionLog.js'
@@ -25,6 +26,8 @@
   readonly firstStart: boolean
   /** Nodes that send requests, including this one; the same array instance until the set changes. */
   readonly senders: () => readonly Sender[]
+  /** Nodes that may relay connections to endpoints; the same array instance until the set changes. Absent where none does. */
+  readonly relays?: () => readonly Relay[]
   readonly coldBounds?: ColdBounds
   /** Called when a group appears stalled. */
   readonly onSuspect: (head: EndpointId, suspicion: Suspicion) => void
--- /dev/null
+++ b/packages/dotterelspur-gateway/src/process/EndpointLinks.ts
@@ -0,0 +1,63 @@
+import type { DispatchTarget, EndpointId, NodeId } from 'dotterelspur'
+import type { EndpointChannel } from '../connection/EndpointChannel.js'
+import { EndpointChannels } from '../connection/EndpointChannels.js'
+import { EndpointConnector, type EndpointConnectorParts, type Relay } from '../connection/EndpointConnector.js'
+
+/** This node's channels to endpoints, and what is known of the links that they use. */
+export class EndpointLinks {
+  readonly connector: EndpointConnector
+  private readonly channels: EndpointChannels
+  private knownRelays: readonly Relay[] = []
+  private listedRelays: ReadonlySet<NodeId> = new Set()
+
+  constructor (private readonly parts: EndpointConnectorParts) {
+    this.connector = new EndpointConnector({
+      ...parts,
+      // Open connections may hang. Those in use end by themselves.
+      onCutOff: () => {
+        this.channels.closeIdle(({ relay }) => relay === null)
+        parts.onCutOff()
+      },
+      // A relayed connection costs another node's processor time and a second way between failure domains.
+      onLinked: (endpoint, wasCutOff) => {
+        this.channels.closeIdle(({ relay }, owner) => relay !== null && (wasCutOff || owner === endpoint))
+        parts.onLinked(endpoint, wasCutOff)
+      }
+    })
+    this.channels = new EndpointChannels((endpoint) => this.connector.connectorOf(endpoint))
+  }
+
+  acquire ({ endpoint, address }: DispatchTarget): EndpointChannel {
+    this.closeUnlistedRelays()
+    return this.channels.acquire(endpoint, address)
+  }
+
+  release ({ endpoint }: DispatchTarget, channel: EndpointChannel): void {
+    this.channels.release(endpoint, channel)
+    if (this.isUnlisted(channel)) this.channels.closeIdle((idle) => idle === channel)
+  }
+
+  /** Evicts endpoints that are no longer listed. */
+  retain (endpoints: ReadonlySet<EndpointId>): void {
+    this.channels.retain(endpoints)
+    this.connector.retain(endpoints)
+  }
+
+  close (): void {
+    this.connector.close()
+    this.channels.close()
+  }
+
+  /** A node that stops waits until its relayed connections are closed, and one that is lost leaves them silent. */
+  private closeUnlistedRelays (): void {
+    const relays = this.parts.relays()
+    if (relays === this.knownRelays) return
+    this.knownRelays = relays
+    this.listedRelays = new Set(relays.map(({ node }) => node))
+    this.channels.closeIdle((channel) => this.isUnlisted(channel))
+  }
+
+  private isUnlisted ({ relay }: EndpointChannel): boolean {
+    return relay !== null && !this.listedRelays.has(relay)
+  }
+}
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -4,6 +4,7 @@
 import { CallerListener, type OpenedPort } from '../connection/CallerListener.js'
 import { Suspicion } from '../connection/PeerFrame.js'
 import { PeerLinks } from '../connection/PeerLinks.js'
+import { RelayServer } from '../connection/RelayServer.js'
 import { jsonResponse, startSimpleServer, type SimpleHandler } from '../connection/simpleServer.js'
 import type { LeaseHolderState } from './LeaseHolderState.js'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
@@ -63,6 +64,7 @@
   private readonly poison: PoisonTracker
   private readonly callers: CallerListener
   private readonly peers: PeerLinks
+  private readonly relays: RelayServer
   private readonly stopVotes = new StallVotes()
   private readonly servers: Server[] = []
   private readonly teardowns: Teardown[] = []
@@ -138,6 +140,7 @@
       retries: settings.retries,
       firstStart: settings.firstStart,
       senders: () => this.nodes.nodes(),
+      relays: () => this.nodes.nodes(),
       hasAllNodes: () => store.isComplete(NODE_PREFIX),
       coldBounds: settings.coldBounds,
       onSuspect: (head, suspicion) => { this.suspect(head, suspicion) }
@@ -154,6 +157,13 @@
       broadcast: (all, shared) => { this.peers.sendPoisonRecords(all, shared) },
       requestLeaseRenewal: () => { this.lease.requestRenewal() }
     })
+    this.relays = new RelayServer({
+      addressOf: (endpoint) => {
+        const record = this.endpoints.current.get(endpoint)
+        return record === undefined || record.leaving ? null : record.address
+      },
+      isCutOff: () => this.dispatch.links.connector.isCutOff
+    })
     this.callers = new CallerListener({ clock, random, log, metrics: this.metrics, wire: parts.wire, manifest: this.manifest, initialSync: this.initialSync, dispatch: this.dispatch, poison: this.poison })
     this.peers = new PeerLinks(clock, random, log, {
       onSuspicionReport: (head, suspicion, node, senders) => { this.handleSuspicion(head, suspicion, node, senders) },
@@ -188,8 +198,8 @@
       this.stopVotes.retain(listed)
       this.lease.observeFencing(highestFencing(endpoints.values()))
     })
-    const { callers, manifest, endpoints, nodes, lease, poison, dispatch } = this
-    registerGauges(this.metrics, { callers, manifest, endpoints, nodes, lease, store, poison, dispatch, log })
+    const { callers, manifest, endpoints, nodes, lease, poison, dispatch, relays } = this
+    registerGauges(this.metrics, { callers, manifest, endpoints, nodes, lease, store, poison, dispatch, relays, log })
   }
 
   get metricsAddress (): ListenAddress {
@@ -202,7 +212,7 @@
     const { platformFormat } = parts
     await Promise.all([
       this.callers.listen(settings.callers, callerPort),
-      this.peers.listen(settings.peers),
+      this.peers.listen(settings.peers, this.relays),
       this.listen(settings.readiness, (url) => url.pathname === platformFormat.readyPath ? this.readyResponse() : null),
       this.listen(settings.directory, (url) => url.pathname === platformFormat.directoryPath ? this.directoryResponse() : null),
       this.listen(settings.metrics, async (url) => url.pathname === platformFormat.metricsPath ? { status: 200, contentType: 'text/plain', body: await this.metrics.page() } : null)
@@ -235,13 +245,14 @@
     log.write(LogKind.Stop, { running: this.callers.runningRequests })
     this.draining = true
     this.callers.drain()
+    this.relays.drain()
     this.formations.stop()
     const handedOver = Promise.allSettled([this.lease.release(), this.nodes.leave()])
     while (clock.nowMs() - startedAtMs < this.limits.stopGraceMs - STOP_MARGIN_MS) {
       const passedMs = clock.nowMs() - startedAtMs
       if (passedMs >= STOP_LISTENING_AFTER_MS) {
         this.callers.stopListening()
-        if (this.callers.runningRequests === 0) break
+        if (this.callers.runningRequests === 0 && this.relays.size === 0) break
       }
       await sleep(clock, STOP_POLL_MS)
     }
@@ -252,6 +263,7 @@
   async close (): Promise<void> {
     for (const teardown of this.teardowns) teardown()
     this.formations.stop()
+    this.relays.close()
     this.peers.close()
     for (const server of this.servers) {
       server.close()
--- a/packages/dotterelspur-gateway/src/process/StallDetector.ts
+++ b/packages/dotterelspur-gateway/src/process/StallDetector.ts
@@ -122,6 +122,12 @@
     return true
   }
 
+  /** This node's links have failed: exchanges that are silent are abandoned, so that they continue on another path. */
+  noteLinksLost (): void {
+    const nowMs = this.clock.nowMs()
+    this.abandon((watched) => this.mayRetryFrom(watched, watched.target.endpoint) && nowMs - watched.progressAtMs >= OWN_EVIDENCE_MS)
+  }
+
   private noteProgress (watched: WatchedExchange, headers: ResponseHeaders | null): void {
     const nowMs = this.clock.nowMs()
     const { target, events, progressAtMs } = watched
--- a/packages/dotterelspur-gateway/src/process/registerGauges.ts
+++ b/packages/dotterelspur-gateway/src/process/registerGauges.ts
@@ -1,4 +1,5 @@
 import type { CallerListener } from '../connection/CallerListener.js'
+import type { RelayServer } from '../connection/RelayServer.js'
 import type { DecisionLog } from './DecisionLog.js'
 import type { Dispatch } from './Dispatch.js'
 import type { EndpointRegistry } from './EndpointRegistry.js'
@@ -18,11 +19,12 @@
   readonly store: FollowedStore
   readonly poison: PoisonTracker
   readonly dispatch: Dispatch
+  readonly relays: RelayServer
   readonly log: DecisionLog
 }
 
 /** Registers the gauges that are read at each scrape. */
-export function registerGauges (metrics: GatewayMetrics, { callers, manifest, endpoints, nodes, lease, store, poison, dispatch, log }: GaugeSources): void {
+export function registerGauges (metrics: GatewayMetrics, { callers, manifest, endpoints, nodes, lease, store, poison, dispatch, relays, log }: GaugeSources): void {
   metrics.gauge('running_requests', 'Requests under way', () => callers.runningRequests)
   metrics.gauge('waiting_requests', 'Requests that wait for an endpoint\'s next token', () => callers.waitingRequests)
   metrics.gauge('manifest_version', 'Version of the manifest in force', () => manifest.current?.version ?? 0)
@@ -32,7 +34,11 @@
   metrics.gauge('told_by_decider', '1 while the deciding node tells all that the store would', () => Number(store.isCoveredByFeed))
   metrics.gauge('quarantined_requests', 'Requests that end endpoints and are sent nowhere', () => poison.guard.ledger.quarantined.size)
   metrics.gauge('suspected_requests', 'Requests that one more end of an endpoint would put in quarantine', () => poison.guard.ledger.suspected.length)
-  metrics.gauge('unconnected_endpoints', 'Endpoints to which this node\'s last connection attempt failed', () => dispatch.connector.unconnectedEndpoints)
+  metrics.gauge('unconnected_endpoints', 'Endpoints to which this node\'s last connection attempt failed', () => dispatch.links.connector.unconnectedEndpoints)
+  metrics.gauge('cut_off', '1 while this node connects to no endpoint itself, though other nodes do', () => Number(dispatch.links.connector.isCutOff))
+  metrics.gauge('relayed_endpoints', 'Endpoints that only other nodes reach, and to which they relay this node\'s connections', () => dispatch.links.connector.relayedEndpoints)
+  metrics.gauge('relays_open', 'Connections of other nodes to endpoints that this node relays', () => relays.size)
+  metrics.gauge('relays_served', 'Connections of other nodes to endpoints that this node has relayed since the start', () => relays.served)
   metrics.gauge('limited_endpoints', 'Endpoints that named a limit with their last answer to this node', () => dispatch.backpressureLog.limitedEndpoints)
   metrics.gauge('sent_to_limited_endpoints', 'Requests sent to endpoints that had named a limit, since the start', () => dispatch.backpressureLog.sentToLimited)
   metrics.gauge('sent_to_resting_endpoints', 'Requests sent to endpoints that had asked this node for rest, since the start', () => dispatch.backpressureLog.sentDuringBackoff)
--- a/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
+++ b/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
@@ -167,7 +167,7 @@
     const streams = this.admitted.route.kind === RequestKind.Streaming
     const running = dispatch.beginExchange(target, this.admitted, mayRetry, () => { this.currentCall?.abort(ExchangeEnd.Silent) })
     this.currentExchange = running
-    const channel = dispatch.acquireChannel(target)
+    const channel = dispatch.links.acquire(target)
     const call = new EndpointCall({
       requestId: this.admitted.requestId,
       method: this.admitted.request.method as Dispatcher.HttpMethod,
@@ -177,7 +177,7 @@
       onProgress: (head) => { running.noteProgress(head) },
       onEnd: (end, buffered, head) => {
         running.stop()
-        dispatch.releaseChannel(target, channel)
+        dispatch.links.release(target, channel)
         if (end === ExchangeEnd.Rejected && head !== null && head.lostMember !== null) dispatch.noteFailure(target, end)
         this.endedInsideEvent = this.cursor.isInsideEvent
         const finalEnd = this.reclassifyEnd(end, buffered)
--- a/packages/dotterelspur/src/request/dispatch/EndpointHealth.ts
+++ b/packages/dotterelspur/src/request/dispatch/EndpointHealth.ts
@@ -51,6 +51,11 @@
     return state !== undefined && nowMs < Math.max(state.holdOffUntilMs, state.suspectedUntilMs)
   }
 
+  /** Forgets all failures, because they were not the endpoints' fault. */
+  clear (): void {
+    this.states.clear()
+  }
+
   /** Drops endpoints that are gone. */
   retain (endpoints: ReadonlySet<EndpointId>): void {
     for (const endpoint of this.states.keys()) {
