A lease holder that is cut off from the endpoints hands the lease over

A holder without links to endpoints can give no order, and it judges all groups by its own links; it kept the lease for as long as the cut lasted.

The holder releases the lease, takes none while it is cut off, and keeps it until the store has accepted the release, so that somebody coordinates while the store is out.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/FleetLease.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/FleetLease.test.ts
@@ -83,6 +83,38 @@
     expect(other.mayOrder()).to.equal(true)
   })
 
+  // Guards against a fleet whose groups are neither repaired nor formed: the lease holder reaches no endpoint, and keeps the lease.
+  it('passes from a holder that is cut off to another node, and back when no other is left', async () => {
+    const store = new MemoryStore()
+    const clock = new ManualClock()
+    const cutOff = new Set<string>()
+    const [first, second] = ['n1', 'n2'].map((node, index) => new FleetLease(store, { node, incarnation: 1 }, clock, createRandom(index), createLog(clock), () => {}, () => 2, undefined, () => !cutOff.has(node)))
+    await runSteps(clock, [first!], 600)
+    await runSteps(clock, [first!, second!], 600)
+    expect(first!.mayOrder()).to.equal(true)
+    cutOff.add('n1')
+    await runSteps(clock, [first!, second!], 600)
+    expect([first!.mayOrder(), second!.mayOrder()]).to.deep.equal([false, true])
+    cutOff.clear()
+    await runSteps(clock, [first!], FLEET_LEASE_TIMING.ttlMs + 1_000)
+    expect(first!.mayOrder()).to.equal(true)
+  })
+
+  it('stays with a holder that is cut off while the store does not accept that it is handed over', async () => {
+    const store = new MemoryStore()
+    const clock = new ManualClock()
+    let fit = true
+    const lease = new FleetLease(store, { node: 'n1', incarnation: 1 }, clock, createRandom(1), createLog(clock), () => {}, () => 2, undefined, () => fit)
+    await runSteps(clock, [lease], 600)
+    store.disconnect()
+    fit = false
+    await runSteps(clock, [lease], 300)
+    expect(lease.isCoordinator()).to.equal(true)
+    store.reconnect()
+    await runSteps(clock, [lease], 600)
+    expect(lease.isCoordinator()).to.equal(false)
+  })
+
   it('lets its last holder coordinate while the store is unavailable for all nodes, but not beside a successor', async () => {
     // Guards against stale loads during a store outage: the lease expires and nobody can take it. If the links through
     // which loads are exchanged close with it, nodes reject callers although groups have room, by loads that are five
--- a/packages/dotterelspur-gateway/src/process/FleetLease.ts
+++ b/packages/dotterelspur-gateway/src/process/FleetLease.ts
@@ -56,7 +56,9 @@
      */
     private readonly onLapsedHolder: (holder: LeaseIdentity) => void,
     private readonly nodeCount: () => number = () => 1,
-    private readonly memory: LeasePayloadSource = NO_PAYLOAD
+    private readonly memory: LeasePayloadSource = NO_PAYLOAD,
+    /** Whether this node can act as the holder; one that can't hands the lease over, and takes none. */
+    private readonly isFit: () => boolean = () => true
   ) {
     this.challengeFromMs = clock.nowMs() + random.next() * CHALLENGE_SPREAD_MS
   }
@@ -163,6 +165,7 @@
     if (this.held === null && nowMs < this.challengeFromMs && !this.isHeldByFormerIncarnation()) return await this.readLease(nowMs)
     if (nowMs < this.notBeforeMs) return
     if (this.held !== null) return await this.renew(this.held, nowMs)
+    if (!this.isFit()) return await this.readLease(nowMs)
     await this.challenge(nowMs)
   }
 
@@ -176,6 +179,7 @@
 
   private async renew (term: LeaseTerm, nowMs: number): Promise<void> {
     if (isExpired(term, FLEET_LEASE_TIMING, nowMs)) return this.lose(LeaseLoss.Expired)
+    if (!this.isFit()) return await this.stepDown(term)
     if (nowMs < renewalDueAtMs(term, FLEET_LEASE_TIMING) && !this.isRenewalRequested) return
     this.isRenewalRequested = false
     const result = await runProcedure(renewLease(term, this.self, FLEET_LEASE_TIMING), this.handlers())
@@ -190,6 +194,13 @@
     if (result.error !== null) this.notBeforeMs = this.clock.nowMs() + FLEET_LEASE_TIMING.retryMs
   }
 
+  /** Hands the lease over to any other node; keeps it until the store has accepted that. */
+  private async stepDown (term: LeaseTerm): Promise<void> {
+    const result = await runProcedure(renewLease(term, this.self, FLEET_LEASE_TIMING, true), this.handlers())
+    if (result.kind === LeaseResultKind.Held && result.error !== null) this.notBeforeMs = this.clock.nowMs() + FLEET_LEASE_TIMING.retryMs
+    else this.lose(LeaseLoss.Released)
+  }
+
   private async challenge (nowMs: number): Promise<void> {
     const decision = decideChallenge(this.leaseObservation, { ...this.self, rank: 0, isSingleInstance: true }, FLEET_LEASE_TIMING, nowMs)
     if (decision.kind === ChallengeKind.Wait) {
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -105,7 +105,7 @@
         this.dispatch.fleetView.mergeMemory(learned)
         this.poison.mergeRecords(suspects)
       }
-    })
+    }, () => !this.dispatch.links.connector.isCutOff)
     this.initialSync = new InitialSync(clock, this.manifest, this.endpoints, [this.quarantine, this.lease], this.evacuations)
     this.formations = new FormationController({
       clock,
