A request is not blamed for endpoints that other nodes still reach

An exchange that broke off counts against its request if the endpoint then refuses connections. A node whose own links are reset and refused saw that at every endpoint, so a few requests of the same content that ran during the cut were suspected, and the third end would have put them in quarantine for all nodes.

An endpoint that refuses this node counts as ended only if the other nodes that are asked don't reach it either. The new test failed before (one request suspected).

--- a/packages/dotterelspur-gateway/src/__tests__/unit/cutOffNodes.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/cutOffNodes.test.ts
@@ -16,6 +16,8 @@
 const PAUSE_MS = 20
 const DEADLINE_MS = 600
 const MEASURED_TRIES = 60
+/** As many ends of endpoints put a request in quarantine. */
+const HELD_REQUESTS = 3
 /** Of the first tries at other nodes, all are served. */
 const MIN_SERVED_SHARE = 2 / 3
 
@@ -59,9 +61,9 @@
   }
 
   /** Whether the first try of a request at the node is served. */
-  async function isServed (): Promise<boolean> {
+  async function isServed (path = '/read/x'): Promise<boolean> {
     const headers = { host: 'a.example', 'x-request': `r${++calls}`, 'x-key': 'key-1', 'x-deadline': String(DEADLINE_MS) }
-    const answer = await request(worlds[0]!.url('/read/x'), { headers })
+    const answer = await request(worlds[0]!.url(path), { headers })
     await answer.body.dump()
     return answer.statusCode === 200
   }
@@ -94,6 +96,16 @@
     }).timeout(20_000)
   }
 
+  // Guards against a proper request in quarantine: the node's links are reset while it runs, and the endpoints then refuse this node.
+  it('does not blame a request for endpoints that other nodes reach', async () => {
+    for (const endpoint of endpoints) endpoint.answerWith(() => { /* Holds the request. */ })
+    const held = Array.from({ length: HELD_REQUESTS }, async () => await isServed('/read/held'))
+    while (endpoints.reduce((sum, { requests }) => sum + requests.length, 0) < HELD_REQUESTS) await pause()
+    for (const link of links) link.cut(OpenConnections.Reset)
+    expect(await Promise.all(held)).not.to.include(true)
+    expect(await worlds[0]!.gauge('suspected_requests') + await worlds[0]!.gauge('quarantined_requests')).to.equal(0)
+  }).timeout(20_000)
+
   // Guards against answers that are lost because the node that relays them stops.
   it('serves all first tries while a node that relays stops', async () => {
     for (const link of links) link.cut(OpenConnections.Reset)
--- a/packages/dotterelspur-gateway/src/connection/EndpointConnector.ts
+++ b/packages/dotterelspur-gateway/src/connection/EndpointConnector.ts
@@ -93,6 +93,16 @@
     this.open(endpoint, optionsFor(address)).then(({ socket }) => { socket.destroy() }, () => { /* Logged by `open`. */ }).finally(() => { this.checking.delete(endpoint) })
   }
 
+  /** Whether another node reaches an endpoint now. */
+  async isReachedByOthers (endpoint: EndpointId): Promise<boolean> {
+    const dials = this.relayDials(endpoint, DIRECT_FIRST_RELAYS)
+    if (dials.length === 0) return false
+    return await dialStaggered(this.parts.clock, dials.map(({ dial }) => dial), STAGGER_MS, CONNECT_TIMEOUT_MS).then(({ socket }) => {
+      socket.destroy()
+      return true
+    }, () => false)
+  }
+
   /** Evicts endpoints that are no longer listed. */
   retain (endpoints: ReadonlySet<EndpointId>): void {
     this.paths.retain(endpoints)
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -153,6 +153,7 @@
       nodes: () => this.nodes.nodes(),
       endpoints: this.endpoints,
       quarantine: this.quarantine,
+      isReachedByOthers: async (endpoint) => await this.dispatch.links.connector.isReachedByOthers(endpoint),
       isLeaseHolder: () => this.lease.mayOrder(),
       broadcast: (all, shared) => { this.peers.sendPoisonRecords(all, shared) },
       requestLeaseRenewal: () => { this.lease.requestRenewal() }
--- a/packages/dotterelspur-gateway/src/process/PoisonTracker.ts
+++ b/packages/dotterelspur-gateway/src/process/PoisonTracker.ts
@@ -1,6 +1,6 @@
 import {
   isWorthSharing, PoisonState, readPoisonRecords, rendezvousOrder,
-  type Clock, type DispatchTarget, type NodeId, type PoisonLimits, type PoisonRecord, type RequestContent, type RequestFingerprint, type Teardown
+  type Clock, type DispatchTarget, type EndpointId, type NodeId, type PoisonLimits, type PoisonRecord, type RequestContent, type RequestFingerprint, type Teardown
 } from 'dotterelspur'
 import { TerminationProbe, fingerprintOf, PoisonGuard, type QuarantineRegistry } from 'dotterelspur-poison'
 import type { StreamReport } from '../request/EndpointCall.js'
@@ -42,6 +42,8 @@
   readonly nodes: () => ReadonlyArray<{ readonly node: NodeId }>
   readonly endpoints: EndpointRegistry
   readonly quarantine: QuarantineRegistry
+  /** Whether another node reaches an endpoint that refuses this node's connections. */
+  readonly isReachedByOthers: (endpoint: EndpointId) => Promise<boolean>
   /** Whether this node holds the lease; it then writes the quarantine to the store. */
   readonly isLeaseHolder: () => boolean
   /**
@@ -91,7 +93,7 @@
     const record = this.parts.endpoints.current.get(target.endpoint)
     // A leaving or unlisted endpoint terminates because it was ordered to.
     const mayBlame = record !== undefined && !record.leaving
-    const ended = await this.terminationChecks.hasTerminated(target.address)
+    const ended = await this.terminationChecks.hasTerminated(target.address) && !await this.parts.isReachedByOthers(target.endpoint)
     if (ended && mayBlame) this.guard.noteTermination(content, target.endpoint, events)
     this.logLoss(loss, ended, mayBlame)
   }
