The lease holder does not take an endpoint for lost that other nodes connect to

A holder that had lost its link to single endpoints found them unreachable, reported their groups as stalled and planned new ones, though all other nodes reached them.

An endpoint that answers no probe is unreachable only if this node connects to it or no other node does. Both are checked beside the second probe, so the loss of a member is known as soon as before. The new test failed before.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/Reachability.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/Reachability.test.ts
@@ -16,7 +16,8 @@
   decidedAtMs: number | null = null
   readonly reachability: Reachability
 
-  constructor (answers: ReadonlyArray<{ readonly afterMs: number, readonly end: ReportResult }>) {
+  /** @param linkCheck whether only other nodes connect to the endpoint, known after a delay. */
+  constructor (answers: ReadonlyArray<{ readonly afterMs: number, readonly end: ReportResult }>, linkCheck = { afterMs: 0, isAtFault: false }) {
     const report = async (_place: EndpointLocation, timeoutMs: number): Promise<ReportResult> => {
       const answer = answers[this.probedAtMs.length] ?? { afterMs: Infinity, end: GONE }
       this.probedAtMs.push(this.clock.nowMs())
@@ -25,7 +26,8 @@
         else this.clock.registerTimer(timeoutMs, () => { resolve({ kind: ReportResultKind.Silent }) })
       })
     }
-    this.reachability = new Reachability({ report }, this.clock, createLog(this.clock), () => { this.decidedAtMs ??= this.clock.nowMs() })
+    const isLinkAtFault = async (): Promise<boolean> => await new Promise((resolve) => { this.clock.registerTimer(linkCheck.afterMs, () => { resolve(linkCheck.isAtFault) }) })
+    this.reachability = new Reachability({ report }, this.clock, createLog(this.clock), () => { this.decidedAtMs ??= this.clock.nowMs() }, isLinkAtFault)
   }
 
   /** Starts a probe and advances one second, in steps that let promises run. */
@@ -63,4 +65,18 @@
     expect(gone.probedAtMs).to.have.length(1)
     expect(gone.reachability.isUnreachable('w1')).to.equal(true)
   })
+
+  // Guards against healthy groups that are taken apart: the lease holder has lost its link to a member that other nodes reach.
+  it('does not regard an endpoint as unreachable that other nodes connect to', async () => {
+    const silent = await new ProbedWorld([], { afterMs: 200, isAtFault: true }).suspect()
+    expect(silent.reachability.isUnreachable('w1')).to.equal(false)
+    const refused = await new ProbedWorld([{ afterMs: 5, end: GONE }], { afterMs: 20, isAtFault: true }).suspect()
+    expect(refused.reachability.isUnreachable('w1')).to.equal(false)
+  })
+
+  it('needs no more time for its verdict where other nodes are asked', async () => {
+    const world = await new ProbedWorld([], { afterMs: 250, isAtFault: false }).suspect()
+    expect(world.reachability.isUnreachable('w1')).to.equal(true)
+    expect(world.decidedAtMs).to.be.within(300, 400)
+  })
 })
--- a/packages/dotterelspur-gateway/src/connection/EndpointConnector.ts
+++ b/packages/dotterelspur-gateway/src/connection/EndpointConnector.ts
@@ -17,6 +17,8 @@
 const RELAYED_FIRST_RELAYS = 3
 /** Interval between direct attempts where connections are relayed. */
 const DIRECT_RETRY_MS = 1_000
+/** A check of a link ends with the second probe of an endpoint, so that no repair is delayed. */
+const LINK_CHECK_MS = 240
 /** A node that failed to relay is the last choice for this long. */
 const FAILED_RELAY_MS = 1_000
 
@@ -94,13 +96,21 @@
   }
 
   /** Whether another node reaches an endpoint now. */
-  async isReachedByOthers (endpoint: EndpointId): Promise<boolean> {
-    const dials = this.relayDials(endpoint, DIRECT_FIRST_RELAYS)
-    if (dials.length === 0) return false
-    return await dialStaggered(this.parts.clock, dials.map(({ dial }) => dial), STAGGER_MS, CONNECT_TIMEOUT_MS).then(({ socket }) => {
-      socket.destroy()
-      return true
-    }, () => false)
+  async isReachedByOthers (endpoint: EndpointId, timeoutMs = CONNECT_TIMEOUT_MS): Promise<boolean> {
+    const dials = this.relayDials(endpoint, DIRECT_FIRST_RELAYS).map(({ dial }) => dial)
+    return dials.length > 0 && await isConnected(dialStaggered(this.parts.clock, dials, STAGGER_MS, timeoutMs).then(({ socket }) => socket))
+  }
+
+  /**
+   * Whether another node reaches an endpoint to which this node does not connect. Both are tried, because a process that is
+   * suspended answers nobody and still accepts connections.
+   */
+  async isLinkAtFault (endpoint: EndpointId): Promise<boolean> {
+    const address = this.parts.endpointOf(endpoint)?.address
+    if (address === undefined) return false
+    const dialed = this.dialDirect(endpoint, optionsFor(address), LINK_CHECK_MS)
+    const [isReached, isConnectedDirectly] = await Promise.all([this.isReachedByOthers(endpoint, LINK_CHECK_MS), isConnected(dialed)])
+    return isReached && !isConnectedDirectly
   }
 
   /** Evicts endpoints that are no longer listed. */
@@ -167,9 +177,9 @@
     }
   }
 
-  private async dialDirect (endpoint: EndpointId, options: buildConnector.Options): Promise<Socket> {
+  private async dialDirect (endpoint: EndpointId, options: buildConnector.Options, timeoutMs = DIRECT_TIMEOUT_MS): Promise<Socket> {
     const socket = await new Promise<Socket>((resolve, reject) => {
-      connectWithin(DIRECT_TIMEOUT_MS)(options, (...result) => {
+      connectWithin(timeoutMs)(options, (...result) => {
         if (result[0] === null) resolve(result[1])
         else reject(result[0])
       })
@@ -245,6 +255,13 @@
   }
 }
 
+async function isConnected (dialed: Promise<Socket>): Promise<boolean> {
+  return await dialed.then((socket) => {
+    socket.destroy()
+    return true
+  }, () => false)
+}
+
 function optionsFor (address: string): buildConnector.Options {
   const at = address.lastIndexOf(':')
   return { hostname: address.slice(0, at), port: address.slice(at + 1), protocol: 'http:' }
--- a/packages/dotterelspur-gateway/src/process/FormationController.ts
+++ b/packages/dotterelspur-gateway/src/process/FormationController.ts
@@ -16,7 +16,7 @@
 import { WeightLoadTracker, type LoadInProgress } from './WeightLoadTracker.js'
 import type { ManifestFollower } from './ManifestFollower.js'
 import { PlanningScope } from './PlanningScope.js'
-import { Reachability } from './Reachability.js'
+import { Reachability, type LinkCheck } from './Reachability.js'
 
 /** Delay after a change of the endpoint list; changes come in bursts, as when members of a group become ready one after another. */
 const CHANGE_DEBOUNCE_MS = 20
@@ -36,6 +36,7 @@
   /** Absent where no failure domain is ever evacuated. */
   readonly evacuations?: EvacuationRegistry
   readonly control: EndpointControl
+  readonly isLinkAtFault?: LinkCheck
   /** Group time that callers demand, by model; empty while there is no data. */
   readonly demand: () => ReadonlyMap<ModelId, number>
   /** Called when a group is suspected and its members are being probed. */
@@ -73,7 +74,7 @@
   constructor (private readonly parts: FormationControllerParts) {
     this.stateLog = new FleetStateLog(parts.clock, parts.log)
     this.reports = new VerifiedReportClient({ control: parts.control, isSuperseded: (location) => parts.endpoints.isSuperseded(location) })
-    this.reachability = new Reachability(this.reports, parts.clock, parts.log, () => { this.evaluateSoon() })
+    this.reachability = new Reachability(this.reports, parts.clock, parts.log, () => { this.evaluateSoon() }, parts.isLinkAtFault)
     const { clock, lease, endpoints, control, evacuations } = parts
     const find = (endpoint: EndpointId): EndpointRecord | undefined => this.records.get(endpoint) ?? this.unlistedHeads.get(endpoint)
     this.scope = new PlanningScope(evacuations, find)
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -115,6 +115,7 @@
       endpoints: this.endpoints,
       evacuations: this.evacuations,
       control: parts.control,
+      isLinkAtFault: async (endpoint) => await this.dispatch.links.connector.isLinkAtFault(endpoint),
       demand: () => this.dispatch.demand(),
       onSuspected: (head) => {
         this.peers.broadcastSuspectedGroups([head])
--- a/packages/dotterelspur-gateway/src/process/Reachability.ts
+++ b/packages/dotterelspur-gateway/src/process/Reachability.ts
@@ -20,6 +20,8 @@
   Unreachable = 'unreachable'
 }
 
+export type LinkCheck = (endpoint: EndpointId) => Promise<boolean>
+
 interface Probed {
   state: ProbeState
   location: EndpointLocation
@@ -34,7 +36,9 @@
   private readonly probed = new Map<EndpointId, Probed>()
 
   constructor (
-    private readonly reports: Pick<EndpointControl, 'report'>, private readonly clock: Clock, private readonly log: DecisionLog, private readonly onChange: () => void
+    private readonly reports: Pick<EndpointControl, 'report'>, private readonly clock: Clock, private readonly log: DecisionLog, private readonly onChange: () => void,
+    /** Whether this node does not connect to an endpoint to which other nodes connect; known within the time of the second probe. */
+    private readonly isLinkAtFault: LinkCheck = async () => false
   ) {}
 
   /** Endpoints that did not respond. */
@@ -107,13 +111,18 @@
     this.onChange()
   }
 
-  /** Whether one of two staggered probes is answered; a `Gone` result needs no second probe. */
+  /**
+   * Whether one of two staggered probes is answered; a `Gone` result needs no second probe. An endpoint that only this node fails to
+   * connect to counts as reachable.
+   */
   private async probe (location: EndpointLocation): Promise<boolean> {
     const first = this.reports.report(location, PROBE_TIMEOUT_MS)
     const early = await Promise.race([first, sleep(this.clock, SECOND_PROBE_AFTER_MS)])
-    if (early !== undefined && early.kind !== ReportResultKind.Silent) return early.kind === ReportResultKind.Answered
+    if (early?.kind === ReportResultKind.Answered) return true
+    const linkAtFault = this.isLinkAtFault(location.endpoint)
+    if (early?.kind === ReportResultKind.Gone) return await linkAtFault
     const second = this.reports.report(location, PROBE_TIMEOUT_MS - SECOND_PROBE_AFTER_MS)
     const ends = [first, second].map(async (probe) => await probe.then(({ kind }) => kind === ReportResultKind.Answered ? kind : Promise.reject(new Error(kind))))
-    return await Promise.any(ends).then(() => true, () => false)
+    return await Promise.any(ends).then(() => true, async () => await linkAtFault)
   }
 }
