Choose relays only for connections that need one; a failure after a suspension is no evidence

From reading the change once more: the other nodes were ordered for every connection, which drew from the node's random sequence and sorted all nodes where no relay was needed. And a process that was suspended runs its timers before it reads what arrived meanwhile, so its direct attempts seem to fail while relays succeed: it would have taken itself for cut off. RelayDialer and DirectAttempt are files of their own.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/dialStaggered.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/dialStaggered.test.ts
@@ -22,7 +22,7 @@
     fail: () => {},
     dial: async () => await new Promise((resolve, reject) => {
       manual.started = true
-      manual.succeed = () => { resolve(manual.socket) }
+      manual.succeed = () => { resolve({ socket: manual.socket, relay: null }) }
       manual.fail = () => { reject(new Error('refused')) }
     })
   }
@@ -41,7 +41,7 @@
   beforeEach(() => {
     clock = new ManualClock()
     dials = Array.from({ length: 3 }, createDial)
-    result = dialStaggered(clock, dials.map(({ dial }) => dial), STAGGER_MS, TIMEOUT_MS).then(({ dial }) => dial, (error: Error) => error.message)
+    result = dialStaggered(clock, dials.map(({ dial }) => dial), STAGGER_MS, TIMEOUT_MS).then(({ socket }) => dials.findIndex((dial) => dial.socket === socket), (error: Error) => error.message)
   })
 
   function started (): number {
--- a/packages/dotterelspur-gateway/src/connection/EndpointConnector.ts
+++ b/packages/dotterelspur-gateway/src/connection/EndpointConnector.ts
@@ -1,17 +1,17 @@
 import type { Socket } from 'node:net'
 import type { buildConnector } from 'undici'
-import { EndpointPath, EndpointPaths, orderRelays, type Clock, type EndpointId, type EndpointRecord, type FailureDomainId, type NodeId, type Random, type Sender, type Teardown } from 'dotterelspur'
+import { EndpointPath, EndpointPaths, type EndpointId, type Teardown } from 'dotterelspur'
 import { LogKind, type DecisionLog } from '../process/DecisionLog.js'
 import { connectWithin } from './connectWithin.js'
-import { dialRelay } from './dialRelay.js'
-import { dialStaggered, type Dial } from './dialStaggered.js'
+import { DirectAttempt } from './DirectAttempt.js'
+import { dialStaggered, type Connection, type Dial } from './dialStaggered.js'
 import { DIRECT_TIMEOUT_MS, type ConnectorFactory } from './EndpointChannel.js'
+import { RelayDialer, type RelayDialerParts } from './RelayDialer.js'
 
 /** A live endpoint accepts a connection within a few milliseconds, so after this time the next path is tried beside it. */
 const STAGGER_MS = 100
 /** Time limit of all paths together. */
 const CONNECT_TIMEOUT_MS = 400
-const RELAY_TIMEOUT_MS = 300
 /** Relays that are tried for one connection: others may be cut off as well. */
 const DIRECT_FIRST_RELAYS = 2
 const RELAYED_FIRST_RELAYS = 3
@@ -19,48 +19,27 @@
 const DIRECT_RETRY_MS = 1_000
 /** A check of a link ends with the second probe of an endpoint, so that no repair is delayed. */
 const LINK_CHECK_MS = 240
-/** A node that failed to relay is the last choice for this long. */
-const FAILED_RELAY_MS = 1_000
-
-/** Another node, which may relay connections. */
-export interface Relay extends Sender {
-  /** Its address for other nodes. */
-  readonly peers: string
-}
-
-export const NO_RELAYS: readonly Relay[] = []
-
-export interface EndpointConnectorParts {
-  readonly clock: Clock
-  readonly random: Random
+export interface EndpointConnectorParts extends RelayDialerParts {
   readonly log: DecisionLog
-  readonly node: NodeId
-  readonly failureDomain: FailureDomainId
-  /** All nodes that are not lost; the same array instance until the set changes. This node is passed over. */
-  readonly relays: () => readonly Relay[]
-  readonly endpointOf: (endpoint: EndpointId) => EndpointRecord | undefined
   /** This node's own links to endpoints have failed. */
   readonly onCutOff: () => void
   /** This node connects to an endpoint itself that was relayed, or to all endpoints if it was cut off. */
   readonly onLinked: (endpoint: EndpointId, wasCutOff: boolean) => void
 }
 
-interface OpenedConnection {
-  readonly socket: Socket
-  readonly relay: NodeId | null
-}
-
 /** Connects this node's channels to endpoints, directly or through another node. */
 export class EndpointConnector {
   private readonly paths = new EndpointPaths()
-  private readonly failedRelaysAtMs = new Map<NodeId, number>()
+  private readonly relayDialer: RelayDialer
   private readonly checking = new Set<EndpointId>()
   private readonly unconnected = new Set<EndpointId>()
   private connectedAtMs: number | null = null
   private cutOffAtMs = 0
   private cancelRetry: Teardown | null = null
 
-  constructor (private readonly parts: EndpointConnectorParts) {}
+  constructor (private readonly parts: EndpointConnectorParts) {
+    this.relayDialer = new RelayDialer(parts)
+  }
 
   /** Whether this node's own links to endpoints have failed, while other nodes reach them. */
   get isCutOff (): boolean {
@@ -97,8 +76,7 @@
 
   /** Whether another node reaches an endpoint now. */
   async isReachedByOthers (endpoint: EndpointId, timeoutMs = CONNECT_TIMEOUT_MS): Promise<boolean> {
-    const dials = this.relayDials(endpoint, DIRECT_FIRST_RELAYS).map(({ dial }) => dial)
-    return dials.length > 0 && await isConnected(dialStaggered(this.parts.clock, dials, STAGGER_MS, timeoutMs).then(({ socket }) => socket))
+    return await isConnected(dialStaggered(this.parts.clock, this.relayDialer.dials(endpoint, DIRECT_FIRST_RELAYS), STAGGER_MS, timeoutMs))
   }
 
   /**
@@ -125,15 +103,14 @@
     this.cancelRetry?.()
   }
 
-  private async open (endpoint: EndpointId, options: buildConnector.Options): Promise<OpenedConnection> {
+  private async open (endpoint: EndpointId, options: buildConnector.Options): Promise<Connection> {
     const { clock } = this.parts
     const startedAtMs = clock.nowMs()
-    const plan = this.plan(endpoint, options)
     try {
-      const { socket, dial } = await dialStaggered(clock, plan.map((path) => path.dial), STAGGER_MS, CONNECT_TIMEOUT_MS)
+      const connection = await dialStaggered(clock, this.plan(endpoint, options), STAGGER_MS, CONNECT_TIMEOUT_MS)
       this.connectedAtMs = clock.nowMs()
       this.unconnected.delete(endpoint)
-      return { socket, relay: plan[dial]!.relay }
+      return connection
     } catch (error) {
       this.noteFailure(endpoint, error as Error, startedAtMs)
       throw error
@@ -141,43 +118,20 @@
   }
 
   /** The paths in the order in which they are tried. */
-  private plan (endpoint: EndpointId, options: buildConnector.Options): Array<{ readonly dial: Dial, readonly relay: NodeId | null }> {
+  private plan (endpoint: EndpointId, options: buildConnector.Options): Dial[] {
     const relayedFirst = this.paths.firstPath(endpoint) === EndpointPath.Relayed
-    const relays = this.relayDials(endpoint, relayedFirst ? RELAYED_FIRST_RELAYS : DIRECT_FIRST_RELAYS)
-    const attempt = new DirectAttempt()
-    const direct = { dial: async () => await attempt.run(async () => await this.dialDirect(endpoint, options)), relay: null }
-    const relayed = relays.map(({ dial, relay }) => ({
-      relay,
-      dial: async () => {
-        const socket = await dial()
-        // The direct attempt may still be running; only its failure shows that the link is at fault.
-        attempt.whenFailed(() => { this.noteRelayed(endpoint) })
-        return socket
-      }
-    }))
+    const attempt = new DirectAttempt(this.parts.clock, DIRECT_TIMEOUT_MS, async () => await this.dialDirect(endpoint, options))
+    const direct = async (): Promise<Connection> => await attempt.run()
+    const relayed = this.relayDialer.dials(endpoint, relayedFirst ? RELAYED_FIRST_RELAYS : DIRECT_FIRST_RELAYS).map((dial) => async () => {
+      const connection = await dial()
+      // The direct attempt may still be running; only its failure shows that the link is at fault.
+      attempt.whenFailed(() => { this.noteRelayed(endpoint) })
+      return connection
+    })
     return relayedFirst ? [...relayed, direct] : [direct, ...relayed]
   }
 
-  private relayDials (endpoint: EndpointId, count: number): Array<{ readonly dial: Dial, readonly relay: NodeId }> {
-    const { clock, random, node: self, failureDomain, relays, endpointOf } = this.parts
-    const nowMs = clock.nowMs()
-    const failing = new Set([...this.failedRelaysAtMs].filter(([, atMs]) => nowMs - atMs < FAILED_RELAY_MS).map(([node]) => node))
-    const ordered = orderRelays(relays().filter(({ node }) => node !== self), { ownFailureDomain: failureDomain, endpointFailureDomain: endpointOf(endpoint)?.failureDomain ?? null, failing }, random)
-    return ordered.slice(0, count).map(({ node, peers }) => ({ relay: node, dial: async () => await this.dialThrough(node, peers, endpoint) }))
-  }
-
-  private async dialThrough (node: NodeId, peers: string, endpoint: EndpointId): Promise<Socket> {
-    try {
-      const socket = await dialRelay(peers, endpoint, RELAY_TIMEOUT_MS)
-      this.failedRelaysAtMs.delete(node)
-      return socket
-    } catch (error) {
-      this.failedRelaysAtMs.set(node, this.parts.clock.nowMs())
-      throw error
-    }
-  }
-
-  private async dialDirect (endpoint: EndpointId, options: buildConnector.Options, timeoutMs = DIRECT_TIMEOUT_MS): Promise<Socket> {
+  private async dialDirect (endpoint: EndpointId, options: buildConnector.Options, timeoutMs = DIRECT_TIMEOUT_MS): Promise<Connection> {
     const socket = await new Promise<Socket>((resolve, reject) => {
       connectWithin(timeoutMs)(options, (...result) => {
         if (result[0] === null) resolve(result[1])
@@ -185,7 +139,7 @@
       })
     })
     this.noteDirect(endpoint)
-    return socket
+    return { socket, relay: null }
   }
 
   private noteDirect (endpoint: EndpointId): void {
@@ -217,7 +171,7 @@
 
   private retryDirectly (endpoint: EndpointId): void {
     const address = this.parts.endpointOf(endpoint)?.address
-    if (address !== undefined) this.dialDirect(endpoint, optionsFor(address)).then((socket) => { socket.destroy() }, () => { /* The endpoint is still relayed. */ })
+    if (address !== undefined) this.dialDirect(endpoint, optionsFor(address)).then(({ socket }) => { socket.destroy() }, () => { /* The endpoint is still relayed. */ })
   }
 
   private noteFailure (endpoint: EndpointId, error: Error, startedAtMs: number): void {
@@ -233,30 +187,8 @@
   }
 }
 
-/** A direct attempt beside relayed ones, whose failure matters also after a relay has connected. */
-class DirectAttempt {
-  private failed = false
-  private readonly listeners: Array<() => void> = []
-
-  /** Runs `listener` once the attempt has failed. */
-  whenFailed (listener: () => void): void {
-    if (this.failed) listener()
-    else this.listeners.push(listener)
-  }
-
-  async run (dial: Dial): Promise<Socket> {
-    try {
-      return await dial()
-    } catch (error) {
-      this.failed = true
-      for (const listener of this.listeners.splice(0)) listener()
-      throw error
-    }
-  }
-}
-
-async function isConnected (dialed: Promise<Socket>): Promise<boolean> {
-  return await dialed.then((socket) => {
+async function isConnected (dialed: Promise<Connection>): Promise<boolean> {
+  return await dialed.then(({ socket }) => {
     socket.destroy()
     return true
   }, () => false)
--- a/packages/dotterelspur-gateway/src/connection/dialStaggered.ts
+++ b/packages/dotterelspur-gateway/src/connection/dialStaggered.ts
@@ -1,23 +1,23 @@
 import type { Socket } from 'node:net'
-import type { Clock, Teardown } from 'dotterelspur'
+import type { Clock, NodeId, Teardown } from 'dotterelspur'
 
-/** Opens a connection; rejects if there is none, and has a time limit of its own. */
-export type Dial = () => Promise<Socket>
-
-export interface DialedSocket {
+export interface Connection {
   readonly socket: Socket
-  /** Index of the dial that succeeded first. */
-  readonly dial: number
+  /** The node that relays it; null if it is direct. */
+  readonly relay: NodeId | null
 }
 
+/** Opens a connection; rejects if there is none, and has a time limit of its own. */
+export type Dial = () => Promise<Connection>
+
 /**
  * Starts the dials one after the other, each after `staggerMs` or as soon as those before it have failed, and resolves with the first
- * socket. Sockets of slower dials are closed. Rejects with the first dial's error once all have failed, or after `timeoutMs`.
+ * connection. Those of slower dials are closed. Rejects with the first dial's error once all have failed, or after `timeoutMs`.
  */
-export async function dialStaggered (clock: Clock, dials: readonly Dial[], staggerMs: number, timeoutMs: number): Promise<DialedSocket> {
+export async function dialStaggered (clock: Clock, dials: readonly Dial[], staggerMs: number, timeoutMs: number): Promise<Connection> {
   const timers: Teardown[] = []
   try {
-    return await new Promise<DialedSocket>((resolve, reject) => {
+    return await new Promise<Connection>((resolve, reject) => {
       const errors: unknown[] = []
       let started = 0
       let failures = 0
@@ -36,9 +36,9 @@
         const dial = started
         if (settled || dial >= dials.length) return
         started += 1
-        dials[dial]!().then((socket) => {
-          if (settled) socket.destroy()
-          else settle(() => { resolve({ socket, dial }) })
+        dials[dial]!().then((connection) => {
+          if (settled) connection.socket.destroy()
+          else settle(() => { resolve(connection) })
         }, (error: unknown) => { fail(dial, error) })
         timers.push(clock.registerTimer(staggerMs, () => { if (started === dial + 1) startNext() }))
       }
--- a/packages/dotterelspur-gateway/src/process/Dispatch.ts
+++ b/packages/dotterelspur-gateway/src/process/Dispatch.ts
@@ -13,7 +13,7 @@
 import { FleetView } from './FleetView.js'
 import type { ResponseHeaders, CallerHeaders } from './GatewayPorts.js'
 import { BackpressureLog } from './BackpressureLog.js'
-import { NO_RELAYS } from '../connection/EndpointConnector.js'
+import { NO_RELAYS } from '../connection/RelayDialer.js'
 import { Suspicion } from '../connection/PeerFrame.js'
 import type { AdmittedRequest } from '../request/GatewayRequest.js'
 
--- a/packages/dotterelspur-gateway/src/process/DispatchParts.ts
+++ b/packages/dotterelspur-gateway/src/process/DispatchParts.ts
@@ -1,7 +1,7 @@
 import type {
   Clock, ColdBounds, DispatchTarget, EndpointId, FailureDomainId, NodeId, Random, RequestClass, RetryWindowOptions, Route, Sender, ServiceId
 } from 'dotterelspur'
-import type { Relay } from '../connection/EndpointConnector.js'
+import type { Relay } from '../connection/RelayDialer.js'
 import type { Suspicion } from '../connection/PeerFrame.js'
 import type { ColdEndpointMonitorParts } from './ColdEndpointMonitor.js'
 import type { DecisionLog } from './DecisionLog.js'
--- a/packages/dotterelspur-gateway/src/process/EndpointLinks.ts
+++ b/packages/dotterelspur-gateway/src/process/EndpointLinks.ts
@@ -1,7 +1,8 @@
 import type { DispatchTarget, EndpointId, NodeId } from 'dotterelspur'
 import type { EndpointChannel } from '../connection/EndpointChannel.js'
 import { EndpointChannels } from '../connection/EndpointChannels.js'
-import { EndpointConnector, type EndpointConnectorParts, type Relay } from '../connection/EndpointConnector.js'
+import { EndpointConnector, type EndpointConnectorParts } from '../connection/EndpointConnector.js'
+import type { Relay } from '../connection/RelayDialer.js'
 
 /** This node's channels to endpoints, and what is known of the links that they use. */
 export class EndpointLinks {
