A node that refuses to relay closes the connection itself

From reading the change once more: a refused relay ended only its own side, and its place among the 512 relays depended on the requester's close. The test of an endpoint that is not reached now also waits until no relay is open; it passed before as well, so no leak was shown.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/RelayServer.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/RelayServer.test.ts
@@ -121,6 +121,7 @@
 
   it('reports that it does not reach the endpoint either', async () => {
     expect(await refusal('down')).to.match(/502/)
+    await untilClosed()
   })
 
   // Guards against an open proxy: only endpoints of the list are reached.
--- a/packages/dotterelspur-gateway/src/connection/EndpointConnector.ts
+++ b/packages/dotterelspur-gateway/src/connection/EndpointConnector.ts
@@ -19,6 +19,7 @@
 const DIRECT_RETRY_MS = 1_000
 /** A check of a link ends with the second probe of an endpoint, so that no repair is delayed. */
 const LINK_CHECK_MS = 240
+
 export interface EndpointConnectorParts extends RelayDialerParts {
   readonly log: DecisionLog
   /** This node's own links to endpoints have failed. */
--- a/packages/dotterelspur-gateway/src/connection/RelayServer.ts
+++ b/packages/dotterelspur-gateway/src/connection/RelayServer.ts
@@ -112,6 +112,7 @@
   return `HTTP/1.1 ${status} ${RelayStatus[status]}\r\n\r\n`
 }
 
+/** Responds and closes the connection. Nothing reads from it, so the requester's close would not be noticed. */
 function respond (requester: Socket, status: RelayStatus): void {
-  if (!requester.destroyed) requester.end(responseHead(status))
+  if (!requester.destroyed) requester.end(responseHead(status), () => { requester.destroy() })
 }
