A relay that is killed does not end a response

The node that relayed their connections was killed, and the operating system closed these in order, which ends a response that has neither a length nor chunks.

The requester names each relayed connection, and after an orderly close that would end a response it asks the relay whether the endpoint closed it. Without that word the response was broken off. The new test failed before (answered instead of broken off).

--- a/packages/dotterelspur-gateway/src/__tests__/unit/RelayServer.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/RelayServer.test.ts
@@ -32,9 +32,11 @@
   let peers: PeerServer
   let address: string
   let cutOff: boolean
+  let requesters: Socket[]
 
   beforeEach(async () => {
     accepted = []
+    requesters = []
     cutOff = false
     respond = (socket) => { socket.write('answer') }
     endpoint = createServer((socket) => {
@@ -46,7 +48,14 @@
     const endpointAddress = `127.0.0.1:${(endpoint.address() as AddressInfo).port}`
     const known = new Map([[ENDPOINT, endpointAddress], ['down', '127.0.0.1:9']])
     relays = new RelayServer({ addressOf: (id) => known.get(id) ?? null, isCutOff: () => cutOff })
-    peers = new PeerServer(1_000, { onLink: () => {}, onRelayRequest: (request, socket) => { relays.accept(request, socket) } })
+    peers = new PeerServer(1_000, {
+      onLink: () => {},
+      onRelayRequest: (request, socket) => {
+        requesters.push(socket)
+        relays.accept(request, socket)
+      },
+      endedInOrder: (id) => relays.endedInOrder(id)
+    })
     address = await listen(peers)
   })
 
@@ -69,8 +78,8 @@
   /** One exchange on a relayed channel, with a response that ends with its connection. */
   async function exchange (): Promise<CallResult> {
     const channel = new EndpointChannel('http://endpoint', (onConnected) => (_options, callback) => {
-      dialRelay(address, ENDPOINT, TIMEOUT_MS).then((socket) => {
-        onConnected(socket, 'n2')
+      dialRelay({ node: 'n2', peers: address }, ENDPOINT, TIMEOUT_MS).then(({ socket, relay }) => {
+        onConnected(socket, relay)
         callback(null, socket)
       }, (error: Error) => { callback(error, null) })
     })
@@ -82,12 +91,17 @@
     return result
   }
 
+  /** Closes the connections to requesting nodes as the operating system does when the relay's process is killed. */
+  function endRequesters (): void {
+    for (const socket of requesters) socket.destroy()
+  }
+
   async function untilClosed (): Promise<void> {
     while (relays.size > 0) await new Promise((resolve) => { setTimeout(resolve, POLL_MS) })
   }
 
   async function refusal (endpointId: string): Promise<string> {
-    return await dialRelay(address, endpointId, TIMEOUT_MS).then(() => 'connected', (error: Error) => error.message)
+    return await dialRelay({ node: 'n2', peers: address }, endpointId, TIMEOUT_MS).then(() => 'connected', (error: Error) => error.message)
   }
 
   it('forwards bytes and an orderly close', async () => {
@@ -111,9 +125,15 @@
     expect((await exchange()).end).to.equal(ExchangeEnd.BrokenOff)
   })
 
+  // Guards against a truncated stream that is taken for a complete one: the operating system closes the connections of a relay that is killed.
+  it('is not taken for the endpoint when it is killed: its close ends no response', async () => {
+    respond = (socket) => { socket.write(`${HEAD}half`, () => { setTimeout(() => { endRequesters() }, 30) }) }
+    expect((await exchange()).end).to.equal(ExchangeEnd.BrokenOff)
+  })
+
   // Guards against an endpoint that goes on with a request whose caller has left.
   it('closes the connection to the endpoint when the requester closes its own', async () => {
-    const socket = await dialRelay(address, ENDPOINT, TIMEOUT_MS)
+    const { socket } = await dialRelay({ node: 'n2', peers: address }, ENDPOINT, TIMEOUT_MS)
     const closed = new Promise<void>((resolve) => { respond = (far) => { far.on('close', () => { resolve() }) } })
     socket.write('request', () => { setTimeout(() => { socket.destroy() }, 30) })
     await closed
--- a/packages/dotterelspur-gateway/src/connection/EndpointChannel.ts
+++ b/packages/dotterelspur-gateway/src/connection/EndpointChannel.ts
@@ -2,6 +2,7 @@
 import { Client, type buildConnector, type Dispatcher } from 'undici'
 import type { NodeId } from 'dotterelspur'
 import { connectWithin } from './connectWithin.js'
+import type { RelayPath } from './dialRelay.js'
 
 /** A live endpoint accepts a connection within a few milliseconds; one that is down or unreachable may never respond. */
 export const DIRECT_TIMEOUT_MS = 350
@@ -19,8 +20,8 @@
 /** An empty line, which HTTP servers ignore between requests. */
 const RESET_PROBE = '\r\n'
 
-/** Receives each new socket of a channel before it is used, and the node that relays it; null if it is direct. */
-export type ConnectionListener = (socket: Socket, relay: NodeId | null) => void
+/** Receives each new socket of a channel before it is used, and its relay; null if it is direct. */
+export type ConnectionListener = (socket: Socket, relay: RelayPath | null) => void
 
 /** Creates a channel's connector. */
 export type ConnectorFactory = (onConnected: ConnectionListener) => buildConnector.connector
@@ -37,7 +38,7 @@
  */
 export class EndpointChannel {
   private readonly client: Client
-  private relayNode: NodeId | null = null
+  private relayPath: RelayPath | null = null
   private closeEndsResponse = false
   private cleanClose: Promise<boolean> = Promise.resolve(false)
 
@@ -54,7 +55,7 @@
 
   /** The node that relays the connection; null if it is direct. */
   get relay (): NodeId | null {
-    return this.relayNode
+    return this.relayPath?.node ?? null
   }
 
   /** The current response has no stated length, so the close of the connection marks its end. */
@@ -81,8 +82,8 @@
     this.client.close().catch(() => { /* Already closed: nothing is left to do. */ })
   }
 
-  private noteConnected (socket: Socket, relay: NodeId | null): void {
-    this.relayNode = relay
+  private noteConnected (socket: Socket, relay: RelayPath | null): void {
+    this.relayPath = relay
     this.closeEndsResponse = false
     this.cleanClose = Promise.resolve(false)
     this.detectReset(socket)
@@ -95,10 +96,17 @@
    */
   private detectReset (socket: Socket): void {
     socket.prependListener('end', () => {
-      if (this.closeEndsResponse) this.cleanClose = new Promise((resolve) => { socket.write(RESET_PROBE, (error) => { resolve(error === null || error === undefined) }) })
+      if (this.closeEndsResponse) this.cleanClose = this.isClosedCleanly(socket)
     })
     socket.prependListener('error', (error: NodeJS.ErrnoException) => {
       if (error.code === 'ECONNRESET') error.code = RESET_CODE
     })
   }
+
+  /** A relay that is killed closes its connections in order, too, so its own word is needed that the endpoint did. */
+  private async isClosedCleanly (socket: Socket): Promise<boolean> {
+    const relay = this.relayPath
+    const isOrderly = await new Promise<boolean>((resolve) => { socket.write(RESET_PROBE, (error) => { resolve(error === null || error === undefined) }) })
+    return isOrderly && (relay === null || await relay.endedInOrder())
+  }
 }
--- a/packages/dotterelspur-gateway/src/connection/PeerLinks.ts
+++ b/packages/dotterelspur-gateway/src/connection/PeerLinks.ts
@@ -107,7 +107,8 @@
   async listen (address: ListenAddress, relays: RelayServer): Promise<void> {
     this.server = new PeerServer(MAX_FRAME_BYTES, {
       onLink: (socket) => { this.accept(socket) },
-      onRelayRequest: (request, socket) => { relays.accept(request, socket) }
+      onRelayRequest: (request, socket) => { relays.accept(request, socket) },
+      endedInOrder: (relayId) => relays.endedInOrder(relayId)
     })
     await this.server.listen(address)
   }
--- a/packages/dotterelspur-gateway/src/connection/PeerServer.ts
+++ b/packages/dotterelspur-gateway/src/connection/PeerServer.ts
@@ -2,13 +2,18 @@
 import type { Socket } from 'node:net'
 import { WebSocketServer, type WebSocket } from 'ws'
 import type { ListenAddress } from '../process/GatewaySettings.js'
+import { RELAY_END_PATH } from './RelayServer.js'
 
+const NO_CONTENT = 204
+const NOT_FOUND = 404
 const UPGRADE_REQUIRED = 426
 
 export interface PeerServerListener {
   onLink (socket: WebSocket): void
   /** Another node asks this one to relay a connection to an endpoint. */
   onRelayRequest (request: IncomingMessage, socket: Socket): void
+  /** Whether the endpoint closed a relayed connection in order. */
+  endedInOrder (relayId: string): boolean
 }
 
 /** The server for other nodes: WebSocket links, and connections that this node relays to endpoints. */
@@ -17,7 +22,7 @@
   private readonly links: WebSocketServer
 
   constructor (maxFrameBytes: number, listener: PeerServerListener) {
-    this.http = createServer(rejectRequest)
+    this.http = createServer((request, response) => { respond(request, response, listener) })
     this.http.on('connect', (request: IncomingMessage, socket: Socket) => { listener.onRelayRequest(request, socket) })
     this.links = new WebSocketServer({ server: this.http, maxPayload: maxFrameBytes, perMessageDeflate: false })
     this.links.on('connection', (socket) => { listener.onLink(socket) })
@@ -37,6 +42,12 @@
   }
 }
 
-function rejectRequest (_request: IncomingMessage, response: ServerResponse): void {
-  response.writeHead(UPGRADE_REQUIRED, { 'content-length': 0, connection: 'close' }).end()
+function respond ({ url = '' }: IncomingMessage, response: ServerResponse, listener: PeerServerListener): void {
+  const status = statusFor(url, listener)
+  response.writeHead(status, status === NO_CONTENT ? { connection: 'close' } : { 'content-length': 0, connection: 'close' }).end()
+}
+
+function statusFor (url: string, listener: PeerServerListener): number {
+  if (!url.startsWith(RELAY_END_PATH)) return UPGRADE_REQUIRED
+  return listener.endedInOrder(url.slice(RELAY_END_PATH.length)) ? NO_CONTENT : NOT_FOUND
 }
--- a/packages/dotterelspur-gateway/src/connection/RelayDialer.ts
+++ b/packages/dotterelspur-gateway/src/connection/RelayDialer.ts
@@ -1,5 +1,5 @@
 import { orderRelays, type Clock, type EndpointId, type EndpointRecord, type FailureDomainId, type NodeId, type Random, type Sender } from 'dotterelspur'
-import { dialRelay } from './dialRelay.js'
+import { dialRelay, type RelayAddress } from './dialRelay.js'
 import type { Connection, Dial } from './dialStaggered.js'
 
 const RELAY_TIMEOUT_MS = 300
@@ -7,10 +7,7 @@
 const FAILED_RELAY_MS = 1_000
 
 /** Another node, which may relay connections. */
-export interface Relay extends Sender {
-  /** Its address for other nodes. */
-  readonly peers: string
-}
+export interface Relay extends Sender, RelayAddress {}
 
 export const NO_RELAYS: readonly Relay[] = []
 
@@ -55,11 +52,11 @@
     return new Set(this.failedAtMs.keys())
   }
 
-  private async dialThrough ({ node, peers }: Relay, endpoint: EndpointId): Promise<Connection> {
+  private async dialThrough (relay: Relay, endpoint: EndpointId): Promise<Connection> {
     try {
-      return { socket: await dialRelay(peers, endpoint, RELAY_TIMEOUT_MS), relay: node }
+      return await dialRelay(relay, endpoint, RELAY_TIMEOUT_MS)
     } catch (error) {
-      this.failedAtMs.set(node, this.parts.clock.nowMs())
+      this.failedAtMs.set(relay.node, this.parts.clock.nowMs())
       throw error
     }
   }
--- a/packages/dotterelspur-gateway/src/connection/RelayServer.ts
+++ b/packages/dotterelspur-gateway/src/connection/RelayServer.ts
@@ -8,6 +8,13 @@
 /** Bounds the sockets and buffers that other nodes can occupy. */
 const MAX_RELAYS = 512
 const KEEP_ALIVE_DELAY_MS = 5_000
+/** Relays whose end is remembered: requesters ask within milliseconds. */
+const MAX_REMEMBERED_ENDS = 1_024
+
+/** Header of a relay request with an id of the requester's choice, by which it asks how the connection ended. */
+export const RELAY_ID_HEADER = 'relay-id'
+/** Path at which the id is asked for: 204 if the endpoint closed the connection in order, otherwise 404. */
+export const RELAY_END_PATH = '/relay-ends/'
 
 /** Statuses of responses to a relay request. */
 export enum RelayStatus {
@@ -33,6 +40,7 @@
  */
 export class RelayServer {
   private readonly open = new Set<Socket>()
+  private readonly orderlyEnds = new Set<string>()
   private servedCount = 0
   private draining = false
 
@@ -49,14 +57,22 @@
   }
 
   /** Handles `CONNECT <endpoint id>`. */
-  accept ({ url }: IncomingMessage, requester: Socket): void {
+  accept ({ url, headers }: IncomingMessage, requester: Socket): void {
     requester.on('error', () => { /* `close` follows. */ })
     if (this.draining || this.ports.isCutOff() || this.open.size >= MAX_RELAYS) return respond(requester, RelayStatus.Unavailable)
     const address = this.ports.addressOf(decodeEndpoint(url ?? ''))
     if (address === null) return respond(requester, RelayStatus.UnknownEndpoint)
     this.open.add(requester)
     requester.on('close', () => { this.open.delete(requester) })
-    this.dial(address, requester)
+    this.dial(address, requester, headers[RELAY_ID_HEADER])
+  }
+
+  /**
+   * Whether the endpoint closed a relayed connection in order. If this process is killed, the operating system closes the connections
+   * to requesters in order as well, and nobody confirms that the endpoint did so.
+   */
+  endedInOrder (id: string): boolean {
+    return this.orderlyEnds.has(id)
   }
 
   /** Accepts no new relays. Open ones continue until their nodes close them. */
@@ -69,7 +85,14 @@
     for (const socket of this.open) socket.destroy()
   }
 
-  private dial (address: string, requester: Socket): void {
+  private rememberEnd (id: string): void {
+    this.orderlyEnds.add(id)
+    if (this.orderlyEnds.size <= MAX_REMEMBERED_ENDS) return
+    const [oldest] = this.orderlyEnds
+    this.orderlyEnds.delete(oldest!)
+  }
+
+  private dial (address: string, requester: Socket, id: string | string[] | undefined): void {
     const at = address.lastIndexOf(':')
     const endpoint = connect({ host: address.slice(0, at), port: Number(address.slice(at + 1)), noDelay: true, keepAlive: true, keepAliveInitialDelay: KEEP_ALIVE_DELAY_MS })
     const fail = (): void => {
@@ -89,7 +112,7 @@
       requester.setNoDelay(true)
       requester.setKeepAlive(true, KEEP_ALIVE_DELAY_MS)
       requester.write(responseHead(RelayStatus.Connected))
-      joinSockets(requester, endpoint)
+      joinSockets(requester, endpoint, () => { if (typeof id === 'string') this.rememberEnd(id) })
     })
   }
 }
--- a/packages/dotterelspur-gateway/src/connection/dialStaggered.ts
+++ b/packages/dotterelspur-gateway/src/connection/dialStaggered.ts
@@ -1,10 +1,11 @@
 import type { Socket } from 'node:net'
-import type { Clock, NodeId, Teardown } from 'dotterelspur'
+import type { Clock, Teardown } from 'dotterelspur'
+import type { RelayPath } from './dialRelay.js'
 
 export interface Connection {
   readonly socket: Socket
-  /** The node that relays it; null if it is direct. */
-  readonly relay: NodeId | null
+  /** Null if it is direct. */
+  readonly relay: RelayPath | null
 }
 
 /** Opens a connection; rejects if there is none, and has a time limit of its own. */
--- a/packages/dotterelspur-gateway/src/connection/joinSockets.ts
+++ b/packages/dotterelspur-gateway/src/connection/joinSockets.ts
@@ -6,16 +6,18 @@
 /**
  * Forwards bytes between the node that requested a relay and the endpoint until either closes. An orderly close and a reset by the
  * endpoint are passed on as such, because they decide whether a response without stated length is complete: a reset that is read
- * together with the last bytes is reported as an ordinary end, and is detected by a write.
+ * together with the last bytes is reported as an ordinary end, and is detected by a write. `onOrderlyEnd` runs before an orderly close is
+ * passed on.
  */
-export function joinSockets (requester: Socket, endpoint: Socket): void {
+export function joinSockets (requester: Socket, endpoint: Socket, onOrderlyEnd: () => void): void {
   requester.pipe(endpoint, { end: false })
   endpoint.pipe(requester, { end: false })
   // Runs before the socket ends its own side, after which nothing can be written.
   endpoint.prependListener('end', () => {
     endpoint.write(RESET_PROBE, (error) => {
-      if (error === null || error === undefined) requester.end()
-      else reset(requester)
+      if (error !== null && error !== undefined) return reset(requester)
+      onOrderlyEnd()
+      requester.end()
     })
   })
   endpoint.on('error', () => { reset(requester) })
