Checks of single links count towards the evidence that a node is cut off

A lease holder without traffic of its own connects to endpoints only when it checks members of suspected groups. What these checks show now counts, so that it hands the lease over as well. cutOffNodes tests the hand-over with three nodes.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/cutOffNodes.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/cutOffNodes.test.ts
@@ -39,7 +39,9 @@
     store.put(`${MANIFEST_PREFIX}main`, createManifest(1))
     for (const { name, address } of endpoints) store.put(`${ENDPOINT_PREFIX}${name}`, createEndpoint(name, address))
     worlds = []
-    for (const node of NODES) worlds.push(await GatewayWorld.start(node, store, node === NODES[0] ? (address) => linkOf.get(address)! : undefined))
+    worlds.push(await GatewayWorld.start(NODES[0], store, (address) => linkOf.get(address)!))
+    while (await worlds[0]!.gauge('decides') === 0) await pause()
+    for (const node of NODES.slice(1)) worlds.push(await GatewayWorld.start(node, store))
     await store.untilRead()
     await untilListed()
   })
@@ -96,6 +98,14 @@
     }).timeout(20_000)
   }
 
+  // Guards against a fleet without repairs: the lease holder reaches no endpoint, and keeps the lease.
+  it('hands the lease over', async () => {
+    for (const link of links) link.cut(OpenConnections.Reset)
+    while (await worlds[0]!.gauge('decides') === 1) await callFor(PAUSE_MS)
+    while (await worlds[1]!.gauge('decides') + await worlds[2]!.gauge('decides') === 0) await pause()
+    expect(await worlds[0]!.gauge('cut_off')).to.equal(1)
+  }).timeout(20_000)
+
   // Guards against a proper request in quarantine: the node's links are reset while it runs, and the endpoints then refuse this node.
   it('does not blame a request for endpoints that other nodes reach', async () => {
     for (const endpoint of endpoints) endpoint.answerWith(() => { /* Holds the request. */ })
--- a/packages/dotterelspur-gateway/src/connection/EndpointConnector.ts
+++ b/packages/dotterelspur-gateway/src/connection/EndpointConnector.ts
@@ -89,7 +89,9 @@
     if (address === undefined) return false
     const dialed = this.dialDirect(endpoint, optionsFor(address), LINK_CHECK_MS)
     const [isReached, isConnectedDirectly] = await Promise.all([this.isReachedByOthers(endpoint, LINK_CHECK_MS), isConnected(dialed)])
-    return isReached && !isConnectedDirectly
+    const isAtFault = isReached && !isConnectedDirectly
+    if (isAtFault) this.noteRelayed(endpoint)
+    return isAtFault
   }
 
   /** Evicts endpoints that are no longer listed. */
