Endpoints that end while other nodes relay to them count against the request

A node that is cut off does not see that an endpoint refuses connections, so what it lost through relays counted against no request.

A relay says whether the endpoint refuses its connections (410), and for endpoints that are relayed this counts. The new test failed before (0 suspected instead of 1).

--- a/packages/dotterelspur-gateway/src/__tests__/unit/cutOffNodes.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/cutOffNodes.test.ts
@@ -116,6 +116,21 @@
     expect(await worlds[0]!.gauge('suspected_requests') + await worlds[0]!.gauge('quarantined_requests')).to.equal(0)
   }).timeout(20_000)
 
+  // Guards against a request that ends one endpoint after the other: a node that is cut off does not notice that they refuse connections.
+  it('blames a request for endpoints that end while other nodes relay it', async () => {
+    for (const link of links) link.cut(OpenConnections.Reset)
+    while (await worlds[0]!.gauge('cut_off') === 0) await callFor(PAUSE_MS)
+    for (const link of links) link.hang()
+    for (const endpoint of endpoints) {
+      endpoint.answerWith((incoming, response, body) => {
+        if (incoming.url === '/read/poison') endpoint.close()
+        else ok(incoming, response, body)
+      })
+    }
+    for (let attempt = 0; attempt < 2 * HELD_REQUESTS; attempt++) await isServed('/read/poison')
+    expect(await worlds[0]!.gauge('suspected_requests') + await worlds[0]!.gauge('quarantined_requests')).to.equal(1)
+  }).timeout(20_000)
+
   // Guards against answers that are lost because the node that relays them stops.
   it('serves all first tries while a node that relays stops', async () => {
     for (const link of links) link.cut(OpenConnections.Reset)
--- a/packages/dotterelspur-gateway/src/connection/EndpointConnector.ts
+++ b/packages/dotterelspur-gateway/src/connection/EndpointConnector.ts
@@ -4,9 +4,11 @@
 import { LogKind, type DecisionLog } from '../process/DecisionLog.js'
 import { connectWithin } from './connectWithin.js'
 import { DirectAttempt } from './DirectAttempt.js'
+import { RelayRefusal } from './dialRelay.js'
 import { dialStaggered, type Connection, type Dial } from './dialStaggered.js'
 import { DIRECT_TIMEOUT_MS, type ConnectorFactory } from './EndpointChannel.js'
 import { RelayDialer, type RelayDialerParts } from './RelayDialer.js'
+import { RelayStatus } from './RelayServer.js'
 
 /** A live endpoint accepts a connection within a few milliseconds, so after this time the next path is tried beside it. */
 const STAGGER_MS = 100
@@ -80,6 +82,19 @@
     return await isConnected(dialStaggered(this.parts.clock, this.relayDialer.dials(endpoint, DIRECT_FIRST_RELAYS), STAGGER_MS, timeoutMs))
   }
 
+  /**
+   * Whether an endpoint refuses another node's connections, which shows that its process has ended. Asked only for an endpoint that
+   * is relayed, since this node's own connections to it show nothing.
+   */
+  async refusesOthers (endpoint: EndpointId): Promise<boolean> {
+    if (this.paths.firstPath(endpoint) === EndpointPath.Direct) return false
+    const [dial] = this.relayDialer.dials(endpoint, 1)
+    return await dial!().then(({ socket }) => {
+      socket.destroy()
+      return false
+    }, (error: unknown) => error instanceof RelayRefusal && error.status === RelayStatus.Refused)
+  }
+
   /**
    * Whether another node reaches an endpoint to which this node does not connect. Both are tried, because a process that is
    * suspended answers nobody and still accepts connections.
--- a/packages/dotterelspur-gateway/src/connection/RelayServer.ts
+++ b/packages/dotterelspur-gateway/src/connection/RelayServer.ts
@@ -21,6 +21,8 @@
   Connected = 200,
   /** The endpoint is unknown to this node, or is leaving. */
   UnknownEndpoint = 404,
+  /** The endpoint refuses this node's connections: no process listens at its address. */
+  Refused = 410,
   /** This node does not reach the endpoint either. */
   Unreached = 502,
   /** This node is cut off, stops, or has too many relays. */
@@ -95,9 +97,9 @@
   private dial (address: string, requester: Socket, id: string | string[] | undefined): void {
     const at = address.lastIndexOf(':')
     const endpoint = connect({ host: address.slice(0, at), port: Number(address.slice(at + 1)), noDelay: true, keepAlive: true, keepAliveInitialDelay: KEEP_ALIVE_DELAY_MS })
-    const fail = (): void => {
+    const fail = (error?: NodeJS.ErrnoException): void => {
       endpoint.destroy()
-      respond(requester, RelayStatus.Unreached)
+      respond(requester, error?.code === 'ECONNREFUSED' ? RelayStatus.Refused : RelayStatus.Unreached)
     }
     const timer = setTimeout(fail, DIAL_TIMEOUT_MS)
     const abandon = (): void => { endpoint.destroy() }
--- a/packages/dotterelspur-gateway/src/connection/dialRelay.ts
+++ b/packages/dotterelspur-gateway/src/connection/dialRelay.ts
@@ -13,6 +13,13 @@
 const END_TIMEOUT_MS = 300
 const NO_CONTENT = 204
 
+/** A relay's response other than a connection. */
+export class RelayRefusal extends Error {
+  constructor (peers: string, readonly status: number) {
+    super(`relay at ${peers} responded ${status}`)
+  }
+}
+
 /** A node that may relay connections. */
 export interface RelayAddress {
   readonly node: NodeId
@@ -45,7 +52,7 @@
   socket.write(`CONNECT ${target} HTTP/1.1\r\nHost: ${target}\r\n${RELAY_ID_HEADER}: ${id}\r\n\r\n`)
   try {
     const status = await readStatus(socket, timeoutMs)
-    if (status !== RelayStatus.Connected) throw new Error(`relay at ${peers} responded ${status}`)
+    if (status !== RelayStatus.Connected) throw new RelayRefusal(peers, status)
     return { socket, relay: { node, endedInOrder: async () => await confirmEnd(peers, id) } }
   } catch (error) {
     socket.destroy()
@@ -65,14 +72,14 @@
 }
 
 /** Reads the response head. Nothing follows it before the endpoint has received a request. */
-async function readStatus (socket: Socket, timeoutMs: number): Promise<number | null> {
+async function readStatus (socket: Socket, timeoutMs: number): Promise<number> {
   let head = ''
   let onData = (_bytes: Buffer): void => {}
   let onError = (_error: Error): void => {}
   let onClose = (): void => {}
   let timer: NodeJS.Timeout | null = null
   try {
-    return await new Promise<number | null>((resolve, reject) => {
+    return await new Promise<number>((resolve, reject) => {
       timer = setTimeout(() => { reject(new Error(`no relay within ${timeoutMs} ms`)) }, timeoutMs)
       onData = (bytes) => {
         head += bytes.toString('latin1')
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -155,6 +155,7 @@
       endpoints: this.endpoints,
       quarantine: this.quarantine,
       isReachedByOthers: async (endpoint) => await this.dispatch.links.connector.isReachedByOthers(endpoint),
+      refusesOthers: async (endpoint) => await this.dispatch.links.connector.refusesOthers(endpoint),
       isLeaseHolder: () => this.lease.mayOrder(),
       broadcast: (all, shared) => { this.peers.sendPoisonRecords(all, shared) },
       requestLeaseRenewal: () => { this.lease.requestRenewal() }
--- a/packages/dotterelspur-gateway/src/process/PoisonTracker.ts
+++ b/packages/dotterelspur-gateway/src/process/PoisonTracker.ts
@@ -44,6 +44,8 @@
   readonly quarantine: QuarantineRegistry
   /** Whether another node reaches an endpoint that refuses this node's connections. */
   readonly isReachedByOthers: (endpoint: EndpointId) => Promise<boolean>
+  /** Whether an endpoint that only other nodes reach refuses their connections. */
+  readonly refusesOthers: (endpoint: EndpointId) => Promise<boolean>
   /** Whether this node holds the lease; it then writes the quarantine to the store. */
   readonly isLeaseHolder: () => boolean
   /**
@@ -93,11 +95,17 @@
     const record = this.parts.endpoints.current.get(target.endpoint)
     // A leaving or unlisted endpoint terminates because it was ordered to.
     const mayBlame = record !== undefined && !record.leaving
-    const ended = await this.terminationChecks.hasTerminated(target.address) && !await this.parts.isReachedByOthers(target.endpoint)
+    const ended = await this.hasEnded(target)
     if (ended && mayBlame) this.guard.noteTermination(content, target.endpoint, events)
     this.logLoss(loss, ended, mayBlame)
   }
 
+  /** This node's own connections prove little where its links have failed, so other nodes are asked. */
+  private async hasEnded ({ endpoint, address }: DispatchTarget): Promise<boolean> {
+    if (await this.terminationChecks.hasTerminated(address)) return !await this.parts.isReachedByOthers(endpoint)
+    return await this.parts.refusesOthers(endpoint)
+  }
+
   /** Merges records of other nodes, or of an earlier incarnation; malformed records are ignored. */
   mergeRecords (received: unknown): void {
     const records = readPoisonRecords(received)
