A loss on a relayed connection is judged by other nodes from the start

A node notices that it is cut off half a second after the first relayed connection. Until then a loss there was judged by the node's own connections, which hang, and counted against no request. Now the exchange itself says whether it was relayed.

--- a/packages/dotterelspur-gateway/src/connection/EndpointConnector.ts
+++ b/packages/dotterelspur-gateway/src/connection/EndpointConnector.ts
@@ -82,12 +82,8 @@
     return await isConnected(dialStaggered(this.parts.clock, this.relayDialer.dials(endpoint, DIRECT_FIRST_RELAYS), STAGGER_MS, timeoutMs))
   }
 
-  /**
-   * Whether an endpoint refuses another node's connections, which shows that its process has ended. Asked only for an endpoint that
-   * is relayed, since this node's own connections to it show nothing.
-   */
+  /** Whether an endpoint refuses another node's connections, which shows that its process has ended. */
   async refusesOthers (endpoint: EndpointId): Promise<boolean> {
-    if (this.paths.firstPath(endpoint) === EndpointPath.Direct) return false
     const [dial] = this.relayDialer.dials(endpoint, 1)
     return await dial!().then(({ socket }) => {
       socket.destroy()
--- a/packages/dotterelspur-gateway/src/process/PoisonTracker.ts
+++ b/packages/dotterelspur-gateway/src/process/PoisonTracker.ts
@@ -30,6 +30,8 @@
   readonly tookMs: number
   /** This node's other requests in flight at the endpoint. */
   readonly besides: number
+  /** Another node relayed the connection. */
+  readonly wasRelayed: boolean
   /** Null if the endpoint began no stream. */
   readonly stream: StreamReport | null
 }
@@ -44,7 +46,7 @@
   readonly quarantine: QuarantineRegistry
   /** Whether another node reaches an endpoint that refuses this node's connections. */
   readonly isReachedByOthers: (endpoint: EndpointId) => Promise<boolean>
-  /** Whether an endpoint that only other nodes reach refuses their connections. */
+  /** Whether an endpoint refuses the connections of other nodes. */
   readonly refusesOthers: (endpoint: EndpointId) => Promise<boolean>
   /** Whether this node holds the lease; it then writes the quarantine to the store. */
   readonly isLeaseHolder: () => boolean
@@ -95,15 +97,15 @@
     const record = this.parts.endpoints.current.get(target.endpoint)
     // A leaving or unlisted endpoint terminates because it was ordered to.
     const mayBlame = record !== undefined && !record.leaving
-    const ended = await this.hasEnded(target)
+    const ended = await this.hasEnded(loss)
     if (ended && mayBlame) this.guard.noteTermination(content, target.endpoint, events)
     this.logLoss(loss, ended, mayBlame)
   }
 
   /** This node's own connections prove little where its links have failed, so other nodes are asked. */
-  private async hasEnded ({ endpoint, address }: DispatchTarget): Promise<boolean> {
-    if (await this.terminationChecks.hasTerminated(address)) return !await this.parts.isReachedByOthers(endpoint)
-    return await this.parts.refusesOthers(endpoint)
+  private async hasEnded ({ target: { endpoint, address }, wasRelayed }: LostExchange): Promise<boolean> {
+    if (wasRelayed) return await this.parts.refusesOthers(endpoint)
+    return await this.terminationChecks.hasTerminated(address) && !await this.parts.isReachedByOthers(endpoint)
   }
 
   /** Merges records of other nodes, or of an earlier incarnation; malformed records are ignored. */
--- a/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
+++ b/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
@@ -76,6 +76,8 @@
   private currentExchange: DispatchExchange | null = null
   private streamStart: ResponseStart | null = null
   private endedInsideEvent = false
+  /** Another node relayed the connection of the last exchange. */
+  private wasRelayed = false
   private readonly wait: PlacementWait
 
   constructor (private readonly parts: GatewayRequestParts, private readonly admitted: AdmittedRequest, private readonly response: CallerResponse) {
@@ -159,7 +161,7 @@
   private async noteLoss (target: DispatchTarget, tookMs: number): Promise<void> {
     const { poison, dispatch } = this.parts
     const { requestId, content } = this.admitted
-    await poison.noteLoss({ requestId, content, target, events: this.eventCount, tookMs, besides: dispatch.ownInFlight(target), stream: this.describeStream() })
+    await poison.noteLoss({ requestId, content, target, events: this.eventCount, tookMs, besides: dispatch.ownInFlight(target), wasRelayed: this.wasRelayed, stream: this.describeStream() })
   }
 
   private send (target: DispatchTarget, mayRetry: boolean, resolve: (end: ExchangeEnd) => void): void {
@@ -177,6 +179,7 @@
       onProgress: (head) => { running.noteProgress(head) },
       onEnd: (end, buffered, head) => {
         running.stop()
+        this.wasRelayed = channel.relay !== null
         dispatch.links.release(target, channel)
         if (end === ExchangeEnd.Rejected && head !== null && head.lostMember !== null) dispatch.noteFailure(target, end)
         this.endedInsideEvent = this.cursor.isInsideEvent
