--- a/packages/dotterelspur-gateway/src/connection/EndpointConnector.ts
+++ b/packages/dotterelspur-gateway/src/connection/EndpointConnector.ts
@@ -82,13 +82,13 @@
     return await isConnected(dialStaggered(this.parts.clock, this.relayDialer.dials(endpoint, DIRECT_FIRST_RELAYS), STAGGER_MS, timeoutMs))
   }
 
-  /** Whether an endpoint refuses another node's connections, which shows that its process has ended. */
+  /**
+   * Whether an endpoint refuses the connections of any other node, which shows that its process has ended. Several are asked, as some
+   * may be cut off as well.
+   */
   async refusesOthers (endpoint: EndpointId): Promise<boolean> {
-    const [dial] = this.relayDialer.dials(endpoint, 1)
-    return await dial!().then(({ socket }) => {
-      socket.destroy()
-      return false
-    }, (error: unknown) => error instanceof RelayRefusal && error.status === RelayStatus.Refused)
+    const refusals = this.relayDialer.dials(endpoint, RELAYED_FIRST_RELAYS).map(async (dial) => await isRefused(dial))
+    return (await Promise.all(refusals)).includes(true)
   }
 
   /**
@@ -208,6 +208,13 @@
   }, () => false)
 }
 
+async function isRefused (dial: Dial): Promise<boolean> {
+  return await dial().then(({ socket }) => {
+    socket.destroy()
+    return false
+  }, (error: unknown) => error instanceof RelayRefusal && error.status === RelayStatus.Refused)
+}
+
 function optionsFor (address: string): buildConnector.Options {
   const at = address.lastIndexOf(':')
   return { hostname: address.slice(0, at), port: address.slice(at + 1), protocol: 'http:' }
