Log holds of the event loop, and when a request was sent and its caller had left

A request that reaches an endpoint after its caller has closed the connection can have two reasons: the node knew of the close and sent the request all the same, or the close lay unread because the event loop was held. The lines so far told neither. `request-ended` now states when the request was sent to each endpoint (`sentMs`) and when the node learned of the close (`callerLeftMs`); `loop-held` and two gauges say when the loop ran no timers.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/admissionByClass.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/admissionByClass.test.ts
@@ -100,9 +100,9 @@
     const metrics = new GatewayMetrics()
     const refusal: PlacementRefusal = { reason: RefusalReason.Full, retryAfterMs: 400, inNeed: [], basis: null }
     const end = { kind: DispatchEndKind.NotRun, lastExchange: null, refusal, attempts: 0 }
-    metrics.countRank(0, { end: { ...end, refusal: null }, answeredWith: null, firstByteMs: 1, retryAfterMs: null, waitedMs: null, targets: ['e1'], stream: null })
-    metrics.countRank(2, { end, answeredWith: null, firstByteMs: null, retryAfterMs: null, waitedMs: null, targets: [], stream: null })
-    metrics.countRank(1e9, { end, answeredWith: null, firstByteMs: null, retryAfterMs: null, waitedMs: null, targets: [], stream: null })
+    metrics.countRank(0, { end: { ...end, refusal: null }, answeredWith: null, firstByteMs: 1, retryAfterMs: null, waitedMs: null, targets: ['e1'], stream: null, sentMs: [], callerLeftMs: null })
+    metrics.countRank(2, { end, answeredWith: null, firstByteMs: null, retryAfterMs: null, waitedMs: null, targets: [], stream: null, sentMs: [], callerLeftMs: null })
+    metrics.countRank(1e9, { end, answeredWith: null, firstByteMs: null, retryAfterMs: null, waitedMs: null, targets: [], stream: null, sentMs: [], callerLeftMs: null })
     const page = await metrics.page()
     expect(page).to.include('dotterelspur_gateway_admitted_requests{rank="0"} 1')
     expect(page).to.include('dotterelspur_gateway_refused_requests{rank="2"} 1')
--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -205,6 +205,8 @@
       ...refusalFields(report.end.refusal, admitted.priority),
       retryAfterMs: report.retryAfterMs === null ? undefined : Math.round(report.retryAfterMs),
       targets: report.targets,
+      sentMs: report.sentMs.length > 0 ? report.sentMs.map(Math.round) : undefined,
+      callerLeftMs: report.callerLeftMs === null ? undefined : Math.round(report.callerLeftMs),
       framing: report.stream?.framing,
       endedInsideEvent: report.stream?.endedInsideEvent === true ? true : undefined,
       waitedMs: report.waitedMs === null ? undefined : Math.round(report.waitedMs),
--- a/packages/dotterelspur-gateway/src/process/DecisionLog.ts
+++ b/packages/dotterelspur-gateway/src/process/DecisionLog.ts
@@ -77,6 +77,8 @@
   ColdTimeRejected = 'cold-time-rejected',
   NodeListed = 'node-listed',
   NodeUnlisted = 'node-unlisted',
+  /** The event loop of this process did not run timers for a while, whatever held it. */
+  LoopHeld = 'loop-held',
   LinesDropped = 'lines-dropped',
   Unexpected = 'unexpected'
 }
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -21,6 +21,7 @@
 import type { EndpointControl, WireFormat } from './GatewayPorts.js'
 import type { PlatformFormat } from './PlatformFormat.js'
 import { addressOf, type GatewayLimits, type GatewaySettings, type ListenAddress } from './GatewaySettings.js'
+import { LoopMonitor } from './LoopMonitor.js'
 import { ManifestFollower } from './ManifestFollower.js'
 import { NODE_PREFIX, NodeRegistry, nodeRecord, type NodeRecord } from './NodeRegistry.js'
 import { PoisonTracker } from './PoisonTracker.js'
@@ -65,6 +66,7 @@
   private readonly callers: CallerListener
   private readonly peers: PeerLinks
   private readonly relays: RelayServer
+  private readonly loopMonitor: LoopMonitor
   private readonly stopVotes = new StallVotes()
   private readonly servers: Server[] = []
   private readonly teardowns: Teardown[] = []
@@ -202,7 +204,9 @@
       this.lease.observeFencing(highestFencing(endpoints.values()))
     })
     const { callers, manifest, endpoints, nodes, lease, poison, dispatch, relays } = this
-    registerGauges(this.metrics, { callers, manifest, endpoints, nodes, lease, store, poison, dispatch, relays, log })
+    this.loopMonitor = new LoopMonitor(clock, log, () => ({ running: callers.runningRequests, waiting: callers.waitingRequests, relays: relays.size, decides: lease.mayOrder() }))
+    const loop = this.loopMonitor
+    registerGauges(this.metrics, { callers, manifest, endpoints, nodes, lease, store, poison, dispatch, relays, log, loop })
   }
 
   get metricsAddress (): ListenAddress {
@@ -223,6 +227,7 @@
     this.teardowns.push(this.manifest.follow(this.store), this.endpoints.follow(this.store), this.evacuations.follow(this.store), this.nodes.follow(), this.quarantine.follow())
     this.dispatch.start()
     this.poison.start()
+    this.loopMonitor.start()
     this.formations.start()
     this.peers.maintain(() => this.otherNodes(), () => this.lease.isCoordinator())
     this.peers.exchangeObservations(() => this.nodes.nodes().length, () => this.lease.coordinationFencing)
@@ -274,6 +279,7 @@
     }
     await this.callers.close()
     this.poison.stop()
+    this.loopMonitor.stop()
     this.dispatch.close()
     this.parts.log.flush()
   }
--- a/packages/dotterelspur-gateway/src/process/registerGauges.ts
+++ b/packages/dotterelspur-gateway/src/process/registerGauges.ts
@@ -6,6 +6,7 @@
 import type { FleetLease } from './FleetLease.js'
 import type { FollowedStore } from './FollowedStore.js'
 import type { GatewayMetrics } from './GatewayMetrics.js'
+import type { LoopMonitor } from './LoopMonitor.js'
 import type { ManifestFollower } from './ManifestFollower.js'
 import type { NodeRegistry } from './NodeRegistry.js'
 import type { PoisonTracker } from './PoisonTracker.js'
@@ -21,10 +22,11 @@
   readonly dispatch: Dispatch
   readonly relays: RelayServer
   readonly log: DecisionLog
+  readonly loop: LoopMonitor
 }
 
 /** Registers the gauges that are read at each scrape. */
-export function registerGauges (metrics: GatewayMetrics, { callers, manifest, endpoints, nodes, lease, store, poison, dispatch, relays, log }: GaugeSources): void {
+export function registerGauges (metrics: GatewayMetrics, { callers, manifest, endpoints, nodes, lease, store, poison, dispatch, relays, log, loop }: GaugeSources): void {
   metrics.gauge('running_requests', 'Requests under way', () => callers.runningRequests)
   metrics.gauge('waiting_requests', 'Requests that wait for an endpoint\'s next token', () => callers.waitingRequests)
   metrics.gauge('manifest_version', 'Version of the manifest in force', () => manifest.current?.version ?? 0)
@@ -50,5 +52,7 @@
   metrics.gauge('evacuated_failure_domains', 'Failure domains that operators have evacuated', () => dispatch.availableEndpoints.evacuatedDomains)
   metrics.gauge('requests_in_evacuated_domains', 'Requests of this node that still run in evacuated failure domains', () => dispatch.availableEndpoints.requestsInEvacuatedDomains)
   metrics.gauge('log_lines_dropped', 'Log lines dropped since the start', () => log.dropped)
+  metrics.gauge('loop_holds', 'Times at which the event loop ran no timers for 200 ms or more, since the start', () => loop.holds)
+  metrics.gauge('loop_held_ms', 'Sum of the delays of the event loop\'s timers, since the start', () => loop.heldMs)
   metrics.gauge('resident_bytes', 'Resident memory', () => process.memoryUsage.rss())
 }
--- a/packages/dotterelspur-gateway/src/request/EndpointCall.ts
+++ b/packages/dotterelspur-gateway/src/request/EndpointCall.ts
@@ -56,6 +56,8 @@
   readonly method: Dispatcher.HttpMethod
   readonly wire: WireFormat
   readonly channel: ChannelCloseDetector
+  /** Called immediately before the request is sent. */
+  readonly onSend?: () => void
   /** Null if the complete response is to be buffered. */
   readonly sink: ResponseSink | null
   /** Called when a response head or data arrives, which shows that the endpoint is alive. */
@@ -97,6 +99,7 @@
     this.controller = controller
     if (this.ended) return controller.abort(new Error('request aborted before it was sent'))
     this.sent = true
+    this.options.onSend?.()
   }
 
   onResponseStart (_controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
--- a/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
+++ b/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
@@ -54,6 +54,10 @@
   /** How long it waited at this node; null where it did not. */
   readonly waitedMs: number | null
   readonly targets: readonly string[]
+  /** When the request was sent to each endpoint, since its arrival; a target without a connection has none. */
+  readonly sentMs: readonly number[]
+  /** When this node learned that the caller had closed its connection, since the arrival; null if it has not. */
+  readonly callerLeftMs: number | null
   /** The last stream that an endpoint began; null where none did. */
   readonly stream: StreamReport | null
 }
@@ -71,6 +75,8 @@
   private lossRecorded: Promise<void> = Promise.resolve()
   private stoppedWith: ExchangeEnd | null = null
   private readonly targets: string[] = []
+  private readonly sentMs: number[] = []
+  private callerLeftMs: number | null = null
   private readonly deadlineAtMs: number
   private paused = false
   private currentExchange: DispatchExchange | null = null
@@ -89,6 +95,7 @@
 
   /** The caller closed its connection: aborts the running exchange. */
   onCallerDisconnect (): void {
+    this.callerLeftMs ??= this.elapsedMs()
     this.stop(ExchangeEnd.CallerLeft)
   }
 
@@ -107,7 +114,7 @@
     const end = this.stoppedWith === ExchangeEnd.CallerLeft && dispatched.kind === DispatchEndKind.NotRun ? { ...dispatched, kind: DispatchEndKind.CallerLeft, refusal: null } : dispatched
     const answeredWith = this.respond(end)
     const firstByteMs = this.firstByteAtMs === null ? null : this.firstByteAtMs - this.admitted.arrivedAtMs
-    return { end, answeredWith, firstByteMs, retryAfterMs: end.kind === DispatchEndKind.NotRun ? retryAfterMsOf(end) : null, waitedMs: this.wait.waitedMs, targets: this.targets, stream: this.describeStream() }
+    return { end, answeredWith, firstByteMs, retryAfterMs: end.kind === DispatchEndKind.NotRun ? retryAfterMsOf(end) : null, waitedMs: this.wait.waitedMs, targets: this.targets, sentMs: this.sentMs, callerLeftMs: this.callerLeftMs, stream: this.describeStream() }
   }
 
   private describeStream (): StreamReport | null {
@@ -136,6 +143,10 @@
     return this.parts.dispatch.place({ service, route, head, requestClass: { rank: priority, workspace }, excluded, leftMs: this.leftMs(), elapsedMs: spentMs })
   }
 
+  private elapsedMs (): number {
+    return this.parts.clock.nowMs() - this.admitted.arrivedAtMs
+  }
+
   private leftMs (): number {
     return this.deadlineAtMs - this.parts.clock.nowMs()
   }
@@ -175,6 +186,7 @@
       method: this.admitted.request.method as Dispatcher.HttpMethod,
       wire,
       channel,
+      onSend: () => { this.sentMs.push(this.elapsedMs()) },
       sink: streams ? { start: (start) => { this.streamStart = start }, data: (chunk) => this.handleData(chunk) } : null,
       onProgress: (head) => { running.noteProgress(head) },
       onEnd: (end, buffered, head) => {
