Requests are sent only after the loop has polled their callers' connections

Cause: a turn of the event loop reads a request, and the close behind it only in the next turn. The request was sent in between; likewise a retry, whose new connection opens in the turn in which the close could be read. On a loop that is held, the close is as old as the hold. Node.js 20 also accepts one connection a turn, so that requests are read long after they were sent. Besides, the node learned of a close with the close of the response, some turns after the end of the caller's side.

Now each way in which a request leaves a node (first, after a wait, retried, resumed, relayed) goes through SocketPolls: placement and sending follow a whole poll in the same turn, and a new connection is used after one. Before the first byte the deadline is compared with the clock once more. The end of the caller's side ends the request at once.

--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -17,6 +17,7 @@
 import { CallerResponse, GatewayErrorKind } from '../request/CallerResponse.js'
 import { refusalFields } from '../request/refusalFields.js'
 import { GatewayRequest, type AdmittedRequest, type RequestReport } from '../request/GatewayRequest.js'
+import { registerCallerClose } from './registerCallerClose.js'
 import { BodyErrorKind, readBody } from '../request/readBody.js'
 
 /** Retry-After of requests that arrive before this node has read a manifest. */
@@ -162,11 +163,11 @@
   }
 
   private async dispatch (response: ServerResponse, callerResponse: CallerResponse, admitted: AdmittedRequest): Promise<void> {
-    const run = new GatewayRequest({ ...this.parts, waits: this.waits }, admitted, callerResponse)
-    response.on('close', () => {
+    const run = new GatewayRequest({ ...this.parts, waits: this.waits, polls: this.parts.dispatch.links.polls }, admitted, callerResponse)
+    const stop = registerCallerClose(admitted.request, () => {
       if (!response.writableFinished) run.onCallerDisconnect()
     })
-    this.record(admitted, await run.run())
+    this.record(admitted, await run.run().finally(stop))
   }
 
   private pickService ({ shares }: Route): ServiceId {
--- a/packages/dotterelspur-gateway/src/connection/EndpointConnector.ts
+++ b/packages/dotterelspur-gateway/src/connection/EndpointConnector.ts
@@ -8,6 +8,7 @@
 import { dialStaggered, type Connection, type Dial } from './dialStaggered.js'
 import { DIRECT_TIMEOUT_MS, type ConnectorFactory } from './EndpointChannel.js'
 import { RelayDialer, type RelayDialerParts } from './RelayDialer.js'
+import type { SocketPolls } from './SocketPolls.js'
 import { RelayStatus } from './RelayServer.js'
 
 /** A live endpoint accepts a connection within a few milliseconds, so after this time the next path is tried beside it. */
@@ -24,6 +25,7 @@
 
 export interface EndpointConnectorParts extends RelayDialerParts {
   readonly log: DecisionLog
+  readonly polls: SocketPolls
   /** This node's own links to endpoints have failed. */
   readonly onCutOff: () => void
   /** This node connects to an endpoint itself that was relayed, or to all endpoints if it was cut off. */
@@ -62,10 +64,13 @@
   /** The connector for the channels of an endpoint. */
   connectorOf (endpoint: EndpointId): ConnectorFactory {
     return (onConnected) => (options, callback) => {
-      this.open(endpoint, options).then(({ socket, relay }) => {
+      this.open(endpoint, options).then(async ({ socket, relay }) => {
         onConnected(socket, relay)
+        // The waiting request is sent at once.
+        await this.parts.polls.afterPoll()
+        if (socket.destroyed) throw new Error('connection closed before it was used')
         callback(null, socket)
-      }, (error: Error) => { callback(error, null) })
+      }).catch((error: Error) => { callback(error, null) })
     }
   }
 
--- a/packages/dotterelspur-gateway/src/process/EndpointLinks.ts
+++ b/packages/dotterelspur-gateway/src/process/EndpointLinks.ts
@@ -2,18 +2,21 @@
 import type { EndpointChannel } from '../connection/EndpointChannel.js'
 import { EndpointChannels } from '../connection/EndpointChannels.js'
 import { EndpointConnector, type EndpointConnectorParts } from '../connection/EndpointConnector.js'
+import { SocketPolls } from '../connection/SocketPolls.js'
 import type { Relay } from '../connection/RelayDialer.js'
 
 /** This node's channels to endpoints, and what is known of the links that they use. */
 export class EndpointLinks {
   readonly connector: EndpointConnector
+  readonly polls = new SocketPolls()
   private readonly channels: EndpointChannels
   private knownRelays: readonly Relay[] = []
   private listedRelays: ReadonlySet<NodeId> = new Set()
 
-  constructor (private readonly parts: EndpointConnectorParts) {
+  constructor (private readonly parts: Omit<EndpointConnectorParts, 'polls'>) {
     this.connector = new EndpointConnector({
       ...parts,
+      polls: this.polls,
       // Open connections may hang. Those in use end by themselves.
       onCutOff: () => {
         this.channels.closeIdle(({ relay }) => relay === null)
--- a/packages/dotterelspur-gateway/src/request/EndpointCall.ts
+++ b/packages/dotterelspur-gateway/src/request/EndpointCall.ts
@@ -56,6 +56,8 @@
   readonly method: Dispatcher.HttpMethod
   readonly wire: WireFormat
   readonly channel: ChannelCloseDetector
+  /** Asked once the connection is open; the request is not sent if there is a reason. */
+  readonly reasonNotToSend?: () => ExchangeEnd | null
   /** Called immediately before the request is sent. */
   readonly onSend?: () => void
   /** Null if the complete response is to be buffered. */
@@ -98,6 +100,8 @@
   onRequestStart (controller: Dispatcher.DispatchController): void {
     this.controller = controller
     if (this.ended) return controller.abort(new Error('request aborted before it was sent'))
+    const reason = this.options.reasonNotToSend?.() ?? null
+    if (reason !== null) return this.abort(reason)
     this.sent = true
     this.options.onSend?.()
   }
--- a/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
+++ b/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
@@ -5,6 +5,7 @@
   type Clock, type DispatchEnd, type DispatchTarget, type ExchangeEffect, type ExchangeReport, type PlaceEffect, type PlacementRefusal, type RequestContent, type Route, type ServiceId, type Teardown, type WorkspaceId
 } from 'dotterelspur'
 import { forwardedHeaders, isEventStream } from '../connection/headers.js'
+import type { SocketPolls } from '../connection/SocketPolls.js'
 import type { Dispatch } from '../process/Dispatch.js'
 import type { DispatchExchange } from '../process/DispatchParts.js'
 import type { CallerHeaders, WireFormat } from '../process/GatewayPorts.js'
@@ -27,6 +28,7 @@
   readonly dispatch: Dispatch
   readonly poison: PoisonTracker
   readonly waits: RequestWaits
+  readonly polls: SocketPolls
 }
 
 /** A request that has been authenticated, routed and admitted, before it is sent to an endpoint. */
@@ -104,7 +106,7 @@
     this.response.onDrain(() => { this.resume() })
     const { route } = this.admitted
     const dispatched = await runProcedure(runDispatch({ retryable: isRetryable(route), maxAttempts: route.maxAttempts }), {
-      [DispatchEffectKind.Place]: async (effect) => effect.excluded.length > 0 ? this.place(effect) : await this.wait.place(() => this.place(effect)),
+      [DispatchEffectKind.Place]: async (effect) => effect.excluded.length > 0 ? await this.placeAgain(effect) : await this.wait.place(() => this.place(effect)),
       [DispatchEffectKind.Exchange]: async (effect) => await this.exchange(effect),
       [DispatchEffectKind.JudgeLoss]: async () => await this.mayRetryAfterLoss(),
       [DispatchEffectKind.SpendRetry]: () => this.stoppedWith === null && this.parts.dispatch.trySpendRetry(this.admitted.service)
@@ -137,6 +139,11 @@
     this.currentCall?.abort(end)
   }
 
+  private async placeAgain (effect: PlaceEffect): Promise<DispatchTarget | PlacementRefusal> {
+    await this.parts.polls.afterPoll()
+    return this.place(effect)
+  }
+
   private place ({ excluded }: PlaceEffect): DispatchTarget | PlacementRefusal {
     const { head, service, route, workspace, priority, arrivedAtMs, spentBeforeMs } = this.admitted
     const spentMs = spentBeforeMs + this.parts.clock.nowMs() - arrivedAtMs
@@ -152,7 +159,8 @@
   }
 
   private async exchange ({ target, mayRetry }: ExchangeEffect): Promise<ExchangeReport> {
-    if (this.stoppedWith !== null || this.leftMs() < MIN_USEFUL_MS) return { end: this.stoppedWith ?? ExchangeEnd.TimedOut, hasPartialResponse: this.response.isStarted }
+    const over = this.reasonNotToSend()
+    if (over !== null) return { end: over, hasPartialResponse: this.response.isStarted }
     this.targets.push(target.endpoint)
     this.cursor.dropPartialEvent()
     this.eventCount = 0
@@ -169,6 +177,11 @@
     return { end, hasPartialResponse: this.response.isStarted }
   }
 
+  /** Null while the request may be sent. */
+  private reasonNotToSend (): ExchangeEnd | null {
+    return this.stoppedWith ?? (this.leftMs() < MIN_USEFUL_MS ? ExchangeEnd.TimedOut : null)
+  }
+
   private async noteLoss (target: DispatchTarget, tookMs: number): Promise<void> {
     const { poison, dispatch } = this.parts
     const { requestId, content } = this.admitted
@@ -186,6 +199,7 @@
       method: this.admitted.request.method as Dispatcher.HttpMethod,
       wire,
       channel,
+      reasonNotToSend: () => this.reasonNotToSend(),
       onSend: () => { this.sentMs.push(this.elapsedMs()) },
       sink: streams ? { start: (start) => { this.streamStart = start }, data: (chunk) => this.handleData(chunk) } : null,
       onProgress: (head) => { running.noteProgress(head) },
--- a/packages/dotterelspur-gateway/src/request/PlacementWait.ts
+++ b/packages/dotterelspur-gateway/src/request/PlacementWait.ts
@@ -30,8 +30,9 @@
 
   /** Places the request, after a wait where `place` states when an endpoint is available. */
   async place (place: () => DispatchTarget | PlacementRefusal): Promise<DispatchTarget | PlacementRefusal> {
-    const { clock, waits } = this.parts
+    const { clock, waits, polls } = this.parts
     for (;;) {
+      await polls.afterPoll()
       const placed = place()
       if ('endpoint' in placed || placed.availableInMs === undefined || this.cancelled) return placed
       const beganAtMs = clock.nowMs()
