A lease holder whose event loop is held hands the lease over

Cause: nothing but a lost store or lost links makes a holder give the lease up. Its renewals still arrive in time on a loop that is held, so the lease stays on a machine that is too small for it, and its callers wait.

A holder whose timers were late for more than half of the last 4 s now hands over, after 6 s at the earliest. For a minute it tries for the lease a second later than others and does not hand over again, so that the lease changes hands rarely where all machines are too small.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/FleetLease.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/FleetLease.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import { createRandom, ManualClock, storeVersion } from 'dotterelspur'
 import { FleetLease, FLEET_LEASE_TIMING } from '../../process/FleetLease.js'
+import { LeaseHandover } from '../../process/LeaseHandover.js'
 import { createLog } from '../fixtures/builders.js'
 import { MemoryStore } from '../fixtures/MemoryStore.js'
 
@@ -100,6 +101,22 @@
     expect(first!.mayOrder()).to.equal(true)
   })
 
+  // Guards against callers that get no answer from a node whose event loop the lease holder's work holds, on a machine that is too small for it.
+  it('passes from a holder that is overloaded to another node, and stays with one that takes it again for want of others', async () => {
+    const store = new MemoryStore()
+    const clock = new ManualClock()
+    const overloaded = new Set<string>(['n1'])
+    const [first, second] = ['n1', 'n2'].map((node, index) => new FleetLease(store, { node, incarnation: 1 }, clock, createRandom(index), createLog(clock), () => {}, () => 2, undefined, undefined, new LeaseHandover(() => overloaded.has(node))))
+    await runSteps(clock, [first!], 600)
+    await runSteps(clock, [first!, second!], 5_000)
+    expect(first!.mayOrder()).to.equal(true)
+    await runSteps(clock, [first!, second!], 2_000)
+    expect([first!.mayOrder(), second!.mayOrder()]).to.deep.equal([false, true])
+    await second!.release()
+    await runSteps(clock, [first!], 10_000)
+    expect(first!.mayOrder()).to.equal(true)
+  })
+
   it('stays with a holder that is cut off while the store does not accept that it is handed over', async () => {
     const store = new MemoryStore()
     const clock = new ManualClock()
--- a/packages/dotterelspur-gateway/src/__tests__/unit/LoopMonitor.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/LoopMonitor.test.ts
@@ -36,6 +36,20 @@
     expect([monitor.holds, monitor.heldMs]).to.deep.equal([0, 100])
   })
 
+  it('is overloaded while the loop is held for most of the time, and not after one long hold', () => {
+    const { clock, monitor } = createMonitor()
+    clock.pause(3_000)
+    clock.advance(INTERVAL_MS)
+    expect(monitor.isOverloaded).to.equal(false)
+    for (let hold = 0; hold < 10; hold++) {
+      clock.pause(400)
+      clock.advance(INTERVAL_MS)
+    }
+    expect(monitor.isOverloaded).to.equal(true)
+    clock.advance(5_000)
+    expect(monitor.isOverloaded).to.equal(false)
+  })
+
   it('measures nothing after it was stopped', () => {
     const { clock, monitor } = createMonitor()
     monitor.stop()
--- a/packages/dotterelspur-gateway/src/process/FleetLease.ts
+++ b/packages/dotterelspur-gateway/src/process/FleetLease.ts
@@ -4,6 +4,7 @@
   type Clock, type EffectHandlers, type LeaseEffect, type LeaseIdentity, type LeaseObject, type LeaseObservation, type LeaseTerm, type LeaseTiming, type ObjectStore, type Random, type StoredObject, type Teardown
 } from 'dotterelspur'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
+import { LeaseHandover } from './LeaseHandover.js'
 import { NO_PAYLOAD, type LeasePayloadSource, type StoredLease } from './LeasePayload.js'
 
 /** Name of the fleet's only lease; its holder decides for all groups. */
@@ -58,7 +59,8 @@
     private readonly nodeCount: () => number = () => 1,
     private readonly memory: LeasePayloadSource = NO_PAYLOAD,
     /** Whether this node can act as the holder; one that can't hands the lease over, and takes none. */
-    private readonly isFit: () => boolean = () => true
+    private readonly isFit: () => boolean = () => true,
+    private readonly handover = new LeaseHandover(() => false)
   ) {
     this.challengeFromMs = clock.nowMs() + random.next() * CHALLENGE_SPREAD_MS
   }
@@ -179,7 +181,8 @@
 
   private async renew (term: LeaseTerm, nowMs: number): Promise<void> {
     if (isExpired(term, FLEET_LEASE_TIMING, nowMs)) return this.lose(LeaseLoss.Expired)
-    if (!this.isFit()) return await this.stepDown(term)
+    if (!this.isFit()) return await this.stepDown(term, LeaseLoss.Released)
+    if (this.handover.isDue(nowMs)) return await this.stepDown(term, LeaseLoss.Overloaded)
     if (nowMs < renewalDueAtMs(term, FLEET_LEASE_TIMING) && !this.isRenewalRequested) return
     this.isRenewalRequested = false
     const result = await runProcedure(renewLease(term, this.self, FLEET_LEASE_TIMING), this.handlers())
@@ -195,10 +198,10 @@
   }
 
   /** Hands the lease over to any other node; keeps it until the store has accepted that. */
-  private async stepDown (term: LeaseTerm): Promise<void> {
+  private async stepDown (term: LeaseTerm, reason: LeaseLoss): Promise<void> {
     const result = await runProcedure(renewLease(term, this.self, FLEET_LEASE_TIMING, true), this.handlers())
     if (result.kind === LeaseResultKind.Held && result.error !== null) this.notBeforeMs = this.clock.nowMs() + FLEET_LEASE_TIMING.retryMs
-    else this.lose(LeaseLoss.Released)
+    else this.lose(reason)
   }
 
   private async challenge (nowMs: number): Promise<void> {
@@ -207,12 +210,14 @@
       this.challengeAtMs = null
       return await this.readLease(nowMs)
     }
-    this.challengeAtMs ??= this.isHeldByFormerIncarnation() ? nowMs : nowMs + this.random.next() * CHALLENGE_SPREAD_PER_NODE_MS * (this.nodeCount() - 1)
+    this.challengeAtMs ??= this.isHeldByFormerIncarnation() ? nowMs : nowMs + this.handover.challengeDelayMs(nowMs) + this.random.next() * CHALLENGE_SPREAD_PER_NODE_MS * (this.nodeCount() - 1)
     if (nowMs < this.challengeAtMs) return
     const result = await runProcedure(takeLease(FLEET_LEASE_NAME, this.self, decision.expectedVersion, decision.fencing, FLEET_LEASE_TIMING), this.handlers())
     if (result.kind === LeaseResultKind.Held) {
       this.held = result.term
       this.lapsedFencing = null
+      this.challengeAtMs = null
+      this.handover.noteTaken(this.clock.nowMs())
       const former = this.leaseObservation.lease
       if (former !== null && !former.released && former.holder !== this.self.node) this.onLapsedHolder({ node: former.holder, incarnation: former.holderIncarnation })
       return this.log.write(LogKind.LeaseTaken, { fencing: result.term.fencing, version: result.term.version, formerHolder: this.leaseObservation.lease?.holder ?? null })
@@ -275,6 +280,7 @@
     this.held = null
     if (term === null) return
     this.lapsedFencing = reason === LeaseLoss.Expired ? term.fencing : null
+    if (reason === LeaseLoss.Overloaded) this.handover.noteHandedOver(this.clock.nowMs())
     this.leaseObservation = raiseFencingFloor({ ...this.leaseObservation, firstObservedAtMs: this.clock.nowMs() }, term.fencing)
     this.nextReadAtMs = 0
     this.log.write(LogKind.LeaseLost, { fencing: term.fencing, reason })
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -6,6 +6,7 @@
 import { PeerLinks } from '../connection/PeerLinks.js'
 import { RelayServer } from '../connection/RelayServer.js'
 import { jsonResponse, startSimpleServer, type SimpleHandler } from '../connection/simpleServer.js'
+import { LeaseHandover } from './LeaseHandover.js'
 import type { LeaseHolderState } from './LeaseHolderState.js'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
 import { Dispatch } from './Dispatch.js'
@@ -107,7 +108,7 @@
         this.dispatch.fleetView.mergeMemory(learned)
         this.poison.mergeRecords(suspects)
       }
-    }, () => !this.dispatch.links.connector.isCutOff)
+    }, () => !this.dispatch.links.connector.isCutOff, new LeaseHandover(() => this.loopMonitor.isOverloaded))
     this.initialSync = new InitialSync(clock, this.manifest, this.endpoints, [this.quarantine, this.lease], this.evacuations)
     this.formations = new FormationController({
       clock,
--- a/packages/dotterelspur/src/process/lease/LeaseHolder.ts
+++ b/packages/dotterelspur/src/process/lease/LeaseHolder.ts
@@ -36,6 +36,8 @@
   /** The TTL expired on the holder's own clock without a successful renewal. */
   Expired = 'expired',
   Released = 'released',
+  /** The holder handed it over because its event loop was held. */
+  Overloaded = 'overloaded',
   /** An assignment has a higher fencing number than the lease. */
   FencingTooLow = 'fencing-too-low'
 }
