Log the parts of a prompt with each lost exchange

Whether the requests that end endpoints have a part of their prompts in common could not be told: nobody read the header that names the parts. `exchange-lost` now has `promptParts`, all parts but the last, which belongs to the request or its session alone.

--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -147,7 +147,7 @@
     if (access.kind !== AccessKind.Allowed) return this.denyAccess(request, callerResponse, access, newest)
     const service = this.pickService(access.route)
     const { route, workspace, priority } = access
-    const content: RequestContent = { service, method: request.method!, target: request.url!, caller: workspace, model: head.model, body: body.value }
+    const content: RequestContent = { service, method: request.method!, target: request.url!, caller: workspace, model: head.model, body: body.value, promptParts: head.promptParts }
     const admission = await this.parts.poison.guard.admit(content)
     if (callerResponse.isClosed) return admission.release()
     if (admission.kind !== AdmissionKind.Admitted) return this.refusePoison(request, callerResponse, admission)
--- a/packages/dotterelspur-gateway/src/process/GatewayPorts.ts
+++ b/packages/dotterelspur-gateway/src/process/GatewayPorts.ts
@@ -10,6 +10,8 @@
   readonly key: string | null
   readonly model: ModelId | null
   readonly promptTokens: number
+  /** Ids of the parts of the prompt that other requests may share, in order; absent if the caller states none. */
+  readonly promptParts?: readonly string[]
   /** Output token limit of the response. */
   readonly maxAnswerTokens: number
   /** Id of the last event that the caller received in an earlier attempt. */
--- a/packages/dotterelspur-gateway/src/process/PoisonTracker.ts
+++ b/packages/dotterelspur-gateway/src/process/PoisonTracker.ts
@@ -183,6 +183,7 @@
     this.parts.log.write(LogKind.ExchangeLost, {
       request: requestId,
       fingerprint,
+      promptParts: content.promptParts,
       endpoint: target.endpoint,
       ended,
       mayBlame,
--- a/packages/dotterelspur/src/request/poison/RequestContent.ts
+++ b/packages/dotterelspur/src/request/poison/RequestContent.ts
@@ -18,6 +18,8 @@
   /** Null for plain services. */
   readonly model: ModelId | null
   readonly body: Uint8Array
+  /** Ids of the parts of the prompt that other requests may share, in order. Absent if they are not known. */
+  readonly promptParts?: readonly string[]
 }
 
 /**
