Requests are known by the parts of their prompts that end endpoints, not only as a whole

Cause: evidence was kept by the whole content of a request. No two of these requests are alike, so each one was let through until it had ended three endpoints itself.

A lost exchange is now evidence on the request and on each part of its prompt but the last. Records of parts are exchanged, kept and written as those of requests. A part is cleared by any answer on it, and is quarantined only after two ends of requests that were sent while it was suspected, from at least two different requests, and if no other part explains its ends better: what all prompts share, a caller and a route are never blamed for a guilty part beside them.

--- a/packages/dotterelspur-gateway/src/process/PoisonTracker.ts
+++ b/packages/dotterelspur-gateway/src/process/PoisonTracker.ts
@@ -112,7 +112,7 @@
   mergeRecords (received: unknown): void {
     const records = readPoisonRecords(received)
     if (records.length === 0) return
-    const changed = this.guard.ledger.merge(records, this.parts.clock.nowMs())
+    const changed = this.guard.merge(records)
     if (changed.length > 0) this.parts.broadcast([], changed.filter(isWorthSharing))
   }
 
@@ -174,7 +174,7 @@
   private logState (fingerprint: RequestFingerprint, before: PoisonState, state: PoisonState): void {
     const record = this.guard.ledger.recordOf(fingerprint)
     this.parts.log.write(LogKind.RequestJudged, {
-      fingerprint, before, state, service: record?.service, workspace: record?.caller, answers: record?.answers, ends: record?.ends.map(({ endpoint, pieces }) => `${endpoint} after ${pieces}`)
+      fingerprint, part: record?.part, before, state, service: record?.service, workspace: record?.caller, answers: record?.answers, ends: record?.ends.map(({ endpoint, pieces }) => `${endpoint} after ${pieces}`)
     })
   }
 
--- a/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
+++ b/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
@@ -266,7 +266,7 @@
     if (buffered === null) return
     if (end === ExchangeEnd.Failed) this.lastFailure = buffered
     if (end !== ExchangeEnd.Answered) return
-    this.parts.poison.guard.noteAnswer(this.admitted.content)
+    this.parts.poison.guard.noteAnswer(this.admitted.content, buffered.status < FIRST_REDIRECT)
     if (this.streamStart !== null && buffered.status < FIRST_REDIRECT) {
       this.startStream()
       return this.response.end(this.cursor.takeRemainder())
--- a/packages/dotterelspur-poison/src/__tests__/unit/PoisonReplay.test.ts
+++ b/packages/dotterelspur-poison/src/__tests__/unit/PoisonReplay.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import { createRandom } from 'dotterelspur'
-import { PoisonReplay, type PoisonScenario } from '../fixtures/PoisonReplay.js'
+import { PoisonReplay } from '../fixtures/PoisonReplay.js'
+import type { PoisonScenario } from '../fixtures/PoisonScenario.js'
 
 /** Dispatches that may follow long after the third termination, over a whole run. */
 const MAX_LATE_SENDS = 3
@@ -12,7 +13,7 @@
 const SEEDS = [1, 2, 3, 4]
 
 const QUIET: PoisonScenario = {
-  nodes: 8, endpoints: 20, poisons: 0, poisonsPerSecond: 0, usualPerSecond: 60, popularShare: 0.02, crashesPerSecond: 0, domainCrashesPerSecond: 0, lostMessageShare: 0, failoversAtMs: [], restartsAtMs: []
+  nodes: 8, endpoints: 20, poisons: 0, poisonsPerSecond: 0, usualPerSecond: 60, popularShare: 0.02, chapters: 0, guiltyParts: 0, guiltyPerSecond: 0, crashesPerSecond: 0, domainCrashesPerSecond: 0, lostMessageShare: 0, failoversAtMs: [], restartsAtMs: []
 }
 
 const POISON_SCENARIOS: ReadonlyArray<readonly [string, Partial<PoisonScenario>]> = [
--- a/packages/dotterelspur-poison/src/process/PoisonGuard.ts
+++ b/packages/dotterelspur-poison/src/process/PoisonGuard.ts
@@ -1,21 +1,22 @@
 import {
-  maxPieces, outlineOf, PoisonLedger, PoisonState, sleep,
-  type Clock, type EndpointId, type PoisonLimits, type PoisonRecord, type RequestContent, type RequestFingerprint, type Teardown
+  maxPieces, PoisonLedger, PoisonState, sleep,
+  type Clock, type EndpointId, type EndpointTermination, type PoisonLimits, type PoisonRecord, type RequestContent, type RequestFingerprint, type Teardown
 } from 'dotterelspur'
-import { fingerprintOf } from '../request/fingerprint.js'
+import { Suspects, type Suspect } from '../request/Suspect.js'
+import { RecentParts } from './RecentParts.js'
 
 /** The admission decision on an arriving request. */
 export enum AdmissionKind {
   Admitted = 'admitted',
   /** A suspect that is already running on this node, or that another node should send first. */
   Deferred = 'deferred',
-  /** The request crashes endpoints and is not sent anywhere. */
+  /** The request, or a part of its prompt, crashes endpoints and is not sent anywhere. */
   Quarantined = 'quarantined'
 }
 
 export interface PoisonAdmission {
   readonly kind: AdmissionKind
-  /** Null where there is no record of the request, so that no fingerprint was computed. */
+  /** What decided: the request or a part of its prompt. Null where there is no record of either. */
   readonly fingerprint: RequestFingerprint | null
   /** Must be called once the request has its answer. */
   readonly release: Teardown
@@ -40,23 +41,9 @@
   end (): void
 }
 
-/** Computes the outline and the fingerprint once each, and only when they are needed. */
-class Exchange {
-  pieces = 0
-  private cachedOutline: number | null = null
-  private cachedFingerprint: RequestFingerprint | null = null
-
-  constructor (readonly content: RequestContent) {}
-
-  get outline (): number {
-    this.cachedOutline ??= outlineOf(this.content)
-    return this.cachedOutline
-  }
-
-  get fingerprint (): RequestFingerprint {
-    this.cachedFingerprint ??= fingerprintOf(this.content)
-    return this.cachedFingerprint
-  }
+interface Exchange {
+  readonly suspects: Suspects
+  pieces: number
 }
 
 /**
@@ -64,23 +51,33 @@
  * to all nodes.
  */
 export const SUSPECT_WAIT_MS = 600
+/** Interval at which a waiting request is evaluated again: an answer may have cleared the suspect. */
+const EVALUATION_INTERVAL_MS = 60
 
 /** An answer that got this many pieces further than at any termination shows that the request did not cause them. */
 const SIGNIFICANT_PIECES = 3
+/** A part crashes its endpoint as it begins to write, so an answer of this many pieces clears the part. */
+const CLEARING_PIECES = 6
 
 const UNRECORDED: PoisonAdmission = { kind: AdmissionKind.Admitted, fingerprint: null, release: () => {} }
 
 /**
- * Keeps requests that crash endpoints away from them. For most requests this costs one comparison of their outline; a
- * fingerprint is computed only for requests whose outline is recorded, and for those that lost their endpoint.
+ * Keeps requests that crash endpoints away from them, by their whole content and by the parts of their prompts. For most requests
+ * this costs a comparison of outlines; fingerprints are computed only for what has a recorded outline, and for requests that lost
+ * their endpoint.
  */
 export class PoisonGuard {
   readonly ledger: PoisonLedger
   private readonly running = new Set<RequestFingerprint>()
   private readonly exchanges = new Set<Exchange>()
+  private readonly recentParts: RecentParts
+  private readonly suspects = new WeakMap<RequestContent, Suspects>()
+  /** Parts that were suspected when the request was last sent: if it loses its endpoint, that confirms the suspicion. */
+  private readonly sentAsSuspects = new WeakMap<RequestContent, ReadonlySet<RequestFingerprint>>()
 
   constructor (private readonly options: PoisonGuardOptions) {
     this.ledger = new PoisonLedger(options.limits)
+    this.recentParts = new RecentParts(options.clock)
   }
 
   /**
@@ -89,17 +86,22 @@
    * harmless request must not be refused.
    */
   async admit (content: RequestContent): Promise<PoisonAdmission> {
-    const first = this.evaluate(content, false)
-    if (first.kind !== AdmissionKind.Deferred) return first
-    await sleep(this.options.clock, SUSPECT_WAIT_MS)
-    return this.evaluate(content, true)
+    const untilMs = this.options.clock.nowMs() + SUSPECT_WAIT_MS
+    for (;;) {
+      const hasWaited = this.options.clock.nowMs() >= untilMs
+      const admission = this.evaluate(content, hasWaited)
+      if (admission.kind !== AdmissionKind.Deferred || hasWaited) return admission
+      await sleep(this.options.clock, EVALUATION_INTERVAL_MS)
+    }
   }
 
   /** The decision about a request at this moment; `hasWaited` if it has already waited. */
   evaluate (content: RequestContent, hasWaited: boolean): PoisonAdmission {
-    const fingerprint = this.fingerprintIfRecorded(content)
-    if (fingerprint === null) return UNRECORDED
-    return ADMISSIONS[this.ledger.stateOf(fingerprint, this.options.clock.nowMs())](fingerprint, hasWaited || this.options.isHome(fingerprint), this.running)
+    const recorded = this.recordedSuspects(content)
+    if (recorded.length === 0) return UNRECORDED
+    const state = recorded.map(({ fingerprint }) => this.stateOf(fingerprint)).reduce((left, right) => STRICTNESS[right] > STRICTNESS[left] ? right : left)
+    const deciding = recorded.map(({ fingerprint }) => fingerprint).filter((fingerprint) => this.stateOf(fingerprint) === state)
+    return ADMISSIONS[state](deciding, hasWaited || this.options.isHome(deciding[0]!), this.running)
   }
 
   /**
@@ -107,50 +109,103 @@
    * endpoints.
    */
   trackExchange (content: RequestContent): ExchangeTracker {
-    const exchange = new Exchange(content)
+    const exchange: Exchange = { suspects: this.suspectsOf(content), pieces: 0 }
     this.exchanges.add(exchange)
+    const suspected = this.recordedSuspects(content).filter(({ isPart, fingerprint }) => isPart && this.stateOf(fingerprint) !== PoisonState.Trusted)
+    this.sentAsSuspects.set(content, new Set(suspected.map(({ fingerprint }) => fingerprint)))
     return { noteProgress: () => { this.noteProgress(exchange) }, end: () => { this.exchanges.delete(exchange) } }
   }
 
   /** Whether an admitted request may be sent once more. */
   mayRetry (content: RequestContent): boolean {
-    const fingerprint = this.fingerprintIfRecorded(content)
-    return fingerprint === null || this.ledger.stateOf(fingerprint, this.options.clock.nowMs()) === PoisonState.Trusted
+    return this.recordedSuspects(content).every(({ fingerprint }) => this.stateOf(fingerprint) === PoisonState.Trusted)
   }
 
   /**
    * Records that the endpoint terminated while it had the request, after `pieces` of the answer. This is no evidence
-   * against the request if another copy of it has progressed further at an endpoint that is alive.
+   * against the request if another copy of it has progressed further at an endpoint that is alive, and none against a part
+   * that was answered recently or in this exchange.
    */
   noteTermination (content: RequestContent, endpoint: EndpointId, pieces: number): void {
-    if (this.hasProgressedFurther(content, pieces)) return this.noteAnswer(content)
-    const { service, caller } = content
-    const subject = { fingerprint: fingerprintOf(content), outline: outlineOf(content), service, caller }
-    this.publish(this.ledger.noteTermination(subject, { endpoint, pieces }, this.options.clock.nowMs()))
+    const { request, parts } = this.suspectsOf(content)
+    if (this.hasProgressed(request, pieces + 1)) this.clear(request)
+    else this.blame(request, { endpoint, pieces })
+    const culprits = parts.filter((part) => this.isRecorded(part) && STRICTNESS[this.stateOf(part.fingerprint)] > STRICTNESS[PoisonState.Suspected])
+    for (const part of culprits.length > 0 ? culprits : parts) {
+      if (pieces >= CLEARING_PIECES || this.hasProgressed(part, CLEARING_PIECES)) this.clearPart(part)
+      else if (!this.recentParts.has(part.outline)) this.blame(part, { endpoint, pieces, request: request.fingerprint, confirmed: this.isConfirmed(content, part) })
+    }
+  }
+
+  private isConfirmed (content: RequestContent, { fingerprint }: Suspect): boolean {
+    return this.sentAsSuspects.get(content)?.has(fingerprint) === true && !this.ledger.isOutweighed(fingerprint, this.options.clock.nowMs())
+  }
+
+  /** Records that a whole answer to the request arrived. `isWritten` if it shows that the endpoint wrote on the prompt. */
+  noteAnswer (content: RequestContent, isWritten = true): void {
+    const { request, parts } = this.suspectsOf(content)
+    if (this.isRecorded(request)) this.clear(request)
+    if (isWritten) parts.forEach((part) => { this.clearPart(part) })
   }
 
-  /** Records that a whole answer to the request arrived. */
-  noteAnswer (content: RequestContent): void {
-    const fingerprint = this.fingerprintIfRecorded(content)
-    if (fingerprint !== null) this.publish(this.ledger.noteAnswer(fingerprint, this.options.clock.nowMs()))
+  /** Merges records of other nodes; returns those that changed. What this node knows to be harmless is cleared again. */
+  merge (records: readonly PoisonRecord[]): PoisonRecord[] {
+    const nowMs = this.options.clock.nowMs()
+    const changed = this.ledger.merge(records, nowMs)
+    for (const { fingerprint, outline, part, ends } of changed) {
+      if (part !== undefined && ends.length > 0 && this.recentParts.has(outline)) this.publish(this.ledger.noteAnswer(fingerprint, nowMs))
+    }
+    return changed
   }
 
   /** An answer that progresses beyond every recorded termination clears the request as a whole answer does. */
   private noteProgress (exchange: Exchange): void {
     exchange.pieces += 1
-    if (this.ledger.isEmpty || exchange.pieces < SIGNIFICANT_PIECES || !this.ledger.mayHaveRecord(exchange.outline)) return
-    const record = this.ledger.recordOf(exchange.fingerprint)
-    if (record !== undefined && exchange.pieces >= maxPieces(record) + SIGNIFICANT_PIECES) this.noteAnswer(exchange.content)
+    const { request, parts } = exchange.suspects
+    if (exchange.pieces === CLEARING_PIECES) parts.forEach((part) => { this.clearPart(part) })
+    if (exchange.pieces < SIGNIFICANT_PIECES || !this.isRecorded(request)) return
+    const record = this.ledger.recordOf(request.fingerprint)
+    if (record !== undefined && exchange.pieces >= maxPieces(record) + SIGNIFICANT_PIECES) this.clear(request)
   }
 
-  private hasProgressedFurther (content: RequestContent, pieces: number): boolean {
-    const outline = outlineOf(content)
-    return [...this.exchanges].some((other) => other.pieces > pieces && other.outline === outline && other.fingerprint === fingerprintOf(content))
+  /** Whether another exchange with the same suspect has received this many pieces. */
+  private hasProgressed (suspect: Suspect, pieces: number): boolean {
+    return [...this.exchanges].some((other) => other.pieces >= pieces && other.suspects.all.some((held) => held.isPart === suspect.isPart && held.outline === suspect.outline && held.fingerprint === suspect.fingerprint))
   }
 
-  /** Null for a request without a record. */
-  private fingerprintIfRecorded (content: RequestContent): RequestFingerprint | null {
-    return this.ledger.isEmpty || !this.ledger.mayHaveRecord(outlineOf(content)) ? null : fingerprintOf(content)
+  private blame (suspect: Suspect, end: EndpointTermination): void {
+    this.publish(this.ledger.noteTermination(suspect.subject, end, this.options.clock.nowMs()))
+  }
+
+  private clear ({ fingerprint }: Suspect): void {
+    this.publish(this.ledger.noteAnswer(fingerprint, this.options.clock.nowMs()))
+  }
+
+  private clearPart (part: Suspect): void {
+    this.recentParts.note(part.outline)
+    if (this.isRecorded(part)) this.clear(part)
+  }
+
+  private suspectsOf (content: RequestContent): Suspects {
+    let suspects = this.suspects.get(content)
+    if (suspects === undefined) {
+      suspects = new Suspects(content)
+      this.suspects.set(content, suspects)
+    }
+    return suspects
+  }
+
+  /** What there can be a record of: nothing, for most requests. */
+  private recordedSuspects (content: RequestContent): readonly Suspect[] {
+    return this.ledger.isEmpty ? [] : this.suspectsOf(content).all.filter((suspect) => this.isRecorded(suspect))
+  }
+
+  private isRecorded ({ outline }: Suspect): boolean {
+    return !this.ledger.isEmpty && this.ledger.mayHaveRecord(outline)
+  }
+
+  private stateOf (fingerprint: RequestFingerprint): PoisonState {
+    return this.ledger.stateOf(fingerprint, this.options.clock.nowMs())
   }
 
   private publish (record: PoisonRecord | null): void {
@@ -158,15 +213,23 @@
   }
 }
 
-type Admit = (fingerprint: RequestFingerprint, isTurn: boolean, running: Set<RequestFingerprint>) => PoisonAdmission
+/** Of several suspects the one with the highest number decides. */
+const STRICTNESS: Readonly<Record<PoisonState, number>> = {
+  [PoisonState.Trusted]: 0,
+  [PoisonState.Suspected]: 1,
+  [PoisonState.Settling]: 2,
+  [PoisonState.Quarantined]: 3
+}
+
+type Admit = (fingerprints: readonly RequestFingerprint[], isTurn: boolean, running: Set<RequestFingerprint>) => PoisonAdmission
 
 const ADMISSIONS: Readonly<Record<PoisonState, Admit>> = {
-  [PoisonState.Trusted]: (fingerprint) => ({ kind: AdmissionKind.Admitted, fingerprint, release: () => {} }),
-  [PoisonState.Suspected]: (fingerprint, isTurn, running) => {
-    if (running.has(fingerprint) || !isTurn) return { kind: AdmissionKind.Deferred, fingerprint, release: () => {} }
-    running.add(fingerprint)
-    return { kind: AdmissionKind.Admitted, fingerprint, release: () => { running.delete(fingerprint) } }
+  [PoisonState.Trusted]: ([fingerprint]) => ({ kind: AdmissionKind.Admitted, fingerprint: fingerprint!, release: () => {} }),
+  [PoisonState.Suspected]: (fingerprints, isTurn, running) => {
+    if (fingerprints.some((fingerprint) => running.has(fingerprint)) || !isTurn) return { kind: AdmissionKind.Deferred, fingerprint: fingerprints[0]!, release: () => {} }
+    for (const fingerprint of fingerprints) running.add(fingerprint)
+    return { kind: AdmissionKind.Admitted, fingerprint: fingerprints[0]!, release: () => { for (const fingerprint of fingerprints) running.delete(fingerprint) } }
   },
-  [PoisonState.Settling]: (fingerprint) => ({ kind: AdmissionKind.Deferred, fingerprint, release: () => {} }),
-  [PoisonState.Quarantined]: (fingerprint) => ({ kind: AdmissionKind.Quarantined, fingerprint, release: () => {} })
+  [PoisonState.Settling]: ([fingerprint]) => ({ kind: AdmissionKind.Deferred, fingerprint: fingerprint!, release: () => {} }),
+  [PoisonState.Quarantined]: ([fingerprint]) => ({ kind: AdmissionKind.Quarantined, fingerprint: fingerprint!, release: () => {} })
 }
--- a/packages/dotterelspur-poison/src/process/QuarantineRegistry.ts
+++ b/packages/dotterelspur-poison/src/process/QuarantineRegistry.ts
@@ -88,9 +88,9 @@
     this.lost.set(fingerprint, entry)
   }
 
-  private async write ({ fingerprint, outline, service, caller, ends }: PoisonRecord): Promise<void> {
+  private async write ({ fingerprint, outline, part, service, caller, ends }: PoisonRecord): Promise<void> {
     if (this.entries.size >= this.options.maxEntries) await this.evictOldest()
-    await this.create(fingerprint, { outline, service, caller, ends: ends.length, decidedBy: this.options.node })
+    await this.create(fingerprint, { outline, ...part === undefined ? {} : { part }, service, caller, ends: ends.length, decidedBy: this.options.node })
   }
 
   private async create (fingerprint: RequestFingerprint, entry: QuarantineObject): Promise<void> {
--- a/packages/dotterelspur-poison/src/request/fingerprint.ts
+++ b/packages/dotterelspur-poison/src/request/fingerprint.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto'
-import type { RequestContent, RequestFingerprint } from 'dotterelspur'
+import type { RequestContent, RequestFingerprint, ServiceId } from 'dotterelspur'
 
 /** 128 bits, so that it is infeasible to construct another request with the same fingerprint. */
 const FINGERPRINT_BYTES = 16
@@ -10,9 +10,15 @@
  */
 export function fingerprintOf (content: RequestContent): RequestFingerprint {
   const { service, method, target, caller, model, body } = content
-  const hash = createHash('sha256')
   // Serialized as JSON, so that characters of one field cannot be mistaken for part of the next one.
-  hash.update(JSON.stringify([service, method, target, caller, model]))
-  hash.update(body)
-  return hash.digest().subarray(0, FINGERPRINT_BYTES).toString('hex')
+  return digest(JSON.stringify([service, method, target, caller, model]), body)
+}
+
+/** Identifies a part of prompts, the same for all callers: what crashes an endpoint does so whoever sends it. */
+export function partFingerprintOf (service: ServiceId, part: string): RequestFingerprint {
+  return digest(JSON.stringify(['part', service, part]), new Uint8Array())
+}
+
+function digest (head: string, body: Uint8Array): RequestFingerprint {
+  return createHash('sha256').update(head).update(body).digest().subarray(0, FINGERPRINT_BYTES).toString('hex')
 }
--- a/packages/dotterelspur/src/request/poison/PoisonLedger.ts
+++ b/packages/dotterelspur/src/request/poison/PoisonLedger.ts
@@ -25,7 +25,7 @@
 }
 
 /** The request that lost its endpoint, or was answered. */
-export type PoisonSubject = Pick<PoisonRecord, 'fingerprint' | 'outline' | 'service' | 'caller'>
+export type PoisonSubject = Pick<PoisonRecord, 'fingerprint' | 'outline' | 'part' | 'position' | 'service' | 'caller'>
 
 /** A request is a suspect if this much more weight would put it in quarantine. */
 const SUSPECT_MARGIN = 1
@@ -34,6 +34,12 @@
  * elsewhere at the same time: that answer has this long to arrive before the request is refused.
  */
 const SETTLE_MS = 300
+/**
+ * A part that is at many more terminations, and has been until this long ago, explains those at which another part was: the other one
+ * may be in requests that were there by chance.
+ */
+const OUTWEIGHED_FACTOR = 2.5
+const OUTWEIGHED_MS = 3_000
 /** Requests with fewer terminations matter only to the node that observed them and to the node that aggregates the records. */
 const MIN_SHARED_TERMINATIONS = 2
 
@@ -86,6 +92,12 @@
     return [...this.assess().weights].filter(([, weight]) => weight >= this.suspectWeight).map(([fingerprint]) => fingerprint)
   }
 
+  /** Whether another part of prompts explains the present terminations much better than this one. */
+  isOutweighed (fingerprint: RequestFingerprint, nowMs: number): boolean {
+    const ends = this.entries.get(fingerprint)?.record.ends.length ?? 0
+    return [...this.entries.values()].some(({ record, evidenceAtMs }) => record.part !== undefined && record.fingerprint !== fingerprint && nowMs - evidenceAtMs < OUTWEIGHED_MS && record.ends.length >= OUTWEIGHED_FACTOR * (ends + 1))
+  }
+
   recordOf (fingerprint: RequestFingerprint): PoisonRecord | undefined {
     return this.entries.get(fingerprint)?.record
   }
--- a/packages/dotterelspur/src/request/poison/PoisonRecord.ts
+++ b/packages/dotterelspur/src/request/poison/PoisonRecord.ts
@@ -1,6 +1,14 @@
 import type { EndpointId, ServiceId, WorkspaceId } from '../../process/ids.js'
 import type { RequestFingerprint } from './RequestContent.js'
 
+/** What a record blames. */
+export enum PoisonScope {
+  /** One request, recognized by its whole content. */
+  Request = 'request',
+  /** A part of prompts, whatever else the requests hold. */
+  Part = 'part'
+}
+
 /** An endpoint that terminated while it had a request. */
 export interface EndpointTermination {
   readonly endpoint: EndpointId
@@ -9,6 +17,10 @@
    * run the request.
    */
   readonly pieces: number
+  /** In records of parts: the request that held the part, by its fingerprint. */
+  readonly request?: RequestFingerprint
+  /** In records of parts: the request was sent when the part was suspected already. */
+  readonly confirmed?: boolean
 }
 
 /**
@@ -19,6 +31,10 @@
 export interface PoisonRecord {
   readonly fingerprint: RequestFingerprint
   readonly outline: number
+  /** The blamed part's id; absent in records of requests. */
+  readonly part?: string
+  /** In records of parts: the position in the prompt. */
+  readonly position?: number
   readonly service: ServiceId
   readonly caller: WorkspaceId | null
   /** How often a whole answer showed that the earlier terminations had another cause. */
@@ -29,19 +45,38 @@
   readonly ageMs: number
 }
 
-/** Terminations kept for one request: several times the number needed to assess it. */
-const MAX_TERMINATIONS = 12
+/** Terminations kept in one record: several times the number needed to assess it. */
+const MAX_TERMINATIONS = 24
 
 /** Merges two records of one request. */
 export function mergeRecords (left: PoisonRecord, right: PoisonRecord): PoisonRecord {
   if (left.answers !== right.answers) return left.answers > right.answers ? left : right
-  const added = right.ends.filter(({ endpoint }) => !left.ends.some((end) => end.endpoint === endpoint))
-  return { ...left, ends: [...left.ends, ...added].slice(0, MAX_TERMINATIONS), ageMs: Math.min(left.ageMs, right.ageMs) }
+  const both = new Map(left.ends.map((end) => [end.endpoint, end]))
+  for (const end of right.ends) {
+    const known = both.get(end.endpoint)
+    if (known === undefined || (end.confirmed === true && known.confirmed !== true)) both.set(end.endpoint, end)
+  }
+  return { ...left, ends: keepStrongest([...both.values()]), ageMs: Math.min(left.ageMs, right.ageMs) }
+}
+
+/** Confirmed terminations decide, so they are kept where there are too many. */
+function keepStrongest (ends: readonly EndpointTermination[]): EndpointTermination[] {
+  if (ends.length <= MAX_TERMINATIONS) return [...ends]
+  const confirmed = ends.filter((end) => end.confirmed === true)
+  return [...confirmed, ...ends.filter((end) => end.confirmed !== true)].slice(0, MAX_TERMINATIONS)
 }
 
 /** Whether a merged record holds more evidence than the previous one; one without new terminations or answers doesn't. */
 export function hasMoreEvidence (merged: PoisonRecord, previous: PoisonRecord): boolean {
-  return merged.answers > previous.answers || merged.ends.length > previous.ends.length
+  return merged.answers > previous.answers || evidenceOf(merged) > evidenceOf(previous)
+}
+
+function evidenceOf ({ ends }: PoisonRecord): number {
+  return ends.length + ends.filter(({ confirmed }) => confirmed === true).length
+}
+
+export function poisonScopeOf ({ part }: Pick<PoisonRecord, 'part'>): PoisonScope {
+  return part === undefined ? PoisonScope.Request : PoisonScope.Part
 }
 
 /** The most pieces that arrived from any endpoint before it terminated. */
@@ -56,13 +91,14 @@
 
 function isPoisonRecord (value: unknown): value is PoisonRecord {
   if (typeof value !== 'object' || value === null) return false
-  const { fingerprint, outline, service, caller, answers, ends, ageMs } = value as Partial<PoisonRecord>
+  const { fingerprint, outline, part, position, service, caller, answers, ends, ageMs } = value as Partial<PoisonRecord>
+  const isPlaced = part === undefined ? position === undefined : typeof part === 'string' && Number.isFinite(position)
   const isNamed = typeof fingerprint === 'string' && typeof service === 'string' && (caller === null || typeof caller === 'string')
-  return isNamed && [outline, answers, ageMs].every(Number.isFinite) && Array.isArray(ends) && ends.every(isEndpointTermination)
+  return isNamed && isPlaced && [outline, answers, ageMs].every(Number.isFinite) && Array.isArray(ends) && ends.every(isEndpointTermination)
 }
 
 function isEndpointTermination (value: unknown): value is EndpointTermination {
   if (typeof value !== 'object' || value === null) return false
-  const { endpoint, pieces } = value as Partial<EndpointTermination>
-  return typeof endpoint === 'string' && Number.isFinite(pieces)
+  const { endpoint, pieces, request, confirmed } = value as Partial<EndpointTermination>
+  return typeof endpoint === 'string' && Number.isFinite(pieces) && ['undefined', 'string'].includes(typeof request) && ['undefined', 'boolean'].includes(typeof confirmed)
 }
--- a/packages/dotterelspur/src/request/poison/RequestContent.ts
+++ b/packages/dotterelspur/src/request/poison/RequestContent.ts
@@ -1,7 +1,7 @@
 import type { ModelId, ServiceId, WorkspaceId } from '../../process/ids.js'
 import { hashText } from '../../process/rendezvous.js'
 
-/** Identifies a request by its content, as text of 32 characters. */
+/** Identifies a request by its content, or a part of prompts by its id, as text of 32 characters. */
 export type RequestFingerprint = string
 
 /** The properties by which a repeated request is recognized as the same. */
@@ -30,3 +30,8 @@
 export function outlineOf ({ service, method, target, caller, model, body }: RequestContent): number {
   return hashText(JSON.stringify([service, method, target, caller, model, body.length]))
 }
+
+/** As `outlineOf`, of a part of prompts. */
+export function partOutlineOf (service: ServiceId, part: string): number {
+  return hashText(JSON.stringify([service, part]))
+}
--- a/packages/dotterelspur/src/request/poison/__tests__/unit/PoisonRecord.test.ts
+++ b/packages/dotterelspur/src/request/poison/__tests__/unit/PoisonRecord.test.ts
@@ -5,11 +5,11 @@
 
 describe('readPoisonRecords', () => {
   it('parses what was written', () => {
-    expect(readPoisonRecords(JSON.parse(JSON.stringify([RECORD, { ...RECORD, caller: 'team-a' }])))).to.deep.equal([RECORD, { ...RECORD, caller: 'team-a' }])
+    expect(readPoisonRecords(JSON.parse(JSON.stringify([RECORD, { ...RECORD, caller: 'team-a' }, { ...RECORD, part: 'a', position: 1 }])))).to.deep.equal([RECORD, { ...RECORD, caller: 'team-a' }, { ...RECORD, part: 'a', position: 1 }])
   })
 
   it('leaves out malformed records', () => {
-    const malformed: unknown[] = [null, 3, {}, { ...RECORD, fingerprint: 1 }, { ...RECORD, outline: '7' }, { ...RECORD, caller: undefined }, { ...RECORD, ends: null }, { ...RECORD, ends: [{ endpoint: 'i-1' }] }, { ...RECORD, ageMs: null }]
+    const malformed: unknown[] = [null, 3, {}, { ...RECORD, fingerprint: 1 }, { ...RECORD, outline: '7' }, { ...RECORD, caller: undefined }, { ...RECORD, ends: null }, { ...RECORD, ends: [{ endpoint: 'i-1' }] }, { ...RECORD, ageMs: null }, { ...RECORD, part: 7, position: 0 }, { ...RECORD, part: 'a' }, { ...RECORD, ends: [{ endpoint: 'i-1', pieces: 0, request: 7 }] }, { ...RECORD, ends: [{ endpoint: 'i-1', pieces: 0, confirmed: 'yes' }] }]
     expect(readPoisonRecords([...malformed, RECORD])).to.deep.equal([RECORD])
     for (const written of [undefined, null, 'text', { 0: RECORD }]) expect(readPoisonRecords(written)).to.deep.equal([])
   })
--- a/packages/dotterelspur/src/request/poison/assessPoison.ts
+++ b/packages/dotterelspur/src/request/poison/assessPoison.ts
@@ -1,5 +1,5 @@
 import type { EndpointId } from '../../process/ids.js'
-import type { EndpointTermination, PoisonRecord } from './PoisonRecord.js'
+import { PoisonScope, poisonScopeOf, type EndpointTermination, type PoisonRecord } from './PoisonRecord.js'
 import type { RequestFingerprint } from './RequestContent.js'
 
 /**
@@ -19,9 +19,20 @@
  * is sent any more.
  */
 const CERTAINTY_MARGIN = 1
+/** Weight of a part that only one request held: the request explains the terminations as well. */
+const SINGLE_REQUEST_WEIGHT = 1
+/** Terminations of requests that were sent when the part was suspected already, without which a part is not the cause. */
+const CONFIRMED_ENDS = 2
+/**
+ * Terminations of different requests that suffice against a part without a confirmed one. A failure domain that is lost at
+ * once ends many endpoints that had the same part, so fewer do not.
+ */
+const UNCONFIRMED_ENDS = 16
 
 interface Candidate {
   readonly fingerprint: RequestFingerprint
+  readonly part?: string
+  readonly position?: number
   readonly ends: readonly EndpointTermination[]
 }
 
@@ -29,45 +40,79 @@
   readonly weight: number
 }
 
-/** The classification of all requests that lost their endpoints. */
+/** The classification of all requests, and parts of prompts, that lost their endpoints. */
 export interface PoisonAssessment {
-  /** Requests that are no longer sent anywhere. */
+  /** What is no longer sent anywhere. */
   readonly quarantined: ReadonlySet<RequestFingerprint>
-  /** Weight of the terminations of each other request. */
+  /** Weight of the terminations of each other candidate. */
   readonly weights: ReadonlyMap<RequestFingerprint, number>
 }
 
+/** Terminations at which a culprit was present, by the culprit's scope. */
+type Explained = Readonly<Record<PoisonScope, Set<EndpointId>>>
+
+type CauseRule = (candidate: WeightedCandidate, all: readonly WeightedCandidate[], quarantineEnds: number) => boolean
+
 /**
- * Determines which requests crash their endpoints. Every request in flight at a termination is a suspect, and most of
- * them are there by chance. The request with the most weight is therefore assessed first, and the terminations at which
+ * Determines which requests and which parts of prompts crash endpoints. Everything in flight at a termination is a
+ * suspect, and most of it is there by chance. The candidate with the most weight is therefore assessed first, and the terminations at which
  * it was present count half for all others.
  *
- * @param decided requests that were quarantined before; their terminations need no other explanation.
- * @param quarantineEnds terminations from which on a request is considered the cause.
+ * @param decided what was quarantined before; its terminations need no other explanation.
+ * @param quarantineEnds terminations from which on a candidate is considered the cause.
  */
 export function assessPoison (records: Iterable<PoisonRecord>, decided: ReadonlySet<RequestFingerprint>, quarantineEnds: number): PoisonAssessment {
   const all: Candidate[] = [...records]
   const quarantined = new Set(decided)
-  const explained = new Set(all.filter(({ fingerprint }) => decided.has(fingerprint)).flatMap(({ ends }) => ends.map(({ endpoint }) => endpoint)))
+  const explained: Explained = { [PoisonScope.Request]: new Set(), [PoisonScope.Part]: new Set() }
+  for (const candidate of all.filter(({ fingerprint }) => decided.has(fingerprint))) explain(candidate, explained)
   let open = all.filter(({ fingerprint }) => !decided.has(fingerprint))
   for (;;) {
-    const weighed = open.map((candidate) => ({ ...candidate, weight: weightOf(candidate.ends, explained) }))
-    const cause = weighed.filter((candidate) => isCause(candidate, weighed, quarantineEnds)).sort(byWeight)[0]
+    const weighed = open.map((candidate) => ({ ...candidate, weight: weightOf(candidate, explained) }))
+    const heavy = weighed.filter(({ weight }) => weight >= quarantineEnds)
+    const cause = heavy.filter((candidate) => CAUSE_RULES[poisonScopeOf(candidate)](candidate, heavy, quarantineEnds)).sort(byWeight)[0]
     if (cause === undefined) return { quarantined, weights: new Map(weighed.map(({ fingerprint, weight }) => [fingerprint, weight])) }
     quarantined.add(cause.fingerprint)
-    for (const { endpoint } of cause.ends) explained.add(endpoint)
+    explain(cause, explained)
     open = open.filter(({ fingerprint }) => fingerprint !== cause.fingerprint)
   }
 }
 
-function isCause (candidate: WeightedCandidate, all: readonly WeightedCandidate[], quarantineEnds: number): boolean {
-  if (candidate.weight < quarantineEnds) return false
-  if (candidate.weight >= quarantineEnds + CERTAINTY_MARGIN) return true
-  return !all.some((other) => other !== candidate && other.weight >= candidate.weight && coversAll(other.ends, candidate.ends))
+const CAUSE_RULES: Readonly<Record<PoisonScope, CauseRule>> = {
+  [PoisonScope.Request]: (candidate, all, quarantineEnds) => {
+    if (candidate.weight >= quarantineEnds + CERTAINTY_MARGIN) return true
+    return !rivalsOf(candidate, all).some((other) => other.weight >= candidate.weight)
+  },
+  // Refusing a part refuses many requests, so it takes terminations of requests that were sent to find out. Of parts that were always
+  // together, the last one is the most specific: what stands before it is shared by more requests.
+  [PoisonScope.Part]: (candidate, all) => {
+    const isConfirmed = candidate.ends.filter(({ confirmed }) => confirmed === true).length >= CONFIRMED_ENDS || candidate.ends.length >= UNCONFIRMED_ENDS
+    return isConfirmed && !rivalsOf(candidate, all).some((other) => other.weight > candidate.weight || isMoreSpecific(other, candidate))
+  }
+}
+
+/** Candidates of the same scope that were present at all its terminations. */
+function rivalsOf (candidate: WeightedCandidate, all: readonly WeightedCandidate[]): WeightedCandidate[] {
+  return all.filter((other) => other !== candidate && poisonScopeOf(other) === poisonScopeOf(candidate) && coversAll(other.ends, candidate.ends))
+}
+
+function isMoreSpecific (one: WeightedCandidate, other: WeightedCandidate): boolean {
+  if (one.weight !== other.weight) return false
+  const difference = (one.position ?? 0) - (other.position ?? 0)
+  return difference > 0 || (difference === 0 && one.fingerprint < other.fingerprint)
+}
+
+/** A part explains the terminations of the requests that hold it, but a request does not explain those of its parts. */
+function weightOf ({ part, ends }: Candidate, explained: Explained): number {
+  const isPart = part !== undefined
+  const isExplained = (endpoint: EndpointId): boolean => explained[PoisonScope.Part].has(endpoint) || (!isPart && explained[PoisonScope.Request].has(endpoint))
+  const weight = ends.reduce((sum, { endpoint, pieces }) => sum + (pieces === 0 ? BEFORE_RESPONSE_WEIGHT : MID_RESPONSE_WEIGHT) * (isExplained(endpoint) ? EXPLAINED_FACTOR : 1), 0)
+  const isSingle = isPart && new Set(ends.map(({ request }) => request)).size < 2
+  return isSingle ? Math.min(weight, SINGLE_REQUEST_WEIGHT) : weight
 }
 
-function weightOf (ends: readonly EndpointTermination[], explained: ReadonlySet<EndpointId>): number {
-  return ends.reduce((sum, { endpoint, pieces }) => sum + (pieces === 0 ? BEFORE_RESPONSE_WEIGHT : MID_RESPONSE_WEIGHT) * (explained.has(endpoint) ? EXPLAINED_FACTOR : 1), 0)
+function explain (culprit: Candidate, explained: Explained): void {
+  for (const { endpoint } of culprit.ends) explained[poisonScopeOf(culprit)].add(endpoint)
 }
 
 function coversAll (ends: readonly EndpointTermination[], others: readonly EndpointTermination[]): boolean {
--- a/packages/dotterelspur/src/version/PlatformObjects.ts
+++ b/packages/dotterelspur/src/version/PlatformObjects.ts
@@ -224,6 +224,8 @@
 /** `quarantine/<fingerprint>`: a poison request, which crashes the endpoints that run it and is not dispatched. Removing the object lets the request run again. */
 export interface QuarantineObject {
   readonly outline: number
+  /** The part of prompts that is refused; absent where it is a request. */
+  readonly part?: string
   readonly service: ServiceId
   /** Null for requests without a key. */
   readonly caller: WorkspaceId | null
