What a guilty part explains is not held against the parts beside it

The guilty part and the part that all prompts share were at the same ends; the guilty one was blamed first, rightly, and then no longer stood beside the other one, whose ends counted half: eight of them were enough.

Ends at which a quarantined part was now count nothing for other parts, also not as confirmed ones.

--- a/packages/dotterelspur-poison/src/__tests__/unit/PoisonReplay.test.ts
+++ b/packages/dotterelspur-poison/src/__tests__/unit/PoisonReplay.test.ts
@@ -13,7 +13,7 @@
 const SEEDS = [1, 2, 3, 4]
 
 const QUIET: PoisonScenario = {
-  nodes: 8, endpoints: 20, poisons: 0, poisonsPerSecond: 0, usualPerSecond: 60, popularShare: 0.02, chapters: 0, guiltyParts: 0, guiltyPerSecond: 0, crashesPerSecond: 0, domainCrashesPerSecond: 0, lostMessageShare: 0, failoversAtMs: [], restartsAtMs: []
+  nodes: 8, endpoints: 20, poisons: 0, poisonsPerSecond: 0, usualPerSecond: 60, usualFromMs: 0, popularShare: 0.02, chapters: 0, guiltyParts: 0, guiltyPerSecond: 0, crashesPerSecond: 0, domainCrashesPerSecond: 0, lostMessageShare: 0, failoversAtMs: [], restartsAtMs: []
 }
 
 const POISON_SCENARIOS: ReadonlyArray<readonly [string, Partial<PoisonScenario>]> = [
--- a/packages/dotterelspur-poison/src/__tests__/unit/partReplay.test.ts
+++ b/packages/dotterelspur-poison/src/__tests__/unit/partReplay.test.ts
@@ -14,7 +14,7 @@
 const TIMEOUT_MS = 60_000
 
 const SOUND: PoisonScenario = {
-  nodes: 8, endpoints: 24, poisons: 0, poisonsPerSecond: 0, usualPerSecond: 60, popularShare: 0, chapters: 10, guiltyParts: 0, guiltyPerSecond: 0, crashesPerSecond: 0, domainCrashesPerSecond: 0, lostMessageShare: 0, failoversAtMs: [], restartsAtMs: []
+  nodes: 8, endpoints: 24, poisons: 0, poisonsPerSecond: 0, usualPerSecond: 60, usualFromMs: 0, popularShare: 0, chapters: 10, guiltyParts: 0, guiltyPerSecond: 0, crashesPerSecond: 0, domainCrashesPerSecond: 0, lostMessageShare: 0, failoversAtMs: [], restartsAtMs: []
 }
 
 const LOADS: ReadonlyArray<readonly [string, Partial<PoisonScenario>]> = [
@@ -27,6 +27,7 @@
   ['a guilty part that is always beside the same harmless one', { guiltyParts: 1, guiltyPerSecond: 5, chapters: 1 }],
   ['a guilty part beside one of a thousand others', { guiltyParts: 1, guiltyPerSecond: 5, chapters: 1_000 }],
   ['a guilty part and few sound requests', { guiltyParts: 1, guiltyPerSecond: 5, usualPerSecond: 10 }],
+  ['a guilty part before the first sound request', { guiltyParts: 1, guiltyPerSecond: 5, usualFromMs: 5_000 }],
   ['a guilty part at eighty nodes', { guiltyParts: 1, guiltyPerSecond: 10, nodes: 80, endpoints: 160, usualPerSecond: 200 }]
 ]
 
--- a/packages/dotterelspur/src/request/poison/__tests__/unit/assessPoison.test.ts
+++ b/packages/dotterelspur/src/request/poison/__tests__/unit/assessPoison.test.ts
@@ -80,6 +80,15 @@
       expect(quarantined([createPart('first', ends, { position: 0 }), createPart('guilty', ends), createPart('beside', ends.slice(1), { position: 2 })])).to.deep.equal(['guilty'])
     })
 
+    // Guards against requests that are all refused for the part that they share with the guilty one, once that one is quarantined.
+    it('does not blame what was only at terminations of a quarantined part', () => {
+      const ends = Array.from({ length: 12 }, (_unused, index) => `e${index}`)
+      const first = createPart('first', ends, { position: 0 })
+      expect(quarantined([first, createPart('guilty', ends)])).to.deep.equal(['guilty'])
+      expect(assessPoison([first, createPart('guilty', ends)], new Set(), QUARANTINE_ENDS).weights.get('first')).to.equal(0)
+      expect(quarantined([createPart('first', [...ends, 'f1', 'f2', 'f3', 'f4'], { position: 0 }), createPart('guilty', ends)])).to.deep.equal(['first'])
+    })
+
     it('explains the terminations of the requests that hold it, and not the other way round', () => {
       const part = createPart('part', ['e1', 'e2', 'e3', 'e4', 'e5'])
       expect(quarantined([part, createRecord('holder', ['e1', 'e2', 'e3'])])).to.deep.equal(['part'])
--- a/packages/dotterelspur/src/request/poison/assessPoison.ts
+++ b/packages/dotterelspur/src/request/poison/assessPoison.ts
@@ -68,7 +68,7 @@
   for (const candidate of all.filter(({ fingerprint }) => decided.has(fingerprint))) explain(candidate, explained)
   let open = all.filter(({ fingerprint }) => !decided.has(fingerprint))
   for (;;) {
-    const weighed = open.map((candidate) => ({ ...candidate, weight: weightOf(candidate, explained) }))
+    const weighed = open.map((candidate) => WEIGH[poisonScopeOf(candidate)](candidate, explained))
     const heavy = weighed.filter(({ weight }) => weight >= quarantineEnds)
     const cause = heavy.filter((candidate) => CAUSE_RULES[poisonScopeOf(candidate)](candidate, heavy, quarantineEnds)).sort(byWeight)[0]
     if (cause === undefined) return { quarantined, weights: new Map(weighed.map(({ fingerprint, weight }) => [fingerprint, weight])) }
@@ -102,13 +102,27 @@
   return difference > 0 || (difference === 0 && one.fingerprint < other.fingerprint)
 }
 
-/** A part explains the terminations of the requests that hold it, but a request does not explain those of its parts. */
-function weightOf ({ part, ends }: Candidate, explained: Explained): number {
-  const isPart = part !== undefined
-  const isExplained = (endpoint: EndpointId): boolean => explained[PoisonScope.Part].has(endpoint) || (!isPart && explained[PoisonScope.Request].has(endpoint))
-  const weight = ends.reduce((sum, { endpoint, pieces }) => sum + (pieces === 0 ? BEFORE_RESPONSE_WEIGHT : MID_RESPONSE_WEIGHT) * (isExplained(endpoint) ? EXPLAINED_FACTOR : 1), 0)
-  const isSingle = isPart && new Set(ends.map(({ request }) => request)).size < 2
-  return isSingle ? Math.min(weight, SINGLE_REQUEST_WEIGHT) : weight
+/** What remains of a candidate beside the culprits that were found, and its weight. */
+const WEIGH: Readonly<Record<PoisonScope, (candidate: Candidate, explained: Explained) => WeightedCandidate>> = {
+  // A part explains the terminations of the requests that hold it.
+  [PoisonScope.Request]: (candidate, explained) => {
+    return { ...candidate, weight: candidate.ends.reduce((sum, end) => sum + weightOfEnd(end) * (isExplained(end, explained) ? EXPLAINED_FACTOR : 1), 0) }
+  },
+  // A request does not explain the terminations of its parts, and what a guilty part explains says nothing about the parts beside it: those
+  // that all prompts share were at each of its terminations.
+  [PoisonScope.Part]: (candidate, explained) => {
+    const ends = candidate.ends.filter(({ endpoint }) => !explained[PoisonScope.Part].has(endpoint))
+    const weight = ends.reduce((sum, end) => sum + weightOfEnd(end), 0)
+    return { ...candidate, ends, weight: new Set(ends.map(({ request }) => request)).size < 2 ? Math.min(weight, SINGLE_REQUEST_WEIGHT) : weight }
+  }
+}
+
+function weightOfEnd ({ pieces }: EndpointTermination): number {
+  return pieces === 0 ? BEFORE_RESPONSE_WEIGHT : MID_RESPONSE_WEIGHT
+}
+
+function isExplained ({ endpoint }: EndpointTermination, explained: Explained): boolean {
+  return Object.values(explained).some((endpoints) => endpoints.has(endpoint))
 }
 
 function explain (culprit: Candidate, explained: Explained): void {
