A node sends nothing on before it has read the quarantine

Cause: a node waits 600 ms for its first reads and then serves by whatever it has. Without the quarantine no request can be told from those that end endpoints.

Requests are now refused as not run, and the node is not ready, until the quarantine has been read once. The new test of poisonRequests fails without this (502: an endpoint has ended). Nodes that know the quarantine serve on while the store is out.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/InitialSync.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/InitialSync.test.ts
@@ -14,7 +14,7 @@
     const endpoints = new EndpointRegistry(clock, createLog(clock))
     const store = new MemoryStore()
     const quarantine = new QuarantineRegistry({ store, node: 'n1', maxEntries: 10, clock, onProblem: () => {} })
-    return { clock, store, manifest, endpoints, quarantine, initialSync: new InitialSync(clock, manifest, endpoints, [quarantine]) }
+    return { clock, store, manifest, endpoints, quarantine, initialSync: new InitialSync(clock, manifest, endpoints, quarantine) }
   }
 
   it('lets a request wait until manifest, endpoints and quarantine have been read', async () => {
--- a/packages/dotterelspur-gateway/src/__tests__/unit/evacuatedDispatch.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/evacuatedDispatch.test.ts
@@ -37,7 +37,7 @@
   const manifest = new ManifestFollower(createLog(clock))
   const endpoints = new EndpointRegistry(clock, createLog(clock))
   const evacuations = isFollowed === null ? undefined : new EvacuationRegistry(clock, isFollowed)
-  const initialSync = new InitialSync(clock, manifest, endpoints, [], evacuations ?? null)
+  const initialSync = new InitialSync(clock, manifest, endpoints, null, [], evacuations ?? null)
   const dispatch = new Dispatch({
     clock, log, random: createRandom(1), node: 'n1', failureDomain: 'a', manifest, endpoints, ...(evacuations === undefined ? {} : { evacuations }), retries: { windowMs: 10_000, ratio: 0.2, extra: 100 }, firstStart: true, senders: () => [{ node: 'n1', failureDomain: 'a' }], onSuspect: () => {}, hasAllNodes: () => true
   })
--- a/packages/dotterelspur-gateway/src/__tests__/unit/poisonRequests.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/poisonRequests.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
 import { request } from 'undici'
+import { QUARANTINE_PREFIX } from 'dotterelspur'
 import { SystemClock } from 'dotterelspur-clock'
 import { GatewayWorld } from '../fixtures/GatewayWorld.js'
 import { MemoryStore } from '../fixtures/MemoryStore.js'
@@ -77,6 +78,14 @@
     }
   }
 
+  async function untilQuarantined (): Promise<void> {
+    for (;;) {
+      const listing = await store.list(QUARANTINE_PREFIX)
+      if (listing.ok && listing.value.objects.length > 0) return
+      await new Promise((resolve) => { setTimeout(resolve, POLL_MS) })
+    }
+  }
+
   it('are sent to a few endpoints by one node, and then to none', async () => {
     const world = await startNode('n1')
     await world.declare(createManifest(1), ...endpoints)
@@ -121,4 +130,25 @@
     for (let attempt = 0; attempt < ATTEMPTS / 2; attempt++) await call(successor, `s${attempt}`, POISON)
     expect(terminated.size).to.be.within(3, 4)
   }).timeout(20_000)
+
+  // Guards against a node that starts while the store falls silent: it had read the manifest, and sent quarantined requests on.
+  it('are sent nowhere by a node that has not read the quarantine yet, which then serves', async () => {
+    const world = await startNode('n1')
+    await world.declare(createManifest(1), ...endpoints)
+    await untilLinked()
+    for (let attempt = 0; attempt < ATTEMPTS / 2; attempt++) await call(world, `r${attempt}`, POISON)
+    await untilQuarantined()
+    await world.gateway.close()
+    worlds = []
+    const ended = terminated.size
+    const successor = await GatewayWorld.start('n2', store, undefined, [QUARANTINE_PREFIX])
+    worlds.push(successor)
+    await store.untilRead()
+    expect(await call(successor, 's1', POISON)).to.equal(503)
+    expect(terminated.size).to.equal(ended)
+    successor.access.unlisted.clear()
+    while (await call(successor, 'usual', 'usual') !== 200) await new Promise((resolve) => { setTimeout(resolve, POLL_MS) })
+    expect(await call(successor, 's2', POISON)).to.equal(503)
+    expect(terminated.size).to.equal(ended)
+  }).timeout(20_000)
 })
--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -20,8 +20,8 @@
 import { registerCallerClose } from './registerCallerClose.js'
 import { BodyErrorKind, readBody } from '../request/readBody.js'
 
-/** Retry-After of requests that arrive before this node has read a manifest. */
-const NO_MANIFEST_RETRY_MS = 500
+/** Retry-After of requests that arrive before this node has read a manifest and the quarantine. */
+const NOT_READ_RETRY_MS = 500
 /**
  * Retry-After of a suspect request that is deferred while the same request runs elsewhere: by then that run has either crashed its
  * endpoint or returned a response, which shows whether the request is a poison request.
@@ -142,7 +142,8 @@
     await this.parts.initialSync.wait()
     // Uses the newest manifest, which may have been read while the body was being received.
     const newest = this.parts.manifest.current
-    if (newest === null) return this.sendError(request, callerResponse, GatewayErrorKind.NoManifest, NO_MANIFEST_RETRY_MS)
+    if (newest === null) return this.sendError(request, callerResponse, GatewayErrorKind.NoManifest, NOT_READ_RETRY_MS)
+    if (!this.parts.initialSync.knowsQuarantine) return this.sendError(request, callerResponse, GatewayErrorKind.NotRun, NOT_READ_RETRY_MS)
     const access = newest.access({ host: hostOf(request), path: pathOf(request), key: head.key })
     if (access.kind !== AccessKind.Allowed) return this.denyAccess(request, callerResponse, access, newest)
     const service = this.pickService(access.route)
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -109,7 +109,7 @@
         this.poison.mergeRecords(suspects)
       }
     }, () => !this.dispatch.links.connector.isCutOff, new LeaseHandover(() => this.loopMonitor.isOverloaded))
-    this.initialSync = new InitialSync(clock, this.manifest, this.endpoints, [this.quarantine, this.lease], this.evacuations)
+    this.initialSync = new InitialSync(clock, this.manifest, this.endpoints, this.quarantine, [this.lease], this.evacuations)
     this.formations = new FormationController({
       clock,
       log,
--- a/packages/dotterelspur-gateway/src/process/InitialSync.ts
+++ b/packages/dotterelspur-gateway/src/process/InitialSync.ts
@@ -23,16 +23,21 @@
   private readonly waiting = new Set<() => void>()
   private readonly startedAtMs: number
 
-  constructor (private readonly clock: Clock, private readonly manifest: ManifestFollower, private readonly endpoints: EndpointRegistry, private readonly otherSources: readonly InitialSyncSource[], private readonly evacuations: InitialSyncSource | null = null) {
+  constructor (private readonly clock: Clock, private readonly manifest: ManifestFollower, private readonly endpoints: EndpointRegistry, private readonly quarantine: InitialSyncSource | null, private readonly otherSources: readonly InitialSyncSource[] = [], private readonly evacuations: InitialSyncSource | null = null) {
     this.startedAtMs = clock.nowMs()
     manifest.registerListener(() => { this.check() })
     endpoints.registerListener(() => { this.check() })
     for (const other of this.allSources) other.registerSynchronizedListener(() => { this.check() })
   }
 
+  /** Whether the requests that crash endpoints are known. Until then, no request can be told from them. */
+  get knowsQuarantine (): boolean {
+    return this.quarantine?.isSynchronized ?? true
+  }
+
   /** Includes the evacuations: a node that starts during one must send no requests into the failure domain. */
   get isComplete (): boolean {
-    return this.manifest.current !== null && this.endpoints.isSynchronized && (this.evacuations?.isSynchronized ?? true)
+    return this.manifest.current !== null && this.endpoints.isSynchronized && this.knowsQuarantine && (this.evacuations?.isSynchronized ?? true)
   }
 
   /** Resolves once all sources are read, or when the wait limit since process start has passed. */
@@ -51,13 +56,13 @@
     })
   }
 
-  /** Includes the quarantine: after all nodes were killed, requests that crash endpoints arrive as soon as a node listens. */
+  /** Includes the suspects in the lease: after all nodes were killed, requests that crash endpoints arrive as soon as a node listens. */
   private get isAllRead (): boolean {
     return this.isComplete && this.otherSources.every(({ isSynchronized }) => isSynchronized)
   }
 
   private get allSources (): readonly InitialSyncSource[] {
-    return this.evacuations === null ? this.otherSources : [...this.otherSources, this.evacuations]
+    return [this.quarantine, ...this.otherSources, this.evacuations].filter((source) => source !== null)
   }
 
   private check (): void {
