Parts that are being answered are noted as they progress, not searched for when an endpoint ends

A lost exchange compared each part of its prompt with all parts of all exchanges under way: at 500 exchanges with 32 parts, and 100 that are lost at once, about 50 million comparisons in one turn of the event loop.

--- a/packages/dotterelspur-poison/src/process/PoisonGuard.ts
+++ b/packages/dotterelspur-poison/src/process/PoisonGuard.ts
@@ -128,11 +128,11 @@
    */
   noteTermination (content: RequestContent, endpoint: EndpointId, pieces: number): void {
     const { request, parts } = this.suspectsOf(content)
-    if (this.hasProgressed(request, pieces + 1)) this.clear(request)
+    if (this.hasProgressedFurther(request, pieces)) this.clear(request)
     else this.blame(request, { endpoint, pieces })
     const culprits = parts.filter((part) => this.isRecorded(part) && STRICTNESS[this.stateOf(part.fingerprint)] > STRICTNESS[PoisonState.Suspected])
     for (const part of culprits.length > 0 ? culprits : parts) {
-      if (pieces >= CLEARING_PIECES || this.hasProgressed(part, CLEARING_PIECES)) this.clearPart(part)
+      if (pieces >= CLEARING_PIECES) this.clearPart(part)
       else if (!this.recentParts.has(part.outline)) this.blame(part, { endpoint, pieces, request: request.fingerprint, confirmed: this.isConfirmed(content, part) })
     }
   }
@@ -162,15 +162,14 @@
   private noteProgress (exchange: Exchange): void {
     exchange.pieces += 1
     const { request, parts } = exchange.suspects
-    if (exchange.pieces === CLEARING_PIECES) parts.forEach((part) => { this.clearPart(part) })
+    if (exchange.pieces % CLEARING_PIECES === 0) parts.forEach((part) => { this.clearPart(part) })
     if (exchange.pieces < SIGNIFICANT_PIECES || !this.isRecorded(request)) return
     const record = this.ledger.recordOf(request.fingerprint)
     if (record !== undefined && exchange.pieces >= maxPieces(record) + SIGNIFICANT_PIECES) this.clear(request)
   }
 
-  /** Whether another exchange with the same suspect has received this many pieces. */
-  private hasProgressed (suspect: Suspect, pieces: number): boolean {
-    return [...this.exchanges].some((other) => other.pieces >= pieces && other.suspects.all.some((held) => held.isPart === suspect.isPart && held.outline === suspect.outline && held.fingerprint === suspect.fingerprint))
+  private hasProgressedFurther ({ outline, fingerprint }: Suspect, pieces: number): boolean {
+    return [...this.exchanges].some(({ pieces: received, suspects: { request } }) => received > pieces && request.outline === outline && request.fingerprint === fingerprint)
   }
 
   private blame (suspect: Suspect, end: EndpointTermination): void {
