--- a/packages/dotterelspur-entry/src/process/PoisonTracker.ts
+++ b/packages/dotterelspur-entry/src/process/PoisonTracker.ts
@@ -49,7 +49,7 @@
   constructor (private readonly parts: PoisonTrackerParts) {
     const { clock, mesh, store, limits, hasTerminated } = parts
     this.terminationChecks = new TerminationProbe(hasTerminated)
-    this.guard = new PoisonGuard({ clock, limits, isHome: (fingerprint) => this.homeOf(fingerprint) === homeOf(mesh.self), onEvidence: (record) => { this.onEvidence(record) } })
+    this.guard = new PoisonGuard({ clock, limits, isHome: (fingerprint) => this.homeOf(fingerprint) === homeOf(mesh.self), onEvidence: (records) => { for (const record of records) this.onEvidence(record) } })
     this.quarantine = new QuarantineRegistry({
       store, node: mesh.self.node, maxEntries: limits.mostRecords, clock, onWritten: (object) => { mesh.offerDocument(object) }, onProblem: (fingerprint, reason) => { debug('quarantine decision for %s could not be written: %s', fingerprint, reason) }
     })
--- a/packages/dotterelspur-gateway/src/process/PoisonTracker.ts
+++ b/packages/dotterelspur-gateway/src/process/PoisonTracker.ts
@@ -73,7 +73,7 @@
 
   constructor (private readonly parts: PoisonTrackerParts) {
     const { clock, limits, quarantine } = parts
-    this.guard = new PoisonGuard({ clock, limits, isHome: (fingerprint) => this.isHome(fingerprint), onEvidence: (record) => { this.broadcast([record]) } })
+    this.guard = new PoisonGuard({ clock, limits, isHome: (fingerprint) => this.isHome(fingerprint), onEvidence: (records) => { this.broadcast(records) } })
     quarantine.registerListener({
       onQuarantined: (fingerprint, { outline }) => { this.guard.ledger.noteDecision(fingerprint, outline) },
       onReleased: (fingerprint) => { this.guard.ledger.noteQuarantineLifted(fingerprint, clock.nowMs()) }
--- a/packages/dotterelspur-poison/src/process/PoisonGuard.ts
+++ b/packages/dotterelspur-poison/src/process/PoisonGuard.ts
@@ -30,8 +30,11 @@
    * arrives at many nodes at once usually reaches one endpoint at a time in the whole fleet.
    */
   readonly isHome: (fingerprint: RequestFingerprint) => boolean
-  /** Called with each record that this node's own observations have changed, so that it is sent to the other nodes. */
-  readonly onEvidence: (record: PoisonRecord) => void
+  /**
+   * Called with the records that one observation of this node has changed, to be sent to the other nodes in one message: parts of one
+   * prompt are compared by their terminations, and one that is known earlier would be blamed for the other.
+   */
+  readonly onEvidence: (records: readonly PoisonRecord[]) => void
 }
 
 /** Tracks an exchange in progress with an endpoint. */
@@ -128,13 +131,12 @@
    */
   noteTermination (content: RequestContent, endpoint: EndpointId, pieces: number): void {
     const { request, parts } = this.suspectsOf(content)
-    if (this.hasProgressedFurther(request, pieces)) this.clear(request)
-    else this.blame(request, { endpoint, pieces })
     const culprits = parts.filter((part) => this.isRecorded(part) && STRICTNESS[this.stateOf(part.fingerprint)] > STRICTNESS[PoisonState.Suspected])
-    for (const part of culprits.length > 0 ? culprits : parts) {
-      if (pieces >= CLEARING_PIECES) this.clearPart(part)
-      else if (!this.recentParts.has(part.outline)) this.blame(part, { endpoint, pieces, request: request.fingerprint, confirmed: this.isConfirmed(content, part) })
-    }
+    const changed = (culprits.length > 0 ? culprits : parts).map((part) => {
+      if (pieces >= CLEARING_PIECES) return this.clearPart(part)
+      return this.recentParts.has(part.outline) ? null : this.blame(part, { endpoint, pieces, request: request.fingerprint, confirmed: this.isConfirmed(content, part) })
+    })
+    this.publish([this.hasProgressedFurther(request, pieces) ? this.clear(request) : this.blame(request, { endpoint, pieces }), ...changed])
   }
 
   private isConfirmed (content: RequestContent, { fingerprint }: Suspect): boolean {
@@ -144,17 +146,15 @@
   /** Records that a whole answer to the request arrived. `isWritten` if it shows that the endpoint wrote on the prompt. */
   noteAnswer (content: RequestContent, isWritten = true): void {
     const { request, parts } = this.suspectsOf(content)
-    if (this.isRecorded(request)) this.clear(request)
-    if (isWritten) parts.forEach((part) => { this.clearPart(part) })
+    this.publish([this.isRecorded(request) ? this.clear(request) : null, ...(isWritten ? parts : []).map((part) => this.clearPart(part))])
   }
 
   /** Merges records of other nodes; returns those that changed. What this node knows to be harmless is cleared again. */
   merge (records: readonly PoisonRecord[]): PoisonRecord[] {
     const nowMs = this.options.clock.nowMs()
     const changed = this.ledger.merge(records, nowMs)
-    for (const { fingerprint, outline, part, ends } of changed) {
-      if (part !== undefined && ends.length > 0 && this.recentParts.has(outline)) this.publish(this.ledger.noteAnswer(fingerprint, nowMs))
-    }
+    const harmless = changed.filter(({ outline, part, ends }) => part !== undefined && ends.length > 0 && this.recentParts.has(outline))
+    this.publish(harmless.map(({ fingerprint }) => this.ledger.noteAnswer(fingerprint, nowMs)))
     return changed
   }
 
@@ -162,27 +162,28 @@
   private noteProgress (exchange: Exchange): void {
     exchange.pieces += 1
     const { request, parts } = exchange.suspects
-    if (exchange.pieces % CLEARING_PIECES === 0) parts.forEach((part) => { this.clearPart(part) })
+    if (exchange.pieces % CLEARING_PIECES === 0) this.publish(parts.map((part) => this.clearPart(part)))
     if (exchange.pieces < SIGNIFICANT_PIECES || !this.isRecorded(request)) return
     const record = this.ledger.recordOf(request.fingerprint)
-    if (record !== undefined && exchange.pieces >= maxPieces(record) + SIGNIFICANT_PIECES) this.clear(request)
+    if (record !== undefined && exchange.pieces >= maxPieces(record) + SIGNIFICANT_PIECES) this.publish([this.clear(request)])
   }
 
   private hasProgressedFurther ({ outline, fingerprint }: Suspect, pieces: number): boolean {
     return [...this.exchanges].some(({ pieces: received, suspects: { request } }) => received > pieces && request.outline === outline && request.fingerprint === fingerprint)
   }
 
-  private blame (suspect: Suspect, end: EndpointTermination): void {
-    this.publish(this.ledger.noteTermination(suspect.subject, end, this.options.clock.nowMs()))
+  /** Returns the record if it changed, as `clear` and `clearPart` do. */
+  private blame (suspect: Suspect, end: EndpointTermination): PoisonRecord | null {
+    return this.ledger.noteTermination(suspect.subject, end, this.options.clock.nowMs())
   }
 
-  private clear ({ fingerprint }: Suspect): void {
-    this.publish(this.ledger.noteAnswer(fingerprint, this.options.clock.nowMs()))
+  private clear ({ fingerprint }: Suspect): PoisonRecord | null {
+    return this.ledger.noteAnswer(fingerprint, this.options.clock.nowMs())
   }
 
-  private clearPart (part: Suspect): void {
+  private clearPart (part: Suspect): PoisonRecord | null {
     this.recentParts.note(part.outline)
-    if (this.isRecorded(part)) this.clear(part)
+    return this.isRecorded(part) ? this.clear(part) : null
   }
 
   private suspectsOf (content: RequestContent): Suspects {
@@ -207,8 +208,9 @@
     return this.ledger.stateOf(fingerprint, this.options.clock.nowMs())
   }
 
-  private publish (record: PoisonRecord | null): void {
-    if (record !== null) this.options.onEvidence(record)
+  private publish (records: ReadonlyArray<PoisonRecord | null>): void {
+    const changed = records.filter((record) => record !== null)
+    if (changed.length > 0) this.options.onEvidence(changed)
   }
 }
 
