Entries of parts that a former release has written are ignored

Found by reading the change: a lease holder of the former release takes records of parts for requests. It has no rule for parts that were always together and would quarantine, and write to the store, also the part that all prompts share; nodes of this release would then refuse all of them. The fingerprint of a part now says that it is one, and its entry counts only with the part's id. The new test fails without this.

--- a/packages/dotterelspur-poison/src/__tests__/unit/QuarantineRegistry.test.ts
+++ b/packages/dotterelspur-poison/src/__tests__/unit/QuarantineRegistry.test.ts
@@ -1,12 +1,14 @@
 import { expect } from 'chai'
 import { ManualClock, QUARANTINE_PREFIX, storeVersion, success, WatchEventKind, type ObjectStore, type QuarantineObject, type StoredObject, type WatchEvent } from 'dotterelspur'
 import { QuarantineRegistry } from '../../process/QuarantineRegistry.js'
+import { partFingerprintOf } from '../../request/fingerprint.js'
 
 const FINGERPRINT = 'f1'
 const ENTRY: QuarantineObject = { outline: 1, service: 'models', caller: null, ends: 3, decidedBy: 'n1' }
 
 interface World {
   readonly registry: QuarantineRegistry
+  readonly quarantined: string[]
   readonly released: string[]
   /** Keys of the entries that were written, in order. */
   readonly created: string[]
@@ -15,6 +17,7 @@
 }
 
 function createWorld (): World {
+  const quarantined: string[] = []
   const released: string[] = []
   const created: string[] = []
   let listener: (event: WatchEvent<QuarantineObject>) => void = () => {}
@@ -29,9 +32,9 @@
     }
   } as unknown as ObjectStore
   const registry = new QuarantineRegistry({ store, node: 'n1', maxEntries: 10, clock: new ManualClock(), onProblem: () => {} })
-  registry.registerListener({ onQuarantined: () => {}, onReleased: (fingerprint) => { released.push(fingerprint) } })
+  registry.registerListener({ onQuarantined: (fingerprint) => { quarantined.push(fingerprint) }, onReleased: (fingerprint) => { released.push(fingerprint) } })
   registry.follow()
-  return { registry, released, created, list: (version, objects) => { listener({ kind: WatchEventKind.Listing, listing: { objects, version } }) } }
+  return { registry, quarantined, released, created, list: (version, objects) => { listener({ kind: WatchEventKind.Listing, listing: { objects, version } }) } }
 }
 
 function createEntry (version: number): StoredObject<QuarantineObject> {
@@ -57,4 +60,14 @@
     registry.persist([])
     expect(created).to.deep.equal([`${QUARANTINE_PREFIX}${FINGERPRINT}`])
   })
+
+  // Guards against refusing all prompts during an upgrade: the former release takes parts for requests, and quarantines what all share.
+  it('ignores entries of parts that a lease holder of the former release has written', () => {
+    const { quarantined, list } = createWorld()
+    const key = `${QUARANTINE_PREFIX}${partFingerprintOf('models', 'shared')}`
+    list(storeVersion(1, 5), [{ ...createEntry(storeVersion(1, 4)), key }])
+    expect(quarantined).to.deep.equal([])
+    list(storeVersion(1, 7), [{ key, version: storeVersion(1, 6), body: { ...ENTRY, part: 'shared' }, deleted: false }])
+    expect(quarantined).to.deep.equal([partFingerprintOf('models', 'shared')])
+  })
 })
--- a/packages/dotterelspur-poison/src/process/QuarantineRegistry.ts
+++ b/packages/dotterelspur-poison/src/process/QuarantineRegistry.ts
@@ -2,6 +2,7 @@
   eraOf, QUARANTINE_PREFIX, StoreErrorKind, WatchEventKind,
   type Clock, type NodeId, type ObjectListing, type ObjectStore, type PoisonRecord, type QuarantineObject, type RequestFingerprint, type StoredObject, type Teardown, type WatchEvent, type WorkspaceId
 } from 'dotterelspur'
+import { isPartFingerprint } from '../request/fingerprint.js'
 
 /**
  * A decision is persisted once it has been stable for this long: until then evidence from other nodes may point to
@@ -141,6 +142,8 @@
     const current = this.entries.get(fingerprint)
     if (object.deleted) return current === undefined || object.version < current.version ? undefined : this.removeEntry(fingerprint)
     if (current !== undefined && object.version <= current.version) return
+    // A lease holder of the former release takes parts for requests, and blames what all prompts share.
+    if (isPartFingerprint(fingerprint) && object.body.part === undefined) return
     this.lost.delete(fingerprint)
     this.entries.set(fingerprint, object)
     for (const listener of this.listeners) listener.onQuarantined(fingerprint, object.body)
--- a/packages/dotterelspur-poison/src/request/fingerprint.ts
+++ b/packages/dotterelspur-poison/src/request/fingerprint.ts
@@ -14,9 +14,16 @@
   return digest(JSON.stringify([service, method, target, caller, model]), body)
 }
 
+/** Begins the fingerprints of parts, which have the length of those of requests. */
+const PART_MARK = 'part-'
+
 /** Identifies a part of prompts, the same for all callers: what crashes an endpoint does so whoever sends it. */
 export function partFingerprintOf (service: ServiceId, part: string): RequestFingerprint {
-  return digest(JSON.stringify(['part', service, part]), new Uint8Array())
+  return `${PART_MARK}${digest(JSON.stringify([service, part]), new Uint8Array()).slice(PART_MARK.length)}`
+}
+
+export function isPartFingerprint (fingerprint: RequestFingerprint): boolean {
+  return fingerprint.startsWith(PART_MARK)
 }
 
 function digest (head: string, body: Uint8Array): RequestFingerprint {
