Log exchanges that are silent for too long, and by which evidence

A request-ended line with lastExchange=silent does not tell whether an exchange was abandoned for its own silence, for a pause of all streams of its endpoint, for a report about its group or for lost links. exchange-silent states it, with the time and the events received before, and is written within 20 ms: a process that is killed loses its buffered lines.

--- a/packages/dotterelspur-gateway/src/process/DecisionLog.ts
+++ b/packages/dotterelspur-gateway/src/process/DecisionLog.ts
@@ -10,6 +10,8 @@
 /** Bytes buffered while standard output is not read; further lines are dropped to bound memory. */
 const BACKLOG_BYTES = 1_048_576
 const FLUSH_INTERVAL_MS = 500
+/** Delay after which a line of an unusual event is written, with the lines of events that it comes with. */
+const URGENT_FLUSH_MS = 20
 
 /** Kinds of log events. Each kind has the same fields on every line; docs/OPERATIONS.md lists them. */
 export enum LogKind {
@@ -32,6 +34,8 @@
   /** This node no longer connects to endpoints that other nodes reach: new connections are relayed by other nodes. */
   LinksLost = 'links-lost',
   LinksRegained = 'links-regained',
+  /** An exchange has been silent for too long: by which evidence, for how long, and after how many events. */
+  ExchangeSilent = 'exchange-silent',
   /** An exchange with an endpoint broke off: what was sent, where, and whether the endpoint has terminated. */
   ExchangeLost = 'exchange-lost',
   /** The poison state of a request that lost endpoints has changed. */
@@ -83,6 +87,9 @@
   Unexpected = 'unexpected'
 }
 
+/** Events that explain a request's end if the process is killed soon after them. */
+const URGENT_KINDS: ReadonlySet<LogKind> = new Set([LogKind.ExchangeSilent, LogKind.ExchangeLost, LogKind.GroupStopped, LogKind.ManifestInForce, LogKind.Stop, LogKind.Unexpected])
+
 export type LogFields = Readonly<Record<string, unknown>>
 
 /**
@@ -92,6 +99,7 @@
 export class DecisionLog {
   private readonly bucket: TokenBucket
   private droppedLines = 0
+  private isFlushScheduled = false
 
   constructor (private readonly clock: Clock, node: string, private readonly logger: Logger = createLogger(node)) {
     this.bucket = new TokenBucket(LINES_PER_SECOND, LINE_BURST, clock.nowMs())
@@ -110,6 +118,7 @@
     }
     this.bucket.take(1)
     this.logger.info({ atMs: Math.round(nowMs), event: kind, ...fields })
+    if (URGENT_KINDS.has(kind)) this.flushSoon()
   }
 
   /** Logs the number of dropped lines, if any. Called periodically. */
@@ -122,6 +131,15 @@
     this.logger.flush()
   }
 
+  private flushSoon (): void {
+    if (this.isFlushScheduled) return
+    this.isFlushScheduled = true
+    this.clock.registerTimer(URGENT_FLUSH_MS, () => {
+      this.isFlushScheduled = false
+      this.flush()
+    })
+  }
+
   /** Resolves once all buffered lines are written; a process that exits earlier loses its last lines. */
   async flushed (): Promise<void> {
     await new Promise<void>((resolve) => { this.logger.flush(() => { resolve() }) })
--- a/packages/dotterelspur-gateway/src/process/Dispatch.ts
+++ b/packages/dotterelspur-gateway/src/process/Dispatch.ts
@@ -7,7 +7,7 @@
 import { ColdEndpointMonitor } from './ColdEndpointMonitor.js'
 import { LogKind, type LogFields } from './DecisionLog.js'
 import type { DispatchExchange, DispatchParts, DispatchQuery } from './DispatchParts.js'
-import { StallDetector, StallCertainty } from './StallDetector.js'
+import { StallDetector, StallCertainty, type SilenceListener } from './StallDetector.js'
 import { EndpointLinks } from './EndpointLinks.js'
 import { EngineTiming } from './EngineTiming.js'
 import { FleetView } from './FleetView.js'
@@ -193,7 +193,7 @@
     this.coldEndpoints.noteAggregate()
   }
 
-  beginExchange (target: DispatchTarget, { route, head }: Pick<DispatchQuery, 'route' | 'head'>, mayRetry: boolean, onSilent: () => void): DispatchExchange {
+  beginExchange (target: DispatchTarget, { route, head }: Pick<DispatchQuery, 'route' | 'head'>, mayRetry: boolean, onSilent: SilenceListener): DispatchExchange {
     const beganAtMs = this.parts.clock.nowMs()
     const declaredMs = this.engineTiming.declaredFirstEventMs(target, head.promptTokens, beganAtMs)
     this.fleetView.load.begin(poolKeyOf(target), target.endpoint, beganAtMs)
--- a/packages/dotterelspur-gateway/src/process/StallDetector.ts
+++ b/packages/dotterelspur-gateway/src/process/StallDetector.ts
@@ -29,9 +29,31 @@
   readonly target: DispatchTarget
   /** Whether the request may be sent to another endpoint; otherwise it keeps waiting, since its group may only be slow. */
   readonly mayRetry: boolean
-  readonly onSilent: () => void
+  readonly onSilent: SilenceListener
 }
 
+/** What shows that an exchange has been silent for too long. */
+export enum SilenceEvidence {
+  /** The exchange itself: no event for longer than its route allows. */
+  Exchange = 'exchange',
+  /** All streams of the endpoint on this node have paused. */
+  Pause = 'pause',
+  /** Another node's report about the endpoint's group. */
+  Suspected = 'doubted',
+  /** The lease holder's report that the group has lost a member. */
+  Confirmed = 'known',
+  /** This node has lost its links to endpoints. */
+  Links = 'links'
+}
+
+/** How an exchange was found to be silent. */
+export interface Silence {
+  readonly evidence: SilenceEvidence
+  readonly silentMs: number
+}
+
+export type SilenceListener = (silence: Silence) => void
+
 /** Callbacks of the detector. */
 export interface StallDetectorListener {
   onProgress (target: DispatchTarget, headers: ResponseHeaders | null, gapMs: number | null): void
@@ -97,7 +119,7 @@
     }
   }
 
-  begin (target: DispatchTarget, route: Route, mayRetry: boolean, onSilent: () => void): ExchangeHandle {
+  begin (target: DispatchTarget, route: Route, mayRetry: boolean, onSilent: SilenceListener): ExchangeHandle {
     const nowMs = this.clock.nowMs()
     const watched: WatchedExchange = { route, startedAtMs: nowMs, progressAtMs: nowMs, events: 0, isCallerPaused: false, target, mayRetry, onSilent }
     if (route.kind === RequestKind.Streaming) this.watched.add(watched)
@@ -118,14 +140,14 @@
    */
   noteStalled (endpoint: EndpointId, certainty: StallCertainty): boolean {
     if (this.clock.nowMs() - this.lastBytesFrom(endpoint) < OWN_EVIDENCE_MS) return false
-    this.abandon((watched) => this.mayRetryFrom(watched, endpoint) && (watched.events === 0 || certainty === StallCertainty.Confirmed))
+    this.abandon(EVIDENCE[certainty], (watched) => this.mayRetryFrom(watched, endpoint) && (watched.events === 0 || certainty === StallCertainty.Confirmed))
     return true
   }
 
   /** This node's links have failed: exchanges that are silent are abandoned, so that they continue on another path. */
   noteLinksLost (): void {
     const nowMs = this.clock.nowMs()
-    this.abandon((watched) => this.mayRetryFrom(watched, watched.target.endpoint) && nowMs - watched.progressAtMs >= OWN_EVIDENCE_MS)
+    this.abandon(SilenceEvidence.Links, (watched) => this.mayRetryFrom(watched, watched.target.endpoint) && nowMs - watched.progressAtMs >= OWN_EVIDENCE_MS)
   }
 
   private noteProgress (watched: WatchedExchange, headers: ResponseHeaders | null): void {
@@ -147,7 +169,7 @@
     if (nowMs - this.checkedAtMs > CHECK_INTERVAL_MS + LATE_CHECK_MS) this.resumedAtMs = nowMs
     this.checkedAtMs = nowMs
     for (const target of this.streamingTargets()) this.checkTarget(target, nowMs)
-    this.abandon((watched) => nowMs - Math.max(watched.progressAtMs, this.resumedAtMs) >= allowedSilenceMs(watched))
+    this.abandon(SilenceEvidence.Exchange, (watched) => nowMs - Math.max(watched.progressAtMs, this.resumedAtMs) >= allowedSilenceMs(watched))
   }
 
   /** Endpoints with a started stream whose caller is reading, each once. */
@@ -166,21 +188,26 @@
     if (silentMs < limitMs) return
     this.reported.add(target.endpoint)
     this.listener.onStalled(target, silentMs, limitMs)
-    this.abandon((watched) => this.mayRetryFrom(watched, target.endpoint) && watched.events === 0)
+    this.abandon(SilenceEvidence.Pause, (watched) => this.mayRetryFrom(watched, target.endpoint) && watched.events === 0)
   }
 
   private mayRetryFrom ({ target, mayRetry }: WatchedExchange, endpoint: EndpointId): boolean {
     return target.endpoint === endpoint && mayRetry && this.listener.mayRetry(target.service)
   }
 
-  private abandon (isOver: (watched: WatchedExchange) => boolean): void {
+  private abandon (evidence: SilenceEvidence, isOver: (watched: WatchedExchange) => boolean): void {
     for (const watched of [...this.watched].filter((candidate) => !candidate.isCallerPaused && isOver(candidate))) {
       this.watched.delete(watched)
-      watched.onSilent()
+      watched.onSilent({ evidence, silentMs: this.clock.nowMs() - watched.progressAtMs })
     }
   }
 }
 
+const EVIDENCE: Readonly<Record<StallCertainty, SilenceEvidence>> = {
+  [StallCertainty.Suspected]: SilenceEvidence.Suspected,
+  [StallCertainty.Confirmed]: SilenceEvidence.Confirmed
+}
+
 function allowedSilenceMs ({ route, events }: WatchedExchange): number {
   if (events === 0) return Math.max(MIN_FIRST_EVENT_TIMEOUT_MS, route.targetLatencyMs * FIRST_EVENT_FACTOR)
   return Math.max(STREAM_STALL_MS, (route.targetGapMs ?? 0) * GAP_FACTOR)
--- a/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
+++ b/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
@@ -8,8 +8,10 @@
 import type { SocketPolls } from '../connection/SocketPolls.js'
 import type { Dispatch } from '../process/Dispatch.js'
 import type { DispatchExchange } from '../process/DispatchParts.js'
+import { LogKind, type DecisionLog } from '../process/DecisionLog.js'
 import type { CallerHeaders, WireFormat } from '../process/GatewayPorts.js'
 import type { PoisonTracker } from '../process/PoisonTracker.js'
+import type { Silence } from '../process/StallDetector.js'
 import type { RequestWaits } from '../process/RequestWaits.js'
 import type { CallerResponse, GatewayErrorKind } from './CallerResponse.js'
 import { EndpointCall, type ResponseStart, type BufferedResponse, type StreamReport } from './EndpointCall.js'
@@ -24,6 +26,7 @@
 
 export interface GatewayRequestParts {
   readonly clock: Clock
+  readonly log: DecisionLog
   readonly wire: WireFormat
   readonly dispatch: Dispatch
   readonly poison: PoisonTracker
@@ -191,7 +194,10 @@
   private send (target: DispatchTarget, mayRetry: boolean, resolve: (end: ExchangeEnd) => void): void {
     const { wire, dispatch } = this.parts
     const streams = this.admitted.route.kind === RequestKind.Streaming
-    const running = dispatch.beginExchange(target, this.admitted, mayRetry, () => { this.currentCall?.abort(ExchangeEnd.Silent) })
+    const running = dispatch.beginExchange(target, this.admitted, mayRetry, (silence) => {
+      this.logSilence(target, silence)
+      this.currentCall?.abort(ExchangeEnd.Silent)
+    })
     this.currentExchange = running
     const channel = dispatch.links.acquire(target)
     const call = new EndpointCall({
@@ -218,6 +224,10 @@
     channel.dispatch(this.requestOptions(target), call)
   }
 
+  private logSilence ({ endpoint }: DispatchTarget, { evidence, silentMs }: Silence): void {
+    this.parts.log.write(LogKind.ExchangeSilent, { request: this.admitted.requestId, endpoint, by: evidence, silentMs: Math.round(silentMs), events: this.eventCount })
+  }
+
   private requestOptions (target: DispatchTarget): Dispatcher.DispatchOptions {
     const { request, content: { body }, workspace, priority, head } = this.admitted
     const headers = this.parts.wire.writeForwardedHeaders(forwardedHeaders(request.rawHeaders), {
