Silence ends no exchange: another endpoint is tried beside a silent one

Callers saw streams cut off, and 502 before the first event, while the endpoint that ran their request had only paused: after 650 ms without an event, or three times the target without a first one, the exchange was aborted, whether or not the request could go elsewhere. With the attempts or the retry budget used up, all endpoints silent, or a stream that may not be resumed, that ended the response, though the caller had seconds left.

Silence is now reported, and ends nothing. A request that may run again is sent to another endpoint beside the silent one, on the same evidence and at the same time as before, if the budget allows it and an endpoint takes requests that has not stalled. Both exchanges stay open; the first that continues the response delivers it and the other is ended. Without another endpoint the request waits until its deadline, or until the endpoint ends it.

The tests of StallDetector state reports where they stated aborts; none is dropped, three are added.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/StallDetector.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/StallDetector.test.ts
@@ -11,18 +11,20 @@
   return { endpoint, service: 'llm', address: '10.0.0.1:1', failureDomain: 'a', model: 'large', slots: 12 }
 }
 
-/** A detector, its reports, and the requests that it abandoned. */
+/** A detector, its reports, and the requests whose silence it reported. */
 class DetectorWorld {
   readonly clock = new ManualClock()
   readonly stalled: string[] = []
-  readonly abandoned: string[] = []
+  readonly silent: string[] = []
+  readonly stillSilent: string[] = []
   readonly gapsMs: number[] = []
-  budgetLeft = true
+  hasAlternative = true
   readonly detector = new StallDetector(this.clock, {
     onProgress: (_target, _head, gapMs) => { if (gapMs !== null) this.gapsMs.push(gapMs) },
     pauseLimitMs: () => LIMIT_MS,
     onStalled: ({ endpoint }) => { this.stalled.push(endpoint) },
-    mayRetry: () => this.budgetLeft
+    onStillSilent: ({ endpoint }) => { this.stillSilent.push(endpoint) },
+    mayRunElsewhere: () => this.hasAlternative
   })
 
   constructor () {
@@ -30,7 +32,7 @@
   }
 
   send (name: string, endpoint: string, mayRetry = true): ExchangeHandle {
-    return this.detector.begin(createTarget(endpoint), ROUTE, mayRetry, () => { this.abandoned.push(name) })
+    return this.detector.begin(createTarget(endpoint), ROUTE, mayRetry, () => { this.silent.push(name) })
   }
 
   /** Starts a stream and lets it continue for `passes` steps. */
@@ -50,7 +52,7 @@
 }
 
 describe('StallDetector', () => {
-  it('moves waiting requests away from a stalled group while they can still be on time', () => {
+  it('reports requests that wait at a stalled group while they can still be on time elsewhere', () => {
     // Guards against responses after 1.2 to 1.8 s from a group that lost a member although other groups are idle: the
     // head accepts requests and sends nothing, and each request waited for its own first event for three times its
     // target latency, regardless of the group's other stalled streams.
@@ -60,7 +62,7 @@
     world.send('elsewhere', 'g2')
     world.pass(LIMIT_MS + STEP_MS)
     expect(world.stalled).to.deep.equal(['g1'])
-    expect(world.abandoned).to.deep.equal(['waiting'])
+    expect(world.silent).to.deep.equal(['waiting'])
   })
 
   it('reports a stall once, and again after the group has made progress', () => {
@@ -100,7 +102,7 @@
     stream.noteCallerPaused(false)
     stream.noteProgress(null)
     expect(world.stalled).to.deep.equal([])
-    expect(world.abandoned).to.deep.equal([])
+    expect(world.silent).to.deep.equal([])
     expect(world.gapsMs.every((gapMs) => gapMs <= STEP_MS)).to.equal(true)
   })
 
@@ -110,13 +112,13 @@
     world.send('waiting', 'g2')
     world.pass(LIMIT_MS)
     expect(world.detector.noteStalled('g2', StallCertainty.Suspected)).to.equal(true)
-    expect(world.abandoned).to.deep.equal(['waiting'])
+    expect(world.silent).to.deep.equal(['waiting'])
     world.stream('works', 'g3', 3)
     world.send('waiting there', 'g3').noteProgress(null)
     expect(world.detector.noteStalled('g3', StallCertainty.Confirmed)).to.equal(false)
   })
 
-  it('keeps a request in place that could not be sent elsewhere', () => {
+  it('reports no request that could not be sent elsewhere', () => {
     // Guards against lost requests when many groups are slow. With two fifths of the groups twelve times slower,
     // requests moved from one apparently stalled group to the next until their attempts or the retry budget were spent,
     // and three times as many ended without a response.
@@ -125,21 +127,54 @@
     world.send('last attempt', 'g1', false)
     world.pass(2 * LIMIT_MS)
     expect(world.stalled).to.deep.equal(['g1'])
-    expect(world.abandoned).to.deep.equal([])
-    world.budgetLeft = false
+    expect(world.silent).to.deep.equal([])
+    world.hasAlternative = false
     world.stream('begun', 'g2', 2)
-    world.send('no budget', 'g2')
+    world.send('no alternative', 'g2')
     world.pass(LIMIT_MS + STEP_MS)
-    expect(world.abandoned).not.to.include('no budget')
+    expect(world.silent).not.to.include('no alternative')
   })
 
-  it('abandons started streams only when the loss of a member is confirmed', () => {
+  it('reports started streams after another node\'s report only when the loss of a member is confirmed', () => {
     const world = new DetectorWorld()
     world.stream('begun', 'g1', 3)
     world.pass(LIMIT_MS - STEP_MS)
     expect(world.detector.noteStalled('g1', StallCertainty.Suspected)).to.equal(true)
-    expect(world.abandoned).to.deep.equal([])
+    expect(world.silent).to.deep.equal([])
     world.detector.noteStalled('g1', StallCertainty.Confirmed)
-    expect(world.abandoned).to.deep.equal(['begun'])
+    expect(world.silent).to.deep.equal(['begun'])
+  })
+
+  it('reports a silent exchange once, and again after it has gone on', () => {
+    const world = new DetectorWorld()
+    const stream = world.stream('begun', 'g1', 2)
+    world.pass(3_000)
+    expect(world.silent).to.deep.equal(['begun'])
+    stream.noteProgress(null)
+    world.pass(3_000)
+    expect(world.silent).to.deep.equal(['begun', 'begun'])
+  })
+
+  it('reports a silent exchange as soon as another endpoint takes requests', () => {
+    const world = new DetectorWorld()
+    world.hasAlternative = false
+    world.stream('begun', 'g1', 2)
+    world.pass(3_000)
+    expect(world.silent).to.deep.equal([])
+    world.hasAlternative = true
+    world.pass(STEP_MS)
+    expect(world.silent).to.deep.equal(['begun'])
+  })
+
+  it('states that a stalled endpoint is still silent until its next bytes', () => {
+    // Guards against requests that are sent to a stalled endpoint again one second after its stall was noticed.
+    const world = new DetectorWorld()
+    const stream = world.stream('begun', 'g1', 2)
+    world.pass(2_000)
+    const before = world.stillSilent.length
+    expect(before).to.be.greaterThan(20)
+    stream.noteProgress(null)
+    world.pass(STEP_MS)
+    expect(world.stillSilent).to.have.length(before)
   })
 })
--- /dev/null
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/pausedEndpoints.test.ts
@@ -0,0 +1,131 @@
+import { expect } from 'chai'
+import { setTimeout as delay } from 'node:timers/promises'
+import { request } from 'undici'
+import { RequestKind } from 'dotterelspur'
+import { GatewayWorld } from '../fixtures/GatewayWorld.js'
+import { createManifest, createRoute } from '../fixtures/builders.js'
+import { event, StubEndpoint, type StubHandler } from '../fixtures/StubEndpoint.js'
+
+const ROUTES = [
+  createRoute('stream', { kind: RequestKind.Streaming, resumable: true, timeoutMs: 8_000 }),
+  createRoute('stream-once', { kind: RequestKind.Streaming, resumable: false, timeoutMs: 8_000 }),
+  createRoute('stream-short', { kind: RequestKind.Streaming, resumable: true, timeoutMs: 1_500 })
+]
+const EVENT_COUNT = 10
+const EVENT_INTERVAL_MS = 40
+/** Longer than any silence after which a request may be sent to another endpoint. */
+const PAUSE_MS = 1_300
+const FOREVER_MS = 60_000
+
+/** Streams the events after the one that the request names, and sends nothing for `pauseMs` before event `pauseBefore`. */
+function pausing (pauseBefore: number, pauseMs: number): StubHandler {
+  return (incoming, response) => {
+    const from = Number(incoming.headers['last-event-id'] ?? 0)
+    const send = async (): Promise<void> => {
+      for (let id = from + 1; id <= EVENT_COUNT; id++) {
+        await delay(id === pauseBefore ? pauseMs : EVENT_INTERVAL_MS, undefined, { ref: false })
+        if (response.destroyed) return
+        if (!response.headersSent) response.writeHead(200, { 'content-type': 'text/event-stream', 'x-seal': 'seal' })
+        response.write(event(id))
+      }
+      response.end()
+    }
+    send().catch(() => { response.destroy() })
+  }
+}
+
+const working = pausing(0, 0)
+const WHOLE = Array.from({ length: EVENT_COUNT }, (_unused, index) => event(index + 1)).join('')
+
+describe('Endpoints that pause', () => {
+  let world: GatewayWorld
+  let endpoints: StubEndpoint[]
+
+  beforeEach(async () => {
+    world = await GatewayWorld.start()
+    endpoints = await Promise.all(['w1', 'w2'].map(async (name) => await new StubEndpoint(name, working).listen()))
+    await world.declare(createManifest(1, { routes: ROUTES }), ...endpoints)
+  })
+
+  afterEach(async () => {
+    for (const endpoint of endpoints) endpoint.close()
+    await world.gateway.close()
+  })
+
+  /** The first run is answered by `first`, all others by `others`, whichever endpoint is asked. */
+  function answerWith (first: StubHandler, others: StubHandler): void {
+    let calls = 0
+    for (const endpoint of endpoints) {
+      endpoint.answerWith((incoming, response, body) => { (calls++ === 0 ? first : others)(incoming, response, body) })
+    }
+  }
+
+  /** `body` is null if the response was cut off. */
+  async function call (path: string, requestId = 'r1'): Promise<{ status: number, body: string | null }> {
+    const answer = await request(world.url(path), { method: 'POST', body: 'prompt', headers: { host: 'a.example', 'x-request': requestId, 'x-key': 'key-1' } })
+    return { status: answer.statusCode, body: await answer.body.text().catch(() => null) }
+  }
+
+  function sent (): number {
+    return endpoints.reduce((sum, { requests }) => sum + requests.length, 0)
+  }
+
+  // Guards against streams that are cut off, and requests that end without a response, because an endpoint that goes on later was silent.
+  for (const [where, pauseBefore] of Object.entries({ 'before the first event': 1, 'in the middle': 6, 'before the last event': EVENT_COUNT })) {
+    it(`deliver a stream that may not be resumed after a pause ${where}`, async () => {
+      answerWith(pausing(pauseBefore, PAUSE_MS), working)
+      expect(await call('/stream-once/x')).to.deep.equal({ status: 200, body: WHOLE })
+      expect(sent()).to.equal(1)
+    })
+
+    it(`deliver a resumable stream after a pause of all endpoints ${where}`, async () => {
+      answerWith(pausing(pauseBefore, PAUSE_MS), pausing(pauseBefore, PAUSE_MS))
+      expect(await call('/stream/x')).to.deep.equal({ status: 200, body: WHOLE })
+    })
+
+    it(`deliver twenty resumable streams at once after a pause of all endpoints ${where}`, async () => {
+      for (const endpoint of endpoints) endpoint.answerWith(pausing(pauseBefore, PAUSE_MS))
+      const answers = await Promise.all(Array.from({ length: 20 }, async (_unused, index) => await call('/stream/x', `r${index}`)))
+      expect(answers.filter(({ body }) => body !== WHOLE)).to.deep.equal([])
+    })
+  }
+
+  it('have their stream continued by another endpoint, and are told that their run has ended', async () => {
+    answerWith(pausing(6, FOREVER_MS), working)
+    expect(await call('/stream/x')).to.deep.equal({ status: 200, body: WHOLE })
+    expect(sent()).to.equal(2)
+    await delay(50)
+    expect(endpoints.flatMap(({ closedEarly }) => closedEarly)).to.deep.equal(['r1'])
+  })
+
+  it('deliver the stream themselves if they go on before the other endpoint, whose run is ended', async () => {
+    answerWith(pausing(6, PAUSE_MS), pausing(6, FOREVER_MS))
+    expect(await call('/stream/x')).to.deep.equal({ status: 200, body: WHOLE })
+    expect(sent()).to.equal(2)
+    await delay(50)
+    expect(endpoints.flatMap(({ closedEarly }) => closedEarly)).to.deep.equal(['r1'])
+  })
+
+  it('go on with a stream whose other endpoint broke off', async () => {
+    answerWith(pausing(6, PAUSE_MS), (_incoming, response) => { response.destroy() })
+    expect(await call('/stream/x')).to.deep.equal({ status: 200, body: WHOLE })
+  })
+
+  it('are left at the deadline, with all runs ended', async () => {
+    answerWith(pausing(6, FOREVER_MS), pausing(6, FOREVER_MS))
+    expect((await call('/stream-short/x')).body).to.equal(null)
+    await delay(50)
+    expect(endpoints.flatMap(({ closedEarly }) => closedEarly)).to.deep.equal(['r1', 'r1'])
+  })
+
+  it('are left, with all runs ended, when the caller closes its connection', async () => {
+    answerWith(pausing(6, FOREVER_MS), pausing(6, FOREVER_MS))
+    const answer = await request(world.url('/stream/x'), { method: 'POST', body: 'prompt', headers: { host: 'a.example', 'x-request': 'r1', 'x-key': 'key-1' } })
+    answer.body.on('error', () => { /* The test closes it. */ })
+    await delay(PAUSE_MS)
+    expect(sent()).to.equal(2)
+    answer.body.destroy()
+    await delay(100)
+    expect(endpoints.flatMap(({ closedEarly }) => closedEarly)).to.deep.equal(['r1', 'r1'])
+  })
+})
--- a/packages/dotterelspur-gateway/src/process/DecisionLog.ts
+++ b/packages/dotterelspur-gateway/src/process/DecisionLog.ts
@@ -36,6 +36,8 @@
   LinksRegained = 'links-regained',
   /** An exchange has been silent for too long: by which evidence, for how long, and after how many events. */
   ExchangeSilent = 'exchange-silent',
+  /** An exchange that was silent goes on: for how long it was silent. */
+  ExchangeResumed = 'exchange-resumed',
   /** An exchange with an endpoint broke off: what was sent, where, and whether the endpoint has terminated. */
   ExchangeLost = 'exchange-lost',
   /** The poison state of a request that lost endpoints has changed. */
--- a/packages/dotterelspur-gateway/src/process/Dispatch.ts
+++ b/packages/dotterelspur-gateway/src/process/Dispatch.ts
@@ -59,7 +59,8 @@
       onProgress: (target, head, gapMs) => { this.noteProgress(target, head, gapMs) },
       pauseLimitMs: (target) => this.engineTiming.pauseLimitMs(target, clock.nowMs()),
       onStalled: (target, silentMs, limitMs) => { this.noteStalled(target, silentMs, limitMs) },
-      mayRetry: (service) => this.retryWindow.hasLeft(service, parts.senders().length, clock.nowMs())
+      onStillSilent: ({ endpoint }) => { this.health.noteSuspicion(endpoint, clock.nowMs()) },
+      mayRunElsewhere: (target) => this.mayRunElsewhere(target)
     })
     this.availableEndpoints = new AvailableEndpoints({
       clock,
@@ -235,6 +236,13 @@
     return this.retryWindow.trySpend(service, this.parts.senders().length, this.parts.clock.nowMs())
   }
 
+  /** Where all other endpoints have stalled as well, none is better than waiting. */
+  private mayRunElsewhere (target: DispatchTarget): boolean {
+    const nowMs = this.parts.clock.nowMs()
+    const others = [...this.pools.get(poolKeyOf(target))?.targets.keys() ?? []].filter((endpoint) => endpoint !== target.endpoint)
+    return others.some((endpoint) => !this.health.isHeldOff(endpoint, nowMs)) && this.retryWindow.hasLeft(target.service, this.parts.senders().length, nowMs)
+  }
+
   /** The report about a group is repeated several times a second while the stall lasts; only the first one is logged. */
   private suspectGroup (head: EndpointId, basis: LogFields): void {
     const nowMs = this.parts.clock.nowMs()
--- a/packages/dotterelspur-gateway/src/process/StallDetector.ts
+++ b/packages/dotterelspur-gateway/src/process/StallDetector.ts
@@ -1,4 +1,4 @@
-import { RequestKind, type Clock, type DispatchTarget, type EndpointId, type Route, type ServiceId, type Teardown } from 'dotterelspur'
+import { RequestKind, type Clock, type DispatchTarget, type EndpointId, type Route, type Teardown } from 'dotterelspur'
 import type { ResponseHeaders } from './GatewayPorts.js'
 
 /** Interval between checks of running exchanges: a third of the shortest pause that counts as a stall. */
@@ -7,13 +7,13 @@
 const LATE_CHECK_MS = 40
 
 /**
- * A started stream sends an event every 50 to 150 ms; silence of this length is a stall, whatever the rest of its group
- * appears to do. Callers abandon a stream after two seconds, which leaves time to continue elsewhere.
+ * A started stream sends an event every 50 to 150 ms; after silence of this length it may continue elsewhere, whatever the rest of its
+ * group appears to do. Callers abandon a stream after two seconds.
  */
 const STREAM_STALL_MS = 650
 /** Multiple of a stream's longest on-time gap, where that exceeds the fixed limit. */
 const GAP_FACTOR = 2.5
-/** Multiple of the target latency within which the first event must arrive. */
+/** Multiple of the target latency after which a request without a first event may be sent elsewhere. */
 const FIRST_EVENT_FACTOR = 3
 const MIN_FIRST_EVENT_TIMEOUT_MS = 1_000
 /** Data received from an endpoint within this time takes precedence over other nodes' reports about it. */
@@ -27,8 +27,10 @@
   /** The caller is not reading, so the absence of events says nothing about the endpoint. */
   isCallerPaused: boolean
   readonly target: DispatchTarget
-  /** Whether the request may be sent to another endpoint; otherwise it keeps waiting, since its group may only be slow. */
+  /** Whether the request may be sent to another endpoint; otherwise it keeps waiting, since its endpoint may only have paused. */
   readonly mayRetry: boolean
+  /** The silence has been reported; the next bytes end it. */
+  isReported: boolean
   readonly onSilent: SilenceListener
 }
 
@@ -61,8 +63,10 @@
   pauseLimitMs (target: DispatchTarget): number
   /** All streams of an endpoint have paused for longer than `limitMs`. */
   onStalled (target: DispatchTarget, silentMs: number, limitMs: number): void
-  /** Whether the retry budget allows another attempt for a request of the service. */
-  mayRetry (service: ServiceId): boolean
+  /** Called while the streams of a stalled endpoint stay silent. */
+  onStillSilent (target: DispatchTarget): void
+  /** Whether a request may run at another endpoint as well: the retry budget allows it, and one takes requests that has not stalled. */
+  mayRunElsewhere (target: DispatchTarget): boolean
 }
 
 export interface ExchangeHandle {
@@ -81,8 +85,8 @@
 
 /**
  * Detects stalled groups. A group that lost a member still accepts requests but sends nothing, and the endpoint list
- * shows the loss only seconds later. Requests that wait there for their first event are moved to another group while
- * they can still be on time.
+ * shows the loss only seconds later. A working endpoint that has paused looks the same, so silence ends no exchange: it is
+ * reported, and the request may be sent to another endpoint beside it.
  */
 export class StallDetector {
   private readonly watched = new Set<WatchedExchange>()
@@ -121,7 +125,7 @@
 
   begin (target: DispatchTarget, route: Route, mayRetry: boolean, onSilent: SilenceListener): ExchangeHandle {
     const nowMs = this.clock.nowMs()
-    const watched: WatchedExchange = { route, startedAtMs: nowMs, progressAtMs: nowMs, events: 0, isCallerPaused: false, target, mayRetry, onSilent }
+    const watched: WatchedExchange = { route, startedAtMs: nowMs, progressAtMs: nowMs, events: 0, isCallerPaused: false, isReported: false, target, mayRetry, onSilent }
     if (route.kind === RequestKind.Streaming) this.watched.add(watched)
     return {
       noteProgress: (headers) => { this.noteProgress(watched, headers) },
@@ -134,26 +138,26 @@
   }
 
   /**
-   * Handles another node's report that an endpoint has stalled. Exchanges there are abandoned, so that they continue
-   * elsewhere, unless this node has received bytes from it too recently for the report to cover. Returns whether the
-   * report was accepted.
+   * Handles another node's report that an endpoint has stalled, unless this node has received bytes from it too recently for the
+   * report to cover. Returns whether the report was accepted.
    */
   noteStalled (endpoint: EndpointId, certainty: StallCertainty): boolean {
     if (this.clock.nowMs() - this.lastBytesFrom(endpoint) < OWN_EVIDENCE_MS) return false
-    this.abandon(EVIDENCE[certainty], (watched) => this.mayRetryFrom(watched, endpoint) && (watched.events === 0 || certainty === StallCertainty.Confirmed))
+    this.reportSilence(EVIDENCE[certainty], ({ target, events }) => target.endpoint === endpoint && (events === 0 || certainty === StallCertainty.Confirmed))
     return true
   }
 
-  /** This node's links have failed: exchanges that are silent are abandoned, so that they continue on another path. */
+  /** This node's links have failed: exchanges that are silent may continue on another path. */
   noteLinksLost (): void {
     const nowMs = this.clock.nowMs()
-    this.abandon(SilenceEvidence.Links, (watched) => this.mayRetryFrom(watched, watched.target.endpoint) && nowMs - watched.progressAtMs >= OWN_EVIDENCE_MS)
+    this.reportSilence(SilenceEvidence.Links, ({ progressAtMs }) => nowMs - progressAtMs >= OWN_EVIDENCE_MS)
   }
 
   private noteProgress (watched: WatchedExchange, headers: ResponseHeaders | null): void {
     const nowMs = this.clock.nowMs()
     const { target, events, progressAtMs } = watched
     watched.progressAtMs = nowMs
+    watched.isReported = false
     this.lastBytesAtMs.set(target.endpoint, nowMs)
     this.reported.delete(target.endpoint)
     if (headers === null) watched.events += 1
@@ -169,7 +173,7 @@
     if (nowMs - this.checkedAtMs > CHECK_INTERVAL_MS + LATE_CHECK_MS) this.resumedAtMs = nowMs
     this.checkedAtMs = nowMs
     for (const target of this.streamingTargets()) this.checkTarget(target, nowMs)
-    this.abandon(SilenceEvidence.Exchange, (watched) => nowMs - Math.max(watched.progressAtMs, this.resumedAtMs) >= allowedSilenceMs(watched))
+    this.reportSilence(SilenceEvidence.Exchange, (watched) => nowMs - Math.max(watched.progressAtMs, this.resumedAtMs) >= allowedSilenceMs(watched))
   }
 
   /** Endpoints with a started stream whose caller is reading, each once. */
@@ -183,21 +187,19 @@
 
   private checkTarget (target: DispatchTarget, nowMs: number): void {
     const silentMs = nowMs - Math.max(this.lastBytesFrom(target.endpoint), this.resumedAtMs)
-    if (this.reported.has(target.endpoint)) return
+    if (this.reported.has(target.endpoint)) return this.listener.onStillSilent(target)
     const limitMs = this.listener.pauseLimitMs(target)
     if (silentMs < limitMs) return
     this.reported.add(target.endpoint)
     this.listener.onStalled(target, silentMs, limitMs)
-    this.abandon(SilenceEvidence.Pause, (watched) => this.mayRetryFrom(watched, target.endpoint) && watched.events === 0)
+    this.reportSilence(SilenceEvidence.Pause, (watched) => watched.target.endpoint === target.endpoint && watched.events === 0)
   }
 
-  private mayRetryFrom ({ target, mayRetry }: WatchedExchange, endpoint: EndpointId): boolean {
-    return target.endpoint === endpoint && mayRetry && this.listener.mayRetry(target.service)
-  }
-
-  private abandon (evidence: SilenceEvidence, isOver: (watched: WatchedExchange) => boolean): void {
-    for (const watched of [...this.watched].filter((candidate) => !candidate.isCallerPaused && isOver(candidate))) {
-      this.watched.delete(watched)
+  /** Reports the silence of exchanges whose requests may be sent to another endpoint, each once until its next bytes. */
+  private reportSilence (evidence: SilenceEvidence, isSilent: (watched: WatchedExchange) => boolean): void {
+    for (const watched of [...this.watched]) {
+      if (watched.isReported || watched.isCallerPaused || !watched.mayRetry || !isSilent(watched) || !this.listener.mayRunElsewhere(watched.target)) continue
+      watched.isReported = true
       watched.onSilent({ evidence, silentMs: this.clock.nowMs() - watched.progressAtMs })
     }
   }
--- a/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
+++ b/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
@@ -1,20 +1,18 @@
 import type { IncomingMessage } from 'node:http'
-import type { Dispatcher } from 'undici'
 import {
-  DispatchEffectKind, DispatchEndKind, EventCursor, EXCHANGE_RULES, ExchangeEnd, RequestKind, runDispatch, runProcedure,
+  DispatchEffectKind, DispatchEndKind, EXCHANGE_RULES, ExchangeEnd, RequestKind, runDispatch, runProcedure,
   type Clock, type DispatchEnd, type DispatchTarget, type ExchangeEffect, type ExchangeReport, type PlaceEffect, type PlacementRefusal, type RequestContent, type Route, type ServiceId, type Teardown, type WorkspaceId
 } from 'dotterelspur'
-import { forwardedHeaders, isEventStream } from '../connection/headers.js'
 import type { SocketPolls } from '../connection/SocketPolls.js'
 import type { Dispatch } from '../process/Dispatch.js'
-import type { DispatchExchange } from '../process/DispatchParts.js'
-import { LogKind, type DecisionLog } from '../process/DecisionLog.js'
+import type { DecisionLog } from '../process/DecisionLog.js'
 import type { CallerHeaders, WireFormat } from '../process/GatewayPorts.js'
 import type { PoisonTracker } from '../process/PoisonTracker.js'
-import type { Silence } from '../process/StallDetector.js'
 import type { RequestWaits } from '../process/RequestWaits.js'
 import type { CallerResponse, GatewayErrorKind } from './CallerResponse.js'
-import { EndpointCall, type ResponseStart, type BufferedResponse, type StreamReport } from './EndpointCall.js'
+import type { BufferedResponse, StreamReport } from './EndpointCall.js'
+import { EndpointRun, type EndpointRunListener } from './EndpointRun.js'
+import { OpenRuns } from './OpenRuns.js'
 import { PlacementWait } from './PlacementWait.js'
 import { RESPONDERS, retryAfterMsOf } from './responders.js'
 
@@ -68,37 +66,32 @@
 }
 
 /** Dispatches one admitted request and sends its response. */
-export class GatewayRequest {
-  private currentCall: EndpointCall | null = null
-  private readonly cursor: EventCursor
+export class GatewayRequest implements EndpointRunListener {
+  private readonly runs = new OpenRuns()
+  /** The run that has continued the response last. */
+  private currentRun: EndpointRun | null = null
+  /** The last event that the caller has. */
+  private lastEventId: string | null
   private lastFailure: BufferedResponse | null = null
   private firstByteAtMs: number | null = null
-  /** Chunks of complete events that the current endpoint has sent, each of one or more events. */
-  private eventCount = 0
-  private noteProgress = (): void => {}
-  /** Resolves once it has been determined whether the endpoint that was lost last has terminated. */
-  private lossRecorded: Promise<void> = Promise.resolve()
+  /** Resolves once it has been determined whether the endpoints that were lost have terminated. */
+  private lossesRecorded: Promise<unknown> = Promise.resolve()
   private stoppedWith: ExchangeEnd | null = null
   private readonly targets: string[] = []
   private readonly sentMs: number[] = []
   private callerLeftMs: number | null = null
   private readonly deadlineAtMs: number
   private paused = false
-  private currentExchange: DispatchExchange | null = null
-  private streamStart: ResponseStart | null = null
-  private endedInsideEvent = false
-  /** Another node relayed the connection of the last exchange. */
-  private wasRelayed = false
   private readonly wait: PlacementWait
 
   constructor (private readonly parts: GatewayRequestParts, private readonly admitted: AdmittedRequest, private readonly response: CallerResponse) {
     const { route, head, arrivedAtMs } = admitted
-    this.cursor = new EventCursor(head.lastEventId)
+    this.lastEventId = head.lastEventId
     this.deadlineAtMs = arrivedAtMs + Math.min(route.timeoutMs, head.deadlineMs ?? Infinity)
     this.wait = new PlacementWait(parts, admitted, this.deadlineAtMs)
   }
 
-  /** The caller closed its connection: aborts the running exchange. */
+  /** The caller closed its connection: aborts the running exchanges. */
   onCallerDisconnect (): void {
     this.callerLeftMs ??= this.elapsedMs()
     this.stop(ExchangeEnd.CallerLeft)
@@ -111,6 +104,7 @@
     const dispatched = await runProcedure(runDispatch({ retryable: isRetryable(route), maxAttempts: route.maxAttempts }), {
       [DispatchEffectKind.Place]: async (effect) => effect.excluded.length > 0 ? await this.placeAgain(effect) : await this.wait.place(() => this.place(effect)),
       [DispatchEffectKind.Exchange]: async (effect) => await this.exchange(effect),
+      [DispatchEffectKind.AwaitOpen]: async () => await this.nextReport(),
       [DispatchEffectKind.JudgeLoss]: async () => await this.mayRetryAfterLoss(),
       [DispatchEffectKind.SpendRetry]: () => this.stoppedWith === null && this.parts.dispatch.trySpendRetry(this.admitted.service)
     })
@@ -119,15 +113,46 @@
     const end = this.stoppedWith === ExchangeEnd.CallerLeft && dispatched.kind === DispatchEndKind.NotRun ? { ...dispatched, kind: DispatchEndKind.CallerLeft, refusal: null } : dispatched
     const answeredWith = this.respond(end)
     const firstByteMs = this.firstByteAtMs === null ? null : this.firstByteAtMs - this.admitted.arrivedAtMs
-    return { end, answeredWith, firstByteMs, retryAfterMs: end.kind === DispatchEndKind.NotRun ? retryAfterMsOf(end) : null, waitedMs: this.wait.waitedMs, targets: this.targets, sentMs: this.sentMs, callerLeftMs: this.callerLeftMs, stream: this.describeStream() }
+    return { end, answeredWith, firstByteMs, retryAfterMs: end.kind === DispatchEndKind.NotRun ? retryAfterMsOf(end) : null, waitedMs: this.wait.waitedMs, targets: this.targets, sentMs: this.sentMs, callerLeftMs: this.callerLeftMs, stream: this.currentRun?.stream ?? null }
   }
 
-  private describeStream (): StreamReport | null {
-    return this.streamStart === null ? null : { framing: this.streamStart.framing, endedInsideEvent: this.endedInsideEvent }
+  reasonNotToSend (): ExchangeEnd | null {
+    return this.stoppedWith ?? (this.leftMs() < MIN_USEFUL_MS ? ExchangeEnd.TimedOut : null)
+  }
+
+  onSend (): void {
+    this.sentMs.push(this.elapsedMs())
+  }
+
+  /**
+   * Sends the response head with the first complete event: until then, another endpoint's response or an error can take its place. A
+   * resumed stream keeps the head that the caller has already received.
+   */
+  onEvents (run: EndpointRun, events: Buffer): boolean {
+    if (!this.runs.has(run)) return true
+    this.runs.keepOnly(run)
+    this.currentRun = run
+    this.lastEventId = run.lastEventId
+    this.startStream(run)
+    this.paused = !this.response.write(events)
+    return !this.paused
+  }
+
+  onSilent (run: EndpointRun): void {
+    this.runs.noteSilent(run)
+  }
+
+  onEnd (run: EndpointRun, end: ExchangeEnd, buffered: BufferedResponse | null): void {
+    if (!this.runs.has(run)) return
+    this.currentRun = run
+    if (EXCHANGE_RULES[end].mayHaveCrashedEndpoint) this.lossesRecorded = Promise.all([this.lossesRecorded, run.untilLossRecorded()])
+    const finalEnd = this.reclassifyEnd(run, end, buffered)
+    if (buffered !== null) this.handleResponse(run, finalEnd, buffered)
+    this.runs.noteEnd(run, finalEnd)
   }
 
   private async mayRetryAfterLoss (): Promise<boolean> {
-    await this.lossRecorded
+    await this.lossesRecorded
     return this.parts.poison.guard.mayRetry(this.admitted.content)
   }
 
@@ -139,7 +164,7 @@
   private stop (end: ExchangeEnd): void {
     this.stoppedWith ??= end
     this.wait.cancel()
-    this.currentCall?.abort(end)
+    this.runs.abort(end)
   }
 
   private async placeAgain (effect: PlaceEffect): Promise<DispatchTarget | PlacementRefusal> {
@@ -161,125 +186,44 @@
     return this.deadlineAtMs - this.parts.clock.nowMs()
   }
 
+  /** Runs the request at another endpoint, unless a silent one has gone on meanwhile. */
   private async exchange ({ target, mayRetry }: ExchangeEffect): Promise<ExchangeReport> {
-    const over = this.reasonNotToSend()
-    if (over !== null) return { end: over, hasPartialResponse: this.response.isStarted }
-    this.targets.push(target.endpoint)
-    this.cursor.dropPartialEvent()
-    this.eventCount = 0
-    const { dispatch, clock } = this.parts
-    const sentAtMs = clock.nowMs()
-    const execution = this.parts.poison.guard.trackExchange(this.admitted.content)
-    this.noteProgress = execution.noteProgress
-    const end = await new Promise<ExchangeEnd>((resolve) => { this.send(target, mayRetry, resolve) })
-    this.currentCall = null
-    execution.end()
-    dispatch.endExchange(target)
-    if (EXCHANGE_RULES[end].mayHaveCrashedEndpoint) this.lossRecorded = this.noteLoss(target, clock.nowMs() - sentAtMs)
-    if (EXCHANGE_RULES[end].penalizesEndpoint) dispatch.noteFailure(target, end)
-    return { end, hasPartialResponse: this.response.isStarted }
-  }
-
-  /** Null while the request may be sent. */
-  private reasonNotToSend (): ExchangeEnd | null {
-    return this.stoppedWith ?? (this.leftMs() < MIN_USEFUL_MS ? ExchangeEnd.TimedOut : null)
-  }
-
-  private async noteLoss (target: DispatchTarget, tookMs: number): Promise<void> {
-    const { poison, dispatch } = this.parts
-    const { requestId, content } = this.admitted
-    await poison.noteLoss({ requestId, content, target, events: this.eventCount, tookMs, besides: dispatch.ownInFlight(target), wasRelayed: this.wasRelayed, stream: this.describeStream() })
+    const reason = this.reasonNotToSend()
+    if (reason !== null && this.runs.isEmpty) return { end: reason, hasPartialResponse: this.response.isStarted, hasOpenExchange: false }
+    if (reason === null && this.runs.needsAnother) this.startRun(target, mayRetry)
+    return await this.nextReport()
   }
 
-  private send (target: DispatchTarget, mayRetry: boolean, resolve: (end: ExchangeEnd) => void): void {
-    const { wire, dispatch } = this.parts
-    const streams = this.admitted.route.kind === RequestKind.Streaming
-    const running = dispatch.beginExchange(target, this.admitted, mayRetry, (silence) => {
-      this.logSilence(target, silence)
-      this.currentCall?.abort(ExchangeEnd.Silent)
-    })
-    this.currentExchange = running
-    const channel = dispatch.links.acquire(target)
-    const call = new EndpointCall({
-      requestId: this.admitted.requestId,
-      method: this.admitted.request.method as Dispatcher.HttpMethod,
-      wire,
-      channel,
-      reasonNotToSend: () => this.reasonNotToSend(),
-      onSend: () => { this.sentMs.push(this.elapsedMs()) },
-      sink: streams ? { start: (start) => { this.streamStart = start }, data: (chunk) => this.handleData(chunk) } : null,
-      onProgress: (head) => { running.noteProgress(head) },
-      onEnd: (end, buffered, head) => {
-        running.stop()
-        this.wasRelayed = channel.relay !== null
-        dispatch.links.release(target, channel)
-        if (end === ExchangeEnd.Rejected && head !== null && head.lostMember !== null) dispatch.noteFailure(target, end)
-        this.endedInsideEvent = this.cursor.isInsideEvent
-        const finalEnd = this.reclassifyEnd(end, buffered)
-        this.handleEnd(finalEnd, buffered)
-        resolve(finalEnd)
-      }
-    })
-    this.currentCall = call
-    channel.dispatch(this.requestOptions(target), call)
-  }
-
-  private logSilence ({ endpoint }: DispatchTarget, { evidence, silentMs }: Silence): void {
-    this.parts.log.write(LogKind.ExchangeSilent, { request: this.admitted.requestId, endpoint, by: evidence, silentMs: Math.round(silentMs), events: this.eventCount })
-  }
-
-  private requestOptions (target: DispatchTarget): Dispatcher.DispatchOptions {
-    const { request, content: { body }, workspace, priority, head } = this.admitted
-    const headers = this.parts.wire.writeForwardedHeaders(forwardedHeaders(request.rawHeaders), {
-      endpoint: target.endpoint,
-      workspace,
-      deadlineMs: Math.max(1, Math.round(this.leftMs())),
-      priority,
-      lastEventId: this.cursor.lastEventId ?? head.lastEventId
-    })
-    return { path: request.url!, method: request.method as Dispatcher.HttpMethod, headers, body: body.length > 0 || hasBodyMethod(request.method) ? body : null }
+  private startRun (target: DispatchTarget, mayRetry: boolean): void {
+    this.targets.push(target.endpoint)
+    const run = new EndpointRun(this.parts, this.admitted, { target, mayRetry, lastEventId: this.lastEventId, leftMs: this.leftMs() }, this)
+    this.runs.add(run)
+    run.start()
   }
 
-  private handleData (chunk: Buffer): boolean {
-    const completeEvents = this.cursor.push(chunk)
-    if (completeEvents === null) return true
-    this.eventCount += 1
-    if (this.eventCount === 1) this.currentExchange?.noteFirstEvent()
-    this.noteProgress()
-    this.startStream()
-    this.paused = !this.response.write(completeEvents)
-    if (this.paused) this.currentExchange?.noteCallerPaused(true)
-    return !this.paused
+  private async nextReport (): Promise<ExchangeReport> {
+    const report = await this.runs.nextReport()
+    return { ...report, hasPartialResponse: this.response.isStarted }
   }
 
-  /**
-   * Sends the response head with the first complete event: until then, another endpoint's response or an error can take its place. A
-   * resumed stream keeps the head that the caller has already received.
-   */
-  private startStream (): void {
+  private startStream (run: EndpointRun): void {
     this.noteFirstByte()
-    if (this.streamStart !== null) this.response.start(this.streamStart)
+    if (run.head !== null) this.response.start(run.head)
   }
 
-  /**
-   * A stream that ends inside an event was broken off, whatever the framing of its response says. A stream that the caller has partly
-   * received can't be completed by a response that isn't a stream.
-   */
-  private reclassifyEnd (end: ExchangeEnd, buffered: BufferedResponse | null): ExchangeEnd {
-    if (end !== ExchangeEnd.Answered || buffered === null) return end
-    const isStream = this.streamStart !== null && buffered.status < FIRST_REDIRECT
-    if (isStream) return this.cursor.isInsideEvent && isEventStream(buffered.headers) ? ExchangeEnd.BrokenOff : end
+  /** A stream that the caller has partly received can't be completed by a response that isn't a stream. */
+  private reclassifyEnd (run: EndpointRun, end: ExchangeEnd, buffered: BufferedResponse | null): ExchangeEnd {
+    if (end !== ExchangeEnd.Answered || buffered === null || isStream(run, buffered)) return end
     return this.response.isStarted ? ExchangeEnd.BrokenOff : end
   }
 
-  private handleEnd (end: ExchangeEnd, buffered: BufferedResponse | null): void {
-    if (buffered === null) return
+  private handleResponse (run: EndpointRun, end: ExchangeEnd, buffered: BufferedResponse): void {
     if (end === ExchangeEnd.Failed) this.lastFailure = buffered
     if (end !== ExchangeEnd.Answered) return
     this.parts.poison.guard.noteAnswer(this.admitted.content, buffered.status < FIRST_REDIRECT)
-    if (this.streamStart !== null && buffered.status < FIRST_REDIRECT) {
-      this.startStream()
-      return this.response.end(this.cursor.takeRemainder())
+    if (isStream(run, buffered)) {
+      this.startStream(run)
+      return this.response.end(run.takeRemainder())
     }
     this.noteFirstByte()
     this.response.deliver(buffered)
@@ -288,8 +232,7 @@
   private resume (): void {
     if (!this.paused) return
     this.paused = false
-    this.currentExchange?.noteCallerPaused(false)
-    this.currentCall?.resume()
+    this.runs.resume()
   }
 
   private noteFirstByte (): void {
@@ -301,10 +244,10 @@
   }
 }
 
-function isRetryable (route: Route): boolean {
-  return route.kind === RequestKind.Idempotent || (route.kind === RequestKind.Streaming && route.resumable)
+function isStream (run: EndpointRun, { status }: BufferedResponse): boolean {
+  return run.head !== null && status < FIRST_REDIRECT
 }
 
-function hasBodyMethod (method: string | undefined): boolean {
-  return method === 'POST' || method === 'PUT' || method === 'PATCH'
+function isRetryable (route: Route): boolean {
+  return route.kind === RequestKind.Idempotent || (route.kind === RequestKind.Streaming && route.resumable)
 }
--- /dev/null
+++ b/packages/dotterelspur-gateway/src/request/OpenRuns.ts
@@ -0,0 +1,86 @@
+import { ExchangeEnd, type ExchangeReport } from 'dotterelspur'
+import type { EndpointRun } from './EndpointRun.js'
+
+/**
+ * The open runs of one request. A silent endpoint may only have paused, so its run stays open beside the one that is started elsewhere;
+ * the first that continues the response delivers it, and the others are ended.
+ */
+export class OpenRuns {
+  private readonly open = new Set<EndpointRun>()
+  /** Runs that have become silent since the last report. */
+  private readonly silent = new Set<EndpointRun>()
+  /** Ends that have not been reported yet. */
+  private readonly ends: ExchangeEnd[] = []
+  private wake = (): void => {}
+
+  get isEmpty (): boolean {
+    return this.open.size === 0
+  }
+
+  /** Whether only another run could continue the response now: no run has an end to report, and all that are open are silent. */
+  get needsAnother (): boolean {
+    return this.ends.length === 0 && [...this.open].every((run) => run.isSilent)
+  }
+
+  has (run: EndpointRun): boolean {
+    return this.open.has(run)
+  }
+
+  add (run: EndpointRun): void {
+    this.open.add(run)
+  }
+
+  noteSilent (run: EndpointRun): void {
+    this.silent.add(run)
+    this.wake()
+  }
+
+  /** The run continues the response: all others are ended. */
+  keepOnly (run: EndpointRun): void {
+    this.silent.delete(run)
+    for (const other of [...this.open]) {
+      if (other !== run) this.supersede(other)
+    }
+  }
+
+  noteEnd (run: EndpointRun, end: ExchangeEnd): void {
+    this.open.delete(run)
+    this.silent.delete(run)
+    if (end === ExchangeEnd.Answered) this.keepOnly(run)
+    this.ends.push(end)
+    this.wake()
+  }
+
+  /** Ends all runs; one of them reports `end`. */
+  abort (end: ExchangeEnd): void {
+    const [first] = this.open
+    if (first === undefined) return
+    this.keepOnly(first)
+    first.abort(end)
+  }
+
+  resume (): void {
+    for (const run of this.open) run.resume()
+  }
+
+  /** Resolves with the next end of a run, or when a run becomes silent. */
+  async nextReport (): Promise<Pick<ExchangeReport, 'end' | 'hasOpenExchange'>> {
+    for (;;) {
+      const end = this.ends.shift() ?? this.takeSilence()
+      if (end !== undefined) return { end, hasOpenExchange: !this.isEmpty }
+      await new Promise<void>((resolve) => { this.wake = resolve })
+    }
+  }
+
+  private takeSilence (): ExchangeEnd | undefined {
+    const isSilent = [...this.silent].some((run) => run.isSilent)
+    this.silent.clear()
+    return isSilent ? ExchangeEnd.Silent : undefined
+  }
+
+  private supersede (run: EndpointRun): void {
+    this.open.delete(run)
+    this.silent.delete(run)
+    run.abort(ExchangeEnd.Superseded)
+  }
+}
--- a/packages/dotterelspur/src/request/dispatch/ExchangeEnd.ts
+++ b/packages/dotterelspur/src/request/dispatch/ExchangeEnd.ts
@@ -16,8 +16,10 @@
   Garbled = 'garbled',
   /** The response belongs to another request. */
   Foreign = 'foreign',
-  /** No bytes arrived for so long that the endpoint is considered lost. */
+  /** No bytes arrived for so long that another endpoint may be tried. The exchange stays open, since the endpoint may only have paused. */
   Silent = 'silent',
+  /** Another exchange of the same request has continued the response. */
+  Superseded = 'superseded',
   /** The time that the caller or the route allows has elapsed. */
   TimedOut = 'timed-out',
   /** The caller closed its connection. */
@@ -51,6 +53,7 @@
   [ExchangeEnd.Garbled]: { provesNotRun: false, mayRetryElsewhere: true, penalizesEndpoint: false, mayHaveCrashedEndpoint: false },
   [ExchangeEnd.Foreign]: { provesNotRun: false, mayRetryElsewhere: true, penalizesEndpoint: false, mayHaveCrashedEndpoint: false },
   [ExchangeEnd.Silent]: { provesNotRun: false, mayRetryElsewhere: true, penalizesEndpoint: true, mayHaveCrashedEndpoint: false },
+  [ExchangeEnd.Superseded]: { provesNotRun: false, mayRetryElsewhere: false, penalizesEndpoint: false, mayHaveCrashedEndpoint: false },
   [ExchangeEnd.TimedOut]: { provesNotRun: false, mayRetryElsewhere: false, penalizesEndpoint: false, mayHaveCrashedEndpoint: false },
   [ExchangeEnd.CallerLeft]: { provesNotRun: false, mayRetryElsewhere: false, penalizesEndpoint: false, mayHaveCrashedEndpoint: false }
 }
--- a/packages/dotterelspur/src/request/dispatch/__tests__/unit/runDispatch.test.ts
+++ b/packages/dotterelspur/src/request/dispatch/__tests__/unit/runDispatch.test.ts
@@ -9,6 +9,8 @@
 interface Script {
   readonly order: DispatchOptions
   readonly exchanges: readonly ExchangeReport[]
+  /** Reports of exchanges that stay open. */
+  readonly awaited?: readonly ExchangeReport[]
   /** Endpoints that can be placed before the refusal comes. */
   readonly endpoints?: number
   readonly budget?: number
@@ -20,27 +22,34 @@
   return { endpoint: name, service: 's', address: '10.0.0.1:1', failureDomain: 'a', model: null, slots: 6 }
 }
 
-function play ({ order, exchanges, endpoints = 9, budget = 9, trustedLosses = 9 }: Script): { end: DispatchEnd, sent: string[] } {
+function play ({ order, exchanges, awaited = [], endpoints = 9, budget = 9, trustedLosses = 9 }: Script): { end: DispatchEnd, sent: string[] } {
   const steps = runDispatch(order)
   const sent: string[] = []
   let placed = 0
   let spent = 0
   let judged = 0
+  let waits = 0
   let step = steps.next()
   while (step.done !== true) {
     if (step.value.kind === DispatchEffectKind.Place) step = steps.next(placed < endpoints ? createTarget(`e${++placed}`) : FULL)
     else if (step.value.kind === DispatchEffectKind.SpendRetry) step = steps.next(spent++ < budget)
     else if (step.value.kind === DispatchEffectKind.JudgeLoss) step = steps.next(judged++ < trustedLosses)
+    else if (step.value.kind === DispatchEffectKind.AwaitOpen) step = steps.next(awaited[waits++] ?? ended(ExchangeEnd.TimedOut))
     else {
       sent.push(step.value.target.endpoint)
-      step = steps.next(exchanges[sent.length - 1] ?? { end: ExchangeEnd.Answered, hasPartialResponse: false })
+      step = steps.next(exchanges[sent.length - 1] ?? ended(ExchangeEnd.Answered))
     }
   }
   return { end: step.value, sent }
 }
 
 function ended (end: ExchangeEnd, hasPartialResponse = false): ExchangeReport {
-  return { end, hasPartialResponse }
+  return { end, hasPartialResponse, hasOpenExchange: false }
+}
+
+/** A report beside which other exchanges are open, or that of a silent one. */
+function reportedBesideOpen (end: ExchangeEnd, hasPartialResponse = true): ExchangeReport {
+  return { end, hasPartialResponse, hasOpenExchange: true }
 }
 
 const AT_MOST_ONCE: DispatchOptions = { retryable: false, maxAttempts: 3 }
@@ -100,4 +109,34 @@
     const { end } = play({ order: { ...RETRYABLE, maxAttempts: 1 }, exchanges: [ended(ExchangeEnd.Failed)] })
     expect(end.kind).to.equal(DispatchEndKind.DeliverFailure)
   })
+
+  // Guards against streams that end while their endpoint has only paused: silence ended an exchange that could not be continued elsewhere.
+  for (const [reason, script] of Object.entries({
+    'the attempts are used up': { order: { ...RETRYABLE, maxAttempts: 1 } },
+    'the retry budget is used up': { order: RETRYABLE, budget: 0 },
+    'no other endpoint takes requests': { order: RETRYABLE, endpoints: 1 },
+    'the request may run only once': { order: AT_MOST_ONCE }
+  })) {
+    it(`waits for an endpoint that is silent when ${reason}`, () => {
+      const { end, sent } = play({ ...script, exchanges: [reportedBesideOpen(ExchangeEnd.Silent)], awaited: [ended(ExchangeEnd.Answered, true)] })
+      expect(sent).to.deep.equal(['e1'])
+      expect(end.kind).to.equal(DispatchEndKind.Delivered)
+    })
+  }
+
+  it('tries another endpoint beside one that is silent, and waits for either', () => {
+    const { end, sent } = play({ order: RETRYABLE, exchanges: [reportedBesideOpen(ExchangeEnd.Silent), reportedBesideOpen(ExchangeEnd.NotConnected)], endpoints: 2, awaited: [ended(ExchangeEnd.Answered, true)] })
+    expect(sent).to.deep.equal(['e1', 'e2'])
+    expect(end).to.deep.include({ kind: DispatchEndKind.Delivered, attempts: 2 })
+  })
+
+  it('reports not run when every exchange that was silent has proved it at its end', () => {
+    const { end } = play({ order: { ...RETRYABLE, maxAttempts: 2 }, exchanges: [reportedBesideOpen(ExchangeEnd.Silent, false), reportedBesideOpen(ExchangeEnd.Rejected, false)], awaited: [ended(ExchangeEnd.Rejected)] })
+    expect(end.kind).to.equal(DispatchEndKind.NotRun)
+  })
+
+  it('reports a response as cut off only once no exchange is open', () => {
+    const { end } = play({ order: { ...RETRYABLE, maxAttempts: 1 }, exchanges: [reportedBesideOpen(ExchangeEnd.Silent)], awaited: [reportedBesideOpen(ExchangeEnd.Silent), ended(ExchangeEnd.TimedOut, true)] })
+    expect(end.kind).to.equal(DispatchEndKind.CutOff)
+  })
 })
--- a/packages/dotterelspur/src/request/dispatch/runDispatch.ts
+++ b/packages/dotterelspur/src/request/dispatch/runDispatch.ts
@@ -6,6 +6,7 @@
 export enum DispatchEffectKind {
   Place = 'place',
   Exchange = 'exchange',
+  AwaitOpen = 'await-open',
   JudgeLoss = 'judge-loss',
   SpendRetry = 'spend-repeat'
 }
@@ -16,14 +17,22 @@
   readonly excluded: readonly DispatchTarget[]
 }
 
-/** Sends the request and forwards the response; a stream continues after the events that the caller already has. */
+/**
+ * Sends the request and forwards the response; a stream continues after the events that the caller already has. Ends with the next report
+ * of any exchange that is open.
+ */
 export interface ExchangeEffect extends Effect<DispatchEffectKind.Exchange, ExchangeReport> {
   readonly kind: DispatchEffectKind.Exchange
   readonly target: DispatchTarget
-  /** Another exchange may follow if this one is abandoned. */
+  /** Another exchange may be started beside this one when its endpoint is silent. */
   readonly mayRetry: boolean
 }
 
+/** Waits for the next report of an exchange that is open. */
+export interface AwaitOpenEffect extends Effect<DispatchEffectKind.AwaitOpen, ExchangeReport> {
+  readonly kind: DispatchEffectKind.AwaitOpen
+}
+
 /** Takes one retry from the budget; false when the budget is used up. */
 export interface TakeRetryEffect extends Effect<DispatchEffectKind.SpendRetry, boolean> {
   readonly kind: DispatchEffectKind.SpendRetry
@@ -34,12 +43,14 @@
   readonly kind: DispatchEffectKind.JudgeLoss
 }
 
-export type DispatchEffects = PlaceEffect | ExchangeEffect | JudgeLossEffect | TakeRetryEffect
+export type DispatchEffects = PlaceEffect | ExchangeEffect | AwaitOpenEffect | JudgeLossEffect | TakeRetryEffect
 
 export interface ExchangeReport {
   readonly end: ExchangeEnd
   /** The caller already has part of a response: no other response can be sent any more. */
   readonly hasPartialResponse: boolean
+  /** Exchanges of the request are open, and one of them may still complete the response. */
+  readonly hasOpenExchange: boolean
 }
 
 export interface DispatchOptions {
@@ -73,29 +84,42 @@
 
 /**
  * Handles one request of a caller, from its first endpoint to its end. Another endpoint is tried only where the request
- * may run again, or where each endpoint before it has proved that the request did not run.
+ * may run again, or where each endpoint before it has proved that the request did not run. The silence of an endpoint proves
+ * nothing: its exchange stays open beside the next one, and ends only when another has continued the response.
  */
 export function * runDispatch (order: DispatchOptions): Procedure<DispatchEffects, DispatchEnd> {
   const excluded: DispatchTarget[] = []
   let mayHaveRun = false
   let last: ExchangeReport | null = null
-  for (let attempt = 1; ; attempt++) {
-    const placed = yield * perform<PlaceEffect>({ kind: DispatchEffectKind.Place, excluded })
-    if (!('endpoint' in placed)) return conclude(last, mayHaveRun, attempt - 1, placed)
-    const mayRetry = order.retryable && attempt < order.maxAttempts
-    last = yield * perform<ExchangeEffect>({ kind: DispatchEffectKind.Exchange, target: placed, mayRetry })
-    const rule = EXCHANGE_RULES[last.end]
-    mayHaveRun ||= !rule.provesNotRun
-    excluded.push(placed)
-    const allowed = rule.mayRetryElsewhere && (order.retryable || !mayHaveRun) && attempt < order.maxAttempts
-    if (!allowed) return conclude(last, mayHaveRun, attempt, null)
-    const trusted = yield * perform<JudgeLossEffect>({ kind: DispatchEffectKind.JudgeLoss })
-    if (!trusted) return conclude(last, mayHaveRun, attempt, null)
-    const withinBudget = yield * perform<TakeRetryEffect>({ kind: DispatchEffectKind.SpendRetry })
-    if (!withinBudget) return conclude(last, mayHaveRun, attempt, null)
+  let mayTry = true
+  for (;;) {
+    const placed: DispatchTarget | PlacementRefusal | null = mayTry ? yield * perform<PlaceEffect>({ kind: DispatchEffectKind.Place, excluded }) : null
+    if (placed !== null && 'endpoint' in placed) {
+      excluded.push(placed)
+      last = yield * perform<ExchangeEffect>({ kind: DispatchEffectKind.Exchange, target: placed, mayRetry: order.retryable && excluded.length < order.maxAttempts })
+    } else if (last?.hasOpenExchange === true) {
+      last = yield * perform<AwaitOpenEffect>({ kind: DispatchEffectKind.AwaitOpen })
+    } else {
+      return conclude(last, mayHaveRun, excluded.length, placed)
+    }
+    if (!isStillOpen(last)) mayHaveRun ||= !EXCHANGE_RULES[last.end].provesNotRun
+    mayTry = yield * mayTryAgain(order, last, mayHaveRun, excluded.length)
   }
 }
 
+/** Whether the report is of an exchange that is silent and has not ended. */
+function isStillOpen ({ end, hasOpenExchange }: ExchangeReport): boolean {
+  return end === ExchangeEnd.Silent && hasOpenExchange
+}
+
+function * mayTryAgain (order: DispatchOptions, { end }: ExchangeReport, mayHaveRun: boolean, attempts: number): Procedure<DispatchEffects, boolean> {
+  const { mayRetryElsewhere, provesNotRun } = EXCHANGE_RULES[end]
+  if (!mayRetryElsewhere || attempts >= order.maxAttempts) return false
+  if (!order.retryable && (mayHaveRun || !provesNotRun)) return false
+  const trusted = yield * perform<JudgeLossEffect>({ kind: DispatchEffectKind.JudgeLoss })
+  return trusted && (yield * perform<TakeRetryEffect>({ kind: DispatchEffectKind.SpendRetry }))
+}
+
 function conclude (last: ExchangeReport | null, mayHaveRun: boolean, attempts: number, refusal: PlacementRefusal | null): DispatchEnd {
   return { kind: kindOf(last, mayHaveRun), lastExchange: last?.end ?? null, refusal, attempts }
 }
