A response is not left with a slow endpoint because of one event between silences

With a run beside a silent one, the first event of either decided. A slow endpoint sends single events between silences, and its next one often comes before the first of the faster run: that run was ended, the attempts were used up, and the response stayed with the slow endpoint.

A run that was silent now continues the response once it has sent a second chunk of events, or when no other run can continue it sooner; its events are held until then. Before: the test of the slow endpoint fails (10 of 10 events from it), after: fewer than half.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/pausedEndpoints.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/pausedEndpoints.test.ts
@@ -16,6 +16,10 @@
 /** Longer than any silence after which a request may be sent to another endpoint. */
 const PAUSE_MS = 1_300
 const FOREVER_MS = 60_000
+/** An event after each silence that is reported. */
+const SLOW_INTERVAL_MS = 750
+/** A second run is sent within 650 ms; its first event comes after the slow endpoint's next one. */
+const FIRST_EVENT_MS = 200
 
 /** Streams the events after the one that the request names, and sends nothing for `pauseMs` before event `pauseBefore`. */
 function pausing (pauseBefore: number, pauseMs: number): StubHandler {
@@ -34,6 +38,24 @@
   }
 }
 
+/** Streams slowly up to event `lastSlow`, and calls `onEvent` with each event. */
+function slow (lastSlow: number, onEvent: () => void): StubHandler {
+  return (incoming, response) => {
+    const from = Number(incoming.headers['last-event-id'] ?? 0)
+    const send = async (): Promise<void> => {
+      response.writeHead(200, { 'content-type': 'text/event-stream', 'x-seal': 'seal' })
+      for (let id = from + 1; id <= EVENT_COUNT; id++) {
+        await delay(id <= lastSlow ? SLOW_INTERVAL_MS : EVENT_INTERVAL_MS, undefined, { ref: false })
+        if (response.destroyed) return
+        onEvent()
+        response.write(event(id))
+      }
+      response.end()
+    }
+    send().catch(() => { response.destroy() })
+  }
+}
+
 const working = pausing(0, 0)
 const WHOLE = Array.from({ length: EVENT_COUNT }, (_unused, index) => event(index + 1)).join('')
 
@@ -106,6 +128,22 @@
     expect(endpoints.flatMap(({ closedEarly }) => closedEarly)).to.deep.equal(['r1'])
   })
 
+  // Guards against responses that stay with a slow endpoint until their deadline, because its next event came before the first of a faster one.
+  it('leave their stream to a faster endpoint if they only are slow', async () => {
+    let slowEvents = 0
+    answerWith(slow(EVENT_COUNT, () => { slowEvents += 1 }), pausing(2, EVENT_INTERVAL_MS + FIRST_EVENT_MS))
+    expect(await call('/stream/x')).to.deep.equal({ status: 200, body: WHOLE })
+    expect(sent()).to.equal(2)
+    expect(slowEvents).to.be.lessThan(EVENT_COUNT / 2)
+  })
+
+  it('deliver the event that they sent before the other endpoint broke off', async () => {
+    let slowEvents = 0
+    answerWith(slow(2, () => { slowEvents += 1 }), (_incoming, response) => { setTimeout(() => { response.destroy() }, FIRST_EVENT_MS) })
+    expect(await call('/stream/x')).to.deep.equal({ status: 200, body: WHOLE })
+    expect(slowEvents).to.equal(EVENT_COUNT)
+  })
+
   it('go on with a stream whose other endpoint broke off', async () => {
     answerWith(pausing(6, PAUSE_MS), (_incoming, response) => { response.destroy() })
     expect(await call('/stream/x')).to.deep.equal({ status: 200, body: WHOLE })
--- a/packages/dotterelspur-gateway/src/request/EndpointRun.ts
+++ b/packages/dotterelspur-gateway/src/request/EndpointRun.ts
@@ -8,6 +8,8 @@
 import type { AdmittedRequest, GatewayRequestParts } from './GatewayRequest.js'
 
 const FIRST_REDIRECT = 300
+/** Chunks of events after a silence that show an endpoint at work: a slow one sends single chunks between silences. */
+const PROOF_CHUNKS = 2
 
 export interface EndpointRunListener {
   /** Null while the request may be sent. */
@@ -42,6 +44,9 @@
   private receivedAtMs: number
   private streamStart: ResponseStart | null = null
   private eventCount = 0
+  private chunksSinceSilence = PROOF_CHUNKS
+  /** Complete events that have not been forwarded, because another run may continue the response sooner. */
+  private held: Buffer[] = []
   private silent = false
   private endedInsideEvent = false
   /** Resolves once it has been determined whether the endpoint has terminated, if it was lost. */
@@ -90,6 +95,15 @@
     return this.silent
   }
 
+  /** Whether the endpoint has been silent, and has not shown since that it works: it may only be slow. */
+  get isUnproven (): boolean {
+    return this.chunksSinceSilence < PROOF_CHUNKS
+  }
+
+  get hasHeldEvents (): boolean {
+    return this.held.length > 0
+  }
+
   /** The id of the last complete event that it has received, or after which it started. */
   get lastEventId (): string | null {
     return this.cursor.lastEventId
@@ -113,9 +127,22 @@
     await this.lossRecorded
   }
 
-  /** The bytes after the last complete event, once the response has ended. */
+  /** Keeps complete events until it is clear which run continues the response. */
+  hold (events: Buffer): void {
+    this.held.push(events)
+  }
+
+  /** The held events, followed by `bytes`. */
+  takeHeld (bytes: Buffer): Buffer {
+    if (this.held.length === 0) return bytes
+    const all = Buffer.concat([...this.held, bytes])
+    this.held = []
+    return all
+  }
+
+  /** The bytes that have not been forwarded, once the response has ended. */
   takeRemainder (): Buffer {
-    return this.cursor.takeRemainder()
+    return this.takeHeld(this.cursor.takeRemainder())
   }
 
   abort (end: ExchangeEnd): void {
@@ -141,6 +168,7 @@
     const { log, dispatch } = this.parts
     log.write(LogKind.ExchangeSilent, { request: this.admitted.requestId, endpoint: this.target.endpoint, by: evidence, silentMs: Math.round(silentMs), events: this.eventCount })
     this.silent = true
+    this.chunksSinceSilence = 0
     dispatch.noteFailure(this.target, ExchangeEnd.Silent)
     this.listener.onSilent(this)
   }
@@ -149,6 +177,7 @@
     const completeEvents = this.cursor.push(chunk)
     if (completeEvents === null) return true
     this.eventCount += 1
+    this.chunksSinceSilence += 1
     if (this.eventCount === 1) this.exchange.noteFirstEvent()
     noteProgress()
     const mayContinue = this.listener.onEvents(this, completeEvents)
--- a/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
+++ b/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
@@ -21,6 +21,7 @@
 /** With less time left than this, no endpoint can do useful work, so the request is not sent. */
 const MIN_USEFUL_MS = 20
 const FIRST_REDIRECT = 300
+const NO_BYTES = Buffer.alloc(0)
 
 export interface GatewayRequestParts {
   readonly clock: Clock
@@ -124,22 +125,16 @@
     this.sentMs.push(this.elapsedMs())
   }
 
-  /**
-   * Sends the response head with the first complete event: until then, another endpoint's response or an error can take its place. A
-   * resumed stream keeps the head that the caller has already received.
-   */
   onEvents (run: EndpointRun, events: Buffer): boolean {
     if (!this.runs.has(run)) return true
-    this.runs.keepOnly(run)
-    this.currentRun = run
-    this.lastEventId = run.lastEventId
-    this.startStream(run)
-    this.paused = !this.response.write(events)
-    return !this.paused
+    if (!this.runs.mustProve(run)) return this.forward(run, events)
+    run.hold(events)
+    return true
   }
 
   onSilent (run: EndpointRun): void {
     this.runs.noteSilent(run)
+    this.forwardHeld()
   }
 
   onEnd (run: EndpointRun, end: ExchangeEnd, buffered: BufferedResponse | null): void {
@@ -149,6 +144,22 @@
     const finalEnd = this.reclassifyEnd(run, end, buffered)
     if (buffered !== null) this.handleResponse(run, finalEnd, buffered)
     this.runs.noteEnd(run, finalEnd)
+    this.forwardHeld()
+  }
+
+  /** Returns false while the caller reads more slowly than events arrive. */
+  private forward (run: EndpointRun, events: Buffer): boolean {
+    this.runs.keepOnly(run)
+    this.currentRun = run
+    this.lastEventId = run.lastEventId
+    this.startStream(run)
+    this.paused = !this.response.write(run.takeHeld(events))
+    return !this.paused
+  }
+
+  private forwardHeld (): void {
+    const { released } = this.runs
+    if (released !== undefined) this.forward(released, NO_BYTES)
   }
 
   private async mayRetryAfterLoss (): Promise<boolean> {
@@ -206,6 +217,10 @@
     return { ...report, hasPartialResponse: this.response.isStarted }
   }
 
+  /**
+   * Sends the response head with the first complete event: until then, another endpoint's response or an error can take its place. A
+   * resumed stream keeps the head that the caller has already received.
+   */
   private startStream (run: EndpointRun): void {
     this.noteFirstByte()
     if (run.head !== null) this.response.start(run.head)
--- a/packages/dotterelspur-gateway/src/request/OpenRuns.ts
+++ b/packages/dotterelspur-gateway/src/request/OpenRuns.ts
@@ -3,7 +3,8 @@
 
 /**
  * The open runs of one request. A silent endpoint may only have paused, so its run stays open beside the one that is started elsewhere;
- * the first that continues the response delivers it, and the others are ended.
+ * the first that continues the response delivers it, and the others are ended. An endpoint that was silent continues it once it has shown
+ * that it works: a response would stay with a slow one otherwise, whose next event comes before the first of the other run.
  */
 export class OpenRuns {
   private readonly open = new Set<EndpointRun>()
@@ -26,6 +27,16 @@
     return this.open.has(run)
   }
 
+  /** Whether `run` has to show that it works before it continues the response, because another run may do so sooner. */
+  mustProve (run: EndpointRun): boolean {
+    return run.isUnproven && [...this.open].some((other) => other !== run && !other.isSilent)
+  }
+
+  /** A run with held events that no other run can overtake any more. */
+  get released (): EndpointRun | undefined {
+    return [...this.open].find((run) => run.hasHeldEvents && !this.mustProve(run))
+  }
+
   add (run: EndpointRun): void {
     this.open.add(run)
   }
