A gateway that is closed makes no more calls to its store

What was seen: calls to a store whose test had ended, at an address that another listener had by then.

A node whose entry the store refuses went on trying to write it every 400 ms without end; a lease write whose response was lost was followed by a read; and a follower that waits for its turn to list after a return of the store still listed. In the program a planned stop comes first, which ends the first of these, and the process exits soon after.

All of a node's calls pass through FollowedStore, which now fails them without reaching the store once it is closed. The node registry ends its attempts, so no timer is left, and a stopped follower no longer lists.

--- a/packages/dotterelspur-gateway/src/process/FollowedStore.ts
+++ b/packages/dotterelspur-gateway/src/process/FollowedStore.ts
@@ -1,5 +1,5 @@
 import {
-  eraOf, sleep, StoreErrorKind, WatchEventKind,
+  eraOf, failed, sleep, StoreErrorKind, WatchEventKind,
   type Clock, type ObjectListing, type ObjectStore, type Random, type ReadFreshness, type Result, type StoredObject, type StoreError, type Teardown, type WatchEvent
 } from 'dotterelspur'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
@@ -41,27 +41,28 @@
   private failures = 0
   /** While the store is unavailable, one follower retries for all, since a call from each would give no further information. */
   private nextTryAtMs = -Infinity
+  private closed = false
 
   constructor (private readonly parts: FollowedStoreParts) {}
 
   async get<Body> (key: string, freshness?: ReadFreshness): Promise<Result<StoredObject<Body>, StoreError>> {
-    return await this.trackContact(this.parts.store.get<Body>(key, freshness))
+    return await this.trackContact(async () => await this.parts.store.get<Body>(key, freshness))
   }
 
   async list<Body> (prefix: string): Promise<Result<ObjectListing<Body>, StoreError>> {
-    return await this.trackContact(this.parts.store.list<Body>(prefix))
+    return await this.trackContact(async () => await this.parts.store.list<Body>(prefix))
   }
 
   async create<Body> (key: string, body: Body): Promise<Result<StoredObject<Body>, StoreError>> {
-    return await this.trackContact(this.parts.store.create(key, body))
+    return await this.trackContact(async () => await this.parts.store.create(key, body))
   }
 
   async update<Body> (key: string, body: Body, expectedVersion: number): Promise<Result<StoredObject<Body>, StoreError>> {
-    return await this.trackContact(this.parts.store.update(key, body, expectedVersion))
+    return await this.trackContact(async () => await this.parts.store.update(key, body, expectedVersion))
   }
 
   async remove (key: string, expectedVersion: number): Promise<Result<StoredObject<null>, StoreError>> {
-    return await this.trackContact(this.parts.store.remove(key, expectedVersion))
+    return await this.trackContact(async () => await this.parts.store.remove(key, expectedVersion))
   }
 
   watch<Body> (prefix: string, listener: (event: WatchEvent<Body>) => void): Teardown {
@@ -77,6 +78,11 @@
     }
   }
 
+  /** Ends all access to the store. Work that takes several calls may still be running; its further calls fail without reaching the store. */
+  close (): void {
+    this.closed = true
+  }
+
   /** Time since the start of the last call that the store answered. */
   get contactAgeMs (): number {
     return this.parts.clock.nowMs() - this.contactAtMs
@@ -181,6 +187,7 @@
   }
 
   private async listAll (follower: PrefixFollower): Promise<boolean> {
+    if (follower.stopped) return false
     const knownVersion = follower.version
     // A feed update received during the listing could be newer than the listing, which would then undo it.
     follower.version = null
@@ -207,7 +214,7 @@
     const waitMs = this.pollTimeoutOf(follower)
     const polledAtMs = clock.nowMs()
     follower.mustCatchUp = false
-    const result = await this.trackContact(store.changes(follower.prefix, sinceVersion, waitMs))
+    const result = await this.trackContact(async () => await store.changes(follower.prefix, sinceVersion, waitMs))
     if (follower.stopped) return false
     const isDelayed = clock.nowMs() - polledAtMs > waitMs + LATE_RESPONSE_MS
     if (!result.ok || isDelayed) {
@@ -269,9 +276,10 @@
     follower.mustCatchUp = true
   }
 
-  private async trackContact<Value> (call: Promise<Result<Value, StoreError>>): Promise<Result<Value, StoreError>> {
+  private async trackContact<Value> (call: () => Promise<Result<Value, StoreError>>): Promise<Result<Value, StoreError>> {
+    if (this.closed) return failed({ kind: StoreErrorKind.Unavailable, reason: 'this node has closed its access to the store' })
     const startedAtMs = this.parts.clock.nowMs()
-    const result = await call
+    const result = await call()
     if (!result.ok && NO_CONTACT_ERRORS.has(result.error.kind)) {
       this.failures += 1
       return result
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -271,6 +271,7 @@
 
   async close (): Promise<void> {
     for (const teardown of this.teardowns) teardown()
+    this.nodes.close()
     this.formations.stop()
     this.relays.close()
     this.peers.close()
@@ -282,6 +283,7 @@
     this.poison.stop()
     this.loopMonitor.stop()
     this.dispatch.close()
+    this.store.close()
     this.parts.log.flush()
   }
 
--- a/packages/dotterelspur-gateway/src/process/NodeRegistry.ts
+++ b/packages/dotterelspur-gateway/src/process/NodeRegistry.ts
@@ -52,6 +52,7 @@
    */
   private readonly added: NodeId[] = []
   private leaving = false
+  private closed = false
   /** Incarnations that this node has found lost, whose entries may still be in the store. */
   private readonly lost = new Map<NodeId, number>()
   /** The same, as the lease holder last reported them. */
@@ -100,9 +101,14 @@
     return this.store.watch<unknown>(NODE_PREFIX, (event) => { this.handleEvent(event) })
   }
 
+  /** Ends attempts to write this node's entry. */
+  close (): void {
+    this.closed = true
+  }
+
   /** Writes this node's entry; retries while the store is unavailable. */
   async register (): Promise<void> {
-    while (!this.leaving) {
+    while (!this.leaving && !this.closed) {
       if (await this.writeOwn()) return
       await sleep(this.clock, REGISTER_RETRY_MS)
     }
