Log whether an unreachable endpoint accepts connections

An endpoint that does not answer two probes is logged as `endpoint-unreachable`, and nothing tells a process that has paused, and still accepts connections, from one that has ended or is cut off. The check of the link behind the probes knows: it now returns a LinkState instead of whether the link is at fault, takes the address of the probed endpoint, so that heads which are no longer listed are dialled too, and ends as soon as this node connects. `endpoint-unreachable` gets `answer` and `link`, `endpoint-reachable` gets `link`. The verdict is unchanged.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/Reachability.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/Reachability.test.ts
@@ -1,9 +1,10 @@
 import { expect } from 'chai'
-import { ManualClock } from 'dotterelspur'
+import pino from 'pino'
+import { LinkState, ManualClock } from 'dotterelspur'
+import { DecisionLog } from '../../process/DecisionLog.js'
 import type { EndpointLocation, ReportResult } from '../../process/GatewayPorts.js'
 import { ReportResultKind } from '../../process/GatewayPorts.js'
 import { Reachability } from '../../process/Reachability.js'
-import { createLog } from '../fixtures/builders.js'
 
 const LOCATION: EndpointLocation = { endpoint: 'w1', address: '10.0.0.1:1' }
 const ANSWERED: ReportResult = { kind: ReportResultKind.Answered, report: { membership: null, model: null, staged: [], running: 0, waiting: 0, orderCount: null } }
@@ -13,11 +14,12 @@
 class ProbedWorld {
   readonly clock = new ManualClock()
   readonly probedAtMs: number[] = []
+  readonly logged: Array<Record<string, unknown>> = []
   decidedAtMs: number | null = null
   readonly reachability: Reachability
 
-  /** @param linkCheck whether only other nodes connect to the endpoint, known after a delay. */
-  constructor (answers: ReadonlyArray<{ readonly afterMs: number, readonly end: ReportResult }>, linkCheck = { afterMs: 0, isAtFault: false }) {
+  /** @param linkCheck who connects to the endpoint, known after a delay. */
+  constructor (answers: ReadonlyArray<{ readonly afterMs: number, readonly end: ReportResult }>, linkCheck = { afterMs: 0, link: LinkState.Unconnected }) {
     const report = async (_place: EndpointLocation, timeoutMs: number): Promise<ReportResult> => {
       const answer = answers[this.probedAtMs.length] ?? { afterMs: Infinity, end: GONE }
       this.probedAtMs.push(this.clock.nowMs())
@@ -26,8 +28,9 @@
         else this.clock.registerTimer(timeoutMs, () => { resolve({ kind: ReportResultKind.Silent }) })
       })
     }
-    const isLinkAtFault = async (): Promise<boolean> => await new Promise((resolve) => { this.clock.registerTimer(linkCheck.afterMs, () => { resolve(linkCheck.isAtFault) }) })
-    this.reachability = new Reachability({ report }, this.clock, createLog(this.clock), () => { this.decidedAtMs ??= this.clock.nowMs() }, isLinkAtFault)
+    const log = new DecisionLog(this.clock, 'test', pino({}, { write: (line: string) => { this.logged.push(JSON.parse(line)) } }))
+    const checkLink = async (): Promise<LinkState> => await new Promise((resolve) => { this.clock.registerTimer(linkCheck.afterMs, () => { resolve(linkCheck.link) }) })
+    this.reachability = new Reachability({ report }, this.clock, log, () => { this.decidedAtMs ??= this.clock.nowMs() }, checkLink)
   }
 
   /** Starts a probe and advances one second, in steps that let promises run. */
@@ -68,14 +71,21 @@
 
   // Guards against healthy groups that are taken apart: the lease holder has lost its link to a member that other nodes reach.
   it('does not regard an endpoint as unreachable that other nodes connect to', async () => {
-    const silent = await new ProbedWorld([], { afterMs: 200, isAtFault: true }).suspect()
+    const silent = await new ProbedWorld([], { afterMs: 200, link: LinkState.LinkAtFault }).suspect()
     expect(silent.reachability.isUnreachable('w1')).to.equal(false)
-    const refused = await new ProbedWorld([{ afterMs: 5, end: GONE }], { afterMs: 20, isAtFault: true }).suspect()
+    const refused = await new ProbedWorld([{ afterMs: 5, end: GONE }], { afterMs: 20, link: LinkState.LinkAtFault }).suspect()
     expect(refused.reachability.isUnreachable('w1')).to.equal(false)
   })
 
+  it('logs whether an endpoint without an answer accepts connections', async () => {
+    const silent = await new ProbedWorld([], { afterMs: 200, link: LinkState.Connects }).suspect()
+    expect(silent.logged[0]).to.include({ event: 'endpoint-unreachable', endpoint: 'w1', address: '10.0.0.1:1', answer: 'silent', link: 'connects' })
+    const refused = await new ProbedWorld([{ afterMs: 5, end: GONE }], { afterMs: 20, link: LinkState.Unconnected }).suspect()
+    expect(refused.logged[0]).to.include({ event: 'endpoint-unreachable', answer: 'gone', link: 'unconnected' })
+  })
+
   it('needs no more time for its verdict where other nodes are asked', async () => {
-    const world = await new ProbedWorld([], { afterMs: 250, isAtFault: false }).suspect()
+    const world = await new ProbedWorld([], { afterMs: 250, link: LinkState.Unconnected }).suspect()
     expect(world.reachability.isUnreachable('w1')).to.equal(true)
     expect(world.decidedAtMs).to.be.within(300, 400)
   })
--- a/packages/dotterelspur-gateway/src/connection/EndpointConnector.ts
+++ b/packages/dotterelspur-gateway/src/connection/EndpointConnector.ts
@@ -1,7 +1,8 @@
 import type { Socket } from 'node:net'
 import type { buildConnector } from 'undici'
-import { EndpointPath, EndpointPaths, type EndpointId, type Teardown } from 'dotterelspur'
+import { EndpointPath, EndpointPaths, LinkState, type EndpointId, type Teardown } from 'dotterelspur'
 import { LogKind, type DecisionLog } from '../process/DecisionLog.js'
+import type { EndpointLocation } from '../process/GatewayPorts.js'
 import { connectWithin } from './connectWithin.js'
 import { DirectAttempt } from './DirectAttempt.js'
 import { RelayRefusal } from './dialRelay.js'
@@ -97,17 +98,16 @@
   }
 
   /**
-   * Whether another node reaches an endpoint to which this node does not connect. Both are tried, because a process that is
-   * suspended answers nobody and still accepts connections.
+   * Whether this node or others connect to an endpoint. Both are tried, because a process that is suspended answers nobody
+   * and still accepts connections. Other nodes connect to listed endpoints only.
    */
-  async isLinkAtFault (endpoint: EndpointId): Promise<boolean> {
-    const address = this.parts.endpointOf(endpoint)?.address
-    if (address === undefined) return false
-    const dialed = this.dialDirect(endpoint, optionsFor(address), LINK_CHECK_MS)
-    const [isReached, isConnectedDirectly] = await Promise.all([this.isReachedByOthers(endpoint, LINK_CHECK_MS), isConnected(dialed)])
-    const isAtFault = isReached && !isConnectedDirectly
-    if (isAtFault) this.noteRelayed(endpoint)
-    return isAtFault
+  async checkLink ({ endpoint, address }: EndpointLocation): Promise<LinkState> {
+    const isListed = this.parts.endpointOf(endpoint) !== undefined
+    const reached = isListed ? this.isReachedByOthers(endpoint, LINK_CHECK_MS) : Promise.resolve(false)
+    if (await isConnected(this.dialDirect(endpoint, optionsFor(address), LINK_CHECK_MS))) return LinkState.Connects
+    if (!await reached) return LinkState.Unconnected
+    this.noteRelayed(endpoint)
+    return LinkState.LinkAtFault
   }
 
   /** Evicts endpoints that are no longer listed. */
--- a/packages/dotterelspur-gateway/src/process/FormationController.ts
+++ b/packages/dotterelspur-gateway/src/process/FormationController.ts
@@ -36,7 +36,7 @@
   /** Absent where no failure domain is ever evacuated. */
   readonly evacuations?: EvacuationRegistry
   readonly control: EndpointControl
-  readonly isLinkAtFault?: LinkCheck
+  readonly checkLink?: LinkCheck
   /** Group time that callers demand, by model; empty while there is no data. */
   readonly demand: () => ReadonlyMap<ModelId, number>
   /** Called when a group is suspected and its members are being probed. */
@@ -74,7 +74,7 @@
   constructor (private readonly parts: FormationControllerParts) {
     this.stateLog = new FleetStateLog(parts.clock, parts.log)
     this.reports = new VerifiedReportClient({ control: parts.control, isSuperseded: (location) => parts.endpoints.isSuperseded(location) })
-    this.reachability = new Reachability(this.reports, parts.clock, parts.log, () => { this.evaluateSoon() }, parts.isLinkAtFault)
+    this.reachability = new Reachability(this.reports, parts.clock, parts.log, () => { this.evaluateSoon() }, parts.checkLink)
     const { clock, lease, endpoints, control, evacuations } = parts
     const find = (endpoint: EndpointId): EndpointRecord | undefined => this.records.get(endpoint) ?? this.unlistedHeads.get(endpoint)
     this.scope = new PlanningScope(evacuations, find)
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -118,7 +118,7 @@
       endpoints: this.endpoints,
       evacuations: this.evacuations,
       control: parts.control,
-      isLinkAtFault: async (endpoint) => await this.dispatch.links.connector.isLinkAtFault(endpoint),
+      checkLink: async (location) => await this.dispatch.links.connector.checkLink(location),
       demand: () => this.dispatch.demand(),
       onSuspected: (head) => {
         this.peers.broadcastSuspectedGroups([head])
--- a/packages/dotterelspur-gateway/src/process/Reachability.ts
+++ b/packages/dotterelspur-gateway/src/process/Reachability.ts
@@ -1,6 +1,6 @@
-import { sleep, type Clock, type EndpointId, type EndpointRecord } from 'dotterelspur'
+import { LinkState, sleep, type Clock, type EndpointId, type EndpointRecord } from 'dotterelspur'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
-import { ReportResultKind, type EndpointControl, type EndpointLocation } from './GatewayPorts.js'
+import { ReportResultKind, type EndpointControl, type EndpointLocation, type ReportResult } from './GatewayPorts.js'
 
 /** A live endpoint responds within a few milliseconds, even under load; the timeout leaves room for a lost packet of the second probe. */
 const PROBE_TIMEOUT_MS = 350
@@ -20,7 +20,8 @@
   Unreachable = 'unreachable'
 }
 
-export type LinkCheck = (endpoint: EndpointId) => Promise<boolean>
+/** Known within the time of the second probe. */
+export type LinkCheck = (location: EndpointLocation) => Promise<LinkState>
 
 interface Probed {
   state: ProbeState
@@ -28,6 +29,12 @@
   decidedAtMs: number
 }
 
+/** What one round of probes has shown; `link` is null where the endpoint answered before its link was checked. */
+interface ProbeResult {
+  readonly answer: ReportResultKind
+  readonly link: LinkState | null
+}
+
 /**
  * Probes suspected endpoints directly. The endpoint list drops a lost endpoint only after three heartbeats, and a group
  * that lost a member stalls all that time, whereas callers' streams fall silent at once.
@@ -37,8 +44,7 @@
 
   constructor (
     private readonly reports: Pick<EndpointControl, 'report'>, private readonly clock: Clock, private readonly log: DecisionLog, private readonly onChange: () => void,
-    /** Whether this node does not connect to an endpoint to which other nodes connect; known within the time of the second probe. */
-    private readonly isLinkAtFault: LinkCheck = async () => false
+    private readonly checkLink: LinkCheck = async () => LinkState.Unconnected
   ) {}
 
   /** Endpoints that did not respond. */
@@ -72,7 +78,7 @@
   noteGone (location: EndpointLocation): void {
     if (this.isUnreachable(location.endpoint)) return
     this.probed.set(location.endpoint, { state: ProbeState.Unreachable, location, decidedAtMs: this.clock.nowMs() })
-    this.log.write(LogKind.EndpointUnreachable, { endpoint: location.endpoint, address: location.address })
+    this.noteUnreachable(location, { answer: ReportResultKind.Gone, link: null })
     this.onChange()
   }
 
@@ -101,28 +107,40 @@
     const probed: Probed = known?.state === ProbeState.Unreachable ? known : { state: ProbeState.Running, location, decidedAtMs: 0 }
     probed.decidedAtMs = this.clock.nowMs()
     this.probed.set(location.endpoint, probed)
-    const answered = await this.probe(location)
+    const result = await this.probe(location)
     const former = probed.state
-    probed.state = answered ? ProbeState.Reachable : ProbeState.Unreachable
+    // An endpoint that only this node fails to connect to counts as reachable.
+    const isReachable = result.answer === ReportResultKind.Answered || result.link === LinkState.LinkAtFault
+    probed.state = isReachable ? ProbeState.Reachable : ProbeState.Unreachable
     probed.decidedAtMs = this.clock.nowMs()
     if (probed.state === former) return
-    if (!answered) this.log.write(LogKind.EndpointUnreachable, { endpoint: location.endpoint, address: location.address })
-    else if (former === ProbeState.Unreachable) this.log.write(LogKind.EndpointReachable, { endpoint: location.endpoint, address: location.address })
+    if (!isReachable) this.noteUnreachable(location, result)
+    else if (former === ProbeState.Unreachable) this.log.write(LogKind.EndpointReachable, { endpoint: location.endpoint, address: location.address, link: result.link })
     this.onChange()
   }
 
-  /**
-   * Whether one of two staggered probes is answered; a `Gone` result needs no second probe. An endpoint that only this node fails to
-   * connect to counts as reachable.
-   */
-  private async probe (location: EndpointLocation): Promise<boolean> {
+  private noteUnreachable ({ endpoint, address }: EndpointLocation, { answer, link }: ProbeResult): void {
+    this.log.write(LogKind.EndpointUnreachable, { endpoint, address, answer, link })
+  }
+
+  /** Two staggered probes, of which one answer is enough; a `Gone` result needs no second probe. */
+  private async probe (location: EndpointLocation): Promise<ProbeResult> {
     const first = this.reports.report(location, PROBE_TIMEOUT_MS)
     const early = await Promise.race([first, sleep(this.clock, SECOND_PROBE_AFTER_MS)])
-    if (early?.kind === ReportResultKind.Answered) return true
-    const linkAtFault = this.isLinkAtFault(location.endpoint)
-    if (early?.kind === ReportResultKind.Gone) return await linkAtFault
+    if (early?.kind === ReportResultKind.Answered) return { answer: early.kind, link: null }
+    const link = this.checkLink(location)
+    if (early?.kind === ReportResultKind.Gone) return { answer: early.kind, link: await link }
     const second = this.reports.report(location, PROBE_TIMEOUT_MS - SECOND_PROBE_AFTER_MS)
-    const ends = [first, second].map(async (probe) => await probe.then(({ kind }) => kind === ReportResultKind.Answered ? kind : Promise.reject(new Error(kind))))
-    return await Promise.any(ends).then(() => true, async () => await linkAtFault)
+    const answer = await firstAnswer([first, second])
+    return { answer, link: answer === ReportResultKind.Answered ? null : await link }
   }
 }
+
+/** The kind of the first answer; without one, `Gone` if a probe showed that nothing listens there. */
+async function firstAnswer (probes: ReadonlyArray<Promise<ReportResult>>): Promise<ReportResultKind> {
+  const answers = probes.map(async (probe) => await probe.then(({ kind }) => kind === ReportResultKind.Answered ? kind : Promise.reject(new Error(kind))))
+  return await Promise.any(answers).catch(async () => {
+    const kinds = (await Promise.all(probes)).map(({ kind }) => kind)
+    return kinds.find((kind) => kind === ReportResultKind.Gone) ?? ReportResultKind.Silent
+  })
+}
