--- a/packages/dotterelspur-gateway/src/process/FormationController.ts
+++ b/packages/dotterelspur-gateway/src/process/FormationController.ts
@@ -1,5 +1,5 @@
 import {
-  FormationDecisionKind, FormationOutcome, formationKey, EndpointOrderKind, OrderReply, planFormations, sleep, stalledHeads,
+  FormationDecisionKind, FormationOutcome, EndpointOrderKind, OrderReply, planFormations, sleep, stalledHeads,
   type Clock, type EndpointId, type EndpointRecord, type EngineSpec, type FormationDecision, type FormationPlan, type FormingGroup, type ModelId, type ServiceSpec, type Teardown
 } from 'dotterelspur'
 import type { DecisionLog } from './DecisionLog.js'
@@ -17,6 +17,7 @@
 import type { ManifestFollower } from './ManifestFollower.js'
 import { PlanningScope } from './PlanningScope.js'
 import { Reachability, type LinkCheck } from './Reachability.js'
+import { isSameFormation, UnlistedHeads } from './UnlistedHeads.js'
 
 /** Delay after a change of the endpoint list; changes come in bursts, as when members of a group become ready one after another. */
 const CHANGE_DEBOUNCE_MS = 20
@@ -60,8 +61,7 @@
   private readonly loads = new WeightLoadTracker()
   private readonly engaged = new Map<EndpointId, FormationPlan>()
   private readonly forming = new Set<FormationPlan>()
-  /** Heads that left the list and may still serve callers that have their address. */
-  private readonly unlistedHeads = new Map<EndpointId, EndpointRecord>()
+  private readonly unlistedHeads: UnlistedHeads
   private records: ReadonlyMap<EndpointId, EndpointRecord> = new Map()
   private readonly scope: PlanningScope
   private reportedStalled: ReadonlySet<EndpointId> = new Set()
@@ -75,6 +75,7 @@
     this.stateLog = new FleetStateLog(parts.clock, parts.log)
     this.reports = new VerifiedReportClient({ control: parts.control, isSuperseded: (location) => parts.endpoints.isSuperseded(location) })
     this.reachability = new Reachability(this.reports, parts.clock, parts.log, () => { this.evaluateSoon() }, parts.checkLink)
+    this.unlistedHeads = new UnlistedHeads(this.reachability)
     const { clock, lease, endpoints, control, evacuations } = parts
     const find = (endpoint: EndpointId): EndpointRecord | undefined => this.records.get(endpoint) ?? this.unlistedHeads.get(endpoint)
     this.scope = new PlanningScope(evacuations, find)
@@ -136,12 +137,12 @@
   private noteEndpoints (endpoints: ReadonlyMap<EndpointId, EndpointRecord>): void {
     for (const [id, record] of this.records) {
       if (!endpoints.has(id) && isServingHead(record) && !this.parts.endpoints.isSuperseded(record)) {
-        this.unlistedHeads.set(id, record)
+        this.unlistedHeads.add(record)
         if (this.parts.lease.mayOrder()) this.reachability.suspect(record)
       }
     }
     for (const id of endpoints.keys()) {
-      this.unlistedHeads.delete(id)
+      this.unlistedHeads.noteListed(id)
       if (!this.records.has(id)) this.appearedAtMs = this.parts.clock.nowMs()
     }
     this.records = endpoints
@@ -166,10 +167,8 @@
     this.schedule(EVALUATION_INTERVAL_MS)
     const { lease, manifest } = this.parts
     if (!lease.isCoordinator() || !this.parts.hasAllEndpoints() || manifest.current === null) return
-    for (const head of this.unlistedHeads.keys()) {
-      if (this.reachability.isUnreachable(head)) this.unlistedHeads.delete(head)
-    }
-    this.reachability.recheck(this.records, new Set(this.unlistedHeads.keys()))
+    this.unlistedHeads.evictLost()
+    this.reachability.recheck(this.records, this.unlistedHeads.endpoints())
     this.reportStalled()
     if (!lease.mayOrder()) return
     for (const service of manifest.current.manifest.services) {
@@ -184,8 +183,8 @@
     const decisions = planFormations({
       endpoints,
       unreachable: this.reachability.unreachable(),
-      unlistedHeads: this.reachableUnlistedHeads(),
-      engaged: this.engagedEndpoints(),
+      unlistedHeads: this.unlistedHeads.reachable(),
+      engaged: new Set([...this.engaged.keys(), ...this.reachability.undecided(), ...this.unlistedHeads.undecidedMembers(this.records.values())]),
       forming: [...this.forming].filter((plan) => !this.scope.isWithheld(plan)).map((plan) => this.formingGroup(plan)),
       models: engine.models,
       demand: this.demandOf(engine),
@@ -202,26 +201,6 @@
     })
   }
 
-  private engagedEndpoints (): Set<EndpointId> {
-    const engaged = new Set([...this.engaged.keys(), ...this.reachability.undecided()])
-    for (const [head, record] of this.unlistedHeads) {
-      const isDecided = this.reachability.isReachable(head) || this.reachability.isUnreachable(head)
-      if (isDecided) continue
-      for (const other of this.records.values()) {
-        if (isSameFormation(other, record)) engaged.add(other.endpoint)
-      }
-    }
-    return engaged
-  }
-
-  private reachableUnlistedHeads (): Map<string, EndpointId> {
-    const heads = new Map<string, EndpointId>()
-    for (const [head, { membership }] of this.unlistedHeads) {
-      if (this.reachability.isReachable(head)) heads.set(formationKey(membership!.group, membership!.formation), head)
-    }
-    return heads
-  }
-
   private formingGroup ({ model, members }: FormationPlan): FormingGroup {
     const known = members.map((member) => this.records.get(member)?.fabricDomain).find((domain) => domain !== undefined && domain !== null)
     return { model, fabricDomain: known ?? '' }
@@ -293,7 +272,3 @@
     }
   }
 }
-
-function isSameFormation (left: EndpointRecord, right: EndpointRecord): boolean {
-  return left.membership !== null && right.membership !== null && left.membership.group === right.membership.group && left.membership.formation === right.membership.formation
-}
