Groups stay whole while a member accepts connections and answers nothing

Cause: two probes without an answer, 0.35 s, made an endpoint unreachable whether its process had paused or ended. The planner took its group for broken: the other members were ordered to leave and to join another group, which cuts off what the group was running, and a plan in progress was abandoned.

A round of probes is now judged with the state of the link: refused, another endpoint at the address, or connected by nobody is lost at once, as before; connected and silent is `unresponsive`. Members of a group whose head is unresponsive are not taken even if another member is lost: the head may still be open. Plans in progress wait for an unresponsive member.

--- a/packages/dotterelspur-gateway/src/process/DecisionLog.ts
+++ b/packages/dotterelspur-gateway/src/process/DecisionLog.ts
@@ -56,6 +56,8 @@
   EndpointListed = 'endpoint-listed',
   EndpointUnlisted = 'endpoint-unlisted',
   EndpointUnreachable = 'endpoint-unreachable',
+  /** An endpoint accepts connections and answers nothing. */
+  EndpointUnresponsive = 'endpoint-unresponsive',
   EndpointReachable = 'endpoint-reachable',
   GroupSuspected = 'group-suspected',
   /** This node stops sending requests to a stalled group while another group can take them. */
--- a/packages/dotterelspur-gateway/src/process/FleetStateLog.ts
+++ b/packages/dotterelspur-gateway/src/process/FleetStateLog.ts
@@ -10,6 +10,7 @@
   readonly engine: EngineSpec
   readonly endpoints: readonly EndpointRecord[]
   readonly unreachable: number
+  readonly unresponsive: number
   /** Endpoints used by a plan in progress. */
   readonly engaged: number
   readonly forming: readonly FormationPlan[]
@@ -27,12 +28,13 @@
     const nowMs = this.clock.nowMs()
     if (nowMs - this.loggedAtMs < LOG_INTERVAL_MS) return
     this.loggedAtMs = nowMs
-    const { service, engine, endpoints, unreachable, engaged } = state
+    const { service, engine, endpoints, unreachable, unresponsive, engaged } = state
     this.log.write(LogKind.FleetState, {
       service,
       listed: endpoints.length,
       leaving: endpoints.filter(({ leaving }) => leaving).length,
       unreachable,
+      unresponsive,
       engaged,
       models: engine.models.map(({ model }) => describeModel(model, state)),
       unstaged: endpoints.filter(({ staged }) => staged.length === 0).length
--- a/packages/dotterelspur-gateway/src/process/FormationController.ts
+++ b/packages/dotterelspur-gateway/src/process/FormationController.ts
@@ -42,7 +42,7 @@
   readonly demand: () => ReadonlyMap<ModelId, number>
   /** Called when a group is suspected and its members are being probed. */
   readonly onSuspected: (head: EndpointId) => void
-  /** Called with the heads of groups that have lost a member and are listed as open; repeated while the condition lasts. */
+  /** Called with the heads of groups that have lost a member, or have an unresponsive one, and are listed as open; repeated while the condition lasts. */
   readonly onStalled: (heads: readonly EndpointId[], isNew: boolean) => void
   /**
    * Whether the endpoint list is complete. A node that received only changes of heads would judge groups by outdated
@@ -91,6 +91,7 @@
 
   stop (): void {
     this.stopped = true
+    this.reachability.stop()
     this.cancelEvaluation()
   }
 
@@ -119,12 +120,12 @@
     this.parts.onSuspected(head)
   }
 
-  /** Heads that accept requests although their group has lost a member. */
+  /** Heads that accept requests although their group has lost a member or one is unresponsive. */
   stalledHeads (): EndpointId[] {
     if (!this.parts.hasAllEndpoints()) return []
     const models = this.parts.manifest.current?.manifest.services.flatMap(({ engine }) => engine?.models ?? []) ?? []
     const sizes = new Map(models.map(({ model, size }) => [model, size]))
-    return stalledHeads(this.records.values(), sizes, ({ endpoint }) => !this.reachability.isUnreachable(endpoint))
+    return stalledHeads(this.records.values(), sizes, ({ endpoint }) => !this.reachability.isUnreachable(endpoint), ({ endpoint }) => this.reachability.isUnresponsive(endpoint))
   }
 
   private reportStalled (): void {
@@ -183,6 +184,7 @@
     const decisions = planFormations({
       endpoints,
       unreachable: this.reachability.unreachable(),
+      unresponsive: this.reachability.unresponsive(),
       unlistedHeads: this.unlistedHeads.reachable(),
       engaged: new Set([...this.engaged.keys(), ...this.reachability.undecided(), ...this.unlistedHeads.undecidedMembers(this.records.values())]),
       forming: [...this.forming].filter((plan) => !this.scope.isWithheld(plan)).map((plan) => this.formingGroup(plan)),
@@ -197,7 +199,7 @@
     })
     for (const decision of decisions) this.begin(decision, engine)
     this.stateLog.note({
-      service: service.service, engine, endpoints, unreachable: this.reachability.unreachable().size, engaged: this.engaged.size, forming: [...this.forming], demand: this.demandOf(engine)
+      service: service.service, engine, endpoints, unreachable: this.reachability.unreachable().size, unresponsive: this.reachability.unresponsive().size, engaged: this.engaged.size, forming: [...this.forming], demand: this.demandOf(engine)
     })
   }
 
--- a/packages/dotterelspur-gateway/src/process/FormationRunner.ts
+++ b/packages/dotterelspur-gateway/src/process/FormationRunner.ts
@@ -155,6 +155,7 @@
     return ready.size === plan.members.length
   }
 
+  /** An unresponsive member may go on, and is waited for as long as the join may take. */
   private isLost (endpoint: EndpointId): boolean {
     const record = this.parts.endpoints.current.get(endpoint)
     return record === undefined || record.leaving || this.parts.reachability.isUnreachable(endpoint)
--- a/packages/dotterelspur-gateway/src/process/GatewayPorts.ts
+++ b/packages/dotterelspur-gateway/src/process/GatewayPorts.ts
@@ -1,5 +1,5 @@
 import type { IncomingHttpHeaders } from 'node:http'
-import type { EndpointId, EndpointOrder, LoadReading, Membership, ModelId, OrderReply, ReportedBackpressure, WorkspaceId } from 'dotterelspur'
+import { ReportResultKind, type EndpointId, type EndpointOrder, type LoadReading, type Membership, type ModelId, type OrderReply, type ReportedBackpressure, type WorkspaceId } from 'dotterelspur'
 
 /** Headers of a caller's request. */
 export interface CallerHeaders {
@@ -67,13 +67,7 @@
   readonly orderCount: number | null
 }
 
-export enum ReportResultKind {
-  Answered = 'answered',
-  /** Nothing listens at the address, or another endpoint owns it. */
-  Gone = 'gone',
-  /** No response within the timeout. */
-  Silent = 'silent'
-}
+export { ReportResultKind }
 
 export type ReportResult =
   | { readonly kind: ReportResultKind.Answered, readonly report: EndpointReport }
--- a/packages/dotterelspur-gateway/src/process/LeaseHolderState.ts
+++ b/packages/dotterelspur-gateway/src/process/LeaseHolderState.ts
@@ -9,7 +9,7 @@
   readonly lease: StoredObject<LeaseObject>
   /** Loads from the weight store that are in progress; the endpoint list shows a load only when it has completed. */
   readonly loads: readonly LoadInProgress[]
-  /** Heads that are listed as open although their group has lost a member. */
+  /** Heads that are listed as open although their group has lost a member or one is unresponsive. */
   readonly stoppedHeads: readonly EndpointId[]
   /** Nodes that the holder has found lost and whose entries are still in the store; a holder of the former release sends none. */
   readonly lostNodes?: readonly LeaseIdentity[]
--- a/packages/dotterelspur/src/version/formation/FormationDecision.ts
+++ b/packages/dotterelspur/src/version/formation/FormationDecision.ts
@@ -23,8 +23,10 @@
 export interface FormationInput {
   /** Listed endpoints of one service. */
   readonly endpoints: readonly EndpointRecord[]
-  /** Listed endpoints that do not respond. */
+  /** Listed endpoints that are lost. */
   readonly unreachable: ReadonlySet<EndpointId>
+  /** Endpoints that accept connections and answer nothing. They get no orders, and groups that are complete with them stay whole. */
+  readonly unresponsive: ReadonlySet<EndpointId>
   /** Heads that are no longer listed but still respond, by formation key. */
   readonly unlistedHeads: ReadonlyMap<string, EndpointId>
   /** Endpoints in use by a formation in progress. */
--- a/packages/dotterelspur/src/version/formation/PendingFormation.ts
+++ b/packages/dotterelspur/src/version/formation/PendingFormation.ts
@@ -41,7 +41,7 @@
     decisions: []
   }
   for (const { model, fabricDomain } of input.forming) countGroup(pending, fabricDomain, model)
-  const occupied = new Set<EndpointId>(input.engaged)
+  const occupied = new Set<EndpointId>([...input.engaged, ...input.unresponsive])
   for (const view of pending.groups) markOccupied(pending, view, occupied)
   for (const endpoint of input.endpoints) {
     if (endpoint.fabricDomain === null || occupied.has(endpoint.endpoint) || !isAvailable(input, endpoint)) continue
@@ -67,17 +67,24 @@
   const spec = input.models.find(({ model }) => model === view.model)
   if (spec === undefined) return
   const condition = assessFormation(view, spec.size, (endpoint) => isAvailable(input, endpoint))
-  if (condition === FormationCondition.Contradictory) {
-    for (const { endpoint } of view.members) occupied.add(endpoint)
-    return
-  }
+  const isPaused = mayGoOn(input, view, condition)
+  if (condition !== FormationCondition.Contradictory && condition !== FormationCondition.Serving && !isPaused) return
+  for (const { endpoint } of view.members) occupied.add(endpoint)
   if (condition !== FormationCondition.Serving) return
   const group: ServingGroup = { view, spec, domain: view.members[0]!.fabricDomain! }
-  for (const { endpoint } of view.members) {
-    occupied.add(endpoint)
-    pending.serving.set(endpoint, group)
-  }
   countGroup(pending, group.domain, spec.model)
+  // A paused group lends no members: they would wait for a head that answers nothing.
+  if (isPaused) return
+  for (const { endpoint } of view.members) pending.serving.set(endpoint, group)
+}
+
+/**
+ * Whether the group has members that are unresponsive and may go on with what it was running. An unresponsive head may still be open,
+ * so that its members must join no other group, even where one of them is lost.
+ */
+function mayGoOn ({ unresponsive }: FormationInput, { head, members }: FormationView, condition: FormationCondition): boolean {
+  if (head !== null && unresponsive.has(head.endpoint)) return true
+  return condition !== FormationCondition.Broken && members.some(({ endpoint }) => unresponsive.has(endpoint))
 }
 
 function isAvailable (input: FormationInput, endpoint: EndpointRecord): boolean {
--- a/packages/dotterelspur/src/version/formation/__tests__/unit/FormationPlanner.test.ts
+++ b/packages/dotterelspur/src/version/formation/__tests__/unit/FormationPlanner.test.ts
@@ -6,6 +6,8 @@
 import type { FormationPlan } from '../../FormationProcedures.js'
 import { formationKey } from '../../FormationView.js'
 import { groupTargets } from '../../PendingFormation.js'
+import { EndpointCondition, judgeProbe, ReportResultKind } from '../../EndpointCondition.js'
+import { LinkState } from '../../LinkState.js'
 import { stalledHeads } from '../../StalledGroups.js'
 import { createEndpoint, createGroup, createInput, LARGE, SMALL } from '../fixtures/endpoints.js'
 
@@ -206,6 +208,75 @@
     expect(plans(planFormations(halved))[0]?.former[0]?.head).to.equal(group[0]!.endpoint)
   })
 
+  describe('when endpoints are unresponsive', () => {
+    // Guards against cutting off what a group was running: its members are taken for another group while one of them has only paused.
+    const standby = createEndpoint('standby', { staged: ['small'] })
+
+    for (const unresponsive of ['g-0', 'g-1']) {
+      it(`leaves a group whole whose member ${unresponsive} is unresponsive, and counts it`, () => {
+        const groups = [...createGroup('g', SMALL, MemberState.Open), ...createGroup('h', SMALL, MemberState.Open)]
+        const input = { unresponsive: new Set([unresponsive]), models: [SMALL], peakEndpoints: 4 }
+        expect(planFormations(createInput([...groups, standby, { ...standby, endpoint: 'other' }], input))).to.deep.equal([])
+      })
+    }
+
+    it('leaves a complete group that is not open, and a head that is closing', () => {
+      for (const state of [MemberState.Ready, MemberState.Closing]) {
+        const input = createInput([...createGroup('g', SMALL, state), standby], { unresponsive: new Set(['g-0']) })
+        expect(plans(planFormations(input)), state).to.deep.equal([])
+      }
+    })
+
+    it('repairs a group with a lost member at once, without its unresponsive one', () => {
+      const group = createGroup('g', LARGE, MemberState.Open)
+      const standbys = ['s-1', 's-2'].map((name) => createEndpoint(name, { staged: ['large'] }))
+      const input = createInput([...group, ...standbys], { unreachable: new Set(['g-1']), unresponsive: new Set(['g-2']) })
+      const [plan] = plans(planFormations(input))
+      expect(plan?.members).to.have.members(['g-0', 'g-3', 's-1', 's-2'])
+      expect(plan?.former[0]?.closeMode).to.equal(CloseMode.BreakOff)
+    })
+
+    it('takes no member of a group with a lost member whose head is unresponsive, and may still be open', () => {
+      const group = createGroup('g', LARGE, MemberState.Open)
+      const standbys = ['s-1', 's-2'].map((name) => createEndpoint(name, { staged: ['large'] }))
+      const input = createInput([...group, ...standbys], { unreachable: new Set(['g-1']), unresponsive: new Set(['g-0']) })
+      expect(plans(planFormations(input))).to.deep.equal([])
+    })
+
+    it('lets a head finish its requests where all members of its broken group connect', () => {
+      const group = createGroup('g', LARGE, MemberState.Broken)
+      const spare = createEndpoint('spare', { staged: ['large'] })
+      const [plan] = plans(planFormations(createInput([...group, spare], { unresponsive: new Set(['g-2']) })))
+      expect(plan?.former[0]?.closeMode).to.equal(CloseMode.Wait)
+    })
+
+    it('lends no member of their groups, and neither takes nor stages them', () => {
+      const survivors = [1, 2, 3].map((index) => createEndpoint(`large-${index}`, { staged: ['large'], model: 'large' }))
+      const pairs = ['p', 'q', 'r', 's'].map((name) => createGroup(name, SMALL, MemberState.Open))
+      const paused = new Set(['p-0', 'q-1', 'r-0', 's-1', 'empty'])
+      const endpoints = [...survivors, ...pairs.flat(), createEndpoint('empty')]
+      expect(staged(planFormations(createInput(endpoints, { peakEndpoints: 16, unresponsive: paused }))).filter(([, model]) => model === 'large')).to.deep.equal([])
+      const prepared = pairs.flat().map((endpoint) => ({ ...endpoint, staged: ['small', 'large'] }))
+      expect(plans(planFormations(createInput([...survivors, ...prepared], { peakEndpoints: 16, unresponsive: paused })))).to.deep.equal([])
+    })
+
+    it('orders nothing in a fleet of 18 groups that pause together, with standbys in each domain', () => {
+      // The recorded pattern: a change of the manifest pauses the groups, and eight heads answer nothing for 1.3 s.
+      const domains = ['a-1', 'a-2', 'a-3']
+      const endpoints = domains.flatMap((fabricDomain) => [
+        ...Array.from({ length: 6 }, (_unused, index) => createGroup(`${fabricDomain}-g${index}`, SMALL, MemberState.Open, { fabricDomain })).flat(),
+        createEndpoint(`${fabricDomain}-standby`, { fabricDomain, staged: ['small'] })
+      ])
+      const heads = endpoints.filter(({ membership }) => membership?.rank === 0).slice(0, 8)
+      for (let silentMs = 350; silentMs <= 1_300; silentMs += 50) {
+        const condition = judgeProbe({ answer: ReportResultKind.Silent, link: LinkState.Connects }, silentMs)
+        const paused = new Set(heads.map(({ endpoint }) => endpoint))
+        const input = { models: [SMALL], demand: new Map([['small', 1]]), [condition === EndpointCondition.Unresponsive ? 'unresponsive' : 'unreachable']: paused }
+        expect(planFormations(createInput(endpoints, input)), `after ${silentMs} ms`).to.deep.equal([])
+      }
+    })
+  })
+
   it('ignores endpoints that are leaving', () => {
     const leaving = [1, 2].map((index) => createEndpoint(`leaving-${index}`, { staged: ['small'], leaving: true }))
     expect(planFormations(createInput(leaving))).to.deep.equal([])
--- a/packages/dotterelspur/src/version/formation/index.ts
+++ b/packages/dotterelspur/src/version/formation/index.ts
@@ -1,4 +1,5 @@
 export * from './Endpoint.js'
+export * from './EndpointCondition.js'
 export * from './EndpointOrder.js'
 export * from './FormationDecision.js'
 export * from './FormationPlanner.js'
