Probe heads that left the list before this node took the lease

What callers saw: a group whose head was lost stays out of service. Cause: a head that leaves the endpoint list is probed only by the node that holds the lease at that moment. A node that takes the lease later knows the head as unlisted, nothing else, and keeps the members of its group engaged until it is decided, which never happens. Found while going through planning for verdicts that rest on silence.

Evidence: "repairs a group whose head left the list while another node held the lease" had no order in 10 s. Unlisted heads of which nothing is known are now probed at each evaluation; the members join a new group after the takeover.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/unresponsiveEndpoints.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/unresponsiveEndpoints.test.ts
@@ -56,6 +56,7 @@
   readonly ordered: Array<{ readonly atMs: number, readonly order: string }> = []
   readonly stalled: string[] = []
   private readonly conditions = new Map<EndpointId, Condition>()
+  private mayTakeLease = true
   private readonly store = new MemoryStore()
   private readonly lease = new FleetLease(this.store, { node: 'n1', incarnation: 1 }, this.clock, createRandom(1), createLog(this.clock), () => {})
   private readonly endpoints = new EndpointRegistry(this.clock, createLog(this.clock))
@@ -109,10 +110,30 @@
     this.conditions.clear()
   }
 
+  /** The endpoint's process ends, and its entry expires. */
+  end (endpoint: EndpointId): void {
+    this.conditions.set(endpoint, Condition.Refused)
+    this.unlist(endpoint)
+  }
+
   unlist (endpoint: EndpointId): void {
     this.store.drop(`endpoints/${endpoint}`)
   }
 
+  /** Another node's term ends the lease, and this node doesn't take it until `regainLease`. */
+  loseLease (): void {
+    this.mayTakeLease = false
+    this.lease.observeFencing(this.lease.fencing! + 1)
+  }
+
+  regainLease (): void {
+    this.mayTakeLease = true
+  }
+
+  get holdsLease (): boolean {
+    return this.lease.mayOrder()
+  }
+
   /** Time of the first order. */
   get orderedAtMs (): number | undefined {
     return this.ordered[0]?.atMs
@@ -121,7 +142,7 @@
   async run (durationMs: number): Promise<void> {
     for (let passedMs = 0; passedMs < durationMs; passedMs += STEP_MS) {
       this.clock.advance(STEP_MS)
-      if (this.clock.nowMs() % 100 === 0) await this.lease.step()
+      if (this.mayTakeLease && this.clock.nowMs() % 100 === 0) await this.lease.step()
       await settle()
     }
   }
@@ -194,6 +215,20 @@
     expect(world.orderedAtMs).to.be.within(SETTLED_MS + UNRESPONSIVE_LIMIT_MS, SETTLED_MS + UNRESPONSIVE_LIMIT_MS + 900)
   })
 
+  // Guards against a group that is never repaired: its head left the list while another node held the lease, and is probed by nobody.
+  it('repairs a group whose head left the list while another node held the lease', async () => {
+    const world = await World.settled()
+    world.loseLease()
+    await world.run(PAUSE_MS)
+    world.end('a1')
+    await world.run(PAUSE_MS)
+    world.regainLease()
+    await world.run(10_000)
+    world.stop()
+    expect(world.holdsLease).to.equal(true)
+    expect(world.ordered.map(({ order }) => order).slice(0, 3)).to.deep.equal(['leave a2', 'join a2', 'join standby'])
+  })
+
   it('reports a group that pauses as stalled until it goes on', async () => {
     const world = await World.settled()
     world.suspect(Condition.Paused, 'a2')
--- a/packages/dotterelspur-gateway/src/process/FormationController.ts
+++ b/packages/dotterelspur-gateway/src/process/FormationController.ts
@@ -169,6 +169,7 @@
     const { lease, manifest } = this.parts
     if (!lease.isCoordinator() || !this.parts.hasAllEndpoints() || manifest.current === null) return
     this.unlistedHeads.evictLost()
+    this.unlistedHeads.probeUndecided()
     this.reachability.recheck(this.records, this.unlistedHeads.endpoints())
     this.reportStalled()
     if (!lease.mayOrder()) return
--- a/packages/dotterelspur-gateway/src/process/UnlistedHeads.ts
+++ b/packages/dotterelspur-gateway/src/process/UnlistedHeads.ts
@@ -29,6 +29,11 @@
     }
   }
 
+  /** Probes heads of which nothing is known, as those that left the list while another node held the lease. */
+  probeUndecided (): void {
+    for (const head of this.undecided()) this.reachability.suspect(head)
+  }
+
   /** Heads that respond, by formation key. */
   reachable (): Map<string, EndpointId> {
     const reachable = [...this.heads.values()].filter(({ endpoint }) => this.reachability.isReachable(endpoint))
@@ -37,10 +42,14 @@
 
   /** Listed members of groups of which it is not known yet whether their head responds. */
   undecidedMembers (records: Iterable<EndpointRecord>): EndpointId[] {
-    const undecided = [...this.heads.values()].filter(({ endpoint }) => !this.reachability.isReachable(endpoint) && !this.reachability.isUnreachable(endpoint))
+    const undecided = this.undecided()
     if (undecided.length === 0) return []
     return [...records].filter((record) => undecided.some((head) => isSameFormation(record, head))).map(({ endpoint }) => endpoint)
   }
+
+  private undecided (): EndpointRecord[] {
+    return [...this.heads.values()].filter(({ endpoint }) => !this.reachability.isReachable(endpoint) && !this.reachability.isUnreachable(endpoint))
+  }
 }
 
 export function isSameFormation (left: EndpointRecord, right: EndpointRecord): boolean {
