Drop what was found of endpoints when the lease is lost

What callers saw: streams of a healthy group are cut off when a node takes the lease again. Cause: a node that loses the lease keeps which endpoints it found unreachable and probes none of them. When it gets the lease back it plans at once with these findings, and breaks up the groups of endpoints that went on long ago.

Findings are now dropped while another node coordinates; a group that is still silent is suspected again by its streams.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/unresponsiveEndpoints.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/unresponsiveEndpoints.test.ts
@@ -215,6 +215,22 @@
     expect(world.orderedAtMs).to.be.within(SETTLED_MS + UNRESPONSIVE_LIMIT_MS, SETTLED_MS + UNRESPONSIVE_LIMIT_MS + 900)
   })
 
+  // Guards against a healthy group that is broken up by a node that gets the lease back: it found a member lost in its former term.
+  it('relies on nothing that was found in a former term', async () => {
+    const world = await World.settled()
+    world.suspect(Condition.Unconnected, 'a2')
+    await world.run(200)
+    world.loseLease()
+    await world.run(PAUSE_MS)
+    expect(world.holdsLease).to.equal(false)
+    world.resume()
+    world.regainLease()
+    await world.run(5_000)
+    world.stop()
+    expect(world.holdsLease).to.equal(true)
+    expect(world.ordered).to.deep.equal([])
+  })
+
   // Guards against a group that is never repaired: its head left the list while another node held the lease, and is probed by nobody.
   it('repairs a group whose head left the list while another node held the lease', async () => {
     const world = await World.settled()
--- a/packages/dotterelspur-gateway/src/process/FormationController.ts
+++ b/packages/dotterelspur-gateway/src/process/FormationController.ts
@@ -167,6 +167,8 @@
   private evaluate (): void {
     this.schedule(EVALUATION_INTERVAL_MS)
     const { lease, manifest } = this.parts
+    // What was found in a former term may no longer hold, and nobody probes again until the next one.
+    if (!lease.isCoordinator()) this.reachability.clear()
     if (!lease.isCoordinator() || !this.parts.hasAllEndpoints() || manifest.current === null) return
     this.unlistedHeads.evictLost()
     this.unlistedHeads.probeUndecided()
--- a/packages/dotterelspur-gateway/src/process/Reachability.ts
+++ b/packages/dotterelspur-gateway/src/process/Reachability.ts
@@ -98,6 +98,11 @@
     }
   }
 
+  /** Forgets all endpoints; the results of probes in progress are dropped. */
+  clear (): void {
+    this.probed.clear()
+  }
+
   /** Ends the probes of unresponsive endpoints. */
   stop (): void {
     this.stopped = true
@@ -121,7 +126,7 @@
     const probed = this.beginProbe(location, startedAtMs)
     const result = await this.probe(location)
     probed.isProbing = false
-    // Another endpoint has responded at its address meanwhile, or it is no longer listed.
+    // Another endpoint has responded at its address meanwhile, or the endpoint was evicted.
     if (this.probed.get(location.endpoint) !== probed) return
     const former = probed.condition
     probed.silentSinceMs ??= startedAtMs
