--- a/packages/dotterelspur-gateway/src/__tests__/unit/Reachability.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/Reachability.test.ts
@@ -45,12 +45,14 @@
   }
 }
 
-/** How an endpoint behaves, and who connects to it, until it goes on as usual. */
+/** How an endpoint behaves, and who connects to it, until it goes on as usual or ends. */
 interface Pause {
   readonly name: string
   readonly answer: ReportResult['kind']
   readonly link: LinkState
   readonly untilMs: number
+  /** Whether its process ends then. */
+  readonly ends?: boolean
   /** The conditions that are found, each with the earliest and latest time. */
   readonly found: ReadonlyArray<readonly [EndpointCondition, number, number]>
 }
@@ -67,6 +69,14 @@
     untilMs: 1_300,
     found: [[EndpointCondition.Unresponsive, 340, 360], [EndpointCondition.Reachable, 1_300, 1_700]]
   },
+  {
+    name: 'answers nothing for 1.3 s and ends',
+    answer: ReportResultKind.Silent,
+    link: LinkState.Connects,
+    untilMs: 1_300,
+    ends: true,
+    found: [[EndpointCondition.Unresponsive, 340, 360], [EndpointCondition.Unreachable, 1_300, 1_700]]
+  },
   {
     name: 'answers nothing for good',
     answer: ReportResultKind.Silent,
@@ -77,11 +87,12 @@
 ]
 
 /** Probes an endpoint for 6 s, and returns the conditions that are found, with their times. */
-async function findConditions ({ answer, link, untilMs }: Pause): Promise<Array<[EndpointCondition, number]>> {
+async function findConditions ({ answer, link, untilMs, ends = false }: Pause): Promise<Array<[EndpointCondition, number]>> {
   const clock = new ManualClock()
   const isOver = (): boolean => clock.nowMs() >= untilMs
+  const usual = ends ? { answer: ReportResultKind.Gone, link: LinkState.Unconnected } : { answer: ReportResultKind.Answered, link: LinkState.Connects }
   const report = async (_location: EndpointLocation, timeoutMs: number): Promise<ReportResult> => {
-    const kind = isOver() ? ReportResultKind.Answered : answer
+    const kind = isOver() ? usual.answer : answer
     await sleep(clock, kind === ReportResultKind.Silent ? timeoutMs : 1)
     return kind === ReportResultKind.Answered ? ANSWERED : { kind }
   }
@@ -89,7 +100,7 @@
   const reachability = new Reachability({ report }, clock, createLog(clock), () => {
     const condition = [EndpointCondition.Reachable, EndpointCondition.Unresponsive, EndpointCondition.Unreachable].find((candidate) => CHECKS[candidate](reachability))!
     found.push([condition, clock.nowMs()])
-  }, async () => isOver() ? LinkState.Connects : link)
+  }, async () => isOver() ? usual.link : link)
   reachability.suspect(LOCATION)
   for (let passedMs = 0; passedMs < 6_000; passedMs += 10) {
     clock.advance(10)
