A test of a node that has read neither the quarantine nor the lease

The test of nodes that have not read the quarantine did not always notice its fault. In the failure that it stands for, the store had fallen silent and the node had read neither.

The test now runs for both cases, with all checks as they were.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/poisonRequests.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/poisonRequests.test.ts
@@ -7,12 +7,18 @@
 import { createManifest } from '../fixtures/builders.js'
 import { StubEndpoint, type StubHandler } from '../fixtures/StubEndpoint.js'
 
+const LEASE_PREFIX = 'leases/'
 const POISON = 'ends who reads it'
 /** Terminations that put a request in quarantine, plus the further requests that operators allow. */
 const MAX_TERMINATIONS = 6
 const ENDPOINTS = 16
 const ATTEMPTS = 24
 const POLL_MS = 20
+/** How far nodes that start have come, and which prefixes they can't read. */
+const UNREAD = {
+  'has not read the quarantine': [QUARANTINE_PREFIX],
+  'has read neither the quarantine nor the lease': [QUARANTINE_PREFIX, LEASE_PREFIX]
+}
 
 const ok: StubHandler = (_request, response) => { response.writeHead(200, { 'x-seal': 'seal' }).end('whole') }
 
@@ -132,23 +138,26 @@
   }).timeout(20_000)
 
   // Guards against a node that starts while the store falls silent: it had read the manifest, and sent quarantined requests on.
-  it('are sent nowhere by a node that has not read the quarantine yet, which then serves', async () => {
-    const world = await startNode('n1')
-    await world.declare(createManifest(1), ...endpoints)
-    await untilLinked()
-    for (let attempt = 0; attempt < ATTEMPTS / 2; attempt++) await call(world, `r${attempt}`, POISON)
-    await untilQuarantined()
-    await world.gateway.close()
-    worlds = []
-    const ended = terminated.size
-    const successor = await GatewayWorld.start('n2', store, undefined, [QUARANTINE_PREFIX])
-    worlds.push(successor)
-    await store.untilRead()
-    expect(await call(successor, 's1', POISON)).to.equal(503)
-    expect(terminated.size).to.equal(ended)
-    successor.access.unlisted.clear()
-    while (await call(successor, 'usual', 'usual') !== 200) await new Promise((resolve) => { setTimeout(resolve, POLL_MS) })
-    expect(await call(successor, 's2', POISON)).to.equal(503)
-    expect(terminated.size).to.equal(ended)
-  }).timeout(20_000)
+  // The lease names suspects as well, so that a node that has read it may know them all the same.
+  for (const [progress, unread] of Object.entries(UNREAD)) {
+    it(`are sent nowhere by a node that ${progress} yet, which then serves`, async () => {
+      const world = await startNode('n1')
+      await world.declare(createManifest(1), ...endpoints)
+      await untilLinked()
+      for (let attempt = 0; attempt < ATTEMPTS / 2; attempt++) await call(world, `r${attempt}`, POISON)
+      await untilQuarantined()
+      await world.gateway.close()
+      worlds = []
+      const ended = terminated.size
+      const successor = await GatewayWorld.start('n2', store, undefined, unread)
+      worlds.push(successor)
+      await store.untilRead()
+      expect(await call(successor, 's1', POISON)).to.equal(503)
+      expect(terminated.size).to.equal(ended)
+      successor.access.unlisted.clear()
+      while (await call(successor, 'usual', 'usual') !== 200) await new Promise((resolve) => { setTimeout(resolve, POLL_MS) })
+      expect(await call(successor, 's2', POISON)).to.equal(503)
+      expect(terminated.size).to.equal(ended)
+    }).timeout(20_000)
+  }
 })
