--- a/packages/dotterelspur-gateway/src/__tests__/unit/StallDetector.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/StallDetector.test.ts
@@ -177,4 +177,14 @@
     world.pass(STEP_MS)
     expect(world.stillSilent).to.have.length(before)
   })
+
+  it('does not take an endpoint for stalled because its entry is removed while it streams', () => {
+    // Guards against requests that are sent to a second endpoint although theirs works: it goes on after its entry is removed.
+    const world = new DetectorWorld()
+    world.stream('begun', 'g1', 4)
+    world.send('waiting', 'g1')
+    world.detector.retain(new Set(['g2']))
+    world.pass(STEP_MS)
+    expect({ stalled: world.stalled, silent: world.silent }).to.deep.equal({ stalled: [], silent: [] })
+  })
 })
