A planned stop cuts off no response that its caller reads slowly

Callers saw a large response cut off during a planned stop of the node: the endpoint had answered, the node had written the response, and the caller had not read all of it yet.

Node's closeIdleConnections takes a connection for idle as soon as its response has been ended, although bytes of it are still to be sent; it is called at the stop, at the end of each request during it, and by the server's close. And a request counted as running only until its response had been ended, so that the stop found nothing left and closed all connections.

CallerConnections keeps how many responses of each connection have not been sent completely, and what has been received since the last one; it replaces the server's closeIdleConnections. A request counts as running until its response has been sent or its connection is closed. Connections that have never been used stay open during the drain, as before.

Evidence: stopBesideRequests.test.ts, a caller that reads 32 MB later. The others show what held already: running requests of all kinds are completed within the grace time, also those with an endpoint that pauses, with the store silent, and with routes and endpoints dropped; a stream of a node that is no longer listed is still continued by a second endpoint.

--- /dev/null
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/stopBesideRequests.test.ts
@@ -0,0 +1,104 @@
+import { expect } from 'chai'
+import { setTimeout as delay } from 'node:timers/promises'
+import { request, type IncomingMessage } from 'node:http'
+import { WHOLE } from '../fixtures/HeldResponses.js'
+import { KeptConnection } from '../fixtures/KeptConnection.js'
+import { RequestsOfAllKinds, UNDISTURBED } from '../fixtures/RequestsOfAllKinds.js'
+
+const HOLD_MS = 300
+const GRACE_MS = 8_000
+/** More than the socket buffers between a node and its caller hold. */
+const LARGE_BODY = 'x'.repeat(32 * 1_048_576)
+const RETRIES = { windowMs: 10_000, ratio: 0.2, extra: 100 }
+
+describe('Running requests beside a planned stop', () => {
+  let requests: RequestsOfAllKinds
+  let connection: KeptConnection
+
+  beforeEach(async () => {
+    requests = await RequestsOfAllKinds.start()
+    requests.world.gateway.applyLimits({ stopGraceMs: GRACE_MS, directoryTtlMs: 2_000, retries: RETRIES })
+    connection = new KeptConnection(requests.world.callers)
+  })
+
+  afterEach(async () => {
+    connection.close()
+    await requests.close()
+  })
+
+  // Guards against responses that are cut off by a planned stop.
+  it('are completed within the grace period', async () => {
+    await requests.startAll()
+    const stopped = requests.world.gateway.stop()
+    await delay(HOLD_MS)
+    expect(await requests.finish()).to.deep.equal(UNDISTURBED)
+    await stopped
+  })
+
+  // Guards against streams that no other endpoint continues because the node that stops is no longer listed.
+  it('are continued by another endpoint after a pause', async () => {
+    await requests.startRoutes(['paused-once'])
+    const stopped = requests.world.gateway.stop()
+    await requests.startRoutes(['paused'])
+    const { answers, sent } = await requests.finish()
+    expect({ paused: answers.paused, sent: sent.paused }).to.deep.equal({ paused: UNDISTURBED.answers.paused, sent: UNDISTURBED.sent.paused })
+    await stopped
+  })
+
+  it('are completed beside a manifest that drops their routes and endpoints, and the silence of the store', async () => {
+    await requests.startAll()
+    requests.put({ routes: [] })
+    requests.dropEndpoints(requests.endpoints.map(({ name }) => name))
+    await requests.world.store.untilRead()
+    requests.world.access.refuseCalls()
+    const stopped = requests.world.gateway.stop()
+    await delay(HOLD_MS)
+    expect(await requests.finish()).to.deep.equal(UNDISTURBED)
+    await stopped
+  })
+
+  it('are followed by those of new connections for a while', async () => {
+    await requests.startRoutes(['write'])
+    const stopped = requests.world.gateway.stop()
+    expect(await connection.call('/new/x')).to.deep.include({ status: 200, body: WHOLE })
+    expect((await requests.finish()).answers.write).to.deep.equal(UNDISTURBED.answers.write)
+    await stopped
+  })
+
+  // Guards against a response that is cut off because the node has written it and its caller has not read all of it yet.
+  for (const [when, stopFirst] of Object.entries({ 'that began before the stop': false, 'that is still to come': true })) {
+    it(`are completed for a caller that reads a large response slowly ${when}`, async () => {
+      for (const endpoint of requests.endpoints) endpoint.answerWith((_incoming, response) => { setTimeout(() => { response.writeHead(200, { 'x-seal': 'seal' }).end(LARGE_BODY) }, 50) })
+      const answering = startReading(requests)
+      if (!stopFirst) await answering
+      const stopped = requests.world.gateway.stop()
+      const answer = await answering
+      // The end of another request, after which idle connections are closed.
+      await delay(HOLD_MS)
+      await requests.call('new', 'other').catch(() => null)
+      await delay(HOLD_MS)
+      expect(await readLength(answer)).to.equal(LARGE_BODY.length)
+      await stopped
+    })
+  }
+})
+
+/** Sends a request and resolves with its answer, whose body has not been read. */
+async function startReading ({ world }: RequestsOfAllKinds): Promise<IncomingMessage> {
+  return await new Promise((resolve, reject) => {
+    const outgoing = request({ ...world.callers, path: '/read/x', method: 'POST', headers: { host: 'a.example', 'x-request': 'slow', 'x-key': 'key-1' } }, resolve)
+    outgoing.on('error', reject)
+    outgoing.end('prompt')
+  })
+}
+
+/** Bytes of a body; null if it was cut off. */
+async function readLength (answer: IncomingMessage): Promise<number | null> {
+  let length = 0
+  try {
+    for await (const chunk of answer) length += (chunk as Buffer).length
+  } catch {
+    return null
+  }
+  return answer.complete ? length : null
+}
--- /dev/null
+++ b/packages/dotterelspur-gateway/src/connection/CallerConnections.ts
@@ -0,0 +1,44 @@
+import type { Server, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+
+interface ConnectionState {
+  /** Responses that have not been sent completely. */
+  responses: number
+  /** Bytes that had been received when the last response was complete; null before the first response. */
+  bytesReadWhenIdle: number | null
+}
+
+/** The open connections of callers. */
+export class CallerConnections {
+  private readonly states = new Map<Socket, ConnectionState>()
+
+  constructor (server: Server) {
+    server.on('connection', (socket: Socket) => {
+      this.states.set(socket, { responses: 0, bytesReadWhenIdle: null })
+      socket.on('close', () => { this.states.delete(socket) })
+    })
+    // Node's own also closes connections whose response has been written and not been read by the caller yet.
+    server.closeIdleConnections = () => { this.closeIdle() }
+  }
+
+  /** Resolves once the response has been sent completely, or its connection is closed. */
+  async untilSent (socket: Socket, response: ServerResponse): Promise<void> {
+    const state = this.states.get(socket)
+    if (state === undefined || response.closed) return
+    state.responses += 1
+    await new Promise<void>((resolve) => { response.once('close', resolve) })
+    state.responses -= 1
+    state.bytesReadWhenIdle = socket.bytesRead
+  }
+
+  /** Closes the connections that have been used and have no request, not even the beginning of one. */
+  closeIdle (): void {
+    for (const socket of this.idleSockets()) socket.destroy()
+  }
+
+  private * idleSockets (): Iterable<Socket> {
+    for (const [socket, { responses, bytesReadWhenIdle }] of this.states) {
+      if (responses === 0 && bytesReadWhenIdle === socket.bytesRead) yield socket
+    }
+  }
+}
--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -17,6 +17,7 @@
 import { CallerResponse, GatewayErrorKind } from '../request/CallerResponse.js'
 import { refusalFields } from '../request/refusalFields.js'
 import { GatewayRequest, type AdmittedRequest, type RequestReport } from '../request/GatewayRequest.js'
+import { CallerConnections } from './CallerConnections.js'
 import { registerCallerClose } from './registerCallerClose.js'
 import { BodyErrorKind, readBody } from '../request/readBody.js'
 
@@ -53,6 +54,7 @@
 /** The HTTP server for callers: authenticates and routes each request, and runs it until exactly one response has been sent. */
 export class CallerListener {
   private readonly app: FastifyInstance
+  private readonly connections: CallerConnections
   private readonly waits: RequestWaits
   private draining = false
   private running = 0
@@ -60,11 +62,12 @@
   constructor (private readonly parts: CallerListenerParts) {
     this.waits = new RequestWaits(parts.clock)
     this.app = createApp((request, response) => { this.accept(request, response) })
+    this.connections = new CallerConnections(this.app.server)
     parts.manifest.registerListener((table) => { this.applyLimits(table.manifest.limits) })
     this.applyLimits(INITIAL_LIMITS)
   }
 
-  /** Number of requests whose response is not complete yet. */
+  /** Number of requests whose response has not been sent completely. */
   get runningRequests (): number {
     return this.running
   }
@@ -106,7 +109,7 @@
   }
 
   private closeIdle (): void {
-    this.app.server.closeIdleConnections()
+    this.connections.closeIdle()
   }
 
   private applyLimits (limits: CallerLimits): void {
@@ -118,11 +121,13 @@
   private accept (request: IncomingMessage, response: ServerResponse): void {
     this.running += 1
     const callerResponse = new CallerResponse(request, response, () => this.draining)
+    const sent = this.connections.untilSent(request.socket, response)
     this.run(request, response, callerResponse)
       .catch((error: unknown) => {
         this.parts.log.write(LogKind.Unexpected, { where: 'request', error: error instanceof Error ? error.stack : String(error) })
         callerResponse.abort()
       })
+      .then(async () => { await sent })
       .finally(() => {
         this.running -= 1
         if (this.draining) this.closeIdle()
