Idle connections of callers stay open for a longer idle timeout

A caller that kept to the idle timeout in force found its connection closed: Node sets the timer of a connection when it becomes idle, so that a connection that was idle before a change was closed after the former, shorter timeout, with the request that its caller was sending.

A longer idle timeout now also counts for connections that are idle. A shorter one does not: their callers were told the former one with the last response.

--- a/packages/dotterelspur-gateway/src/connection/CallerConnections.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerConnections.ts
@@ -12,7 +12,7 @@
 export class CallerConnections {
   private readonly states = new Map<Socket, ConnectionState>()
 
-  constructor (server: Server) {
+  constructor (private readonly server: Server) {
     server.on('connection', (socket: Socket) => {
       this.states.set(socket, { responses: 0, bytesReadWhenIdle: null })
       socket.on('close', () => { this.states.delete(socket) })
@@ -36,6 +36,14 @@
     for (const socket of this.idleSockets()) socket.destroy()
   }
 
+  /** Idle connections keep the former timeout where it is longer: their callers were told so. */
+  applyIdleTimeout (timeoutMs: number): void {
+    this.server.keepAliveTimeout = timeoutMs
+    for (const socket of this.idleSockets()) {
+      if (socket.timeout !== undefined && socket.timeout < timeoutMs) socket.setTimeout(timeoutMs)
+    }
+  }
+
   private * idleSockets (): Iterable<Socket> {
     for (const [socket, { responses, bytesReadWhenIdle }] of this.states) {
       if (responses === 0 && bytesReadWhenIdle === socket.bytesRead) yield socket
--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -113,9 +113,8 @@
   }
 
   private applyLimits (limits: CallerLimits): void {
-    const server: Server = this.app.server
-    server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_SLACK_MS
-    server.headersTimeout = limits.headerTimeoutMs
+    this.connections.applyIdleTimeout(limits.idleTimeoutMs + IDLE_SLACK_MS)
+    this.app.server.headersTimeout = limits.headerTimeoutMs
   }
 
   private accept (request: IncomingMessage, response: ServerResponse): void {
