Connections to an endpoint that is listed again are kept

After an entry had been missing for a moment (an outage of the store, a list from an older copy) while requests ran at its endpoint, each further request opened a new connection, until none was running there: the pool stayed marked as that of an unlisted endpoint, and closed each channel after its exchange. No request was ended by it.

Listing an endpoint again clears the mark. Evidence: EndpointChannels.test.ts, 1 of 3 failed before, 3 of 3 pass.

--- a/packages/dotterelspur-gateway/src/connection/EndpointChannels.ts
+++ b/packages/dotterelspur-gateway/src/connection/EndpointChannels.ts
@@ -47,8 +47,8 @@
   /** Closes the channels of all endpoints that are not in `endpoints`, once their exchanges have ended. */
   retain (endpoints: ReadonlySet<EndpointId>): void {
     for (const [endpoint, pool] of this.pools) {
-      if (endpoints.has(endpoint)) continue
-      pool.retired = true
+      pool.retired = !endpoints.has(endpoint)
+      if (!pool.retired) continue
       for (const channel of pool.idle.splice(0)) channel.close()
       if (pool.busy.size === 0) this.pools.delete(endpoint)
     }
