An endpoint does not count as stalled because its entry is removed while it streams

Requests that waited for their first event were sent to a second endpoint although theirs worked: StallDetector.retain forgot when the last bytes of an endpoint had come, so that its silence was counted from ever. What is known of an endpoint is kept while exchanges run there.

--- a/packages/dotterelspur-gateway/src/process/StallDetector.ts
+++ b/packages/dotterelspur-gateway/src/process/StallDetector.ts
@@ -113,13 +113,15 @@
     this.cancelTimer()
   }
 
-  /** Evicts endpoints that are no longer listed. */
+  /** Evicts endpoints that are no longer listed and run no exchange; an endpoint goes on with its streams after its entry is removed. */
   retain (endpoints: ReadonlySet<EndpointId>): void {
+    const kept = new Set(endpoints)
+    for (const { target } of this.watched) kept.add(target.endpoint)
     for (const endpoint of this.lastBytesAtMs.keys()) {
-      if (!endpoints.has(endpoint)) this.lastBytesAtMs.delete(endpoint)
+      if (!kept.has(endpoint)) this.lastBytesAtMs.delete(endpoint)
     }
     for (const endpoint of this.reported) {
-      if (!endpoints.has(endpoint)) this.reported.delete(endpoint)
+      if (!kept.has(endpoint)) this.reported.delete(endpoint)
     }
   }
 
