A running request finds the groups of its model after its service was dropped from the manifest

The pool of a request was that of its model only while the manifest named the service with an engine. Once the service was dropped, a stream whose group was lost found no other group of its model, though one was listed and open, and was cut off. A pool of the model that is there is used.

--- a/packages/dotterelspur-gateway/src/process/Dispatch.ts
+++ b/packages/dotterelspur-gateway/src/process/Dispatch.ts
@@ -126,8 +126,10 @@
     this.fleetView.returns.noteReturn(key, retryAfterMs, this.parts.clock.nowMs())
   }
 
+  /** The groups of a model keep their pool while they are listed, also when the service has been dropped from the manifest. */
   poolKeyFor (service: ServiceId, head: CallerHeaders): PoolKey {
-    return poolKey(service, this.engineTiming.engine(service) === null ? null : head.model)
+    const modelKey = poolKey(service, head.model)
+    return this.engineTiming.engine(service) !== null || this.pools.has(modelKey) ? modelKey : poolKey(service, null)
   }
 
   /** A caller that resumes a stream has waited for longer than the target latency before it gave up. */
