Entries: silence ends no attempt of a model request

Callers of the entry got `stream_broken` or `retry_budget_exhausted`, and streams ended in the middle, while the engine that ran their request had only paused. A stream that was silent for `streamIdleMs`, or for `lostGroupStallMs` while its group was not dispatchable, was taken for a lost one and closed. With no other group, the attempts or the retry budget used up, or a request that may run once, that ended the answer, though the caller had time left.

A silent attempt now stays open. On the same evidence and at the same time as before the request is sent to another group beside it, once all its open attempts are silent. Each attempt has its own position in the answer; the first that goes past what the caller has is kept and the others are cancelled, so no text is delivered twice or mixed. An attempt that ends without an answer beside an open one ends alone. A non-idempotent request is never sent beside itself: its stream is looked up, and read on a new connection if the engine has produced more than has arrived. Where nothing else is possible the request waits until its deadline. A loser is not cancelled at an engine that runs an open attempt for another group. Silence is counted from when the next event is requested, so a caller that reads slowly does not make its engine look silent.

The scripts of the tests now name the attempt of each event; no row is changed or dropped.

--- a/packages/dotterelspur-entry/src/process/EntryOptions.ts
+++ b/packages/dotterelspur-entry/src/process/EntryOptions.ts
@@ -38,9 +38,9 @@
   readonly directoryTtlMs: number
   /** An id issued this far in the home's future is refused. */
   readonly maxIssuedAheadMs: number
-  /** A stream that is silent for this long while its group is not dispatchable is abandoned. */
+  /** A request whose stream is silent for this long while its group is not dispatchable may be sent to another group beside it. */
   readonly lostGroupStallMs: number
-  /** A stream that is silent for this long is abandoned, whatever the state of its group. */
+  /** The same, whatever the state of the group. */
   readonly streamIdleMs: number
   /** Delay between two selections while no group can continue an answer, and between two stream lookups at an endpoint. */
   readonly retryPauseMs: number
--- a/packages/dotterelspur-entry/src/request/AttemptStream.ts
+++ b/packages/dotterelspur-entry/src/request/AttemptStream.ts
@@ -1,4 +1,6 @@
-import { InterruptKind, type Clock, type Interrupt, type NextEvent, type StreamEvent, type Teardown } from 'dotterelspur'
+import type { Clock, Interrupt, InterruptKind, StreamEvent, Teardown } from 'dotterelspur'
+
+export type OpenStream = (signal: AbortSignal) => AsyncIterable<StreamEvent>
 
 /** Interrupts one request when its caller disconnects or its deadline passes. All waits of the request then end. */
 export class RequestInterrupt {
@@ -35,75 +37,50 @@
   })
 }
 
-/**
- * The event stream of one attempt. A wait for the next event ends early when the request is interrupted or `stall` is
- * called, so an adapter that never detects a dead connection can't block the request.
- */
+/** The event stream of one attempt. `onEvent` is called for each event that arrives, and the event is kept until it is taken. */
 export class AttemptStream {
   private readonly iterator: AsyncIterator<StreamEvent>
-  private readonly abort: AbortController
-  private waiting: ((event: NextEvent) => void) | null = null
-  private pending: Promise<void> | null = null
-  private ready: NextEvent | undefined
-  private readonly unregister: Teardown
-  /** Time of the last event, or of the opening of the stream before the first one, on the node's clock. */
-  lastEventAtMs: number
+  private readonly abort = new AbortController()
+  private isReading = false
+  private ready: StreamEvent | null | undefined
+  /** Time at which the next event was requested, on the node's clock. */
+  private requestedAtMs = 0
 
-  constructor (open: (signal: AbortSignal) => AsyncIterable<StreamEvent>, private readonly interrupt: RequestInterrupt, private readonly clock: Clock) {
-    this.abort = new AbortController()
-    this.lastEventAtMs = clock.nowMs()
+  constructor (open: OpenStream, private readonly clock: Clock, private readonly onEvent: () => void) {
     this.iterator = open(this.abort.signal)[Symbol.asyncIterator]()
-    this.unregister = interrupt.registerListener((fired) => { this.settle(fired) })
-    this.pull()
+    this.request()
   }
 
-  next (): NextEvent | Promise<NextEvent> {
-    if (this.ready !== undefined) return this.takeReady()
-    if (this.interrupt.current !== null) return this.interrupt.current
-    this.pull()
-    return new Promise((resolve) => { this.waiting = resolve })
+  /** How long the stream has been silent since its next event was requested. */
+  get silentMs (): number {
+    return this.isReading ? this.clock.nowMs() - this.requestedAtMs : 0
   }
 
-  /** Whether a call of `next` is waiting for an event. */
-  get isWaiting (): boolean {
-    return this.waiting !== null
+  /** Requests one event, so that backpressure from the consumer reaches the engine's connection. */
+  request (): void {
+    if (this.isReading || this.ready !== undefined) return
+    this.isReading = true
+    this.requestedAtMs = this.clock.nowMs()
+    this.iterator.next().then(
+      (result) => { this.handleEvent(result.done === true ? null : result.value) },
+      () => { this.handleEvent(null) })
   }
 
-  stall (): void {
-    this.settle({ kind: InterruptKind.Stalled })
+  /** The event that has arrived, null for the end of the stream; undefined if there is none. */
+  take (): StreamEvent | null | undefined {
+    const event = this.ready
+    this.ready = undefined
+    return event
   }
 
   close (): void {
-    this.unregister()
     this.abort.abort()
     this.iterator.return?.().catch(() => {})
   }
 
-  private takeReady (): NextEvent {
-    const event = this.ready!
-    this.ready = undefined
-    this.pull()
-    return event
-  }
-
-  /** Reads at most one event ahead, so that backpressure from the consumer reaches the engine's connection. */
-  private pull (): void {
-    if (this.pending !== null || this.ready !== undefined) return
-    this.pending = this.iterator.next().then(
-      (result) => { this.handleEvent(result.done === true ? null : result.value) },
-      () => { this.handleEvent(null) })
-  }
-
-  private handleEvent (event: NextEvent): void {
-    this.pending = null
-    this.lastEventAtMs = this.clock.nowMs()
-    if (this.waiting === null) this.ready = event
-    else this.settle(event)
-  }
-
-  private settle (event: NextEvent): void {
-    const resolve = this.waiting
-    this.waiting = null
-    resolve?.(event)
+  private handleEvent (event: StreamEvent | null): void {
+    this.isReading = false
+    this.ready = event
+    this.onEvent()
   }
 }
--- a/packages/dotterelspur-entry/src/request/ModelRunner.ts
+++ b/packages/dotterelspur-entry/src/request/ModelRunner.ts
@@ -1,14 +1,15 @@
 import {
-  AttemptResult, EndpointErrorKind, InterruptKind, LifecycleEffectKind, OutcomeKind, OutcomeReason, RequestSafety, RouteRefusalKind, StreamEventKind, TargetKind,
+  ChunkKind, LifecycleEffectKind, OutcomeKind, OutcomeReason, RequestSafety, RouteRefusalKind, StreamEventKind, TargetKind,
   failed, groupTargetId, notRun, runModelRequest, runProcedure, success,
-  type ChunkKind, type EffectHandlers, type EndpointError, type GenerateRequest, type GroupTarget, type GroupView, type ModelEffects, type ModelResult, type NextEvent, type Outcome, type RequestContent, type Result,
-  type RouteAttempt, type RouteRefusal, type SendEffect
+  type AttemptEvent, type EffectHandlers, type GenerateRequest, type GroupTarget, type GroupView, type ModelEffects, type ModelResult, type NextEvent, type Outcome, type RequestContent, type Result,
+  type ResumeEffect, type RouteRefusal, type SendEffect
 } from 'dotterelspur'
-import type { ExchangeTracker } from 'dotterelspur-poison'
 import type { EntryContext } from '../process/EntryContext.js'
 import { teamScoped } from '../process/FleetView.js'
-import { AttemptStream, waitOrInterrupt, type RequestInterrupt } from './AttemptStream.js'
+import { waitOrInterrupt, type RequestInterrupt } from './AttemptStream.js'
 import { contentOf } from './contentOf.js'
+import { ModelAttempt, isConnectionLost } from './ModelAttempt.js'
+import { OpenStreams } from './OpenStreams.js'
 import { estimateTokens, routingPrefixes } from './prefixHashes.js'
 import type { RunChannel } from './RunChannel.js'
 import { RunEventKind, type ModelRunRequest } from './RunRequest.js'
@@ -17,19 +18,16 @@
 
 /** Executes the effects of one model request's procedure against the endpoints. */
 export class ModelRunner {
-  private stream: AttemptStream | null = null
-  private group: GroupView | null = null
+  private readonly streams: OpenStreams
+  /** The attempts whose streams are open, by number. */
+  private readonly attempts = new Map<number, ModelAttempt>()
   private target: GroupTarget | null = null
-  private route: RouteAttempt | null = null
   private decidedAtMs = 0
-  private attemptTokens = 0
-  private attemptResult = AttemptResult.Cancelled
   private delivered = false
   private readonly prefixes: readonly number[]
   private readonly content: RequestContent
   /** Resolves once the check has completed whether the endpoint of the last lost connection has terminated. */
   private lossCheck: Promise<void> = Promise.resolve()
-  private exchange: ExchangeTracker | null = null
   firstTokenAtMs: number | null = null
   overloaded = false
 
@@ -39,6 +37,7 @@
     private readonly channel: RunChannel,
     private readonly interrupt: RequestInterrupt
   ) {
+    this.streams = new OpenStreams(interrupt, context.clock)
     this.prefixes = routingPrefixes(request.prompt)
     this.content = contentOf(request)
   }
@@ -57,18 +56,17 @@
       }), this.handlers)
     } finally {
       cancelStallCheck()
-      this.endAttempt()
+      this.streams.closeAll()
+      for (const attempt of this.attempts.values()) attempt.end()
     }
   }
 
   private readonly handlers: EffectHandlers<ModelEffects> = {
     [LifecycleEffectKind.SelectGroup]: ({ excluded, version }) => this.select(excluded, version),
     [LifecycleEffectKind.Send]: (effect) => this.send(effect),
-    [LifecycleEffectKind.Resume]: ({ group, attempt, offset }) => {
-      this.open((signal) => this.context.engines.resume(group.leaderAddress, this.request.requestId, attempt, offset, signal))
-    },
+    [LifecycleEffectKind.Resume]: (effect) => { this.resume(effect) },
     [LifecycleEffectKind.NextEvent]: () => this.next(),
-    [LifecycleEffectKind.CloseStream]: ({ cancel }) => { this.closeStream(cancel) },
+    [LifecycleEffectKind.CloseStream]: ({ attempt, cancel }) => { this.closeStream(attempt, cancel) },
     [LifecycleEffectKind.Lookup]: ({ group }) => this.context.engines.lookup(group.leaderAddress, this.request.requestId, this.context.timing.lookupTimeoutMs),
     [LifecycleEffectKind.CheckPoison]: async () => {
       await this.lossCheck
@@ -142,78 +140,45 @@
       resumeText,
       idempotencyKey: this.request.idempotencyKey
     }
-    this.group = group
-    this.route = router.begin(this.target!, nowMs)
-    this.attemptTokens = 0
-    this.exchange = this.context.poison.guard.trackExchange(this.content)
-    this.attemptResult = AttemptResult.Cancelled
-    this.open((signal) => engines.generate(group.leaderAddress, generate, signal))
+    this.attempts.set(attempt, new ModelAttempt(this.context, this.content, group, router.begin(this.target!, nowMs)))
+    this.streams.open(attempt, (signal) => engines.generate(group.leaderAddress, generate, signal))
     return true
   }
 
-  private open (start: ConstructorParameters<typeof AttemptStream>[0]): void {
-    this.stream?.close()
-    this.stream = new AttemptStream(start, this.interrupt, this.context.clock)
+  private resume ({ group, attempt, offset }: ResumeEffect): void {
+    if (!this.attempts.has(attempt)) this.attempts.set(attempt, new ModelAttempt(this.context, this.content, group, null))
+    this.streams.open(attempt, (signal) => this.context.engines.resume(group.leaderAddress, this.request.requestId, attempt, offset, signal))
   }
 
-  private next (): NextEvent | Promise<NextEvent> {
-    const event = this.stream!.next()
+  private next (): AttemptEvent | Promise<AttemptEvent> {
+    const event = this.streams.next()
     if (event instanceof Promise) return event.then((arrived) => this.noteEvent(arrived))
     return this.noteEvent(event)
   }
 
-  private noteEvent (event: NextEvent): NextEvent {
-    if (event === null) this.attemptResult = AttemptResult.Broken
-    else if (!('kind' in event)) return event
-    else if (event.kind === StreamEventKind.Chunk) this.noteChunk(event.chunk)
-    else if (event.kind === StreamEventKind.Error) this.noteError(event.error)
-    else this.attemptResult = event.kind === InterruptKind.Stalled ? AttemptResult.Broken : AttemptResult.Cancelled
-    if (this.attemptResult === AttemptResult.Refused) this.overloaded = true
-    if (isConnectionLost(event)) this.noteLoss()
-    if (this.attemptResult === AttemptResult.Completed) this.context.poison.guard.noteAnswer(this.content)
-    return event
-  }
-
-  private noteError (error: EndpointError): void {
-    this.attemptResult = RESULT_BY_ERROR[error.kind]
-    if (error.kind === EndpointErrorKind.Refused && this.route !== null) this.context.router.recordBackoff(this.route, error.retryAfterMs, this.context.clock.nowMs())
+  private noteEvent (arrived: AttemptEvent): AttemptEvent {
+    const { event } = arrived
+    const attempt = this.attempts.get(arrived.attempt)
+    attempt?.noteEvent(event)
+    if (attempt?.isRefused === true) this.overloaded = true
+    if (attempt !== undefined && isConnectionLost(event)) this.lossCheck = attempt.noteLoss()
+    if (isTokens(event)) this.firstTokenAtMs ??= this.context.clock.nowMs()
+    return arrived
   }
 
-  private noteLoss (): void {
-    if (this.group === null) return
-    const { group, formation, leaderAddress } = this.group
-    this.lossCheck = this.context.poison.noteLoss({ content: this.content, endpoint: groupTargetId(group, formation), url: leaderAddress, tokens: this.attemptTokens })
-  }
-
-  private noteChunk (chunk: { readonly kind: ChunkKind, readonly tokens?: number }): void {
-    if (chunk.tokens === undefined) {
-      this.attemptResult = AttemptResult.Completed
-      return
-    }
-    const nowMs = this.context.clock.nowMs()
-    if (this.route !== null) this.context.router.recordFirstToken(this.route, nowMs)
-    this.firstTokenAtMs ??= nowMs
-    this.attemptTokens += chunk.tokens
-    this.exchange?.noteProgress()
-  }
-
-  private closeStream (cancel: boolean): void {
+  private closeStream (number: number, cancel: boolean): void {
     const { engines, timing } = this.context
-    const { group, stream } = this
-    const finished = this.attemptResult === AttemptResult.Completed
-    this.stream = null
-    stream?.close()
-    this.endAttempt()
-    if (cancel && !finished && group !== null) engines.cancel(group.leaderAddress, this.request.requestId, timing.lookupTimeoutMs)
+    const attempt = this.attempts.get(number)!
+    this.attempts.delete(number)
+    this.streams.close(number)
+    attempt.end()
+    const { leaderAddress } = attempt.group
+    if (cancel && !attempt.isCompleted && !this.runsAt(leaderAddress)) engines.cancel(leaderAddress, this.request.requestId, timing.lookupTimeoutMs)
   }
 
-  private endAttempt (): void {
-    this.exchange?.end()
-    this.stream?.close()
-    this.stream = null
-    if (this.route === null) return
-    this.context.router.end(this.route, this.attemptResult, this.context.clock.nowMs(), this.attemptTokens)
-    this.route = null
+  /** Whether an open attempt runs at an engine, whose cancel would end it: a VM can lead another group by now. */
+  private runsAt (address: string): boolean {
+    return [...this.attempts.values()].some(({ group }) => group.leaderAddress === address)
   }
 
   private spendRetry (): boolean {
@@ -229,38 +194,24 @@
     return true
   }
 
-  /** Stalls the stream if it has been silent for `streamIdleMs`, or for `lostGroupStallMs` while its group is not dispatchable. */
+  /** Reports streams that have been silent for `streamIdleMs`, or for `lostGroupStallMs` while their groups are not dispatchable. */
   private watchForStalls (): () => void {
     const { clock, timing, fleet } = this.context
     let cancel = (): void => {}
     const check = (): void => {
       cancel = clock.registerTimer(STALL_CHECK_MS, check)
-      if (this.stream === null || !this.stream.isWaiting) return
-      const silentMs = clock.nowMs() - this.stream.lastEventAtMs
-      const lost = silentMs >= timing.lostGroupStallMs && this.group !== null && !fleet.isDispatchable(this.group)
-      if (lost || silentMs >= timing.streamIdleMs) this.stream.stall()
+      this.streams.reportSilent((attempt, silentMs) => {
+        if (silentMs >= timing.streamIdleMs) return true
+        return silentMs >= timing.lostGroupStallMs && !fleet.isDispatchable(this.attempts.get(attempt)!.group)
+      })
     }
     check()
     return () => { cancel() }
   }
 }
 
-const CONNECTION_LOSS_ERRORS: ReadonlySet<EndpointErrorKind> = new Set([EndpointErrorKind.Ambiguous, EndpointErrorKind.Broken])
-
-/** Whether the connection was lost before the answer was complete. */
-function isConnectionLost (event: NextEvent): boolean {
-  return event === null || ('kind' in event && event.kind === StreamEventKind.Error && CONNECTION_LOSS_ERRORS.has(event.error.kind))
-}
-
-const RESULT_BY_ERROR: Readonly<Record<EndpointErrorKind, AttemptResult>> = {
-  [EndpointErrorKind.NotRun]: AttemptResult.Broken,
-  [EndpointErrorKind.WrongFormation]: AttemptResult.Refused,
-  [EndpointErrorKind.Fenced]: AttemptResult.Refused,
-  [EndpointErrorKind.Refused]: AttemptResult.Refused,
-  [EndpointErrorKind.Ambiguous]: AttemptResult.Broken,
-  [EndpointErrorKind.Broken]: AttemptResult.Broken,
-  [EndpointErrorKind.Failed]: AttemptResult.Failed,
-  [EndpointErrorKind.Malformed]: AttemptResult.Broken
+function isTokens (event: NextEvent): boolean {
+  return event !== null && 'kind' in event && event.kind === StreamEventKind.Chunk && event.chunk.kind === ChunkKind.Tokens
 }
 
 const OVERLOAD_REFUSALS: ReadonlySet<RouteRefusalKind> = new Set([RouteRefusalKind.AllTried, RouteRefusalKind.AllBackingOff])
--- a/packages/dotterelspur/src/request/lifecycle/LifecycleEffects.ts
+++ b/packages/dotterelspur/src/request/lifecycle/LifecycleEffects.ts
@@ -17,7 +17,7 @@
   CallerGone = 'caller-gone',
   /** The request's deadline has passed. */
   Deadline = 'deadline',
-  /** The stream is silent and its group is no longer complete, or it has been silent for too long. */
+  /** The stream is silent and its group is no longer complete, or it has been silent for too long. The stream stays open. */
   Stalled = 'stalled'
 }
 
@@ -28,6 +28,12 @@
 /** Result of waiting for the next event. Null when the stream ended without an end chunk or an error. */
 export type NextEvent = StreamEvent | Interrupt | null
 
+/** The next event of the open streams; the attempt is of no meaning for an interrupt of the whole request. */
+export interface AttemptEvent {
+  readonly attempt: number
+  readonly event: NextEvent
+}
+
 export function isInterrupt (event: NextEvent): event is Interrupt {
   return event !== null && !('chunk' in event) && !('error' in event)
 }
@@ -70,7 +76,7 @@
 }
 
 /**
- * Sends an attempt. The handler checks the group again in the same turn of the event loop as the send, since the
+ * Sends an attempt, beside those whose streams are open. The handler checks the group again in the same turn of the event loop as the send, since the
  * process may have been paused after the selection. False if nothing was sent.
  */
 export interface SendEffect extends Effect<LifecycleEffectKind.Send, boolean> {
@@ -81,6 +87,7 @@
   readonly resumeText: string
 }
 
+/** Opens the stream of an attempt again, from an offset; it takes the place of the attempt's stream that is open. */
 export interface ResumeEffect extends Effect<LifecycleEffectKind.Resume, void> {
   readonly kind: LifecycleEffectKind.Resume
   readonly group: GroupView
@@ -88,13 +95,15 @@
   readonly offset: number
 }
 
-export interface NextEventEffect extends Effect<LifecycleEffectKind.NextEvent, NextEvent> {
+/** Waits for the next event of any open stream. A silent stream is reported again while it stays silent. */
+export interface NextEventEffect extends Effect<LifecycleEffectKind.NextEvent, AttemptEvent> {
   readonly kind: LifecycleEffectKind.NextEvent
 }
 
-/** Closes the current stream. With `cancel` the engine is asked to stop the request; otherwise it may run to its end. */
+/** Closes the stream of an attempt. With `cancel` the engine is asked to stop the request; otherwise it may run to its end. */
 export interface CloseStreamEffect extends Effect<LifecycleEffectKind.CloseStream, void> {
   readonly kind: LifecycleEffectKind.CloseStream
+  readonly attempt: number
   readonly cancel: boolean
 }
 
--- a/packages/dotterelspur/src/request/lifecycle/__tests__/unit/runModelRequest.test.ts
+++ b/packages/dotterelspur/src/request/lifecycle/__tests__/unit/runModelRequest.test.ts
@@ -48,6 +48,12 @@
 const ambiguous: EngineScript = () => [error({ kind: EndpointErrorKind.Ambiguous, reason: 'no reply' })]
 const silent = (at: number): EngineScript => (attempt, from) => [...tokens(from, at, attempt), null]
 const interrupted = (at: number, kind: InterruptKind): EngineScript => (attempt, from) => [...tokens(from, at, attempt), { kind }]
+const silence: NextEvent = { kind: InterruptKind.Stalled }
+/** Is reported as silent `reports` times before it goes on. */
+const pauses = (at: number, reports = 1): EngineScript => (attempt, from) => [...tokens(from, at, attempt), ...Array.from({ length: reports }, () => silence), ...healthy(attempt, Math.max(from, at))]
+const staysSilent = (at: number): EngineScript => pauses(at, 50)
+const diverges: EngineScript = (attempt, from) => [...tokens(from, 6, attempt, REQUEST, ['x', 'y', 'z', 'u', 'v', 'w']), end(6, attempt)]
+const failsWith = (status: number): EngineScript => () => [error({ kind: EndpointErrorKind.Failed, reason: 'failed', status })]
 
 interface Run {
   readonly result: ModelResult
@@ -55,6 +61,9 @@
   /** `group@offset` of each send. */
   readonly sends: string[]
   readonly deliveredOffsets: number[]
+  /** Attempts that were cancelled at their engines. */
+  readonly cancelled: number[]
+  readonly openStreams: number
 }
 
 function view (group: string): GroupView {
@@ -78,7 +87,9 @@
   const sends: string[] = []
   const deliveredOffsets: number[] = []
   let text = ''
-  let events: NextEvent[] = []
+  const cancelled: number[] = []
+  /** Events of the open streams by attempt; the stream that was read least recently is first. */
+  const streams = new Map<number, NextEvent[]>()
   let lookupCount = 0
   let stale = scenario.staleSends ?? 0
   let budget = scenario.retryBudget ?? 10
@@ -93,12 +104,20 @@
         return false
       }
       sends.push(`${group.group}@${resumeOffset}`)
-      events = scenario.engines[group.group]!(attempt, resumeOffset)
+      streams.set(attempt, scenario.engines[group.group]!(attempt, resumeOffset))
       return true
     },
-    resume: ({ attempt, offset }) => { events = (scenario.resumed ?? healthy)(attempt, offset) },
-    'next-event': () => events.shift() ?? null,
-    'close-stream': () => { events = [] },
+    resume: ({ attempt, offset }) => { streams.set(attempt, (scenario.resumed ?? healthy)(attempt, offset)) },
+    'next-event': () => {
+      const [attempt, events] = [...streams][0]!
+      streams.delete(attempt)
+      streams.set(attempt, events)
+      return { attempt, event: events.shift() ?? null }
+    },
+    'close-stream': ({ attempt, cancel }) => {
+      streams.delete(attempt)
+      if (cancel) cancelled.push(attempt)
+    },
     lookup: () => {
       const states = scenario.lookups ?? []
       const state = states[Math.min(lookupCount, states.length - 1)]
@@ -125,7 +144,7 @@
   }
   const plan = { requestId: REQUEST, safety, maxAttempts: 3, maxLookups: 3, retryDelayMs: 100, maxFailedSelections: 4 }
   const result = await runProcedure(runModelRequest(plan), handlers)
-  return { result, text, sends, deliveredOffsets }
+  return { result, text, sends, deliveredOffsets, cancelled, openStreams: streams.size }
 }
 
 interface Row {
@@ -136,6 +155,7 @@
   readonly outcome: OutcomeKind
   readonly reason?: OutcomeReason
   readonly sends: readonly string[]
+  readonly cancelled?: readonly number[]
 }
 
 const { Answered, NotRun, Unknown, Failed } = OutcomeKind
@@ -158,6 +178,26 @@
   { fault: 'engine cancelled the request', moment: 'mid-answer', safety: NonIdempotent, scenario: { engines: { g1: breaks(3), g2: healthy }, lookups: [StreamState.Cancelled] }, outcome: Failed, sends: ['g1@0'] },
   { fault: 'stream ends without an end chunk', moment: 'mid-answer', safety: Idempotent, scenario: { engines: { g1: silent(4), g2: healthy } }, outcome: Answered, sends: ['g1@0', 'g2@3'] },
   { fault: 'stream stalls', moment: 'mid-answer', safety: Idempotent, scenario: { engines: { g1: interrupted(2, InterruptKind.Stalled), g2: healthy } }, outcome: Answered, sends: ['g1@0', 'g2@1'] },
+  { fault: 'engine pauses, no other group', moment: 'before the first chunk', safety: Idempotent, scenario: { engines: { g1: pauses(0) } }, outcome: Answered, sends: ['g1@0'] },
+  { fault: 'engine pauses, no other group', moment: 'mid-answer', safety: Idempotent, scenario: { engines: { g1: pauses(2) } }, outcome: Answered, sends: ['g1@0'] },
+  { fault: 'engine pauses, retry budget spent', moment: 'mid-answer', safety: Idempotent, scenario: { retryBudget: 0, engines: { g1: pauses(2), g2: healthy } }, outcome: Answered, sends: ['g1@0'] },
+  { fault: 'engine pauses, attempts used up', moment: 'mid-answer', safety: Idempotent, scenario: { engines: { g1: breaks(1), g2: breaks(2), g3: pauses(3), g4: healthy } }, outcome: Answered, sends: ['g1@0', 'g2@0', 'g3@1'] },
+  { fault: 'engine pauses', moment: 'mid-answer', safety: NonIdempotent, scenario: { engines: { g1: pauses(2), g2: healthy }, lookups: [null] }, outcome: Answered, sends: ['g1@0'] },
+  { fault: 'engine pauses', moment: 'before the first chunk', safety: NonIdempotent, scenario: { engines: { g1: pauses(0), g2: healthy }, lookups: [null] }, outcome: Answered, sends: ['g1@0'] },
+  { fault: 'engine stays silent', moment: 'before the first chunk', safety: Idempotent, scenario: { engines: { g1: staysSilent(0), g2: healthy } }, outcome: Answered, sends: ['g1@0', 'g2@0'], cancelled: [1] },
+  { fault: 'engine stays silent', moment: 'mid-answer', safety: Idempotent, scenario: { engines: { g1: staysSilent(2), g2: healthy } }, outcome: Answered, sends: ['g1@0', 'g2@1'], cancelled: [1] },
+  { fault: 'engine stays silent', moment: 'before the end chunk', safety: Idempotent, scenario: { engines: { g1: staysSilent(6), g2: healthy } }, outcome: Answered, sends: ['g1@0', 'g2@5'], cancelled: [1] },
+  { fault: 'engine pauses, second engine silent', moment: 'mid-answer', safety: Idempotent, scenario: { engines: { g1: pauses(2, 3), g2: staysSilent(2) } }, outcome: Answered, sends: ['g1@0', 'g2@1'], cancelled: [2] },
+  { fault: 'two engines stay silent', moment: 'mid-answer', safety: Idempotent, scenario: { engines: { g1: staysSilent(2), g2: staysSilent(2), g3: healthy } }, outcome: Answered, sends: ['g1@0', 'g2@1', 'g3@1'], cancelled: [1, 2] },
+  { fault: 'engine pauses, other groups refuse', moment: 'mid-answer', safety: Idempotent, scenario: { engines: { g1: pauses(2, 9), g2: full, g3: refuses } }, outcome: Answered, sends: ['g1@0', 'g2@1', 'g3@1'] },
+  { fault: 'engine pauses, second engine disagrees', moment: 'mid-answer', safety: Idempotent, scenario: { engines: { g1: pauses(2, 3), g2: diverges } }, outcome: Answered, sends: ['g1@0', 'g2@1'], cancelled: [2] },
+  { fault: 'engine pauses, second engine reports a client error', moment: 'mid-answer', safety: Idempotent, scenario: { engines: { g1: pauses(2, 3), g2: failsWith(400) } }, outcome: Answered, sends: ['g1@0', 'g2@1'] },
+  { fault: 'silent engine breaks, second engine pauses', moment: 'mid-answer', safety: Idempotent, scenario: { engines: { g1: (a) => [...tokens(0, 2, a), silence, error({ kind: EndpointErrorKind.Broken, reason: 'reset', offset: 2 })], g2: pauses(2) } }, outcome: Answered, sends: ['g1@0', 'g2@1'] },
+  { fault: 'all engines silent, deadline passes', moment: 'mid-answer', safety: Idempotent, scenario: { engines: { g1: staysSilent(2), g2: (a, from) => [...tokens(from, 2, a), silence, { kind: InterruptKind.Deadline }] } }, outcome: Unknown, reason: OutcomeReason.DeadlineExceeded, sends: ['g1@0', 'g2@1'], cancelled: [1, 2] },
+  { fault: 'silent engine and second engine refuse', moment: 'before the first chunk', safety: Idempotent, scenario: { engines: { g1: (a) => [silence, ...full(a, 0)], g2: full, g3: full } }, outcome: NotRun, reason: OutcomeReason.Overloaded, sends: ['g1@0', 'g2@0', 'g3@0'] },
+  { fault: 'connection no longer brings what the engine produces', moment: 'mid-answer', safety: NonIdempotent, scenario: { engines: { g1: staysSilent(2), g2: healthy }, lookups: [StreamState.Running] }, outcome: Answered, sends: ['g1@0'] },
+  { fault: 'engine cancelled the request and is silent', moment: 'mid-answer', safety: NonIdempotent, scenario: { engines: { g1: staysSilent(2), g2: healthy }, lookups: [StreamState.Cancelled] }, outcome: Failed, sends: ['g1@0'] },
+  { fault: 'engine stays silent, deadline passes', moment: 'mid-answer', safety: NonIdempotent, scenario: { engines: { g1: (a) => [...tokens(0, 2, a), silence, silence, { kind: InterruptKind.Deadline }], g2: healthy }, lookups: [StreamState.Absent] }, outcome: Unknown, reason: OutcomeReason.DeadlineExceeded, sends: ['g1@0'], cancelled: [] },
   { fault: 'chunk missing', moment: 'mid-answer', safety: Idempotent, scenario: { engines: { g1: (a) => [...tokens(0, 2, a), ...tokens(3, 6, a), end(6, a)], g2: healthy } }, outcome: Answered, sends: ['g1@0', 'g2@1'] },
   { fault: 'chunks reordered', moment: 'mid-answer', safety: Idempotent, scenario: { engines: { g1: (a) => [...tokens(0, 1, a), ...tokens(2, 3, a), ...tokens(1, 2, a)], g2: healthy } }, outcome: Answered, sends: ['g1@0', 'g2@0'] },
   { fault: 'chunks duplicated', moment: 'mid-answer', safety: NonIdempotent, scenario: { engines: { g1: (a) => [...tokens(0, 3, a), ...tokens(1, 3, a), ...tokens(3, 6, a), end(6, a)] } }, outcome: Answered, sends: ['g1@0'] },
@@ -181,8 +221,10 @@
 describe('runModelRequest', () => {
   for (const row of rows) {
     it(`${row.safety}: ${row.fault}, ${row.moment} -> ${row.outcome}`, async () => {
-      const { result, text, sends, deliveredOffsets } = await runScenario(row.scenario, row.safety)
+      const { result, text, sends, deliveredOffsets, cancelled, openStreams } = await runScenario(row.scenario, row.safety)
       expect({ outcome: result.outcome.kind, sends }).to.deep.equal({ outcome: row.outcome, sends: row.sends })
+      expect(openStreams, 'open streams').to.equal(0)
+      if (row.cancelled !== undefined) expect(cancelled).to.deep.equal(row.cancelled)
       if (row.reason !== undefined) expect(result.outcome.reason).to.equal(row.reason)
       if (row.outcome === Answered) expect({ text, tokens: result.completionTokens }).to.deep.equal({ text: WHOLE, tokens: 6 })
       expect(WHOLE.startsWith(text), `delivered ${JSON.stringify(text)}`).to.equal(true)
--- a/packages/dotterelspur/src/request/lifecycle/runModelRequest.ts
+++ b/packages/dotterelspur/src/request/lifecycle/runModelRequest.ts
@@ -1,61 +1,16 @@
-import { EndpointErrorKind, StreamEventKind, StreamState, type EndpointError, type FinishReason, type GenerateChunk } from '../../connection/EngineApi.js'
-import type { RequestId } from '../../process/ids.js'
+import { StreamState } from '../../connection/EngineApi.js'
 import { perform, type Procedure } from '../../process/Procedure.js'
 import { OutcomeReason, type Outcome } from '../Outcome.js'
-import { EMPTY_PROGRESS, JoinKind, extendProgress, joinChunk, type AnswerProgress } from './AnswerProgress.js'
-import { ChunkVerdictKind, checkChunk, type ChunkCursor, type ChunkVerdict } from './ChunkCursor.js'
+import { EMPTY_PROGRESS } from './AnswerProgress.js'
+import { AttemptEndKind, type AttemptEnd } from './AttemptEnd.js'
+import { followStreams } from './followStreams.js'
 import type { GroupView } from './dispatchChecks.js'
 import {
-  InterruptKind, LifecycleEffectKind, RequestSafety, isInterrupt,
-  type CloseStreamEffect, type DeliverEffect, type CheckPoisonEffect, type LookupEffect, type ModelEffects, type ModelResult, type NextEventEffect,
-  type ResumeEffect, type SelectGroupEffect, type SendEffect, type SpendRetryEffect, type RestartAnswerEffect, type WaitEffect
+  LifecycleEffectKind, RequestSafety,
+  type CheckPoisonEffect, type LookupEffect, type ModelEffects, type ModelResult, type RestartAnswerEffect, type ResumeEffect, type SelectGroupEffect, type SpendRetryEffect, type WaitEffect
 } from './LifecycleEffects.js'
-import { answered, failedByEndpoint, notRun, unknownOutcome } from './outcomes.js'
-
-export interface ModelPlan {
-  readonly requestId: RequestId
-  readonly safety: RequestSafety
-  /** Maximum number of sends per request. */
-  readonly maxAttempts: number
-  /** Maximum number of stream lookups at the endpoint after an ambiguous send of a non-idempotent request. */
-  readonly maxLookups: number
-  /** Delay between two lookups, and between two selections while no group can continue the answer. */
-  readonly retryDelayMs: number
-  /** Selections without a group, after the first attempt, before the request is given up. */
-  readonly maxFailedSelections: number
-}
-
-enum AttemptResultKind {
-  Completed = 'whole',
-  /** The endpoint did not run the request and will not. */
-  Refused = 'refused',
-  /** The request may have run, or may still be running. */
-  Lost = 'lost',
-  /** The endpoint reported that the request failed. */
-  Failed = 'failed',
-  /** Ended by the caller's disconnect or by the deadline. */
-  Interrupted = 'stopped',
-  /** The engine's text differs from the text that the caller has. */
-  Diverged = 'differs'
-}
-
-type AttemptResult =
-  | { readonly kind: AttemptResultKind.Completed, readonly finishReason: FinishReason, readonly promptTokens: number }
-  | { readonly kind: AttemptResultKind.Refused, readonly reason: string, readonly busy: boolean, readonly retryAfterMs: number | null }
-  | { readonly kind: AttemptResultKind.Lost, readonly reason: string }
-  | { readonly kind: AttemptResultKind.Failed, readonly reason: string, readonly status: number }
-  | { readonly kind: AttemptResultKind.Interrupted, readonly interrupt: InterruptKind }
-  | { readonly kind: AttemptResultKind.Diverged }
-
-interface ModelRun {
-  readonly plan: ModelPlan
-  progress: AnswerProgress
-  attempt: number
-  failedSelections: number
-  excluded: string[]
-  /** An attempt may have run at an endpoint, so not-run is no longer a valid outcome. */
-  mayHaveRun: boolean
-}
+import { cancelOthers, closeAttempt, createRun, finish, interruptedOutcome, notRunOrUnknown, openAttempt, sendAttempt, type ModelPlan, type ModelRun, type OpenAttempt } from './ModelRun.js'
+import { answered, failedByEndpoint, unknownOutcome } from './outcomes.js'
 
 type StepResult = ModelResult | null
 
@@ -68,138 +23,76 @@
  * After an unsuccessful attempt, unless the endpoint reports a client error, an idempotent request is continued at
  * another group from the start of the last chunk handed to the caller. A non-idempotent request is sent to another group
  * only after a refusal, which proves that it did not run. After a lost connection it is never sent again; its stream is
- * looked up at the endpoint and followed instead.
+ * looked up at the endpoint and followed instead. A silent attempt stays open until it ends, another one continues the answer, or
+ * the request is interrupted.
  */
 export function * runModelRequest (plan: ModelPlan): Procedure<ModelEffects, ModelResult> {
-  const run: ModelRun = { plan, progress: EMPTY_PROGRESS, attempt: 0, failedSelections: 0, excluded: [], mayHaveRun: false }
-  let staleSelections = 0
+  const run = createRun(plan)
   for (;;) {
-    const selection = yield * perform<SelectGroupEffect>({ kind: LifecycleEffectKind.SelectGroup, excluded: run.excluded, version: run.progress.version })
-    if (!selection.ok) {
-      const ended = yield * afterFailedSelection(run, selection.error)
-      if (ended !== null) return ended
-      continue
-    }
-    const group = selection.value
-    const sent = yield * send(run, group)
-    if (!sent) {
-      staleSelections += 1
-      if (staleSelections >= MAX_STALE_SELECTIONS) return finish(run, notRunOrUnknown(run, OutcomeReason.NoReplica, 'no group remained complete until the request could be sent'))
-      continue
-    }
-    const result = yield * followStream(run, group)
-    const ended = yield * afterAttempt(run, group, result)
+    const ended = run.open.length === 0 ? yield * startAttempt(run) : yield * followAttempts(run)
     if (ended !== null) return ended
   }
 }
 
-function * send (run: ModelRun, group: GroupView): Procedure<ModelEffects, boolean> {
-  const { baseOffset, baseText } = run.progress
-  const sent = yield * perform<SendEffect>({ kind: LifecycleEffectKind.Send, group, attempt: run.attempt + 1, resumeOffset: baseOffset, resumeText: baseText })
-  if (sent) run.attempt += 1
-  return sent
-}
-
-function * followStream (run: ModelRun, group: GroupView): Procedure<ModelEffects, AttemptResult> {
-  let cursor: ChunkCursor = { requestId: run.plan.requestId, attempt: run.attempt, offset: run.progress.baseOffset }
-  let expected = run.progress.lastChunkText
-  for (;;) {
-    const event = yield * perform<NextEventEffect>({ kind: LifecycleEffectKind.NextEvent })
-    if (event === null) return lost('the stream ended without an end chunk')
-    if (isInterrupt(event)) return event.kind === InterruptKind.Stalled ? lost('the stream stalled') : { kind: AttemptResultKind.Interrupted, interrupt: event.kind }
-    if (event.kind === StreamEventKind.Error) return resultOfError(event.error)
-    const verdict = checkChunk(cursor, event.chunk)
-    cursor = verdict.cursor
-    if (verdict.kind === ChunkVerdictKind.Drop) continue
-    if (verdict.kind !== ChunkVerdictKind.Accept) return resultOfVerdict(run, verdict, event.chunk)
-    const join = joinChunk(expected, run.progress.offset, cursor.offset, verdict.text)
-    if (join.kind === JoinKind.Diverged) return { kind: AttemptResultKind.Diverged }
-    expected = join.kind === JoinKind.Overlap ? join.expected : ''
-    if (join.kind === JoinKind.Overlap) continue
-    const { offset } = run.progress
-    run.progress = extendProgress(run.progress, group.version, join.text, join.tokens)
-    yield * perform<DeliverEffect>({ kind: LifecycleEffectKind.Deliver, offset, text: join.text, tokens: join.tokens })
-  }
+function * startAttempt (run: ModelRun): Procedure<ModelEffects, StepResult> {
+  const selection = yield * perform<SelectGroupEffect>({ kind: LifecycleEffectKind.SelectGroup, excluded: run.excluded, version: run.progress.version })
+  if (!selection.ok) return yield * afterFailedSelection(run, selection.error)
+  const sent = yield * sendAttempt(run, selection.value)
+  if (sent) return null
+  run.staleSelections += 1
+  if (run.staleSelections < MAX_STALE_SELECTIONS) return null
+  return finish(run, notRunOrUnknown(run, OutcomeReason.NoReplica, 'no group remained complete until the request could be sent'))
 }
 
-function resultOfVerdict (run: ModelRun, verdict: ChunkVerdict, chunk: GenerateChunk): AttemptResult {
-  if (verdict.kind === ChunkVerdictKind.Completed) {
-    if (verdict.cursor.offset < run.progress.offset) return lost(`end at offset ${verdict.cursor.offset}, but the caller has ${run.progress.offset} tokens`)
-    return { kind: AttemptResultKind.Completed, finishReason: verdict.finishReason, promptTokens: verdict.promptTokens }
-  }
-  if (verdict.kind === ChunkVerdictKind.Cancelled) return { kind: AttemptResultKind.Failed, reason: 'the engine cancelled the request', status: 0 }
-  return lost(verdict.kind === ChunkVerdictKind.Broken ? verdict.reason : `unexpected chunk of attempt ${chunk.attempt}`)
+function * followAttempts (run: ModelRun): Procedure<ModelEffects, StepResult> {
+  const { open, end } = yield * followStreams(run)
+  return yield * afterAttempt(run, open, end)
 }
 
-function lost (reason: string): AttemptResult {
-  return { kind: AttemptResultKind.Lost, reason }
-}
+type EndHandlers = { readonly [Kind in AttemptEndKind]: (run: ModelRun, open: OpenAttempt, end: Extract<AttemptEnd, { kind: Kind }>) => Procedure<ModelEffects, StepResult> }
 
-function refused (error: { readonly reason: string, readonly retryAfterMs?: number }, busy: boolean): AttemptResult {
-  return { kind: AttemptResultKind.Refused, reason: error.reason, busy, retryAfterMs: error.retryAfterMs ?? null }
-}
-
-const RESULT_OF_ERROR: { readonly [Kind in EndpointErrorKind]: (error: Extract<EndpointError, { kind: Kind }>) => AttemptResult } = {
-  [EndpointErrorKind.NotRun]: (error) => refused(error, false),
-  [EndpointErrorKind.WrongFormation]: (error) => refused(error, false),
-  [EndpointErrorKind.Fenced]: (error) => refused({ reason: `fenced by ${error.highestFencing}` }, false),
-  [EndpointErrorKind.Refused]: (error) => refused(error, true),
-  [EndpointErrorKind.Ambiguous]: (error) => lost(error.reason),
-  [EndpointErrorKind.Broken]: (error) => lost(error.reason),
-  [EndpointErrorKind.Malformed]: (error) => lost(error.reason),
-  [EndpointErrorKind.Failed]: (error) => ({ kind: AttemptResultKind.Failed, reason: error.reason, status: error.status })
-}
-
-function resultOfError (error: EndpointError): AttemptResult {
-  return (RESULT_OF_ERROR[error.kind] as (error: EndpointError) => AttemptResult)(error)
-}
-
-type ResultHandlers = { readonly [Kind in AttemptResultKind]: (run: ModelRun, group: GroupView, result: Extract<AttemptResult, { kind: Kind }>) => Procedure<ModelEffects, StepResult> }
-
-const RESULT_HANDLERS: ResultHandlers = {
-  [AttemptResultKind.Completed]: function * (run, _group, result) {
-    yield * closeStream(false)
-    return finish(run, answered(), result.finishReason, result.promptTokens)
+const END_HANDLERS: EndHandlers = {
+  [AttemptEndKind.Completed]: function * (run, open, end) {
+    yield * closeAttempt(run, open, false)
+    yield * cancelOthers(run, open)
+    return finish(run, answered(), end.finishReason, end.promptTokens)
   },
-  [AttemptResultKind.Refused]: function * (run, group, result) {
-    yield * closeStream(false)
-    const reason = result.busy ? OutcomeReason.Overloaded : OutcomeReason.NoReplica
-    return yield * retryElsewhere(run, group, notRunOrUnknown(run, reason, result.reason, result.retryAfterMs))
+  [AttemptEndKind.Refused]: function * (run, open, end) {
+    yield * closeAttempt(run, open, false)
+    const reason = end.busy ? OutcomeReason.Overloaded : OutcomeReason.NoReplica
+    return yield * retryElsewhere(run, open, notRunOrUnknown(run, reason, end.reason, end.retryAfterMs))
   },
-  [AttemptResultKind.Lost]: function * (run, group, result) {
+  [AttemptEndKind.Lost]: function * (run, open, end) {
     run.mayHaveRun = true
-    yield * closeStream(run.plan.safety === RequestSafety.Idempotent)
-    if (run.plan.safety === RequestSafety.NonIdempotent) return yield * recoverStream(run, group, result.reason)
-    return yield * retryElsewhere(run, group, unknownOutcome(OutcomeReason.StreamBroken, result.reason))
+    yield * closeAttempt(run, open, run.plan.safety === RequestSafety.Idempotent)
+    if (run.plan.safety === RequestSafety.NonIdempotent) return yield * recoverStream(run, open.group, end.reason)
+    return yield * retryElsewhere(run, open, unknownOutcome(OutcomeReason.StreamBroken, end.reason))
   },
-  [AttemptResultKind.Failed]: function * (run, group, result) {
+  [AttemptEndKind.Failed]: function * (run, open, end) {
     run.mayHaveRun = true
-    yield * closeStream(false)
-    const outcome = failedByEndpoint(OutcomeReason.EndpointFailed, result.reason)
-    if (run.plan.safety === RequestSafety.NonIdempotent || isClientError(result.status)) return finish(run, outcome)
-    return yield * retryElsewhere(run, group, outcome)
+    yield * closeAttempt(run, open, false)
+    const outcome = failedByEndpoint(OutcomeReason.EndpointFailed, end.reason)
+    const isFinal = run.plan.safety === RequestSafety.NonIdempotent || isClientError(end.status)
+    if (isFinal && run.open.length === 0) return finish(run, outcome)
+    return yield * retryElsewhere(run, open, outcome)
   },
-  [AttemptResultKind.Interrupted]: function * (run, _group, result) {
+  [AttemptEndKind.Interrupted]: function * (run, _open, end) {
     run.mayHaveRun = true
-    yield * closeStream(run.plan.safety === RequestSafety.Idempotent)
-    return finish(run, interruptedOutcome(run, result.interrupt))
+    for (const open of run.open) yield * closeAttempt(run, open, run.plan.safety === RequestSafety.Idempotent)
+    return finish(run, interruptedOutcome(run, end.interrupt))
   },
-  [AttemptResultKind.Diverged]: function * (run, group) {
+  [AttemptEndKind.Diverged]: function * (run, open) {
     run.mayHaveRun = true
-    yield * closeStream(true)
-    const restarted = yield * restartAnswer(run)
+    yield * closeAttempt(run, open, true)
     const outcome = unknownOutcome(OutcomeReason.StreamBroken, 'the answer could not be continued: the engine produced different text')
-    return restarted ? yield * retryElsewhere(run, group, outcome) : finish(run, outcome)
+    if (run.open.length > 0 || (yield * restartAnswer(run))) return yield * retryElsewhere(run, open, outcome)
+    return finish(run, outcome)
   }
 }
 
-function * afterAttempt (run: ModelRun, group: GroupView, result: AttemptResult): Procedure<ModelEffects, StepResult> {
-  const handler = RESULT_HANDLERS[result.kind] as (run: ModelRun, group: GroupView, result: AttemptResult) => Procedure<ModelEffects, StepResult>
-  return yield * handler(run, group, result)
-}
-
-function * closeStream (cancel: boolean): Procedure<ModelEffects, void> {
-  yield * perform<CloseStreamEffect>({ kind: LifecycleEffectKind.CloseStream, cancel })
+function * afterAttempt (run: ModelRun, open: OpenAttempt, end: AttemptEnd): Procedure<ModelEffects, StepResult> {
+  const handler = END_HANDLERS[end.kind] as (run: ModelRun, open: OpenAttempt, end: AttemptEnd) => Procedure<ModelEffects, StepResult>
+  return yield * handler(run, open, end)
 }
 
 /** Discards the answer so far if the caller has received none of it. The next attempt may then use any version. */
@@ -210,13 +103,15 @@
   return allowed
 }
 
-function * retryElsewhere (run: ModelRun, group: GroupView, fallback: Outcome): Procedure<ModelEffects, StepResult> {
+/** Prepares the next attempt, or ends the request with `fallback`; while other attempts are open, the request goes on with them. */
+function * retryElsewhere (run: ModelRun, { group }: OpenAttempt, fallback: Outcome): Procedure<ModelEffects, StepResult> {
   run.excluded.push(group.group)
+  if (run.open.length > 0) return null
   if (run.attempt >= run.plan.maxAttempts) return finish(run, fallback)
   const isAllowedByPoisonCheck = yield * perform<CheckPoisonEffect>({ kind: LifecycleEffectKind.CheckPoison })
   if (!isAllowedByPoisonCheck) return finish(run, fallback)
-  const hasRetryBudget = yield * perform<SpendRetryEffect>({ kind: LifecycleEffectKind.SpendRetry })
-  if (hasRetryBudget) return null
+  run.hasUnusedRetry ||= yield * perform<SpendRetryEffect>({ kind: LifecycleEffectKind.SpendRetry })
+  if (run.hasUnusedRetry) return null
   return finish(run, { ...fallback, reason: OutcomeReason.RetryBudgetExhausted, message: `${fallback.message}; the retry budget is exhausted` })
 }
 
@@ -246,9 +141,10 @@
     if (state === StreamState.Cancelled) return finish(run, failedByEndpoint(OutcomeReason.StreamBroken, 'the engine cancelled the request before it completed'))
     if (state === StreamState.Running || state === StreamState.Whole) {
       yield * perform<ResumeEffect>({ kind: LifecycleEffectKind.Resume, group, attempt: run.attempt, offset: run.progress.baseOffset })
-      const result = yield * followStream(run, group)
-      if (result.kind === AttemptResultKind.Completed || result.kind === AttemptResultKind.Failed || result.kind === AttemptResultKind.Interrupted) return yield * afterAttempt(run, group, result)
-      yield * closeStream(false)
+      run.open.push(openAttempt(run, group))
+      const { open, end } = yield * followStreams(run)
+      if (FINAL_ENDS.has(end.kind)) return yield * afterAttempt(run, open, end)
+      yield * closeAttempt(run, open, false)
     }
     const interrupt = yield * perform<WaitEffect>({ kind: LifecycleEffectKind.Wait, durationMs: run.plan.retryDelayMs })
     if (interrupt !== null) return finish(run, interruptedOutcome(run, interrupt.kind))
@@ -256,24 +152,9 @@
   return finish(run, unknownOutcome(OutcomeReason.StreamBroken, cause))
 }
 
-const INTERRUPT_REASON: { readonly [Kind in InterruptKind]: OutcomeReason } = {
-  [InterruptKind.CallerGone]: OutcomeReason.Cancelled,
-  [InterruptKind.Deadline]: OutcomeReason.DeadlineExceeded,
-  [InterruptKind.Stalled]: OutcomeReason.StreamBroken
-}
-
-function interruptedOutcome (run: ModelRun, interrupt: InterruptKind): Outcome {
-  return notRunOrUnknown(run, INTERRUPT_REASON[interrupt], interrupt === InterruptKind.Deadline ? 'the deadline passed' : 'the caller disconnected', null)
-}
-
-function notRunOrUnknown (run: ModelRun, reason: OutcomeReason, message: string, retryAfterMs: number | null = null): Outcome {
-  return run.mayHaveRun ? unknownOutcome(reason, message, retryAfterMs) : notRun(reason, message, retryAfterMs ?? undefined)
-}
+/** Ends of a resumed stream after which it is not looked up again. */
+const FINAL_ENDS: ReadonlySet<AttemptEndKind> = new Set([AttemptEndKind.Completed, AttemptEndKind.Failed, AttemptEndKind.Interrupted])
 
 function isClientError (status: number): boolean {
   return status >= 400 && status < 500
 }
-
-function finish (run: ModelRun, outcome: Outcome, finishReason: FinishReason | null = null, promptTokens = 0): ModelResult {
-  return { outcome, finishReason, promptTokens, completionTokens: run.progress.offset, attempts: run.attempt }
-}
