Endpoint client: silence is reported and ends no stream

Callers saw a stream end, or be sent again from its last chunk, after 3 s without a chunk (2 s without the head, 30 s without the first chunk), although the engine had only paused. The HTTP client ended the exchange at these limits with `Broken` or `Ambiguous`, before the entry's own limit of 15 s was ever reached, and the entry took that for a lost connection.

The client now yields a `Silent` event at the same limits, again while the silence lasts, and keeps the exchange. The entry treats it like silence that it has noticed itself: the request may run at another group beside it. A request that still waits for a connection at the limit ends as `NotRun`, as before: nothing of it was sent. A refusal whose body is silent for 2 s stays `Ambiguous`. The stream of an id whose home is gone is followed until the request's deadline, which nothing bounded but this silence.

--- a/packages/dotterelspur-endpoint/src/process/EndpointSettings.ts
+++ b/packages/dotterelspur-endpoint/src/process/EndpointSettings.ts
@@ -2,11 +2,14 @@
 export interface EndpointSettings {
   /** No connection by then: nothing was sent. */
   readonly connectTimeoutMs: number
-  /** The head of an answer to a model request must come within this time; engines send it when they take the request. */
+  /**
+   * A model request whose head has not come within this time is reported as silent; engines send it when they take the request. A
+   * request that still waits for a connection by then is not sent.
+   */
   readonly answerTimeoutMs: number
-  /** The first chunk of a stream must come within this time: waiting at the engine and reading the prompt. */
+  /** A stream without its first chunk by then is reported as silent: waiting at the engine and reading the prompt. */
   readonly firstChunkTimeoutMs: number
-  /** The longest silence between two chunks. */
+  /** A stream that is silent for this long between two chunks is reported. */
   readonly chunkTimeoutMs: number
   /** After the end mark the connection must be free within this time to be used again. */
   readonly drainTimeoutMs: number
--- a/packages/dotterelspur-endpoint/src/process/HttpEngineClient.ts
+++ b/packages/dotterelspur-endpoint/src/process/HttpEngineClient.ts
@@ -5,7 +5,7 @@
 import { PoolKind } from '../connection/ConnectionPools.js'
 import { CACHE_EVENT_PAGE, ENGINE_PRESENCE, STREAM_STATUS, VM_STATUS } from '../connection/StatusCodec.js'
 import { readEngineError, readExchangeFailure } from '../request/EngineAnswer.js'
-import { EngineStream } from '../request/EngineStream.js'
+import { EngineStream, silentEvent } from '../request/EngineStream.js'
 import type { Exchange } from '../request/Exchange.js'
 import { startAssembly } from '../request/StreamAssembly.js'
 import { EndpointCaller, queueFull } from './EndpointCaller.js'
@@ -92,6 +92,7 @@
     const { settings } = this.caller
     const stream = new EngineStream(exchange, startAssembly(request.requestId, request.attempt, request.offset), settings)
     try {
+      while (!await exchange.headComes(settings.answerTimeoutMs)) yield silentEvent(settings.answerTimeoutMs)
       const refusal = await this.refusalOf(exchange)
       if (refusal === undefined) yield * stream.events()
       else yield errorEvent(refusal)
@@ -101,7 +102,7 @@
     }
   }
 
-  /** Waits for the head of the answer; undefined when a stream follows. */
+  /** Reads the head of the answer, which has come; undefined when a stream follows. */
   private async refusalOf (exchange: Exchange): Promise<EndpointError | undefined> {
     const { answerTimeoutMs, answerBytes } = this.caller.settings
     const head = await exchange.answer(answerTimeoutMs)
--- a/packages/dotterelspur-endpoint/src/request/EngineStream.ts
+++ b/packages/dotterelspur-endpoint/src/request/EngineStream.ts
@@ -6,7 +6,7 @@
 import { acceptClose, acceptLine } from './StreamAssembly.js'
 import type { StreamAssembly } from './StreamAssembly.js'
 
-/** The chunks of one answer's body, checked one by one; ends with the End chunk or an error. */
+/** The chunks of one answer's body, checked one by one; ends with the End chunk or an error. Silence is reported and ends nothing. */
 export class EngineStream {
   private readonly lines: LineSplitter
   private started = false
@@ -23,6 +23,7 @@
   async * events (): AsyncGenerator<StreamEvent, void, undefined> {
     for (;;) {
       const timeoutMs = this.started ? this.settings.chunkTimeoutMs : this.settings.firstChunkTimeoutMs
+      while (!await this.exchange.bodyComes(timeoutMs)) yield silentEvent(timeoutMs)
       const step = await this.exchange.next(timeoutMs)
       if (!step.ok) return yield this.brokenOff(step.error.reason)
       if (step.value.chunk === undefined) return yield errorEvent(acceptClose(this.assembly)!)
@@ -50,6 +51,10 @@
   }
 }
 
+export function silentEvent (silentMs: number): StreamEvent {
+  return { kind: StreamEventKind.Silent, silentMs }
+}
+
 function errorEvent (error: EndpointError): StreamEvent {
   return { kind: StreamEventKind.Error, error }
 }
--- a/packages/dotterelspur-endpoint/src/request/Exchange.ts
+++ b/packages/dotterelspur-endpoint/src/request/Exchange.ts
@@ -71,6 +71,22 @@
     if (this.failure === undefined) dispatcher.dispatch(request, this)
   }
 
+  /**
+   * Whether the head, or the end of the exchange, comes within `timeoutMs`; the exchange goes on without it. One that still waits
+   * for a connection by then ends: nothing of it was sent.
+   */
+  async headComes (timeoutMs: number): Promise<boolean> {
+    const hasCome = await this.waitUntil(() => this.head !== undefined, timeoutMs)
+    if (hasCome || this.phase !== ExchangePhase.Queued) return hasCome
+    this.stop(ExchangeEnd.TimedOut, `no connection within ${Math.round(timeoutMs)} ms`)
+    return true
+  }
+
+  /** Whether more of the body, or the end of the exchange, comes within `timeoutMs`; the exchange goes on without it. */
+  bodyComes (timeoutMs: number): Promise<boolean> {
+    return this.waitUntil(() => this.hasBody, timeoutMs)
+  }
+
   /** The head of the answer, within `timeoutMs` of this call. A failure after it shows in the body. */
   async answer (timeoutMs: number): Promise<Result<AnswerHead, ExchangeFailure>> {
     await this.waitFor(() => this.head !== undefined, timeoutMs)
@@ -79,7 +95,7 @@
 
   /** The next part of the body. What was received before a failure is given first. */
   async next (timeoutMs: number): Promise<Result<BodyStep, ExchangeFailure>> {
-    await this.waitFor(() => this.chunks.length > 0 || this.phase === ExchangePhase.Complete, timeoutMs)
+    await this.waitFor(() => this.hasBody, timeoutMs)
     const chunk = this.chunks.shift()
     if (chunk !== undefined) {
       this.bufferedBytes -= chunk.length
@@ -162,14 +178,26 @@
     return () => { signal.removeEventListener('abort', onAbort) }
   }
 
+  private get hasBody (): boolean {
+    return this.chunks.length > 0 || this.phase === ExchangePhase.Complete
+  }
+
   private async waitFor (ready: () => boolean, timeoutMs: number): Promise<void> {
-    while (!ready() && this.failure === undefined) {
-      const cancel = this.options.clock.registerTimer(timeoutMs, () => {
-        this.stop(ExchangeEnd.TimedOut, `nothing came within ${Math.round(timeoutMs)} ms`)
-      })
-      await new Promise<void>((resolve) => { this.wake = resolve })
-      cancel()
-    }
+    const isOver = await this.waitUntil(ready, timeoutMs)
+    if (!isOver) this.stop(ExchangeEnd.TimedOut, `nothing came within ${Math.round(timeoutMs)} ms`)
+  }
+
+  /** False if it is neither ready nor has failed within the time. */
+  private async waitUntil (ready: () => boolean, timeoutMs: number): Promise<boolean> {
+    const isOver = (): boolean => ready() || this.failure !== undefined
+    const timer = { hasFired: false }
+    const cancel = this.options.clock.registerTimer(timeoutMs, () => {
+      timer.hasFired = true
+      this.notify()
+    })
+    while (!isOver() && !timer.hasFired) await new Promise<void>((resolve) => { this.wake = resolve })
+    cancel()
+    return isOver()
   }
 
   private stop (end: ExchangeEnd, reason: string): ExchangeFailure {
--- a/packages/dotterelspur-entry/src/__tests__/unit/silentEngines.test.ts
+++ b/packages/dotterelspur-entry/src/__tests__/unit/silentEngines.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import { setTimeout as delay } from 'node:timers/promises'
-import { EndpointErrorKind } from 'dotterelspur'
+import { EndpointErrorKind, StreamEventKind } from 'dotterelspur'
 import { ANSWER, endEvent, errorEvent, tokenEvents, type EngineBehaviour } from '../fixtures/FakeEngines.js'
 import { CHAT_BODY, callEntry, startHarness, type Harness, type HarnessOptions } from '../fixtures/harness.js'
 
@@ -21,6 +21,17 @@
   }
 }
 
+/** Sends two tokens, is reported as silent, and sends the rest after a pause. */
+function reportedSilent (pauseMs: number): EngineBehaviour {
+  return async function * (request) {
+    yield * tokenEvents(request, 0, 2)
+    yield { kind: StreamEventKind.Silent, silentMs: 3_000 }
+    await delay(pauseMs)
+    yield * tokenEvents(request, 2, ANSWER.length)
+    yield endEvent(request)
+  }
+}
+
 const refuses: EngineBehaviour = async function * () {
   yield errorEvent({ kind: EndpointErrorKind.Refused, reason: 'full', retryAfterMs: 5_000 })
 }
@@ -51,6 +62,24 @@
     }
   }
 
+  for (const headers of [{}, NON_IDEMPOTENT]) {
+    const kind = headers === NON_IDEMPOTENT ? 'non-idempotent' : 'idempotent'
+    it(`deliver the whole ${kind} answer of the only engine, which the endpoint client reports as silent`, async () => {
+      await start({ groups: ['g1'], timing: {} })
+      harness.engines.next.push(reportedSilent(PAUSE_MS))
+      expect(await ask(headers)).to.equal(WHOLE)
+    })
+  }
+
+  it('continue an answer at another group as soon as the endpoint client reports silence', async () => {
+    await start({ timing: {} })
+    harness.engines.next.push(reportedSilent(5_000))
+    const startedAtMs = performance.now()
+    expect(await ask()).to.equal(WHOLE)
+    expect(performance.now() - startedAtMs).to.be.below(2_000)
+    expect(harness.engines.cancelled).to.have.length(1)
+  })
+
   it('deliver the whole answer of an engine that pauses while its group is incomplete', async () => {
     await start({ groups: ['g1'], timing: { lostGroupStallMs: IDLE_MS } })
     harness.engines.behaviours.set('http://g1', async function * (request, signal) {
--- a/packages/dotterelspur-entry/src/request/AttemptStream.ts
+++ b/packages/dotterelspur-entry/src/request/AttemptStream.ts
@@ -1,4 +1,4 @@
-import type { Clock, Interrupt, InterruptKind, StreamEvent, Teardown } from 'dotterelspur'
+import { StreamEventKind, type Clock, type Interrupt, type InterruptKind, type ReceivedEvent, type StreamEvent, type Teardown } from 'dotterelspur'
 
 export type OpenStream = (signal: AbortSignal) => AsyncIterable<StreamEvent>
 
@@ -37,16 +37,24 @@
   })
 }
 
-/** The event stream of one attempt. `onEvent` is called for each event that arrives, and the event is kept until it is taken. */
+export interface AttemptStreamListener {
+  /** An event has arrived; it is kept until it is taken. */
+  onEvent (): void
+  /** The stream has become silent by the endpoint client's limits. */
+  onSilent (): void
+}
+
+/** The event stream of one attempt. */
 export class AttemptStream {
   private readonly iterator: AsyncIterator<StreamEvent>
   private readonly abort = new AbortController()
   private isReading = false
-  private ready: StreamEvent | null | undefined
+  private ready: ReceivedEvent | null | undefined
+  private silent = false
   /** Time at which the next event was requested, on the node's clock. */
   private requestedAtMs = 0
 
-  constructor (open: OpenStream, private readonly clock: Clock, private readonly onEvent: () => void) {
+  constructor (open: OpenStream, private readonly clock: Clock, private readonly listener: AttemptStreamListener) {
     this.iterator = open(this.abort.signal)[Symbol.asyncIterator]()
     this.request()
   }
@@ -56,18 +64,21 @@
     return this.isReading ? this.clock.nowMs() - this.requestedAtMs : 0
   }
 
+  /** Whether the endpoint client has reported the stream as silent since its last event. */
+  get isSilent (): boolean {
+    return this.silent
+  }
+
   /** Requests one event, so that backpressure from the consumer reaches the engine's connection. */
   request (): void {
     if (this.isReading || this.ready !== undefined) return
     this.isReading = true
     this.requestedAtMs = this.clock.nowMs()
-    this.iterator.next().then(
-      (result) => { this.handleEvent(result.done === true ? null : result.value) },
-      () => { this.handleEvent(null) })
+    this.read()
   }
 
   /** The event that has arrived, null for the end of the stream; undefined if there is none. */
-  take (): StreamEvent | null | undefined {
+  take (): ReceivedEvent | null | undefined {
     const event = this.ready
     this.ready = undefined
     return event
@@ -78,9 +89,21 @@
     this.iterator.return?.().catch(() => {})
   }
 
+  private read (): void {
+    this.iterator.next().then(
+      (result) => { this.handleEvent(result.done === true ? null : result.value) },
+      () => { this.handleEvent(null) })
+  }
+
   private handleEvent (event: StreamEvent | null): void {
+    this.silent = event?.kind === StreamEventKind.Silent
+    if (event?.kind === StreamEventKind.Silent) {
+      this.read()
+      this.listener.onSilent()
+      return
+    }
     this.isReading = false
     this.ready = event
-    this.onEvent()
+    this.listener.onEvent()
   }
 }
--- a/packages/dotterelspur-entry/src/request/ModelAttempt.ts
+++ b/packages/dotterelspur-entry/src/request/ModelAttempt.ts
@@ -1,6 +1,6 @@
 import {
   AttemptResult, EndpointErrorKind, InterruptKind, StreamEventKind, groupTargetId, isInterrupt,
-  type ChunkKind, type EndpointError, type GroupView, type NextEvent, type RequestContent, type RouteAttempt, type StreamEvent
+  type ChunkKind, type EndpointError, type GroupView, type NextEvent, type ReceivedEvent, type RequestContent, type RouteAttempt
 } from 'dotterelspur'
 import type { ExchangeTracker } from 'dotterelspur-poison'
 import type { EntryContext } from '../process/EntryContext.js'
@@ -47,7 +47,7 @@
     this.route = null
   }
 
-  private noteStreamEvent (event: StreamEvent): void {
+  private noteStreamEvent (event: ReceivedEvent): void {
     if (event.kind === StreamEventKind.Chunk) this.noteChunk(event.chunk)
     else this.noteError(event.error)
   }
--- a/packages/dotterelspur-entry/src/request/OpenStreams.ts
+++ b/packages/dotterelspur-entry/src/request/OpenStreams.ts
@@ -18,7 +18,7 @@
   /** Opens a stream; it takes the place of the attempt's open one. */
   open (attempt: number, start: OpenStream): void {
     this.close(attempt)
-    this.streams.set(attempt, new AttemptStream(start, this.clock, () => { this.settle() }))
+    this.streams.set(attempt, new AttemptStream(start, this.clock, { onEvent: () => { this.settle() }, onSilent: () => { this.reportSilent() } }))
   }
 
   close (attempt: number): void {
@@ -40,11 +40,11 @@
     return new Promise((resolve) => { this.waiting = resolve })
   }
 
-  /** Reports silent streams to a call of `next`, which is waiting; without one nobody is waiting for the streams. */
-  reportSilent (isSilent: (attempt: number, silentMs: number) => boolean): void {
+  /** Reports silent streams, by their endpoint clients or by `isSilent`, to a call of `next` that is waiting. */
+  reportSilent (isSilent: (attempt: number, silentMs: number) => boolean = () => false): void {
     if (this.waiting === null) return
-    for (const [attempt, { silentMs }] of this.streams) {
-      if (isSilent(attempt, silentMs)) this.silent.add(attempt)
+    for (const [attempt, stream] of this.streams) {
+      if (stream.isSilent || isSilent(attempt, stream.silentMs)) this.silent.add(attempt)
     }
     this.settle()
   }
--- a/packages/dotterelspur-entry/src/request/StreamFinder.ts
+++ b/packages/dotterelspur-entry/src/request/StreamFinder.ts
@@ -23,9 +23,11 @@
 
   private async * follow (group: GroupView, request: RunRequest): RunEvents {
     const abort = new AbortController()
+    const cancelDeadline = this.context.clock.registerTimer(request.deadlineMs, () => { abort.abort() })
     let cursor: ChunkCursor = { requestId: request.requestId, attempt: null, offset: 0 }
     try {
       for await (const event of this.context.engines.resume(group.leaderAddress, request.requestId, 0, 0, abort.signal)) {
+        if (event.kind === StreamEventKind.Silent) continue
         if (event.kind === StreamEventKind.Error) break
         const verdict = checkChunk(cursor, event.chunk)
         const { offset } = cursor
@@ -44,6 +46,7 @@
       }
       yield [finishedWith(unknownOutcome(OutcomeReason.HomeGone, 'the home of this id is gone, and its stream broke off'))]
     } finally {
+      cancelDeadline()
       abort.abort()
     }
   }
--- a/packages/dotterelspur/src/connection/EngineApi.ts
+++ b/packages/dotterelspur/src/connection/EngineApi.ts
@@ -149,13 +149,18 @@
 export enum StreamEventKind {
   Chunk = 'chunk',
   /** The last event of a stream that did not end with its End chunk. */
-  Error = 'error'
+  Error = 'error',
+  /** Nothing has arrived for longer than the endpoint is expected to take. The stream stays open. */
+  Silent = 'silent'
 }
 
-export type StreamEvent =
+/** An event that an endpoint or its connection has brought about. */
+export type ReceivedEvent =
   | { readonly kind: StreamEventKind.Chunk, readonly chunk: GenerateChunk }
   | { readonly kind: StreamEventKind.Error, readonly error: EndpointError }
 
+export type StreamEvent = ReceivedEvent | { readonly kind: StreamEventKind.Silent, readonly silentMs: number }
+
 /** Model engines as the system uses them; implemented by one adapter and specified in docs/contracts/engine.md. */
 export interface EngineApi {
   /** Sends a presence probe to a VM. Cheap; sent twice a second. */
@@ -163,7 +168,7 @@
   /** Sends an order with the fencing number of the lease under which the order was decided. */
   order (address: string, order: EngineOrder, fencing: number, timeoutMs: number): Promise<Result<VmStatus, EndpointError>>
   /**
-   * Runs a request; the events end with an End chunk or an Error. Aborting the signal closes the connection, and the
+   * Runs a request; the events end with an End chunk or an Error, and silence ends nothing. Aborting the signal closes the connection, and the
    * engine cancels the request. A slow consumer causes backpressure on the engine's connection.
    */
   generate (address: string, request: GenerateRequest, signal: AbortSignal): AsyncIterable<StreamEvent>
--- a/packages/dotterelspur/src/request/lifecycle/LifecycleEffects.ts
+++ b/packages/dotterelspur/src/request/lifecycle/LifecycleEffects.ts
@@ -1,4 +1,4 @@
-import type { EndpointError, FinishReason, ServiceResponse, StreamEvent, StreamStatus } from '../../connection/EngineApi.js'
+import type { EndpointError, FinishReason, ReceivedEvent, ServiceResponse, StreamStatus } from '../../connection/EngineApi.js'
 import type { Effect } from '../../process/Procedure.js'
 import type { Result } from '../../process/Result.js'
 import type { Outcome } from '../Outcome.js'
@@ -26,7 +26,7 @@
 }
 
 /** Result of waiting for the next event. Null when the stream ended without an end chunk or an error. */
-export type NextEvent = StreamEvent | Interrupt | null
+export type NextEvent = ReceivedEvent | Interrupt | null
 
 /** The next event of the open streams; the attempt is of no meaning for an interrupt of the whole request. */
 export interface AttemptEvent {
--- a/packages/dotterelspur/src/request/lifecycle/followStreams.ts
+++ b/packages/dotterelspur/src/request/lifecycle/followStreams.ts
@@ -1,4 +1,4 @@
-import { StreamEventKind, StreamState, type StreamEvent } from '../../connection/EngineApi.js'
+import { StreamEventKind, StreamState, type ReceivedEvent } from '../../connection/EngineApi.js'
 import { invariant } from '../../process/invariant.js'
 import { perform, type Procedure } from '../../process/Procedure.js'
 import { JoinKind, extendProgress, joinChunk } from './AnswerProgress.js'
@@ -30,7 +30,7 @@
   }
 }
 
-function * handleEvent (run: ModelRun, open: OpenAttempt, event: StreamEvent | null): Procedure<ModelEffects, AttemptEnd | null> {
+function * handleEvent (run: ModelRun, open: OpenAttempt, event: ReceivedEvent | null): Procedure<ModelEffects, AttemptEnd | null> {
   if (event === null) return lost('the stream ended without an end chunk')
   if (event.kind === StreamEventKind.Error) return endOfError(event.error)
   open.isSilent = false
