Entries: a broken link to a request's home repeats no text

A caller whose streamed non-idempotent request ran at another node received the beginning of the answer twice when the link to that node broke and the run was followed again. The home then sends the whole answer from its start, and what the caller has is to be left out of it. The position in the new call was counted on from that of the broken one, so nothing was left out.

The position now starts anew with each call. The new test of silentEngines.test.ts breaks the link after two tokens; before it receives "TwoTwo trips, 41 km.", after it "Two trips, 41 km.".

--- a/packages/dotterelspur-entry/src/__tests__/unit/silentEngines.test.ts
+++ b/packages/dotterelspur-entry/src/__tests__/unit/silentEngines.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import { setTimeout as delay } from 'node:timers/promises'
-import { EndpointErrorKind, StreamEventKind } from 'dotterelspur'
+import { EndpointErrorKind, StreamEventKind, formatRequestId, homeOf } from 'dotterelspur'
 import { ANSWER, endEvent, errorEvent, tokenEvents, type EngineBehaviour } from '../fixtures/FakeEngines.js'
 import { CHAT_BODY, callEntry, startHarness, type Harness, type HarnessOptions } from '../fixtures/harness.js'
 
@@ -128,6 +128,29 @@
     expect(await ask()).to.equal(WHOLE)
   })
 
+  /** Streams an answer through another node than its home, while the link to the home is cut after two tokens for a while. */
+  async function askThroughCutLink (timing: HarnessOptions['timing'], cutMs: number): Promise<string> {
+    await start({ nodes: ['node-a', 'node-b'], timing })
+    const [home, other] = harness.nodes
+    const homeId = homeOf(home!.mesh.self)
+    harness.engines.next.push(async function * (request) {
+      yield * tokenEvents(request, 0, 2)
+      harness.network.cut.add(homeId)
+      await delay(cutMs)
+      harness.network.cut.delete(homeId)
+      yield * tokenEvents(request, 2, ANSWER.length)
+      yield endEvent(request)
+    })
+    const headers = { ...NON_IDEMPOTENT, 'idempotency-key': formatRequestId(homeId, Date.now(), 'random-0001') }
+    return await readText(await callEntry(other!, '/v1/chat/completions', { headers, body: { ...CHAT_BODY, stream: true } }))
+  }
+
+  // Guards against text that the caller receives twice when the home sends the whole answer again.
+  it('deliver each token once when the link to the home breaks', async () => {
+    expect(await askThroughCutLink({ retryPauseMs: 300 }, 50)).to.equal(WHOLE)
+    expect(harness.engines.runs).to.have.length(1)
+  })
+
   it('end an answer at its deadline when the only engine stays silent', async () => {
     await start({ groups: ['g1'] })
     harness.engines.behaviours.set('http://g1', pausesAfter(2, 5_000))
--- a/packages/dotterelspur-entry/src/request/HomeLink.ts
+++ b/packages/dotterelspur-entry/src/request/HomeLink.ts
@@ -94,6 +94,7 @@
 
   private async * call (home: HomeId, method: string, request: RunRequest | FollowRequest, relay: RelayDeduplicator): AsyncGenerator<readonly RunEvent[], CallResultKind> {
     const abort = new AbortController()
+    relay.beginCall()
     try {
       for await (const event of this.mesh.call(home, method, request, abort.signal)) {
         if (event.kind === CallEventKind.Error) return CALL_RESULT_BY_ERROR[event.error.kind]
@@ -158,6 +159,11 @@
     return this.passedCharacters > 0
   }
 
+  /** The next call delivers the answer from its start. */
+  beginCall (): void {
+    this.callCharacters = 0
+  }
+
   filter (batch: readonly RunEvent[]): readonly RunEvent[] {
     return batch.flatMap((event) => this.filterEvent(event))
   }
