Entries: a run at an unreachable home is followed until the deadline

Callers of a non-idempotent request got `unknown`, `home_gone` in the middle of the answer while its home went on with the run. When the link to the home breaks (its node is paused, or cut off from this one), the run was followed three times within 0.3 s, and then given up.

It is now followed until the request's deadline, or until the home's process is known to have terminated, with pauses that grow from one to ten retry pauses (1 s). After the third failed follow the engines are still asked for the stream, if the caller has nothing yet. Nothing is sent again, so a request that may run once runs once.

--- a/packages/dotterelspur-entry/src/__tests__/unit/silentEngines.test.ts
+++ b/packages/dotterelspur-entry/src/__tests__/unit/silentEngines.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import { setTimeout as delay } from 'node:timers/promises'
-import { EndpointErrorKind, StreamEventKind, formatRequestId, homeOf } from 'dotterelspur'
+import { EndpointErrorKind, StreamEventKind, StreamState, formatRequestId, homeOf } from 'dotterelspur'
 import { ANSWER, endEvent, errorEvent, tokenEvents, type EngineBehaviour } from '../fixtures/FakeEngines.js'
 import { CHAT_BODY, callEntry, startHarness, type Harness, type HarnessOptions } from '../fixtures/harness.js'
 
@@ -151,6 +151,26 @@
     expect(harness.engines.runs).to.have.length(1)
   })
 
+  it('deliver the answer of a home that can\'t be reached for a while', async () => {
+    expect(await askThroughCutLink({}, PAUSE_MS)).to.equal(WHOLE)
+    expect(harness.engines.runs).to.have.length(1)
+  })
+
+  it('end the stream of an id whose home is gone at its deadline when the engine stays silent', async () => {
+    await start({})
+    harness.engines.lookupState = StreamState.Running
+    harness.engines.resume = async function * (_address, requestId, attempt, offset, signal) {
+      yield * tokenEvents({ requestId, attempt }, offset, 2)
+      yield { kind: StreamEventKind.Silent, silentMs: 3_000 }
+      await new Promise((resolve) => { signal.addEventListener('abort', resolve) })
+      yield errorEvent({ kind: EndpointErrorKind.Broken, reason: 'aborted', offset: 2 })
+    }
+    const startedAtMs = performance.now()
+    const requestId = formatRequestId('gone.1', Date.now(), 'random-0002')
+    expect(await ask({ ...NON_IDEMPOTENT, 'idempotency-key': requestId, 'dotterelspur-deadline-ms': '1000' })).to.equal('Two trips|home_gone')
+    expect(performance.now() - startedAtMs).to.be.within(900, 3_000)
+  })
+
   it('end an answer at its deadline when the only engine stays silent', async () => {
     await start({ groups: ['g1'] })
     harness.engines.behaviours.set('http://g1', pausesAfter(2, 5_000))
--- a/packages/dotterelspur-entry/src/request/HomeLink.ts
+++ b/packages/dotterelspur-entry/src/request/HomeLink.ts
@@ -10,7 +10,10 @@
 const TICKET_METHOD = 'request.ticket'
 const RUN_METHOD = 'request.run'
 const FOLLOW_METHOD = 'request.follow'
-const MAX_FOLLOWS = 3
+/** Failed follows after which the run's stream is looked for at the endpoints. */
+const FOLLOWS_BEFORE_SEARCH = 3
+/** The pause before a follow grows with their number up to this many retry pauses. */
+const MAX_FOLLOW_PAUSES = 10
 
 /** Requests the outcome of an id from its home, and waits up to `waitMs` for a run of it to finish. */
 interface FollowRequest {
@@ -72,15 +75,27 @@
 
   private async * runWithTicket (home: HomeId, request: RunRequest): RunEvents {
     const relay = new RelayDeduplicator()
-    for (let follows = 0; follows <= MAX_FOLLOWS; follows += 1) {
-      if (follows > 0) await sleep(this.context.clock, this.context.timing.retryPauseMs)
-      const method = follows === 0 ? RUN_METHOD : FOLLOW_METHOD
-      const body: RunRequest | FollowRequest = follows === 0 ? request : { requestId: request.requestId, team: request.team, waitMs: request.deadlineMs }
-      const result = yield * this.call(home, method, body, relay)
+    const deadlineAtMs = this.context.clock.nowMs() + request.deadlineMs
+    const result = yield * this.call(home, RUN_METHOD, request, relay)
+    if (result === CallResultKind.Finished) return
+    if (result === CallResultKind.HomeGone) return yield * this.handleHomeGone(request)
+    if (result === CallResultKind.NotExecuted) return yield [finishedWith(unsentOutcome(request, 'its home can\'t be reached now', OutcomeReason.HomeGone))]
+    yield * this.followUntil(deadlineAtMs, home, request, relay)
+  }
+
+  /** Follows a run whose call broke off. Its home may be paused or cut off, and goes on with the run: only its end is final. */
+  private async * followUntil (deadlineAtMs: number, home: HomeId, request: RunRequest, relay: RelayDeduplicator): RunEvents {
+    const { clock, timing } = this.context
+    const { requestId, team } = request
+    for (let follows = 1; ; follows += 1) {
+      await sleep(clock, timing.retryPauseMs * Math.min(follows, MAX_FOLLOW_PAUSES))
+      const leftMs = deadlineAtMs - clock.nowMs()
+      if (leftMs <= 0) break
+      const result = yield * this.call(home, FOLLOW_METHOD, { requestId, team, waitMs: leftMs }, relay)
       if (result === CallResultKind.Finished) return
-      if (result === CallResultKind.HomeGone && follows > 0) break
-      if (result === CallResultKind.HomeGone) return yield * this.handleHomeGone(request)
-      if (result === CallResultKind.NotExecuted && follows === 0) return yield [finishedWith(unsentOutcome(request, 'its home can\'t be reached now', OutcomeReason.HomeGone))]
+      if (result === CallResultKind.HomeGone) break
+      const found = follows === FOLLOWS_BEFORE_SEARCH && !relay.started ? await this.finder.find(request) : null
+      if (found !== null) return yield * found
     }
     if (!relay.started) return yield * this.findStream(request, unknownOutcome(OutcomeReason.HomeGone, 'the link to its home broke'))
     yield [finishedWith(unknownOutcome(OutcomeReason.HomeGone, 'the link to its home broke'))]
