A request is not ended over an endpoint to which nothing was sent

While a request with a silent exchange waited for its placement, that exchange could go on or end, and no second one was started; the endpoint counted as tried all the same. With two attempts allowed, a request whose silent endpoint broke off in that time was cut off or answered 502, though the second endpoint was never asked. Likewise, of two exchanges that ended together, the first end could end the request while the response of the other was complete, and a silence from before the second exchange started a third one.

Such an endpoint counts as no attempt; ends that have not been reported count as open; a silence is reported while no other exchange is at work. Found by review, by reading. The test of runDispatch fails without the change (two endpoints placed, one used: the request ends).

--- a/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
+++ b/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
@@ -133,6 +133,7 @@
   }
 
   onSilent (run: EndpointRun): void {
+    if (!this.runs.has(run)) return
     this.runs.noteSilent(run)
     this.forwardHeld()
   }
@@ -200,9 +201,10 @@
   /** Runs the request at another endpoint, unless a silent one has gone on meanwhile. */
   private async exchange ({ target, mayRetry }: ExchangeEffect): Promise<ExchangeReport> {
     const reason = this.reasonNotToSend()
-    if (reason !== null && this.runs.isEmpty) return { end: reason, hasPartialResponse: this.response.isStarted, hasOpenExchange: false }
-    if (reason === null && this.runs.needsAnother) this.startRun(target, mayRetry)
-    return await this.nextReport()
+    if (reason !== null && this.runs.isEmpty) return { end: reason, hasPartialResponse: this.response.isStarted, hasOpenExchange: false, isUnsent: false }
+    const isNeeded = reason === null && this.runs.needsAnother
+    if (isNeeded) this.startRun(target, mayRetry)
+    return { ...await this.nextReport(), isUnsent: !isNeeded }
   }
 
   private startRun (target: DispatchTarget, mayRetry: boolean): void {
@@ -214,7 +216,7 @@
 
   private async nextReport (): Promise<ExchangeReport> {
     const report = await this.runs.nextReport()
-    return { ...report, hasPartialResponse: this.response.isStarted }
+    return { ...report, hasPartialResponse: this.response.isStarted, isUnsent: false }
   }
 
   /**
--- a/packages/dotterelspur-gateway/src/request/OpenRuns.ts
+++ b/packages/dotterelspur-gateway/src/request/OpenRuns.ts
@@ -38,6 +38,7 @@
   }
 
   add (run: EndpointRun): void {
+    this.silent.clear()
     this.open.add(run)
   }
 
@@ -78,15 +79,16 @@
   async nextReport (): Promise<Pick<ExchangeReport, 'end' | 'hasOpenExchange'>> {
     for (;;) {
       const end = this.ends.shift() ?? this.takeSilence()
-      if (end !== undefined) return { end, hasOpenExchange: !this.isEmpty }
+      if (end !== undefined) return { end, hasOpenExchange: !this.isEmpty || this.ends.length > 0 }
       await new Promise<void>((resolve) => { this.wake = resolve })
     }
   }
 
+  /** A silent run is no reason for another one while one of the others is at work. */
   private takeSilence (): ExchangeEnd | undefined {
-    const isSilent = [...this.silent].some((run) => run.isSilent)
+    const isReported = this.silent.size > 0 && this.needsAnother
     this.silent.clear()
-    return isSilent ? ExchangeEnd.Silent : undefined
+    return isReported ? ExchangeEnd.Silent : undefined
   }
 
   private supersede (run: EndpointRun): void {
--- a/packages/dotterelspur/src/request/dispatch/__tests__/unit/runDispatch.test.ts
+++ b/packages/dotterelspur/src/request/dispatch/__tests__/unit/runDispatch.test.ts
@@ -44,12 +44,12 @@
 }
 
 function ended (end: ExchangeEnd, hasPartialResponse = false): ExchangeReport {
-  return { end, hasPartialResponse, hasOpenExchange: false }
+  return { end, hasPartialResponse, hasOpenExchange: false, isUnsent: false }
 }
 
 /** A report beside which other exchanges are open, or that of a silent one. */
 function reportedBesideOpen (end: ExchangeEnd, hasPartialResponse = true): ExchangeReport {
-  return { end, hasPartialResponse, hasOpenExchange: true }
+  return { end, hasPartialResponse, hasOpenExchange: true, isUnsent: false }
 }
 
 const AT_MOST_ONCE: DispatchOptions = { retryable: false, maxAttempts: 3 }
@@ -130,6 +130,13 @@
     expect(end).to.deep.include({ kind: DispatchEndKind.Delivered, attempts: 2 })
   })
 
+  it('does not count an endpoint to which nothing was sent as an attempt', () => {
+    // Guards against a request that ends at a lost endpoint, because another one was placed and not used while the first broke off.
+    const { end, sent } = play({ order: { ...RETRYABLE, maxAttempts: 2 }, exchanges: [reportedBesideOpen(ExchangeEnd.Silent), { ...ended(ExchangeEnd.BrokenOff, true), isUnsent: true }, ended(ExchangeEnd.Answered, true)] })
+    expect(sent).to.have.length(3)
+    expect(end).to.deep.include({ kind: DispatchEndKind.Delivered, attempts: 2 })
+  })
+
   it('reports not run when every exchange that was silent has proved it at its end', () => {
     const { end } = play({ order: { ...RETRYABLE, maxAttempts: 2 }, exchanges: [reportedBesideOpen(ExchangeEnd.Silent, false), reportedBesideOpen(ExchangeEnd.Rejected, false)], awaited: [ended(ExchangeEnd.Rejected)] })
     expect(end.kind).to.equal(DispatchEndKind.NotRun)
--- a/packages/dotterelspur/src/request/dispatch/runDispatch.ts
+++ b/packages/dotterelspur/src/request/dispatch/runDispatch.ts
@@ -51,6 +51,8 @@
   readonly hasPartialResponse: boolean
   /** Exchanges of the request are open, and one of them may still complete the response. */
   readonly hasOpenExchange: boolean
+  /** Nothing was sent to the endpoint, because an exchange that was open went on or ended meanwhile. */
+  readonly isUnsent: boolean
 }
 
 export interface DispatchOptions {
@@ -95,8 +97,8 @@
   for (;;) {
     const placed: DispatchTarget | PlacementRefusal | null = mayTry ? yield * perform<PlaceEffect>({ kind: DispatchEffectKind.Place, excluded }) : null
     if (placed !== null && 'endpoint' in placed) {
-      excluded.push(placed)
-      last = yield * perform<ExchangeEffect>({ kind: DispatchEffectKind.Exchange, target: placed, mayRetry: order.retryable && excluded.length < order.maxAttempts })
+      last = yield * perform<ExchangeEffect>({ kind: DispatchEffectKind.Exchange, target: placed, mayRetry: order.retryable && excluded.length + 1 < order.maxAttempts })
+      if (!last.isUnsent) excluded.push(placed)
     } else if (last?.hasOpenExchange === true) {
       last = yield * perform<AwaitOpenEffect>({ kind: DispatchEffectKind.AwaitOpen })
     } else {
