Events of a slow endpoint are held for one event at most

Beside a run that sends nothing and may not be tried elsewhere, the events of a slow endpoint that come one by one, with a silence between them, were held back until two came without one, in the worst case until the deadline. The second event after the silence now continues the response, whatever was reported between them.

Before: the test of events that come one by one fails; after: it passes, and so do the others of slow endpoints.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/pausedEndpoints.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/pausedEndpoints.test.ts
@@ -137,6 +137,21 @@
     expect(slowEvents).to.be.lessThan(EVENT_COUNT / 2)
   })
 
+  // Guards against events that are held back until the deadline, because they come one by one beside an endpoint that sends nothing.
+  it('deliver events that come one by one while the other endpoint sends nothing', async () => {
+    let slowEvents = 0
+    answerWith(slow(4, () => { slowEvents += 1 }), pausing(2, FOREVER_MS))
+    const { body } = await request(world.url('/stream/x'), { method: 'POST', body: 'prompt', headers: { host: 'a.example', 'x-request': 'r1', 'x-key': 'key-1' } })
+    let received = ''
+    let sentBeforeSecond = 0
+    for await (const chunk of body) {
+      received += String(chunk)
+      if (sentBeforeSecond === 0 && received.includes(event(2))) sentBeforeSecond = slowEvents
+    }
+    expect(received).to.equal(WHOLE)
+    expect(sentBeforeSecond).to.be.within(2, 3)
+  })
+
   it('deliver the event that they sent before the other endpoint broke off', async () => {
     let slowEvents = 0
     answerWith(slow(2, () => { slowEvents += 1 }), (_incoming, response) => { setTimeout(() => { response.destroy() }, FIRST_EVENT_MS) })
--- a/packages/dotterelspur-gateway/src/request/EndpointRun.ts
+++ b/packages/dotterelspur-gateway/src/request/EndpointRun.ts
@@ -8,8 +8,6 @@
 import type { AdmittedRequest, GatewayRequestParts } from './GatewayRequest.js'
 
 const FIRST_REDIRECT = 300
-/** Chunks of events after a silence that show an endpoint at work: a slow one sends single chunks between silences. */
-const PROOF_CHUNKS = 2
 
 export interface EndpointRunListener {
   /** Null while the request may be sent. */
@@ -44,7 +42,7 @@
   private receivedAtMs: number
   private streamStart: ResponseStart | null = null
   private eventCount = 0
-  private chunksSinceSilence = PROOF_CHUNKS
+  private unproven = false
   /** Complete events that have not been forwarded, because another run may continue the response sooner. */
   private held: Buffer[] = []
   private silent = false
@@ -97,7 +95,7 @@
 
   /** Whether the endpoint has been silent, and has not shown since that it works: it may only be slow. */
   get isUnproven (): boolean {
-    return this.chunksSinceSilence < PROOF_CHUNKS
+    return this.unproven
   }
 
   get hasHeldEvents (): boolean {
@@ -132,8 +130,9 @@
     this.held.push(events)
   }
 
-  /** The held events, followed by `bytes`. */
+  /** The held events, followed by `bytes`, to be forwarded: the run continues the response. */
   takeHeld (bytes: Buffer): Buffer {
+    this.unproven = false
     if (this.held.length === 0) return bytes
     const all = Buffer.concat([...this.held, bytes])
     this.held = []
@@ -168,7 +167,7 @@
     const { log, dispatch } = this.parts
     log.write(LogKind.ExchangeSilent, { request: this.admitted.requestId, endpoint: this.target.endpoint, by: evidence, silentMs: Math.round(silentMs), events: this.eventCount })
     this.silent = true
-    this.chunksSinceSilence = 0
+    this.unproven = true
     dispatch.noteFailure(this.target, ExchangeEnd.Silent)
     this.listener.onSilent(this)
   }
@@ -177,7 +176,6 @@
     const completeEvents = this.cursor.push(chunk)
     if (completeEvents === null) return true
     this.eventCount += 1
-    this.chunksSinceSilence += 1
     if (this.eventCount === 1) this.exchange.noteFirstEvent()
     noteProgress()
     const mayContinue = this.listener.onEvents(this, completeEvents)
--- a/packages/dotterelspur-gateway/src/request/OpenRuns.ts
+++ b/packages/dotterelspur-gateway/src/request/OpenRuns.ts
@@ -27,14 +27,14 @@
     return this.open.has(run)
   }
 
-  /** Whether `run` has to show that it works before it continues the response, because another run may do so sooner. */
+  /** Whether events of `run` are to be held, because another run may continue the response sooner. Its second chunk shows that it works. */
   mustProve (run: EndpointRun): boolean {
-    return run.isUnproven && [...this.open].some((other) => other !== run && !other.isSilent)
+    return run.isUnproven && !run.hasHeldEvents && this.hasOtherAtWork(run)
   }
 
   /** A run with held events that no other run can overtake any more. */
   get released (): EndpointRun | undefined {
-    return [...this.open].find((run) => run.hasHeldEvents && !this.mustProve(run))
+    return [...this.open].find((run) => run.hasHeldEvents && !this.hasOtherAtWork(run))
   }
 
   add (run: EndpointRun): void {
@@ -91,6 +91,10 @@
     return isReported ? ExchangeEnd.Silent : undefined
   }
 
+  private hasOtherAtWork (run: EndpointRun): boolean {
+    return [...this.open].some((other) => other !== run && !other.isSilent)
+  }
+
   private supersede (run: EndpointRun): void {
     this.open.delete(run)
     this.silent.delete(run)
