A silence that lasts is reported again, so that the retry budget and free endpoints are used when they return

Each silence was reported once. Where the retry budget was used up at that moment, as when many streams of a lost group ask for it together, or no other endpoint was free, the request stayed at the silent endpoint, though both returned in the next second. It is now reported about four times a second while it lasts; the log has one line for it. Found by review.

--- a/packages/dotterelspur-gateway/src/process/StallDetector.ts
+++ b/packages/dotterelspur-gateway/src/process/StallDetector.ts
@@ -19,6 +19,9 @@
 /** Data received from an endpoint within this time takes precedence over other nodes' reports about it. */
 const OWN_EVIDENCE_MS = 150
 
+/** Interval between reports of a silence that lasts. */
+const REPORT_INTERVAL_MS = 250
+
 interface WatchedExchange {
   readonly route: Route
   readonly startedAtMs: number
@@ -29,8 +32,8 @@
   readonly target: DispatchTarget
   /** Whether the request may be sent to another endpoint; otherwise it keeps waiting, since its endpoint may only have paused. */
   readonly mayRetry: boolean
-  /** The silence has been reported; the next bytes end it. */
-  isReported: boolean
+  /** When the silence was last reported; the next bytes end it. */
+  reportedAtMs: number
   readonly onSilent: SilenceListener
 }
 
@@ -127,7 +130,7 @@
 
   begin (target: DispatchTarget, route: Route, mayRetry: boolean, onSilent: SilenceListener): ExchangeHandle {
     const nowMs = this.clock.nowMs()
-    const watched: WatchedExchange = { route, startedAtMs: nowMs, progressAtMs: nowMs, events: 0, isCallerPaused: false, isReported: false, target, mayRetry, onSilent }
+    const watched: WatchedExchange = { route, startedAtMs: nowMs, progressAtMs: nowMs, events: 0, isCallerPaused: false, reportedAtMs: -Infinity, target, mayRetry, onSilent }
     if (route.kind === RequestKind.Streaming) this.watched.add(watched)
     return {
       noteProgress: (headers) => { this.noteProgress(watched, headers) },
@@ -159,7 +162,7 @@
     const nowMs = this.clock.nowMs()
     const { target, events, progressAtMs } = watched
     watched.progressAtMs = nowMs
-    watched.isReported = false
+    watched.reportedAtMs = -Infinity
     this.lastBytesAtMs.set(target.endpoint, nowMs)
     this.reported.delete(target.endpoint)
     if (headers === null) watched.events += 1
@@ -197,12 +200,16 @@
     this.reportSilence(SilenceEvidence.Pause, (watched) => watched.target.endpoint === target.endpoint && watched.events === 0)
   }
 
-  /** Reports the silence of exchanges whose requests may be sent to another endpoint, each once until its next bytes. */
+  /**
+   * Reports the silence of exchanges whose requests may be sent to another endpoint. Reported again while it lasts: the retry budget and
+   * free endpoints return, and many requests ask for them at once.
+   */
   private reportSilence (evidence: SilenceEvidence, isSilent: (watched: WatchedExchange) => boolean): void {
+    const nowMs = this.clock.nowMs()
     for (const watched of [...this.watched]) {
-      if (watched.isReported || watched.isCallerPaused || !watched.mayRetry || !isSilent(watched) || !this.listener.mayRunElsewhere(watched.target)) continue
-      watched.isReported = true
-      watched.onSilent({ evidence, silentMs: this.clock.nowMs() - watched.progressAtMs })
+      if (nowMs - watched.reportedAtMs < REPORT_INTERVAL_MS || watched.isCallerPaused || !watched.mayRetry || !isSilent(watched) || !this.listener.mayRunElsewhere(watched.target)) continue
+      watched.reportedAtMs = nowMs
+      watched.onSilent({ evidence, silentMs: nowMs - watched.progressAtMs })
     }
   }
 }
--- a/packages/dotterelspur-gateway/src/request/EndpointRun.ts
+++ b/packages/dotterelspur-gateway/src/request/EndpointRun.ts
@@ -165,6 +165,7 @@
 
   private noteSilent ({ evidence, silentMs }: Silence): void {
     const { log, dispatch } = this.parts
+    if (this.silent) return this.listener.onSilent(this)
     log.write(LogKind.ExchangeSilent, { request: this.admitted.requestId, endpoint: this.target.endpoint, by: evidence, silentMs: Math.round(silentMs), events: this.eventCount })
     this.silent = true
     this.unproven = true
