A node's part of the retry budget is given to others only when it can't be used any more

Cause: the extra was divided by the nodes that a node listed at that moment. Nodes that are lost from the list (killed, suspended, cut off, their entries lost) had spent their parts within the window, or went on spending them, while the others divided the same extra again.

A restarted process waits 15 s instead of 10 s for its part of the extra. Log: budget-part; gauges budget_members, budget_part.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/Dispatch.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/Dispatch.test.ts
@@ -36,7 +36,7 @@
     manifest,
     endpoints,
     retries: { windowMs: 10_000, ratio: 0.2, extra: 100 },
-    firstStart: true,
+    budget: { part: 1 / SENDERS.length, memberCount: SENDERS.length },
     hasAllNodes: () => true,
     senders: () => SENDERS,
     onSuspect: () => {}
--- a/packages/dotterelspur-gateway/src/__tests__/unit/admissionByClass.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/admissionByClass.test.ts
@@ -32,7 +32,7 @@
     manifest,
     endpoints,
     retries: { windowMs: 10_000, ratio: 0.2, extra: 100 },
-    firstStart: true,
+    budget: { part: 1, memberCount: 1 },
     senders: () => [{ node: 'n1', failureDomain: 'a' }],
     onSuspect: () => {},
     hasAllNodes: () => true
--- a/packages/dotterelspur-gateway/src/process/DecisionLog.ts
+++ b/packages/dotterelspur-gateway/src/process/DecisionLog.ts
@@ -85,6 +85,8 @@
   ColdTimeRejected = 'cold-time-rejected',
   /** What this node uses of a service's retry budget, while it retries: its requests and retries in the window, and the view that its part follows from. */
   RetryBudget = 'retry-budget',
+  /** This node's part of the budgets that all nodes share has changed: the nodes that count, those that are listed, and the age of the list. */
+  BudgetPart = 'budget-part',
   NodeListed = 'node-listed',
   NodeUnlisted = 'node-unlisted',
   /** The event loop of this process did not run timers for a while, whatever held it. */
--- a/packages/dotterelspur-gateway/src/process/Dispatch.ts
+++ b/packages/dotterelspur-gateway/src/process/Dispatch.ts
@@ -56,8 +56,7 @@
       onLinked: (_endpoint, wasCutOff) => { if (wasCutOff) this.health.clear() }
     })
     this.engineTiming = new EngineTiming(parts.manifest, this.fleetView)
-    const extraFromMs = parts.firstStart ? clock.nowMs() : clock.nowMs() + retries.windowMs
-    this.retryWindow = new RetryWindow(retries, extraFromMs)
+    this.retryWindow = new RetryWindow(retries)
     this.stallDetector = new StallDetector(clock, {
       onProgress: (target, head, gapMs) => { this.noteProgress(target, head, gapMs) },
       pauseLimitMs: (target) => this.engineTiming.pauseLimitMs(target, clock.nowMs()),
@@ -239,9 +238,9 @@
 
   trySpendRetry (service: ServiceId): boolean {
     const nowMs = this.parts.clock.nowMs()
-    const nodes = this.parts.senders().length
-    const isTaken = this.retryWindow.trySpend(service, nodes, nowMs)
-    this.retryLog.note(service, isTaken, this.retryWindow.usage(service, nowMs), { nodes })
+    const { part, memberCount } = this.parts.budget
+    const isTaken = this.retryWindow.trySpend(service, part, nowMs)
+    this.retryLog.note(service, isTaken, this.retryWindow.usage(service, nowMs), { nodes: memberCount, part: Number(part.toFixed(4)) })
     return isTaken
   }
 
@@ -254,7 +253,7 @@
   private mayRunElsewhere (target: DispatchTarget): boolean {
     const nowMs = this.parts.clock.nowMs()
     const others = [...this.pools.get(poolKeyOf(target))?.targets.keys() ?? []].filter((endpoint) => endpoint !== target.endpoint)
-    return others.some((endpoint) => !this.health.isHeldOff(endpoint, nowMs)) && this.retryWindow.hasLeft(target.service, this.parts.senders().length, nowMs)
+    return others.some((endpoint) => !this.health.isHeldOff(endpoint, nowMs)) && this.retryWindow.hasLeft(target.service, this.parts.budget.part, nowMs)
   }
 
   /** The report about a group is repeated several times a second while the stall lasts; only the first one is logged. */
--- a/packages/dotterelspur-gateway/src/process/DispatchParts.ts
+++ b/packages/dotterelspur-gateway/src/process/DispatchParts.ts
@@ -3,6 +3,7 @@
 } from 'dotterelspur'
 import type { Relay } from '../connection/RelayDialer.js'
 import type { Suspicion } from '../connection/PeerFrame.js'
+import type { BudgetMembership } from './BudgetMembership.js'
 import type { ColdEndpointMonitorParts } from './ColdEndpointMonitor.js'
 import type { DecisionLog } from './DecisionLog.js'
 import type { EndpointRegistry } from './EndpointRegistry.js'
@@ -22,8 +23,8 @@
   /** Absent where no failure domain is ever evacuated. */
   readonly evacuations?: EvacuationRegistry
   readonly retries: RetryWindowOptions
-  /** The whole system starts for the first time, so no retries of an earlier process incarnation can fall into the window. */
-  readonly firstStart: boolean
+  /** This node's part of the retries that all nodes share. */
+  readonly budget: Pick<BudgetMembership, 'part' | 'memberCount'>
   /** Nodes that send requests, including this one; the same array instance until the set changes. */
   readonly senders: () => readonly Sender[]
   /** Nodes that may relay connections to endpoints; the same array instance until the set changes. Absent where none does. */
--- a/packages/dotterelspur-gateway/src/process/FollowedStore.ts
+++ b/packages/dotterelspur-gateway/src/process/FollowedStore.ts
@@ -68,7 +68,7 @@
   watch<Body> (prefix: string, listener: (event: WatchEvent<Body>) => void): Teardown {
     const rule = FOLLOW_RULES[prefix]
     if (rule === undefined || this.followers.has(prefix)) throw new Error(`invariant: watch of ${prefix} rejected: the prefix has no follow rule or is already watched`)
-    const follower: PrefixFollower = { prefix, rule, listener: listener as Listener, version: null, lastChangeVersion: 0, listedForEra: 0, isPartial: false, mustCatchUp: false, wake: null, checkInitialWait: null, stopped: false }
+    const follower: PrefixFollower = { prefix, rule, listener: listener as Listener, version: null, confirmedAtMs: -Infinity, lastChangeVersion: 0, listedForEra: 0, isPartial: false, mustCatchUp: false, wake: null, checkInitialWait: null, stopped: false }
     this.followers.set(prefix, follower)
     this.follow(follower).catch((error: unknown) => { this.parts.log.write(LogKind.Unexpected, { where: `watch of ${prefix}`, error: String(error) }) })
     return () => {
@@ -88,6 +88,15 @@
     return this.parts.clock.nowMs() - this.contactAtMs
   }
 
+  /** How old this node's view of a prefix is, by its own calls or the lease holder's feed; infinite before the first listing. */
+  viewAgeMs (prefix: string): number {
+    const follower = this.followers.get(prefix)
+    if (follower === undefined || follower.version === null) return Infinity
+    const nowMs = this.parts.clock.nowMs()
+    const feedAgeMs = this.isCovered(follower) ? this.feed.contactAgeMs(nowMs) : Infinity
+    return Math.min(nowMs - follower.confirmedAtMs, feedAgeMs)
+  }
+
   /** Version of the last change of each followed prefix. The store numbers changes of all prefixes together. */
   get versions (): Record<string, number> {
     return Object.fromEntries([...this.followers.values()].flatMap(({ prefix, version, lastChangeVersion }) => version === null ? [] : [[prefix, lastChangeVersion]]))
@@ -189,6 +198,7 @@
   private async listAll (follower: PrefixFollower): Promise<boolean> {
     if (follower.stopped) return false
     const knownVersion = follower.version
+    const askedAtMs = this.parts.clock.nowMs()
     // A feed update received during the listing could be newer than the listing, which would then undo it.
     follower.version = null
     const listing = await this.list(follower.prefix)
@@ -202,6 +212,7 @@
     follower.listener({ kind: WatchEventKind.Connected })
     follower.listener({ kind: WatchEventKind.Listing, listing: listing.value })
     follower.version = listing.value.version
+    follower.confirmedAtMs = askedAtMs
     follower.lastChangeVersion = listing.value.version
     follower.isPartial = false
     return true
@@ -224,6 +235,7 @@
     }
     const shared = this.parts.isLeaseHolder() ? this.updateToShare(follower, result.value) : null
     applyBatch(follower, result.value)
+    follower.confirmedAtMs = polledAtMs
     if (shared !== null) this.parts.share(shared)
     if (result.value.objects.length > 0) await sleep(clock, this.parts.isLeaseHolder() ? follower.rule.pauseMs : pauseAfterChangesMs(follower.rule, this.parts.nodeCount()))
     return true
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -6,6 +6,7 @@
 import { PeerLinks } from '../connection/PeerLinks.js'
 import { RelayServer } from '../connection/RelayServer.js'
 import { jsonResponse, startSimpleServer, type SimpleHandler } from '../connection/simpleServer.js'
+import { BudgetMembership } from './BudgetMembership.js'
 import { LeaseHandover } from './LeaseHandover.js'
 import type { LeaseHolderState } from './LeaseHolderState.js'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
@@ -61,6 +62,7 @@
   private readonly nodes: NodeRegistry
   private readonly lease: FleetLease
   private readonly formations: FormationController
+  private readonly budget: BudgetMembership
   private readonly dispatch: Dispatch
   private readonly quarantine: QuarantineRegistry
   private readonly poison: PoisonTracker
@@ -132,6 +134,14 @@
       hasAllEndpoints: () => store.isComplete(ENDPOINT_PREFIX) && this.evacuations.isSynchronized,
       hasTraffic: () => !settings.firstStart || this.dispatch.hasReceivedRequests
     })
+    this.budget = new BudgetMembership({
+      clock,
+      log,
+      node: settings.node,
+      windowMs: settings.retries.windowMs,
+      firstStart: settings.firstStart,
+      view: () => ({ nodes: this.nodes.registered, ageMs: store.viewAgeMs(NODE_PREFIX) })
+    })
     this.dispatch = new Dispatch({
       clock,
       log,
@@ -142,7 +152,7 @@
       endpoints: this.endpoints,
       evacuations: this.evacuations,
       retries: settings.retries,
-      firstStart: settings.firstStart,
+      budget: this.budget,
       senders: () => this.nodes.nodes(),
       relays: () => this.nodes.nodes(),
       hasAllNodes: () => store.isComplete(NODE_PREFIX),
@@ -204,10 +214,10 @@
       this.stopVotes.retain(listed)
       this.lease.observeFencing(highestFencing(endpoints.values()))
     })
-    const { callers, manifest, endpoints, nodes, lease, poison, dispatch, relays } = this
+    const { callers, manifest, endpoints, nodes, lease, poison, dispatch, relays, budget } = this
     this.loopMonitor = new LoopMonitor(clock, log, () => ({ running: callers.runningRequests, waiting: callers.waitingRequests, relays: relays.size, decides: lease.mayOrder() }))
     const loop = this.loopMonitor
-    registerGauges(this.metrics, { callers, manifest, endpoints, nodes, lease, store, poison, dispatch, relays, log, loop })
+    registerGauges(this.metrics, { callers, manifest, endpoints, nodes, lease, store, poison, dispatch, relays, budget, log, loop })
   }
 
   get metricsAddress (): ListenAddress {
@@ -241,6 +251,7 @@
   /** Applies changed limits at once, including to requests in progress. */
   applyLimits (limits: GatewayLimits): void {
     this.limits = limits
+    this.budget.configure(limits.retries.windowMs)
     this.dispatch.configureRetries(limits.retries)
   }
 
@@ -328,6 +339,7 @@
     if (nowMs - this.steppedAtMs > PAUSE_THRESHOLD_MS) this.lease.notePause()
     this.steppedAtMs = nowMs
     this.store.wakeUncovered()
+    this.budget.step()
     this.linkOnTakeover()
     this.lease.step().catch((error: unknown) => { log.write(LogKind.Unexpected, { where: 'lease', error: String(error) }) })
     this.teardowns.push(clock.registerTimer(STEP_INTERVAL_MS, () => {
--- a/packages/dotterelspur-gateway/src/process/NodeRegistry.ts
+++ b/packages/dotterelspur-gateway/src/process/NodeRegistry.ts
@@ -71,6 +71,11 @@
     return [...this.records.values()].map(({ body }) => body).filter(({ node }) => node !== this.self.node)
   }
 
+  /** All nodes with an entry in the store, by the last view of it; this one too, if it has one. */
+  get registered (): readonly NodeId[] {
+    return [...this.records.keys()]
+  }
+
   /** Nodes that this node has found lost. */
   lostNodes (): LeaseIdentity[] {
     return [...this.lost].map(([node, incarnation]) => ({ node, incarnation }))
--- a/packages/dotterelspur-gateway/src/process/PrefixFollower.ts
+++ b/packages/dotterelspur-gateway/src/process/PrefixFollower.ts
@@ -12,6 +12,8 @@
   readonly listener: Listener
   /** Version up to which the prefix has been followed; null until the first listing. */
   version: number | null
+  /** As of when the prefix is known to be complete by this node's own calls. */
+  confirmedAtMs: number
   /** Upper bound of the version of the last change; nothing in the prefix changed between it and `version`. */
   lastChangeVersion: number
   /** The latest announced era for which the prefix was listed without a poll before; a wrong announcement must not repeat the listing. */
--- a/packages/dotterelspur-gateway/src/process/RetryLog.ts
+++ b/packages/dotterelspur-gateway/src/process/RetryLog.ts
@@ -8,6 +8,8 @@
 export interface BudgetView {
   /** Number of nodes among which the extra is divided. */
   readonly nodes: number
+  /** This node's part of the extra, from 0 to 1. */
+  readonly part: number
 }
 
 interface ServiceLines {
--- a/packages/dotterelspur-gateway/src/process/StoreFeed.ts
+++ b/packages/dotterelspur-gateway/src/process/StoreFeed.ts
@@ -63,7 +63,8 @@
     return eraOf(this.versions.get(prefix) ?? 0)
   }
 
-  private contactAgeMs (nowMs: number): number {
+  /** Time since the lease holder's last known contact with the store. */
+  contactAgeMs (nowMs: number): number {
     return nowMs - this.contactAtMs
   }
 }
--- a/packages/dotterelspur-gateway/src/process/registerGauges.ts
+++ b/packages/dotterelspur-gateway/src/process/registerGauges.ts
@@ -1,5 +1,6 @@
 import type { CallerListener } from '../connection/CallerListener.js'
 import type { RelayServer } from '../connection/RelayServer.js'
+import type { BudgetMembership } from './BudgetMembership.js'
 import type { DecisionLog } from './DecisionLog.js'
 import type { Dispatch } from './Dispatch.js'
 import type { EndpointRegistry } from './EndpointRegistry.js'
@@ -21,12 +22,13 @@
   readonly poison: PoisonTracker
   readonly dispatch: Dispatch
   readonly relays: RelayServer
+  readonly budget: BudgetMembership
   readonly log: DecisionLog
   readonly loop: LoopMonitor
 }
 
 /** Registers the gauges that are read at each scrape. */
-export function registerGauges (metrics: GatewayMetrics, { callers, manifest, endpoints, nodes, lease, store, poison, dispatch, relays, log, loop }: GaugeSources): void {
+export function registerGauges (metrics: GatewayMetrics, { callers, manifest, endpoints, nodes, lease, store, poison, dispatch, relays, budget, log, loop }: GaugeSources): void {
   metrics.gauge('running_requests', 'Requests under way', () => callers.runningRequests)
   metrics.gauge('waiting_requests', 'Requests that wait for an endpoint\'s next token', () => callers.waitingRequests)
   metrics.gauge('manifest_version', 'Version of the manifest in force', () => manifest.current?.version ?? 0)
@@ -48,6 +50,8 @@
   metrics.gauge('cold_endpoints', 'Endpoints that are cold and whose service limits the requests to them', () => dispatch.coldEndpoints.coldEndpoints)
   metrics.gauge('sent_to_cold_endpoints', 'Requests sent to cold endpoints, since the start', () => dispatch.coldEndpoints.sentToCold)
   metrics.gauge('invalid_cold_times', 'Cold times that endpoints stated and that are no non-negative number, since the start', () => dispatch.coldEndpoints.invalidColdTimes)
+  metrics.gauge('budget_members', 'Nodes among which the budgets that all nodes share are divided', () => budget.memberCount)
+  metrics.gauge('budget_part', 'This node\'s part of the budgets that all nodes share, from 0 to 1', () => budget.part)
   metrics.gauge('retries_in_window', 'Retries of this node within the window of the retry budget, of all services', () => dispatch.retriesInWindow)
   metrics.gauge('retries_refused', 'Retries that the retry budget did not allow, since the start', () => dispatch.retryLog.refused)
   metrics.gauge('leaving_endpoints', 'Endpoints that leave, by the list or by their own word', () => [...endpoints.current.values()].filter(({ leaving }) => leaving).length)
--- /dev/null
+++ b/packages/dotterelspur/src/request/dispatch/MembershipWindow.ts
@@ -0,0 +1,81 @@
+import type { NodeId } from '../../process/ids.js'
+
+/** A node that was not seen on a recent list for this share of the window uses no part: the others may have stopped counting it. */
+const VIEW_SHARE = 0.5
+
+/**
+ * A node's part of a bound that all nodes share, that holds in each window of time, and that is divided evenly.
+ *
+ * Load pattern: all nodes need their parts while nodes are lost, suspended, partitioned or restarted, or while their entries disappear
+ * from the store. A node that is no longer listed may have used its part within the window, and goes on using it until it notices that
+ * its own list is too old. It counts until both have passed, so that no part is used twice.
+ */
+export class MembershipWindow {
+  private listed: ReadonlySet<NodeId>
+  /** Nodes that are no longer listed, with the time at which they were found missing. */
+  private readonly unlistedAtMs = new Map<NodeId, number>()
+  /** When this node was last known to be listed. */
+  private confirmedAtMs = -Infinity
+  /** When this node may use its part at the earliest. */
+  private usableFromMs = -Infinity
+
+  /** @param isFirst no earlier process of this node, nor of any other, has used a part. */
+  constructor (private readonly node: NodeId, private windowMs: number, private readonly isFirst: boolean) {
+    this.listed = new Set([node])
+  }
+
+  /** Applies a new length of the window. */
+  configure (windowMs: number): void {
+    this.windowMs = windowMs
+  }
+
+  /** Takes in the nodes that were listed at `viewedAtMs`. To be called several times within `VIEW_SHARE` of the window. */
+  noteView (nodes: readonly NodeId[], viewedAtMs: number, nowMs: number): void {
+    // On a first start, this node's own entry may still be on its way, and no other node has used anything.
+    if (nodes.includes(this.node) || this.isFirstView) this.confirm(viewedAtMs, nowMs)
+    const listed = new Set([...nodes, this.node])
+    for (const node of this.listed) {
+      if (!listed.has(node)) this.unlistedAtMs.set(node, nowMs)
+    }
+    for (const node of listed) this.unlistedAtMs.delete(node)
+    this.listed = listed
+  }
+
+  /** Nodes that may use a part, or may have used one within the window. */
+  memberCount (nowMs: number): number {
+    for (const [node, unlistedAtMs] of this.unlistedAtMs) {
+      if (nowMs - unlistedAtMs > this.turnoverMs) this.unlistedAtMs.delete(node)
+    }
+    return this.listed.size + this.unlistedAtMs.size
+  }
+
+  /** This node's part of the bound, from 0 to 1. */
+  part (nowMs: number): number {
+    return nowMs < this.usableFromMs || this.viewAgeMs(nowMs) > this.viewLimitMs ? 0 : 1 / this.memberCount(nowMs)
+  }
+
+  /** Time since this node was last known to be listed; infinite before the first time. */
+  viewAgeMs (nowMs: number): number {
+    return nowMs - this.confirmedAtMs
+  }
+
+  /** After a gap the others may have divided the bound without this node, as if its process had just started. */
+  private confirm (viewedAtMs: number, nowMs: number): void {
+    const isJoining = viewedAtMs - this.confirmedAtMs > this.viewLimitMs
+    if (isJoining && !this.isFirstView) this.usableFromMs = nowMs + this.turnoverMs
+    this.confirmedAtMs = Math.max(this.confirmedAtMs, viewedAtMs)
+  }
+
+  private get isFirstView (): boolean {
+    return this.isFirst && this.confirmedAtMs === -Infinity
+  }
+
+  private get viewLimitMs (): number {
+    return VIEW_SHARE * this.windowMs
+  }
+
+  /** Time after which no node uses, or has used within the window, a part by a list from before. */
+  private get turnoverMs (): number {
+    return this.windowMs + this.viewLimitMs
+  }
+}
--- a/packages/dotterelspur/src/request/dispatch/RetryWindow.ts
+++ b/packages/dotterelspur/src/request/dispatch/RetryWindow.ts
@@ -9,8 +9,8 @@
 }
 
 /**
- * Share of this node's budget that may be used: windows slide, and nodes notice late that others
- * joined or left.
+ * Share of this node's budget that may be used: requests and retries are counted at their arrival here, which differs from their
+ * arrival at the endpoint.
  */
 const SAFETY_SHARE = 0.8
 
@@ -27,13 +27,12 @@
 
 /**
  * The retry budget that all nodes share without a common counter: each node keeps to the ratio for its own requests and
- * to its even share of the extra. A node that has just started uses none of the extra for one window, since its
- * previous incarnation may have used it.
+ * to its part of the extra (see `MembershipWindow`).
  */
 export class RetryWindow {
   private readonly services = new Map<ServiceId, ServiceWindow>()
 
-  constructor (private options: RetryWindowOptions, private readonly extraFromMs: number) {}
+  constructor (private options: RetryWindowOptions) {}
 
   /** Applies new options; retries already made still count. */
   configure (options: RetryWindowOptions): void {
@@ -62,20 +61,20 @@
     return [...this.services.keys()].reduce((sum, service) => sum + this.usage(service, nowMs).retries, 0)
   }
 
-  /** Takes one retry; false when this node's share is used up. `nodes` share the extra. */
-  trySpend (service: ServiceId, nodes: number, nowMs: number): boolean {
-    if (!this.hasLeft(service, nodes, nowMs)) return false
+  /** Takes one retry; false when this node's share is used up. `part` is this node's part of the extra, from 0 to 1. */
+  trySpend (service: ServiceId, part: number, nowMs: number): boolean {
+    if (!this.hasLeft(service, part, nowMs)) return false
     this.window(service).retryTimesMs.push(nowMs)
     return true
   }
 
   /** Whether a retry could be taken now. */
-  hasLeft (service: ServiceId, nodes: number, nowMs: number): boolean {
+  hasLeft (service: ServiceId, part: number, nowMs: number): boolean {
     const { requestTimesMs, retryTimesMs } = this.window(service)
     dropBefore(requestTimesMs, nowMs - this.options.windowMs)
     dropBefore(retryTimesMs, nowMs - this.options.windowMs)
-    const extra = nowMs < this.extraFromMs ? 0 : this.options.extra / Math.max(1, nodes)
-    return retryTimesMs.length + 1 <= SAFETY_SHARE * (this.options.ratio * requestTimesMs.length + extra)
+    const allowed = this.options.ratio * requestTimesMs.length + part * this.options.extra
+    return retryTimesMs.length + 1 <= SAFETY_SHARE * allowed
   }
 
   private window (service: ServiceId): ServiceWindow {
--- a/packages/dotterelspur/src/request/dispatch/__tests__/unit/RetryWindow.test.ts
+++ b/packages/dotterelspur/src/request/dispatch/__tests__/unit/RetryWindow.test.ts
@@ -8,14 +8,14 @@
 describe('RetryWindow', () => {
   it('keeps all nodes together within the budget in every window when all of them retry as often as they can', () => {
     const random = createRandom(7)
-    const windows = Array.from({ length: NODES }, () => new RetryWindow(OPTIONS, 0))
+    const windows = Array.from({ length: NODES }, () => new RetryWindow(OPTIONS))
     const requestTimesMs: number[] = []
     const retryTimesMs: number[] = []
     for (let nowMs = 0; nowMs < 60_000; nowMs += 10) {
       const window = windows[random.integer(NODES)]!
       window.noteRequest('s', nowMs)
       requestTimesMs.push(nowMs)
-      if (window.trySpend('s', NODES, nowMs)) retryTimesMs.push(nowMs)
+      if (window.trySpend('s', 1 / NODES, nowMs)) retryTimesMs.push(nowMs)
     }
     for (let fromMs = 0; fromMs < 50_000; fromMs += 500) {
       const within = (times: number[]): number => times.filter((timeMs) => timeMs >= fromMs && timeMs < fromMs + OPTIONS.windowMs).length
@@ -24,31 +24,31 @@
     expect(retryTimesMs.length).to.be.greaterThan(0)
   })
 
-  it('uses none of the extra for one window after a restart', () => {
+  it('uses none of the extra without a part of it', () => {
     // Guards against exceeding the budget of a window: a node uses its share, is killed, restarts, and uses it again,
     // since the new incarnation does not know what the previous one used.
-    const window = new RetryWindow(OPTIONS, 10_000)
-    expect(window.trySpend('s', NODES, 5_000)).to.equal(false)
-    expect(window.trySpend('s', NODES, 10_000)).to.equal(true)
+    const window = new RetryWindow(OPTIONS)
+    expect(window.trySpend('s', 0, 5_000)).to.equal(false)
+    expect(window.trySpend('s', 1 / NODES, 10_000)).to.equal(true)
   })
 
   it('keeps services apart', () => {
-    const window = new RetryWindow({ ...OPTIONS, extra: 16 }, 0)
-    expect(window.trySpend('one', NODES, 0)).to.equal(true)
-    expect(window.trySpend('one', NODES, 0)).to.equal(false)
-    expect(window.trySpend('two', NODES, 0)).to.equal(true)
+    const window = new RetryWindow({ ...OPTIONS, extra: 16 })
+    expect(window.trySpend('one', 1 / NODES, 0)).to.equal(true)
+    expect(window.trySpend('one', 1 / NODES, 0)).to.equal(false)
+    expect(window.trySpend('two', 1 / NODES, 0)).to.equal(true)
   })
 
   it('drops requests that are older than its window, also when nothing is retried', () => {
     // Guards against memory that grows by a few megabytes a day until the node is killed: old requests were dropped only
     // when a retry was requested, which a healthy service never needs.
-    const window = new RetryWindow({ windowMs: 10_000, ratio: 0.2, extra: 0 }, 0)
+    const window = new RetryWindow({ windowMs: 10_000, ratio: 0.2, extra: 0 })
     for (let nowMs = 0; nowMs < 100_000; nowMs += 10) window.noteRequest('plain', nowMs)
     expect(window.requestCount('plain')).to.be.at.most(1_001)
   })
 
   it('keeps the retries already made when its options change', () => {
-    const window = new RetryWindow({ windowMs: 10_000, ratio: 0, extra: 10 }, 0)
+    const window = new RetryWindow({ windowMs: 10_000, ratio: 0, extra: 10 })
     for (let count = 0; count < 5; count++) expect(window.trySpend('plain', 1, 0)).to.equal(true)
     window.configure({ windowMs: 10_000, ratio: 0, extra: 5 })
     expect(window.trySpend('plain', 1, 0)).to.equal(false)
