A node that polls the store keeps its part of the retry budget between two polls

Its view counted from the start of a long poll of 3 s, so that it seemed over 5 s old just before the next one ended.

--- a/packages/dotterelspur-gateway/src/process/FollowRules.ts
+++ b/packages/dotterelspur-gateway/src/process/FollowRules.ts
@@ -60,7 +60,8 @@
   [EVACUATION_PREFIX]: {
     pollTimeoutMs: 3_000, holderPollTimeoutMs: 1_000, pauseMs: 50, pausePerNodeMs: 4, relistPerNodeMs: 2, isForwarded: true, isFiltered: false, progressValidMs: ({ evacuationMs }) => Math.min(PROGRESS_VALID_MS, VALID_SHARE * (evacuationMs ?? Infinity))
   },
-  [NODE_PREFIX]: { pollTimeoutMs: 3_000, holderPollTimeoutMs: 3_000, pauseMs: 500, pausePerNodeMs: 4, relistPerNodeMs: 5, isForwarded: true, isFiltered: false, progressValidMs: () => SUCCESSOR_PROGRESS_MS },
+  // A node may use its part of the common budgets only while its view of the nodes is recent.
+  [NODE_PREFIX]: { pollTimeoutMs: 2_000, holderPollTimeoutMs: 1_500, pauseMs: 500, pausePerNodeMs: 4, relistPerNodeMs: 5, isForwarded: true, isFiltered: false, progressValidMs: () => SUCCESSOR_PROGRESS_MS },
   [QUARANTINE_PREFIX]: { pollTimeoutMs: 3_000, holderPollTimeoutMs: 3_000, pauseMs: 500, pausePerNodeMs: 4, relistPerNodeMs: 5, isForwarded: true, isFiltered: false, progressValidMs: () => SUCCESSOR_PROGRESS_MS }
 }
 
--- a/packages/dotterelspur-gateway/src/process/FollowedStore.ts
+++ b/packages/dotterelspur-gateway/src/process/FollowedStore.ts
@@ -4,7 +4,7 @@
 } from 'dotterelspur'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
 import { FOLLOW_RULES, LATE_RESPONSE_MS, pauseAfterChangesMs, relistSpreadMs, RETRY_JITTER, RETRY_MS, retryPauseMs, type ChangeBounds } from './FollowRules.js'
-import { applyBatch, type Listener, type PrefixFollower } from './PrefixFollower.js'
+import { applyBatch, confirmedAtMs, type Listener, type PrefixFollower } from './PrefixFollower.js'
 import { StoreFeed, type FeedUpdate, type FeedProgress } from './StoreFeed.js'
 import type { ChangeBatch, VersionedStore } from './VersionedStore.js'
 
@@ -235,7 +235,7 @@
     }
     const shared = this.parts.isLeaseHolder() ? this.updateToShare(follower, result.value) : null
     applyBatch(follower, result.value)
-    follower.confirmedAtMs = polledAtMs
+    follower.confirmedAtMs = confirmedAtMs(result.value, polledAtMs, waitMs, clock.nowMs())
     if (shared !== null) this.parts.share(shared)
     if (result.value.objects.length > 0) await sleep(clock, this.parts.isLeaseHolder() ? follower.rule.pauseMs : pauseAfterChangesMs(follower.rule, this.parts.nodeCount()))
     return true
--- a/packages/dotterelspur-gateway/src/process/PrefixFollower.ts
+++ b/packages/dotterelspur-gateway/src/process/PrefixFollower.ts
@@ -36,3 +36,8 @@
   follower.version = version
   if (objects.length > 0) follower.lastChangeVersion = version
 }
+
+/** As of when a poll's response shows the prefix: the store answers without changes only once the poll has waited in vain. */
+export function confirmedAtMs ({ objects }: ChangeBatch, polledAtMs: number, waitMs: number, nowMs: number): number {
+  return objects.length === 0 && nowMs - polledAtMs >= waitMs ? polledAtMs + waitMs : polledAtMs
+}
