A node that others don't list owns no share of a cold endpoint's rate

What endpoints saw: more requests while cold than all nodes together may send. A node whose entry is gone from the store, or that the lease holder has found lost, went on sending while it still received aggregates, beside the node to which the others had given its share.

Cause: the list of nodes that senders are taken from always holds this node itself, so that ColdOwnership took it for listed.

Evidence: the new test of ColdEndpointMonitor failed with the former code (still an owner after its entry was gone).

Ownership now follows the entry in the store: NodeRegistry.isListed.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/ColdEndpointMonitor.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/ColdEndpointMonitor.test.ts
@@ -1,14 +1,14 @@
 import { expect } from 'chai'
 import { ColdEndpoints, ManualClock, NO_DEADLINES_OBSERVED, RouteTable, type EndpointRecord, type NodeObservation } from 'dotterelspur'
 import { ObservationCodec } from '../../connection/ObservationCodec.js'
-import { ColdEndpointMonitor } from '../../process/ColdEndpointMonitor.js'
+import { ColdEndpointMonitor, type ColdEndpointMonitorParts } from '../../process/ColdEndpointMonitor.js'
 import type { DecisionLog } from '../../process/DecisionLog.js'
 import { RecordSource } from '../../process/EndpointRegistry.js'
 import { createEndpoint, createManifest } from '../fixtures/builders.js'
 
 const OBSERVATION: NodeObservation = { inFlight: {}, flows: {}, demand: {}, speeds: {}, pauses: {}, firstEvents: {}, deadlines: NO_DEADLINES_OBSERVED, limits: {}, rests: {}, leaving: [] }
 
-function createMonitor (isLimited = true): { monitor: ColdEndpointMonitor, cold: ColdEndpoints, clock: ManualClock, lines: unknown[], list: (...records: EndpointRecord[]) => void } {
+function createMonitor (isLimited = true, { senders = () => [], isListed = () => true }: Partial<Pick<ColdEndpointMonitorParts, 'senders' | 'isListed'>> = {}): { monitor: ColdEndpointMonitor, cold: ColdEndpoints, clock: ManualClock, lines: unknown[], list: (...records: EndpointRecord[]) => void } {
   const clock = new ManualClock()
   const lines: unknown[] = []
   const log = { write: (event: string, fields: object) => { lines.push({ event, ...fields }) } } as unknown as DecisionLog
@@ -17,7 +17,7 @@
   const cold = new ColdEndpoints('n1')
   const origins = new Map<string, { source: RecordSource, atMs: number }>()
   const endpoints = { isSynchronized: true, recordOrigin: (endpoint: string) => origins.get(endpoint) }
-  const monitor = new ColdEndpointMonitor(cold, { clock, log, endpoints, manifest: { current: table }, senders: () => [], hasAllNodes: () => true })
+  const monitor = new ColdEndpointMonitor(cold, { clock, log, node: 'n1', endpoints, manifest: { current: table }, senders, isListed, hasAllNodes: () => true })
   const list = (...records: EndpointRecord[]): void => {
     for (const { endpoint } of records) origins.set(endpoint, { source: RecordSource.List, atMs: clock.nowMs() })
     monitor.noteEndpoints(new Map(records.map((record) => [record.endpoint, record])))
@@ -45,6 +45,24 @@
     expect([monitor.coldEndpoints, monitor.sentToCold]).to.deep.equal([0, 1])
   })
 
+  it('owns no share of a cold endpoint\'s rate while other nodes do not list this one', () => {
+    // Guards against two owners of one share: the other nodes have given it to the next node of the order.
+    const state = { isListed: true, senders: [{ node: 'n1', failureDomain: 'a' }] }
+    const { monitor, cold, clock, list } = createMonitor(true, { senders: () => state.senders, isListed: () => state.isListed })
+    list()
+    list(createEndpoint('e1', '10.0.0.1:1'))
+    const note = (isListed: boolean): void => {
+      state.isListed = isListed
+      state.senders = [...state.senders]
+      monitor.noteSenders()
+    }
+    note(true)
+    clock.advance(2_500)
+    expect(cold.isOwned('e1', clock.nowMs())).to.equal(true)
+    note(false)
+    expect(cold.isOwned('e1', clock.nowMs())).to.equal(false)
+  })
+
   it('keeps the known time where a statement is invalid, with one line, and reads an entry only once', () => {
     const { monitor, cold, clock, lines, list } = createMonitor()
     const record = createEndpoint('e1', '10.0.0.1:1', { coldRemainingMs: 2_000 })
--- a/packages/dotterelspur-gateway/src/__tests__/unit/Dispatch.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/Dispatch.test.ts
@@ -38,6 +38,7 @@
     retries: { windowMs: 10_000, ratio: 0.2, extra: 100 },
     budget: { part: 1 / SENDERS.length, memberCount: SENDERS.length },
     hasAllNodes: () => true,
+    isListed: () => true,
     senders: () => SENDERS,
     onSuspect: () => {}
   })
--- a/packages/dotterelspur-gateway/src/__tests__/unit/NodeRegistry.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/NodeRegistry.test.ts
@@ -38,6 +38,34 @@
     expect((await store.get('nodes/n1')).ok).to.equal(false)
   })
 
+  it('is listed by others only while its entry is in the store and the lease holder has not found it lost, and says so with another array', async () => {
+    // Guards against a node that goes on using what only listed nodes may use, because it always lists itself.
+    const store = new MemoryStore()
+    const registry = new NodeRegistry(store, SELF, new ManualClock(), createLog())
+    registry.follow()
+    const states: boolean[] = []
+    const arrays = new Set<readonly NodeRecord[]>()
+    const note = (): void => {
+      states.push(registry.isListed)
+      arrays.add(registry.nodes())
+    }
+    note()
+    await registry.register()
+    note()
+    registry.noteReportedLost([{ node: 'n1', incarnation: 7 }])
+    note()
+    registry.noteReportedLost([])
+    note()
+    // Without further attempts to register, which would succeed at once.
+    registry.close()
+    store.drop('nodes/n1')
+    note()
+    store.put('nodes/n1', SELF)
+    note()
+    expect(states).to.deep.equal([false, true, false, true, false, true])
+    expect(arrays).to.have.property('size', 6)
+  })
+
   it('drops only the inactive incarnation of a node', async () => {
     const store = new MemoryStore()
     const registry = new NodeRegistry(store, SELF, new ManualClock(), createLog())
--- a/packages/dotterelspur-gateway/src/__tests__/unit/admissionByClass.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/admissionByClass.test.ts
@@ -35,7 +35,8 @@
     budget: { part: 1, memberCount: 1 },
     senders: () => [{ node: 'n1', failureDomain: 'a' }],
     onSuspect: () => {},
-    hasAllNodes: () => true
+    hasAllNodes: () => true,
+    isListed: () => true
   })
   manifest.follow(store)
   endpoints.follow(store)
--- a/packages/dotterelspur-gateway/src/process/ColdEndpointMonitor.ts
+++ b/packages/dotterelspur-gateway/src/process/ColdEndpointMonitor.ts
@@ -1,4 +1,4 @@
-import type { Clock, ColdEndpoints, ColdSpec, EndpointId, EndpointRecord, Sender, ServiceId } from 'dotterelspur'
+import type { Clock, ColdEndpoints, ColdSpec, EndpointId, EndpointRecord, NodeId, Sender, ServiceId } from 'dotterelspur'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
 import { RecordSource, type EndpointRegistry, type RecordOrigin } from './EndpointRegistry.js'
 import type { ManifestFollower } from './ManifestFollower.js'
@@ -17,12 +17,15 @@
 export interface ColdEndpointMonitorParts {
   readonly clock: Clock
   readonly log: DecisionLog
+  readonly node: NodeId
   readonly endpoints: Pick<EndpointRegistry, 'isSynchronized' | 'recordOrigin'>
   readonly manifest: Pick<ManifestFollower, 'current'>
   /** Nodes that send requests; the same array instance until the set changes. */
   readonly senders: () => readonly Sender[]
   /** Whether the list of nodes has been read: until then, a node would take itself for the only one. */
   readonly hasAllNodes: () => boolean
+  /** Whether other nodes list this one too; the array of senders is another one after a change. */
+  readonly isListed: () => boolean
 }
 
 /** Reads endpoints' cold times from entries and responses, and logs which endpoints are cold and what this node sends them. */
@@ -83,11 +86,13 @@
 
   /** Takes in the nodes that send requests; called before each request is placed and each aggregate is applied. */
   noteSenders (): void {
-    const { senders, hasAllNodes, clock } = this.parts
+    const { senders, hasAllNodes, isListed, node: self, clock } = this.parts
     const current = senders()
     if (current === this.notedSenders || !hasAllNodes()) return
     this.notedSenders = current
-    this.cold.noteNodes(current.map(({ node }) => node), clock.nowMs())
+    // The list of senders always has this node. Where others don't list it, they give its shares to the next ones.
+    const isSelfListed = isListed()
+    this.cold.noteNodes(current.map(({ node }) => node).filter((node) => isSelfListed || node !== self), clock.nowMs())
   }
 
   /** Logs changes; called after each aggregate, since an endpoint also becomes warm without any message. */
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -156,6 +156,7 @@
       senders: () => this.nodes.nodes(),
       relays: () => this.nodes.nodes(),
       hasAllNodes: () => store.isComplete(NODE_PREFIX),
+      isListed: () => this.nodes.isListed,
       coldBounds: settings.coldBounds,
       onSuspect: (head, suspicion) => { this.suspect(head, suspicion) }
     })
--- a/packages/dotterelspur-gateway/src/process/NodeRegistry.ts
+++ b/packages/dotterelspur-gateway/src/process/NodeRegistry.ts
@@ -76,6 +76,12 @@
     return [...this.records.keys()]
   }
 
+  /** Whether other nodes list this one too: its entry is in the store, and the lease holder has not found it lost. */
+  get isListed (): boolean {
+    const own = this.records.get(this.self.node)
+    return own !== undefined && !this.isLost(own.body)
+  }
+
   /** Nodes that this node has found lost. */
   lostNodes (): LeaseIdentity[] {
     return [...this.lost].map(([node, incarnation]) => ({ node, incarnation }))
