Two sides of a split fleet no longer own the same shares of a cold endpoint's rate

What endpoints would see: up to twice as many requests while cold as all nodes together may send. The side with most nodes loses the store, and its links to the others, with the former lease holder: that node goes on as coordinator, and its aggregates hold most of the nodes on the old list. The few others have the store, take the lease, take the first side from the list, and then are all nodes of theirs.

Cause: the majority was judged by the nodes that are listed at the moment, like the parts of the retry budget before.

Not shown on real processes.

Nodes that were taken from the list count towards the majority for 7.25 s more, and a list that has not been known to be current for 5 s counts only with aggregates of all nodes on it, so that owners stay while the store alone is lost. Where half of the nodes or more crash at once, the others send nothing to cold endpoints for 7.25 s instead of 2.25 s.

ColdEndpoints.test: the node that starts now says when its list was current, and is shown to send nothing before.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/admissionByClass.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/admissionByClass.test.ts
@@ -36,7 +36,8 @@
     senders: () => [{ node: 'n1', failureDomain: 'a' }],
     onSuspect: () => {},
     hasAllNodes: () => true,
-    isListed: () => true
+    isListed: () => true,
+    nodeListAgeMs: () => 0
   })
   manifest.follow(store)
   endpoints.follow(store)
--- a/packages/dotterelspur-gateway/src/process/ColdEndpointMonitor.ts
+++ b/packages/dotterelspur-gateway/src/process/ColdEndpointMonitor.ts
@@ -24,6 +24,8 @@
   readonly senders: () => readonly Sender[]
   /** Whether the list of nodes has been read: until then, a node would take itself for the only one. */
   readonly hasAllNodes: () => boolean
+  /** How old this node's view of the list of nodes is; infinite before the first listing. */
+  readonly nodeListAgeMs: () => number
   /** Whether other nodes list this one too; the array of senders is another one after a change. */
   readonly isListed: () => boolean
 }
@@ -86,7 +88,8 @@
 
   /** Takes in the nodes that send requests; called before each request is placed and each aggregate is applied. */
   noteSenders (): void {
-    const { senders, hasAllNodes, isListed, node: self, clock } = this.parts
+    const { senders, hasAllNodes, isListed, nodeListAgeMs, node: self, clock } = this.parts
+    this.cold.noteNodeListView(clock.nowMs() - nodeListAgeMs())
     const current = senders()
     if (current === this.notedSenders || !hasAllNodes()) return
     this.notedSenders = current
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -157,6 +157,7 @@
       relays: () => this.nodes.nodes(),
       hasAllNodes: () => store.isComplete(NODE_PREFIX),
       isListed: () => this.nodes.isListed,
+      nodeListAgeMs: () => store.viewAgeMs(NODE_PREFIX),
       coldBounds: settings.coldBounds,
       onSuspect: (head, suspicion) => { this.suspect(head, suspicion) }
     })
--- a/packages/dotterelspur/src/request/backpressure/ColdEndpoints.ts
+++ b/packages/dotterelspur/src/request/backpressure/ColdEndpoints.ts
@@ -50,6 +50,11 @@
     this.ownership.noteNodes(nodes, nowMs)
   }
 
+  /** When the list of nodes was last known to be current. */
+  noteNodeListView (viewedAtMs: number): void {
+    this.ownership.noteListView(viewedAtMs)
+  }
+
   /**
    * Takes in the listed endpoints. An endpoint that appears after the first listing has just started.
    *
--- a/packages/dotterelspur/src/request/backpressure/ColdOwnership.ts
+++ b/packages/dotterelspur/src/request/backpressure/ColdOwnership.ts
@@ -1,4 +1,5 @@
 import type { EndpointId, NodeId } from '../../process/ids.js'
+import { RecentMembers } from '../../process/RecentMembers.js'
 import { OwnerRanks } from './OwnerRanks.js'
 
 /** Without an aggregate for this long, a node may be partitioned and owns nothing. */
@@ -8,6 +9,13 @@
  * partitioned or not have the new list yet, has stopped by then.
  */
 const TAKEOVER_MS = FLEET_OBSERVATION_TTL_MS + 250
+/**
+ * Other nodes may have taken nodes from the list since it was known to be current this long ago. A list is usually up to 4 s old while a
+ * lost lease holder has no successor.
+ */
+const LIST_TTL_MS = 5_000
+/** A node that is no longer listed may own a share until its list, and then its last aggregate, are too old. */
+const RETENTION_MS = LIST_TTL_MS + TAKEOVER_MS
 
 interface NodeList {
   readonly ranks: OwnerRanks
@@ -26,19 +34,34 @@
   /** When aggregates arrived again after a gap. Other nodes may have taken over this node's shares meanwhile. */
   private resumedAtMs = -Infinity
 
-  constructor (private readonly node: NodeId) {}
+  private readonly members: RecentMembers
+  /** When the list of nodes was last known to be current. */
+  private viewedAtMs = -Infinity
+
+  constructor (private readonly node: NodeId) {
+    this.members = new RecentMembers(node)
+  }
 
   /** Takes in the nodes that send requests, as read from the store. */
   noteNodes (nodes: readonly NodeId[], nowMs: number): void {
+    this.members.note(nodes, nowMs)
     this.lists = [...this.recentLists(nowMs), { ranks: new OwnerRanks(this.node, nodes), isListed: nodes.includes(this.node), fromMs: nowMs }]
   }
 
+  /** Takes in when the list of nodes was last known to be current. */
+  noteListView (viewedAtMs: number): void {
+    this.viewedAtMs = Math.max(this.viewedAtMs, viewedAtMs)
+  }
+
   /**
    * Takes in that an aggregate of so many nodes has arrived. An aggregate of less than half of the nodes does not count: a
-   * partitioned coordinator aggregates the few nodes on its side.
+   * partitioned coordinator aggregates the few nodes on its side, and may have taken the others from the list. Nor does one of a part of
+   * the nodes on a list that is too old: the others may be on the side that has the store, and have taken these from their list.
    */
   noteAggregate (nodes: number, nowMs: number): void {
-    if (2 * nodes <= this.nodeCount) return
+    const members = this.members.count(RETENTION_MS, nowMs)
+    const isListRecent = nowMs - this.viewedAtMs <= LIST_TTL_MS
+    if (2 * nodes <= members || (nodes < members && !isListRecent)) return
     if (this.observedAtMs > -Infinity && nowMs - this.observedAtMs > FLEET_OBSERVATION_TTL_MS) this.resumedAtMs = nowMs
     this.observedAtMs = nowMs
   }
@@ -49,7 +72,7 @@
 
   /** Whether this node owns one of `owners` shares of the endpoint's rate. */
   isOwner (endpoint: EndpointId, owners: number, nowMs: number): boolean {
-    if (this.nodeCount > 1 && (nowMs - this.observedAtMs > FLEET_OBSERVATION_TTL_MS || nowMs - this.resumedAtMs < TAKEOVER_MS)) return false
+    if (this.members.count(RETENTION_MS, nowMs) > 1 && (nowMs - this.observedAtMs > FLEET_OBSERVATION_TTL_MS || nowMs - this.resumedAtMs < TAKEOVER_MS)) return false
     const recent = this.recentLists(nowMs)
     const [oldest] = recent
     if (oldest === undefined || nowMs - oldest.fromMs < TAKEOVER_MS) return false
--- a/packages/dotterelspur/src/request/backpressure/__tests__/unit/ColdEndpoints.test.ts
+++ b/packages/dotterelspur/src/request/backpressure/__tests__/unit/ColdEndpoints.test.ts
@@ -117,6 +117,9 @@
     expect(sentBy([started], 5_000, 9_000)).to.equal(0)
     started.applyFleetObservation({}, 1, 9_000)
     expect(sentBy([started], 9_000, 10_000)).to.equal(0)
+    started.applyFleetObservation({}, 2, 9_900)
+    expect(sentBy([started], 9_900, 10_000), 'others may have given its shares away since the list was read').to.equal(0)
+    started.noteNodeListView(10_000)
     started.applyFleetObservation({}, 2, 10_000)
     expect(sentBy([started], 10_000, 11_000)).to.be.greaterThan(0)
     const alone = createNodes(['n1'])[0]!
--- a/packages/dotterelspur/src/request/dispatch/MembershipWindow.ts
+++ b/packages/dotterelspur/src/request/dispatch/MembershipWindow.ts
@@ -1,4 +1,5 @@
 import type { NodeId } from '../../process/ids.js'
+import { RecentMembers } from '../../process/RecentMembers.js'
 
 /** A node that was not seen on a recent list for this share of the window uses no part: the others may have stopped counting it. */
 const VIEW_SHARE = 0.5
@@ -11,9 +12,7 @@
  * its own list is too old. It counts until both have passed, so that no part is used twice.
  */
 export class MembershipWindow {
-  private listed: ReadonlySet<NodeId>
-  /** Nodes that are no longer listed, with the time at which they were found missing. */
-  private readonly unlistedAtMs = new Map<NodeId, number>()
+  private readonly members: RecentMembers
   /** When this node was last known to be listed. */
   private confirmedAtMs = -Infinity
   /** When this node may use its part at the earliest. */
@@ -21,7 +20,7 @@
 
   /** @param isFirst no earlier process of this node, nor of any other, has used a part. */
   constructor (private readonly node: NodeId, private windowMs: number, private readonly isFirst: boolean) {
-    this.listed = new Set([node])
+    this.members = new RecentMembers(node)
   }
 
   /** Applies a new length of the window. */
@@ -33,20 +32,12 @@
   noteView (nodes: readonly NodeId[], viewedAtMs: number, nowMs: number): void {
     // On a first start, this node's own entry may still be on its way, and no other node has used anything.
     if (nodes.includes(this.node) || this.isFirstView) this.confirm(viewedAtMs, nowMs)
-    const listed = new Set([...nodes, this.node])
-    for (const node of this.listed) {
-      if (!listed.has(node)) this.unlistedAtMs.set(node, nowMs)
-    }
-    for (const node of listed) this.unlistedAtMs.delete(node)
-    this.listed = listed
+    this.members.note(nodes, nowMs)
   }
 
   /** Nodes that may use a part, or may have used one within the window. */
   memberCount (nowMs: number): number {
-    for (const [node, unlistedAtMs] of this.unlistedAtMs) {
-      if (nowMs - unlistedAtMs > this.turnoverMs) this.unlistedAtMs.delete(node)
-    }
-    return this.listed.size + this.unlistedAtMs.size
+    return this.members.count(this.turnoverMs, nowMs)
   }
 
   /** This node's part of the bound, from 0 to 1. */
