Entries divide a team's limits by the nodes that are alive now

What endpoints and other teams saw: a team gets its whole limit at each node, instead of once over all nodes. After nodes have ended, a team whose settings came while they ran gets less than its limit.

Cause: AdmissionGate divided the limits when it was created, which is before a starting node knows the others, and then only when a team's settings changed; never when nodes joined or ended.

Evidence: AdmissionGate.test.ts with four nodes that join after the settings failed with the former code: 956 requests in 10 s where 240 are allowed, 32 concurrent ones where 8 are; two nodes of four left: 478 of 240.

The limits are divided again when the number of nodes that are alive changes, which the mesh tells.

--- a/packages/dotterelspur-entry/src/process/AdmissionGate.ts
+++ b/packages/dotterelspur-entry/src/process/AdmissionGate.ts
@@ -1,5 +1,5 @@
 import {
-  AdmissionController, AdmissionEffectKind, failed, success,
+  AdmissionController, AdmissionEffectKind, failed, mergeTeardowns, success,
   type AdmissionEffect, type AdmissionRequest, type AdmissionResult, type Clock, type MeshApi, type Outcome, type RequestId, type Result, type RouteTarget, type Teardown, type TeamLimits,
   NodeState, TargetKind
 } from 'dotterelspur'
@@ -12,17 +12,21 @@
   private readonly controller = new AdmissionController()
   private readonly waiting = new Map<RequestId, Settle>()
   private cancelTick: Teardown = () => {}
+  /** Nodes among which the teams' limits were last divided. */
+  private sharingNodes = 0
 
   constructor (private readonly clock: Clock, private readonly mesh: MeshApi, private readonly teams: TeamTable) {
     this.configureTeams()
   }
 
   start (): Teardown {
-    const unregister = this.teams.registerListener(() => { this.configureTeams() })
-    return () => {
-      unregister()
-      this.cancelTick()
-    }
+    const registrations = [
+      this.teams.registerListener(() => { this.configureTeams() }),
+      // Settings are in force before a starting node knows the others, and nodes join and leave without a change of settings.
+      this.mesh.registerMembersListener(() => { if (this.countAliveNodes() !== this.sharingNodes) this.configureTeams() })
+    ]
+    this.configureTeams()
+    return mergeTeardowns(...registrations, () => { this.cancelTick() })
   }
 
   /** Resolves when the request may be dispatched, or with the outcome with which it was refused. */
@@ -55,7 +59,8 @@
 
   private configureTeams (): void {
     const limits = new Map<string, TeamLimits>(this.teams.all().map((settings) => [settings.team, settings.limits]))
-    this.controller.configureTeams(limits, this.countAliveNodes(), this.clock.nowMs())
+    this.sharingNodes = this.countAliveNodes()
+    this.controller.configureTeams(limits, this.sharingNodes, this.clock.nowMs())
   }
 
   private countAliveNodes (): number {
