A retry counts for a whole window from the last moment at which it can have arrived

A retry counted from the time at which it was taken; endpoints count it when it arrives, which is seconds later where the endpoint stands still, so that the retries of two windows arrived within one. On the other hand, a silent request whose placement was refused took a retry every 250 ms for which nothing was sent.

Now a retry counts while it may still arrive, and for one window from the last moment at which it can have arrived: the response, the end of the exchange on the endpoint's side, or, where this node ends the exchange, 3 s after the sending, since an endpoint that stands still reads afterwards what it has received. Which of a request's arrivals is the first is not known beforehand: where the first endpoint stands still, its arrival is the later one and counts as the retry. A retry is therefore settled once its own run and all runs before it are. A retry for which nothing was sent is given back at once.

Tests of RetryWindow state null or not null where they stated false or true, since a retry that is taken is now a ticket.

--- a/packages/dotterelspur-gateway/src/process/Dispatch.ts
+++ b/packages/dotterelspur-gateway/src/process/Dispatch.ts
@@ -1,6 +1,6 @@
 import {
   EndpointHealth, ExchangeEnd, groupTimeMs, isLikelyToRetry, place, poolKey, poolKeyOf, RetryWindow, senderPosition,
-  type DispatchTarget, type EndpointId, type EndpointRecord, type FleetObservation, type ModelId, type PlacementRefusal, type PoolKey, type RetryWindowOptions, type Route, type Sender,
+  type DispatchTarget, type EndpointId, type EndpointRecord, type FleetObservation, type ModelId, type PlacementRefusal, type PoolKey, type RetryTicket, type RetryWindowOptions, type Route, type Sender,
   type SenderPosition, type ServiceId, type ReportedBackpressure, type RequestClass, type TargetPool
 } from 'dotterelspur'
 import { AvailableEndpoints } from './AvailableEndpoints.js'
@@ -236,12 +236,13 @@
     }
   }
 
-  trySpendRetry (service: ServiceId): boolean {
+  /** Takes one retry from the budget; null when the budget does not allow it. */
+  trySpendRetry (service: ServiceId): RetryTicket | null {
     const nowMs = this.parts.clock.nowMs()
     const { part, memberCount } = this.parts.budget
-    const isTaken = this.retryWindow.trySpend(service, part, nowMs)
-    this.retryLog.note(service, isTaken, this.retryWindow.usage(service, nowMs), { nodes: memberCount, part: Number(part.toFixed(4)) })
-    return isTaken
+    const ticket = this.retryWindow.trySpend(service, part, nowMs)
+    this.retryLog.note(service, ticket !== null, this.retryWindow.usage(service, nowMs), { nodes: memberCount, part: Number(part.toFixed(4)) })
+    return ticket
   }
 
   /** Retries of this node within the window of the budget. */
--- a/packages/dotterelspur-gateway/src/request/EndpointRun.ts
+++ b/packages/dotterelspur-gateway/src/request/EndpointRun.ts
@@ -1,5 +1,5 @@
 import type { Dispatcher } from 'undici'
-import { EventCursor, EXCHANGE_RULES, ExchangeEnd, RequestKind, type DispatchTarget } from 'dotterelspur'
+import { EventCursor, EXCHANGE_RULES, ExchangeEnd, RequestKind, type DispatchTarget, type RunArrival } from 'dotterelspur'
 import { forwardedHeaders, isEventStream } from '../connection/headers.js'
 import { LogKind } from '../process/DecisionLog.js'
 import type { DispatchExchange } from '../process/DispatchParts.js'
@@ -30,6 +30,7 @@
   /** The last event that the caller has; the run continues after it. */
   readonly lastEventId: string | null
   readonly leftMs: number
+  readonly arrival: RunArrival
 }
 
 /** One exchange of a request with one endpoint, and what it has received of the response. */
@@ -40,6 +41,7 @@
   private readonly dispatch: () => void
   private readonly createdAtMs: number
   private receivedAtMs: number
+  private sentAtMs: number | null = null
   private streamStart: ResponseStart | null = null
   private eventCount = 0
   private unproven = false
@@ -65,7 +67,10 @@
       wire,
       channel,
       reasonNotToSend: () => listener.reasonNotToSend(),
-      onSend: () => { listener.onSend() },
+      onSend: () => {
+        this.sentAtMs = clock.nowMs()
+        listener.onSend()
+      },
       sink: admitted.route.kind === RequestKind.Streaming ? { start: (start) => { this.streamStart = start }, data: (chunk) => this.handleData(chunk, execution.noteProgress) } : null,
       onProgress: (head) => {
         this.noteReceived()
@@ -73,6 +78,7 @@
       },
       onEnd: (end, buffered, head) => {
         this.exchange.stop()
+        this.settleArrival(end)
         const wasRelayed = channel.relay !== null
         dispatch.links.release(target, channel)
         if (end === ExchangeEnd.Rejected && head !== null && head.lostMember !== null) dispatch.noteFailure(target, end)
@@ -161,6 +167,15 @@
     }
     this.silent = false
     this.receivedAtMs = nowMs
+    this.options.arrival.noteResponse(nowMs)
+  }
+
+  private settleArrival (end: ExchangeEnd): void {
+    const { arrival } = this.options
+    const nowMs = this.parts.clock.nowMs()
+    if (this.sentAtMs === null) arrival.noteNotSent()
+    else if (EXCHANGE_RULES[end].mayArriveLater) arrival.noteAbort(this.sentAtMs, nowMs)
+    else arrival.noteEnd(nowMs)
   }
 
   private noteSilent ({ evidence, silentMs }: Silence): void {
--- a/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
+++ b/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage } from 'node:http'
 import {
-  DispatchEffectKind, DispatchEndKind, EXCHANGE_RULES, ExchangeEnd, RequestKind, runDispatch, runProcedure,
-  type Clock, type DispatchEnd, type DispatchTarget, type ExchangeEffect, type ExchangeReport, type PlaceEffect, type PlacementRefusal, type RequestContent, type Route, type ServiceId, type Teardown, type WorkspaceId
+  DispatchEffectKind, DispatchEndKind, EXCHANGE_RULES, ExchangeEnd, RequestArrivals, RequestKind, runDispatch, runProcedure,
+  type Clock, type DispatchEnd, type DispatchTarget, type ExchangeEffect, type ExchangeReport, type PlaceEffect, type PlacementRefusal, type RequestContent, type RetryTicket, type Route, type ServiceId, type Teardown, type WorkspaceId
 } from 'dotterelspur'
 import type { SocketPolls } from '../connection/SocketPolls.js'
 import type { Dispatch } from '../process/Dispatch.js'
@@ -69,6 +69,7 @@
 /** Dispatches one admitted request and sends its response. */
 export class GatewayRequest implements EndpointRunListener {
   private readonly runs = new OpenRuns()
+  private readonly arrivals = new RequestArrivals()
   /** The run that has continued the response last. */
   private currentRun: EndpointRun | null = null
   /** The last event that the caller has. */
@@ -83,6 +84,8 @@
   private callerLeftMs: number | null = null
   private readonly deadlineAtMs: number
   private paused = false
+  /** A retry that has been taken from the budget, and that no run uses yet. */
+  private retry: RetryTicket | null = null
   private readonly wait: PlacementWait
 
   constructor (private readonly parts: GatewayRequestParts, private readonly admitted: AdmittedRequest, private readonly response: CallerResponse) {
@@ -107,8 +110,8 @@
       [DispatchEffectKind.Exchange]: async (effect) => await this.exchange(effect),
       [DispatchEffectKind.AwaitOpen]: async () => await this.nextReport(),
       [DispatchEffectKind.JudgeLoss]: async () => await this.mayRetryAfterLoss(),
-      [DispatchEffectKind.SpendRetry]: () => this.stoppedWith === null && this.parts.dispatch.trySpendRetry(this.admitted.service)
-    })
+      [DispatchEffectKind.SpendRetry]: () => this.takeRetry()
+    }).finally(() => { this.releaseRetry() })
     cancelDeadline()
     // The caller disconnected while its request waited: nobody receives the rejection.
     const end = this.stoppedWith === ExchangeEnd.CallerLeft && dispatched.kind === DispatchEndKind.NotRun ? { ...dispatched, kind: DispatchEndKind.CallerLeft, refusal: null } : dispatched
@@ -179,9 +182,22 @@
     this.runs.abort(end)
   }
 
+  private takeRetry (): boolean {
+    if (this.stoppedWith === null) this.retry = this.parts.dispatch.trySpendRetry(this.admitted.service)
+    return this.retry !== null
+  }
+
+  /** Nothing is sent for the retry that was taken. */
+  private releaseRetry (): void {
+    this.retry?.release()
+    this.retry = null
+  }
+
   private async placeAgain (effect: PlaceEffect): Promise<DispatchTarget | PlacementRefusal> {
     await this.parts.polls.afterPoll()
-    return this.place(effect)
+    const placed = this.place(effect)
+    if (!('endpoint' in placed)) this.releaseRetry()
+    return placed
   }
 
   private place ({ excluded }: PlaceEffect): DispatchTarget | PlacementRefusal {
@@ -204,12 +220,14 @@
     if (reason !== null && this.runs.isEmpty) return { end: reason, hasPartialResponse: this.response.isStarted, hasOpenExchange: false, isUnsent: false }
     const isNeeded = reason === null && this.runs.needsAnother
     if (isNeeded) this.startRun(target, mayRetry)
+    else this.releaseRetry()
     return { ...await this.nextReport(), isUnsent: !isNeeded }
   }
 
   private startRun (target: DispatchTarget, mayRetry: boolean): void {
     this.targets.push(target.endpoint)
-    const run = new EndpointRun(this.parts, this.admitted, { target, mayRetry, lastEventId: this.lastEventId, leftMs: this.leftMs() }, this)
+    const run = new EndpointRun(this.parts, this.admitted, { target, mayRetry, lastEventId: this.lastEventId, leftMs: this.leftMs(), arrival: this.arrivals.begin(this.retry) }, this)
+    this.retry = null
     this.runs.add(run)
     run.start()
   }
--- a/packages/dotterelspur/src/request/dispatch/__tests__/unit/RetryWindow.test.ts
+++ b/packages/dotterelspur/src/request/dispatch/__tests__/unit/RetryWindow.test.ts
@@ -15,7 +15,10 @@
       const window = windows[random.integer(NODES)]!
       window.noteRequest('s', nowMs)
       requestTimesMs.push(nowMs)
-      if (window.trySpend('s', 1 / NODES, nowMs)) retryTimesMs.push(nowMs)
+      const ticket = window.trySpend('s', 1 / NODES, nowMs)
+      if (ticket === null) continue
+      ticket.settle(nowMs)
+      retryTimesMs.push(nowMs)
     }
     for (let fromMs = 0; fromMs < 50_000; fromMs += 500) {
       const within = (times: number[]): number => times.filter((timeMs) => timeMs >= fromMs && timeMs < fromMs + OPTIONS.windowMs).length
@@ -28,15 +31,15 @@
     // Guards against exceeding the budget of a window: a node uses its share, is killed, restarts, and uses it again,
     // since the new incarnation does not know what the previous one used.
     const window = new RetryWindow(OPTIONS)
-    expect(window.trySpend('s', 0, 5_000)).to.equal(false)
-    expect(window.trySpend('s', 1 / NODES, 10_000)).to.equal(true)
+    expect(window.trySpend('s', 0, 5_000)).to.equal(null)
+    expect(window.trySpend('s', 1 / NODES, 10_000)).not.to.equal(null)
   })
 
   it('keeps services apart', () => {
     const window = new RetryWindow({ ...OPTIONS, extra: 16 })
-    expect(window.trySpend('one', 1 / NODES, 0)).to.equal(true)
-    expect(window.trySpend('one', 1 / NODES, 0)).to.equal(false)
-    expect(window.trySpend('two', 1 / NODES, 0)).to.equal(true)
+    expect(window.trySpend('one', 1 / NODES, 0)).not.to.equal(null)
+    expect(window.trySpend('one', 1 / NODES, 0)).to.equal(null)
+    expect(window.trySpend('two', 1 / NODES, 0)).not.to.equal(null)
   })
 
   it('drops requests that are older than its window, also when nothing is retried', () => {
@@ -49,8 +52,36 @@
 
   it('keeps the retries already made when its options change', () => {
     const window = new RetryWindow({ windowMs: 10_000, ratio: 0, extra: 10 })
-    for (let count = 0; count < 5; count++) expect(window.trySpend('plain', 1, 0)).to.equal(true)
+    for (let count = 0; count < 5; count++) expect(window.trySpend('plain', 1, 0)).not.to.equal(null)
     window.configure({ windowMs: 10_000, ratio: 0, extra: 5 })
-    expect(window.trySpend('plain', 1, 0)).to.equal(false)
+    expect(window.trySpend('plain', 1, 0)).to.equal(null)
+  })
+
+  it('counts a retry for a whole window after its arrival', () => {
+    const window = new RetryWindow({ windowMs: 10_000, ratio: 0, extra: 2 })
+    const ticket = window.trySpend('s', 1, 0)
+    expect(window.hasLeft('s', 1, 60_000)).to.equal(false)
+    ticket?.settle(60_000)
+    expect(window.hasLeft('s', 1, 70_000)).to.equal(false)
+    expect(window.hasLeft('s', 1, 70_001)).to.equal(true)
+  })
+
+  it('gives back a retry that was not sent, once', () => {
+    const window = new RetryWindow({ windowMs: 10_000, ratio: 0, extra: 3 })
+    const first = window.trySpend('s', 1, 0)
+    first?.release()
+    first?.release()
+    expect(window.usage('s', 0).retries).to.equal(0)
+    expect(window.trySpend('s', 1, 0)).not.to.equal(null)
+    first?.release()
+    expect(window.usage('s', 0).retries).to.equal(1)
+  })
+
+  it('keeps nothing of retries that are older than its window', () => {
+    // Guards against retries that count forever, and memory that grows with each of them.
+    const window = new RetryWindow(OPTIONS)
+    for (let nowMs = 0; nowMs < 100_000; nowMs += 200) window.trySpend('s', 1, nowMs)?.settle(nowMs)
+    expect(window.usage('s', 200_000).retries).to.equal(0)
+    expect(window.retryCount(200_000)).to.equal(0)
   })
 })
