Every window keeps to the retry budget while callers come in waves and move between nodes

Cause: at each retry a node compared its retries of the last window with its requests of the last window. The budget holds for every window, with the requests of that window, of the one before it or of one half a window before it. A retry that was allowed for an older wave of callers falls into windows that don't have that wave; and callers that move from nodes that stop to others count in the last window of both. No node has to be lost from a list for it.

Why it holds: all nodes count the requests of the window that begins half a window earlier, for each window of the last one that a retry would fall into. Each node's retries of any window are then bounded by its own requests of one common time, and so are the sums.

The bound is exact now, so that 0.95 of it may be used.

--- a/packages/dotterelspur/src/request/dispatch/RetryWindow.ts
+++ b/packages/dotterelspur/src/request/dispatch/RetryWindow.ts
@@ -9,10 +9,16 @@
 }
 
 /**
- * Share of this node's budget that may be used: requests are counted at their arrival here, which differs from their
- * arrival at the endpoint.
+ * Share of this node's budget that may be used: requests are counted at their arrival here, a little after callers have sent them, and
+ * windows are checked at intervals.
  */
-const SAFETY_SHARE = 0.8
+const SAFETY_SHARE = 0.95
+
+/** Number of intervals within a window at which windows are checked. */
+const CHECKS_PER_WINDOW = 40
+
+/** The requests that count for a window are those of the window that begins this share of it earlier, since retries follow their requests. */
+const REQUEST_LEAD_SHARE = 0.5
 
 /** What this node has counted for a service within the window. */
 export interface RetryUsage {
@@ -43,6 +49,10 @@
 /**
  * The retry budget that all nodes share without a common counter: each node keeps to the ratio for its own requests and
  * to its part of the extra (see `MembershipWindow`).
+ *
+ * Load pattern: retries come in bursts, while callers come in waves and move from nodes that stop to others. Every window that holds a
+ * retry keeps to the bound, and all nodes count the requests of the same time for it. A node that took the requests of the last window at
+ * each retry would let a wave of callers pay for the retries of two windows, and callers that move would count at both nodes.
  */
 export class RetryWindow {
   private readonly services = new Map<ServiceId, ServiceWindow>()
@@ -56,11 +66,11 @@
 
   noteRequest (service: ServiceId, nowMs: number): void {
     const { requestTimesMs } = this.window(service)
-    dropBefore(requestTimesMs, nowMs - this.options.windowMs)
+    this.dropOldRequests(requestTimesMs, nowMs)
     requestTimesMs.push(nowMs)
   }
 
-  /** Requests of a service that are kept in the window. */
+  /** Requests of a service that are kept. */
   requestCount (service: ServiceId): number {
     return this.window(service).requestTimesMs.length
   }
@@ -83,11 +93,23 @@
 
   /** Whether a retry could be taken now. */
   hasLeft (service: ServiceId, part: number, nowMs: number): boolean {
+    const { windowMs, ratio, extra } = this.options
     const { requestTimesMs, retryTimesMs, openRetries } = this.window(service)
-    dropBefore(requestTimesMs, nowMs - this.options.windowMs)
-    dropBefore(retryTimesMs, nowMs - this.options.windowMs)
-    const allowed = this.options.ratio * requestTimesMs.length + part * this.options.extra
-    return retryTimesMs.length + openRetries + 1 <= SAFETY_SHARE * allowed
+    this.dropOldRequests(requestTimesMs, nowMs)
+    dropBefore(retryTimesMs, nowMs - windowMs)
+    for (let check = 0; check <= CHECKS_PER_WINDOW; check++) {
+      const fromMs = nowMs - windowMs * check / CHECKS_PER_WINDOW
+      const leadFromMs = fromMs - REQUEST_LEAD_SHARE * windowMs
+      const requests = countSince(requestTimesMs, leadFromMs) - countSince(requestTimesMs, leadFromMs + windowMs)
+      const retries = countSince(retryTimesMs, fromMs) + openRetries
+      if (retries + 1 > SAFETY_SHARE * (ratio * requests + part * extra)) return false
+    }
+    return true
+  }
+
+  /** Keeps the requests that count for the oldest window that may hold a retry taken now. */
+  private dropOldRequests (requestTimesMs: number[], nowMs: number): void {
+    dropBefore(requestTimesMs, nowMs - (1 + REQUEST_LEAD_SHARE) * this.options.windowMs)
   }
 
   private window (service: ServiceId): ServiceWindow {
@@ -119,12 +141,23 @@
   timesMs.splice(index, 0, timeMs)
 }
 
+/** Number of sorted times at `fromMs` or later. */
 function countSince (timesMs: readonly number[], fromMs: number): number {
-  const from = timesMs.findIndex((timeMs) => timeMs >= fromMs)
-  return from === -1 ? 0 : timesMs.length - from
+  return timesMs.length - indexSince(timesMs, fromMs)
 }
 
 function dropBefore (timesMs: number[], beforeMs: number): void {
-  const kept = timesMs.findIndex((timeMs) => timeMs >= beforeMs)
-  timesMs.splice(0, kept === -1 ? timesMs.length : kept)
+  timesMs.splice(0, indexSince(timesMs, beforeMs))
+}
+
+/** Index of the first of the sorted times at `fromMs` or later; their number if there is none. */
+function indexSince (timesMs: readonly number[], fromMs: number): number {
+  let low = 0
+  let high = timesMs.length
+  while (low < high) {
+    const middle = (low + high) >>> 1
+    if (timesMs[middle]! < fromMs) low = middle + 1
+    else high = middle
+  }
+  return low
 }
