A successor counts the loads of weights that the former lease holder started within the last second

What the weight store saw: after a hand-over of the lease, up to twice the loads a second that it takes.

Cause: a node takes over which loads are in progress, but not when they started, so that the loads a second counted only its own.

Each load that a node hears of for the first time counts as started then: that is later than its start, so never too many are allowed.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/WeightLoadTracker.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/WeightLoadTracker.test.ts
@@ -28,6 +28,21 @@
     expect(successor.allowance(RATES, 500_000 + 24_000)).to.equal(5)
   })
 
+  it('counts the loads that the former lease holder started within the last second', () => {
+    // Guards against twice the loads of a second where the lease is handed over at once.
+    const rates = { loadsPerSecond: 5, loadsAtOnce: 20 }
+    const former = new WeightLoadTracker()
+    for (let count = 0; count < 5; count++) former.begin(`w${count}`, MODEL, 1_000)
+    const successor = new WeightLoadTracker()
+    successor.replace(former.inProgress(1_000), 500_000)
+    successor.replace(former.inProgress(1_350), 500_350)
+    expect(successor.allowance(rates, 500_400)).to.equal(0)
+    expect(successor.allowance(rates, 501_000)).to.equal(5)
+    former.begin('w5', MODEL, 2_100)
+    successor.replace(former.inProgress(2_100), 501_100)
+    expect(successor.allowance(rates, 501_200)).to.equal(4)
+  })
+
   it('frees a host soon if its load may not have started', () => {
     const tracker = new WeightLoadTracker()
     tracker.begin('w0', MODEL, 0)
--- a/packages/dotterelspur-gateway/src/process/WeightLoadTracker.ts
+++ b/packages/dotterelspur-gateway/src/process/WeightLoadTracker.ts
@@ -55,8 +55,12 @@
     return [...this.running].map(([endpoint, { model, untilMs }]) => ({ endpoint, model, leftMs: untilMs - nowMs }))
   }
 
-  /** Replaces the tracked loads by those received from another node. */
+  /**
+   * Replaces the tracked loads by those received from another node. A load that is new counts as started now, since this node may take
+   * the lease over within a second.
+   */
   replace (loads: readonly LoadInProgress[], nowMs: number): void {
+    this.startTimesMs = [...this.recentStarts(nowMs), ...loads.filter(({ endpoint, model }) => this.running.get(endpoint)?.model !== model).map(() => nowMs)]
     this.running.clear()
     for (const { endpoint, model, leftMs } of loads) this.running.set(endpoint, { model, untilMs: nowMs + leftMs })
   }
@@ -82,13 +86,17 @@
 
   /** Number of loads that may start now. */
   allowance (engine: Pick<EngineSpec, 'loadsPerSecond' | 'loadsAtOnce'>, nowMs: number): number {
-    this.startTimesMs = this.startTimesMs.filter((startMs) => nowMs - startMs < SECOND_MS)
+    this.startTimesMs = this.recentStarts(nowMs)
     this.dropEnded(nowMs)
     const parallel = engine.loadsAtOnce - this.running.size
     const rate = Math.floor(engine.loadsPerSecond) - this.startTimesMs.length
     return Math.max(0, Math.min(parallel, rate))
   }
 
+  private recentStarts (nowMs: number): number[] {
+    return this.startTimesMs.filter((startMs) => nowMs - startMs < SECOND_MS)
+  }
+
   private dropEnded (nowMs: number): void {
     for (const [endpoint, { untilMs }] of this.running) {
       if (nowMs >= untilMs) this.running.delete(endpoint)
