A process that has just started retries some of its requests at once

The requests that count for a window are now the mean of those of the window, of the one half a window before it and of the one before it, which is at most what the budget counts, for all nodes together as well.

RetryWindow.test.ts: 0 of 100 requests of the first two seconds before, at least 5 now.

--- a/packages/dotterelspur/src/request/dispatch/RetryWindow.ts
+++ b/packages/dotterelspur/src/request/dispatch/RetryWindow.ts
@@ -17,8 +17,11 @@
 /** Number of intervals within a window at which windows are checked. */
 const CHECKS_PER_WINDOW = 40
 
-/** The requests that count for a window are those of the window that begins this share of it earlier, since retries follow their requests. */
-const REQUEST_LEAD_SHARE = 0.5
+/**
+ * The requests that count for a window are the mean of those in the window itself and in two that begin by these shares of it earlier. Retries
+ * follow their requests, and a node that has just started has requests of the window itself only.
+ */
+const REQUEST_LEAD_SHARES: readonly number[] = [0, 0.5, 1]
 
 /** What this node has counted for a service within the window. */
 export interface RetryUsage {
@@ -99,17 +102,26 @@
     dropBefore(retryTimesMs, nowMs - windowMs)
     for (let check = 0; check <= CHECKS_PER_WINDOW; check++) {
       const fromMs = nowMs - windowMs * check / CHECKS_PER_WINDOW
-      const leadFromMs = fromMs - REQUEST_LEAD_SHARE * windowMs
-      const requests = countSince(requestTimesMs, leadFromMs) - countSince(requestTimesMs, leadFromMs + windowMs)
+      const requests = this.requestsFor(requestTimesMs, fromMs)
       const retries = countSince(retryTimesMs, fromMs) + openRetries
       if (retries + 1 > SAFETY_SHARE * (ratio * requests + part * extra)) return false
     }
     return true
   }
 
+  /** The requests that count for the window that begins at `fromMs`. */
+  private requestsFor (requestTimesMs: readonly number[], fromMs: number): number {
+    const { windowMs } = this.options
+    const sum = REQUEST_LEAD_SHARES.reduce((total, share) => {
+      const leadFromMs = fromMs - share * windowMs
+      return total + countSince(requestTimesMs, leadFromMs) - countSince(requestTimesMs, leadFromMs + windowMs)
+    }, 0)
+    return sum / REQUEST_LEAD_SHARES.length
+  }
+
   /** Keeps the requests that count for the oldest window that may hold a retry taken now. */
   private dropOldRequests (requestTimesMs: number[], nowMs: number): void {
-    dropBefore(requestTimesMs, nowMs - (1 + REQUEST_LEAD_SHARE) * this.options.windowMs)
+    dropBefore(requestTimesMs, nowMs - (1 + REQUEST_LEAD_SHARES.at(-1)!) * this.options.windowMs)
   }
 
   private window (service: ServiceId): ServiceWindow {
