An endpoint whose run was superseded may be sent the request again while attempts are left

Callers saw a stream cut off although attempts were left: the request was sent to a second endpoint beside a silent one, the silent one went on, the run of the second was ended, and the first broke off. The second endpoint was left out for the rest of the request although nothing had failed there, so that none was left where a model has few groups. A run that was ended before its connection was established even used up an attempt, though nothing was sent.

Each report of an exchange now names those that were superseded since the last one. Their endpoints may be placed again, which is another attempt and another retry of the budget; one to which nothing was sent is no attempt. max_attempts bounds how often a request is sent, as before. Each endpoint that runs it has been sent it at least once, so that no more endpoints than that can run it, and no more arrivals of it are counted. A stream is still cut where its attempts are used up.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/pausedEndpoints.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/pausedEndpoints.test.ts
@@ -8,6 +8,7 @@
 
 const ROUTES = [
   createRoute('stream', { kind: RequestKind.Streaming, resumable: true, timeoutMs: 8_000 }),
+  createRoute('stream-thrice', { kind: RequestKind.Streaming, resumable: true, timeoutMs: 8_000, maxAttempts: 3 }),
   createRoute('stream-once', { kind: RequestKind.Streaming, resumable: false, timeoutMs: 8_000 }),
   createRoute('stream-short', { kind: RequestKind.Streaming, resumable: true, timeoutMs: 1_500 })
 ]
@@ -38,6 +39,19 @@
   }
 }
 
+/** As `pausing`, and breaks off after event `last`. */
+function breaking (last: number, pauseBefore: number, pauseMs: number): StubHandler {
+  return (incoming, response, body) => {
+    const write = response.write.bind(response)
+    let written = Number(incoming.headers['last-event-id'] ?? 0)
+    response.write = (chunk: unknown) => {
+      if (++written === last) setTimeout(() => { response.destroy() }, EVENT_INTERVAL_MS / 2)
+      return write(chunk)
+    }
+    pausing(pauseBefore, pauseMs)(incoming, response, body)
+  }
+}
+
 /** Streams slowly up to event `lastSlow`, and calls `onEvent` with each event. */
 function slow (lastSlow: number, onEvent: () => void): StubHandler {
   return (incoming, response) => {
@@ -164,6 +178,23 @@
     expect(await call('/stream/x')).to.deep.equal({ status: 200, body: WHOLE })
   })
 
+  // Guards against streams that are cut off although attempts are left, because each endpoint has been sent the request already.
+  it('have their stream continued by the endpoint whose run they ended, when they break off', async () => {
+    let calls = 0
+    const runs = [breaking(8, 6, PAUSE_MS), pausing(6, FOREVER_MS), working]
+    for (const endpoint of endpoints) endpoint.answerWith((incoming, response, body) => { runs[calls++]!(incoming, response, body) })
+    expect(await call('/stream-thrice/x')).to.deep.equal({ status: 200, body: WHOLE })
+    expect(sent()).to.equal(3)
+  })
+
+  it('are sent the request again only while attempts are left', async () => {
+    let calls = 0
+    const runs = [breaking(8, 6, PAUSE_MS), pausing(6, FOREVER_MS), working]
+    for (const endpoint of endpoints) endpoint.answerWith((incoming, response, body) => { runs[calls++]!(incoming, response, body) })
+    expect(await call('/stream/x')).to.deep.equal({ status: 200, body: null })
+    expect(sent()).to.equal(2)
+  })
+
   it('are left at the deadline, with all runs ended', async () => {
     answerWith(pausing(6, FOREVER_MS), pausing(6, FOREVER_MS))
     expect((await call('/stream-short/x')).body).to.equal(null)
--- a/packages/dotterelspur-gateway/src/request/EndpointRun.ts
+++ b/packages/dotterelspur-gateway/src/request/EndpointRun.ts
@@ -94,6 +94,11 @@
     return this.options.target
   }
 
+  /** Whether the request has been sent, since its connection was established. */
+  get isSent (): boolean {
+    return this.sentAtMs !== null
+  }
+
   /** Whether the endpoint has been silent for too long; bytes from it end this. */
   get isSilent (): boolean {
     return this.silent
--- a/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
+++ b/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
@@ -106,7 +106,7 @@
     this.response.onDrain(() => { this.resume() })
     const { route } = this.admitted
     const dispatched = await runProcedure(runDispatch({ retryable: isRetryable(route), maxAttempts: route.maxAttempts }), {
-      [DispatchEffectKind.Place]: async (effect) => effect.excluded.length > 0 ? await this.placeAgain(effect) : await this.wait.place(() => this.place(effect)),
+      [DispatchEffectKind.Place]: async (effect) => this.targets.length > 0 ? await this.placeAgain(effect) : await this.wait.place(() => this.place(effect)),
       [DispatchEffectKind.Exchange]: async (effect) => await this.exchange(effect),
       [DispatchEffectKind.AwaitOpen]: async () => await this.nextReport(),
       [DispatchEffectKind.JudgeLoss]: async () => await this.mayRetryAfterLoss(),
@@ -217,7 +217,7 @@
   /** Runs the request at another endpoint, unless a silent one has gone on meanwhile. */
   private async exchange ({ target, mayRetry }: ExchangeEffect): Promise<ExchangeReport> {
     const reason = this.reasonNotToSend()
-    if (reason !== null && this.runs.isEmpty) return { end: reason, hasPartialResponse: this.response.isStarted, hasOpenExchange: false, isUnsent: false }
+    if (reason !== null && this.runs.isEmpty) return { end: reason, hasPartialResponse: this.response.isStarted, hasOpenExchange: false, isUnsent: false, superseded: [] }
     const isNeeded = reason === null && this.runs.needsAnother
     if (isNeeded) this.startRun(target, mayRetry)
     else this.releaseRetry()
--- a/packages/dotterelspur-gateway/src/request/OpenRuns.ts
+++ b/packages/dotterelspur-gateway/src/request/OpenRuns.ts
@@ -1,4 +1,4 @@
-import { ExchangeEnd, type ExchangeReport } from 'dotterelspur'
+import { ExchangeEnd, type ExchangeReport, type SupersededExchange } from 'dotterelspur'
 import type { EndpointRun } from './EndpointRun.js'
 
 /**
@@ -12,6 +12,8 @@
   private readonly silent = new Set<EndpointRun>()
   /** Ends that have not been reported yet. */
   private readonly ends: ExchangeEnd[] = []
+  /** Runs that have been superseded since the last report. */
+  private superseded: SupersededExchange[] = []
   private wake = (): void => {}
 
   get isEmpty (): boolean {
@@ -76,10 +78,14 @@
   }
 
   /** Resolves with the next end of a run, or when a run becomes silent. */
-  async nextReport (): Promise<Pick<ExchangeReport, 'end' | 'hasOpenExchange'>> {
+  async nextReport (): Promise<Pick<ExchangeReport, 'end' | 'hasOpenExchange' | 'superseded'>> {
     for (;;) {
       const end = this.ends.shift() ?? this.takeSilence()
-      if (end !== undefined) return { end, hasOpenExchange: !this.isEmpty || this.ends.length > 0 }
+      if (end !== undefined) {
+        const superseded = this.superseded
+        this.superseded = []
+        return { end, hasOpenExchange: !this.isEmpty || this.ends.length > 0, superseded }
+      }
       await new Promise<void>((resolve) => { this.wake = resolve })
     }
   }
@@ -98,6 +104,7 @@
   private supersede (run: EndpointRun): void {
     this.open.delete(run)
     this.silent.delete(run)
+    this.superseded.push({ target: run.target, isUnsent: !run.isSent })
     run.abort(ExchangeEnd.Superseded)
   }
 }
--- a/packages/dotterelspur/src/request/dispatch/__tests__/unit/runDispatch.test.ts
+++ b/packages/dotterelspur/src/request/dispatch/__tests__/unit/runDispatch.test.ts
@@ -22,17 +22,21 @@
   return { endpoint: name, service: 's', address: '10.0.0.1:1', failureDomain: 'a', model: null, slots: 6 }
 }
 
-function play ({ order, exchanges, awaited = [], endpoints = 9, budget = 9, trustedLosses = 9 }: Script): { end: DispatchEnd, sent: string[] } {
+function play ({ order, exchanges, awaited = [], endpoints = 9, budget = 9, trustedLosses = 9 }: Script): { end: DispatchEnd, sent: string[], excluded: string[][] } {
   const steps = runDispatch(order)
   const sent: string[] = []
+  /** The endpoints that each placement leaves out. */
+  const excluded: string[][] = []
   let placed = 0
   let spent = 0
   let judged = 0
   let waits = 0
   let step = steps.next()
   while (step.done !== true) {
-    if (step.value.kind === DispatchEffectKind.Place) step = steps.next(placed < endpoints ? createTarget(`e${++placed}`) : FULL)
-    else if (step.value.kind === DispatchEffectKind.SpendRetry) step = steps.next(spent++ < budget)
+    if (step.value.kind === DispatchEffectKind.Place) {
+      excluded.push(step.value.excluded.map(({ endpoint }) => endpoint))
+      step = steps.next(placed < endpoints ? createTarget(`e${++placed}`) : FULL)
+    } else if (step.value.kind === DispatchEffectKind.SpendRetry) step = steps.next(spent++ < budget)
     else if (step.value.kind === DispatchEffectKind.JudgeLoss) step = steps.next(judged++ < trustedLosses)
     else if (step.value.kind === DispatchEffectKind.AwaitOpen) step = steps.next(awaited[waits++] ?? ended(ExchangeEnd.TimedOut))
     else {
@@ -40,16 +44,16 @@
       step = steps.next(exchanges[sent.length - 1] ?? ended(ExchangeEnd.Answered))
     }
   }
-  return { end: step.value, sent }
+  return { end: step.value, sent, excluded }
 }
 
 function ended (end: ExchangeEnd, hasPartialResponse = false): ExchangeReport {
-  return { end, hasPartialResponse, hasOpenExchange: false, isUnsent: false }
+  return { end, hasPartialResponse, hasOpenExchange: false, isUnsent: false, superseded: [] }
 }
 
 /** A report beside which other exchanges are open, or that of a silent one. */
 function reportedBesideOpen (end: ExchangeEnd, hasPartialResponse = true): ExchangeReport {
-  return { end, hasPartialResponse, hasOpenExchange: true, isUnsent: false }
+  return { end, hasPartialResponse, hasOpenExchange: true, isUnsent: false, superseded: [] }
 }
 
 const AT_MOST_ONCE: DispatchOptions = { retryable: false, maxAttempts: 3 }
@@ -137,6 +141,27 @@
     expect(end).to.deep.include({ kind: DispatchEndKind.Delivered, attempts: 2 })
   })
 
+  it('may try an endpoint again whose exchange was superseded, as another attempt', () => {
+    const superseding = { ...ended(ExchangeEnd.BrokenOff, true), superseded: [{ target: createTarget('e2'), isUnsent: false }] }
+    const { end, excluded } = play({ order: RETRYABLE, exchanges: [reportedBesideOpen(ExchangeEnd.Silent), superseding] })
+    expect(excluded).to.deep.equal([[], ['e1'], ['e1']])
+    expect(end).to.deep.include({ kind: DispatchEndKind.Delivered, attempts: 3 })
+  })
+
+  it('is not sent more often than the maximum attempts, whichever exchanges were superseded', () => {
+    const superseding = { ...ended(ExchangeEnd.BrokenOff, true), superseded: [{ target: createTarget('e2'), isUnsent: false }] }
+    const { end, sent } = play({ order: { ...RETRYABLE, maxAttempts: 2 }, exchanges: [reportedBesideOpen(ExchangeEnd.Silent), superseding] })
+    expect(sent).to.deep.equal(['e1', 'e2'])
+    expect(end.kind).to.equal(DispatchEndKind.CutOff)
+  })
+
+  it('does not count an exchange as an attempt that was superseded before it was sent', () => {
+    const superseding = { ...ended(ExchangeEnd.BrokenOff, true), superseded: [{ target: createTarget('e2'), isUnsent: true }] }
+    const { end, excluded } = play({ order: { ...RETRYABLE, maxAttempts: 2 }, exchanges: [reportedBesideOpen(ExchangeEnd.Silent), superseding] })
+    expect(excluded).to.deep.equal([[], ['e1'], ['e1']])
+    expect(end).to.deep.include({ kind: DispatchEndKind.Delivered, attempts: 2 })
+  })
+
   it('reports not run when every exchange that was silent has proved it at its end', () => {
     const { end } = play({ order: { ...RETRYABLE, maxAttempts: 2 }, exchanges: [reportedBesideOpen(ExchangeEnd.Silent, false), reportedBesideOpen(ExchangeEnd.Rejected, false)], awaited: [ended(ExchangeEnd.Rejected)] })
     expect(end.kind).to.equal(DispatchEndKind.NotRun)
--- a/packages/dotterelspur/src/request/dispatch/runDispatch.ts
+++ b/packages/dotterelspur/src/request/dispatch/runDispatch.ts
@@ -1,3 +1,4 @@
+import type { EndpointId } from '../../process/ids.js'
 import { perform, type Effect, type Procedure } from '../../process/Procedure.js'
 import { EXCHANGE_RULES, ExchangeEnd } from './ExchangeEnd.js'
 import type { PlacementRefusal } from './Placement.js'
@@ -45,6 +46,13 @@
 
 export type DispatchEffects = PlaceEffect | ExchangeEffect | AwaitOpenEffect | JudgeLossEffect | TakeRetryEffect
 
+/** An exchange that was ended because another one of the request continued the response. */
+export interface SupersededExchange {
+  readonly target: DispatchTarget
+  /** Its connection had not been established, so that nothing was sent. */
+  readonly isUnsent: boolean
+}
+
 export interface ExchangeReport {
   readonly end: ExchangeEnd
   /** The caller already has part of a response: no other response can be sent any more. */
@@ -53,11 +61,14 @@
   readonly hasOpenExchange: boolean
   /** Nothing was sent to the endpoint, because an exchange that was open went on or ended meanwhile. */
   readonly isUnsent: boolean
+  /** Exchanges that were superseded since the last report. */
+  readonly superseded: readonly SupersededExchange[]
 }
 
 export interface DispatchOptions {
   /** May run more than once. */
   readonly retryable: boolean
+  /** How often the request may be sent. It never runs at more endpoints. */
   readonly maxAttempts: number
 }
 
@@ -87,25 +98,34 @@
 /**
  * Handles one request of a caller, from its first endpoint to its end. Another endpoint is tried only where the request
  * may run again, or where each endpoint before it has proved that the request did not run. The silence of an endpoint proves
- * nothing: its exchange stays open beside the next one, and ends only when another has continued the response.
+ * nothing: its exchange stays open beside the next one, and ends only when another has continued the response. An endpoint whose exchange
+ * was superseded has not failed: it may be tried again, which is another attempt.
  */
 export function * runDispatch (order: DispatchOptions): Procedure<DispatchEffects, DispatchEnd> {
-  const excluded: DispatchTarget[] = []
+  const excluded = new Map<EndpointId, DispatchTarget>()
+  let attempts = 0
   let mayHaveRun = false
   let last: ExchangeReport | null = null
   let mayTry = true
   for (;;) {
-    const placed: DispatchTarget | PlacementRefusal | null = mayTry ? yield * perform<PlaceEffect>({ kind: DispatchEffectKind.Place, excluded }) : null
+    const placed: DispatchTarget | PlacementRefusal | null = mayTry ? yield * perform<PlaceEffect>({ kind: DispatchEffectKind.Place, excluded: [...excluded.values()] }) : null
     if (placed !== null && 'endpoint' in placed) {
-      last = yield * perform<ExchangeEffect>({ kind: DispatchEffectKind.Exchange, target: placed, mayRetry: order.retryable && excluded.length + 1 < order.maxAttempts })
-      if (!last.isUnsent) excluded.push(placed)
+      last = yield * perform<ExchangeEffect>({ kind: DispatchEffectKind.Exchange, target: placed, mayRetry: order.retryable && attempts + 1 < order.maxAttempts })
+      if (!last.isUnsent) {
+        excluded.set(placed.endpoint, placed)
+        attempts += 1
+      }
     } else if (last?.hasOpenExchange === true) {
       last = yield * perform<AwaitOpenEffect>({ kind: DispatchEffectKind.AwaitOpen })
     } else {
-      return conclude(last, mayHaveRun, excluded.length, placed)
+      return conclude(last, mayHaveRun, attempts, placed)
+    }
+    for (const { target, isUnsent } of last.superseded) {
+      excluded.delete(target.endpoint)
+      if (isUnsent) attempts -= 1
     }
     if (!isStillOpen(last)) mayHaveRun ||= !EXCHANGE_RULES[last.end].provesNotRun
-    mayTry = yield * mayTryAgain(order, last, mayHaveRun, excluded.length)
+    mayTry = yield * mayTryAgain(order, last, mayHaveRun, attempts)
   }
 }
 
