A response without end is ended at a limit instead of being buffered until the process is killed

What callers saw: an endpoint whose body never ends filled the memory of its node, which was killed with all its requests.

Cause: bodies of plain routes were buffered without limit, and so were the bodies of failures. Each chunk was kept as an object of its own, so that a body in chunks of one byte took many times its size.

Evidence: endlessResponses.test.ts sends up to 100 MB to one request. Now each exchange ends as garbled at 16 MiB, is closed, runs at the other endpoint or gets a 502, and other requests are answered meanwhile; 8 pass.

ByteCollector copies chunks into few blocks. Log: response-limit. What waits for a caller that reads slowly is not counted.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/EndpointCall.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/EndpointCall.test.ts
@@ -5,6 +5,7 @@
 import { EndpointChannels } from '../../connection/EndpointChannels.js'
 import type { ResponseHeaders, WireFormat } from '../../process/GatewayPorts.js'
 import { EndpointCall, type BufferedResponse } from '../../request/EndpointCall.js'
+import { ResponseMemory } from '../../request/ResponseMemory.js'
 
 const REQUEST_ID = 'request-1'
 const OTHER_ID = 'request-0'
@@ -49,6 +50,7 @@
       method,
       wire: wire as WireFormat,
       channel,
+      memory: new ResponseMemory(),
       sink: null,
       onProgress: () => {},
       onEnd: (end, held: BufferedResponse | null) => {
--- a/packages/dotterelspur-gateway/src/__tests__/unit/RelayServer.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/RelayServer.test.ts
@@ -8,6 +8,7 @@
 import { RelayServer } from '../../connection/RelayServer.js'
 import type { WireFormat } from '../../process/GatewayPorts.js'
 import { EndpointCall, type BufferedResponse } from '../../request/EndpointCall.js'
+import { ResponseMemory } from '../../request/ResponseMemory.js'
 
 const TIMEOUT_MS = 2_000
 const POLL_MS = 5
@@ -85,7 +86,7 @@
     })
     const result = await new Promise<CallResult>((resolve) => {
       const onEnd = (end: ExchangeEnd, buffered: BufferedResponse | null): void => { resolve({ end, bytes: buffered?.body.length ?? 0 }) }
-      channel.dispatch({ path: '/', method: 'GET' }, new EndpointCall({ requestId: 'r1', method: 'GET', wire: wire as WireFormat, channel, sink: null, onProgress: () => {}, onEnd }))
+      channel.dispatch({ path: '/', method: 'GET' }, new EndpointCall({ requestId: 'r1', method: 'GET', wire: wire as WireFormat, channel, memory: new ResponseMemory(), sink: null, onProgress: () => {}, onEnd }))
     })
     channel.destroy()
     return result
--- /dev/null
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/endlessResponses.test.ts
@@ -0,0 +1,107 @@
+import { expect } from 'chai'
+import { request } from 'undici'
+import { RequestKind } from 'dotterelspur'
+import { endlessResponse, headOf, type EndlessResponse } from '../fixtures/endlessResponses.js'
+import { GatewayWorld } from '../fixtures/GatewayWorld.js'
+import { createManifest, createRoute } from '../fixtures/builders.js'
+import { event, StubEndpoint, type StubHandler } from '../fixtures/StubEndpoint.js'
+
+const TIMEOUT_MS = 20_000
+const ROUTES = [
+  createRoute('read', { timeoutMs: TIMEOUT_MS }),
+  createRoute('once', { kind: RequestKind.NonIdempotent, timeoutMs: TIMEOUT_MS }),
+  createRoute('stream', { kind: RequestKind.Streaming, resumable: true, timeoutMs: TIMEOUT_MS }),
+  createRoute('stream-once', { kind: RequestKind.Streaming, timeoutMs: TIMEOUT_MS })
+]
+const MIB = 1_048_576
+/** What the buffers of a loopback connection and one turn of the event loop take beyond a limit. */
+const TRANSIT_BYTES = 16 * MIB
+const CHUNKED = 'transfer-encoding: chunked'
+
+interface EndlessCase {
+  readonly name: string
+  readonly start: (requestId: string) => string
+  readonly repeated: string
+  /** The route of a request that may run again, and of one that may not. */
+  readonly retried: string
+  readonly once: string
+  readonly limitBytes: number
+}
+
+const PLAIN = { retried: 'read', once: 'once' }
+const BODY_CASES: readonly EndlessCase[] = [
+  { ...PLAIN, name: 'a body that ends with its connection', start: (id) => headOf(id), repeated: 'x'.repeat(65_536), limitBytes: 16 * MIB },
+  { ...PLAIN, name: 'a body in chunks', start: (id) => headOf(id, CHUNKED), repeated: `8000\r\n${'x'.repeat(0x8000)}\r\n`, limitBytes: 16 * MIB },
+  { ...PLAIN, name: 'a body in chunks of one byte', start: (id) => headOf(id, CHUNKED), repeated: '1\r\nx\r\n', limitBytes: 6 * 16 * MIB },
+  { ...PLAIN, name: 'the body of a server error', start: (id) => headOf(id, CHUNKED).replace('200 OK', '500 Oops'), repeated: `8000\r\n${'x'.repeat(0x8000)}\r\n`, limitBytes: 16 * MIB }
+]
+
+const whole: StubHandler = (incoming, response) => {
+  const isStream = String(incoming.url).startsWith('/stream')
+  response.writeHead(200, { 'x-seal': 'seal', 'content-type': isStream ? 'text/event-stream' : 'text/plain' }).end(isStream ? event(1) : 'whole')
+}
+
+describe('Responses without end', () => {
+  let world: GatewayWorld
+  let endpoints: StubEndpoint[]
+
+  beforeEach(async () => {
+    world = await GatewayWorld.start()
+    endpoints = await Promise.all(['w1', 'w2'].map(async (name) => await new StubEndpoint(name, whole).listen()))
+    await world.declare(createManifest(1, { routes: ROUTES }), ...endpoints)
+  })
+
+  afterEach(async () => {
+    for (const endpoint of endpoints) endpoint.close()
+    await world.gateway.close()
+  })
+
+  /** The first request is answered without end, whichever endpoint gets it. */
+  function answerFirstWith ({ respond }: EndlessResponse): void {
+    let calls = 0
+    for (const endpoint of endpoints) {
+      endpoint.answerWith((incoming, response, body) => { (calls++ === 0 ? respond : whole)(incoming, response, body) })
+    }
+  }
+
+  /** `body` is null if the response was cut off. */
+  async function call (route: string): Promise<{ status: number, body: string | null }> {
+    const answer = await request(world.url(`/${route}/x`), { method: 'POST', body: 'prompt', headers: { host: 'a.example', 'x-request': 'r1', 'x-key': 'key-1' } })
+    return { status: answer.statusCode, body: await answer.body.text().catch(() => null) }
+  }
+
+  /** Sends requests one after the other until `done` resolves. Returns how many were answered. */
+  async function serveUntil (done: Promise<unknown>): Promise<number> {
+    const state = { isDone: false }
+    const end = done.finally(() => { state.isDone = true })
+    let served = 0
+    while (!state.isDone) {
+      expect(await call('read')).to.deep.equal({ status: 200, body: 'whole' })
+      served += 1
+    }
+    await end
+    return served
+  }
+
+  for (const { name, start, repeated, retried, once, limitBytes } of BODY_CASES) {
+    // Guards against a node that buffers bytes for as long as one endpoint sends them, until its memory is used up.
+    it(`end as garbled and run elsewhere: ${name}`, async () => {
+      const endless = endlessResponse(start, repeated)
+      answerFirstWith(endless)
+      const answer = call(retried)
+      while (endpoints.every(({ requests }) => requests.length === 0)) await new Promise((resolve) => { setImmediate(resolve) })
+      expect(await serveUntil(answer)).to.be.greaterThan(0)
+      expect(await answer).to.deep.equal({ status: 200, body: retried === 'read' ? 'whole' : event(1) })
+      await endless.closed()
+      expect(endless.sentBytes()).to.be.lessThan(limitBytes + TRANSIT_BYTES)
+    })
+
+    it(`report a lost endpoint where the request may have run: ${name}`, async () => {
+      const endless = endlessResponse(start, repeated)
+      answerFirstWith(endless)
+      expect((await call(once)).status).to.equal(502)
+      await endless.closed()
+      expect(endless.sentBytes()).to.be.lessThan(limitBytes + TRANSIT_BYTES)
+    })
+  }
+})
--- a/packages/dotterelspur-gateway/src/process/DecisionLog.ts
+++ b/packages/dotterelspur-gateway/src/process/DecisionLog.ts
@@ -40,6 +40,8 @@
   ExchangeResumed = 'exchange-resumed',
   /** An exchange with an endpoint broke off: what was sent, where, and whether the endpoint has terminated. */
   ExchangeLost = 'exchange-lost',
+  /** A response exceeded a limit, which ended its exchange as garbled. */
+  ResponseLimit = 'response-limit',
   /** The poison state of a request that lost endpoints has changed. */
   RequestJudged = 'request-judged',
   LeaseTaken = 'lease-taken',
@@ -96,7 +98,7 @@
 }
 
 /** Events that explain a request's end if the process is killed soon after them. */
-const URGENT_KINDS: ReadonlySet<LogKind> = new Set([LogKind.ExchangeSilent, LogKind.ExchangeLost, LogKind.GroupStopped, LogKind.ManifestInForce, LogKind.Stop, LogKind.Unexpected])
+const URGENT_KINDS: ReadonlySet<LogKind> = new Set([LogKind.ExchangeSilent, LogKind.ExchangeLost, LogKind.ResponseLimit, LogKind.GroupStopped, LogKind.ManifestInForce, LogKind.Stop, LogKind.Unexpected])
 
 export type LogFields = Readonly<Record<string, unknown>>
 
--- a/packages/dotterelspur-gateway/src/process/EndpointLinks.ts
+++ b/packages/dotterelspur-gateway/src/process/EndpointLinks.ts
@@ -4,11 +4,13 @@
 import { EndpointConnector, type EndpointConnectorParts } from '../connection/EndpointConnector.js'
 import { SocketPolls } from '../connection/SocketPolls.js'
 import type { Relay } from '../connection/RelayDialer.js'
+import { ResponseMemory } from '../request/ResponseMemory.js'
 
 /** This node's channels to endpoints, and what is known of the links that they use. */
 export class EndpointLinks {
   readonly connector: EndpointConnector
   readonly polls = new SocketPolls()
+  readonly memory = new ResponseMemory()
   private readonly channels: EndpointChannels
   private knownRelays: readonly Relay[] = []
   private listedRelays: ReadonlySet<NodeId> = new Set()
--- a/packages/dotterelspur-gateway/src/request/EndpointCall.ts
+++ b/packages/dotterelspur-gateway/src/request/EndpointCall.ts
@@ -1,7 +1,8 @@
 import type { IncomingHttpHeaders } from 'node:http'
 import type { Dispatcher } from 'undici'
-import { ExchangeEnd } from 'dotterelspur'
+import { ByteCollector, ExchangeEnd } from 'dotterelspur'
 import type { ResponseHeaders, WireFormat } from '../process/GatewayPorts.js'
+import { RESPONSE_LIMIT_BYTES, ResponseLimit, type ResponseBuffer, type ResponseMemory } from './ResponseMemory.js'
 
 const MISDIRECTED = 421
 const FIRST_SUCCESS = 200
@@ -56,6 +57,8 @@
   readonly method: Dispatcher.HttpMethod
   readonly wire: WireFormat
   readonly channel: ChannelCloseDetector
+  /** What the process buffers of all responses. */
+  readonly memory: ResponseMemory
   /** Asked once the connection is open; the request is not sent if there is a reason. */
   readonly reasonNotToSend?: () => ExchangeEnd | null
   /** Called immediately before the request is sent. */
@@ -72,18 +75,33 @@
 const PARSER_ERROR = 'HTTPParserError'
 
 /** One request on one channel to one endpoint. Calls `onEnd` exactly once. */
-export class EndpointCall implements Dispatcher.DispatchHandler {
+export class EndpointCall implements Dispatcher.DispatchHandler, ResponseBuffer {
   private controller: Dispatcher.DispatchController | null = null
   private sent = false
   private ended = false
   private abortedWith: ExchangeEnd | null = null
   private start: ResponseStart | null = null
   private head: ResponseHeaders | null = null
-  private readonly chunks: Buffer[] = []
+  private readonly body = new ByteCollector()
   private streaming = false
+  private exceededLimit: ResponseLimit | null = null
 
   constructor (private readonly options: EndpointCallOptions) {}
 
+  /** The limit that ended the exchange; null if none did. */
+  get exceeded (): ResponseLimit | null {
+    return this.exceededLimit
+  }
+
+  /** Ends the exchange: an endpoint that works sends less than the limit. */
+  endAt (limit: ResponseLimit): void {
+    if (this.ended || this.abortedWith !== null) return
+    this.exceededLimit = limit
+    this.body.take()
+    this.options.memory.noteSize(this, 0)
+    this.abort(ExchangeEnd.Garbled)
+  }
+
   /** Aborts the exchange and closes its connection, so that the endpoint stops working on it. */
   abort (end: ExchangeEnd): void {
     if (this.ended || this.abortedWith !== null) return
@@ -121,8 +139,8 @@
   onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (this.ended || this.abortedWith !== null) return
     if (!this.streaming) {
-      this.chunks.push(chunk)
-      return
+      this.body.push(chunk)
+      return this.noteBuffered(this.body.sizeBytes, ResponseLimit.Body)
     }
     this.options.onProgress(null)
     if (!this.options.sink!.data(chunk)) controller.pause()
@@ -131,7 +149,7 @@
   onResponseEnd (): void {
     if (this.start === null || this.head === null) return this.finish(ExchangeEnd.Garbled, null)
     const end = classifyResponse(this.start.status, this.head)
-    const buffered: BufferedResponse = { ...this.start, body: Buffer.concat(this.chunks) }
+    const buffered: BufferedResponse = { ...this.start, body: this.body.take() }
     if (this.start.framing !== ResponseFraming.Close) return this.finish(end, buffered)
     this.options.channel.closedCleanly().then(
       (clean) => { this.finish(clean ? end : ExchangeEnd.BrokenOff, clean ? buffered : null) },
@@ -145,9 +163,15 @@
     this.finish(isGarbled(error) ? ExchangeEnd.Garbled : ExchangeEnd.BrokenOff, null)
   }
 
+  private noteBuffered (sizeBytes: number, limit: ResponseLimit): void {
+    if (sizeBytes > RESPONSE_LIMIT_BYTES[limit]) return this.endAt(limit)
+    this.options.memory.noteSize(this, sizeBytes)
+  }
+
   private finish (end: ExchangeEnd, buffered: BufferedResponse | null): void {
     if (this.ended) return
     this.ended = true
+    this.options.memory.noteSize(this, 0)
     this.options.onEnd(end, buffered, this.head)
   }
 }
--- a/packages/dotterelspur-gateway/src/request/EndpointRun.ts
+++ b/packages/dotterelspur-gateway/src/request/EndpointRun.ts
@@ -6,6 +6,7 @@
 import type { Silence } from '../process/StallDetector.js'
 import { EndpointCall, type BufferedResponse, type ResponseStart, type StreamReport } from './EndpointCall.js'
 import type { AdmittedRequest, GatewayRequestParts } from './GatewayRequest.js'
+import { RESPONSE_LIMIT_BYTES } from './ResponseMemory.js'
 
 const FIRST_REDIRECT = 300
 
@@ -66,6 +67,7 @@
       method: admitted.request.method as Dispatcher.HttpMethod,
       wire,
       channel,
+      memory: dispatch.links.memory,
       reasonNotToSend: () => listener.reasonNotToSend(),
       onSend: () => {
         this.sentAtMs = clock.nowMs()
@@ -212,9 +214,10 @@
   }
 
   private handleEnd (end: ExchangeEnd, buffered: BufferedResponse | null, wasRelayed: boolean): void {
-    const { dispatch, poison, clock } = this.parts
+    const { dispatch, poison, clock, log } = this.parts
     const { requestId, content } = this.admitted
-    const { target } = this
+    const { target, call: { exceeded } } = this
+    if (exceeded !== null) log.write(LogKind.ResponseLimit, { request: requestId, endpoint: target.endpoint, limit: exceeded, limitBytes: RESPONSE_LIMIT_BYTES[exceeded], events: this.eventCount })
     if (EXCHANGE_RULES[end].mayHaveCrashedEndpoint) {
       this.lossRecorded = poison.noteLoss({ requestId, content, target, events: this.eventCount, tookMs: clock.nowMs() - this.createdAtMs, besides: dispatch.ownInFlight(target), wasRelayed, stream: this.stream })
     }
--- a/packages/dotterelspur/src/request/dispatch/index.ts
+++ b/packages/dotterelspur/src/request/dispatch/index.ts
@@ -1,4 +1,5 @@
 export * from './AdmissionShares.js'
+export * from './ByteCollector.js'
 export * from './ClassAdmission.js'
 export * from './ClassDemand.js'
 export * from './AvailablePools.js'
