An event without end is ended at a limit, and read in linear time

What callers saw: an endpoint that never ended an event held the event loop of its node, and filled its memory until it was killed.

Cause: EventCursor joined all bytes of the incomplete event with each chunk and searched all of them again, without limit. A response that is no stream of events was buffered there in the same way.

EventCursor collects the incomplete event and searches only the new chunk, with the two bytes before it, since an empty line may be split there. A property compares it with reading all incomplete bytes again, for LF, CR and CRLF in any mixture.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/endlessResponses.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/endlessResponses.test.ts
@@ -4,7 +4,7 @@
 import { endlessResponse, headOf, type EndlessResponse } from '../fixtures/endlessResponses.js'
 import { GatewayWorld } from '../fixtures/GatewayWorld.js'
 import { createManifest, createRoute } from '../fixtures/builders.js'
-import { event, StubEndpoint, type StubHandler } from '../fixtures/StubEndpoint.js'
+import { event, StubEndpoint, streamUpTo, type StubHandler } from '../fixtures/StubEndpoint.js'
 
 const TIMEOUT_MS = 20_000
 const ROUTES = [
@@ -28,6 +28,8 @@
   readonly limitBytes: number
 }
 
+const STREAM = { retried: 'stream', once: 'stream-once' }
+const EVENT_STREAM = 'content-type: text/event-stream'
 const PLAIN = { retried: 'read', once: 'once' }
 const BODY_CASES: readonly EndlessCase[] = [
   { ...PLAIN, name: 'a body that ends with its connection', start: (id) => headOf(id), repeated: 'x'.repeat(65_536), limitBytes: 16 * MIB },
@@ -36,6 +38,13 @@
   { ...PLAIN, name: 'the body of a server error', start: (id) => headOf(id, CHUNKED).replace('200 OK', '500 Oops'), repeated: `8000\r\n${'x'.repeat(0x8000)}\r\n`, limitBytes: 16 * MIB }
 ]
 
+const EVENT_CASES: readonly EndlessCase[] = [
+  { ...STREAM, name: 'an event', start: (id) => headOf(id, EVENT_STREAM) + 'id: 1\ndata: ', repeated: 'x'.repeat(65_536), limitBytes: MIB },
+  { ...STREAM, name: 'an event of many lines', start: (id) => headOf(id, EVENT_STREAM), repeated: 'data: x\n', limitBytes: MIB },
+  { ...STREAM, name: 'an event in chunks of one byte', start: (id) => headOf(id, EVENT_STREAM, CHUNKED), repeated: '1\r\nx\r\n', limitBytes: 6 * MIB },
+  { ...STREAM, name: 'the body of a response that is no stream of events', start: (id) => headOf(id, 'content-type: application/json'), repeated: 'x'.repeat(65_536), limitBytes: 16 * MIB }
+]
+
 const whole: StubHandler = (incoming, response) => {
   const isStream = String(incoming.url).startsWith('/stream')
   response.writeHead(200, { 'x-seal': 'seal', 'content-type': isStream ? 'text/event-stream' : 'text/plain' }).end(isStream ? event(1) : 'whole')
@@ -83,7 +92,7 @@
     return served
   }
 
-  for (const { name, start, repeated, retried, once, limitBytes } of BODY_CASES) {
+  for (const { name, start, repeated, retried, once, limitBytes } of [...BODY_CASES, ...EVENT_CASES]) {
     // Guards against a node that buffers bytes for as long as one endpoint sends them, until its memory is used up.
     it(`end as garbled and run elsewhere: ${name}`, async () => {
       const endless = endlessResponse(start, repeated)
@@ -104,4 +113,26 @@
       expect(endless.sentBytes()).to.be.lessThan(limitBytes + TRANSIT_BYTES)
     })
   }
+
+  it('continue a stream elsewhere that does not end an event after others', async () => {
+    const endless = endlessResponse((id) => headOf(id, EVENT_STREAM) + event(1) + 'id: 2\ndata: ', 'x'.repeat(65_536))
+    answerFirstWith({
+      ...endless,
+      respond: (incoming, response, body) => {
+        for (const endpoint of endpoints) endpoint.answerWith(streamUpTo(3, (continued) => { continued.end() }))
+        endless.respond(incoming, response, body)
+      }
+    })
+    expect(await call('stream')).to.deep.equal({ status: 200, body: event(1) + event(2) + event(3) })
+    await endless.closed()
+    expect(endless.sentBytes()).to.be.lessThan(MIB + TRANSIT_BYTES)
+  })
+
+  it('cut off a stream that may not be resumed and does not end an event after others', async () => {
+    const endless = endlessResponse((id) => headOf(id, EVENT_STREAM) + event(1) + 'id: 2\ndata: ', 'x'.repeat(65_536))
+    answerFirstWith(endless)
+    expect(await call('stream-once')).to.deep.equal({ status: 200, body: null })
+    await endless.closed()
+    expect(endless.sentBytes()).to.be.lessThan(MIB + TRANSIT_BYTES)
+  })
 })
--- a/packages/dotterelspur-gateway/src/request/EndpointCall.ts
+++ b/packages/dotterelspur-gateway/src/request/EndpointCall.ts
@@ -1,6 +1,7 @@
 import type { IncomingHttpHeaders } from 'node:http'
 import type { Dispatcher } from 'undici'
 import { ByteCollector, ExchangeEnd } from 'dotterelspur'
+import { isEventStream } from '../connection/headers.js'
 import type { ResponseHeaders, WireFormat } from '../process/GatewayPorts.js'
 import { RESPONSE_LIMIT_BYTES, ResponseLimit, type ResponseBuffer, type ResponseMemory } from './ResponseMemory.js'
 
@@ -44,6 +45,8 @@
   start (start: ResponseStart): void
   /** Returns false to pause the response until `resume` is called on the call. */
   data (chunk: Buffer): boolean
+  /** Bytes that it buffers until they are a complete event. */
+  incompleteBytes (): number
 }
 
 /** Detects whether a connection was closed or reset at the end of a response without stated length. */
@@ -143,7 +146,10 @@
       return this.noteBuffered(this.body.sizeBytes, ResponseLimit.Body)
     }
     this.options.onProgress(null)
-    if (!this.options.sink!.data(chunk)) controller.pause()
+    const sink = this.options.sink!
+    const mayContinue = sink.data(chunk)
+    this.noteBuffered(sink.incompleteBytes(), isEventStream(this.start!.headers) ? ResponseLimit.Event : ResponseLimit.Body)
+    if (!mayContinue) controller.pause()
   }
 
   onResponseEnd (): void {
--- a/packages/dotterelspur-gateway/src/request/EndpointRun.ts
+++ b/packages/dotterelspur-gateway/src/request/EndpointRun.ts
@@ -73,7 +73,7 @@
         this.sentAtMs = clock.nowMs()
         listener.onSend()
       },
-      sink: admitted.route.kind === RequestKind.Streaming ? { start: (start) => { this.streamStart = start }, data: (chunk) => this.handleData(chunk, execution.noteProgress) } : null,
+      sink: admitted.route.kind === RequestKind.Streaming ? { start: (start) => { this.streamStart = start }, data: (chunk) => this.handleData(chunk, execution.noteProgress), incompleteBytes: () => this.cursor.incompleteBytes } : null,
       onProgress: (head) => {
         this.noteReceived()
         this.exchange.noteProgress(head)
@@ -223,6 +223,8 @@
     }
     if (EXCHANGE_RULES[end].penalizesEndpoint) dispatch.noteFailure(target, end)
     this.listener.onEnd(this, end, buffered)
+    // The run is kept until its request ends.
+    this.cursor.dropPartialEvent()
   }
 
   private requestOptions (): Dispatcher.DispatchOptions {
--- a/packages/dotterelspur-gateway/src/request/ResponseMemory.ts
+++ b/packages/dotterelspur-gateway/src/request/ResponseMemory.ts
@@ -2,6 +2,8 @@
 export enum ResponseLimit {
   /** The buffered body of one response. */
   Body = 'body',
+  /** One event of a stream, which is buffered until it is complete. */
+  Event = 'event',
   /** What all exchanges of the process buffer together; the one that buffers most is ended. */
   Total = 'total'
 }
@@ -15,6 +17,8 @@
 export const RESPONSE_LIMIT_BYTES: Readonly<Record<ResponseLimit, number>> = {
   // Four times the largest request body. Plain services answer with some kilobytes.
   [ResponseLimit.Body]: 16 * MIB,
+  // An event holds some tokens of an answer. Even with the details of each it is no larger than a few kilobytes.
+  [ResponseLimit.Event]: MIB,
   // Four responses of the largest size. While they are joined and delivered they take twice as much.
   [ResponseLimit.Total]: 64 * MIB
 }
--- a/packages/dotterelspur/src/request/dispatch/EventCursor.ts
+++ b/packages/dotterelspur/src/request/dispatch/EventCursor.ts
@@ -1,14 +1,21 @@
+import { ByteCollector } from './ByteCollector.js'
+
 const LINE_FEED = 0x0a
 const CARRIAGE_RETURN = 0x0d
 const ID_FIELD = Buffer.from('id:')
+const NO_TRAILING: readonly [number | undefined, number | undefined] = [undefined, undefined]
 
 /**
  * Splits a stream into complete events, whose lines may end in LF, CRLF or CR. An endpoint may stop in the middle of an event, and a continuation by another
  * endpoint starts with the next complete one: a partial event that was already forwarded would precede it and corrupt
- * both.
+ * both. Its work follows from the number of bytes alone: an event that never ends would be copied and searched again with each chunk of it
+ * otherwise, and hold the event loop long before it is large.
  */
 export class EventCursor {
-  private partialEvent: Buffer = Buffer.alloc(0)
+  private readonly partialEvent = new ByteCollector()
+  /** The last bytes of the partial event, the last one first: an empty line may begin there and end in the next chunk. */
+  private trailing: readonly [number | undefined, number | undefined] = NO_TRAILING
+  private inside = false
   private lastId: string | null
 
   /** `lastEventId` is the id of the last event that the caller already has. */
@@ -23,33 +30,50 @@
 
   /** Whether the bytes so far end inside an event: a stream that ends there was broken off, however its response is framed. */
   get isInsideEvent (): boolean {
-    return !this.partialEvent.every(isLineEnd)
+    return this.inside
+  }
+
+  /** Bytes of the event that is not complete. */
+  get incompleteBytes (): number {
+    return this.partialEvent.sizeBytes
   }
 
   /** Appends bytes and returns those that complete events, or null while there are none. */
   push (chunk: Buffer): Buffer | null {
-    const bytes = this.partialEvent.length === 0 ? chunk : Buffer.concat([this.partialEvent, chunk])
-    const end = endOfLastEvent(bytes)
+    const end = endOfLastEvent(chunk, this.trailing)
     if (end === 0) {
-      this.partialEvent = bytes
+      this.addPartial(chunk)
       return null
     }
-    const complete = bytes.subarray(0, end)
-    this.partialEvent = bytes.subarray(end)
+    const complete = this.completeWith(chunk.subarray(0, end))
+    this.addPartial(chunk.subarray(end))
     this.lastId = findLastId(complete) ?? this.lastId
     return complete
   }
 
   /** The remaining bytes, once the response has ended normally. */
   takeRemainder (): Buffer {
-    const { partialEvent } = this
-    this.partialEvent = Buffer.alloc(0)
-    return partialEvent
+    this.trailing = NO_TRAILING
+    this.inside = false
+    return this.partialEvent.take()
   }
 
   /** Discards a partial event whose sender was lost. */
   dropPartialEvent (): void {
-    this.partialEvent = Buffer.alloc(0)
+    this.takeRemainder()
+  }
+
+  private completeWith (bytes: Buffer): Buffer {
+    if (this.partialEvent.sizeBytes === 0) return bytes
+    this.partialEvent.push(bytes)
+    return this.takeRemainder()
+  }
+
+  private addPartial (bytes: Buffer): void {
+    if (bytes.length === 0) return
+    this.partialEvent.push(bytes)
+    this.inside ||= !bytes.every(isLineEnd)
+    this.trailing = [bytes.at(-1), bytes.length > 1 ? bytes.at(-2) : this.trailing[0]]
   }
 }
 
@@ -57,12 +81,13 @@
   return byte === LINE_FEED || byte === CARRIAGE_RETURN
 }
 
-/** The index after the last empty line, which ends an event; 0 if there is none. */
-function endOfLastEvent (bytes: Buffer): number {
-  for (let at = bytes.length - 1; at > 0; at--) {
+/** The index after the last empty line, which ends an event; 0 if there is none. `before` are the bytes before `bytes`, the last one first. */
+function endOfLastEvent (bytes: Buffer, before: typeof NO_TRAILING): number {
+  const byteAt = (at: number): number | undefined => at >= 0 ? bytes[at] : before[-at - 1]
+  for (let at = bytes.length - 1; at >= 0; at--) {
     if (!isLineEnd(bytes[at])) continue
-    const isCrLf = bytes[at] === LINE_FEED && bytes[at - 1] === CARRIAGE_RETURN
-    if (isLineEnd(bytes[isCrLf ? at - 2 : at - 1])) return at + 1
+    const isCrLf = bytes[at] === LINE_FEED && byteAt(at - 1) === CARRIAGE_RETURN
+    if (isLineEnd(byteAt(isCrLf ? at - 2 : at - 1))) return at + 1
   }
   return 0
 }
--- a/packages/dotterelspur/src/request/dispatch/__tests__/unit/EventCursor.test.ts
+++ b/packages/dotterelspur/src/request/dispatch/__tests__/unit/EventCursor.test.ts
@@ -40,6 +40,49 @@
     })
   }
 
+  it('divides any bytes as if all that are not complete were read again with each chunk', () => {
+    const text = fc.array(fc.constantFrom('\r', '\n', 'a', 'id: 1', ':'), { maxLength: 60 }).map((parts) => parts.join(''))
+    fc.assert(fc.property(text, fc.array(fc.integer({ min: 1, max: 9 }), { minLength: 1, maxLength: 20 }), (whole, cuts) => {
+      const cursor = new EventCursor(null)
+      let partial = ''
+      let at = 0
+      for (let index = 0; at < whole.length; index++) {
+        const chunk = whole.slice(at, at + cuts[index % cuts.length]!)
+        at += chunk.length
+        const bytes = partial + chunk
+        // An empty line: a line end that follows another, where CRLF is one.
+        const end = [...bytes.matchAll(/(?<=[\r\n])(?:(?<!\r)\n|(?<=[\r\n]\r)\n|\r)/g)].reduce((last, match) => Math.max(last, match.index + 1), 0)
+        partial = bytes.slice(end)
+        expect(cursor.push(Buffer.from(chunk))?.toString() ?? '').to.equal(bytes.slice(0, end))
+        expect(cursor.incompleteBytes).to.equal(partial.length)
+        expect(cursor.isInsideEvent).to.equal(/[^\r\n]/.test(partial))
+      }
+      expect(cursor.takeRemainder().toString()).to.equal(partial)
+    }), { seed: 20261204, numRuns: 2_000 })
+  })
+
+  it('copies a long event a bounded number of times, however it is split', () => {
+    // Guards against an event loop that is held by one event without end: all of it was copied and searched again with each chunk.
+    const chunkBytes = 64
+    const concat = Buffer.concat
+    let copiedBytes = 0
+    Buffer.concat = (list, length) => {
+      const joined = concat(list as Uint8Array[], length)
+      copiedBytes += joined.length
+      return joined
+    }
+    try {
+      const text = Buffer.from(`id: 1\ndata: ${'x'.repeat(256 * 1_024)}\n\n`)
+      const cursor = new EventCursor(null)
+      const taken: Buffer[] = []
+      for (let at = 0; at < text.length; at += chunkBytes) taken.push(cursor.push(text.subarray(at, at + chunkBytes)) ?? Buffer.alloc(0))
+      expect(concat(taken).equals(text)).to.equal(true)
+      expect(copiedBytes).to.be.at.most(4 * text.length)
+    } finally {
+      Buffer.concat = concat
+    }
+  })
+
   it('is inside an event at each byte but those after an empty line', () => {
     const text = event(1) + event(2)
     const cursor = new EventCursor(null)
