Handle every signal in every phase of the process's life

Callers of one node that was asked to stop saw nearly all their running streams cut when SIGTERM came twice, when SIGHUP or SIGTERM came while the program was loading, and on SIGINT: the handlers were registered after the port had taken callers, `process.once` left the second SIGTERM to the default action, and SIGINT had none.

A stop that comes during the start lets the node listen, answers what was accepted, and does not enter the node in the list; a write of its entry that is under way is awaited before the entry is removed.

--- a/packages/dotterelspur-gateway/src/process/DecisionLog.ts
+++ b/packages/dotterelspur-gateway/src/process/DecisionLog.ts
@@ -17,6 +17,8 @@
 export enum LogKind {
   Start = 'start',
   Stop = 'stop',
+  /** The process received a signal: in which phase, and what it does about it. */
+  Signal = 'signal',
   Reload = 'reload',
   DependencyLost = 'dependency-lost',
   DependencyRegained = 'dependency-regained',
@@ -98,7 +100,7 @@
 }
 
 /** Events that explain a request's end if the process is killed soon after them. */
-const URGENT_KINDS: ReadonlySet<LogKind> = new Set([LogKind.ExchangeSilent, LogKind.ExchangeLost, LogKind.ResponseLimit, LogKind.GroupStopped, LogKind.ManifestInForce, LogKind.Stop, LogKind.Unexpected])
+const URGENT_KINDS: ReadonlySet<LogKind> = new Set([LogKind.ExchangeSilent, LogKind.ExchangeLost, LogKind.ResponseLimit, LogKind.GroupStopped, LogKind.ManifestInForce, LogKind.Signal, LogKind.Stop, LogKind.Unexpected])
 
 export type LogFields = Readonly<Record<string, unknown>>
 
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -226,8 +226,11 @@
     return this.settings.metrics
   }
 
-  /** `callerPort` is the callers' port if it is already open. */
-  async start (callerPort: OpenedPort | null = null): Promise<void> {
+  /**
+   * `callerPort` is the callers' port if it is already open. From the call of `onListening` on, the node can be stopped; the start
+   * then completes once the store answers.
+   */
+  async start (callerPort: OpenedPort | null = null, onListening: () => void = () => {}): Promise<void> {
     const { settings, parts } = this
     const { platformFormat } = parts
     await Promise.all([
@@ -247,6 +250,7 @@
     this.peers.startStateBroadcasts()
     this.step()
     parts.log.write(LogKind.Start, { callers: addressOf(settings.callers), failureDomain: settings.failureDomain, firstStart: settings.firstStart })
+    onListening()
     await this.nodes.register()
   }
 
@@ -260,8 +264,9 @@
   /**
    * Performs a planned stop: callers are sent elsewhere at once, running requests are completed, and late callers are
    * still served for a while. Resolves when nothing is left, or shortly before the process would be killed.
+   * @param killedAtMs when the grace period ends, by the clock.
    */
-  async stop (): Promise<void> {
+  async stop (killedAtMs = this.parts.clock.nowMs() + this.limits.stopGraceMs): Promise<void> {
     const { clock, log } = this.parts
     const startedAtMs = clock.nowMs()
     log.write(LogKind.Stop, { running: this.callers.runningRequests })
@@ -270,7 +275,7 @@
     this.relays.drain()
     this.formations.stop()
     const handedOver = Promise.allSettled([this.lease.release(), this.nodes.leave()])
-    while (clock.nowMs() - startedAtMs < this.limits.stopGraceMs - STOP_MARGIN_MS) {
+    while (clock.nowMs() < killedAtMs - STOP_MARGIN_MS) {
       const passedMs = clock.nowMs() - startedAtMs
       if (passedMs >= STOP_LISTENING_AFTER_MS) {
         this.callers.stopListening()
--- a/packages/dotterelspur-gateway/src/process/NodeRegistry.ts
+++ b/packages/dotterelspur-gateway/src/process/NodeRegistry.ts
@@ -51,6 +51,7 @@
    * for each pair of nodes.
    */
   private readonly added: NodeId[] = []
+  private lastWrite: Promise<boolean> = Promise.resolve(true)
   private leaving = false
   private closed = false
   /** Incarnations that this node has found lost, whose entries may still be in the store. */
@@ -120,7 +121,8 @@
   /** Writes this node's entry; retries while the store is unavailable. */
   async register (): Promise<void> {
     while (!this.leaving && !this.closed) {
-      if (await this.writeOwn()) return
+      this.lastWrite = this.writeOwn()
+      if (await this.lastWrite) return
       await sleep(this.clock, REGISTER_RETRY_MS)
     }
   }
@@ -129,6 +131,8 @@
   async leave (): Promise<void> {
     this.leaving = true
     this.snapshot = null
+    // A write that is under way would list this node again after its entry was removed.
+    await this.lastWrite
     const own = this.records.get(this.self.node)
     if (own !== undefined && (await this.store.remove(this.key(), own.version)).ok) return
     // The entry is not known yet, or its version has changed, for example when the store came back from an older copy.
