Take only requests that end within the grace period of a planned stop

A node served new requests for 3 s after the signal of a stop whatever its grace period was. With a grace of 4 s, streams of 1 s that it took 2.4 to 3.0 s after the signal were cut 3.4 s after it.

`StopPlan` now decides for each request that arrives after the signal: it is taken if the longest recent request of its route, with a quarter more, or the time limit of route and caller ends before running requests are abandoned. Without a completed request of the route it is taken in the first half of that time. Other requests get 503 (not run), Retry-After and `connection: close` at once, for other nodes to serve. The node listens for as long as directory responses may list it, where the grace period allows. A request whose body is still being received at the end is refused instead of cut, and connections are closed one poll after the listener. Lines `stopped` say what the stop took, refused and cut.

The refusal of the unfinished body fails without `refusePending` (the connection is closed without a response).

--- a/packages/dotterelspur-gateway/src/__tests__/unit/stopBesideRequests.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/stopBesideRequests.test.ts
@@ -7,6 +7,7 @@
 
 const HOLD_MS = 300
 const GRACE_MS = 8_000
+const SHORT_GRACE_MS = 1_500
 /** More than the socket buffers between a node and its caller hold. */
 const LARGE_BODY = 'x'.repeat(32 * 1_048_576)
 const RETRIES = { windowMs: 10_000, ratio: 0.2, extra: 100 }
@@ -65,6 +66,15 @@
     await stopped
   })
 
+  // Guards against a request that was not run, and whose caller can't know: its body was being received when the node ended.
+  it('do not include those whose bodies are still being received at the end, which are refused', async () => {
+    requests.world.gateway.applyLimits({ stopGraceMs: SHORT_GRACE_MS, directoryTtlMs: 2_000, retries: RETRIES })
+    const answered = sendPartOfBody(requests)
+    await delay(HOLD_MS)
+    await requests.world.gateway.stop()
+    expect(await answered).to.deep.equal({ status: 503, retryAfter: '0.05', connection: 'close' })
+  })
+
   // Guards against a response that is cut off because the node has written it and its caller has not read all of it yet.
   for (const [when, stopFirst] of Object.entries({ 'that began before the stop': false, 'that is still to come': true })) {
     it(`are completed for a caller that reads a large response slowly ${when}`, async () => {
@@ -92,6 +102,25 @@
   })
 }
 
+interface Refusal {
+  readonly status: number
+  readonly retryAfter: string | undefined
+  readonly connection: string | undefined
+}
+
+/** Sends a request without the rest of its body; resolves with the refusal, or null if the connection was closed. */
+async function sendPartOfBody ({ world }: RequestsOfAllKinds): Promise<Refusal | null> {
+  return await new Promise((resolve) => {
+    const headers = { host: 'a.example', 'x-request': 'partial', 'x-key': 'key-1', 'content-length': 1_000 }
+    const outgoing = request({ ...world.callers, path: '/write/x', method: 'POST', headers }, ({ statusCode, headers }) => {
+      resolve({ status: statusCode!, retryAfter: headers['retry-after'], connection: headers.connection })
+      outgoing.destroy()
+    })
+    outgoing.on('error', () => { resolve(null) })
+    outgoing.write('the first part')
+  })
+}
+
 /** Bytes of a body; null if it was cut off. */
 async function readLength (answer: IncomingMessage): Promise<number | null> {
   let length = 0
--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -14,6 +14,8 @@
 import type { ManifestFollower } from '../process/ManifestFollower.js'
 import type { PoisonTracker } from '../process/PoisonTracker.js'
 import { RequestWaits } from '../process/RequestWaits.js'
+import { StopAdmission, type StopCounts } from '../process/StopAdmission.js'
+import { STOPPING_RETRY_MS, type StopPlan } from '../process/StopPlan.js'
 import { CallerResponse, GatewayErrorKind } from '../request/CallerResponse.js'
 import { refusalFields } from '../request/refusalFields.js'
 import { GatewayRequest, type AdmittedRequest, type RequestReport } from '../request/GatewayRequest.js'
@@ -56,14 +58,20 @@
   private readonly app: FastifyInstance
   private readonly connections: CallerConnections
   private readonly waits: RequestWaits
-  private draining = false
+  private readonly stopAdmission: StopAdmission
+  /** Requests that have not been sent on. */
+  private readonly pending = new Set<CallerResponse>()
   private running = 0
 
   constructor (private readonly parts: CallerListenerParts) {
     this.waits = new RequestWaits(parts.clock)
+    this.stopAdmission = new StopAdmission(parts.clock)
     this.app = createApp((request, response) => { this.accept(request, response) })
     this.connections = new CallerConnections(this.app.server)
-    parts.manifest.registerListener((table) => { this.applyLimits(table.manifest.limits) })
+    parts.manifest.registerListener(({ manifest }) => {
+      this.applyLimits(manifest.limits)
+      this.stopAdmission.noteRoutes(manifest.routes)
+    })
     this.applyLimits(INITIAL_LIMITS)
   }
 
@@ -77,6 +85,10 @@
     return this.waits.size
   }
 
+  get stopCounts (): StopCounts {
+    return this.stopAdmission.counts
+  }
+
   async listen ({ host, port }: ListenAddress, opened: OpenedPort | null): Promise<void> {
     if (opened === null) {
       await this.app.listen({ host, port, backlog: 1_024 })
@@ -87,11 +99,11 @@
   }
 
   /**
-   * From now on each response carries `Connection: close`, so that callers reconnect to other nodes; idle connections are closed, and
-   * requests that wait are rejected.
+   * From now on each response carries `Connection: close`, so that callers reconnect to other nodes; idle connections are closed,
+   * requests that wait are rejected, and new ones are taken where the plan admits them.
    */
-  drain (): void {
-    this.draining = true
+  drain (plan: StopPlan): void {
+    this.stopAdmission.begin(plan)
     this.waits.stop()
     this.closeIdle()
   }
@@ -102,6 +114,13 @@
     this.closeIdle()
   }
 
+  /** Refuses the requests that have not been sent on, so that their callers learn that they were not run. */
+  refusePending (): void {
+    for (const response of this.pending) {
+      if (response.sendError(GatewayErrorKind.NotRun, STOPPING_RETRY_MS)) this.stopAdmission.noteRefused()
+    }
+  }
+
   async close (): Promise<void> {
     this.waits.stop()
     this.app.server.closeAllConnections()
@@ -119,7 +138,8 @@
 
   private accept (request: IncomingMessage, response: ServerResponse): void {
     this.running += 1
-    const callerResponse = new CallerResponse(request, response, () => this.draining)
+    const callerResponse = new CallerResponse(request, response, () => this.stopAdmission.isStopping)
+    this.pending.add(callerResponse)
     const sent = this.connections.untilSent(request.socket, response)
     this.run(request, response, callerResponse)
       .catch((error: unknown) => {
@@ -129,7 +149,8 @@
       .then(async () => { await sent })
       .finally(() => {
         this.running -= 1
-        if (this.draining) this.closeIdle()
+        this.pending.delete(callerResponse)
+        if (this.stopAdmission.isStopping) this.closeIdle()
       })
       .catch(() => { /* Errors of `run` have been logged above. */ })
   }
@@ -146,15 +167,17 @@
     await this.parts.initialSync.wait()
     // Uses the newest manifest, which may have been read while the body was being received.
     const newest = this.parts.manifest.current
-    if (newest === null) return this.sendError(request, callerResponse, GatewayErrorKind.NoManifest, NOT_READ_RETRY_MS)
-    if (!this.parts.initialSync.knowsQuarantine) return this.sendError(request, callerResponse, GatewayErrorKind.NotRun, NOT_READ_RETRY_MS)
+    if (newest === null) return this.sendError(request, callerResponse, GatewayErrorKind.NoManifest, this.stopAdmission.retryAfterMs(NOT_READ_RETRY_MS))
+    if (!this.parts.initialSync.knowsQuarantine) return this.sendError(request, callerResponse, GatewayErrorKind.NotRun, this.stopAdmission.retryAfterMs(NOT_READ_RETRY_MS))
     const access = newest.access({ host: hostOf(request), path: pathOf(request), key: head.key })
     if (access.kind !== AccessKind.Allowed) return this.denyAccess(request, callerResponse, access, newest)
-    const service = this.pickService(access.route)
     const { route, workspace, priority } = access
+    if (!this.stopAdmission.admits(route, head.deadlineMs)) return this.sendError(request, callerResponse, GatewayErrorKind.NotRun, STOPPING_RETRY_MS)
+    const service = this.pickService(route)
     const content: RequestContent = { service, method: request.method!, target: request.url!, caller: workspace, model: head.model, body: body.value, promptParts: head.promptParts }
     const admission = await this.parts.poison.guard.admit(content)
     if (callerResponse.isClosed) return admission.release()
+    this.pending.delete(callerResponse)
     if (admission.kind !== AdmissionKind.Admitted) return this.refusePoison(request, callerResponse, admission)
     const spentBeforeMs = this.parts.dispatch.noteRequest(service, route, head, { rank: priority, workspace })
     const requestId = head.requestId ?? randomUUID()
@@ -188,7 +211,7 @@
   }
 
   private sendError (request: IncomingMessage, callerResponse: CallerResponse, kind: GatewayErrorKind, retryAfterMs: number | null, fields: LogFields = {}): void {
-    callerResponse.sendError(kind, retryAfterMs)
+    if (callerResponse.sendError(kind, retryAfterMs) && retryAfterMs !== null) this.stopAdmission.noteRefused()
     this.parts.metrics.countOwnAnswer(kind)
     this.parts.log.write(LogKind.RequestEnded, { request: this.parts.wire.readCallerHeaders(request.headers).requestId, answeredWith: kind, path: request.url, manifestVersion: null, retryAfterMs: retryAfterMs ?? undefined, ...fields })
   }
@@ -197,6 +220,7 @@
     const { clock, log, metrics, manifest } = this.parts
     const tookMs = clock.nowMs() - admitted.arrivedAtMs
     metrics.countRequest(admitted.route.kind, report, tookMs)
+    if (report.end.kind === DispatchEndKind.Delivered) this.stopAdmission.noteCompleted(admitted.route, tookMs)
     metrics.countRank(admitted.priority, report)
     if (report.answeredWith !== null) this.parts.dispatch.noteRejection(admitted.route)
     if (report.retryAfterMs !== null) this.parts.dispatch.noteScheduledReturn(admitted, report.retryAfterMs)
--- a/packages/dotterelspur-gateway/src/process/DecisionLog.ts
+++ b/packages/dotterelspur-gateway/src/process/DecisionLog.ts
@@ -17,6 +17,8 @@
 export enum LogKind {
   Start = 'start',
   Stop = 'stop',
+  /** A planned stop has ended: the requests that this node took and refused meanwhile, and those that were cut. */
+  Stopped = 'stopped',
   /** The process received a signal: in which phase, and what it does about it. */
   Signal = 'signal',
   Reload = 'reload',
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -1,5 +1,5 @@
 import type { Server } from 'node:http'
-import { createRandom, hashText, sleep, StallVotes, type Clock, type EndpointId, type EndpointRecord, type LeaseIdentity, type NodeId, type StoredObject, type Teardown } from 'dotterelspur'
+import { createRandom, hashText, StallVotes, type Clock, type EndpointId, type EndpointRecord, type LeaseIdentity, type NodeId, type StoredObject, type Teardown } from 'dotterelspur'
 import { QuarantineRegistry } from 'dotterelspur-poison'
 import { CallerListener, type OpenedPort } from '../connection/CallerListener.js'
 import { Suspicion } from '../connection/PeerFrame.js'
@@ -26,8 +26,10 @@
 import { LoopMonitor } from './LoopMonitor.js'
 import { ManifestFollower } from './ManifestFollower.js'
 import { NODE_PREFIX, NodeRegistry, nodeRecord, type NodeRecord } from './NodeRegistry.js'
+import { completeRequests } from './PlannedStop.js'
 import { PoisonTracker } from './PoisonTracker.js'
 import { registerGauges } from './registerGauges.js'
+import { StopPlan } from './StopPlan.js'
 import { PROGRESS_VALID_MS } from './StoreFeed.js'
 import type { VersionedStore } from './VersionedStore.js'
 
@@ -35,11 +37,6 @@
 const STEP_INTERVAL_MS = 100
 /** A gap of this length between two steps means that the process was suspended. */
 const PAUSE_THRESHOLD_MS = 800
-/** How long callers that still hold this node's address are served after a planned stop began. */
-const STOP_LISTENING_AFTER_MS = 3_000
-/** Time left of the stop grace period when running requests are abandoned; the process then exits by itself. */
-const STOP_MARGIN_MS = 600
-const STOP_POLL_MS = 50
 
 export interface GatewayParts {
   readonly clock: Clock
@@ -263,27 +260,19 @@
 
   /**
    * Performs a planned stop: callers are sent elsewhere at once, running requests are completed, and late callers are
-   * still served for a while. Resolves when nothing is left, or shortly before the process would be killed.
+   * still served for a while where their requests can end within the grace period. Resolves when nothing is left, or shortly before the process would be killed.
    * @param killedAtMs when the grace period ends, by the clock.
    */
   async stop (killedAtMs = this.parts.clock.nowMs() + this.limits.stopGraceMs): Promise<void> {
     const { clock, log } = this.parts
-    const startedAtMs = clock.nowMs()
+    const plan = new StopPlan({ startedAtMs: clock.nowMs(), killedAtMs, directoryTtlMs: this.limits.directoryTtlMs })
     log.write(LogKind.Stop, { running: this.callers.runningRequests })
     this.draining = true
-    this.callers.drain()
+    this.callers.drain(plan)
     this.relays.drain()
     this.formations.stop()
     const handedOver = Promise.allSettled([this.lease.release(), this.nodes.leave()])
-    while (clock.nowMs() < killedAtMs - STOP_MARGIN_MS) {
-      const passedMs = clock.nowMs() - startedAtMs
-      if (passedMs >= STOP_LISTENING_AFTER_MS) {
-        this.callers.stopListening()
-        if (this.callers.runningRequests === 0 && this.relays.size === 0) break
-      }
-      await sleep(clock, STOP_POLL_MS)
-    }
-    await Promise.race([handedOver, sleep(clock, STOP_POLL_MS)])
+    await completeRequests({ clock, log, callers: this.callers, relays: this.relays }, plan, handedOver)
     await this.close()
   }
 
--- a/packages/dotterelspur-gateway/src/request/CallerResponse.ts
+++ b/packages/dotterelspur-gateway/src/request/CallerResponse.ts
@@ -82,9 +82,9 @@
     this.response.end(bodyless ? undefined : body)
   }
 
-  /** Sends an error of the gateway itself. `retryAfterMs` is null where a retry can't succeed. */
-  sendError (kind: GatewayErrorKind, retryAfterMs: number | null): void {
-    if (this.headSent || this.isClosed) return
+  /** Sends an error of the gateway itself, unless a response was begun. `retryAfterMs` is null where a retry can't succeed. */
+  sendError (kind: GatewayErrorKind, retryAfterMs: number | null): boolean {
+    if (this.headSent || this.isClosed) return false
     this.headSent = true
     this.announceClose()
     const body = Buffer.from(JSON.stringify({ error: { type: kind, retryAfterMs } }))
@@ -92,6 +92,7 @@
     if (retryAfterMs !== null) headers['retry-after'] = (retryAfterMs / SECOND_MS).toFixed(2)
     this.response.writeHead(STATUS[kind], headers)
     this.response.end(body)
+    return true
   }
 
   /** Destroys the connection, so that an incomplete response can't be mistaken for a complete one. */
--- a/packages/dotterelspur-gateway/src/request/PlacementWait.ts
+++ b/packages/dotterelspur-gateway/src/request/PlacementWait.ts
@@ -1,9 +1,7 @@
 import { WAIT_SHARE, WaitEnd, type DispatchTarget, type PlacementRefusal, type WaitingRequest } from 'dotterelspur'
+import { STOPPING_RETRY_MS } from '../process/StopPlan.js'
 import type { AdmittedRequest, GatewayRequestParts } from './GatewayRequest.js'
 
-/** Retry-After of requests that waited when the node began its planned stop: another node can serve them at once. */
-const STOPPING_RETRY_MS = 50
-
 /** The first placement of one request, which may wait until an endpoint is available. */
 export class PlacementWait {
   private waited = 0
