Keep idle connections of callers open at the begin of a planned stop

A caller that sent a request on an idle connection in the instant in which the node was asked to stop, or at which another request ended, saw "socket hang up": the node closed all idle connections at the signal, and again after each response, although requests on them could lie unread.

Idle connections now stay open until the node no longer listens. Their next response carries `connection: close`, so each is used once more at most.

The new test failed before: the connection that was idle at the stop was not used again (isReused false).

--- a/packages/dotterelspur-gateway/src/__tests__/unit/stopBesideRequests.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/stopBesideRequests.test.ts
@@ -66,6 +66,17 @@
     await stopped
   })
 
+  // Guards against a request that is lost because its caller sends it on an idle connection while the node closes it.
+  it('are followed by those of connections that were idle when the stop began', async () => {
+    expect(await connection.call('/new/x')).to.deep.include({ status: 200 })
+    await requests.startRoutes(['write'])
+    const stopped = requests.world.gateway.stop()
+    await requests.finish()
+    await delay(HOLD_MS)
+    expect(await connection.call('/new/x')).to.deep.include({ status: 200, body: WHOLE, isReused: true })
+    await stopped
+  })
+
   // Guards against a request that was not run, and whose caller can't know: its body was being received when the node ended.
   it('do not include those whose bodies are still being received at the end, which are refused', async () => {
     requests.world.gateway.applyLimits({ stopGraceMs: SHORT_GRACE_MS, directoryTtlMs: 2_000, retries: RETRIES })
--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -59,6 +59,7 @@
   private readonly connections: CallerConnections
   private readonly waits: RequestWaits
   private readonly stopAdmission: StopAdmission
+  private isListening = true
   /** Requests that have not been sent on. */
   private readonly pending = new Set<CallerResponse>()
   private running = 0
@@ -99,17 +100,18 @@
   }
 
   /**
-   * From now on each response carries `Connection: close`, so that callers reconnect to other nodes; idle connections are closed,
-   * requests that wait are rejected, and new ones are taken where the plan admits them.
+   * From now on each response carries `Connection: close`, so that callers reconnect to other nodes, requests that wait are rejected,
+   * and new ones are taken where the plan admits them. Idle connections stay open as long as the listener: a caller may be sending a
+   * request on one, and would see it end without a response.
    */
   drain (plan: StopPlan): void {
     this.stopAdmission.begin(plan)
     this.waits.stop()
-    this.closeIdle()
   }
 
   /** Accepts no new connections. Requests on open connections are completed. */
   stopListening (): void {
+    this.isListening = false
     this.app.server.close()
     this.closeIdle()
   }
@@ -150,7 +152,7 @@
       .finally(() => {
         this.running -= 1
         this.pending.delete(callerResponse)
-        if (this.stopAdmission.isStopping) this.closeIdle()
+        if (!this.isListening) this.closeIdle()
       })
       .catch(() => { /* Errors of `run` have been logged above. */ })
   }
