The lease holder tells the other nodes of a load before it orders it

What the weight store saw: more loads at once than it takes, for the time of a load, after the lease holder was lost or handed the lease over.

Evidence: the new test of FormationController saw the order without the message before it; it passes now, with evacuatedFormations, unresponsiveEndpoints, WeightLoadTracker and FormationRunner (32 tests). Not shown on real processes.

Cost: with callers' requests, at most the loads a second that the weight store takes, one message of the state each to every node. Before callers come the limits don't apply and nothing is sent: all groups of a fleet load at once then.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/FormationController.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/FormationController.test.ts
@@ -14,6 +14,8 @@
 class ControllerWorld {
   readonly clock = new ManualClock()
   readonly stalled: string[] = []
+  /** Orders, and the loads that other nodes are told, in the sequence in which they are sent. */
+  readonly sent: string[] = []
   hasAllEndpoints = true
   private readonly store = new MemoryStore()
   private readonly lease = new FleetLease(this.store, { node: 'n1', incarnation: 1 }, this.clock, createRandom(1), createLog(this.clock), () => {})
@@ -29,10 +31,17 @@
       lease: this.lease,
       manifest,
       endpoints,
-      control: SILENT,
+      control: {
+        ...SILENT,
+        order: async ({ endpoint }, { kind }) => {
+          this.sent.push(`${kind} ${endpoint}`)
+          return OrderReply.Unanswered
+        }
+      },
       demand: () => new Map(),
       onSuspected: () => {},
       onStalled: (heads) => { this.stalled.push(...heads) },
+      onLoadsBegun: () => { this.sent.push(`told ${this.controller.loadsInProgress().map(({ endpoint }) => endpoint).join()}`) },
       hasAllEndpoints: () => this.hasAllEndpoints,
       hasTraffic: () => true
     })
@@ -44,6 +53,13 @@
     endpoints.follow(this.store)
   }
 
+  /** Lists the second member, and an endpoint without weights that may stand by for the group. */
+  listSpare (): void {
+    const llm = { service: 'llm', fabricDomain: 'd1' }
+    this.store.put('endpoints/member', createEndpoint('member', '10.0.0.1:2', { ...llm, staged: ['small'], model: 'small', membership: { group: 'g1', formation: 1, rank: 1, state: MemberState.Ready } }))
+    this.store.put('endpoints/spare', createEndpoint('spare', '10.0.0.1:3', llm))
+  }
+
   async run (durationMs: number): Promise<void> {
     this.controller.start()
     for (let passedMs = 0; passedMs < durationMs; passedMs += 100) {
@@ -70,4 +86,12 @@
     await world.run(1_500)
     expect(world.stalled).to.deep.equal([])
   })
+
+  it('tells the other nodes of a load before it is ordered', async () => {
+    // Guards against too many loads at once where the lease holder is lost before its next regular broadcast.
+    const world = new ControllerWorld()
+    world.listSpare()
+    await world.run(4_000)
+    expect(world.sent.slice(0, 2)).to.deep.equal(['told spare', 'stage spare'])
+  })
 })
--- a/packages/dotterelspur-gateway/src/__tests__/unit/evacuatedFormations.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/evacuatedFormations.test.ts
@@ -52,6 +52,7 @@
         }
       },
       demand: () => new Map(),
+      onLoadsBegun: () => {},
       onSuspected: () => {},
       onStalled: () => {},
       hasAllEndpoints: () => true,
--- a/packages/dotterelspur-gateway/src/__tests__/unit/unresponsiveEndpoints.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/unresponsiveEndpoints.test.ts
@@ -79,6 +79,7 @@
       },
       checkLink: async ({ endpoint }) => LINK_OF[this.conditionOf(endpoint)],
       demand: () => new Map(),
+      onLoadsBegun: () => {},
       onSuspected: () => {},
       onStalled: (heads) => { this.stalled.push(...heads) },
       hasAllEndpoints: () => true,
--- a/packages/dotterelspur-gateway/src/process/FormationController.ts
+++ b/packages/dotterelspur-gateway/src/process/FormationController.ts
@@ -44,6 +44,8 @@
   readonly onSuspected: (head: EndpointId) => void
   /** Called with the heads of groups that have lost a member, or have an unresponsive one, and are listed as open; repeated while the condition lasts. */
   readonly onStalled: (heads: readonly EndpointId[], isNew: boolean) => void
+  /** Called before loads from the weight store are ordered beside callers' requests; they are in `loadsInProgress` then. */
+  readonly onLoadsBegun: () => void
   /**
    * Whether the endpoint list is complete. A node that received only changes of heads would judge groups by outdated
    * member records: it would report most of them as stalled, and all nodes would avoid them.
@@ -264,6 +266,7 @@
   private async stage (endpoint: EndpointId, model: ModelId, engine: EngineSpec): Promise<void> {
     const spec = engine.models.find((candidate) => candidate.model === model)!
     this.loads.begin(endpoint, spec, this.parts.clock.nowMs())
+    this.announceLoads()
     const [reply] = await this.runner.sendOrders([{ endpoint, order: { kind: EndpointOrderKind.Stage, model }, expectedOrderCount: null }])
     this.parts.log.write(LogKind.HostStaged, { endpoint, model, reply })
     if (reply === OrderReply.Unfit || reply === OrderReply.Elsewhere || reply === OrderReply.Unreachable) this.loads.drop(endpoint)
@@ -272,8 +275,13 @@
 
   private beginLoads (plan: FormationPlan, engine: EngineSpec): void {
     const spec = engine.models.find(({ model }) => model === plan.model)!
-    for (const member of plan.members) {
-      if (this.records.get(member)?.staged.includes(plan.model) !== true) this.loads.begin(member, spec, this.parts.clock.nowMs())
-    }
+    const loading = plan.members.filter((member) => this.records.get(member)?.staged.includes(plan.model) !== true)
+    for (const member of loading) this.loads.begin(member, spec, this.parts.clock.nowMs())
+    if (loading.length > 0) this.announceLoads()
+  }
+
+  /** Before callers' requests arrive, no limit applies, and all groups of the fleet load at once: a message for each would be too many. */
+  private announceLoads (): void {
+    if (this.parts.hasTraffic()) this.parts.onLoadsBegun()
   }
 }
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -123,6 +123,8 @@
         this.peers.broadcastSuspectedGroups([head])
         this.dispatch.noteStalledGroups([head], StallCertainty.Suspected)
       },
+      // A successor must not start as many loads beside those that began since the last regular broadcast.
+      onLoadsBegun: () => { this.peers.broadcastState() },
       onStalled: (heads, isNew) => {
         if (!this.lease.mayOrder()) this.peers.broadcastSuspectedGroups(heads)
         else if (isNew) this.peers.broadcastState()
