A node keeps its part of the retry budget where its entry was not written anew during a gap

After a gap of over half a window in its view of the nodes, a node waited for one and a half windows until it used its part, as if its process had just started, also where the store was unavailable for all nodes and nothing had changed. An entry that was not written anew meanwhile was on the others' lists all the time, so that they never divided the bound without it.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/storeViewAge.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/storeViewAge.test.ts
@@ -31,7 +31,7 @@
     await pass(clock, STEP_MS)
     const ageMs = node.followed.viewAgeMs(NODE_PREFIX)
     const nowMs = clock.nowMs()
-    membership.noteView(['n1'], nowMs - ageMs, nowMs)
+    membership.noteView({ nodes: ['n1'], ownVersion: 1 }, nowMs - ageMs, nowMs)
     oldestMs = Math.max(oldestMs, ageMs)
     if (membership.part(nowMs) === 0) partlessMs += STEP_MS
   }
--- a/packages/dotterelspur-gateway/src/process/BudgetMembership.ts
+++ b/packages/dotterelspur-gateway/src/process/BudgetMembership.ts
@@ -1,9 +1,8 @@
-import { MembershipWindow, type Clock, type NodeId } from 'dotterelspur'
+import { MembershipWindow, type Clock, type ListedNodes, type NodeId } from 'dotterelspur'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
 
 /** The entries of nodes in the store, as this node knows them. */
-export interface NodeView {
-  readonly nodes: readonly NodeId[]
+export interface NodeView extends ListedNodes {
   /** How old this view is; infinite before the first listing. */
   readonly ageMs: number
 }
@@ -36,9 +35,9 @@
   step (): void {
     const { clock, view } = this.parts
     const nowMs = clock.nowMs()
-    const { nodes, ageMs } = view()
-    if (ageMs < Infinity) this.membership.noteView(nodes, nowMs - ageMs, nowMs)
-    this.logPart(nodes.length, ageMs)
+    const listed = view()
+    if (listed.ageMs < Infinity) this.membership.noteView(listed, nowMs - listed.ageMs, nowMs)
+    this.logPart(listed.nodes.length, listed.ageMs)
   }
 
   /** Nodes that may use a part, or may have used one within the window. */
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -139,7 +139,7 @@
       node: settings.node,
       windowMs: settings.retries.windowMs,
       firstStart: settings.firstStart,
-      view: () => ({ nodes: this.nodes.registered, ageMs: store.viewAgeMs(NODE_PREFIX) })
+      view: () => ({ ...this.nodes.registered, ageMs: store.viewAgeMs(NODE_PREFIX) })
     })
     this.dispatch = new Dispatch({
       clock,
--- a/packages/dotterelspur-gateway/src/process/NodeRegistry.ts
+++ b/packages/dotterelspur-gateway/src/process/NodeRegistry.ts
@@ -1,4 +1,4 @@
-import { eraOf, sleep, StoreErrorKind, WatchEventKind, type Clock, type FailureDomainId, type LeaseIdentity, type NodeId, type ObjectStore, type StoredObject, type Teardown, type WatchEvent } from 'dotterelspur'
+import { eraOf, sleep, StoreErrorKind, WatchEventKind, type Clock, type FailureDomainId, type LeaseIdentity, type ListedNodes, type NodeId, type ObjectStore, type StoredObject, type Teardown, type WatchEvent } from 'dotterelspur'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
 import { addressOf, type GatewaySettings } from './GatewaySettings.js'
 
@@ -73,8 +73,8 @@
   }
 
   /** All nodes with an entry in the store, by the last view of it; this one too, if it has one. */
-  get registered (): readonly NodeId[] {
-    return [...this.records.keys()]
+  get registered (): ListedNodes {
+    return { nodes: [...this.records.keys()], ownVersion: this.records.get(this.self.node)?.version ?? null }
   }
 
   /** Whether other nodes list this one too: its entry is in the store, and the lease holder has not found it lost. */
--- a/packages/dotterelspur/src/request/dispatch/MembershipWindow.ts
+++ b/packages/dotterelspur/src/request/dispatch/MembershipWindow.ts
@@ -1,6 +1,13 @@
 import type { NodeId } from '../../process/ids.js'
 import { RecentMembers } from '../../process/RecentMembers.js'
 
+/** The entries of nodes in the store at one time. */
+export interface ListedNodes {
+  readonly nodes: readonly NodeId[]
+  /** Version of this node's own entry; null if it has none. */
+  readonly ownVersion: number | null
+}
+
 /** A node that was not seen on a recent list for this share of the window uses no part: the others may have stopped counting it. */
 const VIEW_SHARE = 0.5
 
@@ -15,11 +22,13 @@
   private readonly members: RecentMembers
   /** When this node was last known to be listed. */
   private confirmedAtMs = -Infinity
+  /** The version of its entry then. */
+  private confirmedVersion: number | null = null
   /** When this node may use its part at the earliest. */
   private usableFromMs = -Infinity
 
   /** @param isFirst no earlier process of this node, nor of any other, has used a part. */
-  constructor (private readonly node: NodeId, private windowMs: number, private readonly isFirst: boolean) {
+  constructor (node: NodeId, private windowMs: number, private readonly isFirst: boolean) {
     this.members = new RecentMembers(node)
   }
 
@@ -29,9 +38,9 @@
   }
 
   /** Takes in the nodes that were listed at `viewedAtMs`. To be called several times within `VIEW_SHARE` of the window. */
-  noteView (nodes: readonly NodeId[], viewedAtMs: number, nowMs: number): void {
+  noteView ({ nodes, ownVersion }: ListedNodes, viewedAtMs: number, nowMs: number): void {
     // On a first start, this node's own entry may still be on its way, and no other node has used anything.
-    if (nodes.includes(this.node) || this.isFirstView) this.confirm(viewedAtMs, nowMs)
+    if (ownVersion !== null || this.isFirstView) this.confirm(ownVersion, viewedAtMs, nowMs)
     this.members.note(nodes, nowMs)
   }
 
@@ -50,10 +59,14 @@
     return nowMs - this.confirmedAtMs
   }
 
-  /** After a gap the others may have divided the bound without this node, as if its process had just started. */
-  private confirm (viewedAtMs: number, nowMs: number): void {
-    const isJoining = viewedAtMs - this.confirmedAtMs > this.viewLimitMs
+  /**
+   * After a gap the others may have divided the bound without this node, as if its process had just started. An entry that was not written
+   * anew meanwhile was on their lists all the time.
+   */
+  private confirm (ownVersion: number | null, viewedAtMs: number, nowMs: number): void {
+    const isJoining = viewedAtMs - this.confirmedAtMs > this.viewLimitMs && ownVersion !== this.confirmedVersion
     if (isJoining && !this.isFirstView) this.usableFromMs = nowMs + this.turnoverMs
+    this.confirmedVersion = ownVersion
     this.confirmedAtMs = Math.max(this.confirmedAtMs, viewedAtMs)
   }
 
--- a/packages/dotterelspur/src/request/dispatch/__tests__/unit/MembershipWindow.test.ts
+++ b/packages/dotterelspur/src/request/dispatch/__tests__/unit/MembershipWindow.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
-import { MembershipWindow } from '../../MembershipWindow.js'
+import { MembershipWindow, type ListedNodes } from '../../MembershipWindow.js'
 import { FleetEventKind, FleetHistory, type FleetEvent } from '../fixtures/FleetHistory.js'
 
 const WINDOW_MS = 10_000
@@ -22,6 +22,11 @@
   return history.worstWindow
 }
 
+/** The nodes that are listed; the version of the entry of `n1` is `ownVersion`. */
+function listed (nodes: readonly string[], ownVersion = 1): ListedNodes {
+  return { nodes, ownVersion: nodes.includes('n1') ? ownVersion : null }
+}
+
 function event (kind: FleetEventKind, atMs: number, node: number, durationMs: number): FleetEvent {
   return { kind, atMs, node, durationMs }
 }
@@ -36,47 +41,54 @@
 describe('MembershipWindow', () => {
   it('divides a bound evenly among the nodes that are listed', () => {
     const membership = new MembershipWindow('n1', WINDOW_MS, true)
-    membership.noteView(['n1', 'n2', 'n3', 'n4'], 0, 0)
+    membership.noteView(listed(['n1', 'n2', 'n3', 'n4']), 0, 0)
     expect(membership.part(0)).to.equal(0.25)
   })
 
   it('gives out the part of a node that is lost from the list only when it can no longer be used', () => {
     const membership = new MembershipWindow('n1', WINDOW_MS, true)
-    membership.noteView(['n1', 'n2'], 0, 0)
-    for (let nowMs = 1_000; nowMs <= 16_000; nowMs += 1_000) membership.noteView(['n1'], nowMs, nowMs)
+    membership.noteView(listed(['n1', 'n2']), 0, 0)
+    for (let nowMs = 1_000; nowMs <= 16_000; nowMs += 1_000) membership.noteView(listed(['n1']), nowMs, nowMs)
     expect(membership.part(16_000)).to.equal(0.5)
     expect(membership.part(16_001)).to.equal(1)
   })
 
   it('uses no part by a list that is too old, for which other nodes may have stopped counting this one', () => {
     const membership = new MembershipWindow('n1', WINDOW_MS, true)
-    membership.noteView(['n1'], 0, 0)
+    membership.noteView(listed(['n1']), 0, 0)
     expect(membership.part(5_000)).to.equal(1)
     expect(membership.part(5_001)).to.equal(0)
   })
 
   it('uses no part by lists without this node, for which other nodes may not count it', () => {
     const membership = new MembershipWindow('n1', WINDOW_MS, true)
-    membership.noteView(['n1', 'n2'], 0, 0)
-    membership.noteView(['n2'], 5_001, 5_001)
+    membership.noteView(listed(['n1', 'n2']), 0, 0)
+    membership.noteView(listed(['n2']), 5_001, 5_001)
     expect(membership.part(5_001)).to.equal(0)
   })
 
   it('uses no part of a process that has just started: the former one may have used it', () => {
     const membership = new MembershipWindow('n1', WINDOW_MS, false)
-    for (let nowMs = 0; nowMs <= 15_000; nowMs += 1_000) membership.noteView(['n1'], nowMs, nowMs)
+    for (let nowMs = 0; nowMs <= 15_000; nowMs += 1_000) membership.noteView(listed(['n1']), nowMs, nowMs)
     expect(membership.part(14_999)).to.equal(0)
     expect(membership.part(15_000)).to.equal(1)
   })
 
   it('uses no part at once after a partition, during which the other nodes divided the bound without this one', () => {
     const membership = new MembershipWindow('n1', WINDOW_MS, true)
-    membership.noteView(['n1', 'n2'], 0, 0)
-    for (let nowMs = 20_000; nowMs <= 35_000; nowMs += 1_000) membership.noteView(['n1', 'n2'], nowMs, nowMs)
+    membership.noteView(listed(['n1', 'n2']), 0, 0)
+    for (let nowMs = 20_000; nowMs <= 35_000; nowMs += 1_000) membership.noteView(listed(['n1', 'n2'], 2), nowMs, nowMs)
     expect(membership.part(34_999)).to.equal(0)
     expect(membership.part(35_000)).to.equal(0.5)
   })
 
+  it('uses its part at once after the store was unavailable for all nodes, during which no entry was written anew', () => {
+    const membership = new MembershipWindow('n1', WINDOW_MS, true)
+    membership.noteView(listed(['n1', 'n2']), 0, 0)
+    membership.noteView(listed(['n1', 'n2']), 20_000, 20_000)
+    expect(membership.part(20_000)).to.equal(0.5)
+  })
+
   const histories: ReadonlyArray<readonly [string, number, readonly FleetEvent[]]> = [
     ['two of three nodes are down for 6 s', 3, [event(FleetEventKind.Restart, 12_000, 0, 6_000), event(FleetEventKind.Restart, 12_000, 1, 6_000)]],
     ['nodes are lost one after the other', 8, Array.from({ length: 7 }, (_, index) => event(FleetEventKind.Restart, 12_000 + 1_500 * index, index, 20_000))],
