A request whose route has no service is refused

Callers' connections were closed without a response while the manifest left their route without a service: one that names none, or whose shares all have the weight 0, which decodeManifest leaves out. The choice of a service found none and threw, which ended the request as one that should not happen. It is answered with 503 and a Retry-After now; nothing has run. The log line names the route and the manifest's version.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/changeBesideBodies.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/changeBesideBodies.test.ts
@@ -24,6 +24,7 @@
   'a shorter header timeout': { status: 200, runBy: PLAIN, manifest: { limits: { ...LIMITS, headerTimeoutMs: SHORT_MS } } },
   'a shorter idle timeout': { status: 200, runBy: PLAIN, manifest: { limits: { ...LIMITS, idleTimeoutMs: 1 } } },
   'routes that move to another service': { status: 200, runBy: ['o1'], manifest: { routes: ROUTES.map((route) => ({ ...route, shares: [{ service: 'other', weight: 1 }] })) } },
+  'routes that are left without a service': { status: 503, runBy: [], manifest: { routes: ROUTES.map((route) => ({ ...route, shares: [] })) } },
   'routes that are dropped': { status: 404, runBy: [], manifest: { routes: [] } },
   'keys that are taken away': { status: 401, runBy: [], manifest: { workspaces: [{ workspace: 'tradeline', keys: ['key-2'], priority: null }] } }
 }
--- a/packages/dotterelspur-gateway/src/__tests__/unit/changeBesideRequests.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/changeBesideRequests.test.ts
@@ -32,6 +32,7 @@
   'routes that are dropped': { next: 404, apply: (requests) => { requests.put({ routes: [] }) } },
   'routes that move to another service': { apply: (requests) => { requests.put({ routes: ROUTES.map((route) => ({ ...route, shares: [{ service: 'other', weight: 1 }] })) }) } },
   'routes that are split': { apply: (requests) => { requests.put({ routes: ROUTES.map((route) => ({ ...route, shares: [...route.shares, { service: 'other', weight: 3 }] })) }) } },
+  'routes that are left without a service': { next: 503, apply: (requests) => { requests.put({ routes: ROUTES.map((route) => ({ ...route, shares: [] })) }) } },
   'routes that change their kind': { apply: (requests) => { requests.put({ routes: routesWith({ resumable: false, maxAttempts: 1, isPublic: true, priority: 9 }) }) } },
   'longer timeouts': { apply: (requests) => { requests.put({ routes: routesWith({ timeoutMs: LONG_MS }) }) } },
   'shorter timeouts': { apply: (requests) => { requests.put({ routes: routesWith({ timeoutMs: SHORT_MS, targetLatencyMs: 10, targetGapMs: 10 }) }) } },
--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -30,6 +30,8 @@
  * endpoint or returned a response, which shows whether the request is a poison request.
  */
 const SUSPECT_RETRY_MS = 1_500
+/** Retry-After of requests whose route names no service: a change of the manifest is in force within seconds. */
+const NO_SERVICE_RETRY_MS = 1_000
 /** Added to the configured idle timeout, so that a caller that respects the timeout never sends a request on a closing connection. */
 const IDLE_SLACK_MS = 2_000
 /** Limits in force until the first manifest is read. */
@@ -176,6 +178,7 @@
     const { route, workspace, priority } = access
     if (!this.stopAdmission.admits(route, head.deadlineMs)) return this.sendError(request, callerResponse, GatewayErrorKind.NotRun, STOPPING_RETRY_MS)
     const service = this.pickService(route)
+    if (service === null) return this.sendError(request, callerResponse, GatewayErrorKind.NotRun, NO_SERVICE_RETRY_MS, { route: route.name, manifestVersion: newest.version })
     const content: RequestContent = { service, method: request.method!, target: request.url!, caller: workspace, model: head.model, body: body.value, promptParts: head.promptParts }
     const admission = await this.parts.poison.guard.admit(content)
     if (callerResponse.isClosed) return admission.release()
@@ -200,11 +203,12 @@
     this.record(admitted, await run.run().finally(stop))
   }
 
-  private pickService ({ shares }: Route): ServiceId {
+  /** Null where the route has no service, as in a manifest that gives each of its shares the weight 0. */
+  private pickService ({ shares }: Route): ServiceId | null {
     const total = shares.reduce((sum, { weight }) => sum + weight, 0)
     let drawn = this.parts.random.next() * total
     const share = shares.find(({ weight }) => (drawn -= weight) < 0)
-    return (share ?? pick(this.parts.random, shares)!).service
+    return (share ?? pick(this.parts.random, shares))?.service ?? null
   }
 
   private denyAccess (request: IncomingMessage, callerResponse: CallerResponse, access: Access, table: RouteTable): void {
