A timer with a delay of more than 24.8 days does not run out at once

Requests of a route whose timeout is longer than 2^31 - 1 ms were answered 504 at once: Node sets such a timer to 1 ms. The clock limits the delay to the longest that Node takes.

Evidence: the new test of SystemClock.test.ts counted 1 call within 50 ms before, none now.

--- a/packages/dotterelspur-clock/src/SystemClock.ts
+++ b/packages/dotterelspur-clock/src/SystemClock.ts
@@ -8,6 +8,9 @@
   LetsProcessEnd = 'lets-process-end'
 }
 
+/** The longest delay of Node's timers, 24.8 days; a longer one would run out at once. */
+const MAX_DELAY_MS = 2 ** 31 - 1
+
 /** The machine's time: `nowMs` from the monotonic counter, `wallMs` from the time of day. */
 export class SystemClock implements Clock {
   constructor (private readonly hold = TimerHold.KeepsProcess) {}
@@ -21,7 +24,7 @@
   }
 
   registerTimer (delayMs: number, callback: () => void): Teardown {
-    const timer = setTimeout(callback, delayMs)
+    const timer = setTimeout(callback, Math.min(delayMs, MAX_DELAY_MS))
     if (this.hold === TimerHold.LetsProcessEnd) timer.unref()
     return () => { clearTimeout(timer) }
   }
--- a/packages/dotterelspur-clock/src/__tests__/unit/SystemClock.test.ts
+++ b/packages/dotterelspur-clock/src/__tests__/unit/SystemClock.test.ts
@@ -25,4 +25,13 @@
     expect(heldBy(TimerHold.KeepsProcess)).to.equal(1)
     expect(heldBy(TimerHold.LetsProcessEnd)).to.equal(0)
   })
+
+  // Guards against requests that time out at once, because the manifest allows them more time than a timer can take.
+  it('calls nothing early for a delay that is longer than a timer can take', async () => {
+    let calls = 0
+    const cancel = new SystemClock().registerTimer(2 ** 31, () => { calls += 1 })
+    await new Promise((resolve) => { setTimeout(resolve, 50) })
+    cancel()
+    expect(calls).to.equal(0)
+  })
 })
