A head without end, and chunk framing without end, end the exchange at a limit

What callers saw: requests that waited until their route's timeout for an endpoint that sent a status line, white space, empty lines, informational responses, a chunk size or a chunk extension without end, while the node read all of it.

Cause: the parser limits the fields of a head and trailers, and reports none of these bytes before they end. Informational responses were ignored, however many. Empty lines on a connection without request were read like any others.

ResponseMeter counts what is read from a connection and is no data: up to the end of the head at most 64 KiB, afterwards at most 1 MiB beyond the number of data bytes, and without request 1 KiB. A body in chunks of one byte, informational responses before a head, a body of 12 MiB and an event of 1,000 KiB are accepted.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/ResponseMemory.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/ResponseMemory.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
-import { RESPONSE_LIMIT_BYTES, ResponseLimit, ResponseMemory, type ResponseBuffer } from '../../request/ResponseMemory.js'
+import { RESPONSE_LIMIT_BYTES, ResponseLimit } from '../../connection/responseLimits.js'
+import { ResponseMemory, type ResponseBuffer } from '../../request/ResponseMemory.js'
 
 const TOTAL_BYTES = RESPONSE_LIMIT_BYTES[ResponseLimit.Total]
 
--- a/packages/dotterelspur-gateway/src/__tests__/unit/endlessResponses.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/endlessResponses.test.ts
@@ -34,22 +34,41 @@
 const BODY_CASES: readonly EndlessCase[] = [
   { ...PLAIN, name: 'a body that ends with its connection', start: (id) => headOf(id), repeated: 'x'.repeat(65_536), limitBytes: 16 * MIB },
   { ...PLAIN, name: 'a body in chunks', start: (id) => headOf(id, CHUNKED), repeated: `8000\r\n${'x'.repeat(0x8000)}\r\n`, limitBytes: 16 * MIB },
-  { ...PLAIN, name: 'a body in chunks of one byte', start: (id) => headOf(id, CHUNKED), repeated: '1\r\nx\r\n', limitBytes: 6 * 16 * MIB },
+  { ...PLAIN, name: 'a body in chunks of one byte', start: (id) => headOf(id, CHUNKED), repeated: '1\r\nx\r\n', limitBytes: 2 * MIB },
   { ...PLAIN, name: 'the body of a server error', start: (id) => headOf(id, CHUNKED).replace('200 OK', '500 Oops'), repeated: `8000\r\n${'x'.repeat(0x8000)}\r\n`, limitBytes: 16 * MIB }
 ]
 
 const EVENT_CASES: readonly EndlessCase[] = [
   { ...STREAM, name: 'an event', start: (id) => headOf(id, EVENT_STREAM) + 'id: 1\ndata: ', repeated: 'x'.repeat(65_536), limitBytes: MIB },
   { ...STREAM, name: 'an event of many lines', start: (id) => headOf(id, EVENT_STREAM), repeated: 'data: x\n', limitBytes: MIB },
-  { ...STREAM, name: 'an event in chunks of one byte', start: (id) => headOf(id, EVENT_STREAM, CHUNKED), repeated: '1\r\nx\r\n', limitBytes: 6 * MIB },
+  { ...STREAM, name: 'an event in chunks of one byte', start: (id) => headOf(id, EVENT_STREAM, CHUNKED), repeated: '1\r\nx\r\n', limitBytes: 2 * MIB },
   { ...STREAM, name: 'the body of a response that is no stream of events', start: (id) => headOf(id, 'content-type: application/json'), repeated: 'x'.repeat(65_536), limitBytes: 16 * MIB }
 ]
 
+const STATUS_LINE = 'HTTP/1.1 200 OK\r\n'
+const HEAD_CASES: readonly EndlessCase[] = [
+  ...Object.entries({ 'a request that may run again': PLAIN, 'a stream': STREAM }).flatMap(([request, routes]) => [
+    { ...routes, name: `the fields of a head of ${request}`, start: () => STATUS_LINE, repeated: 'a: b\r\n', limitBytes: MIB },
+    { ...routes, name: `a field of a head of ${request}`, start: () => STATUS_LINE + 'a: ', repeated: 'x', limitBytes: MIB },
+    { ...routes, name: `white space in a head of ${request}`, start: () => STATUS_LINE + 'a:', repeated: ' ', limitBytes: MIB },
+    { ...routes, name: `the status line of ${request}`, start: () => 'HTTP/1.1 200 O', repeated: 'O', limitBytes: MIB },
+    { ...routes, name: `empty lines before the head of ${request}`, start: () => '\r\n', repeated: '\r\n', limitBytes: MIB },
+    { ...routes, name: `informational responses to ${request}`, start: () => '', repeated: 'HTTP/1.1 103 Early Hints\r\na: b\r\n\r\n', limitBytes: MIB },
+    { ...routes, name: `a chunk extension of ${request}`, start: (id: string) => headOf(id, CHUNKED, EVENT_STREAM) + '1;', repeated: 'x', limitBytes: 2 * MIB },
+    { ...routes, name: `a chunk size of ${request}`, start: (id: string) => headOf(id, CHUNKED, EVENT_STREAM), repeated: '0', limitBytes: 2 * MIB },
+    { ...routes, name: `trailers of ${request}`, start: (id: string) => headOf(id, CHUNKED, EVENT_STREAM) + '0\r\n', repeated: 'a: b\r\n', limitBytes: 2 * MIB }
+  ])
+]
+
 const whole: StubHandler = (incoming, response) => {
   const isStream = String(incoming.url).startsWith('/stream')
   response.writeHead(200, { 'x-seal': 'seal', 'content-type': isStream ? 'text/event-stream' : 'text/plain' }).end(isStream ? event(1) : 'whole')
 }
 
+function finite (text: (requestId: string) => string): Pick<EndlessResponse, 'respond'> {
+  return { respond: (incoming, response) => { response.socket!.write(text(String(incoming.headers['x-request']))) } }
+}
+
 describe('Responses without end', () => {
   let world: GatewayWorld
   let endpoints: StubEndpoint[]
@@ -65,8 +84,8 @@
     await world.gateway.close()
   })
 
-  /** The first request is answered without end, whichever endpoint gets it. */
-  function answerFirstWith ({ respond }: EndlessResponse): void {
+  /** Answers the first request, whichever endpoint gets it. */
+  function answerFirstWith ({ respond }: Pick<EndlessResponse, 'respond'>): void {
     let calls = 0
     for (const endpoint of endpoints) {
       endpoint.answerWith((incoming, response, body) => { (calls++ === 0 ? respond : whole)(incoming, response, body) })
@@ -92,7 +111,7 @@
     return served
   }
 
-  for (const { name, start, repeated, retried, once, limitBytes } of [...BODY_CASES, ...EVENT_CASES]) {
+  for (const { name, start, repeated, retried, once, limitBytes } of [...BODY_CASES, ...EVENT_CASES, ...HEAD_CASES]) {
     // Guards against a node that buffers bytes for as long as one endpoint sends them, until its memory is used up.
     it(`end as garbled and run elsewhere: ${name}`, async () => {
       const endless = endlessResponse(start, repeated)
@@ -114,6 +133,32 @@
     })
   }
 
+  it('close a connection on which bytes follow a complete response', async () => {
+    // Guards against a connection that is read without end while no request uses it.
+    const endless = endlessResponse((id) => headOf(id, 'content-length: 5') + 'whole', '\r\n')
+    answerFirstWith(endless)
+    expect(await call('read')).to.deep.equal({ status: 200, body: 'whole' })
+    await serveUntil(endless.closed())
+    expect(endless.sentBytes()).to.be.lessThan(TRANSIT_BYTES)
+  })
+
+  it('accept a short body in chunks of one byte, after informational responses', async () => {
+    answerFirstWith(finite((id) => 'HTTP/1.1 103 Early Hints\r\na: b\r\n\r\n'.repeat(100) + headOf(id, CHUNKED) + '1\r\nx\r\n'.repeat(100_000) + '0\r\n\r\n'))
+    expect(await call('once')).to.deep.equal({ status: 200, body: 'x'.repeat(100_000) })
+  })
+
+  it('accept a body of several megabytes', async () => {
+    const body = 'x'.repeat(12 * MIB)
+    answerFirstWith(finite((id) => headOf(id, `content-length: ${body.length}`) + body))
+    expect((await call('once')).body?.length).to.equal(body.length)
+  })
+
+  it('accept an event of a thousand kilobytes', async () => {
+    const large = `data: ${'x'.repeat(1_000 * 1_024)}\n\n`
+    answerFirstWith(finite((id) => headOf(id, `content-length: ${large.length}`, EVENT_STREAM) + large))
+    expect(await call('stream-once')).to.deep.equal({ status: 200, body: large })
+  })
+
   it('continue a stream elsewhere that does not end an event after others', async () => {
     const endless = endlessResponse((id) => headOf(id, EVENT_STREAM) + event(1) + 'id: 2\ndata: ', 'x'.repeat(65_536))
     answerFirstWith({
--- a/packages/dotterelspur-gateway/src/connection/EndpointChannel.ts
+++ b/packages/dotterelspur-gateway/src/connection/EndpointChannel.ts
@@ -3,6 +3,8 @@
 import type { NodeId } from 'dotterelspur'
 import { connectWithin } from './connectWithin.js'
 import type { RelayPath } from './dialRelay.js'
+import { MAX_HEAD_FIELD_BYTES } from './responseLimits.js'
+import { ResponseMeter } from './ResponseMeter.js'
 
 /** A live endpoint accepts a connection within a few milliseconds; one that is down or unreachable may never respond. */
 export const DIRECT_TIMEOUT_MS = 350
@@ -37,6 +39,7 @@
  * bytes as an ordinary end. The channel therefore determines itself whether the connection was closed or reset.
  */
 export class EndpointChannel {
+  readonly meter = new ResponseMeter()
   private readonly client: Client
   private relayPath: RelayPath | null = null
   private closeEndsResponse = false
@@ -46,6 +49,7 @@
     this.client = new Client(origin, {
       pipelining: 1,
       connect: createConnector((socket, relay) => { this.noteConnected(socket, relay) }),
+      maxHeaderSize: MAX_HEAD_FIELD_BYTES,
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: IDLE_TIMEOUT_MS,
@@ -87,6 +91,7 @@
     this.closeEndsResponse = false
     this.cleanClose = Promise.resolve(false)
     this.detectReset(socket)
+    this.meter.attach(socket)
   }
 
   /**
--- /dev/null
+++ b/packages/dotterelspur-gateway/src/connection/responseLimits.ts
@@ -0,0 +1,39 @@
+/** What ends an exchange whose response does not end by itself. */
+export enum ResponseLimit {
+  /** Bytes up to the end of the response's head, those of informational responses before it included. */
+  Head = 'head',
+  /** Bytes besides head and data: sizes and extensions of chunks, trailers. */
+  Framing = 'framing',
+  /** The buffered body of one response. */
+  Body = 'body',
+  /** One event of a stream, which is buffered until it is complete. */
+  Event = 'event',
+  /** What all exchanges of the process buffer together; the one that buffers most is ended. */
+  Total = 'total'
+}
+
+const KIB = 1_024
+const MIB = 1_024 * KIB
+
+/** The fields of one head; also the limit of Node.js. */
+export const MAX_HEAD_FIELD_BYTES = 16 * KIB
+
+/** Empty lines, which are allowed between responses, on a connection without request; all other bytes close it. */
+export const MAX_IDLE_BYTES = KIB
+
+/**
+ * Bytes at which each limit ends an exchange. A process has 350 MB, a third of which it uses without requests, and holds callers' bodies
+ * of up to 4 MB as well.
+ */
+export const RESPONSE_LIMIT_BYTES: Readonly<Record<ResponseLimit, number>> = {
+  // The largest head, and some informational responses before it.
+  [ResponseLimit.Head]: 64 * KIB,
+  // Beyond the number of data bytes: a chunk of an ordinary size takes a few bytes, and a short body may come in chunks of one byte.
+  [ResponseLimit.Framing]: MIB,
+  // Four times the largest request body. Plain services answer with some kilobytes.
+  [ResponseLimit.Body]: 16 * MIB,
+  // An event holds some tokens of an answer. Even with the details of each it is no larger than a few kilobytes.
+  [ResponseLimit.Event]: MIB,
+  // Four responses of the largest size. While they are joined and delivered they take twice as much.
+  [ResponseLimit.Total]: 64 * MIB
+}
--- a/packages/dotterelspur-gateway/src/request/EndpointCall.ts
+++ b/packages/dotterelspur-gateway/src/request/EndpointCall.ts
@@ -2,8 +2,10 @@
 import type { Dispatcher } from 'undici'
 import { ByteCollector, ExchangeEnd } from 'dotterelspur'
 import { isEventStream } from '../connection/headers.js'
+import { RESPONSE_LIMIT_BYTES, ResponseLimit } from '../connection/responseLimits.js'
+import type { ResponseMeter } from '../connection/ResponseMeter.js'
 import type { ResponseHeaders, WireFormat } from '../process/GatewayPorts.js'
-import { RESPONSE_LIMIT_BYTES, ResponseLimit, type ResponseBuffer, type ResponseMemory } from './ResponseMemory.js'
+import type { ResponseBuffer, ResponseMemory } from './ResponseMemory.js'
 
 const MISDIRECTED = 421
 const FIRST_SUCCESS = 200
@@ -49,8 +51,9 @@
   incompleteBytes (): number
 }
 
-/** Detects whether a connection was closed or reset at the end of a response without stated length. */
-export interface ChannelCloseDetector {
+/** The connection of an exchange. Detects whether it was closed or reset at the end of a response without stated length. */
+export interface ResponseChannel {
+  readonly meter: Pick<ResponseMeter, 'watch' | 'noteHead' | 'noteData' | 'release'>
   noteUnframedResponse (): void
   closedCleanly (): Promise<boolean>
 }
@@ -59,7 +62,7 @@
   readonly requestId: string
   readonly method: Dispatcher.HttpMethod
   readonly wire: WireFormat
-  readonly channel: ChannelCloseDetector
+  readonly channel: ResponseChannel
   /** What the process buffers of all responses. */
   readonly memory: ResponseMemory
   /** Asked once the connection is open; the request is not sent if there is a reason. */
@@ -124,11 +127,13 @@
     const reason = this.options.reasonNotToSend?.() ?? null
     if (reason !== null) return this.abort(reason)
     this.sent = true
+    this.options.channel.meter.watch((limit) => { this.endAt(limit) })
     this.options.onSend?.()
   }
 
   onResponseStart (_controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
     if (this.ended || status < FIRST_SUCCESS) return
+    this.options.channel.meter.noteHead()
     this.start = { status, headers, framing: framingOf(this.options.method, status, headers) }
     this.head = this.options.wire.readResponseHeaders(status, headers)
     if (this.head.requestId !== this.options.requestId) return this.abort(ExchangeEnd.Foreign)
@@ -141,6 +146,7 @@
 
   onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (this.ended || this.abortedWith !== null) return
+    this.options.channel.meter.noteData(chunk.length)
     if (!this.streaming) {
       this.body.push(chunk)
       return this.noteBuffered(this.body.sizeBytes, ResponseLimit.Body)
@@ -177,6 +183,7 @@
   private finish (end: ExchangeEnd, buffered: BufferedResponse | null): void {
     if (this.ended) return
     this.ended = true
+    this.options.channel.meter.release()
     this.options.memory.noteSize(this, 0)
     this.options.onEnd(end, buffered, this.head)
   }
--- a/packages/dotterelspur-gateway/src/request/EndpointRun.ts
+++ b/packages/dotterelspur-gateway/src/request/EndpointRun.ts
@@ -1,12 +1,12 @@
 import type { Dispatcher } from 'undici'
 import { EventCursor, EXCHANGE_RULES, ExchangeEnd, RequestKind, type DispatchTarget, type RunArrival } from 'dotterelspur'
 import { forwardedHeaders, isEventStream } from '../connection/headers.js'
+import { RESPONSE_LIMIT_BYTES } from '../connection/responseLimits.js'
 import { LogKind } from '../process/DecisionLog.js'
 import type { DispatchExchange } from '../process/DispatchParts.js'
 import type { Silence } from '../process/StallDetector.js'
 import { EndpointCall, type BufferedResponse, type ResponseStart, type StreamReport } from './EndpointCall.js'
 import type { AdmittedRequest, GatewayRequestParts } from './GatewayRequest.js'
-import { RESPONSE_LIMIT_BYTES } from './ResponseMemory.js'
 
 const FIRST_REDIRECT = 300
 
