A response of 32 MiB is no response without end

The limit of one body is 40 MiB now, and of all together 80 MiB, which leaves a process of 350 MB room for both copies while they are delivered.

--- a/packages/dotterelspur-gateway/src/connection/responseLimits.ts
+++ b/packages/dotterelspur-gateway/src/connection/responseLimits.ts
@@ -30,10 +30,10 @@
   [ResponseLimit.Head]: 64 * KIB,
   // Beyond the number of data bytes: a chunk of an ordinary size takes a few bytes, and a short body may come in chunks of one byte.
   [ResponseLimit.Framing]: MIB,
-  // Four times the largest request body. Plain services answer with some kilobytes.
-  [ResponseLimit.Body]: 16 * MIB,
+  // Ten times the largest request body. Plain services usually answer with some kilobytes.
+  [ResponseLimit.Body]: 40 * MIB,
   // An event holds some tokens of an answer. Even with the details of each it is no larger than a few kilobytes.
   [ResponseLimit.Event]: MIB,
-  // Four responses of the largest size. While they are joined and delivered they take twice as much.
-  [ResponseLimit.Total]: 64 * MIB
+  // Two responses of the largest size. While they are joined and delivered they take twice as much.
+  [ResponseLimit.Total]: 80 * MIB
 }
