End a node's process once its drain is complete

A node that was asked to stop logged `stopped` and then ran on: the limit of the wait for running requests (drain-timeout-ms, 600 s by default) was a timer that was not cancelled when no request ran any more, and it kept the process alive until the time was over or its supervisor killed it.

The timer is now cancelled. The new test failed before: the process had not ended 20 s after its drain (one run; in two trials by hand as well, with one Timeout as the only active resource). After: it ends with 0.

--- /dev/null
+++ b/packages/dotterelspur-demo/src/__tests__/unit/nodeSignals.test.ts
@@ -0,0 +1,83 @@
+import { expect } from 'chai'
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { setTimeout as delay } from 'node:timers/promises'
+import { PlatformServer } from 'dotterelspur-testkit'
+import { NodeProcess } from '../../process/NodeProcess.js'
+import { findFreePorts, nodeSettingsText } from '../../process/nodeSettings.js'
+
+const TIMEOUT_MS = 60_000
+const PATIENCE_MS = 20_000
+const POLL_MS = 20
+const SECRET = '0123456789abcdef0123456789abcdef'
+const HOST = '127.0.0.1'
+
+/** A node and the stand-in of its platform. */
+class SignalledNode {
+  private constructor (private readonly folder: string, private readonly platform: PlatformServer, private readonly process: NodeProcess) {}
+
+  static async start (): Promise<SignalledNode> {
+    const folder = mkdtempSync(join(tmpdir(), 'node-signals-'))
+    const path = join(folder, 'node.ini')
+    const ports = await findFreePorts(HOST)
+    const platform = new PlatformServer({ seed: 1 })
+    await platform.start()
+    const plan = { id: 'node-1', failureDomain: 'perth-a', host: HOST, relayHost: HOST }
+    writeFileSync(path, nodeSettingsText({ plan, region: 'perth', ports, meshAddress: `${HOST}:${ports.mesh}`, meshKey: SECRET, adminToken: SECRET, platformUrl: platform.url, fencing: 'ignored' }))
+    const node = new SignalledNode(folder, platform, new NodeProcess('node-1', path, join(folder, 'node.log')))
+    node.process.start()
+    return node
+  }
+
+  signal (signal: NodeJS.Signals): void {
+    this.process.signal(signal)
+  }
+
+  get log (): string {
+    return readFileSync(join(this.folder, 'node.log'), 'utf8')
+  }
+
+  async untilLogged (text: string): Promise<void> {
+    const startedAtMs = performance.now()
+    while (!this.log.includes(text)) {
+      if (!this.process.running || performance.now() - startedAtMs > PATIENCE_MS) throw new Error(`no "${text}" in the log: ${this.log}`)
+      await delay(POLL_MS)
+    }
+  }
+
+  async end (): Promise<number | NodeJS.Signals | null> {
+    await Promise.race([this.process.ended(), delay(PATIENCE_MS)])
+    return this.process.lastEnd
+  }
+
+  async close (): Promise<void> {
+    await this.process.kill()
+    await this.platform.stop()
+    rmSync(this.folder, { recursive: true })
+  }
+}
+
+async function run (steps: (node: SignalledNode) => Promise<void>): Promise<number | NodeJS.Signals | null> {
+  const node = await SignalledNode.start()
+  try {
+    await steps(node)
+    return await node.end()
+  } finally {
+    await node.close()
+  }
+}
+
+describe('A node\'s signals', function () {
+  this.timeout(TIMEOUT_MS)
+
+  // Guards against a process that goes on after its drain until its supervisor kills it.
+  it('end it once its drain is complete', async () => {
+    const end = await run(async (node) => {
+      await node.untilLogged('started, incarnation')
+      node.signal('SIGTERM')
+      await node.untilLogged('stopped')
+    })
+    expect(end).to.equal(0)
+  })
+})
--- a/packages/dotterelspur-demo/src/process/NodeProcess.ts
+++ b/packages/dotterelspur-demo/src/process/NodeProcess.ts
@@ -19,6 +19,8 @@
 export class NodeProcess {
   private child: ChildProcess | undefined
   private exited: Promise<void> = Promise.resolve()
+  /** How the last process ended: its exit code, or the signal that ended it; null if none has. */
+  lastEnd: number | NodeJS.Signals | null = null
 
   constructor (readonly id: string, private readonly settingsPath: string, private readonly logPath: string) {}
 
@@ -33,7 +35,8 @@
     closeSync(log)
     this.child = child
     this.exited = new Promise((resolve) => {
-      child.once('exit', () => {
+      child.once('exit', (code, signal) => {
+        this.lastEnd = code ?? signal
         if (this.child === child) this.child = undefined
         resolve()
       })
--- a/packages/dotterelspur-node/src/process/Node.ts
+++ b/packages/dotterelspur-node/src/process/Node.ts
@@ -118,7 +118,7 @@
     [DrainEffectKind.RefuseNewWork]: () => { entry.beginDrain() },
     [DrainEffectKind.RegisterDraining]: async () => { await follower.registerDraining(REGISTER_DRAINING_TIMEOUT_MS) },
     [DrainEffectKind.HandOverLeases]: () => fleet.handOver(),
-    [DrainEffectKind.WaitForRequests]: ({ timeoutMs }) => Promise.race([entry.idle().then(() => true), sleep(clock, timeoutMs).then(() => false)]),
+    [DrainEffectKind.WaitForRequests]: ({ timeoutMs }) => idleWithin(parts, timeoutMs),
     [DrainEffectKind.ReportWaiting]: () => { logs.node(`draining, ${entry.runningCount()} requests still running`) },
     [DrainEffectKind.WaitForSuccessors]: () => sleep(clock, SUCCESSOR_WAIT_MS),
     [DrainEffectKind.Close]: async () => {
@@ -134,3 +134,14 @@
   await runProcedure(drainNode(settings.limits.drainTimeoutMs), handlers)
   logs.node('stopped')
 }
+
+/** Whether no request runs any more within the time. The timer is cancelled, since it would keep the process running after its drain. */
+async function idleWithin ({ entry, clock }: NodeParts, timeoutMs: number): Promise<boolean> {
+  return await new Promise((resolve, reject) => {
+    const cancelTimer = clock.registerTimer(timeoutMs, () => { resolve(false) })
+    entry.idle().then(() => {
+      cancelTimer()
+      resolve(true)
+    }, reject)
+  })
+}
