Complete a node's drain although its signal is repeated, and survive SIGHUP

A supervisor that repeats SIGTERM ended a node in the middle of its drain with exit code 1, and with it the requests that the drain completes; SIGHUP ended a node that serves, by the default action.

A table by phase and signal (`nodeSignalAction`) decides, registered before the first listener opens: SIGTERM and SIGINT drain the node, once it has started; repeated ones, SIGHUP, SIGCONT and SIGPIPE change nothing; each has a log line. The documented way to end a drain by a second signal is gone: SIGKILL does that.

--- a/packages/dotterelspur-demo/src/__tests__/unit/nodeSignals.test.ts
+++ b/packages/dotterelspur-demo/src/__tests__/unit/nodeSignals.test.ts
@@ -12,6 +12,8 @@
 const POLL_MS = 20
 const SECRET = '0123456789abcdef0123456789abcdef'
 const HOST = '127.0.0.1'
+/** A drain takes longer: the node keeps probing until others do. */
+const REPEAT_DELAYS_MS = [0, 400, 1_000]
 
 /** A node and the stand-in of its platform. */
 class SignalledNode {
@@ -80,4 +82,31 @@
     })
     expect(end).to.equal(0)
   })
+
+  // Guards against a drain that a repeated signal cuts short, with the requests that it completes.
+  for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+    it(`do not end its drain when ${signal} is repeated`, async () => {
+      const ends = await Promise.all(REPEAT_DELAYS_MS.map(async (delayMs) => await run(async (node) => {
+        await node.untilLogged('started, incarnation')
+        node.signal('SIGTERM')
+        await node.untilLogged('draining')
+        await delay(delayMs)
+        node.signal(signal)
+      })))
+      expect(ends).to.deep.equal(REPEAT_DELAYS_MS.map(() => 0))
+    })
+  }
+
+  // Guards against a node that SIGHUP ends by the default action.
+  it('do not end it unless they ask it to drain', async () => {
+    const end = await run(async (node) => {
+      await node.untilLogged('started, incarnation')
+      for (const signal of ['SIGHUP', 'SIGCONT', 'SIGPIPE'] as const) {
+        node.signal(signal)
+        await node.untilLogged(`signal ${signal} while serving, action none`)
+      }
+      node.signal('SIGTERM')
+    })
+    expect(end).to.equal(0)
+  })
 })
--- a/packages/dotterelspur-node/src/process/CommandLine.ts
+++ b/packages/dotterelspur-node/src/process/CommandLine.ts
@@ -1,10 +1,10 @@
-import { once } from 'node:events'
 import { unreachable } from 'dotterelspur'
 import { formatSettingsError } from 'dotterelspur-settings'
-import { loadNodeSettings } from './loadNodeSettings.js'
-import { startNode, type RunningNode } from './Node.js'
+import { loadNodeSettings, type LoadedSettings } from './loadNodeSettings.js'
+import { startNode } from './Node.js'
 import { NodeErrorKind, type NodeError } from './NodeError.js'
-import { enableDefaultLog } from './NodeLog.js'
+import { enableDefaultLog, NodeLogs } from './NodeLog.js'
+import { NodePhase, NodeSignalAction, nodeSignalAction, registerNodeSignals } from './nodeSignals.js'
 
 /** Exit codes of `dotterelspur`, as docs/operators/node.md lists them. */
 export enum ExitCode {
@@ -24,7 +24,7 @@
  * Runs the node until it is asked to stop, and returns the exit code.
  *
  * SIGTERM, SIGINT and a drain request of an operator start a drain: the node leaves the directory, finishes the
- * requests in progress, hands over its leases and exits. A second signal ends the process at once.
+ * requests in progress, hands over its leases and exits. Further signals change nothing.
  */
 export async function runCommandLine (commandLine: readonly string[]): Promise<ExitCode> {
   const parsed = await readArguments(commandLine)
@@ -36,10 +36,7 @@
     return ExitCode.Success
   }
   enableDefaultLog()
-  const started = await startNode(loaded.value)
-  if (!started.ok) return report(started.error)
-  await runUntilSignal(started.value)
-  return ExitCode.Success
+  return await runNode(loaded.value)
 }
 
 /** Loads yargs only when the arguments are read, because it takes memory that a running node does not need. */
@@ -67,17 +64,25 @@
 
 const HANDLED_BY_YARGS: ReadonlySet<string> = new Set(['--help', '--version', 'completion'])
 
-async function runUntilSignal (node: RunningNode): Promise<void> {
-  const draining = new AbortController()
-  await Promise.race([
-    once(process, 'SIGTERM', { signal: draining.signal }),
-    once(process, 'SIGINT', { signal: draining.signal }),
-    node.drainRequested
-  ])
-  draining.abort()
-  process.once('SIGTERM', () => process.exit(ExitCode.StartFailed))
-  process.once('SIGINT', () => process.exit(ExitCode.StartFailed))
-  await node.drain()
+/** Signals are received from before the first listener opens; a request to drain that comes during the start is met after it. */
+async function runNode (loaded: LoadedSettings): Promise<ExitCode> {
+  const { id, failureDomain } = loaded.settings
+  const logs = new NodeLogs(id, failureDomain)
+  let phase = NodePhase.Starting
+  const signalled = new Promise<void>((resolve) => {
+    registerNodeSignals((signal) => {
+      const action = nodeSignalAction(phase, signal)
+      logs.node(`signal ${signal} while ${phase}, action ${action}`)
+      if (action === NodeSignalAction.Drain) resolve()
+    })
+  })
+  const started = await startNode(loaded)
+  if (!started.ok) return report(started.error)
+  phase = NodePhase.Serving
+  await Promise.race([signalled, started.value.drainRequested])
+  phase = NodePhase.Draining
+  await started.value.drain()
+  return ExitCode.Success
 }
 
 function report (error: NodeError): ExitCode {
--- a/packages/dotterelspur-node/src/process/DrainProcedure.ts
+++ b/packages/dotterelspur-node/src/process/DrainProcedure.ts
@@ -34,7 +34,7 @@
  * The graceful stop of a node.
  *
  * The wait for requests in progress has no limit: after each `drainTimeoutMs` the node only logs how many still run.
- * A second signal ends the process without waiting. The node keeps probing endpoints until other nodes have taken
+ * Further signals change nothing; only SIGKILL ends the process without waiting. The node keeps probing endpoints until other nodes have taken
  * that over, so that a planned stop does not let the presence evidence of any group expire.
  */
 export function * drainNode (drainTimeoutMs: number): Procedure<DrainEffect, void> {
