Bytes of an event that is never complete don't keep a stream at its endpoint

What callers saw: a stream whose endpoint sent one event byte by byte without end stayed there until the deadline, and got a 504 or was cut off, while other endpoints were free.

Cause: each chunk of a response counted as progress and ended the silence of its exchange, complete events or not.

Evidence: pausedEndpoints.test.ts, byte by byte. Trickled heads were moved already.

Progress is the head, a complete event, or 4 KiB of an incomplete one. The deadline ends what can't be moved, as before.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/EndpointCall.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/EndpointCall.test.ts
@@ -52,7 +52,7 @@
       channel,
       memory: new ResponseMemory(),
       sink: null,
-      onProgress: () => {},
+      onHead: () => {},
       onEnd: (end, held: BufferedResponse | null) => {
         channels.release('endpoint', channel)
         resolve({ end, body: held?.body.toString() ?? null })
--- a/packages/dotterelspur-gateway/src/__tests__/unit/RelayServer.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/RelayServer.test.ts
@@ -86,7 +86,7 @@
     })
     const result = await new Promise<CallResult>((resolve) => {
       const onEnd = (end: ExchangeEnd, buffered: BufferedResponse | null): void => { resolve({ end, bytes: buffered?.body.length ?? 0 }) }
-      channel.dispatch({ path: '/', method: 'GET' }, new EndpointCall({ requestId: 'r1', method: 'GET', wire: wire as WireFormat, channel, memory: new ResponseMemory(), sink: null, onProgress: () => {}, onEnd }))
+      channel.dispatch({ path: '/', method: 'GET' }, new EndpointCall({ requestId: 'r1', method: 'GET', wire: wire as WireFormat, channel, memory: new ResponseMemory(), sink: null, onHead: () => {}, onEnd }))
     })
     channel.destroy()
     return result
--- a/packages/dotterelspur-gateway/src/__tests__/unit/pausedEndpoints.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/pausedEndpoints.test.ts
@@ -17,6 +17,10 @@
 /** Longer than any silence after which a request may be sent to another endpoint. */
 const PAUSE_MS = 1_300
 const FOREVER_MS = 60_000
+/** A large event that comes in pieces, each sooner than its stream would be silent for too long, all of them later. */
+const PIECE_INTERVAL_MS = 300
+const PIECES = 5
+const PIECE = 'x'.repeat(8_192)
 /** An event after each silence that is reported. */
 const SLOW_INTERVAL_MS = 750
 /** A second run is sent within 650 ms; its first event comes after the slow endpoint's next one. */
@@ -70,6 +74,33 @@
   }
 }
 
+/** Sends `start`, and then pieces of an event, or of whatever `start` begins, without end. */
+function trickling (start: (requestId: string) => string, piece = 'x', endlessly = true): StubHandler {
+  return (incoming, response) => {
+    const socket = response.socket!
+    const send = async (): Promise<void> => {
+      socket.write(start(String(incoming.headers['x-request'])))
+      for (let left = endlessly ? Infinity : PIECES; left > 0 && !socket.destroyed; left--) {
+        await delay(endlessly ? EVENT_INTERVAL_MS : PIECE_INTERVAL_MS, undefined, { ref: false })
+        socket.write(piece)
+      }
+      if (!endlessly) socket.end('\n\n')
+    }
+    send().catch(() => { socket.destroy() })
+  }
+}
+
+function streamHead (requestId: string): string {
+  return ['HTTP/1.1 200 OK', `x-request: ${requestId}`, 'x-seal: seal', 'content-type: text/event-stream', '', ''].join('\r\n')
+}
+
+const TRICKLES: Readonly<Record<string, (requestId: string) => string>> = {
+  'a status line': () => 'HTTP/1.1 200 ',
+  'a field of a head': () => 'HTTP/1.1 200 OK\r\na: b',
+  'the first event': (id) => streamHead(id) + 'data: ',
+  'a later event': (id) => streamHead(id) + event(1) + 'id: 2\ndata: '
+}
+
 const working = pausing(0, 0)
 const WHOLE = Array.from({ length: EVENT_COUNT }, (_unused, index) => event(index + 1)).join('')
 
@@ -126,6 +157,29 @@
     })
   }
 
+  for (const [name, start] of Object.entries(TRICKLES)) {
+    // Guards against a stream that stays with an endpoint until its deadline because of bytes that never become an event.
+    it(`have their stream continued by another endpoint while they send ${name} byte by byte`, async () => {
+      answerWith(trickling(start), working)
+      expect(await call('/stream/x')).to.deep.equal({ status: 200, body: WHOLE })
+      expect(sent()).to.equal(2)
+      while (endpoints.every(({ closedEarly }) => closedEarly.length === 0)) await delay(EVENT_INTERVAL_MS)
+    })
+
+    it(`are left at the deadline when all send ${name} byte by byte`, async () => {
+      answerWith(trickling(start), trickling(start))
+      const { status, body } = await call('/stream-short/x')
+      expect({ status, isCutOff: body === null }).to.deep.equal(name === 'a later event' ? { status: 200, isCutOff: true } : { status: 504, isCutOff: false })
+      while (endpoints.flatMap(({ closedEarly }) => closedEarly).length < sent()) await delay(EVENT_INTERVAL_MS)
+    })
+  }
+
+  it('keep a stream while a large event comes in pieces', async () => {
+    answerWith(trickling((id) => streamHead(id) + event(1) + 'data: ', PIECE, false), working)
+    expect(await call('/stream/x')).to.deep.equal({ status: 200, body: event(1) + 'data: ' + PIECE.repeat(PIECES) + '\n\n' })
+    expect(sent()).to.equal(1)
+  })
+
   it('have their stream continued by another endpoint, and are told that their run has ended', async () => {
     answerWith(pausing(6, FOREVER_MS), working)
     expect(await call('/stream/x')).to.deep.equal({ status: 200, body: WHOLE })
--- a/packages/dotterelspur-gateway/src/request/EndpointCall.ts
+++ b/packages/dotterelspur-gateway/src/request/EndpointCall.ts
@@ -71,8 +71,8 @@
   readonly onSend?: () => void
   /** Null if the complete response is to be buffered. */
   readonly sink: ResponseSink | null
-  /** Called when a response head or data arrives, which shows that the endpoint is alive. */
-  readonly onProgress: (head: ResponseHeaders | null) => void
+  /** Called when the head of the response is complete. */
+  readonly onHead: (head: ResponseHeaders) => void
   readonly onEnd: (end: ExchangeEnd, buffered: BufferedResponse | null, head: ResponseHeaders | null) => void
 }
 
@@ -137,7 +137,7 @@
     this.start = { status, headers, framing: framingOf(this.options.method, status, headers) }
     this.head = this.options.wire.readResponseHeaders(status, headers)
     if (this.head.requestId !== this.options.requestId) return this.abort(ExchangeEnd.Foreign)
-    this.options.onProgress(this.head)
+    this.options.onHead(this.head)
     if (this.start.framing === ResponseFraming.Close) this.options.channel.noteUnframedResponse()
     const isSuccess = status < FIRST_REDIRECT
     this.streaming = isSuccess && !this.head.notExecuted && this.options.sink !== null
@@ -151,7 +151,6 @@
       this.body.push(chunk)
       return this.noteBuffered(this.body.sizeBytes, ResponseLimit.Body)
     }
-    this.options.onProgress(null)
     const sink = this.options.sink!
     const mayContinue = sink.data(chunk)
     this.noteBuffered(sink.incompleteBytes(), isEventStream(this.start!.headers) ? ResponseLimit.Event : ResponseLimit.Body)
--- a/packages/dotterelspur-gateway/src/request/EndpointRun.ts
+++ b/packages/dotterelspur-gateway/src/request/EndpointRun.ts
@@ -4,11 +4,17 @@
 import { RESPONSE_LIMIT_BYTES } from '../connection/responseLimits.js'
 import { LogKind } from '../process/DecisionLog.js'
 import type { DispatchExchange } from '../process/DispatchParts.js'
+import type { ResponseHeaders } from '../process/GatewayPorts.js'
 import type { Silence } from '../process/StallDetector.js'
 import { EndpointCall, type BufferedResponse, type ResponseStart, type StreamReport } from './EndpointCall.js'
 import type { AdmittedRequest, GatewayRequestParts } from './GatewayRequest.js'
 
 const FIRST_REDIRECT = 300
+/**
+ * Bytes of an incomplete event that show that the endpoint works; a large event comes in pieces of this size or larger. An endpoint that
+ * sends a few bytes of one event again and again counts as silent, so that its stream continues elsewhere.
+ */
+const MIN_PROGRESS_BYTES = 4_096
 
 export interface EndpointRunListener {
   /** Null while the request may be sent. */
@@ -45,6 +51,8 @@
   private sentAtMs: number | null = null
   private streamStart: ResponseStart | null = null
   private eventCount = 0
+  /** Bytes of an incomplete event since the last progress. */
+  private unnotedBytes = 0
   private unproven = false
   /** Complete events that have not been forwarded, because another run may continue the response sooner. */
   private held: Buffer[] = []
@@ -74,10 +82,7 @@
         listener.onSend()
       },
       sink: admitted.route.kind === RequestKind.Streaming ? { start: (start) => { this.streamStart = start }, data: (chunk) => this.handleData(chunk, execution.noteProgress), incompleteBytes: () => this.cursor.incompleteBytes } : null,
-      onProgress: (head) => {
-        this.noteReceived()
-        this.exchange.noteProgress(head)
-      },
+      onHead: (head) => { this.noteProgress(head) },
       onEnd: (end, buffered, head) => {
         this.exchange.stop()
         this.settleArrival(end)
@@ -101,7 +106,7 @@
     return this.sentAtMs !== null
   }
 
-  /** Whether the endpoint has been silent for too long; bytes from it end this. */
+  /** Whether the endpoint has been silent for too long; progress of its response ends this. */
   get isSilent (): boolean {
     return this.silent
   }
@@ -167,6 +172,11 @@
     this.call.resume()
   }
 
+  private noteProgress (head: ResponseHeaders | null): void {
+    this.noteReceived()
+    this.exchange.noteProgress(head)
+  }
+
   private noteReceived (): void {
     const nowMs = this.parts.clock.nowMs()
     if (this.silent) {
@@ -197,6 +207,10 @@
 
   private handleData (chunk: Buffer, noteProgress: () => void): boolean {
     const completeEvents = this.cursor.push(chunk)
+    this.unnotedBytes += chunk.length
+    if (completeEvents === null && this.unnotedBytes < MIN_PROGRESS_BYTES) return true
+    this.unnotedBytes = 0
+    this.noteProgress(null)
     if (completeEvents === null) return true
     this.eventCount += 1
     if (this.eventCount === 1) this.exchange.noteFirstEvent()
