A stream whose content type is stated twice is delivered

Callers whose endpoint answered a stream with two Content-Type lines got its first events and then a closed connection, or a stream that was started elsewhere again. undici returns a repeated header as an array, on which `isEventStream` threw. Since the limit of an event it is called for each chunk; undici took the exception for a broken connection, which also counts as a possible crash of the endpoint.

The new test failed before: the body was cut (null). After: 52 of 52 tests of cutStreams, EndpointCall and endlessResponses passed.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/cutStreams.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/cutStreams.test.ts
@@ -96,6 +96,12 @@
     expect((await call('/stream-once/x')).status).to.equal(502)
   })
 
+  // Guards against a stream that is cut after its first events because its endpoint states the content type twice.
+  it('do not include one whose content type is stated twice', async () => {
+    answerInTurn(framed(ResponseFraming.Length, (from) => eventsAfter(from), 'text/event-stream\r\ncontent-type: text/event-stream'))
+    expect(await call('/stream-once/x')).to.deep.equal({ status: 200, body: eventsAfter(0) })
+  })
+
   it('deliver a complete response that is no stream of events', async () => {
     answerInTurn(framed(ResponseFraming.Length, () => '{"whole":true}', 'application/json'))
     expect(await call('/stream-once/x')).to.deep.equal({ status: 200, body: '{"whole":true}' })
--- a/packages/dotterelspur-gateway/src/connection/headers.ts
+++ b/packages/dotterelspur-gateway/src/connection/headers.ts
@@ -31,9 +31,13 @@
   return kept
 }
 
-/** Whether the response to a streaming request is a stream of events. A missing content type is taken for one. */
+/**
+ * Whether the response to a streaming request is a stream of events. A missing content type is taken for one. Where an endpoint states
+ * several, undici returns them as an array, and the first counts.
+ */
 export function isEventStream (headers: IncomingHttpHeaders): boolean {
-  return headers['content-type']?.toLowerCase().startsWith(EVENT_STREAM_TYPE) ?? true
+  const [type] = [headers['content-type'] as string | string[] | undefined].flat()
+  return type?.toLowerCase().startsWith(EVENT_STREAM_TYPE) ?? true
 }
 
 /** Names that the sender's `Connection` header lists as hop-by-hop. */
