Ownership of cold endpoints counts registered nodes, and stops where the list of nodes is behind

What endpoints would see: more requests while cold than all nodes together may send, after splits beside losses of the store.

Causes, found by random histories of decisions (ownershipHistories): a coordinator that can't write to the store lists a node again that it reaches, and sends it aggregates, while the others keep the lease holder's last report that it is lost; nodes that were found lost, but whose entries could not be removed, stopped counting towards the majority; and nodes taken from a list that is not current stopped counting after 7.25 s, though the nodes with the store had changed theirs.

An aggregate of more nodes than a node lists shows that its list is behind, and does not count. Dispatch gets the view of entries that BudgetMembership uses.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/ColdEndpointMonitor.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/ColdEndpointMonitor.test.ts
@@ -17,7 +17,7 @@
   const cold = new ColdEndpoints('n1')
   const origins = new Map<string, { source: RecordSource, atMs: number }>()
   const endpoints = { isSynchronized: true, recordOrigin: (endpoint: string) => origins.get(endpoint) }
-  const monitor = new ColdEndpointMonitor(cold, { clock, log, node: 'n1', endpoints, manifest: { current: table }, senders, isListed, nodeListAgeMs: () => 0, hasAllNodes: () => true })
+  const monitor = new ColdEndpointMonitor(cold, { clock, log, node: 'n1', endpoints, manifest: { current: table }, senders, isListed, nodeView: () => ({ nodes: [], ownVersion: null, ageMs: 0 }), hasAllNodes: () => true })
   const list = (...records: EndpointRecord[]): void => {
     for (const { endpoint } of records) origins.set(endpoint, { source: RecordSource.List, atMs: clock.nowMs() })
     monitor.noteEndpoints(new Map(records.map((record) => [record.endpoint, record])))
--- a/packages/dotterelspur-gateway/src/__tests__/unit/Dispatch.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/Dispatch.test.ts
@@ -39,7 +39,7 @@
     budget: { part: 1 / SENDERS.length, memberCount: SENDERS.length },
     hasAllNodes: () => true,
     isListed: () => true,
-    nodeListAgeMs: () => 0,
+    nodeView: () => ({ nodes: [], ownVersion: null, ageMs: 0 }),
     senders: () => SENDERS,
     onSuspect: () => {}
   })
--- a/packages/dotterelspur-gateway/src/__tests__/unit/admissionByClass.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/admissionByClass.test.ts
@@ -37,7 +37,7 @@
     onSuspect: () => {},
     hasAllNodes: () => true,
     isListed: () => true,
-    nodeListAgeMs: () => 0
+    nodeView: () => ({ nodes: [], ownVersion: null, ageMs: 0 })
   })
   manifest.follow(store)
   endpoints.follow(store)
--- a/packages/dotterelspur-gateway/src/__tests__/unit/evacuatedDispatch.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/evacuatedDispatch.test.ts
@@ -39,7 +39,7 @@
   const evacuations = isFollowed === null ? undefined : new EvacuationRegistry(clock, isFollowed)
   const initialSync = new InitialSync(clock, manifest, endpoints, null, [], evacuations ?? null)
   const dispatch = new Dispatch({
-    clock, log, random: createRandom(1), node: 'n1', failureDomain: 'a', manifest, endpoints, ...(evacuations === undefined ? {} : { evacuations }), retries: { windowMs: 10_000, ratio: 0.2, extra: 100 }, budget: { part: 1, memberCount: 1 }, senders: () => [{ node: 'n1', failureDomain: 'a' }], onSuspect: () => {}, hasAllNodes: () => true, isListed: () => true, nodeListAgeMs: () => 0
+    clock, log, random: createRandom(1), node: 'n1', failureDomain: 'a', manifest, endpoints, ...(evacuations === undefined ? {} : { evacuations }), retries: { windowMs: 10_000, ratio: 0.2, extra: 100 }, budget: { part: 1, memberCount: 1 }, senders: () => [{ node: 'n1', failureDomain: 'a' }], onSuspect: () => {}, hasAllNodes: () => true, isListed: () => true, nodeView: () => ({ nodes: [], ownVersion: null, ageMs: 0 })
   })
   manifest.follow(store)
   endpoints.follow(store)
--- a/packages/dotterelspur-gateway/src/process/ColdEndpointMonitor.ts
+++ b/packages/dotterelspur-gateway/src/process/ColdEndpointMonitor.ts
@@ -1,4 +1,5 @@
 import type { Clock, ColdEndpoints, ColdSpec, EndpointId, EndpointRecord, NodeId, Sender, ServiceId } from 'dotterelspur'
+import type { NodeView } from './BudgetMembership.js'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
 import { RecordSource, type EndpointRegistry, type RecordOrigin } from './EndpointRegistry.js'
 import type { ManifestFollower } from './ManifestFollower.js'
@@ -24,8 +25,8 @@
   readonly senders: () => readonly Sender[]
   /** Whether the list of nodes has been read: until then, a node would take itself for the only one. */
   readonly hasAllNodes: () => boolean
-  /** How old this node's view of the list of nodes is; infinite before the first listing. */
-  readonly nodeListAgeMs: () => number
+  /** The entries of nodes in the store; the array of senders is another one after a change. */
+  readonly nodeView: () => NodeView
   /** Whether other nodes list this one too; the array of senders is another one after a change. */
   readonly isListed: () => boolean
 }
@@ -88,14 +89,15 @@
 
   /** Takes in the nodes that send requests; called before each request is placed and each aggregate is applied. */
   noteSenders (): void {
-    const { senders, hasAllNodes, isListed, nodeListAgeMs, node: self, clock } = this.parts
-    this.cold.noteNodeListView(clock.nowMs() - nodeListAgeMs())
+    const { senders, hasAllNodes, isListed, nodeView, node: self, clock } = this.parts
+    const view = nodeView()
+    this.cold.noteNodeListView(clock.nowMs() - view.ageMs)
     const current = senders()
     if (current === this.notedSenders || !hasAllNodes()) return
     this.notedSenders = current
     // The list of senders always has this node. Where others don't list it, they give its shares to the next ones.
     const isSelfListed = isListed()
-    this.cold.noteNodes(current.map(({ node }) => node).filter((node) => isSelfListed || node !== self), clock.nowMs())
+    this.cold.noteNodes(current.map(({ node }) => node).filter((node) => isSelfListed || node !== self), clock.nowMs(), view.nodes)
   }
 
   /** Logs changes; called after each aggregate, since an endpoint also becomes warm without any message. */
--- a/packages/dotterelspur-gateway/src/process/DispatchParts.ts
+++ b/packages/dotterelspur-gateway/src/process/DispatchParts.ts
@@ -12,7 +12,7 @@
 import type { ManifestFollower } from './ManifestFollower.js'
 import type { ExchangeHandle } from './StallDetector.js'
 
-export interface DispatchParts extends Pick<ColdEndpointMonitorParts, 'hasAllNodes' | 'isListed' | 'nodeListAgeMs'> {
+export interface DispatchParts extends Pick<ColdEndpointMonitorParts, 'hasAllNodes' | 'isListed' | 'nodeView'> {
   readonly clock: Clock
   readonly log: DecisionLog
   readonly random: Random
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -6,7 +6,7 @@
 import { PeerLinks } from '../connection/PeerLinks.js'
 import { RelayServer } from '../connection/RelayServer.js'
 import { jsonResponse, startSimpleServer, type SimpleHandler } from '../connection/simpleServer.js'
-import { BudgetMembership } from './BudgetMembership.js'
+import { BudgetMembership, type NodeView } from './BudgetMembership.js'
 import { LeaseHandover } from './LeaseHandover.js'
 import type { LeaseHolderState } from './LeaseHolderState.js'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
@@ -133,13 +133,14 @@
       hasAllEndpoints: () => store.isComplete(ENDPOINT_PREFIX) && this.evacuations.isSynchronized,
       hasTraffic: () => !settings.firstStart || this.dispatch.hasReceivedRequests
     })
+    const nodeView = (): NodeView => ({ ...this.nodes.registered, ageMs: store.viewAgeMs(NODE_PREFIX) })
     this.budget = new BudgetMembership({
       clock,
       log,
       node: settings.node,
       windowMs: settings.retries.windowMs,
       firstStart: settings.firstStart,
-      view: () => ({ ...this.nodes.registered, ageMs: store.viewAgeMs(NODE_PREFIX) })
+      view: nodeView
     })
     this.dispatch = new Dispatch({
       clock,
@@ -156,7 +157,7 @@
       relays: () => this.nodes.nodes(),
       hasAllNodes: () => store.isComplete(NODE_PREFIX),
       isListed: () => this.nodes.isListed,
-      nodeListAgeMs: () => store.viewAgeMs(NODE_PREFIX),
+      nodeView,
       coldBounds: settings.coldBounds,
       onSuspect: (head, suspicion) => { this.suspect(head, suspicion) }
     })
--- a/packages/dotterelspur/src/request/backpressure/ColdEndpoints.ts
+++ b/packages/dotterelspur/src/request/backpressure/ColdEndpoints.ts
@@ -45,9 +45,9 @@
     this.ownership = new ColdOwnership(node)
   }
 
-  /** The nodes that send requests, as read from the store. */
-  noteNodes (nodes: readonly NodeId[], nowMs: number): void {
-    this.ownership.noteNodes(nodes, nowMs)
+  /** The nodes that send requests, and all nodes with an entry, as read from the store. */
+  noteNodes (nodes: readonly NodeId[], nowMs: number, registered = nodes): void {
+    this.ownership.noteNodes(nodes, nowMs, registered)
   }
 
   /** When the list of nodes was last known to be current. */
--- a/packages/dotterelspur/src/request/backpressure/ColdOwnership.ts
+++ b/packages/dotterelspur/src/request/backpressure/ColdOwnership.ts
@@ -33,7 +33,6 @@
   private observedAtMs = -Infinity
   /** When aggregates arrived again after a gap. Other nodes may have taken over this node's shares meanwhile. */
   private resumedAtMs = -Infinity
-
   private readonly members: RecentMembers
   /** When the list of nodes was last known to be current. */
   private viewedAtMs = -Infinity
@@ -42,9 +41,14 @@
     this.members = new RecentMembers(node)
   }
 
-  /** Takes in the nodes that send requests, as read from the store. */
-  noteNodes (nodes: readonly NodeId[], nowMs: number): void {
-    this.members.note(nodes, nowMs)
+  /**
+   * Takes in the nodes that send requests, as read from the store.
+   *
+   * @param registered all nodes with an entry there, those included that were found lost: these may own shares until the entry is removed
+   * and they notice it.
+   */
+  noteNodes (nodes: readonly NodeId[], nowMs: number, registered = nodes): void {
+    this.members.note(registered, nowMs)
     this.lists = [...this.recentLists(nowMs), { ranks: new OwnerRanks(this.node, nodes), isListed: nodes.includes(this.node), fromMs: nowMs }]
   }
 
@@ -56,12 +60,13 @@
   /**
    * Takes in that an aggregate of so many nodes has arrived. An aggregate of less than half of the nodes does not count: a
    * partitioned coordinator aggregates the few nodes on its side, and may have taken the others from the list. Nor does one of a part of
-   * the nodes on a list that is too old: the others may be on the side that has the store, and have taken these from their list.
+   * the nodes on a list that is too old: the others may be on the side that has the store, and have taken these from their list. One of more
+   * nodes than this node lists shows that its list is behind: the others may be owners by theirs.
    */
   noteAggregate (nodes: number, nowMs: number): void {
-    const members = this.members.count(RETENTION_MS, nowMs)
+    const members = this.memberCount(nowMs)
     const isListRecent = nowMs - this.viewedAtMs <= LIST_TTL_MS
-    if (2 * nodes <= members || (nodes < members && !isListRecent)) return
+    if (nodes > this.nodeCount || 2 * nodes <= members || (nodes < members && !isListRecent)) return
     if (this.observedAtMs > -Infinity && nowMs - this.observedAtMs > FLEET_OBSERVATION_TTL_MS) this.resumedAtMs = nowMs
     this.observedAtMs = nowMs
   }
@@ -72,7 +77,7 @@
 
   /** Whether this node owns one of `owners` shares of the endpoint's rate. */
   isOwner (endpoint: EndpointId, owners: number, nowMs: number): boolean {
-    if (this.members.count(RETENTION_MS, nowMs) > 1 && (nowMs - this.observedAtMs > FLEET_OBSERVATION_TTL_MS || nowMs - this.resumedAtMs < TAKEOVER_MS)) return false
+    if (this.memberCount(nowMs) > 1 && (nowMs - this.observedAtMs > FLEET_OBSERVATION_TTL_MS || nowMs - this.resumedAtMs < TAKEOVER_MS)) return false
     const recent = this.recentLists(nowMs)
     const [oldest] = recent
     if (oldest === undefined || nowMs - oldest.fromMs < TAKEOVER_MS) return false
@@ -88,6 +93,14 @@
     for (const { ranks } of this.lists) ranks.delete(endpoint)
   }
 
+  /**
+   * Nodes that have an entry, or had one recently. One whose entry was found missing in a list that is not current counts until the list is current
+   * again: it may be on the side that has the store.
+   */
+  private memberCount (nowMs: number): number {
+    return this.members.count(RETENTION_MS, Math.min(nowMs, this.viewedAtMs + LIST_TTL_MS))
+  }
+
   /** Without the lists that were replaced before `TAKEOVER_MS`. */
   private recentLists (nowMs: number): readonly NodeList[] {
     const { lists } = this
