A node's part of the retry budget is given to others only once its last retries have arrived

All nodes together could exceed the budget of a window by a node's part: a node that is cut off uses its part for up to 5 s by its last list, its last retries are read up to 3 s later, and others got the part 15 s after the node was lost from the list. Where the store loses the node's entry as it is cut off, the window that ends then holds both. The time after which a part changes hands now includes the 3 s (RequestArrivals).

--- a/packages/dotterelspur/src/request/dispatch/MembershipWindow.ts
+++ b/packages/dotterelspur/src/request/dispatch/MembershipWindow.ts
@@ -1,5 +1,6 @@
 import type { NodeId } from '../../process/ids.js'
 import { RecentMembers } from '../../process/RecentMembers.js'
+import { LONGEST_DELIVERY_MS } from './RequestArrivals.js'
 
 /** The entries of nodes in the store at one time. */
 export interface ListedNodes {
@@ -78,8 +79,8 @@
     return VIEW_SHARE * this.windowMs
   }
 
-  /** Time after which no node uses, or has used within the window, a part by a list from before. */
+  /** Time after which no node uses a part by a list from before, and nothing that was sent for it arrived within the window. */
   private get turnoverMs (): number {
-    return this.windowMs + this.viewLimitMs
+    return this.windowMs + this.viewLimitMs + LONGEST_DELIVERY_MS
   }
 }
--- a/packages/dotterelspur/src/request/dispatch/RequestArrivals.ts
+++ b/packages/dotterelspur/src/request/dispatch/RequestArrivals.ts
@@ -4,7 +4,7 @@
  * An endpoint may receive a request this long after it was sent, although this node has ended the exchange meanwhile: lost packets are sent
  * again, and an endpoint that stands still reads only afterwards.
  */
-const LONGEST_DELIVERY_MS = 3_000
+export const LONGEST_DELIVERY_MS = 3_000
 
 /** What is known of the arrival of one run at its endpoint. The first call settles it. */
 export interface RunArrival {
