A request that outlasts a planned stop gets an error where no response has begun

Callers whose request was running at an endpoint when the grace period of their node's stop ended saw the connection closed, with neither a response nor a refusal. Only requests that had not been sent on were answered at the end of the plan.

At the end of the plan those whose response has not begun now end with the new exchange end `stopped`, and get 502 (may have run), as for a lost endpoint, or 503 where they were never placed. Streams of which the caller has a part are cut as before, and counted as `cut`.

The new test of stopBesideRequests failed before (SocketError: other side closed). Two other tests of stopBesideRequests, of a response of 32 MB that is read slowly, failed before and after this commit: since a response of more than 16 MiB is answered with 502 (54 bytes).

--- a/packages/dotterelspur-gateway/src/__tests__/unit/stopBesideRequests.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/stopBesideRequests.test.ts
@@ -86,6 +86,14 @@
     expect(await answered).to.deep.equal({ status: 503, retryAfter: '0.05', connection: 'close' })
   })
 
+  // Guards against callers that get neither a response nor an error because their requests outlast the grace period.
+  it('are answered with an error at the end of the grace period where no response has begun', async () => {
+    requests.world.gateway.applyLimits({ stopGraceMs: SHORT_GRACE_MS, directoryTtlMs: 2_000, retries: RETRIES })
+    await requests.startRoutes(['write'])
+    await requests.world.gateway.stop()
+    expect((await requests.finish()).answers.write!.map(({ status }) => status)).to.deep.equal([502, 502, 502, 502])
+  })
+
   // Guards against a response that is cut off because the node has written it and its caller has not read all of it yet.
   for (const [when, stopFirst] of Object.entries({ 'that began before the stop': false, 'that is still to come': true })) {
     it(`are completed for a caller that reads a large response slowly ${when}`, async () => {
--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -64,6 +64,7 @@
   private isListening = true
   /** Requests that have not been sent on. */
   private readonly pending = new Set<CallerResponse>()
+  private readonly dispatched = new Set<GatewayRequest>()
   private running = 0
 
   constructor (private readonly parts: CallerListenerParts) {
@@ -115,14 +116,15 @@
   stopListening (): void {
     this.isListening = false
     this.app.server.close()
-    this.closeIdle()
+    this.connections.closeIdle()
   }
 
-  /** Refuses the requests that have not been sent on, so that their callers learn that they were not run. */
-  refusePending (): void {
+  /** Refuses the requests that have not been sent on, and ends the others whose response has not begun, so that all their callers learn it. */
+  endUnanswered (): void {
     for (const response of this.pending) {
       if (response.sendError(GatewayErrorKind.NotRun, STOPPING_RETRY_MS)) this.stopAdmission.noteRefused()
     }
+    for (const run of this.dispatched) run.onNodeEnd()
   }
 
   async close (): Promise<void> {
@@ -131,10 +133,6 @@
     await this.app.close()
   }
 
-  private closeIdle (): void {
-    this.connections.closeIdle()
-  }
-
   private applyLimits (limits: CallerLimits): void {
     this.connections.applyIdleTimeout(limits.idleTimeoutMs + IDLE_SLACK_MS)
     this.app.server.headersTimeout = limits.headerTimeoutMs
@@ -154,7 +152,7 @@
       .finally(() => {
         this.running -= 1
         this.pending.delete(callerResponse)
-        if (!this.isListening) this.closeIdle()
+        if (!this.isListening) this.connections.closeIdle()
       })
       .catch(() => { /* Errors of `run` have been logged above. */ })
   }
@@ -200,7 +198,11 @@
     const stop = registerCallerClose(admitted.request, () => {
       if (!response.writableFinished) run.onCallerDisconnect()
     })
-    this.record(admitted, await run.run().finally(stop))
+    this.dispatched.add(run)
+    this.record(admitted, await run.run().finally(() => {
+      stop()
+      this.dispatched.delete(run)
+    }))
   }
 
   /** Null where the route has no service, as in a manifest that gives each of its shares the weight 0. */
--- a/packages/dotterelspur-gateway/src/process/PlannedStop.ts
+++ b/packages/dotterelspur-gateway/src/process/PlannedStop.ts
@@ -27,8 +27,8 @@
     await sleep(clock, POLL_MS)
   }
   callers.stopListening()
-  callers.refusePending()
-  // Lets the refusals be sent before the connections are closed.
+  callers.endUnanswered()
+  // Lets the errors be sent before the connections are closed.
   if (callers.runningRequests > 0) await sleep(clock, POLL_MS)
   await Promise.race([handedOver, sleep(clock, POLL_MS)])
   log.write(LogKind.Stopped, { ...callers.stopCounts, cut: callers.runningRequests, relays: relays.size, tookMs: Math.round(clock.nowMs() - startedAtMs) })
--- a/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
+++ b/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
@@ -101,6 +101,11 @@
     this.stop(ExchangeEnd.CallerLeft)
   }
 
+  /** The node ends now: its caller gets an error, unless a response has begun. */
+  onNodeEnd (): void {
+    if (!this.response.isStarted) this.stop(ExchangeEnd.Stopped)
+  }
+
   async run (): Promise<RequestReport> {
     const cancelDeadline = this.startDeadline()
     this.response.onDrain(() => { this.resume() })
--- a/packages/dotterelspur/src/request/dispatch/ExchangeEnd.ts
+++ b/packages/dotterelspur/src/request/dispatch/ExchangeEnd.ts
@@ -22,6 +22,8 @@
   Superseded = 'superseded',
   /** The time that the caller or the route allows has elapsed. */
   TimedOut = 'timed-out',
+  /** The grace period of this node's planned stop has ended. */
+  Stopped = 'stopped',
   /** The caller closed its connection. */
   CallerLeft = 'caller-left'
 }
@@ -57,5 +59,6 @@
   [ExchangeEnd.Silent]: { provesNotRun: false, mayRetryElsewhere: true, penalizesEndpoint: true, mayHaveCrashedEndpoint: false, mayArriveLater: false },
   [ExchangeEnd.Superseded]: { provesNotRun: false, mayRetryElsewhere: false, penalizesEndpoint: false, mayHaveCrashedEndpoint: false, mayArriveLater: true },
   [ExchangeEnd.TimedOut]: { provesNotRun: false, mayRetryElsewhere: false, penalizesEndpoint: false, mayHaveCrashedEndpoint: false, mayArriveLater: true },
+  [ExchangeEnd.Stopped]: { provesNotRun: false, mayRetryElsewhere: false, penalizesEndpoint: false, mayHaveCrashedEndpoint: false, mayArriveLater: true },
   [ExchangeEnd.CallerLeft]: { provesNotRun: false, mayRetryElsewhere: false, penalizesEndpoint: false, mayHaveCrashedEndpoint: false, mayArriveLater: true }
 }
