A caller that goes on using its connection at the end of a stream is served during a stop

Callers that sent their next request on the same connection at the end of a stream saw "socket hang up" where the stream had begun before the stop and ended once the node no longer listened: its head carried no `connection: close`, and the node closed the connection in the same turn in which the response had been sent.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/stopBesideRequests.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/stopBesideRequests.test.ts
@@ -7,6 +7,8 @@
 
 const HOLD_MS = 300
 const GRACE_MS = 8_000
+/** The node no longer listens this long after the begin of its stop, where directory responses expire at once. */
+const UNLISTED_MS = 1_500
 const SHORT_GRACE_MS = 1_500
 /** More than the socket buffers between a node and its caller hold. */
 const LARGE_BODY = 'x'.repeat(32 * 1_048_576)
@@ -77,6 +79,20 @@
     await stopped
   })
 
+  // Guards against a request that is lost because its caller sends it at the end of a stream, and the node closes the connection at once.
+  it('are followed by those that callers send on the same connection at the end of a stream', async () => {
+    requests.world.gateway.applyLimits({ stopGraceMs: GRACE_MS, directoryTtlMs: 0, retries: RETRIES })
+    const streamed = connection.call('/stream/x')
+    await requests.untilSent('stream', 1)
+    await delay(HOLD_MS)
+    const stopped = requests.world.gateway.stop()
+    await delay(UNLISTED_MS)
+    const followed = streamed.then(async () => await connection.call('/new/x'))
+    requests.held.releaseAll()
+    expect(await followed).to.deep.include({ status: 200, body: WHOLE, isReused: true })
+    await stopped
+  })
+
   // Guards against a request that was not run, and whose caller can't know: its body was being received when the node ended.
   it('do not include those whose bodies are still being received at the end, which are refused', async () => {
     requests.world.gateway.applyLimits({ stopGraceMs: SHORT_GRACE_MS, directoryTtlMs: 2_000, retries: RETRIES })
--- a/packages/dotterelspur-gateway/src/connection/CallerConnections.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerConnections.ts
@@ -1,5 +1,9 @@
 import type { Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
+import type { Clock } from 'dotterelspur'
+
+/** A caller that was not told of the stop sends its next request on the same connection within a round trip of the end of its response. */
+const NEXT_REQUEST_MS = 200
 
 interface ConnectionState {
   /** Responses that have not been sent completely. */
@@ -11,8 +15,9 @@
 /** The open connections of callers. */
 export class CallerConnections {
   private readonly states = new Map<Socket, ConnectionState>()
+  private lingering = 0
 
-  constructor (private readonly server: Server) {
+  constructor (private readonly server: Server, private readonly clock: Clock) {
     server.on('connection', (socket: Socket) => {
       this.states.set(socket, { responses: 0, bytesReadWhenIdle: null })
       socket.on('close', () => { this.states.delete(socket) })
@@ -21,6 +26,11 @@
     server.closeIdleConnections = () => { this.closeIdle() }
   }
 
+  /** Connections that stay open for a moment after their last response, because the next request may be on its way. */
+  get lingeringCount (): number {
+    return this.lingering
+  }
+
   /** Resolves once the response has been sent completely, or its connection is closed. */
   async untilSent (socket: Socket, response: ServerResponse): Promise<void> {
     const state = this.states.get(socket)
@@ -36,6 +46,15 @@
     for (const socket of this.idleSockets()) socket.destroy()
   }
 
+  /** Closes a connection after its response, unless its caller begins another request at once. */
+  closeLater (socket: Socket): void {
+    this.lingering += 1
+    this.clock.registerTimer(NEXT_REQUEST_MS, () => {
+      this.lingering -= 1
+      if (this.isIdle(socket)) socket.destroy()
+    })
+  }
+
   /** Idle connections keep the former timeout where it is longer: their callers were told so. */
   applyIdleTimeout (timeoutMs: number): void {
     this.server.keepAliveTimeout = timeoutMs
@@ -45,8 +64,13 @@
   }
 
   private * idleSockets (): Iterable<Socket> {
-    for (const [socket, { responses, bytesReadWhenIdle }] of this.states) {
-      if (responses === 0 && bytesReadWhenIdle === socket.bytesRead) yield socket
+    for (const socket of this.states.keys()) {
+      if (this.isIdle(socket)) yield socket
     }
   }
+
+  private isIdle (socket: Socket): boolean {
+    const state = this.states.get(socket)
+    return state?.responses === 0 && state.bytesReadWhenIdle === socket.bytesRead
+  }
 }
--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -58,7 +58,7 @@
 /** The HTTP server for callers: authenticates and routes each request, and runs it until exactly one response has been sent. */
 export class CallerListener {
   private readonly app: FastifyInstance
-  private readonly connections: CallerConnections
+  readonly connections: CallerConnections
   private readonly waits: RequestWaits
   private readonly stopAdmission: StopAdmission
   private isListening = true
@@ -71,7 +71,7 @@
     this.waits = new RequestWaits(parts.clock)
     this.stopAdmission = new StopAdmission(parts.clock)
     this.app = createApp((request, response) => { this.accept(request, response) })
-    this.connections = new CallerConnections(this.app.server)
+    this.connections = new CallerConnections(this.app.server, parts.clock)
     parts.manifest.registerListener(({ manifest }) => {
       this.applyLimits(manifest.limits)
       this.stopAdmission.noteRoutes(manifest.routes)
@@ -152,7 +152,7 @@
       .finally(() => {
         this.running -= 1
         this.pending.delete(callerResponse)
-        if (!this.isListening) this.connections.closeIdle()
+        if (!this.isListening) this.connections.closeLater(request.socket)
       })
       .catch(() => { /* Errors of `run` have been logged above. */ })
   }
--- a/packages/dotterelspur-gateway/src/process/PlannedStop.ts
+++ b/packages/dotterelspur-gateway/src/process/PlannedStop.ts
@@ -19,7 +19,7 @@
   let isListening = true
   while (clock.nowMs() < plan.endsAtMs) {
     // Ends only after a poll without new connections: requests on the last ones may not have been read yet.
-    if (!isListening && callers.runningRequests === 0 && relays.size === 0) break
+    if (!isListening && callers.runningRequests === 0 && callers.connections.lingeringCount === 0 && relays.size === 0) break
     if (isListening && clock.nowMs() >= plan.listensUntilMs) {
       callers.stopListening()
       isListening = false
