Close callers' connections as soon as a stop is asked for during the start

Callers that connected while a node was loading, and that it then refused for want of a manifest, were told to retry after 0.5 s on a connection that stays open, although the node had been asked to stop: the stop begins once the node listens, and on a machine with little time the wait for the manifest was over before.

From the deferred signal on, each response carries `connection: close` and the short Retry-After. The new test of the gateway fails without it (keep-alive, 0.50).

--- a/packages/dotterelspur-gateway/src/__tests__/unit/stopBesideRequests.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/stopBesideRequests.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import { setTimeout as delay } from 'node:timers/promises'
 import { request, type IncomingMessage } from 'node:http'
+import { GatewayWorld } from '../fixtures/GatewayWorld.js'
 import { WHOLE } from '../fixtures/HeldResponses.js'
 import { KeptConnection } from '../fixtures/KeptConnection.js'
 import { RequestsOfAllKinds, UNDISTURBED } from '../fixtures/RequestsOfAllKinds.js'
@@ -128,6 +129,26 @@
   }
 })
 
+describe('A request beside a stop that was asked for during the start', () => {
+  // Guards against callers that go on using a node that stops at once: it refuses them for want of a manifest before its stop begins.
+  it('is refused on a connection that is closed', async () => {
+    const world = await GatewayWorld.start('n1')
+    try {
+      world.gateway.announceStop()
+      const refused = await new Promise<IncomingMessage>((resolve, reject) => {
+        const outgoing = request({ ...world.callers, path: '/read/x', headers: { host: 'a.example', 'x-request': 'r1', 'x-key': 'key-1' } }, resolve)
+        outgoing.on('error', reject)
+        outgoing.end()
+      })
+      refused.resume()
+      const { statusCode, headers } = refused
+      expect({ statusCode, connection: headers.connection, retryAfter: headers['retry-after'] }).to.deep.equal({ statusCode: 503, connection: 'close', retryAfter: '0.05' })
+    } finally {
+      await world.gateway.close()
+    }
+  })
+})
+
 /** Sends a request and resolves with its answer, whose body has not been read. */
 async function startReading ({ world }: RequestsOfAllKinds): Promise<IncomingMessage> {
   return await new Promise((resolve, reject) => {
--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -102,6 +102,11 @@
     }
   }
 
+  /** From now on each response carries `Connection: close`; see `drain`. */
+  announceStop (): void {
+    this.stopAdmission.announce()
+  }
+
   /**
    * From now on each response carries `Connection: close`, so that callers reconnect to other nodes, requests that wait are rejected,
    * and new ones are taken where the plan admits them. Idle connections stay open as long as the listener: a caller may be sending a
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -261,6 +261,11 @@
     this.dispatch.configureRetries(limits.retries)
   }
 
+  /** Asks callers to go elsewhere, for a stop that begins once this node listens. */
+  announceStop (): void {
+    this.callers.announceStop()
+  }
+
   /**
    * Performs a planned stop: callers are sent elsewhere at once, running requests are completed, and late callers are
    * still served for a while where their requests can end within the grace period. Resolves when nothing is left, or shortly before the process would be killed.
--- a/packages/dotterelspur-gateway/src/process/StopAdmission.ts
+++ b/packages/dotterelspur-gateway/src/process/StopAdmission.ts
@@ -12,6 +12,7 @@
 /** Admits the requests that this node can complete: all of them until its planned stop begins. */
 export class StopAdmission {
   private readonly durations = new RouteDurations()
+  private isAnnounced = false
   private plan: StopPlan | null = null
   private taken = 0
   private refused = 0
@@ -19,13 +20,18 @@
   constructor (private readonly clock: Clock) {}
 
   get isStopping (): boolean {
-    return this.plan !== null
+    return this.isAnnounced || this.plan !== null
   }
 
   get counts (): StopCounts {
     return { taken: this.taken, refused: this.refused }
   }
 
+  /** The stop begins later; requests are taken until then. */
+  announce (): void {
+    this.isAnnounced = true
+  }
+
   begin (plan: StopPlan): void {
     this.plan = plan
   }
