A test of many responses without end at once

Guards the limit of all buffered bytes of a process: 40 bodies without end from 10 endpoints, and ordinary requests meanwhile, which are all answered.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/endlessResponses.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/endlessResponses.test.ts
@@ -16,6 +16,9 @@
 const MIB = 1_048_576
 /** What the buffers of a loopback connection and one turn of the event loop take beyond a limit. */
 const TRANSIT_BYTES = 16 * MIB
+/** The memory that a process of a node may use. */
+const PROCESS_BYTES = 350_000_000
+const SAMPLE_INTERVAL_MS = 5
 const CHUNKED = 'transfer-encoding: chunked'
 
 interface EndlessCase {
@@ -133,6 +136,26 @@
     })
   }
 
+  // Guards against responses that stay below their own limit and together use up the memory of the process.
+  it('stay within the memory of a process when many come at once, and end no other request', async () => {
+    const count = 40
+    endpoints.push(...await Promise.all(Array.from({ length: 8 }, async (_unused, index) => await new StubEndpoint(`v${index}`, whole).listen())))
+    await world.declare(createManifest(1, { routes: ROUTES }), ...endpoints)
+    const endless = endlessResponse((id) => headOf(id), 'x'.repeat(65_536))
+    for (const endpoint of endpoints) {
+      endpoint.answerWith((incoming, response, body) => { (String(incoming.url).startsWith('/once') ? endless.respond : whole)(incoming, response, body) })
+    }
+    const startBytes = process.memoryUsage().external
+    let mostBytes = 0
+    const sampling = setInterval(() => { mostBytes = Math.max(mostBytes, process.memoryUsage().external - startBytes) }, SAMPLE_INTERVAL_MS)
+    const answers = Promise.all(Array.from({ length: count }, async () => await call('once')))
+    expect(await serveUntil(answers)).to.be.greaterThan(0)
+    clearInterval(sampling)
+    expect((await answers).map(({ status }) => status)).to.deep.equal(Array.from({ length: count }, () => 502))
+    await endless.closed()
+    expect(mostBytes).to.be.lessThan(PROCESS_BYTES)
+  })
+
   it('close a connection on which bytes follow a complete response', async () => {
     // Guards against a connection that is read without end while no request uses it.
     const endless = endlessResponse((id) => headOf(id, 'content-length: 5') + 'whole', '\r\n')
