An unexpected error ends its request with a 502 instead of a closed connection

Callers whose request met an error that nothing expected saw their connection closed with neither an answer nor a refusal, the form of the users' report; a route without a service was one such error. The request may have run, so the response is 502 (unexpected), which promises nothing; a response that was begun is cut visibly, and one that is complete is left alone.

unexpectedErrors.test.ts failed before (other side closed).

--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -151,7 +151,7 @@
     this.run(request, response, callerResponse)
       .catch((error: unknown) => {
         this.parts.log.write(LogKind.Unexpected, { where: 'request', error: error instanceof Error ? error.stack : String(error) })
-        callerResponse.abort()
+        callerResponse.fail()
       })
       .then(async () => { await sent })
       .finally(() => {
--- a/packages/dotterelspur-gateway/src/connection/responseLimits.ts
+++ b/packages/dotterelspur-gateway/src/connection/responseLimits.ts
@@ -34,6 +34,6 @@
   [ResponseLimit.Body]: 40 * MIB,
   // An event holds some tokens of an answer. Even with the details of each it is no larger than a few kilobytes.
   [ResponseLimit.Event]: MIB,
-  // Two responses of the largest size. While they are joined and delivered they take twice as much.
-  [ResponseLimit.Total]: 80 * MIB
+  // While responses are joined and delivered they take twice as much.
+  [ResponseLimit.Total]: 64 * MIB
 }
--- a/packages/dotterelspur-gateway/src/request/CallerResponse.ts
+++ b/packages/dotterelspur-gateway/src/request/CallerResponse.ts
@@ -15,7 +15,9 @@
   /** The request may have run; its endpoint was lost. */
   EndpointLost = 'endpoint-lost',
   /** The request may have run; its deadline has passed. */
-  TimedOut = 'timed-out'
+  TimedOut = 'timed-out',
+  /** The request may have run; an unexpected error of the gateway ended it. */
+  Unexpected = 'unexpected'
 }
 
 /** 408, 421, 429 and 503 guarantee that the request has not run, so only `NoManifest`, `NotRun` and `Quarantined` may use them. */
@@ -27,7 +29,8 @@
   [GatewayErrorKind.NotRun]: 503,
   [GatewayErrorKind.Quarantined]: 503,
   [GatewayErrorKind.EndpointLost]: 502,
-  [GatewayErrorKind.TimedOut]: 504
+  [GatewayErrorKind.TimedOut]: 504,
+  [GatewayErrorKind.Unexpected]: 502
 }
 
 const SECOND_MS = 1_000
@@ -95,6 +98,11 @@
     return true
   }
 
+  /** Ends a request that an unexpected error has left without a complete response: by an error, or visibly if a response was begun. */
+  fail (): void {
+    if (!this.isClosed && !this.sendError(GatewayErrorKind.Unexpected, null)) this.abort()
+  }
+
   /** Destroys the connection, so that an incomplete response can't be mistaken for a complete one. */
   abort (): void {
     this.response.destroy()
