--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -21,6 +21,7 @@
 import { GatewayRequest, type AdmittedRequest, type RequestReport } from '../request/GatewayRequest.js'
 import { CallerConnections } from './CallerConnections.js'
 import { registerCallerClose } from './registerCallerClose.js'
+import { hostOf, pathOf } from './requestTarget.js'
 import { BodyErrorKind, readBody } from '../request/readBody.js'
 
 /** Retry-After of requests that arrive before this node has read a manifest and the quarantine. */
@@ -289,14 +290,3 @@
 function noCompiler (): never {
   throw new Error('invariant: no route has a schema')
 }
-
-/** The host name without its port, in lower case, as routes are matched. */
-function hostOf (request: IncomingMessage): string {
-  return (request.headers.host ?? '').replace(/:\d+$/, '').toLowerCase()
-}
-
-function pathOf (request: IncomingMessage): string {
-  const url = request.url ?? '/'
-  const query = url.indexOf('?')
-  return query === -1 ? url : url.slice(0, query)
-}
--- a/packages/dotterelspur-gateway/src/process/FollowRules.ts
+++ b/packages/dotterelspur-gateway/src/process/FollowRules.ts
@@ -1,10 +1,13 @@
-import { QUARANTINE_PREFIX } from 'dotterelspur'
+import { QUARANTINE_PREFIX, StoreErrorKind } from 'dotterelspur'
 import { ENDPOINT_PREFIX } from './EndpointRegistry.js'
 import { EVACUATION_PREFIX } from './EvacuationRegistry.js'
 import { MANIFEST_PREFIX } from './ManifestFollower.js'
 import { NODE_PREFIX } from './NodeRegistry.js'
 import { PROGRESS_VALID_MS } from './StoreFeed.js'
 
+/** Errors that do not prove contact with the store, unlike a failed precondition. */
+export const NO_CONTACT_ERRORS: ReadonlySet<StoreErrorKind> = new Set([StoreErrorKind.Unavailable, StoreErrorKind.Unknown, StoreErrorKind.RateLimited])
+
 /** Time limits within which changes in the store must reach all nodes. */
 export interface ChangeBounds {
   /** How long an endpoint serves after announcing that it is leaving. */
--- a/packages/dotterelspur-gateway/src/process/FollowedStore.ts
+++ b/packages/dotterelspur-gateway/src/process/FollowedStore.ts
@@ -3,14 +3,11 @@
   type Clock, type ObjectListing, type ObjectStore, type Random, type ReadFreshness, type Result, type StoredObject, type StoreError, type Teardown, type WatchEvent
 } from 'dotterelspur'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
-import { FOLLOW_RULES, LATE_RESPONSE_MS, pauseAfterChangesMs, relistSpreadMs, RETRY_JITTER, RETRY_MS, retryPauseMs, type ChangeBounds } from './FollowRules.js'
+import { FOLLOW_RULES, LATE_RESPONSE_MS, NO_CONTACT_ERRORS, pauseAfterChangesMs, relistSpreadMs, RETRY_JITTER, RETRY_MS, retryPauseMs, type ChangeBounds } from './FollowRules.js'
 import { applyBatch, confirmedAtMs, type Listener, type PrefixFollower } from './PrefixFollower.js'
 import { StoreFeed, type FeedUpdate, type FeedProgress } from './StoreFeed.js'
 import type { ChangeBatch, VersionedStore } from './VersionedStore.js'
 
-/** Errors that do not prove contact with the store, unlike a failed precondition. */
-const NO_CONTACT_ERRORS: ReadonlySet<StoreErrorKind> = new Set([StoreErrorKind.Unavailable, StoreErrorKind.Unknown, StoreErrorKind.RateLimited])
-
 export interface FollowedStoreParts {
   readonly store: VersionedStore
   readonly clock: Clock
