A run whose end was lost no longer keeps its request from ending

Aborting the open runs now reports the end itself where the run does not. OpenRuns.test.ts: no report within 60 s before. No way in which such an error comes about is known.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/OpenRuns.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/OpenRuns.test.ts
@@ -26,6 +26,14 @@
     })
   })
 
+  // Guards against a caller without an answer whose deadline can't end a run that has lost its own end.
+  it('report the end for which they are aborted, also where the run does not', async () => {
+    const runs = new OpenRuns()
+    runs.add(createRun('e1', true))
+    runs.abort(ExchangeEnd.TimedOut)
+    expect(await runs.nextReport()).to.deep.equal({ end: ExchangeEnd.TimedOut, hasOpenExchange: false, superseded: [] })
+  })
+
   it('report each superseded run once', async () => {
     const runs = new OpenRuns()
     const [first, second] = [createRun('e1', true), createRun('e2', true)]
--- a/packages/dotterelspur-gateway/src/request/OpenRuns.ts
+++ b/packages/dotterelspur-gateway/src/request/OpenRuns.ts
@@ -71,6 +71,8 @@
     if (first === undefined) return
     this.keepOnly(first)
     first.abort(end)
+    // A run whose end was lost, by an unexpected error while it was handled, would leave its caller without an answer.
+    if (this.open.has(first)) this.noteEnd(first, end)
   }
 
   resume (): void {
