--- a/review/lib/Consumer.mjs
+++ b/review/lib/Consumer.mjs
@@ -17,7 +17,7 @@
   }
 
   /** Resolves with the status of the answer, or null where the channel was closed or no answer came within the time budget. */
-  async send ({ method = 'GET', path, deadlineMs, body = null, key = KEY }) {
+  async send ({ method = 'GET', path, deadlineMs, body = null }) {
     const attempt = nextAttempt()
     const { record, node, agent } = this
     return await new Promise((resolve) => {
@@ -26,7 +26,7 @@
         agent,
         method,
         path,
-        headers: { host: HOST, 'dotterelspur-attempt-id': attempt, 'dotterelspur-deadline-ms': String(deadlineMs), authorization: `Bearer ${key}`, ...body === null ? {} : { 'content-length': body.length } }
+        headers: { host: HOST, 'dotterelspur-attempt-id': attempt, 'dotterelspur-deadline-ms': String(deadlineMs), authorization: `Bearer ${KEY}`, ...body === null ? {} : { 'content-length': body.length } }
       })
       const timer = setTimeout(() => { end('gave up', null) }, deadlineMs)
       let isOver = false
@@ -38,7 +38,7 @@
         if (event === 'gave up') sent.destroy()
         resolve(status)
       }
-      record.write('sent', { attempt, node: node.name, method, path, key })
+      record.write('sent', { attempt, node: node.name, method, path })
       sent.on('response', (response) => {
         const chunks = []
         response.on('data', (chunk) => { chunks.push(chunk) })
--- a/review/lib/Deployment.mjs
+++ b/review/lib/Deployment.mjs
@@ -16,13 +16,13 @@
 const LIMITS = { max_header_bytes: 16_384, max_body_bytes: 4_194_304, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 }
 
 /** One plain service of the size on the sheet of kocjan-lab, with the given routes. */
-export function createManifest (routes, keys = [KEY], version = 3) {
+export function createManifest (routes, version = 3) {
   return {
     version,
     routes: routes.map((route) => ({ host: HOST, priority: 2, service: SERVICE, public: false, session_affinity: false, ...route })),
     services: [{ name: SERVICE, health_path: '/health', max_connections: 110, protocol: 'h1', tls: false }],
     limits: LIMITS,
-    tenants: [{ name: 'hule930', api_keys: keys, priority: 1 }]
+    tenants: [{ name: 'hule930', api_keys: [KEY], priority: 1 }]
   }
 }
 
@@ -31,12 +31,12 @@
 
 /** Three machines, three workers of one plain service and the store, each at a loopback address of its own. */
 export class Deployment {
-  static async start ({ record, routes, workMs, keys }) {
+  static async start ({ record, routes, workMs }) {
     const folder = mkdtempSync(join(tmpdir(), 'review-'))
     const [storePort] = await freePorts(`${NET}.1`, 1)
     const store = new Store()
     await store.listen(`${NET}.1`, storePort)
-    store.put('config', 'main', createManifest(routes, keys))
+    store.put('config', 'main', createManifest(routes))
     const nodes = []
     const deployment = new Deployment({ folder, store, nodes, record, workMs })
     for (let count = 0; count < ZONES.length; count++) await deployment.addWorker()
@@ -50,7 +50,7 @@
         store: `${NET}.1:${storePort}`,
         folder,
         onStart: ({ name }) => { record.write('process started', { node: name }) },
-        onEnd: ({ name }, code, signal) => { record.write('process ended by itself', { node: name, code, signal }) }
+        onEnd: ({ name }, code, signal) => { record.write(signal === 'SIGKILL' ? 'process ended by the kill' : 'process ended by itself', { node: name, code, signal }) }
       })
       node.start()
       nodes.push(node)
