--- a/packages/dotterelspur-gateway/src/process/DecisionLog.ts
+++ b/packages/dotterelspur-gateway/src/process/DecisionLog.ts
@@ -30,6 +30,10 @@
   StoreEraRejected = 'store-era-rejected',
   /** This node has listed a prefix of the store. */
   PrefixListed = 'prefix-listed',
+  /** A poll of a prefix failed, or was answered too late: why, how long after it was sent, and how long ago the store answered any call. */
+  PrefixLost = 'prefix-lost',
+  /** Endpoints whose entries are missing from the store stay in use for a while, since the entries may return. */
+  EntriesKept = 'entries-kept',
   ManifestInForce = 'manifest-in-force',
   ManifestRejected = 'manifest-rejected',
   RequestEnded = 'request-ended',
--- a/packages/dotterelspur-gateway/src/process/EndpointRegistry.ts
+++ b/packages/dotterelspur-gateway/src/process/EndpointRegistry.ts
@@ -205,6 +205,7 @@
   }
 
   private beginGrace (): void {
+    if (this.missing.size > 0) this.log.write(LogKind.EntriesKept, { entries: this.missing.size, forMs: RETURN_GRACE_MS })
     this.graceUntilMs = this.clock.nowMs() + RETURN_GRACE_MS
     this.cancelGrace()
     this.cancelGrace = this.clock.registerTimer(RETURN_GRACE_MS, () => {
--- a/packages/dotterelspur-gateway/src/process/FollowedStore.ts
+++ b/packages/dotterelspur-gateway/src/process/FollowedStore.ts
@@ -227,7 +227,10 @@
     const isDelayed = clock.nowMs() - polledAtMs > waitMs + LATE_RESPONSE_MS
     if (!result.ok || isDelayed) {
       // A lost history only requires a new listing; any other error means that the store was unavailable for a while.
-      if (result.ok || result.error.kind !== StoreErrorKind.NotFound) follower.listener({ kind: WatchEventKind.Disconnected })
+      if (result.ok || result.error.kind !== StoreErrorKind.NotFound) {
+        this.parts.log.write(LogKind.PrefixLost, { prefix: follower.prefix, error: result.ok ? null : result.error, afterMs: Math.round(clock.nowMs() - polledAtMs), contactAgeMs: Math.round(this.contactAgeMs) })
+        follower.listener({ kind: WatchEventKind.Disconnected })
+      }
       return false
     }
     const shared = this.parts.isLeaseHolder() ? this.updateToShare(follower, result.value) : null
