--- a/packages/dotterelspur-gateway/src/__tests__/unit/FollowedStore.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/FollowedStore.test.ts
@@ -10,7 +10,7 @@
 import { NODE_PREFIX } from '../../process/NodeRegistry.js'
 import { PROGRESS_VALID_MS } from '../../process/StoreFeed.js'
 import type { ChangeBatch } from '../../process/VersionedStore.js'
-import { BOUNDS, follow, LEAVING, pass, PAUSE_OVER_MS, progressOf, settle, takeReadLog } from '../fixtures/followingNode.js'
+import { BOUNDS, follow, HEARTBEAT_MS, LEAVING, pass, PAUSE_OVER_MS, progressOf, settle, takeReadLog } from '../fixtures/followingNode.js'
 import { MemoryStore } from '../fixtures/MemoryStore.js'
 
 describe('FollowedStore', () => {
@@ -225,7 +225,7 @@
     const clock = new ManualClock()
     const lines: Array<Record<string, unknown>> = []
     const log = new DecisionLog(clock, 'n1', pino({ level: 'info' }, { write: (line: string) => { lines.push(JSON.parse(line) as Record<string, unknown>) } }))
-    const followed = new FollowedStore({ store, clock, random: createRandom(1), log, isLeaseHolder: () => false, nodeCount: () => 3, initialProgressTimeoutMs: 0, changes: BOUNDS, share: () => {}, concernsCallers: () => true })
+    const followed = new FollowedStore({ store, clock, random: createRandom(1), log, isLeaseHolder: () => false, nodeCount: () => 3, initialProgressTimeoutMs: 0, heartbeatMs: HEARTBEAT_MS, changes: BOUNDS, share: () => {}, concernsCallers: () => true })
     followed.applyProgress({ contactAgeMs: 0, versions: {} })
     for (let round = 0; round < 30; round++) {
       await pass(clock, 100)
--- a/packages/dotterelspur-gateway/src/__tests__/unit/storeReturnReplay.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/storeReturnReplay.test.ts
@@ -82,6 +82,7 @@
     nodeCount: () => nodeCount,
     changes: { drainMs: 2_000, manifestMs: 2_000 },
     initialProgressTimeoutMs: PROGRESS_VALID_MS,
+    heartbeatMs: 1_200,
     share,
     concernsCallers: () => true
   })
--- a/packages/dotterelspur-gateway/src/process/EndpointRegistry.ts
+++ b/packages/dotterelspur-gateway/src/process/EndpointRegistry.ts
@@ -8,7 +8,7 @@
 /**
  * After a store outage, entries of live endpoints may be missing for a moment: they expire while heartbeats cannot be
  * written, or are not in the older copy from which the store came back, and return within about two seconds. Dropping them
- * at once would empty the fleet.
+ * at once would empty the fleet. Other missing entries are those of endpoints that leave, which end soon.
  */
 export const RETURN_GRACE_MS = 2_500
 
@@ -141,10 +141,18 @@
         this.wasDisconnected = true
         return this.log.write(LogKind.DependencyLost, { dependency: 'store', endpoints: this.snapshot.size })
       case WatchEventKind.Connected:
+        this.noteOutage(event.outageEndedAtMs)
+        this.wasDisconnected = false
         if (this.listed) this.log.write(LogKind.DependencyRegained, { dependency: 'store', endpoints: this.snapshot.size })
     }
   }
 
+  /** Entries can have expired in the outage. A client that does not measure outages leaves the time undefined. */
+  private noteOutage (endedAtMs: number | null | undefined): void {
+    if (endedAtMs !== undefined) this.extendGrace((endedAtMs ?? -Infinity) + RETURN_GRACE_MS)
+    else if (this.wasDisconnected) this.extendGrace(this.clock.nowMs() + RETURN_GRACE_MS)
+  }
+
   private handleObject (object: StoredObject<EndpointRecord | null>, hasMore: boolean): void {
     const pending = this.pending ?? new Map(this.snapshot)
     const isChanged = this.applyObject(pending, object) || this.pending !== null
@@ -184,10 +192,11 @@
     for (const name of this.entries.keys()) {
       if (!found.has(name)) this.missing.add(name)
     }
-    if (this.wasDisconnected || (this.listed && eraOf(listing.version) > this.listedEra)) this.beginGrace()
-    else this.dropMissing(pending)
+    const isOlderCopy = this.listed && eraOf(listing.version) > this.listedEra
+    if (isOlderCopy) this.extendGrace(this.clock.nowMs() + RETURN_GRACE_MS)
+    if (this.clock.nowMs() >= this.graceUntilMs) this.dropMissing(pending)
+    else if (this.missing.size > 0) this.log.write(LogKind.EntriesKept, { entries: this.missing.size, forMs: Math.round(this.graceUntilMs - this.clock.nowMs()) })
     if (!this.listed) this.log.write(LogKind.EndpointsRead, { endpoints: pending.size, version: listing.version })
-    this.wasDisconnected = false
     this.listedEra = eraOf(listing.version)
     this.listed = true
     this.commit(pending)
@@ -204,11 +213,12 @@
     this.leaving.set(former.endpoint, this.clock.nowMs())
   }
 
-  private beginGrace (): void {
-    if (this.missing.size > 0) this.log.write(LogKind.EntriesKept, { entries: this.missing.size, forMs: RETURN_GRACE_MS })
-    this.graceUntilMs = this.clock.nowMs() + RETURN_GRACE_MS
+  private extendGrace (untilMs: number): void {
+    const forMs = untilMs - this.clock.nowMs()
+    if (forMs <= 0 || untilMs <= this.graceUntilMs) return
+    this.graceUntilMs = untilMs
     this.cancelGrace()
-    this.cancelGrace = this.clock.registerTimer(RETURN_GRACE_MS, () => {
+    this.cancelGrace = this.clock.registerTimer(forMs, () => {
       const pending = new Map(this.snapshot)
       this.dropMissing(pending)
       this.commit(pending)
--- a/packages/dotterelspur-gateway/src/process/FollowedStore.ts
+++ b/packages/dotterelspur-gateway/src/process/FollowedStore.ts
@@ -1,5 +1,5 @@
 import {
-  eraOf, failed, sleep, StoreErrorKind, WatchEventKind,
+  eraOf, failed, OutageHistory, sleep, StoreErrorKind, WatchEventKind,
   type Clock, type ObjectListing, type ObjectStore, type Random, type ReadFreshness, type Result, type StoredObject, type StoreError, type Teardown, type WatchEvent
 } from 'dotterelspur'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
@@ -20,11 +20,19 @@
   readonly changes: ChangeBounds
   /** How long to wait for the lease holder's first feed progress after the first listing, before this node polls for changes itself. */
   readonly initialProgressTimeoutMs: number
+  /** How often endpoints renew their entries. */
+  readonly heartbeatMs: number
   readonly share: (update: FeedUpdate) => void
   /** Whether a change that has not been applied yet affects request dispatch. */
   readonly concernsCallers: (object: StoredObject<unknown>) => boolean
 }
 
+/**
+ * Entries expire after three heartbeats of silence, and the last heartbeat may be one interval old when the store goes away: in an outage of
+ * less than two intervals no entry of a live endpoint expires.
+ */
+const HEARTBEATS_TO_EXPIRE_IN_OUTAGE = 2
+
 /**
  * The store as the rest of a node uses it. Follows prefixes across interruptions, by polling the store or by the lease
  * holder's feed while that is fresh. Changes are versioned, so a change received both ways is applied once.
@@ -34,13 +42,16 @@
   private feedWasFresh = false
   private readonly followers = new Map<string, PrefixFollower>()
   private contactAtMs = -Infinity
+  private readonly outages: OutageHistory
   /** Failed calls since the last one that the store answered. */
   private failures = 0
   /** While the store is unavailable, one follower retries for all, since a call from each would give no further information. */
   private nextTryAtMs = -Infinity
   private closed = false
 
-  constructor (private readonly parts: FollowedStoreParts) {}
+  constructor (private readonly parts: FollowedStoreParts) {
+    this.outages = new OutageHistory(HEARTBEATS_TO_EXPIRE_IN_OUTAGE * parts.heartbeatMs)
+  }
 
   async get<Body> (key: string, freshness?: ReadFreshness): Promise<Result<StoredObject<Body>, StoreError>> {
     return await this.trackContact(async () => await this.parts.store.get<Body>(key, freshness))
@@ -65,7 +76,7 @@
   watch<Body> (prefix: string, listener: (event: WatchEvent<Body>) => void): Teardown {
     const rule = FOLLOW_RULES[prefix]
     if (rule === undefined || this.followers.has(prefix)) throw new Error(`invariant: watch of ${prefix} rejected: the prefix has no follow rule or is already watched`)
-    const follower: PrefixFollower = { prefix, rule, listener: listener as Listener, version: null, confirmedAtMs: -Infinity, lastChangeVersion: 0, listedForEra: 0, isPartial: false, mustCatchUp: false, wake: null, checkInitialWait: null, stopped: false }
+    const follower: PrefixFollower = { prefix, rule, listener: listener as Listener, version: null, confirmedAtMs: -Infinity, lastChangeVersion: 0, listedForEra: 0, isPartial: false, mustCatchUp: false, isLost: false, wake: null, checkInitialWait: null, stopped: false }
     this.followers.set(prefix, follower)
     this.follow(follower).catch((error: unknown) => { this.parts.log.write(LogKind.Unexpected, { where: `watch of ${prefix}`, error: String(error) }) })
     return () => {
@@ -80,7 +91,7 @@
     this.closed = true
   }
 
-  /** Time since the start of the last call that the store answered. */
+  /** Time since the store is last known to have been in contact with this node. */
   get contactAgeMs (): number {
     return this.parts.clock.nowMs() - this.contactAtMs
   }
@@ -111,7 +122,9 @@
   }
 
   applyProgress (progress: FeedProgress): void {
-    this.feed.noteProgress(progress, this.parts.clock.nowMs())
+    const nowMs = this.parts.clock.nowMs()
+    this.feed.noteProgress(progress, nowMs)
+    this.outages.noteAnswer(nowMs - progress.contactAgeMs, nowMs)
     this.wakeUncovered()
   }
 
@@ -120,6 +133,10 @@
     const follower = this.followers.get(prefix)
     this.feed.noteVersion(prefix, batch.version)
     if (follower !== undefined && follower.version !== null && sinceVersion <= follower.version) {
+      // The lease holder shares what it reads at once.
+      const nowMs = this.parts.clock.nowMs()
+      this.outages.noteAnswer(nowMs - follower.rule.holderPollTimeoutMs, nowMs)
+      if (follower.isLost) this.notifyConnected(follower)
       applyBatch(follower, batch)
       follower.isPartial ||= follower.rule.isFiltered
     }
@@ -202,11 +219,11 @@
     if (follower.stopped) return false
     if (!listing.ok) {
       follower.version = knownVersion
-      follower.listener({ kind: WatchEventKind.Disconnected })
+      this.notifyLost(follower)
       return false
     }
     this.parts.log.write(LogKind.PrefixListed, { prefix: follower.prefix, version: listing.value.version, before: knownVersion })
-    follower.listener({ kind: WatchEventKind.Connected })
+    this.notifyConnected(follower)
     follower.listener({ kind: WatchEventKind.Listing, listing: listing.value })
     follower.version = listing.value.version
     follower.confirmedAtMs = askedAtMs
@@ -222,17 +239,18 @@
     const waitMs = this.pollTimeoutOf(follower)
     const polledAtMs = clock.nowMs()
     follower.mustCatchUp = false
-    const result = await this.trackContact(async () => await store.changes(follower.prefix, sinceVersion, waitMs))
+    const result = await this.trackContact(async () => await store.changes(follower.prefix, sinceVersion, waitMs), (batch) => confirmedAtMs(batch, polledAtMs, waitMs, clock.nowMs()))
     if (follower.stopped) return false
     const isDelayed = clock.nowMs() - polledAtMs > waitMs + LATE_RESPONSE_MS
     if (!result.ok || isDelayed) {
       // A lost history only requires a new listing; any other error means that the store was unavailable for a while.
       if (result.ok || result.error.kind !== StoreErrorKind.NotFound) {
         this.parts.log.write(LogKind.PrefixLost, { prefix: follower.prefix, error: result.ok ? null : result.error, afterMs: Math.round(clock.nowMs() - polledAtMs), contactAgeMs: Math.round(this.contactAgeMs) })
-        follower.listener({ kind: WatchEventKind.Disconnected })
+        this.notifyLost(follower)
       }
       return false
     }
+    if (follower.isLost) this.notifyConnected(follower)
     const shared = this.parts.isLeaseHolder() ? this.updateToShare(follower, result.value) : null
     applyBatch(follower, result.value)
     follower.confirmedAtMs = confirmedAtMs(result.value, polledAtMs, waitMs, clock.nowMs())
@@ -241,6 +259,16 @@
     return true
   }
 
+  private notifyLost (follower: PrefixFollower): void {
+    follower.isLost = true
+    follower.listener({ kind: WatchEventKind.Disconnected })
+  }
+
+  private notifyConnected (follower: PrefixFollower): void {
+    follower.isLost = false
+    follower.listener({ kind: WatchEventKind.Connected, outageEndedAtMs: this.outages.endedAtMs })
+  }
+
   private pollTimeoutOf ({ rule, mustCatchUp }: PrefixFollower): number {
     if (mustCatchUp) return 0
     return this.parts.isLeaseHolder() ? rule.holderPollTimeoutMs : rule.pollTimeoutMs
@@ -288,7 +316,8 @@
     follower.mustCatchUp = true
   }
 
-  private async trackContact<Value> (call: () => Promise<Result<Value, StoreError>>): Promise<Result<Value, StoreError>> {
+  /** @param answeredSinceMs the earliest time at which the store can have given the answer, if that is later than the start of the call. */
+  private async trackContact<Value> (call: () => Promise<Result<Value, StoreError>>, answeredSinceMs: (value: Value) => number = () => -Infinity): Promise<Result<Value, StoreError>> {
     if (this.closed) return failed({ kind: StoreErrorKind.Unavailable, reason: 'this node has closed its access to the store' })
     const startedAtMs = this.parts.clock.nowMs()
     const result = await call()
@@ -297,7 +326,9 @@
       return result
     }
     this.failures = 0
-    this.contactAtMs = Math.max(this.contactAtMs, startedAtMs)
+    const answeredAtMs = Math.max(startedAtMs, result.ok ? answeredSinceMs(result.value) : -Infinity)
+    this.contactAtMs = Math.max(this.contactAtMs, answeredAtMs)
+    this.outages.noteAnswer(answeredAtMs, this.parts.clock.nowMs())
     return result
   }
 }
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -92,6 +92,7 @@
       changes: settings.changes,
       // A listing is valid for as long as feed progress.
       initialProgressTimeoutMs: PROGRESS_VALID_MS,
+      heartbeatMs: settings.heartbeatMs,
       share: (update) => { this.peers.broadcastFeedUpdate(update) },
       concernsCallers: (object) => this.endpoints.concernsCallers(object as StoredObject<EndpointRecord | null>)
     })
--- a/packages/dotterelspur-gateway/src/process/GatewaySettings.ts
+++ b/packages/dotterelspur-gateway/src/process/GatewaySettings.ts
@@ -36,6 +36,8 @@
   readonly metrics: ListenAddress
   readonly poison: PoisonLimits
   readonly changes: ChangeBounds
+  /** How often endpoints renew their entries in the store. */
+  readonly heartbeatMs: number
   /** Without them, cold endpoints get no more than the rate that they sustain. */
   readonly coldBounds?: ColdBounds
   /** The whole system starts for the first time, so no state of an earlier incarnation can be left over. */
--- a/packages/dotterelspur-gateway/src/process/PrefixFollower.ts
+++ b/packages/dotterelspur-gateway/src/process/PrefixFollower.ts
@@ -22,6 +22,8 @@
   isPartial: boolean
   /** The feed no longer covers the prefix: the next poll returns at once, so that an unavailable store is noticed soon. */
   mustCatchUp: boolean
+  /** Contact was lost, and nothing has been received since. */
+  isLost: boolean
   /** Resumes polling when the feed no longer covers the prefix. */
   wake: (() => void) | null
   /** Ends the wait for the lease holder's first feed progress if it is over. */
--- a/packages/dotterelspur-gateway/src/process/StoreFeed.ts
+++ b/packages/dotterelspur-gateway/src/process/StoreFeed.ts
@@ -6,7 +6,7 @@
 
 /** The lease holder's feed progress: how far it has followed each prefix, and how fresh that is. */
 export interface FeedProgress {
-  /** Time since the start of the last call that the store answered. */
+  /** Time since the store is last known to have been in contact with the lease holder. */
   readonly contactAgeMs: number
   /** Version up to which each prefix has been followed. */
   readonly versions: Readonly<Record<string, number>>
--- a/packages/dotterelspur/src/process/ObjectStore.ts
+++ b/packages/dotterelspur/src/process/ObjectStore.ts
@@ -49,7 +49,7 @@
   Listing = 'listing',
   /** The watch lost contact with the store. */
   Disconnected = 'disconnected',
-  /** The watch is connected again; a Listing follows. */
+  /** The watch is connected again; a Listing follows, or the Objects since contact was lost. */
   Connected = 'connected'
 }
 
@@ -58,7 +58,11 @@
   | { readonly kind: WatchEventKind.Object, readonly object: StoredObject<Body>, readonly hasMore?: boolean }
   | { readonly kind: WatchEventKind.Listing, readonly listing: ObjectListing<Body> }
   | { readonly kind: WatchEventKind.Disconnected }
-  | { readonly kind: WatchEventKind.Connected }
+  /**
+   * `outageEndedAtMs`: when the last outage ended that was long enough for entries to expire, null if there was none. Absent if the
+   * client does not measure outages; any loss of contact may then have been one.
+   */
+  | { readonly kind: WatchEventKind.Connected, readonly outageEndedAtMs?: number | null }
 
 export enum StoreErrorKind {
   NotFound = 'not-found',
