--- a/packages/dotterelspur-gateway/src/process/DecisionLog.ts
+++ b/packages/dotterelspur-gateway/src/process/DecisionLog.ts
@@ -28,6 +28,8 @@
   StoreEra = 'store-era',
   /** A response of the store states no valid era; the known one stays in force. */
   StoreEraRejected = 'store-era-rejected',
+  /** Connections to the store no longer answered, and were replaced by new ones. */
+  StoreConnectionsRenewed = 'store-connections-renewed',
   /** This node has listed a prefix of the store. */
   PrefixListed = 'prefix-listed',
   /** A poll of a prefix failed, or was answered too late: why, how long after it was sent, and how long ago the store answered any call. */
--- a/packages/dotterelspur-platform/src/__tests__/unit/fixtures.ts
+++ b/packages/dotterelspur-platform/src/__tests__/unit/fixtures.ts
@@ -1,3 +1,4 @@
+import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import { createRandom } from 'dotterelspur'
 import type { PlatformReply } from '../../request/PlatformCall.js'
 import { ReplyKind } from '../../request/PlatformCall.js'
@@ -42,3 +43,44 @@
   }
   return { value: step.value, sent, waitsMs }
 }
+
+/** A TCP proxy to a local port whose open connections can fall silent: they stay open, and pass nothing on. */
+export class SilentProxy {
+  private readonly sockets = new Set<Socket>()
+  private readonly silent = new Set<Socket>()
+  private readonly server: Server
+
+  constructor (private readonly targetPort: number) {
+    this.server = createServer((socket) => { this.join(socket) })
+  }
+
+  async start (): Promise<void> {
+    await new Promise<void>((resolve) => { this.server.listen(0, '127.0.0.1', resolve) })
+  }
+
+  get url (): string {
+    return `http://127.0.0.1:${(this.server.address() as AddressInfo).port}`
+  }
+
+  silenceConnections (): void {
+    for (const socket of this.sockets) this.silent.add(socket)
+  }
+
+  stop (): void {
+    this.server.close()
+    for (const socket of this.sockets) socket.destroy()
+  }
+
+  private join (caller: Socket): void {
+    const target = connect(this.targetPort, '127.0.0.1')
+    for (const [from, to] of [[caller, target], [target, caller]] as const) {
+      this.sockets.add(from)
+      from.on('data', (bytes: Buffer) => { if (!this.silent.has(from)) to.write(bytes) })
+      from.on('error', () => {})
+      from.on('close', () => {
+        this.sockets.delete(from)
+        to.destroy()
+      })
+    }
+  }
+}
--- a/packages/dotterelspur-platform/src/connection/HttpTransport.ts
+++ b/packages/dotterelspur-platform/src/connection/HttpTransport.ts
@@ -1,6 +1,6 @@
 import { Agent, request as sendRequest } from 'undici'
 import type { Dispatcher } from 'undici'
-import type { Clock } from 'dotterelspur'
+import { RenewablePool, type Clock } from 'dotterelspur'
 import { MAXIMUM_RESPONSE_BYTES } from '../constants.js'
 import type { CallBudget } from '../process/CallBudget.js'
 import { ResponseStatus, ReplyKind, isServerError } from '../request/PlatformCall.js'
@@ -30,11 +30,11 @@
 
 /** Sends calls to the platform over HTTP, with a timeout for each, and counts them. It does not retry. */
 export class HttpTransport {
-  private readonly agent: Agent
+  private readonly agents: RenewablePool<Agent>
   private contactListener: () => void = () => {}
 
   constructor (private readonly options: HttpTransportOptions) {
-    this.agent = new Agent({
+    this.agents = new RenewablePool(options.clock, () => new Agent({
       connections: options.maximumConnections ?? DEFAULT_MAXIMUM_CONNECTIONS,
       pipelining: 1,
       keepAliveTimeout: KEEP_ALIVE_MS,
@@ -43,7 +43,7 @@
       bodyTimeout: 0,
       localAddress: options.localAddress,
       connect: { timeout: options.timeoutMs }
-    })
+    }))
   }
 
   /** Sets the listener that is called after each response or watch line from the platform. */
@@ -67,21 +67,35 @@
     return reply
   }
 
+  /** The connections that new calls use. */
+  get connections (): Agent {
+    return this.agents.current
+  }
+
+  /** Makes new calls use new connections, since a call or a stream on `silent` got no answer: its idle connections may be silent too. */
+  renewConnections (silent: Agent): void {
+    this.agents.renew(silent)
+  }
+
   /** Opens a streamed response. The caller must read it to its end or abort it. */
   async openStream (path: string, signal: AbortSignal): Promise<Dispatcher.ResponseData> {
-    return await sendRequest(`${this.options.url}${path}`, { dispatcher: this.agent, signal, headers: this.headers() })
+    return await sendRequest(`${this.options.url}${path}`, { dispatcher: this.connections, signal, headers: this.headers() })
   }
 
   async close (): Promise<void> {
-    await this.agent.destroy()
+    await this.agents.destroy()
   }
 
   private async exchange (request: PlatformRequest): Promise<PlatformReply> {
     const abort = new AbortController()
-    const cancel = this.options.clock.registerTimer(this.options.timeoutMs, () => { abort.abort() })
+    const { connections } = this
+    const cancel = this.options.clock.registerTimer(this.options.timeoutMs, () => {
+      abort.abort()
+      this.renewConnections(connections)
+    })
     try {
       const response = await sendRequest(`${this.options.url}${request.path}`, {
-        dispatcher: this.agent,
+        dispatcher: connections,
         method: request.method,
         signal: abort.signal,
         headers: { ...this.headers(), ...createHeaders(request) },
--- a/packages/dotterelspur-platform/src/connection/PlatformWatch.ts
+++ b/packages/dotterelspur-platform/src/connection/PlatformWatch.ts
@@ -34,6 +34,7 @@
   private stopped = false
   private stream: AbortController | undefined
   private reader: LineReader | undefined
+  private onSilent: () => void = () => {}
 
   constructor (private readonly options: PlatformWatchOptions) {}
 
@@ -77,7 +78,12 @@
     const { transport, budget, context } = this.options
     if (budget.acquire(CallKind.Watch) > 0) return false
     const stream = new AbortController()
-    const cancel = context.clock.registerTimer(context.silenceMs, () => { stream.abort() })
+    const { connections } = transport
+    this.onSilent = () => { transport.renewConnections(connections) }
+    const cancel = context.clock.registerTimer(context.silenceMs, () => {
+      stream.abort()
+      this.onSilent()
+    })
     this.stream = stream
     budget.recordWatchStart()
     try {
@@ -96,6 +102,7 @@
   private async nextLine (timeoutMs: number): Promise<WatchLine> {
     if (this.reader === undefined) return { kind: WatchLineKind.Closed }
     const line = await this.reader.next(timeoutMs)
+    if (line.kind === WatchLineKind.Silent) this.onSilent()
     if (line.kind === WatchLineKind.Event || line.kind === WatchLineKind.Heartbeat) this.options.transport.notifyContact()
     return line
   }
--- a/packages/dotterelspur/src/connection/index.ts
+++ b/packages/dotterelspur/src/connection/index.ts
@@ -1,3 +1,4 @@
 export * from './EngineApi.js'
 export * from './MeshApi.js'
 export * from './mesh/index.js'
+export * from './RenewablePool.js'
