--- a/packages/dotterelspur-endpoint/src/request/Exchange.ts
+++ b/packages/dotterelspur-endpoint/src/request/Exchange.ts
@@ -1,6 +1,6 @@
 import type { IncomingHttpHeaders } from 'node:http'
 import type { Dispatcher } from 'undici'
-import { failed, success } from 'dotterelspur'
+import { ByteCollector, failed, success } from 'dotterelspur'
 import type { Clock, Result, Teardown } from 'dotterelspur'
 
 /** How far one HTTP exchange got; decides what may be said of it when it breaks. */
@@ -108,15 +108,13 @@
   /** The whole body, at most `limitBytes`, within `timeoutMs`. */
   async body (limitBytes: number, timeoutMs: number): Promise<Result<Buffer, ExchangeFailure>> {
     const deadlineMs = this.options.clock.nowMs() + timeoutMs
-    const parts: Buffer[] = []
-    let sizeBytes = 0
+    const body = new ByteCollector()
     for (;;) {
       const step = await this.next(deadlineMs - this.options.clock.nowMs())
       if (!step.ok) return step
-      if (step.value.chunk === undefined) return success(Buffer.concat(parts))
-      sizeBytes += step.value.chunk.length
-      if (sizeBytes > limitBytes) return failed(this.stop(ExchangeEnd.TooLarge, `the answer is larger than ${limitBytes} bytes`))
-      parts.push(step.value.chunk)
+      if (step.value.chunk === undefined) return success(body.take())
+      if (body.sizeBytes + step.value.chunk.length > limitBytes) return failed(this.stop(ExchangeEnd.TooLarge, `the answer is larger than ${limitBytes} bytes`))
+      body.push(step.value.chunk)
     }
   }
 
--- a/packages/dotterelspur-endpoint/src/request/LineSplitter.ts
+++ b/packages/dotterelspur-endpoint/src/request/LineSplitter.ts
@@ -1,15 +1,16 @@
+import { ByteCollector } from 'dotterelspur'
+
 const LINE_FEED = 10
 
 /** Cuts a byte stream into lines of bounded length. Text is decoded a line at a time, so that no character is cut. */
 export class LineSplitter {
-  private rest: Buffer[] = []
-  private restBytes = 0
+  private readonly rest = new ByteCollector()
 
   constructor (private readonly limitBytes: number) {}
 
   /** Bytes of a line that has not ended. */
   get pendingBytes (): number {
-    return this.restBytes
+    return this.rest.sizeBytes
   }
 
   /** The lines that end in this part; undefined when one is longer than the bound. */
@@ -28,18 +29,15 @@
   }
 
   private join (last: Buffer): string | undefined {
-    if (this.restBytes + last.length > this.limitBytes) return undefined
-    if (this.restBytes === 0) return last.toString('utf8')
-    const line = Buffer.concat([...this.rest, last]).toString('utf8')
-    this.rest = []
-    this.restBytes = 0
-    return line
+    if (this.rest.sizeBytes + last.length > this.limitBytes) return undefined
+    if (this.rest.sizeBytes === 0) return last.toString('utf8')
+    this.rest.push(last)
+    return this.rest.take().toString('utf8')
   }
 
   private keep (part: Buffer): boolean {
     if (part.length === 0) return true
     this.rest.push(part)
-    this.restBytes += part.length
-    return this.restBytes <= this.limitBytes
+    return this.rest.sizeBytes <= this.limitBytes
   }
 }
--- a/packages/dotterelspur-entry/src/connection/registerServiceRoutes.ts
+++ b/packages/dotterelspur-entry/src/connection/registerServiceRoutes.ts
@@ -4,6 +4,7 @@
 import { RunEventKind, RunKind, finishedWith, type RunEvents, type ServiceRunRequest } from '../request/RunRequest.js'
 import type { EntryServices } from '../process/EntryServices.js'
 import { sendOutcome, teamOf } from './callers.js'
+import { registerRawParser } from './registerBodyParsers.js'
 
 const METHODS = ['GET', 'POST', 'PUT', 'PATCH', 'DELETE'] as const
 const EMPTY_BODY = new Uint8Array(0)
@@ -11,8 +12,7 @@
 /** ANY /services/<service>/…: forwards calls to plain services. Bodies are buffered, not streamed. */
 export function registerServiceRoutes (app: FastifyInstance, services: EntryServices): void {
   app.register(async (scope) => {
-    scope.removeAllContentTypeParsers()
-    scope.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => { done(null, body) })
+    registerRawParser(scope, services.context.limits.maxBodyBytes)
     scope.route<{ Params: { service: string, '*': string } }>({
       method: [...METHODS],
       url: '/services/:service/*',
--- a/packages/dotterelspur-entry/src/process/createEntry.ts
+++ b/packages/dotterelspur-entry/src/process/createEntry.ts
@@ -5,6 +5,7 @@
   type Teardown
 } from 'dotterelspur'
 import { authenticate, sendOutcome } from '../connection/callers.js'
+import { registerJsonParser } from '../connection/registerBodyParsers.js'
 import { registerDirectoryRoutes } from '../connection/registerDirectoryRoutes.js'
 import { registerModelRoutes } from '../connection/registerModelRoutes.js'
 import { registerOutcomeRoutes } from '../connection/registerOutcomeRoutes.js'
@@ -164,6 +165,7 @@
     return sendOutcome(reply, unknownOutcome(OutcomeReason.StreamBroken, 'internal error'), null, false, { status })
   })
   app.setNotFoundHandler((_request, reply) => sendOutcome(reply, notRun(OutcomeReason.InvalidRequest, 'no such path', null), null, true, { status: 404 }))
+  registerJsonParser(app, limits.maxBodyBytes)
   registerModelRoutes(app, services)
   registerServiceRoutes(app, services)
   registerDirectoryRoutes(app, services)
--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import fastify, { type FastifyInstance } from 'fastify'
 import {
-  AccessKind, DispatchEndKind, pick, type Access, type CallerLimits, type Clock, type Random, type RequestContent, type Route, type RouteTable, type ServiceId
+  AccessKind, BodyErrorKind, DispatchEndKind, pick, readBody, type Access, type CallerLimits, type Clock, type Random, type RequestContent, type Route, type RouteTable, type ServiceId
 } from 'dotterelspur'
 import { AdmissionKind, type PoisonAdmission } from 'dotterelspur-poison'
 import type { Dispatch } from '../process/Dispatch.js'
@@ -22,7 +22,6 @@
 import { CallerConnections } from './CallerConnections.js'
 import { registerCallerClose } from './registerCallerClose.js'
 import { hostOf, pathOf } from './requestTarget.js'
-import { BodyErrorKind, readBody } from '../request/readBody.js'
 
 /** Retry-After of requests that arrive before this node has read a manifest and the quarantine. */
 const NOT_READ_RETRY_MS = 500
--- a/packages/dotterelspur-platform/src/connection/HttpTransport.ts
+++ b/packages/dotterelspur-platform/src/connection/HttpTransport.ts
@@ -1,6 +1,6 @@
 import { Agent, request as sendRequest } from 'undici'
 import type { Dispatcher } from 'undici'
-import { RenewablePool, type Clock } from 'dotterelspur'
+import { readText, RenewablePool, type Clock } from 'dotterelspur'
 import { MAXIMUM_RESPONSE_BYTES } from '../constants.js'
 import type { CallBudget } from '../process/CallBudget.js'
 import { ResponseStatus, ReplyKind, isServerError } from '../request/PlatformCall.js'
@@ -101,7 +101,7 @@
         headers: { ...this.headers(), ...createHeaders(request) },
         body: request.body === undefined ? null : JSON.stringify(request.body)
       })
-      const text = await response.body.text()
+      const text = await readText(response.body)
       return parseResponse(response.statusCode, text)
     } catch (error) {
       return createErrorReply(error)
--- /dev/null
+++ b/packages/dotterelspur/src/request/body/index.ts
@@ -0,0 +1,2 @@
+export * from './readBody.js'
+export * from './readBytes.js'
--- a/packages/dotterelspur/src/request/index.ts
+++ b/packages/dotterelspur/src/request/index.ts
@@ -1,3 +1,4 @@
+export * from './body/index.js'
 export * from './Outcome.js'
 export * from './RequestIdentity.js'
 export * from './admission/index.js'
