--- a/packages/dotterelspur-entry/src/__tests__/unit/bodyParsers.test.ts
+++ b/packages/dotterelspur-entry/src/__tests__/unit/bodyParsers.test.ts
@@ -3,26 +3,34 @@
 import { Readable } from 'node:stream'
 import { expect } from 'chai'
 import Fastify, { type FastifyInstance } from 'fastify'
+import { BodyMemory } from 'dotterelspur'
+import { SystemClock } from 'dotterelspur-clock'
 import { usedMemoryBytes } from 'dotterelspur-testkit'
-import { registerJsonParser, registerRawParser } from '../../connection/registerBodyParsers.js'
+import { registerJsonParser, registerRawParser, sendUnreadBody, UnreadBody, type BodyLimits } from '../../connection/registerBodyParsers.js'
 
 const BODY_BYTES = 1_048_576
 const POLL_MS = 5
 /** The body, the last bytes read, and what the connection takes. */
 const MAX_USED_BYTES = 4 * BODY_BYTES
 
-type Register = (app: FastifyInstance, limitBytes: number) => void
+type Register = (app: FastifyInstance, limits: BodyLimits) => void
 
-function createApp (register: Register, limitBytes = BODY_BYTES): FastifyInstance {
-  const app = Fastify({ bodyLimit: limitBytes })
-  register(app, limitBytes)
+const registerAll: Register = (app, limits) => {
+  registerJsonParser(app, limits)
+  registerRawParser(app, limits)
+}
+
+function createApp (register: Register, maxBodyBytes = BODY_BYTES, memory = new BodyMemory(4 * BODY_BYTES, () => maxBodyBytes)): FastifyInstance {
+  const app = Fastify({ bodyLimit: maxBodyBytes })
+  app.setErrorHandler((error, _request, reply) => error instanceof UnreadBody ? sendUnreadBody(reply, error) : reply.send(error))
+  register(app, { clock: new SystemClock(), maxBodyBytes, memory })
   app.post('/', async ({ body }) => Buffer.isBuffer(body) ? { length: body.length } : { length: (body as { text: string }).text.length })
   return app
 }
 
 const PARSERS: ReadonlyArray<{ readonly name: string, readonly register: Register, readonly contentType: string, readonly frame: readonly [string, string] }> = [
   { name: 'JSON', register: registerJsonParser, contentType: 'application/json', frame: ['{"text":"', '"}'] },
-  { name: 'other', register: registerRawParser, contentType: 'application/octet-stream', frame: ['', ''] }
+  { name: 'other', register: registerAll, contentType: 'application/octet-stream', frame: ['', ''] }
 ]
 
 interface Upload {
@@ -70,6 +78,20 @@
     })
   }
 
+  // Guards against a process that ends because the bodies of many requests together take more than its memory.
+  it('hold a body until its response, and refuse one for which there is no room as not run', async () => {
+    const memory = new BodyMemory(BODY_BYTES / 2, () => 0)
+    const app = createApp(registerAll, BODY_BYTES, memory)
+    const payload = Buffer.alloc(BODY_BYTES / 4, 'x')
+    const post = async () => await app.inject({ method: 'POST', url: '/', headers: { 'content-type': 'application/octet-stream' }, payload })
+    expect((await post()).statusCode).to.equal(200)
+    expect(memory.sizeBytes).to.equal(0)
+    memory.open().add(BODY_BYTES, () => {})
+    const refused = await post()
+    expect([refused.statusCode, refused.headers['retry-after'], refused.json().error.outcome]).to.deep.equal([503, '1', 'not-run'])
+    expect(memory.sizeBytes).to.equal(BODY_BYTES)
+  })
+
   it('refuse JSON that is not valid, or would replace a prototype', async () => {
     const app = createApp(registerJsonParser)
     for (const payload of ['{', '{"__proto__":{"text":"x"}}']) {
--- a/packages/dotterelspur-entry/src/connection/registerBodyParsers.ts
+++ b/packages/dotterelspur-entry/src/connection/registerBodyParsers.ts
@@ -1,38 +1,78 @@
-import type { FastifyError, FastifyInstance, FastifyRequest } from 'fastify'
-import { BodyErrorKind, readBody, type BodySource } from 'dotterelspur'
+import type { IncomingMessage } from 'node:http'
+import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify'
+import { BodyErrorKind, BodyMemory, OutcomeReason, notRun, readBody, type Clock, type HeldBody, type Outcome } from 'dotterelspur'
+import { sendOutcome } from './callers.js'
 
 const TOO_LARGE = 413
 const BAD_REQUEST = 400
+/** The requests that hold the memory end within seconds, and bodies that wait are read before new ones. */
+const NO_ROOM_RETRY_MS = 500
 
 type Done = (error: Error | null, body?: unknown) => void
 
 /** Hands the complete body on to the parser of its type. */
 type BodyHandler = (request: FastifyRequest, body: Buffer, done: Done) => void
 
-const ERRORS: Readonly<Record<BodyErrorKind, Pick<FastifyError, 'message' | 'statusCode'>>> = {
-  [BodyErrorKind.TooLarge]: { message: 'Request body is too large', statusCode: TOO_LARGE },
-  [BodyErrorKind.Aborted]: { message: 'the connection was closed before the body was complete', statusCode: BAD_REQUEST }
+interface Refusal {
+  readonly outcome: Outcome
+  readonly status?: number
 }
 
-/** Parses JSON bodies. Fastify's own parser keeps an object for each chunk of a body, which takes many times the memory of small ones. */
-export function registerJsonParser (app: FastifyInstance, limitBytes: number): void {
+const REFUSALS: Readonly<Record<BodyErrorKind, Refusal>> = {
+  [BodyErrorKind.TooLarge]: { outcome: notRun(OutcomeReason.InvalidRequest, 'Request body is too large', null), status: TOO_LARGE },
+  [BodyErrorKind.Aborted]: { outcome: notRun(OutcomeReason.InvalidRequest, 'the connection was closed before the body was complete', null), status: BAD_REQUEST },
+  [BodyErrorKind.NoRoom]: { outcome: notRun(OutcomeReason.Overloaded, 'the memory for request bodies is full', NO_ROOM_RETRY_MS) }
+}
+
+/** A body that could not be read. The error handler of the listener responds with its refusal. */
+export class UnreadBody extends Error {
+  readonly refusal: Refusal
+
+  constructor (kind: BodyErrorKind) {
+    super(REFUSALS[kind].outcome.message)
+    this.refusal = REFUSALS[kind]
+  }
+}
+
+export function sendUnreadBody (reply: FastifyReply, { refusal: { outcome, status } }: UnreadBody): FastifyReply {
+  return sendOutcome(reply, outcome, null, true, status === undefined ? {} : { status })
+}
+
+/** How bodies are read. */
+export interface BodyLimits {
+  readonly clock: Clock
+  readonly maxBodyBytes: number
+  readonly memory: BodyMemory
+}
+
+const heldBodies = new WeakMap<FastifyRequest, HeldBody>()
+
+/** Parses JSON bodies, and counts all bodies. Fastify's own parsers keep an object for each chunk of a body, which takes many times the memory of small ones. */
+export function registerJsonParser (app: FastifyInstance, limits: BodyLimits): void {
+  // Each body is held until the response to its request has been sent, or its connection is closed.
+  app.addHook('preParsing', (request, reply, payload, done) => {
+    const held = limits.memory.open()
+    heldBodies.set(request, held)
+    reply.raw.once('close', () => { held.release() })
+    done(null, payload)
+  })
   const parseJson = app.getDefaultJsonParser('error', 'error')
-  registerParser(app, 'application/json', limitBytes, (request, body, done) => { parseJson(request, body.toString('utf8'), done) })
+  registerParser(app, 'application/json', limits, (request, body, done) => { parseJson(request, body.toString('utf8'), done) })
 }
 
-/** Takes bodies of all types as they are. */
-export function registerRawParser (app: FastifyInstance, limitBytes: number): void {
-  app.removeAllContentTypeParsers()
-  registerParser(app, '*', limitBytes, (_request, body, done) => { done(null, body) })
+/** Takes bodies of all types as they are, in a scope of a listener with `registerJsonParser`. */
+export function registerRawParser (scope: FastifyInstance, limits: BodyLimits): void {
+  scope.removeAllContentTypeParsers()
+  registerParser(scope, '*', limits, (_request, body, done) => { done(null, body) })
 }
 
-function registerParser (app: FastifyInstance, contentType: string, limitBytes: number, handle: BodyHandler): void {
+function registerParser (app: FastifyInstance, contentType: string, { clock, maxBodyBytes }: BodyLimits, handle: BodyHandler): void {
   if (app.hasContentTypeParser(contentType)) app.removeContentTypeParser(contentType)
-  app.addContentTypeParser(contentType, (request, payload: BodySource, done: Done) => {
-    readBody(payload, limitBytes)
+  app.addContentTypeParser(contentType, (request: FastifyRequest, payload: IncomingMessage, done: Done) => {
+    readBody(payload, maxBodyBytes, heldBodies.get(request)!, clock)
       .then((body) => {
         if (body.ok) handle(request, body.value, done)
-        else done(Object.assign(new Error(), ERRORS[body.error]))
+        else done(new UnreadBody(body.error))
       })
       .catch((error: Error) => { done(error) })
   })
--- a/packages/dotterelspur-entry/src/connection/registerServiceRoutes.ts
+++ b/packages/dotterelspur-entry/src/connection/registerServiceRoutes.ts
@@ -4,15 +4,15 @@
 import { RunEventKind, RunKind, finishedWith, type RunEvents, type ServiceRunRequest } from '../request/RunRequest.js'
 import type { EntryServices } from '../process/EntryServices.js'
 import { sendOutcome, teamOf } from './callers.js'
-import { registerRawParser } from './registerBodyParsers.js'
+import { registerRawParser, type BodyLimits } from './registerBodyParsers.js'
 
 const METHODS = ['GET', 'POST', 'PUT', 'PATCH', 'DELETE'] as const
 const EMPTY_BODY = new Uint8Array(0)
 
 /** ANY /services/<service>/…: forwards calls to plain services. Bodies are buffered, not streamed. */
-export function registerServiceRoutes (app: FastifyInstance, services: EntryServices): void {
+export function registerServiceRoutes (app: FastifyInstance, services: EntryServices, bodies: BodyLimits): void {
   app.register(async (scope) => {
-    registerRawParser(scope, services.context.limits.maxBodyBytes)
+    registerRawParser(scope, bodies)
     scope.route<{ Params: { service: string, '*': string } }>({
       method: [...METHODS],
       url: '/services/:service/*',
--- a/packages/dotterelspur-entry/src/process/EntryOptions.ts
+++ b/packages/dotterelspur-entry/src/process/EntryOptions.ts
@@ -7,6 +7,8 @@
 
 export interface EntryLimits {
   readonly maxBodyBytes: number
+  /** What the bodies of all requests take together before large ones wait. */
+  readonly bodyMemoryBytes: number
   readonly maxHeaderBytes: number
   readonly maxConnections: number
   /** Maximum number of requests that this node runs at once; further ones are refused. */
@@ -56,6 +58,7 @@
 
 export const DEFAULT_ENTRY_LIMITS: EntryLimits = {
   maxBodyBytes: 4 * 1024 * 1024,
+  bodyMemoryBytes: 256 * 1024 * 1024,
   maxHeaderBytes: 16 * 1024,
   maxConnections: 4_096,
   maxRequests: 4_096,
--- a/packages/dotterelspur-entry/src/process/createEntry.ts
+++ b/packages/dotterelspur-entry/src/process/createEntry.ts
@@ -1,11 +1,11 @@
 import Fastify, { type FastifyError, type FastifyInstance } from 'fastify'
 import createDebug from 'debug'
 import {
-  OutcomeReason, PauseDetector, RetryBudget, Router, createRoutingOptions, mergeTeardowns, notRun, unknownOutcome,
+  BodyMemory, OutcomeReason, PauseDetector, RetryBudget, Router, createRoutingOptions, mergeTeardowns, notRun, unknownOutcome,
   type Teardown
 } from 'dotterelspur'
 import { authenticate, sendOutcome } from '../connection/callers.js'
-import { registerJsonParser } from '../connection/registerBodyParsers.js'
+import { registerJsonParser, sendUnreadBody, UnreadBody } from '../connection/registerBodyParsers.js'
 import { registerDirectoryRoutes } from '../connection/registerDirectoryRoutes.js'
 import { registerModelRoutes } from '../connection/registerModelRoutes.js'
 import { registerOutcomeRoutes } from '../connection/registerOutcomeRoutes.js'
@@ -142,7 +142,7 @@
 }
 
 function createListener (services: EntryServices, calls: OpenCalls): FastifyInstance {
-  const { limits, teams } = services.context
+  const { clock, limits, teams } = services.context
   const app = Fastify({
     logger: false,
     bodyLimit: limits.maxBodyBytes,
@@ -159,15 +159,17 @@
     done()
   })
   app.setErrorHandler((error: FastifyError, _request, reply) => {
+    if (error instanceof UnreadBody) return sendUnreadBody(reply, error)
     const status = error.statusCode ?? 500
     if (status < 500) return sendOutcome(reply, notRun(OutcomeReason.InvalidRequest, error.message, null), null, true, { status })
     debug('unexpected error: %s', error.stack)
     return sendOutcome(reply, unknownOutcome(OutcomeReason.StreamBroken, 'internal error'), null, false, { status })
   })
   app.setNotFoundHandler((_request, reply) => sendOutcome(reply, notRun(OutcomeReason.InvalidRequest, 'no such path', null), null, true, { status: 404 }))
-  registerJsonParser(app, limits.maxBodyBytes)
+  const bodies = { clock, maxBodyBytes: limits.maxBodyBytes, memory: new BodyMemory(limits.bodyMemoryBytes, () => limits.maxBodyBytes) }
+  registerJsonParser(app, bodies)
   registerModelRoutes(app, services)
-  registerServiceRoutes(app, services)
+  registerServiceRoutes(app, services, bodies)
   registerDirectoryRoutes(app, services)
   registerOutcomeRoutes(app, services)
   return app
--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import fastify, { type FastifyInstance } from 'fastify'
 import {
-  AccessKind, BodyErrorKind, DispatchEndKind, pick, readBody, type Access, type CallerLimits, type Clock, type Random, type RequestContent, type Route, type RouteTable, type ServiceId
+  AccessKind, BodyErrorKind, BodyMemory, DispatchEndKind, pick, readBody, type Access, type CallerLimits, type Clock, type HeldBody, type Random, type RequestContent, type Route, type RouteTable, type ServiceId
 } from 'dotterelspur'
 import { AdmissionKind, type PoisonAdmission } from 'dotterelspur-poison'
 import type { Dispatch } from '../process/Dispatch.js'
@@ -21,6 +21,7 @@
 import { GatewayRequest, type AdmittedRequest, type RequestReport } from '../request/GatewayRequest.js'
 import { CallerConnections } from './CallerConnections.js'
 import { registerCallerClose } from './registerCallerClose.js'
+import { BODY_MEMORY_BYTES } from './requestLimits.js'
 import { hostOf, pathOf } from './requestTarget.js'
 
 /** Retry-After of requests that arrive before this node has read a manifest and the quarantine. */
@@ -32,6 +33,8 @@
 const SUSPECT_RETRY_MS = 1_500
 /** Retry-After of requests whose route names no service: a change of the manifest is in force within seconds. */
 const NO_SERVICE_RETRY_MS = 1_000
+/** Retry-After of a body for which there was no memory: the requests that hold it end within about this time. */
+const NO_ROOM_RETRY_MS = 500
 /** Added to the configured idle timeout, so that a caller that respects the timeout never sends a request on a closing connection. */
 const IDLE_SLACK_MS = 2_000
 /** Limits in force until the first manifest is read. */
@@ -59,6 +62,8 @@
 export class CallerListener {
   private readonly app: FastifyInstance
   readonly connections: CallerConnections
+  /** The bodies of the requests under way. */
+  readonly bodies: BodyMemory
   private readonly waits: RequestWaits
   private readonly stopAdmission: StopAdmission
   private isListening = true
@@ -68,6 +73,7 @@
   private running = 0
 
   constructor (private readonly parts: CallerListenerParts) {
+    this.bodies = new BodyMemory(BODY_MEMORY_BYTES, () => this.maxBodyBytes)
     this.waits = new RequestWaits(parts.clock)
     this.stopAdmission = new StopAdmission(parts.clock)
     this.app = createApp((request, response) => { this.accept(request, response) })
@@ -162,14 +168,19 @@
       .catch(() => { /* Errors of `run` have been logged above. */ })
   }
 
+  private get maxBodyBytes (): number {
+    return this.parts.manifest.current?.manifest.limits.maxBodyBytes ?? INITIAL_LIMITS.maxBodyBytes
+  }
+
   private async run (request: IncomingMessage, response: ServerResponse, callerResponse: CallerResponse): Promise<void> {
+    const held = this.bodies.open()
+    await this.runWithBody(request, response, callerResponse, held).finally(() => { held.release() })
+  }
+
+  private async runWithBody (request: IncomingMessage, response: ServerResponse, callerResponse: CallerResponse, held: HeldBody): Promise<void> {
     const arrivedAtMs = this.parts.clock.nowMs()
-    const table = this.parts.manifest.current
-    const body = await readBody(request, table?.manifest.limits.maxBodyBytes ?? INITIAL_LIMITS.maxBodyBytes)
-    if (!body.ok) {
-      if (body.error === BodyErrorKind.TooLarge) this.sendError(request, callerResponse, GatewayErrorKind.BodyTooLarge, null)
-      return
-    }
+    const body = await readBody(request, this.maxBodyBytes, held, this.parts.clock)
+    if (!body.ok) return this.refuseBody(request, callerResponse, body.error)
     const head = this.parts.wire.readCallerHeaders(request.headers)
     await this.parts.initialSync.wait()
     // Uses the newest manifest, which may have been read while the body was being received.
@@ -192,6 +203,11 @@
     await this.dispatch(response, callerResponse, { request, content, head, requestId, route, service, workspace, priority, arrivedAtMs, spentBeforeMs }).finally(admission.release)
   }
 
+  private refuseBody (request: IncomingMessage, callerResponse: CallerResponse, error: BodyErrorKind): void {
+    if (error === BodyErrorKind.TooLarge) this.sendError(request, callerResponse, GatewayErrorKind.BodyTooLarge, null)
+    if (error === BodyErrorKind.NoRoom) this.sendError(request, callerResponse, GatewayErrorKind.NotRun, this.stopAdmission.retryAfterMs(NO_ROOM_RETRY_MS), { refusal: error, bodyBytes: this.bodies.sizeBytes })
+  }
+
   /** A quarantined request gets no Retry-After: a retry would be refused as well. */
   private refusePoison (request: IncomingMessage, callerResponse: CallerResponse, { kind, fingerprint }: PoisonAdmission): void {
     if (kind === AdmissionKind.Quarantined) this.sendError(request, callerResponse, GatewayErrorKind.Quarantined, null, { fingerprint })
--- a/packages/dotterelspur-gateway/src/process/registerGauges.ts
+++ b/packages/dotterelspur-gateway/src/process/registerGauges.ts
@@ -31,6 +31,8 @@
 export function registerGauges (metrics: GatewayMetrics, { callers, manifest, endpoints, nodes, lease, store, poison, dispatch, relays, budget, log, loop }: GaugeSources): void {
   metrics.gauge('running_requests', 'Requests under way', () => callers.runningRequests)
   metrics.gauge('waiting_requests', 'Requests that wait for an endpoint\'s next token', () => callers.waitingRequests)
+  metrics.gauge('body_bytes', 'Bytes of the bodies of requests under way', () => callers.bodies.sizeBytes)
+  metrics.gauge('waiting_bodies', 'Bodies that wait for memory', () => callers.bodies.waitingBodies)
   metrics.gauge('manifest_version', 'Version of the manifest in force', () => manifest.current?.version ?? 0)
   metrics.gauge('endpoints', 'Endpoints on the list', () => endpoints.current.size)
   metrics.gauge('nodes', 'Nodes on the list', () => nodes.nodes().length)
--- a/packages/dotterelspur/src/request/body/__tests__/unit/readBody.test.ts
+++ b/packages/dotterelspur/src/request/body/__tests__/unit/readBody.test.ts
@@ -2,6 +2,8 @@
 import { setFlagsFromString } from 'node:v8'
 import { runInNewContext } from 'node:vm'
 import { expect } from 'chai'
+import { ManualClock } from '../../../../process/Clock.js'
+import { BodyMemory, type HeldBody } from '../../BodyMemory.js'
 import { BodyErrorKind, readBody } from '../../readBody.js'
 import { readBytes, readText } from '../../readBytes.js'
 
@@ -10,6 +12,15 @@
 /** As the HTTP parser hands chunks on: each is a view of the bytes that were read from the socket. */
 const READ_BYTES = 65_536
 
+/** A stream whose chunks the test emits; it notes whether it is paused. */
+class Source extends EventEmitter {
+  isPaused = false
+
+  pause (): void { this.isPaused = true }
+
+  resume (): void { this.isPaused = false }
+}
+
 setFlagsFromString('--expose-gc')
 const collectGarbage = runInNewContext('gc') as () => void
 
@@ -20,7 +31,7 @@
 }
 
 /** Emits the chunks of a body, and returns what is held of it before its end. */
-function emitChunks (source: EventEmitter, chunkBytes: number): number {
+function emitChunks (source: Source, chunkBytes: number): number {
   const beforeBytes = usedBytes()
   for (let readBytes = 0; readBytes < BODY_BYTES; readBytes += READ_BYTES) {
     const read = Buffer.alloc(READ_BYTES, readBytes / READ_BYTES)
@@ -33,8 +44,8 @@
   // Guards against a process that ends by a full heap: an object for each chunk of a body took many times the memory of its bytes.
   for (const chunkBytes of [1, 4, 32, 65_536]) {
     it(`takes no more than twice the memory of a body that arrives in chunks of ${chunkBytes} bytes`, async () => {
-      const source = new EventEmitter()
-      const read = readBody(source, 4 * MIB)
+      const source = new Source()
+      const read = readBody(source, 4 * MIB, new BodyMemory(4 * MIB, () => 0).open(), new ManualClock())
       expect(emitChunks(source, chunkBytes)).to.be.lessThan(2 * BODY_BYTES)
       source.emit('end')
       const body = await read
@@ -43,6 +54,66 @@
     })
   }
 
+  describe('while the memory for bodies is full', () => {
+    const CHUNK = Buffer.alloc(READ_BYTES, 'x')
+
+    function createUpload (memory: BodyMemory, clock: ManualClock): { source: Source, held: HeldBody, result: Promise<unknown>, send: (chunks: number) => void } {
+      const source = new Source()
+      const held = memory.open()
+      const result = readBody(source, MIB, held, clock).then((body) => body.ok ? body.value.length : body.error)
+      return { source, held, result, send: (chunks) => { for (let chunk = 0; chunk < chunks; chunk++) source.emit('data', CHUNK) } }
+    }
+
+    // Guards against a process that ends because the bodies of many requests together take more than its memory.
+    it('pauses all large bodies but the oldest, and resumes them as room is made', async () => {
+      const clock = new ManualClock()
+      const memory = new BodyMemory(4 * READ_BYTES, () => MIB)
+      const uploads = [0, 1, 2].map(() => createUpload(memory, clock))
+      for (const { send } of uploads) send(2)
+      expect(uploads.map(({ source }) => source.isPaused), 'after two chunks each').to.deep.equal([false, true, true])
+      uploads[0]!.send(3)
+      expect(uploads[0]!.source.isPaused, 'the oldest one').to.equal(false)
+      uploads[0]!.source.emit('end')
+      expect(await uploads[0]!.result).to.equal(5 * READ_BYTES)
+      expect(uploads.map(({ source }) => source.isPaused), 'the oldest one is complete').to.deep.equal([false, false, true])
+      uploads[0]!.held.release()
+      expect(uploads.map(({ source }) => source.isPaused), 'its request has ended').to.deep.equal([false, false, true])
+      uploads[1]!.source.emit('end')
+      await uploads[1]!.result
+      uploads[1]!.held.release()
+      expect(uploads[2]!.source.isPaused).to.equal(false)
+      expect(memory.sizeBytes).to.equal(2 * READ_BYTES)
+    })
+
+    it('refuses a body that has waited for too long, reads its rest, and makes room for others', async () => {
+      const clock = new ManualClock()
+      const memory = new BodyMemory(2 * READ_BYTES, () => 0)
+      const uploads = [0, 1].map(() => createUpload(memory, clock))
+      for (const { send } of uploads) send(2)
+      clock.advance(700)
+      expect(uploads.map(({ source }) => source.isPaused)).to.deep.equal([true, true])
+      clock.advance(100)
+      expect(await Promise.all(uploads.map(async ({ result }) => await result))).to.deep.equal([BodyErrorKind.NoRoom, BodyErrorKind.NoRoom])
+      for (const { source, send } of uploads) {
+        expect(source.isPaused).to.equal(false)
+        send(2)
+        source.emit('end')
+      }
+      expect([memory.sizeBytes, memory.waitingBodies]).to.deep.equal([0, 0])
+    })
+
+    // Guards against small requests that wait for the uploads of others.
+    it('reads small bodies on', async () => {
+      const memory = new BodyMemory(READ_BYTES, () => 0)
+      memory.open().add(8 * READ_BYTES, () => {})
+      const { source, result } = createUpload(memory, new ManualClock())
+      source.emit('data', Buffer.alloc(1_000))
+      expect(source.isPaused).to.equal(false)
+      source.emit('end')
+      expect(await result).to.equal(1_000)
+    })
+  })
+
   // Guards against the same with the responses of a service, such as the platform's.
   it('has a counterpart for responses that takes no more either', async () => {
     let usedAtEndBytes = Infinity
@@ -66,7 +137,7 @@
     expect(await readText(response())).to.equal('a\u20acb')
   })
 
-  const ENDS: ReadonlyArray<{ readonly name: string, readonly emit: (source: EventEmitter) => void, readonly expected: string }> = [
+  const ENDS: ReadonlyArray<{ readonly name: string, readonly emit: (source: Source) => void, readonly expected: string }> = [
     { name: 'an empty body', emit: (source) => { source.emit('end') }, expected: '' },
     { name: 'a body of just the limit', emit: (source) => { source.emit('data', Buffer.from('abcd')); source.emit('end') }, expected: 'abcd' },
     { name: 'one byte over the limit', emit: (source) => { for (const chunk of ['abcd', 'e', 'f']) source.emit('data', Buffer.from(chunk)); source.emit('end') }, expected: BodyErrorKind.TooLarge },
@@ -75,8 +146,8 @@
   ]
   for (const { name, emit, expected } of ENDS) {
     it(`ends as stated with ${name}`, async () => {
-      const source = new EventEmitter()
-      const read = readBody(source, 4)
+      const source = new Source()
+      const read = readBody(source, 4, new BodyMemory(4, () => 0).open(), new ManualClock())
       emit(source)
       const body = await read
       expect(body.ok ? body.value.toString() : body.error).to.equal(expected)
--- a/packages/dotterelspur/src/request/body/index.ts
+++ b/packages/dotterelspur/src/request/body/index.ts
@@ -1,2 +1,3 @@
+export * from './BodyMemory.js'
 export * from './readBody.js'
 export * from './readBytes.js'
