--- a/packages/dotterelspur-gateway/src/process/FollowRules.ts
+++ b/packages/dotterelspur-gateway/src/process/FollowRules.ts
@@ -25,7 +25,7 @@
 
 /** How one prefix of the store is followed. */
 export interface FollowRule {
-  /** Long-poll timeout. A connection that falls silent without a reset is noticed after this time. */
+  /** Longest long-poll timeout, which the limits of changes may shorten. A connection that falls silent without a reset is noticed after it. */
   readonly pollTimeoutMs: number
   /** Long-poll timeout of the lease holder, through which all other nodes see the store. A manifest must be in force within two seconds. */
   readonly holderPollTimeoutMs: number
--- a/packages/dotterelspur-gateway/src/process/FollowedStore.ts
+++ b/packages/dotterelspur-gateway/src/process/FollowedStore.ts
@@ -269,9 +269,10 @@
     follower.listener({ kind: WatchEventKind.Connected, outageEndedAtMs: this.outages.endedAtMs })
   }
 
+  /** A poll on a silent connection shows nothing until it is overdue, so it must not take longer than a feed may be silent. */
   private pollTimeoutOf ({ rule, mustCatchUp }: PrefixFollower): number {
     if (mustCatchUp) return 0
-    return this.parts.isLeaseHolder() ? rule.holderPollTimeoutMs : rule.pollTimeoutMs
+    return this.parts.isLeaseHolder() ? rule.holderPollTimeoutMs : Math.min(rule.pollTimeoutMs, Math.round(rule.progressValidMs(this.parts.changes)))
   }
 
   /**
