--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from 'node:crypto'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import fastify, { type FastifyInstance } from 'fastify'
+import type { FastifyInstance } from 'fastify'
 import {
   AccessKind, BodyErrorKind, BodyMemory, DispatchEndKind, pick, readBody, type Access, type CallerLimits, type Clock, type HeldBody, type Random, type RequestContent, type Route, type RouteTable, type ServiceId
 } from 'dotterelspur'
@@ -20,6 +20,8 @@
 import { refusalFields } from '../request/refusalFields.js'
 import { GatewayRequest, type AdmittedRequest, type RequestReport } from '../request/GatewayRequest.js'
 import { CallerConnections } from './CallerConnections.js'
+import { createCallerApp } from './createCallerApp.js'
+import { IDLE_SLACK_MS, INITIAL_LIMITS } from './callerLimits.js'
 import { registerCallerClose } from './registerCallerClose.js'
 import { BODY_MEMORY_BYTES } from './requestLimits.js'
 import { hostOf, pathOf } from './requestTarget.js'
@@ -35,11 +37,6 @@
 const NO_SERVICE_RETRY_MS = 1_000
 /** Retry-After of a body for which there was no memory: the requests that hold it end within about this time. */
 const NO_ROOM_RETRY_MS = 500
-/** Added to the configured idle timeout, so that a caller that respects the timeout never sends a request on a closing connection. */
-const IDLE_SLACK_MS = 2_000
-/** Limits in force until the first manifest is read. */
-const INITIAL_LIMITS: CallerLimits = { maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 }
-
 export interface CallerListenerParts {
   readonly clock: Clock
   readonly random: Random
@@ -76,7 +73,7 @@
     this.bodies = new BodyMemory(BODY_MEMORY_BYTES, () => this.maxBodyBytes)
     this.waits = new RequestWaits(parts.clock)
     this.stopAdmission = new StopAdmission(parts.clock)
-    this.app = createApp((request, response) => { this.accept(request, response) })
+    this.app = createCallerApp((request, response) => { this.accept(request, response) })
     this.connections = new CallerConnections(this.app.server, parts.clock)
     parts.manifest.registerListener(({ manifest }) => {
       this.applyLimits(manifest.limits)
@@ -277,31 +274,3 @@
     })
   }
 }
-
-/** Passes requests of every method and path unchanged to one handler, bypassing Fastify's routing and body parsing. */
-function createApp (accept: (request: IncomingMessage, response: ServerResponse) => void): FastifyInstance {
-  const app = fastify({
-    logger: false,
-    rewriteUrl: () => '/',
-    http: { maxHeaderSize: INITIAL_LIMITS.maxHeaderBytes },
-    requestTimeout: 0,
-    // Fastify neither validates nor serializes bodies here; creating its schema compilers would take 14 ms of each start.
-    schemaController: { compilersFactory: { buildValidator: noCompiler, buildSerializer: noCompiler } },
-    keepAliveTimeout: INITIAL_LIMITS.idleTimeoutMs + IDLE_SLACK_MS,
-    forceCloseConnections: false
-  })
-  app.removeAllContentTypeParsers()
-  app.addContentTypeParser('*', (_request, _payload, done) => { done(null) })
-  // The hook does not call `done`, so that Fastify runs no handler and leaves the response to `accept`.
-  app.addHook('onRequest', (request, reply) => {
-    reply.hijack()
-    request.raw.url = request.originalUrl
-    accept(request.raw, reply.raw)
-  })
-  app.route({ method: ['GET', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS'], url: '/', handler: async () => { /* Never called: the hook handles the request. */ } })
-  return app
-}
-
-function noCompiler (): never {
-  throw new Error('invariant: no route has a schema')
-}
--- a/packages/dotterelspur-gateway/src/process/FollowedStore.ts
+++ b/packages/dotterelspur-gateway/src/process/FollowedStore.ts
@@ -1,10 +1,11 @@
 import {
-  eraOf, failed, OutageHistory, sleep, StoreErrorKind, WatchEventKind,
+  eraOf, failed, sleep, StoreErrorKind, WatchEventKind,
   type Clock, type ObjectListing, type ObjectStore, type Random, type ReadFreshness, type Result, type StoredObject, type StoreError, type Teardown, type WatchEvent
 } from 'dotterelspur'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
-import { FOLLOW_RULES, LATE_RESPONSE_MS, NO_CONTACT_ERRORS, pauseAfterChangesMs, relistSpreadMs, RETRY_JITTER, RETRY_MS, retryPauseMs, type ChangeBounds } from './FollowRules.js'
-import { applyBatch, confirmedAtMs, type Listener, type PrefixFollower } from './PrefixFollower.js'
+import { FOLLOW_RULES, LATE_RESPONSE_MS, NO_CONTACT_ERRORS, pauseAfterChangesMs, relistSpreadMs, RETRY_JITTER, RETRY_MS, type ChangeBounds } from './FollowRules.js'
+import { applyBatch, confirmedAtMs, notifyConnected, notifyLost, type Listener, type PrefixFollower } from './PrefixFollower.js'
+import { StoreContact } from './StoreContact.js'
 import { StoreFeed, type FeedUpdate, type FeedProgress } from './StoreFeed.js'
 import type { ChangeBatch, VersionedStore } from './VersionedStore.js'
 
@@ -27,12 +28,6 @@
   readonly concernsCallers: (object: StoredObject<unknown>) => boolean
 }
 
-/**
- * Entries expire after three heartbeats of silence, and the last heartbeat may be one interval old when the store goes away: in an outage of
- * less than two intervals no entry of a live endpoint expires.
- */
-const HEARTBEATS_TO_EXPIRE_IN_OUTAGE = 2
-
 /**
  * The store as the rest of a node uses it. Follows prefixes across interruptions, by polling the store or by the lease
  * holder's feed while that is fresh. Changes are versioned, so a change received both ways is applied once.
@@ -41,16 +36,11 @@
   private readonly feed = new StoreFeed()
   private feedWasFresh = false
   private readonly followers = new Map<string, PrefixFollower>()
-  private contactAtMs = -Infinity
-  private readonly outages: OutageHistory
-  /** Failed calls since the last one that the store answered. */
-  private failures = 0
-  /** While the store is unavailable, one follower retries for all, since a call from each would give no further information. */
-  private nextTryAtMs = -Infinity
+  private readonly contact: StoreContact
   private closed = false
 
   constructor (private readonly parts: FollowedStoreParts) {
-    this.outages = new OutageHistory(HEARTBEATS_TO_EXPIRE_IN_OUTAGE * parts.heartbeatMs)
+    this.contact = new StoreContact(parts.clock, parts.heartbeatMs, parts.nodeCount)
   }
 
   async get<Body> (key: string, freshness?: ReadFreshness): Promise<Result<StoredObject<Body>, StoreError>> {
@@ -93,7 +83,7 @@
 
   /** Time since the store is last known to have been in contact with this node. */
   get contactAgeMs (): number {
-    return this.parts.clock.nowMs() - this.contactAtMs
+    return this.contact.ageMs
   }
 
   /** How old this node's view of a prefix is, by its own calls or the lease holder's feed; infinite before the first listing. */
@@ -122,9 +112,8 @@
   }
 
   applyProgress (progress: FeedProgress): void {
-    const nowMs = this.parts.clock.nowMs()
-    this.feed.noteProgress(progress, nowMs)
-    this.outages.noteAnswer(nowMs - progress.contactAgeMs, nowMs)
+    this.feed.noteProgress(progress, this.parts.clock.nowMs())
+    this.contact.noteAnswerToHolder(progress.contactAgeMs)
     this.wakeUncovered()
   }
 
@@ -134,9 +123,8 @@
     this.feed.noteVersion(prefix, batch.version)
     if (follower !== undefined && follower.version !== null && sinceVersion <= follower.version) {
       // The lease holder shares what it reads at once.
-      const nowMs = this.parts.clock.nowMs()
-      this.outages.noteAnswer(nowMs - follower.rule.holderPollTimeoutMs, nowMs)
-      if (follower.isLost) this.notifyConnected(follower)
+      this.contact.noteAnswerToHolder(follower.rule.holderPollTimeoutMs)
+      if (follower.isLost) notifyConnected(follower, this.contact.outageEndedAtMs)
       applyBatch(follower, batch)
       follower.isPartial ||= follower.rule.isFiltered
     }
@@ -166,25 +154,17 @@
 
   private async follow (follower: PrefixFollower): Promise<void> {
     while (!follower.stopped) {
-      if (this.isCovered(follower) || this.mayTry()) await this.followOnce(follower)
+      if (this.isCovered(follower) || this.contact.mayTry()) await this.followOnce(follower)
       await sleep(this.parts.clock, RETRY_MS * (1 + RETRY_JITTER * this.parts.random.next()))
     }
   }
 
-  private mayTry (): boolean {
-    if (this.failures === 0) return true
-    const nowMs = this.parts.clock.nowMs()
-    if (nowMs < this.nextTryAtMs) return false
-    this.nextTryAtMs = nowMs + retryPauseMs(this.failures, this.parts.nodeCount())
-    return true
-  }
-
   /** Follows until contact is lost or the history is gone. Starts with a listing unless the feed supplies everything that is missing. */
   private async followOnce (follower: PrefixFollower): Promise<void> {
     const { version: formerVersion } = follower
     const isFirst = formerVersion === null
     // A retry during an outage is one call for all prefixes, and shows whether the store is back.
-    if (!isFirst && this.failures === 0) await this.spreadListing(follower)
+    if (!isFirst && !this.contact.isFailing) await this.spreadListing(follower)
     if (!this.isCovered(follower) && !await this.listAll(follower)) return
     if (isFirst || eraOf(follower.version!) > eraOf(formerVersion)) await this.awaitInitialProgress(follower)
     while (!follower.stopped) {
@@ -219,11 +199,11 @@
     if (follower.stopped) return false
     if (!listing.ok) {
       follower.version = knownVersion
-      this.notifyLost(follower)
+      notifyLost(follower)
       return false
     }
     this.parts.log.write(LogKind.PrefixListed, { prefix: follower.prefix, version: listing.value.version, before: knownVersion })
-    this.notifyConnected(follower)
+    notifyConnected(follower, this.contact.outageEndedAtMs)
     follower.listener({ kind: WatchEventKind.Listing, listing: listing.value })
     follower.version = listing.value.version
     follower.confirmedAtMs = askedAtMs
@@ -246,11 +226,11 @@
       // A lost history only requires a new listing; any other error means that the store was unavailable for a while.
       if (result.ok || result.error.kind !== StoreErrorKind.NotFound) {
         this.parts.log.write(LogKind.PrefixLost, { prefix: follower.prefix, error: result.ok ? null : result.error, afterMs: Math.round(clock.nowMs() - polledAtMs), contactAgeMs: Math.round(this.contactAgeMs) })
-        this.notifyLost(follower)
+        notifyLost(follower)
       }
       return false
     }
-    if (follower.isLost) this.notifyConnected(follower)
+    if (follower.isLost) notifyConnected(follower, this.contact.outageEndedAtMs)
     const shared = this.parts.isLeaseHolder() ? this.updateToShare(follower, result.value) : null
     applyBatch(follower, result.value)
     follower.confirmedAtMs = confirmedAtMs(result.value, polledAtMs, waitMs, clock.nowMs())
@@ -259,16 +239,6 @@
     return true
   }
 
-  private notifyLost (follower: PrefixFollower): void {
-    follower.isLost = true
-    follower.listener({ kind: WatchEventKind.Disconnected })
-  }
-
-  private notifyConnected (follower: PrefixFollower): void {
-    follower.isLost = false
-    follower.listener({ kind: WatchEventKind.Connected, outageEndedAtMs: this.outages.endedAtMs })
-  }
-
   /** A poll on a silent connection shows nothing until it is overdue, so it must not take longer than a feed may be silent. */
   private pollTimeoutOf ({ rule, mustCatchUp }: PrefixFollower): number {
     if (mustCatchUp) return 0
@@ -323,13 +293,10 @@
     const startedAtMs = this.parts.clock.nowMs()
     const result = await call()
     if (!result.ok && NO_CONTACT_ERRORS.has(result.error.kind)) {
-      this.failures += 1
+      this.contact.noteFailure()
       return result
     }
-    this.failures = 0
-    const answeredAtMs = Math.max(startedAtMs, result.ok ? answeredSinceMs(result.value) : -Infinity)
-    this.contactAtMs = Math.max(this.contactAtMs, answeredAtMs)
-    this.outages.noteAnswer(answeredAtMs, this.parts.clock.nowMs())
+    this.contact.noteAnswer(Math.max(startedAtMs, result.ok ? answeredSinceMs(result.value) : -Infinity))
     return result
   }
 }
--- a/packages/dotterelspur-gateway/src/process/PrefixFollower.ts
+++ b/packages/dotterelspur-gateway/src/process/PrefixFollower.ts
@@ -39,6 +39,16 @@
   if (objects.length > 0) follower.lastChangeVersion = version
 }
 
+export function notifyLost (follower: PrefixFollower): void {
+  follower.isLost = true
+  follower.listener({ kind: WatchEventKind.Disconnected })
+}
+
+export function notifyConnected (follower: PrefixFollower, outageEndedAtMs: number | null): void {
+  follower.isLost = false
+  follower.listener({ kind: WatchEventKind.Connected, outageEndedAtMs })
+}
+
 /** As of when a poll's response shows the prefix: the store answers without changes only once the poll has waited in vain. */
 export function confirmedAtMs ({ objects }: ChangeBatch, polledAtMs: number, waitMs: number, nowMs: number): number {
   return objects.length === 0 && nowMs - polledAtMs >= waitMs ? polledAtMs + waitMs : polledAtMs
