--- a/packages/dotterelspur-gateway/src/__tests__/unit/FollowedStore.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/FollowedStore.test.ts
@@ -146,6 +146,19 @@
     })
   }
 
+  // Guards against a lease holder whose polls outlast a limit of changes that is shorter than usual.
+  it('polls for no longer than a feed is valid under the limits, as lease holder too', async () => {
+    for (const isLeaseHolder of [false, true]) {
+      const store = new MemoryStore()
+      const clock = new ManualClock()
+      const { followed, stop } = follow(store, clock, isLeaseHolder, MANIFEST_PREFIX, 0, { drainMs: 1_000, manifestMs: 1_000 })
+      await settle()
+      expect(followed.isComplete(MANIFEST_PREFIX)).to.equal(true)
+      expect(takeReadLog(store)).to.include(`changes ${MANIFEST_PREFIX} 0 700`)
+      stop()
+    }
+  })
+
   // Guards against two calls per node at each start of the fleet for a manifest whose version the feed carries anyway.
   it('waits for feed progress with a manifest as well', async () => {
     const store = new MemoryStore()
--- a/packages/dotterelspur-gateway/src/process/FollowRules.ts
+++ b/packages/dotterelspur-gateway/src/process/FollowRules.ts
@@ -27,7 +27,7 @@
 export interface FollowRule {
   /** Longest long-poll timeout, which the limits of changes may shorten. A connection that falls silent without a reset is noticed after it. */
   readonly pollTimeoutMs: number
-  /** Long-poll timeout of the lease holder, through which all other nodes see the store. A manifest must be in force within two seconds. */
+  /** The same of the lease holder, through which all other nodes see the store. A manifest must be in force within two seconds. */
   readonly holderPollTimeoutMs: number
   /** Pause after each response with changes: changes come in bursts, and each response costs a call. */
   readonly pauseMs: number
--- a/packages/dotterelspur-gateway/src/process/FollowedStore.ts
+++ b/packages/dotterelspur-gateway/src/process/FollowedStore.ts
@@ -242,7 +242,7 @@
   /** A poll on a silent connection shows nothing until it is overdue, so it must not take longer than a feed may be silent. */
   private pollTimeoutOf ({ rule, mustCatchUp }: PrefixFollower): number {
     if (mustCatchUp) return 0
-    return this.parts.isLeaseHolder() ? rule.holderPollTimeoutMs : Math.min(rule.pollTimeoutMs, Math.round(rule.progressValidMs(this.parts.changes)))
+    return Math.min(this.parts.isLeaseHolder() ? rule.holderPollTimeoutMs : rule.pollTimeoutMs, Math.round(rule.progressValidMs(this.parts.changes)))
   }
 
   /**
