--- a/packages/dotterelspur-gateway/src/process/FollowedStore.ts
+++ b/packages/dotterelspur-gateway/src/process/FollowedStore.ts
@@ -292,11 +292,8 @@
     if (this.closed) return failed({ kind: StoreErrorKind.Unavailable, reason: 'this node has closed its access to the store' })
     const startedAtMs = this.parts.clock.nowMs()
     const result = await call()
-    if (!result.ok && NO_CONTACT_ERRORS.has(result.error.kind)) {
-      this.contact.noteFailure()
-      return result
-    }
-    this.contact.noteAnswer(Math.max(startedAtMs, result.ok ? answeredSinceMs(result.value) : -Infinity))
+    if (!result.ok && NO_CONTACT_ERRORS.has(result.error.kind)) this.contact.noteFailure()
+    else this.contact.noteAnswer(Math.max(startedAtMs, result.ok ? answeredSinceMs(result.value) : -Infinity))
     return result
   }
 }
