Logs: which manifest a request met, how old the view of it was, and from which node

request-ended now has manifestAgeMs and manifestFrom (the lease holder whose feed shows the manifest to be the newest; none where the node's own call does). link-late and link-on-time tell when the lease holder's states begin to arrive late: each node probes the connection by WebSocket pings, which nodes of every release return in order with their frames, so that LinkAge bounds the age of what follows. Gauges manifest_view_age_ms and peer_state_late_ms.

No decision follows from them yet.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/EvacuationRegistry.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/EvacuationRegistry.test.ts
@@ -2,7 +2,7 @@
 import { ManualClock, type Teardown } from 'dotterelspur'
 import { EVACUATION_PREFIX, EvacuationRegistry } from '../../process/EvacuationRegistry.js'
 import { MemoryStore } from '../fixtures/MemoryStore.js'
-import { follow, pass, progressOf, type FollowingNode } from '../fixtures/followingNode.js'
+import { follow, ON_TIME, pass, progressOf, type FollowingNode } from '../fixtures/followingNode.js'
 
 const BOUND_MS = 5_000
 const STEP_MS = 100
@@ -31,7 +31,7 @@
     for (let passedMs = 0; passedMs < durationMs; passedMs += STEP_MS) {
       if (this.holder !== null) {
         for (const update of this.holder.shared.splice(0)) this.node.followed.applyUpdate(update)
-        this.node.followed.applyProgress(progressOf(this.holder))
+        this.node.followed.applyProgress(progressOf(this.holder), ON_TIME)
       }
       this.node.followed.wakeUncovered()
       await pass(this.clock, STEP_MS)
--- a/packages/dotterelspur-gateway/src/__tests__/unit/FollowedStore.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/FollowedStore.test.ts
@@ -10,7 +10,7 @@
 import { NODE_PREFIX } from '../../process/NodeRegistry.js'
 import { PROGRESS_VALID_MS } from '../../process/StoreFeed.js'
 import type { ChangeBatch } from '../../process/VersionedStore.js'
-import { BOUNDS, follow, HEARTBEAT_MS, LEAVING, pass, PAUSE_OVER_MS, progressOf, settle, takeReadLog } from '../fixtures/followingNode.js'
+import { BOUNDS, follow, HEARTBEAT_MS, LEAVING, ON_TIME, pass, PAUSE_OVER_MS, progressOf, settle, takeReadLog } from '../fixtures/followingNode.js'
 import { MemoryStore } from '../fixtures/MemoryStore.js'
 
 /** As the platform's client. */
@@ -41,7 +41,7 @@
     await settle()
     store.put('endpoints/w1', {})
     await pass(clock, PAUSE_OVER_MS)
-    node.followed.applyProgress(progressOf(holder))
+    node.followed.applyProgress(progressOf(holder), ON_TIME)
     store.put('endpoints/w2', {})
     await pass(clock, PAUSE_OVER_MS)
     for (const update of holder.shared) node.followed.applyUpdate(update)
@@ -50,7 +50,7 @@
     holder.shared.length = 0
     for (let round = 0; round < 5; round++) {
       await pass(clock, 300)
-      node.followed.applyProgress({ ...progressOf(holder), contactAgeMs: 0 })
+      node.followed.applyProgress({ ...progressOf(holder), contactAgeMs: 0 }, ON_TIME)
     }
     store.put('endpoints/w3', {})
     await pass(clock, PAUSE_OVER_MS)
@@ -86,12 +86,12 @@
     await settle()
     store.put('endpoints/head-0', {})
     await pass(clock, PAUSE_OVER_MS)
-    node.followed.applyProgress(progressOf(holder))
+    node.followed.applyProgress(progressOf(holder), ON_TIME)
     // Completes the node's pending poll; from here on the node relies on the feed.
     store.put('endpoints/head-1', {})
     await pass(clock, PAUSE_OVER_MS)
     for (const update of holder.shared.splice(0)) node.followed.applyUpdate(update)
-    node.followed.applyProgress({ ...progressOf(holder), contactAgeMs: 0 })
+    node.followed.applyProgress({ ...progressOf(holder), contactAgeMs: 0 }, ON_TIME)
     await pass(clock, 300)
     store.put('endpoints/member-1', {})
     store.put('endpoints/head-2', {})
@@ -169,7 +169,7 @@
     const holder = follow(store, clock, true, MANIFEST_PREFIX)
     await settle()
     takeReadLog(store)
-    node.followed.applyProgress(progressOf(holder))
+    node.followed.applyProgress(progressOf(holder), ON_TIME)
     await pass(clock, 400)
     expect(takeReadLog(store)).to.deep.equal([])
   })
@@ -182,7 +182,7 @@
       const holder = follow(store, clock, true, prefix)
       const node = follow(store, clock, false, prefix, 500)
       await settle()
-      node.followed.applyProgress(progressOf(holder))
+      node.followed.applyProgress(progressOf(holder), ON_TIME)
       await settle()
       takeReadLog(store)
       await pass(clock, FLEET_LEASE_TIMING.ttlMs + 1_000)
@@ -207,7 +207,7 @@
     store.put('endpoints/w1', {})
     await pass(clock, FOLLOW_RULES[NODE_PREFIX]!.holderPollTimeoutMs)
     takeReadLog(store)
-    node.followed.applyProgress(progressOf(holder))
+    node.followed.applyProgress(progressOf(holder), ON_TIME)
     await pass(clock, 100)
     expect(holder.followed.versions).to.deep.equal({ [NODE_PREFIX]: 0 })
     expect(takeReadLog(store)).to.deep.equal([])
@@ -223,12 +223,12 @@
     const clock = new ManualClock()
     const node = follow(store, clock, false)
     await settle()
-    node.followed.applyProgress({ contactAgeMs: 0, versions: { [ENDPOINT_PREFIX]: 0 } })
+    node.followed.applyProgress({ contactAgeMs: 0, versions: { [ENDPOINT_PREFIX]: 0 } }, ON_TIME)
     store.put('endpoints/w1', {})
     await pass(clock, PAUSE_OVER_MS)
     takeReadLog(store)
     store.put('endpoints/w2', {})
-    node.followed.applyProgress({ contactAgeMs: 0, versions: { [ENDPOINT_PREFIX]: 2 } })
+    node.followed.applyProgress({ contactAgeMs: 0, versions: { [ENDPOINT_PREFIX]: 2 } }, ON_TIME)
     await settle()
     expect(takeReadLog(store)).to.deep.equal([`changes ${ENDPOINT_PREFIX} 1 0`])
     expect(node.seen.at(-1)).to.equal('endpoints/w2 there')
@@ -242,11 +242,11 @@
     const node = follow(store, clock, false)
     await settle()
     store.put('endpoints/w1', {})
-    node.followed.applyProgress({ contactAgeMs: 0, versions: { [ENDPOINT_PREFIX]: 1 } })
+    node.followed.applyProgress({ contactAgeMs: 0, versions: { [ENDPOINT_PREFIX]: 1 } }, ON_TIME)
     await pass(clock, PAUSE_OVER_MS)
     takeReadLog(store)
     for (let ageMs = PAUSE_OVER_MS; ageMs < PROGRESS_VALID_MS; ageMs += 400) {
-      node.followed.applyProgress({ contactAgeMs: ageMs, versions: { [ENDPOINT_PREFIX]: 1 } })
+      node.followed.applyProgress({ contactAgeMs: ageMs, versions: { [ENDPOINT_PREFIX]: 1 } }, ON_TIME)
       await pass(clock, 400)
     }
     store.put('endpoints/w2', {})
@@ -262,12 +262,12 @@
     const lines: Array<Record<string, unknown>> = []
     const log = new DecisionLog(clock, 'n1', pino({ level: 'info' }, { write: (line: string) => { lines.push(JSON.parse(line) as Record<string, unknown>) } }))
     const followed = new FollowedStore({ store, clock, random: createRandom(1), log, isLeaseHolder: () => false, nodeCount: () => 3, initialProgressTimeoutMs: 0, heartbeatMs: HEARTBEAT_MS, changes: BOUNDS, share: () => {}, concernsCallers: () => true })
-    followed.applyProgress({ contactAgeMs: 0, versions: {} })
+    followed.applyProgress({ contactAgeMs: 0, versions: {} }, ON_TIME)
     for (let round = 0; round < 30; round++) {
       await pass(clock, 100)
       followed.wakeUncovered()
     }
-    followed.applyProgress({ contactAgeMs: 0, versions: {} })
+    followed.applyProgress({ contactAgeMs: 0, versions: {} }, ON_TIME)
     expect(lines.map(({ event, dependency }) => [event, dependency])).to.deep.equal([
       ['dependency-regained', 'deciding node'], ['dependency-lost', 'deciding node'], ['dependency-regained', 'deciding node']
     ])
@@ -311,7 +311,7 @@
     await settle()
     for (let round = 0; round < 3; round++) await pass(clock, PAUSE_OVER_MS)
     takeReadLog(store)
-    node.followed.applyProgress({ contactAgeMs: 0, versions: { [ENDPOINT_PREFIX]: 0 } })
+    node.followed.applyProgress({ contactAgeMs: 0, versions: { [ENDPOINT_PREFIX]: 0 } }, ON_TIME)
     await pass(clock, 1_200)
     node.followed.applyUpdate({ prefix: ENDPOINT_PREFIX, sinceVersion: 0, objects: [{ key: 'endpoints/w1', version: 3, body: {}, deleted: false }], version: 3 })
     expect(node.seen.at(-1)).to.equal('endpoints/w1 there')
@@ -344,16 +344,16 @@
     const node = follow(store, clock, false, MANIFEST_PREFIX)
     node.followed.watch(ENDPOINT_PREFIX, () => {})
     await settle()
-    node.followed.applyProgress({ contactAgeMs: 0, versions: { [ENDPOINT_PREFIX]: 0, [MANIFEST_PREFIX]: 0 } })
+    node.followed.applyProgress({ contactAgeMs: 0, versions: { [ENDPOINT_PREFIX]: 0, [MANIFEST_PREFIX]: 0 } }, ON_TIME)
     store.disconnect()
     for (let round = 0; round < 30; round++) {
       await pass(clock, 100)
-      node.followed.applyProgress({ contactAgeMs: 0, versions: { [ENDPOINT_PREFIX]: 0, [MANIFEST_PREFIX]: 2 } })
+      node.followed.applyProgress({ contactAgeMs: 0, versions: { [ENDPOINT_PREFIX]: 0, [MANIFEST_PREFIX]: 2 } }, ON_TIME)
     }
     store.reconnect()
     for (let round = 0; round < 15; round++) {
       await pass(clock, 100)
-      node.followed.applyProgress({ contactAgeMs: 0, versions: { [ENDPOINT_PREFIX]: 0, [MANIFEST_PREFIX]: 2 } })
+      node.followed.applyProgress({ contactAgeMs: 0, versions: { [ENDPOINT_PREFIX]: 0, [MANIFEST_PREFIX]: 2 } }, ON_TIME)
     }
     expect(node.seen.at(-1)).to.equal('listing')
   })
@@ -364,10 +364,10 @@
     const holder = follow(store, clock, true, MANIFEST_PREFIX)
     const node = follow(store, clock, false, MANIFEST_PREFIX)
     await settle()
-    node.followed.applyProgress(progressOf(holder))
+    node.followed.applyProgress(progressOf(holder), ON_TIME)
     store.put('manifest/main', { routes: 'many' })
     await pass(clock, PAUSE_OVER_MS)
-    node.followed.applyProgress(progressOf(holder))
+    node.followed.applyProgress(progressOf(holder), ON_TIME)
     takeReadLog(store)
     holder.shared.length = 0
     store.put('manifest/main', { routes: 'more' })
--- a/packages/dotterelspur-gateway/src/__tests__/unit/FollowedStoreEras.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/FollowedStoreEras.test.ts
@@ -3,7 +3,7 @@
 import { ENDPOINT_PREFIX } from '../../process/EndpointRegistry.js'
 import { MANIFEST_PREFIX } from '../../process/ManifestFollower.js'
 import { NODE_PREFIX } from '../../process/NodeRegistry.js'
-import { follow, pass, PAUSE_OVER_MS, progressOf, settle, takeReadLog } from '../fixtures/followingNode.js'
+import { follow, ON_TIME, pass, PAUSE_OVER_MS, progressOf, settle, takeReadLog } from '../fixtures/followingNode.js'
 import { MemoryStore } from '../fixtures/MemoryStore.js'
 
 describe('FollowedStore across a return of the store', () => {
@@ -15,7 +15,7 @@
       const holder = follow(store, clock, true, prefix)
       const node = follow(store, clock, false, prefix, 500)
       await settle()
-      node.followed.applyProgress(progressOf(holder))
+      node.followed.applyProgress(progressOf(holder), ON_TIME)
       const copy = store.copy()
       store.put('others/lost', {})
       await pass(clock, PAUSE_OVER_MS)
@@ -25,7 +25,7 @@
       store.comeBackFrom(copy)
       for (let round = 0; round < 10; round++) {
         await pass(clock, 300)
-        node.followed.applyProgress({ ...progressOf(holder), contactAgeMs: 0 })
+        node.followed.applyProgress({ ...progressOf(holder), contactAgeMs: 0 }, ON_TIME)
       }
       expect(node.seen.filter((seen) => seen === 'listing').length).to.equal(2)
       expect(takeReadLog(store).filter((call) => call.startsWith('list')).length, 'one listing of the holder and one of the node').to.equal(2)
@@ -40,7 +40,7 @@
     await settle()
     takeReadLog(store)
     for (let round = 0; round < 10; round++) {
-      node.followed.applyProgress({ contactAgeMs: 0, versions: { [ENDPOINT_PREFIX]: storeVersion(900, 0) } })
+      node.followed.applyProgress({ contactAgeMs: 0, versions: { [ENDPOINT_PREFIX]: storeVersion(900, 0) } }, ON_TIME)
       await pass(clock, 300)
       store.put('endpoints/w1', {})
       await pass(clock, 300)
@@ -57,7 +57,7 @@
     store.comeBackFrom(store.copy())
     for (let round = 0; round < 2; round++) await pass(clock, PAUSE_OVER_MS)
     for (let round = 0; round < 3; round++) {
-      node.followed.applyProgress({ contactAgeMs: 0, versions: { [ENDPOINT_PREFIX]: 0 } })
+      node.followed.applyProgress({ contactAgeMs: 0, versions: { [ENDPOINT_PREFIX]: 0 } }, ON_TIME)
       store.put(`endpoints/w${round}`, {})
       await pass(clock, PAUSE_OVER_MS)
     }
--- a/packages/dotterelspur-gateway/src/__tests__/unit/PeerLinks.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/PeerLinks.test.ts
@@ -1,7 +1,8 @@
 import { createServer, type AddressInfo, type Socket } from 'node:net'
 import { expect } from 'chai'
 import { createRandom, ManualClock, NO_DEADLINES_OBSERVED } from 'dotterelspur'
-import { PeerLinks, type PeerListener } from '../../connection/PeerLinks.js'
+import { PeerLinks } from '../../connection/PeerLinks.js'
+import type { PeerListener } from '../../connection/PeerListener.js'
 import { GatewayWorld } from '../fixtures/GatewayWorld.js'
 import { createEndpoint, createLog, createManifest } from '../fixtures/builders.js'
 
--- a/packages/dotterelspur-gateway/src/__tests__/unit/removedEndpoints.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/removedEndpoints.test.ts
@@ -2,7 +2,7 @@
 import { ManualClock, type Teardown } from 'dotterelspur'
 import { ENDPOINT_PREFIX, EndpointRegistry } from '../../process/EndpointRegistry.js'
 import { createEndpoint, createLog } from '../fixtures/builders.js'
-import { follow, pass, progressOf, type FollowingNode } from '../fixtures/followingNode.js'
+import { follow, ON_TIME, pass, progressOf, type FollowingNode } from '../fixtures/followingNode.js'
 import { MemoryStore } from '../fixtures/MemoryStore.js'
 
 const STEP_MS = 100
@@ -64,7 +64,7 @@
     // The renewal of the lease is the holder's contact with the store where nothing changes.
     if (this.steps % RENEWAL_STEPS === 0) await holder.followed.get('leases/fleet')
     for (const update of holder.shared.splice(0)) other.followed.applyUpdate(update)
-    if (this.steps % BROADCAST_STEPS === 0) other.followed.applyProgress(progressOf(holder))
+    if (this.steps % BROADCAST_STEPS === 0) other.followed.applyProgress(progressOf(holder), ON_TIME)
     for (const { followed } of [holder, other]) followed.wakeUncovered()
     await pass(this.clock, STEP_MS)
   }
--- a/packages/dotterelspur-gateway/src/__tests__/unit/storeReturnReplay.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/storeReturnReplay.test.ts
@@ -6,6 +6,7 @@
 import { NODE_PREFIX } from '../../process/NodeRegistry.js'
 import { PROGRESS_VALID_MS } from '../../process/StoreFeed.js'
 import { createLog } from '../fixtures/builders.js'
+import { ON_TIME } from '../fixtures/followingNode.js'
 import { MemoryStore } from '../fixtures/MemoryStore.js'
 import { NodeStoreAccess } from '../fixtures/NodeStoreAccess.js'
 
@@ -53,7 +54,7 @@
     for (let passedMs = 0; passedMs < durationMs; passedMs += STEP_MS) {
       clock.advance(STEP_MS)
       await settle()
-      if (clock.nowMs() % BROADCAST_MS < STEP_MS) for (const { followed } of others) followed.applyProgress({ contactAgeMs: holder!.followed.contactAgeMs, versions: holder!.followed.versions })
+      if (clock.nowMs() % BROADCAST_MS < STEP_MS) for (const { followed } of others) followed.applyProgress({ contactAgeMs: holder!.followed.contactAgeMs, versions: holder!.followed.versions }, ON_TIME)
       if (clock.nowMs() % RENEWAL_MS === 0) await holder!.followed.get('leases/fleet')
       if (clock.nowMs() % 100 === 0) for (const { followed } of nodes) followed.wakeUncovered()
       await settle()
--- a/packages/dotterelspur-gateway/src/__tests__/unit/storeViewAge.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/storeViewAge.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import { ManualClock, MembershipWindow } from 'dotterelspur'
 import { NODE_PREFIX } from '../../process/NodeRegistry.js'
-import { follow, pass, progressOf, type FollowingNode } from '../fixtures/followingNode.js'
+import { follow, ON_TIME, pass, progressOf, type FollowingNode } from '../fixtures/followingNode.js'
 import { MemoryStore } from '../fixtures/MemoryStore.js'
 
 const STEP_MS = 100
@@ -55,7 +55,7 @@
 
   it('is that of the lease holder\'s contact while its feed covers the prefix', async () => {
     const { oldestMs } = await play(false, (node, _store, passedMs) => {
-      if (passedMs > 4_000) node.followed.applyProgress({ ...progressOf(node), contactAgeMs: 700 })
+      if (passedMs > 4_000) node.followed.applyProgress({ ...progressOf(node), contactAgeMs: 700 }, ON_TIME)
     })
     expect(oldestMs).to.be.within(700, WINDOW_MS / 2)
   })
--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -7,6 +7,7 @@
 import { AdmissionKind, type PoisonAdmission } from 'dotterelspur-poison'
 import type { Dispatch } from '../process/Dispatch.js'
 import { LogKind, type DecisionLog, type LogFields } from '../process/DecisionLog.js'
+import type { StoreView } from '../process/FollowedStore.js'
 import type { InitialSync } from '../process/InitialSync.js'
 import type { GatewayMetrics } from '../process/GatewayMetrics.js'
 import type { ListenAddress } from '../process/GatewaySettings.js'
@@ -44,6 +45,8 @@
   readonly metrics: GatewayMetrics
   readonly wire: WireFormat
   readonly manifest: ManifestFollower
+  /** How old the node's view of the manifest is, and by whom. */
+  readonly manifestView: () => StoreView
   readonly initialSync: InitialSync
   readonly dispatch: Dispatch
   readonly poison: PoisonTracker
@@ -233,7 +236,13 @@
 
   private denyAccess (request: IncomingMessage, callerResponse: CallerResponse, access: Access, table: RouteTable): void {
     const kind = access.kind === AccessKind.NoRoute ? GatewayErrorKind.NoRoute : GatewayErrorKind.Unauthorized
-    this.sendError(request, callerResponse, kind, null, { manifestVersion: table.version })
+    this.sendError(request, callerResponse, kind, null, { manifestVersion: table.version, ...this.manifestFields() })
+  }
+
+  /** How old the view is by which the manifest in force is known to be the newest, and from which node; by this node's own call if none is named. */
+  private manifestFields (): LogFields {
+    const { ageMs, from } = this.parts.manifestView()
+    return { manifestAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined, manifestFrom: from ?? undefined }
   }
 
   private sendError (request: IncomingMessage, callerResponse: CallerResponse, kind: GatewayErrorKind, retryAfterMs: number | null, fields: LogFields = {}): void {
@@ -270,6 +279,7 @@
       tookMs: Math.round(tookMs),
       deadlineMs: admitted.head.deadlineMs,
       manifestVersion: manifest.current?.version,
+      ...this.manifestFields(),
       late: report.end.kind === DispatchEndKind.Delivered && report.firstByteMs !== null && report.firstByteMs > admitted.route.targetLatencyMs ? true : undefined
     })
   }
--- a/packages/dotterelspur-gateway/src/connection/PeerLinks.ts
+++ b/packages/dotterelspur-gateway/src/connection/PeerLinks.ts
@@ -1,13 +1,15 @@
 import { Packr } from 'msgpackr'
 import { WebSocket } from 'ws'
-import type { Clock, EndpointId, LeaseObject, NodeId, PoisonRecord, Random, StoredObject, Teardown } from 'dotterelspur'
-import type { LeaseHolderState } from '../process/LeaseHolderState.js'
+import type { Clock, EndpointId, NodeId, PoisonRecord, Random, Teardown } from 'dotterelspur'
 import { LogKind, type DecisionLog } from '../process/DecisionLog.js'
 import type { ListenAddress } from '../process/GatewaySettings.js'
 import type { NodeRecord } from '../process/NodeRegistry.js'
 import type { FeedUpdate } from '../process/StoreFeed.js'
-import { ObservationExchange, type ObservationSource } from './ObservationExchange.js'
+import { LinkLateness } from './LinkLateness.js'
+import { ObservationExchange } from './ObservationExchange.js'
+import { PeerConnection, probeIntervalMs } from './PeerConnection.js'
 import { PeerFrameKind, type PeerFrame, type Suspicion } from './PeerFrame.js'
+import type { PeerListener } from './PeerListener.js'
 import { PeerServer } from './PeerServer.js'
 import type { RelayServer } from './RelayServer.js'
 import { decodeFeedUpdate, decodeHolderState, decodeLease, encodeFeedUpdate, encodeHolderState, encodeLease } from './StoreVersionCodec.js'
@@ -31,7 +33,7 @@
 
 /** The sender of a frame: a node that this node dialled, or one that dialled this node. */
 interface Sender {
-  readonly socket: WebSocket
+  readonly connection: PeerConnection
   /** Null if the sender dialled this node, as only a coordinator does. */
   readonly node: NodeId | null
 }
@@ -41,30 +43,8 @@
 
 type FrameHandlers = { readonly [Kind in PeerFrameKind]: (frame: Extract<PeerFrame, { kind: Kind }>, sender: Sender) => void }
 
-/** Receives the peers' messages, and provides the state that is sent to peers. */
-export interface PeerListener extends ObservationSource {
-  /** `node` suspects a group, at which `senders` nodes have requests in flight. */
-  onSuspicionReport (head: EndpointId, suspicion: Suspicion, node: NodeId, senders: number): void
-  /** The coordinator reports that groups are suspected. */
-  onSuspectedGroups (heads: readonly EndpointId[]): void
-  /** Nothing has been received from a node for `NODE_TIMEOUT_MS`. */
-  onNodeLost (node: NodeRecord): void
-  /** A link to a node has opened. */
-  onNodeReached (node: NodeRecord): void
-  /** The lease of a holder with a higher fencing number than this one; null if none has been read or received. */
-  newerLease (fencing: number): StoredObject<LeaseObject> | null
-  onNewerLease (lease: StoredObject<LeaseObject>): void
-  /** The state that this node broadcasts as the lease holder; null unless it holds the lease. */
-  leaseHolderState (): LeaseHolderState | null
-  onLeaseHolderState (state: LeaseHolderState): void
-  onFeedUpdate (update: FeedUpdate): void
-  onPoisonRecords (records: readonly PoisonRecord[]): void
-  /** The records to send to a newly linked node: `all` of them if it is the coordinator, otherwise those that are shared with all nodes. */
-  poisonRecords (all: boolean): readonly PoisonRecord[]
-}
-
 interface Link {
-  readonly socket: WebSocket
+  readonly connection: PeerConnection
   readonly node: NodeRecord
 }
 
@@ -75,33 +55,40 @@
  */
 export class PeerLinks {
   private server: PeerServer | null = null
-  private readonly inbound = new Set<WebSocket>()
+  private readonly inbound = new Set<PeerConnection>()
   private readonly links = new Map<NodeId, Link>()
   private readonly lastSeenAtMs = new Map<NodeId, number>()
   /** Nodes waiting for a free handshake slot. */
   private dialQueue: NodeRecord[] = []
   private readonly handshakes = new Set<WebSocket>()
+  readonly lateness: LinkLateness
   private checkedAtMs = -Infinity
   private readonly exchange: ObservationExchange
   private cancelTimer: Teardown = () => {}
   private cancelStateTimer: Teardown = () => {}
+  private cancelProbeTimer: Teardown = () => {}
   private readonly handlers: FrameHandlers = {
     [PeerFrameKind.SuspicionReport]: ({ head, suspicion }, { node }) => { if (node !== null) this.listener.onSuspicionReport(head, suspicion, node, this.exchange.sendersTo(head)) },
     [PeerFrameKind.SuspectedGroups]: ({ heads }) => { this.listener.onSuspectedGroups(heads) },
     [PeerFrameKind.NodeObserved]: ({ observation }, { node }) => { if (node !== null) this.exchange.receiveNode(node, observation) },
-    [PeerFrameKind.FleetObserved]: ({ observation, fencing }, { socket }) => {
+    [PeerFrameKind.FleetObserved]: ({ observation, fencing }, { connection }) => {
       const newer = this.listener.newerLease(fencing)
-      if (newer !== null) return this.send([socket], { kind: PeerFrameKind.NewerLease, lease: encodeLease(newer) })
-      this.exchange.receiveFleet(observation, (own) => { this.send([socket], { kind: PeerFrameKind.NodeObserved, observation: own }) })
+      if (newer !== null) return this.send([connection], { kind: PeerFrameKind.NewerLease, lease: encodeLease(newer) })
+      this.exchange.receiveFleet(observation, (own) => { this.send([connection], { kind: PeerFrameKind.NodeObserved, observation: own }) })
     },
     [PeerFrameKind.NewerLease]: ({ lease }) => { this.listener.onNewerLease(decodeLease(lease)) },
-    [PeerFrameKind.LeaseHolderState]: ({ word }) => { this.listener.onLeaseHolderState(decodeHolderState(word)) },
+    [PeerFrameKind.LeaseHolderState]: ({ word }, { connection }) => {
+      const state = decodeHolderState(word)
+      this.lateness.note(state.lease.body.holder, connection.lateMs)
+      this.listener.onLeaseHolderState(state, connection.lateMs)
+    },
     [PeerFrameKind.FeedUpdate]: ({ news }) => { this.listener.onFeedUpdate(decodeFeedUpdate(news)) },
     [PeerFrameKind.PoisonRecords]: ({ records }) => { this.listener.onPoisonRecords(records) }
   }
 
   constructor (private readonly clock: Clock, random: Random, private readonly log: DecisionLog, private readonly listener: PeerListener) {
     this.exchange = new ObservationExchange(clock, random, listener)
+    this.lateness = new LinkLateness(log)
   }
 
   async listen (address: ListenAddress, relays: RelayServer): Promise<void> {
@@ -140,7 +127,15 @@
   /** Exchanges observations while this node is the coordinator, which it is as long as `fencing()` returns a fencing number. */
   exchangeObservations (nodeCount: () => number, fencing: () => number | null): void {
     this.exchange.startRounds(nodeCount, () => fencing() !== null, (observation) => {
-      this.send(this.linkedSockets(), { kind: PeerFrameKind.FleetObserved, observation, fencing: fencing()! })
+      this.send(this.linkedConnections(), { kind: PeerFrameKind.FleetObserved, observation, fencing: fencing()! })
+    })
+  }
+
+  /** Probes the coordinator's connections, so that the age of what it sends is known. */
+  startProbes (nodeCount: () => number): void {
+    this.cancelProbeTimer = this.clock.registerTimer(probeIntervalMs(nodeCount()), () => {
+      this.startProbes(nodeCount)
+      for (const connection of this.inbound) connection.probe()
     })
   }
 
@@ -155,39 +150,40 @@
   /** Broadcasts the lease holder's state immediately, for example when a group is lost. */
   broadcastState (): void {
     const state = this.listener.leaseHolderState()
-    if (state !== null) this.send(this.linkedSockets(), { kind: PeerFrameKind.LeaseHolderState, word: encodeHolderState(state) })
+    if (state !== null) this.send(this.linkedConnections(), { kind: PeerFrameKind.LeaseHolderState, word: encodeHolderState(state) })
   }
 
   /** Informs all nodes of suspected groups, so that each does not have to wait until its own streams there pause. */
   broadcastSuspectedGroups (heads: readonly EndpointId[]): void {
-    this.send(this.linkedSockets(), { kind: PeerFrameKind.SuspectedGroups, heads })
+    this.send(this.linkedConnections(), { kind: PeerFrameKind.SuspectedGroups, heads })
   }
 
   /** A node that misses an update detects the gap in versions and reads from the store. */
   broadcastFeedUpdate (update: FeedUpdate): void {
-    this.send(this.linkedSockets(), { kind: PeerFrameKind.FeedUpdate, news: encodeFeedUpdate(update) })
+    this.send(this.linkedConnections(), { kind: PeerFrameKind.FeedUpdate, news: encodeFeedUpdate(update) })
   }
 
   /** Sends `all` records to the coordinator, and the `shared` ones to the nodes that this node coordinates. */
   sendPoisonRecords (all: readonly PoisonRecord[], shared: readonly PoisonRecord[]): void {
     this.sendPoisonTo(this.inbound, all)
-    this.sendPoisonTo(this.linkedSockets(), shared)
+    this.sendPoisonTo(this.linkedConnections(), shared)
   }
 
   close (): void {
     this.cancelTimer()
     this.exchange.close()
     this.cancelStateTimer()
+    this.cancelProbeTimer()
     this.closeLinks()
-    for (const socket of this.inbound) socket.terminate()
+    for (const { socket } of this.inbound) socket.terminate()
     this.server?.close()
   }
 
   /** Dials the nodes that have no link yet, and pings the others. */
   link (nodes: readonly NodeRecord[]): void {
     const wanted = new Set(nodes.map(({ node }) => node))
-    for (const [node, { socket }] of this.links) {
-      if (!wanted.has(node)) socket.terminate()
+    for (const [node, { connection }] of this.links) {
+      if (!wanted.has(node)) connection.socket.terminate()
     }
     this.noteOwnPause()
     this.dialQueue = nodes.filter((record) => this.links.get(record.node)?.node.incarnation !== record.incarnation)
@@ -206,12 +202,12 @@
 
   private checkNode (record: NodeRecord): void {
     const nowMs = this.clock.nowMs()
-    const socket = this.links.get(record.node)?.socket
-    if (socket?.readyState === WebSocket.OPEN) socket.ping()
+    const connection = this.links.get(record.node)?.connection
+    connection?.probe()
     const lastSeenAtMs = this.lastSeenAtMs.get(record.node)
     if (lastSeenAtMs === undefined || nowMs - lastSeenAtMs < NODE_TIMEOUT_MS) return
     this.lastSeenAtMs.delete(record.node)
-    socket?.terminate()
+    connection?.socket.terminate()
     this.listener.onNodeLost(record)
   }
 
@@ -224,10 +220,10 @@
   }
 
   private dial (record: NodeRecord, previous: Link | undefined): void {
-    previous?.socket.terminate()
+    previous?.connection.socket.terminate()
     const socket = new WebSocket(`ws://${record.peers}`, { handshakeTimeout: HANDSHAKE_TIMEOUT_MS, perMessageDeflate: false, maxPayload: MAX_FRAME_BYTES })
-    const link: Link = { socket, node: record }
-    this.links.set(record.node, link)
+    const connection = new PeerConnection(socket, this.clock)
+    this.links.set(record.node, { connection, node: record })
     this.handshakes.add(socket)
     // The timeout of a node starts with the first dial, not while it waits in the queue.
     if (!this.lastSeenAtMs.has(record.node)) this.lastSeenAtMs.set(record.node, this.clock.nowMs())
@@ -237,17 +233,17 @@
       noteSeen()
       this.listener.onNodeReached(record)
       endHandshake()
-      this.sendPoisonTo([socket], this.listener.poisonRecords(false))
+      this.sendPoisonTo([connection], this.listener.poisonRecords(false))
     })
     socket.on('pong', noteSeen)
     socket.on('message', (data) => {
       noteSeen()
-      this.handleFrame(data as Buffer, { socket, node: record.node })
+      this.handleFrame(data as Buffer, { connection, node: record.node })
     })
     socket.on('error', () => { socket.terminate() })
     socket.on('close', () => {
       endHandshake()
-      if (this.links.get(record.node)?.socket !== socket) return
+      if (this.links.get(record.node)?.connection !== connection) return
       this.links.delete(record.node)
       this.exchange.forgetNode(record.node)
     })
@@ -265,32 +261,34 @@
   }
 
   private accept (socket: WebSocket): void {
-    this.inbound.add(socket)
-    socket.on('close', () => { this.inbound.delete(socket) })
+    const connection = new PeerConnection(socket, this.clock)
+    this.inbound.add(connection)
+    socket.on('close', () => { this.inbound.delete(connection) })
     socket.on('error', () => { socket.terminate() })
-    socket.on('message', (data) => { this.handleFrame(data as Buffer, { socket, node: null }) })
-    this.sendPoisonTo([socket], this.listener.poisonRecords(true))
+    socket.on('message', (data) => { this.handleFrame(data as Buffer, { connection, node: null }) })
+    connection.probe()
+    this.sendPoisonTo([connection], this.listener.poisonRecords(true))
   }
 
-  private linkedSockets (): WebSocket[] {
-    return [...this.links.values()].map(({ socket }) => socket)
+  private linkedConnections (): PeerConnection[] {
+    return [...this.links.values()].map(({ connection }) => connection)
   }
 
-  private send (sockets: Iterable<WebSocket>, frame: PeerFrame): void {
+  private send (connections: Iterable<PeerConnection>, frame: PeerFrame): void {
     const bytes = codec.pack(frame)
-    for (const socket of sockets) {
+    for (const { socket } of connections) {
       // Frames for a peer with a full backlog are dropped: they would be outdated by the time it read them.
       if (socket.readyState === WebSocket.OPEN && socket.bufferedAmount < MAX_BACKLOG_BYTES) socket.send(bytes)
     }
   }
 
-  private sendPoisonTo (sockets: Iterable<WebSocket>, records: readonly PoisonRecord[]): void {
-    if (records.length > 0) this.send(sockets, { kind: PeerFrameKind.PoisonRecords, records })
+  private sendPoisonTo (connections: Iterable<PeerConnection>, records: readonly PoisonRecord[]): void {
+    if (records.length > 0) this.send(connections, { kind: PeerFrameKind.PoisonRecords, records })
   }
 
   private closeLinks (): void {
     this.dialQueue = []
-    for (const { socket } of this.links.values()) socket.terminate()
+    for (const { socket } of this.linkedConnections()) socket.terminate()
     this.links.clear()
     this.lastSeenAtMs.clear()
   }
--- a/packages/dotterelspur-gateway/src/process/DecisionLog.ts
+++ b/packages/dotterelspur-gateway/src/process/DecisionLog.ts
@@ -36,6 +36,9 @@
   PrefixLost = 'prefix-lost',
   /** Endpoints whose entries are missing from the store stay in use for a while, since the entries may return. */
   EntriesKept = 'entries-kept',
+  /** The lease holder's states arrive late: from which node, and by how much at most. */
+  LinkLate = 'link-late',
+  LinkOnTime = 'link-on-time',
   ManifestInForce = 'manifest-in-force',
   ManifestRejected = 'manifest-rejected',
   RequestEnded = 'request-ended',
--- a/packages/dotterelspur-gateway/src/process/FollowedStore.ts
+++ b/packages/dotterelspur-gateway/src/process/FollowedStore.ts
@@ -1,13 +1,14 @@
 import {
   eraOf, failed, sleep, StoreErrorKind, WatchEventKind,
-  type Clock, type ObjectListing, type ObjectStore, type Random, type ReadFreshness, type Result, type StoredObject, type StoreError, type Teardown, type WatchEvent
+  type Clock, type NodeId, type ObjectListing, type ObjectStore, type Random, type ReadFreshness, type Result, type StoredObject, type StoreError, type Teardown, type WatchEvent
 } from 'dotterelspur'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
 import { FOLLOW_RULES, LATE_RESPONSE_MS, NO_CONTACT_ERRORS, pauseAfterChangesMs, relistSpreadMs, RETRY_JITTER, RETRY_MS, type ChangeBounds } from './FollowRules.js'
 import { applyBatch, confirmedAtMs, notifyConnected, notifyLost, type Listener, type PrefixFollower } from './PrefixFollower.js'
+import { updateToShare } from './feedUpdate.js'
 import { StoreContact } from './StoreContact.js'
-import { StoreFeed, type FeedUpdate, type FeedProgress } from './StoreFeed.js'
-import type { ChangeBatch, VersionedStore } from './VersionedStore.js'
+import { StoreFeed, type FeedOrigin, type FeedProgress, type FeedUpdate } from './StoreFeed.js'
+import type { VersionedStore } from './VersionedStore.js'
 
 export interface FollowedStoreParts {
   readonly store: VersionedStore
@@ -28,6 +29,13 @@
   readonly concernsCallers: (object: StoredObject<unknown>) => boolean
 }
 
+/** The age of a node's view of a prefix. */
+export interface StoreView {
+  readonly ageMs: number
+  /** The lease holder whose feed shows it; null where this node's own call does. */
+  readonly from: NodeId | null
+}
+
 /**
  * The store as the rest of a node uses it. Follows prefixes across interruptions, by polling the store or by the lease
  * holder's feed while that is fresh. Changes are versioned, so a change received both ways is applied once.
@@ -86,13 +94,19 @@
     return this.contact.ageMs
   }
 
-  /** How old this node's view of a prefix is, by its own calls or the lease holder's feed; infinite before the first listing. */
-  viewAgeMs (prefix: string): number {
+  /** How old this node's view of a prefix is, and by whom; infinitely old before the first listing. */
+  view (prefix: string): StoreView {
     const follower = this.followers.get(prefix)
-    if (follower === undefined || follower.version === null) return Infinity
+    if (follower === undefined || follower.version === null) return { ageMs: Infinity, from: null }
     const nowMs = this.parts.clock.nowMs()
+    const ownAgeMs = nowMs - follower.confirmedAtMs
     const feedAgeMs = this.isCovered(follower) ? this.feed.contactAgeMs(nowMs) : Infinity
-    return Math.min(nowMs - follower.confirmedAtMs, feedAgeMs)
+    return feedAgeMs < ownAgeMs ? { ageMs: feedAgeMs, from: this.feed.holder } : { ageMs: ownAgeMs, from: null }
+  }
+
+  /** How old this node's view of a prefix is, by its own calls or the lease holder's feed; infinite before the first listing. */
+  viewAgeMs (prefix: string): number {
+    return this.view(prefix).ageMs
   }
 
   /** Version of the last change of each followed prefix. The store numbers changes of all prefixes together. */
@@ -111,8 +125,8 @@
     return [...this.followers.values()].every((follower) => this.isCovered(follower))
   }
 
-  applyProgress (progress: FeedProgress): void {
-    this.feed.noteProgress(progress, this.parts.clock.nowMs())
+  applyProgress (progress: FeedProgress, origin: FeedOrigin): void {
+    this.feed.noteProgress(progress, origin, this.parts.clock.nowMs())
     this.contact.noteAnswerToHolder(progress.contactAgeMs)
     this.wakeUncovered()
   }
@@ -231,7 +245,7 @@
       return false
     }
     if (follower.isLost) notifyConnected(follower, this.contact.outageEndedAtMs)
-    const shared = this.parts.isLeaseHolder() ? this.updateToShare(follower, result.value) : null
+    const shared = this.parts.isLeaseHolder() ? updateToShare(follower, result.value, this.parts.concernsCallers) : null
     applyBatch(follower, result.value)
     follower.confirmedAtMs = confirmedAtMs(result.value, polledAtMs, waitMs, clock.nowMs())
     if (shared !== null) this.parts.share(shared)
@@ -245,27 +259,6 @@
     return Math.min(this.parts.isLeaseHolder() ? rule.holderPollTimeoutMs : rule.pollTimeoutMs, Math.round(rule.progressValidMs(this.parts.changes)))
   }
 
-  /**
-   * The part of a batch that is sent to the other nodes. Changes that are not forwarded leave a version gap, after
-   * which each node polls the store.
-   */
-  private updateToShare ({ prefix, rule, lastChangeVersion: sinceVersion }: PrefixFollower, { objects, version }: ChangeBatch): FeedUpdate {
-    if (!rule.isForwarded && objects.length > 0) return { prefix, sinceVersion: version, objects: [], version }
-    return { prefix, sinceVersion, objects: rule.isFiltered ? this.filterForCallers(objects) : objects, version }
-  }
-
-  /**
-   * Selects the changes that affect callers, judged by the state before the batch; a later change of the same key in
-   * the batch is included, since it may undo the first one.
-   */
-  private filterForCallers (objects: ChangeBatch['objects']): ChangeBatch['objects'] {
-    const forwarded = new Set<string>()
-    return objects.filter((object) => {
-      if (this.parts.concernsCallers(object)) forwarded.add(object.key)
-      return forwarded.has(object.key)
-    })
-  }
-
   /** Without this wait, each node of a starting fleet, or after a return of the store, would poll for each of the other nodes' entries. */
   private async awaitInitialProgress (follower: PrefixFollower): Promise<void> {
     const { clock, initialProgressTimeoutMs } = this.parts
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -24,7 +24,7 @@
 import type { PlatformFormat } from './PlatformFormat.js'
 import { addressOf, type GatewayLimits, type GatewaySettings, type ListenAddress } from './GatewaySettings.js'
 import { LoopMonitor } from './LoopMonitor.js'
-import { ManifestFollower } from './ManifestFollower.js'
+import { MANIFEST_PREFIX, ManifestFollower } from './ManifestFollower.js'
 import { NODE_PREFIX, NodeRegistry, nodeRecord, type NodeRecord } from './NodeRegistry.js'
 import { completeRequests } from './PlannedStop.js'
 import { PoisonTracker } from './PoisonTracker.js'
@@ -183,7 +183,7 @@
       },
       isCutOff: () => this.dispatch.links.connector.isCutOff
     })
-    this.callers = new CallerListener({ clock, random, log, metrics: this.metrics, wire: parts.wire, manifest: this.manifest, initialSync: this.initialSync, dispatch: this.dispatch, poison: this.poison })
+    this.callers = new CallerListener({ clock, random, log, metrics: this.metrics, wire: parts.wire, manifest: this.manifest, manifestView: () => store.view(MANIFEST_PREFIX), initialSync: this.initialSync, dispatch: this.dispatch, poison: this.poison })
     this.peers = new PeerLinks(clock, random, log, {
       onSuspicionReport: (head, suspicion, node, senders) => { this.handleSuspicion(head, suspicion, node, senders) },
       onSuspectedGroups: (heads) => { this.dispatch.noteStalledGroups(heads, StallCertainty.Suspected) },
@@ -200,10 +200,10 @@
       },
       onNewerLease: (lease) => { this.lease.noteLease(lease) },
       leaseHolderState: () => this.leaseHolderState(),
-      onLeaseHolderState: ({ feed, lease, loads, stoppedHeads, lostNodes }) => {
+      onLeaseHolderState: ({ feed, lease, loads, stoppedHeads, lostNodes }, lateMs) => {
         this.nodes.noteReportedLost(lostNodes ?? [])
         this.lease.noteLease(lease)
-        this.store.applyProgress(feed)
+        this.store.applyProgress(feed, { holder: lease.body.holder, lateMs })
         this.formations.noteLoads(loads)
         this.dispatch.noteStalledGroups(stoppedHeads, StallCertainty.Confirmed)
       },
@@ -217,10 +217,10 @@
       this.stopVotes.retain(listed)
       this.lease.observeFencing(highestFencing(endpoints.values()))
     })
-    const { callers, manifest, endpoints, nodes, lease, poison, dispatch, relays, budget } = this
+    const { callers, manifest, peers, endpoints, nodes, lease, poison, dispatch, relays, budget } = this
     this.loopMonitor = new LoopMonitor(clock, log, () => ({ running: callers.runningRequests, waiting: callers.waitingRequests, relays: relays.size, decides: lease.mayOrder() }))
     const loop = this.loopMonitor
-    registerGauges(this.metrics, { callers, manifest, endpoints, nodes, lease, store, poison, dispatch, relays, budget, log, loop })
+    registerGauges(this.metrics, { callers, manifest, peers, endpoints, nodes, lease, store, poison, dispatch, relays, budget, log, loop })
   }
 
   get metricsAddress (): ListenAddress {
@@ -249,6 +249,7 @@
     this.peers.maintain(() => this.otherNodes(), () => this.lease.isCoordinator())
     this.peers.exchangeObservations(() => this.nodes.nodes().length, () => this.lease.coordinationFencing)
     this.peers.startStateBroadcasts()
+    this.peers.startProbes(() => this.nodes.nodes().length)
     this.step()
     parts.log.write(LogKind.Start, { callers: addressOf(settings.callers), failureDomain: settings.failureDomain, firstStart: settings.firstStart })
     onListening()
--- a/packages/dotterelspur-gateway/src/process/StoreFeed.ts
+++ b/packages/dotterelspur-gateway/src/process/StoreFeed.ts
@@ -1,4 +1,4 @@
-import { eraOf } from 'dotterelspur'
+import { eraOf, type NodeId } from 'dotterelspur'
 import type { ChangeBatch } from './VersionedStore.js'
 
 /** How long a node relies on the lease holder's feed progress after the holder's last contact with the store. */
@@ -12,6 +12,13 @@
   readonly versions: Readonly<Record<string, number>>
 }
 
+/** Where progress or an update comes from. */
+export interface FeedOrigin {
+  readonly holder: NodeId
+  /** Upper bound of the time since the lease holder sent it. */
+  readonly lateMs: number
+}
+
 /** Changes that the lease holder read from the store, for nodes that have everything up to `sinceVersion`. */
 export interface FeedUpdate extends ChangeBatch {
   readonly prefix: string
@@ -26,8 +33,15 @@
   /** Time of the lease holder's last known contact with the store. */
   private contactAtMs = -Infinity
   private readonly versions = new Map<string, number>()
+  private lastHolder: NodeId | null = null
+
+  /** The lease holder that sent the last progress. */
+  get holder (): NodeId | null {
+    return this.lastHolder
+  }
 
-  noteProgress ({ contactAgeMs, versions }: FeedProgress, nowMs: number): void {
+  noteProgress ({ contactAgeMs, versions }: FeedProgress, { holder }: FeedOrigin, nowMs: number): void {
+    this.lastHolder = holder
     this.contactAtMs = Math.max(this.contactAtMs, nowMs - contactAgeMs)
     // A missing prefix is one with which the lease holder itself has lost contact.
     this.versions.clear()
--- a/packages/dotterelspur-gateway/src/process/registerGauges.ts
+++ b/packages/dotterelspur-gateway/src/process/registerGauges.ts
@@ -1,4 +1,5 @@
 import type { CallerListener } from '../connection/CallerListener.js'
+import type { PeerLinks } from '../connection/PeerLinks.js'
 import type { RelayServer } from '../connection/RelayServer.js'
 import type { BudgetMembership } from './BudgetMembership.js'
 import type { DecisionLog } from './DecisionLog.js'
@@ -8,13 +9,14 @@
 import type { FollowedStore } from './FollowedStore.js'
 import type { GatewayMetrics } from './GatewayMetrics.js'
 import type { LoopMonitor } from './LoopMonitor.js'
-import type { ManifestFollower } from './ManifestFollower.js'
+import { MANIFEST_PREFIX, type ManifestFollower } from './ManifestFollower.js'
 import type { NodeRegistry } from './NodeRegistry.js'
 import type { PoisonTracker } from './PoisonTracker.js'
 
 export interface GaugeSources {
   readonly callers: CallerListener
   readonly manifest: ManifestFollower
+  readonly peers: PeerLinks
   readonly endpoints: EndpointRegistry
   readonly nodes: NodeRegistry
   readonly lease: FleetLease
@@ -28,12 +30,14 @@
 }
 
 /** Registers the gauges that are read at each scrape. */
-export function registerGauges (metrics: GatewayMetrics, { callers, manifest, endpoints, nodes, lease, store, poison, dispatch, relays, budget, log, loop }: GaugeSources): void {
+export function registerGauges (metrics: GatewayMetrics, { callers, manifest, peers, endpoints, nodes, lease, store, poison, dispatch, relays, budget, log, loop }: GaugeSources): void {
   metrics.gauge('running_requests', 'Requests under way', () => callers.runningRequests)
   metrics.gauge('waiting_requests', 'Requests that wait for an endpoint\'s next token', () => callers.waitingRequests)
   metrics.gauge('body_bytes', 'Bytes of the bodies of requests under way', () => callers.bodies.sizeBytes)
   metrics.gauge('waiting_bodies', 'Bodies that wait for memory', () => callers.bodies.waitingBodies)
   metrics.gauge('manifest_version', 'Version of the manifest in force', () => manifest.current?.version ?? 0)
+  metrics.gauge('manifest_view_age_ms', 'Time for which the manifest may have changed without this node knowing', () => store.viewAgeMs(MANIFEST_PREFIX))
+  metrics.gauge('peer_state_late_ms', 'How late the deciding node\'s last state was at most', () => peers.lateness.lastMs)
   metrics.gauge('endpoints', 'Endpoints on the list', () => endpoints.current.size)
   metrics.gauge('nodes', 'Nodes on the list', () => nodes.nodes().length)
   metrics.gauge('decides', '1 while this node holds the lease', () => Number(lease.mayOrder()))
--- a/packages/dotterelspur/src/connection/index.ts
+++ b/packages/dotterelspur/src/connection/index.ts
@@ -1,4 +1,5 @@
 export * from './EngineApi.js'
+export * from './LinkAge.js'
 export * from './MeshApi.js'
 export * from './mesh/index.js'
 export * from './RenewablePool.js'
