Feed: the age of what the lease holder sends includes its way

What callers saw (CONFIG, DRAIN): while the lease holder's frames reach a node late, the node answers by an older manifest and sends requests to removed endpoints for as long as the delay, though its own way to the store is sound.

Cause: the age of the lease holder's contact with the store is right when it is sent, and was counted from its arrival. A feed that is seconds late looked fresh, and the node did not poll.

An outage of the store that late frames hide was no outage either.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/EvacuationRegistry.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/EvacuationRegistry.test.ts
@@ -30,7 +30,7 @@
   async run (durationMs: number): Promise<void> {
     for (let passedMs = 0; passedMs < durationMs; passedMs += STEP_MS) {
       if (this.holder !== null) {
-        for (const update of this.holder.shared.splice(0)) this.node.followed.applyUpdate(update)
+        for (const update of this.holder.shared.splice(0)) this.node.followed.applyUpdate(update, 0)
         this.node.followed.applyProgress(progressOf(this.holder), ON_TIME)
       }
       this.node.followed.wakeUncovered()
--- a/packages/dotterelspur-gateway/src/__tests__/unit/FollowedStoreEras.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/FollowedStoreEras.test.ts
@@ -19,7 +19,7 @@
       const copy = store.copy()
       store.put('others/lost', {})
       await pass(clock, PAUSE_OVER_MS)
-      node.followed.applyUpdate({ prefix, sinceVersion: 0, objects: [], version: 1 })
+      node.followed.applyUpdate({ prefix, sinceVersion: 0, objects: [], version: 1 }, 0)
       await settle()
       takeReadLog(store)
       store.comeBackFrom(copy)
--- a/packages/dotterelspur-gateway/src/__tests__/unit/removedEndpoints.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/removedEndpoints.test.ts
@@ -63,7 +63,7 @@
     const { holder: { node: holder }, other: { node: other } } = this
     // The renewal of the lease is the holder's contact with the store where nothing changes.
     if (this.steps % RENEWAL_STEPS === 0) await holder.followed.get('leases/fleet')
-    for (const update of holder.shared.splice(0)) other.followed.applyUpdate(update)
+    for (const update of holder.shared.splice(0)) other.followed.applyUpdate(update, 0)
     if (this.steps % BROADCAST_STEPS === 0) other.followed.applyProgress(progressOf(holder), ON_TIME)
     for (const { followed } of [holder, other]) followed.wakeUncovered()
     await pass(this.clock, STEP_MS)
--- a/packages/dotterelspur-gateway/src/__tests__/unit/storeReturnReplay.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/storeReturnReplay.test.ts
@@ -47,7 +47,7 @@
   const clock = new ManualClock()
   const store = new MemoryStore(clock)
   const nodes = Array.from({ length: nodeCount }, (_, index) => createNode(store, clock, index, nodeCount, (update) => {
-    for (const other of nodes.slice(1)) other.followed.applyUpdate(update)
+    for (const other of nodes.slice(1)) other.followed.applyUpdate(update, 0)
   }))
   const [holder, ...others] = nodes
   const advance = async (durationMs: number): Promise<void> => {
--- a/packages/dotterelspur-gateway/src/connection/PeerLinks.ts
+++ b/packages/dotterelspur-gateway/src/connection/PeerLinks.ts
@@ -82,7 +82,7 @@
       this.lateness.note(state.lease.body.holder, connection.lateMs)
       this.listener.onLeaseHolderState(state, connection.lateMs)
     },
-    [PeerFrameKind.FeedUpdate]: ({ news }) => { this.listener.onFeedUpdate(decodeFeedUpdate(news)) },
+    [PeerFrameKind.FeedUpdate]: ({ news }, { connection }) => { this.listener.onFeedUpdate(decodeFeedUpdate(news), connection.lateMs) },
     [PeerFrameKind.PoisonRecords]: ({ records }) => { this.listener.onPoisonRecords(records) }
   }
 
--- a/packages/dotterelspur-gateway/src/connection/PeerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/PeerListener.ts
@@ -22,7 +22,8 @@
   leaseHolderState (): LeaseHolderState | null
   /** @param lateMs upper bound of the time since the holder sent it. */
   onLeaseHolderState (state: LeaseHolderState, lateMs: number): void
-  onFeedUpdate (update: FeedUpdate): void
+  /** @param lateMs upper bound of the time since the holder sent it. */
+  onFeedUpdate (update: FeedUpdate, lateMs: number): void
   onPoisonRecords (records: readonly PoisonRecord[]): void
   /** The records to send to a newly linked node: `all` of them if it is the coordinator, otherwise those that are shared with all nodes. */
   poisonRecords (all: boolean): readonly PoisonRecord[]
--- a/packages/dotterelspur-gateway/src/process/FollowRules.ts
+++ b/packages/dotterelspur-gateway/src/process/FollowRules.ts
@@ -95,6 +95,14 @@
   return Math.min(MAX_RELIST_SPREAD_MS, rule.relistPerNodeMs * nodes)
 }
 
+/** Leaves room for the age of feed progress on sound links. */
+const EXPIRY_SPREAD_SHARE = 0.15
+
+/** Time over which the nodes spread the end of the feed's validity, as it ends for all of them when the lease holder's link fails. */
+export function expirySpreadMs (rule: FollowRule, bounds: ChangeBounds, nodes: number): number {
+  return Math.min(relistSpreadMs(rule, nodes), EXPIRY_SPREAD_SHARE * rule.progressValidMs(bounds))
+}
+
 /** Pause before the next attempt, after `failures` consecutive failures. */
 export function retryPauseMs (failures: number, nodes: number): number {
   const limitMs = Math.min(MAX_RETRY_LIMIT_MS, BASE_RETRY_LIMIT_MS + RETRY_LIMIT_PER_NODE_MS * nodes)
--- a/packages/dotterelspur-gateway/src/process/FollowedStore.ts
+++ b/packages/dotterelspur-gateway/src/process/FollowedStore.ts
@@ -3,7 +3,7 @@
   type Clock, type NodeId, type ObjectListing, type ObjectStore, type Random, type ReadFreshness, type Result, type StoredObject, type StoreError, type Teardown, type WatchEvent
 } from 'dotterelspur'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
-import { FOLLOW_RULES, LATE_RESPONSE_MS, NO_CONTACT_ERRORS, pauseAfterChangesMs, relistSpreadMs, RETRY_JITTER, RETRY_MS, type ChangeBounds } from './FollowRules.js'
+import { expirySpreadMs, FOLLOW_RULES, LATE_RESPONSE_MS, NO_CONTACT_ERRORS, pauseAfterChangesMs, relistSpreadMs, RETRY_JITTER, RETRY_MS, type ChangeBounds } from './FollowRules.js'
 import { applyBatch, confirmedAtMs, notifyConnected, notifyLost, type Listener, type PrefixFollower } from './PrefixFollower.js'
 import { updateToShare } from './feedUpdate.js'
 import { StoreContact } from './StoreContact.js'
@@ -74,7 +74,7 @@
   watch<Body> (prefix: string, listener: (event: WatchEvent<Body>) => void): Teardown {
     const rule = FOLLOW_RULES[prefix]
     if (rule === undefined || this.followers.has(prefix)) throw new Error(`invariant: watch of ${prefix} rejected: the prefix has no follow rule or is already watched`)
-    const follower: PrefixFollower = { prefix, rule, listener: listener as Listener, version: null, confirmedAtMs: -Infinity, lastChangeVersion: 0, listedForEra: 0, isPartial: false, mustCatchUp: false, isLost: false, wake: null, checkInitialWait: null, stopped: false }
+    const follower: PrefixFollower = { prefix, rule, listener: listener as Listener, version: null, confirmedAtMs: -Infinity, expiryShare: this.parts.random.next(), lastChangeVersion: 0, listedForEra: 0, isPartial: false, mustCatchUp: false, isLost: false, wake: null, checkInitialWait: null, stopped: false }
     this.followers.set(prefix, follower)
     this.follow(follower).catch((error: unknown) => { this.parts.log.write(LogKind.Unexpected, { where: `watch of ${prefix}`, error: String(error) }) })
     return () => {
@@ -100,7 +100,7 @@
     if (follower === undefined || follower.version === null) return { ageMs: Infinity, from: null }
     const nowMs = this.parts.clock.nowMs()
     const ownAgeMs = nowMs - follower.confirmedAtMs
-    const feedAgeMs = this.isCovered(follower) ? this.feed.contactAgeMs(nowMs) : Infinity
+    const feedAgeMs = this.isCovered(follower) ? this.feed.contactAgeMs(prefix, nowMs) : Infinity
     return feedAgeMs < ownAgeMs ? { ageMs: feedAgeMs, from: this.feed.holder } : { ageMs: ownAgeMs, from: null }
   }
 
@@ -127,17 +127,17 @@
 
   applyProgress (progress: FeedProgress, origin: FeedOrigin): void {
     this.feed.noteProgress(progress, origin, this.parts.clock.nowMs())
-    this.contact.noteAnswerToHolder(progress.contactAgeMs)
+    this.contact.noteAnswerToHolder(progress.contactAgeMs + origin.lateMs)
     this.wakeUncovered()
   }
 
   /** Applies a feed update that continues the known version; after a gap the store is polled instead. */
-  applyUpdate ({ prefix, sinceVersion, ...batch }: FeedUpdate): void {
+  applyUpdate ({ prefix, sinceVersion, ...batch }: FeedUpdate, lateMs: number): void {
     const follower = this.followers.get(prefix)
     this.feed.noteVersion(prefix, batch.version)
     if (follower !== undefined && follower.version !== null && sinceVersion <= follower.version) {
       // The lease holder shares what it reads at once.
-      this.contact.noteAnswerToHolder(follower.rule.holderPollTimeoutMs)
+      this.contact.noteAnswerToHolder(follower.rule.holderPollTimeoutMs + lateMs)
       if (follower.isLost) notifyConnected(follower, this.contact.outageEndedAtMs)
       applyBatch(follower, batch)
       follower.isPartial ||= follower.rule.isFiltered
@@ -161,9 +161,11 @@
     this.parts.log.write(isFresh ? LogKind.DependencyRegained : LogKind.DependencyLost, { dependency: 'deciding node', versions: this.versions, announced: this.feed.announced })
   }
 
-  private isCovered ({ prefix, version, rule }: PrefixFollower): boolean {
-    const { changes, clock } = this.parts
-    return version !== null && !this.parts.isLeaseHolder() && this.feed.covers(prefix, version, rule.progressValidMs(changes), clock.nowMs())
+  private isCovered ({ prefix, version, rule, expiryShare }: PrefixFollower): boolean {
+    const { changes, clock, nodeCount, isLeaseHolder } = this.parts
+    if (version === null || isLeaseHolder()) return false
+    const validMs = rule.progressValidMs(changes) - expiryShare * expirySpreadMs(rule, changes, nodeCount())
+    return this.feed.covers(prefix, version, validMs, clock.nowMs())
   }
 
   private async follow (follower: PrefixFollower): Promise<void> {
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -207,7 +207,7 @@
         this.formations.noteLoads(loads)
         this.dispatch.noteStalledGroups(stoppedHeads, StallCertainty.Confirmed)
       },
-      onFeedUpdate: (update) => { this.store.applyUpdate(update) },
+      onFeedUpdate: (update, lateMs) => { this.store.applyUpdate(update, lateMs) },
       onPoisonRecords: (records) => { this.poison.mergeRecords(records) },
       poisonRecords: (all) => this.poison.recordsToSend(all)
     })
--- a/packages/dotterelspur-gateway/src/process/PrefixFollower.ts
+++ b/packages/dotterelspur-gateway/src/process/PrefixFollower.ts
@@ -10,6 +10,8 @@
   readonly prefix: string
   readonly rule: FollowRule
   readonly listener: Listener
+  /** Share of the spread by which this node relies on the feed for less long, from 0 to 1. */
+  readonly expiryShare: number
   /** Version up to which the prefix has been followed; null until the first listing. */
   version: number | null
   /** As of when the prefix is known to be complete by this node's own calls. */
