Peers: frames that describe the present are not used when they are late

What callers saw: nothing in the record. While the coordinator's frames are late, a node places requests by sums of loads, and leaves groups out by suspicions, that are seconds old and look new.

Cause: the same as of late feed progress: NodeObserved, FleetObserved, suspicions and stopped heads are taken for the present at their arrival, and records of requests that crash endpoints keep the age that they were sent with.

Why it works: a frame that may be older than 2.0 s, by the last probe returned before it, is left out; a node without a recent sum relies on what it sees itself, as when there is no coordinator. It goes on reporting its own observation, which may be on time. Ages of records grow by their way. Lost nodes and leases stay in use when late: they name an incarnation or a version, and a lease that counts from its arrival is challenged later, never earlier.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/PeerLinks.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/PeerLinks.test.ts
@@ -1,10 +1,10 @@
 import { createServer, type AddressInfo, type Socket } from 'node:net'
 import { expect } from 'chai'
-import { createRandom, ManualClock, NO_DEADLINES_OBSERVED } from 'dotterelspur'
+import { createRandom, ManualClock } from 'dotterelspur'
 import { PeerLinks } from '../../connection/PeerLinks.js'
-import type { PeerListener } from '../../connection/PeerListener.js'
 import { GatewayWorld } from '../fixtures/GatewayWorld.js'
 import { createEndpoint, createLog, createManifest } from '../fixtures/builders.js'
+import { createPeerListener } from '../fixtures/peers.js'
 
 const POLL_MS = 20
 
@@ -16,24 +16,6 @@
 /** Long enough for any further handshakes to start, and far below the handshake timeout. */
 const SETTLED_MS = 150
 
-function createListener (lost: string[]): PeerListener {
-  return {
-    observe: () => ({ inFlight: {}, flows: {}, demand: {}, speeds: {}, pauses: {}, firstEvents: {}, deadlines: NO_DEADLINES_OBSERVED, limits: {}, rests: {}, leaving: [] }),
-    onFleetObservation: () => {},
-    onSuspicionReport: () => {},
-    onSuspectedGroups: () => {},
-    onNodeLost: ({ node }) => { lost.push(node) },
-    onNodeReached: () => {},
-    newerLease: () => null,
-    onNewerLease: () => {},
-    leaseHolderState: () => null,
-    onLeaseHolderState: () => {},
-    onFeedUpdate: () => {},
-    onPoisonRecords: () => {},
-    poisonRecords: () => []
-  }
-}
-
 describe('PeerLinks', () => {
   it('limit concurrent handshakes, and report no node as lost that has not been dialled', async () => {
     // Guards against 195 nodes that poll the store themselves for half a minute after a takeover (19,660 priced calls): without a
@@ -48,7 +30,7 @@
     const peers = `127.0.0.1:${(server.address() as AddressInfo).port}`
     const clock = new ManualClock()
     const lost: string[] = []
-    const links = new PeerLinks(clock, createRandom(1), createLog(clock), createListener(lost))
+    const links = new PeerLinks(clock, createRandom(1), createLog(clock), { ...createPeerListener(), onNodeLost: ({ node }) => { lost.push(node) } })
     const nodes = Array.from({ length: 100 }, (_unused, index) => ({ node: `n${index}`, failureDomain: 'a', callers: 'x', peers, incarnation: 1 }))
     try {
       links.link(nodes)
--- a/packages/dotterelspur-gateway/src/connection/ObservationExchange.ts
+++ b/packages/dotterelspur-gateway/src/connection/ObservationExchange.ts
@@ -39,9 +39,12 @@
     })
   }
 
-  /** Handles the coordinator's sum; `reply` sends this node's own observation back to it. */
-  receiveFleet (encoded: EncodedFleetObservation, reply: (coded: EncodedObservation) => void): void {
-    this.source.onFleetObservation(this.codec.decodeFleet(encoded))
+  /**
+   * Handles the coordinator's sum; `reply` sends this node's own observation back to it. An outdated sum is not used, as a node without a
+   * sum relies on what it sees itself.
+   */
+  receiveFleet (encoded: EncodedFleetObservation, isOutdated: boolean, reply: (coded: EncodedObservation) => void): void {
+    if (!isOutdated) this.source.onFleetObservation(this.codec.decodeFleet(encoded))
     const delayMs = (REPLY_DELAY_SHARE.min + (REPLY_DELAY_SHARE.max - REPLY_DELAY_SHARE.min) * this.random.next()) * encoded.intervalMs
     this.cancelReply()
     this.cancelReply = this.clock.registerTimer(delayMs, () => { reply(this.codec.encode(this.source.observe())) })
--- a/packages/dotterelspur-gateway/src/connection/PeerConnection.ts
+++ b/packages/dotterelspur-gateway/src/connection/PeerConnection.ts
@@ -7,6 +7,12 @@
 const PROBE_INTERVAL_PER_NODE_MS = 2
 const MAX_PROBE_INTERVAL_MS = 700
 
+/**
+ * Frames that describe the present are outdated when they may be older than this on arrival: the interval of probes, and a second for which an
+ * event loop is held.
+ */
+const MAX_FRAME_AGE_MS = 2_000
+
 /** Time between two probes of a connection. */
 export function probeIntervalMs (nodes: number): number {
   return Math.min(MAX_PROBE_INTERVAL_MS, Math.max(MIN_PROBE_INTERVAL_MS, PROBE_INTERVAL_PER_NODE_MS * nodes))
@@ -29,6 +35,11 @@
     return this.clock.nowMs() - this.age.sentSinceMs
   }
 
+  /** Whether a frame that describes the present is worth less than none when it arrives now. */
+  get isOutdated (): boolean {
+    return this.lateMs > MAX_FRAME_AGE_MS
+  }
+
   probe (): void {
     if (this.socket.readyState === WebSocket.OPEN) this.socket.ping(this.age.probe(this.clock.nowMs()))
   }
--- a/packages/dotterelspur-gateway/src/connection/PeerLinks.ts
+++ b/packages/dotterelspur-gateway/src/connection/PeerLinks.ts
@@ -61,6 +61,7 @@
   /** Nodes waiting for a free handshake slot. */
   private dialQueue: NodeRecord[] = []
   private readonly handshakes = new Set<WebSocket>()
+  /** How late the states of the lease holder arrive. */
   readonly lateness: LinkLateness
   private checkedAtMs = -Infinity
   private readonly exchange: ObservationExchange
@@ -68,22 +69,24 @@
   private cancelStateTimer: Teardown = () => {}
   private cancelProbeTimer: Teardown = () => {}
   private readonly handlers: FrameHandlers = {
-    [PeerFrameKind.SuspicionReport]: ({ head, suspicion }, { node }) => { if (node !== null) this.listener.onSuspicionReport(head, suspicion, node, this.exchange.sendersTo(head)) },
-    [PeerFrameKind.SuspectedGroups]: ({ heads }) => { this.listener.onSuspectedGroups(heads) },
-    [PeerFrameKind.NodeObserved]: ({ observation }, { node }) => { if (node !== null) this.exchange.receiveNode(node, observation) },
+    [PeerFrameKind.SuspicionReport]: ({ head, suspicion }, { node, connection }) => {
+      if (node !== null && !connection.isOutdated) this.listener.onSuspicionReport(head, suspicion, node, this.exchange.sendersTo(head))
+    },
+    [PeerFrameKind.SuspectedGroups]: ({ heads }, { connection }) => { if (!connection.isOutdated) this.listener.onSuspectedGroups(heads) },
+    [PeerFrameKind.NodeObserved]: ({ observation }, { node, connection }) => { if (node !== null && !connection.isOutdated) this.exchange.receiveNode(node, observation) },
     [PeerFrameKind.FleetObserved]: ({ observation, fencing }, { connection }) => {
       const newer = this.listener.newerLease(fencing)
       if (newer !== null) return this.send([connection], { kind: PeerFrameKind.NewerLease, lease: encodeLease(newer) })
-      this.exchange.receiveFleet(observation, (own) => { this.send([connection], { kind: PeerFrameKind.NodeObserved, observation: own }) })
+      this.exchange.receiveFleet(observation, connection.isOutdated, (own) => { this.send([connection], { kind: PeerFrameKind.NodeObserved, observation: own }) })
     },
     [PeerFrameKind.NewerLease]: ({ lease }) => { this.listener.onNewerLease(decodeLease(lease)) },
     [PeerFrameKind.LeaseHolderState]: ({ word }, { connection }) => {
       const state = decodeHolderState(word)
       this.lateness.note(state.lease.body.holder, connection.lateMs)
-      this.listener.onLeaseHolderState(state, connection.lateMs)
+      this.listener.onLeaseHolderState(connection.isOutdated ? { ...state, stoppedHeads: [] } : state, connection.lateMs)
     },
     [PeerFrameKind.FeedUpdate]: ({ news }, { connection }) => { this.listener.onFeedUpdate(decodeFeedUpdate(news), connection.lateMs) },
-    [PeerFrameKind.PoisonRecords]: ({ records }) => { this.listener.onPoisonRecords(records) }
+    [PeerFrameKind.PoisonRecords]: ({ records }, { connection }) => { this.listener.onPoisonRecords(records, connection.lateMs) }
   }
 
   constructor (private readonly clock: Clock, random: Random, private readonly log: DecisionLog, private readonly listener: PeerListener) {
--- a/packages/dotterelspur-gateway/src/connection/PeerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/PeerListener.ts
@@ -24,7 +24,8 @@
   onLeaseHolderState (state: LeaseHolderState, lateMs: number): void
   /** @param lateMs upper bound of the time since the holder sent it. */
   onFeedUpdate (update: FeedUpdate, lateMs: number): void
-  onPoisonRecords (records: readonly PoisonRecord[]): void
+  /** @param lateMs upper bound of the time since the peer sent them. */
+  onPoisonRecords (records: readonly PoisonRecord[], lateMs: number): void
   /** The records to send to a newly linked node: `all` of them if it is the coordinator, otherwise those that are shared with all nodes. */
   poisonRecords (all: boolean): readonly PoisonRecord[]
 }
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -208,7 +208,7 @@
         this.dispatch.noteStalledGroups(stoppedHeads, StallCertainty.Confirmed)
       },
       onFeedUpdate: (update, lateMs) => { this.store.applyUpdate(update, lateMs) },
-      onPoisonRecords: (records) => { this.poison.mergeRecords(records) },
+      onPoisonRecords: (records, lateMs) => { this.poison.mergeRecords(records, lateMs) },
       poisonRecords: (all) => this.poison.recordsToSend(all)
     })
     this.endpoints.registerListener((endpoints) => {
--- a/packages/dotterelspur-gateway/src/process/PoisonTracker.ts
+++ b/packages/dotterelspur-gateway/src/process/PoisonTracker.ts
@@ -108,9 +108,12 @@
     return await this.terminationChecks.hasTerminated(address) && !await this.parts.isReachedByOthers(endpoint)
   }
 
-  /** Merges records of other nodes, or of an earlier incarnation; malformed records are ignored. */
-  mergeRecords (received: unknown): void {
-    const records = readPoisonRecords(received)
+  /**
+   * Merges records of other nodes, or of an earlier incarnation; malformed records are ignored.
+   * @param lateMs time for which the records may have been on their way, which their ages leave out.
+   */
+  mergeRecords (received: unknown, lateMs = 0): void {
+    const records = readPoisonRecords(received).map((record) => ({ ...record, ageMs: record.ageMs + lateMs }))
     if (records.length === 0) return
     const changed = this.guard.merge(records)
     if (changed.length > 0) this.parts.broadcast([], changed.filter(isWorthSharing))
