Mesh: contact with peers is as old as what arrives from them

A node of the product whose peers' frames are late for longer than settings must be in force does not count as isolated, and goes on serving by old settings.

Contact with the store was dated by the heartbeat's echo already; contact with peers counted any frame from its arrival, and NodeGate needs both to be old.

Why it works: contact counts from the earliest time at which the peer can have composed the heartbeat, which is after this node sent the one that it echoes.

--- a/packages/dotterelspur/src/__tests__/unit/MeshMachine.test.ts
+++ b/packages/dotterelspur/src/__tests__/unit/MeshMachine.test.ts
@@ -178,3 +178,26 @@
     for (const node of world.nodes) expect(node.machine.storeContactAgeMs(world.clock.nowMs())).to.be.at.least(trueAgeMs)
   })
 })
+
+describe('MeshMachine: contact', () => {
+  // Guards against a node that serves by old settings because frames which have been on their way for long count as contact now.
+  it('is not shown to be more recent than the frames that arrive', () => {
+    const lateMs = 6_000
+    const growMs = 20_000
+    let sinceMs = Infinity
+    const world: MeshWorld = new MeshWorld({ nodes: 4, delayMs: () => Math.max(1, Math.min(lateMs, (world.clock.nowMs() - sinceMs) * lateMs / growMs)) })
+    world.pass(20_000)
+    for (const node of world.nodes) expect(node.machine.peerContactAgeMs(world.clock.nowMs()), 'on sound links').to.be.lessThan(2_000)
+    sinceMs = world.clock.nowMs()
+    world.noteStoreContact(world.node(0))
+    world.pass(2 * growMs)
+    for (const node of world.nodes) {
+      expect(node.machine.linkCount).to.be.greaterThan(0)
+      expect(node.machine.peerContactAgeMs(world.clock.nowMs())).to.be.at.least(lateMs)
+      expect(node.machine.storeContactAgeMs(world.clock.nowMs())).to.be.at.least(2 * growMs)
+    }
+    sinceMs = Infinity
+    world.pass(3 * lateMs)
+    for (const node of world.nodes) expect(node.machine.peerContactAgeMs(world.clock.nowMs()), 'on time again').to.be.lessThan(2_000)
+  })
+})
--- a/packages/dotterelspur/src/connection/mesh/EvidenceExchange.ts
+++ b/packages/dotterelspur/src/connection/mesh/EvidenceExchange.ts
@@ -36,10 +36,12 @@
     this.pushDegraded(this.table.replaceOwn(watcher, updates, nowMs), plan, digests, nowMs)
   }
 
-  receive (link: GossipLink, heartbeat: HeartbeatFrame, plan: OverlayPlan, digests: Digests, nowMs: number): void {
-    const { updates, storeContactMs } = readHeartbeat(link, heartbeat, nowMs)
+  /** Returns the earliest time at which the peer can have composed the heartbeat; -Infinity if that can't be determined. */
+  receive (link: GossipLink, heartbeat: HeartbeatFrame, plan: OverlayPlan, digests: Digests, nowMs: number): number {
+    const { updates, storeContactMs, composedAfterMs } = readHeartbeat(link, heartbeat, nowMs)
     this.noteStoreContact(storeContactMs)
     this.pushDegraded(this.table.merge(updates, nowMs), plan, digests, nowMs)
+    return composedAfterMs
   }
 
   sendHeartbeat (link: GossipLink, plan: OverlayPlan, digests: Digests, nowMs: number): void {
--- a/packages/dotterelspur/src/connection/mesh/Heartbeat.ts
+++ b/packages/dotterelspur/src/connection/mesh/Heartbeat.ts
@@ -52,6 +52,8 @@
 export interface ReceivedHeartbeat {
   readonly updates: readonly EvidenceUpdate[]
   readonly storeContactMs: number
+  /** Earliest time at which the peer can have composed it; -Infinity if that can't be determined. */
+  readonly composedAfterMs: number
 }
 
 /**
@@ -64,9 +66,9 @@
   }
   link.noteReceived(heartbeat.sequence, nowMs)
   const composedAfterMs = link.composedAfterMs(heartbeat.echoSequence, heartbeat.echoHeldMs)
-  if (composedAfterMs === undefined) return { updates: [], storeContactMs: -Infinity }
+  if (composedAfterMs === undefined) return { updates: [], storeContactMs: -Infinity, composedAfterMs: -Infinity }
   const updates = link.scope === LinkScope.OtherRegion ? [] : dateEvidence(link, heartbeat, composedAfterMs)
-  return { updates, storeContactMs: heartbeat.storeAgeMs < 0 ? -Infinity : composedAfterMs - heartbeat.storeAgeMs }
+  return { updates, storeContactMs: heartbeat.storeAgeMs < 0 ? -Infinity : composedAfterMs - heartbeat.storeAgeMs, composedAfterMs }
 }
 
 function dateEvidence (link: GossipLink, heartbeat: HeartbeatFrame, composedAfterMs: number): EvidenceUpdate[] {
--- a/packages/dotterelspur/src/connection/mesh/MeshMachine.ts
+++ b/packages/dotterelspur/src/connection/mesh/MeshMachine.ts
@@ -174,7 +174,6 @@
     const link = this.links.get(id)
     if (link === undefined || this.stopped) return []
     link.heardAtMs = nowMs
-    this.peerContactMs = nowMs
     const handler = this.handlers[frame.kind] as (link: GossipLink, frame: GossipFrame, nowMs: number) => void
     handler(link, frame, nowMs)
     return this.outbox.take()
@@ -228,7 +227,9 @@
   }
 
   private onHeartbeat (link: GossipLink, heartbeat: HeartbeatFrame, nowMs: number): void {
-    this.evidence.receive(link, heartbeat, this.memberDissemination.plan, this.digests(), nowMs)
+    const composedAfterMs = this.evidence.receive(link, heartbeat, this.memberDissemination.plan, this.digests(), nowMs)
+    // A frame that was long on its way shows no contact now: what the peer sent since may not have arrived.
+    this.peerContactMs = Math.max(this.peerContactMs, composedAfterMs)
     this.antiEntropy.note(link, heartbeat.membersDigest, heartbeat.documentsDigest, nowMs)
     // The peer can send no evidence until its first heartbeat is echoed, so the echo doesn't wait for the interval.
     if (heartbeat.sequence === 1) this.evidence.sendHeartbeat(link, this.memberDissemination.plan, this.digests(), nowMs)
