Store: a node that waited in vain for a feed asks at once

Cause: the lease holder was killed and started again as connections to the store fell silent. It had listed the manifest 0.1 s before the change, waited 1.4 s for a lease holder's feed, and then polled for 1.4 s on a silent connection, which is overdue 0.45 s later: 3.1 s. Each of the times follows from the limit; their sum does not.

Why it works: after the wait, the first poll returns at once, so that silence shows 0.45 s later. Only at a start, and only where the node waited.

--- a/packages/dotterelspur-gateway/src/process/FollowedStore.ts
+++ b/packages/dotterelspur-gateway/src/process/FollowedStore.ts
@@ -183,6 +183,8 @@
     if (!isFirst && !this.contact.isFailing) await this.spreadListing(follower)
     if (!this.isCovered(follower) && !await this.listAll(follower)) return
     if (isFirst || eraOf(follower.version!) > eraOf(formerVersion)) await this.awaitInitialProgress(follower)
+    // A long poll on a silent connection would add its time to that of the wait.
+    follower.mustCatchUp ||= isFirst && this.parts.clock.nowMs() > follower.confirmedAtMs
     while (!follower.stopped) {
       if (this.isCovered(follower)) await this.waitWhileCovered(follower)
       else if (!await this.pollOrList(follower)) return
