Tests: crowds of callers that a process must outlive

The users saw a process run out of memory under clients that send requests ahead without reading the answers, open very many connections and leave chunked bodies unfinished. Two suites start the real programs on loopback and put such crowds on each of their listeners.

--- a/packages/dotterelspur-demo/src/process/Cluster.ts
+++ b/packages/dotterelspur-demo/src/process/Cluster.ts
@@ -121,6 +121,7 @@
       process: new NodeProcess(plan.id, path, join(this.folder, `${plan.id}.log`)),
       entry: `http://${plan.host}:${ports.entry}`,
       admin: `http://${plan.host}:${ports.admin}`,
+      mesh: `http://${plan.host}:${ports.mesh}`,
       setIsolated: (isolated) => { this.setIsolated(plan.host, isolated) }
     }
   }
--- a/packages/dotterelspur-demo/src/process/ClusterNode.ts
+++ b/packages/dotterelspur-demo/src/process/ClusterNode.ts
@@ -7,5 +7,7 @@
   readonly process: NodeProcess
   readonly entry: string
   readonly admin: string
+  /** Base URL of the listener for other nodes, without the relay. */
+  readonly mesh: string
   setIsolated (isolated: boolean): void
 }
--- a/packages/dotterelspur-demo/src/process/NodeProcess.ts
+++ b/packages/dotterelspur-demo/src/process/NodeProcess.ts
@@ -24,6 +24,11 @@
 
   constructor (readonly id: string, private readonly settingsPath: string, private readonly logPath: string) {}
 
+  /** Undefined while no process runs. */
+  get processId (): number | undefined {
+    return this.child?.pid
+  }
+
   get running (): boolean {
     return this.child !== undefined
   }
--- /dev/null
+++ b/packages/dotterelspur-testkit/src/request/crowd/index.ts
@@ -0,0 +1,3 @@
+export * from './Crowd.js'
+export * from './CrowdKind.js'
+export { type CrowdTarget } from './crowdPlans.js'
--- a/packages/dotterelspur-testkit/src/request/index.ts
+++ b/packages/dotterelspur-testkit/src/request/index.ts
@@ -1,2 +1,4 @@
 export * from './AnswerText.js'
 export * from './ExpectedAnswers.js'
+export * from './callPatiently.js'
+export * from './crowd/index.js'
