--- a/packages/dotterelspur-demo/src/__tests__/unit/callerCrowds.test.ts
+++ b/packages/dotterelspur-demo/src/__tests__/unit/callerCrowds.test.ts
@@ -26,6 +26,7 @@
   [CrowdKind.PartialHeads, NodeListener.Entry],
   [CrowdKind.LargeChunks, NodeListener.Entry],
   [CrowdKind.SmallChunks, NodeListener.Entry],
+  [CrowdKind.SingleByteChunks, NodeListener.Entry],
   [CrowdKind.SmallBodies, NodeListener.Entry],
   [CrowdKind.PipelinedWithoutKey, NodeListener.Admin],
   [CrowdKind.Connections, NodeListener.Admin],
--- a/packages/dotterelspur-entry/src/connection/registerBodyParsers.ts
+++ b/packages/dotterelspur-entry/src/connection/registerBodyParsers.ts
@@ -2,6 +2,7 @@
 import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify'
 import { BodyErrorKind, BodyMemory, OutcomeReason, notRun, readBody, type Clock, type HeldBody, type Outcome } from 'dotterelspur'
 import { sendOutcome } from './callers.js'
+import { guardedConnection } from 'dotterelspur-listener'
 
 const TOO_LARGE = 413
 const BAD_REQUEST = 400
@@ -51,7 +52,7 @@
 export function registerJsonParser (app: FastifyInstance, limits: BodyLimits): void {
   // Each body is held until the response to its request has been sent, or its connection is closed.
   app.addHook('preParsing', (request, reply, payload, done) => {
-    const held = limits.memory.open()
+    const held = limits.memory.open((changeBytes) => { guardedConnection(request.raw.socket)?.growBodies(changeBytes) })
     heldBodies.set(request, held)
     reply.raw.once('close', () => { held.release() })
     done(null, payload)
--- a/packages/dotterelspur-entry/src/process/EntryOptions.ts
+++ b/packages/dotterelspur-entry/src/process/EntryOptions.ts
@@ -2,12 +2,13 @@
   DEFAULT_DIRECTORY_TTL_MS, DEFAULT_EVIDENCE_TTL_MS, DEFAULT_IN_FORCE_BOUND_MS, DEFAULT_OUTCOME_MEMORY_MS, DEFAULT_PAUSE_THRESHOLD_MS,
   type Clock, type EngineApi, type MeshApi, type ObjectStore, type PoisonLimits, type Random, type ServiceApi
 } from 'dotterelspur'
+import type { ListenerGuard } from 'dotterelspur-listener'
 import type { EntryObserver } from './EntryObserver.js'
 import type { TeamTable } from './TeamTable.js'
 
 export interface EntryLimits {
   readonly maxBodyBytes: number
-  /** What the bodies of all requests take together before large ones wait. */
+  /** What the bodies of all requests take together at most before large ones wait; half of what callers may make the process hold if that is less. */
   readonly bodyMemoryBytes: number
   readonly maxHeaderBytes: number
   readonly maxConnections: number
@@ -102,6 +103,8 @@
   readonly services: ServiceApi
   /** The node's table of teams; the entry starts it and listens for its changes. */
   readonly teams: TeamTable
+  /** Bounds what callers make the process hold; by default one for the smallest machine. */
+  readonly guard?: ListenerGuard
   readonly limits?: Partial<EntryLimits>
   readonly timing?: Partial<EntryTiming>
   readonly observer?: EntryObserver
--- a/packages/dotterelspur-entry/src/process/createEntry.ts
+++ b/packages/dotterelspur-entry/src/process/createEntry.ts
@@ -1,9 +1,10 @@
 import Fastify, { type FastifyError, type FastifyInstance } from 'fastify'
 import createDebug from 'debug'
 import {
-  BodyMemory, OutcomeReason, PauseDetector, RetryBudget, Router, createRoutingOptions, mergeTeardowns, notRun, unknownOutcome,
+  BodyMemory, callerLoadLimits, DEFAULT_MACHINE, OutcomeReason, PauseDetector, RetryBudget, Router, createRoutingOptions, mergeTeardowns, notRun, unknownOutcome,
   type Teardown
 } from 'dotterelspur'
+import { ListenerGuard } from 'dotterelspur-listener'
 import { authenticate, sendOutcome } from '../connection/callers.js'
 import { registerJsonParser, sendUnreadBody, UnreadBody } from '../connection/registerBodyParsers.js'
 import { registerDirectoryRoutes } from '../connection/registerDirectoryRoutes.js'
@@ -36,6 +37,10 @@
 const FLUSH_MS = 500
 /** A request that is accepted within this time after a pause may have waited through the pause. */
 const STALE_AFTER_PAUSE_MS = 250
+/** How often requests that have not been received in time are looked for. */
+const RECEIVE_CHECK_MS = 1_000
+/** Bodies get this part of what callers may make the process hold. */
+const BODIES_SHARE = 0.5
 
 /** The part of a node that serves callers. */
 export interface Entry {
@@ -61,7 +66,8 @@
   const intake = new Intake(context, gate, homeRuns, keyed)
   const services: EntryServices = { context, gate, headers: new HeaderReader(context.limits), intake, keyed, homeRuns, link }
   const calls = new OpenCalls()
-  const app = createListener(services, calls)
+  const guard = options.guard ?? new ListenerGuard(callerLoadLimits(DEFAULT_MACHINE), context.clock)
+  const app = createListener(services, calls, guard)
   const teardown = startComponents(context, link)
   return {
     listen: () => app.listen({ host: options.host, port: options.port }),
@@ -82,6 +88,7 @@
       await runs.idle()
       teardown()
       await closeListener(app, context)
+      if (options.guard === undefined) guard.close()
     }
   }
 }
@@ -141,17 +148,19 @@
   cancel()
 }
 
-function createListener (services: EntryServices, calls: OpenCalls): FastifyInstance {
+function createListener (services: EntryServices, calls: OpenCalls, guard: ListenerGuard): FastifyInstance {
   const { clock, limits, teams } = services.context
+  const { load } = guard
   const app = Fastify({
     logger: false,
     bodyLimit: limits.maxBodyBytes,
     requestTimeout: limits.receiveTimeoutMs,
     forceCloseConnections: 'idle',
     routerOptions: { maxParamLength: 512 },
-    http: { maxHeaderSize: limits.maxHeaderBytes }
+    http: { maxHeaderSize: limits.maxHeaderBytes, connectionsCheckingInterval: RECEIVE_CHECK_MS }
   })
   app.server.maxConnections = limits.maxConnections
+  guard.register(app.server)
   calls.watch(app)
   app.addHook('onRequest', (request, reply, done) => { authenticate(teams, services.gate, request, reply, done) })
   app.addHook('onSend', (_request, reply, _payload, done) => {
@@ -166,7 +175,7 @@
     return sendOutcome(reply, unknownOutcome(OutcomeReason.StreamBroken, 'internal error'), null, false, { status })
   })
   app.setNotFoundHandler((_request, reply) => sendOutcome(reply, notRun(OutcomeReason.InvalidRequest, 'no such path', null), null, true, { status: 404 }))
-  const bodies = { clock, maxBodyBytes: limits.maxBodyBytes, memory: new BodyMemory(limits.bodyMemoryBytes, () => limits.maxBodyBytes) }
+  const bodies = { clock, maxBodyBytes: limits.maxBodyBytes, memory: new BodyMemory(Math.min(limits.bodyMemoryBytes, load.limits.heldBytes * BODIES_SHARE), () => limits.maxBodyBytes, () => { load.makeRoom() }) }
   registerJsonParser(app, bodies)
   registerModelRoutes(app, services)
   registerServiceRoutes(app, services, bodies)
--- a/packages/dotterelspur-gateway/src/connection/CallerConnections.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerConnections.ts
@@ -18,10 +18,6 @@
   private lingering = 0
 
   constructor (private readonly server: Server, private readonly clock: Clock) {
-    server.on('connection', (socket: Socket) => {
-      this.states.set(socket, { responses: 0, bytesReadWhenIdle: null })
-      socket.on('close', () => { this.states.delete(socket) })
-    })
     // Node's own also closes connections whose response has been written and not been read by the caller yet.
     server.closeIdleConnections = () => { this.closeIdle() }
   }
@@ -31,6 +27,11 @@
     return this.lingering
   }
 
+  add (socket: Socket): void {
+    this.states.set(socket, { responses: 0, bytesReadWhenIdle: null })
+    socket.on('close', () => { this.states.delete(socket) })
+  }
+
   /** Resolves once the response has been sent completely, or its connection is closed. */
   async untilSent (socket: Socket, response: ServerResponse): Promise<void> {
     const state = this.states.get(socket)
--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -1,9 +1,11 @@
 import { randomUUID } from 'node:crypto'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import type { FastifyInstance } from 'fastify'
 import {
   AccessKind, BodyErrorKind, BodyMemory, DispatchEndKind, pick, readBody, type Access, type CallerLimits, type Clock, type HeldBody, type Random, type RequestContent, type Route, type RouteTable, type ServiceId
 } from 'dotterelspur'
+import { guardedConnection, type ListenerGuard } from 'dotterelspur-listener'
 import { AdmissionKind, type PoisonAdmission } from 'dotterelspur-poison'
 import type { Dispatch } from '../process/Dispatch.js'
 import { LogKind, type DecisionLog, type LogFields } from '../process/DecisionLog.js'
@@ -24,7 +26,7 @@
 import { createCallerApp } from './createCallerApp.js'
 import { IDLE_SLACK_MS, INITIAL_LIMITS } from './callerLimits.js'
 import { registerCallerClose } from './registerCallerClose.js'
-import { BODY_MEMORY_BYTES } from './requestLimits.js'
+import { BODIES_SHARE, BODY_MEMORY_BYTES } from './requestLimits.js'
 import { hostOf, pathOf } from './requestTarget.js'
 
 /** Retry-After of requests that arrive before this node has read a manifest and the quarantine. */
@@ -50,6 +52,7 @@
   readonly initialSync: InitialSync
   readonly dispatch: Dispatch
   readonly poison: PoisonTracker
+  readonly guard: ListenerGuard
 }
 
 /** A listening port that was opened before the program had finished loading. */
@@ -73,11 +76,13 @@
   private running = 0
 
   constructor (private readonly parts: CallerListenerParts) {
-    this.bodies = new BodyMemory(BODY_MEMORY_BYTES, () => this.maxBodyBytes)
+    const { load } = parts.guard
+    this.bodies = new BodyMemory(Math.min(BODY_MEMORY_BYTES, load.limits.heldBytes * BODIES_SHARE), () => this.maxBodyBytes, () => { load.makeRoom() })
     this.waits = new RequestWaits(parts.clock)
     this.stopAdmission = new StopAdmission(parts.clock)
     this.app = createCallerApp((request, response) => { this.accept(request, response) })
     this.connections = new CallerConnections(this.app.server, parts.clock)
+    parts.guard.register(this.app.server, (connection) => { this.connections.add(connection as Socket) })
     parts.manifest.registerListener(({ manifest }) => {
       this.applyLimits(manifest.limits)
       this.stopAdmission.noteRoutes(manifest.routes)
@@ -147,6 +152,7 @@
   private applyLimits (limits: CallerLimits): void {
     this.connections.applyIdleTimeout(limits.idleTimeoutMs + IDLE_SLACK_MS)
     this.app.server.headersTimeout = limits.headerTimeoutMs
+    this.parts.guard.stallMs = limits.idleTimeoutMs + IDLE_SLACK_MS
   }
 
   private accept (request: IncomingMessage, response: ServerResponse): void {
@@ -173,7 +179,7 @@
   }
 
   private async run (request: IncomingMessage, response: ServerResponse, callerResponse: CallerResponse): Promise<void> {
-    const held = this.bodies.open()
+    const held = this.bodies.open((changeBytes) => { guardedConnection(request.socket)?.growBodies(changeBytes) })
     await this.runWithBody(request, response, callerResponse, held).finally(() => { held.release() })
   }
 
--- a/packages/dotterelspur-gateway/src/connection/PeerLinks.ts
+++ b/packages/dotterelspur-gateway/src/connection/PeerLinks.ts
@@ -2,6 +2,7 @@
 import { WebSocket } from 'ws'
 import type { Clock, EndpointId, NodeId, PoisonRecord, Random, Teardown } from 'dotterelspur'
 import { LogKind, type DecisionLog } from '../process/DecisionLog.js'
+import type { ListenerGuard } from 'dotterelspur-listener'
 import type { ListenAddress } from '../process/GatewaySettings.js'
 import type { NodeRecord } from '../process/NodeRegistry.js'
 import type { FeedUpdate } from '../process/StoreFeed.js'
@@ -94,12 +95,12 @@
     this.lateness = new LinkLateness(log)
   }
 
-  async listen (address: ListenAddress, relays: RelayServer): Promise<void> {
+  async listen (address: ListenAddress, relays: RelayServer, guard: ListenerGuard | null = null): Promise<void> {
     this.server = new PeerServer(MAX_FRAME_BYTES, {
       onLink: (socket) => { this.accept(socket) },
       onRelayRequest: (request, socket) => { relays.accept(request, socket) },
       endedInOrder: (relayId) => relays.endedInOrder(relayId)
-    })
+    }, guard)
     await this.server.listen(address)
   }
 
--- a/packages/dotterelspur-gateway/src/connection/PeerServer.ts
+++ b/packages/dotterelspur-gateway/src/connection/PeerServer.ts
@@ -1,7 +1,9 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import { WebSocketServer, type WebSocket } from 'ws'
+import type { ListenerGuard } from 'dotterelspur-listener'
 import type { ListenAddress } from '../process/GatewaySettings.js'
+import { HEADERS_CHECK_MS } from './callerLimits.js'
 import { RELAY_END_PATH } from './RelayServer.js'
 
 const NO_CONTENT = 204
@@ -21,11 +23,12 @@
   private readonly http: Server
   private readonly links: WebSocketServer
 
-  constructor (maxFrameBytes: number, listener: PeerServerListener) {
-    this.http = createServer((request, response) => { respond(request, response, listener) })
+  constructor (maxFrameBytes: number, listener: PeerServerListener, guard: ListenerGuard | null = null) {
+    this.http = createServer({ connectionsCheckingInterval: HEADERS_CHECK_MS }, (request, response) => { respond(request, response, listener) })
     this.http.on('connect', (request: IncomingMessage, socket: Socket) => { listener.onRelayRequest(request, socket) })
     this.links = new WebSocketServer({ server: this.http, maxPayload: maxFrameBytes, perMessageDeflate: false })
     this.links.on('connection', (socket) => { listener.onLink(socket) })
+    guard?.register(this.http)
   }
 
   async listen ({ host, port }: ListenAddress): Promise<void> {
--- a/packages/dotterelspur-gateway/src/connection/createCallerApp.ts
+++ b/packages/dotterelspur-gateway/src/connection/createCallerApp.ts
@@ -1,13 +1,13 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import fastify, { type FastifyInstance } from 'fastify'
-import { IDLE_SLACK_MS, INITIAL_LIMITS } from './callerLimits.js'
+import { HEADERS_CHECK_MS, IDLE_SLACK_MS, INITIAL_LIMITS } from './callerLimits.js'
 
 /** Passes requests of every method and path unchanged to one handler, bypassing Fastify's routing and body parsing. */
 export function createCallerApp (accept: (request: IncomingMessage, response: ServerResponse) => void): FastifyInstance {
   const app = fastify({
     logger: false,
     rewriteUrl: () => '/',
-    http: { maxHeaderSize: INITIAL_LIMITS.maxHeaderBytes },
+    http: { maxHeaderSize: INITIAL_LIMITS.maxHeaderBytes, connectionsCheckingInterval: HEADERS_CHECK_MS },
     requestTimeout: 0,
     // Fastify neither validates nor serializes bodies here; creating its schema compilers would take 14 ms of each start.
     schemaController: { compilersFactory: { buildValidator: noCompiler, buildSerializer: noCompiler } },
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -1,5 +1,6 @@
 import type { Server } from 'node:http'
-import { createRandom, hashText, StallVotes, type Clock, type EndpointId, type EndpointRecord, type LeaseIdentity, type NodeId, type StoredObject, type Teardown } from 'dotterelspur'
+import { callerLoadLimits, createRandom, DEFAULT_MACHINE, hashText, StallVotes, type Clock, type EndpointId, type EndpointRecord, type LeaseIdentity, type NodeId, type StoredObject, type Teardown } from 'dotterelspur'
+import { ListenerGuard } from 'dotterelspur-listener'
 import { QuarantineRegistry } from 'dotterelspur-poison'
 import { CallerListener, type OpenedPort } from '../connection/CallerListener.js'
 import { Suspicion } from '../connection/PeerFrame.js'
@@ -63,6 +64,7 @@
   private readonly dispatch: Dispatch
   private readonly quarantine: QuarantineRegistry
   private readonly poison: PoisonTracker
+  private readonly guard: ListenerGuard
   private readonly callers: CallerListener
   private readonly peers: PeerLinks
   private readonly relays: RelayServer
@@ -183,7 +185,8 @@
       },
       isCutOff: () => this.dispatch.links.connector.isCutOff
     })
-    this.callers = new CallerListener({ clock, random, log, metrics: this.metrics, wire: parts.wire, manifest: this.manifest, manifestView: () => store.view(MANIFEST_PREFIX), initialSync: this.initialSync, dispatch: this.dispatch, poison: this.poison })
+    this.guard = new ListenerGuard(callerLoadLimits(settings.machine ?? DEFAULT_MACHINE), clock)
+    this.callers = new CallerListener({ clock, random, log, metrics: this.metrics, wire: parts.wire, manifest: this.manifest, manifestView: () => store.view(MANIFEST_PREFIX), initialSync: this.initialSync, dispatch: this.dispatch, poison: this.poison, guard: this.guard })
     this.peers = new PeerLinks(clock, random, log, {
       onSuspicionReport: (head, suspicion, node, senders) => { this.handleSuspicion(head, suspicion, node, senders) },
       onSuspectedGroups: (heads) => { this.dispatch.noteStalledGroups(heads, StallCertainty.Suspected) },
@@ -217,10 +220,10 @@
       this.stopVotes.retain(listed)
       this.lease.observeFencing(highestFencing(endpoints.values()))
     })
-    const { callers, manifest, peers, endpoints, nodes, lease, poison, dispatch, relays, budget } = this
+    const { callers, manifest, peers, endpoints, nodes, lease, poison, dispatch, relays, budget, guard } = this
     this.loopMonitor = new LoopMonitor(clock, log, () => ({ running: callers.runningRequests, waiting: callers.waitingRequests, relays: relays.size, decides: lease.mayOrder() }))
     const loop = this.loopMonitor
-    registerGauges(this.metrics, { callers, manifest, peers, endpoints, nodes, lease, store, poison, dispatch, relays, budget, log, loop })
+    registerGauges(this.metrics, { callers, manifest, peers, endpoints, nodes, lease, store, poison, dispatch, relays, budget, log, loop, guard })
   }
 
   get metricsAddress (): ListenAddress {
@@ -236,7 +239,7 @@
     const { platformFormat } = parts
     await Promise.all([
       this.callers.listen(settings.callers, callerPort),
-      this.peers.listen(settings.peers, this.relays),
+      this.peers.listen(settings.peers, this.relays, this.guard),
       this.listen(settings.readiness, (url) => url.pathname === platformFormat.readyPath ? this.readyResponse() : null),
       this.listen(settings.directory, (url) => url.pathname === platformFormat.directoryPath ? this.directoryResponse() : null),
       this.listen(settings.metrics, async (url) => url.pathname === platformFormat.metricsPath ? { status: 200, contentType: 'text/plain', body: await this.metrics.page() } : null)
@@ -297,6 +300,7 @@
       server.closeAllConnections()
     }
     await this.callers.close()
+    this.guard.close()
     this.poison.stop()
     this.loopMonitor.stop()
     this.dispatch.close()
@@ -305,7 +309,7 @@
   }
 
   private async listen (address: ListenAddress, handler: SimpleHandler): Promise<void> {
-    this.servers.push(await startSimpleServer(address, handler))
+    this.servers.push(await startSimpleServer(address, this.guard, handler))
   }
 
   private readyResponse (): ReturnType<typeof jsonResponse> {
--- a/packages/dotterelspur-gateway/src/process/GatewaySettings.ts
+++ b/packages/dotterelspur-gateway/src/process/GatewaySettings.ts
@@ -1,4 +1,4 @@
-import type { ColdBounds, FailureDomainId, NodeId, PoisonLimits, RetryWindowOptions } from 'dotterelspur'
+import type { ColdBounds, FailureDomainId, MachineLimits, NodeId, PoisonLimits, RetryWindowOptions } from 'dotterelspur'
 import type { ChangeBounds } from './FollowRules.js'
 
 /** Address to which a listener of this process is bound. */
@@ -40,6 +40,8 @@
   readonly heartbeatMs: number
   /** Without them, cold endpoints get no more than the rate that they sustain. */
   readonly coldBounds?: ColdBounds
+  /** What the process may use; by default what the smallest machine has. */
+  readonly machine?: MachineLimits
   /** The whole system starts for the first time, so no state of an earlier incarnation can be left over. */
   readonly firstStart: boolean
 }
--- a/packages/dotterelspur-gateway/src/process/registerGauges.ts
+++ b/packages/dotterelspur-gateway/src/process/registerGauges.ts
@@ -1,3 +1,5 @@
+import { ShedReason } from 'dotterelspur'
+import type { ListenerGuard } from 'dotterelspur-listener'
 import type { CallerListener } from '../connection/CallerListener.js'
 import type { PeerLinks } from '../connection/PeerLinks.js'
 import type { RelayServer } from '../connection/RelayServer.js'
@@ -27,14 +29,19 @@
   readonly budget: BudgetMembership
   readonly log: DecisionLog
   readonly loop: LoopMonitor
+  readonly guard: ListenerGuard
 }
 
 /** Registers the gauges that are read at each scrape. */
-export function registerGauges (metrics: GatewayMetrics, { callers, manifest, peers, endpoints, nodes, lease, store, poison, dispatch, relays, budget, log, loop }: GaugeSources): void {
+export function registerGauges (metrics: GatewayMetrics, { callers, manifest, peers, endpoints, nodes, lease, store, poison, dispatch, relays, budget, log, loop, guard }: GaugeSources): void {
   metrics.gauge('running_requests', 'Requests under way', () => callers.runningRequests)
   metrics.gauge('waiting_requests', 'Requests that wait for an endpoint\'s next token', () => callers.waitingRequests)
   metrics.gauge('body_bytes', 'Bytes of the bodies of requests under way', () => callers.bodies.sizeBytes)
   metrics.gauge('waiting_bodies', 'Bodies that wait for memory', () => callers.bodies.waitingBodies)
+  metrics.gauge('caller_connections', 'Open connections of callers and other nodes, on all listeners', () => guard.load.connections)
+  metrics.gauge('caller_held_bytes', 'What callers make this process hold, of `caller_held_limit_bytes`', () => guard.load.heldBytes)
+  metrics.gauge('caller_held_limit_bytes', 'What callers together may make this process hold', () => guard.load.limits.heldBytes)
+  for (const reason of Object.values(ShedReason)) metrics.gauge(`connections_shed_${reason}`, `Connections closed because of a limit (${reason}), since the start`, () => guard.load.shedCount(reason))
   metrics.gauge('manifest_version', 'Version of the manifest in force', () => manifest.current?.version ?? 0)
   metrics.gauge('manifest_view_age_ms', 'Time for which the manifest may have changed without this node knowing', () => store.viewAgeMs(MANIFEST_PREFIX))
   metrics.gauge('peer_state_late_ms', 'How late the deciding node\'s last state was at most', () => peers.lateness.lastMs)
--- /dev/null
+++ b/packages/dotterelspur-listener/src/connection/GuardedConnection.ts
@@ -0,0 +1,281 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import { Duplex } from 'node:stream'
+import { HeldKind, ShedReason, type CallerLoad, type ConnectionLoad, type LoadedConnection, type ReadTurns, type TurnTaker } from 'dotterelspur'
+
+const KIB = 1_024
+/** Requests of one connection that are handled at a time, and after which no more are read. */
+const MAX_AHEAD = 8
+const MIN_SLICE_BYTES = KIB
+/** Holds a usual request. */
+const FIRST_SLICE_BYTES = 2 * KIB
+const MAX_SLICE_BYTES = 64 * KIB
+/** A slice that is parsed faster is followed by a larger one, and one that takes longer by a smaller one. */
+const FAST_SLICE_MS = 0.25
+const SLOW_SLICE_MS = 2
+const MAX_SEND_BYTES = 256 * KIB
+
+type WriteCallback = (error?: Error | null) => void
+
+interface Exchange {
+  readonly request: IncomingMessage
+  readonly response: ServerResponse
+}
+
+export interface GuardedConnectionParts {
+  readonly load: CallerLoad
+  readonly turns: ReadTurns
+}
+
+/**
+ * A caller's connection that hands on what it receives in slices, and stops reading while too many requests of it have not been answered. Stands in
+ * for the socket in requests of an HTTP server: it has the same events, timeouts and counters.
+ */
+export class GuardedConnection extends Duplex implements LoadedConnection, TurnTaker {
+  readonly load: ConnectionLoad | null
+  private readonly exchanges = new Set<Exchange>()
+  /** Handlers of requests that were parsed with those before them, and wait for their responses. */
+  private readonly delayed: Array<() => void> = []
+  private sliceBytes = FIRST_SLICE_BYTES
+  private isWanted = false
+  private tookMs = 0
+
+  constructor (readonly raw: Socket, private readonly parts: GuardedConnectionParts) {
+    super({ allowHalfOpen: true, decodeStrings: false })
+    // Each request that has not been answered listens for the end of its connection.
+    this.setMaxListeners(0)
+    this.load = parts.load.add(this)
+    raw.on('readable', () => { this.receive() })
+    raw.on('end', () => { this.push(null) })
+    raw.on('error', (error) => { this.destroy(error) })
+    raw.on('close', () => { if (!this.destroyed) this.destroy() })
+    raw.on('timeout', () => { this.emit('timeout') })
+  }
+
+  /** Whether the next step is the caller's: the rest of a body, or reading a response. */
+  get awaitsCaller (): boolean {
+    if (this.writableLength > 0) return true
+    for (const { request } of this.exchanges) if (!request.complete) return true
+    return false
+  }
+
+  /** Time that parsing has taken lately. */
+  get spentMs (): number {
+    return this.tookMs
+  }
+
+  get bytesRead (): number {
+    return this.raw.bytesRead
+  }
+
+  get bytesWritten (): number {
+    return this.raw.bytesWritten
+  }
+
+  get timeout (): number | undefined {
+    return this.raw.timeout
+  }
+
+  get remoteAddress (): string | undefined {
+    return this.raw.remoteAddress
+  }
+
+  get remotePort (): number | undefined {
+    return this.raw.remotePort
+  }
+
+  get remoteFamily (): string | undefined {
+    return this.raw.remoteFamily
+  }
+
+  get localAddress (): string | undefined {
+    return this.raw.localAddress
+  }
+
+  get localPort (): number | undefined {
+    return this.raw.localPort
+  }
+
+  /** As of TLS connections; undefined for others. */
+  get encrypted (): boolean | undefined {
+    return (this.raw as { encrypted?: boolean }).encrypted
+  }
+
+  setTimeout (timeoutMs: number, listener?: () => void): this {
+    if (listener !== undefined) this.once('timeout', listener)
+    this.raw.setTimeout(timeoutMs)
+    return this
+  }
+
+  setNoDelay (enable?: boolean): this {
+    this.raw.setNoDelay(enable)
+    return this
+  }
+
+  setKeepAlive (enable?: boolean, initialDelayMs?: number): this {
+    this.raw.setKeepAlive(enable, initialDelayMs)
+    return this
+  }
+
+  ref (): this {
+    this.raw.ref()
+    return this
+  }
+
+  unref (): this {
+    this.raw.unref()
+    return this
+  }
+
+  /** Destroys the connection once everything has been written. */
+  destroySoon (): void {
+    if (this.writable) this.end()
+    if (this.writableFinished) this.destroy()
+    else this.once('finish', () => { this.destroy() })
+  }
+
+  resetAndDestroy (): this {
+    this.raw.resetAndDestroy()
+    return this.destroy()
+  }
+
+  /** Counts a request until it has been answered, and handles it once few others of this connection are. */
+  accept (request: IncomingMessage, response: ServerResponse, handle: () => void): void {
+    const exchange: Exchange = { request, response }
+    this.exchanges.add(exchange)
+    this.load?.beginRequest()
+    response.once('prefinish', () => { this.noteResponses() })
+    response.once('close', () => {
+      this.exchanges.delete(exchange)
+      this.load?.endRequest()
+      this.noteResponses()
+      this.delayed.shift()?.()
+      this.waitForTurn()
+    })
+    if (this.exchanges.size <= MAX_AHEAD) handle()
+    else this.delayed.push(handle)
+  }
+
+  /** The connection is no longer used for HTTP, and counts as in use until it is closed. */
+  noteUpgrade (): void {
+    this.load?.beginRequest()
+  }
+
+  /** Counts a body that is held for a request of this connection. */
+  growBodies (changeBytes: number): void {
+    if (changeBytes > 0) this.load?.noteProgress()
+    this.load?.grow(HeldKind.Bodies, changeBytes)
+  }
+
+  /** Called by the owner of what callers make the process hold. */
+  close (_reason: ShedReason): void {
+    this.destroy()
+  }
+
+  giveWay (): void {
+    if (this.load !== null) this.parts.load.shed(this.load, ShedReason.Work)
+  }
+
+  takeTurn (): void {
+    if (!this.mayPass) return
+    this.pass()
+    if (this.raw.readableLength === 0) this.tookMs /= 2
+  }
+
+  override _read (): void {
+    this.isWanted = true
+    this.waitForTurn()
+  }
+
+  override _write (chunk: Buffer | string, encoding: BufferEncoding, callback: WriteCallback): void {
+    this.noteResponses()
+    this.send(typeof chunk === 'string' ? Buffer.from(chunk, encoding) : chunk, callback)
+  }
+
+  override _writev (chunks: Array<{ chunk: Buffer | string, encoding: BufferEncoding }>, callback: WriteCallback): void {
+    this.noteResponses()
+    this.sendAll(chunks.map(({ chunk, encoding }) => typeof chunk === 'string' ? Buffer.from(chunk, encoding) : chunk), callback)
+  }
+
+  override _final (callback: WriteCallback): void {
+    this.raw.end(() => { callback() })
+  }
+
+  override _destroy (error: Error | null, callback: (error: Error | null) => void): void {
+    this.parts.turns.remove(this)
+    this.delayed.splice(0)
+    this.load?.release()
+    this.raw.destroy()
+    callback(error)
+  }
+
+  private get mayPass (): boolean {
+    return this.isWanted && !this.destroyed && this.exchanges.size < MAX_AHEAD
+  }
+
+  /** The raw socket stops reading by itself while what it has read is not taken. */
+  private receive (): void {
+    if (this.exchanges.size === 0) this.load?.noteProgress()
+    this.noteUnparsed()
+    if (this.mayPass && this.raw.readableLength <= this.sliceBytes && this.parts.turns.hasTime) this.pass()
+    else this.waitForTurn()
+  }
+
+  private waitForTurn (): void {
+    if (this.raw.readableLength > 0 && this.mayPass) this.parts.turns.add(this)
+  }
+
+  private pass (): void {
+    // Without data, the socket has ended, and says so when it is read.
+    const bytes = this.raw.read(Math.min(this.sliceBytes, this.raw.readableLength) || undefined) as Buffer | null
+    if (bytes === null) return
+    this.noteUnparsed()
+    this.isWanted = false
+    const tookMs = this.parts.turns.spend(() => { this.push(bytes) })
+    this.tookMs += tookMs
+    if (tookMs > SLOW_SLICE_MS) this.sliceBytes = Math.max(MIN_SLICE_BYTES, this.sliceBytes / 2)
+    else if (tookMs < FAST_SLICE_MS && bytes.length === this.sliceBytes) this.sliceBytes = Math.min(MAX_SLICE_BYTES, this.sliceBytes * 2)
+  }
+
+  /** Sends small pieces together. */
+  private sendAll (pieces: readonly Buffer[], callback: WriteCallback): void {
+    const [first, ...rest] = pieces
+    if (first === undefined) return callback()
+    if (pieces.some(({ length }) => length > MAX_SEND_BYTES)) return this.send(first, (error) => { if (error) callback(error); else this.sendAll(rest, callback) })
+    this.raw.cork()
+    for (const piece of pieces.slice(0, -1)) this.raw.write(piece)
+    this.raw.write(pieces.at(-1)!, (error) => { this.noteWritten(error, callback) })
+    this.raw.uncork()
+  }
+
+  /** Sends a large piece in parts, so that a caller that reads it slowly is seen to make progress. */
+  private send (piece: Buffer, callback: WriteCallback): void {
+    const rest = piece.subarray(MAX_SEND_BYTES)
+    this.raw.write(piece.subarray(0, MAX_SEND_BYTES), (error) => {
+      if (error || rest.length === 0) return this.noteWritten(error, callback)
+      this.load?.noteProgress()
+      this.send(rest, callback)
+    })
+  }
+
+  private noteUnparsed (): void {
+    this.load?.hold(HeldKind.Unparsed, this.raw.readableLength)
+  }
+
+  private noteResponses (): void {
+    let bytes = this.writableLength
+    for (const { response } of this.exchanges) if (response.socket === null) bytes += response.writableLength
+    this.load?.hold(HeldKind.Responses, bytes)
+  }
+
+  private noteWritten (error: Error | null | undefined, callback: WriteCallback): void {
+    this.load?.noteProgress()
+    callback(error)
+    this.noteResponses()
+  }
+}
+
+/** The connection of a guarded listener; null for another. */
+export function guardedConnection (socket: Duplex): GuardedConnection | null {
+  return socket instanceof GuardedConnection ? socket : null
+}
--- /dev/null
+++ b/packages/dotterelspur-listener/src/index.ts
@@ -0,0 +1,2 @@
+export * from './connection/GuardedConnection.js'
+export * from './process/ListenerGuard.js'
--- a/packages/dotterelspur-mesh/src/connection/Transport.ts
+++ b/packages/dotterelspur-mesh/src/connection/Transport.ts
@@ -1,9 +1,10 @@
-import { createServer as createHttpServer, type IncomingMessage, type Server } from 'node:http'
+import { createServer as createHttpServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { createServer as createHttpsServer } from 'node:https'
 import type { AddressInfo, Socket } from 'node:net'
 import type { TLSSocket } from 'node:tls'
 import { WebSocket, WebSocketServer } from 'ws'
 import { type Clock, failed, type MemberRecord, type NodeId, type Result, success } from 'dotterelspur'
+import { guardedConnection, type ListenerGuard } from 'dotterelspur-listener'
 import { Connection, type ConnectionLimits, type ConnectionPurpose } from './Connection.js'
 import { isNamedInCertificate, CredentialsKind, type MeshCredentials } from './Credentials.js'
 import { type ExpectedPeer, type HandshakeContext, handshakeAsAcceptor, handshakeAsDialer, type Refusal, RefusalReason } from './Handshake.js'
@@ -11,6 +12,7 @@
 
 const MESH_PATH = '/mesh'
 const FORBIDDEN = 403
+const UPGRADE_REQUIRED = 426
 const UNAVAILABLE = 503
 
 export interface TransportOptions {
@@ -19,6 +21,7 @@
   /** Local address of outgoing connections; undefined lets the operating system choose. */
   readonly localAddress: string | undefined
   readonly credentials: MeshCredentials
+  readonly guard: ListenerGuard | null
   readonly clock: Clock
   readonly handshakeTimeoutMs: number
   readonly maxConnections: number
@@ -53,6 +56,7 @@
     const server = this.createServer()
     this.server = server
     server.on('upgrade', (request: IncomingMessage, socket: Socket, head: Buffer) => this.onUpgrade(request, socket, head))
+    this.options.guard?.register(server)
     server.on('tlsClientError', () => this.options.metrics.countRefused(RefusalReason.CertificateRejected))
     return new Promise((resolve) => {
       server.once('error', (error) => resolve(failed({ reason: error.message })))
@@ -88,15 +92,15 @@
 
   private createServer (): Server {
     const { credentials } = this.options
-    if (credentials.kind === CredentialsKind.SharedKey) return createHttpServer()
+    if (credentials.kind === CredentialsKind.SharedKey) return createHttpServer(refusePlainRequest)
     // Certificates are checked at the upgrade instead of in the TLS handshake, so that the response can state the reason.
-    return createHttpsServer({ cert: credentials.certificate, key: credentials.privateKey, ca: credentials.authority, requestCert: true, rejectUnauthorized: false })
+    return createHttpsServer({ cert: credentials.certificate, key: credentials.privateKey, ca: credentials.authority, requestCert: true, rejectUnauthorized: false }, refusePlainRequest)
   }
 
   private onUpgrade (request: IncomingMessage, socket: Socket, head: Buffer): void {
     socket.on('error', () => {})
     const { credentials, maxConnections } = this.options
-    const tls = credentials.kind === CredentialsKind.MutualTls ? socket as TLSSocket : undefined
+    const tls = credentials.kind === CredentialsKind.MutualTls ? (guardedConnection(socket)?.raw ?? socket) as TLSSocket : undefined
     if (tls !== undefined && !tls.authorized) return this.reject(socket, FORBIDDEN, RefusalReason.CertificateRejected, String(tls.authorizationError))
     if (this.connections.size >= maxConnections) return this.reject(socket, UNAVAILABLE, RefusalReason.TooManyConnections, `${maxConnections} connections are open`)
     this.sockets.handleUpgrade(request, socket, head, (webSocket) => {
@@ -182,3 +186,8 @@
   response.on('end', () => done(body))
   response.on('error', () => done(body))
 }
+
+/** Only upgrades are served: other requests would never be answered. */
+function refusePlainRequest (_request: IncomingMessage, response: ServerResponse): void {
+  response.writeHead(UPGRADE_REQUIRED, { 'content-length': 0, connection: 'close' }).end()
+}
--- a/packages/dotterelspur-mesh/src/process/Mesh.ts
+++ b/packages/dotterelspur-mesh/src/process/Mesh.ts
@@ -12,6 +12,7 @@
 import { type CallLimits, DEFAULT_CALL_LIMITS } from '../request/CallLimits.js'
 import { CallServer } from '../request/CallServer.js'
 import { KeepAlive } from '../request/KeepAlive.js'
+import type { ListenerGuard } from 'dotterelspur-listener'
 import { collectInForce, createInForceHandler, IN_FORCE_METHOD } from './InForce.js'
 import { Listeners } from './Listeners.js'
 
@@ -32,6 +33,8 @@
   /** Local address of outgoing connections: the node's own IP address. */
   readonly localAddress?: string
   readonly credentials: MeshCredentials
+  /** Bounds what clients of the listener make the process hold; without it, only the number of links between nodes is bounded. */
+  readonly guard?: ListenerGuard
   readonly clock: Clock
   readonly random: Random
   /** `host:port` of nodes listed in the settings or by the platform; called repeatedly. */
@@ -87,6 +90,7 @@
       listenPort: options.listenPort,
       localAddress: options.localAddress,
       credentials,
+      guard: options.guard ?? null,
       clock,
       handshakeTimeoutMs: this.timing.dialTimeoutMs,
       maxConnections: MAX_CONNECTIONS,
--- a/packages/dotterelspur-node/src/process/Node.ts
+++ b/packages/dotterelspur-node/src/process/Node.ts
@@ -106,12 +106,13 @@
     tokenHash: hashToken(adminToken),
     metricsAccess: settings.admin.metrics,
     maxConnections: settings.admin.maxConnections,
+    guard: parts.guard,
     evidenceTtlMs: settings.timing.evidenceTtlMs
   })
 }
 
 async function drain (parts: NodeParts, admin: AdminServer): Promise<void> {
-  const { entry, mesh, follower, fleet, audit, store, leaseStore, clock, logs, settings } = parts
+  const { entry, mesh, follower, fleet, audit, store, leaseStore, clock, logs, settings, guard } = parts
   logs.node('draining')
   const handlers: EffectHandlers<DrainEffect> = {
     [DrainEffectKind.AnnounceDraining]: () => { mesh.announceDraining() },
@@ -128,6 +129,7 @@
       await audit.flush()
       await mesh.stop()
       await admin.close()
+      guard.close()
       await Promise.all([store.close(), leaseStore.close()])
     }
   }
--- a/packages/dotterelspur-node/src/process/NodeMetrics.ts
+++ b/packages/dotterelspur-node/src/process/NodeMetrics.ts
@@ -1,7 +1,9 @@
 import { build, type Histogram } from 'hdr-histogram-js'
 import { Counter, Gauge, Registry } from 'prom-client'
+import { ShedReason } from 'dotterelspur'
 import type { Entry, EntryObserver, RequestReport } from 'dotterelspur-entry'
 import type { Fleet } from 'dotterelspur-fleet'
+import type { ListenerGuard } from 'dotterelspur-listener'
 import type { Mesh } from 'dotterelspur-mesh'
 import type { AuditTrail, PlatformObjectStore } from 'dotterelspur-platform'
 
@@ -18,6 +20,7 @@
   readonly fleet: Fleet
   readonly entry: Entry
   readonly audit: AuditTrail
+  readonly guard: ListenerGuard
 }
 
 /**
@@ -42,7 +45,9 @@
   }
 
   /** Registers the counters that the parts keep themselves. They are read each time `/metrics` is. */
-  registerParts ({ store, leaseStore, mesh, fleet, entry, audit }: MeasuredParts): void {
+  registerParts ({ store, leaseStore, mesh, fleet, entry, audit, guard: { load } }: MeasuredParts): void {
+    this.snapshot('caller_load', 'What callers make this process hold, and the limit', 'what', () => ({ connections: load.connections, heldBytes: load.heldBytes, limitBytes: load.limits.heldBytes }))
+    this.snapshot('connections_shed', 'Connections closed because of a limit, since the start', 'reason', () => Object.fromEntries(Object.values(ShedReason).map((reason) => [reason, load.shedCount(reason)])))
     this.snapshot('platform_calls', 'Calls to the platform since the start', 'kind', () => ({ ...store.calls }))
     this.snapshot('platform_lease_calls', 'Calls to the platform for leases since the start', 'kind', () => ({ ...leaseStore.calls }))
     this.snapshot('mesh_sent_bytes', 'Bytes sent to other nodes since the start', 'frame', () => bytesByKind(mesh.counters().sent))
--- a/packages/dotterelspur-node/src/process/NodeParts.ts
+++ b/packages/dotterelspur-node/src/process/NodeParts.ts
@@ -2,16 +2,19 @@
 import { HttpEngineClient, HttpServiceClient } from 'dotterelspur-endpoint'
 import { TeamTable, createEntry, type Entry } from 'dotterelspur-entry'
 import { createFleet, type Fleet } from 'dotterelspur-fleet'
+import { ListenerGuard } from 'dotterelspur-listener'
 import { CredentialsKind, createMesh, createStoreFollower, type Mesh, type MeshCredentials, type StoreFollower } from 'dotterelspur-mesh'
 import { AuditTrail, PlatformObjectStore, PlatformVmDirectory } from 'dotterelspur-platform'
 import { FencingMode, MeshSecurityKind, fencingModeOf, formatSettingsError, parseTeamSettings, type NodeSettings } from 'dotterelspur-settings'
-import { DEFAULT_LEASE_TIMING, NODE_PREFIX, createRandom, failed, homeOf, type Clock, type EngineApi, type NodeObject, type Random, type Result, type ServiceApi, type TeamId, type TeamSettings } from 'dotterelspur'
+import { DEFAULT_LEASE_TIMING, NODE_PREFIX, callerLoadLimits, createRandom, failed, homeOf, type Clock, type EngineApi, type NodeObject, type Random, type Result, type ServiceApi, type TeamId, type TeamSettings } from 'dotterelspur'
 import type { LoadedSettings, MeshSecrets } from './loadNodeSettings.js'
 import { NodeLogs } from './NodeLog.js'
 import { NodeMetrics } from './NodeMetrics.js'
 import { SystemClock } from 'dotterelspur-clock'
 
 const MAX_SEED = 0x7fff_ffff
+/** What a node takes without callers: it keeps the fleet's state and the heap of its process has no limit of its own. */
+const NODE_BYTES = 170_000_000
 /** A lease renewal that takes longer than this is abandoned, because the next one is due by then. */
 const LEASE_CALL_TIMEOUT_MS = 1_000
 
@@ -37,6 +40,8 @@
   readonly audit: AuditTrail
   readonly fleet: Fleet
   readonly entry: Entry
+  /** Stands before all listeners. */
+  readonly guard: ListenerGuard
 }
 
 /** The parts created before the incarnation is chosen: choosing it reads the previous incarnation from the store. */
@@ -66,14 +71,16 @@
   const { clock, random, store, leaseStore } = base
   const logs = new NodeLogs(settings.id, settings.failureDomain)
   const metrics = new NodeMetrics()
-  const mesh = createNodeMesh(loaded, base, incarnation, ports)
+  const { memoryBytes, descriptors } = settings.limits
+  const guard = new ListenerGuard(callerLoadLimits({ memoryBytes, descriptors }, NODE_BYTES), clock)
+  const mesh = createNodeMesh(loaded, base, incarnation, ports, guard)
   const teams = new TeamTable(mesh, ({ text, team }) => parseTeam(text, team))
   const audit = new AuditTrail({ store, clock, home: homeOf({ node: settings.id, incarnation }) })
   const engines = new HttpEngineClient({ clock })
   const services = new HttpServiceClient({ clock })
   const vmDirectory = new PlatformVmDirectory(store)
   const follower = createStoreFollower({ mesh, store, clock, random, registerContactListener: (listener) => store.registerContactListener(listener) })
-  const entry = createNodeEntry(settings, base, { mesh, engines, services, teams, port: ports.entry, metrics })
+  const entry = createNodeEntry(settings, base, { mesh, engines, services, teams, port: ports.entry, metrics, guard })
   const fleet = createFleet({
     clock,
     random,
@@ -89,12 +96,12 @@
     failureDomains: [settings.failureDomain],
     timing: fleetTiming(settings)
   })
-  const parts: NodeParts = { settings, clock, logs, metrics, store, leaseStore, vmDirectory, mesh, follower, teams, audit, fleet, entry }
+  const parts: NodeParts = { settings, clock, logs, metrics, store, leaseStore, vmDirectory, mesh, follower, teams, audit, fleet, entry, guard }
   metrics.registerParts(parts)
   return parts
 }
 
-function createNodeMesh ({ settings, meshSecrets }: LoadedSettings, { clock, random }: NodeBase, incarnation: number, ports: NodePorts): Mesh {
+function createNodeMesh ({ settings, meshSecrets }: LoadedSettings, { clock, random }: NodeBase, incarnation: number, ports: NodePorts, guard: ListenerGuard): Mesh {
   const mesh: Mesh = createMesh({
     self: {
       node: settings.id,
@@ -109,6 +116,7 @@
     advertiseAddress: settings.mesh.advertise ?? undefined,
     localAddress: settings.host,
     credentials: meshCredentials(meshSecrets),
+    guard,
     clock,
     random,
     seeds: () => [...settings.mesh.seeds, ...knownNodeAddresses(mesh)],
@@ -133,9 +141,10 @@
   readonly teams: TeamTable
   readonly port: number
   readonly metrics: NodeMetrics
+  readonly guard: ListenerGuard
 }
 
-function createNodeEntry (settings: NodeSettings, { clock, random, store }: NodeBase, { mesh, engines, services, teams, port, metrics }: EntryParts): Entry {
+function createNodeEntry (settings: NodeSettings, { clock, random, store }: NodeBase, { mesh, engines, services, teams, port, metrics, guard }: EntryParts): Entry {
   const { entry, timing, limits } = settings
   return createEntry({
     host: settings.host,
@@ -147,6 +156,7 @@
     engines,
     services,
     teams,
+    guard,
     observer: metrics.entryObserver,
     limits: {
       maxBodyBytes: entry.maxBodyBytes,
--- a/packages/dotterelspur-node/src/process/admin/AdminBackend.ts
+++ b/packages/dotterelspur-node/src/process/admin/AdminBackend.ts
@@ -1,3 +1,4 @@
+import type { ListenerGuard } from 'dotterelspur-listener'
 import type { AuditRecord, Clock, ExplainPort, MeshApi, ObjectStore, VmDirectory } from 'dotterelspur'
 import type { MetricsAccess } from 'dotterelspur-settings'
 import type { Registry } from 'prom-client'
@@ -31,6 +32,8 @@
   readonly tokenHash: string
   readonly metricsAccess: MetricsAccess
   readonly maxConnections: number
+  /** Bounds what clients make the process hold, together with those of its other listeners. */
+  readonly guard?: ListenerGuard
   /** A group whose presence evidence is this old or older is not shown as serving. */
   readonly evidenceTtlMs: number
 }
--- a/packages/dotterelspur-node/src/process/admin/AdminServer.ts
+++ b/packages/dotterelspur-node/src/process/admin/AdminServer.ts
@@ -60,6 +60,7 @@
     onConstructorPoisoning: 'error'
   })
   server.server.maxConnections = options.maxConnections
+  options.guard?.register(server.server)
   server.setNotFoundHandler((_request, reply) => sendError(reply, { kind: AdminErrorKind.NotFound, message: 'no such path' }))
   server.setErrorHandler((error: Error & { statusCode?: number }, _request, reply) => sendError(reply, fromThrown(error)))
   return server
--- a/packages/dotterelspur-settings/src/process/NodeSchema.ts
+++ b/packages/dotterelspur-settings/src/process/NodeSchema.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod'
 import {
   DEFAULT_DIRECTORY_TTL_MS, DEFAULT_EVIDENCE_TTL_MS, DEFAULT_GOSSIP_INTERVAL_MS, DEFAULT_IN_FORCE_BOUND_MS,
-  DEFAULT_LEASE_MARGIN_MS, DEFAULT_LEASE_RENEW_MS, DEFAULT_LEASE_TTL_MS, DEFAULT_ORDER_TIMEOUT_MS,
+  DEFAULT_LEASE_MARGIN_MS, DEFAULT_MACHINE, DEFAULT_LEASE_RENEW_MS, DEFAULT_LEASE_TTL_MS, DEFAULT_ORDER_TIMEOUT_MS,
   DEFAULT_OUTCOME_MEMORY_MS, DEFAULT_PAUSE_THRESHOLD_MS, DEFAULT_PROBE_INTERVAL_MS, DEFAULT_PROBE_TIMEOUT_MS
 } from 'dotterelspur'
 import { defineSection, type SectionSpec } from './SectionSpec.js'
@@ -201,6 +201,8 @@
     outcomeMemoryEntries: integer(100, 10_000_000).default(50_000).describe('Maximum number of outcomes kept. When it is reached, the oldest are evicted early: their ids are then answered as unknown and never run again.'),
     concurrentRequests: integer(1, 100_000).default(2_048).describe('Maximum number of requests that run at the same time.'),
     queuedRequests: integer(0, 100_000).default(1_024).describe('Maximum number of queued requests.'),
+    memoryBytes: sizeBytes(128 * MIB, 1_024 * 1_024 * MIB).default(DEFAULT_MACHINE.memoryBytes).describe('Memory that this process may use. It decides what callers together may make it hold; beyond that, connections are closed.'),
+    descriptors: integer(256, 10_000_000).default(DEFAULT_MACHINE.descriptors).describe('Descriptors that this process may use. Callers get 0.7 of them for connections; beyond that, unused connections are closed.'),
     drainTimeoutMs: durationMs(1_000, 3_600_000).default(600_000).describe('How long a draining node waits for requests in progress before it logs how many still run. It never aborts them.')
   }),
   relations: []
--- a/packages/dotterelspur-testkit/src/request/crowd/CrowdKind.ts
+++ b/packages/dotterelspur-testkit/src/request/crowd/CrowdKind.ts
@@ -16,6 +16,8 @@
   LargeChunks = 'large bodies in large chunks',
   /** Bodies in very small chunks, most of which stop just short of their end. */
   SmallChunks = 'bodies in small chunks',
+  /** The same in chunks of a byte, by more clients. */
+  SingleByteChunks = 'bodies in chunks of a byte',
   /** Very many bodies of a size at which a single one is not worth a limit. */
   SmallBodies = 'very many small bodies'
 }
--- a/packages/dotterelspur-testkit/src/request/crowd/crowdPlans.ts
+++ b/packages/dotterelspur-testkit/src/request/crowd/crowdPlans.ts
@@ -81,5 +81,6 @@
   [CrowdKind.PartialHeads]: { clients: 3_000, client: (target) => stay(() => [`${keyHead('GET', target.paths.small, target).slice(0, -2)}X-Filler: ${'x'.repeat(14 * KIB)}\r\n`]) },
   [CrowdKind.LargeChunks]: { clients: 120, client: (target, index) => stay(() => body(target, index, 3_900_000, 64_000)) },
   [CrowdKind.SmallChunks]: { clients: 200, client: (target, index) => stay(() => body(target, index, 60_000, 16)) },
+  [CrowdKind.SingleByteChunks]: { clients: 300, client: (target, index) => stay(() => body(target, index, 200_000, 1)) },
   [CrowdKind.SmallBodies]: { clients: 2_400, client: (target, index) => stay(() => body(target, index, 64_000, 16_000)) }
 }
--- /dev/null
+++ b/packages/dotterelspur/src/process/callers/CallerLoad.ts
@@ -0,0 +1,146 @@
+import type { Clock } from '../Clock.js'
+import type { CallerLoadLimits } from './callerLimits.js'
+import { ConnectionLoad, type LoadedConnection } from './ConnectionLoad.js'
+
+/** Why a connection is closed before its caller or this node is done with it. */
+export enum ShedReason {
+  /** Another caller connects, and no more connections are held. */
+  Connections = 'connections',
+  /** All callers together hold too much. */
+  Memory = 'memory',
+  /** The caller has neither sent nor read anything for the idle timeout, though it was its turn. */
+  Stalled = 'stalled',
+  /** The work of reading what callers send does not keep up. */
+  Work = 'work'
+}
+
+/** A caller that owes progress for this long gives way before callers that make some. */
+const STALLED_MS = 1_000
+/** Closing down to this part of the limit lets many callers arrive before connections are compared again. */
+const RELIEVED_SHARE = 7 / 8
+
+/**
+ * The one owner of what callers make a process hold, on all of its listeners: connections, bytes that have not been parsed, requests, bodies,
+ * and responses that have not been read. Beyond a limit it closes connections: first those whose callers make no progress, then those that hold
+ * most. Load pattern: callers that the operators do not control send as much as they can, and read nothing.
+ */
+export class CallerLoad {
+  private readonly open = new Set<ConnectionLoad>()
+  private readonly shedCounts = new Map<ShedReason, number>()
+  private totalBytes = 0
+  private isShedding = false
+
+  constructor (private currentLimits: CallerLoadLimits, private readonly clock: Clock) {}
+
+  get limits (): CallerLoadLimits {
+    return this.currentLimits
+  }
+
+  get connections (): number {
+    return this.open.size
+  }
+
+  get heldBytes (): number {
+    return this.totalBytes
+  }
+
+  /** Connections closed for each reason since the start. */
+  shedCount (reason: ShedReason): number {
+    return this.shedCounts.get(reason) ?? 0
+  }
+
+  configure (limits: CallerLoadLimits): void {
+    this.currentLimits = limits
+  }
+
+  /** Null if the connection can't be held: all others are in use. */
+  add (connection: LoadedConnection): ConnectionLoad | null {
+    if (this.open.size >= this.currentLimits.connections && !this.closeUnused()) {
+      this.countShed(ShedReason.Connections)
+      return null
+    }
+    const load = new ConnectionLoad(connection, this.clock.nowMs(), {
+      resize: (changeBytes) => {
+        this.totalBytes += changeBytes
+        if (changeBytes > 0) this.shedExcess()
+      },
+      release: (released) => { this.open.delete(released) },
+      nowMs: () => this.clock.nowMs()
+    })
+    this.open.add(load)
+    load.begin()
+    return load
+  }
+
+  /** Closes the connections whose callers owe progress for `timeoutMs`. */
+  closeStalled (timeoutMs: number): void {
+    const sinceMs = this.clock.nowMs() - timeoutMs
+    for (const load of [...this.open]) {
+      if (load.progressAtMs <= sinceMs && load.awaitsCaller) this.shed(load, ShedReason.Stalled)
+    }
+  }
+
+  /** Something waits for memory: closes the connections that hold more than their own bytes, and whose callers make no progress. */
+  makeRoom (): void {
+    const sinceMs = this.clock.nowMs() - STALLED_MS
+    for (const load of [...this.open]) {
+      if (load.isLoaded && load.progressAtMs <= sinceMs && load.awaitsCaller) this.shed(load, ShedReason.Memory)
+    }
+  }
+
+  shed (load: ConnectionLoad, reason: ShedReason): void {
+    this.countShed(reason)
+    load.close(reason)
+  }
+
+  private countShed (reason: ShedReason): void {
+    this.shedCounts.set(reason, this.shedCount(reason) + 1)
+  }
+
+  /** Closes the connection without requests that has been unused for longest; one that never had a request first. */
+  private closeUnused (): boolean {
+    let found: ConnectionLoad | null = null
+    for (const load of this.open) {
+      if (load.isInUse) continue
+      if (found === null || isLessUsed(load, found)) found = load
+    }
+    found ??= this.stalledOnes()[0] ?? null
+    if (found === null) return false
+    this.shed(found, ShedReason.Connections)
+    return true
+  }
+
+  private stalledOnes (): ConnectionLoad[] {
+    const sinceMs = this.clock.nowMs() - STALLED_MS
+    return [...this.open].filter((load) => load.progressAtMs <= sinceMs && load.awaitsCaller).sort((one, other) => other.heldBytes - one.heldBytes)
+  }
+
+  private shedExcess (): void {
+    const limitBytes = this.currentLimits.heldBytes
+    if (this.isShedding || this.heldBytes <= limitBytes || this.bytesBesideLargest() <= limitBytes) return
+    this.isShedding = true
+    for (const load of this.byPrecedence()) {
+      if (this.bytesBesideLargest() <= limitBytes * RELIEVED_SHARE) break
+      this.shed(load, ShedReason.Memory)
+    }
+    this.isShedding = false
+  }
+
+  /** One connection may hold more than the limit, so that a single large body or response is served. */
+  private bytesBesideLargest (): number {
+    let largestBytes = 0
+    for (const { heldBytes } of this.open) largestBytes = Math.max(largestBytes, heldBytes)
+    return this.heldBytes - largestBytes
+  }
+
+  private byPrecedence (): ConnectionLoad[] {
+    const sinceMs = this.clock.nowMs() - STALLED_MS
+    const isStalled = new Map([...this.open].map((load) => [load, load.isLoaded && load.progressAtMs <= sinceMs && load.awaitsCaller]))
+    return [...this.open].sort((one, other) => Number(isStalled.get(other)) - Number(isStalled.get(one)) || other.heldBytes - one.heldBytes || one.progressAtMs - other.progressAtMs)
+  }
+}
+
+function isLessUsed (one: ConnectionLoad, other: ConnectionLoad): boolean {
+  if (one.wasUsed !== other.wasUsed) return !one.wasUsed
+  return one.progressAtMs < other.progressAtMs
+}
--- a/packages/dotterelspur/src/process/index.ts
+++ b/packages/dotterelspur/src/process/index.ts
@@ -1,3 +1,4 @@
+export * from './callers/index.js'
 export * from './Clock.js'
 export * from './ids.js'
 export * from './invariant.js'
--- a/packages/dotterelspur/src/request/body/BodyMemory.ts
+++ b/packages/dotterelspur/src/request/body/BodyMemory.ts
@@ -15,8 +15,11 @@
   /** Bodies that wait, in the same order, and what resumes them. */
   private readonly waiting = new Map<HeldBody, () => void>()
 
-  /** @param reserveBytes the largest body that is accepted now. */
-  constructor (private readonly limitBytes: number, private readonly reserveBytes: () => number) {}
+  /**
+   * @param reserveBytes the largest body that is accepted now.
+   * @param onFull a body must wait; may make room.
+   */
+  constructor (private readonly limitBytes: number, private readonly reserveBytes: () => number, private readonly onFull: () => void = () => {}) {}
 
   get sizeBytes (): number {
     return this.heldBytes
@@ -26,10 +29,18 @@
     return this.waiting.size
   }
 
-  open (): HeldBody {
+  /** @param onResize the body holds so many bytes more. */
+  open (onResize: (changeBytes: number) => void = () => {}): HeldBody {
     const body: HeldBody = new HeldBody({
-      resize: (changeBytes) => { this.heldBytes += changeBytes },
-      hasRoom: () => this.hasRoom(body),
+      resize: (changeBytes) => {
+        this.heldBytes += changeBytes
+        onResize(changeBytes)
+      },
+      hasRoom: () => {
+        if (this.hasRoom(body)) return true
+        this.onFull()
+        return this.hasRoom(body)
+      },
       wait: (resume) => { this.waiting.set(body, resume) },
       end: () => {
         this.arriving.delete(body)
--- a/packages/dotterelspur/src/request/body/readBody.ts
+++ b/packages/dotterelspur/src/request/body/readBody.ts
@@ -44,7 +44,7 @@
     }
     // The rest of a body that is refused is read and dropped, so that the caller reads the response.
     const refuse = (error: BodyErrorKind): void => {
-      body.take()
+      body.clear()
       held.release()
       end(failed(error))
       source.resume()
--- a/packages/dotterelspur/src/request/dispatch/ByteCollector.ts
+++ b/packages/dotterelspur/src/request/dispatch/ByteCollector.ts
@@ -28,13 +28,18 @@
     this.totalBytes += chunk.length
   }
 
+  /** Drops the bytes so far. */
+  clear (): void {
+    this.blocks = []
+    this.usedBytes = 0
+    this.totalBytes = 0
+  }
+
   /** The bytes so far; none are left afterwards. */
   take (): Buffer {
     const { blocks, usedBytes } = this
     const last = blocks.pop()
-    this.blocks = []
-    this.usedBytes = 0
-    this.totalBytes = 0
+    this.clear()
     if (last === undefined) return Buffer.alloc(0)
     const end = last.subarray(0, usedBytes)
     return blocks.length === 0 ? end : Buffer.concat([...blocks, end])
