Callers: requests behind others on a closed connection have ended

A caller that sends requests ahead and leaves made those behind the first count as running for ever; each held its memory, and a planned stop waited for them until the end of its grace.

Cause: a response that waits for those before it is not attached to the connection, and Node.js does not close it with the connection; the listener waited for that close. Seen in the crowds one after the other: 986 requests "running" though 17 MB were held, and a peak of 250 MB.

The wait ends with the connection as well. requestsSentAhead fails without it (2 requests stay), and passes with it.

--- a/packages/dotterelspur-gateway/src/connection/CallerConnections.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerConnections.ts
@@ -37,7 +37,11 @@
     const state = this.states.get(socket)
     if (state === undefined || response.closed) return
     state.responses += 1
-    await new Promise<void>((resolve) => { response.once('close', resolve) })
+    // A response that waits for those before it on its connection is not closed with the connection.
+    await new Promise<void>((resolve) => {
+      response.once('close', resolve)
+      socket.once('close', resolve)
+    })
     state.responses -= 1
     state.bytesReadWhenIdle = socket.bytesRead
   }
