--- a/packages/dotterelspur-gateway/src/process/DecisionLog.ts
+++ b/packages/dotterelspur-gateway/src/process/DecisionLog.ts
@@ -21,6 +21,8 @@
   Stopped = 'stopped',
   /** The process received a signal: in which phase, and what it does about it. */
   Signal = 'signal',
+  /** Connections were closed because of what callers together make the process hold. */
+  ConnectionsShed = 'connections-shed',
   Reload = 'reload',
   DependencyLost = 'dependency-lost',
   DependencyRegained = 'dependency-regained',
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -31,6 +31,7 @@
 import { PoisonTracker } from './PoisonTracker.js'
 import { registerGauges } from './registerGauges.js'
 import { StopPlan } from './StopPlan.js'
+import { shedFields } from './shedFields.js'
 import { PROGRESS_VALID_MS } from './StoreFeed.js'
 import type { VersionedStore } from './VersionedStore.js'
 
@@ -185,7 +186,7 @@
       },
       isCutOff: () => this.dispatch.links.connector.isCutOff
     })
-    this.guard = new ListenerGuard(callerLoadLimits(settings.machine ?? DEFAULT_MACHINE), clock)
+    this.guard = new ListenerGuard(callerLoadLimits(settings.machine ?? DEFAULT_MACHINE), clock, (load) => { log.write(LogKind.ConnectionsShed, shedFields(load)) })
     this.callers = new CallerListener({ clock, random, log, metrics: this.metrics, wire: parts.wire, manifest: this.manifest, manifestView: () => store.view(MANIFEST_PREFIX), initialSync: this.initialSync, dispatch: this.dispatch, poison: this.poison, guard: this.guard })
     this.peers = new PeerLinks(clock, random, log, {
       onSuspicionReport: (head, suspicion, node, senders) => { this.handleSuspicion(head, suspicion, node, senders) },
--- a/packages/dotterelspur-listener/src/__tests__/unit/ListenerGuard.test.ts
+++ b/packages/dotterelspur-listener/src/__tests__/unit/ListenerGuard.test.ts
@@ -109,6 +109,20 @@
     }
   })
 
+  // Guards against a connection that is read and dropped without end after its request was refused.
+  it('closes a connection that goes on with a body after its response', async () => {
+    guarded = await GuardedServer.start((_request, response) => { response.writeHead(413).end() })
+    const socket = await guarded.connect()
+    socket.resume()
+    socket.write('POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n')
+    const chunk = `10000\r\n${'x'.repeat(65_536)}\r\n`
+    while (!socket.closed && socket.bytesWritten < 200 * MIB) {
+      if (!socket.write(chunk)) await Promise.race([once(socket, 'drain'), once(socket, 'close')]).catch(() => { /* The connection was reset. */ })
+    }
+    expect(guarded.guard.load.shedCount(ShedReason.Work)).to.equal(1)
+    expect(socket.bytesWritten).to.be.lessThan(100 * MIB)
+  })
+
   it('passes an end of the connection on to the request that waits', async () => {
     const closed: string[] = []
     guarded = await GuardedServer.start((request) => {
--- a/packages/dotterelspur-listener/src/connection/GuardedConnection.ts
+++ b/packages/dotterelspur-listener/src/connection/GuardedConnection.ts
@@ -14,6 +14,8 @@
 const FAST_SLICE_MS = 0.25
 const SLOW_SLICE_MS = 2
 const MAX_SEND_BYTES = 256 * KIB
+/** After its response, so much of a body is read and dropped, so that a caller that is still sending receives the response. */
+const MAX_DROPPED_BYTES = 8 * KIB * KIB
 
 type WriteCallback = (error?: Error | null) => void
 
@@ -38,6 +40,8 @@
   private readonly delayed: Array<() => void> = []
   private sliceBytes = FIRST_SLICE_BYTES
   private isWanted = false
+  /** Where the rest of a body whose request has been answered ends at the latest, in bytes of the connection. */
+  private dropEndBytes = Infinity
   private tookMs = 0
 
   constructor (readonly raw: Socket, private readonly parts: GuardedConnectionParts) {
@@ -143,10 +147,12 @@
   accept (request: IncomingMessage, response: ServerResponse, handle: () => void): void {
     const exchange: Exchange = { request, response }
     this.exchanges.add(exchange)
+    this.dropEndBytes = Infinity
     this.load?.beginRequest()
     response.once('prefinish', () => { this.noteResponses() })
     response.once('close', () => {
       this.exchanges.delete(exchange)
+      if (!request.complete) this.dropEndBytes = this.raw.bytesRead + MAX_DROPPED_BYTES
       this.load?.endRequest()
       this.noteResponses()
       this.delayed.shift()?.()
@@ -216,6 +222,7 @@
   /** The raw socket stops reading by itself while what it has read is not taken. */
   private receive (): void {
     if (this.exchanges.size === 0) this.load?.noteProgress()
+    if (this.raw.bytesRead > this.dropEndBytes) return this.giveWay()
     this.noteUnparsed()
     if (this.mayPass && this.raw.readableLength <= this.sliceBytes && this.parts.turns.hasTime) this.pass()
     else this.waitForTurn()
--- a/packages/dotterelspur-listener/src/process/ListenerGuard.ts
+++ b/packages/dotterelspur-listener/src/process/ListenerGuard.ts
@@ -23,7 +23,10 @@
   readonly turns: ReadTurns
   private cancelSweep: Teardown = () => {}
 
-  constructor (limits: CallerLoadLimits, private readonly clock: Clock) {
+  private reportedCount = 0
+
+  /** @param onShed connections have been closed because of a limit; called once for all of about a second. */
+  constructor (limits: CallerLoadLimits, private readonly clock: Clock, private readonly onShed: (load: CallerLoad) => void = () => {}) {
     this.load = new CallerLoad(limits, clock)
     this.turns = new ReadTurns(clock, setImmediate)
     this.scheduleSweep()
@@ -66,9 +69,17 @@
     this.cancelSweep()
   }
 
+  private reportShed (): void {
+    const { shedTotal } = this.load
+    if (shedTotal === this.reportedCount) return
+    this.reportedCount = shedTotal
+    this.onShed(this.load)
+  }
+
   private scheduleSweep (): void {
     this.cancelSweep = this.clock.registerTimer(SWEEP_INTERVAL_MS, () => {
       this.load.closeStalled(this.stallMs)
+      this.reportShed()
       this.scheduleSweep()
     })
   }
--- a/packages/dotterelspur-node/src/process/NodeParts.ts
+++ b/packages/dotterelspur-node/src/process/NodeParts.ts
@@ -72,7 +72,9 @@
   const logs = new NodeLogs(settings.id, settings.failureDomain)
   const metrics = new NodeMetrics()
   const { memoryBytes, descriptors } = settings.limits
-  const guard = new ListenerGuard(callerLoadLimits({ memoryBytes, descriptors }, NODE_BYTES), clock)
+  const guard = new ListenerGuard(callerLoadLimits({ memoryBytes, descriptors }, NODE_BYTES), clock, ({ connections, heldBytes, shedTotal }) => {
+    logs.node(`closed connections because of what callers make this process hold: ${shedTotal} since the start; ${connections} are open, ${heldBytes} bytes are held`)
+  })
   const mesh = createNodeMesh(loaded, base, incarnation, ports, guard)
   const teams = new TeamTable(mesh, ({ text, team }) => parseTeam(text, team))
   const audit = new AuditTrail({ store, clock, home: homeOf({ node: settings.id, incarnation }) })
--- a/packages/dotterelspur/src/process/callers/CallerLoad.ts
+++ b/packages/dotterelspur/src/process/callers/CallerLoad.ts
@@ -10,7 +10,7 @@
   Memory = 'memory',
   /** The caller has neither sent nor read anything for the idle timeout, though it was its turn. */
   Stalled = 'stalled',
-  /** The work of reading what callers send does not keep up. */
+  /** The work of reading what callers send does not keep up, or is in vain: the request has been answered. */
   Work = 'work'
 }
 
@@ -30,11 +30,7 @@
   private totalBytes = 0
   private isShedding = false
 
-  constructor (private currentLimits: CallerLoadLimits, private readonly clock: Clock) {}
-
-  get limits (): CallerLoadLimits {
-    return this.currentLimits
-  }
+  constructor (readonly limits: CallerLoadLimits, private readonly clock: Clock) {}
 
   get connections (): number {
     return this.open.size
@@ -49,13 +45,9 @@
     return this.shedCounts.get(reason) ?? 0
   }
 
-  configure (limits: CallerLoadLimits): void {
-    this.currentLimits = limits
-  }
-
   /** Null if the connection can't be held: all others are in use. */
   add (connection: LoadedConnection): ConnectionLoad | null {
-    if (this.open.size >= this.currentLimits.connections && !this.closeUnused()) {
+    if (this.open.size >= this.limits.connections && !this.closeUnused()) {
       this.countShed(ShedReason.Connections)
       return null
     }
@@ -93,6 +85,13 @@
     load.close(reason)
   }
 
+  /** Connections closed because of a limit since the start. */
+  get shedTotal (): number {
+    let total = 0
+    for (const count of this.shedCounts.values()) total += count
+    return total
+  }
+
   private countShed (reason: ShedReason): void {
     this.shedCounts.set(reason, this.shedCount(reason) + 1)
   }
@@ -116,7 +115,7 @@
   }
 
   private shedExcess (): void {
-    const limitBytes = this.currentLimits.heldBytes
+    const limitBytes = this.limits.heldBytes
     if (this.isShedding || this.heldBytes <= limitBytes || this.bytesBesideLargest() <= limitBytes) return
     this.isShedding = true
     for (const load of this.byPrecedence()) {
