Guard: a connection's end is read whenever its data has been

An end of the connection that arrives while its data waits for a turn is read once that data has been, and an end without data does not wait for a turn. Found by reading: callers that leave must be noticed also while the node has no time to parse. The new test passes without the change too (Node.js reads again when the end arrives), so that no fault was shown; it guards the promise.

--- a/packages/dotterelspur-listener/src/__tests__/unit/ListenerGuard.test.ts
+++ b/packages/dotterelspur-listener/src/__tests__/unit/ListenerGuard.test.ts
@@ -138,6 +138,19 @@
     await until(() => guarded.guard.load.connections === 0)
   })
 
+  // Guards against requests that run for callers that have left: their end arrives with the request, or while the node has no time to parse.
+  it('passes on an end that arrives with the request, also beside other work', async () => {
+    let ended = 0
+    guarded = await GuardedServer.start(({ socket }) => {
+      socket.on('end', () => { ended += 1 })
+      const busyUntilMs = performance.now() + 10
+      while (performance.now() < busyUntilMs) { /* Takes all the time that there is for parsing. */ }
+    })
+    const callers = await Promise.all(Array.from({ length: 20 }, async () => await guarded.connect()))
+    for (const caller of callers) caller.end(get('/'))
+    await until(() => ended === callers.length)
+  })
+
   it('closes a connection whose caller stops inside a body, and none whose response is still to come', async () => {
     guarded = await GuardedServer.start(() => { /* The response is still to come. */ })
     guarded.guard.stallMs = 500
--- a/packages/dotterelspur-listener/src/connection/GuardedConnection.ts
+++ b/packages/dotterelspur-listener/src/connection/GuardedConnection.ts
@@ -183,7 +183,7 @@
   }
 
   takeTurn (): void {
-    if (!this.mayPass) return
+    if (!this.mayPass || this.raw.readableLength === 0) return
     this.pass()
     if (this.raw.readableLength === 0) this.tookMs /= 2
   }
@@ -224,7 +224,8 @@
     if (this.exchanges.size === 0) this.load?.noteProgress()
     if (this.raw.bytesRead > this.dropEndBytes) return this.giveWay()
     this.noteUnparsed()
-    if (this.mayPass && this.raw.readableLength <= this.sliceBytes && this.parts.turns.hasTime) this.pass()
+    if (this.raw.readableLength === 0) this.readEnd()
+    else if (this.mayPass && this.raw.readableLength <= this.sliceBytes && this.parts.turns.hasTime) this.pass()
     else this.waitForTurn()
   }
 
@@ -233,15 +234,19 @@
   }
 
   private pass (): void {
-    // Without data, the socket has ended, and says so when it is read.
-    const bytes = this.raw.read(Math.min(this.sliceBytes, this.raw.readableLength) || undefined) as Buffer | null
-    if (bytes === null) return
+    const bytes = this.raw.read(Math.min(this.sliceBytes, this.raw.readableLength)) as Buffer
     this.noteUnparsed()
     this.isWanted = false
     const tookMs = this.parts.turns.spend(() => { this.push(bytes) })
     this.tookMs += tookMs
     if (tookMs > SLOW_SLICE_MS) this.sliceBytes = Math.max(MIN_SLICE_BYTES, this.sliceBytes / 2)
     else if (tookMs < FAST_SLICE_MS && bytes.length === this.sliceBytes) this.sliceBytes = Math.min(MAX_SLICE_BYTES, this.sliceBytes * 2)
+    if (this.raw.readableLength === 0) this.readEnd()
+  }
+
+  /** A socket without data that has ended says so once it is read. */
+  private readEnd (): void {
+    this.raw.read(0)
   }
 
   /** Sends small pieces together. */
