--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -48,7 +48,7 @@
 const mocha = join(root, 'node_modules', 'mocha', 'bin', 'mocha.js')
 // A listener or timer that a test leaves open keeps mocha running, and the run would never fail without a limit. Soaks and tests of real
 // processes take as long as their faults last, so that a run beside other load takes twice as long as on an idle machine.
-const RUN_LIMIT_MS = 30 * 60_000
+const RUN_LIMIT_MS = 45 * 60_000
 const result = spawnSync(process.execPath, [mocha, ...exclusion, ...files], { cwd: root, stdio: ['ignore', 'inherit', 'inherit'], timeout: RUN_LIMIT_MS, killSignal: 'SIGKILL' })
 if (result.error !== undefined) console.error(`test run stopped: ${result.error.message}`)
 process.exit(result.status ?? 1)
