Read turns: a backlog closes no ordinary caller and no link between nodes

When a backlog of more than 32 connections lasts for a second, the one that took most is closed. On a part of a core hundreds of ordinary callers that connect at once make such a backlog, and a connection's time added up since it was opened: a link between nodes, or a kept connection, would have gone first.

Only a connection that has lately taken 250 ms is closed now, and what is read at once is forgotten like what is read in turns. ReadTurns with 400 callers of 5 ms a turn closed one without this; a connection with 30 requests of 5 ms counted over 50 ms, both tests fail with the lines taken out.

--- a/packages/dotterelspur-listener/src/__tests__/unit/ListenerGuard.test.ts
+++ b/packages/dotterelspur-listener/src/__tests__/unit/ListenerGuard.test.ts
@@ -191,6 +191,23 @@
     expect(echo.toString()).to.equal('hello')
   })
 
+  // Guards against links and kept connections that are closed in a backlog because of all the work since they were opened.
+  it('forgets the time that former requests took', async () => {
+    let spentMs = Infinity
+    guarded = await GuardedServer.start(({ socket }, response) => {
+      const busyUntilMs = performance.now() + 5
+      while (performance.now() < busyUntilMs) { /* As a request that takes some time. */ }
+      spentMs = guardedConnection(socket)!.spentMs
+      response.end()
+    })
+    const socket = await guarded.connect()
+    for (let index = 0; index < 30; index++) {
+      socket.write(get('/'))
+      await once(socket, 'data')
+    }
+    expect(spentMs).to.be.lessThan(50)
+  })
+
   it('stands in for the socket of requests', async () => {
     const seen: unknown[] = []
     guarded = await GuardedServer.start(({ socket }: IncomingMessage, response: ServerResponse) => {
--- a/packages/dotterelspur-listener/src/connection/GuardedConnection.ts
+++ b/packages/dotterelspur-listener/src/connection/GuardedConnection.ts
@@ -185,7 +185,6 @@
   takeTurn (): void {
     if (!this.mayPass || this.raw.readableLength === 0) return
     this.pass()
-    if (this.raw.readableLength === 0) this.tookMs /= 2
   }
 
   override _read (): void {
@@ -241,7 +240,9 @@
     this.tookMs += tookMs
     if (tookMs > SLOW_SLICE_MS) this.sliceBytes = Math.max(MIN_SLICE_BYTES, this.sliceBytes / 2)
     else if (tookMs < FAST_SLICE_MS && bytes.length === this.sliceBytes) this.sliceBytes = Math.min(MAX_SLICE_BYTES, this.sliceBytes * 2)
-    if (this.raw.readableLength === 0) this.readEnd()
+    if (this.raw.readableLength > 0) return
+    this.tookMs /= 2
+    this.readEnd()
   }
 
   /** A socket without data that has ended says so once it is read. */
--- a/packages/dotterelspur/src/process/callers/ReadTurns.ts
+++ b/packages/dotterelspur/src/process/callers/ReadTurns.ts
@@ -12,10 +12,12 @@
 
 /** What may be spent on parsing before other work gets its turn. */
 const BUDGET_MS = 8
-/** So many connections may wait for as long as they like. */
+/** A backlog of so many connections or fewer may last. */
 const MAX_WAITING = 32
 /** Beyond `MAX_WAITING`, how long a backlog may last. */
 const BACKLOG_MS = 1_000
+/** A usual request takes some milliseconds, on a part of a core as well. */
+const MIN_SPENT_MS = 250
 
 /**
  * Lets connections parse what they have received in turns, so that none holds up the others. Load pattern: many callers send bodies in chunks of a byte, or
@@ -89,7 +91,7 @@
     if (nowMs - this.backlogSinceMs < BACKLOG_MS) return
     let most: TurnTaker | null = null
     for (const taker of this.waiting) if (most === null || taker.spentMs > most.spentMs) most = taker
-    if (most === null) return
+    if (most === null || most.spentMs < MIN_SPENT_MS) return
     this.waiting.delete(most)
     most.giveWay()
   }
--- a/packages/dotterelspur/src/process/callers/__tests__/unit/ReadTurns.test.ts
+++ b/packages/dotterelspur/src/process/callers/__tests__/unit/ReadTurns.test.ts
@@ -83,6 +83,14 @@
     expect(gaveWay).to.deep.equal(['r40'])
   })
 
+  // Guards against ordinary callers that are closed when many of them connect at once to a node with a part of a core.
+  it('closes no connection whose requests take as long as usual ones', () => {
+    const { tick, turns, gaveWay, addReader } = createWorld()
+    for (let index = 0; index < 400; index++) addReader(`r${index}`, 5, 2)
+    for (let ticks = 0; turns.size > 0 && ticks < 1_000; ticks++) tick()
+    expect([turns.size, gaveWay]).to.deep.equal([0, []])
+  })
+
   it('keeps a backlog of few connections for as long as it lasts', () => {
     const { tick, gaveWay, addReader } = createWorld()
     for (let index = 0; index < 30; index++) addReader(`r${index}`, 5, Infinity)
