Caller load: unused connections give way before callers with requests and links

On a machine of 250 MB 2,200 connections that send nothing reach the limit in bytes before the limit of connections. Then the connections that held most were closed: callers with a usual request, and links between nodes, while those that send nothing hold least and stayed.

What holds more than a usual request, or has stalled, still goes first; then connections that were never used, unused ones, callers with usual requests, and links between nodes last. The new test (200 silent connections beside a link, a caller with a request and a kept connection) closed all three without the ranks.

--- a/packages/dotterelspur-listener/src/connection/GuardedConnection.ts
+++ b/packages/dotterelspur-listener/src/connection/GuardedConnection.ts
@@ -164,7 +164,7 @@
 
   /** The connection is no longer used for HTTP, and counts as in use until it is closed. */
   noteUpgrade (): void {
-    this.load?.beginRequest()
+    this.load?.noteUpgrade()
   }
 
   /** Counts a body that is held for a request of this connection. */
--- a/packages/dotterelspur/src/process/callers/CallerLoad.ts
+++ b/packages/dotterelspur/src/process/callers/CallerLoad.ts
@@ -16,13 +16,15 @@
 
 /** A caller that owes progress for this long gives way before callers that make some. */
 const STALLED_MS = 1_000
+/** A connection with a usual request holds less. */
+const USUAL_BYTES = 81_920
 /** Closing down to this part of the limit lets many callers arrive before connections are compared again. */
 const RELIEVED_SHARE = 7 / 8
 
 /**
  * The one owner of what callers make a process hold, on all of its listeners: connections, bytes that have not been parsed, requests, bodies,
- * and responses that have not been read. Beyond a limit it closes connections: first those whose callers make no progress, then those that hold
- * most. Load pattern: callers that the operators do not control send as much as they can, and read nothing.
+ * and responses that have not been read. Beyond a limit it closes connections: those whose callers make no progress, those that hold more than usual,
+ * unused ones, and only then callers with usual requests; links between nodes last. Load pattern: callers that the operators do not control send as much as they can, and read nothing.
  */
 export class CallerLoad {
   private readonly open = new Set<ConnectionLoad>()
@@ -134,11 +136,21 @@
 
   private byPrecedence (): ConnectionLoad[] {
     const sinceMs = this.clock.nowMs() - STALLED_MS
-    const isStalled = new Map([...this.open].map((load) => [load, load.isLoaded && load.progressAtMs <= sinceMs && load.awaitsCaller]))
-    return [...this.open].sort((one, other) => Number(isStalled.get(other)) - Number(isStalled.get(one)) || other.heldBytes - one.heldBytes || one.progressAtMs - other.progressAtMs)
+    const ranks = new Map([...this.open].map((load) => [load, PRECEDENCE.findIndex((matches) => matches(load, sinceMs))]))
+    return [...this.open].sort((one, other) => ranks.get(one)! - ranks.get(other)! || other.heldBytes - one.heldBytes || one.progressAtMs - other.progressAtMs)
   }
 }
 
+/** Which connections are closed first while all together hold too much; the last rank takes all that are left. */
+const PRECEDENCE: ReadonlyArray<(load: ConnectionLoad, stalledSinceMs: number) => boolean> = [
+  (load, stalledSinceMs) => load.isLoaded && load.progressAtMs <= stalledSinceMs && load.awaitsCaller,
+  ({ heldBytes }) => heldBytes > USUAL_BYTES,
+  ({ isInUse, wasUsed }) => !isInUse && !wasUsed,
+  ({ isInUse }) => !isInUse,
+  ({ isUpgraded }) => !isUpgraded,
+  () => true
+]
+
 function isLessUsed (one: ConnectionLoad, other: ConnectionLoad): boolean {
   if (one.wasUsed !== other.wasUsed) return !one.wasUsed
   return one.progressAtMs < other.progressAtMs
--- a/packages/dotterelspur/src/process/callers/ConnectionLoad.ts
+++ b/packages/dotterelspur/src/process/callers/ConnectionLoad.ts
@@ -15,7 +15,7 @@
 /** The sockets and parsers of a connection, and the head of a request that it may be sending. */
 const CONNECTION_BYTES = 16_384
 /** The objects of a request and its response, and what handles it. */
-export const REQUEST_BYTES = 32_768
+const REQUEST_BYTES = 32_768
 
 /** A connection as its owner sees it. */
 export interface LoadedConnection {
@@ -36,6 +36,7 @@
   private totalBytes = 0
   private requestCount = 0
   private hasHadRequest = false
+  private hasBeenUpgraded = false
   private isReleased = false
   private lastProgressAtMs: number
 
@@ -61,13 +62,13 @@
     return this.connection.awaitsCaller
   }
 
-  /** Requests that have not been answered. */
-  get requests (): number {
-    return this.requestCount
+  get isInUse (): boolean {
+    return this.requestCount > 0 || this.hasBeenUpgraded
   }
 
-  get isInUse (): boolean {
-    return this.requestCount > 0
+  /** Whether it is no longer used for HTTP, such as a link between nodes. */
+  get isUpgraded (): boolean {
+    return this.hasBeenUpgraded
   }
 
   get wasUsed (): boolean {
@@ -82,6 +83,10 @@
     this.lastProgressAtMs = this.listener.nowMs()
   }
 
+  noteUpgrade (): void {
+    this.hasBeenUpgraded = true
+  }
+
   beginRequest (): void {
     this.hasHadRequest = true
     this.requestCount += 1
--- a/packages/dotterelspur/src/process/callers/__tests__/unit/CallerLoad.test.ts
+++ b/packages/dotterelspur/src/process/callers/__tests__/unit/CallerLoad.test.ts
@@ -66,6 +66,23 @@
     expect([stalled!.closedBy, busy!.closedBy, other!.closedBy]).to.deep.equal([[ShedReason.Memory], [], []])
   })
 
+  // Guards against a node that loses its callers and its links to other nodes to thousands of connections that send nothing.
+  it('closes unused connections before callers with usual requests and links between nodes', () => {
+    const { load, clock, connect } = createLoad({ connections: 1_000 })
+    const [link, caller, kept] = [connect(), connect(), connect()]
+    link!.load.noteUpgrade()
+    link!.load.hold(HeldKind.Unparsed, 4 * KIB)
+    caller!.load.beginRequest()
+    caller!.load.hold(HeldKind.Bodies, 10 * KIB)
+    kept!.load.beginRequest()
+    kept!.load.endRequest()
+    clock.advance(1)
+    const silent = Array.from({ length: 200 }, connect)
+    expect(load.heldBytes).to.be.at.most(MIB + CONNECTION_BYTES + 46 * KIB)
+    expect([link!, caller!, kept!].map(({ closedBy }) => closedBy)).to.deep.equal([[], [], []])
+    expect(silent.filter(({ closedBy }) => closedBy.length > 0).length).to.be.greaterThan(100)
+  })
+
   // Guards against a single request within the limits that is refused in calm.
   it('holds one connection of any size', () => {
     const { connect } = createLoad()
