--- a/packages/dotterelspur-gateway/src/__tests__/unit/manyBodies.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/manyBodies.test.ts
@@ -12,6 +12,8 @@
 /** What a read delivers to an upload before it is paused. */
 const READ_BYTES = 65_536
 const SAMPLE_INTERVAL_MS = 5
+/** Longer than a body waits for memory. */
+const ANSWER_MS = 1_500
 const TIMEOUT_MS = 30_000
 
 describe('Many bodies at once', function () {
@@ -41,6 +43,17 @@
     }
   }
 
+  // Guards against ordinary uploads that are refused though the memory of the smallest machine is enough for them.
+  it('of eight callers at once are served at the first attempt, on the smallest machine', async () => {
+    endpoint.answerWith((_request, response, body) => { setTimeout(() => { response.setHeader('x-seal', 'seal').end(String(body.length)) }, ANSWER_MS) })
+    const statuses = await Promise.all(Array.from({ length: 8 }, async (_unused, index) => {
+      const { statusCode, body } = await request(world.url('/read/x'), { method: 'POST', headers: { host: 'a.example', 'x-key': 'key-1', 'x-request': `u${index}` }, body: Buffer.alloc(4_000_000, 'x') })
+      await body.dump()
+      return statusCode
+    }))
+    expect(statuses).to.deep.equal(Array.from({ length: 8 }, () => 200))
+  })
+
   // Guards against a process that ends because the bodies of many requests together take more than its memory.
   it('are served, and held within the memory for bodies', async () => {
     const state = { isOver: false }
