Listeners: requests that have been sent are read before idle connections are closed

The caller can't know whether its request ran.

Cause: at the end of a stop both programs closed their listening socket and their idle connections in the turn of the event loop in which they decided to. Requests that had arrived by then and had not been read were lost with them, and the kernel answered with a reset. The window is as long as a turn, so a busy machine shows it. The product's closing took Node's own notion of an idle connection, which also ignores bytes that wait for their turn to be parsed; and while it closed, the framework answered in a form that callers do not know.

Why it works: the guard of a listener closes idle connections only after a whole turn in which sockets were looked at, and takes none for idle of which bytes have arrived since its last response. The listening socket waits as long. The gateway's own notion of an idle connection gives way to the guard's.

--- a/packages/dotterelspur-entry/src/process/createEntry.ts
+++ b/packages/dotterelspur-entry/src/process/createEntry.ts
@@ -4,7 +4,7 @@
   BodyMemory, callerLoadLimits, DEFAULT_MACHINE, OutcomeReason, PauseDetector, RetryBudget, Router, createRoutingOptions, mergeTeardowns, notRun, unknownOutcome,
   type Teardown
 } from 'dotterelspur'
-import { ListenerGuard } from 'dotterelspur-listener'
+import { afterSocketsRead, ListenerGuard } from 'dotterelspur-listener'
 import { authenticate, sendOutcome } from '../connection/callers.js'
 import { registerJsonParser, sendUnreadBody, UnreadBody } from '../connection/registerBodyParsers.js'
 import { registerDirectoryRoutes } from '../connection/registerDirectoryRoutes.js'
@@ -141,11 +141,15 @@
   return () => { cancel() }
 }
 
-/** Gives responses that are being flushed `FLUSH_MS` to finish; idle keep-alive connections are closed at once. */
+/** Requests that have arrived are answered; responses that are being flushed get `FLUSH_MS` to finish. Idle connections are closed at once. */
 async function closeListener (app: FastifyInstance, { clock }: EntryContext): Promise<void> {
-  const cancel = clock.registerTimer(FLUSH_MS, () => { app.server.closeAllConnections() })
-  await app.close()
+  await new Promise<void>((resolve) => { afterSocketsRead(resolve) })
+  const { server } = app
+  const cancel = clock.registerTimer(FLUSH_MS, () => { server.closeAllConnections() })
+  // The framework's own closing refuses requests in a form that callers do not know.
+  if (server.listening) await new Promise<void>((resolve) => { server.close(() => { resolve() }) })
   cancel()
+  await app.close()
 }
 
 function createListener (services: EntryServices, calls: OpenCalls, guard: ListenerGuard): FastifyInstance {
--- a/packages/dotterelspur-gateway/src/__tests__/unit/stopBesideRequests.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/stopBesideRequests.test.ts
@@ -11,6 +11,11 @@
 /** The node no longer listens this long after the begin of its stop, where directory responses expire at once. */
 const UNLISTED_MS = 1_500
 const SHORT_GRACE_MS = 1_500
+/** The node listens this long after the begin of its stop, where directory responses expire at once. */
+const LISTENS_MS = 1_000
+const HELD_MS = 200
+/** Within so many ticks, requests are sent on connections that are open. */
+const TICKS_TO_SEND = 5
 /** More than the socket buffers between a node and its caller hold. */
 const LARGE_BODY = 'x'.repeat(32 * 1_048_576)
 const RETRIES = { windowMs: 10_000, ratio: 0.2, extra: 100 }
@@ -94,6 +99,26 @@
     await stopped
   })
 
+  // Guards against connections that are reset because requests on them have been sent, and have not been read when the listener closes.
+  it('are followed by those that were sent while the event loop was held until the listener closes', async () => {
+    requests.world.gateway.applyLimits({ stopGraceMs: GRACE_MS, directoryTtlMs: 0, retries: RETRIES })
+    const connections = Array.from({ length: 20 }, () => new KeptConnection(requests.world.callers))
+    try {
+      await Promise.all(connections.map((used) => used.call('/new/x')))
+      const stopped = requests.world.gateway.stop()
+      await delay(LISTENS_MS - HELD_MS / 2)
+      // After its immediate callbacks the event loop runs timers, and looks at its sockets after those.
+      await new Promise((resolve) => { setImmediate(resolve) })
+      const answers = connections.map((used) => used.call('/new/x').then(({ status }) => status, ({ message }: Error) => message))
+      for (let tick = 0; tick < TICKS_TO_SEND; tick += 1) await new Promise((resolve) => { process.nextTick(resolve) })
+      holdEventLoop(HELD_MS)
+      expect(await Promise.all(answers)).to.deep.equal(connections.map(() => 200))
+      await stopped
+    } finally {
+      for (const used of connections) used.close()
+    }
+  })
+
   // Guards against a request that was not run, and whose caller can't know: its body was being received when the node ended.
   it('do not include those whose bodies are still being received at the end, which are refused', async () => {
     requests.world.gateway.applyLimits({ stopGraceMs: SHORT_GRACE_MS, directoryTtlMs: 2_000, retries: RETRIES })
@@ -149,6 +174,10 @@
   })
 })
 
+function holdEventLoop (durationMs: number): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, durationMs)
+}
+
 /** Sends a request and resolves with its answer, whose body has not been read. */
 async function startReading ({ world }: RequestsOfAllKinds): Promise<IncomingMessage> {
   return await new Promise((resolve, reject) => {
--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -1,11 +1,10 @@
 import { randomUUID } from 'node:crypto'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import type { Socket } from 'node:net'
 import type { FastifyInstance } from 'fastify'
 import {
   AccessKind, BodyErrorKind, BodyMemory, DispatchEndKind, pick, readBody, type Access, type CallerLimits, type Clock, type HeldBody, type Random, type RequestContent, type Route, type RouteTable, type ServiceId
 } from 'dotterelspur'
-import { guardedConnection, type ListenerGuard } from 'dotterelspur-listener'
+import { afterSocketsRead, guardedConnection, type ListenerGuard } from 'dotterelspur-listener'
 import { AdmissionKind, type PoisonAdmission } from 'dotterelspur-poison'
 import type { Dispatch } from '../process/Dispatch.js'
 import { LogKind, type DecisionLog, type LogFields } from '../process/DecisionLog.js'
@@ -82,7 +81,7 @@
     this.stopAdmission = new StopAdmission(parts.clock)
     this.app = createCallerApp((request, response) => { this.accept(request, response) })
     this.connections = new CallerConnections(this.app.server, parts.clock)
-    parts.guard.register(this.app.server, (connection) => { this.connections.add(connection as Socket) })
+    parts.guard.register(this.app.server, (connection) => { this.connections.add(connection) })
     parts.manifest.registerListener(({ manifest }) => {
       this.applyLimits(manifest.limits)
       this.stopAdmission.noteRoutes(manifest.routes)
@@ -128,11 +127,10 @@
     this.waits.stop()
   }
 
-  /** Accepts no new connections. Requests on open connections are completed. */
+  /** Accepts no new connections, and closes those that are idle. Requests that have arrived are completed. */
   stopListening (): void {
     this.isListening = false
-    this.app.server.close()
-    this.connections.closeIdle()
+    afterSocketsRead(() => { this.app.server.close() })
   }
 
   /** Refuses the requests that have not been sent on, and ends the others whose response has not begun, so that all their callers learn it. */
@@ -159,7 +157,7 @@
     this.running += 1
     const callerResponse = new CallerResponse(request, response, () => this.stopAdmission.isStopping)
     this.pending.add(callerResponse)
-    const sent = this.connections.untilSent(request.socket, response)
+    const sent = this.connections.untilSent(guardedConnection(request.socket), response)
     this.run(request, response, callerResponse)
       .catch((error: unknown) => {
         this.parts.log.write(LogKind.Unexpected, { where: 'request', error: error instanceof Error ? error.stack : String(error) })
@@ -169,7 +167,7 @@
       .finally(() => {
         this.running -= 1
         this.pending.delete(callerResponse)
-        if (!this.isListening) this.connections.closeLater(request.socket)
+        if (!this.isListening) this.connections.closeLater(guardedConnection(request.socket))
       })
       .catch(() => { /* Errors of `run` have been logged above. */ })
   }
--- a/packages/dotterelspur-listener/src/connection/GuardedConnection.ts
+++ b/packages/dotterelspur-listener/src/connection/GuardedConnection.ts
@@ -43,6 +43,8 @@
   /** Where the rest of a body whose request has been answered ends at the latest, in bytes of the connection. */
   private dropEndBytes = Infinity
   private tookMs = 0
+  /** Bytes of the connection when its last response was complete; null before that. */
+  private idleAtBytes: number | null = null
 
   constructor (readonly raw: Socket, private readonly parts: GuardedConnectionParts) {
     super({ allowHalfOpen: true, decodeStrings: false })
@@ -63,6 +65,11 @@
     return false
   }
 
+  /** Whether it has been used, and its caller has begun no other request. */
+  get isIdle (): boolean {
+    return this.exchanges.size === 0 && this.raw.readableLength === 0 && this.idleAtBytes === this.raw.bytesRead
+  }
+
   /** Time that parsing has taken lately. */
   get spentMs (): number {
     return this.tookMs
@@ -152,6 +159,7 @@
     response.once('prefinish', () => { this.noteResponses() })
     response.once('close', () => {
       this.exchanges.delete(exchange)
+      this.idleAtBytes = this.raw.bytesRead
       if (!request.complete) this.dropEndBytes = this.raw.bytesRead + MAX_DROPPED_BYTES
       this.load?.endRequest()
       this.noteResponses()
--- a/packages/dotterelspur-listener/src/index.ts
+++ b/packages/dotterelspur-listener/src/index.ts
@@ -1,2 +1,3 @@
+export * from './connection/afterSocketsRead.js'
 export * from './connection/GuardedConnection.js'
 export * from './process/ListenerGuard.js'
--- a/packages/dotterelspur-listener/src/process/ListenerGuard.ts
+++ b/packages/dotterelspur-listener/src/process/ListenerGuard.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import { CallerLoad, ReadTurns, type CallerLoadLimits, type Clock, type Teardown } from 'dotterelspur'
+import { afterSocketsRead } from '../connection/afterSocketsRead.js'
 import { GuardedConnection, guardedConnection } from '../connection/GuardedConnection.js'
 
 /** How often connections without progress are looked for. */
@@ -13,6 +14,7 @@
 const UPGRADE_EVENTS = ['upgrade', 'connect'] as const
 
 type ConnectionListener = (connection: Duplex) => void
+type GuardedListener = (connection: GuardedConnection) => void
 type RequestHandler = (request: IncomingMessage, response: ServerResponse) => void
 
 /** Stands before the HTTP servers of a process, and bounds what all their callers together make it hold. */
@@ -32,19 +34,27 @@
     this.scheduleSweep()
   }
 
-  /** Puts the guard before a server that has its handlers, and does not listen yet. `onConnection` gets each connection that is taken. */
-  register (server: Server | HttpsServer, onConnection: ConnectionListener = () => {}): Teardown {
+  /**
+   * Puts the guard before a server that has its handlers, and does not listen yet. `onConnection` gets each connection that is taken.
+   * The server's idle connections are closed only once the requests that have arrived on them are read.
+   */
+  register (server: Server | HttpsServer, onConnection: GuardedListener = () => {}): Teardown {
     const event = 'setSecureContext' in server ? 'secureConnection' : 'connection'
     const listeners = server.listeners(event) as ConnectionListener[]
     const handlers = server.listeners('request') as RequestHandler[]
     server.removeAllListeners(event)
     server.removeAllListeners('request')
+    const connections = new Set<GuardedConnection>()
+    // Node's own also closes connections whose response has been written and not been read by the caller yet.
+    server.closeIdleConnections = () => { afterSocketsRead(() => { closeIdle(connections) }) }
     const accept = (socket: Socket): void => {
       const connection = new GuardedConnection(socket, this)
       if (connection.load === null) {
         connection.destroy()
         return
       }
+      connections.add(connection)
+      connection.once('close', () => { connections.delete(connection) })
       onConnection(connection)
       for (const listener of listeners) listener.call(server, connection)
     }
@@ -85,6 +95,10 @@
   }
 }
 
+function closeIdle (connections: ReadonlySet<GuardedConnection>): void {
+  for (const connection of connections) if (connection.isIdle) connection.destroy()
+}
+
 function noteUpgrade (_request: IncomingMessage, connection: Duplex): void {
   guardedConnection(connection)?.noteUpgrade()
 }
