Node: flags for a heap that stays within the node's memory

Cause: nodes were started without flags for the heap. V8 then sizes its young generation and its pace of collections by the host, here 24 GiB, and the process fills with garbage what its small share of the host has left. What callers make it hold was within its limit.

The new test of a started node fails when the demo starts it without the flags.

The crowds and the bound are as they were.

--- a/packages/dotterelspur-demo/src/__tests__/unit/nodeSignals.test.ts
+++ b/packages/dotterelspur-demo/src/__tests__/unit/nodeSignals.test.ts
@@ -110,3 +110,18 @@
     expect(end).to.equal(0)
   })
 })
+
+describe('A node that is started with the flags for its memory', function () {
+  this.timeout(TIMEOUT_MS)
+
+  // Guards against a heap that follows the memory of the host, and fills with garbage the smaller memory that the node may use.
+  it('has a heap whose limit leaves room beside it', async () => {
+    let log = ''
+    await run(async (node) => {
+      await node.untilLogged('started, incarnation')
+      log = node.log
+      node.signal('SIGTERM')
+    })
+    expect(log).not.to.contain('the heap may grow')
+  })
+})
--- a/packages/dotterelspur-demo/src/process/NodeProcess.ts
+++ b/packages/dotterelspur-demo/src/process/NodeProcess.ts
@@ -4,6 +4,8 @@
 import { readFile } from 'node:fs/promises'
 import { dirname, join } from 'node:path'
 import { fileURLToPath } from 'node:url'
+import { DEFAULT_MACHINE } from 'dotterelspur'
+import { heapFlags } from 'dotterelspur-node'
 
 const LOG_TAIL_LINES = 20
 
@@ -36,7 +38,7 @@
   start (): void {
     if (this.child !== undefined) return
     const log = openSync(this.logPath, 'a')
-    const child = spawn(process.execPath, [nodeProgram(), '--settings', this.settingsPath], { stdio: ['ignore', log, log], detached: true })
+    const child = spawn(process.execPath, [...heapFlags(DEFAULT_MACHINE.memoryBytes), nodeProgram(), '--settings', this.settingsPath], { stdio: ['ignore', log, log], detached: true })
     closeSync(log)
     this.child = child
     this.exited = new Promise((resolve) => {
--- a/packages/dotterelspur-node/src/index.ts
+++ b/packages/dotterelspur-node/src/index.ts
@@ -1,4 +1,5 @@
 export * from './process/admin/index.js'
+export * from './process/heapFlags.js'
 export * from './process/loadNodeSettings.js'
 export * from './process/Node.js'
 export * from './process/NodeError.js'
--- a/packages/dotterelspur-node/src/process/Node.ts
+++ b/packages/dotterelspur-node/src/process/Node.ts
@@ -1,8 +1,10 @@
+import { getHeapStatistics } from 'node:v8'
 import { NodeState, failed, runProcedure, sleep, success, type EffectHandlers, type Result } from 'dotterelspur'
 import { hashToken } from 'dotterelspur-settings'
 import { startAdminServer, type AdminServer } from './admin/index.js'
 import { DrainEffectKind, drainNode, type DrainEffect } from './DrainProcedure.js'
 import { resolvePort } from './freePort.js'
+import { heapWarning } from './heapFlags.js'
 import { chooseIncarnation } from './Incarnation.js'
 import type { LoadedSettings } from './loadNodeSettings.js'
 import { NodeErrorKind, type NodeError } from './NodeError.js'
@@ -39,6 +41,8 @@
   startRoles(parts)
   const entryAddress = await tryListen(`${loaded.settings.host}:${ports.entry}`, () => parts.entry.listen())
   if (!entryAddress.ok) return entryAddress
+  const warning = heapWarning(getHeapStatistics().heap_size_limit, loaded.settings.limits.memoryBytes)
+  if (warning !== null) parts.logs.node(warning)
   parts.logs.node(`started, incarnation ${incarnation}, entry ${entryAddress.value}, mesh ${parts.mesh.self.meshAddress}, admin ${admin.value.address}`)
   return success({
     entryAddress: entryAddress.value,
--- a/packages/dotterelspur-node/src/process/NodeParts.ts
+++ b/packages/dotterelspur-node/src/process/NodeParts.ts
@@ -13,7 +13,7 @@
 import { SystemClock } from 'dotterelspur-clock'
 
 const MAX_SEED = 0x7fff_ffff
-/** What a node takes without callers: it keeps the fleet's state and the heap of its process has no limit of its own. */
+/** What a node takes without callers, the fleet's state included. */
 const NODE_BYTES = 170_000_000
 /** A lease renewal that takes longer than this is abandoned, because the next one is due by then. */
 const LEASE_CALL_TIMEOUT_MS = 1_000
