Bodies: ordinary uploads have what other callers leave of the process's memory

Cause: bodies had half of what callers may make a process hold, 18 of 36 MB, whatever the other half was used for.

Fix: BodyMemory knows its owner. A large body waits while all that callers make the process hold comes to 0.95 of the limit, so bodies use what unread responses and connections leave, and wait earlier where those hold much.

--- a/packages/dotterelspur-entry/src/process/createEntry.ts
+++ b/packages/dotterelspur-entry/src/process/createEntry.ts
@@ -40,7 +40,7 @@
 /** How often requests that have not been received in time are looked for. */
 const RECEIVE_CHECK_MS = 1_000
 /** Bodies get this part of what callers may make the process hold. */
-const BODIES_SHARE = 0.5
+const BODIES_SHARE = 0.95
 
 /** The part of a node that serves callers. */
 export interface Entry {
@@ -179,7 +179,7 @@
     return sendOutcome(reply, unknownOutcome(OutcomeReason.StreamBroken, 'internal error'), null, false, { status })
   })
   app.setNotFoundHandler((_request, reply) => sendOutcome(reply, notRun(OutcomeReason.InvalidRequest, 'no such path', null), null, true, { status: 404 }))
-  const bodies = { clock, maxBodyBytes: limits.maxBodyBytes, memory: new BodyMemory(Math.min(limits.bodyMemoryBytes, load.limits.heldBytes * BODIES_SHARE), () => limits.maxBodyBytes, () => { load.makeRoom() }) }
+  const bodies = { clock, maxBodyBytes: limits.maxBodyBytes, memory: new BodyMemory(Math.min(limits.bodyMemoryBytes, load.limits.heldBytes * BODIES_SHARE), () => limits.maxBodyBytes, load) }
   registerJsonParser(app, bodies)
   registerModelRoutes(app, services)
   registerServiceRoutes(app, services, bodies)
--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -76,7 +76,7 @@
 
   constructor (private readonly parts: CallerListenerParts) {
     const { load } = parts.guard
-    this.bodies = new BodyMemory(Math.min(BODY_MEMORY_BYTES, load.limits.heldBytes * BODIES_SHARE), () => this.maxBodyBytes, () => { load.makeRoom() })
+    this.bodies = new BodyMemory(Math.min(BODY_MEMORY_BYTES, load.limits.heldBytes * BODIES_SHARE), () => this.maxBodyBytes, load)
     this.waits = new RequestWaits(parts.clock)
     this.stopAdmission = new StopAdmission(parts.clock)
     this.app = createCallerApp((request, response) => { this.accept(request, response) })
--- a/packages/dotterelspur/src/request/body/BodyMemory.ts
+++ b/packages/dotterelspur/src/request/body/BodyMemory.ts
@@ -3,6 +3,13 @@
 /** What a source may deliver after it has been resumed, until it is paused again. */
 const READ_BYTES = 65_536
 
+/** What the bodies are a part of, such as everything that callers make a process hold. */
+export interface BodyOwner {
+  readonly heldBytes: number
+  /** A body must wait; closes what holds memory in vain. */
+  makeRoom (): void
+}
+
 /**
  * The bytes of request bodies that a process holds: those that arrive, and those whose requests are under way. Beyond the limit, large bodies wait
  * while others are completed. The oldest of them reads on in any case, up to `reserveBytes` above the limit, so that bodies that have arrived in
@@ -16,10 +23,10 @@
   private readonly waiting = new Map<HeldBody, () => void>()
 
   /**
+   * @param limitBytes of the bodies, and of what their owner holds in all.
    * @param reserveBytes the largest body that is accepted now.
-   * @param onFull a body must wait; may make room.
    */
-  constructor (private readonly limitBytes: number, private readonly reserveBytes: () => number, private readonly onFull: () => void = () => {}) {}
+  constructor (private readonly limitBytes: number, private readonly reserveBytes: () => number, private readonly owner: BodyOwner = { heldBytes: 0, makeRoom: () => {} }) {}
 
   get sizeBytes (): number {
     return this.heldBytes
@@ -38,7 +45,7 @@
       },
       hasRoom: () => {
         if (this.hasRoom(body)) return true
-        this.onFull()
+        this.owner.makeRoom()
         return this.hasRoom(body)
       },
       wait: (resume) => { this.waiting.set(body, resume) },
@@ -52,9 +59,13 @@
     return body
   }
 
+  private get roomBytes (): number {
+    return this.limitBytes - Math.max(this.heldBytes, this.owner.heldBytes)
+  }
+
   private hasRoom (body: HeldBody): boolean {
-    if (body.sizeBytes <= SMALL_BODY_BYTES || this.heldBytes < this.limitBytes) return true
-    return body === this.oldestLarge() && this.heldBytes < this.limitBytes + this.reserveBytes()
+    if (body.sizeBytes <= SMALL_BODY_BYTES || this.roomBytes > 0) return true
+    return body === this.oldestLarge() && this.roomBytes + this.reserveBytes() > 0
   }
 
   private oldestLarge (): HeldBody | undefined {
@@ -63,7 +74,7 @@
   }
 
   private resumeWaiting (): void {
-    let roomBytes = Math.max(READ_BYTES, this.limitBytes - this.heldBytes)
+    let roomBytes = Math.max(READ_BYTES, this.roomBytes)
     for (const [body, resume] of this.waiting) {
       // Only one that waits further behind may be the oldest, which reads on without room.
       if (roomBytes <= 0 || !this.hasRoom(body)) continue
--- a/packages/dotterelspur/src/request/body/__tests__/unit/readBody.test.ts
+++ b/packages/dotterelspur/src/request/body/__tests__/unit/readBody.test.ts
@@ -102,6 +102,28 @@
       expect([memory.sizeBytes, memory.waitingBodies]).to.deep.equal([0, 0])
     })
 
+    // Guards against bodies that take the memory which unread responses or many connections have already.
+    it('pauses large bodies while their owner holds as much for other things', async () => {
+      const owner = { heldBytes: 5 * READ_BYTES, makeRoom: () => {} }
+      const memory = new BodyMemory(4 * READ_BYTES, () => 0, owner)
+      const [first, second] = [0, 1].map(() => createUpload(memory, new ManualClock())) as [ReturnType<typeof createUpload>, ReturnType<typeof createUpload>]
+      second.source.emit('data', Buffer.alloc(1_000))
+      first.send(2)
+      expect(first.source.isPaused).to.equal(true)
+      owner.heldBytes = 3 * READ_BYTES
+      second.source.emit('end')
+      expect([await second.result, first.source.isPaused]).to.deep.equal([1_000, false])
+      first.source.emit('end')
+      expect(await first.result).to.equal(2 * READ_BYTES)
+    })
+
+    it('reads on if its owner makes room', () => {
+      const owner = { heldBytes: 5 * READ_BYTES, makeRoom: () => { owner.heldBytes = 0 } }
+      const { source, send } = createUpload(new BodyMemory(4 * READ_BYTES, () => 0, owner), new ManualClock())
+      send(2)
+      expect(source.isPaused).to.equal(false)
+    })
+
     // Guards against small requests that wait for the uploads of others.
     it('reads small bodies on', async () => {
       const memory = new BodyMemory(READ_BYTES, () => 0)
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -11,7 +11,7 @@
 const target = join(root, 'target')
 const packages = readdirSync(join(root, 'packages'))
 /** The flags of deploy/system.toml: Node.js rejects cached code that was compiled under other flags. */
-const RUNTIME_FLAGS = ['--max-old-space-size=160', '--max-semi-space-size=4']
+const RUNTIME_FLAGS = ['--max-old-space-size=160', '--max-semi-space-size=4', '--optimize-for-size']
 
 await build({
   absWorkingDir: root,
