--- a/packages/dotterelspur-entry/src/process/createEntry.ts
+++ b/packages/dotterelspur-entry/src/process/createEntry.ts
@@ -39,7 +39,7 @@
 const STALE_AFTER_PAUSE_MS = 250
 /** How often requests that have not been received in time are looked for. */
 const RECEIVE_CHECK_MS = 1_000
-/** Bodies get this part of what callers may make the process hold. */
+/** Large bodies wait while all that callers make the process hold comes to this part of its limit. */
 const BODIES_SHARE = 0.95
 
 /** The part of a node that serves callers. */
--- a/packages/dotterelspur-gateway/src/connection/requestLimits.ts
+++ b/packages/dotterelspur-gateway/src/connection/requestLimits.ts
@@ -1,4 +1,4 @@
 /** What the bodies of all callers' requests take together at most before large ones wait. */
 export const BODY_MEMORY_BYTES = 64 * 1_048_576
-/** The same as a part of what callers may make the process hold. The rest is for connections, requests and responses. */
+/** Large bodies wait as well while all that callers make the process hold comes to this part of its limit. */
 export const BODIES_SHARE = 0.95
