Bodies: one that has waited for too long goes on if there is room by then

A large body that waits was resumed only when another body ended.

Fix: before it refuses, a body that has waited looks at the room once more. The new test fails before (no-room) and passes after.

heapFlags.test.ts: a name that claimed more than its test shows.

--- a/packages/dotterelspur-node/src/__tests__/unit/heapFlags.test.ts
+++ b/packages/dotterelspur-node/src/__tests__/unit/heapFlags.test.ts
@@ -4,7 +4,7 @@
 const MEMORY_BYTES = 250_000_000
 
 describe('heapFlags', () => {
-  it('leave more than a third of the memory beside the heap', () => {
+  it('limit the heap to two thirds of the memory, and its young generation to 4 MiB', () => {
     expect(heapFlags(MEMORY_BYTES)).to.deep.equal(['--max-semi-space-size=4', '--max-old-space-size=160'])
   })
 })
--- a/packages/dotterelspur/src/request/body/BodyMemory.ts
+++ b/packages/dotterelspur/src/request/body/BodyMemory.ts
@@ -49,6 +49,7 @@
         return this.hasRoom(body)
       },
       wait: (resume) => { this.waiting.set(body, resume) },
+      retry: () => this.resumeIfRoom(body),
       end: () => {
         this.arriving.delete(body)
         this.waiting.delete(body)
@@ -73,6 +74,14 @@
     return undefined
   }
 
+  private resumeIfRoom (body: HeldBody): boolean {
+    const resume = this.waiting.get(body)
+    if (resume === undefined || !this.hasRoom(body)) return false
+    this.waiting.delete(body)
+    resume()
+    return true
+  }
+
   private resumeWaiting (): void {
     let roomBytes = Math.max(READ_BYTES, this.roomBytes)
     for (const [body, resume] of this.waiting) {
@@ -89,6 +98,8 @@
   resize (changeBytes: number): void
   hasRoom (): boolean
   wait (resume: () => void): void
+  /** Resumes the body if it waits and there is room for it. */
+  retry (): boolean
   /** The body no longer arrives, or is no longer held. */
   end (): void
 }
@@ -112,6 +123,11 @@
     return false
   }
 
+  /** Goes on if there is room by now: what the owner holds for other things may have become less, which no body is told. */
+  retry (): boolean {
+    return this.listener.retry()
+  }
+
   /** The body is complete, or the rest of it is dropped. */
   complete (): void {
     this.listener.end()
--- a/packages/dotterelspur/src/request/body/__tests__/unit/readBody.test.ts
+++ b/packages/dotterelspur/src/request/body/__tests__/unit/readBody.test.ts
@@ -117,6 +117,21 @@
       expect(await first.result).to.equal(2 * READ_BYTES)
     })
 
+    // Guards against an untrue refusal: unread responses held the memory, and were read while the body waited.
+    it('does not refuse a body that has waited for too long if there is room by then', async () => {
+      const clock = new ManualClock()
+      const owner = { heldBytes: 5 * READ_BYTES, makeRoom: () => {} }
+      const memory = new BodyMemory(4 * READ_BYTES, () => 0, owner)
+      const { source, send, result } = createUpload(memory, clock)
+      send(2)
+      expect(source.isPaused).to.equal(true)
+      owner.heldBytes = 0
+      clock.advance(800)
+      expect([source.isPaused, memory.waitingBodies]).to.deep.equal([false, 0])
+      source.emit('end')
+      expect(await result).to.equal(2 * READ_BYTES)
+    })
+
     it('reads on if its owner makes room', () => {
       const owner = { heldBytes: 5 * READ_BYTES, makeRoom: () => { owner.heldBytes = 0 } }
       const { source, send } = createUpload(new BodyMemory(4 * READ_BYTES, () => 0, owner), new ManualClock())
--- a/packages/dotterelspur/src/request/body/readBody.ts
+++ b/packages/dotterelspur/src/request/body/readBody.ts
@@ -62,7 +62,7 @@
       source.pause()
       pausedAtMs = clock.nowMs()
       cancelWait()
-      cancelWait = clock.registerTimer(leftWaitMs, () => { refuse(BodyErrorKind.NoRoom) })
+      cancelWait = clock.registerTimer(leftWaitMs, () => { if (!held.retry()) refuse(BodyErrorKind.NoRoom) })
     })
     source.on('end', () => { if (!isOver) end(success(body.take())) })
     source.on('error', () => { end(failed(BodyErrorKind.Aborted)) })
