Logs: which requests a planned stop cuts, and why they had been taken

A `request-cut` line for each request that still runs when the stop ends states its arrival since the begin of the stop, the rule by which it was taken with the duration that the rule went by, its time limit, and whether its response had begun or was paused for its caller. No decision changes.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/StopPlan.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/StopPlan.test.ts
@@ -21,7 +21,7 @@
   const taken: number[] = []
   const refused: number[] = []
   for (let sinceMs = 0; STARTED_AT_MS + sinceMs < plan.listensUntilMs; sinceMs += INTERVAL_MS) {
-    const list = plan.admits(STARTED_AT_MS + sinceMs, duration) ? taken : refused
+    const list = plan.admit(STARTED_AT_MS + sinceMs, duration) === null ? refused : taken
     list.push(sinceMs)
   }
   return { taken, refused, plan }
--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -19,6 +19,7 @@
 import { StopAdmission, type StopCounts } from '../process/StopAdmission.js'
 import { STOPPING_RETRY_MS, type StopPlan } from '../process/StopPlan.js'
 import { CallerResponse, GatewayErrorKind } from '../request/CallerResponse.js'
+import { cutFields } from '../request/cutFields.js'
 import { refusalFields } from '../request/refusalFields.js'
 import { GatewayRequest, type AdmittedRequest, type RequestReport } from '../request/GatewayRequest.js'
 import { CallerConnections } from './CallerConnections.js'
@@ -138,7 +139,10 @@
     for (const response of this.pending) {
       if (response.sendError(GatewayErrorKind.NotRun, STOPPING_RETRY_MS)) this.stopAdmission.noteRefused()
     }
-    for (const run of this.dispatched) run.onNodeEnd()
+    for (const run of this.dispatched) {
+      this.parts.log.write(LogKind.RequestCut, cutFields(run.progress, this.stopAdmission, this.parts.clock.nowMs()))
+      run.onNodeEnd()
+    }
   }
 
   async close (): Promise<void> {
@@ -194,7 +198,8 @@
     const access = newest.access({ host: hostOf(request), path: pathOf(request), key: head.key })
     if (access.kind !== AccessKind.Allowed) return this.denyAccess(request, callerResponse, access, newest)
     const { route, workspace, priority } = access
-    if (!this.stopAdmission.admits(route, head.deadlineMs)) return this.sendError(request, callerResponse, GatewayErrorKind.NotRun, STOPPING_RETRY_MS)
+    const stopDecision = this.stopAdmission.admit(route, head.deadlineMs)
+    if (stopDecision === null) return this.sendError(request, callerResponse, GatewayErrorKind.NotRun, STOPPING_RETRY_MS)
     const service = this.pickService(route)
     if (service === null) return this.sendError(request, callerResponse, GatewayErrorKind.NotRun, NO_SERVICE_RETRY_MS, { route: route.name, manifestVersion: newest.version })
     const content: RequestContent = { service, method: request.method!, target: request.url!, caller: workspace, model: head.model, body: body.value, promptParts: head.promptParts }
@@ -204,7 +209,7 @@
     if (admission.kind !== AdmissionKind.Admitted) return this.refusePoison(request, callerResponse, admission)
     const spentBeforeMs = this.parts.dispatch.noteRequest(service, route, head, { rank: priority, workspace })
     const requestId = head.requestId ?? randomUUID()
-    await this.dispatch(response, callerResponse, { request, content, head, requestId, route, service, workspace, priority, arrivedAtMs, spentBeforeMs }).finally(admission.release)
+    await this.dispatch(response, callerResponse, { request, content, head, requestId, route, service, workspace, priority, arrivedAtMs, spentBeforeMs, stopDecision }).finally(admission.release)
   }
 
   private refuseBody (request: IncomingMessage, callerResponse: CallerResponse, error: BodyErrorKind): void {
--- a/packages/dotterelspur-gateway/src/process/DecisionLog.ts
+++ b/packages/dotterelspur-gateway/src/process/DecisionLog.ts
@@ -19,6 +19,8 @@
   Stop = 'stop',
   /** A planned stop has ended: the requests that this node took and refused meanwhile, and those that were cut. */
   Stopped = 'stopped',
+  /** A request still ran when its node's planned stop ended: when it arrived, why it had been taken, and how far its response had come. */
+  RequestCut = 'request-cut',
   /** The process received a signal: in which phase, and what it does about it. */
   Signal = 'signal',
   /** Connections were closed because of what callers together make the process hold. */
--- a/packages/dotterelspur-gateway/src/process/StopAdmission.ts
+++ b/packages/dotterelspur-gateway/src/process/StopAdmission.ts
@@ -1,6 +1,13 @@
 import type { Clock, Route } from 'dotterelspur'
 import { RouteDurations } from './RouteDurations.js'
-import { STOPPING_RETRY_MS, type StopPlan } from './StopPlan.js'
+import { StopBasis, STOPPING_RETRY_MS, type StopPlan } from './StopPlan.js'
+
+/** How a request was admitted. */
+export interface StopDecision {
+  readonly basis: StopBasis
+  /** The longest recent request of its route at that time; null if none was known. */
+  readonly longestMs: number | null
+}
 
 export interface StopCounts {
   /** Requests that were taken since the stop began. */
@@ -36,12 +43,19 @@
     this.plan = plan
   }
 
-  /** `deadlineMs` is the time that the caller allows; null if it states none. */
-  admits ({ name, timeoutMs }: Route, deadlineMs: number | null): boolean {
-    if (this.plan === null) return true
-    const admits = this.plan.admits(this.clock.nowMs(), { longestMs: this.durations.longestMs(name), limitMs: Math.min(timeoutMs, deadlineMs ?? Infinity) })
-    if (admits) this.taken += 1
-    return admits
+  /** Milliseconds since the stop began; negative before it. Null while this node is not stopping. */
+  sinceStopMs (atMs: number): number | null {
+    return this.plan === null ? null : atMs - this.plan.startedAtMs
+  }
+
+  /** `deadlineMs` is the time that the caller allows; null if it states none. Returns null for a request that this node can't complete. */
+  admit ({ name, timeoutMs }: Route, deadlineMs: number | null): StopDecision | null {
+    const longestMs = this.durations.longestMs(name)
+    if (this.plan === null) return { basis: StopBasis.BeforeStop, longestMs }
+    const basis = this.plan.admit(this.clock.nowMs(), { longestMs, limitMs: Math.min(timeoutMs, deadlineMs ?? Infinity) })
+    if (basis === null) return null
+    this.taken += 1
+    return { basis, longestMs }
   }
 
   /** Retry-After of a request that was not run; `otherwiseMs` applies while this node is not stopping. */
--- a/packages/dotterelspur-gateway/src/process/StopPlan.ts
+++ b/packages/dotterelspur-gateway/src/process/StopPlan.ts
@@ -29,6 +29,18 @@
   readonly limitMs: number
 }
 
+/** Why a node takes a request, as far as its planned stop is concerned. */
+export enum StopBasis {
+  /** It arrived before the stop began. */
+  BeforeStop = 'before-stop',
+  /** Its time limit ends before the stop does. */
+  TimeLimit = 'time-limit',
+  /** Recent requests of its route took less than what is left of the stop. */
+  Durations = 'durations',
+  /** No request of its route has been completed, and enough of the stop is left. */
+  UnknownDuration = 'unknown-duration'
+}
+
 /** Decides what a node still takes once its planned stop has begun, by its grace period and by how long requests take. */
 export class StopPlan {
   /** When running requests are abandoned. */
@@ -42,11 +54,16 @@
     this.listensUntilMs = Math.min(this.endsAtMs, startedAtMs + directoryTtlMs + UNLISTING_MS)
   }
 
-  /** Whether a request can be completed that this node would begin now. */
-  admits (nowMs: number, { longestMs, limitMs }: RequestDuration): boolean {
+  /** When the stop began. */
+  get startedAtMs (): number {
+    return this.times.startedAtMs
+  }
+
+  /** Why a request can be completed that this node would begin now; null if it can't. */
+  admit (nowMs: number, { longestMs, limitMs }: RequestDuration): StopBasis | null {
     const leftMs = this.endsAtMs - nowMs
-    if (limitMs <= leftMs) return true
-    if (longestMs !== null) return longestMs * DURATION_SLACK <= leftMs
-    return leftMs >= (this.endsAtMs - this.times.startedAtMs) * UNKNOWN_SHARE
+    if (limitMs <= leftMs) return StopBasis.TimeLimit
+    if (longestMs !== null) return longestMs * DURATION_SLACK <= leftMs ? StopBasis.Durations : null
+    return leftMs >= (this.endsAtMs - this.times.startedAtMs) * UNKNOWN_SHARE ? StopBasis.UnknownDuration : null
   }
 }
--- a/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
+++ b/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
@@ -9,6 +9,7 @@
 import type { CallerHeaders, WireFormat } from '../process/GatewayPorts.js'
 import type { PoisonTracker } from '../process/PoisonTracker.js'
 import type { RequestWaits } from '../process/RequestWaits.js'
+import type { StopDecision } from '../process/StopAdmission.js'
 import type { CallerResponse, GatewayErrorKind } from './CallerResponse.js'
 import type { BufferedResponse, StreamReport } from './EndpointCall.js'
 import { EndpointRun, type EndpointRunListener } from './EndpointRun.js'
@@ -46,6 +47,19 @@
   readonly arrivedAtMs: number
   /** Time that the caller spent on earlier attempts, inferred from its deadline. */
   readonly spentBeforeMs: number
+  readonly stopDecision: StopDecision
+}
+
+/** A request that runs when its node ends. */
+export interface RequestProgress {
+  readonly admitted: AdmittedRequest
+  /** Part of its response has been sent to the caller. */
+  readonly isResponseStarted: boolean
+  /** The caller reads its response more slowly than events arrive. */
+  readonly isPaused: boolean
+  readonly targets: readonly string[]
+  /** The last stream that an endpoint began; null where none did. */
+  readonly stream: StreamReport | null
 }
 
 /** The outcome of a request, for the log and the metrics. */
@@ -106,6 +120,11 @@
     if (!this.response.isStarted) this.stop(ExchangeEnd.Stopped)
   }
 
+  get progress (): RequestProgress {
+    const { admitted, response, paused, targets } = this
+    return { admitted, isResponseStarted: response.isStarted, isPaused: paused, targets, stream: this.currentRun?.stream ?? null }
+  }
+
   async run (): Promise<RequestReport> {
     const cancelDeadline = this.startDeadline()
     this.response.onDrain(() => { this.resume() })
