Planned stop: only a time limit admits a request that may not be repeated

Cause: `StopPlan` took a request whose time limit is longer than the stop if the longest of the last 64 completed requests of its route, with a quarter more, fitted, and in the first half of the stop if none was known. Nothing holds once such an estimate is wrong: during a stop load moves to the endpoints that stay, 64 requests miss a slow one in 40, and requests that were cut or timed out were not counted.

Now a request is taken if its time limit ends before the stop. On an estimate only idempotent requests are taken, whose callers may repeat them, and only while directory responses may list the node: the longest request of the last five to ten minutes, however it ended, or one that still runs, and twice that must fit. Retries that begin inside a stop are judged alike, unless the caller has part of a response. Everything else is refused at once with Retry-After, as not run.

Routes of `stopBesideRequests` whose requests come after the begin of a stop have time limits within it.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/stopBesideRequests.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/stopBesideRequests.test.ts
@@ -181,7 +181,7 @@
 /** Sends a request and resolves with its answer, whose body has not been read. */
 async function startReading ({ world }: RequestsOfAllKinds): Promise<IncomingMessage> {
   return await new Promise((resolve, reject) => {
-    const outgoing = request({ ...world.callers, path: '/read/x', method: 'POST', headers: { host: 'a.example', 'x-request': 'slow', 'x-key': 'key-1' } }, resolve)
+    const outgoing = request({ ...world.callers, path: '/new/x', method: 'POST', headers: { host: 'a.example', 'x-request': 'slow', 'x-key': 'key-1' } }, resolve)
     outgoing.on('error', reject)
     outgoing.end('prompt')
   })
--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -79,7 +79,7 @@
     const { load } = parts.guard
     this.bodies = new BodyMemory(Math.min(BODY_MEMORY_BYTES, load.limits.heldBytes * BODIES_SHARE), () => this.maxBodyBytes, load)
     this.waits = new RequestWaits(parts.clock)
-    this.stopAdmission = new StopAdmission(parts.clock)
+    this.stopAdmission = new StopAdmission(parts.clock, (route) => this.longestRunningMs(route))
     this.app = createCallerApp((request, response) => { this.accept(request, response) })
     this.connections = new CallerConnections(this.app.server, parts.clock)
     parts.guard.register(this.app.server, (connection) => { this.connections.add(connection) })
@@ -176,6 +176,11 @@
       .catch(() => { /* Errors of `run` have been logged above. */ })
   }
 
+  private longestRunningMs (route: string): number {
+    const nowMs = this.parts.clock.nowMs()
+    return Math.max(0, ...[...this.dispatched].map(({ progress: { admitted } }) => admitted.route.name === route ? nowMs - admitted.arrivedAtMs : 0))
+  }
+
   private get maxBodyBytes (): number {
     return this.parts.manifest.current?.manifest.limits.maxBodyBytes ?? INITIAL_LIMITS.maxBodyBytes
   }
@@ -224,7 +229,7 @@
   }
 
   private async dispatch (response: ServerResponse, callerResponse: CallerResponse, admitted: AdmittedRequest): Promise<void> {
-    const run = new GatewayRequest({ ...this.parts, waits: this.waits, polls: this.parts.dispatch.links.polls }, admitted, callerResponse)
+    const run = new GatewayRequest({ ...this.parts, waits: this.waits, polls: this.parts.dispatch.links.polls, stopAdmission: this.stopAdmission }, admitted, callerResponse)
     const stop = registerCallerClose(admitted.request, () => {
       if (!response.writableFinished) run.onCallerDisconnect()
     })
@@ -264,7 +269,7 @@
     const { clock, log, metrics, manifest } = this.parts
     const tookMs = clock.nowMs() - admitted.arrivedAtMs
     metrics.countRequest(admitted.route.kind, report, tookMs)
-    if (report.end.kind === DispatchEndKind.Delivered) this.stopAdmission.noteCompleted(admitted.route, tookMs)
+    if (report.targets.length > 0) this.stopAdmission.noteEnded(admitted.route, tookMs)
     metrics.countRank(admitted.priority, report)
     if (report.answeredWith !== null) this.parts.dispatch.noteRejection(admitted.route)
     if (report.retryAfterMs !== null) this.parts.dispatch.noteScheduledReturn(admitted, report.retryAfterMs)
--- a/packages/dotterelspur-gateway/src/process/StopAdmission.ts
+++ b/packages/dotterelspur-gateway/src/process/StopAdmission.ts
@@ -1,4 +1,4 @@
-import type { Clock, Route } from 'dotterelspur'
+import { RequestKind, type Clock, type Route } from 'dotterelspur'
 import { RouteDurations } from './RouteDurations.js'
 import { StopBasis, STOPPING_RETRY_MS, type StopPlan } from './StopPlan.js'
 
@@ -18,13 +18,16 @@
 
 /** Admits the requests that this node can complete: all of them until its planned stop begins. */
 export class StopAdmission {
-  private readonly durations = new RouteDurations()
+  private readonly durations: RouteDurations
   private isAnnounced = false
   private plan: StopPlan | null = null
   private taken = 0
   private refused = 0
 
-  constructor (private readonly clock: Clock) {}
+  /** `longestRunningMs` states for how long the oldest request of a route has run that has not ended; 0 if there is none. */
+  constructor (private readonly clock: Clock, private readonly longestRunningMs: (route: string) => number) {
+    this.durations = new RouteDurations(clock)
+  }
 
   get isStopping (): boolean {
     return this.isAnnounced || this.plan !== null
@@ -49,13 +52,15 @@
   }
 
   /** `deadlineMs` is the time that the caller allows; null if it states none. Returns null for a request that this node can't complete. */
-  admit ({ name, timeoutMs }: Route, deadlineMs: number | null): StopDecision | null {
-    const longestMs = this.durations.longestMs(name)
-    if (this.plan === null) return { basis: StopBasis.BeforeStop, longestMs }
-    const basis = this.plan.admit(this.clock.nowMs(), { longestMs, limitMs: Math.min(timeoutMs, deadlineMs ?? Infinity) })
-    if (basis === null) return null
-    this.taken += 1
-    return { basis, longestMs }
+  admit (route: Route, deadlineMs: number | null): StopDecision | null {
+    const decision = this.decide(route, Math.min(route.timeoutMs, deadlineMs ?? Infinity))
+    if (decision !== null && this.plan !== null) this.taken += 1
+    return decision
+  }
+
+  /** Whether a request may be sent to another endpoint that has `leftMs` of its time limit left. */
+  admitsRetry (route: Route, leftMs: number): boolean {
+    return this.decide(route, leftMs) !== null
   }
 
   /** Retry-After of a request that was not run; `otherwiseMs` applies while this node is not stopping. */
@@ -67,11 +72,24 @@
     if (this.isStopping) this.refused += 1
   }
 
-  noteCompleted ({ name }: Route, tookMs: number): void {
+  noteEnded ({ name }: Route, tookMs: number): void {
     this.durations.note(name, tookMs)
   }
 
   noteRoutes (routes: readonly Route[]): void {
     this.durations.retain(new Set(routes.map(({ name }) => name)))
   }
+
+  private decide ({ name, kind }: Route, limitMs: number): StopDecision | null {
+    const longestMs = this.longestMs(name)
+    if (this.plan === null) return { basis: StopBasis.BeforeStop, longestMs }
+    const basis = this.plan.admit(this.clock.nowMs(), { longestMs, limitMs, isRepeatable: kind === RequestKind.Idempotent })
+    return basis === null ? null : { basis, longestMs }
+  }
+
+  /** Requests that still run show that an estimate by earlier ones is too short. */
+  private longestMs (route: string): number | null {
+    const knownMs = this.durations.longestMs(route)
+    return knownMs === null || this.plan === null ? knownMs : Math.max(knownMs, this.longestRunningMs(route))
+  }
 }
--- a/packages/dotterelspur-gateway/src/process/StopPlan.ts
+++ b/packages/dotterelspur-gateway/src/process/StopPlan.ts
@@ -5,13 +5,10 @@
 const STOP_MARGIN_MS = 600
 /** Time after the begin of a stop in which the directory of another node may still list this one. */
 const UNLISTING_MS = 1_000
-/** Requests may take this much longer than the longest recent one of their route: as others drain, load moves between nodes. */
-const DURATION_SLACK = 1.25
-/**
- * Part of the stop that has to be left for a request whose route has no known durations and whose time limit is longer than the stop.
- * Such a limit says nothing about the usual duration, and refusing all such requests would fail callers that know no other node.
- */
-const UNKNOWN_SHARE = 0.5
+/** An error for a request whose time limit has passed is sent within this time. */
+const LIMIT_SLACK_MS = 150
+/** Requests may take this many times the longest recent one of their route: as nodes stop, load moves between the others. */
+const DURATION_SLACK = 2
 
 export interface StopTimes {
   readonly startedAtMs: number
@@ -23,10 +20,12 @@
 
 /** What is known of the duration of a request. */
 export interface RequestDuration {
-  /** The longest recent request of its route; null if none is known. */
+  /** The longest recent request of its route, or one that still runs; null if none is known. */
   readonly longestMs: number | null
   /** Time that its route and its caller allow it. */
   readonly limitMs: number
+  /** Its caller may send it again if its end is not known. */
+  readonly isRepeatable: boolean
 }
 
 /** Why a node takes a request, as far as its planned stop is concerned. */
@@ -35,13 +34,16 @@
   BeforeStop = 'before-stop',
   /** Its time limit ends before the stop does. */
   TimeLimit = 'time-limit',
-  /** Recent requests of its route took less than what is left of the stop. */
-  Durations = 'durations',
-  /** No request of its route has been completed, and enough of the stop is left. */
-  UnknownDuration = 'unknown-duration'
+  /** It may be repeated, and recent requests of its route took far less than what is left of the stop. */
+  Durations = 'durations'
 }
 
-/** Decides what a node still takes once its planned stop has begun, by its grace period and by how long requests take. */
+/**
+ * Decides what a node still takes once its planned stop has begun. Only a time limit bounds how long a request takes. How long others took is an estimate, on which
+ * only requests are taken that their callers may repeat, and only while callers may hold this node's address.
+ *
+ * Load pattern: callers go on sending for as long as their directory responses list the node, while the requests that they send elsewhere slow all endpoints down.
+ */
 export class StopPlan {
   /** When running requests are abandoned. */
   readonly endsAtMs: number
@@ -60,10 +62,10 @@
   }
 
   /** Why a request can be completed that this node would begin now; null if it can't. */
-  admit (nowMs: number, { longestMs, limitMs }: RequestDuration): StopBasis | null {
+  admit (nowMs: number, { longestMs, limitMs, isRepeatable }: RequestDuration): StopBasis | null {
     const leftMs = this.endsAtMs - nowMs
-    if (limitMs <= leftMs) return StopBasis.TimeLimit
-    if (longestMs !== null) return longestMs * DURATION_SLACK <= leftMs ? StopBasis.Durations : null
-    return leftMs >= (this.endsAtMs - this.times.startedAtMs) * UNKNOWN_SHARE ? StopBasis.UnknownDuration : null
+    if (limitMs + LIMIT_SLACK_MS <= leftMs) return StopBasis.TimeLimit
+    if (!isRepeatable || longestMs === null || nowMs >= this.listensUntilMs) return null
+    return longestMs * DURATION_SLACK <= leftMs ? StopBasis.Durations : null
   }
 }
--- a/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
+++ b/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
@@ -9,7 +9,7 @@
 import type { CallerHeaders, WireFormat } from '../process/GatewayPorts.js'
 import type { PoisonTracker } from '../process/PoisonTracker.js'
 import type { RequestWaits } from '../process/RequestWaits.js'
-import type { StopDecision } from '../process/StopAdmission.js'
+import type { StopAdmission, StopDecision } from '../process/StopAdmission.js'
 import type { CallerResponse, GatewayErrorKind } from './CallerResponse.js'
 import type { BufferedResponse, StreamReport } from './EndpointCall.js'
 import { EndpointRun, type EndpointRunListener } from './EndpointRun.js'
@@ -32,6 +32,7 @@
   readonly poison: PoisonTracker
   readonly waits: RequestWaits
   readonly polls: SocketPolls
+  readonly stopAdmission: StopAdmission
 }
 
 /** A request that has been authenticated, routed and admitted, before it is sent to an endpoint. */
@@ -139,9 +140,10 @@
     cancelDeadline()
     // The caller disconnected while its request waited: nobody receives the rejection.
     const end = this.stoppedWith === ExchangeEnd.CallerLeft && dispatched.kind === DispatchEndKind.NotRun ? { ...dispatched, kind: DispatchEndKind.CallerLeft, refusal: null } : dispatched
-    const answeredWith = this.respond(end)
+    const retryAfterMs = retryAfterMsOf(end, this.parts.stopAdmission)
+    const answeredWith = this.respond(end, retryAfterMs)
     const firstByteMs = this.firstByteAtMs === null ? null : this.firstByteAtMs - this.admitted.arrivedAtMs
-    return { end, answeredWith, firstByteMs, retryAfterMs: end.kind === DispatchEndKind.NotRun ? retryAfterMsOf(end) : null, waitedMs: this.wait.waitedMs, targets: this.targets, sentMs: this.sentMs, callerLeftMs: this.callerLeftMs, stream: this.currentRun?.stream ?? null }
+    return { end, answeredWith, firstByteMs, retryAfterMs: end.kind === DispatchEndKind.NotRun ? retryAfterMs : null, waitedMs: this.wait.waitedMs, targets: this.targets, sentMs: this.sentMs, callerLeftMs: this.callerLeftMs, stream: this.currentRun?.stream ?? null }
   }
 
   reasonNotToSend (): ExchangeEnd | null {
@@ -207,10 +209,15 @@
   }
 
   private takeRetry (): boolean {
-    if (this.stoppedWith === null) this.retry = this.parts.dispatch.trySpendRetry(this.admitted.service)
+    if (this.stoppedWith === null && this.canCompleteRetry()) this.retry = this.parts.dispatch.trySpendRetry(this.admitted.service)
     return this.retry !== null
   }
 
+  /** At a stopping node, a caller that has no part of a response yet can repeat its request elsewhere sooner than a retry here would be cut. */
+  private canCompleteRetry (): boolean {
+    return this.response.isStarted || !this.runs.isEmpty || this.parts.stopAdmission.admitsRetry(this.admitted.route, this.leftMs())
+  }
+
   /** Nothing is sent for the retry that was taken. */
   private releaseRetry (): void {
     this.retry?.release()
@@ -298,8 +305,8 @@
     this.firstByteAtMs ??= this.parts.clock.nowMs()
   }
 
-  private respond (end: DispatchEnd): GatewayErrorKind | null {
-    return RESPONDERS[end.kind](end, this.response, this.lastFailure)
+  private respond (end: DispatchEnd, retryAfterMs: number): GatewayErrorKind | null {
+    return RESPONDERS[end.kind](end, this.response, this.lastFailure, retryAfterMs)
   }
 }
 
