Planned stop: running requests have all but a small part of the grace period

Evidence: `StopPlan.test.ts`, "leaves running requests all but a small part of the grace period": before 0.4 of a grace period of 1 s, five sixths are asked for; passes now.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/StopPlan.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/StopPlan.test.ts
@@ -83,4 +83,10 @@
     const unbounded = { ...REPEATABLE, limitMs: 60_000 }
     expect([plan.admit(plan.listensUntilMs - 1, unbounded), plan.admit(plan.listensUntilMs, unbounded)]).to.deep.equal([StopBasis.Durations, null])
   })
+
+  // Guards against requests that are cut long before the process has to end.
+  it('leaves running requests all but a small part of the grace period', () => {
+    const parts = [1_000, 2_000, 4_000, 8_000, 30_000].map((graceMs) => new StopPlan({ startedAtMs: 0, killedAtMs: graceMs, directoryTtlMs: 0 }).endsAtMs / graceMs)
+    expect(Math.min(...parts)).to.be.at.least(5 / 6)
+  })
 })
--- a/packages/dotterelspur-gateway/src/process/StopPlan.ts
+++ b/packages/dotterelspur-gateway/src/process/StopPlan.ts
@@ -1,8 +1,10 @@
 /** Retry-After of requests that a stopping node refuses: another node can serve them at once. */
 export const STOPPING_RETRY_MS = 50
 
-/** Time left of the grace period when running requests are abandoned; the process then exits by itself. */
-const STOP_MARGIN_MS = 600
+/** Time left of the grace period when running requests are abandoned, at most; the process then exits by itself. */
+const STOP_MARGIN_MS = 350
+/** Part of the grace period that this margin may take. */
+const STOP_MARGIN_SHARE = 1 / 8
 /** Time after the begin of a stop in which the directory of another node may still list this one. */
 const UNLISTING_MS = 1_000
 /** An error for a request whose time limit has passed is sent within this time. */
@@ -52,7 +54,7 @@
 
   constructor (private readonly times: StopTimes) {
     const { startedAtMs, killedAtMs, directoryTtlMs } = times
-    this.endsAtMs = killedAtMs - STOP_MARGIN_MS
+    this.endsAtMs = killedAtMs - Math.min(STOP_MARGIN_MS, (killedAtMs - startedAtMs) * STOP_MARGIN_SHARE)
     this.listensUntilMs = Math.min(this.endsAtMs, startedAtMs + directoryTtlMs + UNLISTING_MS)
   }
 
