--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { FastifyInstance } from 'fastify'
 import {
-  AccessKind, BodyErrorKind, BodyMemory, DispatchEndKind, pick, readBody, type Access, type CallerLimits, type Clock, type HeldBody, type Random, type RequestContent, type Route, type RouteTable, type ServiceId
+  AccessKind, BodyErrorKind, BodyMemory, pick, readBody, type Access, type CallerLimits, type Clock, type HeldBody, type Random, type RequestContent, type Route, type RouteTable, type ServiceId
 } from 'dotterelspur'
 import { afterSocketsRead, guardedConnection, type ListenerGuard } from 'dotterelspur-listener'
 import { AdmissionKind, type PoisonAdmission } from 'dotterelspur-poison'
@@ -18,10 +18,11 @@
 import { RequestWaits } from '../process/RequestWaits.js'
 import { StopAdmission, type StopCounts } from '../process/StopAdmission.js'
 import { STOPPING_RETRY_MS, type StopPlan } from '../process/StopPlan.js'
+import type { AdmittedRequest, RequestReport } from '../request/AdmittedRequest.js'
 import { CallerResponse, GatewayErrorKind } from '../request/CallerResponse.js'
 import { cutFields } from '../request/cutFields.js'
-import { refusalFields } from '../request/refusalFields.js'
-import { GatewayRequest, type AdmittedRequest, type RequestReport } from '../request/GatewayRequest.js'
+import { endedFields } from '../request/endedFields.js'
+import { GatewayRequest } from '../request/GatewayRequest.js'
 import { CallerConnections } from './CallerConnections.js'
 import { createCallerApp } from './createCallerApp.js'
 import { IDLE_SLACK_MS, INITIAL_LIMITS } from './callerLimits.js'
@@ -273,28 +274,6 @@
     metrics.countRank(admitted.priority, report)
     if (report.answeredWith !== null) this.parts.dispatch.noteRejection(admitted.route)
     if (report.retryAfterMs !== null) this.parts.dispatch.noteScheduledReturn(admitted, report.retryAfterMs)
-    log.write(LogKind.RequestEnded, {
-      request: admitted.requestId,
-      route: admitted.route.name,
-      workspace: admitted.workspace,
-      model: admitted.head.model ?? undefined,
-      end: report.end.kind,
-      lastExchange: report.end.lastExchange ?? undefined,
-      answeredWith: report.answeredWith ?? undefined,
-      ...refusalFields(report.end.refusal, admitted.priority),
-      retryAfterMs: report.retryAfterMs === null ? undefined : Math.round(report.retryAfterMs),
-      targets: report.targets,
-      sentMs: report.sentMs.length > 0 ? report.sentMs.map(Math.round) : undefined,
-      callerLeftMs: report.callerLeftMs === null ? undefined : Math.round(report.callerLeftMs),
-      framing: report.stream?.framing,
-      endedInsideEvent: report.stream?.endedInsideEvent === true ? true : undefined,
-      waitedMs: report.waitedMs === null ? undefined : Math.round(report.waitedMs),
-      firstByteMs: report.firstByteMs === null ? undefined : Math.round(report.firstByteMs),
-      tookMs: Math.round(tookMs),
-      deadlineMs: admitted.head.deadlineMs,
-      manifestVersion: manifest.current?.version,
-      ...this.manifestFields(),
-      late: report.end.kind === DispatchEndKind.Delivered && report.firstByteMs !== null && report.firstByteMs > admitted.route.targetLatencyMs ? true : undefined
-    })
+    log.write(LogKind.RequestEnded, endedFields(admitted, report, tookMs, { manifestVersion: manifest.current?.version, ...this.manifestFields() }))
   }
 }
--- a/packages/dotterelspur-gateway/src/process/Dispatch.ts
+++ b/packages/dotterelspur-gateway/src/process/Dispatch.ts
@@ -16,7 +16,7 @@
 import { RetryLog } from './RetryLog.js'
 import { NO_RELAYS } from '../connection/RelayDialer.js'
 import { Suspicion } from '../connection/PeerFrame.js'
-import type { AdmittedRequest } from '../request/GatewayRequest.js'
+import type { AdmittedRequest } from '../request/AdmittedRequest.js'
 
 /** Callers set output limits far above what is generated; this share of the limit is typical. */
 const USUAL_ANSWER_SHARE = 0.5
--- a/packages/dotterelspur-gateway/src/process/GatewayMetrics.ts
+++ b/packages/dotterelspur-gateway/src/process/GatewayMetrics.ts
@@ -2,7 +2,7 @@
 import { Counter, Gauge, Registry } from 'prom-client'
 import type { DispatchEndKind, RequestKind } from 'dotterelspur'
 import type { GatewayErrorKind } from '../request/CallerResponse.js'
-import type { RequestReport } from '../request/GatewayRequest.js'
+import type { RequestReport } from '../request/AdmittedRequest.js'
 
 /** Requests of less urgent ranks are counted together, so that the label's set of values stays closed. */
 const HIGHEST_RANK_LABEL = 9
--- a/packages/dotterelspur-gateway/src/request/EndpointRun.ts
+++ b/packages/dotterelspur-gateway/src/request/EndpointRun.ts
@@ -6,8 +6,9 @@
 import type { DispatchExchange } from '../process/DispatchParts.js'
 import type { ResponseHeaders } from '../process/GatewayPorts.js'
 import type { Silence } from '../process/StallDetector.js'
+import type { AdmittedRequest } from './AdmittedRequest.js'
 import { EndpointCall, type BufferedResponse, type ResponseStart, type StreamReport } from './EndpointCall.js'
-import type { AdmittedRequest, GatewayRequestParts } from './GatewayRequest.js'
+import type { GatewayRequestParts } from './GatewayRequest.js'
 
 const FIRST_REDIRECT = 300
 /**
--- a/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
+++ b/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
@@ -1,17 +1,17 @@
-import type { IncomingMessage } from 'node:http'
 import {
   DispatchEffectKind, DispatchEndKind, EXCHANGE_RULES, ExchangeEnd, RequestArrivals, RequestKind, runDispatch, runProcedure,
-  type Clock, type DispatchEnd, type DispatchTarget, type ExchangeEffect, type ExchangeReport, type PlaceEffect, type PlacementRefusal, type RequestContent, type RetryTicket, type Route, type ServiceId, type Teardown, type WorkspaceId
+  type Clock, type DispatchEnd, type DispatchTarget, type ExchangeEffect, type ExchangeReport, type PlaceEffect, type PlacementRefusal, type RetryTicket, type Route, type Teardown
 } from 'dotterelspur'
 import type { SocketPolls } from '../connection/SocketPolls.js'
 import type { Dispatch } from '../process/Dispatch.js'
 import type { DecisionLog } from '../process/DecisionLog.js'
-import type { CallerHeaders, WireFormat } from '../process/GatewayPorts.js'
+import type { WireFormat } from '../process/GatewayPorts.js'
 import type { PoisonTracker } from '../process/PoisonTracker.js'
 import type { RequestWaits } from '../process/RequestWaits.js'
-import type { StopAdmission, StopDecision } from '../process/StopAdmission.js'
+import type { StopAdmission } from '../process/StopAdmission.js'
+import type { AdmittedRequest, RequestProgress, RequestReport } from './AdmittedRequest.js'
 import type { CallerResponse, GatewayErrorKind } from './CallerResponse.js'
-import type { BufferedResponse, StreamReport } from './EndpointCall.js'
+import type { BufferedResponse } from './EndpointCall.js'
 import { EndpointRun, type EndpointRunListener } from './EndpointRun.js'
 import { OpenRuns } from './OpenRuns.js'
 import { PlacementWait } from './PlacementWait.js'
@@ -35,52 +35,6 @@
   readonly stopAdmission: StopAdmission
 }
 
-/** A request that has been authenticated, routed and admitted, before it is sent to an endpoint. */
-export interface AdmittedRequest {
-  readonly request: IncomingMessage
-  readonly content: RequestContent
-  readonly head: CallerHeaders
-  readonly requestId: string
-  readonly route: Route
-  readonly service: ServiceId
-  readonly workspace: WorkspaceId | null
-  readonly priority: number
-  readonly arrivedAtMs: number
-  /** Time that the caller spent on earlier attempts, inferred from its deadline. */
-  readonly spentBeforeMs: number
-  readonly stopDecision: StopDecision
-}
-
-/** A request that runs when its node ends. */
-export interface RequestProgress {
-  readonly admitted: AdmittedRequest
-  /** Part of its response has been sent to the caller. */
-  readonly isResponseStarted: boolean
-  /** The caller reads its response more slowly than events arrive. */
-  readonly isPaused: boolean
-  readonly targets: readonly string[]
-  /** The last stream that an endpoint began; null where none did. */
-  readonly stream: StreamReport | null
-}
-
-/** The outcome of a request, for the log and the metrics. */
-export interface RequestReport {
-  readonly end: DispatchEnd
-  readonly answeredWith: GatewayErrorKind | null
-  readonly firstByteMs: number | null
-  /** When the caller was told to retry; null where it was not. */
-  readonly retryAfterMs: number | null
-  /** How long it waited at this node; null where it did not. */
-  readonly waitedMs: number | null
-  readonly targets: readonly string[]
-  /** When the request was sent to each endpoint, since its arrival; a target without a connection has none. */
-  readonly sentMs: readonly number[]
-  /** When this node learned that the caller had closed its connection, since the arrival; null if it has not. */
-  readonly callerLeftMs: number | null
-  /** The last stream that an endpoint began; null where none did. */
-  readonly stream: StreamReport | null
-}
-
 /** Dispatches one admitted request and sends its response. */
 export class GatewayRequest implements EndpointRunListener {
   private readonly runs = new OpenRuns()
--- a/packages/dotterelspur-gateway/src/request/PlacementWait.ts
+++ b/packages/dotterelspur-gateway/src/request/PlacementWait.ts
@@ -1,6 +1,7 @@
 import { WAIT_SHARE, WaitEnd, type DispatchTarget, type PlacementRefusal, type WaitingRequest } from 'dotterelspur'
 import { STOPPING_RETRY_MS } from '../process/StopPlan.js'
-import type { AdmittedRequest, GatewayRequestParts } from './GatewayRequest.js'
+import type { AdmittedRequest } from './AdmittedRequest.js'
+import type { GatewayRequestParts } from './GatewayRequest.js'
 
 /** The first placement of one request, which may wait until an endpoint is available. */
 export class PlacementWait {
--- a/packages/dotterelspur-gateway/src/request/cutFields.ts
+++ b/packages/dotterelspur-gateway/src/request/cutFields.ts
@@ -1,6 +1,6 @@
 import type { LogFields } from '../process/DecisionLog.js'
 import type { StopAdmission } from '../process/StopAdmission.js'
-import type { RequestProgress } from './GatewayRequest.js'
+import type { RequestProgress } from './AdmittedRequest.js'
 
 /** Log fields of a request that runs when the planned stop of its node ends. Times are in milliseconds. */
 export function cutFields ({ admitted, isResponseStarted, isPaused, targets, stream }: RequestProgress, stop: StopAdmission, nowMs: number): LogFields {
