Planned stop: no estimate by a few requests

A node that has just started has seen few requests of a route, and often none of its slow ones (of those with one slow request in 40, one process in three has seen none after 40 requests). Requests that may be repeated were still taken on such an estimate, and ended with 502 at the end of the stop. An estimate now needs 50 requests of the route within the last five to ten minutes. `RouteDurations.test.ts`, "knows nothing of a route with few requests", fails without it.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/RouteDurations.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/RouteDurations.test.ts
@@ -3,36 +3,53 @@
 import { RouteDurations } from '../../process/RouteDurations.js'
 
 const PERIOD_MS = 300_000
+const ENOUGH = 50
 
-function createDurations (): { clock: ManualClock, durations: RouteDurations } {
+interface Fixture {
+  readonly clock: ManualClock
+  readonly durations: RouteDurations
+  /** Notes so many requests of 30 ms. */
+  noteFast (route: string, count: number): void
+}
+
+function createDurations (): Fixture {
   const clock = new ManualClock()
-  return { clock, durations: new RouteDurations(clock) }
+  const durations = new RouteDurations(clock)
+  return { clock, durations, noteFast: (route, count) => { for (let index = 0; index < count; index++) durations.note(route, 30) } }
 }
 
 describe('RouteDurations', () => {
   it('holds the longest recent duration of each route', () => {
-    const { durations } = createDurations()
+    const { durations, noteFast } = createDurations()
+    expect(durations.longestMs('read')).to.equal(null)
+    durations.note('read', 900)
+    noteFast('read', ENOUGH)
+    noteFast('write', ENOUGH)
+    expect([durations.longestMs('read'), durations.longestMs('write')]).to.deep.equal([900, 30])
+  })
+
+  // Guards against an estimate by a few requests, none of which was slow.
+  it('knows nothing of a route with few requests', () => {
+    const { durations, noteFast } = createDurations()
+    noteFast('read', ENOUGH - 1)
     expect(durations.longestMs('read')).to.equal(null)
-    for (const tookMs of [10, 900, 20]) durations.note('read', tookMs)
-    durations.note('write', 5)
-    expect([durations.longestMs('read'), durations.longestMs('write')]).to.deep.equal([900, 5])
   })
 
   // Guards against an estimate that overlooks the slow requests of a route because many fast ones came after them.
   it('remembers a slow request beside many fast ones, for at least one period', () => {
-    const { clock, durations } = createDurations()
+    const { clock, durations, noteFast } = createDurations()
     durations.note('read', 5_000)
-    for (let count = 0; count < 1_000; count++) durations.note('read', 30)
+    noteFast('read', 1_000)
     clock.advance(PERIOD_MS)
-    durations.note('read', 30)
+    noteFast('read', 1)
     expect(durations.longestMs('read')).to.equal(5_000)
   })
 
   it('forgets a slow request after two periods', () => {
-    const { clock, durations } = createDurations()
+    const { clock, durations, noteFast } = createDurations()
     durations.note('read', 5_000)
     clock.advance(PERIOD_MS)
-    durations.note('read', 30)
+    noteFast('read', ENOUGH)
     clock.advance(PERIOD_MS)
     expect(durations.longestMs('read')).to.equal(30)
     clock.advance(2 * PERIOD_MS)
@@ -40,8 +57,8 @@
   })
 
   it('forgets routes that the manifest no longer has', () => {
-    const { durations } = createDurations()
-    durations.note('read', 10)
+    const { durations, noteFast } = createDurations()
+    noteFast('read', ENOUGH)
     durations.retain(new Set(['write']))
     expect(durations.longestMs('read')).to.equal(null)
   })
--- a/packages/dotterelspur-gateway/src/__tests__/unit/StopAdmission.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/StopAdmission.test.ts
@@ -9,7 +9,7 @@
 const WRITE = createRoute('write', { kind: RequestKind.NonIdempotent, timeoutMs: 20_000 })
 const SHORT_LIMIT_MS = 1_500
 
-function stop ({ runningMs = 0, completedMs = [300] }: { runningMs?: number, completedMs?: readonly number[] } = {}): StopAdmission {
+function stop ({ runningMs = 0, completedMs = Array<number>(50).fill(300) }: { runningMs?: number, completedMs?: readonly number[] } = {}): StopAdmission {
   const clock = new ManualClock()
   const admission = new StopAdmission(clock, () => runningMs)
   for (const tookMs of completedMs) {
@@ -39,8 +39,8 @@
     expect(stop({ runningMs: 4_000 }).admit(READ, null)).to.equal(null)
   })
 
-  it('takes no request on an estimate without a request that has ended', () => {
-    expect(stop({ completedMs: [] }).admit(READ, null)).to.equal(null)
+  it('takes no request on an estimate by few requests', () => {
+    expect(stop({ completedMs: [300, 300] }).admit(READ, null)).to.equal(null)
   })
 
   // Guards against retries that begin in a stop and are cut at its end.
