Dispatch: what an entry states counts only as far as its endpoint has shown it

What callers saw: beside an entry with an address at which nobody listens and 9,007,199,254,740,991 slots, two thirds of all reads and writes were refused with 503 on all nodes, until the entry was removed.

Cause: the forecast of a pool of plain endpoints took the slots of the pool's first entry for those of all endpoints. One step of its search for the level of load then stood for billions of requests, which it expected at the sound endpoints; they seemed full. Estimates and retry times went by the first entry as well, and an endpoint that had never responded attracted requests by its figure alone.

Now each endpoint counts with its own slots (`capacityFactor`), the forecast expects one request more than were sent at most, an endpoint that has not responded yet counts with the lower median of its pool at most (`StatedCapacity`), and slots are bounded by the service's connections, each of which carries one request at a time. Pools whose endpoints all state the same are forecast as before.

Steps of a request or less are now as before.

--- a/packages/dotterelspur-gateway/src/process/AvailableEndpoints.ts
+++ b/packages/dotterelspur-gateway/src/process/AvailableEndpoints.ts
@@ -1,4 +1,4 @@
-import { buildAvailablePools, RefusalReason, type AvailablePools, type Clock, type EndpointId, type EndpointRecord, type EngineSpec, type Evacuation, type EvacuationChange, type FailureDomainId, type PlacementRefusal, type PoolKey, type ServiceId, type TargetPool } from 'dotterelspur'
+import { buildAvailablePools, RefusalReason, type AvailablePools, type Clock, type EndpointId, type EndpointRecord, type Evacuation, type EvacuationChange, type FailureDomainId, type PlacementRefusal, type PoolKey, type ServiceLookup, type TargetPool } from 'dotterelspur'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
 import type { EndpointRegistry } from './EndpointRegistry.js'
 import type { EvacuationRegistry } from './EvacuationRegistry.js'
@@ -12,7 +12,7 @@
   readonly endpoints: EndpointRegistry
   /** Undefined where no failure domain is ever evacuated. */
   readonly evacuations: EvacuationRegistry | undefined
-  readonly engineOf: (service: ServiceId) => EngineSpec | null
+  readonly services: ServiceLookup
   /** Called after the evacuations have changed, when the pools must be built again. */
   readonly onChange: () => void
 }
@@ -41,9 +41,9 @@
    * read the endpoints first, and would send requests into the evacuated domain.
    */
   rebuildPools (endpoints: ReadonlyMap<EndpointId, EndpointRecord>): ReadonlyMap<PoolKey, TargetPool> {
-    const { evacuations, engineOf } = this.parts
+    const { evacuations, services } = this.parts
     const known = evacuations === undefined || evacuations.isSynchronized ? endpoints : new Map<EndpointId, EndpointRecord>()
-    this.available = buildAvailablePools(known, engineOf, evacuations?.current ?? new Map())
+    this.available = buildAvailablePools(known, services, evacuations?.current ?? new Map())
     return this.available.pools
   }
 
--- a/packages/dotterelspur-gateway/src/process/Dispatch.ts
+++ b/packages/dotterelspur-gateway/src/process/Dispatch.ts
@@ -69,7 +69,7 @@
       log: parts.log,
       endpoints: parts.endpoints,
       evacuations: parts.evacuations,
-      engineOf: (service) => this.engineTiming.engine(service),
+      services: { engineOf: (service) => this.engineTiming.engine(service), maxConnectionsOf: (service) => parts.manifest.maxConnections(service) },
       onChange: () => { this.rebuildPools(parts.endpoints.current) }
     })
     parts.endpoints.registerListener((endpoints) => { this.noteEndpoints(endpoints) })
@@ -176,6 +176,7 @@
       speeds,
       backpressure,
       classes: fleetView.classes,
+      capacity: fleetView.capacity,
       firstEventDelayMs: query.head.model === null ? 0 : fleetView.firstEvents.delayMs(query.head.model),
       nodes: parts.senders().length,
       sender,
@@ -274,6 +275,7 @@
   private noteProgress (target: DispatchTarget, headers: ResponseHeaders | null, gapMs: number | null): void {
     const nowMs = this.parts.clock.nowMs()
     this.health.noteProgress(target.endpoint)
+    this.fleetView.capacity.noteResponse(target.endpoint)
     if (headers !== null && headers.backpressure !== null) this.noteBackpressure(target, headers.backpressure, nowMs)
     if (headers !== null) this.coldEndpoints.noteResponse(target, headers.coldRemainingMs)
     if (headers !== null && headers.load !== null) this.fleetView.load.noteReading(target.endpoint, headers.load, nowMs)
--- a/packages/dotterelspur-gateway/src/process/FleetView.ts
+++ b/packages/dotterelspur-gateway/src/process/FleetView.ts
@@ -1,5 +1,5 @@
 import {
-  ClassAdmission, DeadlineHistory, DemandMeter, EMPTY_MEMORY, EndpointBackpressure, EndpointSpeeds, FirstEventDelays, loadPool, readFleetMemory, ReturnSchedule, updateFleetMemory, StreamPauses, TargetLoad,
+  ClassAdmission, DeadlineHistory, DemandMeter, EMPTY_MEMORY, EndpointBackpressure, EndpointSpeeds, FirstEventDelays, loadPool, readFleetMemory, ReturnSchedule, StatedCapacity, updateFleetMemory, StreamPauses, TargetLoad,
   type Clock, type ColdBounds, type EndpointId, type FleetMemory, type FleetObservation, type NodeId, type NodeObservation, type TargetPool
 } from 'dotterelspur'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
@@ -10,6 +10,7 @@
  */
 export class FleetView {
   readonly load = new TargetLoad()
+  readonly capacity = new StatedCapacity()
   readonly speeds = new EndpointSpeeds()
   readonly demand = new DemandMeter()
   readonly classes = new ClassAdmission()
@@ -94,12 +95,14 @@
   updatePools (pools: readonly TargetPool[]): void {
     this.pools = pools
     const nowMs = this.clock.nowMs()
-    this.load.updateForecasts(pools.map((pool) => loadPool(pool, this.speeds, this.backpressure, nowMs)), nowMs)
+    this.capacity.updatePools(pools)
+    this.load.updateForecasts(pools.map((pool) => loadPool(pool, this.speeds, this.backpressure, nowMs, this.capacity)), nowMs)
   }
 
   /** Evicts endpoints that are no longer listed. */
   retain (endpoints: ReadonlySet<EndpointId>): void {
     this.load.retain(endpoints)
+    this.capacity.retain(endpoints)
     this.speeds.retain(endpoints)
     this.backpressure.retain(endpoints, this.clock.nowMs())
   }
--- a/packages/dotterelspur-gateway/src/process/ManifestFollower.ts
+++ b/packages/dotterelspur-gateway/src/process/ManifestFollower.ts
@@ -26,6 +26,11 @@
     return this.table?.manifest.services.some((spec) => spec.service === service) ?? false
   }
 
+  /** Connections that an endpoint of the service accepts from all nodes together; infinite for a service that the manifest does not name. */
+  maxConnections (service: ServiceId): number {
+    return this.table?.manifest.services.find((spec) => spec.service === service)?.maxConnections ?? Infinity
+  }
+
   registerListener (listener: ManifestListener): Teardown {
     this.listeners.add(listener)
     return () => { this.listeners.delete(listener) }
--- a/packages/dotterelspur/src/request/dispatch/LoadForecast.ts
+++ b/packages/dotterelspur/src/request/dispatch/LoadForecast.ts
@@ -17,9 +17,11 @@
   readonly maxPerMs: number
   /** The part of the ramp-up that is left, from 1 to 0: how much of its distance to the fullest endpoint is added to the endpoint's load. */
   readonly rampShare?: number
+  /** The load that the endpoint bears in a given time, as a multiple of what a usual one of its pool bears; 1 where absent. */
+  readonly capacityFactor?: number
 }
 
-/** The load at which a usual request takes a given time at an endpoint that runs at its declared speed; rises with the time. */
+/** The load at which a usual request takes a given time at a usual endpoint that runs at its declared speed; rises with the time. */
 export type LoadAtLatency = (timeMs: number) => number
 
 /** The flow of a pool, from the last aggregate. */
@@ -113,11 +115,11 @@
   }
 
   /**
-   * The rate at which the endpoints can take requests on with `slots` each. Where more requests are present than there are
+   * The rate at which the endpoints can take requests on where a usual one has `slots`. Where more requests are present than there are
    * slots, they stay longer by the time that they wait, and the capacity is the rate at which they end.
    */
   capacityPerMs (slots: number): number {
-    return this.endpoints.reduce((sum, { present, maxPerMs }) => sum + Math.min(Math.max(slots, present) / this.holdMs, maxPerMs), 0)
+    return this.endpoints.reduce((sum, { present, maxPerMs, capacityFactor = 1 }) => sum + Math.min(Math.max(slots * capacityFactor, present) / this.holdMs, maxPerMs), 0)
   }
 
   /**
@@ -149,7 +151,10 @@
     return { atMs: nowMs, remainingShare, arrivals, cumulativeShares }
   }
 
-  /** How many of the arrivals go to each endpoint, so that all endpoints that get any take the same time afterwards. */
+  /**
+   * How many of the arrivals go to each endpoint, so that all endpoints that get any take the same time afterwards. The sum exceeds the
+   * arrivals by one request at most, however much an endpoint takes in a step of the level.
+   */
   private fill (remainingShare: number, arrivals: number): number[] {
     let lowMs = 0
     let highMs = MAX_LEVEL_MS
@@ -158,12 +163,18 @@
       if (total(this.capacities(middleMs, remainingShare)) < arrivals) lowMs = middleMs
       else highMs = middleMs
     }
-    return this.capacities(highMs, remainingShare)
+    const low = this.capacities(lowMs, remainingShare)
+    const high = this.capacities(highMs, remainingShare)
+    const lowSum = total(low)
+    const step = total(high) - lowSum
+    if (step <= 1) return high
+    const share = Math.max(0, Math.min(1, (arrivals - lowSum) / step))
+    return high.map((room, index) => low[index]! + share * (room - low[index]!))
   }
 
   private capacities (levelMs: number, remainingShare: number): number[] {
-    return this.endpoints.map(({ present, slowness, maxPerMs }) => {
-      const room = Math.max(0, this.loadAtLatency(levelMs / slowness) - present * remainingShare)
+    return this.endpoints.map(({ present, slowness, maxPerMs, capacityFactor = 1 }) => {
+      const room = Math.max(0, capacityFactor * this.loadAtLatency(levelMs / slowness) - present * remainingShare)
       return Math.min(room, this.maxRemaining(maxPerMs, remainingShare))
     })
   }
--- a/packages/dotterelspur/src/request/dispatch/Placement.ts
+++ b/packages/dotterelspur/src/request/dispatch/Placement.ts
@@ -8,6 +8,7 @@
 import { eventGapMs, firstEventMs, loadCurve, paceOf } from './EngineTimes.js'
 import type { ReturnSchedule } from './ReturnSchedule.js'
 import type { SenderPosition } from './SenderPosition.js'
+import { usualSlots, type StatedCapacity } from './StatedCapacity.js'
 import type { TargetLoad } from './TargetLoad.js'
 import { PLAIN_REQUEST_MS, type DispatchTarget, type TargetPool } from './TargetPool.js'
 
@@ -73,6 +74,8 @@
   readonly health: EndpointHealth
   readonly speeds: EndpointSpeeds
   readonly backpressure: EndpointBackpressure
+  /** Where absent, all endpoints count with the slots that their entries state. */
+  readonly capacity?: StatedCapacity
   /** Where absent, all requests are weighed alike. */
   readonly classes?: ClassAdmission
   /** By how much a first event exceeds the engine's declared times. */
@@ -195,7 +198,7 @@
 
 function bestOf (targets: readonly DispatchTarget[], query: PlacementQuery, input: PlacementInput): Candidate {
   const { pool, load, nodes } = input
-  const usualLoad = load.hasFreshObservation(input.nowMs) ? 0 : load.usual(pool.key, targets[0]!.slots, pool.targets.size, nodes)
+  const usualLoad = load.hasFreshObservation(input.nowMs) ? 0 : load.usual(pool.key, usualSlots(pool), pool.targets.size, nodes)
   const candidates = targets.map((target) => scoreTarget(target, usualLoad, query, input))
   return candidates.reduce((left, right) => right.cost < left.cost ? right : left)
 }
@@ -205,14 +208,14 @@
  * least recent load data, while the pool's total load is known better.
  */
 function hasCapacity (target: DispatchTarget, longestMs: number, query: PlacementQuery, input: PlacementInput): boolean {
-  const { pool: { key, targets }, load, backpressure, nodes, random, nowMs } = input
+  const { pool, pool: { key, targets }, load, backpressure, nodes, random, nowMs } = input
   // The endpoint's own rate has already admitted the request.
   if (backpressure.isLimited(target.endpoint, nowMs)) return true
   const maxLoad = maxLoadOf(target, longestMs, query, input)
   if (maxLoad === null) return true
   const share = shareOfClass(maxLoad, query, input)
   if (share !== null) return random.next() < share
-  const usual = load.usual(key, target.slots, targets.size, nodes)
+  const usual = load.usual(key, usualSlots(pool), targets.size, nodes)
   const sum = [...targets.keys()].reduce((partial, endpoint) => partial + load.estimate(endpoint, usual, nowMs), 0)
   return sum / targets.size <= maxLoad * loadFactorOfClass(query, input)
 }
@@ -225,12 +228,13 @@
 }
 
 /** The longest expected time to the first event with which a request is still dispatched. */
-function limitMs (target: DispatchTarget, query: PlacementQuery, { pool: { engine }, firstEventDelayMs }: PlacementInput): number {
+function limitMs (target: DispatchTarget, query: PlacementQuery, input: PlacementInput): number {
+  const { pool: { engine }, firstEventDelayMs } = input
   // A request that lost its endpoint continues wherever it can: the work already spent on it would be wasted.
   if (engine === null || query.excluded.length > 0) return query.leftMs
   const pace = paceOf(engine, target)
   const idleMs = firstEventMs(engine, pace, 0, query.promptTokens)
-  const freeSlotMs = firstEventMs(engine, pace, target.slots - 1, query.promptTokens)
+  const freeSlotMs = firstEventMs(engine, pace, slotsOf(target, input) - 1, query.promptTokens)
   const onTimeMs = Math.max(query.targetMs * TARGET_SLACK, firstEventDelayMs + idleMs * IDLE_FACTOR)
   return Math.min(query.leftMs, query.alreadyLate ? firstEventDelayMs + freeSlotMs : onTimeMs)
 }
@@ -239,7 +243,7 @@
   const { pool: { engine }, load, health, backpressure, speeds, firstEventDelayMs, nowMs } = input
   const present = load.estimate(target.endpoint, usualLoad, nowMs)
   const slowness = speeds.slowness(target.endpoint, nowMs)
-  const expectedMs = engine === null ? plainServiceMs(target, present) : firstEventDelayMs + firstEventMs(engine, paceOf(engine, target) * slowness, present, query.promptTokens)
+  const expectedMs = engine === null ? plainServiceMs(slotsOf(target, input), present) : firstEventDelayMs + firstEventMs(engine, paceOf(engine, target) * slowness, present, query.promptTokens)
   const heldOffMs = health.isHeldOff(target.endpoint, nowMs) || backpressure.backoffs.isBackingOff(target.endpoint, nowMs) ? HELD_OFF_PENALTY_MS : 0
   const remoteDomainMs = target.failureDomain === input.ownFailureDomain ? 0 : REMOTE_DOMAIN_PENALTY_MS
   const slowStreamMs = isTooSlow(target, present, slowness, query, input) ? SLOW_STREAM_PENALTY_MS : 0
@@ -252,9 +256,13 @@
   return eventGapMs(engine, paceOf(engine, target), present) * slowness > targetGapMs
 }
 
-function plainServiceMs (target: DispatchTarget, load: number): number {
-  if (load > target.slots * (1 + PLAIN_QUEUE_FACTOR)) return Infinity
-  return load / target.slots * PLAIN_REQUEST_MS
+function slotsOf (target: DispatchTarget, { capacity, pool: { key } }: PlacementInput): number {
+  return capacity?.slotsOf(key, target) ?? target.slots
+}
+
+function plainServiceMs (slots: number, load: number): number {
+  if (load > slots * (1 + PLAIN_QUEUE_FACTOR)) return Infinity
+  return load / slots * PLAIN_REQUEST_MS
 }
 
 /**
@@ -281,8 +289,7 @@
  * would only be refused again.
  */
 function jitteredRetryAfterMs ({ leftMs }: PlacementQuery, { pool, load, returns, random, nowMs }: PlacementInput): number {
-  const [first] = pool.targets.values()
-  const scheduledMs = first === undefined ? null : returns?.retryAfterMs(pool.key, leftMs, load.capacityPerMs(pool.key, first.slots, nowMs), random, nowMs) ?? null
+  const scheduledMs = pool.targets.size === 0 ? null : returns?.retryAfterMs(pool.key, leftMs, load.capacityPerMs(pool.key, usualSlots(pool), nowMs), random, nowMs) ?? null
   if (scheduledMs !== null) return scheduledMs
   return leftMs * (RETRY_AFTER_SHARE.least + (RETRY_AFTER_SHARE.most - RETRY_AFTER_SHARE.least) * random.next())
 }
--- a/packages/dotterelspur/src/request/dispatch/TargetLoad.ts
+++ b/packages/dotterelspur/src/request/dispatch/TargetLoad.ts
@@ -44,7 +44,7 @@
 /** The current endpoints of a pool, and how much each can take. */
 export interface LoadPool {
   readonly key: PoolKey
-  readonly endpoints: ReadonlyArray<Pick<ForecastEndpoint, 'endpoint' | 'slowness' | 'maxPerMs' | 'rampShare'>>
+  readonly endpoints: ReadonlyArray<Pick<ForecastEndpoint, 'endpoint' | 'slowness' | 'maxPerMs' | 'rampShare' | 'capacityFactor'>>
   readonly loadAtLatency: LoadAtLatency
 }
 
@@ -162,7 +162,7 @@
     return this.hasFreshObservation(nowMs) ? this.pools.get(pool)?.forecast?.admitted(maxLoad) ?? null : null
   }
 
-  /** The rate at which a pool's endpoints can take requests on with `slots` each; null without a recent aggregate. */
+  /** The rate at which a pool's endpoints can take requests on where a usual one has `slots`; null without a recent aggregate. */
   capacityPerMs (pool: PoolKey, slots: number, nowMs: number): number | null {
     return this.hasFreshObservation(nowMs) ? this.pools.get(pool)?.forecast?.capacityPerMs(slots) ?? null : null
   }
@@ -190,8 +190,8 @@
     const present = endpoints.reduce((sum, { endpoint }) => sum + (fleetObservation?.inFlight[endpoint] ?? 0), 0)
     const endedPerMs = ratePerMs(flow.ended, FLOW_HALF_LIFE_MS)
     const sinceReceivedMs = fleetObservation === null ? 0 : nowMs - this.receivedAtMs
-    return new LoadForecast(endpoints.map(({ endpoint, slowness, maxPerMs, rampShare }) => ({
-      endpoint, slowness, maxPerMs, rampShare, present: fleetObservation?.inFlight[endpoint] ?? 0, own: this.reportedInFlight.get(endpoint) ?? 0
+    return new LoadForecast(endpoints.map(({ endpoint, slowness, maxPerMs, rampShare, capacityFactor }) => ({
+      endpoint, slowness, maxPerMs, rampShare, capacityFactor, present: fleetObservation?.inFlight[endpoint] ?? 0, own: this.reportedInFlight.get(endpoint) ?? 0
     })), loadAtLatency, {
       offeredPerMs: ratePerMs(flow.asked, FLOW_HALF_LIFE_MS),
       dispatchedPerMs: ratePerMs(flow.sent, FLOW_HALF_LIFE_MS),
--- a/packages/dotterelspur/src/request/dispatch/TargetPool.ts
+++ b/packages/dotterelspur/src/request/dispatch/TargetPool.ts
@@ -5,6 +5,7 @@
 import type { EndpointSpeeds } from './EndpointSpeeds.js'
 import { loadCurve, paceOf } from './EngineTimes.js'
 import type { PoolKey } from './FleetObservation.js'
+import { usualSlots, type StatedCapacity } from './StatedCapacity.js'
 import type { LoadPool } from './TargetLoad.js'
 
 /** An endpoint that takes requests; of a group, its head. */
@@ -15,6 +16,7 @@
   readonly failureDomain: FailureDomainId
   /** Null for plain services. */
   readonly model: ModelId | null
+  /** What its entry states, up to the connections that it accepts: each carries one request at a time. */
   readonly slots: number
 }
 
@@ -38,12 +40,20 @@
   return poolKey(service, model)
 }
 
+/** What the manifest in force declares of a service. */
+export interface ServiceLookup {
+  /** Null for plain services. */
+  readonly engineOf: (service: ServiceId) => EngineSpec | null
+  /** Connections that an endpoint accepts from all nodes together; infinite for a service that is not declared. */
+  readonly maxConnectionsOf: (service: ServiceId) => number
+}
+
 /** The endpoints that take requests, by pool. All nodes with the same list of endpoints get the same order. */
-export function buildPools (endpoints: Iterable<EndpointRecord>, engineOf: (service: ServiceId) => EngineSpec | null): Map<PoolKey, TargetPool> {
+export function buildPools (endpoints: Iterable<EndpointRecord>, { engineOf, maxConnectionsOf }: ServiceLookup): Map<PoolKey, TargetPool> {
   const targetsByPool = new Map<PoolKey, DispatchTarget[]>()
   for (const record of endpoints) {
     if (!takesRequests(record)) continue
-    const target = targetOf(record)
+    const target = targetOf(record, maxConnectionsOf(record.service))
     const key = poolKeyOf(target)
     const targets = targetsByPool.get(key)
     if (targets === undefined) targetsByPool.set(key, [target])
@@ -55,17 +65,29 @@
   }))
 }
 
-/** How much each endpoint of a pool takes, for the forecast of its load. */
-export function loadPool ({ key, targets, engine }: TargetPool, speeds: EndpointSpeeds, backpressure: EndpointBackpressure, nowMs: number): LoadPool {
+/**
+ * How much each endpoint of a pool takes, for the forecast of its load.
+ *
+ * @param capacity where absent, all endpoints count with what they state.
+ */
+export function loadPool (pool: TargetPool, speeds: EndpointSpeeds, backpressure: EndpointBackpressure, nowMs: number, capacity?: StatedCapacity): LoadPool {
+  const { key, targets, engine } = pool
   const [first] = targets.values()
-  const endpoints = [...targets.keys()].map((endpoint) => ({ endpoint, slowness: speeds.slowness(endpoint, nowMs), maxPerMs: backpressure.maxPerMs(endpoint, nowMs), rampShare: backpressure.cold.rampShare(endpoint, nowMs) }))
-  if (engine === null || first === undefined) return { key, endpoints, loadAtLatency: (timeMs) => timeMs / PLAIN_REQUEST_MS * (first?.slots ?? 1) }
+  const usual = usualSlots(pool)
+  const endpoints = [...targets.values()].map((target) => ({
+    endpoint: target.endpoint,
+    slowness: speeds.slowness(target.endpoint, nowMs),
+    maxPerMs: backpressure.maxPerMs(target.endpoint, nowMs),
+    rampShare: backpressure.cold.rampShare(target.endpoint, nowMs),
+    capacityFactor: engine === null ? (capacity?.slotsOf(key, target) ?? target.slots) / usual : 1
+  }))
+  if (engine === null || first === undefined) return { key, endpoints, loadAtLatency: (timeMs) => timeMs / PLAIN_REQUEST_MS * usual }
   return { key, endpoints, loadAtLatency: loadCurve(engine, paceOf(engine, first), engine.usualPromptTokens) }
 }
 
-function targetOf (record: EndpointRecord): DispatchTarget {
+function targetOf (record: EndpointRecord, maxConnections: number): DispatchTarget {
   const { endpoint, service, address, failureDomain, slots } = record
-  return { endpoint, service, address, failureDomain, slots, model: record.fabricDomain === null ? null : record.model }
+  return { endpoint, service, address, failureDomain, slots: Math.max(1, Math.min(slots, maxConnections)), model: record.fabricDomain === null ? null : record.model }
 }
 
 function byFailureDomain (left: DispatchTarget, right: DispatchTarget): number {
