Connections: a response reaches a caller that is still sending

Callers that uploaded beside each other and sent 'Connection: close' saw ECONNRESET or EPIPE instead of the refusal that had been written: GuardedConnection.destroySoon closed the socket while bytes of the body were unread, and the operating system turns that into a reset, which takes the response with it.

Now the sending side is closed, and what still comes is taken from the socket unparsed and dropped, until the caller closes its side, sends 8 MiB more or has had 5 s. A connection whose last request was answered inside its body is no longer taken for idle, and one whose body this process has paused itself no longer counts as stalled.

The properties of the socket that Node.js uses are in SocketStandIn.

--- a/packages/dotterelspur-gateway/src/connection/CallerConnections.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerConnections.ts
@@ -12,9 +12,11 @@
 
   constructor (private readonly server: Server, private readonly clock: Clock) {}
 
-  /** Connections that stay open for a moment after their last response, because the next request may be on its way. */
+  /** Connections that stay open for a moment after their last response: the next request may be on its way, or the caller has not received the response. */
   get lingeringCount (): number {
-    return this.lingering
+    let count = this.lingering
+    for (const { isLingering } of this.open) if (isLingering) count += 1
+    return count
   }
 
   add (connection: GuardedConnection): void {
--- a/packages/dotterelspur-listener/src/__tests__/unit/ListenerGuard.test.ts
+++ b/packages/dotterelspur-listener/src/__tests__/unit/ListenerGuard.test.ts
@@ -123,6 +123,62 @@
     expect(socket.bytesWritten).to.be.lessThan(100 * MIB)
   })
 
+  describe('that refuses a body before it is complete', () => {
+    const BODY_BYTES = 4 * MIB
+
+    /** Sends a body whole, and reads afterwards. */
+    async function upload (connection: string): Promise<string> {
+      const socket = await guarded.connect()
+      socket.pause()
+      socket.write(`POST / HTTP/1.1\r\nHost: a\r\nConnection: ${connection}\r\nContent-Length: ${BODY_BYTES}\r\n\r\n`)
+      const sent = new Promise<string | null>((resolve) => { socket.write(Buffer.alloc(BODY_BYTES), (error) => { resolve(error?.message ?? null) }) })
+      return await sent ?? await readHead(socket)
+    }
+
+    async function readHead (socket: Socket): Promise<string> {
+      return await new Promise((resolve) => {
+        socket.once('data', (data: Buffer) => { resolve(data.toString().slice(0, 12)) })
+        socket.once('error', (error) => { resolve(error.message) })
+        socket.once('close', () => { resolve('closed') })
+        socket.resume()
+      })
+    }
+
+    // Guards against refusals that a reset of the connection takes with it: it was closed with bytes unread.
+    for (const connection of ['close', 'keep-alive']) {
+      it(`sends its response to a caller that sends the whole body first, with Connection: ${connection}`, async () => {
+        guarded = await GuardedServer.start((request, response) => {
+          request.once('data', () => {
+            request.pause()
+            response.writeHead(503, { 'content-length': 0 }).end()
+            request.resume()
+          })
+        })
+        expect(await Promise.all(Array.from({ length: 20 }, async () => await upload(connection)))).to.deep.equal(Array.from({ length: 20 }, () => 'HTTP/1.1 503'))
+      })
+    }
+
+    it('closes the connection once the caller closes its side', async () => {
+      guarded = await GuardedServer.start((_request, response) => { response.writeHead(503, { 'content-length': 0 }).end() })
+      const socket = await guarded.connect()
+      socket.write('POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 100\r\n\r\nhalf')
+      expect(await readAll(socket)).to.include('503')
+      await until(() => guarded.guard.load.connections === 0)
+    })
+
+    // Guards against connections that are held for as long as a caller likes after its response.
+    it('closes the connection of a caller that does not close its side', async () => {
+      guarded = await GuardedServer.start((_request, response) => { response.writeHead(503, { 'content-length': 0 }).end() })
+      const socket = connect({ port: (guarded.server.address() as AddressInfo).port, host: '127.0.0.1', allowHalfOpen: true })
+      socket.on('error', () => { /* `close` follows. */ })
+      socket.write('POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 100\r\n\r\nhalf')
+      await once(socket.resume(), 'end')
+      expect(guarded.guard.load.connections).to.equal(1)
+      await until(() => guarded.guard.load.connections === 0)
+      socket.destroy()
+    }).timeout(60_000)
+  })
+
   it('passes an end of the connection on to the request that waits', async () => {
     const closed: string[] = []
     guarded = await GuardedServer.start((request) => {
@@ -162,6 +218,24 @@
     expect(waiting.destroyed).to.equal(false)
   })
 
+  // Guards against uploads that are closed as stalled after this process itself has left them unread.
+  it('closes no connection whose body it has paused, and gives its caller time from when it reads on', async () => {
+    let paused: IncomingMessage | null = null
+    guarded = await GuardedServer.start((request, response) => {
+      request.once('data', () => { paused = request.pause() })
+      request.on('end', () => { response.end('whole') })
+    })
+    guarded.guard.stallMs = 500
+    const socket = await guarded.connect()
+    socket.write('POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 100\r\n\r\nhalf')
+    await until(() => paused !== null)
+    await delay(2_500)
+    expect([socket.destroyed, guarded.guard.load.shedTotal]).to.deep.equal([false, 0])
+    paused!.resume()
+    socket.write('x'.repeat(96))
+    expect(await readAll(socket)).to.include('whole')
+  })
+
   it('takes the connection that comes last, and closes one that has no request', async () => {
     guarded = await GuardedServer.start((_request, response) => { response.end('served') }, { connections: 3 })
     const silent = [await guarded.connect(), await guarded.connect(), await guarded.connect()]
--- a/packages/dotterelspur-listener/src/connection/GuardedConnection.ts
+++ b/packages/dotterelspur-listener/src/connection/GuardedConnection.ts
@@ -1,7 +1,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import { Duplex } from 'node:stream'
-import { HeldKind, ShedReason, type CallerLoad, type ConnectionLoad, type LoadedConnection, type ReadTurns, type TurnTaker } from 'dotterelspur'
+import type { Duplex } from 'node:stream'
+import { HeldKind, ShedReason, type CallerLoad, type Clock, type ConnectionLoad, type LoadedConnection, type ReadTurns, type Teardown, type TurnTaker } from 'dotterelspur'
+import { SocketStandIn } from './SocketStandIn.js'
 
 const KIB = 1_024
 /** Requests of one connection that are handled at a time, and after which no more are read. */
@@ -16,6 +17,8 @@
 const MAX_SEND_BYTES = 256 * KIB
 /** After its response, so much of a body is read and dropped, so that a caller that is still sending receives the response. */
 const MAX_DROPPED_BYTES = 8 * KIB * KIB
+/** How long a caller that is told of the close may take to receive its response and to close its side. */
+const LINGER_MS = 5_000
 
 type WriteCallback = (error?: Error | null) => void
 
@@ -27,13 +30,14 @@
 export interface GuardedConnectionParts {
   readonly load: CallerLoad
   readonly turns: ReadTurns
+  readonly clock: Clock
 }
 
 /**
  * A caller's connection that hands on what it receives in slices, and stops reading while too many requests of it have not been answered. Stands in
- * for the socket in requests of an HTTP server: it has the same events, timeouts and counters.
+ * for the socket in requests of an HTTP server.
  */
-export class GuardedConnection extends Duplex implements LoadedConnection, TurnTaker {
+export class GuardedConnection extends SocketStandIn implements LoadedConnection, TurnTaker {
   readonly load: ConnectionLoad | null
   private readonly exchanges = new Set<Exchange>()
   /** Handlers of requests that were parsed with those before them, and wait for their responses. */
@@ -45,29 +49,34 @@
   private tookMs = 0
   /** Bytes of the connection when its last response was complete; null before that. */
   private idleAtBytes: number | null = null
+  /** The last request that was answered before its body was complete. */
+  private cutRequest: IncomingMessage | null = null
+  private cancelLinger: Teardown | null = null
 
-  constructor (readonly raw: Socket, private readonly parts: GuardedConnectionParts) {
-    super({ allowHalfOpen: true, decodeStrings: false })
+  constructor (raw: Socket, private readonly parts: GuardedConnectionParts) {
+    super(raw)
     // Each request that has not been answered listens for the end of its connection.
     this.setMaxListeners(0)
     this.load = parts.load.add(this)
     raw.on('readable', () => { this.receive() })
-    raw.on('end', () => { this.push(null) })
+    raw.on('end', () => { if (this.isLingering) this.destroy(); else this.push(null) })
     raw.on('error', (error) => { this.destroy(error) })
     raw.on('close', () => { if (!this.destroyed) this.destroy() })
-    raw.on('timeout', () => { this.emit('timeout') })
   }
 
   /** Whether the next step is the caller's: the rest of a body, or reading a response. */
   get awaitsCaller (): boolean {
-    if (this.writableLength > 0) return true
-    for (const { request } of this.exchanges) if (!request.complete) return true
-    return false
+    return this.writableLength > 0 || (this.isInsideBody && !this.isBodyPaused)
   }
 
   /** Whether it has been used, and its caller has begun no other request. */
   get isIdle (): boolean {
-    return this.exchanges.size === 0 && this.raw.readableLength === 0 && this.idleAtBytes === this.raw.bytesRead
+    return this.exchanges.size === 0 && !this.isInsideBody && this.raw.readableLength === 0 && this.idleAtBytes === this.raw.bytesRead
+  }
+
+  /** Whether its last response has been sent, and what the caller still sends is dropped until it closes its side. */
+  get isLingering (): boolean {
+    return this.cancelLinger !== null
   }
 
   /** Time that parsing has taken lately. */
@@ -75,79 +84,14 @@
     return this.tookMs
   }
 
-  get bytesRead (): number {
-    return this.raw.bytesRead
-  }
-
-  get bytesWritten (): number {
-    return this.raw.bytesWritten
-  }
-
-  get timeout (): number | undefined {
-    return this.raw.timeout
-  }
-
-  get remoteAddress (): string | undefined {
-    return this.raw.remoteAddress
-  }
-
-  get remotePort (): number | undefined {
-    return this.raw.remotePort
-  }
-
-  get remoteFamily (): string | undefined {
-    return this.raw.remoteFamily
-  }
-
-  get localAddress (): string | undefined {
-    return this.raw.localAddress
-  }
-
-  get localPort (): number | undefined {
-    return this.raw.localPort
-  }
-
-  /** As of TLS connections; undefined for others. */
-  get encrypted (): boolean | undefined {
-    return (this.raw as { encrypted?: boolean }).encrypted
-  }
-
-  setTimeout (timeoutMs: number, listener?: () => void): this {
-    if (listener !== undefined) this.once('timeout', listener)
-    this.raw.setTimeout(timeoutMs)
-    return this
-  }
-
-  setNoDelay (enable?: boolean): this {
-    this.raw.setNoDelay(enable)
-    return this
-  }
-
-  setKeepAlive (enable?: boolean, initialDelayMs?: number): this {
-    this.raw.setKeepAlive(enable, initialDelayMs)
-    return this
-  }
-
-  ref (): this {
-    this.raw.ref()
-    return this
-  }
-
-  unref (): this {
-    this.raw.unref()
-    return this
-  }
-
-  /** Destroys the connection once everything has been written. */
+  /**
+   * Destroys the connection once everything has been written. Bytes that are unread by then would turn the close into a reset, which takes a response with it
+   * that the caller has not received: while a body is incomplete, the rest is dropped until the caller closes its side.
+   */
   destroySoon (): void {
     if (this.writable) this.end()
-    if (this.writableFinished) this.destroy()
-    else this.once('finish', () => { this.destroy() })
-  }
-
-  resetAndDestroy (): this {
-    this.raw.resetAndDestroy()
-    return this.destroy()
+    if (this.writableFinished) this.closeOrLinger()
+    else this.once('finish', () => { this.closeOrLinger() })
   }
 
   /** Counts a request until it has been answered, and handles it once few others of this connection are. */
@@ -155,12 +99,13 @@
     const exchange: Exchange = { request, response }
     this.exchanges.add(exchange)
     this.dropEndBytes = Infinity
+    this.cutRequest = null
     this.load?.beginRequest()
     response.once('prefinish', () => { this.noteResponses() })
     response.once('close', () => {
       this.exchanges.delete(exchange)
       this.idleAtBytes = this.raw.bytesRead
-      if (!request.complete) this.dropEndBytes = this.raw.bytesRead + MAX_DROPPED_BYTES
+      if (!request.complete) this.noteCutBody(request)
       this.load?.endRequest()
       this.noteResponses()
       this.delayed.shift()?.()
@@ -197,6 +142,8 @@
 
   override _read (): void {
     this.isWanted = true
+    // Its caller could not go on with a body that was paused.
+    if (this.isInsideBody) this.load?.noteProgress()
     this.waitForTurn()
   }
 
@@ -216,6 +163,7 @@
 
   override _destroy (error: Error | null, callback: (error: Error | null) => void): void {
     this.parts.turns.remove(this)
+    this.cancelLinger?.()
     this.delayed.splice(0)
     this.load?.release()
     this.raw.destroy()
@@ -223,13 +171,48 @@
   }
 
   private get mayPass (): boolean {
-    return this.isWanted && !this.destroyed && this.exchanges.size < MAX_AHEAD
+    return this.isWanted && !this.destroyed && !this.isLingering && this.exchanges.size < MAX_AHEAD
+  }
+
+  private get isInsideBody (): boolean {
+    if (this.cutRequest?.complete === false) return true
+    for (const { request } of this.exchanges) if (!request.complete) return true
+    return false
+  }
+
+  /** Whether the rest of a body is not read because this process has no room for it. */
+  private get isBodyPaused (): boolean {
+    for (const { request } of this.exchanges) if (!request.complete && request.isPaused()) return true
+    return false
+  }
+
+  private noteCutBody (request: IncomingMessage): void {
+    this.cutRequest = request
+    this.dropEndBytes = this.raw.bytesRead + MAX_DROPPED_BYTES
+  }
+
+  private closeOrLinger (): void {
+    if (this.destroyed || this.isLingering) return
+    if (!this.isInsideBody && this.raw.readableLength === 0) {
+      this.destroy()
+      return
+    }
+    this.cancelLinger = this.parts.clock.registerTimer(LINGER_MS, () => { this.destroy() })
+    this.parts.turns.remove(this)
+    this.dropUnread()
+  }
+
+  /** Bytes are taken from the socket without being parsed. */
+  private dropUnread (): void {
+    while (this.raw.read() !== null) { /* The response has been sent. */ }
+    this.noteUnparsed()
   }
 
   /** The raw socket stops reading by itself while what it has read is not taken. */
   private receive (): void {
     if (this.exchanges.size === 0) this.load?.noteProgress()
     if (this.raw.bytesRead > this.dropEndBytes) return this.giveWay()
+    if (this.isLingering) return this.dropUnread()
     this.noteUnparsed()
     if (this.raw.readableLength === 0) this.readEnd()
     else if (this.mayPass && this.raw.readableLength <= this.sliceBytes && this.parts.turns.hasTime) this.pass()
--- a/packages/dotterelspur-listener/src/process/ListenerGuard.ts
+++ b/packages/dotterelspur-listener/src/process/ListenerGuard.ts
@@ -28,7 +28,7 @@
   private reportedCount = 0
 
   /** @param onShed connections have been closed because of a limit; called once for all of about a second. */
-  constructor (limits: CallerLoadLimits, private readonly clock: Clock, private readonly onShed: (load: CallerLoad) => void = () => {}) {
+  constructor (limits: CallerLoadLimits, readonly clock: Clock, private readonly onShed: (load: CallerLoad) => void = () => {}) {
     this.load = new CallerLoad(limits, clock)
     this.turns = new ReadTurns(clock, setImmediate)
     this.scheduleSweep()
