Addresses: an entry with one to which no connection can be opened is rejected

What callers saw: nothing at once. With an odd entry among the nodes', the lease holder linked to no node listed after it: those polled the store for each change and took no part in the aggregate of loads. With one among the endpoints', a node that is cut off waited for its relay until its own timeout, and the relay's place stayed taken.

Cause: readers took any digits for an address, and Node's sockets and `ws` throw at once for a port over 65,535 and for a number that is no address. The exceptions left the timer and the event in which connections were opened; the platform's program logs them and goes on.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/NodeRegistry.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/NodeRegistry.test.ts
@@ -167,4 +167,17 @@
     await registry.leave()
     expect((await store.get('nodes/n1')).ok).to.equal(false)
   })
+
+  // Guards against entries to which no node can connect, and whose dialling throws: the nodes after them in the list got no link.
+  for (const address of ['10.0.0.3:0', '10.0.0.3:70000', '10.0.0.3:99999', '999.0.0.3:80', '10.0.3:80', '..:80', `10.0.0.3:${'9'.repeat(400)}`]) {
+    it(`rejects an entry with the address ${address.slice(0, 20)}, and takes a valid one in its place`, () => {
+      const { store, registry } = createRegistry()
+      for (const field of ['callers', 'peers']) {
+        store.put('nodes/n3', { ...OTHER, node: 'n3', [field]: address })
+        expect(registry.nodes().map(({ node }) => node)).to.deep.equal(['n1', 'n2'])
+      }
+      store.put('nodes/n3', { ...OTHER, node: 'n3' })
+      expect(registry.nodes().map(({ node }) => node)).to.deep.equal(['n1', 'n2', 'n3'])
+    })
+  }
 })
--- a/packages/dotterelspur-gateway/src/__tests__/unit/RelayServer.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/RelayServer.test.ts
@@ -47,7 +47,7 @@
     })
     await new Promise<void>((resolve) => { endpoint.listen(0, '127.0.0.1', resolve) })
     const endpointAddress = `127.0.0.1:${(endpoint.address() as AddressInfo).port}`
-    const known = new Map([[ENDPOINT, endpointAddress], ['down', '127.0.0.1:9']])
+    const known = new Map([[ENDPOINT, endpointAddress], ['down', '127.0.0.1:9'], ['odd', '127.0.0.1:70000']])
     relays = new RelayServer({ addressOf: (id) => known.get(id) ?? null, isCutOff: () => cutOff })
     peers = new PeerServer(1_000, {
       onLink: () => {},
@@ -151,6 +151,13 @@
     expect(await refusal('%')).to.match(/404/)
   })
 
+  // Guards against an exception of the socket outside the request, after which the requester waits in vain and its place stays taken.
+  it('reports that it does not reach an address to which no connection can be opened', async () => {
+    expect(await refusal('odd')).to.match(/502/)
+    await untilClosed()
+    expect(relays.size).to.equal(0)
+  })
+
   it('refuses while it is cut off itself, and when it stops', async () => {
     cutOff = true
     expect(await refusal(ENDPOINT)).to.match(/503/)
--- a/packages/dotterelspur-gateway/src/__tests__/unit/malformedInput.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/malformedInput.test.ts
@@ -60,6 +60,18 @@
     await expectServing()
   })
 
+  // Guards against a lease holder that dials no node after an odd entry in the list, so that those nodes hear of no change.
+  it('links to nodes that are listed after an entry with an address that is none', async () => {
+    for (const [index, peers] of ['10.0.0.1:70000', '999.0.0.1:80', '..:1'].entries()) store.put(`nodes/a${index}`, { node: `a${index}`, failureDomain: 'a', callers: '10.0.0.1:1', peers, incarnation: 1 })
+    const other = await GatewayWorld.start('n2', store)
+    try {
+      await delay(2 * LINK_ROUND_MS)
+      expect(await other.gauge('told_by_decider')).to.equal(1)
+    } finally {
+      await other.gateway.close()
+    }
+  })
+
   it('keeps serving with malformed quarantine entries in the store', async () => {
     const entries = fc.sample(arbitraryValue('outline', 'ends', 'state', 'node'), { seed: SEED, numRuns: SAMPLES })
     for (const [index, entry] of entries.entries()) store.put(`quarantine/x${index}`, entry)
--- a/packages/dotterelspur-gateway/src/connection/RelayServer.ts
+++ b/packages/dotterelspur-gateway/src/connection/RelayServer.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage } from 'node:http'
 import { connect, type Socket } from 'node:net'
-import type { EndpointId } from 'dotterelspur'
+import { parseSocketAddress, type EndpointId, type SocketAddress } from 'dotterelspur'
 import { joinSockets } from './joinSockets.js'
 
 /** A live endpoint accepts a connection within a few milliseconds; the requesting node tries another relay meanwhile. */
@@ -64,9 +64,12 @@
     if (this.draining || this.ports.isCutOff() || this.open.size >= MAX_RELAYS) return respond(requester, RelayStatus.Unavailable)
     const address = this.ports.addressOf(decodeEndpoint(url ?? ''))
     if (address === null) return respond(requester, RelayStatus.UnknownEndpoint)
+    // The address may come from a node whose build accepts any port.
+    const socketAddress = parseSocketAddress(address)
+    if (socketAddress === null) return respond(requester, RelayStatus.Unreached)
     this.open.add(requester)
     requester.on('close', () => { this.open.delete(requester) })
-    this.dial(address, requester, headers[RELAY_ID_HEADER])
+    this.dial(socketAddress, requester, headers[RELAY_ID_HEADER])
   }
 
   /**
@@ -94,9 +97,8 @@
     this.orderlyEnds.delete(oldest!)
   }
 
-  private dial (address: string, requester: Socket, id: string | string[] | undefined): void {
-    const at = address.lastIndexOf(':')
-    const endpoint = connect({ host: address.slice(0, at), port: Number(address.slice(at + 1)), noDelay: true, keepAlive: true, keepAliveInitialDelay: KEEP_ALIVE_DELAY_MS })
+  private dial (address: SocketAddress, requester: Socket, id: string | string[] | undefined): void {
+    const endpoint = connect({ ...address, noDelay: true, keepAlive: true, keepAliveInitialDelay: KEEP_ALIVE_DELAY_MS })
     const fail = (error?: NodeJS.ErrnoException): void => {
       endpoint.destroy()
       respond(requester, error?.code === 'ECONNREFUSED' ? RelayStatus.Refused : RelayStatus.Unreached)
--- a/packages/dotterelspur-gateway/src/process/NodeRegistry.ts
+++ b/packages/dotterelspur-gateway/src/process/NodeRegistry.ts
@@ -1,11 +1,9 @@
-import { eraOf, sleep, StoreErrorKind, WatchEventKind, type Clock, type FailureDomainId, type LeaseIdentity, type ListedNodes, type NodeId, type ObjectStore, type StoredObject, type Teardown, type WatchEvent } from 'dotterelspur'
+import { eraOf, parseSocketAddress, sleep, StoreErrorKind, WatchEventKind, type Clock, type FailureDomainId, type LeaseIdentity, type ListedNodes, type NodeId, type ObjectStore, type StoredObject, type Teardown, type WatchEvent } from 'dotterelspur'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
 import { addressOf, type GatewaySettings } from './GatewaySettings.js'
 
 export const NODE_PREFIX = 'nodes/'
 
-const ADDRESS = /^[\d.]+:\d{1,5}$/
-
 /** Pause between attempts to write this node's own entry. */
 const REGISTER_RETRY_MS = 400
 
@@ -30,7 +28,7 @@
 }
 
 function isAddress (value: unknown): boolean {
-  return typeof value === 'string' && ADDRESS.test(value)
+  return typeof value === 'string' && parseSocketAddress(value) !== null
 }
 
 function areSame (left: readonly LeaseIdentity[], right: readonly LeaseIdentity[]): boolean {
