Lease: an object of another writer in its place is taken over after the time to live

What callers saw: nothing at once; after another writer has replaced the lease, no node coordinates: groups are neither formed nor repaired, loads are not shared, and limits are known to single nodes.

Cause: the stored lease was read without a check. `null` made each read throw; a time to live of 1e15 ms was waited for; a fencing number that is text, absent or over 2^53 made the next one NaN or equal to it.

`readLease` validates the lease where it is observed and read back (gateway and the product's failure domains). What is none counts as held by nobody known, and is taken over after the time to live with a number above all seen. Numbers that no term can have, of peers as well, neither raise the floor nor end a term.

--- a/packages/dotterelspur-fleet/src/process/LeaseController.ts
+++ b/packages/dotterelspur-fleet/src/process/LeaseController.ts
@@ -1,5 +1,5 @@
 import {
-  ChallengeKind, decideChallenge, isExpired, LEASE_PREFIX, LeaseEffectKind, LeaseLoss, leaseKey, LeaseResultKind, mayOrder, NO_LEASE_OBSERVATION, observeAbsence, observeLease,
+  ChallengeKind, decideChallenge, isExpired, isFencingNumber, LEASE_PREFIX, LeaseEffectKind, LeaseLoss, leaseKey, LeaseResultKind, mayOrder, NO_LEASE_OBSERVATION, observeAbsence, observeLease,
   raiseFencingFloor, renewalDueAtMs, renewLease, runProcedure, StoreErrorKind, suspendTerm, takeLease, type EffectHandlers, type FailureDomainId, type LeaseEffect,
   type LeaseObject, type LeaseObservation, type LeaseTerm, type MeshDocument, type ObjectStore, type StoredObject
 } from 'dotterelspur'
@@ -61,7 +61,7 @@
   /** Takes in a fencing number from an assignment or an endpoint. A number above this term's ends the term, since another node has held the lease after it. */
   observeFencing (fencing: number): void {
     this.leaseObservation = raiseFencingFloor(this.leaseObservation, fencing)
-    if (this.held !== null && fencing > this.held.fencing) this.endTerm(LeaseLoss.FencingTooLow)
+    if (this.held !== null && isFencingNumber(fencing) && fencing > this.held.fencing) this.endTerm(LeaseLoss.FencingTooLow)
   }
 
   /** Does what is due now. `rank` is this node's rank among the living candidates. */
--- a/packages/dotterelspur-gateway/src/__tests__/unit/FleetLease.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/FleetLease.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import { createRandom, ManualClock, storeVersion } from 'dotterelspur'
 import { FleetLease, FLEET_LEASE_TIMING } from '../../process/FleetLease.js'
+import { formationNumber } from '../../process/formationNumbers.js'
 import { LeaseHandover } from '../../process/LeaseHandover.js'
 import { createLog } from '../fixtures/builders.js'
 import { MemoryStore } from '../fixtures/MemoryStore.js'
@@ -321,4 +322,49 @@
     await runSteps(clock, [lease!], 1_500)
     expect(lease!.fencing).to.equal(5)
   })
+
+  const VALID = { failureDomain: 'fleet', holder: 'n9', holderIncarnation: 1, fencing: 7, ttlMs: 2_000, renewal: 1, released: false, writeToken: '' }
+  const ODD_LEASES: ReadonlyArray<readonly [string, unknown]> = [
+    ['nothing', null],
+    ['text', 'lease'],
+    ['a list', [VALID]],
+    ['a time to live of years', { ...VALID, ttlMs: 1e15 }],
+    ['a time to live as text', { ...VALID, ttlMs: 'long' }],
+    ['a fencing number whose successors are no exact integers', { ...VALID, fencing: Number.MAX_SAFE_INTEGER }],
+    ['the largest fencing number', { ...VALID, fencing: Number.MAX_VALUE }],
+    ['a fencing number as text', { ...VALID, fencing: 'x' }],
+    ['a fraction as fencing number', { ...VALID, fencing: 1.5 }],
+    ['no fencing number', { ...VALID, fencing: undefined }]
+  ]
+
+  for (const [what, odd] of ODD_LEASES) {
+    // Guards against a fleet in which nobody forms or repairs groups any more, because another writer has replaced the lease.
+    it(`is taken again, with an exact number, after another writer has replaced it by one with ${what}`, async () => {
+      const store = new MemoryStore()
+      const clock = new ManualClock()
+      const leases = ['n1', 'n2'].map((node, index) => new FleetLease(store, { node, incarnation: 1 }, clock, createRandom(index), createLog(clock), () => {}))
+      await runSteps(clock, leases, 1_000)
+      const former = Math.max(...leases.map(({ fencing }) => fencing ?? 0))
+      store.put('leases/fleet', odd)
+      await runSteps(clock, leases, FLEET_LEASE_TIMING.ttlMs + 3_000)
+      const holders = leases.filter((lease) => lease.mayOrder())
+      expect(holders).to.have.length(1)
+      expect(holders[0]!.fencing).to.be.greaterThan(former)
+      expect(Number.isSafeInteger(formationNumber(holders[0]!.fencing!, 1))).to.equal(true)
+      const stored = await store.get<{ fencing: number }>('leases/fleet')
+      expect(stored.ok && stored.value.body.fencing).to.equal(holders[0]!.fencing)
+    })
+  }
+
+  it('ends no term for a number that no term can have', async () => {
+    const store = new MemoryStore()
+    const clock = new ManualClock()
+    const lease = new FleetLease(store, { node: 'n1', incarnation: 1 }, clock, createRandom(1), createLog(clock), () => {})
+    await runSteps(clock, [lease], 1_000)
+    for (const fencing of [NaN, Infinity, Number.MAX_SAFE_INTEGER, 1.5, '9' as unknown as number]) {
+      lease.observeFencing(fencing)
+      lease.noteLease({ key: 'leases/fleet', version: 99, body: { ...VALID, fencing }, deleted: false })
+    }
+    expect(lease.mayOrder()).to.equal(true)
+  })
 })
--- a/packages/dotterelspur-gateway/src/process/FleetLease.ts
+++ b/packages/dotterelspur-gateway/src/process/FleetLease.ts
@@ -1,6 +1,6 @@
 import {
   ChallengeKind, composeLease, decideChallenge, eraOf, isExpired, LeaseEffectKind, leaseKey, LeaseLoss, LeaseResultKind, mayOrder, NO_LEASE_OBSERVATION, observeAbsence, observeLease, raiseFencingFloor,
-  ReadFreshness, renewalDueAtMs, renewLease, runProcedure, StoreErrorKind, suspendTerm, takeLease,
+  isFencingNumber, readLease, ReadFreshness, renewalDueAtMs, renewLease, runProcedure, StoreErrorKind, suspendTerm, takeLease,
   type Clock, type EffectHandlers, type LeaseEffect, type LeaseIdentity, type LeaseObject, type LeaseObservation, type LeaseTerm, type LeaseTiming, type ObjectStore, type Random, type StoredObject, type Teardown
 } from 'dotterelspur'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
@@ -123,6 +123,7 @@
    * call, unless the store has since come back from an older copy.
    */
   noteLease (lease: StoredObject<LeaseObject>): void {
+    if (readLease(lease.body) === null) return
     if (this.held !== null) return this.observeFencing(lease.body.fencing)
     if (eraOf(lease.version) < eraOf(this.leaseObservation.version)) return
     this.observe(lease)
@@ -135,7 +136,7 @@
    */
   observeFencing (fencing: number): void {
     this.leaseObservation = raiseFencingFloor(this.leaseObservation, fencing)
-    if (this.held !== null && fencing > this.held.fencing) this.lose(LeaseLoss.FencingTooLow)
+    if (this.held !== null && isFencingNumber(fencing) && fencing > this.held.fencing) this.lose(LeaseLoss.FencingTooLow)
   }
 
   /** Suspends the term after this process was paused, since another node may hold the lease now. */
@@ -223,17 +224,13 @@
       return this.log.write(LogKind.LeaseTaken, { fencing: result.term.fencing, version: result.term.version, formerHolder: this.leaseObservation.lease?.holder ?? null })
     }
     if (result.observed !== null) this.observe(result.observed)
-    if (result.error.kind === StoreErrorKind.NotFound) this.noteLost()
+    // The store has lost the lease, which must be created again; the fencing number goes on rising.
+    if (result.error.kind === StoreErrorKind.NotFound) this.leaseObservation = { ...this.leaseObservation, version: 0, lease: null }
     this.failedChallenges = result.observed === null ? this.failedChallenges + 1 : 0
     this.notBeforeMs = this.clock.nowMs() + this.retryPauseMs() * (0.5 + this.random.next())
     this.nextReadAtMs = 0
   }
 
-  /** The store has lost the lease, which must be created again; the fencing number goes on rising. */
-  private noteLost (): void {
-    this.leaseObservation = { ...this.leaseObservation, version: 0, lease: null }
-  }
-
   /** Grows with each attempt that did not reach the store, up to a limit that depends on the size of the fleet. */
   private retryPauseMs (): number {
     const { retryMs } = FLEET_LEASE_TIMING
@@ -251,9 +248,11 @@
   }
 
   private observe (stored: StoredObject<LeaseObject>): void {
-    if (!stored.deleted && stored.body.fencing >= (this.latestLease?.body.fencing ?? 0)) this.latestLease = stored
     if (stored.deleted) return
-    this.memory.restore((stored.body as StoredLease).memory ?? {})
+    const lease = readLease(stored.body) as StoredLease | null
+    if (lease === null && stored.version > this.leaseObservation.version) this.log.write(LogKind.EntryRejected, { where: stored.key, version: stored.version, reason: 'no lease' })
+    if (lease !== null && lease.fencing >= (this.latestLease?.body.fencing ?? 0)) this.latestLease = stored
+    this.memory.restore(lease?.memory ?? {})
     this.waitForLostTerm(stored.version)
     this.setLeaseObservation(observeLease(this.leaseObservation, stored.version, stored.body, this.clock.nowMs()))
   }
--- a/packages/dotterelspur/src/__tests__/unit/Lease.test.ts
+++ b/packages/dotterelspur/src/__tests__/unit/Lease.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai'
+import fc from 'fast-check'
 import {
   beginTerm, ChallengeKind, createRandom, decideChallenge, DEFAULT_LEASE_TIMING, failed, isExpired, LeaseEffectKind, LeaseLoss, LeaseResultKind, mayOrder,
   NO_LEASE_OBSERVATION, observeAbsence, observeLease, observeOwnLease, pick, raiseFencingFloor, rankCandidates, renewLease, runProcedure, StoreErrorKind, success,
@@ -96,6 +97,30 @@
   })
 })
 
+describe('A lease that another writer has replaced', () => {
+  const SEED = 20_261_206
+  const RUNS = 2_000
+  const LONGEST_TTL_MS = 60_000
+  const number = fc.oneof(fc.double(), fc.constantFrom(-0, 1e300, Number.MAX_SAFE_INTEGER, 2 ** 31, -1), fc.integer())
+  const field = fc.oneof(fc.jsonValue(), number)
+  const mutated = fc.record({ holder: field, holderIncarnation: field, fencing: field, ttlMs: field, renewal: field, released: field }, { requiredKeys: [] }).map((fields) => ({ ...makeLease(), ...fields }))
+  const anything = fc.oneof(fc.jsonValue(), mutated)
+
+  // Guards against a failure domain without a controller: a field of another type, or too large, keeps all nodes from taking the lease.
+  it('may be taken after the longest time to live with an exact and higher number, and throws nowhere', () => {
+    fc.assert(fc.property(anything, (stored) => {
+      const observation = observeLease(makeObservation(), 11, stored, 2_000)
+      const decision = decideChallenge(observation, { ...SELF, rank: 0 }, TIMING, 2_000 + LONGEST_TTL_MS)
+      if (decision.kind !== ChallengeKind.Take) throw new Error('not taken')
+      expect(Number.isSafeInteger(decision.fencing * 1_000_000)).to.equal(true)
+      expect(decision.fencing).to.be.greaterThan(4)
+      const term = beginTerm(makeLease({ holder: 'node-a', holderIncarnation: 1 }), 10, 1_000)
+      expect(observeOwnLease(term, 11, stored)).to.equal(LeaseLoss.Taken)
+      expect(raiseFencingFloor(observation, (stored as LeaseObject | null)?.fencing as number).fencingFloor).to.be.within(4, 9_000_000_000)
+    }), { seed: SEED, numRuns: RUNS })
+  })
+})
+
 describe('LeaseHolder', () => {
   it('stops sending orders one margin before its TTL ends, counted from when the write was sent', async () => {
     const { term } = await makeHeld()
--- a/packages/dotterelspur/src/process/lease/LeaseChallenger.ts
+++ b/packages/dotterelspur/src/process/lease/LeaseChallenger.ts
@@ -1,6 +1,7 @@
 import type { LeaseObject } from '../../version/PlatformObjects.js'
 import type { NodeId } from '../ids.js'
 import type { LeaseTiming } from './LeaseTiming.js'
+import { isFencingNumber, readLease } from './readLease.js'
 
 /** One node's latest observation of a lease that it does not hold. */
 export interface LeaseObservation {
@@ -15,12 +16,16 @@
 
 export const NO_LEASE_OBSERVATION: LeaseObservation = { version: 0, lease: null, firstObservedAtMs: null, fencingFloor: 0 }
 
+/** Stands for a stored object that is no lease. The last holder may still send orders, so it is only taken over after the time to live. */
+const UNREADABLE_LEASE: LeaseObject = { failureDomain: '', holder: '', holderIncarnation: 0, fencing: 0, ttlMs: 0, renewal: 0, released: false, writeToken: '' }
+
 /**
- * Records a read of the lease object. Ignores outdated reads (a lower version): they would restart the TTL count and
+ * Records a read of the lease object, which another writer may have replaced by anything. Ignores outdated reads (a lower version): they would restart the TTL count and
  * delay every takeover for as long as the store returns outdated versions.
  */
-export function observeLease (observation: LeaseObservation, version: number, lease: LeaseObject, nowMs: number): LeaseObservation {
+export function observeLease (observation: LeaseObservation, version: number, stored: unknown, nowMs: number): LeaseObservation {
   if (version <= observation.version) return observation
+  const lease = readLease(stored) ?? UNREADABLE_LEASE
   return { version, lease, firstObservedAtMs: nowMs, fencingFloor: Math.max(observation.fencingFloor, lease.fencing) }
 }
 
@@ -34,9 +39,9 @@
   return { ...observation, firstObservedAtMs: nowMs }
 }
 
-/** Raises the fencing floor, for instance if an assignment has a higher number than the lease. */
+/** Raises the fencing floor, for instance if an assignment has a higher number than the lease. A value that is no fencing number is ignored. */
 export function raiseFencingFloor (observation: LeaseObservation, fencing: number): LeaseObservation {
-  return fencing <= observation.fencingFloor ? observation : { ...observation, fencingFloor: fencing }
+  return !isFencingNumber(fencing) || fencing <= observation.fencingFloor ? observation : { ...observation, fencingFloor: fencing }
 }
 
 export enum ChallengeKind {
--- a/packages/dotterelspur/src/process/lease/LeaseHolder.ts
+++ b/packages/dotterelspur/src/process/lease/LeaseHolder.ts
@@ -1,6 +1,7 @@
 import type { LeaseObject } from '../../version/PlatformObjects.js'
 import type { FailureDomainId, NodeId } from '../ids.js'
 import type { LeaseTiming } from './LeaseTiming.js'
+import { readLease } from './readLease.js'
 
 /** A write of the lease that was sent and whose result is unknown. */
 export interface PendingRenewal {
@@ -85,11 +86,13 @@
 
 /**
  * Updates the term from the stored lease. A renewal of this term that took effect although its response was lost is
- * recognized by its renewal number, and the TTL counts from when it was sent. Another process's write ends the term.
+ * recognized by its renewal number, and the TTL counts from when it was sent. Another process's write ends the term, also one that is no lease.
  * An outdated read (a version at or below the known one) is ignored.
  */
-export function observeOwnLease (term: LeaseTerm, version: number, lease: LeaseObject): LeaseTerm | LeaseLoss {
+export function observeOwnLease (term: LeaseTerm, version: number, stored: unknown): LeaseTerm | LeaseLoss {
   if (version <= term.version) return term
+  const lease = readLease(stored)
+  if (lease === null) return LeaseLoss.Taken
   const isOwnProcess = lease.holder === term.holder && lease.holderIncarnation === term.holderIncarnation
   const own = isOwnProcess ? term.pending.find((sent) => sent.renewal === lease.renewal) : undefined
   if (own === undefined) return LeaseLoss.Taken
