Planned stop: the line of its end counts requests that got an error

Operators saw `stopped` with `cut` 0, or too low, after stops that had ended requests with 502, writes among them, of which nobody knows whether they ran.

Cause: `cut` was the number of requests whose response was still unsent 50 ms after the end of the plan, when those that get an error have it already. So a line with `cut` 0 is no evidence that a stop cut nothing; the hypotheses in docs/incidents/requests-cut-by-a-planned-stop.md weigh such lines of other nodes.

Now requests that the end of the stop has ended are counted whether or not their error has been sent, and responses that are still unsent as before.

--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -73,8 +73,11 @@
   private isListening = true
   /** Requests that have not been sent on. */
   private readonly pending = new Set<CallerResponse>()
-  private readonly dispatched = new Set<GatewayRequest>()
-  private running = 0
+  private readonly dispatched = new Map<GatewayRequest, CallerResponse>()
+  /** Requests whose response has not been sent completely. */
+  private readonly running = new Set<CallerResponse>()
+  /** Those that the end of the stop has ended. */
+  private readonly ended = new Set<CallerResponse>()
 
   constructor (private readonly parts: CallerListenerParts) {
     const { load } = parts.guard
@@ -93,7 +96,12 @@
 
   /** Number of requests whose response has not been sent completely. */
   get runningRequests (): number {
-    return this.running
+    return this.running.size
+  }
+
+  /** Number of requests that the end of the stop has cut: with an error, or in the middle of a response that is not sent yet. */
+  get cutRequests (): number {
+    return new Set([...this.ended, ...this.running]).size
   }
 
   /** Number of requests that wait for an endpoint. */
@@ -140,7 +148,8 @@
     for (const response of this.pending) {
       if (response.sendError(GatewayErrorKind.NotRun, STOPPING_RETRY_MS)) this.stopAdmission.noteRefused()
     }
-    for (const run of this.dispatched) {
+    for (const [run, response] of this.dispatched) {
+      this.ended.add(response)
       this.parts.log.write(LogKind.RequestCut, cutFields(run.progress, this.stopAdmission, this.parts.clock.nowMs()))
       run.onNodeEnd()
     }
@@ -159,8 +168,8 @@
   }
 
   private accept (request: IncomingMessage, response: ServerResponse): void {
-    this.running += 1
     const callerResponse = new CallerResponse(request, response, () => this.stopAdmission.isStopping)
+    this.running.add(callerResponse)
     this.pending.add(callerResponse)
     const sent = this.connections.untilSent(guardedConnection(request.socket), response)
     this.run(request, response, callerResponse)
@@ -170,7 +179,7 @@
       })
       .then(async () => { await sent })
       .finally(() => {
-        this.running -= 1
+        this.running.delete(callerResponse)
         this.pending.delete(callerResponse)
         if (!this.isListening) this.connections.closeLater(guardedConnection(request.socket))
       })
@@ -179,7 +188,7 @@
 
   private longestRunningMs (route: string): number {
     const nowMs = this.parts.clock.nowMs()
-    return Math.max(0, ...[...this.dispatched].map(({ progress: { admitted } }) => admitted.route.name === route ? nowMs - admitted.arrivedAtMs : 0))
+    return Math.max(0, ...[...this.dispatched.keys()].map(({ progress: { admitted } }) => admitted.route.name === route ? nowMs - admitted.arrivedAtMs : 0))
   }
 
   private get maxBodyBytes (): number {
@@ -234,7 +243,7 @@
     const stop = registerCallerClose(admitted.request, () => {
       if (!response.writableFinished) run.onCallerDisconnect()
     })
-    this.dispatched.add(run)
+    this.dispatched.set(run, callerResponse)
     this.record(admitted, await run.run().finally(() => {
       stop()
       this.dispatched.delete(run)
--- a/packages/dotterelspur-gateway/src/process/PlannedStop.ts
+++ b/packages/dotterelspur-gateway/src/process/PlannedStop.ts
@@ -31,5 +31,5 @@
   // Lets the errors be sent before the connections are closed.
   if (callers.runningRequests > 0) await sleep(clock, POLL_MS)
   await Promise.race([handedOver, sleep(clock, POLL_MS)])
-  log.write(LogKind.Stopped, { ...callers.stopCounts, cut: callers.runningRequests, relays: relays.size, tookMs: Math.round(clock.nowMs() - startedAtMs) })
+  log.write(LogKind.Stopped, { ...callers.stopCounts, cut: callers.cutRequests, relays: relays.size, tookMs: Math.round(clock.nowMs() - startedAtMs) })
 }
