Planned stop: a suspect request that waits when the stop begins is judged by it

Callers saw a write that may run once end with 502: its node had sent it to an endpoint after SIGTERM, and cut it at the end of the stop, whatever its time limit.

Cause: a request whose content is suspected of ending endpoints waits up to 0.6 s while the same content runs. The stop's decision came before that wait, so that one that began during it was overlooked.

Now the stop's decision is the last one before a request is dispatched; it is refused as not run, with the Retry-After of the stop.

Evidence: `stopBesideSuspects.test.ts`, two endpoints ended by the content, one copy running, one waiting, then the stop: 502 and a run before, 503 and none after.

--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -213,8 +213,6 @@
     const access = newest.access({ host: hostOf(request), path: pathOf(request), key: head.key })
     if (access.kind !== AccessKind.Allowed) return this.denyAccess(request, callerResponse, access, newest)
     const { route, workspace, priority } = access
-    const stopDecision = this.stopAdmission.admit(route, head.deadlineMs)
-    if (stopDecision === null) return this.sendError(request, callerResponse, GatewayErrorKind.NotRun, STOPPING_RETRY_MS)
     const service = this.pickService(route)
     if (service === null) return this.sendError(request, callerResponse, GatewayErrorKind.NotRun, NO_SERVICE_RETRY_MS, { route: route.name, manifestVersion: newest.version })
     const content: RequestContent = { service, method: request.method!, target: request.url!, caller: workspace, model: head.model, body: body.value, promptParts: head.promptParts }
@@ -222,6 +220,12 @@
     if (callerResponse.isClosed) return admission.release()
     this.pending.delete(callerResponse)
     if (admission.kind !== AdmissionKind.Admitted) return this.refusePoison(request, callerResponse, admission)
+    // Decided last: a stop may have begun while the request waited.
+    const stopDecision = this.stopAdmission.admit(route, head.deadlineMs)
+    if (stopDecision === null) {
+      admission.release()
+      return this.sendError(request, callerResponse, GatewayErrorKind.NotRun, STOPPING_RETRY_MS)
+    }
     const spentBeforeMs = this.parts.dispatch.noteRequest(service, route, head, { rank: priority, workspace })
     const requestId = head.requestId ?? randomUUID()
     await this.dispatch(response, callerResponse, { request, content, head, requestId, route, service, workspace, priority, arrivedAtMs, spentBeforeMs, stopDecision }).finally(admission.release)
