Node: what outlasts the supervisor's grace period ends with an error, not a reset

A node of the product waits for its requests without a limit. Where they outlast the grace period of its supervisor, SIGKILL resets the connections of their callers, who learn nothing; docs/operators/drain.md promised an error event. `Entry.close` told callers `deadline_exceeded` though no deadline had passed, waited for requests that no endpoint had been sent, and reset those that ran at another home.

New setting `stop-grace-ms` (section limits, 0 by default: the node waits as before). From a quarter of it before its end, 3 s at most, counted from the signal: what runs ends with `stream_broken` and `unknown`, inside a stream as an error event; what no endpoint has been sent with `draining` and `not-run`; what runs at another home goes on there. The node then closes in order and exits by itself. The default is 0 since only the operator knows the supervisor: with 30 s, streams would be cut where a supervisor waits for longer.

--- a/packages/dotterelspur-demo/src/__tests__/unit/nodeSignals.test.ts
+++ b/packages/dotterelspur-demo/src/__tests__/unit/nodeSignals.test.ts
@@ -4,6 +4,7 @@
 import { join } from 'node:path'
 import { setTimeout as delay } from 'node:timers/promises'
 import { PlatformServer } from 'dotterelspur-testkit'
+import { Cluster } from '../../process/Cluster.js'
 import { NodeProcess } from '../../process/NodeProcess.js'
 import { findFreePorts, nodeSettingsText } from '../../process/nodeSettings.js'
 
@@ -14,6 +15,9 @@
 const HOST = '127.0.0.1'
 /** A drain takes longer: the node keeps probing until others do. */
 const REPEAT_DELAYS_MS = [0, 400, 1_000]
+const GRACE_MS = 4_000
+/** Streams take far longer than the grace period. */
+const SLOW_TOKEN_MS = 1_000
 
 /** A node and the stand-in of its platform. */
 class SignalledNode {
@@ -111,6 +115,29 @@
   })
 })
 
+describe('A node whose supervisor kills it at the end of its grace period', function () {
+  this.timeout(TIMEOUT_MS)
+
+  // Guards against connections that the supervisor's kill resets, so that callers learn nothing of their requests.
+  it('ends what still runs with an error that says what is known, and exits by itself', async () => {
+    const cluster = await Cluster.start({ nodes: 1, seed: 11, engine: { tokenMs: SLOW_TOKEN_MS }, stopGraceMs: GRACE_MS })
+    try {
+      const [node] = cluster.nodes
+      const { token, models } = cluster.layout.teams[0]!
+      const body = JSON.stringify({ model: models[0], messages: [{ role: 'user', content: 'A trip' }], stream: true })
+      const headers = { authorization: `Bearer ${token}`, 'content-type': 'application/json', 'dotterelspur-non-idempotent': 'true' }
+      const answer = await fetch(`${node!.entry}/v1/chat/completions`, { method: 'POST', headers, body })
+      node!.process.signal('SIGTERM')
+      const last = (await answer.text()).trim().split('\n\n').at(-1)!
+      await Promise.race([node!.process.ended(), delay(PATIENCE_MS)])
+      expect(last).to.match(/^event: error\ndata: .*"code":"stream_broken".*"outcome":"unknown"/)
+      expect(node!.process.lastEnd).to.equal(0)
+    } finally {
+      await cluster.stop()
+    }
+  })
+})
+
 describe('A node that is started with the flags for its memory', function () {
   this.timeout(TIMEOUT_MS)
 
--- a/packages/dotterelspur-demo/src/process/Cluster.ts
+++ b/packages/dotterelspur-demo/src/process/Cluster.ts
@@ -22,6 +22,8 @@
   readonly seed?: number
   readonly engine?: Partial<EngineSettings>
   readonly fencing?: FencingMode
+  /** Time that a supervisor leaves nodes to stop; it waits if absent. */
+  readonly stopGraceMs?: number
   /** Replaces the demo's own layout. */
   readonly layout?: ClusterLayout
   /** Receives a message for each step of the start. */
@@ -50,7 +52,7 @@
     readonly layout: ClusterLayout,
     readonly platform: PlatformServer,
     readonly endpoints: EndpointFleet,
-    private readonly fencing: FencingMode,
+    private readonly nodeOptions: { readonly fencing: FencingMode, readonly stopGraceMs?: number },
     private readonly progress: (message: string) => void
   ) {
     this.operator = new Operator(layout.adminToken, () => this.nodes.map((node) => node.admin))
@@ -70,7 +72,7 @@
       requestLoad: (sizeBytes) => weights.take(sizeBytes),
       seed
     })
-    const cluster = new Cluster(layout, platform, endpoints, fencing, options.onProgress ?? (() => {}))
+    const cluster = new Cluster(layout, platform, endpoints, { fencing, stopGraceMs: options.stopGraceMs }, options.onProgress ?? (() => {}))
     process.once('exit', cluster.killNodes)
     try {
       await cluster.startAll()
@@ -112,8 +114,8 @@
   private async createNode (plan: NodePlan): Promise<ClusterNode> {
     const ports = await findFreePorts(plan.host)
     const meshAddress = await this.relay.open(plan.relayHost, { host: plan.host, port: ports.mesh })
-    const { layout: { region, meshKey, adminToken }, fencing } = this
-    const text = nodeSettingsText({ plan, region, ports, meshAddress, meshKey, adminToken, platformUrl: this.platform.url, fencing })
+    const { region, meshKey, adminToken } = this.layout
+    const text = nodeSettingsText({ plan, region, ports, meshAddress, meshKey, adminToken, platformUrl: this.platform.url, ...this.nodeOptions })
     const path = join(this.folder, `${plan.id}.ini`)
     await writeFile(path, text, { mode: 0o600 })
     return {
--- a/packages/dotterelspur-demo/src/process/nodeSettings.ts
+++ b/packages/dotterelspur-demo/src/process/nodeSettings.ts
@@ -17,11 +17,13 @@
   readonly adminToken: string
   readonly platformUrl: string
   readonly fencing: string
+  /** Grace period of the supervisor; none if absent. */
+  readonly stopGraceMs?: number
 }
 
 /** Text of a node's settings file. Ports are fixed, so that a restarted node keeps its addresses. */
 export function nodeSettingsText (input: NodeSettingsInput): string {
-  const { plan, region, ports, meshAddress, meshKey, adminToken, platformUrl, fencing } = input
+  const { plan, region, ports, meshAddress, meshKey, adminToken, platformUrl, fencing, stopGraceMs } = input
   return `[node]
 id = ${plan.id}
 region = ${region}
@@ -46,7 +48,12 @@
 
 [endpoints]
 fencing = ${fencing}
-`
+${stopGraceMs === undefined
+? ''
+: `
+[limits]
+stop-grace-ms = ${stopGraceMs}
+`}`
 }
 
 /** Three ports that were free on the host a moment ago. */
--- a/packages/dotterelspur-entry/src/process/createEntry.ts
+++ b/packages/dotterelspur-entry/src/process/createEntry.ts
@@ -50,6 +50,8 @@
   beginDrain (): void
   /** Resolves when no request runs here and no caller waits for an answer, including answers that the home on another node will send. */
   idle (): Promise<void>
+  /** Ends what still runs, and each wait for another home, with an error that says what is known. New requests must have been refused before. */
+  endRequests (): void
   /** Number of requests that are running on this node. */
   runningCount (): number
   /** Interrupts the requests that are still running and closes the listener. */
@@ -69,6 +71,10 @@
   const guard = options.guard ?? new ListenerGuard(callerLoadLimits(DEFAULT_MACHINE), context.clock)
   const app = createListener(services, calls, guard)
   const teardown = startComponents(context, link)
+  const endRequests = (): void => {
+    runs.endAll()
+    link.endAll()
+  }
   return {
     listen: () => app.listen({ host: options.host, port: options.port }),
     beginDrain: () => {
@@ -81,10 +87,11 @@
         await calls.idle()
       }
     },
+    endRequests,
     runningCount: () => runs.count,
     close: async () => {
       gate.beginDrain()
-      runs.abortAll()
+      endRequests()
       await runs.idle()
       teardown()
       await closeListener(app, context)
--- a/packages/dotterelspur-entry/src/request/HomeLink.ts
+++ b/packages/dotterelspur-entry/src/request/HomeLink.ts
@@ -4,6 +4,7 @@
 } from 'dotterelspur'
 import type { EntryContext } from '../process/EntryContext.js'
 import type { HomeRuns } from './HomeRuns.js'
+import { NodeEnd } from './NodeEnd.js'
 import { RunEventKind, finishedWith, type FinishedEvent, type RunEvent, type RunEvents, type RunRequest } from './RunRequest.js'
 import type { StreamFinder } from './StreamFinder.js'
 
@@ -42,9 +43,13 @@
   [MeshErrorKind.Rejected]: CallResultKind.Interrupted
 }
 
+/** A caller learns how its request has ended from any other entry. */
+const AT_HOME = unknownOutcome(OutcomeReason.StreamBroken, 'this node stopped while the request ran at its home on another node, which goes on with it')
+
 /** Forwards requests to the home nodes of their ids, and handles requests that other nodes forward to this node. */
 export class HomeLink {
   private readonly mesh: MeshApi
+  private readonly nodeEnd = new NodeEnd(AT_HOME)
 
   constructor (private readonly context: EntryContext, private readonly homeRuns: HomeRuns, private readonly finder: StreamFinder) {
     this.mesh = context.mesh
@@ -66,7 +71,16 @@
   }
 
   /** Runs a request at its home. Text that the consumer has received is not delivered again after a reconnect. */
-  async * run (home: HomeId, request: RunRequest): RunEvents {
+  run (home: HomeId, request: RunRequest): RunEvents {
+    return this.nodeEnd.until(this.forward(home, request))
+  }
+
+  /** Ends the waits for other homes, where the requests go on. */
+  endAll (): void {
+    this.nodeEnd.end()
+  }
+
+  private async * forward (home: HomeId, request: RunRequest): RunEvents {
     this.context.observer.forwardedToHome()
     const ticket = request.submission === null ? await this.fetchTicket(home) : 0
     if (typeof ticket !== 'number') return yield * this.handleTicketFailure(request, ticket)
--- a/packages/dotterelspur-entry/src/request/LocalRuns.ts
+++ b/packages/dotterelspur-entry/src/request/LocalRuns.ts
@@ -25,6 +25,9 @@
   [AdmissionKind.Quarantined]: notRun(OutcomeReason.Quarantined, 'this request crashes the endpoints that run it', null)
 }
 
+/** The node stops before it has sent the request to any endpoint. */
+const NOT_STARTED = notRun(OutcomeReason.Draining, 'this node is draining; use another entry', 0)
+
 interface LocalRun {
   readonly request: RunRequest
   readonly interrupt: RequestInterrupt
@@ -74,9 +77,12 @@
     return channel.events()
   }
 
-  /** Interrupts all running requests. Only for shutdown, after the drain period has passed. */
-  abortAll (): void {
-    for (const run of this.active) run.interrupt.fire(InterruptKind.Deadline)
+  /** Ends all running requests, and refuses those that wait. Only for the end of a drain, after which none is started. */
+  endAll (): void {
+    for (const { interrupt, request } of [...this.active]) {
+      interrupt.fire(InterruptKind.NodeStops)
+      this.context.gate.cancel(request.requestId)
+    }
   }
 
   private cancelForCaller (request: RunRequest, interrupt: RequestInterrupt): void {
@@ -120,7 +126,7 @@
       tokens: request.kind === RunKind.Model ? estimateTokens(request.prompt) + request.maxTokens : 0,
       deadlineAtMs: run.startedAtMs + request.deadlineMs
     })
-    if (!admitted.ok) return this.refuse(run, admitted.error)
+    if (!admitted.ok) return this.refuse(run, run.interrupt.current?.kind === InterruptKind.NodeStops ? NOT_STARTED : admitted.error)
     const dispatchedAtMs = clock.nowMs()
     retries.recordFirstAttempt(request.team, teams.get(request.team)?.limits.retryPercent ?? 0)
     let result: RunResult = { finished: finishedWith(unknownOutcome(OutcomeReason.StreamBroken, 'internal')), firstTokenAtMs: null, overloaded: false }
--- a/packages/dotterelspur-node/src/process/CommandLine.ts
+++ b/packages/dotterelspur-node/src/process/CommandLine.ts
@@ -1,10 +1,11 @@
 import { unreachable } from 'dotterelspur'
+import { SystemClock } from 'dotterelspur-clock'
 import { formatSettingsError } from 'dotterelspur-settings'
 import { loadNodeSettings, type LoadedSettings } from './loadNodeSettings.js'
 import { startNode } from './Node.js'
 import { NodeErrorKind, type NodeError } from './NodeError.js'
 import { enableDefaultLog, NodeLogs } from './NodeLog.js'
-import { NodePhase, NodeSignalAction, nodeSignalAction, registerNodeSignals } from './nodeSignals.js'
+import { NodePhase, NodeSignal, NodeSignalAction, nodeSignalAction, registerNodeSignals } from './nodeSignals.js'
 
 /** Exit codes of `dotterelspur`, as docs/operators/node.md lists them. */
 export enum ExitCode {
@@ -62,22 +63,31 @@
   return { settings: parsed.settings, check: parsed.check }
 }
 
+/** Signals with which supervisors stop a process, also one that an operator drains already. */
+const STOP_SIGNALS: ReadonlySet<NodeSignal> = new Set([NodeSignal.Terminate, NodeSignal.Interrupt])
+
 const HANDLED_BY_YARGS: ReadonlySet<string> = new Set(['--help', '--version', 'completion'])
 
 /** Signals are received from before the first listener opens; a request to drain that comes during the start is met after it. */
 async function runNode (loaded: LoadedSettings): Promise<ExitCode> {
   const { id, failureDomain } = loaded.settings
   const logs = new NodeLogs(id, failureDomain)
+  const clock = new SystemClock()
   let phase = NodePhase.Starting
+  let onStop = (_atMs: number): void => {}
+  const stopped = new Promise<number>((resolve) => { onStop = resolve })
   const signalled = new Promise<void>((resolve) => {
     registerNodeSignals((signal) => {
       const action = nodeSignalAction(phase, signal)
       logs.node(`signal ${signal} while ${phase}, action ${action}`)
+      if (STOP_SIGNALS.has(signal)) onStop(clock.nowMs())
       if (action === NodeSignalAction.Drain) resolve()
     })
   })
   const started = await startNode(loaded)
   if (!started.ok) return report(started.error)
+  const { beginGracePeriod } = started.value
+  stopped.then((atMs) => { beginGracePeriod(clock.nowMs() - atMs) })
   phase = NodePhase.Serving
   await Promise.race([signalled, started.value.drainRequested])
   phase = NodePhase.Draining
--- a/packages/dotterelspur-node/src/process/DrainProcedure.ts
+++ b/packages/dotterelspur-node/src/process/DrainProcedure.ts
@@ -33,7 +33,8 @@
 /**
  * The graceful stop of a node.
  *
- * The wait for requests in progress has no limit: after each `drainTimeoutMs` the node only logs how many still run.
+ * The wait for requests in progress has no limit here: after each `drainTimeoutMs` the node only logs how many still run. Where a grace
+ * period is set, the node ends them shortly before its supervisor would kill the process.
  * Further signals change nothing; only SIGKILL ends the process without waiting. The node keeps probing endpoints until other nodes have taken
  * that over, so that a planned stop does not let the presence evidence of any group expire.
  */
--- a/packages/dotterelspur-node/src/process/Node.ts
+++ b/packages/dotterelspur-node/src/process/Node.ts
@@ -4,6 +4,7 @@
 import { startAdminServer, type AdminServer } from './admin/index.js'
 import { DrainEffectKind, drainNode, type DrainEffect } from './DrainProcedure.js'
 import { resolvePort } from './freePort.js'
+import { GracePeriod } from './GracePeriod.js'
 import { heapWarning } from './heapFlags.js'
 import { chooseIncarnation } from './Incarnation.js'
 import type { LoadedSettings } from './loadNodeSettings.js'
@@ -25,6 +26,8 @@
   readonly drainRequested: Promise<void>
   /** Stops the node gracefully; resolves when the process may exit. */
   drain (): Promise<void>
+  /** A supervisor asked the process to stop `elapsedMs` ago, and kills it once its grace period ends. */
+  beginGracePeriod (elapsedMs: number): void
 }
 
 /** Starts a node with all its roles. Its callers' listener accepts requests once this resolves. */
@@ -44,11 +47,13 @@
   const warning = heapWarning(getHeapStatistics().heap_size_limit, loaded.settings.limits.memoryBytes)
   if (warning !== null) parts.logs.node(warning)
   parts.logs.node(`started, incarnation ${incarnation}, entry ${entryAddress.value}, mesh ${parts.mesh.self.meshAddress}, admin ${admin.value.address}`)
+  const grace = new GracePeriod(parts.clock, loaded.settings.limits.stopGraceMs, () => { endRequests(parts) })
   return success({
     entryAddress: entryAddress.value,
     adminAddress: admin.value.address,
     drainRequested: requested.promise,
-    drain: () => drain(parts, admin.value)
+    drain: () => drain(parts, admin.value, grace),
+    beginGracePeriod: (elapsedMs) => { grace.begin(elapsedMs) }
   })
 }
 
@@ -115,7 +120,13 @@
   })
 }
 
-async function drain (parts: NodeParts, admin: AdminServer): Promise<void> {
+/** The supervisor is about to kill this process: callers get an error that says what is known, instead of a reset connection. */
+function endRequests ({ entry, logs }: NodeParts): void {
+  logs.node(`the grace period ends, ${entry.runningCount()} requests are ended`)
+  entry.endRequests()
+}
+
+async function drain (parts: NodeParts, admin: AdminServer, grace: GracePeriod): Promise<void> {
   const { entry, mesh, follower, fleet, audit, store, leaseStore, clock, logs, settings, guard } = parts
   logs.node('draining')
   const handlers: EffectHandlers<DrainEffect> = {
@@ -125,7 +136,7 @@
     [DrainEffectKind.HandOverLeases]: () => fleet.handOver(),
     [DrainEffectKind.WaitForRequests]: ({ timeoutMs }) => idleWithin(parts, timeoutMs),
     [DrainEffectKind.ReportWaiting]: () => { logs.node(`draining, ${entry.runningCount()} requests still running`) },
-    [DrainEffectKind.WaitForSuccessors]: () => sleep(clock, SUCCESSOR_WAIT_MS),
+    [DrainEffectKind.WaitForSuccessors]: () => sleep(clock, grace.limitSuccessorWait(SUCCESSOR_WAIT_MS)),
     [DrainEffectKind.Close]: async () => {
       await entry.close()
       fleet.stop()
@@ -138,6 +149,7 @@
     }
   }
   await runProcedure(drainNode(settings.limits.drainTimeoutMs), handlers)
+  grace.close()
   logs.node('stopped')
 }
 
--- a/packages/dotterelspur-settings/src/process/NodeSchema.ts
+++ b/packages/dotterelspur-settings/src/process/NodeSchema.ts
@@ -203,7 +203,8 @@
     queuedRequests: integer(0, 100_000).default(1_024).describe('Maximum number of queued requests.'),
     memoryBytes: sizeBytes(128 * MIB, 1_024 * 1_024 * MIB).default(DEFAULT_MACHINE.memoryBytes).describe('Memory that this process may use. It decides what callers together may make it hold; beyond that, connections are closed.'),
     descriptors: integer(256, 10_000_000).default(DEFAULT_MACHINE.descriptors).describe('Descriptors that this process may use. Callers get 0.7 of them for connections; beyond that, unused connections are closed.'),
-    drainTimeoutMs: durationMs(1_000, 3_600_000).default(600_000).describe('How long a draining node waits for requests in progress before it logs how many still run. It never aborts them.')
+    drainTimeoutMs: durationMs(1_000, 3_600_000).default(600_000).describe('How long a draining node waits for requests in progress before it logs how many still run. It never aborts them.'),
+    stopGraceMs: durationMs(0, 3_600_000).default(0).describe('Time between the supervisor\'s SIGTERM and its SIGKILL. Shortly before it ends, requests that still run are ended with an error that says what is known of them. 0 if the supervisor waits.')
   }),
   relations: []
 })
--- a/packages/dotterelspur/src/request/lifecycle/LifecycleEffects.ts
+++ b/packages/dotterelspur/src/request/lifecycle/LifecycleEffects.ts
@@ -18,7 +18,9 @@
   /** The request's deadline has passed. */
   Deadline = 'deadline',
   /** The stream is silent and its group is no longer complete, or it has been silent for too long. The stream stays open. */
-  Stalled = 'stalled'
+  Stalled = 'stalled',
+  /** The node that runs the request is about to be ended by its supervisor. */
+  NodeStops = 'node-stops'
 }
 
 export interface Interrupt {
--- a/packages/dotterelspur/src/request/lifecycle/ModelRun.ts
+++ b/packages/dotterelspur/src/request/lifecycle/ModelRun.ts
@@ -83,11 +83,19 @@
 const INTERRUPT_REASON: { readonly [Kind in InterruptKind]: OutcomeReason } = {
   [InterruptKind.CallerGone]: OutcomeReason.Cancelled,
   [InterruptKind.Deadline]: OutcomeReason.DeadlineExceeded,
-  [InterruptKind.Stalled]: OutcomeReason.StreamBroken
+  [InterruptKind.Stalled]: OutcomeReason.StreamBroken,
+  [InterruptKind.NodeStops]: OutcomeReason.StreamBroken
+}
+
+const INTERRUPT_MESSAGE: { readonly [Kind in InterruptKind]: string } = {
+  [InterruptKind.CallerGone]: 'the caller disconnected',
+  [InterruptKind.Deadline]: 'the deadline passed',
+  [InterruptKind.Stalled]: 'the stream was silent for too long',
+  [InterruptKind.NodeStops]: 'the node stopped while the request was in progress'
 }
 
 export function interruptedOutcome (run: ModelRun, interrupt: InterruptKind): Outcome {
-  return notRunOrUnknown(run, INTERRUPT_REASON[interrupt], interrupt === InterruptKind.Deadline ? 'the deadline passed' : 'the caller disconnected', null)
+  return notRunOrUnknown(run, INTERRUPT_REASON[interrupt], INTERRUPT_MESSAGE[interrupt])
 }
 
 export function notRunOrUnknown (run: ModelRun, reason: OutcomeReason, message: string, retryAfterMs: number | null = null): Outcome {
--- a/packages/dotterelspur/src/request/lifecycle/runServiceRequest.ts
+++ b/packages/dotterelspur/src/request/lifecycle/runServiceRequest.ts
@@ -55,9 +55,15 @@
   return finish(run, weaken(run, notRun(OutcomeReason.NoReplica, 'no worker remained present until the call could be sent')))
 }
 
+const INTERRUPT_REASON: { readonly [Kind in InterruptKind]: OutcomeReason } = {
+  [InterruptKind.CallerGone]: OutcomeReason.Cancelled,
+  [InterruptKind.Deadline]: OutcomeReason.DeadlineExceeded,
+  [InterruptKind.Stalled]: OutcomeReason.Cancelled,
+  [InterruptKind.NodeStops]: OutcomeReason.StreamBroken
+}
+
 function interruptedResult (run: ServiceRun, interrupt: Interrupt): ServiceResult {
-  const reason = interrupt.kind === InterruptKind.Deadline ? OutcomeReason.DeadlineExceeded : OutcomeReason.Cancelled
-  return finish(run, unknownOutcome(reason, 'the call was abandoned while it was in progress'))
+  return finish(run, unknownOutcome(INTERRUPT_REASON[interrupt.kind], 'the call was abandoned while it was in progress'))
 }
 
 function * afterError (run: ServiceRun, worker: ServiceWorker, error: EndpointError): Procedure<ServiceEffects, ServiceResult | null> {
