Probes: one that throws is repeated, and addresses that are no origin are left out of the VM list

What callers saw: nothing at once. A VM whose line in the platform's list had once held an address that the HTTP client can't use (another protocol, a path) counted as silent for good on the nodes that probed it, also after its line was corrected: its group isn't served, its worker gets no calls.

Cause: `Prober` marks a probe as running until the client returns, and `ServiceWatcher` plans the next probe after the last; neither did so where the client throws. The reader of the list took any URL.

The mark is removed and the next probe planned in any case; an address must be an origin with `http` or `https`.

--- a/packages/dotterelspur-fleet/src/process/Prober.ts
+++ b/packages/dotterelspur-fleet/src/process/Prober.ts
@@ -155,8 +155,7 @@
     probe.dueAtMs = askedAtMs + probe.target.intervalMs
     probe.firstSentAtMs ??= askedAtMs
     this.probeCount += 1
-    const result = await this.engines.probe(address, this.timing.probeTimeoutMs)
-    probe.inFlight = false
+    const result = await this.engines.probe(address, this.timing.probeTimeoutMs).finally(() => { probe.inFlight = false })
     if (this.probes.get(vm) !== probe) return
     if (probe.target.address === address) {
       if (result.ok) this.recordResponse(vm, result.value, askedAtMs)
--- a/packages/dotterelspur-fleet/src/process/ServiceWatcher.ts
+++ b/packages/dotterelspur-fleet/src/process/ServiceWatcher.ts
@@ -53,7 +53,12 @@
   }
 
   private schedule (worker: WatchedWorker, delayMs: number): void {
-    worker.cancelTimer = this.options.clock.registerTimer(delayMs, () => { this.probe(worker).catch(this.onError) })
+    worker.cancelTimer = this.options.clock.registerTimer(delayMs, () => { this.probe(worker).catch((error: unknown) => { this.noteProblem(worker, error) }) })
+  }
+
+  private noteProblem (worker: WatchedWorker, error: unknown): void {
+    this.onError(error)
+    if (this.workers.get(worker.record.vm) === worker) this.schedule(worker, this.timing.probeIntervalMs)
   }
 
   private async probe (worker: WatchedWorker): Promise<void> {
--- a/packages/dotterelspur-platform/src/__tests__/unit/PlatformVmDirectory.test.ts
+++ b/packages/dotterelspur-platform/src/__tests__/unit/PlatformVmDirectory.test.ts
@@ -56,6 +56,17 @@
     expect(fixture.directory.malformedLines).to.equal(1)
   })
 
+  // Guards against addresses for which the HTTP client throws when a VM is probed.
+  for (const address of ['ftp://127.0.0.1:9', 'mailto:a@example.org', 'http://127.0.0.1:70000', 'http://127.0.0.1:9/path', 'http://127.0.0.1:9/?query']) {
+    it(`leaves out a record with the address ${address}, and takes it when it has a valid one`, async () => {
+      fixture.server.vms.put(record('a'))
+      fixture.server.vms.put(record('b', { address }))
+      expect((await listed()).map((line) => line.vm)).to.deep.equal(['a'])
+      fixture.server.vms.put(record('b'))
+      expect((await listed()).map((line) => line.vm)).to.deep.equal(['a', 'b'])
+    })
+  }
+
   it('does not replace the list by a stale one', async () => {
     fixture.server.vms.put(record('a'))
     fixture.server.vms.put(record('a', { state: VmListState.Leaving }))
--- a/packages/dotterelspur-platform/src/process/PlatformVmDirectory.ts
+++ b/packages/dotterelspur-platform/src/process/PlatformVmDirectory.ts
@@ -6,12 +6,15 @@
 import { readProcedure, createStatusError } from '../request/readProcedure.js'
 import type { PlatformObjectStore } from './PlatformObjectStore.js'
 
+/** The HTTP client throws for any other address. */
+const originSchema = z.url({ protocol: /^https?$/ }).refine((address) => URL.canParse(address) && isOrigin(new URL(address)), 'no origin')
+
 const recordSchema = z.object({
   vm: z.string().min(1),
   incarnation: z.number().int().nonnegative(),
   role: z.enum(VmRole),
   state: z.enum(VmListState),
-  address: z.url(),
+  address: originSchema,
   region: z.string(),
   failureDomain: z.string(),
   fabricDomain: z.string(),
@@ -69,6 +72,10 @@
   }
 }
 
+function isOrigin ({ pathname, search, hash }: URL): boolean {
+  return pathname === '/' && search === '' && hash === ''
+}
+
 /** Merges duplicate records of a VM: the highest incarnation wins, and within an incarnation the record that is leaving. */
 function mergeRecords (records: readonly VmRecord[]): VmRecord[] {
   const merged = new Map<VmId, VmRecord>()
