Store: no entry of another writer ends the following of its list

What callers saw: nothing at once. After a deeply nested entry among the nodes' or the quarantine's, the lease holder took in no later change of that list; nodes that joined got no callers and no share of budgets.

Cause: each list is followed in one loop, which an unexpected error ended. The encoder of frames overflows its stack for entries nested about 5,000 deep, which the lease holder passes on as they are read; an entry of the quarantine that is `null` threw in every node. A copy of a node's entry under another name took that node's links, and a frame over 1 MB made its receivers close theirs.

Following goes on after a second with a new reading. `encodeFrame` returns nothing for what can't be sent, and the others read from the store. `readQuarantineObject` validates entries on both paths: a decision stays in force until its entry is deleted. A node's entry counts under that node's key only, with names of bounded length.

Evidence, before: `malformedInput.test.ts` (nested 100,000 deep) the third node is never listed; `FollowedStore.test.ts` nothing is seen after the error; `NodeRegistry.test.ts` the copy is listed; `QuarantineRegistry.test.ts` an entry that is no object reaches the listener. After: all pass, with properties of 500 arbitrary and mutated entries. Entries of two megabytes, and twelve odd names of endpoints, broke nothing before either; their tests stay.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/FollowedStore.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/FollowedStore.test.ts
@@ -17,6 +17,23 @@
 const OVERDUE_MS = 450
 
 describe('FollowedStore', () => {
+  // Guards against a node that goes by an old list for good, because passing on or taking in one change failed.
+  it('goes on following after an error that nothing expects', async () => {
+    const clock = new ManualClock()
+    const store = new MemoryStore(clock)
+    const node = follow(store, clock, true)
+    await pass(clock, PAUSE_OVER_MS)
+    node.shared.push = () => { throw new RangeError('nested too deeply') }
+    store.put('endpoints/w1', 'there')
+    await pass(clock, PAUSE_OVER_MS)
+    node.shared.push = Array.prototype.push.bind(node.shared)
+    for (let passedMs = 0; passedMs < 3_000; passedMs += PAUSE_OVER_MS) await pass(clock, PAUSE_OVER_MS)
+    store.put('endpoints/w2', 'there')
+    await pass(clock, PAUSE_OVER_MS)
+    expect(node.seen).to.include.members(['endpoints/w1 there', 'endpoints/w2 there'])
+    node.stop()
+  })
+
   it('polls a prefix itself, lists again when the history is gone, and reports lost contact', async () => {
     // Guards against serving outdated routes: the store drops its history between two polls, and the node kept polling
     // from its old version.
--- a/packages/dotterelspur-gateway/src/__tests__/unit/NodeRegistry.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/NodeRegistry.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai'
+import fc from 'fast-check'
 import { ManualClock } from 'dotterelspur'
 import { NodeRegistry, type NodeRecord } from '../../process/NodeRegistry.js'
 import { createLog } from '../fixtures/builders.js'
@@ -168,6 +169,28 @@
     expect((await store.get('nodes/n1')).ok).to.equal(false)
   })
 
+  // Guards against an entry under another name that takes the links of the node which it copies.
+  it('rejects a copy of another node\'s entry, and entries with names of a megabyte', () => {
+    const { store, registry } = createRegistry()
+    store.put('nodes/n3', { ...OTHER, incarnation: 8 })
+    store.put('nodes/n4', { ...OTHER, node: 'n4', failureDomain: 'x'.repeat(1_000_000) })
+    expect(registry.nodes()).to.deep.equal([SELF, OTHER])
+  })
+
+  // Guards against a node that ends, or loses the other entries, because of one of another writer.
+  it('keeps the other entries, and takes a valid one, whatever another writer puts among them', () => {
+    const field = fc.oneof(fc.jsonValue(), fc.double())
+    const mutated = fc.record({ node: field, failureDomain: field, callers: field, peers: field, incarnation: field }, { requiredKeys: [] }).map((fields) => ({ ...OTHER, node: 'n3', ...fields }))
+    fc.assert(fc.property(fc.oneof(fc.jsonValue(), mutated), (odd) => {
+      const { store, registry } = createRegistry()
+      store.put('nodes/__proto__', odd)
+      store.put('nodes/n3', odd)
+      expect(registry.nodes().map(({ node }) => node)).to.include.members(['n1', 'n2'])
+      store.put('nodes/n3', { ...OTHER, node: 'n3' })
+      expect(registry.nodes().map(({ node }) => node)).to.deep.equal(['n1', 'n2', 'n3'])
+    }), { seed: 20_261_206, numRuns: 500 })
+  })
+
   // Guards against entries to which no node can connect, and whose dialling throws: the nodes after them in the list got no link.
   for (const address of ['10.0.0.3:0', '10.0.0.3:70000', '10.0.0.3:99999', '999.0.0.3:80', '10.0.3:80', '..:80', `10.0.0.3:${'9'.repeat(400)}`]) {
     it(`rejects an entry with the address ${address.slice(0, 20)}, and takes a valid one in its place`, () => {
--- a/packages/dotterelspur-gateway/src/__tests__/unit/malformedInput.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/malformedInput.test.ts
@@ -7,7 +7,7 @@
 import { PeerFrameKind } from '../../connection/PeerFrame.js'
 import { GatewayWorld } from '../fixtures/GatewayWorld.js'
 import { MemoryStore } from '../fixtures/MemoryStore.js'
-import { createManifest } from '../fixtures/builders.js'
+import { createEndpoint, createManifest } from '../fixtures/builders.js'
 import { StubEndpoint } from '../fixtures/StubEndpoint.js'
 
 const SEED = 4_711
@@ -72,6 +72,39 @@
     }
   })
 
+  const ODD_NAMES = ['a\nb', 'a\0b', 'ü€', '\ud800', '__proto__', 'constructor', '', ' ', 'a/b?c#d', '%', 'a~b~c', 'x'.repeat(100_000)]
+
+  // Guards against requests that fail because of an entry whose name can't be sent in a header or in a request target, or names a property of all objects.
+  it('keeps serving with endpoints under odd names at addresses without a process', async () => {
+    for (const name of ODD_NAMES) store.put(`endpoints/${name}`, createEndpoint(name, '127.0.0.1:9', { failureDomain: name, service: 'plain' }))
+    await store.untilRead()
+    for (let sent = 0; sent < 2 * SAMPLES; sent++) await expectServing()
+  })
+
+  const ODD_BODIES: ReadonlyArray<readonly [string, unknown]> = [
+    ['a nested one', JSON.parse(`${'['.repeat(100_000)}${']'.repeat(100_000)}`)],
+    ['one of two megabytes', { node: 'x'.repeat(2_000_000) }]
+  ]
+  for (const [what, body] of ODD_BODIES) {
+    // Guards against a lease holder that stops following a list, or loses its links, because it can't pass on an odd entry.
+    it(`follows nodes and the quarantine after ${what} among their entries, with all nodes that follow it`, async () => {
+      const other = await GatewayWorld.start('n2', store)
+      try {
+        await delay(LINK_ROUND_MS)
+        store.put('nodes/odd', body)
+        store.put('quarantine/odd', body)
+        await delay(LINK_ROUND_MS)
+        store.put('nodes/n3', { node: 'n3', failureDomain: 'a', callers: '127.0.0.1:9', peers: '127.0.0.1:9', incarnation: 1 })
+        await delay(2 * LINK_ROUND_MS)
+        for (const node of [world, other]) expect(node.lines.filter(({ event, peers }) => event === 'node-listed' && (peers as string[]).includes('n3'))).to.have.length(1)
+        expect(await other.gauge('told_by_decider')).to.equal(1)
+        await expectServing()
+      } finally {
+        await other.gateway.close()
+      }
+    })
+  }
+
   it('keeps serving with malformed quarantine entries in the store', async () => {
     const entries = fc.sample(arbitraryValue('outline', 'ends', 'state', 'node'), { seed: SEED, numRuns: SAMPLES })
     for (const [index, entry] of entries.entries()) store.put(`quarantine/x${index}`, entry)
--- a/packages/dotterelspur-gateway/src/connection/PeerLinks.ts
+++ b/packages/dotterelspur-gateway/src/connection/PeerLinks.ts
@@ -1,4 +1,3 @@
-import { Packr } from 'msgpackr'
 import { WebSocket } from 'ws'
 import type { Clock, EndpointId, NodeId, PoisonRecord, Random, Teardown } from 'dotterelspur'
 import { LogKind, type DecisionLog } from '../process/DecisionLog.js'
@@ -6,6 +5,7 @@
 import type { ListenAddress } from '../process/GatewaySettings.js'
 import type { NodeRecord } from '../process/NodeRegistry.js'
 import type { FeedUpdate } from '../process/StoreFeed.js'
+import { decodeFrame, encodeFrame, MAX_FRAME_BYTES } from './FrameCodec.js'
 import { LinkLateness } from './LinkLateness.js'
 import { ObservationExchange } from './ObservationExchange.js'
 import { PeerConnection, probeIntervalMs } from './PeerConnection.js'
@@ -19,8 +19,6 @@
 const PING_INTERVAL_MS = 700
 /** A node from which nothing has been received for this long is removed from the directory, as callers would fail to connect to it. */
 const NODE_TIMEOUT_MS = 2_800
-/** Holds the changes of a few hundred endpoints in one frame, as occur when the store recovers from an outage. */
-const MAX_FRAME_BYTES = 1_048_576
 /** Bytes that may be buffered for a peer that reads slowly: three seconds of feed updates of a busy fleet. */
 const MAX_BACKLOG_BYTES = 262_144
 const HANDSHAKE_TIMEOUT_MS = 600
@@ -39,9 +37,6 @@
   readonly node: NodeId | null
 }
 
-/** Writes field names once per frame, which reduces a batch of endpoints to a third of its size. */
-const codec = new Packr({ useRecords: true })
-
 type FrameHandlers = { readonly [Kind in PeerFrameKind]: (frame: Extract<PeerFrame, { kind: Kind }>, sender: Sender) => void }
 
 interface Link {
@@ -256,7 +251,7 @@
   /** A node of another release may send unknown kinds of frames, which are ignored. */
   private handleFrame (data: Buffer, sender: Sender): void {
     try {
-      const frame = codec.unpack(data) as PeerFrame
+      const frame = decodeFrame(data)
       const handle = this.handlers[frame.kind] as ((frame: PeerFrame, sender: Sender) => void) | undefined
       handle?.(frame, sender)
     } catch (error) {
@@ -279,7 +274,9 @@
   }
 
   private send (connections: Iterable<PeerConnection>, frame: PeerFrame): void {
-    const bytes = codec.pack(frame)
+    const bytes = encodeFrame(frame)
+    // Nodes that miss an update read from the store.
+    if (bytes === null) return this.log.write(LogKind.Unexpected, { where: 'peer frame', error: `a frame ${frame.kind} is too large or nested too deeply` })
     for (const { socket } of connections) {
       // Frames for a peer with a full backlog are dropped: they would be outdated by the time it read them.
       if (socket.readyState === WebSocket.OPEN && socket.bufferedAmount < MAX_BACKLOG_BYTES) socket.send(bytes)
--- a/packages/dotterelspur-gateway/src/process/FollowRules.ts
+++ b/packages/dotterelspur-gateway/src/process/FollowRules.ts
@@ -79,6 +79,8 @@
 const MAX_RETRY_LIMIT_MS = 1_500
 const RETRY_GROWTH = 1.4
 export const RETRY_JITTER = 0.5
+/** Pause after an unexpected error, which may occur with each reading. */
+export const UNEXPECTED_RETRY_MS = 1_000
 /** A response this late after its long-poll timeout was delayed, and the store may have been unavailable meanwhile. */
 export const LATE_RESPONSE_MS = 500
 
--- a/packages/dotterelspur-gateway/src/process/FollowedStore.ts
+++ b/packages/dotterelspur-gateway/src/process/FollowedStore.ts
@@ -3,7 +3,7 @@
   type Clock, type NodeId, type ObjectListing, type ObjectStore, type Random, type ReadFreshness, type Result, type StoredObject, type StoreError, type Teardown, type WatchEvent
 } from 'dotterelspur'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
-import { expirySpreadMs, FOLLOW_RULES, LATE_RESPONSE_MS, NO_CONTACT_ERRORS, pauseAfterChangesMs, relistSpreadMs, RETRY_JITTER, RETRY_MS, type ChangeBounds } from './FollowRules.js'
+import { expirySpreadMs, FOLLOW_RULES, LATE_RESPONSE_MS, NO_CONTACT_ERRORS, pauseAfterChangesMs, relistSpreadMs, RETRY_JITTER, RETRY_MS, UNEXPECTED_RETRY_MS, type ChangeBounds } from './FollowRules.js'
 import { applyBatch, confirmedAtMs, notifyConnected, notifyLost, type Listener, type PrefixFollower } from './PrefixFollower.js'
 import { updateToShare } from './feedUpdate.js'
 import { StoreContact } from './StoreContact.js'
@@ -168,9 +168,15 @@
     return this.feed.covers(prefix, version, validMs, clock.nowMs())
   }
 
+  /** Goes on after an unexpected error: a node that stopped would go by an old state for good. */
   private async follow (follower: PrefixFollower): Promise<void> {
     while (!follower.stopped) {
-      if (this.isCovered(follower) || this.contact.mayTry()) await this.followOnce(follower)
+      try {
+        if (this.isCovered(follower) || this.contact.mayTry()) await this.followOnce(follower)
+      } catch (error) {
+        this.parts.log.write(LogKind.Unexpected, { where: `watch of ${follower.prefix}`, error: String(error) })
+        await sleep(this.parts.clock, UNEXPECTED_RETRY_MS)
+      }
       await sleep(this.parts.clock, RETRY_MS * (1 + RETRY_JITTER * this.parts.random.next()))
     }
   }
--- a/packages/dotterelspur-gateway/src/process/NodeRegistry.ts
+++ b/packages/dotterelspur-gateway/src/process/NodeRegistry.ts
@@ -19,11 +19,14 @@
   readonly incarnation: number
 }
 
-/** Validates a node's entry; null if it is not one. */
-function readNodeRecord (body: unknown): NodeRecord | null {
+/** Longer than any name that the settings allow. */
+const MAX_NAME_LENGTH = 512
+
+/** Validates the entry of the node that owns its key; null if it is not one. */
+function readNodeRecord (owner: NodeId, body: unknown): NodeRecord | null {
   if (typeof body !== 'object' || body === null) return null
   const { node, failureDomain, callers, peers, incarnation } = body as Partial<NodeRecord>
-  const isNamed = typeof node === 'string' && typeof failureDomain === 'string' && Number.isFinite(incarnation)
+  const isNamed = node === owner && typeof failureDomain === 'string' && failureDomain.length <= MAX_NAME_LENGTH && Number.isFinite(incarnation)
   return isNamed && [callers, peers].every(isAddress) ? body as NodeRecord : null
 }
 
@@ -135,7 +138,7 @@
     if (own !== undefined && (await this.store.remove(this.key(), own.version)).ok) return
     // The entry is not known yet, or its version has changed, for example when the store came back from an older copy.
     const read = await this.store.get<unknown>(this.key())
-    if (read.ok && readNodeRecord(read.value.body)?.incarnation === this.self.incarnation) await this.store.remove(this.key(), read.value.version)
+    if (read.ok && readNodeRecord(this.self.node, read.value.body)?.incarnation === this.self.incarnation) await this.store.remove(this.key(), read.value.version)
   }
 
   /**
@@ -170,7 +173,7 @@
     if (created.error.kind !== StoreErrorKind.Conflict) return false
     const found = await this.store.get<unknown>(this.key())
     if (!found.ok) return false
-    if (readNodeRecord(found.value.body)?.incarnation === this.self.incarnation) return true
+    if (readNodeRecord(this.self.node, found.value.body)?.incarnation === this.self.incarnation) return true
     const updated = await this.store.update(this.key(), this.self, found.value.version)
     return updated.ok
   }
@@ -191,7 +194,7 @@
   private applyObject (object: StoredObject<unknown>): void {
     const node = object.key.slice(NODE_PREFIX.length)
     const known = this.records.get(node)
-    const body = readNodeRecord(object.body)
+    const body = readNodeRecord(node, object.body)
     // A deletion may carry the version of the deleted object.
     if (object.deleted) return known === undefined || object.version < known.version ? undefined : this.forget(node)
     if (known !== undefined && object.version <= known.version) return
--- a/packages/dotterelspur-poison/src/__tests__/unit/QuarantineRegistry.test.ts
+++ b/packages/dotterelspur-poison/src/__tests__/unit/QuarantineRegistry.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai'
+import fc from 'fast-check'
 import { ManualClock, QUARANTINE_PREFIX, storeVersion, success, WatchEventKind, type ObjectStore, type QuarantineObject, type StoredObject, type WatchEvent } from 'dotterelspur'
 import { QuarantineRegistry } from '../../process/QuarantineRegistry.js'
 import { partFingerprintOf } from '../../request/fingerprint.js'
@@ -41,7 +42,28 @@
   return { key: `${QUARANTINE_PREFIX}${FINGERPRINT}`, version, body: ENTRY, deleted: false }
 }
 
+const SEED = 20_261_206
+const RUNS = 500
+
 describe('QuarantineRegistry', () => {
+  // Guards against a node that stops following the quarantine, or sends a quarantined request again, after an odd entry of another writer.
+  it('keeps decisions and takes valid entries, whatever another writer puts among them', () => {
+    const field = fc.oneof(fc.jsonValue(), fc.double())
+    const mutated = fc.record({ outline: field, part: field, service: field, caller: field, ends: field, decidedBy: field }, { requiredKeys: [] }).map((fields) => ({ ...ENTRY, ...fields }))
+    fc.assert(fc.property(fc.oneof(fc.jsonValue(), mutated), (odd) => {
+      const { registry, quarantined, released, list } = createWorld()
+      registry.registerListener({ onQuarantined: (_fingerprint, { outline }) => { expect(outline).to.be.a('number') }, onReleased: () => {} })
+      const oddAt = (key: string, version: number): StoredObject<QuarantineObject> => ({ key, version: storeVersion(1, version), body: odd as QuarantineObject, deleted: false })
+      list(storeVersion(1, 5), [oddAt(`${QUARANTINE_PREFIX}__proto__`, 3), createEntry(storeVersion(1, 4))])
+      list(storeVersion(1, 7), [oddAt(`${QUARANTINE_PREFIX}${FINGERPRINT}`, 6)])
+      expect(quarantined).to.include(FINGERPRINT)
+      expect(released).to.not.include(FINGERPRINT)
+      list(storeVersion(1, 9), [createEntry(storeVersion(1, 8))])
+      list(storeVersion(1, 11), [])
+      expect(released).to.include(FINGERPRINT)
+    }), { seed: SEED, numRuns: RUNS })
+  })
+
   it('releases a request whose entry an operator has deleted', () => {
     const { released, list } = createWorld()
     list(storeVersion(1, 5), [createEntry(storeVersion(1, 4))])
--- a/packages/dotterelspur-poison/src/process/QuarantineRegistry.ts
+++ b/packages/dotterelspur-poison/src/process/QuarantineRegistry.ts
@@ -3,6 +3,7 @@
   type Clock, type NodeId, type ObjectListing, type ObjectStore, type PoisonRecord, type QuarantineObject, type RequestFingerprint, type StoredObject, type Teardown, type WatchEvent, type WorkspaceId
 } from 'dotterelspur'
 import { isPartFingerprint } from '../request/fingerprint.js'
+import { readQuarantineObject } from './readQuarantineObject.js'
 
 /**
  * A decision is persisted once it has been stable for this long: until then evidence from other nodes may point to
@@ -142,11 +143,14 @@
     const current = this.entries.get(fingerprint)
     if (object.deleted) return current === undefined || object.version < current.version ? undefined : this.removeEntry(fingerprint)
     if (current !== undefined && object.version <= current.version) return
+    const body = readQuarantineObject(object.body)
+    // A decision stays in force until its entry is deleted, whatever another writer puts in its place.
+    if (body === null) return this.options.onProblem(fingerprint, 'no entry of the quarantine')
     // A lease holder of the former release takes parts for requests, and blames what all prompts share.
-    if (isPartFingerprint(fingerprint) && object.body.part === undefined) return
+    if (isPartFingerprint(fingerprint) && body.part === undefined) return
     this.lost.delete(fingerprint)
-    this.entries.set(fingerprint, object)
-    for (const listener of this.listeners) listener.onQuarantined(fingerprint, object.body)
+    this.entries.set(fingerprint, { ...object, body })
+    for (const listener of this.listeners) listener.onQuarantined(fingerprint, body)
   }
 
   private removeEntry (fingerprint: RequestFingerprint): void {
