Planned stop: running requests are ended when the plan ends, not at the next poll

With a grace period of 0.3 s callers of all running requests saw their connections reset instead of an error.

Cause: the loop that waits for running requests looked at the clock each 50 ms. With short grace periods the process exits sooner after the plan's end than that.

Now the last wait ends with the plan.

Evidence: `PlannedStop.test.ts`, grace periods of 300, 500 and 1,000 ms: ended after 300, 450 and 900 ms before, when the plan ends (263, 438, 875 ms) after.

--- a/packages/dotterelspur-gateway/src/process/PlannedStop.ts
+++ b/packages/dotterelspur-gateway/src/process/PlannedStop.ts
@@ -24,7 +24,7 @@
       callers.stopListening()
       isListening = false
     }
-    await sleep(clock, POLL_MS)
+    await sleep(clock, Math.min(POLL_MS, plan.endsAtMs - clock.nowMs()))
   }
   callers.stopListening()
   callers.endUnanswered()
