--- a/packages/dotterelspur-settings/src/__tests__/unit/parseNodeSettings.test.ts
+++ b/packages/dotterelspur-settings/src/__tests__/unit/parseNodeSettings.test.ts
@@ -57,6 +57,7 @@
     { title: 'an order that outlasts the lease margin', text: createText({ timing: ['order-timeout-ms = 2 s'] }), kind: SettingsProblemKind.InvalidRelation, key: 'order-timeout-ms' },
     { title: 'a lease whose holder would stop sending orders between renewals', text: createText({ timing: ['lease-renew-ms = 5 s'] }), kind: SettingsProblemKind.InvalidRelation, key: 'lease-margin-ms' },
     { title: 'evidence that expires between probes', text: createText({ timing: ['evidence-ttl-ms = 1 s'] }), kind: SettingsProblemKind.InvalidRelation, key: 'evidence-ttl-ms' },
+    { title: 'a grace period of over an hour', text: createText({ limits: ['stop-grace-ms = 2 h'] }), kind: SettingsProblemKind.InvalidValue, key: 'stop-grace-ms' },
     { title: 'a unit that is not accepted', text: createText({ timing: ['lease-ttl-ms = 6 sec'] }), kind: SettingsProblemKind.InvalidValue, key: 'lease-ttl-ms' },
     { title: 'a port out of range', text: createText({ entry: ['port = 65536'] }), kind: SettingsProblemKind.InvalidValue, key: 'port' },
     { title: 'a host name instead of an address', text: createText({ node: ['id = n-1', 'region = r-1', 'failure-domain = d-1', 'host = localhost'] }), kind: SettingsProblemKind.InvalidValue, key: 'host' },
