Bodies: ordinary uploads wait for their turn, and are refused before connections are closed

60 callers that uploaded 4 MB each at once, all within the limits, were refused for the most part, and 3 to 40 of them saw ECONNRESET without an answer.

Cause: a body that found no room waited 750 ms, which is the patience of callers of idempotent requests, whatever its caller's time limit. All bodies were read in part at the same time, so that parts filled the memory and only the oldest was completed. Beyond the limit CallerLoad closed the connections that held most, though bodies that waited could have been refused with an answer.

Now a large body is read once there is room for all of it, in the order of arrival, and waits unread for three quarters of the time of caller and route (idempotent: 750 ms or a quarter of it). Room counts what those that wait will still take. One that hardly grows gives way while others wait; where too many wait, one more is refused at once. CallerLoad closes what is stalled, then asks for refusals, and only then closes others.

The bodies of the gateway's callers are in CallerBodies. No former test was changed but by optional parameters of a fixture (readBody.test.ts).

--- a/packages/dotterelspur-entry/src/connection/registerBodyParsers.ts
+++ b/packages/dotterelspur-entry/src/connection/registerBodyParsers.ts
@@ -1,6 +1,6 @@
-import type { IncomingMessage } from 'node:http'
+import type { IncomingHttpHeaders, IncomingMessage } from 'node:http'
 import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify'
-import { BodyErrorKind, BodyMemory, OutcomeReason, notRun, readBody, type Clock, type HeldBody, type Outcome } from 'dotterelspur'
+import { BodyErrorKind, BodyMemory, OutcomeReason, notRun, readBody, statedBytes, type Clock, type HeldBody, type Outcome } from 'dotterelspur'
 import { sendOutcome } from './callers.js'
 import { guardedConnection } from 'dotterelspur-listener'
 
@@ -44,6 +44,8 @@
   readonly clock: Clock
   readonly maxBodyBytes: number
   readonly memory: BodyMemory
+  /** How long the body of a request with these headers may wait for memory in all; 750 ms by default. */
+  readonly maxWaitMs?: (headers: IncomingHttpHeaders) => number
 }
 
 const heldBodies = new WeakMap<FastifyRequest, HeldBody>()
@@ -52,7 +54,7 @@
 export function registerJsonParser (app: FastifyInstance, limits: BodyLimits): void {
   // Each body is held until the response to its request has been sent, or its connection is closed.
   app.addHook('preParsing', (request, reply, payload, done) => {
-    const held = limits.memory.open((changeBytes) => { guardedConnection(request.raw.socket)?.growBodies(changeBytes) })
+    const held = limits.memory.open((changeBytes) => { guardedConnection(request.raw.socket)?.growBodies(changeBytes) }, statedBytes(request.headers['content-length']))
     heldBodies.set(request, held)
     reply.raw.once('close', () => { held.release() })
     done(null, payload)
@@ -67,10 +69,10 @@
   registerParser(scope, '*', limits, (_request, body, done) => { done(null, body) })
 }
 
-function registerParser (app: FastifyInstance, contentType: string, { clock, maxBodyBytes }: BodyLimits, handle: BodyHandler): void {
+function registerParser (app: FastifyInstance, contentType: string, { clock, maxBodyBytes, maxWaitMs }: BodyLimits, handle: BodyHandler): void {
   if (app.hasContentTypeParser(contentType)) app.removeContentTypeParser(contentType)
   app.addContentTypeParser(contentType, (request: FastifyRequest, payload: IncomingMessage, done: Done) => {
-    readBody(payload, maxBodyBytes, heldBodies.get(request)!, clock)
+    readBody(payload, maxBodyBytes, heldBodies.get(request)!, clock, maxWaitMs === undefined ? undefined : () => maxWaitMs(request.headers))
       .then((body) => {
         if (body.ok) handle(request, body.value, done)
         else done(new UnreadBody(body.error))
--- a/packages/dotterelspur-entry/src/process/createEntry.ts
+++ b/packages/dotterelspur-entry/src/process/createEntry.ts
@@ -1,7 +1,8 @@
+import type { IncomingHttpHeaders } from 'node:http'
 import Fastify, { type FastifyError, type FastifyInstance } from 'fastify'
 import createDebug from 'debug'
 import {
-  BodyMemory, callerLoadLimits, DEFAULT_MACHINE, OutcomeReason, PauseDetector, RetryBudget, Router, createRoutingOptions, mergeTeardowns, notRun, unknownOutcome,
+  BodyMemory, bodyWaitMs, callerLoadLimits, DEFAULT_MACHINE, OutcomeReason, PauseDetector, RetryBudget, Router, createRoutingOptions, mergeTeardowns, notRun, unknownOutcome,
   type Teardown
 } from 'dotterelspur'
 import { afterSocketsRead, ListenerGuard } from 'dotterelspur-listener'
@@ -186,7 +187,12 @@
     return sendOutcome(reply, unknownOutcome(OutcomeReason.StreamBroken, 'internal error'), null, false, { status })
   })
   app.setNotFoundHandler((_request, reply) => sendOutcome(reply, notRun(OutcomeReason.InvalidRequest, 'no such path', null), null, true, { status: 404 }))
-  const bodies = { clock, maxBodyBytes: limits.maxBodyBytes, memory: new BodyMemory(Math.min(limits.bodyMemoryBytes, load.limits.heldBytes * BODIES_SHARE), () => limits.maxBodyBytes, load) }
+  const bodies = {
+    clock,
+    maxBodyBytes: limits.maxBodyBytes,
+    memory: new BodyMemory(Math.min(limits.bodyMemoryBytes, load.limits.heldBytes * BODIES_SHARE), () => limits.maxBodyBytes, load),
+    maxWaitMs: (headers: IncomingHttpHeaders) => bodyWaitMs(Math.min(limits.receiveTimeoutMs, services.headers.deadlineMs(headers)), false)
+  }
   registerJsonParser(app, bodies)
   registerModelRoutes(app, services)
   registerServiceRoutes(app, services, bodies)
--- a/packages/dotterelspur-entry/src/request/CallerRequest.ts
+++ b/packages/dotterelspur-entry/src/request/CallerRequest.ts
@@ -48,10 +48,16 @@
 export class HeaderReader {
   private readonly schema: ReturnType<typeof headerSchema>
 
-  constructor (limits: EntryLimits) {
+  constructor (private readonly limits: EntryLimits) {
     this.schema = headerSchema(limits)
   }
 
+  /** How long the caller waits; the default where its headers are not valid. */
+  deadlineMs (headers: Headers): number {
+    const read = this.read(headers)
+    return read.ok ? read.value.deadlineMs : this.limits.defaultDeadlineMs
+  }
+
   read (headers: Headers): Result<CallHeaders, Outcome> {
     const parsed = this.schema.safeParse(headers)
     if (!parsed.success) return invalid(describeIssue(parsed.error, 'header'))
--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { FastifyInstance } from 'fastify'
 import {
-  AccessKind, BodyErrorKind, BodyMemory, pick, readBody, type Access, type CallerLimits, type Clock, type HeldBody, type Random, type RequestContent, type Route, type RouteTable, type ServiceId
+  AccessKind, BodyErrorKind, pick, type Access, type CallerLimits, type Clock, type HeldBody, type Random, type RequestContent, type Route, type RouteTable, type ServiceId
 } from 'dotterelspur'
 import { afterSocketsRead, guardedConnection, type ListenerGuard } from 'dotterelspur-listener'
 import { AdmissionKind, type PoisonAdmission } from 'dotterelspur-poison'
@@ -23,11 +23,11 @@
 import { cutFields } from '../request/cutFields.js'
 import { endedFields } from '../request/endedFields.js'
 import { GatewayRequest } from '../request/GatewayRequest.js'
+import { CallerBodies } from './CallerBodies.js'
 import { CallerConnections } from './CallerConnections.js'
 import { createCallerApp } from './createCallerApp.js'
 import { IDLE_SLACK_MS, INITIAL_LIMITS } from './callerLimits.js'
 import { registerCallerClose } from './registerCallerClose.js'
-import { BODIES_SHARE, BODY_MEMORY_BYTES } from './requestLimits.js'
 import { hostOf, pathOf } from './requestTarget.js'
 
 /** Retry-After of requests that arrive before this node has read a manifest and the quarantine. */
@@ -67,7 +67,7 @@
   private readonly app: FastifyInstance
   readonly connections: CallerConnections
   /** The bodies of the requests under way. */
-  readonly bodies: BodyMemory
+  readonly bodies: CallerBodies
   private readonly waits: RequestWaits
   private readonly stopAdmission: StopAdmission
   private isListening = true
@@ -80,8 +80,7 @@
   private readonly ended = new Set<CallerResponse>()
 
   constructor (private readonly parts: CallerListenerParts) {
-    const { load } = parts.guard
-    this.bodies = new BodyMemory(Math.min(BODY_MEMORY_BYTES, load.limits.heldBytes * BODIES_SHARE), () => this.maxBodyBytes, load)
+    this.bodies = new CallerBodies(parts)
     this.waits = new RequestWaits(parts.clock)
     this.stopAdmission = new StopAdmission(parts.clock, (route) => this.longestRunningMs(route))
     this.app = createCallerApp((request, response) => { this.accept(request, response) })
@@ -191,18 +190,14 @@
     return Math.max(0, ...[...this.dispatched.keys()].map(({ progress: { admitted } }) => admitted.route.name === route ? nowMs - admitted.arrivedAtMs : 0))
   }
 
-  private get maxBodyBytes (): number {
-    return this.parts.manifest.current?.manifest.limits.maxBodyBytes ?? INITIAL_LIMITS.maxBodyBytes
-  }
-
   private async run (request: IncomingMessage, response: ServerResponse, callerResponse: CallerResponse): Promise<void> {
-    const held = this.bodies.open((changeBytes) => { guardedConnection(request.socket)?.growBodies(changeBytes) })
+    const held = this.bodies.open(request)
     await this.runWithBody(request, response, callerResponse, held).finally(() => { held.release() })
   }
 
   private async runWithBody (request: IncomingMessage, response: ServerResponse, callerResponse: CallerResponse, held: HeldBody): Promise<void> {
     const arrivedAtMs = this.parts.clock.nowMs()
-    const body = await readBody(request, this.maxBodyBytes, held, this.parts.clock)
+    const body = await this.bodies.read(request, held)
     if (!body.ok) return this.refuseBody(request, callerResponse, body.error)
     const head = this.parts.wire.readCallerHeaders(request.headers)
     await this.parts.initialSync.wait()
--- a/packages/dotterelspur/src/process/callers/CallerLoad.ts
+++ b/packages/dotterelspur/src/process/callers/CallerLoad.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '../Clock.js'
+import type { Teardown } from '../Teardown.js'
 import type { CallerLoadLimits } from './callerLimits.js'
 import { ConnectionLoad, type LoadedConnection } from './ConnectionLoad.js'
 
@@ -20,6 +21,8 @@
 const USUAL_BYTES = 81_920
 /** Closing down to this part of the limit lets many callers arrive before connections are compared again. */
 const RELIEVED_SHARE = 7 / 8
+/** Refusals are fewer, since those who are refused could have been served. */
+const REFUSED_SHARE = 31 / 32
 
 /**
  * The one owner of what callers make a process hold, on all of its listeners: connections, bytes that have not been parsed, requests, bodies,
@@ -28,6 +31,7 @@
  */
 export class CallerLoad {
   private readonly open = new Set<ConnectionLoad>()
+  private readonly reliefs = new Set<() => boolean>()
   private readonly shedCounts = new Map<ShedReason, number>()
   private totalBytes = 0
   private isShedding = false
@@ -47,6 +51,12 @@
     return this.shedCounts.get(reason) ?? 0
   }
 
+  /** @param relieve gives back memory by a refusal that its caller receives, before connections of callers that make progress are closed; false if it can't. */
+  registerRelief (relieve: () => boolean): Teardown {
+    this.reliefs.add(relieve)
+    return () => { this.reliefs.delete(relieve) }
+  }
+
   /** Null if the connection can't be held: all others are in use. */
   add (connection: LoadedConnection): ConnectionLoad | null {
     if (this.open.size >= this.limits.connections && !this.closeUnused()) {
@@ -78,7 +88,7 @@
   makeRoom (): void {
     const sinceMs = this.clock.nowMs() - STALLED_MS
     for (const load of [...this.open]) {
-      if (load.isLoaded && load.progressAtMs <= sinceMs && load.awaitsCaller) this.shed(load, ShedReason.Memory)
+      if (isStalled(load, sinceMs)) this.shed(load, ShedReason.Memory)
     }
   }
 
@@ -120,13 +130,22 @@
     const limitBytes = this.limits.heldBytes
     if (this.isShedding || this.heldBytes <= limitBytes || this.bytesBesideLargest() <= limitBytes) return
     this.isShedding = true
+    const sinceMs = this.clock.nowMs() - STALLED_MS
     for (const load of this.byPrecedence()) {
       if (this.bytesBesideLargest() <= limitBytes * RELIEVED_SHARE) break
+      if (!isStalled(load, sinceMs) && this.relieve()) break
       this.shed(load, ShedReason.Memory)
     }
     this.isShedding = false
   }
 
+  /** Whether refusals alone were enough. */
+  private relieve (): boolean {
+    const aimBytes = this.limits.heldBytes * REFUSED_SHARE
+    for (const relieve of this.reliefs) while (this.bytesBesideLargest() > aimBytes && relieve()) { /* Each call gives back a part. */ }
+    return this.bytesBesideLargest() <= aimBytes
+  }
+
   /** One connection may hold more than the limit, so that a single large body or response is served. */
   private bytesBesideLargest (): number {
     let largestBytes = 0
@@ -143,7 +162,7 @@
 
 /** Which connections are closed first while all together hold too much; the last rank takes all that are left. */
 const PRECEDENCE: ReadonlyArray<(load: ConnectionLoad, stalledSinceMs: number) => boolean> = [
-  (load, stalledSinceMs) => load.isLoaded && load.progressAtMs <= stalledSinceMs && load.awaitsCaller,
+  isStalled,
   ({ heldBytes }) => heldBytes > USUAL_BYTES,
   ({ isInUse, wasUsed }) => !isInUse && !wasUsed,
   ({ isInUse }) => !isInUse,
@@ -151,6 +170,11 @@
   () => true
 ]
 
+/** Whether it holds more than its own bytes for a caller that makes no progress. */
+function isStalled (load: ConnectionLoad, sinceMs: number): boolean {
+  return load.isLoaded && load.progressAtMs <= sinceMs && load.awaitsCaller
+}
+
 function isLessUsed (one: ConnectionLoad, other: ConnectionLoad): boolean {
   if (one.wasUsed !== other.wasUsed) return !one.wasUsed
   return one.progressAtMs < other.progressAtMs
--- a/packages/dotterelspur/src/process/callers/__tests__/unit/CallerLoad.test.ts
+++ b/packages/dotterelspur/src/process/callers/__tests__/unit/CallerLoad.test.ts
@@ -66,6 +66,28 @@
     expect([stalled!.closedBy, busy!.closedBy, other!.closedBy]).to.deep.equal([[ShedReason.Memory], [], []])
   })
 
+  // Guards against callers that make progress and lose their connections, where refusals are enough.
+  it('asks for refusals before it closes connections whose callers make progress, and after it has closed the others', () => {
+    const { load, clock, connect } = createLoad()
+    const [stalled, waiting, busy] = [connect(), connect(), connect()]
+    stalled!.awaitsCaller = true
+    stalled!.load.hold(HeldKind.Responses, 50 * KIB)
+    clock.advance(2_000)
+    const closedBefore: number[] = []
+    load.registerRelief(() => {
+      closedBefore.push(stalled!.closedBy.length)
+      waiting!.load.hold(HeldKind.Bodies, 0)
+      return closedBefore.length === 1
+    })
+    for (const client of [waiting!, busy!]) client.load.noteProgress()
+    waiting!.load.hold(HeldKind.Bodies, 900 * KIB)
+    const third = connect()
+    third.load.hold(HeldKind.Bodies, 500 * KIB)
+    busy!.load.hold(HeldKind.Bodies, 600 * KIB)
+    expect(closedBefore[0]).to.equal(1)
+    expect([waiting!, third, busy!].map(({ closedBy }) => closedBy)).to.deep.equal([[], [], []])
+  })
+
   // Guards against a node that loses its callers and its links to other nodes to thousands of connections that send nothing.
   it('closes unused connections before callers with usual requests and links between nodes', () => {
     const { load, clock, connect } = createLoad({ connections: 1_000 })
--- a/packages/dotterelspur/src/request/body/BodyMemory.ts
+++ b/packages/dotterelspur/src/request/body/BodyMemory.ts
@@ -1,19 +1,31 @@
+import type { Teardown } from '../../process/Teardown.js'
+
 /** A body of up to this size never waits: it arrives in one read, and small requests must not wait for uploads. */
 const SMALL_BODY_BYTES = 65_536
 /** What a source may deliver after it has been resumed, until it is paused again. */
 const READ_BYTES = 65_536
+/** A body of unknown size is expected to take no more than this part of the limit, so that one is not the only one that is read. */
+const UNKNOWN_SHARE = 1 / 8
+/** What a body that waits makes a process hold at most, with its connection. */
+const WAITING_BYTES = 4 * READ_BYTES
+/** What those that wait may take of the limit. */
+const WAITING_SHARE = 2 / 3
+const MIN_WAITING = 8
 
 /** What the bodies are a part of, such as everything that callers make a process hold. */
 export interface BodyOwner {
   readonly heldBytes: number
   /** A body must wait; closes what holds memory in vain. */
   makeRoom (): void
+  /** Called back before connections are closed that hold too much; returns whether memory was given back. */
+  registerRelief? (relieve: () => boolean): Teardown
 }
 
 /**
- * The bytes of request bodies that a process holds: those that arrive, and those whose requests are under way. Beyond the limit, large bodies wait
- * while others are completed. The oldest of them reads on in any case, up to `reserveBytes` above the limit, so that bodies that have arrived in
- * part do not wait for each other. Load pattern: many uploads begin together, and each holds its body until its response.
+ * The bytes of request bodies that a process holds: those that arrive, and those whose requests are under way. A large body is read once there is room
+ * for all of it, in the order of arrival; until then it waits with its bytes unread, which costs its caller time and the process nothing. The oldest of them
+ * reads on in any case, up to `reserveBytes` above the limit, so that bodies that have arrived in part do not wait for each other.
+ * Load pattern: many uploads begin together, and each holds its body until its response.
  */
 export class BodyMemory {
   private heldBytes = 0
@@ -21,12 +33,16 @@
   private readonly arriving = new Set<HeldBody>()
   /** Bodies that wait, in the same order, and what resumes them. */
   private readonly waiting = new Map<HeldBody, () => void>()
+  private readonly maxWaiting: number
 
   /**
    * @param limitBytes of the bodies, and of what their owner holds in all.
    * @param reserveBytes the largest body that is accepted now.
    */
-  constructor (private readonly limitBytes: number, private readonly reserveBytes: () => number, private readonly owner: BodyOwner = { heldBytes: 0, makeRoom: () => {} }) {}
+  constructor (private readonly limitBytes: number, private readonly reserveBytes: () => number, private readonly owner: BodyOwner = { heldBytes: 0, makeRoom: () => {} }) {
+    this.maxWaiting = Math.max(MIN_WAITING, Math.floor(limitBytes * WAITING_SHARE / WAITING_BYTES))
+    owner.registerRelief?.(() => this.refuseNewest())
+  }
 
   get sizeBytes (): number {
     return this.heldBytes
@@ -36,9 +52,12 @@
     return this.waiting.size
   }
 
-  /** @param onResize the body holds so many bytes more. */
-  open (onResize: (changeBytes: number) => void = () => {}): HeldBody {
-    const body: HeldBody = new HeldBody({
+  /**
+   * @param onResize the body holds so many bytes more.
+   * @param statedBytes the size that its caller states; null if it states none.
+   */
+  open (onResize: (changeBytes: number) => void = () => {}, statedBytes: number | null = null): HeldBody {
+    const body: HeldBody = new HeldBody(statedBytes, {
       resize: (changeBytes) => {
         this.heldBytes += changeBytes
         onResize(changeBytes)
@@ -48,8 +67,16 @@
         this.owner.makeRoom()
         return this.hasRoom(body)
       },
-      wait: (resume) => { this.waiting.set(body, resume) },
-      retry: () => this.resumeIfRoom(body),
+      wait: (resume) => {
+        if (this.waiting.size >= this.maxWaiting) body.refuse()
+        else this.waiting.set(body, resume)
+      },
+      retry: () => {
+        this.owner.makeRoom()
+        this.resumeWaiting()
+        return !this.waiting.has(body)
+      },
+      othersWait: () => this.waiting.size > 0,
       end: () => {
         this.arriving.delete(body)
         this.waiting.delete(body)
@@ -64,57 +91,115 @@
     return this.limitBytes - Math.max(this.heldBytes, this.owner.heldBytes)
   }
 
+  /** What bodies that have no room yet, other than this one, and their connections will take until they wait. */
+  private growthBytes (except: HeldBody): number {
+    let bytes = 0
+    for (const body of this.arriving) if (body.grantedBytes === 0 && body !== except) bytes += this.waiting.has(body) ? READ_BYTES : Math.max(0, WAITING_BYTES - body.sizeBytes)
+    return bytes
+  }
+
+  /** What bodies that have room will take beyond what they hold. */
+  private get promisedBytes (): number {
+    let bytes = 0
+    for (const { grantedBytes, sizeBytes } of this.arriving) bytes += Math.max(0, grantedBytes - sizeBytes)
+    return bytes
+  }
+
   private hasRoom (body: HeldBody): boolean {
-    if (body.sizeBytes <= SMALL_BODY_BYTES || this.roomBytes > 0) return true
-    return body === this.oldestLarge() && this.roomBytes + this.reserveBytes() > 0
+    if (!body.isLarge) return true
+    const roomBytes = this.roomBytes - this.growthBytes(body)
+    const isGranted = body.sizeBytes <= body.grantedBytes
+    if (roomBytes > 0 && (isGranted || this.grant(body, roomBytes))) return true
+    return body === this.oldestLarge() && (this.roomBytes + this.reserveBytes() > 0 || (isGranted && this.completeBytes < this.reserveBytes()))
   }
 
-  private oldestLarge (): HeldBody | undefined {
-    for (const body of this.arriving) if (body.sizeBytes > SMALL_BODY_BYTES) return body
-    return undefined
+  /** Bodies of requests under way, which make room when these end. */
+  private get completeBytes (): number {
+    let bytes = this.heldBytes
+    for (const { sizeBytes } of this.arriving) bytes -= sizeBytes
+    return bytes
   }
 
-  private resumeIfRoom (body: HeldBody): boolean {
-    const resume = this.waiting.get(body)
-    if (resume === undefined || !this.hasRoom(body)) return false
-    this.waiting.delete(body)
-    resume()
+  private grant (body: HeldBody, roomBytes: number): boolean {
+    if (this.isBehindWaiting(body)) return false
+    const neededBytes = Math.max(READ_BYTES, this.expectedBytes(body) - body.sizeBytes)
+    if (roomBytes - this.promisedBytes < neededBytes) return false
+    body.grantedBytes = body.sizeBytes + neededBytes
     return true
   }
 
+  private expectedBytes ({ statedBytes }: HeldBody): number {
+    return statedBytes ?? Math.min(this.reserveBytes(), this.limitBytes * UNKNOWN_SHARE)
+  }
+
+  private isBehindWaiting (body: HeldBody): boolean {
+    for (const other of this.arriving) {
+      if (other === body) return false
+      if (this.waiting.has(other)) return true
+    }
+    return false
+  }
+
+  private oldestLarge (): HeldBody | undefined {
+    for (const body of this.arriving) if (body.isLarge) return body
+    return undefined
+  }
+
+  /** In the order of arrival: one that needs little does not overtake one that needs much, which might wait for ever. */
   private resumeWaiting (): void {
-    let roomBytes = Math.max(READ_BYTES, this.roomBytes)
-    for (const [body, resume] of this.waiting) {
-      // Only one that waits further behind may be the oldest, which reads on without room.
-      if (roomBytes <= 0 || !this.hasRoom(body)) continue
+    for (const body of [...this.arriving]) {
+      const resume = this.waiting.get(body)
+      if (resume === undefined) continue
+      if (!this.hasRoom(body)) return
       this.waiting.delete(body)
-      roomBytes -= READ_BYTES
       resume()
     }
   }
+
+  /** False if none is left that waits. */
+  private refuseNewest (): boolean {
+    const newest = [...this.arriving].findLast((body) => this.waiting.has(body))
+    newest?.refuse()
+    return newest !== undefined
+  }
 }
 
 interface HeldBodyListener {
   resize (changeBytes: number): void
   hasRoom (): boolean
   wait (resume: () => void): void
-  /** Resumes the body if it waits and there is room for it. */
+  /** Resumes those for which there is room; returns whether the body does not wait any more. */
   retry (): boolean
+  othersWait (): boolean
   /** The body no longer arrives, or is no longer held. */
   end (): void
 }
 
 /** One body of a `BodyMemory`, from the beginning of its request until its response. */
 export class HeldBody {
+  /** Up to this size there was room when it was read on. */
+  grantedBytes = 0
+  /** The body can't be held: its reader drops it and releases what it holds. */
+  onRefuse: () => void = () => {}
   private bytes = 0
 
-  constructor (private readonly listener: HeldBodyListener) {}
+  constructor (readonly statedBytes: number | null, private readonly listener: HeldBodyListener) {}
 
   get sizeBytes (): number {
     return this.bytes
   }
 
-  /** Counts bytes that have arrived. False if the source must pause; `resume` is called once it may go on. */
+  /** Whether it may have to wait. */
+  get isLarge (): boolean {
+    return Math.max(this.bytes, this.statedBytes ?? 0) > SMALL_BODY_BYTES
+  }
+
+  /** Whether bodies wait for memory. */
+  get othersWait (): boolean {
+    return this.listener.othersWait()
+  }
+
+  /** Counts bytes that have arrived. False if the source must pause, unless the body was refused; `resume` is called once it may go on. */
   add (arrivedBytes: number, resume: () => void): boolean {
     this.bytes += arrivedBytes
     this.listener.resize(arrivedBytes)
@@ -128,8 +213,13 @@
     return this.listener.retry()
   }
 
+  refuse (): void {
+    this.onRefuse()
+  }
+
   /** The body is complete, or the rest of it is dropped. */
   complete (): void {
+    this.grantedBytes = 0
     this.listener.end()
   }
 
--- a/packages/dotterelspur/src/request/body/__tests__/unit/readBody.test.ts
+++ b/packages/dotterelspur/src/request/body/__tests__/unit/readBody.test.ts
@@ -4,6 +4,7 @@
 import { expect } from 'chai'
 import { ManualClock } from '../../../../process/Clock.js'
 import { BodyMemory, type HeldBody } from '../../BodyMemory.js'
+import { bodyWaitMs } from '../../bodyWaitMs.js'
 import { BodyErrorKind, readBody } from '../../readBody.js'
 import { readBytes, readText } from '../../readBytes.js'
 
@@ -57,10 +58,10 @@
   describe('while the memory for bodies is full', () => {
     const CHUNK = Buffer.alloc(READ_BYTES, 'x')
 
-    function createUpload (memory: BodyMemory, clock: ManualClock): { source: Source, held: HeldBody, result: Promise<unknown>, send: (chunks: number) => void } {
+    function createUpload (memory: BodyMemory, clock: ManualClock, maxWaitMs?: () => number, statedBytes: number | null = null): { source: Source, held: HeldBody, result: Promise<unknown>, send: (chunks: number) => void } {
       const source = new Source()
-      const held = memory.open()
-      const result = readBody(source, MIB, held, clock).then((body) => body.ok ? body.value.length : body.error)
+      const held = memory.open(() => {}, statedBytes)
+      const result = readBody(source, MIB, held, clock, maxWaitMs).then((body) => body.ok ? body.value.length : body.error)
       return { source, held, result, send: (chunks) => { for (let chunk = 0; chunk < chunks; chunk++) source.emit('data', CHUNK) } }
     }
 
@@ -102,6 +103,68 @@
       expect([memory.sizeBytes, memory.waitingBodies]).to.deep.equal([0, 0])
     })
 
+    // Guards against uploads that are refused though their callers would wait until it is their turn.
+    it('reads bodies one after the other, in the order of their arrival, for as long as their callers wait', async () => {
+      const clock = new ManualClock()
+      const memory = new BodyMemory(8 * READ_BYTES, () => 4 * READ_BYTES)
+      const uploads = Array.from({ length: 5 }, () => createUpload(memory, clock, () => 60_000, 4 * READ_BYTES))
+      for (const { send } of uploads) send(1)
+      const order: number[] = []
+      while (order.length < uploads.length) {
+        const reading = uploads.findIndex(({ source }, index) => !source.isPaused && !order.includes(index))
+        expect(reading, `one goes on after ${order.join(', ')}`).to.be.at.least(0)
+        const { send, source, result, held } = uploads[reading]!
+        send(3)
+        source.emit('end')
+        expect(await result).to.equal(4 * READ_BYTES)
+        clock.advance(400)
+        held.release()
+        order.push(reading)
+      }
+      expect(order).to.deep.equal([0, 1, 2, 3, 4])
+    })
+
+    it('refuses a body at once while as many wait as the memory bears', async () => {
+      const clock = new ManualClock()
+      const memory = new BodyMemory(2 * READ_BYTES, () => 0)
+      const uploads = Array.from({ length: 10 }, () => createUpload(memory, clock, () => 60_000))
+      for (const { send } of uploads) send(2)
+      expect(memory.waitingBodies).to.equal(8)
+      expect(await uploads.at(-1)!.result).to.equal(BodyErrorKind.NoRoom)
+    })
+
+    // Guards against callers that keep the place of others: one that sends a byte now and then takes memory for as long as it likes.
+    it('refuses a body that hardly grows while others wait, and none while no one waits', async () => {
+      const clock = new ManualClock()
+      const memory = new BodyMemory(4 * READ_BYTES, () => MIB)
+      const [slow, other] = [createUpload(memory, clock, () => 60_000), createUpload(memory, clock, () => 60_000)]
+      slow.send(3)
+      for (let second = 0; second < 5; second++) {
+        clock.advance(1_000)
+        slow.source.emit('data', Buffer.alloc(1))
+      }
+      expect(memory.sizeBytes).to.equal(3 * READ_BYTES + 5)
+      other.send(2)
+      expect(other.source.isPaused).to.equal(true)
+      for (let second = 0; second < 2; second++) {
+        slow.source.emit('data', Buffer.alloc(1))
+        clock.advance(1_000)
+      }
+      expect(await slow.result).to.equal(BodyErrorKind.NoRoom)
+      expect(other.source.isPaused).to.equal(false)
+    })
+
+    // Guards against connections of ordinary uploads that are closed without an answer where a refusal gives back enough.
+    it('refuses those that wait, the newest first, for its owner', async () => {
+      let relieve = (): boolean => false
+      const owner = { heldBytes: 0, makeRoom: () => {}, registerRelief: (relief: () => boolean) => { relieve = relief; return () => {} } }
+      const clock = new ManualClock()
+      const uploads = [0, 1, 2].map(((memory) => () => createUpload(memory, clock, () => 60_000))(new BodyMemory(2 * READ_BYTES, () => 0, owner)))
+      for (const { send } of uploads) send(2)
+      expect([relieve(), await uploads[2]!.result]).to.deep.equal([true, BodyErrorKind.NoRoom])
+      expect([relieve(), await uploads[1]!.result]).to.deep.equal([true, BodyErrorKind.NoRoom])
+    })
+
     // Guards against bodies that take the memory which unread responses or many connections have already.
     it('pauses large bodies while their owner holds as much for other things', async () => {
       const owner = { heldBytes: 5 * READ_BYTES, makeRoom: () => {} }
@@ -169,6 +232,17 @@
   }
 })
 
+describe('bodyWaitMs', () => {
+  const CASES = [
+    { name: 'a request that its caller would send elsewhere', timeMs: 8_000, isIdempotent: true, waitMs: 750 },
+    { name: 'one with little time', timeMs: 1_200, isIdempotent: true, waitMs: 300 },
+    { name: 'one whose caller can only wait', timeMs: 8_000, isIdempotent: false, waitMs: 6_000 }
+  ]
+  for (const { name, timeMs, isIdempotent, waitMs } of CASES) {
+    it(`leaves time to be served for ${name}`, () => { expect(bodyWaitMs(timeMs, isIdempotent)).to.equal(waitMs) })
+  }
+})
+
 describe('readBytes', () => {
   // Guards against a process that ends by a full heap, with the responses of a service such as the platform's.
   it('takes no more than twice the memory of a response that arrives in chunks of one byte', async () => {
--- a/packages/dotterelspur/src/request/body/index.ts
+++ b/packages/dotterelspur/src/request/body/index.ts
@@ -1,3 +1,4 @@
 export * from './BodyMemory.js'
+export * from './bodyWaitMs.js'
 export * from './readBody.js'
 export * from './readBytes.js'
--- a/packages/dotterelspur/src/request/body/readBody.ts
+++ b/packages/dotterelspur/src/request/body/readBody.ts
@@ -3,9 +3,13 @@
 import type { Teardown } from '../../process/Teardown.js'
 import { ByteCollector } from '../dispatch/ByteCollector.js'
 import type { HeldBody } from './BodyMemory.js'
+import { SHORT_WAIT_MS } from './bodyWaitMs.js'
 
-/** How long a body may wait for memory in all. Callers give up requests that are not read within a second. */
-const MAX_WAIT_MS = 750
+/** How often a body that waits looks for room, since what else is held may have become less. */
+const CHECK_MS = 250
+/** While others wait, a body gives way that has not brought so much within so many checks. */
+const SLOW_CHECKS = 4
+const SLOW_BYTES = 16_384
 
 export enum BodyErrorKind {
   TooLarge = 'too-large',
@@ -25,44 +29,70 @@
 
 /**
  * Reads a request's body up to a limit. The body is buffered completely, so that the request can be retried, or refused with the
- * guarantee that it has not run. What it takes in memory follows from its size, in however small chunks it arrives. While the memory for bodies is
- * full, its source is paused.
+ * guarantee that it has not run. What it takes in memory follows from its size, in however small chunks it arrives. While there is no room for it, its source
+ * is paused, for up to `maxWaitMs` in all.
  */
-export async function readBody (source: BodySource, limitBytes: number, held: HeldBody, clock: Clock): Promise<Result<Buffer, BodyErrorKind>> {
+export async function readBody (source: BodySource, limitBytes: number, held: HeldBody, clock: Clock, maxWaitMs: () => number = () => SHORT_WAIT_MS): Promise<Result<Buffer, BodyErrorKind>> {
   return await new Promise((resolve) => {
     const body = new ByteCollector()
     let isOver = false
     let cancelWait: Teardown = () => {}
-    let leftWaitMs = MAX_WAIT_MS
-    let pausedAtMs = 0
+    let cancelCheck: Teardown | null = null
+    let leftWaitMs: number | null = null
+    let pausedAtMs: number | null = null
+    let checks = 0
+    let checkedBytes = 0
     const end = (result: Result<Buffer, BodyErrorKind>): void => {
       if (isOver) return
       isOver = true
       cancelWait()
+      cancelCheck?.()
       held.complete()
       resolve(result)
     }
     // The rest of a body that is refused is read and dropped, so that the caller reads the response.
     const refuse = (error: BodyErrorKind): void => {
+      if (isOver) return
       body.clear()
-      held.release()
       end(failed(error))
+      held.release()
       source.resume()
     }
+    const noteProgress = (): void => {
+      checks = 0
+      checkedBytes = body.sizeBytes
+    }
     const resume = (): void => {
       cancelWait()
-      leftWaitMs -= clock.nowMs() - pausedAtMs
+      leftWaitMs! -= clock.nowMs() - pausedAtMs!
+      pausedAtMs = null
+      noteProgress()
       source.resume()
     }
-    source.on('data', (chunk: Buffer) => {
-      if (isOver) return
-      if (body.sizeBytes + chunk.length > limitBytes) return refuse(BodyErrorKind.TooLarge)
-      body.push(chunk)
-      if (held.add(chunk.length, resume)) return
+    const pause = (): void => {
       source.pause()
       pausedAtMs = clock.nowMs()
+      leftWaitMs ??= maxWaitMs()
       cancelWait()
       cancelWait = clock.registerTimer(leftWaitMs, () => { if (!held.retry()) refuse(BodyErrorKind.NoRoom) })
+    }
+    const check = (): void => {
+      if (pausedAtMs !== null) held.retry()
+      else if (!held.othersWait || body.sizeBytes - checkedBytes >= SLOW_BYTES) noteProgress()
+      else if (++checks >= SLOW_CHECKS) refuse(BodyErrorKind.NoRoom)
+      if (!isOver) scheduleCheck()
+    }
+    const scheduleCheck = (): void => { cancelCheck = clock.registerTimer(CHECK_MS, check) }
+    held.onRefuse = () => { refuse(BodyErrorKind.NoRoom) }
+    source.on('data', (chunk: Buffer) => {
+      if (isOver) return
+      if (body.sizeBytes + chunk.length > limitBytes) return refuse(BodyErrorKind.TooLarge)
+      body.push(chunk)
+      const mayGoOn = held.add(chunk.length, resume)
+      // It may have been refused for others, or by others for it.
+      if (isOver) return held.complete()
+      if (!mayGoOn) pause()
+      if (cancelCheck === null && held.isLarge) scheduleCheck()
     })
     source.on('end', () => { if (!isOver) end(success(body.take())) })
     source.on('error', () => { end(failed(BodyErrorKind.Aborted)) })
