Placement: an endpoint that fails requests more often than others gets few of them

Callers saw: of two heads of a model, the one that answered with bytes that are no response got most of the streams, each ended with 502; of three plain endpoints about its part.

Cause: placement takes load for room, and an endpoint that fails at once holds nothing. Of the ends that an endpoint causes, `garbled`, `foreign` and `failed` (its own 500) left no trace; `broken-off` held it off for 1.5 s, on each node for itself, which at 330 nodes changes nothing.

Change: `EndpointFailures` counts failures and answers of each endpoint (half-life 2 s). By how much its share of failures exceeds the mean of the others of its pool adds to the expected time, in `place` and in the forecast by which nodes predict each other. Nodes share the counts in the aggregate (field `failures`, absent while no endpoint fails). A request that several endpoints failed and none answered counts against none of them; failures at the same moment count once; silences, timeouts, refusals and callers that leave don't count; what a head failed in a former formation is forgotten.

Why it works: an empty endpoint that fails is told from an idle one by what came of its requests, seen by all nodes together. Only the difference from the others counts, so bad requests and faults of all endpoints move nothing.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/ObservationCodec.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/ObservationCodec.test.ts
@@ -30,6 +30,20 @@
     expect(createCodec('g1', 'g2').decodeFleet(createCodec('g1', 'g2').encodeFleet(FLEET))).to.deep.equal(FLEET)
   })
 
+  it('decodes failures, and sends nothing while no endpoint fails', () => {
+    const failures = { g1: { failures: 2.25, answers: 31.5 } }
+    const codec = createCodec('g1', 'g2')
+    expect(codec.decodeFleet(codec.encodeFleet({ ...FLEET, failures }))).to.deep.equal({ ...FLEET, failures })
+    expect(codec.encodeFleet(FLEET)).to.not.have.property('failures')
+  })
+
+  // Guards against a frame that keeps all requests away from an endpoint.
+  it('drops failures that no correct node sends', () => {
+    const codec = createCodec('g1', 'g2')
+    const failures = { g1: { failures: -3, answers: 0 }, g2: { failures: Infinity, answers: 1 } }
+    expect(codec.decode(codec.encode({ ...FLEET, failures })).failures).to.deep.equal({})
+  })
+
   it('drops endpoints that are not listed at this node', () => {
     expect(createCodec('g1').decodeFleet(createCodec('g1', 'g2').encodeFleet(FLEET)).inFlight).to.deep.equal({ g1: 4 })
   })
--- a/packages/dotterelspur-gateway/src/connection/ObservationCodec.ts
+++ b/packages/dotterelspur-gateway/src/connection/ObservationCodec.ts
@@ -1,4 +1,4 @@
-import { hashText, RETURN_BUCKETS, validClassSamples, type ClassSample, type ClassSamples, type EndpointId, type FleetObservation, type NodeObservation } from 'dotterelspur'
+import { hashText, RETURN_BUCKETS, validClassSamples, type ClassSample, type ClassSamples, type EndpointId, type FailureSample, type FleetObservation, type NodeObservation } from 'dotterelspur'
 
 /** Rates and sums are sent as integer hundredths, which take two or three bytes each instead of the nine of a double. */
 const HUNDREDTHS = 100
@@ -34,6 +34,8 @@
   readonly returns?: NamedNumbers
   /** Absent where no endpoint is cold. */
   readonly cold?: readonly number[]
+  /** Absent where no endpoint fails requests. */
+  readonly failures?: readonly number[]
 }
 
 /** The wire form of the sum of all nodes' observations. */
@@ -58,7 +60,7 @@
     }
   }
 
-  encode ({ inFlight, flows, demand, speeds, pauses, firstEvents, deadlines, limits, rests, leaving, classes, returns, cold }: NodeObservation): EncodedObservation {
+  encode ({ inFlight, flows, demand, speeds, pauses, firstEvents, deadlines, limits, rests, leaving, classes, returns, cold, failures }: NodeObservation): EncodedObservation {
     return {
       inFlight: Object.entries(inFlight).flatMap(([endpoint, count]) => [this.codeOf(endpoint), count]),
       speeds: Object.entries(speeds).flatMap(([endpoint, speed]) => [this.codeOf(endpoint), hundredths(speed.ratioSum), hundredths(speed.pauses)]),
@@ -73,11 +75,12 @@
       leaving: leaving.map((endpoint) => this.codeOf(endpoint)),
       ...(classes === undefined ? {} : { classes: encodeClasses(classes) }),
       ...(returns === undefined ? {} : { returns: encodeReturns(returns) }),
-      ...(cold === undefined ? {} : { cold: Object.entries(cold).flatMap(([endpoint, leftMs]) => [this.codeOf(endpoint), Math.ceil(leftMs)]) })
+      ...(cold === undefined ? {} : { cold: Object.entries(cold).flatMap(([endpoint, leftMs]) => [this.codeOf(endpoint), Math.ceil(leftMs)]) }),
+      ...(failures === undefined ? {} : { failures: Object.entries(failures).flatMap(([endpoint, sample]) => [this.codeOf(endpoint), hundredths(sample.failures), hundredths(sample.answers)]) })
     }
   }
 
-  decode ({ inFlight, flows, demand, speeds, pauses, firstEvents, deadlines, leastDeadlineShare, limits = [], rests = [], leaving = [], classes, returns, cold }: EncodedObservation): NodeObservation {
+  decode ({ inFlight, flows, demand, speeds, pauses, firstEvents, deadlines, leastDeadlineShare, limits = [], rests = [], leaving = [], classes, returns, cold, failures }: EncodedObservation): NodeObservation {
     return {
       inFlight: Object.fromEntries(this.decodeByEndpoint(inFlight, 1).map(([endpoint, [count]]) => [endpoint, count!])),
       speeds: Object.fromEntries(this.decodeByEndpoint(speeds, 2).map(([endpoint, [ratioSum, count]]) => [endpoint, { ratioSum: ratioSum! / HUNDREDTHS, pauses: count! / HUNDREDTHS }])),
@@ -94,7 +97,8 @@
       leaving: this.decodeByEndpoint(leaving, 0).map(([endpoint]) => endpoint),
       ...(isRecord(classes) ? { classes: decodeClasses(classes) } : {}),
       ...(!Array.isArray(returns) ? {} : { returns: decodeReturns(returns) }),
-      ...(!Array.isArray(cold) ? {} : { cold: Object.fromEntries(this.decodeByEndpoint(cold, 1).map(([endpoint, [leftMs]]) => [endpoint, leftMs!])) })
+      ...(!Array.isArray(cold) ? {} : { cold: Object.fromEntries(this.decodeByEndpoint(cold, 1).map(([endpoint, [leftMs]]) => [endpoint, leftMs!])) }),
+      ...(!Array.isArray(failures) ? {} : { failures: this.decodeFailures(failures) })
     }
   }
 
@@ -106,6 +110,12 @@
     return { ...this.decode(coded), nodes: coded.nodes, ageMs: coded.ageMs, intervalMs: coded.intervalMs }
   }
 
+  /** Drops samples that no correct node sends: they would keep all requests away from an endpoint. */
+  private decodeFailures (coded: readonly number[]): Record<EndpointId, FailureSample> {
+    const samples = this.decodeByEndpoint(coded, 2).filter(([, values]) => values.every((value) => Number.isFinite(value) && value >= 0))
+    return Object.fromEntries(samples.map(([endpoint, [failures, answers]]) => [endpoint, { failures: failures! / HUNDREDTHS, answers: answers! / HUNDREDTHS }]))
+  }
+
   private decodeByEndpoint (coded: readonly number[], width: number): Array<readonly [EndpointId, readonly number[]]> {
     return chunks(coded, width).flatMap(([code, values]) => {
       const endpoint = this.byCode.get(code)
--- a/packages/dotterelspur-gateway/src/process/Dispatch.ts
+++ b/packages/dotterelspur-gateway/src/process/Dispatch.ts
@@ -50,10 +50,10 @@
       endpointOf: (endpoint) => parts.endpoints.current.get(endpoint),
       // The failures of the last moments were those of this node's links, and requests that wait on them can go another way.
       onCutOff: () => {
-        this.health.clear()
+        this.forgetFailures()
         this.stallDetector.noteLinksLost()
       },
-      onLinked: (_endpoint, wasCutOff) => { if (wasCutOff) this.health.clear() }
+      onLinked: (_endpoint, wasCutOff) => { if (wasCutOff) this.forgetFailures() }
     })
     this.engineTiming = new EngineTiming(parts.manifest, this.fleetView)
     this.retryWindow = new RetryWindow(retries)
@@ -155,7 +155,7 @@
 
   place (query: DispatchQuery): DispatchTarget | PlacementRefusal {
     const { parts, health, fleetView } = this
-    const { load, speeds, backpressure } = fleetView
+    const { load, speeds, failures, backpressure } = fleetView
     fleetView.checkFreshness()
     const nowMs = parts.clock.nowMs()
     const sender = this.ownPosition()
@@ -174,6 +174,7 @@
       load,
       health,
       speeds,
+      failures,
       backpressure,
       classes: fleetView.classes,
       capacity: fleetView.capacity,
@@ -290,7 +291,7 @@
 
   private noteEndpoints (endpoints: ReadonlyMap<EndpointId, EndpointRecord>): void {
     const ids = new Set(endpoints.keys())
-    this.fleetView.retain(ids)
+    this.fleetView.noteEndpoints(endpoints)
     this.health.retain(ids)
     this.backpressureLog.retain(ids)
     this.stallDetector.retain(ids)
@@ -304,6 +305,11 @@
     this.fleetView.updatePools([...this.pools.values()])
   }
 
+  private forgetFailures (): void {
+    this.health.clear()
+    this.fleetView.failures.clear()
+  }
+
   private ownPosition (): SenderPosition {
     const { senders, node, failureDomain } = this.parts
     this.coldEndpoints.noteSenders()
--- a/packages/dotterelspur-gateway/src/process/FleetView.ts
+++ b/packages/dotterelspur-gateway/src/process/FleetView.ts
@@ -1,6 +1,6 @@
 import {
-  ClassAdmission, DeadlineHistory, DemandMeter, EMPTY_MEMORY, EndpointBackpressure, EndpointSpeeds, FirstEventDelays, loadPool, readFleetMemory, ReturnSchedule, StatedCapacity, updateFleetMemory, StreamPauses, TargetLoad,
-  type Clock, type ColdBounds, type EndpointId, type FleetMemory, type FleetObservation, type NodeId, type NodeObservation, type TargetPool
+  ClassAdmission, DeadlineHistory, DemandMeter, EMPTY_MEMORY, EndpointBackpressure, EndpointFailures, EndpointSpeeds, FirstEventDelays, loadPool, readFleetMemory, ReturnSchedule, StatedCapacity, updateFleetMemory, StreamPauses, TargetLoad,
+  type Clock, type ColdBounds, type EndpointId, type EndpointRecord, type FleetMemory, type FleetObservation, type NodeId, type NodeObservation, type TargetPool
 } from 'dotterelspur'
 import { LogKind, type DecisionLog } from './DecisionLog.js'
 
@@ -12,6 +12,7 @@
   readonly load = new TargetLoad()
   readonly capacity = new StatedCapacity()
   readonly speeds = new EndpointSpeeds()
+  readonly failures = new EndpointFailures()
   readonly demand = new DemandMeter()
   readonly classes = new ClassAdmission()
   readonly pauses = new StreamPauses()
@@ -44,6 +45,7 @@
     const nowMs = this.clock.nowMs()
     const classes = this.classes.localObservation(nowMs)
     const returns = this.returns.localObservation(nowMs)
+    const failures = this.failures.localObservation(nowMs)
     return {
       ...(classes === undefined ? {} : { classes }),
       inFlight: this.load.reportInFlight(),
@@ -57,6 +59,7 @@
       rests: this.backpressure.backoffs.localObservation(nowMs),
       leaving: this.backpressure.localLeaving(),
       ...(returns === undefined ? {} : { returns }),
+      ...(failures === undefined ? {} : { failures }),
       ...this.observeCold(nowMs)
     }
   }
@@ -73,6 +76,7 @@
     const nowMs = this.clock.nowMs()
     this.load.applyFleetObservation(fleet, nowMs)
     this.speeds.applyFleetObservation(fleet.speeds)
+    this.failures.applyFleetObservation(fleet.failures, nowMs)
     this.demand.applyFleetObservation(fleet.demand)
     this.classes.applyFleetObservation(fleet.classes)
     this.pauses.applyFleetObservation(fleet.pauses)
@@ -96,11 +100,13 @@
     this.pools = pools
     const nowMs = this.clock.nowMs()
     this.capacity.updatePools(pools)
-    this.load.updateForecasts(pools.map((pool) => loadPool(pool, this.speeds, this.backpressure, nowMs, this.capacity)), nowMs)
+    this.load.updateForecasts(pools.map((pool) => loadPool(pool, this.speeds, this.backpressure, nowMs, this)), nowMs)
   }
 
   /** Evicts endpoints that are no longer listed. */
-  retain (endpoints: ReadonlySet<EndpointId>): void {
+  noteEndpoints (records: ReadonlyMap<EndpointId, EndpointRecord>): void {
+    const endpoints = new Set(records.keys())
+    this.failures.noteEndpoints(records)
     this.load.retain(endpoints)
     this.capacity.retain(endpoints)
     this.speeds.retain(endpoints)
--- a/packages/dotterelspur-gateway/src/request/EndpointRun.ts
+++ b/packages/dotterelspur-gateway/src/request/EndpointRun.ts
@@ -1,5 +1,5 @@
 import type { Dispatcher } from 'undici'
-import { EventCursor, EXCHANGE_RULES, ExchangeEnd, RequestKind, type DispatchTarget, type RunArrival } from 'dotterelspur'
+import { EventCursor, EXCHANGE_RULES, ExchangeEnd, RequestKind, type DispatchTarget, type RequestFailures, type RunArrival } from 'dotterelspur'
 import { forwardedHeaders, isEventStream } from '../connection/headers.js'
 import { RESPONSE_LIMIT_BYTES } from '../connection/responseLimits.js'
 import { LogKind } from '../process/DecisionLog.js'
@@ -11,6 +11,9 @@
 import type { GatewayRequestParts } from './GatewayRequest.js'
 
 const FIRST_REDIRECT = 300
+const GATEWAY_TIMEOUT = 504
+/** A timeout that an endpoint reports after this share of the time that it was given is the request's, and not its failure. */
+const LATE_SHARE = 0.5
 /**
  * Bytes of an incomplete event that show that the endpoint works; a large event comes in pieces of this size or larger. An endpoint that
  * sends a few bytes of one event again and again counts as silent, so that its stream continues elsewhere.
@@ -39,6 +42,7 @@
   readonly lastEventId: string | null
   readonly leftMs: number
   readonly arrival: RunArrival
+  readonly failures: RequestFailures
 }
 
 /** One exchange of a request with one endpoint, and what it has received of the response. */
@@ -237,11 +241,20 @@
       this.lossRecorded = poison.noteLoss({ requestId, content, target, events: this.eventCount, tookMs: clock.nowMs() - this.createdAtMs, besides: dispatch.ownInFlight(target), wasRelayed, stream: this.stream })
     }
     if (EXCHANGE_RULES[end].penalizesEndpoint) dispatch.noteFailure(target, end)
+    this.noteOutcome(end, buffered)
     this.listener.onEnd(this, end, buffered)
     // The run is kept until its request ends.
     this.cursor.dropPartialEvent()
   }
 
+  private noteOutcome (end: ExchangeEnd, buffered: BufferedResponse | null): void {
+    const { target: { endpoint }, failures, leftMs } = this.options
+    const nowMs = this.parts.clock.nowMs()
+    if (end === ExchangeEnd.Answered) failures.noteAnswer(endpoint, nowMs)
+    const isOutOfTime = buffered?.status === GATEWAY_TIMEOUT && nowMs - this.createdAtMs > leftMs * LATE_SHARE
+    if (EXCHANGE_RULES[end].countsAsFailure && !isOutOfTime) failures.noteFailure(endpoint, this.sentAtMs ?? this.createdAtMs, nowMs)
+  }
+
   private requestOptions (): Dispatcher.DispatchOptions {
     const { request, content: { body }, workspace, priority, head } = this.admitted
     const headers = this.parts.wire.writeForwardedHeaders(forwardedHeaders(request.rawHeaders), {
--- a/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
+++ b/packages/dotterelspur-gateway/src/request/GatewayRequest.ts
@@ -1,5 +1,5 @@
 import {
-  DispatchEffectKind, DispatchEndKind, EXCHANGE_RULES, ExchangeEnd, RequestArrivals, RequestKind, runDispatch, runProcedure,
+  DispatchEffectKind, DispatchEndKind, EXCHANGE_RULES, ExchangeEnd, RequestArrivals, RequestFailures, RequestKind, runDispatch, runProcedure,
   type Clock, type DispatchEnd, type DispatchTarget, type ExchangeEffect, type ExchangeReport, type PlaceEffect, type PlacementRefusal, type RetryTicket, type Route, type Teardown
 } from 'dotterelspur'
 import type { SocketPolls } from '../connection/SocketPolls.js'
@@ -39,6 +39,7 @@
 export class GatewayRequest implements EndpointRunListener {
   private readonly runs = new OpenRuns()
   private readonly arrivals = new RequestArrivals()
+  private readonly failures: RequestFailures
   /** The run that has continued the response last. */
   private currentRun: EndpointRun | null = null
   /** The last event that the caller has. */
@@ -60,6 +61,7 @@
   constructor (private readonly parts: GatewayRequestParts, private readonly admitted: AdmittedRequest, private readonly response: CallerResponse) {
     const { route, head, arrivedAtMs } = admitted
     this.lastEventId = head.lastEventId
+    this.failures = new RequestFailures(parts.dispatch.fleetView.failures)
     this.deadlineAtMs = arrivedAtMs + Math.min(route.timeoutMs, head.deadlineMs ?? Infinity)
     this.wait = new PlacementWait(parts, admitted, this.deadlineAtMs)
   }
@@ -92,6 +94,7 @@
       [DispatchEffectKind.SpendRetry]: () => this.takeRetry()
     }).finally(() => { this.releaseRetry() })
     cancelDeadline()
+    this.failures.settle(this.parts.clock.nowMs())
     // The caller disconnected while its request waited: nobody receives the rejection.
     const end = this.stoppedWith === ExchangeEnd.CallerLeft && dispatched.kind === DispatchEndKind.NotRun ? { ...dispatched, kind: DispatchEndKind.CallerLeft, refusal: null } : dispatched
     const retryAfterMs = retryAfterMsOf(end, this.parts.stopAdmission)
@@ -211,7 +214,7 @@
 
   private startRun (target: DispatchTarget, mayRetry: boolean): void {
     this.targets.push(target.endpoint)
-    const run = new EndpointRun(this.parts, this.admitted, { target, mayRetry, lastEventId: this.lastEventId, leftMs: this.leftMs(), arrival: this.arrivals.begin(this.retry) }, this)
+    const run = new EndpointRun(this.parts, this.admitted, { target, mayRetry, lastEventId: this.lastEventId, leftMs: this.leftMs(), arrival: this.arrivals.begin(this.retry), failures: this.failures }, this)
     this.retry = null
     this.runs.add(run)
     run.start()
--- a/packages/dotterelspur/src/request/dispatch/ExchangeEnd.ts
+++ b/packages/dotterelspur/src/request/dispatch/ExchangeEnd.ts
@@ -36,6 +36,8 @@
   readonly mayRetryElsewhere: boolean
   /** The endpoint is avoided for a while. */
   readonly penalizesEndpoint: boolean
+  /** Counts as a failure of the endpoint, unless the request proves to fail anywhere. */
+  readonly countsAsFailure: boolean
   /** The endpoint may have terminated, possibly because of the request. */
   readonly mayHaveCrashedEndpoint: boolean
   /** This node ended the exchange: a request that was sent may still arrive. */
@@ -48,17 +50,17 @@
  * belongs to another request.
  */
 export const EXCHANGE_RULES: Readonly<Record<ExchangeEnd, ExchangeRule>> = {
-  [ExchangeEnd.Answered]: { provesNotRun: false, mayRetryElsewhere: false, penalizesEndpoint: false, mayHaveCrashedEndpoint: false, mayArriveLater: false },
-  [ExchangeEnd.Failed]: { provesNotRun: false, mayRetryElsewhere: true, penalizesEndpoint: false, mayHaveCrashedEndpoint: false, mayArriveLater: false },
-  [ExchangeEnd.Rejected]: { provesNotRun: true, mayRetryElsewhere: true, penalizesEndpoint: false, mayHaveCrashedEndpoint: false, mayArriveLater: false },
-  [ExchangeEnd.Misdirected]: { provesNotRun: true, mayRetryElsewhere: true, penalizesEndpoint: true, mayHaveCrashedEndpoint: false, mayArriveLater: false },
-  [ExchangeEnd.NotConnected]: { provesNotRun: true, mayRetryElsewhere: true, penalizesEndpoint: true, mayHaveCrashedEndpoint: false, mayArriveLater: false },
-  [ExchangeEnd.BrokenOff]: { provesNotRun: false, mayRetryElsewhere: true, penalizesEndpoint: true, mayHaveCrashedEndpoint: true, mayArriveLater: false },
-  [ExchangeEnd.Garbled]: { provesNotRun: false, mayRetryElsewhere: true, penalizesEndpoint: false, mayHaveCrashedEndpoint: false, mayArriveLater: false },
-  [ExchangeEnd.Foreign]: { provesNotRun: false, mayRetryElsewhere: true, penalizesEndpoint: false, mayHaveCrashedEndpoint: false, mayArriveLater: false },
-  [ExchangeEnd.Silent]: { provesNotRun: false, mayRetryElsewhere: true, penalizesEndpoint: true, mayHaveCrashedEndpoint: false, mayArriveLater: false },
-  [ExchangeEnd.Superseded]: { provesNotRun: false, mayRetryElsewhere: false, penalizesEndpoint: false, mayHaveCrashedEndpoint: false, mayArriveLater: true },
-  [ExchangeEnd.TimedOut]: { provesNotRun: false, mayRetryElsewhere: false, penalizesEndpoint: false, mayHaveCrashedEndpoint: false, mayArriveLater: true },
-  [ExchangeEnd.Stopped]: { provesNotRun: false, mayRetryElsewhere: false, penalizesEndpoint: false, mayHaveCrashedEndpoint: false, mayArriveLater: true },
-  [ExchangeEnd.CallerLeft]: { provesNotRun: false, mayRetryElsewhere: false, penalizesEndpoint: false, mayHaveCrashedEndpoint: false, mayArriveLater: true }
+  [ExchangeEnd.Answered]: { provesNotRun: false, mayRetryElsewhere: false, penalizesEndpoint: false, countsAsFailure: false, mayHaveCrashedEndpoint: false, mayArriveLater: false },
+  [ExchangeEnd.Failed]: { provesNotRun: false, mayRetryElsewhere: true, penalizesEndpoint: false, countsAsFailure: true, mayHaveCrashedEndpoint: false, mayArriveLater: false },
+  [ExchangeEnd.Rejected]: { provesNotRun: true, mayRetryElsewhere: true, penalizesEndpoint: false, countsAsFailure: false, mayHaveCrashedEndpoint: false, mayArriveLater: false },
+  [ExchangeEnd.Misdirected]: { provesNotRun: true, mayRetryElsewhere: true, penalizesEndpoint: true, countsAsFailure: false, mayHaveCrashedEndpoint: false, mayArriveLater: false },
+  [ExchangeEnd.NotConnected]: { provesNotRun: true, mayRetryElsewhere: true, penalizesEndpoint: true, countsAsFailure: false, mayHaveCrashedEndpoint: false, mayArriveLater: false },
+  [ExchangeEnd.BrokenOff]: { provesNotRun: false, mayRetryElsewhere: true, penalizesEndpoint: true, countsAsFailure: true, mayHaveCrashedEndpoint: true, mayArriveLater: false },
+  [ExchangeEnd.Garbled]: { provesNotRun: false, mayRetryElsewhere: true, penalizesEndpoint: false, countsAsFailure: true, mayHaveCrashedEndpoint: false, mayArriveLater: false },
+  [ExchangeEnd.Foreign]: { provesNotRun: false, mayRetryElsewhere: true, penalizesEndpoint: false, countsAsFailure: true, mayHaveCrashedEndpoint: false, mayArriveLater: false },
+  [ExchangeEnd.Silent]: { provesNotRun: false, mayRetryElsewhere: true, penalizesEndpoint: true, countsAsFailure: false, mayHaveCrashedEndpoint: false, mayArriveLater: false },
+  [ExchangeEnd.Superseded]: { provesNotRun: false, mayRetryElsewhere: false, penalizesEndpoint: false, countsAsFailure: false, mayHaveCrashedEndpoint: false, mayArriveLater: true },
+  [ExchangeEnd.TimedOut]: { provesNotRun: false, mayRetryElsewhere: false, penalizesEndpoint: false, countsAsFailure: false, mayHaveCrashedEndpoint: false, mayArriveLater: true },
+  [ExchangeEnd.Stopped]: { provesNotRun: false, mayRetryElsewhere: false, penalizesEndpoint: false, countsAsFailure: false, mayHaveCrashedEndpoint: false, mayArriveLater: true },
+  [ExchangeEnd.CallerLeft]: { provesNotRun: false, mayRetryElsewhere: false, penalizesEndpoint: false, countsAsFailure: false, mayHaveCrashedEndpoint: false, mayArriveLater: true }
 }
--- a/packages/dotterelspur/src/request/dispatch/FleetObservation.ts
+++ b/packages/dotterelspur/src/request/dispatch/FleetObservation.ts
@@ -2,6 +2,7 @@
 import { agedSample, latestSample, type RateLimitSample } from '../backpressure/RateLimitSample.js'
 import { addClassSamples, type ClassSamples } from './ClassDemand.js'
 import { NO_DEADLINES_OBSERVED, type DeadlineObservation } from './DeadlineObservation.js'
+import { significantFailures } from './EndpointFailures.js'
 import { significantSpeeds } from './EndpointSpeeds.js'
 import { addCounts, laterCounts } from './ReturnCounts.js'
 
@@ -43,6 +44,12 @@
   readonly nodes: number
 }
 
+/** Requests that an endpoint failed by its own fault, and that it answered; both decay with `FAILURE_HALF_LIFE_MS`. */
+export interface FailureSample {
+  readonly failures: number
+  readonly answers: number
+}
+
 /** Callers that will retry, in consecutive buckets of `RETURN_BUCKET_MS` from now on. */
 export type ReturnCounts = readonly number[]
 
@@ -55,6 +62,9 @@
 /** Speed samples decay with this half-life, so that a slow endpoint is eventually tried again. */
 export const SPEED_HALF_LIFE_MS = 4_000
 
+/** Failures decay with this half-life: an endpoint that failed several requests is tried again after a few seconds. */
+export const FAILURE_HALF_LIFE_MS = 2_000
+
 /**
  * One node's observation of the fleet. It holds the state at the time of sending, never a difference from an earlier
  * observation, so a lost, duplicated or reordered message has no lasting effect.
@@ -80,6 +90,8 @@
   readonly returns?: Readonly<Record<PoolKey, ReturnCounts>>
   /** Remaining cold time that endpoints stated to this node. Absent where none is cold, and from nodes of the previous release. */
   readonly cold?: Readonly<Record<EndpointId, number>>
+  /** Endpoints that fail requests. Absent where none does, and from nodes of the previous release. */
+  readonly failures?: Readonly<Record<EndpointId, FailureSample>>
 }
 
 /** The aggregate of all nodes' observations. Every node receives the same one and subtracts its own part itself. */
@@ -135,8 +147,8 @@
     const valid = [...this.received.values()].filter(({ atMs }) => nowMs - atMs <= VALID_ROUNDS * intervalMs)
     const ageSumMs = valid.reduce((sum, { atMs }) => sum + nowMs - atMs, 0)
     const all = [own, ...valid.map(({ observation, atMs }) => ({ ...observation, limits: agedRateLimits(observation.limits, nowMs - atMs), rests: agedTimes(observation.rests, nowMs - atMs), ...agedReturns(observation, nowMs - atMs), ...coldPart([agedTimes(observation.cold ?? {}, nowMs - atMs)]) }))]
-    const sum = addObservations(all)
-    return { ...sum, speeds: significantSpeeds(sum.speeds), nodes: all.length, ageMs: ageSumMs / all.length, intervalMs }
+    const { failures = {}, ...sum } = addObservations(all)
+    return { ...sum, ...failuresPart(significantFailures(failures)), speeds: significantSpeeds(sum.speeds), nodes: all.length, ageMs: ageSumMs / all.length, intervalMs }
   }
 }
 
@@ -158,10 +170,16 @@
     rests: mergeByKey(all.map(({ rests }) => rests), Math.max),
     leaving: [...new Set(all.flatMap(({ leaving }) => leaving))],
     ...addReturns(all),
-    ...coldPart(all.map(({ cold = {} }) => cold))
+    ...coldPart(all.map(({ cold = {} }) => cold)),
+    ...failuresPart(mergeByKey(all.map(({ failures = {} }) => failures), (left, right) => ({ failures: left.failures + right.failures, answers: left.answers + right.answers })))
   }
 }
 
+/** Empty where no endpoint fails requests. */
+function failuresPart (failures: Readonly<Record<EndpointId, FailureSample>>): Pick<NodeObservation, 'failures'> {
+  return Object.keys(failures).length === 0 ? {} : { failures }
+}
+
 /** Absent where no node has told a caller to retry, so that the frames are those of the previous build. */
 function addReturns (all: readonly NodeObservation[]): Pick<NodeObservation, 'returns'> {
   const present = all.map(({ returns }) => returns).filter((returns) => returns !== undefined)
--- a/packages/dotterelspur/src/request/dispatch/LoadForecast.ts
+++ b/packages/dotterelspur/src/request/dispatch/LoadForecast.ts
@@ -1,4 +1,5 @@
 import type { EndpointId } from '../../process/ids.js'
+import { failureCostMs } from './EndpointFailures.js'
 import type { SenderPosition } from './SenderPosition.js'
 
 /** Step of a low-discrepancy sequence: any number of consecutive points lies about evenly between 0 and 1. */
@@ -21,6 +22,11 @@
   readonly capacityFactor?: number
 }
 
+/** By how much more often each endpoint fails requests than the others, from 0 to 1; empty where none does. */
+export type FailureShares = (nowMs: number) => ReadonlyMap<EndpointId, number>
+
+const NO_FAILURES: FailureShares = () => new Map()
+
 /** The load at which a usual request takes a given time at a usual endpoint that runs at its declared speed; rises with the time. */
 export type LoadAtLatency = (timeMs: number) => number
 
@@ -85,7 +91,7 @@
 
   private readonly endpoints: readonly ForecastEndpoint[]
 
-  constructor (endpoints: readonly ForecastEndpoint[], private readonly loadAtLatency: LoadAtLatency, private readonly flow: PoolFlow, nowMs: number) {
+  constructor (endpoints: readonly ForecastEndpoint[], private readonly loadAtLatency: LoadAtLatency, private readonly flow: PoolFlow, nowMs: number, private readonly failureShares: FailureShares = NO_FAILURES) {
     this.indexes = new Map(endpoints.map(({ endpoint }, index) => [endpoint, index]))
     this.endpoints = withRampUp(endpoints)
     this.observedAtMs = nowMs - flow.ageMs
@@ -107,10 +113,11 @@
    * everything until the average is reached and nothing afterwards, all of them would alternate between refusing all
    * and dispatching all, from one aggregate to the next.
    */
-  admitted (maxLoad: number): number {
+  admitted (maxLoad: number, nowMs: number): number {
+    const shares = this.failureShares(nowMs)
     const remainingShare = Math.exp(-(this.flow.ageMs + this.flow.intervalMs) / this.holdMs)
     const offered = this.flow.offeredPerMs * this.holdMs * (1 - remainingShare)
-    const room = this.endpoints.reduce((sum, { present, maxPerMs }) => sum + Math.min(maxLoad - present * remainingShare, this.maxRemaining(maxPerMs, remainingShare)), 0)
+    const room = this.endpoints.reduce((sum, { endpoint, present, maxPerMs }) => sum + (1 - (shares.get(endpoint) ?? 0)) * Math.min(maxLoad - present * remainingShare, this.maxRemaining(maxPerMs, remainingShare)), 0)
     return offered <= 0 ? 1 : Math.max(0, Math.min(1, room / offered))
   }
 
@@ -144,8 +151,10 @@
   private forecast (nowMs: number): ForecastPoint {
     const remainingShare = Math.exp(-(nowMs - this.observedAtMs) / this.holdMs)
     const arrived = this.flow.dispatchedPerMs * this.holdMs * (1 - remainingShare)
-    const arrivals = this.fill(remainingShare, arrived)
-    const later = this.fill(remainingShare, arrived + LOOKAHEAD_PER_ENDPOINT * this.endpoints.length)
+    const shares = this.failureShares(nowMs)
+    const costsMs = this.endpoints.map(({ endpoint }) => failureCostMs(shares.get(endpoint) ?? 0))
+    const arrivals = this.fill(remainingShare, costsMs, arrived)
+    const later = this.fill(remainingShare, costsMs, arrived + LOOKAHEAD_PER_ENDPOINT * this.endpoints.length)
     let sum = 0
     const cumulativeShares = later.map((room, index) => (sum += room - arrivals[index]!))
     return { atMs: nowMs, remainingShare, arrivals, cumulativeShares }
@@ -155,16 +164,16 @@
    * How many of the arrivals go to each endpoint, so that all endpoints that get any take the same time afterwards. The sum exceeds the
    * arrivals by one request at most, however much an endpoint takes in a step of the level.
    */
-  private fill (remainingShare: number, arrivals: number): number[] {
+  private fill (remainingShare: number, costsMs: readonly number[], arrivals: number): number[] {
     let lowMs = 0
     let highMs = MAX_LEVEL_MS
     for (let step = 0; step < LEVEL_STEPS; step++) {
       const middleMs = (lowMs + highMs) / 2
-      if (total(this.capacities(middleMs, remainingShare)) < arrivals) lowMs = middleMs
+      if (total(this.capacities(middleMs, remainingShare, costsMs)) < arrivals) lowMs = middleMs
       else highMs = middleMs
     }
-    const low = this.capacities(lowMs, remainingShare)
-    const high = this.capacities(highMs, remainingShare)
+    const low = this.capacities(lowMs, remainingShare, costsMs)
+    const high = this.capacities(highMs, remainingShare, costsMs)
     const lowSum = total(low)
     const step = total(high) - lowSum
     if (step <= 1) return high
@@ -172,9 +181,9 @@
     return high.map((room, index) => low[index]! + share * (room - low[index]!))
   }
 
-  private capacities (levelMs: number, remainingShare: number): number[] {
-    return this.endpoints.map(({ present, slowness, maxPerMs, capacityFactor = 1 }) => {
-      const room = Math.max(0, capacityFactor * this.loadAtLatency(levelMs / slowness) - present * remainingShare)
+  private capacities (levelMs: number, remainingShare: number, costsMs: readonly number[]): number[] {
+    return this.endpoints.map(({ present, slowness, maxPerMs, capacityFactor = 1 }, index) => {
+      const room = Math.max(0, capacityFactor * this.loadAtLatency((levelMs - costsMs[index]!) / slowness) - present * remainingShare)
       return Math.min(room, this.maxRemaining(maxPerMs, remainingShare))
     })
   }
--- a/packages/dotterelspur/src/request/dispatch/Placement.ts
+++ b/packages/dotterelspur/src/request/dispatch/Placement.ts
@@ -3,6 +3,7 @@
 import type { EndpointBackpressure } from '../backpressure/EndpointBackpressure.js'
 import type { ClassAdmission, ClassDecision } from './ClassAdmission.js'
 import { describeClass, loadFactorOfClass, shareOfClass } from './shareOfClass.js'
+import { failureCostMs, type EndpointFailures } from './EndpointFailures.js'
 import type { EndpointHealth } from './EndpointHealth.js'
 import type { EndpointSpeeds } from './EndpointSpeeds.js'
 import { eventGapMs, firstEventMs, loadCurve, paceOf } from './EngineTimes.js'
@@ -73,6 +74,8 @@
   readonly load: TargetLoad
   readonly health: EndpointHealth
   readonly speeds: EndpointSpeeds
+  /** Where absent, no endpoint fails more often than others. */
+  readonly failures?: EndpointFailures
   readonly backpressure: EndpointBackpressure
   /** Where absent, all endpoints count with the slots that their entries state. */
   readonly capacity?: StatedCapacity
@@ -197,9 +200,10 @@
 }
 
 function bestOf (targets: readonly DispatchTarget[], query: PlacementQuery, input: PlacementInput): Candidate {
-  const { pool, load, nodes } = input
+  const { pool, load, failures, nodes } = input
   const usualLoad = load.hasFreshObservation(input.nowMs) ? 0 : load.usual(pool.key, usualSlots(pool), pool.targets.size, nodes)
-  const candidates = targets.map((target) => scoreTarget(target, usualLoad, query, input))
+  const shares = failures?.excessShares(pool.targets.keys(), input.nowMs)
+  const candidates = targets.map((target) => scoreTarget(target, usualLoad, failureCostMs(shares?.get(target.endpoint) ?? 0), query, input))
   return candidates.reduce((left, right) => right.cost < left.cost ? right : left)
 }
 
@@ -239,7 +243,7 @@
   return Math.min(query.leftMs, query.alreadyLate ? firstEventDelayMs + freeSlotMs : onTimeMs)
 }
 
-function scoreTarget (target: DispatchTarget, usualLoad: number, query: PlacementQuery, input: PlacementInput): Candidate {
+function scoreTarget (target: DispatchTarget, usualLoad: number, failingMs: number, query: PlacementQuery, input: PlacementInput): Candidate {
   const { pool: { engine }, load, health, backpressure, speeds, firstEventDelayMs, nowMs } = input
   const present = load.estimate(target.endpoint, usualLoad, nowMs)
   const slowness = speeds.slowness(target.endpoint, nowMs)
@@ -247,7 +251,7 @@
   const heldOffMs = health.isHeldOff(target.endpoint, nowMs) || backpressure.backoffs.isBackingOff(target.endpoint, nowMs) ? HELD_OFF_PENALTY_MS : 0
   const remoteDomainMs = target.failureDomain === input.ownFailureDomain ? 0 : REMOTE_DOMAIN_PENALTY_MS
   const slowStreamMs = isTooSlow(target, present, slowness, query, input) ? SLOW_STREAM_PENALTY_MS : 0
-  return { target, expectedMs, cost: expectedMs + heldOffMs + remoteDomainMs + slowStreamMs + JITTER_MS * input.random.next() }
+  return { target, expectedMs, cost: expectedMs + failingMs + heldOffMs + remoteDomainMs + slowStreamMs + JITTER_MS * input.random.next() }
 }
 
 /** Whether the pauses between a stream's events will be longer than the target. */
--- a/packages/dotterelspur/src/request/dispatch/TargetLoad.ts
+++ b/packages/dotterelspur/src/request/dispatch/TargetLoad.ts
@@ -1,7 +1,7 @@
 import type { EndpointId } from '../../process/ids.js'
 import { DecayedSum, ratePerMs } from './DecayedSum.js'
 import { FLOW_HALF_LIFE_MS, type FleetObservation, type FlowSample, type PoolKey } from './FleetObservation.js'
-import { LoadForecast, type LoadAtLatency, type ForecastEndpoint } from './LoadForecast.js'
+import { LoadForecast, type FailureShares, type LoadAtLatency, type ForecastEndpoint } from './LoadForecast.js'
 import type { SenderPosition } from './SenderPosition.js'
 
 /** The load that an endpoint states with a response. */
@@ -46,6 +46,8 @@
   readonly key: PoolKey
   readonly endpoints: ReadonlyArray<Pick<ForecastEndpoint, 'endpoint' | 'slowness' | 'maxPerMs' | 'rampShare' | 'capacityFactor'>>
   readonly loadAtLatency: LoadAtLatency
+  /** Where absent, no endpoint fails more often than others. */
+  readonly failureShares?: FailureShares
 }
 
 /**
@@ -159,7 +161,7 @@
    * without a recent aggregate.
    */
   admitted (pool: PoolKey, maxLoad: number, nowMs: number): number | null {
-    return this.hasFreshObservation(nowMs) ? this.pools.get(pool)?.forecast?.admitted(maxLoad) ?? null : null
+    return this.hasFreshObservation(nowMs) ? this.pools.get(pool)?.forecast?.admitted(maxLoad, nowMs) ?? null : null
   }
 
   /** The rate at which a pool's endpoints can take requests on where a usual one has `slots`; null without a recent aggregate. */
@@ -184,7 +186,7 @@
     return all / endpoints
   }
 
-  private forecast ({ key, endpoints, loadAtLatency }: LoadPool, nowMs: number): LoadForecast {
+  private forecast ({ key, endpoints, loadAtLatency, failureShares }: LoadPool, nowMs: number): LoadForecast {
     const { fleetObservation } = this
     const flow = fleetObservation?.flows[key] ?? { asked: 0, sent: 0, ended: 0 }
     const present = endpoints.reduce((sum, { endpoint }) => sum + (fleetObservation?.inFlight[endpoint] ?? 0), 0)
@@ -199,7 +201,7 @@
       holdMs: endedPerMs === 0 ? Infinity : present / endedPerMs,
       ageMs: (fleetObservation?.ageMs ?? 0) + sinceReceivedMs,
       intervalMs: Math.max(0, (fleetObservation?.intervalMs ?? 0) - sinceReceivedMs)
-    }, nowMs)
+    }, nowMs, failureShares)
   }
 
   private forecastOf (endpoint: EndpointId): LoadForecast | null {
--- a/packages/dotterelspur/src/request/dispatch/TargetPool.ts
+++ b/packages/dotterelspur/src/request/dispatch/TargetPool.ts
@@ -2,6 +2,7 @@
 import { takesRequests, type EndpointRecord } from '../../version/formation/Endpoint.js'
 import type { EngineSpec } from '../../version/manifest/Manifest.js'
 import type { EndpointBackpressure } from '../backpressure/EndpointBackpressure.js'
+import type { EndpointFailures } from './EndpointFailures.js'
 import type { EndpointSpeeds } from './EndpointSpeeds.js'
 import { loadCurve, paceOf } from './EngineTimes.js'
 import type { PoolKey } from './FleetObservation.js'
@@ -65,12 +66,16 @@
   }))
 }
 
-/**
- * How much each endpoint of a pool takes, for the forecast of its load.
- *
- * @param capacity where absent, all endpoints count with what they state.
- */
-export function loadPool (pool: TargetPool, speeds: EndpointSpeeds, backpressure: EndpointBackpressure, nowMs: number, capacity?: StatedCapacity): LoadPool {
+/** What the responses of endpoints have shown. */
+export interface ShownByResponses {
+  /** Where absent, all endpoints count with what they state. */
+  readonly capacity?: StatedCapacity
+  /** Where absent, no endpoint fails more often than others. */
+  readonly failures?: EndpointFailures
+}
+
+/** How much each endpoint of a pool takes, for the forecast of its load. */
+export function loadPool (pool: TargetPool, speeds: EndpointSpeeds, backpressure: EndpointBackpressure, nowMs: number, { capacity, failures }: ShownByResponses = {}): LoadPool {
   const { key, targets, engine } = pool
   const [first] = targets.values()
   const usual = usualSlots(pool)
@@ -81,8 +86,9 @@
     rampShare: backpressure.cold.rampShare(target.endpoint, nowMs),
     capacityFactor: engine === null ? (capacity?.slotsOf(key, target) ?? target.slots) / usual : 1
   }))
-  if (engine === null || first === undefined) return { key, endpoints, loadAtLatency: (timeMs) => timeMs / PLAIN_REQUEST_MS * usual }
-  return { key, endpoints, loadAtLatency: loadCurve(engine, paceOf(engine, first), engine.usualPromptTokens) }
+  const failing = failures === undefined ? {} : { failureShares: (atMs: number) => failures.excessShares(targets.keys(), atMs) }
+  if (engine === null || first === undefined) return { ...failing, key, endpoints, loadAtLatency: (timeMs) => timeMs / PLAIN_REQUEST_MS * usual }
+  return { ...failing, key, endpoints, loadAtLatency: loadCurve(engine, paceOf(engine, first), engine.usualPromptTokens) }
 }
 
 function targetOf (record: EndpointRecord, maxConnections: number): DispatchTarget {
--- a/packages/dotterelspur/src/request/dispatch/__tests__/unit/StatedCapacity.test.ts
+++ b/packages/dotterelspur/src/request/dispatch/__tests__/unit/StatedCapacity.test.ts
@@ -71,7 +71,7 @@
       const aggregator = new FleetAggregator()
       for (let node = 1; node < NODES; node++) aggregator.note(`n${node + 1}`, own, nowMs)
       load.applyFleetObservation(aggregator.aggregate(own, ROUND_MS, nowMs), nowMs)
-      load.updateForecasts([loadPool(pool, speeds, backpressure, nowMs, capacity)], nowMs)
+      load.updateForecasts([loadPool(pool, speeds, backpressure, nowMs, { capacity })], nowMs)
     }
     load.noteArrival(POOL, nowMs)
     send(nowMs, [])
