Responses: heads and trailers of many fields end before they fill the heap

Callers of a node lost all their requests: a worker that sent heads without end, fields of few bytes, to 120 callers at once ended the process ("Reached heap limit").

Cause: the parser keeps an object for each name and each value of a head or of trailers, and an error for each field beyond its limit, and stops for nothing inside a read: one of 64 KB holds 10,900 fields, 2 MB of objects, and all connections that can be read in one turn of the event loop are parsed before any of them is closed. The limit of a head was looked at once a read, and counted bytes on the wire only.

The parser now gets what was read in parts (2 KB up to the first data, then 8 KB), with the limits in between: at most 1,024 lines of a head, informational responses included, and 4 KiB without data inside a body (trailers, chunk extensions). A head that goes on counts with its objects in what all responses may take.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/endlessResponses.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/endlessResponses.test.ts
@@ -165,6 +165,19 @@
     expect(endless.sentBytes()).to.be.lessThan(TRANSIT_BYTES)
   })
 
+  // Guards against heads that are small on the wire and large in memory, and are kept until the deadline.
+  it('end as garbled a head of very many short fields, without waiting for its end', async () => {
+    answerFirstWith(finite(() => STATUS_LINE + 'a: b\r\n'.repeat(2_000)))
+    expect((await call('once')).status).to.equal(502)
+    expect(world.lines.filter(({ event: kind }) => kind === 'response-limit').map(({ limit }) => limit)).to.deep.equal(['head'])
+  })
+
+  it('accept a head of some hundred fields, and trailers', async () => {
+    const fields = Array.from({ length: 400 }, (_unused, index) => `a${index}: b`)
+    answerFirstWith(finite((id) => headOf(id, CHUNKED, ...fields) + `5\r\nwhole\r\n0\r\n${'t: u\r\n'.repeat(400)}\r\n`))
+    expect(await call('once')).to.deep.equal({ status: 200, body: 'whole' })
+  })
+
   it('accept a short body in chunks of one byte, after informational responses', async () => {
     answerFirstWith(finite((id) => 'HTTP/1.1 103 Early Hints\r\na: b\r\n\r\n'.repeat(100) + headOf(id, CHUNKED) + '1\r\nx\r\n'.repeat(100_000) + '0\r\n\r\n'))
     expect(await call('once')).to.deep.equal({ status: 200, body: 'x'.repeat(100_000) })
--- a/packages/dotterelspur-gateway/src/connection/responseLimits.ts
+++ b/packages/dotterelspur-gateway/src/connection/responseLimits.ts
@@ -18,6 +18,12 @@
 /** The fields of one head; also the limit of Node.js. */
 export const MAX_HEAD_FIELD_BYTES = 16 * KIB
 
+/** Lines up to the end of the response's head, those of informational responses before it included. */
+export const MAX_HEAD_LINES = 1_024
+
+/** Chunk sizes and extensions before the next data, or trailers. */
+export const MAX_BYTES_WITHOUT_DATA = 4 * KIB
+
 /** Empty lines, which are allowed between responses, on a connection without request; all other bytes close it. */
 export const MAX_IDLE_BYTES = KIB
 
--- a/packages/dotterelspur-gateway/src/index.ts
+++ b/packages/dotterelspur-gateway/src/index.ts
@@ -1,4 +1,5 @@
 export { connectWithin } from './connection/connectWithin.js'
+export { readInParts } from './connection/readInParts.js'
 export * from './process/DecisionLog.js'
 export { ENDPOINT_PREFIX } from './process/EndpointRegistry.js'
 export { EVACUATION_PREFIX } from './process/EvacuationRegistry.js'
--- a/packages/dotterelspur-gateway/src/request/EndpointCall.ts
+++ b/packages/dotterelspur-gateway/src/request/EndpointCall.ts
@@ -127,13 +127,17 @@
     const reason = this.options.reasonNotToSend?.() ?? null
     if (reason !== null) return this.abort(reason)
     this.sent = true
-    this.options.channel.meter.watch((limit) => { this.endAt(limit) })
+    this.options.channel.meter.watch({
+      onExceeded: (limit) => { this.endAt(limit) },
+      onHeadSize: (sizeBytes) => { this.options.memory.noteSize(this, sizeBytes) }
+    })
     this.options.onSend?.()
   }
 
   onResponseStart (_controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
     if (this.ended || status < FIRST_SUCCESS) return
     this.options.channel.meter.noteHead()
+    this.options.memory.noteSize(this, 0)
     this.start = { status, headers, framing: framingOf(this.options.method, status, headers) }
     this.head = this.options.wire.readResponseHeaders(status, headers)
     if (this.head.requestId !== this.options.requestId) return this.abort(ExchangeEnd.Foreign)
