Responses: what they may take together follows from the machine's memory

Callers of a node would lose all their requests where faulty workers answer many of them with bodies without end: the process took up to 355 MB, on machines of 250 and 350 MB.

Cause: 64 MiB for all responses and 40 MiB for one were figures for a machine of 350 MB, next to a limit for callers that follows the machine. And an exchange that was ended because responses took too much first joined what it had buffered, a copy of up to 40 MiB, in order to drop it.

The limits are now 0.3 of the memory beyond 130 MB, as for callers (`responseLoadLimits`): 36 MB on a machine of 250 MB, 66 MB on one of 350; one body may take all of it, 40 MiB at most as before. What an ended exchange has buffered is dropped without a copy. The count of all bodies is the core's (`ResponseTotal`), for other clients as well.

Tests: `ResponseMemory.test.ts` states its own limit, since the constant is gone; what it expects is unchanged.

--- a/packages/dotterelspur-gateway/src/__tests__/unit/ResponseMemory.test.ts
+++ b/packages/dotterelspur-gateway/src/__tests__/unit/ResponseMemory.test.ts
@@ -1,15 +1,14 @@
 import { expect } from 'chai'
-import { RESPONSE_LIMIT_BYTES, ResponseLimit } from '../../connection/responseLimits.js'
 import { ResponseMemory, type ResponseBuffer } from '../../request/ResponseMemory.js'
 
-const TOTAL_BYTES = RESPONSE_LIMIT_BYTES[ResponseLimit.Total]
+const TOTAL_BYTES = 1_000_000
 
 describe('ResponseMemory', () => {
   let memory: ResponseMemory
   let ended: string[]
 
   beforeEach(() => {
-    memory = new ResponseMemory()
+    memory = new ResponseMemory({ totalBytes: TOTAL_BYTES, bodyBytes: TOTAL_BYTES })
     ended = []
   })
 
--- a/packages/dotterelspur-gateway/src/connection/responseLimits.ts
+++ b/packages/dotterelspur-gateway/src/connection/responseLimits.ts
@@ -27,19 +27,15 @@
 /** Empty lines, which are allowed between responses, on a connection without request; all other bytes close it. */
 export const MAX_IDLE_BYTES = KIB
 
-/**
- * Bytes at which each limit ends an exchange. A process has 350 MB, a third of which it uses without requests, and holds callers' bodies
- * of up to 4 MB as well.
- */
-export const RESPONSE_LIMIT_BYTES: Readonly<Record<ResponseLimit, number>> = {
+/** Limits of one exchange that are the same on each machine. */
+type FixedLimit = Exclude<ResponseLimit, ResponseLimit.Body | ResponseLimit.Total>
+
+/** Bytes at which a limit ends an exchange. */
+export const RESPONSE_LIMIT_BYTES: Readonly<Record<FixedLimit, number>> = {
   // The largest head, and some informational responses before it.
   [ResponseLimit.Head]: 64 * KIB,
   // Beyond the number of data bytes: a chunk of an ordinary size takes a few bytes, and a short body may come in chunks of one byte.
   [ResponseLimit.Framing]: MIB,
-  // Ten times the largest request body. Plain services usually answer with some kilobytes.
-  [ResponseLimit.Body]: 40 * MIB,
   // An event holds some tokens of an answer. Even with the details of each it is no larger than a few kilobytes.
-  [ResponseLimit.Event]: MIB,
-  // While responses are joined and delivered they take twice as much.
-  [ResponseLimit.Total]: 64 * MIB
+  [ResponseLimit.Event]: MIB
 }
--- a/packages/dotterelspur-gateway/src/process/DispatchParts.ts
+++ b/packages/dotterelspur-gateway/src/process/DispatchParts.ts
@@ -1,5 +1,5 @@
 import type {
-  Clock, ColdBounds, DispatchTarget, EndpointId, FailureDomainId, NodeId, Random, RequestClass, RetryWindowOptions, Route, Sender, ServiceId
+  Clock, ColdBounds, DispatchTarget, EndpointId, FailureDomainId, MachineLimits, NodeId, Random, RequestClass, RetryWindowOptions, Route, Sender, ServiceId
 } from 'dotterelspur'
 import type { Relay } from '../connection/RelayDialer.js'
 import type { Suspicion } from '../connection/PeerFrame.js'
@@ -30,6 +30,8 @@
   /** Nodes that may relay connections to endpoints; the same array instance until the set changes. Absent where none does. */
   readonly relays?: () => readonly Relay[]
   readonly coldBounds?: ColdBounds
+  /** What the process may use; by default what the smallest machine has. */
+  readonly machine?: MachineLimits
   /** Called when a group appears stalled. */
   readonly onSuspect: (head: EndpointId, suspicion: Suspicion) => void
 }
--- a/packages/dotterelspur-gateway/src/process/EndpointLinks.ts
+++ b/packages/dotterelspur-gateway/src/process/EndpointLinks.ts
@@ -1,4 +1,4 @@
-import type { DispatchTarget, EndpointId, NodeId } from 'dotterelspur'
+import { DEFAULT_MACHINE, responseLoadLimits, type DispatchTarget, type EndpointId, type MachineLimits, type NodeId } from 'dotterelspur'
 import type { EndpointChannel } from '../connection/EndpointChannel.js'
 import { EndpointChannels } from '../connection/EndpointChannels.js'
 import { EndpointConnector, type EndpointConnectorParts } from '../connection/EndpointConnector.js'
@@ -6,16 +6,22 @@
 import type { Relay } from '../connection/RelayDialer.js'
 import { ResponseMemory } from '../request/ResponseMemory.js'
 
+export interface EndpointLinksParts extends Omit<EndpointConnectorParts, 'polls'> {
+  /** What the process may use; by default what the smallest machine has. */
+  readonly machine?: MachineLimits
+}
+
 /** This node's channels to endpoints, and what is known of the links that they use. */
 export class EndpointLinks {
   readonly connector: EndpointConnector
   readonly polls = new SocketPolls()
-  readonly memory = new ResponseMemory()
+  readonly memory: ResponseMemory
   private readonly channels: EndpointChannels
   private knownRelays: readonly Relay[] = []
   private listedRelays: ReadonlySet<NodeId> = new Set()
 
-  constructor (private readonly parts: Omit<EndpointConnectorParts, 'polls'>) {
+  constructor (private readonly parts: EndpointLinksParts) {
+    this.memory = new ResponseMemory(responseLoadLimits(parts.machine ?? DEFAULT_MACHINE))
     this.connector = new EndpointConnector({
       ...parts,
       polls: this.polls,
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -163,6 +163,7 @@
       isListed: () => this.nodes.isListed,
       nodeView,
       coldBounds: settings.coldBounds,
+      machine: settings.machine,
       onSuspect: (head, suspicion) => { this.suspect(head, suspicion) }
     })
     this.poison = new PoisonTracker({
--- a/packages/dotterelspur-gateway/src/request/EndpointCall.ts
+++ b/packages/dotterelspur-gateway/src/request/EndpointCall.ts
@@ -2,7 +2,7 @@
 import type { Dispatcher } from 'undici'
 import { ByteCollector, ExchangeEnd } from 'dotterelspur'
 import { isEventStream } from '../connection/headers.js'
-import { RESPONSE_LIMIT_BYTES, ResponseLimit } from '../connection/responseLimits.js'
+import { ResponseLimit } from '../connection/responseLimits.js'
 import type { ResponseMeter } from '../connection/ResponseMeter.js'
 import type { ResponseHeaders, WireFormat } from '../process/GatewayPorts.js'
 import type { ResponseBuffer, ResponseMemory } from './ResponseMemory.js'
@@ -103,7 +103,7 @@
   endAt (limit: ResponseLimit): void {
     if (this.ended || this.abortedWith !== null) return
     this.exceededLimit = limit
-    this.body.take()
+    this.body.clear()
     this.options.memory.noteSize(this, 0)
     this.abort(ExchangeEnd.Garbled)
   }
@@ -179,13 +179,14 @@
   }
 
   private noteBuffered (sizeBytes: number, limit: ResponseLimit): void {
-    if (sizeBytes > RESPONSE_LIMIT_BYTES[limit]) return this.endAt(limit)
+    if (sizeBytes > this.options.memory.limit(limit)) return this.endAt(limit)
     this.options.memory.noteSize(this, sizeBytes)
   }
 
   private finish (end: ExchangeEnd, buffered: BufferedResponse | null): void {
     if (this.ended) return
     this.ended = true
+    this.body.clear()
     this.options.channel.meter.release()
     this.options.memory.noteSize(this, 0)
     this.options.onEnd(end, buffered, this.head)
--- a/packages/dotterelspur-gateway/src/request/EndpointRun.ts
+++ b/packages/dotterelspur-gateway/src/request/EndpointRun.ts
@@ -1,7 +1,6 @@
 import type { Dispatcher } from 'undici'
 import { EventCursor, EXCHANGE_RULES, ExchangeEnd, RequestKind, type DispatchTarget, type RequestFailures, type RunArrival } from 'dotterelspur'
 import { forwardedHeaders, isEventStream } from '../connection/headers.js'
-import { RESPONSE_LIMIT_BYTES } from '../connection/responseLimits.js'
 import { LogKind } from '../process/DecisionLog.js'
 import type { DispatchExchange } from '../process/DispatchParts.js'
 import type { ResponseHeaders } from '../process/GatewayPorts.js'
@@ -236,7 +235,7 @@
     const { dispatch, poison, clock, log } = this.parts
     const { requestId, content } = this.admitted
     const { target, call: { exceeded } } = this
-    if (exceeded !== null) log.write(LogKind.ResponseLimit, { request: requestId, endpoint: target.endpoint, limit: exceeded, limitBytes: RESPONSE_LIMIT_BYTES[exceeded], events: this.eventCount })
+    if (exceeded !== null) log.write(LogKind.ResponseLimit, { request: requestId, endpoint: target.endpoint, limit: exceeded, limitBytes: dispatch.links.memory.limit(exceeded), events: this.eventCount })
     if (EXCHANGE_RULES[end].mayHaveCrashedEndpoint) {
       this.lossRecorded = poison.noteLoss({ requestId, content, target, events: this.eventCount, tookMs: clock.nowMs() - this.createdAtMs, besides: dispatch.ownInFlight(target), wasRelayed, stream: this.stream })
     }
--- a/packages/dotterelspur-gateway/src/request/ResponseMemory.ts
+++ b/packages/dotterelspur-gateway/src/request/ResponseMemory.ts
@@ -1,3 +1,4 @@
+import { DEFAULT_MACHINE, responseLoadLimits, ResponseTotal, type ResponseLoadLimits } from 'dotterelspur'
 import { RESPONSE_LIMIT_BYTES, ResponseLimit } from '../connection/responseLimits.js'
 
 /** An exchange that buffers bytes of a response. */
@@ -5,30 +6,27 @@
   endAt (limit: ResponseLimit): void
 }
 
-/** The bytes of responses that this process buffers, by exchange. */
+/** The bytes of responses that this process buffers, by exchange, and what they may come to on its machine. */
 export class ResponseMemory {
-  private readonly sizes = new Map<ResponseBuffer, number>()
-  private totalBytes = 0
+  private readonly limitBytes: Readonly<Record<ResponseLimit, number>>
+  private readonly total: ResponseTotal<ResponseBuffer>
+
+  constructor ({ bodyBytes, totalBytes }: ResponseLoadLimits = responseLoadLimits(DEFAULT_MACHINE)) {
+    this.limitBytes = { ...RESPONSE_LIMIT_BYTES, [ResponseLimit.Body]: bodyBytes, [ResponseLimit.Total]: totalBytes }
+    this.total = new ResponseTotal(totalBytes, (largest) => { largest.endAt(ResponseLimit.Total) })
+  }
 
   get sizeBytes (): number {
-    return this.totalBytes
+    return this.total.sizeBytes
   }
 
-  /** Notes what an exchange buffers now. May end an exchange, this one or another. */
-  noteSize (buffer: ResponseBuffer, sizeBytes: number): void {
-    this.totalBytes += sizeBytes - (this.sizes.get(buffer) ?? 0)
-    if (sizeBytes === 0) this.sizes.delete(buffer)
-    else this.sizes.set(buffer, sizeBytes)
-    if (this.totalBytes > RESPONSE_LIMIT_BYTES[ResponseLimit.Total]) this.endLargest()
+  /** Bytes at which a limit ends an exchange. */
+  limit (kind: ResponseLimit): number {
+    return this.limitBytes[kind]
   }
 
-  /** A response without end is larger than those of endpoints that work. */
-  private endLargest (): void {
-    let largest: ResponseBuffer | null = null
-    let largestBytes = 0
-    for (const [buffer, sizeBytes] of this.sizes) {
-      if (sizeBytes > largestBytes) [largest, largestBytes] = [buffer, sizeBytes]
-    }
-    largest?.endAt(ResponseLimit.Total)
+  /** Notes what an exchange buffers now. May end an exchange, this one or another. */
+  noteSize (buffer: ResponseBuffer, sizeBytes: number): void {
+    this.total.noteSize(buffer, sizeBytes)
   }
 }
--- /dev/null
+++ b/packages/dotterelspur/src/process/responses/index.ts
@@ -0,0 +1,2 @@
+export * from './responseLoadLimits.js'
+export * from './ResponseTotal.js'
