Endpoint clients of the product's node: answers together have a limit

A node would lose all its requests where many answers of plain services are large or have no end: each may take 8 MiB, 256 connections to an endpoint are read at once, and nothing added them up.

The clients of a node share a `ResponseTotal` (0.3 of the memory beyond 170 MB, 8 MiB at least): beyond it the largest answer ends as malformed, as one that is larger than its own limit does.

Evidence: `HttpServiceClient.test.ts`, "ends the largest answers while all together exceed their limit, and no more": 12 answers of 100 KB that stop short, within 350 KB: before, none ends (timeout of the test, 8 s); after, 9 end. `Exchange.test.ts` passes a limit, which is required now. Not shown with the real node.

--- a/packages/dotterelspur-endpoint/src/__tests__/unit/Exchange.test.ts
+++ b/packages/dotterelspur-endpoint/src/__tests__/unit/Exchange.test.ts
@@ -1,9 +1,11 @@
 import { expect } from 'chai'
 import type { Dispatcher } from 'undici'
 import { ManualClock } from 'dotterelspur'
+import { createAnswerTotal } from '../../index.js'
 import { Exchange, ExchangeEnd, ExchangePhase } from '../../request/Exchange.js'
 
 const BUFFERED_BYTES = 10
+const TOTAL_BYTES = 1_048_576
 
 class Controller {
   paused = false
@@ -31,7 +33,7 @@
   const abort = new AbortController()
   const controller = new Controller()
   const dispatcher = { dispatch: () => true } as unknown as Dispatcher
-  const exchange = new Exchange(dispatcher, { method: 'GET', path: '/' }, { clock, bufferedBytes: BUFFERED_BYTES, signal: abort.signal })
+  const exchange = new Exchange(dispatcher, { method: 'GET', path: '/' }, { clock, bufferedBytes: BUFFERED_BYTES, total: createAnswerTotal(TOTAL_BYTES), signal: abort.signal })
   return {
     clock,
     exchange,
--- a/packages/dotterelspur-endpoint/src/__tests__/unit/HttpServiceClient.test.ts
+++ b/packages/dotterelspur-endpoint/src/__tests__/unit/HttpServiceClient.test.ts
@@ -2,13 +2,16 @@
 import { EndpointErrorKind } from 'dotterelspur'
 import type { EndpointError, Result, ServiceRequest, ServiceResponse } from 'dotterelspur'
 import { SystemClock } from 'dotterelspur-clock'
-import { HttpServiceClient } from '../../index.js'
+import { createAnswerTotal, HttpServiceClient } from '../../index.js'
 import type { EndpointSettings } from '../../index.js'
 import { LAST_PART, chunkedHead, part, response, startScriptedServer } from './ScriptedServer.js'
 import type { Script, ScriptedServer } from './ScriptedServer.js'
 
 const JSON_TYPE = 'application/json'
 const TIMEOUT_MS = 2_000
+const MIB = 1_048_576
+/** Longer than the test. */
+const LONG_MS = 60_000
 
 const REQUEST: ServiceRequest = {
   requestId: 'node-a1.7.abc.12345678',
@@ -25,9 +28,9 @@
   call (timeoutMs?: number, signal?: AbortSignal): Promise<Result<ServiceResponse, EndpointError>>
 }
 
-async function withService (script: Script, run: (fixture: Fixture) => Promise<void>, settings: Partial<EndpointSettings> = {}): Promise<void> {
+async function withService (script: Script, run: (fixture: Fixture) => Promise<void>, settings: Partial<EndpointSettings> = {}, totalBytes = MIB): Promise<void> {
   const server = await startScriptedServer(script)
-  const client = new HttpServiceClient({ clock: new SystemClock(), settings })
+  const client = new HttpServiceClient({ clock: new SystemClock(), settings, total: createAnswerTotal(totalBytes) })
   try {
     await run({
       server,
@@ -129,4 +132,19 @@
       expect(server.requests).to.have.length(1)
     }, { requestConnections: 1 })
   })
+
+  // Guards against answers that stay below their own limit and together use up the memory of the process.
+  it('ends the largest answers while all together exceed their limit, and no more', async () => {
+    const [calls, answerBytes, totalBytes] = [12, 100_000, 350_000]
+    const head = `HTTP/1.1 200 OK\r\ncontent-type: ${JSON_TYPE}\r\ncontent-length: ${2 * answerBytes}\r\n\r\n`
+    await withService((socket) => { socket.write(head + 'x'.repeat(answerBytes)) }, async ({ call }) => {
+      const abort = new AbortController()
+      const ended: Array<Result<ServiceResponse, EndpointError>> = []
+      const all = Array.from({ length: calls }, async () => { ended.push(await call(LONG_MS, abort.signal)) })
+      await until(() => ended.length >= calls - Math.floor(totalBytes / answerBytes))
+      expect(ended.map((result) => result.ok ? 'answered' : result.error.kind)).to.deep.equal(ended.map(() => EndpointErrorKind.Malformed))
+      abort.abort()
+      await Promise.all(all)
+    }, {}, totalBytes)
+  })
 })
--- a/packages/dotterelspur-endpoint/src/process/EndpointCaller.ts
+++ b/packages/dotterelspur-endpoint/src/process/EndpointCaller.ts
@@ -1,4 +1,4 @@
-import { EndpointErrorKind, failed, success } from 'dotterelspur'
+import { DEFAULT_MACHINE, EndpointErrorKind, failed, responseLoadLimits, ResponseTotal, success } from 'dotterelspur'
 import type { Clock, EndpointError, Result } from 'dotterelspur'
 import type { Dispatcher } from 'undici'
 import type { z } from 'zod'
@@ -11,6 +11,13 @@
 export interface EndpointCallerOptions {
   readonly clock: Clock
   readonly settings?: Partial<EndpointSettings>
+  /** What the clients of one process share; by default what the smallest machine allows. */
+  readonly total?: ResponseTotal<Exchange>
+}
+
+/** The bodies of answers that a process buffers. */
+export function createAnswerTotal (limitBytes: number): ResponseTotal<Exchange> {
+  return new ResponseTotal(limitBytes, (largest) => { largest.endAtTotal() })
 }
 
 /** One short request, answered by a JSON document of a known shape. */
@@ -31,19 +38,22 @@
   readonly settings: EndpointSettings
   readonly clock: Clock
   private readonly pools: ConnectionPools
+  private readonly total: ResponseTotal<Exchange>
 
   constructor (options: EndpointCallerOptions) {
     this.clock = options.clock
     this.settings = { ...DEFAULT_ENDPOINT_SETTINGS, ...options.settings }
     this.pools = new ConnectionPools(this.settings)
+    this.total = options.total ?? createAnswerTotal(responseLoadLimits(DEFAULT_MACHINE).totalBytes)
   }
 
   /** Starts an exchange; undefined when too many requests wait for this endpoint's connections already. */
   start (address: string, kind: PoolKind, request: Dispatcher.DispatchOptions, signal?: AbortSignal): Exchange | undefined {
     const pool = this.pools.acquire(address, kind)
     if (pool === undefined) return undefined
-    const { clock, settings: { bufferedBytes } } = this
-    return new Exchange(pool, request, signal === undefined ? { clock, bufferedBytes } : { clock, bufferedBytes, signal })
+    const { clock, total, settings: { bufferedBytes } } = this
+    const options = { clock, bufferedBytes, total }
+    return new Exchange(pool, request, signal === undefined ? options : { ...options, signal })
   }
 
   async short<Value> (call: ShortCall<Value>): Promise<Result<Value, EndpointError>> {
--- a/packages/dotterelspur-endpoint/src/request/Exchange.ts
+++ b/packages/dotterelspur-endpoint/src/request/Exchange.ts
@@ -1,7 +1,7 @@
 import type { IncomingHttpHeaders } from 'node:http'
 import type { Dispatcher } from 'undici'
 import { ByteCollector, failed, success } from 'dotterelspur'
-import type { Clock, Result, Teardown } from 'dotterelspur'
+import type { Clock, ResponseTotal, Result, Teardown } from 'dotterelspur'
 
 /** How far one HTTP exchange got; decides what may be said of it when it breaks. */
 export enum ExchangePhase {
@@ -45,6 +45,8 @@
 export interface ExchangeOptions {
   readonly clock: Clock
   readonly bufferedBytes: number
+  /** What the process buffers of all bodies. */
+  readonly total: ResponseTotal<Exchange>
   readonly signal?: AbortSignal
 }
 
@@ -109,12 +111,28 @@
   async body (limitBytes: number, timeoutMs: number): Promise<Result<Buffer, ExchangeFailure>> {
     const deadlineMs = this.options.clock.nowMs() + timeoutMs
     const body = new ByteCollector()
+    try {
+      return await this.collect(body, limitBytes, deadlineMs)
+    } finally {
+      this.options.total.noteSize(this, 0)
+    }
+  }
+
+  /** Bodies together are larger than their bound, and this one is the largest. */
+  endAtTotal (): void {
+    this.options.total.noteSize(this, 0)
+    this.chunks.length = 0
+    this.stop(ExchangeEnd.TooLarge, `answers are larger than ${this.options.total.limitBytes} bytes together`)
+  }
+
+  private async collect (body: ByteCollector, limitBytes: number, deadlineMs: number): Promise<Result<Buffer, ExchangeFailure>> {
     for (;;) {
       const step = await this.next(deadlineMs - this.options.clock.nowMs())
       if (!step.ok) return step
       if (step.value.chunk === undefined) return success(body.take())
       if (body.sizeBytes + step.value.chunk.length > limitBytes) return failed(this.stop(ExchangeEnd.TooLarge, `the answer is larger than ${limitBytes} bytes`))
       body.push(step.value.chunk)
+      this.options.total.noteSize(this, body.sizeBytes)
     }
   }
 
--- a/packages/dotterelspur-node/src/process/NodeParts.ts
+++ b/packages/dotterelspur-node/src/process/NodeParts.ts
@@ -1,12 +1,12 @@
 import { randomInt } from 'node:crypto'
-import { HttpEngineClient, HttpServiceClient } from 'dotterelspur-endpoint'
+import { createAnswerTotal, HttpEngineClient, HttpServiceClient } from 'dotterelspur-endpoint'
 import { TeamTable, createEntry, type Entry } from 'dotterelspur-entry'
 import { createFleet, type Fleet } from 'dotterelspur-fleet'
 import { ListenerGuard } from 'dotterelspur-listener'
 import { CredentialsKind, createMesh, createStoreFollower, type Mesh, type MeshCredentials, type StoreFollower } from 'dotterelspur-mesh'
 import { AuditTrail, PlatformObjectStore, PlatformVmDirectory } from 'dotterelspur-platform'
 import { FencingMode, MeshSecurityKind, fencingModeOf, formatSettingsError, parseTeamSettings, type NodeSettings } from 'dotterelspur-settings'
-import { DEFAULT_LEASE_TIMING, NODE_PREFIX, callerLoadLimits, createRandom, failed, homeOf, type Clock, type EngineApi, type NodeObject, type Random, type Result, type ServiceApi, type TeamId, type TeamSettings } from 'dotterelspur'
+import { DEFAULT_LEASE_TIMING, NODE_PREFIX, callerLoadLimits, createRandom, failed, homeOf, responseLoadLimits, type Clock, type EngineApi, type NodeObject, type Random, type Result, type ServiceApi, type TeamId, type TeamSettings } from 'dotterelspur'
 import type { LoadedSettings, MeshSecrets } from './loadNodeSettings.js'
 import { NodeLogs } from './NodeLog.js'
 import { NodeMetrics } from './NodeMetrics.js'
@@ -78,8 +78,9 @@
   const mesh = createNodeMesh(loaded, base, incarnation, ports, guard)
   const teams = new TeamTable(mesh, ({ text, team }) => parseTeam(text, team))
   const audit = new AuditTrail({ store, clock, home: homeOf({ node: settings.id, incarnation }) })
-  const engines = new HttpEngineClient({ clock })
-  const services = new HttpServiceClient({ clock })
+  const total = createAnswerTotal(responseLoadLimits({ memoryBytes }, NODE_BYTES).totalBytes)
+  const engines = new HttpEngineClient({ clock, total })
+  const services = new HttpServiceClient({ clock, total })
   const vmDirectory = new PlatformVmDirectory(store)
   const follower = createStoreFollower({ mesh, store, clock, random, registerContactListener: (listener) => store.registerContactListener(listener) })
   const entry = createNodeEntry(settings, base, { mesh, engines, services, teams, port: ports.entry, metrics, guard })
