--- a/packages/dotterelspur-client/src/request/HttpTransport.ts
+++ b/packages/dotterelspur-client/src/request/HttpTransport.ts
@@ -1,5 +1,5 @@
 import { Agent, request } from 'undici'
-import { OutcomeKind, OutcomeReason, failed, success, type Result } from 'dotterelspur'
+import { ByteCollector, OutcomeKind, OutcomeReason, failed, success, type Result } from 'dotterelspur'
 import { z } from 'zod'
 import { CallFailureKind, type CallFailure } from './CallFailure.js'
 import { SseEventKind, SseReader } from './SseReader.js'
@@ -36,6 +36,8 @@
 
 const NOT_SENT_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'ENOTFOUND', 'UND_ERR_CONNECT_TIMEOUT'])
 const FIRST_ERROR_STATUS = 400
+/** An address that is no entry's could send without end. */
+const MAX_ANSWER_BYTES = 64 * 1_048_576
 
 /** One HTTP exchange with one address, with every way to fail as a typed failure. */
 export class HttpTransport {
@@ -49,7 +51,7 @@
   async json (call: HttpCall): Promise<Result<JsonAnswer, CallFailure>> {
     try {
       const response = await this.send(call)
-      const text = await response.body.text()
+      const text = await readText(response.body)
       return response.statusCode < FIRST_ERROR_STATUS || response.headers['dotterelspur-outcome'] === OutcomeKind.Answered
         ? success({ status: response.statusCode, body: parseJson(text) })
         : failed(readRefusal(response.statusCode, text))
@@ -62,7 +64,7 @@
   async * stream (call: HttpCall): AsyncGenerator<string, CallFailure | undefined> {
     try {
       const response = await this.send(call)
-      if (response.statusCode >= FIRST_ERROR_STATUS) return readRefusal(response.statusCode, await response.body.text())
+      if (response.statusCode >= FIRST_ERROR_STATUS) return readRefusal(response.statusCode, await readText(response.body))
       const reader = new SseReader()
       for await (const bytes of response.body) {
         for (const event of reader.push(bytes as Uint8Array)) {
@@ -91,6 +93,16 @@
   }
 }
 
+/** Rejects, and closes the connection, beyond the limit. */
+async function readText (body: AsyncIterable<Buffer>): Promise<string> {
+  const bytes = new ByteCollector()
+  for await (const chunk of body) {
+    bytes.push(chunk)
+    if (bytes.sizeBytes > MAX_ANSWER_BYTES) throw new Error(`an answer of more than ${MAX_ANSWER_BYTES} bytes`)
+  }
+  return bytes.take().toString('utf8')
+}
+
 function parseJson (text: string): unknown {
   try {
     return JSON.parse(text)
