Bodies: a refusal tells to come back after the time that others have waited

A body that found no room was told to come back after 500 ms, while those that wait are read before it: its caller sent 4 MB again only to be refused again.

Now the refusal names the time that the last body had to wait for room, 500 ms at the least, in the gateway and in the product's entry. A body that receives data while it is paused also keeps its time of waiting.

--- a/packages/dotterelspur-entry/src/connection/registerBodyParsers.ts
+++ b/packages/dotterelspur-entry/src/connection/registerBodyParsers.ts
@@ -6,7 +6,7 @@
 
 const TOO_LARGE = 413
 const BAD_REQUEST = 400
-/** The requests that hold the memory end within seconds, and bodies that wait are read before new ones. */
+/** At the least: the requests that hold the memory end within seconds, and bodies that wait are read before new ones. */
 const NO_ROOM_RETRY_MS = 500
 
 type Done = (error: Error | null, body?: unknown) => void
@@ -19,19 +19,20 @@
   readonly status?: number
 }
 
-const REFUSALS: Readonly<Record<BodyErrorKind, Refusal>> = {
-  [BodyErrorKind.TooLarge]: { outcome: notRun(OutcomeReason.InvalidRequest, 'Request body is too large', null), status: TOO_LARGE },
-  [BodyErrorKind.Aborted]: { outcome: notRun(OutcomeReason.InvalidRequest, 'the connection was closed before the body was complete', null), status: BAD_REQUEST },
-  [BodyErrorKind.NoRoom]: { outcome: notRun(OutcomeReason.Overloaded, 'the memory for request bodies is full', NO_ROOM_RETRY_MS) }
+const REFUSALS: Readonly<Record<BodyErrorKind, (memory: BodyMemory) => Refusal>> = {
+  [BodyErrorKind.TooLarge]: () => ({ outcome: notRun(OutcomeReason.InvalidRequest, 'Request body is too large', null), status: TOO_LARGE }),
+  [BodyErrorKind.Aborted]: () => ({ outcome: notRun(OutcomeReason.InvalidRequest, 'the connection was closed before the body was complete', null), status: BAD_REQUEST }),
+  [BodyErrorKind.NoRoom]: ({ expectedWaitMs }) => ({ outcome: notRun(OutcomeReason.Overloaded, 'the memory for request bodies is full', Math.max(NO_ROOM_RETRY_MS, expectedWaitMs)) })
 }
 
 /** A body that could not be read. The error handler of the listener responds with its refusal. */
 export class UnreadBody extends Error {
   readonly refusal: Refusal
 
-  constructor (kind: BodyErrorKind) {
-    super(REFUSALS[kind].outcome.message)
-    this.refusal = REFUSALS[kind]
+  constructor (kind: BodyErrorKind, memory: BodyMemory) {
+    const refusal = REFUSALS[kind](memory)
+    super(refusal.outcome.message)
+    this.refusal = refusal
   }
 }
 
@@ -69,13 +70,13 @@
   registerParser(scope, '*', limits, (_request, body, done) => { done(null, body) })
 }
 
-function registerParser (app: FastifyInstance, contentType: string, { clock, maxBodyBytes, maxWaitMs }: BodyLimits, handle: BodyHandler): void {
+function registerParser (app: FastifyInstance, contentType: string, { clock, maxBodyBytes, memory, maxWaitMs }: BodyLimits, handle: BodyHandler): void {
   if (app.hasContentTypeParser(contentType)) app.removeContentTypeParser(contentType)
   app.addContentTypeParser(contentType, (request: FastifyRequest, payload: IncomingMessage, done: Done) => {
     readBody(payload, maxBodyBytes, heldBodies.get(request)!, clock, maxWaitMs === undefined ? undefined : () => maxWaitMs(request.headers))
       .then((body) => {
         if (body.ok) handle(request, body.value, done)
-        else done(new UnreadBody(body.error))
+        else done(new UnreadBody(body.error, memory))
       })
       .catch((error: Error) => { done(error) })
   })
--- a/packages/dotterelspur-gateway/src/connection/CallerBodies.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerBodies.ts
@@ -7,6 +7,9 @@
 import { BODIES_SHARE, BODY_MEMORY_BYTES } from './requestLimits.js'
 import { hostOf, pathOf } from './requestTarget.js'
 
+/** Retry-After of a body for which there was no memory, at the least: the requests that hold it end within about this time. */
+const NO_ROOM_RETRY_MS = 500
+
 export interface CallerBodiesParts {
   readonly clock: Clock
   readonly wire: WireFormat
@@ -31,6 +34,11 @@
     return this.memory.waitingBodies
   }
 
+  /** Retry-After of a body that is refused now: those that wait are read before it. */
+  get retryAfterMs (): number {
+    return Math.max(NO_ROOM_RETRY_MS, this.memory.expectedWaitMs)
+  }
+
   /** Counts the body of a request until it is released. */
   open (request: IncomingMessage): HeldBody {
     return this.memory.open((changeBytes) => { guardedConnection(request.socket)?.growBodies(changeBytes) }, statedBytes(request.headers['content-length']))
--- a/packages/dotterelspur-gateway/src/connection/CallerListener.ts
+++ b/packages/dotterelspur-gateway/src/connection/CallerListener.ts
@@ -39,8 +39,7 @@
 const SUSPECT_RETRY_MS = 1_500
 /** Retry-After of requests whose route names no service: a change of the manifest is in force within seconds. */
 const NO_SERVICE_RETRY_MS = 1_000
-/** Retry-After of a body for which there was no memory: the requests that hold it end within about this time. */
-const NO_ROOM_RETRY_MS = 500
+
 export interface CallerListenerParts {
   readonly clock: Clock
   readonly random: Random
@@ -228,7 +227,7 @@
 
   private refuseBody (request: IncomingMessage, callerResponse: CallerResponse, error: BodyErrorKind): void {
     if (error === BodyErrorKind.TooLarge) this.sendError(request, callerResponse, GatewayErrorKind.BodyTooLarge, null)
-    if (error === BodyErrorKind.NoRoom) this.sendError(request, callerResponse, GatewayErrorKind.NotRun, this.stopAdmission.retryAfterMs(NO_ROOM_RETRY_MS), { refusal: error, bodyBytes: this.bodies.sizeBytes })
+    if (error === BodyErrorKind.NoRoom) this.sendError(request, callerResponse, GatewayErrorKind.NotRun, this.stopAdmission.retryAfterMs(this.bodies.retryAfterMs), { refusal: error, bodyBytes: this.bodies.sizeBytes })
   }
 
   /** A quarantined request gets no Retry-After: a retry would be refused as well. */
--- a/packages/dotterelspur/src/request/body/BodyMemory.ts
+++ b/packages/dotterelspur/src/request/body/BodyMemory.ts
@@ -34,6 +34,7 @@
   /** Bodies that wait, in the same order, and what resumes them. */
   private readonly waiting = new Map<HeldBody, () => void>()
   private readonly maxWaiting: number
+  private lastWaitMs = 0
 
   /**
    * @param limitBytes of the bodies, and of what their owner holds in all.
@@ -52,6 +53,11 @@
     return this.waiting.size
   }
 
+  /** How long a body that came now would wait, by the last one that waited; 0 if none waits. */
+  get expectedWaitMs (): number {
+    return this.waiting.size === 0 ? 0 : this.lastWaitMs
+  }
+
   /**
    * @param onResize the body holds so many bytes more.
    * @param statedBytes the size that its caller states; null if it states none.
@@ -68,6 +74,7 @@
         return this.hasRoom(body)
       },
       wait: (resume) => {
+        if (this.waiting.size === 0) this.lastWaitMs = 0
         if (this.waiting.size >= this.maxWaiting) body.refuse()
         else this.waiting.set(body, resume)
       },
@@ -77,6 +84,7 @@
         return !this.waiting.has(body)
       },
       othersWait: () => this.waiting.size > 0,
+      noteWait: (waitMs) => { this.lastWaitMs = waitMs },
       end: () => {
         this.arriving.delete(body)
         this.waiting.delete(body)
@@ -171,6 +179,7 @@
   /** Resumes those for which there is room; returns whether the body does not wait any more. */
   retry (): boolean
   othersWait (): boolean
+  noteWait (waitMs: number): void
   /** The body no longer arrives, or is no longer held. */
   end (): void
 }
@@ -213,6 +222,11 @@
     return this.listener.retry()
   }
 
+  /** It has waited for so long until there was room, or until it was refused. */
+  noteWait (waitMs: number): void {
+    this.listener.noteWait(waitMs)
+  }
+
   refuse (): void {
     this.onRefuse()
   }
--- a/packages/dotterelspur/src/request/body/__tests__/unit/readBody.test.ts
+++ b/packages/dotterelspur/src/request/body/__tests__/unit/readBody.test.ts
@@ -133,6 +133,20 @@
       expect(await uploads.at(-1)!.result).to.equal(BodyErrorKind.NoRoom)
     })
 
+    // Guards against callers that come back before those that wait have been read, send their body again and are refused again.
+    it('tells how long a body would wait, by those that have waited', () => {
+      const clock = new ManualClock()
+      const memory = new BodyMemory(2 * READ_BYTES, () => MIB)
+      const uploads = [0, 1, 2].map(() => createUpload(memory, clock, () => 60_000))
+      for (const { send } of uploads) send(2)
+      expect([memory.waitingBodies, memory.expectedWaitMs]).to.deep.equal([2, 0])
+      clock.advance(900)
+      uploads[0]!.source.emit('end')
+      expect([memory.waitingBodies, memory.expectedWaitMs]).to.deep.equal([1, 900])
+      uploads[1]!.source.emit('end')
+      expect([memory.waitingBodies, memory.expectedWaitMs]).to.deep.equal([0, 0])
+    })
+
     // Guards against callers that keep the place of others: one that sends a byte now and then takes memory for as long as it likes.
     it('refuses a body that hardly grows while others wait, and none while no one waits', async () => {
       const clock = new ManualClock()
--- a/packages/dotterelspur/src/request/body/readBody.ts
+++ b/packages/dotterelspur/src/request/body/readBody.ts
@@ -54,6 +54,7 @@
     const refuse = (error: BodyErrorKind): void => {
       if (isOver) return
       body.clear()
+      if (pausedAtMs !== null) held.noteWait(clock.nowMs() - pausedAtMs)
       end(failed(error))
       held.release()
       source.resume()
@@ -64,13 +65,16 @@
     }
     const resume = (): void => {
       cancelWait()
-      leftWaitMs! -= clock.nowMs() - pausedAtMs!
+      const waitedMs = clock.nowMs() - pausedAtMs!
+      held.noteWait(waitedMs)
+      leftWaitMs! -= waitedMs
       pausedAtMs = null
       noteProgress()
       source.resume()
     }
     const pause = (): void => {
       source.pause()
+      if (pausedAtMs !== null) return
       pausedAtMs = clock.nowMs()
       leftWaitMs ??= maxWaitMs()
       cancelWait()
