Routing: a target that reports requests as failed more often than others costs more

Callers saw (product's path): one of three workers of a service that answered each call with 500 at once got about half of the calls.

A worker's 500 was recorded as a complete attempt, and a model's failed request as no fault of its target, so the target was the emptiest, and its 2 ms were measured as its pace and as the lane's usual duration.

Change: a response 500 and above ends its attempt as failed. `EndpointFailures` counts failed and complete attempts of each target, and the square of its excess over the lane's others is added to its cost. Failed attempts are no measure of duration and pace any more. Nothing is ejected for them, since the request may be at fault.

Why it works: what came of the attempts tells an empty target that fails from an idle one; evidence ages, and the two random draws still reach the target, so it gets its part again. Entries don't share the counts.

--- a/packages/dotterelspur-entry/src/request/ServiceRunner.ts
+++ b/packages/dotterelspur-entry/src/request/ServiceRunner.ts
@@ -11,6 +11,8 @@
 /** Errors after which the worker may have terminated. */
 const CONNECTION_LOSS_ERRORS: ReadonlySet<EndpointErrorKind> = new Set([EndpointErrorKind.Ambiguous, EndpointErrorKind.Broken])
 
+const FIRST_SERVER_ERROR = 500
+
 type CallResult = Result<ServiceResponse, EndpointError> | Interrupt | null
 
 /** Executes the effects of one service call's procedure against the service's workers. */
@@ -113,6 +115,6 @@
       return router.end(route, result.error.kind === EndpointErrorKind.Refused ? AttemptResult.Refused : AttemptResult.Broken, nowMs)
     }
     router.recordFirstToken(route, nowMs)
-    router.end(route, AttemptResult.Completed, nowMs)
+    router.end(route, result.value.status < FIRST_SERVER_ERROR ? AttemptResult.Completed : AttemptResult.Failed, nowMs)
   }
 }
--- a/packages/dotterelspur/src/request/dispatch/EndpointFailures.ts
+++ b/packages/dotterelspur/src/request/dispatch/EndpointFailures.ts
@@ -23,8 +23,6 @@
 /** Own failures that are older are below `MIN_FAILURES`. */
 const FORGOTTEN_MS = 30_000
 
-const NO_SHARES: ReadonlyMap<EndpointId, number> = new Map()
-
 interface Counts {
   readonly failures: DecayedSum
   readonly answers: DecayedSum
@@ -37,19 +35,19 @@
  * endpoints fail alike, none is worse than another. A node of a large fleet receives few responses of each endpoint, so nodes share their counts.
  */
 export class EndpointFailures {
-  private readonly counts = new Map<EndpointId, Counts>()
+  private readonly counts = new Map<string, Counts>()
   private readonly formations = new Map<EndpointId, number | null>()
   private fleetSamples: Readonly<Record<EndpointId, FailureSample>> = {}
   private receivedAtMs = 0
   private lastCountedAtMs = -Infinity
 
   /** The endpoint gave a whole answer that is no server error. */
-  noteAnswer (endpoint: EndpointId, nowMs: number): void {
+  noteAnswer (endpoint: string, nowMs: number): void {
     this.countsOf(endpoint).answers.add(1, nowMs)
   }
 
   /** The endpoint failed a request that was sent at `sentAtMs`; returns whether this is counted. */
-  noteFailure (endpoint: EndpointId, sentAtMs: number, nowMs: number): boolean {
+  noteFailure (endpoint: string, sentAtMs: number, nowMs: number): boolean {
     const counts = this.countsOf(endpoint)
     if (nowMs - counts.countedAtMs < EVENT_MS && sentAtMs <= counts.countedAtMs) return false
     counts.countedAtMs = nowMs
@@ -73,11 +71,11 @@
   }
 
   /** By how much larger the share of failures is than the mean of the other endpoints, from 0 to 1; empty where none is known to fail. */
-  excessShares (endpoints: Iterable<EndpointId>, nowMs: number): ReadonlyMap<EndpointId, number> {
-    if (nowMs - this.lastCountedAtMs > FORGOTTEN_MS && Object.keys(this.fleetSamples).length === 0) return NO_SHARES
+  excessShares<Id extends string> (endpoints: Iterable<Id>, nowMs: number): ReadonlyMap<Id, number> {
+    if (nowMs - this.lastCountedAtMs > FORGOTTEN_MS && Object.keys(this.fleetSamples).length === 0) return new Map()
     const all = [...endpoints].map((endpoint) => [endpoint, shareOf(this.sample(endpoint, nowMs))] as const)
     const sum = all.reduce((partial, [, share]) => partial + share, 0)
-    if (sum === 0) return NO_SHARES
+    if (sum === 0) return new Map()
     return new Map(all.map(([endpoint, share]) => [endpoint, all.length === 1 ? 0 : Math.max(0, share - (sum - share) / (all.length - 1))]))
   }
 
@@ -98,9 +96,7 @@
 
   /** Drops endpoints that are gone, and what was counted before an endpoint became the head of another group. */
   noteEndpoints (endpoints: ReadonlyMap<EndpointId, EndpointRecord>): void {
-    for (const endpoint of this.counts.keys()) {
-      if (!endpoints.has(endpoint)) this.counts.delete(endpoint)
-    }
+    this.retain(new Set(endpoints.keys()))
     for (const endpoint of this.formations.keys()) {
       if (!endpoints.has(endpoint)) this.formations.delete(endpoint)
     }
@@ -112,6 +108,13 @@
     }
   }
 
+  /** Drops endpoints that are gone. */
+  retain (endpoints: ReadonlySet<string>): void {
+    for (const endpoint of this.counts.keys()) {
+      if (!endpoints.has(endpoint)) this.counts.delete(endpoint)
+    }
+  }
+
   private forget (endpoint: EndpointId): void {
     this.counts.delete(endpoint)
     if (this.fleetSamples[endpoint] === undefined) return
@@ -119,7 +122,7 @@
   }
 
   /** Own counts take effect at once; the sum of all nodes is larger once they are part of it. */
-  private sample (endpoint: EndpointId, nowMs: number): FailureSample {
+  private sample (endpoint: string, nowMs: number): FailureSample {
     const local = this.localSample(endpoint, nowMs)
     const fleet = this.fleetSamples[endpoint]
     if (fleet === undefined) return local
@@ -128,13 +131,13 @@
     return { failures: failures < MIN_FAILURES ? 0 : failures, answers: Math.max(local.answers, fleet.answers * remaining) }
   }
 
-  private localSample (endpoint: EndpointId, nowMs: number): FailureSample {
+  private localSample (endpoint: string, nowMs: number): FailureSample {
     const counts = this.counts.get(endpoint)
     const failures = counts?.failures.at(nowMs) ?? 0
     return { failures: failures < MIN_FAILURES ? 0 : failures, answers: counts?.answers.at(nowMs) ?? 0 }
   }
 
-  private countsOf (endpoint: EndpointId): Counts {
+  private countsOf (endpoint: string): Counts {
     let counts = this.counts.get(endpoint)
     if (counts === undefined) {
       counts = { failures: new DecayedSum(FAILURE_HALF_LIFE_MS), answers: new DecayedSum(FAILURE_HALF_LIFE_MS), countedAtMs: -Infinity }
--- a/packages/dotterelspur/src/request/routing/Attempt.ts
+++ b/packages/dotterelspur/src/request/routing/Attempt.ts
@@ -4,7 +4,7 @@
 export enum AttemptResult {
   /** The complete response arrived. */
   Completed = 'whole',
-  /** The endpoint reported that the request failed. Not counted as a fault of the endpoint. */
+  /** The endpoint reported that the request failed; counts as far as the endpoint reports this more often than others. */
   Failed = 'failed',
   /** The endpoint refused the request: no capacity, leaving, or at another formation. */
   Refused = 'refused',
--- a/packages/dotterelspur/src/request/routing/Router.ts
+++ b/packages/dotterelspur/src/request/routing/Router.ts
@@ -2,6 +2,7 @@
 import { invariant } from '../../process/invariant.js'
 import type { Random } from '../../process/Random.js'
 import { failed, success, type Result } from '../../process/Result.js'
+import { EndpointFailures } from '../dispatch/EndpointFailures.js'
 import { EndpointBackoffs } from '../backpressure/EndpointBackoffs.js'
 import { AttemptResult, type RouteAttempt } from './Attempt.js'
 import { selectCandidates } from './candidates.js'
@@ -26,6 +27,7 @@
   private readonly records = new Map<TargetId, TargetRecord>()
   private readonly lanes = new Map<string, Lane>()
   private readonly backoffs = new EndpointBackoffs()
+  private readonly failures = new EndpointFailures()
   private hasHadTargets = false
 
   constructor (private readonly options: RoutingOptions) {}
@@ -37,6 +39,7 @@
       if (!known.has(id)) this.records.delete(id)
     }
     this.backoffs.retain(known, nowMs)
+    this.failures.retain(known)
     const members = new Map<string, TargetRecord[]>()
     for (const target of [...targets].sort(byId)) {
       const key = laneKey(target)
@@ -59,7 +62,8 @@
     const selection = selectCandidates(lane.records, query, nowMs, options, this.backoffs)
     if (!selection.ok) return failed(selection.error)
     const { local, remote } = selection.value
-    const { record, cause } = chooseTarget(selection.value, { lane, query, options, nowMs, random })
+    const failureShares = this.failures.excessShares(lane.records.map(({ target }) => target.id), nowMs)
+    const { record, cause } = chooseTarget(selection.value, { lane, query, options, failureShares, nowMs, random })
     if (query.kind === TargetKind.Group) record.prefixes.recordRequest(query.prefixHashes, nowMs)
     return success({ target: record.target, cause, candidates: local.length + remote.length })
   }
@@ -90,8 +94,10 @@
     if (record === undefined) return
     record.inFlight.adjust(-1, nowMs)
     const lane = this.lanes.get(laneKey(record.target))
+    if (result === AttemptResult.Completed) this.failures.noteAnswer(attempt.targetId, nowMs)
+    if (result === AttemptResult.Failed) this.failures.noteFailure(attempt.targetId, attempt.startedAtMs, nowMs)
     if (result === AttemptResult.Completed) lane?.estimator.recordDuration(nowMs - attempt.startedAtMs)
-    const paceMs = paceOf(attempt, record.target, nowMs, tokens)
+    const paceMs = result === AttemptResult.Failed ? null : paceOf(attempt, record.target, nowMs, tokens)
     if (paceMs !== null) record.health.recordPace(paceMs)
     if (record.health.recordResult(result)) lane?.ejectIfAllowed(record, nowMs)
   }
--- a/packages/dotterelspur/src/request/routing/cost.ts
+++ b/packages/dotterelspur/src/request/routing/cost.ts
@@ -3,11 +3,13 @@
 import type { TargetRecord } from './TargetRecord.js'
 
 const ERROR_COST = 1
+/** Cost of a target that reports all requests as failed; by the square of the share, as one failure proves little. */
+const FAILURE_COST = 1
 
 /** Cost of sending the request to a target, in shares of the target's capacity; see RoutingOptions. */
 export function targetCost (record: TargetRecord, context: ChoiceContext): number {
   return loadCost(record, context) + prefixCost(record, context) + localityCost(record, context) + versionCost(record, context) +
-    ERROR_COST * record.health.errorRate
+    ERROR_COST * record.health.errorRate + FAILURE_COST * (context.failureShares.get(record.target.id) ?? 0) ** 2
 }
 
 function loadCost (record: TargetRecord, { lane, options, nowMs }: ChoiceContext): number {
