--- a/packages/dotterelspur/src/request/dispatch/Placement.ts
+++ b/packages/dotterelspur/src/request/dispatch/Placement.ts
@@ -9,7 +9,7 @@
 import { eventGapMs, firstEventMs, loadCurve, paceOf } from './EngineTimes.js'
 import type { ReturnSchedule } from './ReturnSchedule.js'
 import type { SenderPosition } from './SenderPosition.js'
-import { usualSlots, type StatedCapacity } from './StatedCapacity.js'
+import { usualSlotsOf, type StatedCapacity } from './StatedCapacity.js'
 import type { TargetLoad } from './TargetLoad.js'
 import { PLAIN_REQUEST_MS, type DispatchTarget, type TargetPool } from './TargetPool.js'
 
@@ -201,7 +201,7 @@
 
 function bestOf (targets: readonly DispatchTarget[], query: PlacementQuery, input: PlacementInput): Candidate {
   const { pool, load, failures, nodes } = input
-  const usualLoad = load.hasFreshObservation(input.nowMs) ? 0 : load.usual(pool.key, usualSlots(pool), pool.targets.size, nodes)
+  const usualLoad = load.hasFreshObservation(input.nowMs) ? 0 : load.usual(pool.key, usualSlotsOf(pool), pool.targets.size, nodes)
   const shares = failures?.excessShares(pool.targets.keys(), input.nowMs)
   const candidates = targets.map((target) => scoreTarget(target, usualLoad, failureCostMs(shares?.get(target.endpoint) ?? 0), query, input))
   return candidates.reduce((left, right) => right.cost < left.cost ? right : left)
@@ -219,7 +219,7 @@
   if (maxLoad === null) return true
   const share = shareOfClass(maxLoad, query, input)
   if (share !== null) return random.next() < share
-  const usual = load.usual(key, usualSlots(pool), targets.size, nodes)
+  const usual = load.usual(key, usualSlotsOf(pool), targets.size, nodes)
   const sum = [...targets.keys()].reduce((partial, endpoint) => partial + load.estimate(endpoint, usual, nowMs), 0)
   return sum / targets.size <= maxLoad * loadFactorOfClass(query, input)
 }
@@ -293,7 +293,7 @@
  * would only be refused again.
  */
 function jitteredRetryAfterMs ({ leftMs }: PlacementQuery, { pool, load, returns, random, nowMs }: PlacementInput): number {
-  const scheduledMs = pool.targets.size === 0 ? null : returns?.retryAfterMs(pool.key, leftMs, load.capacityPerMs(pool.key, usualSlots(pool), nowMs), random, nowMs) ?? null
+  const scheduledMs = pool.targets.size === 0 ? null : returns?.retryAfterMs(pool.key, leftMs, load.capacityPerMs(pool.key, usualSlotsOf(pool), nowMs), random, nowMs) ?? null
   if (scheduledMs !== null) return scheduledMs
   return leftMs * (RETRY_AFTER_SHARE.least + (RETRY_AFTER_SHARE.most - RETRY_AFTER_SHARE.least) * random.next())
 }
--- a/packages/dotterelspur/src/request/dispatch/StatedCapacity.ts
+++ b/packages/dotterelspur/src/request/dispatch/StatedCapacity.ts
@@ -19,7 +19,7 @@
   }
 
   updatePools (pools: readonly TargetPool[]): void {
-    this.usual = new Map(pools.map((pool) => [pool.key, usualSlots(pool)]))
+    this.usual = new Map(pools.map((pool) => [pool.key, usualSlotsOf(pool)]))
   }
 
   slotsOf (key: PoolKey, { endpoint, slots }: DispatchTarget): number {
@@ -34,15 +34,17 @@
   }
 }
 
+/** The lower median of what endpoints state, which one odd entry among three or more does not change; 1 for none. */
+export function usualSlots (targets: ReadonlyArray<Pick<DispatchTarget, 'slots'>>): number {
+  const stated = targets.map(({ slots }) => slots).sort((left, right) => left - right)
+  return stated[(stated.length - 1) >> 1] ?? 1
+}
+
 const usualSlotsByTargets = new WeakMap<TargetPool['targets'], number>()
 
-/** The lower median of what the endpoints of a pool state, which one odd entry among three or more does not change; 1 for an empty pool. */
-export function usualSlots ({ targets }: Pick<TargetPool, 'targets'>): number {
+/** The usual slots of a pool, determined once. */
+export function usualSlotsOf ({ targets }: Pick<TargetPool, 'targets'>): number {
   let slots = usualSlotsByTargets.get(targets)
-  if (slots === undefined) {
-    const stated = [...targets.values()].map((target) => target.slots).sort((left, right) => left - right)
-    slots = stated[(stated.length - 1) >> 1] ?? 1
-    usualSlotsByTargets.set(targets, slots)
-  }
+  if (slots === undefined) usualSlotsByTargets.set(targets, slots = usualSlots([...targets.values()]))
   return slots
 }
--- a/packages/dotterelspur/src/request/dispatch/TargetPool.ts
+++ b/packages/dotterelspur/src/request/dispatch/TargetPool.ts
@@ -6,7 +6,7 @@
 import type { EndpointSpeeds } from './EndpointSpeeds.js'
 import { loadCurve, paceOf } from './EngineTimes.js'
 import type { PoolKey } from './FleetObservation.js'
-import { usualSlots, type StatedCapacity } from './StatedCapacity.js'
+import { usualSlots, usualSlotsOf, type StatedCapacity } from './StatedCapacity.js'
 import type { LoadPool } from './TargetLoad.js'
 
 /** An endpoint that takes requests; of a group, its head. */
@@ -17,7 +17,7 @@
   readonly failureDomain: FailureDomainId
   /** Null for plain services. */
   readonly model: ModelId | null
-  /** What its entry states, up to the connections that it accepts: each carries one request at a time. */
+  /** What its entry states. More than is usual in its pool counts only up to the connections that it accepts: each carries one request at a time. */
   readonly slots: number
 }
 
@@ -54,15 +54,17 @@
   const targetsByPool = new Map<PoolKey, DispatchTarget[]>()
   for (const record of endpoints) {
     if (!takesRequests(record)) continue
-    const target = targetOf(record, maxConnectionsOf(record.service))
+    const target = targetOf(record)
     const key = poolKeyOf(target)
     const targets = targetsByPool.get(key)
     if (targets === undefined) targetsByPool.set(key, [target])
     else targets.push(target)
   }
   return new Map([...targetsByPool].map(([key, targets]) => {
-    const ordered = targets.sort(byFailureDomain).map((target) => [target.endpoint, target] as const)
-    return [key, { key, targets: new Map(ordered), engine: engineOf(targets[0]!.service) }]
+    const { service } = targets[0]!
+    const maxSlots = Math.max(usualSlots(targets), maxConnectionsOf(service))
+    const ordered = targets.sort(byFailureDomain).map((target) => [target.endpoint, { ...target, slots: Math.min(target.slots, maxSlots) }] as const)
+    return [key, { key, targets: new Map(ordered), engine: engineOf(service) }]
   }))
 }
 
@@ -78,7 +80,7 @@
 export function loadPool (pool: TargetPool, speeds: EndpointSpeeds, backpressure: EndpointBackpressure, nowMs: number, { capacity, failures }: ShownByResponses = {}): LoadPool {
   const { key, targets, engine } = pool
   const [first] = targets.values()
-  const usual = usualSlots(pool)
+  const usual = usualSlotsOf(pool)
   const endpoints = [...targets.values()].map((target) => ({
     endpoint: target.endpoint,
     slowness: speeds.slowness(target.endpoint, nowMs),
@@ -91,9 +93,9 @@
   return { ...failing, key, endpoints, loadAtLatency: loadCurve(engine, paceOf(engine, first), engine.usualPromptTokens) }
 }
 
-function targetOf (record: EndpointRecord, maxConnections: number): DispatchTarget {
+function targetOf (record: EndpointRecord): DispatchTarget {
   const { endpoint, service, address, failureDomain, slots } = record
-  return { endpoint, service, address, failureDomain, slots: Math.max(1, Math.min(slots, maxConnections)), model: record.fabricDomain === null ? null : record.model }
+  return { endpoint, service, address, failureDomain, slots, model: record.fabricDomain === null ? null : record.model }
 }
 
 function byFailureDomain (left: DispatchTarget, right: DispatchTarget): number {
