Mesh: an address to which no connection can be opened is a refusal

What callers saw: nothing known. A call to a node whose entry holds an address that is none ended with an exception instead of an error that says it was not sent; gossip waited for its dial timeout.

Cause: `ws` throws at once for such an address, before any event of the socket. The dial now ends as unreachable, and is counted.

Evidence: `Handshake.test.ts`, four odd addresses: before uncaught "Invalid URL: ws://127.0.0.1:70000/mesh", now refused; all tests of the package pass.

--- a/packages/dotterelspur-mesh/src/__tests__/unit/Handshake.test.ts
+++ b/packages/dotterelspur-mesh/src/__tests__/unit/Handshake.test.ts
@@ -4,6 +4,7 @@
 import { ConnectionPurpose } from '../../connection/Connection.js'
 import { encodeFrame } from '../../connection/FrameCodec.js'
 import { handshakeAsDialer, RefusalReason } from '../../connection/Handshake.js'
+import { Transport, type TransportOptions } from '../../connection/Transport.js'
 import { CredentialsKind, type Mesh, type MeshCredentials } from '../../index.js'
 import { createAuthority, createCertificate } from './certificateFixture.js'
 import { createDocument, createFleet, FAST_TIMING, type Fleet, realClock, waitUntil } from './meshFixture.js'
@@ -93,6 +94,32 @@
     })
   }
 
+  // Guards against a call to a node that throws, instead of ending as one that was not sent, because of the address in the node's entry.
+  it('refuses addresses to which no connection can be opened', async () => {
+    fleet = await createFleet(0)
+    const refused: string[] = []
+    const transport = new Transport({
+      listenHost: '127.0.0.1',
+      listenPort: 0,
+      localAddress: undefined,
+      credentials: KEY,
+      guard: null,
+      clock: realClock,
+      handshakeTimeoutMs: 500,
+      maxConnections: 1,
+      connectionLimits: { maxFrameBytes: 1_000 },
+      self: createUnknownMember,
+      metrics: { countRefused: (reason: string) => { refused.push(reason) } },
+      onConnection: () => {}
+    } as unknown as TransportOptions)
+    for (const address of ['127.0.0.1:70000', '999.0.0.1:1', 'a b', '']) {
+      const dialed = await transport.dial(address, { node: null, incarnation: 0 }, ConnectionPurpose.Call)
+      expect(dialed.ok ? null : dialed.error.reason).to.equal(RefusalReason.Unreachable)
+    }
+    expect(refused).to.have.length(4)
+    await transport.close()
+  })
+
   it('disconnects a peer that sends no handshake message', async () => {
     fleet = await createFleet(1, { timing: { ...FAST_TIMING, dialTimeoutMs: 200 } })
     const socket = new WebSocket(`ws://${fleet.meshes[0]!.self.meshAddress}/mesh`)
--- a/packages/dotterelspur-mesh/src/connection/Transport.ts
+++ b/packages/dotterelspur-mesh/src/connection/Transport.ts
@@ -132,7 +132,16 @@
     return { self, credentials, clock, timeoutMs: handshakeTimeoutMs, isCertifiedAs }
   }
 
-  private openSocket (address: string): Promise<Result<OpenedSocket, Refusal>> {
+  /** The library throws for an address that is none. */
+  private async openSocket (address: string): Promise<Result<OpenedSocket, Refusal>> {
+    try {
+      return await this.connect(address)
+    } catch (error) {
+      return failed(refusalFromError(error as Error))
+    }
+  }
+
+  private connect (address: string): Promise<Result<OpenedSocket, Refusal>> {
     const { credentials, localAddress, handshakeTimeoutMs } = this.options
     const secure = credentials.kind === CredentialsKind.MutualTls
     const identity = secure
