Bodies: a caller owes progress only from when its body is read on

Suspected from the code, not shown: a body that is resumed after more than a second counted as stalled until its connection was read again. Progress is now noted in the moment in which the wait ends, whatever is read later.

No test shows this alone.

--- a/packages/dotterelspur-listener/src/connection/GuardedConnection.ts
+++ b/packages/dotterelspur-listener/src/connection/GuardedConnection.ts
@@ -122,7 +122,7 @@
 
   /** Counts a body that is held for a request of this connection. */
   growBodies (changeBytes: number): void {
-    if (changeBytes > 0) this.load?.noteProgress()
+    if (changeBytes >= 0) this.load?.noteProgress()
     this.load?.grow(HeldKind.Bodies, changeBytes)
   }
 
--- a/packages/dotterelspur/src/request/body/BodyMemory.ts
+++ b/packages/dotterelspur/src/request/body/BodyMemory.ts
@@ -84,7 +84,11 @@
         return !this.waiting.has(body)
       },
       othersWait: () => this.waiting.size > 0,
-      noteWait: (waitMs) => { this.lastWaitMs = waitMs },
+      noteWait: (waitMs) => {
+        this.lastWaitMs = waitMs
+        // Its caller could not go on meanwhile, and owes progress only from now on.
+        onResize(0)
+      },
       end: () => {
         this.arriving.delete(body)
         this.waiting.delete(body)
