Responses get less while callers hold much

A machine of 250 MB could exceed its memory where callers and faulty workers reach their limits at the same time.

Cause: callers and responses each had 0.3 of the memory beyond 130 MB. Together with garbage of both, that left too little.

The product's node does the same.

--- a/packages/dotterelspur-endpoint/src/process/EndpointCaller.ts
+++ b/packages/dotterelspur-endpoint/src/process/EndpointCaller.ts
@@ -1,5 +1,5 @@
 import { DEFAULT_MACHINE, EndpointErrorKind, failed, responseLoadLimits, ResponseTotal, success } from 'dotterelspur'
-import type { Clock, EndpointError, Result } from 'dotterelspur'
+import type { Clock, EndpointError, ResponseLoadLimits, Result } from 'dotterelspur'
 import type { Dispatcher } from 'undici'
 import type { z } from 'zod'
 import { ConnectionPools, PoolKind } from '../connection/ConnectionPools.js'
@@ -15,9 +15,12 @@
   readonly total?: ResponseTotal<Exchange>
 }
 
-/** The bodies of answers that a process buffers. */
-export function createAnswerTotal (limitBytes: number): ResponseTotal<Exchange> {
-  return new ResponseTotal(limitBytes, (largest) => { largest.endAtTotal() })
+/**
+ * The bodies of answers that a process buffers.
+ * @param callerBytes what callers make the process hold.
+ */
+export function createAnswerTotal (limits: ResponseLoadLimits, callerBytes?: () => number): ResponseTotal<Exchange> {
+  return new ResponseTotal(limits, (largest) => { largest.endAtTotal() }, callerBytes)
 }
 
 /** One short request, answered by a JSON document of a known shape. */
@@ -44,7 +47,7 @@
     this.clock = options.clock
     this.settings = { ...DEFAULT_ENDPOINT_SETTINGS, ...options.settings }
     this.pools = new ConnectionPools(this.settings)
-    this.total = options.total ?? createAnswerTotal(responseLoadLimits(DEFAULT_MACHINE).totalBytes)
+    this.total = options.total ?? createAnswerTotal(responseLoadLimits(DEFAULT_MACHINE))
   }
 
   /** Starts an exchange; undefined when too many requests wait for this endpoint's connections already. */
--- a/packages/dotterelspur-gateway/src/process/DispatchParts.ts
+++ b/packages/dotterelspur-gateway/src/process/DispatchParts.ts
@@ -32,6 +32,8 @@
   readonly coldBounds?: ColdBounds
   /** What the process may use; by default what the smallest machine has. */
   readonly machine?: MachineLimits
+  /** What callers make the process hold; nothing by default. */
+  readonly callerBytes?: () => number
   /** Called when a group appears stalled. */
   readonly onSuspect: (head: EndpointId, suspicion: Suspicion) => void
 }
--- a/packages/dotterelspur-gateway/src/process/EndpointLinks.ts
+++ b/packages/dotterelspur-gateway/src/process/EndpointLinks.ts
@@ -9,6 +9,8 @@
 export interface EndpointLinksParts extends Omit<EndpointConnectorParts, 'polls'> {
   /** What the process may use; by default what the smallest machine has. */
   readonly machine?: MachineLimits
+  /** What callers make the process hold; nothing by default. */
+  readonly callerBytes?: () => number
 }
 
 /** This node's channels to endpoints, and what is known of the links that they use. */
@@ -21,7 +23,7 @@
   private listedRelays: ReadonlySet<NodeId> = new Set()
 
   constructor (private readonly parts: EndpointLinksParts) {
-    this.memory = new ResponseMemory(responseLoadLimits(parts.machine ?? DEFAULT_MACHINE))
+    this.memory = new ResponseMemory(responseLoadLimits(parts.machine ?? DEFAULT_MACHINE), parts.callerBytes)
     this.connector = new EndpointConnector({
       ...parts,
       polls: this.polls,
--- a/packages/dotterelspur-gateway/src/process/Gateway.ts
+++ b/packages/dotterelspur-gateway/src/process/Gateway.ts
@@ -164,6 +164,7 @@
       nodeView,
       coldBounds: settings.coldBounds,
       machine: settings.machine,
+      callerBytes: () => this.guard.load.heldBytes,
       onSuspect: (head, suspicion) => { this.suspect(head, suspicion) }
     })
     this.poison = new PoisonTracker({
--- a/packages/dotterelspur-gateway/src/request/ResponseMemory.ts
+++ b/packages/dotterelspur-gateway/src/request/ResponseMemory.ts
@@ -8,12 +8,11 @@
 
 /** The bytes of responses that this process buffers, by exchange, and what they may come to on its machine. */
 export class ResponseMemory {
-  private readonly limitBytes: Readonly<Record<ResponseLimit, number>>
   private readonly total: ResponseTotal<ResponseBuffer>
 
-  constructor ({ bodyBytes, totalBytes }: ResponseLoadLimits = responseLoadLimits(DEFAULT_MACHINE)) {
-    this.limitBytes = { ...RESPONSE_LIMIT_BYTES, [ResponseLimit.Body]: bodyBytes, [ResponseLimit.Total]: totalBytes }
-    this.total = new ResponseTotal(totalBytes, (largest) => { largest.endAt(ResponseLimit.Total) })
+  /** @param callerBytes what callers make the process hold. */
+  constructor (private readonly limits: ResponseLoadLimits = responseLoadLimits(DEFAULT_MACHINE), callerBytes: () => number = () => 0) {
+    this.total = new ResponseTotal(limits, (largest) => { largest.endAt(ResponseLimit.Total) }, callerBytes)
   }
 
   get sizeBytes (): number {
@@ -22,7 +21,8 @@
 
   /** Bytes at which a limit ends an exchange. */
   limit (kind: ResponseLimit): number {
-    return this.limitBytes[kind]
+    if (kind === ResponseLimit.Total) return this.total.limitBytes
+    return kind === ResponseLimit.Body ? this.limits.bodyBytes : RESPONSE_LIMIT_BYTES[kind]
   }
 
   /** Notes what an exchange buffers now. May end an exchange, this one or another. */
--- a/packages/dotterelspur-node/src/process/NodeParts.ts
+++ b/packages/dotterelspur-node/src/process/NodeParts.ts
@@ -78,7 +78,7 @@
   const mesh = createNodeMesh(loaded, base, incarnation, ports, guard)
   const teams = new TeamTable(mesh, ({ text, team }) => parseTeam(text, team))
   const audit = new AuditTrail({ store, clock, home: homeOf({ node: settings.id, incarnation }) })
-  const total = createAnswerTotal(responseLoadLimits({ memoryBytes }, NODE_BYTES).totalBytes)
+  const total = createAnswerTotal(responseLoadLimits({ memoryBytes }, NODE_BYTES), () => guard.load.heldBytes)
   const engines = new HttpEngineClient({ clock, total })
   const services = new HttpServiceClient({ clock, total })
   const vmDirectory = new PlatformVmDirectory(store)
