--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -51,7 +51,12 @@
   const send = async (index, headerBytes) => {
     const method = index % 2 === 0 ? 'GET' : 'POST'
     return await consumers[index % 3].send({
-      address: nodes[index % 3].listen.front, method, host: HOST, path: method === 'GET' ? '/export/1' : '/log/1', deadlineMs: 1_500, body: method === 'GET' ? '' : '{"km":12}',
+      address: nodes[index % 3].listen.front,
+      method,
+      host: HOST,
+      path: method === 'GET' ? '/export/1' : '/log/1',
+      deadlineMs: 1_500,
+      body: method === 'GET' ? '' : '{"km":12}',
       headers: { authorization: `Bearer ${KEY}`, 'x-trip-context': 'c'.repeat(headerBytes - OTHER_BYTES) }
     })
   }
--- a/review/lib-2/SystemNode.mjs
+++ b/review/lib-2/SystemNode.mjs
@@ -84,8 +84,18 @@
 function settingsOf ({ name, listen, options }, isFirstStart) {
   const bounds = { grace_s: 8, ttl_max_s: 5, retry_budget_ratio: 0.2, budget_window_s: 10, retry_budget_extra: 107, drain_ms: 2_000, config_apply_ms: 2_000, ...options.bounds }
   const values = {
-    node: name, zone: options.zone, 'bootstrap|json': String(isFirstStart), 'listen.front': listen.front, 'listen.readiness_address': listen.readiness, 'listen.directory': listen.directory, 'listen.control': listen.control,
-    'provider.address': options.storeAddress, heartbeat_ms: 1_200, 'limits.memory_mb': 350, 'limits.max_fds': 4_100, ...Object.fromEntries(Object.entries(bounds).map(([key, value]) => [`bounds.${key}`, value]))
+    node: name,
+    zone: options.zone,
+    'bootstrap|json': String(isFirstStart),
+    'listen.front': listen.front,
+    'listen.readiness_address': listen.readiness,
+    'listen.directory': listen.directory,
+    'listen.control': listen.control,
+    'provider.address': options.storeAddress,
+    heartbeat_ms: 1_200,
+    'limits.memory_mb': 350,
+    'limits.max_fds': 4_100,
+    ...Object.fromEntries(Object.entries(bounds).map(([key, value]) => [`bounds.${key}`, value]))
   }
   return TEMPLATE.replace('{{ip}}:9464', listen.metrics).replaceAll(/\{\{([^}]+)\}\}/g, (_all, key) => String(values[key] ?? ''))
 }
