Review: workers of the stand-ins have an address of their own, and scripts end what they started at SIGTERM

Cause: in one run another connection had been given the port of a worker that was down (exit code 2), and a script that was ended by hand left its processes. Change: workers listen on 127.0.0.2, nodes on 127.0.0.3; SIGINT and SIGTERM end a script in order.

--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -42,7 +42,7 @@
   store.put('config', 'main', createManifest(7, SMALL_LIMIT))
   const nodes = []
   onEnd(async () => { await Promise.all(nodes.map((node) => node.close())) })
-  for (const zone of ['hall-a', 'hall-b', 'hall-c']) nodes.push(await SystemNode.start(`front-${zone}-1`, { host: '127.0.0.1', zone, folder: temporary, storeAddress: store.address, record }))
+  for (const zone of ['hall-a', 'hall-b', 'hall-c']) nodes.push(await SystemNode.start(`front-${zone}-1`, { host: '127.0.0.3', zone, folder: temporary, storeAddress: store.address, record }))
   await until('all nodes are listed', () => store.names('dotterelspur-nodes').length === nodes.length)
   await delay(4_000)
 
--- a/review/lib-2/Worker.mjs
+++ b/review/lib-2/Worker.mjs
@@ -1,6 +1,8 @@
 import { createServer } from 'node:http'
 
 const HEARTBEAT_MS = 1_200
+/** Workers have an address of their own, so that no other connection is given the port of one that is down. */
+const HOST = '127.0.0.2'
 /** Silence after which the store removes an entry: three status report intervals. */
 const EXPIRY_MS = 3 * HEARTBEAT_MS
 
@@ -43,10 +45,10 @@
   async listen (port = 0) {
     await new Promise((resolve, reject) => {
       this.#server.once('error', reject)
-      this.#server.listen(port, '127.0.0.1', resolve)
+      this.#server.listen(port, HOST, resolve)
     })
     this.port = this.#server.address().port
-    this.address = `127.0.0.1:${this.port}`
+    this.address = `${HOST}:${this.port}`
     this.report()
     this.#heartbeat = setInterval(() => { this.report() }, HEARTBEAT_MS)
     return this
--- a/review/lib-2/runCase.mjs
+++ b/review/lib-2/runCase.mjs
@@ -29,7 +29,7 @@
   const hasTrouble = process.env.TROUBLE !== '0'
   const ends = []
   const finish = async (code) => {
-    for (const end of ends.reverse()) await Promise.resolve(end()).catch(() => {})
+    for (const end of ends.splice(0).reverse()) await Promise.resolve(end()).catch(() => {})
     record.flush()
     if (process.env.KEEP === undefined) rmSync(temporary, { recursive: true, force: true })
     process.exit(code)
@@ -38,6 +38,12 @@
     record.write('not-run', { reason: 'time limit' })
     finish(NOT_RUN)
   }, LIMIT_MS)
+  for (const signal of ['SIGINT', 'SIGTERM']) {
+    process.once(signal, () => {
+      record.write('not-run', { reason: signal })
+      finish(NOT_RUN)
+    })
+  }
   record.write('begin', { trouble: hasTrouble })
   try {
     const verdict = await run({ record, temporary, hasTrouble, onEnd: (end) => { ends.push(end) } })
